Settle the interfaces of the fleet before its code

Cause: the parts are built side by side and need one set of messages, outcomes, settings and contracts.

--- /dev/null
+++ b/gypsumrouter/__init__.py
@@ -0,0 +1,1 @@
+"""A router fleet for very many returning chats."""
--- /dev/null
+++ b/gypsumrouter/configuration/models.py
@@ -0,0 +1,163 @@
+"""The fleet's configuration: one versioned document that every process holds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Annotated
+
+from pydantic import Field
+
+from gypsumrouter.const import UpstreamKind
+from gypsumrouter.util.checked import Checked
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+Digest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+PositiveFloat = Annotated[float, Field(gt=0)]
+PositiveInt = Annotated[int, Field(gt=0)]
+NotNegative = Annotated[float, Field(ge=0)]
+NotNegativeInt = Annotated[int, Field(ge=0)]
+
+DEFAULT_FIRST_TOKEN_MS = 330
+DEFAULT_ANSWER_MS = 60_000
+DEFAULT_CAP = 1.25
+DEFAULT_FLOOR = 4
+DEFAULT_SLOTS = 16
+DEFAULT_QUEUE = 64
+DEFAULT_REPEAT_WINDOW_MS = 600_000
+DEFAULT_REMEMBERED_CALLS = 100_000
+DEFAULT_REMEMBERED_BYTES = 16 * 1024 * 1024
+
+
+class OrderCheck(StrEnum):
+    """What an upstream checks of an order it is given."""
+
+    FENCING = "fencing"
+    NOTHING = "nothing"
+
+
+class OpaqueKeys(StrEnum):
+    """What to do with idempotency keys that do not carry their creation time."""
+
+    WINDOW = "window"
+    REFUSE = "refuse"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Workspace(Checked):
+    """A customer: its callers' keys as SHA-256 digests, its guaranteed share and its limits.
+
+    `share` is relative to the other workspaces' shares. Limits hold for the whole fleet.
+    """
+
+    name: Name
+    key_digests: tuple[Digest, ...] = ()
+    share: PositiveFloat = 1.0
+    requests_per_s: PositiveFloat | None = None
+    concurrent: PositiveInt | None = None
+    default_class: Name | None = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CallerClass(Checked):
+    """A class of callers: targets in milliseconds and the penalty for a miss, in money."""
+
+    name: Name
+    first_token_ms: PositiveInt = DEFAULT_FIRST_TOKEN_MS
+    answer_ms: PositiveInt = DEFAULT_ANSWER_MS
+    penalty: NotNegative = 1.0
+    batch: bool = False
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CallPattern(Checked):
+    """Calls of a service: a method (or `*`) and the beginning of a path below the service."""
+
+    method: Annotated[str, Field(pattern=r"^(\*|[A-Z]{1,16})$")] = "*"
+    path_prefix: Annotated[str, Field(pattern=r"^/")] = "/"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class AtMostOnce(Checked):
+    """Which calls must not be repeated, and how long and how many of them are remembered."""
+
+    calls: tuple[CallPattern, ...]
+    window_ms: PositiveInt = DEFAULT_REPEAT_WINDOW_MS
+    opaque_keys: OpaqueKeys = OpaqueKeys.WINDOW
+    remembered_calls: PositiveInt = DEFAULT_REMEMBERED_CALLS
+    remembered_bytes: PositiveInt = DEFAULT_REMEMBERED_BYTES
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Pool(Checked):
+    """Upstreams that can stand in for one another.
+
+    `cap` is the multiple of the pool's mean load that none may exceed; it binds above `floor`
+    requests at one upstream. `slots` is what one upstream of weight 1 runs at once, `queue`
+    what may wait before it.
+    """
+
+    name: Name
+    kind: UpstreamKind
+    models: tuple[Name, ...] = ()
+    cap: Annotated[float, Field(gt=1)] = DEFAULT_CAP
+    floor: PositiveInt = DEFAULT_FLOOR
+    slots: PositiveInt = DEFAULT_SLOTS
+    queue: NotNegativeInt = DEFAULT_QUEUE
+    at_most_once: AtMostOnce | None = None
+    order_check: OrderCheck = OrderCheck.FENCING
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class When(Checked):
+    """Conditions of a rule; all that are given must hold, and an empty one always does."""
+
+    workspace: tuple[Name, ...] | None = None
+    caller_class: tuple[Name, ...] | None = None
+    model: tuple[Name, ...] | None = None
+    service: tuple[Name, ...] | None = None
+    method: tuple[str, ...] | None = None
+    path_prefix: str | None = None
+    data_centre: tuple[Name, ...] | None = None
+    returning: bool | None = None
+    min_bytes: NotNegativeInt | None = None
+    max_bytes: NotNegativeInt | None = None
+    from_minute: Annotated[int, Field(ge=0, lt=1440)] | None = None
+    to_minute: Annotated[int, Field(ge=0, lt=1440)] | None = None
+    weekdays: tuple[Annotated[int, Field(ge=0, le=6)], ...] | None = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Then(Checked):
+    """What follows where a rule matches; what is not set stays as it would be without it."""
+
+    caller_class: Name | None = None
+    pool: Name | None = None
+    next_pool: Name | None = None
+    max_output_tokens: PositiveInt | None = None
+    concurrent: PositiveInt | None = None
+    requests_per_s: PositiveFloat | None = None
+    deadline_ms: PositiveInt | None = None
+    refuse: str | None = None
+    retry_after_ms: PositiveInt | None = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Rule(Checked):
+    """One when-then rule; for each request only the first rule that matches counts."""
+
+    name: Name
+    when: When = When()
+    then: Then = Then()
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Configuration(Checked):
+    """The whole document; a higher version always replaces a lower one, never the reverse."""
+
+    version: NotNegativeInt
+    workspaces: tuple[Workspace, ...] = ()
+    classes: tuple[CallerClass, ...] = ()
+    pools: tuple[Pool, ...] = ()
+    rules: tuple[Rule, ...] = ()
+    default_class: Name | None = None
--- /dev/null
+++ b/gypsumrouter/const.py
@@ -0,0 +1,54 @@
+"""Constants that every part of the product needs to know."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import Final
+
+VERSION: Final = "0.1.0"
+
+ENV_IO_URING: Final = "UV_USE_IO_URING"
+IO_URING_OFF: Final = "0"
+
+MS_PER_S: Final = 1000
+
+HEADER_REQUEST_ID: Final = "X-Request-Id"
+HEADER_IDEMPOTENCY_KEY: Final = "Idempotency-Key"
+HEADER_PLACEMENT: Final = "X-Gypsum-Placement"
+HEADER_CHAT: Final = "X-Gypsum-Chat"
+HEADER_CLASS: Final = "X-Gypsum-Class"
+HEADER_DEADLINE: Final = "X-Gypsum-Deadline-Ms"
+HEADER_EXECUTED: Final = "X-Gypsum-Executed"
+HEADER_REPLAYED: Final = "X-Gypsum-Replayed"
+
+PATH_CHAT: Final = "/v1/chat/completions"
+PATH_MODELS: Final = "/v1/models"
+PATH_SERVICES: Final = "/services/"
+
+MAX_REQUEST_BODY_BYTES: Final = 4 * 1024 * 1024
+MAX_HEAD_BYTES: Final = 16 * 1024
+
+EXIT_OK: Final = 0
+EXIT_FAILED: Final = 1
+EXIT_SETTINGS: Final = 2
+
+
+class Role(StrEnum):
+    """What one process of the system does."""
+
+    ROUTER = "router"
+    SIDE = "side"
+
+
+class UpstreamKind(StrEnum):
+    """What stands behind a side."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class InstanceState(StrEnum):
+    """What the platform's instance list says of an instance."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
--- /dev/null
+++ b/gypsumrouter/fleet/models.py
@@ -0,0 +1,49 @@
+"""What the platform's instance list says, as values."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from gypsumrouter.const import InstanceState, Role
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Address:
+    """An IP literal and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        host = f"[{self.host}]" if ":" in self.host else self.host
+        return f"{host}:{self.port}"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Instance:
+    """One process of the system: where its link listens and what it serves.
+
+    `pool` is empty for routers. `weight` is the size of the upstream against others of its pool.
+    """
+
+    name: str
+    role: Role
+    address: Address
+    data_centre: str
+    region: str
+    pool: str = ""
+    weight: float = 1.0
+    state: InstanceState = InstanceState.LIVE
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class InstanceList:
+    """One state of the list: `revision` grows by one with each change.
+
+    `as_of_ms` is the wall time at which the platform says that this was its state; a lagging
+    reader gets an old one.
+    """
+
+    revision: int
+    as_of_ms: int
+    instances: tuple[Instance, ...]
--- /dev/null
+++ b/gypsumrouter/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""What several aggregates share and that knows the application."""
--- /dev/null
+++ b/gypsumrouter/helpers/metrics.py
@@ -0,0 +1,92 @@
+"""Metrics of one process: counted in plain numbers, rendered by a library when scraped."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+import aioprometheus
+from aioprometheus.formats import text
+
+from gypsumrouter.exceptions import InvariantBroken
+
+Labels = tuple[tuple[str, str], ...]
+ReadGauge = Callable[[], Mapping[Labels, float]]
+
+NO_LABELS: Labels = ()
+
+
+class Counter:
+    """A number that only grows, for each set of labels."""
+
+    __slots__ = ("values",)
+
+    def __init__(self) -> None:
+        self.values: dict[Labels, float] = {}
+
+    def inc(self, amount: float = 1, labels: Labels = NO_LABELS) -> None:
+        """Add `amount`."""
+        self.values[labels] = self.values.get(labels, 0) + amount
+
+    def total(self) -> float:
+        """Return the sum over all labels."""
+        return sum(self.values.values())
+
+
+class Histogram:
+    """Counts of observed values by bucket, for each set of labels."""
+
+    __slots__ = ("_metric",)
+
+    def __init__(self, metric: aioprometheus.Histogram) -> None:
+        self._metric = metric
+
+    def observe(self, value: float, labels: Labels = NO_LABELS) -> None:
+        """Count one value."""
+        self._metric.observe(dict(labels), value)
+
+
+class MetricRegistry:
+    """Every metric of one process."""
+
+    __slots__ = ("_counters", "_gauges", "_library", "_names")
+
+    def __init__(self) -> None:
+        self._library = aioprometheus.Registry()
+        self._names: set[str] = set()
+        self._counters: list[tuple[aioprometheus.Counter, Counter]] = []
+        self._gauges: list[tuple[aioprometheus.Gauge, ReadGauge]] = []
+
+    def counter(self, name: str, documentation: str) -> Counter:
+        """Register a counter; names end in `_total`."""
+        metric = aioprometheus.Counter(self._claim(name), documentation, registry=self._library)
+        counter = Counter()
+        self._counters.append((metric, counter))
+        return counter
+
+    def gauge(self, name: str, documentation: str, read: ReadGauge) -> None:
+        """Register a gauge that is read when the metrics are scraped."""
+        metric = aioprometheus.Gauge(self._claim(name), documentation, registry=self._library)
+        self._gauges.append((metric, read))
+
+    def histogram(self, name: str, documentation: str, buckets: list[float]) -> Histogram:
+        """Register a histogram with the upper bounds of its buckets."""
+        metric = aioprometheus.Histogram(
+            self._claim(name), documentation, buckets=buckets, registry=self._library
+        )
+        return Histogram(metric)
+
+    def render(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        for metric, counter in self._counters:
+            for labels, value in counter.values.items():
+                metric.set(dict(labels), value)
+        for gauge, read in self._gauges:
+            for labels, value in read().items():
+                gauge.set(dict(labels), value)
+        return bytes(text.TextFormatter().marshall(self._library))
+
+    def _claim(self, name: str) -> str:
+        if name in self._names:
+            raise InvariantBroken(f"metric {name} registered twice")
+        self._names.add(name)
+        return name
--- /dev/null
+++ b/gypsumrouter/link/models.py
@@ -0,0 +1,151 @@
+"""The messages between processes of the system, one data class for each kind."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from gypsumrouter.const import Role, UpstreamKind
+from gypsumrouter.outcomes import Failure
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Hello:
+    """Who stands at one end of a link; both ends say it in the handshake."""
+
+    name: str
+    role: Role
+    incarnation: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PoolLoad:
+    """What a router believes of a pool's load: the mean for each unit of weight, and its age.
+
+    `known` is the number of instances that the mean is taken over, `members` the number that the
+    router believes in.
+    """
+
+    mean: float
+    known: int
+    members: int
+    age_ms: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Open:
+    """Ask a side to run one request at its upstream.
+
+    `sequence` grows with each request of one router incarnation on one link and names the
+    exchange with it. `deadline_ms` is what is left of the caller's time, `waited_ms` what the
+    request has already spent in the router. `path` is the path at the upstream with its query.
+    `digest` identifies requests of the same content, for suspicion. `idempotency_key` is set
+    only for calls that must not be repeated. `prompt_bytes` and `max_output_tokens` are the size.
+    """
+
+    sequence: int
+    request_id: str
+    kind: UpstreamKind
+    pool: str
+    workspace: str
+    caller_class: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    stream: bool
+    deadline_ms: int
+    waited_ms: int
+    digest: int
+    model: str = ""
+    chat: str = ""
+    returning: bool = False
+    idempotency_key: str = ""
+    attempt: int = 1
+    prompt_bytes: int = 0
+    max_output_tokens: int = 0
+    configuration_version: int = 0
+    pool_load: PoolLoad | None = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Head:
+    """The beginning of an answer; `replayed` marks an answer from memory."""
+
+    status: int
+    headers: Headers
+    replayed: bool = False
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Data:
+    """A part of an answer's body that begins at byte `offset`."""
+
+    offset: int
+    body: bytes
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class End:
+    """The end of a whole answer: its length in bytes and its XXH3-64 checksum."""
+
+    length: int
+    checksum: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Status:
+    """What a side says of itself; sent when it changes, at a bounded rate.
+
+    `load` counts the requests that run at or wait for the upstream, `running` those that run.
+    """
+
+    load: int
+    running: int
+    weight: float
+    leaving: bool
+    ready: bool
+    models: tuple[str, ...] = ()
+    pool_load: PoolLoad | None = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ConfigurationNews:
+    """A configuration version that the sender has in force, with the digest of its manifest."""
+
+    version: int
+    digest: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PartsRequest:
+    """Ask for parts of a configuration version by their digests; none asks for the manifest."""
+
+    version: int
+    parts: tuple[int, ...] = ()
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Parts:
+    """Parts of a configuration version; `parts` are compressed bodies, `manifest` their order."""
+
+    version: int
+    manifest: tuple[int, ...] = ()
+    parts: tuple[bytes, ...] = ()
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class SuspectNews:
+    """A request digest that was running when an upstream died.
+
+    `strike` is a number unique to that death, so that the same death is counted once.
+    """
+
+    digest: int
+    strike: int
+    alone: bool
+
+
+Notice = Status | ConfigurationNews | PartsRequest | Parts | SuspectNews
+AnswerEvent = Head | Data | End | Failure
--- /dev/null
+++ b/gypsumrouter/settings.py
@@ -0,0 +1,234 @@
+"""Settings of one process: a JSON document, checked whole before anything starts."""
+
+from __future__ import annotations
+
+import ipaddress
+import os
+from dataclasses import dataclass, field
+from enum import StrEnum
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import AfterValidator, Field, TypeAdapter
+
+from gypsumrouter.configuration.models import Name, NotNegativeInt, PositiveFloat, PositiveInt
+from gypsumrouter.const import MAX_HEAD_BYTES, MAX_REQUEST_BODY_BYTES, UpstreamKind
+from gypsumrouter.exceptions import DocumentInvalid, FieldError, SettingsInvalid
+from gypsumrouter.util.checked import Checked, check_json
+
+MIN_LINK_KEY_BYTES = 16
+
+
+def _check_ip_literal(value: str) -> str:
+    ipaddress.ip_address(value)
+    return value
+
+
+IpLiteral = Annotated[str, AfterValidator(_check_ip_literal)]
+Port = Annotated[int, Field(ge=0, le=65535)]
+HttpOrigin = Annotated[
+    str, Field(pattern=r"^https?://(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d+$")
+]
+
+
+class LogFormat(StrEnum):
+    """How log lines are written."""
+
+    JSON = "json"
+    TEXT = "text"
+
+
+class LogLevel(StrEnum):
+    """The least severe level that is written."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Tls(Checked):
+    """Key files of one listener or link; they are read again when they change.
+
+    With `client_ca_file` a listener asks its peers for a certificate of that authority.
+    """
+
+    certificate_file: str
+    key_file: str
+    ca_file: str | None = None
+    client_ca_file: str | None = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Listener(Checked):
+    """Where a listener is bound; port 0 takes any free one."""
+
+    host: IpLiteral = "127.0.0.1"
+    port: Port = 0
+    tls: Tls | None = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Operators(Checked):
+    """The operators' address; a token is needed unless it is bound to loopback."""
+
+    host: IpLiteral = "127.0.0.1"
+    port: Port = 0
+    tls: Tls | None = None
+    token_file: str | None = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Identity(Checked):
+    """What this process is called and where it stands."""
+
+    name: Name
+    data_centre: Name
+    region: Name
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Link(Checked):
+    """The listener and the shared key of the links between processes.
+
+    The key comes from `key_file` or from the environment variable named by `key_env`. `host` and
+    `port` are where this process listens. Times are in milliseconds, sizes in bytes.
+    """
+
+    host: IpLiteral = "127.0.0.1"
+    port: Port = 0
+    tls: Tls | None = None
+    key_file: str | None = None
+    key_env: str | None = None
+    heartbeat_ms: PositiveInt = 800
+    silence_ms: PositiveInt = 2_400
+    idle_close_ms: PositiveInt = 60_000
+    connect_ms: PositiveInt = 1_000
+    resume_ms: PositiveInt = 8_000
+    window_bytes: PositiveInt = 256 * 1024
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Platform(Checked):
+    """Where the platform publishes the configuration and the instance list, as HTTP origins.
+
+    `list_lease_ms` is how old the list may be for a side to run calls that must not be repeated,
+    `clock_skew_ms` how far any two wall clocks may differ.
+    """
+
+    configuration: tuple[HttpOrigin, ...] = ()
+    instances: tuple[HttpOrigin, ...] = ()
+    list_poll_ms: PositiveInt = 1_000
+    list_lease_ms: PositiveInt = 15_000
+    clock_skew_ms: NotNegativeInt = 1_000
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Upstream(Checked):
+    """The upstream beside a side; `silence_ms` bounds its pauses while an answer runs."""
+
+    pool: Name
+    kind: UpstreamKind
+    host: IpLiteral = "127.0.0.1"
+    port: Port
+    tls: Tls | None = None
+    weight: PositiveFloat = 1.0
+    connect_ms: PositiveInt = 1_000
+    silence_ms: PositiveInt = 2_400
+    load_poll_ms: PositiveInt = 500
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Limits(Checked):
+    """Bounds of one process; times are in milliseconds, sizes in bytes."""
+
+    max_head_bytes: PositiveInt = MAX_HEAD_BYTES
+    max_body_bytes: PositiveInt = MAX_REQUEST_BODY_BYTES
+    max_streams: PositiveInt = 4_096
+    caller_idle_ms: PositiveInt = 15_000
+    default_deadline_ms: PositiveInt = 120_000
+    drain_ms: PositiveInt = 120_000
+    retry_ratio: Annotated[float, Field(ge=0, le=1)] = 0.1
+    max_attempts: PositiveInt = 4
+    answer_memory_bytes: PositiveInt = 16 * 1024 * 1024
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Log(Checked):
+    """What is logged, and how."""
+
+    level: LogLevel = LogLevel.INFO
+    format: LogFormat = LogFormat.TEXT
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RouterSettings(Checked):
+    """Settings of a router."""
+
+    instance: Identity
+    callers: Listener = field(default_factory=Listener)
+    operators: Operators = field(default_factory=Operators)
+    link: Link
+    platform: Platform
+    limits: Limits = field(default_factory=Limits)
+    log: Log = field(default_factory=Log)
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class SideSettings(Checked):
+    """Settings of a side."""
+
+    instance: Identity
+    operators: Operators = field(default_factory=Operators)
+    link: Link
+    platform: Platform
+    upstream: Upstream
+    limits: Limits = field(default_factory=Limits)
+    log: Log = field(default_factory=Log)
+
+
+Settings = RouterSettings | SideSettings
+
+ROUTER_ADAPTER: TypeAdapter[RouterSettings] = TypeAdapter(RouterSettings)
+SIDE_ADAPTER: TypeAdapter[SideSettings] = TypeAdapter(SideSettings)
+
+
+def check_router_settings(document: bytes | str) -> RouterSettings:
+    """Return checked settings of a router; raises SettingsInvalid."""
+    try:
+        return check_json(adapter=ROUTER_ADAPTER, document=document)
+    except DocumentInvalid as error:
+        raise SettingsInvalid(error.errors) from None
+
+
+def check_side_settings(document: bytes | str) -> SideSettings:
+    """Return checked settings of a side; raises SettingsInvalid."""
+    try:
+        return check_json(adapter=SIDE_ADAPTER, document=document)
+    except DocumentInvalid as error:
+        raise SettingsInvalid(error.errors) from None
+
+
+def read_link_key(link: Link) -> bytes:
+    """Return the shared key of the links; raises SettingsInvalid when there is none."""
+    if link.key_file is not None:
+        return _check_link_key(_read_secret_file(link.key_file, "$.link.key_file"))
+    if link.key_env is not None:
+        return _check_link_key(os.environ.get(link.key_env, "").encode())
+    raise SettingsInvalid((FieldError(path="$.link", message="key_file or key_env is needed"),))
+
+
+def _read_secret_file(path: str, field_path: str) -> bytes:
+    try:
+        return Path(path).read_bytes().strip()
+    except OSError as error:
+        message = f"cannot be read: {error.strerror}"
+        raise SettingsInvalid((FieldError(path=field_path, message=message),)) from None
+
+
+def _check_link_key(key: bytes) -> bytes:
+    if len(key) < MIN_LINK_KEY_BYTES:
+        message = f"the key needs at least {MIN_LINK_KEY_BYTES} bytes"
+        raise SettingsInvalid((FieldError(path="$.link", message=message),))
+    return key
--- /dev/null
+++ b/gypsumrouter/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder docstring, replaced when the aggregate lands."""
--- /dev/null
+++ b/gypsumrouter/util/__init__.py
@@ -0,0 +1,1 @@
+"""Pure functions and small types that know nothing of the application."""
--- /dev/null
+++ b/gypsumrouter/util/checked.py
@@ -0,0 +1,45 @@
+"""JSON documents checked into plain data classes, with every wrong field named at once."""
+
+from __future__ import annotations
+
+from typing import ClassVar, TypeVar
+
+from pydantic import ConfigDict, TypeAdapter, ValidationError
+
+from gypsumrouter.exceptions import DocumentInvalid, FieldError
+
+_T = TypeVar("_T")
+
+
+class Checked:
+    """Base of the data classes that JSON documents are checked into; unknown fields are wrong."""
+
+    __slots__ = ()
+    __pydantic_config__: ClassVar[ConfigDict] = ConfigDict(extra="forbid")
+
+
+def check_json(*, adapter: TypeAdapter[_T], document: bytes | str) -> _T:
+    """Return the document as data classes.
+
+    Raises DocumentInvalid with the path of each wrong field.
+    """
+    try:
+        return adapter.validate_json(document)
+    except ValidationError as error:
+        raise DocumentInvalid(list_field_errors(error)) from None
+
+
+def list_field_errors(error: ValidationError) -> tuple[FieldError, ...]:
+    """Return the path and the message of each wrong field, without the values themselves."""
+    return tuple(
+        FieldError(path=format_path(detail["loc"]), message=detail["msg"])
+        for detail in error.errors(include_url=False, include_input=False, include_context=False)
+    )
+
+
+def format_path(location: tuple[int | str, ...]) -> str:
+    """Return a location as a JSON path such as `$.pools[0].name`."""
+    path = "$"
+    for step in location:
+        path += f"[{step}]" if isinstance(step, int) else f".{step}"
+    return path
