--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches of the product: real processes before stand-ins, on loopback only."""
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,40 @@
+"""Run one bench by its name: `python -m bench NAME [OPTIONS]`."""
+
+from __future__ import annotations
+
+import os
+
+from gypsumrouter.const import ENV_IO_URING, IO_URING_OFF
+
+os.environ[ENV_IO_URING] = IO_URING_OFF
+
+import importlib
+import sys
+from typing import Final
+
+BENCHES: Final = {
+    "relay": "bench.relay",
+    "faults": "bench.faults",
+    "churn": "bench.churn",
+    "surge": "bench.surge",
+    "control": "bench.control",
+    "config": "bench.config",
+    "slopes": "bench.slopes",
+    "orders": "bench.orders",
+    "decisions": "bench.decisions",
+}
+EXIT_USAGE: Final = 2
+
+
+def main(argv: list[str]) -> int:
+    """Run the named bench and return its exit code."""
+    if not argv or argv[0] not in BENCHES:
+        print(f"usage: python -m bench NAME [OPTIONS], NAME one of: {', '.join(BENCHES)}")
+        return EXIT_USAGE
+    module = importlib.import_module(BENCHES[argv[0]])
+    result: int = module.main(argv[1:])
+    return result
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/bench/accounts.py
@@ -0,0 +1,45 @@
+"""Accounts that callers of a bench or the demo use."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import Final
+
+from gypsumrouter.const import HEADER_CLASS
+from gypsumrouter.standins.deployments import CLASS_REPORTS, Deployment
+
+DEFAULT_REPORTS_SHARE: Final = 0.2
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Account:
+    """Whose requests these are."""
+
+    workspace: str
+    key: str
+    caller_class: str
+
+    def make_headers(self) -> dict[str, str]:
+        """Return the headers that say so."""
+        return {"Authorization": f"Bearer {self.key}", HEADER_CLASS: self.caller_class}
+
+
+def choose_accounts(
+    deployment: Deployment, *, count: int, seed: int, reports_share: float = DEFAULT_REPORTS_SHARE
+) -> list[Account]:
+    """Return accounts by the traffic of the workspaces; a share of them write reports."""
+    randomness = random.Random(seed)
+    plans = deployment.workspaces
+    chosen = randomness.choices(plans, weights=[plan.traffic for plan in plans], k=count)
+    names = [item.name for item in deployment.interactive]
+    return [
+        Account(
+            workspace=plan.name,
+            key=plan.key,
+            caller_class=(
+                CLASS_REPORTS if randomness.random() < reports_share else randomness.choice(names)
+            ),
+        )
+        for plan in chosen
+    ]
--- /dev/null
+++ b/bench/client_host.py
@@ -0,0 +1,141 @@
+"""A process of its own for many streaming callers: counts tokens and first-token times."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+import time
+from dataclasses import asdict, dataclass, field
+from typing import Final
+
+import aiohttp
+
+from gypsumrouter.const import ENV_IO_URING, HEADER_CHAT, IO_URING_OFF, MS_PER_S, PATH_CHAT
+
+EVENT_MARK: Final = b'"content"'
+DONE_MARK: Final = b"[DONE]"
+HTTP_OK: Final = 200
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ClientPlan:
+    """What one process of callers does; `origins` are taken in turn, times are seconds."""
+
+    origins: tuple[str, ...]
+    key: str
+    model: str
+    streams: int
+    tokens: int
+    warm_s: float
+    measure_s: float
+    seed: int = 0
+    prompt_bytes: int = 400
+
+
+@dataclass(slots=True, kw_only=True)
+class ClientResult:
+    """What the callers of one process saw while measured; times in milliseconds."""
+
+    tokens: int = 0
+    whole: int = 0
+    broken: int = 0
+    first_ms: list[float] = field(default_factory=list)
+    gap_ms: list[float] = field(default_factory=list)
+
+
+async def async_run_clients(plan: ClientPlan) -> ClientResult:
+    """Run callers in a process of its own and return what they saw."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "bench.client_host",
+        json.dumps(asdict(plan)),
+        stdout=asyncio.subprocess.PIPE,
+        env={**os.environ, ENV_IO_URING: IO_URING_OFF},
+    )
+    output, _ = await process.communicate()
+    return ClientResult(**json.loads(output))
+
+
+class StreamCallers:
+    """Callers that each ask again as soon as their stream has ended."""
+
+    def __init__(self, *, plan: ClientPlan, session: aiohttp.ClientSession) -> None:
+        self.plan = plan
+        self.session = session
+        self.result = ClientResult()
+        began_s = time.monotonic()
+        self.measure_from_s = began_s + plan.warm_s
+        self.until_s = self.measure_from_s + plan.measure_s
+
+    async def async_call_repeatedly(self, number: int) -> None:
+        """Play one caller until the time is over."""
+        turn = 0
+        # Spread the callers over the length of one answer, so that they do not run in step.
+        await asyncio.sleep((number % 97) / 97 * min(self.plan.warm_s, 1.0))
+        while time.monotonic() < self.until_s:
+            await self._async_call(number, turn)
+            turn += 1
+
+    async def _async_call(self, number: int, turn: int) -> None:
+        origin = self.plan.origins[number % len(self.plan.origins)]
+        chat = f"chat-{self.plan.seed}-{number}-{turn}"
+        payload = {
+            "model": self.plan.model,
+            "stream": True,
+            "max_tokens": self.plan.tokens,
+            "messages": [{"role": "user", "content": chat + " " + "x" * self.plan.prompt_bytes}],
+        }
+        headers = {"Authorization": f"Bearer {self.plan.key}", HEADER_CHAT: chat}
+        began_s = time.monotonic()
+        async with self.session.post(origin + PATH_CHAT, json=payload, headers=headers) as answer:
+            if answer.status != HTTP_OK:
+                self.result.broken += 1
+                await answer.read()
+                return
+            await self._async_count(answer, began_s)
+
+    async def _async_count(self, answer: aiohttp.ClientResponse, began_s: float) -> None:
+        last_s = 0.0
+        ending = b""
+        async for chunk in answer.content.iter_any():
+            now_s = time.monotonic()
+            tokens = chunk.count(EVENT_MARK)
+            ending = chunk
+            if tokens == 0:
+                continue
+            if self.measure_from_s <= now_s < self.until_s:
+                self._note(tokens, now_s, began_s, last_s)
+            last_s = now_s
+        if DONE_MARK in ending:
+            self.result.whole += 1
+        else:
+            self.result.broken += 1
+
+    def _note(self, tokens: int, now_s: float, began_s: float, last_s: float) -> None:
+        self.result.tokens += tokens
+        if last_s == 0.0:
+            self.result.first_ms.append((now_s - began_s) * MS_PER_S)
+        else:
+            self.result.gap_ms.append((now_s - last_s) * MS_PER_S)
+
+
+async def async_host(plan: ClientPlan) -> None:
+    """Run all callers of the plan and print the result."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        callers = StreamCallers(plan=plan, session=session)
+        await asyncio.gather(
+            *(callers.async_call_repeatedly(number) for number in range(plan.streams))
+        )
+    print(json.dumps(asdict(callers.result)))
+
+
+if __name__ == "__main__":
+    import uvloop
+
+    arguments = json.loads(sys.argv[1])
+    arguments["origins"] = tuple(arguments["origins"])
+    uvloop.run(async_host(ClientPlan(**arguments)))
--- /dev/null
+++ b/bench/engine_host.py
@@ -0,0 +1,55 @@
+"""A process of its own for one stand-in engine: prints its address, ends with its input."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+import os
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from gypsumrouter.const import ENV_IO_URING, IO_URING_OFF
+from gypsumrouter.fleet.models import Address
+from gypsumrouter.standins import Engine, EngineSettings
+from gypsumrouter.util.clock import SystemClock
+
+
+@asynccontextmanager
+async def start_engine(settings: EngineSettings) -> AsyncIterator[Address]:
+    """Run an engine in a process of its own while the context is open."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "bench.engine_host",
+        json.dumps(dataclasses.asdict(settings)),
+        stdin=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
+        env={**os.environ, ENV_IO_URING: IO_URING_OFF},
+    )
+    assert process.stdin is not None
+    assert process.stdout is not None
+    try:
+        host, port = json.loads(await process.stdout.readline())
+        yield Address(host=host, port=port)
+    finally:
+        process.stdin.close()
+        await process.wait()
+
+
+async def async_host(settings: EngineSettings) -> None:
+    """Run one engine until the standard input ends."""
+    engine = Engine(clock=SystemClock(), settings=settings)
+    address = await engine.async_start()
+    print(json.dumps([address.host, address.port]), flush=True)
+    await asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
+    await engine.async_stop()
+
+
+if __name__ == "__main__":
+    import uvloop
+
+    arguments = json.loads(sys.argv[1])
+    arguments["models"] = tuple(arguments["models"])
+    uvloop.run(async_host(EngineSettings(**arguments)))
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,131 @@
+"""Real processes of the product for benches: started, measured and ended by their own id."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, Final
+
+from gypsumrouter.const import ENV_IO_URING, IO_URING_OFF, Role
+from gypsumrouter.fleet.models import Address
+
+TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
+KIB: Final = 1024
+ANNOUNCE_S: Final = 20.0
+STOP_S: Final = 20.0
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Usage:
+    """Processor seconds that a process has used so far, and its resident bytes."""
+
+    cpu_s: float
+    rss_bytes: int
+
+
+class DaemonProcess:
+    """One running daemon and the addresses that it announced."""
+
+    __slots__ = ("addresses", "name", "process", "role")
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        role: Role,
+        process: asyncio.subprocess.Process,
+        addresses: dict[str, Address],
+    ) -> None:
+        self.name = name
+        self.role = role
+        self.process = process
+        self.addresses = addresses
+
+    @property
+    def pid(self) -> int:
+        """Return the id of the process."""
+        return self.process.pid
+
+    def read_usage(self) -> Usage:
+        """Return what the process has used, read from the kernel."""
+        return read_usage(self.pid)
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process alone."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def async_stop(self) -> int:
+        """End the process in the planned way, or by force when that takes too long."""
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGTERM)
+        try:
+            return await asyncio.wait_for(self.process.wait(), STOP_S)
+        except TimeoutError:
+            self.send_signal(signal.SIGKILL)
+            return await self.process.wait()
+
+    async def async_kill(self) -> None:
+        """End the process at once."""
+        self.send_signal(signal.SIGKILL)
+        await self.process.wait()
+
+
+async def async_start_daemon(
+    *, role: Role, settings: dict[str, Any], folder: Path, log: Path | None = None
+) -> DaemonProcess:
+    """Start one daemon and wait until it has announced its addresses.
+
+    Raises RuntimeError when it ends before that.
+    """
+    name = settings["instance"]["name"]
+    file = folder / f"{name}.json"
+    file.write_text(json.dumps(settings))
+    with (log or folder / f"{name}.log").open("ab") as errors:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "gypsumrouter.daemon",
+            str(role),
+            "--settings",
+            str(file),
+            "--announce",
+            stdout=asyncio.subprocess.PIPE,
+            stderr=errors,
+            env={**os.environ, ENV_IO_URING: IO_URING_OFF},
+        )
+    addresses = await _async_read_announcement(process, name)
+    return DaemonProcess(name=name, role=role, process=process, addresses=addresses)
+
+
+async def _async_read_announcement(
+    process: asyncio.subprocess.Process, name: str
+) -> dict[str, Address]:
+    if process.stdout is None:
+        raise RuntimeError("the process has no standard output")
+    line = await asyncio.wait_for(process.stdout.readline(), ANNOUNCE_S)
+    if not line:
+        raise RuntimeError(f"{name} ended before it announced its addresses")
+    announced: dict[str, str] = json.loads(line)["addresses"]
+    return {key: parse_address(value) for key, value in announced.items()}
+
+
+def parse_address(text: str) -> Address:
+    """Return an address written as `host:port`."""
+    host, _, port = text.rpartition(":")
+    return Address(host=host.strip("[]"), port=int(port))
+
+
+def read_usage(pid: int) -> Usage:
+    """Return the processor time and memory of a process of this machine."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    cpu_s = (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return Usage(cpu_s=cpu_s, rss_bytes=int(line.split()[1]) * KIB)
+    return Usage(cpu_s=cpu_s, rss_bytes=0)
--- /dev/null
+++ b/bench/rig.py
@@ -0,0 +1,166 @@
+"""A fleet of real processes before stand-ins: one daemon for each side and each router."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import tempfile
+from pathlib import Path
+from typing import Any, Final
+
+import aiohttp
+
+from bench.processes import DaemonProcess, async_start_daemon
+from gypsumrouter.const import MS_PER_S, Role
+from gypsumrouter.fleet.models import Address
+from gypsumrouter.standins import FaultProxy, StandinPlatform
+
+LINK_KEY_BYTES: Final = 32
+READY_POLL_MS: Final = 20
+READY_MS: Final = 20_000
+STARTS_AT_ONCE: Final = 12
+NOWHERE: Final = Address(host="127.0.0.1", port=1)
+ADDRESS_CALLERS: Final = "callers"
+ADDRESS_OPERATORS: Final = "operators"
+ADDRESS_LINK: Final = "link"
+HTTP_OK: Final = 200
+
+Sections = dict[str, Any]
+
+
+class Rig:
+    """Starts, finds, replaces and ends the processes of one fleet.
+
+    With `proxied` each link is reached through a fault proxy of its own. `extra` is laid over the
+    settings of every process, section by section.
+    """
+
+    def __init__(
+        self, *, platform: StandinPlatform, proxied: bool = False, extra: Sections | None = None
+    ) -> None:
+        self.platform = platform
+        self.proxied = proxied
+        self.extra = extra or {}
+        self.sides: dict[str, DaemonProcess] = {}
+        self.routers: dict[str, DaemonProcess] = {}
+        self.proxies: dict[str, FaultProxy] = {}
+        self._scratch = tempfile.TemporaryDirectory(prefix="gypsumrouter-bench-")
+        self.folder = Path(self._scratch.name)
+        self._key_file = self.folder / "link.key"
+        self._key_file.write_text(secrets.token_hex(LINK_KEY_BYTES))
+        self._gate = asyncio.Semaphore(STARTS_AT_ONCE)
+        self._session: aiohttp.ClientSession | None = None
+
+    async def async_start(self, *, routers: int) -> None:
+        """Start one process for each plan of the platform, and wait until all are ready."""
+        await asyncio.gather(*(self.async_start_side(plan.name) for plan in self.platform.plans))
+        await asyncio.gather(*(self.async_start_router(index) for index in range(routers)))
+        await self.async_wait_ready()
+
+    async def async_start_side(self, name: str) -> DaemonProcess:
+        """Start the side beside one upstream and put it on the instance list."""
+        settings = self.platform.make_side_settings(name, link=self._make_link())
+        process, listed = await self._async_start(Role.SIDE, settings)
+        self.sides[name] = process
+        self.platform.list_side(name, listed)
+        return process
+
+    async def async_start_router(self, index: int) -> DaemonProcess:
+        """Start a router and put it on the instance list."""
+        deployment = self.platform.deployments[index % len(self.platform.deployments)]
+        name = f"{deployment.name}-router-{index + 1}"
+        place = {"data_centre": deployment.get_data_centre(index), "region": deployment.region}
+        settings = self.platform.make_router_settings(name, link=self._make_link(), **place)
+        process, listed = await self._async_start(Role.ROUTER, settings)
+        self.routers[name] = process
+        self.platform.list_router(name, listed, **place)
+        return process
+
+    async def async_wait_ready(self) -> None:
+        """Wait until every process takes work; raises TimeoutError after 20 s."""
+        waiting = {**self.sides, **self.routers}
+        for _ in range(READY_MS // READY_POLL_MS):
+            ready = await asyncio.gather(*(self.async_is_ready(item) for item in waiting.values()))
+            waiting = {
+                name: process
+                for (name, process), is_ready in zip(waiting.items(), ready, strict=True)
+                if not is_ready
+            }
+            if not waiting:
+                return
+            await asyncio.sleep(READY_POLL_MS / MS_PER_S)
+        raise TimeoutError(f"not ready in time: {', '.join(waiting)}")
+
+    async def async_is_ready(self, process: DaemonProcess) -> bool:
+        """Return whether a process says that it takes work."""
+        url = f"http://{process.addresses[ADDRESS_OPERATORS]}/readyz"
+        try:
+            async with self._get_session().get(url) as response:
+                return response.status == HTTP_OK
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    async def async_dump(self, process: DaemonProcess) -> Sections:
+        """Return the sections of a process's state dump."""
+        url = f"http://{process.addresses[ADDRESS_OPERATORS]}/dump"
+        async with self._get_session().get(url) as response:
+            dump = await response.json()
+        sections: Sections = dump["sections"]
+        return sections
+
+    def list_callers(self) -> list[Address]:
+        """Return where the routers take callers' requests."""
+        return [process.addresses[ADDRESS_CALLERS] for process in self.routers.values()]
+
+    async def async_stop(self) -> None:
+        """End every process, the routers first, and release everything."""
+        for processes in (self.routers, self.sides):
+            await asyncio.gather(*(process.async_stop() for process in processes.values()))
+        for proxy in self.proxies.values():
+            await proxy.async_stop()
+        if self._session is not None:
+            await self._session.close()
+        await self.platform.async_stop()
+        self._scratch.cleanup()
+
+    async def _async_start(self, role: Role, settings: Sections) -> tuple[DaemonProcess, Address]:
+        name = settings["instance"]["name"]
+        merged = {
+            section: _lay_over(settings.get(section, {}), self.extra.get(section, {}))
+            for section in settings.keys() | self._pick_extra(role)
+        }
+        proxy = await self._async_make_proxy(name, merged)
+        async with self._gate:
+            process = await async_start_daemon(role=role, settings=merged, folder=self.folder)
+        address = process.addresses[ADDRESS_LINK]
+        if proxy is None:
+            return process, address
+        proxy.target = address
+        return process, proxy.address
+
+    async def _async_make_proxy(self, name: str, settings: Sections) -> FaultProxy | None:
+        if not self.proxied:
+            return None
+        if name in self.proxies:
+            await self.proxies[name].async_stop()
+        proxy = FaultProxy(target=NOWHERE)
+        self.proxies[name] = proxy
+        address = await proxy.async_start()
+        settings["link"] |= {"advertised_host": address.host, "advertised_port": address.port}
+        return proxy
+
+    def _pick_extra(self, role: Role) -> set[str]:
+        foreign = {"callers"} if role is Role.SIDE else {"upstream"}
+        return self.extra.keys() - foreign
+
+    def _make_link(self) -> Sections:
+        return {"key_file": str(self._key_file)}
+
+    def _get_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=2.0))
+        return self._session
+
+
+def _lay_over(base: Sections, extra: Sections) -> Sections:
+    return {**base, **extra}
--- /dev/null
+++ b/gypsumrouter/admission/admission.py
@@ -0,0 +1,218 @@
+"""Decides for one upstream what runs, what waits and what is refused."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from gypsumrouter.admission import refusals
+from gypsumrouter.admission.capacity import Capacity
+from gypsumrouter.admission.const import WATCH_MS
+from gypsumrouter.admission.diagnostics import register_diagnostics
+from gypsumrouter.admission.estimates import ServiceTime
+from gypsumrouter.admission.metrics import AdmissionMetrics
+from gypsumrouter.admission.scheduler import Scheduler
+from gypsumrouter.admission.shares import Usage
+from gypsumrouter.admission.slots import Slot
+from gypsumrouter.admission.waiters import Waiter
+from gypsumrouter.configuration.models import CallerClass, Configuration, Pool
+from gypsumrouter.core import Application, Remove
+from gypsumrouter.link.models import Open, PoolLoad
+from gypsumrouter.outcomes import Refused
+
+
+class Admission:
+    """The one gate before an upstream; every request of it passes here.
+
+    The load is the number of requests that run or wait. Nothing refused here has run.
+    """
+
+    __slots__ = (
+        "_app",
+        "_capacity",
+        "_listeners",
+        "_metrics",
+        "_order",
+        "_scheduler",
+        "_stopped",
+        "_watching",
+    )
+
+    def __init__(self, *, app: Application, weight: float, name: str) -> None:
+        self._app = app
+        self._capacity = Capacity(clock=app.clock, weight=weight)
+        self._metrics = AdmissionMetrics(registry=app.metrics)
+        self._scheduler = Scheduler(
+            clock=app.clock,
+            capacity=self._capacity,
+            metrics=self._metrics,
+            on_change=self._changed,
+        )
+        self._listeners: list[Callable[[], None]] = []
+        self._order = 0
+        self._stopped = False
+        self._watching = False
+        register_diagnostics(app=app, name=name, capacity=self._capacity, scheduler=self._scheduler)
+        app.on_stop(self._async_stop)
+
+    @property
+    def load(self) -> int:
+        """Return how many requests run or wait."""
+        return self._scheduler.load
+
+    @property
+    def running(self) -> int:
+        """Return how many requests hold a slot."""
+        return self._scheduler.running
+
+    @property
+    def load_limit(self) -> int | None:
+        """Return the highest load that the cap allows now, None for any."""
+        return self._capacity.load_limit
+
+    def configure(self, configuration: Configuration, pool: Pool) -> None:
+        """Take over a configuration; what waits beyond a smaller queue is refused."""
+        self._scheduler.configure(configuration, pool)
+
+    async def async_admit(self, request: Open, cancelled: asyncio.Event) -> Slot | Refused:
+        """Return a slot, after waiting for one within the request's deadline, or a refusal."""
+        if request.pool_load is not None:
+            self.note_pool_load(request.pool_load)
+        outcome = self._decide(request, cancelled)
+        match outcome:
+            case Slot():
+                return outcome
+            case Refused():
+                self._metrics.count_refused(outcome)
+                return outcome
+            case Waiter():
+                return await self._async_wait(outcome, cancelled)
+
+    def note_pool_load(self, load: PoolLoad) -> None:
+        """Take in what a router believes of the pool's load; noting one twice counts once."""
+        self._capacity.note_pool(load)
+
+    def note_first_token(self, slot: Slot) -> None:
+        """Note that the answer of a slot has begun."""
+        if slot.first_token_noted:
+            return
+        slot.first_token_noted = True
+        slot.service.note_first_token(self._app.clock.now_ms() - slot.granted_ms)
+
+    def stop(self) -> None:
+        """Refuse all that waits and all that comes; what runs goes on."""
+        self._stopped = True
+        for waiter in self._scheduler.queue.list_waiters():
+            self._scheduler.refuse(waiter, refusals.refuse_leaving())
+
+    def on_change(self, listener: Callable[[], None]) -> Remove:
+        """Call the listener after each change of the load."""
+        self._listeners.append(listener)
+
+        def remove() -> None:
+            if listener in self._listeners:
+                self._listeners.remove(listener)
+
+        return remove
+
+    def _decide(self, request: Open, cancelled: asyncio.Event) -> Slot | Refused | Waiter:
+        limits = self._capacity.limits
+        if self._stopped:
+            return refusals.refuse_leaving()
+        if limits is None:
+            return refusals.refuse_unconfigured()
+        if cancelled.is_set():
+            return refusals.refuse_cancelled()
+        scheduler = self._scheduler
+        caller_class = scheduler.classes.get(request.caller_class)
+        service = scheduler.estimates.find(request, batch=caller_class.batch)
+        if request.deadline_ms <= service.first_token_ms:
+            return refusals.refuse_hopeless()
+        usage = scheduler.shares.get(request.workspace)
+        refused = scheduler.make_room(limits, usage, caller_class)
+        if refused is not None:
+            scheduler.shares.settle(usage)
+            return refused
+        # Making room may have ended the last request of the same workspace.
+        usage = scheduler.shares.get(request.workspace)
+        if scheduler.may_run_now(limits, caller_class):
+            return scheduler.grant(request.request_id, usage, caller_class, service)
+        return self._enqueue(request, usage, caller_class, service)
+
+    def _enqueue(
+        self, request: Open, usage: Usage, caller_class: CallerClass, service: ServiceTime
+    ) -> Waiter:
+        now_ms = self._app.clock.now_ms()
+        self._order += 1
+        waiter = Waiter(
+            request_id=request.request_id,
+            order=self._order,
+            usage=usage,
+            caller_class=caller_class,
+            service=service,
+            arrived_ms=now_ms,
+            start_by_ms=now_ms - request.waited_ms + _get_slack_ms(caller_class, service),
+            expires_ms=now_ms + request.deadline_ms - service.first_token_ms,
+            future=asyncio.get_running_loop().create_future(),
+        )
+        self._scheduler.wait(waiter)
+        self._start_watch()
+        return waiter
+
+    async def _async_wait(self, waiter: Waiter, cancelled: asyncio.Event) -> Slot | Refused:
+        watch = self._app.async_create_task(
+            self._async_watch_caller(waiter, cancelled), f"admission wait {waiter.request_id}"
+        )
+        try:
+            return await waiter.future
+        except asyncio.CancelledError:
+            self._abandon(waiter)
+            raise
+        finally:
+            watch.cancel()
+
+    async def _async_watch_caller(self, waiter: Waiter, cancelled: asyncio.Event) -> None:
+        await cancelled.wait()
+        self._scheduler.refuse(waiter, refusals.refuse_cancelled())
+
+    def _abandon(self, waiter: Waiter) -> None:
+        """Give up what a task that was cancelled held or waited for."""
+        self._scheduler.refuse(waiter, refusals.refuse_cancelled())
+        if waiter.future.cancelled():
+            return
+        outcome = waiter.future.result()
+        if isinstance(outcome, Slot):
+            outcome.release()
+
+    def _start_watch(self) -> None:
+        if self._watching:
+            return
+        self._watching = True
+        self._app.async_create_task(self._async_watch_queue(), "admission watch")
+
+    async def _async_watch_queue(self) -> None:
+        """Refuse what can't be answered in time any more, for as long as anything waits."""
+        queue = self._scheduler.queue
+        try:
+            while queue.size:
+                await self._app.clock.async_sleep(WATCH_MS)
+                for waiter in queue.pop_expired(self._app.clock.now_ms()):
+                    self._scheduler.refuse(waiter, refusals.refuse_hopeless())
+                self._scheduler.ask_to_yield()
+        finally:
+            self._watching = False
+
+    async def _async_stop(self) -> None:
+        self.stop()
+
+    def _changed(self) -> None:
+        self._capacity.note_own(self.load)
+        for listener in tuple(self._listeners):
+            listener()
+
+
+def _get_slack_ms(caller_class: CallerClass, service: ServiceTime) -> float:
+    """Return how long a request may wait for its slot and still meet its target."""
+    if caller_class.batch:
+        return caller_class.answer_ms - service.hold_ms
+    return caller_class.first_token_ms - service.first_token_ms
--- /dev/null
+++ b/gypsumrouter/admission/capacity.py
@@ -0,0 +1,63 @@
+"""How much load an upstream may carry: its own bounds and the cap against its pool."""
+
+from __future__ import annotations
+
+from gypsumrouter.admission.const import POOL_FULL_SHARE
+from gypsumrouter.admission.limits import Limits, make_limits
+from gypsumrouter.admission.load import Believed, PoolMean, compute_limit
+from gypsumrouter.configuration.models import Pool
+from gypsumrouter.link.models import PoolLoad
+from gypsumrouter.util.clock import Clock
+
+
+class Capacity:
+    """The bounds of one upstream of a given weight; `limits` is None before a configuration."""
+
+    __slots__ = ("_clock", "_last_note", "_mean", "_weight", "limits")
+
+    def __init__(self, *, clock: Clock, weight: float) -> None:
+        self._clock = clock
+        self._weight = weight
+        self._mean = PoolMean(weight=weight)
+        self._last_note: PoolLoad | None = None
+        self.limits: Limits | None = None
+
+    @property
+    def believed(self) -> Believed | None:
+        """Return what is believed of the other members' load."""
+        return self._mean.believe(now_ms=self._clock.now_ms())
+
+    @property
+    def load_limit(self) -> int | None:
+        """Return the highest load that the cap allows now, None for any."""
+        if self.limits is None:
+            return 0
+        return compute_limit(
+            believed=self.believed,
+            cap=self.limits.cap,
+            floor=self.limits.floor,
+            weight=self._weight,
+        )
+
+    def configure(self, pool: Pool) -> Limits:
+        """Take over the bounds of a pool."""
+        self.limits = make_limits(pool=pool, weight=self._weight)
+        return self.limits
+
+    def note_own(self, load: int) -> None:
+        """Note a change of the own load."""
+        self._mean.note_own(load=load, now_ms=self._clock.now_ms())
+
+    def note_pool(self, load: PoolLoad) -> None:
+        """Take in what a router believes; noting the same value twice counts once."""
+        if load is self._last_note:
+            return
+        self._last_note = load
+        self._mean.note(load, now_ms=self._clock.now_ms())
+
+    def is_pool_full(self, limits: Limits) -> bool:
+        """Return whether the other members have hardly any room either."""
+        believed = self.believed
+        if believed is None:
+            return False
+        return believed.mean * self._weight >= POOL_FULL_SHARE * limits.room
--- /dev/null
+++ b/gypsumrouter/admission/classes.py
@@ -0,0 +1,40 @@
+"""Classes of a configuration as the side uses them."""
+
+from __future__ import annotations
+
+from gypsumrouter.admission.const import BATCH_PRIORITY
+from gypsumrouter.configuration.models import CallerClass, Configuration
+
+
+class Classes:
+    """Finds classes by name, and the priority that the engine is told for each."""
+
+    __slots__ = ("_by_name", "_default", "_priorities")
+
+    def __init__(self) -> None:
+        self._default = CallerClass(name="default")
+        self._by_name: dict[str, CallerClass] = {}
+        self._priorities: dict[str, int] = {}
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take over the classes of a configuration."""
+        self._by_name = {item.name: item for item in configuration.classes}
+        if configuration.default_class in self._by_name:
+            self._default = self._by_name[configuration.default_class]
+        ranked = sorted(
+            (item for item in configuration.classes if not item.batch),
+            key=lambda item: (item.penalty, -item.first_token_ms, item.name),
+        )
+        self._priorities = {
+            item.name: BATCH_PRIORITY + rank for rank, item in enumerate(ranked, start=1)
+        }
+
+    def get(self, name: str) -> CallerClass:
+        """Return a class; an unknown one counts as the default class."""
+        return self._by_name.get(name, self._default)
+
+    def get_priority(self, caller_class: CallerClass) -> int:
+        """Return the engine's priority: batch lowest, then by the penalty for a miss."""
+        if caller_class.batch:
+            return BATCH_PRIORITY
+        return self._priorities.get(caller_class.name, BATCH_PRIORITY + 1)
--- /dev/null
+++ b/gypsumrouter/admission/diagnostics.py
@@ -0,0 +1,81 @@
+"""What admission adds to the state dump and to the gauges."""
+
+from __future__ import annotations
+
+from gypsumrouter.admission.capacity import Capacity
+from gypsumrouter.admission.const import DUMPED_WORKSPACES
+from gypsumrouter.admission.load import Believed
+from gypsumrouter.admission.scheduler import Scheduler
+from gypsumrouter.admission.shares import Usage
+from gypsumrouter.core import Application
+from gypsumrouter.helpers.metrics import NO_LABELS, Labels
+
+
+def register_diagnostics(
+    *, app: Application, name: str, capacity: Capacity, scheduler: Scheduler
+) -> None:
+    """Register the dump section and the gauges of one upstream's admission."""
+
+    def read_limit() -> dict[Labels, float]:
+        limit = capacity.load_limit
+        return {} if limit is None else {NO_LABELS: limit}
+
+    def read_mean() -> dict[Labels, float]:
+        believed = capacity.believed
+        return {} if believed is None else {NO_LABELS: believed.mean}
+
+    app.add_dump_section("admission", lambda: make_dump(name, capacity, scheduler))
+    app.metrics.gauge(
+        "gypsumrouter_admission_load",
+        "Requests that run or wait",
+        lambda: {NO_LABELS: scheduler.load},
+    )
+    app.metrics.gauge(
+        "gypsumrouter_admission_running",
+        "Requests that run",
+        lambda: {NO_LABELS: scheduler.running},
+    )
+    app.metrics.gauge(
+        "gypsumrouter_admission_load_limit", "Highest load that the cap allows now", read_limit
+    )
+    app.metrics.gauge(
+        "gypsumrouter_admission_pool_mean", "Estimated mean load of the other members", read_mean
+    )
+
+
+def make_dump(name: str, capacity: Capacity, scheduler: Scheduler) -> dict[str, object]:
+    """Return the state of admission as plain JSON data."""
+    limits = capacity.limits
+    active = scheduler.shares.list_active()[:DUMPED_WORKSPACES]
+    return {
+        "name": name,
+        "load": scheduler.load,
+        "running": scheduler.running,
+        "waiting": scheduler.queue.size,
+        "load_limit": capacity.load_limit,
+        "slots": limits.slots if limits else None,
+        "queue": limits.queue if limits else None,
+        "pool": _dump_believed(capacity.believed),
+        "workspaces": [_dump_usage(usage) for usage in active],
+        "service_times": scheduler.estimates.dump(),
+    }
+
+
+def _dump_believed(believed: Believed | None) -> dict[str, object] | None:
+    if believed is None:
+        return None
+    return {
+        "mean": round(believed.mean, 3),
+        "members": believed.members,
+        "age_ms": believed.age_ms,
+    }
+
+
+def _dump_usage(usage: Usage) -> dict[str, object]:
+    return {
+        "name": usage.name,
+        "running": usage.running,
+        "batch": usage.batch,
+        "waiting": usage.waiting,
+        "share": usage.share,
+    }
--- /dev/null
+++ b/gypsumrouter/admission/limits.py
@@ -0,0 +1,37 @@
+"""What one upstream may run and hold waiting, by its pool's settings and its weight."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from gypsumrouter.admission.const import BATCH_RESERVE_RATIO
+from gypsumrouter.configuration.models import Pool
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Limits:
+    """Bounds of one upstream, in requests; `reserve` slots are kept free of batch work."""
+
+    slots: int
+    queue: int
+    reserve: int
+    cap: float
+    floor: int
+
+    @property
+    def room(self) -> int:
+        """Return how much load there is room for."""
+        return self.slots + self.queue
+
+
+def make_limits(*, pool: Pool, weight: float) -> Limits:
+    """Return the bounds of an upstream of this weight."""
+    slots = max(1, int(pool.slots * weight))
+    reserve = -(-slots // BATCH_RESERVE_RATIO) if slots > 1 else 0
+    return Limits(
+        slots=slots,
+        queue=int(pool.queue * weight),
+        reserve=reserve,
+        cap=pool.cap,
+        floor=pool.floor,
+    )
--- /dev/null
+++ b/gypsumrouter/admission/load.py
@@ -0,0 +1,152 @@
+"""The cap: how much load an upstream may carry against the mean of its pool."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from gypsumrouter.admission.const import (
+    CAUTION_AFTER_MS,
+    CAUTION_HALF_LIFE_MS,
+    DRIFT_MARGIN,
+    HALF,
+    HALF_LIFE_MS,
+    HISTORY_STEP_MS,
+    HISTORY_STEPS,
+    NOTE_FRESH_MS,
+    ROUNDING,
+)
+from gypsumrouter.link.models import PoolLoad
+
+
+class LoadHistory:
+    """The own load of the last seconds in steps of HISTORY_STEP_MS."""
+
+    __slots__ = ("_loads", "_step")
+
+    def __init__(self) -> None:
+        self._loads = [0] * HISTORY_STEPS
+        self._step = 0
+
+    def note(self, *, load: int, now_ms: int) -> None:
+        """Set the load from now on."""
+        step = now_ms // HISTORY_STEP_MS
+        if step > self._step:
+            self._fill_until(step)
+        self._loads[step % HISTORY_STEPS] = load
+
+    def get(self, *, at_ms: int) -> int:
+        """Return the load at a time; the oldest known for times before."""
+        step = min(at_ms // HISTORY_STEP_MS, self._step)
+        step = max(step, self._step - HISTORY_STEPS + 1)
+        return self._loads[step % HISTORY_STEPS]
+
+    def _fill_until(self, step: int) -> None:
+        last = self._loads[self._step % HISTORY_STEPS]
+        first = max(self._step + 1, step - HISTORY_STEPS + 1)
+        for passed in range(first, step + 1):
+            self._loads[passed % HISTORY_STEPS] = last
+        self._step = step
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Believed:
+    """The estimate of the other members' mean load for each unit of weight.
+
+    `age_ms` is the age of the newest status that went into it; `mean` has the discount for age.
+    """
+
+    mean: float
+    members: int
+    age_ms: int | None
+
+
+class PoolMean:
+    """Estimates the mean load of the other members from what routers say of the whole pool.
+
+    What this side adds to each router's mean is taken out, as of the time that the router speaks
+    of, so that a router that knows this side alone says nothing. Notes are weighted by how many
+    others they cover and by their age. Without news the estimate fades towards nothing.
+    """
+
+    __slots__ = (
+        "_history",
+        "_mean",
+        "_members",
+        "_members_at_ms",
+        "_newest_ms",
+        "_noted_at_ms",
+        "_trust",
+        "_weight",
+    )
+
+    def __init__(self, *, weight: float) -> None:
+        self._weight = weight
+        self._history = LoadHistory()
+        self._mean = 0.0
+        self._trust = 0.0
+        self._noted_at_ms = 0
+        self._newest_ms: int | None = None
+        self._members: int | None = None
+        self._members_at_ms = 0
+
+    def note_own(self, *, load: int, now_ms: int) -> None:
+        """Note a change of this side's own load."""
+        self._history.note(load=load, now_ms=now_ms)
+
+    def note(self, load: PoolLoad, *, now_ms: int) -> None:
+        """Take in what one router believes."""
+        self._note_members(load.members, now_ms)
+        others = min(load.known, load.members) - 1
+        if others < 1 or load.age_ms > NOTE_FRESH_MS:
+            return
+        observed_ms = now_ms - load.age_ms
+        own = self._history.get(at_ms=observed_ms) / self._weight
+        mean = max(0.0, (load.mean * (others + 1) - own) / others)
+        trust = others * 0.5 ** (load.age_ms / HALF_LIFE_MS)
+        kept = self._trust * 0.5 ** ((now_ms - self._noted_at_ms) / HALF_LIFE_MS)
+        if kept + trust > 0:
+            self._mean = (self._mean * kept + mean * trust) / (kept + trust)
+        self._trust = kept + trust
+        self._noted_at_ms = now_ms
+        if self._newest_ms is None or observed_ms > self._newest_ms:
+            self._newest_ms = observed_ms
+
+    def believe(self, *, now_ms: int) -> Believed | None:
+        """Return the estimate, None as long as no router has spoken of the pool."""
+        if self._members is None:
+            return None
+        if self._newest_ms is None:
+            return Believed(mean=0.0, members=self._members, age_ms=None)
+        age_ms = now_ms - self._newest_ms
+        late_ms = max(0, age_ms - CAUTION_AFTER_MS)
+        mean = self._mean * 0.5 ** (late_ms / CAUTION_HALF_LIFE_MS)
+        return Believed(mean=mean, members=self._members, age_ms=age_ms)
+
+    def _note_members(self, members: int, now_ms: int) -> None:
+        """Keep the largest number of members that any router lately believed in."""
+        outdated = now_ms - self._members_at_ms > NOTE_FRESH_MS
+        if self._members is None or outdated or members >= self._members:
+            self._members = members
+            self._members_at_ms = now_ms
+
+
+def compute_limit(
+    *, believed: Believed | None, cap: float, floor: int, weight: float
+) -> int | None:
+    """Return the highest load that keeps this side within `cap` times the mean.
+
+    The mean includes this side with that load: with n members whose others carry a mean of m,
+    load / weight <= cap * ((n - 1) * m + load / weight) / n. A margin for the drift of the mean
+    after the admission is taken off. One request above the rounded mean is always allowed, or a
+    pool whose members all stand at their limit could never take more. None is no limit, where a
+    side could not exceed the multiple of the mean with all of the load.
+    """
+    if believed is None:
+        return floor
+    if believed.members <= cap:
+        return None
+    even = weight * believed.mean
+    exact = cap * even * (believed.members - 1) / (believed.members - cap)
+    limit = math.ceil(exact - DRIFT_MARGIN * math.sqrt(exact) - ROUNDING)
+    return max(floor, int(even + HALF) + 1, limit)
--- /dev/null
+++ b/gypsumrouter/admission/scheduler.py
@@ -0,0 +1,224 @@
+"""Hands out the slots of an upstream to those who come and those who wait."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from gypsumrouter.admission import refusals
+from gypsumrouter.admission.capacity import Capacity
+from gypsumrouter.admission.classes import Classes
+from gypsumrouter.admission.estimates import Estimates, ServiceTime
+from gypsumrouter.admission.limits import Limits
+from gypsumrouter.admission.metrics import AdmissionMetrics
+from gypsumrouter.admission.queue import WaitQueue
+from gypsumrouter.admission.shares import Shares, Usage
+from gypsumrouter.admission.slots import Slot, Slots
+from gypsumrouter.admission.waiters import Waiter
+from gypsumrouter.configuration.models import CallerClass, Configuration, Pool
+from gypsumrouter.outcomes import Refused
+from gypsumrouter.util.clock import Clock
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Scheduler:
+    """The slots, the queue before them and who uses both."""
+
+    __slots__ = (
+        "_capacity",
+        "_clock",
+        "_metrics",
+        "_on_change",
+        "_slots",
+        "classes",
+        "estimates",
+        "queue",
+        "shares",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        capacity: Capacity,
+        metrics: AdmissionMetrics,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._capacity = capacity
+        self._metrics = metrics
+        self._on_change = on_change
+        self._slots = Slots()
+        self.classes = Classes()
+        self.estimates = Estimates()
+        self.shares = Shares()
+        self.queue = WaitQueue(shares=self.shares)
+
+    @property
+    def load(self) -> int:
+        """Return how many requests run or wait."""
+        return self._slots.running + self.queue.size
+
+    @property
+    def running(self) -> int:
+        """Return how many requests hold a slot."""
+        return self._slots.running
+
+    def configure(self, configuration: Configuration, pool: Pool) -> None:
+        """Take over a configuration; what waits beyond a smaller queue is refused."""
+        limits = self._capacity.configure(pool)
+        self.classes.configure(configuration)
+        self.shares.configure(configuration.workspaces)
+        self.dispatch()
+        self._shrink_queue(limits)
+
+    def make_room(self, limits: Limits, usage: Usage, caller_class: CallerClass) -> Refused | None:
+        """Return why there is no room for one more, None where there is.
+
+        A newcomer may take the place of a request that waits, of the workspace that is most above
+        its share, or of a lesser class of its own workspace. The load stays the same then.
+        """
+        load_limit = self._capacity.load_limit
+        if load_limit is not None and self.load >= load_limit:
+            refused = refusals.refuse_over_cap(self._expect_wait_ms())
+            return self._replace(refused, load_limit, usage, caller_class)
+        if self.queue.size < limits.queue or self.may_run_now(limits, caller_class):
+            return None
+        refused = refusals.refuse_queue_full(
+            self._expect_wait_ms(), elsewhere=not self._capacity.is_pool_full(limits)
+        )
+        return self._replace(refused, limits.room, usage, caller_class)
+
+    def may_run_now(self, limits: Limits, caller_class: CallerClass) -> bool:
+        """Return whether a newcomer of a class may run without waiting."""
+        if self._slots.running >= limits.slots:
+            return False
+        if caller_class.batch:
+            return self.queue.size == 0 and self._batch_fits(limits)
+        return self.queue.interactive == 0
+
+    def grant(
+        self,
+        request_id: str,
+        usage: Usage,
+        caller_class: CallerClass,
+        service: ServiceTime,
+        *,
+        keeps: bool = False,
+        waited_ms: int = 0,
+    ) -> Slot:
+        """Return a new slot; `keeps` protects batch work from being asked to give way."""
+        slot = Slot(
+            request_id=request_id,
+            priority=self.classes.get_priority(caller_class),
+            batch=caller_class.batch,
+            keeps=keeps,
+            granted_ms=self._clock.now_ms(),
+            usage=usage,
+            service=service,
+            on_release=self._release,
+        )
+        self._slots.take(slot)
+        self._metrics.count_granted(batch=slot.batch, waited_ms=waited_ms)
+        self._on_change()
+        return slot
+
+    def wait(self, waiter: Waiter) -> None:
+        """Put a newcomer into the queue."""
+        self.queue.add(waiter)
+        self._on_change()
+        self.ask_to_yield()
+
+    def refuse(self, waiter: Waiter, refused: Refused) -> None:
+        """End the waiting of a request; nothing happens if it waits no more."""
+        if not waiter.queued:
+            return
+        self.queue.remove(waiter)
+        self.shares.settle(waiter.usage)
+        if not waiter.future.done():
+            waiter.future.set_result(refused)
+        _LOGGER.debug("Request %s refused while waiting: %s", waiter.request_id, refused.reason)
+        self._metrics.count_refused(refused)
+        self._on_change()
+
+    def dispatch(self) -> None:
+        """Grant free slots to those who wait, in the order of the queue."""
+        limits = self._capacity.limits
+        if limits is None:
+            return
+        now_ms = self._clock.now_ms()
+        while self.queue.size and self._slots.running < limits.slots:
+            waiter = self.queue.pick(
+                now_ms=now_ms,
+                slots=limits.slots,
+                release_ms=self._get_release_ms(),
+                batch_fits=self._batch_fits(limits),
+            )
+            if waiter is None:
+                break
+            self._start(waiter, now_ms)
+        self.ask_to_yield()
+
+    def ask_to_yield(self) -> None:
+        """Ask batch work to give way to interactive work that waits."""
+        if not self.queue.interactive or not self._slots.batch_running:
+            return
+        asked = self._slots.ask_to_yield(wanted=self.queue.interactive, now_ms=self._clock.now_ms())
+        if asked:
+            self._metrics.yields.inc(asked)
+
+    def _start(self, waiter: Waiter, now_ms: int) -> None:
+        if waiter.future.done():
+            self.refuse(waiter, refusals.refuse_cancelled())
+            return
+        self.queue.remove(waiter)
+        keeps = self.queue.note_granted(waiter, now_ms=now_ms)
+        if not waiter.caller_class.batch and waiter.start_by_ms < now_ms:
+            self._metrics.count_late()
+        slot = self.grant(
+            waiter.request_id,
+            waiter.usage,
+            waiter.caller_class,
+            waiter.service,
+            keeps=keeps,
+            waited_ms=now_ms - waiter.arrived_ms,
+        )
+        waiter.future.set_result(slot)
+
+    def _release(self, slot: Slot) -> None:
+        self._slots.give_back(slot)
+        if slot.first_token_noted and not slot.yield_asked.is_set():
+            held_ms = self._clock.now_ms() - slot.granted_ms
+            self.estimates.note_hold(slot.service, held_ms)
+        self.shares.settle(slot.usage)
+        self._on_change()
+        self.dispatch()
+
+    def _replace(
+        self, refused: Refused, room: int, usage: Usage, caller_class: CallerClass
+    ) -> Refused | None:
+        victim = self.queue.pick_victim(room=room, newcomer=usage)
+        if victim is None:
+            victim = self.queue.find_own_victim(usage, caller_class)
+        if victim is None:
+            return refused
+        self.refuse(victim, refused)
+        return None
+
+    def _shrink_queue(self, limits: Limits) -> None:
+        while self.queue.size > limits.queue:
+            victim = self.queue.pick_victim(room=limits.room, newcomer=None)
+            if victim is None:
+                return
+            refused = refusals.refuse_queue_full(self._expect_wait_ms(), elsewhere=True)
+            self.refuse(victim, refused)
+
+    def _batch_fits(self, limits: Limits) -> bool:
+        return self._slots.running < limits.slots - limits.reserve
+
+    def _expect_wait_ms(self) -> float:
+        return self._get_release_ms() * (self.queue.size + 1)
+
+    def _get_release_ms(self) -> float:
+        return self.estimates.get_release_interval_ms(max(1, self._slots.running))
--- /dev/null
+++ b/gypsumrouter/admission/shares.py
@@ -0,0 +1,86 @@
+"""Guaranteed shares of workspaces, and what each of them uses."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from gypsumrouter.configuration.models import Workspace
+
+DEFAULT_SHARE = 1.0
+
+
+class Usage:
+    """What one workspace has at this side now."""
+
+    __slots__ = ("batch", "name", "running", "share", "waiting")
+
+    def __init__(self, *, name: str, share: float) -> None:
+        self.name = name
+        self.share = share
+        self.running = 0
+        self.batch = 0
+        self.waiting = 0
+
+    @property
+    def load(self) -> int:
+        """Return how many requests run or wait."""
+        return self.running + self.batch + self.waiting
+
+
+class Shares:
+    """The active workspaces' usage against their guarantees.
+
+    A guarantee is the workspace's part of the shares of those that are active; what they leave is
+    free for the others. Batch work fills gaps and doesn't count against the guarantee.
+    """
+
+    __slots__ = ("_active", "_share_sum", "_shares")
+
+    def __init__(self) -> None:
+        self._shares: dict[str, float] = {}
+        self._active: dict[str, Usage] = {}
+        self._share_sum = 0.0
+
+    def configure(self, workspaces: Iterable[Workspace]) -> None:
+        """Take over the shares of a configuration."""
+        self._shares = {workspace.name: workspace.share for workspace in workspaces}
+        for usage in self._active.values():
+            usage.share = self._shares.get(usage.name, DEFAULT_SHARE)
+        self._share_sum = sum(usage.share for usage in self._active.values())
+
+    def get(self, name: str) -> Usage:
+        """Return the usage of a workspace, which counts as active from now on.
+
+        Pair with :meth:`settle` once nothing of it is left.
+        """
+        usage = self._active.get(name)
+        if usage is None:
+            usage = Usage(name=name, share=self._shares.get(name, DEFAULT_SHARE))
+            self._active[name] = usage
+            self._share_sum += usage.share
+        return usage
+
+    def settle(self, usage: Usage) -> None:
+        """Forget a workspace that has nothing left here."""
+        if usage.load or self._active.get(usage.name) is not usage:
+            return
+        del self._active[usage.name]
+        self._share_sum -= usage.share
+        if not self._active:
+            self._share_sum = 0.0
+
+    def get_guarantee(self, usage: Usage, total: int) -> float:
+        """Return what a workspace is guaranteed of a total."""
+        return total * usage.share / self._share_sum
+
+    def is_below(self, usage: Usage, slots: int) -> bool:
+        """Return whether a workspace runs less than it is guaranteed."""
+        return usage.running < self.get_guarantee(usage, slots)
+
+    def list_waiting(self) -> list[Usage]:
+        """Return the workspaces of which something waits."""
+        return [usage for usage in self._active.values() if usage.waiting]
+
+    def list_active(self) -> list[Usage]:
+        """Return the active workspaces, those with the most load first."""
+        return sorted(self._active.values(), key=lambda usage: (-usage.load, usage.name))
--- /dev/null
+++ b/gypsumrouter/admission/slots.py
@@ -0,0 +1,118 @@
+"""Slots: the right to run at the upstream."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from gypsumrouter.admission.const import YIELD_ANSWERED_MS
+from gypsumrouter.admission.estimates import ServiceTime
+from gypsumrouter.admission.shares import Usage
+
+
+class Slot:
+    """The right to run one request, until it is released.
+
+    `priority` is what the engine is told; higher runs sooner. When `yield_asked` is set, the work
+    should be cancelled and admitted again; it is only asked of batch work.
+    """
+
+    __slots__ = (
+        "_on_release",
+        "batch",
+        "first_token_noted",
+        "granted_ms",
+        "keeps",
+        "priority",
+        "released",
+        "request_id",
+        "service",
+        "usage",
+        "yield_asked",
+        "yield_asked_ms",
+    )
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        priority: int,
+        batch: bool,
+        keeps: bool,
+        granted_ms: int,
+        usage: Usage,
+        service: ServiceTime,
+        on_release: Callable[[Slot], None],
+    ) -> None:
+        self.request_id = request_id
+        self.priority = priority
+        self.batch = batch
+        self.keeps = keeps
+        self.granted_ms = granted_ms
+        self.usage = usage
+        self.service = service
+        self.released = False
+        self.first_token_noted = False
+        self.yield_asked = asyncio.Event()
+        self.yield_asked_ms = 0
+        self._on_release = on_release
+
+    def release(self) -> None:
+        """Give the slot back; safe to call more than once."""
+        if self.released:
+            return
+        self.released = True
+        self._on_release(self)
+
+
+class Slots:
+    """The slots that are held now."""
+
+    __slots__ = ("_batch", "running")
+
+    def __init__(self) -> None:
+        self.running = 0
+        self._batch: set[Slot] = set()
+
+    @property
+    def batch_running(self) -> int:
+        """Return how many slots batch work holds."""
+        return len(self._batch)
+
+    def take(self, slot: Slot) -> None:
+        """Count a slot as held."""
+        self.running += 1
+        if slot.batch:
+            self._batch.add(slot)
+            slot.usage.batch += 1
+        else:
+            slot.usage.running += 1
+
+    def give_back(self, slot: Slot) -> None:
+        """Count a slot as free."""
+        self.running -= 1
+        if slot.batch:
+            self._batch.discard(slot)
+            slot.usage.batch -= 1
+        else:
+            slot.usage.running -= 1
+
+    def ask_to_yield(self, *, wanted: int, now_ms: int) -> int:
+        """Ask batch work to give way until `wanted` slots are about to come free.
+
+        The work that ran for the shortest time is asked first, since least is lost with it. One
+        that was asked and didn't give way in time no longer counts. Returns how many were asked.
+        """
+        expected = sum(
+            slot.yield_asked.is_set() and now_ms - slot.yield_asked_ms < YIELD_ANSWERED_MS
+            for slot in self._batch
+        )
+        missing = wanted - expected
+        if missing <= 0:
+            return 0
+        askable = [s for s in self._batch if not s.yield_asked.is_set() and not s.keeps]
+        askable.sort(key=lambda slot: (-slot.granted_ms, slot.request_id))
+        for slot in askable[:missing]:
+            slot.yield_asked_ms = now_ms
+            slot.yield_asked.set()
+        return min(missing, len(askable))
--- /dev/null
+++ b/gypsumrouter/admission/waiters.py
@@ -0,0 +1,108 @@
+"""Requests that wait, in groups of one workspace and class."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+from collections import deque
+
+from gypsumrouter.admission.estimates import ServiceTime
+from gypsumrouter.admission.shares import Usage
+from gypsumrouter.admission.slots import Slot
+from gypsumrouter.configuration.models import CallerClass
+from gypsumrouter.outcomes import Refused
+
+
+class Waiter:
+    """One request that waits for a slot; all times are monotonic milliseconds.
+
+    `start_by_ms` is when it must start to meet its target, `expires_ms` when it can no longer be
+    answered within its caller's deadline.
+    """
+
+    __slots__ = (
+        "arrived_ms",
+        "caller_class",
+        "expires_ms",
+        "future",
+        "order",
+        "queued",
+        "request_id",
+        "service",
+        "start_by_ms",
+        "usage",
+    )
+
+    def __init__(
+        self,
+        *,
+        request_id: str,
+        order: int,
+        usage: Usage,
+        caller_class: CallerClass,
+        service: ServiceTime,
+        arrived_ms: int,
+        start_by_ms: float,
+        expires_ms: float,
+        future: asyncio.Future[Slot | Refused],
+    ) -> None:
+        self.request_id = request_id
+        self.order = order
+        self.usage = usage
+        self.caller_class = caller_class
+        self.service = service
+        self.arrived_ms = arrived_ms
+        self.start_by_ms = start_by_ms
+        self.expires_ms = expires_ms
+        self.future = future
+        self.queued = False
+
+
+class Group:
+    """The waiters of one workspace and class, those that must start first at the front.
+
+    All of them have the same target and penalty, so only the front needs to be compared with
+    other groups. Those whose target is out of reach are kept apart, oldest first.
+    """
+
+    __slots__ = ("_heap", "_hopeless", "caller_class", "size", "usage")
+
+    def __init__(self, *, usage: Usage, caller_class: CallerClass) -> None:
+        self.usage = usage
+        self.caller_class = caller_class
+        self.size = 0
+        self._heap: list[tuple[float, int, Waiter]] = []
+        self._hopeless: deque[Waiter] = deque()
+
+    def add(self, waiter: Waiter) -> None:
+        """Add a waiter."""
+        heapq.heappush(self._heap, (waiter.start_by_ms, waiter.order, waiter))
+        self.size += 1
+
+    def front(self, now_ms: float) -> Waiter | None:
+        """Return the waiter that must start first of those that can still meet their target."""
+        heap = self._heap
+        while heap:
+            start_by_ms, _, waiter = heap[0]
+            if not waiter.queued:
+                heapq.heappop(heap)
+                continue
+            if start_by_ms >= now_ms:
+                return waiter
+            heapq.heappop(heap)
+            self._hopeless.append(waiter)
+        return None
+
+    def oldest_hopeless(self) -> Waiter | None:
+        """Return the first that lost its target; call :meth:`front` before."""
+        while self._hopeless and not self._hopeless[0].queued:
+            self._hopeless.popleft()
+        return self._hopeless[0] if self._hopeless else None
+
+    def newest(self) -> Waiter | None:
+        """Return the waiter that would be missed least: out of reach first, then the newest."""
+        hopeless = [waiter for waiter in self._hopeless if waiter.queued]
+        if hopeless:
+            return hopeless[-1]
+        waiting = (waiter for _, _, waiter in self._heap if waiter.queued)
+        return max(waiting, key=lambda waiter: waiter.order, default=None)
--- /dev/null
+++ b/gypsumrouter/bootstrap.py
@@ -0,0 +1,249 @@
+"""Turn checked settings into the running product of one process."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from gypsumrouter.admission import Admission
+from gypsumrouter.configuration import ConfigurationSpread, ConfigurationStore
+from gypsumrouter.core import Application
+from gypsumrouter.exchange import ExchangeRunner
+from gypsumrouter.fleet import Address, Fleet, HttpInstanceListSource
+from gypsumrouter.gateway import Gateway
+from gypsumrouter.helpers.logs import set_instance
+from gypsumrouter.helpers.settings_file import get_role
+from gypsumrouter.idempotency import Idempotency
+from gypsumrouter.link import LinkPool, LinkServer, NoticeHub
+from gypsumrouter.link.models import Hello, Status
+from gypsumrouter.operators import OperatorsServer, check_access
+from gypsumrouter.placement import Placement, PlacementKind
+from gypsumrouter.running import RunningExchanges
+from gypsumrouter.settings import RouterSettings, Settings, SideSettings, read_link_key
+from gypsumrouter.suspect_news import ListNames, SuspectNewsSpread
+from gypsumrouter.suspicion import Suspicion
+from gypsumrouter.upstream import make_client
+from gypsumrouter.util.clock import Clock
+
+ADDRESS_CALLERS: Final = "callers"
+ADDRESS_OPERATORS: Final = "operators"
+ADDRESS_LINK: Final = "link"
+
+
+@dataclass(slots=True, kw_only=True)
+class Product:
+    """The running product of one process: its application and its bound addresses."""
+
+    app: Application
+    addresses: dict[str, Address]
+    is_ready: Callable[[], bool]
+    list_running: Callable[[], list[str]]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class SharedParts:
+    """What the processes of both roles are made of."""
+
+    app: Application
+    key: bytes
+    notices: NoticeHub
+    links: LinkPool
+    fleet: Fleet
+    store: ConfigurationStore
+    spread: ConfigurationSpread
+
+
+async def async_setup(
+    *,
+    settings: Settings,
+    clock: Clock | None = None,
+    placement: PlacementKind = PlacementKind.RENDEZVOUS,
+) -> Product:
+    """Start one process of the product and return it running.
+
+    Raises SettingsInvalid, NotReady, or OSError when an address cannot be bound.
+    """
+    set_instance(settings.instance.name)
+    app = make_application(settings=settings, clock=clock)
+    app.async_start()
+    try:
+        match settings:
+            case RouterSettings():
+                product = await async_setup_router(app=app, settings=settings, placement=placement)
+            case SideSettings():
+                product = await async_setup_side(app=app, settings=settings)
+    except BaseException:
+        await app.async_stop()
+        raise
+    app.async_started()
+    return product
+
+
+def make_application(*, settings: Settings, clock: Clock | None = None) -> Application:
+    """Return the application object of one process, not yet running."""
+    return Application(
+        name=settings.instance.name,
+        role=get_role(settings),
+        data_centre=settings.instance.data_centre,
+        region=settings.instance.region,
+        clock=clock,
+    )
+
+
+async def async_setup_router(
+    *,
+    app: Application,
+    settings: RouterSettings,
+    placement: PlacementKind = PlacementKind.RENDEZVOUS,
+) -> Product:
+    """Wire and start a router."""
+    parts = make_shared_parts(app=app, settings=settings)
+    suspicion = Suspicion(app=app, notices=parts.notices)
+    spread_suspect_news(parts=parts, suspicion=suspicion, list_concerned=tuple)
+    gateway = Gateway(
+        app=app,
+        settings=settings,
+        store=parts.store,
+        fleet=parts.fleet,
+        links=parts.links,
+        placement=Placement(app=app, fleet=parts.fleet, links=parts.links, kind=placement),
+        suspicion=suspicion,
+    )
+    server = LinkServer(
+        app=app,
+        settings=settings.link,
+        key=parts.key,
+        notices=parts.notices,
+        handler=None,
+        answer_memory_bytes=settings.limits.answer_memory_bytes,
+    )
+    operators = make_operators(app=app, settings=settings, is_ready=lambda: gateway.ready)
+    addresses = {ADDRESS_OPERATORS: await operators.async_start()}
+    addresses[ADDRESS_LINK] = await server.async_start()
+    await async_start_shared_parts(parts)
+    addresses[ADDRESS_CALLERS] = await gateway.async_start()
+    return Product(
+        app=app,
+        addresses=addresses,
+        is_ready=lambda: gateway.ready,
+        list_running=lambda: [str(item["request_id"]) for item in gateway.list_running()],
+    )
+
+
+async def async_setup_side(*, app: Application, settings: SideSettings) -> Product:
+    """Wire and start a side."""
+    parts = make_shared_parts(app=app, settings=settings)
+    suspicion = Suspicion(
+        app=app, notices=parts.notices, fleet=parts.fleet, pool=settings.upstream.pool
+    )
+    upstream = make_client(app=app, settings=settings.upstream)
+    admission = Admission(app=app, weight=settings.upstream.weight, name=app.name)
+    idempotency = Idempotency(
+        app=app,
+        settings=settings.platform,
+        fleet=parts.fleet,
+        name=app.name,
+        pool=settings.upstream.pool,
+    )
+    runner = ExchangeRunner(
+        app=app,
+        settings=settings,
+        store=parts.store,
+        admission=admission,
+        upstream=upstream,
+        idempotency=idempotency,
+        suspicion=suspicion,
+    )
+    running = RunningExchanges(handler=runner.async_handle)
+    spread_suspect_news(parts=parts, suspicion=suspicion, list_concerned=running.list_routers)
+    server = LinkServer(
+        app=app,
+        settings=settings.link,
+        key=parts.key,
+        notices=parts.notices,
+        handler=running.async_handle,
+        answer_memory_bytes=settings.limits.answer_memory_bytes,
+    )
+
+    def is_ready() -> bool:
+        return runner.make_status().ready
+
+    operators = make_operators(app=app, settings=settings, is_ready=is_ready)
+    addresses = {ADDRESS_OPERATORS: await operators.async_start()}
+    # The order of the drain hooks: first the runs end, then the server waits for their answers.
+    await runner.async_start()
+    await upstream.async_start()
+    addresses[ADDRESS_LINK] = await server.async_start()
+    idempotency.note_listening(addresses[ADDRESS_LINK])
+    await async_start_shared_parts(parts)
+    runner.on_status(lambda: server.publish_status(runner.make_status()))
+    server.publish_status(runner.make_status())
+    return Product(app=app, addresses=addresses, is_ready=is_ready, list_running=running.list_ids)
+
+
+def make_shared_parts(*, app: Application, settings: Settings) -> SharedParts:
+    """Make what both roles need, not yet started."""
+    key = read_link_key(settings.link)
+    notices = NoticeHub(app=app)
+    links = LinkPool(app=app, settings=settings.link, key=key, notices=notices)
+    source = HttpInstanceListSource(app=app, settings=settings.platform)
+    fleet = Fleet(app=app, settings=settings.platform, source=source)
+    store = ConfigurationStore(app=app)
+    spread = ConfigurationSpread(
+        app=app,
+        settings=settings.platform,
+        store=store,
+        fleet=fleet,
+        pool=links,
+        notices=notices,
+    )
+    connect_fleet(fleet=fleet, links=links)
+    return SharedParts(
+        app=app,
+        key=key,
+        notices=notices,
+        links=links,
+        fleet=fleet,
+        store=store,
+        spread=spread,
+    )
+
+
+def connect_fleet(*, fleet: Fleet, links: LinkPool) -> None:
+    """Tell the fleet what the links find out."""
+
+    def take_status(hello: Hello, status: Status) -> None:
+        fleet.note_incarnation(hello.name, hello.incarnation)
+        if status.leaving:
+            fleet.note_leaving(hello.name, hello.incarnation)
+
+    links.on_contact(fleet.note_contact)
+    links.on_status(take_status)
+
+
+def spread_suspect_news(
+    *, parts: SharedParts, suspicion: Suspicion, list_concerned: ListNames
+) -> None:
+    """Tell other processes what this one learns of requests that crash their upstream."""
+    SuspectNewsSpread(
+        app=parts.app,
+        fleet=parts.fleet,
+        links=parts.links,
+        suspicion=suspicion,
+        list_concerned=list_concerned,
+    )
+
+
+async def async_start_shared_parts(parts: SharedParts) -> None:
+    """Start what both roles need."""
+    await parts.fleet.async_start()
+    await parts.spread.async_start()
+
+
+def make_operators(
+    *, app: Application, settings: Settings, is_ready: Callable[[], bool]
+) -> OperatorsServer:
+    """Return the operators' server, not yet started; raises SettingsInvalid."""
+    access = check_access(settings.operators)
+    return OperatorsServer(app=app, settings=settings.operators, access=access, is_ready=is_ready)
--- /dev/null
+++ b/gypsumrouter/configuration/assembly.py
@@ -0,0 +1,88 @@
+"""A configuration put together from parts, of which only the unknown ones are read and checked."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from operator import attrgetter
+
+from gypsumrouter.configuration.check import build_configuration
+from gypsumrouter.configuration.const import (
+    FIELD_DEFAULT_CLASS,
+    FIELD_VERSION,
+    SECTION_WORKSPACES,
+    SLICE_PARTS,
+)
+from gypsumrouter.configuration.elements import check_members, read_elements
+from gypsumrouter.configuration.models import Configuration
+from gypsumrouter.configuration.parts import Part, PartSet, digest_manifest, unpack_part
+from gypsumrouter.configuration.references import check_references
+from gypsumrouter.configuration.slices import Sliced
+from gypsumrouter.exceptions import DocumentInvalid
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Assembled:
+    """A configuration that passed the check, with its parts."""
+
+    configuration: Configuration
+    parts: PartSet
+
+
+def assemble(
+    *, version: int, manifest: tuple[int, ...], bodies: Mapping[int, bytes], known: PartSet
+) -> Sliced[Assembled | None]:
+    """Check the parts of a version in slices; return None where anything is wrong with them.
+
+    Each element and all references pass the same checks as a whole document. What is wrong is
+    not said: the document has to be joined and checked whole for that.
+    """
+    parts: dict[int, Part] = {}
+    for count, digest in enumerate(manifest, start=1):
+        part = known.parts.get(digest)
+        if part is None:
+            part = yield from _read_part(digest, bodies[digest])
+        if part is None:
+            return None
+        parts[digest] = part
+        if count % SLICE_PARTS == 0:
+            yield
+    configuration = yield from _build(version, [parts[digest] for digest in manifest])
+    if configuration is None or (yield from check_references(configuration)):
+        return None
+    digest = digest_manifest(version, manifest)
+    found = PartSet(version=version, digest=digest, manifest=manifest, parts=parts)
+    return Assembled(configuration=configuration, parts=found)
+
+
+def _read_part(digest: int, body: bytes) -> Sliced[Part | None]:
+    unpacked = unpack_part(body)
+    if unpacked is None or unpacked[0] != digest:
+        return None
+    try:
+        reading = yield from read_elements(unpacked[1])
+    except DocumentInvalid:
+        return None
+    reading.members[FIELD_VERSION] = 1
+    if check_members(reading) is None or reading.errors:
+        return None
+    filled = [(section, found) for section, found in reading.entries.items() if found]
+    if len(filled) != 1:
+        return None
+    section, entries = filled[0]
+    return Part(section=section, body=body, values=tuple(entry.value for entry in entries))
+
+
+def _build(version: int, parts: list[Part]) -> Sliced[Configuration | None]:
+    values: dict[str, list[object]] = {}
+    for part in parts:
+        values.setdefault(part.section, []).extend(part.values)
+    default_classes = values.pop(FIELD_DEFAULT_CLASS, [])
+    if len(default_classes) != 1:
+        return None
+    yield
+    values.get(SECTION_WORKSPACES, []).sort(key=attrgetter("name"))
+    yield
+    return build_configuration(
+        version=version, default_class=str(default_classes[0]), values=values
+    )
--- /dev/null
+++ b/gypsumrouter/configuration/const.py
@@ -0,0 +1,61 @@
+"""Constants of the configuration aggregate; times are in milliseconds, sizes in bytes."""
+
+from __future__ import annotations
+
+from typing import Final
+
+MAX_DOCUMENT_BYTES: Final = 1024 * 1024
+# Canonical JSON may be a little longer than what was written.
+MAX_CANONICAL_BYTES: Final = MAX_DOCUMENT_BYTES + 64 * 1024
+MAX_JOINED_BYTES: Final = MAX_CANONICAL_BYTES + 1024
+MAX_RULES: Final = 1_000
+MAX_VERSION: Final = 2**63 - 1
+MAX_REMEMBERED_ERRORS: Final = 50
+
+FIELD_VERSION: Final = "version"
+FIELD_DEFAULT_CLASS: Final = "default_class"
+SECTION_WORKSPACES: Final = "workspaces"
+SECTION_CLASSES: Final = "classes"
+SECTION_POOLS: Final = "pools"
+SECTION_RULES: Final = "rules"
+SECTIONS: Final = (SECTION_WORKSPACES, SECTION_CLASSES, SECTION_POOLS, SECTION_RULES)
+
+# Work done between two turns of the loop.
+SLICE_ITEMS: Final = 100
+SLICE_CHECKS: Final = 1_000
+SLICE_PARTS: Final = 8
+SLICE_RULES: Final = 20
+
+# How the document is cut into parts that travel alone.
+WORKSPACE_BUCKETS: Final = 256
+ITEMS_IN_PART: Final = 64
+MAX_PARTS_IN_REQUEST: Final = 64
+MAX_PARTS_BYTES: Final = 64 * 1024
+MAX_MANIFEST: Final = 4_096
+
+# Reading the platform.
+PATH_CONFIGURATION: Final = "/v1/configuration"
+HEADER_VERSION: Final = "X-Version"
+WATCH_MS: Final = 2_500
+WATCH_GRACE_MS: Final = 500
+CONNECT_MS: Final = 1_000
+READ_MS: Final = 2_000
+BACKOFF_FIRST_MS: Final = 250
+BACKOFF_MAX_MS: Final = 2_000
+
+# Spreading between processes.
+RINGS: Final = 3
+RING_ATTEMPTS: Final = 4
+WATCHERS_IN_REGION: Final = 3
+ANTI_ENTROPY_MS: Final = 10_000
+TICK_MS: Final = 1_000
+PAUSE_MS: Final = 2_500
+FETCH_WAIT_MS: Final = 700
+ISOLATED_MS: Final = 25_000
+SLOW_READ_MS: Final = 60_000
+SLOW_READ_MS_PER_PEER: Final = 100
+SLOW_READ_WATCH_MS: Final = 1
+START_LIST_WAIT_MS: Final = 300
+START_JITTER_MS: Final = 1_200
+START_JITTER_MS_PER_PEER: Final = 1
+START_ASK_MS: Final = 400
--- a/gypsumrouter/configuration/models.py
+++ b/gypsumrouter/configuration/models.py
@@ -13,9 +13,9 @@
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Digest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
-PositiveFloat = Annotated[float, Field(gt=0)]
+PositiveFloat = Annotated[float, Field(gt=0, allow_inf_nan=False)]
 PositiveInt = Annotated[int, Field(gt=0)]
-NotNegative = Annotated[float, Field(ge=0)]
+NotNegative = Annotated[float, Field(ge=0, allow_inf_nan=False)]
 NotNegativeInt = Annotated[int, Field(ge=0)]
 
 DEFAULT_FIRST_TOKEN_MS = 330
@@ -100,7 +100,7 @@
     name: Name
     kind: UpstreamKind
     models: tuple[Name, ...] = ()
-    cap: Annotated[float, Field(gt=1)] = DEFAULT_CAP
+    cap: Annotated[float, Field(gt=1, allow_inf_nan=False)] = DEFAULT_CAP
     floor: PositiveInt = DEFAULT_FLOOR
     slots: PositiveInt = DEFAULT_SLOTS
     queue: NotNegativeInt = DEFAULT_QUEUE
--- /dev/null
+++ b/gypsumrouter/configuration/neighbours.py
@@ -0,0 +1,65 @@
+"""Which processes exchange news of the configuration, and which ones watch the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+import xxhash
+
+from gypsumrouter.configuration.const import RING_ATTEMPTS, RINGS, WATCHERS_IN_REGION
+from gypsumrouter.fleet.models import Instance
+
+Route = tuple[Instance, ...]
+
+
+def list_routes(name: str, peers: Iterable[Instance]) -> tuple[Route, ...]:
+    """Return the instances to tell news to: one route for each direction of each ring.
+
+    Every process puts all names on the same rings, in the order of their digests, and talks to
+    the next one and the one before on each. The union of a few such rings is connected, has a
+    diameter that grows with the logarithm of the fleet, and gives each process the same few
+    neighbours. A route goes on along its ring for when the first instance cannot be reached.
+    """
+    known = tuple(peer for peer in peers if peer.name != name)
+    routes: list[Route] = []
+    for ring in range(RINGS):
+        routes += _list_ring_routes(ring, name, known)
+    return tuple(routes)
+
+
+def list_watchers(members: Iterable[Instance], region: str) -> frozenset[str]:
+    """Return the names of those that watch the platform for a region.
+
+    The first by rank of each data centre of the region, filled up to a few by rank.
+    """
+    ranked = sorted(
+        (member for member in members if member.region == region),
+        key=lambda member: (_rank("watch", member.name), member.name),
+    )
+    first: dict[str, str] = {}
+    for member in ranked:
+        first.setdefault(member.data_centre, member.name)
+    chosen = list(first.values())
+    for member in ranked:
+        if len(chosen) >= WATCHERS_IN_REGION:
+            break
+        if member.name not in chosen:
+            chosen.append(member.name)
+    return frozenset(chosen)
+
+
+def _list_ring_routes(ring: int, name: str, peers: tuple[Instance, ...]) -> Iterator[Route]:
+    here = (_rank(str(ring), name), name)
+    ranked = [((_rank(str(ring), peer.name), peer.name), peer) for peer in peers]
+    order = sorted(ranked, key=lambda entry: entry[0])
+    places = [place for place, _ in order]
+    start = sum(1 for place in places if place < here)
+    ahead = [peer for _, peer in order[start:] + order[:start]]
+    if not ahead:
+        return
+    yield tuple(ahead[:RING_ATTEMPTS])
+    yield tuple(reversed(ahead[-RING_ATTEMPTS:]))
+
+
+def _rank(purpose: str, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{purpose}/{name}".encode())
--- /dev/null
+++ b/gypsumrouter/configuration/schema.py
@@ -0,0 +1,22 @@
+"""The published JSON schema of the configuration document."""
+
+from __future__ import annotations
+
+import json
+from typing import Final
+
+from pydantic import TypeAdapter
+
+from gypsumrouter.configuration.models import Configuration
+
+SCHEMA_FILE: Final = "schema.json"
+_DIALECT: Final = "https://json-schema.org/draft/2020-12/schema"
+
+
+def build_schema() -> str:
+    """Return the schema as text; the committed file has to be equal to it."""
+    schema = {
+        "$schema": _DIALECT,
+        **TypeAdapter(Configuration).json_schema(mode="validation"),
+    }
+    return json.dumps(schema, indent=2, sort_keys=True) + "\n"
--- /dev/null
+++ b/gypsumrouter/configuration/slices.py
@@ -0,0 +1,32 @@
+"""Long work cut into slices, so that it never holds the event loop for long."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Generator
+from typing import TypeVar
+
+_T = TypeVar("_T")
+
+Sliced = Generator[None, None, _T]
+
+
+def run_sliced(work: Sliced[_T]) -> _T:
+    """Run the work to its end at once, for commands and tests."""
+    while True:
+        try:
+            next(work)
+        except StopIteration as stop:
+            result: _T = stop.value
+            return result
+
+
+async def async_run_sliced(work: Sliced[_T]) -> _T:
+    """Run the work and give way to the event loop after each slice."""
+    while True:
+        try:
+            next(work)
+        except StopIteration as stop:
+            result: _T = stop.value
+            return result
+        await asyncio.sleep(0)
--- /dev/null
+++ b/gypsumrouter/configuration/source.py
@@ -0,0 +1,143 @@
+"""The platform's configuration service, read and watched over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+import aiohttp
+
+from gypsumrouter.configuration.const import (
+    CONNECT_MS,
+    HEADER_VERSION,
+    MAX_DOCUMENT_BYTES,
+    PATH_CONFIGURATION,
+    READ_MS,
+    WATCH_GRACE_MS,
+)
+from gypsumrouter.const import MS_PER_S
+
+if TYPE_CHECKING:
+    from gypsumrouter.core import Application
+
+_STATUS_OK = 200
+_STATUS_NO_CONTENT = 204
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Document:
+    """A document as the service gave it; `version` is the one in the answer's head."""
+
+    body: bytes
+    version: int | None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Unchanged:
+    """There is no version above the one that was asked for."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Unavailable:
+    """The service gave no usable answer."""
+
+    message: str
+
+
+SourceAnswer = Document | Unchanged | Unavailable
+
+
+class ConfigurationSource(Protocol):
+    """Where the platform publishes the configuration."""
+
+    async def async_read(self) -> SourceAnswer:
+        """Return the newest document of one replica."""
+
+    async def async_watch(self, *, after: int, timeout_ms: int) -> SourceAnswer:
+        """Return a document with a version above `after`, waiting up to `timeout_ms`."""
+
+
+class HttpConfigurationSource:
+    """Read the service at several origins in turn, another one with each call."""
+
+    __slots__ = ("_app", "_origins", "_session", "_turn", "calls")
+
+    def __init__(
+        self, *, app: Application, origins: tuple[str, ...], rng: random.Random | None = None
+    ) -> None:
+        self._app = app
+        self._origins = origins
+        self._turn = (rng or random.Random()).randrange(max(1, len(origins)))
+        self._session: aiohttp.ClientSession | None = None
+        self.calls = app.metrics.counter(
+            "gypsumrouter_configuration_reads_total", "Calls to the configuration service"
+        )
+
+    async def async_read(self) -> SourceAnswer:
+        """Return the newest document of the first origin that answers."""
+        answer: SourceAnswer = Unavailable(message="no origin is set")
+        for _ in self._origins:
+            answer = await self._async_get({}, READ_MS)
+            if isinstance(answer, Document):
+                return answer
+        return answer
+
+    async def async_watch(self, *, after: int, timeout_ms: int) -> SourceAnswer:
+        """Return a document above `after` from the next origin, waiting up to `timeout_ms`."""
+        query = {"watch": str(after), "timeout_ms": str(timeout_ms)}
+        return await self._async_get(query, timeout_ms + WATCH_GRACE_MS)
+
+    async def _async_get(self, query: dict[str, str], timeout_ms: int) -> SourceAnswer:
+        if not self._origins:
+            return Unavailable(message="no origin is set")
+        origin = self._origins[self._turn % len(self._origins)]
+        self._turn += 1
+        self.calls.inc()
+        try:
+            async with self._get_session().get(
+                origin + PATH_CONFIGURATION, params=query, timeout=_build_timeout(timeout_ms)
+            ) as response:
+                return await _async_read_answer(response)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Unavailable(message=f"{origin}: {type(error).__name__}")
+
+    def _get_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+            self._app.on_stop(self._async_close)
+        return self._session
+
+    async def _async_close(self) -> None:
+        if self._session is not None:
+            await self._session.close()
+
+
+async def _async_read_answer(response: aiohttp.ClientResponse) -> SourceAnswer:
+    if response.status == _STATUS_NO_CONTENT:
+        return Unchanged()
+    if response.status != _STATUS_OK:
+        return Unavailable(message=f"status {response.status}")
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > MAX_DOCUMENT_BYTES:
+            # One byte too many is enough for the check to say that the document is too large.
+            del body[MAX_DOCUMENT_BYTES + 1 :]
+            break
+        await asyncio.sleep(0)
+    return Document(body=bytes(body), version=_read_header(response))
+
+
+def _read_header(response: aiohttp.ClientResponse) -> int | None:
+    value = response.headers.get(HEADER_VERSION, "")
+    return int(value) if value.isascii() and value.isdigit() else None
+
+
+def _build_timeout(timeout_ms: int) -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(
+        total=(timeout_ms + CONNECT_MS) / MS_PER_S,
+        sock_connect=CONNECT_MS / MS_PER_S,
+        sock_read=timeout_ms / MS_PER_S,
+    )
--- /dev/null
+++ b/gypsumrouter/configuration/store.py
@@ -0,0 +1,205 @@
+"""The configuration that is in force in this process; its version never goes down."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from gypsumrouter.configuration.assembly import assemble
+from gypsumrouter.configuration.check import check_in_slices, read_version
+from gypsumrouter.configuration.const import (
+    FIELD_VERSION,
+    MAX_DOCUMENT_BYTES,
+    MAX_JOINED_BYTES,
+    MAX_REMEMBERED_ERRORS,
+)
+from gypsumrouter.configuration.models import Configuration
+from gypsumrouter.configuration.outcomes import Accepted, Offer, Older, Rejected
+from gypsumrouter.configuration.parts import EMPTY_PARTS, PartSet, cut_into_parts, join_parts
+from gypsumrouter.configuration.slices import async_run_sliced
+from gypsumrouter.exceptions import ConfigurationInvalid, FieldError
+
+if TYPE_CHECKING:
+    from gypsumrouter.core import Application, Remove
+
+_LOGGER = logging.getLogger(__name__)
+
+Listener = Callable[[Configuration], None]
+
+DUMP_SECTION: Final = "configuration"
+_VERSION_PATH: Final = f"$.{FIELD_VERSION}"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Rejection:
+    """A version that was offered and rejected; `errors` are the first of `error_count`."""
+
+    version: int | None
+    at_ms: int
+    errors: tuple[FieldError, ...]
+    error_count: int
+
+
+class ConfigurationStore:
+    """Hold the accepted configuration with the highest version that this process has seen.
+
+    `ready` is set with the first one. `parts` is what other processes may ask for.
+    """
+
+    __slots__ = (
+        "_accepted_at_ms",
+        "_app",
+        "_listeners",
+        "_lock",
+        "_older_seen",
+        "current",
+        "parts",
+        "ready",
+        "rejection",
+    )
+
+    def __init__(self, *, app: Application) -> None:
+        self._app = app
+        self._lock = asyncio.Lock()
+        self._listeners: list[Listener] = []
+        self._accepted_at_ms: int | None = None
+        self._older_seen = 0
+        self.current = Configuration(version=0)
+        self.parts: PartSet = EMPTY_PARTS
+        self.ready = asyncio.Event()
+        self.rejection: Rejection | None = None
+        app.add_dump_section(DUMP_SECTION, self._dump)
+        app.metrics.gauge(
+            "gypsumrouter_configuration_version",
+            "Version of the configuration that is in force",
+            lambda: {(): self.current.version},
+        )
+
+    def on_change(self, listener: Listener) -> Remove:
+        """Register what is called with each configuration that comes into force."""
+        self._listeners.append(listener)
+
+        def remove() -> None:
+            if listener in self._listeners:
+                self._listeners.remove(listener)
+
+        return remove
+
+    async def async_offer(self, document: bytes) -> Offer:
+        """Check a document and put it in force if it is right and newer.
+
+        The work gives way to the event loop, and offers are taken one after another.
+        """
+        async with self._lock:
+            return await self._async_take(document, MAX_DOCUMENT_BYTES)
+
+    async def async_offer_parts(
+        self, *, version: int, manifest: tuple[int, ...], bodies: Mapping[int, bytes]
+    ) -> Offer | None:
+        """Offer a version in parts, all of which are in `bodies` or in force now.
+
+        Only what is not known yet is read. The outcome is the same as for the whole document;
+        it is None where parts are missing or damaged.
+        """
+        async with self._lock:
+            if version < self.current.version:
+                return self._note_older(version)
+            known = self.parts
+            if any(d not in bodies and d not in known.parts for d in manifest):
+                return None
+            work = assemble(version=version, manifest=manifest, bodies=bodies, known=known)
+            found = await async_run_sliced(work)
+            if found is not None:
+                return self._decide(found.configuration, found.parts)
+            held = {digest: part.body for digest, part in known.parts.items()}
+            joining = join_parts(version, manifest, {**held, **bodies})
+            document = await async_run_sliced(joining)
+            if document is None:
+                return None
+            return await self._async_take(document, MAX_JOINED_BYTES)
+
+    async def _async_take(self, document: bytes, limit_bytes: int) -> Offer:
+        claimed = await async_run_sliced(read_version(document))
+        if claimed is not None and claimed < self.current.version:
+            return self._note_older(claimed)
+        try:
+            checking = check_in_slices(document, limit_bytes=limit_bytes)
+            checked = await async_run_sliced(checking)
+        except ConfigurationInvalid as error:
+            return self._reject(claimed, error.errors)
+        parts = await async_run_sliced(cut_into_parts(checked, self.parts))
+        return self._decide(checked.configuration, parts)
+
+    def _decide(self, configuration: Configuration, parts: PartSet) -> Offer:
+        if configuration.version == self.current.version:
+            return self._compare(parts)
+        self._put_in_force(configuration, parts)
+        return Accepted(version=configuration.version, changed=True)
+
+    def _note_older(self, version: int) -> Older:
+        self._older_seen += 1
+        return Older(version=version, in_force=self.current.version)
+
+    def _compare(self, parts: PartSet) -> Offer:
+        if parts.digest == self.parts.digest:
+            return Accepted(version=parts.version, changed=False)
+        message = f"version {parts.version} is in force with another content"
+        return self._reject(parts.version, (FieldError(path=_VERSION_PATH, message=message),))
+
+    def _put_in_force(self, configuration: Configuration, parts: PartSet) -> None:
+        self.current = configuration
+        self.parts = parts
+        self._accepted_at_ms = self._app.clock.wall_ms()
+        if self.rejection is not None and (self.rejection.version or 0) <= configuration.version:
+            self.rejection = None
+        _LOGGER.info("Configuration %s is in force", configuration.version)
+        self.ready.set()
+        for listener in tuple(self._listeners):
+            try:
+                listener(configuration)
+            except Exception:
+                _LOGGER.exception("A listener failed on configuration %s", configuration.version)
+
+    def _reject(self, version: int | None, errors: tuple[FieldError, ...]) -> Rejected:
+        known = self.rejection
+        if known is None or known.version != version or known.error_count != len(errors):
+            _LOGGER.warning(
+                "Configuration %s is rejected, %s stays in force: %s",
+                version,
+                self.current.version,
+                "; ".join(str(error) for error in errors[:MAX_REMEMBERED_ERRORS]),
+            )
+        self.rejection = Rejection(
+            version=version,
+            at_ms=self._app.clock.wall_ms(),
+            errors=errors[:MAX_REMEMBERED_ERRORS],
+            error_count=len(errors),
+        )
+        return Rejected(version=version, errors=errors)
+
+    def _dump(self) -> dict[str, object]:
+        return {
+            "in_force": {
+                "version": self.current.version,
+                "digest": f"{self.parts.digest:016x}",
+                "accepted_at_ms": self._accepted_at_ms,
+                "workspaces": len(self.current.workspaces),
+                "rules": len(self.current.rules),
+            },
+            "older_seen": self._older_seen,
+            "rejected": _dump_rejection(self.rejection),
+        }
+
+
+def _dump_rejection(rejection: Rejection | None) -> dict[str, object] | None:
+    if rejection is None:
+        return None
+    return {
+        "version": rejection.version,
+        "at_ms": rejection.at_ms,
+        "error_count": rejection.error_count,
+        "errors": [{"path": error.path, "message": error.message} for error in rejection.errors],
+    }
--- /dev/null
+++ b/gypsumrouter/configuration/waiting.py
@@ -0,0 +1,32 @@
+"""Waiting that ends with an event, with the clock, or with a result, whichever comes first."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from gypsumrouter.util.clock import Clock
+
+_T = TypeVar("_T")
+
+
+async def async_wait(event: asyncio.Event, *, clock: Clock, timeout_ms: int) -> bool:
+    """Wait for the event up to `timeout_ms`; return whether it came."""
+    if event.is_set():
+        return True
+    await async_unless(event, clock.async_sleep(timeout_ms))
+    return event.is_set()
+
+
+async def async_unless(event: asyncio.Event, work: Coroutine[Any, Any, _T]) -> _T | None:
+    """Return the result of the work, or None if the event comes first; the work is cancelled."""
+    running = asyncio.ensure_future(work)
+    waiting = asyncio.ensure_future(event.wait())
+    try:
+        await asyncio.wait((running, waiting), return_when=asyncio.FIRST_COMPLETED)
+        return running.result() if running.done() else None
+    finally:
+        for task in (running, waiting):
+            task.cancel()
+        await asyncio.gather(running, waiting, return_exceptions=True)
--- /dev/null
+++ b/gypsumrouter/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: the whole product with stand-ins in one process on loopback."""
--- /dev/null
+++ b/gypsumrouter/demo/report.py
@@ -0,0 +1,106 @@
+"""What the demo prints."""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Sequence
+from typing import Final
+
+from bench.report import print_result, print_table
+from bench.tally import Tally
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.demo.measure import SkewSampler
+
+PERCENTILES: Final = 100
+MEDIAN: Final = 50
+NEARLY_ALL: Final = 95
+NO_VALUE: Final = "-"
+
+
+def print_progress(tallies: Sequence[Tally], *, elapsed_ms: int) -> None:
+    """Print how far it is."""
+    requests = sum(tally.requests for tally in tallies)
+    whole = sum(tally.whole for tally in tallies)
+    refused = sum(tally.refused.total() for tally in tallies)
+    unknown = sum(tally.unknown.total() for tally in tallies)
+    print(
+        f"{elapsed_ms / MS_PER_S:4.0f} s: {requests} requests, {whole} whole, "
+        f"{refused} tries refused as not run, {unknown} tries unknown",
+        flush=True,
+    )
+
+
+def print_deployment(name: str, tally: Tally, sampler: SkewSampler) -> None:
+    """Print the figures of one deployment by class of callers."""
+    rows = [
+        (
+            caller_class,
+            len(times),
+            format_ms(find_percentile(times, MEDIAN)),
+            format_ms(find_percentile(times, NEARLY_ALL)),
+        )
+        for caller_class, times in sorted(tally.first_token_ms.items())
+    ]
+    print_table(
+        title=f"{name}: chats by class of callers",
+        columns=("class", "answers", "first token p50", "first token p95"),
+        rows=rows,
+    )
+    print_retried(tally)
+    skew = NO_VALUE if sampler.load_skew is None else f"{sampler.load_skew:.2f}"
+    print(
+        f"answers {tally.whole} of {tally.requests}, cache reuse {tally.reuse:.1%}\n"
+        f"skew (largest over mean): tokens produced {sampler.work_skew:.2f}, load above "
+        f"{sampler.floor} requests {skew}; busiest engine {sampler.busiest} requests"
+    )
+
+
+def print_retried(tally: Tally) -> None:
+    """Print why tries had to be repeated, if any had."""
+    codes = {"not run": tally.refused, "unknown": tally.unknown}
+    for executed, counts in codes.items():
+        if counts:
+            reasons = ", ".join(f"{code} {count}" for code, count in counts.most_common())
+            print(f"tries without an answer, {executed}: {reasons}")
+
+
+def print_control(*, router_bytes_s: float, side_bytes_s: float) -> None:
+    """Print the control traffic of one process."""
+    print(
+        f"\ncontrol traffic of one router {router_bytes_s:,.0f} bytes/s, "
+        f"of one side {side_bytes_s:,.0f} bytes/s"
+    )
+
+
+def print_outcome(tallies: Sequence[Tally], *, doubled_runs: int) -> bool:
+    """Print the outcome as the last line and return whether every promise held.
+
+    A call that ran more than once counts as doubled, also where its callers did not see it.
+    """
+    requests = sum(tally.requests for tally in tallies)
+    whole = sum(tally.whole for tally in tallies)
+    lost = sum(tally.lost + tally.not_run + tally.truncated for tally in tallies)
+    doubled = max(sum(tally.doubled for tally in tallies), doubled_runs)
+    crossed = sum(tally.crossed for tally in tallies)
+    print_result(
+        {
+            "requests": requests,
+            "whole": whole,
+            "lost": lost,
+            "doubled": doubled,
+            "crossed": crossed,
+        }
+    )
+    return requests > 0 and whole == requests and lost == doubled == crossed == 0
+
+
+def find_percentile(times: Sequence[float], percentile: int) -> float | None:
+    """Return a percentile, None for no times."""
+    if len(times) < 2:
+        return times[0] if times else None
+    return statistics.quantiles(times, n=PERCENTILES, method="inclusive")[percentile - 1]
+
+
+def format_ms(value: float | None) -> str:
+    """Return a time for a table."""
+    return NO_VALUE if value is None else f"{value:.0f} ms"
--- /dev/null
+++ b/gypsumrouter/demo/run.py
@@ -0,0 +1,142 @@
+"""One run of the demo, from the start of the fleet to its last line."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass
+
+import aiohttp
+
+from bench.load import CallerContext
+from bench.tally import Tally
+from gypsumrouter.configuration.models import DEFAULT_FLOOR
+from gypsumrouter.const import HEADER_CHAT, MS_PER_S, PATH_CHAT
+from gypsumrouter.demo.local_fleet import LocalFleet
+from gypsumrouter.demo.measure import SkewSampler, sum_control_bytes
+from gypsumrouter.demo.plan import (
+    END_MS,
+    EXTRA_SETTINGS,
+    FIRST_SEED,
+    PROGRESS_MS,
+    ROUTERS,
+    SEEDS_FOR_ONE,
+)
+from gypsumrouter.demo.play import async_play
+from gypsumrouter.demo.report import (
+    print_control,
+    print_deployment,
+    print_outcome,
+    print_progress,
+)
+from gypsumrouter.standins import Deployment, StandinPlatform, chapin, kotlovnica
+from gypsumrouter.util.clock import Clock, SystemClock
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Stage:
+    """One deployment while it is played: what its callers counted and how even its load was."""
+
+    deployment: Deployment
+    tally: Tally
+    sampler: SkewSampler
+
+
+async def async_run_demo(*, stay: bool) -> bool:
+    """Run the demo and return whether every promise held; with `stay` it does not return."""
+    clock = SystemClock()
+    platform = StandinPlatform(clock=clock, deployments=(kotlovnica(), chapin()))
+    fleet = LocalFleet(platform=platform, clock=clock, extra=EXTRA_SETTINGS)
+    try:
+        print("Starting the fleet on loopback", flush=True)
+        await fleet.async_start(routers=ROUTERS)
+        print(f"{len(fleet.routers)} routers, {len(fleet.sides)} sides with stand-ins", flush=True)
+        if stay:
+            print_curl(fleet)
+            await asyncio.Event().wait()
+        return await async_measure(fleet, clock)
+    finally:
+        await fleet.async_stop()
+
+
+async def async_measure(fleet: LocalFleet, clock: Clock) -> bool:
+    """Play both deployments, print the figures and return whether every promise held."""
+    stages = [_make_stage(fleet, item) for item in fleet.platform.deployments]
+    began_ms = clock.now_ms()
+    tasks = [asyncio.create_task(stage.sampler.async_run(clock)) for stage in stages]
+    tasks.append(asyncio.create_task(_async_show_progress(stages, clock)))
+    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+        await asyncio.gather(
+            *(
+                async_play(
+                    deployment=stage.deployment,
+                    context=_make_context(session, fleet, stage, clock),
+                    seed=FIRST_SEED + number * SEEDS_FOR_ONE,
+                    until_ms=began_ms + END_MS,
+                )
+                for number, stage in enumerate(stages)
+            )
+        )
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    _print_figures(fleet, stages, (clock.now_ms() - began_ms) / MS_PER_S)
+    return print_outcome(
+        [stage.tally for stage in stages], doubled_runs=fleet.platform.count_doubled()
+    )
+
+
+def print_curl(fleet: LocalFleet) -> None:
+    """Print a line that asks the first router for an answer."""
+    deployment = fleet.platform.deployments[0]
+    body = {
+        "model": deployment.model,
+        "messages": [{"role": "user", "content": "May vessel 7 be closed again?"}],
+        "stream": True,
+    }
+    print(
+        f"curl -N http://{fleet.list_callers()[0]}{PATH_CHAT}"
+        f" -H 'Authorization: Bearer {deployment.workspaces[0].key}'"
+        f" -H 'Content-Type: application/json' -H '{HEADER_CHAT}: vessel-7'"
+        f" -d '{json.dumps(body)}'",
+        flush=True,
+    )
+
+
+def _make_stage(fleet: LocalFleet, deployment: Deployment) -> Stage:
+    engines = tuple(
+        fleet.platform.engines[plan.name]
+        for plan in fleet.platform.plans
+        if plan.pool == deployment.engine_pool
+    )
+    return Stage(
+        deployment=deployment,
+        tally=Tally(),
+        sampler=SkewSampler(engines=engines, floor=DEFAULT_FLOOR),
+    )
+
+
+def _make_context(
+    session: aiohttp.ClientSession, fleet: LocalFleet, stage: Stage, clock: Clock
+) -> CallerContext:
+    return CallerContext(
+        session=session, routers=fleet.list_callers(), tally=stage.tally, clock=clock
+    )
+
+
+async def _async_show_progress(stages: list[Stage], clock: Clock) -> None:
+    began_ms = clock.now_ms()
+    while True:
+        await clock.async_sleep(PROGRESS_MS)
+        tallies = [stage.tally for stage in stages]
+        print_progress(tallies, elapsed_ms=clock.now_ms() - began_ms)
+
+
+def _print_figures(fleet: LocalFleet, stages: list[Stage], elapsed_s: float) -> None:
+    for stage in stages:
+        print_deployment(stage.deployment.name, stage.tally, stage.sampler)
+    routers, sides = list(fleet.routers.values()), list(fleet.sides.values())
+    print_control(
+        router_bytes_s=sum_control_bytes(routers) / len(routers) / elapsed_s,
+        side_bytes_s=sum_control_bytes(sides) / len(sides) / elapsed_s,
+    )
--- /dev/null
+++ b/gypsumrouter/exchange/sinks.py
@@ -0,0 +1,157 @@
+"""Where an upstream's answer goes: on to the caller, or into memory first."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from enum import StrEnum
+
+from gypsumrouter.exchange.const import MAX_REMEMBERED_BYTES
+from gypsumrouter.link import Answer
+from gypsumrouter.link.models import Head
+
+
+class Stop(StrEnum):
+    """Why a run was stopped."""
+
+    CALLER_GONE = "caller_gone"
+    DEADLINE = "deadline"
+    YIELD = "yield"
+    LIMIT = "limit"
+
+
+class Relay:
+    """Pass an answer on as it comes.
+
+    The head waits for the first byte of the body, so that a run can be given up before and made
+    again. `cancelled` stops the run, `stop` says why.
+    """
+
+    __slots__ = ("_answer", "_head", "_on_first_body", "cancelled", "has_body", "stop")
+
+    def __init__(self, *, answer: Answer, on_first_body: Callable[[], None]) -> None:
+        self._answer = answer
+        self._on_first_body = on_first_body
+        self._head: Head | None = None
+        self.cancelled = asyncio.Event()
+        self.has_body = False
+        self.stop: Stop | None = None
+
+    def head(self, head: Head) -> None:
+        """Keep the head until the body begins."""
+        self._head = head
+
+    async def async_write(self, body: bytes) -> None:
+        """Pass a part of the body on."""
+        if not self.has_body:
+            self._begin_body()
+        await self._answer.async_write(body)
+
+    def flush(self) -> None:
+        """Pass the head of an answer without a body on."""
+        if self._head is not None:
+            self._answer.head(self._head)
+            self._head = None
+
+    def ask_to_stop(self, stop: Stop) -> None:
+        """Stop the run; only the first reason counts."""
+        if self.stop is None:
+            self.stop = stop
+            self.cancelled.set()
+
+    def _begin_body(self) -> None:
+        self.has_body = True
+        self._on_first_body()
+        self.flush()
+
+
+class Recorder:
+    """Keep an answer that is remembered, up to a bound; a larger one is passed on instead.
+
+    Once the call is `handed`, neither its caller nor the caller's deadline stop it.
+    """
+
+    __slots__ = (
+        "_answer",
+        "_on_first_body",
+        "_parts",
+        "_size",
+        "cancelled",
+        "detached",
+        "handed",
+        "has_body",
+        "recorded_head",
+        "stop",
+        "too_large",
+    )
+
+    def __init__(self, *, answer: Answer, on_first_body: Callable[[], None]) -> None:
+        self._answer = answer
+        self._on_first_body = on_first_body
+        self._parts: list[bytes] = []
+        self._size = 0
+        self.cancelled = asyncio.Event()
+        self.detached = False
+        self.handed = False
+        self.has_body = False
+        self.recorded_head: Head | None = None
+        self.stop: Stop | None = None
+        self.too_large = False
+
+    @property
+    def body(self) -> bytes:
+        """Return the whole body; empty if it is too large to be kept."""
+        return b"".join(self._parts)
+
+    def head(self, head: Head) -> None:
+        """Keep the head."""
+        self.recorded_head = head
+
+    async def async_write(self, body: bytes) -> None:
+        """Keep a part of the body, or pass it on once there is too much."""
+        if not self.has_body:
+            self.has_body = True
+            self._on_first_body()
+        if self.too_large:
+            await self._async_pass_on(body)
+            return
+        self._parts.append(body)
+        self._size += len(body)
+        if self._size > MAX_REMEMBERED_BYTES:
+            await self._async_overflow()
+
+    async def async_deliver(self) -> None:
+        """Give the caller what was kept, unless it has got it already."""
+        if self.too_large:
+            return
+        self._pass_on_head()
+        for part in self._parts:
+            await self._async_pass_on(part)
+
+    def detach(self) -> None:
+        """Pass nothing on from now on."""
+        self.detached = True
+
+    def ask_to_stop(self, stop: Stop) -> None:
+        """Stop the run if that is still allowed; only the first reason counts."""
+        if self.stop is not None:
+            return
+        if self.handed and stop is not Stop.LIMIT:
+            return
+        self.stop = stop
+        self.cancelled.set()
+
+    async def _async_overflow(self) -> None:
+        self.too_large = True
+        parts, self._parts = self._parts, []
+        self._pass_on_head()
+        for part in parts:
+            await self._async_pass_on(part)
+
+    def _pass_on_head(self) -> None:
+        if self.recorded_head is not None and not self.detached:
+            self._answer.head(self.recorded_head)
+
+    async def _async_pass_on(self, body: bytes) -> None:
+        if not self.detached:
+            await self._answer.async_write(body)
--- a/gypsumrouter/fleet/__init__.py
+++ b/gypsumrouter/fleet/__init__.py
@@ -1,1 +1,17 @@
-"""Placeholder docstring, replaced when the aggregate lands."""
+"""Membership: the platform's list, the evidence of links and the instances' own word combined."""
+
+from __future__ import annotations
+
+from gypsumrouter.fleet.fleet import Fleet
+from gypsumrouter.fleet.models import Address, Instance, InstanceList
+from gypsumrouter.fleet.source import HttpInstanceListSource, InstanceListSource, Unchanged
+
+__all__ = [
+    "Address",
+    "Fleet",
+    "HttpInstanceListSource",
+    "Instance",
+    "InstanceList",
+    "InstanceListSource",
+    "Unchanged",
+]
--- /dev/null
+++ b/gypsumrouter/fleet/fleet.py
@@ -0,0 +1,267 @@
+"""Membership of the fleet: what to use now, and what the platform's list says."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import replace
+from typing import TYPE_CHECKING, Final, TypeVar
+
+from gypsumrouter.core import Application, Remove
+from gypsumrouter.fleet.const import MEMBERS_CACHE_MS
+from gypsumrouter.fleet.diagnostics import count_standings, dump_instance
+from gypsumrouter.fleet.evidence import EvidenceBook, Standing
+from gypsumrouter.fleet.models import Instance, InstanceList
+from gypsumrouter.fleet.source import InstanceListSource, Unchanged
+from gypsumrouter.fleet.view import View
+from gypsumrouter.helpers.metrics import NO_LABELS, Labels
+
+if TYPE_CHECKING:
+    from gypsumrouter.settings import Platform
+
+_LOGGER = logging.getLogger(__name__)
+_T = TypeVar("_T")
+
+DUMP_SECTION: Final = "fleet"
+LABEL_RESULT: Final = "result"
+
+
+class Fleet:
+    """What this process knows of the other instances.
+
+    Lists are taken in the order of `revision`, and never with an older `as_of_ms`. `members` is
+    the softened view; `on_list` and `on_fresh` tell what the list itself says.
+    """
+
+    __slots__ = (
+        "_app",
+        "_change_listeners",
+        "_evidence",
+        "_fresh_listeners",
+        "_list",
+        "_list_listeners",
+        "_lost",
+        "_members",
+        "_members_until_ms",
+        "_reads",
+        "_seen",
+        "_settings",
+        "_source",
+        "_view",
+    )
+
+    def __init__(self, *, app: Application, settings: Platform, source: InstanceListSource) -> None:
+        self._app = app
+        self._settings = settings
+        self._source = source
+        self._list: InstanceList | None = None
+        self._lost = False
+        self._evidence = EvidenceBook(clock=app.clock)
+        self._view = View(reached=self._evidence.get_reached)
+        self._seen: list[tuple[Instance, Standing]] = []
+        self._members: dict[str, tuple[Instance, ...]] = {}
+        self._members_until_ms = 0
+        self._change_listeners: list[Callable[[], None]] = []
+        self._list_listeners: list[Callable[[InstanceList], None]] = []
+        self._fresh_listeners: list[Callable[[int], None]] = []
+        self._reads = app.metrics.counter(
+            "gypsum_instance_list_reads_total", "Reads of the instance list by their result"
+        )
+        app.metrics.gauge(
+            "gypsum_instance_list_age_ms", "Age of the newest state of the list", self._read_age
+        )
+        app.metrics.gauge(
+            "gypsum_instances",
+            "Instances by standing",
+            lambda: count_standings(self._view, self._evidence),
+        )
+
+    async def async_start(self) -> None:
+        """Begin to follow the list."""
+        self._app.add_dump_section(DUMP_SECTION, self._dump)
+        self._app.async_create_task(self._async_follow(), "fleet list")
+
+    def members(self, pool: str) -> tuple[Instance, ...]:
+        """Return the instances of a pool to use now, sorted by name.
+
+        Where none is good, these are the least bad ones.
+        """
+        now_ms = self._app.clock.now_ms()
+        if now_ms >= self._members_until_ms:
+            self._refresh(now_ms)
+        found = self._members.get(pool)
+        if found is None:
+            found = self._members[pool] = self._choose_members(pool)
+        return found
+
+    def peers(self) -> tuple[Instance, ...]:
+        """Return every other instance, of any role and standing."""
+        return tuple(item for item in self._view.list_all() if item.name != self._app.name)
+
+    def get(self, name: str) -> Instance | None:
+        """Return an instance by its name."""
+        return self._view.get(name)
+
+    def list_age_ms(self) -> int | None:
+        """Return how old the newest state of the list is, by the wall clock."""
+        if self._list is None:
+            return None
+        return max(0, self._app.clock.wall_ms() - self._list.as_of_ms)
+
+    def note_contact(self, name: str, reachable: bool) -> None:
+        """Take in one success or failure of a link to an instance."""
+        evidence = self._evidence.obtain(name)
+        now_ms = self._app.clock.now_ms()
+        same = evidence.reachable is reachable
+        evidence.note_contact(reachable, now_ms)
+        if not (same and reachable):
+            self._refresh(now_ms)
+
+    def note_incarnation(self, name: str, incarnation: int) -> None:
+        """Take in which process stands behind a name; a new one is not leaving."""
+        evidence = self._evidence.obtain(name)
+        if evidence.incarnation != incarnation:
+            evidence.note_incarnation(incarnation)
+            self._refresh(self._app.clock.now_ms())
+
+    def note_leaving(self, name: str, incarnation: int) -> None:
+        """Take in an instance's own word that it is leaving."""
+        now_ms = self._app.clock.now_ms()
+        self._evidence.obtain(name).note_leaving(incarnation, now_ms)
+        self._refresh(now_ms)
+
+    def on_change(self, listener: Callable[[], None]) -> Remove:
+        """Register a listener for changes of the view or of an instance's standing."""
+        return _register(self._change_listeners, listener)
+
+    def on_list(self, listener: Callable[[InstanceList], None]) -> Remove:
+        """Register a listener for every list that is accepted, in their order.
+
+        The newest one is told at once where there is one.
+        """
+        if self._list is not None:
+            listener(self._list)
+        return _register(self._list_listeners, listener)
+
+    def on_fresh(self, listener: Callable[[int], None]) -> Remove:
+        """Register a listener for the wall time by which the accepted list was still unchanged."""
+        return _register(self._fresh_listeners, listener)
+
+    async def _async_follow(self) -> None:
+        while True:
+            began_ms = self._app.clock.now_ms()
+            after = self._list.revision if self._list else None
+            answer = await self._source.async_fetch(after_revision=after)
+            changed = self._take_answer(answer)
+            now_ms = self._app.clock.now_ms()
+            self._refresh(now_ms)
+            if not changed:
+                pause_ms = self._settings.list_poll_ms - (now_ms - began_ms)
+                await self._app.clock.async_sleep(max(0, pause_ms))
+
+    def _take_answer(self, answer: InstanceList | Unchanged | None) -> bool:
+        match answer:
+            case None:
+                self._note_read("failed", usable=False)
+                return False
+            case Unchanged():
+                self._take_fresh(answer.as_of_ms)
+                return False
+            case InstanceList():
+                return self._take_list(answer)
+
+    def _take_list(self, answer: InstanceList) -> bool:
+        current = self._list
+        if current is None:
+            self._accept(answer)
+            return True
+        if answer.revision < current.revision or answer.as_of_ms < current.as_of_ms:
+            self._note_read("stale", usable=False)
+            return False
+        if answer.revision > current.revision:
+            self._accept(answer)
+            return True
+        if answer.instances != current.instances:
+            self._note_read("contradiction", usable=False)
+            return False
+        self._take_fresh(answer.as_of_ms)
+        return False
+
+    def _accept(self, answer: InstanceList) -> None:
+        self._note_read("changed", usable=True)
+        self._forget_replaced(answer)
+        self._list = answer
+        self._view.replace(answer.instances, self._app.clock.now_ms())
+        self._evidence.forget_idle(instance.name for instance in self._view.list_all())
+        for listener in tuple(self._list_listeners):
+            listener(answer)
+
+    def _take_fresh(self, as_of_ms: int) -> None:
+        current = self._list
+        if current is None or as_of_ms < current.as_of_ms:
+            self._note_read("stale", usable=False)
+            return
+        self._note_read("unchanged", usable=True)
+        self._list = replace(current, as_of_ms=as_of_ms)
+        self._view.note_read(self._app.clock.now_ms())
+        for listener in tuple(self._fresh_listeners):
+            listener(as_of_ms)
+
+    def _forget_replaced(self, answer: InstanceList) -> None:
+        """Drop the evidence of names that now stand at another address."""
+        for instance in answer.instances:
+            known = self._view.get(instance.name)
+            if known is not None and known.address != instance.address:
+                self._evidence.forget(instance.name)
+
+    def _note_read(self, result: str, *, usable: bool) -> None:
+        self._reads.inc(labels=((LABEL_RESULT, result),))
+        if not usable and not self._lost:
+            _LOGGER.warning("The instance list gives no new state (%s), the view is kept", result)
+        if usable and self._lost:
+            _LOGGER.info("The instance list is back")
+        self._lost = not usable
+
+    def _choose_members(self, pool: str) -> tuple[Instance, ...]:
+        ranked = [(standing, item) for item, standing in self._seen if item.pool == pool]
+        best = min((standing for standing, _ in ranked), default=Standing.USABLE)
+        return tuple(item for standing, item in ranked if standing is best)
+
+    def _refresh(self, now_ms: int) -> None:
+        """Work the view out again, and tell the listeners if it has changed."""
+        self._view.prune(now_ms)
+        self._members_until_ms = now_ms + MEMBERS_CACHE_MS
+        seen = [(item, self._evidence.get_standing(item)) for item in self._view.list_all()]
+        if seen == self._seen:
+            return
+        self._seen = seen
+        self._members.clear()
+        for listener in tuple(self._change_listeners):
+            listener()
+
+    def _read_age(self) -> dict[Labels, float]:
+        age_ms = self.list_age_ms()
+        return {} if age_ms is None else {NO_LABELS: age_ms}
+
+    def _dump(self) -> dict[str, object]:
+        now_ms = self._app.clock.now_ms()
+        return {
+            "revision": self._list.revision if self._list else None,
+            "as_of_ms": self._list.as_of_ms if self._list else None,
+            "age_ms": self.list_age_ms(),
+            "list_lost": self._lost,
+            "held": [absence.instance.name for absence in self._view.absent],
+            "instances": [
+                dump_instance(item, self._evidence, now_ms) for item in self._view.list_all()
+            ],
+        }
+
+
+def _register(listeners: list[_T], listener: _T) -> Remove:
+    listeners.append(listener)
+
+    def remove() -> None:
+        if listener in listeners:
+            listeners.remove(listener)
+
+    return remove
--- /dev/null
+++ b/gypsumrouter/fleet/source.py
@@ -0,0 +1,118 @@
+"""Where the instance list comes from: long polls over HTTP, with the origins tried in turn."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Protocol
+
+import aiohttp
+
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.core import Application
+from gypsumrouter.exceptions import DocumentInvalid
+from gypsumrouter.fleet.const import (
+    ANSWER_MARGIN_MS,
+    HEADER_AS_OF,
+    LEASE_READS,
+    LONG_POLL_MS,
+    MAX_LIST_BYTES,
+    PARAM_AFTER,
+    PARAM_TIMEOUT,
+    PATH_INSTANCES,
+)
+from gypsumrouter.fleet.document import check_instance_list
+from gypsumrouter.fleet.models import InstanceList
+
+if TYPE_CHECKING:
+    from gypsumrouter.settings import Platform
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Unchanged:
+    """Nothing had followed the revision that was asked about by the wall time `as_of_ms`."""
+
+    as_of_ms: int
+
+
+class InstanceListSource(Protocol):
+    """Anything that publishes the instance list."""
+
+    async def async_fetch(self, *, after_revision: int | None) -> InstanceList | Unchanged | None:
+        """Return the state after `after_revision`, or the newest one when that is None.
+
+        None means that there was no usable answer.
+        """
+
+
+class HttpInstanceListSource:
+    """The platform's list over HTTP.
+
+    An origin is kept until it fails, or answers with an older state than one seen before.
+    """
+
+    __slots__ = ("_app", "_current", "_newest_as_of_ms", "_origins", "_poll_ms", "_session")
+
+    def __init__(self, *, app: Application, settings: Platform) -> None:
+        self._app = app
+        self._origins = settings.instances
+        self._poll_ms = min(LONG_POLL_MS, settings.list_lease_ms // LEASE_READS)
+        self._current = 0
+        self._newest_as_of_ms = 0
+        self._session: aiohttp.ClientSession | None = None
+
+    async def async_fetch(self, *, after_revision: int | None) -> InstanceList | Unchanged | None:
+        """Return the next usable answer, or None when no origin gave one."""
+        for _ in self._origins:
+            answer = await self._async_ask(self._origins[self._current], after_revision)
+            if answer is not None and answer.as_of_ms >= self._newest_as_of_ms:
+                self._newest_as_of_ms = answer.as_of_ms
+                return answer
+            self._current = (self._current + 1) % len(self._origins)
+        return None
+
+    async def _async_ask(
+        self, origin: str, after_revision: int | None
+    ) -> InstanceList | Unchanged | None:
+        params = {PARAM_TIMEOUT: str(self._poll_ms)}
+        if after_revision is not None:
+            params[PARAM_AFTER] = str(after_revision)
+        try:
+            async with self._open_session().get(origin + PATH_INSTANCES, params=params) as response:
+                return await _async_read(response)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            _LOGGER.debug("Instance list at %s failed: %s", origin, error)
+        except DocumentInvalid as error:
+            _LOGGER.debug("Instance list at %s is malformed: %s", origin, error)
+        return None
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            total_ms = self._poll_ms + ANSWER_MARGIN_MS
+            timeout = aiohttp.ClientTimeout(
+                total=total_ms / MS_PER_S, sock_connect=ANSWER_MARGIN_MS / MS_PER_S
+            )
+            self._session = aiohttp.ClientSession(timeout=timeout)
+            self._app.on_stop(self._session.close)
+        return self._session
+
+
+async def _async_read(response: aiohttp.ClientResponse) -> InstanceList | Unchanged | None:
+    if response.status == HTTPStatus.NO_CONTENT:
+        return Unchanged(as_of_ms=int(response.headers.get(HEADER_AS_OF, "")))
+    if response.status != HTTPStatus.OK:
+        return None
+    body = await _async_read_bounded(response.content)
+    return check_instance_list(body)
+
+
+async def _async_read_bounded(content: aiohttp.StreamReader) -> bytes:
+    try:
+        await content.readexactly(MAX_LIST_BYTES)
+    except asyncio.IncompleteReadError as error:
+        return error.partial
+    raise ValueError("the instance list is too large")
--- /dev/null
+++ b/gypsumrouter/gateway/attempts.py
@@ -0,0 +1,113 @@
+"""What has been tried for one request, and what its caller is told in the end."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Final
+
+from gypsumrouter.gateway.const import DEFAULT_RETRY_AFTER_MS
+from gypsumrouter.outcomes import Failed, Failure, Reason, Refused
+
+# Higher tells a caller more. What is missing ranks lowest; a refusal that no other instance can
+# change is final by itself.
+TELLING: Final[Mapping[Reason, int]] = {
+    Reason.UNREACHABLE: 1,
+    Reason.NOT_READY: 2,
+    Reason.LEAVING: 2,
+    Reason.WRONG_UPSTREAM: 3,
+    Reason.MODEL_NOT_HELD: 4,
+    Reason.NOT_HOME: 4,
+    Reason.HOME_UNCONFIRMED: 5,
+    Reason.HOME_TOO_YOUNG: 5,
+    Reason.MEMORY_FULL: 5,
+    Reason.SUSPECT_BUSY: 5,
+    Reason.TARGET_HOPELESS: 6,
+    Reason.QUEUE_FULL: 7,
+    Reason.OVER_CAP: 8,
+}
+
+
+class Attempts:
+    """The tries of one request.
+
+    `open` is true while a side may have the request. `given` counts the tries that ran or may have
+    run.
+    """
+
+    __slots__ = (
+        "failed",
+        "given",
+        "instance",
+        "last",
+        "open",
+        "refusals",
+        "tried",
+        "upstreams_lost",
+    )
+
+    def __init__(self) -> None:
+        self.failed: Failed | None = None
+        self.given = 0
+        self.instance = ""
+        self.last: Failure | None = None
+        self.open = False
+        self.refusals: list[Refused] = []
+        self.tried: list[str] = []
+        self.upstreams_lost = 0
+
+    def note_try(self, name: str) -> None:
+        """Note that the request goes to an instance now."""
+        self.instance = name
+        self.tried.append(name)
+        self.open = True
+
+    def note_failure(self, failure: Failure) -> None:
+        """Note how the try at the present instance ended."""
+        self.open = False
+        self.last = failure
+        match failure:
+            case Refused():
+                self.refusals.append(failure)
+            case Failed(reason=reason):
+                self.failed = failure
+                self.given += 1
+                if reason is Reason.UPSTREAM_LOST:
+                    self.upstreams_lost += 1
+
+    def conclude(self) -> Failure:
+        """Return what the caller is told when no try is left.
+
+        Once one try may have run, "not run" would be wrong.
+        """
+        if self.failed is not None:
+            return self.failed
+        if not self.refusals:
+            return Refused(reason=Reason.NO_INSTANCE, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
+        if not self.refusals[-1].elsewhere:
+            return self.refusals[-1]
+        return self._find_most_telling()
+
+    def conclude_at_deadline(self) -> Failure:
+        """Return what the caller is told when its time is over."""
+        if self.open or self.failed is not None:
+            return Failed(reason=Reason.DEADLINE)
+        return Refused(reason=Reason.DEADLINE)
+
+    def conclude_when_gone(self) -> Failure:
+        """Return how a request ended whose caller has closed the connection."""
+        if self.open or self.failed is not None:
+            return Failed(reason=Reason.CANCELLED)
+        return Refused(reason=Reason.CANCELLED)
+
+    def _find_most_telling(self) -> Refused:
+        telling = max(self.refusals, key=lambda refused: TELLING.get(refused.reason, 0))
+        waits = [
+            refused.retry_after_ms
+            for refused in self.refusals
+            if refused.retry_after_ms is not None
+        ]
+        return Refused(
+            reason=telling.reason,
+            message=telling.message,
+            retry_after_ms=min(waits, default=DEFAULT_RETRY_AFTER_MS),
+        )
--- /dev/null
+++ b/gypsumrouter/gateway/chats.py
@@ -0,0 +1,34 @@
+"""Names of chats: callers' own, or derived from the part of a conversation that stays the same."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping, Sequence
+from typing import Any, Final
+
+import xxhash
+
+ROLE_USER: Final = "user"
+ROLE_ASSISTANT: Final = "assistant"
+
+
+def derive_chat_id(*, messages: Sequence[Mapping[str, Any]], user: str) -> str:
+    """Return a name that stays the same through all turns of a conversation.
+
+    It covers everything up to the first message of the user, which each later turn repeats.
+    """
+    beginning = _take_beginning(messages)
+    text = json.dumps([user, beginning], sort_keys=True, separators=(",", ":"))
+    return xxhash.xxh3_128_hexdigest(text.encode())
+
+
+def has_assistant_message(messages: Sequence[Mapping[str, Any]]) -> bool:
+    """Return whether the conversation already holds an answer."""
+    return any(message.get("role") == ROLE_ASSISTANT for message in messages)
+
+
+def _take_beginning(messages: Sequence[Mapping[str, Any]]) -> Sequence[Mapping[str, Any]]:
+    for index, message in enumerate(messages):
+        if message.get("role") == ROLE_USER:
+            return messages[: index + 1]
+    return messages
--- /dev/null
+++ b/gypsumrouter/gateway/checks.py
@@ -0,0 +1,213 @@
+"""Checks of what callers send; each rejection names the wrong field."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any, Final
+from urllib.parse import unquote
+
+from pydantic_core import from_json
+
+from gypsumrouter.const import (
+    HEADER_CHAT,
+    HEADER_CLASS,
+    HEADER_DEADLINE,
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_PLACEMENT,
+)
+from gypsumrouter.gateway.const import (
+    DROPPED_HEADERS,
+    MAX_CHAT_ID_LENGTH,
+    MAX_DEADLINE_MS,
+    MAX_HINT_LENGTH,
+    MAX_IDEMPOTENCY_KEY_LENGTH,
+    MAX_OUTPUT_TOKENS,
+    MAX_PATH_LENGTH,
+    OWN_HEADER_PREFIX,
+)
+from gypsumrouter.gateway.errors import Rejection, reject, reject_field
+from gypsumrouter.gateway.models import CallerHead, ChatBody
+from gypsumrouter.link.models import Headers
+from gypsumrouter.outcomes import Reason
+
+FIELDS_MAX_TOKENS: Final = ("max_completion_tokens", "max_tokens")
+DOT_SEGMENTS: Final = frozenset({".", ".."})
+
+
+def check_chat_body(body: bytes) -> ChatBody | Rejection:
+    """Return the fields of a chat-completions body that the gateway needs."""
+    try:
+        document = from_json(body)
+    except ValueError as error:
+        return reject_field("body", f"Not valid JSON: {error}")
+    if not isinstance(document, dict):
+        return reject_field("body", "The body must be a JSON object")
+    rejection = _check_chat_fields(document)
+    if rejection is not None:
+        return rejection
+    return ChatBody(
+        document=document,
+        model=document["model"],
+        messages=document["messages"],
+        stream=document.get("stream") or False,
+        max_output_tokens=_get_max_output_tokens(document),
+        user=document.get("user") or "",
+        chat=_get_chat_id(document),
+    )
+
+
+def _check_chat_fields(document: dict[str, Any]) -> Rejection | None:
+    model = document.get("model")
+    if not isinstance(model, str) or not model:
+        return reject_field("model", "`model` must be the name of a model")
+    if not isinstance(document.get("stream"), bool | None):
+        return reject_field("stream", "`stream` must be true or false")
+    if not isinstance(document.get("user"), str | None):
+        return reject_field("user", "`user` must be a string")
+    return (
+        _check_messages(document.get("messages"))
+        or _check_max_tokens(document)
+        or _check_metadata(document.get("metadata"))
+    )
+
+
+def _check_messages(messages: object) -> Rejection | None:
+    if not isinstance(messages, list) or not messages:
+        return reject_field("messages", "`messages` must be a list of at least one message")
+    for index, message in enumerate(messages):
+        rejection = _check_message(f"messages[{index}]", message)
+        if rejection is not None:
+            return rejection
+    return None
+
+
+def _check_message(path: str, message: object) -> Rejection | None:
+    if not isinstance(message, dict):
+        return reject_field(path, "A message must be a JSON object")
+    role = message.get("role")
+    if not isinstance(role, str) or not role:
+        return reject_field(f"{path}.role", "`role` must be a string")
+    content = message.get("content")
+    if isinstance(content, str | list):
+        return None
+    if content is None and (message.get("tool_calls") or message.get("function_call")):
+        return None
+    return reject_field(f"{path}.content", "`content` must be a string or a list of parts")
+
+
+def _check_max_tokens(document: dict[str, Any]) -> Rejection | None:
+    for name in FIELDS_MAX_TOKENS:
+        value = document.get(name)
+        if value is None:
+            continue
+        if isinstance(value, bool) or not isinstance(value, int):
+            return reject_field(name, f"`{name}` must be a whole number")
+        if not 1 <= value <= MAX_OUTPUT_TOKENS:
+            return reject_field(name, f"`{name}` must be between 1 and {MAX_OUTPUT_TOKENS}")
+    return None
+
+
+def _check_metadata(metadata: object) -> Rejection | None:
+    if not isinstance(metadata, dict | None):
+        return reject_field("metadata", "`metadata` must be a JSON object")
+    chat = (metadata or {}).get("chat_id")
+    if chat is None or (isinstance(chat, str) and _is_plain(chat, MAX_CHAT_ID_LENGTH)):
+        return None
+    return reject_field("metadata.chat_id", "`chat_id` must be a short string of plain characters")
+
+
+def _get_max_output_tokens(document: dict[str, Any]) -> int:
+    for name in FIELDS_MAX_TOKENS:
+        value = document.get(name)
+        if isinstance(value, int):
+            return value
+    return 0
+
+
+def _get_chat_id(document: dict[str, Any]) -> str:
+    metadata = document.get("metadata") or {}
+    chat_id = metadata.get("chat_id") or ""
+    return str(chat_id)
+
+
+def check_head(headers: Iterable[tuple[str, str]]) -> CallerHead | Rejection:
+    """Return what the head says, and the headers that are passed on."""
+    own: dict[str, str] = {}
+    passed: list[tuple[str, str]] = []
+    for name, value in headers:
+        if not _is_text(value) or not _is_text(name):
+            return reject_field(_to_ascii(name), "Headers must be valid UTF-8")
+        lower = name.lower()
+        own.setdefault(lower, value)
+        if lower not in DROPPED_HEADERS and not lower.startswith(OWN_HEADER_PREFIX):
+            passed.append((name, value))
+    return _check_own_headers(own, drop_connection_headers(passed, own.get("connection", "")))
+
+
+def drop_connection_headers(headers: Iterable[tuple[str, str]], connection: str) -> Headers:
+    """Return the headers without those that the `Connection` header names."""
+    named = {name.strip().lower() for name in connection.split(",")}
+    return tuple((name, value) for name, value in headers if name.lower() not in named)
+
+
+def _check_own_headers(own: dict[str, str], passed: Headers) -> CallerHead | Rejection:
+    chat = own.get(HEADER_CHAT.lower(), "")
+    if not _is_plain(chat, MAX_CHAT_ID_LENGTH):
+        return reject_field(HEADER_CHAT, "A chat id must be short and of plain characters")
+    hint = own.get(HEADER_PLACEMENT.lower(), "")
+    key = own.get(HEADER_IDEMPOTENCY_KEY.lower(), "")
+    if not _is_plain(key, MAX_IDEMPOTENCY_KEY_LENGTH):
+        message = f"A key has at most {MAX_IDEMPOTENCY_KEY_LENGTH} plain characters"
+        return reject(Reason.KEY_INVALID, message, param=HEADER_IDEMPOTENCY_KEY)
+    deadline = own.get(HEADER_DEADLINE.lower())
+    if deadline is not None and not _is_deadline(deadline):
+        message = f"A deadline must be a whole number between 1 and {MAX_DEADLINE_MS}"
+        return reject_field(HEADER_DEADLINE, message)
+    return CallerHead(
+        caller_class=own.get(HEADER_CLASS.lower()),
+        deadline_ms=None if deadline is None else int(deadline),
+        chat=chat,
+        # A hint that cannot be ours is ignored: hints are never trusted with more than placement.
+        hint=hint if _is_plain(hint, MAX_HINT_LENGTH) else "",
+        idempotency_key=key,
+        headers=passed,
+    )
+
+
+def check_service_path(raw_path: str) -> str | Rejection:
+    """Return the decoded path of a service call, which rules and call patterns are matched with.
+
+    Paths that an upstream could read as another one are rejected, so that no spelling of a call
+    slips past a pattern.
+    """
+    decoded = unquote(raw_path)
+    if len(raw_path) > MAX_PATH_LENGTH:
+        return reject_field("path", "The path is too long")
+    if not raw_path.isascii() or not decoded.isprintable() or "\ufffd" in decoded:
+        return reject_field("path", "The path must be percent-encoded UTF-8")
+    segments = decoded.split("/")
+    if DOT_SEGMENTS.intersection(segments) or "" in segments[1:-1] or "\\" in decoded:
+        return reject_field("path", "The path must not hold empty or dot segments")
+    return decoded
+
+
+def _is_deadline(text: str) -> bool:
+    if not text.isascii() or not text.isdigit() or len(text) > len(str(MAX_DEADLINE_MS)):
+        return False
+    return 1 <= int(text) <= MAX_DEADLINE_MS
+
+
+def _is_plain(text: str, max_length: int) -> bool:
+    return len(text) <= max_length and text.isascii() and text.isprintable()
+
+
+def _is_text(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def _to_ascii(text: str) -> str:
+    return text.encode("ascii", "backslashreplace").decode()
--- /dev/null
+++ b/gypsumrouter/gateway/const.py
@@ -0,0 +1,79 @@
+"""Constants of the gateway."""
+
+from __future__ import annotations
+
+from typing import Final
+
+BEARER_PREFIX: Final = "Bearer "
+CONTENT_TYPE_JSON: Final = "application/json"
+CONTENT_TYPE_EVENTS: Final = "text/event-stream"
+ERROR_TYPE: Final = "gypsumrouter_error"
+MODELS_OWNER: Final = "gypsumrouter"
+
+# The end of one server-sent event.
+EVENT_END: Final = b"\n\n"
+
+# An answer up to this size is held back whole, so that it can still be retried or refused cleanly.
+MAX_HELD_ANSWER_BYTES: Final = 256 * 1024
+# An unfinished event above this size is passed on in pieces.
+MAX_HELD_EVENT_BYTES: Final = 64 * 1024
+# What all request bodies together may take in memory.
+MAX_BODIES_BYTES: Final = 64 * 1024 * 1024
+
+MAX_CHAT_ID_LENGTH: Final = 256
+MAX_HINT_LENGTH: Final = 1024
+MAX_IDEMPOTENCY_KEY_LENGTH: Final = 255
+MAX_LOGGED_ID_LENGTH: Final = 128
+MAX_OUTPUT_TOKENS: Final = 2**31 - 1
+MAX_DEADLINE_MS: Final = 24 * 3_600_000
+MAX_PATH_LENGTH: Final = 8_000
+MAX_HEADERS: Final = 128
+
+# How many candidates may turn one request away before it is answered.
+MAX_REDIRECTS: Final = 16
+# The home of a key and the one that another view may name.
+MAX_HOMES: Final = 2
+# A request is given to one more upstream at most after one was lost while running it.
+MAX_UPSTREAMS_LOST: Final = 2
+# Retries that a router may make at once before the ratio binds.
+RETRY_BURST: Final = 10.0
+
+# A side watches the deadline too and knows better whether the request ran.
+DEADLINE_GRACE_MS: Final = 250
+SWEEP_MS: Final = 100
+SILENCE_CHECK_MS: Final = 500
+SILENT_MS: Final = 2_400
+DEFAULT_RETRY_AFTER_MS: Final = 1_000
+# How long a leaving router still takes requests, until balancers have seen its readiness.
+LEAVING_GRACE_MS: Final = 2_000
+
+KEEPALIVE_TIMEOUT_S: Final = 75.0
+BACKLOG: Final = 1_024
+WRITE_BUFFER_BYTES: Final = 32 * 1024
+SEND_BUFFER_BYTES: Final = 128 * 1024
+TCP_KEEPALIVE_IDLE_S: Final = 1
+TCP_KEEPALIVE_INTERVAL_S: Final = 1
+TCP_KEEPALIVE_COUNT: Final = 2
+
+# Headers that belong to one connection (RFC 9110) or that the gateway answers for itself.
+DROPPED_HEADERS: Final = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "date",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "server",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "x-request-id",
+    }
+)
+OWN_HEADER_PREFIX: Final = "x-gypsum-"
--- /dev/null
+++ b/gypsumrouter/gateway/diagnostics.py
@@ -0,0 +1,53 @@
+"""What the gateway adds to the state dump; no bodies, no keys."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from gypsumrouter.gateway.budget import RetryBudget
+from gypsumrouter.gateway.limits import FleetLimits
+from gypsumrouter.gateway.readiness import Readiness
+from gypsumrouter.gateway.running import RunningRequest, RunningRequests
+
+
+def dump_gateway(
+    *,
+    readiness: Readiness,
+    running: RunningRequests,
+    retries: RetryBudget,
+    limits: FleetLimits,
+    held_bytes: Mapping[str, int],
+    cut: int,
+    now_ms: int,
+) -> dict[str, object]:
+    """Return the state of the gateway as plain JSON data."""
+    policy = readiness.policy
+    return {
+        "ready": readiness.ready,
+        "leaving": readiness.leaving,
+        "closed": readiness.closed,
+        "configuration_version": 0 if policy is None else policy.configuration.version,
+        "running": dump_running(running, now_ms=now_ms),
+        "held_bytes": dict(held_bytes),
+        "callers_cut": cut,
+        "retries": {"left": retries.left, "spent": retries.spent, "starved": retries.starved},
+        "limits": {
+            "routers": limits.share.routers,
+            "position": limits.share.position,
+            "running": limits.count_running(),
+        },
+    }
+
+
+def dump_running(running: Iterable[RunningRequest], *, now_ms: int) -> list[dict[str, object]]:
+    """Return the requests that run now, oldest first."""
+    return [
+        {
+            "request_id": request.request_id,
+            "workspace": request.workspace,
+            "class": None if request.caller_class is None else request.caller_class.name,
+            "age_ms": now_ms - request.arrived_ms,
+            "tried": list(request.attempts.tried),
+        }
+        for request in running
+    ]
--- /dev/null
+++ b/gypsumrouter/gateway/gateway.py
@@ -0,0 +1,165 @@
+"""The gateway of a router: it wires the aggregate and owns its life cycle."""
+
+from __future__ import annotations
+
+import logging
+import ssl
+from typing import TYPE_CHECKING, Final
+
+from gypsumrouter.configuration import ConfigurationStore
+from gypsumrouter.configuration.models import Configuration
+from gypsumrouter.core import Application
+from gypsumrouter.fleet import Fleet
+from gypsumrouter.fleet.models import Address
+from gypsumrouter.gateway.budget import RetryBudget
+from gypsumrouter.gateway.candidates import CandidateFinder
+from gypsumrouter.gateway.const import LEAVING_GRACE_MS
+from gypsumrouter.gateway.diagnostics import dump_gateway, dump_running
+from gypsumrouter.gateway.dispatch import Dispatcher
+from gypsumrouter.gateway.handler import CallerHandler
+from gypsumrouter.gateway.limits import FleetLimits, find_fleet_share, list_limit_names
+from gypsumrouter.gateway.listener import CallerListener, CallerServer
+from gypsumrouter.gateway.metrics import GatewayMetrics
+from gypsumrouter.gateway.policies import PolicyHolder
+from gypsumrouter.gateway.readiness import Readiness
+from gypsumrouter.gateway.running import RunningRequests
+from gypsumrouter.gateway.watch import Watch
+from gypsumrouter.helpers.tls import TlsFiles, make_server_context
+from gypsumrouter.placement import Placement
+from gypsumrouter.settings import RouterSettings, Tls
+
+if TYPE_CHECKING:
+    from gypsumrouter.link import LinkPool
+    from gypsumrouter.suspicion import Suspicion
+
+_LOGGER = logging.getLogger(__name__)
+
+DUMP_SECTION: Final = "gateway"
+
+
+class Gateway:
+    """Takes callers' requests and gives them to sides."""
+
+    __slots__ = (
+        "_app",
+        "_fleet",
+        "_handler",
+        "_limits",
+        "_listener",
+        "_policies",
+        "_readiness",
+        "_retries",
+        "_running",
+        "_tls_files",
+        "_watch",
+    )
+
+    def __init__(
+        self,
+        *,
+        app: Application,
+        settings: RouterSettings,
+        store: ConfigurationStore,
+        fleet: Fleet,
+        links: LinkPool,
+        placement: Placement,
+        suspicion: Suspicion,
+    ) -> None:
+        self._app = app
+        self._fleet = fleet
+        self._running = RunningRequests()
+        self._limits = FleetLimits(clock=app.clock)
+        self._policies = PolicyHolder(app=app, store=store, on_change=self._note_configuration)
+        self._readiness = Readiness(app=app, fleet=fleet, policies=self._policies)
+        self._watch = Watch(app=app, caller_idle_ms=settings.limits.caller_idle_ms)
+        self._retries = RetryBudget(ratio=settings.limits.retry_ratio)
+        metrics = GatewayMetrics(registry=app.metrics, count_running=lambda: len(self._running))
+        dispatcher = Dispatcher(
+            app=app,
+            links=links,
+            placement=placement,
+            suspicion=suspicion,
+            finder=CandidateFinder(fleet=fleet, placement=placement),
+            metrics=metrics,
+            budget=self._retries,
+            max_attempts=settings.limits.max_attempts,
+        )
+        self._handler = CallerHandler(
+            app=app,
+            settings=settings.limits,
+            readiness=self._readiness,
+            dispatcher=dispatcher,
+            limits=self._limits,
+            metrics=metrics,
+            running=self._running,
+            watch=self._watch,
+        )
+        server = CallerServer(
+            self._handler.async_handle,
+            limits=settings.limits,
+            mint_request_id=self._handler.mint_request_id,
+        )
+        self._tls_files: TlsFiles | None = None
+        self._listener = CallerListener(
+            settings=settings.callers, server=server, tls=self._make_tls(settings.callers.tls)
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the balancer should send new requests."""
+        return self._readiness.ready
+
+    @property
+    def running(self) -> int:
+        """Return how many requests run now."""
+        return len(self._running)
+
+    def list_running(self) -> list[dict[str, object]]:
+        """Return the requests that run now, as plain data."""
+        return dump_running(self._running, now_ms=self._app.clock.now_ms())
+
+    async def async_start(self) -> Address:
+        """Begin to take requests and return the address; until ready they are refused."""
+        self._fleet.on_change(self._note_fleet)
+        self._note_fleet()
+        self._policies.async_start()
+        self._watch.async_start()
+        if self._tls_files is not None:
+            self._tls_files.async_start()
+        address = await self._listener.async_start()
+        self._app.on_drain(self._async_drain)
+        self._app.on_stop(self._listener.async_close)
+        self._app.add_dump_section(DUMP_SECTION, self._dump)
+        _LOGGER.info("Callers are served at %s", address)
+        return address
+
+    def _make_tls(self, tls: Tls | None) -> ssl.SSLContext | None:
+        if tls is None:
+            return None
+        context = make_server_context(tls)
+        self._tls_files = TlsFiles(app=self._app, tls=tls, context=context)
+        return context
+
+    async def _async_drain(self) -> None:
+        """Let balancers see that this router is leaving, then finish every answer."""
+        await self._app.clock.async_sleep(LEAVING_GRACE_MS)
+        self._readiness.closed = True
+        _LOGGER.info("New requests are refused, %d still run", len(self._running))
+        await self._running.async_wait_until_idle()
+
+    def _note_fleet(self) -> None:
+        self._limits.share = find_fleet_share(own_name=self._app.name, peers=self._fleet.peers())
+
+    def _note_configuration(self, configuration: Configuration) -> None:
+        self._limits.forget_all_but(list_limit_names(configuration))
+
+    def _dump(self) -> object:
+        return dump_gateway(
+            readiness=self._readiness,
+            running=self._running,
+            retries=self._retries,
+            limits=self._limits,
+            held_bytes=self._handler.held_bytes,
+            cut=self._watch.cut,
+            now_ms=self._app.clock.now_ms(),
+        )
--- /dev/null
+++ b/gypsumrouter/gateway/handler.py
@@ -0,0 +1,257 @@
+"""The way of one request: intake, limits, dispatch, and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from aiohttp import web
+
+from gypsumrouter.const import HEADER_REQUEST_ID
+from gypsumrouter.core import Application
+from gypsumrouter.gateway.budget import HeldBytes, MemoryBudget
+from gypsumrouter.gateway.const import (
+    DEFAULT_RETRY_AFTER_MS,
+    MAX_BODIES_BYTES,
+    MAX_LOGGED_ID_LENGTH,
+)
+from gypsumrouter.gateway.dispatch import Dispatcher
+from gypsumrouter.gateway.errors import Rejection, get_status, make_error_response, reject
+from gypsumrouter.gateway.intake import Intake
+from gypsumrouter.gateway.limits import FleetLimits
+from gypsumrouter.gateway.listener import CallerConnection
+from gypsumrouter.gateway.metrics import GatewayMetrics, get_outcome
+from gypsumrouter.gateway.models import Call, Finish
+from gypsumrouter.gateway.policies import CompiledPolicy
+from gypsumrouter.gateway.readiness import Readiness
+from gypsumrouter.gateway.reply import CallerGone, Reply
+from gypsumrouter.gateway.running import RunningRequest, RunningRequests
+from gypsumrouter.gateway.watch import Watch, Watched
+from gypsumrouter.helpers.logs import set_request_id
+from gypsumrouter.outcomes import Failed, Failure, Reason, Refused
+from gypsumrouter.settings import Limits
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class CallerHandler:
+    """Serves every request of every caller."""
+
+    __slots__ = (
+        "_answers",
+        "_app",
+        "_bodies",
+        "_dispatcher",
+        "_intake",
+        "_limits",
+        "_max_streams",
+        "_metrics",
+        "_minted",
+        "_readiness",
+        "_running",
+        "_watch",
+    )
+
+    def __init__(
+        self,
+        *,
+        app: Application,
+        settings: Limits,
+        readiness: Readiness,
+        dispatcher: Dispatcher,
+        limits: FleetLimits,
+        metrics: GatewayMetrics,
+        running: RunningRequests,
+        watch: Watch,
+    ) -> None:
+        self._app = app
+        self._readiness = readiness
+        self._dispatcher = dispatcher
+        self._limits = limits
+        self._metrics = metrics
+        self._running = running
+        self._watch = watch
+        self._intake = Intake(app=app, limits=settings)
+        self._max_streams = settings.max_streams
+        self._bodies = MemoryBudget(limit=MAX_BODIES_BYTES)
+        self._answers = MemoryBudget(limit=settings.answer_memory_bytes)
+        self._minted = 0
+
+    @property
+    def held_bytes(self) -> dict[str, int]:
+        """Return what bodies and answers that are held back take in memory."""
+        return {"bodies": self._bodies.used, "answers": self._answers.used}
+
+    def mint_request_id(self) -> str:
+        """Return an id that no other request of any process has."""
+        self._minted += 1
+        return f"{self._app.incarnation:016x}-{self._minted:x}"
+
+    async def async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request from its head to the end of its answer."""
+        if isinstance(request.protocol, CallerConnection):
+            request.protocol.note_request()
+        running = RunningRequest(
+            request_id=self.mint_request_id(), arrived_ms=self._app.clock.now_ms()
+        )
+        set_request_id(running.request_id)
+        _log_begin(request, running.request_id)
+        compiled = self._check_open()
+        if isinstance(compiled, Rejection):
+            return self._reject(running, compiled)
+        held = HeldBytes(budget=self._bodies)
+        self._running.add(running)
+        try:
+            return await self._async_serve(request, running, held, compiled)
+        except asyncio.CancelledError:
+            self._note_finish(running, Finish(failure=running.attempts.conclude_when_gone()))
+            raise
+        finally:
+            held.release()
+            self._running.remove(running)
+
+    def _check_open(self) -> CompiledPolicy | Rejection:
+        if self._readiness.closed:
+            return reject(Reason.LEAVING, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
+        compiled = self._readiness.policy
+        if compiled is None:
+            return reject(Reason.NOT_READY, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
+        if len(self._running) >= self._max_streams:
+            message = "The router runs as many requests as it may"
+            return reject(Reason.QUEUE_FULL, message, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
+        return compiled
+
+    async def _async_serve(
+        self,
+        request: web.BaseRequest,
+        running: RunningRequest,
+        held: HeldBytes,
+        compiled: CompiledPolicy,
+    ) -> web.StreamResponse:
+        accepted = await self._intake.async_accept(
+            request=request, running=running, held=held, compiled=compiled
+        )
+        match accepted:
+            case Rejection():
+                return self._reject(running, accepted)
+            case web.Response():
+                self._note_finish(running, Finish(status=accepted.status))
+                return self._let_close(accepted)
+        running.caller_class = accepted.caller_class
+        running.streamed = accepted.stream
+        permit = self._limits.acquire(accepted.limits)
+        if isinstance(permit, Refused):
+            return self._reject(running, Rejection(failure=permit))
+        try:
+            return await self._async_answer(request, running, accepted)
+        finally:
+            permit.release()
+
+    async def _async_answer(
+        self, request: web.BaseRequest, running: RunningRequest, call: Call
+    ) -> web.StreamResponse:
+        scope = asyncio.timeout(None)
+        watched = Watched(
+            request_id=call.request_id,
+            transport=request.transport,
+            scope=scope,
+            deadline_at_ms=call.deadline_at_ms,
+        )
+        held = HeldBytes(budget=self._answers)
+        reply = Reply(
+            request=request,
+            request_id=call.request_id,
+            watched=watched,
+            held=held,
+            clock=self._app.clock,
+            closes=self._readiness.leaving,
+        )
+        self._watch.add(watched)
+        try:
+            failure = await self._async_dispatch(call, running, reply, scope)
+            watched.scope = None
+            return await self._async_conclude(running, reply, failure)
+        finally:
+            self._watch.remove(watched)
+            held.release()
+
+    async def _async_dispatch(
+        self, call: Call, running: RunningRequest, reply: Reply, scope: asyncio.Timeout
+    ) -> Failure | None:
+        try:
+            async with scope:
+                return await self._dispatcher.async_run(
+                    call=call, reply=reply, attempts=running.attempts
+                )
+        except TimeoutError:
+            return running.attempts.conclude_at_deadline()
+        except CallerGone:
+            return Failed(reason=Reason.CANCELLED)
+
+    async def _async_conclude(
+        self, running: RunningRequest, reply: Reply, failure: Failure | None
+    ) -> web.StreamResponse:
+        self._note_finish(running, _make_finish(running, reply, failure))
+        response = reply.response
+        if response is None:
+            return self._respond(running, Rejection(failure=failure or running.attempts.conclude()))
+        if failure is not None:
+            try:
+                await reply.async_break(failure)
+            except CallerGone:
+                reply.abort()
+        return response
+
+    def _reject(self, running: RunningRequest, rejection: Rejection) -> web.StreamResponse:
+        response = self._respond(running, rejection)
+        self._note_finish(running, Finish(status=response.status, failure=rejection.failure))
+        return response
+
+    def _respond(self, running: RunningRequest, rejection: Rejection) -> web.StreamResponse:
+        response = make_error_response(rejection=rejection, request_id=running.request_id)
+        return self._let_close(response)
+
+    def _let_close(self, response: web.Response) -> web.Response:
+        """Move the caller's next request to another router while this one is leaving."""
+        if self._readiness.leaving:
+            response.force_close()
+        return response
+
+    def _note_finish(self, running: RunningRequest, finish: Finish) -> None:
+        finish.answer_ms = self._app.clock.now_ms() - running.arrived_ms
+        self._metrics.note_finish(caller_class=running.caller_class, finish=finish)
+        _LOGGER.debug(
+            "Request %s of workspace %s ended at instance %s as %s, status %d, reason %s",
+            running.request_id,
+            running.workspace or "-",
+            running.attempts.instance or "-",
+            get_outcome(finish),
+            finish.status,
+            "-" if finish.failure is None else finish.failure.reason.value,
+        )
+
+
+def _make_finish(running: RunningRequest, reply: Reply, failure: Failure | None) -> Finish:
+    first_token_ms = None
+    if running.streamed and reply.first_data_ms is not None:
+        first_token_ms = reply.first_data_ms - running.arrived_ms
+    return Finish(
+        status=reply.status if failure is None or reply.sent else get_status(failure),
+        failure=failure,
+        replayed=reply.replayed,
+        streamed=running.streamed,
+        first_token_ms=first_token_ms,
+    )
+
+
+def _log_begin(request: web.BaseRequest, request_id: str) -> None:
+    if not _LOGGER.isEnabledFor(logging.DEBUG):
+        return
+    callers_id = request.headers.get(HEADER_REQUEST_ID, "-")[:MAX_LOGGED_ID_LENGTH]
+    _LOGGER.debug(
+        "Request %s: %s %s, caller's id %r",
+        request_id,
+        request.method,
+        request.rel_url.raw_path,
+        callers_id,
+    )
--- /dev/null
+++ b/gypsumrouter/gateway/limits.py
@@ -0,0 +1,176 @@
+"""Limits of workspaces and rules, kept across the fleet without shared state.
+
+Each router enforces its share of a limit: the limit divided by the routers that the instance list
+names as live. Whole units that do not divide go to some of the routers, chosen by name.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import xxhash
+
+from gypsumrouter.configuration.models import Configuration
+from gypsumrouter.const import MS_PER_S, InstanceState, Role
+from gypsumrouter.fleet.models import Instance
+from gypsumrouter.gateway.const import DEFAULT_RETRY_AFTER_MS
+from gypsumrouter.outcomes import Reason, Refused
+from gypsumrouter.util.clock import Clock
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Limit:
+    """What the fleet as a whole lets pass under one name."""
+
+    name: str
+    requests_per_s: float | None
+    concurrent: int | None
+
+    @property
+    def binds(self) -> bool:
+        """Return whether there is anything to enforce."""
+        return self.requests_per_s is not None or self.concurrent is not None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class FleetShare:
+    """Where this router stands among the live routers."""
+
+    position: int = 0
+    routers: int = 1
+
+    def get_rate(self, limit: float) -> float:
+        """Return this router's share of a rate."""
+        return limit / self.routers
+
+    def get_count(self, limit: int, name: str) -> int:
+        """Return this router's share of a count; at least 1, so that no router refuses always.
+
+        The shares of all routers sum up to the limit, or to the number of routers where that is
+        higher.
+        """
+        base, extra = divmod(limit, self.routers)
+        turned = (self.position + xxhash.xxh32_intdigest(name.encode())) % self.routers
+        return max(1, base + (1 if turned < extra else 0))
+
+
+def find_fleet_share(*, own_name: str, peers: Iterable[Instance]) -> FleetShare:
+    """Return this router's place among the live routers, by name."""
+    names = {
+        peer.name for peer in peers if peer.role is Role.ROUTER and peer.state is InstanceState.LIVE
+    }
+    names.add(own_name)
+    return FleetShare(position=sorted(names).index(own_name), routers=len(names))
+
+
+class _Usage:
+    """What runs now under one limit, and its token bucket."""
+
+    __slots__ = ("running", "tokens", "updated_ms")
+
+    def __init__(self, *, tokens: float, updated_ms: int) -> None:
+        self.running = 0
+        self.tokens = tokens
+        self.updated_ms = updated_ms
+
+
+class Permit:
+    """Allows one request to run; released once."""
+
+    __slots__ = ("_usages",)
+
+    def __init__(self, usages: list[_Usage]) -> None:
+        self._usages = usages
+
+    def release(self) -> None:
+        """Give the place back; safe to call more than once."""
+        for usage in self._usages:
+            usage.running -= 1
+        self._usages = []
+
+
+class FleetLimits:
+    """Enforces this router's share of every limit."""
+
+    __slots__ = ("_clock", "_usages", "share")
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._usages: dict[str, _Usage] = {}
+        self.share = FleetShare()
+
+    def acquire(self, limits: Iterable[Limit]) -> Permit | Refused:
+        """Return the permit to run under all limits, or the refusal by one that is reached."""
+        binding = [(limit, self._find_usage(limit)) for limit in limits if limit.binds]
+        for limit, usage in binding:
+            refused = self._check(limit, usage)
+            if refused is not None:
+                return refused
+        for limit, usage in binding:
+            usage.running += 1
+            if limit.requests_per_s is not None:
+                usage.tokens -= 1.0
+        return Permit([usage for _, usage in binding])
+
+    def forget_all_but(self, names: set[str]) -> None:
+        """Drop the limits that are no longer configured and that no request holds."""
+        self._usages = {
+            name: usage for name, usage in self._usages.items() if usage.running or name in names
+        }
+
+    def count_running(self) -> dict[str, int]:
+        """Return how many requests run under each limit."""
+        return {name: usage.running for name, usage in self._usages.items() if usage.running}
+
+    def _find_usage(self, limit: Limit) -> _Usage:
+        usage = self._usages.get(limit.name)
+        if usage is None:
+            usage = _Usage(tokens=self._get_burst(limit), updated_ms=self._clock.now_ms())
+            self._usages[limit.name] = usage
+        return usage
+
+    def _get_burst(self, limit: Limit) -> float:
+        if limit.requests_per_s is None:
+            return 0.0
+        return max(1.0, self.share.get_rate(limit.requests_per_s))
+
+    def _check(self, limit: Limit, usage: _Usage) -> Refused | None:
+        if limit.concurrent is not None:
+            count = self.share.get_count(limit.concurrent, limit.name)
+            if usage.running >= count:
+                return _refuse(DEFAULT_RETRY_AFTER_MS)
+        if limit.requests_per_s is None:
+            return None
+        rate = self.share.get_rate(limit.requests_per_s)
+        self._refill(usage, rate=rate, burst=self._get_burst(limit))
+        if usage.tokens >= 1.0:
+            return None
+        return _refuse(math.ceil((1.0 - usage.tokens) / rate * MS_PER_S))
+
+    def _refill(self, usage: _Usage, *, rate: float, burst: float) -> None:
+        now_ms = self._clock.now_ms()
+        gained = (now_ms - usage.updated_ms) * rate / MS_PER_S
+        usage.tokens = min(burst, usage.tokens + gained)
+        usage.updated_ms = now_ms
+
+
+def name_workspace_limit(workspace: str) -> str:
+    """Return the name under which a workspace's limits are counted."""
+    return f"workspace {workspace}"
+
+
+def name_rule_limit(rule: str) -> str:
+    """Return the name under which a rule's limits are counted, for all that it matches."""
+    return f"rule {rule}"
+
+
+def list_limit_names(configuration: Configuration) -> set[str]:
+    """Return the names of all limits of a configuration."""
+    workspaces = {name_workspace_limit(entry.name) for entry in configuration.workspaces}
+    return workspaces | {name_rule_limit(rule.name) for rule in configuration.rules}
+
+
+def _refuse(retry_after_ms: int) -> Refused:
+    return Refused(reason=Reason.WORKSPACE_LIMIT, retry_after_ms=retry_after_ms)
--- /dev/null
+++ b/gypsumrouter/gateway/metrics.py
@@ -0,0 +1,136 @@
+"""Metrics of the gateway: how requests end, how long they take, what missed targets cost."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from gypsumrouter.configuration.models import CallerClass
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.gateway.models import Finish
+from gypsumrouter.helpers.metrics import NO_LABELS, Labels, MetricRegistry
+from gypsumrouter.outcomes import Failure, Reason, Refused
+
+FIRST_TOKEN_BUCKETS: Final = [0.01, 0.025, 0.05, 0.1, 0.2, 0.33, 0.5, 1.0, 2.0, 5.0, 10.0]
+ANSWER_BUCKETS: Final = [0.01, 0.05, 0.1, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 120.0]
+
+OUTCOME_ANSWERED: Final = "answered"
+OUTCOME_REPLAYED: Final = "replayed"
+OUTCOME_NOT_RUN: Final = "not_run"
+OUTCOME_UNKNOWN: Final = "unknown"
+TARGET_FIRST_TOKEN: Final = "first_token"
+TARGET_ANSWER: Final = "answer"
+# Requests that end before their class is known.
+NO_CLASS: Final = ""
+
+# The caller's own mistakes and wishes: no target counts for them.
+OUTSIDE_TARGETS: Final = frozenset(
+    {
+        Reason.BAD_REQUEST,
+        Reason.UNAUTHENTICATED,
+        Reason.NOT_FOUND,
+        Reason.TOO_LARGE,
+        Reason.KEY_REQUIRED,
+        Reason.KEY_INVALID,
+        Reason.KEY_REUSED,
+        Reason.REFUSED_BY_RULE,
+        Reason.WORKSPACE_LIMIT,
+        Reason.SUSPECT,
+        Reason.CANCELLED,
+    }
+)
+
+
+class GatewayMetrics:
+    """Counts requests once each, when they end."""
+
+    __slots__ = (
+        "_answer",
+        "_first_token",
+        "_penalty",
+        "_redirects",
+        "_requests",
+        "_retries",
+        "_targets",
+    )
+
+    def __init__(self, *, registry: MetricRegistry, count_running: Callable[[], int]) -> None:
+        self._requests = registry.counter(
+            "gypsumrouter_requests_total", "Requests by class, outcome and reason"
+        )
+        self._retries = registry.counter(
+            "gypsumrouter_retries_total", "Tries after one that failed, by its reason"
+        )
+        self._redirects = registry.counter(
+            "gypsumrouter_redirects_total", "Refusals by sides, by reason"
+        )
+        self._targets = registry.counter(
+            "gypsumrouter_targets_total", "Targets met and missed, by class"
+        )
+        self._penalty = registry.counter(
+            "gypsumrouter_penalty_total", "Penalties for requests that missed a target, in money"
+        )
+        self._first_token = registry.histogram(
+            "gypsumrouter_first_token_seconds",
+            "Time from the request to the first bytes of a streamed answer",
+            FIRST_TOKEN_BUCKETS,
+        )
+        self._answer = registry.histogram(
+            "gypsumrouter_answer_seconds",
+            "Time from the request to the end of its whole answer",
+            ANSWER_BUCKETS,
+        )
+        registry.gauge(
+            "gypsumrouter_requests_running",
+            "Requests that run now",
+            lambda: {NO_LABELS: count_running()},
+        )
+
+    def note_retry(self, reason: Reason) -> None:
+        """Count a try after one that failed."""
+        self._retries.inc(labels=(("reason", reason.value),))
+
+    def note_redirect(self, reason: Reason) -> None:
+        """Count a refusal by a side."""
+        self._redirects.inc(labels=(("reason", reason.value),))
+
+    def note_finish(self, *, caller_class: CallerClass | None, finish: Finish) -> None:
+        """Count one request and its targets."""
+        name = NO_CLASS if caller_class is None else caller_class.name
+        reason = "" if finish.failure is None else finish.failure.reason.value
+        self._requests.inc(
+            labels=(("class", name), ("outcome", get_outcome(finish)), ("reason", reason))
+        )
+        if caller_class is None or _is_outside_targets(finish.failure):
+            return
+        labels = (("class", name),)
+        if finish.failure is None:
+            self._answer.observe(finish.answer_ms / MS_PER_S, labels)
+        if finish.first_token_ms is not None:
+            self._first_token.observe(finish.first_token_ms / MS_PER_S, labels)
+        self._note_targets(caller_class, finish, labels)
+
+    def _note_targets(self, caller_class: CallerClass, finish: Finish, labels: Labels) -> None:
+        answer_met = finish.failure is None and finish.answer_ms <= caller_class.answer_ms
+        self._note_target(labels, TARGET_ANSWER, answer_met)
+        first_met = True
+        if finish.streamed:
+            first_token_ms = finish.first_token_ms
+            first_met = first_token_ms is not None and first_token_ms <= caller_class.first_token_ms
+            self._note_target(labels, TARGET_FIRST_TOKEN, first_met)
+        if not (answer_met and first_met):
+            self._penalty.inc(caller_class.penalty, labels)
+
+    def _note_target(self, labels: Labels, target: str, met: bool) -> None:
+        self._targets.inc(labels=(*labels, ("target", target), ("met", str(met).lower())))
+
+
+def get_outcome(finish: Finish) -> str:
+    """Return the one word for how a request ended."""
+    if finish.failure is None:
+        return OUTCOME_REPLAYED if finish.replayed else OUTCOME_ANSWERED
+    return OUTCOME_NOT_RUN if isinstance(finish.failure, Refused) else OUTCOME_UNKNOWN
+
+
+def _is_outside_targets(failure: Failure | None) -> bool:
+    return failure is not None and failure.reason in OUTSIDE_TARGETS
--- /dev/null
+++ b/gypsumrouter/gateway/models.py
@@ -0,0 +1,97 @@
+"""What the gateway knows of one request."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from gypsumrouter.configuration.models import CallerClass, Pool, Workspace
+from gypsumrouter.const import UpstreamKind
+from gypsumrouter.gateway.limits import Limit
+from gypsumrouter.link.models import Headers
+from gypsumrouter.outcomes import Failure
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ChatBody:
+    """A checked body of a chat-completions request; `document` is the whole JSON object."""
+
+    document: dict[str, Any]
+    model: str
+    messages: list[dict[str, Any]]
+    stream: bool = False
+    max_output_tokens: int = 0
+    user: str = ""
+    chat: str = ""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CallerHead:
+    """What a caller may say in the head of a request, checked."""
+
+    caller_class: str | None = None
+    deadline_ms: int | None = None
+    chat: str = ""
+    hint: str = ""
+    idempotency_key: str = ""
+    headers: Headers = ()
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Target:
+    """What a request asks for: a chat, or a call of the service that `pool` names."""
+
+    kind: UpstreamKind
+    method: str
+    path: str
+    pool: str = ""
+    model: str = ""
+
+
+@dataclass(slots=True, kw_only=True)
+class Call:
+    """One request that may be given to a side.
+
+    `deadline_at_ms` and `arrived_ms` are monotonic times. A call with an `idempotency_key` must
+    not be repeated.
+    """
+
+    request_id: str
+    workspace: Workspace
+    caller_class: CallerClass
+    target: Target
+    pool: Pool
+    headers: Headers
+    body: bytes
+    digest: int
+    arrived_ms: int
+    deadline_at_ms: int
+    configuration_version: int
+    next_pool: Pool | None = None
+    stream: bool = False
+    chat: str = ""
+    hint: str = ""
+    returning: bool = False
+    idempotency_key: str = ""
+    max_output_tokens: int = 0
+    limits: tuple[Limit, ...] = ()
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether the call may run again where its first outcome is unknown."""
+        return not self.idempotency_key
+
+
+@dataclass(slots=True, kw_only=True)
+class Finish:
+    """How a request ended, for metrics and logs; no failure is a whole answer.
+
+    `first_token_ms` and `answer_ms` count from the arrival of the request.
+    """
+
+    status: int = 0
+    failure: Failure | None = None
+    replayed: bool = False
+    streamed: bool = False
+    first_token_ms: int | None = None
+    answer_ms: int = 0
--- /dev/null
+++ b/gypsumrouter/gateway/running.py
@@ -0,0 +1,55 @@
+"""The requests that run now, and the wait for the last of them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+
+from gypsumrouter.configuration.models import CallerClass
+from gypsumrouter.gateway.attempts import Attempts
+
+
+class RunningRequest:
+    """One request from its head to its end; what is known of it grows."""
+
+    __slots__ = ("arrived_ms", "attempts", "caller_class", "request_id", "streamed", "workspace")
+
+    def __init__(self, *, request_id: str, arrived_ms: int) -> None:
+        self.request_id = request_id
+        self.arrived_ms = arrived_ms
+        self.workspace = ""
+        self.caller_class: CallerClass | None = None
+        self.streamed = False
+        self.attempts = Attempts()
+
+
+class RunningRequests:
+    """Every request that runs now."""
+
+    __slots__ = ("_by_id", "_idle")
+
+    def __init__(self) -> None:
+        self._by_id: dict[str, RunningRequest] = {}
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def __iter__(self) -> Iterator[RunningRequest]:
+        return iter(self._by_id.values())
+
+    def add(self, running: RunningRequest) -> None:
+        """Note the beginning of a request."""
+        self._by_id[running.request_id] = running
+        self._idle.clear()
+
+    def remove(self, running: RunningRequest) -> None:
+        """Note the end of a request."""
+        self._by_id.pop(running.request_id, None)
+        if not self._by_id:
+            self._idle.set()
+
+    async def async_wait_until_idle(self) -> None:
+        """Wait until no request runs."""
+        await self._idle.wait()
--- /dev/null
+++ b/gypsumrouter/helpers/logs.py
@@ -0,0 +1,123 @@
+"""Log lines that carry the instance and the request id, as text or as JSON."""
+
+from __future__ import annotations
+
+import json
+import logging
+import logging.handlers
+import queue
+import sys
+from collections.abc import Callable
+from contextvars import ContextVar
+from datetime import UTC, datetime
+from typing import Final, TextIO
+
+from gypsumrouter.settings import Log, LogFormat
+
+MAX_WAITING_LINES: Final = 10_000
+NO_VALUE: Final = "-"
+TEXT_FORMAT: Final = (
+    "%(asctime)s %(levelname)s [%(instance)s] [%(request_id)s] %(name)s: %(message)s"
+)
+NOISY_LOGGERS: Final = ("aiohttp.access", "asyncio")
+
+_instance: ContextVar[str] = ContextVar("instance", default=NO_VALUE)
+_request_id: ContextVar[str] = ContextVar("request_id", default=NO_VALUE)
+
+
+def set_instance(name: str) -> None:
+    """Name the instance in the lines of the current task and of all that it starts."""
+    _instance.set(name)
+
+
+def set_request_id(request_id: str) -> None:
+    """Name the request in the lines of the current task and of all that it starts."""
+    _request_id.set(request_id)
+
+
+class ContextFilter(logging.Filter):
+    """Adds the instance and the request id of the current task to each record."""
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Keep every record; a value that the caller gave as `extra` stays."""
+        if not hasattr(record, "instance"):
+            record.instance = _instance.get()
+        if not hasattr(record, "request_id"):
+            record.request_id = _request_id.get()
+        return True
+
+
+class JsonFormatter(logging.Formatter):
+    """Writes each record as one line of JSON."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line."""
+        line: dict[str, object] = {
+            "time": datetime.fromtimestamp(record.created, tz=UTC).isoformat("T", "milliseconds"),
+            "level": record.levelname.lower(),
+            "instance": getattr(record, "instance", NO_VALUE),
+            "logger": record.name,
+            "message": record.getMessage(),
+        }
+        request_id = getattr(record, "request_id", NO_VALUE)
+        if request_id != NO_VALUE:
+            line["request_id"] = request_id
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return json.dumps(line, ensure_ascii=False)
+
+
+class LossyQueueHandler(logging.handlers.QueueHandler):
+    """Hands records to the writing thread; a reader that stalls costs lines, never the loop."""
+
+    lost = 0
+
+    def prepare(self, record: logging.LogRecord) -> logging.LogRecord:
+        """Return the record as it is: the queue stays inside the process."""
+        return record
+
+    def enqueue(self, record: logging.LogRecord) -> None:
+        """Queue the record, or count it as lost."""
+        try:
+            self.queue.put_nowait(record)
+        except queue.Full:
+            self.lost += 1
+
+
+def make_formatter(log_format: LogFormat) -> logging.Formatter:
+    """Return the formatter for a setting."""
+    match log_format:
+        case LogFormat.JSON:
+            return JsonFormatter()
+        case LogFormat.TEXT:
+            return logging.Formatter(TEXT_FORMAT)
+
+
+def configure_logging(
+    *, settings: Log, instance: str, stream: TextIO | None = None
+) -> Callable[[], None]:
+    """Send all log lines to a stream, standard error by default, from a thread of its own.
+
+    Returns the function that writes what is left and ends the thread.
+    """
+    set_instance(instance)
+    output = logging.StreamHandler(stream or sys.stderr)
+    output.setFormatter(make_formatter(settings.format))
+    records: queue.Queue[logging.LogRecord] = queue.Queue(MAX_WAITING_LINES)
+    handler = LossyQueueHandler(records)
+    handler.addFilter(ContextFilter())
+    listener = logging.handlers.QueueListener(records, output)
+    root = logging.getLogger()
+    for earlier in tuple(root.handlers):
+        root.removeHandler(earlier)
+    root.addHandler(handler)
+    root.setLevel(settings.level.value.upper())
+    for name in NOISY_LOGGERS:
+        logging.getLogger(name).setLevel(logging.WARNING)
+    listener.start()
+
+    def remove() -> None:
+        listener.stop()
+        root.removeHandler(handler)
+
+    return remove
--- /dev/null
+++ b/gypsumrouter/idempotency/memory.py
@@ -0,0 +1,162 @@
+"""The remembered calls of one home: bounded, and never forgotten before their time."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+
+from gypsumrouter.idempotency.const import (
+    MAX_ANSWER_BYTES,
+    RECORD_BYTES,
+    RESERVED_ANSWER_BYTES,
+)
+from gypsumrouter.idempotency.outcomes import Replay, Settled
+from gypsumrouter.link.models import Head
+from gypsumrouter.outcomes import Failed, Reason
+
+
+class Record:
+    """One call: `outcome` is None while it runs; `drop_ms` is monotonic."""
+
+    __slots__ = ("created_ms", "digest", "drop_ms", "fingerprint", "outcome", "size", "waiter")
+
+    def __init__(
+        self, *, digest: bytes, fingerprint: bytes, created_ms: int | None, drop_ms: int
+    ) -> None:
+        self.digest = digest
+        self.fingerprint = fingerprint
+        self.created_ms = created_ms
+        self.drop_ms = drop_ms
+        self.size = RECORD_BYTES + RESERVED_ANSWER_BYTES
+        self.outcome: Settled | None = None
+        self.waiter: asyncio.Future[Settled] | None = None
+
+    def __lt__(self, other: Record) -> bool:
+        return self.drop_ms < other.drop_ms
+
+    async def async_wait(self) -> Settled:
+        """Return how the call ended; safe to cancel."""
+        if self.outcome is not None:
+            return self.outcome
+        if self.waiter is None:
+            self.waiter = asyncio.get_running_loop().create_future()
+        return await asyncio.shield(self.waiter)
+
+    def settle(self, outcome: Settled) -> None:
+        """Tell the end of the call to all who wait for it."""
+        self.outcome = outcome
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(outcome)
+        self.waiter = None
+
+
+class Join:
+    """The same call is running here now."""
+
+    __slots__ = ("_record",)
+
+    def __init__(self, record: Record) -> None:
+        self._record = record
+
+    async def async_wait(self) -> Settled:
+        """Return how the running call ended; safe to cancel."""
+        return await self._record.async_wait()
+
+
+class CallMemory:
+    """The calls that this process runs or has run.
+
+    A running call is never dropped, an ended one not before its `drop_ms`. `forgotten_ms` is the
+    highest creation time of all dropped calls: what is as old is not known any more.
+    """
+
+    __slots__ = ("_ended", "_max_bytes", "_max_calls", "_records", "_used_bytes", "forgotten_ms")
+
+    def __init__(self, *, max_calls: int, max_bytes: int) -> None:
+        self._max_calls = max_calls
+        self._max_bytes = max_bytes
+        self._used_bytes = 0
+        self._records: dict[bytes, Record] = {}
+        self._ended: list[Record] = []
+        self.forgotten_ms = 0
+
+    @property
+    def calls(self) -> int:
+        """Return the number of remembered calls."""
+        return len(self._records)
+
+    @property
+    def running(self) -> int:
+        """Return the number of calls that have not ended."""
+        return len(self._records) - len(self._ended)
+
+    @property
+    def used_bytes(self) -> int:
+        """Return the bytes that are accounted for the remembered calls."""
+        return self._used_bytes
+
+    @property
+    def next_drop_ms(self) -> int | None:
+        """Return when room is made next, None while every remembered call runs."""
+        return self._ended[0].drop_ms if self._ended else None
+
+    def set_bounds(self, *, max_calls: int, max_bytes: int) -> None:
+        """Change the bounds; a smaller one drops nothing and only refuses new calls."""
+        self._max_calls = max_calls
+        self._max_bytes = max_bytes
+
+    def get(self, digest: bytes) -> Record | None:
+        """Return what is remembered of a call."""
+        return self._records.get(digest)
+
+    def has_room(self) -> bool:
+        """Return whether one more call fits."""
+        needed = RECORD_BYTES + RESERVED_ANSWER_BYTES
+        return len(self._records) < self._max_calls and self._used_bytes + needed <= self._max_bytes
+
+    def add(self, record: Record) -> None:
+        """Remember a call that is about to run."""
+        self._records[record.digest] = record
+        self._used_bytes += record.size
+
+    def remove(self, record: Record, outcome: Settled) -> None:
+        """Forget a call that was not run, and tell those who wait for it why."""
+        del self._records[record.digest]
+        self._used_bytes -= record.size
+        record.settle(outcome)
+
+    def finish(self, record: Record, head: Head, body: bytes) -> None:
+        """Keep the whole answer, or only that there was one where it is too large."""
+        size = len(body) + sum(len(name) + len(value) for name, value in head.headers)
+        room = self._max_bytes - self._used_bytes + record.size - RECORD_BYTES
+        if size <= RESERVED_ANSWER_BYTES or size <= min(room, MAX_ANSWER_BYTES):
+            self._end(record, Replay(head=head, body=body), size)
+            return
+        if record.waiter is not None:
+            record.waiter.set_result(Replay(head=head, body=body))
+            record.waiter = None
+        self._end(record, _make_evicted(head.status), 0)
+
+    def lose(self, record: Record, outcome: Failed) -> None:
+        """Keep that the call was handed over and that its end is unknown."""
+        self._end(record, outcome, 0)
+
+    def expire(self, now_ms: int) -> None:
+        """Drop the ended calls whose time is over."""
+        while self._ended and self._ended[0].drop_ms <= now_ms:
+            record = heapq.heappop(self._ended)
+            del self._records[record.digest]
+            self._used_bytes -= record.size
+            self.forgotten_ms = max(self.forgotten_ms, record.created_ms or 0)
+
+    def _end(self, record: Record, outcome: Settled, answer_bytes: int) -> None:
+        self._used_bytes -= record.size
+        record.size = RECORD_BYTES + answer_bytes
+        self._used_bytes += record.size
+        record.settle(outcome)
+        heapq.heappush(self._ended, record)
+
+
+def _make_evicted(status: int) -> Failed:
+    message = f"the call was run and answered with status {status}; the answer was not kept"
+    return Failed(reason=Reason.ANSWER_EVICTED, message=message)
--- /dev/null
+++ b/gypsumrouter/link/codec.py
@@ -0,0 +1,250 @@
+"""Bodies of frames: data classes to Cap'n Proto messages and back."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Final
+
+from gypsumrouter.const import Role, UpstreamKind
+from gypsumrouter.link.const import Kind
+from gypsumrouter.link.models import End, Head, Headers, Hello, Open
+from gypsumrouter.link.schema import SCHEMA, read_pool_load, reading, set_pool_load, to_bytes
+from gypsumrouter.outcomes import Failed, Failure, Reason, Refused
+
+_NO_RETRY: Final = -1
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Greeting:
+    """What an end says first: who it is, which link this is, and a nonce.
+
+    `attempt` grows with each link that a dialer's incarnation makes. `window_bytes` is the most
+    that this end lets an answer run ahead of its confirmation.
+    """
+
+    version: int
+    hello: Hello
+    attempt: int
+    nonce: bytes
+    window_bytes: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Resume:
+    """Ask for the rest of an answer; `age_ms` is how long ago its OPEN was written."""
+
+    offset: int
+    has_head: bool
+    age_ms: int
+
+
+def encode_greeting(greeting: Greeting) -> bytes:
+    """Return a HELLO body."""
+    return to_bytes(
+        SCHEMA.Hello.new_message(
+            version=greeting.version,
+            name=greeting.hello.name,
+            role=greeting.hello.role.value,
+            incarnation=greeting.hello.incarnation,
+            attempt=greeting.attempt,
+            nonce=greeting.nonce,
+            windowBytes=greeting.window_bytes,
+        )
+    )
+
+
+def decode_greeting(body: bytes) -> Greeting:
+    """Return a HELLO body's content; raises FrameError."""
+    with reading(SCHEMA.Hello, body) as message:
+        hello = Hello(name=message.name, role=Role(message.role), incarnation=message.incarnation)
+        return Greeting(
+            version=message.version,
+            hello=hello,
+            attempt=message.attempt,
+            nonce=bytes(message.nonce),
+            window_bytes=message.windowBytes,
+        )
+
+
+def encode_proof(mac: bytes) -> bytes:
+    """Return a PROOF body."""
+    return to_bytes(SCHEMA.Proof.new_message(mac=mac))
+
+
+def decode_proof(body: bytes) -> bytes:
+    """Return the code of a PROOF body; raises FrameError."""
+    with reading(SCHEMA.Proof, body) as message:
+        return bytes(message.mac)
+
+
+def encode_goodbye(text: str) -> bytes:
+    """Return a GOODBYE body."""
+    return to_bytes(SCHEMA.Goodbye.new_message(message=text))
+
+
+def decode_goodbye(body: bytes) -> str:
+    """Return the text of a GOODBYE body; raises FrameError."""
+    with reading(SCHEMA.Goodbye, body) as message:
+        return str(message.message)
+
+
+def encode_open(request: Open) -> bytes:
+    """Return an OPEN body; the sequence travels in the frame's header."""
+    message = SCHEMA.Open.new_message(
+        requestId=request.request_id,
+        kind=request.kind.value,
+        pool=request.pool,
+        workspace=request.workspace,
+        callerClass=request.caller_class,
+        method=request.method,
+        path=request.path,
+        headers=_list_headers(request.headers),
+        body=request.body,
+        stream=request.stream,
+        deadlineMs=request.deadline_ms,
+        waitedMs=request.waited_ms,
+        digest=request.digest,
+        model=request.model,
+        chat=request.chat,
+        returning=request.returning,
+        idempotencyKey=request.idempotency_key,
+        attempt=request.attempt,
+        promptBytes=request.prompt_bytes,
+        maxOutputTokens=request.max_output_tokens,
+        configurationVersion=request.configuration_version,
+    )
+    set_pool_load(message, request.pool_load)
+    return to_bytes(message)
+
+
+def decode_open(body: bytes, sequence: int) -> Open:
+    """Return an OPEN body's content; raises FrameError."""
+    with reading(SCHEMA.Open, body) as message:
+        return Open(
+            sequence=sequence,
+            request_id=message.requestId,
+            kind=UpstreamKind(message.kind),
+            pool=message.pool,
+            workspace=message.workspace,
+            caller_class=message.callerClass,
+            method=message.method,
+            path=message.path,
+            headers=_read_headers(message.headers),
+            body=bytes(message.body),
+            stream=message.stream,
+            deadline_ms=message.deadlineMs,
+            waited_ms=message.waitedMs,
+            digest=message.digest,
+            model=message.model,
+            chat=message.chat,
+            returning=message.returning,
+            idempotency_key=message.idempotencyKey,
+            attempt=message.attempt,
+            prompt_bytes=message.promptBytes,
+            max_output_tokens=message.maxOutputTokens,
+            configuration_version=message.configurationVersion,
+            pool_load=read_pool_load(message),
+        )
+
+
+def encode_head(head: Head) -> bytes:
+    """Return a HEAD body."""
+    return to_bytes(
+        SCHEMA.Head.new_message(
+            status=head.status, headers=_list_headers(head.headers), replayed=head.replayed
+        )
+    )
+
+
+def decode_head(body: bytes) -> Head:
+    """Return a HEAD body's content; raises FrameError."""
+    with reading(SCHEMA.Head, body) as message:
+        return Head(
+            status=message.status,
+            headers=_read_headers(message.headers),
+            replayed=message.replayed,
+        )
+
+
+def encode_end(end: End) -> bytes:
+    """Return an END body."""
+    return to_bytes(SCHEMA.End.new_message(length=end.length, checksum=end.checksum))
+
+
+def decode_end(body: bytes) -> End:
+    """Return an END body's content; raises FrameError."""
+    with reading(SCHEMA.End, body) as message:
+        return End(length=message.length, checksum=message.checksum)
+
+
+def encode_failure(failure: Failure) -> tuple[Kind, bytes]:
+    """Return the kind and the body of a REFUSED or a FAILED frame."""
+    message = SCHEMA.Failure.new_message(
+        reason=failure.reason.value,
+        message=failure.message,
+        retryAfterMs=_NO_RETRY if failure.retry_after_ms is None else failure.retry_after_ms,
+    )
+    match failure:
+        case Refused():
+            message.elsewhere = failure.elsewhere
+            return Kind.REFUSED, to_bytes(message)
+        case Failed():
+            return Kind.FAILED, to_bytes(message)
+
+
+def decode_failure(kind: int, body: bytes) -> Failure:
+    """Return the content of a REFUSED or a FAILED body; raises FrameError."""
+    with reading(SCHEMA.Failure, body) as message:
+        reason = _read_reason(kind, message.reason)
+        after = message.retryAfterMs
+        retry_after_ms = None if after == _NO_RETRY else after
+        if kind == Kind.FAILED:
+            return Failed(reason=reason, message=message.message, retry_after_ms=retry_after_ms)
+        return Refused(
+            reason=reason,
+            message=message.message,
+            retry_after_ms=retry_after_ms,
+            elsewhere=message.elsewhere,
+        )
+
+
+def encode_confirm(offset: int) -> bytes:
+    """Return a CONFIRM body."""
+    return to_bytes(SCHEMA.Confirm.new_message(offset=offset))
+
+
+def decode_confirm(body: bytes) -> int:
+    """Return the offset of a CONFIRM body; raises FrameError."""
+    with reading(SCHEMA.Confirm, body) as message:
+        return int(message.offset)
+
+
+def encode_resume(resume: Resume) -> bytes:
+    """Return a RESUME body."""
+    return to_bytes(
+        SCHEMA.Resume.new_message(
+            offset=resume.offset, hasHead=resume.has_head, ageMs=resume.age_ms
+        )
+    )
+
+
+def decode_resume(body: bytes) -> Resume:
+    """Return a RESUME body's content; raises FrameError."""
+    with reading(SCHEMA.Resume, body) as message:
+        return Resume(offset=message.offset, has_head=message.hasHead, age_ms=message.ageMs)
+
+
+def _list_headers(headers: Headers) -> list[dict[str, str]]:
+    return [{"name": name, "value": value} for name, value in headers]
+
+
+def _read_headers(headers: Any) -> Headers:
+    return tuple((header.name, header.value) for header in headers)
+
+
+def _read_reason(kind: int, code: str) -> Reason:
+    """Return a reason; one that only a newer version knows keeps its side of the distinction."""
+    try:
+        return Reason(code)
+    except ValueError:
+        return Reason.UPSTREAM_PROTOCOL if kind == Kind.FAILED else Reason.NOT_READY
