--- /dev/null
+++ b/gypsumrouter/link/connection.py
@@ -0,0 +1,278 @@
+"""One TCP connection: frames in, and frames out in one write for each turn of the loop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import Protocol, cast
+
+from gypsumrouter.link.codec import encode_goodbye
+from gypsumrouter.link.const import (
+    FLAG_NONE,
+    FLUSH_BYTES,
+    HIGH_WATER_BYTES,
+    LOW_WATER_BYTES,
+    MAX_FRAME_BYTES,
+    MAX_HANDSHAKE_FRAME_BYTES,
+    MAX_HANDSHAKE_FRAMES,
+    Kind,
+)
+from gypsumrouter.link.counts import ByteCounts
+from gypsumrouter.link.frames import (
+    HEADER_BYTES,
+    OFFSET_BYTES,
+    Frame,
+    FrameError,
+    FrameReader,
+    pack_data_header,
+    pack_frame,
+)
+from gypsumrouter.util.clock import Clock
+
+_DATA_OVERHEAD = HEADER_BYTES + OFFSET_BYTES
+
+
+class Source(Protocol):
+    """Something that has frames for a connection and makes them when there is room."""
+
+    def pump(self, connection: Connection) -> None:
+        """Send what is there."""
+
+
+class Connection(asyncio.Protocol):
+    """Both ends' view of one connection; exactly one task reads its frames.
+
+    Frames that are too long or unknown end it with a GOODBYE that says why; the reading task
+    then gets a FrameError.
+    """
+
+    __slots__ = (
+        "_closed",
+        "_counts",
+        "_error",
+        "_flush_scheduled",
+        "_frames",
+        "_loop",
+        "_out",
+        "_out_bytes",
+        "_paused",
+        "_reader",
+        "_ready",
+        "_transport",
+        "_waiter",
+        "_writable",
+        "busy_since_ms",
+        "clock",
+        "last_heard_ms",
+        "last_sent_ms",
+        "last_used_ms",
+        "opened_ms",
+    )
+
+    def __init__(self, *, clock: Clock, counts: ByteCounts) -> None:
+        now_ms = clock.now_ms()
+        self.clock = clock
+        self.opened_ms = now_ms
+        self.last_heard_ms = now_ms
+        self.last_sent_ms = now_ms
+        self.last_used_ms = now_ms
+        self.busy_since_ms: int | None = None
+        self._counts = counts
+        self._loop = asyncio.get_running_loop()
+        self._reader = FrameReader(limit=MAX_HANDSHAKE_FRAME_BYTES)
+        self._frames: deque[Frame] = deque()
+        self._error: FrameError | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._writable: asyncio.Future[None] | None = None
+        self._transport: asyncio.Transport | None = None
+        self._out: list[bytes] = []
+        self._out_bytes = 0
+        self._ready: dict[Source, None] = {}
+        self._flush_scheduled = False
+        self._paused = False
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Return whether nothing can be sent any more."""
+        return self._closed
+
+    @property
+    def paused(self) -> bool:
+        """Return whether the peer takes less than there is to send."""
+        return self._paused
+
+    @property
+    def receiving(self) -> bool:
+        """Return whether a frame has arrived in part."""
+        return self._reader.partial
+
+    @property
+    def peer_host(self) -> str:
+        """Return the peer's IP literal, for logs."""
+        if self._transport is None:
+            return ""
+        name = self._transport.get_extra_info("peername")
+        return str(name[0]) if name else ""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport that the loop made."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=HIGH_WATER_BYTES, low=LOW_WATER_BYTES)
+
+    def data_received(self, data: bytes) -> None:
+        """Cut what arrived into frames and wake the reading task."""
+        if self._closed:
+            return
+        self.last_heard_ms = self.clock.now_ms()
+        try:
+            frames = self._reader.feed(data)
+        except FrameError as error:
+            self._error = error
+            self.end(str(error))
+            return
+        if not frames:
+            return
+        received = self._counts.received
+        for frame in frames:
+            received[frame.kind] += HEADER_BYTES + len(frame.body)
+        self._frames.extend(frames)
+        if self._reader.limit != MAX_FRAME_BYTES and len(self._frames) > MAX_HANDSHAKE_FRAMES:
+            self._error = FrameError("too many frames before the end of the handshake")
+            self.end(str(self._error))
+        self._wake()
+
+    def eof_received(self) -> bool | None:
+        """Close when the peer has closed."""
+        return None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Wake whoever waits; frames that have arrived are still read."""
+        self._shut()
+
+    def pause_writing(self) -> None:
+        """Stop making frames while the transport's buffer is full."""
+        self._paused = True
+
+    def resume_writing(self) -> None:
+        """Go on with the frames that waited."""
+        self._paused = False
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._schedule_flush()
+
+    def lift_limit(self) -> None:
+        """Allow frames of full length, once the peer has proved itself."""
+        self._reader.limit = MAX_FRAME_BYTES
+
+    async def async_read(self) -> Frame | None:
+        """Return the next frame, None after the end; raises FrameError."""
+        while not self._frames:
+            if self._error is not None:
+                raise self._error
+            if self._closed:
+                return None
+            self._waiter = self._loop.create_future()
+            await self._waiter
+        return self._frames.popleft()
+
+    def read_nowait(self) -> Frame | None:
+        """Return the next frame if one is there."""
+        return self._frames.popleft() if self._frames else None
+
+    async def async_wait_writable(self) -> bool:
+        """Wait until the peer takes more; return whether the connection is still open."""
+        while self._paused and not self._closed:
+            if self._writable is None or self._writable.done():
+                self._writable = self._loop.create_future()
+            await asyncio.shield(self._writable)
+        return not self._closed
+
+    def send(
+        self, kind: Kind, *, stream: int = 0, body: bytes = b"", flags: int = FLAG_NONE
+    ) -> None:
+        """Add a frame to what is written at the end of this turn of the loop."""
+        if self._closed:
+            return
+        frame = pack_frame(kind, flags, stream, body)
+        self._counts.sent[kind] += len(frame)
+        self._out.append(frame)
+        self._out_bytes += len(frame)
+        self._schedule_flush()
+
+    def send_data(self, stream: int, offset: int, body: bytes) -> None:
+        """Add a part of an answer's body."""
+        size = len(body)
+        self._counts.sent[Kind.DATA] += _DATA_OVERHEAD + size
+        self._out.append(pack_data_header(stream, offset, size))
+        self._out.append(body)
+        self._out_bytes += _DATA_OVERHEAD + size
+
+    def mark_ready(self, source: Source) -> None:
+        """Ask for frames from `source` at the end of this turn, or as soon as there is room."""
+        if self._closed:
+            return
+        self._ready[source] = None
+        self._schedule_flush()
+
+    def flush(self) -> None:
+        """Hand everything that is ready to the transport now."""
+        self._flush_scheduled = False
+        while not self._closed and (self._out or (self._ready and not self._paused)):
+            self._pump()
+            self._write()
+
+    def end(self, message: str) -> None:
+        """Close because of what the peer sent, and tell it."""
+        self.send(Kind.GOODBYE, body=encode_goodbye(message))
+        self.close()
+
+    def close(self) -> None:
+        """Close after what was sent has been written."""
+        if self._closed:
+            return
+        self.flush()
+        self._shut()
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once; nothing more is read."""
+        self._frames.clear()
+        self._shut()
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _pump(self) -> None:
+        while self._ready and not self._paused and self._out_bytes < FLUSH_BYTES:
+            source = next(iter(self._ready))
+            del self._ready[source]
+            source.pump(self)
+
+    def _write(self) -> None:
+        if not self._out or self._transport is None:
+            self._out.clear()
+            return
+        data = b"".join(self._out)
+        self._out.clear()
+        self._out_bytes = 0
+        self.last_sent_ms = self.clock.now_ms()
+        self._transport.write(data)
+
+    def _schedule_flush(self) -> None:
+        if self._flush_scheduled or self._closed:
+            return
+        self._flush_scheduled = True
+        self._loop.call_soon(self.flush)
+
+    def _shut(self) -> None:
+        self._closed = True
+        self._ready.clear()
+        self._out.clear()
+        self._wake()
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
--- /dev/null
+++ b/gypsumrouter/link/const.py
@@ -0,0 +1,70 @@
+"""Constants of the links between processes."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import Final
+
+from gypsumrouter.const import MAX_REQUEST_BODY_BYTES
+
+PROTOCOL_VERSION: Final = 1
+NONCE_BYTES: Final = 32
+
+MAX_FRAME_BYTES: Final = MAX_REQUEST_BODY_BYTES + 256 * 1024
+MAX_HANDSHAKE_FRAME_BYTES: Final = 4 * 1024
+MAX_HANDSHAKE_FRAMES: Final = 4
+MAX_HANDSHAKES: Final = 1_024
+
+FLUSH_BYTES: Final = 256 * 1024
+HIGH_WATER_BYTES: Final = 512 * 1024
+LOW_WATER_BYTES: Final = 128 * 1024
+
+TICKS_PER_HEARTBEAT: Final = 4
+IDLE_FACTOR: Final = 2
+CONFIRM_SHARE: Final = 4
+PRESS_INTERVAL_MS: Final = 50
+
+STATUS_INTERVAL_MS: Final = 100
+STATUS_BYTES_S: Final = 2_048
+STATUS_KEPT_MS: Final = 600_000
+
+BACKOFF_FIRST_MS: Final = 20
+BACKOFF_MAX_MS: Final = 500
+
+FORGET_ROUTER_MS: Final = 600_000
+MAX_ROUTERS: Final = 4_096
+AGE_MARGIN_MS: Final = 1_000
+MAX_LOGGED_PEERS: Final = 1_024
+
+FLAG_NONE: Final = 0
+FLAG_FINAL: Final = 1
+FLAG_PRESS: Final = 1
+
+
+class Kind(IntEnum):
+    """What a frame carries; numbers are never used again for something else."""
+
+    HELLO = 1
+    PROOF = 2
+    WELCOME = 3
+    GOODBYE = 4
+    HEARTBEAT = 5
+    OPEN = 10
+    HEAD = 11
+    DATA = 12
+    END = 13
+    REFUSED = 14
+    FAILED = 15
+    CONFIRM = 16
+    CANCEL = 17
+    RESUME = 18
+    STATUS = 30
+    CONFIGURATION_NEWS = 31
+    PARTS_REQUEST = 32
+    PARTS = 33
+    SUSPECT_NEWS = 34
+
+
+PAYLOAD_KINDS: Final = frozenset({Kind.OPEN, Kind.HEAD, Kind.DATA, Kind.END})
+KIND_VALUES: Final = frozenset(int(kind) for kind in Kind)
+KIND_SLOTS: Final = max(Kind) + 1
--- /dev/null
+++ b/gypsumrouter/link/diagnostics.py
@@ -0,0 +1,54 @@
+"""What the links add to the metrics and to the state dump."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from gypsumrouter.core import Application
+from gypsumrouter.link.counts import ByteCounts
+
+_SECTION: Final = "link"
+_METRIC_BYTES: Final = "gypsumrouter_link_bytes_total"
+_METRIC_LINKS: Final = "gypsumrouter_link_open"
+
+
+class LinkDiagnostics:
+    """Counts and dump that the server and the pool of one process share."""
+
+    __slots__ = ("_app", "_counter", "_links", "_parts", "counts")
+
+    def __init__(self, *, app: Application) -> None:
+        self.counts = ByteCounts()
+        self._app = app
+        self._links: list[Callable[[], int]] = []
+        self._parts: dict[str, Callable[[], object]] = {}
+        self._counter = app.metrics.counter(
+            _METRIC_BYTES, "Bytes on the links between processes, by kind of frame"
+        )
+        app.metrics.gauge(_METRIC_LINKS, "Open links", lambda: {(): self._count_links()})
+        app.add_dump_section(_SECTION, self._dump)
+
+    def add_part(
+        self, name: str, part: Callable[[], object], count_links: Callable[[], int]
+    ) -> None:
+        """Add what one end of the links knows to the dump, and its number of open links."""
+        self._parts[name] = part
+        self._links.append(count_links)
+
+    def publish(self) -> None:
+        """Bring the metrics up to date."""
+        self.counts.publish(self._counter)
+
+    def _count_links(self) -> int:
+        return sum(count() for count in self._links)
+
+    def _dump(self) -> object:
+        sent, received = self.counts.sum_control()
+        return {
+            "incarnation": self._app.incarnation,
+            "open": self._count_links(),
+            "bytes": self.counts.dump(),
+            "control_bytes": {"sent": sent, "received": received},
+            **{name: part() for name, part in sorted(self._parts.items())},
+        }
--- /dev/null
+++ b/gypsumrouter/link/dialer.py
@@ -0,0 +1,301 @@
+"""The dialing end of one link: connects on demand, and resumes its exchanges after a loss."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import ssl
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from gypsumrouter.core import Application
+from gypsumrouter.fleet.models import Instance
+from gypsumrouter.link.codec import Greeting, encode_open
+from gypsumrouter.link.connection import Connection
+from gypsumrouter.link.const import BACKOFF_FIRST_MS, BACKOFF_MAX_MS, MAX_FRAME_BYTES, Kind
+from gypsumrouter.link.counts import ByteCounts
+from gypsumrouter.link.exchange import Exchange
+from gypsumrouter.link.frames import Frame, FrameError
+from gypsumrouter.link.handshake import (
+    HandshakeFailed,
+    WrongKey,
+    async_greet,
+    make_greeting,
+    to_seconds,
+)
+from gypsumrouter.link.liveness import forgive_silence, keep_alive
+from gypsumrouter.link.models import Hello, Notice, Open
+from gypsumrouter.link.notices import Peer
+from gypsumrouter.link.once import LogOnce
+from gypsumrouter.link.outstanding import Outstanding
+from gypsumrouter.outcomes import Failed, Reason, Refused
+from gypsumrouter.settings import Link
+
+_LOGGER = logging.getLogger(__name__)
+
+_UNREACHABLE = Refused(
+    reason=Reason.UNREACHABLE, message="the instance cannot be reached", elsewhere=True
+)
+_TOO_LARGE = Refused(reason=Reason.TOO_LARGE, message="the request does not fit into one message")
+_RESTARTED = Failed(reason=Reason.SIDE_RESTARTED, message="the side was replaced")
+_LOST = Failed(reason=Reason.LINK_LOST, message="the link was lost and could not be resumed")
+_STOPPED = Failed(reason=Reason.STOPPED, message="this process stops")
+_BROKEN = Failed(reason=Reason.CORRUPTED, message="the link carried a malformed message")
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class DialerContext:
+    """What all dialers of a pool share."""
+
+    app: Application
+    settings: Link
+    key: bytes
+    tls: ssl.SSLContext | None
+    counts: ByteCounts
+    wrong_keys: LogOnce
+    take_number: Callable[[], int]
+    on_notice: Callable[[Peer, Frame], None]
+    on_contact: Callable[[str, bool], None]
+    on_connected: Callable[[Peer], None]
+
+
+class Dialer:
+    """The link to one instance; one task connects it, reads it and connects it again."""
+
+    __slots__ = (
+        "_connection",
+        "_context",
+        "_failures",
+        "_incarnation",
+        "_lost_ms",
+        "_outstanding",
+        "_retry_ms",
+        "_task",
+        "_waiters",
+        "_wanted",
+        "instance",
+        "last_used_ms",
+        "peer",
+    )
+
+    def __init__(self, *, context: DialerContext, instance: Instance) -> None:
+        self.instance = instance
+        self.peer: Peer | None = None
+        self.last_used_ms = context.app.clock.now_ms()
+        self._context = context
+        self._connection: Connection | None = None
+        self._incarnation: int | None = None
+        self._failures = 0
+        self._lost_ms = 0
+        self._retry_ms = 0
+        self._outstanding = Outstanding(clock=context.app.clock, settings=context.settings)
+        self._waiters: list[asyncio.Future[None]] = []
+        self._wanted = asyncio.Event()
+        self._task = context.app.async_create_task(self._async_run(), f"link {instance.name}")
+
+    @property
+    def connected(self) -> bool:
+        """Return whether the link is open."""
+        return self._connection is not None and not self._connection.closed
+
+    @property
+    def incarnation(self) -> int | None:
+        """Return the incarnation that was last at the other end."""
+        return self._incarnation
+
+    @property
+    def outstanding(self) -> int:
+        """Return the number of exchanges without an end."""
+        return len(self._outstanding)
+
+    @property
+    def unused(self) -> bool:
+        """Return whether nothing is open, outstanding or waited for."""
+        return not (self.connected or len(self._outstanding) or self._waiters)
+
+    async def async_open(self, request: Open) -> Exchange | Refused:
+        """Send a request; `Refused` means that none of its bytes were ever sent."""
+        connection = await self._async_get_connection()
+        if connection is None:
+            return _UNREACHABLE
+        if not await connection.async_wait_writable():
+            return _UNREACHABLE
+        request = replace(request, sequence=self._context.take_number())
+        body = encode_open(request)
+        if len(body) > MAX_FRAME_BYTES:
+            return _TOO_LARGE
+        exchange = self._outstanding.add(request)
+        connection.last_used_ms = exchange.opened_ms
+        connection.send(Kind.OPEN, stream=request.sequence, body=body)
+        connection.flush()
+        return exchange
+
+    async def async_send(self, notice: Notice) -> bool:
+        """Send a notice, over a new link if none is open."""
+        if await self._async_get_connection() is None or self.peer is None:
+            return False
+        return self.peer.send(notice)
+
+    def tick(self, now_ms: int, late: bool) -> None:
+        """Keep the link alive while it is in use, and close it when it is idle."""
+        connection = self._connection
+        if connection is None:
+            return
+        busy = len(self._outstanding) > 0
+        if late:
+            forgive_silence(connection, now_ms)
+        keep_alive(
+            connection=connection,
+            busy=busy,
+            now_ms=now_ms,
+            settings=self._context.settings,
+            name=self.instance.name,
+        )
+        if busy or self._waiters:
+            connection.last_used_ms = now_ms
+        self.last_used_ms = connection.last_used_ms
+        if now_ms - connection.last_used_ms >= self._context.settings.idle_close_ms:
+            connection.close()
+
+    def stop(self) -> None:
+        """Close the link and fail what is outstanding."""
+        self._outstanding.fail_all(_STOPPED)
+        if self._connection is not None:
+            self._connection.close()
+        self._answer_waiters()
+        self._task.cancel()
+
+    async def _async_get_connection(self) -> Connection | None:
+        """Return an open link, made now if needed; None where the last try has just failed."""
+        if self.connected:
+            return self._connection
+        now_ms = self._context.app.clock.now_ms()
+        if now_ms < self._retry_ms:
+            return None
+        self.last_used_ms = now_ms
+        waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        self._wanted.set()
+        await waiter
+        return self._connection if self.connected else None
+
+    async def _async_run(self) -> None:
+        while True:
+            await self._wanted.wait()
+            connection = await self._async_connect()
+            if connection is not None:
+                await self._async_serve(connection)
+            self._give_up_late()
+            if len(self._outstanding):
+                await self._async_pause()
+            elif not self._waiters:
+                self._wanted.clear()
+
+    async def _async_connect(self) -> Connection | None:
+        context = self._context
+        connection: Connection | None = None
+        try:
+            async with asyncio.timeout(to_seconds(context.settings.connect_ms)):
+                connection = await self._async_dial()
+                greeting = await async_greet(
+                    connection=connection,
+                    greeting=make_greeting(
+                        app=context.app,
+                        attempt=context.take_number(),
+                        window_bytes=context.settings.window_bytes,
+                    ),
+                    key=context.key,
+                    expected_name=self.instance.name,
+                )
+        except WrongKey:
+            if context.wrong_keys.is_first(self.instance.name):
+                _LOGGER.warning("%s does not hold our link key", self.instance.name)
+        except (OSError, TimeoutError, HandshakeFailed, FrameError) as error:
+            _LOGGER.debug("No link to %s: %r", self.instance.name, error)
+        else:
+            self._begin(connection, greeting)
+            return connection
+        if connection is not None:
+            connection.abort()
+        self._note_failure()
+        return None
+
+    async def _async_dial(self) -> Connection:
+        address = self.instance.address
+        context = self._context
+        _, connection = await asyncio.get_running_loop().create_connection(
+            lambda: Connection(clock=context.app.clock, counts=context.counts),
+            address.host,
+            address.port,
+            ssl=context.tls,
+        )
+        return connection
+
+    def _begin(self, connection: Connection, greeting: Greeting) -> None:
+        """Take a new link into use: settle what the last one left behind, then tell."""
+        hello: Hello = greeting.hello
+        if self._incarnation is not None and self._incarnation != hello.incarnation:
+            self._outstanding.fail_all(_RESTARTED)
+        self._incarnation = hello.incarnation
+        self._connection = connection
+        connection.last_used_ms = self._context.app.clock.now_ms()
+        self.peer = Peer(hello=hello, connection=connection, dialed=True)
+        self._outstanding.attach(connection, greeting.window_bytes)
+        self._context.wrong_keys.clear(self.instance.name)
+        self._retry_ms = 0
+        self._answer_waiters()
+        self._context.on_contact(self.instance.name, True)
+        self._context.on_connected(self.peer)
+
+    async def _async_serve(self, connection: Connection) -> None:
+        try:
+            while (frame := await connection.async_read()) is not None:
+                self._on_frame(frame)
+        except FrameError as error:
+            _LOGGER.warning("The link to %s is closed: %s", self.instance.name, error)
+            connection.end(str(error))
+            # The same bytes would come again over a new link.
+            self._outstanding.fail_all(_BROKEN)
+        connection.abort()
+        self._note_loss(connection)
+
+    def _on_frame(self, frame: Frame) -> None:
+        if self._outstanding.receive(frame):
+            return
+        if self.peer is not None:
+            self._context.on_notice(self.peer, frame)
+
+    def _note_loss(self, connection: Connection) -> None:
+        now_ms = self._context.app.clock.now_ms()
+        self._connection = None
+        self._outstanding.detach()
+        self._lost_ms = now_ms
+        lived_ms = now_ms - connection.opened_ms
+        self._failures = self._failures + 1 if lived_ms < BACKOFF_MAX_MS else 0
+
+    def _note_failure(self) -> None:
+        self._failures += 1
+        if not len(self._outstanding):
+            self._retry_ms = self._context.app.clock.now_ms() + self._get_backoff_ms()
+        self._answer_waiters()
+        self._context.on_contact(self.instance.name, False)
+
+    def _give_up_late(self) -> None:
+        now_ms = self._context.app.clock.now_ms()
+        if now_ms - self._lost_ms >= self._context.settings.resume_ms:
+            self._outstanding.fail_all(_LOST)
+
+    async def _async_pause(self) -> None:
+        if self._failures:
+            await self._context.app.clock.async_sleep(self._get_backoff_ms())
+
+    def _get_backoff_ms(self) -> int:
+        ceiling = min(BACKOFF_MAX_MS, BACKOFF_FIRST_MS << min(self._failures, 8))
+        return random.randint(ceiling // 2, ceiling)
+
+    def _answer_waiters(self) -> None:
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
--- /dev/null
+++ b/gypsumrouter/link/liveness.py
@@ -0,0 +1,54 @@
+"""Finding links that went silent: one timer for all links of a server or a pool."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from gypsumrouter.link.connection import Connection
+from gypsumrouter.link.const import TICKS_PER_HEARTBEAT, Kind
+from gypsumrouter.settings import Link
+from gypsumrouter.util.clock import Clock
+
+_LOGGER = logging.getLogger(__name__)
+
+
+def keep_alive(
+    *, connection: Connection, busy: bool, now_ms: int, settings: Link, name: str
+) -> None:
+    """Send a heartbeat if one is due, and drop the link if its peer has been silent too long.
+
+    A link without exchanges sends none and may be silent.
+    """
+    if not busy and not connection.receiving:
+        connection.busy_since_ms = None
+        return
+    if connection.busy_since_ms is None:
+        connection.busy_since_ms = now_ms
+    silent_ms = now_ms - max(connection.last_heard_ms, connection.busy_since_ms)
+    if busy and silent_ms >= settings.silence_ms:
+        _LOGGER.warning("The link with %s was silent for %s ms and is dropped", name, silent_ms)
+        connection.abort()
+        return
+    if now_ms - connection.last_sent_ms >= settings.heartbeat_ms:
+        connection.send(Kind.HEARTBEAT)
+
+
+async def async_tick(*, clock: Clock, settings: Link, on_tick: Callable[[int, bool], None]) -> None:
+    """Call `on_tick` a few times in each heartbeat, with the time and whether we were late.
+
+    After a pause of the process what the peers sent meanwhile has not been read yet, so that
+    their silence must not be judged.
+    """
+    period_ms = max(1, settings.heartbeat_ms // TICKS_PER_HEARTBEAT)
+    due_ms = clock.now_ms() + period_ms
+    while True:
+        await clock.async_sleep(period_ms)
+        now_ms = clock.now_ms()
+        on_tick(now_ms, now_ms - due_ms >= settings.heartbeat_ms)
+        due_ms = now_ms + period_ms
+
+
+def forgive_silence(connection: Connection, now_ms: int) -> None:
+    """Begin to judge a peer's silence anew."""
+    connection.last_heard_ms = now_ms
--- /dev/null
+++ b/gypsumrouter/link/messages.capnp
@@ -0,0 +1,117 @@
+@0xb7d3f0c59a1e4c62;
+# Bodies of the frames between processes; a field is only ever added, never changed or removed.
+
+struct Hello {
+  version @0 :UInt16;
+  name @1 :Text;
+  role @2 :Text;
+  incarnation @3 :UInt64;
+  attempt @4 :UInt64;
+  nonce @5 :Data;
+  windowBytes @6 :UInt32;
+}
+
+struct Proof {
+  mac @0 :Data;
+}
+
+struct Goodbye {
+  message @0 :Text;
+}
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct PoolLoad {
+  mean @0 :Float64;
+  known @1 :UInt32;
+  members @2 :UInt32;
+  ageMs @3 :Int64;
+}
+
+struct Open {
+  requestId @0 :Text;
+  kind @1 :Text;
+  pool @2 :Text;
+  workspace @3 :Text;
+  callerClass @4 :Text;
+  method @5 :Text;
+  path @6 :Text;
+  headers @7 :List(Header);
+  body @8 :Data;
+  stream @9 :Bool;
+  deadlineMs @10 :Int64;
+  waitedMs @11 :Int64;
+  digest @12 :UInt64;
+  model @13 :Text;
+  chat @14 :Text;
+  returning @15 :Bool;
+  idempotencyKey @16 :Text;
+  attempt @17 :UInt32;
+  promptBytes @18 :UInt64;
+  maxOutputTokens @19 :UInt64;
+  configurationVersion @20 :UInt64;
+  poolLoad @21 :PoolLoad;
+}
+
+struct Head {
+  status @0 :UInt16;
+  headers @1 :List(Header);
+  replayed @2 :Bool;
+}
+
+struct End {
+  length @0 :UInt64;
+  checksum @1 :UInt64;
+}
+
+struct Failure {
+  reason @0 :Text;
+  message @1 :Text;
+  retryAfterMs @2 :Int64 = -1;
+  elsewhere @3 :Bool;
+}
+
+struct Confirm {
+  offset @0 :UInt64;
+}
+
+struct Resume {
+  offset @0 :UInt64;
+  hasHead @1 :Bool;
+  ageMs @2 :UInt64;
+}
+
+struct Status {
+  load @0 :UInt32;
+  running @1 :UInt32;
+  weight @2 :Float64;
+  leaving @3 :Bool;
+  ready @4 :Bool;
+  models @5 :List(Text);
+  poolLoad @6 :PoolLoad;
+}
+
+struct ConfigurationNews {
+  version @0 :UInt64;
+  digest @1 :UInt64;
+}
+
+struct PartsRequest {
+  version @0 :UInt64;
+  parts @1 :List(UInt64);
+}
+
+struct Parts {
+  version @0 :UInt64;
+  manifest @1 :List(UInt64);
+  parts @2 :List(Data);
+}
+
+struct SuspectNews {
+  digest @0 :UInt64;
+  strike @1 :UInt64;
+  alone @2 :Bool;
+}
--- /dev/null
+++ b/gypsumrouter/link/notice_codec.py
@@ -0,0 +1,106 @@
+"""Bodies of notices: data classes to Cap'n Proto messages and back."""
+
+from __future__ import annotations
+
+from gypsumrouter.link.const import Kind
+from gypsumrouter.link.frames import FrameError
+from gypsumrouter.link.models import (
+    ConfigurationNews,
+    Notice,
+    Parts,
+    PartsRequest,
+    Status,
+    SuspectNews,
+)
+from gypsumrouter.link.schema import (
+    SCHEMA,
+    read_pool_load,
+    reading,
+    reading_packed,
+    set_pool_load,
+    to_bytes,
+    to_packed,
+)
+
+
+def encode_notice(notice: Notice) -> tuple[Kind, bytes]:
+    """Return the kind and the body of a notice's frame."""
+    match notice:
+        case Status():
+            return Kind.STATUS, _encode_status(notice)
+        case ConfigurationNews():
+            message = SCHEMA.ConfigurationNews.new_message(
+                version=notice.version, digest=notice.digest
+            )
+            return Kind.CONFIGURATION_NEWS, to_packed(message)
+        case PartsRequest():
+            message = SCHEMA.PartsRequest.new_message(
+                version=notice.version, parts=list(notice.parts)
+            )
+            return Kind.PARTS_REQUEST, to_bytes(message)
+        case Parts():
+            message = SCHEMA.Parts.new_message(
+                version=notice.version, manifest=list(notice.manifest), parts=list(notice.parts)
+            )
+            return Kind.PARTS, to_bytes(message)
+        case SuspectNews():
+            message = SCHEMA.SuspectNews.new_message(
+                digest=notice.digest, strike=notice.strike, alone=notice.alone
+            )
+            return Kind.SUSPECT_NEWS, to_packed(message)
+
+
+def decode_notice(kind: int, body: bytes) -> Notice:
+    """Return a notice from its frame; raises FrameError."""
+    match kind:
+        case Kind.STATUS:
+            return _decode_status(body)
+        case Kind.CONFIGURATION_NEWS:
+            with reading_packed(SCHEMA.ConfigurationNews, body) as message:
+                return ConfigurationNews(version=message.version, digest=message.digest)
+        case Kind.PARTS_REQUEST:
+            with reading(SCHEMA.PartsRequest, body) as message:
+                return PartsRequest(version=message.version, parts=tuple(message.parts))
+        case Kind.PARTS:
+            return _decode_parts(body)
+        case Kind.SUSPECT_NEWS:
+            with reading_packed(SCHEMA.SuspectNews, body) as message:
+                return SuspectNews(
+                    digest=message.digest, strike=message.strike, alone=message.alone
+                )
+    raise FrameError(f"frame kind {kind} is no notice")
+
+
+def _encode_status(status: Status) -> bytes:
+    message = SCHEMA.Status.new_message(
+        load=status.load,
+        running=status.running,
+        weight=status.weight,
+        leaving=status.leaving,
+        ready=status.ready,
+        models=list(status.models),
+    )
+    set_pool_load(message, status.pool_load)
+    return to_packed(message)
+
+
+def _decode_status(body: bytes) -> Status:
+    with reading_packed(SCHEMA.Status, body) as message:
+        return Status(
+            load=message.load,
+            running=message.running,
+            weight=message.weight,
+            leaving=message.leaving,
+            ready=message.ready,
+            models=tuple(message.models),
+            pool_load=read_pool_load(message),
+        )
+
+
+def _decode_parts(body: bytes) -> Parts:
+    with reading(SCHEMA.Parts, body) as message:
+        return Parts(
+            version=message.version,
+            manifest=tuple(message.manifest),
+            parts=tuple(bytes(part) for part in message.parts),
+        )
--- /dev/null
+++ b/gypsumrouter/link/notices.py
@@ -0,0 +1,81 @@
+"""Notices: single messages between processes, handed to whoever subscribed to their kind."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+from gypsumrouter.core import Application, Remove
+from gypsumrouter.link.connection import Connection
+from gypsumrouter.link.diagnostics import LinkDiagnostics
+from gypsumrouter.link.frames import Frame
+from gypsumrouter.link.listeners import call_safely
+from gypsumrouter.link.models import Hello, Notice
+from gypsumrouter.link.notice_codec import decode_notice, encode_notice
+
+N = TypeVar("N", bound=Notice)
+
+
+class Peer:
+    """One end of an open link; `dialed` says that this process opened it."""
+
+    __slots__ = ("_connection", "dialed", "hello")
+
+    def __init__(self, *, hello: Hello, connection: Connection, dialed: bool) -> None:
+        self.hello = hello
+        self.dialed = dialed
+        self._connection = connection
+
+    @property
+    def connected(self) -> bool:
+        """Return whether the link is still open."""
+        return not self._connection.closed
+
+    def send(self, notice: Notice) -> bool:
+        """Send a notice; return False if the link is closed or its peer takes nothing."""
+        if self._connection.closed or self._connection.paused:
+            return False
+        kind, body = encode_notice(notice)
+        self._connection.last_used_ms = self._connection.clock.now_ms()
+        self._connection.send(kind, body=body)
+        return True
+
+
+class NoticeHub:
+    """Hand notices from all links of a process to their listeners."""
+
+    __slots__ = ("_diagnostics", "_listeners")
+
+    def __init__(self, *, app: Application | None = None) -> None:
+        self._diagnostics: LinkDiagnostics | None = None
+        self._listeners: dict[type[Any], list[Callable[[Peer, Any], None]]] = {}
+        if app is not None:
+            self.get_diagnostics(app)
+
+    def subscribe(self, kind: type[N], listener: Callable[[Peer, N], None]) -> Remove:
+        """Call `listener` for each notice of a kind; return the function that removes it."""
+        listeners = self._listeners.setdefault(kind, [])
+        listeners.append(listener)
+
+        def remove() -> None:
+            if listener in listeners:
+                listeners.remove(listener)
+
+        return remove
+
+    def publish(self, peer: Peer, notice: Notice) -> None:
+        """Call every listener of the notice's kind."""
+        for listener in tuple(self._listeners.get(type(notice), ())):
+            call_safely(listener, peer, notice)
+
+    def receive(self, peer: Peer, frame: Frame) -> Notice:
+        """Publish the notice that a frame carries and return it; raises FrameError."""
+        notice = decode_notice(frame.kind, frame.body)
+        self.publish(peer, notice)
+        return notice
+
+    def get_diagnostics(self, app: Application) -> LinkDiagnostics:
+        """Return what the server and the pool of a process count together."""
+        if self._diagnostics is None:
+            self._diagnostics = LinkDiagnostics(app=app)
+        return self._diagnostics
--- /dev/null
+++ b/gypsumrouter/link/outstanding.py
@@ -0,0 +1,144 @@
+"""The exchanges of one dialed link that have no end yet, and what is sent for them."""
+
+from __future__ import annotations
+
+from gypsumrouter.link.codec import (
+    Resume,
+    decode_end,
+    decode_failure,
+    decode_goodbye,
+    decode_head,
+    encode_confirm,
+    encode_resume,
+)
+from gypsumrouter.link.connection import Connection
+from gypsumrouter.link.const import CONFIRM_SHARE, FLAG_FINAL, FLAG_PRESS, Kind
+from gypsumrouter.link.exchange import Exchange
+from gypsumrouter.link.frames import OFFSET_BYTES, Frame, FrameError, unpack_offset
+from gypsumrouter.link.models import Open
+from gypsumrouter.outcomes import Failure
+from gypsumrouter.settings import Link
+from gypsumrouter.util.clock import Clock
+
+
+class Outstanding:
+    """Exchanges by sequence, in ascending order; also those whose cancelling was not sent."""
+
+    __slots__ = (
+        "_clock",
+        "_confirm_bytes",
+        "_connection",
+        "_exchanges",
+        "_to_cancel",
+        "_window_bytes",
+    )
+
+    def __init__(self, *, clock: Clock, settings: Link) -> None:
+        self._clock = clock
+        self._window_bytes = settings.window_bytes
+        self._confirm_bytes = settings.window_bytes // CONFIRM_SHARE
+        self._connection: Connection | None = None
+        self._exchanges: dict[int, Exchange] = {}
+        self._to_cancel: set[int] = set()
+
+    def __len__(self) -> int:
+        return len(self._exchanges) + len(self._to_cancel)
+
+    def add(self, request: Open) -> Exchange:
+        """Begin an exchange whose OPEN is about to be written."""
+        exchange = Exchange(request=request, owner=self, opened_ms=self._clock.now_ms())
+        self._exchanges[request.sequence] = exchange
+        return exchange
+
+    def attach(self, connection: Connection, window_bytes: int) -> None:
+        """Resume every exchange over a new link to the same incarnation, lowest sequence first."""
+        self._connection = connection
+        window_bytes = min(self._window_bytes, window_bytes)
+        self._confirm_bytes = max(1, window_bytes // CONFIRM_SHARE)
+        for sequence in sorted(self._to_cancel):
+            connection.send(Kind.CANCEL, stream=sequence)
+        self._to_cancel.clear()
+        now_ms = self._clock.now_ms()
+        for sequence, exchange in self._exchanges.items():
+            resume = Resume(
+                offset=exchange.received,
+                has_head=exchange.has_head,
+                age_ms=now_ms - exchange.opened_ms,
+            )
+            connection.send(Kind.RESUME, stream=sequence, body=encode_resume(resume))
+            exchange.confirm_sent = 0
+            self.confirm(exchange, exchange.confirmed)
+
+    def detach(self) -> None:
+        """Note that the link is lost."""
+        self._connection = None
+
+    def fail_all(self, failure: Failure) -> None:
+        """End every exchange."""
+        self._to_cancel.clear()
+        for exchange in tuple(self._exchanges.values()):
+            exchange.fail(failure)
+
+    def receive(self, frame: Frame) -> bool:
+        """Take a frame in if it belongs to an exchange or to the link; raises FrameError.
+
+        Frames of exchanges that have ended are late and dropped.
+        """
+        exchange = self._exchanges.get(frame.stream)
+        match frame.kind:
+            case Kind.DATA:
+                offset = unpack_offset(frame.body)
+                if exchange is not None:
+                    exchange.receive_data(offset, frame.body[OFFSET_BYTES:])
+            case Kind.HEAD:
+                head = decode_head(frame.body)
+                if exchange is not None:
+                    exchange.receive_head(head)
+            case Kind.END:
+                end = decode_end(frame.body)
+                if exchange is not None:
+                    exchange.receive_end(end)
+            case Kind.REFUSED | Kind.FAILED:
+                failure = decode_failure(frame.kind, frame.body)
+                if exchange is not None:
+                    exchange.fail(failure)
+            case Kind.HEARTBEAT:
+                if frame.flags & FLAG_PRESS:
+                    self._confirm_all()
+            case Kind.GOODBYE:
+                raise FrameError(f"the server closed it: {decode_goodbye(frame.body)}")
+            case _:
+                return False
+        return True
+
+    def confirm(self, exchange: Exchange, offset: int) -> None:
+        """Confirm when a good part of the window is used up; fewer messages cost less."""
+        if offset - exchange.confirm_sent >= self._confirm_bytes:
+            self._send_confirm(exchange)
+
+    def finish(self, exchange: Exchange) -> None:
+        """Let the server forget an exchange that came to its end."""
+        self._exchanges.pop(exchange.sequence, None)
+        if self._connection is not None:
+            self._connection.send(Kind.CONFIRM, stream=exchange.sequence, flags=FLAG_FINAL)
+
+    def cancel(self, exchange: Exchange) -> None:
+        """Tell the server that nobody waits any more, now or over the next link."""
+        if self._exchanges.pop(exchange.sequence, None) is None:
+            return
+        if self._connection is None or self._connection.closed:
+            self._to_cancel.add(exchange.sequence)
+            return
+        self._connection.send(Kind.CANCEL, stream=exchange.sequence)
+
+    def _confirm_all(self) -> None:
+        for exchange in self._exchanges.values():
+            if exchange.confirmed > exchange.confirm_sent:
+                self._send_confirm(exchange)
+
+    def _send_confirm(self, exchange: Exchange) -> None:
+        if self._connection is None:
+            return
+        exchange.confirm_sent = exchange.confirmed
+        body = encode_confirm(exchange.confirmed)
+        self._connection.send(Kind.CONFIRM, stream=exchange.sequence, body=body)
--- /dev/null
+++ b/gypsumrouter/link/pool.py
@@ -0,0 +1,166 @@
+"""The dialing end of all links of a process, by instance."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from gypsumrouter.core import Application, Remove
+from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.helpers.tls import TlsFiles, make_client_context
+from gypsumrouter.link.dialer import Dialer, DialerContext
+from gypsumrouter.link.exchange import Exchange
+from gypsumrouter.link.frames import Frame
+from gypsumrouter.link.listeners import Listeners
+from gypsumrouter.link.liveness import async_tick
+from gypsumrouter.link.models import Hello, Notice, Open, Status
+from gypsumrouter.link.notices import NoticeHub, Peer
+from gypsumrouter.link.once import LogOnce
+from gypsumrouter.link.status import StatusBook, StatusView
+from gypsumrouter.outcomes import Refused
+from gypsumrouter.settings import Link
+
+_LOGGER = logging.getLogger(__name__)
+
+_DialerKey = tuple[str, Address]
+
+
+class LinkPool:
+    """Links to other processes, opened on demand and closed when idle; each process has one."""
+
+    __slots__ = (
+        "_app",
+        "_connected",
+        "_contact",
+        "_context",
+        "_diagnostics",
+        "_dialers",
+        "_next_number",
+        "_notices",
+        "_settings",
+        "_status",
+        "_statuses",
+        "_ticking",
+    )
+
+    def __init__(self, *, app: Application, settings: Link, key: bytes, notices: NoticeHub) -> None:
+        self._app = app
+        self._settings = settings
+        self._notices = notices
+        self._diagnostics = notices.get_diagnostics(app)
+        self._dialers: dict[_DialerKey, Dialer] = {}
+        self._next_number = 0
+        self._ticking = False
+        self._statuses = StatusBook()
+        self._status: Listeners[[Hello, Status]] = Listeners()
+        self._contact: Listeners[[str, bool]] = Listeners()
+        self._connected: Listeners[[Peer]] = Listeners()
+        self._context = self._make_context(key)
+        self._diagnostics.add_part("pool", self._dump, self._count_links)
+        app.on_stop(self._async_stop)
+
+    async def async_open(self, *, instance: Instance, request: Open) -> Exchange | Refused:
+        """Send a request; its sequence is set here.
+
+        `Refused` means that the request was never sent to the instance.
+        """
+        return await self._get_dialer(instance).async_open(request)
+
+    async def async_send(self, *, instance: Instance, notice: Notice) -> bool:
+        """Send a notice; return False if the instance cannot be reached or takes nothing."""
+        return await self._get_dialer(instance).async_send(notice)
+
+    def status(self, name: str) -> StatusView | None:
+        """Return the last status that was heard of a process."""
+        return self._statuses.get(name, self._app.clock.now_ms())
+
+    def on_status(self, listener: Callable[[Hello, Status], None]) -> Remove:
+        """Call `listener` for each status that comes in."""
+        return self._status.add(listener)
+
+    def on_contact(self, listener: Callable[[str, bool], None]) -> Remove:
+        """Call `listener` with a name and whether a try to link with it succeeded."""
+        return self._contact.add(listener)
+
+    def on_connected(self, listener: Callable[[Peer], None]) -> Remove:
+        """Call `listener` for each link that was opened."""
+        return self._connected.add(listener)
+
+    def _make_context(self, key: bytes) -> DialerContext:
+        tls = None
+        if self._settings.tls is not None:
+            tls = make_client_context(self._settings.tls)
+        return DialerContext(
+            app=self._app,
+            settings=self._settings,
+            key=key,
+            tls=tls,
+            counts=self._diagnostics.counts,
+            wrong_keys=LogOnce(),
+            take_number=self._take_number,
+            on_notice=self._on_notice,
+            on_contact=self._contact.call,
+            on_connected=self._connected.call,
+        )
+
+    def _get_dialer(self, instance: Instance) -> Dialer:
+        self._start_ticking()
+        key = (instance.name, instance.address)
+        dialer = self._dialers.get(key)
+        if dialer is None:
+            dialer = Dialer(context=self._context, instance=instance)
+            self._dialers[key] = dialer
+        return dialer
+
+    def _take_number(self) -> int:
+        """Return a number that grows for the life of this incarnation, for sequences and links."""
+        self._next_number += 1
+        return self._next_number
+
+    def _start_ticking(self) -> None:
+        if self._ticking:
+            return
+        self._ticking = True
+        self._app.async_create_task(
+            async_tick(clock=self._app.clock, settings=self._settings, on_tick=self._tick),
+            "link pool timer",
+        )
+        if self._settings.tls is None or self._context.tls is None:
+            return
+        TlsFiles(app=self._app, tls=self._settings.tls, context=self._context.tls).async_start()
+
+    def _tick(self, now_ms: int, late: bool) -> None:
+        self._diagnostics.publish()
+        self._statuses.sweep(now_ms)
+        for key, dialer in tuple(self._dialers.items()):
+            dialer.tick(now_ms, late)
+            idle = now_ms - dialer.last_used_ms >= self._settings.idle_close_ms
+            if idle and dialer.unused:
+                dialer.stop()
+                del self._dialers[key]
+
+    def _on_notice(self, peer: Peer, frame: Frame) -> None:
+        notice = self._notices.receive(peer, frame)
+        if isinstance(notice, Status):
+            self._statuses.note(peer.hello, notice, self._app.clock.now_ms())
+            self._status.call(peer.hello, notice)
+
+    async def _async_stop(self) -> None:
+        for dialer in self._dialers.values():
+            dialer.stop()
+        self._dialers.clear()
+
+    def _count_links(self) -> int:
+        return sum(1 for dialer in self._dialers.values() if dialer.connected)
+
+    def _dump(self) -> object:
+        return [
+            {
+                "name": dialer.instance.name,
+                "address": str(dialer.instance.address),
+                "connected": dialer.connected,
+                "incarnation": dialer.incarnation,
+                "exchanges": dialer.outstanding,
+            }
+            for dialer in self._dialers.values()
+        ]
--- /dev/null
+++ b/gypsumrouter/link/server.py
@@ -0,0 +1,268 @@
+"""The listening end of links: accepts dialers, runs their requests, publishes the status."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from gypsumrouter.core import Application
+from gypsumrouter.exceptions import InvariantBroken
+from gypsumrouter.fleet.models import Address
+from gypsumrouter.helpers.tls import TlsFiles, make_server_context
+from gypsumrouter.link.answer import Answer
+from gypsumrouter.link.codec import decode_goodbye
+from gypsumrouter.link.connection import Connection
+from gypsumrouter.link.const import IDLE_FACTOR, MAX_HANDSHAKES, Kind
+from gypsumrouter.link.frames import Frame, FrameError
+from gypsumrouter.link.handshake import (
+    Accepted,
+    HandshakeFailed,
+    WrongKey,
+    async_accept,
+    make_greeting,
+    to_seconds,
+)
+from gypsumrouter.link.liveness import async_tick, forgive_silence, keep_alive
+from gypsumrouter.link.models import Hello, Open, Status
+from gypsumrouter.link.notices import NoticeHub, Peer
+from gypsumrouter.link.once import LogOnce
+from gypsumrouter.link.served import ServedLink
+from gypsumrouter.link.status import StatusPublisher
+from gypsumrouter.link.table import ExchangeTable, RouterRecord
+from gypsumrouter.outcomes import Failed, Reason, Refused
+from gypsumrouter.settings import Link
+
+_LOGGER = logging.getLogger(__name__)
+
+ExchangeHandler = Callable[[Hello, Open, Answer], Coroutine[Any, Any, None]]
+
+_NO_HANDLER = Refused(
+    reason=Reason.WRONG_UPSTREAM, message="this process has no upstream", elsewhere=True
+)
+_NO_END = Failed(reason=Reason.UPSTREAM_PROTOCOL, message="the answer broke off")
+
+
+class LinkServer:
+    """Accept links from other processes; each process has one."""
+
+    __slots__ = (
+        "_app",
+        "_connections",
+        "_diagnostics",
+        "_handler",
+        "_handshakes",
+        "_key",
+        "_listener",
+        "_notices",
+        "_peers",
+        "_released",
+        "_settings",
+        "_status",
+        "_table",
+        "_wrong_keys",
+    )
+
+    def __init__(
+        self,
+        *,
+        app: Application,
+        settings: Link,
+        key: bytes,
+        notices: NoticeHub,
+        handler: ExchangeHandler | None,
+        answer_memory_bytes: int,
+    ) -> None:
+        self._app = app
+        self._settings = settings
+        self._key = key
+        self._notices = notices
+        self._handler = handler
+        self._diagnostics = notices.get_diagnostics(app)
+        self._connections: set[Connection] = set()
+        self._peers: dict[Connection, tuple[Peer, RouterRecord]] = {}
+        self._handshakes = 0
+        self._listener: asyncio.Server | None = None
+        self._released = asyncio.Event()
+        self._wrong_keys = LogOnce()
+        self._status = StatusPublisher(app=app, connections=self._list_open)
+        self._table = ExchangeTable(
+            clock=app.clock,
+            resume_ms=settings.resume_ms,
+            connect_ms=settings.connect_ms,
+            window_bytes=settings.window_bytes,
+            answer_memory_bytes=answer_memory_bytes,
+            on_released=self._released.set,
+        )
+
+    async def async_start(self) -> Address:
+        """Listen, and return the address that was bound; raises OSError."""
+        loop = asyncio.get_running_loop()
+        context = None
+        if self._settings.tls is not None:
+            context = make_server_context(self._settings.tls)
+            files = TlsFiles(app=self._app, tls=self._settings.tls, context=context)
+            files.async_start()
+        self._listener = await loop.create_server(
+            self._make_connection, self._settings.host, self._settings.port, ssl=context
+        )
+        self._app.on_drain(self._async_drain)
+        self._app.on_stop(self._async_stop)
+        self._diagnostics.add_part("server", self._dump, lambda: len(self._peers))
+        self._app.async_create_task(
+            async_tick(clock=self._app.clock, settings=self._settings, on_tick=self._tick),
+            "link server timer",
+        )
+        host, port = self._listener.sockets[0].getsockname()[:2]
+        return Address(host=host, port=port)
+
+    def publish_status(self, status: Status) -> None:
+        """Send the status on open links, at a bounded rate, but `leaving` and `ready` at once."""
+        self._status.publish(status)
+
+    def _make_connection(self) -> Connection:
+        connection = Connection(clock=self._app.clock, counts=self._diagnostics.counts)
+        self._connections.add(connection)
+        self._app.async_create_task(self._async_serve(connection), "link server connection")
+        return connection
+
+    async def _async_serve(self, connection: Connection) -> None:
+        try:
+            accepted = await self._async_handshake(connection)
+            if accepted is None:
+                return
+            record = self._table.attach(connection, accepted)
+            if record is None:
+                return
+            await self._async_serve_router(connection, record)
+        finally:
+            self._connections.discard(connection)
+            connection.close()
+
+    async def _async_handshake(self, connection: Connection) -> Accepted | None:
+        if self._handshakes >= MAX_HANDSHAKES:
+            return None
+        greeting = make_greeting(app=self._app, attempt=0, window_bytes=self._settings.window_bytes)
+        self._handshakes += 1
+        try:
+            async with asyncio.timeout(to_seconds(self._settings.connect_ms)):
+                accepted = await async_accept(
+                    connection=connection, greeting=greeting, key=self._key
+                )
+        except WrongKey:
+            host = connection.peer_host
+            if self._wrong_keys.is_first(host):
+                _LOGGER.warning("A process at %s tried to link with a wrong key", host)
+            return None
+        except (HandshakeFailed, FrameError, TimeoutError) as error:
+            _LOGGER.debug("A handshake from %s failed: %s", connection.peer_host, error)
+            if isinstance(error, FrameError):
+                connection.end(str(error))
+            return None
+        finally:
+            self._handshakes -= 1
+        # A paused process reads late: the table's floors rest on this bound.
+        if self._app.clock.now_ms() - connection.opened_ms > self._settings.connect_ms:
+            return None
+        return accepted
+
+    async def _async_serve_router(self, connection: Connection, record: RouterRecord) -> None:
+        peer = Peer(hello=record.hello, connection=connection, dialed=False)
+        self._peers[connection] = (peer, record)
+        connection.lift_limit()
+        connection.send(Kind.WELCOME)
+        self._status.greet(connection)
+        _LOGGER.debug("%s opened a link", record.hello.name)
+        served = ServedLink(table=self._table, record=record, connection=connection, run=self._run)
+        try:
+            while (frame := await connection.async_read()) is not None:
+                self._on_frame(peer, served, frame)
+        except FrameError as error:
+            _LOGGER.warning("The link with %s is closed: %s", record.hello.name, error)
+            connection.end(str(error))
+        finally:
+            del self._peers[connection]
+            self._table.detach(record, connection)
+
+    def _on_frame(self, peer: Peer, served: ServedLink, frame: Frame) -> None:
+        if served.receive(frame):
+            return
+        match frame.kind:
+            case Kind.HEARTBEAT:
+                return
+            case Kind.GOODBYE:
+                raise FrameError(f"the dialer closed it: {decode_goodbye(frame.body)}")
+            case _:
+                self._notices.receive(peer, frame)
+
+    def _run(self, hello: Hello, request: Open, answer: Answer) -> None:
+        if self._handler is None:
+            answer.fail(_NO_HANDLER)
+            return
+        self._app.async_create_task(
+            self._async_handle(self._handler, hello, request, answer),
+            f"exchange {request.request_id}",
+        )
+
+    async def _async_handle(
+        self, handler: ExchangeHandler, hello: Hello, request: Open, answer: Answer
+    ) -> None:
+        try:
+            await handler(hello, request, answer)
+        except InvariantBroken:
+            raise
+        except Exception:
+            _LOGGER.exception("Request %s broke its handler", request.request_id)
+        if not answer.ended:
+            answer.fail(_NO_END)
+
+    def _list_open(self) -> list[Connection]:
+        return [connection for connection in self._peers if not connection.closed]
+
+    def _tick(self, now_ms: int, late: bool) -> None:
+        self._table.sweep()
+        self._diagnostics.publish()
+        for connection, (peer, record) in tuple(self._peers.items()):
+            if late:
+                forgive_silence(connection, now_ms)
+            keep_alive(
+                connection=connection,
+                busy=record.busy,
+                now_ms=now_ms,
+                settings=self._settings,
+                name=peer.hello.name,
+            )
+            idle_ms = now_ms - connection.last_heard_ms
+            if idle_ms > IDLE_FACTOR * self._settings.idle_close_ms:
+                connection.abort()
+
+    async def _async_drain(self) -> None:
+        """Wait until every answer of this moment has been taken or given up."""
+        answers = [answer for record in self._table.routers() for answer in record.answers.values()]
+        while any(not answer.dropped for answer in answers):
+            self._released.clear()
+            await self._released.wait()
+
+    async def _async_stop(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
+        for connection in tuple(self._connections):
+            connection.close()
+
+    def _dump(self) -> object:
+        return {
+            "answer_memory_bytes": self._table.memory.used_bytes,
+            "forgotten_before_ms": self._table.horizon_ms,
+            "routers": [
+                {
+                    "name": record.hello.name,
+                    "role": record.hello.role.value,
+                    "incarnation": record.hello.incarnation,
+                    "connected": record.connection is not None,
+                    "exchanges": len(record.answers),
+                    "floor": record.floor,
+                }
+                for record in self._table.routers()
+            ],
+        }
--- /dev/null
+++ b/gypsumrouter/link/status.py
@@ -0,0 +1,116 @@
+"""Status notices: a server's own word at a bounded rate, and what a pool has heard."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.core import Application
+from gypsumrouter.link.connection import Connection
+from gypsumrouter.link.const import STATUS_BYTES_S, STATUS_INTERVAL_MS, STATUS_KEPT_MS
+from gypsumrouter.link.frames import HEADER_BYTES
+from gypsumrouter.link.models import Hello, Status
+from gypsumrouter.link.notice_codec import encode_notice
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class StatusView:
+    """The last word of another process, how old it is, and the incarnation that said it."""
+
+    status: Status
+    age_ms: int
+    incarnation: int
+
+
+class StatusPublisher:
+    """Send a process's status on its open links.
+
+    All links together get no more than a set number of bytes a second, and each no more than one
+    status in 100 ms; a change of `leaving` or `ready` goes out at once.
+    """
+
+    __slots__ = ("_app", "_connections", "_current", "_pending", "_sent", "_sent_ms")
+
+    def __init__(
+        self, *, app: Application, connections: Callable[[], Iterable[Connection]]
+    ) -> None:
+        self._app = app
+        self._connections = connections
+        self._current: Status | None = None
+        self._sent: Status | None = None
+        self._sent_ms = 0
+        self._pending = False
+
+    def publish(self, status: Status) -> None:
+        """Take a new status and send it now or as soon as the rate allows."""
+        before = self._current
+        self._current = status
+        if before is None or _is_urgent(before, status):
+            self._send()
+            return
+        if self._pending or status == self._sent:
+            return
+        self._pending = True
+        self._app.async_create_task(self._async_send_later(), "link status")
+
+    def greet(self, connection: Connection) -> None:
+        """Send the status on a new link."""
+        if self._current is None:
+            return
+        kind, body = encode_notice(self._current)
+        connection.send(kind, body=body)
+
+    async def _async_send_later(self) -> None:
+        due_ms = self._sent_ms + self._get_interval_ms()
+        await self._app.clock.async_sleep(max(0, due_ms - self._app.clock.now_ms()))
+        self._pending = False
+        if self._current != self._sent:
+            self._send()
+
+    def _get_interval_ms(self) -> int:
+        if self._current is None:
+            return STATUS_INTERVAL_MS
+        size = HEADER_BYTES + len(encode_notice(self._current)[1])
+        links = sum(1 for _ in self._connections())
+        return max(STATUS_INTERVAL_MS, links * size * MS_PER_S // STATUS_BYTES_S)
+
+    def _send(self) -> None:
+        if self._current is None:
+            return
+        kind, body = encode_notice(self._current)
+        for connection in self._connections():
+            connection.send(kind, body=body)
+        self._sent = self._current
+        self._sent_ms = self._app.clock.now_ms()
+
+
+class StatusBook:
+    """What a pool has heard of each process, by name."""
+
+    __slots__ = ("_entries",)
+
+    def __init__(self) -> None:
+        self._entries: dict[str, tuple[Status, int, int]] = {}
+
+    def note(self, hello: Hello, status: Status, now_ms: int) -> None:
+        """Take a status in."""
+        self._entries[hello.name] = (status, now_ms, hello.incarnation)
+
+    def get(self, name: str, now_ms: int) -> StatusView | None:
+        """Return the last status of a process."""
+        entry = self._entries.get(name)
+        if entry is None:
+            return None
+        status, heard_ms, incarnation = entry
+        return StatusView(status=status, age_ms=now_ms - heard_ms, incarnation=incarnation)
+
+    def sweep(self, now_ms: int) -> None:
+        """Forget what is too old to say anything."""
+        old = [name for name, entry in self._entries.items() if now_ms - entry[1] > STATUS_KEPT_MS]
+        for name in old:
+            del self._entries[name]
+
+
+def _is_urgent(before: Status, after: Status) -> bool:
+    return before.leaving != after.leaving or before.ready != after.ready
--- /dev/null
+++ b/gypsumrouter/link/table.py
@@ -0,0 +1,261 @@
+"""A server's exchanges by router incarnation, and what it may say of those it does not hold.
+
+See docs/decisions/0002-link.md for why these rules never call a request that ran "not run".
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Final
+
+from gypsumrouter.link.answer import Answer
+from gypsumrouter.link.codec import Resume
+from gypsumrouter.link.connection import Connection
+from gypsumrouter.link.const import (
+    AGE_MARGIN_MS,
+    FLAG_PRESS,
+    FORGET_ROUTER_MS,
+    MAX_ROUTERS,
+    PRESS_INTERVAL_MS,
+    Kind,
+)
+from gypsumrouter.link.handshake import Accepted
+from gypsumrouter.link.memory import AnswerMemory
+from gypsumrouter.link.models import Hello
+from gypsumrouter.outcomes import Failed, Failure, Reason, Refused
+from gypsumrouter.util.clock import Clock
+
+_NEVER_OPENED: Final = Refused(
+    reason=Reason.UNREACHABLE, message="the request never arrived", elsewhere=True
+)
+_EVICTED: Final = Failed(reason=Reason.ANSWER_EVICTED, message="the answer is no longer held")
+_LATE: Final = Refused(
+    reason=Reason.UNREACHABLE, message="the request arrived after it was given up", elsewhere=True
+)
+
+
+class RouterRecord:
+    """What the server knows of one incarnation of a router.
+
+    Sequences up to `highest_opened` may have run; none at or below `floor` is accepted again.
+    Whatever was opened before `horizon_ms` may have been forgotten.
+    """
+
+    __slots__ = (
+        "answers",
+        "attempt",
+        "challenged_ms",
+        "connection",
+        "floor",
+        "hello",
+        "highest_opened",
+        "horizon_ms",
+        "last_seen_ms",
+        "window_bytes",
+    )
+
+    def __init__(self, *, hello: Hello, horizon_ms: int | None) -> None:
+        self.hello = hello
+        self.horizon_ms = horizon_ms
+        self.answers: dict[int, Answer] = {}
+        self.attempt = -1
+        self.challenged_ms = 0
+        self.connection: Connection | None = None
+        self.floor = -1
+        self.highest_opened = -1
+        self.last_seen_ms = 0
+        self.window_bytes = 0
+
+    @property
+    def busy(self) -> bool:
+        """Return whether an exchange is under way on the open link."""
+        return any(answer.detached_ms is None for answer in self.answers.values())
+
+    @property
+    def forgettable(self) -> bool:
+        """Return whether neither a link nor an exchange needs the record."""
+        return self.connection is None and not self.answers
+
+    def is_surely_new(self, resume: Resume) -> bool:
+        """Return whether the OPEN was written after all that was ever forgotten."""
+        if self.horizon_ms is None:
+            return True
+        return self.challenged_ms - resume.age_ms - AGE_MARGIN_MS > self.horizon_ms
+
+
+class ExchangeTable:
+    """Every exchange that a server holds."""
+
+    __slots__ = (
+        "_clock",
+        "_forget_ms",
+        "_late_ms",
+        "_max_routers",
+        "_on_released",
+        "_pressed_ms",
+        "_resume_ms",
+        "_routers",
+        "_window_bytes",
+        "horizon_ms",
+        "memory",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        resume_ms: int,
+        connect_ms: int,
+        window_bytes: int,
+        answer_memory_bytes: int,
+        on_released: Callable[[], None],
+        forget_ms: int = FORGET_ROUTER_MS,
+        max_routers: int = MAX_ROUTERS,
+    ) -> None:
+        self.memory = AnswerMemory(limit_bytes=answer_memory_bytes, on_pressure=self._relieve)
+        self.horizon_ms: int | None = None
+        self._clock = clock
+        self._on_released = on_released
+        self._resume_ms = resume_ms
+        self._late_ms = 2 * (resume_ms + connect_ms)
+        self._window_bytes = window_bytes
+        self._forget_ms = forget_ms
+        self._max_routers = max_routers
+        self._routers: dict[int, RouterRecord] = {}
+        self._pressed_ms = clock.now_ms() - PRESS_INTERVAL_MS
+
+    def routers(self) -> Iterator[RouterRecord]:
+        """Return every record."""
+        return iter(tuple(self._routers.values()))
+
+    def attach(self, connection: Connection, accepted: Accepted) -> RouterRecord | None:
+        """Make `connection` the router's one link; None if a newer one was there before.
+
+        The link that it replaces is closed, and nothing more is read from it.
+        """
+        greeting = accepted.greeting
+        record = self._get_record(greeting.hello)
+        if record is None or greeting.attempt <= record.attempt:
+            return None
+        previous = record.connection
+        if previous is not None:
+            self.detach(record, previous)
+            previous.abort()
+        record.connection = connection
+        record.attempt = greeting.attempt
+        record.challenged_ms = accepted.challenged_ms
+        record.window_bytes = min(self._window_bytes, greeting.window_bytes)
+        record.last_seen_ms = self._clock.now_ms()
+        return record
+
+    def detach(self, record: RouterRecord, connection: Connection) -> None:
+        """Note that a link is lost; its exchanges wait for the next one."""
+        if record.connection is not connection:
+            return
+        now_ms = self._clock.now_ms()
+        record.connection = None
+        record.last_seen_ms = now_ms
+        for answer in record.answers.values():
+            answer.detach(now_ms)
+
+    def open(self, record: RouterRecord, sequence: int) -> Answer | Failure | None:
+        """Begin an exchange, unless it was given up before it came.
+
+        None is a duplicate of one that is under way; only what was never begun is refused.
+        """
+        if sequence in record.answers:
+            return None
+        if sequence <= record.highest_opened:
+            return _EVICTED
+        if sequence <= record.floor or record.connection is None:
+            return _LATE
+        record.floor = sequence
+        record.highest_opened = sequence
+        answer = Answer(
+            sequence=sequence,
+            window_bytes=record.window_bytes,
+            memory=self.memory,
+            on_dropped=lambda dropped: self._release(record, dropped),
+        )
+        record.answers[sequence] = answer
+        answer.attach(record.connection)
+        return answer
+
+    def resume(self, record: RouterRecord, sequence: int, resume: Resume) -> Answer | Failure:
+        """Go on with an exchange where the router stands; raises FrameError."""
+        answer = record.answers.get(sequence)
+        if answer is not None and record.connection is not None:
+            answer.attach(record.connection, offset=resume.offset, has_head=resume.has_head)
+            return answer
+        record.floor = max(record.floor, sequence)
+        if sequence <= record.highest_opened or not record.is_surely_new(resume):
+            return _EVICTED
+        return _NEVER_OPENED
+
+    def _release(self, record: RouterRecord, answer: Answer) -> None:
+        record.answers.pop(answer.sequence, None)
+        self._on_released()
+
+    def sweep(self) -> None:
+        """Drop exchanges that no router came back for, and records that nothing needs."""
+        now_ms = self._clock.now_ms()
+        if self.memory.waiting:
+            self._relieve()
+        for record in self.routers():
+            self._sweep_answers(record, now_ms)
+            if record.forgettable and now_ms - record.last_seen_ms >= self._forget_ms:
+                self._forget(record)
+
+    def _sweep_answers(self, record: RouterRecord, now_ms: int) -> None:
+        for answer in tuple(record.answers.values()):
+            if answer.detached_ms is None:
+                continue
+            if now_ms - answer.detached_ms >= self._resume_ms:
+                answer.drop()
+
+    def _get_record(self, hello: Hello) -> RouterRecord | None:
+        record = self._routers.get(hello.incarnation)
+        if record is not None:
+            return record
+        if len(self._routers) >= self._max_routers and not self._forget_oldest():
+            return None
+        record = RouterRecord(hello=hello, horizon_ms=self.horizon_ms)
+        self._routers[hello.incarnation] = record
+        return record
+
+    def _forget_oldest(self) -> bool:
+        """Make room for one record; those of the last moments are needed against late links."""
+        newest_ms = self._clock.now_ms() - self._late_ms
+        idle = [
+            record
+            for record in self._routers.values()
+            if record.forgettable and record.last_seen_ms < newest_ms
+        ]
+        if not idle:
+            return False
+        self._forget(min(idle, key=lambda record: record.last_seen_ms))
+        return True
+
+    def _forget(self, record: RouterRecord) -> None:
+        del self._routers[record.hello.incarnation]
+        if self.horizon_ms is None or record.last_seen_ms > self.horizon_ms:
+            self.horizon_ms = record.last_seen_ms
+
+    def _relieve(self) -> None:
+        """Find memory: that of the exchange lost longest, else ask routers to confirm."""
+        lost = [
+            answer
+            for record in self._routers.values()
+            for answer in record.answers.values()
+            if answer.detached_ms is not None and answer.held_bytes
+        ]
+        if lost:
+            min(lost, key=lambda answer: answer.detached_ms or 0).drop()
+            return
+        now_ms = self._clock.now_ms()
+        if now_ms - self._pressed_ms < PRESS_INTERVAL_MS:
+            return
+        self._pressed_ms = now_ms
+        for record in self._routers.values():
+            if record.connection is not None:
+                record.connection.send(Kind.HEARTBEAT, flags=FLAG_PRESS)
--- a/gypsumrouter/operators/__init__.py
+++ b/gypsumrouter/operators/__init__.py
@@ -1,1 +1,40 @@
-"""Placeholder docstring, replaced when the aggregate lands."""
+"""The operators' address of one process."""
+
+from __future__ import annotations
+
+from gypsumrouter.operators.access import Access, check_access
+from gypsumrouter.operators.const import (
+    ATTR_DUMP_VERSION,
+    ATTR_INCARNATION,
+    ATTR_INSTANCE,
+    ATTR_READY,
+    ATTR_ROLE,
+    ATTR_SECTIONS,
+    ATTR_STATE,
+    ATTR_VERSION,
+    DUMP_VERSION,
+    PATH_ALIVE,
+    PATH_DUMP,
+    PATH_METRICS,
+    PATH_READY,
+)
+from gypsumrouter.operators.server import OperatorsServer
+
+__all__ = [
+    "ATTR_DUMP_VERSION",
+    "ATTR_INCARNATION",
+    "ATTR_INSTANCE",
+    "ATTR_READY",
+    "ATTR_ROLE",
+    "ATTR_SECTIONS",
+    "ATTR_STATE",
+    "ATTR_VERSION",
+    "DUMP_VERSION",
+    "PATH_ALIVE",
+    "PATH_DUMP",
+    "PATH_METRICS",
+    "PATH_READY",
+    "Access",
+    "OperatorsServer",
+    "check_access",
+]
--- /dev/null
+++ b/gypsumrouter/operators/access.py
@@ -0,0 +1,58 @@
+"""Who may read the operators' address."""
+
+from __future__ import annotations
+
+import hmac
+import ipaddress
+from pathlib import Path
+from typing import Final
+
+from gypsumrouter.exceptions import FieldError, SettingsInvalid
+from gypsumrouter.settings import Operators
+
+MIN_TOKEN_BYTES: Final = 16
+BEARER: Final = "Bearer "
+TOKEN_PATH: Final = "$.operators.token_file"
+
+
+class Access:
+    """Checks the token of a request; without a token everyone on loopback may read."""
+
+    __slots__ = ("_token",)
+
+    def __init__(self, *, token: bytes | None) -> None:
+        self._token = token
+
+    def allows(self, authorization: str) -> bool:
+        """Return whether an `Authorization` header opens the address, in constant time."""
+        if self._token is None:
+            return True
+        if not authorization.startswith(BEARER):
+            return False
+        shown = authorization[len(BEARER) :].encode("utf-8", "surrogateescape")
+        return hmac.compare_digest(shown, self._token)
+
+
+def check_access(settings: Operators) -> Access:
+    """Return the check for the settings; raises SettingsInvalid.
+
+    An address that is not loopback needs a token of its own file.
+    """
+    if settings.token_file is not None:
+        return Access(token=_read_token(settings.token_file))
+    if ipaddress.ip_address(settings.host).is_loopback:
+        return Access(token=None)
+    message = "a token is needed where the operators' address is not loopback"
+    raise SettingsInvalid((FieldError(path=TOKEN_PATH, message=message),))
+
+
+def _read_token(path: str) -> bytes:
+    try:
+        token = Path(path).read_bytes().strip()
+    except OSError as error:
+        message = f"cannot be read: {error.strerror}"
+        raise SettingsInvalid((FieldError(path=TOKEN_PATH, message=message),)) from None
+    if len(token) < MIN_TOKEN_BYTES:
+        message = f"the token needs at least {MIN_TOKEN_BYTES} bytes"
+        raise SettingsInvalid((FieldError(path=TOKEN_PATH, message=message),))
+    return token
--- /dev/null
+++ b/gypsumrouter/placement/hint.py
@@ -0,0 +1,40 @@
+"""Placement hints: a short opaque word that a caller brings back with its next turn."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import struct
+from typing import Final
+
+import xxhash
+
+_FORM: Final = 1
+_LAYOUT: Final = struct.Struct(">BQH")
+_CHECKED: Final = struct.Struct(">BQ")
+_CHECK_MASK: Final = 0xFFFF
+HINT_LENGTH: Final = 15
+
+
+def write_hint(digest: int) -> str:
+    """Return the hint that stands for the digest of an instance's name."""
+    body = _LAYOUT.pack(_FORM, digest, _compute_check(digest))
+    return base64.urlsafe_b64encode(body).rstrip(b"=").decode()
+
+
+def read_hint(hint: str) -> int | None:
+    """Return the digest in a hint, None if the hint is not one of ours."""
+    if len(hint) != HINT_LENGTH or not hint.isascii():
+        return None
+    try:
+        body = base64.b64decode(hint + "=", altchars=b"-_", validate=True)
+    except (binascii.Error, ValueError):
+        return None
+    form, digest, check = _LAYOUT.unpack(body)
+    if form != _FORM or check != _compute_check(digest):
+        return None
+    return int(digest)
+
+
+def _compute_check(digest: int) -> int:
+    return xxhash.xxh64_intdigest(_CHECKED.pack(_FORM, digest)) & _CHECK_MASK
--- /dev/null
+++ b/gypsumrouter/placement/loads.py
@@ -0,0 +1,140 @@
+"""What a router knows of the load of instances, from the statuses at hand."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from gypsumrouter.configuration.models import Pool
+from gypsumrouter.core import Application
+from gypsumrouter.fleet.models import Instance
+from gypsumrouter.link.models import PoolLoad, Status
+from gypsumrouter.placement.const import (
+    MODELS_KNOWN_MS,
+    POOL_LOAD_REFRESH_MS,
+    POOL_LOAD_SAMPLE,
+    STATUS_FRESH_MS,
+)
+from gypsumrouter.placement.models import MemberSource, StatusSource
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class _Measured:
+    at_ms: int
+    load: PoolLoad
+
+
+class KnownLoads:
+    """Loads of instances and pools, only from statuses that are fresh."""
+
+    __slots__ = ("_app", "_fleet", "_links", "_measured", "_offset")
+
+    def __init__(self, *, app: Application, fleet: MemberSource, links: StatusSource) -> None:
+        self._app = app
+        self._fleet = fleet
+        self._links = links
+        self._measured: dict[str, _Measured] = {}
+        self._offset = 0
+
+    def fresh_status(self, instance: Instance) -> Status | None:
+        """Return the last status of an instance unless it is too old to go by."""
+        view = self._links.status(instance.name)
+        if view is None or view.age_ms > STATUS_FRESH_MS:
+            return None
+        return view.status
+
+    def may_hold(self, instance: Instance, model: str) -> bool:
+        """Return False only where the instance has said that it does not hold the model."""
+        if not model:
+            return True
+        view = self._links.status(instance.name)
+        if view is None or view.age_ms > MODELS_KNOWN_MS or not view.status.models:
+            return True
+        return model in view.status.models
+
+    def is_closed(self, instance: Instance) -> bool:
+        """Return whether the instance says that it takes no work now."""
+        status = self.fresh_status(instance)
+        return status is not None and (status.leaving or not status.ready)
+
+    def is_over_cap(self, instance: Instance, pool: Pool) -> bool:
+        """Return whether one more request would take the instance over the pool's cap."""
+        status = self.fresh_status(instance)
+        if status is None or status.load < pool.floor:
+            return False
+        load = self.pool_load(pool)
+        if load is None or load.known == 0 or load.members <= pool.cap:
+            return False
+        return status.load + 1 > pool.cap * load.mean * status.weight
+
+    def relative_load(self, instance: Instance, pool: Pool) -> float:
+        """Return the load for each unit of weight; an unknown one counts as the mean."""
+        status = self.fresh_status(instance)
+        if status is not None:
+            return status.load / status.weight
+        load = self.pool_load(pool)
+        return 0.0 if load is None else load.mean
+
+    def pool_load(self, pool: Pool) -> PoolLoad | None:
+        """Return the mean load of a pool, None where it has no members.
+
+        Of a large pool a part is looked at in turn, so that the cost has a bound.
+        """
+        now_ms = self._app.clock.now_ms()
+        measured = self._measured.get(pool.name)
+        if measured is None or now_ms - measured.at_ms >= POOL_LOAD_REFRESH_MS:
+            measured = _Measured(at_ms=now_ms, load=self._measure(pool))
+            self._measured[pool.name] = measured
+        load = measured.load
+        if load.members == 0:
+            return None
+        passed_ms = now_ms - measured.at_ms
+        if passed_ms == 0:
+            return load
+        return PoolLoad(
+            mean=load.mean,
+            known=load.known,
+            members=load.members,
+            age_ms=load.age_ms + passed_ms,
+        )
+
+    def dump(self) -> dict[str, object]:
+        """Return the pools' loads as last measured."""
+        return {
+            name: {
+                "mean": round(measured.load.mean, 3),
+                "known": measured.load.known,
+                "members": measured.load.members,
+                "age_ms": measured.load.age_ms + self._app.clock.now_ms() - measured.at_ms,
+            }
+            for name, measured in self._measured.items()
+        }
+
+    def _measure(self, pool: Pool) -> PoolLoad:
+        members = self._fleet.members(pool.name)
+        load_sum = 0
+        weight_sum = 0.0
+        age_sum = 0
+        known = 0
+        for member in self._sample(members):
+            view = self._links.status(member.name)
+            if view is None or view.age_ms > STATUS_FRESH_MS:
+                continue
+            load_sum += view.status.load
+            weight_sum += view.status.weight
+            age_sum += view.age_ms
+            known += 1
+        if known == 0:
+            return PoolLoad(mean=0.0, known=0, members=len(members), age_ms=0)
+        return PoolLoad(
+            mean=load_sum / weight_sum,
+            known=known,
+            members=len(members),
+            age_ms=age_sum // known,
+        )
+
+    def _sample(self, members: tuple[Instance, ...]) -> tuple[Instance, ...]:
+        if len(members) <= POOL_LOAD_SAMPLE:
+            return members
+        step = -(-len(members) // POOL_LOAD_SAMPLE)
+        self._offset = (self._offset + 1) % step
+        return members[self._offset :: step]
--- /dev/null
+++ b/gypsumrouter/policy/repeats.py
@@ -0,0 +1,37 @@
+"""Which calls of a pool must not be repeated, however their path is written."""
+
+from __future__ import annotations
+
+from typing import Final
+
+from gypsumrouter.configuration import (
+    AtMostOnce,
+    collapse_path,
+    is_ambiguous,
+    normalise_path,
+    normalise_prefix,
+)
+
+ANY_METHOD: Final = "*"
+
+
+class CallMatcher:
+    """The patterns of one pool; a path that servers may read differently matches in doubt."""
+
+    __slots__ = ("_prefixes",)
+
+    def __init__(self, *, rules: AtMostOnce) -> None:
+        self._prefixes: dict[str, tuple[str, ...]] = {}
+        for call in rules.calls:
+            known = self._prefixes.get(call.method, ())
+            self._prefixes[call.method] = (*known, normalise_prefix(call.path_prefix))
+
+    def matches(self, *, method: str, path: str) -> bool:
+        """Return whether a call must not be repeated."""
+        prefixes = self._prefixes.get(ANY_METHOD, ()) + self._prefixes.get(method.upper(), ())
+        if not prefixes:
+            return False
+        if is_ambiguous(path):
+            return True
+        readings = {normalise_path(path), collapse_path(path)}
+        return any(reading.startswith(prefixes) for reading in readings)
--- /dev/null
+++ b/gypsumrouter/policy/rules.py
@@ -0,0 +1,190 @@
+"""Rules compiled into tests of a request, in the order in which they count."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from operator import attrgetter
+from typing import Final
+
+from gypsumrouter.configuration import (
+    Pool,
+    Rule,
+    When,
+    get_rule_kind,
+    is_in_window,
+    normalise_prefix,
+)
+from gypsumrouter.const import UpstreamKind
+from gypsumrouter.policy.models import RequestFacts
+
+MS_PER_MINUTE: Final = 60_000
+MINUTES_PER_DAY: Final = 1_440
+DAYS_PER_WEEK: Final = 7
+# The first of January 1970 was a Thursday, and weeks begin with Monday as day 0.
+EPOCH_WEEKDAY: Final = 3
+
+# Conditions that list names; `When` and `RequestFacts` call them the same.
+_LISTS: Final = ("workspace", "caller_class", "model", "data_centre", "service", "method")
+
+get_names: Final = attrgetter("kind", *_LISTS)
+
+Test = Callable[[RequestFacts], bool]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Condition:
+    """One condition: what it is about, what it needs, how it is tested and what it looks at."""
+
+    name: str
+    needed: str
+    test: Test
+    found: Callable[[RequestFacts], object]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CompiledRule:
+    """A rule with its conditions.
+
+    `fixed` are the tests that depend on the names in a request alone, see `get_names`, and
+    `tests` the rest.
+    """
+
+    rule: Rule
+    conditions: tuple[Condition, ...]
+    fixed: tuple[Test, ...]
+    tests: tuple[Test, ...]
+
+    def is_about(self, facts: RequestFacts) -> bool:
+        """Return whether the rule can match requests with the same names."""
+        return all(test(facts) for test in self.fixed)
+
+    def find_miss(self, facts: RequestFacts) -> Condition | None:
+        """Return the first condition that does not hold."""
+        for condition in self.conditions:
+            if not condition.test(facts):
+                return condition
+        return None
+
+
+def compile_rule(rule: Rule, pools: dict[str, Pool]) -> CompiledRule:
+    """Compile one rule; one that leads to a pool is only about requests of that pool's kind."""
+    fixed = (*_compile_lists(rule.when), *_compile_kind(rule, pools))
+    rest = (
+        *_compile_path(rule.when),
+        *_compile_returning(rule.when),
+        *_compile_size(rule.when),
+        *_compile_time(rule.when),
+    )
+    return CompiledRule(
+        rule=rule,
+        conditions=fixed + rest,
+        fixed=tuple(condition.test for condition in fixed),
+        tests=tuple(condition.test for condition in rest),
+    )
+
+
+def get_minute(wall_ms: int) -> int:
+    """Return the minute of the day in UTC."""
+    return wall_ms // MS_PER_MINUTE % MINUTES_PER_DAY
+
+
+def get_weekday(wall_ms: int) -> int:
+    """Return the day of the week in UTC; Monday is 0."""
+    return (wall_ms // MS_PER_MINUTE // MINUTES_PER_DAY + EPOCH_WEEKDAY) % DAYS_PER_WEEK
+
+
+def _compile_kind(rule: Rule, pools: dict[str, Pool]) -> Iterator[Condition]:
+    kind = get_rule_kind(rule.then, pools)
+    if kind is None and rule.when.service is not None:
+        kind = UpstreamKind.SERVICE
+    if kind is None and rule.when.model is not None:
+        kind = UpstreamKind.ENGINE
+    if kind is None:
+        return
+    yield Condition(
+        name="kind",
+        needed=kind.value,
+        test=lambda facts: facts.kind is kind,
+        found=lambda facts: facts.kind.value,
+    )
+
+
+def _compile_lists(when: When) -> Iterator[Condition]:
+    for name in _LISTS:
+        values = getattr(when, name)
+        if values is not None:
+            yield _build_list_condition(name, values)
+
+
+def _build_list_condition(name: str, values: tuple[str, ...]) -> Condition:
+    allowed = frozenset(values)
+    read: Callable[[RequestFacts], str] = attrgetter(name)
+    return Condition(
+        name=name,
+        needed=", ".join(values),
+        test=lambda facts: read(facts) in allowed,
+        found=read,
+    )
+
+
+def _compile_path(when: When) -> Iterator[Condition]:
+    if when.path_prefix is None:
+        return
+    prefix = normalise_prefix(when.path_prefix)
+    yield Condition(
+        name="path_prefix",
+        needed=when.path_prefix,
+        test=lambda facts: facts.path.startswith(prefix),
+        found=attrgetter("path"),
+    )
+
+
+def _compile_returning(when: When) -> Iterator[Condition]:
+    if when.returning is None:
+        return
+    returning = when.returning
+    yield Condition(
+        name="returning",
+        needed=str(returning).lower(),
+        test=lambda facts: facts.returning is returning,
+        found=lambda facts: str(facts.returning).lower(),
+    )
+
+
+def _compile_size(when: When) -> Iterator[Condition]:
+    least, most = when.min_bytes, when.max_bytes
+    if least is not None:
+        yield Condition(
+            name="min_bytes",
+            needed=str(least),
+            test=lambda facts: facts.size_bytes >= least,
+            found=attrgetter("size_bytes"),
+        )
+    if most is not None:
+        yield Condition(
+            name="max_bytes",
+            needed=str(most),
+            test=lambda facts: facts.size_bytes <= most,
+            found=attrgetter("size_bytes"),
+        )
+
+
+def _compile_time(when: When) -> Iterator[Condition]:
+    if when.from_minute is not None or when.to_minute is not None:
+        first = when.from_minute or 0
+        last = MINUTES_PER_DAY if when.to_minute is None else when.to_minute
+        yield Condition(
+            name="minutes",
+            needed=f"{first} to {last}",
+            test=lambda facts: is_in_window(when, get_minute(facts.wall_ms)),
+            found=lambda facts: get_minute(facts.wall_ms),
+        )
+    if when.weekdays is not None:
+        weekdays = frozenset(when.weekdays)
+        yield Condition(
+            name="weekdays",
+            needed=", ".join(str(day) for day in when.weekdays),
+            test=lambda facts: get_weekday(facts.wall_ms) in weekdays,
+            found=lambda facts: get_weekday(facts.wall_ms),
+        )
--- /dev/null
+++ b/gypsumrouter/service.py
@@ -0,0 +1,126 @@
+"""One process of the product as a service: its start, its signals and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import os
+import signal
+from typing import Any, Final
+
+import aiomisc
+import click
+
+from gypsumrouter.bootstrap import Product, async_setup
+from gypsumrouter.const import EXIT_FAILED, EXIT_OK
+from gypsumrouter.exceptions import ErrorCode, GypsumError
+from gypsumrouter.placement import PlacementKind
+from gypsumrouter.settings import Settings
+
+_LOGGER = logging.getLogger(__name__)
+
+STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
+
+
+class DaemonService(aiomisc.Service):
+    """Runs the product of one process until a signal or a broken invariant ends it."""
+
+    def __init__(self, *, settings: Settings, announce: bool, placement: PlacementKind) -> None:
+        super().__init__()
+        self._placement = placement
+        self._settings = settings
+        self._announce = announce
+        self._product: Product | None = None
+        self._stop_asked = asyncio.Event()
+        self._stop_forced = asyncio.Event()
+        self._exit_code = EXIT_OK
+
+    async def start(self) -> None:
+        """Set the process up; what stops it is logged with its code."""
+        for number in STOP_SIGNALS:
+            self.loop.add_signal_handler(number, self._handle_stop_signal, number)
+        try:
+            self._product = await async_setup(settings=self._settings, placement=self._placement)
+        except GypsumError as error:
+            self._fail(error.code, str(error))
+            return
+        except OSError as error:
+            self._fail(ErrorCode.NOT_READY, str(error))
+            return
+        self._report_addresses(self._product)
+
+    async def async_wait(self) -> int:
+        """Wait for the end of the process, finish what runs, and return the exit code."""
+        product = self._product
+        if product is None:
+            return self._exit_code
+        await self._wait_for_stop(product)
+        if product.app.fatal is None:
+            await self._drain(product)
+        if product.app.fatal is not None:
+            code = getattr(product.app.fatal, "code", ErrorCode.INVARIANT_BROKEN)
+            self._fail(code, str(product.app.fatal))
+        return self._exit_code
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Release everything."""
+        if self._product is not None:
+            await self._product.app.async_stop()
+            _LOGGER.info("Stopped with exit code %d", self._exit_code)
+
+    async def _wait_for_stop(self, product: Product) -> None:
+        waits = (
+            asyncio.ensure_future(self._stop_asked.wait()),
+            asyncio.ensure_future(product.app.stopping.wait()),
+        )
+        await _wait_for_first(*waits)
+
+    async def _drain(self, product: Product) -> None:
+        _LOGGER.info("Stopping: finishing %d requests", len(product.list_running()))
+        limit_ms = self._settings.limits.drain_ms
+        drained = asyncio.ensure_future(product.app.async_drain())
+        await _wait_for_first(
+            drained,
+            asyncio.ensure_future(self._stop_forced.wait()),
+            asyncio.ensure_future(product.app.clock.async_sleep(limit_ms)),
+        )
+        if not drained.cancelled() and drained.exception() is None:
+            return
+        running = product.list_running()
+        self._exit_code = EXIT_FAILED
+        _LOGGER.error("Cut %d requests: %s", len(running), ", ".join(running))
+
+    def _handle_stop_signal(self, number: int) -> None:
+        if self._stop_asked.is_set():
+            _LOGGER.warning("Second stop signal (%s), ending now", signal.Signals(number).name)
+            self._stop_forced.set()
+            return
+        _LOGGER.info("Stop signal (%s)", signal.Signals(number).name)
+        self._stop_asked.set()
+
+    def _report_addresses(self, product: Product) -> None:
+        addresses = {name: str(address) for name, address in product.addresses.items()}
+        _LOGGER.info("Started as %s on %s", product.app.role.value, addresses)
+        if not self._announce:
+            return
+        announcement = {
+            "instance": product.app.name,
+            "role": product.app.role.value,
+            "incarnation": product.app.incarnation,
+            "pid": os.getpid(),
+            "addresses": addresses,
+        }
+        click.echo(json.dumps(announcement))
+
+    def _fail(self, code: ErrorCode, message: str) -> None:
+        self._exit_code = EXIT_FAILED
+        _LOGGER.error("Stopped with %s: %s", code.value, message)
+
+
+async def _wait_for_first(*waits: asyncio.Future[Any]) -> None:
+    """Wait until one is done and cancel the others."""
+    await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in waits:
+        wait.cancel()
+    await asyncio.gather(*waits, return_exceptions=True)
--- a/gypsumrouter/settings.py
+++ b/gypsumrouter/settings.py
@@ -93,11 +93,14 @@
     """The listener and the shared key of the links between processes.
 
     The key comes from `key_file` or from the environment variable named by `key_env`. `host` and
-    `port` are where this process listens. Times are in milliseconds, sizes in bytes.
+    `port` are where this process listens. `advertised_host` and `advertised_port` are what the
+    instance list says of it where that differs. Times are in milliseconds, sizes in bytes.
     """
 
     host: IpLiteral = "127.0.0.1"
     port: Port = 0
+    advertised_host: IpLiteral | None = None
+    advertised_port: Port | None = None
     tls: Tls | None = None
     key_file: str | None = None
     key_env: str | None = None
--- a/gypsumrouter/standins/__init__.py
+++ b/gypsumrouter/standins/__init__.py
@@ -1,1 +1,43 @@
-"""Placeholder docstring, replaced when the aggregate lands."""
+"""Stand-ins of the platform and the upstreams, and a proxy that injects faults."""
+
+from __future__ import annotations
+
+from gypsumrouter.standins.configuration_service import ConfigurationService
+from gypsumrouter.standins.deployments import (
+    Deployment,
+    WorkspacePlan,
+    chapin,
+    kotlovnica,
+    make_configuration,
+)
+from gypsumrouter.standins.engine import Engine
+from gypsumrouter.standins.fault_proxy import FaultProxy
+from gypsumrouter.standins.faults import OutageKind
+from gypsumrouter.standins.fleet import SidePlan, StandinPlatform
+from gypsumrouter.standins.instance_list import InstanceListService
+from gypsumrouter.standins.models import EngineSettings
+from gypsumrouter.standins.partition import Partition
+from gypsumrouter.standins.pipes import BOTH_WAYS, Way
+from gypsumrouter.standins.service import Service
+from gypsumrouter.standins.weight_store import WeightStore
+
+__all__ = [
+    "BOTH_WAYS",
+    "ConfigurationService",
+    "Deployment",
+    "Engine",
+    "EngineSettings",
+    "FaultProxy",
+    "InstanceListService",
+    "OutageKind",
+    "Partition",
+    "Service",
+    "SidePlan",
+    "StandinPlatform",
+    "Way",
+    "WeightStore",
+    "WorkspacePlan",
+    "chapin",
+    "kotlovnica",
+    "make_configuration",
+]
--- /dev/null
+++ b/gypsumrouter/standins/batch.py
@@ -0,0 +1,245 @@
+"""Continuous batching of the stand-in engine: one token a step for each running sequence."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import math
+from collections.abc import Callable
+from typing import Final
+
+from gypsumrouter.standins.cache import PrefixCache
+from gypsumrouter.standins.chat import ChatEncoder, ChatRequest
+from gypsumrouter.standins.models import EngineSettings
+from gypsumrouter.standins.streams import AnswerStream, StreamState
+from gypsumrouter.util.clock import Clock
+
+ROUNDING_MS: Final = 1
+
+
+class Sequence:
+    """One request in the engine: what is computed of it and where its answer goes."""
+
+    __slots__ = (
+        "blocks",
+        "cached_tokens",
+        "chat",
+        "crashes",
+        "encoder",
+        "prefill_left",
+        "priority",
+        "produced",
+        "request",
+        "stream",
+    )
+
+    def __init__(
+        self,
+        *,
+        request: ChatRequest,
+        encoder: ChatEncoder,
+        stream: AnswerStream,
+        chat: str,
+        priority: int,
+        crashes: bool,
+    ) -> None:
+        self.request = request
+        self.encoder = encoder
+        self.stream = stream
+        self.chat = chat
+        self.priority = priority
+        self.crashes = crashes
+        self.blocks = request.hash_prompt()
+        self.cached_tokens = 0
+        self.prefill_left = 0
+        self.produced = 0
+
+    @property
+    def ended(self) -> bool:
+        """Return whether nothing is left to compute."""
+        return self.stream.state is not StreamState.GROWING
+
+    def produce(self) -> None:
+        """Add one token to the answer, and its end after the last one."""
+        if self.request.stream:
+            self.stream.append(self.encoder.make_event(self.produced))
+        self.produced += 1
+        if self.produced < self.request.tokens:
+            return
+        if self.request.stream:
+            self.stream.append(self.encoder.make_last_events(cached_tokens=self.cached_tokens))
+        else:
+            self.stream.append(self.encoder.make_whole(cached_tokens=self.cached_tokens))
+        self.stream.end(StreamState.WHOLE)
+
+
+class Batch:
+    """Run up to `slots` sequences in steps; the others wait by priority, then by arrival.
+
+    A running sequence keeps its slot to its end. `on_change` is told of each change of the load,
+    `on_end` of each end, `on_crash` of the first step of a sequence that crashes the engine.
+    """
+
+    __slots__ = (
+        "_cache",
+        "_clock",
+        "_due_ms",
+        "_on_change",
+        "_on_crash",
+        "_on_end",
+        "_order",
+        "_resumed",
+        "_running",
+        "_settings",
+        "_waiting",
+        "_work",
+        "cached_tokens",
+        "produced_tokens",
+        "prompt_tokens",
+        "steps",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        settings: EngineSettings,
+        cache: PrefixCache,
+        on_change: Callable[[], None],
+        on_end: Callable[[StreamState], None],
+        on_crash: Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._settings = settings
+        self._cache = cache
+        self._on_change = on_change
+        self._on_end = on_end
+        self._on_crash = on_crash
+        self._running: list[Sequence] = []
+        self._waiting: list[tuple[int, int, Sequence]] = []
+        self._order = 0
+        self._due_ms = 0.0
+        self._work = asyncio.Event()
+        self._resumed = asyncio.Event()
+        self._resumed.set()
+        self.steps = 0
+        self.prompt_tokens = 0
+        self.cached_tokens = 0
+        self.produced_tokens = 0
+
+    @property
+    def running(self) -> int:
+        """Return how many sequences run."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Return how many sequences wait for a slot."""
+        return len(self._waiting)
+
+    def submit(self, sequence: Sequence) -> None:
+        """Take in a sequence."""
+        self._order += 1
+        heapq.heappush(self._waiting, (-sequence.priority, self._order, sequence))
+        self._work.set()
+        self._on_change()
+
+    def drop_ended(self) -> None:
+        """Forget the sequences whose answers have ended or were cancelled."""
+        for _, _, sequence in self._waiting:
+            if sequence.ended:
+                self._on_end(sequence.stream.state)
+        self._waiting = [entry for entry in self._waiting if not entry[2].ended]
+        heapq.heapify(self._waiting)
+        self._drop_ended_running()
+
+    def pause(self) -> None:
+        """Stop before the next step."""
+        self._resumed.clear()
+
+    def resume(self) -> None:
+        """Go on with the steps."""
+        self._resumed.set()
+
+    def clear(self) -> None:
+        """Forget every sequence, as a restart does."""
+        self._running.clear()
+        self._waiting.clear()
+        self._on_change()
+
+    async def async_run(self) -> None:
+        """Run steps for as long as there is work, then wait for more."""
+        while True:
+            if not self._running and not self._waiting:
+                self._work.clear()
+                await self._work.wait()
+                self._due_ms = self._clock.now_ms()
+            await self._resumed.wait()
+            self._cancel_abandoned()
+            self._admit()
+            length_ms = self._settings.step_ms + self._prefill()
+            length_ms += self._settings.step_ms_per_sequence * len(self._running)
+            await self._async_wait_step(length_ms)
+            self._produce()
+
+    def _cancel_abandoned(self) -> None:
+        limit_ms = self._clock.now_ms() - self._settings.abandon_ms
+        for sequence in self._running:
+            unread_since_ms = sequence.stream.unread_since_ms
+            if unread_since_ms is not None and unread_since_ms <= limit_ms:
+                sequence.stream.end(StreamState.CANCELLED)
+        self._drop_ended_running()
+
+    def _admit(self) -> None:
+        while self._waiting and len(self._running) < self._settings.slots:
+            _, _, sequence = heapq.heappop(self._waiting)
+            self._running.append(sequence)
+            self._look_up(sequence)
+            if sequence.crashes:
+                self._on_crash()
+                return
+
+    def _look_up(self, sequence: Sequence) -> None:
+        prompt_tokens = sequence.request.prompt_tokens
+        held = self._cache.find_prefix(sequence.blocks)
+        sequence.cached_tokens = min(held, prompt_tokens - 1)
+        sequence.prefill_left = prompt_tokens - sequence.cached_tokens
+        self.prompt_tokens += prompt_tokens
+        self.cached_tokens += sequence.cached_tokens
+
+    def _prefill(self) -> float:
+        """Compute prompt tokens up to the chunk, and return the milliseconds that it takes."""
+        left = self._settings.prefill_chunk_tokens
+        for sequence in self._running:
+            if sequence.prefill_left == 0:
+                continue
+            taken = min(left, sequence.prefill_left)
+            sequence.prefill_left -= taken
+            left -= taken
+            if sequence.prefill_left == 0:
+                self._cache.store(chat=sequence.chat, blocks=sequence.blocks)
+        computed = self._settings.prefill_chunk_tokens - left
+        return computed * self._settings.prefill_ms_per_token
+
+    async def _async_wait_step(self, length_ms: float) -> None:
+        now_ms = self._clock.now_ms()
+        self._due_ms = max(self._due_ms, now_ms - ROUNDING_MS) + length_ms
+        await self._clock.async_sleep(max(0, math.ceil(self._due_ms - now_ms)))
+
+    def _produce(self) -> None:
+        self.steps += 1
+        for sequence in self._running:
+            if sequence.prefill_left > 0 or sequence.ended:
+                continue
+            sequence.produce()
+            self.produced_tokens += 1
+            if sequence.ended:
+                self._cache.store(chat=sequence.chat, blocks=sequence.request.hash_whole())
+        self._drop_ended_running()
+
+    def _drop_ended_running(self) -> None:
+        for sequence in self._running:
+            if sequence.ended:
+                self._on_end(sequence.stream.state)
+        self._running = [sequence for sequence in self._running if not sequence.ended]
+        self._on_change()
--- /dev/null
+++ b/gypsumrouter/standins/cache.py
@@ -0,0 +1,133 @@
+"""The stand-in engine's prefix cache: blocks in limited memory, the least recently used go."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter, OrderedDict, deque
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+from gypsumrouter.standins.tokens import TOKENS_PER_BLOCK
+from gypsumrouter.util.clock import Clock
+
+EVENTS_KEPT: Final = 4_096
+EVENTS_PER_ANSWER: Final = 1_024
+CHATS_KEPT: Final = 65_536
+
+
+class CacheEventKind(StrEnum):
+    """What happened to cached tokens of a chat."""
+
+    STORED = "stored"
+    EVICTED = "evicted"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CacheEvent:
+    """One change of the cache; readers see it from `visible_ms` (monotonic) on."""
+
+    seq: int
+    kind: CacheEventKind
+    chat: str
+    tokens: int
+    visible_ms: int
+
+
+class CacheEventLog:
+    """Events of the cache, told late and with gaps: a lost one only uses up its number."""
+
+    __slots__ = ("_clock", "_events", "_lag_ms", "_loss", "_random", "_seq")
+
+    def __init__(self, *, clock: Clock, lag_ms: int, loss: float, seed: int) -> None:
+        self._clock = clock
+        self._lag_ms = lag_ms
+        self._loss = loss
+        self._random = random.Random(seed)
+        self._events: deque[CacheEvent] = deque(maxlen=EVENTS_KEPT)
+        self._seq = 0
+
+    def note(self, *, kind: CacheEventKind, chat: str, tokens: int) -> None:
+        """Add an event, or lose it."""
+        self._seq += 1
+        if self._random.random() < self._loss:
+            return
+        visible_ms = self._clock.now_ms() + self._lag_ms
+        event = CacheEvent(
+            seq=self._seq, kind=kind, chat=chat, tokens=tokens, visible_ms=visible_ms
+        )
+        self._events.append(event)
+
+    def list_after(self, seq: int) -> tuple[CacheEvent, ...]:
+        """Return the visible events above a number, oldest first."""
+        now_ms = self._clock.now_ms()
+        found = [event for event in self._events if event.seq > seq and event.visible_ms <= now_ms]
+        return tuple(found[:EVENTS_PER_ANSWER])
+
+
+class PrefixCache:
+    """Which blocks of prompts the engine holds, and for which chat."""
+
+    __slots__ = ("_blocks", "_capacity", "_chats", "events")
+
+    def __init__(self, *, capacity_tokens: int, events: CacheEventLog) -> None:
+        self._capacity = capacity_tokens // TOKENS_PER_BLOCK
+        self._blocks: OrderedDict[int, str] = OrderedDict()
+        self._chats: OrderedDict[str, tuple[int, ...]] = OrderedDict()
+        self.events = events
+
+    @property
+    def tokens(self) -> int:
+        """Return how many tokens are held."""
+        return len(self._blocks) * TOKENS_PER_BLOCK
+
+    def find_prefix(self, blocks: tuple[int, ...]) -> int:
+        """Return how many tokens of a prompt are held, and mark them as used."""
+        held = self._count_held(blocks)
+        for block in reversed(blocks[:held]):
+            self._blocks.move_to_end(block)
+        return held * TOKENS_PER_BLOCK
+
+    def store(self, *, chat: str, blocks: tuple[int, ...]) -> None:
+        """Take in the blocks of a chat's prompt; a prefix beyond the memory is cut."""
+        kept = blocks[: self._capacity]
+        added = 0
+        for block in reversed(kept):
+            added += block not in self._blocks
+            self._blocks[block] = chat
+            self._blocks.move_to_end(block)
+        self._note_chat(chat, kept)
+        if added:
+            tokens = len(kept) * TOKENS_PER_BLOCK
+            self.events.note(kind=CacheEventKind.STORED, chat=chat, tokens=tokens)
+        self._evict()
+
+    def export(self, chat: str) -> tuple[int, ...]:
+        """Return the blocks that are held of a chat, from its beginning on."""
+        blocks = self._chats.get(chat, ())
+        return blocks[: self._count_held(blocks)]
+
+    def clear(self) -> None:
+        """Forget everything, as a restart does."""
+        self._blocks.clear()
+        self._chats.clear()
+
+    def _count_held(self, blocks: tuple[int, ...]) -> int:
+        for index, block in enumerate(blocks):
+            if block not in self._blocks:
+                return index
+        return len(blocks)
+
+    def _note_chat(self, chat: str, blocks: tuple[int, ...]) -> None:
+        self._chats[chat] = blocks
+        self._chats.move_to_end(chat)
+        if len(self._chats) > CHATS_KEPT:
+            self._chats.popitem(last=False)
+
+    def _evict(self) -> None:
+        evicted: Counter[str] = Counter()
+        while len(self._blocks) > self._capacity:
+            _, chat = self._blocks.popitem(last=False)
+            evicted[chat] += TOKENS_PER_BLOCK
+        for chat, tokens in evicted.items():
+            self.events.note(kind=CacheEventKind.EVICTED, chat=chat, tokens=tokens)
--- /dev/null
+++ b/gypsumrouter/standins/configuration_service.py
@@ -0,0 +1,211 @@
+"""Stand-in of the configuration service: read and watched, never written by the product."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections import OrderedDict
+from typing import Final
+
+from aiohttp import web
+
+from gypsumrouter.fleet.models import Address
+from gypsumrouter.standins.changes import Changes
+from gypsumrouter.standins.faults import Gate, Outage, OutageKind
+from gypsumrouter.standins.listener import StandinListener
+from gypsumrouter.standins.rate import TokenBucket
+from gypsumrouter.standins.replies import (
+    MAX_BODY_BYTES,
+    answer_error,
+    answer_json,
+    async_read_object,
+    read_int,
+)
+from gypsumrouter.util.clock import Clock
+
+HEADER_VERSION: Final = "X-Version"
+DEFAULT_READS_PER_S: Final = 2_000
+DEFAULT_WATCH_MS: Final = 30_000
+VERSIONS_KEPT: Final = 32
+
+
+class ConfigurationService:
+    """Serve the newest document that was published; counts every read and watch.
+
+    `reads_per_s` is the limit over all readers; a waiting watch counts as one read a second.
+    `watch_ms_total` is the time that all watches together have waited.
+    """
+
+    __slots__ = (
+        "_bucket",
+        "_changes",
+        "_clock",
+        "_documents",
+        "_gate",
+        "_listener",
+        "_outage",
+        "_random",
+        "_stale_share",
+        "_stale_version",
+        "max_waiting",
+        "reads",
+        "refused",
+        "version",
+        "watch_ms_total",
+        "watches",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        reads_per_s: float = DEFAULT_READS_PER_S,
+        seed: int = 0,
+    ) -> None:
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._changes = Changes(clock=clock)
+        self._bucket = TokenBucket(clock=clock, rate_per_s=reads_per_s, burst=reads_per_s)
+        self._documents: OrderedDict[int, bytes] = OrderedDict()
+        self._stale_version: int | None = None
+        self._stale_share = 1.0
+        self.version = 0
+        self.reads = 0
+        self.watches = 0
+        self.refused = 0
+        self.max_waiting = 0
+        self.watch_ms_total = 0
+        self._gate = Gate()
+        app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[self._gate.async_hold])
+        self._listener = StandinListener(app=app, host=host, port=port)
+        self._outage = Outage(
+            listener=self._listener, gate=self._gate, changed=self._changes.notify
+        )
+        self._add_routes(app)
+
+    @property
+    def address(self) -> Address:
+        """Return where it listens."""
+        return self._listener.address
+
+    @property
+    def waiting(self) -> int:
+        """Return how many watches wait now."""
+        return self._changes.waiting
+
+    async def async_start(self) -> Address:
+        """Start to listen and return the address."""
+        return await self._listener.async_start()
+
+    async def async_stop(self) -> None:
+        """Release everything."""
+        await self._listener.async_stop()
+
+    def publish(self, document: bytes | str) -> int:
+        """Make a JSON document with a `version` the newest; returns that version.
+
+        Nothing else is checked, so that wrong documents can be published too.
+        """
+        body = document.encode() if isinstance(document, str) else document
+        self.version = int(json.loads(body)["version"])
+        self._documents[self.version] = body
+        while len(self._documents) > VERSIONS_KEPT:
+            self._documents.popitem(last=False)
+        self._changes.notify()
+        return self.version
+
+    def serve_stale(self, version: int | None, *, share: float = 1.0) -> None:
+        """Answer a share of all calls with an older version; None ends it."""
+        self._stale_version = version
+        self._stale_share = share
+        self._changes.notify()
+
+    async def async_set_outage(self, kind: OutageKind) -> None:
+        """Begin, change or end an outage."""
+        await self._outage.async_set(kind)
+
+    def _add_routes(self, app: web.Application) -> None:
+        app.router.add_get("/v1/configuration", self._async_get)
+        app.router.add_put("/standin/configuration", self._async_put)
+        app.router.add_get("/standin/counts", self._async_counts)
+        app.router.add_post("/standin/outage", self._outage.async_post)
+        app.router.add_post("/standin/stale", self._async_post_stale)
+
+    async def _async_get(self, request: web.Request) -> web.StreamResponse:
+        if self._outage.kind is OutageKind.ERROR:
+            return answer_error(status=503, code="outage")
+        if not self._bucket.take(used_per_s=self.waiting):
+            self.refused += 1
+            return answer_error(status=429, code="read_limit")
+        if "watch" not in request.query:
+            self.reads += 1
+            return self._answer(self._choose_version())
+        self.watches += 1
+        return await self._async_watch(
+            known=read_int(request, "watch", 0),
+            timeout_ms=read_int(request, "timeout_ms", DEFAULT_WATCH_MS),
+        )
+
+    async def _async_watch(self, *, known: int, timeout_ms: int) -> web.StreamResponse:
+        began_ms = self._clock.now_ms()
+        try:
+            while True:
+                if self._outage.kind is OutageKind.ERROR:
+                    return answer_error(status=503, code="outage")
+                await self._gate.async_pass()
+                version = self._choose_version()
+                if version > known:
+                    return self._answer(version)
+                left_ms = began_ms + timeout_ms - self._clock.now_ms()
+                if left_ms <= 0:
+                    return web.Response(status=204, headers={HEADER_VERSION: str(version)})
+                self.max_waiting = max(self.max_waiting, self.waiting + 1)
+                await self._changes.async_wait(left_ms)
+        finally:
+            self.watch_ms_total += self._clock.now_ms() - began_ms
+
+    def _choose_version(self) -> int:
+        stale = self._stale_version
+        if stale is None or stale not in self._documents:
+            return self.version
+        return stale if self._random.random() < self._stale_share else self.version
+
+    def _answer(self, version: int) -> web.Response:
+        document = self._documents.get(version)
+        if document is None:
+            return answer_error(status=404, code="nothing_published")
+        return web.Response(
+            body=document,
+            content_type="application/json",
+            headers={HEADER_VERSION: str(version)},
+        )
+
+    async def _async_put(self, request: web.Request) -> web.Response:
+        try:
+            version = self.publish(await request.read())
+        except (ValueError, KeyError, TypeError):
+            raise web.HTTPBadRequest(text="a JSON object with a version is needed") from None
+        return answer_json({"version": version})
+
+    async def _async_counts(self, _request: web.Request) -> web.Response:
+        return answer_json(
+            {
+                "version": self.version,
+                "reads": self.reads,
+                "watches": self.watches,
+                "refused": self.refused,
+                "waiting": self.waiting,
+                "max_waiting": self.max_waiting,
+                "watch_ms_total": self.watch_ms_total,
+            }
+        )
+
+    async def _async_post_stale(self, request: web.Request) -> web.Response:
+        payload = await async_read_object(request)
+        version = payload.get("version")
+        self.serve_stale(
+            None if version is None else int(version), share=float(payload.get("share", 1.0))
+        )
+        return answer_json({})
--- /dev/null
+++ b/gypsumrouter/standins/faults.py
@@ -0,0 +1,99 @@
+"""What can be wrong with a stand-in: frozen, in an outage, or answering from the past."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from enum import StrEnum
+from typing import Final
+
+from aiohttp import web
+
+from gypsumrouter.standins.listener import StandinListener
+from gypsumrouter.standins.replies import answer_json, async_read_object
+
+CONTROL_PREFIX: Final = "/standin/"
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class OutageKind(StrEnum):
+    """How a stand-in of the platform is down."""
+
+    NONE = "none"
+    ERROR = "error"
+    REFUSE = "refuse"
+    HANG = "hang"
+
+
+class Gate:
+    """Hold back every request while it is closed, but for those that drive the stand-in."""
+
+    __slots__ = ("_opened",)
+
+    def __init__(self) -> None:
+        self._opened = asyncio.Event()
+        self._opened.set()
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether requests pass."""
+        return self._opened.is_set()
+
+    def close(self) -> None:
+        """Hold back all requests from now on."""
+        self._opened.clear()
+
+    def open(self) -> None:
+        """Let all requests pass."""
+        self._opened.set()
+
+    async def async_pass(self) -> None:
+        """Wait until the gate is open."""
+        await self._opened.wait()
+
+    @web.middleware
+    async def async_hold(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        """Handle a request once the gate is open."""
+        if not request.path.startswith(CONTROL_PREFIX):
+            await self._opened.wait()
+        return await handler(request)
+
+
+class Outage:
+    """The outage of one platform service; `changed` is called at each change."""
+
+    __slots__ = ("_changed", "_gate", "_listener", "kind")
+
+    def __init__(
+        self, *, listener: StandinListener, gate: Gate, changed: Callable[[], None]
+    ) -> None:
+        self._listener = listener
+        self._gate = gate
+        self._changed = changed
+        self.kind = OutageKind.NONE
+
+    async def async_set(self, kind: OutageKind) -> None:
+        """Begin an outage, change it, or end it with NONE."""
+        self.kind = kind
+        if kind is OutageKind.HANG:
+            self._gate.close()
+        else:
+            self._gate.open()
+        if kind is OutageKind.REFUSE:
+            self._listener.close()
+        else:
+            await self._listener.async_open()
+        self._changed()
+
+    async def async_post(self, request: web.Request) -> web.Response:
+        """Answer `POST /standin/outage {"kind"}`; a listener that refuses can't be called back."""
+        payload = await async_read_object(request)
+        try:
+            kind = OutageKind(str(payload.get("kind")))
+        except ValueError:
+            raise web.HTTPBadRequest(text="kind must be none, error, refuse or hang") from None
+        if kind is OutageKind.REFUSE:
+            raise web.HTTPBadRequest(text="refuse can only be set from Python")
+        await self.async_set(kind)
+        return answer_json({})
--- /dev/null
+++ b/gypsumrouter/standins/fleet.py
@@ -0,0 +1,228 @@
+"""A whole platform of stand-ins for one or more deployments, in one process."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, replace
+from typing import Any, Final
+
+from pydantic import TypeAdapter
+
+from gypsumrouter.configuration.models import Configuration
+from gypsumrouter.const import Role, UpstreamKind
+from gypsumrouter.exceptions import InvariantBroken
+from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.standins.configuration_service import ConfigurationService
+from gypsumrouter.standins.deployments import Deployment, make_configuration
+from gypsumrouter.standins.engine import Engine
+from gypsumrouter.standins.instance_list import InstanceListService
+from gypsumrouter.standins.models import EngineSettings
+from gypsumrouter.standins.service import Service
+from gypsumrouter.standins.weight_store import WeightStore
+from gypsumrouter.util.clock import Clock
+
+FIRST_VERSION: Final = 1
+CONFIGURATION_ADAPTER: Final = TypeAdapter(Configuration)
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class SidePlan:
+    """One side that is to run beside an upstream of the platform."""
+
+    name: str
+    pool: str
+    kind: UpstreamKind
+    data_centre: str
+    region: str
+    upstream: Address
+    weight: float = 1.0
+
+
+class StandinPlatform:
+    """Both platform services, a weight store, and all upstreams of the deployments.
+
+    The list begins empty: whoever starts daemons lists them with `list_side` and `list_router`.
+    Engines and services are found by the name of the side that belongs to them.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_engine_settings",
+        "_host",
+        "_service_delay_ms",
+        "configuration",
+        "deployments",
+        "engines",
+        "instances",
+        "plans",
+        "services",
+        "weight_store",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        deployments: tuple[Deployment, ...],
+        engine_settings: EngineSettings | None = None,
+        service_delay_ms: int = 0,
+        host: str = "127.0.0.1",
+    ) -> None:
+        self._clock = clock
+        self._host = host
+        self._engine_settings = engine_settings or EngineSettings()
+        self._service_delay_ms = service_delay_ms
+        self.deployments = deployments
+        self.configuration = ConfigurationService(clock=clock, host=host)
+        self.instances = InstanceListService(clock=clock, host=host)
+        self.weight_store = WeightStore(clock=clock, host=host)
+        self.engines: dict[str, Engine] = {}
+        self.services: dict[str, Service] = {}
+        self.plans: tuple[SidePlan, ...] = ()
+
+    async def async_start(self) -> None:
+        """Start everything and publish the first configuration."""
+        await self.configuration.async_start()
+        await self.instances.async_start()
+        await self.weight_store.async_start()
+        for deployment in self.deployments:
+            await self._async_start_engines(deployment)
+            await self._async_start_services(deployment)
+        self.publish(make_configuration(*self.deployments, version=FIRST_VERSION))
+
+    async def async_stop(self) -> None:
+        """Release everything."""
+        for engine in self.engines.values():
+            await engine.async_stop()
+        for service in self.services.values():
+            await service.async_stop()
+        await self.weight_store.async_stop()
+        await self.instances.async_stop()
+        await self.configuration.async_stop()
+
+    def publish(self, configuration: Configuration) -> int:
+        """Publish a configuration and return its version."""
+        return self.configuration.publish(CONFIGURATION_ADAPTER.dump_json(configuration))
+
+    def get_plan(self, name: str) -> SidePlan:
+        """Return the plan of a side; raises InvariantBroken for an unknown name."""
+        for plan in self.plans:
+            if plan.name == name:
+                return plan
+        raise InvariantBroken(f"no side is called {name}")
+
+    def list_side(self, name: str, address: Address) -> None:
+        """List a running side by the address of its link."""
+        plan = self.get_plan(name)
+        self.instances.set(
+            Instance(
+                name=name,
+                role=Role.SIDE,
+                address=address,
+                data_centre=plan.data_centre,
+                region=plan.region,
+                pool=plan.pool,
+                weight=plan.weight,
+            )
+        )
+
+    def list_router(self, name: str, address: Address, *, data_centre: str, region: str) -> None:
+        """List a running router by the address of its link."""
+        self.instances.set(
+            Instance(
+                name=name,
+                role=Role.ROUTER,
+                address=address,
+                data_centre=data_centre,
+                region=region,
+            )
+        )
+
+    def make_side_settings(self, name: str, *, link: dict[str, Any]) -> dict[str, Any]:
+        """Return the settings of a side; `link` goes in as it is, with the key's place."""
+        plan = self.get_plan(name)
+        return {
+            "instance": _make_identity(name, plan.data_centre, plan.region),
+            "link": link,
+            "platform": self._make_platform(),
+            "upstream": {
+                "pool": plan.pool,
+                "kind": plan.kind.value,
+                "host": plan.upstream.host,
+                "port": plan.upstream.port,
+                "weight": plan.weight,
+            },
+        }
+
+    def make_router_settings(
+        self, name: str, *, data_centre: str, region: str, link: dict[str, Any]
+    ) -> dict[str, Any]:
+        """Return the settings of a router."""
+        return {
+            "instance": _make_identity(name, data_centre, region),
+            "link": link,
+            "platform": self._make_platform(),
+        }
+
+    def count_runs(self) -> Counter[str]:
+        """Return how often each call that must not be repeated has run, by its key."""
+        paths = {path for deployment in self.deployments for path in deployment.at_most_once}
+        runs: Counter[str] = Counter()
+        for service in self.services.values():
+            runs.update(
+                execution.key
+                for execution in service.executions
+                if execution.path.partition("?")[0] in paths
+            )
+        return runs
+
+    def count_doubled(self) -> int:
+        """Return how many calls that must not be repeated have run more than once."""
+        return sum(1 for count in self.count_runs().values() if count > 1)
+
+    async def _async_start_engines(self, deployment: Deployment) -> None:
+        for index in range(deployment.engines):
+            settings = replace(
+                self._engine_settings,
+                models=(deployment.model,),
+                weight_store=self.weight_store.address,
+                seed=self._engine_settings.seed + index,
+            )
+            engine = Engine(clock=self._clock, host=self._host, settings=settings)
+            address = await engine.async_start()
+            pool = deployment.engine_pool
+            plan = _make_plan(deployment, pool, UpstreamKind.ENGINE, index, address)
+            self.engines[plan.name] = engine
+            self.plans += (plan,)
+
+    async def _async_start_services(self, deployment: Deployment) -> None:
+        for index in range(deployment.services):
+            service = Service(clock=self._clock, host=self._host, delay_ms=self._service_delay_ms)
+            address = await service.async_start()
+            pool = deployment.service_pool
+            plan = _make_plan(deployment, pool, UpstreamKind.SERVICE, index, address)
+            self.services[plan.name] = service
+            self.plans += (plan,)
+
+    def _make_platform(self) -> dict[str, Any]:
+        return {
+            "configuration": [f"http://{self.configuration.address}"],
+            "instances": [f"http://{self.instances.address}"],
+        }
+
+
+def _make_plan(
+    deployment: Deployment, pool: str, kind: UpstreamKind, index: int, upstream: Address
+) -> SidePlan:
+    return SidePlan(
+        name=f"{pool}-{index + 1}",
+        pool=pool,
+        kind=kind,
+        data_centre=deployment.get_data_centre(index),
+        region=deployment.region,
+        upstream=upstream,
+    )
+
+
+def _make_identity(name: str, data_centre: str, region: str) -> dict[str, str]:
+    return {"name": name, "data_centre": data_centre, "region": region}
--- /dev/null
+++ b/gypsumrouter/standins/instance_list.py
@@ -0,0 +1,283 @@
+"""Stand-in of the platform's instance list: one sequence of states, read with a lag."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from dataclasses import dataclass, replace
+from typing import Any, Final
+
+from aiohttp import web
+
+from gypsumrouter.const import InstanceState, Role
+from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.standins.changes import Changes
+from gypsumrouter.standins.faults import Gate, Outage, OutageKind
+from gypsumrouter.standins.listener import StandinListener
+from gypsumrouter.standins.replies import (
+    MAX_BODY_BYTES,
+    answer_error,
+    answer_json,
+    async_read_object,
+    read_int,
+)
+from gypsumrouter.util.clock import Clock
+
+HEADER_AS_OF: Final = "X-As-Of-Ms"
+DEFAULT_POLL_MS: Final = 30_000
+STATES_KEPT: Final = 1_024
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ListState:
+    """What the list said from the wall time `since_ms` on."""
+
+    revision: int
+    since_ms: int
+    instances: tuple[Instance, ...]
+
+
+class InstanceListService:
+    """Serve the list of instances as it was `lag_ms` ago.
+
+    Changes are made from Python or over HTTP. `reads` counts answered calls.
+    """
+
+    __slots__ = (
+        "_changes",
+        "_clock",
+        "_gate",
+        "_instances",
+        "_listener",
+        "_outage",
+        "_random",
+        "_stale_at_ms",
+        "_stale_share",
+        "_states",
+        "lag_ms",
+        "reads",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        lag_ms: int = 0,
+        seed: int = 0,
+    ) -> None:
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._changes = Changes(clock=clock)
+        self._instances: dict[str, Instance] = {}
+        self._states: deque[ListState] = deque(maxlen=STATES_KEPT)
+        self._states.append(ListState(revision=0, since_ms=clock.wall_ms(), instances=()))
+        self._stale_at_ms: int | None = None
+        self._stale_share = 1.0
+        self.lag_ms = lag_ms
+        self.reads = 0
+        self._gate = Gate()
+        app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[self._gate.async_hold])
+        self._listener = StandinListener(app=app, host=host, port=port)
+        self._outage = Outage(
+            listener=self._listener, gate=self._gate, changed=self._changes.notify
+        )
+        self._add_routes(app)
+
+    @property
+    def address(self) -> Address:
+        """Return where it listens."""
+        return self._listener.address
+
+    @property
+    def revision(self) -> int:
+        """Return the newest revision, which lagging readers may not see yet."""
+        return self._states[-1].revision
+
+    @property
+    def waiting(self) -> int:
+        """Return how many long polls wait now."""
+        return self._changes.waiting
+
+    async def async_start(self) -> Address:
+        """Start to listen and return the address."""
+        return await self._listener.async_start()
+
+    async def async_stop(self) -> None:
+        """Release everything."""
+        await self._listener.async_stop()
+
+    def get(self, name: str) -> Instance | None:
+        """Return an instance of the newest state."""
+        return self._instances.get(name)
+
+    def set(self, *instances: Instance) -> None:
+        """Add or replace instances, as one change."""
+        for instance in instances:
+            self._instances[instance.name] = instance
+        self._add_state()
+
+    def remove(self, *names: str) -> None:
+        """Take instances off the list, as one change."""
+        for name in names:
+            self._instances.pop(name, None)
+        self._add_state()
+
+    def leave(self, name: str) -> None:
+        """Mark an instance as leaving."""
+        instance = self._instances.get(name)
+        if instance is None:
+            return
+        self._instances[name] = replace(instance, state=InstanceState.LEAVING)
+        self._add_state()
+
+    def set_lag(self, lag_ms: int) -> None:
+        """Answer the state as it was `lag_ms` ago from now on."""
+        self.lag_ms = lag_ms
+        self._changes.notify()
+
+    def serve_stale(self, at_ms: int | None, *, share: float = 1.0) -> None:
+        """Answer a share of all calls with the state of a wall time; None ends it."""
+        self._stale_at_ms = at_ms
+        self._stale_share = share
+        self._changes.notify()
+
+    async def async_set_outage(self, kind: OutageKind) -> None:
+        """Begin, change or end an outage."""
+        await self._outage.async_set(kind)
+
+    def _add_state(self) -> None:
+        instances = tuple(sorted(self._instances.values(), key=lambda instance: instance.name))
+        if instances == self._states[-1].instances:
+            return
+        since_ms = max(self._clock.wall_ms(), self._states[-1].since_ms)
+        state = ListState(revision=self.revision + 1, since_ms=since_ms, instances=instances)
+        self._states.append(state)
+        self._changes.notify()
+
+    def _choose_time(self) -> int:
+        """Return the wall time whose state the next answer tells of."""
+        stale = self._stale_at_ms
+        if stale is not None and self._random.random() < self._stale_share:
+            return stale
+        return self._clock.wall_ms() - self.lag_ms
+
+    def _find_newest(self, at_ms: int) -> ListState:
+        for state in reversed(self._states):
+            if state.since_ms <= at_ms:
+                return state
+        return self._states[0]
+
+    def _find_next(self, *, after: int, newest: ListState) -> ListState:
+        """Return the oldest kept state above a revision, but none beyond the newest visible."""
+        for state in self._states:
+            if after < state.revision <= newest.revision:
+                return state
+        return newest
+
+    def _get_as_of(self, state: ListState, at_ms: int) -> int:
+        """Return the last time up to `at_ms` at which a state held."""
+        for later in self._states:
+            if later.revision == state.revision + 1:
+                return max(state.since_ms, min(at_ms, later.since_ms - 1))
+        return at_ms
+
+    def _add_routes(self, app: web.Application) -> None:
+        app.router.add_get("/v1/instances", self._async_get)
+        app.router.add_put("/standin/instances/{name}", self._async_put)
+        app.router.add_delete("/standin/instances/{name}", self._async_delete)
+        app.router.add_post("/standin/instances/{name}/leave", self._async_leave)
+        app.router.add_post("/standin/lag", self._async_lag)
+        app.router.add_post("/standin/outage", self._outage.async_post)
+
+    async def _async_get(self, request: web.Request) -> web.StreamResponse:
+        if self._outage.kind is OutageKind.ERROR:
+            return answer_error(status=503, code="outage")
+        self.reads += 1
+        if "after" not in request.query:
+            at_ms = self._choose_time()
+            return self._answer(self._find_newest(at_ms), at_ms)
+        return await self._async_poll(
+            after=read_int(request, "after", 0),
+            timeout_ms=read_int(request, "timeout_ms", DEFAULT_POLL_MS),
+        )
+
+    async def _async_poll(self, *, after: int, timeout_ms: int) -> web.StreamResponse:
+        ends_ms = self._clock.now_ms() + timeout_ms
+        while True:
+            if self._outage.kind is OutageKind.ERROR:
+                return answer_error(status=503, code="outage")
+            await self._gate.async_pass()
+            at_ms = self._choose_time()
+            newest = self._find_newest(at_ms)
+            if newest.revision > after:
+                return self._answer(self._find_next(after=after, newest=newest), at_ms)
+            left_ms = ends_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                return web.Response(status=204, headers={HEADER_AS_OF: str(at_ms)})
+            await self._changes.async_wait(min(left_ms, self._get_visible_in(newest, at_ms)))
+
+    def _get_visible_in(self, newest: ListState, at_ms: int) -> int:
+        """Return in how many milliseconds the state after `newest` becomes visible."""
+        for state in self._states:
+            if state.revision == newest.revision + 1 and state.since_ms > at_ms:
+                return state.since_ms - at_ms
+        return DEFAULT_POLL_MS
+
+    def _answer(self, state: ListState, at_ms: int) -> web.Response:
+        return answer_json(
+            {
+                "revision": state.revision,
+                "as_of_ms": self._get_as_of(state, at_ms),
+                "instances": [_format_instance(instance) for instance in state.instances],
+            }
+        )
+
+    async def _async_put(self, request: web.Request) -> web.Response:
+        payload = await async_read_object(request)
+        self.set(_parse_instance(request.match_info["name"], payload))
+        return answer_json({"revision": self.revision})
+
+    async def _async_delete(self, request: web.Request) -> web.Response:
+        self.remove(request.match_info["name"])
+        return answer_json({"revision": self.revision})
+
+    async def _async_leave(self, request: web.Request) -> web.Response:
+        self.leave(request.match_info["name"])
+        return answer_json({"revision": self.revision})
+
+    async def _async_lag(self, request: web.Request) -> web.Response:
+        payload = await async_read_object(request)
+        self.set_lag(int(payload.get("ms", 0)))
+        return answer_json({})
+
+
+def _format_instance(instance: Instance) -> dict[str, object]:
+    return {
+        "name": instance.name,
+        "role": instance.role,
+        "host": instance.address.host,
+        "port": instance.address.port,
+        "data_centre": instance.data_centre,
+        "region": instance.region,
+        "pool": instance.pool,
+        "weight": instance.weight,
+        "state": instance.state,
+    }
+
+
+def _parse_instance(name: str, payload: dict[str, Any]) -> Instance:
+    try:
+        return Instance(
+            name=name,
+            role=Role(payload["role"]),
+            address=Address(host=str(payload["host"]), port=int(payload["port"])),
+            data_centre=str(payload["data_centre"]),
+            region=str(payload["region"]),
+            pool=str(payload.get("pool", "")),
+            weight=float(payload.get("weight", 1.0)),
+            state=InstanceState(payload.get("state", InstanceState.LIVE)),
+        )
+    except (KeyError, ValueError, TypeError) as error:
+        raise web.HTTPBadRequest(text=f"wrong instance: {error}") from None
--- /dev/null
+++ b/gypsumrouter/standins/listener.py
@@ -0,0 +1,125 @@
+"""An HTTP listener of a stand-in that can vanish and come back on the same port."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from typing import Final, cast
+
+from aiohttp import web
+
+from gypsumrouter.exceptions import InvariantBroken
+from gypsumrouter.fleet.models import Address
+
+BACKLOG: Final = 1024
+LINGER_RESET: Final = struct.pack("ii", 1, 0)
+SHUTDOWN_S: Final = 0.1
+
+
+class PortHolder:
+    """A bound socket that never listens, so that nobody else gets the port meanwhile."""
+
+    __slots__ = ("_socket", "address")
+
+    def __init__(self, *, host: str, port: int) -> None:
+        self._socket = _bind(host, port)
+        self.address = Address(host=host, port=self._socket.getsockname()[1])
+
+    def open_listener(self) -> socket.socket:
+        """Return a fresh listening socket on the held port."""
+        listener = _bind(self.address.host, self.address.port)
+        listener.listen(BACKLOG)
+        return listener
+
+    def close(self) -> None:
+        """Give the port free."""
+        self._socket.close()
+
+
+class StandinListener:
+    """Serve an aiohttp application; closing and opening keeps the port."""
+
+    __slots__ = ("_app", "_holder", "_host", "_port", "_runner", "_server")
+
+    def __init__(self, *, app: web.Application, host: str, port: int) -> None:
+        self._app = app
+        self._host = host
+        self._port = port
+        self._holder: PortHolder | None = None
+        self._runner: web.AppRunner | None = None
+        self._server: asyncio.Server | None = None
+
+    @property
+    def address(self) -> Address:
+        """Return where it listens; raises InvariantBroken before the start."""
+        if self._holder is None:
+            raise InvariantBroken("the stand-in was not started")
+        return self._holder.address
+
+    async def async_start(self) -> Address:
+        """Start to listen and return the address."""
+        self._holder = PortHolder(host=self._host, port=self._port)
+        self._runner = web.AppRunner(
+            self._app,
+            access_log=None,
+            handle_signals=False,
+            handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_S,
+        )
+        await self._runner.setup()
+        await self.async_open()
+        return self._holder.address
+
+    async def async_open(self) -> None:
+        """Listen again on the same port; does nothing while it listens."""
+        if self._server is not None or self._holder is None or self._runner is None:
+            return
+        factory = self._runner.server
+        if factory is None:
+            raise InvariantBroken("the runner has no server")
+        listener = self._holder.open_listener()
+        self._server = await asyncio.get_running_loop().create_server(factory, sock=listener)
+
+    def close(self) -> None:
+        """Stop to listen and reset every connection, as the death of a process does."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset every connection."""
+        if self._runner is None or self._runner.server is None:
+            return
+        for connection in tuple(self._runner.server.connections):
+            if connection.transport is not None:
+                reset_transport(connection.transport)
+
+    async def async_stop(self) -> None:
+        """Release everything; safe to call more than once."""
+        self.close()
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+        if self._holder is not None:
+            self._holder.close()
+
+
+def reset_transport(transport: asyncio.BaseTransport) -> None:
+    """Close a connection with a TCP reset and without sending what is buffered."""
+    # The transports of uvloop are no subclasses of those of asyncio
+    stream = cast(asyncio.WriteTransport, transport)
+    connection = stream.get_extra_info("socket")
+    if connection is not None and not stream.is_closing():
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    stream.abort()
+
+
+def _bind(host: str, port: int) -> socket.socket:
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.setblocking(False)
+    bound.bind((host, port))
+    return bound
--- /dev/null
+++ b/gypsumrouter/standins/load_history.py
@@ -0,0 +1,59 @@
+"""The load of a stand-in over time, for lagging reports and for measures of skew."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Final
+
+from gypsumrouter.util.clock import Clock
+
+SAMPLES_KEPT: Final = 200_000
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class LoadSample:
+    """The load from `now_ms` (monotonic) on."""
+
+    now_ms: int
+    running: int
+    waiting: int
+
+    @property
+    def load(self) -> int:
+        """Return all that runs or waits."""
+        return self.running + self.waiting
+
+
+class LoadHistory:
+    """Each change of the load; the oldest ones are dropped beyond a bound."""
+
+    __slots__ = ("_clock", "max_load", "samples")
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self.max_load = 0
+        self.samples: deque[LoadSample] = deque(maxlen=SAMPLES_KEPT)
+        self.note(running=0, waiting=0)
+
+    def note(self, *, running: int, waiting: int) -> None:
+        """Keep the load if it has changed."""
+        if self.samples and (self.samples[-1].running, self.samples[-1].waiting) == (
+            running,
+            waiting,
+        ):
+            return
+        sample = LoadSample(now_ms=self._clock.now_ms(), running=running, waiting=waiting)
+        self.samples.append(sample)
+        self.max_load = max(self.max_load, sample.load)
+
+    def get_at(self, now_ms: int) -> LoadSample:
+        """Return the load that held at `now_ms`, or the oldest that is kept."""
+        for sample in reversed(self.samples):
+            if sample.now_ms <= now_ms:
+                return sample
+        return self.samples[0]
+
+    def get_lagged(self, lag_ms: int) -> LoadSample:
+        """Return the load that held `lag_ms` ago."""
+        return self.get_at(self._clock.now_ms() - lag_ms)
--- /dev/null
+++ b/gypsumrouter/standins/models.py
@@ -0,0 +1,53 @@
+"""Settings of the stand-in engine."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+from gypsumrouter.fleet.models import Address
+
+MIN_STEP_MS: Final = 4.0
+DEFAULT_MODEL: Final = "gypsum-chat"
+DEFAULT_VERSION: Final = "1"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class EngineSettings:
+    """What one engine can do; times are in milliseconds, sizes in tokens.
+
+    A step takes `step_ms`, and more for each running sequence and each prompt token that it
+    computes, of which there are up to `prefill_chunk_tokens` in a step. `load_ms` is what a load
+    takes without a weight store. `cache_event_loss` is the share of events that are never told.
+    """
+
+    slots: int = 16
+    waiting_max: int = 1_024
+    step_ms: float = MIN_STEP_MS
+    step_ms_per_sequence: float = 0.05
+    prefill_ms_per_token: float = 0.02
+    prefill_chunk_tokens: int = 512
+    cache_tokens: int = 200_000
+    transfer_ms_per_token: float = 0.002
+    default_tokens: int = 32
+    max_tokens: int = 8_192
+    load_lag_ms: int = 500
+    cache_event_lag_ms: int = 500
+    cache_event_loss: float = 0.05
+    stream_keep_ms: int = 5_000
+    streams_kept: int = 1_024
+    abandon_ms: int = 5_000
+    models: tuple[str, ...] = (DEFAULT_MODEL,)
+    role: str = "both"
+    checks_fence: bool = True
+    fence_survives_restart: bool = True
+    gives_weights: bool = True
+    weight_store: Address | None = None
+    load_ms: int = 2_000
+    crash_marker: str = ""
+    restart_ms: int = 1_000
+    seed: int = 0
+
+    def __post_init__(self) -> None:
+        if self.step_ms < MIN_STEP_MS:
+            raise ValueError(f"step_ms must be at least {MIN_STEP_MS}")
--- /dev/null
+++ b/gypsumrouter/standins/weight_store.py
@@ -0,0 +1,79 @@
+"""Stand-in of the weight store: models to load, at a limited rate."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Final
+
+from aiohttp import web
+
+from gypsumrouter.fleet.models import Address
+from gypsumrouter.standins.faults import Gate, Outage, OutageKind
+from gypsumrouter.standins.listener import StandinListener
+from gypsumrouter.standins.rate import TokenBucket
+from gypsumrouter.standins.replies import answer_error, answer_json
+from gypsumrouter.util.clock import Clock
+
+DEFAULT_FETCHES_PER_S: Final = 0.5
+DEFAULT_BURST: Final = 2
+DEFAULT_FETCH_MS: Final = 2_000
+FETCHES_KEPT: Final = 10_000
+
+
+class WeightStore:
+    """Answer `GET /v1/weights/{model}?version=V` after `fetch_ms`, or 429 above the rate.
+
+    `fetched_ms` holds the wall time at which each accepted fetch began.
+    """
+
+    __slots__ = ("_bucket", "_clock", "_fetch_ms", "_listener", "_outage", "fetched_ms", "refused")
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        fetches_per_s: float = DEFAULT_FETCHES_PER_S,
+        burst: int = DEFAULT_BURST,
+        fetch_ms: int = DEFAULT_FETCH_MS,
+    ) -> None:
+        self._clock = clock
+        self._fetch_ms = fetch_ms
+        self._bucket = TokenBucket(clock=clock, rate_per_s=fetches_per_s, burst=burst)
+        self.fetched_ms: deque[int] = deque(maxlen=FETCHES_KEPT)
+        self.refused = 0
+        gate = Gate()
+        app = web.Application(middlewares=[gate.async_hold])
+        self._listener = StandinListener(app=app, host=host, port=port)
+        self._outage = Outage(listener=self._listener, gate=gate, changed=lambda: None)
+        app.router.add_get("/v1/weights/{model}", self._async_get)
+        app.router.add_post("/standin/outage", self._outage.async_post)
+
+    @property
+    def address(self) -> Address:
+        """Return where it listens."""
+        return self._listener.address
+
+    async def async_start(self) -> Address:
+        """Start to listen and return the address."""
+        return await self._listener.async_start()
+
+    async def async_stop(self) -> None:
+        """Release everything."""
+        await self._listener.async_stop()
+
+    async def async_set_outage(self, kind: OutageKind) -> None:
+        """Begin, change or end an outage."""
+        await self._outage.async_set(kind)
+
+    async def _async_get(self, request: web.Request) -> web.Response:
+        if self._outage.kind is OutageKind.ERROR:
+            return answer_error(status=503, code="outage")
+        if not self._bucket.take():
+            self.refused += 1
+            return answer_error(status=429, code="weight_store_rate")
+        self.fetched_ms.append(self._clock.wall_ms())
+        await self._clock.async_sleep(self._fetch_ms)
+        version = request.query.get("version", "")
+        return answer_json({"model": request.match_info["model"], "version": version})
--- /dev/null
+++ b/gypsumrouter/suspect_news.py
@@ -0,0 +1,56 @@
+"""How one process tells others of requests that crash their upstream."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from gypsumrouter.configuration.neighbours import list_routes
+from gypsumrouter.core import Application
+from gypsumrouter.fleet import Fleet, Instance
+from gypsumrouter.link import LinkPool
+from gypsumrouter.link.models import SuspectNews
+from gypsumrouter.suspicion import Suspicion
+
+ListNames = Callable[[], Iterable[str]]
+
+
+class SuspectNewsSpread:
+    """Hand news that was not known before to a few neighbours, who do the same.
+
+    `list_concerned` names the routers whose requests run here: they decide next and are told
+    directly.
+    """
+
+    __slots__ = ("_app", "_fleet", "_links", "_list_concerned")
+
+    def __init__(
+        self,
+        *,
+        app: Application,
+        fleet: Fleet,
+        links: LinkPool,
+        suspicion: Suspicion,
+        list_concerned: ListNames,
+    ) -> None:
+        self._app = app
+        self._fleet = fleet
+        self._links = links
+        self._list_concerned = list_concerned
+        suspicion.on_news(self._spread)
+
+    def _spread(self, news: SuspectNews) -> None:
+        # Read now: the runs that died are still known.
+        concerned = [self._fleet.get(name) for name in set(self._list_concerned())]
+        direct = [(instance,) for instance in concerned if instance is not None]
+        self._app.async_create_task(self._async_spread(news, direct), "suspect news")
+
+    async def _async_spread(self, news: SuspectNews, direct: list[tuple[Instance]]) -> None:
+        routes = list_routes(self._app.name, self._fleet.peers())
+        await asyncio.gather(*(self._async_tell(route, news) for route in (*direct, *routes)))
+
+    async def _async_tell(self, route: tuple[Instance, ...], news: SuspectNews) -> None:
+        """Tell the first instance of a route that can be reached."""
+        for instance in route:
+            if await self._links.async_send(instance=instance, notice=news):
+                return
--- /dev/null
+++ b/gypsumrouter/suspicion/places.py
@@ -0,0 +1,24 @@
+"""Which instances of a pool run suspects."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Final
+
+import xxhash
+
+from gypsumrouter.fleet import Instance
+from gypsumrouter.suspicion.const import INSTANCES_PER_PLACE
+
+_SEPARATOR: Final = "\0"
+
+
+def find_isolation_places(pool: str, instances: Iterable[Instance]) -> tuple[Instance, ...]:
+    """Return the instances that run the suspects of a pool, the same for equal views."""
+    members = sorted(instances, key=lambda instance: _get_rank(pool, instance.name))
+    count = max(1, len(members) // INSTANCES_PER_PLACE)
+    return tuple(members[:count])
+
+
+def _get_rank(pool: str, name: str) -> tuple[int, str]:
+    return (xxhash.xxh3_64_intdigest((pool + _SEPARATOR + name).encode()), name)
--- a/gypsumrouter/upstream/__init__.py
+++ b/gypsumrouter/upstream/__init__.py
@@ -1,1 +1,29 @@
-"""Placeholder docstring, replaced when the aggregate lands."""
+"""HTTP towards the upstream beside a side: an engine or a service."""
+
+from __future__ import annotations
+
+from gypsumrouter.const import UpstreamKind
+from gypsumrouter.core import Application
+from gypsumrouter.settings import Upstream
+from gypsumrouter.upstream.engine import EngineClient
+from gypsumrouter.upstream.models import HandOverDenied, LoadReport, Sink, UpstreamClient
+from gypsumrouter.upstream.service import ServiceClient
+
+__all__ = [
+    "EngineClient",
+    "HandOverDenied",
+    "LoadReport",
+    "ServiceClient",
+    "Sink",
+    "UpstreamClient",
+    "make_client",
+]
+
+
+def make_client(*, app: Application, settings: Upstream) -> UpstreamClient:
+    """Return the client for the kind of upstream that the settings name."""
+    match settings.kind:
+        case UpstreamKind.ENGINE:
+            return EngineClient(app=app, settings=settings)
+        case UpstreamKind.SERVICE:
+            return ServiceClient(app=app, settings=settings)
--- /dev/null
+++ b/gypsumrouter/upstream/client.py
@@ -0,0 +1,224 @@
+"""What the clients of engines and of services have in common."""
+
+from __future__ import annotations
+
+import itertools
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
+from enum import StrEnum
+from typing import Final
+
+import aiohttp
+
+from gypsumrouter.core import Application, Remove
+from gypsumrouter.helpers.metrics import NO_LABELS
+from gypsumrouter.link.models import Open
+from gypsumrouter.outcomes import Failed, Failure, Reason, Refused
+from gypsumrouter.settings import Upstream
+from gypsumrouter.upstream.const import RETRY_AFTER_MS
+from gypsumrouter.upstream.headers import check_request
+from gypsumrouter.upstream.health import Health
+from gypsumrouter.upstream.models import (
+    Cause,
+    ConnectionBroken,
+    HandOverDenied,
+    Interrupted,
+    LoadReport,
+    Sink,
+)
+from gypsumrouter.upstream.run import ProtocolBroken, Run
+from gypsumrouter.upstream.transport import Transport, Unreached
+from gypsumrouter.upstream.watch import Watchdog
+
+DUMP_SECTION: Final = "upstream"
+_INCARNATION_MASK: Final = 0xFFFF_FFFF
+
+Opener = Callable[[Run], Awaitable[aiohttp.ClientResponse]]
+
+
+class Attempt(StrEnum):
+    """How one connection of a run ended."""
+
+    WHOLE = "whole"
+    CANCELLED = "cancelled"
+    BROKEN = "broken"
+    SILENT = "silent"
+    UNREACHED = "unreached"
+    LOST = "lost"
+
+
+class StreamLost(Exception):
+    """The upstream does not know a stream any more."""
+
+
+class BaseClient(ABC):
+    """Run requests at one upstream over HTTP, each on its own connection."""
+
+    __slots__ = (
+        "_app",
+        "_health",
+        "_numbers",
+        "_settings",
+        "_transport",
+        "_watchdog",
+        "broken_runs",
+        "recovered_runs",
+        "silent_runs",
+    )
+
+    def __init__(self, *, app: Application, settings: Upstream) -> None:
+        self._app = app
+        self._settings = settings
+        self._transport = Transport(app=app, settings=settings)
+        self._health = Health(app=app, settings=settings, transport=self._transport)
+        self._watchdog = Watchdog(app=app, silence_ms=settings.silence_ms)
+        self._numbers = itertools.count(1)
+        counter = app.metrics.counter
+        self.silent_runs = counter("upstream_silent_total", "Connections found silent")
+        self.broken_runs = counter("upstream_broken_total", "Connections broken in an answer")
+        self.recovered_runs = counter("upstream_recovered_total", "Answers on a second connection")
+        app.metrics.gauge(
+            "upstream_up", "Whether the upstream answers", lambda: {NO_LABELS: float(self.up)}
+        )
+        app.metrics.gauge(
+            "upstream_deaths",
+            "Deaths of the upstream while it ran requests",
+            lambda: {NO_LABELS: float(self._health.generation)},
+        )
+
+    @property
+    def up(self) -> bool:
+        """Return whether the upstream answers."""
+        return self._health.up
+
+    @property
+    def models(self) -> tuple[str, ...]:
+        """Return the models that an engine holds, sorted; empty for services."""
+        return self._health.models
+
+    @property
+    def report(self) -> LoadReport | None:
+        """Return the newest load that the upstream reported of itself."""
+        return self._health.report
+
+    async def async_start(self) -> None:
+        """Open the session and begin to poll."""
+        self._transport.open_session()
+        self._app.on_stop(self._transport.async_close)
+        self._app.add_dump_section(DUMP_SECTION, self._dump)
+        self._watchdog.start()
+        self._health.start()
+
+    def on_died(self, listener: Callable[[], None]) -> Remove:
+        """Register a listener for the upstream's death while it ran requests."""
+        return self._health.on_died(listener)
+
+    def on_models(self, listener: Callable[[], None]) -> Remove:
+        """Register a listener for changes of the models that an engine holds."""
+        return self._health.on_models(listener)
+
+    def on_up(self, listener: Callable[[bool], None]) -> Remove:
+        """Register a listener for the upstream becoming reachable or unreachable."""
+        return self._health.on_up(listener)
+
+    async def async_run(
+        self,
+        *,
+        request: Open,
+        answer: Sink,
+        priority: int,
+        handed_over: Callable[[], None],
+    ) -> Failure | None:
+        """Run one request; None after a whole answer.
+
+        `handed_over` is called right before the first byte may reach the upstream, and may raise
+        HandOverDenied. A Refused is only returned if nothing was handed over.
+        """
+        refused = check_request(request)
+        if refused is not None:
+            return refused
+        watch, remove = self._watchdog.watch(answer.cancelled)
+        run = Run(
+            request=request,
+            answer=answer,
+            priority=priority,
+            handed_over=handed_over,
+            watch=watch,
+            generation=self._health.generation,
+            stream_id=self._make_stream_id(request),
+        )
+        try:
+            failure = await self._async_drive(run)
+        except HandOverDenied as denied:
+            return denied.failure
+        except ProtocolBroken as error:
+            failure = Failed(reason=Reason.UPSTREAM_PROTOCOL, message=str(error))
+        finally:
+            remove()
+        return _keep_truth(run, failure)
+
+    @abstractmethod
+    async def _async_drive(self, run: Run) -> Failure | None:
+        """Run a request to its end."""
+
+    async def _async_attempt(self, run: Run, opener: Opener) -> Attempt:
+        """Open one connection and pass on what comes until it ends in any way."""
+        try:
+            async with run.watch.guard():
+                response = await opener(run)
+                try:
+                    await run.async_relay(response)
+                finally:
+                    response.close()
+        except Interrupted as interrupted:
+            if interrupted.cause is Cause.CANCELLED:
+                return Attempt.CANCELLED
+            self.silent_runs.inc()
+            return Attempt.SILENT
+        except Unreached:
+            return Attempt.UNREACHED
+        except ConnectionBroken:
+            self.broken_runs.inc()
+            return Attempt.BROKEN
+        except StreamLost:
+            return Attempt.LOST
+        return Attempt.WHOLE
+
+    def _make_stream_id(self, request: Open) -> str:
+        """Return an id that no other run has, also where callers use a request id twice."""
+        incarnation = self._app.incarnation & _INCARNATION_MASK
+        return f"{request.request_id}.{incarnation:08x}.{next(self._numbers):x}"
+
+    def _dump(self) -> dict[str, object]:
+        report = self._health.report
+        return {
+            "kind": self._settings.kind.value,
+            "address": f"{self._settings.host}:{self._settings.port}",
+            "up": self.up,
+            "models": list(self.models),
+            "reported_running": None if report is None else report.running,
+            "reported_waiting": None if report is None else report.waiting,
+            "reported_as_of_ms": None if report is None else report.as_of_ms,
+            "runs": self._watchdog.runs,
+            "deaths": self._health.generation,
+        }
+
+
+def make_unreachable() -> Refused:
+    """Return the outcome of a request for which no connection could be made."""
+    return Refused(
+        reason=Reason.UNREACHABLE,
+        message="the upstream takes no connection",
+        retry_after_ms=RETRY_AFTER_MS,
+        elsewhere=True,
+    )
+
+
+def _keep_truth(run: Run, failure: Failure | None) -> Failure | None:
+    """Return the failure with what the hand-over says of whether the request ran."""
+    match failure:
+        case Refused() if run.handed:
+            return Failed(reason=failure.reason, message=failure.message)
+        case Failed() if not run.handed:
+            return Refused(reason=failure.reason, message=failure.message)
+    return failure
--- /dev/null
+++ b/gypsumrouter/upstream/const.py
@@ -0,0 +1,39 @@
+"""Constants of the HTTP side towards an upstream."""
+
+from __future__ import annotations
+
+from typing import Final
+
+HEADER_PRIORITY: Final = "X-Priority"
+
+PATH_ENGINE_LOAD: Final = "/v1/load"
+PATH_ENGINE_MODELS: Final = "/v1/models"
+PATH_SERVICE_LOAD: Final = "/load"
+PATH_STREAMS: Final = "/v1/streams/"
+
+STREAM_END: Final = b"data: [DONE]"
+STREAM_TAIL_BYTES: Final = 32
+CONTENT_TYPE_EVENTS: Final = "text/event-stream"
+
+HTTP_OK: Final = 200
+HTTP_NO_CONTENT: Final = 204
+HTTP_NOT_MODIFIED: Final = 304
+HTTP_NOT_FOUND: Final = 404
+
+PROBE_MS: Final = 1_000
+CANCEL_MS: Final = 1_000
+RESUME_TRIES: Final = 4
+PROBE_PAUSE_MS: Final = 100
+PROBE_TRIES: Final = 3
+RESUME_PAUSE_MS: Final = 200
+MAX_OPENS: Final = 2
+RETRY_AFTER_MS: Final = 500
+SWEEPS_PER_SILENCE: Final = 8
+FAILED_POLLS_DOWN: Final = 3
+
+KEEPALIVE_IDLE_S: Final = 1
+KEEPALIVE_INTERVAL_S: Final = 1
+KEEPALIVE_PROBES: Final = 2
+
+REOPEN_SHARE: Final = 0.1
+REOPEN_BURST: Final = 5.0
--- /dev/null
+++ b/gypsumrouter/upstream/run.py
@@ -0,0 +1,135 @@
+"""One request at an upstream: what was handed over, passed on and checked."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import aiohttp
+
+from gypsumrouter.link.models import Head, Open
+from gypsumrouter.outcomes import Failed, Reason
+from gypsumrouter.upstream.const import (
+    CONTENT_TYPE_EVENTS,
+    HTTP_NO_CONTENT,
+    HTTP_NOT_MODIFIED,
+    HTTP_OK,
+    STREAM_END,
+    STREAM_TAIL_BYTES,
+)
+from gypsumrouter.upstream.headers import select_answer_headers
+from gypsumrouter.upstream.models import ConnectionBroken, Sink
+from gypsumrouter.upstream.watch import Watch
+
+_CHUNKED = "chunked"
+_METHOD_HEAD = "HEAD"
+
+
+class ProtocolBroken(Exception):
+    """The upstream's answer can't be checked for being whole."""
+
+
+class Run:
+    """The state of one request at an upstream.
+
+    `offset` counts the bytes of the body that were passed on, `opens` the connections on which
+    the request itself was sent, `heads` the heads that came back.
+    """
+
+    __slots__ = (
+        "_handed_over",
+        "_must_end",
+        "_tail",
+        "answer",
+        "generation",
+        "handed",
+        "head_sent",
+        "heads",
+        "offset",
+        "opens",
+        "priority",
+        "request",
+        "stream_id",
+        "watch",
+    )
+
+    def __init__(
+        self,
+        *,
+        request: Open,
+        answer: Sink,
+        priority: int,
+        handed_over: Callable[[], None],
+        watch: Watch,
+        generation: int,
+        stream_id: str,
+    ) -> None:
+        self.request = request
+        self.answer = answer
+        self.priority = priority
+        self.watch = watch
+        self.generation = generation
+        self.stream_id = stream_id
+        self.handed = False
+        self.head_sent = False
+        self.heads = 0
+        self.offset = 0
+        self.opens = 0
+        self._handed_over = handed_over
+        self._must_end = False
+        self._tail = b""
+
+    def hand_over(self) -> None:
+        """Note that the next thing to happen is the request's first byte on the wire."""
+        if self.handed:
+            return
+        self._handed_over()
+        self.handed = True
+
+    async def async_relay(self, response: aiohttp.ClientResponse) -> None:
+        """Pass the answer on to its end; raises ConnectionBroken or ProtocolBroken."""
+        self._take_head(response)
+        watch = self.watch
+        read = response.content.readany
+        while True:
+            watch.reading = True
+            try:
+                chunk = await read()
+            except (aiohttp.ClientError, OSError) as error:
+                raise ConnectionBroken(f"{type(error).__name__}: {error}") from error
+            watch.reading = False
+            watch.moves += 1
+            if not chunk:
+                return
+            self.offset += len(chunk)
+            self._tail = (self._tail + chunk)[-STREAM_TAIL_BYTES:]
+            await self.answer.async_write(chunk)
+
+    def check_whole(self) -> Failed | None:
+        """Return why an answer that ended is not whole, None if it is."""
+        if not self._must_end or self._tail.rstrip().endswith(STREAM_END):
+            return None
+        return Failed(
+            reason=Reason.UPSTREAM_PROTOCOL, message="the stream ended without its last event"
+        )
+
+    def _take_head(self, response: aiohttp.ClientResponse) -> None:
+        self.heads += 1
+        self.watch.moves += 1
+        if self.head_sent:
+            return
+        is_stream = response.content_type == CONTENT_TYPE_EVENTS and response.status == HTTP_OK
+        self._must_end = is_stream and self.request.stream
+        if not self._must_end and not self._is_framed(response):
+            raise ProtocolBroken("the answer has neither a length nor chunks")
+        headers = select_answer_headers(response.headers.items())
+        self.answer.head(Head(status=response.status, headers=headers))
+        self.head_sent = True
+
+    def _is_framed(self, response: aiohttp.ClientResponse) -> bool:
+        if self.request.method == _METHOD_HEAD:
+            return True
+        if response.status in (HTTP_NO_CONTENT, HTTP_NOT_MODIFIED):
+            return True
+        if "Content-Length" in response.headers:
+            return True
+        return _CHUNKED in response.headers.get("Transfer-Encoding", "").lower()
--- /dev/null
+++ b/tests/configuration/configuration_fakes.py
@@ -0,0 +1,255 @@
+"""A small fleet in one loop: links, membership and the platform as fakes, clocks by hand."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import Any, cast
+
+from gypsumrouter.configuration import ConfigurationSpread, ConfigurationStore
+from gypsumrouter.configuration.source import Document, SourceAnswer, Unavailable, Unchanged
+from gypsumrouter.const import Role
+from gypsumrouter.core import Application
+from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.link.models import Hello, Notice
+from gypsumrouter.settings import Platform
+from gypsumrouter.util.clock import ManualClock
+
+TURNS = 40
+STEP_MS = 250
+
+
+def make_document(version: int, *, workspaces: int = 3, **changes: Any) -> dict[str, Any]:
+    """Return a right document; `changes` replace its fields."""
+    document: dict[str, Any] = {
+        "version": version,
+        "workspaces": [
+            {"name": f"school-{n}", "key_digests": [digest_key(f"key-{n}")]}
+            for n in range(workspaces)
+        ],
+        "classes": [{"name": "parents"}, {"name": "reports", "batch": True}],
+        "pools": [
+            {"name": "shared", "kind": "engine", "models": ["sizing"]},
+            {"name": "spare", "kind": "engine", "models": ["sizing", "quotes"]},
+            {"name": "dispatch", "kind": "service"},
+        ],
+        "rules": [],
+        "default_class": "parents",
+    }
+    return {**document, **changes}
+
+
+def encode(document: dict[str, Any]) -> bytes:
+    """Return a document as JSON."""
+    return json.dumps(document).encode()
+
+
+def digest_key(key: str) -> str:
+    """Return the digest of a caller's key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class FakePlatform:
+    """A configuration service that may be down, and of which some processes read old replicas."""
+
+    def __init__(self) -> None:
+        self.documents: dict[int, bytes] = {}
+        self.stale: dict[str, int] = {}
+        self.down = False
+        self.calls = 0
+
+    def publish(self, document: dict[str, Any]) -> None:
+        self.documents[int(document["version"])] = encode(document)
+
+    def answer(self, name: str, after: int) -> SourceAnswer | None:
+        if self.down:
+            return Unavailable(message="down")
+        newest = max(self.documents, default=0)
+        version = min(newest, self.stale.get(name, newest))
+        if name not in self.stale and version <= after:
+            return None
+        if version not in self.documents:
+            return None
+        return Document(body=self.documents[version], version=version)
+
+
+class FakeSource:
+    """One process's way to the platform."""
+
+    def __init__(self, *, platform: FakePlatform, name: str, clock: ManualClock) -> None:
+        self._platform = platform
+        self._name = name
+        self._clock = clock
+
+    async def async_read(self) -> SourceAnswer:
+        self._platform.calls += 1
+        return self._platform.answer(self._name, 0) or Unavailable(message="nothing yet")
+
+    async def async_watch(self, *, after: int, timeout_ms: int) -> SourceAnswer:
+        self._platform.calls += 1
+        until_ms = self._clock.now_ms() + timeout_ms
+        while (answer := self._platform.answer(self._name, after)) is None:
+            if self._clock.now_ms() >= until_ms:
+                return Unchanged()
+            await self._clock.async_sleep(STEP_MS)
+        return answer
+
+
+class FakePeer:
+    """One end of a link; what is sent arrives at the other process in its own turn."""
+
+    def __init__(self, *, fleet: FakeFleet, here: str, there: str) -> None:
+        self._fleet = fleet
+        self._here = here
+        self._there = there
+        self.hello = Hello(name=there, role=Role.ROUTER, incarnation=1)
+
+    def send(self, notice: Notice) -> bool:
+        return self._fleet.deliver(self._here, self._there, notice)
+
+
+class FakeProcess:
+    """One process with all that a spread needs."""
+
+    def __init__(self, *, fleet: FakeFleet, instance: Instance, seed: int) -> None:
+        self.fleet = fleet
+        self.instance = instance
+        self.clock = ManualClock(now_ms=fleet.now_ms)
+        self.paused = False
+        self.inbox: list[tuple[str, Notice]] = []
+        self.versions: list[int] = []
+        self.listeners: dict[type[Any], Callable[[Any, Any], None]] = {}
+        self.app = Application(
+            name=instance.name,
+            role=Role.ROUTER,
+            data_centre=instance.data_centre,
+            region=instance.region,
+            clock=self.clock,
+        )
+        self.store = ConfigurationStore(app=self.app)
+        self.store.on_change(lambda configuration: self.versions.append(configuration.version))
+        self.spread = ConfigurationSpread(
+            app=self.app,
+            settings=Platform(),
+            store=self.store,
+            fleet=cast(Any, self),
+            pool=cast(Any, self),
+            notices=cast(Any, self),
+            source=FakeSource(platform=fleet.platform, name=instance.name, clock=self.clock),
+            rng=random.Random(seed),
+        )
+
+    @property
+    def version(self) -> int:
+        return self.store.current.version
+
+    def peers(self) -> tuple[Instance, ...]:
+        return tuple(i for i in self.fleet.instances if i.name != self.instance.name)
+
+    def list_age_ms(self) -> int | None:
+        return 0
+
+    def on_change(self, listener: Callable[[], None]) -> Callable[[], None]:
+        return lambda: None
+
+    def subscribe(
+        self, kind: type[Any], listener: Callable[[Any, Any], None]
+    ) -> Callable[[], None]:
+        self.listeners[kind] = listener
+        return lambda: None
+
+    async def async_send(self, *, instance: Instance, notice: Notice) -> bool:
+        return self.fleet.deliver(self.instance.name, instance.name, notice)
+
+    def receive(self) -> None:
+        if self.paused:
+            return
+        while self.inbox:
+            sender, notice = self.inbox.pop(0)
+            peer = FakePeer(fleet=self.fleet, here=self.instance.name, there=sender)
+            self.listeners[type(notice)](peer, notice)
+
+
+class FakeFleet:
+    """Processes that reach one another unless they are in different groups."""
+
+    def __init__(self, *, names: tuple[str, ...], data_centres: int = 3) -> None:
+        self.platform = FakePlatform()
+        self.now_ms = 0
+        self.groups: dict[str, int] = {}
+        self.sent: Counter[str] = Counter()
+        self.processes: dict[str, FakeProcess] = {}
+        self.instances = tuple(
+            Instance(
+                name=name,
+                role=Role.ROUTER,
+                address=Address(host="127.0.0.1", port=1),
+                data_centre=f"dc-{number % data_centres}",
+                region="hr-zagreb",
+            )
+            for number, name in enumerate(names)
+        )
+
+    async def async_start(self, name: str, seed: int = 1) -> FakeProcess:
+        """Start a process, in the place of an earlier one of that name if there was one."""
+        await self.async_stop(name)
+        instance = next(i for i in self.instances if i.name == name)
+        process = FakeProcess(fleet=self, instance=instance, seed=seed)
+        self.processes[name] = process
+        await process.spread.async_start()
+        return process
+
+    async def async_start_all(self) -> None:
+        for number, instance in enumerate(self.instances):
+            await self.async_start(instance.name, seed=number)
+
+    async def async_stop(self, name: str) -> None:
+        process = self.processes.pop(name, None)
+        if process is not None:
+            await process.app.async_stop()
+
+    async def async_stop_all(self) -> None:
+        for name in tuple(self.processes):
+            await self.async_stop(name)
+
+    def deliver(self, here: str, there: str, notice: Notice) -> bool:
+        """Hand a notice over; one to a paused process waits in its buffers."""
+        receiver = self.processes.get(there)
+        if receiver is None or self.groups.get(here, 0) != self.groups.get(there, 0):
+            return False
+        if here not in self.processes:
+            return False
+        self.sent[type(notice).__name__] += 1
+        receiver.inbox.append((here, notice))
+        asyncio.get_running_loop().call_soon(receiver.receive)
+        return True
+
+    async def async_advance(self, duration_ms: int) -> None:
+        """Let time pass in small steps, in every process that is not paused."""
+        for _ in range(0, duration_ms, STEP_MS):
+            self.now_ms += STEP_MS
+            for process in self.processes.values():
+                if not process.paused:
+                    process.clock.advance(self.now_ms - process.clock.now_ms())
+            await async_settle()
+
+    async def async_wake(self, name: str) -> None:
+        """End the pause of a process: its clock jumps, and what it was sent arrives."""
+        process = self.processes[name]
+        process.paused = False
+        process.clock.advance(self.now_ms - process.clock.now_ms())
+        asyncio.get_running_loop().call_soon(process.receive)
+        await async_settle()
+
+    def list_versions(self) -> set[int]:
+        return {process.version for process in self.processes.values()}
+
+
+async def async_settle() -> None:
+    """Let everything run that can run without time passing."""
+    for _ in range(TURNS):
+        await asyncio.sleep(0)
--- /dev/null
+++ b/tests/exchange/exchange_fakes.py
@@ -0,0 +1,235 @@
+"""An upstream driven by hand, a fake answer and requests for the tests of the exchange."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+from gypsumrouter.admission import Admission
+from gypsumrouter.const import Role, UpstreamKind
+from gypsumrouter.core import Application, Remove
+from gypsumrouter.exchange import ExchangeRunner
+from gypsumrouter.fleet.models import Address, Instance, InstanceList
+from gypsumrouter.link.models import Head, Hello, Open
+from gypsumrouter.outcomes import Failed, Failure, Reason, Refused
+from gypsumrouter.upstream import HandOverDenied, LoadReport, Sink
+from gypsumrouter.util.clock import ManualClock
+
+POOL = "records"
+MODEL = "chat-large"
+WORKSPACE = "utility"
+SIDE = "side-1"
+ADDRESS = Address(host="127.0.0.1", port=7000)
+HELLO = Hello(name="router-1", role=Role.ROUTER, incarnation=7)
+LEASE_MS = 15_000
+REQUEST = Open(
+    sequence=1,
+    request_id="request-1",
+    kind=UpstreamKind.SERVICE,
+    pool=POOL,
+    workspace=WORKSPACE,
+    caller_class="inspectors",
+    method="POST",
+    path="/defects",
+    headers=(),
+    body=b"{}",
+    stream=False,
+    deadline_ms=30_000,
+    waited_ms=0,
+    digest=11,
+)
+
+
+class FakeAnswer:
+    """Collect an answer and insist on the order of its parts, as the link does."""
+
+    def __init__(self) -> None:
+        self.cancelled = asyncio.Event()
+        self.heads: list[Head] = []
+        self.body = b""
+        self.ended = False
+        self.failure: Failure | None = None
+
+    def head(self, head: Head) -> None:
+        assert not self.heads
+        assert not self._is_over()
+        self.heads.append(head)
+
+    async def async_write(self, body: bytes) -> None:
+        if self.cancelled.is_set():
+            return
+        assert self.heads
+        assert not self._is_over()
+        self.body += body
+
+    def end(self) -> None:
+        assert self.heads
+        assert not self._is_over()
+        self.ended = True
+
+    def fail(self, failure: Failure) -> None:
+        assert not self._is_over()
+        assert not (isinstance(failure, Refused) and self.heads)
+        self.failure = failure
+
+    def _is_over(self) -> bool:
+        return self.ended or self.failure is not None
+
+
+class FakeRun:
+    """One run at the upstream, driven by a test."""
+
+    def __init__(
+        self, *, request: Open, answer: Sink, priority: int, handed_over: Callable[[], None]
+    ) -> None:
+        self.request = request
+        self.answer = answer
+        self.priority = priority
+        self.handed = False
+        self.outcome: asyncio.Future[Failure | None] = asyncio.get_running_loop().create_future()
+        self._handed_over = handed_over
+
+    def hand_over(self) -> None:
+        """Send the request, unless that is denied: then the run is over."""
+        try:
+            self._handed_over()
+        except HandOverDenied as denied:
+            self.outcome.set_result(denied.failure)
+            return
+        self.handed = True
+
+    async def async_answer(self, body: bytes, *, status: int = 200) -> None:
+        self.answer.head(Head(status=status, headers=(("Content-Type", "application/json"),)))
+        if body:
+            await self.answer.async_write(body)
+
+    def finish(self, failure: Failure | None = None) -> None:
+        self.outcome.set_result(failure)
+
+
+class FakeUpstream:
+    """An upstream whose runs wait for a test; cancelled ones end at once."""
+
+    def __init__(self, *, models: tuple[str, ...] = ()) -> None:
+        self.up = True
+        self.models = models
+        self.report: LoadReport | None = None
+        self.cancelled: list[str] = []
+        self.started = 0
+        self._runs: asyncio.Queue[FakeRun] = asyncio.Queue()
+        self._died: list[Callable[[], None]] = []
+
+    async def async_start(self) -> None:
+        """Do nothing."""
+
+    async def async_next(self) -> FakeRun:
+        async with asyncio.timeout(10):
+            return await self._runs.get()
+
+    async def async_run(
+        self, *, request: Open, answer: Sink, priority: int, handed_over: Callable[[], None]
+    ) -> Failure | None:
+        self.started += 1
+        run = FakeRun(request=request, answer=answer, priority=priority, handed_over=handed_over)
+        self._runs.put_nowait(run)
+        cancelled = asyncio.ensure_future(answer.cancelled.wait())
+        ends: set[asyncio.Future[Any]] = {run.outcome, cancelled}
+        await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+        cancelled.cancel()
+        if run.outcome.done():
+            return run.outcome.result()
+        self.cancelled.append(request.request_id)
+        if run.handed:
+            return Failed(reason=Reason.CANCELLED)
+        return Refused(reason=Reason.CANCELLED)
+
+    def die(self) -> None:
+        for listener in self._died:
+            listener()
+
+    def on_died(self, listener: Callable[[], None]) -> Remove:
+        self._died.append(listener)
+        return lambda: self._died.remove(listener)
+
+    def on_up(self, listener: Callable[[bool], None]) -> Remove:
+        return lambda: None
+
+    def on_models(self, listener: Callable[[], None]) -> Remove:
+        return lambda: None
+
+
+class FakeLists:
+    """The published lists, as the fleet tells of them."""
+
+    def __init__(self) -> None:
+        self._on_list: list[Callable[[InstanceList], None]] = []
+        self._on_fresh: list[Callable[[int], None]] = []
+
+    def on_list(self, listener: Callable[[InstanceList], None]) -> Remove:
+        self._on_list.append(listener)
+        return lambda: self._on_list.remove(listener)
+
+    def on_fresh(self, listener: Callable[[int], None]) -> Remove:
+        self._on_fresh.append(listener)
+        return lambda: self._on_fresh.remove(listener)
+
+    def publish(self, as_of_ms: int) -> None:
+        instance = Instance(
+            name=SIDE,
+            role=Role.SIDE,
+            address=ADDRESS,
+            data_centre="dc-1",
+            region="region-1",
+            pool=POOL,
+        )
+        published = InstanceList(revision=1, as_of_ms=as_of_ms, instances=(instance,))
+        for listener in self._on_list:
+            listener(published)
+
+    def refresh(self, as_of_ms: int) -> None:
+        for listener in self._on_fresh:
+            listener(as_of_ms)
+
+
+@dataclass(kw_only=True)
+class Side:
+    """A runner with real aggregates around it, and what a test drives it by."""
+
+    app: Application
+    clock: ManualClock
+    runner: ExchangeRunner
+    upstream: FakeUpstream
+    admission: Admission
+    lists: FakeLists
+    keys: int = 0
+
+    def handle(self, request: Open) -> tuple[FakeAnswer, asyncio.Task[None]]:
+        """Begin a request; the task ends with its answer."""
+        answer = FakeAnswer()
+        task = self.app.async_create_task(
+            self.runner.async_handle(HELLO, request, answer),  # type: ignore[arg-type]
+            request.request_id,
+        )
+        return answer, task
+
+    async def async_handle(self, request: Open) -> FakeAnswer:
+        """Run a request to its end."""
+        answer, task = self.handle(request)
+        async with asyncio.timeout(10):
+            await task
+        return answer
+
+    def make_keyed(self, request: Open = REQUEST) -> Open:
+        """Return a call that must not be repeated, with a new key of this moment."""
+        self.keys += 1
+        value = (self.clock.wall_ms() << 80) | (7 << 76) | (2 << 62) | self.keys
+        return replace(request, idempotency_key=str(uuid.UUID(int=value)))
+
+
+async def async_settle() -> None:
+    """Let every task go on until it waits for something that a test decides."""
+    for _ in range(20):
+        await asyncio.sleep(0)
--- /dev/null
+++ b/tests/gateway/test_gateway_with_links.py
@@ -0,0 +1,74 @@
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+from gateway_fakes import ENGINES, RECORDS, Router
+
+from gypsumrouter.const import Role
+from gypsumrouter.core import Application
+from gypsumrouter.link import Answer, Hello, LinkPool, LinkServer, NoticeHub
+from gypsumrouter.link.models import Head, Open
+from gypsumrouter.outcomes import Reason, Refused
+from gypsumrouter.settings import Link
+
+KEY = b"a key of the links for tests"
+CALLERS = 40
+
+
+async def async_echo(hello: Hello, request: Open, answer: Answer) -> None:
+    """Give the request back in pieces, out of step with all other answers."""
+    answer.head(Head(status=200, headers=(("Content-Type", "text/plain"),)))
+    for at in range(0, len(request.body), 1_000):
+        await answer.async_write(request.body[at : at + 1_000])
+        await asyncio.sleep(0)
+    answer.end()
+
+
+async def async_refuse(hello: Hello, request: Open, answer: Answer) -> None:
+    answer.fail(Refused(reason=Reason.OVER_CAP, retry_after_ms=700, elsewhere=True))
+
+
+async def async_add_side(router: Router, name: str, *, refuses: bool) -> Application:
+    app = Application(name=name, role=Role.SIDE, data_centre="dc-1", region="here")
+    server = LinkServer(
+        app=app,
+        settings=Link(),
+        key=KEY,
+        notices=NoticeHub(app=app),
+        handler=async_refuse if refuses else async_echo,
+        answer_memory_bytes=1024 * 1024,
+    )
+    address = await server.async_start()
+    router.fleet.instances = [
+        replace(instance, address=address) if instance.name == name else instance
+        for instance in router.fleet.instances
+    ]
+    return app
+
+
+async def test_each_of_many_callers_gets_its_own_whole_answer_over_real_links(
+    router: Router,
+) -> None:
+    app = Application(name="pool", role=Role.ROUTER, data_centre="dc-1", region="here")
+    pool = LinkPool(app=app, settings=Link(), key=KEY, notices=NoticeHub(app=app))
+    router.use_links(pool)
+    sides = [
+        await async_add_side(router, RECORDS[0], refuses=True),
+        await async_add_side(router, RECORDS[1], refuses=False),
+        await async_add_side(router, ENGINES[0], refuses=True),
+    ]
+    bodies = [f"{number} ".encode() * 3_000 for number in range(CALLERS)]
+
+    async def async_call(body: bytes) -> bytes:
+        async with router.async_request("/services/records/echo", data=body) as answer:
+            assert answer.status == 200
+            return bytes(await answer.read())
+
+    answers = await asyncio.gather(*(async_call(body) for body in bodies))
+    assert answers == bodies
+    answer, told = await router.async_chat()
+    # The other engines do not listen at all.
+    assert (answer.status, told["error"]["code"]) == (503, "over_cap")
+    for side in (app, *sides):
+        await side.async_stop()
--- /dev/null
+++ b/tests/idempotency/conftest.py
@@ -0,0 +1,19 @@
+"""Fixtures of the calls that must not be repeated."""
+
+from __future__ import annotations
+
+import pytest
+from idempotency_world import Side, make_instance
+
+from gypsumrouter.fleet import Address
+
+
+@pytest.fixture
+def side() -> Side:
+    """Return a side that has been the only home for longer than every bound."""
+    side = Side(name="a", address=Address(host="10.0.0.1", port=7000))
+    own = make_instance(side.name, side.address)
+    side.read(1, own)
+    side.clock.advance(10 * 60_000)
+    side.read(1, own)
+    return side
