--- /dev/null
+++ b/tests/link/test_link_exchange.py
@@ -0,0 +1,296 @@
+"""Whole exchanges, refusals, failures and flow control over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+from link_harness import (
+    HEAD,
+    KEY,
+    MEMORY_BYTES,
+    REQUEST,
+    SETTINGS,
+    async_answer_hello,
+    async_read_answer,
+    linked,
+    make_app,
+)
+
+from gypsumrouter.const import Role
+from gypsumrouter.exceptions import InvariantBroken
+from gypsumrouter.link import (
+    Answer,
+    ConfigurationNews,
+    End,
+    Exchange,
+    Head,
+    Hello,
+    LinkPool,
+    LinkServer,
+    NoticeHub,
+    Open,
+    Peer,
+    PoolLoad,
+    Status,
+)
+from gypsumrouter.outcomes import Failed, Reason, Refused
+
+STATUS = Status(load=1, running=1, weight=1.0, leaving=False, ready=True, models=("m",))
+
+
+async def test_a_request_arrives_unchanged_and_its_answer_is_whole() -> None:
+    seen: list[tuple[Hello, Open]] = []
+
+    async def handle(hello: Hello, request: Open, answer: Answer) -> None:
+        seen.append((hello, request))
+        await async_answer_hello(hello, request, answer)
+
+    sent = replace(
+        REQUEST,
+        body=b"world",
+        idempotency_key="k",
+        pool_load=PoolLoad(mean=2.5, known=2, members=3, age_ms=40),
+    )
+    async with linked(handle) as pair:
+        exchange = await pair.async_exchange(sent)
+        assert await exchange.async_next() == HEAD
+        body, end = await async_read_answer(exchange)
+        assert (body, isinstance(end, End)) == (b"hello world", True)
+        hello, request = seen[0]
+        assert request == exchange.request == replace(sent, sequence=request.sequence)
+        assert hello == Hello(
+            name="router-1", role=Role.ROUTER, incarnation=pair.pool_app.incarnation
+        )
+
+
+async def test_many_exchanges_share_one_link_and_are_never_crossed() -> None:
+    async with linked() as pair:
+        requests = [replace(REQUEST, body=b"%d" % number * 100) for number in range(50)]
+        exchanges = await asyncio.gather(*map(pair.async_exchange, requests))
+        answers = await asyncio.gather(*map(async_read_answer, exchanges))
+        assert [body for body, _ in answers] == [b"hello " + r.body for r in requests]
+        assert pair.relay.accepted == 1
+
+
+async def test_a_refusal_reaches_the_router_with_all_its_fields() -> None:
+    refused = Refused(
+        reason=Reason.OVER_CAP, message="over the cap", retry_after_ms=500, elsewhere=True
+    )
+
+    async def handle(_hello: Hello, _request: Open, answer: Answer) -> None:
+        answer.fail(refused)
+
+    async with linked(handle) as pair:
+        assert await (await pair.async_exchange()).async_next() == refused
+
+
+async def test_a_process_without_upstream_refuses_requests() -> None:
+    async with linked(None) as pair:
+        event = await (await pair.async_exchange()).async_next()
+        assert isinstance(event, Refused)
+
+
+async def test_a_handler_that_raises_or_forgets_the_end_leaves_the_outcome_unknown() -> None:
+    async def handle(_hello: Hello, request: Open, answer: Answer) -> None:
+        answer.head(HEAD)
+        if request.request_id == "raises":
+            raise ValueError("broken upstream")
+
+    async with linked(handle) as pair:
+        for request_id in ("raises", "forgets"):
+            exchange = await pair.async_exchange(replace(REQUEST, request_id=request_id))
+            assert isinstance(await exchange.async_next(), Head)
+            event = await exchange.async_next()
+            assert isinstance(event, Failed)
+            assert event.reason is Reason.UPSTREAM_PROTOCOL
+
+
+async def test_a_broken_invariant_in_a_handler_stops_the_process() -> None:
+    async def handle(_hello: Hello, _request: Open, _answer: Answer) -> None:
+        raise InvariantBroken("contradiction")
+
+    async with linked(handle) as pair:
+        await pair.async_exchange()
+        await pair.server_app.stopping.wait()
+        assert isinstance(pair.server_app.fatal, InvariantBroken)
+
+
+async def test_cancelling_stops_the_work_and_ends_the_exchange() -> None:
+    stopped = asyncio.Event()
+
+    async def handle(_hello: Hello, _request: Open, answer: Answer) -> None:
+        answer.head(HEAD)
+        await answer.cancelled.wait()
+        await answer.async_write(b"too late")
+        stopped.set()
+
+    async with linked(handle) as pair:
+        exchange = await pair.async_exchange()
+        await exchange.async_next()
+        exchange.cancel()
+        event = await exchange.async_next()
+        assert isinstance(event, Failed)
+        assert event.reason is Reason.CANCELLED
+        await stopped.wait()
+
+
+async def test_a_wrong_key_is_refused_as_never_sent() -> None:
+    async with linked(pool_key=b"another key, not the fleet's") as pair:
+        result = await pair.pool.async_open(instance=pair.instance, request=REQUEST)
+        assert isinstance(result, Refused)
+        assert (result.reason, result.elsewhere) == (Reason.UNREACHABLE, True)
+
+
+async def test_another_instance_at_the_address_is_refused_as_never_sent() -> None:
+    async with linked() as pair:
+        other = replace(pair.instance, name="side-2")
+        assert isinstance(await pair.pool.async_open(instance=other, request=REQUEST), Refused)
+
+
+async def test_an_unreachable_instance_is_refused_and_told_to_listeners() -> None:
+    contacts: list[tuple[str, bool]] = []
+    async with linked() as pair:
+        pair.pool.on_contact(lambda name, reachable: contacts.append((name, reachable)))
+        pair.relay.refusing = True
+        result = await pair.pool.async_open(instance=pair.instance, request=REQUEST)
+        assert isinstance(result, Refused)
+        assert contacts == [("side-1", False)]
+
+
+async def test_a_caller_that_reads_slowly_stops_the_side_at_the_window() -> None:
+    settings = replace(SETTINGS, window_bytes=32_768)
+    written = 0
+
+    async def handle(_hello: Hello, request: Open, answer: Answer) -> None:
+        nonlocal written
+        answer.head(HEAD)
+        parts = 100 if request.request_id == "slow" else 1
+        for _ in range(parts):
+            await answer.async_write(b"x" * 4_096)
+            if request.request_id == "slow":
+                written += 4_096
+        answer.end()
+
+    async with linked(handle, settings=settings) as pair:
+        slow = await pair.async_exchange(replace(REQUEST, request_id="slow"))
+        assert await slow.async_next() == HEAD
+        await pair.relay.async_wait_passed(settings.window_bytes)
+        quick, end = await async_read_answer(await pair.async_exchange())
+        assert (len(quick), isinstance(end, End)) == (4_096, True)
+        assert written <= settings.window_bytes
+        body, end = await async_read_answer(slow)
+        assert (len(body), isinstance(end, End)) == (409_600, True)
+
+
+async def test_answer_memory_is_bounded_over_all_exchanges_and_shared_fairly() -> None:
+    memory_bytes = 64 * 1024
+    peak = 0
+
+    async def handle(_hello: Hello, _request: Open, answer: Answer) -> None:
+        nonlocal peak
+        answer.head(HEAD)
+        for _ in range(20):
+            await answer.async_write(b"x" * 4_096)
+            peak = max(peak, pair.read_answer_memory())
+        answer.end()
+
+    async with linked(handle, memory_bytes=memory_bytes) as pair:
+        slow = [await pair.async_exchange() for _ in range(4)]
+        for exchange in slow:
+            await exchange.async_next()
+        quick, end = await async_read_answer(await pair.async_exchange())
+        assert (len(quick), isinstance(end, End)) == (81_920, True)
+        assert 0 < peak <= memory_bytes
+        for exchange in slow:
+            body, end = await async_read_answer(exchange)
+            assert (len(body), isinstance(end, End)) == (81_920, True)
+
+
+async def test_statuses_and_notices_travel_both_ways() -> None:
+    arrived: asyncio.Queue[object] = asyncio.Queue()
+    async with linked() as pair:
+        pair.server.publish_status(STATUS)
+        pair.pool.on_status(lambda hello, status: arrived.put_nowait((hello.name, status)))
+
+        def answer_news(peer: Peer, news: ConfigurationNews) -> None:
+            peer.send(replace(news, version=news.version + 1))
+
+        pair.server_hub.subscribe(ConfigurationNews, answer_news)
+        pair.pool_hub.subscribe(ConfigurationNews, lambda _peer, news: arrived.put_nowait(news))
+        news = ConfigurationNews(version=7, digest=(1 << 64) - 1)
+        assert await pair.pool.async_send(instance=pair.instance, notice=news)
+        assert await arrived.get() == ("side-1", STATUS)
+        assert await arrived.get() == replace(news, version=8)
+        leaving = replace(STATUS, leaving=True)
+        pair.server.publish_status(leaving)
+        assert await arrived.get() == ("side-1", leaving)
+        view = pair.pool.status("side-1")
+        assert view is not None
+        assert (view.status, view.incarnation) == (leaving, pair.server_app.incarnation)
+
+
+async def test_an_idle_link_is_closed_and_opened_again_on_demand() -> None:
+    async with linked(settings=replace(SETTINGS, idle_close_ms=50)) as pair:
+        await async_read_answer(await pair.async_exchange())
+        await pair.relay.async_wait_closed(1)
+        body, _ = await async_read_answer(await pair.async_exchange())
+        assert (body, pair.relay.accepted) == (b"hello {}", 2)
+
+
+async def test_stopping_the_router_fails_what_is_outstanding() -> None:
+    async def handle(_hello: Hello, _request: Open, answer: Answer) -> None:
+        await answer.cancelled.wait()
+
+    async with linked(handle) as pair:
+        exchange = await pair.async_exchange()
+        await pair.pool_app.async_stop()
+        event = await exchange.async_next()
+        assert isinstance(event, Failed)
+        assert event.reason is Reason.STOPPED
+
+
+async def test_a_planned_stop_of_the_side_waits_until_answers_are_taken() -> None:
+    begun, go_on = asyncio.Event(), asyncio.Event()
+
+    async def handle(hello: Hello, request: Open, answer: Answer) -> None:
+        begun.set()
+        await go_on.wait()
+        await async_answer_hello(hello, request, answer)
+
+    async with linked(handle) as pair:
+        exchange = await pair.async_exchange()
+        await begun.wait()
+        drained = asyncio.create_task(pair.server_app.async_drain())
+        go_on.set()
+        await drained
+        assert isinstance((await async_read_answer(exchange))[1], End)
+
+
+async def test_bytes_are_counted_by_kind_and_shown_in_metrics_and_dump() -> None:
+    async with linked() as pair:
+        await async_read_answer(await pair.async_exchange())
+        dump = pair.pool_app.dump()["link"]
+        assert isinstance(dump, dict)
+        assert dump["open"] == 1
+        assert dump["bytes"]["data"]["received"] == 16 + 8 + len(b"hello {}")
+        assert dump["control_bytes"]["sent"] > 0
+
+
+async def test_a_pool_and_a_server_of_one_process_share_their_hub() -> None:
+    async with linked() as pair:
+        pool = LinkPool(app=pair.server_app, settings=SETTINGS, key=KEY, notices=pair.server_hub)
+        app = make_app("side-9", Role.SIDE)
+        pair.extra.append(app)
+        hub = NoticeHub(app=app)
+        server = LinkServer(
+            app=app,
+            settings=SETTINGS,
+            key=KEY,
+            notices=hub,
+            handler=None,
+            answer_memory_bytes=MEMORY_BYTES,
+        )
+        instance = replace(pair.instance, name="side-9", address=await server.async_start())
+        result = await pool.async_open(instance=instance, request=REQUEST)
+        assert isinstance(result, Exchange)
--- /dev/null
+++ b/tests/placement/test_placement_order.py
@@ -0,0 +1,184 @@
+"""The order of instances for returning and new chats."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from placement_fakes import MODEL, World, list_names, make_instance, make_query
+
+from gypsumrouter.placement import PlacementKind
+
+CHATS = [f"chat-{number}" for number in range(2_000)]
+
+
+def first_names(world: World) -> dict[str, str]:
+    router = world.make_router()
+    return {chat: router.order(make_query(chat))[0].name for chat in CHATS}
+
+
+def test_a_leaving_instance_moves_only_its_own_chats(world: World) -> None:
+    before = first_names(world)
+    gone = world.fleet.instances[4]
+    world.fleet.instances = world.fleet.instances[:4] + world.fleet.instances[5:]
+
+    after = first_names(world)
+
+    moved = {chat for chat in CHATS if before[chat] != after[chat]}
+    assert moved == {chat for chat in CHATS if before[chat] == gone.name}
+
+
+def test_a_joining_instance_takes_its_part_and_moves_nothing_else(world: World) -> None:
+    before = first_names(world)
+    new = make_instance(9)
+    world.fleet.instances = (*world.fleet.instances, new)
+
+    after = first_names(world)
+
+    moved = [chat for chat in CHATS if before[chat] != after[chat]]
+    assert {after[chat] for chat in moved} == {new.name}
+    assert 0.07 < len(moved) / len(CHATS) < 0.13
+
+
+def test_an_instance_of_double_weight_gets_double_the_chats(world: World) -> None:
+    world.fleet.instances = tuple(
+        make_instance(number, weight=2.0 if number == 0 else 1.0) for number in range(3)
+    )
+    names = list(first_names(world).values())
+    assert 0.46 < names.count("engine-000") / len(names) < 0.54
+
+
+def test_every_router_has_the_same_order_wherever_it_stands(world: World) -> None:
+    near = world.make_router(data_centre="dc-1")
+    far = world.make_router(name="router-2", data_centre="dc-3")
+    for chat in CHATS[:100]:
+        assert near.order(make_query(chat)) == far.order(make_query(chat))
+
+
+def test_a_hint_goes_first_and_the_rest_keeps_its_order(world: World) -> None:
+    router = world.make_router()
+    plain = router.order(make_query("chat-1"))
+    hint = router.make_hint(plain[3])
+
+    hinted = router.order(make_query("chat-1", hint=hint))
+
+    assert hinted[0] == plain[3]
+    assert hinted[1] == plain[0]
+
+
+def test_a_hint_to_an_instance_that_is_gone_is_ignored(world: World) -> None:
+    router = world.make_router()
+    hint = router.make_hint(make_instance(77))
+    assert router.order(make_query("chat-1", hint=hint)) == router.order(make_query("chat-1"))
+
+
+@settings(derandomize=True, deadline=None)
+@given(hint=st.one_of(st.text(max_size=40), st.from_regex(r"[A-Za-z0-9_-]{15}", fullmatch=True)))
+def test_a_made_up_hint_changes_nothing(hint: str) -> None:
+    from placement_fakes import FakeFleet, FakeLinks
+
+    from gypsumrouter.util.clock import ManualClock
+
+    members = tuple(make_instance(number) for number in range(5))
+    world = World(fleet=FakeFleet(members), links=FakeLinks(), clock=ManualClock())
+    router = world.make_router()
+    assert router.order(make_query("chat-1", hint=hint)) == router.order(make_query("chat-1"))
+
+
+def test_instances_that_lack_the_model_are_skipped_and_unknown_ones_are_tried(
+    world: World,
+) -> None:
+    for number in range(4):
+        world.links.report(f"engine-{number:03}", models=("other",))
+    world.links.report("engine-004", models=(MODEL, "other"))
+    order = list_names(world.make_router().order(make_query("chat-1", model=MODEL)))
+    assert set(order) == {f"engine-{number:03}" for number in range(4, 9)}
+
+
+def test_a_model_that_nobody_holds_gets_no_instance(world: World) -> None:
+    for instance in world.fleet.instances:
+        world.links.report(instance.name, models=("other",))
+    assert world.make_router().order(make_query("chat-1", model=MODEL)) == ()
+
+
+def test_an_instance_that_is_not_ready_comes_last(world: World) -> None:
+    router = world.make_router()
+    first = router.order(make_query("chat-1"))[0]
+    world.links.report(first.name, ready=False)
+    assert router.order(make_query("chat-1"))[0] != first
+    hinted = router.order(make_query("chat-1", hint=router.make_hint(first)))
+    assert hinted[0] != first
+
+
+def test_a_new_chat_avoids_an_instance_over_the_cap_and_a_returning_one_tries_it_first(
+    world: World,
+) -> None:
+    router = world.make_router()
+    own = router.order(make_query("chat-1"))
+    for instance in world.fleet.instances:
+        world.links.report(instance.name, load=20 if instance == own[0] else 8)
+    world.clock.advance(100)
+
+    assert router.order(make_query("chat-1", returning=True))[0] == own[0]
+    assert router.order(make_query("chat-1", returning=False))[0] in own[1:3]
+
+
+def test_old_statuses_move_nothing(world: World) -> None:
+    router = world.make_router()
+    own = router.order(make_query("chat-1"))
+    for instance in world.fleet.instances:
+        load = 50 if instance == own[0] else 1
+        world.links.report(instance.name, load=load, age_ms=5_000)
+    world.clock.advance(100)
+    assert router.order(make_query("chat-1", returning=False)) == own
+
+
+def test_from_the_third_place_on_the_emptiest_comes_first(world: World) -> None:
+    router = world.make_router()
+    for load, instance in enumerate(world.fleet.instances):
+        world.links.report(instance.name, load=20 - load)
+    world.clock.advance(100)
+    tail = [world.links.views[item.name].status.load for item in router.order(make_query("chat-1"))]
+    assert tail[2:] == sorted(tail[2:])
+
+
+def test_requests_without_a_chat_spread_over_all_members(world: World) -> None:
+    router = world.make_router()
+    firsts = {router.order(make_query(""))[0].name for _ in range(200)}
+    assert len(firsts) == len(world.fleet.instances)
+
+
+def test_another_region_is_tried_last(world: World) -> None:
+    away = make_instance(0, region="region-2")
+    world.fleet.instances = (away, *world.fleet.instances[1:4])
+    router = world.make_router()
+    assert all(router.order(make_query(chat))[-1] == away for chat in CHATS[:50])
+
+
+def test_pool_load_is_the_mean_of_fresh_statuses_only(world: World) -> None:
+    router = world.make_router()
+    world.links.report("engine-000", load=10, age_ms=100)
+    world.links.report("engine-001", load=20, age_ms=300)
+    world.links.report("engine-002", load=99, age_ms=2_500)
+    load = router.pool_load(make_query("").pool)
+    assert load is not None
+    assert (load.mean, load.known, load.members, load.age_ms) == (15.0, 2, 9, 200)
+
+
+@pytest.mark.parametrize("kind", [kind for kind in PlacementKind if kind != "rendezvous"])
+def test_each_baseline_orders_every_request_and_skips_what_lacks_the_model(
+    world: World, kind: PlacementKind
+) -> None:
+    world.links.report("engine-000", models=("other",))
+    router = world.make_router(kind=kind)
+    for chat in CHATS[:50]:
+        names = list_names(router.order(make_query(chat, model=MODEL)))
+        assert len(names) == len(set(names)) == 8
+        assert "engine-000" not in names
+
+
+def test_sticky_memory_returns_to_where_a_chat_was_served(world: World) -> None:
+    router = world.make_router(kind=PlacementKind.STICKY)
+    query = make_query("chat-1")
+    router.note_served(query, world.fleet.instances[5])
+    assert router.order(query)[0] == world.fleet.instances[5]
--- /dev/null
+++ b/tests/standins/driven_clock.py
@@ -0,0 +1,29 @@
+"""Help for tests that move a clock by hand while real connections are open."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from gypsumrouter.util.clock import ManualClock
+
+T = TypeVar("T")
+HANG_S = 20.0
+
+
+async def async_drive(clock: ManualClock, work: Awaitable[T], *, step_ms: int = 1) -> T:
+    """Move the clock on until the work is done."""
+    task = asyncio.ensure_future(work)
+    async with asyncio.timeout(HANG_S):
+        while not task.done():
+            clock.advance(step_ms)
+            await asyncio.sleep(0)
+    return await task
+
+
+async def async_until(condition: Callable[[], bool]) -> None:
+    """Let the loop run until a condition holds; the clock stands still."""
+    async with asyncio.timeout(HANG_S):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0)
--- /dev/null
+++ b/tests/standins/test_standins_fault_proxy.py
@@ -0,0 +1,295 @@
+"""The fault proxy: each fault alone, and what ends it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+from driven_clock import HANG_S, async_drive, async_until
+
+from gypsumrouter.fleet.models import Address
+from gypsumrouter.standins import FaultProxy, Partition, Way
+from gypsumrouter.standins.pipes import HELD_BYTES_MAX
+from gypsumrouter.util.clock import ManualClock
+
+QUIET_ROUNDS = 200
+
+
+class EchoTarget:
+    """A server that sends back what it gets."""
+
+    def __init__(self) -> None:
+        self.received = bytearray()
+        self.accepted = 0
+        self.ended = 0
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def async_start(self) -> Address:
+        self.server = await asyncio.start_server(self._async_serve, "127.0.0.1", 0)
+        return Address(host="127.0.0.1", port=self.server.sockets[0].getsockname()[1])
+
+    async def async_stop(self) -> None:
+        self.server.close()
+        for writer in self.writers:
+            writer.close()
+
+    async def _async_serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.accepted += 1
+        self.writers.append(writer)
+        try:
+            while data := await reader.read(65_536):
+                self.received += data
+                writer.write(data)
+        except ConnectionError:
+            pass
+        self.ended += 1
+        writer.close()
+
+
+class Caller:
+    """One connection through the proxy."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    async def async_echo(self, data: bytes) -> bytes:
+        self.writer.write(data)
+        async with asyncio.timeout(HANG_S):
+            return await self.reader.readexactly(len(data))
+
+    async def async_is_quiet(self) -> bool:
+        """Return whether nothing comes, not even an end."""
+        read = asyncio.ensure_future(self.reader.read(1))
+        for _ in range(QUIET_ROUNDS):
+            await asyncio.sleep(0)
+        quiet = not read.done()
+        read.cancel()
+        await asyncio.gather(read, return_exceptions=True)
+        return quiet
+
+
+class Bench:
+    """A target, a proxy before it, and callers."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self.clock = clock
+        self.target = EchoTarget()
+        self.callers: list[Caller] = []
+
+    async def async_start(self) -> None:
+        self.proxy = FaultProxy(target=await self.target.async_start(), clock=self.clock)
+        await self.proxy.async_start()
+
+    async def async_stop(self) -> None:
+        for caller in self.callers:
+            caller.writer.close()
+        await self.proxy.async_stop()
+        await self.target.async_stop()
+
+    async def async_connect(self) -> Caller:
+        address = self.proxy.address
+        caller = Caller(*await asyncio.open_connection(address.host, address.port))
+        self.callers.append(caller)
+        return caller
+
+    async def async_connect_through(self) -> Caller:
+        caller = await self.async_connect()
+        assert await caller.async_echo(b"hello") == b"hello"
+        return caller
+
+
+@pytest.fixture
+async def bench(clock: ManualClock) -> AsyncIterator[Bench]:
+    made = Bench(clock)
+    await made.async_start()
+    yield made
+    await made.async_stop()
+
+
+async def test_without_faults_all_bytes_pass_both_ways(bench: Bench) -> None:
+    caller = await bench.async_connect_through()
+    data = bytes(range(256)) * 4_096
+    assert await caller.async_echo(data) == data
+    assert bench.proxy.get_passed_bytes(Way.BACK) == len(data) + 5
+
+
+async def test_the_end_of_one_half_passes_and_the_other_half_goes_on(bench: Bench) -> None:
+    caller = await bench.async_connect()
+    caller.writer.write(b"last words")
+    caller.writer.write_eof()
+    async with asyncio.timeout(HANG_S):
+        assert await caller.reader.read() == b"last words"
+    await async_until(lambda: bench.proxy.connections == 0)
+
+
+async def test_a_closed_target_closes_the_caller_too(bench: Bench) -> None:
+    caller = await bench.async_connect_through()
+    bench.target.writers[0].close()
+    async with asyncio.timeout(HANG_S):
+        assert await caller.reader.read() == b""
+
+
+async def test_a_delay_holds_each_way_back_by_its_time(bench: Bench) -> None:
+    caller = await bench.async_connect_through()
+    bench.proxy.set_delay(30, ways={Way.FORWARD})
+    bench.proxy.set_delay(20, ways={Way.BACK})
+    caller.writer.write(b"x")
+    began_ms = bench.clock.now_ms()
+    assert await caller.async_is_quiet()
+    assert await async_drive(bench.clock, caller.reader.readexactly(1)) == b"x"
+    assert bench.clock.now_ms() - began_ms >= 50
+
+
+async def test_delayed_parts_keep_their_order_and_are_not_delayed_by_one_another(
+    bench: Bench,
+) -> None:
+    caller = await bench.async_connect_through()
+    bench.proxy.set_delay(100, ways={Way.FORWARD})
+    began_ms = bench.clock.now_ms()
+    for part in (b"a", b"b", b"c"):
+        caller.writer.write(part)
+        assert await caller.async_is_quiet()
+        bench.clock.advance(10)
+    bench.clock.advance(100)
+    async with asyncio.timeout(HANG_S):
+        assert await caller.reader.readexactly(3) == b"abc"
+    assert bench.clock.now_ms() - began_ms == 130
+
+
+async def test_bandwidth_is_shared_by_all_connections(bench: Bench) -> None:
+    callers = [await bench.async_connect_through() for _ in range(2)]
+    bench.proxy.set_bandwidth(100_000, ways={Way.FORWARD})
+    began_ms = bench.clock.now_ms()
+    echoes = [caller.async_echo(b"x" * 50_000) for caller in callers]
+    await async_drive(bench.clock, asyncio.gather(*echoes))
+    assert bench.clock.now_ms() - began_ms >= 999
+
+
+async def test_a_cut_resets_open_connections_and_new_ones_work(bench: Bench) -> None:
+    caller = await bench.async_connect_through()
+    assert bench.proxy.cut() == 1
+    with pytest.raises(ConnectionResetError):
+        await caller.reader.read(1)
+    await async_until(lambda: bench.target.ended == 1)
+    await bench.async_connect_through()
+
+
+async def test_a_refusing_proxy_keeps_open_connections_and_its_port(bench: Bench) -> None:
+    caller = await bench.async_connect_through()
+    address = bench.proxy.address
+    bench.proxy.refuse()
+    with pytest.raises(ConnectionRefusedError):
+        await bench.async_connect()
+    assert await caller.async_echo(b"still here") == b"still here"
+    await bench.proxy.async_heal()
+    await bench.async_connect_through()
+    assert bench.proxy.address == address
+
+
+async def test_a_target_that_refuses_resets_the_caller(bench: Bench) -> None:
+    await bench.target.async_stop()
+    caller = await bench.async_connect()
+    with pytest.raises(ConnectionResetError):
+        await caller.reader.read(1)
+
+
+async def test_a_silent_connection_passes_nothing_for_good_while_new_ones_work(
+    bench: Bench,
+) -> None:
+    caller = await bench.async_connect_through()
+    bench.proxy.silence()
+    caller.writer.write(b"lost")
+    assert await caller.async_is_quiet()
+    await bench.async_connect_through()
+    await bench.proxy.async_heal()
+    caller.writer.write(b"lost too")
+    assert await caller.async_is_quiet()
+    assert bytes(bench.target.received) == b"hello" * 2
+
+
+async def test_neither_end_of_a_silent_connection_learns_that_the_other_has_gone(
+    bench: Bench,
+) -> None:
+    caller = await bench.async_connect_through()
+    other = await bench.async_connect_through()
+    bench.proxy.silence()
+    caller.writer.close()
+    assert await other.async_is_quiet()
+    assert bench.target.ended == 0
+    bench.target.writers[1].close()
+    assert await other.async_is_quiet()
+
+
+async def test_silence_of_one_way_leaves_the_other_way(bench: Bench) -> None:
+    caller = await bench.async_connect_through()
+    bench.proxy.silence(ways={Way.BACK})
+    caller.writer.write(b"one way")
+    await async_until(lambda: bytes(bench.target.received) == b"helloone way")
+    assert await caller.async_is_quiet()
+
+
+async def test_silence_of_new_connections_ends_when_the_proxy_is_healed(bench: Bench) -> None:
+    bench.proxy.silence(new=True)
+    caller = await bench.async_connect()
+    caller.writer.write(b"lost")
+    assert await caller.async_is_quiet()
+    await bench.proxy.async_heal()
+    await bench.async_connect_through()
+    assert bytes(bench.target.received) == b"hello"
+
+
+async def test_a_block_holds_open_and_new_connections_and_then_lets_all_through(
+    bench: Bench,
+) -> None:
+    opened = await bench.async_connect_through()
+    bench.proxy.block()
+    new = await bench.async_connect()
+    for caller in (opened, new):
+        caller.writer.write(b"held")
+        assert await caller.async_is_quiet()
+    assert bench.target.accepted == 1
+    bench.proxy.unblock()
+    async with asyncio.timeout(HANG_S):
+        for caller in (opened, new):
+            assert await caller.reader.readexactly(4) == b"held"
+
+
+async def test_a_blocked_proxy_holds_a_bounded_number_of_bytes(bench: Bench) -> None:
+    caller = await bench.async_connect_through()
+    bench.proxy.block(ways={Way.FORWARD})
+    flood = b"x" * (HELD_BYTES_MAX * 128)
+    caller.writer.write(flood)
+    for _ in range(QUIET_ROUNDS):
+        await asyncio.sleep(0)
+    buffered = caller.writer.transport.get_write_buffer_size()
+    assert buffered > len(flood) // 4
+    bench.proxy.unblock()
+    async with asyncio.timeout(HANG_S):
+        assert await caller.reader.readexactly(len(flood)) == flood
+
+
+async def test_a_partition_blocks_between_two_groups_and_nowhere_else(
+    clock: ManualClock,
+) -> None:
+    partition = Partition()
+    benches = {name: Bench(clock) for name in ("a-b", "b-a", "a-c")}
+    for name, bench in benches.items():
+        await bench.async_start()
+        source, _, target = name.partition("-")
+        partition.add(source=source, target=target, proxy=bench.proxy)
+    callers = {name: await bench.async_connect_through() for name, bench in benches.items()}
+    partition.block(["a"], ["b"])
+    assert await callers["a-c"].async_echo(b"open") == b"open"
+    for name in ("a-b", "b-a"):
+        callers[name].writer.write(b"shut")
+        assert await callers[name].async_is_quiet()
+    await partition.async_heal()
+    async with asyncio.timeout(HANG_S):
+        for name in ("a-b", "b-a"):
+            assert await callers[name].reader.readexactly(4) == b"shut"
+    for bench in benches.values():
+        await bench.async_stop()
--- /dev/null
+++ b/tests/standins/test_standins_instance_list.py
@@ -0,0 +1,197 @@
+"""The instance list: revisions, the time of a state, lag, stale replicas, long polls."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+import pytest
+from driven_clock import async_drive, async_until
+
+from gypsumrouter.const import InstanceState, Role
+from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.standins import InstanceListService, OutageKind
+from gypsumrouter.util.clock import ManualClock
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Told:
+    """What one call was answered."""
+
+    status: int
+    revision: int | None = None
+    as_of_ms: int | None = None
+    names: tuple[str, ...] = ()
+
+
+def make_instance(name: str) -> Instance:
+    return Instance(
+        name=name,
+        role=Role.SIDE,
+        address=Address(host="127.0.0.1", port=4_000),
+        data_centre="gt-central-a",
+        region="gt-central",
+        pool="dispatch",
+    )
+
+
+@pytest.fixture
+async def service(clock: ManualClock) -> AsyncIterator[InstanceListService]:
+    made = InstanceListService(clock=clock)
+    await made.async_start()
+    yield made
+    await made.async_stop()
+
+
+class Reader:
+    """Reads one list."""
+
+    def __init__(self, session: aiohttp.ClientSession, service: InstanceListService) -> None:
+        self.session = session
+        self.origin = f"http://{service.address}"
+
+    async def async_read(self) -> Told:
+        return await self._async_get({})
+
+    def poll(self, after: int, timeout_ms: int = 1_000) -> asyncio.Future[Told]:
+        query = {"after": str(after), "timeout_ms": str(timeout_ms)}
+        return asyncio.ensure_future(self._async_get(query))
+
+    async def _async_get(self, query: dict[str, str]) -> Told:
+        async with self.session.get(f"{self.origin}/v1/instances", params=query) as response:
+            if response.status == 204:
+                return Told(status=204, as_of_ms=int(response.headers["X-As-Of-Ms"]))
+            if response.status != 200:
+                return Told(status=response.status)
+            body: dict[str, Any] = await response.json()
+        names = tuple(instance["name"] for instance in body["instances"])
+        return Told(status=200, revision=body["revision"], as_of_ms=body["as_of_ms"], names=names)
+
+
+@pytest.fixture
+def reader(session: aiohttp.ClientSession, service: InstanceListService) -> Reader:
+    return Reader(session, service)
+
+
+async def test_each_change_raises_the_revision_by_one_and_no_change_does_not(
+    service: InstanceListService,
+) -> None:
+    service.set(make_instance("a"), make_instance("b"))
+    service.set(make_instance("a"))
+    service.leave("a")
+    service.leave("unknown")
+    service.remove("b")
+    assert service.revision == 3
+    left = service.get("a")
+    assert left is not None
+    assert left.state is InstanceState.LEAVING
+
+
+async def test_the_newest_state_is_told_as_of_now(
+    reader: Reader, service: InstanceListService, clock: ManualClock
+) -> None:
+    service.set(make_instance("b"))
+    service.set(make_instance("a"))
+    clock.advance(700)
+    told = await reader.async_read()
+    assert told == Told(status=200, revision=2, as_of_ms=clock.wall_ms(), names=("a", "b"))
+
+
+async def test_a_poll_gives_every_state_in_turn_with_the_last_time_it_held(
+    reader: Reader, service: InstanceListService, clock: ManualClock
+) -> None:
+    for name in "abc":
+        service.set(make_instance(name))
+        clock.advance(100)
+    first, second = await reader.poll(1), await reader.poll(2)
+    assert (first.revision, first.names) == (2, ("a", "b"))
+    assert first.as_of_ms == clock.wall_ms() - 101
+    assert (second.revision, second.as_of_ms) == (3, clock.wall_ms())
+
+
+async def test_a_poll_wakes_with_the_next_change(
+    reader: Reader, service: InstanceListService
+) -> None:
+    service.set(make_instance("a"))
+    poll = reader.poll(1)
+    await async_until(lambda: service.waiting == 1)
+    service.remove("a")
+    assert (await poll).names == ()
+
+
+async def test_a_poll_without_a_change_ends_with_the_time_up_to_which_there_was_none(
+    reader: Reader, service: InstanceListService, clock: ManualClock
+) -> None:
+    service.set(make_instance("a"))
+    began_ms = clock.wall_ms()
+    told = await async_drive(clock, reader.poll(1, timeout_ms=500))
+    assert told.status == 204
+    assert told.as_of_ms is not None
+    assert began_ms + 500 <= told.as_of_ms <= clock.wall_ms()
+
+
+async def test_a_lagging_list_tells_the_past_and_says_so(
+    reader: Reader, service: InstanceListService, clock: ManualClock
+) -> None:
+    service.set(make_instance("a"))
+    clock.advance(2_000)
+    service.set_lag(1_500)
+    service.set(make_instance("b"))
+    told = await reader.async_read()
+    assert (told.names, told.as_of_ms) == (("a",), clock.wall_ms() - 1_500)
+    changed_ms = clock.wall_ms()
+    told = await async_drive(clock, reader.poll(1, timeout_ms=60_000))
+    assert told.names == ("a", "b")
+    assert clock.wall_ms() >= changed_ms + 1_500
+    assert told.as_of_ms is not None
+    assert changed_ms <= told.as_of_ms <= clock.wall_ms() - 1_500
+
+
+async def test_a_stale_replica_stays_at_its_time(
+    reader: Reader, service: InstanceListService, clock: ManualClock
+) -> None:
+    service.set(make_instance("a"))
+    stale_ms = clock.wall_ms()
+    service.serve_stale(stale_ms)
+    clock.advance(5_000)
+    service.remove("a")
+    assert await reader.async_read() == Told(
+        status=200, revision=1, as_of_ms=stale_ms, names=("a",)
+    )
+    told = await async_drive(clock, reader.poll(1, timeout_ms=100))
+    assert (told.status, told.as_of_ms) == (204, stale_ms)
+    service.serve_stale(None)
+    assert (await reader.async_read()).revision == 2
+
+
+async def test_outages_answer_errors_or_refuse(
+    reader: Reader, service: InstanceListService
+) -> None:
+    poll = reader.poll(0)
+    await async_until(lambda: service.waiting == 1)
+    await service.async_set_outage(OutageKind.ERROR)
+    assert (await poll).status == 503
+    await service.async_set_outage(OutageKind.REFUSE)
+    with pytest.raises(aiohttp.ClientConnectorError):
+        await reader.async_read()
+    await service.async_set_outage(OutageKind.NONE)
+    assert (await reader.async_read()).revision == 0
+
+
+async def test_the_list_is_driven_over_http_too(
+    reader: Reader, session: aiohttp.ClientSession, service: InstanceListService
+) -> None:
+    url = f"{reader.origin}/standin/instances/a"
+    payload = {"role": "side", "host": "127.0.0.1", "port": 1, "data_centre": "d", "region": "r"}
+    async with session.put(url, json=payload) as response:
+        assert response.status == 200
+    async with session.put(url, json={"role": "other"}) as response:
+        assert response.status == 400
+    async with session.post(f"{url}/leave") as response:
+        assert await response.json() == {"revision": 2}
+    async with session.delete(url) as response:
+        assert await response.json() == {"revision": 3}
+    assert service.get("a") is None
--- /dev/null
+++ b/tests/standins/test_standins_orders.py
@@ -0,0 +1,168 @@
+"""Orders to the engine: loads, fencing, and a weight store that is limited or away."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+from driven_clock import async_drive, async_until
+
+from gypsumrouter.standins import Engine, EngineSettings, OutageKind, WeightStore
+from gypsumrouter.standins.orders import (
+    Order,
+    OrderBook,
+    OrderKind,
+    OrderState,
+    format_record,
+    parse_order,
+)
+from gypsumrouter.util.clock import ManualClock
+
+
+def make_load(model: str = "m", *, version: str = "1", fence: int = 1, source: str = "") -> Order:
+    return Order(kind=OrderKind.LOAD, model=model, version=version, fence=fence, source=source)
+
+
+def make_book(clock: ManualClock, **settings: object) -> OrderBook:
+    return OrderBook(clock=clock, settings=EngineSettings(**settings))  # type: ignore[arg-type]
+
+
+@pytest.fixture
+async def store(clock: ManualClock) -> AsyncIterator[WeightStore]:
+    made = WeightStore(clock=clock, fetches_per_s=0.5, burst=2, fetch_ms=2_000)
+    await made.async_start()
+    yield made
+    await made.async_stop()
+
+
+async def test_an_old_fencing_number_is_refused_by_an_engine_that_checks(
+    clock: ManualClock,
+) -> None:
+    book = make_book(clock)
+    role = Order(kind=OrderKind.SET_ROLE, role="prefill", fence=7)
+    assert book.take(role).state is OrderState.APPLIED
+    late = book.take(Order(kind=OrderKind.SET_ROLE, role="decode", fence=6))
+    assert (late.state, late.highest_fence) == (OrderState.REFUSED, 7)
+    assert book.role == "prefill"
+    assert book.take(role).state is OrderState.APPLIED
+
+
+async def test_an_old_fencing_number_is_followed_by_an_engine_that_ignores_it(
+    clock: ManualClock,
+) -> None:
+    book = make_book(clock, checks_fence=False)
+    book.take(Order(kind=OrderKind.SET_ROLE, role="prefill", fence=7))
+    late = book.take(Order(kind=OrderKind.SET_ROLE, role="decode", fence=6))
+    assert (late.state, late.highest_fence) == (OrderState.APPLIED, 7)
+    assert book.role == "decode"
+
+
+@pytest.mark.parametrize("survives", [True, False])
+async def test_the_fencing_number_outlives_a_restart_where_it_is_set_so(
+    clock: ManualClock, survives: bool
+) -> None:
+    book = make_book(clock, fence_survives_restart=survives)
+    book.take(Order(kind=OrderKind.SET_ROLE, role="prefill", fence=7))
+    book.restart()
+    assert (book.highest_fence == 7) is survives
+
+
+async def test_a_load_takes_its_time_and_replaces_the_version_at_its_end(
+    clock: ManualClock,
+) -> None:
+    book = make_book(clock, models=("m",), load_ms=2_000)
+    record = book.take(make_load(version="2"))
+    assert record.state is OrderState.PENDING
+    assert book.holds("m", "1")
+    await async_drive(clock, async_until(lambda: record.state is OrderState.APPLIED))
+    assert book.models == {"m": "2"}
+    assert clock.now_ms() >= 2_000
+    assert book.take(make_load(version="2")).state is OrderState.APPLIED
+
+
+async def test_a_new_wish_cancels_the_load_before_it(clock: ManualClock) -> None:
+    book = make_book(clock, models=())
+    first = book.take(make_load(version="1"))
+    second = book.take(make_load(version="2"))
+    assert first.state is OrderState.CANCELLED
+    await async_drive(clock, async_until(lambda: second.state is OrderState.APPLIED))
+    assert book.models == {"m": "2"}
+
+
+async def test_an_engine_that_restarts_forgets_the_load_and_what_was_loaded(
+    clock: ManualClock,
+) -> None:
+    book = make_book(clock, models=("base",))
+    loaded = book.take(make_load("extra"))
+    await async_drive(clock, async_until(lambda: loaded.state is OrderState.APPLIED))
+    pending = book.take(make_load("more"))
+    book.restart()
+    assert pending.state is OrderState.CANCELLED
+    assert book.models == {"base": "1"}
+
+
+async def test_the_weight_store_refuses_above_its_rate(
+    clock: ManualClock, store: WeightStore
+) -> None:
+    book = make_book(clock, models=(), weight_store=store.address)
+    records = [book.take(make_load(f"m{index}")) for index in range(3)]
+    await async_until(lambda: records[2].state is not OrderState.PENDING)
+    assert (records[2].state, records[2].reason) == (OrderState.FAILED, "fetch_status_429")
+    await async_drive(
+        clock, async_until(lambda: all(r.state is not OrderState.PENDING for r in records))
+    )
+    assert sorted(book.models) == ["m0", "m1"]
+    assert (len(store.fetched_ms), store.refused) == (2, 1)
+
+
+@pytest.mark.parametrize(
+    ("kind", "reason"),
+    [
+        (OutageKind.ERROR, "fetch_status_503"),
+        (OutageKind.REFUSE, "fetch_failed: ClientConnectorError"),
+    ],
+)
+async def test_a_load_fails_with_its_reason_while_the_store_is_away(
+    clock: ManualClock, store: WeightStore, kind: OutageKind, reason: str
+) -> None:
+    await store.async_set_outage(kind)
+    book = make_book(clock, models=(), weight_store=store.address)
+    record = book.take(make_load())
+    await async_until(lambda: record.state is not OrderState.PENDING)
+    assert (record.state, record.reason) == (OrderState.FAILED, reason)
+
+
+async def test_a_load_waits_for_a_store_that_hangs_and_can_be_cancelled(
+    clock: ManualClock, store: WeightStore
+) -> None:
+    await store.async_set_outage(OutageKind.HANG)
+    book = make_book(clock, models=(), weight_store=store.address)
+    record = book.take(make_load())
+    for _ in range(50):
+        await asyncio.sleep(0)
+    assert format_record(record)["state"] == "pending"
+    assert book.cancel("m")
+    assert record.state is OrderState.CANCELLED
+
+
+async def test_weights_come_from_a_neighbour_that_holds_them(
+    clock: ManualClock, store: WeightStore
+) -> None:
+    neighbour = Engine(clock=clock, settings=EngineSettings(models=("m",)))
+    address = await neighbour.async_start()
+    book = make_book(clock, models=(), weight_store=store.address)
+    loaded = book.take(make_load("m", source=str(address)))
+    missing = book.take(make_load("other", source=str(address)))
+    await async_drive(
+        clock, async_until(lambda: OrderState.PENDING not in (loaded.state, missing.state))
+    )
+    assert (loaded.state, missing.state) == (OrderState.APPLIED, OrderState.FAILED)
+    assert not store.fetched_ms
+    await neighbour.async_stop()
+
+
+def test_orders_that_name_nothing_are_not_read() -> None:
+    assert parse_order({"order": "load"}) is None
+    assert parse_order({"order": "dance", "model": "m"}) is None
+    assert parse_order({"order": "set_role", "model": "m"}) is None
--- /dev/null
+++ b/tests/upstream/test_upstream_engine.py
@@ -0,0 +1,286 @@
+"""Requests at an engine under faults."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import replace
+
+import pytest
+from upstream_fakes import Caller, FakeAnswer, Serve, async_until, make_chat
+
+from gypsumrouter.const import UpstreamKind
+from gypsumrouter.outcomes import Failed, Reason, Refused
+from gypsumrouter.standins import Engine, FaultProxy
+from gypsumrouter.upstream import HandOverDenied
+
+DONE = b"data: [DONE]\n\n"
+
+
+def count_tokens(body: bytes) -> int:
+    events = [line[6:] for line in body.split(b"\n\n") if line.startswith(b"data: {")]
+    return sum(
+        bool(choice["delta"].get("content"))
+        for event in events
+        for choice in json.loads(event)["choices"]
+    )
+
+
+def list_contents(body: bytes) -> str:
+    events = [line[6:] for line in body.split(b"\n\n") if line.startswith(b"data: {")]
+    return "".join(
+        choice["delta"].get("content") or ""
+        for event in events
+        for choice in json.loads(event)["choices"]
+    )
+
+
+async def async_get_contents(engine_caller: Caller) -> str:
+    """Return what the engine answers when nothing fails."""
+    undisturbed = Caller(client=engine_caller.client)
+    assert await undisturbed.async_run(make_chat()) is None
+    return list_contents(undisturbed.answer.body)
+
+
+async def test_streamed_answer_is_passed_on_whole(engine_caller: Caller, engine: Engine) -> None:
+    outcome = await engine_caller.async_run(make_chat(tokens=12))
+
+    assert outcome is None
+    assert engine_caller.handed_over == 1
+    assert [head.status for head in engine_caller.answer.heads] == [200]
+    assert engine_caller.answer.body.endswith(DONE)
+    assert count_tokens(engine_caller.answer.body) == 12
+    assert engine_caller.client.models == ("gypsum-chat",)
+
+
+async def test_whole_answer_keeps_its_head_without_hop_by_hop_headers(
+    engine_caller: Caller,
+) -> None:
+    outcome = await engine_caller.async_run(make_chat(stream=False))
+
+    assert outcome is None
+    names = {name.lower() for name, _ in engine_caller.answer.heads[0].headers}
+    assert "content-type" in names
+    assert not names & {"connection", "transfer-encoding", "keep-alive"}
+    assert json.loads(engine_caller.answer.body)["usage"]["completion_tokens"] == 40
+
+
+async def test_refused_connection_is_refused_as_not_run(
+    engine_caller: Caller, engine_proxy: FaultProxy
+) -> None:
+    engine_proxy.refuse()
+
+    outcome = await engine_caller.async_run(make_chat())
+
+    assert isinstance(outcome, Refused)
+    assert outcome.reason is Reason.UNREACHABLE
+    assert outcome.elsewhere
+    assert outcome.retry_after_ms is not None
+    assert engine_caller.handed_over == 0
+
+
+async def test_denied_hand_over_sends_nothing(engine_caller: Caller, engine: Engine) -> None:
+    denial = Refused(reason=Reason.HOME_UNCONFIRMED)
+
+    def deny() -> None:
+        raise HandOverDenied(denial)
+
+    outcome = await engine_caller.client.async_run(
+        request=make_chat(), answer=FakeAnswer(), priority=0, handed_over=deny
+    )
+
+    assert outcome is denial
+    assert engine.requests == 0
+
+
+@pytest.mark.parametrize("stream", [True, False])
+async def test_connection_cut_in_the_answer_is_resumed_exactly(
+    engine_caller: Caller, engine_proxy: FaultProxy, engine: Engine, stream: bool
+) -> None:
+    expected = await async_get_contents(engine_caller)
+    run = asyncio.ensure_future(engine_caller.async_run(make_chat(stream=stream)))
+    await async_until(lambda: engine.requests == 2)
+    if stream:
+        await engine_caller.answer.async_wait_body(400)
+    engine_proxy.cut()
+
+    assert await run is None
+    assert len(engine_caller.answer.heads) == 1
+    assert engine.requests == 2
+    if stream:
+        assert list_contents(engine_caller.answer.body) == expected
+        assert engine_caller.answer.body.count(DONE) == 1
+    else:
+        message = json.loads(engine_caller.answer.body)["choices"][0]["message"]
+        assert message["content"] == expected
+
+
+async def test_connection_that_falls_silent_in_the_answer_is_resumed_exactly(
+    engine_caller: Caller, engine_proxy: FaultProxy, engine: Engine
+) -> None:
+    expected = await async_get_contents(engine_caller)
+    run = asyncio.ensure_future(engine_caller.async_run(make_chat()))
+    await engine_caller.answer.async_wait_body(400)
+    engine_proxy.silence()
+
+    assert await run is None
+    assert list_contents(engine_caller.answer.body) == expected
+    assert engine.requests == 2
+
+
+async def test_connection_that_falls_silent_before_the_head_is_taken_over(
+    engine_caller: Caller, engine_proxy: FaultProxy, engine: Engine
+) -> None:
+    expected = await async_get_contents(engine_caller)
+    engine.batch.pause()
+    run = asyncio.ensure_future(engine_caller.async_run(make_chat()))
+    await async_until(lambda: engine.requests == 2)
+    engine_proxy.silence()
+    engine.batch.resume()
+
+    assert await run is None
+    assert list_contents(engine_caller.answer.body) == expected
+    assert engine.requests == 2
+
+
+async def test_request_that_never_arrived_is_sent_again_on_another_connection(
+    engine_caller: Caller, engine_proxy: FaultProxy, engine: Engine
+) -> None:
+    outcome = await engine_caller.client.async_run(
+        request=make_chat(),
+        answer=engine_caller.answer,
+        priority=0,
+        handed_over=engine_proxy.silence,
+    )
+
+    assert outcome is None
+    assert engine.requests == 1
+    assert count_tokens(engine_caller.answer.body) == 40
+
+
+async def test_silent_engine_ends_as_unknown(engine_caller: Caller, engine: Engine) -> None:
+    run = asyncio.ensure_future(engine_caller.async_run(make_chat(tokens=500)))
+    await engine_caller.answer.async_wait_body()
+    engine.freeze()
+
+    outcome = await run
+
+    assert isinstance(outcome, Failed)
+    assert outcome.reason is Reason.UPSTREAM_SILENT
+
+
+async def test_crash_in_the_answer_is_told_once_and_ends_as_unknown(
+    engine_caller: Caller, engine: Engine
+) -> None:
+    deaths: list[bool] = []
+    engine_caller.client.on_died(lambda: deaths.append(engine_caller.client.up))
+    other = Caller(client=engine_caller.client)
+    runs = asyncio.gather(
+        engine_caller.async_run(make_chat(tokens=500)),
+        other.async_run(make_chat(tokens=500, request_id="chat-2")),
+    )
+    await engine_caller.answer.async_wait_body()
+    await other.answer.async_wait_body()
+    engine.crash()
+
+    outcomes = await runs
+
+    assert [type(outcome) for outcome in outcomes] == [Failed, Failed]
+    assert deaths == [False]
+
+
+async def test_engine_that_forgot_the_answer_ends_as_unknown(
+    engine_caller: Caller, engine: Engine, engine_proxy: FaultProxy
+) -> None:
+    run = asyncio.ensure_future(engine_caller.async_run(make_chat(tokens=500)))
+    await engine_caller.answer.async_wait_body()
+    engine.streams.clear()
+    engine_proxy.cut()
+
+    outcome = await run
+
+    assert isinstance(outcome, Failed)
+    assert outcome.reason is Reason.UPSTREAM_LOST
+
+
+async def test_stream_without_its_last_event_is_not_whole(serve: Serve) -> None:
+    events = b'data: {"choices": []}\n\n'
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: "
+    caller = await serve(head + b"%d\r\n\r\n" % len(events) + events, UpstreamKind.ENGINE)
+
+    outcome = await caller.async_run(make_chat())
+
+    assert isinstance(outcome, Failed)
+    assert outcome.reason is Reason.UPSTREAM_PROTOCOL
+
+
+async def test_error_of_the_engine_is_passed_on(engine_caller: Caller) -> None:
+    outcome = await engine_caller.async_run(replace(make_chat(), body=b"{}"))
+
+    assert outcome is None
+    assert engine_caller.answer.heads[0].status == 400
+
+
+async def test_cancel_reaches_the_engine(engine_caller: Caller, engine: Engine) -> None:
+    run = asyncio.ensure_future(engine_caller.async_run(make_chat(tokens=5000)))
+    await engine_caller.answer.async_wait_body()
+    engine_caller.answer.cancelled.set()
+
+    outcome = await run
+
+    assert isinstance(outcome, Failed)
+    assert outcome.reason is Reason.CANCELLED
+    await async_until(lambda: engine.cancelled == 1 and engine.load == 0)
+
+
+async def test_cancelled_task_reaches_the_engine(engine_caller: Caller, engine: Engine) -> None:
+    run = asyncio.ensure_future(engine_caller.async_run(make_chat(tokens=5000)))
+    await engine_caller.answer.async_wait_body()
+    run.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await run
+
+    await async_until(lambda: engine.cancelled == 1)
+
+
+async def test_same_request_id_of_two_callers_does_not_cross_answers(
+    engine_caller: Caller, engine: Engine, engine_proxy: FaultProxy
+) -> None:
+    other = Caller(client=engine_caller.client)
+    chat = make_chat()
+    other_body = chat.body.replace(b"sweater", b"invoice")
+    runs = asyncio.gather(
+        engine_caller.async_run(chat), other.async_run(replace(chat, body=other_body))
+    )
+    await engine_caller.answer.async_wait_body(400)
+    await other.answer.async_wait_body(400)
+    engine_proxy.cut()
+
+    assert [outcome for outcome in await runs if outcome is not None] == []
+    assert count_tokens(engine_caller.answer.body) == 40
+    assert count_tokens(other.answer.body) == 40
+    assert len(engine.executions) == 2
+    assert list_contents(engine_caller.answer.body) != list_contents(other.answer.body)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("path", "@other:80/"),
+        ("path", "/a b"),
+        ("path", "/a\r\nX-Evil: 1"),
+        ("method", "GET /"),
+        ("headers", (("X-A", "1\r\nX-Evil: 1"),)),
+        ("headers", (("X A", "1"),)),
+        ("request_id", "a\nb"),
+    ],
+)
+async def test_request_that_is_no_http_is_refused_as_not_run(
+    engine_caller: Caller, engine: Engine, field: str, value: object
+) -> None:
+    outcome = await engine_caller.async_run(replace(make_chat(), **{field: value}))  # type: ignore[arg-type]
+
+    assert isinstance(outcome, Refused)
+    assert outcome.reason is Reason.BAD_REQUEST
+    assert engine_caller.handed_over == 0
+    assert engine.requests == 0
