--- a/bench/load.py
+++ b/bench/load.py
@@ -75,6 +75,7 @@
     code: str
     executed: Executed
     retry_after_ms: int = MIN_PAUSE_MS
+    request_id: str = ""
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -290,9 +291,13 @@
             await self.async_call()
             await self.clock.async_sleep(round(think_ms * self.random.uniform(0.5, 1.5)))
 
+    def make_key(self) -> str:
+        """Return the key of the next call, which carries the time of now."""
+        return make_uuid7(wall_ms=self.clock.wall_ms(), randomness=self.random)
+
     async def async_call(self) -> bool:
         """Make one call and repeat it, with the same key, until it is answered."""
-        key = make_uuid7(wall_ms=self.clock.wall_ms(), randomness=self.random)
+        key = self.make_key()
         self.keys.append(key)
         body = json.dumps({"call": key, "quantity": self.random.randrange(1, 50)}).encode()
         answer = await self.async_try_until_answered(lambda: self._async_try(key, body))
@@ -342,6 +347,7 @@
             code=str(error["code"]),
             executed=Executed(error["executed"]),
             retry_after_ms=int(error.get("retry_after_ms") or MIN_PAUSE_MS),
+            request_id=str(error.get("request_id") or ""),
         )
     except (ValueError, KeyError, TypeError):
         return NoAnswer(code=f"status_{status}", executed=Executed.UNKNOWN)
--- a/gypsumrouter/standins/service.py
+++ b/gypsumrouter/standins/service.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import hashlib
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import asdict, dataclass
 from typing import Final
 
@@ -21,6 +21,7 @@
 HEADER_DELAY: Final = "X-Standin-Delay-Ms"
 DEFAULT_RESTART_MS: Final = 1_000
 DEFAULT_LOAD_LAG_MS: Final = 500
+EXECUTIONS_KEPT: Final = 1_000_000
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -84,7 +85,7 @@
         self._running = 0
         self._restart: asyncio.Task[None] | None = None
         self.crashes = 0
-        self.executions: list[Execution] = []
+        self.executions: deque[Execution] = deque(maxlen=EXECUTIONS_KEPT)
         self.executions_by_key: Counter[str] = Counter()
         self.executions_by_request: Counter[str] = Counter()
         self.history = LoadHistory(clock=clock)
--- a/tests/standins/test_standins_engine.py
+++ b/tests/standins/test_standins_engine.py
@@ -117,6 +117,9 @@
         path = f"/v1/streams/r1/resume?offset={offset}"
         status, rest, _ = await bench.async_drive(bench.async_call("POST", path))
         assert (status, rest) == (200, body[offset:])
+    beyond = bench.async_call("POST", f"/v1/streams/r1/resume?offset={len(body) + 1}")
+    assert (await bench.async_drive(beyond))[0] == 416
+    assert bench.engine.executions["r1"] == 1
 
 
 async def test_a_stream_whose_reader_was_cut_goes_on_and_is_resumed_whole(bench: Bench) -> None:
