--- a/gypsumrouter/gateway/watch.py
+++ b/gypsumrouter/gateway/watch.py
@@ -129,7 +129,7 @@
     A caller that is only slow still acknowledges; nothing is unacknowledged while its window is
     closed.
     """
-    if watched.transport is None:
+    if watched.transport is None or watched.transport.is_closing():
         return False
     connection = watched.transport.get_extra_info("socket")
     info = _read_tcp_info(connection)
@@ -154,7 +154,8 @@
     """Reset a connection, so that its caller cannot take what it got for a whole answer."""
     if transport is None:
         return
-    connection = transport.get_extra_info("socket")
+    # The descriptor of a closed connection may already belong to another one.
+    connection = None if transport.is_closing() else transport.get_extra_info("socket")
     if connection is not None:
         try:
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
--- a/tests/gateway/test_gateway_checks.py
+++ b/tests/gateway/test_gateway_checks.py
@@ -5,10 +5,14 @@
 from typing import Any
 
 import pytest
-from gateway_fakes import CHAT, ENGINES, FIELDS, KEY, RECORDS, Router, whole
+from aiohttp import hdrs
+from gateway_fakes import CHAT, ENGINES, FIELDS, HANG_S, KEY, RECORDS, Router, whole
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from gypsumrouter import const
+from gypsumrouter.settings import Limits
+
 MESSAGE = {"role": "user", "content": "hello"}
 WRONG_BODIES: list[tuple[Any, str, int]] = [
     ([], "body", 400),
@@ -170,10 +174,8 @@
     max_leaves=6,
 )
 FIELD_NAMES = ("model", "messages", "stream", "max_tokens", "metadata", "user")
-HEADER_NAMES = (
-    "X-Gypsum-Class X-Gypsum-Deadline-Ms X-Gypsum-Chat X-Gypsum-Placement X-Request-Id Upgrade "
-    "Idempotency-Key Connection Expect Transfer-Encoding Content-Length Content-Type"
-).split()
+OWN_NAMES = [value for name, value in vars(const).items() if name.startswith("HEADER_")]
+HTTP_NAMES = [hdrs.CONNECTION, hdrs.EXPECT, hdrs.UPGRADE, hdrs.TRANSFER_ENCODING, "Content-Length"]
 
 
 @FUZZ
@@ -202,7 +204,7 @@
     | st.binary(max_size=20).map(lambda raw: "/services/records/" + raw.decode("latin-1")),
     headers=st.lists(
         st.tuples(
-            st.sampled_from(HEADER_NAMES) | st.text(max_size=5),
+            st.sampled_from(OWN_NAMES + HTTP_NAMES) | st.text(max_size=5),
             st.binary(max_size=20).map(lambda raw: raw.decode("latin-1"))
             | st.sampled_from(["chunked", "100-continue", "close", "websocket", "3"]),
         ),
