--- a/gypsumrouter/admission/classes.py
+++ b/gypsumrouter/admission/classes.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from gypsumrouter.admission.const import BATCH_PRIORITY
 from gypsumrouter.configuration.models import CallerClass, Configuration
 
+_ANY_CLASS: Final = CallerClass(name="default")
+
 
 class Classes:
     """Finds classes by name, and the priority that the engine is told for each."""
@@ -12,15 +16,14 @@
     __slots__ = ("_by_name", "_default", "_priorities")
 
     def __init__(self) -> None:
-        self._default = CallerClass(name="default")
+        self._default = _ANY_CLASS
         self._by_name: dict[str, CallerClass] = {}
         self._priorities: dict[str, int] = {}
 
     def configure(self, configuration: Configuration) -> None:
         """Take over the classes of a configuration."""
         self._by_name = {item.name: item for item in configuration.classes}
-        if configuration.default_class in self._by_name:
-            self._default = self._by_name[configuration.default_class]
+        self._default = self._by_name.get(configuration.default_class or "", _ANY_CLASS)
         ranked = sorted(
             (item for item in configuration.classes if not item.batch),
             key=lambda item: (item.penalty, -item.first_token_ms, item.name),
--- a/gypsumrouter/admission/queue.py
+++ b/gypsumrouter/admission/queue.py
@@ -152,6 +152,17 @@
             if waiter.queued:
                 yield waiter
 
+    def count_urgent(self, *, start_by_ms: float, most: int) -> int:
+        """Return how many interactive requests must start by a time, counted up to `most`."""
+        urgent = 0
+        for group in self._groups.values():
+            if group.caller_class.batch:
+                continue
+            urgent += group.count_due(start_by_ms)
+            if urgent >= most:
+                return most
+        return urgent
+
     def list_waiters(self) -> list[Waiter]:
         """Return all that wait."""
         return [waiter for _, _, waiter in self._expiring if waiter.queued]
--- a/gypsumrouter/admission/scheduler.py
+++ b/gypsumrouter/admission/scheduler.py
@@ -8,6 +8,7 @@
 from gypsumrouter.admission import refusals
 from gypsumrouter.admission.capacity import Capacity
 from gypsumrouter.admission.classes import Classes
+from gypsumrouter.admission.const import YIELD_RELEASES
 from gypsumrouter.admission.estimates import Estimates, ServiceTime
 from gypsumrouter.admission.limits import Limits
 from gypsumrouter.admission.metrics import AdmissionMetrics
@@ -161,10 +162,13 @@
         self.ask_to_yield()
 
     def ask_to_yield(self) -> None:
-        """Ask batch work to give way to interactive work that waits."""
+        """Ask batch work to give way to interactive work that has no time to wait for a release."""
         if not self.queue.interactive or not self._slots.batch_running:
             return
-        asked = self._slots.ask_to_yield(wanted=self.queue.interactive, now_ms=self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        start_by_ms = now_ms + YIELD_RELEASES * self._get_release_ms()
+        wanted = self.queue.count_urgent(start_by_ms=start_by_ms, most=self._slots.batch_running)
+        asked = self._slots.ask_to_yield(wanted=wanted, now_ms=now_ms)
         if asked:
             self._metrics.yields.inc(asked)
 
--- a/gypsumrouter/admission/waiters.py
+++ b/gypsumrouter/admission/waiters.py
@@ -99,6 +99,11 @@
             self._hopeless.popleft()
         return self._hopeless[0] if self._hopeless else None
 
+    def count_due(self, start_by_ms: float) -> int:
+        """Return how many must start by a time or are late already."""
+        late = sum(waiter.queued for waiter in self._hopeless)
+        return late + sum(item[0] <= start_by_ms and item[2].queued for item in self._heap)
+
     def newest(self) -> Waiter | None:
         """Return the waiter that would be missed least: out of reach first, then the newest."""
         hopeless = [waiter for waiter in self._hopeless if waiter.queued]
--- a/gypsumrouter/placement/hint.py
+++ b/gypsumrouter/placement/hint.py
@@ -30,10 +30,9 @@
         body = base64.b64decode(hint + "=", altchars=b"-_", validate=True)
     except (binascii.Error, ValueError):
         return None
-    form, digest, check = _LAYOUT.unpack(body)
-    if form != _FORM or check != _compute_check(digest):
-        return None
-    return int(digest)
+    _form, digest, _check = _LAYOUT.unpack(body)
+    # Compared whole, so that each instance has one hint only.
+    return int(digest) if write_hint(digest) == hint else None
 
 
 def _compute_check(digest: int) -> int:
--- a/tests/placement/test_placement_order.py
+++ b/tests/placement/test_placement_order.py
@@ -5,9 +5,18 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from placement_fakes import MODEL, World, list_names, make_instance, make_query
+from placement_fakes import (
+    MODEL,
+    FakeFleet,
+    FakeLinks,
+    World,
+    list_names,
+    make_instance,
+    make_query,
+)
 
 from gypsumrouter.placement import PlacementKind
+from gypsumrouter.util.clock import ManualClock
 
 CHATS = [f"chat-{number}" for number in range(2_000)]
 
@@ -72,13 +81,17 @@
     assert router.order(make_query("chat-1", hint=hint)) == router.order(make_query("chat-1"))
 
 
+def test_a_hint_with_a_wrong_check_is_ignored(world: World) -> None:
+    router = world.make_router()
+    own = router.order(make_query("chat-1"))
+    hint = router.make_hint(own[3])
+    wrong = hint[:-1] + ("A" if hint[-1] != "A" else "B")
+    assert router.order(make_query("chat-1", hint=wrong)) == own
+
+
 @settings(derandomize=True, deadline=None)
 @given(hint=st.one_of(st.text(max_size=40), st.from_regex(r"[A-Za-z0-9_-]{15}", fullmatch=True)))
 def test_a_made_up_hint_changes_nothing(hint: str) -> None:
-    from placement_fakes import FakeFleet, FakeLinks
-
-    from gypsumrouter.util.clock import ManualClock
-
     members = tuple(make_instance(number) for number in range(5))
     world = World(fleet=FakeFleet(members), links=FakeLinks(), clock=ManualClock())
     router = world.make_router()
