--- a/gypsumrouter/configuration/assembly.py
+++ b/gypsumrouter/configuration/assembly.py
@@ -47,14 +47,34 @@
         parts[digest] = part
         if count % SLICE_PARTS == 0:
             yield
-    configuration = yield from _build(version, [parts[digest] for digest in manifest])
-    if configuration is None or (yield from check_references(configuration)):
-        return None
     digest = digest_manifest(version, manifest)
     found = PartSet(version=version, digest=digest, manifest=manifest, parts=parts)
+    configuration = yield from build_from_parts(found)
+    if configuration is None or (yield from check_references(configuration)):
+        return None
     return Assembled(configuration=configuration, parts=found)
 
 
+def build_from_parts(found: PartSet) -> Sliced[Configuration | None]:
+    """Return the configuration that parts make up, or None if a field is missing or double.
+
+    It shares its elements with the parts.
+    """
+    values: dict[str, list[object]] = {}
+    for digest in found.manifest:
+        part = found.parts[digest]
+        values.setdefault(part.section, []).extend(part.values)
+    default_classes = values.pop(FIELD_DEFAULT_CLASS, [])
+    if len(default_classes) != 1:
+        return None
+    yield
+    values.get(SECTION_WORKSPACES, []).sort(key=attrgetter("name"))
+    yield
+    return build_configuration(
+        version=found.version, default_class=str(default_classes[0]), values=values
+    )
+
+
 def _read_part(digest: int, body: bytes) -> Sliced[Part | None]:
     unpacked = unpack_part(body)
     if unpacked is None or unpacked[0] != digest:
@@ -71,18 +91,3 @@
         return None
     section, entries = filled[0]
     return Part(section=section, body=body, values=tuple(entry.value for entry in entries))
-
-
-def _build(version: int, parts: list[Part]) -> Sliced[Configuration | None]:
-    values: dict[str, list[object]] = {}
-    for part in parts:
-        values.setdefault(part.section, []).extend(part.values)
-    default_classes = values.pop(FIELD_DEFAULT_CLASS, [])
-    if len(default_classes) != 1:
-        return None
-    yield
-    values.get(SECTION_WORKSPACES, []).sort(key=attrgetter("name"))
-    yield
-    return build_configuration(
-        version=version, default_class=str(default_classes[0]), values=values
-    )
--- a/gypsumrouter/configuration/neighbours.py
+++ b/gypsumrouter/configuration/neighbours.py
@@ -27,14 +27,16 @@
     return tuple(routes)
 
 
-def list_watchers(members: Iterable[Instance], region: str) -> frozenset[str]:
-    """Return the names of those that watch the platform for a region.
+def list_watchers(members: Iterable[Instance], region: str, turn: int) -> frozenset[str]:
+    """Return the names of those that watch the platform for a region in one turn.
 
-    The first by rank of each data centre of the region, filled up to a few by rank.
+    The first by rank of each data centre of the region, filled up to a few by rank. Each change
+    costs a watcher the whole document, so ranks differ from turn to turn and all take their
+    share.
     """
     ranked = sorted(
         (member for member in members if member.region == region),
-        key=lambda member: (_rank("watch", member.name), member.name),
+        key=lambda member: (_rank(f"watch/{turn}", member.name), member.name),
     )
     first: dict[str, str] = {}
     for member in ranked:
--- a/gypsumrouter/configuration/reader.py
+++ b/gypsumrouter/configuration/reader.py
@@ -11,6 +11,8 @@
     BACKOFF_FIRST_MS,
     BACKOFF_MAX_MS,
     ISOLATED_MS,
+    LONE_READ_MS,
+    LONE_READ_MS_PER_PEER,
     SLOW_READ_MS,
     SLOW_READ_MS_PER_PEER,
     SLOW_READ_WATCH_MS,
@@ -19,6 +21,7 @@
     START_LIST_WAIT_MS,
     TICK_MS,
     WATCH_MS,
+    WATCH_TURN_MS,
 )
 from gypsumrouter.configuration.neighbours import list_watchers
 from gypsumrouter.configuration.outcomes import Accepted, Rejected
@@ -44,7 +47,7 @@
 class PlatformReader:
     """Read the platform once at the start, watch it if this is one of the few, else rarely read.
 
-    A process that has heard of no other one for long watches as well, since no news can reach
+    A process that has heard of no other one for long reads more often, since no news can reach
     it. `failure` is what is wrong with the platform now, if anything is.
     """
 
@@ -57,7 +60,9 @@
         "_rejected_version",
         "_rng",
         "_source",
+        "_spread",
         "_store",
+        "_turn",
         "_watchers",
         "_woken",
         "failure",
@@ -80,8 +85,10 @@
         self._rng = rng
         self._woken = asyncio.Event()
         self._watchers: frozenset[str] | None = None
+        self._turn = 0
         self._contact_at_ms = app.clock.now_ms()
         self._read_at_ms = app.clock.now_ms()
+        self._spread = rng.uniform(0.5, 1.5)
         self._rejected_version = 0
         self._backoff_ms = 0
         self.failure: str | None = None
@@ -105,10 +112,11 @@
         await self._async_read_first()
         while True:
             self._woken.clear()
-            self.watches = self._is_watcher()
+            interval_ms = self._get_interval_ms()
+            self.watches = interval_ms <= WATCH_MS
             if self.watches:
                 await self._async_watch(WATCH_MS)
-            elif self._is_read_due():
+            elif self._is_read_due(interval_ms):
                 await self._async_watch(SLOW_READ_WATCH_MS)
             else:
                 await async_wait(self._woken, clock=self._app.clock, timeout_ms=TICK_MS)
@@ -130,6 +138,7 @@
 
     async def _async_watch(self, timeout_ms: int) -> None:
         self._read_at_ms = self._app.clock.now_ms()
+        self._spread = self._rng.uniform(0.5, 1.5)
         after = max(self._store.current.version, self._rejected_version)
         watch = self._source.async_watch(after=after, timeout_ms=timeout_ms)
         if not await self._async_take(await async_unless(self._woken, watch)):
@@ -176,18 +185,32 @@
             _LOGGER.info("The configuration service is back")
         self.failure = None
 
-    def _is_watcher(self) -> bool:
-        if self._app.clock.now_ms() - self._contact_at_ms > ISOLATED_MS:
-            return True
-        if self._watchers is None:
-            peers = self._fleet.peers()
-            self._watchers = list_watchers((*peers, self._make_self()), self._app.region)
-        return self._app.name in self._watchers
+    def _get_interval_ms(self) -> int:
+        """Return how often to read, which is 0 for one of the few that watch.
 
-    def _is_read_due(self) -> bool:
+        Intervals grow with the fleet, so that all processes together stay far below what the
+        platform can take, also when none of them hears of any other.
+        """
+        if self._fleet.list_age_ms() is None:
+            return LONE_READ_MS
         peers = len(self._fleet.peers())
-        interval_ms = max(SLOW_READ_MS, peers * SLOW_READ_MS_PER_PEER)
-        return self._app.clock.now_ms() - self._read_at_ms >= interval_ms
+        if self._app.clock.now_ms() - self._contact_at_ms > ISOLATED_MS:
+            return peers * LONE_READ_MS_PER_PEER
+        if self._app.name in self._get_watchers():
+            return 0
+        return max(SLOW_READ_MS, peers * SLOW_READ_MS_PER_PEER)
+
+    def _get_watchers(self) -> frozenset[str]:
+        turn = self._app.clock.wall_ms() // WATCH_TURN_MS
+        if self._watchers is None or turn != self._turn:
+            members = (*self._fleet.peers(), self._make_self())
+            self._watchers = list_watchers(members, self._app.region, turn)
+            self._turn = turn
+        return self._watchers
+
+    def _is_read_due(self, interval_ms: int) -> bool:
+        due_ms = self._read_at_ms + round(interval_ms * self._spread)
+        return self._app.clock.now_ms() >= due_ms
 
     def _forget_watchers(self) -> None:
         self._watchers = None
--- a/gypsumrouter/configuration/spread.py
+++ b/gypsumrouter/configuration/spread.py
@@ -24,7 +24,6 @@
 if TYPE_CHECKING:
     from gypsumrouter.core import Application
     from gypsumrouter.fleet import Fleet
-    from gypsumrouter.fleet.models import Instance
     from gypsumrouter.link import LinkPool, NoticeHub
     from gypsumrouter.settings import Platform
 
@@ -44,6 +43,7 @@
     __slots__ = (
         "_app",
         "_asked_at_ms",
+        "_conflict_version",
         "_conflicts",
         "_fetcher",
         "_fleet",
@@ -87,6 +87,7 @@
         self._told: dict[str, int] = {}
         self._asked_at_ms = app.clock.now_ms()
         self._conflicts = 0
+        self._conflict_version = 0
         self._wakeups = 0
 
     async def async_start(self) -> None:
@@ -102,31 +103,29 @@
         self._reader.async_start()
 
     def _take_news(self, peer: Sender, news: ConfigurationNews) -> None:
-        self._note_contact(peer)
+        self._reader.note_contact()
         mine = self._store.parts
+        self._told[peer.hello.name] = max(news.version, mine.version)
         if news.version > mine.version:
             self._fetcher.offer(peer, news)
-            return
-        self._told[peer.hello.name] = news.version
-        if news.version < mine.version:
-            self._told[peer.hello.name] = mine.version
+        elif news.version < mine.version:
             peer.send(self._get_news())
         elif news.digest != mine.digest:
             self._note_conflict(peer, news)
 
     def _answer_request(self, peer: Sender, request: PartsRequest) -> None:
-        self._note_contact(peer)
+        self._reader.note_contact()
         peer.send(answer_parts_request(self._store, request))
 
     def _take_parts(self, peer: Sender, parts: Parts) -> None:
-        self._note_contact(peer)
-        self._fetcher.take(parts)
-
-    def _note_contact(self, peer: Sender) -> None:
         self._reader.note_contact()
+        self._fetcher.take(parts)
 
     def _note_conflict(self, peer: Sender, news: ConfigurationNews) -> None:
         self._conflicts += 1
+        if news.version == self._conflict_version:
+            return
+        self._conflict_version = news.version
         _LOGGER.warning(
             "Instance %s has another content of configuration %s", peer.hello.name, news.version
         )
@@ -149,8 +148,12 @@
             self._told.pop(instance.name, None)
 
     async def _async_ask_until_ready(self) -> None:
+        """Ask neighbours and each time any other instance, since neighbours may know nothing."""
         while not self._store.ready.is_set():
             await self._async_ask_all()
+            peers = self._fleet.peers()
+            if peers:
+                await self._async_ask((self._rng.choice(peers),))
             await self._app.clock.async_sleep(START_ASK_MS)
 
     async def _async_keep_in_step(self) -> None:
@@ -168,16 +171,19 @@
                 await self._async_ask_one()
 
     async def _async_ask_all(self) -> None:
-        await asyncio.gather(*(self._async_ask(route[0]) for route in self._get_routes()))
+        await asyncio.gather(*(self._async_ask(route) for route in self._get_routes()))
 
     async def _async_ask_one(self) -> None:
         routes = self._get_routes()
         self._asked_at_ms = self._app.clock.now_ms() - self._rng.randrange(TICK_MS)
         if routes:
-            await self._async_ask(self._rng.choice(self._rng.choice(routes)[:1]))
+            await self._async_ask(self._rng.choice(routes))
 
-    async def _async_ask(self, instance: Instance) -> None:
-        await self._pool.async_send(instance=instance, notice=ASK_VERSION)
+    async def _async_ask(self, route: Route) -> None:
+        """Ask the first instance of a route that can be reached which version it has."""
+        for instance in route:
+            if await self._pool.async_send(instance=instance, notice=ASK_VERSION):
+                return
 
     def _get_news(self) -> ConfigurationNews:
         return ConfigurationNews(version=self._store.parts.version, digest=self._store.parts.digest)
--- a/gypsumrouter/configuration/store.py
+++ b/gypsumrouter/configuration/store.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final
 
-from gypsumrouter.configuration.assembly import assemble
+from gypsumrouter.configuration.assembly import assemble, build_from_parts
 from gypsumrouter.configuration.check import check_in_slices, read_version
 from gypsumrouter.configuration.const import (
     FIELD_VERSION,
@@ -131,7 +131,9 @@
         except ConfigurationInvalid as error:
             return self._reject(claimed, error.errors)
         parts = await async_run_sliced(cut_into_parts(checked, self.parts))
-        return self._decide(checked.configuration, parts)
+        # What did not change is shared with what is in force now, which saves its memory.
+        shared = await async_run_sliced(build_from_parts(parts))
+        return self._decide(shared or checked.configuration, parts)
 
     def _decide(self, configuration: Configuration, parts: PartSet) -> Offer:
         if configuration.version == self.current.version:
--- a/tests/configuration/configuration_fakes.py
+++ b/tests/configuration/configuration_fakes.py
@@ -11,6 +11,8 @@
 from typing import Any, cast
 
 from gypsumrouter.configuration import ConfigurationSpread, ConfigurationStore
+from gypsumrouter.configuration.const import WATCH_TURN_MS
+from gypsumrouter.configuration.neighbours import list_watchers
 from gypsumrouter.configuration.source import Document, SourceAnswer, Unavailable, Unchanged
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
@@ -21,6 +23,7 @@
 
 TURNS = 40
 STEP_MS = 250
+WALL_MS = 1_700_000_000_000
 
 
 def make_document(version: int, *, workspaces: int = 3, **changes: Any) -> dict[str, Any]:
@@ -118,7 +121,7 @@
     def __init__(self, *, fleet: FakeFleet, instance: Instance, seed: int) -> None:
         self.fleet = fleet
         self.instance = instance
-        self.clock = ManualClock(now_ms=fleet.now_ms)
+        self.clock = ManualClock(now_ms=fleet.now_ms, wall_ms=WALL_MS + fleet.now_ms)
         self.paused = False
         self.inbox: list[tuple[str, Notice]] = []
         self.versions: list[int] = []
@@ -245,6 +248,10 @@
         asyncio.get_running_loop().call_soon(process.receive)
         await async_settle()
 
+    def list_watchers(self) -> frozenset[str]:
+        turn = (WALL_MS + self.now_ms) // WATCH_TURN_MS
+        return list_watchers(self.instances, "hr-zagreb", turn)
+
     def list_versions(self) -> set[int]:
         return {process.version for process in self.processes.values()}
 
--- a/tests/configuration/test_configuration_machine.py
+++ b/tests/configuration/test_configuration_machine.py
@@ -120,7 +120,7 @@
 
 
 def test_versions_never_fall_and_all_agree_in_the_end() -> None:
-    run_state_machine_as_test(  # type: ignore[no-untyped-call]
+    run_state_machine_as_test(
         SpreadMachine,
         settings=settings(
             derandomize=True,
--- a/tests/configuration/test_configuration_spread.py
+++ b/tests/configuration/test_configuration_spread.py
@@ -7,6 +7,7 @@
 from configuration_fakes import FakeFleet, FakeProcess, async_settle, make_document
 
 from gypsumrouter.configuration.const import WATCHERS_IN_REGION
+from gypsumrouter.configuration.fetch import answer_parts_request
 from gypsumrouter.configuration.neighbours import list_routes, list_watchers
 from gypsumrouter.const import Role
 from gypsumrouter.fleet.models import Address, Instance
@@ -81,6 +82,22 @@
     assert process.version == 3
 
 
+async def test_a_process_that_no_other_one_reaches_still_gets_new_versions(
+    make_fleet: MakeFleet,
+) -> None:
+    fleet = make_fleet(6)
+    fleet.platform.publish(make_document(1))
+    await fleet.async_start_all()
+    await fleet.async_advance(SERVES_MS)
+    watchers = fleet.list_watchers()
+    name = next(name for name in fleet.processes if name not in watchers)
+    fleet.groups[name] = 1
+    await fleet.async_advance(6 * IN_FORCE_MS)
+    fleet.platform.publish(make_document(2))
+    await fleet.async_advance(IN_FORCE_MS)
+    assert fleet.list_versions() == {2}
+
+
 async def test_a_version_reaches_all_when_the_platform_goes_down_after_one_read_it(
     make_fleet: MakeFleet,
 ) -> None:
@@ -135,13 +152,15 @@
     fleet.platform.publish(make_document(1))
     await fleet.async_start_all()
     await fleet.async_advance(SERVES_MS)
-    process = fleet.processes["router-4"]
+    watchers = fleet.list_watchers()
+    name = next(name for name in fleet.processes if name not in watchers)
+    process = fleet.processes[name]
     process.paused = True
     fleet.platform.publish(make_document(2))
-    await fleet.async_advance(2 * IN_FORCE_MS)
+    await fleet.async_advance(IN_FORCE_MS)
     assert process.version == 1
     process.inbox.clear()
-    await fleet.async_wake("router-4")
+    await fleet.async_wake(name)
     await async_settle()
     assert process.version == 2
 
@@ -179,6 +198,24 @@
     assert process.version == 4
 
 
+async def test_a_manifest_that_is_not_the_one_told_of_is_not_taken(make_fleet: MakeFleet) -> None:
+    fleet = make_fleet(2)
+    fleet.platform.down = True
+    process = await fleet.async_start("router-0")
+    other = await fleet.async_start("router-1")
+    fleet.platform.publish(make_document(9))
+    await other.store.async_offer(fleet.platform.documents[9])
+    fleet.deliver("router-1", "router-0", ConfigurationNews(version=9, digest=1))
+    other.listeners[PartsRequest] = lambda peer, request: peer.send(
+        ConfigurationNews(version=9, digest=1)
+        if request.version == 0
+        else answer_parts_request(other.store, request)
+    )
+    other.listeners[ConfigurationNews] = lambda peer, news: None
+    await fleet.async_advance(IN_FORCE_MS)
+    assert process.version == 0
+
+
 async def test_two_contents_of_one_version_are_seen_and_neither_replaces_the_other(
     make_fleet: MakeFleet,
 ) -> None:
@@ -226,9 +263,15 @@
 
 def test_watchers_are_few_and_stand_in_different_data_centres() -> None:
     instances = make_instances(60) + make_instances(4, region="gt-central")
-    watchers = list_watchers(instances, "hr-zagreb")
+    watchers = list_watchers(instances, "hr-zagreb", 1)
     assert len(watchers) == WATCHERS_IN_REGION
     places = {i.data_centre for i in instances if i.name in watchers}
     assert len(places) == WATCHERS_IN_REGION
-    assert len(list_watchers(make_instances(2), "hr-zagreb")) == 2
-    assert not list_watchers((), "hr-zagreb")
+    assert len(list_watchers(make_instances(2), "hr-zagreb", 1)) == 2
+    assert not list_watchers((), "hr-zagreb", 1)
+
+
+def test_all_instances_take_their_turn_as_watchers() -> None:
+    instances = make_instances(60)
+    turns = [list_watchers(instances, "hr-zagreb", turn) for turn in range(200)]
+    assert frozenset.union(*turns) == {instance.name for instance in instances}
--- a/tests/configuration/test_configuration_store.py
+++ b/tests/configuration/test_configuration_store.py
@@ -110,8 +110,9 @@
 ) -> None:
     await store.async_offer(encode(make_document(1, workspaces=400)))
     other = ConfigurationStore(app=Application(**_like(app)))
-    offered = {"manifest": store.parts.manifest, "bodies": get_bodies(store)}
-    outcome = await other.async_offer_parts(version=1, **offered)
+    outcome = await other.async_offer_parts(
+        version=1, manifest=store.parts.manifest, bodies=get_bodies(store)
+    )
     assert outcome == Accepted(version=1, changed=True)
     assert other.current == store.current
     assert other.parts == store.parts
@@ -156,9 +157,7 @@
         for digest in store.parts.manifest
         if store.parts.parts[digest].section != "default_class"
     )
-    outcome = await other.async_offer_parts(
-        version=1, manifest=manifest, bodies=get_bodies(store)
-    )
+    outcome = await other.async_offer_parts(version=1, manifest=manifest, bodies=get_bodies(store))
     assert isinstance(outcome, Rejected)
     assert [error.path for error in outcome.errors] == ["$.default_class"]
 
--- /dev/null
+++ b/tests/policy/test_policy.py
@@ -0,0 +1,300 @@
+"""Which rule counts, what follows, who a caller is, and what must not be repeated."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given, reject, settings
+from hypothesis import strategies as st
+
+from gypsumrouter.configuration import Configuration, check_configuration
+from gypsumrouter.const import UpstreamKind
+from gypsumrouter.exceptions import ConfigurationInvalid
+from gypsumrouter.policy import Miss, Policy, RequestFacts
+
+# Monday the fifth of January 2026, 08:00 UTC.
+MONDAY_MS = 1_767_600_000_000
+HOUR_MS = 3_600_000
+
+
+def digest_key(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def make_configuration(*rules: dict[str, Any]) -> Configuration:
+    document = {
+        "version": 1,
+        "workspaces": [
+            {"name": "schools", "key_digests": [digest_key("key-1"), digest_key("key-2")]},
+            {"name": "utility", "key_digests": [digest_key("key-3")], "default_class": "office"},
+        ],
+        "classes": [
+            {"name": "parents"},
+            {"name": "office", "batch": True, "answer_ms": 600_000},
+            {"name": "inspectors", "penalty": 50.0},
+        ],
+        "pools": [
+            {"name": "shared", "kind": "engine", "models": ["sizing"]},
+            {"name": "spare", "kind": "engine", "models": ["sizing", "quotes"]},
+            {
+                "name": "dispatch",
+                "kind": "service",
+                "at_most_once": {
+                    "calls": [
+                        {"method": "POST", "path_prefix": "/stock/reserve"},
+                        {"method": "*", "path_prefix": "/defects/"},
+                    ]
+                },
+            },
+            {"name": "plain", "kind": "service"},
+        ],
+        "rules": [{"name": f"rule-{n}", **rule} for n, rule in enumerate(rules)],
+        "default_class": "parents",
+    }
+    return check_configuration(json.dumps(document).encode())
+
+
+def make_policy(*rules: dict[str, Any]) -> Policy:
+    return Policy(configuration=make_configuration(*rules))
+
+
+def chat(**changes: Any) -> RequestFacts:
+    facts: dict[str, Any] = {
+        "workspace": "schools",
+        "kind": UpstreamKind.ENGINE,
+        "wall_ms": MONDAY_MS,
+        "model": "sizing",
+        "method": "POST",
+        "path": "/v1/chat/completions",
+        "size_bytes": 100,
+        "data_centre": "dc-1",
+    }
+    return RequestFacts(**{**facts, **changes})
+
+
+def call(**changes: Any) -> RequestFacts:
+    facts = {"kind": UpstreamKind.SERVICE, "model": "", "service": "dispatch", "path": "/stock"}
+    return chat(**{**facts, **changes})
+
+
+def get_name(policy: Policy, facts: RequestFacts) -> str | None:
+    return policy.decide(facts).rule
+
+
+def test_without_rules_a_request_goes_where_its_model_or_service_is() -> None:
+    policy = make_policy()
+    decision = policy.decide(chat())
+    assert (decision.rule, decision.caller_class.name) == (None, "parents")
+    assert decision.pool is not None
+    assert decision.pool.name == "shared"
+    assert policy.decide(chat(workspace="utility")).caller_class.name == "office"
+    asked = chat(workspace="utility", caller_class="inspectors")
+    assert policy.decide(asked).caller_class.name == "inspectors"
+    assert policy.decide(chat(model="unknown")).pool is None
+    service = policy.decide(call()).pool
+    assert service is not None
+    assert service.name == "dispatch"
+
+
+def test_only_the_first_rule_that_matches_counts() -> None:
+    policy = make_policy(
+        {"when": {"workspace": ["utility"]}, "then": {"max_output_tokens": 1}},
+        {"when": {"model": ["sizing"]}, "then": {"pool": "spare", "next_pool": "shared"}},
+        {"then": {"refuse": "closed", "retry_after_ms": 5, "caller_class": None}},
+    )
+    decision = policy.decide(chat())
+    assert decision.rule == "rule-1"
+    assert decision.pool is not None
+    assert decision.next_pool is not None
+    assert (decision.pool.name, decision.next_pool.name) == ("spare", "shared")
+    assert (decision.max_output_tokens, decision.refuse) == (None, None)
+    refusal = policy.decide(chat(model="quotes"))
+    assert (refusal.refuse, refusal.retry_after_ms) == ("closed", 5)
+
+
+@pytest.mark.parametrize(
+    ("when", "matching", "other"),
+    [
+        ({"workspace": ["utility"]}, chat(workspace="utility"), chat()),
+        ({"caller_class": ["office"]}, chat(workspace="utility"), chat()),
+        ({"caller_class": ["parents"]}, chat(), chat(caller_class="office")),
+        ({"model": ["quotes"]}, chat(model="quotes"), chat()),
+        ({"service": ["dispatch"]}, call(), call(service="plain")),
+        ({"method": ["PUT"]}, call(method="PUT"), call()),
+        ({"path_prefix": "/Stock"}, call(path="//x/../STOCK/9"), call(path="/x/stock")),
+        ({"data_centre": ["dc-2"]}, chat(data_centre="dc-2"), chat()),
+        ({"returning": True}, chat(returning=True), chat()),
+        ({"returning": False}, chat(), chat(returning=True)),
+        ({"min_bytes": 101}, chat(size_bytes=101), chat(size_bytes=100)),
+        ({"max_bytes": 99}, chat(size_bytes=99), chat(size_bytes=100)),
+        ({"weekdays": [0]}, chat(), chat(wall_ms=MONDAY_MS + 24 * HOUR_MS)),
+        ({"weekdays": [6]}, chat(wall_ms=MONDAY_MS - 9 * HOUR_MS), chat()),
+        ({"from_minute": 480}, chat(), chat(wall_ms=MONDAY_MS - 1)),
+        ({"to_minute": 480}, chat(wall_ms=MONDAY_MS - 1), chat()),
+        (
+            {"from_minute": 1320, "to_minute": 60},
+            chat(wall_ms=MONDAY_MS - 8 * HOUR_MS),
+            chat(wall_ms=MONDAY_MS - 7 * HOUR_MS),
+        ),
+    ],
+)
+def test_each_condition_matches_what_it_says(
+    when: dict[str, Any], matching: RequestFacts, other: RequestFacts
+) -> None:
+    policy = make_policy({"when": when, "then": {"max_output_tokens": 7}})
+    assert get_name(policy, matching) == "rule-0"
+    assert get_name(policy, other) is None
+    assert get_name(policy, matching) == "rule-0"
+
+
+def test_a_rule_that_leads_to_an_engine_pool_leaves_service_calls_alone() -> None:
+    policy = make_policy({"then": {"pool": "spare"}})
+    assert get_name(policy, chat()) == "rule-0"
+    assert get_name(policy, call()) is None
+
+
+def test_an_explanation_names_the_first_condition_that_did_not_hold() -> None:
+    policy = make_policy(
+        {"when": {"workspace": ["utility"], "min_bytes": 1_000}},
+        {"when": {"workspace": ["schools"], "min_bytes": 1_000}},
+        {"when": {"workspace": ["schools"]}, "then": {"concurrent": 3}},
+        {"then": {"refuse": "never seen"}},
+    )
+    explanation = policy.explain(chat())
+    assert explanation.misses == (
+        Miss(rule="rule-0", condition="workspace", needed="utility", found="schools"),
+        Miss(rule="rule-1", condition="min_bytes", needed="1000", found="100"),
+    )
+    assert explanation.decision == policy.decide(chat())
+    assert explanation.decision.concurrent == 3
+
+
+@settings(derandomize=True, deadline=None, max_examples=100)
+@given(
+    whens=st.lists(
+        st.fixed_dictionaries(
+            {},
+            optional={
+                "workspace": st.sampled_from((["schools"], ["utility"], ["schools", "utility"])),
+                "returning": st.booleans(),
+                "min_bytes": st.integers(0, 4),
+                "data_centre": st.sampled_from((["dc-1"], ["dc-2"])),
+            },
+        ),
+        max_size=6,
+    ),
+    workspace=st.sampled_from(("schools", "utility")),
+    returning=st.booleans(),
+    size_bytes=st.integers(0, 5),
+)
+def test_a_decision_and_its_explanation_agree_with_reading_the_rules_in_order(
+    whens: list[dict[str, Any]], workspace: str, returning: bool, size_bytes: int
+) -> None:
+    try:
+        policy = make_policy(*({"when": when} for when in whens))
+    except ConfigurationInvalid:
+        reject()
+    facts = chat(workspace=workspace, returning=returning, size_bytes=size_bytes)
+    expected = next(
+        (
+            f"rule-{number}"
+            for number, when in enumerate(whens)
+            if workspace in when.get("workspace", [workspace])
+            and returning == when.get("returning", returning)
+            and size_bytes >= when.get("min_bytes", 0)
+            and "dc-1" in when.get("data_centre", ["dc-1"])
+        ),
+        None,
+    )
+    assert policy.decide(facts).rule == expected
+    assert policy.explain(facts).decision == policy.decide(facts)
+
+
+def test_a_key_finds_its_workspace_alone() -> None:
+    policy = make_policy()
+    names = {key: policy.find_workspace(key) for key in ("key-1", "key-2", "key-3", "key-4", "")}
+    assert {key: found.name for key, found in names.items() if found} == {
+        "key-1": "schools",
+        "key-2": "schools",
+        "key-3": "utility",
+    }
+    assert policy.find_workspace(digest_key("key-1")) is None
+    assert policy.find_workspace("\udcff") is None
+
+
+async def test_a_policy_that_is_built_in_slices_decides_the_same() -> None:
+    configuration = make_configuration({"when": {"model": ["quotes"]}})
+    policy = await Policy.async_compile(configuration)
+    assert get_name(policy, chat(model="quotes")) == "rule-0"
+    assert policy.find_workspace("key-1") == configuration.workspaces[0]
+
+
+@pytest.mark.parametrize(
+    "path",
+    [
+        "/stock/reserve",
+        "/stock/reserve/9?x=1",
+        "/stock/reserve/",
+        "//stock///reserve",
+        "/stock/./reserve",
+        "/x/../stock/reserve",
+        "/stock/reserve/..",
+        "/../stock/reserve",
+        "stock/reserve",
+        "/Stock/RESERVE",
+        "/%73tock/reserve",
+        "/stock%2Freserve",
+        "/stock%2freserve",
+        "/%2e%2e/stock/reserve",
+        "/%2573tock/reserve",
+        "/stock\\reserve",
+        "/stock%5Creserve",
+        "/stock;x=1/reserve",
+        "/stock%3Bx/reserve",
+        "/stoc%E2%84%AA/reserve",
+        "/stock/%00/reserve",
+        "/stock%c0%afreserve",
+        "/%ef%bd%93tock/reserve",
+        "/stock/reserve#part",
+    ],
+)
+def test_no_spelling_of_a_path_dodges_the_mark(path: str) -> None:
+    policy = make_policy()
+    assert policy.must_not_repeat(pool="dispatch", method="POST", path=path)
+    assert policy.must_not_repeat(pool="dispatch", method="post", path=path)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "marked"),
+    [
+        ("GET", "/stock/reserve", False),
+        ("GET", "/stock;x/reserve", True),
+        ("POST", "/stock", False),
+        ("POST", "/stock/list", False),
+        ("DELETE", "/defects/7", True),
+        ("GET", "/defects", True),
+        ("GET", "/%44efects", True),
+        ("GET", "/a%20b", False),
+    ],
+)
+def test_other_calls_may_be_repeated(method: str, path: str, marked: bool) -> None:
+    policy = make_policy()
+    assert policy.must_not_repeat(pool="dispatch", method=method, path=path) is marked
+
+
+def test_calls_of_pools_without_marks_may_be_repeated_and_of_unknown_ones_not() -> None:
+    policy = make_policy()
+    assert not policy.must_not_repeat(pool="plain", method="POST", path="/stock/reserve")
+    assert not policy.must_not_repeat(pool="shared", method="POST", path="/v1/chat/completions")
+    assert policy.must_not_repeat(pool="unknown", method="GET", path="/")
+
+
+@settings(derandomize=True, deadline=None)
+@given(path=st.text(max_size=40), noise=st.sampled_from(("", "/", "/.", "/x/..", "//")))
+def test_noise_before_a_path_never_takes_the_mark_away(path: str, noise: str) -> None:
+    policy = make_policy()
+    spelled = f"{noise}/stock/reserve{path}"
+    assert policy.must_not_repeat(pool="dispatch", method="POST", path=spelled)
