--- a/gypsumrouter/idempotency/const.py
+++ b/gypsumrouter/idempotency/const.py
@@ -14,6 +14,7 @@
 
 DIGEST_BYTES: Final = 16
 RECORD_BYTES: Final = 600  # the measured cost of one remembered call without its answer
+HEADER_BYTES: Final = 200  # what a header costs besides its text
 RESERVED_ANSWER_BYTES: Final = 4 * 1024  # set aside for the answer while a call runs
 MAX_ANSWER_BYTES: Final = 256 * 1024  # a longer answer is remembered without its body
 
--- a/gypsumrouter/idempotency/memory.py
+++ b/gypsumrouter/idempotency/memory.py
@@ -6,6 +6,7 @@
 import heapq
 
 from gypsumrouter.idempotency.const import (
+    HEADER_BYTES,
     MAX_ANSWER_BYTES,
     RECORD_BYTES,
     RESERVED_ANSWER_BYTES,
@@ -127,7 +128,7 @@
 
     def finish(self, record: Record, head: Head, body: bytes) -> None:
         """Keep the whole answer, or only that there was one where it is too large."""
-        size = len(body) + sum(len(name) + len(value) for name, value in head.headers)
+        size = len(body) + _get_header_bytes(head)
         room = self._max_bytes - self._used_bytes + record.size - RECORD_BYTES
         if size <= RESERVED_ANSWER_BYTES or size <= min(room, MAX_ANSWER_BYTES):
             self._end(record, Replay(head=head, body=body), size)
@@ -157,6 +158,10 @@
         heapq.heappush(self._ended, record)
 
 
+def _get_header_bytes(head: Head) -> int:
+    return sum(len(name) + len(value) + HEADER_BYTES for name, value in head.headers)
+
+
 def _make_evicted(status: int) -> Failed:
     message = f"the call was run and answered with status {status}; the answer was not kept"
     return Failed(reason=Reason.ANSWER_EVICTED, message=message)
--- /dev/null
+++ b/tests/fleet/fleet_world.py
@@ -0,0 +1,82 @@
+"""Shared parts of the tests of membership."""
+
+from __future__ import annotations
+
+import asyncio
+
+from gypsumrouter.const import InstanceState, Role
+from gypsumrouter.core import Application
+from gypsumrouter.fleet import Address, Fleet, Instance, InstanceList, Unchanged
+from gypsumrouter.settings import Platform
+from gypsumrouter.util.clock import ManualClock
+
+POOL = "engines"
+START_MS = 1_700_000_000_000
+Answer = InstanceList | Unchanged | None
+
+
+class ScriptedSource:
+    """A source that gives the answers that it is told, one for each fetch."""
+
+    def __init__(self) -> None:
+        self.asked: list[int | None] = []
+        self._answers: asyncio.Queue[Answer] = asyncio.Queue()
+
+    def put(self, answer: Answer) -> None:
+        self._answers.put_nowait(answer)
+
+    async def async_fetch(self, *, after_revision: int | None) -> Answer:
+        self.asked.append(after_revision)
+        return await self._answers.get()
+
+
+class World:
+    """A fleet whose list and clock are driven by the test."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock(wall_ms=START_MS)
+        self.app = Application(
+            name="r1", role=Role.ROUTER, data_centre="dc1", region="r", clock=self.clock
+        )
+        self.source = ScriptedSource()
+        self.settings = Platform()
+        self.fleet = Fleet(app=self.app, settings=self.settings, source=self.source)
+        self.changes = 0
+        self.fleet.on_change(self._note_change)
+
+    async def async_answer(self, answer: Answer) -> None:
+        """Let the fleet take one answer and begin its next fetch."""
+        asked = len(self.source.asked)
+        self.source.put(answer)
+        while len(self.source.asked) <= asked:
+            await asyncio.sleep(0)
+            self.clock.advance(self.settings.list_poll_ms)
+
+    async def async_list(self, revision: int, *instances: Instance) -> None:
+        await self.async_answer(make_list(revision, *instances, as_of_ms=self.clock.wall_ms()))
+
+    def names(self, pool: str = POOL) -> list[str]:
+        return [instance.name for instance in self.fleet.members(pool)]
+
+    def _note_change(self) -> None:
+        self.changes += 1
+
+
+def make_engine(name: str, *, port: int = 7000, leaving: bool = False) -> Instance:
+    return Instance(
+        name=name,
+        role=Role.SIDE,
+        address=Address(host="10.0.0.1", port=port),
+        data_centre="dc1",
+        region="r",
+        pool=POOL,
+        state=InstanceState.LEAVING if leaving else InstanceState.LIVE,
+    )
+
+
+def make_engines(count: int) -> list[Instance]:
+    return [make_engine(f"e{number}") for number in range(count)]
+
+
+def make_list(revision: int, *instances: Instance, as_of_ms: int = START_MS) -> InstanceList:
+    return InstanceList(revision=revision, as_of_ms=as_of_ms, instances=tuple(instances))
--- /dev/null
+++ b/tests/fleet/test_instance_list_source.py
@@ -0,0 +1,124 @@
+"""The instance list over HTTP: long polls, origins in turn, malformed answers."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+from fleet_world import World
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gypsumrouter.exceptions import DocumentInvalid
+from gypsumrouter.fleet import Address, HttpInstanceListSource, InstanceList, Unchanged
+from gypsumrouter.fleet.document import check_instance_list
+from gypsumrouter.settings import Platform
+
+ENTRY = {
+    "name": "e0",
+    "role": "side",
+    "host": "10.0.0.1",
+    "port": 7000,
+    "data_centre": "dc1",
+    "region": "r",
+    "pool": "engines",
+    "weight": 2.0,
+    "state": "leaving",
+}
+DOCUMENT = {"revision": 3, "as_of_ms": 500, "instances": [ENTRY]}
+
+
+class Origin:
+    """One origin of the platform, which answers what it is told."""
+
+    def __init__(self) -> None:
+        self.queries: list[dict[str, str]] = []
+        self.document: object = DOCUMENT
+        self.status = 200
+        self.as_of = "600"
+
+    async def handle(self, request: web.Request) -> web.Response:
+        self.queries.append(dict(request.query))
+        if self.status == 204:
+            return web.Response(status=204, headers={"X-As-Of-Ms": self.as_of})
+        return web.Response(status=self.status, body=json.dumps(self.document).encode())
+
+
+@pytest.fixture
+def origins() -> list[Origin]:
+    return [Origin(), Origin()]
+
+
+@pytest.fixture
+async def source(origins: list[Origin], world: World) -> AsyncIterator[HttpInstanceListSource]:
+    servers = []
+    for origin in origins:
+        app = web.Application()
+        app.router.add_get("/v1/instances", origin.handle)
+        server = TestServer(app, host="127.0.0.1")
+        await server.start_server()
+        servers.append(server)
+    urls = tuple(f"http://127.0.0.1:{server.port}" for server in servers)
+    yield HttpInstanceListSource(app=world.app, settings=Platform(instances=urls))
+    for server in servers:
+        await server.close()
+
+
+async def test_list_is_read_and_the_next_state_is_asked_for(
+    source: HttpInstanceListSource, origins: list[Origin]
+) -> None:
+    listed = await source.async_fetch(after_revision=None)
+    assert isinstance(listed, InstanceList)
+    assert (listed.revision, listed.as_of_ms) == (3, 500)
+    assert listed.instances[0].address == Address(host="10.0.0.1", port=7000)
+    origins[0].status = 204
+    assert await source.async_fetch(after_revision=3) == Unchanged(as_of_ms=600)
+    assert [query.get("after") for query in origins[0].queries] == [None, "3"]
+    assert origins[0].queries[1]["timeout_ms"] == "5000"
+
+
+@pytest.mark.parametrize(
+    ("status", "document", "as_of"),
+    [
+        (500, DOCUMENT, ""),
+        (200, {"revision": 3}, ""),
+        (200, {**DOCUMENT, "instances": [ENTRY, ENTRY]}, ""),
+        (200, {**DOCUMENT, "instances": [{**ENTRY, "host": "example"}]}, ""),
+        (204, None, "soon"),
+    ],
+)
+async def test_next_origin_is_asked_when_one_gives_no_usable_answer(
+    source: HttpInstanceListSource,
+    origins: list[Origin],
+    status: int,
+    document: object,
+    as_of: str,
+) -> None:
+    origins[0].status, origins[0].document, origins[0].as_of = status, document, as_of
+    assert isinstance(await source.async_fetch(after_revision=None), InstanceList)
+    await source.async_fetch(after_revision=3)
+    assert len(origins[0].queries) == 1
+    origins[1].status = 503
+    assert await source.async_fetch(after_revision=3) is None
+
+
+async def test_origin_that_is_behind_is_left(
+    source: HttpInstanceListSource, origins: list[Origin]
+) -> None:
+    await source.async_fetch(after_revision=None)
+    origins[0].document = {**DOCUMENT, "revision": 2, "as_of_ms": 400}
+    origins[1].document = {**DOCUMENT, "revision": 4, "as_of_ms": 700}
+    listed = await source.async_fetch(after_revision=3)
+    assert isinstance(listed, InstanceList)
+    assert listed.revision == 4
+
+
+@given(document=st.binary() | st.recursive(st.none() | st.integers() | st.text(), st.lists))
+@settings(derandomize=True, deadline=None)
+def test_any_other_document_is_invalid(document: object) -> None:
+    body = document if isinstance(document, bytes) else json.dumps(document).encode()
+    with pytest.raises(DocumentInvalid):
+        check_instance_list(body)
