Gateway: only the home of a key may say that its call was not run

Cause: a refusal by the router itself, or by a side that is not the home, leaves open whether an earlier request with the same key has run; it was told as 'not run'. Change: such refusals of calls with a key end as 'outcome unknown' and keep Retry-After. Conclusion: more 'unknown' for refused first tries, no false 'not run' for repeats.

--- a/gypsumrouter/gateway/errors.py
+++ b/gypsumrouter/gateway/errors.py
@@ -94,7 +94,8 @@
         case Refused(reason=reason):
             return STATUS_REFUSED.get(reason, DEFAULT_STATUS_REFUSED)
         case Failed(reason=reason):
-            return STATUS_FAILED.get(reason, DEFAULT_STATUS_FAILED)
+            # A refusal that cannot say "not run" keeps its status.
+            return STATUS_FAILED.get(reason, STATUS_REFUSED.get(reason, DEFAULT_STATUS_FAILED))
 
 
 def render_error(*, rejection: Rejection, request_id: str) -> bytes:
--- a/gypsumrouter/gateway/handler.py
+++ b/gypsumrouter/gateway/handler.py
@@ -26,6 +26,7 @@
 from gypsumrouter.gateway.readiness import Readiness
 from gypsumrouter.gateway.reply import CallerGone, Reply
 from gypsumrouter.gateway.running import RunningRequest, RunningRequests
+from gypsumrouter.gateway.truth import tell_failure
 from gypsumrouter.gateway.watch import Watch, Watched
 from gypsumrouter.helpers.logs import set_request_id
 from gypsumrouter.outcomes import Failed, Failure, Reason, Refused
@@ -141,7 +142,8 @@
         running.streamed = accepted.stream
         permit = self._limits.acquire(accepted.limits)
         if isinstance(permit, Refused):
-            return self._reject(running, Rejection(failure=permit))
+            told = tell_failure(call=accepted, attempts=running.attempts, failure=permit)
+            return self._reject(running, Rejection(failure=told))
         try:
             return await self._async_answer(request, running, accepted)
         finally:
@@ -170,6 +172,8 @@
         try:
             failure = await self._async_dispatch(call, running, reply, scope)
             watched.scope = None
+            if failure is not None:
+                failure = tell_failure(call=call, attempts=running.attempts, failure=failure)
             return await self._async_conclude(running, reply, failure)
         finally:
             self._watch.remove(watched)
