--- a/gypsumrouter/upstream/__init__.py
+++ b/gypsumrouter/upstream/__init__.py
@@ -6,15 +6,25 @@
 from gypsumrouter.core import Application
 from gypsumrouter.settings import Upstream
 from gypsumrouter.upstream.engine import EngineClient
-from gypsumrouter.upstream.models import HandOverDenied, LoadReport, Sink, UpstreamClient
+from gypsumrouter.upstream.models import (
+    ConnectionBroken,
+    HandOverDenied,
+    LoadReport,
+    Sink,
+    UpstreamClient,
+)
 from gypsumrouter.upstream.service import ServiceClient
+from gypsumrouter.upstream.transport import Transport, Unreached
 
 __all__ = [
+    "ConnectionBroken",
     "EngineClient",
     "HandOverDenied",
     "LoadReport",
     "ServiceClient",
     "Sink",
+    "Transport",
+    "Unreached",
     "UpstreamClient",
     "make_client",
 ]
--- a/gypsumrouter/upstream/client.py
+++ b/gypsumrouter/upstream/client.py
@@ -61,6 +61,7 @@
         "_settings",
         "_transport",
         "_watchdog",
+        "_withdrawn",
         "broken_runs",
         "recovered_runs",
         "silent_runs",
@@ -73,6 +74,7 @@
         self._health = Health(app=app, settings=settings, transport=self._transport)
         self._watchdog = Watchdog(app=app, silence_ms=settings.silence_ms)
         self._numbers = itertools.count(1)
+        self._withdrawn: frozenset[str] = frozenset()
         counter = app.metrics.counter
         self.silent_runs = counter("upstream_silent_total", "Connections found silent")
         self.broken_runs = counter("upstream_broken_total", "Connections broken in an answer")
@@ -93,7 +95,12 @@
 
     @property
     def models(self) -> tuple[str, ...]:
-        """Return the models that an engine holds, sorted; empty for services."""
+        """Return the models that an engine holds for requests, sorted; empty for services."""
+        return tuple(name for name in self._health.models if name not in self._withdrawn)
+
+    @property
+    def held_models(self) -> tuple[str, ...]:
+        """Return the models that an engine held at the last poll, also the withdrawn ones."""
         return self._health.models
 
     @property
@@ -121,6 +128,13 @@
         """Register a listener for the upstream becoming reachable or unreachable."""
         return self._health.on_up(listener)
 
+    def withdraw(self, names: frozenset[str]) -> None:
+        """Take no new requests for these models, and for all others again."""
+        if names == self._withdrawn:
+            return
+        self._withdrawn = names
+        self._health.tell_models()
+
     async def async_run(
         self,
         *,
--- a/gypsumrouter/upstream/health.py
+++ b/gypsumrouter/upstream/health.py
@@ -78,6 +78,11 @@
         self._up_listeners.append(listener)
         return lambda: self._up_listeners.remove(listener)
 
+    def tell_models(self) -> None:
+        """Call the listeners for the models."""
+        for listener in tuple(self._models_listeners):
+            listener()
+
     async def async_note_broken(self, generation: int) -> bool:
         """Return whether a broken connection means that the upstream died.
 
@@ -150,8 +155,7 @@
             return
         self.models = models
         _LOGGER.info("The upstream holds the models %s", ", ".join(models))
-        for listener in tuple(self._models_listeners):
-            listener()
+        self.tell_models()
 
 
 def _read_report(document: Any) -> LoadReport:
--- a/gypsumrouter/upstream/transport.py
+++ b/gypsumrouter/upstream/transport.py
@@ -23,6 +23,7 @@
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.core import Application
 from gypsumrouter.fleet.models import Address
+from gypsumrouter.helpers.connector import ShieldedConnector
 from gypsumrouter.helpers.tls import TlsFiles, make_client_context
 from gypsumrouter.settings import Tls, Upstream
 from gypsumrouter.upstream.const import (
@@ -45,7 +46,7 @@
     """No connection could be made, so nothing was sent."""
 
 
-class _HandOverConnector(aiohttp.TCPConnector):
+class _HandOverConnector(ShieldedConnector):
     """Call the request's hand-over callback between the connect and the first byte written."""
 
     async def connect(
