--- a/gypsumrouter/admission/admission.py
+++ b/gypsumrouter/admission/admission.py
@@ -198,7 +198,8 @@
                 await self._app.clock.async_sleep(WATCH_MS)
                 for waiter in queue.pop_expired(self._app.clock.now_ms()):
                     self._scheduler.refuse(waiter, refusals.refuse_hopeless())
-                self._scheduler.ask_to_yield()
+                # Room for batch work also comes with time, as interactive work gets less.
+                self._scheduler.dispatch()
         finally:
             self._watching = False
 
--- a/gypsumrouter/admission/classes.py
+++ b/gypsumrouter/admission/classes.py
@@ -13,12 +13,14 @@
 class Classes:
     """Finds classes by name, and the priority that the engine is told for each."""
 
-    __slots__ = ("_by_name", "_default", "_priorities")
+    __slots__ = ("_by_name", "_default", "_priorities", "batch_penalty", "interactive_penalty")
 
     def __init__(self) -> None:
         self._default = _ANY_CLASS
         self._by_name: dict[str, CallerClass] = {}
         self._priorities: dict[str, int] = {}
+        self.batch_penalty = 0.0
+        self.interactive_penalty = 0.0
 
     def configure(self, configuration: Configuration) -> None:
         """Take over the classes of a configuration."""
@@ -28,6 +30,8 @@
             (item for item in configuration.classes if not item.batch),
             key=lambda item: (item.penalty, -item.first_token_ms, item.name),
         )
+        self.batch_penalty = _get_highest(configuration.classes, batch=True)
+        self.interactive_penalty = _get_highest(configuration.classes, batch=False)
         self._priorities = {
             item.name: BATCH_PRIORITY + rank for rank, item in enumerate(ranked, start=1)
         }
@@ -41,3 +45,7 @@
         if caller_class.batch:
             return BATCH_PRIORITY
         return self._priorities.get(caller_class.name, BATCH_PRIORITY + 1)
+
+
+def _get_highest(classes: tuple[CallerClass, ...], *, batch: bool) -> float:
+    return max((item.penalty for item in classes if item.batch is batch), default=0.0)
--- a/gypsumrouter/admission/const.py
+++ b/gypsumrouter/admission/const.py
@@ -33,6 +33,12 @@
 YIELD_ANSWERED_MS: Final = 250
 BATCH_PRIORITY: Final = 0
 
+# The slots that interactive work is about to need.
+DEMAND_MS: Final = 3_000
+MIN_PEAK_QUANTILE: Final = 0.5
+MAX_PEAK_QUANTILE: Final = 0.999
+SPARE_HOLD_MS: Final = 1.0
+
 # Estimates of service times.
 SIZE_BYTES: Final = (2_048, 16_384, 131_072)
 BYTES_PER_TOKEN: Final = 4
--- a/gypsumrouter/admission/estimates.py
+++ b/gypsumrouter/admission/estimates.py
@@ -42,7 +42,7 @@
 class Estimates:
     """Service times by batch or interactive and by size."""
 
-    __slots__ = ("_all", "_by_kind")
+    __slots__ = ("_all", "_batch", "_by_kind", "_interactive")
 
     def __init__(self) -> None:
         self._by_kind = {
@@ -51,6 +51,8 @@
             for size in range(len(SIZE_BYTES) + 1)
         }
         self._all = ServiceTime()
+        self._batch = ServiceTime()
+        self._interactive = ServiceTime()
 
     def find(self, request: Open, *, batch: bool) -> ServiceTime:
         """Return the estimate for requests of this kind and size."""
@@ -58,10 +60,16 @@
         size = sum(size_bytes > bound for bound in SIZE_BYTES)
         return self._by_kind[batch, size]
 
-    def note_hold(self, service: ServiceTime, passed_ms: int) -> None:
+    def note_hold(self, service: ServiceTime, passed_ms: int, *, batch: bool) -> None:
         """Take in how long a slot was held, for its kind and for all together."""
         service.note_hold(passed_ms)
         self._all.note_hold(passed_ms)
+        together = self._batch if batch else self._interactive
+        together.note_hold(passed_ms)
+
+    def get_hold_ms(self) -> tuple[float, float]:
+        """Return how long batch and interactive requests of any size hold a slot."""
+        return self._batch.hold_ms, self._interactive.hold_ms
 
     def get_release_interval_ms(self, slots: int) -> float:
         """Return the expected time between two releases while all slots are taken."""
--- a/gypsumrouter/admission/scheduler.py
+++ b/gypsumrouter/admission/scheduler.py
@@ -9,6 +9,7 @@
 from gypsumrouter.admission.capacity import Capacity
 from gypsumrouter.admission.classes import Classes
 from gypsumrouter.admission.const import YIELD_RELEASES
+from gypsumrouter.admission.demand import InteractiveDemand, choose_quantile, get_cost
 from gypsumrouter.admission.estimates import Estimates, ServiceTime
 from gypsumrouter.admission.limits import Limits
 from gypsumrouter.admission.metrics import AdmissionMetrics
@@ -29,6 +30,7 @@
     __slots__ = (
         "_capacity",
         "_clock",
+        "_demand",
         "_metrics",
         "_on_change",
         "_slots",
@@ -51,6 +53,7 @@
         self._metrics = metrics
         self._on_change = on_change
         self._slots = Slots()
+        self._demand = InteractiveDemand()
         self.classes = Classes()
         self.estimates = Estimates()
         self.shares = Shares()
@@ -122,13 +125,13 @@
         )
         self._slots.take(slot)
         self._metrics.count_granted(batch=slot.batch, waited_ms=waited_ms)
-        self._on_change()
+        self._note_change()
         return slot
 
     def wait(self, waiter: Waiter) -> None:
         """Put a newcomer into the queue."""
         self.queue.add(waiter)
-        self._on_change()
+        self._note_change()
         self.ask_to_yield()
 
     def refuse(self, waiter: Waiter, refused: Refused) -> None:
@@ -141,7 +144,7 @@
             waiter.future.set_result(refused)
         _LOGGER.debug("Request %s refused while waiting: %s", waiter.request_id, refused.reason)
         self._metrics.count_refused(refused)
-        self._on_change()
+        self._note_change()
 
     def dispatch(self) -> None:
         """Grant free slots to those who wait, in the order of the queue."""
@@ -194,9 +197,9 @@
         self._slots.give_back(slot)
         if slot.first_token_noted and not slot.yield_asked.is_set():
             held_ms = self._clock.now_ms() - slot.granted_ms
-            self.estimates.note_hold(slot.service, held_ms)
+            self.estimates.note_hold(slot.service, held_ms, batch=slot.batch)
         self.shares.settle(slot.usage)
-        self._on_change()
+        self._note_change()
         self.dispatch()
 
     def _replace(
@@ -219,7 +222,26 @@
             self.refuse(victim, refused)
 
     def _batch_fits(self, limits: Limits) -> bool:
-        return self._slots.running < limits.slots - limits.reserve
+        if self._slots.running >= limits.slots - limits.reserve:
+            return False
+        peak = self._demand.expect_peak(
+            now_ms=self._clock.now_ms(), quantile=self._choose_peak_quantile()
+        )
+        return self._slots.batch_running < limits.slots - peak
+
+    def _choose_peak_quantile(self) -> float:
+        batch_ms, interactive_ms = self.estimates.get_hold_ms()
+        return choose_quantile(
+            batch_cost=get_cost(penalty=self.classes.batch_penalty, hold_ms=batch_ms),
+            interactive_cost=get_cost(
+                penalty=self.classes.interactive_penalty, hold_ms=interactive_ms
+            ),
+        )
+
+    def _note_change(self) -> None:
+        interactive = self._slots.running - self._slots.batch_running + self.queue.interactive
+        self._demand.note(interactive=interactive, now_ms=self._clock.now_ms())
+        self._on_change()
 
     def _expect_wait_ms(self) -> float:
         return self._get_release_ms() * (self.queue.size + 1)
--- a/gypsumrouter/bootstrap.py
+++ b/gypsumrouter/bootstrap.py
@@ -18,12 +18,13 @@
 from gypsumrouter.link import LinkPool, LinkServer, NoticeHub
 from gypsumrouter.link.models import Hello, Status
 from gypsumrouter.operators import OperatorsServer, check_access
+from gypsumrouter.orders import Orders
 from gypsumrouter.placement import Placement, PlacementKind
 from gypsumrouter.running import RunningExchanges
-from gypsumrouter.settings import RouterSettings, Settings, SideSettings, read_link_key
+from gypsumrouter.settings import Link, RouterSettings, Settings, SideSettings, read_link_key
 from gypsumrouter.suspect_news import ListNames, SuspectNewsSpread
 from gypsumrouter.suspicion import Suspicion
-from gypsumrouter.upstream import make_client
+from gypsumrouter.upstream import EngineClient, UpstreamClient, make_client
 from gypsumrouter.util.clock import Clock
 
 ADDRESS_CALLERS: Final = "callers"
@@ -155,7 +156,9 @@
         idempotency=idempotency,
         suspicion=suspicion,
     )
-    running = RunningExchanges(handler=runner.async_handle)
+    orders = make_orders(parts=parts, settings=settings, upstream=upstream)
+    handler = runner.async_handle if orders is None else orders.wrap(runner.async_handle)
+    running = RunningExchanges(handler=handler)
     spread_suspect_news(parts=parts, suspicion=suspicion, list_concerned=running.list_routers)
     server = LinkServer(
         app=app,
@@ -175,13 +178,42 @@
     await runner.async_start()
     await upstream.async_start()
     addresses[ADDRESS_LINK] = await server.async_start()
-    idempotency.note_listening(addresses[ADDRESS_LINK])
+    advertised = get_advertised(settings.link, addresses[ADDRESS_LINK])
+    idempotency.note_listening(advertised)
+    if orders is not None:
+        orders.note_listening(advertised)
+        await orders.async_start()
     await async_start_shared_parts(parts)
     runner.on_status(lambda: server.publish_status(runner.make_status()))
     server.publish_status(runner.make_status())
     return Product(app=app, addresses=addresses, is_ready=is_ready, list_running=running.list_ids)
 
 
+def make_orders(
+    *, parts: SharedParts, settings: SideSettings, upstream: UpstreamClient
+) -> Orders | None:
+    """Return what gives orders to an engine, not yet started; services take none."""
+    if not isinstance(upstream, EngineClient):
+        return None
+    return Orders(
+        app=parts.app,
+        settings=settings,
+        store=parts.store,
+        fleet=parts.fleet,
+        links=parts.links,
+        notices=parts.notices,
+        client=upstream,
+    )
+
+
+def get_advertised(link: Link, bound: Address) -> Address:
+    """Return the address at which the instance list names a process that is bound at `bound`."""
+    return Address(
+        host=link.advertised_host or bound.host,
+        port=link.advertised_port or bound.port,
+    )
+
+
 def make_shared_parts(*, app: Application, settings: Settings) -> SharedParts:
     """Make what both roles need, not yet started."""
     key = read_link_key(settings.link)
--- /dev/null
+++ b/gypsumrouter/cli/orders.py
@@ -0,0 +1,114 @@
+"""The command that shows what engines are to hold, hold and load."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any, Final
+
+import click
+
+from gypsumrouter.cli.client import DumpResult, async_fetch_dumps, get_section, read_token
+from gypsumrouter.const import EXIT_FAILED, EXIT_OK
+from gypsumrouter.operators import ATTR_INSTANCE
+from gypsumrouter.orders import DUMP_SECTION
+
+UNKNOWN: Final = "-"
+COLUMNS: Final = ("ADDRESS", "INSTANCE", "WISHED", "HELD", "PENDING", "REASON")
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class OrdersRow:
+    """One side: what its engine is to hold, holds and loads, and why it waits or changes."""
+
+    address: str
+    instance: str = UNKNOWN
+    wished: str = UNKNOWN
+    held: str = UNKNOWN
+    pending: str = UNKNOWN
+    reason: str = UNKNOWN
+    error: str = ""
+
+
+@click.command("orders")
+@click.argument("addresses", nargs=-1, required=True, metavar="ADDRESS...")
+@click.option("--token-file", type=click.Path(path_type=Path), help="File with the token.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON document.")
+def orders_command(addresses: tuple[str, ...], token_file: Path | None, as_json: bool) -> None:
+    """Show the orders of the sides at the operators' addresses ADDRESS.
+
+    Exits with 1 where one cannot be reached.
+    """
+    results = asyncio.run(async_fetch_dumps(addresses, read_token(token_file)))
+    rows = [make_row(result) for result in results]
+    if as_json:
+        click.echo(json.dumps([asdict(row) for row in rows], indent=2))
+    else:
+        print_rows(rows)
+    sys.exit(EXIT_FAILED if any(row.error for row in rows) else EXIT_OK)
+
+
+def make_row(result: DumpResult) -> OrdersRow:
+    """Return the row for one dump."""
+    if result.dump is None:
+        return OrdersRow(address=result.address, error=result.error)
+    instance = str(result.dump.get(ATTR_INSTANCE) or UNKNOWN)
+    section = get_section(result.dump, DUMP_SECTION)
+    if not section:
+        return OrdersRow(address=result.address, instance=instance, reason="gives no orders")
+    held = section.get("held") or {}
+    return OrdersRow(
+        address=result.address,
+        instance=instance,
+        wished=_format_models(section.get("wished")),
+        held=_format_models(held.get("models")),
+        pending=_format_pending(section.get("pending"), held.get("loading")),
+        reason=_explain(section),
+    )
+
+
+def print_rows(rows: list[OrdersRow]) -> None:
+    """Print the table, padded to the widest cell, and below it what could not be reached."""
+    lines = [COLUMNS, *(_list_cells(row) for row in rows)]
+    widths = [max(len(line[column]) for line in lines) for column in range(len(COLUMNS))]
+    for line in lines:
+        cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
+        click.echo("  ".join(cells).rstrip())
+    for row in rows:
+        if row.error:
+            click.echo(row.error, err=True)
+
+
+def _list_cells(row: OrdersRow) -> tuple[str, ...]:
+    return (row.address, row.instance, row.wished, row.held, row.pending, row.reason)
+
+
+def _format_models(models: dict[str, str] | None) -> str:
+    if models is None:
+        return UNKNOWN
+    return ",".join(f"{name}@{version}" for name, version in sorted(models.items())) or "nothing"
+
+
+def _format_pending(change: dict[str, Any] | None, loading: dict[str, str] | None) -> str:
+    if change is None:
+        return _format_models(loading) if loading else UNKNOWN
+    target = change["role"] or f"{change['name']}@{change['version']}"
+    if not change["name"] and not change["role"]:
+        target = ",".join(change["drops"])
+    source = f" from {change['source']}" if change["source"] else ""
+    return f"{change['order']} {target}{source}"
+
+
+def _explain(section: dict[str, Any]) -> str:
+    """Return why the engine changes, or why it does not change yet."""
+    change = section.get("pending")
+    if change is not None:
+        return str(change["reason"])
+    reason = str(section.get("waiting") or UNKNOWN)
+    last = section.get("last")
+    if reason == UNKNOWN or not last or last["result"] != "failed":
+        return reason
+    return f"{reason}; the last try failed: {last['reason']}"
--- a/gypsumrouter/configuration/models.py
+++ b/gypsumrouter/configuration/models.py
@@ -13,6 +13,7 @@
 
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Digest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+Version = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._+-]{0,62}$")]
 PositiveFloat = Annotated[float, Field(gt=0, allow_inf_nan=False)]
 PositiveInt = Annotated[int, Field(gt=0)]
 NotNegative = Annotated[float, Field(ge=0, allow_inf_nan=False)]
@@ -27,6 +28,10 @@
 DEFAULT_REPEAT_WINDOW_MS = 600_000
 DEFAULT_REMEMBERED_CALLS = 100_000
 DEFAULT_REMEMBERED_BYTES = 16 * 1024 * 1024
+DEFAULT_MODEL_VERSION = "1"
+DEFAULT_CHANGE_SHARE = 0.25
+DEFAULT_SETTLE_MS = 30_000
+DEFAULT_LOAD_MS = 600_000
 
 
 class OrderCheck(StrEnum):
@@ -88,13 +93,49 @@
     remembered_bytes: PositiveInt = DEFAULT_REMEMBERED_BYTES
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class OrderedAdapter(Checked):
+    """An adapter that every engine with its model is ordered to hold."""
+
+    name: Name
+    version: Version = DEFAULT_MODEL_VERSION
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class OrderedModel(Checked):
+    """A model that engines are ordered to hold: at least `min_engines`, more by demand."""
+
+    name: Name
+    version: Version = DEFAULT_MODEL_VERSION
+    min_engines: NotNegativeInt = 1
+    adapters: tuple[OrderedAdapter, ...] = ()
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Orders(Checked):
+    """What the engines of a pool are ordered to hold, and how fast that may change.
+
+    At most `change_share` of a model's engines change their version at once. A difference is
+    acted on once it has lasted for `settle_ms`. A load that takes longer than `load_ms` is
+    cancelled. `store_loads_per_s` is this pool's part of the weight store's rate.
+    """
+
+    models: tuple[OrderedModel, ...]
+    store_loads_per_s: PositiveFloat
+    models_per_engine: PositiveInt = 1
+    role: Name | None = None
+    change_share: Annotated[float, Field(gt=0, le=1, allow_inf_nan=False)] = DEFAULT_CHANGE_SHARE
+    settle_ms: PositiveInt = DEFAULT_SETTLE_MS
+    load_ms: PositiveInt = DEFAULT_LOAD_MS
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Pool(Checked):
     """Upstreams that can stand in for one another.
 
     `cap` is the multiple of the pool's mean load that none may exceed; it binds above `floor`
     requests at one upstream. `slots` is what one upstream of weight 1 runs at once, `queue`
-    what may wait before it.
+    what may wait before it. Without `orders` the engines are never given any.
     """
 
     name: Name
@@ -106,6 +147,7 @@
     queue: NotNegativeInt = DEFAULT_QUEUE
     at_most_once: AtMostOnce | None = None
     order_check: OrderCheck = OrderCheck.FENCING
+    orders: Orders | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/gypsumrouter/configuration/references.py
+++ b/gypsumrouter/configuration/references.py
@@ -13,6 +13,7 @@
     SLICE_CHECKS,
 )
 from gypsumrouter.configuration.models import Configuration, Pool, Workspace
+from gypsumrouter.configuration.order_checks import check_orders
 from gypsumrouter.configuration.rule_checks import check_rules
 from gypsumrouter.configuration.slices import Sliced
 from gypsumrouter.const import UpstreamKind
@@ -73,6 +74,7 @@
             yield FieldError(path=f"{path}.models[{index}]", message=f"{model!r} is listed twice")
     if pool.kind is UpstreamKind.SERVICE and pool.models:
         yield FieldError(path=f"{path}.models", message="a service holds no models")
+    yield from check_orders(f"{path}.orders", pool)
     if pool.at_most_once is None:
         return
     if pool.kind is UpstreamKind.ENGINE:
--- a/gypsumrouter/configuration/source.py
+++ b/gypsumrouter/configuration/source.py
@@ -18,6 +18,7 @@
     WATCH_GRACE_MS,
 )
 from gypsumrouter.const import MS_PER_S
+from gypsumrouter.helpers.connector import ShieldedConnector
 
 if TYPE_CHECKING:
     from gypsumrouter.core import Application
@@ -105,7 +106,7 @@
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = aiohttp.ClientSession(connector=ShieldedConnector())
             self._app.on_stop(self._async_close)
         return self._session
 
--- a/gypsumrouter/demo/plan.py
+++ b/gypsumrouter/demo/plan.py
@@ -10,7 +10,7 @@
 FIRST_SEED: Final = 20260119
 SEEDS_FOR_ONE: Final = 1_000
 
-CHATS: Final = 24
+CHATS: Final = 32
 CHAT_SHAPE: Final = ChatShape(turns=6, first_bytes=2_000, turn_bytes=200, think_ms=400)
 CALLERS_OF_SERVICES: Final = 6
 CALLS: Final = 12
--- a/gypsumrouter/fleet/source.py
+++ b/gypsumrouter/fleet/source.py
@@ -25,6 +25,7 @@
 )
 from gypsumrouter.fleet.document import check_instance_list
 from gypsumrouter.fleet.models import InstanceList
+from gypsumrouter.helpers.connector import ShieldedConnector
 
 if TYPE_CHECKING:
     from gypsumrouter.settings import Platform
@@ -96,7 +97,7 @@
             timeout = aiohttp.ClientTimeout(
                 total=total_ms / MS_PER_S, sock_connect=ANSWER_MARGIN_MS / MS_PER_S
             )
-            self._session = aiohttp.ClientSession(timeout=timeout)
+            self._session = aiohttp.ClientSession(connector=ShieldedConnector(), timeout=timeout)
             self._app.on_stop(self._session.close)
         return self._session
 
--- a/gypsumrouter/helpers/settings_file.py
+++ b/gypsumrouter/helpers/settings_file.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
+import json
 from pathlib import Path
+from typing import Final, TypeVar
+
+from pydantic import TypeAdapter
 
 from gypsumrouter.const import Role
-from gypsumrouter.exceptions import FieldError, SettingsInvalid
+from gypsumrouter.exceptions import DocumentInvalid, FieldError, SettingsInvalid
+from gypsumrouter.helpers.tls import make_server_context
 from gypsumrouter.operators import check_access
 from gypsumrouter.settings import (
+    Link,
+    Operators,
     RouterSettings,
     Settings,
     SideSettings,
@@ -15,6 +22,11 @@
     check_side_settings,
     read_link_key,
 )
+from gypsumrouter.util.checked import check_json
+
+_T = TypeVar("_T")
+_LINK: Final = TypeAdapter(Link)
+_OPERATORS: Final = TypeAdapter(Operators)
 
 
 def read_settings_file(path: Path) -> bytes:
@@ -27,32 +39,82 @@
 
 
 def check_settings(*, role: Role, document: bytes) -> Settings:
-    """Return checked settings; raises SettingsInvalid.
+    """Return checked settings; raises SettingsInvalid with every error at once.
 
     The secrets that the settings name must be there; they are read and thrown away.
     """
-    match role:
-        case Role.ROUTER:
-            settings: Settings = check_router_settings(document)
-        case Role.SIDE:
-            settings = check_side_settings(document)
-    errors = list_secret_errors(settings)
+    try:
+        settings = _check_fields(role, document)
+    except SettingsInvalid as error:
+        raise SettingsInvalid((*error.errors, *_list_section_errors(document))) from None
+    errors = (
+        *_list_link_errors(settings.link),
+        *_list_operators_errors(settings.operators),
+        *_list_tls_errors(settings),
+    )
     if errors:
         raise SettingsInvalid(errors)
     return settings
 
 
-def list_secret_errors(settings: Settings) -> tuple[FieldError, ...]:
-    """Return what is wrong with the secrets that the settings name."""
-    errors: list[FieldError] = []
+def _check_fields(role: Role, document: bytes) -> Settings:
+    match role:
+        case Role.ROUTER:
+            return check_router_settings(document)
+        case Role.SIDE:
+            return check_side_settings(document)
+
+
+def _list_section_errors(document: bytes) -> tuple[FieldError, ...]:
+    """Return what is wrong with the secrets where only other fields are wrong in themselves."""
+    errors: tuple[FieldError, ...] = ()
+    link = _read_section(document, "link", _LINK)
+    if link is not None:
+        errors += _list_link_errors(link)
+    operators = _read_section(document, "operators", _OPERATORS)
+    if operators is not None:
+        errors += _list_operators_errors(operators)
+    return errors
+
+
+def _read_section(document: bytes, name: str, adapter: TypeAdapter[_T]) -> _T | None:
     try:
-        read_link_key(settings.link)
+        sections = json.loads(document)
+        return check_json(adapter=adapter, document=json.dumps(sections[name]))
+    except (ValueError, KeyError, TypeError, DocumentInvalid):
+        return None
+
+
+def _list_link_errors(link: Link) -> tuple[FieldError, ...]:
+    try:
+        read_link_key(link)
     except SettingsInvalid as error:
-        errors.extend(error.errors)
+        return error.errors
+    return ()
+
+
+def _list_operators_errors(operators: Operators) -> tuple[FieldError, ...]:
     try:
-        check_access(settings.operators)
+        check_access(operators)
     except SettingsInvalid as error:
-        errors.extend(error.errors)
+        return error.errors
+    return ()
+
+
+def _list_tls_errors(settings: Settings) -> tuple[FieldError, ...]:
+    sections = {"operators": settings.operators.tls, "link": settings.link.tls}
+    match settings:
+        case RouterSettings():
+            sections["callers"] = settings.callers.tls
+        case SideSettings():
+            sections["upstream"] = settings.upstream.tls
+    errors: list[FieldError] = []
+    for name, tls in sections.items():
+        try:
+            if tls is not None:
+                make_server_context(tls)
+        except SettingsInvalid as error:
+            errors += [FieldError(path=f"$.{name}.tls", message=e.message) for e in error.errors]
     return tuple(errors)
 
 
--- a/gypsumrouter/link/const.py
+++ b/gypsumrouter/link/const.py
@@ -63,6 +63,7 @@
     PARTS_REQUEST = 32
     PARTS = 33
     SUSPECT_NEWS = 34
+    HOLDINGS = 35
 
 
 PAYLOAD_KINDS: Final = frozenset({Kind.OPEN, Kind.HEAD, Kind.DATA, Kind.END})
--- a/gypsumrouter/link/exchange.py
+++ b/gypsumrouter/link/exchange.py
@@ -68,6 +68,11 @@
         """Return the offset below which the caller took all bytes."""
         return self._confirmed
 
+    @property
+    def waiting(self) -> bool:
+        """Return whether a part of the answer is there already."""
+        return bool(self._events)
+
     async def async_next(self) -> AnswerEvent:
         """Return the next part of the answer; `End` or a failure is the last.
 
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -115,3 +115,26 @@
   strike @1 :UInt64;
   alone @2 :Bool;
 }
+
+struct HeldModel {
+  name @0 :Text;
+  version @1 :Text;
+  nextVersion @2 :Text;
+  serving @3 :Bool;
+  load @4 :Float32;
+  failures @5 :UInt16;
+}
+
+struct Holding {
+  name @0 :Text;
+  stampMs @1 :UInt64;
+  engine @2 :Text;
+  up @3 :Bool;
+  role @4 :Text;
+  models @5 :List(HeldModel);
+}
+
+struct Holdings {
+  pool @0 :Text;
+  entries @1 :List(Holding);
+}
--- a/gypsumrouter/link/models.py
+++ b/gypsumrouter/link/models.py
@@ -147,5 +147,45 @@
     alone: bool
 
 
-Notice = Status | ConfigurationNews | PartsRequest | Parts | SuspectNews
+@dataclass(slots=True, kw_only=True, frozen=True)
+class HeldModel:
+    """A model or adapter of an engine: `version` is held, `next_version` is to be loaded.
+
+    One of them may be empty. `serving` says that new requests are taken for it. `load` is the
+    smoothed number of its requests, `failures` counts the loads that failed one after the other.
+    """
+
+    name: str
+    version: str = ""
+    next_version: str = ""
+    serving: bool = True
+    load: float = 0.0
+    failures: int = 0
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Holding:
+    """What one side says of its engine; a higher `stamp_ms` replaces a lower one.
+
+    `engine` is where neighbours reach the engine, as `host:port`. `up` says that it answers. A
+    model that is being dropped is not listed any more.
+    """
+
+    name: str
+    stamp_ms: int
+    engine: str
+    up: bool
+    role: str = ""
+    models: tuple[HeldModel, ...] = ()
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Holdings:
+    """What the engines of a pool hold, as far as the sender has news of them."""
+
+    pool: str
+    entries: tuple[Holding, ...]
+
+
+Notice = Status | ConfigurationNews | PartsRequest | Parts | SuspectNews | Holdings
 AnswerEvent = Head | Data | End | Failure
--- a/gypsumrouter/link/notice_codec.py
+++ b/gypsumrouter/link/notice_codec.py
@@ -4,8 +4,10 @@
 
 from gypsumrouter.link.const import Kind
 from gypsumrouter.link.frames import FrameError
+from gypsumrouter.link.holdings_codec import decode_holdings, encode_holdings
 from gypsumrouter.link.models import (
     ConfigurationNews,
+    Holdings,
     Notice,
     Parts,
     PartsRequest,
@@ -48,6 +50,8 @@
                 digest=notice.digest, strike=notice.strike, alone=notice.alone
             )
             return Kind.SUSPECT_NEWS, to_packed(message)
+        case Holdings():
+            return Kind.HOLDINGS, encode_holdings(notice)
 
 
 def decode_notice(kind: int, body: bytes) -> Notice:
@@ -68,6 +72,8 @@
                 return SuspectNews(
                     digest=message.digest, strike=message.strike, alone=message.alone
                 )
+        case Kind.HOLDINGS:
+            return decode_holdings(body)
     raise FrameError(f"frame kind {kind} is no notice")
 
 
--- /dev/null
+++ b/gypsumrouter/orders/const.py
@@ -0,0 +1,46 @@
+"""Constants of orders to engines; times are in milliseconds."""
+
+from __future__ import annotations
+
+from typing import Final
+
+PATH_MODELS: Final = "/v1/models"
+PATH_ORDERS: Final = "/v1/orders"
+
+HTTP_OK: Final = 200
+HTTP_ACCEPTED: Final = 202
+HTTP_NOT_FOUND: Final = 404
+HTTP_CONFLICT: Final = 409
+
+# How often the engine is read: while nothing changes, and while a change is under way.
+TURN_MS: Final = 1_000
+CHANGE_TURN_MS: Final = 250
+
+# What one call at the engine may take, and how old the decision may be when it is sent.
+CALL_MS: Final = 2_000
+DECISION_MS: Final = 1_000
+
+# A fencing number is the list's time and a counter; it stays exact as a JSON number.
+FENCES_PER_MS: Final = 1_000
+LEASE_SKEWS: Final = 2
+
+# News of what engines hold.
+NEWS_MS: Final = 1_000
+NEWS_BATCH_MS: Final = 50
+RESTAMP_MS: Final = 10_000
+RESTAMP_MS_PER_MEMBER: Final = 250
+STALE_RESTAMPS: Final = 3
+MAX_ENTRIES: Final = 16
+
+# Demand moves an engine only from a quiet model to a busy one, and only by a clear margin.
+BUSY_SHARE: Final = 0.5
+DEMAND_MARGIN: Final = 1.5
+DEMAND_PRIOR: Final = 1.0
+SMOOTHING_SHARE: Final = 0.5
+
+# Loads that fail are tried again later and later; after a few failures others do not wait.
+BACKOFF_FIRST_MS: Final = 1_000
+BACKOFF_MAX_MS: Final = 300_000
+FAILURES_PASSED: Final = 3
+
+JOURNAL_KEPT: Final = 64
--- /dev/null
+++ b/gypsumrouter/orders/engine.py
@@ -0,0 +1,171 @@
+"""Orders over HTTP to the engine beside this side."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPMethod
+from typing import Any, Final
+from urllib.parse import quote
+
+import aiohttp
+
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.core import Application
+from gypsumrouter.orders.const import (
+    CALL_MS,
+    HTTP_ACCEPTED,
+    HTTP_CONFLICT,
+    HTTP_NOT_FOUND,
+    HTTP_OK,
+    PATH_MODELS,
+    PATH_ORDERS,
+)
+from gypsumrouter.orders.models import (
+    Begun,
+    Done,
+    EngineState,
+    Given,
+    NotGiven,
+    OldFence,
+    Order,
+    Unclear,
+)
+from gypsumrouter.settings import Upstream
+from gypsumrouter.upstream import ConnectionBroken, Transport, Unreached
+
+_JSON: Final = [("Content-Type", "application/json")]
+_PENDING: Final = "pending"
+_REFUSED: Final = "refused"
+_FAILED: Final = frozenset({"failed", "cancelled"})
+
+FindObstacle = Callable[[], str]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class _Answer:
+    status: int
+    body: bytes
+
+
+class OrderDenied(Exception):
+    """Raised right before an order would be sent, where it may not be sent any more."""
+
+
+class OrderClient:
+    """Read one engine, give it orders and cancel them; each call has a short timeout.
+
+    `find_obstacle` is asked once the connection stands, right before the first byte is written,
+    so that a process that was paused meanwhile sends nothing.
+    """
+
+    __slots__ = ("_app", "_transport")
+
+    def __init__(self, *, app: Application, settings: Upstream) -> None:
+        self._app = app
+        self._transport = Transport(app=app, settings=settings)
+
+    async def async_start(self) -> None:
+        """Open the session."""
+        self._transport.open_session()
+        self._app.on_stop(self._transport.async_close)
+
+    async def async_read(self) -> EngineState | None:
+        """Return what the engine holds and loads, None where it gives no usable answer."""
+        try:
+            models = await self._transport.async_fetch_json(PATH_MODELS)
+            orders = await self._transport.async_fetch_json(PATH_ORDERS)
+            return _read_state(models, orders)
+        except (Unreached, ConnectionBroken, TimeoutError, ValueError, KeyError, TypeError):
+            return None
+
+    async def async_give(self, order: Order, *, fence: int, find_obstacle: FindObstacle) -> Given:
+        """Give an order and return what the engine says."""
+        payload = {
+            "order": order.kind.value,
+            "model": order.name,
+            "version": order.version,
+            "role": order.role,
+            "fence": fence,
+            "source": order.source,
+        }
+        answer = await self._async_call(
+            HTTPMethod.POST, PATH_ORDERS, json.dumps(payload).encode(), find_obstacle
+        )
+        return _read_given(answer) if isinstance(answer, _Answer) else answer
+
+    async def async_cancel(self, name: str, *, find_obstacle: FindObstacle) -> Given:
+        """Cancel the pending load of a model."""
+        path = f"{PATH_ORDERS}/{quote(name, safe='')}"
+        answer = await self._async_call(HTTPMethod.DELETE, path, b"", find_obstacle)
+        if not isinstance(answer, _Answer):
+            return answer
+        if answer.status in (HTTP_OK, HTTP_NOT_FOUND):
+            return Done()
+        return Unclear(reason=f"status {answer.status}")
+
+    async def _async_call(
+        self, method: HTTPMethod, path: str, body: bytes, find_obstacle: FindObstacle
+    ) -> _Answer | NotGiven | Unclear:
+        def check() -> None:
+            obstacle = find_obstacle()
+            if obstacle:
+                raise OrderDenied(obstacle)
+
+        try:
+            async with asyncio.timeout(CALL_MS / MS_PER_S):
+                response = await self._transport.async_open(
+                    method=method.value, path=path, headers=_JSON, body=body, hand_over=check
+                )
+                try:
+                    return _Answer(status=response.status, body=await response.read())
+                finally:
+                    response.close()
+        except OrderDenied as denied:
+            return NotGiven(reason=str(denied))
+        except Unreached:
+            return NotGiven(reason="the engine takes no connection")
+        except TimeoutError:
+            return Unclear(reason=f"no answer within {CALL_MS} ms")
+        except (ConnectionBroken, aiohttp.ClientError, OSError) as error:
+            return Unclear(reason=f"the connection broke: {type(error).__name__}")
+
+
+def _read_given(answer: _Answer) -> Given:
+    if answer.status == HTTP_OK:
+        return Done()
+    if answer.status == HTTP_ACCEPTED:
+        return Begun()
+    if answer.status == HTTP_CONFLICT:
+        return OldFence(highest=_read_fence(answer.body))
+    return Unclear(reason=f"status {answer.status}")
+
+
+def _read_fence(body: bytes) -> int:
+    try:
+        document = json.loads(body)
+    except ValueError:
+        return 0
+    fence = document.get("fence") if isinstance(document, dict) else None
+    return fence if isinstance(fence, int) else 0
+
+
+def _read_state(models: Any, orders: Any) -> EngineState:
+    held = {str(entry["id"]): str(entry.get("version") or "") for entry in models["data"]}
+    pending: dict[str, str] = {}
+    failures: dict[str, str] = {}
+    for record in orders["orders"]:
+        name, state = str(record["model"]), record["state"]
+        if state == _REFUSED:
+            continue
+        pending.pop(name, None)
+        failures.pop(name, None)
+        if state == _PENDING and held.get(name) != str(record["version"]):
+            pending[name] = str(record["version"])
+        elif state in _FAILED:
+            failures[name] = str(record.get("reason") or state)
+    return EngineState(
+        models=held, role=str(models.get("role") or ""), pending=pending, failures=failures
+    )
--- /dev/null
+++ b/tests/chat_client.py
@@ -0,0 +1,53 @@
+"""What tests use as callers: plain HTTP, as any client would send it."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import aiohttp
+
+from gypsumrouter.const import HEADER_CHAT, PATH_CHAT
+from gypsumrouter.fleet import Address
+
+DONE = b"data: [DONE]"
+
+
+def make_headers(key: str, **more: str) -> dict[str, str]:
+    return {"Authorization": f"Bearer {key}", **more}
+
+
+def make_chat(
+    *, model: str = "chat-model", content: str = "May vessel 7 be closed?", **more: Any
+) -> dict[str, Any]:
+    return {"model": model, "messages": [{"role": "user", "content": content}], **more}
+
+
+@asynccontextmanager
+async def open_stream(
+    router: Address, *, key: str, tokens: int, content: str = "May vessel 7 be closed?"
+) -> AsyncIterator[aiohttp.ClientResponse]:
+    """Open a streamed chat and return its answer after its head."""
+    timeout = aiohttp.ClientTimeout(total=60)
+    async with (
+        aiohttp.ClientSession(timeout=timeout) as session,
+        session.post(
+            f"http://{router}{PATH_CHAT}",
+            json=make_chat(content=content, stream=True, max_tokens=tokens),
+            headers=make_headers(key, **{HEADER_CHAT: "vessel-7"}),
+        ) as response,
+    ):
+        yield response
+
+
+def count_tokens(events: bytes) -> int:
+    """Return how many events of a stream carry a token."""
+    count = 0
+    for line in events.splitlines():
+        if not line.startswith(b"data: ") or line == DONE:
+            continue
+        choices = json.loads(line[len(b"data: ") :]).get("choices", [])
+        count += sum(1 for choice in choices if choice["delta"].get("content"))
+    return count
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,60 @@
+"""The shared fixture: a whole running product on port 0, with stand-ins, in the test's process."""
+
+from __future__ import annotations
+
+import os
+
+os.environ.setdefault("UV_USE_IO_URING", "0")
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+from small_deployment import QUICK, StartProduct, make_small_deployment
+
+from gypsumrouter.demo.local_fleet import LocalFleet
+from gypsumrouter.standins import Deployment, EngineSettings, StandinPlatform
+from gypsumrouter.util.clock import SystemClock
+
+
+def pytest_addoption(parser: pytest.Parser) -> None:
+    parser.addoption("--write-golden", action="store_true", help="Write the golden files anew.")
+
+
+@pytest.fixture
+def write_golden(request: pytest.FixtureRequest) -> bool:
+    return bool(request.config.getoption("--write-golden"))
+
+
+@pytest.fixture
+async def start_product() -> AsyncIterator[StartProduct]:
+    """Start a whole product with the deployment, engines and settings that a test wants."""
+    fleets: list[LocalFleet] = []
+
+    async def async_start(
+        *,
+        deployment: Deployment | None = None,
+        engine_settings: EngineSettings | None = None,
+        routers: int = 1,
+        extra: dict[str, Any] | None = None,
+    ) -> LocalFleet:
+        clock = SystemClock()
+        platform = StandinPlatform(
+            clock=clock,
+            deployments=(deployment or make_small_deployment(),),
+            engine_settings=engine_settings,
+        )
+        fleet = LocalFleet(platform=platform, clock=clock, extra=extra or QUICK)
+        fleets.append(fleet)
+        await fleet.async_start(routers=routers)
+        return fleet
+
+    yield async_start
+    for fleet in fleets:
+        await fleet.async_stop()
+
+
+@pytest.fixture
+async def product(start_product: StartProduct) -> LocalFleet:
+    """One router, two engines and two services with their sides, all of them ready."""
+    return await start_product()
--- /dev/null
+++ b/tests/sessions/test_crashing_requests.py
@@ -0,0 +1,37 @@
+"""A request that crashes each upstream that runs it, sent again and again by its caller."""
+
+from __future__ import annotations
+
+import aiohttp
+from chat_client import make_chat, make_headers
+from small_deployment import StartProduct
+
+from gypsumrouter.const import PATH_CHAT
+from gypsumrouter.standins import EngineSettings
+
+MARKER = "boom"
+MAX_UPSTREAMS_LOST = 2
+
+
+async def test_it_brings_down_two_upstreams_at_most_and_is_refused_then(
+    start_product: StartProduct,
+) -> None:
+    settings = EngineSettings(crash_marker=MARKER, restart_ms=200)
+    fleet = await start_product(engine_settings=settings, routers=2)
+    headers = make_headers(fleet.platform.deployments[0].workspaces[0].key)
+    codes = []
+    async with aiohttp.ClientSession() as session:
+        for attempt in range(6):
+            router = fleet.list_callers()[attempt % 2]
+            async with session.post(
+                f"http://{router}{PATH_CHAT}", json=make_chat(content=MARKER), headers=headers
+            ) as response:
+                codes.append((await response.json())["error"]["code"])
+            await fleet.async_wait_ready()
+        async with session.post(
+            f"http://{router}{PATH_CHAT}", json=make_chat(max_tokens=2), headers=headers
+        ) as response:
+            assert response.status == 200
+    crashes = sum(engine.counts.crashes for engine in fleet.platform.engines.values())
+    assert crashes <= MAX_UPSTREAMS_LOST
+    assert codes[-1] == "suspect"
--- /dev/null
+++ b/tests/small_deployment.py
@@ -0,0 +1,36 @@
+"""A small deployment for tests, and settings that make its processes ready soon."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from gypsumrouter.configuration.models import CallerClass
+from gypsumrouter.demo.local_fleet import LocalFleet
+from gypsumrouter.standins import Deployment, WorkspacePlan
+
+StartProduct = Callable[..., Awaitable[LocalFleet]]
+
+# One machine, one clock: new sides may run keyed calls after this lease.
+LIST_LEASE_MS = 500
+QUICK: dict[str, Any] = {
+    "platform": {"list_lease_ms": LIST_LEASE_MS, "clock_skew_ms": 0, "list_poll_ms": 50},
+}
+
+
+def make_small_deployment(*, model: str = "chat-model") -> Deployment:
+    return Deployment(
+        name="small",
+        region="here",
+        data_centres=("here-a", "here-b"),
+        between_ms=0.0,
+        client_ms=0.0,
+        model=model,
+        engine_pool="models",
+        engines=2,
+        service_pool="records",
+        services=2,
+        at_most_once=("/defects",),
+        workspaces=(WorkspacePlan(name="plant"), WorkspacePlan(name="office")),
+        interactive=(CallerClass(name="inspector", first_token_ms=5_000),),
+    )
