--- a/gypsumrouter/link/__init__.py
+++ b/gypsumrouter/link/__init__.py
@@ -17,6 +17,7 @@
     Parts,
     PartsRequest,
     PoolLoad,
+    PrefixNews,
     Status,
     SuspectNews,
 )
@@ -45,6 +46,7 @@
     "PartsRequest",
     "Peer",
     "PoolLoad",
+    "PrefixNews",
     "Status",
     "StatusView",
     "SuspectNews",
--- a/gypsumrouter/link/codec.py
+++ b/gypsumrouter/link/codec.py
@@ -112,6 +112,7 @@
         promptBytes=request.prompt_bytes,
         maxOutputTokens=request.max_output_tokens,
         configurationVersion=request.configuration_version,
+        holders=list(request.holders),
     )
     set_pool_load(message, request.pool_load)
     return to_bytes(message)
@@ -144,6 +145,7 @@
             max_output_tokens=message.maxOutputTokens,
             configuration_version=message.configurationVersion,
             pool_load=read_pool_load(message),
+            holders=tuple(message.holders),
         )
 
 
--- a/gypsumrouter/link/connection.py
+++ b/gypsumrouter/link/connection.py
@@ -20,6 +20,7 @@
 from gypsumrouter.link.counts import ByteCounts
 from gypsumrouter.link.frames import (
     HEADER_BYTES,
+    KIND_DATA,
     OFFSET_BYTES,
     Frame,
     FrameError,
@@ -203,7 +204,7 @@
     def send_data(self, stream: int, offset: int, body: bytes) -> None:
         """Add a part of an answer's body."""
         size = len(body)
-        self._counts.sent[Kind.DATA] += _DATA_OVERHEAD + size
+        self._counts.sent[KIND_DATA] += _DATA_OVERHEAD + size
         self._out.append(pack_data_header(stream, offset, size))
         self._out.append(body)
         self._out_bytes += _DATA_OVERHEAD + size
--- a/gypsumrouter/link/const.py
+++ b/gypsumrouter/link/const.py
@@ -64,6 +64,7 @@
     PARTS = 33
     SUSPECT_NEWS = 34
     HOLDINGS = 35
+    PREFIX_NEWS = 36
 
 
 PAYLOAD_KINDS: Final = frozenset({Kind.OPEN, Kind.HEAD, Kind.DATA, Kind.END})
--- a/gypsumrouter/link/dialer.py
+++ b/gypsumrouter/link/dialer.py
@@ -252,6 +252,9 @@
         try:
             while (frame := await connection.async_read()) is not None:
                 self._on_frame(frame)
+                # Most frames come with others; a coroutine for each of them costs too much.
+                while (frame := connection.read_nowait()) is not None:
+                    self._on_frame(frame)
         except FrameError as error:
             _LOGGER.warning("The link to %s is closed: %s", self.instance.name, error)
             connection.end(str(error))
--- a/gypsumrouter/link/exchange.py
+++ b/gypsumrouter/link/exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Callable
 from typing import Protocol
 
 import xxhash
@@ -14,6 +15,9 @@
 _CANCELLED = Failed(reason=Reason.CANCELLED, message="the request was given up")
 _CORRUPTED = Failed(reason=Reason.CORRUPTED, message="the answer does not match its end")
 
+# Takes a part of a body at once, or returns False and leaves it to whoever reads the answer.
+Taker = Callable[[bytes], bool]
+
 
 class ExchangeOwner(Protocol):
     """Whoever sends what an exchange has to say to its server."""
@@ -36,6 +40,7 @@
         "_events",
         "_hash",
         "_owner",
+        "_taker",
         "_waiter",
         "confirm_sent",
         "done",
@@ -56,6 +61,7 @@
         self._confirmed = 0
         self._hash = xxhash.xxh3_64()
         self._events: deque[AnswerEvent] = deque()
+        self._taker: Taker | None = None
         self._waiter: asyncio.Future[None] | None = None
 
     @property
@@ -86,6 +92,10 @@
             return event
         return self._merge(event)
 
+    def hand_to(self, taker: Taker) -> None:
+        """Offer each part of the body to `taker` while the reader waits, before it is woken."""
+        self._taker = taker
+
     def confirm(self, offset: int) -> None:
         """Note that the caller took all bytes below `offset`, so that more may come."""
         offset = min(offset, self.received)
@@ -116,6 +126,9 @@
             return
         self.received += len(body)
         self._hash.update(body)
+        if self._taker is not None and self._is_awaited() and self._taker(body):
+            self.confirm(self.received)
+            return
         self._add(Data(offset=offset, body=body))
 
     def receive_end(self, end: End) -> None:
@@ -148,6 +161,10 @@
             self._events.popleft()
         return Data(offset=first.offset, body=b"".join(bodies))
 
+    def _is_awaited(self) -> bool:
+        """Return whether the reader waits, so that all that came before has been taken."""
+        return self._waiter is not None and not self._waiter.done()
+
     def _add(self, event: AnswerEvent) -> None:
         self._events.append(event)
         if self._waiter is not None and not self._waiter.done():
--- a/gypsumrouter/link/frames.py
+++ b/gypsumrouter/link/frames.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import struct
-from typing import Final, NamedTuple
+from typing import Final, NamedTuple, NoReturn
 
 from gypsumrouter.link.const import KIND_VALUES, MAX_FRAME_BYTES, Kind
 
@@ -13,7 +13,8 @@
 OFFSET_BYTES: Final = OFFSET.size
 DATA_HEADER: Final = struct.Struct("<IBBHQQ")
 
-_KIND_DATA: Final = int(Kind.DATA)
+# An access to a member of an enum costs a call.
+KIND_DATA: Final = int(Kind.DATA)
 
 
 class FrameError(Exception):
@@ -36,7 +37,7 @@
 
 def pack_data_header(stream: int, offset: int, length: int) -> bytes:
     """Return what goes before `length` raw bytes of an answer."""
-    return DATA_HEADER.pack(length + OFFSET_BYTES, _KIND_DATA, 0, 0, stream, offset)
+    return DATA_HEADER.pack(length + OFFSET_BYTES, KIND_DATA, 0, 0, stream, offset)
 
 
 def unpack_offset(body: bytes) -> int:
@@ -77,9 +78,12 @@
     def _cut(self, data: bytes, frames: list[Frame]) -> int:
         begin = 0
         size = len(data)
+        limit = self.limit
+        unpack_from = HEADER.unpack_from
         while size - begin >= HEADER_BYTES:
-            length, kind, flags, zero, stream = HEADER.unpack_from(data, begin)
-            self._check(length, kind, zero)
+            length, kind, flags, zero, stream = unpack_from(data, begin)
+            if length > limit or zero or kind not in KIND_VALUES:
+                self._refuse(length, kind)
             end = begin + HEADER_BYTES + length
             if end > size:
                 self._needed = end - begin
@@ -89,8 +93,7 @@
         self._needed = HEADER_BYTES
         return begin
 
-    def _check(self, length: int, kind: int, zero: int) -> None:
+    def _refuse(self, length: int, kind: int) -> NoReturn:
         if length > self.limit:
             raise FrameError(f"a frame of {length} bytes is longer than {self.limit}")
-        if kind not in KIND_VALUES or zero != 0:
-            raise FrameError(f"a frame of unknown kind {kind}")
+        raise FrameError(f"a frame of unknown kind {kind}")
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -54,6 +54,7 @@
   maxOutputTokens @19 :UInt64;
   configurationVersion @20 :UInt64;
   poolLoad @21 :PoolLoad;
+  holders @22 :List(Text);
 }
 
 struct Head {
@@ -110,6 +111,11 @@
   parts @2 :List(Data);
 }
 
+struct PrefixNews {
+  chat @0 :UInt64;
+  promptBytes @1 :UInt32;
+}
+
 struct SuspectNews {
   digest @0 :UInt64;
   strike @1 :UInt64;
--- a/gypsumrouter/link/models.py
+++ b/gypsumrouter/link/models.py
@@ -42,6 +42,8 @@
     request has already spent in the router. `path` is the path at the upstream with its query.
     `digest` identifies requests of the same content, for suspicion. `idempotency_key` is set
     only for calls that must not be repeated. `prompt_bytes` and `max_output_tokens` are the size.
+    `holders` names the instances that may hold the chat's prefix: the first and the second of its
+    own order, then the one that its caller's hint names.
     """
 
     sequence: int
@@ -67,6 +69,7 @@
     max_output_tokens: int = 0
     configuration_version: int = 0
     pool_load: PoolLoad | None = None
+    holders: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -135,6 +138,14 @@
     parts: tuple[bytes, ...] = ()
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PrefixNews:
+    """A chat, by the digest of its name, that ran away from its first place and is cached there."""
+
+    chat: int
+    prompt_bytes: int
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class SuspectNews:
     """A request digest that was running when an upstream died.
@@ -187,5 +198,5 @@
     entries: tuple[Holding, ...]
 
 
-Notice = Status | ConfigurationNews | PartsRequest | Parts | SuspectNews | Holdings
+Notice = Status | ConfigurationNews | PartsRequest | Parts | SuspectNews | Holdings | PrefixNews
 AnswerEvent = Head | Data | End | Failure
--- a/gypsumrouter/link/notice_codec.py
+++ b/gypsumrouter/link/notice_codec.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from gypsumrouter.link.const import Kind
 from gypsumrouter.link.frames import FrameError
 from gypsumrouter.link.holdings_codec import decode_holdings, encode_holdings
@@ -11,6 +13,7 @@
     Notice,
     Parts,
     PartsRequest,
+    PrefixNews,
     Status,
     SuspectNews,
 )
@@ -24,6 +27,8 @@
     to_packed,
 )
 
+MAX_UINT32: Final = 2**32 - 1
+
 
 def encode_notice(notice: Notice) -> tuple[Kind, bytes]:
     """Return the kind and the body of a notice's frame."""
@@ -50,6 +55,11 @@
                 digest=notice.digest, strike=notice.strike, alone=notice.alone
             )
             return Kind.SUSPECT_NEWS, to_packed(message)
+        case PrefixNews():
+            message = SCHEMA.PrefixNews.new_message(
+                chat=notice.chat, promptBytes=min(notice.prompt_bytes, MAX_UINT32)
+            )
+            return Kind.PREFIX_NEWS, to_packed(message)
         case Holdings():
             return Kind.HOLDINGS, encode_holdings(notice)
 
@@ -72,6 +82,9 @@
                 return SuspectNews(
                     digest=message.digest, strike=message.strike, alone=message.alone
                 )
+        case Kind.PREFIX_NEWS:
+            with reading_packed(SCHEMA.PrefixNews, body) as message:
+                return PrefixNews(chat=message.chat, prompt_bytes=message.promptBytes)
         case Kind.HOLDINGS:
             return decode_holdings(body)
     raise FrameError(f"frame kind {kind} is no notice")
--- a/gypsumrouter/link/outstanding.py
+++ b/gypsumrouter/link/outstanding.py
@@ -14,7 +14,7 @@
 from gypsumrouter.link.connection import Connection
 from gypsumrouter.link.const import CONFIRM_SHARE, FLAG_FINAL, FLAG_PRESS, Kind
 from gypsumrouter.link.exchange import Exchange
-from gypsumrouter.link.frames import OFFSET_BYTES, Frame, FrameError, unpack_offset
+from gypsumrouter.link.frames import KIND_DATA, OFFSET_BYTES, Frame, FrameError, unpack_offset
 from gypsumrouter.link.models import Open
 from gypsumrouter.outcomes import Failure
 from gypsumrouter.settings import Link
@@ -85,11 +85,12 @@
         Frames of exchanges that have ended are late and dropped.
         """
         exchange = self._exchanges.get(frame.stream)
+        if frame.kind == KIND_DATA:
+            offset = unpack_offset(frame.body)
+            if exchange is not None:
+                exchange.receive_data(offset, frame.body[OFFSET_BYTES:])
+            return True
         match frame.kind:
-            case Kind.DATA:
-                offset = unpack_offset(frame.body)
-                if exchange is not None:
-                    exchange.receive_data(offset, frame.body[OFFSET_BYTES:])
             case Kind.HEAD:
                 head = decode_head(frame.body)
                 if exchange is not None:
--- a/gypsumrouter/link/server.py
+++ b/gypsumrouter/link/server.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 from typing import Any
 
 from gypsumrouter.core import Application
@@ -25,7 +25,7 @@
     to_seconds,
 )
 from gypsumrouter.link.liveness import async_tick, forgive_silence, keep_alive
-from gypsumrouter.link.models import Hello, Open, Status
+from gypsumrouter.link.models import Hello, Notice, Open, Status
 from gypsumrouter.link.notices import NoticeHub, Peer
 from gypsumrouter.link.once import LogOnce
 from gypsumrouter.link.served import ServedLink
@@ -121,6 +121,12 @@
         """Send the status on open links, at a bounded rate, but `leaving` and `ready` at once."""
         self._status.publish(status)
 
+    def send_to(self, names: Collection[str], notice: Notice) -> None:
+        """Send a notice over the open links of some processes, before all that is sent later."""
+        for peer, _ in tuple(self._peers.values()):
+            if peer.hello.name in names:
+                peer.send(notice)
+
     def _make_connection(self) -> Connection:
         connection = Connection(clock=self._app.clock, counts=self._diagnostics.counts)
         self._connections.add(connection)
--- /dev/null
+++ b/tests/helpers/test_tls_links.py
@@ -0,0 +1,168 @@
+"""Links over TLS, with key files that change while the processes run."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import ssl
+from dataclasses import replace
+from pathlib import Path
+from typing import Final
+
+import pytest
+
+from gypsumrouter.const import Role
+from gypsumrouter.core import Application
+from gypsumrouter.exceptions import SettingsInvalid
+from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.helpers.tls import TlsFiles, make_client_context, make_server_context
+from gypsumrouter.link import ConfigurationNews, LinkPool, LinkServer, NoticeHub
+from gypsumrouter.settings import Link, Tls
+from gypsumrouter.util.clock import ManualClock
+
+FILES = Path(__file__).with_name("tls_files")
+KEY = b"a key of the links for tests"
+NEWS = ConfigurationNews(version=1, digest=1)
+MAX_READS: Final = 200
+
+
+def make_app(name: str) -> Application:
+    return Application(
+        name=name, role=Role.SIDE, data_centre="dc-1", region="region-1", clock=ManualClock()
+    )
+
+
+def install(directory: Path, name: str) -> Tls:
+    """Copy a certificate and its key to where settings point, and return the settings."""
+    directory.mkdir(exist_ok=True)
+    for suffix in (".pem", ".key"):
+        target = directory / f"own{suffix}"
+        target.unlink(missing_ok=True)
+        shutil.copy(FILES / f"{name}{suffix}", target)
+    authority = str(FILES / "ca.pem")
+    return Tls(
+        certificate_file=str(directory / "own.pem"),
+        key_file=str(directory / "own.key"),
+        ca_file=authority,
+        client_ca_file=authority,
+    )
+
+
+async def async_try_link(server_tls: Tls | None, client_tls: Tls | None) -> bool:
+    """Return whether a notice gets from one process to another."""
+    server_app, pool_app = make_app("side-1"), make_app("side-2")
+    server = LinkServer(
+        app=server_app,
+        settings=Link(tls=server_tls),
+        key=KEY,
+        notices=NoticeHub(app=server_app),
+        handler=None,
+        answer_memory_bytes=1_000,
+    )
+    pool = LinkPool(
+        app=pool_app, settings=Link(tls=client_tls), key=KEY, notices=NoticeHub(app=pool_app)
+    )
+    instance = Instance(
+        name="side-1",
+        role=Role.SIDE,
+        address=await server.async_start(),
+        data_centre="dc-1",
+        region="region-1",
+    )
+    try:
+        return await pool.async_send(instance=instance, notice=NEWS)
+    finally:
+        await pool_app.async_stop()
+        await server_app.async_stop()
+
+
+async def async_read_certificate(address: Address) -> bytes:
+    """Return the certificate that a listener shows."""
+    tls = Tls(
+        certificate_file=str(FILES / "first.pem"),
+        key_file=str(FILES / "first.key"),
+        ca_file=str(FILES / "ca.pem"),
+    )
+    _, writer = await asyncio.open_connection(
+        address.host, address.port, ssl=make_client_context(tls)
+    )
+    shown = writer.get_extra_info("ssl_object").getpeercert(binary_form=True)
+    writer.transport.abort()
+    assert isinstance(shown, bytes)
+    return shown
+
+
+async def test_processes_of_one_authority_link_over_tls(tmp_path: Path) -> None:
+    first = install(tmp_path / "first", "first")
+    second = install(tmp_path / "second", "second")
+    assert await async_try_link(first, second)
+
+
+async def test_a_server_of_another_authority_is_not_linked_with(tmp_path: Path) -> None:
+    stranger = install(tmp_path / "stranger", "stranger")
+    first = install(tmp_path / "first", "first")
+    assert not await async_try_link(stranger, first)
+
+
+async def test_a_dialer_of_another_authority_is_not_accepted(tmp_path: Path) -> None:
+    first = install(tmp_path / "first", "first")
+    stranger = install(tmp_path / "stranger", "stranger")
+    assert not await async_try_link(first, stranger)
+
+
+@pytest.mark.parametrize("server_speaks_tls", [True, False])
+async def test_tls_and_plain_do_not_link(tmp_path: Path, server_speaks_tls: bool) -> None:
+    tls = install(tmp_path / "first", "first")
+    server_tls, client_tls = (tls, None) if server_speaks_tls else (None, tls)
+    assert not await async_try_link(server_tls, client_tls)
+
+
+async def test_changed_key_files_are_shown_without_a_restart(tmp_path: Path) -> None:
+    app = make_app("side-1")
+    tls = replace(install(tmp_path / "own", "first"), client_ca_file=None)
+    server = LinkServer(
+        app=app,
+        settings=Link(tls=tls),
+        key=KEY,
+        notices=NoticeHub(app=app),
+        handler=None,
+        answer_memory_bytes=1_000,
+    )
+    address = await server.async_start()
+    before = await async_read_certificate(address)
+    install(tmp_path / "own", "second")
+    shown = before
+    assert isinstance(app.clock, ManualClock)
+    for _ in range(MAX_READS):
+        app.clock.advance(10_000)
+        try:
+            shown = await async_read_certificate(address)
+        except ConnectionError:
+            # The server drops a handshake that lasts for seconds of its clock.
+            continue
+        if shown != before:
+            break
+    assert shown == ssl.PEM_cert_to_DER_cert((FILES / "second.pem").read_text())
+    await app.async_stop()
+
+
+def test_files_that_do_not_belong_together_leave_the_old_ones_in_force(tmp_path: Path) -> None:
+    tls = install(tmp_path / "own", "first")
+    context = make_server_context(tls)
+    files = TlsFiles(app=make_app("side-1"), tls=tls, context=context)
+    assert not files.refresh()
+    Path(tls.certificate_file).unlink()
+    shutil.copy(FILES / "second.pem", tls.certificate_file)
+    assert not files.refresh()
+    Path(tls.key_file).unlink()
+    shutil.copy(FILES / "second.key", tls.key_file)
+    assert files.refresh()
+    assert not files.refresh()
+
+
+def test_wrong_files_at_the_start_are_wrong_settings(tmp_path: Path) -> None:
+    tls = replace(install(tmp_path / "own", "first"), key_file=str(tmp_path / "missing.key"))
+    with pytest.raises(SettingsInvalid):
+        make_server_context(tls)
+    with pytest.raises(SettingsInvalid):
+        make_client_context(tls)
--- a/tests/link/test_link_exchange.py
+++ b/tests/link/test_link_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from dataclasses import replace
 
 from link_harness import (
@@ -22,6 +23,7 @@
 from gypsumrouter.link import (
     Answer,
     ConfigurationNews,
+    Data,
     End,
     Exchange,
     Head,
@@ -34,7 +36,9 @@
     PoolLoad,
     Status,
 )
+from gypsumrouter.link.outstanding import Outstanding
 from gypsumrouter.outcomes import Failed, Reason, Refused
+from gypsumrouter.util.clock import ManualClock
 
 STATUS = Status(load=1, running=1, weight=1.0, leaving=False, ready=True, models=("m",))
 
@@ -73,6 +77,61 @@
         assert pair.relay.accepted == 1
 
 
+async def test_parts_that_are_handed_over_and_parts_that_are_read_make_the_answer_in_order() -> (
+    None
+):
+    sent = random.Random(5).randbytes(4 * SETTINGS.window_bytes)
+
+    async def handle(hello: Hello, request: Open, answer: Answer) -> None:
+        answer.head(HEAD)
+        for begin in range(0, len(sent), 1_000):
+            await answer.async_write(sent[begin : begin + 1_000])
+            await asyncio.sleep(0)
+        answer.end()
+
+    taken = bytearray()
+    handed: list[int] = []
+    read: list[int] = []
+
+    def take(body: bytes) -> bool:
+        if len(handed) > 2 * len(read):
+            return False
+        handed.append(len(body))
+        taken.extend(body)
+        return True
+
+    async with linked(handle) as pair:
+        exchange = await pair.async_exchange()
+        assert await exchange.async_next() == HEAD
+        exchange.hand_to(take)
+        while isinstance(event := await exchange.async_next(), Data):
+            assert event.offset == len(taken)
+            read.append(len(event.body))
+            taken.extend(event.body)
+            exchange.confirm(len(taken))
+        assert isinstance(event, End)
+        assert bytes(taken) == sent
+        assert handed
+        assert read
+        # All was confirmed, or the server would have stopped at the end of its window.
+        assert exchange.confirmed == len(sent)
+
+
+async def test_no_part_is_handed_over_while_the_reader_is_busy_with_an_earlier_one() -> None:
+    def take(body: bytes) -> bool:
+        raise AssertionError("the reader was busy")
+
+    owner = Outstanding(clock=ManualClock(), settings=SETTINGS)
+    exchange = Exchange(request=REQUEST, owner=owner, opened_ms=0)
+    exchange.receive_head(HEAD)
+    assert await exchange.async_next() == HEAD
+    exchange.receive_data(0, b"one")
+    assert await exchange.async_next() == Data(offset=0, body=b"one")
+    exchange.hand_to(take)
+    exchange.receive_data(3, b"two")
+    assert await exchange.async_next() == Data(offset=3, body=b"two")
+
+
 async def test_a_refusal_reaches_the_router_with_all_its_fields() -> None:
     refused = Refused(
         reason=Reason.OVER_CAP, message="over the cap", retry_after_ms=500, elsewhere=True
@@ -230,6 +289,22 @@
         assert (view.status, view.incarnation) == (leaving, pair.server_app.incarnation)
 
 
+async def test_a_notice_sent_before_a_failure_arrives_before_it() -> None:
+    news = ConfigurationNews(version=7, digest=1)
+    arrived: list[object] = []
+
+    async def handle(hello: Hello, _request: Open, answer: Answer) -> None:
+        pair.server.send_to({"another"}, replace(news, version=8))
+        pair.server.send_to({hello.name}, news)
+        answer.fail(Failed(reason=Reason.UPSTREAM_LOST))
+
+    async with linked(handle) as pair:
+        pair.pool_hub.subscribe(ConfigurationNews, lambda _peer, item: arrived.append(item))
+        exchange = await pair.async_exchange()
+        assert isinstance(await exchange.async_next(), Failed)
+        assert arrived == [news]
+
+
 async def test_an_idle_link_is_closed_and_opened_again_on_demand() -> None:
     async with linked(settings=replace(SETTINGS, idle_close_ms=50)) as pair:
         await async_read_answer(await pair.async_exchange())
--- /dev/null
+++ b/tests/link/test_link_lying_server.py
@@ -0,0 +1,119 @@
+"""Servers that prove themselves and then break the protocol: the answer is never taken as whole."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+from link_harness import HEAD, KEY, REQUEST, async_read_answer, linked, make_app
+
+from gypsumrouter.const import Role
+from gypsumrouter.fleet.models import Address
+from gypsumrouter.link import End, Status
+from gypsumrouter.link.codec import encode_end, encode_failure, encode_head
+from gypsumrouter.link.connection import Connection
+from gypsumrouter.link.const import Kind
+from gypsumrouter.link.counts import ByteCounts
+from gypsumrouter.link.frames import OFFSET
+from gypsumrouter.link.handshake import async_accept, make_greeting
+from gypsumrouter.link.notice_codec import encode_notice
+from gypsumrouter.outcomes import Failed, Reason, Refused
+from gypsumrouter.util.clock import SystemClock
+
+Script = list[tuple[Kind, bytes]]
+
+HEAD_FRAME = (Kind.HEAD, encode_head(HEAD))
+DATA_FRAME = (Kind.DATA, OFFSET.pack(0) + b"whole answer")
+WRONG_SUM = (Kind.END, encode_end(End(length=12, checksum=1)))
+WRONG_LENGTH = (Kind.END, encode_end(End(length=11, checksum=0)))
+REFUSED_FRAME = encode_failure(Refused(reason=Reason.OVER_CAP, elsewhere=True))
+
+
+class LyingServer:
+    """Answer each OPEN with frames of the test's own."""
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def async_start(self) -> Address:
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(self._make_connection, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        return Address(host=host, port=port)
+
+    def _make_connection(self) -> Connection:
+        connection = Connection(clock=SystemClock(), counts=ByteCounts())
+        self._tasks.add(asyncio.create_task(self._async_serve(connection)))
+        return connection
+
+    async def _async_serve(self, connection: Connection) -> None:
+        app = make_app("side-1", Role.SIDE)
+        greeting = make_greeting(app=app, attempt=0, window_bytes=1_000)
+        await async_accept(connection=connection, greeting=greeting, key=KEY)
+        connection.lift_limit()
+        connection.send(Kind.WELCOME)
+        while (frame := await connection.async_read()) is not None:
+            if frame.kind != Kind.OPEN:
+                continue
+            for kind, body in self.script:
+                connection.send(kind, stream=frame.stream, body=body)
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        [HEAD_FRAME, DATA_FRAME, WRONG_SUM],
+        [HEAD_FRAME, DATA_FRAME, WRONG_LENGTH],
+        [HEAD_FRAME, WRONG_SUM],
+        [HEAD_FRAME, DATA_FRAME, DATA_FRAME],
+        [HEAD_FRAME, (Kind.DATA, OFFSET.pack(5) + b"a gap")],
+        [DATA_FRAME],
+        [HEAD_FRAME, REFUSED_FRAME],
+        [HEAD_FRAME, (Kind.DATA, b"short")],
+        [HEAD_FRAME, (Kind.END, b"malformed")],
+        [(Kind.OPEN, b"")],
+    ],
+)
+async def test_an_answer_that_breaks_the_protocol_is_corrupted_never_whole_or_refused(
+    script: Script,
+) -> None:
+    async with linked() as pair:
+        address = await LyingServer(script).async_start()
+        instance = replace(pair.instance, address=address)
+        exchange = await pair.pool.async_open(instance=instance, request=REQUEST)
+        assert not isinstance(exchange, Refused)
+        while not isinstance(event := await exchange.async_next(), End | Failed | Refused):
+            continue
+        assert isinstance(event, Failed)
+        assert event.reason is Reason.CORRUPTED
+
+
+async def test_frames_that_come_late_for_finished_exchanges_are_dropped() -> None:
+    status = Status(load=1, running=1, weight=1.0, leaving=False, ready=True)
+    arrived = asyncio.Event()
+    cancelled = (Kind.FAILED, encode_failure(Failed(reason=Reason.UPSTREAM_LOST))[1])
+    late: Script = [cancelled, HEAD_FRAME, DATA_FRAME, WRONG_SUM, REFUSED_FRAME]
+    async with linked() as pair:
+        address = await LyingServer([*late, encode_notice(status)]).async_start()
+        pair.pool.on_status(lambda _hello, _status: arrived.set())
+        instance = replace(pair.instance, address=address)
+        exchange = await pair.pool.async_open(instance=instance, request=REQUEST)
+        assert not isinstance(exchange, Refused)
+        _, event = await async_read_answer(exchange)
+        assert event == Failed(reason=Reason.UPSTREAM_LOST)
+        await arrived.wait()
+        assert not exchange.waiting
+
+
+async def test_a_server_that_answers_nothing_is_found_and_the_outcome_stays_unknown() -> None:
+    async with linked() as pair:
+        address = await LyingServer([]).async_start()
+        instance = replace(pair.instance, address=address)
+        exchange = await pair.pool.async_open(instance=instance, request=REQUEST)
+        assert not isinstance(exchange, Refused)
+        event = await exchange.async_next()
+        assert isinstance(event, Failed)
+        # Each connection of this server is another incarnation.
+        assert event.reason is Reason.SIDE_RESTARTED
