--- /dev/null
+++ b/bench/child.py
@@ -0,0 +1,83 @@
+"""A process of a bench that is driven by lines of JSON on its standard input."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
+
+from gypsumrouter.const import ENV_IO_URING, IO_URING_OFF
+
+READ_LIMIT: Final = 4 * 1024 * 1024
+ANSWER_S: Final = 90.0
+
+Command = dict[str, Any]
+
+
+class Child:
+    """The parent's end: starts a module, and ends it by closing its standard input."""
+
+    def __init__(self, *, module: str, plan: Command) -> None:
+        self._module = module
+        self._plan = plan
+        self._process: asyncio.subprocess.Process | None = None
+
+    @property
+    def pid(self) -> int:
+        """Return the id of the process."""
+        assert self._process is not None
+        return self._process.pid
+
+    async def async_start(self) -> Any:
+        """Start the process and return what it says first."""
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            self._module,
+            json.dumps(self._plan),
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            limit=READ_LIMIT,
+            env={**os.environ, ENV_IO_URING: IO_URING_OFF},
+        )
+        return await self._async_read()
+
+    async def async_command(self, **command: Any) -> Any:
+        """Have the process do something and return its answer."""
+        assert self._process is not None
+        assert self._process.stdin is not None
+        self._process.stdin.write(json.dumps(command).encode() + b"\n")
+        return await self._async_read()
+
+    async def async_stop(self) -> None:
+        """End the process."""
+        if self._process is None or self._process.stdin is None:
+            return
+        self._process.stdin.close()
+        await self._process.wait()
+
+    async def _async_read(self) -> Any:
+        assert self._process is not None
+        assert self._process.stdout is not None
+        line = await asyncio.wait_for(self._process.stdout.readline(), ANSWER_S)
+        if not line:
+            code = await self._process.wait()
+            raise RuntimeError(f"{self._module} ended too early with code {code}")
+        return json.loads(line)
+
+
+async def async_serve(first: object, follow: Callable[[Command], Awaitable[object]]) -> None:
+    """Tell `first` to the parent, then follow its commands until the standard input ends."""
+    print(json.dumps(first), flush=True)
+    reader = asyncio.StreamReader(limit=READ_LIMIT)
+    loop = asyncio.get_running_loop()
+    # The loop alone would not keep the transport alive.
+    transport, _ = await loop.connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
+    while line := await reader.readline():
+        print(json.dumps(await follow(json.loads(line))), flush=True)
+    transport.close()
--- /dev/null
+++ b/bench/config_fleet.py
@@ -0,0 +1,201 @@
+"""Real processes that hold a configuration of the two-year size, and what its changes cost them."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from typing import Final
+
+from bench.in_force import find_in_force, read_logs
+from bench.ledger import Spent, async_begin, async_end
+from bench.metered_platform import MeteredPlatform
+from bench.paced_engine import PacedEngine
+from bench.probe_host import ProbedProcess
+from bench.processes import DaemonProcess
+from bench.rig import READY_POLL_MS, Rig
+from bench.two_year import WORKSPACES
+from gypsumrouter.const import MS_PER_S, Role
+from gypsumrouter.fleet.models import Address
+
+KINDS: Final = ("configuration_news", "parts_request", "parts")
+SETTLE_S: Final = 3.0
+START_LIMIT_S: Final = 20.0
+SPREAD_LIMIT_S: Final = 30.0
+POLL_S: Final = 0.2
+
+
+@dataclass(slots=True, kw_only=True)
+class ChangeCost:
+    """What one change costs a process: one of the few that watch the platform, or another.
+
+    `documents` is how many whole documents the fleet reads for it.
+    """
+
+    watchers: int = 0
+    documents: float = 0.0
+    watcher_bytes: float = 0.0
+    other_bytes: float = 0.0
+    watcher_cpu_s: float = 0.0
+    other_cpu_s: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class ConfigFleet:
+    """A fleet of real processes, with a router and a side that measure their loops' pauses."""
+
+    platform: MeteredPlatform
+    rig: Rig
+    upstream: Address
+    spare: list[str]
+    document_bytes: int = 1
+    probed: list[ProbedProcess] = field(default_factory=list)
+    accepted_ms: dict[int, int] = field(default_factory=dict)
+    started_s: list[float] = field(default_factory=list)
+
+    def publish(self) -> int:
+        """Publish the next version, with one workspace changed, and return it."""
+        number = self.platform.configuration.version + 1
+        self.document_bytes = self.platform.publish_workspaces(WORKSPACES, changed=number)
+        version = self.platform.configuration.version
+        self.accepted_ms[version] = time.time_ns() // 1_000_000
+        return version
+
+    def list_processes(self) -> list[DaemonProcess]:
+        """Return the ordinary processes."""
+        return [*self.rig.routers.values(), *self.rig.sides.values()]
+
+    def read_events(self) -> dict[str, list[tuple[int, int]]]:
+        """Return which versions came into force when."""
+        names = [process.name for process in self.list_processes()]
+        return read_logs(self.rig.folder, names)
+
+    async def async_wait_in_force(self, version: int) -> bool:
+        """Wait until every process has a version in force; False after half a minute."""
+        for _ in range(round(SPREAD_LIMIT_S / POLL_S)):
+            events = self.read_events().values()
+            if all(find_in_force(in_force, version) < float("inf") for in_force in events):
+                return True
+            await asyncio.sleep(POLL_S)
+        return False
+
+    async def async_start_another(self) -> None:
+        """Start one more side and note how long it took until it served."""
+        began_s = time.monotonic()
+        process = await self.rig.async_start_side(self.spare.pop())
+        while not await self.rig.async_is_ready(process):
+            if time.monotonic() - began_s > START_LIMIT_S:
+                break
+            await asyncio.sleep(READY_POLL_MS / MS_PER_S)
+        self.started_s.append(time.monotonic() - began_s)
+
+    async def async_take_pauses(self) -> dict[Role, dict[str, float]]:
+        """Return the longest pauses of the probed loops since the last call."""
+        return {probed.role: await probed.async_take() for probed in self.probed}
+
+    async def async_measure_changes(self, *, changes: int, pause_s: float) -> ChangeCost:
+        """Publish changes one after the other and return what one costs each kind of process."""
+        processes = self.list_processes()
+        watching_before = await self._async_list_watching(processes)
+        read_before = self._count_platform_bytes()
+        begins = {process.name: await async_begin(self.rig, [process]) for process in processes}
+        for _ in range(changes):
+            self.publish()
+            await asyncio.sleep(pause_s)
+        await asyncio.sleep(SETTLE_S)
+        spent = {
+            process.name: await async_end(self.rig, [process], begins[process.name])
+            for process in processes
+        }
+        read = self._count_platform_bytes() - read_before
+        watching_after = await self._async_list_watching(processes)
+        # Who began or ended to watch meanwhile is neither.
+        watchers = [spent[name] for name in watching_before & watching_after]
+        others = [spent[name] for name in spent.keys() - watching_before - watching_after]
+        documents = max(1, round(read / self.document_bytes))
+        return ChangeCost(
+            watchers=len(watchers),
+            documents=documents / changes,
+            watcher_bytes=_average_bytes(watchers) / changes + read / documents,
+            other_bytes=_average_bytes(others) / changes,
+            watcher_cpu_s=_average_cpu_s(watchers) / changes,
+            other_cpu_s=_average_cpu_s(others) / changes,
+        )
+
+    async def _async_list_watching(self, processes: list[DaemonProcess]) -> set[str]:
+        """Return the names of the processes that watch the platform now."""
+        dumps = [await self.rig.async_dump(process) for process in processes]
+        return {
+            process.name
+            for process, dump in zip(processes, dumps, strict=True)
+            if dump["configuration_spread"]["watches_platform"]
+        }
+
+    def _count_platform_bytes(self) -> int:
+        return sum(self.platform.count_bytes(role).configuration for role in Role)
+
+
+async def async_start_fleet(
+    stack: AsyncExitStack, *, routers: int, sides: int, spare: int = 0, probes: bool = True
+) -> ConfigFleet:
+    """Start a fleet that ends with the stack, and wait until it holds the whole document."""
+    platform = MeteredPlatform(workspaces=WORKSPACES)
+    await platform.async_start()
+    rig = Rig(platform=platform)
+    stack.push_async_callback(rig.async_stop)
+    engine = PacedEngine(model=platform.deployment.model)
+    upstream = await engine.async_start()
+    stack.push_async_callback(engine.async_stop)
+    probed_sides = 1 if probes else 0
+    platform.plan_sides(count=sides + spare + probed_sides, upstream=upstream)
+    names = [plan.name for plan in platform.plans]
+    fleet = ConfigFleet(
+        platform=platform,
+        rig=rig,
+        upstream=upstream,
+        spare=names[sides + probed_sides :],
+    )
+    await asyncio.gather(*(rig.async_start_side(name) for name in names[:sides]))
+    await asyncio.gather(*(rig.async_start_router(index) for index in range(routers)))
+    if probes:
+        await _async_start_probes(stack, fleet, side=names[sides], router=routers)
+    await rig.async_wait_ready()
+    fleet.accepted_ms[platform.configuration.version] = time.time_ns() // 1_000_000
+    await fleet.async_wait_in_force(platform.configuration.version)
+    await asyncio.sleep(SETTLE_S)
+    return fleet
+
+
+async def _async_start_probes(
+    stack: AsyncExitStack, fleet: ConfigFleet, *, side: str, router: int
+) -> None:
+    platform, deployment = fleet.platform, fleet.platform.deployment
+    link = {"key_file": str(fleet.rig.folder / "link.key")}
+    place = {"data_centre": deployment.get_data_centre(router), "region": deployment.region}
+    name = f"{deployment.name}-router-{router + 1}"
+    wanted = {
+        Role.SIDE: platform.make_side_settings(side, link=link),
+        Role.ROUTER: platform.make_router_settings(name, link=link, **place),
+    }
+    for role, settings in wanted.items():
+        probed = ProbedProcess(role=role, settings=settings)
+        stack.push_async_callback(probed.async_stop)
+        await probed.async_start()
+        fleet.probed.append(probed)
+        if role is Role.SIDE:
+            platform.list_side(side, probed.link)
+        else:
+            platform.list_router(name, probed.link, **place)
+
+
+def _average_bytes(spent: list[Spent]) -> float:
+    return sum(_sum_bytes(item) for item in spent) / max(1, len(spent))
+
+
+def _average_cpu_s(spent: list[Spent]) -> float:
+    return sum(item.core_share * item.seconds for item in spent) / max(1, len(spent))
+
+
+def _sum_bytes(spent: Spent) -> float:
+    return sum(spent.rates.get(kind, 0.0) for kind in KINDS) * spent.seconds
--- /dev/null
+++ b/bench/faults.py
@@ -0,0 +1,314 @@
+"""Real processes under seeded schedules of faults, two at a time: what must hold, counted."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import logging
+import random
+import shutil
+from collections import Counter
+from collections.abc import Coroutine
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any, Final
+
+import aiohttp
+import uvloop
+
+from bench.accounts import Account, choose_accounts
+from bench.faults_callers import (
+    MAX_TRIES,
+    TIMEOUT_S,
+    FaultAccount,
+    FaultCallCaller,
+    FaultChatCaller,
+    FaultContext,
+    FaultOpaqueCaller,
+)
+from bench.faults_journal import Journal
+from bench.faults_probes import Found, async_probe_silence
+from bench.faults_report import Findings, report
+from bench.faults_requests import CRASH_MARKER
+from bench.faults_rig import SplitPlatform, SplitRig
+from bench.faults_schedule import Schedule
+from bench.faults_stage import Stage
+from bench.load import ChatShape
+from bench.report import print_machine
+from bench.rig import Sections
+from bench.tally import Tally
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.helpers.connector import ShieldedConnector
+from gypsumrouter.standins import Deployment, EngineSettings, chapin, kotlovnica
+from gypsumrouter.util.clock import SystemClock
+
+DEFAULT_SEEDS: Final = 6
+DEFAULT_CALLS: Final = 2_400
+DEFAULT_SECONDS: Final = 14.0
+DEFAULT_QUIET_S: Final = 8.0
+FIRST_SEED: Final = 7_000
+
+ROUTERS: Final = 4
+CALL_CALLERS: Final = 28
+OPAQUE_EVERY: Final = 7
+CHAT_CALLERS: Final = 24
+CHAT_SHAPE: Final = ChatShape(turns=4, first_bytes=800, turn_bytes=150, think_ms=250)
+LONG_SHAPE: Final = ChatShape(turns=2, first_bytes=800, min_tokens=150, max_tokens=400)
+LONG_EVERY: Final = 6
+
+LIST_LEASE_MS: Final = 2_000
+CLOCK_SKEW_MS: Final = 20
+LIST_POLL_MS: Final = 200
+SERVICE_DELAY_MS: Final = 20
+SETTLE_MS: Final = 2_000
+EXTRA: Final[Sections] = {
+    "platform": {
+        "list_lease_ms": LIST_LEASE_MS,
+        "clock_skew_ms": CLOCK_SKEW_MS,
+        "list_poll_ms": LIST_POLL_MS,
+    },
+}
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Options:
+    """How much is done; `seconds` is the time of one seed, `calls` the sum over all seeds."""
+
+    seeds: int
+    calls: int
+    seconds: float
+    quiet_s: float
+    first_seed: int
+    window_ms: int | None
+    logs: Path | None
+
+
+def main(argv: list[str]) -> int:
+    """Run the bench; the last line of the output holds the figures."""
+    parser = argparse.ArgumentParser(prog="python -m bench faults", description=__doc__)
+    parser.add_argument("--seeds", type=int, default=DEFAULT_SEEDS)
+    parser.add_argument("--calls", type=int, default=DEFAULT_CALLS)
+    parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS, help="of one seed")
+    parser.add_argument("--quiet", type=float, default=DEFAULT_QUIET_S, help="without faults")
+    parser.add_argument("--first-seed", type=int, default=FIRST_SEED)
+    parser.add_argument(
+        "--window", type=float, help="seconds for which repeats are covered, else the default"
+    )
+    parser.add_argument("--logs", type=Path, help="keep the logs of all processes in this folder")
+    chosen = parser.parse_args(argv)
+    logging.basicConfig(level=logging.WARNING)
+    # Stand-ins write to connections that the faults have cut.
+    logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
+    options = Options(
+        seeds=chosen.seeds,
+        calls=chosen.calls,
+        seconds=chosen.seconds,
+        quiet_s=chosen.quiet,
+        first_seed=chosen.first_seed,
+        window_ms=None if chosen.window is None else round(chosen.window * MS_PER_S),
+        logs=chosen.logs,
+    )
+    print_machine()
+    print(
+        f"list_lease_ms {LIST_LEASE_MS}, clock_skew_ms {CLOCK_SKEW_MS}, "
+        f"list_poll_ms {LIST_POLL_MS}; all else as by default"
+    )
+    uvloop.run(async_run(options))
+    return 0
+
+
+async def async_run(options: Options) -> None:
+    """Start the fleet, play everything and print what was found."""
+    clock = SystemClock()
+    platform = SplitPlatform(
+        clock=clock,
+        deployments=(kotlovnica(), chapin()),
+        engine_settings=EngineSettings(crash_marker=CRASH_MARKER),
+        service_delay_ms=SERVICE_DELAY_MS,
+    )
+    await platform.async_start()
+    rig = SplitRig(platform=platform, extra=EXTRA)
+    try:
+        await rig.async_start(routers=ROUTERS)
+        async with aiohttp.ClientSession(connector=ShieldedConnector(limit=0)) as session:
+            stage = make_stage(rig, session, options)
+            stage.publish()
+            await async_play(stage, options)
+    finally:
+        if options.logs is not None:
+            options.logs.mkdir(parents=True, exist_ok=True)
+            for file in rig.folder.glob("*.log"):
+                shutil.copy(file, options.logs)
+        await rig.async_stop()
+
+
+def make_stage(rig: SplitRig, session: aiohttp.ClientSession, options: Options) -> Stage:
+    """Return the stage of a running rig."""
+    clock = SystemClock()
+    journal = Journal(clock=clock)
+    routers = rig.list_callers()
+    context = FaultContext(
+        session=session,
+        routers=routers,
+        tally=Tally(),
+        clock=clock,
+        tries=MAX_TRIES,
+        timeout_s=TIMEOUT_S,
+        journal=journal,
+    )
+    return Stage(
+        rig=rig,
+        context=context,
+        journal=journal,
+        clock=clock,
+        routers=routers,
+        next_router=ROUTERS,
+        window_ms=options.window_ms,
+    )
+
+
+async def async_play(stage: Stage, options: Options) -> None:
+    """Probe, play without faults, play every seed, and report."""
+    await stage.clock.async_sleep(LIST_LEASE_MS + SETTLE_MS)
+    found = await async_probe_silence(stage)
+    quiet = Journal(clock=stage.clock)
+    calm = replace(stage.context, journal=quiet, tally=Tally())
+    pace = options.calls / options.seeds / options.seconds
+    budget = Budget(calls=round(pace * options.quiet_s))
+    await async_call(calm, stage, seed=options.first_seed - 1, budget=budget, pace=pace)
+    counts: Counter[str] = Counter()
+    for seed in range(options.first_seed, options.first_seed + options.seeds):
+        await async_play_seed(stage, options, seed, counts)
+    await stage.clock.async_sleep(SETTLE_MS)
+    report(make_findings(stage, options, calm, found))
+
+
+def make_findings(
+    stage: Stage, options: Options, calm: FaultContext, found: list[Found]
+) -> Findings:
+    """Return all that the run has brought to light."""
+    return Findings(
+        seeds=options.seeds,
+        stage=stage,
+        tallies=(stage.context.tally, calm.tally),
+        quiet=calm.journal,
+        found=found,
+    )
+
+
+async def async_play_seed(stage: Stage, options: Options, seed: int, counts: Counter[str]) -> None:
+    """Play the calls of one seed under its schedule, and heal everything after it."""
+    calls = -(-options.calls // options.seeds)
+    schedule = Schedule(stage=stage, seed=seed, counts=counts)
+    faults = asyncio.create_task(schedule.async_run())
+    budget = Budget(calls=calls, faults=faults)
+    stop = asyncio.get_running_loop().call_later(options.seconds, schedule.stop)
+    try:
+        await async_call(
+            stage.context, stage, seed=seed, budget=budget, pace=calls / options.seconds
+        )
+    finally:
+        stop.cancel()
+        schedule.stop()
+        await faults
+    await stage.rig.async_wait_ready()
+    journal = stage.journal
+    print(
+        f"{stage.clock.now_ms() / MS_PER_S - stage.began_s:4.0f} s, seed {seed}: "
+        f"{len(journal.requests)} requests, {len(journal.tries)} tries, "
+        f"{stage.rig.platform.count_doubled()} calls doubled so far",
+        flush=True,
+    )
+
+
+class Budget:
+    """Calls that are left to all callers together; there are more while faults go on."""
+
+    def __init__(self, *, calls: int, faults: asyncio.Task[None] | None = None) -> None:
+        self._left = calls
+        self._faults = faults
+
+    def take(self) -> bool:
+        """Return whether one more call is to be made."""
+        self._left -= 1
+        return self._left >= 0 or (self._faults is not None and not self._faults.done())
+
+
+async def async_call(
+    context: FaultContext, stage: Stage, *, seed: int, budget: Budget, pace: float
+) -> None:
+    """Make calls at a pace, calls a second, with chats beside them, until the budget is spent."""
+    chats = [asyncio.create_task(play) for play in list_chats(context, stage, seed)]
+    try:
+        await asyncio.gather(*list_calls(context, stage, seed, budget, pace))
+    finally:
+        for chat in chats:
+            chat.cancel()
+        await asyncio.gather(*chats, return_exceptions=True)
+
+
+def list_calls(
+    context: FaultContext, stage: Stage, seed: int, budget: Budget, pace: float
+) -> list[Coroutine[Any, Any, None]]:
+    """Return the callers of services; every seventh has keys that say nothing of their time."""
+    think_ms = round(CALL_CALLERS / pace * MS_PER_S)
+    plays = []
+    for number in range(CALL_CALLERS):
+        deployment = choose_deployment(stage, number)
+        kind = FaultOpaqueCaller if number % OPAQUE_EVERY == 0 else FaultCallCaller
+        caller = kind(
+            context=context,
+            account=choose_account(deployment, seed * CALL_CALLERS + number),
+            seed=seed * CALL_CALLERS + number,
+            pool=deployment.service_pool,
+            path=deployment.at_most_once[number % len(deployment.at_most_once)],
+        )
+        plays.append(async_make_calls(caller, budget, think_ms))
+    return plays
+
+
+async def async_make_calls(caller: FaultCallCaller, budget: Budget, think_ms: int) -> None:
+    """Make one call after the other until the budget is spent."""
+    while budget.take():
+        think = caller.clock.async_sleep(caller.habits.randrange(2 * think_ms))
+        await asyncio.gather(caller.async_call(), think)
+
+
+def list_chats(context: FaultContext, stage: Stage, seed: int) -> list[Coroutine[Any, Any, None]]:
+    """Return callers that open one chat after the other."""
+    return [
+        async_chat(context, choose_deployment(stage, number), seed * CHAT_CALLERS + number)
+        for number in range(CHAT_CALLERS)
+    ]
+
+
+async def async_chat(context: FaultContext, deployment: Deployment, seed: int) -> None:
+    """Play one chat after the other until cancelled."""
+    randomness = random.Random(seed)
+    account = choose_account(deployment, seed)
+    while True:
+        number = randomness.getrandbits(48)
+        caller = FaultChatCaller(
+            context=context,
+            account=account,
+            seed=number,
+            chat=f"chat-{number:x}",
+            model=deployment.model,
+            shape=LONG_SHAPE if number % LONG_EVERY == 0 else CHAT_SHAPE,
+        )
+        await caller.async_run()
+        await context.clock.async_sleep(randomness.randrange(CHAT_SHAPE.think_ms))
+
+
+def choose_deployment(stage: Stage, number: int) -> Deployment:
+    """Return the deployment of a caller."""
+    deployments = stage.rig.platform.deployments
+    return deployments[number % len(deployments)]
+
+
+def choose_account(deployment: Deployment, seed: int) -> Account:
+    """Return an account whose requests carry a deadline."""
+    account = choose_accounts(deployment, count=1, seed=seed)[0]
+    return FaultAccount(
+        workspace=account.workspace, key=account.key, caller_class=account.caller_class
+    )
--- /dev/null
+++ b/bench/faults_journal.py
@@ -0,0 +1,155 @@
+"""What callers saw while faults went on: every try, every request, every fault."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Final
+
+from gypsumrouter.fleet.models import Address
+from gypsumrouter.outcomes import Executed
+from gypsumrouter.util.clock import Clock
+
+# How long after its end a fault may still show, for the table by kind.
+AFTERMATH_MS: Final = 2_000
+CODE_HUNG_UP: Final = "hung_up"
+
+
+class RequestKind(StrEnum):
+    """What is asked for; keys of calls carry a time or are opaque."""
+
+    CHAT = "chat"
+    CALL = "call"
+    OPAQUE_CALL = "opaque call"
+
+
+class Result(StrEnum):
+    """How a request has ended after all of its tries."""
+
+    WHOLE = "whole"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    LOST = "lost"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Try:
+    """One HTTP request; `executed` is None where no word came. Times are wall milliseconds."""
+
+    router: Address | None
+    began_ms: int
+    ended_ms: int
+    code: str
+    executed: Executed | None
+    request_id: str = ""
+    key: str = ""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Request:
+    """One request with all of its tries; `code` is the last reason without an answer."""
+
+    kind: RequestKind
+    result: Result
+    began_ms: int
+    ended_ms: int
+    code: str = ""
+
+
+@dataclass(slots=True, kw_only=True)
+class Window:
+    """The time of one fault; `ended_ms` is None while it goes on."""
+
+    kind: str
+    began_ms: int
+    ended_ms: int | None = None
+
+    def overlaps(self, began_ms: int, ended_ms: int, *, after_ms: int = 0) -> bool:
+        """Return whether it was there at any time of a span."""
+        ends_ms = ended_ms if self.ended_ms is None else self.ended_ms + after_ms
+        return self.began_ms <= ended_ms and began_ms <= ends_ms
+
+
+@dataclass(slots=True, kw_only=True)
+class Journal:
+    """All that is counted; `excuses` are the times in which a router could not answer.
+
+    `new_work_s` and `listed_new_work_s` are the times from an order to leave, and from a mark on
+    the list, to the last new execution. `lost_to_crashers` counts the upstreams that each
+    crashing request brought down.
+    """
+
+    clock: Clock
+    tries: list[Try] = field(default_factory=list)
+    requests: list[Request] = field(default_factory=list)
+    windows: list[Window] = field(default_factory=list)
+    excuses: dict[Address, list[Window]] = field(default_factory=dict)
+    new_work_s: list[float] = field(default_factory=list)
+    listed_new_work_s: list[float] = field(default_factory=list)
+    lost_to_crashers: list[int] = field(default_factory=list)
+    crasher_ends: Counter[str] = field(default_factory=Counter)
+    stop_codes: Counter[str] = field(default_factory=Counter)
+    broken_faults: Counter[str] = field(default_factory=Counter)
+
+    @contextmanager
+    def window(self, kind: str) -> Iterator[Window]:
+        """Note a fault for as long as the context is open."""
+        window = Window(kind=kind, began_ms=self.clock.wall_ms())
+        self.windows.append(window)
+        try:
+            yield window
+        finally:
+            window.ended_ms = self.clock.wall_ms()
+
+    def excuse(self, router: Address, kind: str) -> Window:
+        """Note that a router cannot answer from now on, until the window is ended."""
+        window = Window(kind=kind, began_ms=self.clock.wall_ms())
+        self.excuses.setdefault(router, []).append(window)
+        return window
+
+    def is_excused(self, attempt: Try) -> bool:
+        """Return whether the router of a try was not able to give its word."""
+        if attempt.router is None:
+            return False
+        windows = self.excuses.get(attempt.router, ())
+        return any(window.overlaps(attempt.began_ms, attempt.ended_ms) for window in windows)
+
+    def list_without_word(self) -> list[Try]:
+        """Return the tries that a living router never answered."""
+        return [
+            attempt
+            for attempt in self.tries
+            if attempt.executed is None
+            and attempt.code not in (Result.WHOLE, CODE_HUNG_UP)
+            and not self.is_excused(attempt)
+        ]
+
+    def select(self, *kinds: RequestKind, result: Result | None = None) -> list[Request]:
+        """Return the requests of some kinds, of all results or of one."""
+        return [
+            request
+            for request in self.requests
+            if request.kind in kinds and (result is None or request.result is result)
+        ]
+
+    def list_during(self, kind: str) -> list[Request]:
+        """Return the requests that met a fault of a kind or its aftermath."""
+        windows = [window for window in self.windows if window.kind == kind]
+        return [
+            request
+            for request in self.requests
+            if any(
+                window.overlaps(request.began_ms, request.ended_ms, after_ms=AFTERMATH_MS)
+                for window in windows
+            )
+        ]
+
+
+def get_share(requests: list[Request], result: Result) -> float:
+    """Return the share of a result, 0 where there are no requests."""
+    if not requests:
+        return 0.0
+    return sum(request.result is result for request in requests) / len(requests)
--- /dev/null
+++ b/bench/faults_probes.py
@@ -0,0 +1,135 @@
+"""Probes of silent connections: a stream whose connection goes silent for good."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Final
+
+from bench.accounts import Account
+from bench.faults_stage import Stage
+from gypsumrouter.const import HEADER_CHAT, HEADER_REQUEST_ID, MS_PER_S, PATH_CHAT
+from gypsumrouter.fleet.models import Address
+from gypsumrouter.standins import BOTH_WAYS, Deployment, FaultProxy, Way
+from gypsumrouter.standins.tokens import Message, digest_prompt, make_text, render_prompt
+
+TOKENS: Final = 1_200
+SILENT_AFTER_TOKENS: Final = 50
+# What was on its way when the connection fell silent still comes.
+IN_FLIGHT_MS: Final = 100
+DATA_PREFIX: Final = b"data: "
+DONE: Final = b"[DONE]"
+
+ChooseProxy = Callable[[Stage, str], FaultProxy]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Probe:
+    """Which connection goes silent, and in which ways."""
+
+    leg: str
+    choose: ChooseProxy
+    ways: frozenset[Way]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Found:
+    """How long a stream stood still, and whether its answer was whole and right all the same."""
+
+    probe: Probe
+    stall_s: float
+    whole: bool
+
+
+def _choose_link(stage: Stage, side: str) -> FaultProxy:
+    return stage.rig.proxies[side]
+
+
+def _choose_upstream(stage: Stage, side: str) -> FaultProxy:
+    return stage.rig.upstream_proxies[side]
+
+
+PROBES: Final = tuple(
+    Probe(leg=leg, choose=choose, ways=ways)
+    for leg, choose in (("link", _choose_link), ("upstream", _choose_upstream))
+    for ways in (BOTH_WAYS, frozenset({Way.BACK}))
+)
+
+
+async def async_probe_silence(stage: Stage) -> list[Found]:
+    """Silence the connections of some streams, one probe after the other on each leg."""
+    deployments = stage.rig.platform.deployments
+    found = await asyncio.gather(
+        *(
+            _async_probe(stage, deployments[number % len(deployments)], probe, number)
+            for number, probe in enumerate(PROBES)
+        )
+    )
+    return list(found)
+
+
+async def _async_probe(stage: Stage, deployment: Deployment, probe: Probe, number: int) -> Found:
+    content = f"probe {number} of a silent {probe.leg}"
+    payload = {
+        "model": deployment.model,
+        "messages": [{"role": "user", "content": content}],
+        "max_tokens": TOKENS,
+        "stream": True,
+    }
+    plan = deployment.workspaces[number]
+    account = Account(
+        workspace=plan.name, key=plan.key, caller_class=deployment.interactive[0].name
+    )
+    headers = {**account.make_headers(), HEADER_CHAT: f"probe-{number}"}
+    router: Address = stage.routers[number % len(stage.routers)]
+    events: list[bytes] = []
+    times_ms: list[int] = []
+    silent_ms = 0
+    async with stage.context.session.post(
+        f"http://{router}{PATH_CHAT}", json=payload, headers=headers
+    ) as response:
+        async for line in response.content:
+            if not line.startswith(DATA_PREFIX):
+                continue
+            events.append(line[len(DATA_PREFIX) :].strip())
+            times_ms.append(stage.clock.now_ms())
+            if len(events) == SILENT_AFTER_TOKENS:
+                side = _find_side(stage, response.headers[HEADER_REQUEST_ID])
+                probe.choose(stage, side).silence(ways=probe.ways)
+                silent_ms = stage.clock.now_ms()
+    messages = [Message(role="user", content=content)]
+    expected = make_text(digest_prompt(render_prompt(messages), model=deployment.model), TOKENS)
+    return Found(
+        probe=probe,
+        stall_s=_measure_stall(times_ms, silent_ms),
+        whole=bool(events) and events[-1] == DONE and _join(events[:-1]) == expected,
+    )
+
+
+def _find_side(stage: Stage, request_id: str) -> str:
+    """Return the side whose engine runs a request."""
+    return next(
+        name
+        for name, engine in stage.rig.platform.engines.items()
+        if any(run.startswith(request_id) for run in engine.executions)
+    )
+
+
+def _measure_stall(times_ms: list[int], silent_ms: int) -> float:
+    """Return the seconds from the silence to the first event that came by another connection."""
+    before = [time for time in times_ms if time <= silent_ms + IN_FLIGHT_MS]
+    after = [time for time in times_ms if time > silent_ms + IN_FLIGHT_MS]
+    if not after or not before:
+        return 0.0
+    return (after[0] - max(before[-1], silent_ms)) / MS_PER_S
+
+
+def _join(events: list[bytes]) -> str:
+    """Return the text of all tokens; an error event has none."""
+    parts: list[str] = []
+    for event in events:
+        for choice in json.loads(event).get("choices", ()):
+            parts.append(choice["delta"].get("content") or "")
+    return "".join(parts)
--- /dev/null
+++ b/bench/faults_report.py
@@ -0,0 +1,212 @@
+"""What the bench of faults prints."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from bench.faults_journal import Journal, Request, RequestKind, Result, get_share
+from bench.faults_probes import Found
+from bench.faults_schedule import FAULTS
+from bench.faults_stage import Stage
+from bench.report import Value, print_result, print_table
+from bench.tally import Tally
+from gypsumrouter.outcomes import Executed
+
+MAX_CODES = 3
+MAX_LISTED = 10
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Findings:
+    """All that the run has brought to light; `quiet` is the journal without faults."""
+
+    seeds: int
+    stage: Stage
+    tallies: Sequence[Tally]
+    quiet: Journal
+    found: Sequence[Found]
+
+    @property
+    def journal(self) -> Journal:
+        """Return the journal of the time with faults."""
+        return self.stage.journal
+
+    @property
+    def doubled(self) -> int:
+        """Return how many calls ran twice, or answers came with surplus."""
+        seen = sum(tally.doubled for tally in self.tallies)
+        return max(self.stage.rig.platform.count_doubled(), seen)
+
+    def list_false_not_run(self) -> list[str]:
+        """Return the requests that were told to be not run, and did run."""
+        executed = list_executed_ids(self.stage)
+        return [
+            attempt.request_id
+            for journal in (self.quiet, self.journal)
+            for attempt in journal.tries
+            if attempt.executed is Executed.NOT_RUN and attempt.request_id in executed
+        ]
+
+    def count_not_run_after_run(self) -> Counter[str]:
+        """Return the tries answered "not run" of calls that an earlier try had run, by code."""
+        ran_ms: dict[str, int] = {}
+        for service in self.stage.rig.platform.services.values():
+            for execution in service.executions:
+                ran_ms.setdefault(execution.key, execution.wall_ms)
+        return Counter(
+            attempt.code
+            for attempt in self.journal.tries
+            if attempt.executed is Executed.NOT_RUN
+            and attempt.key
+            and ran_ms.get(attempt.key, attempt.began_ms) < attempt.began_ms
+        )
+
+    def count_lost(self) -> int:
+        """Return the requests, and the tries at living routers, that got no word at all."""
+        lost = [item for item in self.journal.requests if item.result is Result.LOST]
+        return len(lost) + len(self.journal.list_without_word())
+
+
+def list_executed_ids(stage: Stage) -> set[str]:
+    """Return the ids of all requests that an upstream has run."""
+    ids: set[str] = set()
+    for engine in stage.rig.platform.engines.values():
+        ids.update(stream_id.partition(".")[0] for stream_id in engine.executions)
+    for service in stage.rig.platform.services.values():
+        ids.update(execution.request_id for execution in service.executions)
+    return ids
+
+
+def report(findings: Findings) -> None:
+    """Print the tables and the last line."""
+    _print_kinds(findings.journal)
+    _print_results(findings)
+    _print_found(findings.found)
+    _print_details(findings)
+    print_result(_make_figures(findings))
+
+
+def _print_kinds(journal: Journal) -> None:
+    rows = []
+    for fault in FAULTS:
+        windows = [window for window in journal.windows if window.kind == fault.kind]
+        if not windows:
+            continue
+        during = journal.list_during(fault.kind)
+        calls = [item for item in during if item.kind is RequestKind.CALL]
+        chats = [item for item in during if item.kind is RequestKind.CHAT]
+        rows.append(
+            (
+                fault.kind,
+                len(windows),
+                len(calls),
+                f"{get_share(calls, Result.UNKNOWN):.2%}",
+                f"{get_share(calls, Result.NOT_RUN):.2%}",
+                len(chats),
+                f"{get_share(chats, Result.UNKNOWN):.2%}",
+                f"{get_share(chats, Result.NOT_RUN):.2%}",
+                _format_codes([item for item in calls if item.result is Result.UNKNOWN]),
+            )
+        )
+    print_table(
+        title="requests that met each kind of fault, or the 2 s after it (two faults at a time)",
+        columns=(
+            "fault",
+            "times",
+            "calls",
+            "unknown",
+            "not run",
+            "chats",
+            "unknown",
+            "not run",
+            "why calls were unknown",
+        ),
+        rows=rows,
+    )
+
+
+def _print_results(findings: Findings) -> None:
+    rows = []
+    for title, journal in (("quiet", findings.quiet), ("faults", findings.journal)):
+        for kind in RequestKind:
+            requests = journal.select(kind)
+            counts = Counter(request.result for request in requests)
+            rows.append((title, kind, len(requests), *(counts[result] for result in Result)))
+    print_table(
+        title="results of requests after all tries",
+        columns=("phase", "kind", "requests", *Result),
+        rows=rows,
+    )
+    codes = Counter(
+        (attempt.code, attempt.executed or "no word")
+        for attempt in findings.journal.tries
+        if attempt.code != Result.WHOLE
+    )
+    print_table(
+        title="tries without an answer",
+        columns=("code", "executed", "tries"),
+        rows=[(*code, count) for code, count in codes.most_common()],
+    )
+
+
+def _print_found(found: Sequence[Found]) -> None:
+    print_table(
+        title="streams whose connection went silent for good",
+        columns=("leg", "ways", "stood still s", "whole"),
+        rows=[
+            (item.probe.leg, "+".join(sorted(item.probe.ways)), item.stall_s, item.whole)
+            for item in found
+        ],
+    )
+
+
+def _print_details(findings: Findings) -> None:
+    journal = findings.journal
+    print(f"\nplanned stops by exit code: {dict(journal.stop_codes)}")
+    print(f"upstreams lost to crashing requests: {journal.lost_to_crashers}")
+    print(f"last answers to crashing requests: {dict(journal.crasher_ends)}")
+    print(f"'not run' of calls that had run before: {dict(findings.count_not_run_after_run())}")
+    if journal.broken_faults:
+        print(f"faults that could not be brought about: {dict(journal.broken_faults)}")
+    for attempt in journal.list_without_word()[:MAX_LISTED]:
+        print(f"no word from a living router: {attempt}")
+    for request_id in findings.list_false_not_run()[:MAX_LISTED]:
+        print(f"told as not run, and ran: {request_id}")
+
+
+def _make_figures(findings: Findings) -> dict[str, Value]:
+    journal = findings.journal
+    timed, opaque = RequestKind.CALL, RequestKind.OPAQUE_CALL
+    return {
+        "seeds": findings.seeds,
+        "calls": len(journal.select(timed, opaque)),
+        "chats": len(journal.select(RequestKind.CHAT)),
+        "doubled": findings.doubled,
+        "false_not_run": len(findings.list_false_not_run()),
+        "crossed": sum(tally.crossed for tally in findings.tallies),
+        "silently_truncated": sum(tally.truncated for tally in findings.tallies),
+        "lost": findings.count_lost(),
+        "unknown_share": round(get_share(journal.select(timed), Result.UNKNOWN), 4),
+        "unknown_share_quiet": round(get_share(findings.quiet.select(timed), Result.UNKNOWN), 4),
+        "unknown_share_opaque": round(get_share(journal.select(opaque), Result.UNKNOWN), 4),
+        "unknown_share_chats": round(
+            get_share(journal.select(RequestKind.CHAT), Result.UNKNOWN), 4
+        ),
+        "not_run_after_run": findings.count_not_run_after_run().total(),
+        "new_work_after_leaving_s_max": round(max(journal.new_work_s, default=0.0), 3),
+        "new_work_after_listed_leaving_s_max": round(
+            max(journal.listed_new_work_s, default=0.0), 3
+        ),
+        "upstreams_lost_per_crasher_max": max(journal.lost_to_crashers, default=0),
+        "silent_found_s_max": round(max((item.stall_s for item in findings.found), default=0.0), 3),
+        "silent_whole": all(item.whole for item in findings.found),
+        "planned_stops": journal.stop_codes.total(),
+        "planned_stops_unclean": journal.stop_codes.total() - journal.stop_codes["0"],
+    }
+
+
+def _format_codes(requests: Sequence[Request]) -> str:
+    codes = Counter(request.code for request in requests)
+    return ", ".join(f"{code} {count}" for code, count in codes.most_common(MAX_CODES))
--- /dev/null
+++ b/bench/faults_rig.py
@@ -0,0 +1,230 @@
+"""A fleet in two groups of data centres: each reads its own instance list, by its own addresses."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Collection
+from dataclasses import replace
+from enum import StrEnum
+from typing import Any, Final
+
+from bench.processes import DaemonProcess
+from bench.rig import Rig, Sections
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.fleet.models import Address
+from gypsumrouter.standins import (
+    Deployment,
+    Engine,
+    EngineSettings,
+    FaultProxy,
+    InstanceListService,
+    Partition,
+    Service,
+    StandinPlatform,
+)
+from gypsumrouter.util.clock import Clock
+
+READY_POLL_MS: Final = 50
+
+
+class Group(StrEnum):
+    """The two sides of a network partition."""
+
+    LEFT = "left"
+    RIGHT = "right"
+
+    @property
+    def other(self) -> Group:
+        """Return the group on the other side."""
+        return Group.RIGHT if self is Group.LEFT else Group.LEFT
+
+
+class SplitPlatform(StandinPlatform):
+    """A platform whose instance list has one replica in each group.
+
+    Both replicas take the same changes in the same order; each tells its readers addresses that
+    lead through their own side of the partition.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        deployments: tuple[Deployment, ...],
+        engine_settings: EngineSettings | None = None,
+        service_delay_ms: int = 0,
+    ) -> None:
+        super().__init__(
+            clock=clock,
+            deployments=deployments,
+            engine_settings=engine_settings,
+            service_delay_ms=service_delay_ms,
+        )
+        self.lists = {
+            Group.LEFT: self.instances,
+            Group.RIGHT: InstanceListService(clock=clock),
+        }
+
+    async def async_start(self) -> None:
+        """Start everything and publish the first configuration."""
+        await self.lists[Group.RIGHT].async_start()
+        await super().async_start()
+
+    async def async_stop(self) -> None:
+        """Release everything."""
+        await super().async_stop()
+        await self.lists[Group.RIGHT].async_stop()
+
+    def get_group(self, data_centre: str) -> Group:
+        """Return the group of a data centre: the first one of each deployment is on the left."""
+        firsts = {deployment.get_data_centre(0) for deployment in self.deployments}
+        return Group.LEFT if data_centre in firsts else Group.RIGHT
+
+    def make_side_settings(self, name: str, *, link: dict[str, Any]) -> dict[str, Any]:
+        """Return the settings of a side, which reads the list of its group."""
+        settings = super().make_side_settings(name, link=link)
+        return self._choose_list(settings, self.get_plan(name).data_centre)
+
+    def make_router_settings(
+        self, name: str, *, data_centre: str, region: str, link: dict[str, Any]
+    ) -> dict[str, Any]:
+        """Return the settings of a router, which reads the list of its group."""
+        settings = super().make_router_settings(
+            name, data_centre=data_centre, region=region, link=link
+        )
+        return self._choose_list(settings, data_centre)
+
+    def copy_listing(self, name: str, address: Address) -> None:
+        """List an instance on the right as on the left, but for its address there."""
+        instance = self.instances.get(name)
+        if instance is not None:
+            self.lists[Group.RIGHT].set(replace(instance, address=address))
+
+    def remove_listed(self, name: str) -> None:
+        """Take an instance off both lists."""
+        for service in self.lists.values():
+            service.remove(name)
+
+    def mark_leaving(self, name: str) -> None:
+        """Mark an instance as leaving on both lists."""
+        for service in self.lists.values():
+            service.leave(name)
+
+    def _choose_list(self, settings: dict[str, Any], data_centre: str) -> dict[str, Any]:
+        address = self.lists[self.get_group(data_centre)].address
+        settings["platform"]["instances"] = [f"http://{address}"]
+        return settings
+
+
+class SplitRig(Rig):
+    """Real processes in two groups, with a fault proxy before each link and each upstream.
+
+    A process is reached from its own group through `proxies`, from the other one through a
+    second proxy before that, which `partition` knows. Proxies of replaced processes stay open, so
+    that a process which wakes late is still reached by whoever holds an old view.
+    """
+
+    platform: SplitPlatform
+
+    def __init__(self, *, platform: SplitPlatform, extra: Sections | None = None) -> None:
+        super().__init__(platform=platform, proxied=True, extra=extra)
+        self.partition = Partition()
+        self.upstream_proxies: dict[str, FaultProxy] = {}
+        self._upstreams: dict[str, Engine | Service] = {}
+        self._crossings: list[FaultProxy] = []
+        self._retired: list[FaultProxy] = []
+        self._listed: dict[str, dict[Group, Address]] = {}
+        self._replacements = 0
+
+    async def async_start(self, *, routers: int) -> None:
+        """Start one process for each plan of the platform, and wait until all are ready."""
+        await asyncio.gather(*(self._async_put_proxy(plan.name) for plan in self.platform.plans))
+        await super().async_start(routers=routers)
+
+    async def async_stop(self) -> None:
+        """End every process, and release everything."""
+        await super().async_stop()
+        proxies = (*self._crossings, *self._retired, *set(self.upstream_proxies.values()))
+        for proxy in proxies:
+            await proxy.async_stop()
+
+    def get_upstream(self, name: str) -> Engine | Service:
+        """Return the stand-in beside a side."""
+        return self._upstreams[name]
+
+    def make_replacement(self, name: str) -> str:
+        """Plan a side of another name beside the same upstream, in place of the named one."""
+        self._replacements += 1
+        stem = name.partition("-new-")[0]
+        successor = f"{stem}-new-{self._replacements}"
+        plans = self.platform.plans
+        plan = replace(self.platform.get_plan(name), name=successor)
+        self.platform.plans = (*(item for item in plans if item.name != name), plan)
+        self.upstream_proxies[successor] = self.upstream_proxies[name]
+        self._upstreams[successor] = self._upstreams[name]
+        return successor
+
+    def relist(self, name: str) -> None:
+        """List a running process again at its addresses, after it was taken off the lists."""
+        plan = self.platform.get_plan(name)
+        addresses = self._listed[plan.name]
+        self.platform.list_side(name, addresses[Group.LEFT])
+        self.platform.copy_listing(name, addresses[Group.RIGHT])
+
+    async def async_wait_until_ready(self, process: DaemonProcess, *, limit_ms: int) -> bool:
+        """Return whether a process takes work before the time is over."""
+        for _ in range(limit_ms // READY_POLL_MS):
+            if await self.async_is_ready(process):
+                return True
+            await asyncio.sleep(READY_POLL_MS / MS_PER_S)
+        return False
+
+    async def _async_put_proxy(self, name: str) -> None:
+        plan = self.platform.get_plan(name)
+        upstream = self.platform.engines.get(name) or self.platform.services[name]
+        self._upstreams[name] = upstream
+        proxy = FaultProxy(target=plan.upstream)
+        address = await proxy.async_start()
+        self.upstream_proxies[name] = proxy
+        self.platform.plans = tuple(
+            replace(item, upstream=address) if item.name == name else item
+            for item in self.platform.plans
+        )
+
+    async def _async_make_proxy(self, name: str, settings: Sections) -> FaultProxy | None:
+        old = self.proxies.pop(name, None)
+        if old is not None:
+            self._retired.append(old)
+        return await super()._async_make_proxy(name, settings)
+
+    async def _async_list_side(self, name: str, address: Address) -> None:
+        plan = self.platform.get_plan(name)
+        addresses = await self._async_cross(name, address, plan.data_centre)
+        await super()._async_list_side(name, addresses[Group.LEFT])
+        self.platform.copy_listing(name, addresses[Group.RIGHT])
+
+    async def _async_list_router(
+        self, name: str, address: Address, *, data_centre: str, region: str
+    ) -> None:
+        addresses = await self._async_cross(name, address, data_centre)
+        await super()._async_list_router(
+            name, addresses[Group.LEFT], data_centre=data_centre, region=region
+        )
+        self.platform.copy_listing(name, addresses[Group.RIGHT])
+
+    async def _async_cross(
+        self, name: str, address: Address, data_centre: str
+    ) -> dict[Group, Address]:
+        """Return the address of a process in each group."""
+        group = self.platform.get_group(data_centre)
+        crossing = FaultProxy(target=address)
+        self._crossings.append(crossing)
+        self.partition.add(source=group.other, target=group, proxy=crossing)
+        addresses = {group: address, group.other: await crossing.async_start()}
+        self._listed[name] = addresses
+        return addresses
+
+
+def list_sides(rig: SplitRig, *, pools: Collection[str] = ()) -> list[str]:
+    """Return the names of the sides that run now, of all pools or of some."""
+    return [name for name in rig.sides if not pools or rig.platform.get_plan(name).pool in pools]
--- /dev/null
+++ b/bench/faults_stage.py
@@ -0,0 +1,202 @@
+"""What faults work on: the rig, the balancer before the routers, and which targets are taken."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+from collections.abc import Collection, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field, replace
+from typing import Final
+
+from bench.faults_callers import FaultContext
+from bench.faults_journal import Journal, Window
+from bench.faults_rig import SplitRig, list_sides
+from bench.processes import DaemonProcess
+from bench.rig import ADDRESS_CALLERS
+from gypsumrouter.configuration.models import Pool
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.fleet.models import Address
+from gypsumrouter.standins import Engine, Service, make_configuration
+from gypsumrouter.util.clock import Clock
+
+BALANCER_MS: Final = 300
+READY_MS: Final = 15_000
+STOP_MS: Final = 20_000
+WATCH_MS: Final = 10
+MIN_ROUTERS: Final = 2
+
+
+class NoTarget(Exception):
+    """Every process that a fault could hit is taken by another fault."""
+
+
+@dataclass(slots=True, kw_only=True)
+class Stage:
+    """A running fleet under faults; `routers` is what the balancer gives to callers."""
+
+    rig: SplitRig
+    context: FaultContext
+    journal: Journal
+    clock: Clock
+    routers: list[Address]
+    taken: set[str] = field(default_factory=set)
+    injected_crashes: int = 0
+    next_router: int = 0
+    version: int = 1
+    window_ms: int | None = None
+    began_s: float = field(default_factory=time.monotonic)
+
+    @contextmanager
+    def take_side(self, randomness: random.Random, *, pools: Collection[str] = ()) -> Iterator[str]:
+        """Take a running side that no other fault has; raises NoTarget."""
+        free = [name for name in list_sides(self.rig, pools=pools) if name not in self.taken]
+        with self._take(randomness, free) as name:
+            yield name
+
+    @contextmanager
+    def take_router(self, randomness: random.Random) -> Iterator[str]:
+        """Take a running router, if enough others are left to callers; raises NoTarget."""
+        free = [name for name in self.rig.routers if name not in self.taken]
+        with self._take(randomness, free if len(free) > MIN_ROUTERS else []) as name:
+            yield name
+
+    def choose_sides(self, randomness: random.Random, count: int) -> list[str]:
+        """Return some running sides, taken or not."""
+        names = list_sides(self.rig)
+        return randomness.sample(names, min(count, len(names)))
+
+    async def async_pause(self, randomness: random.Random, least_ms: int, most_ms: int) -> None:
+        """Let some time pass."""
+        await self.clock.async_sleep(randomness.randint(least_ms, most_ms))
+
+    async def async_kill_side(self, name: str) -> None:
+        """Kill a side at once; the list goes on to name it."""
+        process = self.rig.sides.pop(name)
+        await process.async_kill()
+
+    async def async_start_side(self, name: str) -> DaemonProcess:
+        """Start a side and wait until it takes work."""
+        process = await self.rig.async_start_side(name)
+        await self.rig.async_wait_until_ready(process, limit_ms=READY_MS)
+        return process
+
+    async def async_kill_router(self, name: str) -> None:
+        """Kill a router at once; the balancer finds it out a moment later."""
+        process = self.rig.routers.pop(name)
+        address = process.addresses[ADDRESS_CALLERS]
+        self.journal.excuse(address, "killed")
+        await process.async_kill()
+        await self.clock.async_sleep(BALANCER_MS)
+        self.routers.remove(address)
+
+    async def async_start_router(self, index: int) -> DaemonProcess:
+        """Start a router and give it to callers once it is ready."""
+        process = await self.rig.async_start_router(index)
+        await self.rig.async_wait_until_ready(process, limit_ms=READY_MS)
+        self.routers.append(process.addresses[ADDRESS_CALLERS])
+        return process
+
+    async def async_stop_router(self, name: str) -> None:
+        """Stop a router as planned; the balancer takes it out while it still serves."""
+        process = self.rig.routers.pop(name)
+        address = process.addresses[ADDRESS_CALLERS]
+        process.send_signal(signal.SIGTERM)
+        await self.clock.async_sleep(BALANCER_MS)
+        self.routers.remove(address)
+        await self.async_wait_for_exit(process)
+        self.journal.excuse(address, "stopped")
+        self.rig.platform.remove_listed(name)
+
+    async def async_wait_for_exit(self, process: DaemonProcess) -> None:
+        """Wait for the end of a planned stop and note how it ended."""
+        try:
+            async with asyncio.timeout(STOP_MS / MS_PER_S):
+                code = await process.process.wait()
+        except TimeoutError:
+            await process.async_kill()
+            self.journal.stop_codes["overdue"] += 1
+            return
+        self.journal.stop_codes[str(code)] += 1
+
+    @contextmanager
+    def excuse_paused(self, process: DaemonProcess) -> Iterator[None]:
+        """Note that a process does not run while the context is open."""
+        address = process.addresses.get(ADDRESS_CALLERS)
+        window: Window | None = None
+        if address is not None:
+            window = self.journal.excuse(address, "paused")
+        try:
+            yield
+        finally:
+            if window is not None:
+                window.ended_ms = self.clock.wall_ms()
+
+    def choose_router_index(self, name: str, *, renamed: bool) -> int:
+        """Return the number of a router that takes the place of another."""
+        if not renamed:
+            return int(name.rpartition("-")[2]) - 1
+        self.next_router += 1
+        return self.next_router - 1
+
+    def crash_upstream(self, name: str) -> None:
+        """Crash an upstream by force."""
+        self.injected_crashes += 1
+        self.rig.get_upstream(name).crash()
+
+    def count_crashes(self) -> int:
+        """Return how many upstreams have crashed without being forced to."""
+        engines, services = self.rig.platform.engines, self.rig.platform.services
+        crashes = sum(engine.crashes for engine in engines.values())
+        crashes += sum(service.crashes for service in services.values())
+        return crashes - self.injected_crashes
+
+    def publish(self) -> None:
+        """Publish the configuration of the deployments under the next version."""
+        self.version += 1
+        made = make_configuration(*self.rig.platform.deployments, version=self.version)
+        pools = tuple(self._set_window(pool) for pool in made.pools)
+        self.rig.platform.publish(replace(made, pools=pools))
+
+    def _set_window(self, pool: Pool) -> Pool:
+        if self.window_ms is None or pool.at_most_once is None:
+            return pool
+        return replace(pool, at_most_once=replace(pool.at_most_once, window_ms=self.window_ms))
+
+    @contextmanager
+    def _take(self, randomness: random.Random, free: list[str]) -> Iterator[str]:
+        if not free:
+            raise NoTarget
+        name = randomness.choice(free)
+        self.taken.add(name)
+        try:
+            yield name
+        finally:
+            self.taken.discard(name)
+
+
+def count_executions(upstream: Engine | Service) -> int:
+    """Return how often an upstream has begun to run a request."""
+    match upstream:
+        case Engine():
+            return upstream.requests
+        case Service():
+            return len(upstream.executions)
+
+
+async def async_watch_new_work(
+    *, clock: Clock, upstream: Engine | Service, until: asyncio.Event
+) -> float:
+    """Return how many seconds after now the last new execution began, until the event."""
+    began_ms = clock.now_ms()
+    last_s = 0.0
+    seen = count_executions(upstream)
+    while not until.is_set():
+        await clock.async_sleep(WATCH_MS)
+        now = count_executions(upstream)
+        if now != seen:
+            seen = now
+            last_s = (clock.now_ms() - began_ms) / MS_PER_S
+    return last_s
--- /dev/null
+++ b/bench/full_size.py
@@ -0,0 +1,290 @@
+"""One real router and one real side in a fleet of the two-year size whose rest is light peers.
+
+All stand in one region, so that a router uses the sides of the whole fleet: the worst case. Where
+there are more regions it uses those of its own, and the others only when they are lost.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from dataclasses import replace
+from typing import Final
+
+from bench.client_host import ClientPlan, ClientResult, async_run_clients
+from bench.ledger import (
+    HANDSHAKE_KINDS,
+    KIND_CONFIGURATION,
+    KIND_INSTANCES,
+    KIND_STATUS,
+    Moment,
+    Spent,
+    async_begin,
+    async_end,
+)
+from bench.metered_platform import MeteredPlatform, PlatformBytes
+from bench.paced_engine import HOLD_TOKENS, QUICK_TOKENS, PacedEngine
+from bench.peer_host import PeerHost, PeerPlan
+from bench.processes import DaemonProcess
+from bench.rig import ADDRESS_LINK, Rig
+from bench.stages import (
+    STAGE_BASE,
+    STAGE_CONFIGURATION,
+    STAGE_HOLD,
+    STAGE_LINKS,
+    STAGE_LIST,
+    STAGE_LIST_CHANGES,
+    STAGE_LOAD,
+    STAGE_STATUSES,
+    FullSize,
+)
+from bench.two_year import (
+    ANSWER_MS,
+    KEY_WORKSPACES,
+    REQUESTS_S,
+    ROUTERS,
+    SIDES,
+    WORKSPACES,
+    Place,
+    get_class,
+    list_places,
+)
+from gypsumrouter.const import MS_PER_S, Role
+from gypsumrouter.standins import InstanceListService
+from gypsumrouter.util.clock import SystemClock
+
+SIDE_HOSTS: Final = 3
+ROUTER_HOSTS: Final = 2
+TOKENS: Final = 24
+SETTLE_S: Final = 2.0
+LOAD_WARM_S: Final = 9.0
+HOLD_WARM_S: Final = 4.0
+PREPARE_S: Final = 5.0
+PREPARE_ROUNDS: Final = 4
+LINKS_ENOUGH: Final = 0.95
+PREPARE_STREAMS: Final = 48
+LIST_CHANGES: Final = 6
+TRICKLE_S: Final = 1.0
+FIRST_INTERVAL_MS: Final = 8_000
+FAST_INTERVAL_MS: Final = 1_500
+
+ROUTER_STREAMS: Final = round(REQUESTS_S / ROUTERS * ANSWER_MS / MS_PER_S)
+SIDE_STREAMS: Final = round(REQUESTS_S / SIDES * ANSWER_MS / MS_PER_S)
+
+
+class FullSizeFleet:
+    """The processes of the measurement, and the stages that they go through."""
+
+    def __init__(self, *, seconds: float, tokens: int = TOKENS) -> None:
+        self.result = FullSize()
+        self._seconds = seconds
+        self._tokens = tokens
+        self._platform = MeteredPlatform(workspaces=KEY_WORKSPACES)
+        self._list = InstanceListService(clock=SystemClock())
+        self._engine = PacedEngine(model=self._platform.deployment.model)
+        self._rig = Rig(platform=self._platform)
+        self._router: DaemonProcess
+        self._side: DaemonProcess
+        self._side_hosts: list[PeerHost] = []
+        self._router_hosts: list[PeerHost] = []
+        self._loaded_from: Moment
+
+    async def async_run(self, *, with_costs: bool) -> FullSize:
+        """Go through all stages, or only through those that show the traffic."""
+        async with AsyncExitStack() as stack:
+            await self._async_start(stack)
+            if with_costs:
+                await self._async_stage(STAGE_BASE, 2 * SETTLE_S)
+            await self._async_enlarge_list()
+            await self._async_enlarge_configuration()
+            await self._async_open_links()
+            if with_costs:
+                await self._async_tell_statuses()
+                await self._async_hold()
+            await self._async_load()
+            # Statuses go out in bursts some seconds apart, so that one stage is too short.
+            since = await async_end(self._rig, [self._side], self._loaded_from)
+            self.result.side_status_bytes_s = since.rates[KIND_STATUS]
+        return self.result
+
+    async def _async_start(self, stack: AsyncExitStack) -> None:
+        await self._platform.async_start()
+        stack.push_async_callback(self._rig.async_stop)
+        await self._list.async_start()
+        stack.push_async_callback(self._list.async_stop)
+        address = await self._engine.async_start()
+        stack.push_async_callback(self._engine.async_stop)
+        self._platform.plan_sides(count=1, upstream=address)
+        await self._rig.async_start(routers=1)
+        (self._router,) = self._rig.routers.values()
+        (self._side,) = self._rig.sides.values()
+        key = (self._rig.folder / "link.key").read_text()
+        self._side_hosts = [
+            PeerHost(plan=self._plan_peers(Role.SIDE, key, places))
+            for places in _deal(Role.SIDE, SIDES - 1, SIDE_HOSTS)
+        ]
+        self._router_hosts = [
+            PeerHost(plan=self._plan_peers(Role.ROUTER, key, places))
+            for places in _deal(Role.ROUTER, ROUTERS - 1, ROUTER_HOSTS)
+        ]
+        for host in (*self._side_hosts, *self._router_hosts):
+            await host.async_start()
+            stack.push_async_callback(host.async_stop)
+
+    async def _async_enlarge_list(self) -> None:
+        own = [self._platform.instances.get(p.name) for p in (self._router, self._side)]
+        hosts = (*self._side_hosts, *self._router_hosts)
+        light = [instance for host in hosts for instance in host.instances]
+        # Its revisions go on from those of the small list, so that it is a newer state of it.
+        for _ in range(self._platform.instances.revision):
+            self._list.remove()
+        self._list.set(*(item for item in own if item is not None), *light)
+        self._platform.use_list(self._list)
+        await self._async_stage(STAGE_LIST, SETTLE_S)
+        before = self._count_list_bytes()
+        await self._async_stage(STAGE_LIST_CHANGES, 0, work=self._async_change_list)
+        self.result.list_change_bytes = (self._count_list_bytes() - before) / 2 / LIST_CHANGES
+
+    async def _async_change_list(self) -> None:
+        instance, *_ = self._side_hosts[0].instances
+        for number in range(LIST_CHANGES):
+            self._list.set(replace(instance, weight=1.0 + number / 100))
+            await asyncio.sleep(0.5)
+        self._list.set(instance)
+
+    async def _async_enlarge_configuration(self) -> None:
+        self.result.document_bytes = self._platform.publish_workspaces(WORKSPACES)
+        await self._async_stage(STAGE_CONFIGURATION, 2 * SETTLE_S)
+
+    async def _async_open_links(self) -> None:
+        """Open every link of both, also those that the few requests of a bench would not need."""
+        for host in self._side_hosts:
+            await host.async_command(interval_ms=FIRST_INTERVAL_MS)
+        address = self._side.addresses[ADDRESS_LINK]
+        target = {"name": self._side.name, "host": address.host, "port": address.port}
+        before = await async_begin(self._rig, [self._side])
+        for host in self._router_hosts:
+            await host.async_command(target=target, link=True)
+        opened = await async_end(self._rig, [self._side], before)
+        handshakes = sum(opened.rates[kind] for kind in HANDSHAKE_KINDS) * opened.seconds
+        more = opened.links - before.links
+        self.result.handshake_bytes = handshakes / more
+        # A new link is told the status once.
+        self.result.status_frame_bytes = opened.rates[KIND_STATUS] * opened.seconds / more
+        self._loaded_from = await async_begin(self._rig, [self._side])
+        for host in self._router_hosts:
+            # Few and short requests, so that there is always a changed load to tell of.
+            await host.async_command(rate_s=TRICKLE_S, tokens=QUICK_TOKENS)
+        for _ in range(PREPARE_ROUNDS):
+            prepare = self._plan_clients(QUICK_TOKENS, streams=PREPARE_STREAMS, seconds=PREPARE_S)
+            await async_run_clients(prepare)
+            sections = await self._rig.async_dump(self._router)
+            if sections["link"]["open"] >= LINKS_ENOUGH * SIDES:
+                break
+        await self._async_stage(STAGE_LINKS, 2 * SETTLE_S)
+
+    async def _async_tell_statuses(self) -> None:
+        """Have every side tell its load far more often, which shows what one status costs."""
+        for host in self._side_hosts:
+            await host.async_command(interval_ms=FAST_INTERVAL_MS)
+        await self._async_stage(STAGE_STATUSES, 2 * SETTLE_S)
+        for host in self._side_hosts:
+            await host.async_command(interval_ms=FIRST_INTERVAL_MS)
+
+    async def _async_hold(self) -> None:
+        """Measure with all exchanges of the two-year load open and next to no tokens."""
+        streams = self._plan_clients(HOLD_TOKENS, streams=ROUTER_STREAMS, seconds=self._seconds)
+        clients = asyncio.create_task(async_run_clients(replace(streams, warm_s=HOLD_WARM_S)))
+        for host in self._router_hosts:
+            await host.async_command(burst=SIDE_STREAMS // ROUTER_HOSTS, tokens=HOLD_TOKENS)
+        await asyncio.sleep(HOLD_WARM_S)
+        await self._async_stage(STAGE_HOLD, self._seconds)
+        await self._async_note_clients(clients)
+
+    async def _async_load(self) -> None:
+        """Measure at the two-year rate of requests, with the set number of tokens in each."""
+        plan = replace(
+            self._plan_clients(
+                self._tokens, streams=ROUTER_STREAMS, seconds=SETTLE_S + self._seconds + 1.0
+            ),
+            warm_s=LOAD_WARM_S,
+        )
+        clients = asyncio.create_task(async_run_clients(plan))
+        for host in self._router_hosts:
+            rate_s = REQUESTS_S / SIDES / ROUTER_HOSTS
+            await host.async_command(rate_s=rate_s, tokens=self._tokens)
+        await asyncio.sleep(LOAD_WARM_S)
+        await self._async_stage(STAGE_LOAD, self._seconds)
+        for host in self._router_hosts:
+            counts = await host.async_command(rate_s=0.0, tokens=self._tokens)
+            self.result.whole += counts["whole"]
+            self.result.broken += counts["broken"]
+        result = await self._async_note_clients(clients)
+        self.result.load_tokens_s = result.tokens / plan.measure_s
+        self.result.load_requests_s = len(result.first_ms) / plan.measure_s
+
+    async def _async_stage(
+        self, name: str, seconds: float, work: Callable[[], Awaitable[None]] | None = None
+    ) -> None:
+        if work is None:
+            await asyncio.sleep(SETTLE_S)
+        begins = {p.name: await async_begin(self._rig, [p]) for p in (self._router, self._side)}
+        passed = {role: self._platform.count_bytes(role) for role in Role}
+        await (work() if work is not None else asyncio.sleep(seconds))
+        self.result.router[name] = await self._async_read(self._router, begins, passed)
+        self.result.side[name] = await self._async_read(self._side, begins, passed)
+
+    async def _async_read(
+        self,
+        process: DaemonProcess,
+        begins: dict[str, Moment],
+        passed: dict[Role, PlatformBytes],
+    ) -> Spent:
+        spent = await async_end(self._rig, [process], begins[process.name])
+        platform = self._platform.count_bytes(process.role) - passed[process.role]
+        rates = spent.rates | {
+            KIND_CONFIGURATION: platform.configuration / spent.seconds,
+            KIND_INSTANCES: platform.instances / spent.seconds,
+        }
+        return replace(spent, rates=rates)
+
+    async def _async_note_clients(self, clients: asyncio.Task[ClientResult]) -> ClientResult:
+        result = await clients
+        self.result.whole += result.whole
+        self.result.broken += result.broken
+        return result
+
+    def _plan_clients(self, tokens: int, *, streams: int, seconds: float) -> ClientPlan:
+        deployment = self._platform.deployment
+        return ClientPlan(
+            origins=tuple(f"http://{address}" for address in self._rig.list_callers()),
+            key=deployment.workspaces[0].key,
+            model=deployment.model,
+            streams=streams,
+            tokens=tokens,
+            warm_s=0.0,
+            measure_s=seconds,
+            seed=secrets.randbits(16),
+        )
+
+    def _plan_peers(self, role: Role, key: str, places: list[Place]) -> PeerPlan:
+        deployment = self._platform.deployment
+        return PeerPlan(
+            role=role,
+            places=tuple(places),
+            key=key,
+            model=deployment.model,
+            pool=deployment.engine_pool,
+            workspace=deployment.workspaces[0].name,
+            caller_class=get_class(deployment).name,
+        )
+
+    def _count_list_bytes(self) -> int:
+        return sum(self._platform.count_bytes(role).instances for role in Role)
+
+
+def _deal(role: Role, count: int, hosts: int) -> list[list[Place]]:
+    places = list_places(role, count, regions=1)
+    return [places[start::hosts] for start in range(hosts)]
--- /dev/null
+++ b/bench/grid.py
@@ -0,0 +1,93 @@
+"""Control traffic of small fleets of real processes, at the two-year load of each pair."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, replace
+from typing import Final
+
+from bench.client_host import ClientPlan, async_run_clients
+from bench.ledger import (
+    KIND_CONFIGURATION,
+    KIND_INSTANCES,
+    Spent,
+    async_begin,
+    async_end,
+)
+from bench.metered_platform import MeteredPlatform
+from bench.paced_engine import PacedEngine
+from bench.rig import Rig
+from bench.two_year import KEY_WORKSPACES, STREAMS_A_PAIR
+from gypsumrouter.const import Role
+
+TOKENS: Final = 24
+WARM_S: Final = 7.5
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class GridPoint:
+    """What a router and a side spent in a fleet of `size` of each."""
+
+    size: int
+    rate: float
+    router: Spent
+    side: Spent
+    requests_s: float
+    broken: int
+
+
+async def async_measure_point(*, size: int, seconds: float, rate: float = 1.0) -> GridPoint:
+    """Run a fleet and measure it; `rate` is a multiple of the two-year load of each pair."""
+    async with AsyncExitStack() as stack:
+        platform = MeteredPlatform(workspaces=KEY_WORKSPACES)
+        await platform.async_start()
+        rig = Rig(platform=platform)
+        stack.push_async_callback(rig.async_stop)
+        engine = PacedEngine(model=platform.deployment.model)
+        address = await engine.async_start()
+        stack.push_async_callback(engine.async_stop)
+        platform.plan_sides(count=size, upstream=address)
+        await rig.async_start(routers=size)
+        plan = ClientPlan(
+            origins=tuple(f"http://{address}" for address in rig.list_callers()),
+            key=platform.deployment.workspaces[0].key,
+            model=platform.deployment.model,
+            streams=round(size * size * STREAMS_A_PAIR * rate),
+            tokens=TOKENS,
+            warm_s=WARM_S,
+            measure_s=seconds,
+            seed=secrets.randbits(16),
+        )
+        return await _async_measure(rig, platform, plan, size=size, rate=rate)
+
+
+async def _async_measure(
+    rig: Rig, platform: MeteredPlatform, plan: ClientPlan, *, size: int, rate: float
+) -> GridPoint:
+    clients = asyncio.create_task(async_run_clients(plan))
+    await asyncio.sleep(plan.warm_s)
+    groups = {Role.ROUTER: list(rig.routers.values()), Role.SIDE: list(rig.sides.values())}
+    begins = {role: await async_begin(rig, group) for role, group in groups.items()}
+    bytes_before = {role: platform.count_bytes(role) for role in groups}
+    await asyncio.sleep(plan.measure_s)
+    spent: dict[Role, Spent] = {}
+    for role, group in groups.items():
+        measured = await async_end(rig, group, begins[role])
+        passed = platform.count_bytes(role) - bytes_before[role]
+        share = 1 / measured.seconds / len(group)
+        rates = measured.rates | {
+            KIND_CONFIGURATION: passed.configuration * share,
+            KIND_INSTANCES: passed.instances * share,
+        }
+        spent[role] = replace(measured, rates=rates)
+    result = await clients
+    return GridPoint(
+        size=size,
+        rate=rate,
+        router=spent[Role.ROUTER],
+        side=spent[Role.SIDE],
+        requests_s=len(result.first_ms) / plan.measure_s,
+        broken=result.broken,
+    )
--- /dev/null
+++ b/bench/in_force.py
@@ -0,0 +1,76 @@
+"""When each version came into force in each process, and whether one ever went back."""
+
+from __future__ import annotations
+
+import re
+import statistics
+import time
+from collections.abc import Iterable, Mapping, Sequence
+from itertools import pairwise
+from pathlib import Path
+from typing import Final
+
+from gypsumrouter.const import MS_PER_S
+
+Events = Mapping[str, Sequence[tuple[int, int]]]
+
+LOG_LINE: Final = re.compile(
+    r"^(\d{4}-\d\d-\d\d \d\d:\d\d:\d\d),(\d{3}) .*: Configuration (\d+) is in force$"
+)
+TIME_FORMAT: Final = "%Y-%m-%d %H:%M:%S"
+
+
+def read_logs(folder: Path, names: Iterable[str]) -> dict[str, list[tuple[int, int]]]:
+    """Return versions with the wall time at which they came into force, by process.
+
+    The processes' own log lines say it, so that nothing has to ask them meanwhile.
+    """
+    return {name: parse_log((folder / f"{name}.log").read_text(errors="replace")) for name in names}
+
+
+def parse_log(text: str) -> list[tuple[int, int]]:
+    """Return versions with the wall time in milliseconds at which they came into force."""
+    found = [LOG_LINE.match(line) for line in text.splitlines()]
+    return [
+        (int(match[3]), _parse_seconds(match[1]) * MS_PER_S + int(match[2]))
+        for match in found
+        if match is not None
+    ]
+
+
+def measure_delays(
+    events: Events, accepted_ms: Mapping[int, int], versions: Iterable[int]
+) -> list[float]:
+    """Return the seconds from acceptance until a version, or a higher one, was in force.
+
+    One value for each version and process; a process that never had it counts as infinite.
+    """
+    return [
+        (find_in_force(in_force, version) - accepted_ms[version]) / MS_PER_S
+        for version in versions
+        for in_force in events.values()
+    ]
+
+
+def find_in_force(in_force: Sequence[tuple[int, int]], version: int) -> float:
+    """Return the wall time at which a version or a higher one came into force."""
+    return min((at_ms for held, at_ms in in_force if held >= version), default=float("inf"))
+
+
+def count_reverted(events: Events) -> int:
+    """Return how often a lower version came into force after a higher one."""
+    return sum(
+        1
+        for in_force in events.values()
+        for (before, _), (after, _) in pairwise(in_force)
+        if after <= before
+    )
+
+
+def get_median(values: Sequence[float]) -> float:
+    """Return the median, 0 without any value."""
+    return statistics.median(values) if values else 0.0
+
+
+def _parse_seconds(text: str) -> int:
+    return int(time.mktime(time.strptime(text, TIME_FORMAT)))
--- /dev/null
+++ b/bench/ledger.py
@@ -0,0 +1,108 @@
+"""What processes have spent between two moments: bytes by kind, processor time, memory."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any, Final
+
+from bench.processes import DaemonProcess
+from bench.rig import Rig, Sections
+from gypsumrouter.link.const import PAYLOAD_KINDS
+
+PAYLOAD_NAMES: Final = frozenset(kind.name.lower() for kind in PAYLOAD_KINDS)
+SECTION: Final = "link"
+HANDSHAKE_KINDS: Final = ("hello", "proof", "welcome")
+KIND_STATUS: Final = "status"
+KIND_CONFIGURATION: Final = "platform_configuration"
+KIND_INSTANCES: Final = "platform_instances"
+
+Rates = dict[str, float]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Moment:
+    """What some processes together have used up to a moment."""
+
+    at_s: float
+    cpu_s: float
+    rss_bytes: int
+    bytes_by_kind: Mapping[str, int]
+    processes: int
+    links: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Spent:
+    """What one process spent on average; bytes and processor seconds in each second."""
+
+    seconds: float
+    core_share: float
+    rss_bytes: float
+    rates: Rates
+    links: float
+
+    def sum_control(self) -> float:
+        """Return the bytes a second that carry no request and no answer."""
+        return sum(rate for kind, rate in self.rates.items() if kind not in PAYLOAD_NAMES)
+
+    def list_control(self) -> Rates:
+        """Return the rates of the kinds that carry no request and no answer."""
+        return {kind: rate for kind, rate in self.rates.items() if kind not in PAYLOAD_NAMES}
+
+
+async def async_begin(rig: Rig, processes: Iterable[DaemonProcess]) -> Moment:
+    """Return the moment at which a measurement begins; dumps are asked for before it."""
+    chosen = list(processes)
+    dumps = await _async_dump_all(rig, chosen)
+    return _make_moment(chosen, dumps)
+
+
+async def async_end(rig: Rig, processes: Iterable[DaemonProcess], begin: Moment) -> Spent:
+    """Return what was spent since a moment; dumps are asked for after it."""
+    chosen = list(processes)
+    without_bytes = _make_moment(chosen, [])
+    dumps = await _async_dump_all(rig, chosen)
+    with_bytes = _make_moment(chosen, dumps)
+    count = max(1, len(chosen))
+    cpu_window_s = without_bytes.at_s - begin.at_s
+    bytes_window_s = with_bytes.at_s - begin.at_s
+    rates = {
+        kind: (total - begin.bytes_by_kind.get(kind, 0)) / bytes_window_s / count
+        for kind, total in with_bytes.bytes_by_kind.items()
+    }
+    return Spent(
+        seconds=cpu_window_s,
+        core_share=(without_bytes.cpu_s - begin.cpu_s) / cpu_window_s / count,
+        rss_bytes=without_bytes.rss_bytes / count,
+        rates=rates,
+        links=with_bytes.links / count,
+    )
+
+
+def read_link_bytes(sections: Sections) -> dict[str, int]:
+    """Return the bytes by kind, sent and received together, from a state dump."""
+    kinds: dict[str, dict[str, int]] = sections[SECTION]["bytes"]
+    return {kind: sum(ways.values()) for kind, ways in kinds.items()}
+
+
+async def _async_dump_all(rig: Rig, processes: list[DaemonProcess]) -> list[dict[str, Any]]:
+    return list(await asyncio.gather(*(rig.async_dump(process) for process in processes)))
+
+
+def _make_moment(processes: list[DaemonProcess], dumps: list[Sections]) -> Moment:
+    usages = [process.read_usage() for process in processes]
+    totals: dict[str, int] = {}
+    for dump in dumps:
+        for kind, count in read_link_bytes(dump).items():
+            totals[kind] = totals.get(kind, 0) + count
+    return Moment(
+        at_s=time.monotonic(),
+        cpu_s=sum(usage.cpu_s for usage in usages),
+        rss_bytes=sum(usage.rss_bytes for usage in usages),
+        bytes_by_kind=totals,
+        processes=len(processes),
+        links=sum(dump[SECTION]["open"] for dump in dumps),
+    )
--- /dev/null
+++ b/bench/metered_platform.py
@@ -0,0 +1,126 @@
+"""The stand-ins of the platform, with the bytes counted that each role exchanges with them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Final
+
+from bench.two_year import make_configuration, make_deployment
+from gypsumrouter.const import Role, UpstreamKind
+from gypsumrouter.fleet.models import Address
+from gypsumrouter.standins import FaultProxy, InstanceListService, SidePlan, StandinPlatform, Way
+from gypsumrouter.standins.fleet import CONFIGURATION_ADAPTER
+from gypsumrouter.util.clock import SystemClock
+
+FIRST_CONFIGURATION: Final = 2
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PlatformBytes:
+    """HTTP heads and bodies of both ways, of all processes of one role."""
+
+    configuration: int
+    instances: int
+
+    def __sub__(self, earlier: PlatformBytes) -> PlatformBytes:
+        return PlatformBytes(
+            configuration=self.configuration - earlier.configuration,
+            instances=self.instances - earlier.instances,
+        )
+
+
+class MeteredPlatform(StandinPlatform):
+    """Every process reaches the platform through a proxy of its role, which counts."""
+
+    def __init__(self, *, workspaces: int) -> None:
+        self.deployment = make_deployment()
+        super().__init__(clock=SystemClock(), deployments=(self.deployment,))
+        self.workspaces = workspaces
+        self._configuration: dict[Role, FaultProxy] = {}
+        self._instances: dict[Role, FaultProxy] = {}
+
+    async def async_start(self) -> None:
+        """Start everything, and publish a configuration of the set size."""
+        await super().async_start()
+        for role in Role:
+            self._configuration[role] = await _async_start_proxy(self.configuration.address)
+            self._instances[role] = await _async_start_proxy(self.instances.address)
+        self.publish_workspaces(self.workspaces)
+
+    async def async_stop(self) -> None:
+        """Release everything."""
+        for proxy in (*self._configuration.values(), *self._instances.values()):
+            await proxy.async_stop()
+        await super().async_stop()
+
+    def plan_sides(self, *, count: int, upstream: Address) -> None:
+        """Plan sides that share one engine, the first in the second data centre.
+
+        So one router and one side stand in two of them, and each watches the platform for its own.
+        """
+        deployment = self.deployment
+        self.plans = tuple(
+            SidePlan(
+                name=f"{deployment.engine_pool}-{index + 1}",
+                pool=deployment.engine_pool,
+                kind=UpstreamKind.ENGINE,
+                data_centre=deployment.get_data_centre(index + 1),
+                region=deployment.region,
+                upstream=upstream,
+            )
+            for index in range(count)
+        )
+
+    def publish_workspaces(self, workspaces: int, *, changed: int = 0) -> int:
+        """Publish the next version, with the entry of one workspace changed; return its size."""
+        version = max(FIRST_CONFIGURATION, self.configuration.version + 1)
+        configuration = make_configuration(
+            self.deployment, version=version, workspaces=workspaces, changed=changed
+        )
+        # With every default written out, the two-year size does not fit into a megabyte.
+        document = CONFIGURATION_ADAPTER.dump_json(configuration, exclude_defaults=True)
+        self.configuration.publish(document)
+        return len(document)
+
+    def use_list(self, service: InstanceListService) -> None:
+        """Let every process read another list service from now on."""
+        for proxy in self._instances.values():
+            proxy.target = service.address
+            proxy.cut()
+
+    def count_bytes(self, role: Role) -> PlatformBytes:
+        """Return what the processes of a role have exchanged so far."""
+        return PlatformBytes(
+            configuration=_count(self._configuration[role]),
+            instances=_count(self._instances[role]),
+        )
+
+    def make_side_settings(self, name: str, *, link: dict[str, Any]) -> dict[str, Any]:
+        """Return the settings of a side."""
+        settings = super().make_side_settings(name, link=link)
+        return settings | {"platform": self._make_origins(Role.SIDE)}
+
+    def make_router_settings(
+        self, name: str, *, data_centre: str, region: str, link: dict[str, Any]
+    ) -> dict[str, Any]:
+        """Return the settings of a router."""
+        settings = super().make_router_settings(
+            name, data_centre=data_centre, region=region, link=link
+        )
+        return settings | {"platform": self._make_origins(Role.ROUTER)}
+
+    def _make_origins(self, role: Role) -> dict[str, Any]:
+        return {
+            "configuration": [f"http://{self._configuration[role].address}"],
+            "instances": [f"http://{self._instances[role].address}"],
+        }
+
+
+async def _async_start_proxy(target: Address) -> FaultProxy:
+    proxy = FaultProxy(target=target)
+    await proxy.async_start()
+    return proxy
+
+
+def _count(proxy: FaultProxy) -> int:
+    return sum(proxy.get_passed_bytes(way) for way in Way)
--- /dev/null
+++ b/bench/orders.py
@@ -0,0 +1,334 @@
+"""Orders to engines: a surge of one model, a change of version, the loss of a third, late orders.
+
+Real routers and sides before stand-in engines that share three models, and a weight store with a
+rate. Times are short, so that a run takes less than two minutes.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
+
+import uvloop
+
+from bench.orders_load import Load, open_load
+from bench.orders_stage import (
+    LEASE_MS,
+    MIN_ENGINES,
+    STORE_PER_S,
+    OrdersStage,
+    open_orders_stage,
+)
+from bench.processes import DaemonProcess
+from bench.report import Value, print_machine, print_result, print_table
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.standins.orders import OrderState
+from gypsumrouter.util.clock import SystemClock
+
+QUIET_RATE: Final = 1.0
+SURGE_RATE: Final = 6.0
+RATE_WINDOW_MS: Final = 5_000
+LATE_ROUNDS: Final = 2
+FIRST_LATE_VERSION: Final = 11
+LOST_SHARE: Final = 3
+
+
+@dataclass(slots=True, kw_only=True)
+class Phase:
+    """What one event took: loads, the least that would have done, and what callers saw."""
+
+    name: str
+    moves: int
+    moves_least: int
+    took_s: float
+    before: dict[str, int]
+    after: dict[str, int]
+    load: Load
+
+
+def main(argv: list[str]) -> int:
+    """Run the bench."""
+    parser = argparse.ArgumentParser(prog="bench orders")
+    parser.add_argument("--quiet-s", type=float, default=8.0)
+    parser.add_argument("--seed", type=int, default=5)
+    options = parser.parse_args(argv)
+    print_machine()
+    return uvloop.run(async_measure(options))
+
+
+async def async_measure(options: argparse.Namespace) -> int:
+    """Run all events and print the figures."""
+    async with open_orders_stage(checks_fence=True) as stage:
+        await stage.async_wait_settled()
+        began = stage.count_loads()
+        quiet = await async_stay_quiet(stage, options)
+        idle_moves = stage.count_loads() - began
+        phases = [
+            await async_surge(stage, options.seed),
+            await async_change_version(stage, options.seed),
+        ]
+        late = {"checking": await async_provoke_late_orders(stage)}
+        phases.append(await async_lose_third(stage, options.seed))
+        fetched_ms = list(stage.platform.weight_store.fetched_ms)
+        refused = stage.platform.weight_store.refused
+    async with open_orders_stage(checks_fence=False) as stage:
+        await stage.async_wait_settled()
+        late["not_checking"] = await async_provoke_late_orders(stage)
+    report(
+        quiet=quiet,
+        idle_moves=idle_moves,
+        phases=phases,
+        fetched_ms=fetched_ms,
+        store_refused=refused,
+        late=late,
+    )
+    return 0
+
+
+async def async_stay_quiet(stage: OrdersStage, options: argparse.Namespace) -> Load:
+    """Serve a steady load while nothing is to change."""
+    async with open_load(stage, rates=make_rates(stage), seed=options.seed) as load:
+        await asyncio.sleep(options.quiet_s)
+    return load
+
+
+async def async_surge(stage: OrdersStage, seed: int) -> Phase:
+    """Let one model's requests grow until engines have moved to it."""
+    model = stage.models[1]
+    before, began = stage.count_holders(), stage.count_loads()
+
+    async def async_has_moved() -> bool:
+        return stage.count_holders()[model] > before[model] and await stage.async_is_settled()
+
+    began_s = get_now_s()
+    async with open_load(stage, rates={**make_rates(stage), model: SURGE_RATE}, seed=seed) as load:
+        await stage.async_wait_until(async_has_moved, "engines move to the surging model")
+        took_s = get_now_s() - began_s
+    after = stage.count_holders()
+    return Phase(
+        name="surge",
+        moves=stage.count_loads() - began,
+        moves_least=count_least(before, after),
+        took_s=took_s,
+        before=before,
+        after=after,
+        load=load,
+    )
+
+
+async def async_change_version(stage: OrdersStage, seed: int) -> Phase:
+    """Publish a new version of a model and wait until every engine that holds it has it."""
+    model, version = stage.models[0], "2"
+    before, began = stage.count_holders(), stage.count_loads()
+
+    def has_changed() -> bool:
+        held = [models[model] for models in stage.read_holders().values() if model in models]
+        return bool(held) and all(found == version for found in held)
+
+    began_s = get_now_s()
+    async with open_load(stage, rates=make_rates(stage), seed=seed + 1) as load:
+        stage.publish({model: version})
+        await stage.async_wait_until(has_changed, "the new version is held")
+        took_s = get_now_s() - began_s
+        await stage.async_wait_settled()
+    return Phase(
+        name="version",
+        moves=stage.count_loads() - began,
+        moves_least=before[model],
+        took_s=took_s,
+        before=before,
+        after=stage.count_holders(),
+        load=load,
+    )
+
+
+async def async_lose_third(stage: OrdersStage, seed: int) -> Phase:
+    """End a third of the engines with their sides, all of one model's first."""
+    holders = stage.read_holders()
+    model = stage.models[2]
+    ordered = sorted(holders, key=lambda name: (model not in holders[name], name))
+    lost = ordered[: len(ordered) // LOST_SHARE]
+    began = stage.count_loads()
+    began_s = get_now_s()
+    async with open_load(stage, rates=make_rates(stage), seed=seed + 2) as load:
+        for name in lost:
+            process = stage.rig.sides.pop(name)
+            await process.async_kill()
+            stage.engines[name].freeze()
+            stage.platform.instances.remove(name)
+        before = stage.count_holders()
+
+        async def async_has_recovered() -> bool:
+            counts = stage.count_holders()
+            return min(counts.values()) >= MIN_ENGINES and await stage.async_is_settled()
+
+        await stage.async_wait_until(async_has_recovered, "every model has its minimum again")
+        took_s = get_now_s() - began_s
+    after = stage.count_holders()
+    least = sum(max(0, MIN_ENGINES - count) for count in before.values())
+    return Phase(
+        name="loss",
+        moves=stage.count_loads() - began,
+        moves_least=least,
+        took_s=took_s,
+        before=before,
+        after=after,
+        load=load,
+    )
+
+
+async def async_provoke_late_orders(stage: OrdersStage) -> int:
+    """Pause sides in the middle of a change, replace them, and wake them; count late orders."""
+    model = stage.models[0]
+    late = 0
+    version = FIRST_LATE_VERSION
+    for _ in range(LATE_ROUNDS):
+        stage.publish({model: str(version)})
+        name = await async_pause_one_that_changes(stage)
+        paused = stage.rig.sides[name]
+        await stage.rig.async_start_side(name)
+        stage.publish({model: str(version + 1)})
+        await asyncio.sleep(2 * LEASE_MS / MS_PER_S)
+        woken_ms = SystemClock().wall_ms()
+        paused.send_signal(signal.SIGCONT)
+        await stage.async_wait_settled()
+        late += await async_count_followed(stage, paused, since_ms=woken_ms)
+        await paused.async_stop()
+        version += 2
+    return late + stage.count_late()
+
+
+async def async_count_followed(stage: OrdersStage, process: DaemonProcess, *, since_ms: int) -> int:
+    """Return how many orders of a process its engine has followed since a time."""
+    dump = await stage.async_dump(process)
+    fences = {entry["fence"] for entry in dump["journal"]}
+    return sum(
+        record.order.fence in fences
+        and record.wall_ms >= since_ms
+        and record.state is not OrderState.REFUSED
+        for record in stage.engines[process.name].orders.records
+    )
+
+
+async def async_pause_one_that_changes(stage: OrdersStage) -> str:
+    """Pause the first side that is in the middle of a change; return its name."""
+    found: list[str] = []
+
+    async def async_find() -> bool:
+        for name, process in stage.rig.sides.items():
+            if (await stage.async_dump(process)).get("pending") is not None:
+                process.send_signal(signal.SIGSTOP)
+                found.append(name)
+                return True
+        return False
+
+    await stage.async_wait_until(async_find, "a side changes its engine")
+    return found[0]
+
+
+def make_rates(stage: OrdersStage) -> dict[str, float]:
+    """Return the quiet rate of requests for each model."""
+    return dict.fromkeys(stage.models, QUIET_RATE)
+
+
+def count_least(before: Mapping[str, int], after: Mapping[str, int]) -> int:
+    """Return how many loads it takes at least from some counts of holders to others."""
+    return sum(max(0, count - before[model]) for model, count in after.items())
+
+
+def get_rate_max(fetched_ms: list[int]) -> float:
+    """Return the highest rate of fetches in any window."""
+    most = 0
+    for index, began_ms in enumerate(fetched_ms):
+        within = [at for at in fetched_ms[index:] if at < began_ms + RATE_WINDOW_MS]
+        most = max(most, len(within))
+    return most * MS_PER_S / RATE_WINDOW_MS
+
+
+def get_now_s() -> float:
+    """Return monotonic time in seconds."""
+    return asyncio.get_running_loop().time()
+
+
+def report(
+    *,
+    quiet: Load,
+    idle_moves: int,
+    phases: list[Phase],
+    fetched_ms: list[int],
+    store_refused: int,
+    late: Mapping[str, int],
+) -> None:
+    """Print the table and the last line."""
+    rows: list[list[object]] = [
+        ["quiet", "", "", idle_moves, 0, "", round(quiet.target_met, 4), *list_lost(quiet)]
+    ]
+    rows += [
+        [
+            phase.name,
+            format_counts(phase.before),
+            format_counts(phase.after),
+            phase.moves,
+            phase.moves_least,
+            round(phase.took_s, 1),
+            round(phase.load.target_met, 4),
+            *list_lost(phase.load),
+        ]
+        for phase in phases
+    ]
+    print_table(
+        title="orders, kotlovnica: 9 engines that share 3 models, 2 routers",
+        columns=(
+            "event",
+            "holders before",
+            "after",
+            "loads",
+            "least",
+            "took s",
+            "target met",
+            "requests",
+            "not run",
+            "lost",
+        ),
+        rows=rows,
+    )
+    moves: dict[str, Value] = {phase.name: phase.moves for phase in phases}
+    least: dict[str, Value] = {phase.name: phase.moves_least for phase in phases}
+    met: dict[str, Value] = {phase.name: round(phase.load.target_met, 4) for phase in phases}
+    print_result(
+        {
+            "late_orders_applied": dict(late),
+            "moves": {"quiet": idle_moves, **moves},
+            "moves_least": {"quiet": 0, **least},
+            "took_s": {phase.name: round(phase.took_s, 1) for phase in phases},
+            "weight_store_rate_max": get_rate_max(fetched_ms),
+            "weight_store_limit": STORE_PER_S,
+            "weight_store_fetches": len(fetched_ms),
+            "weight_store_refused": store_refused,
+            "target_met": met,
+            "target_met_quiet": round(quiet.target_met, 4),
+            "lost_or_wrong": sum(
+                count_wrong(load) for load in (quiet, *(phase.load for phase in phases))
+            ),
+        }
+    )
+
+
+def count_wrong(load: Load) -> int:
+    """Return how many requests had no known end, or a wrong answer."""
+    tally = load.tally
+    return tally.lost + tally.doubled + tally.crossed + tally.truncated
+
+
+def list_lost(load: Load) -> list[object]:
+    """Return the cells that say how requests ended."""
+    return [load.tally.requests, load.tally.not_run, count_wrong(load)]
+
+
+def format_counts(counts: Mapping[str, int]) -> str:
+    """Return the holders of each model in one cell."""
+    return " ".join(str(count) for count in counts.values())
--- /dev/null
+++ b/bench/orders_load.py
@@ -0,0 +1,83 @@
+"""Requests for several models at fixed rates, whatever becomes of them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import Final
+
+from bench.accounts import Account
+from bench.load import CallerContext, ChatCaller, ChatShape
+from bench.orders_stage import OrdersStage
+from bench.tally import Tally
+from gypsumrouter.configuration.models import CallerClass
+from gypsumrouter.util.clock import SystemClock
+
+TOKENS: Final = 40
+PROMPT_BYTES: Final = 200
+TIMEOUT_S: Final = 30.0
+SHAPE: Final = ChatShape(
+    turns=1, first_bytes=PROMPT_BYTES, min_tokens=TOKENS, max_tokens=TOKENS, stream=True
+)
+
+
+@dataclass(slots=True, kw_only=True)
+class Load:
+    """Requests that are running, and what has become of those that began in this phase."""
+
+    caller_class: CallerClass
+    tally: Tally = field(default_factory=Tally)
+    tasks: set[asyncio.Task[bool]] = field(default_factory=set)
+
+    @property
+    def target_met(self) -> float:
+        """Return the share of all requests that got their first token in time, and the answer."""
+        times = self.tally.list_first_token_ms()
+        met = sum(time_ms <= self.caller_class.first_token_ms for time_ms in times)
+        return met / max(1, self.tally.requests)
+
+
+@asynccontextmanager
+async def open_load(
+    stage: OrdersStage, *, rates: Mapping[str, float], seed: int
+) -> AsyncIterator[Load]:
+    """Send requests at `rates` for each model a second while the context is open, then wait."""
+    load = Load(caller_class=stage.deployment.interactive[0])
+    senders = [
+        asyncio.create_task(_async_send(stage, load, model, rate, random.Random(f"{seed}/{model}")))
+        for model, rate in rates.items()
+    ]
+    try:
+        yield load
+    finally:
+        for sender in senders:
+            sender.cancel()
+        await asyncio.gather(*senders, return_exceptions=True)
+        await asyncio.gather(*load.tasks)
+
+
+async def _async_send(
+    stage: OrdersStage, load: Load, model: str, rate: float, randomness: random.Random
+) -> None:
+    plan = stage.deployment.workspaces[0]
+    account = Account(workspace=plan.name, key=plan.key, caller_class=load.caller_class.name)
+    while True:
+        await asyncio.sleep(randomness.expovariate(rate))
+        caller = ChatCaller(
+            context=CallerContext(
+                session=stage.session,
+                routers=stage.rig.list_callers(),
+                tally=load.tally,
+                clock=SystemClock(),
+                timeout_s=TIMEOUT_S,
+            ),
+            account=account,
+            seed=randomness.getrandbits(32),
+            chat=f"{model}-{randomness.getrandbits(64):x}",
+            model=model,
+            shape=SHAPE,
+        )
+        load.tasks.add(asyncio.create_task(caller.async_turn()))
--- /dev/null
+++ b/bench/peer_host.py
@@ -0,0 +1,160 @@
+"""A process of its own for many light peers, driven by lines of JSON on its standard input."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import random
+import sys
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from bench.child import Child, Command, async_serve
+from bench.light_peers import LightPeer, LightRouters
+from bench.two_year import Place
+from gypsumrouter.const import MS_PER_S, Role
+from gypsumrouter.fleet.models import Address, Instance
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PeerPlan:
+    """Which peers one process plays; `places` are names with data centre and region."""
+
+    role: Role
+    places: tuple[Place, ...]
+    key: str
+    model: str
+    pool: str
+    workspace: str
+    caller_class: str
+
+
+class PeerHost:
+    """The parent's end of one process of light peers."""
+
+    def __init__(self, *, plan: PeerPlan) -> None:
+        self.plan = plan
+        self.instances: tuple[Instance, ...] = ()
+        self._child = Child(module="bench.peer_host", plan=asdict(plan))
+
+    async def async_start(self) -> None:
+        """Start the process and read where its peers listen."""
+        ports: list[int] = await self._child.async_start()
+        self.instances = tuple(
+            Instance(
+                name=name,
+                role=self.plan.role,
+                address=Address(host="127.0.0.1", port=port),
+                data_centre=data_centre,
+                region=region,
+                pool=self.plan.pool if self.plan.role is Role.SIDE else "",
+            )
+            for (name, data_centre, region), port in zip(self.plan.places, ports, strict=True)
+        )
+
+    async def async_command(self, **command: Any) -> dict[str, int]:
+        """Have the process do something and return what it has counted so far."""
+        counts: dict[str, int] = await self._child.async_command(**command)
+        return counts
+
+    async def async_stop(self) -> None:
+        """End the process."""
+        await self._child.async_stop()
+
+
+class PeerCommands:
+    """The child's end: peers, and what the parent asks of them."""
+
+    def __init__(self, *, plan: PeerPlan) -> None:
+        self._plan = plan
+        self._peers = [
+            LightPeer(
+                name=name,
+                role=plan.role,
+                data_centre=data_centre,
+                region=region,
+                key=plan.key.encode(),
+            )
+            for name, data_centre, region in plan.places
+        ]
+        self._routers: LightRouters | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._interval_ms = 0.0
+
+    async def async_start(self) -> list[int]:
+        """Start every peer and return their ports."""
+        addresses = [await peer.async_start() for peer in self._peers]
+        if self._plan.role is Role.SIDE:
+            for peer in self._peers:
+                peer.publish(model=self._plan.model, turn=0)
+            self._tasks.append(asyncio.create_task(self._async_publish()))
+        return [address.port for address in addresses]
+
+    async def async_do(self, command: Command) -> dict[str, int]:
+        """Follow one command."""
+        if "target" in command:
+            self._aim(command["target"])
+        if "interval_ms" in command:
+            self._interval_ms = command["interval_ms"]
+        if self._routers is None:
+            return {}
+        if command.get("link"):
+            await self._routers.async_link()
+        if "burst" in command:
+            self._routers.send(count=command["burst"], tokens=command["tokens"])
+        if "rate_s" in command:
+            self._routers.rate_s = command["rate_s"]
+            self._routers.tokens = command["tokens"]
+        return {"whole": self._routers.whole, "broken": self._routers.broken}
+
+    def _aim(self, target: Command) -> None:
+        self._routers = LightRouters(
+            peers=self._peers,
+            target=Instance(
+                name=target["name"],
+                role=Role.SIDE,
+                address=Address(host=target["host"], port=target["port"]),
+                data_centre="",
+                region="",
+                pool=self._plan.pool,
+            ),
+            model=self._plan.model,
+            workspace=self._plan.workspace,
+            name=self._plan.caller_class,
+        )
+        self._tasks.append(asyncio.create_task(self._routers.async_keep_sending()))
+
+    async def _async_publish(self) -> None:
+        """Have each side tell a changed load once in each interval, spread over it."""
+        turn = 0
+        order = random.Random(0).sample(self._peers, len(self._peers))
+        while True:
+            if self._interval_ms <= 0:
+                await asyncio.sleep(0.1)
+                continue
+            turn += 1
+            for peer in order:
+                await asyncio.sleep(self._interval_ms / MS_PER_S / len(order))
+                peer.publish(model=self._plan.model, turn=turn)
+
+
+async def async_host(plan: PeerPlan) -> None:
+    """Play the peers until the standard input ends."""
+    commands = PeerCommands(plan=plan)
+    await async_serve(await commands.async_start(), commands.async_do)
+
+
+def parse_plan(text: str) -> PeerPlan:
+    """Return a plan from the form in which the parent gives it."""
+    fields = json.loads(text)
+    fields["role"] = Role(fields["role"])
+    fields["places"] = tuple(tuple(place) for place in fields["places"])
+    return PeerPlan(**fields)
+
+
+if __name__ == "__main__":
+    import uvloop
+
+    logging.disable(logging.CRITICAL)
+    uvloop.run(async_host(parse_plan(sys.argv[1])))
--- /dev/null
+++ b/bench/plots.py
@@ -0,0 +1,34 @@
+"""A picture of measured figures against their aims."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import matplotlib
+import matplotlib.pyplot as plt
+
+matplotlib.use("Agg")
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Bar:
+    """One figure and what it should stay below."""
+
+    name: str
+    value: float
+    aim: float
+
+
+def save_plot(path: Path, bars: Sequence[Bar]) -> None:
+    """Write a bar for each figure, as a multiple of its aim."""
+    figure, axes = plt.subplots(figsize=(1.6 * len(bars), 4))
+    drawn = axes.bar([bar.name for bar in bars], [bar.value / bar.aim for bar in bars])
+    axes.bar_label(drawn, labels=[f"{bar.value:.3g}" for bar in bars])
+    axes.axhline(1.0, color="black", linewidth=1)
+    axes.set_ylabel("multiple of the aim")
+    axes.set_title("control at 330 routers and 930 sides")
+    figure.tight_layout()
+    figure.savefig(path)
+    plt.close(figure)
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,68 @@
+"""The policies that a bench compares: ours and the baselines."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import Final
+
+from gypsumrouter.configuration.models import Configuration
+from gypsumrouter.placement import PlacementKind
+
+NO_CAP: Final = 1_000.0
+NO_TARGET_MS: Final = 600_000
+NO_QUEUE_LIMIT: Final = 4_096
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class BenchPolicy:
+    """How requests are placed and admitted in one run.
+
+    `brings_hint` is whether callers send the placement hint of the last answer back. With
+    `first_come` the sides know neither a cap nor classes.
+    """
+
+    name: str
+    placement: PlacementKind
+    brings_hint: bool = False
+    first_come: bool = False
+
+    def adapt(self, configuration: Configuration) -> Configuration:
+        """Return the configuration under which this policy runs."""
+        return make_first_come(configuration) if self.first_come else configuration
+
+
+OURS: Final = BenchPolicy(name="ours", placement=PlacementKind.RENDEZVOUS)
+OURS_WITH_HINT: Final = BenchPolicy(
+    name="ours_with_hint", placement=PlacementKind.RENDEZVOUS, brings_hint=True
+)
+BASELINE_KINDS: Final = tuple(
+    kind for kind in PlacementKind if kind is not PlacementKind.RENDEZVOUS
+)
+
+
+def list_baselines(*, first_come: bool) -> list[BenchPolicy]:
+    """Return every baseline, with our admission or with plain first-come order."""
+    return [
+        BenchPolicy(name=kind.value, placement=kind, first_come=first_come)
+        for kind in BASELINE_KINDS
+    ]
+
+
+def choose_policies(policies: list[BenchPolicy], names: list[str] | None) -> list[BenchPolicy]:
+    """Return the policies of these names, all without names."""
+    return [policy for policy in policies if names is None or policy.name in names]
+
+
+def make_first_come(configuration: Configuration) -> Configuration:
+    """Return a configuration under which sides serve in the order of arrival, without a cap.
+
+    Classes that are all alike, far targets and equal shares leave only the time of arrival to
+    order by.
+    """
+    classes = tuple(
+        replace(item, first_token_ms=NO_TARGET_MS, answer_ms=NO_TARGET_MS, penalty=1.0, batch=False)
+        for item in configuration.classes
+    )
+    pools = tuple(replace(pool, cap=NO_CAP, queue=NO_QUEUE_LIMIT) for pool in configuration.pools)
+    workspaces = tuple(replace(item, share=1.0) for item in configuration.workspaces)
+    return replace(configuration, classes=classes, pools=pools, workspaces=workspaces)
--- /dev/null
+++ b/bench/probe_host.py
@@ -0,0 +1,91 @@
+"""A process of the product that also measures how long its event loop stands still."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import sys
+import time
+from typing import Any, Final
+
+from bench.child import Child, Command, async_serve
+from bench.processes import parse_address
+from gypsumrouter.bootstrap import ADDRESS_LINK, async_setup
+from gypsumrouter.const import MS_PER_S, Role
+from gypsumrouter.fleet.models import Address
+from gypsumrouter.helpers.settings_file import check_settings
+from gypsumrouter.service import settle_process
+
+TICK_MS: Final = 1.0
+
+
+class LoopProbe:
+    """The longest time between two turns of the loop, by the clock and in processor time.
+
+    Processor time is that of the loop's thread, so that a busy machine does not count.
+    """
+
+    def __init__(self) -> None:
+        self.wall_ms = 0.0
+        self.cpu_ms = 0.0
+
+    async def async_run(self) -> None:
+        """Measure until cancelled."""
+        while True:
+            wall_s, cpu_s = time.perf_counter(), time.thread_time()
+            await asyncio.sleep(TICK_MS / MS_PER_S)
+            self.wall_ms = max(self.wall_ms, (time.perf_counter() - wall_s) * MS_PER_S - TICK_MS)
+            self.cpu_ms = max(self.cpu_ms, (time.thread_time() - cpu_s) * MS_PER_S)
+
+    def take(self) -> dict[str, float]:
+        """Return the longest times since the last call."""
+        taken = {"wall_ms": self.wall_ms, "cpu_ms": self.cpu_ms}
+        self.wall_ms = self.cpu_ms = 0.0
+        return taken
+
+
+class ProbedProcess:
+    """The parent's end."""
+
+    def __init__(self, *, role: Role, settings: dict[str, Any]) -> None:
+        self.role = role
+        self.link: Address
+        plan = {"role": role, "settings": json.dumps(settings)}
+        self._child = Child(module="bench.probe_host", plan=plan)
+
+    async def async_start(self) -> None:
+        """Start the process."""
+        self.link = parse_address(await self._child.async_start())
+
+    async def async_take(self) -> dict[str, float]:
+        """Return the longest pauses since the last call."""
+        taken: dict[str, float] = await self._child.async_command()
+        return taken
+
+    async def async_stop(self) -> None:
+        """End the process."""
+        await self._child.async_stop()
+
+
+async def async_host(plan: Command) -> None:
+    """Run the product and the probe until the standard input ends."""
+    document = plan["settings"].encode()
+    product = await async_setup(settings=check_settings(role=Role(plan["role"]), document=document))
+    settle_process(product)
+    probe = LoopProbe()
+    task = asyncio.create_task(probe.async_run())
+
+    async def async_take(_command: Command) -> dict[str, float]:
+        return probe.take()
+
+    await async_serve(str(product.addresses[ADDRESS_LINK]), async_take)
+    task.cancel()
+    await product.app.async_stop()
+
+
+if __name__ == "__main__":
+    import uvloop
+
+    logging.disable(logging.CRITICAL)
+    uvloop.run(async_host(json.loads(sys.argv[1])))
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Final
@@ -77,9 +78,14 @@
 
 
 async def async_start_daemon(
-    *, role: Role, settings: dict[str, Any], folder: Path, log: Path | None = None
+    *,
+    role: Role,
+    settings: dict[str, Any],
+    folder: Path,
+    log: Path | None = None,
+    options: Sequence[str] = (),
 ) -> DaemonProcess:
-    """Start one daemon and wait until it has announced its addresses.
+    """Start one daemon with further options and wait until it has announced its addresses.
 
     Raises RuntimeError when it ends before that.
     """
@@ -95,6 +101,7 @@
             "--settings",
             str(file),
             "--announce",
+            *options,
             stdout=asyncio.subprocess.PIPE,
             stderr=errors,
             env={**os.environ, ENV_IO_URING: IO_URING_OFF},
--- a/bench/rig.py
+++ b/bench/rig.py
@@ -13,6 +13,7 @@
 from bench.processes import DaemonProcess, async_start_daemon
 from gypsumrouter.const import MS_PER_S, Role
 from gypsumrouter.fleet.models import Address
+from gypsumrouter.placement import PlacementKind
 from gypsumrouter.standins import FaultProxy, StandinPlatform
 
 LINK_KEY_BYTES: Final = 32
@@ -23,6 +24,7 @@
 ADDRESS_CALLERS: Final = "callers"
 ADDRESS_OPERATORS: Final = "operators"
 ADDRESS_LINK: Final = "link"
+OPTION_PLACEMENT: Final = "--placement"
 HTTP_OK: Final = 200
 
 Sections = dict[str, Any]
@@ -32,15 +34,21 @@
     """Starts, finds, replaces and ends the processes of one fleet.
 
     With `proxied` each link is reached through a fault proxy of its own. `extra` is laid over the
-    settings of every process, section by section.
+    settings of every process, section by section. `placement` is how the routers place requests.
     """
 
     def __init__(
-        self, *, platform: StandinPlatform, proxied: bool = False, extra: Sections | None = None
+        self,
+        *,
+        platform: StandinPlatform,
+        proxied: bool = False,
+        extra: Sections | None = None,
+        placement: PlacementKind = PlacementKind.RENDEZVOUS,
     ) -> None:
         self.platform = platform
         self.proxied = proxied
         self.extra = extra or {}
+        self.placement = placement
         self.sides: dict[str, DaemonProcess] = {}
         self.routers: dict[str, DaemonProcess] = {}
         self.proxies: dict[str, FaultProxy] = {}
@@ -62,7 +70,7 @@
         settings = self.platform.make_side_settings(name, link=self._make_link())
         process, listed = await self._async_start(Role.SIDE, settings)
         self.sides[name] = process
-        self.platform.list_side(name, listed)
+        await self._async_list_side(name, listed)
         return process
 
     async def async_start_router(self, index: int) -> DaemonProcess:
@@ -73,7 +81,7 @@
         settings = self.platform.make_router_settings(name, link=self._make_link(), **place)
         process, listed = await self._async_start(Role.ROUTER, settings)
         self.routers[name] = process
-        self.platform.list_router(name, listed, **place)
+        await self._async_list_router(name, listed, **place)
         return process
 
     async def async_wait_ready(self) -> None:
@@ -123,6 +131,14 @@
         await self.platform.async_stop()
         self._scratch.cleanup()
 
+    async def _async_list_side(self, name: str, address: Address) -> None:
+        self.platform.list_side(name, address)
+
+    async def _async_list_router(
+        self, name: str, address: Address, *, data_centre: str, region: str
+    ) -> None:
+        self.platform.list_router(name, address, data_centre=data_centre, region=region)
+
     async def _async_start(self, role: Role, settings: Sections) -> tuple[DaemonProcess, Address]:
         name = settings["instance"]["name"]
         merged = {
@@ -131,7 +147,9 @@
         }
         proxy = await self._async_make_proxy(name, merged)
         async with self._gate:
-            process = await async_start_daemon(role=role, settings=merged, folder=self.folder)
+            process = await async_start_daemon(
+                role=role, settings=merged, folder=self.folder, options=self._make_options(role)
+            )
         address = process.addresses[ADDRESS_LINK]
         if proxy is None:
             return process, address
@@ -153,6 +171,9 @@
         foreign = {"callers"} if role is Role.SIDE else {"upstream"}
         return self.extra.keys() - foreign
 
+    def _make_options(self, role: Role) -> tuple[str, ...]:
+        return (OPTION_PLACEMENT, self.placement.value) if role is Role.ROUTER else ()
+
     def _make_link(self) -> Sections:
         return {"key_file": str(self._key_file)}
 
--- /dev/null
+++ b/bench/role_slopes.py
@@ -0,0 +1,116 @@
+"""What one role spends on each thing, from the stages that it went through."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from bench.config_fleet import ChangeCost
+from bench.costs import RequestCost
+from bench.full_size import LIST_CHANGES
+from bench.ledger import KIND_STATUS, Spent
+from bench.paced_engine import HOLD_GAP_MS
+from bench.slope_math import spread_over_day
+from bench.stages import (
+    STAGE_BASE,
+    STAGE_CONFIGURATION,
+    STAGE_HOLD,
+    STAGE_LINKS,
+    STAGE_LIST,
+    STAGE_LIST_CHANGES,
+    STAGE_LOAD,
+    STAGE_STATUSES,
+    FullSize,
+)
+from bench.two_year import CHANGES_A_DAY, LIST_CHANGES_A_DAY, PROCESSES, WORKSPACES
+from gypsumrouter.const import MS_PER_S
+
+MB: Final = 1_000_000
+KB: Final = 1_000
+US_PER_S: Final = 1_000_000
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RoleSlopes:
+    """What one role spends on each thing; memory in bytes, processor time in microseconds."""
+
+    base_rss: float
+    rss_per_list_entry: float
+    rss_per_1000_workspaces: float
+    rss_per_link: float
+    rss_per_stream: float
+    list_read_us_per_entry: float
+    change_us: float
+    idle_core_share: float
+    links_core_share: float
+    held_core_share: float
+    control_core_share: float
+    control_rss: float
+    request: RequestCost
+
+
+def derive_slopes(
+    stages: Mapping[str, Spent], change: ChangeCost, request: RequestCost, *, streams: int
+) -> RoleSlopes:
+    """Return the slopes that the stages of one role show."""
+    base, listed, changed = stages[STAGE_BASE], stages[STAGE_LIST], stages[STAGE_LIST_CHANGES]
+    configured, linked, held = (
+        stages[STAGE_CONFIGURATION],
+        stages[STAGE_LINKS],
+        stages[STAGE_HOLD],
+    )
+    list_read_s = (changed.core_share - listed.core_share) * changed.seconds / LIST_CHANGES
+    # A held stream still gives a token now and then, which is no control.
+    token_share = streams * MS_PER_S / HOLD_GAP_MS * request.token_us / US_PER_S
+    steady = held.core_share - token_share
+    changes = spread_over_day(change.other_cpu_s, times=CHANGES_A_DAY)
+    lists = spread_over_day(list_read_s, times=LIST_CHANGES_A_DAY)
+    return RoleSlopes(
+        base_rss=base.rss_bytes,
+        rss_per_list_entry=(changed.rss_bytes - base.rss_bytes) / PROCESSES,
+        rss_per_1000_workspaces=(configured.rss_bytes - changed.rss_bytes) * 1_000 / WORKSPACES,
+        rss_per_link=(linked.rss_bytes - configured.rss_bytes) / (linked.links - configured.links),
+        rss_per_stream=(held.rss_bytes - linked.rss_bytes) / streams,
+        list_read_us_per_entry=list_read_s * US_PER_S / PROCESSES,
+        change_us=change.other_cpu_s * US_PER_S,
+        idle_core_share=base.core_share,
+        links_core_share=linked.core_share,
+        held_core_share=held.core_share,
+        control_core_share=steady + changes + lists,
+        control_rss=linked.rss_bytes,
+        request=request,
+    )
+
+
+def measure_status_us(stages: Mapping[str, Spent], *, frame_bytes: float) -> float:
+    """Return the processor time of one status that comes in, from two rates of them."""
+    slow, fast = stages[STAGE_LINKS], stages[STAGE_STATUSES]
+    more = (fast.rates[KIND_STATUS] - slow.rates[KIND_STATUS]) / frame_bytes
+    return (fast.core_share - slow.core_share) / more * US_PER_S
+
+
+def measure_spread_token_us(full: FullSize, router: RoleSlopes) -> float:
+    """Return what a token costs a router where its streams are spread over all of its links.
+
+    It costs more there than over a few links, since fewer tokens share a turn of the loop.
+    """
+    requests = full.load_requests_s * router.request.request_us / US_PER_S
+    share = full.router[STAGE_LOAD].core_share - router.control_core_share - requests
+    return share / full.load_tokens_s * US_PER_S
+
+
+SLOPES: Final[tuple[tuple[str, Callable[[RoleSlopes], float]], ...]] = (
+    ("resident at the start, MB", lambda role: role.base_rss / MB),
+    ("resident a list entry, bytes", lambda role: role.rss_per_list_entry),
+    ("resident 1,000 workspaces, KB", lambda role: role.rss_per_1000_workspaces / KB),
+    ("resident a link, bytes", lambda role: role.rss_per_link),
+    ("resident an open stream, bytes", lambda role: role.rss_per_stream),
+    ("list read, us an entry", lambda role: role.list_read_us_per_entry),
+    ("configuration change, us", lambda role: role.change_us),
+    ("request, us", lambda role: role.request.request_us),
+    ("token, us", lambda role: role.request.token_us),
+    ("core share at rest", lambda role: role.idle_core_share),
+    ("core share with links at rest", lambda role: role.links_core_share),
+    ("core share with streams held", lambda role: role.held_core_share),
+)
--- /dev/null
+++ b/bench/skew.py
@@ -0,0 +1,49 @@
+"""How evenly engines are loaded, sampled at the same instants."""
+
+from __future__ import annotations
+
+import statistics
+from typing import Final
+
+from gypsumrouter.standins import Engine
+from gypsumrouter.util.clock import Clock
+
+SAMPLE_MS: Final = 20
+
+
+class SkewSampler:
+    """Samples the running and waiting requests of the engines of one pool.
+
+    `ratios` has the largest load over the mean, for instants at which it was above the floor: up
+    to the floor the cap does not bind. `late_ms` has how late each sample was: with it the bench's
+    own process is known to have kept up.
+    """
+
+    __slots__ = ("_engines", "_floor", "late_ms", "means", "ratios")
+
+    def __init__(self, *, engines: tuple[Engine, ...], floor: int) -> None:
+        self._engines = engines
+        self._floor = floor
+        self.late_ms: list[float] = []
+        self.ratios: list[float] = []
+        self.means: list[float] = []
+
+    async def async_run(self, clock: Clock) -> None:
+        """Sample until cancelled."""
+        while True:
+            due_ms = clock.now_ms() + SAMPLE_MS
+            await clock.async_sleep(SAMPLE_MS)
+            self.late_ms.append(clock.now_ms() - due_ms)
+            self.sample()
+
+    def sample(self) -> None:
+        """Take one sample."""
+        loads = [engine.load for engine in self._engines]
+        mean = statistics.fmean(loads)
+        self.means.append(mean)
+        if max(loads) > self._floor:
+            self.ratios.append(max(loads) / mean)
+
+    def get_share_above(self, cap: float) -> float:
+        """Return the share of the instants above the floor at which a multiple was exceeded."""
+        return sum(ratio > cap for ratio in self.ratios) / max(1, len(self.ratios))
--- /dev/null
+++ b/bench/stages.py
@@ -0,0 +1,34 @@
+"""The stages of the measurement at full size, and what the router and the side spent in each."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from bench.ledger import Spent
+
+STAGE_BASE: Final = "base"
+STAGE_LIST: Final = "list"
+STAGE_LIST_CHANGES: Final = "list changes"
+STAGE_CONFIGURATION: Final = "configuration"
+STAGE_LINKS: Final = "links"
+STAGE_STATUSES: Final = "statuses"
+STAGE_HOLD: Final = "held"
+STAGE_LOAD: Final = "load"
+
+
+@dataclass(slots=True, kw_only=True)
+class FullSize:
+    """What the router and the side spent, by stage; each stage adds to the one before."""
+
+    router: dict[str, Spent] = field(default_factory=dict)
+    side: dict[str, Spent] = field(default_factory=dict)
+    list_change_bytes: float = 0.0
+    document_bytes: int = 0
+    side_status_bytes_s: float = 0.0
+    handshake_bytes: float = 0.0
+    status_frame_bytes: float = 0.0
+    load_requests_s: float = 0.0
+    load_tokens_s: float = 0.0
+    whole: int = 0
+    broken: int = 0
--- /dev/null
+++ b/bench/surge.py
@@ -0,0 +1,213 @@
+"""Load skew, targets and penalties while one workspace surges.
+
+Every policy gets the same requests at the same times, before real routers and sides with stand-in
+engines. The baselines are whole policies: their placement, first-come order and no cap.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Final
+
+import uvloop
+
+from bench.duo import add_common_options, async_run_deployments
+from bench.planned import PlannedChat, TurnResult, merge_outcomes
+from bench.policies import OURS, BenchPolicy, choose_policies, list_baselines
+from bench.relay import get_percentile
+from bench.report import Value, print_machine, print_result, print_table
+from bench.skew import SkewSampler
+from bench.stage import get_deployment, open_stage
+from bench.surge_plan import STEP_MS, SurgeLoad, SurgePlanner, SurgeTimes
+from bench.tally import Tally
+from gypsumrouter.configuration.models import DEFAULT_CAP, DEFAULT_FLOOR, CallerClass
+from gypsumrouter.standins import Deployment, EngineSettings
+from gypsumrouter.standins.deployments import CLASS_REPORTS
+
+ROUTERS: Final = 2
+TRIES: Final = 6
+CACHE_TOKENS: Final = 100_000
+P99: Final = 99
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Outcome:
+    """What one policy gave."""
+
+    policy: str
+    results: list[TurnResult]
+    sampler: SkewSampler
+    tally: Tally
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Scenario:
+    """What every policy of a run goes through."""
+
+    deployment: Deployment
+    chats: tuple[PlannedChat, ...]
+    times: SurgeTimes
+    seed: int
+
+
+def main(argv: list[str]) -> int:
+    """Run the bench."""
+    parser = argparse.ArgumentParser(prog="bench surge")
+    add_common_options(parser)
+    parser.add_argument("--calm-s", type=float, default=3.0)
+    parser.add_argument("--surge-s", type=float, default=5.0)
+    parser.add_argument("--after-s", type=float, default=2.0)
+    parser.add_argument("--steady", type=float, default=6.0, help="mean load of interactive work")
+    parser.add_argument("--reports", type=float, default=1.0, help="mean load of reports")
+    parser.add_argument("--surge", type=float, default=14.0, help="mean load of the surge alone")
+    parser.add_argument(
+        "--our-admission", action="store_true", help="baselines use our queue and cap too"
+    )
+    options = parser.parse_args(argv)
+    if options.deployment is None:
+        return asyncio.run(async_run_deployments("surge", argv))
+    print_machine()
+    return uvloop.run(async_measure(options))
+
+
+async def async_measure(options: argparse.Namespace) -> int:
+    """Measure every policy at one deployment and print the figures."""
+    deployment = get_deployment(options.deployment)
+    times = SurgeTimes(calm_s=options.calm_s, surge_s=options.surge_s, after_s=options.after_s)
+    # Office reports of a utility surge while inspectors ask; callers of schools surge themselves.
+    surging_class = CLASS_REPORTS if len(deployment.interactive) == 1 else None
+    planner = SurgePlanner(
+        deployment=deployment, times=times, surging_class=surging_class, seed=options.seed
+    )
+    load = SurgeLoad(steady=options.steady, reports=options.reports, surge=options.surge)
+    scenario = Scenario(
+        deployment=deployment, chats=planner.plan(load), times=times, seed=options.seed
+    )
+    baselines = list_baselines(first_come=not options.our_admission)
+    policies = choose_policies([OURS, *baselines], options.policies)
+    outcomes = [await async_measure_policy(policy, scenario) for policy in policies]
+    report(scenario, outcomes)
+    return 0
+
+
+async def async_measure_policy(policy: BenchPolicy, scenario: Scenario) -> Outcome:
+    """Run one policy through the surge."""
+    engine = EngineSettings(step_ms=STEP_MS, step_ms_per_sequence=0.0, cache_tokens=CACHE_TOKENS)
+    async with open_stage(
+        deployment=scenario.deployment, policy=policy, engine=engine, routers=ROUTERS, tries=TRIES
+    ) as stage:
+        engines = tuple(stage.platform.engines.values())
+        sampler = SkewSampler(engines=engines, floor=DEFAULT_FLOOR)
+        sampling = asyncio.create_task(sampler.async_run(stage.clock))
+        await stage.async_play(scenario.chats, seed=scenario.seed, stream=True)
+        sampling.cancel()
+        await asyncio.gather(sampling, return_exceptions=True)
+        return Outcome(
+            policy=policy.name, results=stage.play.results, sampler=sampler, tally=stage.tally
+        )
+
+
+def is_met(result: TurnResult, caller_class: CallerClass) -> bool:
+    """Return whether a request met both targets of its class."""
+    return (
+        result.served
+        and result.first_ms <= caller_class.first_token_ms
+        and result.answer_ms <= caller_class.answer_ms
+    )
+
+
+def get_met_share(results: Iterable[TurnResult], caller_class: CallerClass) -> float:
+    """Return the share of a class's requests that met their targets."""
+    own = [item for item in results if item.account.caller_class == caller_class.name]
+    return sum(is_met(item, caller_class) for item in own) / max(1, len(own))
+
+
+def sum_penalty(results: Iterable[TurnResult], classes: tuple[CallerClass, ...]) -> float:
+    """Return the money that all missed targets cost."""
+    by_name = {item.name: item for item in classes}
+    missed = [item for item in results if not is_met(item, by_name[item.account.caller_class])]
+    return sum(by_name[item.account.caller_class].penalty for item in missed)
+
+
+def report(scenario: Scenario, outcomes: list[Outcome]) -> None:
+    """Print the table and the last line."""
+    deployment, times = scenario.deployment, scenario.times
+    classes = deployment.classes
+    figures: dict[str, dict[str, Value]] = {
+        name: {}
+        for name in (
+            "max_over_mean_p99",
+            "max_over_mean_max",
+            "over_cap_share",
+            "refused_share",
+            "not_served_share",
+            "penalty",
+            "target_met",
+            "target_met_in_surge",
+            "lost_or_wrong",
+            "bench_late_ms_p99",
+        )
+    }
+    rows: list[list[object]] = []
+    for outcome in outcomes:
+        results, ratios = outcome.results, outcome.sampler.ratios
+        surge = [item for item in results if times.is_surge(item.at_ms)]
+        met: dict[str, Value] = {
+            item.name: round(get_met_share(results, item), 4) for item in classes
+        }
+        row: dict[str, Value] = {
+            "max_over_mean_p99": round(get_percentile(ratios, P99), 3),
+            "max_over_mean_max": round(max(ratios, default=0.0), 3),
+            "over_cap_share": round(outcome.sampler.get_share_above(DEFAULT_CAP), 4),
+            "refused_share": round(
+                sum(item.refused for item in results) / max(1, outcome.tally.tries), 4
+            ),
+            "not_served_share": round(
+                sum(not item.served for item in results) / max(1, len(results)), 4
+            ),
+            "penalty": round(sum_penalty(results, classes), 1),
+            "target_met": met,
+            "target_met_in_surge": {
+                item.name: round(get_met_share(surge, item), 4) for item in classes
+            },
+            "lost_or_wrong": sum(merge_outcomes(outcome.tally).values()),
+            "bench_late_ms_p99": round(get_percentile(outcome.sampler.late_ms, P99), 1),
+        }
+        for name, value in row.items():
+            figures[name][outcome.policy] = value
+        shares = " ".join(f"{item.name} {met[item.name]}" for item in classes)
+        rows.append(
+            [
+                outcome.policy,
+                *(row[name] for name in list(row)[:6]),
+                shares,
+                row["lost_or_wrong"],
+                row["bench_late_ms_p99"],
+            ]
+        )
+    print_table(
+        title=(
+            f"surge, {deployment.name}: {deployment.engines} engines, {ROUTERS} routers, "
+            f"{sum(len(chat.turns) for chat in scenario.chats)} requests; "
+            f"{deployment.workspaces[0].name} surges"
+        ),
+        columns=(
+            "policy",
+            "max/mean p99",
+            "max",
+            "over cap",
+            "tries refused",
+            "not served",
+            "penalty",
+            "targets met",
+            "lost or wrong",
+            "bench late p99 ms",
+        ),
+        rows=rows,
+    )
+    result: dict[str, Value] = dict(figures)
+    result |= {"cap": DEFAULT_CAP, "floor_engines": DEFAULT_FLOOR, "engines": deployment.engines}
+    print_result(result)
--- /dev/null
+++ b/bench/two_year.py
@@ -0,0 +1,121 @@
+"""The size that the fleet is designed for, and figures that follow from it alone."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Final
+
+from gypsumrouter.configuration.models import (
+    CallerClass,
+    Configuration,
+    Pool,
+    Rule,
+    Then,
+    When,
+    Workspace,
+)
+from gypsumrouter.const import Role, UpstreamKind
+from gypsumrouter.standins import Deployment, WorkspacePlan, kotlovnica
+
+ROUTERS: Final = 330
+SIDES: Final = 930
+PROCESSES: Final = ROUTERS + SIDES
+REQUESTS_S: Final = 20_000
+TOKENS_S: Final = 4_400_000
+GAP_MS: Final = 28
+WORKSPACES: Final = 9_500
+CHATS: Final = 6_700_000
+REGIONS: Final = 3
+DATA_CENTRES: Final = 9
+CHANGES_A_DAY: Final = 3_500
+FAILURES_A_DAY: Final = 11
+REPLACED_A_DAY: Final = 82
+S_A_DAY: Final = 86_400
+
+CORE_SHARE_MAX: Final = 0.043
+CONTROL_RSS_MB_MAX: Final = 64
+CONTROL_BYTES_S_MAX: Final = 6_144
+
+TOKENS_A_REQUEST: Final = TOKENS_S // REQUESTS_S
+ANSWER_MS: Final = TOKENS_A_REQUEST * GAP_MS
+STREAMS: Final = REQUESTS_S * ANSWER_MS / 1_000
+STREAMS_A_PAIR: Final = STREAMS / ROUTERS / SIDES
+REQUESTS_S_A_PAIR: Final = REQUESTS_S / ROUTERS / SIDES
+
+# A replaced instance leaves, goes and comes back under another name; a failed one only goes and
+# comes back.
+LIST_CHANGES_A_DAY: Final = 3 * REPLACED_A_DAY + 2 * FAILURES_A_DAY
+
+Place = tuple[str, str, str]
+
+WIDE: Final = 4_096
+KEY_WORKSPACES: Final = 10
+
+
+def list_places(role: Role, count: int, *, regions: int) -> list[Place]:
+    """Return names with their data centre and region, spread over all of them in turn."""
+    own = kotlovnica().region
+    names = [own, *(f"region-{number}" for number in range(2, regions + 1))]
+    centres = DATA_CENTRES // regions
+    return [
+        (
+            f"light-{role}-{index:04}",
+            f"{names[index % regions]}-{index // regions % centres}",
+            names[index % regions],
+        )
+        for index in range(count)
+    ]
+
+
+def make_deployment() -> Deployment:
+    """Return a deployment whose engines are started by the bench itself."""
+    return replace(kotlovnica(), engines=0, services=0)
+
+
+def make_configuration(
+    deployment: Deployment, *, version: int, workspaces: int, changed: int = 0
+) -> Configuration:
+    """Return a document whose pool never refuses at the load of a bench.
+
+    The share of one workspace follows from `changed`, as a day's ordinary change.
+    """
+    plans = list(deployment.workspaces)
+    plans += [WorkspacePlan(name=f"office-{n:05}") for n in range(workspaces - len(plans))]
+    entries = [_make_workspace(plan) for plan in plans]
+    if changed:
+        place = changed * 7919 % len(entries)
+        entries[place] = replace(entries[place], share=1.0 + changed / 100)
+    return Configuration(
+        version=version,
+        workspaces=tuple(entries),
+        classes=deployment.classes,
+        pools=(make_pool(deployment),),
+        rules=(
+            Rule(
+                name="chats",
+                when=When(model=(deployment.model,)),
+                then=Then(pool=deployment.engine_pool),
+            ),
+        ),
+        default_class=get_class(deployment).name,
+    )
+
+
+def make_pool(deployment: Deployment) -> Pool:
+    """Return a pool that never refuses."""
+    return Pool(
+        name=deployment.engine_pool,
+        kind=UpstreamKind.ENGINE,
+        models=(deployment.model,),
+        slots=WIDE,
+        floor=WIDE,
+    )
+
+
+def get_class(deployment: Deployment) -> CallerClass:
+    """Return the class of most callers."""
+    return deployment.interactive[0]
+
+
+def _make_workspace(plan: WorkspacePlan) -> Workspace:
+    return Workspace(name=plan.name, key_digests=(plan.key_digest,), share=plan.traffic)
--- a/gypsumrouter/admission/admission.py
+++ b/gypsumrouter/admission/admission.py
@@ -24,7 +24,8 @@
 class Admission:
     """The one gate before an upstream; every request of it passes here.
 
-    The load is the number of requests that run or wait. Nothing refused here has run.
+    The load is the number of requests that run, and of interactive ones that wait. Nothing refused
+    here has run.
     """
 
     __slots__ = (
@@ -57,7 +58,7 @@
 
     @property
     def load(self) -> int:
-        """Return how many requests run or wait."""
+        """Return how many requests run, and interactive ones that wait."""
         return self._scheduler.load
 
     @property
@@ -97,7 +98,8 @@
         if slot.first_token_noted:
             return
         slot.first_token_noted = True
-        slot.service.note_first_token(self._app.clock.now_ms() - slot.granted_ms)
+        passed_ms = self._app.clock.now_ms() - slot.granted_ms
+        self._scheduler.estimates.note_first_token(slot.service, passed_ms, batch=slot.batch)
 
     def stop(self) -> None:
         """Refuse all that waits and all that comes; what runs goes on."""
--- a/gypsumrouter/admission/capacity.py
+++ b/gypsumrouter/admission/capacity.py
@@ -4,7 +4,12 @@
 
 from gypsumrouter.admission.const import POOL_FULL_SHARE
 from gypsumrouter.admission.limits import Limits, make_limits
-from gypsumrouter.admission.load import Believed, PoolMean, compute_limit
+from gypsumrouter.admission.load import (
+    Believed,
+    PoolMean,
+    compute_batch_limit,
+    compute_limit,
+)
 from gypsumrouter.configuration.models import Pool
 from gypsumrouter.link.models import PoolLoad
 from gypsumrouter.util.clock import Clock
@@ -39,6 +44,15 @@
             weight=self._weight,
         )
 
+    @property
+    def batch_limit(self) -> int | None:
+        """Return the highest load at which batch work may still start, None for any."""
+        if self.limits is None:
+            return 0
+        return compute_batch_limit(
+            believed=self.believed, floor=self.limits.floor, weight=self._weight
+        )
+
     def configure(self, pool: Pool) -> Limits:
         """Take over the bounds of a pool."""
         self.limits = make_limits(pool=pool, weight=self._weight)
--- a/gypsumrouter/admission/classes.py
+++ b/gypsumrouter/admission/classes.py
@@ -13,13 +13,21 @@
 class Classes:
     """Finds classes by name, and the priority that the engine is told for each."""
 
-    __slots__ = ("_by_name", "_default", "_priorities", "batch_penalty", "interactive_penalty")
+    __slots__ = (
+        "_by_name",
+        "_default",
+        "_priorities",
+        "batch_penalty",
+        "first_token_ms",
+        "interactive_penalty",
+    )
 
     def __init__(self) -> None:
         self._default = _ANY_CLASS
         self._by_name: dict[str, CallerClass] = {}
         self._priorities: dict[str, int] = {}
         self.batch_penalty = 0.0
+        self.first_token_ms = 0
         self.interactive_penalty = 0.0
 
     def configure(self, configuration: Configuration) -> None:
@@ -32,6 +40,7 @@
         )
         self.batch_penalty = _get_highest(configuration.classes, batch=True)
         self.interactive_penalty = _get_highest(configuration.classes, batch=False)
+        self.first_token_ms = min((item.first_token_ms for item in ranked), default=0)
         self._priorities = {
             item.name: BATCH_PRIORITY + rank for rank, item in enumerate(ranked, start=1)
         }
--- a/gypsumrouter/admission/demand.py
+++ b/gypsumrouter/admission/demand.py
@@ -40,13 +40,13 @@
         kept = math.exp((self._changed_ms - now_ms) / DEMAND_MS)
         return self._now + (self._mean - self._now) * kept
 
-    def expect_peak(self, *, now_ms: int, quantile: float) -> int:
+    def expect_peak(self, *, now_ms: int, quantile: float) -> float:
         """Return how many there will be at most, but for a share of 1 - `quantile` of the time.
 
         Arrivals are independent of each other, so their number varies by its square root.
         """
         mean = max(self.get_mean(now_ms), self._now)
-        return math.ceil(mean + _NORMAL.inv_cdf(quantile) * math.sqrt(mean))
+        return mean + _NORMAL.inv_cdf(quantile) * math.sqrt(mean)
 
 
 def choose_quantile(*, batch_cost: float, interactive_cost: float) -> float:
@@ -61,6 +61,15 @@
     return min(max(quantile, MIN_PEAK_QUANTILE), MAX_PEAK_QUANTILE)
 
 
+def count_needed(*, peak: float, hold_ms: float, slack_ms: float) -> int:
+    """Return how many slots serve a peak of requests that may each wait for `slack_ms`.
+
+    In that time each slot is released `slack_ms / hold_ms` times.
+    """
+    hold_ms = max(hold_ms, SPARE_HOLD_MS)
+    return math.ceil(peak * hold_ms / (hold_ms + max(0.0, slack_ms)))
+
+
 def get_cost(*, penalty: float, hold_ms: float) -> float:
     """Return the penalty for each millisecond of a slot."""
     return penalty / max(hold_ms, SPARE_HOLD_MS)
--- a/gypsumrouter/admission/estimates.py
+++ b/gypsumrouter/admission/estimates.py
@@ -40,9 +40,9 @@
 
 
 class Estimates:
-    """Service times by batch or interactive and by size."""
+    """Service times by batch or interactive and by size; `batch` and `interactive` of any size."""
 
-    __slots__ = ("_all", "_batch", "_by_kind", "_interactive")
+    __slots__ = ("_all", "_by_kind", "batch", "interactive")
 
     def __init__(self) -> None:
         self._by_kind = {
@@ -51,8 +51,8 @@
             for size in range(len(SIZE_BYTES) + 1)
         }
         self._all = ServiceTime()
-        self._batch = ServiceTime()
-        self._interactive = ServiceTime()
+        self.batch = ServiceTime()
+        self.interactive = ServiceTime()
 
     def find(self, request: Open, *, batch: bool) -> ServiceTime:
         """Return the estimate for requests of this kind and size."""
@@ -62,14 +62,16 @@
 
     def note_hold(self, service: ServiceTime, passed_ms: int, *, batch: bool) -> None:
         """Take in how long a slot was held, for its kind and for all together."""
-        service.note_hold(passed_ms)
-        self._all.note_hold(passed_ms)
-        together = self._batch if batch else self._interactive
-        together.note_hold(passed_ms)
-
-    def get_hold_ms(self) -> tuple[float, float]:
-        """Return how long batch and interactive requests of any size hold a slot."""
-        return self._batch.hold_ms, self._interactive.hold_ms
+        for item in (service, self._all, self._get_together(batch)):
+            item.note_hold(passed_ms)
+
+    def note_first_token(self, service: ServiceTime, passed_ms: int, *, batch: bool) -> None:
+        """Take in the time from the grant of a slot to the first token."""
+        for item in (service, self._get_together(batch)):
+            item.note_first_token(passed_ms)
+
+    def _get_together(self, batch: bool) -> ServiceTime:
+        return self.batch if batch else self.interactive
 
     def get_release_interval_ms(self, slots: int) -> float:
         """Return the expected time between two releases while all slots are taken."""
--- a/gypsumrouter/admission/load.py
+++ b/gypsumrouter/admission/load.py
@@ -150,3 +150,16 @@
     exact = cap * even * (believed.members - 1) / (believed.members - cap)
     limit = math.ceil(exact - DRIFT_MARGIN * math.sqrt(exact) - ROUNDING)
     return max(floor, int(even + HALF) + 1, limit)
+
+
+def compute_batch_limit(*, believed: Believed | None, floor: int, weight: float) -> int | None:
+    """Return the highest load at which batch work may still start.
+
+    It fills a side up to the others' mean and one more. So it leaves the room between the mean and
+    the cap to interactive work, which can't be given the slot of batch work that has begun.
+    """
+    if believed is None:
+        return floor
+    if believed.members <= 1:
+        return None
+    return max(floor, int(weight * believed.mean + HALF) + 1)
--- a/gypsumrouter/admission/queue.py
+++ b/gypsumrouter/admission/queue.py
@@ -121,11 +121,11 @@
             self._hopeless_passed += 1
         return False
 
-    def pick_victim(self, *, room: int, newcomer: Usage | None) -> Waiter | None:
+    def pick_victim(self, *, room: int, newcomer: Usage | None, counted: bool) -> Waiter | None:
         """Return who is turned away when there is room for a load of `room`.
 
         It falls on the workspace that is most above its share of the room; None where that is the
-        newcomer's own.
+        newcomer's own. With `counted` only those that count as load are turned away.
         """
         worst: Usage | None = newcomer
         worst_excess = -math.inf if newcomer is None else self._get_excess(newcomer, room) + 1
@@ -136,11 +136,13 @@
                 worst_excess = excess
         if worst is None or worst is newcomer:
             return None
-        return self._find_victim(worst)
+        return self._find_victim(worst, counted=counted)
 
-    def find_own_victim(self, usage: Usage, newcomer_class: CallerClass) -> Waiter | None:
+    def find_own_victim(
+        self, usage: Usage, newcomer_class: CallerClass, *, counted: bool
+    ) -> Waiter | None:
         """Return a waiter of the same workspace that is worth less than the newcomer."""
-        victim = self._find_victim(usage)
+        victim = self._find_victim(usage, counted=counted)
         if victim is None or _get_worth(victim.caller_class) >= _get_worth(newcomer_class):
             return None
         return victim
@@ -228,8 +230,12 @@
                 best_rank = rank
         return best
 
-    def _find_victim(self, usage: Usage) -> Waiter | None:
-        groups = [group for group in self._groups.values() if group.usage is usage]
+    def _find_victim(self, usage: Usage, *, counted: bool) -> Waiter | None:
+        groups = [
+            group
+            for group in self._groups.values()
+            if group.usage is usage and not (counted and group.caller_class.batch)
+        ]
         if not groups:
             return None
         return min(groups, key=lambda group: _get_worth(group.caller_class)).newest()
--- a/gypsumrouter/admission/scheduler.py
+++ b/gypsumrouter/admission/scheduler.py
@@ -9,7 +9,7 @@
 from gypsumrouter.admission.capacity import Capacity
 from gypsumrouter.admission.classes import Classes
 from gypsumrouter.admission.const import YIELD_RELEASES
-from gypsumrouter.admission.demand import InteractiveDemand, choose_quantile, get_cost
+from gypsumrouter.admission.demand import InteractiveDemand, choose_quantile, count_needed, get_cost
 from gypsumrouter.admission.estimates import Estimates, ServiceTime
 from gypsumrouter.admission.limits import Limits
 from gypsumrouter.admission.metrics import AdmissionMetrics
@@ -61,8 +61,11 @@
 
     @property
     def load(self) -> int:
-        """Return how many requests run or wait."""
-        return self._slots.running + self.queue.size
+        """Return how many requests run, and interactive ones that wait.
+
+        Batch work that waits is no load: it has no claim to start while anything else is there.
+        """
+        return self._slots.running + self.queue.interactive
 
     @property
     def running(self) -> int:
@@ -83,16 +86,16 @@
         A newcomer may take the place of a request that waits, of the workspace that is most above
         its share, or of a lesser class of its own workspace. The load stays the same then.
         """
-        load_limit = self._capacity.load_limit
+        load_limit = None if caller_class.batch else self._capacity.load_limit
         if load_limit is not None and self.load >= load_limit:
             refused = refusals.refuse_over_cap(self._expect_wait_ms())
-            return self._replace(refused, load_limit, usage, caller_class)
+            return self._replace(refused, load_limit, usage, caller_class, counted=True)
         if self.queue.size < limits.queue or self.may_run_now(limits, caller_class):
             return None
         refused = refusals.refuse_queue_full(
             self._expect_wait_ms(), elsewhere=not self._capacity.is_pool_full(limits)
         )
-        return self._replace(refused, limits.room, usage, caller_class)
+        return self._replace(refused, limits.room, usage, caller_class, counted=False)
 
     def may_run_now(self, limits: Limits, caller_class: CallerClass) -> bool:
         """Return whether a newcomer of a class may run without waiting."""
@@ -203,11 +206,17 @@
         self.dispatch()
 
     def _replace(
-        self, refused: Refused, room: int, usage: Usage, caller_class: CallerClass
+        self,
+        refused: Refused,
+        room: int,
+        usage: Usage,
+        caller_class: CallerClass,
+        *,
+        counted: bool,
     ) -> Refused | None:
-        victim = self.queue.pick_victim(room=room, newcomer=usage)
+        victim = self.queue.pick_victim(room=room, newcomer=usage, counted=counted)
         if victim is None:
-            victim = self.queue.find_own_victim(usage, caller_class)
+            victim = self.queue.find_own_victim(usage, caller_class, counted=counted)
         if victim is None:
             return refused
         self.refuse(victim, refused)
@@ -215,7 +224,7 @@
 
     def _shrink_queue(self, limits: Limits) -> None:
         while self.queue.size > limits.queue:
-            victim = self.queue.pick_victim(room=limits.room, newcomer=None)
+            victim = self.queue.pick_victim(room=limits.room, newcomer=None, counted=False)
             if victim is None:
                 return
             refused = refusals.refuse_queue_full(self._expect_wait_ms(), elsewhere=True)
@@ -224,19 +233,23 @@
     def _batch_fits(self, limits: Limits) -> bool:
         if self._slots.running >= limits.slots - limits.reserve:
             return False
-        peak = self._demand.expect_peak(
-            now_ms=self._clock.now_ms(), quantile=self._choose_peak_quantile()
-        )
-        return self._slots.batch_running < limits.slots - peak
+        batch_limit = self._capacity.batch_limit
+        if batch_limit is not None and self.load >= batch_limit:
+            return False
+        return self._slots.batch_running < limits.slots - self._count_needed()
 
-    def _choose_peak_quantile(self) -> float:
-        batch_ms, interactive_ms = self.estimates.get_hold_ms()
-        return choose_quantile(
-            batch_cost=get_cost(penalty=self.classes.batch_penalty, hold_ms=batch_ms),
+    def _count_needed(self) -> int:
+        """Return how many slots interactive work is about to need, within its targets."""
+        times, classes = self.estimates, self.classes
+        quantile = choose_quantile(
+            batch_cost=get_cost(penalty=classes.batch_penalty, hold_ms=times.batch.hold_ms),
             interactive_cost=get_cost(
-                penalty=self.classes.interactive_penalty, hold_ms=interactive_ms
+                penalty=classes.interactive_penalty, hold_ms=times.interactive.hold_ms
             ),
         )
+        peak = self._demand.expect_peak(now_ms=self._clock.now_ms(), quantile=quantile)
+        slack_ms = classes.first_token_ms - times.interactive.first_token_ms
+        return count_needed(peak=peak, hold_ms=times.interactive.hold_ms, slack_ms=slack_ms)
 
     def _note_change(self) -> None:
         interactive = self._slots.running - self._slots.batch_running + self.queue.interactive
--- a/gypsumrouter/bootstrap.py
+++ b/gypsumrouter/bootstrap.py
@@ -8,6 +8,7 @@
 
 from gypsumrouter.admission import Admission
 from gypsumrouter.configuration import ConfigurationSpread, ConfigurationStore
+from gypsumrouter.const import UpstreamKind
 from gypsumrouter.core import Application
 from gypsumrouter.exchange import ExchangeRunner
 from gypsumrouter.fleet import Address, Fleet, HttpInstanceListSource
@@ -20,9 +21,10 @@
 from gypsumrouter.operators import OperatorsServer, check_access
 from gypsumrouter.orders import Orders
 from gypsumrouter.placement import Placement, PlacementKind
+from gypsumrouter.prefixes import Prefixes
 from gypsumrouter.running import RunningExchanges
 from gypsumrouter.settings import Link, RouterSettings, Settings, SideSettings, read_link_key
-from gypsumrouter.suspect_news import ListNames, SuspectNewsSpread
+from gypsumrouter.suspect_news import ListNames, SendTo, SuspectNewsSpread
 from gypsumrouter.suspicion import Suspicion
 from gypsumrouter.upstream import EngineClient, UpstreamClient, make_client
 from gypsumrouter.util.clock import Clock
@@ -37,6 +39,7 @@
     """The running product of one process: its application and its bound addresses."""
 
     app: Application
+    store: ConfigurationStore
     addresses: dict[str, Address]
     is_ready: Callable[[], bool]
     list_running: Callable[[], list[str]]
@@ -101,7 +104,6 @@
     """Wire and start a router."""
     parts = make_shared_parts(app=app, settings=settings)
     suspicion = Suspicion(app=app, notices=parts.notices)
-    spread_suspect_news(parts=parts, suspicion=suspicion, list_concerned=tuple)
     gateway = Gateway(
         app=app,
         settings=settings,
@@ -119,6 +121,9 @@
         handler=None,
         answer_memory_bytes=settings.limits.answer_memory_bytes,
     )
+    spread_suspect_news(
+        parts=parts, suspicion=suspicion, list_concerned=tuple, send_to=server.send_to
+    )
     operators = make_operators(app=app, settings=settings, is_ready=lambda: gateway.ready)
     addresses = {ADDRESS_OPERATORS: await operators.async_start()}
     addresses[ADDRESS_LINK] = await server.async_start()
@@ -126,6 +131,7 @@
     addresses[ADDRESS_CALLERS] = await gateway.async_start()
     return Product(
         app=app,
+        store=parts.store,
         addresses=addresses,
         is_ready=lambda: gateway.ready,
         list_running=lambda: [str(item["request_id"]) for item in gateway.list_running()],
@@ -147,6 +153,7 @@
         name=app.name,
         pool=settings.upstream.pool,
     )
+    prefixes = make_prefixes(parts=parts, settings=settings)
     runner = ExchangeRunner(
         app=app,
         settings=settings,
@@ -155,11 +162,13 @@
         upstream=upstream,
         idempotency=idempotency,
         suspicion=suspicion,
+        prefixes=prefixes,
     )
     orders = make_orders(parts=parts, settings=settings, upstream=upstream)
     handler = runner.async_handle if orders is None else orders.wrap(runner.async_handle)
+    if prefixes is not None:
+        handler = prefixes.wrap(handler)
     running = RunningExchanges(handler=handler)
-    spread_suspect_news(parts=parts, suspicion=suspicion, list_concerned=running.list_routers)
     server = LinkServer(
         app=app,
         settings=settings.link,
@@ -168,6 +177,12 @@
         handler=running.async_handle,
         answer_memory_bytes=settings.limits.answer_memory_bytes,
     )
+    spread_suspect_news(
+        parts=parts,
+        suspicion=suspicion,
+        list_concerned=running.list_routers,
+        send_to=server.send_to,
+    )
 
     def is_ready() -> bool:
         return runner.make_status().ready
@@ -183,10 +198,18 @@
     if orders is not None:
         orders.note_listening(advertised)
         await orders.async_start()
+    if prefixes is not None:
+        await prefixes.async_start()
     await async_start_shared_parts(parts)
     runner.on_status(lambda: server.publish_status(runner.make_status()))
     server.publish_status(runner.make_status())
-    return Product(app=app, addresses=addresses, is_ready=is_ready, list_running=running.list_ids)
+    return Product(
+        app=app,
+        store=parts.store,
+        addresses=addresses,
+        is_ready=is_ready,
+        list_running=running.list_ids,
+    )
 
 
 def make_orders(
@@ -206,6 +229,19 @@
     )
 
 
+def make_prefixes(*, parts: SharedParts, settings: SideSettings) -> Prefixes | None:
+    """Return what moves cached prefixes, not yet started; services cache none."""
+    if settings.upstream.kind is not UpstreamKind.ENGINE:
+        return None
+    return Prefixes(
+        app=parts.app,
+        settings=settings.upstream,
+        fleet=parts.fleet,
+        links=parts.links,
+        notices=parts.notices,
+    )
+
+
 def get_advertised(link: Link, bound: Address) -> Address:
     """Return the address at which the instance list names a process that is bound at `bound`."""
     return Address(
@@ -255,7 +291,7 @@
 
 
 def spread_suspect_news(
-    *, parts: SharedParts, suspicion: Suspicion, list_concerned: ListNames
+    *, parts: SharedParts, suspicion: Suspicion, list_concerned: ListNames, send_to: SendTo
 ) -> None:
     """Tell other processes what this one learns of requests that crash their upstream."""
     SuspectNewsSpread(
@@ -264,6 +300,7 @@
         links=parts.links,
         suspicion=suspicion,
         list_concerned=list_concerned,
+        send_to=send_to,
     )
 
 
--- a/gypsumrouter/configuration/models.py
+++ b/gypsumrouter/configuration/models.py
@@ -112,7 +112,7 @@
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
-class Orders(Checked):
+class PoolOrders(Checked):
     """What the engines of a pool are ordered to hold, and how fast that may change.
 
     At most `change_share` of a model's engines change their version at once. A difference is
@@ -147,7 +147,7 @@
     queue: NotNegativeInt = DEFAULT_QUEUE
     at_most_once: AtMostOnce | None = None
     order_check: OrderCheck = OrderCheck.FENCING
-    orders: Orders | None = None
+    orders: PoolOrders | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/gypsumrouter/configuration/order_checks.py
+++ b/gypsumrouter/configuration/order_checks.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 
-from gypsumrouter.configuration.models import Orders, Pool
+from gypsumrouter.configuration.models import Pool, PoolOrders
 from gypsumrouter.const import UpstreamKind
 from gypsumrouter.exceptions import FieldError
 
@@ -21,7 +21,7 @@
     yield from _check_names(path, pool, orders)
 
 
-def _check_names(path: str, pool: Pool, orders: Orders) -> Iterator[FieldError]:
+def _check_names(path: str, pool: Pool, orders: PoolOrders) -> Iterator[FieldError]:
     ordered: set[str] = set()
     for place, name in _list_names(path, orders):
         if name in ordered:
@@ -35,7 +35,7 @@
             yield FieldError(path=f"{path}.models", message=message)
 
 
-def _list_names(path: str, orders: Orders) -> Iterator[tuple[str, str]]:
+def _list_names(path: str, orders: PoolOrders) -> Iterator[tuple[str, str]]:
     for index, model in enumerate(orders.models):
         place = f"{path}.models[{index}]"
         yield f"{place}.name", model.name
--- a/gypsumrouter/const.py
+++ b/gypsumrouter/const.py
@@ -33,6 +33,11 @@
 EXIT_SETTINGS: Final = 2
 
 
+def make_engine_chat(workspace: str, chat: str) -> str:
+    """Return the name by which engines know a chat; no two workspaces share one."""
+    return f"{workspace}/{chat}"
+
+
 class Role(StrEnum):
     """What one process of the system does."""
 
--- a/gypsumrouter/demo/run.py
+++ b/gypsumrouter/demo/run.py
@@ -29,6 +29,7 @@
     print_outcome,
     print_progress,
 )
+from gypsumrouter.service import STOP_SIGNALS
 from gypsumrouter.standins import Deployment, StandinPlatform, chapin, kotlovnica
 from gypsumrouter.util.clock import Clock, SystemClock
 
@@ -43,7 +44,10 @@
 
 
 async def async_run_demo(*, stay: bool) -> bool:
-    """Run the demo and return whether every promise held; with `stay` it does not return."""
+    """Run the demo and return whether every promise held.
+
+    With `stay` nothing is played, and the fleet runs until a signal ends it.
+    """
     clock = SystemClock()
     platform = StandinPlatform(clock=clock, deployments=(kotlovnica(), chapin()))
     fleet = LocalFleet(platform=platform, clock=clock, extra=EXTRA_SETTINGS)
@@ -53,7 +57,8 @@
         print(f"{len(fleet.routers)} routers, {len(fleet.sides)} sides with stand-ins", flush=True)
         if stay:
             print_curl(fleet)
-            await asyncio.Event().wait()
+            await _async_wait_for_signal()
+            return True
         return await async_measure(fleet, clock)
     finally:
         await fleet.async_stop()
@@ -103,6 +108,13 @@
     )
 
 
+async def _async_wait_for_signal() -> None:
+    stopped = asyncio.Event()
+    for number in STOP_SIGNALS:
+        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
+    await stopped.wait()
+
+
 def _make_stage(fleet: LocalFleet, deployment: Deployment) -> Stage:
     engines = tuple(
         fleet.platform.engines[plan.name]
--- a/gypsumrouter/exchange/repeatable.py
+++ b/gypsumrouter/exchange/repeatable.py
@@ -8,6 +8,7 @@
 from gypsumrouter.core import Application
 from gypsumrouter.exchange.deadline import Deadline
 from gypsumrouter.exchange.execution import Execution, Try
+from gypsumrouter.exchange.ports import PrefixMoves
 from gypsumrouter.exchange.sinks import Relay, Stop
 from gypsumrouter.link import Answer
 from gypsumrouter.link.models import Open
@@ -23,6 +24,7 @@
         "_deadline",
         "_execution",
         "_handed",
+        "_prefixes",
         "_request",
     )
 
@@ -32,11 +34,13 @@
         app: Application,
         admission: Admission,
         execution: Execution,
+        prefixes: PrefixMoves,
         request: Open,
         answer: Answer,
     ) -> None:
         self._admission = admission
         self._execution = execution
+        self._prefixes = prefixes
         self._request = request
         self._answer = answer
         self._deadline = Deadline(clock=app.clock, request=request)
@@ -54,8 +58,11 @@
                 on_first_body=partial(self._admission.note_first_token, slot),
             )
             try:
+                await self._prefixes.async_fetch(request)
                 failure = await self._async_try(request, slot, relay)
+                self._prefixes.note_served(request, whole=failure is None)
             finally:
+                self._prefixes.note_ended(request)
                 slot.release()
             if failure is None:
                 relay.flush()
--- a/gypsumrouter/exchange/runner.py
+++ b/gypsumrouter/exchange/runner.py
@@ -14,6 +14,7 @@
 from gypsumrouter.exchange.execution import Execution
 from gypsumrouter.exchange.metrics import ExchangeMetrics
 from gypsumrouter.exchange.once import OnceExchange, OnceParts
+from gypsumrouter.exchange.ports import NoPrefixes, PrefixMoves
 from gypsumrouter.exchange.repeatable import RepeatableExchange
 from gypsumrouter.idempotency import Idempotency
 from gypsumrouter.link import Answer
@@ -47,6 +48,7 @@
         "_listeners",
         "_metrics",
         "_once",
+        "_prefixes",
         "_settings",
         "_store",
         "_suspicion",
@@ -63,8 +65,10 @@
         upstream: UpstreamClient,
         idempotency: Idempotency,
         suspicion: Suspicion,
+        prefixes: PrefixMoves | None = None,
     ) -> None:
         self._app = app
+        self._prefixes = prefixes or NoPrefixes()
         self._settings = settings
         self._store = store
         self._admission = admission
@@ -161,6 +165,7 @@
             app=self._app,
             admission=self._admission,
             execution=self._execution,
+            prefixes=self._prefixes,
             request=request,
             answer=answer,
         )
@@ -190,6 +195,7 @@
     def _note_upstream_died(self) -> None:
         self._metrics.deaths.inc()
         self._suspicion.note_upstream_died()
+        self._prefixes.note_engine_died()
 
     def _count(self, change: int) -> None:
         self._active += change
--- a/gypsumrouter/gateway/candidates.py
+++ b/gypsumrouter/gateway/candidates.py
@@ -16,11 +16,15 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Candidate:
-    """An instance that may take a request, and what it was found by."""
+    """An instance that may take a request, and what it was found by.
+
+    `holders` are the instances that may hold the chat's prefix.
+    """
 
     pool: Pool
     instance: Instance
     query: PlacementQuery
+    holders: tuple[str, ...] = ()
 
 
 class Candidates:
@@ -78,8 +82,9 @@
             if pool is None:
                 continue
             query = make_query(call, pool)
+            holders = self._placement.find_holders(query)
             for instance in self._placement.order(query):
-                yield Candidate(pool=pool, instance=instance, query=query)
+                yield Candidate(pool=pool, instance=instance, query=query, holders=holders)
 
     def iterate_places(self, call: Call) -> Iterator[Candidate]:
         """Yield the instances of the pool that run suspects."""
--- a/gypsumrouter/gateway/dispatch.py
+++ b/gypsumrouter/gateway/dispatch.py
@@ -137,6 +137,7 @@
                         exchange.cancel()
                         return Failed(reason=Reason.UPSTREAM_PROTOCOL)
                     begun = True
+                    exchange.hand_to(reply.take_now)
                 case End():
                     if not begun:
                         return Failed(reason=Reason.CORRUPTED)
@@ -187,4 +188,5 @@
             max_output_tokens=call.max_output_tokens,
             configuration_version=call.configuration_version,
             pool_load=self._placement.pool_load(candidate.pool),
+            holders=candidate.holders,
         )
--- a/gypsumrouter/gateway/events.py
+++ b/gypsumrouter/gateway/events.py
@@ -13,6 +13,10 @@
     def __init__(self) -> None:
         self._tail = b""
 
+    def is_whole(self, body: bytes) -> bool:
+        """Return whether `body` passes as it is, with nothing held back before or after it."""
+        return not self._tail and body.endswith(EVENT_END)
+
     def cut(self, body: bytes) -> bytes:
         """Return all that ends with a whole event; a very long event is passed in pieces."""
         if self._tail:
--- a/gypsumrouter/gateway/reply.py
+++ b/gypsumrouter/gateway/reply.py
@@ -15,6 +15,7 @@
     DROPPED_HEADERS,
     MAX_HELD_ANSWER_BYTES,
     OWN_HEADER_PREFIX,
+    WRITE_BUFFER_BYTES,
 )
 from gypsumrouter.gateway.errors import render_error_event
 from gypsumrouter.gateway.events import EventCutter
@@ -27,6 +28,10 @@
 STATUS_MAX: Final = 599
 BODILESS_STATUSES: Final = frozenset({204, 304})
 METHOD_HEAD: Final = "HEAD"
+TRANSFER_ENCODING: Final = "Transfer-Encoding"
+CHUNKED: Final = "chunked"
+# Length in hexadecimal and two line ends.
+CHUNK_OVERHEAD_BYTES: Final = 20
 
 
 class CallerGone(ConnectionError):
@@ -41,6 +46,7 @@
     """
 
     __slots__ = (
+        "_chunked",
         "_clock",
         "_cutter",
         "_head",
@@ -51,6 +57,7 @@
         "_request_id",
         "_response",
         "_streamed",
+        "_takes_now",
         "_watched",
         "closes",
         "first_data_ms",
@@ -78,6 +85,8 @@
         self._parts: list[bytes] = []
         self._response: web.StreamResponse | None = None
         self._streamed = False
+        self._chunked = False
+        self._takes_now = False
         self.closes = closes
         self.first_data_ms: int | None = None
         self.status = 0
@@ -131,6 +140,26 @@
             await self._async_send_held()
         await self._async_write(body)
 
+    def take_now(self, body: bytes) -> bool:
+        """Take a part of the body without waiting; returns False where that takes `async_take`.
+
+        The chunk is written as the HTTP library would once the head is out, but without its
+        layers, which cost more than all else that a token takes. A part that could fill the
+        connection's buffer is left to `async_take`, which waits for the caller.
+        """
+        if not self._takes_now or not body:
+            return False
+        if self._cutter is not None and not self._cutter.is_whole(body):
+            return False
+        transport = self._request.transport
+        if transport is None or transport.is_closing() or self._request.protocol.writing_paused:
+            return False
+        size = len(body)
+        if transport.get_write_buffer_size() + size + CHUNK_OVERHEAD_BYTES > WRITE_BUFFER_BYTES:
+            return False
+        transport.write(b"%x\r\n%b\r\n" % (size, body))
+        return True
+
     async def async_finish(self) -> None:
         """End a whole answer."""
         if self._response is None:
@@ -187,6 +216,7 @@
             await response.prepare(self._request)
         except ConnectionError:
             raise CallerGone from None
+        self._chunked = response.headers.get(TRANSFER_ENCODING) == CHUNKED
 
     async def _async_write(self, body: bytes) -> None:
         response = self._response
@@ -200,6 +230,7 @@
         except ConnectionError:
             raise CallerGone from None
         self._watched.unblock()
+        self._takes_now = self._chunked
 
     async def _async_end(self, response: web.StreamResponse) -> None:
         self._watched.block(self._clock.now_ms())
--- a/gypsumrouter/orders/changes.py
+++ b/gypsumrouter/orders/changes.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Mapping
 
-from gypsumrouter.configuration import Orders
+from gypsumrouter.configuration import PoolOrders
 from gypsumrouter.orders.models import Change, EngineState, OrderKind
 
 
-def list_targets(orders: Orders, models: frozenset[str]) -> dict[str, str]:
+def list_targets(orders: PoolOrders, models: frozenset[str]) -> dict[str, str]:
     """Return the version of each model, and of its adapters, that an engine is to hold."""
     targets: dict[str, str] = {}
     for model in orders.models:
@@ -19,7 +19,7 @@
     return targets
 
 
-def get_minimum(orders: Orders, name: str) -> int:
+def get_minimum(orders: PoolOrders, name: str) -> int:
     """Return how many engines must serve a model or an adapter; 0 if it is not ordered."""
     for model in orders.models:
         if name == model.name or any(name == adapter.name for adapter in model.adapters):
@@ -27,13 +27,13 @@
     return 0
 
 
-def get_version(orders: Orders, name: str) -> str | None:
+def get_version(orders: PoolOrders, name: str) -> str | None:
     """Return the ordered version of a model or an adapter, None if it is not ordered."""
     names = frozenset(model.name for model in orders.models)
     return list_targets(orders, names).get(name)
 
 
-def choose_change(orders: Orders, models: frozenset[str], state: EngineState) -> Change | None:
+def choose_change(orders: PoolOrders, models: frozenset[str], state: EngineState) -> Change | None:
     """Return the next step, None where the engine holds just what it is to hold."""
     targets = list_targets(orders, models)
     return (
@@ -44,7 +44,7 @@
     )
 
 
-def _change_role(orders: Orders, state: EngineState) -> Change | None:
+def _change_role(orders: PoolOrders, state: EngineState) -> Change | None:
     if orders.role is None or orders.role == state.role:
         return None
     return Change(
@@ -55,7 +55,9 @@
     )
 
 
-def _load_missing(orders: Orders, targets: Mapping[str, str], state: EngineState) -> Change | None:
+def _load_missing(
+    orders: PoolOrders, targets: Mapping[str, str], state: EngineState
+) -> Change | None:
     for model in orders.models:
         if model.name in targets and model.name not in state.models:
             return _load_model(orders, targets, state, model.name)
@@ -67,7 +69,7 @@
 
 
 def _load_model(
-    orders: Orders, targets: Mapping[str, str], state: EngineState, name: str
+    orders: PoolOrders, targets: Mapping[str, str], state: EngineState, name: str
 ) -> Change:
     """Return the load of a model, which takes the place of another one if there is none left."""
     bases = {model.name for model in orders.models}
@@ -86,7 +88,7 @@
     )
 
 
-def _with_adapters(orders: Orders, state: EngineState, names: list[str]) -> tuple[str, ...]:
+def _with_adapters(orders: PoolOrders, state: EngineState, names: list[str]) -> tuple[str, ...]:
     """Return the models with those of their adapters that are held."""
     found = list_targets(orders, frozenset(names))
     return tuple(name for name in found if name in state.models)
--- a/gypsumrouter/orders/const.py
+++ b/gypsumrouter/orders/const.py
@@ -27,6 +27,9 @@
 # News of what engines hold.
 NEWS_MS: Final = 1_000
 NEWS_BATCH_MS: Final = 50
+
+# A change that takes an engine from requests is announced for this long, and then checked again.
+ANNOUNCE_MS: Final = 500
 RESTAMP_MS: Final = 10_000
 RESTAMP_MS_PER_MEMBER: Final = 250
 STALE_RESTAMPS: Final = 3
--- a/gypsumrouter/orders/gates.py
+++ b/gypsumrouter/orders/gates.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from gypsumrouter.configuration import Orders
+from gypsumrouter.configuration import PoolOrders
 from gypsumrouter.link.models import HeldModel, Holding
 from gypsumrouter.orders.changes import get_minimum
 from gypsumrouter.orders.const import FAILURES_PASSED
@@ -31,7 +31,9 @@
     return next((model for model in holding.models if model.name == name), None)
 
 
-def find_obstacle(*, own: str, change: Change, orders: Orders, holdings: Sequence[Holding]) -> str:
+def find_obstacle(
+    *, own: str, change: Change, orders: PoolOrders, holdings: Sequence[Holding]
+) -> str:
     """Return why the engine of `own` may not begin a change now.
 
     `holdings` are those of the engines that answer, the own one among them.
@@ -58,7 +60,7 @@
 
 
 def _find_replace_obstacle(
-    own: str, change: Change, orders: Orders, holdings: Sequence[Holding]
+    own: str, change: Change, orders: PoolOrders, holdings: Sequence[Holding]
 ) -> str:
     steps = [
         Step(
@@ -80,7 +82,7 @@
 
 
 def _find_role_obstacle(
-    own: str, change: Change, orders: Orders, holdings: Sequence[Holding]
+    own: str, change: Change, orders: PoolOrders, holdings: Sequence[Holding]
 ) -> str:
     steps = [
         Step(
--- a/gypsumrouter/orders/loads.py
+++ b/gypsumrouter/orders/loads.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from gypsumrouter.configuration import Orders
+from gypsumrouter.configuration import PoolOrders
 from gypsumrouter.core import Application
 from gypsumrouter.orders.const import TURN_MS
 from gypsumrouter.orders.gates import choose_source, find_store_obstacle
@@ -44,7 +44,7 @@
         self._table = table
         self._slots = StoreSlots()
 
-    def find(self, change: Change, orders: Orders) -> Source | Waiting:
+    def find(self, change: Change, orders: PoolOrders) -> Source | Waiting:
         """Return where a load comes from, or why it may not begin yet."""
         name, version = change.name, change.version
         pause_ms = self._retries.get_wait_ms(name, version)
@@ -69,7 +69,7 @@
             return Waiting(reason="the weight store has its turns", look_ms=wait_ms)
         return Source()
 
-    def get_store_wait_ms(self, orders: Orders) -> int:
+    def get_store_wait_ms(self, orders: PoolOrders) -> int:
         """Return the time until this side may load from the store, 0 where it may now."""
         members = self._lease.members
         if self._app.name not in members:
@@ -81,7 +81,7 @@
             wall_ms=self._app.clock.wall_ms(),
         )
 
-    def take_store_slot(self, orders: Orders) -> int:
+    def take_store_slot(self, orders: PoolOrders) -> int:
         """Use this side's turn at the store; return the time until it comes where it is not now."""
         wait_ms = self.get_store_wait_ms(orders)
         if wait_ms == 0:
--- a/gypsumrouter/orders/news.py
+++ b/gypsumrouter/orders/news.py
@@ -7,12 +7,14 @@
 from dataclasses import replace
 
 from gypsumrouter.configuration.neighbours import list_routes
+from gypsumrouter.configuration.waiting import async_wait
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.fleet import Fleet, Instance
-from gypsumrouter.link import LinkPool, NoticeHub, Peer
+from gypsumrouter.fleet import Instance
+from gypsumrouter.link import NoticeHub, Peer
 from gypsumrouter.link.models import Holding, Holdings
 from gypsumrouter.orders.const import MAX_ENTRIES, NEWS_BATCH_MS, NEWS_MS
+from gypsumrouter.orders.ports import Membership, Sender
 from gypsumrouter.orders.table import HoldingTable
 
 
@@ -21,7 +23,7 @@
 
     The neighbours are the same mutual ones that the spread of the configuration uses, taken among
     the sides of the pool. An entry goes once over each link in one of its directions. What is
-    lost comes again with the next stamp.
+    lost comes again with the next stamp. `on_news` is called where an engine has changed.
     """
 
     __slots__ = (
@@ -29,6 +31,7 @@
         "_fleet",
         "_incarnations",
         "_links",
+        "_on_news",
         "_pool",
         "_table",
         "_told",
@@ -39,17 +42,19 @@
         self,
         *,
         app: Application,
-        fleet: Fleet,
-        links: LinkPool,
+        fleet: Membership,
+        links: Sender,
         notices: NoticeHub,
         pool: str,
         table: HoldingTable,
+        on_news: Callable[[], None],
     ) -> None:
         self._app = app
         self._fleet = fleet
         self._links = links
         self._pool = pool
         self._table = table
+        self._on_news = on_news
         self._told: dict[str, dict[str, int]] = {}
         self._incarnations: dict[str, int] = {}
         self._woken = asyncio.Event()
@@ -74,15 +79,9 @@
 
     async def _async_wait(self) -> None:
         """Wait for the next round, or until shortly after there is something that is new."""
-        sleep = asyncio.ensure_future(self._app.clock.async_sleep(NEWS_MS))
-        woken = asyncio.ensure_future(self._woken.wait())
-        try:
-            await asyncio.wait({sleep, woken}, return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            sleep.cancel()
-            woken.cancel()
-        if self._woken.is_set():
-            await self._app.clock.async_sleep(NEWS_BATCH_MS)
+        clock = self._app.clock
+        if await async_wait(self._woken, clock=clock, timeout_ms=NEWS_MS):
+            await clock.async_sleep(NEWS_BATCH_MS)
         self._woken.clear()
 
     async def _async_tell(self, route: tuple[Instance, ...]) -> None:
@@ -116,6 +115,7 @@
             return
         if known is None or differs(known.holding, entry):
             self.tell()
+            self._on_news()
 
     def _get_told(self, peer: Peer) -> dict[str, int]:
         """Return what a neighbour knows; a new process of its name knows nothing."""
--- a/gypsumrouter/orders/orders.py
+++ b/gypsumrouter/orders/orders.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import ipaddress
 import logging
 from dataclasses import replace
 
-from gypsumrouter.configuration import ConfigurationStore, Pool
-from gypsumrouter.configuration import Orders as PoolOrders
+from gypsumrouter.configuration import ConfigurationStore, Pool, PoolOrders
+from gypsumrouter.configuration.waiting import async_wait
 from gypsumrouter.core import Application
-from gypsumrouter.fleet import Address, Fleet
-from gypsumrouter.link import ExchangeHandler, LinkPool, NoticeHub
+from gypsumrouter.fleet import Address, InstanceList
+from gypsumrouter.link import ExchangeHandler, NoticeHub
 from gypsumrouter.orders.changes import choose_change
-from gypsumrouter.orders.const import SMOOTHING_SHARE, TURN_MS
+from gypsumrouter.orders.const import CHANGE_TURN_MS, SMOOTHING_SHARE, TURN_MS
 from gypsumrouter.orders.demand import Demand
 from gypsumrouter.orders.diagnostics import dump_change, dump_state, dump_table
 from gypsumrouter.orders.engine import OrderClient
@@ -24,11 +25,11 @@
 from gypsumrouter.orders.news import HoldingNews
 from gypsumrouter.orders.own import OwnEngine
 from gypsumrouter.orders.planner import Planner
+from gypsumrouter.orders.ports import Membership, OfferedModels, Sender
 from gypsumrouter.orders.retries import Retries
 from gypsumrouter.orders.runner import ChangeLimits, ChangeRunner
 from gypsumrouter.orders.table import HoldingTable
 from gypsumrouter.settings import SideSettings
-from gypsumrouter.upstream import EngineClient
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -41,7 +42,7 @@
 
     Every side works the same plan out from the configuration, the published list and what the
     sides tell each other, and changes its own engine alone. Without `orders` in the pool's
-    configuration it does nothing.
+    configuration it does nothing. `demand` counts the requests of each model.
     """
 
     __slots__ = (
@@ -50,7 +51,6 @@
         "_candidate",
         "_candidate_ms",
         "_client",
-        "_demand",
         "_engine",
         "_giver",
         "_last",
@@ -67,6 +67,8 @@
         "_store",
         "_table",
         "_waiting",
+        "_woken",
+        "demand",
     )
 
     def __init__(
@@ -75,10 +77,10 @@
         app: Application,
         settings: SideSettings,
         store: ConfigurationStore,
-        fleet: Fleet,
-        links: LinkPool,
+        fleet: Membership,
+        links: Sender,
         notices: NoticeHub,
-        client: EngineClient,
+        client: OfferedModels,
     ) -> None:
         clock, pool = app.clock, settings.upstream.pool
         self._app = app
@@ -92,22 +94,27 @@
         self._last: Ending | None = None
         self._source = ""
         self._waiting = NOT_CONFIGURED
-        self._demand = Demand(clock=clock)
+        self._woken = asyncio.Event()
+        self.demand = Demand(clock=clock)
         self._engine = OrderClient(app=app, settings=settings.upstream)
         self._retries = Retries(clock=clock, seed=app.incarnation)
-        self._own = OwnEngine(
-            name=app.name, clock=clock, demand=self._demand, retries=self._retries
-        )
+        self._own = OwnEngine(name=app.name, clock=clock, demand=self.demand, retries=self._retries)
         self._table = HoldingTable(clock=clock)
         self._planner = Planner(name=app.name, table=self._table)
         self._lease = OrderLease(app=app, settings=settings.platform, pool=pool)
-        fleet.on_list(self._lease.note_list)
+        fleet.on_list(self._take_list)
         fleet.on_fresh(self._lease.note_fresh)
         self._loads = LoadTurns(
             app=app, lease=self._lease, retries=self._retries, table=self._table
         )
         self._news = HoldingNews(
-            app=app, fleet=fleet, links=links, notices=notices, pool=pool, table=self._table
+            app=app,
+            fleet=fleet,
+            links=links,
+            notices=notices,
+            pool=pool,
+            table=self._table,
+            on_news=self._woken.set,
         )
         self._giver = OrderGiver(
             app=app, client=self._engine, lease=self._lease, is_leaving=lambda: self._leaving
@@ -116,15 +123,16 @@
             app=app,
             giver=self._giver,
             own=self._own,
-            demand=self._demand,
+            demand=self.demand,
             observe=self._async_observe,
             is_wanted=self._is_wanted,
+            find_obstacle=self._find_change_obstacle,
             take_store_slot=self._take_store_slot,
         )
 
     def wrap(self, handler: ExchangeHandler) -> ExchangeHandler:
         """Return a handler that counts the requests of each model."""
-        return self._demand.wrap(handler)
+        return self.demand.wrap(handler)
 
     def note_listening(self, address: Address) -> None:
         """Say at which address the list must name this process for it to give orders."""
@@ -143,12 +151,23 @@
         self._news.start(lambda: self._get_orders() is not None)
         self._app.async_create_task(self._async_run(), "orders")
 
+    def _take_list(self, listed: InstanceList) -> None:
+        self._lease.note_list(listed)
+        self._table.set_listed(self._lease.members)
+        self._woken.set()
+
     async def _async_drain(self) -> None:
         self._leaving = True
 
     async def _async_run(self) -> None:
+        clock = self._app.clock
         while True:
-            await self._app.clock.async_sleep(await self._async_turn())
+            pause_ms = await self._async_turn()
+            self._woken.clear()
+            await clock.async_sleep(min(pause_ms, CHANGE_TURN_MS))
+            rest_ms = pause_ms - CHANGE_TURN_MS
+            if rest_ms > 0:
+                await async_wait(self._woken, clock=clock, timeout_ms=rest_ms)
 
     async def _async_turn(self) -> int:
         """Look at the engine, and change it where that is due; return the time until the next."""
@@ -177,7 +196,6 @@
     async def _async_observe(self) -> None:
         """Read the engine, tell the others of it, and work out what it is to hold."""
         self._own.state = await self._engine.async_read()
-        self._table.set_members(self._lease.members)
         self._tell()
         self._plan()
         self._withdraw()
@@ -193,14 +211,15 @@
         if pool is None or pool.orders is None or self._own.state is None:
             self._planner.forget()
             return
-        self._demand.window_ms = max(1, round(pool.orders.settle_ms * SMOOTHING_SHARE))
+        self._table.hold_ms = pool.orders.settle_ms
+        self.demand.window_ms = max(1, round(pool.orders.settle_ms * SMOOTHING_SHARE))
         self._planner.update(pool, pool.orders)
 
     def _withdraw(self) -> None:
         """Turn requests away for what is changed, and for what the engine has lost unnoticed."""
         state = self._own.state
         lost = () if state is None else set(self._client.held_models).difference(state.models)
-        self._client.withdraw(self._own.withdrawn.union(lost))
+        self._client.withdraw(self._own.turned_away.union(lost))
 
     async def _async_cancel_strangers(self) -> None:
         """Cancel loads that are not wished, such as those of an earlier process."""
@@ -246,29 +265,35 @@
         if settles_ms > 0 and not change.is_prompt:
             reason = f"{change.reason}, if that lasts for {orders.settle_ms} ms"
             return Waiting(reason=reason, look_ms=settles_ms)
-        obstacle = find_obstacle(
+        obstacle = self._find_change_obstacle(change)
+        if obstacle:
+            return Waiting(reason=obstacle)
+        return self._loads.find(change, orders) if change.kind is OrderKind.LOAD else Source()
+
+    def _find_change_obstacle(self, change: Change) -> str:
+        """Return why the other engines do not allow a change now."""
+        orders = self._get_orders()
+        if orders is None:
+            return NOT_CONFIGURED
+        return find_obstacle(
             own=self._app.name,
             change=change,
             orders=orders,
             holdings=self._table.list_answering(),
         )
-        if obstacle:
-            return Waiting(reason=obstacle)
-        return self._loads.find(change, orders) if change.kind is OrderKind.LOAD else Source()
 
     async def _async_carry_out(self, change: Change, orders: PoolOrders, source: str) -> None:
         self._source = source
         self._began_ms = self._app.clock.wall_ms()
-        self._own.change = change
+        self._own.begin(change)
         self._tell()
-        self._withdraw()
         limits = ChangeLimits(drain_ms=self._settings.limits.drain_ms, load_ms=orders.load_ms)
         try:
             ending = await self._runner.async_run(change, source=source, limits=limits)
             self._note_ending(change, ending)
             await self._async_observe()
         finally:
-            self._own.change = None
+            self._own.end()
         self._tell()
         self._withdraw()
 
--- a/gypsumrouter/orders/own.py
+++ b/gypsumrouter/orders/own.py
@@ -24,6 +24,7 @@
         "_retries",
         "address",
         "change",
+        "confirmed",
         "holding",
         "retried",
         "state",
@@ -37,13 +38,23 @@
         self.address = ""
         self.state: EngineState | None = None
         self.change: Change | None = None
+        self.confirmed = False
         self.retried: Change | None = None
         self.holding = Holding(name=name, stamp_ms=0, engine="", up=False)
 
     @property
-    def withdrawn(self) -> frozenset[str]:
+    def turned_away(self) -> frozenset[str]:
         """Return the models for which no new requests may be taken."""
-        return frozenset() if self.change is None else frozenset(self.change.withdraws)
+        return self._get_withdrawn() if self.confirmed else frozenset()
+
+    def begin(self, change: Change) -> None:
+        """Announce a change; requests are turned away once it is confirmed."""
+        self.change = change
+        self.confirmed = False
+
+    def end(self) -> None:
+        """Note that no change is under way any more."""
+        self.change = None
 
     def is_loading(self, change: Change) -> bool:
         """Return whether the engine loads now what a change is about."""
@@ -80,6 +91,7 @@
     def _list_models(self, state: EngineState) -> Iterator[HeldModel]:
         change = self.change
         dropped = () if change is None else change.drops
+        withdrawn = self._get_withdrawn()
         loading = dict(state.pending)
         for begun in (self.retried, change):
             if begun is not None and begun.kind is OrderKind.LOAD:
@@ -91,11 +103,14 @@
                 name=name,
                 version=state.models.get(name, ""),
                 next_version=loading.get(name, ""),
-                serving=name in state.models and name not in self.withdrawn,
+                serving=name in state.models and name not in withdrawn,
                 load=_round(self._demand.get_smoothed(name)),
                 failures=self._retries.get_failures(name),
             )
 
+    def _get_withdrawn(self) -> frozenset[str]:
+        return frozenset() if self.change is None else frozenset(self.change.withdraws)
+
 
 def _round(load: float) -> float:
     """Return a load that is the same number after its way over a link."""
--- a/gypsumrouter/orders/plan.py
+++ b/gypsumrouter/orders/plan.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
-from gypsumrouter.configuration import OrderedModel, Orders
+from gypsumrouter.configuration import OrderedModel, PoolOrders
 from gypsumrouter.orders.const import BUSY_SHARE, DEMAND_MARGIN, DEMAND_PRIOR
 from gypsumrouter.orders.ranks import get_rank
 
@@ -27,7 +27,7 @@
 
 def plan_models(
     *,
-    orders: Orders,
+    orders: PoolOrders,
     engines: Iterable[PlannedEngine],
     demand: Mapping[str, float],
     slots: int,
@@ -51,7 +51,7 @@
     __slots__ = ("_counts", "_demand", "_limit", "_models", "held")
 
     def __init__(
-        self, *, orders: Orders, engines: Iterable[PlannedEngine], demand: Mapping[str, float]
+        self, *, orders: PoolOrders, engines: Iterable[PlannedEngine], demand: Mapping[str, float]
     ) -> None:
         self._models = {model.name: model for model in orders.models}
         self._limit = orders.models_per_engine
--- a/gypsumrouter/orders/planner.py
+++ b/gypsumrouter/orders/planner.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping
 
-from gypsumrouter.configuration import Orders, Pool
+from gypsumrouter.configuration import Pool, PoolOrders
 from gypsumrouter.link.models import Holding
 from gypsumrouter.orders.changes import list_targets
 from gypsumrouter.orders.plan import PlannedEngine, plan_models
@@ -34,7 +34,7 @@
         self.counts = {}
         self.demand = {}
 
-    def update(self, pool: Pool, orders: Orders) -> None:
+    def update(self, pool: Pool, orders: PoolOrders) -> None:
         """Work the plan out."""
         holdings = self._table.list_answering()
         if self._table.list_awaited() or all(item.name != self._name for item in holdings):
@@ -51,7 +51,7 @@
         self.wished = list_targets(orders, plan[self._name])
 
 
-def sum_demand(orders: Orders, holdings: Iterable[Holding]) -> dict[str, float]:
+def sum_demand(orders: PoolOrders, holdings: Iterable[Holding]) -> dict[str, float]:
     """Return the requests in hand for each model; those for adapters count for their model."""
     bases = {model.name: model.name for model in orders.models}
     for model in orders.models:
