--- /dev/null
+++ b/gypsumrouter/orders/ports.py
@@ -0,0 +1,41 @@
+"""What orders need of the rest of a side."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from gypsumrouter.core import Remove
+from gypsumrouter.fleet import Instance, InstanceList
+from gypsumrouter.link.models import Notice
+
+
+class Membership(Protocol):
+    """The published list, and the instances that this process believes in."""
+
+    def peers(self) -> tuple[Instance, ...]:
+        """Return every other instance."""
+
+    def on_list(self, listener: Callable[[InstanceList], None]) -> Remove:
+        """Register a listener for every list that is accepted, in their order."""
+
+    def on_fresh(self, listener: Callable[[int], None]) -> Remove:
+        """Register a listener for the time by which the list was still unchanged."""
+
+
+class Sender(Protocol):
+    """The links to other processes."""
+
+    async def async_send(self, *, instance: Instance, notice: Notice) -> bool:
+        """Send a notice; return False if the instance cannot be reached."""
+
+
+class OfferedModels(Protocol):
+    """The models for which requests are taken at the engine."""
+
+    @property
+    def held_models(self) -> tuple[str, ...]:
+        """Return the models that the engine held at the last poll."""
+
+    def withdraw(self, names: frozenset[str]) -> None:
+        """Take no new requests for these models, and for all others again."""
--- a/gypsumrouter/orders/runner.py
+++ b/gypsumrouter/orders/runner.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
 from gypsumrouter.core import Application
-from gypsumrouter.orders.const import CHANGE_TURN_MS
+from gypsumrouter.orders.const import ANNOUNCE_MS, CHANGE_TURN_MS
 from gypsumrouter.orders.demand import Demand
 from gypsumrouter.orders.giver import OrderGiver, describe_given
 from gypsumrouter.orders.models import (
@@ -37,17 +38,20 @@
     """Carry out changes of one engine, one at a time.
 
     `observe` reads the engine and works out anew what it is to hold. `is_wanted` says whether a
-    change still follows from that. `take_store_slot` returns the time until a load from the
-    weight store may begin, and uses the slot when that is 0.
+    change still follows from that, `find_obstacle` why other engines do not allow it.
+    `take_store_slot` returns the time until a load from the weight store may begin, and uses the
+    slot when that is 0.
     """
 
     __slots__ = (
         "_app",
         "_demand",
+        "_find_obstacle",
         "_giver",
         "_is_wanted",
         "_observe",
         "_own",
+        "_random",
         "_take_store_slot",
     )
 
@@ -60,6 +64,7 @@
         demand: Demand,
         observe: Callable[[], Awaitable[None]],
         is_wanted: Callable[[Change], bool],
+        find_obstacle: Callable[[Change], str],
         take_store_slot: Callable[[], int],
     ) -> None:
         self._app = app
@@ -68,11 +73,14 @@
         self._demand = demand
         self._observe = observe
         self._is_wanted = is_wanted
+        self._find_obstacle = find_obstacle
+        self._random = random.Random(app.incarnation)
         self._take_store_slot = take_store_slot
 
     async def async_run(self, change: Change, *, source: str, limits: ChangeLimits) -> Ending:
         """Carry out a change; `source` is a neighbour to load from, empty for the store."""
-        stopped = await self._async_drain(change, limits.drain_ms)
+        stopped = await self._async_confirm(change)
+        stopped = stopped or await self._async_drain(change, limits.drain_ms)
         if stopped is not None:
             return stopped
         for name in change.drops:
@@ -89,6 +97,23 @@
             case OrderKind.LOAD:
                 return await self._async_load(change, source, limits.load_ms)
 
+    async def _async_confirm(self, change: Change) -> Ending | None:
+        """Let the others hear of the change, and hear of theirs; None where it may go on.
+
+        Two engines that announce at the same time both see the other. The pause differs, so that
+        one of them gives way and the other one goes on.
+        """
+        if change.withdraws:
+            pause_ms = round(ANNOUNCE_MS * self._random.uniform(1.0, 2.0))
+            await self._app.clock.async_sleep(pause_ms)
+            await self._observe()
+            obstacle = self._find_obstacle(change)
+            if obstacle:
+                return Ending(result=Result.ABANDONED, reason=obstacle)
+        self._own.confirmed = True
+        await self._observe()
+        return None
+
     async def _async_drain(self, change: Change, drain_ms: int) -> Ending | None:
         """Wait until no request for what is withdrawn is left; None when that is so."""
         ends_ms = self._app.clock.now_ms() + drain_ms
--- a/gypsumrouter/orders/table.py
+++ b/gypsumrouter/orders/table.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
 
 from gypsumrouter.link.models import Holding
 from gypsumrouter.orders.const import RESTAMP_MS, RESTAMP_MS_PER_MEMBER, STALE_RESTAMPS
@@ -21,39 +21,41 @@
 class HoldingTable:
     """The newest holding of each side; it is fresh while its side goes on to stamp it.
 
-    A side that is listed and was never heard is awaited for as long as a silent one counts.
+    A side that leaves the list still counts as holding its models for `hold_ms`, so that a flap
+    changes no plan, but not as serving them. A side that is listed and was never heard is awaited
+    for as long as a silent one counts.
     """
 
-    __slots__ = ("_clock", "_entries", "_listed_ms", "_members")
+    __slots__ = ("_clock", "_entries", "_gone_ms", "_listed_ms", "hold_ms")
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._entries: dict[str, Heard] = {}
         self._listed_ms: dict[str, int] = {}
-        self._members: tuple[str, ...] = ()
+        self._gone_ms: dict[str, int] = {}
+        self.hold_ms = 0
 
     @property
     def restamp_ms(self) -> int:
         """Return how often a side says anew what its engine holds; longer in a large pool."""
-        return max(RESTAMP_MS, RESTAMP_MS_PER_MEMBER * len(self._members))
+        return max(RESTAMP_MS, RESTAMP_MS_PER_MEMBER * len(self._listed_ms))
 
-    def set_members(self, names: tuple[str, ...]) -> None:
-        """Say which sides are in the pool now; others are forgotten once they are silent."""
-        if names == self._members:
-            return
+    def set_listed(self, names: tuple[str, ...]) -> None:
+        """Take in the sides of the pool in the next list; each list must be told."""
         now_ms = self._clock.now_ms()
-        self._members = names
+        for name in self._listed_ms.keys() - set(names):
+            self._gone_ms[name] = now_ms
+        for name in names:
+            self._gone_ms.pop(name, None)
         self._listed_ms = {name: self._listed_ms.get(name, now_ms) for name in names}
-        for name in self._entries.keys() - set(names):
-            if not self.is_fresh(name):
-                del self._entries[name]
+        self._forget_strangers()
 
     def note(self, holding: Holding) -> bool:
         """Take in what is said of an engine; return whether it is newer than what was known."""
         known = self._entries.get(holding.name)
         if known is not None and known.holding.stamp_ms >= holding.stamp_ms:
             return False
-        if holding.name not in self._listed_ms:
+        if holding.name not in self._listed_ms and holding.name not in self._gone_ms:
             return False
         self._entries[holding.name] = Heard(holding=holding, at_ms=self._clock.now_ms())
         return True
@@ -62,11 +64,6 @@
         """Return what was heard of a side."""
         return self._entries.get(name)
 
-    def is_fresh(self, name: str) -> bool:
-        """Return whether a side was heard of a short time ago."""
-        heard = self._entries.get(name)
-        return heard is not None and self._clock.now_ms() - heard.at_ms <= self._get_stale_ms()
-
     def list_awaited(self) -> list[str]:
         """Return the sides that have not been heard of yet and may still be."""
         now_ms = self._clock.now_ms()
@@ -78,19 +75,39 @@
 
     def list_answering(self) -> list[Holding]:
         """Return what the engines hold that answer, sorted by the names of their sides."""
-        return [
-            heard.holding
-            for name in self._members
-            if (heard := self._entries.get(name)) and heard.holding.up and self.is_fresh(name)
+        now_ms = self._clock.now_ms()
+        held = [name for name, at_ms in self._gone_ms.items() if now_ms - at_ms < self.hold_ms]
+        found = [
+            self._entries[name].holding
+            for name in sorted((*self._listed_ms, *held))
+            if self._is_fresh(name)
         ]
+        return [_mark_gone(item) if item.name in held else item for item in found if item.up]
 
     def list_fresh(self) -> list[Holding]:
         """Return every holding that is worth telling others."""
-        return [self._entries[name].holding for name in self._members if self.is_fresh(name)]
+        return [self._entries[name].holding for name in self._listed_ms if self._is_fresh(name)]
+
+    def list_heard(self) -> Iterator[tuple[str, Heard | None]]:
+        """Return each listed side and what was heard of it."""
+        return ((name, self._entries.get(name)) for name in self._listed_ms)
 
-    def list_heard(self) -> Iterable[tuple[str, Heard | None]]:
-        """Return each member and what was heard of it."""
-        return ((name, self._entries.get(name)) for name in self._members)
+    def _is_fresh(self, name: str) -> bool:
+        heard = self._entries.get(name)
+        return heard is not None and self._clock.now_ms() - heard.at_ms <= self._get_stale_ms()
+
+    def _forget_strangers(self) -> None:
+        now_ms = self._clock.now_ms()
+        keep_ms = max(self.hold_ms, self._get_stale_ms())
+        for name in [name for name, at_ms in self._gone_ms.items() if now_ms - at_ms > keep_ms]:
+            del self._gone_ms[name]
+            self._entries.pop(name, None)
 
     def _get_stale_ms(self) -> int:
         return STALE_RESTAMPS * self.restamp_ms
+
+
+def _mark_gone(holding: Holding) -> Holding:
+    """Return the holding of a side that has left the list a moment ago."""
+    models = tuple(replace(model, serving=False) for model in holding.models)
+    return replace(holding, engine="", models=models)
--- a/gypsumrouter/placement/__init__.py
+++ b/gypsumrouter/placement/__init__.py
@@ -4,5 +4,6 @@
 
 from gypsumrouter.placement.models import PlacementKind, PlacementQuery
 from gypsumrouter.placement.placement import Placement
+from gypsumrouter.placement.rendezvous import MemberTable, hash_chat
 
-__all__ = ["Placement", "PlacementKind", "PlacementQuery"]
+__all__ = ["MemberTable", "Placement", "PlacementKind", "PlacementQuery", "hash_chat"]
--- a/gypsumrouter/placement/placement.py
+++ b/gypsumrouter/placement/placement.py
@@ -7,7 +7,12 @@
 from gypsumrouter.fleet.models import Instance
 from gypsumrouter.link.models import PoolLoad
 from gypsumrouter.placement.baselines import Baselines
-from gypsumrouter.placement.const import FIRST_LOOK, MAX_CANDIDATES, SPREAD_CHOICES
+from gypsumrouter.placement.const import (
+    FIRST_LOOK,
+    HOLDERS_LOOK,
+    MAX_CANDIDATES,
+    SPREAD_CHOICES,
+)
 from gypsumrouter.placement.hint import read_hint, write_hint
 from gypsumrouter.placement.loads import KnownLoads
 from gypsumrouter.placement.models import (
@@ -85,6 +90,21 @@
             return self._finish("returning", query, own[0] if own else None, own)
         return self._finish("new", query, self._place_new_chat(query, own), own)
 
+    def find_holders(self, query: PlacementQuery) -> tuple[str, ...]:
+        """Return the names of the instances that may hold a returning chat's prefix.
+
+        These are the first of the chat's own order, then the hinted one. The baselines know none.
+        """
+        if self._kind is not PlacementKind.RENDEZVOUS or not query.chat or not query.returning:
+            return ()
+        table = self._get_table(query.pool)
+        key = hash_chat(workspace=query.workspace, chat=query.chat)
+        own = [member.name for member in table.rank(key=key, limit=HOLDERS_LOOK)]
+        hinted = self._find_hinted(query, table)
+        if hinted is not None and hinted.name not in own:
+            own.append(hinted.name)
+        return tuple(own)
+
     def pool_load(self, pool: Pool) -> PoolLoad | None:
         """Return what this router believes of a pool's load, for the sides' cap."""
         return self._loads.pool_load(pool)
@@ -141,17 +161,20 @@
     def _follow_hint(self, query: PlacementQuery, table: MemberTable) -> Instance | None:
         if not query.hint:
             return None
-        digest = read_hint(query.hint)
-        if digest is None:
+        if read_hint(query.hint) is None:
             self._hints.inc(labels=(("hint", "invalid"),))
             return None
-        instance = table.by_digest.get(digest)
+        instance = self._find_hinted(query, table)
         if instance is None or not self._is_usable(instance, query.model):
             self._hints.inc(labels=(("hint", "gone"),))
             return None
         self._hints.inc(labels=(("hint", "followed"),))
         return instance
 
+    def _find_hinted(self, query: PlacementQuery, table: MemberTable) -> Instance | None:
+        digest = read_hint(query.hint)
+        return None if digest is None else table.by_digest.get(digest)
+
     def _is_usable(self, instance: Instance, model: str) -> bool:
         return self._loads.may_hold(instance, model) and not self._loads.is_closed(instance)
 
--- /dev/null
+++ b/gypsumrouter/prefixes/engine.py
@@ -0,0 +1,100 @@
+"""Calls to the KV cache of the engine beside this side."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from dataclasses import dataclass
+from http import HTTPMethod
+from typing import Any, Final
+
+import aiohttp
+
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.core import Application
+from gypsumrouter.prefixes.const import (
+    CALL_MS,
+    HTTP_OK,
+    KIND_EVICTED,
+    PATH_EVENTS,
+    PATH_EXPORT,
+    PATH_IMPORT,
+)
+from gypsumrouter.settings import Upstream
+from gypsumrouter.upstream import ConnectionBroken, Transport, Unreached
+
+_LOGGER = logging.getLogger(__name__)
+
+_JSON: Final = [("Content-Type", "application/json")]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Evicted:
+    """Tokens of a chat that the engine no longer holds."""
+
+    chat: str
+    tokens: int
+
+
+class CacheClient:
+    """Export, import and follow what one engine caches; a call that fails gives nothing."""
+
+    __slots__ = ("_app", "_next", "_transport")
+
+    def __init__(self, *, app: Application, settings: Upstream) -> None:
+        self._app = app
+        self._next = 0
+        self._transport = Transport(app=app, settings=settings)
+
+    async def async_start(self) -> None:
+        """Open the session."""
+        self._transport.open_session()
+        self._app.on_stop(self._transport.async_close)
+
+    async def async_export(self, chat: str) -> bytes | None:
+        """Return the cached prefix of a chat, None where there is none."""
+        return await self._async_call(HTTPMethod.POST, PATH_EXPORT, {"chat": chat})
+
+    async def async_import(self, chat: str, exported: bytes) -> bool:
+        """Give the engine a prefix that another one exported."""
+        try:
+            document = json.loads(exported)
+            payload = {"chat": chat, "tokens": document["tokens"], "blocks": document["blocks"]}
+        except (ValueError, KeyError, TypeError):
+            return False
+        return await self._async_call(HTTPMethod.POST, PATH_IMPORT, payload) is not None
+
+    async def async_list_evicted(self) -> tuple[Evicted, ...]:
+        """Return what the engine has told since the last call; events come late, some never."""
+        body = await self._async_call(HTTPMethod.GET, f"{PATH_EVENTS}?after={self._next}", None)
+        if body is None:
+            return ()
+        try:
+            document = json.loads(body)
+            self._next = int(document["next"])
+            return tuple(
+                Evicted(chat=str(event["chat"]), tokens=int(event["tokens"]))
+                for event in document["events"]
+                if event["kind"] == KIND_EVICTED
+            )
+        except (ValueError, KeyError, TypeError):
+            return ()
+
+    async def _async_call(
+        self, method: HTTPMethod, path: str, payload: dict[str, Any] | None
+    ) -> bytes | None:
+        body = b"" if payload is None else json.dumps(payload).encode()
+        try:
+            async with asyncio.timeout(CALL_MS / MS_PER_S):
+                response = await self._transport.async_open(
+                    method=method, path=path, headers=_JSON if body else [], body=body
+                )
+                try:
+                    answer = await response.read()
+                    return answer if response.status == HTTP_OK else None
+                finally:
+                    response.close()
+        except (Unreached, ConnectionBroken, aiohttp.ClientError, OSError, TimeoutError) as error:
+            _LOGGER.debug("Call %s to the cache failed: %s", path, error)
+            return None
--- /dev/null
+++ b/gypsumrouter/prefixes/hand_on.py
@@ -0,0 +1,107 @@
+"""Prefixes handed on to the chats' next places before a planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.core import Application
+from gypsumrouter.fleet import Instance
+from gypsumrouter.placement import MemberTable, hash_chat
+from gypsumrouter.prefixes.const import (
+    HAND_ON_AT_ONCE,
+    HAND_ON_CHATS,
+    HAND_ON_MS,
+    HTTP_OK,
+    PATH_IMPORT,
+)
+from gypsumrouter.prefixes.engine import CacheClient
+from gypsumrouter.prefixes.peers import Links, async_ask
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class HandOn:
+    """Give the engines that come next what this one holds, once this process stops.
+
+    `list_chats` returns up to a number of idle chats, those served last first. What runs while the
+    stop begins is handed on when it has ended.
+    """
+
+    __slots__ = (
+        "_app",
+        "_client",
+        "_handed_on",
+        "_links",
+        "_list_chats",
+        "_list_members",
+        "_seen",
+        "count",
+    )
+
+    def __init__(
+        self,
+        *,
+        app: Application,
+        list_members: Callable[[], tuple[Instance, ...]],
+        links: Links,
+        client: CacheClient,
+        list_chats: Callable[[int], list[str]],
+    ) -> None:
+        self._app = app
+        self._list_members = list_members
+        self._links = links
+        self._client = client
+        self._list_chats = list_chats
+        self._seen: set[str] = set()
+        self.count = 0
+        self._handed_on = app.metrics.counter(
+            "gypsumrouter_prefix_handed_on_total", "Prefixes handed on before a planned stop"
+        )
+
+    def start(self) -> None:
+        """Take part in a planned stop from now on."""
+        self._app.on_drain(self._async_drain)
+        self._app.async_create_task(self._async_begin(), "prefix hand-on")
+
+    async def _async_begin(self) -> None:
+        await self._app.stopping.wait()
+        await self._async_hand_on()
+
+    async def _async_drain(self) -> None:
+        """Hand on what ran until now; the runs have ended when this hook is called."""
+        try:
+            async with asyncio.timeout(HAND_ON_MS / MS_PER_S):
+                await self._async_hand_on()
+        except TimeoutError:
+            _LOGGER.info("The time to hand prefixes on is over after %d", self.count)
+
+    async def _async_hand_on(self) -> None:
+        others = tuple(item for item in self._list_members() if item.name != self._app.name)
+        if not others:
+            return
+        table = MemberTable(members=others)
+        gate = asyncio.Semaphore(HAND_ON_AT_ONCE)
+        chats = self._list_chats(HAND_ON_CHATS)
+        await asyncio.gather(*(self._async_hand_on_one(gate, table, chat) for chat in chats))
+
+    async def _async_hand_on_one(
+        self, gate: asyncio.Semaphore, table: MemberTable, chat: str
+    ) -> None:
+        async with gate:
+            if chat in self._seen:
+                return
+            self._seen.add(chat)
+            exported = await self._client.async_export(chat)
+            if exported is None:
+                return
+            workspace, _, name = chat.partition("/")
+            place = table.rank(key=hash_chat(workspace=workspace, chat=name), limit=1)[0]
+            reply = await async_ask(
+                links=self._links, instance=place, path=PATH_IMPORT, chat=chat, body=exported
+            )
+        if reply is not None and reply.status == HTTP_OK:
+            self.count += 1
+            self._handed_on.inc()
--- /dev/null
+++ b/gypsumrouter/prefixes/held.py
@@ -0,0 +1,49 @@
+"""What the engine beside this side holds, as far as the side can know."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from gypsumrouter.prefixes.const import HELD_CHATS
+
+
+class HeldPrefixes:
+    """Bytes of the prompts that were last served here, by the engine's name of the chat."""
+
+    __slots__ = ("_bytes",)
+
+    def __init__(self) -> None:
+        self._bytes: OrderedDict[str, int] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._bytes)
+
+    def get(self, chat: str) -> int:
+        """Return how much of a chat is held."""
+        return self._bytes.get(chat, 0)
+
+    def note(self, chat: str, prompt_bytes: int) -> None:
+        """Note that a prompt was served."""
+        self._bytes[chat] = prompt_bytes
+        self._bytes.move_to_end(chat)
+        if len(self._bytes) > HELD_CHATS:
+            self._bytes.popitem(last=False)
+
+    def note_evicted(self, chat: str, evicted_bytes: int) -> None:
+        """Note that the engine needed the memory for something else."""
+        held = self._bytes.get(chat)
+        if held is None:
+            return
+        if held <= evicted_bytes:
+            del self._bytes[chat]
+        else:
+            self._bytes[chat] = held - evicted_bytes
+
+    def clear(self) -> None:
+        """Forget everything, as an engine does that starts again."""
+        self._bytes.clear()
+
+    def list_newest(self, limit: int) -> list[str]:
+        """Return the chats that were served last, newest first."""
+        newest = reversed(self._bytes)
+        return [chat for chat, _ in zip(newest, range(limit), strict=False)]
--- /dev/null
+++ b/gypsumrouter/prefixes/peers.py
@@ -0,0 +1,85 @@
+"""Requests for prefixes between sides, over the links that carry requests."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import Protocol
+
+from gypsumrouter.const import UpstreamKind
+from gypsumrouter.fleet import Instance
+from gypsumrouter.link import Exchange
+from gypsumrouter.link.models import Data, End, Head, Notice, Open
+from gypsumrouter.outcomes import Failed, Refused
+from gypsumrouter.prefixes.const import CALL_MS, HEADER_LOCATION, HTTP_NOT_FOUND
+
+
+class Links(Protocol):
+    """The links to other processes."""
+
+    async def async_open(self, *, instance: Instance, request: Open) -> Exchange | Refused:
+        """Send a request; `Refused` means that it was never sent."""
+
+    async def async_send(self, *, instance: Instance, notice: Notice) -> bool:
+        """Send a notice; return False if the instance cannot be reached."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Reply:
+    """What another side answers; `place` is the name of a third one that knows better."""
+
+    status: int
+    body: bytes = b""
+    place: str = ""
+
+
+async def async_ask(
+    *, links: Links, instance: Instance, path: str, chat: str, body: bytes = b""
+) -> Reply | None:
+    """Return what the side of `instance` answers, None without a whole answer."""
+    request = _make_request(instance, path, chat, body)
+    exchange = await links.async_open(instance=instance, request=request)
+    if isinstance(exchange, Refused):
+        return None
+    try:
+        return await _async_read(exchange)
+    except asyncio.CancelledError:
+        exchange.cancel()
+        raise
+
+
+async def _async_read(exchange: Exchange) -> Reply | None:
+    parts: list[bytes] = []
+    begun = Head(status=HTTP_NOT_FOUND, headers=())
+    while True:
+        match await exchange.async_next():
+            case Head() as head:
+                begun = head
+            case Data(offset=offset, body=body):
+                parts.append(body)
+                exchange.confirm(offset + len(body))
+            case End():
+                place = dict(begun.headers).get(HEADER_LOCATION, "")
+                return Reply(status=begun.status, body=b"".join(parts), place=place)
+            case Refused() | Failed():
+                return None
+
+
+def _make_request(instance: Instance, path: str, chat: str, body: bytes) -> Open:
+    return Open(
+        sequence=0,
+        request_id=f"prefix-{chat}",
+        kind=UpstreamKind.ENGINE,
+        pool=instance.pool,
+        workspace="",
+        caller_class="",
+        method="POST",
+        path=path,
+        headers=(),
+        body=body,
+        stream=False,
+        deadline_ms=CALL_MS,
+        waited_ms=0,
+        digest=0,
+        chat=chat,
+    )
--- a/gypsumrouter/service.py
+++ b/gypsumrouter/service.py
@@ -13,8 +13,10 @@
 import click
 
 from gypsumrouter.bootstrap import Product, async_setup
+from gypsumrouter.configuration.models import Configuration
 from gypsumrouter.const import EXIT_FAILED, EXIT_OK
 from gypsumrouter.exceptions import ErrorCode, GypsumError
+from gypsumrouter.helpers.heap import settle_heap
 from gypsumrouter.placement import PlacementKind
 from gypsumrouter.settings import Settings
 
@@ -48,6 +50,7 @@
         except OSError as error:
             self._fail(ErrorCode.NOT_READY, str(error))
             return
+        settle_process(self._product)
         self._report_addresses(self._product)
 
     async def async_wait(self) -> int:
@@ -124,3 +127,19 @@
     for wait in waits:
         wait.cancel()
     await asyncio.gather(*waits, return_exceptions=True)
+
+
+def settle_process(product: Product) -> None:
+    """Settle the heap of a process now and once more with its first configuration.
+
+    No work is taken before that. Later versions share with the first what did not change.
+    """
+    settle_heap()
+    if product.store.ready.is_set():
+        return
+
+    def settle(_configuration: Configuration) -> None:
+        remove()
+        settle_heap()
+
+    remove = product.store.on_change(settle)
--- a/gypsumrouter/standins/weight_store.py
+++ b/gypsumrouter/standins/weight_store.py
@@ -63,6 +63,10 @@
         """Release everything."""
         await self._listener.async_stop()
 
+    def set_rate(self, fetches_per_s: float) -> None:
+        """Change how many fetches a second are answered."""
+        self._bucket.rate_per_s = fetches_per_s
+
     async def async_set_outage(self, kind: OutageKind) -> None:
         """Begin, change or end an outage."""
         await self._outage.async_set(kind)
--- a/gypsumrouter/suspect_news.py
+++ b/gypsumrouter/suspect_news.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 
 from gypsumrouter.configuration.neighbours import list_routes
 from gypsumrouter.core import Application
@@ -12,17 +12,18 @@
 from gypsumrouter.link.models import SuspectNews
 from gypsumrouter.suspicion import Suspicion
 
-ListNames = Callable[[], Iterable[str]]
+ListNames = Callable[[], Collection[str]]
+SendTo = Callable[[Collection[str], SuspectNews], None]
 
 
 class SuspectNewsSpread:
     """Hand news that was not known before to a few neighbours, who do the same.
 
-    `list_concerned` names the routers whose requests run here: they decide next and are told
-    directly.
+    `list_concerned` names the routers whose requests run here. They decide next, and are told by
+    `send_to`: before the failure of those requests, which goes over the same links.
     """
 
-    __slots__ = ("_app", "_fleet", "_links", "_list_concerned")
+    __slots__ = ("_app", "_fleet", "_links", "_list_concerned", "_send_to")
 
     def __init__(
         self,
@@ -32,16 +33,20 @@
         links: LinkPool,
         suspicion: Suspicion,
         list_concerned: ListNames,
+        send_to: SendTo,
     ) -> None:
         self._app = app
         self._fleet = fleet
         self._links = links
         self._list_concerned = list_concerned
+        self._send_to = send_to
         suspicion.on_news(self._spread)
 
     def _spread(self, news: SuspectNews) -> None:
         # Read now: the runs that died are still known.
-        concerned = [self._fleet.get(name) for name in set(self._list_concerned())]
+        names = set(self._list_concerned())
+        self._send_to(names, news)
+        concerned = [self._fleet.get(name) for name in names]
         direct = [(instance,) for instance in concerned if instance is not None]
         self._app.async_create_task(self._async_spread(news, direct), "suspect news")
 
--- a/gypsumrouter/upstream/client.py
+++ b/gypsumrouter/upstream/client.py
@@ -151,6 +151,9 @@
         refused = check_request(request)
         if refused is not None:
             return refused
+        if self._health.dead:
+            # What is handed to a dead upstream would count as the cause of another death.
+            return make_unreachable()
         watch, remove = self._watchdog.watch(answer.cancelled)
         run = Run(
             request=request,
--- a/gypsumrouter/upstream/headers.py
+++ b/gypsumrouter/upstream/headers.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from typing import Final
 
-from gypsumrouter.const import HEADER_REQUEST_ID
+from gypsumrouter.const import HEADER_CHAT, HEADER_REQUEST_ID
 from gypsumrouter.link.models import Headers, Open
 from gypsumrouter.outcomes import Reason, Refused
 from gypsumrouter.upstream.const import HEADER_PRIORITY
@@ -25,7 +25,14 @@
     }
 )
 _OWN_IN_REQUESTS: Final = frozenset(
-    {"host", "content-length", "expect", HEADER_REQUEST_ID.lower(), HEADER_PRIORITY.lower()}
+    {
+        "host",
+        "content-length",
+        "expect",
+        HEADER_REQUEST_ID.lower(),
+        HEADER_PRIORITY.lower(),
+        HEADER_CHAT.lower(),
+    }
 )
 _OWN_IN_ANSWERS: Final = frozenset({HEADER_REQUEST_ID.lower()})
 _CONNECTION: Final = "connection"
--- a/gypsumrouter/upstream/health.py
+++ b/gypsumrouter/upstream/health.py
@@ -26,7 +26,7 @@
     """Poll one upstream; keep its models, its load report and whether it is up.
 
     `generation` grows with each death of the upstream, so that runs which break together count
-    as one death.
+    as one death. It is `dead` from a death until it answers a poll again.
     """
 
     __slots__ = (
@@ -37,6 +37,7 @@
         "_settings",
         "_transport",
         "_up_listeners",
+        "dead",
         "generation",
         "load_path",
         "models",
@@ -54,6 +55,7 @@
         self._up_listeners: list[Callable[[bool], None]] = []
         is_engine = settings.kind is UpstreamKind.ENGINE
         self.load_path = PATH_ENGINE_LOAD if is_engine else PATH_SERVICE_LOAD
+        self.dead = False
         self.generation = 0
         self.models: tuple[str, ...] = ()
         self.report: LoadReport | None = None
@@ -102,6 +104,7 @@
         if generation != self.generation:
             return
         self.generation += 1
+        self.dead = True
         _LOGGER.warning("The upstream died while it ran requests")
         self._failures = FAILED_POLLS_DOWN
         self._set_up(False)
@@ -124,6 +127,7 @@
         if generation != self.generation:
             return
         self.report = report
+        self.dead = False
         self._failures = 0
         self._set_up(True)
         self._set_models(models)
--- a/tests/daemon/test_daemon.py
+++ b/tests/daemon/test_daemon.py
@@ -77,6 +77,31 @@
     assert f"Cut 1 requests: {request_id}" in log
 
 
+@pytest.mark.parametrize("drain_ms", [100])
+async def test_a_stop_that_takes_longer_than_its_limit_says_what_was_cut(
+    daemons: DaemonFleet,
+) -> None:
+    address = daemons.router.addresses[ADDRESS_CALLERS]
+    async with open_stream(address, key=daemons.key, tokens=MANY_TOKENS) as response:
+        await response.content.readuntil(b"\n\n")
+        request_id = response.headers[HEADER_REQUEST_ID]
+        daemons.router.send_signal(signal.SIGTERM)
+        assert await daemons.router.process.wait() == EXIT_FAILED
+    assert f"Cut 1 requests: {request_id}" in daemons.read_log(ROUTER)
+
+
+async def test_an_address_that_is_taken_ends_the_process_with_1(daemons: DaemonFleet) -> None:
+    taken = daemons.router.addresses[ADDRESS_CALLERS]
+    file = daemons.folder / "second.json"
+    settings = json.loads((daemons.folder / f"{ROUTER}.json").read_text())
+    settings["callers"] = {"port": taken.port}
+    file.write_text(json.dumps(settings))
+    code, errors = await async_run_daemon("router", str(file))
+    assert code == EXIT_FAILED
+    assert "Stopped with not_ready" in errors
+    assert "Traceback" not in errors
+
+
 @pytest.mark.parametrize("role", ["router", "side"])
 async def test_wrong_settings_are_all_named_and_end_the_process_with_2(
     role: str, tmp_path: Path
--- a/tests/gateway/test_gateway_answers.py
+++ b/tests/gateway/test_gateway_answers.py
@@ -214,6 +214,53 @@
     del reader
 
 
+async def test_parts_reach_the_caller_as_whole_events_and_an_error_event_after_them(
+    router: Router,
+) -> None:
+    router.links.script(ENGINES[0], with_=[HEAD_EVENTS, Data(offset=0, body=chunk("a"))])
+    answer = await router.http.post(
+        f"{router.url}/v1/chat/completions", json={**CHAT, "stream": True}, headers=AUTHORIZED
+    )
+    exchange = router.links.exchanges[0]
+    await router.async_wait_until(lambda: exchange.awaited and exchange.confirmed > 0)
+    words = [chunk(text) for text in "bcdefg"]
+    exchange.play([Data(offset=0, body=word) for word in words])
+    assert exchange.handed == len(words)
+    # Half an event is held back, what follows it goes the same way, in order.
+    half = len(words[0]) // 2
+    exchange.play([Data(offset=0, body=words[0][:half]), Data(offset=0, body=words[0][half:])])
+    exchange.play([Data(offset=0, body=words[1][:half]), Failed(reason=Reason.LINK_LOST)])
+    body = await answer.read()
+    whole_events = b"".join([chunk("a"), *words, words[0]])
+    assert body.startswith(whole_events)
+    assert body[len(whole_events) :].startswith((b"data: {", b"event: error"))
+    assert exchange.handed == len(words)
+
+
+async def test_caller_that_stalls_later_takes_no_more_parts_than_its_connection_holds(
+    router: Router,
+) -> None:
+    router.links.script(ENGINES[0], with_=[HEAD_EVENTS, Data(offset=0, body=chunk("a"))])
+    reader, writer = await asyncio.open_connection(
+        router.address.host, router.address.port, limit=1
+    )
+    body = json.dumps({**CHAT, "stream": True}).encode()
+    head = f"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {KEY}\r\n"
+    writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+    await router.links.was_opened.wait()
+    exchange = router.links.exchanges[0]
+    await router.async_wait_until(lambda: exchange.awaited and exchange.confirmed > 0)
+    event = b"data: " + b"x" * 1_000 + b"\n\n"
+    first = exchange.confirmed
+    exchange.play(Data(offset=first + at * len(event), body=event) for at in range(20_000))
+    # What the sockets and the connection's buffer hold, and not the 20 MB that are there.
+    assert 0 < exchange.handed < 5_000
+    await router.async_wait_until(exchange.cancelled.is_set, step_ms=100)
+    assert exchange.confirmed < 5_000 * len(event)
+    writer.close()
+    del reader
+
+
 async def test_planned_stop_ends_no_answer_and_turns_new_requests_away(router: Router) -> None:
     router.links.script(ENGINES[0], with_=[HEAD_EVENTS, Data(offset=0, body=chunk("a"))])
     answer = await router.http.post(
--- /dev/null
+++ b/tests/integration/integration_fleet.py
@@ -0,0 +1,250 @@
+"""A small fleet of real processes behind fault proxies, and callers that check each answer."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import aiohttp
+
+from bench.accounts import Account
+from bench.faults_rig import Group, SplitPlatform, SplitRig
+from bench.load import CallerContext, ChatCaller, ChatShape, NoAnswer, make_uuid7, parse_error
+from bench.processes import DaemonProcess
+from bench.rig import ADDRESS_CALLERS
+from bench.tally import Tally
+from gypsumrouter.const import HEADER_DEADLINE, HEADER_IDEMPOTENCY_KEY, PATH_SERVICES
+from gypsumrouter.fleet import Address
+from gypsumrouter.helpers.connector import ShieldedConnector
+from gypsumrouter.idempotency import find_home
+from gypsumrouter.outcomes import Executed
+from gypsumrouter.standins import Deployment, EngineSettings, make_configuration
+from gypsumrouter.util.clock import SystemClock
+
+CRASH_MARKER = "crash-the-engine"
+# Short times make the tests fast; none of them is what a test asserts.
+EXTRA = {
+    "platform": {"list_lease_ms": 800, "clock_skew_ms": 20, "list_poll_ms": 50},
+    "link": {"heartbeat_ms": 200, "silence_ms": 800, "connect_ms": 500, "resume_ms": 3_000},
+    "upstream": {"silence_ms": 800},
+}
+BOUND_S = 30.0
+POLL_S = 0.02
+DEADLINE_MS = 15_000
+
+Answer = dict[str, Any] | NoAnswer
+
+
+class IntegrationFleet:
+    """One router in each group, sides in both, stand-ins in the test's process."""
+
+    def __init__(self, *, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.clock = SystemClock()
+        self.platform = SplitPlatform(
+            clock=self.clock,
+            deployments=(deployment,),
+            engine_settings=EngineSettings(crash_marker=CRASH_MARKER),
+        )
+        self.rig = SplitRig(platform=self.platform, extra=EXTRA)
+        self.random = random.Random(2026)
+        self.session: aiohttp.ClientSession
+
+    async def async_start(self) -> None:
+        self.session = aiohttp.ClientSession(connector=ShieldedConnector(limit=0))
+        await self.platform.async_start()
+        await self.rig.async_start(routers=2)
+        await self.async_wait_for_homes()
+
+    async def async_stop(self) -> None:
+        await self.session.close()
+        await self.rig.async_stop()
+
+    def get_router(self, group: Group) -> Address:
+        """Return where the router of a group takes callers."""
+        return self._find_router(group).addresses[ADDRESS_CALLERS]
+
+    def _find_router(self, group: Group) -> DaemonProcess:
+        for name, process in self.rig.routers.items():
+            index = get_router_index(name)
+            if self.platform.get_group(self.deployment.get_data_centre(index)) is group:
+                return process
+        raise LookupError(group)
+
+    def list_homes(self, group: Group | None = None) -> list[str]:
+        """Return the sides of the service, of both groups or of one."""
+        return [
+            name
+            for name in sorted(self.rig.sides)
+            if (plan := self.platform.get_plan(name)).pool == self.deployment.service_pool
+            and group in (None, self.platform.get_group(plan.data_centre))
+        ]
+
+    def list_engines(self) -> list[str]:
+        """Return the sides of the engines."""
+        pool = self.deployment.engine_pool
+        return [
+            name for name in sorted(self.rig.sides) if self.platform.get_plan(name).pool == pool
+        ]
+
+    def find_busy(self) -> str:
+        """Return the side of the only engine that runs anything."""
+        busy = [name for name, engine in self.platform.engines.items() if engine.load]
+        assert len(busy) == 1
+        return busy[0]
+
+    async def async_wait_for_homes(self) -> None:
+        """Wait until every home runs new calls."""
+        for name in self.list_homes():
+            await self.async_run_new_call(Group.LEFT, name)
+
+    async def async_replace(self, name: str) -> None:
+        """Kill a side and start another process of its name; return once it is ready."""
+        await self.rig.sides.pop(name).async_kill()
+        await self.rig.async_start_side(name)
+        await self.rig.async_wait_ready()
+
+    # Calls that must not be repeated
+
+    def make_key(self, home: str) -> str:
+        """Return a new key whose home by the left list is the named side."""
+        listed = [self.platform.instances.get(name) for name in self.rig.sides]
+        instances = [instance for instance in listed if instance is not None]
+        while True:
+            key = make_uuid7(wall_ms=self.clock.wall_ms(), randomness=self.random)
+            pool, workspace = self.deployment.service_pool, self.deployment.workspaces[0].name
+            if find_home(pool=pool, workspace=workspace, key=key, instances=instances) == home:
+                return key
+
+    async def async_call(self, group: Group, key: str, *, deadline_ms: int = DEADLINE_MS) -> Answer:
+        """Make one call through the router of a group."""
+        path = self.deployment.at_most_once[0]
+        url = f"http://{self.get_router(group)}{PATH_SERVICES}{self.deployment.service_pool}{path}"
+        headers = {**self.make_account().make_headers(), HEADER_IDEMPOTENCY_KEY: key}
+        headers[HEADER_DEADLINE] = str(deadline_ms)
+        async with self.session.post(url, json={"defect": key}, headers=headers) as response:
+            body = await response.read()
+            if response.status != 200:
+                return parse_error(body, status=response.status)
+            answer: dict[str, Any] = json.loads(body)
+            return answer
+
+    async def async_call_until_whole(self, group: Group, key: str) -> dict[str, Any]:
+        """Repeat a call until it is answered."""
+        return (await self._async_call_until_whole(group, lambda: key))[1]
+
+    async def async_run_new_call(self, group: Group, home: str) -> tuple[str, dict[str, Any]]:
+        """Make calls, each with a new key, until the home runs one; returns its key and answer.
+
+        A home that is new refuses for good what may be older than itself.
+        """
+        return await self._async_call_until_whole(group, lambda: self.make_key(home))
+
+    async def _async_call_until_whole(
+        self, group: Group, choose_key: Callable[[], str]
+    ) -> tuple[str, dict[str, Any]]:
+        answers: list[tuple[str, dict[str, Any]]] = []
+
+        async def async_is_whole() -> bool:
+            key = choose_key()
+            answer = await self.async_call(group, key)
+            if isinstance(answer, NoAnswer):
+                return False
+            answers.append((key, answer))
+            return True
+
+        await async_until(async_is_whole)
+        return answers[0]
+
+    def count_runs(self, key: str) -> int:
+        """Return how often a call has run, at all upstreams together."""
+        return sum(service.executions_by_key[key] for service in self.platform.services.values())
+
+    # Chats
+
+    def make_account(self, workspace: int = 0) -> Account:
+        plan = self.deployment.workspaces[workspace]
+        caller_class = self.deployment.interactive[0].name
+        return Account(workspace=plan.name, key=plan.key, caller_class=caller_class)
+
+    async def async_chat(
+        self,
+        *groups: Group,
+        tokens: int = 8,
+        turns: int = 1,
+        workspace: int = 0,
+        prefix: str = "chat",
+        seed: int | None = None,
+        tries: int = 1,
+    ) -> Tally:
+        """Play one chat through the routers of some groups; its tally says how it went.
+
+        The same seed and prefix make the same requests.
+        """
+        number = self.random.getrandbits(32) if seed is None else seed
+        tally = Tally()
+        context = CallerContext(
+            session=self.session,
+            routers=[self.get_router(group) for group in groups],
+            tally=tally,
+            clock=self.clock,
+            tries=tries,
+        )
+        shape = ChatShape(
+            turns=turns, first_bytes=200, min_tokens=tokens, max_tokens=tokens, think_ms=10
+        )
+        await ChatCaller(
+            context=context,
+            account=self.make_account(workspace),
+            seed=number,
+            chat=f"{prefix}-{number:x}",
+            model=self.deployment.model,
+            shape=shape,
+        ).async_run()
+        return tally
+
+    async def async_start_long_chat(self, group: Group, *, tokens: int) -> asyncio.Task[Tally]:
+        """Begin a chat while nothing else runs, and return once its engine works on it."""
+        task = asyncio.ensure_future(self.async_chat(group, tokens=tokens))
+        await async_until(lambda: any(item.load for item in self.platform.engines.values()))
+        return task
+
+    def publish(self, version: int) -> None:
+        """Publish the same configuration under another version."""
+        self.platform.publish(make_configuration(self.deployment, version=version))
+
+    async def async_read_versions(self) -> set[int]:
+        """Return the versions of the configuration that are in force at all processes."""
+        processes = (*self.rig.sides.values(), *self.rig.routers.values())
+        dumps = [await self.rig.async_dump(process) for process in processes]
+        return {dump["configuration"]["in_force"]["version"] for dump in dumps}
+
+
+def get_router_index(name: str) -> int:
+    """Return the number that a router was started with."""
+    return int(name.rpartition("-")[2]) - 1
+
+
+def assert_whole(*tallies: Tally) -> None:
+    """Check that every request was answered with its own, whole and right answer."""
+    for tally in tallies:
+        assert tally.requests > 0
+        assert tally.whole == tally.requests, tally
+
+
+def assert_unknown(answer: Answer) -> None:
+    assert isinstance(answer, NoAnswer), answer
+    assert answer.executed is Executed.UNKNOWN, answer
+
+
+async def async_until(condition: Callable[[], bool | Awaitable[bool]]) -> None:
+    """Wait for a condition; raises TimeoutError after a generous time."""
+    async with asyncio.timeout(BOUND_S):
+        while True:
+            result = condition()
+            if result if isinstance(result, bool) else await result:
+                return
+            await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/tests/orders/test_orders_machine.py
@@ -0,0 +1,243 @@
+"""Sides that plan and change on views that lag: minimums hold, and all come to one plan."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import replace
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+from orders_world import CHAT, POOL, REPORTS, make_orders
+
+from gypsumrouter.configuration.models import OrderedModel, Pool, PoolOrders
+from gypsumrouter.const import UpstreamKind
+from gypsumrouter.orders.changes import choose_change, get_version
+from gypsumrouter.orders.demand import Demand
+from gypsumrouter.orders.gates import find_obstacle
+from gypsumrouter.orders.models import Change, EngineState, OrderKind
+from gypsumrouter.orders.own import OwnEngine
+from gypsumrouter.orders.planner import Planner
+from gypsumrouter.orders.retries import Retries
+from gypsumrouter.orders.table import HoldingTable
+from gypsumrouter.util.clock import ManualClock
+
+SIDES = tuple(f"side-{number}" for number in range(4))
+MINIMUM = {CHAT: 2, REPORTS: 1}
+SHARE = 0.5
+ROUNDS = 80
+SHIFT_MS = 400
+STEPS = ("announce", "confirm", "end")
+
+
+class SimulatedSide:
+    """One side without its I/O: what it knows, and the change of its engine."""
+
+    def __init__(self, name: str, clock: ManualClock, orders: PoolOrders, held: str) -> None:
+        self.name = name
+        self.orders = orders
+        self.demand = Demand(clock=clock)
+        self.demand.window_ms = SHIFT_MS // 4
+        self.retries = Retries(clock=clock, seed=1)
+        self.own = OwnEngine(name=name, clock=clock, demand=self.demand, retries=self.retries)
+        self.own.state = EngineState(models={held: "1"})
+        self.table = HoldingTable(clock=clock)
+        self.planner = Planner(name=name, table=self.table)
+
+    @property
+    def models(self) -> dict[str, str]:
+        assert self.own.state is not None
+        return dict(self.own.state.models)
+
+    def is_replacing(self, name: str) -> bool:
+        change = self.own.change
+        replaces = change is not None and change.replaces and change.name == name
+        return replaces and self.own.confirmed
+
+    def observe(self) -> Change | None:
+        """Return the change that is due by what this side knows now."""
+        self.own.restamp(due_ms=1_000)
+        self.table.note(self.own.holding)
+        pool = Pool(name=POOL, kind=UpstreamKind.ENGINE, slots=4, orders=self.orders)
+        self.planner.update(pool, self.orders)
+        if self.planner.wished is None or self.own.state is None:
+            return None
+        wished = frozenset(m.name for m in self.orders.models if m.name in self.planner.wished)
+        return choose_change(self.orders, wished, self.own.state)
+
+    def may(self, change: Change) -> bool:
+        holdings = self.table.list_answering()
+        return not find_obstacle(
+            own=self.name, change=change, orders=self.orders, holdings=holdings
+        )
+
+    def begin(self) -> None:
+        change = self.observe()
+        if self.own.change is None and change is not None and self.may(change):
+            self.own.begin(change)
+            self.observe()
+
+    def end(self, *, loaded: bool) -> None:
+        """Bring the change to its end; what was to be dropped is dropped in any case."""
+        change = self.own.change
+        if change is None or not self.own.confirmed:
+            return
+        models = {name: held for name, held in self.models.items() if name not in change.drops}
+        if change.kind is OrderKind.LOAD and loaded:
+            models[change.name] = change.version
+            self.retries.note_done(change.name)
+        elif change.kind is OrderKind.LOAD:
+            self.retries.note_failed(change.name, change.version, source="")
+        self.own.state = EngineState(models=models)
+        self.own.end()
+        self.observe()
+
+
+class OrdersMachine(RuleBasedStateMachine):
+    """The only assumption: an announcement has reached those that can be reached when it ends."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = ManualClock(now_ms=1_000)
+        self.sides: dict[str, SimulatedSide] = {}
+        self.protected: set[str] = set()
+        self.orders = make_orders(
+            models=tuple(OrderedModel(name=n, min_engines=least) for n, least in MINIMUM.items()),
+            change_share=SHARE,
+        )
+
+    @initialize(held=st.lists(st.sampled_from((CHAT, REPORTS)), min_size=2, max_size=2))
+    def start(self, held: list[str]) -> None:
+        for name, model in zip(SIDES, (CHAT, CHAT, *held), strict=True):
+            self.sides[name] = SimulatedSide(name, self.clock, self.orders, model)
+        self._list_sides()
+        self._tell_all()
+
+    @rule(teller=st.sampled_from(SIDES), hearers=st.sets(st.sampled_from(SIDES), min_size=1))
+    def tell(self, teller: str, hearers: set[str]) -> None:
+        side = self.sides.get(teller)
+        if side is None:
+            return
+        side.observe()
+        for hearer in hearers & self.sides.keys():
+            self.sides[hearer].table.note(side.own.holding)
+
+    @rule(name=st.sampled_from(SIDES), loaded=st.sampled_from((True, True, False)))
+    def go_on(self, name: str, loaded: bool) -> None:
+        """Let one side take its next step: announce a change, confirm it, or end it."""
+        self.clock.advance(1)
+        side = self.sides.get(name)
+        if side is None:
+            return
+        if side.own.change is None:
+            side.begin()
+        elif side.own.confirmed:
+            side.end(loaded=loaded)
+        else:
+            self._confirm(side)
+
+    def _confirm(self, side: SimulatedSide) -> None:
+        for other in self.sides.values():
+            other.table.note(side.own.holding)
+            side.table.note(other.own.holding)
+        change = side.own.change
+        if change is not None and side.may(change):
+            side.own.confirmed = True
+        else:
+            side.own.end()
+
+    @rule(
+        name=st.sampled_from((CHAT, REPORTS)),
+        version=st.sampled_from("12"),
+        hearers=st.sets(st.sampled_from(SIDES)),
+    )
+    def publish(self, name: str, version: str, hearers: set[str]) -> None:
+        models = tuple(
+            replace(model, version=version) if model.name == name else model
+            for model in self.orders.models
+        )
+        self.orders = replace(self.orders, models=models)
+        for hearer in hearers & self.sides.keys():
+            self.sides[hearer].orders = self.orders
+
+    @rule(name=st.sampled_from(SIDES), requests=st.sampled_from((-8, 8)))
+    def shift_demand(self, name: str, requests: int) -> None:
+        """Let the requests for what an engine holds grow or fall."""
+        side = self.sides.get(name)
+        for model in () if side is None else side.models:
+            if side is not None and side.demand.get_running(model) + requests >= 0:
+                side.demand.add(model, requests)
+                self.clock.advance(SHIFT_MS)
+
+    @precondition(lambda self: len(self.sides) > 3)
+    @rule(name=st.sampled_from(SIDES))
+    def lose(self, name: str) -> None:
+        self.sides.pop(name, None)
+        self._list_sides()
+        self.protected = set()
+
+    @invariant()
+    def minimums_hold_once_they_were_reached(self) -> None:
+        for name, least in MINIMUM.items():
+            serving = sum(
+                name in side.models and name not in side.own.turned_away
+                for side in self.sides.values()
+            )
+            if name in self.protected:
+                assert serving >= least
+            if serving >= least:
+                self.protected.add(name)
+
+    @invariant()
+    def only_a_share_of_a_model_changes_its_version_at_once(self) -> None:
+        for name in MINIMUM:
+            holders = [side for side in self.sides.values() if name in side.models]
+            changing = [side for side in holders if side.is_replacing(name)]
+            assert len(changing) <= max(1, int(len(holders) * SHARE))
+
+    def teardown(self) -> None:
+        """Let everything be told and carried out: all agree, and nothing is left to do."""
+        for _ in range(ROUNDS):
+            if not self._play_round():
+                break
+        else:
+            raise AssertionError("the sides do not come to rest")
+        for side in self.sides.values():
+            assert side.planner.counts == next(iter(self.sides.values())).planner.counts
+        for name, least in MINIMUM.items():
+            held = [side.models[name] for side in self.sides.values() if name in side.models]
+            assert len(held) >= least
+            if len(held) > least:
+                assert set(held) == {get_version(self.orders, name)}
+
+    def _play_round(self) -> bool:
+        """Give each side its turn with all news; return whether any of them did something."""
+        before = [side.models for side in self.sides.values()]
+        for name, side in self.sides.items():
+            side.orders = self.orders
+            for _ in STEPS:
+                self._tell_all()
+                self.go_on(name, loaded=True)
+        changing = any(side.own.change for side in self.sides.values())
+        return changing or before != [side.models for side in self.sides.values()]
+
+    def _list_sides(self) -> None:
+        for side in self.sides.values():
+            side.table.set_listed(tuple(sorted(self.sides)))
+
+    def _tell_all(self) -> None:
+        for side in self.sides.values():
+            side.observe()
+        for teller, hearer in self._list_pairs():
+            hearer.table.note(teller.own.holding)
+
+    def _list_pairs(self) -> Iterator[tuple[SimulatedSide, SimulatedSide]]:
+        for teller in self.sides.values():
+            for hearer in self.sides.values():
+                yield teller, hearer
+
+
+TestOrders = OrdersMachine.TestCase
+TestOrders.settings = settings(
+    derandomize=True, deadline=None, max_examples=200, stateful_step_count=50
+)
--- a/tests/upstream/test_upstream_engine.py
+++ b/tests/upstream/test_upstream_engine.py
@@ -182,6 +182,25 @@
     assert deaths == [False]
 
 
+async def test_request_that_comes_after_a_crash_is_not_run_and_counts_as_no_second_one(
+    engine_caller: Caller, engine: Engine
+) -> None:
+    deaths: list[bool] = []
+    engine_caller.client.on_died(lambda: deaths.append(True))
+    run = asyncio.ensure_future(engine_caller.async_run(make_chat(tokens=500)))
+    await engine_caller.answer.async_wait_body()
+    # The proxy before the engine still takes connections, and resets them.
+    engine.crash()
+    await run
+    late = Caller(client=engine_caller.client)
+
+    outcome = await late.async_run(make_chat(request_id="chat-2"))
+
+    assert isinstance(outcome, Refused)
+    assert outcome.elsewhere
+    assert len(deaths) == 1
+
+
 async def test_engine_that_forgot_the_answer_ends_as_unknown(
     engine_caller: Caller, engine: Engine, engine_proxy: FaultProxy
 ) -> None:
