Link: load on answers, rarer heartbeats and statuses, cancels that survive a lost link

Cause: docs/CAPACITY.md measures 13.8 KB/s of control at a router against 6.1: statuses 6.1 to 6.8 KB/s, each 8 s old, and heartbeats of the dialer 5.2 KB/s; the timer looks at 930 links five times a second. Change: HEAD, END and refusals carry the side's load in two bytes of the header that were zero; statuses go out with the square of the links where there are many; a dialer beats each 3.2 s in place of 0.8 s, and asks for an echo while a request waits for its first word, so that a way that is dead in one direction is still found; links without exchanges are looked at each 1.6 s. Also: a CANCEL sent into a link that was already lost never arrived, and the work went on for resume_ms; a test had shown it only as 60 s of waiting.

--- a/gypsumrouter/link/connection.py
+++ b/gypsumrouter/link/connection.py
@@ -11,10 +11,12 @@
     FLAG_NONE,
     FLUSH_BYTES,
     HIGH_WATER_BYTES,
+    LOAD_KINDS,
     LOW_WATER_BYTES,
     MAX_FRAME_BYTES,
     MAX_HANDSHAKE_FRAME_BYTES,
     MAX_HANDSHAKE_FRAMES,
+    MAX_LOAD_MARK,
     Kind,
 )
 from gypsumrouter.link.counts import ByteCounts
@@ -33,6 +35,19 @@
 _DATA_OVERHEAD = HEADER_BYTES + OFFSET_BYTES
 
 
+class LoadMark:
+    """The load that a server's answers carry: one more than it is, 0 while it is not known."""
+
+    __slots__ = ("value",)
+
+    def __init__(self) -> None:
+        self.value = 0
+
+    def set(self, load: int) -> None:
+        """Set the load of the upstream, in requests."""
+        self.value = min(load + 1, MAX_LOAD_MARK)
+
+
 class Source(Protocol):
     """Something that has frames for a connection and makes them when there is room."""
 
@@ -53,6 +68,7 @@
         "_error",
         "_flush_scheduled",
         "_frames",
+        "_load_mark",
         "_loop",
         "_out",
         "_out_bytes",
@@ -64,13 +80,16 @@
         "_writable",
         "busy_since_ms",
         "clock",
+        "echo_asked_ms",
         "last_heard_ms",
         "last_sent_ms",
         "last_used_ms",
         "opened_ms",
     )
 
-    def __init__(self, *, clock: Clock, counts: ByteCounts) -> None:
+    def __init__(
+        self, *, clock: Clock, counts: ByteCounts, load_mark: LoadMark | None = None
+    ) -> None:
         now_ms = clock.now_ms()
         self.clock = clock
         self.opened_ms = now_ms
@@ -78,7 +97,9 @@
         self.last_sent_ms = now_ms
         self.last_used_ms = now_ms
         self.busy_since_ms: int | None = None
+        self.echo_asked_ms: int | None = None
         self._counts = counts
+        self._load_mark = load_mark
         self._loop = asyncio.get_running_loop()
         self._reader = FrameReader(limit=MAX_HANDSHAKE_FRAME_BYTES)
         self._frames: deque[Frame] = deque()
@@ -195,7 +216,10 @@
         """Add a frame to what is written at the end of this turn of the loop."""
         if self._closed:
             return
-        frame = pack_frame(kind, flags, stream, body)
+        load = 0
+        if self._load_mark is not None and kind in LOAD_KINDS:
+            load = self._load_mark.value
+        frame = pack_frame(kind, flags, stream, body, load)
         self._counts.sent[kind] += len(frame)
         self._out.append(frame)
         self._out_bytes += len(frame)
--- a/gypsumrouter/link/const.py
+++ b/gypsumrouter/link/const.py
@@ -20,12 +20,17 @@
 LOW_WATER_BYTES: Final = 128 * 1024
 
 TICKS_PER_HEARTBEAT: Final = 4
+TICKS_PER_IDLE_CHECK: Final = 8
+# The dialer's own sign of life only keeps the server from giving its exchanges up.
+DIALER_PATIENCE: Final = 4
 IDLE_FACTOR: Final = 2
 CONFIRM_SHARE: Final = 4
 PRESS_INTERVAL_MS: Final = 50
 
 STATUS_INTERVAL_MS: Final = 100
 STATUS_BYTES_S: Final = 2_048
+# Where a server has many links its peers have too, and each hears from as many servers.
+STATUS_SQUARE_BYTES_S: Final = 120_000
 STATUS_KEPT_MS: Final = 600_000
 
 BACKOFF_FIRST_MS: Final = 20
@@ -39,6 +44,9 @@
 FLAG_NONE: Final = 0
 FLAG_FINAL: Final = 1
 FLAG_PRESS: Final = 1
+FLAG_ECHO_ASKED: Final = 2
+FLAG_ECHO: Final = 4
+MAX_LOAD_MARK: Final = 0xFFFF
 
 
 class Kind(IntEnum):
@@ -68,5 +76,6 @@
 
 
 PAYLOAD_KINDS: Final = frozenset({Kind.OPEN, Kind.HEAD, Kind.DATA, Kind.END})
+LOAD_KINDS: Final = frozenset(map(int, (Kind.HEAD, Kind.END, Kind.REFUSED, Kind.FAILED)))
 KIND_VALUES: Final = frozenset(int(kind) for kind in Kind)
 KIND_SLOTS: Final = max(Kind) + 1
--- a/gypsumrouter/link/dialer.py
+++ b/gypsumrouter/link/dialer.py
@@ -13,7 +13,13 @@
 from gypsumrouter.fleet.models import Instance
 from gypsumrouter.link.codec import Greeting, encode_open
 from gypsumrouter.link.connection import Connection
-from gypsumrouter.link.const import BACKOFF_FIRST_MS, BACKOFF_MAX_MS, MAX_FRAME_BYTES, Kind
+from gypsumrouter.link.const import (
+    BACKOFF_FIRST_MS,
+    BACKOFF_MAX_MS,
+    DIALER_PATIENCE,
+    MAX_FRAME_BYTES,
+    Kind,
+)
 from gypsumrouter.link.counts import ByteCounts
 from gypsumrouter.link.exchange import Exchange
 from gypsumrouter.link.frames import Frame, FrameError
@@ -24,7 +30,7 @@
     make_greeting,
     to_seconds,
 )
-from gypsumrouter.link.liveness import forgive_silence, keep_alive
+from gypsumrouter.link.liveness import ask_for_echo, forgive_silence, keep_alive
 from gypsumrouter.link.models import Hello, Notice, Open
 from gypsumrouter.link.notices import Peer
 from gypsumrouter.link.once import LogOnce
@@ -56,6 +62,7 @@
     wrong_keys: LogOnce
     take_number: Callable[[], int]
     on_notice: Callable[[Peer, Frame], None]
+    on_load: Callable[[str, int, int], None]
     on_contact: Callable[[str, bool], None]
     on_connected: Callable[[Peer], None]
 
@@ -109,6 +116,14 @@
         """Return the number of exchanges without an end."""
         return len(self._outstanding)
 
+    @property
+    def in_use(self) -> bool:
+        """Return whether the link must be looked at in each step of the timer."""
+        connection = self._connection
+        return len(self._outstanding) > 0 or (
+            connection is not None and connection.busy_since_ms is not None
+        )
+
     @property
     def unused(self) -> bool:
         """Return whether nothing is open, outstanding or waited for."""
@@ -149,15 +164,27 @@
             connection=connection,
             busy=busy,
             now_ms=now_ms,
-            settings=self._context.settings,
+            heartbeat_ms=self._context.settings.heartbeat_ms * DIALER_PATIENCE,
+            silence_ms=self._context.settings.silence_ms,
             name=self.instance.name,
         )
+        self._check_arrival(connection, now_ms)
         if busy or self._waiters:
             connection.last_used_ms = now_ms
         self.last_used_ms = connection.last_used_ms
         if now_ms - connection.last_used_ms >= self._context.settings.idle_close_ms:
             connection.close()
 
+    def _check_arrival(self, connection: Connection, now_ms: int) -> None:
+        settings = self._context.settings
+        ask_for_echo(
+            connection=connection,
+            waiting=self._outstanding.is_waiting(since_ms=now_ms - settings.heartbeat_ms),
+            now_ms=now_ms,
+            settings=settings,
+            name=self.instance.name,
+        )
+
     def stop(self) -> None:
         """Close the link and fail what is outstanding."""
         self._outstanding.fail_all(_STOPPED)
@@ -264,6 +291,8 @@
         self._note_loss(connection)
 
     def _on_frame(self, frame: Frame) -> None:
+        if frame.load and self._incarnation is not None:
+            self._context.on_load(self.instance.name, self._incarnation, frame.load - 1)
         if self._outstanding.receive(frame):
             return
         if self.peer is not None:
--- a/gypsumrouter/link/exchange.py
+++ b/gypsumrouter/link/exchange.py
@@ -42,6 +42,7 @@
         "_owner",
         "_taker",
         "_waiter",
+        "arrived",
         "confirm_sent",
         "done",
         "has_head",
@@ -55,6 +56,7 @@
         self.opened_ms = opened_ms
         self.received = 0
         self.has_head = False
+        self.arrived = False
         self.done = False
         self.confirm_sent = 0
         self._owner = owner
@@ -117,6 +119,7 @@
         if self.has_head:
             return
         self.has_head = True
+        self.arrived = True
         self._add(head)
 
     def receive_data(self, offset: int, body: bytes) -> None:
--- a/gypsumrouter/link/frames.py
+++ b/gypsumrouter/link/frames.py
@@ -5,7 +5,7 @@
 import struct
 from typing import Final, NamedTuple, NoReturn
 
-from gypsumrouter.link.const import KIND_VALUES, MAX_FRAME_BYTES, Kind
+from gypsumrouter.link.const import KIND_VALUES, LOAD_KINDS, MAX_FRAME_BYTES, Kind
 
 HEADER: Final = struct.Struct("<IBBHQ")
 HEADER_BYTES: Final = HEADER.size
@@ -22,17 +22,21 @@
 
 
 class Frame(NamedTuple):
-    """One frame; `stream` is the sequence of an exchange or 0."""
+    """One frame; `stream` is the sequence of an exchange or 0.
+
+    `load` is one more than the load of the sender's upstream, or 0 where it says nothing.
+    """
 
     kind: int
     flags: int
     stream: int
     body: bytes
+    load: int = 0
 
 
-def pack_frame(kind: int, flags: int, stream: int, body: bytes) -> bytes:
+def pack_frame(kind: int, flags: int, stream: int, body: bytes, load: int = 0) -> bytes:
     """Return a frame as bytes."""
-    return HEADER.pack(len(body), kind, flags, 0, stream) + body
+    return HEADER.pack(len(body), kind, flags, load, stream) + body
 
 
 def pack_data_header(stream: int, offset: int, length: int) -> bytes:
@@ -81,14 +85,14 @@
         limit = self.limit
         unpack_from = HEADER.unpack_from
         while size - begin >= HEADER_BYTES:
-            length, kind, flags, zero, stream = unpack_from(data, begin)
-            if length > limit or zero or kind not in KIND_VALUES:
+            length, kind, flags, load, stream = unpack_from(data, begin)
+            if length > limit or kind not in KIND_VALUES or (load and kind not in LOAD_KINDS):
                 self._refuse(length, kind)
             end = begin + HEADER_BYTES + length
             if end > size:
                 self._needed = end - begin
                 return begin
-            frames.append(Frame(kind, flags, stream, data[begin + HEADER_BYTES : end]))
+            frames.append(Frame(kind, flags, stream, data[begin + HEADER_BYTES : end], load))
             begin = end
         self._needed = HEADER_BYTES
         return begin
--- a/gypsumrouter/link/liveness.py
+++ b/gypsumrouter/link/liveness.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from gypsumrouter.link.connection import Connection
-from gypsumrouter.link.const import TICKS_PER_HEARTBEAT, Kind
+from gypsumrouter.link.const import FLAG_ECHO_ASKED, TICKS_PER_HEARTBEAT, Kind
 from gypsumrouter.settings import Link
 from gypsumrouter.util.clock import Clock
 
@@ -14,7 +14,13 @@
 
 
 def keep_alive(
-    *, connection: Connection, busy: bool, now_ms: int, settings: Link, name: str
+    *,
+    connection: Connection,
+    busy: bool,
+    now_ms: int,
+    heartbeat_ms: int,
+    silence_ms: int,
+    name: str,
 ) -> None:
     """Send a heartbeat if one is due, and drop the link if its peer has been silent too long.
 
@@ -26,14 +32,34 @@
     if connection.busy_since_ms is None:
         connection.busy_since_ms = now_ms
     silent_ms = now_ms - max(connection.last_heard_ms, connection.busy_since_ms)
-    if busy and silent_ms >= settings.silence_ms:
+    if busy and silent_ms >= silence_ms:
         _LOGGER.warning("The link with %s was silent for %s ms and is dropped", name, silent_ms)
         connection.abort()
         return
-    if now_ms - connection.last_sent_ms >= settings.heartbeat_ms:
+    if now_ms - connection.last_sent_ms >= heartbeat_ms:
         connection.send(Kind.HEARTBEAT)
 
 
+def ask_for_echo(
+    *, connection: Connection, waiting: bool, now_ms: int, settings: Link, name: str
+) -> None:
+    """Ask the server for an echo while a request waits for its first word, and drop a link
+    that gives none.
+
+    What arrives for other requests does not show that this one got through.
+    """
+    if not waiting:
+        connection.echo_asked_ms = None
+        return
+    if connection.echo_asked_ms is None:
+        connection.echo_asked_ms = now_ms
+        connection.send(Kind.HEARTBEAT, flags=FLAG_ECHO_ASKED)
+        return
+    if now_ms - connection.echo_asked_ms >= settings.silence_ms - settings.heartbeat_ms:
+        _LOGGER.warning("The link with %s takes nothing and is dropped", name)
+        connection.abort()
+
+
 async def async_tick(*, clock: Clock, settings: Link, on_tick: Callable[[int, bool], None]) -> None:
     """Call `on_tick` a few times in each heartbeat, with the time and whether we were late.
 
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -93,6 +93,7 @@
   ready @4 :Bool;
   models @5 :List(Text);
   poolLoad @6 :PoolLoad;
+  batchWaiting @7 :UInt32;
 }
 
 struct ConfigurationNews {
--- a/gypsumrouter/link/models.py
+++ b/gypsumrouter/link/models.py
@@ -101,7 +101,8 @@
 class Status:
     """What a side says of itself; sent when it changes, at a bounded rate.
 
-    `load` counts the requests that run at or wait for the upstream, `running` those that run.
+    `load` counts the requests that run and the interactive ones that wait for the upstream,
+    `running` those that run, `batch_waiting` batch work that waits for a gap.
     """
 
     load: int
@@ -111,6 +112,7 @@
     ready: bool
     models: tuple[str, ...] = ()
     pool_load: PoolLoad | None = None
+    batch_waiting: int = 0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/gypsumrouter/link/notice_codec.py
+++ b/gypsumrouter/link/notice_codec.py
@@ -98,6 +98,7 @@
         leaving=status.leaving,
         ready=status.ready,
         models=list(status.models),
+        batchWaiting=status.batch_waiting,
     )
     set_pool_load(message, status.pool_load)
     return to_packed(message)
@@ -113,6 +114,7 @@
             ready=message.ready,
             models=tuple(message.models),
             pool_load=read_pool_load(message),
+            batch_waiting=message.batchWaiting,
         )
 
 
--- a/gypsumrouter/link/outstanding.py
+++ b/gypsumrouter/link/outstanding.py
@@ -12,7 +12,7 @@
     encode_resume,
 )
 from gypsumrouter.link.connection import Connection
-from gypsumrouter.link.const import CONFIRM_SHARE, FLAG_FINAL, FLAG_PRESS, Kind
+from gypsumrouter.link.const import CONFIRM_SHARE, FLAG_ECHO, FLAG_FINAL, FLAG_PRESS, Kind
 from gypsumrouter.link.exchange import Exchange
 from gypsumrouter.link.frames import KIND_DATA, OFFSET_BYTES, Frame, FrameError, unpack_offset
 from gypsumrouter.link.models import Open
@@ -29,6 +29,8 @@
         "_confirm_bytes",
         "_connection",
         "_exchanges",
+        "_sent_cancels",
+        "_silence_ms",
         "_to_cancel",
         "_window_bytes",
     )
@@ -40,6 +42,8 @@
         self._connection: Connection | None = None
         self._exchanges: dict[int, Exchange] = {}
         self._to_cancel: set[int] = set()
+        self._sent_cancels: dict[int, int] = {}
+        self._silence_ms = settings.silence_ms
 
     def __len__(self) -> int:
         return len(self._exchanges) + len(self._to_cancel)
@@ -67,11 +71,15 @@
             )
             connection.send(Kind.RESUME, stream=sequence, body=encode_resume(resume))
             exchange.confirm_sent = 0
+            exchange.arrived = False
             self.confirm(exchange, exchange.confirmed)
 
     def detach(self) -> None:
-        """Note that the link is lost."""
+        """Note that the link is lost, and with it perhaps what was last sent over it."""
         self._connection = None
+        self._forget_cancels()
+        self._to_cancel.update(self._sent_cancels)
+        self._sent_cancels.clear()
 
     def fail_all(self, failure: Failure) -> None:
         """End every exchange."""
@@ -104,8 +112,7 @@
                 if exchange is not None:
                     exchange.fail(failure)
             case Kind.HEARTBEAT:
-                if frame.flags & FLAG_PRESS:
-                    self._confirm_all()
+                self._take_heartbeat(frame.flags)
             case Kind.GOODBYE:
                 raise FrameError(f"the server closed it: {decode_goodbye(frame.body)}")
             case _:
@@ -117,6 +124,13 @@
         if offset - exchange.confirm_sent >= self._confirm_bytes:
             self._send_confirm(exchange)
 
+    def is_waiting(self, *, since_ms: int) -> bool:
+        """Return whether a request that was sent before then has had no word of its side."""
+        return any(
+            not exchange.arrived and exchange.opened_ms <= since_ms
+            for exchange in self._exchanges.values()
+        )
+
     def finish(self, exchange: Exchange) -> None:
         """Let the server forget an exchange that came to its end."""
         self._exchanges.pop(exchange.sequence, None)
@@ -131,6 +145,33 @@
             self._to_cancel.add(exchange.sequence)
             return
         self._connection.send(Kind.CANCEL, stream=exchange.sequence)
+        self._forget_cancels()
+        self._sent_cancels[exchange.sequence] = self._clock.now_ms()
+
+    def _forget_cancels(self) -> None:
+        """Forget the cancels that a link which is found lost later has surely delivered."""
+        oldest_ms = self._clock.now_ms() - self._silence_ms
+        while self._sent_cancels:
+            sequence, sent_ms = next(iter(self._sent_cancels.items()))
+            if sent_ms >= oldest_ms:
+                return
+            del self._sent_cancels[sequence]
+
+    def _take_heartbeat(self, flags: int) -> None:
+        if flags & FLAG_PRESS:
+            self._confirm_all()
+        if flags & FLAG_ECHO:
+            self._note_echo()
+
+    def _note_echo(self) -> None:
+        """Note that whatever was sent before the server was asked has reached it."""
+        if self._connection is None or self._connection.echo_asked_ms is None:
+            return
+        asked_ms = self._connection.echo_asked_ms
+        self._connection.echo_asked_ms = None
+        for exchange in self._exchanges.values():
+            if exchange.opened_ms < asked_ms:
+                exchange.arrived = True
 
     def _confirm_all(self) -> None:
         for exchange in self._exchanges.values():
--- a/gypsumrouter/link/pool.py
+++ b/gypsumrouter/link/pool.py
@@ -8,6 +8,7 @@
 from gypsumrouter.core import Application, Remove
 from gypsumrouter.fleet.models import Address, Instance
 from gypsumrouter.helpers.tls import TlsFiles, make_client_context
+from gypsumrouter.link.const import TICKS_PER_IDLE_CHECK
 from gypsumrouter.link.dialer import Dialer, DialerContext
 from gypsumrouter.link.exchange import Exchange
 from gypsumrouter.link.frames import Frame
@@ -41,6 +42,7 @@
         "_status",
         "_statuses",
         "_ticking",
+        "_ticks",
     )
 
     def __init__(self, *, app: Application, settings: Link, key: bytes, notices: NoticeHub) -> None:
@@ -51,6 +53,7 @@
         self._dialers: dict[_DialerKey, Dialer] = {}
         self._next_number = 0
         self._ticking = False
+        self._ticks = 0
         self._statuses = StatusBook()
         self._status: Listeners[[Hello, Status]] = Listeners()
         self._contact: Listeners[[str, bool]] = Listeners()
@@ -99,6 +102,7 @@
             wrong_keys=LogOnce(),
             take_number=self._take_number,
             on_notice=self._on_notice,
+            on_load=self._on_load,
             on_contact=self._contact.call,
             on_connected=self._connected.call,
         )
@@ -132,7 +136,12 @@
     def _tick(self, now_ms: int, late: bool) -> None:
         self._diagnostics.publish()
         self._statuses.sweep(now_ms)
+        self._ticks += 1
+        checks_idle = self._ticks % TICKS_PER_IDLE_CHECK == 0
         for key, dialer in tuple(self._dialers.items()):
+            # Most links have nothing outstanding; at the size of two years there are 930.
+            if not (late or checks_idle or dialer.in_use):
+                continue
             dialer.tick(now_ms, late)
             idle = now_ms - dialer.last_used_ms >= self._settings.idle_close_ms
             if idle and dialer.unused:
@@ -145,6 +154,9 @@
             self._statuses.note(peer.hello, notice, self._app.clock.now_ms())
             self._status.call(peer.hello, notice)
 
+    def _on_load(self, name: str, incarnation: int, load: int) -> None:
+        self._statuses.note_load(name, incarnation, load, self._app.clock.now_ms())
+
     async def _async_stop(self) -> None:
         for dialer in self._dialers.values():
             dialer.stop()
--- a/gypsumrouter/link/server.py
+++ b/gypsumrouter/link/server.py
@@ -13,8 +13,15 @@
 from gypsumrouter.helpers.tls import TlsFiles, make_server_context
 from gypsumrouter.link.answer import Answer
 from gypsumrouter.link.codec import decode_goodbye
-from gypsumrouter.link.connection import Connection
-from gypsumrouter.link.const import IDLE_FACTOR, MAX_HANDSHAKES, Kind
+from gypsumrouter.link.connection import Connection, LoadMark
+from gypsumrouter.link.const import (
+    DIALER_PATIENCE,
+    FLAG_ECHO,
+    FLAG_ECHO_ASKED,
+    IDLE_FACTOR,
+    MAX_HANDSHAKES,
+    Kind,
+)
 from gypsumrouter.link.frames import Frame, FrameError
 from gypsumrouter.link.handshake import (
     Accepted,
@@ -55,6 +62,7 @@
         "_handshakes",
         "_key",
         "_listener",
+        "_load_mark",
         "_notices",
         "_peers",
         "_released",
@@ -86,7 +94,10 @@
         self._listener: asyncio.Server | None = None
         self._released = asyncio.Event()
         self._wrong_keys = LogOnce()
-        self._status = StatusPublisher(app=app, connections=self._list_open)
+        self._load_mark = LoadMark()
+        self._status = StatusPublisher(
+            app=app, connections=self._list_open, load_mark=self._load_mark
+        )
         self._table = ExchangeTable(
             clock=app.clock,
             resume_ms=settings.resume_ms,
@@ -128,7 +139,9 @@
                 peer.send(notice)
 
     def _make_connection(self) -> Connection:
-        connection = Connection(clock=self._app.clock, counts=self._diagnostics.counts)
+        connection = Connection(
+            clock=self._app.clock, counts=self._diagnostics.counts, load_mark=self._load_mark
+        )
         self._connections.add(connection)
         self._app.async_create_task(self._async_serve(connection), "link server connection")
         return connection
@@ -183,7 +196,7 @@
         served = ServedLink(table=self._table, record=record, connection=connection, run=self._run)
         try:
             while (frame := await connection.async_read()) is not None:
-                self._on_frame(peer, served, frame)
+                self._on_frame(peer, connection, served, frame)
         except FrameError as error:
             _LOGGER.warning("The link with %s is closed: %s", record.hello.name, error)
             connection.end(str(error))
@@ -191,12 +204,15 @@
             del self._peers[connection]
             self._table.detach(record, connection)
 
-    def _on_frame(self, peer: Peer, served: ServedLink, frame: Frame) -> None:
+    def _on_frame(
+        self, peer: Peer, connection: Connection, served: ServedLink, frame: Frame
+    ) -> None:
         if served.receive(frame):
             return
         match frame.kind:
             case Kind.HEARTBEAT:
-                return
+                if frame.flags & FLAG_ECHO_ASKED:
+                    connection.send(Kind.HEARTBEAT, flags=FLAG_ECHO)
             case Kind.GOODBYE:
                 raise FrameError(f"the dialer closed it: {decode_goodbye(frame.body)}")
             case _:
@@ -236,7 +252,8 @@
                 connection=connection,
                 busy=record.busy,
                 now_ms=now_ms,
-                settings=self._settings,
+                heartbeat_ms=self._settings.heartbeat_ms,
+                silence_ms=self._settings.silence_ms * DIALER_PATIENCE,
                 name=peer.hello.name,
             )
             idle_ms = now_ms - connection.last_heard_ms
--- a/gypsumrouter/link/status.py
+++ b/gypsumrouter/link/status.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.core import Application
-from gypsumrouter.link.connection import Connection
-from gypsumrouter.link.const import STATUS_BYTES_S, STATUS_INTERVAL_MS, STATUS_KEPT_MS
+from gypsumrouter.link.connection import Connection, LoadMark
+from gypsumrouter.link.const import (
+    STATUS_BYTES_S,
+    STATUS_INTERVAL_MS,
+    STATUS_KEPT_MS,
+    STATUS_SQUARE_BYTES_S,
+)
 from gypsumrouter.link.frames import HEADER_BYTES
 from gypsumrouter.link.models import Hello, Status
 from gypsumrouter.link.notice_codec import encode_notice
@@ -26,16 +31,22 @@
 class StatusPublisher:
     """Send a process's status on its open links.
 
-    All links together get no more than a set number of bytes a second, and each no more than one
-    status in 100 ms; a change of `leaving` or `ready` goes out at once.
+    All links together get no more than a set number of bytes a second, fewer where there are very
+    many, and each no more than one status in 100 ms; a change of `leaving` or `ready` goes out at
+    once. Between them the load travels on what is sent for answers anyway.
     """
 
-    __slots__ = ("_app", "_connections", "_current", "_pending", "_sent", "_sent_ms")
+    __slots__ = ("_app", "_connections", "_current", "_load_mark", "_pending", "_sent", "_sent_ms")
 
     def __init__(
-        self, *, app: Application, connections: Callable[[], Iterable[Connection]]
+        self,
+        *,
+        app: Application,
+        connections: Callable[[], Iterable[Connection]],
+        load_mark: LoadMark,
     ) -> None:
         self._app = app
+        self._load_mark = load_mark
         self._connections = connections
         self._current: Status | None = None
         self._sent: Status | None = None
@@ -46,6 +57,7 @@
         """Take a new status and send it now or as soon as the rate allows."""
         before = self._current
         self._current = status
+        self._load_mark.set(status.load)
         if before is None or _is_urgent(before, status):
             self._send()
             return
@@ -73,7 +85,9 @@
             return STATUS_INTERVAL_MS
         size = HEADER_BYTES + len(encode_notice(self._current)[1])
         links = sum(1 for _ in self._connections())
-        return max(STATUS_INTERVAL_MS, links * size * MS_PER_S // STATUS_BYTES_S)
+        own_ms = links * size * MS_PER_S // STATUS_BYTES_S
+        peers_ms = links * links * size * MS_PER_S // STATUS_SQUARE_BYTES_S
+        return max(STATUS_INTERVAL_MS, own_ms, peers_ms)
 
     def _send(self) -> None:
         if self._current is None:
@@ -97,6 +111,13 @@
         """Take a status in."""
         self._entries[hello.name] = (status, now_ms, hello.incarnation)
 
+    def note_load(self, name: str, incarnation: int, load: int, now_ms: int) -> None:
+        """Take in the load that came with an answer; the rest of the status stays as it was."""
+        entry = self._entries.get(name)
+        if entry is None or entry[2] != incarnation:
+            return
+        self._entries[name] = (replace(entry[0], load=load), now_ms, incarnation)
+
     def get(self, name: str, now_ms: int) -> StatusView | None:
         """Return the last status of a process."""
         entry = self._entries.get(name)
--- a/tests/link/link_harness.py
+++ b/tests/link/link_harness.py
@@ -65,6 +65,7 @@
         self.passed_bytes = 0
         self.passed = asyncio.Condition()
         self._silent: set[asyncio.StreamWriter] = set()
+        self._far: set[asyncio.StreamWriter] = set()
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
@@ -90,6 +91,10 @@
         """Pass nothing more on the connections that are open; new ones work."""
         self._silent |= self._writers
 
+    def silence_forward(self) -> None:
+        """Pass nothing more towards the target on the connections that are open."""
+        self._silent |= self._writers & self._far
+
     async def async_wait_passed(self, size: int) -> None:
         async with self.passed:
             await self.passed.wait_for(lambda: self.passed_bytes >= size)
@@ -107,6 +112,7 @@
             return
         far_reader, far_writer = await asyncio.open_connection(self.target.host, self.target.port)
         self._writers |= {writer, far_writer}
+        self._far.add(far_writer)
         for source, sink in ((reader, far_writer), (far_reader, writer)):
             task = asyncio.create_task(self._async_pass(source, sink))
             self._tasks.add(task)
--- a/tests/link/test_link_exchange.py
+++ b/tests/link/test_link_exchange.py
@@ -289,6 +289,26 @@
         assert (view.status, view.incarnation) == (leaving, pair.server_app.incarnation)
 
 
+async def test_answers_carry_the_load_of_their_side_without_a_status_of_its_own() -> None:
+    arrived: asyncio.Queue[Status] = asyncio.Queue()
+
+    async def handle(hello: Hello, request: Open, answer: Answer) -> None:
+        pair.server.publish_status(replace(STATUS, load=41))
+        await async_answer_hello(hello, request, answer)
+
+    async with linked(handle) as pair:
+        pair.server.publish_status(STATUS)
+        pair.pool.on_status(lambda _hello, status: arrived.put_nowait(status))
+        news = ConfigurationNews(version=1, digest=1)
+        assert await pair.pool.async_send(instance=pair.instance, notice=news)
+        assert await arrived.get() == STATUS
+        await async_read_answer(await pair.async_exchange())
+        view = pair.pool.status("side-1")
+        assert view is not None
+        assert view.status == replace(STATUS, load=41)
+        assert arrived.empty()
+
+
 async def test_a_notice_sent_before_a_failure_arrives_before_it() -> None:
     news = ConfigurationNews(version=7, digest=1)
     arrived: list[object] = []
--- a/tests/link/test_link_resume.py
+++ b/tests/link/test_link_resume.py
@@ -27,6 +27,9 @@
 BODY = random.Random(7).randbytes(200_000)
 PART_BYTES = 1_000
 
+# Far below the time after which a side gives up exchanges without a link.
+HANG_S = 20.0
+
 
 class Gate:
     """A handler that writes the body in parts and waits at a gate in the middle."""
@@ -157,6 +160,22 @@
         assert isinstance((await async_read_answer(await pair.async_exchange()))[1], End)
 
 
+async def test_a_request_lost_on_a_link_that_still_delivers_is_said_to_be_not_run() -> None:
+    gate = Gate()
+    patient = replace(SETTINGS, silence_ms=60_000)
+    async with linked(gate.async_handle, server_settings=patient) as pair:
+        reading = asyncio.create_task(async_read_answer(await pair.async_exchange()))
+        await gate.middle.wait()
+        pair.relay.silence_forward()
+        _, ending = await async_read_answer(await pair.async_exchange())
+        assert isinstance(ending, Refused)
+        gate.go_on.set()
+        body, end = await reading
+        assert body == BODY
+        assert isinstance(end, End)
+        assert gate.runs == 1
+
+
 async def test_cancelling_while_the_link_is_lost_reaches_the_side_over_the_next_link() -> None:
     gate = Gate()
     async with linked(gate.async_handle, settings=replace(SETTINGS, resume_ms=60_000)) as pair:
@@ -167,7 +186,7 @@
         await pair.relay.async_wait_closed(1)
         exchange.cancel()
         pair.relay.refusing = False
-        await gate.cancelled.wait()
+        await asyncio.wait_for(gate.cancelled.wait(), HANG_S)
 
 
 async def test_memory_held_by_a_lost_link_goes_to_those_that_are_read() -> None:
--- a/tests/link/test_link_table.py
+++ b/tests/link/test_link_table.py
@@ -5,13 +5,14 @@
 import asyncio
 from typing import cast
 
+import pytest
 from link_harness import SETTINGS
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.link import Hello, Status
 from gypsumrouter.link.codec import Greeting, Resume
-from gypsumrouter.link.connection import Connection
+from gypsumrouter.link.connection import Connection, LoadMark
 from gypsumrouter.link.const import PROTOCOL_VERSION, Kind
 from gypsumrouter.link.handshake import Accepted
 from gypsumrouter.link.liveness import forgive_silence, keep_alive
@@ -109,7 +110,12 @@
 
     def tick(now_ms: int) -> None:
         keep_alive(
-            connection=connection, busy=True, now_ms=now_ms, settings=SETTINGS, name="side-1"
+            connection=connection,
+            busy=True,
+            now_ms=now_ms,
+            heartbeat_ms=SETTINGS.heartbeat_ms,
+            silence_ms=SETTINGS.silence_ms,
+            name="side-1",
         )
 
     tick(0)
@@ -126,7 +132,9 @@
         name="side-1", role=Role.SIDE, data_centre="dc-1", region="region-1", clock=clock
     )
     wire = Wire()
-    publisher = StatusPublisher(app=app, connections=lambda: [cast(Connection, wire)])
+    publisher = StatusPublisher(
+        app=app, connections=lambda: [cast(Connection, wire)], load_mark=LoadMark()
+    )
     publisher.publish(STATUS)
     for load in range(2, 50):
         publisher.publish(Status(load=load, running=1, weight=1.0, leaving=False, ready=True))
@@ -138,3 +146,24 @@
     publisher.publish(Status(load=49, running=1, weight=1.0, leaving=True, ready=True))
     assert len(wire.sent) == 3
     await app.async_stop()
+
+
+@pytest.mark.parametrize(("links", "due_ms"), [(10, 250), (330, 40_000)])
+async def test_status_intervals_grow_with_the_square_of_many_links(links: int, due_ms: int) -> None:
+    clock = ManualClock()
+    app = Application(
+        name="side-1", role=Role.SIDE, data_centre="dc-1", region="region-1", clock=clock
+    )
+    wires = [Wire() for _ in range(links)]
+    connections = [cast(Connection, wire) for wire in wires]
+    publisher = StatusPublisher(app=app, connections=lambda: connections, load_mark=LoadMark())
+    publisher.publish(STATUS)
+    publisher.publish(Status(load=9, running=1, weight=1.0, leaving=False, ready=True))
+    await asyncio.sleep(0)
+    clock.advance(due_ms // 2)
+    await asyncio.sleep(0)
+    assert len(wires[0].sent) == 1
+    clock.advance(due_ms)
+    await asyncio.sleep(0)
+    assert len(wires[0].sent) == 2
+    await app.async_stop()
