--- a/gypsumrouter/cli/orders.py
+++ b/gypsumrouter/cli/orders.py
@@ -3,34 +3,28 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import sys
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Any, Final
+from typing import Any
 
 import click
 
 from gypsumrouter.cli.client import DumpResult, async_fetch_dumps, get_section, read_token
-from gypsumrouter.const import EXIT_FAILED, EXIT_OK
+from gypsumrouter.cli.table import UNKNOWN, Row, show_rows
 from gypsumrouter.operators import ATTR_INSTANCE
 from gypsumrouter.orders import DUMP_SECTION
 
-UNKNOWN: Final = "-"
-COLUMNS: Final = ("ADDRESS", "INSTANCE", "WISHED", "HELD", "PENDING", "REASON")
-
 
 @dataclass(slots=True, kw_only=True, frozen=True)
-class OrdersRow:
+class OrdersRow(Row):
     """One side: what its engine is to hold, holds and loads, and why it waits or changes."""
 
-    address: str
     instance: str = UNKNOWN
     wished: str = UNKNOWN
     held: str = UNKNOWN
     pending: str = UNKNOWN
     reason: str = UNKNOWN
-    error: str = ""
 
 
 @click.command("orders")
@@ -44,11 +38,7 @@
     """
     results = asyncio.run(async_fetch_dumps(addresses, read_token(token_file)))
     rows = [make_row(result) for result in results]
-    if as_json:
-        click.echo(json.dumps([asdict(row) for row in rows], indent=2))
-    else:
-        print_rows(rows)
-    sys.exit(EXIT_FAILED if any(row.error for row in rows) else EXIT_OK)
+    sys.exit(show_rows(rows, as_json=as_json))
 
 
 def make_row(result: DumpResult) -> OrdersRow:
@@ -70,22 +60,6 @@
     )
 
 
-def print_rows(rows: list[OrdersRow]) -> None:
-    """Print the table, padded to the widest cell, and below it what could not be reached."""
-    lines = [COLUMNS, *(_list_cells(row) for row in rows)]
-    widths = [max(len(line[column]) for line in lines) for column in range(len(COLUMNS))]
-    for line in lines:
-        cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
-        click.echo("  ".join(cells).rstrip())
-    for row in rows:
-        if row.error:
-            click.echo(row.error, err=True)
-
-
-def _list_cells(row: OrdersRow) -> tuple[str, ...]:
-    return (row.address, row.instance, row.wished, row.held, row.pending, row.reason)
-
-
 def _format_models(models: dict[str, str] | None) -> str:
     if models is None:
         return UNKNOWN
--- a/gypsumrouter/cli/status.py
+++ b/gypsumrouter/cli/status.py
@@ -3,30 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import sys
-from dataclasses import asdict, dataclass, fields
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import click
 
 from gypsumrouter.cli.client import DumpResult, async_fetch_dumps, get_section, read_token
-from gypsumrouter.const import EXIT_FAILED, EXIT_OK
+from gypsumrouter.cli.table import UNKNOWN, Row, show_rows
 from gypsumrouter.operators import ATTR_INSTANCE, ATTR_READY, ATTR_ROLE, ATTR_STATE
 
-UNKNOWN = "-"
-
 
 @dataclass(slots=True, kw_only=True, frozen=True)
-class StatusRow:
+class StatusRow(Row):
     """One process: `version` is the configuration in force, `streams` open exchanges on links.
 
     `load` counts what runs at or waits for an upstream, `running` what runs there, or the
     callers' requests that a router has not answered yet.
     """
 
-    address: str
     instance: str = UNKNOWN
     role: str = UNKNOWN
     state: str = UNKNOWN
@@ -36,7 +32,6 @@
     running: str = UNKNOWN
     links: str = UNKNOWN
     streams: str = UNKNOWN
-    error: str = ""
 
 
 @click.command("status")
@@ -50,11 +45,7 @@
     """
     results = asyncio.run(async_fetch_dumps(addresses, read_token(token_file)))
     rows = [make_row(result) for result in results]
-    if as_json:
-        click.echo(json.dumps([asdict(row) for row in rows], indent=2))
-    else:
-        print_rows(rows)
-    sys.exit(EXIT_FAILED if any(row.error for row in rows) else EXIT_OK)
+    sys.exit(show_rows(rows, as_json=as_json))
 
 
 def make_row(result: DumpResult) -> StatusRow:
@@ -78,20 +69,6 @@
     )
 
 
-def print_rows(rows: list[StatusRow]) -> None:
-    """Print the table, padded to the widest cell, and below it what could not be reached."""
-    names = [item.name for item in fields(StatusRow) if item.name != "error"]
-    lines = [[name.upper() for name in names]]
-    lines += [[str(getattr(row, name)) for name in names] for row in rows]
-    widths = [max(len(line[column]) for line in lines) for column in range(len(names))]
-    for line in lines:
-        cells = (cell.ljust(width) for cell, width in zip(line, widths, strict=True))
-        click.echo("  ".join(cells).rstrip())
-    for row in rows:
-        if row.error:
-            click.echo(row.error, err=True)
-
-
 def _get_running(dump: dict[str, Any], admission: dict[str, Any]) -> object:
     running = get_section(dump, "gateway").get("running")
     return admission.get("running") if running is None else len(running)
--- a/gypsumrouter/configuration/source.py
+++ b/gypsumrouter/configuration/source.py
@@ -101,7 +101,8 @@
                 origin + PATH_CONFIGURATION, params=query, timeout=_build_timeout(timeout_ms)
             ) as response:
                 return await _async_read_answer(response)
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError, RuntimeError) as error:
+            # The loop's library raises RuntimeError for a descriptor that is still in its hands.
             return Unavailable(message=f"{origin}: {type(error).__name__}")
 
     def _get_session(self) -> aiohttp.ClientSession:
--- a/gypsumrouter/fleet/source.py
+++ b/gypsumrouter/fleet/source.py
@@ -85,7 +85,8 @@
         try:
             async with self._open_session().get(origin + PATH_INSTANCES, params=params) as response:
                 return await _async_read(response)
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError, RuntimeError, ValueError) as error:
+            # The loop's library raises RuntimeError for a descriptor that is still in its hands.
             _LOGGER.debug("Instance list at %s failed: %s", origin, error)
         except DocumentInvalid as error:
             _LOGGER.debug("Instance list at %s is malformed: %s", origin, error)
