--- a/bench/churn.py
+++ b/bench/churn.py
@@ -69,7 +69,7 @@
     parser.add_argument("--after-s", type=float, default=4.0)
     parser.add_argument("--every-s", type=float, default=10.0, help="one instance replaced in each")
     parser.add_argument("--period-s", type=float, default=2.0, help="a chat comes back after")
-    parser.add_argument("--mean-load", type=float, default=6.0, help="of an engine")
+    parser.add_argument("--mean-load", type=float, default=8.0, help="of an engine")
     parser.add_argument("--renames", action="store_true", help="a new instance has a new name")
     parser.add_argument("--calm", action="store_true", help="nothing is replaced")
     options = parser.parse_args(argv)
--- a/bench/full_size.py
+++ b/bench/full_size.py
@@ -102,6 +102,8 @@
             await self._async_open_links()
             if with_costs:
                 await self._async_tell_statuses()
+            await self._async_match_statuses()
+            if with_costs:
                 await self._async_hold()
             await self._async_load()
             # Statuses go out in bursts some seconds apart, so that one stage is too short.
@@ -190,8 +192,16 @@
         for host in self._side_hosts:
             await host.async_command(interval_ms=FAST_INTERVAL_MS)
         await self._async_stage(STAGE_STATUSES, 2 * SETTLE_S)
+
+    async def _async_match_statuses(self) -> None:
+        """Have the light sides tell their load as often as the real one has done so far."""
+        so_far = await async_end(self._rig, [self._side], self._loaded_from)
+        interval_ms = float(FIRST_INTERVAL_MS)
+        if so_far.rates[KIND_STATUS] > 0:
+            bytes_s_a_link = so_far.rates[KIND_STATUS] / so_far.links
+            interval_ms = self.result.status_frame_bytes / bytes_s_a_link * MS_PER_S
         for host in self._side_hosts:
-            await host.async_command(interval_ms=FIRST_INTERVAL_MS)
+            await host.async_command(interval_ms=interval_ms)
 
     async def _async_hold(self) -> None:
         """Measure with all exchanges of the two-year load open and next to no tokens."""
--- a/bench/rig.py
+++ b/bench/rig.py
@@ -116,6 +116,10 @@
         sections: Sections = dump["sections"]
         return sections
 
+    def list_processes(self) -> list[DaemonProcess]:
+        """Return every daemon that was started and not replaced."""
+        return [*self.routers.values(), *self.sides.values()]
+
     def list_callers(self) -> list[Address]:
         """Return where the routers take callers' requests."""
         return [process.addresses[ADDRESS_CALLERS] for process in self.routers.values()]
--- a/bench/skew.py
+++ b/bench/skew.py
@@ -16,17 +16,19 @@
 
     `ratios` has the largest load over the mean, for instants at which it was above the floor: up
     to the floor the cap does not bind. `late_ms` has how late each sample was: with it the bench's
-    own process is known to have kept up.
+    own process is known to have kept up. After `end_arrivals` the ratios go to `drain_ratios`:
+    nothing is placed any more, and what runs is neither cut nor moved.
     """
 
-    __slots__ = ("_engines", "_floor", "late_ms", "means", "ratios")
+    __slots__ = ("_draining", "_engines", "_floor", "drain_ratios", "late_ms", "ratios")
 
     def __init__(self, *, engines: tuple[Engine, ...], floor: int) -> None:
         self._engines = engines
         self._floor = floor
         self.late_ms: list[float] = []
         self.ratios: list[float] = []
-        self.means: list[float] = []
+        self.drain_ratios: list[float] = []
+        self._draining = False
 
     async def async_run(self, clock: Clock) -> None:
         """Sample until cancelled."""
@@ -39,10 +41,14 @@
     def sample(self) -> None:
         """Take one sample."""
         loads = [engine.load for engine in self._engines]
-        mean = statistics.fmean(loads)
-        self.means.append(mean)
-        if max(loads) > self._floor:
-            self.ratios.append(max(loads) / mean)
+        if max(loads) <= self._floor:
+            return
+        ratios = self.drain_ratios if self._draining else self.ratios
+        ratios.append(max(loads) / statistics.fmean(loads))
+
+    def end_arrivals(self) -> None:
+        """Note that no further request comes."""
+        self._draining = True
 
     def get_share_above(self, cap: float) -> float:
         """Return the share of the instants above the floor at which a multiple was exceeded."""
--- a/bench/stage.py
+++ b/bench/stage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -113,4 +114,6 @@
             )
             yield stage
         finally:
+            # Nothing runs any more, and a planned stop would hand prefixes on.
+            await asyncio.gather(*(item.async_kill() for item in rig.list_processes()))
             await rig.async_stop()
--- a/bench/surge.py
+++ b/bench/surge.py
@@ -20,7 +20,7 @@
 from bench.relay import get_percentile
 from bench.report import Value, print_machine, print_result, print_table
 from bench.skew import SkewSampler
-from bench.stage import get_deployment, open_stage
+from bench.stage import Stage, get_deployment, open_stage
 from bench.surge_plan import STEP_MS, SurgeLoad, SurgePlanner, SurgeTimes
 from bench.tally import Tally
 from gypsumrouter.configuration.models import DEFAULT_CAP, DEFAULT_FLOOR, CallerClass
@@ -59,7 +59,7 @@
     add_common_options(parser)
     parser.add_argument("--calm-s", type=float, default=3.0)
     parser.add_argument("--surge-s", type=float, default=5.0)
-    parser.add_argument("--after-s", type=float, default=2.0)
+    parser.add_argument("--after-s", type=float, default=5.0)
     parser.add_argument("--steady", type=float, default=6.0, help="mean load of interactive work")
     parser.add_argument("--reports", type=float, default=1.0, help="mean load of reports")
     parser.add_argument("--surge", type=float, default=14.0, help="mean load of the surge alone")
@@ -102,14 +102,23 @@
         engines = tuple(stage.platform.engines.values())
         sampler = SkewSampler(engines=engines, floor=DEFAULT_FLOOR)
         sampling = asyncio.create_task(sampler.async_run(stage.clock))
+        ending = asyncio.create_task(async_end_arrivals(stage, sampler, scenario))
         await stage.async_play(scenario.chats, seed=scenario.seed, stream=True)
-        sampling.cancel()
-        await asyncio.gather(sampling, return_exceptions=True)
+        for task in (sampling, ending):
+            task.cancel()
+        await asyncio.gather(sampling, ending, return_exceptions=True)
         return Outcome(
             policy=policy.name, results=stage.play.results, sampler=sampler, tally=stage.tally
         )
 
 
+async def async_end_arrivals(stage: Stage, sampler: SkewSampler, scenario: Scenario) -> None:
+    """Tell the sampler when the last request has come."""
+    last_ms = max(turn.at_ms for chat in scenario.chats for turn in chat.turns)
+    await stage.clock.async_sleep(last_ms)
+    sampler.end_arrivals()
+
+
 def is_met(result: TurnResult, caller_class: CallerClass) -> bool:
     """Return whether a request met both targets of its class."""
     return (
@@ -142,6 +151,7 @@
             "max_over_mean_p99",
             "max_over_mean_max",
             "over_cap_share",
+            "max_over_mean_max_in_drain",
             "refused_share",
             "not_served_share",
             "penalty",
@@ -162,6 +172,7 @@
             "max_over_mean_p99": round(get_percentile(ratios, P99), 3),
             "max_over_mean_max": round(max(ratios, default=0.0), 3),
             "over_cap_share": round(outcome.sampler.get_share_above(DEFAULT_CAP), 4),
+            "max_over_mean_max_in_drain": round(max(outcome.sampler.drain_ratios, default=0.0), 3),
             "refused_share": round(
                 sum(item.refused for item in results) / max(1, outcome.tally.tries), 4
             ),
@@ -182,7 +193,7 @@
         rows.append(
             [
                 outcome.policy,
-                *(row[name] for name in list(row)[:6]),
+                *(row[name] for name in list(row)[:7]),
                 shares,
                 row["lost_or_wrong"],
                 row["bench_late_ms_p99"],
@@ -199,6 +210,7 @@
             "max/mean p99",
             "max",
             "over cap",
+            "max in drain",
             "tries refused",
             "not served",
             "penalty",
--- a/gypsumrouter/admission/admission.py
+++ b/gypsumrouter/admission/admission.py
@@ -66,6 +66,11 @@
         """Return how many requests hold a slot."""
         return self._scheduler.running
 
+    @property
+    def batch_waiting(self) -> int:
+        """Return how much batch work waits."""
+        return self._scheduler.queue.batch
+
     @property
     def load_limit(self) -> int | None:
         """Return the highest load that the cap allows now, None for any."""
--- a/gypsumrouter/admission/const.py
+++ b/gypsumrouter/admission/const.py
@@ -10,7 +10,9 @@
 CAUTION_AFTER_MS: Final = 1_000
 CAUTION_HALF_LIFE_MS: Final = 1_000
 # Loads vary by about their square root; half of that is kept free, see decision 0006.
-DRIFT_MARGIN: Final = 0.5
+DRIFT_MARGIN: Final = 0.6
+# A pool whose members all but stand at a whole number may take one request more each.
+GROWTH_SLACK: Final = 0.15
 HALF: Final = 0.5
 # Keeps a limit that is a whole number from being rounded above itself.
 ROUNDING: Final = 1e-9
--- a/gypsumrouter/admission/load.py
+++ b/gypsumrouter/admission/load.py
@@ -9,6 +9,7 @@
     CAUTION_AFTER_MS,
     CAUTION_HALF_LIFE_MS,
     DRIFT_MARGIN,
+    GROWTH_SLACK,
     HALF,
     HALF_LIFE_MS,
     HISTORY_STEP_MS,
@@ -138,9 +139,9 @@
 
     The mean includes this side with that load: with n members whose others carry a mean of m,
     load / weight <= cap * ((n - 1) * m + load / weight) / n. A margin for the drift of the mean
-    after the admission is taken off. One request above the rounded mean is always allowed, or a
-    pool whose members all stand at their limit could never take more. None is no limit, where a
-    side could not exceed the multiple of the mean with all of the load.
+    after the admission is taken off. One request above a mean that is all but reached is always
+    allowed, or a pool whose members all stand at their limit could never take more. None is no
+    limit, where a side could not exceed the multiple of the mean with all of the load.
     """
     if believed is None:
         return floor
@@ -149,7 +150,7 @@
     even = weight * believed.mean
     exact = cap * even * (believed.members - 1) / (believed.members - cap)
     limit = math.ceil(exact - DRIFT_MARGIN * math.sqrt(exact) - ROUNDING)
-    return max(floor, int(even + HALF) + 1, limit)
+    return max(floor, int(even + GROWTH_SLACK) + 1, limit)
 
 
 def compute_batch_limit(*, believed: Believed | None, floor: int, weight: float) -> int | None:
--- a/gypsumrouter/admission/scheduler.py
+++ b/gypsumrouter/admission/scheduler.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable
 
 from gypsumrouter.admission import refusals
+from gypsumrouter.admission.batch_room import BatchRoom
 from gypsumrouter.admission.capacity import Capacity
 from gypsumrouter.admission.classes import Classes
 from gypsumrouter.admission.const import YIELD_RELEASES
-from gypsumrouter.admission.demand import InteractiveDemand, choose_quantile, count_needed, get_cost
 from gypsumrouter.admission.estimates import Estimates, ServiceTime
 from gypsumrouter.admission.limits import Limits
 from gypsumrouter.admission.metrics import AdmissionMetrics
@@ -28,9 +28,9 @@
     """The slots, the queue before them and who uses both."""
 
     __slots__ = (
+        "_batch_room",
         "_capacity",
         "_clock",
-        "_demand",
         "_metrics",
         "_on_change",
         "_slots",
@@ -53,9 +53,11 @@
         self._metrics = metrics
         self._on_change = on_change
         self._slots = Slots()
-        self._demand = InteractiveDemand()
         self.classes = Classes()
         self.estimates = Estimates()
+        self._batch_room = BatchRoom(
+            clock=clock, capacity=capacity, classes=self.classes, estimates=self.estimates
+        )
         self.shares = Shares()
         self.queue = WaitQueue(shares=self.shares)
 
@@ -88,7 +90,7 @@
         """
         load_limit = None if caller_class.batch else self._capacity.load_limit
         if load_limit is not None and self.load >= load_limit:
-            refused = refusals.refuse_over_cap(self._expect_wait_ms())
+            refused = refusals.refuse_over_cap(self._expect_room_ms())
             return self._replace(refused, load_limit, usage, caller_class, counted=True)
         if self.queue.size < limits.queue or self.may_run_now(limits, caller_class):
             return None
@@ -231,33 +233,21 @@
             self.refuse(victim, refused)
 
     def _batch_fits(self, limits: Limits) -> bool:
-        if self._slots.running >= limits.slots - limits.reserve:
-            return False
-        batch_limit = self._capacity.batch_limit
-        if batch_limit is not None and self.load >= batch_limit:
-            return False
-        return self._slots.batch_running < limits.slots - self._count_needed()
-
-    def _count_needed(self) -> int:
-        """Return how many slots interactive work is about to need, within its targets."""
-        times, classes = self.estimates, self.classes
-        quantile = choose_quantile(
-            batch_cost=get_cost(penalty=classes.batch_penalty, hold_ms=times.batch.hold_ms),
-            interactive_cost=get_cost(
-                penalty=classes.interactive_penalty, hold_ms=times.interactive.hold_ms
-            ),
-        )
-        peak = self._demand.expect_peak(now_ms=self._clock.now_ms(), quantile=quantile)
-        slack_ms = classes.first_token_ms - times.interactive.first_token_ms
-        return count_needed(peak=peak, hold_ms=times.interactive.hold_ms, slack_ms=slack_ms)
+        return self._batch_room.fits(limits, slots=self._slots, load=self.load)
 
     def _note_change(self) -> None:
         interactive = self._slots.running - self._slots.batch_running + self.queue.interactive
-        self._demand.note(interactive=interactive, now_ms=self._clock.now_ms())
+        self._batch_room.note_interactive(interactive)
         self._on_change()
 
     def _expect_wait_ms(self) -> float:
         return self._get_release_ms() * (self.queue.size + 1)
 
+    def _expect_room_ms(self) -> float:
+        """Return the time in which some member of the pool is likely to have room."""
+        believed = self._capacity.believed
+        members = 1 if believed is None else max(1, believed.members)
+        return self._get_release_ms() / members
+
     def _get_release_ms(self) -> float:
         return self.estimates.get_release_interval_ms(max(1, self._slots.running))
--- a/gypsumrouter/exchange/runner.py
+++ b/gypsumrouter/exchange/runner.py
@@ -123,6 +123,7 @@
             leaving=self.leaving,
             ready=not self.leaving and self._checks.ready,
             models=self._client.models,
+            batch_waiting=self._admission.batch_waiting,
         )
 
     def begin_leaving(self) -> None:
--- a/gypsumrouter/gateway/candidates.py
+++ b/gypsumrouter/gateway/candidates.py
@@ -111,4 +111,5 @@
         model=call.target.model,
         hint=call.hint,
         returning=call.returning,
+        batch=call.caller_class.batch,
     )
--- a/gypsumrouter/placement/const.py
+++ b/gypsumrouter/placement/const.py
@@ -7,6 +7,7 @@
 MAX_CANDIDATES: Final = 8
 FIRST_LOOK: Final = 2 * MAX_CANDIDATES
 SPREAD_CHOICES: Final = 2
+BATCH_CHOICES: Final = 4
 HOLDERS_LOOK: Final = 2
 
 STATUS_FRESH_MS: Final = 2_000
--- a/gypsumrouter/placement/loads.py
+++ b/gypsumrouter/placement/loads.py
@@ -74,6 +74,12 @@
         load = self.pool_load(pool)
         return 0.0 if load is None else load.mean
 
+    def relative_backlog(self, instance: Instance, pool: Pool) -> float:
+        """Return the load and the waiting batch work for each unit of weight."""
+        status = self.fresh_status(instance)
+        waiting = 0.0 if status is None else status.batch_waiting / status.weight
+        return self.relative_load(instance, pool) + waiting
+
     def pool_load(self, pool: Pool) -> PoolLoad | None:
         """Return the mean load of a pool, None where it has no members.
 
--- a/gypsumrouter/placement/models.py
+++ b/gypsumrouter/placement/models.py
@@ -27,7 +27,8 @@
     """What is known of a request before it is placed.
 
     `chat` is empty where no later request will profit from the same instance. `hint` is what the
-    caller brought back of an earlier answer, empty without one; it is not trusted.
+    caller brought back of an earlier answer, empty without one; it is not trusted. `batch` work
+    waits for gaps.
     """
 
     pool: Pool
@@ -36,6 +37,7 @@
     model: str = ""
     hint: str = ""
     returning: bool = False
+    batch: bool = False
 
 
 class StatusView(Protocol):
--- a/gypsumrouter/placement/placement.py
+++ b/gypsumrouter/placement/placement.py
@@ -8,6 +8,7 @@
 from gypsumrouter.link.models import PoolLoad
 from gypsumrouter.placement.baselines import Baselines
 from gypsumrouter.placement.const import (
+    BATCH_CHOICES,
     FIRST_LOOK,
     HOLDERS_LOOK,
     MAX_CANDIDATES,
@@ -88,6 +89,8 @@
             return self._finish("hinted", query, hinted, own)
         if query.returning:
             return self._finish("returning", query, own[0] if own else None, own)
+        if query.batch:
+            return self._finish("batch", query, self._find_shortest_queue(query, own), own)
         return self._finish("new", query, self._place_new_chat(query, own), own)
 
     def find_holders(self, query: PlacementQuery) -> tuple[str, ...]:
@@ -192,6 +195,14 @@
         self._moved.inc()
         return self._choose_least(query, free)
 
+    def _find_shortest_queue(self, query: PlacementQuery, own: list[Instance]) -> Instance | None:
+        """Return where new batch work waits least, of the first few of the chat's own order."""
+        return min(
+            own[:BATCH_CHOICES],
+            key=lambda m: (self._loads.is_closed(m), self._loads.relative_backlog(m, query.pool)),
+            default=None,
+        )
+
     def _choose_least(self, query: PlacementQuery, ranked: list[Instance]) -> Instance | None:
         """Return the less loaded of the first two; the router's data centre breaks a tie."""
         return min(
--- a/tests/placement/placement_fakes.py
+++ b/tests/placement/placement_fakes.py
@@ -45,9 +45,16 @@
         age_ms: int = 0,
         models: tuple[str, ...] = (),
         ready: bool = True,
+        batch_waiting: int = 0,
     ) -> None:
         status = Status(
-            load=load, running=load, weight=1.0, leaving=False, ready=ready, models=models
+            load=load,
+            running=load,
+            weight=1.0,
+            leaving=False,
+            ready=ready,
+            models=models,
+            batch_waiting=batch_waiting,
         )
         self.views[name] = FakeStatusView(status=status, age_ms=age_ms)
 
--- a/tests/placement/test_placement_order.py
+++ b/tests/placement/test_placement_order.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -195,3 +197,28 @@
     query = make_query("chat-1")
     router.note_served(query, world.fleet.instances[5])
     assert router.order(query)[0] == world.fleet.instances[5]
+
+
+def test_the_holders_of_a_returning_chat_are_its_first_places_and_the_hinted_one(
+    world: World,
+) -> None:
+    router = world.make_router()
+    own = list_names(router.order(make_query("chat-1")))
+    query = make_query("chat-1", hint=router.make_hint(router.order(make_query("chat-1"))[4]))
+    assert router.find_holders(query) == (own[0], own[1], own[4])
+    assert router.find_holders(make_query("chat-1", returning=False)) == ()
+
+
+def test_the_baselines_name_no_holders(world: World) -> None:
+    router = world.make_router(kind=PlacementKind.STICKY)
+    assert router.find_holders(make_query("chat-1")) == ()
+
+
+def test_new_batch_work_goes_where_least_of_it_waits(world: World) -> None:
+    router = world.make_router()
+    own = router.order(make_query("chat-1"))
+    for instance in world.fleet.instances:
+        world.links.report(instance.name, load=4, batch_waiting=9)
+    world.links.report(own[2].name, load=5, batch_waiting=1)
+    query = replace(make_query("chat-1", returning=False), batch=True)
+    assert router.order(query)[0] == own[2]
