--- a/gypsumrouter/orders/gates.py
+++ b/gypsumrouter/orders/gates.py
@@ -154,16 +154,6 @@
     return ""
 
 
-def find_rival(own: Holding, holdings: Iterable[Holding]) -> str:
-    """Return the side that also claims the engine of `own` and goes before it."""
-    rivals = (
-        holding.name
-        for holding in holdings
-        if holding.engine and holding.engine == own.engine and holding.name < own.name
-    )
-    return min(rivals, default="")
-
-
 def _is_serving(model: HeldModel) -> bool:
     return model.serving and bool(model.version)
 
--- a/gypsumrouter/orders/orders.py
+++ b/gypsumrouter/orders/orders.py
@@ -17,7 +17,7 @@
 from gypsumrouter.orders.demand import Demand
 from gypsumrouter.orders.diagnostics import dump_change, dump_state, dump_table
 from gypsumrouter.orders.engine import OrderClient
-from gypsumrouter.orders.gates import find_obstacle, find_rival
+from gypsumrouter.orders.gates import find_obstacle
 from gypsumrouter.orders.giver import OrderGiver
 from gypsumrouter.orders.lease import OrderLease
 from gypsumrouter.orders.loads import LoadTurns, Source, Waiting
@@ -252,11 +252,14 @@
         awaited = self._table.list_awaited()
         if awaited:
             return f"not heard of yet: {', '.join(awaited)}"
+        rival = self._table.find_rival(self._own.holding)
+        if rival:
+            return f"{rival} is also beside this engine"
         return self._lease.find_obstacle()
 
     def _find_way(self, change: Change, orders: PoolOrders) -> Source | Waiting:
         """Return where a change takes its weights from, or why it may not begin now."""
-        obstacle = self._giver.find_obstacle() or self._find_rival()
+        obstacle = self._giver.find_obstacle()
         if obstacle:
             return Waiting(reason=obstacle)
         if self._own.is_loading(change):
@@ -324,10 +327,6 @@
             case OrderKind.UNLOAD:
                 return wished is None or not any(name in wished for name in change.drops)
 
-    def _find_rival(self) -> str:
-        rival = find_rival(self._own.holding, self._table.list_fresh())
-        return f"{rival} is also beside this engine" if rival else ""
-
     def _take_store_slot(self) -> int:
         orders = self._get_orders()
         return TURN_MS if orders is None else self._loads.take_store_slot(orders)
--- a/gypsumrouter/orders/table.py
+++ b/gypsumrouter/orders/table.py
@@ -33,12 +33,12 @@
         self._entries: dict[str, Heard] = {}
         self._listed_ms: dict[str, int] = {}
         self._gone_ms: dict[str, int] = {}
-        self.hold_ms = 0
+        self.hold_ms = RESTAMP_MS
 
     @property
     def restamp_ms(self) -> int:
         """Return how often a side says anew what its engine holds; longer in a large pool."""
-        return max(RESTAMP_MS, RESTAMP_MS_PER_MEMBER * len(self._listed_ms))
+        return max(min(RESTAMP_MS, self.hold_ms), RESTAMP_MS_PER_MEMBER * len(self._listed_ms))
 
     def set_listed(self, names: tuple[str, ...]) -> None:
         """Take in the sides of the pool in the next list; each list must be told."""
@@ -74,24 +74,44 @@
         ]
 
     def list_answering(self) -> list[Holding]:
-        """Return what the engines hold that answer, sorted by the names of their sides."""
-        now_ms = self._clock.now_ms()
-        held = [name for name, at_ms in self._gone_ms.items() if now_ms - at_ms < self.hold_ms]
+        """Return what the engines hold that answer, sorted by the names of their sides.
+
+        Of several sides beside one engine the first speaks for it.
+        """
+        held = self._list_held()
         found = [
             self._entries[name].holding
             for name in sorted((*self._listed_ms, *held))
             if self._is_fresh(name)
         ]
-        return [_mark_gone(item) if item.name in held else item for item in found if item.up]
+        speakers: dict[str, str] = {}
+        for item in found:
+            speakers.setdefault(item.engine, item.name)
+        return [
+            _mark_gone(item) if item.name in held else item
+            for item in found
+            if item.up and speakers[item.engine] == item.name
+        ]
+
+    def find_rival(self, own: Holding) -> str:
+        """Return the side that speaks for the engine of `own` in its place, if there is one."""
+        names = (item.name for item in self.list_fresh() if item.engine == own.engine)
+        first = min(names, default=own.name)
+        return first if first < own.name else ""
 
     def list_fresh(self) -> list[Holding]:
         """Return every holding that is worth telling others."""
-        return [self._entries[name].holding for name in self._listed_ms if self._is_fresh(name)]
+        names = (*self._listed_ms, *self._list_held())
+        return [self._entries[name].holding for name in names if self._is_fresh(name)]
 
     def list_heard(self) -> Iterator[tuple[str, Heard | None]]:
         """Return each listed side and what was heard of it."""
         return ((name, self._entries.get(name)) for name in self._listed_ms)
 
+    def _list_held(self) -> list[str]:
+        now_ms = self._clock.now_ms()
+        return [name for name, at_ms in self._gone_ms.items() if now_ms - at_ms < self.hold_ms]
+
     def _is_fresh(self, name: str) -> bool:
         heard = self._entries.get(name)
         return heard is not None and self._clock.now_ms() - heard.at_ms <= self._get_stale_ms()
