--- a/tests/prefixes/prefixes_fakes.py
+++ b/tests/prefixes/prefixes_fakes.py
@@ -5,11 +5,12 @@
 import asyncio
 from collections import deque
 from dataclasses import dataclass, field
+from typing import cast
 
 from gypsumrouter.const import Role, UpstreamKind, make_engine_chat
 from gypsumrouter.core import Application
 from gypsumrouter.fleet.models import Address, Instance
-from gypsumrouter.link import NoticeHub, Peer
+from gypsumrouter.link import Answer, NoticeHub, Peer
 from gypsumrouter.link.models import AnswerEvent, Data, End, Head, Hello, Notice, Open
 from gypsumrouter.outcomes import Failure, Reason, Refused
 from gypsumrouter.prefixes import Prefixes
@@ -76,7 +77,7 @@
             return Refused(reason=Reason.UNREACHABLE, elsewhere=True)
         answer = FakeAnswer()
         hello = Hello(name=self.name, role=Role.SIDE, incarnation=1)
-        await self.fleet.sides[instance.name].handler(hello, request, answer)
+        await self.fleet.sides[instance.name].handler(hello, request, cast(Answer, answer))
         return FakeExchange(answer)
 
     async def async_send(self, *, instance: Instance, notice: Notice) -> bool:
