--- a/bench/orders.py
+++ b/bench/orders.py
@@ -11,7 +11,7 @@
 import signal
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Final
+from typing import Any, Final
 
 import uvloop
 
@@ -33,6 +33,7 @@
 SURGE_RATE: Final = 9.0
 RATE_WINDOW_MS: Final = 5_000
 LATE_ROUNDS: Final = 1
+LATE_RATE: Final = 6.0
 FIRST_LATE_VERSION: Final = 11
 LOST_SHARE: Final = 3
 
@@ -71,13 +72,13 @@
             await async_surge(stage, options.seed),
             await async_change_version(stage, options.seed),
         ]
-        late = {"checking": await async_provoke_late_orders(stage)}
+        late = {"checking": await async_provoke_late_orders(stage, seed=options.seed)}
         phases.append(await async_lose_third(stage, options.seed))
         fetched_ms = list(stage.platform.weight_store.fetched_ms)
         refused = stage.platform.weight_store.refused
     async with open_orders_stage(checks_fence=False) as stage:
         await stage.async_wait_settled()
-        late["not_checking"] = await async_provoke_late_orders(stage)
+        late["not_checking"] = await async_provoke_late_orders(stage, seed=options.seed)
     report(
         quiet=quiet,
         idle_moves=idle_moves,
@@ -181,14 +182,15 @@
     )
 
 
-async def async_provoke_late_orders(stage: OrdersStage) -> int:
-    """Pause sides in the middle of a change, replace them, and wake them; count late orders."""
+async def async_provoke_late_orders(stage: OrdersStage, *, seed: int) -> int:
+    """Pause sides right before they order, replace them, and wake them; count late orders."""
     model = stage.models[0]
     late = 0
     version = FIRST_LATE_VERSION
     for _ in range(LATE_ROUNDS):
-        stage.publish({model: str(version)})
-        name = await async_pause_one_that_changes(stage)
+        async with open_load(stage, rates={model: LATE_RATE}, seed=seed):
+            stage.publish({model: str(version)})
+            name = await async_pause_one_that_drains(stage)
         paused = stage.rig.sides[name]
         await stage.rig.async_start_side(name)
         stage.publish({model: str(version + 1)})
@@ -214,22 +216,30 @@
     )
 
 
-async def async_pause_one_that_changes(stage: OrdersStage) -> str:
-    """Pause the first side that is in the middle of a change; return its name."""
+async def async_pause_one_that_drains(stage: OrdersStage) -> str:
+    """Pause the first side that turns requests away and has not ordered yet; return its name."""
     found: list[str] = []
 
     async def async_find() -> bool:
         for name, process in stage.rig.sides.items():
-            if (await stage.async_dump(process)).get("pending") is not None:
+            if is_draining(await stage.async_dump(process)):
                 process.send_signal(signal.SIGSTOP)
                 found.append(name)
                 return True
         return False
 
-    await stage.async_wait_until(async_find, "a side changes its engine")
+    await stage.async_wait_until(async_find, "a side drains its engine")
     return found[0]
 
 
+def is_draining(dump: Mapping[str, Any]) -> bool:
+    """Return whether a side is about to give an order."""
+    change = dump.get("pending")
+    if change is None or not change["confirmed"]:
+        return False
+    return all(entry["wall_ms"] < change["since_ms"] for entry in dump["journal"])
+
+
 def make_rates(stage: OrdersStage) -> dict[str, float]:
     """Return the quiet rate of requests for each model."""
     return dict.fromkeys(stage.models, QUIET_RATE)
--- a/gypsumrouter/orders/diagnostics.py
+++ b/gypsumrouter/orders/diagnostics.py
@@ -20,8 +20,10 @@
     }
 
 
-def dump_change(change: Change | None, *, source: str, since_ms: int) -> dict[str, object] | None:
-    """Return the change under way as plain JSON data."""
+def dump_change(
+    change: Change | None, *, confirmed: bool, source: str, since_ms: int
+) -> dict[str, object] | None:
+    """Return the change under way as plain JSON data; it is announced before it is confirmed."""
     if change is None:
         return None
     return {
@@ -30,6 +32,7 @@
         "version": change.version,
         "role": change.role,
         "drops": list(change.drops),
+        "confirmed": confirmed,
         "source": source,
         "since_ms": since_ms,
         "reason": change.reason,
--- a/gypsumrouter/orders/orders.py
+++ b/gypsumrouter/orders/orders.py
@@ -346,7 +346,12 @@
             "may_order": self._giver.find_obstacle() or "yes",
             "wished": None if planner.wished is None else dict(planner.wished),
             "held": dump_state(self._own.state),
-            "pending": dump_change(self._own.change, source=self._source, since_ms=self._began_ms),
+            "pending": dump_change(
+                self._own.change,
+                confirmed=self._own.confirmed,
+                source=self._source,
+                since_ms=self._began_ms,
+            ),
             "waiting": self._waiting,
             "last": (
                 None
