Prefixes: a hand-on that a stop overtakes ends quietly

Cause: the demo logged four tracebacks at its end: the session that the hand-on uses was closed by the stop and raises RuntimeError. Change: that ends the call as any lost connection does. Conclusion: mended.

--- a/gypsumrouter/prefixes/engine.py
+++ b/gypsumrouter/prefixes/engine.py
@@ -26,6 +26,16 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+# The session raises RuntimeError once a stop has closed it.
+FAILURES: Final = (
+    Unreached,
+    ConnectionBroken,
+    aiohttp.ClientError,
+    OSError,
+    RuntimeError,
+    TimeoutError,
+)
+
 _JSON: Final = [("Content-Type", "application/json")]
 
 
@@ -95,6 +105,6 @@
                     return answer if response.status == HTTP_OK else None
                 finally:
                     response.close()
-        except (Unreached, ConnectionBroken, aiohttp.ClientError, OSError, TimeoutError) as error:
+        except FAILURES as error:
             _LOGGER.debug("Call %s to the cache failed: %s", path, error)
             return None
