--- a/bench/orders.py
+++ b/bench/orders.py
@@ -26,6 +26,7 @@
 from bench.processes import DaemonProcess
 from bench.report import Value, print_machine, print_result, print_table
 from gypsumrouter.const import MS_PER_S
+from gypsumrouter.standins import WeightStore
 from gypsumrouter.standins.orders import OrderState
 from gypsumrouter.util.clock import SystemClock
 
@@ -36,6 +37,19 @@
 LATE_RATE: Final = 6.0
 FIRST_LATE_VERSION: Final = 11
 LOST_SHARE: Final = 3
+COLUMNS: Final = (
+    "event",
+    "holders before",
+    "after",
+    "loads",
+    "least",
+    "took s",
+    "target met",
+    "requests",
+    "not run",
+    "lost",
+    "tries refused",
+)
 
 
 @dataclass(slots=True, kw_only=True)
@@ -51,6 +65,23 @@
     load: Load
 
 
+@dataclass(slots=True, kw_only=True)
+class Unchecked:
+    """Late orders by what the engines check, and stores by where their loads come from."""
+
+    late: dict[str, int]
+    stores: dict[str, WeightStore]
+
+
+@dataclass(slots=True, kw_only=True)
+class Run(Unchecked):
+    """All that a run has measured."""
+
+    quiet: Load
+    idle_moves: int
+    phases: list[Phase]
+
+
 def main(argv: list[str]) -> int:
     """Run the bench."""
     parser = argparse.ArgumentParser(prog="bench orders")
@@ -62,8 +93,22 @@
 
 
 async def async_measure(options: argparse.Namespace) -> int:
-    """Run all events and print the figures."""
-    async with open_orders_stage(checks_fence=True) as stage:
+    """Run all events and print the figures.
+
+    Engines that check no number and give no weights run beside the others.
+    """
+    run, unchecked = await asyncio.gather(
+        async_run_events(options), async_run_unchecked(options.seed)
+    )
+    run.late |= unchecked.late
+    run.stores |= unchecked.stores
+    report(run)
+    return 0
+
+
+async def async_run_events(options: argparse.Namespace) -> Run:
+    """Go through all events with engines that check the fencing number."""
+    async with open_orders_stage(checks_fence=True, gives_weights=True) as stage:
         await stage.async_wait_settled()
         began = stage.count_loads()
         quiet = await async_stay_quiet(stage, options)
@@ -74,20 +119,21 @@
         ]
         late = {"checking": await async_provoke_late_orders(stage, seed=options.seed)}
         phases.append(await async_lose_third(stage, options.seed))
-        fetched_ms = list(stage.platform.weight_store.fetched_ms)
-        refused = stage.platform.weight_store.refused
-    async with open_orders_stage(checks_fence=False) as stage:
+        return Run(
+            quiet=quiet,
+            idle_moves=idle_moves,
+            phases=phases,
+            late=late,
+            stores={"neighbours": stage.platform.weight_store},
+        )
+
+
+async def async_run_unchecked(seed: int) -> Unchecked:
+    """Provoke late orders with engines that check nothing; all their loads come from the store."""
+    async with open_orders_stage(checks_fence=False, gives_weights=False) as stage:
         await stage.async_wait_settled()
-        late["not_checking"] = await async_provoke_late_orders(stage, seed=options.seed)
-    report(
-        quiet=quiet,
-        idle_moves=idle_moves,
-        phases=phases,
-        fetched_ms=fetched_ms,
-        store_refused=refused,
-        late=late,
-    )
-    return 0
+        late = {"not_checking": await async_provoke_late_orders(stage, seed=seed)}
+        return Unchecked(late=late, stores={"store_alone": stage.platform.weight_store})
 
 
 async def async_stay_quiet(stage: OrdersStage, options: argparse.Namespace) -> Load:
@@ -250,12 +296,16 @@
     return sum(max(0, count - before[model]) for model, count in after.items())
 
 
-def get_rate_max(fetched_ms: list[int]) -> float:
+def get_rate_max(store: WeightStore) -> float:
     """Return the highest rate of fetches in any window."""
-    most = 0
-    for index, began_ms in enumerate(fetched_ms):
-        within = [at for at in fetched_ms[index:] if at < began_ms + RATE_WINDOW_MS]
-        most = max(most, len(within))
+    fetched_ms = list(store.fetched_ms)
+    most = max(
+        (
+            sum(began_ms <= at < began_ms + RATE_WINDOW_MS for at in fetched_ms)
+            for began_ms in fetched_ms
+        ),
+        default=0,
+    )
     return most * MS_PER_S / RATE_WINDOW_MS
 
 
@@ -264,79 +314,63 @@
     return asyncio.get_running_loop().time()
 
 
-def report(
-    *,
-    quiet: Load,
-    idle_moves: int,
-    phases: list[Phase],
-    fetched_ms: list[int],
-    store_refused: int,
-    late: Mapping[str, int],
-) -> None:
+def report(run: Run) -> None:
     """Print the table and the last line."""
+    loads = (run.quiet, *(phase.load for phase in run.phases))
     rows: list[list[object]] = [
-        ["quiet", "", "", idle_moves, 0, "", round(quiet.target_met, 4), *list_lost(quiet)]
-    ]
-    rows += [
-        [
-            phase.name,
-            format_counts(phase.before),
-            format_counts(phase.after),
-            phase.moves,
-            phase.moves_least,
-            round(phase.took_s, 1),
-            round(phase.load.target_met, 4),
-            *list_lost(phase.load),
-        ]
-        for phase in phases
+        ["quiet", "", "", run.idle_moves, 0, "", *list_outcomes(run.quiet)],
     ]
+    rows += [make_row(phase) for phase in run.phases]
     print_table(
         title="orders, kotlovnica: 9 engines that share 3 models, 2 routers",
-        columns=(
-            "event",
-            "holders before",
-            "after",
-            "loads",
-            "least",
-            "took s",
-            "target met",
-            "requests",
-            "not run",
-            "lost",
-        ),
+        columns=COLUMNS,
         rows=rows,
     )
-    moves: dict[str, Value] = {phase.name: phase.moves for phase in phases}
-    least: dict[str, Value] = {phase.name: phase.moves_least for phase in phases}
-    met: dict[str, Value] = {phase.name: round(phase.load.target_met, 4) for phase in phases}
+    moves: dict[str, Value] = {phase.name: phase.moves for phase in run.phases}
+    least: dict[str, Value] = {phase.name: phase.moves_least for phase in run.phases}
     print_result(
         {
-            "late_orders_applied": dict(late),
-            "moves": {"quiet": idle_moves, **moves},
+            "late_orders_applied": dict(run.late),
+            "moves": {"quiet": run.idle_moves, **moves},
             "moves_least": {"quiet": 0, **least},
-            "took_s": {phase.name: round(phase.took_s, 1) for phase in phases},
-            "weight_store_rate_max": get_rate_max(fetched_ms),
+            "took_s": {phase.name: round(phase.took_s, 1) for phase in run.phases},
+            "weight_store_rate_max": max(get_rate_max(store) for store in run.stores.values()),
             "weight_store_limit": STORE_PER_S,
-            "weight_store_fetches": len(fetched_ms),
-            "weight_store_refused": store_refused,
-            "target_met": met,
-            "target_met_quiet": round(quiet.target_met, 4),
-            "lost_or_wrong": sum(
-                count_wrong(load) for load in (quiet, *(phase.load for phase in phases))
-            ),
+            "weight_store_fetches": {
+                name: len(store.fetched_ms) for name, store in run.stores.items()
+            },
+            "weight_store_refused": sum(store.refused for store in run.stores.values()),
+            "target_met": {phase.name: round(phase.load.target_met, 4) for phase in run.phases},
+            "target_met_quiet": round(run.quiet.target_met, 4),
+            "lost_or_wrong": sum(count_wrong(load) for load in loads),
         }
     )
 
 
+def make_row(phase: Phase) -> list[object]:
+    """Return one event's row of the table."""
+    return [
+        phase.name,
+        format_counts(phase.before),
+        format_counts(phase.after),
+        phase.moves,
+        phase.moves_least,
+        round(phase.took_s, 1),
+        *list_outcomes(phase.load),
+    ]
+
+
 def count_wrong(load: Load) -> int:
     """Return how many requests had no known end, or a wrong answer."""
     tally = load.tally
     return tally.lost + tally.doubled + tally.crossed + tally.truncated
 
 
-def list_lost(load: Load) -> list[object]:
-    """Return the cells that say how requests ended."""
-    return [load.tally.requests, load.tally.not_run, count_wrong(load)]
+def list_outcomes(load: Load) -> list[object]:
+    """Return the cells that say how requests ended, and why tries were refused."""
+    refused = " ".join(f"{code} {count}" for code, count in load.tally.refused.most_common())
+    met = round(load.target_met, 4)
+    return [met, load.tally.requests, load.tally.not_run, count_wrong(load), refused]
 
 
 def format_counts(counts: Mapping[str, int]) -> str:
--- a/bench/orders_stage.py
+++ b/bench/orders_stage.py
@@ -127,7 +127,9 @@
 
 
 @asynccontextmanager
-async def open_orders_stage(*, checks_fence: bool) -> AsyncIterator[OrdersStage]:
+async def open_orders_stage(
+    *, checks_fence: bool, gives_weights: bool
+) -> AsyncIterator[OrdersStage]:
     """Run nine engines, their sides and two routers while the context is open."""
     deployment = replace(kotlovnica(), services=0)
     models = (deployment.model, "report-chat", "summary-chat")
@@ -136,7 +138,11 @@
         clock=clock,
         deployments=(deployment,),
         engine_settings=EngineSettings(
-            slots=SLOTS, step_ms=STEP_MS, step_ms_per_sequence=0.0, checks_fence=checks_fence
+            slots=SLOTS,
+            step_ms=STEP_MS,
+            step_ms_per_sequence=0.0,
+            checks_fence=checks_fence,
+            gives_weights=gives_weights,
         ),
     )
     platform.weight_store = WeightStore(
--- a/gypsumrouter/orders/const.py
+++ b/gypsumrouter/orders/const.py
@@ -46,4 +46,8 @@
 BACKOFF_MAX_MS: Final = 300_000
 FAILURES_PASSED: Final = 3
 
+# Neighbours that gave no weights are avoided for a time; after a few of them the store is asked.
+AVOIDED_MS: Final = 300_000
+NEIGHBOURS_ASKED: Final = 2
+
 JOURNAL_KEPT: Final = 64
--- a/gypsumrouter/orders/loads.py
+++ b/gypsumrouter/orders/loads.py
@@ -6,6 +6,7 @@
 
 from gypsumrouter.configuration import PoolOrders
 from gypsumrouter.core import Application
+from gypsumrouter.link.models import Holding
 from gypsumrouter.orders.const import TURN_MS
 from gypsumrouter.orders.gates import choose_source, find_store_obstacle
 from gypsumrouter.orders.lease import OrderLease
@@ -53,10 +54,7 @@
             reason = f"{name} {version} is tried again soon, {failures} tries have failed"
             return Waiting(reason=reason, look_ms=pause_ms)
         holdings = self._table.list_answering()
-        avoided = self._retries.get_avoided(name, version)
-        engine = choose_source(
-            own=self._app.name, name=name, version=version, avoided=avoided, holdings=holdings
-        )
+        engine = self._choose_neighbour(change, holdings)
         if engine:
             return Source(engine=engine)
         obstacle = find_store_obstacle(
@@ -69,6 +67,17 @@
             return Waiting(reason="the weight store has its turns", look_ms=wait_ms)
         return Source()
 
+    def _choose_neighbour(self, change: Change, holdings: list[Holding]) -> str:
+        if not self._retries.may_ask_neighbours(change.name, change.version):
+            return ""
+        return choose_source(
+            own=self._app.name,
+            name=change.name,
+            version=change.version,
+            avoided=self._retries.list_avoided(),
+            holdings=holdings,
+        )
+
     def get_store_wait_ms(self, orders: PoolOrders) -> int:
         """Return the time until this side may load from the store, 0 where it may now."""
         members = self._lease.members
--- a/gypsumrouter/orders/orders.py
+++ b/gypsumrouter/orders/orders.py
@@ -55,7 +55,6 @@
         "_giver",
         "_last",
         "_lease",
-        "_leaving",
         "_loads",
         "_news",
         "_own",
@@ -87,7 +86,6 @@
         self._settings = settings
         self._store = store
         self._client = client
-        self._leaving = False
         self._began_ms = 0
         self._candidate: Change | None = None
         self._candidate_ms = 0
@@ -117,7 +115,7 @@
             on_news=self._woken.set,
         )
         self._giver = OrderGiver(
-            app=app, client=self._engine, lease=self._lease, is_leaving=lambda: self._leaving
+            app=app, client=self._engine, lease=self._lease, is_leaving=app.stopping.is_set
         )
         self._runner = ChangeRunner(
             app=app,
@@ -146,7 +144,6 @@
     async def async_start(self) -> None:
         """Begin to look after the engine."""
         await self._engine.async_start()
-        self._app.on_drain(self._async_drain)
         self._app.add_dump_section(DUMP_SECTION, self._dump)
         self._news.start(lambda: self._get_orders() is not None)
         self._app.async_create_task(self._async_run(), "orders")
@@ -156,9 +153,6 @@
         self._table.set_listed(self._lease.members)
         self._woken.set()
 
-    async def _async_drain(self) -> None:
-        self._leaving = True
-
     async def _async_run(self) -> None:
         clock = self._app.clock
         while True:
