--- a/bench/probe_host.py
+++ b/bench/probe_host.py
@@ -14,7 +14,7 @@
 from gypsumrouter.bootstrap import ADDRESS_LINK, async_setup
 from gypsumrouter.const import MS_PER_S, Role
 from gypsumrouter.fleet.models import Address
-from gypsumrouter.helpers.settings_file import check_settings
+from gypsumrouter.helpers.settings_file import check_linked_settings
 from gypsumrouter.service import settle_process
 
 TICK_MS: Final = 1.0
@@ -71,7 +71,9 @@
 async def async_host(plan: Command) -> None:
     """Run the product and the probe until the standard input ends."""
     document = plan["settings"].encode()
-    product = await async_setup(settings=check_settings(role=Role(plan["role"]), document=document))
+    product = await async_setup(
+        settings=check_linked_settings(role=Role(plan["role"]), document=document)
+    )
     settle_process(product)
     probe = LoopProbe()
     task = asyncio.create_task(probe.async_run())
--- a/gypsumrouter/bootstrap.py
+++ b/gypsumrouter/bootstrap.py
@@ -22,8 +22,9 @@
 from gypsumrouter.orders import Orders
 from gypsumrouter.placement import Placement, PlacementKind
 from gypsumrouter.prefixes import Prefixes
+from gypsumrouter.product import Product
 from gypsumrouter.running import RunningExchanges
-from gypsumrouter.settings import Link, RouterSettings, Settings, SideSettings, read_link_key
+from gypsumrouter.settings import Link, LinkedSettings, RouterSettings, SideSettings, read_link_key
 from gypsumrouter.suspect_news import ListNames, SendTo, SuspectNewsSpread
 from gypsumrouter.suspicion import Suspicion
 from gypsumrouter.upstream import EngineClient, UpstreamClient, make_client
@@ -34,17 +35,6 @@
 ADDRESS_LINK: Final = "link"
 
 
-@dataclass(slots=True, kw_only=True)
-class Product:
-    """The running product of one process: its application and its bound addresses."""
-
-    app: Application
-    store: ConfigurationStore
-    addresses: dict[str, Address]
-    is_ready: Callable[[], bool]
-    list_running: Callable[[], list[str]]
-
-
 @dataclass(slots=True, kw_only=True, frozen=True)
 class SharedParts:
     """What the processes of both roles are made of."""
@@ -60,7 +50,7 @@
 
 async def async_setup(
     *,
-    settings: Settings,
+    settings: LinkedSettings,
     clock: Clock | None = None,
     placement: PlacementKind = PlacementKind.RENDEZVOUS,
 ) -> Product:
@@ -84,7 +74,7 @@
     return product
 
 
-def make_application(*, settings: Settings, clock: Clock | None = None) -> Application:
+def make_application(*, settings: LinkedSettings, clock: Clock | None = None) -> Application:
     """Return the application object of one process, not yet running."""
     return Application(
         name=settings.instance.name,
@@ -250,7 +240,7 @@
     )
 
 
-def make_shared_parts(*, app: Application, settings: Settings) -> SharedParts:
+def make_shared_parts(*, app: Application, settings: LinkedSettings) -> SharedParts:
     """Make what both roles need, not yet started."""
     key = read_link_key(settings.link)
     notices = NoticeHub(app=app)
@@ -311,7 +301,7 @@
 
 
 def make_operators(
-    *, app: Application, settings: Settings, is_ready: Callable[[], bool]
+    *, app: Application, settings: LinkedSettings, is_ready: Callable[[], bool]
 ) -> OperatorsServer:
     """Return the operators' server, not yet started; raises SettingsInvalid."""
     access = check_access(settings.operators)
--- a/gypsumrouter/cli/settings.py
+++ b/gypsumrouter/cli/settings.py
@@ -15,7 +15,7 @@
 from gypsumrouter.const import EXIT_SETTINGS, Role
 from gypsumrouter.exceptions import SettingsInvalid
 from gypsumrouter.helpers.settings_file import check_settings, read_settings_file
-from gypsumrouter.settings import RouterSettings, SideSettings
+from gypsumrouter.settings import ForwarderSettings, RouterSettings, SideSettings
 
 NEEDED: Final = "<needed>"
 _F = TypeVar("_F", bound=Callable[..., Any])
@@ -56,6 +56,8 @@
             shown = list_defaults(RouterSettings)
         case Role.SIDE:
             shown = list_defaults(SideSettings)
+        case Role.FORWARDER:
+            shown = list_defaults(ForwarderSettings)
     click.echo(json.dumps(shown, indent=2))
 
 
--- a/gypsumrouter/const.py
+++ b/gypsumrouter/const.py
@@ -43,6 +43,7 @@
 
     ROUTER = "router"
     SIDE = "side"
+    FORWARDER = "forwarder"
 
 
 class UpstreamKind(StrEnum):
--- a/gypsumrouter/daemon.py
+++ b/gypsumrouter/daemon.py
@@ -10,8 +10,9 @@
 os.environ[ENV_IO_URING] = IO_URING_OFF
 
 import sys
+from functools import partial
 from pathlib import Path
-from typing import Final
+from typing import Final, TextIO, cast
 
 import aiomisc
 import click
@@ -21,9 +22,8 @@
 from gypsumrouter.exceptions import SettingsInvalid
 from gypsumrouter.helpers.logs import configure_logging
 from gypsumrouter.helpers.settings_file import check_settings, read_settings_file
-from gypsumrouter.placement import PlacementKind
-from gypsumrouter.service import DaemonService
-from gypsumrouter.settings import Settings
+from gypsumrouter.service import DaemonService, Setup
+from gypsumrouter.settings import ForwarderSettings, RouterSettings, Settings, SideSettings
 
 WORKER_THREADS: Final = 4
 
@@ -38,10 +38,14 @@
         sys.exit(EXIT_SETTINGS)
 
 
-def run_daemon(*, settings: Settings, announce: bool, placement: PlacementKind) -> int:
+def run_daemon(
+    *, settings: Settings, announce: bool, setup: Setup, log_stream: TextIO | None = None
+) -> int:
     """Run one process until it is stopped and return its exit code."""
-    remove_logging = configure_logging(settings=settings.log, instance=settings.instance.name)
-    service = DaemonService(settings=settings, announce=announce, placement=placement)
+    remove_logging = configure_logging(
+        settings=settings.log, instance=settings.instance.name, stream=log_stream
+    )
+    service = DaemonService(settings=settings, announce=announce, setup=setup)
     # The service has signal handlers of its own: a stop waits for the answers that still run.
     with aiomisc.entrypoint(
         service,
@@ -73,22 +77,28 @@
 )
 _PLACEMENT: Final = click.option(
     "--placement",
-    type=click.Choice([kind.value for kind in PlacementKind]),
-    default=PlacementKind.RENDEZVOUS.value,
+    default="rendezvous",
     show_default=True,
     help="How instances are chosen; all but the default are for comparisons.",
 )
 
 
+# A role imports only its own parts: what a process does not need costs memory all its life.
 @main.command(Role.ROUTER.value)
 @_SETTINGS
 @_ANNOUNCE
 @_PLACEMENT
 def run_router(path: Path, announce: bool, placement: str) -> None:
     """Run a router on an entry instance."""
-    settings = load_settings(role=Role.ROUTER, path=path)
+    from gypsumrouter.bootstrap import async_setup
+    from gypsumrouter.placement import PlacementKind
+
+    if placement not in [kind.value for kind in PlacementKind]:
+        raise click.BadParameter(f"{placement} is none of {', '.join(PlacementKind)}")
+    settings = cast(RouterSettings, load_settings(role=Role.ROUTER, path=path))
     kind = PlacementKind(placement)
-    sys.exit(run_daemon(settings=settings, announce=announce, placement=kind))
+    setup = partial(async_setup, settings=settings, placement=kind)
+    sys.exit(run_daemon(settings=settings, announce=announce, setup=setup))
 
 
 @main.command(Role.SIDE.value)
@@ -96,9 +106,24 @@
 @_ANNOUNCE
 def run_side(path: Path, announce: bool) -> None:
     """Run a side beside an upstream."""
-    settings = load_settings(role=Role.SIDE, path=path)
-    kind = PlacementKind.RENDEZVOUS
-    sys.exit(run_daemon(settings=settings, announce=announce, placement=kind))
+    from gypsumrouter.bootstrap import async_setup
+
+    settings = cast(SideSettings, load_settings(role=Role.SIDE, path=path))
+    setup = partial(async_setup, settings=settings)
+    sys.exit(run_daemon(settings=settings, announce=announce, setup=setup))
+
+
+@main.command(Role.FORWARDER.value)
+@_SETTINGS
+@_ANNOUNCE
+def run_forwarder(path: Path, announce: bool) -> None:
+    """Run a router that reaches upstreams itself, where they have no side."""
+    from gypsumrouter.forwarder import async_setup_forwarder
+
+    settings = cast(ForwarderSettings, load_settings(role=Role.FORWARDER, path=path))
+    setup = partial(async_setup_forwarder, settings=settings, settings_path=path)
+    exit_code = run_daemon(settings=settings, announce=announce, setup=setup, log_stream=sys.stdout)
+    sys.exit(exit_code)
 
 
 if __name__ == "__main__":
--- a/gypsumrouter/demo/local_fleet.py
+++ b/gypsumrouter/demo/local_fleet.py
@@ -8,11 +8,12 @@
 import secrets
 from typing import Any, Final
 
-from gypsumrouter.bootstrap import ADDRESS_CALLERS, ADDRESS_LINK, Product, async_setup
+from gypsumrouter.bootstrap import ADDRESS_CALLERS, ADDRESS_LINK, async_setup
 from gypsumrouter.const import Role
 from gypsumrouter.exceptions import NotReady
 from gypsumrouter.fleet import Address
-from gypsumrouter.helpers.settings_file import check_settings
+from gypsumrouter.helpers.settings_file import check_linked_settings
+from gypsumrouter.product import Product
 from gypsumrouter.standins import StandinPlatform
 from gypsumrouter.util.clock import Clock
 
@@ -101,6 +102,6 @@
             name: {**settings.get(name, {}), **self._extra.get(name, {})}
             for name in settings.keys() | self._extra.keys()
         }
-        checked = check_settings(role=role, document=json.dumps(merged).encode())
+        checked = check_linked_settings(role=role, document=json.dumps(merged).encode())
         # A task of its own: the instance's name stays with what it starts.
         return await asyncio.create_task(async_setup(settings=checked, clock=self._clock))
--- a/gypsumrouter/demo/measure.py
+++ b/gypsumrouter/demo/measure.py
@@ -5,8 +5,8 @@
 import statistics
 from typing import Any
 
-from gypsumrouter.bootstrap import Product
 from gypsumrouter.demo.plan import SAMPLE_MS
+from gypsumrouter.product import Product
 from gypsumrouter.standins import Engine
 from gypsumrouter.util.clock import Clock
 
--- a/gypsumrouter/fleet/models.py
+++ b/gypsumrouter/fleet/models.py
@@ -19,6 +19,12 @@
         return f"{host}:{self.port}"
 
 
+def parse_address(text: str) -> Address:
+    """Return the address that `str` wrote."""
+    host, _, port = text.rpartition(":")
+    return Address(host=host.strip("[]"), port=int(port))
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Instance:
     """One process of the system: where its link listens and what it serves.
--- /dev/null
+++ b/gypsumrouter/forwarder.py
@@ -0,0 +1,186 @@
+"""Wiring of a forwarder: what it follows, what it listens on, how it stops."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterator
+from functools import partial
+from pathlib import Path
+from typing import Final
+
+from gypsumrouter.const import VERSION, Role
+from gypsumrouter.core import Application
+from gypsumrouter.directory import Directory, Record
+from gypsumrouter.exceptions import DocumentInvalid
+from gypsumrouter.fleet.models import Address, parse_address
+from gypsumrouter.forwarding import Forwarder
+from gypsumrouter.helpers.logs import set_instance
+from gypsumrouter.journal import Journal, ProcessStarted, ProcessStopped, ProcessStopping
+from gypsumrouter.operators.probes import ProbesServer
+from gypsumrouter.platform import (
+    PlatformDialect,
+    StoreClient,
+    decode_configuration,
+    decode_entry,
+    read_request,
+)
+from gypsumrouter.platform.names import KEY_CONFIGURATION, PREFIX_SERVERS
+from gypsumrouter.product import Product
+from gypsumrouter.published import Follower, Item, Listed
+from gypsumrouter.routing import RoutingStore
+from gypsumrouter.settings import ForwarderSettings
+from gypsumrouter.util.clock import Clock
+
+_LOGGER = logging.getLogger(__name__)
+
+SETTLE_MS: Final = 200
+SOURCE_PLATFORM: Final = "platform"
+
+
+async def async_setup_forwarder(
+    *, settings: ForwarderSettings, settings_path: Path | None = None, clock: Clock | None = None
+) -> Product:
+    """Start a forwarder and return it running; raises OSError when an address is taken."""
+    set_instance(settings.instance.name)
+    app = Application(
+        name=settings.instance.name,
+        role=Role.FORWARDER,
+        data_centre=settings.instance.data_centre,
+        region=settings.instance.region,
+        clock=clock,
+    )
+    app.async_start()
+    try:
+        product = await _async_wire(app, settings, settings_path)
+    except BaseException:
+        await app.async_stop()
+        raise
+    app.async_started()
+    return product
+
+
+async def _async_wire(
+    app: Application, settings: ForwarderSettings, settings_path: Path | None
+) -> Product:
+    journal = Journal(app=app)
+    routing = RoutingStore(app=app, journal=journal)
+    directory = Directory(app=app, journal=journal)
+    forwarder = Forwarder(
+        app=app,
+        settings=settings,
+        journal=journal,
+        routing=routing,
+        directory=directory,
+        dialect=PlatformDialect(),
+        read_request=read_request,
+    )
+    followers = make_followers(
+        app=app, settings=settings, journal=journal, routing=routing, directory=directory
+    )
+    probes = ProbesServer(app=app, settings=settings.probes, is_ready=lambda: forwarder.ready)
+    addresses = await probes.async_start()
+    for follower in followers:
+        follower.async_start()
+    app.async_create_task(_async_settle(app, directory), "settle directory")
+    addresses["callers"] = await forwarder.async_start()
+    _journal_life(app, journal, forwarder, addresses)
+    return Product(
+        app=app,
+        store=routing,
+        addresses=addresses,
+        is_ready=lambda: forwarder.ready,
+        list_running=lambda: forwarder.handler.running,
+    )
+
+
+def make_followers(
+    *,
+    app: Application,
+    settings: ForwarderSettings,
+    journal: Journal,
+    routing: RoutingStore,
+    directory: Directory,
+) -> tuple[Follower, Follower]:
+    """Return what follows the configuration and the list of upstreams."""
+    address = parse_address(settings.store)
+    take_configuration = partial(_take_configuration, routing)
+    configuration = Follower(
+        app=app,
+        journal=journal,
+        name="configuration",
+        store=StoreClient(address=address, prefix=KEY_CONFIGURATION),
+        take_all=take_configuration,
+        take_changes=take_configuration,
+    )
+    upstreams = Follower(
+        app=app,
+        journal=journal,
+        name="upstreams",
+        store=StoreClient(address=address, prefix=PREFIX_SERVERS),
+        take_all=partial(_take_all_entries, directory),
+        take_changes=partial(_take_changed_entries, directory),
+        on_lost=directory.note_outage,
+        on_regained=directory.note_return,
+    )
+    return configuration, upstreams
+
+
+def _take_configuration(routing: RoutingStore, listed: Listed) -> None:
+    for item in listed.items:
+        if item.key != KEY_CONFIGURATION or item.value is None:
+            continue
+        try:
+            configuration = decode_configuration(item.value)
+        except DocumentInvalid as error:
+            # The store takes only valid documents: what is in force stays until one is readable.
+            _LOGGER.error(
+                "The configuration of revision %d is unreadable: %s", item.revision, error
+            )
+            continue
+        routing.offer(configuration, source=SOURCE_PLATFORM)
+
+
+def _take_all_entries(directory: Directory, listed: Listed) -> None:
+    records = _read_records(listed.items)
+    directory.replace_all(records, revision=listed.as_of, source=SOURCE_PLATFORM)
+
+
+def _take_changed_entries(directory: Directory, listed: Listed) -> None:
+    for record in _read_records(listed.items):
+        directory.merge(record, source=SOURCE_PLATFORM)
+    directory.note_revision(listed.as_of)
+
+
+def _read_records(items: tuple[Item, ...]) -> Iterator[Record]:
+    for item in items:
+        try:
+            entry = decode_entry(key=item.key, value=item.value)
+        except DocumentInvalid as error:
+            # One unreadable entry must not hide the others.
+            _LOGGER.error("The entry %s is unreadable: %s", item.key, error)
+            continue
+        yield Record(revision=item.revision, entry=entry)
+
+
+async def _async_settle(app: Application, directory: Directory) -> None:
+    while True:
+        await app.clock.async_sleep(SETTLE_MS)
+        directory.settle()
+
+
+def _journal_life(
+    app: Application, journal: Journal, forwarder: Forwarder, addresses: dict[str, Address]
+) -> None:
+    """Write the lines of the start and of the end."""
+    shown = {name: str(address) for name, address in addresses.items()}
+    journal.record(ProcessStarted(incarnation=app.incarnation, version=VERSION, addresses=shown))
+
+    async def async_note_stopping() -> None:
+        journal.record(ProcessStopping(running=len(forwarder.handler.running)))
+
+    async def async_note_stopped() -> None:
+        cut = len(forwarder.handler.running)
+        journal.record(ProcessStopped(cut=cut, lines_dropped=journal.dropped))
+
+    app.on_drain(async_note_stopping)
+    app.on_stop(async_note_stopped)
--- /dev/null
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -0,0 +1,144 @@
+"""The forwarder: listens for callers, and stops without cutting what it took."""
+
+from __future__ import annotations
+
+import logging
+from typing import Final
+
+from aiohttp import web
+
+from gypsumrouter.core import Application
+from gypsumrouter.directory import Directory
+from gypsumrouter.fleet.models import Address, parse_address
+from gypsumrouter.forwarding.budget import RetryBudget
+from gypsumrouter.forwarding.connections import UpstreamConnections
+from gypsumrouter.forwarding.const import LEAVING_MS
+from gypsumrouter.forwarding.handler import ReadRequest, RequestHandler
+from gypsumrouter.forwarding.health import HealthBook
+from gypsumrouter.forwarding.metrics import ForwardingMetrics
+from gypsumrouter.forwarding.models import Dialect
+from gypsumrouter.forwarding.placement import Cap
+from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.run import RunParts
+from gypsumrouter.gateway import CallerListener, CallerServer
+from gypsumrouter.journal import Journal
+from gypsumrouter.routing import RoutingStore
+from gypsumrouter.settings import ForwarderSettings, Listener
+
+_LOGGER = logging.getLogger(__name__)
+
+SWEEP_MS: Final = 1_000
+DRAIN_STEP_MS: Final = 20
+
+
+class Forwarder:
+    """Takes callers' requests and forwards each to an upstream of its route's service."""
+
+    __slots__ = (
+        "_app",
+        "_connections",
+        "_directory",
+        "_listener",
+        "_routing",
+        "_server",
+        "budget",
+        "handler",
+        "placer",
+    )
+
+    def __init__(
+        self,
+        *,
+        app: Application,
+        settings: ForwarderSettings,
+        journal: Journal,
+        routing: RoutingStore,
+        directory: Directory,
+        dialect: Dialect,
+        read_request: ReadRequest,
+    ) -> None:
+        self._app = app
+        self._routing = routing
+        self._directory = directory
+        bounds = settings.bounds
+        health = HealthBook(clock=app.clock, journal=journal)
+        self.placer = Placer(
+            app=app,
+            directory=directory,
+            cap=Cap(factor=bounds.cap_factor, slack=bounds.cap_slack),
+            health=health,
+        )
+        self._connections = UpstreamConnections(app=app)
+        self.budget = RetryBudget(
+            clock=app.clock,
+            ratio=bounds.retry_ratio,
+            slack=bounds.retry_slack,
+            window_ms=bounds.retry_window_ms,
+        )
+        parts = RunParts(
+            app=app,
+            journal=journal,
+            dialect=dialect,
+            placer=self.placer,
+            connections=self._connections,
+            budget=self.budget,
+        )
+        self.handler = RequestHandler(
+            parts=parts,
+            routing=routing,
+            directory=directory,
+            read_request=read_request,
+            metrics=ForwardingMetrics(app=app),
+            is_leaving=app.stopping.is_set,
+        )
+        self._server: CallerServer | None = None
+        self._listener: CallerListener | None = None
+        self._listen(settings)
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the balancer should send new connections."""
+        return (
+            not self._app.stopping.is_set()
+            and self._routing.table is not None
+            and self._directory.loaded
+        )
+
+    async def async_start(self) -> Address:
+        """Begin to listen and return the address."""
+        assert self._listener is not None
+        address = await self._listener.async_start()
+        self._app.on_drain(self._async_drain)
+        self._app.on_stop(self._listener.async_close)
+        self._app.async_create_task(self._async_sweep(), "forwarder sweep")
+        return address
+
+    def _listen(self, settings: ForwarderSettings) -> None:
+        self._server = CallerServer(
+            self._async_handle,
+            limits=settings.limits,
+            mint_request_id=self.handler.mint_request_id,
+        )
+        callers = parse_address(settings.callers)
+        self._listener = CallerListener(
+            settings=Listener(host=callers.host, port=callers.port), server=self._server, tls=None
+        )
+
+    async def _async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        return await self.handler.async_handle(request)
+
+    async def _async_sweep(self) -> None:
+        while True:
+            await self._app.clock.async_sleep(SWEEP_MS)
+            self._connections.sweep()
+
+    async def _async_drain(self) -> None:
+        """Take requests until balancers know, then close idle connections and finish the rest."""
+        await self._app.clock.async_sleep(LEAVING_MS)
+        assert self._server is not None
+        assert self._listener is not None
+        await self._listener.async_stop_listening()
+        for connection in tuple(self._server.connections):
+            connection.close()
+        while self.handler.running:
+            await self._app.clock.async_sleep(DRAIN_STEP_MS)
--- /dev/null
+++ b/gypsumrouter/forwarding/health.py
@@ -0,0 +1,138 @@
+"""How far an upstream is trusted, judged by its answers and not by its health check.
+
+Answers this load: upstreams that fail, reset or swallow a share of their requests while their
+health check is good, and upstreams that vanish without a word. All of them may fail alike; then
+their order stays as it was.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+from gypsumrouter.journal import Journal, UpstreamHealth
+from gypsumrouter.util.clock import Clock
+
+# Evidence halves in this time: an upstream that failed two of four requests is tried again with
+# few requests after about six seconds.
+HALF_LIFE_MS: Final = 2_500
+# What a certain failure costs: about a whole stream's time.
+FAILURE_MS: Final = 1_500.0
+# Before this much evidence an upstream counts as sound in part.
+PRIOR: Final = 1.0
+UNHEALTHY_SHARE: Final = 0.25
+# An upstream that takes no connection is left alone for this long, doubled with each further try.
+DOWN_FIRST_MS: Final = 300
+DOWN_MAX_MS: Final = 2_000
+
+
+class Evidence:
+    """What is known of one upstream: decayed counts of good and failed answers."""
+
+    __slots__ = ("_down_ms", "_failed", "_good", "_noted_ms", "down_until_ms", "healthy")
+
+    def __init__(self) -> None:
+        self._good = 0.0
+        self._failed = 0.0
+        self._noted_ms = 0
+        self._down_ms = 0
+        self.down_until_ms = 0
+        self.healthy = True
+
+    @property
+    def observations(self) -> int:
+        """Return how much evidence is left."""
+        return round(self._good + self._failed)
+
+    def decay(self, now_ms: int) -> None:
+        """Let old evidence fade."""
+        factor = 0.5 ** ((now_ms - self._noted_ms) / HALF_LIFE_MS)
+        self._good *= factor
+        self._failed *= factor
+        self._noted_ms = now_ms
+
+    def failing(self, now_ms: int) -> float:
+        """Return the expected share of failures."""
+        self.decay(now_ms)
+        return self._failed / (self._good + self._failed + PRIOR)
+
+    def note_good(self, now_ms: int) -> None:
+        """Note a good answer."""
+        self.decay(now_ms)
+        self._good += 1
+        self._down_ms = 0
+        self.down_until_ms = 0
+
+    def note_failed(self, now_ms: int) -> None:
+        """Note a failed request."""
+        self.decay(now_ms)
+        self._failed += 1
+
+    def note_unreachable(self, now_ms: int) -> None:
+        """Note that no connection could be made, and leave the upstream alone for a while."""
+        self.note_failed(now_ms)
+        self._down_ms = min(DOWN_MAX_MS, self._down_ms * 2) if self._down_ms else DOWN_FIRST_MS
+        self.down_until_ms = now_ms + self._down_ms
+
+
+class HealthBook:
+    """The evidence of all upstreams."""
+
+    __slots__ = ("_clock", "_evidence", "_journal")
+
+    def __init__(self, *, clock: Clock, journal: Journal) -> None:
+        self._clock = clock
+        self._journal = journal
+        self._evidence: dict[str, Evidence] = {}
+
+    def penalty_ms(self, upstream: str) -> float:
+        """Return what the failures of an upstream are expected to cost."""
+        evidence = self._evidence.get(upstream)
+        if evidence is None:
+            return 0.0
+        return evidence.failing(self._clock.now_ms()) * FAILURE_MS
+
+    def is_down(self, upstream: str) -> bool:
+        """Return whether an upstream took no connection a moment ago."""
+        evidence = self._evidence.get(upstream)
+        return evidence is not None and self._clock.now_ms() < evidence.down_until_ms
+
+    def note_good(self, upstream: str) -> None:
+        """Note a good answer."""
+        evidence = self._get(upstream)
+        evidence.note_good(self._clock.now_ms())
+        self._tell(upstream, evidence, "answered")
+
+    def note_failed(self, upstream: str, *, reason: str) -> None:
+        """Note a request that failed there."""
+        evidence = self._get(upstream)
+        evidence.note_failed(self._clock.now_ms())
+        self._tell(upstream, evidence, reason)
+
+    def note_unreachable(self, upstream: str, *, reason: str) -> None:
+        """Note that no connection could be made."""
+        evidence = self._get(upstream)
+        evidence.note_unreachable(self._clock.now_ms())
+        self._tell(upstream, evidence, reason)
+
+    def forget(self, upstream: str) -> None:
+        """Forget an upstream that ended."""
+        self._evidence.pop(upstream, None)
+
+    def _get(self, upstream: str) -> Evidence:
+        return self._evidence.setdefault(upstream, Evidence())
+
+    def _tell(self, upstream: str, evidence: Evidence, reason: str) -> None:
+        failing = evidence.failing(self._clock.now_ms())
+        healthy = failing < UNHEALTHY_SHARE
+        if healthy == evidence.healthy:
+            return
+        evidence.healthy = healthy
+        self._journal.record(
+            UpstreamHealth(
+                upstream=upstream,
+                healthy=healthy,
+                failing=round(failing, 3),
+                reason=reason,
+                observations=evidence.observations,
+            )
+        )
--- /dev/null
+++ b/gypsumrouter/forwarding/models.py
@@ -0,0 +1,166 @@
+"""What passes through a forwarder, as values: requests, prompts, answers, ends of attempts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from gypsumrouter.helpers.http_connection import Answer
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PromptPart:
+    """One part of a prompt, by the id under which engines cache it."""
+
+    part: int
+    tokens: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Prompt:
+    """The prompt of a request to a model engine, in tokens.
+
+    All `parts` but the last are shared with other requests; the last belongs to the request or to
+    its chat.
+    """
+
+    model: str
+    parts: tuple[PromptPart, ...]
+    input_tokens: int
+    max_output_tokens: int
+
+    @property
+    def shared(self) -> tuple[PromptPart, ...]:
+        """Return the parts that other requests may have in common with this one."""
+        return self.parts[:-1]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CallerRequest:
+    """A caller's request, read whole.
+
+    `path` is as it came, with its query. `headers` are those that go on to the upstream unchanged.
+    `deadline_ms` is the caller's patience, `last_event` where it wants a stream to go on.
+    """
+
+    request_id: str
+    method: str
+    host: str
+    path: str
+    key: str | None
+    deadline_ms: int | None
+    prompt: Prompt | None
+    last_event: str | None
+    headers: Headers
+    body: bytes
+
+    @property
+    def bare_path(self) -> str:
+        """Return the path without its query."""
+        return self.path.partition("?")[0]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Sending:
+    """What a forwarder adds for one attempt.
+
+    Only the upstream with this id may run it, for at most `deadline_ms`.
+    """
+
+    upstream: str
+    workspace: str
+    deadline_ms: int
+    priority: int | None
+    last_event: str | None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ReportedLoad:
+    """What an upstream says of itself in an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class AnswerFacts:
+    """What the head of an answer says apart from its status.
+
+    `request_id` is whom it belongs to, `signed` that an upstream vouches for it, `not_run` that it
+    did not and will not run the request. `encoded` bodies are not the upstream's own.
+    """
+
+    request_id: str | None
+    signed: bool
+    not_run: bool
+    load: ReportedLoad | None
+    encoded: bool
+    events: bool
+    keep_ms: int | None
+
+
+class Dialect(Protocol):
+    """How callers and upstreams of a deployment spell requests and answers."""
+
+    def write_request(self, *, request: CallerRequest, sending: Sending) -> bytes:
+        """Return the bytes of a request for an upstream."""
+
+    def read_answer(self, answer: Answer) -> AnswerFacts:
+        """Return what an answer's head says."""
+
+    def select_headers(self, answer: Answer) -> list[tuple[str, str]]:
+        """Return the headers of an answer that go on to the caller."""
+
+    def format_retry_after(self, retry_after_ms: int) -> str:
+        """Return the value of the header that tells a caller when to come back."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class NotReached:
+    """No byte was sent: the upstream may be tried again, and so may any other."""
+
+    reason: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class TurnedAway:
+    """The upstream answered that it did not run the request and never will."""
+
+    status: int
+    stranger: bool
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Whole:
+    """A whole answer, held back until now."""
+
+    answer: Answer
+    status: int
+    signed: bool
+    body: bytes
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Begun:
+    """The head of an answer whose body is read as it comes, and what was read of it already.
+
+    `events` says that the body is a series of events.
+    """
+
+    answer: Answer
+    status: int
+    events: bool
+    first: bytes = b""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Lost:
+    """The request was sent and brought no answer; it may have run."""
+
+    reason: str
+
+
+Outcome = NotReached | TurnedAway | Whole | Begun | Lost
--- /dev/null
+++ b/gypsumrouter/forwarding/run.py
@@ -0,0 +1,448 @@
+"""The way of one request: attempts at upstreams until one answers or none may be asked."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Final
+
+from aiohttp import web
+
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.core import Application
+from gypsumrouter.forwarding.answers import make_answer, make_failure, make_refusal
+from gypsumrouter.forwarding.attempt import Attempt
+from gypsumrouter.forwarding.budget import RetryBudget
+from gypsumrouter.forwarding.connections import UpstreamConnections
+from gypsumrouter.forwarding.const import (
+    ANSWER_MARGIN_MS,
+    MAX_NOT_REACHED,
+    MAX_TURNED_AWAY,
+    MIN_SILENCE_MS,
+    RETURN_MS,
+    SILENCE_FACTOR,
+)
+from gypsumrouter.forwarding.models import (
+    Begun,
+    CallerRequest,
+    Dialect,
+    Lost,
+    NotReached,
+    Outcome,
+    Sending,
+    TurnedAway,
+    Whole,
+)
+from gypsumrouter.forwarding.placer import Placed, Placer
+from gypsumrouter.forwarding.relay import Relay, RelayEnd
+from gypsumrouter.gateway import abort_connection
+from gypsumrouter.journal import (
+    AttemptEnded,
+    AttemptSent,
+    Journal,
+    RequestPlaced,
+    RequestRefused,
+    StreamResumed,
+)
+from gypsumrouter.outcomes import Reason
+from gypsumrouter.routing import Routed
+
+STATUS_SERVER_ERROR: Final = 500
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RunParts:
+    """What all requests of a forwarder share."""
+
+    app: Application
+    journal: Journal
+    dialect: Dialect
+    placer: Placer
+    connections: UpstreamConnections
+    budget: RetryBudget
+
+
+@dataclass(slots=True, kw_only=True)
+class Progress:
+    """How far a request is.
+
+    `ran_on` are the upstreams that may have run it, `in_doubt` says that one has it now, and
+    `kept_answer` is a failure of an upstream that is passed on if no other one does better.
+    """
+
+    arrived_ms: int
+    deadline_at_ms: int
+    attempts: int = 0
+    not_reached: int = 0
+    turned_away: int = 0
+    ran_on: list[str] = field(default_factory=list)
+    passed_over: set[str] = field(default_factory=set)
+    upstream: str = ""
+    first_byte_ms: int = -1
+    bytes_out: int = 0
+    outcome: str = ""
+    in_doubt: bool = False
+    kept_answer: Whole | None = None
+
+
+class RequestRun:
+    """One request of one caller."""
+
+    __slots__ = (
+        "_configuration",
+        "_list_revision",
+        "_parts",
+        "_relay",
+        "_request",
+        "_routed",
+        "_service",
+        "_web_request",
+        "progress",
+    )
+
+    def __init__(
+        self,
+        *,
+        parts: RunParts,
+        request: CallerRequest,
+        routed: Routed,
+        service: str,
+        web_request: web.BaseRequest,
+        progress: Progress,
+        closes: bool,
+        configuration: int,
+        list_revision: int,
+    ) -> None:
+        self._parts = parts
+        self._request = request
+        self._routed = routed
+        self._service = service
+        self._web_request = web_request
+        self._configuration = configuration
+        self._list_revision = list_revision
+        self.progress = progress
+        self._relay = Relay(
+            web_request=web_request,
+            request=request,
+            route=routed.route,
+            dialect=parts.dialect,
+            clock=parts.app.clock,
+            progress=progress,
+            closes=closes,
+        )
+
+    async def async_run(self) -> web.StreamResponse:
+        """Return the answer, which a stream has already written."""
+        self._parts.budget.note_request(self._service)
+        try:
+            async with asyncio.timeout(max(0, self._left_ms()) / MS_PER_S):
+                return await self._async_try()
+        except TimeoutError:
+            return self._end_late()
+
+    async def _async_try(self) -> web.StreamResponse:
+        while True:
+            placed = self._parts.placer.place(
+                service=self._service,
+                prompt=self._request.prompt,
+                passed_over=self.progress.passed_over,
+            )
+            if placed is None:
+                return self._give_up(Reason.NO_INSTANCE, "No upstream can take the request")
+            response = await self._async_attempt(placed)
+            if response is not None:
+                return response
+
+    async def _async_attempt(self, placed: Placed) -> web.StreamResponse | None:
+        """Try one upstream; None asks for another one."""
+        progress = self.progress
+        progress.attempts += 1
+        progress.upstream = placed.entry.upstream
+        self._note_placed(placed)
+        attempt = Attempt(
+            connections=self._parts.connections,
+            dialect=self._parts.dialect,
+            request=self._request,
+            sending=self._make_sending(placed),
+            entry=placed.entry,
+        )
+        started_ms = self._now_ms()
+        outcome: Outcome | None = None
+        step = "given up"
+        tokens = self._parts.placer.note_sent(placed.entry, self._request.prompt)
+        try:
+            outcome = await self._async_send(attempt)
+            self._parts.placer.loads.note_read(placed.entry.upstream, tokens=tokens)
+            response, step = await self._async_decide(attempt, outcome)
+        finally:
+            attempt.close()
+            self._parts.placer.loads.end(placed.entry.upstream)
+            self._note_ended(attempt, outcome, started_ms, step)
+        progress.in_doubt = False
+        return response
+
+    async def _async_send(self, attempt: Attempt) -> Outcome:
+        failed = await attempt.async_connect(repeatable=self._routed.route.repeatable)
+        if failed is not None:
+            return failed
+        self._parts.journal.record(
+            AttemptSent(
+                request_id=self._request.request_id,
+                upstream=attempt.entry.upstream,
+                attempt=self.progress.attempts,
+                kept_connection=attempt.kept,
+                deadline_ms=attempt.sending.deadline_ms,
+            )
+        )
+        self.progress.in_doubt = True
+        return await attempt.async_send(silence_ms=self._get_silence_ms())
+
+    async def _async_decide(
+        self, attempt: Attempt, outcome: Outcome
+    ) -> tuple[web.StreamResponse | None, str]:
+        """Return the answer, or None and why another upstream is asked."""
+        match outcome:
+            case NotReached():
+                return self._after_not_reached(attempt, outcome)
+            case TurnedAway():
+                return self._after_turned_away(attempt, outcome)
+            case Lost():
+                return self._after_lost(attempt, outcome)
+            case Whole():
+                return self._after_whole(attempt, outcome)
+            case Begun():
+                return await self._async_relay(attempt, outcome)
+
+    def _after_not_reached(
+        self, attempt: Attempt, outcome: NotReached
+    ) -> tuple[web.StreamResponse | None, str]:
+        upstream = attempt.entry.upstream
+        self._parts.placer.health.note_unreachable(upstream, reason=outcome.reason)
+        self._parts.connections.forget(upstream)
+        self.progress.not_reached += 1
+        self.progress.passed_over.add(upstream)
+        if self.progress.not_reached > MAX_NOT_REACHED:
+            return self._give_up(Reason.UNREACHABLE, "No upstream could be reached"), "refuse"
+        return None, "elsewhere"
+
+    def _after_turned_away(
+        self, attempt: Attempt, outcome: TurnedAway
+    ) -> tuple[web.StreamResponse | None, str]:
+        upstream = attempt.entry.upstream
+        if outcome.stranger:
+            self._parts.placer.health.note_unreachable(upstream, reason="another upstream is there")
+        else:
+            self._parts.placer.health.note_failed(upstream, reason="turned away")
+        self.progress.turned_away += 1
+        self.progress.passed_over.add(upstream)
+        if self.progress.turned_away > MAX_TURNED_AWAY:
+            return self._give_up(Reason.QUEUE_FULL, "The upstreams are full"), "refuse"
+        if not self._parts.budget.take(self._service):
+            return self._give_up(Reason.RETRY_BUDGET, "The retry budget is spent"), "refuse"
+        return None, "elsewhere"
+
+    def _after_lost(self, attempt: Attempt, outcome: Lost) -> tuple[web.StreamResponse | None, str]:
+        upstream = attempt.entry.upstream
+        self._parts.placer.health.note_failed(upstream, reason=outcome.reason)
+        if self._may_run_again(upstream):
+            return None, "run_again"
+        return self._fail(outcome.reason), "fail"
+
+    def _after_whole(
+        self, attempt: Attempt, outcome: Whole
+    ) -> tuple[web.StreamResponse | None, str]:
+        upstream = attempt.entry.upstream
+        if self._relay.response is not None:
+            return self._after_lost(attempt, Lost(reason=f"status {outcome.status}"))
+        if outcome.status < STATUS_SERVER_ERROR:
+            self._parts.placer.health.note_good(upstream)
+            return self._answer(outcome), "answer"
+        self._parts.placer.health.note_failed(upstream, reason=f"status {outcome.status}")
+        self.progress.kept_answer = outcome
+        if self._may_run_again(upstream):
+            return None, "run_again"
+        return self._answer(outcome), "answer"
+
+    async def _async_relay(
+        self, attempt: Attempt, outcome: Begun
+    ) -> tuple[web.StreamResponse | None, str]:
+        """Pass a stream on, and go on elsewhere where it may be resumed."""
+        upstream = attempt.entry.upstream
+        if self._relay.last_id is not None:
+            self._note_resumed(upstream)
+        end = await self._relay.async_pass_on(outcome)
+        if end is RelayEnd.WHOLE:
+            self._parts.placer.health.note_good(upstream)
+            attempt.finish()
+            self.progress.outcome = "answered"
+            return self._relay.response, "answer"
+        self._parts.placer.health.note_failed(upstream, reason=f"stream {end.value}")
+        attempt.close()
+        if self._may_run_again(upstream):
+            return None, "resume"
+        return self._fail(f"stream {end.value}"), "fail"
+
+    def _may_run_again(self, upstream: str) -> bool:
+        """Take a run that may have started into account; return whether another may follow."""
+        progress = self.progress
+        progress.ran_on.append(upstream)
+        progress.passed_over.add(upstream)
+        route = self._routed.route
+        if not route.repeatable or len(progress.ran_on) >= route.max_attempts:
+            return False
+        if self._left_ms() <= 0:
+            return False
+        return self._parts.budget.take(self._service)
+
+    def _give_up(self, reason: Reason, message: str) -> web.StreamResponse:
+        """End a request that no further upstream is asked for."""
+        progress = self.progress
+        if progress.ran_on or self._relay.response is not None:
+            return self._fail(message)
+        response, retry_after_ms = make_refusal(
+            reason=reason,
+            message=message,
+            request_id=self._request.request_id,
+            left_ms=self._left_ms(),
+            dialect=self._parts.dialect,
+        )
+        progress.outcome = reason.value
+        self._parts.journal.record(
+            RequestRefused(
+                request_id=self._request.request_id,
+                route=self._routed.route.name,
+                reason=reason.value,
+                status=response.status,
+                retry_after_ms=retry_after_ms,
+                waited_ms=self._now_ms() - progress.arrived_ms,
+                configuration=self._configuration,
+                list_revision=self._list_revision,
+            )
+        )
+        return response
+
+    def _answer(self, outcome: Whole) -> web.StreamResponse:
+        self.progress.outcome = "answered"
+        self.progress.bytes_out = len(outcome.body)
+        self.progress.first_byte_ms = self._now_ms() - self.progress.arrived_ms
+        return make_answer(outcome=outcome, dialect=self._parts.dialect)
+
+    def _fail(self, message: str) -> web.StreamResponse:
+        """End a request that may have run."""
+        self.progress.outcome = f"failed: {message}"
+        if self._relay.response is not None:
+            abort_connection(self._web_request.transport)
+            return self._relay.response
+        if self.progress.kept_answer is not None:
+            return self._answer(self.progress.kept_answer)
+        return make_failure(
+            reason=Reason.UPSTREAM_LOST, message=message, request_id=self._request.request_id
+        )
+
+    def _end_late(self) -> web.StreamResponse:
+        """End a request whose time is over."""
+        if not self.progress.in_doubt and not self.progress.ran_on:
+            return self._give_up(Reason.DEADLINE, "No upstream had time for the request")
+        self.progress.outcome = "deadline"
+        if self._relay.response is not None:
+            abort_connection(self._web_request.transport)
+            return self._relay.response
+        if self.progress.kept_answer is not None:
+            return self._answer(self.progress.kept_answer)
+        return make_failure(
+            reason=Reason.DEADLINE,
+            message="The deadline has passed",
+            request_id=self._request.request_id,
+        )
+
+    def _get_silence_ms(self) -> int | None:
+        """Return how long an upstream may say nothing before another one is asked."""
+        route = self._routed.route
+        if not route.repeatable or len(self.progress.ran_on) + 1 >= route.max_attempts:
+            return None
+        patience = max(MIN_SILENCE_MS, int(route.target_ms * SILENCE_FACTOR))
+        return max(1, min(patience, self._left_ms() // 2))
+
+    def _make_sending(self, placed: Placed) -> Sending:
+        return Sending(
+            upstream=placed.entry.upstream,
+            workspace=self._routed.workspace,
+            deadline_ms=max(1, self._left_ms() - RETURN_MS),
+            priority=None if self._request.prompt is None else self._routed.priority,
+            last_event=self._relay.last_id or self._request.last_event,
+        )
+
+    def _left_ms(self) -> int:
+        return self.progress.deadline_at_ms - self._now_ms() - ANSWER_MARGIN_MS
+
+    def _now_ms(self) -> int:
+        return self._parts.app.clock.now_ms()
+
+    def _note_placed(self, placed: Placed) -> None:
+        now_ms = self._now_ms()
+        self._parts.journal.record(
+            RequestPlaced(
+                request_id=self._request.request_id,
+                route=self._routed.route.name,
+                service=self._service,
+                upstream=placed.entry.upstream,
+                attempt=self.progress.attempts,
+                load=placed.load,
+                mean_load=placed.mean_load,
+                missing_tokens=placed.missing_tokens,
+                candidates=placed.candidates,
+                peers_age_ms=self._parts.placer.loads.oldest_news_ms(now_ms=now_ms),
+                list_revision=self._list_revision,
+                configuration=self._configuration,
+            )
+        )
+
+    def _note_ended(
+        self, attempt: Attempt, outcome: Outcome | None, started_ms: int, step: str
+    ) -> None:
+        self._parts.journal.record(
+            AttemptEnded(
+                request_id=self._request.request_id,
+                upstream=attempt.entry.upstream,
+                attempt=self.progress.attempts,
+                outcome=_describe(outcome),
+                ran=attempt.sent and not isinstance(outcome, TurnedAway),
+                status=_get_status(outcome),
+                after_ms=self._now_ms() - started_ms,
+                next_step=step,
+            )
+        )
+
+    def _note_resumed(self, upstream: str) -> None:
+        try:
+            last_event = int(self._relay.last_id or "")
+        except ValueError:
+            last_event = -1
+        self._parts.journal.record(
+            StreamResumed(
+                request_id=self._request.request_id, upstream=upstream, last_event=last_event
+            )
+        )
+
+
+def _describe(outcome: Outcome | None) -> str:
+    match outcome:
+        case None:
+            return "cancelled"
+        case NotReached(reason=reason):
+            return f"not reached: {reason}"
+        case TurnedAway():
+            return "turned away"
+        case Lost(reason=reason):
+            return f"lost: {reason}"
+        case Whole():
+            return "whole"
+        case Begun():
+            return "begun"
+
+
+def _get_status(outcome: Outcome | None) -> int:
+    match outcome:
+        case TurnedAway(status=status) | Whole(status=status) | Begun(status=status):
+            return status
+    return 0
--- a/gypsumrouter/gateway/listener.py
+++ b/gypsumrouter/gateway/listener.py
@@ -120,7 +120,7 @@
 class CallerListener:
     """Listens for callers until it is closed."""
 
-    __slots__ = ("_runner", "_settings", "_tls")
+    __slots__ = ("_runner", "_settings", "_site", "_tls")
 
     def __init__(
         self, *, settings: Listener, server: CallerServer, tls: ssl.SSLContext | None
@@ -128,6 +128,7 @@
         self._settings = settings
         self._tls = tls
         self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
+        self._site: web.SockSite | None = None
 
     async def async_start(self) -> Address:
         """Begin to listen and return the address."""
@@ -135,9 +136,16 @@
         await self._runner.setup()
         site = web.SockSite(self._runner, listening, ssl_context=self._tls, backlog=BACKLOG)
         await site.start()
+        self._site = site
         host, port = listening.getsockname()[:2]
         return Address(host=host, port=port)
 
+    async def async_stop_listening(self) -> None:
+        """Take no new connections; those that are open stay."""
+        site, self._site = self._site, None
+        if site is not None:
+            await site.stop()
+
     async def async_close(self) -> None:
         """Close the listener and all connections."""
         await self._runner.cleanup()
--- /dev/null
+++ b/gypsumrouter/helpers/http_connection.py
@@ -0,0 +1,262 @@
+"""A client's HTTP/1.1 connection that carries one exchange at a time.
+
+The HTTP library parses; what is ours is knowing what was sent, whom an answer belongs to, and
+whether the connection may be used again. The library's own client sends some requests twice by
+itself and takes bytes that were left over from one answer for the beginning of the next.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from typing import Final
+
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
+from aiohttp.streams import StreamReader
+
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.fleet.models import Address
+
+READ_BUFFER_BYTES: Final = 64 * 1024
+MAX_HEAD_BYTES: Final = 32 * 1024
+METHOD_HEAD: Final = "HEAD"
+# A peer that vanished is noticed after about three seconds, also on a connection that only waits.
+KEEPALIVE_IDLE_S: Final = 1
+KEEPALIVE_INTERVAL_S: Final = 1
+KEEPALIVE_PROBES: Final = 2
+UNACKNOWLEDGED_MS: Final = 2_500
+STATUS_CONTINUE: Final = 100
+STATUS_SUCCESS: Final = 200
+
+
+class ConnectFailed(Exception):
+    """No connection could be made, so nothing was sent."""
+
+
+class ConnectionBroken(Exception):
+    """The connection broke off, or carried what is no answer."""
+
+
+class Answer:
+    """The head of an answer and the reader of its body."""
+
+    __slots__ = ("body", "message")
+
+    def __init__(self, *, message: RawResponseMessage, body: StreamReader) -> None:
+        self.message = message
+        self.body = body
+
+    @property
+    def status(self) -> int:
+        """Return the status code."""
+        return int(self.message.code)
+
+    def get(self, name: str) -> str | None:
+        """Return a header's value."""
+        return self.message.headers.get(name)
+
+
+class HttpConnection(BaseProtocol):
+    """One connection; after `begin` the answers come from `async_read_answer` in their order."""
+
+    __slots__ = (
+        "_answers",
+        "_body",
+        "_broken",
+        "_parsing",
+        "_waiter",
+        "address",
+        "exchanges",
+        "idle_since_ms",
+        "keep_ms",
+    )
+
+    def __init__(self, *, loop: asyncio.AbstractEventLoop, address: Address) -> None:
+        super().__init__(loop)
+        self.address = address
+        self.exchanges = 0
+        self.idle_since_ms = 0
+        # How long the peer keeps an idle connection, where it said so.
+        self.keep_ms: int | None = None
+        self._answers: deque[Answer] = deque()
+        self._body: StreamReader | None = None
+        self._broken: str | None = None
+        self._parsing = False
+        self._waiter: asyncio.Future[None] | None = None
+
+    @property
+    def reusable(self) -> bool:
+        """Return whether the last exchange is over and left nothing behind."""
+        return (
+            self._broken is None
+            and self.transport is not None
+            and not self.transport.is_closing()
+            and not self._answers
+            and (self._body is None or self._body.is_eof())
+            and self.transport.get_write_buffer_size() == 0
+        )
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Let the kernel find a silent path by itself."""
+        super().connection_made(transport)
+        connection = transport.get_extra_info("socket")
+        if connection is not None:
+            set_silence_limits(connection)
+
+    def begin(self, *, method: str, data: bytes) -> None:
+        """Write a whole request; raises ConnectionBroken when nothing can be written."""
+        transport = self.transport
+        if self._broken is not None or transport is None or transport.is_closing():
+            raise ConnectionBroken(self._broken or "the connection is closed")
+        self.exchanges += 1
+        self._parser = HttpResponseParser(
+            self,
+            self._loop,
+            READ_BUFFER_BYTES,
+            max_line_size=MAX_HEAD_BYTES,
+            max_field_size=MAX_HEAD_BYTES,
+            response_with_body=method != METHOD_HEAD,
+            read_until_eof=True,
+            auto_decompress=False,
+        )
+        self._parsing = True
+        self._body = None
+        transport.write(data)
+
+    async def async_read_answer(self) -> Answer:
+        """Return the next answer; raises ConnectionBroken. Interim answers are passed over."""
+        while True:
+            while self._answers:
+                answer = self._answers.popleft()
+                if not STATUS_CONTINUE <= answer.status < STATUS_SUCCESS:
+                    return answer
+            if self._broken is not None:
+                raise ConnectionBroken(self._broken)
+            self._waiter = self._loop.create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+
+    def finish(self) -> None:
+        """End an exchange whose answer was read whole; the connection may be reused."""
+        self._parsing = False
+        self._parser = None
+
+    def close(self) -> None:
+        """Close the connection; nothing of it can be used any more."""
+        self._break("closed")
+        if self.transport is not None:
+            self.transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrives; bytes that belong to no exchange spoil the connection."""
+        if not self._parsing or self._parser is None:
+            if data:
+                self._spoil("bytes that belong to no request")
+            return
+        try:
+            messages, upgraded, tail = self._parser.feed_data(data)
+        except HttpProcessingError as error:
+            self._spoil(f"no HTTP: {type(error).__name__}")
+            return
+        except Exception as error:  # the parser reports a wrong body through its own errors
+            self._spoil(f"no HTTP: {error!r}")
+            return
+        for message, body in messages:
+            self._answers.append(Answer(message=message, body=body))
+            self._body = body
+        if upgraded or tail:
+            self._spoil("bytes after the answer")
+            return
+        if messages:
+            self._wake()
+
+    def eof_received(self) -> bool:
+        """Let the transport close."""
+        return False
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End or break off the body that is being read."""
+        super().connection_lost(None)
+        self._end_body(exc)
+        self._break("closed by the peer" if exc is None else f"reset: {type(exc).__name__}")
+
+    def _end_body(self, exc: BaseException | None) -> None:
+        body = self._body
+        if body is None or body.is_eof() or body.exception() is not None:
+            return
+        if exc is None and self._parser is not None:
+            try:
+                self._parser.feed_eof()
+            except Exception as error:  # an answer that ends before its length
+                body.set_exception(ConnectionBroken(f"ended early: {type(error).__name__}"))
+                return
+            if body.is_eof():
+                return
+        body.set_exception(ConnectionBroken("broken off"))
+
+    def _spoil(self, reason: str) -> None:
+        body = self._body
+        if body is not None and not body.is_eof() and body.exception() is None:
+            body.set_exception(ConnectionBroken(reason))
+        self._break(reason)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _break(self, reason: str) -> None:
+        if self._broken is None:
+            self._broken = reason
+        self._wake()
+
+    def _wake(self) -> None:
+        waiter = self._waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+
+def set_silence_limits(connection: socket.socket) -> None:
+    """Bound how long a connection may be dead without the process noticing."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
+
+
+async def async_connect(*, address: Address, timeout_ms: int) -> HttpConnection:
+    """Return a new connection; raises ConnectFailed.
+
+    A connect that takes too long goes on alone and is closed unused: the event loop's library
+    closes a descriptor twice where a connect is cancelled half-way.
+    """
+    loop = asyncio.get_running_loop()
+    dialing = loop.create_task(_async_dial(loop, address))
+    try:
+        done, _ = await asyncio.wait((dialing,), timeout=timeout_ms / MS_PER_S)
+    except asyncio.CancelledError:
+        dialing.add_done_callback(_close_unused)
+        raise
+    if not done:
+        dialing.add_done_callback(_close_unused)
+        raise ConnectFailed(f"no connection within {timeout_ms} ms")
+    error = dialing.exception()
+    if error is not None:
+        raise ConnectFailed(type(error).__name__) from error
+    return dialing.result()
+
+
+async def _async_dial(loop: asyncio.AbstractEventLoop, address: Address) -> HttpConnection:
+    _, connection = await loop.create_connection(
+        lambda: HttpConnection(loop=loop, address=address), address.host, address.port
+    )
+    return connection
+
+
+def _close_unused(dialing: asyncio.Task[HttpConnection]) -> None:
+    if dialing.cancelled() or dialing.exception() is not None:
+        return
+    dialing.result().close()
--- a/gypsumrouter/helpers/logs.py
+++ b/gypsumrouter/helpers/logs.py
@@ -59,8 +59,13 @@
             "logger": record.name,
             "message": record.getMessage(),
         }
+        event = getattr(record, "event", None)
+        if isinstance(event, dict):
+            del line["logger"], line["message"]
+            line["event"] = record.getMessage()
+            line.update(event)
         request_id = getattr(record, "request_id", NO_VALUE)
-        if request_id != NO_VALUE:
+        if "request_id" not in line and request_id != NO_VALUE:
             line["request_id"] = request_id
         if record.exc_info:
             line["exception"] = self.formatException(record.exc_info)
--- a/gypsumrouter/helpers/settings_file.py
+++ b/gypsumrouter/helpers/settings_file.py
@@ -9,15 +9,18 @@
 from pydantic import TypeAdapter
 
 from gypsumrouter.const import Role
-from gypsumrouter.exceptions import DocumentInvalid, FieldError, SettingsInvalid
+from gypsumrouter.exceptions import DocumentInvalid, FieldError, InvariantBroken, SettingsInvalid
 from gypsumrouter.helpers.tls import make_server_context
 from gypsumrouter.operators import check_access
 from gypsumrouter.settings import (
+    ForwarderSettings,
     Link,
+    LinkedSettings,
     Operators,
     RouterSettings,
     Settings,
     SideSettings,
+    check_forwarder_settings,
     check_router_settings,
     check_side_settings,
     read_link_key,
@@ -47,22 +50,30 @@
         settings = _check_fields(role, document)
     except SettingsInvalid as error:
         raise SettingsInvalid((*error.errors, *_list_section_errors(document))) from None
-    errors = (
-        *_list_link_errors(settings.link),
-        *_list_operators_errors(settings.operators),
-        *_list_tls_errors(settings),
-    )
+    errors = _list_link_errors(settings.link)
+    if not isinstance(settings, ForwarderSettings):
+        errors += (*_list_operators_errors(settings.operators), *_list_tls_errors(settings))
     if errors:
         raise SettingsInvalid(errors)
     return settings
 
 
+def check_linked_settings(*, role: Role, document: bytes) -> LinkedSettings:
+    """Return checked settings of a router or a side; raises SettingsInvalid."""
+    settings = check_settings(role=role, document=document)
+    if isinstance(settings, ForwarderSettings):
+        raise InvariantBroken("these are a forwarder's settings")
+    return settings
+
+
 def _check_fields(role: Role, document: bytes) -> Settings:
     match role:
         case Role.ROUTER:
             return check_router_settings(document)
         case Role.SIDE:
             return check_side_settings(document)
+        case Role.FORWARDER:
+            return check_forwarder_settings(document)
 
 
 def _list_section_errors(document: bytes) -> tuple[FieldError, ...]:
@@ -101,7 +112,7 @@
     return ()
 
 
-def _list_tls_errors(settings: Settings) -> tuple[FieldError, ...]:
+def _list_tls_errors(settings: RouterSettings | SideSettings) -> tuple[FieldError, ...]:
     sections = {"operators": settings.operators.tls, "link": settings.link.tls}
     match settings:
         case RouterSettings():
@@ -125,3 +136,5 @@
             return Role.ROUTER
         case SideSettings():
             return Role.SIDE
+        case ForwarderSettings():
+            return Role.FORWARDER
--- /dev/null
+++ b/gypsumrouter/journal/journal.py
@@ -0,0 +1,70 @@
+"""The journal itself: a token bucket in front of the log."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import fields
+from typing import Final
+
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.core import Application
+from gypsumrouter.journal.events import Event, LinesDropped
+
+_LOGGER = logging.getLogger(__name__)
+
+# A request takes four lines where nothing goes wrong: 250 lines a second are about 60 requests a
+# second and 75 KB a second, four times what one router carries at the highest load seen today.
+LINES_PER_S: Final = 250
+BURST_LINES: Final = 500
+REPORT_MS: Final = 1_000
+
+
+class Journal:
+    """Writes events as log lines; lines above the bound are counted and told, never waited for."""
+
+    __slots__ = ("_app", "_counter", "_dropped", "_filled_ms", "_reported_ms", "_tokens", "dropped")
+
+    def __init__(self, *, app: Application) -> None:
+        self._app = app
+        self._tokens = float(BURST_LINES)
+        self._filled_ms = app.clock.now_ms()
+        self._reported_ms = self._filled_ms
+        self._dropped = 0
+        self.dropped = 0
+        self._counter = app.metrics.counter(
+            "gypsumrouter_journal_lines_dropped_total", "Journal lines left out to keep the bound"
+        )
+
+    def record(self, event: Event) -> None:
+        """Write one line, or count it as left out."""
+        now_ms = self._app.clock.now_ms()
+        self._refill(now_ms)
+        if self._dropped and now_ms - self._reported_ms >= REPORT_MS:
+            self._report(now_ms)
+        if not event.essential:
+            if self._tokens < 1:
+                self._drop()
+                return
+            self._tokens -= 1
+        _write(event)
+
+    def _refill(self, now_ms: int) -> None:
+        gained = (now_ms - self._filled_ms) * LINES_PER_S / MS_PER_S
+        self._tokens = min(float(BURST_LINES), self._tokens + gained)
+        self._filled_ms = now_ms
+
+    def _drop(self) -> None:
+        self._dropped += 1
+        self.dropped += 1
+        self._counter.inc()
+
+    def _report(self, now_ms: int) -> None:
+        event = LinesDropped(dropped=self._dropped, period_ms=now_ms - self._reported_ms)
+        self._dropped = 0
+        self._reported_ms = now_ms
+        _write(event)
+
+
+def _write(event: Event) -> None:
+    values = {field.name: getattr(event, field.name) for field in fields(event)}
+    _LOGGER.info("%s", event.name, extra={"event": values})
--- /dev/null
+++ b/gypsumrouter/platform/__init__.py
@@ -0,0 +1,17 @@
+"""Platform: the names, formats and calls of the users' platform; it decides nothing."""
+
+from __future__ import annotations
+
+from gypsumrouter.platform.answers import PlatformDialect
+from gypsumrouter.platform.configuration import decode_configuration
+from gypsumrouter.platform.entries import decode_entry
+from gypsumrouter.platform.requests import read_request
+from gypsumrouter.platform.store import StoreClient
+
+__all__ = [
+    "PlatformDialect",
+    "StoreClient",
+    "decode_configuration",
+    "decode_entry",
+    "read_request",
+]
--- /dev/null
+++ b/gypsumrouter/platform/configuration.py
@@ -0,0 +1,156 @@
+"""The operator's configuration document, decoded into the product's routing configuration."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from pydantic import ConfigDict, TypeAdapter, ValidationError
+
+from gypsumrouter.exceptions import ConfigurationInvalid
+from gypsumrouter.routing import (
+    CallerLimits,
+    EngineTraits,
+    Route,
+    RouteKind,
+    RoutingConfiguration,
+    Service,
+    Target,
+    WorkspaceKeys,
+)
+from gypsumrouter.util.checked import list_field_errors
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class WireSplit:
+    """One of several services of a route."""
+
+    service: str
+    weight: float
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class WireRoute:
+    """A route as published; it has either `service` or `split`."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    target_gap_ms: float = 0.0
+    priority: int = 0
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    service: str | None = None
+    split: tuple[WireSplit, ...] = ()
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class WireEngine:
+    """What is published of a service's engines."""
+
+    slots: int = 1
+    # The whole cache of one engine, in tokens.
+    kv_tokens: int = 0
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class WireService:
+    """A service as published."""
+
+    name: str
+    max_connections: int = 0
+    engine: WireEngine | None = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class WireTenant:
+    """A workspace as published."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class WireLimits:
+    """What callers may send; times in milliseconds."""
+
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class WireConfiguration:
+    """The whole document; fields that are not known here are passed over."""
+
+    __pydantic_config__ = ConfigDict(extra="ignore")
+    version: int
+    routes: tuple[WireRoute, ...] = ()
+    services: tuple[WireService, ...] = ()
+    tenants: tuple[WireTenant, ...] = ()
+    limits: WireLimits = field(default_factory=WireLimits)
+
+
+_ADAPTER: Final = TypeAdapter(WireConfiguration)
+
+
+def decode_configuration(document: bytes) -> RoutingConfiguration:
+    """Return the product's form of a document; raises ConfigurationInvalid."""
+    try:
+        wire = _ADAPTER.validate_json(document)
+    except ValidationError as error:
+        raise ConfigurationInvalid(list_field_errors(error)) from None
+    return RoutingConfiguration(
+        version=wire.version,
+        routes=tuple(_make_route(route) for route in wire.routes),
+        services=tuple(_make_service(service) for service in wire.services),
+        workspaces=tuple(_make_workspace(tenant) for tenant in wire.tenants),
+        limits=_make_limits(wire.limits),
+        document=document,
+    )
+
+
+def _make_route(route: WireRoute) -> Route:
+    targets = tuple(Target(service=s.service, weight=s.weight) for s in route.split)
+    if route.service is not None:
+        targets = (Target(service=route.service, weight=1.0),)
+    return Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        kind=route.kind,
+        timeout_ms=int(route.timeout_ms),
+        target_ms=int(route.target_latency_ms),
+        max_pause_ms=int(route.target_gap_ms),
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        public=route.public,
+        resumable=route.resumable,
+        targets=targets,
+    )
+
+
+def _make_service(service: WireService) -> Service:
+    engine = None
+    if service.engine is not None:
+        engine = EngineTraits(slots=service.engine.slots, cache_tokens=service.engine.kv_tokens)
+    return Service(name=service.name, max_connections=service.max_connections, engine=engine)
+
+
+def _make_workspace(tenant: WireTenant) -> WorkspaceKeys:
+    return WorkspaceKeys(name=tenant.name, keys=tenant.api_keys, priority=tenant.priority)
+
+
+def _make_limits(limits: WireLimits) -> CallerLimits:
+    return CallerLimits(
+        max_head_bytes=limits.max_header_bytes,
+        max_body_bytes=limits.max_body_bytes,
+        head_timeout_ms=int(limits.header_timeout_ms),
+        idle_timeout_ms=int(limits.idle_timeout_ms),
+    )
--- /dev/null
+++ b/gypsumrouter/platform/names.py
@@ -0,0 +1,59 @@
+"""Names on the wire; no other package spells them."""
+
+from __future__ import annotations
+
+from typing import Final
+
+# Headers of requests, as callers send them.
+REQUEST_ID: Final = "X-Request-Id"
+# How long the caller waits, in milliseconds from now.
+DEADLINE: Final = "X-Deadline-Ms"
+API_KEY: Final = "Api-Key"
+MODEL: Final = "X-Model"
+# Not usage but a promise: the prompt's tokens and the most that are to be generated.
+TOKEN_USAGE: Final = "X-Token-Usage"
+# Not one hash but all parts of the prompt in order, as ID:TOKENS.
+PREFIX_PARTS: Final = "X-Prefix-Hash"
+LAST_EVENT_ID: Final = "Last-Event-Id"
+
+# Headers that only the system sets towards upstreams.
+TENANT: Final = "X-Tenant"
+EXPECT_INSTANCE: Final = "X-Expect-Instance"
+PRIORITY: Final = "X-Request-Priority"
+HOLD: Final = "X-Hold"
+PIN: Final = "X-Pin-Ms"
+BACKUP: Final = "X-Kv-Backup"
+CONTINUE_FROM: Final = "Kv-From"
+FETCH_FROM: Final = "Kv-Fetch"
+SYSTEM_HEADERS: Final = frozenset(
+    name.lower()
+    for name in (TENANT, EXPECT_INSTANCE, PRIORITY, HOLD, PIN, BACKUP, CONTINUE_FROM, FETCH_FROM)
+)
+
+# Headers of answers.
+STAMP: Final = "X-Server-Stamp"
+NOT_RUN: Final = "X-Not-Executed"
+# Running, waiting and slots, separated by commas.
+LOAD: Final = "X-Server-Load"
+RETRY_AFTER: Final = "Retry-After"
+
+# Calls of the store.
+CALL_RANGE: Final = "/api/kv-range"
+CALL_WATCH: Final = "/api/kv-watch"
+KEY_CONFIGURATION: Final = "op/config"
+PREFIX_SERVERS: Final = "servers/"
+
+# Headers that concern one connection only (RFC 9110).
+HOP_BY_HOP: Final = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
--- /dev/null
+++ b/gypsumrouter/platform/requests.py
@@ -0,0 +1,110 @@
+"""Requests: from the callers' spelling to typed values, and on to the upstreams' spelling."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Final
+
+from aiohttp import web
+
+from gypsumrouter.forwarding.models import CallerRequest, Prompt, PromptPart, Sending
+from gypsumrouter.platform import names
+
+MAX_PRIORITY: Final = 9
+DROPPED: Final = (
+    names.HOP_BY_HOP
+    | names.SYSTEM_HEADERS
+    | {
+        "content-length",
+        "expect",
+        "host",
+        names.API_KEY.lower(),
+        names.DEADLINE.lower(),
+        names.LAST_EVENT_ID.lower(),
+        names.REQUEST_ID.lower(),
+    }
+)
+
+
+def read_request(*, request: web.BaseRequest, body: bytes) -> CallerRequest | None:
+    """Return a caller's request, or None where its head is malformed."""
+    headers = request.headers
+    request_id = headers.get(names.REQUEST_ID, "")
+    if not request_id or not request.raw_path.startswith("/"):
+        return None
+    deadline_ms = _read_number(headers.get(names.DEADLINE))
+    if deadline_ms is None and names.DEADLINE in headers:
+        return None
+    dropped = DROPPED | _list_connection_headers(headers.get("Connection", ""))
+    return CallerRequest(
+        request_id=request_id,
+        method=request.method,
+        host=headers.get("Host", "").rpartition(":")[0] or headers.get("Host", ""),
+        path=request.raw_path,
+        key=headers.get(names.API_KEY),
+        deadline_ms=deadline_ms,
+        prompt=_read_prompt(headers),
+        last_event=headers.get(names.LAST_EVENT_ID),
+        headers=tuple((n, v) for n, v in headers.items() if n.lower() not in dropped),
+        body=body,
+    )
+
+
+def write_request(*, request: CallerRequest, sending: Sending) -> bytes:
+    """Return the bytes of a request for an upstream."""
+    lines = [
+        f"{request.method} {request.path} HTTP/1.1",
+        f"Host: {request.host}",
+        f"{names.REQUEST_ID}: {request.request_id}",
+        f"{names.DEADLINE}: {sending.deadline_ms}",
+        f"{names.EXPECT_INSTANCE}: {sending.upstream}",
+    ]
+    if sending.workspace:
+        lines.append(f"{names.TENANT}: {sending.workspace}")
+    if sending.priority is not None:
+        lines.append(f"{names.PRIORITY}: {min(MAX_PRIORITY, max(0, sending.priority))}")
+    if sending.last_event is not None:
+        lines.append(f"{names.LAST_EVENT_ID}: {sending.last_event}")
+    lines.extend(f"{name}: {value}" for name, value in request.headers)
+    if request.body or request.method in {"POST", "PUT", "PATCH"}:
+        lines.append(f"Content-Length: {len(request.body)}")
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    return head.encode("utf-8", "surrogateescape") + request.body
+
+
+def _read_prompt(headers: Mapping[str, str]) -> Prompt | None:
+    """Return the prompt of a request to a model engine; None where the head names none."""
+    usage = headers.get(names.TOKEN_USAGE)
+    listed = headers.get(names.PREFIX_PARTS)
+    if usage is None or listed is None:
+        return None
+    try:
+        input_tokens, _, output_tokens = usage.partition(",")
+        parts = tuple(_read_part(entry) for entry in listed.split(",") if entry.strip())
+        return Prompt(
+            model=headers.get(names.MODEL, ""),
+            parts=parts,
+            input_tokens=int(input_tokens),
+            max_output_tokens=int(output_tokens or 0),
+        )
+    except ValueError:
+        return None
+
+
+def _read_part(entry: str) -> PromptPart:
+    part, _, tokens = entry.strip().partition(":")
+    return PromptPart(part=int(part, 16), tokens=int(tokens))
+
+
+def _read_number(value: str | None) -> int | None:
+    if value is None:
+        return None
+    try:
+        return max(0, int(float(value)))
+    except (ValueError, OverflowError):
+        return None
+
+
+def _list_connection_headers(value: str) -> frozenset[str]:
+    """Return the headers that a request declares to concern its connection only."""
+    return frozenset(name.strip().lower() for name in value.split(",") if name.strip())
--- /dev/null
+++ b/gypsumrouter/published/follower.py
@@ -0,0 +1,147 @@
+"""Follows a list of items: read once, watched from then on, read anew after lost history."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final
+
+from gypsumrouter.core import Application
+from gypsumrouter.journal import DependencyLost, DependencyRegained, Journal
+from gypsumrouter.published.models import HistoryLost, Listed, PublishedStore, StoreUnavailable
+
+# A watch whose answer was lost is not told from one that waits. It is asked again after this long,
+# so that a change is in force within the published bounds of two seconds after trouble has ended.
+WATCH_MS: Final = 2_500
+BACKOFF_FIRST_MS: Final = 60
+BACKOFF_MAX_MS: Final = 800
+
+TakeList = Callable[[Listed], None]
+
+
+class Follower:
+    """One task that keeps a list up to date, however often the store goes away.
+
+    `take_all` gets whole lists, `take_changes` what changed since. `on_lost` and `on_regained`
+    are called once for each outage.
+    """
+
+    __slots__ = (
+        "_app",
+        "_journal",
+        "_lost_ms",
+        "_name",
+        "_nudged",
+        "_on_lost",
+        "_on_regained",
+        "_store",
+        "_take_all",
+        "_take_changes",
+        "as_of",
+    )
+
+    def __init__(
+        self,
+        *,
+        app: Application,
+        journal: Journal,
+        name: str,
+        store: PublishedStore,
+        take_all: TakeList,
+        take_changes: TakeList,
+        on_lost: Callable[[], None] | None = None,
+        on_regained: Callable[[], None] | None = None,
+    ) -> None:
+        self._app = app
+        self._journal = journal
+        self._name = name
+        self._store = store
+        self._take_all = take_all
+        self._take_changes = take_changes
+        self._on_lost = on_lost
+        self._on_regained = on_regained
+        self._lost_ms: int | None = None
+        self._nudged = asyncio.Event()
+        self.as_of: int | None = None
+
+    @property
+    def available(self) -> bool:
+        """Return whether the last call was answered."""
+        return self._lost_ms is None
+
+    def async_start(self) -> None:
+        """Begin to follow."""
+        self._app.async_create_task(self._async_run(), f"follow {self._name}")
+        self._app.on_stop(self._async_stop)
+
+    def nudge(self) -> None:
+        """Ask again now: a peer knows something newer."""
+        self._nudged.set()
+
+    async def _async_run(self) -> None:
+        failures = 0
+        while True:
+            try:
+                await self._async_step()
+            except StoreUnavailable as error:
+                self._note_lost(str(error))
+                failures += 1
+                await self._async_back_off(failures)
+                continue
+            failures = 0
+            self._note_regained()
+
+    async def _async_step(self) -> None:
+        if self.as_of is None:
+            listed = await self._store.async_list()
+            self._note_regained()
+            self._take_all(listed)
+            self.as_of = listed.as_of
+            return
+        watching = asyncio.ensure_future(
+            self._store.async_watch(after=self.as_of, wait_ms=WATCH_MS)
+        )
+        nudge = asyncio.ensure_future(self._nudged.wait())
+        try:
+            await asyncio.wait((watching, nudge), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            nudge.cancel()
+            if not watching.done():
+                watching.cancel()
+        if not watching.done() or watching.cancelled():
+            self._nudged.clear()
+            self._store.close()
+            return
+        changed = watching.result()
+        if isinstance(changed, HistoryLost):
+            self.as_of = None
+            return
+        self._note_regained()
+        if changed.items:
+            self._take_changes(changed)
+        self.as_of = max(self.as_of, changed.as_of)
+
+    async def _async_back_off(self, failures: int) -> None:
+        ceiling = min(BACKOFF_MAX_MS, BACKOFF_FIRST_MS << min(failures, 6))
+        await self._app.clock.async_sleep(random.randint(ceiling // 2, ceiling))
+
+    def _note_lost(self, reason: str) -> None:
+        if self._lost_ms is not None:
+            return
+        self._lost_ms = self._app.clock.now_ms()
+        self._journal.record(DependencyLost(dependency=self._name, reason=reason))
+        if self._on_lost is not None:
+            self._on_lost()
+
+    def _note_regained(self) -> None:
+        if self._lost_ms is None:
+            return
+        lost_ms = self._app.clock.now_ms() - self._lost_ms
+        self._lost_ms = None
+        self._journal.record(DependencyRegained(dependency=self._name, lost_ms=lost_ms))
+        if self._on_regained is not None:
+            self._on_regained()
+
+    async def _async_stop(self) -> None:
+        self._store.close()
--- /dev/null
+++ b/gypsumrouter/routing/models.py
@@ -0,0 +1,107 @@
+"""What operators publish of routes, services and workspaces, as values."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class RouteKind(StrEnum):
+    """What may be repeated on a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Target:
+    """One service that a route may use, and its share of the traffic."""
+
+    service: str
+    weight: float
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Route:
+    """One route: requests to `host` whose path begins with `prefix`.
+
+    `timeout_ms` bounds the whole answer and `target_ms` is the latency objective; for streams it
+    is met by the first event, with no later pause above `max_pause_ms`. `max_attempts` counts the
+    upstreams that may run one request. Rank 0 is the most urgent `priority`.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_ms: int
+    target_ms: int
+    max_pause_ms: int
+    priority: int
+    max_attempts: int
+    public: bool
+    resumable: bool
+    targets: tuple[Target, ...]
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether a request may run a second time, or go on at another upstream."""
+        return self.kind is RouteKind.IDEMPOTENT or self.resumable
+
+    @property
+    def streamed(self) -> bool:
+        """Return whether answers come as a series of events."""
+        return self.kind is RouteKind.STREAMING
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class EngineTraits:
+    """What is published of a service's model engines: its batch and its cache, in tokens."""
+
+    slots: int
+    cache_tokens: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Service:
+    """A group of upstreams that can stand in for one another.
+
+    `max_connections` is what one upstream accepts from all routers together. `engine` is None for
+    a plain service.
+    """
+
+    name: str
+    max_connections: int
+    engine: EngineTraits | None = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class WorkspaceKeys:
+    """A workspace with the keys of its callers; its priority, if set, goes before the route's."""
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CallerLimits:
+    """What callers may send, and how long they may take; bytes and milliseconds."""
+
+    max_head_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    head_timeout_ms: int = 3_000
+    idle_timeout_ms: int = 15_000
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RoutingConfiguration:
+    """One published version, whole; `document` is the text that it was read from."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    workspaces: tuple[WorkspaceKeys, ...]
+    limits: CallerLimits
+    document: bytes
--- /dev/null
+++ b/gypsumrouter/routing/table.py
@@ -0,0 +1,74 @@
+"""The lookup from a request's host, path and key to its route and workspace."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from gypsumrouter.routing.models import Route, RoutingConfiguration, Service, WorkspaceKeys
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Routed:
+    """A request that the configuration allows; public routes have no workspace."""
+
+    route: Route
+    workspace: str
+    priority: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class NoRoute:
+    """No route of the configuration fits the host and the path."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class WrongKey:
+    """The route needs a key that the configuration knows."""
+
+    route: Route
+
+
+class RoutingTable:
+    """One version of the configuration, indexed once for lookups."""
+
+    __slots__ = ("_by_host", "_has_workspaces", "_keys", "_services", "configuration")
+
+    def __init__(self, *, configuration: RoutingConfiguration) -> None:
+        self.configuration = configuration
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for route in configuration.routes:
+            self._by_host.setdefault(route.host.lower(), {})[route.prefix] = route
+        self._keys: dict[str, WorkspaceKeys] = {
+            key: workspace for workspace in configuration.workspaces for key in workspace.keys
+        }
+        self._has_workspaces = bool(configuration.workspaces)
+        self._services = {service.name: service for service in configuration.services}
+
+    def find(self, *, host: str, path: str, key: str | None) -> Routed | NoRoute | WrongKey:
+        """Return where a request belongs; `path` is without its query."""
+        route = self._match(host, path)
+        if route is None:
+            return NoRoute()
+        workspace = None if key is None else self._keys.get(key)
+        if workspace is None:
+            if self._has_workspaces and not route.public:
+                return WrongKey(route=route)
+            return Routed(route=route, workspace="", priority=route.priority)
+        priority = route.priority if workspace.priority is None else workspace.priority
+        return Routed(route=route, workspace=workspace.name, priority=priority)
+
+    def get_service(self, name: str) -> Service | None:
+        """Return a service by its name."""
+        return self._services.get(name)
+
+    def _match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix; prefixes begin and end with a slash."""
+        routes = self._by_host.get(host.lower())
+        if routes is None:
+            return None
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = routes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
--- a/gypsumrouter/service.py
+++ b/gypsumrouter/service.py
@@ -7,30 +7,35 @@
 import logging
 import os
 import signal
+from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
 import aiomisc
 import click
 
-from gypsumrouter.bootstrap import Product, async_setup
-from gypsumrouter.configuration.models import Configuration
 from gypsumrouter.const import EXIT_FAILED, EXIT_OK
 from gypsumrouter.exceptions import ErrorCode, GypsumError
 from gypsumrouter.helpers.heap import settle_heap
-from gypsumrouter.placement import PlacementKind
-from gypsumrouter.settings import Settings
+from gypsumrouter.product import Product
+from gypsumrouter.settings import ForwarderSettings, Settings
 
 _LOGGER = logging.getLogger(__name__)
 
 STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
 
+# A forwarder must be gone at the end of its stop: what is left is cut and the process ends within
+# this time, measured at 0.1 s on a core's share of 0.8.
+STOP_MARGIN_MS: Final = 500
+
+Setup = Callable[[], Awaitable[Product]]
+
 
 class DaemonService(aiomisc.Service):
     """Runs the product of one process until a signal or a broken invariant ends it."""
 
-    def __init__(self, *, settings: Settings, announce: bool, placement: PlacementKind) -> None:
+    def __init__(self, *, settings: Settings, announce: bool, setup: Setup) -> None:
         super().__init__()
-        self._placement = placement
+        self._setup = setup
         self._settings = settings
         self._announce = announce
         self._product: Product | None = None
@@ -42,8 +47,9 @@
         """Set the process up; what stops it is logged with its code."""
         for number in STOP_SIGNALS:
             self.loop.add_signal_handler(number, self._handle_stop_signal, number)
+        self.loop.add_signal_handler(signal.SIGHUP, self._handle_reload_signal)
         try:
-            self._product = await async_setup(settings=self._settings, placement=self._placement)
+            self._product = await self._setup()
         except GypsumError as error:
             self._fail(error.code, str(error))
             return
@@ -81,7 +87,7 @@
 
     async def _drain(self, product: Product) -> None:
         _LOGGER.info("Stopping: finishing %d requests", len(product.list_running()))
-        limit_ms = self._settings.limits.drain_ms
+        limit_ms = get_stop_ms(self._settings)
         drained = asyncio.ensure_future(product.app.async_drain())
         await _wait_for_first(
             drained,
@@ -102,6 +108,10 @@
         _LOGGER.info("Stop signal (%s)", signal.Signals(number).name)
         self._stop_asked.set()
 
+    def _handle_reload_signal(self) -> None:
+        if self._product is not None and self._product.reload is not None:
+            self._product.reload()
+
     def _report_addresses(self, product: Product) -> None:
         addresses = {name: str(address) for name, address in product.addresses.items()}
         _LOGGER.info("Started as %s on %s", product.app.role.value, addresses)
@@ -121,6 +131,15 @@
         _LOGGER.error("Stopped with %s: %s", code.value, message)
 
 
+def get_stop_ms(settings: Settings) -> int:
+    """Return how long a planned stop may take to finish what runs."""
+    match settings:
+        case ForwarderSettings():
+            return settings.bounds.stop_ms - STOP_MARGIN_MS
+        case _:
+            return settings.limits.drain_ms
+
+
 async def _wait_for_first(*waits: asyncio.Future[Any]) -> None:
     """Wait until one is done and cancel the others."""
     await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
@@ -138,7 +157,7 @@
     if product.store.ready.is_set():
         return
 
-    def settle(_configuration: Configuration) -> None:
+    def settle(_configuration: object) -> None:
         remove()
         settle_heap()
 
--- a/gypsumrouter/settings.py
+++ b/gypsumrouter/settings.py
@@ -29,6 +29,7 @@
 HttpOrigin = Annotated[
     str, Field(pattern=r"^https?://(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d+$")
 ]
+Endpoint = Annotated[str, Field(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")]
 
 
 class LogFormat(StrEnum):
@@ -191,10 +192,69 @@
     log: Log = field(default_factory=Log)
 
 
-Settings = RouterSettings | SideSettings
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Probes(Checked):
+    """Where the balancer asks whether this process may get new connections, and for metrics.
+
+    Everyone who reaches `metrics` may read it; it holds no secrets.
+    """
+
+    ready: Endpoint = "127.0.0.1:0"
+    ready_path: Annotated[str, Field(pattern=r"^/\S*$")] = "/readyz"
+    metrics: Endpoint = "127.0.0.1:0"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Bounds(Checked):
+    """What a forwarder must keep towards upstreams and callers; times in milliseconds.
+
+    An upstream holds at most `cap_factor` times the mean of its service and `cap_slack` requests.
+    All forwarders together may send `retry_ratio` of the requests again within any
+    `retry_window_ms`, and `retry_slack` more. A stop lasts at most `stop_ms`.
+    """
+
+    cap_factor: PositiveFloat = 2.0
+    cap_slack: PositiveFloat = 2.0
+    retry_ratio: Annotated[float, Field(ge=0, le=1)] = 0.2
+    retry_slack: Annotated[float, Field(ge=0)] = 50.0
+    retry_window_ms: PositiveInt = 10_000
+    stop_ms: PositiveInt = 8_000
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ForwarderSettings(Checked):
+    """Settings of a forwarder; addresses are IP:PORT.
+
+    `callers` and `link_address` are where it listens (the latter goes before what `link` says),
+    `seeds` the links of up to a few other forwarders, `store` is the platform's store.
+    """
+
+    instance: Identity
+    callers: Endpoint = "127.0.0.1:0"
+    probes: Probes = field(default_factory=Probes)
+    link_address: Endpoint = "127.0.0.1:0"
+    link: Link
+    seeds: tuple[Endpoint, ...] = ()
+    store: Endpoint
+    bounds: Bounds = field(default_factory=Bounds)
+    limits: Limits = field(default_factory=Limits)
+    log: Log = field(default_factory=Log)
+
+
+LinkedSettings = RouterSettings | SideSettings
+Settings = LinkedSettings | ForwarderSettings
 
 ROUTER_ADAPTER: TypeAdapter[RouterSettings] = TypeAdapter(RouterSettings)
 SIDE_ADAPTER: TypeAdapter[SideSettings] = TypeAdapter(SideSettings)
+FORWARDER_ADAPTER: TypeAdapter[ForwarderSettings] = TypeAdapter(ForwarderSettings)
+
+
+def check_forwarder_settings(document: bytes | str) -> ForwarderSettings:
+    """Return checked settings of a forwarder; raises SettingsInvalid."""
+    try:
+        return check_json(adapter=FORWARDER_ADAPTER, document=document)
+    except DocumentInvalid as error:
+        raise SettingsInvalid(error.errors) from None
 
 
 def check_router_settings(document: bytes | str) -> RouterSettings:
