--- a/gypsumrouter/daemon.py
+++ b/gypsumrouter/daemon.py
@@ -10,6 +10,12 @@
 os.environ[ENV_IO_URING] = IO_URING_OFF
 
 import sys
+
+from gypsumrouter.helpers.listening import listen_early
+
+if __name__ == "__main__":
+    listen_early(sys.argv[1:])
+
 from functools import partial
 from pathlib import Path
 from typing import Final, TextIO, cast
--- a/gypsumrouter/directory/directory.py
+++ b/gypsumrouter/directory/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Final
@@ -34,6 +35,7 @@
         "_records",
         "_usable_until_ms",
         "loaded",
+        "newest",
         "revision",
     )
 
@@ -44,8 +46,10 @@
         self._doubtful: dict[str, Record] = {}
         self._listeners: list[ChangeListener] = []
         self._usable_until_ms: int | None = None
+        # What the list was read up to, and the newest change that was merged from anywhere.
         self.revision = 0
-        self.loaded = False
+        self.newest = 0
+        self.loaded = asyncio.Event()
         app.add_dump_section("directory", self._dump)
 
     def get(self, upstream: str) -> Entry | None:
@@ -71,7 +75,11 @@
     def note_revision(self, revision: int) -> None:
         """Note that everything up to `revision` has been merged."""
         self.revision = max(self.revision, revision)
-        self.loaded = True
+        self.loaded.set()
+
+    def note_told(self) -> None:
+        """Note that a peer told all that it knows."""
+        self.loaded.set()
 
     def note_outage(self) -> None:
         """Note that the list cannot be read now."""
@@ -88,6 +96,7 @@
         known = self._records.get(upstream)
         if known is not None and known.revision >= record.revision:
             return False
+        self.newest = max(self.newest, record.revision)
         if known is None and record.entry.state is EntryState.GONE:
             self._records[upstream] = record
             return True
--- a/gypsumrouter/forwarder.py
+++ b/gypsumrouter/forwarder.py
@@ -4,6 +4,7 @@
 
 import logging
 from collections.abc import Iterator
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from typing import Final
@@ -17,6 +18,7 @@
 from gypsumrouter.helpers.logs import set_instance
 from gypsumrouter.journal import Journal, ProcessStarted, ProcessStopped, ProcessStopping
 from gypsumrouter.operators.probes import ProbesServer
+from gypsumrouter.peers import Mesh
 from gypsumrouter.platform import (
     PlatformDialect,
     StoreClient,
@@ -42,6 +44,7 @@
 ) -> Product:
     """Start a forwarder and return it running; raises OSError when an address is taken."""
     set_instance(settings.instance.name)
+    settings = _bind_link(settings)
     app = Application(
         name=settings.instance.name,
         role=Role.FORWARDER,
@@ -77,11 +80,21 @@
     followers = make_followers(
         app=app, settings=settings, journal=journal, routing=routing, directory=directory
     )
+    mesh = Mesh(
+        app=app,
+        settings=settings,
+        journal=journal,
+        routing=routing,
+        directory=directory,
+        forwarder=forwarder,
+        decode=decode_configuration,
+    )
     probes = ProbesServer(app=app, settings=settings.probes, is_ready=lambda: forwarder.ready)
     addresses = await probes.async_start()
     for follower in followers:
         follower.async_start()
     app.async_create_task(_async_settle(app, directory), "settle directory")
+    addresses["link"] = await mesh.async_start()
     addresses["callers"] = await forwarder.async_start()
     _journal_life(app, journal, forwarder, addresses)
     return Product(
@@ -93,6 +106,13 @@
     )
 
 
+def _bind_link(settings: ForwarderSettings) -> ForwarderSettings:
+    """Return the settings with the link's listener at its address."""
+    address = parse_address(settings.link_address)
+    link = replace(settings.link, host=address.host, port=address.port)
+    return replace(settings, link=link)
+
+
 def make_followers(
     *,
     app: Application,
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 from gypsumrouter.forwarding.const import LEAVING_MS
 from gypsumrouter.forwarding.handler import ReadRequest, RequestHandler
 from gypsumrouter.forwarding.health import HealthBook
+from gypsumrouter.forwarding.leaving import Leaving
 from gypsumrouter.forwarding.metrics import ForwardingMetrics
 from gypsumrouter.forwarding.models import Dialect
 from gypsumrouter.forwarding.placement import Cap
@@ -29,6 +30,8 @@
 
 SWEEP_MS: Final = 1_000
 DRAIN_STEP_MS: Final = 20
+# Requests that are taken during a stop end this long before the process is killed.
+LEAVING_MARGIN_MS: Final = 1_000
 
 
 class Forwarder:
@@ -38,6 +41,7 @@
         "_app",
         "_connections",
         "_directory",
+        "_leaving",
         "_listener",
         "_routing",
         "_server",
@@ -75,6 +79,7 @@
             slack=bounds.retry_slack,
             window_ms=bounds.retry_window_ms,
         )
+        self._leaving = Leaving(clock=app.clock, limit_ms=bounds.stop_ms - LEAVING_MARGIN_MS)
         parts = RunParts(
             app=app,
             journal=journal,
@@ -89,7 +94,7 @@
             directory=directory,
             read_request=read_request,
             metrics=ForwardingMetrics(app=app),
-            is_leaving=app.stopping.is_set,
+            leaving=self._leaving,
         )
         self._server: CallerServer | None = None
         self._listener: CallerListener | None = None
@@ -101,7 +106,7 @@
         return (
             not self._app.stopping.is_set()
             and self._routing.table is not None
-            and self._directory.loaded
+            and self._directory.loaded.is_set()
         )
 
     async def async_start(self) -> Address:
@@ -133,12 +138,13 @@
             self._connections.sweep()
 
     async def _async_drain(self) -> None:
-        """Take requests until balancers know, then close idle connections and finish the rest."""
+        """Take requests until balancers know, then finish what runs and close what is idle."""
+        self._leaving.begin()
         await self._app.clock.async_sleep(LEAVING_MS)
         assert self._server is not None
-        assert self._listener is not None
-        await self._listener.async_stop_listening()
         for connection in tuple(self._server.connections):
             connection.close()
         while self.handler.running:
             await self._app.clock.async_sleep(DRAIN_STEP_MS)
+        assert self._listener is not None
+        await self._listener.async_stop_listening()
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -4,15 +4,16 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
 from typing import Final, Protocol
 
 import xxhash
 from aiohttp import web
 
+from gypsumrouter.const import MS_PER_S
 from gypsumrouter.directory import Directory
 from gypsumrouter.forwarding.answers import make_refusal, make_rejection
 from gypsumrouter.forwarding.const import ANSWER_MARGIN_MS
+from gypsumrouter.forwarding.leaving import Leaving, estimate_duration_ms
 from gypsumrouter.forwarding.metrics import ForwardingMetrics
 from gypsumrouter.forwarding.models import CallerRequest
 from gypsumrouter.forwarding.relay import CallerGone
@@ -36,6 +37,9 @@
 # What the bodies of all running requests may take together: an eighth of the smallest instance.
 MAX_BODIES_BYTES: Final = 24 * 1024 * 1024
 DEFAULT_TIMEOUT_MS: Final = 15_000
+# How long requests that arrive before the configuration is loaded wait for it; it takes 10 to 50 ms
+# where the store answers.
+START_WAIT_MS: Final = 300
 
 
 class ReadRequest(Protocol):
@@ -51,7 +55,7 @@
     __slots__ = (
         "_bodies",
         "_directory",
-        "_is_leaving",
+        "_leaving",
         "_metrics",
         "_minted",
         "_parts",
@@ -68,14 +72,14 @@
         directory: Directory,
         read_request: ReadRequest,
         metrics: ForwardingMetrics,
-        is_leaving: Callable[[], bool],
+        leaving: Leaving,
     ) -> None:
         self._parts = parts
         self._routing = routing
         self._directory = directory
         self._read_request = read_request
         self._metrics = metrics
-        self._is_leaving = is_leaving
+        self._leaving = leaving
         self._bodies = MemoryBudget(limit=MAX_BODIES_BYTES)
         self._running: dict[int, str] = {}
         self._minted = 0
@@ -104,7 +108,8 @@
         finally:
             held.release()
             del self._running[number]
-        if self._is_leaving() and not response.prepared:
+            self._leaving.note_ended(number)
+        if self._leaving.leaving and not response.prepared:
             response.force_close()
         return response
 
@@ -129,13 +134,14 @@
             )
         self._running[number] = read.request_id
         set_request_id(read.request_id)
-        return await self._async_route(request, read, arrived_ms)
+        return await self._async_route(request, read, arrived_ms, number)
 
     async def _async_route(
-        self, request: web.BaseRequest, read: CallerRequest, arrived_ms: int
+        self, request: web.BaseRequest, read: CallerRequest, arrived_ms: int, number: int
     ) -> web.StreamResponse:
+        await self._async_wait_until_ready(read)
         table = self._routing.table
-        if table is None or not self._directory.loaded:
+        if table is None or not self._directory.loaded.is_set():
             return self._refuse(read, Reason.NOT_READY, "The configuration is not known yet")
         match table.find(host=read.host, path=read.bare_path, key=read.key):
             case NoRoute():
@@ -143,8 +149,24 @@
             case WrongKey():
                 return self._reject(read, Reason.UNAUTHENTICATED, "The key is not known")
             case Routed() as routed:
+                duration_ms = estimate_duration_ms(read, routed.route)
+                if not self._leaving.admits(duration_ms=duration_ms):
+                    return self._refuse(read, Reason.LEAVING, "This router is stopping")
+                self._leaving.note_started(number, duration_ms=duration_ms)
                 return await self._async_run(request, read, routed, arrived_ms)
 
+    async def _async_wait_until_ready(self, read: CallerRequest) -> None:
+        """Wait a moment for what a starting process loads, which takes some ten milliseconds."""
+        if self._routing.ready.is_set() and self._directory.loaded.is_set():
+            return
+        patience_ms = min(START_WAIT_MS, (read.deadline_ms or DEFAULT_TIMEOUT_MS) // 3)
+        try:
+            async with asyncio.timeout(patience_ms / MS_PER_S):
+                await self._routing.ready.wait()
+                await self._directory.loaded.wait()
+        except TimeoutError:
+            _LOGGER.debug("Request %s met a router that is not ready", read.request_id)
+
     async def _async_run(
         self, request: web.BaseRequest, read: CallerRequest, routed: Routed, arrived_ms: int
     ) -> web.StreamResponse:
@@ -159,7 +181,7 @@
             service=choose_service(read, route),
             web_request=request,
             progress=progress,
-            closes=self._is_leaving(),
+            closes=self._leaving.leaving,
             configuration=self._routing.version,
             list_revision=self._directory.revision,
         )
@@ -244,7 +266,7 @@
     if len(route.targets) == 1:
         return route.targets[0].service
     if read.prompt is not None and read.prompt.shared:
-        seed = read.prompt.shared[-1].part.to_bytes(16, "little")
+        seed = read.prompt.shared[-1].part.to_bytes(8, "little")
     else:
         seed = read.request_id.encode()
     total = sum(target.weight for target in route.targets)
--- a/gypsumrouter/forwarding/holdings.py
+++ b/gypsumrouter/forwarding/holdings.py
@@ -12,6 +12,9 @@
 # reads 15,000 new tokens a second turns its cache over in about 40 s.
 HELD_MS: Final = 40_000
 MAX_PARTS: Final = 20_000
+# A part can be copied from an engine once it was read there: 0.12 s for ten thousand tokens, and as
+# much again for what was read before it.
+READABLE_MS: Final = 400
 
 
 class Holdings:
@@ -20,10 +23,11 @@
     __slots__ = ("_parts",)
 
     def __init__(self) -> None:
-        self._parts: OrderedDict[int, dict[str, int]] = OrderedDict()
+        # For each part and upstream: when it was first and last sent there.
+        self._parts: OrderedDict[int, dict[str, tuple[int, int]]] = OrderedDict()
 
-    def note(self, *, part: int, upstream: str, now_ms: int) -> None:
-        """Note that an upstream has read, or is about to read, a part."""
+    def note(self, *, part: int, upstream: str, now_ms: int) -> bool:
+        """Note that an upstream has read, or is about to read, a part; return whether it is new."""
         holders = self._parts.get(part)
         if holders is None:
             holders = self._parts[part] = {}
@@ -31,7 +35,23 @@
                 self._parts.popitem(last=False)
         else:
             self._parts.move_to_end(part)
-        holders[upstream] = now_ms
+        noted = holders.get(upstream)
+        new = noted is None or now_ms - noted[1] >= HELD_MS
+        holders[upstream] = (now_ms if noted is None or new else noted[0], now_ms)
+        return new
+
+    def forget(self, *, part: int, upstream: str) -> None:
+        """Forget that an upstream has a part: it was turned away there."""
+        self._parts.get(part, {}).pop(upstream, None)
+
+    def readers(self, part: int, *, now_ms: int) -> tuple[str, ...]:
+        """Return the upstreams that have read a part, so that it can be copied from them."""
+        holders = self._parts.get(part, {})
+        return tuple(
+            upstream
+            for upstream, (first_ms, last_ms) in holders.items()
+            if now_ms - first_ms >= READABLE_MS and now_ms - last_ms < HELD_MS
+        )
 
     def forget_upstream(self, upstream: str) -> None:
         """Forget an upstream that ended."""
@@ -52,5 +72,5 @@
         holders = self._parts.get(part)
         if holders is None:
             return False
-        noted_ms = holders.get(upstream)
-        return noted_ms is not None and now_ms - noted_ms < HELD_MS
+        noted = holders.get(upstream)
+        return noted is not None and now_ms - noted[1] < HELD_MS
--- a/gypsumrouter/forwarding/models.py
+++ b/gypsumrouter/forwarding/models.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from gypsumrouter.fleet.models import Address
 from gypsumrouter.helpers.http_connection import Answer
 
 Headers = tuple[tuple[str, str], ...]
@@ -66,7 +67,8 @@
 class Sending:
     """What a forwarder adds for one attempt.
 
-    Only the upstream with this id may run it, for at most `deadline_ms`.
+    Only the upstream with this id may run it, for at most `deadline_ms`. `fetch_from` is another
+    upstream from whose cache it first copies what it lacks of the prompt.
     """
 
     upstream: str
@@ -74,6 +76,7 @@
     deadline_ms: int
     priority: int | None
     last_event: str | None
+    fetch_from: Address | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/gypsumrouter/forwarding/placement.py
+++ b/gypsumrouter/forwarding/placement.py
@@ -15,6 +15,12 @@
 
 # Prompt tokens that an engine reads in a millisecond, from the published trait of the engines.
 READ_TOKENS_PER_MS: Final = 80.0
+# Copying cached tokens from another engine: 10 ms to set it up, and per token what it costs against
+# reading it: a sixth in price, a twentieth in time.
+FETCH_SETUP_MS: Final = 10.0
+FETCH_TOKENS_PER_MS: Final = 400.0
+# Below this a prompt is read faster than a copy is set up.
+MIN_FETCH_TOKENS: Final = 256
 # What one more running request costs the others: 0.08 ms a step over about 100 steps.
 LOAD_MS: Final = 6.0
 # What a request that waits for a slot of a plain service costs, in units of its mean service time.
@@ -22,6 +28,8 @@
 # A prompt that nobody is known to hold goes to the first of its own stable order, where another
 # router would send it too; the others count as if they had to read half of it once more.
 STRANGER_SHARE: Final = 0.5
+# Where a holder is known the order only decides between equals, so that routers agree.
+KNOWN_STRANGER_SHARE: Final = 0.1
 # Requests and answers between data centres cost bytes; a nearer upstream wins among equals.
 FAR_MS: Final = 4.0
 
@@ -31,7 +39,9 @@
     """One upstream as it looks for one request.
 
     `load` counts the requests that all routers have there, `pending_tokens` the prompt tokens that
-    wait to be read there, `missing_tokens` those of this prompt that it has to read.
+    wait to be read there, `missing_tokens` those of this prompt that it has to read, of which
+    `fetchable_tokens` can be copied from another engine. `stranger` is one that does not come
+    first in the stable order of a prompt that nobody holds.
     `penalty_ms` is what its recent failures are expected to cost.
     """
 
@@ -41,6 +51,7 @@
     near: bool
     pending_tokens: int = 0
     missing_tokens: int = 0
+    fetchable_tokens: int = 0
     stranger: bool = False
     penalty_ms: float = 0.0
 
@@ -58,22 +69,30 @@
 
 
 def choose(
-    candidates: Sequence[Candidate], *, cap: Cap, mean: float, shared_tokens: int
+    candidates: Sequence[Candidate], *, cap: Cap, mean: float, shared_tokens: int, known: bool
 ) -> Candidate | None:
-    """Return the cheapest candidate under the cap, or the least loaded one if none is under it."""
+    """Return the cheapest candidate under the cap, or the least loaded one if none is under it.
+
+    `known` says that some upstream is known to hold the shared part of the prompt.
+    """
     if not candidates:
         return None
     allowed = [c for c in candidates if cap.allows(load=c.load, mean=mean)]
     if not allowed:
         return min(candidates, key=lambda c: (c.penalty_ms + c.load * LOAD_MS, c.upstream))
-    return min(allowed, key=lambda c: (estimate_ms(c, shared_tokens=shared_tokens), c.upstream))
+    share = KNOWN_STRANGER_SHARE if known else STRANGER_SHARE
+    stranger_ms = share * shared_tokens / READ_TOKENS_PER_MS
+    return min(allowed, key=lambda c: (estimate_ms(c, stranger_ms=stranger_ms), c.upstream))
 
 
-def estimate_ms(candidate: Candidate, *, shared_tokens: int) -> float:
+def estimate_ms(candidate: Candidate, *, stranger_ms: float) -> float:
     """Return what a request costs at a candidate, in milliseconds of an engine's time."""
-    cost = (candidate.missing_tokens + candidate.pending_tokens) / READ_TOKENS_PER_MS
+    read = candidate.missing_tokens - candidate.fetchable_tokens
+    cost = (read + candidate.pending_tokens) / READ_TOKENS_PER_MS
+    if candidate.fetchable_tokens:
+        cost += FETCH_SETUP_MS + candidate.fetchable_tokens / FETCH_TOKENS_PER_MS
     if candidate.stranger:
-        cost += STRANGER_SHARE * shared_tokens / READ_TOKENS_PER_MS
+        cost += stranger_ms
     cost += candidate.load * LOAD_MS
     waiting = candidate.load + 1 - candidate.slots
     if waiting > 0:
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -2,18 +2,26 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
 import xxhash
 
-from gypsumrouter.core import Application
+from gypsumrouter.core import Application, Remove
 from gypsumrouter.directory import Directory, Entry, EntryState
 from gypsumrouter.forwarding.health import HealthBook
 from gypsumrouter.forwarding.holdings import Holdings
 from gypsumrouter.forwarding.loads import LoadBook
 from gypsumrouter.forwarding.models import Prompt, PromptPart
-from gypsumrouter.forwarding.placement import Candidate, Cap, choose, order_by_affinity
+from gypsumrouter.forwarding.placement import (
+    MIN_FETCH_TOKENS,
+    Candidate,
+    Cap,
+    choose,
+    order_by_affinity,
+)
+
+PlacedListener = Callable[[int, str], None]
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -25,12 +33,39 @@
     mean_load: float
     missing_tokens: int
     candidates: int
+    fetch_from: Entry | None = None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Source:
+    """An upstream from which cached parts can be copied, and what it lacks itself."""
+
+    entry: Entry
+    missing_tokens: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Sent:
+    """What was noted of a request: prompt tokens to read, and parts new to its upstream."""
+
+    upstream: str
+    tokens: int
+    new_parts: tuple[int, ...]
 
 
 class Placer:
     """Chooses an upstream for each attempt."""
 
-    __slots__ = ("_app", "_by_service", "_cap", "_directory", "health", "holdings", "loads")
+    __slots__ = (
+        "_app",
+        "_by_service",
+        "_cap",
+        "_directory",
+        "_placed_listeners",
+        "health",
+        "holdings",
+        "loads",
+    )
 
     def __init__(
         self, *, app: Application, directory: Directory, cap: Cap, health: HealthBook
@@ -42,8 +77,14 @@
         self.health = health
         self.holdings = Holdings()
         self.loads = LoadBook()
+        self._placed_listeners: list[PlacedListener] = []
         directory.on_change(self._take_entry)
 
+    def on_placed(self, listener: PlacedListener) -> Remove:
+        """Call `listener` with each shared part that is sent to an upstream, and the upstream."""
+        self._placed_listeners.append(listener)
+        return lambda: self._placed_listeners.remove(listener)
+
     def members(self, service: str) -> Collection[Entry]:
         """Return the upstreams of a service that take new work."""
         return self._by_service.get(service, {}).values()
@@ -61,44 +102,87 @@
         reachable = [entry for entry in entries if not self.health.is_down(entry.upstream)]
         entries = reachable or entries
         shared = () if prompt is None else prompt.shared
+        source = self._find_source(shared, now_ms)
         first = _first_in_order(members, shared)
         candidates = {
-            entry.upstream: self._describe(entry, shared, first, now_ms) for entry in entries
+            entry.upstream: self._describe(entry, shared, first, source, now_ms)
+            for entry in entries
         }
         chosen = choose(
             tuple(candidates.values()),
             cap=self._cap,
             mean=mean,
             shared_tokens=sum(part.tokens for part in shared),
+            known=source is not None,
         )
         if chosen is None:
             return None
+        fetches = source is not None and chosen.fetchable_tokens > 0
         return Placed(
             entry=members[chosen.upstream],
             load=chosen.load,
             mean_load=round(mean, 2),
             missing_tokens=chosen.missing_tokens,
             candidates=len(candidates),
+            fetch_from=source.entry if fetches and source is not None else None,
         )
 
-    def note_sent(self, entry: Entry, prompt: Prompt | None) -> int:
-        """Count a request that is sent; return the prompt tokens that it has to read there."""
-        tokens = 0
-        if prompt is not None:
-            now_ms = self._app.clock.now_ms()
-            tokens = self.holdings.missing_tokens(
-                parts=prompt.parts, upstream=entry.upstream, now_ms=now_ms
-            )
-            for part in prompt.parts:
-                self.holdings.note(part=part.part, upstream=entry.upstream, now_ms=now_ms)
-        self.loads.begin(entry.upstream, tokens=tokens)
-        return tokens
+    def note_sent(self, placed: Placed, prompt: Prompt | None) -> Sent:
+        """Count a request that is sent, and what its upstream will hold of its prompt."""
+        upstream = placed.entry.upstream
+        if prompt is None:
+            self.loads.begin(upstream, tokens=0)
+            return Sent(upstream=upstream, tokens=0, new_parts=())
+        now_ms = self._app.clock.now_ms()
+        tokens = self.holdings.missing_tokens(parts=prompt.parts, upstream=upstream, now_ms=now_ms)
+        if placed.fetch_from is not None:
+            tokens = max(0, tokens - placed.missing_tokens)
+        new_parts = tuple(
+            part.part
+            for part in prompt.parts
+            if self.holdings.note(part=part.part, upstream=upstream, now_ms=now_ms)
+        )
+        for part in prompt.shared:
+            for listener in self._placed_listeners:
+                listener(part.part, upstream)
+        self.loads.begin(upstream, tokens=tokens)
+        return Sent(upstream=upstream, tokens=tokens, new_parts=new_parts)
+
+    def note_not_run(self, sent: Sent) -> None:
+        """Take back what was noted of a request that its upstream never ran."""
+        for part in sent.new_parts:
+            self.holdings.forget(part=part, upstream=sent.upstream)
+
+    def _find_source(self, shared: tuple[PromptPart, ...], now_ms: int) -> Source | None:
+        """Return the reachable upstream that holds most of the shared parts."""
+        best: Source | None = None
+        for part in reversed(shared):
+            for upstream in self.holdings.readers(part.part, now_ms=now_ms):
+                entry = self._directory.get(upstream)
+                if entry is None or entry.state is EntryState.GONE:
+                    continue
+                if self.health.is_down(upstream):
+                    continue
+                missing = self.holdings.missing_tokens(
+                    parts=shared, upstream=upstream, now_ms=now_ms
+                )
+                if best is None or missing < best.missing_tokens:
+                    best = Source(entry=entry, missing_tokens=missing)
+            if best is not None:
+                return best
+        return None
 
     def _describe(
-        self, entry: Entry, shared: tuple[PromptPart, ...], first: str | None, now_ms: int
+        self,
+        entry: Entry,
+        shared: tuple[PromptPart, ...],
+        first: str | None,
+        source: Source | None,
+        now_ms: int,
     ) -> Candidate:
         load = self.loads.get(entry.upstream, now_ms=now_ms)
         missing = self.holdings.missing_tokens(parts=shared, upstream=entry.upstream, now_ms=now_ms)
+        fetchable = 0 if source is None else missing - source.missing_tokens
         return Candidate(
             upstream=entry.upstream,
             load=load.running,
@@ -106,6 +190,7 @@
             near=entry.data_centre == self._app.data_centre,
             pending_tokens=load.pending_tokens,
             missing_tokens=missing,
+            fetchable_tokens=fetchable if fetchable >= MIN_FETCH_TOKENS else 0,
             stranger=first is not None and entry.upstream != first,
             penalty_ms=self.health.penalty_ms(entry.upstream),
         )
@@ -124,5 +209,5 @@
 def _first_in_order(members: Collection[str], shared: tuple[PromptPart, ...]) -> str | None:
     if not shared:
         return None
-    affinity = xxhash.xxh3_64_intdigest(shared[-1].part.to_bytes(16, "little"))
+    affinity = xxhash.xxh3_64_intdigest(shared[-1].part.to_bytes(8, "little"))
     return order_by_affinity(tuple(members), affinity=affinity)[0]
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -169,10 +169,12 @@
         started_ms = self._now_ms()
         outcome: Outcome | None = None
         step = "given up"
-        tokens = self._parts.placer.note_sent(placed.entry, self._request.prompt)
+        sent = self._parts.placer.note_sent(placed, self._request.prompt)
         try:
             outcome = await self._async_send(attempt)
-            self._parts.placer.loads.note_read(placed.entry.upstream, tokens=tokens)
+            self._parts.placer.loads.note_read(placed.entry.upstream, tokens=sent.tokens)
+            if isinstance(outcome, NotReached | TurnedAway):
+                self._parts.placer.note_not_run(sent)
             response, step = await self._async_decide(attempt, outcome)
         finally:
             attempt.close()
@@ -370,6 +372,7 @@
             deadline_ms=max(1, self._left_ms() - RETURN_MS),
             priority=None if self._request.prompt is None else self._routed.priority,
             last_event=self._relay.last_id or self._request.last_event,
+            fetch_from=None if placed.fetch_from is None else placed.fetch_from.address,
         )
 
     def _left_ms(self) -> int:
@@ -390,6 +393,7 @@
                 load=placed.load,
                 mean_load=placed.mean_load,
                 missing_tokens=placed.missing_tokens,
+                fetch_from="" if placed.fetch_from is None else placed.fetch_from.upstream,
                 candidates=placed.candidates,
                 peers_age_ms=self._parts.placer.loads.oldest_news_ms(now_ms=now_ms),
                 list_revision=self._list_revision,
--- a/gypsumrouter/gateway/const.py
+++ b/gypsumrouter/gateway/const.py
@@ -48,12 +48,7 @@
 LEAVING_GRACE_MS: Final = 2_000
 
 KEEPALIVE_TIMEOUT_S: Final = 75.0
-BACKLOG: Final = 1_024
 WRITE_BUFFER_BYTES: Final = 32 * 1024
-SEND_BUFFER_BYTES: Final = 128 * 1024
-TCP_KEEPALIVE_IDLE_S: Final = 1
-TCP_KEEPALIVE_INTERVAL_S: Final = 1
-TCP_KEEPALIVE_COUNT: Final = 2
 
 # Headers that belong to one connection (RFC 9110) or that the gateway answers for itself.
 DROPPED_HEADERS: Final = frozenset(
--- a/gypsumrouter/gateway/listener.py
+++ b/gypsumrouter/gateway/listener.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import socket
 import ssl
 from collections.abc import Awaitable, Callable
 from typing import Any, Final, Protocol
@@ -14,13 +13,8 @@
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.fleet.models import Address
 from gypsumrouter.gateway.const import (
-    BACKLOG,
     KEEPALIVE_TIMEOUT_S,
     MAX_HEADERS,
-    SEND_BUFFER_BYTES,
-    TCP_KEEPALIVE_COUNT,
-    TCP_KEEPALIVE_IDLE_S,
-    TCP_KEEPALIVE_INTERVAL_S,
     WRITE_BUFFER_BYTES,
 )
 from gypsumrouter.gateway.errors import (
@@ -29,6 +23,7 @@
     reject_field,
     reject_head_size,
 )
+from gypsumrouter.helpers.listening import BACKLOG, make_listening_socket
 from gypsumrouter.outcomes import Failed, Reason
 from gypsumrouter.settings import Limits, Listener
 
@@ -151,26 +146,6 @@
         await self._runner.cleanup()
 
 
-def make_listening_socket(*, host: str, port: int) -> socket.socket:
-    """Return a bound socket; on Linux accepted connections inherit its options."""
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    listening = socket.socket(family, socket.SOCK_STREAM)
-    listening.setblocking(False)
-    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
-    listening.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_IDLE_S)
-    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_S)
-    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, TCP_KEEPALIVE_COUNT)
-    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    try:
-        listening.bind((host, port))
-    except OSError:
-        listening.close()
-        raise
-    return listening
-
-
 def _reject_http(status: int, exc: BaseException | None) -> Rejection:
     if status >= 500:
         failure = Failed(reason=Reason.STOPPED, message="The router failed on this request")
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections import deque
 from typing import Final
 
@@ -19,15 +18,11 @@
 
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.fleet.models import Address
+from gypsumrouter.helpers.silence import set_silence_limits
 
 READ_BUFFER_BYTES: Final = 64 * 1024
 MAX_HEAD_BYTES: Final = 32 * 1024
 METHOD_HEAD: Final = "HEAD"
-# A peer that vanished is noticed after about three seconds, also on a connection that only waits.
-KEEPALIVE_IDLE_S: Final = 1
-KEEPALIVE_INTERVAL_S: Final = 1
-KEEPALIVE_PROBES: Final = 2
-UNACKNOWLEDGED_MS: Final = 2_500
 STATUS_CONTINUE: Final = 100
 STATUS_SUCCESS: Final = 200
 
@@ -218,15 +213,6 @@
             waiter.set_result(None)
 
 
-def set_silence_limits(connection: socket.socket) -> None:
-    """Bound how long a connection may be dead without the process noticing."""
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
-
-
 async def async_connect(*, address: Address, timeout_ms: int) -> HttpConnection:
     """Return a new connection; raises ConnectFailed.
 
--- /dev/null
+++ b/gypsumrouter/helpers/listening.py
@@ -0,0 +1,66 @@
+"""Listening sockets, also ones that are opened before the rest of a process is loaded.
+
+Loading a process takes about 0.8 s of a core. Callers that connect meanwhile wait in the backlog
+instead of being reset, and are served when it is over.
+"""
+
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Sequence
+from typing import Final
+
+BACKLOG: Final = 1_024
+SEND_BUFFER_BYTES: Final = 128 * 1024
+KEEPALIVE_IDLE_S: Final = 1
+KEEPALIVE_INTERVAL_S: Final = 1
+KEEPALIVE_PROBES: Final = 2
+
+_early: dict[tuple[str, int], socket.socket] = {}
+
+
+def make_listening_socket(*, host: str, port: int) -> socket.socket:
+    """Return a bound socket; on Linux accepted connections inherit its options.
+
+    A socket that was opened early for the same address is returned in place of a new one.
+    """
+    early = _early.pop((host, port), None)
+    if early is not None:
+        return early
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listening = socket.socket(family, socket.SOCK_STREAM)
+    listening.setblocking(False)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    listening.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    try:
+        listening.bind((host, port))
+    except OSError:
+        listening.close()
+        raise
+    return listening
+
+
+def listen_early(arguments: Sequence[str]) -> None:
+    """Listen for callers as a forwarder's settings file says, before anything checks that file.
+
+    What is wrong with the file or the address is found, and told, by the regular start.
+    """
+    if not arguments or arguments[0] != "forwarder" or "--settings" not in arguments[:-1]:
+        return
+    path = arguments[arguments.index("--settings") + 1]
+    try:
+        with open(path, encoding="utf-8") as file:
+            host, _, port = json.load(file)["callers"].rpartition(":")
+        if int(port) == 0:
+            return
+        listening = make_listening_socket(host=host, port=int(port))
+        listening.listen(BACKLOG)
+    except (OSError, ValueError, KeyError, TypeError, AttributeError):
+        return
+    _early[(host, int(port))] = listening
--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -137,6 +137,7 @@
     load: int
     mean_load: float
     missing_tokens: int
+    fetch_from: str
     candidates: int
     peers_age_ms: int
     list_revision: int
--- a/gypsumrouter/link/const.py
+++ b/gypsumrouter/link/const.py
@@ -73,6 +73,10 @@
     SUSPECT_NEWS = 34
     HOLDINGS = 35
     PREFIX_NEWS = 36
+    ROUTER_NEWS = 37
+    CATCH_UP = 38
+    ROUTING_DOCUMENT = 39
+    LISTED_UPSTREAMS = 40
 
 
 PAYLOAD_KINDS: Final = frozenset({Kind.OPEN, Kind.HEAD, Kind.DATA, Kind.END})
--- a/gypsumrouter/link/dialer.py
+++ b/gypsumrouter/link/dialer.py
@@ -233,7 +233,7 @@
                         window_bytes=context.settings.window_bytes,
                     ),
                     key=context.key,
-                    expected_name=self.instance.name,
+                    expected_name=self.instance.name or None,
                 )
         except WrongKey:
             if context.wrong_keys.is_first(self.instance.name):
--- a/gypsumrouter/link/handshake.py
+++ b/gypsumrouter/link/handshake.py
@@ -57,9 +57,9 @@
 
 
 async def async_greet(
-    *, connection: Connection, greeting: Greeting, key: bytes, expected_name: str
+    *, connection: Connection, greeting: Greeting, key: bytes, expected_name: str | None
 ) -> Greeting:
-    """Run the dialer's part and return the server's greeting.
+    """Run the dialer's part and return the server's greeting; without a name any may answer.
 
     Raises HandshakeFailed or FrameError. The caller bounds the time.
     """
@@ -70,7 +70,7 @@
     if not hmac.compare_digest(mac, _make_mac(key, _LABEL_SERVER, own, theirs)):
         raise WrongKey("the server does not hold the shared key")
     server = _check_greeting(theirs)
-    if server.hello.name != expected_name:
+    if expected_name is not None and server.hello.name != expected_name:
         raise HandshakeFailed(f"{server.hello.name} answers instead of {expected_name}")
     connection.lift_limit()
     connection.send(Kind.PROOF, body=encode_proof(_make_mac(key, _LABEL_DIALER, own, theirs)))
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -145,3 +145,53 @@
   pool @0 :Text;
   entries @1 :List(Holding);
 }
+
+struct RouterLoad {
+  upstream @0 :Text;
+  running @1 :UInt32;
+  pendingTokens @2 :UInt64;
+}
+
+struct PlacedPart {
+  part @0 :UInt64;
+  upstream @1 :Text;
+}
+
+struct Strike {
+  digest @0 :UInt64;
+  upstream @1 :Text;
+}
+
+struct RouterNews {
+  address @0 :Text;
+  routers @1 :List(Text);
+  routingVersion @2 :UInt64;
+  listRevision @3 :UInt64;
+  loads @4 :List(RouterLoad);
+  placed @5 :List(PlacedPart);
+  strikes @6 :List(Strike);
+}
+
+struct CatchUp {
+  routing @0 :Bool;
+  upstreams @1 :Bool;
+}
+
+struct RoutingDocument {
+  version @0 :UInt64;
+  document @1 :Data;
+}
+
+struct ListedUpstream {
+  revision @0 :UInt64;
+  upstream @1 :Text;
+  state @2 :Text;
+  service @3 :Text;
+  address @4 :Text;
+  dataCentre @5 :Text;
+  slots @6 :UInt32;
+}
+
+struct ListedUpstreams {
+  entries @0 :List(ListedUpstream);
+}
--- a/gypsumrouter/link/models.py
+++ b/gypsumrouter/link/models.py
@@ -200,5 +200,96 @@
     entries: tuple[Holding, ...]
 
 
-Notice = Status | ConfigurationNews | PartsRequest | Parts | SuspectNews | Holdings | PrefixNews
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RouterLoad:
+    """What one router has at an upstream: its requests, and prompt tokens not read yet."""
+
+    upstream: str
+    running: int
+    pending_tokens: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PlacedPart:
+    """A part of a prompt that a router sent to an upstream, by the low 64 bits of its id."""
+
+    part: int
+    upstream: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Strike:
+    """An upstream that broke off while it ran a request of this content."""
+
+    digest: int
+    upstream: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RouterNews:
+    """What routers without sides tell each other a few times a second.
+
+    `address` is where the sender's link listens and `routers` the links that it knows. The two
+    versions are those of the configuration and of the list of upstreams that it acts on. `placed`
+    and `strikes` are what is new since its last news on this link.
+    """
+
+    address: str
+    routers: tuple[str, ...]
+    routing_version: int
+    list_revision: int
+    loads: tuple[RouterLoad, ...] = ()
+    placed: tuple[PlacedPart, ...] = ()
+    strikes: tuple[Strike, ...] = ()
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CatchUp:
+    """Ask a router for the configuration or the list that it acts on."""
+
+    routing: bool
+    upstreams: bool
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RoutingDocument:
+    """A version of the routing configuration, as it was published."""
+
+    version: int
+    document: bytes
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ListedUpstream:
+    """One entry of the list of upstreams, as of a revision; `address` is empty where it is gone."""
+
+    revision: int
+    upstream: str
+    state: str
+    service: str = ""
+    address: str = ""
+    data_centre: str = ""
+    slots: int = 1
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ListedUpstreams:
+    """Entries of the list of upstreams."""
+
+    entries: tuple[ListedUpstream, ...]
+
+
+Notice = (
+    Status
+    | ConfigurationNews
+    | PartsRequest
+    | Parts
+    | SuspectNews
+    | Holdings
+    | PrefixNews
+    | RouterNews
+    | CatchUp
+    | RoutingDocument
+    | ListedUpstreams
+)
 AnswerEvent = Head | Data | End | Failure
--- a/gypsumrouter/link/notice_codec.py
+++ b/gypsumrouter/link/notice_codec.py
@@ -8,15 +8,29 @@
 from gypsumrouter.link.frames import FrameError
 from gypsumrouter.link.holdings_codec import decode_holdings, encode_holdings
 from gypsumrouter.link.models import (
+    CatchUp,
     ConfigurationNews,
     Holdings,
+    ListedUpstreams,
     Notice,
     Parts,
     PartsRequest,
     PrefixNews,
+    RouterNews,
+    RoutingDocument,
     Status,
     SuspectNews,
 )
+from gypsumrouter.link.router_codec import (
+    decode_catch_up,
+    decode_listed_upstreams,
+    decode_router_news,
+    decode_routing_document,
+    encode_catch_up,
+    encode_listed_upstreams,
+    encode_router_news,
+    encode_routing_document,
+)
 from gypsumrouter.link.schema import (
     SCHEMA,
     read_pool_load,
@@ -62,6 +76,14 @@
             return Kind.PREFIX_NEWS, to_packed(message)
         case Holdings():
             return Kind.HOLDINGS, encode_holdings(notice)
+        case RouterNews():
+            return Kind.ROUTER_NEWS, encode_router_news(notice)
+        case CatchUp():
+            return Kind.CATCH_UP, encode_catch_up(notice)
+        case RoutingDocument():
+            return Kind.ROUTING_DOCUMENT, encode_routing_document(notice)
+        case ListedUpstreams():
+            return Kind.LISTED_UPSTREAMS, encode_listed_upstreams(notice)
 
 
 def decode_notice(kind: int, body: bytes) -> Notice:
@@ -87,6 +109,14 @@
                 return PrefixNews(chat=message.chat, prompt_bytes=message.promptBytes)
         case Kind.HOLDINGS:
             return decode_holdings(body)
+        case Kind.ROUTER_NEWS:
+            return decode_router_news(body)
+        case Kind.CATCH_UP:
+            return decode_catch_up(body)
+        case Kind.ROUTING_DOCUMENT:
+            return decode_routing_document(body)
+        case Kind.LISTED_UPSTREAMS:
+            return decode_listed_upstreams(body)
     raise FrameError(f"frame kind {kind} is no notice")
 
 
--- /dev/null
+++ b/gypsumrouter/peers/catch_up.py
@@ -0,0 +1,156 @@
+"""Catching up from a peer, where the platform's store turns this router away."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from gypsumrouter.core import Application
+from gypsumrouter.directory import Directory, Entry, EntryState, Record
+from gypsumrouter.exceptions import DocumentInvalid
+from gypsumrouter.fleet.models import parse_address
+from gypsumrouter.journal import Journal, PeerNews
+from gypsumrouter.link import (
+    CatchUp,
+    ListedUpstream,
+    ListedUpstreams,
+    NoticeHub,
+    Peer,
+    RouterNews,
+    RoutingDocument,
+)
+from gypsumrouter.peers.const import BEHIND_MS, CATCH_UP_MS
+from gypsumrouter.routing import RoutingConfiguration, RoutingStore
+
+_LOGGER = logging.getLogger(__name__)
+
+NEVER: Final = -(1 << 62)
+
+
+class CatchUpDesk:
+    """Asks peers for what they know and this router does not, and answers them alike."""
+
+    __slots__ = (
+        "_app",
+        "_asked_ms",
+        "_behind_list_ms",
+        "_behind_routing_ms",
+        "_decode",
+        "_directory",
+        "_journal",
+        "_routing",
+    )
+
+    def __init__(
+        self,
+        *,
+        app: Application,
+        journal: Journal,
+        routing: RoutingStore,
+        directory: Directory,
+        notices: NoticeHub,
+        decode: Callable[[bytes], RoutingConfiguration],
+    ) -> None:
+        self._app = app
+        self._journal = journal
+        self._routing = routing
+        self._directory = directory
+        self._decode = decode
+        self._behind_routing_ms: int | None = None
+        self._behind_list_ms: int | None = None
+        self._asked_ms = NEVER
+        notices.subscribe(CatchUp, self._answer)
+        notices.subscribe(RoutingDocument, self._take_routing)
+        notices.subscribe(ListedUpstreams, self._take_upstreams)
+
+    def compare(self, peer: Peer, news: RouterNews, now_ms: int) -> None:
+        """Ask a peer that has been ahead for longer than the platform's own news take."""
+        routing = news.routing_version > self._routing.version
+        upstreams = news.list_revision > self._directory.newest
+        self._behind_routing_ms = _since(self._behind_routing_ms, routing, now_ms)
+        self._behind_list_ms = _since(self._behind_list_ms, upstreams, now_ms)
+        if now_ms - self._asked_ms < CATCH_UP_MS:
+            return
+        ask = CatchUp(
+            routing=routing and self._is_due(self._behind_routing_ms, now_ms),
+            upstreams=upstreams and self._is_due(self._behind_list_ms, now_ms),
+        )
+        if (ask.routing or ask.upstreams) and peer.send(ask):
+            self._asked_ms = now_ms
+
+    def _is_due(self, since_ms: int | None, now_ms: int) -> bool:
+        """Return whether to ask now; a process that knows nothing yet asks at once."""
+        if self._routing.table is None or not self._directory.loaded.is_set():
+            return True
+        return since_ms is not None and now_ms - since_ms >= BEHIND_MS
+
+    def _answer(self, peer: Peer, ask: CatchUp) -> None:
+        table = self._routing.table
+        if ask.routing and table is not None:
+            configuration = table.configuration
+            peer.send(
+                RoutingDocument(version=configuration.version, document=configuration.document)
+            )
+        if ask.upstreams and self._directory.loaded.is_set():
+            entries = tuple(_write_record(record) for record in self._directory.records())
+            peer.send(ListedUpstreams(entries=entries))
+
+    def _take_routing(self, peer: Peer, told: RoutingDocument) -> None:
+        try:
+            configuration = self._decode(told.document)
+        except DocumentInvalid as error:
+            _LOGGER.error("%s sent an unreadable configuration: %s", peer.hello.name, error)
+            return
+        if self._routing.offer(configuration, source=peer.hello.name):
+            self._tell(peer, "configuration", configuration.version)
+
+    def _take_upstreams(self, peer: Peer, told: ListedUpstreams) -> None:
+        changed = 0
+        for entry in told.entries:
+            try:
+                record = _read_record(entry)
+            except ValueError as error:
+                _LOGGER.error("%s sent an unreadable entry: %s", peer.hello.name, error)
+                continue
+            changed += self._directory.merge(record, source=peer.hello.name)
+        self._directory.note_told()
+        if changed:
+            self._tell(peer, "upstreams", self._directory.newest)
+
+    def _tell(self, peer: Peer, subject: str, version: int) -> None:
+        self._journal.record(PeerNews(peer=peer.hello.name, subject=subject, version=version))
+
+
+def _since(since_ms: int | None, behind: bool, now_ms: int) -> int | None:
+    """Return since when this router is behind; news of a peer that is not ahead say nothing."""
+    if not behind:
+        return since_ms
+    return now_ms if since_ms is None else since_ms
+
+
+def _write_record(record: Record) -> ListedUpstream:
+    entry = record.entry
+    return ListedUpstream(
+        revision=record.revision,
+        upstream=entry.upstream,
+        state=entry.state.value,
+        service=entry.service,
+        address="" if entry.address is None else str(entry.address),
+        data_centre=entry.data_centre,
+        slots=entry.slots,
+    )
+
+
+def _read_record(entry: ListedUpstream) -> Record:
+    return Record(
+        revision=entry.revision,
+        entry=Entry(
+            upstream=entry.upstream,
+            state=EntryState(entry.state),
+            service=entry.service,
+            address=parse_address(entry.address) if entry.address else None,
+            data_centre=entry.data_centre,
+            slots=entry.slots,
+        ),
+    )
--- /dev/null
+++ b/gypsumrouter/peers/const.py
@@ -0,0 +1,22 @@
+"""Rates and times of the exchange between routers; each says where its figure comes from."""
+
+from __future__ import annotations
+
+from typing import Final
+
+# News between few routers every 100 ms: a router then places at most some four requests on an old
+# view at 40 requests a second. With 30 routers the period is 0.45 s and a router sends 64 news a
+# second.
+NEWS_MS: Final = 100
+NEWS_MS_PER_PEER: Final = 12
+# A peer that was not heard of for this long does not count as running.
+ALIVE_MS: Final = 3_000
+# An address that is no seed is forgotten when nobody answered there for this long.
+FORGET_MS: Final = 30_000
+# The platform's own news come within milliseconds; who has not got them after this asks a peer.
+BEHIND_MS: Final = 250
+# And not more often than this.
+CATCH_UP_MS: Final = 500
+# Parts told in one news, newest last; 250 parts are 12 KB.
+MAX_PLACED: Final = 250
+MAX_ROUTERS: Final = 1_000
--- /dev/null
+++ b/gypsumrouter/peers/mesh.py
@@ -0,0 +1,213 @@
+"""The exchange between routers: found through seeds, one task a peer, never in a request's path."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from gypsumrouter.const import Role
+from gypsumrouter.core import Application
+from gypsumrouter.directory import Directory
+from gypsumrouter.fleet.models import Address, Instance, parse_address
+from gypsumrouter.forwarding import Forwarder
+from gypsumrouter.journal import DependencyLost, DependencyRegained, Journal
+from gypsumrouter.link import (
+    LinkPool,
+    LinkServer,
+    NoticeHub,
+    Peer,
+    PlacedPart,
+    RouterNews,
+)
+from gypsumrouter.peers.catch_up import CatchUpDesk
+from gypsumrouter.peers.const import (
+    ALIVE_MS,
+    FORGET_MS,
+    MAX_ROUTERS,
+    NEWS_MS,
+    NEWS_MS_PER_PEER,
+)
+from gypsumrouter.peers.loads import read_loads, write_loads
+from gypsumrouter.peers.outbox import Outbox
+from gypsumrouter.routing import RoutingConfiguration, RoutingStore
+from gypsumrouter.settings import ForwarderSettings, read_link_key
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class KnownRouter:
+    """One other router, by the address of its link."""
+
+    __slots__ = ("address", "reached", "reached_ms", "seed", "told")
+
+    def __init__(self, *, address: Address, seed: bool, now_ms: int) -> None:
+        self.address = address
+        self.seed = seed
+        self.told = 0
+        self.reached: bool | None = None
+        self.reached_ms = now_ms
+
+
+class Mesh:
+    """Sends this router's news to every other one and takes theirs."""
+
+    __slots__ = (
+        "_app",
+        "_catch_up",
+        "_directory",
+        "_forwarder",
+        "_heard_ms",
+        "_journal",
+        "_known",
+        "_outbox",
+        "_own",
+        "_pool",
+        "_routing",
+        "_seeds",
+        "_server",
+    )
+
+    def __init__(
+        self,
+        *,
+        app: Application,
+        settings: ForwarderSettings,
+        journal: Journal,
+        routing: RoutingStore,
+        directory: Directory,
+        forwarder: Forwarder,
+        decode: Callable[[bytes], RoutingConfiguration],
+    ) -> None:
+        self._app = app
+        self._journal = journal
+        self._routing = routing
+        self._directory = directory
+        self._forwarder = forwarder
+        self._own = settings.link_address
+        self._seeds = settings.seeds
+        self._known: dict[str, KnownRouter] = {}
+        self._heard_ms: dict[str, int] = {}
+        self._outbox = Outbox()
+        notices = NoticeHub(app=app)
+        key = read_link_key(settings.link)
+        self._server = LinkServer(
+            app=app,
+            settings=settings.link,
+            key=key,
+            notices=notices,
+            handler=None,
+            answer_memory_bytes=settings.limits.answer_memory_bytes,
+        )
+        self._pool = LinkPool(app=app, settings=settings.link, key=key, notices=notices)
+        self._catch_up = CatchUpDesk(
+            app=app,
+            journal=journal,
+            routing=routing,
+            directory=directory,
+            notices=notices,
+            decode=decode,
+        )
+        notices.subscribe(RouterNews, self._take_news)
+        forwarder.placer.on_placed(self._note_placed)
+        app.add_dump_section("peers", self._dump)
+
+    async def async_start(self) -> Address:
+        """Listen for links, begin to tell the seeds, and return the address."""
+        address = await self._server.async_start()
+        self._own = str(address)
+        for seed in self._seeds:
+            self._learn(seed, seed=True)
+        self._count_routers()
+        return address
+
+    def _learn(self, text: str, *, seed: bool = False) -> None:
+        if text == self._own or not text or len(self._known) >= MAX_ROUTERS:
+            return
+        known = self._known.get(text)
+        if known is not None:
+            return
+        try:
+            address = parse_address(text)
+        except ValueError:
+            _LOGGER.warning("A peer named %r, which is no address", text)
+            return
+        now_ms = self._app.clock.now_ms()
+        self._known[text] = KnownRouter(address=address, seed=seed, now_ms=now_ms)
+        self._app.async_create_task(self._async_tell(text), f"peer {text}")
+
+    async def _async_tell(self, text: str) -> None:
+        """Send news to one peer until it is forgotten."""
+        known = self._known[text]
+        instance = Instance(
+            name="",
+            role=Role.FORWARDER,
+            address=known.address,
+            data_centre="",
+            region="",
+        )
+        while True:
+            end = self._outbox.end
+            sent = await self._pool.async_send(instance=instance, notice=self._make_news(known))
+            if sent:
+                known.told = end
+            self._note_reached(text, known, sent)
+            if self._is_forgotten(known):
+                del self._known[text]
+                return
+            await self._app.clock.async_sleep(NEWS_MS + NEWS_MS_PER_PEER * len(self._known))
+
+    def _make_news(self, known: KnownRouter) -> RouterNews:
+        return RouterNews(
+            address=self._own,
+            routers=tuple(self._known),
+            routing_version=self._routing.version,
+            list_revision=self._directory.newest,
+            loads=write_loads(self._forwarder.placer.loads),
+            placed=self._outbox.since(known.told),
+            strikes=self._outbox.strikes(),
+        )
+
+    def _note_reached(self, text: str, known: KnownRouter, sent: bool) -> None:
+        now_ms = self._app.clock.now_ms()
+        if sent and known.reached is False:
+            lost_ms = now_ms - known.reached_ms
+            self._journal.record(DependencyRegained(dependency=f"peer {text}", lost_ms=lost_ms))
+        if not sent and known.reached is True:
+            self._journal.record(DependencyLost(dependency=f"peer {text}", reason="no link"))
+        if sent:
+            known.reached_ms = now_ms
+        known.reached = sent
+
+    def _is_forgotten(self, known: KnownRouter) -> bool:
+        silent_ms = self._app.clock.now_ms() - known.reached_ms
+        return not known.seed and not known.reached and silent_ms > FORGET_MS
+
+    def _take_news(self, peer: Peer, news: RouterNews) -> None:
+        now_ms = self._app.clock.now_ms()
+        self._heard_ms[peer.hello.name] = now_ms
+        self._learn(news.address)
+        for router in news.routers:
+            self._learn(router)
+        placer = self._forwarder.placer
+        placer.loads.take_peer(peer.hello.name, read_loads(news, now_ms=now_ms))
+        for placed in news.placed:
+            placer.holdings.note(part=placed.part, upstream=placed.upstream, now_ms=now_ms)
+        self._catch_up.compare(peer, news, now_ms)
+        self._count_routers()
+
+    def _note_placed(self, part: int, upstream: str) -> None:
+        self._outbox.add_part(PlacedPart(part=part, upstream=upstream))
+
+    def _count_routers(self) -> None:
+        """Tell the retry budget among how many routers it is shared."""
+        now_ms = self._app.clock.now_ms()
+        alive = sum(1 for heard_ms in self._heard_ms.values() if now_ms - heard_ms < ALIVE_MS)
+        seeds = sum(1 for known in self._known.values() if known.seed)
+        self._forwarder.budget.routers = 1 + max(alive, seeds)
+
+    def _dump(self) -> object:
+        now_ms = self._app.clock.now_ms()
+        return {
+            "routers": {text: {"reached": known.reached} for text, known in self._known.items()},
+            "heard_ms_ago": {name: now_ms - heard for name, heard in self._heard_ms.items()},
+        }
--- a/gypsumrouter/platform/requests.py
+++ b/gypsumrouter/platform/requests.py
@@ -11,6 +11,7 @@
 from gypsumrouter.platform import names
 
 MAX_PRIORITY: Final = 9
+MASK_64: Final = 2**64 - 1
 DROPPED: Final = (
     names.HOP_BY_HOP
     | names.SYSTEM_HEADERS
@@ -65,6 +66,8 @@
         lines.append(f"{names.PRIORITY}: {min(MAX_PRIORITY, max(0, sending.priority))}")
     if sending.last_event is not None:
         lines.append(f"{names.LAST_EVENT_ID}: {sending.last_event}")
+    if sending.fetch_from is not None:
+        lines.append(f"{names.FETCH_FROM}: {sending.fetch_from}")
     lines.extend(f"{name}: {value}" for name, value in request.headers)
     if request.body or request.method in {"POST", "PUT", "PATCH"}:
         lines.append(f"Content-Length: {len(request.body)}")
@@ -93,7 +96,7 @@
 
 def _read_part(entry: str) -> PromptPart:
     part, _, tokens = entry.strip().partition(":")
-    return PromptPart(part=int(part, 16), tokens=int(tokens))
+    return PromptPart(part=int(part, 16) & MASK_64, tokens=int(tokens))
 
 
 def _read_number(value: str | None) -> int | None:
