A stop closes idle connections; callers' HTTP in a package of its own, fewer imports

Change: close_politely closes an idle connection's transport; gypsumrouter/callers holds listener, bodies and errors for both kinds of router; settings' adapters are built for the role that runs.

--- /dev/null
+++ b/gypsumrouter/callers/__init__.py
@@ -0,0 +1,62 @@
+"""Callers: their HTTP as both kinds of router speak it: connections, bodies, errors."""
+
+from __future__ import annotations
+
+from gypsumrouter.callers.abort import abort_connection
+from gypsumrouter.callers.body import async_read_body
+from gypsumrouter.callers.const import (
+    CONTENT_TYPE_JSON,
+    DEFAULT_RETRY_AFTER_MS,
+    ERROR_TYPE,
+    EVENT_END,
+    KEEPALIVE_TIMEOUT_S,
+    MAX_HEADERS,
+    WRITE_BUFFER_BYTES,
+)
+from gypsumrouter.callers.errors import (
+    Rejection,
+    get_status,
+    make_error_response,
+    reject,
+    reject_field,
+    reject_head_size,
+    render_error,
+    render_error_event,
+    round_up_seconds,
+)
+from gypsumrouter.callers.listener import (
+    CallerConnection,
+    CallerListener,
+    CallerServer,
+    Handler,
+    MintRequestId,
+)
+from gypsumrouter.callers.memory import HeldBytes, MemoryBudget
+
+__all__ = [
+    "CONTENT_TYPE_JSON",
+    "DEFAULT_RETRY_AFTER_MS",
+    "ERROR_TYPE",
+    "EVENT_END",
+    "KEEPALIVE_TIMEOUT_S",
+    "MAX_HEADERS",
+    "WRITE_BUFFER_BYTES",
+    "CallerConnection",
+    "CallerListener",
+    "CallerServer",
+    "Handler",
+    "HeldBytes",
+    "MemoryBudget",
+    "MintRequestId",
+    "Rejection",
+    "abort_connection",
+    "async_read_body",
+    "get_status",
+    "make_error_response",
+    "reject",
+    "reject_field",
+    "reject_head_size",
+    "render_error",
+    "render_error_event",
+    "round_up_seconds",
+]
--- a/gypsumrouter/gateway/body.py
+++ b/gypsumrouter/callers/body.py
@@ -7,10 +7,10 @@
 
 from aiohttp import ClientError, http_exceptions, web
 
+from gypsumrouter.callers.const import DEFAULT_RETRY_AFTER_MS
+from gypsumrouter.callers.errors import Rejection, reject, reject_field
+from gypsumrouter.callers.memory import HeldBytes
 from gypsumrouter.const import MS_PER_S
-from gypsumrouter.gateway.budget import HeldBytes
-from gypsumrouter.gateway.const import DEFAULT_RETRY_AFTER_MS
-from gypsumrouter.gateway.errors import Rejection, reject, reject_field
 from gypsumrouter.outcomes import Reason
 
 CONTINUE_LINE: Final = b"HTTP/1.1 100 Continue\r\n\r\n"
--- /dev/null
+++ b/gypsumrouter/callers/const.py
@@ -0,0 +1,14 @@
+"""Constants of the callers' side."""
+
+from __future__ import annotations
+
+from typing import Final
+
+CONTENT_TYPE_JSON: Final = "application/json"
+ERROR_TYPE: Final = "gypsumrouter_error"
+# The end of one server-sent event.
+EVENT_END: Final = b"\n\n"
+KEEPALIVE_TIMEOUT_S: Final = 75.0
+MAX_HEADERS: Final = 128
+WRITE_BUFFER_BYTES: Final = 32 * 1024
+DEFAULT_RETRY_AFTER_MS: Final = 1_000
--- a/gypsumrouter/gateway/errors.py
+++ b/gypsumrouter/callers/errors.py
@@ -9,8 +9,8 @@
 
 from aiohttp import web
 
+from gypsumrouter.callers.const import CONTENT_TYPE_JSON, ERROR_TYPE, EVENT_END
 from gypsumrouter.const import HEADER_EXECUTED, HEADER_REQUEST_ID, MS_PER_S
-from gypsumrouter.gateway.const import CONTENT_TYPE_JSON, ERROR_TYPE, EVENT_END
 from gypsumrouter.outcomes import Failed, Failure, Reason, Refused, get_executed
 
 STATUS_REFUSED: Final[Mapping[Reason, int]] = {
--- a/gypsumrouter/gateway/listener.py
+++ b/gypsumrouter/callers/listener.py
@@ -10,19 +10,15 @@
 
 from aiohttp import http_exceptions, web
 
-from gypsumrouter.const import MS_PER_S
-from gypsumrouter.fleet.models import Address
-from gypsumrouter.gateway.const import (
-    KEEPALIVE_TIMEOUT_S,
-    MAX_HEADERS,
-    WRITE_BUFFER_BYTES,
-)
-from gypsumrouter.gateway.errors import (
+from gypsumrouter.callers.const import KEEPALIVE_TIMEOUT_S, MAX_HEADERS, WRITE_BUFFER_BYTES
+from gypsumrouter.callers.errors import (
     Rejection,
     make_error_response,
     reject_field,
     reject_head_size,
 )
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.fleet.models import Address
 from gypsumrouter.helpers.listening import BACKLOG, make_listening_socket
 from gypsumrouter.outcomes import Failed, Reason
 from gypsumrouter.settings import Limits, Listener
@@ -69,6 +65,16 @@
             self._head_timer.cancel()
             self._head_timer = None
 
+    def close_politely(self) -> None:
+        """Close now if no request has arrived, or else after the answer.
+
+        The library's own `close` leaves an idle connection open, on which nothing is served.
+        """
+        idle = self._waiter is not None and not self._waiter.done() and not self._messages
+        self.close()
+        if idle and self.transport is not None:
+            self.transport.close()
+
     def handle_error(
         self,
         request: web.BaseRequest,
--- a/gypsumrouter/configuration/check.py
+++ b/gypsumrouter/configuration/check.py
@@ -24,13 +24,7 @@
     check_members,
     read_elements,
 )
-from gypsumrouter.configuration.models import (
-    CallerClass,
-    Configuration,
-    Pool,
-    Rule,
-    Workspace,
-)
+from gypsumrouter.configuration.models import CallerClass, Configuration, Pool, Rule, Workspace
 from gypsumrouter.configuration.references import check_references
 from gypsumrouter.configuration.scanner import Member, scan_document
 from gypsumrouter.configuration.slices import Sliced, run_sliced
--- a/gypsumrouter/configuration/models.py
+++ b/gypsumrouter/configuration/models.py
@@ -9,15 +9,11 @@
 from pydantic import Field
 
 from gypsumrouter.const import UpstreamKind
-from gypsumrouter.util.checked import Checked
+from gypsumrouter.util.checked import Checked, Name, NotNegativeInt, PositiveFloat, PositiveInt
 
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Digest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 Version = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._+-]{0,62}$")]
-PositiveFloat = Annotated[float, Field(gt=0, allow_inf_nan=False)]
-PositiveInt = Annotated[int, Field(gt=0)]
 NotNegative = Annotated[float, Field(ge=0, allow_inf_nan=False)]
-NotNegativeInt = Annotated[int, Field(ge=0)]
 
 DEFAULT_FIRST_TOKEN_MS = 330
 DEFAULT_ANSWER_MS = 60_000
--- a/gypsumrouter/forwarder.py
+++ b/gypsumrouter/forwarder.py
@@ -77,6 +77,7 @@
         dialect=PlatformDialect(),
         read_request=read_request,
     )
+    _journal_stop(app, journal, forwarder)
     followers = make_followers(
         app=app, settings=settings, journal=journal, routing=routing, directory=directory
     )
@@ -96,7 +97,7 @@
     app.async_create_task(_async_settle(app, directory), "settle directory")
     addresses["link"] = await mesh.async_start()
     addresses["callers"] = await forwarder.async_start()
-    _journal_life(app, journal, forwarder, addresses)
+    _journal_start(app, journal, addresses)
     return Product(
         app=app,
         store=routing,
@@ -188,13 +189,14 @@
         directory.settle()
 
 
-def _journal_life(
-    app: Application, journal: Journal, forwarder: Forwarder, addresses: dict[str, Address]
-) -> None:
-    """Write the lines of the start and of the end."""
+def _journal_start(app: Application, journal: Journal, addresses: dict[str, Address]) -> None:
     shown = {name: str(address) for name, address in addresses.items()}
     journal.record(ProcessStarted(incarnation=app.incarnation, version=VERSION, addresses=shown))
 
+
+def _journal_stop(app: Application, journal: Journal, forwarder: Forwarder) -> None:
+    """Write a line when a stop begins and one at the end; hooks run in the order given here."""
+
     async def async_note_stopping() -> None:
         journal.record(ProcessStopping(running=len(forwarder.handler.running)))
 
--- a/gypsumrouter/forwarding/answers.py
+++ b/gypsumrouter/forwarding/answers.py
@@ -6,13 +6,13 @@
 
 from aiohttp import web
 
+from gypsumrouter.callers import Rejection, make_error_response
 from gypsumrouter.forwarding.const import (
     RETRY_AFTER_MAX_MS,
     RETRY_AFTER_MIN_MS,
     RETRY_AFTER_SHARE,
 )
 from gypsumrouter.forwarding.models import Dialect, Whole
-from gypsumrouter.gateway import Rejection, make_error_response
 from gypsumrouter.outcomes import Failed, Reason, Refused
 
 HEADER_RETRY_AFTER = "Retry-After"
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from gypsumrouter.callers import CallerConnection, CallerListener, CallerServer
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory
 from gypsumrouter.fleet.models import Address, parse_address
@@ -21,7 +22,6 @@
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.run import RunParts
-from gypsumrouter.gateway import CallerListener, CallerServer
 from gypsumrouter.journal import Journal
 from gypsumrouter.routing import RoutingStore
 from gypsumrouter.settings import ForwarderSettings, Listener
@@ -143,7 +143,8 @@
         await self._app.clock.async_sleep(LEAVING_MS)
         assert self._server is not None
         for connection in tuple(self._server.connections):
-            connection.close()
+            if isinstance(connection, CallerConnection):
+                connection.close_politely()
         while self.handler.running:
             await self._app.clock.async_sleep(DRAIN_STEP_MS)
         assert self._listener is not None
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -9,6 +9,15 @@
 import xxhash
 from aiohttp import web
 
+from gypsumrouter.callers import (
+    CallerConnection,
+    HeldBytes,
+    MemoryBudget,
+    Rejection,
+    abort_connection,
+    async_read_body,
+    make_error_response,
+)
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.directory import Directory
 from gypsumrouter.forwarding.answers import make_refusal, make_rejection
@@ -18,15 +27,6 @@
 from gypsumrouter.forwarding.models import CallerRequest
 from gypsumrouter.forwarding.relay import CallerGone
 from gypsumrouter.forwarding.run import Progress, RequestRun, RunParts
-from gypsumrouter.gateway import (
-    CallerConnection,
-    HeldBytes,
-    MemoryBudget,
-    Rejection,
-    abort_connection,
-    async_read_body,
-    make_error_response,
-)
 from gypsumrouter.helpers.logs import set_request_id
 from gypsumrouter.journal import RequestEnded, RequestRefused
 from gypsumrouter.outcomes import Reason
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from gypsumrouter.callers import abort_connection
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.core import Application
 from gypsumrouter.forwarding.answers import make_answer, make_failure, make_refusal
@@ -35,7 +36,6 @@
 )
 from gypsumrouter.forwarding.placer import Placed, Placer
 from gypsumrouter.forwarding.relay import Relay, RelayEnd
-from gypsumrouter.gateway import abort_connection
 from gypsumrouter.journal import (
     AttemptEnded,
     AttemptSent,
--- a/gypsumrouter/gateway/attempts.py
+++ b/gypsumrouter/gateway/attempts.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import Final
 
-from gypsumrouter.gateway.const import DEFAULT_RETRY_AFTER_MS
+from gypsumrouter.callers import DEFAULT_RETRY_AFTER_MS
 from gypsumrouter.outcomes import Failed, Failure, Reason, Refused
 
 # Higher tells a caller more. What is missing ranks lowest; a refusal that no other instance can
--- a/gypsumrouter/gateway/budget.py
+++ b/gypsumrouter/gateway/budget.py
@@ -1,4 +1,4 @@
-"""Budgets of one router: retries as a share of the traffic, and memory."""
+"""The retry budget of one router: a share of its traffic."""
 
 from __future__ import annotations
 
@@ -38,46 +38,3 @@
         self._left -= 1.0
         self.spent += 1
         return True
-
-
-class MemoryBudget:
-    """Bounds the bytes that many requests hold together."""
-
-    __slots__ = ("limit", "used")
-
-    def __init__(self, *, limit: int) -> None:
-        self.limit = limit
-        self.used = 0
-
-    def reserve(self, size: int) -> bool:
-        """Reserve `size` bytes, or return False when there is no room."""
-        if self.used + size > self.limit:
-            return False
-        self.used += size
-        return True
-
-    def release(self, size: int) -> None:
-        """Give `size` bytes back."""
-        self.used -= size
-
-
-class HeldBytes:
-    """What one request holds of a memory budget."""
-
-    __slots__ = ("_budget", "size")
-
-    def __init__(self, *, budget: MemoryBudget) -> None:
-        self._budget = budget
-        self.size = 0
-
-    def reserve(self, size: int) -> bool:
-        """Reserve `size` bytes more, or return False when there is no room."""
-        if not self._budget.reserve(size):
-            return False
-        self.size += size
-        return True
-
-    def release(self) -> None:
-        """Give everything back; safe to call more than once."""
-        self._budget.release(self.size)
-        self.size = 0
--- a/gypsumrouter/gateway/calls.py
+++ b/gypsumrouter/gateway/calls.py
@@ -7,13 +7,12 @@
 
 import xxhash
 
+from gypsumrouter.callers import CONTENT_TYPE_JSON, Rejection, reject, reject_field
 from gypsumrouter.configuration.models import Pool, Workspace
 from gypsumrouter.const import HEADER_CLASS, HEADER_IDEMPOTENCY_KEY, PATH_CHAT, UpstreamKind
 from gypsumrouter.core import Application
 from gypsumrouter.gateway.chats import derive_chat_id, has_assistant_message
 from gypsumrouter.gateway.checks import FIELDS_MAX_TOKENS, check_chat_body
-from gypsumrouter.gateway.const import CONTENT_TYPE_JSON
-from gypsumrouter.gateway.errors import Rejection, reject, reject_field
 from gypsumrouter.gateway.limits import Limit, name_rule_limit, name_workspace_limit
 from gypsumrouter.gateway.models import Call, CallerHead, ChatBody, Target
 from gypsumrouter.gateway.policies import CompiledPolicy
--- a/gypsumrouter/gateway/checks.py
+++ b/gypsumrouter/gateway/checks.py
@@ -8,6 +8,7 @@
 
 from pydantic_core import from_json
 
+from gypsumrouter.callers import Rejection, reject, reject_field
 from gypsumrouter.const import (
     HEADER_CHAT,
     HEADER_CLASS,
@@ -25,7 +26,6 @@
     MAX_PATH_LENGTH,
     OWN_HEADER_PREFIX,
 )
-from gypsumrouter.gateway.errors import Rejection, reject, reject_field
 from gypsumrouter.gateway.models import CallerHead, ChatBody
 from gypsumrouter.link.models import Headers
 from gypsumrouter.outcomes import Reason
--- a/gypsumrouter/gateway/const.py
+++ b/gypsumrouter/gateway/const.py
@@ -5,13 +5,9 @@
 from typing import Final
 
 BEARER_PREFIX: Final = "Bearer "
-CONTENT_TYPE_JSON: Final = "application/json"
 CONTENT_TYPE_EVENTS: Final = "text/event-stream"
-ERROR_TYPE: Final = "gypsumrouter_error"
 MODELS_OWNER: Final = "gypsumrouter"
 
-# The end of one server-sent event.
-EVENT_END: Final = b"\n\n"
 
 # An answer up to this size is held back whole, so that it can still be retried or refused cleanly.
 MAX_HELD_ANSWER_BYTES: Final = 256 * 1024
@@ -27,7 +23,6 @@
 MAX_OUTPUT_TOKENS: Final = 2**31 - 1
 MAX_DEADLINE_MS: Final = 24 * 3_600_000
 MAX_PATH_LENGTH: Final = 8_000
-MAX_HEADERS: Final = 128
 
 # How many candidates may turn one request away before it is answered.
 MAX_REDIRECTS: Final = 16
@@ -43,12 +38,9 @@
 SWEEP_MS: Final = 100
 SILENCE_CHECK_MS: Final = 500
 SILENT_MS: Final = 2_400
-DEFAULT_RETRY_AFTER_MS: Final = 1_000
 # How long a leaving router still takes requests, until balancers have seen its readiness.
 LEAVING_GRACE_MS: Final = 2_000
 
-KEEPALIVE_TIMEOUT_S: Final = 75.0
-WRITE_BUFFER_BYTES: Final = 32 * 1024
 
 # Headers that belong to one connection (RFC 9110) or that the gateway answers for itself.
 DROPPED_HEADERS: Final = frozenset(
--- a/gypsumrouter/gateway/events.py
+++ b/gypsumrouter/gateway/events.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from gypsumrouter.gateway.const import EVENT_END, MAX_HELD_EVENT_BYTES
+from gypsumrouter.callers import EVENT_END
+from gypsumrouter.gateway.const import MAX_HELD_EVENT_BYTES
 
 
 class EventCutter:
--- a/gypsumrouter/gateway/gateway.py
+++ b/gypsumrouter/gateway/gateway.py
@@ -6,6 +6,7 @@
 import ssl
 from typing import TYPE_CHECKING, Final
 
+from gypsumrouter.callers import CallerListener, CallerServer
 from gypsumrouter.configuration import ConfigurationStore
 from gypsumrouter.configuration.models import Configuration
 from gypsumrouter.core import Application
@@ -18,7 +19,6 @@
 from gypsumrouter.gateway.dispatch import Dispatcher
 from gypsumrouter.gateway.handler import CallerHandler
 from gypsumrouter.gateway.limits import FleetLimits, find_fleet_share, list_limit_names
-from gypsumrouter.gateway.listener import CallerListener, CallerServer
 from gypsumrouter.gateway.metrics import GatewayMetrics
 from gypsumrouter.gateway.policies import PolicyHolder
 from gypsumrouter.gateway.readiness import Readiness
--- a/gypsumrouter/gateway/handler.py
+++ b/gypsumrouter/gateway/handler.py
@@ -7,19 +7,22 @@
 
 from aiohttp import web
 
-from gypsumrouter.const import HEADER_REQUEST_ID
-from gypsumrouter.core import Application
-from gypsumrouter.gateway.budget import HeldBytes, MemoryBudget
-from gypsumrouter.gateway.const import (
+from gypsumrouter.callers import (
     DEFAULT_RETRY_AFTER_MS,
-    MAX_BODIES_BYTES,
-    MAX_LOGGED_ID_LENGTH,
+    CallerConnection,
+    HeldBytes,
+    MemoryBudget,
+    Rejection,
+    get_status,
+    make_error_response,
+    reject,
 )
+from gypsumrouter.const import HEADER_REQUEST_ID
+from gypsumrouter.core import Application
+from gypsumrouter.gateway.const import MAX_BODIES_BYTES, MAX_LOGGED_ID_LENGTH
 from gypsumrouter.gateway.dispatch import Dispatcher
-from gypsumrouter.gateway.errors import Rejection, get_status, make_error_response, reject
 from gypsumrouter.gateway.intake import Intake
 from gypsumrouter.gateway.limits import FleetLimits
-from gypsumrouter.gateway.listener import CallerConnection
 from gypsumrouter.gateway.metrics import GatewayMetrics, get_outcome
 from gypsumrouter.gateway.models import Call, Finish
 from gypsumrouter.gateway.policies import CompiledPolicy
--- a/gypsumrouter/gateway/intake.py
+++ b/gypsumrouter/gateway/intake.py
@@ -7,6 +7,14 @@
 
 from aiohttp import hdrs, web
 
+from gypsumrouter.callers import (
+    HeldBytes,
+    Rejection,
+    async_read_body,
+    reject,
+    reject_field,
+    reject_head_size,
+)
 from gypsumrouter.configuration.models import Workspace
 from gypsumrouter.const import (
     HEADER_REQUEST_ID,
@@ -16,12 +24,9 @@
     UpstreamKind,
 )
 from gypsumrouter.core import Application
-from gypsumrouter.gateway.body import async_read_body
-from gypsumrouter.gateway.budget import HeldBytes
 from gypsumrouter.gateway.calls import CallFactory
 from gypsumrouter.gateway.checks import check_head, check_service_path
 from gypsumrouter.gateway.const import BEARER_PREFIX, MODELS_OWNER
-from gypsumrouter.gateway.errors import Rejection, reject, reject_field, reject_head_size
 from gypsumrouter.gateway.models import Call, CallerHead, Target
 from gypsumrouter.gateway.policies import CompiledPolicy
 from gypsumrouter.gateway.running import RunningRequest
--- a/gypsumrouter/gateway/reply.py
+++ b/gypsumrouter/gateway/reply.py
@@ -8,18 +8,16 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from gypsumrouter.callers import WRITE_BUFFER_BYTES, HeldBytes, abort_connection, render_error_event
 from gypsumrouter.const import HEADER_PLACEMENT, HEADER_REPLAYED, HEADER_REQUEST_ID
-from gypsumrouter.gateway.budget import HeldBytes
 from gypsumrouter.gateway.const import (
     CONTENT_TYPE_EVENTS,
     DROPPED_HEADERS,
     MAX_HELD_ANSWER_BYTES,
     OWN_HEADER_PREFIX,
-    WRITE_BUFFER_BYTES,
 )
-from gypsumrouter.gateway.errors import render_error_event
 from gypsumrouter.gateway.events import EventCutter
-from gypsumrouter.gateway.watch import Watched, abort_connection
+from gypsumrouter.gateway.watch import Watched
 from gypsumrouter.link.models import Head
 from gypsumrouter.outcomes import Failure
 from gypsumrouter.util.clock import Clock
--- a/gypsumrouter/gateway/watch.py
+++ b/gypsumrouter/gateway/watch.py
@@ -8,13 +8,9 @@
 import struct
 from typing import Any, Final
 
+from gypsumrouter.callers import abort_connection
 from gypsumrouter.core import Application
-from gypsumrouter.gateway.const import (
-    DEADLINE_GRACE_MS,
-    SILENCE_CHECK_MS,
-    SILENT_MS,
-    SWEEP_MS,
-)
+from gypsumrouter.gateway.const import DEADLINE_GRACE_MS, SILENCE_CHECK_MS, SILENT_MS, SWEEP_MS
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -23,7 +19,6 @@
 UNACKED_OFFSET: Final = 24
 LAST_ACK_OFFSET: Final = 56
 UINT32: Final = struct.Struct("=I")
-LINGER_RESET: Final = struct.pack("ii", 1, 0)
 
 
 class Watched:
@@ -148,17 +143,3 @@
     except OSError:
         return None
     return info if len(info) == TCP_INFO_BYTES else None
-
-
-def abort_connection(transport: asyncio.Transport | None) -> None:
-    """Reset a connection, so that its caller cannot take what it got for a whole answer."""
-    if transport is None:
-        return
-    # The descriptor of a closed connection may already belong to another one.
-    connection = None if transport.is_closing() else transport.get_extra_info("socket")
-    if connection is not None:
-        try:
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-        except OSError:
-            pass
-    transport.abort()
--- a/gypsumrouter/published/follower.py
+++ b/gypsumrouter/published/follower.py
@@ -107,8 +107,8 @@
             await asyncio.wait((watching, nudge), return_when=asyncio.FIRST_COMPLETED)
         finally:
             nudge.cancel()
-            if not watching.done():
-                watching.cancel()
+            watching.cancel()
+            watching.add_done_callback(_retrieve)
         if not watching.done() or watching.cancelled():
             self._nudged.clear()
             self._store.close()
@@ -145,3 +145,9 @@
 
     async def _async_stop(self) -> None:
         self._store.close()
+
+
+def _retrieve(watching: asyncio.Future[Listed | HistoryLost]) -> None:
+    """Take note of how a watch that nobody waits for any more ended."""
+    if not watching.cancelled():
+        watching.exception()
--- a/gypsumrouter/settings.py
+++ b/gypsumrouter/settings.py
@@ -11,10 +11,16 @@
 
 from pydantic import AfterValidator, Field, TypeAdapter
 
-from gypsumrouter.configuration.models import Name, NotNegativeInt, PositiveFloat, PositiveInt
 from gypsumrouter.const import MAX_HEAD_BYTES, MAX_REQUEST_BODY_BYTES, UpstreamKind
 from gypsumrouter.exceptions import DocumentInvalid, FieldError, SettingsInvalid
-from gypsumrouter.util.checked import Checked, check_json
+from gypsumrouter.util.checked import (
+    Checked,
+    Name,
+    NotNegativeInt,
+    PositiveFloat,
+    PositiveInt,
+    check_json,
+)
 
 MIN_LINK_KEY_BYTES = 16
 
@@ -244,15 +250,11 @@
 LinkedSettings = RouterSettings | SideSettings
 Settings = LinkedSettings | ForwarderSettings
 
-ROUTER_ADAPTER: TypeAdapter[RouterSettings] = TypeAdapter(RouterSettings)
-SIDE_ADAPTER: TypeAdapter[SideSettings] = TypeAdapter(SideSettings)
-FORWARDER_ADAPTER: TypeAdapter[ForwarderSettings] = TypeAdapter(ForwarderSettings)
-
 
 def check_forwarder_settings(document: bytes | str) -> ForwarderSettings:
     """Return checked settings of a forwarder; raises SettingsInvalid."""
     try:
-        return check_json(adapter=FORWARDER_ADAPTER, document=document)
+        return check_json(adapter=TypeAdapter(ForwarderSettings), document=document)
     except DocumentInvalid as error:
         raise SettingsInvalid(error.errors) from None
 
@@ -260,7 +262,7 @@
 def check_router_settings(document: bytes | str) -> RouterSettings:
     """Return checked settings of a router; raises SettingsInvalid."""
     try:
-        return check_json(adapter=ROUTER_ADAPTER, document=document)
+        return check_json(adapter=TypeAdapter(RouterSettings), document=document)
     except DocumentInvalid as error:
         raise SettingsInvalid(error.errors) from None
 
@@ -268,7 +270,7 @@
 def check_side_settings(document: bytes | str) -> SideSettings:
     """Return checked settings of a side; raises SettingsInvalid."""
     try:
-        return check_json(adapter=SIDE_ADAPTER, document=document)
+        return check_json(adapter=TypeAdapter(SideSettings), document=document)
     except DocumentInvalid as error:
         raise SettingsInvalid(error.errors) from None
 
--- a/gypsumrouter/util/checked.py
+++ b/gypsumrouter/util/checked.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
-from typing import ClassVar, TypeVar
+from typing import Annotated, ClassVar, TypeVar
 
-from pydantic import ConfigDict, TypeAdapter, ValidationError
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 
 from gypsumrouter.exceptions import DocumentInvalid, FieldError
 
 _T = TypeVar("_T")
 
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+PositiveFloat = Annotated[float, Field(gt=0, allow_inf_nan=False)]
+PositiveInt = Annotated[int, Field(gt=0)]
+NotNegativeInt = Annotated[int, Field(ge=0)]
+
 
 class Checked:
     """Base of the data classes that JSON documents are checked into; unknown fields are wrong."""
