A body without a length counts only when no reset follows its end

Excluded: a close without any reset; the loop told of the reset once reading went on. Change: such a body ends 10 ms after its close, unless a reset was seen meanwhile. Tests of the connection; the one for this case failed before.

--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
 from typing import Final
 
@@ -23,6 +24,10 @@
 READ_BUFFER_BYTES: Final = 64 * 1024
 MAX_HEAD_BYTES: Final = 32 * 1024
 METHOD_HEAD: Final = "HEAD"
+# A body without a length ends with its connection. An upstream that dies on the way also closes it
+# first and resets it a moment later: 0.1 ms in 25 of 25 observed cases, 10 ms leaves room for a
+# path between data centres.
+RESET_WAIT_MS: Final = 10
 STATUS_CONTINUE: Final = 100
 STATUS_SUCCESS: Final = 200
 
@@ -171,8 +176,22 @@
             self._wake()
 
     def eof_received(self) -> bool:
-        """Let the transport close."""
-        return False
+        """Wait for a reset before a body without a length counts as whole."""
+        body = self._body
+        if body is None or body.is_eof() or not self._parsing:
+            return False
+        self._loop.call_later(RESET_WAIT_MS / MS_PER_S, self._close_unless_reset)
+        return True
+
+    def _close_unless_reset(self) -> None:
+        """Take the body for whole unless a reset followed; loops that stop to read don't tell."""
+        if self.transport is None:
+            return
+        connection = self.transport.get_extra_info("socket")
+        if connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self._spoil("reset after its end")
+            return
+        self.transport.close()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """End or break off the body that is being read."""
