A router that starts after a failure asks the engines of its data centre what they hold

Change: one list call to each engine of the own data centre, unless the whole system starts for the first time; peers are told, and a peer that restarted is told everything again. A caller that leaves while its stream is written is no fault of the router any more.

--- a/gypsumrouter/forwarder.py
+++ b/gypsumrouter/forwarder.py
@@ -22,6 +22,7 @@
 from gypsumrouter.platform import (
     PlatformDialect,
     StoreClient,
+    async_list_held,
     decode_configuration,
     decode_entry,
     read_request,
@@ -76,6 +77,7 @@
         directory=directory,
         dialect=PlatformDialect(),
         read_request=read_request,
+        ask_held=async_list_held,
     )
     _journal_stop(app, journal, forwarder)
     followers = make_followers(
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -16,6 +16,7 @@
 from gypsumrouter.forwarding.const import LEAVING_MS
 from gypsumrouter.forwarding.handler import ReadRequest, RequestHandler
 from gypsumrouter.forwarding.health import HealthBook
+from gypsumrouter.forwarding.inventory import AskHeld, Inventory
 from gypsumrouter.forwarding.leaving import Leaving
 from gypsumrouter.forwarding.metrics import ForwardingMetrics
 from gypsumrouter.forwarding.models import Dialect
@@ -41,6 +42,8 @@
         "_app",
         "_connections",
         "_directory",
+        "_first_start",
+        "_inventory",
         "_leaving",
         "_listener",
         "_routing",
@@ -60,6 +63,7 @@
         directory: Directory,
         dialect: Dialect,
         read_request: ReadRequest,
+        ask_held: AskHeld,
     ) -> None:
         self._app = app
         self._routing = routing
@@ -96,6 +100,15 @@
             metrics=ForwardingMetrics(app=app),
             leaving=self._leaving,
         )
+        self._inventory = Inventory(
+            app=app,
+            directory=directory,
+            routing=routing,
+            placer=self.placer,
+            connections=self._connections,
+            ask=ask_held,
+        )
+        self._first_start = settings.first_start
         self._server: CallerServer | None = None
         self._listener: CallerListener | None = None
         self._listen(settings)
@@ -116,6 +129,8 @@
         self._app.on_drain(self._async_drain)
         self._app.on_stop(self._listener.async_close)
         self._app.async_create_task(self._async_sweep(), "forwarder sweep")
+        if not self._first_start:
+            self._inventory.async_start()
         return address
 
     def _listen(self, settings: ForwarderSettings) -> None:
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -189,10 +189,15 @@
         try:
             response = await run.async_run()
             status = response.status
-        except (asyncio.CancelledError, CallerGone):
+        except asyncio.CancelledError:
             progress.outcome = "caller_gone"
             abort_connection(request.transport)
             raise
+        except CallerGone:
+            progress.outcome = "caller_gone"
+            abort_connection(request.transport)
+            # The library ends a connection quietly for this, and as a fault for anything else.
+            raise asyncio.CancelledError from None
         finally:
             self._note_end(read, routed, progress, status)
         return response
--- a/gypsumrouter/forwarding/holdings.py
+++ b/gypsumrouter/forwarding/holdings.py
@@ -40,6 +40,11 @@
         holders[upstream] = (now_ms if noted is None or new else noted[0], now_ms)
         return new
 
+    def note_held(self, *, part: int, upstream: str, now_ms: int) -> None:
+        """Note a part that was read before; it can be copied at once."""
+        self.note(part=part, upstream=upstream, now_ms=now_ms)
+        self._parts[part][upstream] = (now_ms - READABLE_MS, now_ms)
+
     def forget(self, *, part: int, upstream: str) -> None:
         """Forget that an upstream has a part: it was turned away there."""
         self._parts.get(part, {}).pop(upstream, None)
--- /dev/null
+++ b/gypsumrouter/forwarding/inventory.py
@@ -0,0 +1,108 @@
+"""What engines hold when a router starts after a failure: asked once, told to the peers.
+
+Answers this load: all routers are lost at once and start again knowing nothing, while the engines
+still hold every prompt that is in use. Without it about half of these prompts were read again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import Final, Protocol
+
+from gypsumrouter.core import Application
+from gypsumrouter.directory import Directory, Entry, EntryState
+from gypsumrouter.forwarding.connections import UpstreamConnections
+from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.helpers.http_connection import ConnectFailed, ConnectionBroken, HttpConnection
+from gypsumrouter.routing import RoutingStore
+
+_LOGGER = logging.getLogger(__name__)
+
+LIST_MS: Final = 1_000
+# Parts of fewer tokens are read faster than they are told.
+MIN_TOKENS: Final = 100
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class HeldPart:
+    """A part of a prompt in an engine's cache."""
+
+    part: int
+    tokens: int
+
+
+class AskHeld(Protocol):
+    """Asks an engine what it holds."""
+
+    async def __call__(self, connection: HttpConnection) -> tuple[HeldPart, ...]:
+        """Return the parts; raises ConnectionBroken for anything that is no list."""
+
+
+class Inventory:
+    """Asks the engines of this router's data centre, which its peers do likewise in theirs."""
+
+    __slots__ = ("_app", "_ask", "_connections", "_directory", "_placer", "_routing")
+
+    def __init__(
+        self,
+        *,
+        app: Application,
+        directory: Directory,
+        routing: RoutingStore,
+        placer: Placer,
+        connections: UpstreamConnections,
+        ask: AskHeld,
+    ) -> None:
+        self._app = app
+        self._directory = directory
+        self._routing = routing
+        self._placer = placer
+        self._connections = connections
+        self._ask = ask
+
+    def async_start(self) -> None:
+        """Ask once, as soon as the list and the configuration are there."""
+        self._app.async_create_task(self._async_run(), "inventory")
+
+    async def _async_run(self) -> None:
+        await self._routing.ready.wait()
+        await self._directory.loaded.wait()
+        await asyncio.gather(*(self._async_take(entry) for entry in self._list_engines()))
+
+    def _list_engines(self) -> list[Entry]:
+        table = self._routing.table
+        if table is None:
+            return []
+        engines = {s.name for s in table.configuration.services if s.engine is not None}
+        return [
+            record.entry
+            for record in self._directory.records()
+            if record.entry.service in engines
+            and record.entry.state is EntryState.READY
+            and record.entry.data_centre == self._app.data_centre
+        ]
+
+    async def _async_take(self, entry: Entry) -> None:
+        try:
+            async with asyncio.timeout(LIST_MS / 1_000):
+                held = await self._async_ask(entry)
+        except (ConnectFailed, ConnectionBroken, TimeoutError) as error:
+            # It is a hint: what is not known is read again.
+            _LOGGER.warning("Upstream %s does not list what it holds: %r", entry.upstream, error)
+            return
+        for part in held:
+            if part.tokens >= MIN_TOKENS:
+                self._placer.note_held(part=part.part, upstream=entry.upstream)
+        _LOGGER.info("Upstream %s holds %d parts", entry.upstream, len(held))
+
+    async def _async_ask(self, entry: Entry) -> tuple[HeldPart, ...]:
+        leased = await self._connections.async_lease(entry, repeatable=True, timeout_ms=LIST_MS)
+        try:
+            held = await self._ask(leased.connection)
+        except BaseException:
+            leased.connection.close()
+            raise
+        self._connections.give_back(entry, leased.connection)
+        return held
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -148,6 +148,13 @@
         self.loads.begin(upstream, tokens=tokens)
         return Sent(upstream=upstream, tokens=tokens, new_parts=new_parts)
 
+    def note_held(self, *, part: int, upstream: str) -> None:
+        """Note a part that an upstream says it holds, and tell it on."""
+        now_ms = self._app.clock.now_ms()
+        self.holdings.note_held(part=part, upstream=upstream, now_ms=now_ms)
+        for listener in self._placed_listeners:
+            listener(part, upstream)
+
     def note_not_run(self, sent: Sent) -> None:
         """Take back what was noted of a request that its upstream never ran."""
         for part in sent.new_parts:
--- a/gypsumrouter/peers/const.py
+++ b/gypsumrouter/peers/const.py
@@ -17,6 +17,7 @@
 BEHIND_MS: Final = 250
 # And not more often than this.
 CATCH_UP_MS: Final = 500
-# Parts told in one news, newest last; 250 parts are 12 KB.
-MAX_PLACED: Final = 250
+# Parts that are kept to be told, about 30 s of the highest load and 3 MB, and parts in one news.
+MAX_PLACED: Final = 20_000
+MAX_TOLD: Final = 500
 MAX_ROUTERS: Final = 1_000
--- a/gypsumrouter/peers/mesh.py
+++ b/gypsumrouter/peers/mesh.py
@@ -38,12 +38,15 @@
 class KnownRouter:
     """One other router, by the address of its link."""
 
-    __slots__ = ("address", "reached", "reached_ms", "seed", "told")
+    __slots__ = ("address", "incarnation", "reached", "reached_ms", "renewed", "seed", "told")
 
     def __init__(self, *, address: Address, seed: bool, now_ms: int) -> None:
         self.address = address
         self.seed = seed
+        # Up to where it was told what was placed; a new incarnation knows nothing of it.
         self.told = 0
+        self.incarnation: int | None = None
+        self.renewed = False
         self.reached: bool | None = None
         self.reached_ms = now_ms
 
@@ -146,24 +149,26 @@
             region="",
         )
         while True:
-            end = self._outbox.end
-            sent = await self._pool.async_send(instance=instance, notice=self._make_news(known))
-            if sent:
+            placed, end = self._outbox.since(known.told)
+            news = self._make_news(placed)
+            sent = await self._pool.async_send(instance=instance, notice=news)
+            if sent and not known.renewed:
                 known.told = end
+            known.renewed = False
             self._note_reached(text, known, sent)
             if self._is_forgotten(known):
                 del self._known[text]
                 return
             await self._app.clock.async_sleep(NEWS_MS + NEWS_MS_PER_PEER * len(self._known))
 
-    def _make_news(self, known: KnownRouter) -> RouterNews:
+    def _make_news(self, placed: tuple[PlacedPart, ...]) -> RouterNews:
         return RouterNews(
             address=self._own,
             routers=tuple(self._known),
             routing_version=self._routing.version,
             list_revision=self._directory.newest,
             loads=write_loads(self._forwarder.placer.loads),
-            placed=self._outbox.since(known.told),
+            placed=placed,
             strikes=self._outbox.strikes(),
         )
 
@@ -186,6 +191,7 @@
         now_ms = self._app.clock.now_ms()
         self._heard_ms[peer.hello.name] = now_ms
         self._learn(news.address)
+        self._note_incarnation(news.address, peer.hello.incarnation)
         for router in news.routers:
             self._learn(router)
         placer = self._forwarder.placer
@@ -195,6 +201,14 @@
         self._catch_up.compare(peer, news, now_ms)
         self._count_routers()
 
+    def _note_incarnation(self, address: str, incarnation: int) -> None:
+        known = self._known.get(address)
+        if known is None or known.incarnation == incarnation:
+            return
+        known.renewed = known.incarnation is not None
+        known.incarnation = incarnation
+        known.told = 0
+
     def _note_placed(self, part: int, upstream: str) -> None:
         self._outbox.add_part(PlacedPart(part=part, upstream=upstream))
 
--- a/gypsumrouter/peers/outbox.py
+++ b/gypsumrouter/peers/outbox.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from collections import deque
+from itertools import islice
 
 from gypsumrouter.link import PlacedPart, Strike
-from gypsumrouter.peers.const import MAX_PLACED
+from gypsumrouter.peers.const import MAX_PLACED, MAX_TOLD
 
 
 class Outbox:
@@ -18,11 +19,6 @@
         self._placed: deque[PlacedPart] = deque(maxlen=MAX_PLACED)
         self._strikes: deque[Strike] = deque(maxlen=MAX_PLACED)
 
-    @property
-    def end(self) -> int:
-        """Return the number that the next part will get."""
-        return self._first + len(self._placed)
-
     def add_part(self, part: PlacedPart) -> None:
         """Add a part; the oldest one falls out where there is no room."""
         if len(self._placed) == MAX_PLACED:
@@ -33,10 +29,11 @@
         """Add a strike; all that are kept are told each time, they are few."""
         self._strikes.append(strike)
 
-    def since(self, number: int) -> tuple[PlacedPart, ...]:
-        """Return the parts from a number on, as far as they are kept."""
+    def since(self, number: int) -> tuple[tuple[PlacedPart, ...], int]:
+        """Return the next parts from a number on, and the number after them."""
         skip = max(0, number - self._first)
-        return tuple(self._placed)[skip:]
+        parts = tuple(islice(self._placed, skip, skip + MAX_TOLD))
+        return parts, self._first + skip + len(parts)
 
     def strikes(self) -> tuple[Strike, ...]:
         """Return the strikes."""
--- a/gypsumrouter/platform/__init__.py
+++ b/gypsumrouter/platform/__init__.py
@@ -4,6 +4,7 @@
 
 from gypsumrouter.platform.answers import PlatformDialect
 from gypsumrouter.platform.configuration import decode_configuration
+from gypsumrouter.platform.engines import async_list_held
 from gypsumrouter.platform.entries import decode_entry
 from gypsumrouter.platform.requests import read_request
 from gypsumrouter.platform.store import StoreClient
@@ -11,6 +12,7 @@
 __all__ = [
     "PlatformDialect",
     "StoreClient",
+    "async_list_held",
     "decode_configuration",
     "decode_entry",
     "read_request",
--- /dev/null
+++ b/gypsumrouter/platform/engines.py
@@ -0,0 +1,29 @@
+"""Calls of model engines."""
+
+from __future__ import annotations
+
+import json
+
+from gypsumrouter.forwarding.inventory import HeldPart
+from gypsumrouter.helpers.http_connection import ConnectionBroken, HttpConnection
+from gypsumrouter.platform import names
+
+STATUS_OK = 200
+
+
+async def async_list_held(connection: HttpConnection) -> tuple[HeldPart, ...]:
+    """Return what an engine's cache holds; raises ConnectionBroken for anything that is no list."""
+    head = f"GET {names.CALL_HELD} HTTP/1.1\r\nHost: {connection.address}\r\n\r\n"
+    connection.begin(method="GET", data=head.encode())
+    answer = await connection.async_read_answer()
+    body = await answer.body.read()
+    if answer.status != STATUS_OK:
+        raise ConnectionBroken(f"status {answer.status}")
+    try:
+        # Each entry is a list: an empty text, the part's id, its tokens, its model.
+        return tuple(
+            HeldPart(part=int(part, 16) & names.MASK_64, tokens=int(tokens))
+            for _, part, tokens, _ in json.loads(body)["held"]
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        raise ConnectionBroken(f"no list of parts: {error!r}") from None
--- a/gypsumrouter/platform/names.py
+++ b/gypsumrouter/platform/names.py
@@ -37,6 +37,12 @@
 LOAD: Final = "X-Server-Load"
 RETRY_AFTER: Final = "Retry-After"
 
+# Ids of parts are hexadecimal; their low 64 bits name them inside the product.
+MASK_64: Final = 2**64 - 1
+
+# A call of model engines.
+CALL_HELD: Final = "/api/kv-list"
+
 # Calls of the store.
 CALL_RANGE: Final = "/api/kv-range"
 CALL_WATCH: Final = "/api/kv-watch"
--- a/gypsumrouter/platform/requests.py
+++ b/gypsumrouter/platform/requests.py
@@ -11,7 +11,6 @@
 from gypsumrouter.platform import names
 
 MAX_PRIORITY: Final = 9
-MASK_64: Final = 2**64 - 1
 DROPPED: Final = (
     names.HOP_BY_HOP
     | names.SYSTEM_HEADERS
@@ -96,7 +95,7 @@
 
 def _read_part(entry: str) -> PromptPart:
     part, _, tokens = entry.strip().partition(":")
-    return PromptPart(part=int(part, 16) & MASK_64, tokens=int(tokens))
+    return PromptPart(part=int(part, 16) & names.MASK_64, tokens=int(tokens))
 
 
 def _read_number(value: str | None) -> int | None:
--- a/gypsumrouter/settings.py
+++ b/gypsumrouter/settings.py
@@ -236,6 +236,7 @@
     """
 
     instance: Identity
+    first_start: bool = True
     callers: Endpoint = "127.0.0.1:0"
     probes: Probes = field(default_factory=Probes)
     link_address: Endpoint = "127.0.0.1:0"
