Weigh load by what one more request costs an engine's first events

Cause: the weight of 6 ms a request was a guess; an engine's published step grows by 0.08 ms with each request, so requests were moved (and prompts copied) for imbalances that nobody feels. Change: 2 ms a request.

--- a/gypsumrouter/forwarding/placement.py
+++ b/gypsumrouter/forwarding/placement.py
@@ -21,8 +21,9 @@
 FETCH_TOKENS_PER_MS: Final = 400.0
 # Below this a prompt is read faster than a copy is set up.
 MIN_FETCH_TOKENS: Final = 256
-# What one more running request costs the others: 0.08 ms a step over about 100 steps.
-LOAD_MS: Final = 6.0
+# What one more running request costs the others: 0.08 ms in each of about 25 steps to a first
+# event. The cap bounds the rest.
+LOAD_MS: Final = 2.0
 # What a request that waits for a slot of a plain service costs, in units of its mean service time.
 WAIT_MS: Final = 20.0
 # A prompt that nobody is known to hold goes to the first of its own stable order, where another
