Kept connections serve requests that must not be repeated up to 1.5 s after their last use

Cause: with 0.3 s most of these requests opened a connection, which is the second dearest price. Change: 1.5 s.

--- a/gypsumrouter/forwarding/const.py
+++ b/gypsumrouter/forwarding/const.py
@@ -9,7 +9,7 @@
 CONNECT_MS: Final = 200
 # Connections idle for longer than this are not used for requests that must not be repeated: the
 # upstream may be closing them just now, and the outcome would be unknown.
-FRESH_IDLE_MS: Final = 300
+FRESH_IDLE_MS: Final = 1_500
 # Any kept connection is given up this long before the peer's own timeout, or after the default.
 KEEP_MARGIN_MS: Final = 1_000
 DEFAULT_KEEP_MS: Final = 4_000
