Suspect requests, explain, reload, and tests of each decision apart from input and output

Change: contents that broke three upstreams and never succeeded are refused, strikes go to peers; gypsumrouter explain; SIGHUP reads the settings and tells what differs; the log's thread ends within 0.5 s; replays of hot prompts, storms of failures, rolling stops; a state machine of the list of upstreams; a test that no other module names the wire.

--- a/gypsumrouter/cli/__init__.py
+++ b/gypsumrouter/cli/__init__.py
@@ -8,6 +8,7 @@
 
 from gypsumrouter.cli.config import config_group
 from gypsumrouter.cli.dump import dump_command
+from gypsumrouter.cli.explain import explain_command
 from gypsumrouter.cli.key import key_command
 from gypsumrouter.cli.orders import orders_command
 from gypsumrouter.cli.rules import rules_group
@@ -26,6 +27,7 @@
 
 main.add_command(config_group)
 main.add_command(dump_command)
+main.add_command(explain_command)
 main.add_command(key_command)
 main.add_command(orders_command)
 main.add_command(rules_group)
--- /dev/null
+++ b/gypsumrouter/cli/explain.py
@@ -0,0 +1,107 @@
+"""The command that tells one request's story from the logs of several processes."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import Any, Final, TextIO
+
+import click
+
+# Fields that head each printed line.
+HEADING: Final = frozenset({"time", "level", "instance", "event", "request_id", "logger"})
+# Events that are no request's own and change what happens to it.
+BELIEFS: Final = frozenset(
+    {"upstream_changed", "upstream_health", "dependency_lost", "dependency_regained"}
+)
+EXIT_UNKNOWN: Final = 1
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Line:
+    """One line of a journal."""
+
+    time: str
+    instance: str
+    event: str
+    fields: dict[str, Any]
+
+    @property
+    def request_id(self) -> str:
+        """Return whose line this is, or an empty text."""
+        return str(self.fields.get("request_id", ""))
+
+
+@click.command("explain")
+@click.argument("request_id")
+@click.argument("files", nargs=-1, type=click.File(errors="replace"))
+def explain_command(request_id: str, files: tuple[TextIO, ...]) -> None:
+    """Tell the story of REQUEST_ID from the logs in FILES, or from standard input.
+
+    What stands before the JSON of a line, such as a time or an instance's name, is passed over.
+    """
+    lines = [line for file in files or (sys.stdin,) for line in read_lines(file)]
+    story = tell_story(lines, request_id)
+    if not story:
+        click.echo(f"No line names request {request_id}", err=True)
+        sys.exit(EXIT_UNKNOWN)
+    for line in story:
+        click.echo(format_line(line, request_id))
+
+
+def read_lines(file: Iterable[str]) -> Iterator[Line]:
+    """Return the journal lines of a log; other lines are passed over."""
+    for text in file:
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            fields = json.loads(text[start:])
+        except ValueError:
+            continue
+        if not isinstance(fields, dict) or "time" not in fields:
+            continue
+        event = fields.get("event", fields.get("message", ""))
+        yield Line(
+            time=str(fields["time"]),
+            instance=str(fields.get("instance", "")),
+            event=str(event),
+            fields=fields,
+        )
+
+
+def tell_story(lines: list[Line], request_id: str) -> list[Line]:
+    """Return a request's lines by time, with what its routers believed of its upstreams."""
+    own = [line for line in lines if line.request_id == request_id]
+    if not own:
+        return []
+    upstreams = {line.fields.get("upstream") for line in own} - {None, ""}
+    instances = {line.instance for line in own}
+    first = min(line.time for line in own)
+    last = max(line.time for line in own)
+    beliefs = [
+        line
+        for line in lines
+        if line.event in BELIEFS
+        and line.instance in instances
+        and line.request_id != request_id
+        and line.time <= last
+        and _concerns(line, upstreams)
+    ]
+    before = {(b.instance, b.event, b.fields.get("upstream")): b for b in beliefs if b.time < first}
+    during = [belief for belief in beliefs if belief.time >= first]
+    return sorted((*before.values(), *during, *own), key=lambda line: line.time)
+
+
+def format_line(line: Line, request_id: str) -> str:
+    """Return a line for people; what is not the request's own is indented."""
+    values = " ".join(f"{k}={v}" for k, v in line.fields.items() if k not in HEADING)
+    mark = "" if line.request_id == request_id else "    "
+    return f"{line.time} {line.instance} {mark}{line.event} {values}"
+
+
+def _concerns(line: Line, upstreams: set[Any]) -> bool:
+    upstream = line.fields.get("upstream")
+    return upstream is None or upstream in upstreams
--- a/gypsumrouter/forwarder.py
+++ b/gypsumrouter/forwarder.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections.abc import Callable, Iterator
-from dataclasses import replace
+from dataclasses import fields, replace
 from functools import partial
 from pathlib import Path
 from typing import Final
@@ -12,11 +12,18 @@
 from gypsumrouter.const import VERSION, Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Record
-from gypsumrouter.exceptions import DocumentInvalid
+from gypsumrouter.exceptions import DocumentInvalid, SettingsInvalid
 from gypsumrouter.fleet.models import Address, parse_address
 from gypsumrouter.forwarding import Forwarder
 from gypsumrouter.helpers.logs import set_instance
-from gypsumrouter.journal import Journal, ProcessStarted, ProcessStopped, ProcessStopping
+from gypsumrouter.helpers.settings_file import read_settings_file
+from gypsumrouter.journal import (
+    Journal,
+    ProcessStarted,
+    ProcessStopped,
+    ProcessStopping,
+    SettingsReloaded,
+)
 from gypsumrouter.operators.probes import ProbesServer
 from gypsumrouter.peers import Mesh
 from gypsumrouter.platform import (
@@ -31,7 +38,7 @@
 from gypsumrouter.product import Product
 from gypsumrouter.published import Follower, Item, Listed
 from gypsumrouter.routing import RoutingStore
-from gypsumrouter.settings import ForwarderSettings
+from gypsumrouter.settings import ForwarderSettings, check_forwarder_settings
 from gypsumrouter.util.clock import Clock
 
 _LOGGER = logging.getLogger(__name__)
@@ -111,6 +118,7 @@
         addresses=addresses,
         is_ready=lambda: forwarder.ready,
         list_running=lambda: forwarder.handler.running,
+        reload=partial(_reload, app, journal, settings, settings_path),
     )
 
 
@@ -199,6 +207,24 @@
         directory.settle()
 
 
+def _reload(
+    app: Application, journal: Journal, settings: ForwarderSettings, path: Path | None
+) -> None:
+    """Read the settings again and tell what differs; it holds from the next start on."""
+    if path is None:
+        return
+    changed: tuple[str, ...] = ()
+    error = ""
+    try:
+        read = _bind_link(check_forwarder_settings(read_settings_file(path)))
+    except SettingsInvalid as invalid:
+        error = str(invalid)
+    else:
+        names = (field.name for field in fields(settings))
+        changed = tuple(n for n in names if getattr(read, n) != getattr(settings, n))
+    journal.record(SettingsReloaded(changed=changed, error=error))
+
+
 def _journal_start(app: Application, journal: Journal, addresses: dict[str, Address]) -> None:
     shown = {name: str(address) for name, address in addresses.items()}
     journal.record(ProcessStarted(incarnation=app.incarnation, version=VERSION, addresses=shown))
--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -102,7 +102,7 @@
         except TimeoutError:
             return Lost(reason="silent")
         except ConnectionBroken as error:
-            return Lost(reason=str(error))
+            return Lost(reason=str(error), broken=True)
 
     def finish(self) -> None:
         """Give the connection back after a whole answer."""
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -23,6 +23,7 @@
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.run import RunParts
+from gypsumrouter.forwarding.suspects import Suspects
 from gypsumrouter.journal import Journal
 from gypsumrouter.routing import RoutingStore
 from gypsumrouter.settings import ForwarderSettings, Listener
@@ -51,6 +52,7 @@
         "budget",
         "handler",
         "placer",
+        "suspects",
     )
 
     def __init__(
@@ -84,6 +86,7 @@
             window_ms=bounds.retry_window_ms,
         )
         self._leaving = Leaving(clock=app.clock, limit_ms=bounds.stop_ms - LEAVING_MARGIN_MS)
+        self.suspects = Suspects(app=app, journal=journal)
         parts = RunParts(
             app=app,
             journal=journal,
@@ -91,6 +94,7 @@
             placer=self.placer,
             connections=self._connections,
             budget=self.budget,
+            suspects=self.suspects,
         )
         self._inventory = Inventory(
             app=app,
--- a/gypsumrouter/forwarding/models.py
+++ b/gypsumrouter/forwarding/models.py
@@ -161,9 +161,13 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Lost:
-    """The request was sent and brought no answer; it may have run."""
+    """The request was sent and brought no answer; it may have run.
+
+    `broken` says that the connection broke off, as it does when an upstream dies.
+    """
 
     reason: str
+    broken: bool = False
 
 
 Outcome = NotReached | TurnedAway | Whole | Begun | Lost
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -37,6 +37,7 @@
 )
 from gypsumrouter.forwarding.placer import Placed, Placer
 from gypsumrouter.forwarding.relay import Relay, RelayEnd
+from gypsumrouter.forwarding.suspects import Suspects, make_digest
 from gypsumrouter.journal import (
     AttemptEnded,
     AttemptSent,
@@ -61,6 +62,7 @@
     placer: Placer
     connections: UpstreamConnections
     budget: RetryBudget
+    suspects: Suspects
 
 
 @dataclass(slots=True, kw_only=True)
@@ -91,6 +93,7 @@
 
     __slots__ = (
         "_configuration",
+        "_digest",
         "_list_revision",
         "_parts",
         "_relay",
@@ -121,6 +124,7 @@
         self._web_request = web_request
         self._configuration = configuration
         self._list_revision = list_revision
+        self._digest = make_digest(request)
         self.progress = progress
         self._relay = Relay(
             web_request=web_request,
@@ -143,6 +147,9 @@
 
     async def _async_try(self) -> web.StreamResponse:
         while True:
+            if self._parts.suspects.is_suspect(self._digest):
+                message = "Upstreams broke off while they ran the same request"
+                return self._give_up(Reason.SUSPECT_BUSY, message)
             placed = self._parts.placer.place(
                 service=self._service,
                 prompt=self._request.prompt,
@@ -247,6 +254,8 @@
     def _after_lost(self, attempt: Attempt, outcome: Lost) -> tuple[web.StreamResponse | None, str]:
         upstream = attempt.entry.upstream
         self._parts.placer.health.note_failed(upstream, reason=outcome.reason)
+        if outcome.broken:
+            self._parts.suspects.note_broken(self._digest, upstream)
         if self._may_run_again(upstream):
             return None, "run_again"
         return self._fail(outcome.reason), "fail"
@@ -259,6 +268,7 @@
             return self._after_lost(attempt, Lost(reason=f"status {outcome.status}"))
         if outcome.status < STATUS_SERVER_ERROR:
             self._parts.placer.health.note_good(upstream)
+            self._parts.suspects.note_good(self._digest)
             return self._answer(outcome), "answer"
         self._parts.placer.health.note_failed(upstream, reason=f"status {outcome.status}")
         self.progress.kept_answer = outcome
@@ -276,10 +286,13 @@
         end = await self._relay.async_pass_on(outcome)
         if end is RelayEnd.WHOLE:
             self._parts.placer.health.note_good(upstream)
+            self._parts.suspects.note_good(self._digest)
             attempt.finish()
             self.progress.outcome = "answered"
             return self._relay.response, "answer"
         self._parts.placer.health.note_failed(upstream, reason=f"stream {end.value}")
+        if end is RelayEnd.BROKEN:
+            self._parts.suspects.note_broken(self._digest, upstream)
         attempt.close()
         if self._may_run_again(upstream):
             return None, "resume"
--- a/gypsumrouter/helpers/logs.py
+++ b/gypsumrouter/helpers/logs.py
@@ -15,6 +15,8 @@
 from gypsumrouter.settings import Log, LogFormat
 
 MAX_WAITING_LINES: Final = 10_000
+# What a process waits at its end for a reader of its log; 10,000 lines take 0.1 s to write.
+STOP_S: Final = 0.5
 NO_VALUE: Final = "-"
 TEXT_FORMAT: Final = (
     "%(asctime)s %(levelname)s [%(instance)s] [%(request_id)s] %(name)s: %(message)s"
@@ -89,6 +91,34 @@
             self.lost += 1
 
 
+class BoundedQueueListener(logging.handlers.QueueListener):
+    """Writes the queue from a thread; a reader that stalls keeps no process from ending."""
+
+    def __init__(
+        self, records: queue.Queue[logging.LogRecord | None], output: logging.Handler
+    ) -> None:
+        super().__init__(records, output)
+        self._records = records
+
+    def enqueue_sentinel(self) -> None:
+        """Ask the thread to end, in place of the oldest line where the queue is full."""
+        while True:
+            try:
+                self._records.put_nowait(None)
+            except queue.Full:
+                self._records.get_nowait()
+            else:
+                return
+
+    def stop(self) -> None:
+        """Write what is left within `STOP_S`; what nobody reads by then is lost."""
+        thread, self._thread = self._thread, None
+        if thread is None:
+            return
+        self.enqueue_sentinel()
+        thread.join(STOP_S)
+
+
 def make_formatter(log_format: LogFormat) -> logging.Formatter:
     """Return the formatter for a setting."""
     match log_format:
@@ -108,10 +138,10 @@
     set_instance(instance)
     output = logging.StreamHandler(stream or sys.stderr)
     output.setFormatter(make_formatter(settings.format))
-    records: queue.Queue[logging.LogRecord] = queue.Queue(MAX_WAITING_LINES)
+    records: queue.Queue[logging.LogRecord | None] = queue.Queue(MAX_WAITING_LINES)
     handler = LossyQueueHandler(records)
     handler.addFilter(ContextFilter())
-    listener = logging.handlers.QueueListener(records, output)
+    listener = BoundedQueueListener(records, output)
     root = logging.getLogger()
     for earlier in tuple(root.handlers):
         root.removeHandler(earlier)
--- a/gypsumrouter/peers/const.py
+++ b/gypsumrouter/peers/const.py
@@ -22,6 +22,9 @@
 # in which the smallest of them did little else.
 MAX_PLACED: Final = 1_000
 MAX_TOLD: Final = 200
+# Strikes are few and go out with each news for a while, so that lost links cost none.
+MAX_STRIKES: Final = 50
+STRIKE_MS: Final = 3_000
 # The other routers' addresses take more room than all else in a news.
 ROUTERS_MS: Final = 5_000
 MAX_ROUTERS: Final = 1_000
--- a/gypsumrouter/peers/mesh.py
+++ b/gypsumrouter/peers/mesh.py
@@ -18,6 +18,7 @@
     Peer,
     PlacedPart,
     RouterNews,
+    Strike,
 )
 from gypsumrouter.peers.catch_up import CatchUpDesk
 from gypsumrouter.peers.const import (
@@ -125,6 +126,7 @@
         )
         notices.subscribe(RouterNews, self._take_news)
         forwarder.placer.on_placed(self._note_placed)
+        forwarder.suspects.on_strike(self._note_strike)
         app.add_dump_section("peers", self._dump)
 
     async def async_start(self) -> Address:
@@ -182,7 +184,7 @@
             list_revision=self._directory.newest,
             loads=write_loads(self._forwarder.placer.loads),
             placed=placed,
-            strikes=self._outbox.strikes(),
+            strikes=self._outbox.strikes(now_ms=self._app.clock.now_ms()),
         )
 
     def _list_routers(self, known: KnownRouter) -> tuple[str, ...]:
@@ -221,6 +223,8 @@
         placer.loads.take_peer(peer.hello.name, read_loads(news, now_ms=now_ms))
         for placed in news.placed:
             placer.holdings.note(part=placed.part, upstream=placed.upstream, now_ms=now_ms)
+        for strike in news.strikes:
+            self._forwarder.suspects.take(strike.digest, strike.upstream, source=peer.hello.name)
         self._catch_up.compare(peer, news, now_ms)
         self._count_routers()
 
@@ -241,6 +245,10 @@
         now_ms = self._app.clock.now_ms()
         return sum(1 for heard_ms in self._heard_ms.values() if now_ms - heard_ms < ALIVE_MS)
 
+    def _note_strike(self, digest: int, upstream: str) -> None:
+        now_ms = self._app.clock.now_ms()
+        self._outbox.add_strike(Strike(digest=digest, upstream=upstream), now_ms=now_ms)
+
     def _count_routers(self) -> None:
         """Tell the retry budget among how many routers it is shared."""
         alive = self.count_alive()
--- a/gypsumrouter/peers/outbox.py
+++ b/gypsumrouter/peers/outbox.py
@@ -6,7 +6,7 @@
 from itertools import islice
 
 from gypsumrouter.link import PlacedPart, Strike
-from gypsumrouter.peers.const import MAX_PLACED, MAX_TOLD
+from gypsumrouter.peers.const import MAX_PLACED, MAX_STRIKES, MAX_TOLD, STRIKE_MS
 
 
 class Outbox:
@@ -17,7 +17,7 @@
     def __init__(self) -> None:
         self._first = 0
         self._placed: deque[PlacedPart] = deque(maxlen=MAX_PLACED)
-        self._strikes: deque[Strike] = deque(maxlen=MAX_PLACED)
+        self._strikes: deque[tuple[int, Strike]] = deque(maxlen=MAX_STRIKES)
 
     def add_part(self, part: PlacedPart) -> None:
         """Add a part; the oldest one falls out where there is no room."""
@@ -25,9 +25,9 @@
             self._first += 1
         self._placed.append(part)
 
-    def add_strike(self, strike: Strike) -> None:
-        """Add a strike; all that are kept are told each time, they are few."""
-        self._strikes.append(strike)
+    def add_strike(self, strike: Strike, *, now_ms: int) -> None:
+        """Add a strike; it is told to everyone for `STRIKE_MS`."""
+        self._strikes.append((now_ms, strike))
 
     def since(self, number: int) -> tuple[tuple[PlacedPart, ...], int]:
         """Return the next parts from a number on, and the number after them."""
@@ -35,6 +35,8 @@
         parts = tuple(islice(self._placed, skip, skip + MAX_TOLD))
         return parts, self._first + skip + len(parts)
 
-    def strikes(self) -> tuple[Strike, ...]:
-        """Return the strikes."""
-        return tuple(self._strikes)
+    def strikes(self, *, now_ms: int) -> tuple[Strike, ...]:
+        """Return the strikes that are still told."""
+        while self._strikes and now_ms - self._strikes[0][0] > STRIKE_MS:
+            self._strikes.popleft()
+        return tuple(strike for _, strike in self._strikes)
--- /dev/null
+++ b/tests/cli/test_cli_explain.py
@@ -0,0 +1,44 @@
+"""One request's story from the logs of several processes."""
+
+from __future__ import annotations
+
+import json
+
+from click.testing import CliRunner
+
+from gypsumrouter.cli import main
+
+
+def make_line(time: str, instance: str, event: str, **fields: object) -> str:
+    return json.dumps({"time": time, "instance": instance, "event": event, **fields})
+
+
+LOG = "\n".join(
+    [
+        "  0.1 entry-1 " + make_line("t1", "entry-1", "upstream_health", upstream="i-1", healthy=0),
+        "  0.1 entry-1 " + make_line("t1", "entry-1", "upstream_health", upstream="i-9", healthy=0),
+        "no json at all",
+        make_line("t3", "entry-1", "request_ended", request_id="r1", upstream="i-1", status=502),
+        make_line("t2", "entry-1", "attempt_sent", request_id="r1", upstream="i-1"),
+        make_line("t2", "entry-1", "attempt_sent", request_id="r2", upstream="i-1"),
+        make_line("t2", "entry-2", "upstream_health", upstream="i-1", healthy=0),
+    ]
+)
+
+
+def test_a_story_is_in_order_with_what_its_router_believed_of_its_upstreams() -> None:
+    result = CliRunner().invoke(main, ["explain", "r1"], input=LOG)
+    assert result.exit_code == 0
+    assert [line.split()[2] for line in result.output.splitlines()] == [
+        "upstream_health",
+        "attempt_sent",
+        "request_ended",
+    ]
+    assert "status=502" in result.output
+    assert "i-9" not in result.output
+
+
+def test_a_request_that_no_line_names_is_an_error() -> None:
+    result = CliRunner().invoke(main, ["explain", "r7"], input=LOG)
+    assert result.exit_code == 1
+    assert "r7" in result.output
--- /dev/null
+++ b/tests/directory/test_directory_machine.py
@@ -0,0 +1,134 @@
+"""The list of upstreams under lapses, late news and peers with other views."""
+
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from gypsumrouter.const import Role
+from gypsumrouter.core import Application
+from gypsumrouter.directory import Directory, Entry, EntryState, Record
+from gypsumrouter.directory.directory import LAPSE_GRACE_MS
+from gypsumrouter.fleet.models import Address
+from gypsumrouter.journal import Journal
+from gypsumrouter.util.clock import ManualClock
+
+UPSTREAMS = st.sampled_from(["i-1", "i-2", "i-3"])
+RANK = {EntryState.READY: 0, EntryState.LEAVING: 1, EntryState.GONE: 2}
+
+
+def make_directory(clock: ManualClock) -> Directory:
+    app = Application(name="entry-1", role=Role.FORWARDER, data_centre="a", region="r", clock=clock)
+    return Directory(app=app, journal=Journal(app=app))
+
+
+def make_record(upstream: str, revision: int, state: EntryState = EntryState.READY) -> Record:
+    if state is EntryState.GONE:
+        return Record(revision=revision, entry=Entry(upstream=upstream, state=state))
+    address = Address(host="127.0.0.1", port=80)
+    entry = Entry(upstream=upstream, state=state, service="records", address=address)
+    return Record(revision=revision, entry=entry)
+
+
+def test_a_whole_list_ends_what_it_lacks() -> None:
+    directory = make_directory(ManualClock())
+    directory.replace_all([make_record("i-1", 1), make_record("i-2", 2)], revision=5, source="p")
+    directory.replace_all([make_record("i-1", 1)], revision=9, source="p")
+    gone = directory.get("i-2")
+    assert gone is not None
+    assert gone.state is EntryState.GONE
+
+
+def test_a_lapse_during_an_outage_ends_an_upstream_only_after_the_grace() -> None:
+    clock = ManualClock()
+    directory = make_directory(clock)
+    directory.merge(make_record("i-1", 1), source="p")
+    directory.note_outage()
+    directory.merge(make_record("i-1", 2, EntryState.GONE), source="p")
+    clock.advance(60_000)
+    directory.settle()
+    assert _state(directory, "i-1") is EntryState.READY
+    directory.note_return()
+    clock.advance(LAPSE_GRACE_MS - 1)
+    directory.settle()
+    assert _state(directory, "i-1") is EntryState.READY
+    clock.advance(1)
+    directory.settle()
+    assert _state(directory, "i-1") is EntryState.GONE
+
+
+def test_an_upstream_that_comes_back_within_the_grace_stays() -> None:
+    clock = ManualClock()
+    directory = make_directory(clock)
+    directory.merge(make_record("i-1", 1), source="p")
+    directory.note_outage()
+    directory.merge(make_record("i-1", 2, EntryState.GONE), source="p")
+    directory.note_return()
+    directory.merge(make_record("i-1", 3), source="p")
+    clock.advance(LAPSE_GRACE_MS)
+    directory.settle()
+    assert _state(directory, "i-1") is EntryState.READY
+
+
+def test_an_upstream_that_leaves_is_acted_on_at_once_also_in_an_outage() -> None:
+    directory = make_directory(ManualClock())
+    directory.merge(make_record("i-1", 1), source="p")
+    directory.note_outage()
+    directory.merge(make_record("i-1", 2, EntryState.LEAVING), source="entry-2")
+    assert _state(directory, "i-1") is EntryState.LEAVING
+
+
+def _state(directory: Directory, upstream: str) -> EntryState:
+    entry = directory.get(upstream)
+    assert entry is not None
+    return entry.state
+
+
+class DirectoryMachine(RuleBasedStateMachine):
+    """Entries arrive in any order; a state never goes back and old news change nothing."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = ManualClock()
+        self.directory = make_directory(self.clock)
+        self.worst: dict[str, int] = {}
+
+    @rule(
+        upstream=UPSTREAMS,
+        revision=st.integers(min_value=1, max_value=30),
+        state=st.sampled_from(list(EntryState)),
+    )
+    def merge(self, upstream: str, revision: int, state: EntryState) -> None:
+        """Take news from the store or a peer."""
+        known = {r.entry.upstream: r.revision for r in self.directory.records()}
+        changed = self.directory.merge(make_record(upstream, revision, state), source="p")
+        if known.get(upstream, 0) >= revision:
+            assert not changed
+
+    @rule()
+    def lose(self) -> None:
+        """Lose the store."""
+        self.directory.note_outage()
+
+    @rule(pause_ms=st.integers(min_value=0, max_value=2 * LAPSE_GRACE_MS))
+    def regain(self, pause_ms: int) -> None:
+        """Regain the store and let time pass."""
+        self.directory.note_return()
+        self.clock.advance(pause_ms)
+        self.directory.settle()
+
+    @invariant()
+    def leaving_is_final(self) -> None:
+        """An upstream that leaves never takes new work again."""
+        for record in self.directory.records():
+            rank = RANK[record.entry.state]
+            left = self.worst.get(record.entry.upstream, 0) == RANK[EntryState.LEAVING]
+            assert not (left and rank == RANK[EntryState.READY])
+            self.worst[record.entry.upstream] = rank
+
+
+TestDirectoryMachine = DirectoryMachine.TestCase
+TestDirectoryMachine.settings = settings(
+    max_examples=60, stateful_step_count=30, deadline=None, derandomize=True
+)
--- /dev/null
+++ b/tests/forwarding/test_forwarding_limits.py
@@ -0,0 +1,130 @@
+"""The retry budget, the trust in upstreams, and what a stopping router still takes."""
+
+from __future__ import annotations
+
+from gypsumrouter.const import Role
+from gypsumrouter.core import Application
+from gypsumrouter.forwarding.budget import CAUTION, RetryBudget
+from gypsumrouter.forwarding.const import LEAVING_MS
+from gypsumrouter.forwarding.health import DOWN_FIRST_MS, HealthBook
+from gypsumrouter.forwarding.leaving import Leaving
+from gypsumrouter.journal import Journal
+from gypsumrouter.util.clock import ManualClock
+
+WINDOW_MS = 10_000
+
+
+def make_budget(clock: ManualClock, *, routers: int = 1) -> RetryBudget:
+    budget = RetryBudget(clock=clock, ratio=0.2, slack=50, window_ms=WINDOW_MS)
+    budget.routers = routers
+    return budget
+
+
+def make_health(clock: ManualClock) -> HealthBook:
+    app = Application(
+        name="entry-1", role=Role.FORWARDER, data_centre="dc-a", region="r", clock=clock
+    )
+    return HealthBook(clock=clock, journal=Journal(app=app))
+
+
+def count_taken(budget: RetryBudget) -> int:
+    taken = 0
+    while budget.take("records"):
+        taken += 1
+    return taken
+
+
+def test_a_storm_of_failures_meets_the_budget() -> None:
+    """Every request fails and wants to be sent again; the fleet stays within ratio and slack."""
+    clock = ManualClock()
+    budgets = [make_budget(clock, routers=3) for _ in range(3)]
+    for budget in budgets:
+        for _ in range(100):
+            budget.note_request("records")
+    taken = sum(count_taken(budget) for budget in budgets)
+    assert taken <= CAUTION * (0.2 * 300 + 50)
+    assert taken >= 0.8 * CAUTION * (0.2 * 300 + 50)
+
+
+def test_the_budget_comes_back_when_its_window_has_passed() -> None:
+    clock = ManualClock()
+    budget = make_budget(clock)
+    first = count_taken(budget)
+    assert first > 0
+    clock.advance(WINDOW_MS - 1)
+    assert count_taken(budget) == 0
+    clock.advance(2)
+    assert count_taken(budget) == first
+
+
+def test_services_do_not_share_a_budget() -> None:
+    budget = make_budget(ManualClock())
+    count_taken(budget)
+    assert budget.take("models")
+
+
+def test_an_upstream_that_fails_half_of_its_requests_is_found_within_a_few() -> None:
+    health = make_health(ManualClock())
+    for _ in range(2):
+        health.note_good("a")
+        health.note_failed("a", reason="status 500")
+        health.note_good("b")
+    assert health.penalty_ms("a") > 500
+    assert health.penalty_ms("b") == 0
+
+
+def test_an_upstream_that_failed_is_tried_again_when_its_failures_are_old() -> None:
+    clock = ManualClock()
+    health = make_health(clock)
+    health.note_failed("a", reason="silent")
+    health.note_failed("a", reason="silent")
+    before = health.penalty_ms("a")
+    clock.advance(10_000)
+    assert health.penalty_ms("a") < before / 4
+
+
+def test_an_upstream_that_takes_no_connection_is_left_alone_for_longer_each_time() -> None:
+    clock = ManualClock()
+    health = make_health(clock)
+    health.note_unreachable("a", reason="refused")
+    assert health.is_down("a")
+    clock.advance(DOWN_FIRST_MS)
+    assert not health.is_down("a")
+    health.note_unreachable("a", reason="refused")
+    clock.advance(DOWN_FIRST_MS)
+    assert health.is_down("a")
+    health.note_good("a")
+    assert not health.is_down("a")
+
+
+def test_a_stopping_router_takes_everything_until_balancers_know() -> None:
+    clock = ManualClock()
+    leaving = Leaving(clock=clock, limit_ms=7_000)
+    assert leaving.admits(duration_ms=60_000)
+    leaving.begin()
+    clock.advance(LEAVING_MS - 1)
+    assert leaving.admits(duration_ms=60_000)
+    clock.advance(1)
+    assert not leaving.admits(duration_ms=1)
+
+
+def test_a_stopping_router_takes_what_ends_before_its_last_stream() -> None:
+    clock = ManualClock()
+    leaving = Leaving(clock=clock, limit_ms=7_000)
+    leaving.note_started(1, duration_ms=5_000)
+    leaving.begin()
+    clock.advance(LEAVING_MS)
+    assert leaving.admits(duration_ms=2_400)
+    assert not leaving.admits(duration_ms=2_401)
+    leaving.note_ended(1)
+    assert not leaving.admits(duration_ms=1)
+
+
+def test_a_stopping_router_takes_nothing_that_ends_after_its_own_end() -> None:
+    clock = ManualClock()
+    leaving = Leaving(clock=clock, limit_ms=7_000)
+    leaving.note_started(1, duration_ms=60_000)
+    leaving.begin()
+    clock.advance(LEAVING_MS)
+    assert leaving.admits(duration_ms=7_000 - LEAVING_MS)
+    assert not leaving.admits(duration_ms=7_001 - LEAVING_MS)
--- /dev/null
+++ b/tests/peers/test_peers_outbox.py
@@ -0,0 +1,38 @@
+"""What each peer is told once."""
+
+from __future__ import annotations
+
+from gypsumrouter.link import PlacedPart
+from gypsumrouter.peers.const import MAX_PLACED, MAX_TOLD
+from gypsumrouter.peers.outbox import Outbox
+
+
+def make_part(number: int) -> PlacedPart:
+    return PlacedPart(part=number, upstream="i-1")
+
+
+def test_a_peer_gets_each_part_once_and_in_order() -> None:
+    outbox = Outbox()
+    for number in range(3):
+        outbox.add_part(make_part(number))
+    parts, end = outbox.since(0)
+    assert [part.part for part in parts] == [0, 1, 2]
+    outbox.add_part(make_part(3))
+    parts, end = outbox.since(end)
+    assert [part.part for part in parts] == [3]
+    assert outbox.since(end) == ((), end)
+
+
+def test_a_peer_that_was_away_gets_what_is_kept_in_steps() -> None:
+    outbox = Outbox()
+    for number in range(MAX_PLACED + 50):
+        outbox.add_part(make_part(number))
+    told: list[int] = []
+    end = 0
+    while True:
+        parts, end = outbox.since(end)
+        if not parts:
+            break
+        assert len(parts) <= MAX_TOLD
+        told += [part.part for part in parts]
+    assert told == list(range(50, MAX_PLACED + 50))
--- /dev/null
+++ b/tests/platform/test_platform_wire.py
@@ -0,0 +1,135 @@
+"""The adapter: what it decodes, and that nobody else knows the names on the wire."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+import gypsumrouter
+from gypsumrouter.directory import EntryState
+from gypsumrouter.exceptions import ConfigurationInvalid, DocumentInvalid
+from gypsumrouter.fleet.models import Address
+from gypsumrouter.forwarding import CallerRequest, Sending
+from gypsumrouter.platform import decode_configuration, decode_entry, names
+from gypsumrouter.platform.requests import write_request
+from gypsumrouter.routing import RouteKind, Target
+
+PACKAGE = Path(gypsumrouter.__file__).parent
+WIRE_NAMES = (
+    names.STAMP,
+    names.PREFIX_PARTS,
+    names.TOKEN_USAGE,
+    names.EXPECT_INSTANCE,
+    names.NOT_RUN,
+    names.LOAD,
+    names.TENANT,
+    names.DEADLINE,
+    names.API_KEY,
+    names.FETCH_FROM,
+    names.KEY_CONFIGURATION,
+    names.CALL_WATCH,
+    names.CALL_RANGE,
+    names.CALL_HELD,
+)
+
+
+def test_no_other_module_names_the_wire() -> None:
+    found = [
+        f"{path.relative_to(PACKAGE)}: {name}"
+        for path in PACKAGE.rglob("*.py")
+        if path.parent.name != "platform"
+        for name in WIRE_NAMES
+        if f'"{name.lower()}' in path.read_text().lower()
+    ]
+    assert found == []
+
+
+def test_the_adapter_stays_small() -> None:
+    lines = sum(len(path.read_text().splitlines()) for path in (PACKAGE / "platform").glob("*.py"))
+    assert lines < 800
+
+
+def test_a_configuration_with_fields_of_the_future_is_read() -> None:
+    document = {
+        "version": 7,
+        "new": 1,
+        "routes": [
+            {
+                "name": "r",
+                "host": "h",
+                "prefix": "/a/",
+                "kind": "streaming",
+                "timeout_ms": 15000.0,
+                "target_latency_ms": 800,
+                "target_gap_ms": 250,
+                "priority": 1,
+                "split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+                "max_attempts": 2,
+                "resumable": True,
+                "sticky": True,
+            }
+        ],
+        "services": [{"name": "s", "max_connections": 9, "engine": {"slots": 64, "kv_tokens": 5}}],
+        "tenants": [{"name": "w", "api_keys": ["k"], "priority": 0}],
+        "limits": {"max_body_bytes": 10, "idle_timeout_ms": 15000},
+    }
+    read = decode_configuration(json.dumps(document).encode())
+    (route,) = read.routes
+    assert (read.version, route.kind, route.timeout_ms) == (7, RouteKind.STREAMING, 15_000)
+    assert route.targets == (Target(service="s", weight=90), Target(service="t", weight=10))
+    assert route.repeatable
+    assert read.services[0].engine is not None
+    assert read.workspaces[0].priority == 0
+    assert read.limits.max_body_bytes == 10
+
+
+@pytest.mark.parametrize("document", [b"", b"[]", b'{"version": "x"}', b'{"routes": []}'])
+def test_a_wrong_configuration_is_an_error(document: bytes) -> None:
+    with pytest.raises(ConfigurationInvalid):
+        decode_configuration(document)
+
+
+def test_an_entry_is_read_with_the_id_of_its_key() -> None:
+    value = b'{"service":"s","address":"10.1.0.9:8080","zone":"a","slots":4,"state":"draining"}'
+    entry = decode_entry(key="servers/i-1", value=value)
+    assert (entry.upstream, entry.state) == ("i-1", EntryState.LEAVING)
+    assert entry.address == Address(host="10.1.0.9", port=8080)
+    assert decode_entry(key="servers/i-1", value=None).state is EntryState.GONE
+    with pytest.raises(DocumentInvalid):
+        decode_entry(key="servers/i-1", value=b'{"service":"s"}')
+
+
+def test_a_request_is_written_with_what_the_system_adds() -> None:
+    request = CallerRequest(
+        request_id="r1",
+        method="POST",
+        host="api.example",
+        path="/a/b?c=d",
+        key="secret",
+        deadline_ms=900,
+        prompt=None,
+        last_event=None,
+        headers=(("X-Other", "x"),),
+        body=b"body",
+    )
+    sending = Sending(
+        upstream="i-1",
+        workspace="w",
+        deadline_ms=850,
+        priority=12,
+        last_event="7",
+        fetch_from=Address(host="10.0.0.1", port=8),
+    )
+    head, _, body = write_request(request=request, sending=sending).partition(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    assert lines[0] == "POST /a/b?c=d HTTP/1.1"
+    assert "X-Expect-Instance: i-1" in lines
+    assert "X-Deadline-Ms: 850" in lines
+    assert "X-Request-Priority: 9" in lines
+    assert "Last-Event-Id: 7" in lines
+    assert "Kv-Fetch: 10.0.0.1:8" in lines
+    assert "Content-Length: 4" in lines
+    assert b"secret" not in head
+    assert body == b"body"
