--- a/bench/processes.py
+++ b/bench/processes.py
@@ -115,10 +115,13 @@
 ) -> dict[str, Address]:
     if process.stdout is None:
         raise RuntimeError("the process has no standard output")
-    line = await asyncio.wait_for(process.stdout.readline(), ANNOUNCE_S)
-    if not line:
-        raise RuntimeError(f"{name} ended before it announced its addresses")
-    announced: dict[str, str] = json.loads(line)["addresses"]
+    announced: dict[str, str] | None = None
+    # A forwarder writes its journal to the same output.
+    while announced is None:
+        line = await asyncio.wait_for(process.stdout.readline(), ANNOUNCE_S)
+        if not line:
+            raise RuntimeError(f"{name} ended before it announced its addresses")
+        announced = json.loads(line).get("addresses")
     return {key: parse_address(value) for key, value in announced.items()}
 
 
--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,103 @@
+"""A randomized soak: real forwarders, stand-ins around them, and faults from outside."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Final
+
+import click
+
+from bench.soak_callers import Callers
+from bench.soak_checks import Violation, check_all
+from bench.soak_faults import Saboteur
+from bench.soak_rig import ENV_KEY, KEY, SoakRig
+
+DEFAULT_S: Final = 6.0
+CALM_S: Final = 3.0
+PROBES: Final = 40
+MS: Final = 1_000
+
+
+async def async_soak(*, seed: int, seconds: float, folder: Path) -> tuple[dict[str, object], bool]:
+    """Run one seed and return its figures, and whether every promise was kept."""
+    rig = SoakRig(folder=folder)
+    try:
+        await rig.async_start()
+        callers = Callers(rig=rig, seed=seed)
+        saboteur = Saboteur(rig=rig, seed=seed)
+        calling = asyncio.create_task(callers.async_run())
+        await saboteur.async_run(seconds=seconds)
+        await saboteur.async_heal()
+        await asyncio.sleep(CALM_S)
+        callers.stop()
+        await calling
+        recovered = await callers.async_probe(count=PROBES)
+        violations = check_all(
+            records=callers.records,
+            arrivals=rig.list_arrivals(),
+            journals=rig.read_journals(),
+            recovered=recovered / PROBES,
+        )
+    finally:
+        await rig.async_stop()
+    figures: dict[str, object] = {
+        "seed": seed,
+        "requests": len(callers.records),
+        "answered": sum(record.status == 200 and record.whole for record in callers.records),
+        "refused": sum(record.refused for record in callers.records),
+        "faults": saboteur.told,
+        "recovered": recovered,
+        "violations": [str(violation) for violation in violations],
+    }
+    _tell(violations, rig)
+    return figures, not violations
+
+
+def _tell(violations: list[Violation], rig: SoakRig) -> None:
+    """Print the whole story of each request that a promise was broken for."""
+    for violation in violations:
+        click.echo(f"VIOLATION {violation}")
+        for line in rig.read_journals():
+            if violation.request_id and line.get("request_id") == violation.request_id:
+                click.echo(f"    {json.dumps(line)}")
+
+
+@click.command()
+@click.option("--seed", type=int, default=None, help="Run this seed alone.")
+@click.option("--seeds", type=int, default=1, help="Run so many seeds, one after the other.")
+@click.option("--minutes", type=float, default=0.0, help="Run fresh seeds for so long.")
+@click.option("--seconds", type=float, default=DEFAULT_S, help="How long faults last in a seed.")
+def soak_command(seed: int | None, seeds: int, minutes: float, seconds: float) -> None:
+    """Run seeds; the last line is one JSON object, the exit code tells of broken promises."""
+    first = int(time.time()) % 1_000_000 if minutes else 1
+    chosen = [seed] if seed is not None else list(range(first, first + seeds))
+    ends = time.monotonic() + 60 * minutes
+    runs: list[dict[str, object]] = []
+    good = True
+    while chosen or time.monotonic() < ends:
+        number = chosen.pop(0) if chosen else first + len(runs)
+        with tempfile.TemporaryDirectory() as folder:
+            figures, kept = asyncio.run(
+                async_soak(seed=number, seconds=seconds, folder=Path(folder))
+            )
+        click.echo(json.dumps(figures))
+        runs.append(figures)
+        good = good and kept
+    click.echo(json.dumps({"seeds": len(runs), "kept": good}))
+    sys.exit(0 if good else 1)
+
+
+def main(argv: list[str]) -> int:
+    """Run the command line and return its exit code."""
+    os.environ[ENV_KEY] = KEY
+    try:
+        soak_command.main(args=argv, prog_name="python -m bench soak")
+    except SystemExit as ended:
+        return int(ended.code or 0)
+    return 0
--- /dev/null
+++ b/bench/soak_callers.py
@@ -0,0 +1,141 @@
+"""Callers of the soak: they keep connections, come back as told, and record what they saw."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+from typing import Final
+
+import aiohttp
+
+from bench.soak_rig import CALLER_KEY, EVENTS, FORWARDERS, HOST, SoakRig
+
+CALLERS: Final = 12
+PAUSE_MS: Final = 25
+DEADLINE_MS: Final = 2_000
+PROMISES: Final = frozenset({408, 421, 429, 503})
+KINDS: Final = ("lookup", "reserve", "draft", "quote")
+REPEATABLE: Final = frozenset({"lookup", "quote"})
+MS_PER_S: Final = 1_000
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CallRecord:
+    """One request as its caller saw it; `status` is 0 where no answer came."""
+
+    request_id: str
+    kind: str
+    path: str
+    status: int = 0
+    body: bytes = b""
+    whole: bool = False
+    own: bool = False
+
+    @property
+    def refused(self) -> bool:
+        """Return whether the caller was promised that the request did not run."""
+        return self.status in PROMISES
+
+    @property
+    def streamed(self) -> bool:
+        """Return whether the answer is a series of events."""
+        return self.kind in {"draft", "quote"}
+
+
+class Callers:
+    """A fixed number of callers, each with one request at a time."""
+
+    def __init__(self, *, rig: SoakRig, seed: int) -> None:
+        self._rig = rig
+        self._seed = seed
+        self._stopping = asyncio.Event()
+        self._numbers = 0
+        self.records: list[CallRecord] = []
+
+    def stop(self) -> None:
+        """Let each caller end after its request."""
+        self._stopping.set()
+
+    async def async_run(self) -> None:
+        """Call until stopped."""
+        await asyncio.gather(*(self._async_call_on(number) for number in range(CALLERS)))
+
+    async def async_probe(self, *, count: int) -> int:
+        """Send requests after all trouble and return how many were answered."""
+        async with _make_session() as session:
+            records = [
+                await self._async_call(session, number % FORWARDERS, "lookup")
+                for number in range(count)
+            ]
+        return sum(record.status == 200 for record in records)
+
+    async def _async_call_on(self, caller: int) -> None:
+        rng = random.Random(f"{self._seed}/{caller}")
+        async with _make_session() as session:
+            while not self._stopping.is_set():
+                kind = rng.choice(KINDS)
+                self.records.append(
+                    await self._async_call(session, rng.randrange(FORWARDERS), kind)
+                )
+                await asyncio.sleep(rng.uniform(0, 2 * PAUSE_MS) / MS_PER_S)
+
+    async def _async_call(
+        self, session: aiohttp.ClientSession, forwarder: int, kind: str
+    ) -> CallRecord:
+        self._numbers += 1
+        request_id = f"{self._seed}-{self._numbers}"
+        path = f"/{kind}/{request_id}"
+        record = CallRecord(request_id=request_id, kind=kind, path=path)
+        headers = {
+            "Host": HOST,
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": str(DEADLINE_MS),
+            "Api-Key": CALLER_KEY,
+        }
+        if record.streamed:
+            headers |= {
+                "X-Token-Usage": "1400,60",
+                "X-Model": "m",
+                "X-Prefix-Hash": f"a1:800,b{self._numbers % 5}:400,{self._numbers:x}:200",
+            }
+        method = "GET" if kind == "lookup" else "POST"
+        body = None if method == "GET" else b"a body of some bytes"
+        try:
+            async with (
+                asyncio.timeout(2 * DEADLINE_MS / MS_PER_S),
+                session.request(
+                    method, self._rig.url(forwarder, path), headers=headers, data=body
+                ) as answer,
+            ):
+                return CallRecord(
+                    request_id=request_id,
+                    kind=kind,
+                    path=path,
+                    status=answer.status,
+                    body=await answer.read(),
+                    whole=True,
+                    own=answer.headers.get("X-Request-Id") == request_id,
+                )
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return record
+
+
+def _make_session() -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=10)
+    return aiohttp.ClientSession(connector=connector, middlewares=(_never_again,))
+
+
+async def _never_again(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Keep the library from sending a request twice by itself."""
+    try:
+        return await handler(request)
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise aiohttp.ClientPayloadError(str(error)) from error
+
+
+def make_stream() -> bytes:
+    """Return the whole stream of a sound runner."""
+    return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
--- /dev/null
+++ b/bench/soak_checks.py
@@ -0,0 +1,98 @@
+"""The promises that the soak checks, from what callers and runners saw."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+from typing import Any, Final
+
+from bench.soak_callers import REPEATABLE, CallRecord, make_stream
+from bench.soak_rig import WORKSPACE
+from gypsumrouter.platform import names
+from gypsumrouter.standins.platform_runner import Arrival
+
+MIN_RECOVERED: Final = 0.9
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Violation:
+    """A promise that was not kept."""
+
+    promise: str
+    request_id: str = ""
+    detail: str = ""
+
+    def __str__(self) -> str:
+        return f"{self.promise} {self.request_id} {self.detail}".strip()
+
+
+def check_all(
+    *,
+    records: Sequence[CallRecord],
+    arrivals: Sequence[Arrival],
+    journals: Sequence[dict[str, Any]],
+    recovered: float,
+) -> list[Violation]:
+    """Return every violation."""
+    found = [
+        *check_runs(records, arrivals),
+        *check_answers(records),
+        *check_arrivals(records, arrivals),
+        *check_versions(journals),
+    ]
+    if recovered < MIN_RECOVERED:
+        found.append(Violation(promise="not recovered", detail=f"{recovered:.2f} answered"))
+    return found
+
+
+def check_runs(records: Sequence[CallRecord], arrivals: Sequence[Arrival]) -> Iterator[Violation]:
+    """Check that nothing ran twice that must not, nor what was said not to have run."""
+    runs = Counter(arrival.request_id for arrival in arrivals if arrival.ran)
+    for record in records:
+        if record.kind in REPEATABLE:
+            continue
+        ran = runs[record.request_id]
+        if ran > 1:
+            yield Violation(promise="ran twice", request_id=record.request_id, detail=f"{ran} runs")
+        if record.refused and ran:
+            yield Violation(promise="ran though refused", request_id=record.request_id)
+
+
+def check_answers(records: Sequence[CallRecord]) -> Iterator[Violation]:
+    """Check that each success is the whole answer to its own request."""
+    for record in records:
+        if record.status != 200 or not record.whole:
+            continue
+        if not record.own:
+            yield Violation(promise="another's answer", request_id=record.request_id)
+        elif record.streamed and record.body != make_stream():
+            detail = f"{len(record.body)} bytes"
+            yield Violation(promise="torn stream", request_id=record.request_id, detail=detail)
+        elif not record.streamed and not record.body.endswith(record.path.encode()):
+            yield Violation(promise="another's body", request_id=record.request_id)
+
+
+def check_arrivals(
+    records: Sequence[CallRecord], arrivals: Sequence[Arrival]
+) -> Iterator[Violation]:
+    """Check that runners see only what callers sent, under their workspace, without their key."""
+    paths = {record.request_id: record.path for record in records}
+    for arrival in arrivals:
+        if arrival.request_id in paths and arrival.path != paths[arrival.request_id]:
+            yield Violation(promise="changed path", request_id=arrival.request_id)
+        if names.API_KEY in arrival.headers:
+            yield Violation(promise="key passed on", request_id=arrival.request_id)
+        if arrival.headers.get(names.TENANT) != WORKSPACE:
+            yield Violation(promise="wrong workspace", request_id=arrival.request_id)
+
+
+def check_versions(journals: Sequence[dict[str, Any]]) -> Iterator[Violation]:
+    """Check that no incarnation went back to an older configuration."""
+    for line in journals:
+        if line.get("event") != "configuration_accepted":
+            continue
+        if line["version"] <= line["previous"]:
+            yield Violation(
+                promise="version went back", detail=f"{line['previous']} to {line['version']}"
+            )
--- /dev/null
+++ b/bench/soak_faults.py
@@ -0,0 +1,164 @@
+"""Faults from outside, in series and overlapping, drawn from a seed."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from bench.soak_rig import FORWARDERS, RUNNERS, SoakRig
+from gypsumrouter.standins import BOTH_WAYS, RunnerTrouble, StoreTrouble, Way
+
+MIN_GAP_S: Final = 0.05
+MAX_GAP_S: Final = 0.4
+MAX_FAULT_S: Final = 1.5
+DELAY_MS: Final = 60
+RUNNER_TROUBLES: Final = (
+    RunnerTrouble.SHED,
+    RunnerTrouble.ERROR,
+    RunnerTrouble.RESET,
+    RunnerTrouble.HANG,
+    RunnerTrouble.BREAK_STREAM,
+    RunnerTrouble.STRANGER_FIRST,
+    RunnerTrouble.FALSE_PROMISE,
+)
+
+Fault = Callable[[], Awaitable[None]]
+
+
+class Saboteur:
+    """Draws faults and heals them; each fault is a task of its own."""
+
+    def __init__(self, *, rig: SoakRig, seed: int) -> None:
+        self._rig = rig
+        self._rng = random.Random(seed)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._busy: set[int] = set()
+        self._told: Counter[str] = Counter()
+        self._faults: dict[str, Fault] = {
+            "kill": self._async_kill,
+            "stop": self._async_stop,
+            "freeze": self._async_freeze,
+            "reload": self._async_reload,
+            "store": self._async_store,
+            "store_path": self._async_store_path,
+            "runner": self._async_runner,
+            "runner_path": self._async_runner_path,
+            "replace": self._async_replace,
+            "configure": self._rig.async_configure,
+        }
+
+    @property
+    def told(self) -> dict[str, int]:
+        """Return how often each fault was made."""
+        return dict(self._told)
+
+    async def async_run(self, *, seconds: float) -> None:
+        """Make faults for a time."""
+        ends = time.monotonic() + seconds
+        while time.monotonic() < ends:
+            name = self._rng.choice(tuple(self._faults))
+            self._told[name] += 1
+            task = asyncio.create_task(self._async_guard(name), name=f"fault {name}")
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(self._rng.uniform(MIN_GAP_S, MAX_GAP_S))
+
+    async def async_heal(self) -> None:
+        """Wait until each fault has healed."""
+        await asyncio.gather(*self._tasks)
+
+    async def _async_guard(self, name: str) -> None:
+        await self._faults[name]()
+
+    def _take_forwarder(self) -> int | None:
+        """Return a forwarder that no other fault has in hand."""
+        free = [number for number in range(FORWARDERS) if number not in self._busy]
+        if not free:
+            return None
+        number = self._rng.choice(free)
+        self._busy.add(number)
+        return number
+
+    async def _async_kill(self) -> None:
+        await self._async_restart(signal.SIGKILL)
+
+    async def _async_stop(self) -> None:
+        await self._async_restart(signal.SIGTERM)
+
+    async def _async_restart(self, how: signal.Signals) -> None:
+        number = self._take_forwarder()
+        if number is None:
+            return
+        await self._rig.async_end_forwarder(number, how)
+        await asyncio.sleep(self._rng.uniform(0, 0.5))
+        await self._rig.async_start_forwarder(number)
+        self._busy.discard(number)
+
+    async def _async_freeze(self) -> None:
+        number = self._take_forwarder()
+        if number is None:
+            return
+        process = self._rig.forwarders[number]
+        if process is not None:
+            process.send_signal(signal.SIGSTOP)
+            await self._async_last()
+            process.send_signal(signal.SIGCONT)
+        self._busy.discard(number)
+
+    async def _async_reload(self) -> None:
+        number = self._take_forwarder()
+        if number is None:
+            return
+        process = self._rig.forwarders[number]
+        if process is not None:
+            process.send_signal(signal.SIGHUP)
+        self._busy.discard(number)
+
+    async def _async_store(self) -> None:
+        trouble = self._rng.choice((StoreTrouble.BUSY, StoreTrouble.RESET, StoreTrouble.SILENT))
+        await self._rig.store.async_fail(trouble)
+        await self._async_last()
+        if self._rng.random() < 0.3:
+            self._rig.store.forget_history()
+        await self._rig.store.async_fail(StoreTrouble.NONE)
+
+    async def _async_store_path(self) -> None:
+        proxy = self._rng.choice(self._rig.store_proxies)
+        if self._rng.random() < 0.5:
+            proxy.silence(ways=self._draw_ways())
+        else:
+            proxy.cut()
+
+    async def _async_runner(self) -> None:
+        service = self._rng.choice(tuple(self._rig.runners))
+        runner = self._rng.choice(self._rig.runners[service])
+        runner.always = self._rng.choice(RUNNER_TROUBLES)
+        await self._async_last()
+        runner.always = RunnerTrouble.NONE
+
+    async def _async_runner_path(self) -> None:
+        proxy = self._rng.choice(self._rig.runner_proxies)
+        draw = self._rng.random()
+        if draw < 0.4:
+            proxy.cut()
+        elif draw < 0.7:
+            proxy.silence(ways=self._draw_ways())
+        else:
+            proxy.set_delay(DELAY_MS)
+            await self._async_last()
+            proxy.set_delay(0)
+
+    async def _async_replace(self) -> None:
+        service = self._rng.choice(tuple(self._rig.runners))
+        await self._rig.async_replace_runner(service, self._rng.randrange(RUNNERS))
+
+    def _draw_ways(self) -> tuple[Way, ...]:
+        return self._rng.choice((tuple(BOTH_WAYS), (Way.FORWARD,), (Way.BACK,)))
+
+    async def _async_last(self) -> None:
+        await asyncio.sleep(self._rng.uniform(0.1, MAX_FAULT_S))
--- /dev/null
+++ b/bench/soak_rig.py
@@ -0,0 +1,197 @@
+"""The soak's rig: forwarders as processes, stand-ins and fault proxies around them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any, Final
+
+from bench.processes import DaemonProcess, async_start_daemon
+from gypsumrouter.const import Role
+from gypsumrouter.fleet.models import Address
+from gypsumrouter.standins import FaultProxy, PlatformRunner, PublishedStoreStandin
+from gypsumrouter.standins.platform_runner import Arrival
+
+ENV_KEY: Final = "GYPSUMROUTER_LINK_KEY"
+KEY: Final = "the key of the soak's links"
+CALLER_KEY: Final = "key-of-plant"
+WORKSPACE: Final = "plant"
+HOST: Final = "api.example"
+FORWARDERS: Final = 3
+RUNNERS: Final = 3
+EVENTS: Final = 12
+
+
+class SoakRig:
+    """Starts, kills and restarts forwarders by their own ids, always on the same ports."""
+
+    def __init__(self, *, folder: Path) -> None:
+        self._folder = folder
+        self.store = PublishedStoreStandin()
+        self.store_proxies: list[FaultProxy] = []
+        self.runners: dict[str, list[PlatformRunner]] = {
+            service: [
+                PlatformRunner(name=f"i-{service}-{number}", events=EVENTS)
+                for number in range(RUNNERS)
+            ]
+            for service in ("records", "models")
+        }
+        self.runner_proxies: list[FaultProxy] = []
+        self.forwarders: list[DaemonProcess | None] = [None] * FORWARDERS
+        self._ports = [_find_ports() for _ in range(FORWARDERS)]
+        self._runner_addresses: dict[str, Address] = {}
+        self._retired: list[PlatformRunner] = []
+        self.version = 1
+
+    async def async_start(self) -> None:
+        """Start everything and wait until all forwarders are ready."""
+        address = await self.store.async_start()
+        for _ in range(FORWARDERS):
+            proxy = FaultProxy(target=address)
+            await proxy.async_start()
+            self.store_proxies.append(proxy)
+        for service, runners in self.runners.items():
+            for runner in runners:
+                await self.async_add_runner(service, runner)
+        await self.async_configure()
+        await asyncio.gather(*(self.async_start_forwarder(n) for n in range(FORWARDERS)))
+
+    async def async_add_runner(self, service: str, runner: PlatformRunner) -> None:
+        """Start a runner behind a proxy and list it."""
+        proxy = FaultProxy(target=await runner.async_start())
+        self._runner_addresses[runner.name] = await proxy.async_start()
+        self.runner_proxies.append(proxy)
+        await self.async_list_runner(service, runner, state="ready")
+
+    async def async_list_runner(self, service: str, runner: PlatformRunner, *, state: str) -> None:
+        """Write a runner's entry."""
+        address = self._runner_addresses[runner.name]
+        await self.store.async_put_runner(
+            runner.name, service=service, address=address, state=state, slots=6
+        )
+
+    async def async_replace_runner(self, service: str, place: int) -> None:
+        """Let a new runner take a place; the old one leaves and answers what it has."""
+        old = self.runners[service][place]
+        new = PlatformRunner(name=f"{old.name}x", events=EVENTS)
+        self.runners[service][place] = new
+        self._retired.append(old)
+        await self.async_add_runner(service, new)
+        await self.async_list_runner(service, old, state="draining")
+
+    async def async_configure(self) -> None:
+        """Publish the next version of the configuration."""
+        self.version += 1
+        kinds = {"lookup": "idempotent", "reserve": "non_idempotent"}
+        routes = [_make_route(name, kind, "records") for name, kind in kinds.items()]
+        routes.append(_make_route("draft", "streaming", "models"))
+        routes.append(_make_route("quote", "streaming", "models", resumable=True))
+        await self.store.async_put_configuration(
+            {
+                "version": self.version,
+                "routes": routes,
+                "services": [{"name": "records"}, {"name": "models", "engine": {"slots": 64}}],
+                "tenants": [{"name": WORKSPACE, "api_keys": [CALLER_KEY]}],
+            }
+        )
+
+    async def async_start_forwarder(self, number: int) -> None:
+        """Start a forwarder on its ports."""
+        callers, link = self._ports[number]
+        settings = {
+            "instance": {"name": f"entry-{number}", "data_centre": "dc-a", "region": "r"},
+            "callers": f"127.0.0.1:{callers}",
+            "link_address": f"127.0.0.1:{link}",
+            "link": {"key_env": ENV_KEY},
+            "seeds": [f"127.0.0.1:{other}" for _, other in self._ports],
+            "store": str(self.store_proxies[number].address),
+            "bounds": {"stop_ms": 4_000},
+            "log": {"format": "json"},
+        }
+        process = await async_start_daemon(
+            role=Role.FORWARDER, settings=settings, folder=self._folder
+        )
+        self.forwarders[number] = process
+        journal = self._folder / f"journal-{number}.log"
+        asyncio.create_task(_async_copy(process, journal), name=f"journal {number}")
+
+    async def async_end_forwarder(self, number: int, how: signal.Signals) -> None:
+        """Send a signal that ends a forwarder and wait for its end."""
+        process, self.forwarders[number] = self.forwarders[number], None
+        if process is None or process.process.returncode is not None:
+            return
+        process.send_signal(how)
+        await process.process.wait()
+
+    def url(self, number: int, path: str) -> str:
+        """Return the address of a path at a forwarder."""
+        return f"http://127.0.0.1:{self._ports[number][0]}{path}"
+
+    def list_arrivals(self) -> list[Arrival]:
+        """Return everything that arrived at any runner."""
+        every = [*self._retired, *(r for runners in self.runners.values() for r in runners)]
+        return [arrival for runner in every for arrival in runner.arrivals]
+
+    def read_journals(self) -> list[dict[str, Any]]:
+        """Return the lines of all forwarders."""
+        lines: list[dict[str, Any]] = []
+        for path in sorted(self._folder.glob("journal-*.log")):
+            for text in path.read_text(errors="replace").splitlines():
+                try:
+                    lines.append(json.loads(text))
+                except ValueError:
+                    # A process that is killed may leave half a line.
+                    continue
+        return lines
+
+    async def async_stop(self) -> None:
+        """End what this rig started, by its ids."""
+        for number in range(FORWARDERS):
+            await self.async_end_forwarder(number, signal.SIGKILL)
+        for proxy in (*self.store_proxies, *self.runner_proxies):
+            await proxy.async_stop()
+        for runner in (*self._retired, *(r for rs in self.runners.values() for r in rs)):
+            await runner.async_stop()
+        await self.store.async_stop()
+
+
+def _make_route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "service": service,
+        "timeout_ms": 2_500,
+        "target_latency_ms": 150,
+        "target_gap_ms": 150,
+        "max_attempts": 2,
+        **more,
+    }
+
+
+def _find_ports() -> tuple[int, int]:
+    """Return two free ports; they are bound again at once by the process that gets them."""
+    with socket.socket() as first, socket.socket() as second:
+        first.bind(("127.0.0.1", 0))
+        second.bind(("127.0.0.1", 0))
+        return first.getsockname()[1], second.getsockname()[1]
+
+
+async def _async_copy(process: DaemonProcess, journal: Path) -> None:
+    """Copy what a process writes, so that its pipe never fills."""
+    stdout = process.process.stdout
+    if stdout is None:
+        return
+    with journal.open("ab") as file:
+        while line := await stdout.readline():
+            file.write(line)
+
+
+if sys.platform != "linux":
+    raise SystemExit(f"the soak needs Linux, not {os.name}")
--- /dev/null
+++ b/tests/bench/test_bench_soak.py
@@ -0,0 +1,102 @@
+"""Each check of the soak fails on a doctored record, and a short seeded soak keeps all promises."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import pytest
+from multidict import CIMultiDict
+
+from bench.soak import async_soak
+from bench.soak_callers import CallRecord, make_stream
+from bench.soak_checks import check_all
+from bench.soak_rig import ENV_KEY, KEY, WORKSPACE
+from gypsumrouter.standins.platform_runner import Arrival
+
+
+def make_record(kind: str = "reserve", **more: object) -> CallRecord:
+    values: dict[str, object] = {
+        "request_id": "r1",
+        "kind": kind,
+        "path": f"/{kind}/r1",
+        "status": 200,
+        "body": make_stream() if kind in {"draft", "quote"} else f"i-1 /{kind}/r1".encode(),
+        "whole": True,
+        "own": True,
+        **more,
+    }
+    return CallRecord(**values)  # type: ignore[arg-type]
+
+
+def make_arrival(**more: object) -> Arrival:
+    values: dict[str, object] = {
+        "request_id": "r1",
+        "method": "POST",
+        "path": "/reserve/r1",
+        "headers": CIMultiDict({"X-Tenant": WORKSPACE}),
+        "body": b"",
+        "ran": True,
+        **more,
+    }
+    return Arrival(**values)  # type: ignore[arg-type]
+
+
+def find(
+    record: CallRecord,
+    *arrivals: Arrival,
+    journals: tuple[dict[str, object], ...] = (),
+    recovered: float = 1.0,
+) -> list[str]:
+    violations = check_all(
+        records=[record], arrivals=arrivals, journals=journals, recovered=recovered
+    )
+    return [violation.promise for violation in violations]
+
+
+def test_a_sound_record_breaks_no_promise() -> None:
+    assert find(make_record(), make_arrival()) == []
+    assert find(make_record("draft"), make_arrival(path="/draft/r1")) == []
+
+
+def test_a_second_run_is_found_unless_it_may_be_repeated() -> None:
+    assert find(make_record(), make_arrival(), make_arrival()) == ["ran twice"]
+    lookup = make_arrival(path="/lookup/r1")
+    assert find(make_record("lookup"), lookup, lookup) == []
+
+
+def test_a_refusal_of_what_ran_is_found() -> None:
+    assert find(make_record(status=503), make_arrival()) == ["ran though refused"]
+    assert find(make_record(status=503), make_arrival(ran=False)) == []
+
+
+def test_answers_of_others_and_torn_streams_are_found() -> None:
+    assert find(make_record(own=False), make_arrival()) == ["another's answer"]
+    assert find(make_record(body=b"i-1 /reserve/r2"), make_arrival()) == ["another's body"]
+    torn = make_record("draft", body=make_stream()[:-20])
+    assert find(torn, make_arrival(path="/draft/r1")) == ["torn stream"]
+    doubled = make_record("draft", body=make_stream() + b"id: 12\ndata: piece 12\n\n")
+    assert find(doubled, make_arrival(path="/draft/r1")) == ["torn stream"]
+
+
+def test_what_runners_must_not_see_is_found() -> None:
+    assert find(make_record(), make_arrival(path="/reserve/r2")) == ["changed path"]
+    keyed = make_arrival(headers=CIMultiDict({"X-Tenant": WORKSPACE, "Api-Key": "k"}))
+    assert find(make_record(), keyed) == ["key passed on"]
+    assert find(make_record(), make_arrival(headers=CIMultiDict())) == ["wrong workspace"]
+
+
+def test_a_version_that_goes_back_and_a_fleet_that_stays_down_are_found() -> None:
+    line = {"event": "configuration_accepted", "version": 3, "previous": 4}
+    assert find(make_record(), make_arrival(), journals=(line,)) == ["version went back"]
+    assert find(make_record(), make_arrival(), recovered=0.5) == ["not recovered"]
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+async def test_a_short_soak_keeps_every_promise(
+    seed: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setitem(os.environ, ENV_KEY, KEY)
+    figures, kept = await async_soak(seed=seed, seconds=4.0, folder=tmp_path)
+    assert kept, figures["violations"]
+    assert figures["answered"]
