--- a/gypsumrouter/published/follower.py
+++ b/gypsumrouter/published/follower.py
@@ -18,8 +18,8 @@
 # 30 routers with 2.5 s spent 0.068 of a day's worth on calls.
 MAX_WATCH_MS: Final = 15_000
 PEERS_PER_WATCH: Final = 4
-# Changes come in bursts, and each one that ends a watch is a call of every router: with 30 of them a
-# pause after a change, well within the published bounds, lets the next watch bring several.
+# Changes come in bursts, and each one that ends a watch is a call of every router: with 30 of them
+# a pause after a change, well within the published bounds, lets the next watch bring several.
 PAUSE_MS_PER_PEER: Final = 25
 MAX_PAUSE_MS: Final = 750
 BACKOFF_FIRST_MS: Final = 60
