A failure weighs as much as the work that it loses

Cause: with 1,500 ms and little evidence a single failure moved all prompts of an engine away, by copies, for 15 s; on the grown sites each router sees 0.4 answers a second of an engine.

--- a/gypsumrouter/forwarding/health.py
+++ b/gypsumrouter/forwarding/health.py
@@ -15,10 +15,12 @@
 # Evidence halves in this time: an upstream that failed two of four requests is tried again with
 # few requests after about six seconds.
 HALF_LIFE_MS: Final = 2_500
-# What a certain failure costs: about a whole stream's time.
-FAILURE_MS: Final = 1_500.0
+# What a certain failure costs, in the engine's time that placement weighs: a lost stream is worth
+# reading some 7,000 tokens, 90 ms; the double of it, since one failure announces others. With
+# 1,500 ms a single failure moved an engine's prompts away, by copies, for 15 s.
+FAILURE_MS: Final = 200.0
 # Before this much evidence an upstream counts as sound in part.
-PRIOR: Final = 1.0
+PRIOR: Final = 2.0
 UNHEALTHY_SHARE: Final = 0.25
 # An upstream that takes no connection is left alone for this long, doubled with each further try.
 DOWN_FIRST_MS: Final = 300
