Newcomer's read: a request's story apart from its way, one parse of addresses, no unused load

Change: forwarding/story.py; bench uses fleet.models.parse_address; the reported load and two names are gone; the wiring is bootstrap_forwarder.py. Conclusion: no change of behaviour.

--- a/bench/probe_host.py
+++ b/bench/probe_host.py
@@ -10,10 +10,9 @@
 from typing import Any, Final
 
 from bench.child import Child, Command, async_serve
-from bench.processes import parse_address
 from gypsumrouter.bootstrap import ADDRESS_LINK, async_setup
 from gypsumrouter.const import MS_PER_S, Role
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.fleet.models import Address, parse_address
 from gypsumrouter.helpers.settings_file import check_linked_settings
 from gypsumrouter.service import settle_process
 
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -13,7 +13,7 @@
 from typing import Any, Final
 
 from gypsumrouter.const import ENV_IO_URING, IO_URING_OFF, Role
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.fleet.models import Address, parse_address
 
 TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
 KIB: Final = 1024
@@ -125,12 +125,6 @@
     return {key: parse_address(value) for key, value in announced.items()}
 
 
-def parse_address(text: str) -> Address:
-    """Return an address written as `host:port`."""
-    host, _, port = text.rpartition(":")
-    return Address(host=host.strip("[]"), port=int(port))
-
-
 def read_usage(pid: int) -> Usage:
     """Return the processor time and memory of a process of this machine."""
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
--- a/gypsumrouter/daemon.py
+++ b/gypsumrouter/daemon.py
@@ -127,7 +127,7 @@
 @_ANNOUNCE
 def run_forwarder(path: Path, announce: bool) -> None:
     """Run a router that reaches upstreams itself, where they have no side."""
-    from gypsumrouter.forwarder import async_setup_forwarder
+    from gypsumrouter.bootstrap_forwarder import async_setup_forwarder
 
     settings = cast(ForwarderSettings, load_settings(role=Role.FORWARDER, path=path))
     setup = partial(async_setup_forwarder, settings=settings, settings_path=path)
--- a/gypsumrouter/forwarding/__init__.py
+++ b/gypsumrouter/forwarding/__init__.py
@@ -9,7 +9,6 @@
     Dialect,
     Prompt,
     PromptPart,
-    ReportedLoad,
     Sending,
 )
 
@@ -20,6 +19,5 @@
     "Forwarder",
     "Prompt",
     "PromptPart",
-    "ReportedLoad",
     "Sending",
 ]
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -27,6 +27,7 @@
 from gypsumrouter.forwarding.models import CallerRequest
 from gypsumrouter.forwarding.relay import CallerGone
 from gypsumrouter.forwarding.run import Progress, RequestRun, RunParts
+from gypsumrouter.forwarding.story import RequestStory
 from gypsumrouter.helpers.logs import set_request_id
 from gypsumrouter.journal import RequestEnded, RequestRefused
 from gypsumrouter.outcomes import Reason
@@ -177,16 +178,24 @@
         progress = Progress(
             arrived_ms=arrived_ms, deadline_at_ms=arrived_ms + _get_time_ms(read, route)
         )
+        service = choose_service(read, route)
+        story = RequestStory(
+            journal=self._parts.journal,
+            request=read,
+            routed=routed,
+            service=service,
+            configuration=self._routing.version,
+            list_revision=self._directory.revision,
+        )
         run = RequestRun(
             parts=self._parts,
             request=read,
             routed=routed,
-            service=choose_service(read, route),
+            service=service,
             web_request=request,
             progress=progress,
             closes=self._leaving.leaving,
-            configuration=self._routing.version,
-            list_revision=self._directory.revision,
+            story=story,
         )
         status = 0
         try:
--- a/gypsumrouter/forwarding/models.py
+++ b/gypsumrouter/forwarding/models.py
@@ -79,15 +79,6 @@
     fetch_from: Address | None = None
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class ReportedLoad:
-    """What an upstream says of itself in an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclass(slots=True, kw_only=True, frozen=True)
 class AnswerFacts:
     """What the head of an answer says apart from its status.
@@ -99,7 +90,6 @@
     request_id: str | None
     signed: bool
     not_run: bool
-    load: ReportedLoad | None
     encoded: bool
     events: bool
     keep_ms: int | None
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -30,22 +30,15 @@
     Lost,
     NotReached,
     Outcome,
-    Prompt,
     Sending,
     TurnedAway,
     Whole,
 )
 from gypsumrouter.forwarding.placer import Placed, Placer
 from gypsumrouter.forwarding.relay import Relay, RelayEnd
+from gypsumrouter.forwarding.story import RequestStory
 from gypsumrouter.forwarding.suspects import Suspects, make_digest
-from gypsumrouter.journal import (
-    AttemptEnded,
-    AttemptSent,
-    Journal,
-    RequestPlaced,
-    RequestRefused,
-    StreamResumed,
-)
+from gypsumrouter.journal import Journal
 from gypsumrouter.outcomes import Reason
 from gypsumrouter.routing import Routed
 
@@ -92,14 +85,13 @@
     """One request of one caller."""
 
     __slots__ = (
-        "_configuration",
         "_digest",
-        "_list_revision",
         "_parts",
         "_relay",
         "_request",
         "_routed",
         "_service",
+        "_story",
         "_web_request",
         "progress",
     )
@@ -114,16 +106,14 @@
         web_request: web.BaseRequest,
         progress: Progress,
         closes: bool,
-        configuration: int,
-        list_revision: int,
+        story: RequestStory,
     ) -> None:
         self._parts = parts
         self._request = request
         self._routed = routed
         self._service = service
         self._web_request = web_request
-        self._configuration = configuration
-        self._list_revision = list_revision
+        self._story = story
         self._digest = make_digest(request)
         self.progress = progress
         self._relay = Relay(
@@ -166,7 +156,9 @@
         progress = self.progress
         progress.attempts += 1
         progress.upstream = placed.entry.upstream
-        self._note_placed(placed)
+        loads = self._parts.placer.loads
+        peers_age_ms = loads.oldest_news_ms(now_ms=self._now_ms())
+        self._story.note_placed(placed, attempt=progress.attempts, peers_age_ms=peers_age_ms)
         attempt = Attempt(
             connections=self._parts.connections,
             dialect=self._parts.dialect,
@@ -187,7 +179,13 @@
         finally:
             attempt.close()
             self._parts.placer.loads.end(placed.entry.upstream)
-            self._note_ended(attempt, outcome, started_ms, step)
+            self._story.note_ended(
+                attempt,
+                outcome,
+                number=progress.attempts,
+                after_ms=self._now_ms() - started_ms,
+                step=step,
+            )
         progress.in_doubt = False
         return response
 
@@ -195,15 +193,7 @@
         failed = await attempt.async_connect(repeatable=self._routed.route.repeatable)
         if failed is not None:
             return failed
-        self._parts.journal.record(
-            AttemptSent(
-                request_id=self._request.request_id,
-                upstream=attempt.entry.upstream,
-                attempt=self.progress.attempts,
-                kept_connection=attempt.kept,
-                deadline_ms=attempt.sending.deadline_ms,
-            )
-        )
+        self._story.note_sent(attempt, number=self.progress.attempts)
         self.progress.in_doubt = True
         return await attempt.async_send(silence_ms=self._get_silence_ms())
 
@@ -282,7 +272,7 @@
         """Pass a stream on, and go on elsewhere where it may be resumed."""
         upstream = attempt.entry.upstream
         if self._relay.last_id is not None:
-            self._note_resumed(upstream)
+            self._story.note_resumed(upstream, last_id=self._relay.last_id)
         end = await self._relay.async_pass_on(outcome)
         if end is RelayEnd.WHOLE:
             self._parts.placer.health.note_good(upstream)
@@ -323,17 +313,11 @@
             dialect=self._parts.dialect,
         )
         progress.outcome = reason.value
-        self._parts.journal.record(
-            RequestRefused(
-                request_id=self._request.request_id,
-                route=self._routed.route.name,
-                reason=reason.value,
-                status=response.status,
-                retry_after_ms=retry_after_ms,
-                waited_ms=self._now_ms() - progress.arrived_ms,
-                configuration=self._configuration,
-                list_revision=self._list_revision,
-            )
+        self._story.note_refused(
+            reason=reason.value,
+            status=response.status,
+            retry_after_ms=retry_after_ms,
+            waited_ms=self._now_ms() - progress.arrived_ms,
         )
         return response
 
@@ -394,78 +378,3 @@
 
     def _now_ms(self) -> int:
         return self._parts.app.clock.now_ms()
-
-    def _note_placed(self, placed: Placed) -> None:
-        now_ms = self._now_ms()
-        self._parts.journal.record(
-            RequestPlaced(
-                request_id=self._request.request_id,
-                route=self._routed.route.name,
-                service=self._service,
-                upstream=placed.entry.upstream,
-                attempt=self.progress.attempts,
-                load=placed.load,
-                mean_load=placed.mean_load,
-                prompt=_name_prompt(self._request.prompt),
-                missing_tokens=placed.missing_tokens,
-                fetch_from="" if placed.fetch_from is None else placed.fetch_from.upstream,
-                candidates=placed.candidates,
-                peers_age_ms=self._parts.placer.loads.oldest_news_ms(now_ms=now_ms),
-                list_revision=self._list_revision,
-                configuration=self._configuration,
-            )
-        )
-
-    def _note_ended(
-        self, attempt: Attempt, outcome: Outcome | None, started_ms: int, step: str
-    ) -> None:
-        self._parts.journal.record(
-            AttemptEnded(
-                request_id=self._request.request_id,
-                upstream=attempt.entry.upstream,
-                attempt=self.progress.attempts,
-                outcome=_describe(outcome),
-                ran=attempt.sent and not isinstance(outcome, TurnedAway),
-                status=_get_status(outcome),
-                after_ms=self._now_ms() - started_ms,
-                next_step=step,
-            )
-        )
-
-    def _note_resumed(self, upstream: str) -> None:
-        try:
-            last_event = int(self._relay.last_id or "")
-        except ValueError:
-            last_event = -1
-        self._parts.journal.record(
-            StreamResumed(
-                request_id=self._request.request_id, upstream=upstream, last_event=last_event
-            )
-        )
-
-
-def _name_prompt(prompt: Prompt | None) -> str:
-    return f"{prompt.shared[-1].part:x}" if prompt is not None and prompt.shared else ""
-
-
-def _describe(outcome: Outcome | None) -> str:
-    match outcome:
-        case None:
-            return "cancelled"
-        case NotReached(reason=reason):
-            return f"not reached: {reason}"
-        case TurnedAway():
-            return "turned away"
-        case Lost(reason=reason):
-            return f"lost: {reason}"
-        case Whole():
-            return "whole"
-        case Begun():
-            return "begun"
-
-
-def _get_status(outcome: Outcome | None) -> int:
-    match outcome:
-        case TurnedAway(status=status) | Whole(status=status) | Begun(status=status):
-            return status
-    return 0
--- a/gypsumrouter/platform/answers.py
+++ b/gypsumrouter/platform/answers.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from gypsumrouter.const import MS_PER_S
-from gypsumrouter.forwarding.models import AnswerFacts, CallerRequest, ReportedLoad, Sending
+from gypsumrouter.forwarding.models import AnswerFacts, CallerRequest, Sending
 from gypsumrouter.helpers.http_connection import Answer
 from gypsumrouter.platform import names
 from gypsumrouter.platform.requests import write_request
@@ -31,7 +31,6 @@
             request_id=answer.get(names.REQUEST_ID),
             signed=answer.get(names.STAMP) is not None,
             not_run=answer.get(names.NOT_RUN) is not None,
-            load=_read_load(answer.get(names.LOAD)),
             encoded=encoding is not None and encoding.lower() != IDENTITY,
             events=(answer.get("Content-Type") or "").startswith(CONTENT_TYPE_EVENTS),
             keep_ms=_read_keep_ms(answer.get("Keep-Alive")),
@@ -50,16 +49,6 @@
         return f"{retry_after_ms / MS_PER_S:.3f}"
 
 
-def _read_load(value: str | None) -> ReportedLoad | None:
-    if value is None:
-        return None
-    try:
-        running, waiting, slots = (int(part) for part in value.split(","))
-    except ValueError:
-        return None
-    return ReportedLoad(running=running, waiting=waiting, slots=slots)
-
-
 def _read_keep_ms(value: str | None) -> int | None:
     """Return how long the upstream keeps an idle connection."""
     if value is None:
--- a/gypsumrouter/platform/engines.py
+++ b/gypsumrouter/platform/engines.py
@@ -8,8 +8,6 @@
 from gypsumrouter.helpers.http_connection import ConnectionBroken, HttpConnection
 from gypsumrouter.platform import names
 
-STATUS_OK = 200
-
 
 async def async_list_held(connection: HttpConnection) -> tuple[HeldPart, ...]:
     """Return what an engine's cache holds; raises ConnectionBroken for anything that is no list."""
@@ -17,7 +15,7 @@
     connection.begin(method="GET", data=head.encode())
     answer = await connection.async_read_answer()
     body = await answer.body.read()
-    if answer.status != STATUS_OK:
+    if answer.status != names.STATUS_OK:
         raise ConnectionBroken(f"status {answer.status}")
     try:
         # Each entry is a list: an empty text, the part's id, its tokens, its model.
--- a/gypsumrouter/platform/names.py
+++ b/gypsumrouter/platform/names.py
@@ -33,9 +33,6 @@
 # Headers of answers.
 STAMP: Final = "X-Server-Stamp"
 NOT_RUN: Final = "X-Not-Executed"
-# Running, waiting and slots, separated by commas.
-LOAD: Final = "X-Server-Load"
-RETRY_AFTER: Final = "Retry-After"
 
 # Ids of parts are hexadecimal; their low 64 bits name them inside the product.
 MASK_64: Final = 2**64 - 1
@@ -43,6 +40,10 @@
 # A call of model engines.
 CALL_HELD: Final = "/api/kv-list"
 
+STATUS_OK: Final = 200
+# The store's history no longer reaches back to where a watch wants to go on.
+STATUS_HISTORY_LOST: Final = 410
+
 # Calls of the store.
 CALL_RANGE: Final = "/api/kv-range"
 CALL_WATCH: Final = "/api/kv-watch"
--- a/gypsumrouter/platform/store.py
+++ b/gypsumrouter/platform/store.py
@@ -22,8 +22,6 @@
 CONNECT_MS: Final = 1_000
 # A call takes 4 ms as published; a slow store takes sixty times that, and lists come in pages.
 ANSWER_MS: Final = 1_500
-STATUS_OK: Final = 200
-STATUS_GONE: Final = 410
 # Pages of one list; a list of 930 runners has two.
 MAX_PAGES: Final = 64
 
@@ -87,9 +85,9 @@
         except asyncio.CancelledError:
             self.close()
             raise
-        if status == STATUS_GONE:
+        if status == names.STATUS_HISTORY_LOST:
             return None
-        if status != STATUS_OK:
+        if status != names.STATUS_OK:
             raise StoreUnavailable(f"status {status}")
         try:
             return json.loads(body)
--- a/tests/platform/test_platform_wire.py
+++ b/tests/platform/test_platform_wire.py
@@ -23,7 +23,7 @@
     names.TOKEN_USAGE,
     names.EXPECT_INSTANCE,
     names.NOT_RUN,
-    names.LOAD,
+    "X-Server-Load",
     names.TENANT,
     names.DEADLINE,
     names.API_KEY,
