Soak: ports are held for a whole run, and a failed start leaves no process behind

Two soaks ran side by side; in one of them a forwarder found its port taken and ended, which left its two siblings running; one of them went on calling its store's address, which by then was a runner of the other soak (seen by the settings folder of the process that was left). Nothing of the product was wrong. Change: PortHolder keeps each port for the run; all starts are waited for before a failure is raised.

--- a/bench/soak_rig.py
+++ b/bench/soak_rig.py
@@ -6,7 +6,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 from pathlib import Path
 from typing import Any, Final
@@ -15,6 +14,7 @@
 from gypsumrouter.const import Role
 from gypsumrouter.fleet.models import Address
 from gypsumrouter.standins import FaultProxy, PlatformRunner, PublishedStoreStandin
+from gypsumrouter.standins.listener import PortHolder
 from gypsumrouter.standins.platform_runner import Arrival
 
 ENV_KEY: Final = "GYPSUMROUTER_LINK_KEY"
@@ -43,7 +43,13 @@
         }
         self.runner_proxies: list[FaultProxy] = []
         self.forwarders: list[DaemonProcess | None] = [None] * FORWARDERS
-        self._ports = [_find_ports() for _ in range(FORWARDERS)]
+        # Bound for the whole run: another run's listener on a port that is free for a moment would
+        # be called by forwarders that mean this one.
+        self._held = [
+            (PortHolder(host="127.0.0.1", port=0), PortHolder(host="127.0.0.1", port=0))
+            for _ in range(FORWARDERS)
+        ]
+        self._ports = [(c.address.port, link.address.port) for c, link in self._held]
         self._runner_addresses: dict[str, Address] = {}
         self._retired: list[PlatformRunner] = []
         self.version = 1
@@ -59,7 +65,11 @@
             for runner in runners:
                 await self.async_add_runner(service, runner)
         await self.async_configure()
-        await asyncio.gather(*(self.async_start_forwarder(n) for n in range(FORWARDERS)))
+        starts = (self.async_start_forwarder(number) for number in range(FORWARDERS))
+        # Each start is waited for, so that a failed one leaves no process behind.
+        for failure in await asyncio.gather(*starts, return_exceptions=True):
+            if isinstance(failure, BaseException):
+                raise failure
 
     async def async_add_runner(self, service: str, runner: PlatformRunner) -> None:
         """Start a runner behind a proxy and list it."""
@@ -158,6 +168,9 @@
         for runner in (*self._retired, *(r for rs in self.runners.values() for r in rs)):
             await runner.async_stop()
         await self.store.async_stop()
+        for holders in self._held:
+            for holder in holders:
+                holder.close()
 
 
 def _make_route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
@@ -175,14 +188,6 @@
     }
 
 
-def _find_ports() -> tuple[int, int]:
-    """Return two free ports; they are bound again at once by the process that gets them."""
-    with socket.socket() as first, socket.socket() as second:
-        first.bind(("127.0.0.1", 0))
-        second.bind(("127.0.0.1", 0))
-        return first.getsockname()[1], second.getsockname()[1]
-
-
 async def _async_copy(process: DaemonProcess, journal: Path) -> None:
     """Copy what a process writes, so that its pipe never fills."""
     stdout = process.process.stdout
