--- a/gypsumrouter/directory/directory.py
+++ b/gypsumrouter/directory/directory.py
@@ -90,8 +90,11 @@
         if self._usable_until_ms == _FOREVER:
             self._usable_until_ms = self._app.clock.now_ms() + LAPSE_GRACE_MS
 
-    def merge(self, record: Record, *, source: str) -> bool:
-        """Take one entry if it is newer than what is known; return whether it was."""
+    def merge(self, record: Record, *, source: str, settled: bool = False) -> bool:
+        """Take one entry if it is newer than what is known; return whether it was.
+
+        A `settled` removal is one that a peer has made sure of; it is no lapse.
+        """
         upstream = record.entry.upstream
         known = self._records.get(upstream)
         if known is not None and known.revision >= record.revision:
@@ -100,7 +103,8 @@
         if known is None and record.entry.state is EntryState.GONE:
             self._records[upstream] = record
             return True
-        if record.entry.state is EntryState.GONE and self._may_be_lapse(known):
+        removed = record.entry.state is EntryState.GONE
+        if removed and not settled and self._may_be_lapse(known):
             self._doubtful[upstream] = record
             return False
         self._doubtful.pop(upstream, None)
@@ -115,7 +119,7 @@
         self._usable_until_ms = None
         doubtful, self._doubtful = self._doubtful, {}
         for record in doubtful.values():
-            self.merge(record, source="lapsed")
+            self.merge(record, source="lapsed", settled=True)
 
     def on_change(self, listener: ChangeListener) -> Remove:
         """Call `listener` with each entry that changed."""
--- a/gypsumrouter/peers/catch_up.py
+++ b/gypsumrouter/peers/catch_up.py
@@ -113,7 +113,7 @@
             except ValueError as error:
                 _LOGGER.error("%s sent an unreadable entry: %s", peer.hello.name, error)
                 continue
-            changed += self._directory.merge(record, source=peer.hello.name)
+            changed += self._directory.merge(record, source=peer.hello.name, settled=True)
         self._directory.note_told()
         if changed:
             self._tell(peer, "upstreams", self._directory.newest)
--- a/tests/bench/test_bench_soak.py
+++ b/tests/bench/test_bench_soak.py
@@ -92,8 +92,8 @@
     assert find(make_record(), make_arrival(), recovered=0.5) == ["not recovered"]
 
 
-# 21: a forwarder that a failed start of another run had left behind called this run's runners, whose
-# ports had been its store's; ports are held for a whole run, and each start is waited for.
+# 21: a forwarder that a failed start of another run had left behind called this run's runners, one
+# of which had the port of its store; ports are held for a whole run, each start is waited for.
 @pytest.mark.parametrize("seed", [1, 21])
 async def test_a_short_soak_keeps_every_promise(
     seed: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
--- a/tests/directory/test_directory_machine.py
+++ b/tests/directory/test_directory_machine.py
@@ -79,6 +79,14 @@
     assert _state(directory, "i-1") is EntryState.LEAVING
 
 
+def test_a_removal_that_a_peer_has_made_sure_of_is_acted_on_in_an_outage() -> None:
+    directory = make_directory(ManualClock())
+    directory.merge(make_record("i-1", 1), source="p")
+    directory.note_outage()
+    directory.merge(make_record("i-1", 2, EntryState.GONE), source="entry-2", settled=True)
+    assert _state(directory, "i-1") is EntryState.GONE
+
+
 def _state(directory: Directory, upstream: str) -> EntryState:
     entry = directory.get(upstream)
     assert entry is not None
