Published limits on heads and idle connections hold at the listener

Cause: the configuration's limits on a head's size, its time and on idle connections were decoded and not applied; the listener took 16 KiB from the settings, 15 s to the first head, no bound on a later unfinished head but the library's 75 s keepalive. Change: each connection takes the published limits of the moment it is opened, 2 s looser in time than callers keep them (resent packets, pauses); heads above the size get 431 and never reach an upstream; a refusal before the request's id is known is journalled under an id of the router's own. The gateway keeps its own limits through the same type; the size count stands once, in callers/.

--- a/gypsumrouter/callers/__init__.py
+++ b/gypsumrouter/callers/__init__.py
@@ -9,7 +9,7 @@
     DEFAULT_RETRY_AFTER_MS,
     ERROR_TYPE,
     EVENT_END,
-    KEEPALIVE_TIMEOUT_S,
+    KEEPALIVE_TIMEOUT_MS,
     MAX_HEADERS,
     WRITE_BUFFER_BYTES,
 )
@@ -24,11 +24,13 @@
     render_error_event,
     round_up_seconds,
 )
+from gypsumrouter.callers.head import count_head_bytes
 from gypsumrouter.callers.listener import (
     CallerConnection,
     CallerListener,
     CallerServer,
     Handler,
+    HeadLimits,
     MintRequestId,
 )
 from gypsumrouter.callers.memory import HeldBytes, MemoryBudget
@@ -38,19 +40,21 @@
     "DEFAULT_RETRY_AFTER_MS",
     "ERROR_TYPE",
     "EVENT_END",
-    "KEEPALIVE_TIMEOUT_S",
+    "KEEPALIVE_TIMEOUT_MS",
     "MAX_HEADERS",
     "WRITE_BUFFER_BYTES",
     "CallerConnection",
     "CallerListener",
     "CallerServer",
     "Handler",
+    "HeadLimits",
     "HeldBytes",
     "MemoryBudget",
     "MintRequestId",
     "Rejection",
     "abort_connection",
     "async_read_body",
+    "count_head_bytes",
     "get_status",
     "make_error_response",
     "reject",
--- a/gypsumrouter/callers/listener.py
+++ b/gypsumrouter/callers/listener.py
@@ -6,11 +6,12 @@
 import logging
 import ssl
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Any, Final, Protocol
 
 from aiohttp import http_exceptions, web
 
-from gypsumrouter.callers.const import KEEPALIVE_TIMEOUT_S, MAX_HEADERS, WRITE_BUFFER_BYTES
+from gypsumrouter.callers.const import MAX_HEADERS, WRITE_BUFFER_BYTES
 from gypsumrouter.callers.errors import (
     Rejection,
     make_error_response,
@@ -21,7 +22,7 @@
 from gypsumrouter.fleet.models import Address
 from gypsumrouter.helpers.listening import BACKLOG, make_listening_socket
 from gypsumrouter.outcomes import Failed, Reason
-from gypsumrouter.settings import Limits, Listener
+from gypsumrouter.settings import Listener
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -36,14 +37,30 @@
         """Return a new id."""
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class HeadLimits:
+    """What a connection of a caller may send and how long it may take; they hold while it is open.
+
+    `first_head_ms` bounds the time from its opening to its first byte, `head_ms` the time from the
+    first byte of a head to its end, `idle_ms` the time between an answer and the next request.
+    """
+
+    max_bytes: int
+    first_head_ms: int
+    head_ms: int
+    idle_ms: int
+
+
 class CallerConnection(web.RequestHandler):
     """One connection of a caller; whatever is wrong with its HTTP is answered as JSON."""
 
-    __slots__ = ("_head_timer", "_server")
+    __slots__ = ("_head_begun", "_head_limits", "_head_timer", "_server")
 
-    def __init__(self, server: CallerServer, **options: Any) -> None:
-        super().__init__(server, **options)
+    def __init__(self, server: CallerServer, *, limits: HeadLimits, **options: Any) -> None:
+        super().__init__(server, keepalive_timeout=limits.idle_ms / MS_PER_S, **options)
         self._server = server
+        self._head_limits = limits
+        self._head_begun = False
         self._head_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -51,8 +68,15 @@
         super().connection_made(transport)
         if isinstance(transport, asyncio.WriteTransport):
             transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        loop = asyncio.get_running_loop()
-        self._head_timer = loop.call_later(self._server.head_timeout_s, self.force_close)
+        self._close_after(self._head_limits.first_head_ms)
+
+    def data_received(self, data: bytes) -> None:
+        """Bound the time that a head takes from its first byte; a slow one holds the connection."""
+        super().data_received(data)
+        serving = self._current_request is not None or bool(self._messages)
+        if not serving and not self._head_begun:
+            self._head_begun = True
+            self._close_after(self._head_limits.head_ms)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Release the timer of the connection."""
@@ -60,11 +84,18 @@
         super().connection_lost(exc)
 
     def note_request(self) -> None:
-        """Note that the first head has arrived whole."""
+        """Note that a head has arrived whole."""
+        self._head_begun = False
         if self._head_timer is not None:
             self._head_timer.cancel()
             self._head_timer = None
 
+    def _close_after(self, limit_ms: int) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._head_timer = loop.call_later(limit_ms / MS_PER_S, self.force_close)
+
     def close_politely(self) -> None:
         """Close now if no request has arrived, or else after the answer.
 
@@ -96,23 +127,29 @@
 
 
 class CallerServer(web.Server):
-    """Makes a connection object for each connection of a caller."""
+    """Makes a connection object for each connection of a caller, with the limits of that moment."""
 
-    def __init__(self, handler: Handler, *, limits: Limits, mint_request_id: MintRequestId) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        *,
+        get_limits: Callable[[], HeadLimits],
+        mint_request_id: MintRequestId,
+    ) -> None:
         super().__init__(handler, handler_cancellation=True)
         self.mint_request_id = mint_request_id
-        self.head_timeout_s = limits.caller_idle_ms / MS_PER_S
-        self._max_head_bytes = limits.max_head_bytes
+        self._get_limits = get_limits
 
     def __call__(self) -> CallerConnection:
         """Return the protocol of a new connection."""
+        limits = self._get_limits()
         return CallerConnection(
             self,
+            limits=limits,
             loop=asyncio.get_running_loop(),
-            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
             access_log=None,
-            max_line_size=self._max_head_bytes,
-            max_field_size=self._max_head_bytes,
+            max_line_size=limits.max_bytes,
+            max_field_size=limits.max_bytes,
             max_headers=MAX_HEADERS,
             auto_decompress=False,
         )
--- a/gypsumrouter/forwarding/const.py
+++ b/gypsumrouter/forwarding/const.py
@@ -32,6 +32,10 @@
 # Pauses inside a resumable stream: this many times the longest pause that is still in time.
 PAUSE_FACTOR: Final = 3.0
 
+# Callers keep the published limits of time at their end; a packet that is sent again (0.2 to 1 s)
+# or a pause of this process comes on top here.
+CALLER_SPARE_MS: Final = 2_000
+
 # The answer at the deadline is made a little before it, so that it still reaches the caller.
 ANSWER_MARGIN_MS: Final = 20
 # An upstream gets that much less than the caller's patience, for the way back.
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -7,13 +7,13 @@
 
 from aiohttp import web
 
-from gypsumrouter.callers import CallerConnection, CallerListener, CallerServer
+from gypsumrouter.callers import CallerConnection, CallerListener, CallerServer, HeadLimits
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory
 from gypsumrouter.fleet.models import Address, parse_address
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.connections import UpstreamConnections
-from gypsumrouter.forwarding.const import LEAVING_MS
+from gypsumrouter.forwarding.const import CALLER_SPARE_MS, LEAVING_MS
 from gypsumrouter.forwarding.handler import ReadRequest, RequestHandler
 from gypsumrouter.forwarding.health import HealthBook
 from gypsumrouter.forwarding.inventory import AskHeld, Inventory
@@ -143,7 +143,7 @@
     def _listen(self, settings: ForwarderSettings) -> None:
         self._server = CallerServer(
             self._async_handle,
-            limits=settings.limits,
+            get_limits=self._get_head_limits,
             mint_request_id=self.handler.mint_request_id,
         )
         callers = parse_address(settings.callers)
@@ -151,6 +151,15 @@
             settings=Listener(host=callers.host, port=callers.port), server=self._server, tls=None
         )
 
+    def _get_head_limits(self) -> HeadLimits:
+        limits = self._routing.limits
+        return HeadLimits(
+            max_bytes=limits.max_head_bytes,
+            first_head_ms=limits.idle_timeout_ms + CALLER_SPARE_MS,
+            head_ms=limits.head_timeout_ms + CALLER_SPARE_MS,
+            idle_ms=limits.idle_timeout_ms + CALLER_SPARE_MS,
+        )
+
     async def _async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
         return await self.handler.async_handle(request)
 
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -16,7 +16,10 @@
     Rejection,
     abort_connection,
     async_read_body,
+    count_head_bytes,
     make_error_response,
+    reject_field,
+    reject_head_size,
 )
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.directory import Directory
@@ -31,7 +34,7 @@
 from gypsumrouter.helpers.logs import set_request_id
 from gypsumrouter.journal import RequestEnded, RequestRefused
 from gypsumrouter.outcomes import Reason
-from gypsumrouter.routing import CallerLimits, NoRoute, Route, Routed, RoutingStore, WrongKey
+from gypsumrouter.routing import NoRoute, Route, Routed, RoutingStore, WrongKey
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -120,7 +123,9 @@
     async def _async_serve(
         self, request: web.BaseRequest, held: HeldBytes, arrived_ms: int, number: int
     ) -> web.StreamResponse:
-        limits = self._get_limits()
+        limits = self._routing.limits
+        if count_head_bytes(request) > limits.max_head_bytes:
+            return self._reject_unread(reject_head_size())
         body = await async_read_body(
             request=request,
             held=held,
@@ -128,14 +133,10 @@
             idle_ms=limits.idle_timeout_ms,
         )
         if isinstance(body, Rejection):
-            return make_error_response(rejection=body, request_id=self.mint_request_id())
+            return self._reject_unread(body)
         read = self._read_request(request=request, body=body)
         if read is None:
-            return make_rejection(
-                reason=Reason.BAD_REQUEST,
-                message="The head of the request is malformed",
-                request_id=self.mint_request_id(),
-            )
+            return self._reject_unread(reject_field("head", "The head is malformed"))
         self._running[number] = read.request_id
         set_request_id(read.request_id)
         return await self._async_route(request, read, arrived_ms, number)
@@ -214,10 +215,6 @@
             self._note_end(read, routed, progress, status)
         return response
 
-    def _get_limits(self) -> CallerLimits:
-        table = self._routing.table
-        return CallerLimits() if table is None else table.configuration.limits
-
     def _refuse(self, read: CallerRequest, reason: Reason, message: str) -> web.Response:
         left_ms = read.deadline_ms or DEFAULT_TIMEOUT_MS
         response, retry_after_ms = make_refusal(
@@ -227,21 +224,28 @@
             left_ms=left_ms,
             dialect=self._parts.dialect,
         )
-        self._note_refused(read, reason, response.status, retry_after_ms)
+        self._note_refused(read.request_id, reason, response.status, retry_after_ms)
         return response
 
     def _reject(self, read: CallerRequest, reason: Reason, message: str) -> web.Response:
         response = make_rejection(reason=reason, message=message, request_id=read.request_id)
-        self._note_refused(read, reason, response.status, -1)
+        self._note_refused(read.request_id, reason, response.status, -1)
+        return response
+
+    def _reject_unread(self, rejection: Rejection) -> web.Response:
+        """Turn away what could not be read as a request; it gets an id of this router's own."""
+        request_id = self.mint_request_id()
+        response = make_error_response(rejection=rejection, request_id=request_id)
+        self._note_refused(request_id, rejection.failure.reason, response.status, -1)
         return response
 
     def _note_refused(
-        self, read: CallerRequest, reason: Reason, status: int, retry_after_ms: int
+        self, request_id: str, reason: Reason, status: int, retry_after_ms: int
     ) -> None:
         self._metrics.count_end(route="", outcome=reason.value, status=status)
         self._parts.journal.record(
             RequestRefused(
-                request_id=read.request_id,
+                request_id=request_id,
                 route="",
                 reason=reason.value,
                 status=status,
--- a/gypsumrouter/gateway/gateway.py
+++ b/gypsumrouter/gateway/gateway.py
@@ -6,7 +6,12 @@
 import ssl
 from typing import TYPE_CHECKING, Final
 
-from gypsumrouter.callers import CallerListener, CallerServer
+from gypsumrouter.callers import (
+    KEEPALIVE_TIMEOUT_MS,
+    CallerListener,
+    CallerServer,
+    HeadLimits,
+)
 from gypsumrouter.configuration import ConfigurationStore
 from gypsumrouter.configuration.models import Configuration
 from gypsumrouter.core import Application
@@ -94,9 +99,15 @@
             running=self._running,
             watch=self._watch,
         )
+        head_limits = HeadLimits(
+            max_bytes=settings.limits.max_head_bytes,
+            first_head_ms=settings.limits.caller_idle_ms,
+            head_ms=settings.limits.caller_idle_ms,
+            idle_ms=KEEPALIVE_TIMEOUT_MS,
+        )
         server = CallerServer(
             self._handler.async_handle,
-            limits=settings.limits,
+            get_limits=lambda: head_limits,
             mint_request_id=self._handler.mint_request_id,
         )
         self._tls_files: TlsFiles | None = None
--- a/gypsumrouter/gateway/intake.py
+++ b/gypsumrouter/gateway/intake.py
@@ -11,6 +11,7 @@
     HeldBytes,
     Rejection,
     async_read_body,
+    count_head_bytes,
     reject,
     reject_field,
     reject_head_size,
@@ -35,8 +36,6 @@
 
 STATUS_METHOD_NOT_ALLOWED: Final = 405
 STATUS_UNSUPPORTED_ENCODING: Final = 415
-# What separates a header's name from its value and ends its line.
-HEADER_LINE_BYTES: Final = 4
 METHOD: Final = re.compile(r"[A-Z]{1,16}")
 PATH_AND_QUERY: Final = re.compile(r"/[!-\"$-~]*")
 
@@ -156,12 +155,6 @@
         )
 
 
-def count_head_bytes(request: web.BaseRequest) -> int:
-    """Return the size of a request's head on the wire, near enough for a bound."""
-    lines = sum(len(name) + len(value) + HEADER_LINE_BYTES for name, value in request.raw_headers)
-    return len(request.raw_path) + lines
-
-
 def find_workspace(request: web.BaseRequest, compiled: CompiledPolicy) -> Workspace | None:
     """Return the workspace whose key the caller shows."""
     given = request.headers.get(hdrs.AUTHORIZATION, "")
--- a/gypsumrouter/routing/store.py
+++ b/gypsumrouter/routing/store.py
@@ -7,7 +7,7 @@
 
 from gypsumrouter.core import Application, Remove
 from gypsumrouter.journal import ConfigurationAccepted, Journal
-from gypsumrouter.routing.models import RoutingConfiguration
+from gypsumrouter.routing.models import CallerLimits, RoutingConfiguration
 from gypsumrouter.routing.table import RoutingTable
 
 Listener = Callable[[RoutingTable], None]
@@ -30,6 +30,11 @@
         """Return the version in force; 0 before the first."""
         return 0 if self.table is None else self.table.configuration.version
 
+    @property
+    def limits(self) -> CallerLimits:
+        """Return what callers may send; defaults before the first version."""
+        return CallerLimits() if self.table is None else self.table.configuration.limits
+
     def offer(self, configuration: RoutingConfiguration, *, source: str) -> bool:
         """Put a version in force if it is newer; return whether it was."""
         if configuration.version <= self.version:
--- /dev/null
+++ b/tests/forwarding/test_forwarding_callers.py
@@ -0,0 +1,101 @@
+"""The published limits on what callers send and how long they take, on real connections."""
+
+from __future__ import annotations
+
+import asyncio
+from unittest.mock import patch
+
+import aiohttp
+import pytest
+from forwarding_world import ForwardingWorld, make_configuration
+
+SPARE = "gypsumrouter.forwarding.forwarder.CALLER_SPARE_MS"
+LIMITS = {
+    "max_header_bytes": 2_000,
+    "max_body_bytes": 100_000,
+    "header_timeout_ms": 100,
+    "idle_timeout_ms": 400,
+}
+HANG_S = 5
+LOOKUP = (
+    "GET /open/a HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: {}\r\nX-Deadline-Ms: 2500\r\n\r\n"
+)
+
+
+async def async_publish_limits(world: ForwardingWorld) -> None:
+    await world.store.async_put_configuration(make_configuration(2, limits=LIMITS))
+    await world.async_until(lambda: world.product.store.version == 2)
+
+
+async def async_connect(
+    world: ForwardingWorld,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    address = world.product.addresses["callers"]
+    return await asyncio.open_connection(address.host, address.port)
+
+
+async def async_measure_close(reader: asyncio.StreamReader) -> float:
+    """Return after how many milliseconds the connection was closed without a byte."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    async with asyncio.timeout(HANG_S):
+        assert await reader.read() == b""
+    return 1000 * (loop.time() - began)
+
+
+async def test_a_head_above_the_published_size_is_turned_away_and_never_forwarded(
+    world: ForwardingWorld, session: aiohttp.ClientSession
+) -> None:
+    await async_publish_limits(world)
+    large = {f"X-Fill-{number}": "x" * 500 for number in range(5)}
+    status, body, _ = await world.async_call(session, "GET", "/open/a", "r-1", extra=large)
+    assert status == 431
+    assert b'"executed": "not_run"' in body
+    assert world.arrivals("r-1") == []
+    status, _, _ = await world.async_call(session, "GET", "/open/a", "r-2")
+    assert status == 200
+
+
+async def test_a_head_that_stays_unfinished_ends_its_connection_in_the_published_time(
+    world: ForwardingWorld,
+) -> None:
+    await async_publish_limits(world)
+    with patch(SPARE, 0):
+        reader, writer = await async_connect(world)
+        writer.write(b"GET /open/a HTTP/1.1\r\nHost: a")
+        elapsed_ms = await async_measure_close(reader)
+    writer.close()
+    assert elapsed_ms < LIMITS["idle_timeout_ms"]
+
+
+async def test_an_unfinished_second_head_is_bounded_too(world: ForwardingWorld) -> None:
+    await async_publish_limits(world)
+    with patch(SPARE, 0):
+        reader, writer = await async_connect(world)
+        writer.write(LOOKUP.format("r-1").encode())
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200")
+        writer.write(b"GET /open/b HTTP/1.1\r\nHost: a")
+        async with asyncio.timeout(HANG_S):
+            await reader.read()
+    writer.close()
+
+
+@pytest.mark.parametrize("bytes_before", [b"", LOOKUP.format("r-1").encode()])
+async def test_an_idle_connection_is_kept_for_the_published_time_and_then_closed(
+    world: ForwardingWorld, bytes_before: bytes
+) -> None:
+    """Callers use a connection again up to four fifths of that time."""
+    await async_publish_limits(world)
+    with patch(SPARE, 0):
+        reader, writer = await async_connect(world)
+        if bytes_before:
+            writer.write(bytes_before)
+            await reader.readuntil(b"\r\n\r\n")
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        async with asyncio.timeout(HANG_S):
+            await reader.read()
+        elapsed_ms = 1000 * (loop.time() - began)
+    writer.close()
+    assert elapsed_ms > 0.8 * LIMITS["idle_timeout_ms"]
