Forwarder: settings that change while it runs, with a signal or without

Cause: a changed settings file was compared on SIGHUP only, and nothing of it held before the next start; a file that changes without a signal was not seen. A wrong file changes nothing and is told.

--- a/gypsumrouter/bootstrap_forwarder.py
+++ b/gypsumrouter/bootstrap_forwarder.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections.abc import Callable, Iterator
-from dataclasses import fields, replace
+from dataclasses import replace
 from functools import partial
 from pathlib import Path
 from typing import Final
@@ -12,17 +12,16 @@
 from gypsumrouter.const import VERSION, Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Record
-from gypsumrouter.exceptions import DocumentInvalid, SettingsInvalid
+from gypsumrouter.exceptions import DocumentInvalid
 from gypsumrouter.fleet.models import Address, parse_address
 from gypsumrouter.forwarding import Forwarder
 from gypsumrouter.helpers.logs import set_instance
-from gypsumrouter.helpers.settings_file import read_settings_file
+from gypsumrouter.helpers.settings_watch import Apply, SettingsWatch
 from gypsumrouter.journal import (
     Journal,
     ProcessStarted,
     ProcessStopped,
     ProcessStopping,
-    SettingsReloaded,
 )
 from gypsumrouter.operators.probes import ProbesServer
 from gypsumrouter.peers import Mesh
@@ -111,6 +110,10 @@
     app.async_create_task(_async_settle(app, directory), "settle directory")
     addresses["link"] = await mesh.async_start()
     addresses["callers"] = await forwarder.async_start()
+    watch = None
+    if settings_path is not None:
+        apply = partial(_apply_settings, forwarder, mesh)
+        watch = _watch_settings(app, journal, settings, settings_path, apply)
     _journal_start(app, journal, addresses)
     return Product(
         app=app,
@@ -118,7 +121,7 @@
         addresses=addresses,
         is_ready=lambda: forwarder.ready,
         list_running=lambda: forwarder.handler.running,
-        reload=partial(_reload, app, journal, settings, settings_path),
+        reload=None if watch is None else watch.reload,
     )
 
 
@@ -207,22 +210,32 @@
         directory.settle()
 
 
-def _reload(
-    app: Application, journal: Journal, settings: ForwarderSettings, path: Path | None
-) -> None:
-    """Read the settings again and tell what differs; it holds from the next start on."""
-    if path is None:
-        return
-    changed: tuple[str, ...] = ()
-    error = ""
-    try:
-        read = _bind_link(check_forwarder_settings(read_settings_file(path)))
-    except SettingsInvalid as invalid:
-        error = str(invalid)
-    else:
-        names = (field.name for field in fields(settings))
-        changed = tuple(n for n in names if getattr(read, n) != getattr(settings, n))
-    journal.record(SettingsReloaded(changed=changed, error=error))
+def _watch_settings(
+    app: Application, journal: Journal, settings: ForwarderSettings, path: Path, apply: Apply
+) -> SettingsWatch:
+    watch = SettingsWatch(
+        app=app,
+        journal=journal,
+        path=path,
+        settings=settings,
+        check=_check_settings,
+        apply=apply,
+    )
+    watch.async_start()
+    return watch
+
+
+def _check_settings(document: bytes) -> ForwarderSettings:
+    return _bind_link(check_forwarder_settings(document))
+
+
+def _apply_settings(
+    forwarder: Forwarder, mesh: Mesh, settings: ForwarderSettings
+) -> tuple[str, ...]:
+    """Put in force what a running process can change."""
+    forwarder.take_bounds(settings.bounds)
+    mesh.take_seeds(settings.seeds)
+    return ("bounds", "seeds")
 
 
 def _journal_start(app: Application, journal: Journal, addresses: dict[str, Address]) -> None:
--- a/gypsumrouter/forwarding/budget.py
+++ b/gypsumrouter/forwarding/budget.py
@@ -46,6 +46,12 @@
         self._repeats: dict[str, _Window] = {}
         self.routers = 1
 
+    def take_bounds(self, *, ratio: float, slack: float, window_ms: int) -> None:
+        """Keep other bounds from now on; what was spent stays spent."""
+        self._ratio = ratio
+        self._slack = slack
+        self._window_ms = window_ms
+
     def note_request(self, service: str) -> None:
         """Count a caller's request for a service."""
         self._requests.setdefault(service, _Window()).add(self._clock.now_ms())
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -26,7 +26,7 @@
 from gypsumrouter.forwarding.suspects import Suspects
 from gypsumrouter.journal import Journal
 from gypsumrouter.routing import RoutingStore
-from gypsumrouter.settings import ForwarderSettings, Listener
+from gypsumrouter.settings import Bounds, ForwarderSettings, Listener
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -127,6 +127,14 @@
             and self._directory.loaded.is_set()
         )
 
+    def take_bounds(self, bounds: Bounds) -> None:
+        """Keep other bounds from now on."""
+        self.placer.take_cap(Cap(factor=bounds.cap_factor, slack=bounds.cap_slack))
+        self.budget.take_bounds(
+            ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_ms=bounds.retry_window_ms
+        )
+        self._leaving.take_limit(bounds.stop_ms - LEAVING_MARGIN_MS)
+
     async def async_start(self) -> Address:
         """Begin to listen and return the address."""
         assert self._listener is not None
--- a/gypsumrouter/forwarding/leaving.py
+++ b/gypsumrouter/forwarding/leaving.py
@@ -36,6 +36,10 @@
         self._since_ms: int | None = None
         self._ends: dict[int, int] = {}
 
+    def take_limit(self, limit_ms: int) -> None:
+        """Let a stop take at most another time from now on."""
+        self._limit_ms = limit_ms
+
     @property
     def leaving(self) -> bool:
         """Return whether the stop has begun."""
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -91,6 +91,10 @@
         self._started_ms = app.clock.now_ms()
         directory.on_change(self._take_entry)
 
+    def take_cap(self, cap: Cap) -> None:
+        """Keep another cap from now on."""
+        self._cap = cap
+
     def on_placed(self, listener: PlacedListener) -> Remove:
         """Call `listener` with each shared part that is sent to an upstream, and the upstream."""
         self._placed_listeners.append(listener)
--- /dev/null
+++ b/gypsumrouter/helpers/settings_watch.py
@@ -0,0 +1,90 @@
+"""Takes over what changes in the settings file of a running process, with a signal or without."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import fields
+from pathlib import Path
+from typing import Final
+
+from gypsumrouter.core import Application
+from gypsumrouter.exceptions import SettingsInvalid
+from gypsumrouter.helpers.settings_file import read_settings_file
+from gypsumrouter.journal import Journal, SettingsReloaded
+from gypsumrouter.settings import ForwarderSettings
+
+# One look at the file's times, some ten microseconds; a change holds as soon as a configuration.
+LOOK_MS: Final = 1_000
+
+Check = Callable[[bytes], ForwarderSettings]
+Apply = Callable[[ForwarderSettings], tuple[str, ...]]
+
+
+class SettingsWatch:
+    """Reads the file again after a change and hands the settings to `apply`.
+
+    `apply` returns the sections that hold at once; the others hold from the next start on. A file
+    that is unreadable or wrong changes nothing.
+    """
+
+    __slots__ = ("_app", "_apply", "_check", "_journal", "_path", "_seen", "_settings")
+
+    def __init__(
+        self,
+        *,
+        app: Application,
+        journal: Journal,
+        path: Path,
+        settings: ForwarderSettings,
+        check: Check,
+        apply: Apply,
+    ) -> None:
+        self._app = app
+        self._journal = journal
+        self._path = path
+        self._settings = settings
+        self._check = check
+        self._apply = apply
+        self._seen = self._look()
+
+    def async_start(self) -> None:
+        """Begin to look for changes that no signal tells of."""
+        self._app.async_create_task(self._async_watch(), "settings")
+
+    def reload(self) -> None:
+        """Read the file now and journal what differs."""
+        self._seen = self._look()
+        try:
+            settings = self._check(read_settings_file(self._path))
+        except SettingsInvalid as invalid:
+            self._journal.record(SettingsReloaded(changed=(), applied=(), error=str(invalid)))
+            return
+        changed = self._list_changed(settings)
+        applied = self._apply(settings) if changed else ()
+        self._settings = settings
+        self._journal.record(
+            SettingsReloaded(
+                changed=changed,
+                applied=tuple(name for name in changed if name in applied),
+                error="",
+            )
+        )
+
+    def _list_changed(self, settings: ForwarderSettings) -> tuple[str, ...]:
+        names = (field.name for field in fields(settings))
+        return tuple(n for n in names if getattr(settings, n) != getattr(self._settings, n))
+
+    def _look(self) -> tuple[int, int, int] | None:
+        """Return what changes with the file; None while it cannot be seen."""
+        try:
+            status = self._path.stat()
+        except OSError:
+            # A file that is being replaced; `reload` tells what stays wrong with it.
+            return None
+        return status.st_mtime_ns, status.st_size, status.st_ino
+
+    async def _async_watch(self) -> None:
+        while True:
+            await self._app.clock.async_sleep(LOOK_MS)
+            if self._look() != self._seen:
+                self.reload()
--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -47,11 +47,15 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class SettingsReloaded(Event):
-    """The settings file was read again; `changed` names the sections that differ."""
+    """The settings file was read again; `changed` names the sections that differ.
+
+    Those of them that are not in `applied` hold from the next start on.
+    """
 
     name: ClassVar[str] = "settings_reloaded"
     essential: ClassVar[bool] = True
     changed: tuple[str, ...]
+    applied: tuple[str, ...]
     error: str
 
 
--- a/gypsumrouter/peers/mesh.py
+++ b/gypsumrouter/peers/mesh.py
@@ -138,6 +138,14 @@
         self._count_routers()
         return address
 
+    def take_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Tell other seeds from now on; one that is no seed any more stays while it answers."""
+        for text, known in self._known.items():
+            known.seed = text in seeds
+        for seed in seeds:
+            self._learn(seed, seed=True)
+        self._count_routers()
+
     def _learn(self, text: str, *, seed: bool = False) -> None:
         if text == self._own or not text or len(self._known) >= MAX_ROUTERS:
             return
