Bench: recorded loads replayed against placement and its baselines, in seconds

Change: python -m bench placements replays two loads (three routers and six engines, thirty and twenty-eight; one prompt hot for a sixth of the time) against round robin, least loaded, hashing without load and the product's own placer with its news between routers, with a model engine of the published traits. Popularity of prompts is assumed, not recorded. Conclusion: kept as the place where placement changes are tried first.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -22,6 +22,7 @@
     "slopes": "bench.slopes",
     "orders": "bench.orders",
     "decisions": "bench.decisions",
+    "placements": "bench.placements",
     "soak": "bench.soak",
 }
 EXIT_USAGE: Final = 2
--- /dev/null
+++ b/bench/placement_engine.py
@@ -0,0 +1,97 @@
+"""A model engine for the replay of placement: a cache, a batch, prompts read one after another."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import Final
+
+from gypsumrouter.forwarding.models import Prompt
+from gypsumrouter.forwarding.placement import FETCH_SETUP_MS
+
+# Published traits of the engines: prompt tokens read in a millisecond, a step and what each running
+# request adds to it, tokens copied from another engine in a millisecond.
+READ_TOKENS_PER_MS: Final = 81.9
+STEP_MS: Final = 3.74
+STEP_MS_PER_REQUEST: Final = 0.08
+COPY_TOKENS_PER_MS: Final = 1_600
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Run:
+    """When a request begins to answer and ends, and what was read of its shared parts."""
+
+    first_ms: float
+    end_ms: float
+    read_shared: int
+    copied: int
+
+
+class Engine:
+    """One engine; the least recently used parts yield, but not those of running requests."""
+
+    __slots__ = ("_cached", "_capacity", "_free_ms", "_used", "_users", "running")
+
+    def __init__(self, *, capacity: int) -> None:
+        self._capacity = capacity
+        self._cached: OrderedDict[int, int] = OrderedDict()
+        self._users: dict[int, int] = {}
+        self._used = 0
+        self._free_ms = 0.0
+        self.running = 0
+
+    def begin(self, prompt: Prompt, *, now_ms: float, source: Engine | None) -> Run:
+        """Start a request, copying what `source` holds of its prompt."""
+        missing = self._count_missing(prompt)
+        copied = 0
+        if source is not None and missing:
+            copied = max(0, missing - source._count_missing(prompt))
+        read_shared = missing - copied
+        own = prompt.parts[-1].tokens
+        copy_ms = FETCH_SETUP_MS + copied / COPY_TOKENS_PER_MS if copied else 0.0
+        read_ms = (read_shared + own) / READ_TOKENS_PER_MS
+        begin_ms = max(now_ms + copy_ms, self._free_ms)
+        self._free_ms = begin_ms + read_ms
+        self.running += 1
+        step_ms = STEP_MS + STEP_MS_PER_REQUEST * self.running
+        first_ms = self._free_ms + step_ms
+        for part in prompt.parts:
+            self._keep(part.part, part.tokens)
+        self._evict()
+        return Run(
+            first_ms=first_ms,
+            end_ms=first_ms + prompt.max_output_tokens * step_ms,
+            read_shared=read_shared,
+            copied=copied,
+        )
+
+    def end(self, prompt: Prompt) -> None:
+        """Finish a request; its parts stay until they have to yield."""
+        self.running -= 1
+        for part in prompt.parts:
+            self._users[part.part] -= 1
+            if not self._users[part.part]:
+                del self._users[part.part]
+        self._evict()
+
+    def _count_missing(self, prompt: Prompt) -> int:
+        shared = prompt.shared
+        for index, part in enumerate(shared):
+            if part.part not in self._cached:
+                return sum(rest.tokens for rest in shared[index:])
+        return 0
+
+    def _keep(self, part: int, tokens: int) -> None:
+        if part not in self._cached:
+            self._used += tokens
+        self._cached[part] = tokens
+        self._cached.move_to_end(part)
+        self._users[part] = self._users.get(part, 0) + 1
+
+    def _evict(self) -> None:
+        if self._used <= self._capacity:
+            return
+        for part in [part for part in self._cached if part not in self._users]:
+            self._used -= self._cached.pop(part)
+            if self._used <= self._capacity:
+                return
--- /dev/null
+++ b/tests/bench/test_bench_placements.py
@@ -0,0 +1,77 @@
+"""The recorded loads replayed against placement and its baselines."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+
+import pytest
+
+from bench.placement_engine import Engine
+from bench.placement_load import SMALL, Load, make_arrivals
+from bench.placements import Hashing, LeastLoaded, Product, RoundRobin, main, replay
+from gypsumrouter.forwarding.models import Prompt, PromptPart
+
+# A third of the recorded time, with the hot prompt in its middle.
+SHORT: Load = replace(SMALL, duration_ms=20_000, hot_from_ms=8_000, hot_to_ms=12_000)
+
+
+def make_prompt(shared: int, own: int, *, tokens: int = 1_000) -> Prompt:
+    parts = (PromptPart(part=shared, tokens=tokens), PromptPart(part=own, tokens=100))
+    return Prompt(model="m", parts=parts, input_tokens=tokens + 100, max_output_tokens=10)
+
+
+def test_the_same_seed_makes_the_same_requests() -> None:
+    assert list(make_arrivals(SHORT, seed=3)) == list(make_arrivals(SHORT, seed=3))
+    assert list(make_arrivals(SHORT, seed=3)) != list(make_arrivals(SHORT, seed=4))
+
+
+def test_an_engine_reads_a_shared_part_once_and_copies_what_another_holds() -> None:
+    first, second = Engine(capacity=10_000), Engine(capacity=10_000)
+    assert first.begin(make_prompt(1, 11), now_ms=0, source=None).read_shared == 1_000
+    assert first.begin(make_prompt(1, 12), now_ms=0, source=None).read_shared == 0
+    copied = second.begin(make_prompt(1, 13), now_ms=0, source=first)
+    assert (copied.read_shared, copied.copied) == (0, 1_000)
+
+
+def test_parts_of_running_requests_do_not_yield_and_the_oldest_of_the_others_do() -> None:
+    engine = Engine(capacity=2_300)
+    running = make_prompt(1, 11)
+    engine.begin(running, now_ms=0, source=None)
+    for number in (2, 3):
+        prompt = make_prompt(number, 20 + number)
+        engine.begin(prompt, now_ms=0, source=None)
+        engine.end(prompt)
+    assert engine.begin(make_prompt(1, 14), now_ms=0, source=None).read_shared == 0
+    assert engine.begin(make_prompt(2, 15), now_ms=0, source=None).read_shared == 1_000
+
+
+def test_placement_reads_as_little_as_hashing_without_its_skew() -> None:
+    """The hot prompt stays under the cap of load and costs at most a sixth more than hashing."""
+    ours = replay(SHORT, Product(SHORT), seed=1).summarize()
+    hashing = replay(SHORT, Hashing(SHORT), seed=1).summarize()
+    assert ours["skewed_percent"] == 0
+    assert hashing["skewed_percent"] > 5
+    assert ours["read_first_percent"] + ours["read_again_percent"] <= 7 / 6 * (
+        hashing["read_first_percent"] + hashing["read_again_percent"]
+    )
+
+
+@pytest.mark.parametrize("baseline", [RoundRobin, LeastLoaded])
+def test_placement_reads_less_than_half_of_what_load_alone_reads(
+    baseline: type[RoundRobin],
+) -> None:
+    ours = replay(SHORT, Product(SHORT), seed=1).summarize()
+    theirs = replay(SHORT, baseline(SHORT), seed=1).summarize()
+    ours_read = ours["read_first_percent"] + ours["read_again_percent"]
+    assert ours_read < 0.5 * (theirs["read_first_percent"] + theirs["read_again_percent"])
+    assert ours["first_p99_ms"] <= theirs["first_p99_ms"]
+
+
+def test_the_command_prints_one_json_object_as_its_last_line(
+    capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("bench.placements.LOADS", {"small": replace(SHORT, duration_ms=2_000)})
+    assert main(["--seed", "2"]) == 0
+    figures = json.loads(capsys.readouterr().out.splitlines()[-1])
+    assert set(figures["small"]) == {"round robin", "least loaded", "hashing", "gypsumrouter"}
