Health: routers tell each other what they saw of each upstream's answers

Change: news carry the faded counts of good and failed answers beside the load; placement's penalty is that of all routers' answers together. What one peer saw counts for two answers at most, so that one whose own way is cut does not turn the others away.

--- a/gypsumrouter/forwarding/health.py
+++ b/gypsumrouter/forwarding/health.py
@@ -2,11 +2,14 @@
 
 Answers this load: upstreams that fail, reset or swallow a share of their requests while their
 health check is good, and upstreams that vanish without a word. All of them may fail alike; then
-their order stays as it was.
+their order stays as it was. Thirty routers see a thirtieth of the answers each; they tell each
+other what they saw, so that not each of them has to lose requests at the same upstream.
 """
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Final
 
 from gypsumrouter.journal import Journal, UpstreamHealth
@@ -27,6 +30,29 @@
 DOWN_MAX_MS: Final = 2_000
 
 
+# What one peer saw counts for at most this many answers: one whose own way to an upstream is cut
+# must not turn all others away from it. With thirty routers each sees about one in its half-life.
+PEER_MOST: Final = 2.0
+# A peer that was not heard of for this long has vanished; what it saw has faded by then.
+PEER_EVIDENCE_MS: Final = 5_000
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Observed:
+    """Faded counts of good and failed answers of one upstream."""
+
+    good: float
+    failed: float
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class PeerObserved:
+    """What one peer told, and when it was heard."""
+
+    heard_ms: int
+    observed: Mapping[str, Observed]
+
+
 class Evidence:
     """What is known of one upstream: decayed counts of good and failed answers."""
 
@@ -52,10 +78,10 @@
         self._failed *= factor
         self._noted_ms = now_ms
 
-    def failing(self, now_ms: int) -> float:
-        """Return the expected share of failures."""
+    def observe(self, now_ms: int) -> Observed:
+        """Return what is left of the evidence."""
         self.decay(now_ms)
-        return self._failed / (self._good + self._failed + PRIOR)
+        return Observed(good=self._good, failed=self._failed)
 
     def note_good(self, now_ms: int) -> None:
         """Note a good answer."""
@@ -79,19 +105,26 @@
 class HealthBook:
     """The evidence of all upstreams."""
 
-    __slots__ = ("_clock", "_evidence", "_journal")
+    __slots__ = ("_clock", "_evidence", "_journal", "_peers")
 
     def __init__(self, *, clock: Clock, journal: Journal) -> None:
         self._clock = clock
         self._journal = journal
         self._evidence: dict[str, Evidence] = {}
+        self._peers: dict[str, PeerObserved] = {}
+
+    def own(self) -> dict[str, Observed]:
+        """Return what this router saw itself, for its peers."""
+        now_ms = self._clock.now_ms()
+        return {upstream: seen.observe(now_ms) for upstream, seen in self._evidence.items()}
+
+    def take_peer(self, peer: str, observed: Mapping[str, Observed]) -> None:
+        """Take what a peer saw, in place of what it told before."""
+        self._peers[peer] = PeerObserved(heard_ms=self._clock.now_ms(), observed=observed)
 
     def penalty_ms(self, upstream: str) -> float:
         """Return what the failures of an upstream are expected to cost."""
-        evidence = self._evidence.get(upstream)
-        if evidence is None:
-            return 0.0
-        return evidence.failing(self._clock.now_ms()) * FAILURE_MS
+        return self._get_failing(upstream) * FAILURE_MS
 
     def is_down(self, upstream: str) -> bool:
         """Return whether an upstream took no connection a moment ago."""
@@ -123,8 +156,31 @@
     def _get(self, upstream: str) -> Evidence:
         return self._evidence.setdefault(upstream, Evidence())
 
+    def _get_failing(self, upstream: str) -> float:
+        """Return the expected share of failures, by this router's answers and its peers'."""
+        now_ms = self._clock.now_ms()
+        told = self._sum_peers(upstream, now_ms)
+        evidence = self._evidence.get(upstream)
+        if evidence is not None:
+            own = evidence.observe(now_ms)
+            told = Observed(good=told.good + own.good, failed=told.failed + own.failed)
+        return told.failed / (told.good + told.failed + PRIOR)
+
+    def _sum_peers(self, upstream: str, now_ms: int) -> Observed:
+        good = failed = 0.0
+        for peer in self._peers.values():
+            seen = peer.observed.get(upstream)
+            age_ms = now_ms - peer.heard_ms
+            if seen is None or age_ms > PEER_EVIDENCE_MS:
+                continue
+            weight = 0.5 ** (age_ms / HALF_LIFE_MS)
+            weight *= min(1.0, PEER_MOST / (seen.good + seen.failed))
+            good += weight * seen.good
+            failed += weight * seen.failed
+        return Observed(good=good, failed=failed)
+
     def _tell(self, upstream: str, evidence: Evidence, reason: str) -> None:
-        failing = evidence.failing(self._clock.now_ms())
+        failing = self._get_failing(upstream)
         healthy = failing < UNHEALTHY_SHARE
         if healthy == evidence.healthy:
             return
