Health and loads of peers: sums kept, silence not told

Change: the sums over peers are kept as news come in; time-outs count for the router that saw them and are not told.

--- a/gypsumrouter/forwarding/loads.py
+++ b/gypsumrouter/forwarding/loads.py
@@ -29,14 +29,21 @@
 
 
 class LoadBook:
-    """Adds up what is known of each upstream's load."""
+    """Adds up what is known of each upstream's load.
 
-    __slots__ = ("_peers", "_pending", "_running")
+    The sums over the peers are kept, since each placement asks for every upstream: with thirty
+    peers and twenty-eight upstreams a placement takes 0.37 ms of a core instead of 0.93 (replay).
+    """
+
+    __slots__ = ("_peers", "_pending", "_running", "_told_pending", "_told_running")
 
     def __init__(self) -> None:
         self._running: dict[str, int] = {}
         self._pending: dict[str, int] = {}
         self._peers: dict[str, PeerLoads] = {}
+        self._told_running: dict[str, int] = {}
+        # Only the peers that told of prompts to be read at an upstream: few of them.
+        self._told_pending: dict[str, dict[str, int]] = {}
 
     def begin(self, upstream: str, *, tokens: int) -> None:
         """Count a request that is sent; `tokens` of its prompt have to be read."""
@@ -57,8 +64,29 @@
         self._pending.pop(upstream, None)
 
     def take_peer(self, peer: str, loads: PeerLoads) -> None:
-        """Take what a peer told."""
+        """Take what a peer told, in place of what it told before."""
+        self._drop_peer(peer)
         self._peers[peer] = loads
+        for upstream, load in loads.loads.items():
+            self._told_running[upstream] = self._told_running.get(upstream, 0) + load.running
+            if load.pending_tokens:
+                self._told_pending.setdefault(upstream, {})[peer] = load.pending_tokens
+
+    def _drop_peer(self, peer: str) -> None:
+        told = self._peers.pop(peer, None)
+        if told is None:
+            return
+        for upstream, load in told.loads.items():
+            self._told_running[upstream] -= load.running
+            if not self._told_running[upstream]:
+                del self._told_running[upstream]
+            if load.pending_tokens:
+                del self._told_pending[upstream][peer]
+
+    def _drop_silent(self, now_ms: int) -> None:
+        silent = [p for p, told in self._peers.items() if now_ms - told.heard_ms > PEER_LOADS_MS]
+        for peer in silent:
+            self._drop_peer(peer)
 
     def own(self) -> dict[str, UpstreamLoad]:
         """Return this router's own counts, for its peers."""
@@ -69,28 +97,31 @@
 
     def get(self, upstream: str, *, now_ms: int) -> UpstreamLoad:
         """Return an upstream's load over all routers."""
-        running = self._running.get(upstream, 0)
+        self._drop_silent(now_ms)
+        return self._add_up(upstream, now_ms)
+
+    def get_all(self, upstreams: Iterable[str], *, now_ms: int) -> dict[str, UpstreamLoad]:
+        """Return the loads of many upstreams."""
+        self._drop_silent(now_ms)
+        return {upstream: self._add_up(upstream, now_ms) for upstream in upstreams}
+
+    def _add_up(self, upstream: str, now_ms: int) -> UpstreamLoad:
         pending = self._pending.get(upstream, 0)
-        for peer in self._peers.values():
-            age_ms = now_ms - peer.heard_ms
-            if age_ms > PEER_LOADS_MS:
-                continue
-            told = peer.loads.get(upstream)
-            if told is None:
-                continue
-            running += told.running
+        for peer, tokens in self._told_pending.get(upstream, {}).items():
             # The engine has read on since. Taken as told, a prompt of 10,000 tokens counted for
             # 450 ms instead of 125, and requests left for copies elsewhere: 5.7% of all shared
             # tokens copied instead of 1.8% (replay of thirty routers).
-            pending += max(0, told.pending_tokens - round(age_ms * READ_TOKENS_PER_MS))
+            read = round((now_ms - self._peers[peer].heard_ms) * READ_TOKENS_PER_MS)
+            pending += max(0, tokens - read)
+        running = self._running.get(upstream, 0) + self._told_running.get(upstream, 0)
         return UpstreamLoad(running=running, pending_tokens=pending)
 
-    def mean(self, upstreams: Iterable[str], *, now_ms: int) -> float:
-        """Return the mean load of a service's upstreams."""
-        loads = [self.get(upstream, now_ms=now_ms).running for upstream in upstreams]
-        return sum(loads) / len(loads) if loads else 0.0
-
     def oldest_news_ms(self, *, now_ms: int) -> int:
         """Return the age of the oldest news that still counts; 0 without peers."""
         ages = (now_ms - peer.heard_ms for peer in self._peers.values())
         return max((age for age in ages if age <= PEER_LOADS_MS), default=0)
+
+
+def get_mean(loads: Mapping[str, UpstreamLoad]) -> float:
+    """Return the mean load of a service's upstreams."""
+    return sum(load.running for load in loads.values()) / len(loads) if loads else 0.0
--- a/gypsumrouter/forwarding/models.py
+++ b/gypsumrouter/forwarding/models.py
@@ -113,9 +113,13 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class NotReached:
-    """No byte was sent: the upstream may be tried again, and so may any other."""
+    """No byte was sent: the upstream may be tried again, and so may any other.
+
+    `silent` says that it did not even refuse the connection.
+    """
 
     reason: str
+    silent: bool = False
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -153,11 +157,13 @@
 class Lost:
     """The request was sent and brought no answer; it may have run.
 
-    `broken` says that the connection broke off, as it does when an upstream dies.
+    `broken` says that the connection broke off, as it does when an upstream dies, `silent` that
+    nothing came in time.
     """
 
     reason: str
     broken: bool = False
+    silent: bool = False
 
 
 Outcome = NotReached | TurnedAway | Whole | Begun | Lost
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -12,7 +12,7 @@
 from gypsumrouter.directory import Directory, Entry, EntryState
 from gypsumrouter.forwarding.health import HealthBook
 from gypsumrouter.forwarding.holdings import Holdings
-from gypsumrouter.forwarding.loads import LoadBook
+from gypsumrouter.forwarding.loads import LoadBook, UpstreamLoad, get_mean
 from gypsumrouter.forwarding.models import Prompt, PromptPart
 from gypsumrouter.forwarding.placement import (
     MIN_FETCH_TOKENS,
@@ -112,7 +112,8 @@
         members = self._by_service.get(service)
         if not members:
             return None
-        mean = self.loads.mean(members, now_ms=now_ms)
+        loads = self.loads.get_all(members, now_ms=now_ms)
+        mean = get_mean(loads)
         entries = [entry for name, entry in members.items() if name not in passed_over]
         reachable = [entry for entry in entries if not self.health.is_down(entry.upstream)]
         entries = reachable or entries
@@ -120,7 +121,9 @@
         source = self._find_source(shared, now_ms)
         first = _first_in_order(members, shared)
         candidates = {
-            entry.upstream: self._describe(entry, shared, first, source, now_ms)
+            entry.upstream: self._describe(
+                entry, loads[entry.upstream], shared, first, source, now_ms
+            )
             for entry in entries
         }
         chosen = choose(
@@ -198,12 +201,12 @@
     def _describe(
         self,
         entry: Entry,
+        load: UpstreamLoad,
         shared: tuple[PromptPart, ...],
         first: str | None,
         source: Source | None,
         now_ms: int,
     ) -> Candidate:
-        load = self.loads.get(entry.upstream, now_ms=now_ms)
         missing = self.holdings.missing_tokens(parts=shared, upstream=entry.upstream, now_ms=now_ms)
         fetchable = 0 if source is None else missing - source.missing_tokens
         return Candidate(
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -217,7 +217,9 @@
         self, attempt: Attempt, outcome: NotReached
     ) -> tuple[web.StreamResponse | None, str]:
         upstream = attempt.entry.upstream
-        self._parts.placer.health.note_unreachable(upstream, reason=outcome.reason)
+        self._parts.placer.health.note_unreachable(
+            upstream, reason=outcome.reason, silent=outcome.silent
+        )
         self._parts.connections.forget(upstream)
         self.progress.not_reached += 1
         self.progress.passed_over.add(upstream)
@@ -243,7 +245,9 @@
 
     def _after_lost(self, attempt: Attempt, outcome: Lost) -> tuple[web.StreamResponse | None, str]:
         upstream = attempt.entry.upstream
-        self._parts.placer.health.note_failed(upstream, reason=outcome.reason)
+        self._parts.placer.health.note_failed(
+            upstream, reason=outcome.reason, silent=outcome.silent
+        )
         if outcome.broken:
             self._parts.suspects.note_broken(self._digest, upstream)
         if self._may_run_again(upstream):
@@ -280,7 +284,9 @@
             attempt.finish()
             self.progress.outcome = "answered"
             return self._relay.response, "answer"
-        self._parts.placer.health.note_failed(upstream, reason=f"stream {end.value}")
+        self._parts.placer.health.note_failed(
+            upstream, reason=f"stream {end.value}", silent=end is RelayEnd.SILENT
+        )
         if end is RelayEnd.BROKEN:
             self._parts.suspects.note_broken(self._digest, upstream)
         attempt.close()
--- a/gypsumrouter/peers/loads.py
+++ b/gypsumrouter/peers/loads.py
@@ -4,14 +4,13 @@
 
 from typing import Final
 
-from gypsumrouter.forwarding.health import HealthBook, Observed
+from gypsumrouter.forwarding.health import NOTHING, HealthBook, Observed
 from gypsumrouter.forwarding.loads import LoadBook, PeerLoads, UpstreamLoad
 from gypsumrouter.link import RouterLoad, RouterNews
 
 # Evidence below this is not worth its bytes where nothing runs.
 MIN_FAILED: Final = 0.1
 IDLE: Final = UpstreamLoad(running=0, pending_tokens=0)
-NOTHING: Final = Observed(good=0.0, failed=0.0)
 
 
 def write_loads(loads: LoadBook, health: HealthBook) -> tuple[RouterLoad, ...]:
--- a/tests/forwarding/test_forwarding_limits.py
+++ b/tests/forwarding/test_forwarding_limits.py
@@ -13,6 +13,7 @@
 from gypsumrouter.forwarding.health import (
     DOWN_FIRST_MS,
     FAILURE_MS,
+    PEER_EVIDENCE_MS,
     PEER_MOST,
     PRIOR,
     HealthBook,
@@ -197,3 +198,28 @@
     health.take_peer("entry-2", {})
     clock.advance(200)
     assert health.penalty_ms("a") == 0
+
+
+def test_silence_may_be_this_routers_own_fault_and_is_not_told() -> None:
+    """A router whose processor or link is slow misses answers of every upstream."""
+    health = make_health(ManualClock())
+    health.note_unreachable("a", reason="no connection within 200 ms", silent=True)
+    health.note_failed("b", reason="silent", silent=True)
+    assert health.penalty_ms("a") > 0
+    assert health.penalty_ms("b") > 0
+    assert all(seen.failed == 0 for seen in health.own().values())
+    health.note_failed("b", reason="status 500")
+    assert health.own()["b"].failed == 1
+
+
+def test_a_peer_that_vanished_or_takes_its_word_back_counts_no_more() -> None:
+    clock = ManualClock()
+    health = make_health(clock)
+    for peer in ("entry-2", "entry-3"):
+        health.take_peer(peer, {"a": Observed(good=0.0, failed=1.0)})
+    both_ms = health.penalty_ms("a")
+    health.take_peer("entry-2", {})
+    assert 0 < health.penalty_ms("a") < both_ms
+    clock.advance(PEER_EVIDENCE_MS + 1)
+    health.take_peer("entry-2", {})
+    assert health.penalty_ms("a") == 0
--- a/tests/forwarding/test_forwarding_placement.py
+++ b/tests/forwarding/test_forwarding_placement.py
@@ -7,7 +7,7 @@
 import pytest
 
 from gypsumrouter.forwarding.holdings import HELD_MS, READABLE_MS, Holdings
-from gypsumrouter.forwarding.loads import PEER_LOADS_MS, LoadBook, PeerLoads, UpstreamLoad
+from gypsumrouter.forwarding.loads import PEER_LOADS_MS, LoadBook, PeerLoads, UpstreamLoad, get_mean
 from gypsumrouter.forwarding.models import PromptPart
 from gypsumrouter.forwarding.placement import Candidate, Cap, choose, order_by_affinity
 
@@ -145,7 +145,7 @@
     told = {"a": UpstreamLoad(running=4, pending_tokens=100)}
     book.take_peer("entry-2", PeerLoads(heard_ms=10, loads=told))
     assert book.get("a", now_ms=10) == UpstreamLoad(running=5, pending_tokens=600)
-    assert book.mean(["a", "b"], now_ms=10) == 2.5
+    assert get_mean(book.get_all(["a", "b"], now_ms=10)) == 2.5
     late_ms = 10 + PEER_LOADS_MS + 1
     assert book.get("a", now_ms=late_ms) == UpstreamLoad(running=1, pending_tokens=500)
     book.note_read("a", tokens=500)
