--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -79,7 +79,7 @@
                 self.entry, repeatable=repeatable, timeout_ms=self.sending.deadline_ms
             )
         except ConnectFailed as error:
-            return NotReached(reason=str(error), silent=error.silent)
+            return NotReached(reason=str(error))
         self._connection = leased.connection
         self.kept = leased.kept
         return None
@@ -100,7 +100,7 @@
             async with asyncio.timeout(timeout_s):
                 return await self._async_read(connection)
         except TimeoutError:
-            return Lost(reason="silent", silent=True)
+            return Lost(reason="silent")
         except ConnectionBroken as error:
             return Lost(reason=str(error), broken=True)
 
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -217,9 +217,7 @@
         self, attempt: Attempt, outcome: NotReached
     ) -> tuple[web.StreamResponse | None, str]:
         upstream = attempt.entry.upstream
-        self._parts.placer.health.note_unreachable(
-            upstream, reason=outcome.reason, silent=outcome.silent
-        )
+        self._parts.placer.health.note_unreachable(upstream, reason=outcome.reason)
         self._parts.connections.forget(upstream)
         self.progress.not_reached += 1
         self.progress.passed_over.add(upstream)
@@ -245,9 +243,7 @@
 
     def _after_lost(self, attempt: Attempt, outcome: Lost) -> tuple[web.StreamResponse | None, str]:
         upstream = attempt.entry.upstream
-        self._parts.placer.health.note_failed(
-            upstream, reason=outcome.reason, silent=outcome.silent
-        )
+        self._parts.placer.health.note_failed(upstream, reason=outcome.reason)
         if outcome.broken:
             self._parts.suspects.note_broken(self._digest, upstream)
         if self._may_run_again(upstream):
@@ -284,9 +280,7 @@
             attempt.finish()
             self.progress.outcome = "answered"
             return self._relay.response, "answer"
-        self._parts.placer.health.note_failed(
-            upstream, reason=f"stream {end.value}", silent=end is RelayEnd.SILENT
-        )
+        self._parts.placer.health.note_failed(upstream, reason=f"stream {end.value}")
         if end is RelayEnd.BROKEN:
             self._parts.suspects.note_broken(self._digest, upstream)
         attempt.close()
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -33,11 +33,7 @@
 
 
 class ConnectFailed(Exception):
-    """No connection could be made, so nothing was sent; `silent` where no word came in time."""
-
-    def __init__(self, message: str, *, silent: bool = False) -> None:
-        super().__init__(message)
-        self.silent = silent
+    """No connection could be made, so nothing was sent."""
 
 
 class ConnectionBroken(Exception):
@@ -251,7 +247,7 @@
         raise
     if not done:
         dialing.add_done_callback(_close_unused)
-        raise ConnectFailed(f"no connection within {timeout_ms} ms", silent=True)
+        raise ConnectFailed(f"no connection within {timeout_ms} ms")
     error = dialing.exception()
     if error is not None:
         raise ConnectFailed(type(error).__name__) from error
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -150,8 +150,6 @@
   upstream @0 :Text;
   running @1 :UInt32;
   pendingTokens @2 :UInt64;
-  goodTenths @3 :UInt16;
-  failedTenths @4 :UInt16;
 }
 
 struct PlacedPart {
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -21,9 +21,6 @@
 MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
 # Fast rather than small: a document of 40 KB takes 0.4 ms.
 COMPRESSION = 1
-# Counts of answers fade with time; a tenth of one still matters, and 6,553 are more than enough.
-TENTHS = 10
-MAX_TENTHS = (1 << 16) - 1
 
 
 def encode_router_news(notice: RouterNews) -> bytes:
@@ -39,8 +36,6 @@
         target.upstream = load.upstream
         target.running = load.running
         target.pendingTokens = load.pending_tokens
-        target.goodTenths = _to_tenths(load.good)
-        target.failedTenths = _to_tenths(load.failed)
     placed = message.init("placed", len(notice.placed))
     for target, part in zip(placed, notice.placed, strict=True):
         target.part = part.part
@@ -65,8 +60,6 @@
                     upstream=load.upstream,
                     running=load.running,
                     pending_tokens=load.pendingTokens,
-                    good=load.goodTenths / TENTHS,
-                    failed=load.failedTenths / TENTHS,
                 )
                 for load in message.loads
             ),
@@ -142,7 +135,3 @@
                 for entry in message.entries
             )
         )
-
-
-def _to_tenths(count: float) -> int:
-    return min(MAX_TENTHS, round(count * TENTHS))
--- a/gypsumrouter/peers/mesh.py
+++ b/gypsumrouter/peers/mesh.py
@@ -29,7 +29,7 @@
     NEWS_MS_PER_PEER,
     ROUTERS_MS,
 )
-from gypsumrouter.peers.loads import read_loads, read_observed, write_loads
+from gypsumrouter.peers.loads import read_loads, write_loads
 from gypsumrouter.peers.outbox import Outbox
 from gypsumrouter.routing import RoutingConfiguration, RoutingStore
 from gypsumrouter.settings import ForwarderSettings, read_link_key
@@ -190,7 +190,7 @@
             routers=self._list_routers(known),
             routing_version=self._routing.version,
             list_revision=self._directory.newest,
-            loads=write_loads(self._forwarder.placer.loads, self._forwarder.placer.health),
+            loads=write_loads(self._forwarder.placer.loads),
             placed=placed,
             strikes=self._outbox.strikes(now_ms=self._app.clock.now_ms()),
         )
@@ -229,7 +229,6 @@
             self._learn(router)
         placer = self._forwarder.placer
         placer.loads.take_peer(peer.hello.name, read_loads(news, now_ms=now_ms))
-        placer.health.take_peer(peer.hello.name, read_observed(news))
         for placed in news.placed:
             placer.holdings.note(part=placed.part, upstream=placed.upstream, now_ms=now_ms)
         for strike in news.strikes:
--- a/tests/forwarding/test_forwarding_placement.py
+++ b/tests/forwarding/test_forwarding_placement.py
@@ -161,3 +161,23 @@
     assert book.get("i-1", now_ms=0).pending_tokens == 10_000
     assert book.get("i-1", now_ms=50).pending_tokens == 6_000
     assert book.get("i-1", now_ms=450) == UpstreamLoad(running=3, pending_tokens=0)
+
+
+def test_kept_sums_are_what_adding_up_every_peer_anew_gives() -> None:
+    """Peers tell, fall silent and come back in any order."""
+    rng = random.Random(11)
+    book = LoadBook()
+    told: dict[str, PeerLoads] = {}
+    for now_ms in range(0, 20_000, 50):
+        peer = f"entry-{rng.randrange(6)}"
+        if rng.random() < 0.3:
+            loads = {
+                name: UpstreamLoad(running=rng.randrange(4), pending_tokens=rng.randrange(9_000))
+                for name in rng.sample(ENGINES, rng.randrange(len(ENGINES)))
+            }
+            told[peer] = PeerLoads(heard_ms=now_ms, loads=loads)
+            book.take_peer(peer, told[peer])
+        heard = [news for news in told.values() if now_ms - news.heard_ms <= PEER_LOADS_MS]
+        for name in ENGINES:
+            running = sum(news.loads[name].running for news in heard if name in news.loads)
+            assert book.get(name, now_ms=now_ms).running == running
