Sums of peers' loads: an upstream told with no request running

Routers tell only of upstreams where something runs, so that no process could meet it yet. Change: an entry that is not there counts as nothing.

--- a/gypsumrouter/forwarding/loads.py
+++ b/gypsumrouter/forwarding/loads.py
@@ -77,9 +77,9 @@
         if told is None:
             return
         for upstream, load in told.loads.items():
-            self._told_running[upstream] -= load.running
-            if not self._told_running[upstream]:
-                del self._told_running[upstream]
+            left = self._told_running.pop(upstream, 0) - load.running
+            if left > 0:
+                self._told_running[upstream] = left
             if load.pending_tokens:
                 del self._told_pending[upstream][peer]
 
