Replay of placement: strategies apart from the replay itself

Change: bench/placement_strategies.py holds the product's placement and the baselines, bench/placements.py the replay and its report.

--- a/tests/bench/test_bench_placements.py
+++ b/tests/bench/test_bench_placements.py
@@ -9,7 +9,8 @@
 
 from bench.placement_engine import Engine
 from bench.placement_load import LARGE, SMALL, Load, make_arrivals
-from bench.placements import Hashing, LeastLoaded, Product, RoundRobin, main, replay
+from bench.placement_strategies import Hashing, LeastLoaded, Product, RoundRobin
+from bench.placements import main, replay
 from gypsumrouter.forwarding.models import Prompt, PromptPart
 
 # A third of the recorded time, with the hot prompt in its middle.
