Caller connections: the rest of a refused body is no head

Cause: reading of the change: bytes that came while no request was being served began the time of a head, also those of a body whose request had been refused; the connection was closed after the head's time though its caller may use it again for the idle time. Change: only bytes that come while the library awaits the next request count.

--- a/gypsumrouter/callers/listener.py
+++ b/gypsumrouter/callers/listener.py
@@ -73,11 +73,16 @@
     def data_received(self, data: bytes) -> None:
         """Bound the time that a head takes from its first byte; a slow one holds the connection."""
         super().data_received(data)
-        serving = self._current_request is not None or bool(self._messages)
-        if not serving and not self._head_begun:
+        # What comes while no request is awaited is the rest of a body.
+        if self._is_awaiting and not self._head_begun:
             self._head_begun = True
             self._close_after(self._head_limits.head_ms)
 
+    @property
+    def _is_awaiting(self) -> bool:
+        """Return whether the next request is awaited and its head is not whole yet."""
+        return self._waiter is not None and not self._waiter.done() and not self._messages
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Release the timer of the connection."""
         self.note_request()
@@ -101,7 +106,7 @@
 
         The library's own `close` leaves an idle connection open, on which nothing is served.
         """
-        idle = self._waiter is not None and not self._waiter.done() and not self._messages
+        idle = self._is_awaiting
         self.close()
         if idle and self.transport is not None:
             self.transport.close()
--- a/tests/forwarding/test_forwarding_callers.py
+++ b/tests/forwarding/test_forwarding_callers.py
@@ -99,3 +99,24 @@
         elapsed_ms = 1000 * (loop.time() - began)
     writer.close()
     assert elapsed_ms > 0.8 * LIMITS["idle_timeout_ms"]
+
+
+async def test_the_rest_of_a_refused_body_does_not_count_as_a_head(world: ForwardingWorld) -> None:
+    """The connection stays open for the idle time, not only for that of a head."""
+    await async_publish_limits(world)
+    size = LIMITS["max_body_bytes"] + 1
+    head = f"POST /open/a HTTP/1.1\r\nHost: api.example\r\nContent-Length: {size}\r\n\r\n"
+    with patch(SPARE, 0):
+        reader, writer = await async_connect(world)
+        writer.write(head.encode() + b"x" * 10)
+        answer = await reader.readuntil(b"\r\n\r\n")
+        assert answer.startswith(b"HTTP/1.1 413")
+        length = int(answer.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0])
+        await reader.readexactly(length)
+        writer.write(b"x" * (size - 10))
+        await asyncio.sleep(2 * LIMITS["header_timeout_ms"] / 1_000)
+        writer.write(LOOKUP.format("r-9").encode())
+        async with asyncio.timeout(HANG_S):
+            answer = await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+    assert answer.startswith(b"HTTP/1.1 200")
