--- a/tests/forwarding/test_forwarding_callers.py
+++ b/tests/forwarding/test_forwarding_callers.py
@@ -24,7 +24,13 @@
 
 async def async_publish_limits(world: ForwardingWorld) -> None:
     await world.store.async_put_configuration(make_configuration(2, limits=LIMITS))
-    await world.async_until(lambda: world.product.store.version == 2)
+    await world.async_until(lambda: get_version(world) == 2)
+
+
+def get_version(world: ForwardingWorld) -> object:
+    section = world.product.app.dump()["routing"]
+    assert isinstance(section, dict)
+    return section["version"]
 
 
 async def async_connect(
