List of upstreams: starts under an old id, and entries that name nobody to use

Cause: an address such as 'abc' or '1.2.3.4:x', or a cold time of NaN, raised an error that no caller expected; the task that follows the list ended, and the router never heard of an upstream again. Host names, port 70000 and no slots were taken for upstreams to use, a page without a field ended the task too, and a list of pages that broke off ended the upstreams it had not come to. Nothing read the time of a start: an upstream that started again under its id counted as holding every prompt of its life before. An upstream that changed its service stayed in the one before as well.

Change: entries are checked strictly; one that cannot be read stands as unusable, and its upstream rests until a readable one follows. Pages are read item by item. Every book of the forwarder keeps what it believes under the name of one incarnation (id and start), so that all of it starts over at once, whatever brings the news; peers tell of incarnations too.

After: all tests pass (one existing test names the id instead of the key that it stands in; it is as strict).

--- a/gypsumrouter/bootstrap_forwarder.py
+++ b/gypsumrouter/bootstrap_forwarder.py
@@ -11,7 +11,7 @@
 
 from gypsumrouter.const import VERSION, Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Record
+from gypsumrouter.directory import Directory, Entry, EntryState, Record
 from gypsumrouter.exceptions import DocumentInvalid
 from gypsumrouter.fleet.models import Address, parse_address
 from gypsumrouter.forwarding import Forwarder
@@ -32,6 +32,7 @@
     decode_configuration,
     decode_entry,
     read_request,
+    read_upstream_id,
 )
 from gypsumrouter.platform.names import KEY_CONFIGURATION, PREFIX_SERVERS
 from gypsumrouter.product import Product
@@ -183,24 +184,29 @@
 
 
 def _take_all_entries(directory: Directory, listed: Listed) -> None:
-    records = _read_records(listed.items)
+    records = read_records(listed.items)
     directory.replace_all(records, revision=listed.as_of, source=SOURCE_PLATFORM)
 
 
 def _take_changed_entries(directory: Directory, listed: Listed) -> None:
-    for record in _read_records(listed.items):
+    for record in read_records(listed.items):
         directory.merge(record, source=SOURCE_PLATFORM)
     directory.note_revision(listed.as_of)
 
 
-def _read_records(items: tuple[Item, ...]) -> Iterator[Record]:
+def read_records(items: tuple[Item, ...]) -> Iterator[Record]:
+    """Return the records of items of the list; one that cannot be read names nobody to use."""
     for item in items:
+        upstream = read_upstream_id(item.key)
+        if upstream is None:
+            _LOGGER.error("The key %r names no upstream", item.key)
+            continue
         try:
-            entry = decode_entry(key=item.key, value=item.value)
+            entry = decode_entry(upstream=upstream, value=item.value)
         except DocumentInvalid as error:
             # One unreadable entry must not hide the others.
-            _LOGGER.error("The entry %s is unreadable: %s", item.key, error)
-            continue
+            _LOGGER.error("The entry of %s is unreadable: %s", upstream, error)
+            entry = Entry(upstream=upstream, state=EntryState.UNUSABLE)
         yield Record(revision=item.revision, entry=entry)
 
 
--- a/gypsumrouter/directory/__init__.py
+++ b/gypsumrouter/directory/__init__.py
@@ -3,6 +3,6 @@
 from __future__ import annotations
 
 from gypsumrouter.directory.directory import Directory
-from gypsumrouter.directory.models import Entry, EntryState, Record
+from gypsumrouter.directory.models import Entry, EntryState, Record, name_incarnation
 
-__all__ = ["Directory", "Entry", "EntryState", "Record"]
+__all__ = ["Directory", "Entry", "EntryState", "Record", "name_incarnation"]
--- a/gypsumrouter/directory/directory.py
+++ b/gypsumrouter/directory/directory.py
@@ -22,7 +22,8 @@
 class Directory:
     """Every upstream that was ever listed in this incarnation, with its newest state.
 
-    Leaving is final for an id: a start of an upstream always has a new one. An entry that was
+    Leaving is final for one start of an upstream; the next start under the same id is another
+    incarnation, and the one before it is gone. An entry that was
     removed right after an outage of the list is used on until `LAPSE_GRACE_MS` after the outage,
     since a whole list may have lapsed.
     """
@@ -30,6 +31,7 @@
     __slots__ = (
         "_app",
         "_doubtful",
+        "_incarnations",
         "_journal",
         "_listeners",
         "_records",
@@ -43,6 +45,7 @@
         self._app = app
         self._journal = journal
         self._records: dict[str, Record] = {}
+        self._incarnations: dict[str, Entry] = {}
         self._doubtful: dict[str, Record] = {}
         self._listeners: list[ChangeListener] = []
         self._usable_until_ms: int | None = None
@@ -53,18 +56,23 @@
         app.add_dump_section("directory", self._dump)
 
     def get(self, upstream: str) -> Entry | None:
-        """Return what is known of an upstream."""
+        """Return what is known of the newest start of an upstream, by its id."""
         record = self._records.get(upstream)
         return None if record is None else record.entry
 
+    def get_incarnation(self, incarnation: str) -> Entry | None:
+        """Return what is known of one start; None where a later one took its place."""
+        return self._incarnations.get(incarnation)
+
     def records(self) -> tuple[Record, ...]:
         """Return everything that is known, for a peer that knows less."""
         return tuple(self._records.values())
 
     def replace_all(self, records: Iterable[Record], *, revision: int, source: str) -> None:
         """Take a whole list as of `revision`: what it lacks is gone."""
-        listed = {record.entry.upstream: record for record in records}
-        for record in listed.values():
+        listed: set[str] = set()
+        for record in records:
+            listed.add(record.entry.upstream)
             self.merge(record, source=source)
         for upstream, known in tuple(self._records.items()):
             if upstream not in listed and known.revision <= revision:
@@ -100,9 +108,11 @@
         if known is not None and known.revision >= record.revision:
             return False
         self.newest = max(self.newest, record.revision)
-        if known is None and record.entry.state is EntryState.GONE:
-            self._records[upstream] = record
-            return True
+        if known is None:
+            return self._take_first(record, source)
+        if not _tells_more(record.entry, known.entry):
+            self._records[upstream] = replace(known, revision=record.revision)
+            return False
         removed = record.entry.state is EntryState.GONE
         if removed and not settled and self._may_be_lapse(known):
             self._doubtful[upstream] = record
@@ -111,6 +121,17 @@
         self._accept(known, record, source)
         return True
 
+    def _take_first(self, record: Record, source: str) -> bool:
+        """Take an entry of an upstream that was never heard of."""
+        match record.entry.state:
+            case EntryState.UNUSABLE:
+                return False
+            case EntryState.GONE:
+                self._records[record.entry.upstream] = record
+            case EntryState.READY | EntryState.LEAVING:
+                self._accept(None, record, source)
+        return True
+
     def settle(self) -> None:
         """Take for gone what has not come back after an outage; call it a few times a second."""
         until_ms = self._usable_until_ms
@@ -134,22 +155,33 @@
         )
 
     def _accept(self, known: Record | None, record: Record, source: str) -> None:
-        entry = record.entry
-        leaving = known is not None and known.entry.state is EntryState.LEAVING
-        if leaving and entry.state is EntryState.READY:
-            # A late write of an upstream that is leaving does not bring it back.
-            entry = replace(entry, state=EntryState.LEAVING)
+        entry = record.entry if known is None else _go_on(record.entry, known.entry)
         self._records[entry.upstream] = Record(revision=record.revision, entry=entry)
         if known is not None and known.entry == entry:
             return
+        if known is not None and known.entry.incarnation != entry.incarnation:
+            self._end(known.entry, record.revision, source)
+        self._incarnations[entry.incarnation] = entry
+        self._announce(known, entry, record.revision, source)
+
+    def _end(self, earlier: Entry, revision: int, source: str) -> None:
+        """Announce that a start of an upstream is over, since a later one has its id."""
+        self._incarnations.pop(earlier.incarnation, None)
+        if earlier.state is EntryState.GONE:
+            return
+        gone = Entry(upstream=earlier.upstream, state=EntryState.GONE, born_ms=earlier.born_ms)
+        known = Record(revision=revision, entry=earlier)
+        self._announce(known, gone, revision, source)
+
+    def _announce(self, known: Record | None, entry: Entry, revision: int, source: str) -> None:
         shown = entry if entry.address is not None or known is None else known.entry
         self._journal.record(
             UpstreamChanged(
-                upstream=entry.upstream,
+                upstream=entry.incarnation,
                 service=shown.service,
                 address=str(shown.address),
                 state=entry.state.value,
-                revision=record.revision,
+                revision=revision,
                 source=source,
             )
         )
@@ -164,6 +196,7 @@
             "upstreams": [
                 {
                     "id": record.entry.upstream,
+                    "born_ms": record.entry.born_ms,
                     "service": record.entry.service,
                     "state": record.entry.state.value,
                     "revision": record.revision,
@@ -171,3 +204,28 @@
                 for record in self._records.values()
             ],
         }
+
+
+def _tells_more(entry: Entry, known: Entry) -> bool:
+    """Return whether an entry says anything of the start that is known, or of a later one.
+
+    The word of an earlier start may come late. What cannot be read says only that a ready upstream
+    gets no new work for now.
+    """
+    if entry.born_ms and entry.born_ms < known.born_ms:
+        return False
+    return entry.state is not EntryState.UNUSABLE or known.state is EntryState.READY
+
+
+def _go_on(entry: Entry, known: Entry) -> Entry:
+    """Return what holds after an entry that follows a known one."""
+    if entry.born_ms > known.born_ms:
+        return entry
+    # An entry that does not tell its start is of the start that is known.
+    entry = replace(entry, born_ms=known.born_ms)
+    if entry.state is EntryState.UNUSABLE:
+        return replace(known, state=EntryState.UNUSABLE)
+    if known.state is EntryState.LEAVING and entry.state is EntryState.READY:
+        # A late write of an upstream that is leaving does not bring it back.
+        return replace(entry, state=EntryState.LEAVING)
+    return entry
--- a/gypsumrouter/directory/models.py
+++ b/gypsumrouter/directory/models.py
@@ -2,26 +2,40 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
+from typing import Final
 
 from gypsumrouter.fleet.models import Address
 
+# The last five digits of a start's time in base 36 repeat after 16 hours; an upstream does not
+# start twice at such a distance to the millisecond.
+TAG_DIGITS: Final = 5
+_DIGITS: Final = "0123456789abcdefghijklmnopqrstuvwxyz"
+
 
 class EntryState(StrEnum):
-    """Whether an upstream takes new work."""
+    """Whether an upstream takes new work.
+
+    `UNUSABLE` is one whose entry cannot be read now: it gets no new work until a readable one
+    follows.
+    """
 
     READY = "ready"
+    UNUSABLE = "unusable"
     LEAVING = "leaving"
     GONE = "gone"
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Entry:
-    """One incarnation of an upstream; `upstream` is its id, which no other start ever has.
+    """One incarnation of an upstream.
 
+    `upstream` is the id under which it is listed; a later start may have the same id, with a later
+    `born_ms` (Unix time; 0 where it is not told). `incarnation` names this start alone: whatever is
+    believed of an upstream is kept under that name, so that a new start begins with nothing.
     `slots` is how many requests it runs at once, `cold_ms` how much longer it is slow after its
-    start. An entry that is gone keeps only its id.
+    start. An entry that is gone keeps only its id and its start.
     """
 
     upstream: str
@@ -31,6 +45,12 @@
     data_centre: str = ""
     slots: int = 1
     cold_ms: int = 0
+    born_ms: int = 0
+    incarnation: str = field(init=False)
+
+    def __post_init__(self) -> None:
+        name = name_incarnation(upstream=self.upstream, born_ms=self.born_ms)
+        object.__setattr__(self, "incarnation", name)
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -39,3 +59,14 @@
 
     revision: int
     entry: Entry
+
+
+def name_incarnation(*, upstream: str, born_ms: int) -> str:
+    """Return the name of one start of an upstream; without a time of the start it is the id."""
+    if born_ms <= 0:
+        return upstream
+    digits = []
+    for _ in range(TAG_DIGITS):
+        born_ms, digit = divmod(born_ms, len(_DIGITS))
+        digits.append(_DIGITS[digit])
+    return f"{upstream}~{''.join(reversed(digits))}"
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -1,4 +1,4 @@
-"""Kept connections to upstreams, by the upstream's id: a new start never gets an old connection."""
+"""Kept connections to upstreams, by incarnation: a new start never gets an old connection."""
 
 from __future__ import annotations
 
@@ -53,7 +53,7 @@
         ago: its upstream may be closing it.
         """
         now_ms = self._app.clock.now_ms()
-        idle = self._idle.get(entry.upstream)
+        idle = self._idle.get(entry.incarnation)
         max_idle_ms = None if repeatable else FRESH_IDLE_MS
         while idle:
             connection = idle.pop()
@@ -75,7 +75,7 @@
     def give_back(self, entry: Entry, connection: HttpConnection) -> None:
         """Keep a connection whose exchange is over, or close it."""
         connection.finish()
-        idle = self._idle.setdefault(entry.upstream, [])
+        idle = self._idle.setdefault(entry.incarnation, [])
         if not connection.reusable or len(idle) >= MAX_IDLE_PER_UPSTREAM:
             connection.close()
             return
--- a/gypsumrouter/forwarding/inventory.py
+++ b/gypsumrouter/forwarding/inventory.py
@@ -12,7 +12,7 @@
 from typing import Final, Protocol
 
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Entry, EntryState
+from gypsumrouter.directory import Directory, Entry, EntryState, name_incarnation
 from gypsumrouter.forwarding.connections import UpstreamConnections
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.helpers.http_connection import ConnectFailed, ConnectionBroken, HttpConnection
@@ -36,11 +36,19 @@
     tokens: int
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class HeldList:
+    """All parts in an engine's cache, and when the engine was started (Unix time; 0: not told)."""
+
+    parts: tuple[HeldPart, ...]
+    born_ms: int = 0
+
+
 class AskHeld(Protocol):
     """Asks an engine what it holds."""
 
-    async def __call__(self, connection: HttpConnection) -> tuple[HeldPart, ...]:
-        """Return the parts; raises ConnectionBroken for anything that is no list."""
+    async def __call__(self, connection: HttpConnection) -> HeldList:
+        """Return the list; raises ConnectionBroken for anything that is no list."""
 
 
 class Inventory:
@@ -98,14 +106,17 @@
                 held = await self._async_ask(entry)
         except (ConnectFailed, ConnectionBroken, TimeoutError) as error:
             # It is a hint: what is not known is read again.
-            _LOGGER.warning("Upstream %s does not list what it holds: %r", entry.upstream, error)
+            _LOGGER.warning("Upstream %s does not list what it holds: %r", entry.incarnation, error)
             return
-        for part in held:
+        # A later start may answer before the list tells of it; what it holds is its own.
+        born_ms = held.born_ms or entry.born_ms
+        incarnation = name_incarnation(upstream=entry.upstream, born_ms=born_ms)
+        for part in held.parts:
             if part.tokens >= MIN_TOKENS:
-                self._placer.note_held(part=part.part, upstream=entry.upstream)
-        _LOGGER.info("Upstream %s holds %d parts", entry.upstream, len(held))
+                self._placer.note_held(part=part.part, upstream=incarnation)
+        _LOGGER.info("Upstream %s holds %d parts", incarnation, len(held.parts))
 
-    async def _async_ask(self, entry: Entry) -> tuple[HeldPart, ...]:
+    async def _async_ask(self, entry: Entry) -> HeldList:
         leased = await self._connections.async_lease(entry, repeatable=True, timeout_ms=LIST_MS)
         try:
             held = await self._ask(leased.connection)
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -115,14 +115,14 @@
         loads = self.loads.get_all(members, now_ms=now_ms)
         mean = get_mean(loads)
         entries = [entry for name, entry in members.items() if name not in passed_over]
-        reachable = [entry for entry in entries if not self.health.is_down(entry.upstream)]
+        reachable = [entry for entry in entries if not self.health.is_down(entry.incarnation)]
         entries = reachable or entries
         shared = () if prompt is None else prompt.shared
         source = self._find_source(shared, now_ms)
         first = _first_in_order(members, shared)
         candidates = {
-            entry.upstream: self._describe(
-                entry, loads[entry.upstream], shared, first, source, now_ms
+            entry.incarnation: self._describe(
+                entry, loads[entry.incarnation], shared, first, source, now_ms
             )
             for entry in entries
         }
@@ -151,7 +151,7 @@
 
     def note_sent(self, placed: Placed, prompt: Prompt | None) -> Sent:
         """Count a request that is sent, and what its upstream will hold of its prompt."""
-        upstream = placed.entry.upstream
+        upstream = placed.entry.incarnation
         if prompt is None:
             self.loads.begin(upstream, tokens=0)
             return Sent(upstream=upstream, tokens=0, new_parts=())
@@ -184,7 +184,7 @@
         best: Source | None = None
         for part in reversed(shared):
             for upstream in self.holdings.readers(part.part, now_ms=now_ms):
-                entry = self._directory.get(upstream)
+                entry = self._directory.get_incarnation(upstream)
                 if entry is None or entry.state is EntryState.GONE:
                     continue
                 if self.health.is_down(upstream):
@@ -207,29 +207,30 @@
         source: Source | None,
         now_ms: int,
     ) -> Candidate:
-        missing = self.holdings.missing_tokens(parts=shared, upstream=entry.upstream, now_ms=now_ms)
+        missing = self.holdings.missing_tokens(
+            parts=shared, upstream=entry.incarnation, now_ms=now_ms
+        )
         fetchable = 0 if source is None else missing - source.missing_tokens
         return Candidate(
-            upstream=entry.upstream,
+            upstream=entry.incarnation,
             load=load.running,
             slots=entry.slots,
             near=entry.data_centre == self._app.data_centre,
             pending_tokens=load.pending_tokens,
             missing_tokens=missing,
             fetchable_tokens=fetchable if fetchable >= MIN_FETCH_TOKENS else 0,
-            stranger=first is not None and entry.upstream != first,
-            penalty_ms=self.health.penalty_ms(entry.upstream),
+            stranger=first is not None and entry.incarnation != first,
+            penalty_ms=self.health.penalty_ms(entry.incarnation),
         )
 
     def _take_entry(self, entry: Entry) -> None:
-        if entry.state is EntryState.READY:
-            self._by_service.setdefault(entry.service, {})[entry.upstream] = entry
-            return
         for members in self._by_service.values():
-            members.pop(entry.upstream, None)
+            members.pop(entry.incarnation, None)
+        if entry.state is EntryState.READY:
+            self._by_service.setdefault(entry.service, {})[entry.incarnation] = entry
         if entry.state is EntryState.GONE:
-            self.holdings.forget_upstream(entry.upstream)
-            self.health.forget(entry.upstream)
+            self.holdings.forget_upstream(entry.incarnation)
+            self.health.forget(entry.incarnation)
 
 
 def _first_in_order(members: Collection[str], shared: tuple[PromptPart, ...]) -> str | None:
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -155,7 +155,7 @@
         """Try one upstream; None asks for another one."""
         progress = self.progress
         progress.attempts += 1
-        progress.upstream = placed.entry.upstream
+        progress.upstream = placed.entry.incarnation
         loads = self._parts.placer.loads
         peers_age_ms = loads.oldest_news_ms(now_ms=self._now_ms())
         self._story.note_placed(placed, attempt=progress.attempts, peers_age_ms=peers_age_ms)
@@ -172,13 +172,13 @@
         sent = self._parts.placer.note_sent(placed, self._request.prompt)
         try:
             outcome = await self._async_send(attempt)
-            self._parts.placer.loads.note_read(placed.entry.upstream, tokens=sent.tokens)
+            self._parts.placer.loads.note_read(placed.entry.incarnation, tokens=sent.tokens)
             if isinstance(outcome, NotReached | TurnedAway):
                 self._parts.placer.note_not_run(sent)
             response, step = await self._async_decide(attempt, outcome)
         finally:
             attempt.close()
-            self._parts.placer.loads.end(placed.entry.upstream)
+            self._parts.placer.loads.end(placed.entry.incarnation)
             self._story.note_ended(
                 attempt,
                 outcome,
@@ -216,7 +216,7 @@
     def _after_not_reached(
         self, attempt: Attempt, outcome: NotReached
     ) -> tuple[web.StreamResponse | None, str]:
-        upstream = attempt.entry.upstream
+        upstream = attempt.entry.incarnation
         self._parts.placer.health.note_unreachable(upstream, reason=outcome.reason)
         self._parts.connections.forget(upstream)
         self.progress.not_reached += 1
@@ -228,7 +228,7 @@
     def _after_turned_away(
         self, attempt: Attempt, outcome: TurnedAway
     ) -> tuple[web.StreamResponse | None, str]:
-        upstream = attempt.entry.upstream
+        upstream = attempt.entry.incarnation
         if outcome.stranger:
             self._parts.placer.health.note_unreachable(upstream, reason="another upstream is there")
         else:
@@ -242,7 +242,7 @@
         return None, "elsewhere"
 
     def _after_lost(self, attempt: Attempt, outcome: Lost) -> tuple[web.StreamResponse | None, str]:
-        upstream = attempt.entry.upstream
+        upstream = attempt.entry.incarnation
         self._parts.placer.health.note_failed(upstream, reason=outcome.reason)
         if outcome.broken:
             self._parts.suspects.note_broken(self._digest, upstream)
@@ -253,7 +253,7 @@
     def _after_whole(
         self, attempt: Attempt, outcome: Whole
     ) -> tuple[web.StreamResponse | None, str]:
-        upstream = attempt.entry.upstream
+        upstream = attempt.entry.incarnation
         if self._relay.response is not None:
             return self._after_lost(attempt, Lost(reason=f"status {outcome.status}"))
         if outcome.status < STATUS_SERVER_ERROR:
@@ -270,7 +270,7 @@
         self, attempt: Attempt, outcome: Begun
     ) -> tuple[web.StreamResponse | None, str]:
         """Pass a stream on, and go on elsewhere where it may be resumed."""
-        upstream = attempt.entry.upstream
+        upstream = attempt.entry.incarnation
         if self._relay.last_id is not None:
             self._story.note_resumed(upstream, last_id=self._relay.last_id)
         end = await self._relay.async_pass_on(outcome)
--- a/gypsumrouter/forwarding/story.py
+++ b/gypsumrouter/forwarding/story.py
@@ -54,13 +54,13 @@
                 request_id=self._request.request_id,
                 route=self._routed.route.name,
                 service=self._service,
-                upstream=placed.entry.upstream,
+                upstream=placed.entry.incarnation,
                 attempt=attempt,
                 load=placed.load,
                 mean_load=placed.mean_load,
                 prompt=_name_prompt(self._request.prompt),
                 missing_tokens=placed.missing_tokens,
-                fetch_from="" if placed.fetch_from is None else placed.fetch_from.upstream,
+                fetch_from="" if placed.fetch_from is None else placed.fetch_from.incarnation,
                 candidates=placed.candidates,
                 peers_age_ms=peers_age_ms,
                 list_revision=self._list_revision,
@@ -73,7 +73,7 @@
         self._journal.record(
             AttemptSent(
                 request_id=self._request.request_id,
-                upstream=attempt.entry.upstream,
+                upstream=attempt.entry.incarnation,
                 attempt=number,
                 kept_connection=attempt.kept,
                 deadline_ms=attempt.sending.deadline_ms,
@@ -87,7 +87,7 @@
         self._journal.record(
             AttemptEnded(
                 request_id=self._request.request_id,
-                upstream=attempt.entry.upstream,
+                upstream=attempt.entry.incarnation,
                 attempt=number,
                 outcome=_describe(outcome),
                 ran=attempt.sent and not isinstance(outcome, TurnedAway),
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -190,6 +190,7 @@
   address @4 :Text;
   dataCentre @5 :Text;
   slots @6 :UInt32;
+  bornMs @7 :UInt64;
 }
 
 struct ListedUpstreams {
--- a/gypsumrouter/link/models.py
+++ b/gypsumrouter/link/models.py
@@ -271,6 +271,7 @@
     address: str = ""
     data_centre: str = ""
     slots: int = 1
+    born_ms: int = 0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -115,6 +115,7 @@
         target.address = entry.address
         target.dataCentre = entry.data_centre
         target.slots = entry.slots
+        target.bornMs = entry.born_ms
     return to_bytes(message)
 
 
@@ -131,6 +132,7 @@
                     address=entry.address,
                     data_centre=entry.dataCentre,
                     slots=entry.slots,
+                    born_ms=entry.bornMs,
                 )
                 for entry in message.entries
             )
--- a/gypsumrouter/peers/catch_up.py
+++ b/gypsumrouter/peers/catch_up.py
@@ -139,6 +139,7 @@
         address="" if entry.address is None else str(entry.address),
         data_centre=entry.data_centre,
         slots=entry.slots,
+        born_ms=entry.born_ms,
     )
 
 
@@ -152,5 +153,6 @@
             address=parse_address(entry.address) if entry.address else None,
             data_centre=entry.data_centre,
             slots=entry.slots,
+            born_ms=entry.born_ms,
         ),
     )
--- a/gypsumrouter/platform/configuration.py
+++ b/gypsumrouter/platform/configuration.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Final
+from typing import Annotated, Final
 
-from pydantic import ConfigDict, TypeAdapter, ValidationError
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 
 from gypsumrouter.exceptions import ConfigurationInvalid
 from gypsumrouter.routing import (
@@ -20,13 +20,16 @@
 )
 from gypsumrouter.util.checked import list_field_errors
 
+Milliseconds = Annotated[float, Field(ge=0, le=1e12)]
+Weight = Annotated[float, Field(ge=0, le=1e12)]
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class WireSplit:
     """One of several services of a route."""
 
     service: str
-    weight: float
+    weight: Weight
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -37,9 +40,9 @@
     host: str
     prefix: str
     kind: RouteKind
-    timeout_ms: float
-    target_latency_ms: float = 0.0
-    target_gap_ms: float = 0.0
+    timeout_ms: Milliseconds
+    target_latency_ms: Milliseconds = 0.0
+    target_gap_ms: Milliseconds = 0.0
     priority: int = 0
     max_attempts: int = 1
     public: bool = False
@@ -81,8 +84,8 @@
 
     max_header_bytes: int = 16 * 1024
     max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_ms: float = 3_000
-    idle_timeout_ms: float = 15_000
+    header_timeout_ms: Milliseconds = 3_000
+    idle_timeout_ms: Milliseconds = 15_000
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/gypsumrouter/platform/engines.py
+++ b/gypsumrouter/platform/engines.py
@@ -4,12 +4,12 @@
 
 import json
 
-from gypsumrouter.forwarding.inventory import HeldPart
+from gypsumrouter.forwarding.inventory import HeldList, HeldPart
 from gypsumrouter.helpers.http_connection import ConnectionBroken, HttpConnection
 from gypsumrouter.platform import names
 
 
-async def async_list_held(connection: HttpConnection) -> tuple[HeldPart, ...]:
+async def async_list_held(connection: HttpConnection) -> HeldList:
     """Return what an engine's cache holds; raises ConnectionBroken for anything that is no list."""
     head = f"GET {names.CALL_HELD} HTTP/1.1\r\nHost: {connection.address}\r\n\r\n"
     connection.begin(method="GET", data=head.encode())
@@ -18,10 +18,12 @@
     if answer.status != names.STATUS_OK:
         raise ConnectionBroken(f"status {answer.status}")
     try:
+        document = json.loads(body)
         # Each entry is a list: an empty text, the part's id, its tokens, its model.
-        return tuple(
+        parts = tuple(
             HeldPart(part=int(part, 16) & names.MASK_64, tokens=int(tokens))
-            for _, part, tokens, _ in json.loads(body)["held"]
+            for _, part, tokens, _ in document["held"]
         )
-    except (ValueError, KeyError, TypeError) as error:
+        return HeldList(parts=parts, born_ms=int(document.get("born", 0)))
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as error:
         raise ConnectionBroken(f"no list of parts: {error!r}") from None
--- a/gypsumrouter/platform/entries.py
+++ b/gypsumrouter/platform/entries.py
@@ -2,54 +2,83 @@
 
 from __future__ import annotations
 
+import ipaddress
+import re
 from dataclasses import dataclass
-from typing import Final, Literal
+from typing import Annotated, Final, Literal
 
-from pydantic import TypeAdapter, ValidationError
+from pydantic import ConfigDict, Field, TypeAdapter, ValidationError
 
 from gypsumrouter.directory import Entry, EntryState
-from gypsumrouter.exceptions import DocumentInvalid
+from gypsumrouter.exceptions import DocumentInvalid, FieldError
 from gypsumrouter.fleet.models import Address
 from gypsumrouter.platform import names
 from gypsumrouter.util.checked import list_field_errors
 
+MAX_PORT: Final = 65_535
+# Ids are sent on in a header, and keys are at most 200 bytes.
+ID_PATTERN: Final = re.compile(r"[A-Za-z0-9_.:-]{1,200}")
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class WireServer:
     """What a runner writes of itself; its id stands only in the key of the item."""
 
-    service: str
+    __pydantic_config__ = ConfigDict(strict=True, extra="ignore")
+    service: Annotated[str, Field(min_length=1)]
     # IP:PORT.
     address: str
-    zone: str = ""
-    slots: int = 1
-    state: Literal["ready", "draining"] = "ready"
+    zone: str
+    slots: Annotated[int, Field(gt=0)]
+    state: Literal["ready", "draining"]
     # How much longer it is slow after its start, in milliseconds.
-    cold_left_ms: float = 0.0
+    cold_left_ms: Annotated[float, Field(ge=0, le=1e9)] = 0.0
+    # Not the order of its writes but of the orders that it took.
+    sequence: int = 0
+    # The version of its software, not of its model.
+    version: str = ""
+    # When it was started, in Unix milliseconds; another start has the same id and another time.
+    born: Annotated[int, Field(gt=0, lt=2**53)] | None = None
 
 
 _ADAPTER: Final = TypeAdapter(WireServer)
 
 
-def decode_entry(*, key: str, value: bytes | None) -> Entry:
+def read_upstream_id(key: str) -> str | None:
+    """Return the id that a key of the list names; None where it names none."""
+    upstream = key.removeprefix(names.PREFIX_SERVERS)
+    return upstream if ID_PATTERN.fullmatch(upstream) else None
+
+
+def decode_entry(*, upstream: str, value: bytes | None) -> Entry:
     """Return the product's form of one item; None is one that was removed.
 
-    Raises DocumentInvalid.
+    Raises DocumentInvalid for one that names no upstream to use.
     """
-    upstream = key.removeprefix(names.PREFIX_SERVERS)
     if value is None:
         return Entry(upstream=upstream, state=EntryState.GONE)
     try:
         server = _ADAPTER.validate_json(value)
     except ValidationError as error:
         raise DocumentInvalid(list_field_errors(error)) from None
-    host, _, port = server.address.rpartition(":")
     return Entry(
         upstream=upstream,
         state=EntryState.READY if server.state == "ready" else EntryState.LEAVING,
         service=server.service,
-        address=Address(host=host, port=int(port)),
+        address=_read_address(server.address),
         data_centre=server.zone,
         slots=server.slots,
         cold_ms=int(server.cold_left_ms),
+        born_ms=server.born or 0,
     )
+
+
+def _read_address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    try:
+        host = str(ipaddress.ip_address(host.strip("[]")))
+        if port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT:
+            return Address(host=host, port=int(port))
+    except ValueError:
+        pass
+    raise DocumentInvalid((FieldError(path="$.address", message="It is no IP address and port"),))
--- a/gypsumrouter/platform/store.py
+++ b/gypsumrouter/platform/store.py
@@ -5,6 +5,8 @@
 import asyncio
 import base64
 import json
+import logging
+from dataclasses import dataclass
 from typing import Any, Final
 from urllib.parse import urlencode
 
@@ -19,6 +21,8 @@
 from gypsumrouter.platform import names
 from gypsumrouter.published.models import HistoryLost, Item, Listed, StoreUnavailable
 
+_LOGGER = logging.getLogger(__name__)
+
 CONNECT_MS: Final = 1_000
 # A call takes 4 ms as published; a slow store takes sixty times that, and lists come in pages.
 ANSWER_MS: Final = 1_500
@@ -26,6 +30,16 @@
 MAX_PAGES: Final = 64
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Page:
+    """One answer of the store: its readable items, and where the next page begins."""
+
+    items: tuple[Item, ...]
+    as_of: int
+    more: bool
+    last_key: str
+
+
 class StoreClient:
     """Reads what lies below one prefix, over one connection that is opened when it is needed."""
 
@@ -45,25 +59,27 @@
             query = {"prefix": self._prefix}
             if after:
                 query["after"] = after
-            page = await self._async_get(names.CALL_RANGE, query, wait_ms=0)
-            found = [_read_item(entry) for entry in page["items"]]
-            items.extend(found)
+            document = await self._async_get(names.CALL_RANGE, query, wait_ms=0)
+            page = read_page(document, "items")
+            items.extend(page.items)
             # Pages are no snapshot: what changed after the first one is told by the watch.
-            as_of = page["as_of"] if as_of is None else as_of
-            if not page.get("more_pages") or not found:
+            as_of = page.as_of if as_of is None else as_of
+            if not page.more:
+                return Listed(items=tuple(items), as_of=as_of)
+            if not page.last_key:
                 break
-            after = found[-1].key
-        return Listed(items=tuple(items), as_of=as_of or 0)
+            after = page.last_key
+        # A list that breaks off would end all the upstreams that it did not come to.
+        raise StoreUnavailable("a list without an end")
 
     async def async_watch(self, *, after: int, wait_ms: int) -> Listed | HistoryLost:
         """Return what changed after a revision; raises StoreUnavailable."""
         query = {"prefix": self._prefix, "after": str(after), "wait_ms": str(wait_ms)}
-        page = await self._async_get(names.CALL_WATCH, query, wait_ms=wait_ms)
-        if page is None:
+        document = await self._async_get(names.CALL_WATCH, query, wait_ms=wait_ms)
+        if document is None:
             return HistoryLost()
-        return Listed(
-            items=tuple(_read_item(entry) for entry in page["events"]), as_of=page["as_of"]
-        )
+        page = read_page(document, "events")
+        return Listed(items=page.items, as_of=page.as_of)
 
     def close(self) -> None:
         """Close the connection; the next call opens a new one."""
@@ -91,7 +107,7 @@
             raise StoreUnavailable(f"status {status}")
         try:
             return json.loads(body)
-        except ValueError:
+        except (ValueError, RecursionError):
             self.close()
             raise StoreUnavailable("the answer is no JSON") from None
 
@@ -111,7 +127,48 @@
         return answer.status, body
 
 
-def _read_item(entry: dict[str, Any]) -> Item:
-    """Return an item or the removal of one."""
-    value = None if entry.get("tombstone") else base64.b64decode(entry["value"])
-    return Item(key=entry["key"], revision=entry["revision"], value=value)
+def read_page(document: Any, field: str) -> Page:
+    """Return a page; raises StoreUnavailable for a document that is none."""
+    if not isinstance(document, dict) or not isinstance(document.get(field), list):
+        raise StoreUnavailable(f"a page without {field}")
+    as_of = _read_revision(document.get("as_of"))
+    if as_of is None:
+        raise StoreUnavailable("a page without its revision")
+    entries = document[field]
+    return Page(
+        items=tuple(item for item in map(_read_item, entries) if item is not None),
+        as_of=as_of,
+        more=bool(document.get("more_pages")),
+        last_key=_read_key(entries[-1]) if entries else "",
+    )
+
+
+def _read_item(entry: Any) -> Item | None:
+    """Return an item or the removal of one; None where it has no key or revision."""
+    key = _read_key(entry)
+    revision = _read_revision(entry.get("revision")) if key else None
+    if revision is None:
+        _LOGGER.error("An item without a key or a revision: %.200r", entry)
+        return None
+    value = None if entry.get("tombstone") is True else _read_value(entry.get("value"))
+    return Item(key=key, revision=revision, value=value)
+
+
+def _read_key(entry: Any) -> str:
+    key = entry.get("key") if isinstance(entry, dict) else None
+    return key if isinstance(key, str) else ""
+
+
+def _read_value(text: Any) -> bytes:
+    """Return the bytes of a value; of one that is no text in base64, none."""
+    try:
+        return base64.b64decode(text, validate=True)
+    except (ValueError, TypeError):
+        return b""
+
+
+def _read_revision(value: Any) -> int | None:
+    """Return a whole number of changes; True and False are none, though Python counts with them."""
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        return None
+    return value
--- a/tests/directory/test_directory_machine.py
+++ b/tests/directory/test_directory_machine.py
@@ -15,7 +15,12 @@
 from gypsumrouter.util.clock import ManualClock
 
 UPSTREAMS = st.sampled_from(["i-1", "i-2", "i-3"])
-RANK = {EntryState.READY: 0, EntryState.LEAVING: 1, EntryState.GONE: 2}
+RANK = {
+    EntryState.READY: 0,
+    EntryState.UNUSABLE: 0,
+    EntryState.LEAVING: 1,
+    EntryState.GONE: 2,
+}
 
 
 def make_directory(clock: ManualClock) -> Directory:
--- /dev/null
+++ b/tests/forwarding/test_forwarding_births.py
@@ -0,0 +1,106 @@
+"""Upstreams that start again under their ids, and entries of other writers, end to end."""
+
+from __future__ import annotations
+
+import logging
+
+import aiohttp
+import pytest
+from forwarding_world import PROMPT, ForwardingWorld
+
+BORN_MS = 1_760_000_000_000
+SHARED_TOKENS = 1_200
+
+
+async def _async_put_models(world: ForwardingWorld, born_ms: int) -> None:
+    for runner in world.models:
+        await world.store.async_put_runner(
+            runner.name, service="models", address=world.addresses[runner.name], born=born_ms
+        )
+    await world.async_until(lambda: _get_births(world) == {born_ms})
+
+
+def _get_births(world: ForwardingWorld) -> set[int]:
+    section = world.product.app.dump()["directory"]
+    assert isinstance(section, dict)
+    upstreams = section["upstreams"]
+    return {entry["born_ms"] for entry in upstreams if entry["service"] == "models"}
+
+
+async def test_an_upstream_that_starts_again_under_its_id_is_asked_as_one_that_knows_nothing(
+    world: ForwardingWorld, session: aiohttp.ClientSession, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO)
+    await _async_put_models(world, BORN_MS)
+    for number in range(2):
+        await world.async_call(session, "POST", "/quote/a", f"r{number}", extra=PROMPT, body=b"{}")
+    await _async_put_models(world, BORN_MS + 5_000)
+    await world.async_call(session, "POST", "/quote/a", "r2", extra=PROMPT, body=b"{}")
+    arrivals = {number: world.arrivals(f"r{number}")[0].headers for number in range(3)}
+    ids = {headers["X-Expect-Instance"] for headers in arrivals.values()}
+    assert ids <= {runner.name for runner in world.models}
+    placed = [record for record in caplog.records if record.message == "request_placed"]
+    missing = [record.event["missing_tokens"] == SHARED_TOKENS for record in placed]  # type: ignore[attr-defined]
+    assert missing == [True, False, True]
+
+
+async def test_a_router_follows_the_list_on_after_entries_of_other_writers(
+    world: ForwardingWorld, session: aiohttp.ClientSession
+) -> None:
+    good = {"service": "records", "zone": "dc-a", "slots": 6, "state": "ready"}
+    await world.store.async_put("servers/i-bad-1", {**good, "address": "abc"})
+    await world.store.async_put("servers/i-bad-2", {**good, "address": "1.2.3.4:x"})
+    await world.store.async_put("servers/i-bad-3", [1, {"a": None}])
+    await world.store.async_put("servers/", {**good, "address": "127.0.0.1:1"})
+    late = world.records[0]
+    address = world.addresses[late.name]
+    await world.store.async_put_runner(
+        late.name, service="records", address=address, state="draining"
+    )
+    await world.async_until(lambda: _get_state(world, late.name) == "leaving")
+    for number in range(6):
+        status, _, _ = await world.async_call(session, "GET", "/lookup/a", f"r{number}")
+        assert status == 200
+    assert not late.arrivals
+
+
+async def test_an_upstream_whose_entry_was_overwritten_serves_on_after_its_next_one(
+    world: ForwardingWorld, session: aiohttp.ClientSession
+) -> None:
+    for runner in world.records:
+        await world.store.async_put(f"servers/{runner.name}", {"service": 7})
+        await world.async_until(lambda name=runner.name: _get_state(world, name) == "unusable")
+    status, _, headers = await world.async_call(session, "GET", "/lookup/a", "r1")
+    assert (status, "Retry-After" in headers) == (503, True)
+    for runner in world.records:
+        address = world.addresses[runner.name]
+        await world.store.async_put_runner(runner.name, service="records", address=address)
+        await world.async_until(lambda name=runner.name: _get_state(world, name) == "ready")
+    status, _, _ = await world.async_call(session, "GET", "/lookup/a", "r2")
+    assert status == 200
+
+
+async def test_an_upstream_that_changes_its_service_leaves_the_one_before(
+    world: ForwardingWorld, session: aiohttp.ClientSession
+) -> None:
+    moved = world.records[0]
+    address = world.addresses[moved.name]
+    await world.store.async_put_runner(moved.name, service="elsewhere", address=address)
+    await world.async_until(lambda: _get_service(world, moved.name) == "elsewhere")
+    for number in range(6):
+        await world.async_call(session, "GET", "/lookup/a", f"r{number}")
+    assert not moved.arrivals
+
+
+def _get_state(world: ForwardingWorld, upstream: str) -> str:
+    return _get_field(world, upstream, "state")
+
+
+def _get_service(world: ForwardingWorld, upstream: str) -> str:
+    return _get_field(world, upstream, "service")
+
+
+def _get_field(world: ForwardingWorld, upstream: str, field: str) -> str:
+    section = world.product.app.dump()["directory"]
+    assert isinstance(section, dict)
+    return str(next(entry[field] for entry in section["upstreams"] if entry["id"] == upstream))
--- /dev/null
+++ b/tests/platform/test_platform_entries.py
@@ -0,0 +1,183 @@
+"""What other writers put into the store: it names no upstream to use and hides no other."""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gypsumrouter.bootstrap_forwarder import read_records
+from gypsumrouter.directory import EntryState
+from gypsumrouter.exceptions import ConfigurationInvalid, DocumentInvalid
+from gypsumrouter.platform import decode_configuration, decode_entry, read_upstream_id
+from gypsumrouter.platform.store import read_page
+from gypsumrouter.published import Item
+from gypsumrouter.published.models import StoreUnavailable
+
+GOOD: dict[str, Any] = {
+    "service": "models",
+    "address": "10.1.0.9:8080",
+    "zone": "dc-a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "sequence": 4,
+    "cold_left_ms": 0,
+    "born": 1_760_000_000_000,
+}
+WRONG: list[tuple[str, Any]] = [
+    ("address", "abc"),
+    ("address", "1.2.3.4:x"),
+    ("address", "1.2.3.4:70000"),
+    ("address", "1.2.3.4:0"),
+    ("address", "1.2.3.4"),
+    ("address", "runner.example:80"),
+    ("address", "1.2.3.4:\uff18\uff10"),
+    ("address", 80),
+    ("cold_left_ms", float("nan")),
+    ("cold_left_ms", float("inf")),
+    ("cold_left_ms", -1),
+    ("cold_left_ms", "0"),
+    ("slots", 0),
+    ("slots", -3),
+    ("slots", "64"),
+    ("slots", True),
+    ("slots", 1.5),
+    ("service", ""),
+    ("service", None),
+    ("zone", 7),
+    ("state", "resting"),
+    ("state", ["ready"]),
+    ("sequence", "4"),
+    ("version", 1),
+    ("born", "1760000000000"),
+    ("born", 1.5),
+    ("born", 0),
+    ("born", 10**30),
+]
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=6,
+)
+
+
+def encode(**changed: Any) -> bytes:
+    return json.dumps(GOOD | changed).encode()
+
+
+def test_a_good_entry_is_read_with_its_start() -> None:
+    entry = decode_entry(upstream="i-1", value=encode(unknown={"a": 1}))
+    assert (entry.state, entry.slots, entry.born_ms) == (EntryState.READY, 64, GOOD["born"])
+
+
+@pytest.mark.parametrize(("field", "value"), WRONG)
+def test_a_field_that_is_wrong_makes_an_entry_unreadable(field: str, value: Any) -> None:
+    with pytest.raises(DocumentInvalid):
+        decode_entry(upstream="i-1", value=encode(**{field: value}))
+
+
+@pytest.mark.parametrize("field", ["service", "address", "zone", "slots", "state"])
+def test_a_field_that_is_missing_makes_an_entry_unreadable(field: str) -> None:
+    document = {name: value for name, value in GOOD.items() if name != field}
+    with pytest.raises(DocumentInvalid):
+        decode_entry(upstream="i-1", value=json.dumps(document).encode())
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"7", b"[" * 100_000])
+def test_bytes_that_are_no_entry_are_unreadable(value: bytes) -> None:
+    with pytest.raises(DocumentInvalid):
+        decode_entry(upstream="i-1", value=value)
+
+
+@pytest.mark.parametrize(
+    "key", ["servers/", "servers/a/b", "servers/a\r\nX: y", "servers/" + "a" * 201]
+)
+def test_a_key_that_names_no_upstream_is_passed_over(key: str) -> None:
+    assert read_upstream_id(key) is None
+
+
+@given(
+    field=st.sampled_from(sorted(GOOD)),
+    value=VALUES,
+    keep=st.booleans(),
+)
+@settings(max_examples=300, deadline=None, derandomize=True)
+def test_no_change_of_one_field_ends_anything_or_names_a_wrong_place(
+    field: str, value: Any, keep: bool
+) -> None:
+    document = dict(GOOD)
+    if keep:
+        document[field] = value
+    else:
+        del document[field]
+    items = (
+        Item(key="servers/i-bad", revision=1, value=json.dumps(document).encode()),
+        Item(key="servers/i-good", revision=2, value=encode()),
+    )
+    bad, good = read_records(items)
+    assert good.entry.state is EntryState.READY
+    if bad.entry.state is EntryState.READY:
+        assert bad.entry.slots > 0
+        assert bad.entry.address is not None
+        assert bad.entry.address.host == "10.1.0.9"
+
+
+@given(value=VALUES)
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_no_document_is_a_configuration_by_accident(value: Any) -> None:
+    with pytest.raises(ConfigurationInvalid):
+        decode_configuration(json.dumps(value).encode())
+
+
+@pytest.mark.parametrize("time", ["NaN", "Infinity", "-1", "1e300"])
+def test_a_route_with_an_impossible_time_makes_a_configuration_unreadable(time: str) -> None:
+    route = (
+        '{"name": "r", "host": "h", "prefix": "/a/", "kind": "idempotent", "service": "s",'
+        f' "timeout_ms": {time}}}'
+    )
+    with pytest.raises(ConfigurationInvalid):
+        decode_configuration(f'{{"version": 1, "routes": [{route}]}}'.encode())
+
+
+def test_items_that_cannot_be_read_hide_no_others() -> None:
+    value = base64.b64encode(encode()).decode()
+    document = {
+        "as_of": 9,
+        "items": [
+            None,
+            7,
+            {"revision": 3, "value": value},
+            {"key": "servers/i-1", "revision": "3", "value": value},
+            {"key": "servers/i-2", "revision": True, "value": value},
+            {"key": "servers/i-3", "revision": 4, "value": "no base64!"},
+            {"key": "servers/i-4", "revision": 5},
+            {"key": "servers/i-5", "revision": 6, "value": value, "new": []},
+        ],
+    }
+    page = read_page(document, "items")
+    records = {r.entry.upstream: r.entry.state for r in read_records(page.items)}
+    assert records == {
+        "i-3": EntryState.UNUSABLE,
+        "i-4": EntryState.UNUSABLE,
+        "i-5": EntryState.READY,
+    }
+
+
+@given(document=VALUES)
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_an_answer_that_is_no_page_is_an_answer_of_a_store_that_is_away(document: Any) -> None:
+    with pytest.raises(StoreUnavailable):
+        read_page(document, "items")
+
+
+@given(entries=st.lists(VALUES, max_size=4), as_of=st.integers(min_value=0))
+@settings(max_examples=200, deadline=None, derandomize=True)
+def test_whatever_stands_in_a_page_it_is_read(entries: list[Any], as_of: int) -> None:
+    page = read_page({"items": entries, "as_of": as_of}, "items")
+    assert page.as_of == as_of
+    assert page.items == ()
--- a/tests/platform/test_platform_wire.py
+++ b/tests/platform/test_platform_wire.py
@@ -93,12 +93,12 @@
 
 def test_an_entry_is_read_with_the_id_of_its_key() -> None:
     value = b'{"service":"s","address":"10.1.0.9:8080","zone":"a","slots":4,"state":"draining"}'
-    entry = decode_entry(key="servers/i-1", value=value)
+    entry = decode_entry(upstream="i-1", value=value)
     assert (entry.upstream, entry.state) == ("i-1", EntryState.LEAVING)
     assert entry.address == Address(host="10.1.0.9", port=8080)
-    assert decode_entry(key="servers/i-1", value=None).state is EntryState.GONE
+    assert decode_entry(upstream="i-1", value=None).state is EntryState.GONE
     with pytest.raises(DocumentInvalid):
-        decode_entry(key="servers/i-1", value=b'{"service":"s"}')
+        decode_entry(upstream="i-1", value=b'{"service":"s"}')
 
 
 def test_a_request_is_written_with_what_the_system_adds() -> None:
