Inventory: a peer that lives tells what engines hold; seeds divide the engines among them

Plain requests waited for the lists too.

Change: a starting router asks the seeds, which answer with all they know, or at once that they know nothing. Then the seeds divide the list of engines, tell each other and all that wait, and stand in for each other by turns of 100 ms. A request waits for it only if its prompt is known nowhere.

Excluded: peers' news of placements alone; they tell what one router placed, for 25 s at most.

--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -44,13 +44,13 @@
         "_connections",
         "_directory",
         "_first_start",
-        "_inventory",
         "_leaving",
         "_listener",
         "_routing",
         "_server",
         "budget",
         "handler",
+        "inventory",
         "placer",
         "suspects",
     )
@@ -96,7 +96,7 @@
             budget=self.budget,
             suspects=self.suspects,
         )
-        self._inventory = Inventory(
+        self.inventory = Inventory(
             app=app,
             directory=directory,
             routing=routing,
@@ -111,7 +111,7 @@
             read_request=read_request,
             metrics=ForwardingMetrics(app=app),
             leaving=self._leaving,
-            inventory=self._inventory.done,
+            inventory=self.inventory.done,
         )
         self._first_start = settings.first_start
         self._server: CallerServer | None = None
@@ -143,9 +143,9 @@
         self._app.on_stop(self._listener.async_close)
         self._app.async_create_task(self._async_sweep(), "forwarder sweep")
         if self._first_start:
-            self._inventory.done.set()
+            self.inventory.note_known()
         else:
-            self._inventory.async_start()
+            self.inventory.async_start()
         return address
 
     def _listen(self, settings: ForwarderSettings) -> None:
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -60,6 +60,7 @@
         "_awaited",
         "_bodies",
         "_directory",
+        "_inventory",
         "_leaving",
         "_metrics",
         "_minted",
@@ -87,7 +88,8 @@
         self._metrics = metrics
         self._leaving = leaving
         self._bodies = MemoryBudget(limit=MAX_BODIES_BYTES)
-        self._awaited = (routing.ready, directory.loaded, inventory)
+        self._awaited = (routing.ready, directory.loaded)
+        self._inventory = inventory
         self._running: dict[int, str] = {}
         self._minted = 0
 
@@ -162,16 +164,21 @@
 
     async def _async_wait_until_ready(self, read: CallerRequest) -> None:
         """Wait a moment for what a starting process loads, which takes some ten milliseconds."""
-        if all(event.is_set() for event in self._awaited):
+        awaited = self._awaited if self._knows_prompt(read) else (*self._awaited, self._inventory)
+        if all(event.is_set() for event in awaited):
             return
         patience_ms = min(START_WAIT_MS, (read.deadline_ms or DEFAULT_TIMEOUT_MS) // 3)
         try:
             async with asyncio.timeout(patience_ms / MS_PER_S):
-                for event in self._awaited:
+                for event in awaited:
                     await event.wait()
         except TimeoutError:
             _LOGGER.debug("Request %s met a router that is not ready", read.request_id)
 
+    def _knows_prompt(self, read: CallerRequest) -> bool:
+        """Return whether a request needs nothing that the inventory may bring."""
+        return read.prompt is None or self._parts.placer.knows(read.prompt)
+
     async def _async_run(
         self, request: web.BaseRequest, read: CallerRequest, routed: Routed, arrived_ms: int
     ) -> web.StreamResponse:
--- a/gypsumrouter/forwarding/holdings.py
+++ b/gypsumrouter/forwarding/holdings.py
@@ -45,6 +45,14 @@
         self.note(part=part, upstream=upstream, now_ms=now_ms)
         self._parts[part][upstream] = (now_ms - READABLE_MS, now_ms)
 
+    def list_held(self, *, now_ms: int) -> dict[str, tuple[int, ...]]:
+        """Return the parts that each upstream has read, for a router that knows nothing."""
+        held: dict[str, list[int]] = {}
+        for part in self._parts:
+            for upstream in self.readers(part, now_ms=now_ms):
+                held.setdefault(upstream, []).append(part)
+        return {upstream: tuple(parts) for upstream, parts in held.items()}
+
     def forget(self, *, part: int, upstream: str) -> None:
         """Forget that an upstream has a part: it was turned away there."""
         self._parts.get(part, {}).pop(upstream, None)
--- a/gypsumrouter/link/const.py
+++ b/gypsumrouter/link/const.py
@@ -77,6 +77,8 @@
     CATCH_UP = 38
     ROUTING_DOCUMENT = 39
     LISTED_UPSTREAMS = 40
+    HELD_WANTED = 41
+    HELD_NEWS = 42
 
 
 PAYLOAD_KINDS: Final = frozenset({Kind.OPEN, Kind.HEAD, Kind.DATA, Kind.END})
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -196,3 +196,13 @@
 struct ListedUpstreams {
   entries @0 :List(ListedUpstream);
 }
+
+struct HeldAt {
+  upstream @0 :Text;
+  parts @1 :List(UInt64);
+}
+
+struct HeldNews {
+  complete @0 :Bool;
+  engines @1 :List(HeldAt);
+}
--- a/gypsumrouter/link/models.py
+++ b/gypsumrouter/link/models.py
@@ -281,6 +281,30 @@
     entries: tuple[ListedUpstream, ...]
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class HeldWanted:
+    """Ask a router what all engines hold in their caches."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class HeldAt:
+    """Parts of prompts in the cache of one incarnation of an engine."""
+
+    upstream: str
+    parts: tuple[int, ...]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class HeldNews:
+    """What engines hold, as far as a router knows.
+
+    `complete` says that it knows of all engines; without it the rest may follow later.
+    """
+
+    complete: bool
+    engines: tuple[HeldAt, ...]
+
+
 Notice = (
     Status
     | ConfigurationNews
@@ -293,5 +317,7 @@
     | CatchUp
     | RoutingDocument
     | ListedUpstreams
+    | HeldWanted
+    | HeldNews
 )
 AnswerEvent = Head | Data | End | Failure
--- a/gypsumrouter/link/notice_codec.py
+++ b/gypsumrouter/link/notice_codec.py
@@ -10,6 +10,8 @@
 from gypsumrouter.link.models import (
     CatchUp,
     ConfigurationNews,
+    HeldNews,
+    HeldWanted,
     Holdings,
     ListedUpstreams,
     Notice,
@@ -23,10 +25,12 @@
 )
 from gypsumrouter.link.router_codec import (
     decode_catch_up,
+    decode_held_news,
     decode_listed_upstreams,
     decode_router_news,
     decode_routing_document,
     encode_catch_up,
+    encode_held_news,
     encode_listed_upstreams,
     encode_router_news,
     encode_routing_document,
@@ -84,6 +88,10 @@
             return Kind.ROUTING_DOCUMENT, encode_routing_document(notice)
         case ListedUpstreams():
             return Kind.LISTED_UPSTREAMS, encode_listed_upstreams(notice)
+        case HeldWanted():
+            return Kind.HELD_WANTED, b""
+        case HeldNews():
+            return Kind.HELD_NEWS, encode_held_news(notice)
 
 
 def decode_notice(kind: int, body: bytes) -> Notice:
@@ -117,6 +125,10 @@
             return decode_routing_document(body)
         case Kind.LISTED_UPSTREAMS:
             return decode_listed_upstreams(body)
+        case Kind.HELD_WANTED:
+            return HeldWanted()
+        case Kind.HELD_NEWS:
+            return decode_held_news(body)
     raise FrameError(f"frame kind {kind} is no notice")
 
 
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -7,6 +7,8 @@
 from gypsumrouter.link.frames import FrameError
 from gypsumrouter.link.models import (
     CatchUp,
+    HeldAt,
+    HeldNews,
     ListedUpstream,
     ListedUpstreams,
     PlacedPart,
@@ -137,3 +139,25 @@
                 for entry in message.entries
             )
         )
+
+
+def encode_held_news(notice: HeldNews) -> bytes:
+    """Return the body of a notice's frame."""
+    message = SCHEMA.HeldNews.new_message(complete=notice.complete)
+    engines = message.init("engines", len(notice.engines))
+    for target, engine in zip(engines, notice.engines, strict=True):
+        target.upstream = engine.upstream
+        target.parts = list(engine.parts)
+    return to_packed(message)
+
+
+def decode_held_news(body: bytes) -> HeldNews:
+    """Return a notice from the body of its frame; raises FrameError."""
+    with reading_packed(SCHEMA.HeldNews, body) as message:
+        return HeldNews(
+            complete=message.complete,
+            engines=tuple(
+                HeldAt(upstream=engine.upstream, parts=tuple(engine.parts))
+                for engine in message.engines
+            ),
+        )
--- a/gypsumrouter/peers/mesh.py
+++ b/gypsumrouter/peers/mesh.py
@@ -14,6 +14,7 @@
 from gypsumrouter.link import (
     LinkPool,
     LinkServer,
+    Notice,
     NoticeHub,
     Peer,
     PlacedPart,
@@ -29,6 +30,7 @@
     NEWS_MS_PER_PEER,
     ROUTERS_MS,
 )
+from gypsumrouter.peers.held import HeldDesk
 from gypsumrouter.peers.loads import read_loads, write_loads
 from gypsumrouter.peers.outbox import Outbox
 from gypsumrouter.routing import RoutingConfiguration, RoutingStore
@@ -74,6 +76,7 @@
         "_directory",
         "_forwarder",
         "_heard_ms",
+        "_held",
         "_journal",
         "_known",
         "_outbox",
@@ -124,6 +127,16 @@
             notices=notices,
             decode=decode,
         )
+        self._held = HeldDesk(
+            app=app,
+            journal=journal,
+            notices=notices,
+            holdings=forwarder.placer.holdings,
+            own=lambda: self._own,
+            list_seeds=self._list_seeds,
+            send=self._async_send,
+        )
+        forwarder.inventory.take_peers(self._held)
         notices.subscribe(RouterNews, self._take_news)
         forwarder.placer.on_placed(self._note_placed)
         forwarder.suspects.on_strike(self._note_strike)
@@ -140,6 +153,7 @@
 
     def take_seeds(self, seeds: tuple[str, ...]) -> None:
         """Tell other seeds from now on; one that is no seed any more stays while it answers."""
+        self._seeds = seeds
         for text, known in self._known.items():
             known.seed = text in seeds
         for seed in seeds:
@@ -164,17 +178,10 @@
     async def _async_tell(self, text: str) -> None:
         """Send news to one peer until it is forgotten."""
         known = self._known[text]
-        instance = Instance(
-            name="",
-            role=Role.FORWARDER,
-            address=known.address,
-            data_centre="",
-            region="",
-        )
         while True:
             placed, end = self._outbox.since(known.told)
             news = self._make_news(known, placed)
-            sent = await self._pool.async_send(instance=instance, notice=news)
+            sent = await self._async_send(text, news)
             if sent and not known.renewed:
                 known.told = end
             known.renewed = False
@@ -184,6 +191,21 @@
                 return
             await self._app.clock.async_sleep(NEWS_MS + NEWS_MS_PER_PEER * len(self._known))
 
+    def _list_seeds(self) -> tuple[str, ...]:
+        """Return the seeds that are addresses, this router among them where it is one."""
+        return tuple(seed for seed in self._seeds if seed == self._own or seed in self._known)
+
+    async def _async_send(self, text: str, notice: Notice) -> bool:
+        """Send a notice to the router whose link listens at an address."""
+        instance = Instance(
+            name="",
+            role=Role.FORWARDER,
+            address=parse_address(text),
+            data_centre="",
+            region="",
+        )
+        return await self._pool.async_send(instance=instance, notice=notice)
+
     def _make_news(self, known: KnownRouter, placed: tuple[PlacedPart, ...]) -> RouterNews:
         return RouterNews(
             address=self._own,
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -61,6 +61,7 @@
     always: RunnerTrouble = RunnerTrouble.NONE
     arrivals: list[Arrival] = field(default_factory=list)
     held: list[tuple[str, str, int, str]] = field(default_factory=list)
+    listed: int = 0
     on_run: Callable[[], None] = lambda: None
     gate: asyncio.Event = field(default_factory=asyncio.Event)
     listener: StandinListener = field(init=False)
@@ -87,6 +88,7 @@
         return [arrival.request_id for arrival in self.arrivals if arrival.ran]
 
     async def _async_list_held(self, request: web.Request) -> web.Response:
+        self.listed += 1
         return web.json_response({"epoch": 1, "next": 1, "held": self.held})
 
     async def _async_serve(self, request: web.Request) -> web.StreamResponse:
