Inventory: seeds that start one after the other tell what they found before

Mechanisms have a switch each (settings, 'without'), and python -m bench ablate plays with and without them.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -25,6 +25,7 @@
     "placements": "bench.placements",
     "journal": "bench.journal_cost",
     "soak": "bench.soak",
+    "ablate": "bench.ablate",
 }
 EXIT_USAGE: Final = 2
 
--- /dev/null
+++ b/bench/ablate.py
@@ -0,0 +1,126 @@
+"""What each mechanism of the forwarder is worth: a play with it, and one without it.
+
+Each play runs in a copy of the repository whose deploy template switches one mechanism off. The
+program that plays, and the days, are given on the command line.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import shutil
+import subprocess
+import sys
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Final
+
+import click
+
+from gypsumrouter.mechanisms import Mechanism
+
+TEMPLATE: Final = Path("deploy/forwarder.json.tmpl")
+ALL_ON: Final = "(all on)"
+REPORT: Final = "{report}"
+# What a copy needs to be built and run.
+COPIED: Final = ("deploy", "gypsumrouter", "target", "pyproject.toml", "requirements.txt")
+PLAY_S: Final = 1_800
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Play:
+    """One run: without which mechanism, and which command of the list."""
+
+    without: str
+    command: int
+
+
+def switch_off(template: str, mechanism: str) -> str:
+    """Return a deploy template that switches one mechanism off."""
+    if mechanism == ALL_ON:
+        return template
+    head, brace, tail = template.partition("{")
+    return f'{head}{brace}\n  "without": ["{mechanism}"],{tail}'
+
+
+def make_copy(*, source: Path, target: Path, mechanism: str) -> None:
+    """Make a copy of the repository without one mechanism."""
+    target.mkdir(parents=True)
+    for name in COPIED:
+        path = source / name
+        if path.is_dir():
+            shutil.copytree(path, target / name, symlinks=True)
+        elif path.exists():
+            shutil.copy2(path, target / name)
+    template = target / TEMPLATE
+    template.write_text(switch_off(template.read_text(), mechanism))
+    for command in (("init", "-q"), ("add", "-A")):
+        subprocess.run(("git", *command), cwd=target, check=True)
+
+
+def play(*, folder: Path, command: str, report: Path, field: str) -> float | None:
+    """Return the figure of one run; None where it gave none."""
+    words = [word.replace(REPORT, str(report)) for word in command.split()]
+    with report.with_suffix(".txt").open("w") as log:
+        subprocess.run(words, cwd=folder, stdout=log, stderr=log, timeout=PLAY_S, check=False)
+    try:
+        return float(json.loads(report.read_text())[field])
+    except (OSError, ValueError, KeyError):
+        return None
+
+
+def format_table(figures: dict[Play, float | None], commands: int) -> str:
+    """Return one row a mechanism: the mean, what it loses without it, and each play."""
+    base = _mean([figures.get(Play(without=ALL_ON, command=n)) for n in range(commands)])
+    rows = ["| without | mean | worth of it | each play |", "| --- | --- | --- | --- |"]
+    for name in dict.fromkeys(play.without for play in figures):
+        values = [figures.get(Play(without=name, command=n)) for n in range(commands)]
+        mean = _mean(values)
+        worth = "" if mean is None or base is None else f"{base - mean:+.4f}"
+        shown = " ".join("failed" if value is None else f"{value:.3f}" for value in values)
+        rows.append(f"| {name} | {'' if mean is None else f'{mean:.4f}'} | {worth} | {shown} |")
+    return "\n".join(rows)
+
+
+def _mean(values: Sequence[float | None]) -> float | None:
+    known = [value for value in values if value is not None]
+    return sum(known) / len(known) if known and len(known) == len(values) else None
+
+
+@click.command()
+@click.option("--play", "commands", multiple=True, required=True, help=f"A command; {REPORT}.")
+@click.option("--scratch", type=click.Path(path_type=Path), required=True, help="A new folder.")
+@click.option("--only", multiple=True, help="Mechanisms; all by default.")
+@click.option("--field", default="G", show_default=True, help="The figure's name in a report.")
+@click.option("--jobs", default=4, show_default=True)
+def run(
+    commands: tuple[str, ...], scratch: Path, only: tuple[str, ...], field: str, jobs: int
+) -> None:
+    """Play each command with all mechanisms, and without each of them."""
+    names = (ALL_ON, *(only or tuple(mechanism.value for mechanism in Mechanism)))
+    scratch = scratch.resolve()
+    for name in names:
+        make_copy(source=Path.cwd(), target=scratch / name, mechanism=name)
+    plays = [Play(without=name, command=n) for name in names for n in range(len(commands))]
+
+    def run_one(one: Play) -> float | None:
+        return play(
+            folder=scratch / one.without,
+            command=commands[one.command],
+            report=scratch / f"{one.without}.{one.command}.json",
+            field=field,
+        )
+
+    with ThreadPoolExecutor(max_workers=jobs) as pool:
+        figures = dict(zip(plays, pool.map(run_one, plays), strict=True))
+    print(format_table(figures, len(commands)))
+
+
+def main(argv: list[str]) -> int:
+    """Run the bench."""
+    os.environ.setdefault("PYTHONDONTWRITEBYTECODE", "1")
+    run.main(args=argv, prog_name="python -m bench ablate", standalone_mode=False)
+    sys.stdout.flush()
+    return 0
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -31,10 +31,11 @@
 class UpstreamConnections:
     """The idle connections of this process, newest first."""
 
-    __slots__ = ("_app", "_idle", "_opened")
+    __slots__ = ("_app", "_idle", "_kept_for_all", "_opened")
 
-    def __init__(self, *, app: Application) -> None:
+    def __init__(self, *, app: Application, kept_for_all: bool = True) -> None:
         self._app = app
+        self._kept_for_all = kept_for_all
         self._idle: dict[str, list[HttpConnection]] = {}
         self._opened = app.metrics.counter(
             "gypsumrouter_upstream_connections_total", "Connections opened to upstreams"
@@ -54,7 +55,7 @@
         """
         now_ms = self._app.clock.now_ms()
         idle = self._idle.get(entry.incarnation)
-        max_idle_ms = None if repeatable else FRESH_IDLE_MS
+        max_idle_ms = None if repeatable else FRESH_IDLE_MS if self._kept_for_all else -1
         while idle:
             connection = idle.pop()
             if not _is_usable(connection, now_ms):
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -25,6 +25,7 @@
 from gypsumrouter.forwarding.run import RunParts
 from gypsumrouter.forwarding.suspects import Suspects
 from gypsumrouter.journal import Journal
+from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.routing import RoutingStore
 from gypsumrouter.settings import Bounds, ForwarderSettings, Listener
 
@@ -48,6 +49,7 @@
         "_listener",
         "_routing",
         "_server",
+        "_without",
         "budget",
         "handler",
         "inventory",
@@ -77,8 +79,10 @@
             directory=directory,
             cap=Cap(factor=bounds.cap_factor, slack=bounds.cap_slack),
             health=health,
+            without=settings.without,
         )
-        self._connections = UpstreamConnections(app=app)
+        kept = Mechanism.KEPT_CONNECTIONS not in settings.without
+        self._connections = UpstreamConnections(app=app, kept_for_all=kept)
         self.budget = RetryBudget(
             clock=app.clock,
             ratio=bounds.retry_ratio,
@@ -95,6 +99,7 @@
             connections=self._connections,
             budget=self.budget,
             suspects=self.suspects,
+            without=settings.without,
         )
         self.inventory = Inventory(
             app=app,
@@ -114,6 +119,8 @@
             inventory=self.inventory.done,
         )
         self._first_start = settings.first_start
+        self._without = settings.without
+        app.add_dump_section("without", lambda: sorted(settings.without))
         self._server: CallerServer | None = None
         self._listener: CallerListener | None = None
         self._listen(settings)
@@ -142,7 +149,7 @@
         self._app.on_drain(self._async_drain)
         self._app.on_stop(self._listener.async_close)
         self._app.async_create_task(self._async_sweep(), "forwarder sweep")
-        if self._first_start:
+        if self._first_start or Mechanism.INVENTORY in self._without:
             self.inventory.note_known()
         else:
             self.inventory.async_start()
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -33,6 +33,7 @@
 from gypsumrouter.forwarding.story import RequestStory
 from gypsumrouter.helpers.logs import set_request_id
 from gypsumrouter.journal import RequestEnded, RequestRefused
+from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.outcomes import Reason
 from gypsumrouter.routing import NoRoute, Route, Routed, RoutingStore, WrongKey
 
@@ -157,7 +158,7 @@
                 return self._reject(read, Reason.UNAUTHENTICATED, "The key is not known")
             case Routed() as routed:
                 duration_ms = estimate_duration_ms(read, routed.route)
-                if not self._leaving.admits(duration_ms=duration_ms):
+                if not self._admits(duration_ms):
                     return self._refuse(read, Reason.LEAVING, "This router is stopping")
                 self._leaving.note_started(number, duration_ms=duration_ms)
                 return await self._async_run(request, read, routed, arrived_ms)
@@ -175,6 +176,11 @@
         except TimeoutError:
             _LOGGER.debug("Request %s met a router that is not ready", read.request_id)
 
+    def _admits(self, duration_ms: int) -> bool:
+        if Mechanism.LEAVING_ADMISSION in self._parts.without:
+            return True
+        return self._leaving.admits(duration_ms=duration_ms)
+
     def _knows_prompt(self, read: CallerRequest) -> bool:
         """Return whether a request needs nothing that the inventory may bring."""
         return read.prompt is None or self._parts.placer.knows(read.prompt)
--- a/gypsumrouter/forwarding/loads.py
+++ b/gypsumrouter/forwarding/loads.py
@@ -35,9 +35,17 @@
     peers and twenty-eight upstreams a placement takes 0.32 ms of a core instead of 0.93 (replay).
     """
 
-    __slots__ = ("_peers", "_pending", "_running", "_told_pending", "_told_running")
-
-    def __init__(self) -> None:
+    __slots__ = (
+        "_peers",
+        "_pending",
+        "_reads_on",
+        "_running",
+        "_told_pending",
+        "_told_running",
+    )
+
+    def __init__(self, *, reads_on: bool = True) -> None:
+        self._reads_on = reads_on
         self._running: dict[str, int] = {}
         self._pending: dict[str, int] = {}
         self._peers: dict[str, PeerLoads] = {}
@@ -113,6 +121,9 @@
             # The engine has read on since. Taken as told, a prompt of 10,000 tokens counted for
             # 450 ms instead of 125, and requests left for copies elsewhere: 5.7% of all shared
             # tokens copied instead of 1.8% (replay of thirty routers).
+            if not self._reads_on:
+                pending += tokens
+                continue
             read = round((now_ms - self._peers[peer].heard_ms) * READ_TOKENS_PER_MS)
             pending += max(0, tokens - read)
         running = self._running.get(upstream, 0) + self._told_running.get(upstream, 0)
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -21,6 +21,7 @@
     choose,
     order_by_affinity,
 )
+from gypsumrouter.mechanisms import Mechanism
 
 # How long a router that has started knows too little of what engines hold.
 YOUNG_MS: Final = 4_000
@@ -67,29 +68,47 @@
 
     __slots__ = (
         "_app",
+        "_believe_lapsed",
         "_by_service",
         "_cap",
+        "_copies",
         "_directory",
         "_ended_ms",
+        "_near_first",
         "_placed_listeners",
+        "_rest_when_down",
+        "_stable_order",
         "_started_ms",
+        "_weigh_health",
         "health",
         "holdings",
         "loads",
     )
 
     def __init__(
-        self, *, app: Application, directory: Directory, cap: Cap, health: HealthBook
+        self,
+        *,
+        app: Application,
+        directory: Directory,
+        cap: Cap,
+        health: HealthBook,
+        without: frozenset[Mechanism] = frozenset(),
     ) -> None:
         self._app = app
         self._directory = directory
         self._cap = cap
+        self._copies = Mechanism.COPIES not in without
+        self._stable_order = Mechanism.STABLE_ORDER not in without
+        self._near_first = Mechanism.NEAR_FIRST not in without
+        self._rest_when_down = Mechanism.REST_WHEN_DOWN not in without
+        self._weigh_health = Mechanism.HEALTH not in without
+        self._believe_lapsed = Mechanism.LAPSED_BELIEFS not in without
         self._by_service: dict[str, dict[str, Entry]] = {}
         # Incarnations that ended, and when.
         self._ended_ms: dict[str, int] = {}
         self.health = health
         self.holdings = Holdings()
-        self.loads = LoadBook()
+        self.loads = LoadBook(reads_on=Mechanism.READING_ON not in without)
         self._placed_listeners: list[PlacedListener] = []
         self._started_ms = app.clock.now_ms()
         directory.on_change(self._take_entry)
@@ -118,11 +137,12 @@
         loads = self.loads.get_all(members, now_ms=now_ms)
         mean = get_mean(loads)
         entries = [entry for name, entry in members.items() if name not in passed_over]
-        reachable = [entry for entry in entries if not self.health.is_down(entry.incarnation)]
-        entries = reachable or entries
+        if self._rest_when_down:
+            reachable = [e for e in entries if not self.health.is_down(e.incarnation)]
+            entries = reachable or entries
         shared = () if prompt is None else prompt.shared
         source = self._find_source(shared, now_ms)
-        first = _first_in_order(members, shared)
+        first = _first_in_order(members, shared) if self._stable_order else None
         candidates = {
             entry.incarnation: self._describe(
                 entry, loads[entry.incarnation], shared, first, source, now_ms
@@ -235,21 +255,29 @@
             upstream=entry.incarnation,
             load=load.running,
             slots=entry.slots,
-            near=entry.data_centre == self._app.data_centre,
+            near=not self._near_first or entry.data_centre == self._app.data_centre,
             pending_tokens=load.pending_tokens,
             missing_tokens=missing,
-            fetchable_tokens=fetchable if fetchable >= MIN_FETCH_TOKENS else 0,
+            fetchable_tokens=fetchable if self._copies and fetchable >= MIN_FETCH_TOKENS else 0,
             stranger=first is not None and entry.incarnation != first,
-            penalty_ms=self.health.penalty_ms(entry.incarnation, plain=not shared),
+            penalty_ms=self._get_penalty_ms(entry, plain=not shared),
         )
 
+    def _get_penalty_ms(self, entry: Entry, *, plain: bool) -> float:
+        if not self._weigh_health:
+            return 0.0
+        return self.health.penalty_ms(entry.incarnation, plain=plain)
+
     def _take_entry(self, entry: Entry) -> None:
         for members in self._by_service.values():
             members.pop(entry.incarnation, None)
         if entry.state is EntryState.READY:
             self._by_service.setdefault(entry.service, {})[entry.incarnation] = entry
         if entry.state is EntryState.GONE:
-            self._ended_ms[entry.incarnation] = self._app.clock.now_ms()
+            if self._believe_lapsed:
+                self._ended_ms[entry.incarnation] = self._app.clock.now_ms()
+            else:
+                self.holdings.forget_upstream(entry.incarnation)
             self.health.forget(entry.incarnation)
         else:
             self._ended_ms.pop(entry.incarnation, None)
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -39,6 +39,7 @@
 from gypsumrouter.forwarding.story import RequestStory
 from gypsumrouter.forwarding.suspects import Suspects, make_digest
 from gypsumrouter.journal import Journal
+from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.outcomes import Reason
 from gypsumrouter.routing import Routed
 
@@ -56,6 +57,7 @@
     connections: UpstreamConnections
     budget: RetryBudget
     suspects: Suspects
+    without: frozenset[Mechanism] = frozenset()
 
 
 @dataclass(slots=True, kw_only=True)
@@ -137,7 +139,7 @@
 
     async def _async_try(self) -> web.StreamResponse:
         while True:
-            if self._parts.suspects.is_suspect(self._digest):
+            if self._is_suspect():
                 message = "Upstreams broke off while they ran the same request"
                 return self._give_up(Reason.SUSPECT_BUSY, message)
             placed = self._parts.placer.place(
@@ -296,10 +298,15 @@
         route = self._routed.route
         if not route.repeatable or len(progress.ran_on) >= route.max_attempts:
             return False
-        if self._left_ms() <= 0:
+        if self._left_ms() <= 0 or Mechanism.SECOND_TRIES in self._parts.without:
             return False
         return self._parts.budget.take(self._service)
 
+    def _is_suspect(self) -> bool:
+        if Mechanism.SUSPECTS in self._parts.without:
+            return False
+        return self._parts.suspects.is_suspect(self._digest)
+
     def _give_up(self, reason: Reason, message: str) -> web.StreamResponse:
         """End a request that no further upstream is asked for."""
         progress = self.progress
@@ -360,6 +367,8 @@
         route = self._routed.route
         if not route.repeatable or len(self.progress.ran_on) + 1 >= route.max_attempts:
             return None
+        if Mechanism.SILENCE in self._parts.without:
+            return None
         patience = max(MIN_SILENCE_MS, int(route.target_ms * SILENCE_FACTOR))
         return max(1, min(patience, self._left_ms() // 2))
 
@@ -368,11 +377,16 @@
             upstream=placed.entry.upstream,
             workspace=self._routed.workspace,
             deadline_ms=max(1, self._left_ms() - RETURN_MS),
-            priority=None if self._request.prompt is None else self._routed.priority,
+            priority=self._get_priority(),
             last_event=self._relay.last_id or self._request.last_event,
             fetch_from=None if placed.fetch_from is None else placed.fetch_from.address,
         )
 
+    def _get_priority(self) -> int | None:
+        if self._request.prompt is None or Mechanism.PRIORITIES in self._parts.without:
+            return None
+        return self._routed.priority
+
     def _left_ms(self) -> int:
         return self.progress.deadline_at_ms - self._now_ms() - ANSWER_MARGIN_MS
 
--- a/gypsumrouter/peers/held.py
+++ b/gypsumrouter/peers/held.py
@@ -42,9 +42,10 @@
         "_holdings",
         "_informed",
         "_journal",
-        "_knows_nothing",
+        "_knows_little",
         "_list_seeds",
-        "_none_knows",
+        "_listed",
+        "_none_knows_all",
         "_own",
         "_send",
         "_told",
@@ -70,10 +71,12 @@
         self._send = send
         self._informed = False
         self._complete = asyncio.Event()
-        # Seeds that could not be reached, and names of routers that know as little as this one.
-        self._knows_nothing: set[str] = set()
-        self._none_knows = asyncio.Event()
+        # Seeds that could not be reached, and names of routers that do not know all yet.
+        self._knows_little: set[str] = set()
+        self._none_knows_all = asyncio.Event()
         self._wanting: list[Peer] = []
+        # Engines of which all is known that they held.
+        self._listed: set[str] = set()
         self._told: ToldListener = lambda upstream: None
         notices.subscribe(HeldWanted, self._answer)
         notices.subscribe(HeldNews, self._take)
@@ -97,10 +100,10 @@
         return await self._async_ask_as_other(others)
 
     async def _async_ask_as_seed(self, others: list[str]) -> bool:
-        """Ask all at once, and no longer than until all have said that they know nothing."""
+        """Ask all at once, and no longer than until all have said that they do not know all."""
         asking = [self._app.async_create_task(self._async_ask_seed(s), "ask held") for s in others]
         ended = [
-            asyncio.ensure_future(event.wait()) for event in (self._complete, self._none_knows)
+            asyncio.ensure_future(event.wait()) for event in (self._complete, self._none_knows_all)
         ]
         await asyncio.wait(
             ended, timeout=SEED_PATIENCE_MS / MS_PER_S, return_when=asyncio.FIRST_COMPLETED
@@ -111,7 +114,7 @@
 
     async def _async_ask_seed(self, seed: str) -> None:
         if not await self._send(seed, HeldWanted()):
-            self._note_knows_nothing(seed)
+            self._note_knows_little(seed)
 
     async def _async_ask_as_other(self, others: list[str]) -> bool:
         """Ask one after the other, and wait until the seeds know."""
@@ -139,7 +142,8 @@
         return (position + seeds.index(own)) % len(seeds)
 
     async def async_share(self, upstream: str, parts: tuple[int, ...]) -> None:
-        """Tell the other seeds what an engine holds."""
+        """Tell the other seeds all that an engine holds."""
+        self._listed.add(upstream)
         news = HeldNews(complete=False, engines=(HeldAt(upstream=upstream, parts=parts),))
         await asyncio.gather(*(self._send(seed, news) for seed in self._list_others()))
 
@@ -163,34 +167,39 @@
         if self._informed:
             peer.send(self._make_news())
             return
-        peer.send(HeldNews(complete=False, engines=()))
+        peer.send(self._make_news(only=self._listed))
         if len(self._wanting) < MAX_WANTING:
             self._wanting.append(peer)
 
-    def _note_knows_nothing(self, router: str) -> None:
-        self._knows_nothing.add(router)
-        if len(self._knows_nothing) >= len(self._list_others()):
-            self._none_knows.set()
+    def _note_knows_little(self, router: str) -> None:
+        self._knows_little.add(router)
+        if len(self._knows_little) >= len(self._list_others()):
+            self._none_knows_all.set()
 
-    def _make_news(self) -> HeldNews:
+    def _make_news(self, *, only: set[str] | None = None) -> HeldNews:
+        """Return what all engines hold, or what `only` those hold of which all is known."""
         held = self._holdings.list_held(now_ms=self._app.clock.now_ms())
-        engines = tuple(HeldAt(upstream=name, parts=parts) for name, parts in held.items())
-        return HeldNews(complete=True, engines=engines)
+        engines = tuple(
+            HeldAt(upstream=name, parts=parts)
+            for name, parts in held.items()
+            if only is None or name in only
+        )
+        return HeldNews(complete=only is None, engines=engines)
 
     def _take(self, peer: Peer, news: HeldNews) -> None:
-        if not news.engines and not news.complete:
-            self._note_knows_nothing(peer.hello.name)
-            return
         now_ms = self._app.clock.now_ms()
         count = 0
         for engine in news.engines:
             for part in engine.parts:
                 self._holdings.note_held(part=part, upstream=engine.upstream, now_ms=now_ms)
             count += len(engine.parts)
+            self._listed.add(engine.upstream)
             self._told(engine.upstream)
         self._journal.record(PeerNews(peer=peer.hello.name, subject="held parts", version=count))
         if news.complete:
             self._complete.set()
+        else:
+            self._note_knows_little(peer.hello.name)
 
 
 def _hash(upstream: str, seed: str) -> int:
--- a/gypsumrouter/peers/mesh.py
+++ b/gypsumrouter/peers/mesh.py
@@ -21,6 +21,7 @@
     RouterNews,
     Strike,
 )
+from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.peers.catch_up import CatchUpDesk
 from gypsumrouter.peers.const import (
     ALIVE_MS,
@@ -85,6 +86,7 @@
         "_routing",
         "_seeds",
         "_server",
+        "_without",
     )
 
     def __init__(
@@ -136,7 +138,9 @@
             list_seeds=self._list_seeds,
             send=self._async_send,
         )
-        forwarder.inventory.take_peers(self._held)
+        self._without = settings.without
+        if Mechanism.TOLD_INVENTORY not in settings.without:
+            forwarder.inventory.take_peers(self._held)
         notices.subscribe(RouterNews, self._take_news)
         forwarder.placer.on_placed(self._note_placed)
         forwarder.suspects.on_strike(self._note_strike)
@@ -250,14 +254,18 @@
         for router in news.routers:
             self._learn(router)
         placer = self._forwarder.placer
-        placer.loads.take_peer(peer.hello.name, read_loads(news, now_ms=now_ms))
-        for placed in news.placed:
+        if Mechanism.PEER_LOADS not in self._without:
+            placer.loads.take_peer(peer.hello.name, read_loads(news, now_ms=now_ms))
+        for placed in self._list_placed(news):
             placer.holdings.note(part=placed.part, upstream=placed.upstream, now_ms=now_ms)
         for strike in news.strikes:
             self._forwarder.suspects.take(strike.digest, strike.upstream, source=peer.hello.name)
         self._catch_up.compare(peer, news, now_ms)
         self._count_routers()
 
+    def _list_placed(self, news: RouterNews) -> tuple[PlacedPart, ...]:
+        return () if Mechanism.PEER_PLACEMENTS in self._without else news.placed
+
     def _note_incarnation(self, address: str, incarnation: int) -> None:
         known = self._known.get(address)
         if known is None or known.incarnation == incarnation:
--- a/gypsumrouter/settings.py
+++ b/gypsumrouter/settings.py
@@ -13,6 +13,7 @@
 
 from gypsumrouter.const import MAX_HEAD_BYTES, MAX_REQUEST_BODY_BYTES, UpstreamKind
 from gypsumrouter.exceptions import DocumentInvalid, FieldError, SettingsInvalid
+from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.util.checked import (
     Checked,
     Name,
@@ -240,7 +241,8 @@
     """Settings of a forwarder; addresses are IP:PORT.
 
     `callers` and `link_address` are where it listens (the latter goes before what `link` says),
-    `seeds` the links of up to a few other forwarders, `store` is the platform's store.
+    `seeds` the links of up to a few other forwarders, `store` is the platform's store. `without`
+    switches mechanisms off for a measurement.
     """
 
     instance: Identity
@@ -255,6 +257,7 @@
     bounds: Bounds = field(default_factory=Bounds)
     limits: Limits = field(default_factory=Limits)
     log: Log = field(default_factory=Log)
+    without: frozenset[Mechanism] = frozenset()
 
 
 LinkedSettings = RouterSettings | SideSettings
--- a/tests/forwarding/test_forwarding_inventory.py
+++ b/tests/forwarding/test_forwarding_inventory.py
@@ -106,6 +106,21 @@
     assert await asking
 
 
+async def test_a_seed_that_starts_later_is_told_what_was_found_before() -> None:
+    """Machines get their power back one after the other."""
+    net = Net()
+    first = net.add(SEEDS[0])
+    now_ms = first._app.clock.now_ms()
+    net.holdings[SEEDS[0]].note_held(part=7, upstream="i-1", now_ms=now_ms)
+    net.holdings[SEEDS[0]].note_held(part=8, upstream="i-2", now_ms=now_ms)
+    await first.async_share("i-1", (7,))
+    late = net.add(SEEDS[1])
+    told: list[str] = []
+    late.on_told(told.append)
+    assert not await late.async_ask()
+    assert told == ["i-1"]
+
+
 async def test_what_one_seed_found_is_told_to_the_others() -> None:
     net = Net()
     first = net.add(SEEDS[0])
