Inventory: lists go to all that asked, and routers that are no seeds wait longer for them

Change: a seed tells also over the links of those that asked it; other routers wait 800 ms, while requests still wait 300 ms at most.

--- a/gypsumrouter/peers/held.py
+++ b/gypsumrouter/peers/held.py
@@ -20,8 +20,9 @@
 # The next seed is asked when the one before it has not answered: an answer may take 40 KB.
 ASK_NEXT_MS: Final = 40
 SEED_PATIENCE_MS: Final = 100
-# A router that is no seed waits for the seeds to ask the engines.
-OTHER_PATIENCE_MS: Final = 300
+# A router that is no seed waits for the seeds to ask the engines: machines that get their power
+# back start within half a second of each other. Requests do not wait for it that long.
+OTHER_PATIENCE_MS: Final = 800
 # Routers that wait for an answer; a fleet has at most some hundreds.
 MAX_WANTING: Final = 1_000
 
@@ -142,9 +143,11 @@
         return (position + seeds.index(own)) % len(seeds)
 
     async def async_share(self, upstream: str, parts: tuple[int, ...]) -> None:
-        """Tell the other seeds all that an engine holds."""
+        """Tell the other seeds, and all that asked, what an engine holds."""
         self._listed.add(upstream)
         news = HeldNews(complete=False, engines=(HeldAt(upstream=upstream, parts=parts),))
+        for peer in self._wanting:
+            peer.send(news)
         await asyncio.gather(*(self._send(seed, news) for seed in self._list_others()))
 
     def note_informed(self) -> None:
--- a/tests/forwarding/test_forwarding_inventory.py
+++ b/tests/forwarding/test_forwarding_inventory.py
@@ -30,7 +30,7 @@
         self.hubs: dict[str, NoticeHub] = {}
         self.desks: dict[str, HeldDesk] = {}
         self.holdings: dict[str, Holdings] = {}
-        self.sent: list[tuple[str, str, Notice]] = []
+        self.refused: set[tuple[str, str]] = set()
 
     def add(self, address: str) -> HeldDesk:
         """Start a router."""
@@ -49,13 +49,12 @@
         return desk
 
     async def _async_send(self, source: str, target: str, notice: Notice) -> bool:
-        if target not in self.hubs:
+        if target not in self.hubs or (source, target) in self.refused:
             return False
         self._deliver(source, target, notice)
         return True
 
     def _deliver(self, source: str, target: str, notice: Notice) -> bool:
-        self.sent.append((source, target, notice))
         peer = SimpleNamespace(
             hello=SimpleNamespace(name=source),
             send=lambda reply: self._deliver(target, source, reply),
@@ -121,6 +120,18 @@
     assert told == ["i-1"]
 
 
+async def test_a_seed_tells_those_that_asked_also_where_its_own_links_fail() -> None:
+    net = Net()
+    first = net.add(SEEDS[0])
+    late = net.add(SEEDS[1])
+    told: list[str] = []
+    late.on_told(told.append)
+    assert not await late.async_ask()
+    net.refused.add((SEEDS[0], SEEDS[1]))
+    await first.async_share("i-1", (7,))
+    assert told == ["i-1"]
+
+
 async def test_what_one_seed_found_is_told_to_the_others() -> None:
     net = Net()
     first = net.add(SEEDS[0])
