Reading speed of engines is observed; a forwarder loads less at its start

Cause: placement fixed how fast engines read (80, then 112 tokens a millisecond), which is one deployment's figure.

Change: the speed is estimated from first events of requests that met no other unread prompt, from a prior of 80, within bounds. Two changes in one commit, since they touch the same lines of imports.

--- a/bench/config_fleet.py
+++ b/bench/config_fleet.py
@@ -17,7 +17,7 @@
 from bench.rig import READY_POLL_MS, Rig
 from bench.two_year import WORKSPACES
 from gypsumrouter.const import MS_PER_S, Role
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 
 KINDS: Final = ("configuration_news", "parts_request", "parts")
 SETTLE_S: Final = 3.0
--- a/bench/engine_host.py
+++ b/bench/engine_host.py
@@ -11,7 +11,7 @@
 from contextlib import asynccontextmanager
 
 from gypsumrouter.const import ENV_IO_URING, IO_URING_OFF
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.standins import Engine, EngineSettings
 from gypsumrouter.util.clock import SystemClock
 
--- a/bench/faults_callers.py
+++ b/bench/faults_callers.py
@@ -21,7 +21,7 @@
     ServiceCaller,
 )
 from gypsumrouter.const import HEADER_DEADLINE, MS_PER_S
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.outcomes import Executed, Reason
 
 DEADLINE_MS: Final = 6_000
--- a/bench/faults_journal.py
+++ b/bench/faults_journal.py
@@ -9,7 +9,7 @@
 from enum import StrEnum
 from typing import Final
 
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.outcomes import Executed
 from gypsumrouter.util.clock import Clock
 
--- a/bench/faults_probes.py
+++ b/bench/faults_probes.py
@@ -11,7 +11,7 @@
 from bench.accounts import Account
 from bench.faults_stage import Stage
 from gypsumrouter.const import HEADER_CHAT, HEADER_REQUEST_ID, MS_PER_S, PATH_CHAT
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.standins import BOTH_WAYS, Deployment, FaultProxy, Way
 from gypsumrouter.standins.tokens import Message, digest_prompt, make_text, render_prompt
 
--- a/bench/faults_rig.py
+++ b/bench/faults_rig.py
@@ -11,7 +11,7 @@
 from bench.processes import DaemonProcess
 from bench.rig import Rig, Sections
 from gypsumrouter.const import MS_PER_S
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.standins import (
     Deployment,
     Engine,
--- a/bench/faults_stage.py
+++ b/bench/faults_stage.py
@@ -18,7 +18,7 @@
 from bench.rig import ADDRESS_CALLERS
 from gypsumrouter.configuration.models import Pool
 from gypsumrouter.const import MS_PER_S
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.standins import Engine, Service, make_configuration
 from gypsumrouter.util.clock import Clock
 
--- a/bench/light_peers.py
+++ b/bench/light_peers.py
@@ -10,7 +10,7 @@
 from bench.paced_engine import DONE, get_gap_ms, make_event
 from gypsumrouter.const import MS_PER_S, Role, UpstreamKind
 from gypsumrouter.core import Application
-from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.instances import Address, Instance
 from gypsumrouter.link import (
     Answer,
     ConfigurationNews,
--- a/bench/load.py
+++ b/bench/load.py
@@ -22,7 +22,7 @@
     PATH_CHAT,
     PATH_SERVICES,
 )
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.outcomes import Executed
 from gypsumrouter.standins.service import digest_body
 from gypsumrouter.standins.tokens import Message, digest_prompt, make_text, render_prompt
--- a/bench/metered_platform.py
+++ b/bench/metered_platform.py
@@ -7,7 +7,7 @@
 
 from bench.two_year import make_configuration, make_deployment
 from gypsumrouter.const import Role, UpstreamKind
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.standins import FaultProxy, InstanceListService, SidePlan, StandinPlatform, Way
 from gypsumrouter.standins.fleet import CONFIGURATION_ADAPTER
 from gypsumrouter.util.clock import SystemClock
--- a/bench/paced_engine.py
+++ b/bench/paced_engine.py
@@ -10,7 +10,7 @@
 
 from bench.two_year import ANSWER_MS
 from gypsumrouter.const import MS_PER_S
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.standins.listener import StandinListener
 
 QUICK_TOKENS: Final = 1
--- a/bench/peer_host.py
+++ b/bench/peer_host.py
@@ -14,7 +14,7 @@
 from bench.light_peers import LightPeer, LightRouters
 from bench.two_year import Place
 from gypsumrouter.const import MS_PER_S, Role
-from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.instances import Address, Instance
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/bench/placement_strategies.py
+++ b/bench/placement_strategies.py
@@ -12,11 +12,11 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Record
-from gypsumrouter.fleet.models import Address
 from gypsumrouter.forwarding.health import HealthBook
 from gypsumrouter.forwarding.loads import PeerLoads
 from gypsumrouter.forwarding.placement import Cap, order_by_affinity
 from gypsumrouter.forwarding.placer import Placed, Placer, Sent
+from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.peers.const import NEWS_MS, NEWS_MS_PER_PEER
 from gypsumrouter.util.clock import ManualClock
@@ -152,7 +152,8 @@
     def first(self, arrival: Arrival, number: int) -> None:
         """Tell the placer that the prompt was read."""
         sent = self._sent[number]
-        self._placers[arrival.router].loads.note_read(sent.upstream, tokens=sent.tokens)
+        self._placers[arrival.router].note_ended(sent)
+        self._placers[arrival.router].note_first_event(sent)
 
     def end(self, arrival: Arrival, number: int) -> None:
         """Tell the placer that a request is over."""
--- a/bench/probe_host.py
+++ b/bench/probe_host.py
@@ -12,8 +12,8 @@
 from bench.child import Child, Command, async_serve
 from gypsumrouter.bootstrap import ADDRESS_LINK, async_setup
 from gypsumrouter.const import MS_PER_S, Role
-from gypsumrouter.fleet.models import Address, parse_address
 from gypsumrouter.helpers.settings_file import check_linked_settings
+from gypsumrouter.instances import Address, parse_address
 from gypsumrouter.service import settle_process
 
 TICK_MS: Final = 1.0
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -13,7 +13,7 @@
 from typing import Any, Final
 
 from gypsumrouter.const import ENV_IO_URING, IO_URING_OFF, Role
-from gypsumrouter.fleet.models import Address, parse_address
+from gypsumrouter.instances import Address, parse_address
 
 TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
 KIB: Final = 1024
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -20,7 +20,7 @@
 from bench.rig import Rig
 from gypsumrouter.configuration.models import Configuration
 from gypsumrouter.const import MS_PER_S, UpstreamKind
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.standins import EngineSettings, StandinPlatform, kotlovnica
 from gypsumrouter.standins.deployments import make_configuration
 from gypsumrouter.standins.fleet import SidePlan
--- a/bench/rig.py
+++ b/bench/rig.py
@@ -12,7 +12,7 @@
 
 from bench.processes import DaemonProcess, async_start_daemon
 from gypsumrouter.const import MS_PER_S, Role
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.placement import PlacementKind
 from gypsumrouter.standins import FaultProxy, StandinPlatform
 
--- a/bench/soak_rig.py
+++ b/bench/soak_rig.py
@@ -12,7 +12,7 @@
 
 from bench.processes import DaemonProcess, async_start_daemon
 from gypsumrouter.const import Role
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.standins import FaultProxy, PlatformRunner, PublishedStoreStandin
 from gypsumrouter.standins.listener import PortHolder
 from gypsumrouter.standins.platform_runner import Arrival
--- a/bench/stage.py
+++ b/bench/stage.py
@@ -17,7 +17,7 @@
 from bench.rig import Rig
 from bench.tally import Tally
 from gypsumrouter.configuration.models import Pool
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.standins import Deployment, EngineSettings, StandinPlatform, chapin, kotlovnica
 from gypsumrouter.standins.deployments import make_configuration
 from gypsumrouter.util.clock import Clock, SystemClock
--- a/bench/still_list.py
+++ b/bench/still_list.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from gypsumrouter.const import MS_PER_S
-from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.instances import Address, Instance
 from gypsumrouter.standins.listener import StandinListener
 
 REVISION: Final = 1
--- a/gypsumrouter/bootstrap_forwarder.py
+++ b/gypsumrouter/bootstrap_forwarder.py
@@ -13,10 +13,10 @@
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Record
 from gypsumrouter.exceptions import DocumentInvalid
-from gypsumrouter.fleet.models import Address, parse_address
 from gypsumrouter.forwarding import Forwarder
 from gypsumrouter.helpers.logs import set_instance
 from gypsumrouter.helpers.settings_watch import Apply, SettingsWatch
+from gypsumrouter.instances import Address, parse_address
 from gypsumrouter.journal import (
     Journal,
     ProcessStarted,
--- a/gypsumrouter/callers/listener.py
+++ b/gypsumrouter/callers/listener.py
@@ -19,8 +19,8 @@
     reject_head_size,
 )
 from gypsumrouter.const import MS_PER_S
-from gypsumrouter.fleet.models import Address
 from gypsumrouter.helpers.listening import BACKLOG, make_listening_socket
+from gypsumrouter.instances import Address
 from gypsumrouter.outcomes import Failed, Reason
 from gypsumrouter.settings import Listener
 
--- a/gypsumrouter/configuration/neighbours.py
+++ b/gypsumrouter/configuration/neighbours.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from gypsumrouter.configuration.const import RING_ATTEMPTS, RINGS, WATCHERS_IN_REGION
-from gypsumrouter.fleet.models import Instance
+from gypsumrouter.instances import Instance
 
 Route = tuple[Instance, ...]
 
--- a/gypsumrouter/configuration/reader.py
+++ b/gypsumrouter/configuration/reader.py
@@ -35,7 +35,7 @@
 from gypsumrouter.configuration.store import ConfigurationStore
 from gypsumrouter.configuration.waiting import async_unless, async_wait
 from gypsumrouter.const import Role
-from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.instances import Address, Instance
 
 if TYPE_CHECKING:
     from gypsumrouter.core import Application
--- a/gypsumrouter/directory/models.py
+++ b/gypsumrouter/directory/models.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import Final
 
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 
 # The last five digits of a start's time in base 36 repeat after 16 hours; an upstream does not
 # start twice at such a distance to the millisecond.
--- a/gypsumrouter/fleet/__init__.py
+++ b/gypsumrouter/fleet/__init__.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from gypsumrouter.fleet.fleet import Fleet
-from gypsumrouter.fleet.models import Address, Instance, InstanceList
 from gypsumrouter.fleet.source import HttpInstanceListSource, InstanceListSource, Unchanged
+from gypsumrouter.instances import Address, Instance, InstanceList
 
 __all__ = [
     "Address",
--- a/gypsumrouter/fleet/diagnostics.py
+++ b/gypsumrouter/fleet/diagnostics.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from gypsumrouter.fleet.evidence import EvidenceBook, Standing
-from gypsumrouter.fleet.models import Instance
 from gypsumrouter.fleet.view import View
 from gypsumrouter.helpers.metrics import Labels
+from gypsumrouter.instances import Instance
 
 LABEL_STANDING = "standing"
 
--- a/gypsumrouter/fleet/document.py
+++ b/gypsumrouter/fleet/document.py
@@ -10,7 +10,7 @@
 
 from gypsumrouter.const import InstanceState, Role
 from gypsumrouter.exceptions import DocumentInvalid, FieldError
-from gypsumrouter.fleet.models import Address, Instance, InstanceList
+from gypsumrouter.instances import Address, Instance, InstanceList
 from gypsumrouter.util.checked import check_json
 
 MAX_PORT = 65_535
--- a/gypsumrouter/fleet/evidence.py
+++ b/gypsumrouter/fleet/evidence.py
@@ -19,7 +19,7 @@
     UNREACHABLE_HOLD_MAX_MS,
     UNREACHABLE_HOLD_MS,
 )
-from gypsumrouter.fleet.models import Instance
+from gypsumrouter.instances import Instance
 from gypsumrouter.util.clock import Clock
 
 
--- a/gypsumrouter/fleet/fleet.py
+++ b/gypsumrouter/fleet/fleet.py
@@ -11,10 +11,10 @@
 from gypsumrouter.fleet.const import MEMBERS_CACHE_MS
 from gypsumrouter.fleet.diagnostics import count_standings, dump_instance
 from gypsumrouter.fleet.evidence import EvidenceBook, Standing
-from gypsumrouter.fleet.models import Instance, InstanceList
 from gypsumrouter.fleet.source import InstanceListSource, Unchanged
 from gypsumrouter.fleet.view import View
 from gypsumrouter.helpers.metrics import NO_LABELS, Labels
+from gypsumrouter.instances import Instance, InstanceList
 
 if TYPE_CHECKING:
     from gypsumrouter.settings import Platform
--- a/gypsumrouter/fleet/source.py
+++ b/gypsumrouter/fleet/source.py
@@ -24,8 +24,8 @@
     PATH_INSTANCES,
 )
 from gypsumrouter.fleet.document import check_instance_list
-from gypsumrouter.fleet.models import InstanceList
 from gypsumrouter.helpers.connector import ShieldedConnector
+from gypsumrouter.instances import InstanceList
 
 if TYPE_CHECKING:
     from gypsumrouter.settings import Platform
--- a/gypsumrouter/fleet/view.py
+++ b/gypsumrouter/fleet/view.py
@@ -15,7 +15,7 @@
     SHRINK_HOLD_MS,
     SHRINK_SHARE,
 )
-from gypsumrouter.fleet.models import Instance
+from gypsumrouter.instances import Instance
 
 Group = tuple[Role, str]
 ReadEvidence = Callable[[str], bool | None]
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -10,7 +10,6 @@
 from gypsumrouter.callers import CallerConnection, CallerListener, CallerServer, HeadLimits
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory
-from gypsumrouter.fleet.models import Address, parse_address
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.connections import UpstreamConnections
 from gypsumrouter.forwarding.const import CALLER_SPARE_MS, LEAVING_MS
@@ -24,6 +23,7 @@
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.run import RunParts
 from gypsumrouter.forwarding.suspects import Suspects
+from gypsumrouter.instances import Address, parse_address
 from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.routing import RoutingStore
@@ -120,6 +120,7 @@
         )
         self._first_start = settings.first_start
         self._without = settings.without
+        app.add_dump_section("reading", lambda: round(self.placer.reading.tokens_per_ms, 1))
         app.add_dump_section("without", lambda: sorted(settings.without))
         self._server: CallerServer | None = None
         self._listener: CallerListener | None = None
--- a/gypsumrouter/forwarding/loads.py
+++ b/gypsumrouter/forwarding/loads.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from gypsumrouter.forwarding.placement import READ_TOKENS_PER_MS
+from gypsumrouter.forwarding.reading import ReadingSpeed
 
 # A peer that has not told its loads for this long has vanished, and its requests with it.
 PEER_LOADS_MS: Final = 1_500
@@ -38,13 +38,15 @@
     __slots__ = (
         "_peers",
         "_pending",
+        "_reading",
         "_reads_on",
         "_running",
         "_told_pending",
         "_told_running",
     )
 
-    def __init__(self, *, reads_on: bool = True) -> None:
+    def __init__(self, *, reading: ReadingSpeed | None = None, reads_on: bool = True) -> None:
+        self._reading = reading or ReadingSpeed()
         self._reads_on = reads_on
         self._running: dict[str, int] = {}
         self._pending: dict[str, int] = {}
@@ -124,7 +126,7 @@
             if not self._reads_on:
                 pending += tokens
                 continue
-            read = round((now_ms - self._peers[peer].heard_ms) * READ_TOKENS_PER_MS)
+            read = round((now_ms - self._peers[peer].heard_ms) * self._reading.tokens_per_ms)
             pending += max(0, tokens - read)
         running = self._running.get(upstream, 0) + self._told_running.get(upstream, 0)
         return UpstreamLoad(running=running, pending_tokens=pending)
--- a/gypsumrouter/forwarding/models.py
+++ b/gypsumrouter/forwarding/models.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from gypsumrouter.fleet.models import Address
 from gypsumrouter.helpers.http_connection import Answer
+from gypsumrouter.instances import Address
 
 Headers = tuple[tuple[str, str], ...]
 
--- a/gypsumrouter/forwarding/placement.py
+++ b/gypsumrouter/forwarding/placement.py
@@ -13,8 +13,8 @@
 
 import xxhash
 
-# Prompt tokens that an engine reads in a millisecond, from the published trait of the engines.
-READ_TOKENS_PER_MS: Final = 112.0
+from gypsumrouter.forwarding.reading import PRIOR_TOKENS_PER_MS
+
 # Copying cached tokens from another engine: 10 ms to set it up, and per token more than it takes.
 # A wait behind the engine that holds a prompt costs nothing while its first event is in time; a
 # copy is paid for at once, and pushes out what others use. Weighed by its time alone (400 tokens a
@@ -76,12 +76,31 @@
         return load + 1 <= self.factor * mean + self.slack
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Costs:
+    """What all candidates of one request have in common.
+
+    `stranger_ms` is added where a prompt would be a stranger, `known` says that some engine has it.
+    """
+
+    read_tokens_per_ms: float
+    stranger_ms: float
+    known: bool
+
+
 def choose(
-    candidates: Sequence[Candidate], *, cap: Cap, mean: float, shared_tokens: int, known: bool
+    candidates: Sequence[Candidate],
+    *,
+    cap: Cap,
+    mean: float,
+    shared_tokens: int,
+    known: bool,
+    read_tokens_per_ms: float = PRIOR_TOKENS_PER_MS,
 ) -> Candidate | None:
     """Return the cheapest candidate under the cap, or the least loaded one if none is under it.
 
-    `known` says that some upstream is known to hold the shared part of the prompt.
+    `known` says that some upstream is known to hold the shared part of the prompt,
+    `read_tokens_per_ms` how fast engines read.
     """
     if not candidates:
         return None
@@ -89,21 +108,23 @@
     if not allowed:
         return min(candidates, key=lambda c: (c.penalty_ms + c.load * LOAD_MS, c.upstream))
     share = KNOWN_STRANGER_SHARE if known else STRANGER_SHARE
-    stranger_ms = share * shared_tokens / READ_TOKENS_PER_MS
-    return min(
-        allowed, key=lambda c: (estimate_ms(c, stranger_ms=stranger_ms, known=known), c.upstream)
+    costs = Costs(
+        read_tokens_per_ms=read_tokens_per_ms,
+        stranger_ms=share * shared_tokens / read_tokens_per_ms,
+        known=known,
     )
+    return min(allowed, key=lambda c: (estimate_ms(c, costs), c.upstream))
 
 
-def estimate_ms(candidate: Candidate, *, stranger_ms: float, known: bool) -> float:
+def estimate_ms(candidate: Candidate, costs: Costs) -> float:
     """Return what a request costs at a candidate, in milliseconds of an engine's time."""
     read = candidate.missing_tokens - candidate.fetchable_tokens
-    cost = candidate.pending_tokens / READ_TOKENS_PER_MS
-    cost += read / (READ_AGAIN_TOKENS_PER_MS if known else READ_TOKENS_PER_MS)
+    cost = candidate.pending_tokens / costs.read_tokens_per_ms
+    cost += read / (READ_AGAIN_TOKENS_PER_MS if costs.known else costs.read_tokens_per_ms)
     if candidate.fetchable_tokens:
         cost += FETCH_SETUP_MS + candidate.fetchable_tokens / FETCH_TOKENS_PER_MS
     if candidate.stranger:
-        cost += stranger_ms
+        cost += costs.stranger_ms
     cost += candidate.load * LOAD_MS
     waiting = candidate.load + 1 - candidate.slots
     if waiting > 0:
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -21,6 +21,7 @@
     choose,
     order_by_affinity,
 )
+from gypsumrouter.forwarding.reading import ReadingSpeed
 from gypsumrouter.mechanisms import Mechanism
 
 # How long a router that has started knows too little of what engines hold.
@@ -42,6 +43,7 @@
     mean_load: float
     missing_tokens: int
     candidates: int
+    pending_tokens: int = 0
     fetch_from: Entry | None = None
     probably_held: bool = False
 
@@ -56,11 +58,16 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Sent:
-    """What was noted of a request: prompt tokens to read, and parts new to its upstream."""
+    """What was noted of a request: prompt tokens to read, and parts new to its upstream.
+
+    `alone` says that its prompt is the only one that is to be read there, and nothing is copied.
+    """
 
     upstream: str
     tokens: int
     new_parts: tuple[int, ...]
+    sent_ms: int = 0
+    alone: bool = False
 
 
 class Placer:
@@ -83,6 +90,7 @@
         "health",
         "holdings",
         "loads",
+        "reading",
     )
 
     def __init__(
@@ -108,7 +116,8 @@
         self._ended_ms: dict[str, int] = {}
         self.health = health
         self.holdings = Holdings()
-        self.loads = LoadBook(reads_on=Mechanism.READING_ON not in without)
+        self.reading = ReadingSpeed()
+        self.loads = LoadBook(reading=self.reading, reads_on=Mechanism.READING_ON not in without)
         self._placed_listeners: list[PlacedListener] = []
         self._started_ms = app.clock.now_ms()
         directory.on_change(self._take_entry)
@@ -155,6 +164,7 @@
             mean=mean,
             shared_tokens=sum(part.tokens for part in shared),
             known=source is not None,
+            read_tokens_per_ms=self.reading.tokens_per_ms,
         )
         if chosen is None:
             return None
@@ -165,6 +175,7 @@
             mean_load=round(mean, 2),
             missing_tokens=chosen.missing_tokens,
             candidates=len(candidates),
+            pending_tokens=chosen.pending_tokens,
             fetch_from=source.entry if fetches and source is not None else None,
             probably_held=source is None and chosen.upstream == first and self._is_young(now_ms),
         )
@@ -195,12 +206,28 @@
             for listener in self._placed_listeners:
                 listener(part.part, upstream)
         self.loads.begin(upstream, tokens=tokens)
-        return Sent(upstream=upstream, tokens=tokens, new_parts=new_parts)
+        return Sent(
+            upstream=upstream,
+            tokens=tokens,
+            new_parts=new_parts,
+            sent_ms=now_ms,
+            alone=placed.pending_tokens == 0 and placed.fetch_from is None,
+        )
 
     def note_held(self, *, part: int, upstream: str) -> None:
         """Note a part that an upstream says it holds."""
         self.holdings.note_held(part=part, upstream=upstream, now_ms=self._app.clock.now_ms())
 
+    def note_ended(self, sent: Sent) -> None:
+        """Note that nothing of a prompt is to be read any more."""
+        self.loads.note_read(sent.upstream, tokens=sent.tokens)
+
+    def note_first_event(self, sent: Sent) -> None:
+        """Note that an answer began, which shows how fast the prompt was read."""
+        if sent.alone:
+            first_event_ms = self._app.clock.now_ms() - sent.sent_ms
+            self.reading.note(tokens=sent.tokens, first_event_ms=first_event_ms)
+
     def note_not_run(self, sent: Sent) -> None:
         """Take back what was noted of a request that its upstream never ran."""
         for part in sent.new_parts:
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -174,7 +174,9 @@
         sent = self._parts.placer.note_sent(placed, self._request.prompt)
         try:
             outcome = await self._async_send(attempt)
-            self._parts.placer.loads.note_read(placed.entry.incarnation, tokens=sent.tokens)
+            self._parts.placer.note_ended(sent)
+            if isinstance(outcome, Begun):
+                self._parts.placer.note_first_event(sent)
             if isinstance(outcome, NotReached | TurnedAway):
                 self._parts.placer.note_not_run(sent)
             response, step = await self._async_decide(attempt, outcome)
--- a/gypsumrouter/gateway/candidates.py
+++ b/gypsumrouter/gateway/candidates.py
@@ -7,9 +7,9 @@
 
 from gypsumrouter.configuration.models import Pool
 from gypsumrouter.fleet import Fleet
-from gypsumrouter.fleet.models import Instance
 from gypsumrouter.gateway.homes import Homes
 from gypsumrouter.gateway.models import Call
+from gypsumrouter.instances import Instance
 from gypsumrouter.placement import Placement, PlacementQuery
 from gypsumrouter.suspicion import find_isolation_places
 
--- a/gypsumrouter/gateway/gateway.py
+++ b/gypsumrouter/gateway/gateway.py
@@ -16,7 +16,6 @@
 from gypsumrouter.configuration.models import Configuration
 from gypsumrouter.core import Application
 from gypsumrouter.fleet import Fleet
-from gypsumrouter.fleet.models import Address
 from gypsumrouter.gateway.budget import RetryBudget
 from gypsumrouter.gateway.candidates import CandidateFinder
 from gypsumrouter.gateway.const import LEAVING_GRACE_MS
@@ -30,6 +29,7 @@
 from gypsumrouter.gateway.running import RunningRequests
 from gypsumrouter.gateway.watch import Watch
 from gypsumrouter.helpers.tls import TlsFiles, make_server_context
+from gypsumrouter.instances import Address
 from gypsumrouter.placement import Placement
 from gypsumrouter.settings import RouterSettings, Tls
 
--- a/gypsumrouter/gateway/homes.py
+++ b/gypsumrouter/gateway/homes.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from gypsumrouter.fleet import Fleet
-from gypsumrouter.fleet.models import Instance, InstanceList
 from gypsumrouter.gateway.const import MAX_HOMES
 from gypsumrouter.idempotency import find_home
+from gypsumrouter.instances import Instance, InstanceList
 
 
 class Homes:
--- a/gypsumrouter/gateway/limits.py
+++ b/gypsumrouter/gateway/limits.py
@@ -15,7 +15,7 @@
 from gypsumrouter.callers import DEFAULT_RETRY_AFTER_MS
 from gypsumrouter.configuration.models import Configuration
 from gypsumrouter.const import MS_PER_S, InstanceState, Role
-from gypsumrouter.fleet.models import Instance
+from gypsumrouter.instances import Instance
 from gypsumrouter.outcomes import Reason, Refused
 from gypsumrouter.util.clock import Clock
 
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -18,8 +18,8 @@
 from aiohttp.streams import StreamReader
 
 from gypsumrouter.const import MS_PER_S
-from gypsumrouter.fleet.models import Address
 from gypsumrouter.helpers.silence import set_silence_limits
+from gypsumrouter.instances import Address
 
 READ_BUFFER_BYTES: Final = 64 * 1024
 MAX_HEAD_BYTES: Final = 32 * 1024
--- a/gypsumrouter/fleet/models.py
+++ b/gypsumrouter/instances.py
@@ -1,4 +1,4 @@
-"""What the platform's instance list says, as values."""
+"""Instances of the platform and their addresses, as values."""
 
 from __future__ import annotations
 
--- a/gypsumrouter/link/dialer.py
+++ b/gypsumrouter/link/dialer.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, replace
 
 from gypsumrouter.core import Application
-from gypsumrouter.fleet.models import Instance
+from gypsumrouter.instances import Instance
 from gypsumrouter.link.codec import Greeting, encode_open
 from gypsumrouter.link.connection import Connection
 from gypsumrouter.link.const import (
--- a/gypsumrouter/link/pool.py
+++ b/gypsumrouter/link/pool.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 
 from gypsumrouter.core import Application, Remove
-from gypsumrouter.fleet.models import Address, Instance
 from gypsumrouter.helpers.tls import TlsFiles, make_client_context
+from gypsumrouter.instances import Address, Instance
 from gypsumrouter.link.const import TICKS_PER_IDLE_CHECK
 from gypsumrouter.link.dialer import Dialer, DialerContext
 from gypsumrouter.link.exchange import Exchange
--- a/gypsumrouter/link/server.py
+++ b/gypsumrouter/link/server.py
@@ -9,8 +9,8 @@
 
 from gypsumrouter.core import Application
 from gypsumrouter.exceptions import InvariantBroken
-from gypsumrouter.fleet.models import Address
 from gypsumrouter.helpers.tls import TlsFiles, make_server_context
+from gypsumrouter.instances import Address
 from gypsumrouter.link.answer import Answer
 from gypsumrouter.link.codec import decode_goodbye
 from gypsumrouter.link.connection import Connection, LoadMark
--- a/gypsumrouter/operators/server.py
+++ b/gypsumrouter/operators/server.py
@@ -10,8 +10,8 @@
 from aiohttp import web
 
 from gypsumrouter.core import Application
-from gypsumrouter.fleet.models import Address
 from gypsumrouter.helpers.tls import TlsFiles, make_server_context
+from gypsumrouter.instances import Address
 from gypsumrouter.operators.access import Access
 from gypsumrouter.operators.const import (
     CONTENT_TYPE_METRICS,
--- a/gypsumrouter/peers/catch_up.py
+++ b/gypsumrouter/peers/catch_up.py
@@ -9,7 +9,7 @@
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Record
 from gypsumrouter.exceptions import DocumentInvalid
-from gypsumrouter.fleet.models import parse_address
+from gypsumrouter.instances import parse_address
 from gypsumrouter.journal import Journal, PeerNews
 from gypsumrouter.link import (
     CatchUp,
--- a/gypsumrouter/peers/mesh.py
+++ b/gypsumrouter/peers/mesh.py
@@ -8,8 +8,8 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory
-from gypsumrouter.fleet.models import Address, Instance, parse_address
 from gypsumrouter.forwarding import Forwarder
+from gypsumrouter.instances import Address, Instance, parse_address
 from gypsumrouter.journal import DependencyLost, DependencyRegained, Journal
 from gypsumrouter.link import (
     LinkPool,
--- a/gypsumrouter/placement/baselines.py
+++ b/gypsumrouter/placement/baselines.py
@@ -5,7 +5,7 @@
 import random
 
 from gypsumrouter.exceptions import InvariantBroken
-from gypsumrouter.fleet.models import Instance
+from gypsumrouter.instances import Instance
 from gypsumrouter.placement.const import MAX_CANDIDATES, STICKY_CHATS
 from gypsumrouter.placement.loads import KnownLoads
 from gypsumrouter.placement.memory import RecentMap
--- a/gypsumrouter/placement/loads.py
+++ b/gypsumrouter/placement/loads.py
@@ -6,7 +6,7 @@
 
 from gypsumrouter.configuration.models import Pool
 from gypsumrouter.core import Application
-from gypsumrouter.fleet.models import Instance
+from gypsumrouter.instances import Instance
 from gypsumrouter.link.models import PoolLoad, Status
 from gypsumrouter.placement.const import (
     MODELS_KNOWN_MS,
--- a/gypsumrouter/placement/models.py
+++ b/gypsumrouter/placement/models.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from gypsumrouter.configuration.models import Pool
-from gypsumrouter.fleet.models import Instance
+from gypsumrouter.instances import Instance
 from gypsumrouter.link.models import Status
 
 
--- a/gypsumrouter/placement/placement.py
+++ b/gypsumrouter/placement/placement.py
@@ -4,7 +4,7 @@
 
 from gypsumrouter.configuration.models import Pool
 from gypsumrouter.core import Application
-from gypsumrouter.fleet.models import Instance
+from gypsumrouter.instances import Instance
 from gypsumrouter.link.models import PoolLoad
 from gypsumrouter.placement.baselines import Baselines
 from gypsumrouter.placement.const import (
--- a/gypsumrouter/placement/rendezvous.py
+++ b/gypsumrouter/placement/rendezvous.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from gypsumrouter.fleet.models import Instance
+from gypsumrouter.instances import Instance
 
 _HASH_BITS: Final = 64
 _UNIT_BITS: Final = 52
--- a/gypsumrouter/platform/entries.py
+++ b/gypsumrouter/platform/entries.py
@@ -11,7 +11,7 @@
 
 from gypsumrouter.directory import Entry, EntryState
 from gypsumrouter.exceptions import DocumentInvalid, FieldError
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.platform import names
 from gypsumrouter.util.checked import list_field_errors
 
--- a/gypsumrouter/platform/store.py
+++ b/gypsumrouter/platform/store.py
@@ -11,13 +11,13 @@
 from urllib.parse import urlencode
 
 from gypsumrouter.const import MS_PER_S
-from gypsumrouter.fleet.models import Address
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
     ConnectionBroken,
     HttpConnection,
     async_connect,
 )
+from gypsumrouter.instances import Address
 from gypsumrouter.platform import names
 from gypsumrouter.published.models import HistoryLost, Item, Listed, StoreUnavailable
 
--- a/gypsumrouter/product.py
+++ b/gypsumrouter/product.py
@@ -8,7 +8,7 @@
 from typing import Any, Protocol
 
 from gypsumrouter.core import Application, Remove
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 
 
 class Versions(Protocol):
--- a/gypsumrouter/standins/engine.py
+++ b/gypsumrouter/standins/engine.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.standins.batch import Batch, Sequence
 from gypsumrouter.standins.cache import CacheEventLog, PrefixCache
 from gypsumrouter.standins.chat import TYPE_EVENTS, TYPE_JSON, ChatEncoder, ChatRequest
--- a/gypsumrouter/standins/fault_proxy.py
+++ b/gypsumrouter/standins/fault_proxy.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable, Collection
 
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.standins.listener import PortHolder
 from gypsumrouter.standins.pipes import BOTH_WAYS, End, Pipe, Way, WayConditions
 from gypsumrouter.util.clock import Clock, SystemClock
--- a/gypsumrouter/standins/fleet.py
+++ b/gypsumrouter/standins/fleet.py
@@ -11,7 +11,7 @@
 from gypsumrouter.configuration.models import Configuration
 from gypsumrouter.const import Role, UpstreamKind
 from gypsumrouter.exceptions import InvariantBroken
-from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.instances import Address, Instance
 from gypsumrouter.standins.configuration_service import ConfigurationService
 from gypsumrouter.standins.deployments import Deployment, make_configuration
 from gypsumrouter.standins.engine import Engine
--- a/gypsumrouter/standins/instance_list.py
+++ b/gypsumrouter/standins/instance_list.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from gypsumrouter.const import InstanceState, Role
-from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.instances import Address, Instance
 from gypsumrouter.standins.changes import Changes
 from gypsumrouter.standins.faults import Gate, Outage, OutageKind
 from gypsumrouter.standins.listener import StandinListener
--- a/gypsumrouter/standins/listener.py
+++ b/gypsumrouter/standins/listener.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from gypsumrouter.exceptions import InvariantBroken
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 
 BACKLOG: Final = 1024
 LINGER_RESET: Final = struct.pack("ii", 1, 0)
--- a/gypsumrouter/standins/models.py
+++ b/gypsumrouter/standins/models.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 
 MIN_STEP_MS: Final = 4.0
 DEFAULT_MODEL: Final = "gypsum-chat"
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.platform import names
 from gypsumrouter.standins.listener import StandinListener, reset_transport
 
--- a/gypsumrouter/standins/published_store.py
+++ b/gypsumrouter/standins/published_store.py
@@ -10,7 +10,7 @@
 
 from aiohttp import web
 
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.platform import names
 from gypsumrouter.standins.listener import StandinListener, reset_transport
 
--- a/gypsumrouter/standins/service.py
+++ b/gypsumrouter/standins/service.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from gypsumrouter.const import HEADER_IDEMPOTENCY_KEY, HEADER_REQUEST_ID
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.standins.faults import Gate
 from gypsumrouter.standins.listener import StandinListener
 from gypsumrouter.standins.load_history import LoadHistory
--- a/gypsumrouter/standins/weight_store.py
+++ b/gypsumrouter/standins/weight_store.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.standins.faults import Gate, Outage, OutageKind
 from gypsumrouter.standins.listener import StandinListener
 from gypsumrouter.standins.rate import TokenBucket
--- a/gypsumrouter/upstream/transport.py
+++ b/gypsumrouter/upstream/transport.py
@@ -22,9 +22,9 @@
 
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.core import Application
-from gypsumrouter.fleet.models import Address
 from gypsumrouter.helpers.connector import ShieldedConnector
 from gypsumrouter.helpers.tls import TlsFiles, make_client_context
+from gypsumrouter.instances import Address
 from gypsumrouter.settings import Tls, Upstream
 from gypsumrouter.upstream.const import (
     HTTP_OK,
--- a/tests/configuration/configuration_fakes.py
+++ b/tests/configuration/configuration_fakes.py
@@ -16,7 +16,7 @@
 from gypsumrouter.configuration.source import Document, SourceAnswer, Unavailable, Unchanged
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.instances import Address, Instance
 from gypsumrouter.link.models import Hello, Notice
 from gypsumrouter.settings import Platform
 from gypsumrouter.util.clock import ManualClock
--- a/tests/configuration/configuration_links.py
+++ b/tests/configuration/configuration_links.py
@@ -9,7 +9,7 @@
 from gypsumrouter.configuration import ConfigurationSpread, ConfigurationStore
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.fleet.models import Instance
+from gypsumrouter.instances import Instance
 from gypsumrouter.link import LinkPool, LinkServer, NoticeHub
 from gypsumrouter.settings import Link, Platform
 
--- a/tests/configuration/measure_configuration.py
+++ b/tests/configuration/measure_configuration.py
@@ -20,7 +20,7 @@
 from gypsumrouter.configuration import ConfigurationStore, check_configuration
 from gypsumrouter.const import MS_PER_S, Role, UpstreamKind
 from gypsumrouter.core import Application
-from gypsumrouter.fleet.models import Instance
+from gypsumrouter.instances import Instance
 from gypsumrouter.policy import Policy, RequestFacts
 from gypsumrouter.standins import ConfigurationService
 from gypsumrouter.util.clock import SystemClock
--- a/tests/configuration/test_configuration_links.py
+++ b/tests/configuration/test_configuration_links.py
@@ -16,7 +16,7 @@
 )
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.instances import Address, Instance
 from gypsumrouter.standins import ConfigurationService, OutageKind
 from gypsumrouter.util.clock import SystemClock
 
--- a/tests/configuration/test_configuration_spread.py
+++ b/tests/configuration/test_configuration_spread.py
@@ -10,7 +10,7 @@
 from gypsumrouter.configuration.fetch import answer_parts_request
 from gypsumrouter.configuration.neighbours import list_routes, list_watchers
 from gypsumrouter.const import Role
-from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.instances import Address, Instance
 from gypsumrouter.link.models import ConfigurationNews, PartsRequest
 
 MakeFleet = Callable[[int], FakeFleet]
--- a/tests/directory/test_directory_births.py
+++ b/tests/directory/test_directory_births.py
@@ -10,7 +10,7 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Record, name_incarnation
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.util.clock import ManualClock
 
--- a/tests/directory/test_directory_machine.py
+++ b/tests/directory/test_directory_machine.py
@@ -10,7 +10,7 @@
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Record
 from gypsumrouter.directory.directory import LAPSE_GRACE_MS
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.util.clock import ManualClock
 
--- a/tests/exchange/exchange_fakes.py
+++ b/tests/exchange/exchange_fakes.py
@@ -12,7 +12,7 @@
 from gypsumrouter.const import Role, UpstreamKind
 from gypsumrouter.core import Application, Remove
 from gypsumrouter.exchange import ExchangeRunner
-from gypsumrouter.fleet.models import Address, Instance, InstanceList
+from gypsumrouter.instances import Address, Instance, InstanceList
 from gypsumrouter.link.models import Head, Hello, Open
 from gypsumrouter.outcomes import Failed, Failure, Reason, Refused
 from gypsumrouter.upstream import HandOverDenied, LoadReport, Sink
--- a/tests/forwarding/forwarding_world.py
+++ b/tests/forwarding/forwarding_world.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from gypsumrouter.bootstrap_forwarder import async_setup_forwarder
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.product import Product
 from gypsumrouter.settings import Bounds, ForwarderSettings, Identity, Link
 from gypsumrouter.standins import PlatformRunner, PublishedStoreStandin
--- a/tests/forwarding/test_forwarding_placement.py
+++ b/tests/forwarding/test_forwarding_placement.py
@@ -10,12 +10,12 @@
 from gypsumrouter.forwarding.loads import PEER_LOADS_MS, LoadBook, PeerLoads, UpstreamLoad, get_mean
 from gypsumrouter.forwarding.models import PromptPart
 from gypsumrouter.forwarding.placement import (
-    READ_TOKENS_PER_MS,
     Candidate,
     Cap,
     choose,
     order_by_affinity,
 )
+from gypsumrouter.forwarding.reading import PRIOR_TOKENS_PER_MS
 
 CAP = Cap(factor=2.0, slack=2.0)
 ENGINES = tuple(f"i-{number}" for number in range(6))
@@ -165,7 +165,7 @@
     told = UpstreamLoad(running=3, pending_tokens=10_000)
     book.take_peer("entry-2", PeerLoads(heard_ms=0, loads={"i-1": told}))
     assert book.get("i-1", now_ms=0).pending_tokens == 10_000
-    read = 50 * READ_TOKENS_PER_MS
+    read = 50 * PRIOR_TOKENS_PER_MS
     assert book.get("i-1", now_ms=50).pending_tokens == 10_000 - read
     assert book.get("i-1", now_ms=450) == UpstreamLoad(running=3, pending_tokens=0)
 
--- a/tests/gateway/gateway_fakes.py
+++ b/tests/gateway/gateway_fakes.py
@@ -19,8 +19,8 @@
 )
 from gypsumrouter.const import Role, UpstreamKind
 from gypsumrouter.core import Application, Remove
-from gypsumrouter.fleet.models import Address, Instance, InstanceList
 from gypsumrouter.gateway import Gateway
+from gypsumrouter.instances import Address, Instance, InstanceList
 from gypsumrouter.link import LinkPool
 from gypsumrouter.link.models import AnswerEvent, Data, End, Head, Open, PoolLoad, SuspectNews
 from gypsumrouter.outcomes import Refused
--- a/tests/helpers/test_http_connection.py
+++ b/tests/helpers/test_http_connection.py
@@ -9,13 +9,13 @@
 
 import pytest
 
-from gypsumrouter.fleet.models import Address
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
     ConnectionBroken,
     HttpConnection,
     async_connect,
 )
+from gypsumrouter.instances import Address
 
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 Connect = Callable[[Script], Awaitable[HttpConnection]]
--- a/tests/helpers/test_tls_links.py
+++ b/tests/helpers/test_tls_links.py
@@ -14,8 +14,8 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.exceptions import SettingsInvalid
-from gypsumrouter.fleet.models import Address, Instance
 from gypsumrouter.helpers.tls import TlsFiles, make_client_context, make_server_context
+from gypsumrouter.instances import Address, Instance
 from gypsumrouter.link import ConfigurationNews, LinkPool, LinkServer, NoticeHub
 from gypsumrouter.settings import Link, Tls
 from gypsumrouter.util.clock import ManualClock
--- a/tests/link/link_harness.py
+++ b/tests/link/link_harness.py
@@ -9,7 +9,7 @@
 
 from gypsumrouter.const import Role, UpstreamKind
 from gypsumrouter.core import Application
-from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.instances import Address, Instance
 from gypsumrouter.link import (
     Answer,
     AnswerEvent,
--- a/tests/link/test_link_lying_server.py
+++ b/tests/link/test_link_lying_server.py
@@ -9,7 +9,7 @@
 from link_harness import HEAD, KEY, REQUEST, async_read_answer, linked, make_app
 
 from gypsumrouter.const import Role
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.link import End, Status
 from gypsumrouter.link.codec import encode_end, encode_failure, encode_head
 from gypsumrouter.link.connection import Connection
--- a/tests/placement/placement_fakes.py
+++ b/tests/placement/placement_fakes.py
@@ -7,7 +7,7 @@
 from gypsumrouter.configuration.models import Pool
 from gypsumrouter.const import Role, UpstreamKind
 from gypsumrouter.core import Application
-from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.instances import Address, Instance
 from gypsumrouter.link.models import Status
 from gypsumrouter.placement import Placement, PlacementKind, PlacementQuery
 from gypsumrouter.util.clock import ManualClock
--- a/tests/platform/test_platform_wire.py
+++ b/tests/platform/test_platform_wire.py
@@ -10,8 +10,8 @@
 import gypsumrouter
 from gypsumrouter.directory import EntryState
 from gypsumrouter.exceptions import ConfigurationInvalid, DocumentInvalid
-from gypsumrouter.fleet.models import Address
 from gypsumrouter.forwarding import CallerRequest, Sending
+from gypsumrouter.instances import Address
 from gypsumrouter.platform import decode_configuration, decode_entry, names
 from gypsumrouter.platform.requests import write_request
 from gypsumrouter.routing import RouteKind, Target
--- a/tests/prefixes/prefixes_fakes.py
+++ b/tests/prefixes/prefixes_fakes.py
@@ -9,7 +9,7 @@
 
 from gypsumrouter.const import Role, UpstreamKind, make_engine_chat
 from gypsumrouter.core import Application
-from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.instances import Address, Instance
 from gypsumrouter.link import Answer, NoticeHub, Peer
 from gypsumrouter.link.models import AnswerEvent, Data, End, Head, Hello, Notice, Open
 from gypsumrouter.outcomes import Failure, Reason, Refused
--- a/tests/standins/test_standins_fault_proxy.py
+++ b/tests/standins/test_standins_fault_proxy.py
@@ -8,7 +8,7 @@
 import pytest
 from driven_clock import HANG_S, async_drive, async_until
 
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.standins import FaultProxy, Partition, Way
 from gypsumrouter.standins.pipes import HELD_BYTES_MAX
 from gypsumrouter.util.clock import ManualClock
--- a/tests/standins/test_standins_instance_list.py
+++ b/tests/standins/test_standins_instance_list.py
@@ -12,7 +12,7 @@
 from driven_clock import async_drive, async_until
 
 from gypsumrouter.const import InstanceState, Role
-from gypsumrouter.fleet.models import Address, Instance
+from gypsumrouter.instances import Address, Instance
 from gypsumrouter.standins import InstanceListService, OutageKind
 from gypsumrouter.util.clock import ManualClock
 
--- a/tests/standins/test_standins_platform.py
+++ b/tests/standins/test_standins_platform.py
@@ -26,7 +26,7 @@
 from bench.tally import Tally
 from gypsumrouter.configuration import check_configuration
 from gypsumrouter.const import PATH_CHAT, Role
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.outcomes import Executed
 from gypsumrouter.settings import check_router_settings, check_side_settings
 from gypsumrouter.standins import Deployment, StandinPlatform, chapin, kotlovnica
--- a/tests/upstream/conftest.py
+++ b/tests/upstream/conftest.py
@@ -10,7 +10,7 @@
 
 from gypsumrouter.const import Role, UpstreamKind
 from gypsumrouter.core import Application
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.settings import Upstream
 from gypsumrouter.standins import Engine, EngineSettings, FaultProxy, Service
 from gypsumrouter.upstream import UpstreamClient, make_client
--- a/tests/upstream/upstream_fakes.py
+++ b/tests/upstream/upstream_fakes.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from gypsumrouter.const import PATH_CHAT, UpstreamKind
-from gypsumrouter.fleet.models import Address
+from gypsumrouter.instances import Address
 from gypsumrouter.link.models import Head, Headers, Open
 from gypsumrouter.outcomes import Failure
 from gypsumrouter.standins.models import DEFAULT_MODEL
