Forwarding: the decision after an attempt stands apart; a line for what peers tell of caches

run.py and relay.py imported each other, and run.py mixed what an outcome means with what follows from it. What a peer tells of caches is an event of its own instead of a count under 'version'.

--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Final
 
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Entry
@@ -19,6 +20,9 @@
     async_connect,
 )
 
+# No connection has been idle for so short a time.
+NEVER_MS: Final = -1
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Leased:
@@ -31,11 +35,11 @@
 class UpstreamConnections:
     """The idle connections of this process, newest first."""
 
-    __slots__ = ("_app", "_idle", "_kept_for_all", "_opened")
+    __slots__ = ("_app", "_fresh_idle_ms", "_idle", "_opened")
 
     def __init__(self, *, app: Application, kept_for_all: bool = True) -> None:
         self._app = app
-        self._kept_for_all = kept_for_all
+        self._fresh_idle_ms = FRESH_IDLE_MS if kept_for_all else NEVER_MS
         self._idle: dict[str, list[HttpConnection]] = {}
         self._opened = app.metrics.counter(
             "gypsumrouter_upstream_connections_total", "Connections opened to upstreams"
@@ -55,7 +59,7 @@
         """
         now_ms = self._app.clock.now_ms()
         idle = self._idle.get(entry.incarnation)
-        max_idle_ms = None if repeatable else FRESH_IDLE_MS if self._kept_for_all else -1
+        max_idle_ms = None if repeatable else self._fresh_idle_ms
         while idle:
             connection = idle.pop()
             if not _is_usable(connection, now_ms):
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -28,8 +28,9 @@
 from gypsumrouter.forwarding.leaving import Leaving, estimate_duration_ms
 from gypsumrouter.forwarding.metrics import ForwardingMetrics
 from gypsumrouter.forwarding.models import CallerRequest
+from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.forwarding.relay import CallerGone
-from gypsumrouter.forwarding.run import Progress, RequestRun, RunParts
+from gypsumrouter.forwarding.run import RequestRun, RunParts
 from gypsumrouter.forwarding.story import RequestStory
 from gypsumrouter.helpers.logs import set_request_id
 from gypsumrouter.journal import RequestEnded, RequestRefused
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from enum import StrEnum
-from typing import TYPE_CHECKING
 
 from aiohttp import web
 
@@ -13,13 +12,11 @@
 from gypsumrouter.forwarding.const import MIN_SILENCE_MS, PAUSE_FACTOR, SILENCE_FACTOR
 from gypsumrouter.forwarding.events import EventCutter, EventTooLong
 from gypsumrouter.forwarding.models import Begun, CallerRequest, Dialect
+from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.helpers.http_connection import ConnectionBroken
 from gypsumrouter.routing import Route
 from gypsumrouter.util.clock import Clock
 
-if TYPE_CHECKING:
-    from gypsumrouter.forwarding.run import Progress
-
 
 class RelayEnd(StrEnum):
     """How a stream from one upstream ended."""
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
-from typing import Final
+from dataclasses import dataclass
 
 from aiohttp import web
 
@@ -17,8 +16,6 @@
 from gypsumrouter.forwarding.connections import UpstreamConnections
 from gypsumrouter.forwarding.const import (
     ANSWER_MARGIN_MS,
-    MAX_NOT_REACHED,
-    MAX_TURNED_AWAY,
     MIN_SILENCE_MS,
     RETURN_MS,
     SILENCE_FACTOR,
@@ -34,7 +31,16 @@
     TurnedAway,
     Whole,
 )
+from gypsumrouter.forwarding.next_step import (
+    STATUS_SERVER_ERROR,
+    Allowance,
+    Decision,
+    NextStep,
+    decide,
+    decide_after_run,
+)
 from gypsumrouter.forwarding.placer import Placed, Placer
+from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.forwarding.relay import Relay, RelayEnd
 from gypsumrouter.forwarding.story import RequestStory
 from gypsumrouter.forwarding.suspects import Suspects, make_digest
@@ -43,8 +49,6 @@
 from gypsumrouter.outcomes import Reason
 from gypsumrouter.routing import Routed
 
-STATUS_SERVER_ERROR: Final = 500
-
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RunParts:
@@ -60,29 +64,6 @@
     without: frozenset[Mechanism] = frozenset()
 
 
-@dataclass(slots=True, kw_only=True)
-class Progress:
-    """How far a request is.
-
-    `ran_on` are the upstreams that may have run it, `in_doubt` says that one has it now, and
-    `kept_answer` is a failure of an upstream that is passed on if no other one does better.
-    """
-
-    arrived_ms: int
-    deadline_at_ms: int
-    attempts: int = 0
-    not_reached: int = 0
-    turned_away: int = 0
-    ran_on: list[str] = field(default_factory=list)
-    passed_over: set[str] = field(default_factory=set)
-    upstream: str = ""
-    first_byte_ms: int = -1
-    bytes_out: int = 0
-    outcome: str = ""
-    in_doubt: bool = False
-    kept_answer: Whole | None = None
-
-
 class RequestRun:
     """One request of one caller."""
 
@@ -205,104 +186,99 @@
         self, attempt: Attempt, outcome: Outcome
     ) -> tuple[web.StreamResponse | None, str]:
         """Return the answer, or None and why another upstream is asked."""
+        if isinstance(outcome, Begun):
+            decision = await self._async_relay(attempt, outcome)
+        else:
+            outcome = self._note(attempt, outcome)
+            decision = decide(outcome, self.progress, self._get_allowance())
+        return self._carry_out(decision, outcome), decision.step.value
+
+    def _note(
+        self, attempt: Attempt, outcome: NotReached | TurnedAway | Lost | Whole
+    ) -> NotReached | TurnedAway | Lost | Whole:
+        """Count an attempt and learn from it; return what it means for the request."""
+        upstream = attempt.entry.incarnation
         match outcome:
-            case NotReached():
-                return self._after_not_reached(attempt, outcome)
+            case NotReached(reason=reason):
+                self._parts.placer.health.note_unreachable(upstream, reason=reason)
+                self._parts.connections.forget(upstream)
+                self.progress.not_reached += 1
+                self.progress.passed_over.add(upstream)
             case TurnedAway():
-                return self._after_turned_away(attempt, outcome)
+                self._note_turned_away(upstream, outcome)
             case Lost():
-                return self._after_lost(attempt, outcome)
-            case Whole():
-                return self._after_whole(attempt, outcome)
-            case Begun():
-                return await self._async_relay(attempt, outcome)
-
-    def _after_not_reached(
-        self, attempt: Attempt, outcome: NotReached
-    ) -> tuple[web.StreamResponse | None, str]:
-        upstream = attempt.entry.incarnation
-        self._parts.placer.health.note_unreachable(upstream, reason=outcome.reason)
-        self._parts.connections.forget(upstream)
-        self.progress.not_reached += 1
-        self.progress.passed_over.add(upstream)
-        if self.progress.not_reached > MAX_NOT_REACHED:
-            return self._give_up(Reason.UNREACHABLE, "No upstream could be reached"), "refuse"
-        return None, "elsewhere"
-
-    def _after_turned_away(
-        self, attempt: Attempt, outcome: TurnedAway
-    ) -> tuple[web.StreamResponse | None, str]:
-        upstream = attempt.entry.incarnation
+                self._note_lost(upstream, outcome)
+            case Whole(status=status) if self._relay.response is not None:
+                outcome = Lost(reason=f"status {status}")
+                self._note_lost(upstream, outcome)
+            case Whole(status=status) if status < STATUS_SERVER_ERROR:
+                self._note_good(upstream)
+            case Whole(status=status):
+                self._parts.placer.health.note_failed(upstream, reason=f"status {status}")
+                self.progress.kept_answer = outcome
+                self._note_ran(upstream)
+        return outcome
+
+    def _note_turned_away(self, upstream: str, outcome: TurnedAway) -> None:
         if outcome.stranger:
             self._parts.placer.health.note_unreachable(upstream, reason="another upstream is there")
         else:
             self._parts.placer.health.note_failed(upstream, reason="turned away")
         self.progress.turned_away += 1
         self.progress.passed_over.add(upstream)
-        if self.progress.turned_away > MAX_TURNED_AWAY:
-            return self._give_up(Reason.QUEUE_FULL, "The upstreams are full"), "refuse"
-        if not self._parts.budget.take(self._service):
-            return self._give_up(Reason.RETRY_BUDGET, "The retry budget is spent"), "refuse"
-        return None, "elsewhere"
 
-    def _after_lost(self, attempt: Attempt, outcome: Lost) -> tuple[web.StreamResponse | None, str]:
-        upstream = attempt.entry.incarnation
+    def _note_lost(self, upstream: str, outcome: Lost) -> None:
         self._parts.placer.health.note_failed(upstream, reason=outcome.reason)
         if outcome.broken:
             self._parts.suspects.note_broken(self._digest, upstream)
-        if self._may_run_again(upstream):
-            return None, "run_again"
-        return self._fail(outcome.reason), "fail"
+        self._note_ran(upstream)
 
-    def _after_whole(
-        self, attempt: Attempt, outcome: Whole
-    ) -> tuple[web.StreamResponse | None, str]:
-        upstream = attempt.entry.incarnation
-        if self._relay.response is not None:
-            return self._after_lost(attempt, Lost(reason=f"status {outcome.status}"))
-        if outcome.status < STATUS_SERVER_ERROR:
-            self._parts.placer.health.note_good(upstream)
-            self._parts.suspects.note_good(self._digest)
-            return self._answer(outcome), "answer"
-        self._parts.placer.health.note_failed(upstream, reason=f"status {outcome.status}")
-        self.progress.kept_answer = outcome
-        if self._may_run_again(upstream):
-            return None, "run_again"
-        return self._answer(outcome), "answer"
-
-    async def _async_relay(
-        self, attempt: Attempt, outcome: Begun
-    ) -> tuple[web.StreamResponse | None, str]:
-        """Pass a stream on, and go on elsewhere where it may be resumed."""
+    def _note_good(self, upstream: str) -> None:
+        self._parts.placer.health.note_good(upstream)
+        self._parts.suspects.note_good(self._digest)
+
+    def _note_ran(self, upstream: str) -> None:
+        self.progress.ran_on.append(upstream)
+        self.progress.passed_over.add(upstream)
+
+    async def _async_relay(self, attempt: Attempt, outcome: Begun) -> Decision:
+        """Pass a stream on, and return whether it may go on elsewhere where it broke off."""
         upstream = attempt.entry.incarnation
         if self._relay.last_id is not None:
             self._story.note_resumed(upstream, last_id=self._relay.last_id)
         end = await self._relay.async_pass_on(outcome)
         if end is RelayEnd.WHOLE:
-            self._parts.placer.health.note_good(upstream)
-            self._parts.suspects.note_good(self._digest)
+            self._note_good(upstream)
             attempt.finish()
-            self.progress.outcome = "answered"
-            return self._relay.response, "answer"
-        self._parts.placer.health.note_failed(upstream, reason=f"stream {end.value}")
-        if end is RelayEnd.BROKEN:
-            self._parts.suspects.note_broken(self._digest, upstream)
+            return Decision(step=NextStep.ANSWER)
+        message = f"stream {end.value}"
+        self._note_lost(upstream, Lost(reason=message, broken=end is RelayEnd.BROKEN))
         attempt.close()
-        if self._may_run_again(upstream):
-            return None, "resume"
-        return self._fail(f"stream {end.value}"), "fail"
-
-    def _may_run_again(self, upstream: str) -> bool:
-        """Take a run that may have started into account; return whether another may follow."""
-        progress = self.progress
-        progress.ran_on.append(upstream)
-        progress.passed_over.add(upstream)
+        allowance = self._get_allowance()
+        return decide_after_run(self.progress, allowance, again=NextStep.RESUME, message=message)
+
+    def _carry_out(self, decision: Decision, outcome: Outcome) -> web.StreamResponse | None:
+        match decision.step:
+            case NextStep.ELSEWHERE | NextStep.RUN_AGAIN | NextStep.RESUME:
+                return None
+            case NextStep.REFUSE:
+                return self._give_up(decision.reason, decision.message)
+            case NextStep.FAIL:
+                return self._fail(decision.message)
+            case NextStep.ANSWER if isinstance(outcome, Whole):
+                return self._answer(outcome)
+            case NextStep.ANSWER:
+                self.progress.outcome = "answered"
+                return self._relay.response
+
+    def _get_allowance(self) -> Allowance:
         route = self._routed.route
-        if not route.repeatable or len(progress.ran_on) >= route.max_attempts:
-            return False
-        if self._left_ms() <= 0 or Mechanism.SECOND_TRIES in self._parts.without:
-            return False
-        return self._parts.budget.take(self._service)
+        return Allowance(
+            repeatable=route.repeatable and Mechanism.SECOND_TRIES not in self._parts.without,
+            max_attempts=route.max_attempts,
+            left_ms=self._left_ms(),
+            take_retry=lambda: self._parts.budget.take(self._service),
+        )
 
     def _is_suspect(self) -> bool:
         if Mechanism.SUSPECTS in self._parts.without:
--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -128,6 +128,17 @@
     version: int
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class HeldPartsTold(Event):
+    """A peer told which parts of prompts engines hold; `complete` says that it knows of all."""
+
+    name: ClassVar[str] = "held_parts_told"
+    peer: str
+    engines: int
+    parts: int
+    complete: bool
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RequestPlaced(Event):
     """An upstream was chosen, by the loads believed then and their age.
@@ -253,6 +264,7 @@
     UpstreamChanged,
     UpstreamHealth,
     PeerNews,
+    HeldPartsTold,
     RequestPlaced,
     AttemptSent,
     AttemptEnded,
--- a/gypsumrouter/peers/held.py
+++ b/gypsumrouter/peers/held.py
@@ -11,7 +11,7 @@
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.core import Application
 from gypsumrouter.forwarding.holdings import Holdings
-from gypsumrouter.journal import Journal, PeerNews
+from gypsumrouter.journal import HeldPartsTold, Journal
 from gypsumrouter.link import HeldAt, HeldNews, HeldWanted, Notice, NoticeHub, Peer
 
 # A peer that lives answers within a few milliseconds. Peers that start at the same moment listen
@@ -191,14 +191,19 @@
 
     def _take(self, peer: Peer, news: HeldNews) -> None:
         now_ms = self._app.clock.now_ms()
-        count = 0
         for engine in news.engines:
             for part in engine.parts:
                 self._holdings.note_held(part=part, upstream=engine.upstream, now_ms=now_ms)
-            count += len(engine.parts)
             self._listed.add(engine.upstream)
             self._told(engine.upstream)
-        self._journal.record(PeerNews(peer=peer.hello.name, subject="held parts", version=count))
+        self._journal.record(
+            HeldPartsTold(
+                peer=peer.hello.name,
+                engines=len(news.engines),
+                parts=sum(len(engine.parts) for engine in news.engines),
+                complete=news.complete,
+            )
+        )
         if news.complete:
             self._complete.set()
         else:
