--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -26,6 +26,7 @@
     "journal": "bench.journal_cost",
     "soak": "bench.soak",
     "ablate": "bench.ablate",
+    "losses": "bench.losses",
 }
 EXIT_USAGE: Final = 2
 
--- /dev/null
+++ b/tests/bench/test_bench_losses.py
@@ -0,0 +1,105 @@
+"""The account of a day's logs: each prompt that was read or copied has one cause."""
+
+from __future__ import annotations
+
+import json
+from datetime import UTC, datetime, timedelta
+from typing import Any
+
+import pytest
+
+from bench.losses import IDLE_MS, Losses, account, main, read_lines
+
+START = datetime(2026, 1, 2, tzinfo=UTC)
+
+
+def write(at_ms: int, event: str, **fields: Any) -> str:
+    time = (START + timedelta(milliseconds=at_ms)).isoformat()
+    return "0.1 entry-1 " + json.dumps(
+        {"time": time, "instance": "entry-1", "event": event, **fields}
+    )
+
+
+def place(at_ms: int, upstream: str, *, missing: int = 1_000, source: str = "") -> str:
+    return write(
+        at_ms,
+        "request_placed",
+        prompt="p1",
+        upstream=upstream,
+        missing_tokens=missing,
+        fetch_from=source,
+    )
+
+
+def change(at_ms: int, upstream: str, state: str) -> str:
+    return write(at_ms, "upstream_changed", upstream=upstream, state=state)
+
+
+def count(*texts: str) -> Losses:
+    return account(read_lines(texts))
+
+
+@pytest.mark.parametrize(
+    ("between", "at_ms", "upstream", "cause"),
+    [
+        ((), 2_000, "i-2", "a ready engine held it"),
+        ((), 100, "i-2", "a ready engine held it, used a moment ago"),
+        ((), 2_000, "i-1", "held there, router did not know"),
+        ((), IDLE_MS + 1, "i-2", "not used for long"),
+        ((change(500, "i-1", "leaving"),), 2_000, "i-2", "an engine that leaves held it"),
+        ((change(500, "i-1", "gone"),), 2_000, "i-2", "its engines had crashed"),
+        (
+            (change(500, "i-1", "leaving"), change(900, "i-1", "gone")),
+            2_000,
+            "i-2",
+            "its engines had left",
+        ),
+        (
+            (change(500, "i-1", "gone"), change(900, "i-1", "ready")),
+            2_000,
+            "i-2",
+            "a ready engine held it",
+        ),
+        (
+            (write(1_500, "process_started"),),
+            2_000,
+            "i-2",
+            "a ready engine held it, router just started",
+        ),
+    ],
+)
+def test_a_second_reading_has_one_cause(
+    between: tuple[str, ...], at_ms: int, upstream: str, cause: str
+) -> None:
+    losses = count(place(0, "i-1"), *between, place(at_ms, upstream))
+    assert losses.read_tokens == {"first reading": 1_000, cause: 1_000}
+
+
+def test_causes_add_up_to_all_that_was_read_and_copied() -> None:
+    losses = count(
+        place(0, "i-1"),
+        place(1_000, "i-2", source="i-1"),
+        place(2_000, "i-1", missing=0),
+        place(3_000, "i-3", missing=500),
+    )
+    assert losses.read_tokens.total() == 1_500
+    assert losses.copied_tokens == {"a ready engine held it": 1_000}
+    assert losses.reads.total() + losses.copies.total() == 3
+
+
+def test_attempts_without_an_answer_are_counted_with_the_state_of_their_upstream() -> None:
+    ended = {"outcome": "begun", "next_step": "fail", "upstream": "i-1"}
+    losses = count(
+        write(0, "attempt_ended", **ended),
+        write(1, "attempt_ended", **{**ended, "next_step": "answer"}),
+        change(2, "i-1", "leaving"),
+        write(3, "attempt_ended", **ended),
+    )
+    assert losses.attempts == {("begun", "fail", "listed"): 1, ("begun", "fail", "leaving"): 1}
+
+
+def test_what_is_no_journal_line_is_passed_over(tmp_path: Any, capsys: Any) -> None:
+    log = tmp_path / "day.log"
+    log.write_text("\n".join(["words", "{", '{"event": 3}', place(0, "i-1")]))
+    assert main([str(log)]) == 0
+    assert "first reading" in capsys.readouterr().out
