--- a/tests/forwarding/forwarding_world.py
+++ b/tests/forwarding/forwarding_world.py
@@ -81,14 +81,20 @@
     async def async_start(self) -> None:
         """Start the store, the runners and one forwarder that is ready."""
         self.store_address = await self.store.async_start()
-        for service, runners in (("records", self.records), ("models", self.models)):
-            for runner in runners:
-                address = self.addresses[runner.name] = await runner.async_start()
-                await self.store.async_put_runner(runner.name, service=service, address=address)
-        await self.store.async_put_configuration(make_configuration())
+        for runner in (*self.records, *self.models):
+            self.addresses[runner.name] = await runner.async_start()
+        await self.async_fill(self.store)
         product = await self.async_start_forwarder("entry-1")
         await self.async_until(product.is_ready)
 
+    async def async_fill(self, store: PublishedStoreStandin) -> None:
+        """Write all entries and the configuration, with the same revisions in each store."""
+        for service, runners in (("records", self.records), ("models", self.models)):
+            for runner in runners:
+                address = self.addresses[runner.name]
+                await store.async_put_runner(runner.name, service=service, address=address)
+        await store.async_put_configuration(make_configuration())
+
     async def async_start_forwarder(self, name: str, **more: Any) -> Product:
         """Start one more forwarder."""
         settings = ForwarderSettings(
--- a/tests/forwarding/test_forwarding_changes.py
+++ b/tests/forwarding/test_forwarding_changes.py
@@ -93,11 +93,7 @@
     """Its peers had the store all the while: it need not wait for the entry to come back."""
     own_store = PublishedStoreStandin()
     own_address = await own_store.async_start()
-    own_store.revision = world.store.revision
-    await own_store.async_put_configuration(make_configuration())
-    for runner in world.records:
-        address = world.addresses[runner.name]
-        await own_store.async_put_runner(runner.name, service="records", address=address)
+    await world.async_fill(own_store)
     link = world.product.addresses["link"]
     second = await world.async_start_forwarder(
         "entry-2", seeds=(str(link),), store=str(own_address)
@@ -106,6 +102,8 @@
     await own_store.async_fail(StoreTrouble.RESET)
     await world.async_until(lambda: get_section(world, "directory", 1)["list_away"])
     gone = world.records[0]
+    # Other changes came between: the removal is newer here than at the peer.
+    own_store.revision += 50
     for store in (world.store, own_store):
         await store.async_remove(f"servers/{gone.name}")
     await own_store.async_fail(StoreTrouble.NONE)
