Store: a router of each data centre watches, and tells the others

Change: who watches follows from the addresses of the living routers of a data centre, without an agreement (peers/watchers.py); the others ask it for what changed since the revision that they know (catch_up.py, answers hold only that), and watch themselves once nobody has vouched for a second (published/watch_state.py). A router that was cut off learns from another data centre as before.

--- a/gypsumrouter/bootstrap_forwarder.py
+++ b/gypsumrouter/bootstrap_forwarder.py
@@ -36,7 +36,7 @@
 )
 from gypsumrouter.platform.names import KEY_CONFIGURATION, PREFIX_SERVERS
 from gypsumrouter.product import Product
-from gypsumrouter.published import Follower, Item, Listed
+from gypsumrouter.published import Follower, Item, Listed, WatchState
 from gypsumrouter.routing import RoutingStore
 from gypsumrouter.settings import ForwarderSettings, check_forwarder_settings
 from gypsumrouter.util.clock import Clock
@@ -86,6 +86,7 @@
         read_request=read_request,
         ask_held=async_list_held,
     )
+    routing_state, upstreams_state = WatchState(clock=app.clock), WatchState(clock=app.clock)
     mesh = Mesh(
         app=app,
         settings=settings,
@@ -94,6 +95,8 @@
         directory=directory,
         forwarder=forwarder,
         decode=decode_configuration,
+        routing_state=routing_state,
+        upstreams=upstreams_state,
     )
     _journal_stop(app, journal, forwarder)
     followers = make_followers(
@@ -102,7 +105,10 @@
         journal=journal,
         routing=routing,
         directory=directory,
+        routing_state=routing_state,
+        upstreams_state=upstreams_state,
         count_peers=mesh.count_alive,
+        count_watchers=mesh.count_watchers,
     )
     probes = ProbesServer(app=app, settings=settings.probes, is_ready=lambda: forwarder.ready)
     addresses = await probes.async_start()
@@ -140,7 +146,10 @@
     journal: Journal,
     routing: RoutingStore,
     directory: Directory,
+    routing_state: WatchState,
+    upstreams_state: WatchState,
     count_peers: Callable[[], int],
+    count_watchers: Callable[[], int],
 ) -> tuple[Follower, Follower]:
     """Return what follows the configuration and the list of upstreams."""
     address = parse_address(settings.store)
@@ -150,20 +159,24 @@
         journal=journal,
         name="configuration",
         store=StoreClient(address=address, prefix=KEY_CONFIGURATION),
+        state=routing_state,
         take_all=take_configuration,
         take_changes=take_configuration,
         count_peers=count_peers,
+        count_watchers=count_watchers,
     )
     upstreams = Follower(
         app=app,
         journal=journal,
         name="upstreams",
         store=StoreClient(address=address, prefix=PREFIX_SERVERS),
+        state=upstreams_state,
         take_all=partial(_take_all_entries, directory),
         take_changes=partial(_take_changed_entries, directory),
         on_lost=directory.note_outage,
         on_regained=directory.note_return,
         count_peers=count_peers,
+        count_watchers=count_watchers,
     )
     return configuration, upstreams
 
--- a/gypsumrouter/directory/directory.py
+++ b/gypsumrouter/directory/directory.py
@@ -65,6 +65,14 @@
         acted_on = (self._records[upstream].revision for upstream in self._doubtful)
         return min(acted_on, default=self._newest)
 
+    def limit_to_acted_on(self, as_of: int) -> int:
+        """Return up to which revision all changes are acted on, of a list known up to `as_of`.
+
+        A whole list tells a removal with its own revision, peers with that of the removal itself,
+        so that a removal in doubt counts from the last change before it.
+        """
+        return min(as_of, self.newest) if self._doubtful else as_of
+
     def get(self, upstream: str) -> Entry | None:
         """Return what is known of the newest start of an upstream, by its id."""
         record = self._records.get(upstream)
@@ -74,9 +82,9 @@
         """Return what is known of one start; None where a later one took its place."""
         return self._incarnations.get(incarnation)
 
-    def records(self) -> tuple[Record, ...]:
-        """Return everything that is known, for a peer that knows less."""
-        return tuple(self._records.values())
+    def records(self, *, since: int = 0) -> tuple[Record, ...]:
+        """Return what is known and changed after a revision, for a peer that knows less."""
+        return tuple(record for record in self._records.values() if record.revision > since)
 
     def replace_all(self, records: Iterable[Record], *, revision: int, source: str) -> None:
         """Take a whole list as of `revision`: what it lacks is gone."""
--- a/gypsumrouter/link/__init__.py
+++ b/gypsumrouter/link/__init__.py
@@ -29,6 +29,7 @@
     RouterNews,
     RoutingDocument,
     Status,
+    StoreWatched,
     Strike,
     SuspectNews,
 )
@@ -70,6 +71,7 @@
     "RoutingDocument",
     "Status",
     "StatusView",
+    "StoreWatched",
     "Strike",
     "SuspectNews",
 ]
--- a/gypsumrouter/link/const.py
+++ b/gypsumrouter/link/const.py
@@ -79,6 +79,7 @@
     LISTED_UPSTREAMS = 40
     HELD_WANTED = 41
     HELD_NEWS = 42
+    STORE_WATCHED = 43
 
 
 PAYLOAD_KINDS: Final = frozenset({Kind.OPEN, Kind.HEAD, Kind.DATA, Kind.END})
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -170,11 +170,20 @@
   loads @4 :List(RouterLoad);
   placed @5 :List(PlacedPart);
   strikes @6 :List(Strike);
+  dataCentre @7 :Text;
 }
 
 struct CatchUp {
   routing @0 :Bool;
   upstreams @1 :Bool;
+  since @2 :UInt64;
+}
+
+struct StoreWatched {
+  routingVersion @0 :UInt64;
+  routingAsOf @1 :UInt64;
+  listNewest @2 :UInt64;
+  listAsOf @3 :UInt64;
 }
 
 struct RoutingDocument {
@@ -195,6 +204,7 @@
 
 struct ListedUpstreams {
   entries @0 :List(ListedUpstream);
+  asOf @1 :UInt64;
 }
 
 struct HeldAt {
--- a/gypsumrouter/link/models.py
+++ b/gypsumrouter/link/models.py
@@ -232,7 +232,7 @@
     `address` is where the sender's link listens and `routers` the links that it knows. The two
     versions are those of the configuration and of the list of upstreams that it acts on. `placed`
     and `strikes` are what is new since its last news on this link. `routers` is empty where they
-    were told a moment ago.
+    were told a moment ago. `data_centre` is the sender's.
     """
 
     address: str
@@ -242,14 +242,34 @@
     loads: tuple[RouterLoad, ...] = ()
     placed: tuple[PlacedPart, ...] = ()
     strikes: tuple[Strike, ...] = ()
+    data_centre: str = ""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class StoreWatched:
+    """What a router that watches the platform's store knows, for those that do not.
+
+    `routing_version` and `list_newest` are the newest changes that it acts on; it knows all changes
+    up to the two revisions `routing_as_of` and `list_as_of`, which are 0 where it cannot read the
+    store now.
+    """
+
+    routing_version: int
+    routing_as_of: int
+    list_newest: int
+    list_as_of: int
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class CatchUp:
-    """Ask a router for the configuration or the list that it acts on."""
+    """Ask a router for the configuration or the list that it acts on.
+
+    Of the list only what changed after the revision `since` is wanted.
+    """
 
     routing: bool
     upstreams: bool
+    since: int = 0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -276,9 +296,10 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ListedUpstreams:
-    """Entries of the list of upstreams."""
+    """Entries of the list of upstreams; all changes up to the revision `as_of` are in them."""
 
     entries: tuple[ListedUpstream, ...]
+    as_of: int = 0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -314,6 +335,7 @@
     | Holdings
     | PrefixNews
     | RouterNews
+    | StoreWatched
     | CatchUp
     | RoutingDocument
     | ListedUpstreams
--- a/gypsumrouter/link/notice_codec.py
+++ b/gypsumrouter/link/notice_codec.py
@@ -21,6 +21,7 @@
     RouterNews,
     RoutingDocument,
     Status,
+    StoreWatched,
     SuspectNews,
 )
 from gypsumrouter.link.router_codec import (
@@ -29,11 +30,13 @@
     decode_listed_upstreams,
     decode_router_news,
     decode_routing_document,
+    decode_store_watched,
     encode_catch_up,
     encode_held_news,
     encode_listed_upstreams,
     encode_router_news,
     encode_routing_document,
+    encode_store_watched,
 )
 from gypsumrouter.link.schema import (
     SCHEMA,
@@ -82,6 +85,8 @@
             return Kind.HOLDINGS, encode_holdings(notice)
         case RouterNews():
             return Kind.ROUTER_NEWS, encode_router_news(notice)
+        case StoreWatched():
+            return Kind.STORE_WATCHED, encode_store_watched(notice)
         case CatchUp():
             return Kind.CATCH_UP, encode_catch_up(notice)
         case RoutingDocument():
@@ -119,6 +124,8 @@
             return decode_holdings(body)
         case Kind.ROUTER_NEWS:
             return decode_router_news(body)
+        case Kind.STORE_WATCHED:
+            return decode_store_watched(body)
         case Kind.CATCH_UP:
             return decode_catch_up(body)
         case Kind.ROUTING_DOCUMENT:
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -15,6 +15,7 @@
     RouterLoad,
     RouterNews,
     RoutingDocument,
+    StoreWatched,
     Strike,
 )
 from gypsumrouter.link.schema import SCHEMA, reading, reading_packed, to_bytes, to_packed
@@ -32,6 +33,7 @@
         routers=list(notice.routers),
         routingVersion=notice.routing_version,
         listRevision=notice.list_revision,
+        dataCentre=notice.data_centre,
     )
     loads = message.init("loads", len(notice.loads))
     for target, load in zip(loads, notice.loads, strict=True):
@@ -71,18 +73,44 @@
             strikes=tuple(
                 Strike(digest=strike.digest, upstream=strike.upstream) for strike in message.strikes
             ),
+            data_centre=message.dataCentre,
+        )
+
+
+def encode_store_watched(notice: StoreWatched) -> bytes:
+    """Return the body of a notice's frame."""
+    message = SCHEMA.StoreWatched.new_message(
+        routingVersion=notice.routing_version,
+        routingAsOf=notice.routing_as_of,
+        listNewest=notice.list_newest,
+        listAsOf=notice.list_as_of,
+    )
+    return to_packed(message)
+
+
+def decode_store_watched(body: bytes) -> StoreWatched:
+    """Return a notice from the body of its frame; raises FrameError."""
+    with reading_packed(SCHEMA.StoreWatched, body) as message:
+        return StoreWatched(
+            routing_version=message.routingVersion,
+            routing_as_of=message.routingAsOf,
+            list_newest=message.listNewest,
+            list_as_of=message.listAsOf,
         )
 
 
 def encode_catch_up(notice: CatchUp) -> bytes:
     """Return the body of a notice's frame."""
-    return to_bytes(SCHEMA.CatchUp.new_message(routing=notice.routing, upstreams=notice.upstreams))
+    message = SCHEMA.CatchUp.new_message(
+        routing=notice.routing, upstreams=notice.upstreams, since=notice.since
+    )
+    return to_bytes(message)
 
 
 def decode_catch_up(body: bytes) -> CatchUp:
     """Return a notice from the body of its frame; raises FrameError."""
     with reading(SCHEMA.CatchUp, body) as message:
-        return CatchUp(routing=message.routing, upstreams=message.upstreams)
+        return CatchUp(routing=message.routing, upstreams=message.upstreams, since=message.since)
 
 
 def encode_routing_document(notice: RoutingDocument) -> bytes:
@@ -107,7 +135,7 @@
 
 def encode_listed_upstreams(notice: ListedUpstreams) -> bytes:
     """Return the body of a notice's frame."""
-    message = SCHEMA.ListedUpstreams.new_message()
+    message = SCHEMA.ListedUpstreams.new_message(asOf=notice.as_of)
     entries = message.init("entries", len(notice.entries))
     for target, entry in zip(entries, notice.entries, strict=True):
         target.revision = entry.revision
@@ -137,7 +165,8 @@
                     born_ms=entry.bornMs,
                 )
                 for entry in message.entries
-            )
+            ),
+            as_of=message.asOf,
         )
 
 
--- a/gypsumrouter/peers/catch_up.py
+++ b/gypsumrouter/peers/catch_up.py
@@ -1,4 +1,4 @@
-"""Catching up from a peer, where the platform's store turns this router away."""
+"""Catching up from a peer, where this router does not read the platform's store itself."""
 
 from __future__ import annotations
 
@@ -19,8 +19,10 @@
     Peer,
     RouterNews,
     RoutingDocument,
+    StoreWatched,
 )
-from gypsumrouter.peers.const import BEHIND_MS, CATCH_UP_MS
+from gypsumrouter.peers.const import BEHIND_MS, CATCH_UP_MS, WATCHED_CATCH_UP_MS
+from gypsumrouter.published import WatchState
 from gypsumrouter.routing import RoutingConfiguration, RoutingStore
 
 _LOGGER = logging.getLogger(__name__)
@@ -39,7 +41,11 @@
         "_decode",
         "_directory",
         "_journal",
+        "_list",
         "_routing",
+        "_routing_state",
+        "_watched",
+        "_watched_ms",
     )
 
     def __init__(
@@ -51,15 +57,22 @@
         directory: Directory,
         notices: NoticeHub,
         decode: Callable[[bytes], RoutingConfiguration],
+        routing_state: WatchState,
+        upstreams: WatchState,
     ) -> None:
         self._app = app
         self._journal = journal
         self._routing = routing
         self._directory = directory
         self._decode = decode
+        self._routing_state = routing_state
+        self._list = upstreams
         self._behind_routing_ms: int | None = None
         self._behind_list_ms: int | None = None
         self._asked_ms = NEVER
+        # What the last question to a watcher was for, and when it was asked.
+        self._watched = (0, 0)
+        self._watched_ms = NEVER
         notices.subscribe(CatchUp, self._answer)
         notices.subscribe(RoutingDocument, self._take_routing)
         notices.subscribe(ListedUpstreams, self._take_upstreams)
@@ -75,10 +88,38 @@
         ask = CatchUp(
             routing=routing and self._is_due(self._behind_routing_ms, now_ms),
             upstreams=upstreams and self._is_due(self._behind_list_ms, now_ms),
+            since=self._get_list_as_of(),
         )
         if (ask.routing or ask.upstreams) and peer.send(ask):
             self._asked_ms = now_ms
 
+    def take_watched(self, peer: Peer, watched: StoreWatched) -> None:
+        """Ask a router that watches for what it knows and this one does not."""
+        routing = watched.routing_version > self._routing.version
+        upstreams = watched.list_newest > self._get_list_as_of()
+        if not routing:
+            self._routing_state.advance(watched.routing_as_of)
+        if not upstreams:
+            self._list.advance(watched.list_as_of)
+        if not (routing or upstreams) or not self._is_news(watched):
+            return
+        since = self._get_list_as_of()
+        peer.send(CatchUp(routing=routing, upstreams=upstreams, since=since))
+
+    def _is_news(self, watched: StoreWatched) -> bool:
+        """Return whether to ask: two watchers tell the same, and only one is asked."""
+        now_ms = self._app.clock.now_ms()
+        told = (watched.routing_version, watched.list_newest)
+        newer = any(new > asked for new, asked in zip(told, self._watched, strict=True))
+        if not newer and now_ms - self._watched_ms < WATCHED_CATCH_UP_MS:
+            return False
+        self._watched = told
+        self._watched_ms = now_ms
+        return True
+
+    def _get_list_as_of(self) -> int:
+        return self._directory.limit_to_acted_on(self._list.as_of or 0)
+
     def _is_due(self, since_ms: int | None, now_ms: int) -> bool:
         """Return whether to ask now; a process that knows nothing yet asks at once."""
         if self._routing.table is None or not self._directory.loaded.is_set():
@@ -93,8 +134,9 @@
                 RoutingDocument(version=configuration.version, document=configuration.document)
             )
         if ask.upstreams and self._directory.loaded.is_set():
-            entries = tuple(_write_record(record) for record in self._directory.records())
-            peer.send(ListedUpstreams(entries=entries))
+            records = self._directory.records(since=ask.since)
+            entries = tuple(_write_record(record) for record in records)
+            peer.send(ListedUpstreams(entries=entries, as_of=self._get_list_as_of()))
 
     def _take_routing(self, peer: Peer, told: RoutingDocument) -> None:
         try:
@@ -114,6 +156,7 @@
                 _LOGGER.error("%s sent an unreadable entry: %s", peer.hello.name, error)
                 continue
             changed += self._directory.merge(record, source=peer.hello.name, settled=True)
+        self._list.advance(told.as_of)
         self._directory.note_told()
         if changed:
             self._tell(peer, "upstreams", self._directory.newest)
--- a/gypsumrouter/peers/const.py
+++ b/gypsumrouter/peers/const.py
@@ -17,6 +17,8 @@
 BEHIND_MS: Final = 250
 # And not more often than this.
 CATCH_UP_MS: Final = 500
+# A watcher answers within a few milliseconds; the next one is asked where this one did not.
+WATCHED_CATCH_UP_MS: Final = 150
 # Parts that are kept for a peer that was away, 15 to 25 s of a router's placements, and parts in
 # one news of at most 5 KB. With 20,000 parts each restart of 30 routers was followed by ten seconds
 # in which the smallest of them did little else.
--- a/gypsumrouter/peers/mesh.py
+++ b/gypsumrouter/peers/mesh.py
@@ -24,9 +24,6 @@
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.peers.catch_up import CatchUpDesk
 from gypsumrouter.peers.const import (
-    ALIVE_MS,
-    FORGET_MS,
-    MAX_ROUTERS,
     NEWS_MS,
     NEWS_MS_PER_PEER,
     ROUTERS_MS,
@@ -34,40 +31,15 @@
 from gypsumrouter.peers.held import HeldDesk
 from gypsumrouter.peers.loads import read_loads, write_loads
 from gypsumrouter.peers.outbox import Outbox
+from gypsumrouter.peers.routers import KnownRouter, RouterBook
+from gypsumrouter.peers.watchers import WatchDesk
+from gypsumrouter.published import WatchState
 from gypsumrouter.routing import RoutingConfiguration, RoutingStore
 from gypsumrouter.settings import ForwarderSettings, read_link_key
 
 _LOGGER = logging.getLogger(__name__)
 
 
-class KnownRouter:
-    """One other router, by the address of its link."""
-
-    __slots__ = (
-        "address",
-        "incarnation",
-        "reached",
-        "reached_ms",
-        "renewed",
-        "routers_told",
-        "routers_told_ms",
-        "seed",
-        "told",
-    )
-
-    def __init__(self, *, address: Address, seed: bool, now_ms: int) -> None:
-        self.address = address
-        self.seed = seed
-        # Up to where it was told what was placed; a new incarnation knows nothing of it.
-        self.told = 0
-        self.incarnation: int | None = None
-        self.renewed = False
-        self.routers_told = 0
-        self.routers_told_ms = now_ms
-        self.reached: bool | None = None
-        self.reached_ms = now_ms
-
-
 class Mesh:
     """Sends this router's news to every other one and takes theirs."""
 
@@ -76,16 +48,15 @@
         "_catch_up",
         "_directory",
         "_forwarder",
-        "_heard_ms",
         "_held",
         "_journal",
-        "_known",
         "_outbox",
-        "_own",
         "_pool",
+        "_routers",
         "_routing",
         "_seeds",
         "_server",
+        "_watch",
         "_without",
     )
 
@@ -99,16 +70,18 @@
         directory: Directory,
         forwarder: Forwarder,
         decode: Callable[[bytes], RoutingConfiguration],
+        routing_state: WatchState,
+        upstreams: WatchState,
     ) -> None:
         self._app = app
         self._journal = journal
         self._routing = routing
         self._directory = directory
         self._forwarder = forwarder
-        self._own = settings.link_address
+        self._routers = RouterBook(
+            clock=app.clock, own=settings.link_address, data_centre=app.data_centre
+        )
         self._seeds = settings.seeds
-        self._known: dict[str, KnownRouter] = {}
-        self._heard_ms: dict[str, int] = {}
         self._outbox = Outbox()
         notices = NoticeHub(app=app)
         key = read_link_key(settings.link)
@@ -128,13 +101,25 @@
             directory=directory,
             notices=notices,
             decode=decode,
+            routing_state=routing_state,
+            upstreams=upstreams,
+        )
+        self._watch = WatchDesk(
+            app=app,
+            routers=self._routers,
+            routing_store=routing,
+            directory=directory,
+            catch_up=self._catch_up,
+            notices=notices,
+            routing=routing_state,
+            upstreams=upstreams,
         )
         self._held = HeldDesk(
             app=app,
             journal=journal,
             notices=notices,
             holdings=forwarder.placer.holdings,
-            own=lambda: self._own,
+            own=lambda: self._routers.own,
             list_seeds=self._list_seeds,
             send=self._async_send,
         )
@@ -149,39 +134,30 @@
     async def async_start(self) -> Address:
         """Listen for links, begin to tell the seeds, and return the address."""
         address = await self._server.async_start()
-        self._own = str(address)
+        self._routers.own = str(address)
         for seed in self._seeds:
             self._learn(seed, seed=True)
         self._count_routers()
+        self._watch.async_start()
         return address
 
     def take_seeds(self, seeds: tuple[str, ...]) -> None:
         """Tell other seeds from now on; one that is no seed any more stays while it answers."""
         self._seeds = seeds
-        for text, known in self._known.items():
+        for text, known in self._routers.items():
             known.seed = text in seeds
         for seed in seeds:
             self._learn(seed, seed=True)
         self._count_routers()
 
     def _learn(self, text: str, *, seed: bool = False) -> None:
-        if text == self._own or not text or len(self._known) >= MAX_ROUTERS:
-            return
-        known = self._known.get(text)
-        if known is not None:
-            return
-        try:
-            address = parse_address(text)
-        except ValueError:
-            _LOGGER.warning("A peer named %r, which is no address", text)
-            return
-        now_ms = self._app.clock.now_ms()
-        self._known[text] = KnownRouter(address=address, seed=seed, now_ms=now_ms)
-        self._app.async_create_task(self._async_tell(text), f"peer {text}")
+        if self._routers.learn(text, seed=seed):
+            self._app.async_create_task(self._async_tell(text), f"peer {text}")
 
     async def _async_tell(self, text: str) -> None:
         """Send news to one peer until it is forgotten."""
-        known = self._known[text]
+        known = self._routers.get(text)
+        assert known is not None
         while True:
             placed, end = self._outbox.since(known.told)
             news = self._make_news(known, placed)
@@ -190,14 +166,15 @@
                 known.told = end
             known.renewed = False
             self._note_reached(text, known, sent)
-            if self._is_forgotten(known):
-                del self._known[text]
+            if self._routers.forget_unreached(text):
                 return
-            await self._app.clock.async_sleep(NEWS_MS + NEWS_MS_PER_PEER * len(self._known))
+            await self._app.clock.async_sleep(NEWS_MS + NEWS_MS_PER_PEER * len(self._routers))
 
     def _list_seeds(self) -> tuple[str, ...]:
         """Return the seeds that are addresses, this router among them where it is one."""
-        return tuple(seed for seed in self._seeds if seed == self._own or seed in self._known)
+        return tuple(
+            seed for seed in self._seeds if seed == self._routers.own or seed in self._routers
+        )
 
     async def _async_send(self, text: str, notice: Notice) -> bool:
         """Send a notice to the router whose link listens at an address."""
@@ -212,24 +189,25 @@
 
     def _make_news(self, known: KnownRouter, placed: tuple[PlacedPart, ...]) -> RouterNews:
         return RouterNews(
-            address=self._own,
+            address=self._routers.own,
             routers=self._list_routers(known),
             routing_version=self._routing.version,
             list_revision=self._directory.newest,
             loads=write_loads(self._forwarder.placer.loads),
             placed=placed,
             strikes=self._outbox.strikes(now_ms=self._app.clock.now_ms()),
+            data_centre=self._app.data_centre,
         )
 
     def _list_routers(self, known: KnownRouter) -> tuple[str, ...]:
         """Return the other routers, or nothing where a peer was told the same a moment ago."""
         now_ms = self._app.clock.now_ms()
-        same = known.routers_told == len(self._known)
+        same = known.routers_told == len(self._routers)
         if same and now_ms - known.routers_told_ms < ROUTERS_MS:
             return ()
-        known.routers_told = len(self._known)
+        known.routers_told = len(self._routers)
         known.routers_told_ms = now_ms
-        return tuple(self._known)
+        return tuple(self._routers)
 
     def _note_reached(self, text: str, known: KnownRouter, sent: bool) -> None:
         now_ms = self._app.clock.now_ms()
@@ -242,15 +220,12 @@
             known.reached_ms = now_ms
         known.reached = sent
 
-    def _is_forgotten(self, known: KnownRouter) -> bool:
-        silent_ms = self._app.clock.now_ms() - known.reached_ms
-        return not known.seed and not known.reached and silent_ms > FORGET_MS
-
     def _take_news(self, peer: Peer, news: RouterNews) -> None:
         now_ms = self._app.clock.now_ms()
-        self._heard_ms[peer.hello.name] = now_ms
         self._learn(news.address)
-        self._note_incarnation(news.address, peer.hello.incarnation)
+        known = self._routers.get(news.address)
+        if known is not None:
+            known.note_heard(peer, data_centre=news.data_centre, now_ms=now_ms)
         for router in news.routers:
             self._learn(router)
         placer = self._forwarder.placer
@@ -266,22 +241,16 @@
     def _list_placed(self, news: RouterNews) -> tuple[PlacedPart, ...]:
         return () if Mechanism.PEER_PLACEMENTS in self._without else news.placed
 
-    def _note_incarnation(self, address: str, incarnation: int) -> None:
-        known = self._known.get(address)
-        if known is None or known.incarnation == incarnation:
-            return
-        known.renewed = known.incarnation is not None
-        known.routers_told = 0
-        known.incarnation = incarnation
-        known.told = 0
-
     def _note_placed(self, part: int, upstream: str) -> None:
         self._outbox.add_part(PlacedPart(part=part, upstream=upstream))
 
     def count_alive(self) -> int:
         """Return the number of peers that were heard a moment ago."""
-        now_ms = self._app.clock.now_ms()
-        return sum(1 for heard_ms in self._heard_ms.values() if now_ms - heard_ms < ALIVE_MS)
+        return self._routers.count_alive()
+
+    def count_watchers(self) -> int:
+        """Return how many other routers watch the store."""
+        return self._watch.count_watchers()
 
     def _note_strike(self, digest: int, upstream: str) -> None:
         now_ms = self._app.clock.now_ms()
@@ -289,13 +258,17 @@
 
     def _count_routers(self) -> None:
         """Tell the retry budget among how many routers it is shared."""
-        alive = self.count_alive()
-        seeds = sum(1 for known in self._known.values() if known.seed)
-        self._forwarder.budget.routers = 1 + max(alive, seeds)
+        alive = self._routers.count_alive()
+        self._forwarder.budget.routers = 1 + max(alive, self._routers.count_seeds())
 
     def _dump(self) -> object:
         now_ms = self._app.clock.now_ms()
-        return {
-            "routers": {text: {"reached": known.reached} for text, known in self._known.items()},
-            "heard_ms_ago": {name: now_ms - heard for name, heard in self._heard_ms.items()},
+        routers = {
+            text: {
+                "data_centre": known.data_centre,
+                "reached": known.reached,
+                "heard_ms_ago": None if known.peer is None else now_ms - known.heard_ms,
+            }
+            for text, known in self._routers.items()
         }
+        return {"routers": routers, "watchers": self.count_watchers()}
--- a/gypsumrouter/published/__init__.py
+++ b/gypsumrouter/published/__init__.py
@@ -10,5 +10,14 @@
     PublishedStore,
     StoreUnavailable,
 )
+from gypsumrouter.published.watch_state import WatchState
 
-__all__ = ["Follower", "HistoryLost", "Item", "Listed", "PublishedStore", "StoreUnavailable"]
+__all__ = [
+    "Follower",
+    "HistoryLost",
+    "Item",
+    "Listed",
+    "PublishedStore",
+    "StoreUnavailable",
+    "WatchState",
+]
--- a/gypsumrouter/published/follower.py
+++ b/gypsumrouter/published/follower.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from collections.abc import Callable
 from typing import Final
@@ -10,16 +9,18 @@
 from gypsumrouter.core import Application
 from gypsumrouter.journal import DependencyLost, DependencyRegained, Journal
 from gypsumrouter.published.models import HistoryLost, Listed, PublishedStore, StoreUnavailable
+from gypsumrouter.published.watch_state import WatchState
 
 # A watch whose answer was lost is not told from one that waits. It is asked again after this long,
 # so that a change is in force within the published bounds of two seconds after trouble has ended.
 WATCH_MS: Final = 2_500
-# Where many peers would tell of what this router missed, a watch may wait longer: each call costs,
-# 30 routers with 2.5 s spent 0.068 of a day's worth on calls.
+# Where many routers watch, each may wait longer: each call costs, and the others tell of what one
+# of them missed. 30 routers that waited 2.5 s spent 0.068 of a day's worth on calls.
 MAX_WATCH_MS: Final = 15_000
-PEERS_PER_WATCH: Final = 4
-# Changes come in bursts, and each one that ends a watch is a call of every router: with 30 of them
-# a pause after a change, well within the published bounds, lets the next watch bring several.
+WATCHERS_PER_WATCH: Final = 4
+# Changes come in bursts, and each one that ends a watch is a call of every router that watches: a
+# pause after a change, well within the published bounds, lets the next watch bring several. Larger
+# fleets have more upstreams, which change more often.
 PAUSE_MS_PER_PEER: Final = 25
 MAX_PAUSE_MS: Final = 750
 BACKOFF_FIRST_MS: Final = 60
@@ -32,22 +33,24 @@
     """One task that keeps a list up to date, however often the store goes away.
 
     `take_all` gets whole lists, `take_changes` what changed since. `on_lost` and `on_regained`
-    are called once for each outage.
+    are called once for each outage. While peers vouch for the list (see `WatchState`) no call is
+    made, and they tell what changes. `count_peers` is how many other routers live, and
+    `count_watchers` how many of them watch.
     """
 
     __slots__ = (
         "_app",
         "_count_peers",
+        "_count_watchers",
         "_journal",
         "_lost_ms",
         "_name",
-        "_nudged",
         "_on_lost",
         "_on_regained",
+        "_state",
         "_store",
         "_take_all",
         "_take_changes",
-        "as_of",
     )
 
     def __init__(
@@ -57,39 +60,32 @@
         journal: Journal,
         name: str,
         store: PublishedStore,
+        state: WatchState,
         take_all: TakeList,
         take_changes: TakeList,
         on_lost: Callable[[], None] | None = None,
         on_regained: Callable[[], None] | None = None,
-        count_peers: Callable[[], int] = lambda: 0,
+        count_peers: Callable[[], int],
+        count_watchers: Callable[[], int],
     ) -> None:
         self._app = app
         self._journal = journal
         self._name = name
         self._store = store
+        self._state = state
         self._take_all = take_all
         self._take_changes = take_changes
         self._on_lost = on_lost
         self._on_regained = on_regained
         self._count_peers = count_peers
+        self._count_watchers = count_watchers
         self._lost_ms: int | None = None
-        self._nudged = asyncio.Event()
-        self.as_of: int | None = None
-
-    @property
-    def available(self) -> bool:
-        """Return whether the last call was answered."""
-        return self._lost_ms is None
 
     def async_start(self) -> None:
         """Begin to follow."""
         self._app.async_create_task(self._async_run(), f"follow {self._name}")
         self._app.on_stop(self._async_stop)
 
-    def nudge(self) -> None:
-        """Ask again now: a peer knows something newer."""
-        self._nudged.set()
-
     async def _async_run(self) -> None:
         failures = 0
         while True:
@@ -104,39 +100,30 @@
             self._note_regained()
 
     async def _async_step(self) -> None:
-        if self.as_of is None:
+        if self._state.as_of is None:
             listed = await self._store.async_list()
             self._note_regained()
             self._take_all(listed)
-            self.as_of = listed.as_of
+            self._state.as_of = listed.as_of
             return
-        watching = asyncio.ensure_future(
-            self._store.async_watch(after=self.as_of, wait_ms=self._get_wait_ms())
+        if self._lost_ms is None:
+            await self._state.async_wait_until_needed()
+        changed = await self._store.async_watch(
+            after=self._state.as_of, wait_ms=self._get_wait_ms()
         )
-        nudge = asyncio.ensure_future(self._nudged.wait())
-        try:
-            await asyncio.wait((watching, nudge), return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            nudge.cancel()
-            watching.cancel()
-            watching.add_done_callback(_retrieve)
-        if not watching.done() or watching.cancelled():
-            self._nudged.clear()
-            self._store.close()
-            return
-        changed = watching.result()
         if isinstance(changed, HistoryLost):
-            self.as_of = None
+            self._state.as_of = None
             return
         self._note_regained()
-        self.as_of = max(self.as_of, changed.as_of)
+        self._state.advance(changed.as_of)
         if changed.items:
             self._take_changes(changed)
             pause_ms = min(MAX_PAUSE_MS, PAUSE_MS_PER_PEER * self._count_peers())
             await self._app.clock.async_sleep(pause_ms)
 
     def _get_wait_ms(self) -> int:
-        return min(MAX_WATCH_MS, WATCH_MS * max(1, self._count_peers() // PEERS_PER_WATCH))
+        share = max(1, self._count_watchers() // WATCHERS_PER_WATCH)
+        return min(MAX_WATCH_MS, WATCH_MS * share)
 
     async def _async_back_off(self, failures: int) -> None:
         ceiling = min(BACKOFF_MAX_MS, BACKOFF_FIRST_MS << min(failures, 6))
@@ -146,6 +133,7 @@
         if self._lost_ms is not None:
             return
         self._lost_ms = self._app.clock.now_ms()
+        self._state.available = False
         self._journal.record(DependencyLost(dependency=self._name, reason=reason))
         if self._on_lost is not None:
             self._on_lost()
@@ -155,15 +143,10 @@
             return
         lost_ms = self._app.clock.now_ms() - self._lost_ms
         self._lost_ms = None
+        self._state.available = True
         self._journal.record(DependencyRegained(dependency=self._name, lost_ms=lost_ms))
         if self._on_regained is not None:
             self._on_regained()
 
     async def _async_stop(self) -> None:
         self._store.close()
-
-
-def _retrieve(watching: asyncio.Future[Listed | HistoryLost]) -> None:
-    """Take note of how a watch that nobody waits for any more ended."""
-    if not watching.cancelled():
-        watching.exception()
--- /dev/null
+++ b/tests/peers/test_peers_watchers.py
@@ -0,0 +1,118 @@
+"""Which routers watch the store, what the others know, and what it costs."""
+
+from __future__ import annotations
+
+import pytest
+from watch_fleet import WatchFleet
+
+from gypsumrouter.directory import EntryState
+from gypsumrouter.peers.watchers import MIN_WATCHERS, get_share, is_watcher
+
+# Changes are in force within two seconds at the tightest. A router whose watchers were lost or cut
+# off unnoticed has to be quicker by the time that it takes a request to get there.
+BOUND_MS = 1_500
+
+
+def test_the_first_addresses_of_a_data_centre_watch() -> None:
+    addresses = [f"10.0.0.{number}:80" for number in range(1, 6)]
+    watching = [own for own in addresses if is_watcher(own, set(addresses) - {own}, share=2)]
+    assert watching == addresses[:2]
+
+
+@pytest.mark.parametrize(
+    ("data_centres", "share"), [(1, MIN_WATCHERS), (2, 3), (3, 2), (5, 1), (9, 1)]
+)
+def test_few_data_centres_have_more_watchers_each(data_centres: int, share: int) -> None:
+    assert get_share(data_centres) == share
+
+
+def test_a_router_that_hears_of_nobody_watches() -> None:
+    assert is_watcher("10.0.0.9:80", (), share=1)
+
+
+@pytest.mark.parametrize("sizes", [(4, 2), (14, 14, 14, 14, 12), (37,) * 8 + (34,)])
+async def test_changes_reach_all_routers_for_calls_of_few(sizes: tuple[int, ...]) -> None:
+    fleet = WatchFleet(*sizes, compares=False)
+    await fleet.async_start()
+    calls = fleet.store.calls
+    changes = 4
+    for number in range(changes):
+        state = EntryState.LEAVING if number % 2 else EntryState.GONE
+        fleet.store.put(state)
+        await fleet.async_pass(1_000)
+        assert {router.known for router in fleet.routers} == {state}
+    share = get_share(len(sizes))
+    watchers = sum(min(share, size) for size in sizes)
+    assert fleet.store.calls - calls <= watchers * (changes + 8)
+    await fleet.async_stop()
+
+
+async def test_all_watchers_of_a_data_centre_are_lost_at_once_before_a_removal() -> None:
+    fleet = WatchFleet(6, 6, 6)
+    await fleet.async_start()
+    for router in fleet.routers[: get_share(3)]:
+        router.runs = False
+    fleet.store.put(EntryState.GONE)
+    await fleet.async_pass(BOUND_MS)
+    assert {router.known for router in fleet.running()} == {EntryState.GONE}
+    await fleet.async_stop()
+
+
+async def test_all_watchers_of_the_only_data_centre_are_lost_at_once_before_a_removal() -> None:
+    fleet = WatchFleet(MIN_WATCHERS + 4)
+    await fleet.async_start()
+    for router in fleet.routers[:MIN_WATCHERS]:
+        router.runs = False
+    fleet.store.put(EntryState.GONE)
+    await fleet.async_pass(BOUND_MS)
+    assert {router.known for router in fleet.running()} == {EntryState.GONE}
+    await fleet.async_stop()
+
+
+async def test_watchers_that_the_store_turns_away_vouch_for_nothing() -> None:
+    fleet = WatchFleet(10)
+    await fleet.async_start()
+    for router in fleet.routers[:MIN_WATCHERS]:
+        router.cut = True
+    # Their waiting watches end without an answer, and the others ask themselves.
+    await fleet.async_pass(7_000)
+    fleet.store.put(EntryState.GONE)
+    await fleet.async_pass(BOUND_MS)
+    assert {router.known for router in fleet.routers[MIN_WATCHERS:]} == {EntryState.GONE}
+    await fleet.async_stop()
+
+
+async def test_watchers_that_are_cut_off_unnoticed_are_made_up_for_by_another_data_centre() -> None:
+    fleet = WatchFleet(5, 5, 5)
+    await fleet.async_start()
+    for router in fleet.routers[: get_share(3)]:
+        router.cut = True
+    fleet.store.put(EntryState.GONE)
+    await fleet.async_pass(BOUND_MS)
+    assert {router.known for router in fleet.routers} == {EntryState.GONE}
+    await fleet.async_stop()
+
+
+async def test_a_router_that_stood_still_takes_what_it_missed_from_a_watcher() -> None:
+    fleet = WatchFleet(8)
+    await fleet.async_start()
+    late = fleet.routers[-1]
+    late.runs = False
+    for state in (EntryState.LEAVING, EntryState.GONE):
+        fleet.store.put(state)
+        await fleet.async_pass(1_000)
+    late.runs = True
+    await fleet.async_pass(BOUND_MS)
+    assert late.known is EntryState.GONE
+    await fleet.async_stop()
+
+
+async def test_the_last_watcher_gone_a_follower_resumes_from_where_it_was_told() -> None:
+    """It has the revision up to which it was told, so that the store's history reaches back."""
+    fleet = WatchFleet(8)
+    await fleet.async_start()
+    fleet.store.put(EntryState.LEAVING)
+    await fleet.async_pass(1_000)
+    told = fleet.routers[-1].state.as_of
+    assert told == fleet.store.revision
+    await fleet.async_stop()
--- /dev/null
+++ b/tests/peers/watch_fleet.py
@@ -0,0 +1,281 @@
+"""Routers that watch one store in memory and tell each other, on a clock that a test moves."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+
+from gypsumrouter.const import Role
+from gypsumrouter.core import Application
+from gypsumrouter.directory import Directory, Entry, EntryState, Record
+from gypsumrouter.exceptions import DocumentInvalid
+from gypsumrouter.instances import parse_address
+from gypsumrouter.journal import Journal
+from gypsumrouter.link import Hello, Notice, NoticeHub, Peer, RouterNews
+from gypsumrouter.peers.catch_up import CatchUpDesk
+from gypsumrouter.peers.routers import RouterBook
+from gypsumrouter.peers.watchers import WatchDesk
+from gypsumrouter.published import Follower, HistoryLost, Item, Listed, StoreUnavailable, WatchState
+from gypsumrouter.published.follower import WATCH_MS
+from gypsumrouter.routing import RoutingConfiguration, RoutingStore
+from gypsumrouter.util.clock import ManualClock
+
+STEP_MS = 50
+# A call whose answer does not come is given up this long after it was due.
+ANSWER_MS = 1_500
+NEWS_EVERY_MS = 300
+
+
+class MemoryStore:
+    """A list of upstreams with waiting watches; counts calls."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock = clock
+        self._changed = asyncio.Event()
+        self.items: list[Item] = []
+        self.revision = 100
+        self.calls = 0
+
+    def put(self, state: EntryState) -> None:
+        """Change the one upstream that is listed."""
+        self.revision += 1
+        value = state.value.encode()
+        self.items.append(Item(key="i-1", revision=self.revision, value=value))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def list(self) -> Listed:
+        """Return the newest item."""
+        self.calls += 1
+        return Listed(items=tuple(self.items[-1:]), as_of=self.revision)
+
+    async def async_watch(self, after: int, wait_ms: int) -> Listed:
+        """Return what changed, or nothing after a while."""
+        self.calls += 1
+        until_ms = self._clock.now_ms() + wait_ms
+        while self.revision <= after and self._clock.now_ms() < until_ms:
+            waits = [
+                asyncio.ensure_future(self._changed.wait()),
+                asyncio.ensure_future(self._clock.async_sleep(until_ms - self._clock.now_ms())),
+            ]
+            try:
+                await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            finally:
+                for wait in waits:
+                    wait.cancel()
+        items = tuple(item for item in self.items if item.revision > after)
+        return Listed(items=items, as_of=self.revision)
+
+
+class View:
+    """One router's way to the store, which may be cut, also for calls that wait."""
+
+    def __init__(self, store: MemoryStore, router: WatchingRouter, clock: ManualClock) -> None:
+        self._clock = clock
+        self._store = store
+        self._router = router
+
+    async def async_list(self) -> Listed:
+        """Return the list; raises StoreUnavailable while the way is cut."""
+        if self._router.cut:
+            raise StoreUnavailable("cut")
+        return self._store.list()
+
+    async def async_watch(self, *, after: int, wait_ms: int) -> Listed | HistoryLost:
+        """Return what changed; an answer that comes while the way is cut is never heard of."""
+        if self._router.cut:
+            raise StoreUnavailable("cut")
+        until_ms = self._clock.now_ms() + wait_ms + ANSWER_MS
+        listed = await self._store.async_watch(after, wait_ms)
+        if self._router.cut:
+            await self._clock.async_sleep(until_ms - self._clock.now_ms())
+            raise StoreUnavailable("no answer in time")
+        return listed
+
+    def close(self) -> None:
+        """Nothing is held."""
+
+
+class MemoryPeer(Peer):
+    """The end of a link over which one router reaches another one."""
+
+    def __init__(self, *, sender: WatchingRouter, target: WatchingRouter) -> None:
+        self._sender = sender
+        self._target = target
+        hello = Hello(name=target.name, role=Role.FORWARDER, incarnation=target.app.incarnation)
+        self.hello = hello
+
+    def send(self, notice: Notice) -> bool:
+        """Deliver a notice in the next turn of the loop, unless one end does not run."""
+        if not (self._sender.runs and self._target.runs):
+            return False
+        back = MemoryPeer(sender=self._target, target=self._sender)
+        asyncio.get_running_loop().call_soon(self._target.notices.publish, back, notice)
+        return True
+
+
+class WatchingRouter:
+    """What a forwarder has for following the list of upstreams."""
+
+    def __init__(self, *, number: int, clock: ManualClock, store: MemoryStore, zone: str) -> None:
+        self.name = f"r{number}"
+        # Addresses in the order of their numbers, also as text.
+        self.address = f"10.0.{number // 100}.{number % 100 + 100}:80"
+        self.runs = True
+        self.cut = False
+        # The newest change that a test saw it act on.
+        self.seen = 0
+        self.app = Application(
+            name=self.name, role=Role.FORWARDER, data_centre=zone, region="r", clock=clock
+        )
+        journal = Journal(app=self.app)
+        self.notices = NoticeHub()
+        self.routers = RouterBook(clock=clock, own=self.address, data_centre=zone)
+        self.directory = Directory(app=self.app, journal=journal)
+        routing = RoutingStore(app=self.app, journal=journal)
+        self.state = WatchState(clock=clock)
+        routing_state = WatchState(clock=clock)
+        self.catch_up = CatchUpDesk(
+            app=self.app,
+            journal=journal,
+            routing=routing,
+            directory=self.directory,
+            notices=self.notices,
+            decode=decode_nothing,
+            routing_state=routing_state,
+            upstreams=self.state,
+        )
+        self.desk = WatchDesk(
+            app=self.app,
+            routers=self.routers,
+            routing_store=routing,
+            directory=self.directory,
+            catch_up=self.catch_up,
+            notices=self.notices,
+            routing=routing_state,
+            upstreams=self.state,
+        )
+        self.follower = Follower(
+            app=self.app,
+            journal=journal,
+            name="upstreams",
+            store=View(store, self, clock),
+            state=self.state,
+            take_all=self._take_all,
+            take_changes=self._take_changes,
+            on_lost=self.directory.note_outage,
+            on_regained=self.directory.note_return,
+            count_peers=self.routers.count_alive,
+            count_watchers=self.desk.count_watchers,
+        )
+
+    @property
+    def known(self) -> EntryState | None:
+        """Return the state in which this router believes the upstream to be."""
+        entry = self.directory.get("i-1")
+        return None if entry is None else entry.state
+
+    def start(self) -> None:
+        """Begin to follow and to tell."""
+        self.follower.async_start()
+        self.desk.async_start()
+
+    def _take_all(self, listed: Listed) -> None:
+        self.directory.replace_all(read(listed), revision=listed.as_of, source="platform")
+
+    def _take_changes(self, listed: Listed) -> None:
+        for record in read(listed):
+            self.directory.merge(record, source="platform")
+        self.directory.note_revision(listed.as_of)
+
+
+class WatchFleet:
+    """Some routers in data centres of a given size, which hear of each other as they do in a mesh.
+
+    Routers that do not run stand still: what they were sent meanwhile is lost. With `compares` they
+    also tell each other what they know, whatever their data centre.
+    """
+
+    def __init__(self, *sizes: int, compares: bool = True) -> None:
+        self._compares = compares
+        self.clock = ManualClock(now_ms=1_000_000)
+        self.store = MemoryStore(self.clock)
+        self.store.put(EntryState.READY)
+        self._heard_ms = 0
+        self.routers: list[WatchingRouter] = []
+        for zone, size in enumerate(sizes):
+            for _ in range(size):
+                router = WatchingRouter(
+                    number=len(self.routers), clock=self.clock, store=self.store, zone=f"dc-{zone}"
+                )
+                self.routers.append(router)
+        for router in self.routers:
+            for other in self.routers:
+                router.routers.learn(other.address)
+
+    async def async_start(self) -> None:
+        """Start all routers at the same moment, and let the first watches of all of them end."""
+        for router in self.routers:
+            router.start()
+        await self.async_pass(2 * WATCH_MS)
+
+    async def async_stop(self) -> None:
+        """Stop all routers."""
+        for router in self.routers:
+            await router.app.async_stop()
+
+    async def async_pass(self, duration_ms: int) -> None:
+        """Let time pass."""
+        until_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < until_ms:
+            if self.clock.now_ms() - self._heard_ms >= NEWS_EVERY_MS:
+                self._tell_news()
+            self.clock.advance(STEP_MS)
+            await async_turn()
+
+    def running(self) -> Iterator[WatchingRouter]:
+        """Return the routers that run."""
+        return (router for router in self.routers if router.runs)
+
+    def _tell_news(self) -> None:
+        self._heard_ms = self.clock.now_ms()
+        for router in self.running():
+            for other in self.running():
+                known = router.routers.get(other.address)
+                if known is not None:
+                    peer = MemoryPeer(sender=router, target=other)
+                    zone = other.app.data_centre
+                    known.note_heard(peer, data_centre=zone, now_ms=self._heard_ms)
+                    if self._compares:
+                        router.catch_up.compare(peer, make_news(other), self._heard_ms)
+
+
+def make_news(router: WatchingRouter) -> RouterNews:
+    """Return what a router tells all others of itself."""
+    return RouterNews(
+        address=router.address,
+        routers=(),
+        routing_version=0,
+        list_revision=router.directory.newest,
+        data_centre=router.app.data_centre,
+    )
+
+
+async def async_turn() -> None:
+    """Let every task go on until it waits for time."""
+    for _ in range(12):
+        await asyncio.sleep(0)
+
+
+def read(listed: Listed) -> Iterator[Record]:
+    """Return the records of items."""
+    for item in listed.items:
+        state = EntryState((item.value or b"gone").decode())
+        address = None if state is EntryState.GONE else parse_address("10.9.0.1:80")
+        entry = Entry(upstream=item.key, state=state, service="s", address=address)
+        yield Record(revision=item.revision, entry=entry)
+
+
+def decode_nothing(document: bytes) -> RoutingConfiguration:
+    """Refuse every configuration."""
+    raise DocumentInvalid(())
