--- a/gypsumrouter/forwarding/loads.py
+++ b/gypsumrouter/forwarding/loads.py
@@ -107,6 +107,18 @@
             for upstream, running in self._running.items()
         }
 
+    def add_up_peers(self, peers: Iterable[str]) -> dict[str, UpstreamLoad]:
+        """Return this router's own counts and those of some peers together, for others."""
+        sums = self.own()
+        for peer in peers:
+            told = self._peers.get(peer)
+            if told is None:
+                continue
+            for upstream, load in told.loads.items():
+                known = sums.get(upstream)
+                sums[upstream] = load if known is None else _add(known, load)
+        return sums
+
     def get(self, upstream: str, *, now_ms: int) -> UpstreamLoad:
         """Return an upstream's load over all routers."""
         self._drop_silent(now_ms)
@@ -137,6 +149,13 @@
         return max((age for age in ages if age <= PEER_LOADS_MS), default=0)
 
 
+def _add(one: UpstreamLoad, other: UpstreamLoad) -> UpstreamLoad:
+    return UpstreamLoad(
+        running=one.running + other.running,
+        pending_tokens=one.pending_tokens + other.pending_tokens,
+    )
+
+
 def get_mean(loads: Mapping[str, UpstreamLoad]) -> float:
     """Return the mean load of a service's upstreams."""
     return sum(load.running for load in loads.values()) / len(loads) if loads else 0.0
--- a/gypsumrouter/link/__init__.py
+++ b/gypsumrouter/link/__init__.py
@@ -9,6 +9,8 @@
     CatchUp,
     ConfigurationNews,
     Data,
+    DataCentreLoads,
+    DataCentreNews,
     End,
     Head,
     Headers,
@@ -25,6 +27,8 @@
     PlacedPart,
     PoolLoad,
     PrefixNews,
+    RelayedNews,
+    RouterAt,
     RouterLoad,
     RouterNews,
     RoutingDocument,
@@ -33,7 +37,7 @@
     Strike,
     SuspectNews,
 )
-from gypsumrouter.link.notices import NoticeHub, Peer
+from gypsumrouter.link.notices import NoticeHub, Peer, send_to_all
 from gypsumrouter.link.pool import LinkPool
 from gypsumrouter.link.server import ExchangeHandler, LinkServer
 from gypsumrouter.link.status import StatusView
@@ -44,6 +48,8 @@
     "CatchUp",
     "ConfigurationNews",
     "Data",
+    "DataCentreLoads",
+    "DataCentreNews",
     "End",
     "Exchange",
     "ExchangeHandler",
@@ -66,6 +72,8 @@
     "PlacedPart",
     "PoolLoad",
     "PrefixNews",
+    "RelayedNews",
+    "RouterAt",
     "RouterLoad",
     "RouterNews",
     "RoutingDocument",
@@ -74,4 +82,5 @@
     "StoreWatched",
     "Strike",
     "SuspectNews",
+    "send_to_all",
 ]
--- a/gypsumrouter/link/const.py
+++ b/gypsumrouter/link/const.py
@@ -80,6 +80,8 @@
     HELD_WANTED = 41
     HELD_NEWS = 42
     STORE_WATCHED = 43
+    DATA_CENTRE_NEWS = 44
+    RELAYED_NEWS = 45
 
 
 PAYLOAD_KINDS: Final = frozenset({Kind.OPEN, Kind.HEAD, Kind.DATA, Kind.END})
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -171,6 +171,34 @@
   placed @5 :List(PlacedPart);
   strikes @6 :List(Strike);
   dataCentre @7 :Text;
+  known @8 :List(RouterAt);
+}
+
+struct RouterAt {
+  address @0 :Text;
+  dataCentre @1 :Text;
+}
+
+struct DataCentreLoads {
+  dataCentre @0 :Text;
+  alive @1 :UInt32;
+  routers @2 :List(Text);
+  loads @3 :List(RouterLoad);
+}
+
+struct DataCentreNews {
+  address @0 :Text;
+  loads @1 :DataCentreLoads;
+  routingVersion @2 :UInt64;
+  listRevision @3 :UInt64;
+  placed @4 :List(PlacedPart);
+  strikes @5 :List(Strike);
+}
+
+struct RelayedNews {
+  loads @0 :List(DataCentreLoads);
+  placed @1 :List(PlacedPart);
+  strikes @2 :List(Strike);
 }
 
 struct CatchUp {
--- a/gypsumrouter/link/models.py
+++ b/gypsumrouter/link/models.py
@@ -225,18 +225,27 @@
     upstream: str
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RouterAt:
+    """Where a router's link listens, and its data centre; empty where that is not known yet."""
+
+    address: str
+    data_centre: str
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RouterNews:
-    """What routers without sides tell each other a few times a second.
+    """What routers of one data centre tell each other a few times a second.
 
     `address` is where the sender's link listens and `routers` the links that it knows. The two
     versions are those of the configuration and of the list of upstreams that it acts on. `placed`
     and `strikes` are what is new since its last news on this link. `routers` is empty where they
-    were told a moment ago. `data_centre` is the sender's.
+    were told a moment ago. `data_centre` is the sender's; to seeds elsewhere it tells no loads and
+    nothing that was placed.
     """
 
     address: str
-    routers: tuple[str, ...]
+    routers: tuple[RouterAt, ...]
     routing_version: int
     list_revision: int
     loads: tuple[RouterLoad, ...] = ()
@@ -245,6 +254,44 @@
     data_centre: str = ""
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class DataCentreLoads:
+    """What all routers of one data centre have at the upstreams, added up.
+
+    `alive` is the number of routers, and `routers` their links; empty where they were told a moment
+    ago.
+    """
+
+    data_centre: str
+    alive: int
+    routers: tuple[str, ...]
+    loads: tuple[RouterLoad, ...]
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class DataCentreNews:
+    """What one router tells of its data centre to one router of another.
+
+    The fields are those of `RouterNews`.
+    """
+
+    address: str
+    loads: DataCentreLoads
+    routing_version: int
+    list_revision: int
+    placed: tuple[PlacedPart, ...] = ()
+    strikes: tuple[Strike, ...] = ()
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class RelayedNews:
+    """News of other data centres, handed on within one; `loads` has those heard of just now."""
+
+    loads: tuple[DataCentreLoads, ...]
+    placed: tuple[PlacedPart, ...] = ()
+    strikes: tuple[Strike, ...] = ()
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class StoreWatched:
     """What a router that watches the platform's store knows, for those that do not.
@@ -335,6 +382,8 @@
     | Holdings
     | PrefixNews
     | RouterNews
+    | DataCentreNews
+    | RelayedNews
     | StoreWatched
     | CatchUp
     | RoutingDocument
--- a/gypsumrouter/link/notice_codec.py
+++ b/gypsumrouter/link/notice_codec.py
@@ -10,6 +10,7 @@
 from gypsumrouter.link.models import (
     CatchUp,
     ConfigurationNews,
+    DataCentreNews,
     HeldNews,
     HeldWanted,
     Holdings,
@@ -18,6 +19,7 @@
     Parts,
     PartsRequest,
     PrefixNews,
+    RelayedNews,
     RouterNews,
     RoutingDocument,
     Status,
@@ -26,14 +28,18 @@
 )
 from gypsumrouter.link.router_codec import (
     decode_catch_up,
+    decode_data_centre_news,
     decode_held_news,
     decode_listed_upstreams,
+    decode_relayed_news,
     decode_router_news,
     decode_routing_document,
     decode_store_watched,
     encode_catch_up,
+    encode_data_centre_news,
     encode_held_news,
     encode_listed_upstreams,
+    encode_relayed_news,
     encode_router_news,
     encode_routing_document,
     encode_store_watched,
@@ -85,6 +91,10 @@
             return Kind.HOLDINGS, encode_holdings(notice)
         case RouterNews():
             return Kind.ROUTER_NEWS, encode_router_news(notice)
+        case DataCentreNews():
+            return Kind.DATA_CENTRE_NEWS, encode_data_centre_news(notice)
+        case RelayedNews():
+            return Kind.RELAYED_NEWS, encode_relayed_news(notice)
         case StoreWatched():
             return Kind.STORE_WATCHED, encode_store_watched(notice)
         case CatchUp():
@@ -124,6 +134,10 @@
             return decode_holdings(body)
         case Kind.ROUTER_NEWS:
             return decode_router_news(body)
+        case Kind.DATA_CENTRE_NEWS:
+            return decode_data_centre_news(body)
+        case Kind.RELAYED_NEWS:
+            return decode_relayed_news(body)
         case Kind.STORE_WATCHED:
             return decode_store_watched(body)
         case Kind.CATCH_UP:
--- a/gypsumrouter/link/notices.py
+++ b/gypsumrouter/link/notices.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, TypeVar
 
 from gypsumrouter.core import Application, Remove
 from gypsumrouter.link.connection import Connection
+from gypsumrouter.link.const import Kind
 from gypsumrouter.link.diagnostics import LinkDiagnostics
 from gypsumrouter.link.frames import Frame
 from gypsumrouter.link.listeners import call_safely
@@ -33,12 +34,29 @@
 
     def send(self, notice: Notice) -> bool:
         """Send a notice; return False if the link is closed or its peer takes nothing."""
-        if self._connection.closed or self._connection.paused:
+        if not self.takes:
             return False
         kind, body = encode_notice(notice)
+        self.send_encoded(kind, body)
+        return True
+
+    @property
+    def takes(self) -> bool:
+        """Return whether the link is open and its peer keeps up with what it is sent."""
+        return not (self._connection.closed or self._connection.paused)
+
+    def send_encoded(self, kind: Kind, body: bytes) -> None:
+        """Send a notice that was encoded for several links."""
         self._connection.last_used_ms = self._connection.clock.now_ms()
         self._connection.send(kind, body=body)
-        return True
+
+
+def send_to_all(peers: Iterable[Peer], notice: Notice) -> None:
+    """Send a notice over several links, encoded once; links that take nothing are passed over."""
+    kind, body = encode_notice(notice)
+    for peer in peers:
+        if peer.takes:
+            peer.send_encoded(kind, body)
 
 
 class NoticeHub:
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import zlib
+from typing import Any, Final
 
 from gypsumrouter.link.frames import FrameError
 from gypsumrouter.link.models import (
     CatchUp,
+    DataCentreLoads,
+    DataCentreNews,
     HeldAt,
     HeldNews,
     ListedUpstream,
     ListedUpstreams,
     PlacedPart,
+    RelayedNews,
+    RouterAt,
     RouterLoad,
     RouterNews,
     RoutingDocument,
@@ -20,63 +25,149 @@
 )
 from gypsumrouter.link.schema import SCHEMA, reading, reading_packed, to_bytes, to_packed
 
+# Loads at 930 upstreams from each of eight data centres, 20 bytes each, and what was placed.
+MAX_NEWS_BYTES: Final = 256 * 1024
 # A document of 9,500 workspaces takes about 2 MB.
-MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+MAX_DOCUMENT_BYTES: Final = 16 * 1024 * 1024
 # Fast rather than small: a document of 40 KB takes 0.4 ms.
-COMPRESSION = 1
+COMPRESSION: Final = 1
 
 
 def encode_router_news(notice: RouterNews) -> bytes:
     """Return the body of a notice's frame."""
     message = SCHEMA.RouterNews.new_message(
         address=notice.address,
-        routers=list(notice.routers),
         routingVersion=notice.routing_version,
         listRevision=notice.list_revision,
         dataCentre=notice.data_centre,
     )
-    loads = message.init("loads", len(notice.loads))
-    for target, load in zip(loads, notice.loads, strict=True):
-        target.upstream = load.upstream
-        target.running = load.running
-        target.pendingTokens = load.pending_tokens
-    placed = message.init("placed", len(notice.placed))
-    for target, part in zip(placed, notice.placed, strict=True):
-        target.part = part.part
-        target.upstream = part.upstream
-    strikes = message.init("strikes", len(notice.strikes))
-    for target, strike in zip(strikes, notice.strikes, strict=True):
-        target.digest = strike.digest
-        target.upstream = strike.upstream
+    known = message.init("known", len(notice.routers))
+    for target, router in zip(known, notice.routers, strict=True):
+        target.address = router.address
+        target.dataCentre = router.data_centre
+    _set_loads(message, notice.loads)
+    _set_placed(message, notice.placed)
+    _set_strikes(message, notice.strikes)
     return to_packed(message)
 
 
 def decode_router_news(body: bytes) -> RouterNews:
     """Return a notice from the body of its frame; raises FrameError."""
-    with reading_packed(SCHEMA.RouterNews, body) as message:
+    with reading_packed(SCHEMA.RouterNews, body, max_bytes=MAX_NEWS_BYTES) as message:
         return RouterNews(
             address=message.address,
-            routers=tuple(message.routers),
+            routers=tuple(
+                RouterAt(address=router.address, data_centre=router.dataCentre)
+                for router in message.known
+            ),
             routing_version=message.routingVersion,
             list_revision=message.listRevision,
-            loads=tuple(
-                RouterLoad(
-                    upstream=load.upstream,
-                    running=load.running,
-                    pending_tokens=load.pendingTokens,
-                )
-                for load in message.loads
-            ),
-            placed=tuple(
-                PlacedPart(part=part.part, upstream=part.upstream) for part in message.placed
-            ),
-            strikes=tuple(
-                Strike(digest=strike.digest, upstream=strike.upstream) for strike in message.strikes
-            ),
+            loads=_read_loads(message),
+            placed=_read_placed(message),
+            strikes=_read_strikes(message),
             data_centre=message.dataCentre,
         )
 
 
+def encode_data_centre_news(notice: DataCentreNews) -> bytes:
+    """Return the body of a notice's frame."""
+    message = SCHEMA.DataCentreNews.new_message(
+        address=notice.address,
+        routingVersion=notice.routing_version,
+        listRevision=notice.list_revision,
+    )
+    _set_data_centre(message.init("loads"), notice.loads)
+    _set_placed(message, notice.placed)
+    _set_strikes(message, notice.strikes)
+    return to_packed(message)
+
+
+def decode_data_centre_news(body: bytes) -> DataCentreNews:
+    """Return a notice from the body of its frame; raises FrameError."""
+    with reading_packed(SCHEMA.DataCentreNews, body, max_bytes=MAX_NEWS_BYTES) as message:
+        return DataCentreNews(
+            address=message.address,
+            loads=_read_data_centre(message.loads),
+            routing_version=message.routingVersion,
+            list_revision=message.listRevision,
+            placed=_read_placed(message),
+            strikes=_read_strikes(message),
+        )
+
+
+def encode_relayed_news(notice: RelayedNews) -> bytes:
+    """Return the body of a notice's frame."""
+    message = SCHEMA.RelayedNews.new_message()
+    loads = message.init("loads", len(notice.loads))
+    for target, data_centre in zip(loads, notice.loads, strict=True):
+        _set_data_centre(target, data_centre)
+    _set_placed(message, notice.placed)
+    _set_strikes(message, notice.strikes)
+    return to_packed(message)
+
+
+def decode_relayed_news(body: bytes) -> RelayedNews:
+    """Return a notice from the body of its frame; raises FrameError."""
+    with reading_packed(SCHEMA.RelayedNews, body, max_bytes=MAX_NEWS_BYTES) as message:
+        return RelayedNews(
+            loads=tuple(_read_data_centre(data_centre) for data_centre in message.loads),
+            placed=_read_placed(message),
+            strikes=_read_strikes(message),
+        )
+
+
+def _set_data_centre(target: Any, data_centre: DataCentreLoads) -> None:
+    target.dataCentre = data_centre.data_centre
+    target.alive = data_centre.alive
+    target.routers = list(data_centre.routers)
+    _set_loads(target, data_centre.loads)
+
+
+def _read_data_centre(message: Any) -> DataCentreLoads:
+    return DataCentreLoads(
+        data_centre=message.dataCentre,
+        alive=message.alive,
+        routers=tuple(message.routers),
+        loads=_read_loads(message),
+    )
+
+
+def _set_loads(message: Any, loads: tuple[RouterLoad, ...]) -> None:
+    for target, load in zip(message.init("loads", len(loads)), loads, strict=True):
+        target.upstream = load.upstream
+        target.running = load.running
+        target.pendingTokens = load.pending_tokens
+
+
+def _read_loads(message: Any) -> tuple[RouterLoad, ...]:
+    return tuple(
+        RouterLoad(upstream=load.upstream, running=load.running, pending_tokens=load.pendingTokens)
+        for load in message.loads
+    )
+
+
+def _set_placed(message: Any, placed: tuple[PlacedPart, ...]) -> None:
+    for target, part in zip(message.init("placed", len(placed)), placed, strict=True):
+        target.part = part.part
+        target.upstream = part.upstream
+
+
+def _read_placed(message: Any) -> tuple[PlacedPart, ...]:
+    return tuple(PlacedPart(part=part.part, upstream=part.upstream) for part in message.placed)
+
+
+def _set_strikes(message: Any, strikes: tuple[Strike, ...]) -> None:
+    for target, strike in zip(message.init("strikes", len(strikes)), strikes, strict=True):
+        target.digest = strike.digest
+        target.upstream = strike.upstream
+
+
+def _read_strikes(message: Any) -> tuple[Strike, ...]:
+    return tuple(
+        Strike(digest=strike.digest, upstream=strike.upstream) for strike in message.strikes
+    )
+
+
 def encode_store_watched(notice: StoreWatched) -> bytes:
     """Return the body of a notice's frame."""
     message = SCHEMA.StoreWatched.new_message(
--- a/gypsumrouter/link/schema.py
+++ b/gypsumrouter/link/schema.py
@@ -20,7 +20,7 @@
 _WORD_BYTES: Final = 8
 _READS_PER_WORD: Final = 4
 _SPARE_WORDS: Final = 256
-_MAX_UNPACKED_WORDS: Final = 64 * 1024
+_UNPACKED_WORDS_PER_BYTE: Final = 4
 _DECODE_ERRORS: Final = (capnp.KjException, UnicodeError, ValueError, OverflowError)
 
 
@@ -52,12 +52,17 @@
 
 
 @contextmanager
-def reading_packed(kind: Any, body: bytes) -> Iterator[Any]:
-    """Give a reader of the packed `body`; whatever is wrong with it becomes a FrameError."""
-    if len(body) > MAX_PACKED_BYTES:
+def reading_packed(kind: Any, body: bytes, *, max_bytes: int = MAX_PACKED_BYTES) -> Iterator[Any]:
+    """Give a reader of the packed `body`; whatever is wrong with it becomes a FrameError.
+
+    Packing leaves out zeros, so that few bytes can stand for many: what may be read is bounded by
+    `max_bytes`.
+    """
+    if len(body) > max_bytes:
         raise FrameError(f"a packed message of {len(body)} bytes is too long")
+    limit = max_bytes * _UNPACKED_WORDS_PER_BYTE
     try:
-        yield kind.from_bytes_packed(body, traversal_limit_in_words=_MAX_UNPACKED_WORDS)
+        yield kind.from_bytes_packed(body, traversal_limit_in_words=limit)
     except _DECODE_ERRORS as error:
         raise FrameError(f"a malformed message: {type(error).__name__}") from None
 
--- a/gypsumrouter/peers/catch_up.py
+++ b/gypsumrouter/peers/catch_up.py
@@ -17,7 +17,6 @@
     ListedUpstreams,
     NoticeHub,
     Peer,
-    RouterNews,
     RoutingDocument,
     StoreWatched,
 )
@@ -77,10 +76,11 @@
         notices.subscribe(RoutingDocument, self._take_routing)
         notices.subscribe(ListedUpstreams, self._take_upstreams)
 
-    def compare(self, peer: Peer, news: RouterNews, now_ms: int) -> None:
+    def compare(self, peer: Peer, *, routing_version: int, list_revision: int) -> None:
         """Ask a peer that has been ahead for longer than the platform's own news take."""
-        routing = news.routing_version > self._routing.version
-        upstreams = news.list_revision > self._directory.newest
+        now_ms = self._app.clock.now_ms()
+        routing = routing_version > self._routing.version
+        upstreams = list_revision > self._directory.newest
         self._behind_routing_ms = _since(self._behind_routing_ms, routing, now_ms)
         self._behind_list_ms = _since(self._behind_list_ms, upstreams, now_ms)
         if now_ms - self._asked_ms < CATCH_UP_MS:
--- a/gypsumrouter/peers/loads.py
+++ b/gypsumrouter/peers/loads.py
@@ -2,22 +2,44 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from gypsumrouter.forwarding.loads import LoadBook, PeerLoads, UpstreamLoad
-from gypsumrouter.link import RouterLoad, RouterNews
+from gypsumrouter.link import DataCentreLoads, RouterLoad, RouterNews
 
 
 def write_loads(book: LoadBook) -> tuple[RouterLoad, ...]:
     """Return a router's own counts for its news."""
+    return _write(book.own())
+
+
+def write_sums(book: LoadBook, *, peers: Iterable[str]) -> tuple[RouterLoad, ...]:
+    """Return the counts of a router and of some of its peers together."""
+    return _write(book.add_up_peers(peers))
+
+
+def read_loads(news: RouterNews, *, now_ms: int) -> PeerLoads:
+    """Return what a peer told of its counts."""
+    return _read(news.loads, now_ms)
+
+
+def read_sums(news: DataCentreLoads, *, now_ms: int) -> PeerLoads:
+    """Return what was told of the counts of a data centre."""
+    return _read(news.loads, now_ms)
+
+
+def _write(loads: dict[str, UpstreamLoad]) -> tuple[RouterLoad, ...]:
     return tuple(
         RouterLoad(upstream=upstream, running=load.running, pending_tokens=load.pending_tokens)
-        for upstream, load in book.own().items()
+        for upstream, load in loads.items()
     )
 
 
-def read_loads(news: RouterNews, *, now_ms: int) -> PeerLoads:
-    """Return what a peer told of its counts."""
-    loads = {
-        load.upstream: UpstreamLoad(running=load.running, pending_tokens=load.pending_tokens)
-        for load in news.loads
-    }
-    return PeerLoads(heard_ms=now_ms, loads=loads)
+def _read(loads: tuple[RouterLoad, ...], now_ms: int) -> PeerLoads:
+    return PeerLoads(
+        heard_ms=now_ms,
+        loads={
+            load.upstream: UpstreamLoad(running=load.running, pending_tokens=load.pending_tokens)
+            for load in loads
+        },
+    )
--- a/gypsumrouter/peers/mesh.py
+++ b/gypsumrouter/peers/mesh.py
@@ -1,9 +1,14 @@
-"""The exchange between routers: found through seeds, one task a peer, never in a request's path."""
+"""The exchange between routers: found through seeds, one task a peer, never in a request's path.
+
+Each router tells its neighbours, those of its own data centre, all that it has; what other data
+centres have comes through relays. Seeds are told where it is, and tell it where the others are.
+"""
 
 from __future__ import annotations
 
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
@@ -18,6 +23,7 @@
     NoticeHub,
     Peer,
     PlacedPart,
+    RouterAt,
     RouterNews,
     Strike,
 )
@@ -31,6 +37,7 @@
 from gypsumrouter.peers.held import HeldDesk
 from gypsumrouter.peers.loads import read_loads, write_loads
 from gypsumrouter.peers.outbox import Outbox
+from gypsumrouter.peers.relays import RelayDesk
 from gypsumrouter.peers.routers import KnownRouter, RouterBook
 from gypsumrouter.peers.watchers import WatchDesk
 from gypsumrouter.published import WatchState
@@ -41,7 +48,7 @@
 
 
 class Mesh:
-    """Sends this router's news to every other one and takes theirs."""
+    """Sends this router's news to its neighbours and the seeds, and takes theirs."""
 
     __slots__ = (
         "_app",
@@ -52,10 +59,12 @@
         "_journal",
         "_outbox",
         "_pool",
+        "_relays",
         "_routers",
         "_routing",
         "_seeds",
         "_server",
+        "_tasks",
         "_watch",
         "_without",
     )
@@ -82,6 +91,8 @@
             clock=app.clock, own=settings.link_address, data_centre=app.data_centre
         )
         self._seeds = settings.seeds
+        # The routers that a task of this one tells.
+        self._tasks: set[str] = set()
         self._outbox = Outbox()
         notices = NoticeHub(app=app)
         key = read_link_key(settings.link)
@@ -114,6 +125,19 @@
             routing=routing_state,
             upstreams=upstreams,
         )
+        self._relays = RelayDesk(
+            app=app,
+            routers=self._routers,
+            routing=routing,
+            directory=directory,
+            loads=forwarder.placer.loads,
+            holdings=forwarder.placer.holdings,
+            suspects=forwarder.suspects,
+            catch_up=self._catch_up,
+            notices=notices,
+            send=self._async_send,
+            without=settings.without,
+        )
         self._held = HeldDesk(
             app=app,
             journal=journal,
@@ -139,6 +163,7 @@
             self._learn(seed, seed=True)
         self._count_routers()
         self._watch.async_start()
+        self._relays.async_start()
         return address
 
     def take_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -150,15 +175,15 @@
             self._learn(seed, seed=True)
         self._count_routers()
 
-    def _learn(self, text: str, *, seed: bool = False) -> None:
-        if self._routers.learn(text, seed=seed):
-            self._app.async_create_task(self._async_tell(text), f"peer {text}")
+    def _learn(self, text: str, *, data_centre: str = "", seed: bool = False) -> None:
+        known = self._routers.learn(text, data_centre=data_centre, seed=seed)
+        if known is not None and self._routers.is_told(text) and text not in self._tasks:
+            self._tasks.add(text)
+            self._app.async_create_task(self._async_tell(text, known), f"peer {text}")
 
-    async def _async_tell(self, text: str) -> None:
-        """Send news to one peer until it is forgotten."""
-        known = self._routers.get(text)
-        assert known is not None
-        while True:
+    async def _async_tell(self, text: str, known: KnownRouter) -> None:
+        """Send news to one peer for as long as it is a neighbour that is heard of, or a seed."""
+        while self._routers.is_told(text):
             placed, end = self._outbox.since(known.told)
             news = self._make_news(known, placed)
             sent = await self._async_send(text, news)
@@ -166,9 +191,14 @@
                 known.told = end
             known.renewed = False
             self._note_reached(text, known, sent)
-            if self._routers.forget_unreached(text):
-                return
-            await self._app.clock.async_sleep(NEWS_MS + NEWS_MS_PER_PEER * len(self._routers))
+            await self._app.clock.async_sleep(self._get_period_ms(known))
+        self._tasks.discard(text)
+
+    def _get_period_ms(self, known: KnownRouter) -> int:
+        """Return how often a router is told; all routers tell the seeds, few their neighbours."""
+        neighbour = self._routers.is_neighbour(known)
+        peers = len(self._routers.list_neighbours()) if neighbour else len(self._routers)
+        return NEWS_MS + NEWS_MS_PER_PEER * peers
 
     def _list_seeds(self) -> tuple[str, ...]:
         """Return the seeds that are addresses, this router among them where it is one."""
@@ -188,18 +218,23 @@
         return await self._pool.async_send(instance=instance, notice=notice)
 
     def _make_news(self, known: KnownRouter, placed: tuple[PlacedPart, ...]) -> RouterNews:
-        return RouterNews(
+        news = RouterNews(
             address=self._routers.own,
             routers=self._list_routers(known),
             routing_version=self._routing.version,
             list_revision=self._directory.newest,
+            data_centre=self._app.data_centre,
+        )
+        if not self._routers.is_neighbour(known):
+            return news
+        return replace(
+            news,
             loads=write_loads(self._forwarder.placer.loads),
             placed=placed,
             strikes=self._outbox.strikes(now_ms=self._app.clock.now_ms()),
-            data_centre=self._app.data_centre,
         )
 
-    def _list_routers(self, known: KnownRouter) -> tuple[str, ...]:
+    def _list_routers(self, known: KnownRouter) -> tuple[RouterAt, ...]:
         """Return the other routers, or nothing where a peer was told the same a moment ago."""
         now_ms = self._app.clock.now_ms()
         same = known.routers_told == len(self._routers)
@@ -207,7 +242,7 @@
             return ()
         known.routers_told = len(self._routers)
         known.routers_told_ms = now_ms
-        return tuple(self._routers)
+        return self._routers.list_living()
 
     def _note_reached(self, text: str, known: KnownRouter, sent: bool) -> None:
         now_ms = self._app.clock.now_ms()
@@ -222,27 +257,48 @@
 
     def _take_news(self, peer: Peer, news: RouterNews) -> None:
         now_ms = self._app.clock.now_ms()
-        self._learn(news.address)
+        self._learn(news.address, data_centre=news.data_centre)
         known = self._routers.get(news.address)
         if known is not None:
             known.note_heard(peer, data_centre=news.data_centre, now_ms=now_ms)
         for router in news.routers:
-            self._learn(router)
+            self._learn(router.address, data_centre=router.data_centre)
+        if news.data_centre == self._app.data_centre:
+            self._take_loads(peer, news, now_ms)
+        elif known is not None and not known.seed:
+            self._answer(peer, known)
+        self._catch_up.compare(
+            peer, routing_version=news.routing_version, list_revision=news.list_revision
+        )
+        self._count_routers()
+
+    def _answer(self, peer: Peer, known: KnownRouter) -> None:
+        """Tell a router that takes this one for a seed where the others are."""
+        news = self._make_news(known, ())
+        if news.routers:
+            peer.send(news)
+
+    def _take_loads(self, peer: Peer, news: RouterNews, now_ms: int) -> None:
         placer = self._forwarder.placer
         if Mechanism.PEER_LOADS not in self._without:
             placer.loads.take_peer(peer.hello.name, read_loads(news, now_ms=now_ms))
-        for placed in self._list_placed(news):
-            placer.holdings.note(part=placed.part, upstream=placed.upstream, now_ms=now_ms)
+        placed = self._list_placed(news)
+        for part in placed:
+            placer.holdings.note(part=part.part, upstream=part.upstream, now_ms=now_ms)
+        self._relays.note_placed(placed)
         for strike in news.strikes:
-            self._forwarder.suspects.take(strike.digest, strike.upstream, source=peer.hello.name)
-        self._catch_up.compare(peer, news, now_ms)
-        self._count_routers()
+            if self._forwarder.suspects.take(
+                strike.digest, strike.upstream, source=peer.hello.name
+            ):
+                self._relays.note_strike(strike)
 
     def _list_placed(self, news: RouterNews) -> tuple[PlacedPart, ...]:
         return () if Mechanism.PEER_PLACEMENTS in self._without else news.placed
 
     def _note_placed(self, part: int, upstream: str) -> None:
-        self._outbox.add_part(PlacedPart(part=part, upstream=upstream))
+        placed = PlacedPart(part=part, upstream=upstream)
+        self._outbox.add_part(placed)
+        self._relays.note_placed((placed,))
 
     def count_alive(self) -> int:
         """Return the number of peers that were heard a moment ago."""
@@ -254,7 +310,9 @@
 
     def _note_strike(self, digest: int, upstream: str) -> None:
         now_ms = self._app.clock.now_ms()
-        self._outbox.add_strike(Strike(digest=digest, upstream=upstream), now_ms=now_ms)
+        strike = Strike(digest=digest, upstream=upstream)
+        self._outbox.add_strike(strike, now_ms=now_ms)
+        self._relays.note_strike(strike)
 
     def _count_routers(self) -> None:
         """Tell the retry budget among how many routers it is shared."""
@@ -271,4 +329,17 @@
             }
             for text, known in self._routers.items()
         }
-        return {"routers": routers, "watchers": self.count_watchers()}
+        data_centres = {
+            name: {
+                "alive": other.alive,
+                "relay": other.relay,
+                "heard_ms_ago": now_ms - other.heard_ms,
+            }
+            for name, other in self._routers.data_centres.items()
+            if other.relay or other.alive
+        }
+        return {
+            "routers": routers,
+            "data_centres": data_centres,
+            "watchers": self.count_watchers(),
+        }
--- a/gypsumrouter/peers/routers.py
+++ b/gypsumrouter/peers/routers.py
@@ -1,27 +1,28 @@
-"""The other routers, as far as this one has heard of them."""
+"""The other routers and data centres, as far as this router has heard of them."""
 
 from __future__ import annotations
 
 import logging
-from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
 from typing import Final
 
 from gypsumrouter.instances import Address, parse_address
-from gypsumrouter.link import Peer
+from gypsumrouter.link import Peer, RouterAt
 from gypsumrouter.peers.const import ALIVE_MS, FORGET_MS, MAX_ROUTERS
 from gypsumrouter.util.clock import Clock
 
 _LOGGER = logging.getLogger(__name__)
 
-# Nothing was ever heard of a router.
+# Nothing was ever heard.
 NEVER: Final = -(1 << 62)
 
 
 class KnownRouter:
     """One other router, by the address of its link.
 
-    `peer` is the link over which it last told its news.
+    `peer` is the link over which it last told its news. `seen_ms` is when it or a router of its
+    data centre last said that it lives.
     """
 
     __slots__ = (
@@ -32,25 +33,30 @@
         "peer",
         "reached",
         "reached_ms",
+        "relayed",
         "renewed",
         "routers_told",
         "routers_told_ms",
         "seed",
+        "seen_ms",
         "told",
     )
 
-    def __init__(self, *, address: Address, seed: bool, now_ms: int) -> None:
+    def __init__(self, *, address: Address, data_centre: str, seed: bool, now_ms: int) -> None:
         self.address = address
+        self.data_centre = data_centre
         self.seed = seed
-        # Up to where it was told what was placed; a new incarnation knows nothing of it.
+        # Up to where it was told what was placed here, and what other data centres placed; a new
+        # incarnation knows nothing of it.
         self.told = 0
+        self.relayed = 0
         self.incarnation: int | None = None
         self.renewed = False
         self.routers_told = 0
         self.routers_told_ms = now_ms
         self.reached: bool | None = None
         self.reached_ms = now_ms
-        self.data_centre = ""
+        self.seen_ms = now_ms
         self.heard_ms = NEVER
         self.peer: Peer | None = None
 
@@ -59,24 +65,42 @@
         self.peer = peer
         self.data_centre = data_centre
         self.heard_ms = now_ms
+        self.seen_ms = now_ms
         if self.incarnation == peer.hello.incarnation:
             return
         self.renewed = self.incarnation is not None
         self.routers_told = 0
         self.incarnation = peer.hello.incarnation
         self.told = 0
+        self.relayed = 0
+
+
+@dataclass(slots=True, kw_only=True)
+class DataCentre:
+    """Another data centre: how many of its routers live, and which of them told so.
+
+    `told` is up to where it was told what was placed here, `tried` counts routers that were tried
+    since it was last heard.
+    """
+
+    heard_ms: int = NEVER
+    alive: int = 0
+    relay: str = ""
+    told: int = 0
+    tried: int = 0
 
 
 class RouterBook:
     """All routers that are known, by the address of their link; this router is not among them."""
 
-    __slots__ = ("_clock", "_routers", "data_centre", "own")
+    __slots__ = ("_clock", "_routers", "data_centre", "data_centres", "own")
 
     def __init__(self, *, clock: Clock, own: str, data_centre: str) -> None:
         self._clock = clock
         self._routers: dict[str, KnownRouter] = {}
         self.own = own
         self.data_centre = data_centre
+        self.data_centres: dict[str, DataCentre] = {}
 
     def __len__(self) -> int:
         return len(self._routers)
@@ -95,54 +119,99 @@
         """Return all routers with their addresses."""
         return tuple(self._routers.items())
 
-    def learn(self, text: str, *, seed: bool = False) -> bool:
-        """Take an address; return whether it is new and usable."""
+    def learn(self, text: str, *, data_centre: str = "", seed: bool = False) -> KnownRouter | None:
+        """Take an address, and where it is; return the router, or None for what is none."""
+        known = self._routers.get(text)
+        if known is not None:
+            known.data_centre = known.data_centre or data_centre
+            return known
         if text == self.own or not text or len(self._routers) >= MAX_ROUTERS:
-            return False
-        if text in self._routers:
-            return False
+            return None
         try:
             address = parse_address(text)
         except ValueError:
             _LOGGER.warning("A peer named %r, which is no address", text)
-            return False
+            return None
         now_ms = self._clock.now_ms()
-        self._routers[text] = KnownRouter(address=address, seed=seed, now_ms=now_ms)
-        return True
-
-    def forget_unreached(self, text: str) -> bool:
-        """Forget a router that nobody answers for; return whether it was forgotten."""
-        known = self._routers[text]
-        silent_ms = self._clock.now_ms() - known.reached_ms
-        if known.seed or known.reached or silent_ms <= FORGET_MS:
-            return False
-        del self._routers[text]
-        return True
+        known = KnownRouter(address=address, data_centre=data_centre, seed=seed, now_ms=now_ms)
+        self._routers[text] = known
+        return known
+
+    def is_told(self, text: str) -> bool:
+        """Return whether a router is told news directly: a neighbour that is known, or a seed."""
+        known = self._routers.get(text)
+        return known is not None and (known.seed or self.is_neighbour(known))
+
+    def is_neighbour(self, known: KnownRouter) -> bool:
+        """Return whether a router is in this data centre."""
+        return known.data_centre == self.data_centre
+
+    def note_data_centre(
+        self, name: str, *, alive: int, routers: Iterable[str], relay: str = ""
+    ) -> None:
+        """Take what was heard of another data centre; `relay` is its router that said so itself."""
+        now_ms = self._clock.now_ms()
+        data_centre = self.data_centres.setdefault(name, DataCentre())
+        data_centre.heard_ms = now_ms
+        data_centre.alive = alive
+        if relay:
+            data_centre.relay = relay
+            data_centre.tried = 0
+        for text in routers:
+            known = self.learn(text, data_centre=name)
+            if known is not None:
+                known.seen_ms = now_ms
+
+    def sweep(self) -> None:
+        """Forget routers that nobody heard of for long, but for seeds."""
+        since_ms = self._clock.now_ms() - FORGET_MS
+        for text, known in self.items():
+            if not known.seed and known.seen_ms < since_ms:
+                del self._routers[text]
 
     def count_alive(self) -> int:
-        """Return the number of routers that were heard a moment ago."""
-        return sum(1 for known in self._routers.values() if self._is_alive(known))
+        """Return the number of living routers of the fleet, without this one."""
+        return sum(self.count_by_data_centre().values()) - 1
 
     def count_seeds(self) -> int:
         """Return the number of seeds among them."""
         return sum(1 for known in self._routers.values() if known.seed)
 
-    def list_neighbours(self) -> dict[str, KnownRouter]:
-        """Return the living routers of this data centre."""
+    def list_neighbours(self, *, within_ms: int = ALIVE_MS) -> dict[str, KnownRouter]:
+        """Return the routers of this data centre that were heard within a time."""
+        since_ms = self._clock.now_ms() - within_ms
         return {
             text: known
             for text, known in self._routers.items()
-            if known.data_centre == self.data_centre and self._is_alive(known)
+            if self.is_neighbour(known) and known.heard_ms > since_ms
         }
 
+    def list_elsewhere(self, name: str) -> list[str]:
+        """Return the known routers of another data centre, in the order of their addresses."""
+        return sorted(t for t, known in self._routers.items() if known.data_centre == name)
+
+    def list_living(self) -> tuple[RouterAt, ...]:
+        """Return the routers that somebody heard of lately, for others."""
+        since_ms = self._clock.now_ms() - FORGET_MS // 2
+        return tuple(
+            RouterAt(address=text, data_centre=known.data_centre)
+            for text, known in self._routers.items()
+            if known.seen_ms >= since_ms
+        )
+
+    def list_data_centres(self) -> set[str]:
+        """Return the names of the other data centres."""
+        names = {known.data_centre for known in self._routers.values()}
+        return (names | self.data_centres.keys()) - {"", self.data_centre}
+
     def count_by_data_centre(self) -> dict[str, int]:
         """Return the number of living routers in each data centre, this one counted."""
-        counts: dict[str, int] = defaultdict(int)
-        counts[self.data_centre] = 1
+        since_ms = self._clock.now_ms() - ALIVE_MS
+        counts = {self.data_centre: 1}
         for known in self._routers.values():
-            if self._is_alive(known):
-                counts[known.data_centre] += 1
+            if known.heard_ms > since_ms:
+                counts[known.data_centre] = counts.get(known.data_centre, 0) + 1
+        for name, data_centre in self.data_centres.items():
+            if data_centre.heard_ms > since_ms:
+                counts[name] = max(data_centre.alive, counts.get(name, 0))
         return counts
-
-    def _is_alive(self, known: KnownRouter) -> bool:
-        return self._clock.now_ms() - known.heard_ms < ALIVE_MS
--- a/tests/peers/watch_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -1,4 +1,4 @@
-"""Routers that watch one store in memory and tell each other, on a clock that a test moves."""
+"""Routers before one store in memory that tell each other, on a clock that a test moves."""
 
 from __future__ import annotations
 
@@ -9,10 +9,16 @@
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Record
 from gypsumrouter.exceptions import DocumentInvalid
+from gypsumrouter.forwarding.holdings import Holdings
+from gypsumrouter.forwarding.loads import LoadBook, PeerLoads
+from gypsumrouter.forwarding.suspects import Suspects
 from gypsumrouter.instances import parse_address
 from gypsumrouter.journal import Journal
-from gypsumrouter.link import Hello, Notice, NoticeHub, Peer, RouterNews
+from gypsumrouter.link import Hello, Notice, NoticeHub, Peer, PlacedPart
+from gypsumrouter.link.const import Kind
+from gypsumrouter.link.notice_codec import decode_notice
 from gypsumrouter.peers.catch_up import CatchUpDesk
+from gypsumrouter.peers.relays import RelayDesk
 from gypsumrouter.peers.routers import RouterBook
 from gypsumrouter.peers.watchers import WatchDesk
 from gypsumrouter.published import Follower, HistoryLost, Item, Listed, StoreUnavailable, WatchState
@@ -70,7 +76,7 @@
 class View:
     """One router's way to the store, which may be cut, also for calls that wait."""
 
-    def __init__(self, store: MemoryStore, router: WatchingRouter, clock: ManualClock) -> None:
+    def __init__(self, store: MemoryStore, router: FleetRouter, clock: ManualClock) -> None:
         self._clock = clock
         self._store = store
         self._router = router
@@ -99,12 +105,21 @@
 class MemoryPeer(Peer):
     """The end of a link over which one router reaches another one."""
 
-    def __init__(self, *, sender: WatchingRouter, target: WatchingRouter) -> None:
+    def __init__(self, *, sender: FleetRouter, target: FleetRouter) -> None:
         self._sender = sender
         self._target = target
         hello = Hello(name=target.name, role=Role.FORWARDER, incarnation=target.app.incarnation)
         self.hello = hello
 
+    @property
+    def takes(self) -> bool:
+        """Return whether both ends run."""
+        return self._sender.runs and self._target.runs
+
+    def send_encoded(self, kind: Kind, body: bytes) -> None:
+        """Deliver a notice that was encoded for several links."""
+        self.send(decode_notice(kind, body))
+
     def send(self, notice: Notice) -> bool:
         """Deliver a notice in the next turn of the loop, unless one end does not run."""
         if not (self._sender.runs and self._target.runs):
@@ -114,8 +129,8 @@
         return True
 
 
-class WatchingRouter:
-    """What a forwarder has for following the list of upstreams."""
+class FleetRouter:
+    """What a forwarder has for following the list of upstreams and for knowing its peers."""
 
     def __init__(self, *, number: int, clock: ManualClock, store: MemoryStore, zone: str) -> None:
         self.name = f"r{number}"
@@ -133,6 +148,10 @@
         self.routers = RouterBook(clock=clock, own=self.address, data_centre=zone)
         self.directory = Directory(app=self.app, journal=journal)
         routing = RoutingStore(app=self.app, journal=journal)
+        self.loads = LoadBook()
+        self.holdings = Holdings()
+        # What this router placed since its last news to its neighbours.
+        self.placed: list[PlacedPart] = []
         self.state = WatchState(clock=clock)
         routing_state = WatchState(clock=clock)
         self.catch_up = CatchUpDesk(
@@ -169,6 +188,23 @@
             count_watchers=self.desk.count_watchers,
         )
 
+        self.relays = RelayDesk(
+            app=self.app,
+            routers=self.routers,
+            routing=routing,
+            directory=self.directory,
+            loads=self.loads,
+            holdings=self.holdings,
+            suspects=Suspects(app=self.app, journal=journal),
+            catch_up=self.catch_up,
+            notices=self.notices,
+            send=self._async_send,
+            without=frozenset(),
+        )
+        # All routers by their address, and how many messages this one sent to another data centre.
+        self.fleet: dict[str, FleetRouter] = {}
+        self.sent_far = 0
+
     @property
     def known(self) -> EntryState | None:
         """Return the state in which this router believes the upstream to be."""
@@ -179,6 +215,24 @@
         """Begin to follow and to tell."""
         self.follower.async_start()
         self.desk.async_start()
+        self.relays.async_start()
+
+    def place(self, part: int, upstream: str) -> None:
+        """Send a prompt's part to an upstream, where it runs on."""
+        self.loads.begin(upstream, tokens=0)
+        placed = PlacedPart(part=part, upstream=upstream)
+        self.holdings.note(part=part, upstream=upstream, now_ms=self.app.clock.now_ms())
+        self.placed.append(placed)
+        self.relays.note_placed((placed,))
+
+    def get_load(self, upstream: str) -> int:
+        """Return how many requests this router believes an upstream to run."""
+        return self.loads.get(upstream, now_ms=self.app.clock.now_ms()).running
+
+    async def _async_send(self, text: str, notice: Notice) -> bool:
+        target = self.fleet[text]
+        self.sent_far += target.app.data_centre != self.app.data_centre
+        return MemoryPeer(sender=self, target=target).send(notice)
 
     def _take_all(self, listed: Listed) -> None:
         self.directory.replace_all(read(listed), revision=listed.as_of, source="platform")
@@ -189,29 +243,29 @@
         self.directory.note_revision(listed.as_of)
 
 
-class WatchFleet:
-    """Some routers in data centres of a given size, which hear of each other as they do in a mesh.
+class PeerFleet:
+    """Some routers in data centres of a given size; neighbours tell each other their news.
 
-    Routers that do not run stand still: what they were sent meanwhile is lost. With `compares` they
-    also tell each other what they know, whatever their data centre.
+    Routers that do not run stand still: what they were sent meanwhile is lost.
     """
 
-    def __init__(self, *sizes: int, compares: bool = True) -> None:
-        self._compares = compares
+    def __init__(self, *sizes: int) -> None:
         self.clock = ManualClock(now_ms=1_000_000)
         self.store = MemoryStore(self.clock)
         self.store.put(EntryState.READY)
         self._heard_ms = 0
-        self.routers: list[WatchingRouter] = []
+        self.routers: list[FleetRouter] = []
         for zone, size in enumerate(sizes):
             for _ in range(size):
-                router = WatchingRouter(
+                router = FleetRouter(
                     number=len(self.routers), clock=self.clock, store=self.store, zone=f"dc-{zone}"
                 )
                 self.routers.append(router)
+        by_address = {router.address: router for router in self.routers}
         for router in self.routers:
+            router.fleet = by_address
             for other in self.routers:
-                router.routers.learn(other.address)
+                router.routers.learn(other.address, data_centre=other.app.data_centre)
 
     async def async_start(self) -> None:
         """Start all routers at the same moment, and let the first watches of all of them end."""
@@ -233,32 +287,33 @@
             self.clock.advance(STEP_MS)
             await async_turn()
 
-    def running(self) -> Iterator[WatchingRouter]:
+    def running(self) -> Iterator[FleetRouter]:
         """Return the routers that run."""
         return (router for router in self.routers if router.runs)
 
     def _tell_news(self) -> None:
         self._heard_ms = self.clock.now_ms()
+        placed = {router.name: tuple(router.placed) for router in self.running()}
         for router in self.running():
+            router.placed.clear()
             for other in self.running():
-                known = router.routers.get(other.address)
-                if known is not None:
-                    peer = MemoryPeer(sender=router, target=other)
-                    zone = other.app.data_centre
-                    known.note_heard(peer, data_centre=zone, now_ms=self._heard_ms)
-                    if self._compares:
-                        router.catch_up.compare(peer, make_news(other), self._heard_ms)
-
-
-def make_news(router: WatchingRouter) -> RouterNews:
-    """Return what a router tells all others of itself."""
-    return RouterNews(
-        address=router.address,
-        routers=(),
-        routing_version=0,
-        list_revision=router.directory.newest,
-        data_centre=router.app.data_centre,
-    )
+                if router is not other and router.app.data_centre == other.app.data_centre:
+                    self._take_news(router, other, placed[other.name])
+
+    def _take_news(
+        self, router: FleetRouter, other: FleetRouter, placed: tuple[PlacedPart, ...]
+    ) -> None:
+        """Take what a neighbour tells."""
+        known = router.routers.get(other.address)
+        assert known is not None
+        peer = MemoryPeer(sender=router, target=other)
+        known.note_heard(peer, data_centre=other.app.data_centre, now_ms=self._heard_ms)
+        told = PeerLoads(heard_ms=self._heard_ms, loads=other.loads.own())
+        router.loads.take_peer(other.name, told)
+        for part in placed:
+            router.holdings.note(part=part.part, upstream=part.upstream, now_ms=self._heard_ms)
+        router.relays.note_placed(placed)
+        router.catch_up.compare(peer, routing_version=0, list_revision=other.directory.newest)
 
 
 async def async_turn() -> None:
--- a/tests/peers/test_peers_watchers.py
+++ b/tests/peers/test_peers_watchers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from watch_fleet import WatchFleet
+from peer_fleet import PeerFleet
 
 from gypsumrouter.directory import EntryState
 from gypsumrouter.peers.watchers import MIN_WATCHERS, get_share, is_watcher
@@ -32,7 +32,7 @@
 
 @pytest.mark.parametrize("sizes", [(4, 2), (14, 14, 14, 14, 12), (37,) * 8 + (34,)])
 async def test_changes_reach_all_routers_for_calls_of_few(sizes: tuple[int, ...]) -> None:
-    fleet = WatchFleet(*sizes, compares=False)
+    fleet = PeerFleet(*sizes)
     await fleet.async_start()
     calls = fleet.store.calls
     changes = 4
@@ -48,7 +48,7 @@
 
 
 async def test_all_watchers_of_a_data_centre_are_lost_at_once_before_a_removal() -> None:
-    fleet = WatchFleet(6, 6, 6)
+    fleet = PeerFleet(6, 6, 6)
     await fleet.async_start()
     for router in fleet.routers[: get_share(3)]:
         router.runs = False
@@ -59,7 +59,7 @@
 
 
 async def test_all_watchers_of_the_only_data_centre_are_lost_at_once_before_a_removal() -> None:
-    fleet = WatchFleet(MIN_WATCHERS + 4)
+    fleet = PeerFleet(MIN_WATCHERS + 4)
     await fleet.async_start()
     for router in fleet.routers[:MIN_WATCHERS]:
         router.runs = False
@@ -70,7 +70,7 @@
 
 
 async def test_watchers_that_the_store_turns_away_vouch_for_nothing() -> None:
-    fleet = WatchFleet(10)
+    fleet = PeerFleet(10)
     await fleet.async_start()
     for router in fleet.routers[:MIN_WATCHERS]:
         router.cut = True
@@ -83,7 +83,7 @@
 
 
 async def test_watchers_that_are_cut_off_unnoticed_are_made_up_for_by_another_data_centre() -> None:
-    fleet = WatchFleet(5, 5, 5)
+    fleet = PeerFleet(5, 5, 5)
     await fleet.async_start()
     for router in fleet.routers[: get_share(3)]:
         router.cut = True
@@ -94,7 +94,7 @@
 
 
 async def test_a_router_that_stood_still_takes_what_it_missed_from_a_watcher() -> None:
-    fleet = WatchFleet(8)
+    fleet = PeerFleet(8)
     await fleet.async_start()
     late = fleet.routers[-1]
     late.runs = False
@@ -109,7 +109,7 @@
 
 async def test_the_last_watcher_gone_a_follower_resumes_from_where_it_was_told() -> None:
     """It has the revision up to which it was told, so that the store's history reaches back."""
-    fleet = WatchFleet(8)
+    fleet = PeerFleet(8)
     await fleet.async_start()
     fleet.store.put(EntryState.LEAVING)
     await fleet.async_pass(1_000)
--- a/tests/peers/test_peers_watchers_machine.py
+++ b/tests/peers/test_peers_watchers_machine.py
@@ -8,7 +8,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
-from watch_fleet import STEP_MS, WatchFleet, WatchingRouter
+from peer_fleet import STEP_MS, FleetRouter, PeerFleet
 
 from gypsumrouter.directory import EntryState
 
@@ -27,7 +27,7 @@
     def __init__(self) -> None:
         super().__init__()
         self._loop = asyncio.new_event_loop()
-        self._fleet: WatchFleet
+        self._fleet: PeerFleet
         self._unwell_ms: dict[str, int] = {}
         # The changes so far: when, and the revision after it.
         self._changes: list[tuple[int, int]] = []
@@ -36,8 +36,8 @@
     def start(self) -> None:
         """Start a fleet."""
 
-        async def async_start() -> WatchFleet:
-            fleet = WatchFleet(*SIZES)
+        async def async_start() -> PeerFleet:
+            fleet = PeerFleet(*SIZES)
             await fleet.async_start()
             return fleet
 
@@ -89,7 +89,7 @@
             assert router.directory.newest >= router.seen
             router.seen = router.directory.newest
 
-    def _note_unwell(self, router: WatchingRouter) -> None:
+    def _note_unwell(self, router: FleetRouter) -> None:
         self._unwell_ms[router.name] = self._fleet.clock.now_ms()
 
     def _check(self) -> None:
@@ -99,7 +99,7 @@
                 due = self._get_due(now_ms)
                 assert router.directory.newest >= due, router.name
 
-    def _is_well(self, router: WatchingRouter, now_ms: int) -> bool:
+    def _is_well(self, router: FleetRouter, now_ms: int) -> bool:
         if router.cut or not router.runs:
             return False
         return now_ms - self._unwell_ms.get(router.name, -CALM_MS) >= CALM_MS
