Connections: kept for as long as upstreams announce

Upstreams say that they keep idle connections for 10 s.

Change: get_max_idle_ms (forwarding/keeping.py) decides apart from sockets: what is announced less a second, half of it for what must not be repeated; without a word as before.

--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -2,28 +2,18 @@
 
 from __future__ import annotations
 
-from typing import Final
-
 from msgspec import Struct
 
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Entry
-from gypsumrouter.forwarding.const import (
-    CONNECT_MS,
-    DEFAULT_KEEP_MS,
-    FRESH_IDLE_MS,
-    KEEP_MARGIN_MS,
-    MAX_IDLE_PER_UPSTREAM,
-)
+from gypsumrouter.forwarding.const import CONNECT_MS, MAX_IDLE_PER_UPSTREAM
+from gypsumrouter.forwarding.keeping import get_max_idle_ms
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
     HttpConnection,
     async_connect,
 )
 
-# No connection has been idle for so short a time.
-NEVER_MS: Final = -1
-
 
 class Leased(Struct, frozen=True, kw_only=True):
     """A connection for one exchange; `kept` ones carried an exchange before."""
@@ -35,11 +25,11 @@
 class UpstreamConnections:
     """The idle connections of this process, newest first."""
 
-    __slots__ = ("_app", "_fresh_idle_ms", "_idle", "_opened")
+    __slots__ = ("_app", "_idle", "_kept_for_all", "_opened")
 
     def __init__(self, *, app: Application, kept_for_all: bool = True) -> None:
         self._app = app
-        self._fresh_idle_ms = FRESH_IDLE_MS if kept_for_all else NEVER_MS
+        self._kept_for_all = kept_for_all
         self._idle: dict[str, list[HttpConnection]] = {}
         self._opened = app.metrics.counter(
             "gypsumrouter_upstream_connections_total", "Connections opened to upstreams"
@@ -59,13 +49,12 @@
         """
         now_ms = self._app.clock.now_ms()
         idle = self._idle.get(entry.incarnation)
-        max_idle_ms = None if repeatable else self._fresh_idle_ms
-        while idle:
+        while idle and (repeatable or self._kept_for_all):
             connection = idle.pop()
             if not _is_usable(connection, now_ms):
                 connection.close()
                 continue
-            if max_idle_ms is not None and now_ms - connection.idle_since_ms > max_idle_ms:
+            if not _is_usable(connection, now_ms, repeatable=repeatable):
                 idle.append(connection)
                 break
             return Leased(connection=connection, kept=True)
@@ -109,8 +98,6 @@
             self.forget(upstream)
 
 
-def _is_usable(connection: HttpConnection, now_ms: int) -> bool:
-    keep_ms = DEFAULT_KEEP_MS
-    if connection.keep_ms is not None:
-        keep_ms = min(keep_ms, max(0, connection.keep_ms - KEEP_MARGIN_MS))
-    return connection.reusable and now_ms - connection.idle_since_ms < keep_ms
+def _is_usable(connection: HttpConnection, now_ms: int, *, repeatable: bool = True) -> bool:
+    max_idle_ms = get_max_idle_ms(connection.keep_ms, repeatable=repeatable)
+    return connection.reusable and now_ms - connection.idle_since_ms < max_idle_ms
--- a/gypsumrouter/forwarding/const.py
+++ b/gypsumrouter/forwarding/const.py
@@ -7,12 +7,6 @@
 # A connect takes up to 9 ms between data centres with the upstream's own 1 ms; slow entry links
 # add 50 ms when they are full. What takes longer is a vanished upstream.
 CONNECT_MS: Final = 200
-# Connections idle for longer than this are not used for requests that must not be repeated: the
-# upstream may be closing them just now, and the outcome would be unknown.
-FRESH_IDLE_MS: Final = 1_500
-# Any kept connection is given up this long before the peer's own timeout, or after the default.
-KEEP_MARGIN_MS: Final = 1_000
-DEFAULT_KEEP_MS: Final = 4_000
 MAX_IDLE_PER_UPSTREAM: Final = 64
 
 # Upstreams that turned a request away before it is refused: each costs one round trip of a few
