--- a/bench/placement_strategies.py
+++ b/bench/placement_strategies.py
@@ -11,11 +11,12 @@
 from bench.placement_load import Arrival, Load
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Entry, EntryState, Record
+from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
 from gypsumrouter.forwarding.health import HealthBook
 from gypsumrouter.forwarding.loads import PeerLoads
 from gypsumrouter.forwarding.placement import Cap, order_by_affinity
 from gypsumrouter.forwarding.placer import Placed, Placer, Sent
+from gypsumrouter.forwarding.slow_start import SlowStartBook
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.peers.const import NEWS_MS, NEWS_MS_PER_PEER
@@ -201,7 +202,14 @@
         journal = Journal(app=app)
         directory = Directory(app=app, journal=journal)
         health = HealthBook(clock=self._clock, journal=journal)
-        placer = Placer(app=app, directory=directory, cap=CAP, health=health)
+        placer = Placer(
+            app=app,
+            directory=directory,
+            cap=CAP,
+            health=health,
+            evacuations=Evacuations(app=app, journal=journal),
+            slow_start=SlowStartBook(clock=self._clock, journal=journal),
+        )
         self._directories.append(directory)
         for name in list_engines(load):
             self._list(directory, name)
--- a/gypsumrouter/bootstrap_forwarder.py
+++ b/gypsumrouter/bootstrap_forwarder.py
@@ -12,7 +12,14 @@
 
 from gypsumrouter.const import VERSION, Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Entry, EntryState, Record
+from gypsumrouter.directory import (
+    Directory,
+    Entry,
+    EntryState,
+    Evacuation,
+    Evacuations,
+    Record,
+)
 from gypsumrouter.exceptions import DocumentInvalid
 from gypsumrouter.forwarding import Forwarder
 from gypsumrouter.helpers.logs import set_instance
@@ -32,10 +39,11 @@
     async_list_held,
     decode_configuration,
     decode_entry,
+    read_evacuated,
     read_request,
     read_upstream_id,
 )
-from gypsumrouter.platform.names import KEY_CONFIGURATION, PREFIX_SERVERS
+from gypsumrouter.platform.names import KEY_CONFIGURATION, PREFIX_OPERATOR, PREFIX_SERVERS
 from gypsumrouter.product import Product
 from gypsumrouter.published import Follower, Item, Listed, WatchState
 from gypsumrouter.routing import RoutingStore
@@ -77,12 +85,14 @@
     journal = Journal(app=app)
     routing = RoutingStore(app=app, journal=journal)
     directory = Directory(app=app, journal=journal)
+    evacuations = Evacuations(app=app, journal=journal)
     forwarder = Forwarder(
         app=app,
         settings=settings,
         journal=journal,
         routing=routing,
         directory=directory,
+        evacuations=evacuations,
         dialect=PlatformDialect(),
         read_request=read_request,
         ask_held=async_list_held,
@@ -94,6 +104,7 @@
         journal=journal,
         routing=routing,
         directory=directory,
+        evacuations=evacuations,
         forwarder=forwarder,
         decode=decode_configuration,
         routing_state=routing_state,
@@ -106,6 +117,7 @@
         journal=journal,
         routing=routing,
         directory=directory,
+        evacuations=evacuations,
         routing_state=routing_state,
         upstreams_state=upstreams_state,
         count_peers=mesh.count_alive,
@@ -148,23 +160,23 @@
     journal: Journal,
     routing: RoutingStore,
     directory: Directory,
+    evacuations: Evacuations,
     routing_state: WatchState,
     upstreams_state: WatchState,
     count_peers: Callable[[], int],
     count_watchers: Callable[[], int],
     is_watcher: Callable[[], bool],
 ) -> tuple[Follower, Follower]:
-    """Return what follows the configuration and the list of upstreams."""
+    """Return what follows the operator's items and the list of upstreams."""
     address = parse_address(settings.store)
-    take_configuration = partial(_take_configuration, routing)
     configuration = Follower(
         app=app,
         journal=journal,
         name="configuration",
-        store=StoreClient(address=address, prefix=KEY_CONFIGURATION),
+        store=StoreClient(address=address, prefix=PREFIX_OPERATOR),
         state=routing_state,
-        take_all=take_configuration,
-        take_changes=take_configuration,
+        take_all=partial(_take_all_operator_items, routing, evacuations),
+        take_changes=partial(_take_changed_operator_items, routing, evacuations),
         count_peers=count_peers,
         count_watchers=count_watchers,
         is_watcher=is_watcher,
@@ -186,6 +198,32 @@
     return configuration, upstreams
 
 
+def _take_all_operator_items(
+    routing: RoutingStore, evacuations: Evacuations, listed: Listed
+) -> None:
+    """Take the evacuations first: with the configuration a router may begin to send."""
+    evacuated = read_evacuations(listed.items)
+    evacuations.replace_all(evacuated, revision=listed.as_of, source=SOURCE_PLATFORM)
+    _take_configuration(routing, listed)
+
+
+def _take_changed_operator_items(
+    routing: RoutingStore, evacuations: Evacuations, listed: Listed
+) -> None:
+    for evacuation in read_evacuations(listed.items):
+        evacuations.merge(evacuation, source=SOURCE_PLATFORM)
+    _take_configuration(routing, listed)
+
+
+def read_evacuations(items: tuple[Item, ...]) -> Iterator[Evacuation]:
+    """Return the evacuations among items; an item that was removed is one that ended."""
+    for item in items:
+        data_centre = read_evacuated(item.key)
+        if data_centre is not None:
+            active = item.value is not None
+            yield Evacuation(data_centre=data_centre, revision=item.revision, active=active)
+
+
 def _take_configuration(routing: RoutingStore, listed: Listed) -> None:
     for item in listed.items:
         if item.key != KEY_CONFIGURATION or item.value is None:
--- a/gypsumrouter/directory/__init__.py
+++ b/gypsumrouter/directory/__init__.py
@@ -1,8 +1,17 @@
-"""Directory: which upstreams exist, merged from the platform's list and from peers."""
+"""Directory: which upstreams exist and which data centres are evacuated, by the platform's word."""
 
 from __future__ import annotations
 
 from gypsumrouter.directory.directory import Directory
+from gypsumrouter.directory.evacuations import Evacuation, Evacuations
 from gypsumrouter.directory.models import Entry, EntryState, Record, name_incarnation
 
-__all__ = ["Directory", "Entry", "EntryState", "Record", "name_incarnation"]
+__all__ = [
+    "Directory",
+    "Entry",
+    "EntryState",
+    "Evacuation",
+    "Evacuations",
+    "Record",
+    "name_incarnation",
+]
--- a/gypsumrouter/forwarding/answers.py
+++ b/gypsumrouter/forwarding/answers.py
@@ -33,15 +33,24 @@
 
 
 def make_refusal(
-    *, reason: Reason, message: str, request_id: str, left_ms: int, dialect: Dialect
+    *,
+    reason: Reason,
+    message: str,
+    request_id: str,
+    left_ms: int,
+    dialect: Dialect,
+    not_before_ms: int = 0,
 ) -> tuple[web.Response, int]:
     """Return the answer for a request that never ran, and when its caller may come back.
 
     Callers wait for at most a third of the time that they have left, and come back spread over a
-    span, so that they do not all meet the same moment again.
+    span, so that they do not all meet the same moment again; before `not_before_ms` they would be
+    refused again.
     """
-    longest = min(RETRY_AFTER_MAX_MS, int(left_ms * RETRY_AFTER_SHARE))
-    retry_after_ms = random.randint(min(RETRY_AFTER_MIN_MS, longest), max(1, longest))
+    longest = int(left_ms * RETRY_AFTER_SHARE)
+    latest = max(1, min(not_before_ms + RETRY_AFTER_MAX_MS, longest))
+    soonest = min(not_before_ms + RETRY_AFTER_MIN_MS, latest)
+    retry_after_ms = random.randint(soonest, latest)
     failure = Refused(reason=reason, message=message, retry_after_ms=retry_after_ms)
     response = make_error_response(rejection=Rejection(failure=failure), request_id=request_id)
     response.headers[HEADER_RETRY_AFTER] = dialect.format_retry_after(retry_after_ms)
--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -79,7 +79,7 @@
                 self.entry, repeatable=repeatable, timeout_ms=self.sending.deadline_ms
             )
         except ConnectFailed as error:
-            return NotReached(reason=str(error))
+            return NotReached(reason=str(error), refused=error.refused)
         self._connection = leased.connection
         self.kept = leased.kept
         return None
--- /dev/null
+++ b/gypsumrouter/forwarding/eligibility.py
@@ -0,0 +1,91 @@
+"""Which upstreams may get a new request now; first tries, second tries and resumes all ask here."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+
+from msgspec import Struct
+
+from gypsumrouter.directory import Entry, Evacuations
+from gypsumrouter.forwarding.health import HealthBook
+from gypsumrouter.forwarding.slow_start import SlowStartBook
+from gypsumrouter.mechanisms import Mechanism
+from gypsumrouter.outcomes import Reason
+
+
+class NoPlace(Struct, frozen=True, kw_only=True):
+    """No upstream may get a request now; another try is of no use before `not_before_ms`."""
+
+    reason: Reason
+    message: str
+    not_before_ms: int = 0
+
+
+NOTHING_LEFT = NoPlace(reason=Reason.NO_INSTANCE, message="No upstream can take the request")
+ALL_EVACUATED = NoPlace(reason=Reason.EVACUATED, message="All upstreams left are evacuated")
+
+
+class Eligibility:
+    """Tells upstreams that take new work from those that are evacuated, lost or warming up."""
+
+    __slots__ = ("_evacuations", "_health", "_rest_when_down", "_slow_start", "_warm_first")
+
+    def __init__(
+        self,
+        *,
+        evacuations: Evacuations,
+        health: HealthBook,
+        slow_start: SlowStartBook,
+        without: frozenset[Mechanism],
+    ) -> None:
+        self._evacuations = evacuations
+        self._health = health
+        self._slow_start = slow_start
+        self._rest_when_down = Mechanism.REST_WHEN_DOWN not in without
+        self._warm_first = Mechanism.WARM_FIRST not in without
+
+    def is_evacuated(self, entry: Entry) -> bool:
+        """Return whether an upstream gets nothing new by the operator's word."""
+        return self._evacuations.is_active(entry.data_centre)
+
+    def select(
+        self, entries: Iterable[Entry], *, passed_over: Collection[str]
+    ) -> tuple[Entry, ...] | NoPlace:
+        """Return those of a service's upstreams that may get a request, at least one of them."""
+        left = tuple(entry for entry in entries if entry.incarnation not in passed_over)
+        if not left:
+            return NOTHING_LEFT
+        settled = tuple(entry for entry in left if not self.is_evacuated(entry))
+        if not settled:
+            return ALL_EVACUATED
+        reachable = settled
+        if self._rest_when_down:
+            reachable = tuple(e for e in settled if not self._health.is_down(e.incarnation))
+        return self._select_warm(reachable or settled, settled)
+
+    def _select_warm(
+        self, reachable: tuple[Entry, ...], settled: tuple[Entry, ...]
+    ) -> tuple[Entry, ...] | NoPlace:
+        """Return the upstreams that are warm, or those that warm up at which it is our turn."""
+        warm = tuple(e for e in reachable if not self._slow_start.is_warming(e.incarnation))
+        if warm and self._warm_first:
+            return warm
+        warming = tuple(
+            e
+            for e in reachable
+            if self._slow_start.is_warming(e.incarnation)
+            and self._slow_start.has_turn(e.incarnation)
+        )
+        if warm or warming:
+            return warm + warming
+        # One that took no connection a moment ago is better than none.
+        resting = tuple(e for e in settled if not self._slow_start.is_warming(e.incarnation))
+        return resting or self._make_refusal(settled)
+
+    def _make_refusal(self, settled: tuple[Entry, ...]) -> NoPlace:
+        waits_ms = (self._slow_start.get_wait_ms(entry.incarnation) for entry in settled)
+        return NoPlace(
+            reason=Reason.WARMING_UP,
+            message="All upstreams warm up and have as much as they bear",
+            not_before_ms=min(waits_ms),
+        )
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -9,7 +9,7 @@
 
 from gypsumrouter.callers import CallerConnection, CallerListener, CallerServer, HeadLimits
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory
+from gypsumrouter.directory import Directory, Evacuations
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.connections import UpstreamConnections
 from gypsumrouter.forwarding.const import CALLER_SPARE_MS, LEAVING_MS
@@ -22,6 +22,7 @@
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.run import RunParts
+from gypsumrouter.forwarding.slow_start import SlowStartBook
 from gypsumrouter.forwarding.suspects import Suspects
 from gypsumrouter.instances import Address, parse_address
 from gypsumrouter.journal import Journal
@@ -65,6 +66,7 @@
         journal: Journal,
         routing: RoutingStore,
         directory: Directory,
+        evacuations: Evacuations,
         dialect: Dialect,
         read_request: ReadRequest,
         ask_held: AskHeld,
@@ -74,11 +76,20 @@
         self._directory = directory
         bounds = settings.bounds
         health = HealthBook(clock=app.clock, journal=journal)
+        slow_start = SlowStartBook(
+            clock=app.clock,
+            journal=journal,
+            factor=bounds.warm_up_factor,
+            slack=bounds.warm_up_slack,
+        )
+        routing.on_change(slow_start.take_table)
         self.placer = Placer(
             app=app,
             directory=directory,
             cap=Cap(factor=bounds.cap_factor, slack=bounds.cap_slack),
             health=health,
+            evacuations=evacuations,
+            slow_start=slow_start,
             without=settings.without,
         )
         kept = Mechanism.KEPT_CONNECTIONS not in settings.without
@@ -104,6 +115,7 @@
         self.inventory = Inventory(
             app=app,
             directory=directory,
+            evacuations=evacuations,
             routing=routing,
             placer=self.placer,
             connections=self._connections,
@@ -141,6 +153,7 @@
         self.budget.take_bounds(
             ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_ms=bounds.retry_window_ms
         )
+        self.placer.slow_start.take_bound(factor=bounds.warm_up_factor, slack=bounds.warm_up_slack)
         self._leaving.take_limit(bounds.stop_ms - LEAVING_MARGIN_MS)
 
     async def async_start(self) -> Address:
--- a/gypsumrouter/forwarding/inventory.py
+++ b/gypsumrouter/forwarding/inventory.py
@@ -15,7 +15,13 @@
 
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Entry, EntryState, name_incarnation
+from gypsumrouter.directory import (
+    Directory,
+    Entry,
+    EntryState,
+    Evacuations,
+    name_incarnation,
+)
 from gypsumrouter.forwarding.connections import UpstreamConnections
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.helpers.http_connection import ConnectFailed, ConnectionBroken, HttpConnection
@@ -91,6 +97,7 @@
         "_ask",
         "_connections",
         "_directory",
+        "_evacuations",
         "_peers",
         "_placer",
         "_routing",
@@ -103,6 +110,7 @@
         *,
         app: Application,
         directory: Directory,
+        evacuations: Evacuations,
         routing: RoutingStore,
         placer: Placer,
         connections: UpstreamConnections,
@@ -110,6 +118,7 @@
     ) -> None:
         self._app = app
         self._directory = directory
+        self._evacuations = evacuations
         self._routing = routing
         self._placer = placer
         self._connections = connections
@@ -190,7 +199,9 @@
         entries = [
             record.entry
             for record in self._directory.records()
-            if record.entry.service in engines and record.entry.state is EntryState.READY
+            if record.entry.service in engines
+            and record.entry.state is EntryState.READY
+            and not self._evacuations.is_active(record.entry.data_centre)
         ]
         return sorted(entries, key=lambda entry: entry.incarnation)
 
--- a/gypsumrouter/forwarding/models.py
+++ b/gypsumrouter/forwarding/models.py
@@ -108,9 +108,13 @@
 
 
 class NotReached(Struct, frozen=True, kw_only=True):
-    """No byte was sent: the upstream may be tried again, and so may any other."""
+    """No byte was sent: the upstream may be tried again, and so may any other.
+
+    `refused` says that its machine answered that nobody listens there.
+    """
 
     reason: str
+    refused: bool = False
 
 
 class TurnedAway(Struct, frozen=True, kw_only=True):
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -9,7 +9,8 @@
 from msgspec import Struct
 
 from gypsumrouter.core import Application, Remove
-from gypsumrouter.directory import Directory, Entry, EntryState
+from gypsumrouter.directory import Directory, Entry, EntryState, Evacuation, Evacuations
+from gypsumrouter.forwarding.eligibility import NOTHING_LEFT, Eligibility, NoPlace
 from gypsumrouter.forwarding.health import HealthBook
 from gypsumrouter.forwarding.holdings import HELD_MS, Holdings
 from gypsumrouter.forwarding.loads import LoadBook, UpstreamLoad, get_mean
@@ -22,6 +23,7 @@
     order_by_affinity,
 )
 from gypsumrouter.forwarding.reading import ReadingSpeed
+from gypsumrouter.forwarding.slow_start import SlowStartBook
 from gypsumrouter.mechanisms import Mechanism
 
 # How long a router that has started knows too little of what engines hold.
@@ -77,10 +79,10 @@
         "_cap",
         "_copies",
         "_directory",
+        "_eligibility",
         "_ended_ms",
         "_near_first",
         "_placed_listeners",
-        "_rest_when_down",
         "_stable_order",
         "_started_ms",
         "_weigh_health",
@@ -88,6 +90,7 @@
         "holdings",
         "loads",
         "reading",
+        "slow_start",
     )
 
     def __init__(
@@ -97,6 +100,8 @@
         directory: Directory,
         cap: Cap,
         health: HealthBook,
+        evacuations: Evacuations,
+        slow_start: SlowStartBook,
         without: frozenset[Mechanism] = frozenset(),
     ) -> None:
         self._app = app
@@ -105,19 +110,23 @@
         self._copies = Mechanism.COPIES not in without
         self._stable_order = Mechanism.STABLE_ORDER not in without
         self._near_first = Mechanism.NEAR_FIRST not in without
-        self._rest_when_down = Mechanism.REST_WHEN_DOWN not in without
+        self._eligibility = Eligibility(
+            evacuations=evacuations, health=health, slow_start=slow_start, without=without
+        )
         self._weigh_health = Mechanism.HEALTH not in without
         self._believe_lapsed = Mechanism.LAPSED_BELIEFS not in without
         self._by_service: dict[str, dict[str, Entry]] = {}
         # Incarnations that ended, and when.
         self._ended_ms: dict[str, int] = {}
         self.health = health
+        self.slow_start = slow_start
         self.holdings = Holdings()
         self.reading = ReadingSpeed()
         self.loads = LoadBook(reading=self.reading, reads_on=Mechanism.READING_ON not in without)
         self._placed_listeners: list[PlacedListener] = []
         self._started_ms = app.clock.now_ms()
         directory.on_change(self._take_entry)
+        evacuations.on_change(self._take_evacuation)
 
     def take_cap(self, cap: Cap) -> None:
         """Keep another cap from now on."""
@@ -134,18 +143,17 @@
 
     def place(
         self, *, service: str, prompt: Prompt | None, passed_over: Collection[str]
-    ) -> Placed | None:
-        """Return the best upstream but those passed over; None where there is no other."""
+    ) -> Placed | NoPlace:
+        """Return the best upstream but those passed over, or why there is none."""
         now_ms = self._app.clock.now_ms()
         members = self._by_service.get(service)
         if not members:
-            return None
+            return NOTHING_LEFT
+        entries = self._eligibility.select(members.values(), passed_over=passed_over)
+        if isinstance(entries, NoPlace):
+            return entries
         loads = self.loads.get_all(members, now_ms=now_ms)
         mean = get_mean(loads)
-        entries = [entry for name, entry in members.items() if name not in passed_over]
-        if self._rest_when_down:
-            reachable = [e for e in entries if not self.health.is_down(e.incarnation)]
-            entries = reachable or entries
         shared = () if prompt is None else prompt.shared
         source = self._find_source(shared, now_ms)
         first = _first_in_order(members, shared) if self._stable_order else None
@@ -164,7 +172,7 @@
             read_tokens_per_ms=self.reading.tokens_per_ms,
         )
         if chosen is None:
-            return None
+            return NOTHING_LEFT
         fetches = source is not None and chosen.fetchable_tokens > 0
         return Placed(
             entry=members[chosen.upstream],
@@ -187,6 +195,7 @@
     def note_sent(self, placed: Placed, prompt: Prompt | None) -> Sent:
         """Count a request that is sent, and what its upstream will hold of its prompt."""
         upstream = placed.entry.incarnation
+        self.slow_start.note_sent(upstream)
         if prompt is None:
             self.loads.begin(upstream, tokens=0)
             return Sent(upstream=upstream, tokens=0, new_parts=())
@@ -237,6 +246,7 @@
         Forgotten at once, 51,000 of 172,000 tokens that were read again since their engine had
         ended were read after such lapses (one day's log).
         """
+        self.slow_start.sweep()
         now_ms = self._app.clock.now_ms()
         for incarnation, ended_ms in tuple(self._ended_ms.items()):
             if now_ms - ended_ms >= HELD_MS:
@@ -251,6 +261,9 @@
                 entry = self._directory.get_incarnation(upstream)
                 if entry is None or entry.state is EntryState.GONE:
                     continue
+                # Nothing at all is sent there, not even by another engine.
+                if self._eligibility.is_evacuated(entry):
+                    continue
                 if self.health.is_down(upstream):
                     continue
                 missing = self.holdings.missing_tokens(
@@ -292,7 +305,16 @@
             return 0.0
         return self.health.penalty_ms(entry.incarnation, plain=plain)
 
+    def _take_evacuation(self, evacuation: Evacuation) -> None:
+        if evacuation.active:
+            return
+        for members in self._by_service.values():
+            for entry in members.values():
+                if entry.data_centre == evacuation.data_centre:
+                    self.slow_start.note_reopened(entry)
+
     def _take_entry(self, entry: Entry) -> None:
+        self.slow_start.take_entry(entry)
         for members in self._by_service.values():
             members.pop(entry.incarnation, None)
         if entry.state is EntryState.READY:
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -20,6 +20,7 @@
     RETURN_MS,
     SILENCE_FACTOR,
 )
+from gypsumrouter.forwarding.eligibility import NoPlace
 from gypsumrouter.forwarding.models import (
     Begun,
     CallerRequest,
@@ -127,8 +128,8 @@
                 prompt=self._request.prompt,
                 passed_over=self.progress.passed_over,
             )
-            if placed is None:
-                return self._give_up(Reason.NO_INSTANCE, "No upstream can take the request")
+            if isinstance(placed, NoPlace):
+                return self._give_up(placed.reason, placed.message, placed.not_before_ms)
             response = await self._async_attempt(placed)
             if response is not None:
                 return response
@@ -198,8 +199,10 @@
         """Count an attempt and learn from it; return what it means for the request."""
         upstream = attempt.entry.incarnation
         match outcome:
-            case NotReached(reason=reason):
+            case NotReached(reason=reason, refused=refused):
                 self._parts.placer.health.note_unreachable(upstream, reason=reason)
+                if refused:
+                    self._parts.placer.slow_start.note_refused(attempt.entry)
                 self._parts.connections.forget(upstream)
                 self.progress.not_reached += 1
                 self.progress.passed_over.add(upstream)
@@ -284,7 +287,7 @@
             return False
         return self._parts.suspects.is_suspect(self._digest)
 
-    def _give_up(self, reason: Reason, message: str) -> web.StreamResponse:
+    def _give_up(self, reason: Reason, message: str, not_before_ms: int = 0) -> web.StreamResponse:
         """End a request that no further upstream is asked for."""
         progress = self.progress
         if progress.ran_on or self._relay.response is not None:
@@ -294,6 +297,7 @@
             message=message,
             request_id=self._request.request_id,
             left_ms=self._left_ms(),
+            not_before_ms=not_before_ms,
             dialect=self._parts.dialect,
         )
         progress.outcome = reason.value
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -33,7 +33,14 @@
 
 
 class ConnectFailed(Exception):
-    """No connection could be made, so nothing was sent."""
+    """No connection could be made, so nothing was sent.
+
+    `refused` says that the other machine answered that nobody listens there.
+    """
+
+    def __init__(self, message: str, *, refused: bool = False) -> None:
+        super().__init__(message)
+        self.refused = refused
 
 
 class ConnectionBroken(Exception):
@@ -250,7 +257,8 @@
         raise ConnectFailed(f"no connection within {timeout_ms} ms")
     error = dialing.exception()
     if error is not None:
-        raise ConnectFailed(type(error).__name__) from error
+        refused = isinstance(error, ConnectionRefusedError)
+        raise ConnectFailed(type(error).__name__, refused=refused) from error
     return dialing.result()
 
 
--- a/gypsumrouter/journal/__init__.py
+++ b/gypsumrouter/journal/__init__.py
@@ -7,6 +7,7 @@
     AttemptEnded,
     AttemptSent,
     ConfigurationAccepted,
+    DataCentreEvacuated,
     DependencyLost,
     DependencyRegained,
     Event,
@@ -24,6 +25,7 @@
     SuspectNoted,
     UpstreamChanged,
     UpstreamHealth,
+    UpstreamWarming,
 )
 from gypsumrouter.journal.journal import Journal
 
@@ -32,6 +34,7 @@
     "AttemptEnded",
     "AttemptSent",
     "ConfigurationAccepted",
+    "DataCentreEvacuated",
     "DependencyLost",
     "DependencyRegained",
     "Event",
@@ -50,4 +53,5 @@
     "SuspectNoted",
     "UpstreamChanged",
     "UpstreamHealth",
+    "UpstreamWarming",
 ]
--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -98,6 +98,30 @@
     source: str
 
 
+class DataCentreEvacuated(Event, frozen=True, kw_only=True):
+    """A data centre is evacuated, or takes work again, as of `revision` of the store."""
+
+    name: ClassVar[str] = "data_centre_evacuated"
+    essential: ClassVar[bool] = True
+    data_centre: str
+    active: bool
+    revision: int
+    source: str
+
+
+class UpstreamWarming(Event, frozen=True, kw_only=True):
+    """An upstream takes few requests for another `left_ms`, or as many as others again.
+
+    `reason` is how that became known.
+    """
+
+    name: ClassVar[str] = "upstream_warming"
+    upstream: str
+    warming: bool
+    reason: str
+    left_ms: int
+
+
 class UpstreamHealth(Event, frozen=True, kw_only=True):
     """What the answers of an upstream say of it changed; `failing` is the share that failed."""
 
@@ -243,6 +267,8 @@
     DependencyRegained,
     ConfigurationAccepted,
     UpstreamChanged,
+    DataCentreEvacuated,
+    UpstreamWarming,
     UpstreamHealth,
     PeerNews,
     HeldPartsTold,
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -172,6 +172,13 @@
   strikes @6 :List(Strike);
   dataCentre @7 :Text;
   known @8 :List(RouterAt);
+  evacuations @9 :List(EvacuationTold);
+}
+
+struct EvacuationTold {
+  dataCentre @0 :Text;
+  revision @1 :UInt64;
+  active @2 :Bool;
 }
 
 struct RouterAt {
@@ -193,6 +200,7 @@
   listRevision @3 :UInt64;
   placed @4 :List(PlacedPart);
   strikes @5 :List(Strike);
+  evacuations @6 :List(EvacuationTold);
 }
 
 struct RelayedNews {
@@ -212,11 +220,13 @@
   routingAsOf @1 :UInt64;
   listNewest @2 :UInt64;
   listAsOf @3 :UInt64;
+  evacuations @4 :List(EvacuationTold);
 }
 
 struct RoutingDocument {
   version @0 :UInt64;
   document @1 :Data;
+  evacuations @2 :List(EvacuationTold);
 }
 
 struct ListedUpstream {
@@ -228,6 +238,7 @@
   dataCentre @5 :Text;
   slots @6 :UInt32;
   bornMs @7 :UInt64;
+  coldMs @8 :UInt32;
 }
 
 struct ListedUpstreams {
--- a/gypsumrouter/link/models.py
+++ b/gypsumrouter/link/models.py
@@ -214,14 +214,22 @@
     data_centre: str
 
 
+class EvacuationTold(Struct, frozen=True, kw_only=True):
+    """Whether a data centre is evacuated, as of a revision of the platform's store."""
+
+    data_centre: str
+    revision: int
+    active: bool
+
+
 class RouterNews(Struct, frozen=True, kw_only=True):
     """What routers of one data centre tell each other a few times a second.
 
     `address` is where the sender's link listens and `routers` the links that it knows. The two
     versions are those of the configuration and of the list of upstreams that it acts on. `placed`
     and `strikes` are what is new since its last news on this link. `routers` is empty where they
-    were told a moment ago. `data_centre` is the sender's; to seeds elsewhere it tells no loads and
-    nothing that was placed.
+    were told a moment ago. `evacuations` is all that it knows of them. `data_centre` is the
+    sender's; to seeds elsewhere it tells no loads and nothing that was placed.
     """
 
     address: str
@@ -231,6 +239,7 @@
     loads: tuple[RouterLoad, ...] = ()
     placed: tuple[PlacedPart, ...] = ()
     strikes: tuple[Strike, ...] = ()
+    evacuations: tuple[EvacuationTold, ...] = ()
     data_centre: str = ""
 
 
@@ -259,6 +268,7 @@
     list_revision: int
     placed: tuple[PlacedPart, ...] = ()
     strikes: tuple[Strike, ...] = ()
+    evacuations: tuple[EvacuationTold, ...] = ()
 
 
 class RelayedNews(Struct, frozen=True, kw_only=True):
@@ -274,13 +284,14 @@
 
     `routing_version` and `list_newest` are the newest changes that it acts on; it knows all changes
     up to the two revisions `routing_as_of` and `list_as_of`, which are 0 where it cannot read the
-    store now.
+    store now. All that it knows of evacuations is told as it is.
     """
 
     routing_version: int
     routing_as_of: int
     list_newest: int
     list_as_of: int
+    evacuations: tuple[EvacuationTold, ...] = ()
 
 
 class CatchUp(Struct, frozen=True, kw_only=True):
@@ -295,10 +306,11 @@
 
 
 class RoutingDocument(Struct, frozen=True, kw_only=True):
-    """A version of the routing configuration, as it was published."""
+    """A version of the routing configuration, as it was published, and known evacuations."""
 
     version: int
     document: bytes
+    evacuations: tuple[EvacuationTold, ...] = ()
 
 
 class ListedUpstream(Struct, frozen=True, kw_only=True):
@@ -312,6 +324,7 @@
     data_centre: str = ""
     slots: int = 1
     born_ms: int = 0
+    cold_ms: int = 0
 
 
 class ListedUpstreams(Struct, frozen=True, kw_only=True):
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -10,6 +10,7 @@
     CatchUp,
     DataCentreLoads,
     DataCentreNews,
+    EvacuationTold,
     HeldAt,
     HeldNews,
     ListedUpstream,
@@ -48,6 +49,7 @@
     _set_loads(message, notice.loads)
     _set_placed(message, notice.placed)
     _set_strikes(message, notice.strikes)
+    _set_evacuations(message, notice.evacuations)
     return to_packed(message)
 
 
@@ -65,6 +67,7 @@
             loads=_read_loads(message),
             placed=_read_placed(message),
             strikes=_read_strikes(message),
+            evacuations=_read_evacuations(message),
             data_centre=message.dataCentre,
         )
 
@@ -79,6 +82,7 @@
     _set_data_centre(message.init("loads"), notice.loads)
     _set_placed(message, notice.placed)
     _set_strikes(message, notice.strikes)
+    _set_evacuations(message, notice.evacuations)
     return to_packed(message)
 
 
@@ -92,6 +96,7 @@
             list_revision=message.listRevision,
             placed=_read_placed(message),
             strikes=_read_strikes(message),
+            evacuations=_read_evacuations(message),
         )
 
 
@@ -168,6 +173,25 @@
     )
 
 
+def _set_evacuations(message: Any, evacuations: tuple[EvacuationTold, ...]) -> None:
+    targets = message.init("evacuations", len(evacuations))
+    for target, evacuation in zip(targets, evacuations, strict=True):
+        target.dataCentre = evacuation.data_centre
+        target.revision = evacuation.revision
+        target.active = evacuation.active
+
+
+def _read_evacuations(message: Any) -> tuple[EvacuationTold, ...]:
+    return tuple(
+        EvacuationTold(
+            data_centre=evacuation.dataCentre,
+            revision=evacuation.revision,
+            active=evacuation.active,
+        )
+        for evacuation in message.evacuations
+    )
+
+
 def encode_store_watched(notice: StoreWatched) -> bytes:
     """Return the body of a notice's frame."""
     message = SCHEMA.StoreWatched.new_message(
@@ -176,6 +200,7 @@
         listNewest=notice.list_newest,
         listAsOf=notice.list_as_of,
     )
+    _set_evacuations(message, notice.evacuations)
     return to_packed(message)
 
 
@@ -187,6 +212,7 @@
             routing_as_of=message.routingAsOf,
             list_newest=message.listNewest,
             list_as_of=message.listAsOf,
+            evacuations=_read_evacuations(message),
         )
 
 
@@ -207,13 +233,16 @@
 def encode_routing_document(notice: RoutingDocument) -> bytes:
     """Return the body of a notice's frame, with the document compressed."""
     packed = zlib.compress(notice.document, COMPRESSION)
-    return to_bytes(SCHEMA.RoutingDocument.new_message(version=notice.version, document=packed))
+    message = SCHEMA.RoutingDocument.new_message(version=notice.version, document=packed)
+    _set_evacuations(message, notice.evacuations)
+    return to_bytes(message)
 
 
 def decode_routing_document(body: bytes) -> RoutingDocument:
     """Return a notice from the body of its frame; raises FrameError."""
     with reading(SCHEMA.RoutingDocument, body) as message:
         version, packed = message.version, bytes(message.document)
+        evacuations = _read_evacuations(message)
     unpacker = zlib.decompressobj()
     try:
         document = unpacker.decompress(packed, MAX_DOCUMENT_BYTES)
@@ -221,7 +250,7 @@
         raise FrameError(f"a document that cannot be unpacked: {error}") from None
     if not unpacker.eof:
         raise FrameError("a document that is too long or incomplete")
-    return RoutingDocument(version=version, document=document)
+    return RoutingDocument(version=version, document=document, evacuations=evacuations)
 
 
 def encode_listed_upstreams(notice: ListedUpstreams) -> bytes:
@@ -237,6 +266,7 @@
         target.dataCentre = entry.data_centre
         target.slots = entry.slots
         target.bornMs = entry.born_ms
+        target.coldMs = entry.cold_ms
     return to_bytes(message)
 
 
@@ -254,6 +284,7 @@
                     data_centre=entry.dataCentre,
                     slots=entry.slots,
                     born_ms=entry.bornMs,
+                    cold_ms=entry.coldMs,
                 )
                 for entry in message.entries
             ),
--- a/gypsumrouter/mechanisms.py
+++ b/gypsumrouter/mechanisms.py
@@ -22,6 +22,8 @@
     HEALTH = "health"
     REST_WHEN_DOWN = "rest_when_down"
     LAPSED_BELIEFS = "lapsed_beliefs"
+    # Upstreams that warm up get nothing while a warm one can take it.
+    WARM_FIRST = "warm_first"
     # What a router that starts learns.
     INVENTORY = "inventory"
     TOLD_INVENTORY = "told_inventory"
--- a/gypsumrouter/outcomes.py
+++ b/gypsumrouter/outcomes.py
@@ -35,6 +35,8 @@
     # Membership: never run, worth a try elsewhere.
     LEAVING = "leaving"
     NO_INSTANCE = "no_instance"
+    EVACUATED = "evacuated"
+    WARMING_UP = "warming_up"
     NOT_READY = "not_ready"
     UNREACHABLE = "unreachable"
     WRONG_UPSTREAM = "wrong_upstream"
--- a/gypsumrouter/peers/catch_up.py
+++ b/gypsumrouter/peers/catch_up.py
@@ -7,12 +7,13 @@
 from typing import Final
 
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Entry, EntryState, Record
+from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
 from gypsumrouter.exceptions import DocumentInvalid
 from gypsumrouter.instances import parse_address
 from gypsumrouter.journal import Journal, PeerNews
 from gypsumrouter.link import (
     CatchUp,
+    EvacuationTold,
     ListedUpstream,
     ListedUpstreams,
     NoticeHub,
@@ -21,6 +22,7 @@
     StoreWatched,
 )
 from gypsumrouter.peers.const import BEHIND_MS, CATCH_UP_MS, WATCHED_CATCH_UP_MS
+from gypsumrouter.peers.evacuations import take_evacuations, write_evacuations
 from gypsumrouter.published import WatchState
 from gypsumrouter.routing import RoutingConfiguration, RoutingStore
 
@@ -39,6 +41,7 @@
         "_behind_routing_ms",
         "_decode",
         "_directory",
+        "_evacuations",
         "_journal",
         "_list",
         "_routing",
@@ -54,6 +57,7 @@
         journal: Journal,
         routing: RoutingStore,
         directory: Directory,
+        evacuations: Evacuations,
         notices: NoticeHub,
         decode: Callable[[bytes], RoutingConfiguration],
         routing_state: WatchState,
@@ -63,6 +67,7 @@
         self._journal = journal
         self._routing = routing
         self._directory = directory
+        self._evacuations = evacuations
         self._decode = decode
         self._routing_state = routing_state
         self._list = upstreams
@@ -95,6 +100,7 @@
 
     def take_watched(self, peer: Peer, watched: StoreWatched) -> None:
         """Ask a router that watches for what it knows and this one does not."""
+        self.take_evacuations(peer, watched.evacuations)
         routing = watched.routing_version > self._routing.version
         upstreams = watched.list_newest > self._get_list_as_of()
         if not routing:
@@ -106,6 +112,10 @@
         since = self._get_list_as_of()
         peer.send(CatchUp(routing=routing, upstreams=upstreams, since=since))
 
+    def take_evacuations(self, peer: Peer, told: tuple[EvacuationTold, ...]) -> None:
+        """Take what a peer knows of evacuations, which all news bring whole."""
+        take_evacuations(self._evacuations, told, source=peer.hello.name)
+
     def _is_news(self, watched: StoreWatched) -> bool:
         """Return whether to ask: two watchers tell the same, and only one is asked."""
         now_ms = self._app.clock.now_ms()
@@ -131,7 +141,11 @@
         if ask.routing and table is not None:
             configuration = table.configuration
             peer.send(
-                RoutingDocument(version=configuration.version, document=configuration.document)
+                RoutingDocument(
+                    version=configuration.version,
+                    document=configuration.document,
+                    evacuations=write_evacuations(self._evacuations),
+                )
             )
         if ask.upstreams and self._directory.loaded.is_set():
             records = self._directory.records(since=ask.since)
@@ -139,6 +153,8 @@
             peer.send(ListedUpstreams(entries=entries, as_of=self._get_list_as_of()))
 
     def _take_routing(self, peer: Peer, told: RoutingDocument) -> None:
+        # Before the configuration, with which a router that starts may begin to send.
+        self.take_evacuations(peer, told.evacuations)
         try:
             configuration = self._decode(told.document)
         except DocumentInvalid as error:
@@ -183,6 +199,7 @@
         data_centre=entry.data_centre,
         slots=entry.slots,
         born_ms=entry.born_ms,
+        cold_ms=entry.cold_ms,
     )
 
 
@@ -197,5 +214,6 @@
             data_centre=entry.data_centre,
             slots=entry.slots,
             born_ms=entry.born_ms,
+            cold_ms=entry.cold_ms,
         ),
     )
--- a/gypsumrouter/peers/mesh.py
+++ b/gypsumrouter/peers/mesh.py
@@ -13,7 +13,7 @@
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory
+from gypsumrouter.directory import Directory, Evacuations
 from gypsumrouter.forwarding import Forwarder
 from gypsumrouter.instances import Address, Instance, parse_address
 from gypsumrouter.journal import DependencyLost, DependencyRegained, Journal
@@ -35,6 +35,7 @@
     NEWS_MS_PER_PEER,
     ROUTERS_MS,
 )
+from gypsumrouter.peers.evacuations import write_evacuations
 from gypsumrouter.peers.held import HeldDesk
 from gypsumrouter.peers.loads import read_loads, write_loads
 from gypsumrouter.peers.outbox import Outbox
@@ -55,6 +56,7 @@
         "_app",
         "_catch_up",
         "_directory",
+        "_evacuations",
         "_forwarder",
         "_held",
         "_journal",
@@ -78,6 +80,7 @@
         journal: Journal,
         routing: RoutingStore,
         directory: Directory,
+        evacuations: Evacuations,
         forwarder: Forwarder,
         decode: Callable[[bytes], RoutingConfiguration],
         routing_state: WatchState,
@@ -87,6 +90,7 @@
         self._journal = journal
         self._routing = routing
         self._directory = directory
+        self._evacuations = evacuations
         self._forwarder = forwarder
         self._routers = RouterBook(
             clock=app.clock, own=settings.link_address, data_centre=app.data_centre
@@ -111,6 +115,7 @@
             journal=journal,
             routing=routing,
             directory=directory,
+            evacuations=evacuations,
             notices=notices,
             decode=decode,
             routing_state=routing_state,
@@ -121,6 +126,7 @@
             routers=self._routers,
             routing_store=routing,
             directory=directory,
+            evacuations=evacuations,
             catch_up=self._catch_up,
             notices=notices,
             routing=routing_state,
@@ -131,6 +137,7 @@
             routers=self._routers,
             routing=routing,
             directory=directory,
+            evacuations=evacuations,
             loads=forwarder.placer.loads,
             holdings=forwarder.placer.holdings,
             suspects=forwarder.suspects,
@@ -151,6 +158,7 @@
         self._without = settings.without
         if Mechanism.TOLD_INVENTORY not in settings.without:
             forwarder.inventory.take_peers(self._held)
+        forwarder.placer.slow_start.take_fleet(self._routers)
         notices.subscribe(RouterNews, self._take_news)
         forwarder.placer.on_placed(self._note_placed)
         forwarder.suspects.on_strike(self._note_strike)
@@ -224,6 +232,7 @@
             routers=self._list_routers(known),
             routing_version=self._routing.version,
             list_revision=self._directory.newest,
+            evacuations=write_evacuations(self._evacuations),
             data_centre=self._app.data_centre,
         )
         if not self._routers.is_neighbour(known):
@@ -262,6 +271,7 @@
         known = self._routers.get(news.address)
         if known is not None:
             known.note_heard(peer, data_centre=news.data_centre, now_ms=now_ms)
+        self._catch_up.take_evacuations(peer, news.evacuations)
         for router in news.routers:
             self._learn(router.address, data_centre=router.data_centre)
         if news.data_centre == self._app.data_centre:
--- a/gypsumrouter/peers/relays.py
+++ b/gypsumrouter/peers/relays.py
@@ -15,7 +15,7 @@
 from typing import Final
 
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory
+from gypsumrouter.directory import Directory, Evacuations
 from gypsumrouter.forwarding.holdings import Holdings
 from gypsumrouter.forwarding.loads import LoadBook
 from gypsumrouter.forwarding.suspects import Suspects
@@ -33,6 +33,7 @@
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.peers.catch_up import CatchUpDesk
 from gypsumrouter.peers.const import ROUTERS_MS
+from gypsumrouter.peers.evacuations import write_evacuations
 from gypsumrouter.peers.loads import read_sums, write_sums
 from gypsumrouter.peers.outbox import Outbox
 from gypsumrouter.peers.routers import DataCentre, KnownRouter, RouterBook
@@ -56,6 +57,7 @@
         "_app",
         "_catch_up",
         "_directory",
+        "_evacuations",
         "_far",
         "_heard",
         "_holdings",
@@ -77,6 +79,7 @@
         routers: RouterBook,
         routing: RoutingStore,
         directory: Directory,
+        evacuations: Evacuations,
         loads: LoadBook,
         holdings: Holdings,
         suspects: Suspects,
@@ -89,6 +92,7 @@
         self._routers = routers
         self._routing = routing
         self._directory = directory
+        self._evacuations = evacuations
         self._loads = loads
         self._holdings = holdings
         self._suspects = suspects
@@ -176,6 +180,7 @@
             list_revision=self._directory.newest,
             placed=placed,
             strikes=self._far.strikes(now_ms=self._app.clock.now_ms()),
+            evacuations=write_evacuations(self._evacuations),
         )
 
     def _list_routers(self, name: str, neighbours: dict[str, KnownRouter]) -> tuple[str, ...]:
@@ -194,6 +199,7 @@
             return
         self._take_loads(loads, relay=news.address)
         self._heard[loads.data_centre] = loads
+        self._catch_up.take_evacuations(peer, news.evacuations)
         for part in self._take_placed(news.placed):
             self._near.add_part(part)
         now_ms = self._app.clock.now_ms()
--- a/gypsumrouter/peers/routers.py
+++ b/gypsumrouter/peers/routers.py
@@ -93,11 +93,12 @@
 class RouterBook:
     """All routers that are known, by the address of their link; this router is not among them."""
 
-    __slots__ = ("_clock", "_routers", "data_centre", "data_centres", "own")
+    __slots__ = ("_clock", "_grown_ms", "_routers", "data_centre", "data_centres", "own")
 
     def __init__(self, *, clock: Clock, own: str, data_centre: str) -> None:
         self._clock = clock
         self._routers: dict[str, KnownRouter] = {}
+        self._grown_ms = clock.now_ms()
         self.own = own
         self.data_centre = data_centre
         self.data_centres: dict[str, DataCentre] = {}
@@ -135,6 +136,7 @@
         now_ms = self._clock.now_ms()
         known = KnownRouter(address=address, data_centre=data_centre, seed=seed, now_ms=now_ms)
         self._routers[text] = known
+        self._grown_ms = now_ms
         return known
 
     def is_told(self, text: str) -> bool:
@@ -190,6 +192,23 @@
         """Return the known routers of another data centre, in the order of their addresses."""
         return sorted(t for t, known in self._routers.items() if known.data_centre == name)
 
+    def list_addresses(self) -> tuple[str, ...]:
+        """Return the routers that may live: those that somebody heard of lately, and all seeds."""
+        since_ms = self._clock.now_ms() - FORGET_MS // 2
+        return tuple(
+            text for text, known in self._routers.items() if known.seed or known.seen_ms >= since_ms
+        )
+
+    def get_grown_ms(self) -> int:
+        """Return when a router was last heard of for the first time."""
+        return self._grown_ms
+
+    def has_heard(self) -> bool:
+        """Return whether any other router was ever heard, where there are others."""
+        if not self._routers:
+            return True
+        return any(known.heard_ms != NEVER for known in self._routers.values())
+
     def list_living(self) -> tuple[RouterAt, ...]:
         """Return the routers that somebody heard of lately, for others."""
         since_ms = self._clock.now_ms() - FORGET_MS // 2
--- a/gypsumrouter/peers/watchers.py
+++ b/gypsumrouter/peers/watchers.py
@@ -15,9 +15,10 @@
 from typing import Final
 
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory
+from gypsumrouter.directory import Directory, Evacuations
 from gypsumrouter.link import NoticeHub, Peer, StoreWatched
 from gypsumrouter.peers.catch_up import CatchUpDesk
+from gypsumrouter.peers.evacuations import write_evacuations
 from gypsumrouter.peers.routers import RouterBook
 from gypsumrouter.published import WatchState
 from gypsumrouter.routing import RoutingStore
@@ -47,6 +48,7 @@
         "_app",
         "_catch_up",
         "_directory",
+        "_evacuations",
         "_list",
         "_routers",
         "_routing",
@@ -61,6 +63,7 @@
         routers: RouterBook,
         routing_store: RoutingStore,
         directory: Directory,
+        evacuations: Evacuations,
         catch_up: CatchUpDesk,
         notices: NoticeHub,
         routing: WatchState,
@@ -70,6 +73,7 @@
         self._routers = routers
         self._routing_store = routing_store
         self._directory = directory
+        self._evacuations = evacuations
         self._catch_up = catch_up
         self._routing = routing
         self._list = upstreams
@@ -77,6 +81,7 @@
         notices.subscribe(StoreWatched, self._take)
         directory.on_change(lambda entry: self._tell_soon())
         routing_store.on_change(lambda table: self._tell_soon())
+        evacuations.on_change(lambda evacuation: self._tell_soon())
 
     def async_start(self) -> None:
         """Begin to tell; where others are known, wait for their word before watching."""
@@ -124,6 +129,7 @@
             routing_as_of=_tell_as_of(self._routing),
             list_newest=self._directory.newest,
             list_as_of=self._directory.limit_to_acted_on(_tell_as_of(self._list)),
+            evacuations=write_evacuations(self._evacuations),
         )
 
     def _is_watcher(self, neighbours: Collection[str]) -> bool:
--- a/gypsumrouter/platform/__init__.py
+++ b/gypsumrouter/platform/__init__.py
@@ -5,7 +5,7 @@
 from gypsumrouter.platform.answers import PlatformDialect
 from gypsumrouter.platform.configuration import decode_configuration
 from gypsumrouter.platform.engines import async_list_held
-from gypsumrouter.platform.entries import decode_entry, read_upstream_id
+from gypsumrouter.platform.entries import decode_entry, read_evacuated, read_upstream_id
 from gypsumrouter.platform.requests import read_request
 from gypsumrouter.platform.store import StoreClient
 
@@ -15,6 +15,7 @@
     "async_list_held",
     "decode_configuration",
     "decode_entry",
+    "read_evacuated",
     "read_request",
     "read_upstream_id",
 ]
--- a/gypsumrouter/platform/configuration.py
+++ b/gypsumrouter/platform/configuration.py
@@ -6,6 +6,7 @@
 
 from msgspec import Meta, Struct, field
 
+from gypsumrouter.const import MS_PER_S
 from gypsumrouter.exceptions import ConfigurationInvalid, DocumentInvalid
 from gypsumrouter.routing import (
     CallerLimits,
@@ -14,6 +15,7 @@
     RouteKind,
     RoutingConfiguration,
     Service,
+    SlowStart,
     Target,
     WorkspaceKeys,
 )
@@ -61,6 +63,9 @@
 
     name: str
     max_connections: int = 0
+    # How long an upstream is slow after its start, and how much it takes then.
+    cold_start_s: Annotated[float, Meta(ge=0, le=1e6)] = 0.0
+    cold_per_s: Annotated[float, Meta(ge=0, le=1e9)] = 0.0
     engine: WireEngine | None = None
 
 
@@ -131,7 +136,20 @@
     engine = None
     if service.engine is not None:
         engine = EngineTraits(slots=service.engine.slots, cache_tokens=service.engine.kv_tokens)
-    return Service(name=service.name, max_connections=service.max_connections, engine=engine)
+    return Service(
+        name=service.name,
+        max_connections=service.max_connections,
+        engine=engine,
+        slow_start=_make_slow_start(service),
+    )
+
+
+def _make_slow_start(service: WireService) -> SlowStart | None:
+    if not (service.cold_start_s and service.cold_per_s):
+        return None
+    return SlowStart(
+        duration_ms=int(service.cold_start_s * MS_PER_S), requests_per_s=service.cold_per_s
+    )
 
 
 def _make_workspace(tenant: WireTenant) -> WorkspaceKeys:
--- a/gypsumrouter/platform/entries.py
+++ b/gypsumrouter/platform/entries.py
@@ -44,6 +44,13 @@
     return upstream if ID_PATTERN.fullmatch(upstream) else None
 
 
+def read_evacuated(key: str) -> str | None:
+    """Return the data centre whose evacuation a key names; None where it names none."""
+    if not key.startswith(names.PREFIX_EVACUATIONS):
+        return None
+    return key.removeprefix(names.PREFIX_EVACUATIONS) or None
+
+
 def decode_entry(*, upstream: str, value: bytes | None) -> Entry:
     """Return the product's form of one item; None is one that was removed.
 
--- a/gypsumrouter/platform/names.py
+++ b/gypsumrouter/platform/names.py
@@ -47,7 +47,11 @@
 # Calls of the store.
 CALL_RANGE: Final = "/api/kv-range"
 CALL_WATCH: Final = "/api/kv-watch"
+# What the operator writes: one watch covers the configuration and evacuations.
+PREFIX_OPERATOR: Final = "op/"
 KEY_CONFIGURATION: Final = "op/config"
+# Followed by the name of a data centre; the item exists while it is evacuated.
+PREFIX_EVACUATIONS: Final = "op/evacuate/"
 PREFIX_SERVERS: Final = "servers/"
 
 # Headers that concern one connection only (RFC 9110).
--- a/gypsumrouter/routing/__init__.py
+++ b/gypsumrouter/routing/__init__.py
@@ -9,6 +9,7 @@
     RouteKind,
     RoutingConfiguration,
     Service,
+    SlowStart,
     Target,
     WorkspaceKeys,
 )
@@ -26,6 +27,7 @@
     "RoutingStore",
     "RoutingTable",
     "Service",
+    "SlowStart",
     "Target",
     "WorkspaceKeys",
     "WrongKey",
--- a/gypsumrouter/routing/models.py
+++ b/gypsumrouter/routing/models.py
@@ -61,16 +61,24 @@
     cache_tokens: int
 
 
+class SlowStart(Struct, frozen=True, kw_only=True):
+    """What an upstream bears while it warms up: so many requests a second, for so long."""
+
+    duration_ms: int
+    requests_per_s: float
+
+
 class Service(Struct, frozen=True, kw_only=True):
     """A group of upstreams that can stand in for one another.
 
     `max_connections` is what one upstream accepts from all routers together. `engine` is None for
-    a plain service.
+    a plain service, `slow_start` where upstreams need no time to warm up.
     """
 
     name: str
     max_connections: int
     engine: EngineTraits | None = None
+    slow_start: SlowStart | None = None
 
 
 class WorkspaceKeys(Struct, frozen=True, kw_only=True):
--- a/gypsumrouter/settings.py
+++ b/gypsumrouter/settings.py
@@ -217,7 +217,9 @@
 
     An upstream holds at most `cap_factor` times the mean of its service and `cap_slack` requests.
     All forwarders together may send `retry_ratio` of the requests again within any
-    `retry_window_ms`, and `retry_slack` more. A stop lasts at most `stop_ms`.
+    `retry_window_ms`, and `retry_slack` more. An upstream that warms up gets at most
+    `warm_up_factor` times its published rate of requests in a second, and `warm_up_slack` more. A
+    stop lasts at most `stop_ms`.
     """
 
     cap_factor: PositiveFloat = 2.0
@@ -225,6 +227,8 @@
     retry_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.2
     retry_slack: Annotated[float, Meta(ge=0)] = 50.0
     retry_window_ms: PositiveInt = 10_000
+    warm_up_factor: PositiveFloat = 1.0
+    warm_up_slack: Annotated[float, Meta(ge=0)] = 0.0
     stop_ms: PositiveInt = 8_000
 
 
--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -7,7 +7,7 @@
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Entry, EntryState, Record
+from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
 from gypsumrouter.exceptions import DocumentInvalid
 from gypsumrouter.forwarding.holdings import Holdings
 from gypsumrouter.forwarding.loads import LoadBook, PeerLoads
@@ -18,6 +18,7 @@
 from gypsumrouter.link.const import Kind
 from gypsumrouter.link.notice_codec import decode_notice
 from gypsumrouter.peers.catch_up import CatchUpDesk
+from gypsumrouter.peers.evacuations import write_evacuations
 from gypsumrouter.peers.relays import RelayDesk
 from gypsumrouter.peers.routers import RouterBook
 from gypsumrouter.peers.watchers import WatchDesk
@@ -149,6 +150,7 @@
         self.notices = NoticeHub()
         self.routers = RouterBook(clock=clock, own=self.address, data_centre=zone)
         self.directory = Directory(app=self.app, journal=journal)
+        self.evacuations = Evacuations(app=self.app, journal=journal)
         routing = RoutingStore(app=self.app, journal=journal)
         self.loads = LoadBook()
         self.holdings = Holdings()
@@ -161,6 +163,7 @@
             journal=journal,
             routing=routing,
             directory=self.directory,
+            evacuations=self.evacuations,
             notices=self.notices,
             decode=decode_nothing,
             routing_state=routing_state,
@@ -171,6 +174,7 @@
             routers=self.routers,
             routing_store=routing,
             directory=self.directory,
+            evacuations=self.evacuations,
             catch_up=self.catch_up,
             notices=self.notices,
             routing=routing_state,
@@ -196,6 +200,7 @@
             routers=self.routers,
             routing=routing,
             directory=self.directory,
+            evacuations=self.evacuations,
             loads=self.loads,
             holdings=self.holdings,
             suspects=Suspects(app=self.app, journal=journal),
@@ -311,11 +316,13 @@
         assert known is not None
         peer = MemoryPeer(sender=router, target=other)
         known.note_heard(peer, data_centre=other.app.data_centre, now_ms=self._heard_ms)
-        told = PeerLoads(heard_ms=self._heard_ms, loads=other.loads.own())
-        router.loads.take_peer(other.name, told)
+        loads = PeerLoads(heard_ms=self._heard_ms, loads=other.loads.own())
+        router.loads.take_peer(other.name, loads)
         for part in placed:
             router.holdings.note(part=part.part, upstream=part.upstream, now_ms=self._heard_ms)
         router.relays.note_placed(placed)
+        told = write_evacuations(other.evacuations)
+        router.catch_up.take_evacuations(peer, told)
         router.catch_up.compare(peer, routing_version=0, list_revision=other.directory.newest)
 
 
--- a/tests/peers/test_peers_watchers.py
+++ b/tests/peers/test_peers_watchers.py
@@ -5,7 +5,7 @@
 import pytest
 from peer_fleet import PeerFleet
 
-from gypsumrouter.directory import EntryState
+from gypsumrouter.directory import EntryState, Evacuation
 from gypsumrouter.peers.watchers import MIN_WATCHERS, get_share, is_watcher
 
 # Changes are in force within two seconds at the tightest. A router whose watchers were lost or cut
@@ -134,3 +134,19 @@
     told = fleet.routers[-1].state.as_of
     assert told == fleet.store.revision
     await fleet.async_stop()
+
+
+async def test_a_router_that_cannot_read_the_store_hears_of_evacuations() -> None:
+    fleet = PeerFleet(3, 3, 3)
+    await fleet.async_start()
+    for router in fleet.routers[1:]:
+        router.cut = True
+    evacuation = Evacuation(data_centre="dc-2", revision=500, active=True)
+    fleet.routers[0].evacuations.merge(evacuation, source="platform")
+    await fleet.async_pass(BOUND_MS)
+    assert all(router.evacuations.is_active("dc-2") for router in fleet.routers)
+    ended = Evacuation(data_centre="dc-2", revision=501, active=False)
+    fleet.routers[0].evacuations.merge(ended, source="platform")
+    await fleet.async_pass(BOUND_MS)
+    assert not any(router.evacuations.is_active("dc-2") for router in fleet.routers)
+    await fleet.async_stop()
