Evacuation: at its beginning engines are still copied from

Cause: prompts that only evacuated engines held were read again by those that took over, since nothing was copied from an evacuated data centre.

Change: other engines copy from there within half of the bound on evacuations, counted from when this process heard of it, so that a late word keeps the bound too. A process that has just started does not know how old an evacuation is and copies nothing.

--- a/gypsumrouter/directory/evacuations.py
+++ b/gypsumrouter/directory/evacuations.py
@@ -10,6 +10,8 @@
 from gypsumrouter.core import Application, Remove
 from gypsumrouter.journal import DataCentreEvacuated, Journal
 
+# A process that has just started does not know how old the evacuations are that it hears of.
+YOUNG_MS: Final = 2_000
 # What a store may name; a fleet has a dozen data centres at most.
 MAX_DATA_CENTRES: Final = 1_000
 
@@ -32,10 +34,14 @@
     lost, or a peer that knows less never ends an evacuation: only its removal does.
     """
 
-    __slots__ = ("_evacuations", "_journal", "_listeners")
+    __slots__ = ("_begun_ms", "_clock", "_evacuations", "_journal", "_listeners", "_started_ms")
 
     def __init__(self, *, app: Application, journal: Journal) -> None:
+        self._clock = app.clock
+        self._started_ms = app.clock.now_ms()
         self._journal = journal
+        # When this process heard of evacuations that began while it ran.
+        self._begun_ms: dict[str, int] = {}
         self._evacuations: dict[str, Evacuation] = {}
         self._listeners: list[EvacuationListener] = []
         app.add_dump_section("evacuations", self._dump)
@@ -45,6 +51,11 @@
         known = self._evacuations.get(data_centre)
         return known is not None and known.active
 
+    def get_age_ms(self, data_centre: str) -> int | None:
+        """Return how long ago an evacuation was heard of; None where it may be older than that."""
+        begun_ms = self._begun_ms.get(data_centre)
+        return None if begun_ms is None else self._clock.now_ms() - begun_ms
+
     def list_all(self) -> tuple[Evacuation, ...]:
         """Return all that is known, ended evacuations too, for peers that know less."""
         return tuple(self._evacuations.values())
@@ -70,6 +81,7 @@
         self._evacuations[evacuation.data_centre] = evacuation
         if evacuation.active == (known is not None and known.active):
             return True
+        self._note_begun(evacuation)
         self._journal.record(
             DataCentreEvacuated(
                 data_centre=evacuation.data_centre,
@@ -87,6 +99,13 @@
         self._listeners.append(listener)
         return lambda: self._listeners.remove(listener)
 
+    def _note_begun(self, evacuation: Evacuation) -> None:
+        now_ms = self._clock.now_ms()
+        if evacuation.active and now_ms - self._started_ms >= YOUNG_MS:
+            self._begun_ms[evacuation.data_centre] = now_ms
+        else:
+            self._begun_ms.pop(evacuation.data_centre, None)
+
     def _dump(self) -> object:
         return {
             known.data_centre: {"active": known.active, "revision": known.revision}
--- a/gypsumrouter/forwarding/eligibility.py
+++ b/gypsumrouter/forwarding/eligibility.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable
+from typing import Final
 
 from msgspec import Struct
 
@@ -12,6 +13,10 @@
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.outcomes import Reason
 
+# The part of the bound on evacuations within which an evacuated engine may be copied from: news of
+# the evacuation may be late by the other half.
+COPY_SHARE: Final = 0.5
+
 
 class NoPlace(Struct, frozen=True, kw_only=True):
     """No upstream may get a request now; another try is of no use before `not_before_ms`."""
@@ -28,7 +33,14 @@
 class Eligibility:
     """Tells upstreams that take new work from those that are evacuated, lost or warming up."""
 
-    __slots__ = ("_evacuations", "_health", "_rest_when_down", "_slow_start", "_warm_first")
+    __slots__ = (
+        "_copy_ms",
+        "_evacuations",
+        "_health",
+        "_rest_when_down",
+        "_slow_start",
+        "_warm_first",
+    )
 
     def __init__(
         self,
@@ -36,8 +48,10 @@
         evacuations: Evacuations,
         health: HealthBook,
         slow_start: SlowStartBook,
+        evacuation_ms: int,
         without: frozenset[Mechanism],
     ) -> None:
+        self._copy_ms = evacuation_ms * COPY_SHARE
         self._evacuations = evacuations
         self._health = health
         self._slow_start = slow_start
@@ -48,6 +62,21 @@
         """Return whether an upstream gets nothing new by the operator's word."""
         return self._evacuations.is_active(entry.data_centre)
 
+    def take_evacuation_bound(self, evacuation_ms: int) -> None:
+        """Keep another bound on evacuations from now on."""
+        self._copy_ms = evacuation_ms * COPY_SHARE
+
+    def may_copy_from(self, entry: Entry) -> bool:
+        """Return whether other engines may copy what an upstream holds.
+
+        From an evacuated one only at the beginning: what it holds would else be read again by the
+        engines that take over its prompts.
+        """
+        if not self.is_evacuated(entry):
+            return True
+        age_ms = self._evacuations.get_age_ms(entry.data_centre)
+        return age_ms is not None and age_ms < self._copy_ms
+
     def select(
         self, entries: Iterable[Entry], *, passed_over: Collection[str]
     ) -> tuple[Entry, ...] | NoPlace:
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -90,6 +90,7 @@
             health=health,
             evacuations=evacuations,
             slow_start=slow_start,
+            evacuation_ms=bounds.evacuation_ms,
             without=settings.without,
         )
         kept = Mechanism.KEPT_CONNECTIONS not in settings.without
@@ -149,7 +150,10 @@
 
     def take_bounds(self, bounds: Bounds) -> None:
         """Keep other bounds from now on."""
-        self.placer.take_cap(Cap(factor=bounds.cap_factor, slack=bounds.cap_slack))
+        self.placer.take_bounds(
+            Cap(factor=bounds.cap_factor, slack=bounds.cap_slack),
+            evacuation_ms=bounds.evacuation_ms,
+        )
         self.budget.take_bounds(
             ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_ms=bounds.retry_window_ms
         )
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -102,6 +102,7 @@
         health: HealthBook,
         evacuations: Evacuations,
         slow_start: SlowStartBook,
+        evacuation_ms: int = 0,
         without: frozenset[Mechanism] = frozenset(),
     ) -> None:
         self._app = app
@@ -111,7 +112,11 @@
         self._stable_order = Mechanism.STABLE_ORDER not in without
         self._near_first = Mechanism.NEAR_FIRST not in without
         self._eligibility = Eligibility(
-            evacuations=evacuations, health=health, slow_start=slow_start, without=without
+            evacuations=evacuations,
+            health=health,
+            slow_start=slow_start,
+            evacuation_ms=evacuation_ms,
+            without=without,
         )
         self._weigh_health = Mechanism.HEALTH not in without
         self._believe_lapsed = Mechanism.LAPSED_BELIEFS not in without
@@ -128,9 +133,10 @@
         directory.on_change(self._take_entry)
         evacuations.on_change(self._take_evacuation)
 
-    def take_cap(self, cap: Cap) -> None:
-        """Keep another cap from now on."""
+    def take_bounds(self, cap: Cap, *, evacuation_ms: int) -> None:
+        """Keep another cap and another bound on evacuations from now on."""
         self._cap = cap
+        self._eligibility.take_evacuation_bound(evacuation_ms)
 
     def on_placed(self, listener: PlacedListener) -> Remove:
         """Call `listener` with each shared part that is sent to an upstream, and the upstream."""
@@ -264,8 +270,7 @@
                 entry = self._directory.get_incarnation(upstream)
                 if entry is None or entry.state is EntryState.GONE:
                     continue
-                # Nothing at all is sent there, not even by another engine.
-                if self._eligibility.is_evacuated(entry):
+                if not self._eligibility.may_copy_from(entry):
                     continue
                 if self.health.is_down(upstream):
                     continue
--- a/gypsumrouter/settings.py
+++ b/gypsumrouter/settings.py
@@ -218,8 +218,9 @@
     An upstream holds at most `cap_factor` times the mean of its service and `cap_slack` requests.
     All forwarders together may send `retry_ratio` of the requests again within any
     `retry_window_ms`, and `retry_slack` more. An upstream that warms up gets at most
-    `warm_up_factor` times its published rate of requests in a second, and `warm_up_slack` more. A
-    stop lasts at most `stop_ms`.
+    `warm_up_factor` times its published rate of requests in a second, and `warm_up_slack` more. An
+    evacuated data centre gets nothing any more after `evacuation_ms`. A stop lasts at most
+    `stop_ms`.
     """
 
     cap_factor: PositiveFloat = 2.0
@@ -229,6 +230,7 @@
     retry_window_ms: PositiveInt = 10_000
     warm_up_factor: PositiveFloat = 1.0
     warm_up_slack: Annotated[float, Meta(ge=0)] = 0.0
+    evacuation_ms: NotNegativeInt = 0
     stop_ms: PositiveInt = 8_000
 
 
--- a/tests/directory/test_directory_evacuations.py
+++ b/tests/directory/test_directory_evacuations.py
@@ -9,6 +9,7 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Evacuation, Evacuations
+from gypsumrouter.directory.evacuations import YOUNG_MS
 from gypsumrouter.journal import Journal
 from gypsumrouter.published import Item
 from gypsumrouter.util.clock import ManualClock
@@ -16,9 +17,13 @@
 NAMES = ("dc-a", "dc-b")
 
 
-def make_evacuations() -> Evacuations:
+def make_evacuations(clock: ManualClock | None = None) -> Evacuations:
     app = Application(
-        name="entry-1", role=Role.FORWARDER, data_centre="a", region="r", clock=ManualClock()
+        name="entry-1",
+        role=Role.FORWARDER,
+        data_centre="a",
+        region="r",
+        clock=clock or ManualClock(),
     )
     return Evacuations(app=app, journal=Journal(app=app))
 
@@ -90,3 +95,16 @@
         make("dc-b", 3, active=False),
         make("dc-c", 5),
     ]
+
+
+def test_how_old_an_evacuation_is_only_a_process_knows_that_was_there() -> None:
+    clock = ManualClock()
+    evacuations = make_evacuations(clock)
+    evacuations.merge(make("dc-a", 1), source="p")
+    clock.advance(YOUNG_MS)
+    evacuations.merge(make("dc-b", 2), source="p")
+    clock.advance(500)
+    assert evacuations.get_age_ms("dc-a") is None
+    assert evacuations.get_age_ms("dc-b") == 500
+    evacuations.merge(make("dc-b", 3, active=False), source="p")
+    assert evacuations.get_age_ms("dc-b") is None
--- a/tests/forwarding/test_forwarding_placer.py
+++ b/tests/forwarding/test_forwarding_placer.py
@@ -8,6 +8,7 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuation, Evacuations, Record
+from gypsumrouter.directory.evacuations import YOUNG_MS
 from gypsumrouter.forwarding.eligibility import NoPlace
 from gypsumrouter.forwarding.health import HealthBook
 from gypsumrouter.forwarding.models import Prompt, PromptPart
@@ -23,6 +24,7 @@
 ROUTERS = 20
 PROMPTS = 30
 TOKENS = 10_000
+EVACUATION_MS = 5_000
 
 
 def make_prompt(number: int) -> Prompt:
@@ -49,6 +51,7 @@
             health=HealthBook(clock=clock, journal=journal),
             evacuations=self.evacuations,
             slow_start=SlowStartBook(clock=clock, journal=journal),
+            evacuation_ms=EVACUATION_MS,
         )
         address = Address(host="10.0.0.1", port=80)
         for number, name in enumerate(ENGINES):
@@ -100,3 +103,22 @@
         evacuation = Evacuation(data_centre="dc-1", revision=99, active=True)
         router.evacuations.merge(evacuation, source="test")
     assert count_readings(routers) < 1.5
+
+
+def test_prompts_of_an_evacuated_data_centre_are_copied_at_its_beginning_and_never_later() -> None:
+    clock = ManualClock(now_ms=100_000)
+    router = Router(clock, random.Random(3))
+    clock.advance(YOUNG_MS)
+    prompt = make_prompt(1)
+    holder = router.place(1)
+    router.placer.note_held(part=1, upstream=holder)
+    number = ENGINES.index(holder)
+    evacuation = Evacuation(data_centre=f"dc-{number % 3}", revision=99, active=True)
+    router.evacuations.merge(evacuation, source="test")
+    for passed_ms, source in ((0, holder), (EVACUATION_MS // 2, None), (EVACUATION_MS, None)):
+        clock.advance(passed_ms)
+        placed = router.placer.place(service=SERVICE, prompt=prompt, passed_over=())
+        assert not isinstance(placed, NoPlace)
+        assert placed.entry.upstream != holder
+        copied_from = placed.fetch_from
+        assert (None if copied_from is None else copied_from.upstream) == source
