Plain services: what cannot be in time is refused at once; routers spread by their own load

Loads of peers are 0.3 to 0.6 s old: routers that all follow them fill one queue after the other, and routers that all refuse by them let the upstreams fall idle.

--- a/gypsumrouter/forwarding/eligibility.py
+++ b/gypsumrouter/forwarding/eligibility.py
@@ -30,6 +30,15 @@
 ALL_EVACUATED = NoPlace(reason=Reason.EVACUATED, message="All upstreams left are evacuated")
 
 
+def make_hopeless(late_ms: float) -> NoPlace:
+    """Return the refusal of a request whose answer would come so much too late."""
+    return NoPlace(
+        reason=Reason.TARGET_HOPELESS,
+        message="The upstreams have more waiting than they serve in time",
+        not_before_ms=int(late_ms),
+    )
+
+
 class Eligibility:
     """Tells upstreams that take new work from those that are evacuated, lost or warming up."""
 
--- a/gypsumrouter/forwarding/loads.py
+++ b/gypsumrouter/forwarding/loads.py
@@ -118,6 +118,10 @@
                 sums[upstream] = load if known is None else _add(known, load)
         return sums
 
+    def get_own(self, upstream: str) -> int:
+        """Return how many requests this router has at an upstream."""
+        return self._running.get(upstream, 0)
+
     def get(self, upstream: str, *, now_ms: int) -> UpstreamLoad:
         """Return an upstream's load over all routers."""
         self._drop_silent(now_ms)
--- a/gypsumrouter/forwarding/placement.py
+++ b/gypsumrouter/forwarding/placement.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterable, Sequence
 from typing import Final
 
@@ -45,7 +46,8 @@
 class Candidate(Struct, kw_only=True):
     """One upstream as it looks for one request.
 
-    `load` counts the requests that all routers have there, `pending_tokens` the prompt tokens that
+    `load` counts the requests that all routers have there, `own_load` those of this one,
+    `pending_tokens` the prompt tokens that
     wait to be read there, `missing_tokens` those of this prompt that it has to read, of which
     `fetchable_tokens` can be copied from another engine. `stranger` is one that does not come
     first in the stable order of a prompt that nobody holds.
@@ -56,6 +58,7 @@
     load: int
     slots: int
     near: bool
+    own_load: int = 0
     pending_tokens: int = 0
     missing_tokens: int = 0
     fetchable_tokens: int = 0
@@ -131,6 +134,27 @@
     return cost + candidate.penalty_ms
 
 
+def choose_plain(candidates: Sequence[Candidate], *, cap: Cap, mean: float) -> Candidate | None:
+    """Return an upstream for a request without a prompt; None where there is no candidate.
+
+    The fewest of this router's own requests decide, then chance. What peers told is some hundred
+    milliseconds old: where all routers follow it, they all turn to the same upstream, fill its
+    queue, and turn away from it together.
+    """
+    if not candidates:
+        return None
+    allowed = [c for c in candidates if cap.allows(load=c.load, mean=mean)] or candidates
+    fewest = min(map(_count_own, allowed))
+    equals = [c for c in allowed if _count_own(c) == fewest]
+    weights = [1 / (1 + c.load) for c in equals]
+    return random.choices(equals, weights)[0]
+
+
+def _count_own(candidate: Candidate) -> int:
+    """Return this router's requests there; what failed there counts as some more of them."""
+    return candidate.own_load + int(candidate.penalty_ms / WAIT_MS)
+
+
 def choose_by_affinity(upstreams: Iterable[str], *, affinity: int) -> str:
     """Return the first upstream in the stable order of a prompt; there has to be one."""
     seed = affinity.to_bytes(8, "little")
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -10,7 +10,7 @@
 
 from gypsumrouter.core import Application, Remove
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuation, Evacuations
-from gypsumrouter.forwarding.eligibility import NOTHING_LEFT, Eligibility, NoPlace
+from gypsumrouter.forwarding.eligibility import NOTHING_LEFT, Eligibility, NoPlace, make_hopeless
 from gypsumrouter.forwarding.health import HealthBook
 from gypsumrouter.forwarding.holdings import HELD_MS, Holdings
 from gypsumrouter.forwarding.loads import LoadBook, UpstreamLoad, get_mean
@@ -21,8 +21,10 @@
     Cap,
     choose,
     choose_by_affinity,
+    choose_plain,
 )
 from gypsumrouter.forwarding.reading import ReadingSpeed
+from gypsumrouter.forwarding.service_time import EXPECTED_SHARE, FairShare, ServiceTimes, expect_ms
 from gypsumrouter.forwarding.slow_start import SlowStartBook
 from gypsumrouter.mechanisms import Mechanism
 
@@ -81,8 +83,11 @@
         "_directory",
         "_eligibility",
         "_ended_ms",
+        "_fair_share",
         "_near_first",
         "_placed_listeners",
+        "_refuses_hopeless",
+        "_spreads_plain",
         "_stable_order",
         "_started_ms",
         "_weigh_health",
@@ -90,6 +95,7 @@
         "holdings",
         "loads",
         "reading",
+        "service_times",
         "slow_start",
     )
 
@@ -127,6 +133,10 @@
         self.slow_start = slow_start
         self.holdings = Holdings()
         self.reading = ReadingSpeed()
+        self.service_times = ServiceTimes()
+        self._fair_share = FairShare()
+        self._spreads_plain = Mechanism.PLAIN_SPREAD not in without
+        self._refuses_hopeless = Mechanism.HOPELESS_REFUSED not in without
         self.loads = LoadBook(reading=self.reading, reads_on=Mechanism.READING_ON not in without)
         self._placed_listeners: list[PlacedListener] = []
         self._started_ms = app.clock.now_ms()
@@ -148,9 +158,17 @@
         return self._by_service.get(service, {}).values()
 
     def place(
-        self, *, service: str, prompt: Prompt | None, passed_over: Collection[str]
+        self,
+        *,
+        service: str,
+        prompt: Prompt | None,
+        passed_over: Collection[str],
+        limit_ms: int | None = None,
     ) -> Placed | NoPlace:
-        """Return the best upstream but those passed over, or why there is none."""
+        """Return the best upstream but those passed over, or why there is none.
+
+        A plain request is not taken where its answer is expected later than in `limit_ms`.
+        """
         now_ms = self._app.clock.now_ms()
         members = self._by_service.get(service)
         if not members:
@@ -172,16 +190,14 @@
             )
             for entry in entries
         }
-        chosen = choose(
-            tuple(candidates.values()),
-            cap=self._cap,
-            mean=mean,
-            shared_tokens=sum(part.tokens for part in shared),
-            known=source is not None,
-            read_tokens_per_ms=self.reading.tokens_per_ms,
-        )
+        chosen = self._choose(tuple(candidates.values()), prompt, mean, source)
         if chosen is None:
             return NOTHING_LEFT
+        if prompt is None and limit_ms is not None and self._refuses_hopeless:
+            late_ms = self._expect_late_ms(service, chosen, limit_ms)
+            if not self._has_part(service, entries, now_ms) and late_ms > 0:
+                return make_hopeless(late_ms)
+            self._fair_share.spend(service)
         fetches = source is not None and chosen.fetchable_tokens > 0
         return Placed(
             entry=members[chosen.upstream],
@@ -194,6 +210,54 @@
             probably_held=source is None and chosen.upstream == first and self._is_young(now_ms),
         )
 
+    def _choose(
+        self,
+        candidates: tuple[Candidate, ...],
+        prompt: Prompt | None,
+        mean: float,
+        source: Source | None,
+    ) -> Candidate | None:
+        if prompt is None and self._spreads_plain:
+            return choose_plain(candidates, cap=self._cap, mean=mean)
+        shared = () if prompt is None else prompt.shared
+        return choose(
+            candidates,
+            cap=self._cap,
+            mean=mean,
+            shared_tokens=sum(part.tokens for part in shared),
+            known=source is not None,
+            read_tokens_per_ms=self.reading.tokens_per_ms,
+        )
+
+    def _has_part(self, service: str, entries: Collection[Entry], now_ms: int) -> bool:
+        """Return whether this router has a part left of what a service's upstreams serve."""
+        served_per_ms = 0.0
+        for entry in entries:
+            service_ms = self.service_times.get(service=service, upstream=entry.incarnation)
+            if service_ms:
+                served_per_ms += entry.slots / service_ms
+        per_ms = served_per_ms / self.slow_start.count_routers()
+        return self._fair_share.has_left(service, per_ms=per_ms, now_ms=now_ms)
+
+    def _expect_late_ms(self, service: str, chosen: Candidate, limit_ms: int) -> float:
+        """Return by how much the answer of an upstream is expected later than `limit_ms`."""
+        service_ms = self.service_times.get(service=service, upstream=chosen.upstream)
+        if service_ms is None or chosen.load < chosen.slots:
+            return 0.0
+        expected_ms = expect_ms(load=chosen.load, slots=chosen.slots, service_ms=service_ms)
+        return expected_ms - limit_ms * EXPECTED_SHARE
+
+    def note_answered(self, placed: Placed, *, elapsed_ms: int) -> None:
+        """Note a whole answer of a plain upstream."""
+        entry = placed.entry
+        self.service_times.note(
+            service=entry.service,
+            upstream=entry.incarnation,
+            load=placed.load,
+            slots=entry.slots,
+            elapsed_ms=elapsed_ms,
+        )
+
     def knows(self, prompt: Prompt) -> bool:
         """Return whether an engine is known that holds a prompt's shared parts."""
         return self._find_source(prompt.shared, self._app.clock.now_ms()) is not None
@@ -300,6 +364,7 @@
             upstream=entry.incarnation,
             load=load.running,
             slots=entry.slots,
+            own_load=self.loads.get_own(entry.incarnation),
             near=not self._near_first or entry.data_centre == self._app.data_centre,
             pending_tokens=load.pending_tokens,
             missing_tokens=missing,
@@ -333,6 +398,7 @@
             else:
                 self.holdings.forget_upstream(entry.incarnation)
             self.health.forget(entry.incarnation)
+            self.service_times.forget(entry.incarnation)
         else:
             self._ended_ms.pop(entry.incarnation, None)
 
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -127,6 +127,7 @@
                 service=self._service,
                 prompt=self._request.prompt,
                 passed_over=self.progress.passed_over,
+                limit_ms=self._get_limit_ms(),
             )
             if isinstance(placed, NoPlace):
                 return self._give_up(placed.reason, placed.message, placed.not_before_ms)
@@ -156,6 +157,7 @@
         try:
             outcome = await self._async_send(attempt)
             self._parts.placer.note_ended(sent)
+            self._note_time(placed, outcome, self._now_ms() - started_ms)
             if isinstance(outcome, Begun):
                 self._parts.placer.note_first_event(sent)
             if isinstance(outcome, NotReached | TurnedAway):
@@ -174,6 +176,13 @@
         progress.in_doubt = False
         return response
 
+    def _note_time(self, placed: Placed, outcome: Outcome, elapsed_ms: int) -> None:
+        """Learn how long a plain upstream takes."""
+        if self._request.prompt is not None or not isinstance(outcome, Whole):
+            return
+        if outcome.status < STATUS_SERVER_ERROR:
+            self._parts.placer.note_answered(placed, elapsed_ms=elapsed_ms)
+
     async def _async_send(self, attempt: Attempt) -> Outcome:
         failed = await attempt.async_connect(repeatable=self._routed.route.repeatable)
         if failed is not None:
@@ -273,6 +282,13 @@
                 self.progress.outcome = "answered"
                 return self._relay.response
 
+    def _get_limit_ms(self) -> int:
+        """Return within what time an answer has its worth: the target, or the caller's time."""
+        target_ms = self._routed.route.target_ms
+        waited_ms = self._now_ms() - self.progress.arrived_ms
+        left_ms = self._left_ms()
+        return min(left_ms, target_ms - waited_ms) if waited_ms < target_ms else left_ms
+
     def _get_allowance(self) -> Allowance:
         route = self._routed.route
         return Allowance(
--- a/gypsumrouter/forwarding/slow_start.py
+++ b/gypsumrouter/forwarding/slow_start.py
@@ -167,6 +167,10 @@
         """Share what upstreams bear with these routers from now on."""
         self._fleet = fleet
 
+    def count_routers(self) -> int:
+        """Return how many routers share what upstreams bear."""
+        return 1 + len(self._fleet.list_addresses())
+
     def take_table(self, table: RoutingTable) -> None:
         """Take what upstreams of each service bear."""
         self._services = {
--- a/gypsumrouter/mechanisms.py
+++ b/gypsumrouter/mechanisms.py
@@ -21,6 +21,7 @@
     NEAR_FIRST = "near_first"
     HEALTH = "health"
     REST_WHEN_DOWN = "rest_when_down"
+    PLAIN_SPREAD = "plain_spread"
     LAPSED_BELIEFS = "lapsed_beliefs"
     # Upstreams that warm up get nothing while a warm one can take it.
     WARM_FIRST = "warm_first"
@@ -28,6 +29,8 @@
     INVENTORY = "inventory"
     TOLD_INVENTORY = "told_inventory"
     # The way of one request.
+    # Plain requests that cannot be answered in time are refused at once.
+    HOPELESS_REFUSED = "hopeless_refused"
     KEPT_CONNECTIONS = "kept_connections"
     SECOND_TRIES = "second_tries"
     SILENCE = "silence"
