Refused connections are told between routers

Cause: an engine that crashed is met by each router for itself: with 26 routers the same refusal is paid for up to 26 times, and a router that never tried does not know that the engine will be warming up when it is back.

Change: news between routers name the upstreams that refused a connection in the last 600 ms; who hears of it leaves them alone for 600 ms and takes them for warming up. A connection that is not answered is not told: it may be the fault of the router that asked.

--- a/gypsumrouter/forwarding/health.py
+++ b/gypsumrouter/forwarding/health.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Final
 
 from gypsumrouter.journal import Journal, UpstreamHealth
@@ -26,12 +27,25 @@
 # An upstream that takes no connection is left alone for this long, doubled with each further try.
 DOWN_FIRST_MS: Final = 300
 DOWN_MAX_MS: Final = 2_000
+# Peers are told for this long that an upstream refused a connection, which takes them two or three
+# news, and leave it alone for so long after each of them. An upstream that is back is tried again
+# by somebody within about 1.5 s.
+REFUSED_TOLD_MS: Final = 600
+REFUSED_HEARD_MS: Final = 600
 
 
 class Evidence:
     """What is known of one upstream: decayed counts of good and failed answers."""
 
-    __slots__ = ("_down_ms", "_failed", "_good", "_noted_ms", "down_until_ms", "healthy")
+    __slots__ = (
+        "_down_ms",
+        "_failed",
+        "_good",
+        "_noted_ms",
+        "down_until_ms",
+        "healthy",
+        "refused_ms",
+    )
 
     def __init__(self) -> None:
         self._good = 0.0
@@ -39,6 +53,8 @@
         self._noted_ms = 0
         self._down_ms = 0
         self.down_until_ms = 0
+        # When it last refused a connection of this router; None where it has answered since.
+        self.refused_ms: int | None = None
         self.healthy = True
 
     @property
@@ -63,6 +79,7 @@
         self.decay(now_ms)
         self._good += 1
         self._down_ms = 0
+        self.refused_ms = None
         self.down_until_ms = 0
 
     def note_failed(self, now_ms: int) -> None:
@@ -115,12 +132,33 @@
         evidence.note_failed(self._clock.now_ms())
         self._tell(upstream, evidence, reason)
 
-    def note_unreachable(self, upstream: str, *, reason: str) -> None:
-        """Note that no connection could be made."""
+    def note_unreachable(self, upstream: str, *, reason: str, refused: bool = False) -> None:
+        """Note that no connection could be made; `refused` where its machine said so itself."""
         evidence = self._get(upstream)
         evidence.note_unreachable(self._clock.now_ms())
+        if refused:
+            evidence.refused_ms = self._clock.now_ms()
         self._tell(upstream, evidence, reason)
 
+    def list_refused(self) -> tuple[str, ...]:
+        """Return the upstreams that refused a connection of this router a moment ago.
+
+        Only a refusal is told: a connection that is not answered may be this router's own fault.
+        """
+        since_ms = self._clock.now_ms() - REFUSED_TOLD_MS
+        return tuple(
+            upstream
+            for upstream, evidence in self._evidence.items()
+            if evidence.refused_ms is not None and evidence.refused_ms > since_ms
+        )
+
+    def take_refused(self, upstreams: Iterable[str]) -> None:
+        """Leave alone what refused a connection of a peer."""
+        until_ms = self._clock.now_ms() + REFUSED_HEARD_MS
+        for upstream in upstreams:
+            evidence = self._get(upstream)
+            evidence.down_until_ms = max(evidence.down_until_ms, until_ms)
+
     def forget(self, upstream: str) -> None:
         """Forget an upstream that ended."""
         self._evidence.pop(upstream, None)
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
 import xxhash
@@ -293,6 +293,20 @@
             alone=placed.pending_tokens == 0 and placed.fetch_from is None,
         )
 
+    def note_unreachable(self, entry: Entry, *, reason: str, refused: bool) -> None:
+        """Note that no connection could be made; `refused` where its machine said so itself."""
+        self.health.note_unreachable(entry.incarnation, reason=reason, refused=refused)
+        if refused:
+            self.slow_start.note_refused(entry)
+
+    def take_refused(self, upstreams: Iterable[str]) -> None:
+        """Take which upstreams refused connections of peers a moment ago."""
+        self.health.take_refused(upstreams)
+        for upstream in upstreams:
+            entry = self._directory.get_incarnation(upstream)
+            if entry is not None and entry.state is not EntryState.GONE:
+                self.slow_start.note_refused(entry)
+
     def note_held(self, *, part: int, upstream: str) -> None:
         """Note a part that an upstream says it holds."""
         self.holdings.note_held(part=part, upstream=upstream, now_ms=self._app.clock.now_ms())
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -209,9 +209,7 @@
         upstream = attempt.entry.incarnation
         match outcome:
             case NotReached(reason=reason, refused=refused):
-                self._parts.placer.health.note_unreachable(upstream, reason=reason)
-                if refused:
-                    self._parts.placer.slow_start.note_refused(attempt.entry)
+                self._parts.placer.note_unreachable(attempt.entry, reason=reason, refused=refused)
                 self._parts.connections.forget(upstream)
                 self.progress.not_reached += 1
                 self.progress.passed_over.add(upstream)
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -173,6 +173,7 @@
   dataCentre @7 :Text;
   known @8 :List(RouterAt);
   evacuations @9 :List(EvacuationTold);
+  refused @10 :List(Text);
 }
 
 struct EvacuationTold {
@@ -201,12 +202,14 @@
   placed @4 :List(PlacedPart);
   strikes @5 :List(Strike);
   evacuations @6 :List(EvacuationTold);
+  refused @7 :List(Text);
 }
 
 struct RelayedNews {
   loads @0 :List(DataCentreLoads);
   placed @1 :List(PlacedPart);
   strikes @2 :List(Strike);
+  refused @3 :List(Text);
 }
 
 struct CatchUp {
--- a/gypsumrouter/link/models.py
+++ b/gypsumrouter/link/models.py
@@ -228,8 +228,9 @@
     `address` is where the sender's link listens and `routers` the links that it knows. The two
     versions are those of the configuration and of the list of upstreams that it acts on. `placed`
     and `strikes` are what is new since its last news on this link. `routers` is empty where they
-    were told a moment ago. `evacuations` is all that it knows of them. `data_centre` is the
-    sender's; to seeds elsewhere it tells no loads and nothing that was placed.
+    were told a moment ago. `evacuations` is all that it knows of them, `refused` names upstreams
+    that refused a connection a moment ago. `data_centre` is the sender's; to seeds elsewhere it
+    tells no loads and nothing that was placed.
     """
 
     address: str
@@ -240,6 +241,7 @@
     placed: tuple[PlacedPart, ...] = ()
     strikes: tuple[Strike, ...] = ()
     evacuations: tuple[EvacuationTold, ...] = ()
+    refused: tuple[str, ...] = ()
     data_centre: str = ""
 
 
@@ -269,6 +271,7 @@
     placed: tuple[PlacedPart, ...] = ()
     strikes: tuple[Strike, ...] = ()
     evacuations: tuple[EvacuationTold, ...] = ()
+    refused: tuple[str, ...] = ()
 
 
 class RelayedNews(Struct, frozen=True, kw_only=True):
@@ -277,6 +280,7 @@
     loads: tuple[DataCentreLoads, ...]
     placed: tuple[PlacedPart, ...] = ()
     strikes: tuple[Strike, ...] = ()
+    refused: tuple[str, ...] = ()
 
 
 class StoreWatched(Struct, frozen=True, kw_only=True):
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -41,6 +41,7 @@
         routingVersion=notice.routing_version,
         listRevision=notice.list_revision,
         dataCentre=notice.data_centre,
+        refused=list(notice.refused),
     )
     known = message.init("known", len(notice.routers))
     for target, router in zip(known, notice.routers, strict=True):
@@ -68,6 +69,7 @@
             placed=_read_placed(message),
             strikes=_read_strikes(message),
             evacuations=_read_evacuations(message),
+            refused=tuple(message.refused),
             data_centre=message.dataCentre,
         )
 
@@ -78,6 +80,7 @@
         address=notice.address,
         routingVersion=notice.routing_version,
         listRevision=notice.list_revision,
+        refused=list(notice.refused),
     )
     _set_data_centre(message.init("loads"), notice.loads)
     _set_placed(message, notice.placed)
@@ -97,12 +100,13 @@
             placed=_read_placed(message),
             strikes=_read_strikes(message),
             evacuations=_read_evacuations(message),
+            refused=tuple(message.refused),
         )
 
 
 def encode_relayed_news(notice: RelayedNews) -> bytes:
     """Return the body of a notice's frame."""
-    message = SCHEMA.RelayedNews.new_message()
+    message = SCHEMA.RelayedNews.new_message(refused=list(notice.refused))
     loads = message.init("loads", len(notice.loads))
     for target, data_centre in zip(loads, notice.loads, strict=True):
         _set_data_centre(target, data_centre)
@@ -118,6 +122,7 @@
             loads=tuple(_read_data_centre(data_centre) for data_centre in message.loads),
             placed=_read_placed(message),
             strikes=_read_strikes(message),
+            refused=tuple(message.refused),
         )
 
 
--- a/gypsumrouter/peers/mesh.py
+++ b/gypsumrouter/peers/mesh.py
@@ -138,8 +138,7 @@
             routing=routing,
             directory=directory,
             evacuations=evacuations,
-            loads=forwarder.placer.loads,
-            holdings=forwarder.placer.holdings,
+            placer=forwarder.placer,
             suspects=forwarder.suspects,
             catch_up=self._catch_up,
             notices=notices,
@@ -237,11 +236,13 @@
         )
         if not self._routers.is_neighbour(known):
             return news
+        placer = self._forwarder.placer
         return replace(
             news,
-            loads=write_loads(self._forwarder.placer.loads),
+            loads=write_loads(placer.loads),
             placed=placed,
             strikes=self._outbox.strikes(now_ms=self._app.clock.now_ms()),
+            refused=placer.health.list_refused(),
         )
 
     def _list_routers(self, known: KnownRouter) -> tuple[RouterAt, ...]:
@@ -296,6 +297,8 @@
         placed = self._list_placed(news)
         for part in placed:
             placer.holdings.note(part=part.part, upstream=part.upstream, now_ms=now_ms)
+        placer.take_refused(news.refused)
+        self._relays.note_refused(news.refused)
         self._relays.note_placed(placed)
         for strike in news.strikes:
             if self._forwarder.suspects.take(
--- a/gypsumrouter/peers/relays.py
+++ b/gypsumrouter/peers/relays.py
@@ -16,8 +16,7 @@
 
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Evacuations
-from gypsumrouter.forwarding.holdings import Holdings
-from gypsumrouter.forwarding.loads import LoadBook
+from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.suspects import Suspects
 from gypsumrouter.link import (
     DataCentreLoads,
@@ -59,10 +58,13 @@
         "_directory",
         "_evacuations",
         "_far",
+        "_far_refused",
         "_heard",
         "_holdings",
         "_loads",
         "_near",
+        "_near_refused",
+        "_placer",
         "_routers",
         "_routers_told_ms",
         "_routing",
@@ -80,8 +82,7 @@
         routing: RoutingStore,
         directory: Directory,
         evacuations: Evacuations,
-        loads: LoadBook,
-        holdings: Holdings,
+        placer: Placer,
         suspects: Suspects,
         catch_up: CatchUpDesk,
         notices: NoticeHub,
@@ -93,8 +94,9 @@
         self._routing = routing
         self._directory = directory
         self._evacuations = evacuations
-        self._loads = loads
-        self._holdings = holdings
+        self._placer = placer
+        self._loads = placer.loads
+        self._holdings = placer.holdings
         self._suspects = suspects
         self._catch_up = catch_up
         self._send = send
@@ -102,6 +104,10 @@
         # What was placed in this data centre, for the others; and in the others, for this one.
         self._far = Outbox()
         self._near = Outbox()
+        # Upstreams that refused a connection: of this data centre, and when that was heard, for the
+        # others; and in the others, for this one.
+        self._far_refused: dict[str, int] = {}
+        self._near_refused: set[str] = set()
         # Loads of other data centres that were heard here and not handed on yet.
         self._heard: dict[str, DataCentreLoads] = {}
         # Data centres that a task of this router tells.
@@ -119,6 +125,11 @@
         for part in parts:
             self._far.add_part(part)
 
+    def note_refused(self, upstreams: Iterable[str]) -> None:
+        """Note what refused a connection of a router of this data centre."""
+        now_ms = self._app.clock.now_ms()
+        self._far_refused.update(dict.fromkeys(upstreams, now_ms))
+
     def note_strike(self, strike: Strike) -> None:
         """Note a strike that was seen in this data centre."""
         self._far.add_strike(strike, now_ms=self._app.clock.now_ms())
@@ -131,6 +142,14 @@
                 self._told.add(name)
                 self._app.async_create_task(self._async_tell(name), f"tell {name}")
             self._hand_on()
+            self._forget_refused()
+
+    def _forget_refused(self) -> None:
+        """Forget what all data centres were told; who still meets it says so again."""
+        since_ms = self._app.clock.now_ms() - 2 * self._get_period_ms()
+        for upstream, heard_ms in tuple(self._far_refused.items()):
+            if heard_ms < since_ms:
+                del self._far_refused[upstream]
 
     def _get_period_ms(self) -> int:
         peers = len(self._told) + len(self._routers.list_neighbours())
@@ -181,6 +200,7 @@
             placed=placed,
             strikes=self._far.strikes(now_ms=self._app.clock.now_ms()),
             evacuations=write_evacuations(self._evacuations),
+            refused=tuple(self._far_refused.keys() | self._placer.health.list_refused()),
         )
 
     def _list_routers(self, name: str, neighbours: dict[str, KnownRouter]) -> tuple[str, ...]:
@@ -200,6 +220,8 @@
         self._take_loads(loads, relay=news.address)
         self._heard[loads.data_centre] = loads
         self._catch_up.take_evacuations(peer, news.evacuations)
+        self._placer.take_refused(news.refused)
+        self._near_refused.update(news.refused)
         for part in self._take_placed(news.placed):
             self._near.add_part(part)
         now_ms = self._app.clock.now_ms()
@@ -217,6 +239,7 @@
             if loads.data_centre != self._app.data_centre:
                 self._take_loads(loads)
         self._take_placed(news.placed)
+        self._placer.take_refused(news.refused)
         self._take_strikes(peer, news.strikes)
 
     def _take_loads(self, loads: DataCentreLoads, *, relay: str = "") -> None:
@@ -244,6 +267,7 @@
     def _hand_on(self) -> None:
         """Tell the neighbours what was heard of other data centres since the last time."""
         loads, self._heard = tuple(self._heard.values()), {}
+        refused, self._near_refused = tuple(self._near_refused), set()
         strikes = self._near.strikes(now_ms=self._app.clock.now_ms())
         groups: dict[int, list[KnownRouter]] = defaultdict(list)
         for known in self._routers.list_neighbours().values():
@@ -252,9 +276,9 @@
         # Most neighbours were told the same, so that the news are put together once.
         for told, group in groups.items():
             placed, end = self._near.since(told)
-            if not (loads or placed or strikes):
+            if not (loads or placed or strikes or refused):
                 continue
-            news = RelayedNews(loads=loads, placed=placed, strikes=strikes)
+            news = RelayedNews(loads=loads, placed=placed, strikes=strikes, refused=refused)
             send_to_all([known.peer for known in group if known.peer is not None], news)
             for known in group:
                 known.relayed = end
--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -9,8 +9,11 @@
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
 from gypsumrouter.exceptions import DocumentInvalid
-from gypsumrouter.forwarding.holdings import Holdings
-from gypsumrouter.forwarding.loads import LoadBook, PeerLoads
+from gypsumrouter.forwarding.health import HealthBook
+from gypsumrouter.forwarding.loads import PeerLoads
+from gypsumrouter.forwarding.placement import Cap
+from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.slow_start import SlowStartBook
 from gypsumrouter.forwarding.suspects import Suspects
 from gypsumrouter.instances import parse_address
 from gypsumrouter.journal import Journal
@@ -152,8 +155,16 @@
         self.directory = Directory(app=self.app, journal=journal)
         self.evacuations = Evacuations(app=self.app, journal=journal)
         routing = RoutingStore(app=self.app, journal=journal)
-        self.loads = LoadBook()
-        self.holdings = Holdings()
+        self.placer = Placer(
+            app=self.app,
+            directory=self.directory,
+            cap=Cap(factor=2.0, slack=3.0),
+            health=HealthBook(clock=clock, journal=journal),
+            evacuations=self.evacuations,
+            slow_start=SlowStartBook(clock=clock, journal=journal),
+        )
+        self.loads = self.placer.loads
+        self.holdings = self.placer.holdings
         # What this router placed since its last news to its neighbours.
         self.placed: list[PlacedPart] = []
         self.state = WatchState(clock=clock)
@@ -201,8 +212,7 @@
             routing=routing,
             directory=self.directory,
             evacuations=self.evacuations,
-            loads=self.loads,
-            holdings=self.holdings,
+            placer=self.placer,
             suspects=Suspects(app=self.app, journal=journal),
             catch_up=self.catch_up,
             notices=self.notices,
@@ -320,6 +330,9 @@
         router.loads.take_peer(other.name, loads)
         for part in placed:
             router.holdings.note(part=part.part, upstream=part.upstream, now_ms=self._heard_ms)
+        refused = other.placer.health.list_refused()
+        router.placer.take_refused(refused)
+        router.relays.note_refused(refused)
         router.relays.note_placed(placed)
         told = write_evacuations(other.evacuations)
         router.catch_up.take_evacuations(peer, told)
--- a/tests/peers/test_peers_relays.py
+++ b/tests/peers/test_peers_relays.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from peer_fleet import FleetRouter, PeerFleet
+from peer_fleet import STEP_MS, FleetRouter, PeerFleet
 
 # What a router tells is known in all data centres after this long: its next news to its neighbours,
 # the next news between data centres, and the next ones there.
@@ -85,3 +85,23 @@
     await fleet.async_start()
     assert {router.routers.count_alive() for router in fleet.routers} == {11}
     await fleet.async_stop()
+
+
+async def test_what_refuses_connections_is_left_alone_everywhere_and_tried_again_soon() -> None:
+    fleet = PeerFleet(4, 4, 2)
+    await fleet.async_start()
+    meets = fleet.routers[5]
+    entry = meets.directory.get("i-1")
+    assert entry is not None
+    meets.placer.note_unreachable(entry, reason="refused", refused=True)
+    # What does not answer may be the fault of the router that asked.
+    meets.placer.health.note_unreachable("i-2", reason="no answer")
+    left: set[str] = set()
+    for _ in range(NEWS_AGE_MS // STEP_MS):
+        await fleet.async_pass(STEP_MS)
+        left |= {r.name for r in fleet.routers if r.placer.health.is_down("i-1")}
+        assert not any(r.placer.health.is_down("i-2") for r in fleet.routers if r is not meets)
+    assert left == {router.name for router in fleet.routers}
+    await fleet.async_pass(1_000)
+    assert not any(router.placer.health.is_down("i-1") for router in fleet.routers)
+    await fleet.async_stop()
