--- /dev/null
+++ b/bench/placement_cost.py
@@ -0,0 +1,112 @@
+"""What a placement costs: processor time by number of upstreams and by what is known of a prompt.
+
+`python -m bench placement-cost [--rounds N]`. Each round places one request and takes it back.
+"""
+
+from __future__ import annotations
+
+import argparse
+import time
+from typing import Final
+
+from bench.report import print_machine, print_result, print_table
+from gypsumrouter.const import EXIT_OK, Role
+from gypsumrouter.core import Application
+from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
+from gypsumrouter.forwarding.eligibility import NoPlace
+from gypsumrouter.forwarding.health import HealthBook
+from gypsumrouter.forwarding.loads import PeerLoads, UpstreamLoad
+from gypsumrouter.forwarding.models import Prompt, PromptPart
+from gypsumrouter.forwarding.placement import Cap
+from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.slow_start import SlowStartBook
+from gypsumrouter.instances import Address
+from gypsumrouter.journal import Journal
+from gypsumrouter.util.clock import ManualClock
+
+ROUNDS: Final = 400
+US_PER_S: Final = 1_000_000
+SERVICE: Final = "models"
+# Upstreams, and routers or data centres that tell their loads.
+SIZES: Final = ((24, 10), (39, 18), (930, 45))
+HELD, UNKNOWN, PLAIN = "held prompt", "unknown prompt", "no prompt"
+
+
+def make_placer(*, upstreams: int, peers: int) -> Placer:
+    """Return a placer that knows its upstreams and what its peers have there."""
+    clock = ManualClock(now_ms=100_000)
+    app = Application(name="r", role=Role.FORWARDER, data_centre="dc-0", region="r", clock=clock)
+    journal = Journal(app=app)
+    directory = Directory(app=app, journal=journal)
+    placer = Placer(
+        app=app,
+        directory=directory,
+        cap=Cap(factor=2.0, slack=2.0),
+        health=HealthBook(clock=clock, journal=journal),
+        evacuations=Evacuations(app=app, journal=journal),
+        slow_start=SlowStartBook(clock=clock, journal=journal),
+    )
+    names = [f"i-{number}" for number in range(upstreams)]
+    for number, name in enumerate(names):
+        entry = Entry(
+            upstream=name,
+            state=EntryState.READY,
+            service=SERVICE,
+            address=Address(host="10.0.0.1", port=80),
+            data_centre=f"dc-{number % 3}",
+            slots=64,
+        )
+        directory.merge(Record(revision=number + 1, entry=entry), source="bench")
+    for peer in range(peers):
+        loads = {name: UpstreamLoad(running=1 + peer % 3, pending_tokens=0) for name in names}
+        placer.loads.take_peer(f"p{peer}", PeerLoads(heard_ms=clock.now_ms(), loads=loads))
+    return placer
+
+
+def make_prompt(number: int) -> Prompt:
+    """Return a prompt of two shared parts and a part of its own."""
+    parts = (
+        PromptPart(part=1, tokens=500),
+        PromptPart(part=1_000 + number, tokens=10_000),
+        PromptPart(part=(number << 20) + 7, tokens=100),
+    )
+    return Prompt(model="m", parts=parts, input_tokens=10_600, max_output_tokens=80)
+
+
+def measure(placer: Placer, case: str, rounds: int) -> float:
+    """Return the processor time of one placement, in microseconds."""
+    spent_s = 0.0
+    for number in range(rounds):
+        prompt = None if case == PLAIN else make_prompt(number)
+        if case == HELD:
+            for part in (1, 1_000 + number):
+                placer.note_held(part=part, upstream="i-7")
+        begin_s = time.process_time()
+        placed = placer.place(service=SERVICE, prompt=prompt, passed_over=(), limit_ms=400)
+        spent_s += time.process_time() - begin_s
+        assert not isinstance(placed, NoPlace)
+    return spent_s / rounds * US_PER_S
+
+
+def main(argv: list[str]) -> int:
+    """Run the bench."""
+    parser = argparse.ArgumentParser(prog="python -m bench placement-cost")
+    parser.add_argument("--rounds", type=int, default=ROUNDS)
+    rounds = parser.parse_args(argv).rounds
+    rows = []
+    result: dict[str, float] = {}
+    for upstreams, peers in SIZES:
+        costs = {
+            case: measure(make_placer(upstreams=upstreams, peers=peers), case, rounds)
+            for case in (HELD, UNKNOWN, PLAIN)
+        }
+        rows.append((upstreams, peers, *(round(cost) for cost in costs.values())))
+        result |= {f"{case} at {upstreams}": round(cost) for case, cost in costs.items()}
+    print_machine()
+    print_table(
+        title="processor time of a placement, microseconds",
+        columns=("upstreams", "peers", HELD, UNKNOWN, PLAIN),
+        rows=rows,
+    )
+    print_result(result)
+    return EXIT_OK
--- a/gypsumrouter/directory/directory.py
+++ b/gypsumrouter/directory/directory.py
@@ -60,8 +60,8 @@
         """Return up to which change this router acts on the list, for peers that know more.
 
         A removal in doubt is not acted on. A router that was cut off from the store alone asks its
-        peers for it, to which the removal is no lapse; waiting for the entry's return instead sent
-        requests to an upstream 2.2 s after it had left (bound 2.0 s, one hunted day).
+        peers for it, to which the removal is no lapse; waiting for the entry's return instead would
+        send requests to an upstream that left longer ago than the bound allows.
         """
         acted_on = (self._records[upstream].revision for upstream in self._doubtful)
         return min(acted_on, default=self._newest)
--- a/gypsumrouter/forwarding/const.py
+++ b/gypsumrouter/forwarding/const.py
@@ -1,4 +1,4 @@
-"""Limits and weights of the forwarder; each says where its figure comes from."""
+"""Limits and weights of the forwarder."""
 
 from __future__ import annotations
 
--- a/gypsumrouter/forwarding/inventory.py
+++ b/gypsumrouter/forwarding/inventory.py
@@ -1,7 +1,7 @@
 """What engines hold when a router starts after a failure: told by a peer, or asked once.
 
 Answers this load: all routers are lost at once and start again knowing nothing, while the engines
-still hold every prompt that is in use. Without it about half of these prompts were read again.
+still hold every prompt that is in use. Without it these prompts are read again.
 """
 
 from __future__ import annotations
@@ -88,8 +88,7 @@
     """Learns what engines hold; `done` is set when all is known that will be.
 
     A peer that lives tells it in one message. Where all routers start together they divide the
-    engines among them. Each router asked all by itself, 25 calls to five engines after one loss of
-    all: calls cost 0.0163 of a day's worth, and 0.0021 since (means of six days).
+    engines among them, since each call delays its engine and is paid for.
     """
 
     __slots__ = (
--- a/gypsumrouter/forwarding/loads.py
+++ b/gypsumrouter/forwarding/loads.py
@@ -30,8 +30,7 @@
 class LoadBook:
     """Adds up what is known of each upstream's load.
 
-    The sums over the peers are kept, since each placement asks for every upstream: with thirty
-    peers and twenty-eight upstreams a placement takes 0.32 ms of a core instead of 0.93 (replay).
+    The sums over the peers are kept, since each placement asks for every upstream.
     """
 
     __slots__ = (
@@ -135,9 +134,8 @@
     def _add_up(self, upstream: str, now_ms: int) -> UpstreamLoad:
         pending = self._pending.get(upstream, 0)
         for peer, tokens in self._told_pending.get(upstream, {}).items():
-            # The engine has read on since. Taken as told, a prompt of 10,000 tokens counted for
-            # 450 ms instead of 125, and requests left for copies elsewhere: 5.7% of all shared
-            # tokens copied instead of 1.8% (replay of thirty routers).
+            # The engine has read on since. Taken as told, a long prompt would count until the next
+            # news, far longer than it is read, and requests would leave for copies elsewhere.
             if not self._reads_on:
                 pending += tokens
                 continue
--- a/gypsumrouter/forwarding/placement.py
+++ b/gypsumrouter/forwarding/placement.py
@@ -18,9 +18,7 @@
 
 # Copying cached tokens from another engine: 10 ms to set it up, and per token more than it takes.
 # A wait behind the engine that holds a prompt costs nothing while its first event is in time; a
-# copy is paid for at once, and pushes out what others use. Weighed by its time alone (400 tokens a
-# millisecond), half of all copies left an engine that could have taken the request: 0.0214 of a
-# day's worth for copies against 0.0102, nothing else changed (mean of six days of one fleet).
+# copy is paid for at once, and pushes out what others use.
 FETCH_SETUP_MS: Final = 10.0
 FETCH_TOKENS_PER_MS: Final = 40.0
 # Reading what another engine holds takes the engine five times as long as the copy and is twice as
@@ -28,9 +26,8 @@
 READ_AGAIN_TOKENS_PER_MS: Final = FETCH_TOKENS_PER_MS / 2
 # Below this a prompt is read faster than a copy is set up.
 MIN_FETCH_TOKENS: Final = 256
-# What one more running request costs the others: 0.08 ms in each of about 25 steps to a first
-# event, 2 ms of the 250 ms that a first event has to spare. Reading a prompt again is paid for each
-# time, so that load counts a quarter of its time; the cap bounds the rest.
+# What one more running request costs the others, in each step to a first event. Reading a prompt
+# again is paid for each time, so that load counts a quarter of its time; the cap bounds the rest.
 LOAD_MS: Final = 0.5
 # What a request that waits for a slot of a plain service costs, in units of its mean service time.
 WAIT_MS: Final = 20.0
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -329,9 +329,8 @@
     def sweep(self) -> None:
         """Forget what upstreams held that ended long ago; call it about once a second.
 
-        An entry may lapse while its upstream lives on, as where its heartbeats are lost on the way.
-        Forgotten at once, 51,000 of 172,000 tokens that were read again since their engine had
-        ended were read after such lapses (one day's log).
+        An entry may lapse while its upstream lives on, as where its heartbeats are lost on the way;
+        forgotten at once, its prompts would be read again after each lapse.
         """
         self.slow_start.sweep()
         now_ms = self._app.clock.now_ms()
--- a/gypsumrouter/helpers/listening.py
+++ b/gypsumrouter/helpers/listening.py
@@ -79,7 +79,7 @@
 def _skip_certificates(settings: dict[str, Any]) -> None:
     """Keep the HTTP library from loading the system's certificates where no link uses TLS.
 
-    It loads them at its import, used or not: 0.06 s of 0.6 s, measured by importtime.
+    It loads them at its import, used or not, which a start on a small core waits for.
     """
     if settings.get("link", {}).get("tls") is None:
         os.environ.setdefault(ENV_CERTIFICATES, os.devnull)
--- a/gypsumrouter/journal/journal.py
+++ b/gypsumrouter/journal/journal.py
@@ -14,7 +14,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 # A request takes four lines where nothing goes wrong: 250 lines a second are about 60 requests a
-# second and 75 KB a second, over twice the 22 that one router carried on the fullest day measured.
+# second and 75 KB a second, what one router carries at the peak of the largest fleet.
 LINES_PER_S: Final = 250
 BURST_LINES: Final = 500
 REPORT_MS: Final = 1_000
--- a/gypsumrouter/peers/const.py
+++ b/gypsumrouter/peers/const.py
@@ -1,4 +1,4 @@
-"""Rates and times of the exchange between routers; each says where its figure comes from."""
+"""Rates and times of the exchange between routers."""
 
 from __future__ import annotations
 
@@ -20,8 +20,7 @@
 # A watcher answers within a few milliseconds; the next one is asked where this one did not.
 WATCHED_CATCH_UP_MS: Final = 150
 # Parts that are kept for a peer that was away, 15 to 25 s of a router's placements, and parts in
-# one news of at most 5 KB. With 20,000 parts each restart of 30 routers was followed by ten seconds
-# in which the smallest of them did little else.
+# one news of at most 5 KB: with many more, the smallest routers do little else after a restart.
 MAX_PLACED: Final = 1_000
 MAX_TOLD: Final = 200
 # Strikes are few and go out with each news for a while, so that lost links cost none.
--- a/gypsumrouter/published/follower.py
+++ b/gypsumrouter/published/follower.py
@@ -15,7 +15,7 @@
 # so that a change is in force within the published bounds of two seconds after trouble has ended.
 WATCH_MS: Final = 2_500
 # Where many routers watch, each may wait longer: each call costs, and the others tell of what one
-# of them missed. 30 routers that waited 2.5 s spent 0.068 of a day's worth on calls.
+# of them missed.
 MAX_WATCH_MS: Final = 15_000
 WATCHERS_PER_WATCH: Final = 4
 # Changes come in bursts, and each one that ends a watch is a call of every router that watches: a
@@ -26,8 +26,7 @@
 BACKOFF_FIRST_MS: Final = 60
 BACKOFF_MAX_MS: Final = 800
 # A router that others watch for hears from them that the store is back. It asks by itself as seldom
-# as the bounds on changes allow: refused calls cost as much as others, and 68 routers that asked
-# every 0.8 s made half of all calls of a day with one outage of three seconds.
+# as the bounds on changes allow: refused calls cost as much as others.
 BACKOFF_IDLE_MAX_MS: Final = 3_000
 
 TakeList = Callable[[Listed], None]
--- a/gypsumrouter/service.py
+++ b/gypsumrouter/service.py
@@ -24,7 +24,7 @@
 STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
 
 # A forwarder must be gone at the end of its stop: what is left is cut and the process ends within
-# this time, measured at 0.1 s on a core's share of 0.8.
+# this time.
 STOP_MARGIN_MS: Final = 500
 
 Setup = Callable[[], Awaitable[Product]]
