--- a/bench/soak.py
+++ b/bench/soak.py
@@ -14,7 +14,7 @@
 import click
 
 from bench.soak_callers import Callers
-from bench.soak_checks import Violation, check_all
+from bench.soak_checks import Violation, check_all, check_cold, check_evacuations
 from bench.soak_faults import Saboteur
 from bench.soak_rig import ENV_KEY, KEY, SoakRig
 
@@ -24,13 +24,18 @@
 MS: Final = 1_000
 
 
-async def async_soak(*, seed: int, seconds: float, folder: Path) -> tuple[dict[str, object], bool]:
-    """Run one seed and return its figures, and whether every promise was kept."""
-    rig = SoakRig(folder=folder)
+async def async_soak(
+    *, seed: int, seconds: float, folder: Path, places: bool = False
+) -> tuple[dict[str, object], bool]:
+    """Run one seed and return its figures, and whether every promise was kept.
+
+    With `places` data centres are evacuated and engines start cold.
+    """
+    rig = SoakRig(folder=folder, places=places)
     try:
         await rig.async_start()
         callers = Callers(rig=rig, seed=seed)
-        saboteur = Saboteur(rig=rig, seed=seed)
+        saboteur = Saboteur(rig=rig, seed=seed, places=places)
         calling = asyncio.create_task(callers.async_run())
         await saboteur.async_run(seconds=seconds)
         await saboteur.async_heal()
@@ -44,6 +49,8 @@
             journals=rig.read_journals(),
             recovered=recovered / PROBES,
         )
+        violations += check_evacuations(rig.read_journals(), rig.data_centres)
+        violations += check_cold(rig.list_runners())
     finally:
         await rig.async_stop()
     figures: dict[str, object] = {
@@ -73,7 +80,10 @@
 @click.option("--seeds", type=int, default=1, help="Run so many seeds, one after the other.")
 @click.option("--minutes", type=float, default=0.0, help="Run fresh seeds for so long.")
 @click.option("--seconds", type=float, default=DEFAULT_S, help="How long faults last in a seed.")
-def soak_command(seed: int | None, seeds: int, minutes: float, seconds: float) -> None:
+@click.option("--places", is_flag=True, help="Evacuate data centres and start engines cold.")
+def soak_command(
+    seed: int | None, seeds: int, minutes: float, seconds: float, places: bool
+) -> None:
     """Run seeds; the last line is one JSON object, the exit code tells of broken promises."""
     first = int(time.time()) % 1_000_000 if minutes else 1
     chosen = [seed] if seed is not None else list(range(first, first + seeds))
@@ -84,7 +94,7 @@
         number = chosen.pop(0) if chosen else first + len(runs)
         with tempfile.TemporaryDirectory() as folder:
             figures, kept = asyncio.run(
-                async_soak(seed=number, seconds=seconds, folder=Path(folder))
+                async_soak(seed=number, seconds=seconds, folder=Path(folder), places=places)
             )
         click.echo(json.dumps(figures))
         runs.append(figures)
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from typing import Any, Final
 
 from msgspec import Struct
 
 from bench.soak_callers import REPEATABLE, CallRecord, make_stream
-from bench.soak_rig import WORKSPACE
+from bench.soak_rig import MAX_COLD, WORKSPACE
 from gypsumrouter.platform import names
+from gypsumrouter.standins import PlatformRunner
 from gypsumrouter.standins.platform_runner import Arrival
 
 MIN_RECOVERED: Final = 0.9
@@ -87,6 +88,32 @@
             yield Violation(promise="wrong workspace", request_id=arrival.request_id)
 
 
+def check_evacuations(
+    journals: Sequence[dict[str, Any]], data_centres: Mapping[str, str]
+) -> Iterator[Violation]:
+    """Check that no router places anything in a data centre that it knows to be evacuated."""
+    evacuated: dict[str, set[str]] = {}
+    for line in journals:
+        active = evacuated.setdefault(line.get("instance", ""), set())
+        match line.get("event"):
+            case "process_started":
+                active.clear()
+            case "data_centre_evacuated" if line["active"]:
+                active.add(line["data_centre"])
+            case "data_centre_evacuated":
+                active.discard(line["data_centre"])
+            case "request_placed" if data_centres.get(line["upstream"]) in active:
+                yield Violation(promise="placed where evacuated", request_id=line["request_id"])
+
+
+def check_cold(runners: Iterable[PlatformRunner]) -> Iterator[Violation]:
+    """Check that no runner got more than it bears after its start."""
+    for runner in runners:
+        densest = runner.count_densest_cold()
+        if densest > MAX_COLD:
+            yield Violation(promise="too much while cold", detail=f"{runner.name} {densest}")
+
+
 def check_versions(journals: Sequence[dict[str, Any]]) -> Iterator[Violation]:
     """Check that no incarnation went back to an older configuration."""
     for line in journals:
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Final
 
-from bench.soak_rig import FORWARDERS, RUNNERS, SoakRig
+from bench.soak_rig import DATA_CENTRES, FORWARDERS, RUNNERS, SoakRig
 from gypsumrouter.standins import BOTH_WAYS, RunnerTrouble, StoreTrouble, Way
 
 MIN_GAP_S: Final = 0.05
@@ -33,7 +33,7 @@
 class Saboteur:
     """Draws faults and heals them; each fault is a task of its own."""
 
-    def __init__(self, *, rig: SoakRig, seed: int) -> None:
+    def __init__(self, *, rig: SoakRig, seed: int, places: bool = False) -> None:
         self._rig = rig
         self._rng = random.Random(seed)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -51,6 +51,9 @@
             "replace": self._async_replace,
             "configure": self._rig.async_configure,
         }
+        if places:
+            self._faults["evacuate"] = self._async_evacuate
+        self._evacuated: set[str] = set()
 
     @property
     def told(self) -> dict[str, int]:
@@ -157,6 +160,18 @@
         service = self._rng.choice(tuple(self._rig.runners))
         await self._rig.async_replace_runner(service, self._rng.randrange(RUNNERS))
 
+    async def _async_evacuate(self) -> None:
+        """Evacuate a data centre for a while; one is always left."""
+        left = [name for name in DATA_CENTRES[1:] if name not in self._evacuated]
+        if not left:
+            return
+        name = self._rng.choice(left)
+        self._evacuated.add(name)
+        await self._rig.async_evacuate(name)
+        await self._async_last()
+        await self._rig.async_reopen(name)
+        self._evacuated.discard(name)
+
     def _draw_ways(self) -> tuple[Way, ...]:
         return self._rng.choice((tuple(BOTH_WAYS), (Way.FORWARD,), (Way.BACK,)))
 
--- a/bench/soak_rig.py
+++ b/bench/soak_rig.py
@@ -7,12 +7,14 @@
 import os
 import signal
 import sys
+import time
 from pathlib import Path
 from typing import Any, Final
 
 from bench.processes import DaemonProcess, async_start_daemon
-from gypsumrouter.const import Role
+from gypsumrouter.const import MS_PER_S, Role
 from gypsumrouter.instances import Address
+from gypsumrouter.platform import names
 from gypsumrouter.standins import FaultProxy, PlatformRunner, PublishedStoreStandin
 from gypsumrouter.standins.listener import PortHolder
 from gypsumrouter.standins.platform_runner import Arrival
@@ -25,12 +27,25 @@
 FORWARDERS: Final = 3
 RUNNERS: Final = 3
 EVENTS: Final = 12
+# With places, runners stand in several data centres, and new engines are cold for so long.
+DATA_CENTRES: Final = ("dc-a", "dc-b", "dc-c")
+COLD_S: Final = 1.5
+COLD_PER_S: Final = 3.0
+COLD_FACTOR: Final = 1.5
+COLD_SLACK: Final = 2.0
+MAX_COLD: Final = COLD_PER_S * COLD_FACTOR + COLD_SLACK
 
 
 class SoakRig:
-    """Starts, kills and restarts forwarders by their own ids, always on the same ports."""
+    """Starts, kills and restarts forwarders by their own ids, always on the same ports.
 
-    def __init__(self, *, folder: Path) -> None:
+    With `places` there are several data centres, which may be evacuated, and engines start cold.
+    """
+
+    def __init__(self, *, folder: Path, places: bool = False) -> None:
+        self._places = places
+        # The data centre of each runner, by its id.
+        self.data_centres: dict[str, str] = {}
         self._folder = folder
         self.store = PublishedStoreStandin()
         self.store_proxies: list[FaultProxy] = []
@@ -62,7 +77,8 @@
             await proxy.async_start()
             self.store_proxies.append(proxy)
         for service, runners in self.runners.items():
-            for runner in runners:
+            for place, runner in enumerate(runners):
+                self._locate(runner, place)
                 await self.async_add_runner(service, runner)
         await self.async_configure()
         starts = (self.async_start_forwarder(number) for number in range(FORWARDERS))
@@ -81,16 +97,37 @@
     async def async_list_runner(self, service: str, runner: PlatformRunner, *, state: str) -> None:
         """Write a runner's entry."""
         address = self._runner_addresses[runner.name]
+        cold_ms = max(0, round((runner.cold_until_s - time.monotonic()) * MS_PER_S))
         await self.store.async_put_runner(
-            runner.name, service=service, address=address, state=state, slots=6
+            runner.name,
+            service=service,
+            address=address,
+            state=state,
+            slots=6,
+            zone=self.data_centres[runner.name],
+            cold_left_ms=cold_ms,
         )
 
+    def _locate(self, runner: PlatformRunner, place: int) -> None:
+        self.data_centres[runner.name] = DATA_CENTRES[place] if self._places else DATA_CENTRES[0]
+
+    async def async_evacuate(self, data_centre: str) -> None:
+        """Ask that nothing new is sent to a data centre."""
+        await self.store.async_put(f"{names.PREFIX_EVACUATIONS}{data_centre}", {})
+
+    async def async_reopen(self, data_centre: str) -> None:
+        """Take a data centre back."""
+        await self.store.async_remove(f"{names.PREFIX_EVACUATIONS}{data_centre}")
+
     async def async_replace_runner(self, service: str, place: int) -> None:
         """Let a new runner take a place; the old one leaves and answers what it has."""
         old = self.runners[service][place]
         new = PlatformRunner(name=f"{old.name}x", events=EVENTS)
         self.runners[service][place] = new
         self._retired.append(old)
+        self._locate(new, place)
+        if self._places and service == "models":
+            new.cold_until_s = time.monotonic() + COLD_S
         await self.async_add_runner(service, new)
         await self.async_list_runner(service, old, state="draining")
 
@@ -105,11 +142,15 @@
             {
                 "version": self.version,
                 "routes": routes,
-                "services": [{"name": "records"}, {"name": "models", "engine": {"slots": 64}}],
+                "services": [{"name": "records"}, self._make_models()],
                 "tenants": [{"name": WORKSPACE, "api_keys": [CALLER_KEY]}],
             }
         )
 
+    def _make_models(self) -> dict[str, Any]:
+        cold = {"cold_start_s": COLD_S, "cold_per_s": COLD_PER_S} if self._places else {}
+        return {"name": "models", "engine": {"slots": 64}, **cold}
+
     async def async_start_forwarder(self, number: int) -> None:
         """Start a forwarder on its ports."""
         callers, link = self._ports[number]
@@ -120,7 +161,11 @@
             "link": {"key_env": ENV_KEY},
             "seeds": [f"127.0.0.1:{other}" for _, other in self._ports],
             "store": str(self.store_proxies[number].address),
-            "bounds": {"stop_ms": 4_000},
+            "bounds": {
+                "stop_ms": 4_000,
+                "warm_up_factor": COLD_FACTOR,
+                "warm_up_slack": COLD_SLACK,
+            },
             "log": {"format": "json"},
         }
         process = await async_start_daemon(
@@ -142,10 +187,13 @@
         """Return the address of a path at a forwarder."""
         return f"http://127.0.0.1:{self._ports[number][0]}{path}"
 
+    def list_runners(self) -> list[PlatformRunner]:
+        """Return all runners, those that were replaced too."""
+        return [*self._retired, *(r for runners in self.runners.values() for r in runners)]
+
     def list_arrivals(self) -> list[Arrival]:
         """Return everything that arrived at any runner."""
-        every = [*self._retired, *(r for runners in self.runners.values() for r in runners)]
-        return [arrival for runner in every for arrival in runner.arrivals]
+        return [arrival for runner in self.list_runners() for arrival in runner.arrivals]
 
     def read_journals(self) -> list[dict[str, Any]]:
         """Return the lines of all forwarders."""
@@ -165,7 +213,7 @@
             await self.async_end_forwarder(number, signal.SIGKILL)
         for proxy in (*self.store_proxies, *self.runner_proxies):
             await proxy.async_stop()
-        for runner in (*self._retired, *(r for rs in self.runners.values() for r in rs)):
+        for runner in self.list_runners():
             await runner.async_stop()
         await self.store.async_stop()
         for holders in self._held:
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import deque
 from collections.abc import Callable
 from enum import StrEnum
@@ -35,13 +36,14 @@
 
 
 class Arrival(Struct, kw_only=True):
-    """A request as a runner got it."""
+    """A request as a runner got it, and when (monotonic seconds)."""
 
     request_id: str
     method: str
     path: str
     headers: CIMultiDict[str]
     body: bytes
+    at_s: float = 0.0
     ran: bool = False
     left: bool = False
 
@@ -61,6 +63,8 @@
         self.arrivals: list[Arrival] = []
         self.held: list[tuple[str, str, int, str]] = []
         self.listed = 0
+        # Until when it bears few requests a second after its start; monotonic seconds.
+        self.cold_until_s = 0.0
         self.on_run: Callable[[], None] = lambda: None
         self.gate = asyncio.Event()
         self.gate.set()
@@ -77,6 +81,11 @@
         """Release everything."""
         await self.listener.async_stop()
 
+    def count_densest_cold(self) -> int:
+        """Return the most requests that came within a second while it was cold."""
+        times = [a.at_s for a in self.arrivals if a.at_s < self.cold_until_s and a.ran]
+        return max((sum(1 for t in times if at <= t < at + 1) for at in times), default=0)
+
     @property
     def ran(self) -> list[str]:
         """Return the ids of the requests that it began to run."""
@@ -93,6 +102,7 @@
             path=request.raw_path,
             headers=CIMultiDict(request.headers),
             body=await request.read(),
+            at_s=time.monotonic(),
         )
         self.arrivals.append(arrival)
         expected = request.headers.get(names.EXPECT_INSTANCE)
--- a/tests/bench/test_bench_soak.py
+++ b/tests/bench/test_bench_soak.py
@@ -10,8 +10,9 @@
 
 from bench.soak import async_soak
 from bench.soak_callers import CallRecord, make_stream
-from bench.soak_checks import check_all
-from bench.soak_rig import ENV_KEY, KEY, WORKSPACE
+from bench.soak_checks import check_all, check_cold, check_evacuations
+from bench.soak_rig import ENV_KEY, KEY, MAX_COLD, WORKSPACE
+from gypsumrouter.standins import PlatformRunner
 from gypsumrouter.standins.platform_runner import Arrival
 
 
@@ -92,6 +93,36 @@
     assert find(make_record(), make_arrival(), recovered=0.5) == ["not recovered"]
 
 
+def test_a_request_placed_in_an_evacuated_data_centre_is_found() -> None:
+    evacuated = {"instance": "entry-1", "event": "data_centre_evacuated", "data_centre": "dc-b"}
+    begun, ended = evacuated | {"active": True}, evacuated | {"active": False}
+    placed = {
+        "instance": "entry-1",
+        "event": "request_placed",
+        "request_id": "r1",
+        "upstream": "i-1",
+    }
+    started = {"instance": "entry-1", "event": "process_started"}
+    elsewhere = placed | {"instance": "entry-2"}
+    places = {"i-1": "dc-b"}
+    assert len(list(check_evacuations((begun, placed), places))) == 1
+    assert not list(check_evacuations((begun, ended, placed), places))
+    assert not list(check_evacuations((begun, started, placed, elsewhere), places))
+
+
+def test_more_than_a_cold_runner_bears_is_found() -> None:
+    runner = PlatformRunner(name="i-1")
+    runner.cold_until_s = 10.0
+    bears = int(MAX_COLD)
+    runner.arrivals = [make_arrival(at_s=8 + number / 100) for number in range(bears)]
+    runner.arrivals.append(make_arrival(at_s=9.5))
+    assert not list(check_cold([runner]))
+    runner.arrivals.append(make_arrival(at_s=8.9))
+    assert len(list(check_cold([runner]))) == 1
+    runner.cold_until_s = 8.05
+    assert not list(check_cold([runner]))
+
+
 # 21: a forwarder that a failed start of another run had left behind called this run's runners, one
 # of which had the port of its store; ports are held for a whole run, each start is waited for.
 @pytest.mark.parametrize("seed", [1, 2, 21])
@@ -102,3 +133,12 @@
     figures, kept = await async_soak(seed=seed, seconds=4.0, folder=tmp_path)
     assert kept, figures["violations"]
     assert figures["answered"]
+
+
+async def test_a_short_soak_with_evacuations_and_cold_engines_keeps_every_promise(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setitem(os.environ, ENV_KEY, KEY)
+    figures, kept = await async_soak(seed=2, seconds=4.0, folder=tmp_path, places=True)
+    assert kept, figures["violations"]
+    assert figures["answered"]
