Placement's values, plain admission and what is followed in modules of their own

Moves only: what was decided of a placement in forwarding/placed.py, the admission of plain requests out of the placer into forwarding/plain_admission.py, the wiring of what is followed into bootstrap_followers.py (placer 423 to 356 lines, bootstrap_forwarder 319 to 195). No behaviour changes.

--- a/bench/placement_strategies.py
+++ b/bench/placement_strategies.py
@@ -14,8 +14,9 @@
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
 from gypsumrouter.forwarding.health import HealthBook
 from gypsumrouter.forwarding.loads import PeerLoads
+from gypsumrouter.forwarding.placed import Placed, Sent
 from gypsumrouter.forwarding.placement import Cap, order_by_affinity
-from gypsumrouter.forwarding.placer import Placed, Placer, Sent
+from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.slow_start import SlowStartBook
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -6,15 +6,15 @@
 from typing import Final
 
 import xxhash
-from msgspec import Struct
 
 from gypsumrouter.core import Application, Remove
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuation, Evacuations
-from gypsumrouter.forwarding.eligibility import NOTHING_LEFT, Eligibility, NoPlace, make_hopeless
+from gypsumrouter.forwarding.eligibility import NOTHING_LEFT, Eligibility, NoPlace
 from gypsumrouter.forwarding.health import HealthBook
 from gypsumrouter.forwarding.holdings import HELD_MS, Holdings
 from gypsumrouter.forwarding.loads import LoadBook, UpstreamLoad, get_mean
 from gypsumrouter.forwarding.models import Prompt, PromptPart
+from gypsumrouter.forwarding.placed import Placed, Sent, Source
 from gypsumrouter.forwarding.placement import (
     MIN_FETCH_TOKENS,
     Candidate,
@@ -23,8 +23,8 @@
     choose_by_affinity,
     choose_plain,
 )
+from gypsumrouter.forwarding.plain_admission import PlainAdmission
 from gypsumrouter.forwarding.reading import ReadingSpeed
-from gypsumrouter.forwarding.service_time import EXPECTED_SHARE, FairShare, ServiceTimes, expect_ms
 from gypsumrouter.forwarding.slow_start import SlowStartBook
 from gypsumrouter.mechanisms import Mechanism
 
@@ -34,43 +34,6 @@
 PlacedListener = Callable[[int, str], None]
 
 
-class Placed(Struct, frozen=True, kw_only=True):
-    """The chosen upstream and the inputs that decided it.
-
-    `probably_held` is a prompt of which this router knows nothing at the first of its order, where
-    routers that know it send it: right after a start that is nearly always where it is cached.
-    """
-
-    entry: Entry
-    load: int
-    mean_load: float
-    missing_tokens: int
-    candidates: int
-    pending_tokens: int = 0
-    fetch_from: Entry | None = None
-    probably_held: bool = False
-
-
-class Source(Struct, frozen=True, kw_only=True):
-    """An upstream from which cached parts can be copied, and what it lacks itself."""
-
-    entry: Entry
-    missing_tokens: int
-
-
-class Sent(Struct, frozen=True, kw_only=True):
-    """What was noted of a request: prompt tokens to read, and parts new to its upstream.
-
-    `alone` says that its prompt is the only one that is to be read there, and nothing is copied.
-    """
-
-    upstream: str
-    tokens: int
-    new_parts: tuple[int, ...]
-    sent_ms: int = 0
-    alone: bool = False
-
-
 class Placer:
     """Chooses an upstream for each attempt."""
 
@@ -83,7 +46,6 @@
         "_directory",
         "_eligibility",
         "_ended_ms",
-        "_fair_share",
         "_near_first",
         "_placed_listeners",
         "_refuses_hopeless",
@@ -94,8 +56,8 @@
         "health",
         "holdings",
         "loads",
+        "plain",
         "reading",
-        "service_times",
         "slow_start",
     )
 
@@ -133,8 +95,7 @@
         self.slow_start = slow_start
         self.holdings = Holdings()
         self.reading = ReadingSpeed()
-        self.service_times = ServiceTimes()
-        self._fair_share = FairShare()
+        self.plain = PlainAdmission(count_routers=slow_start.count_routers)
         self._spreads_plain = Mechanism.PLAIN_SPREAD not in without
         self._refuses_hopeless = Mechanism.HOPELESS_REFUSED not in without
         self.loads = LoadBook(reading=self.reading, reads_on=Mechanism.READING_ON not in without)
@@ -194,10 +155,11 @@
         if chosen is None:
             return NOTHING_LEFT
         if prompt is None and limit_ms is not None and self._refuses_hopeless:
-            late_ms = self._expect_late_ms(service, chosen, limit_ms)
-            if not self._has_part(service, entries, now_ms) and late_ms > 0:
-                return make_hopeless(late_ms)
-            self._fair_share.spend(service)
+            refusal = self.plain.admit(
+                service=service, entries=entries, chosen=chosen, limit_ms=limit_ms, now_ms=now_ms
+            )
+            if refusal is not None:
+                return refusal
         fetches = source is not None and chosen.fetchable_tokens > 0
         return Placed(
             entry=members[chosen.upstream],
@@ -229,35 +191,6 @@
             read_tokens_per_ms=self.reading.tokens_per_ms,
         )
 
-    def _has_part(self, service: str, entries: Collection[Entry], now_ms: int) -> bool:
-        """Return whether this router has a part left of what a service's upstreams serve."""
-        served_per_ms = 0.0
-        for entry in entries:
-            service_ms = self.service_times.get(service=service, upstream=entry.incarnation)
-            if service_ms:
-                served_per_ms += entry.slots / service_ms
-        per_ms = served_per_ms / self.slow_start.count_routers()
-        return self._fair_share.has_left(service, per_ms=per_ms, now_ms=now_ms)
-
-    def _expect_late_ms(self, service: str, chosen: Candidate, limit_ms: int) -> float:
-        """Return by how much the answer of an upstream is expected later than `limit_ms`."""
-        service_ms = self.service_times.get(service=service, upstream=chosen.upstream)
-        if service_ms is None or chosen.load < chosen.slots:
-            return 0.0
-        expected_ms = expect_ms(load=chosen.load, slots=chosen.slots, service_ms=service_ms)
-        return expected_ms - limit_ms * EXPECTED_SHARE
-
-    def note_answered(self, placed: Placed, *, elapsed_ms: int) -> None:
-        """Note a whole answer of a plain upstream."""
-        entry = placed.entry
-        self.service_times.note(
-            service=entry.service,
-            upstream=entry.incarnation,
-            load=placed.load,
-            slots=entry.slots,
-            elapsed_ms=elapsed_ms,
-        )
-
     def knows(self, prompt: Prompt) -> bool:
         """Return whether an engine is known that holds a prompt's shared parts."""
         return self._find_source(prompt.shared, self._app.clock.now_ms()) is not None
@@ -411,7 +344,7 @@
             else:
                 self.holdings.forget_upstream(entry.incarnation)
             self.health.forget(entry.incarnation)
-            self.service_times.forget(entry.incarnation)
+            self.plain.forget(entry.incarnation)
         else:
             self._ended_ms.pop(entry.incarnation, None)
 
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -40,7 +40,8 @@
     decide,
     decide_after_run,
 )
-from gypsumrouter.forwarding.placer import Placed, Placer
+from gypsumrouter.forwarding.placed import Placed
+from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.forwarding.relay import Relay, RelayEnd
 from gypsumrouter.forwarding.story import RequestStory
@@ -181,7 +182,7 @@
         if self._request.prompt is not None or not isinstance(outcome, Whole):
             return
         if outcome.status < STATUS_SERVER_ERROR:
-            self._parts.placer.note_answered(placed, elapsed_ms=elapsed_ms)
+            self._parts.placer.plain.note_answered(placed, elapsed_ms=elapsed_ms)
 
     async def _async_send(self, attempt: Attempt) -> Outcome:
         failed = await attempt.async_connect(repeatable=self._routed.route.repeatable)
--- a/gypsumrouter/forwarding/story.py
+++ b/gypsumrouter/forwarding/story.py
@@ -13,7 +13,7 @@
     TurnedAway,
     Whole,
 )
-from gypsumrouter.forwarding.placer import Placed
+from gypsumrouter.forwarding.placed import Placed
 from gypsumrouter.journal import (
     AttemptEnded,
     AttemptSent,
--- a/tests/directory/test_directory_evacuations.py
+++ b/tests/directory/test_directory_evacuations.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gypsumrouter.bootstrap_forwarder import read_evacuations
+from gypsumrouter.bootstrap_followers import read_evacuations
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Evacuation, Evacuations
--- a/tests/forwarding/test_forwarding_service_time.py
+++ b/tests/forwarding/test_forwarding_service_time.py
@@ -206,7 +206,7 @@
             self._refuse(at_ms, arrival)
             return
         placer.note_sent(placed, None)
-        placer.note_answered(placed, elapsed_ms=round(end_ms - at_ms))
+        placer.plain.note_answered(placed, elapsed_ms=round(end_ms - at_ms))
         self._add(end_ms, Ended(router=arrival.router, upstream=placed.entry.upstream))
         if end_ms - arrival.asked_ms <= self._target_ms:
             self.tally.in_time += 1
--- a/tests/platform/test_platform_entries.py
+++ b/tests/platform/test_platform_entries.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gypsumrouter.bootstrap_forwarder import read_records
+from gypsumrouter.bootstrap_followers import read_records
 from gypsumrouter.directory import EntryState
 from gypsumrouter.exceptions import ConfigurationInvalid, DocumentInvalid
 from gypsumrouter.platform import decode_configuration, decode_entry, read_upstream_id
