--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -23,6 +23,7 @@
     "orders": "bench.orders",
     "decisions": "bench.decisions",
     "placements": "bench.placements",
+    "compare": "bench.compare",
     "placement-cost": "bench.placement_cost",
     "journal": "bench.journal_cost",
     "soak": "bench.soak",
