--- a/bench/compare.py
+++ b/bench/compare.py
@@ -1,7 +1,8 @@
 """Compares ways of deciding over the same loads, paired by seed.
 
-`python -m bench compare [DECISION] [--seeds N]`: each way plays each load with each seed; a table for
-each load has the mean and the spread of what callers got, and the share of seeds that a way won.
+`python -m bench compare [DECISION] [--seeds N]`: each way plays each load with each seed; a table
+for each load has the mean and the spread of what callers got, and the share of seeds that a way
+won.
 """
 
 from __future__ import annotations
@@ -21,6 +22,8 @@
 WORK_MS: Final = 90.0
 # How long each play lasts, in units of a request's work.
 DURATION: Final = 120
+# How much arrives, and how many upstreams serve it.
+PLAIN_LOADS: Final = ((0.6, 3), (0.85, 3), (0.85, 2), (1.0, 3), (1.15, 1), (1.4, 2))
 
 
 class PlainLoad(Struct, frozen=True, kw_only=True):
@@ -64,15 +67,7 @@
             ),
         ),
         loads=tuple(
-            PlainLoad(pressure=pressure, upstreams=upstreams)
-            for pressure, upstreams in (
-                (0.6, 3),
-                (0.85, 3),
-                (0.85, 2),
-                (1.0, 3),
-                (1.15, 1),
-                (1.4, 2),
-            )
+            PlainLoad(pressure=pressure, upstreams=upstreams) for pressure, upstreams in PLAIN_LOADS
         ),
     ),
 }
@@ -96,7 +91,8 @@
     rounds = list(zip(*played.values(), strict=True))
     best = [max(tally.credit for tally in tallies) for tallies in rounds]
     own = [tally.credit for tally in played[name]]
-    return sum(o >= b for o, b in zip(own, best, strict=True)) / len(best)
+    won = sum(1 for o, b in zip(own, best, strict=True) if o >= b)
+    return won / len(best)
 
 
 def print_comparison(load: PlainLoad, played: dict[str, list[Tally]]) -> dict[str, float]:
