--- a/gypsumrouter/forwarding/placement.py
+++ b/gypsumrouter/forwarding/placement.py
@@ -43,11 +43,10 @@
 class Candidate(Struct, kw_only=True):
     """One upstream as it looks for one request.
 
-    `load` counts the requests that all routers have there, `own_load` those of this one,
-    `pending_tokens` the prompt tokens that
-    wait to be read there, `missing_tokens` those of this prompt that it has to read, of which
-    `fetchable_tokens` can be copied from another engine. `stranger` is one that does not come
-    first in the stable order of a prompt that nobody holds.
+    `load` counts the requests that all routers have there, `own_load` those of this one.
+    `pending_tokens` are the prompt tokens that wait to be read there, `missing_tokens` those of
+    this prompt that it has to read, of which `fetchable_tokens` can be copied from another engine.
+    `stranger` is one that does not come first in the stable order of a prompt that nobody holds.
     `penalty_ms` is what its recent failures are expected to cost.
     """
 
--- a/gypsumrouter/forwarding/slow_start.py
+++ b/gypsumrouter/forwarding/slow_start.py
@@ -61,8 +61,8 @@
         """Return whether any other router was ever heard."""
 
 
-class Loner:
-    """A fleet of one router."""
+class SingleRouter:
+    """A fleet without other routers."""
 
     __slots__ = ("own",)
 
@@ -106,7 +106,6 @@
 
     entry: Entry
     until_ms: int
-    reason: str
 
 
 def share_out(*, bound: float, routers: int) -> Pace:
@@ -152,7 +151,7 @@
         self._journal = journal
         self._factor = factor
         self._slack = slack
-        self._fleet: Fleet = Loner()
+        self._fleet: Fleet = SingleRouter()
         self._started_ms = clock.now_ms()
         self._services: dict[str, SlowStart] = {}
         self._warming: dict[str, Warming] = {}
@@ -252,7 +251,7 @@
         upstream = entry.incarnation
         known = self._warming.get(upstream)
         if known is None:
-            self._warming[upstream] = Warming(entry=entry, until_ms=until_ms, reason=reason)
+            self._warming[upstream] = Warming(entry=entry, until_ms=until_ms)
             self._tell(upstream, warming=True, reason=reason, left_ms=duration_ms)
             return
         known.until_ms = max(known.until_ms, until_ms)
