Link: a packed message that breaks off is refused, it ended the process

Only a peer with the key of the links can send one.

Change: before a packed body is read, its words are counted and compared with its table.

Fuzz: every decoder at the platform's edge and between our processes gets sound messages with some bytes changed.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -24,6 +24,7 @@
     "decisions": "bench.decisions",
     "placements": "bench.placements",
     "compare": "bench.compare",
+    "fuzz": "bench.fuzz",
     "placement-cost": "bench.placement_cost",
     "journal": "bench.journal_cost",
     "soak": "bench.soak",
--- /dev/null
+++ b/bench/fuzz.py
@@ -0,0 +1,263 @@
+"""Feeds every decoder with damaged messages: each must decode or refuse them by its own error.
+
+`python -m bench fuzz [--minutes M] [--seed N]`. Messages begin as sound ones, and some of their
+bytes are changed, doubled, cut out or put in. The last line is a JSON object; the exit code tells
+of errors that no caller expects; a line for each has the seed and the round that plays it again.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import sys
+import time
+from collections.abc import Callable
+from typing import Any, Final
+
+from msgspec import Struct
+
+from gypsumrouter.const import EXIT_FAILED, EXIT_OK
+from gypsumrouter.exceptions import DocumentInvalid, SettingsInvalid
+from gypsumrouter.link import (
+    CatchUp,
+    DataCentreLoads,
+    DataCentreNews,
+    EvacuationTold,
+    HeldAt,
+    HeldNews,
+    ListedUpstream,
+    ListedUpstreams,
+    Notice,
+    PlacedPart,
+    RelayedNews,
+    RouterAt,
+    RouterLoad,
+    RouterNews,
+    RoutingDocument,
+    StoreWatched,
+    Strike,
+)
+from gypsumrouter.link.frames import FrameError
+from gypsumrouter.link.notice_codec import decode_notice, encode_notice
+from gypsumrouter.platform import decode_configuration, decode_entry
+from gypsumrouter.platform.store import read_page
+from gypsumrouter.published import StoreUnavailable
+from gypsumrouter.settings import check_forwarder_settings
+
+EXPECTED: Final = (DocumentInvalid, SettingsInvalid, FrameError, StoreUnavailable)
+ROUNDS: Final = 20_000
+S_PER_MINUTE: Final = 60
+# What a message is changed by, beside single bits: ends of numbers, of text and of documents.
+PIECES: Final = (b"\x00", b"\xff", b"\xff\xff\xff\xff", b'"', b"{", b"[", b"null", b"-1", b"1e400")
+MAX_CHANGES: Final = 4
+
+EVACUATION: Final = EvacuationTold(data_centre="dc-a", revision=7, active=True)
+LOADS: Final = (RouterLoad(upstream="i-1", running=3, pending_tokens=900),)
+PLACED: Final = (PlacedPart(part=1 << 60, upstream="i-1"),)
+STRIKES: Final = (Strike(digest=1 << 63, upstream="i-2"),)
+NOTICES: Final[tuple[Notice, ...]] = (
+    RouterNews(
+        address="10.0.0.1:80",
+        routers=(RouterAt(address="10.0.0.2:80", data_centre="dc-a"),),
+        routing_version=3,
+        list_revision=900,
+        loads=LOADS,
+        placed=PLACED,
+        strikes=STRIKES,
+        evacuations=(EVACUATION,),
+        refused=("i-3",),
+        data_centre="dc-a",
+    ),
+    DataCentreNews(
+        address="10.0.0.1:80",
+        loads=DataCentreLoads(data_centre="dc-b", alive=4, routers=("10.0.0.3:80",), loads=LOADS),
+        routing_version=3,
+        list_revision=900,
+        placed=PLACED,
+        strikes=STRIKES,
+        evacuations=(EVACUATION,),
+        refused=("i-3",),
+    ),
+    RelayedNews(
+        loads=(DataCentreLoads(data_centre="dc-b", alive=4, routers=(), loads=LOADS),),
+        placed=PLACED,
+        strikes=STRIKES,
+        refused=("i-3",),
+    ),
+    StoreWatched(
+        routing_version=3,
+        routing_as_of=900,
+        list_newest=880,
+        list_as_of=900,
+        evacuations=(EVACUATION,),
+    ),
+    CatchUp(routing=True, upstreams=True, since=70),
+    RoutingDocument(version=3, document=b"{}" * 40, evacuations=(EVACUATION,)),
+    ListedUpstreams(
+        entries=(
+            ListedUpstream(
+                revision=9,
+                upstream="i-1",
+                state="ready",
+                service="s",
+                address="10.0.0.1:80",
+                data_centre="dc-a",
+                slots=64,
+                born_ms=1_760_000_000_000,
+                cold_ms=2_900,
+            ),
+        ),
+        as_of=900,
+    ),
+    HeldNews(complete=True, engines=(HeldAt(upstream="i-1", parts=(1, 2, 3)),)),
+)
+ENTRY: Final = {
+    "service": "models",
+    "address": "10.1.0.9:8080",
+    "zone": "dc-a",
+    "slots": 64,
+    "state": "ready",
+    "cold_left_ms": 1_200,
+    "born": 1_760_000_000_000,
+}
+ROUTE: Final = {
+    "name": "r",
+    "host": "h",
+    "prefix": "/a/",
+    "kind": "streaming",
+    "service": "models",
+    "timeout_ms": 3_000,
+}
+SERVICE: Final = {
+    "name": "models",
+    "max_connections": 9,
+    "cold_start_s": 3.0,
+    "cold_per_s": 13.0,
+    "engine": {"slots": 64, "kv_tokens": 400_000},
+}
+CONFIGURATION: Final = {
+    "version": 4,
+    "routes": [ROUTE],
+    "services": [SERVICE],
+    "tenants": [{"name": "t", "api_keys": ["k"], "priority": 1}],
+    "limits": {"max_header_bytes": 4_096},
+}
+SETTINGS: Final = {
+    "instance": {"name": "entry-1", "data_centre": "dc-a", "region": "r"},
+    "link": {"key_env": "KEY"},
+    "store": "127.0.0.1:6001",
+    "bounds": {"cap_factor": 2.0, "warm_up_factor": 1.5, "evacuation_ms": 5_000},
+}
+PAGE: Final = {
+    "items": [{"key": "op/evacuate/dc-a", "value": "e30=", "revision": 7}],
+    "events": [{"key": "servers/i-1", "revision": 8, "tombstone": True}],
+    "as_of": 9,
+    "more_pages": False,
+}
+
+
+class Target(Struct, frozen=True, kw_only=True):
+    """A decoder and a sound message for it."""
+
+    name: str
+    decode: Callable[[bytes], object]
+    sound: bytes
+
+
+def list_targets() -> list[Target]:
+    """Return every decoder at the platform's edge and between our processes."""
+    targets = [
+        Target(
+            name="entry",
+            decode=lambda data: decode_entry(upstream="i-1", value=data),
+            sound=json.dumps(ENTRY).encode(),
+        ),
+        Target(
+            name="configuration",
+            decode=decode_configuration,
+            sound=json.dumps(CONFIGURATION).encode(),
+        ),
+        Target(
+            name="settings", decode=check_forwarder_settings, sound=json.dumps(SETTINGS).encode()
+        ),
+        Target(
+            name="list", decode=lambda d: _read_page(d, "items"), sound=json.dumps(PAGE).encode()
+        ),
+        Target(
+            name="watch", decode=lambda d: _read_page(d, "events"), sound=json.dumps(PAGE).encode()
+        ),
+    ]
+    for notice in NOTICES:
+        kind, body = encode_notice(notice)
+        targets.append(
+            Target(
+                name=type(notice).__name__,
+                decode=lambda data, kind=kind: decode_notice(kind, data),  # type: ignore[misc]
+                sound=body,
+            )
+        )
+    return targets
+
+
+def damage(sound: bytes, rng: random.Random) -> bytes:
+    """Return a message with a few changes."""
+    data = bytearray(sound)
+    for _ in range(rng.randint(1, MAX_CHANGES)):
+        at = rng.randrange(len(data) + 1)
+        end = min(len(data), at + rng.randint(1, 8))
+        match rng.randrange(5):
+            case 0 if at < len(data):
+                data[at] ^= 1 << rng.randrange(8)
+            case 1:
+                del data[at:end]
+            case 2:
+                data[at:at] = rng.choice(PIECES)
+            case 3:
+                data[at:at] = data[at:end]
+            case _:
+                data[at:end] = rng.randbytes(end - at)
+    return bytes(data)
+
+
+def fuzz(*, seed: int, rounds: int, ends_s: float | None = None) -> tuple[int, list[str]]:
+    """Return how many messages were decoded or refused, and what went wrong otherwise."""
+    targets = list_targets()
+    wrong: list[str] = []
+    played = 0
+    for number in range(rounds):
+        if ends_s is not None and time.monotonic() >= ends_s:
+            break
+        rng = random.Random(f"{seed}/{number}")
+        target = rng.choice(targets)
+        try:
+            target.decode(damage(target.sound, rng))
+        except EXPECTED:
+            pass
+        except Exception as error:
+            wrong.append(f"seed {seed} round {number} {target.name}: {error!r}")
+        played += 1
+    return played, wrong
+
+
+def main(argv: list[str]) -> int:
+    """Run the bench."""
+    parser = argparse.ArgumentParser(prog="python -m bench fuzz")
+    parser.add_argument("--minutes", type=float, default=0.0)
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args(argv)
+    ends_s = time.monotonic() + arguments.minutes * S_PER_MINUTE if arguments.minutes else None
+    rounds = sys.maxsize if arguments.minutes else ROUNDS
+    played, wrong = fuzz(seed=arguments.seed, rounds=rounds, ends_s=ends_s)
+    for line in wrong:
+        print(line)
+    print(json.dumps({"seed": arguments.seed, "played": played, "wrong": len(wrong)}))
+    return EXIT_FAILED if wrong else EXIT_OK
+
+
+def _read_page(data: bytes, field: str) -> Any:
+    try:
+        document = json.loads(data)
+    except (ValueError, RecursionError):
+        raise StoreUnavailable("the answer is no JSON") from None
+    return read_page(document, field)
--- a/gypsumrouter/link/schema.py
+++ b/gypsumrouter/link/schema.py
@@ -21,6 +21,14 @@
 _READS_PER_WORD: Final = 4
 _SPARE_WORDS: Final = 256
 _UNPACKED_WORDS_PER_BYTE: Final = 4
+# A tag says which of the next eight bytes are there; these two are followed by a count of words.
+_TAG_ZEROS: Final = 0x00
+_TAG_FULL: Final = 0xFF
+# A table of segments has a number of four bytes for each of them, and one for how many there are.
+_SIZE_BYTES: Final = 4
+_MAX_SEGMENTS: Final = 64
+# How many bytes a tag stands for, itself included.
+_TAG_BYTES: Final = bytes(1 + tag.bit_count() for tag in range(256))
 _DECODE_ERRORS: Final = (capnp.KjException, UnicodeError, ValueError, OverflowError)
 
 
@@ -60,6 +68,7 @@
     """
     if len(body) > max_bytes:
         raise FrameError(f"a packed message of {len(body)} bytes is too long")
+    _check_packing(body)
     limit = max_bytes * _UNPACKED_WORDS_PER_BYTE
     try:
         yield kind.from_bytes_packed(body, traversal_limit_in_words=limit)
@@ -67,6 +76,65 @@
         raise FrameError(f"a malformed message: {type(error).__name__}") from None
 
 
+def _check_packing(body: bytes) -> None:
+    """Check that a packed message holds as many words as it says; raises FrameError.
+
+    The library ends the process where a message breaks off before its last word.
+    """
+    words = _count_words(body)
+    segments = 1 + int.from_bytes(_unpack_start(body, _SIZE_BYTES)[:_SIZE_BYTES], "little")
+    if segments > _MAX_SEGMENTS:
+        raise FrameError(f"a malformed message: {segments} segments")
+    table_bytes = _SIZE_BYTES * (1 + segments)
+    table = _unpack_start(body, table_bytes)[:table_bytes]
+    sizes = (
+        int.from_bytes(table[at : at + _SIZE_BYTES], "little")
+        for at in range(_SIZE_BYTES, len(table), _SIZE_BYTES)
+    )
+    # The table fills up its last word.
+    if words != segments // 2 + 1 + sum(sizes):
+        raise FrameError("a malformed message: it breaks off")
+
+
+def _count_words(body: bytes) -> int:
+    """Return how many words a packed message stands for; raises FrameError."""
+    at, words, size = 0, 0, len(body)
+    while at < size:
+        tag = body[at]
+        at += _TAG_BYTES[tag]
+        words += 1
+        if tag in (_TAG_ZEROS, _TAG_FULL):
+            if at >= size:
+                raise FrameError("a malformed message: it breaks off")
+            count = body[at]
+            words += count
+            at += 1 + (count * _WORD_BYTES if tag == _TAG_FULL else 0)
+    if at != size:
+        raise FrameError("a malformed message: it breaks off")
+    return words
+
+
+def _unpack_start(body: bytes, size: int) -> bytes:
+    """Return the first words of a packed message, `size` bytes or some more."""
+    start = bytearray()
+    at = 0
+    while at < len(body) and len(start) < size:
+        tag = body[at]
+        at += 1
+        for bit in range(_WORD_BYTES):
+            present = tag >> bit & 1
+            start.append(body[at] if present else 0)
+            at += present
+        if tag == _TAG_ZEROS:
+            start += bytes(body[at] * _WORD_BYTES)
+            at += 1
+        elif tag == _TAG_FULL:
+            end = at + 1 + body[at] * _WORD_BYTES
+            start += body[at + 1 : end]
+            at = end
+    return bytes(start)
+
+
 def set_pool_load(message: Any, load: PoolLoad | None) -> None:
     """Write a pool's load into a message that has a place for it."""
     if load is None:
--- /dev/null
+++ b/tests/link/test_link_packing.py
@@ -0,0 +1,53 @@
+"""Packed messages that say more than they hold are refused before the library reads them."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gypsumrouter.link import RouterLoad, RouterNews
+from gypsumrouter.link.const import Kind
+from gypsumrouter.link.frames import FrameError
+from gypsumrouter.link.notice_codec import decode_notice, encode_notice
+
+# Its table of segments promises more words than follow, which ended the process that read it.
+BREAKS_OFF = bytes.fromhex(
+    "010303840322112162000011451f115517116117112a111d1711651f110d0eff31302e302e302e3100073a38"
+    "300f64632d6111012207692d3341040211056211092aff31302e302e302e3200073a38300f64632d61510402"
+    "01010303840311012207692d3151040101801011012207692d3151040101808011012207692d325104020101"
+    "07010111012a0f64632d61"
+)
+
+
+def make_news(loads: int) -> RouterNews:
+    return RouterNews(
+        address="10.0.0.1:80",
+        routers=(),
+        routing_version=3,
+        list_revision=900,
+        loads=tuple(
+            RouterLoad(upstream=f"i-{number}", running=number, pending_tokens=number * 997)
+            for number in range(loads)
+        ),
+    )
+
+
+def test_a_message_that_breaks_off_before_its_last_word_is_refused() -> None:
+    with pytest.raises(FrameError):
+        decode_notice(Kind.ROUTER_NEWS, BREAKS_OFF)
+
+
+@pytest.mark.parametrize("loads", [0, 1, 40, 930])
+def test_messages_of_one_and_of_several_segments_are_read(loads: int) -> None:
+    news = make_news(loads)
+    kind, body = encode_notice(news)
+    assert decode_notice(kind, body) == news
+
+
+@given(st.binary(max_size=64))
+def test_bytes_at_random_are_read_or_refused(body: bytes) -> None:
+    try:
+        decode_notice(Kind.ROUTER_NEWS, body)
+    except FrameError:
+        return
