--- a/bench/soak_rig.py
+++ b/bench/soak_rig.py
@@ -27,6 +27,7 @@
 FORWARDERS: Final = 3
 RUNNERS: Final = 3
 EVENTS: Final = 12
+EVENT_STARTED: Final = "process_started"
 # With places, runners stand in several data centres, and new engines are cold for so long.
 DATA_CENTRES: Final = ("dc-a", "dc-b", "dc-c")
 COLD_S: Final = 1.5
@@ -57,6 +58,8 @@
             for service in ("records", "models")
         }
         self.runner_proxies: list[FaultProxy] = []
+        # The tasks that copy what forwarders write, by their number.
+        self._copies: dict[int, asyncio.Task[None]] = {}
         self.forwarders: list[DaemonProcess | None] = [None] * FORWARDERS
         # Bound for the whole run: another run's listener on a port that is free for a moment would
         # be called by forwarders that mean this one.
@@ -172,8 +175,20 @@
             role=Role.FORWARDER, settings=settings, folder=self._folder
         )
         self.forwarders[number] = process
+        await self._async_follow(number, process)
+
+    async def _async_follow(self, number: int, process: DaemonProcess) -> None:
+        """Copy what a process writes, after all that the one before it wrote."""
+        earlier = self._copies.get(number)
+        if earlier is not None:
+            await earlier
         journal = self._folder / f"journal-{number}.log"
-        asyncio.create_task(_async_copy(process, journal), name=f"journal {number}")
+        with journal.open("a") as file:
+            # The line of the start itself is read by who waits for it.
+            file.write(json.dumps({"event": EVENT_STARTED, "instance": f"entry-{number}"}) + "\n")
+        self._copies[number] = asyncio.create_task(
+            _async_copy(process, journal), name=f"journal {number}"
+        )
 
     async def async_end_forwarder(self, number: int, how: signal.Signals) -> None:
         """Send a signal that ends a forwarder and wait for its end."""
--- a/tests/bench/test_bench_soak.py
+++ b/tests/bench/test_bench_soak.py
@@ -135,10 +135,13 @@
     assert figures["answered"]
 
 
+# 278325: the rig lost the line of a start, so that a router seemed to know of an evacuation that
+# only the process before it had known; journals have each start now, one process after the other.
+@pytest.mark.parametrize("seed", [2, 278325])
 async def test_a_short_soak_with_evacuations_and_cold_engines_keeps_every_promise(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    seed: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setitem(os.environ, ENV_KEY, KEY)
-    figures, kept = await async_soak(seed=2, seconds=4.0, folder=tmp_path, places=True)
+    figures, kept = await async_soak(seed=seed, seconds=4.0, folder=tmp_path, places=True)
     assert kept, figures["violations"]
     assert figures["answered"]
