--- a/tests/idempotency/test_idempotency_machine.py
+++ b/tests/idempotency/test_idempotency_machine.py
@@ -305,7 +305,7 @@
 
 
 # The search ends with the first fault that it finds. What it tries depends on all modules that the
-# process has loaded, whose constants it draws from: some sets of them took more than 1,000 examples.
+# process has loaded, whose constants it draws from; with some sets of them it takes long.
 WEAKENED_EXAMPLES = 20_000
 
 WEAKENED: tuple[tuple[str, type, str, Callable[..., object]], ...] = (
