Stand-in of the store: a watch whose history is forgotten while it waits says so

Trace by the code: the test fails the store, removes an item, forgets its history and heals it in one go; a watch that waits all the while wakes when the trouble is over, finds no event in the forgotten history, and answers with none and the newest revision, which tells the router that it knows of the removal. A real store answers 410.

Change: the stand-in checks its history again after the wait.

--- a/gypsumrouter/standins/published_store.py
+++ b/gypsumrouter/standins/published_store.py
@@ -115,6 +115,9 @@
         except TimeoutError:
             return web.json_response({"events": [], "as_of": self.revision})
         await self._async_suffer(request)
+        if after < self._forgotten:
+            # Forgotten while the watch waited: an empty answer would hide what changed.
+            return web.json_response({"error": "gone"}, status=410)
         events = self._list_events(prefix, after)
         return web.json_response({"events": events, "as_of": self.revision})
 
