Stand-in of the store: nor does a watch hide forgotten changes at the end of its wait

A watch that slept through the trouble has no event left to wake for; it waits to its end and answered there with none and the newest revision. It says there too that the history is gone.

--- a/gypsumrouter/standins/published_store.py
+++ b/gypsumrouter/standins/published_store.py
@@ -108,19 +108,24 @@
         await self._async_suffer(request)
         prefix, after = request.query["prefix"], int(request.query["after"])
         if after < self._forgotten:
-            return web.json_response({"error": "gone"}, status=410)
+            return self._make_forgotten()
         try:
             async with asyncio.timeout(int(request.query["wait_ms"]) / 1_000):
                 await self._async_wait(prefix, after)
         except TimeoutError:
-            return web.json_response({"events": [], "as_of": self.revision})
+            # What was forgotten while the watch waited would be hidden by an empty answer.
+            return self._make_forgotten() if after < self._forgotten else self._make_events([])
         await self._async_suffer(request)
         if after < self._forgotten:
-            # Forgotten while the watch waited: an empty answer would hide what changed.
-            return web.json_response({"error": "gone"}, status=410)
-        events = self._list_events(prefix, after)
+            return self._make_forgotten()
+        return self._make_events(self._list_events(prefix, after))
+
+    def _make_events(self, events: list[dict[str, Any]]) -> web.Response:
         return web.json_response({"events": events, "as_of": self.revision})
 
+    def _make_forgotten(self) -> web.Response:
+        return web.json_response({"error": "gone"}, status=410)
+
     async def _async_wait(self, prefix: str, after: int) -> None:
         async with self._changed:
             await self._changed.wait_for(
