--- a/tests/idempotency/test_idempotency_machine.py
+++ b/tests/idempotency/test_idempotency_machine.py
@@ -268,6 +268,8 @@
     The library also draws constants of all our modules that are loaded, derandomized or not.
     """
     monkeypatch.setattr(providers, "_get_local_constants", Constants)
+    # What earlier tests of the process left there has these constants in it.
+    providers.CONSTANTS_CACHE.clear()
 
 
 def explore(machine: type[AtMostOnceMachine], *, examples: int, phases: tuple[Phase, ...]) -> None:
