--- a/tests/idempotency/test_idempotency_machine.py
+++ b/tests/idempotency/test_idempotency_machine.py
@@ -11,6 +11,7 @@
 import pytest
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
+from hypothesis.internal.cache import LRUCache
 from hypothesis.internal.conjecture import providers
 from hypothesis.internal.constants_ast import Constants
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
@@ -269,7 +270,7 @@
     """
     monkeypatch.setattr(providers, "_get_local_constants", Constants)
     # What earlier tests of the process left there has these constants in it.
-    providers.CONSTANTS_CACHE.clear()
+    monkeypatch.setattr(providers, "CONSTANTS_CACHE", LRUCache(1_024))
 
 
 def explore(machine: type[AtMostOnceMachine], *, examples: int, phases: tuple[Phase, ...]) -> None:
