--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -134,12 +134,18 @@
 
 
 class PeerNews(Event, frozen=True, kw_only=True):
-    """A peer told something that this process did not know."""
+    """A peer was asked for what this process did not know, and told `told` items of it.
+
+    `taken` of them were news; `version` is what is known now, and `known` what was known before.
+    """
 
     name: ClassVar[str] = "peer_news"
     peer: str
     subject: str
     version: int
+    known: int
+    told: int
+    taken: int
 
 
 class HeldPartsTold(Event, frozen=True, kw_only=True):
--- a/gypsumrouter/peers/catch_up.py
+++ b/gypsumrouter/peers/catch_up.py
@@ -160,25 +160,42 @@
         except DocumentInvalid as error:
             _LOGGER.error("%s sent an unreadable configuration: %s", peer.hello.name, error)
             return
-        if self._routing.offer(configuration, source=peer.hello.name):
-            self._tell(peer, "configuration", configuration.version)
+        known = self._routing.version
+        taken = self._routing.offer(configuration, source=peer.hello.name)
+        self._journal.record(
+            PeerNews(
+                peer=peer.hello.name,
+                subject="configuration",
+                version=self._routing.version,
+                known=known,
+                told=1,
+                taken=int(taken),
+            )
+        )
 
     def _take_upstreams(self, peer: Peer, told: ListedUpstreams) -> None:
-        changed = 0
+        known = self._get_list_as_of()
+        taken = 0
         for entry in told.entries:
             try:
                 record = _read_record(entry)
             except ValueError as error:
                 _LOGGER.error("%s sent an unreadable entry: %s", peer.hello.name, error)
                 continue
-            changed += self._directory.merge(record, source=peer.hello.name, settled=True)
+            taken += self._directory.merge(record, source=peer.hello.name, settled=True)
         self._list.advance(told.as_of)
         self._directory.note_told()
-        if changed:
-            self._tell(peer, "upstreams", self._directory.newest)
-
-    def _tell(self, peer: Peer, subject: str, version: int) -> None:
-        self._journal.record(PeerNews(peer=peer.hello.name, subject=subject, version=version))
+        if told.entries:
+            self._journal.record(
+                PeerNews(
+                    peer=peer.hello.name,
+                    subject="upstreams",
+                    version=self._get_list_as_of(),
+                    known=known,
+                    told=len(told.entries),
+                    taken=taken,
+                )
+            )
 
 
 def _since(since_ms: int | None, behind: bool, now_ms: int) -> int | None:
--- a/tests/journal/test_journal_lines.py
+++ b/tests/journal/test_journal_lines.py
@@ -29,7 +29,9 @@
 
 
 def make_news(version: int = 1) -> PeerNews:
-    return PeerNews(peer="entry-2", subject="configuration", version=version)
+    return PeerNews(
+        peer="entry-2", subject="configuration", version=version, known=0, told=1, taken=1
+    )
 
 
 def test_a_line_is_json_with_the_fields_of_its_event() -> None:
