--- a/gypsumrouter/platform/names.py
+++ b/gypsumrouter/platform/names.py
@@ -44,6 +44,8 @@
 # The store's history no longer reaches back to where a watch wants to go on.
 STATUS_HISTORY_LOST: Final = 410
 
+# Counts how often the store came back from a copy; in each of its answers.
+STORE_ERA: Final = "Store-Era"
 # Calls of the store.
 CALL_RANGE: Final = "/api/kv-range"
 CALL_WATCH: Final = "/api/kv-watch"
--- a/gypsumrouter/standins/published_store.py
+++ b/gypsumrouter/standins/published_store.py
@@ -9,6 +9,7 @@
 from typing import Any, Final
 
 from aiohttp import web
+from msgspec import Struct
 
 from gypsumrouter.instances import Address
 from gypsumrouter.platform import names
@@ -26,19 +27,32 @@
     SILENT = "silent"
 
 
+class StoreCopy(Struct, frozen=True, kw_only=True):
+    """What the store held when the copy was made."""
+
+    items: dict[str, dict[str, Any]]
+    history: list[dict[str, Any]]
+    revision: int
+
+
 class PublishedStoreStandin:
-    """Serves reads of items that a test writes directly."""
+    """Serves reads of items that a test writes directly.
+
+    Each of its answers names its `era`, which rises by one when it comes back from a copy.
+    """
 
     def __init__(self, *, host: str = "127.0.0.1") -> None:
         routes = web.Application()
         routes.router.add_get(names.CALL_RANGE, self._async_range)
         routes.router.add_get(names.CALL_WATCH, self._async_watch)
+        routes.on_response_prepare.append(self._async_name_era)
         self._listener = StandinListener(app=routes, host=host, port=0)
         self._items: dict[str, dict[str, Any]] = {}
         self._history: list[dict[str, Any]] = []
         self._forgotten = 0
         self._changed = asyncio.Condition()
         self.revision = 100
+        self.era = 1
         self.trouble = StoreTrouble.NONE
         self.calls: list[str] = []
 
@@ -75,6 +89,22 @@
         self._history.clear()
         self._forgotten = self.revision
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy to come back from later."""
+        return StoreCopy(
+            items=dict(self._items), history=list(self._history), revision=self.revision
+        )
+
+    async def async_restore(self, copy: StoreCopy) -> None:
+        """Come back from a copy: what was written since is lost, and revisions go back."""
+        self._items = dict(copy.items)
+        self._history = list(copy.history)
+        self.revision = copy.revision
+        self._forgotten = min(self._forgotten, copy.revision)
+        self.era += 1
+        async with self._changed:
+            self._changed.notify_all()
+
     async def async_fail(self, trouble: StoreTrouble) -> None:
         """Begin or end trouble; waiting watches are cut."""
         self.trouble = trouble
@@ -107,29 +137,42 @@
         self.calls.append(request.path)
         await self._async_suffer(request)
         prefix, after = request.query["prefix"], int(request.query["after"])
-        if after < self._forgotten:
+        if not self._has_history(after):
             return self._make_forgotten()
+        era = self.era
         try:
             async with asyncio.timeout(int(request.query["wait_ms"]) / 1_000):
-                await self._async_wait(prefix, after)
+                await self._async_wait(prefix, after, era)
         except TimeoutError:
             # What was forgotten while the watch waited would be hidden by an empty answer.
-            return self._make_forgotten() if after < self._forgotten else self._make_events([])
+            return self._make_events([]) if self._has_history(after) else self._make_forgotten()
         await self._async_suffer(request)
-        if after < self._forgotten:
+        if era != self.era or not self._has_history(after):
             return self._make_forgotten()
         return self._make_events(self._list_events(prefix, after))
 
+    def _has_history(self, after: int) -> bool:
+        return self._forgotten <= after <= self.revision
+
+    async def _async_name_era(
+        self, _request: web.BaseRequest, response: web.StreamResponse
+    ) -> None:
+        response.headers[names.STORE_ERA] = str(self.era)
+
     def _make_events(self, events: list[dict[str, Any]]) -> web.Response:
         return web.json_response({"events": events, "as_of": self.revision})
 
     def _make_forgotten(self) -> web.Response:
         return web.json_response({"error": "gone"}, status=410)
 
-    async def _async_wait(self, prefix: str, after: int) -> None:
+    async def _async_wait(self, prefix: str, after: int, era: int) -> None:
         async with self._changed:
             await self._changed.wait_for(
-                lambda: self._list_events(prefix, after) or self.trouble is not StoreTrouble.NONE
+                lambda: (
+                    self._list_events(prefix, after)
+                    or self.trouble is not StoreTrouble.NONE
+                    or era != self.era
+                )
             )
 
     def _list_events(self, prefix: str, after: int) -> list[dict[str, Any]]:
--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -37,31 +37,49 @@
 
 
 class MemoryStore:
-    """A list of upstreams with waiting watches; counts calls."""
+    """A list of upstreams with waiting watches; counts calls.
+
+    `era` is how often it came back from a copy; its revisions go back then.
+    """
 
     def __init__(self, clock: ManualClock) -> None:
         self._clock = clock
         self._changed = asyncio.Event()
         self.items: list[Item] = []
         self.revision = 100
+        self.era = 1
         self.calls = 0
 
-    def put(self, state: EntryState) -> None:
-        """Change the one upstream that is listed."""
+    def put(self, state: EntryState, key: str = "i-1") -> None:
+        """Change an upstream."""
         self.revision += 1
         value = state.value.encode()
-        self.items.append(Item(key="i-1", revision=self.revision, value=value))
+        self.items.append(Item(key=key, revision=self.revision, value=value))
+        self._wake()
+
+    def restore(self, revision: int) -> None:
+        """Come back from a copy of an earlier revision: what was written since is lost."""
+        self.revision = revision
+        self.items = [item for item in self.items if item.revision <= revision]
+        self.era += 1
+        self._wake()
+
+    def _wake(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
     def list(self) -> Listed:
-        """Return the newest item."""
+        """Return the newest items."""
         self.calls += 1
-        return Listed(items=tuple(self.items[-1:]), as_of=self.revision)
+        newest = {item.key: item for item in self.items}
+        return Listed(items=tuple(newest.values()), as_of=self.revision)
 
-    async def async_watch(self, after: int, wait_ms: int) -> Listed:
+    async def async_watch(self, after: int, wait_ms: int) -> Listed | HistoryLost:
         """Return what changed, or nothing after a while."""
         self.calls += 1
+        era = self.era
+        if after > self.revision:
+            return HistoryLost()
         until_ms = self._clock.now_ms() + wait_ms
         while self.revision <= after and self._clock.now_ms() < until_ms:
             waits = [
@@ -73,6 +91,8 @@
             finally:
                 for wait in waits:
                     wait.cancel()
+            if era != self.era:
+                return HistoryLost()
         items = tuple(item for item in self.items if item.revision > after)
         return Listed(items=items, as_of=self.revision)
 
