--- a/gypsumrouter/platform/names.py
+++ b/gypsumrouter/platform/names.py
@@ -33,6 +33,10 @@
 # Headers of answers.
 STAMP: Final = "X-Server-Stamp"
 NOT_RUN: Final = "X-Not-Executed"
+# In all answers of a runner that leaves.
+SERVER_LEAVING: Final = "Server-Leaving"
+# Beside a status 503: for how many seconds a runner wants nothing from whom it answers.
+RETRY_AFTER: Final = "Retry-After"
 
 # Ids of parts are hexadecimal; their low 64 bits name them inside the product.
 MASK_64: Final = 2**64 - 1
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -52,7 +52,8 @@
     """One incarnation of a runner.
 
     `troubles` are used up one for each request, `on_run` is called as one begins to run, and no
-    request goes on while the `gate` is closed.
+    request goes on while the `gate` is closed. While `leaving` all its answers say so; `rest_s` is
+    for how long it wants nothing from whom it turns away.
     """
 
     def __init__(self, *, name: str, events: int = 4) -> None:
@@ -66,11 +67,14 @@
         # Until when it bears few requests a second after its start; monotonic seconds.
         self.cold_until_s = 0.0
         self.on_run: Callable[[], None] = lambda: None
+        self.leaving = False
+        self.rest_s: float | None = None
         self.gate = asyncio.Event()
         self.gate.set()
         routes = web.Application()
         routes.router.add_get(names.CALL_HELD, self._async_list_held)
         routes.router.add_route("*", "/{path:.*}", self._async_serve)
+        routes.on_response_prepare.append(self._async_say_leaving)
         self.listener = StandinListener(app=routes, host="127.0.0.1", port=0)
 
     async def async_start(self) -> Address:
@@ -110,7 +114,7 @@
             return web.Response(status=421)
         trouble = self.troubles.popleft() if self.troubles else self.always
         if trouble is RunnerTrouble.SHED:
-            return web.Response(status=503, headers={names.NOT_RUN: "1"})
+            return self._turn_away()
         arrival.ran = True
         self.on_run()
         try:
@@ -120,6 +124,18 @@
             arrival.left = True
             raise
 
+    def _turn_away(self) -> web.Response:
+        response = web.Response(status=503, headers={names.NOT_RUN: "1"})
+        if self.rest_s is not None:
+            response.headers[names.RETRY_AFTER] = f"{self.rest_s:g}"
+        return response
+
+    async def _async_say_leaving(
+        self, _request: web.BaseRequest, response: web.StreamResponse
+    ) -> None:
+        if self.leaving:
+            response.headers[names.SERVER_LEAVING] = "1"
+
     async def _async_run(
         self, request: web.Request, arrival: Arrival, trouble: RunnerTrouble
     ) -> web.StreamResponse:
