Upstreams: one that names a time to come back gets nothing before it

Callers paid for it with round trips: an upstream that turned a request away and named a time got the next requests of the same router a moment later, which it has the right to count against us.

Cause: Retry-After of upstreams was not read; a request that was turned away counted as a weak sign of bad health and no more.

The mend: the adapter reads the time from a 503, a book of rests keeps it by upstream and by the start of it, and eligibility, which first tries, second tries and resumes all ask, leaves the upstream out. Where all that are left rest, the caller is refused at once with the time of the first that ends (upstreams_rest). Engines that rest are not asked for what they hold. The last word counts; a lapse of the entry ends no rest, a later start does.

--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -19,6 +19,7 @@
 from gypsumrouter.forwarding.models import Prompt, PromptPart
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.rests import RestBook
 from gypsumrouter.forwarding.slow_start import SlowStartBook
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
@@ -43,6 +44,7 @@
         directory=directory,
         cap=Cap(factor=2.0, slack=2.0),
         health=HealthBook(clock=clock, journal=journal),
+        rests=RestBook(clock=clock, journal=journal),
         evacuations=Evacuations(app=app, journal=journal),
         slow_start=SlowStartBook(clock=clock, journal=journal),
     )
--- a/bench/placement_strategies.py
+++ b/bench/placement_strategies.py
@@ -17,6 +17,7 @@
 from gypsumrouter.forwarding.placed import Placed, Sent
 from gypsumrouter.forwarding.placement import Cap, order_by_affinity
 from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.rests import RestBook
 from gypsumrouter.forwarding.slow_start import SlowStartBook
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
@@ -208,6 +209,7 @@
             directory=directory,
             cap=CAP,
             health=health,
+            rests=RestBook(clock=self._clock, journal=journal),
             evacuations=Evacuations(app=app, journal=journal),
             slow_start=SlowStartBook(clock=self._clock, journal=journal),
         )
--- a/bench/plain_replay.py
+++ b/bench/plain_replay.py
@@ -20,6 +20,7 @@
 from gypsumrouter.forwarding.loads import PeerLoads, UpstreamLoad
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.rests import RestBook
 from gypsumrouter.forwarding.slow_start import SlowStartBook
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
@@ -208,6 +209,7 @@
             directory=directory,
             cap=Cap(factor=2.0, slack=3.0),
             health=HealthBook(clock=self._clock, journal=journal),
+            rests=RestBook(clock=self._clock, journal=journal),
             evacuations=Evacuations(app=app, journal=journal),
             slow_start=slow_start,
             without=without,
--- a/gypsumrouter/forwarding/eligibility.py
+++ b/gypsumrouter/forwarding/eligibility.py
@@ -9,6 +9,7 @@
 
 from gypsumrouter.directory import Entry, Evacuations
 from gypsumrouter.forwarding.health import HealthBook
+from gypsumrouter.forwarding.rests import RestBook
 from gypsumrouter.forwarding.slow_start import SlowStartBook
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.outcomes import Reason
@@ -40,13 +41,14 @@
 
 
 class Eligibility:
-    """Tells upstreams that take new work from those that are evacuated, lost or warming up."""
+    """Tells upstreams that take new work from those that rest, are evacuated, lost or warm up."""
 
     __slots__ = (
         "_copy_ms",
         "_evacuations",
         "_health",
         "_rest_when_down",
+        "_rests",
         "_slow_start",
         "_warm_first",
     )
@@ -56,6 +58,7 @@
         *,
         evacuations: Evacuations,
         health: HealthBook,
+        rests: RestBook,
         slow_start: SlowStartBook,
         evacuation_ms: int,
         without: frozenset[Mechanism],
@@ -63,6 +66,7 @@
         self._copy_ms = evacuation_ms * COPY_SHARE
         self._evacuations = evacuations
         self._health = health
+        self._rests = rests
         self._slow_start = slow_start
         self._rest_when_down = Mechanism.REST_WHEN_DOWN not in without
         self._warm_first = Mechanism.WARM_FIRST not in without
@@ -96,13 +100,16 @@
         settled = tuple(entry for entry in left if not self.is_evacuated(entry))
         if not settled:
             return ALL_EVACUATED
-        reachable = settled
+        awake = tuple(entry for entry in settled if not self._rests.is_resting(entry.incarnation))
+        if not awake:
+            return self._make_resting(settled)
+        reachable = awake
         if self._rest_when_down:
-            reachable = tuple(e for e in settled if not self._health.is_down(e.incarnation))
-        return self._select_warm(reachable or settled, settled)
+            reachable = tuple(e for e in awake if not self._health.is_down(e.incarnation))
+        return self._select_warm(reachable or awake, awake)
 
     def _select_warm(
-        self, reachable: tuple[Entry, ...], settled: tuple[Entry, ...]
+        self, reachable: tuple[Entry, ...], awake: tuple[Entry, ...]
     ) -> tuple[Entry, ...] | NoPlace:
         """Return the upstreams that are warm, or those that warm up at which it is our turn."""
         warm = tuple(e for e in reachable if not self._slow_start.is_warming(e.incarnation))
@@ -117,11 +124,19 @@
         if warm or warming:
             return warm + warming
         # One that took no connection a moment ago is better than none.
-        resting = tuple(e for e in settled if not self._slow_start.is_warming(e.incarnation))
-        return resting or self._make_refusal(settled)
+        down = tuple(e for e in awake if not self._slow_start.is_warming(e.incarnation))
+        return down or self._make_refusal(awake)
 
-    def _make_refusal(self, settled: tuple[Entry, ...]) -> NoPlace:
-        waits_ms = (self._slow_start.get_wait_ms(entry.incarnation) for entry in settled)
+    def _make_resting(self, settled: tuple[Entry, ...]) -> NoPlace:
+        waits_ms = (self._rests.get_left_ms(entry.incarnation) for entry in settled)
+        return NoPlace(
+            reason=Reason.UPSTREAMS_REST,
+            message="All upstreams are full and want a rest",
+            not_before_ms=min(waits_ms),
+        )
+
+    def _make_refusal(self, awake: tuple[Entry, ...]) -> NoPlace:
+        waits_ms = (self._slow_start.get_wait_ms(entry.incarnation) for entry in awake)
         return NoPlace(
             reason=Reason.WARMING_UP,
             message="All upstreams warm up and have as much as they bear",
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -21,6 +21,7 @@
 from gypsumrouter.forwarding.models import Dialect
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.rests import RestBook
 from gypsumrouter.forwarding.run import RunParts
 from gypsumrouter.forwarding.slow_start import SlowStartBook
 from gypsumrouter.forwarding.suspects import Suspects
@@ -88,6 +89,7 @@
             directory=directory,
             cap=Cap(factor=bounds.cap_factor, slack=bounds.cap_slack),
             health=health,
+            rests=RestBook(clock=app.clock, journal=journal),
             evacuations=evacuations,
             slow_start=slow_start,
             evacuation_ms=bounds.evacuation_ms,
--- a/gypsumrouter/forwarding/inventory.py
+++ b/gypsumrouter/forwarding/inventory.py
@@ -205,6 +205,7 @@
             for record in self._directory.records()
             if record.entry.service in engines
             and record.entry.state is EntryState.READY
+            and not self._placer.rests.is_resting(record.entry.incarnation)
             and not self._evacuations.is_active(record.entry.data_centre)
         ]
         return sorted(entries, key=lambda entry: entry.incarnation)
--- a/gypsumrouter/forwarding/models.py
+++ b/gypsumrouter/forwarding/models.py
@@ -81,7 +81,8 @@
 
     `request_id` is whom it belongs to, `signed` that an upstream vouches for it, `not_run` that it
     did not and will not run the request, `leaving` that it leaves. `encoded` bodies are not the
-    upstream's own.
+    upstream's own. For `rest_ms` the upstream wants nothing from whom it turned away; None where it
+    names no time.
     """
 
     request_id: str | None
@@ -91,6 +92,7 @@
     events: bool
     keep_ms: int | None
     leaving: bool = False
+    rest_ms: int | None = None
 
 
 class Dialect(Protocol):
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -26,6 +26,7 @@
 )
 from gypsumrouter.forwarding.plain_admission import PlainAdmission
 from gypsumrouter.forwarding.reading import ReadingSpeed
+from gypsumrouter.forwarding.rests import RestBook
 from gypsumrouter.forwarding.slow_start import SlowStartBook
 from gypsumrouter.mechanisms import Mechanism
 
@@ -59,6 +60,7 @@
         "loads",
         "plain",
         "reading",
+        "rests",
         "slow_start",
     )
 
@@ -69,6 +71,7 @@
         directory: Directory,
         cap: Cap,
         health: HealthBook,
+        rests: RestBook,
         evacuations: Evacuations,
         slow_start: SlowStartBook,
         evacuation_ms: int = 0,
@@ -83,6 +86,7 @@
         self._eligibility = Eligibility(
             evacuations=evacuations,
             health=health,
+            rests=rests,
             slow_start=slow_start,
             evacuation_ms=evacuation_ms,
             without=without,
@@ -93,6 +97,7 @@
         # Incarnations that ended, and when.
         self._ended_ms: dict[str, int] = {}
         self.health = health
+        self.rests = rests
         self.slow_start = slow_start
         self.holdings = Holdings()
         self.reading = ReadingSpeed()
@@ -232,6 +237,8 @@
 
         The list may be away for long: without this, an upstream gets new work until it has ended.
         """
+        if facts.rest_ms is not None:
+            self.rests.note(entry.incarnation, rest_ms=facts.rest_ms)
         if facts.leaving:
             self._directory.note_leaving(entry.incarnation, source=SOURCE_ANSWER)
 
@@ -275,6 +282,7 @@
         forgotten at once, its prompts would be read again after each lapse.
         """
         self.slow_start.sweep()
+        self.rests.sweep()
         now_ms = self._app.clock.now_ms()
         for incarnation, ended_ms in tuple(self._ended_ms.items()):
             if now_ms - ended_ms >= HELD_MS:
--- a/gypsumrouter/journal/__init__.py
+++ b/gypsumrouter/journal/__init__.py
@@ -26,6 +26,7 @@
     SuspectNoted,
     UpstreamChanged,
     UpstreamHealth,
+    UpstreamResting,
     UpstreamWarming,
 )
 from gypsumrouter.journal.journal import Journal
@@ -55,5 +56,6 @@
     "SuspectNoted",
     "UpstreamChanged",
     "UpstreamHealth",
+    "UpstreamResting",
     "UpstreamWarming",
 ]
--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -136,6 +136,14 @@
     left_ms: int
 
 
+class UpstreamResting(Event, frozen=True, kw_only=True):
+    """An upstream turned a request away and wants nothing from this process for `rest_ms`."""
+
+    name: ClassVar[str] = "upstream_resting"
+    upstream: str
+    rest_ms: int
+
+
 class UpstreamHealth(Event, frozen=True, kw_only=True):
     """What the answers of an upstream say of it changed; `failing` is the share that failed."""
 
@@ -289,6 +297,7 @@
     UpstreamChanged,
     DataCentreEvacuated,
     UpstreamWarming,
+    UpstreamResting,
     UpstreamHealth,
     PeerNews,
     StoreRestored,
--- a/gypsumrouter/outcomes.py
+++ b/gypsumrouter/outcomes.py
@@ -30,6 +30,7 @@
     WORKSPACE_LIMIT = "workspace_limit"
     OVER_CAP = "over_cap"
     QUEUE_FULL = "queue_full"
+    UPSTREAMS_REST = "upstreams_rest"
     TARGET_HOPELESS = "target_hopeless"
     RETRY_BUDGET = "retry_budget_spent"
     # Membership: never run, worth a try elsewhere.
--- a/gypsumrouter/platform/answers.py
+++ b/gypsumrouter/platform/answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import ceil
 from typing import Final
 
 from gypsumrouter.const import MS_PER_S
@@ -12,6 +13,8 @@
 
 CONTENT_TYPE_EVENTS: Final = "text/event-stream"
 IDENTITY: Final = "identity"
+# More than a day is no time to come back but a mistake.
+MAX_REST_MS: Final = 24 * 3600 * MS_PER_S
 DROPPED: Final = names.HOP_BY_HOP | {"content-length"}
 
 
@@ -31,6 +34,7 @@
             request_id=answer.get(names.REQUEST_ID),
             signed=answer.get(names.STAMP) is not None,
             not_run=answer.get(names.NOT_RUN) is not None,
+            rest_ms=_read_rest_ms(answer),
             leaving=names.says_leaving(answer.get(names.SERVER_LEAVING)),
             encoded=encoding is not None and encoding.lower() != IDENTITY,
             events=(answer.get("Content-Type") or "").startswith(CONTENT_TYPE_EVENTS),
@@ -50,6 +54,17 @@
         return f"{retry_after_ms / MS_PER_S:.3f}"
 
 
+def _read_rest_ms(answer: Answer) -> int | None:
+    """Return for how long an upstream that turned a request away wants nothing."""
+    if answer.status != names.STATUS_UNAVAILABLE:
+        return None
+    try:
+        rest_ms = float(answer.get(names.RETRY_AFTER) or "") * MS_PER_S
+    except ValueError:
+        return None
+    return ceil(rest_ms) if 0 < rest_ms < MAX_REST_MS else None
+
+
 def _read_keep_ms(value: str | None) -> int | None:
     """Return how long the upstream keeps an idle connection."""
     if value is None:
--- a/gypsumrouter/platform/names.py
+++ b/gypsumrouter/platform/names.py
@@ -45,6 +45,7 @@
 CALL_HELD: Final = "/api/kv-list"
 
 STATUS_OK: Final = 200
+STATUS_UNAVAILABLE: Final = 503
 # The store's history no longer reaches back to where a watch wants to go on.
 STATUS_HISTORY_LOST: Final = 410
 
--- a/tests/forwarding/test_forwarding_eligibility.py
+++ b/tests/forwarding/test_forwarding_eligibility.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from msgspec.structs import replace
+
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuation, Evacuations, Record
@@ -10,6 +12,7 @@
 from gypsumrouter.forwarding.models import Prompt, PromptPart
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.rests import RestBook
 from gypsumrouter.forwarding.slow_start import SETTLE_MS, WINDOW_MS, SlowStartBook
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
@@ -56,6 +59,7 @@
             directory=self.directory,
             cap=Cap(factor=2.0, slack=1_000.0),
             health=self.health,
+            rests=RestBook(clock=self.clock, journal=journal),
             evacuations=self.evacuations,
             slow_start=slow_start,
             without=without,
@@ -179,3 +183,71 @@
     router.clock.advance(1_000)
     assert not router.health.is_down("i-0")
     assert "i-0" not in router.send(60, prompt=None)
+
+
+def test_an_upstream_that_wants_a_rest_gets_nothing_until_it_is_over() -> None:
+    router = Router()
+    router.placer.rests.note("i-0", rest_ms=2_000)
+    assert "i-0" not in router.send(60)
+    router.clock.advance(1_999)
+    assert "i-0" not in router.send(60)
+    router.clock.advance(1)
+    assert "i-0" in router.send(60, prompt=None)
+
+
+def test_the_last_word_on_a_rest_counts() -> None:
+    router = Router()
+    router.placer.rests.note("i-0", rest_ms=60_000)
+    router.placer.rests.note("i-0", rest_ms=500)
+    router.clock.advance(500)
+    assert "i-0" in router.send(60, prompt=None)
+
+
+def test_where_all_left_want_a_rest_the_first_end_is_when_to_come_back() -> None:
+    router = Router()
+    for number, name in enumerate(router.names):
+        router.placer.rests.note(name, rest_ms=1_000 + number * 100)
+    placed = router.placer.place(service=SERVICE, prompt=PROMPT, passed_over=("i-0",))
+    assert isinstance(placed, NoPlace)
+    assert placed.reason is Reason.UPSTREAMS_REST
+    assert placed.not_before_ms == 1_100
+
+
+def test_an_upstream_that_rests_is_not_asked_even_where_all_others_are_down() -> None:
+    router = Router()
+    router.placer.rests.note("i-0", rest_ms=1_000)
+    for name in router.names[1:]:
+        router.health.note_unreachable(name, reason="test", refused=True)
+    assert "i-0" not in router.send(60)
+
+
+def test_a_rest_outlives_a_lapse_of_the_entry_and_ends_with_a_new_start() -> None:
+    router = Router()
+    router.placer.rests.note("i-0", rest_ms=60_000)
+    gone = Record(revision=50, entry=Entry(upstream="i-0", state=EntryState.GONE))
+    router.directory.merge(gone, source="test")
+    router.placer.sweep()
+    entry = Entry(
+        upstream="i-0",
+        state=EntryState.READY,
+        service=SERVICE,
+        address=Address(host="10.0.0.1", port=80),
+        data_centre="dc-0",
+        slots=64,
+    )
+    router.directory.merge(Record(revision=51, entry=entry), source="test")
+    assert "i-0" not in router.send(60, prompt=None)
+    reborn = replace(entry, born_ms=5)
+    router.directory.merge(Record(revision=52, entry=reborn), source="test")
+    router.clock.advance(SETTLE_MS)
+    assert "i-0" in router.send(60, prompt=None)
+
+
+def test_rests_that_are_over_are_forgotten() -> None:
+    router = Router()
+    router.placer.rests.note("i-0", rest_ms=1_000)
+    router.placer.rests.note("i-1", rest_ms=3_000)
+    router.clock.advance(2_000)
+    router.placer.sweep()
+    assert not router.placer.rests.is_resting("i-0")
+    assert router.placer.rests.get_left_ms("i-1") == 1_000
--- a/tests/forwarding/test_forwarding_placer.py
+++ b/tests/forwarding/test_forwarding_placer.py
@@ -14,6 +14,7 @@
 from gypsumrouter.forwarding.models import Prompt, PromptPart
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.rests import RestBook
 from gypsumrouter.forwarding.slow_start import SlowStartBook
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
@@ -49,6 +50,7 @@
             directory=directory,
             cap=Cap(factor=2.0, slack=3.0),
             health=HealthBook(clock=clock, journal=journal),
+            rests=RestBook(clock=clock, journal=journal),
             evacuations=self.evacuations,
             slow_start=SlowStartBook(clock=clock, journal=journal),
             evacuation_ms=EVACUATION_MS,
--- a/tests/forwarding/test_forwarding_upstream_words.py
+++ b/tests/forwarding/test_forwarding_upstream_words.py
@@ -5,6 +5,9 @@
 read the word in the answers: the upstream began to leave 7.5 s into the day, the store acknowledged
 it at 20.6 s, and in between five routers wrote 19 lines `attempt_sent` for it and none that it
 leaves.
+
+An upstream that turns a request away may also name a time for which it wants nothing from this
+router. The time was not read either, and the upstream got the next request a moment later.
 """
 
 from __future__ import annotations
@@ -151,6 +154,7 @@
 ) -> None:
     for runner in world.records:
         runner.always, runner.rest_s = RunnerTrouble.SHED, 0.6
+    for runner in world.records:
         await async_call_until_answered_by(world, session, runner.name, "GET", "/lookup/a")
     before = [len(runner.arrivals) for runner in world.records]
     status, _, headers = await world.async_call(session, "GET", "/lookup/a", "later")
--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -15,6 +15,7 @@
 from gypsumrouter.forwarding.loads import PeerLoads
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.rests import RestBook
 from gypsumrouter.forwarding.slow_start import SlowStartBook
 from gypsumrouter.forwarding.suspects import Suspects
 from gypsumrouter.instances import parse_address
@@ -193,6 +194,7 @@
             directory=self.directory,
             cap=Cap(factor=2.0, slack=3.0),
             health=HealthBook(clock=clock, journal=journal),
+            rests=RestBook(clock=clock, journal=journal),
             evacuations=self.evacuations,
             slow_start=SlowStartBook(clock=clock, journal=journal),
         )
--- a/tests/platform/test_platform_wire.py
+++ b/tests/platform/test_platform_wire.py
@@ -4,15 +4,18 @@
 
 import json
 from pathlib import Path
+from typing import Any, cast
 
 import pytest
+from multidict import CIMultiDict
 
 import gypsumrouter
 from gypsumrouter.directory import EntryState
 from gypsumrouter.exceptions import ConfigurationInvalid, DocumentInvalid
 from gypsumrouter.forwarding import CallerRequest, Sending
+from gypsumrouter.forwarding.models import AnswerFacts
 from gypsumrouter.instances import Address
-from gypsumrouter.platform import decode_configuration, decode_entry, names
+from gypsumrouter.platform import PlatformDialect, decode_configuration, decode_entry, names
 from gypsumrouter.platform.requests import write_request
 from gypsumrouter.routing import RouteKind, Target
 
@@ -30,6 +33,8 @@
     names.FETCH_FROM,
     names.KEY_CONFIGURATION,
     names.CALL_WATCH,
+    names.STORE_ERA,
+    names.SERVER_LEAVING,
     names.CALL_RANGE,
     names.CALL_HELD,
 )
@@ -133,3 +138,51 @@
     assert "Content-Length: 4" in lines
     assert b"secret" not in head
     assert body == b"body"
+
+
+class HeadOnly:
+    """The head of an answer."""
+
+    def __init__(self, *, status: int, headers: dict[str, str]) -> None:
+        self.status = status
+        self._headers = CIMultiDict(headers)
+
+    def get(self, name: str) -> str | None:
+        """Return a header."""
+        return self._headers.get(name)
+
+
+def read_head(status: int, **headers: str) -> AnswerFacts:
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    head = HeadOnly(status=status, headers=named)
+    return PlatformDialect().read_answer(cast(Any, head))
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "rest_ms"),
+    [
+        (503, "2", 2_000),
+        (503, "0.25", 250),
+        (503, "0.0001", 1),
+        (503, "0", None),
+        (503, "-3", None),
+        (503, "soon", None),
+        (503, "nan", None),
+        (503, "inf", None),
+        (503, "1e12", None),
+        (503, "", None),
+        (503, "Wed, 21 Oct 2026 07:28:00 GMT", None),
+        (500, "2", None),
+        (200, "2", None),
+    ],
+)
+def test_the_time_for_which_an_upstream_wants_nothing(
+    status: int, value: str, rest_ms: int | None
+) -> None:
+    assert read_head(status, Retry_After=value).rest_ms == rest_ms
+
+
+@pytest.mark.parametrize(("value", "leaving"), [("1", True), (" 1 ", True), ("0", False)])
+def test_an_answer_says_whether_its_upstream_leaves(value: str, leaving: bool) -> None:
+    assert read_head(200, Server_Leaving=value).leaving is leaving
+    assert not read_head(200).leaving
