Upstreams: each answer is read for what its upstream says of itself; a shorter rest ends no longer one

An answer that names no request, on a connection that was used before, is no answer to the request that waits there and ends the connection; the time that it named, and the word that its upstream leaves, went with it. What an upstream says of itself does not hang on whom the answer is for, so that an attempt hands on the head of each answer as it is read, but for those of another upstream at its address.

Of two answers that were under way together the later one, with the shorter time, ended the longer one. The end that lies later counts.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import Final
 
 from gypsumrouter.const import MS_PER_S
@@ -34,11 +35,14 @@
 # These say "not run" to a caller, which only an upstream that says so itself may let it hear.
 PROMISES: Final = frozenset({408, 421, 429, 503})
 
+TakeWords = Callable[[Entry, AnswerFacts], None]
+
 
 class Attempt:
     """One request at one upstream; close it in any case.
 
-    Once `sent` is true the upstream may run it.
+    Once `sent` is true the upstream may run it. `take_words` gets the head of each answer, for what
+    the upstream says of itself there.
     """
 
     __slots__ = (
@@ -46,6 +50,7 @@
         "_connections",
         "_dialect",
         "_request",
+        "_take_words",
         "entry",
         "facts",
         "kept",
@@ -61,10 +66,12 @@
         request: CallerRequest,
         sending: Sending,
         entry: Entry,
+        take_words: TakeWords,
     ) -> None:
         self._connections = connections
         self._dialect = dialect
         self._request = request
+        self._take_words = take_words
         self._connection: HttpConnection | None = None
         self.sending = sending
         self.entry = entry
@@ -145,7 +152,11 @@
         """Return the answer to this request; others that come first belong to nobody."""
         while True:
             answer = await connection.async_read_answer()
-            request_id = self._dialect.read_answer(answer).request_id
+            facts = self._dialect.read_answer(answer)
+            # Whomever an answer is for, it is from this upstream, unless another one is there now.
+            if answer.status != STATUS_MISDIRECTED:
+                self._take_words(self.entry, facts)
+            request_id = facts.request_id
             if request_id == self._request.request_id:
                 return answer
             if request_id is None and not self.kept and connection.exchanges == 1:
--- a/gypsumrouter/forwarding/rests.py
+++ b/gypsumrouter/forwarding/rests.py
@@ -26,9 +26,15 @@
         self._until_ms: dict[str, int] = {}
 
     def note(self, upstream: str, *, rest_ms: int) -> None:
-        """Note that an upstream wants nothing for so long; the last word counts."""
+        """Note that an upstream wants nothing for so long; a shorter word shortens no earlier one.
+
+        Answers of requests that were under way together come in any order.
+        """
         rest_ms = min(rest_ms, MAX_REST_MS)
-        self._until_ms[upstream] = self._clock.now_ms() + rest_ms
+        until_ms = self._clock.now_ms() + rest_ms
+        if until_ms <= self._until_ms.get(upstream, 0):
+            return
+        self._until_ms[upstream] = until_ms
         self._journal.record(UpstreamResting(upstream=upstream, rest_ms=rest_ms))
 
     def is_resting(self, upstream: str) -> bool:
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -150,6 +150,7 @@
             request=self._request,
             sending=self._make_sending(placed),
             entry=placed.entry,
+            take_words=self._parts.placer.take_words,
         )
         started_ms = self._now_ms()
         outcome: Outcome | None = None
@@ -157,7 +158,6 @@
         sent = self._parts.placer.note_sent(placed, self._request.prompt)
         try:
             outcome = await self._async_send(attempt)
-            self._note_words(attempt, outcome)
             self._parts.placer.note_ended(sent)
             self._note_time(placed, outcome, self._now_ms() - started_ms)
             if isinstance(outcome, Begun):
@@ -178,12 +178,6 @@
         progress.in_doubt = False
         return response
 
-    def _note_words(self, attempt: Attempt, outcome: Outcome) -> None:
-        """Take what an upstream says of itself, unless the answer is of another one."""
-        stranger = isinstance(outcome, TurnedAway) and outcome.stranger
-        if attempt.facts is not None and not stranger:
-            self._parts.placer.take_words(attempt.entry, attempt.facts)
-
     def _note_time(self, placed: Placed, outcome: Outcome, elapsed_ms: int) -> None:
         """Learn how long a plain upstream takes."""
         if self._request.prompt is not None or not isinstance(outcome, Whole):
--- a/tests/forwarding/test_forwarding_upstream_words.py
+++ b/tests/forwarding/test_forwarding_upstream_words.py
@@ -162,3 +162,20 @@
     # The rest is nearly whole, and the caller has 2.5 s left, of which it waits a third.
     assert 0.3 < float(headers["Retry-After"]) < 0.84
     assert [len(runner.arrivals) for runner in world.records] == before
+
+
+@pytest.mark.parametrize("leaving", [True, False])
+async def test_an_answer_that_names_no_request_is_still_the_word_of_its_upstream(
+    world: ForwardingWorld, session: Session, leaving: bool
+) -> None:
+    """On a kept connection such an answer is no answer to the request that waits there."""
+    speaking, other = world.records
+    await async_call_until_answered_by(world, session, speaking.name, "GET", "/lookup/a")
+    speaking.leaving, speaking.rest_s = leaving, None if leaving else REST_S
+    speaking.always = RunnerTrouble.SHED
+    before = len(speaking.arrivals)
+    while len(speaking.arrivals) == before:
+        await world.async_call(session, "GET", "/lookup/a", "second")
+    other.always = RunnerTrouble.ERROR
+    await async_call_on(world, session, "GET", "/lookup/a")
+    assert len(speaking.arrivals) == before + 1
