Tests of watchers: what a router knows is compared, whatever its revision; restorations of the store

It compares revisions of one kind now, and checks besides that each router that is well acts on the last change. A second machine lets the store come back from copies that lack the last changes.

--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -54,6 +54,11 @@
         self.era = 1
         self.calls = 0
 
+    @property
+    def as_of(self) -> int:
+        """Return the newest revision, as routers know it."""
+        return self._name(self.revision)
+
     def put(self, state: EntryState, key: str = "i-1") -> None:
         """Change an upstream."""
         self.revision += 1
@@ -81,7 +86,7 @@
     def _tell(self, items: tuple[Item, ...]) -> Listed:
         """Return items with revisions that name the era, as the client of the real store does."""
         told = tuple(replace(i, revision=self._name(i.revision)) for i in items)
-        return Listed(items=told, as_of=self._name(self.revision))
+        return Listed(items=told, as_of=self.as_of)
 
     def _name(self, number: int) -> int:
         return make_revision(epoch=self.era, number=number)
--- a/tests/peers/test_peers_watchers_machine.py
+++ b/tests/peers/test_peers_watchers_machine.py
@@ -1,4 +1,4 @@
-"""Routers that watch for others, under kills, pauses and cuts in any order."""
+"""Routers that watch for others, under kills, pauses, cuts and restorations in any order."""
 
 from __future__ import annotations
 
@@ -18,6 +18,9 @@
 CALM_MS = 3_000
 STATES = (EntryState.LEAVING, EntryState.GONE)
 
+# The store's first item, which every copy has.
+FIRST_REVISION = 101
+
 router_numbers = st.integers(0, sum(SIZES) - 1)
 
 
@@ -31,6 +34,9 @@
         self._unwell_ms: dict[str, int] = {}
         # The changes so far: when, and the revision after it.
         self._changes: list[tuple[int, int]] = []
+        self._restored_ms = -CALM_MS
+        # When the list was changed last and to what, where that has a bound.
+        self._last: tuple[int, EntryState] | None = None
 
     @initialize()
     def start(self) -> None:
@@ -53,7 +59,12 @@
     def change(self, number: int) -> None:
         """Change the list."""
         self._fleet.store.put(STATES[number])
-        self._changes.append((self._fleet.clock.now_ms(), self._fleet.store.revision))
+        now_ms = self._fleet.clock.now_ms()
+        # What a store acknowledges right after it came back from a copy has no bound.
+        self._last = None
+        if now_ms - self._restored_ms >= CALM_MS:
+            self._changes.append((now_ms, self._fleet.store.as_of))
+            self._last = (now_ms, STATES[number])
 
     @rule(number=router_numbers, runs=st.booleans())
     def pause(self, number: int, runs: bool) -> None:
@@ -98,6 +109,15 @@
             if self._is_well(router, now_ms):
                 due = self._get_due(now_ms)
                 assert router.directory.newest >= due, router.name
+                self._check_last(router, now_ms)
+
+    def _check_last(self, router: FleetRouter, now_ms: int) -> None:
+        """Check that a router acts on the last change, whatever its revision is."""
+        if self._last is None:
+            return
+        at_ms, state = self._last
+        if now_ms - at_ms >= BOUND_MS:
+            assert router.known is state, router.name
 
     def _is_well(self, router: FleetRouter, now_ms: int) -> bool:
         if router.cut or not router.runs:
@@ -110,5 +130,24 @@
         return max(due, default=0)
 
 
+class Restoring(Watching):
+    """The same where the store comes back from copies, and gives its revisions out again."""
+
+    @rule(lost=st.integers(1, 6), written_again=st.booleans())
+    def restore(self, lost: int, written_again: bool) -> None:
+        """Let the store come back from a copy that lacks the last few changes."""
+        store = self._fleet.store
+        known = store.items[-1]
+        store.restore(max(FIRST_REVISION, store.revision - lost))
+        if written_again:
+            store.put(EntryState((known.value or b"").decode()))
+        self._restored_ms = self._fleet.clock.now_ms()
+        self._last = None
+        for router in self._fleet.routers:
+            self._note_unwell(router)
+
+
 TestWatching: Any = Watching.TestCase
 TestWatching.settings = settings(max_examples=60, stateful_step_count=25, deadline=None)
+TestRestoring: Any = Restoring.TestCase
+TestRestoring.settings = settings(max_examples=10, stateful_step_count=20, deadline=None)
