Store: an era of any size is read

The count rises by one from any number on, so that its last six digits keep the order of all but one in a million restorations.

Tests first: two cases failed on the code before; an era that is no number is still an answer of a store that is away. Tests of the adapter and of a restored store: passed.

--- a/gypsumrouter/platform/store.py
+++ b/gypsumrouter/platform/store.py
@@ -30,7 +30,9 @@
 ANSWER_MS: Final = 1_500
 # Pages of one list; a list of 930 runners has two.
 MAX_PAGES: Final = 64
-MAX_ERA_DIGITS: Final = 7
+MAX_ERA_DIGITS: Final = 18
+# Eras rise by one from any number on: their last six digits keep the order.
+EPOCHS: Final = 10**6
 
 
 class StoreAnswer(Struct, frozen=True, kw_only=True):
@@ -173,8 +175,8 @@
     """Return the epoch that an answer names, 0 where it names none; raises StoreUnavailable."""
     if text is None:
         return 0
-    if text.isascii() and text.isdigit() and len(text) < MAX_ERA_DIGITS:
-        return int(text)
+    if text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS:
+        return int(text) % EPOCHS
     raise StoreUnavailable(f"the era {text!r:.40} is no number")
 
 
--- a/tests/platform/test_platform_entries.py
+++ b/tests/platform/test_platform_entries.py
@@ -14,7 +14,7 @@
 from gypsumrouter.directory import EntryState
 from gypsumrouter.exceptions import ConfigurationInvalid, DocumentInvalid
 from gypsumrouter.platform import decode_configuration, decode_entry, read_upstream_id
-from gypsumrouter.platform.store import read_page
+from gypsumrouter.platform.store import _read_epoch, read_page
 from gypsumrouter.published import Item
 from gypsumrouter.published.models import StoreUnavailable
 from gypsumrouter.util.revisions import NUMBERS_PER_EPOCH, get_epoch, get_number
@@ -192,3 +192,24 @@
 def test_a_page_whose_revision_is_out_of_range_is_none(as_of: int) -> None:
     with pytest.raises(StoreUnavailable):
         read_page({"items": [], "as_of": as_of}, "items")
+
+
+@pytest.mark.parametrize(
+    ("text", "epoch"),
+    [
+        (None, 0),
+        ("0", 0),
+        ("7", 7),
+        ("999999", 999_999),
+        ("1770371735", 371_735),
+        ("999999999999999999", 999_999),
+    ],
+)
+def test_an_era_of_any_size_is_read(text: str | None, epoch: int) -> None:
+    assert _read_epoch(text) == epoch
+
+
+@pytest.mark.parametrize("text", ["", "-1", "1.5", "x", "9" * 19, "٣"])
+def test_an_era_that_is_no_number_is_an_answer_of_a_store_that_is_away(text: str) -> None:
+    with pytest.raises(StoreUnavailable):
+        _read_epoch(text)
