--- a/gypsumrouter/forwarding/budget.py
+++ b/gypsumrouter/forwarding/budget.py
@@ -5,6 +5,8 @@
 from collections import deque
 from typing import Final
 
+from msgspec import Struct
+
 from gypsumrouter.util.clock import Clock
 
 # Factor on each router's share, because routers' views of the fleet size differ temporarily.
@@ -28,6 +30,18 @@
         return len(self._times)
 
 
+class RetryUsage(Struct, frozen=True, kw_only=True):
+    """This router's requests and retries to a service within the window, and its bound on retries.
+
+    `routers` is the number of routers that share the slack.
+    """
+
+    requests: int
+    retries: int
+    allowed: float
+    routers: int
+
+
 class RetryBudget:
     """Counts requests and retries per service within a sliding window.
 
@@ -58,12 +72,17 @@
 
     def try_acquire(self, service: str) -> bool:
         """Spend one retry of the budget; return whether there was one left."""
-        now_ms = self._clock.now_ms()
-        since_ms = now_ms - self._window_ms
-        requests = self._requests.setdefault(service, _SlidingWindow()).count(since_ms)
-        retries = self._retries.setdefault(service, _SlidingWindow())
-        allowed = SAFETY_FACTOR * (self._ratio * requests + self._slack / max(1, self.routers))
-        if retries.count(since_ms) + 1 > allowed:
+        usage = self.get_usage(service)
+        if usage.retries + 1 > usage.allowed:
             return False
-        retries.add(now_ms)
+        self._retries[service].add(self._clock.now_ms())
         return True
+
+    def get_usage(self, service: str) -> RetryUsage:
+        """Return the use of the budget for a service."""
+        since_ms = self._clock.now_ms() - self._window_ms
+        requests = self._requests.setdefault(service, _SlidingWindow()).count(since_ms)
+        retries = self._retries.setdefault(service, _SlidingWindow()).count(since_ms)
+        routers = max(1, self.routers)
+        allowed = SAFETY_FACTOR * (self._ratio * requests + self._slack / routers)
+        return RetryUsage(requests=requests, retries=retries, allowed=allowed, routers=routers)
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -306,9 +306,17 @@
             repeatable=route.repeatable and Mechanism.RETRIES not in self._context.without,
             max_attempts=route.max_attempts,
             remaining_ms=self._remaining_ms(),
-            acquire_retry=lambda: self._context.budget.try_acquire(self._service),
+            acquire_retry=self._acquire_retry,
         )
 
+    def _acquire_retry(self) -> bool:
+        """Take a retry from the budget; return whether there was one."""
+        budget = self._context.budget
+        usage = budget.get_usage(self._service)
+        granted = budget.try_acquire(self._service)
+        self._request_journal.record_retry_decided(usage, granted=granted)
+        return granted
+
     def _is_suspect(self) -> bool:
         if Mechanism.SUSPECTS in self._context.without:
             return False
--- a/gypsumrouter/forwarding/request_journal.py
+++ b/gypsumrouter/forwarding/request_journal.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from gypsumrouter.forwarding.attempt import Attempt
+from gypsumrouter.forwarding.budget import RetryUsage
 from gypsumrouter.forwarding.models import (
     CallerRequest,
     CompleteResponse,
@@ -20,6 +21,7 @@
     Journal,
     RequestPlaced,
     RequestRefused,
+    RetryDecided,
     StreamResumed,
 )
 from gypsumrouter.routing import RouteMatch
@@ -110,6 +112,20 @@
             )
         )
 
+    def record_retry_decided(self, usage: RetryUsage, *, granted: bool) -> None:
+        """Record whether the retry budget granted a retry, and its use before that."""
+        self._journal.record(
+            RetryDecided(
+                request_id=self._request.request_id,
+                service=self._service,
+                granted=granted,
+                requests=usage.requests,
+                retries=usage.retries,
+                allowed=int(usage.allowed),
+                routers=usage.routers,
+            )
+        )
+
     def record_refused(
         self, *, reason: str, status: int, retry_after_ms: int, waited_ms: int
     ) -> None:
--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -238,6 +238,23 @@
     last_event: int
 
 
+class RetryDecided(Event, frozen=True, kw_only=True):
+    """A retry was granted or denied by the retry budget; the counts are those before it.
+
+    `requests` and `retries` are this process's own to the service within the budget's window,
+    `allowed` is its bound on `retries`, and `routers` the number of routers that share the slack.
+    """
+
+    name: ClassVar[str] = "retry_decided"
+    request_id: str
+    service: str
+    granted: bool
+    requests: int
+    retries: int
+    allowed: int
+    routers: int
+
+
 class RequestRefused(Event, frozen=True, kw_only=True):
     """A request was rejected before any upstream executed it."""
 
@@ -307,6 +324,7 @@
     AttemptSent,
     AttemptEnded,
     StreamResumed,
+    RetryDecided,
     RequestRefused,
     RequestEnded,
     SuspectNoted,
--- a/tests/forwarding/test_forwarding_requests.py
+++ b/tests/forwarding/test_forwarding_requests.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+from typing import Any, cast
 
 import aiohttp
 import pytest
@@ -110,6 +112,22 @@
     assert not any(arrival.ran for arrival in world.arrivals("r1"))
 
 
+async def test_granted_and_denied_retries_are_in_the_journal_with_their_inputs(
+    world: ForwardingWorld, session: Session, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO)
+    for runner in world.records:
+        runner.default_fault = RunnerFault.ERROR
+    for number in range(60):
+        await world.async_call(session, "GET", "/lookup/a", f"r{number}")
+    decided = [
+        cast(Any, record).event for record in caplog.records if record.message == "retry_decided"
+    ]
+    assert {event["granted"] for event in decided} == {True, False}
+    for event in decided:
+        assert event["granted"] == (event["retries"] + 1 <= event["allowed"])
+
+
 async def test_status_503_without_the_not_run_header_counts_as_lost(
     world: ForwardingWorld, session: Session
 ) -> None:
