Bound the retries of the fleet by token buckets that survive restarts and moves of callers

Callers saw: upstreams that refused most requests got more repeats than allowed, for instance 292 of 243 in ten seconds, when routers were killed meanwhile.

Cause: each process counted its own requests and retries in a sliding window. A new process knew nothing of what its predecessor had spent and started with the whole slack and the whole ratio; and callers that moved to another router found the budget there unspent. retry_decided shows three processes of each router spending 38/33/25, 44/24/31 and 38/31/24 retries, each up to its own bound and with the right number of routers. Class: a bound of the fleet that is kept by state of single processes. Fewer routers in sight (3 or 4 of 5 just after a start; lost ones counted no longer after 3 s) raised each share too.

Change: each router has a token bucket for each service. Requests add the ratio, the capacities and what accrues in a window add up to the slack, a bucket starts empty but at the first start of the fleet, and a router that is no longer seen counts for another minute. Tokens present at the start of any window, those that accrue and those of the window's requests are within the bound whoever holds them.

Evidence: four of the new tests failed on the old budget (adapted to the new constructor only): 127 over the bound when all routers are killed twice, 59 when callers move, 6 in a property test, 126 of 50 when routers lose sight of each other.

Two tests of the budget are replaced: they asked that a process spend the window's whole budget in its first instant, which is the fault. The new ones have the same bounds: over a window in which all requests fail the routers use between 0.8 and 1.0 of the budget, and what was used comes back.

--- a/gypsumrouter/forwarding/budget.py
+++ b/gypsumrouter/forwarding/budget.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import Final
 
 from msgspec import Struct
@@ -11,78 +10,115 @@
 
 # Factor on each router's share, because routers' views of the fleet size differ temporarily.
 SAFETY_FACTOR: Final = 0.85
+# Part of a router's share of the slack that it can spend at once; the rest accrues over the window.
+BURST_SHARE: Final = 0.7
+# How long a router that is no longer seen still counts: it may be cut off and serve callers.
+FLEET_SIZE_HOLD_MS: Final = 60_000
 
 
-class _SlidingWindow:
-    """Times of events, to count those within a sliding window."""
-
-    __slots__ = ("_times",)
-
-    def __init__(self) -> None:
-        self._times: deque[int] = deque()
-
-    def add(self, now_ms: int) -> None:
-        self._times.append(now_ms)
+class RetryUsage(Struct, frozen=True, kw_only=True):
+    """Retries that are available for a service, the most that can be, and the sharing routers."""
 
-    def count(self, since_ms: int) -> int:
-        while self._times and self._times[0] < since_ms:
-            self._times.popleft()
-        return len(self._times)
+    available: float
+    capacity: float
+    routers: int
 
 
-class RetryUsage(Struct, frozen=True, kw_only=True):
-    """This router's requests and retries to a service within the window, and its bound on retries.
+class _Bucket:
+    """Retries that can be made for one service, as of `updated_ms`."""
 
-    `routers` is the number of routers that share the slack.
-    """
+    __slots__ = ("tokens", "updated_ms")
 
-    requests: int
-    retries: int
-    allowed: float
-    routers: int
+    def __init__(self, *, tokens: float, updated_ms: int) -> None:
+        self.tokens = tokens
+        self.updated_ms = updated_ms
 
 
 class RetryBudget:
-    """Counts requests and retries per service within a sliding window.
+    """Token buckets that bound the retries of the whole fleet for each service.
 
-    Within any window the fleet may send `ratio` retries per request, plus `slack` retries. Each
-    router may send `ratio` of its own requests and an equal share of the slack.
+    Within any window of `window_ms` the fleet may send `ratio` retries per request, plus `slack`.
+    Each request adds `ratio` tokens at the router that forwards it. The capacity of the buckets of
+    all routers and what accrues in them during a window add up to the slack. A bucket starts empty,
+    since the process that this one replaces may have spent its own, except at the first start of
+    the fleet. So the bound holds whichever routers restart and whichever serve the callers.
     """
 
-    __slots__ = ("_clock", "_ratio", "_requests", "_retries", "_slack", "_window_ms", "routers")
-
-    def __init__(self, *, clock: Clock, ratio: float, slack: float, window_ms: int) -> None:
+    __slots__ = (
+        "_buckets",
+        "_clock",
+        "_first_start",
+        "_ratio",
+        "_routers",
+        "_routers_ms",
+        "_slack",
+        "_started_ms",
+        "_window_ms",
+    )
+
+    def __init__(
+        self, *, clock: Clock, ratio: float, slack: float, window_ms: int, first_start: bool
+    ) -> None:
         self._clock = clock
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms
-        self._requests: dict[str, _SlidingWindow] = {}
-        self._retries: dict[str, _SlidingWindow] = {}
-        self.routers = 1
+        self._first_start = first_start
+        self._started_ms = clock.now_ms()
+        self._buckets: dict[str, _Bucket] = {}
+        self._routers = 1
+        self._routers_ms = self._started_ms
 
     def set_bounds(self, *, ratio: float, slack: float, window_ms: int) -> None:
-        """Replace the bounds; retries already counted stay counted."""
+        """Replace the bounds; available retries stay available up to the new capacity."""
         self._ratio = ratio
         self._slack = slack
         self._window_ms = window_ms
 
+    def set_routers(self, count: int) -> None:
+        """Set the number of routers that share the slack; a decrease takes effect with a delay."""
+        now_ms = self._clock.now_ms()
+        if count >= self._routers or now_ms - self._routers_ms >= FLEET_SIZE_HOLD_MS:
+            self._routers = max(1, count)
+            self._routers_ms = now_ms
+
     def note_request(self, service: str) -> None:
         """Count a request of a caller to a service."""
-        self._requests.setdefault(service, _SlidingWindow()).add(self._clock.now_ms())
+        bucket = self._refill(service)
+        bucket.tokens = min(self._get_capacity(), bucket.tokens + SAFETY_FACTOR * self._ratio)
 
     def try_acquire(self, service: str) -> bool:
         """Spend one retry of the budget; return whether there was one left."""
-        usage = self.get_usage(service)
-        if usage.retries + 1 > usage.allowed:
+        bucket = self._refill(service)
+        if bucket.tokens < 1:
             return False
-        self._retries[service].add(self._clock.now_ms())
+        bucket.tokens -= 1
         return True
 
     def get_usage(self, service: str) -> RetryUsage:
-        """Return the use of the budget for a service."""
-        since_ms = self._clock.now_ms() - self._window_ms
-        requests = self._requests.setdefault(service, _SlidingWindow()).count(since_ms)
-        retries = self._retries.setdefault(service, _SlidingWindow()).count(since_ms)
-        routers = max(1, self.routers)
-        allowed = SAFETY_FACTOR * (self._ratio * requests + self._slack / routers)
-        return RetryUsage(requests=requests, retries=retries, allowed=allowed, routers=routers)
+        """Return the state of the budget for a service."""
+        return RetryUsage(
+            available=self._refill(service).tokens,
+            capacity=self._get_capacity(),
+            routers=self._routers,
+        )
+
+    def _refill(self, service: str) -> _Bucket:
+        """Return the bucket of a service, with the tokens that have accrued since its last use."""
+        now_ms = self._clock.now_ms()
+        capacity = self._get_capacity()
+        bucket = self._buckets.get(service)
+        if bucket is None:
+            tokens = capacity if self._first_start else 0.0
+            bucket = self._buckets[service] = _Bucket(tokens=tokens, updated_ms=self._started_ms)
+        accruing = (1 - BURST_SHARE) * self._get_slack_share()
+        accrued = accruing * (now_ms - bucket.updated_ms) / self._window_ms
+        bucket.tokens = min(capacity, bucket.tokens + accrued)
+        bucket.updated_ms = now_ms
+        return bucket
+
+    def _get_capacity(self) -> float:
+        return max(1.0, BURST_SHARE * self._get_slack_share())
+
+    def _get_slack_share(self) -> float:
+        return SAFETY_FACTOR * self._slack / self._routers
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -102,6 +102,7 @@
             ratio=bounds.retry_ratio,
             slack=bounds.retry_slack,
             window_ms=bounds.retry_window_ms,
+            first_start=settings.first_start,
         )
         self._drain = DrainAdmission(clock=app.clock, limit_ms=bounds.stop_ms - DRAIN_MARGIN_MS)
         self.suspects = SuspectTracker(app=app, journal=journal)
--- a/gypsumrouter/forwarding/request_journal.py
+++ b/gypsumrouter/forwarding/request_journal.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from gypsumrouter.forwarding.attempt import Attempt
 from gypsumrouter.forwarding.budget import RetryUsage
 from gypsumrouter.forwarding.models import (
@@ -119,9 +121,8 @@
                 request_id=self._request.request_id,
                 service=self._service,
                 granted=granted,
-                requests=usage.requests,
-                retries=usage.retries,
-                allowed=int(usage.allowed),
+                available=math.floor(usage.available * 100) / 100,
+                capacity=round(usage.capacity, 2),
                 routers=usage.routers,
             )
         )
--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -239,19 +239,18 @@
 
 
 class RetryDecided(Event, frozen=True, kw_only=True):
-    """A retry was granted or denied by the retry budget; the counts are those before it.
+    """A retry was granted or denied by the retry budget.
 
-    `requests` and `retries` are this process's own to the service within the budget's window,
-    `allowed` is its bound on `retries`, and `routers` the number of routers that share the slack.
+    `available` is how many retries to the service this process had left before that, `capacity`
+    the most that it can have, and `routers` the number of routers that share the slack.
     """
 
     name: ClassVar[str] = "retry_decided"
     request_id: str
     service: str
     granted: bool
-    requests: int
-    retries: int
-    allowed: int
+    available: float
+    capacity: float
     routers: int
 
 
--- a/gypsumrouter/peers/mesh.py
+++ b/gypsumrouter/peers/mesh.py
@@ -342,7 +342,7 @@
     def _update_retry_budget(self) -> None:
         """Set the number of routers that share the retry budget."""
         alive = self._routers.count_alive()
-        self._forwarder.budget.routers = 1 + max(alive, self._routers.count_seeds())
+        self._forwarder.budget.set_routers(1 + max(alive, self._routers.count_seeds()))
 
     def _dump(self) -> object:
         now_ms = self._app.clock.now_ms()
--- a/gypsumrouter/settings.py
+++ b/gypsumrouter/settings.py
@@ -239,8 +239,9 @@
 
     `callers` and `link_address` are listen addresses; `link_address` overrides the one in `link`.
     `seeds` are link addresses of a few other forwarders, `store` is the platform's store.
-    `first_start` skips reading the cache inventory of the upstreams. `without` disables mechanisms
-    for a measurement.
+    `first_start` means that no router ran before: it skips reading the cache inventory of the
+    upstreams and lets retries use the slack at once. `without` disables mechanisms for a
+    measurement.
     """
 
     instance: Identity
