--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -39,6 +39,7 @@
     decide_after_failed_run,
     decide_next_step,
 )
+from gypsumrouter.forwarding.outcome_recorder import OutcomeRecorder
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.progress import Progress
@@ -71,6 +72,7 @@
     __slots__ = (
         "_context",
         "_digest",
+        "_recorder",
         "_relay",
         "_request",
         "_request_journal",
@@ -100,6 +102,13 @@
         self._request_journal = request_journal
         self._digest = make_digest(request)
         self.progress = progress
+        self._recorder = OutcomeRecorder(
+            placer=context.placer,
+            pool=context.pool,
+            suspects=context.suspects,
+            progress=progress,
+            digest=self._digest,
+        )
         self._relay = Relay(
             web_request=web_request,
             request=request,
@@ -202,63 +211,12 @@
         if isinstance(outcome, StreamingResponse):
             decision = await self._async_relay_stream(attempt, outcome)
         else:
-            outcome = self._record_outcome(attempt, outcome)
+            outcome = self._recorder.record(
+                attempt, outcome, response_started=self._relay.response is not None
+            )
             decision = decide_next_step(outcome, self.progress, self._get_retry_limits())
         return self._apply(decision, outcome), decision.step.value
 
-    def _record_outcome(
-        self, attempt: Attempt, outcome: Unreachable | Rejected | ResponseLost | CompleteResponse
-    ) -> Unreachable | Rejected | ResponseLost | CompleteResponse:
-        """Update the request's state and the upstream's health; return the effective outcome.
-
-        A complete response counts as lost if a part of a stream was already sent to the caller.
-        """
-        upstream = attempt.entry.incarnation
-        match outcome:
-            case Unreachable(reason=reason, refused=refused):
-                self._context.placer.note_unreachable(attempt.entry, reason=reason, refused=refused)
-                self._context.pool.close_idle(upstream)
-                self.progress.unreachable += 1
-                self.progress.excluded_upstreams.add(upstream)
-            case Rejected():
-                self._record_rejection(upstream, outcome)
-            case ResponseLost():
-                self._record_lost(upstream, outcome)
-            case CompleteResponse(status=status) if self._relay.response is not None:
-                outcome = ResponseLost(reason=f"status {status}")
-                self._record_lost(upstream, outcome)
-            case CompleteResponse(status=status) if status < STATUS_SERVER_ERROR:
-                self._record_success(upstream)
-            case CompleteResponse(status=status):
-                self._context.placer.health.note_failure(upstream, reason=f"status {status}")
-                self.progress.fallback_response = outcome
-                self._record_possible_run(upstream)
-        return outcome
-
-    def _record_rejection(self, upstream: str, outcome: Rejected) -> None:
-        if outcome.wrong_upstream:
-            self._context.placer.health.note_unreachable(
-                upstream, reason="another upstream has its address"
-            )
-        else:
-            self._context.placer.health.note_failure(upstream, reason="turned away")
-        self.progress.rejections += 1
-        self.progress.excluded_upstreams.add(upstream)
-
-    def _record_lost(self, upstream: str, outcome: ResponseLost) -> None:
-        self._context.placer.health.note_failure(upstream, reason=outcome.reason)
-        if outcome.connection_broken:
-            self._context.suspects.note_crash(self._digest, upstream)
-        self._record_possible_run(upstream)
-
-    def _record_success(self, upstream: str) -> None:
-        self._context.placer.health.note_success(upstream)
-        self._context.suspects.note_success(self._digest)
-
-    def _record_possible_run(self, upstream: str) -> None:
-        self.progress.possibly_ran_on.append(upstream)
-        self.progress.excluded_upstreams.add(upstream)
-
     async def _async_relay_stream(self, attempt: Attempt, outcome: StreamingResponse) -> Decision:
         """Relay a streamed response and return the next step."""
         upstream = attempt.entry.incarnation
@@ -266,11 +224,11 @@
             self._request_journal.record_resumed(upstream, last_event_id=self._relay.last_event_id)
         end = await self._relay.async_relay(outcome)
         if end is RelayResult.COMPLETE:
-            self._record_success(upstream)
+            self._recorder.record_success(upstream)
             attempt.release()
             return Decision(step=NextStep.RESPOND)
         message = f"stream {end.value}"
-        self._record_lost(
+        self._recorder.record_lost(
             upstream, ResponseLost(reason=message, connection_broken=end is RelayResult.BROKEN)
         )
         attempt.close()
