One token bucket for the three retry and hedge budgets

The budgets of forwarders, of the gateway and of hedged requests each had their own arithmetic of the same bucket. The hedge budget of service clients was called a retry budget; it is named after what it bounds now. No change of behaviour; tests of forwarding, gateway and upstream pass.

--- a/gypsumrouter/forwarding/budget.py
+++ b/gypsumrouter/forwarding/budget.py
@@ -7,6 +7,7 @@
 from msgspec import Struct
 
 from gypsumrouter.util.clock import Clock
+from gypsumrouter.util.token_bucket import TokenBucket
 
 # Factor on each router's share, because routers' views of the fleet size differ temporarily.
 SAFETY_FACTOR: Final = 0.85
@@ -24,16 +25,6 @@
     routers: int
 
 
-class _Bucket:
-    """Retries that can be made for one service, as of `updated_ms`."""
-
-    __slots__ = ("tokens", "updated_ms")
-
-    def __init__(self, *, tokens: float, updated_ms: int) -> None:
-        self.tokens = tokens
-        self.updated_ms = updated_ms
-
-
 class RetryBudget:
     """Token buckets that bound the retries of the whole fleet for each service.
 
@@ -49,6 +40,7 @@
         "_clock",
         "_first_start",
         "_ratio",
+        "_refilled_ms",
         "_routers",
         "_routers_ms",
         "_slack",
@@ -65,7 +57,8 @@
         self._window_ms = window_ms
         self._first_start = first_start
         self._started_ms = clock.now_ms()
-        self._buckets: dict[str, _Bucket] = {}
+        self._buckets: dict[str, TokenBucket] = {}
+        self._refilled_ms: dict[str, int] = {}
         self._routers = 1
         self._routers_ms = self._started_ms
 
@@ -84,37 +77,29 @@
 
     def note_request(self, service: str) -> None:
         """Count a request of a caller to a service."""
-        bucket = self._refill(service)
-        bucket.tokens = min(self._get_capacity(), bucket.tokens + SAFETY_FACTOR * self._ratio)
+        self._refill(service).add(SAFETY_FACTOR * self._ratio)
 
     def try_acquire(self, service: str) -> bool:
         """Spend one retry of the budget; return whether there was one left."""
-        bucket = self._refill(service)
-        if bucket.tokens < 1:
-            return False
-        bucket.tokens -= 1
-        return True
+        return self._refill(service).try_take()
 
     def get_usage(self, service: str) -> RetryUsage:
         """Return the state of the budget for a service."""
-        return RetryUsage(
-            available=self._refill(service).tokens,
-            capacity=self._get_capacity(),
-            routers=self._routers,
-        )
+        bucket = self._refill(service)
+        return RetryUsage(available=bucket.tokens, capacity=bucket.capacity, routers=self._routers)
 
-    def _refill(self, service: str) -> _Bucket:
+    def _refill(self, service: str) -> TokenBucket:
         """Return the bucket of a service, with the tokens that have accrued since its last use."""
         now_ms = self._clock.now_ms()
+        elapsed_ms = now_ms - self._refilled_ms.get(service, self._started_ms)
+        self._refilled_ms[service] = now_ms
         capacity = self._get_capacity()
         bucket = self._buckets.get(service)
         if bucket is None:
             tokens = capacity if self._first_start else 0.0
-            bucket = self._buckets[service] = _Bucket(tokens=tokens, updated_ms=self._started_ms)
-        accruing = (1 - BURST_SHARE) * self._get_slack_share()
-        accrued = accruing * (now_ms - bucket.updated_ms) / self._window_ms
-        bucket.tokens = min(capacity, bucket.tokens + accrued)
-        bucket.updated_ms = now_ms
+            bucket = self._buckets[service] = TokenBucket(capacity=capacity, tokens=tokens)
+        bucket.set_capacity(capacity)
+        bucket.add((1 - BURST_SHARE) * self._get_slack_share() * elapsed_ms / self._window_ms)
         return bucket
 
     def _get_capacity(self) -> float:
--- a/gypsumrouter/gateway/budget.py
+++ b/gypsumrouter/gateway/budget.py
@@ -3,38 +3,38 @@
 from __future__ import annotations
 
 from gypsumrouter.gateway.const import RETRY_BURST
+from gypsumrouter.util.token_bucket import TokenBucket
 
 
 class RetryBudget:
-    """Token bucket that limits retries to a ratio of the requests, to avoid retry storms.
+    """Limits retries to a ratio of the requests, to avoid retry storms.
 
-    Each request adds `ratio` tokens and each retry takes one. The bucket starts full and holds at
-    most `burst` tokens; it is always empty if `ratio` is 0.
+    Each request adds `ratio` retries. The budget starts with `burst` retries, the most that it
+    holds; it is always empty if `ratio` is 0.
     """
 
-    __slots__ = ("_burst", "_ratio", "_tokens", "denied", "spent")
+    __slots__ = ("_bucket", "_ratio", "denied", "spent")
 
     def __init__(self, *, ratio: float, burst: float = RETRY_BURST) -> None:
         self._ratio = ratio
-        self._burst = burst if ratio > 0 else 0.0
-        self._tokens = self._burst
+        capacity = burst if ratio > 0 else 0.0
+        self._bucket = TokenBucket(capacity=capacity, tokens=capacity)
         self.spent = 0
         self.denied = 0
 
     @property
     def available(self) -> float:
-        """Return the number of tokens: retries that may be made now."""
-        return self._tokens
+        """Return the number of retries that may be made now."""
+        return self._bucket.tokens
 
     def record_request(self) -> None:
-        """Add the tokens for one request."""
-        self._tokens = min(self._burst, self._tokens + self._ratio)
+        """Add the retries that one request allows."""
+        self._bucket.add(self._ratio)
 
     def try_acquire(self) -> bool:
-        """Take the token for one retry; return False if there is none."""
-        if self._tokens < 1.0:
+        """Take one retry; return False if there is none."""
+        if not self._bucket.try_take():
             self.denied += 1
             return False
-        self._tokens -= 1.0
         self.spent += 1
         return True
--- a/gypsumrouter/upstream/const.py
+++ b/gypsumrouter/upstream/const.py
@@ -40,6 +40,6 @@
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 2
 
-# Tokens of the retry budget that each request adds, and the size of the bucket.
-RETRY_BUDGET_SHARE: Final = 0.1
-RETRY_BUDGET_BURST: Final = 5.0
+# Hedged requests per request, and how many of them can be saved up.
+HEDGE_BUDGET_SHARE: Final = 0.1
+HEDGE_BUDGET_BURST: Final = 5.0
--- a/gypsumrouter/upstream/service.py
+++ b/gypsumrouter/upstream/service.py
@@ -11,12 +11,16 @@
 from gypsumrouter.core import Application
 from gypsumrouter.outcomes import Failed, Failure, Reason
 from gypsumrouter.settings import Upstream
-from gypsumrouter.upstream.budget import RetryBudget
 from gypsumrouter.upstream.client import Attempt, BaseClient, make_unreachable
-from gypsumrouter.upstream.const import MAX_FAILED_PROBES
+from gypsumrouter.upstream.const import (
+    HEDGE_BUDGET_BURST,
+    HEDGE_BUDGET_SHARE,
+    MAX_FAILED_PROBES,
+)
 from gypsumrouter.upstream.headers import select_request_headers
 from gypsumrouter.upstream.models import Cause, Interrupted, Liveness
 from gypsumrouter.upstream.run import Run
+from gypsumrouter.util.token_bucket import TokenBucket
 
 Call = asyncio.Task[aiohttp.ClientResponse]
 
@@ -25,19 +29,20 @@
     """Send requests to a service.
 
     If a connection is idle, the service may be slow or the connection lost. A request without an
-    idempotency key is then hedged: it is sent once more on a second connection, within a retry
-    budget, and the first response is used. A request with a key waits until its deadline while
-    probes of the service succeed; TCP keepalive detects connections whose path is lost.
+    idempotency key is then hedged: it is sent once more on a second connection, for a bounded
+    share of the requests, and the first response is used. A request with a key waits until its
+    deadline while probes of the service succeed; TCP keepalive detects connections whose path is
+    lost.
     """
 
-    __slots__ = ("_retry_budget",)
+    __slots__ = ("_hedge_budget",)
 
     def __init__(self, *, app: Application, settings: Upstream) -> None:
         super().__init__(app=app, settings=settings)
-        self._retry_budget = RetryBudget()
+        self._hedge_budget = TokenBucket(capacity=HEDGE_BUDGET_BURST, tokens=HEDGE_BUDGET_BURST)
 
     async def _async_drive(self, run: Run) -> Failure | None:
-        self._retry_budget.record_run()
+        self._hedge_budget.add(HEDGE_BUDGET_SHARE)
         attempt = await self._async_attempt(run, self._async_open_hedged)
         match attempt:
             case Attempt.COMPLETE:
@@ -94,7 +99,7 @@
     def _may_hedge(self, run: Run) -> bool:
         if run.request.idempotency_key or run.sends > 1:
             return False
-        return self._retry_budget.try_acquire()
+        return self._hedge_budget.try_take()
 
     def _open_call(self, run: Run) -> Call:
         run.sends += 1
