Soak: count a drain only for the runner whose response announced it

Cause: the check took the drain that a response announces as one of every runner at which the request had arrived. The class of fault: a retried request has several upstreams, and a check that joins by request id alone mixes them up.

The runners of the soak now sign with their own stamp, which the router passes on unchanged, and the drain counts for the runner that signed. What the check asks of that runner is as before; a new test has both sides.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -27,8 +27,9 @@
     """One request as seen by its caller; `status` is 0 if no response arrived.
 
     `complete` is whether the whole response was read, `id_matches` whether it carried the id of the
-    request, `forwarder` the number of the forwarder, and `draining` whether the response announced
-    a drain of its upstream. Times are monotonic seconds.
+    request, `forwarder` the number of the forwarder, `stamp` the stamp of the upstream that
+    responded, and `draining` whether the response announced a drain of that upstream. Times are
+    monotonic seconds.
     """
 
     request_id: str
@@ -41,6 +42,7 @@
     forwarder: int = 0
     sent_s: float = 0.0
     answered_s: float = 0.0
+    stamp: str = ""
     draining: bool = False
 
     @property
@@ -129,6 +131,7 @@
                     complete=True,
                     id_matches=answer.headers.get("X-Request-Id") == request_id,
                     answered_s=time.monotonic(),
+                    stamp=answer.headers.get(names.STAMP, ""),
                     draining=names.is_leaving(answer.headers.get(names.SERVER_LEAVING)),
                 )
         except (aiohttp.ClientError, OSError, TimeoutError):
--- a/bench/soak_drain_checks.py
+++ b/bench/soak_drain_checks.py
@@ -28,7 +28,7 @@
     by_id = {record.request_id: record for record in records}
     for runner in runners:
         sent = [by_id[a.request_id] for a in runner.arrivals if a.request_id in by_id]
-        announcements = [record for record in sent if record.draining]
+        announcements = [record for record in sent if _announces_drain(record, runner)]
         for record in sent:
             if any(
                 _is_sent_after_drain(announcement, record, interruptions)
@@ -41,6 +41,14 @@
                 )
 
 
+def _announces_drain(record: CallRecord, runner: PlatformRunner) -> bool:
+    """Return whether a runner's own response announced its drain.
+
+    A retried request arrives at several runners, and its caller gets the response of one of them.
+    """
+    return record.draining and record.stamp == runner.stamp
+
+
 def _is_sent_after_drain(
     announcement: CallRecord, record: CallRecord, interruptions: Interruptions
 ) -> bool:
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -7,7 +7,6 @@
 from collections import deque
 from collections.abc import Callable
 from enum import StrEnum
-from typing import Final
 
 from aiohttp import web
 from msgspec import Struct
@@ -17,8 +16,6 @@
 from gypsumrouter.platform import names
 from gypsumrouter.standins.listener import StandinListener, reset_transport
 
-STAMP: Final = "3e1b.07.5a2.600.0.c9f2a4d1"
-
 
 class RunnerFault(StrEnum):
     """How a runner fails a request.
@@ -73,6 +70,8 @@
 
     def __init__(self, *, name: str, events: int = 4) -> None:
         self.name = name
+        # Sent with each response of a run.
+        self.stamp = f"{name}.07.5a2.600.0.c9f2a4d1"
         self.events = events
         self.next_faults: deque[RunnerFault] = deque()
         self.default_fault = RunnerFault.NONE
@@ -160,7 +159,7 @@
     async def _async_run(
         self, request: web.Request, arrival: Arrival, fault: RunnerFault
     ) -> web.StreamResponse:
-        headers = {names.REQUEST_ID: arrival.request_id, names.STAMP: STAMP}
+        headers = {names.REQUEST_ID: arrival.request_id, names.STAMP: self.stamp}
         match fault:
             case RunnerFault.RESET:
                 _reset_connection(request)
@@ -177,8 +176,8 @@
                 return web.Response(status=503, headers=headers)
             case RunnerFault.FOREIGN_RESPONSE_FIRST if request.transport is not None:
                 request.transport.write(
-                    f"HTTP/1.1 200 OK\r\n{names.REQUEST_ID}: other\r\n{names.STAMP}: {STAMP}\r\n"
-                    "Content-Length: 5\r\n\r\nother".encode()
+                    f"HTTP/1.1 200 OK\r\n{names.REQUEST_ID}: other\r\n"
+                    f"{names.STAMP}: {self.stamp}\r\nContent-Length: 5\r\n\r\nother".encode()
                 )
         if names.TOKEN_USAGE not in request.headers:
             return web.Response(headers=headers, body=f"{self.name} {arrival.path}".encode())
--- a/tests/bench/test_bench_soak.py
+++ b/tests/bench/test_bench_soak.py
@@ -144,9 +144,9 @@
 
 def count_sent_after_drain(sent_s: float, *interruptions_s: float) -> int:
     """Return the violations for a request sent at a time after its runner announced a drain."""
-    announced = make_record(request_id="r1", draining=True, answered_s=10.0)
-    later = make_record(request_id="r2", sent_s=sent_s)
     runner = PlatformRunner(name="i-1")
+    announced = make_record(request_id="r1", draining=True, stamp=runner.stamp, answered_s=10.0)
+    later = make_record(request_id="r2", sent_s=sent_s)
     runner.arrivals = [make_arrival(request_id="r1"), make_arrival(request_id="r2")]
     return len(list(check_draining([announced, later], [runner], {0: interruptions_s})))
 
@@ -158,6 +158,16 @@
     assert count_sent_after_drain(10.1 + MAX_SENT_AFTER_DRAIN_S, 9.0) == 1
 
 
+def test_drain_announced_by_the_runner_of_a_retry_is_not_attributed_to_the_first() -> None:
+    first, second = PlatformRunner(name="i-1"), PlatformRunner(name="i-2")
+    retried = make_record(request_id="r1", draining=True, stamp=second.stamp, answered_s=10.0)
+    later = make_record(request_id="r2", sent_s=13.0)
+    for runner in (first, second):
+        runner.arrivals = [make_arrival(request_id="r1"), make_arrival(request_id="r2")]
+    assert not list(check_draining([retried, later], [first], {}))
+    assert len(list(check_draining([retried, later], [second], {}))) == 1
+
+
 def test_requests_during_backoff_are_violation() -> None:
     runner = PlatformRunner(name="i-1")
     runner.back_offs = [BackOff(request_id="r0", begins_s=10.0, ends_s=12.0)]
