Soak: storms, in which upstreams reject all requests while routers are killed

The soak had no fault that makes most requests fail while routers are replaced, and no check of the retry budget, so that it could not find the retries beyond the budget. Processes that are started again are told that it is not the first start, as on the platform.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -17,6 +17,7 @@
 from bench.soak_checks import Violation, check_all, check_cold_starts, check_evacuations
 from bench.soak_drain_checks import check_backoffs, check_draining, check_retired
 from bench.soak_faults import FaultInjector
+from bench.soak_retry_checks import RETRY_RATIO, RETRY_SLACK, check_retry_budget
 from bench.soak_rig import ENV_KEY, KEY, SoakRig
 
 DEFAULT_S: Final = 6.0
@@ -26,18 +27,29 @@
 
 
 async def async_soak(
-    *, seed: int, seconds: float, folder: Path, evacuations: bool = False, drills: bool = False
+    *,
+    seed: int,
+    seconds: float,
+    folder: Path,
+    evacuations: bool = False,
+    drills: bool = False,
+    storms: bool = False,
 ) -> tuple[dict[str, object], bool]:
     """Run one seed and return its figures, and whether all guarantees held.
 
     With `evacuations` data centres are evacuated and engines start cold. With `drills` the
-    store is restored from backups, and runners announce their drain or ask for back-off.
+    store is restored from backups, and runners announce their drain or ask for back-off. With
+    `storms` all runners of a service reject requests while all forwarders are killed, and the
+    retry budget is small.
     """
-    rig = SoakRig(folder=folder, evacuations=evacuations)
+    bounds = {"retry_ratio": RETRY_RATIO, "retry_slack": RETRY_SLACK} if storms else {}
+    rig = SoakRig(folder=folder, evacuations=evacuations, bounds=bounds)
     try:
         await rig.async_start()
         callers = Callers(rig=rig, seed=seed)
-        injector = FaultInjector(rig=rig, seed=seed, evacuations=evacuations, drills=drills)
+        injector = FaultInjector(
+            rig=rig, seed=seed, evacuations=evacuations, drills=drills, storms=storms
+        )
         call_task = asyncio.create_task(callers.async_run())
         await injector.async_run(seconds=seconds)
         await injector.async_wait_until_reverted()
@@ -57,6 +69,8 @@
         violations += check_draining(callers.records, rig.list_runners(), rig.interruptions_s)
         violations += check_backoffs(callers.records, rig.list_runners(), rig.interruptions_s)
         violations += check_retired(rig.retired, settled_s)
+        if storms:
+            violations += check_retry_budget(callers.records, rig.list_runners_by_service())
     finally:
         await rig.async_stop()
     figures: dict[str, object] = {
@@ -92,8 +106,15 @@
 @click.option(
     "--drills", is_flag=True, help="Restore the store; drain runners and let them ask for back-off."
 )
+@click.option("--storms", is_flag=True, help="Reject most requests while forwarders are killed.")
 def soak_command(
-    seed: int | None, seeds: int, minutes: float, seconds: float, places: bool, drills: bool
+    seed: int | None,
+    seeds: int,
+    minutes: float,
+    seconds: float,
+    places: bool,
+    drills: bool,
+    storms: bool,
 ) -> None:
     """Run seeds; the last line is a JSON object. Exits with 1 after a violation."""
     first = int(time.time()) % 1_000_000 if minutes else 1
@@ -111,6 +132,7 @@
                     folder=Path(folder),
                     evacuations=places,
                     drills=drills,
+                    storms=storms,
                 )
             )
         click.echo(json.dumps(figures))
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -21,6 +21,7 @@
 MAX_LISTING_DELAY_S: Final = 5.0
 MIN_BACKOFF_S: Final = 0.7
 MAX_BACKOFF_S: Final = 2.0
+MAX_STORM_S: Final = 3.0
 RUNNER_FAULTS: Final = (
     RunnerFault.SHED,
     RunnerFault.ERROR,
@@ -38,7 +39,13 @@
     """Injects random faults and reverts them, each in its own task."""
 
     def __init__(
-        self, *, rig: SoakRig, seed: int, evacuations: bool = False, drills: bool = False
+        self,
+        *,
+        rig: SoakRig,
+        seed: int,
+        evacuations: bool = False,
+        drills: bool = False,
+        storms: bool = False,
     ) -> None:
         self._rig = rig
         self._rng = random.Random(seed)
@@ -63,6 +70,9 @@
             self._faults["restore"] = self._async_restore
             self._faults["leave_unlisted"] = self._async_drain_unlisted
             self._faults["rest"] = self._async_back_off
+        if storms:
+            self._faults["storm"] = self._async_storm
+            self._faults["kill_all"] = self._async_kill_all
         self._evacuated: set[str] = set()
         self._restoring = False
 
@@ -185,6 +195,20 @@
         runner.default_fault = RunnerFault.NONE
         runner.retry_after_s = None
 
+    async def _async_storm(self) -> None:
+        """Let all runners of a service reject their requests."""
+        service = self._rng.choice(tuple(self._rig.runners))
+        runners = tuple(self._rig.runners[service])
+        for runner in runners:
+            runner.default_fault = RunnerFault.SHED
+        await asyncio.sleep(self._rng.uniform(1.0, MAX_STORM_S))
+        for runner in runners:
+            runner.default_fault = RunnerFault.NONE
+
+    async def _async_kill_all(self) -> None:
+        """Kill all forwarders that no other fault uses, and start them again."""
+        await asyncio.gather(*(self._async_kill() for _ in range(FORWARDERS)))
+
     async def _async_store_path(self) -> None:
         proxy = self._rng.choice(self._rig.store_proxies)
         if self._rng.random() < 0.5:
--- a/bench/soak_rig.py
+++ b/bench/soak_rig.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import time
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, Final
 
@@ -41,10 +42,18 @@
     """Starts, kills and restarts forwarder processes, always on the same ports.
 
     With `evacuations` runners are in several data centres, and new engines start cold.
+    `bounds` overrides limits of the forwarders.
     """
 
-    def __init__(self, *, folder: Path, evacuations: bool = False) -> None:
+    def __init__(
+        self,
+        *,
+        folder: Path,
+        evacuations: bool = False,
+        bounds: Mapping[str, float] | None = None,
+    ) -> None:
         self._evacuations = evacuations
+        self._bounds = bounds or {}
         # Data centre by name of the runner.
         self.data_centres: dict[str, str] = {}
         self._folder = folder
@@ -190,7 +199,9 @@
                 "stop_ms": 4_000,
                 "warm_up_factor": COLD_START_FACTOR,
                 "warm_up_slack": COLD_START_SLACK,
+                **self._bounds,
             },
+            "first_start": not self.interruptions_s[number],
             "log": {"format": "json"},
         }
         process = await async_start_daemon(
@@ -230,6 +241,13 @@
         """Return all runners, including replaced ones."""
         return [*self.retired, *(r for runners in self.runners.values() for r in runners)]
 
+    def list_runners_by_service(self) -> dict[str, list[PlatformRunner]]:
+        """Return all runners of each service, including replaced ones."""
+        return {
+            service: [runner for runner in self.list_runners() if service in runner.name]
+            for service in self.runners
+        }
+
     def list_arrivals(self) -> list[Arrival]:
         """Return the requests that arrived at any runner."""
         return [arrival for runner in self.list_runners() for arrival in runner.arrivals]
--- a/tests/bench/test_bench_soak.py
+++ b/tests/bench/test_bench_soak.py
@@ -18,6 +18,12 @@
     check_draining,
     check_retired,
 )
+from bench.soak_retry_checks import (
+    RETRY_RATIO,
+    RETRY_SLACK,
+    RETRY_WINDOW_S,
+    check_retry_budget,
+)
 from bench.soak_rig import ENV_KEY, KEY, MAX_IN_COLD_START, WORKSPACE
 from gypsumrouter.standins import PlatformRunner
 from gypsumrouter.standins.platform_runner import Arrival, BackOff
@@ -183,6 +189,20 @@
     assert not list(check_backoffs(records, [runner], {0: [11.0]}))
 
 
+def test_retries_beyond_the_budget_in_any_window_are_violation() -> None:
+    runner = PlatformRunner(name="i-records-1")
+    records = [make_record(request_id=f"r{number}", sent_s=20.0) for number in range(100)]
+    first = [make_arrival(request_id=record.request_id, at_s=20.0) for record in records]
+    allowed = int(RETRY_SLACK + RETRY_RATIO * len(records))
+    again = [make_arrival(request_id=f"r{number}", at_s=20.0) for number in range(allowed)]
+    runner.arrivals = first + again
+    assert not list(check_retry_budget(records, {"records": [runner]}))
+    runner.arrivals.append(make_arrival(request_id="r0", at_s=19.9 + RETRY_WINDOW_S))
+    assert len(list(check_retry_budget(records, {"records": [runner]}))) == 1
+    runner.arrivals[-1].at_s = 20.0 + RETRY_WINDOW_S
+    assert not list(check_retry_budget(records, {"records": [runner]}))
+
+
 def test_request_to_removed_runner_is_violation() -> None:
     runner = PlatformRunner(name="i-1")
     runner.arrivals = [make_arrival(at_s=10.0)]
@@ -223,3 +243,14 @@
     figures, kept = await async_soak(seed=seed, seconds=5.0, folder=tmp_path, drills=True)
     assert kept, figures["violations"]
     assert figures["answered"]
+
+
+# Seed 5: processes that started again had the whole retry budget again.
+@pytest.mark.parametrize("seed", [5])
+async def test_short_soak_with_storms_has_no_violations(
+    seed: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setitem(os.environ, ENV_KEY, KEY)
+    figures, kept = await async_soak(seed=seed, seconds=8.0, folder=tmp_path, storms=True)
+    assert kept, figures["violations"]
+    assert figures["answered"]
