A watcher that starts again tells its neighbours the whole list, not only changes

Cause: a router knows a removal only of upstreams that it knew. edge-mixco-a-1, the one router that watches the store for mixco-a, was down while i-5c13ad5ab3 was removed at revision 75. Its first full list, as of 75, lacked the upstream, so that it had no removal to tell; but it announced that it knew all changes up to 75, and twelve neighbours at 74 advanced to 75 without it. They kept the upstream for good. It even took the entry back, as of 26, from a peer that was behind. Class: anti-entropy without tombstones: the changes since a revision are told by a process that was not there.

Change: the directory remembers the revision of its last full list. A watcher announces that revision like a change; a peer that asks for changes since an earlier one gets the full list, marked as complete, and removes what it lacks. A peer's entry of an unknown upstream that predates the full list is ignored. In a grace period after an outage, in which entries may have lapsed, nobody vouches for a full list: the peer gets what is known and asks again. A router compares what peers have with what it knows completely, not with its newest change.

The store of these tests listed removed upstreams, which the platform's does not; so no test could see it.

--- a/gypsumrouter/directory/directory.py
+++ b/gypsumrouter/directory/directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
 from msgspec.structs import replace
@@ -35,6 +35,10 @@
     epoch supersede all earlier ones, but a backup lacks the last writes. So an upstream that was
     leaving stays so, and for `RECOVERY_GRACE_MS` removed upstreams are not added again and missing
     ones are not removed.
+
+    A removal is known only of upstreams that were known before. So the changes since a revision can
+    be told to a peer only back to `listed_revision`, that of the last full list; for a peer that is
+    further behind, the upstreams that are missing here are part of the news.
     """
 
     __slots__ = (
@@ -50,6 +54,7 @@
         "_listeners",
         "_newest_revision",
         "_records",
+        "listed_revision",
         "loaded",
         "read_revision",
     )
@@ -71,9 +76,16 @@
         # The revision up to which the store was read, and the highest one merged from any source.
         self.read_revision = 0
         self._newest_revision = 0
+        # The revision of the last full list, from the store or from a peer.
+        self.listed_revision = 0
         self.loaded = asyncio.Event()
         app.add_dump_section("directory", self._dump)
 
+    @property
+    def in_grace_period(self) -> bool:
+        """Return whether upstreams may be missing after an outage or a restore of the store."""
+        return self._grace_until_ms is not None
+
     @property
     def applied_revision(self) -> int:
         """Return the revision up to which all changes are applied.
@@ -113,11 +125,18 @@
         for record in records:
             listed.add(record.entry.upstream)
             self.merge(record, source=source)
+        self.remove_unlisted(listed, revision=revision, source=source)
+        self.note_read_revision(revision)
+
+    def remove_unlisted(self, listed: Collection[str], *, revision: int, source: str) -> int:
+        """Remove the upstreams that a full list as of `revision` lacks; return their number."""
+        removed = 0
         for upstream, known in tuple(self._records.items()):
             if upstream not in listed and known.revision <= revision:
                 gone = Entry(upstream=upstream, state=EntryState.GONE)
-                self.merge(Record(revision=revision, entry=gone), source=source)
-        self.note_read_revision(revision)
+                removed += self.merge(Record(revision=revision, entry=gone), source=source)
+        self.listed_revision = max(self.listed_revision, revision)
+        return removed
 
     def note_read_revision(self, revision: int) -> None:
         """Record that all changes up to `revision` have been merged from the store."""
@@ -147,6 +166,8 @@
         known = self._records.get(upstream)
         if known is not None and known.revision >= record.revision:
             return False
+        if known is None and confirmed and self._was_removed(record):
+            return False
         self._check_epoch(record.revision, source)
         self._newest_revision = max(self._newest_revision, record.revision)
         if known is None:
@@ -166,6 +187,10 @@
         self._apply(known, record, source)
         return True
 
+    def _was_removed(self, record: Record) -> bool:
+        """Return whether a peer's entry of an unknown upstream predates a list that lacks it."""
+        return record.entry.state is not EntryState.GONE and record.revision <= self.listed_revision
+
     def _merge_first(self, record: Record, source: str) -> bool:
         """Merge the first record of an unknown upstream."""
         match record.entry.state:
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -247,6 +247,7 @@
 struct ListedUpstreams {
   entries @0 :List(ListedUpstream);
   asOf @1 :UInt64;
+  complete @2 :Bool;
 }
 
 struct HeldAt {
--- a/gypsumrouter/link/models.py
+++ b/gypsumrouter/link/models.py
@@ -339,10 +339,14 @@
 
 
 class ListedUpstreams(Struct, frozen=True, kw_only=True):
-    """Entries of the upstream list; they include all changes up to the revision `as_of`."""
+    """Entries of the upstream list; they include all changes up to the revision `as_of`.
+
+    If `complete`, upstreams that are not among them were removed by then.
+    """
 
     entries: tuple[ListedUpstream, ...]
     as_of: int = 0
+    complete: bool = False
 
 
 class InventoryRequest(Struct, frozen=True, kw_only=True):
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -261,7 +261,7 @@
 
 def encode_listed_upstreams(notice: ListedUpstreams) -> bytes:
     """Encode the body of a LISTED_UPSTREAMS frame."""
-    message = SCHEMA.ListedUpstreams.new_message(asOf=notice.as_of)
+    message = SCHEMA.ListedUpstreams.new_message(asOf=notice.as_of, complete=notice.complete)
     entries = message.init("entries", len(notice.entries))
     for target, entry in zip(entries, notice.entries, strict=True):
         target.revision = entry.revision
@@ -295,6 +295,7 @@
                 for entry in message.entries
             ),
             as_of=message.asOf,
+            complete=message.complete,
         )
 
 
--- a/gypsumrouter/peers/catch_up.py
+++ b/gypsumrouter/peers/catch_up.py
@@ -97,7 +97,7 @@
         """
         now_ms = self._app.clock.now_ms()
         routing = routing_version > self._routing.version
-        upstreams = list_revision > self._directory.applied_revision
+        upstreams = list_revision > self._get_list_as_of()
         self._behind_routing_ms = _get_behind_since(self._behind_routing_ms, routing, now_ms)
         self._behind_list_ms = _get_behind_since(self._behind_list_ms, upstreams, now_ms)
         if now_ms - self._last_request_ms < CATCH_UP_INTERVAL_MS:
@@ -144,7 +144,9 @@
         return True
 
     def _get_list_as_of(self) -> int:
-        return self._directory.limit_to_applied(self._list_state.as_of or 0)
+        """Return the revision up to which all changes of the list are known."""
+        as_of = max(self._list_state.as_of or 0, self._directory.listed_revision)
+        return self._directory.limit_to_applied(as_of)
 
     def _is_overdue(self, since_ms: int | None, now_ms: int) -> bool:
         """Return whether to request now; without any configuration or list there is no delay."""
@@ -164,9 +166,21 @@
                 )
             )
         if request.upstreams and self._directory.loaded.is_set():
-            records = self._directory.records(since=request.since)
-            entries = tuple(_encode_record(record) for record in records)
-            peer.send(ListedUpstreams(entries=entries, as_of=self._get_list_as_of()))
+            peer.send(self._list_changes(request.since))
+
+    def _list_changes(self, since: int) -> ListedUpstreams:
+        """Return the changes after a revision, or the full list if they are not all known here.
+
+        During a grace period the full list may lack upstreams that return, so that the peer gets
+        what is known, and has to ask again.
+        """
+        as_of = self._get_list_as_of()
+        complete = since < self._directory.listed_revision
+        if complete and self._directory.in_grace_period:
+            complete, as_of = False, since
+        records = self._directory.records(since=0 if complete else since)
+        entries = tuple(_encode_record(record) for record in records)
+        return ListedUpstreams(entries=entries, as_of=as_of, complete=complete)
 
     def _handle_routing(self, peer: Peer, message: RoutingDocument) -> None:
         # Evacuations come first: with its first configuration, a router may start to send requests.
@@ -205,6 +219,11 @@
                 )
                 continue
             merged += self._directory.merge(record, source=peer.hello.name, confirmed=True)
+        if message.complete and message.as_of >= previous:
+            listed = {entry.upstream for entry in message.entries}
+            merged += self._directory.remove_unlisted(
+                listed, revision=message.as_of, source=peer.hello.name
+            )
         self._list_state.advance(message.as_of)
         self._directory.note_peer_synced()
         if message.entries:
--- a/gypsumrouter/peers/watchers.py
+++ b/gypsumrouter/peers/watchers.py
@@ -124,10 +124,12 @@
                 known.peer.send(announcement)
 
     def _make_announcement(self) -> StoreUpdate:
+        # A full list counts as a change: it may lack upstreams that only the neighbours know.
+        newest = max(self._directory.applied_revision, self._directory.listed_revision)
         return StoreUpdate(
             routing_version=self._routing_store.version,
             routing_as_of=_get_current_revision(self._routing),
-            list_newest=self._directory.applied_revision,
+            list_newest=self._directory.limit_to_applied(newest),
             list_as_of=self._directory.limit_to_applied(_get_current_revision(self._list)),
             evacuations=encode_evacuations(self._evacuations),
         )
--- a/tests/peers/memory_store.py
+++ b/tests/peers/memory_store.py
@@ -50,10 +50,11 @@
         self._changed = asyncio.Event()
 
     def list(self) -> ItemBatch:
-        """Return the newest item of each key."""
+        """Return the newest item of each key that was not removed."""
         self.calls += 1
         newest = {item.key: item for item in self.items}
-        return self._make_listed(tuple(newest.values()))
+        removed = EntryState.GONE.value.encode()
+        return self._make_listed(tuple(i for i in newest.values() if i.value != removed))
 
     def _make_listed(self, items: tuple[Item, ...]) -> ItemBatch:
         """Return items with the epoch in their revisions, as the store client does."""
--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -242,18 +242,35 @@
         self.routers: list[FleetRouter] = []
         for index, size in enumerate(sizes):
             for _ in range(size):
-                router = FleetRouter(
-                    number=len(self.routers),
-                    clock=self.clock,
-                    store=self.store,
-                    data_centre=f"dc-{index}",
-                )
+                router = self._make_router(len(self.routers), f"dc-{index}")
                 self.routers.append(router)
-        by_address = {router.address: router for router in self.routers}
+        self._by_address = {router.address: router for router in self.routers}
         for router in self.routers:
-            router.fleet = by_address
-            for other in self.routers:
-                router.routers.add(other.address, data_centre=other.app.data_centre)
+            self._introduce(router)
+
+    def _make_router(self, number: int, data_centre: str) -> FleetRouter:
+        return FleetRouter(
+            number=number, clock=self.clock, store=self.store, data_centre=data_centre
+        )
+
+    def _introduce(self, router: FleetRouter) -> None:
+        """Tell a router the addresses of all others."""
+        router.fleet = self._by_address
+        for other in self.routers:
+            router.routers.add(other.address, data_centre=other.app.data_centre)
+
+    async def async_stop_router(self, number: int) -> None:
+        """Stop the process of a router."""
+        self.routers[number].running = False
+        await self.routers[number].app.async_stop()
+
+    def start_router(self, number: int) -> None:
+        """Start a new process of a router, which knows nothing of the one before."""
+        router = self._make_router(number, self.routers[number].app.data_centre)
+        self.routers[number] = router
+        self._by_address[router.address] = router
+        self._introduce(router)
+        router.start()
 
     async def async_start(self) -> None:
         """Start all routers at once and run until their first watches have ended."""
