--- a/bench/soak.py
+++ b/bench/soak.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import shutil
 import sys
 import tempfile
 import time
@@ -17,8 +18,9 @@
 from bench.soak_checks import Violation, check_all, check_cold_starts, check_evacuations
 from bench.soak_drain_checks import check_backoffs, check_draining, check_retired
 from bench.soak_faults import FaultInjector
+from bench.soak_leavings import DisturbedTimes, check_leavings
 from bench.soak_retry_checks import RETRY_RATIO, RETRY_SLACK, check_retry_budget
-from bench.soak_rig import ENV_KEY, KEY, SoakRig
+from bench.soak_rig import ENV_KEY, FORWARDERS, KEY, SoakRig
 
 DEFAULT_S: Final = 6.0
 SETTLE_S: Final = 3.0
@@ -34,21 +36,30 @@
     evacuations: bool = False,
     drills: bool = False,
     storms: bool = False,
+    leavings: bool = False,
+    forwarders: int = FORWARDERS,
 ) -> tuple[dict[str, object], bool]:
     """Run one seed and return its figures, and whether all guarantees held.
 
     With `evacuations` data centres are evacuated and engines start cold. With `drills` the
     store is restored from backups, and runners announce their drain or ask for back-off. With
     `storms` all runners of a service reject requests while all forwarders are killed, and the
-    retry budget is small.
+    retry budget is small. With `leavings` runners leave by the store alone while forwarders restart
+    and lose their connections to a store that is stable. More than five `forwarders` are spread
+    over three data centres, where most of them do not watch the store.
     """
     bounds = {"retry_ratio": RETRY_RATIO, "retry_slack": RETRY_SLACK} if storms else {}
-    rig = SoakRig(folder=folder, evacuations=evacuations, bounds=bounds)
+    rig = SoakRig(folder=folder, forwarders=forwarders, evacuations=evacuations, bounds=bounds)
     try:
         await rig.async_start()
         callers = Callers(rig=rig, seed=seed)
         injector = FaultInjector(
-            rig=rig, seed=seed, evacuations=evacuations, drills=drills, storms=storms
+            rig=rig,
+            seed=seed,
+            evacuations=evacuations,
+            drills=drills,
+            storms=storms,
+            leavings=leavings,
         )
         call_task = asyncio.create_task(callers.async_run())
         await injector.async_run(seconds=seconds)
@@ -69,6 +80,8 @@
         violations += check_draining(callers.records, rig.list_runners(), rig.interruptions_s)
         violations += check_backoffs(callers.records, rig.list_runners(), rig.interruptions_s)
         violations += check_retired(rig.retired, settled_s)
+        disturbed = DisturbedTimes(forwarders=rig.disturbances_s, store=rig.store_disturbances_s)
+        violations += check_leavings(callers.records, rig.leavings, disturbed)
         if storms:
             violations += check_retry_budget(callers.records, rig.list_runners_by_service())
     finally:
@@ -95,6 +108,12 @@
                 click.echo(f"    {json.dumps(line)}")
 
 
+def _keep_journals(folder: Path, target: Path) -> None:
+    target.mkdir(parents=True, exist_ok=True)
+    for path in folder.glob("journal-*.log"):
+        shutil.copy(path, target)
+
+
 @click.command()
 @click.option("--seed", type=int, default=None, help="Run only this seed.")
 @click.option("--seeds", type=int, default=1, help="Number of seeds to run in sequence.")
@@ -107,6 +126,15 @@
     "--drills", is_flag=True, help="Restore the store; drain runners and let them ask for back-off."
 )
 @click.option("--storms", is_flag=True, help="Reject most requests while forwarders are killed.")
+@click.option("--leavings", is_flag=True, help="Runners leave while forwarders are disturbed.")
+@click.option(
+    "--forwarders", type=int, default=FORWARDERS, help="Number of forwarders; 15 for most tests."
+)
+@click.option(
+    "--journals",
+    type=click.Path(path_type=Path, file_okay=False),
+    help="Folder that keeps the journals of the forwarders.",
+)
 def soak_command(
     seed: int | None,
     seeds: int,
@@ -115,6 +143,9 @@
     places: bool,
     drills: bool,
     storms: bool,
+    leavings: bool,
+    forwarders: int,
+    journals: Path | None,
 ) -> None:
     """Run seeds; the last line is a JSON object. Exits with 1 after a violation."""
     first = int(time.time()) % 1_000_000 if minutes else 1
@@ -133,8 +164,12 @@
                     evacuations=places,
                     drills=drills,
                     storms=storms,
+                    leavings=leavings,
+                    forwarders=forwarders,
                 )
             )
+            if journals is not None:
+                _keep_journals(Path(folder), journals / str(number))
         click.echo(json.dumps(figures))
         runs.append(figures)
         all_kept = all_kept and kept
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -11,7 +11,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from bench.soak_rig import CALLER_KEY, EVENTS, FORWARDERS, HOST, SoakRig
+from bench.soak_rig import CALLER_KEY, EVENTS, HOST, SoakRig
 from gypsumrouter.platform import names
 
 CALLERS: Final = 12
@@ -78,7 +78,7 @@
         """Send requests in sequence and return how many succeeded."""
         async with _make_session() as session:
             records = [
-                await self._async_call(session, number % FORWARDERS, "lookup")
+                await self._async_call(session, number % self._rig.count, "lookup")
                 for number in range(count)
             ]
         return sum(record.status == 200 for record in records)
@@ -89,7 +89,7 @@
             while not self._stopping.is_set():
                 kind = rng.choice(KINDS)
                 self.records.append(
-                    await self._async_call(session, rng.randrange(FORWARDERS), kind)
+                    await self._async_call(session, rng.randrange(self._rig.count), kind)
                 )
                 await asyncio.sleep(rng.uniform(0, 2 * MEAN_PAUSE_MS) / MS_PER_S)
 
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -7,14 +7,17 @@
 import signal
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import Final
 
-from bench.soak_rig import DATA_CENTRES, FORWARDERS, RUNNERS, SoakRig
+from bench.soak_leavings import LeavingFaults
+from bench.soak_rig import DATA_CENTRES, RUNNERS, SoakRig
 from gypsumrouter.standins import BOTH_DIRECTIONS, Direction, RunnerFault, StoreFault
 
 MIN_GAP_S: Final = 0.05
 MAX_GAP_S: Final = 0.4
+MIN_LEAVING_GAP_S: Final = 0.2
+MAX_LEAVING_GAP_S: Final = 0.8
 MAX_FAULT_S: Final = 1.5
 DELAY_MS: Final = 60
 # Exceeds the time for which forwarders may still send to a runner that announced its drain.
@@ -46,12 +49,14 @@
         evacuations: bool = False,
         drills: bool = False,
         storms: bool = False,
+        leavings: bool = False,
     ) -> None:
         self._rig = rig
         self._rng = random.Random(seed)
         self._tasks: set[asyncio.Task[None]] = set()
         self._reserved: set[int] = set()
         self._counts: Counter[str] = Counter()
+        self._gaps_s = (MIN_GAP_S, MAX_GAP_S)
         self._faults: dict[str, Fault] = {
             "kill": self._async_kill,
             "stop": self._async_stop,
@@ -73,6 +78,14 @@
         if storms:
             self._faults["storm"] = self._async_storm
             self._faults["kill_all"] = self._async_kill_all
+        if leavings:
+            # Only what leaves the store stable and most forwarders alone, so that the bound holds.
+            leaving = LeavingFaults(
+                rig=rig, rng=self._rng, reserve=self._reserve_forwarder, release=self._release
+            )
+            others = {name: self._faults[name] for name in ("kill", "freeze", "reload")}
+            self._faults = {"configure": self._rig.async_configure, **leaving.choose(others)}
+            self._gaps_s = (MIN_LEAVING_GAP_S, MAX_LEAVING_GAP_S)
         self._evacuated: set[str] = set()
         self._restoring = False
 
@@ -90,7 +103,7 @@
             task = asyncio.create_task(self._async_run_fault(name), name=f"fault {name}")
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-            await asyncio.sleep(self._rng.uniform(MIN_GAP_S, MAX_GAP_S))
+            await asyncio.sleep(self._rng.uniform(*self._gaps_s))
 
     async def async_wait_until_reverted(self) -> None:
         """Wait until all faults have been reverted."""
@@ -99,15 +112,19 @@
     async def _async_run_fault(self, name: str) -> None:
         await self._faults[name]()
 
-    def _reserve_forwarder(self) -> int | None:
+    def _reserve_forwarder(self, among: Collection[int] | None = None) -> int | None:
         """Reserve a forwarder that no other fault uses; return None if there is none."""
-        free = [number for number in range(FORWARDERS) if number not in self._reserved]
+        numbers = range(self._rig.count) if among is None else among
+        free = [number for number in numbers if number not in self._reserved]
         if not free:
             return None
         number = self._rng.choice(free)
         self._reserved.add(number)
         return number
 
+    def _release(self, number: int) -> None:
+        self._reserved.discard(number)
+
     async def _async_kill(self) -> None:
         await self._async_restart(signal.SIGKILL)
 
@@ -129,10 +146,11 @@
             return
         process = self._rig.forwarders[number]
         if process is not None:
+            self._rig.note_disturbance(number)
             process.send_signal(signal.SIGSTOP)
             await self._async_hold()
             process.send_signal(signal.SIGCONT)
-            self._rig.interruptions_s[number].append(time.monotonic())
+            self._rig.note_interruption(number)
         self._reserved.discard(number)
 
     async def _async_reload(self) -> None:
@@ -141,16 +159,19 @@
             return
         process = self._rig.forwarders[number]
         if process is not None:
+            self._rig.note_disturbance(number)
             process.send_signal(signal.SIGHUP)
         self._reserved.discard(number)
 
     async def _async_store(self) -> None:
         trouble = self._rng.choice((StoreFault.BUSY, StoreFault.RESET, StoreFault.SILENT))
+        self._rig.note_store_disturbance()
         await self._rig.store.async_set_fault(trouble)
         await self._async_hold()
         if self._rng.random() < 0.3:
             self._rig.store.compact_history()
         await self._rig.store.async_set_fault(StoreFault.NONE)
+        self._rig.note_store_disturbance()
 
     async def _async_restore(self) -> None:
         """Restore the store from a backup; afterwards its writers repeat the lost writes.
@@ -161,6 +182,7 @@
         if self._restoring:
             return
         self._restoring = True
+        self._rig.note_store_disturbance()
         store = self._rig.store
         copy = store.make_snapshot()
         await self._rig.async_list_all()
@@ -169,6 +191,7 @@
         await store.async_set_fault(trouble)
         if trouble is not StoreFault.NONE:
             await self._async_hold()
+        self._rig.note_store_disturbance()
         lost = await store.async_restore(copy)
         service = self._rng.choice(tuple(self._rig.runners))
         index = self._rng.randrange(RUNNERS)
@@ -176,6 +199,7 @@
         await store.async_set_fault(StoreFault.NONE)
         await self._async_hold()
         await store.async_replay_lost_writes(snapshot=copy, lost=lost)
+        self._rig.note_store_disturbance()
         self._restoring = False
 
     async def _async_drain_unlisted(self) -> None:
@@ -207,9 +231,11 @@
 
     async def _async_kill_all(self) -> None:
         """Kill all forwarders that no other fault uses, and start them again."""
-        await asyncio.gather(*(self._async_kill() for _ in range(FORWARDERS)))
+        await asyncio.gather(*(self._async_kill() for _ in range(self._rig.count)))
 
     async def _async_store_path(self) -> None:
+        # Connections that go silent count as reset connections of all forwarders.
+        self._rig.note_disturbance()
         proxy = self._rng.choice(self._rig.store_proxies)
         if self._rng.random() < 0.5:
             proxy.blackhole(directions=self._choose_directions())
@@ -224,6 +250,7 @@
         runner.default_fault = RunnerFault.NONE
 
     async def _async_runner_path(self) -> None:
+        self._rig.note_disturbance()
         proxy = self._rng.choice(self._rig.runner_proxies)
         fraction = self._rng.random()
         if fraction < 0.4:
@@ -234,6 +261,7 @@
             proxy.set_delay(DELAY_MS)
             await self._async_hold()
             proxy.set_delay(0)
+            self._rig.note_disturbance()
 
     async def _async_replace(self) -> None:
         service = self._rng.choice(tuple(self._rig.runners))
--- a/bench/soak_rig.py
+++ b/bench/soak_rig.py
@@ -12,9 +12,12 @@
 from pathlib import Path
 from typing import Any, Final
 
+from msgspec import Struct
+
 from bench.processes import DaemonProcess, async_start_daemon
 from gypsumrouter.const import MS_PER_S, Role
 from gypsumrouter.instances import Address
+from gypsumrouter.peers.watchers import MIN_WATCHERS, get_watchers_per_data_centre
 from gypsumrouter.platform import names
 from gypsumrouter.standins import FaultProxy, PlatformRunner, PublishedStoreStandin
 from gypsumrouter.standins.listener import PortReservation
@@ -26,10 +29,13 @@
 WORKSPACE: Final = "plant"
 HOST: Final = "api.example"
 FORWARDERS: Final = 3
+# With more forwarders they are spread over the data centres, so that most do not watch the store.
+MAX_IN_ONE_DATA_CENTRE: Final = MIN_WATCHERS
 RUNNERS: Final = 3
 EVENTS: Final = 12
 EVENT_STARTED: Final = "process_started"
-# With evacuations, runners are spread over these data centres and new engines start cold.
+# Forwarders are spread over these data centres. With evacuations, runners are too, and new engines
+# start cold.
 DATA_CENTRES: Final = ("dc-a", "dc-b", "dc-c")
 COLD_START_S: Final = 1.5
 COLD_START_PER_S: Final = 3.0
@@ -38,6 +44,13 @@
 MAX_IN_COLD_START: Final = COLD_START_PER_S * COLD_START_FACTOR + COLD_START_SLACK
 
 
+class Leaving(Struct, frozen=True, kw_only=True):
+    """A runner that left, and when the store acknowledged it (monotonic seconds)."""
+
+    runner: PlatformRunner
+    acknowledged_s: float
+
+
 class SoakRig:
     """Starts, kills and restarts forwarder processes, always on the same ports.
 
@@ -49,9 +62,11 @@
         self,
         *,
         folder: Path,
+        forwarders: int = FORWARDERS,
         evacuations: bool = False,
         bounds: Mapping[str, float] | None = None,
     ) -> None:
+        self.count = forwarders
         self._evacuations = evacuations
         self._bounds = bounds or {}
         # Data centre by name of the runner.
@@ -69,24 +84,29 @@
         self.runner_proxies: list[FaultProxy] = []
         # Tasks that copy the output of forwarders to journals, by number of the forwarder.
         self._copy_tasks: dict[int, asyncio.Task[None]] = {}
-        self.forwarders: list[DaemonProcess | None] = [None] * FORWARDERS
+        self.forwarders: list[DaemonProcess | None] = [None] * forwarders
         # Ports stay bound for the whole run, so that no concurrent run can bind the port of a
         # stopped forwarder.
         self._port_holders = [
             (PortReservation(host="127.0.0.1", port=0), PortReservation(host="127.0.0.1", port=0))
-            for _ in range(FORWARDERS)
+            for _ in range(forwarders)
         ]
         self._ports = [(c.address.port, link.address.port) for c, link in self._port_holders]
         self._runner_addresses: dict[str, Address] = {}
         self.retired: list[PlatformRunner] = []
         # Monotonic seconds at which each forwarder was stopped, started or resumed.
-        self.interruptions_s: dict[int, list[float]] = {number: [] for number in range(FORWARDERS)}
+        self.interruptions_s: dict[int, list[float]] = {number: [] for number in range(forwarders)}
+        # Monotonic seconds at which anything was done to a forwarder or its connections, and to the
+        # store.
+        self.disturbances_s: dict[int, list[float]] = {number: [] for number in range(forwarders)}
+        self.store_disturbances_s: list[float] = []
+        self.leavings: list[Leaving] = []
         self.version = 1
 
     async def async_start(self) -> None:
         """Start all stand-ins, proxies and forwarders, and wait for the forwarders."""
         address = await self.store.async_start()
-        for _ in range(FORWARDERS):
+        for _ in range(self.count):
             proxy = FaultProxy(target=address)
             await proxy.async_start()
             self.store_proxies.append(proxy)
@@ -95,7 +115,7 @@
                 self._assign_data_centre(runner, index)
                 await self.async_add_runner(service, runner)
         await self.async_configure()
-        starts = (self.async_start_forwarder(number) for number in range(FORWARDERS))
+        starts = (self.async_start_forwarder(number) for number in range(self.count))
         # Wait for every start, so that a failed one leaves no process behind.
         for failure in await asyncio.gather(*starts, return_exceptions=True):
             if isinstance(failure, BaseException):
@@ -142,12 +162,18 @@
         await self.store.async_remove(f"{names.PREFIX_EVACUATIONS}{data_centre}")
 
     async def async_replace_runner(
-        self, service: str, index: int, *, listing_delay_s: float = 0.0, announces: bool = True
+        self,
+        service: str,
+        index: int,
+        *,
+        listing_delay_s: float = 0.0,
+        announces: bool = True,
+        drains: bool = True,
     ) -> None:
-        """Replace a runner; the old one drains.
+        """Replace a runner; the old one leaves, but goes on to serve.
 
         With `announces` its responses announce the drain at once. Its store entry follows after
-        `listing_delay_s`.
+        `listing_delay_s`: it is marked as draining, or removed if the runner does not drain.
         """
         replaced = self.runners[service][index]
         replacement = PlatformRunner(name=f"{replaced.name}x", events=EVENTS)
@@ -159,7 +185,11 @@
         await self.async_add_runner(service, replacement)
         replaced.draining = announces
         await asyncio.sleep(listing_delay_s)
-        await self.async_list_runner(service, replaced, state="draining")
+        if drains:
+            await self.async_list_runner(service, replaced, state="draining")
+        else:
+            await self.store.async_remove(f"{names.PREFIX_SERVERS}{replaced.name}")
+        self.leavings.append(Leaving(runner=replaced, acknowledged_s=time.monotonic()))
 
     async def async_configure(self) -> None:
         """Publish the next version of the configuration."""
@@ -189,7 +219,11 @@
         """Start a forwarder on its ports."""
         callers, link = self._ports[number]
         settings = {
-            "instance": {"name": f"entry-{number}", "data_centre": "dc-a", "region": "r"},
+            "instance": {
+                "name": f"entry-{number}",
+                "data_centre": self._get_data_centre(number),
+                "region": "r",
+            },
             "callers": f"127.0.0.1:{callers}",
             "link_address": f"127.0.0.1:{link}",
             "link": {"key_env": ENV_KEY},
@@ -208,7 +242,7 @@
             role=Role.FORWARDER, settings=settings, folder=self._folder
         )
         self.forwarders[number] = process
-        self.interruptions_s[number].append(time.monotonic())
+        self.note_interruption(number)
         await self._async_copy_journal(number, process)
 
     async def _async_copy_journal(self, number: int, process: DaemonProcess) -> None:
@@ -229,9 +263,39 @@
         process, self.forwarders[number] = self.forwarders[number], None
         if process is None or process.process.returncode is not None:
             return
+        self.note_disturbance(number)
         process.send_signal(signal_number)
         await process.process.wait()
+        self.note_interruption(number)
+
+    def note_interruption(self, number: int) -> None:
+        """Record that a forwarder was stopped, started or resumed."""
         self.interruptions_s[number].append(time.monotonic())
+        self.note_disturbance(number)
+
+    def note_disturbance(self, *numbers: int) -> None:
+        """Record that something was done to forwarders or their connections; by default to all."""
+        for number in numbers or range(self.count):
+            self.disturbances_s[number].append(time.monotonic())
+
+    def note_store_disturbance(self) -> None:
+        """Record that the store began or ceased to fail."""
+        self.store_disturbances_s.append(time.monotonic())
+
+    def _get_data_centre(self, number: int) -> str:
+        if self.count <= MAX_IN_ONE_DATA_CENTRE:
+            return DATA_CENTRES[0]
+        return DATA_CENTRES[number % len(DATA_CENTRES)]
+
+    def list_watchers(self) -> list[int]:
+        """Return the forwarders that watch the store while all are running."""
+        groups: dict[str, list[int]] = {}
+        for number in range(self.count):
+            groups.setdefault(self._get_data_centre(number), []).append(number)
+        watching = get_watchers_per_data_centre(len(groups))
+        # Routers are ordered by their addresses as text.
+        ordered = (sorted(g, key=lambda n: str(self._ports[n][1])) for g in groups.values())
+        return [number for group in ordered for number in group[:watching]]
 
     def url(self, number: int, path: str) -> str:
         """Return the URL of a path at a forwarder."""
@@ -266,7 +330,7 @@
 
     async def async_stop(self) -> None:
         """Stop all processes, proxies and stand-ins of this rig."""
-        for number in range(FORWARDERS):
+        for number in range(self.count):
             await self.async_end_forwarder(number, signal.SIGKILL)
         for proxy in (*self.store_proxies, *self.runner_proxies):
             await proxy.async_stop()
--- a/tests/bench/test_bench_soak.py
+++ b/tests/bench/test_bench_soak.py
@@ -18,13 +18,14 @@
     check_draining,
     check_retired,
 )
+from bench.soak_leavings import CALM_S, DRAIN_S, DisturbedTimes, check_leavings
 from bench.soak_retry_checks import (
     RETRY_RATIO,
     RETRY_SLACK,
     RETRY_WINDOW_S,
     check_retry_budget,
 )
-from bench.soak_rig import ENV_KEY, KEY, MAX_IN_COLD_START, WORKSPACE
+from bench.soak_rig import ENV_KEY, KEY, MAX_IN_COLD_START, WORKSPACE, Leaving, SoakRig
 from gypsumrouter.standins import PlatformRunner
 from gypsumrouter.standins.platform_runner import Arrival, BackOff
 
@@ -210,6 +211,32 @@
     assert len(list(check_retired([runner], 9.0))) == 1
 
 
+def test_request_later_than_the_bound_after_an_acknowledged_leaving_is_violation() -> None:
+    runner = PlatformRunner(name="i-1")
+    record = make_record(request_id="r1", forwarder=7)
+    leaving = Leaving(runner=runner, acknowledged_s=100.0)
+    calm = DisturbedTimes(forwarders={}, store=())
+    runner.arrivals = [make_arrival(request_id="r1", at_s=100.0 + DRAIN_S)]
+    assert not list(check_leavings([record], [leaving], calm))
+    runner.arrivals[0].at_s = late_s = 100.1 + DRAIN_S
+    assert len(list(check_leavings([record], [leaving], calm))) == 1
+    # Only what was done to this forwarder or to the store excuses it, and only for a time.
+    for times in ({7: [late_s - 1.0]}, {7: [late_s - CALM_S - 0.1]}, {8: [late_s - 1.0]}):
+        disturbed = DisturbedTimes(forwarders=times, store=())
+        kept = times == {7: [late_s - 1.0]}
+        assert kept is not bool(list(check_leavings([record], [leaving], disturbed)))
+    unstable = DisturbedTimes(forwarders={}, store=(98.0,))
+    assert not list(check_leavings([record], [leaving], unstable))
+    stable = DisturbedTimes(forwarders={}, store=(100.0 - CALM_S - 0.1,))
+    assert list(check_leavings([record], [leaving], stable))
+
+
+async def test_most_forwarders_of_a_large_soak_do_not_watch_the_store(tmp_path: Path) -> None:
+    rig = SoakRig(folder=tmp_path, forwarders=15)
+    assert len(rig.list_watchers()) == 6
+    await rig.async_stop()
+
+
 # Seed 21: a forwarder left over from another run must not reach the ports of this run.
 @pytest.mark.parametrize("seed", [1, 2, 21])
 async def test_short_soak_has_no_violations(
