Machine test of restores: no router owes a change that was lost unseen

The check now leaves out a change only if the restore lost it and no router had applied a revision as high; a lost change that any router had applied is still required of all.

--- a/tests/peers/test_peers_watchers_machine.py
+++ b/tests/peers/test_peers_watchers_machine.py
@@ -11,6 +11,7 @@
 from peer_fleet import STEP_MS, FleetRouter, PeerFleet
 
 from gypsumrouter.directory import EntryState
+from gypsumrouter.util.revisions import make_revision
 
 SIZES = (4, 3, 3, 1)
 # Time within which a change has to be applied, and how long a router must have been without a
@@ -141,6 +142,12 @@
         """Restore a backup that lacks the last few changes."""
         store = self._fleet.store
         known = store.items[-1]
+        # Changes that are lost before any router has seen them are known to nobody.
+        seen = max(router.directory.applied_revision for router in self._fleet.routers)
+        first_lost = make_revision(
+            epoch=store.epoch, number=max(FIRST_REVISION, store.revision - lost) + 1
+        )
+        self._changes = [(at, rev) for at, rev in self._changes if rev < first_lost or rev <= seen]
         store.restore(max(FIRST_REVISION, store.revision - lost))
         if written_again:
             store.put(EntryState((known.value or b"").decode()))
