--- a/gypsumrouter/directory/directory.py
+++ b/gypsumrouter/directory/directory.py
@@ -4,21 +4,15 @@
 
 import asyncio
 from collections.abc import Callable, Collection, Iterable
-from typing import Final
 
 from msgspec.structs import replace
 
 from gypsumrouter.core import Application, Remove
+from gypsumrouter.directory.grace_period import GracePeriod
 from gypsumrouter.directory.models import Entry, EntryState, Record
-from gypsumrouter.journal import Journal, StoreRestored, UpstreamChanged
+from gypsumrouter.journal import ChangeDeferred, Journal, StoreRestored, UpstreamChanged
 from gypsumrouter.util.revisions import get_epoch
 
-# Grace period after an outage or a restore of the store. Upstreams whose entries expired or were
-# lost meanwhile register again within about two seconds.
-RECOVERY_GRACE_MS: Final = 2_300
-# End of the grace period while the outage lasts.
-_NO_DEADLINE: Final = 1 << 62
-
 ChangeListener = Callable[[Entry], None]
 
 
@@ -28,12 +22,12 @@
     An incarnation that is leaving becomes ready again only if its entry was removed in between, and
     never if it announced the leaving in a response. When an upstream restarts under the same id,
     its previous incarnation is gone. The removal of a ready upstream during an outage of the store,
-    or within `RECOVERY_GRACE_MS` after it, is deferred until that grace period ends, because the
-    entries of all upstreams may have expired during the outage.
+    or within the grace period after it, is deferred until that period ends, because the entries of
+    all upstreams may have expired during the outage.
 
     A store restored from a backup begins a new epoch (see `util.revisions`). Revisions of a later
     epoch supersede all earlier ones, but a backup lacks the last writes. So an upstream that was
-    leaving stays so, and for `RECOVERY_GRACE_MS` removed upstreams are not added again and missing
+    leaving stays so, and during the grace period removed upstreams are not added again and missing
     ones are not removed.
 
     A removal is known only of upstreams that were known before. So the changes since a revision can
@@ -47,7 +41,7 @@
         "_deferred_removals",
         "_deferred_returns",
         "_epoch",
-        "_grace_until_ms",
+        "_grace",
         "_incarnations",
         "_journal",
         "_listed_leaving",
@@ -72,7 +66,7 @@
         self._announced_leaving: set[str] = set()
         self._epoch: int | None = None
         self._listeners: list[ChangeListener] = []
-        self._grace_until_ms: int | None = None
+        self._grace = GracePeriod(clock=app.clock, journal=journal)
         # The revision up to which the store was read, and the highest one merged from any source.
         self.read_revision = 0
         self._newest_revision = 0
@@ -84,7 +78,7 @@
     @property
     def in_grace_period(self) -> bool:
         """Return whether upstreams may be missing after an outage or a restore of the store."""
-        return self._grace_until_ms is not None
+        return self._grace.active
 
     @property
     def applied_revision(self) -> int:
@@ -149,12 +143,11 @@
 
     def note_outage(self) -> None:
         """Record that the store is unavailable."""
-        self._grace_until_ms = _NO_DEADLINE
+        self._grace.note_outage()
 
     def note_recovered(self) -> None:
         """Record that the store is available again, and start the grace period."""
-        if self._grace_until_ms == _NO_DEADLINE:
-            self._grace_until_ms = self._app.clock.now_ms() + RECOVERY_GRACE_MS
+        self._grace.note_recovered()
 
     def merge(self, record: Record, *, source: str, confirmed: bool = False) -> bool:
         """Merge one record; return whether it was newer than the known one and was applied.
@@ -177,16 +170,27 @@
             return False
         removed = record.entry.state is EntryState.GONE
         if removed and not confirmed and self._may_be_expiry(known):
-            self._deferred_removals[upstream] = record
+            self._defer(self._deferred_removals, record, source)
             return False
         if self._may_be_stale_return(known, record):
-            self._deferred_returns[upstream] = record
+            self._defer(self._deferred_returns, record, source)
             return False
         self._deferred_removals.pop(upstream, None)
         self._deferred_returns.pop(upstream, None)
         self._apply(known, record, source)
         return True
 
+    def _defer(self, deferred: dict[str, Record], record: Record, source: str) -> None:
+        deferred[record.entry.upstream] = record
+        self._journal.record(
+            ChangeDeferred(
+                upstream=record.entry.upstream,
+                state=record.entry.state.value,
+                revision=record.revision,
+                source=source,
+            )
+        )
+
     def _was_removed(self, record: Record) -> bool:
         """Return whether a peer's entry of an unknown upstream predates a list that lacks it."""
         return record.entry.state is not EntryState.GONE and record.revision <= self.listed_revision
@@ -214,10 +218,9 @@
 
     def apply_deferred(self) -> None:
         """Apply deferred changes once the grace period is over; called periodically."""
-        until_ms = self._grace_until_ms
-        if until_ms is None or self._app.clock.now_ms() < until_ms:
+        deferred = len(self._deferred_removals) + len(self._deferred_returns)
+        if not self._grace.end_if_over(deferred=deferred):
             return
-        self._grace_until_ms = None
         removals, self._deferred_removals = self._deferred_removals, {}
         for record in removals.values():
             self.merge(record, source="lapsed", confirmed=True)
@@ -231,16 +234,12 @@
         return lambda: self._listeners.remove(listener)
 
     def _may_be_expiry(self, known: Record | None) -> bool:
-        return (
-            self._grace_until_ms is not None
-            and known is not None
-            and known.entry.state is EntryState.READY
-        )
+        return self._grace.active and known is not None and known.entry.state is EntryState.READY
 
     def _may_be_stale_return(self, known: Record, record: Record) -> bool:
         """Return whether a ready entry of a removed upstream may be a stale one of the backup."""
         return (
-            self._grace_until_ms is not None
+            self._grace.active
             and known.entry.state is EntryState.GONE
             and record.entry.state is EntryState.READY
             and record.entry.started_ms <= known.entry.started_ms
@@ -254,8 +253,7 @@
         previous, self._epoch = self._epoch, max(epoch, self._epoch or 0)
         if previous is None or epoch <= previous:
             return
-        if self._grace_until_ms != _NO_DEADLINE:
-            self._grace_until_ms = self._app.clock.now_ms() + RECOVERY_GRACE_MS
+        self._grace.note_restored()
         self._journal.record(
             StoreRestored(epoch=epoch, previous=previous, revision=revision, source=source)
         )
@@ -323,7 +321,7 @@
         return {
             "revision": self.read_revision,
             "epoch": self._epoch,
-            "list_away": self._grace_until_ms == _NO_DEADLINE,
+            "list_away": self._grace.in_outage,
             "doubtful": sorted(self._deferred_removals),
             "returning": sorted(self._deferred_returns),
             "said_leaving": sorted(self._announced_leaving),
--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -98,6 +98,31 @@
     source: str
 
 
+class ChangeDeferred(Event, frozen=True, kw_only=True):
+    """A change of an upstream's entry waits for the end of the grace period."""
+
+    name: ClassVar[str] = "change_deferred"
+    essential: ClassVar[bool] = True
+    upstream: str
+    state: str
+    revision: int
+    source: str
+
+
+class GracePeriodChanged(Event, frozen=True, kw_only=True):
+    """A grace period after an outage or a restore of the store has begun or ended.
+
+    At its end, `lasted_ms` is its duration, and `deferred` changes waited for it.
+    """
+
+    name: ClassVar[str] = "grace_period_changed"
+    essential: ClassVar[bool] = True
+    active: bool
+    reason: str
+    lasted_ms: int
+    deferred: int
+
+
 class DataCentreEvacuated(Event, frozen=True, kw_only=True):
     """The evacuation of a data centre has started or ended at `revision` of the store."""
 
@@ -310,6 +335,7 @@
     SettingsReloaded,
     DependencyLost,
     DependencyRegained,
+    ChangeDeferred,
     ConfigurationAccepted,
     UpstreamChanged,
     DataCentreEvacuated,
@@ -318,6 +344,7 @@
     UpstreamHealth,
     PeerNews,
     StoreRestored,
+    GracePeriodChanged,
     HeldPartsTold,
     RequestPlaced,
     AttemptSent,
--- a/tests/directory/test_directory_machine.py
+++ b/tests/directory/test_directory_machine.py
@@ -10,7 +10,7 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Record
-from gypsumrouter.directory.directory import RECOVERY_GRACE_MS
+from gypsumrouter.directory.grace_period import RECOVERY_GRACE_MS
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.util.clock import ManualClock
--- a/tests/directory/test_directory_restored.py
+++ b/tests/directory/test_directory_restored.py
@@ -18,8 +18,8 @@
     Evacuations,
     Record,
 )
-from gypsumrouter.directory.directory import RECOVERY_GRACE_MS
 from gypsumrouter.directory.evacuations import RESTORED_GRACE_MS
+from gypsumrouter.directory.grace_period import RECOVERY_GRACE_MS
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.util.clock import ManualClock
--- a/tests/forwarding/test_forwarding_changes.py
+++ b/tests/forwarding/test_forwarding_changes.py
@@ -8,7 +8,7 @@
 import pytest
 from forwarding_world import PROMPT, ForwardingWorld, make_configuration, make_route
 
-from gypsumrouter.directory import directory
+from gypsumrouter.directory import grace_period
 from gypsumrouter.standins import PublishedStoreStandin, StoreFault
 
 Session = aiohttp.ClientSession
@@ -92,7 +92,7 @@
     world: ForwardingWorld, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The peer saw the removal itself, so the router need not wait for the lapse grace period."""
-    monkeypatch.setattr(directory, "RECOVERY_GRACE_MS", 600_000)
+    monkeypatch.setattr(grace_period, "RECOVERY_GRACE_MS", 600_000)
     own_store = PublishedStoreStandin()
     own_address = await own_store.async_start()
     await world.async_fill(own_store)
