--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -44,6 +44,7 @@
 
     def __init__(self, store: MemoryStore, router: FleetRouter, clock: ManualClock) -> None:
         self._clock = clock
+        self._was_reset = asyncio.Event()
         self._store = store
         self._router = router
 
@@ -60,12 +61,30 @@
             self._store.calls += 1
             raise StoreUnavailable("cut")
         until_ms = self._clock.now_ms() + wait_ms + CALL_TIMEOUT_MS
-        listed = await self._store.async_watch(after, wait_ms)
+        listed = await self._async_watch_until_reset(after, wait_ms)
         if self._router.partitioned:
             await self._clock.async_sleep(until_ms - self._clock.now_ms())
             raise StoreUnavailable("call timed out")
         return listed
 
+    async def _async_watch_until_reset(self, after: int, wait_ms: int) -> ItemBatch | HistoryLost:
+        self._was_reset = asyncio.Event()
+        watch = asyncio.ensure_future(self._store.async_watch(after, wait_ms))
+        reset = asyncio.ensure_future(self._was_reset.wait())
+        try:
+            await asyncio.wait((watch, reset), return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            reset.cancel()
+            if not watch.done():
+                watch.cancel()
+        if self._was_reset.is_set():
+            raise StoreUnavailable("reset")
+        return watch.result()
+
+    def reset(self) -> None:
+        """Reset the connection, which ends a pending watch."""
+        self._was_reset.set()
+
     def close(self) -> None:
         """Do nothing; there is no connection."""
 
@@ -158,11 +177,12 @@
             routing=routing_state,
             upstreams=self.state,
         )
+        self.store_view = StoreView(store, self, clock)
         self.follower = Follower(
             app=self.app,
             journal=journal,
             name="upstreams",
-            store=StoreView(store, self, clock),
+            store=self.store_view,
             state=self.state,
             handle_all=self._take_all,
             handle_changes=self._take_changes,
