A short loss of the store no longer defers removals

What callers saw: requests reached upstreams for up to 18 s after the store had acknowledged their removal, also from routers whose connections nobody touched.

Cause: every loss of the connection to the store started the grace period anew. It protects the list while entries of live upstreams may have expired; a reset connection that is open again after 0.1 s cannot mean that.

The period now starts only if the store was silent for two heartbeat intervals, the shortest outage in which an entry misses three heartbeats, counted from its last response. Watches end within that time, so that a reset of a pending watch does not look like an outage. Only the time in which the store responds counts: a short loss interrupts the period and does not start it anew, and a store that is back for moments does not end it. Routers that do not watch count from what their watchers report. The longer watch timeout of large fleets is gone; nine watchers ask 4.5 times a second.

--- a/gypsumrouter/bootstrap_followers.py
+++ b/gypsumrouter/bootstrap_followers.py
@@ -30,6 +30,7 @@
 from gypsumrouter.published import Follower, Item, ItemBatch, WatchState
 from gypsumrouter.routing import RoutingStore
 from gypsumrouter.settings import ForwarderSettings
+from gypsumrouter.util.heartbeats import get_watch_timeout_ms
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -47,7 +48,6 @@
     routing_state: WatchState,
     upstreams_state: WatchState,
     count_peers: Callable[[], int],
-    count_watchers: Callable[[], int],
     is_watcher: Callable[[], bool],
 ) -> tuple[Follower, Follower]:
     """Return the followers of the operator's items and of the list of upstreams."""
@@ -60,8 +60,8 @@
         state=routing_state,
         handle_all=partial(_replace_operator_items, routing, evacuations),
         handle_changes=partial(_apply_operator_changes, routing, evacuations),
+        watch_timeout_ms=get_watch_timeout_ms(settings.heartbeat_ms),
         count_peers=count_peers,
-        count_watchers=count_watchers,
         is_watcher=is_watcher,
     )
     upstreams = Follower(
@@ -73,9 +73,9 @@
         handle_all=partial(_replace_entries, directory),
         handle_changes=partial(_apply_entry_changes, directory),
         on_lost=directory.note_outage,
-        on_regained=directory.note_recovered,
+        on_regained=lambda silent_ms: directory.note_recovered(silent_ms=silent_ms),
+        watch_timeout_ms=get_watch_timeout_ms(settings.heartbeat_ms),
         count_peers=count_peers,
-        count_watchers=count_watchers,
         is_watcher=is_watcher,
     )
     return configuration, upstreams
--- a/gypsumrouter/bootstrap_forwarder.py
+++ b/gypsumrouter/bootstrap_forwarder.py
@@ -74,7 +74,7 @@
 ) -> RunningProcess:
     journal = Journal(app=app)
     routing = RoutingStore(app=app, journal=journal)
-    directory = Directory(app=app, journal=journal)
+    directory = Directory(app=app, journal=journal, heartbeat_ms=settings.heartbeat_ms)
     evacuations = Evacuations(app=app, journal=journal)
     forwarder = Forwarder(
         app=app,
@@ -111,7 +111,6 @@
         routing_state=routing_state,
         upstreams_state=upstreams_state,
         count_peers=mesh.count_alive,
-        count_watchers=mesh.count_watchers,
         is_watcher=mesh.is_watcher,
     )
     probes = ProbesServer(app=app, settings=settings.probes, is_ready=lambda: forwarder.ready)
--- a/gypsumrouter/directory/directory.py
+++ b/gypsumrouter/directory/directory.py
@@ -11,6 +11,7 @@
 from gypsumrouter.directory.grace_period import GracePeriod
 from gypsumrouter.directory.models import Entry, EntryState, Record
 from gypsumrouter.journal import ChangeDeferred, Journal, StoreRestored, UpstreamChanged
+from gypsumrouter.util.heartbeats import DEFAULT_HEARTBEAT_MS, get_shortest_expiry_ms
 from gypsumrouter.util.revisions import get_epoch
 
 ChangeListener = Callable[[Entry], None]
@@ -21,9 +22,9 @@
 
     An incarnation that is leaving becomes ready again only if its entry was removed in between, and
     never if it announced the leaving in a response. When an upstream restarts under the same id,
-    its previous incarnation is gone. The removal of a ready upstream during an outage of the store,
-    or within the grace period after it, is deferred until that period ends, because the entries of
-    all upstreams may have expired during the outage.
+    its previous incarnation is gone. The removal of a ready upstream in the grace period after an
+    outage of the store is deferred until that period ends, because the entries of all upstreams may
+    have expired during the outage.
 
     A store restored from a backup begins a new epoch (see `util.revisions`). Revisions of a later
     epoch supersede all earlier ones, but a backup lacks the last writes. So an upstream that was
@@ -53,7 +54,13 @@
         "read_revision",
     )
 
-    def __init__(self, *, app: Application, journal: Journal) -> None:
+    def __init__(
+        self,
+        *,
+        app: Application,
+        journal: Journal,
+        heartbeat_ms: int = DEFAULT_HEARTBEAT_MS,
+    ) -> None:
         self._app = app
         self._journal = journal
         self._records: dict[str, Record] = {}
@@ -66,7 +73,11 @@
         self._announced_leaving: set[str] = set()
         self._epoch: int | None = None
         self._listeners: list[ChangeListener] = []
-        self._grace = GracePeriod(clock=app.clock, journal=journal)
+        self._grace = GracePeriod(
+            clock=app.clock,
+            journal=journal,
+            shortest_expiry_ms=get_shortest_expiry_ms(heartbeat_ms),
+        )
         # The revision up to which the store was read, and the highest one merged from any source.
         self.read_revision = 0
         self._newest_revision = 0
@@ -145,9 +156,12 @@
         """Record that the store is unavailable."""
         self._grace.note_outage()
 
-    def note_recovered(self) -> None:
-        """Record that the store is available again, and start the grace period."""
-        self._grace.note_recovered()
+    def note_recovered(self, *, silent_ms: int) -> None:
+        """Record that the store is available again, after it was silent for `silent_ms`.
+
+        The grace period starts if that is long enough for entries to expire.
+        """
+        self._grace.note_recovered(silent_ms=silent_ms)
 
     def merge(self, record: Record, *, source: str, confirmed: bool = False) -> bool:
         """Merge one record; return whether it was newer than the known one and was applied.
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -224,6 +224,7 @@
   listNewest @2 :UInt64;
   listAsOf @3 :UInt64;
   evacuations @4 :List(EvacuationTold);
+  listAgeMs @5 :UInt32;
 }
 
 struct RoutingDocument {
--- a/gypsumrouter/link/models.py
+++ b/gypsumrouter/link/models.py
@@ -295,13 +295,15 @@
 
     `routing_version` and `list_newest` are the newest changes that it has applied. It has seen all
     changes up to the revisions `routing_as_of` and `list_as_of`, which are 0 while it cannot read
-    the store. `evacuations` is its complete list.
+    the store. The store last responded to it `list_age_ms` ago as to the list. `evacuations` is its
+    complete list.
     """
 
     routing_version: int
     routing_as_of: int
     list_newest: int
     list_as_of: int
+    list_age_ms: int = 0
     evacuations: tuple[EvacuationState, ...] = ()
 
 
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -203,6 +203,7 @@
         routingAsOf=notice.routing_as_of,
         listNewest=notice.list_newest,
         listAsOf=notice.list_as_of,
+        listAgeMs=notice.list_age_ms,
     )
     _set_evacuations(message, notice.evacuations)
     return to_packed(message)
@@ -216,6 +217,7 @@
             routing_as_of=message.routingAsOf,
             list_newest=message.listNewest,
             list_as_of=message.listAsOf,
+            list_age_ms=message.listAgeMs,
             evacuations=_read_evacuations(message),
         )
 
--- a/gypsumrouter/peers/watchers.py
+++ b/gypsumrouter/peers/watchers.py
@@ -29,6 +29,8 @@
 # Interval of announcements; changes are also announced immediately. Receivers rely on a watcher for
 # three intervals, so that two lost announcements have no effect.
 ANNOUNCE_INTERVAL_MS: Final = 300
+# Limit of the age of the store's last response in an announcement.
+MAX_AGE_MS: Final = 60_000
 
 
 def get_watchers_per_data_centre(data_centres: int) -> int:
@@ -131,6 +133,7 @@
             routing_as_of=_get_current_revision(self._routing),
             list_newest=self._directory.limit_to_applied(newest),
             list_as_of=self._directory.limit_to_applied(_get_current_revision(self._list)),
+            list_age_ms=min(self._list.response_age_ms, MAX_AGE_MS),
             evacuations=encode_evacuations(self._evacuations),
         )
 
@@ -142,9 +145,9 @@
         if self.is_watcher():
             return
         if announcement.routing_as_of:
-            self._routing.note_peer_watching()
+            self._routing.note_peer_watching(response_age_ms=0)
         if announcement.list_as_of:
-            self._list.note_peer_watching()
+            self._list.note_peer_watching(response_age_ms=announcement.list_age_ms)
         self._catch_up.handle_announcement(peer, announcement)
 
 
--- a/gypsumrouter/published/follower.py
+++ b/gypsumrouter/published/follower.py
@@ -10,17 +10,13 @@
 from gypsumrouter.journal import DependencyLost, DependencyRegained, Journal
 from gypsumrouter.published.models import HistoryLost, ItemBatch, PublishedStore, StoreUnavailable
 from gypsumrouter.published.watch_state import WatchState
+from gypsumrouter.util.heartbeats import DEFAULT_HEARTBEAT_MS, get_watch_timeout_ms
+
+DEFAULT_WATCH_TIMEOUT_MS: Final = get_watch_timeout_ms(DEFAULT_HEARTBEAT_MS)
 
-# Timeout of a watch. A watch with a lost response looks like one that waits, so this bounds how
-# late a change is seen after a network fault.
-WATCH_TIMEOUT_MS: Final = 2_500
 # The first watch after an outage returns at once. A store restored from a backup may be at a lower
 # revision than the requested one, and a waiting watch would delay its changes.
 FIRST_WATCH_TIMEOUT_MS: Final = 1
-# With many watching routers each one uses a longer timeout to reduce the load on the store; a
-# change that one of them misses is received from the others.
-MAX_WATCH_TIMEOUT_MS: Final = 15_000
-WATCHERS_PER_TIMEOUT_STEP: Final = 4
 # Changes come in bursts, and every one ends the watches of all routers. A pause after a change lets
 # the next watch return several at once. It grows with the fleet, since larger fleets change more
 # often.
@@ -39,16 +35,18 @@
     """A task that keeps a list up to date across outages of the store.
 
     `handle_all` receives full lists, `handle_changes` the changes since. `on_lost` and
-    `on_regained` are called once per outage. While a peer watches the list (see `WatchState`) this
-    router sends no requests to the store and receives the changes from the peer. `count_peers`
-    returns the number of other running routers, `count_watchers` how many of them watch;
-    `is_watcher` returns whether this router watches on behalf of others.
+    `on_regained` are called once per outage, the latter with the time for which the store was
+    silent, in milliseconds; as a pending watch shows no outage, that includes the wait before it.
+    While a peer watches the list (see `WatchState`) this router sends no requests to the store and
+    receives the changes from the peer. A watch ends at the latest `watch_timeout_ms` after the
+    store's last response, which also bounds how late a change is seen if the response to the watch
+    is lost. `count_peers` returns the number of other running routers; `is_watcher` returns whether
+    this router watches on behalf of others.
     """
 
     __slots__ = (
         "_app",
         "_count_peers",
-        "_count_watchers",
         "_handle_all",
         "_handle_changes",
         "_is_watcher",
@@ -57,8 +55,10 @@
         "_on_lost",
         "_on_regained",
         "_outage_since_ms",
+        "_silent_since_ms",
         "_state",
         "_store",
+        "_watch_timeout_ms",
     )
 
     def __init__(
@@ -72,9 +72,9 @@
         handle_all: BatchHandler,
         handle_changes: BatchHandler,
         on_lost: Callable[[], None] | None = None,
-        on_regained: Callable[[], None] | None = None,
+        on_regained: Callable[[int], None] | None = None,
+        watch_timeout_ms: int = DEFAULT_WATCH_TIMEOUT_MS,
         count_peers: Callable[[], int],
-        count_watchers: Callable[[], int],
         is_watcher: Callable[[], bool],
     ) -> None:
         self._app = app
@@ -87,9 +87,10 @@
         self._on_lost = on_lost
         self._on_regained = on_regained
         self._count_peers = count_peers
-        self._count_watchers = count_watchers
         self._is_watcher = is_watcher
+        self._watch_timeout_ms = watch_timeout_ms
         self._outage_since_ms: int | None = None
+        self._silent_since_ms = 0
 
     def async_start(self) -> None:
         """Start the task."""
@@ -112,7 +113,7 @@
     async def _async_step(self) -> None:
         if self._state.as_of is None:
             listed = await self._store.async_list()
-            self._note_regained()
+            self._note_response()
             self._handle_all(listed)
             self._state.as_of = listed.as_of
             return
@@ -123,10 +124,10 @@
         changed = await self._store.async_watch(
             after=self._state.as_of, wait_ms=self._get_watch_timeout_ms()
         )
+        self._note_response()
         if isinstance(changed, HistoryLost):
             self._state.as_of = None
             return
-        self._note_regained()
         self._state.advance(changed.as_of)
         if changed.items:
             self._handle_changes(changed)
@@ -136,8 +137,7 @@
     def _get_watch_timeout_ms(self) -> int:
         if self._outage_since_ms is not None:
             return FIRST_WATCH_TIMEOUT_MS
-        share = max(1, self._count_watchers() // WATCHERS_PER_TIMEOUT_STEP)
-        return min(MAX_WATCH_TIMEOUT_MS, WATCH_TIMEOUT_MS * share)
+        return max(FIRST_WATCH_TIMEOUT_MS, self._watch_timeout_ms - self._state.response_age_ms)
 
     async def _async_back_off(self, failures: int) -> None:
         longest_ms = BACKOFF_MAX_MS if self._is_watcher() else BACKOFF_NON_WATCHER_MAX_MS
@@ -148,11 +148,16 @@
         if self._outage_since_ms is not None:
             return
         self._outage_since_ms = self._app.clock.now_ms()
+        self._silent_since_ms = self._state.responded_ms
         self._state.available = False
         self._journal.record(DependencyLost(dependency=self._name, reason=reason))
         if self._on_lost is not None:
             self._on_lost()
 
+    def _note_response(self) -> None:
+        self._state.note_response()
+        self._note_regained()
+
     def _note_regained(self) -> None:
         if self._outage_since_ms is None:
             return
@@ -161,7 +166,7 @@
         self._state.available = True
         self._journal.record(DependencyRegained(dependency=self._name, lost_ms=outage_ms))
         if self._on_regained is not None:
-            self._on_regained()
+            self._on_regained(self._state.responded_ms - self._silent_since_ms)
 
     async def _async_stop(self) -> None:
         self._store.close()
--- a/gypsumrouter/published/watch_state.py
+++ b/gypsumrouter/published/watch_state.py
@@ -15,22 +15,26 @@
 STARTUP_DEFER_MS: Final = 500
 # Jitter for routers that lose their watching peer at the same time and begin to watch themselves.
 TAKEOVER_JITTER_MS: Final = 300
+# Time of an event that has not happened.
+_NEVER_MS: Final = -(1 << 62)
 
 
 class WatchState:
     """State that a list's follower shares with the exchange between peers.
 
     `as_of` is the revision up to which all changes of the list are known, None before the first
-    read. `available` is whether the store responded to the last request.
+    read. `available` is whether the store responded to the last request, `responded_ms` is when it
+    last responded to this router or, by its own report, to a peer that watches.
     """
 
-    __slots__ = ("_clock", "_peer_watching_until_ms", "as_of", "available")
+    __slots__ = ("_clock", "_peer_watching_until_ms", "as_of", "available", "responded_ms")
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._peer_watching_until_ms = 0
         self.as_of: int | None = None
         self.available = True
+        self.responded_ms = _NEVER_MS
 
     @property
     def current(self) -> bool:
@@ -46,9 +50,20 @@
         """Delay the first watch after the start, so that a watching peer can report first."""
         self._peer_watching_until_ms = self._clock.now_ms() + STARTUP_DEFER_MS
 
-    def note_peer_watching(self) -> None:
-        """Record that a peer watches the list and sends its changes."""
-        self._peer_watching_until_ms = self._clock.now_ms() + PEER_WATCH_VALID_MS
+    @property
+    def response_age_ms(self) -> int:
+        """Return the time since the store last responded."""
+        return self._clock.now_ms() - self.responded_ms
+
+    def note_response(self) -> None:
+        """Record that the store has responded to this router."""
+        self.responded_ms = self._clock.now_ms()
+
+    def note_peer_watching(self, *, response_age_ms: int) -> None:
+        """Record that a peer watches the list, and when the store last responded to it."""
+        now_ms = self._clock.now_ms()
+        self._peer_watching_until_ms = now_ms + PEER_WATCH_VALID_MS
+        self.responded_ms = max(self.responded_ms, now_ms - response_age_ms)
 
     def advance(self, as_of: int) -> None:
         """Record that all changes up to `as_of` are known; no effect before the first read."""
--- a/gypsumrouter/settings.py
+++ b/gypsumrouter/settings.py
@@ -12,6 +12,7 @@
 from gypsumrouter.const import MAX_HEAD_BYTES, MAX_REQUEST_BODY_BYTES, UpstreamKind
 from gypsumrouter.exceptions import DocumentInvalid, FieldError, SettingsInvalid
 from gypsumrouter.mechanisms import Mechanism
+from gypsumrouter.util.heartbeats import DEFAULT_HEARTBEAT_MS
 from gypsumrouter.util.validation import (
     DocumentStruct,
     Name,
@@ -238,7 +239,8 @@
     """Settings of a forwarder; addresses are IP:PORT.
 
     `callers` and `link_address` are listen addresses; `link_address` overrides the one in `link`.
-    `seeds` are link addresses of a few other forwarders, `store` is the platform's store.
+    `seeds` are link addresses of a few other forwarders, `store` is the platform's store, where
+    upstreams renew their entries every `heartbeat_ms`.
     `first_start` means that no router ran before: it skips reading the cache inventory of the
     upstreams and lets retries use the slack at once. `without` disables mechanisms for a
     measurement.
@@ -252,6 +254,7 @@
     link: Link
     seeds: tuple[Endpoint, ...] = ()
     store: Endpoint
+    heartbeat_ms: PositiveInt = DEFAULT_HEARTBEAT_MS
     processor: Processor = field(default_factory=Processor)
     bounds: Bounds = field(default_factory=Bounds)
     limits: Limits = field(default_factory=Limits)
--- a/tests/directory/test_directory_incarnations.py
+++ b/tests/directory/test_directory_incarnations.py
@@ -152,7 +152,7 @@
     observed = ObservedDirectory()
     observed.merge(3)
     observed.directory.note_outage()
-    observed.directory.note_recovered()
+    observed.directory.note_recovered(silent_ms=60_000)
     observed.directory.replace_all([], revision=20, source="p")
     assert observed.get_state() is EntryState.READY
     assert observed.directory.applied_revision == 3
--- a/tests/directory/test_directory_machine.py
+++ b/tests/directory/test_directory_machine.py
@@ -15,6 +15,8 @@
 from gypsumrouter.journal import Journal
 from gypsumrouter.util.clock import ManualClock
 
+# Long enough for the entries of upstreams to expire.
+LONG_SILENCE_MS = 60_000
 UPSTREAMS = st.sampled_from(["i-1", "i-2", "i-3"])
 RANK = {
     EntryState.READY: 0,
@@ -55,7 +57,7 @@
     clock.advance(60_000)
     directory.apply_deferred()
     assert _get_state(directory, "i-1") is EntryState.READY
-    directory.note_recovered()
+    directory.note_recovered(silent_ms=LONG_SILENCE_MS)
     clock.advance(RECOVERY_GRACE_MS - 1)
     directory.apply_deferred()
     assert _get_state(directory, "i-1") is EntryState.READY
@@ -70,7 +72,7 @@
     directory.merge(make_record("i-1", 1), source="p")
     directory.note_outage()
     directory.merge(make_record("i-1", 2, EntryState.GONE), source="p")
-    directory.note_recovered()
+    directory.note_recovered(silent_ms=LONG_SILENCE_MS)
     directory.merge(make_record("i-1", 3), source="p")
     clock.advance(RECOVERY_GRACE_MS)
     directory.apply_deferred()
@@ -166,10 +168,13 @@
         """Start an outage of the store."""
         self.directory.note_outage()
 
-    @rule(pause_ms=st.integers(min_value=0, max_value=2 * RECOVERY_GRACE_MS))
-    def regain_store(self, pause_ms: int) -> None:
+    @rule(
+        silent_ms=st.sampled_from((0, LONG_SILENCE_MS)),
+        pause_ms=st.integers(min_value=0, max_value=2 * RECOVERY_GRACE_MS),
+    )
+    def regain_store(self, silent_ms: int, pause_ms: int) -> None:
         """End the outage and advance the clock."""
-        self.directory.note_recovered()
+        self.directory.note_recovered(silent_ms=silent_ms)
         self.clock.advance(pause_ms)
         self.directory.apply_deferred()
 
--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -29,7 +29,7 @@
 from gypsumrouter.peers.routers import RouterRegistry
 from gypsumrouter.peers.watchers import WatchCoordinator
 from gypsumrouter.published import Follower, HistoryLost, ItemBatch, StoreUnavailable, WatchState
-from gypsumrouter.published.follower import WATCH_TIMEOUT_MS
+from gypsumrouter.published.follower import DEFAULT_WATCH_TIMEOUT_MS
 from gypsumrouter.routing import RoutingConfiguration, RoutingStore
 from gypsumrouter.util.clock import ManualClock
 
@@ -187,9 +187,8 @@
             handle_all=self._take_all,
             handle_changes=self._take_changes,
             on_lost=self.directory.note_outage,
-            on_regained=self.directory.note_recovered,
+            on_regained=lambda ms: self.directory.note_recovered(silent_ms=ms),
             count_peers=self.routers.count_alive,
-            count_watchers=self.watchers.count_watchers,
             is_watcher=self.watchers.is_watcher,
         )
 
@@ -296,7 +295,7 @@
         """Start all routers at once and run until their first watches have ended."""
         for router in self.routers:
             router.start()
-        await self.async_advance(2 * WATCH_TIMEOUT_MS)
+        await self.async_advance(2 * DEFAULT_WATCH_TIMEOUT_MS)
 
     async def async_stop(self) -> None:
         """Stop all routers."""
