Routers that do not watch learn of changes after a deferred removal

Cause: a watcher announced its newest change lowered to before the earliest removal that it defers, so that its neighbours stay behind that removal and ask for it later. They then had no reason to ask for anything, and the changes that the watcher had applied itself were withheld with it.

The announcement now has the newest applied change as it is; only the revision up to which all is applied stays before deferred removals. A count of applied changes tells a neighbour whether it has all but those, so that it does not ask again at each announcement.

--- a/gypsumrouter/directory/directory.py
+++ b/gypsumrouter/directory/directory.py
@@ -49,8 +49,10 @@
         "_listeners",
         "_newest_revision",
         "_records",
+        "applied_changes",
         "listed_revision",
         "loaded",
+        "newest_applied_revision",
         "read_revision",
     )
 
@@ -81,6 +83,10 @@
         # The revision up to which the store was read, and the highest one merged from any source.
         self.read_revision = 0
         self._newest_revision = 0
+        # The highest revision of an applied change, which may be later than that of deferred
+        # removals, and the number of changes that this process has applied.
+        self.newest_applied_revision = 0
+        self.applied_changes = 0
         # The revision of the last full list, from the store or from a peer.
         self.listed_revision = 0
         self.loaded = asyncio.Event()
@@ -180,7 +186,7 @@
         if known is None:
             return self._merge_first(record, source)
         if not _is_relevant(record.entry, known.entry):
-            self._records[upstream] = replace(known, revision=record.revision)
+            self._store(replace(known, revision=record.revision))
             return False
         removed = record.entry.state is EntryState.GONE
         if removed and not confirmed and self._may_be_expiry(known):
@@ -215,7 +221,7 @@
             case EntryState.UNUSABLE:
                 return False
             case EntryState.GONE:
-                self._records[record.entry.upstream] = record
+                self._store(record)
             case EntryState.READY | EntryState.LEAVING:
                 self._apply(None, record, source)
         return True
@@ -274,7 +280,7 @@
 
     def _apply(self, known: Record | None, record: Record, source: str) -> None:
         entry = self._resolve_entry(record, known)
-        self._records[entry.upstream] = Record(revision=record.revision, entry=entry)
+        self._store(Record(revision=record.revision, entry=entry))
         if entry.state is EntryState.LEAVING:
             self._listed_leaving.add(entry.incarnation)
         if known is not None and known.entry == entry:
@@ -284,6 +290,11 @@
         self._incarnations[entry.incarnation] = entry
         self._announce(known, entry, record.revision, source)
 
+    def _store(self, record: Record) -> None:
+        self._records[record.entry.upstream] = record
+        self.newest_applied_revision = max(self.newest_applied_revision, record.revision)
+        self.applied_changes += 1
+
     def _resolve_entry(self, record: Record, known: Record | None) -> Entry:
         """Return the entry that results from merging a record into the known one."""
         entry = record.entry if known is None else _combine(record.entry, known.entry)
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -225,6 +225,7 @@
   listAsOf @3 :UInt64;
   evacuations @4 :List(EvacuationTold);
   listAgeMs @5 :UInt32;
+  listChanges @6 :UInt64;
 }
 
 struct RoutingDocument {
@@ -249,6 +250,7 @@
   entries @0 :List(ListedUpstream);
   asOf @1 :UInt64;
   complete @2 :Bool;
+  changes @3 :UInt64;
 }
 
 struct HeldAt {
--- a/gypsumrouter/link/models.py
+++ b/gypsumrouter/link/models.py
@@ -293,16 +293,18 @@
 class StoreUpdate(Struct, frozen=True, kw_only=True):
     """Update from a router that watches the platform's store to routers that do not.
 
-    `routing_version` and `list_newest` are the newest changes that it has applied. It has seen all
-    changes up to the revisions `routing_as_of` and `list_as_of`, which are 0 while it cannot read
-    the store. The store last responded to it `list_age_ms` ago as to the list. `evacuations` is its
-    complete list.
+    `routing_version` and `list_newest` are the newest changes that it has applied. It has applied
+    all changes up to the revisions `routing_as_of` and `list_as_of`, which are 0 while it cannot
+    read the store. `list_as_of` is lower than `list_newest` while earlier removals are deferred.
+    `list_changes` is the number of changes of the list that the process has applied. The store last
+    responded to it `list_age_ms` ago as to the list. `evacuations` is its complete list.
     """
 
     routing_version: int
     routing_as_of: int
     list_newest: int
     list_as_of: int
+    list_changes: int = 0
     list_age_ms: int = 0
     evacuations: tuple[EvacuationState, ...] = ()
 
@@ -343,12 +345,14 @@
 class ListedUpstreams(Struct, frozen=True, kw_only=True):
     """Entries of the upstream list; they include all changes up to the revision `as_of`.
 
-    If `complete`, upstreams that are not among them were removed by then.
+    If `complete`, upstreams that are not among them were removed by then. `changes` is the number
+    of changes of the list that the sending process has applied.
     """
 
     entries: tuple[ListedUpstream, ...]
     as_of: int = 0
     complete: bool = False
+    changes: int = 0
 
 
 class InventoryRequest(Struct, frozen=True, kw_only=True):
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -204,6 +204,7 @@
         listNewest=notice.list_newest,
         listAsOf=notice.list_as_of,
         listAgeMs=notice.list_age_ms,
+        listChanges=notice.list_changes,
     )
     _set_evacuations(message, notice.evacuations)
     return to_packed(message)
@@ -218,6 +219,7 @@
             list_newest=message.listNewest,
             list_as_of=message.listAsOf,
             list_age_ms=message.listAgeMs,
+            list_changes=message.listChanges,
             evacuations=_read_evacuations(message),
         )
 
@@ -263,7 +265,9 @@
 
 def encode_listed_upstreams(notice: ListedUpstreams) -> bytes:
     """Encode the body of a LISTED_UPSTREAMS frame."""
-    message = SCHEMA.ListedUpstreams.new_message(asOf=notice.as_of, complete=notice.complete)
+    message = SCHEMA.ListedUpstreams.new_message(
+        asOf=notice.as_of, complete=notice.complete, changes=notice.changes
+    )
     entries = message.init("entries", len(notice.entries))
     for target, entry in zip(entries, notice.entries, strict=True):
         target.revision = entry.revision
@@ -298,6 +302,7 @@
             ),
             as_of=message.asOf,
             complete=message.complete,
+            changes=message.changes,
         )
 
 
--- a/gypsumrouter/peers/catch_up.py
+++ b/gypsumrouter/peers/catch_up.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections.abc import Callable
-from typing import Final
+from typing import Final, NamedTuple
 
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
@@ -35,6 +35,13 @@
 NEVER_MS: Final = -(1 << 62)
 
 
+class _ReceivedChanges(NamedTuple):
+    """The number of changes that one incarnation of a router had applied."""
+
+    incarnation: int
+    changes: int
+
+
 class CatchUpCoordinator:
     """Requests state from peers that are ahead of this router, and answers their requests.
 
@@ -54,6 +61,7 @@
         "_last_request_ms",
         "_last_watcher_request_ms",
         "_list_state",
+        "_received_changes",
         "_routing",
         "_routing_state",
     )
@@ -85,6 +93,8 @@
         # Versions that were last requested from a watcher, and the time of that request.
         self._last_announced = (0, 0)
         self._last_watcher_request_ms = NEVER_MS
+        # What each neighbour had applied when it last sent its changes, by name.
+        self._received_changes: dict[str, _ReceivedChanges] = {}
         notices.subscribe(CatchUpRequest, self._handle_request)
         notices.subscribe(RoutingDocument, self._handle_routing)
         notices.subscribe(ListedUpstreams, self._handle_upstreams)
@@ -119,11 +129,19 @@
             self._routing_state.advance(announcement.routing_as_of)
         if not upstreams:
             self._list_state.advance(announcement.list_as_of)
+        upstreams = upstreams and not self._has_all_applied(peer, announcement)
         if not (routing or upstreams) or not self._should_request(announcement):
             return
         since = self._get_list_as_of()
         peer.send(CatchUpRequest(routing=routing, upstreams=upstreams, since=since))
 
+    def _has_all_applied(self, peer: Peer, announcement: StoreUpdate) -> bool:
+        """Return whether this router has all changes but those that the watcher defers."""
+        if announcement.list_as_of >= announcement.list_newest:
+            return False
+        received = _ReceivedChanges(peer.hello.incarnation, announcement.list_changes)
+        return self._received_changes.get(peer.hello.name) == received
+
     def merge_evacuations(self, peer: Peer, received: tuple[EvacuationState, ...]) -> None:
         """Merge the evacuations in a message of a peer, which always lists all of them."""
         merge_evacuations(self._evacuations, received, source=peer.hello.name)
@@ -180,7 +198,12 @@
             complete, as_of = False, since
         records = self._directory.records(since=0 if complete else since)
         entries = tuple(_encode_record(record) for record in records)
-        return ListedUpstreams(entries=entries, as_of=as_of, complete=complete)
+        return ListedUpstreams(
+            entries=entries,
+            as_of=as_of,
+            complete=complete,
+            changes=self._directory.applied_changes,
+        )
 
     def _handle_routing(self, peer: Peer, message: RoutingDocument) -> None:
         # Evacuations come first: with its first configuration, a router may start to send requests.
@@ -225,6 +248,9 @@
                 listed, revision=message.as_of, source=peer.hello.name
             )
         self._list_state.advance(message.as_of)
+        self._received_changes[peer.hello.name] = _ReceivedChanges(
+            peer.hello.incarnation, message.changes
+        )
         self._directory.note_peer_synced()
         if message.entries:
             self._journal.record(
--- a/gypsumrouter/peers/watchers.py
+++ b/gypsumrouter/peers/watchers.py
@@ -126,13 +126,16 @@
                 known.peer.send(announcement)
 
     def _make_announcement(self) -> StoreUpdate:
+        directory = self._directory
         # A full list counts as a change: it may lack upstreams that only the neighbours know.
-        newest = max(self._directory.applied_revision, self._directory.listed_revision)
+        newest = max(directory.applied_revision, directory.listed_revision)
         return StoreUpdate(
             routing_version=self._routing_store.version,
             routing_as_of=_get_current_revision(self._routing),
-            list_newest=self._directory.limit_to_applied(newest),
-            list_as_of=self._directory.limit_to_applied(_get_current_revision(self._list)),
+            # Changes after a deferred removal are announced without it.
+            list_newest=max(directory.limit_to_applied(newest), directory.newest_applied_revision),
+            list_as_of=directory.limit_to_applied(_get_current_revision(self._list)),
+            list_changes=directory.applied_changes,
             list_age_ms=min(self._list.response_age_ms, MAX_AGE_MS),
             evacuations=encode_evacuations(self._evacuations),
         )
