An outage that no call noticed starts the grace period too

What callers would see: after an outage of the store in which no call failed, for instance because it hung for 3 s, routers dropped all upstreams whose entries had expired, for up to two seconds until they registered again.

Cause: the grace period started with a failed call only, and a pending watch outlasts a hang of up to 3.5 s. A watch ends within 2 s of the last response now, so that a response after 2.4 s or more means that the store or the connection was silent for as long as entries take to expire; it counts as a loss. A router that has just taken over the watch counts from then, since its peers reported until then.

--- a/gypsumrouter/bootstrap_followers.py
+++ b/gypsumrouter/bootstrap_followers.py
@@ -30,7 +30,6 @@
 from gypsumrouter.published import Follower, Item, ItemBatch, WatchState
 from gypsumrouter.routing import RoutingStore
 from gypsumrouter.settings import ForwarderSettings
-from gypsumrouter.util.heartbeats import get_watch_timeout_ms
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -60,7 +59,7 @@
         state=routing_state,
         handle_all=partial(_replace_operator_items, routing, evacuations),
         handle_changes=partial(_apply_operator_changes, routing, evacuations),
-        watch_timeout_ms=get_watch_timeout_ms(settings.heartbeat_ms),
+        heartbeat_ms=settings.heartbeat_ms,
         count_peers=count_peers,
         is_watcher=is_watcher,
     )
@@ -74,7 +73,7 @@
         handle_changes=partial(_apply_entry_changes, directory),
         on_lost=directory.note_outage,
         on_regained=lambda silent_ms: directory.note_recovered(silent_ms=silent_ms),
-        watch_timeout_ms=get_watch_timeout_ms(settings.heartbeat_ms),
+        heartbeat_ms=settings.heartbeat_ms,
         count_peers=count_peers,
         is_watcher=is_watcher,
     )
--- a/gypsumrouter/published/follower.py
+++ b/gypsumrouter/published/follower.py
@@ -10,9 +10,11 @@
 from gypsumrouter.journal import DependencyLost, DependencyRegained, Journal
 from gypsumrouter.published.models import HistoryLost, ItemBatch, PublishedStore, StoreUnavailable
 from gypsumrouter.published.watch_state import WatchState
-from gypsumrouter.util.heartbeats import DEFAULT_HEARTBEAT_MS, get_watch_timeout_ms
-
-DEFAULT_WATCH_TIMEOUT_MS: Final = get_watch_timeout_ms(DEFAULT_HEARTBEAT_MS)
+from gypsumrouter.util.heartbeats import (
+    DEFAULT_HEARTBEAT_MS,
+    get_shortest_expiry_ms,
+    get_watch_timeout_ms,
+)
 
 # The first watch after an outage returns at once. A store restored from a backup may be at a lower
 # revision than the requested one, and a waiting watch would delay its changes.
@@ -38,10 +40,10 @@
     `on_regained` are called once per outage, the latter with the time for which the store was
     silent, in milliseconds; as a pending watch shows no outage, that includes the wait before it.
     While a peer watches the list (see `WatchState`) this router sends no requests to the store and
-    receives the changes from the peer. A watch ends at the latest `watch_timeout_ms` after the
-    store's last response, which also bounds how late a change is seen if the response to the watch
-    is lost. `count_peers` returns the number of other running routers; `is_watcher` returns whether
-    this router watches on behalf of others.
+    receives the changes from the peer. Upstreams renew their entries every `heartbeat_ms`: a watch
+    ends before entries can expire unseen, which also bounds how late a change is seen if the
+    response to the watch is lost. `count_peers` returns the number of other running routers;
+    `is_watcher` returns whether this router watches on behalf of others.
     """
 
     __slots__ = (
@@ -55,6 +57,7 @@
         "_on_lost",
         "_on_regained",
         "_outage_since_ms",
+        "_shortest_expiry_ms",
         "_silent_since_ms",
         "_state",
         "_store",
@@ -73,7 +76,7 @@
         handle_changes: BatchHandler,
         on_lost: Callable[[], None] | None = None,
         on_regained: Callable[[int], None] | None = None,
-        watch_timeout_ms: int = DEFAULT_WATCH_TIMEOUT_MS,
+        heartbeat_ms: int = DEFAULT_HEARTBEAT_MS,
         count_peers: Callable[[], int],
         is_watcher: Callable[[], bool],
     ) -> None:
@@ -88,7 +91,8 @@
         self._on_regained = on_regained
         self._count_peers = count_peers
         self._is_watcher = is_watcher
-        self._watch_timeout_ms = watch_timeout_ms
+        self._watch_timeout_ms = get_watch_timeout_ms(heartbeat_ms)
+        self._shortest_expiry_ms = get_shortest_expiry_ms(heartbeat_ms)
         self._outage_since_ms: int | None = None
         self._silent_since_ms = 0
 
@@ -117,13 +121,19 @@
             self._handle_all(listed)
             self._state.as_of = listed.as_of
             return
+        silent_since_ms = self._state.responded_ms
         if self._state.peer_watching:
             # The changes from the peer are current even if the store is unreachable from here.
             self._note_regained()
             await self._state.async_wait_until_needed()
+            silent_since_ms = self._app.clock.now_ms()
         changed = await self._store.async_watch(
             after=self._state.as_of, wait_ms=self._get_watch_timeout_ms()
         )
+        silent_ms = self._app.clock.now_ms() - silent_since_ms
+        if silent_ms >= self._shortest_expiry_ms:
+            # The store or the connection hung, though no call has failed.
+            self._note_lost(f"no response for {silent_ms} ms")
         self._note_response()
         if isinstance(changed, HistoryLost):
             self._state.as_of = None
--- a/tests/peers/memory_store.py
+++ b/tests/peers/memory_store.py
@@ -15,7 +15,8 @@
 class MemoryStore:
     """A list of upstreams with long-poll watches, which counts its calls.
 
-    `epoch` increases with each restore from a backup, after which revisions are reused.
+    `epoch` increases with each restore from a backup, after which revisions are reused. While the
+    store hangs, pending and new watches get no response, and their connections stay open.
     """
 
     def __init__(self, clock: ManualClock) -> None:
@@ -25,6 +26,15 @@
         self.revision = 100
         self.epoch = 1
         self.calls = 0
+        self._responding = asyncio.Event()
+        self._responding.set()
+
+    def set_hanging(self, hanging: bool) -> None:
+        """Let the store hang, or respond again."""
+        if hanging:
+            self._responding.clear()
+        else:
+            self._responding.set()
 
     @property
     def as_of(self) -> int:
@@ -68,6 +78,13 @@
 
     async def async_watch(self, after: int, wait_ms: int) -> ItemBatch | HistoryLost:
         """Return the changes after a revision, or none after `wait_ms`."""
+        listed = await self._async_wait_for_changes(after, wait_ms)
+        if self._responding.is_set():
+            return listed
+        await self._responding.wait()
+        return await self._async_wait_for_changes(after, 0)
+
+    async def _async_wait_for_changes(self, after: int, wait_ms: int) -> ItemBatch | HistoryLost:
         self.calls += 1
         epoch = self.epoch
         after, asked_epoch = get_number(after), get_epoch(after)
--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -29,9 +29,9 @@
 from gypsumrouter.peers.routers import RouterRegistry
 from gypsumrouter.peers.watchers import WatchCoordinator
 from gypsumrouter.published import Follower, HistoryLost, ItemBatch, StoreUnavailable, WatchState
-from gypsumrouter.published.follower import DEFAULT_WATCH_TIMEOUT_MS
 from gypsumrouter.routing import RoutingConfiguration, RoutingStore
 from gypsumrouter.util.clock import ManualClock
+from gypsumrouter.util.heartbeats import DEFAULT_HEARTBEAT_MS, get_watch_timeout_ms
 
 STEP_MS = 50
 # Time after which an unanswered call fails, counted from the end of its wait.
@@ -62,6 +62,8 @@
             raise StoreUnavailable("cut")
         until_ms = self._clock.now_ms() + wait_ms + CALL_TIMEOUT_MS
         listed = await self._async_watch_until_reset(after, wait_ms)
+        if self._clock.now_ms() >= until_ms:
+            raise StoreUnavailable("call timed out")
         if self._router.partitioned:
             await self._clock.async_sleep(until_ms - self._clock.now_ms())
             raise StoreUnavailable("call timed out")
@@ -295,7 +297,7 @@
         """Start all routers at once and run until their first watches have ended."""
         for router in self.routers:
             router.start()
-        await self.async_advance(2 * DEFAULT_WATCH_TIMEOUT_MS)
+        await self.async_advance(2 * get_watch_timeout_ms(DEFAULT_HEARTBEAT_MS))
 
     async def async_stop(self) -> None:
         """Stop all routers."""
--- a/tests/peers/test_peers_withheld_changes.py
+++ b/tests/peers/test_peers_withheld_changes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from peer_fleet import FleetRouter, PeerFleet
+from peer_fleet import STEP_MS, FleetRouter, PeerFleet
 
 from gypsumrouter.directory import EntryState
 from gypsumrouter.peers.watchers import MIN_WATCHERS
@@ -13,6 +13,8 @@
 RESET_INTERVALS_MS = (1_000, 1_600)
 # Long enough that every router notices the outage, also one whose watch began just before it.
 OUTAGE_MS = 6_000
+# Upstreams whose entries lapsed write them again within this time after an outage.
+RETURN_MS = 1_800
 SIZES = [(4, 4, 4, 4, 4), (6, 6, 6), (MIN_WATCHERS + 4,)]
 
 
@@ -54,6 +56,30 @@
     await fleet.async_stop()
 
 
+@pytest.mark.parametrize("hang_ms", [2_600, 3_000, 3_400])
+@pytest.mark.parametrize("sizes", SIZES)
+async def test_upstreams_were_dropped_after_an_outage_that_no_pending_watch_noticed(
+    sizes: tuple[int, ...], hang_ms: int
+) -> None:
+    fleet = PeerFleet(*sizes)
+    fleet.store.put(EntryState.READY, key="i-2")
+    await fleet.async_start()
+    # Ends all watches, so that the next ones begin right before the store hangs.
+    fleet.store.put(EntryState.LEAVING, key="i-3")
+    await fleet.async_advance(STEP_MS)
+    fleet.store.set_hanging(True)
+    await fleet.async_advance(hang_ms)
+    fleet.store.put(EntryState.GONE)
+    fleet.store.set_hanging(False)
+    for _ in range(RETURN_MS // 100):
+        await fleet.async_advance(100)
+        assert list_states(fleet.routers, "i-1") == {EntryState.READY}
+    fleet.store.put(EntryState.READY)
+    await fleet.async_advance(2 * BOUND_MS)
+    assert list_states(fleet.routers, "i-1") == {EntryState.READY}
+    await fleet.async_stop()
+
+
 async def async_reset_watchers(fleet: PeerFleet, interval_ms: int) -> None:
     for router in fleet.routers:
         if router.watchers.is_watcher():
