--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -186,7 +186,7 @@
             name="upstreams",
             store=self.store_view,
             state=self.state,
-            handle_all=self._take_all,
+            handle_all=self.take_all,
             handle_changes=self._take_changes,
             on_lost=self.directory.note_outage,
             on_regained=lambda ms: self.directory.note_recovered(silent_ms=ms),
@@ -240,7 +240,8 @@
         self.cross_data_centre_messages += target.app.data_centre != self.app.data_centre
         return MemoryPeer(sender=self, target=target).send(notice)
 
-    def _take_all(self, listed: ItemBatch) -> None:
+    def take_all(self, listed: ItemBatch) -> None:
+        """Merge a full list from the store."""
         self.directory.replace_all(read_records(listed), revision=listed.as_of, source="platform")
 
     def _take_changes(self, listed: ItemBatch) -> None:
