--- a/gypsumrouter/directory/directory.py
+++ b/gypsumrouter/directory/directory.py
@@ -9,7 +9,7 @@
 
 from gypsumrouter.core import Application, Remove
 from gypsumrouter.directory.grace_period import GracePeriod
-from gypsumrouter.directory.models import Entry, EntryState, Record
+from gypsumrouter.directory.models import DeferredChange, Entry, EntryState, Record
 from gypsumrouter.journal import ChangeDeferred, Journal, StoreRestored, UpstreamChanged
 from gypsumrouter.util.heartbeats import DEFAULT_HEARTBEAT_MS, get_shortest_expiry_ms
 from gypsumrouter.util.revisions import get_epoch
@@ -68,8 +68,8 @@
         self._records: dict[str, Record] = {}
         self._incarnations: dict[str, Entry] = {}
         # Removals, and returns of removed upstreams, that wait for the end of the grace period.
-        self._deferred_removals: dict[str, Record] = {}
-        self._deferred_returns: dict[str, Record] = {}
+        self._deferred_removals: dict[str, DeferredChange] = {}
+        self._deferred_returns: dict[str, DeferredChange] = {}
         # Incarnations that are leaving by their entry in the store, and by their own responses.
         self._listed_leaving: set[str] = set()
         self._announced_leaving: set[str] = set()
@@ -200,8 +200,10 @@
         self._apply(known, record, source)
         return True
 
-    def _defer(self, deferred: dict[str, Record], record: Record, source: str) -> None:
-        deferred[record.entry.upstream] = record
+    def _defer(self, deferred: dict[str, DeferredChange], record: Record, source: str) -> None:
+        earlier = deferred.get(record.entry.upstream)
+        due_at = self._grace.due_at if earlier is None else earlier.due_at
+        deferred[record.entry.upstream] = DeferredChange(record=record, due_at=due_at)
         self._journal.record(
             ChangeDeferred(
                 upstream=record.entry.upstream,
@@ -237,17 +239,24 @@
         self._apply(known, Record(revision=known.revision, entry=leaving), source)
 
     def apply_deferred(self) -> None:
-        """Apply deferred changes once the grace period is over; called periodically."""
-        deferred = len(self._deferred_removals) + len(self._deferred_returns)
-        if not self._grace.end_if_over(deferred=deferred):
+        """Apply deferred changes whose grace period is over; called periodically."""
+        if self._grace.in_outage:
             return
-        removals, self._deferred_removals = self._deferred_removals, {}
-        for record in removals.values():
+        waiting = len(self._deferred_removals) + len(self._deferred_returns)
+        self._grace.end_if_over(deferred=waiting)
+        for record in self._take_due(self._deferred_removals):
             self.merge(record, source="lapsed", confirmed=True)
-        returns, self._deferred_returns = self._deferred_returns, {}
-        for record in returns.values():
+        for record in self._take_due(self._deferred_returns):
             self.merge(record, source="returned", confirmed=True)
 
+    def _take_due(self, deferred: dict[str, DeferredChange]) -> list[Record]:
+        """Remove the changes that may be applied from `deferred` and return them."""
+        now_at = self._grace.responsive_ms
+        due = [change.record for change in deferred.values() if change.due_at <= now_at]
+        for record in due:
+            del deferred[record.entry.upstream]
+        return due
+
     def on_change(self, listener: ChangeListener) -> Remove:
         """Call `listener` with every changed entry."""
         self._listeners.append(listener)
--- a/gypsumrouter/directory/grace_period.py
+++ b/gypsumrouter/directory/grace_period.py
@@ -16,16 +16,18 @@
     """Whether upstreams may be missing from the store's list although they are running.
 
     It begins with a restore of the store, or when it was silent for as long as it takes an entry to
-    expire. Only the time in which the store responds counts, because upstreams cannot register
-    otherwise; a short loss of the connection interrupts the period, but does not start it anew.
+    expire. It is measured in responsive time, that is the time in which the store responds, because
+    upstreams cannot register otherwise. What was deferred once does not wait longer because the
+    period begins anew.
     """
 
     __slots__ = (
         "_began_ms",
         "_clock",
+        "_counted_ms",
         "_counting_since_ms",
+        "_ends_at",
         "_journal",
-        "_left_ms",
         "_shortest_expiry_ms",
     )
 
@@ -34,25 +36,37 @@
         self._journal = journal
         self._shortest_expiry_ms = shortest_expiry_ms
         self._began_ms = 0
-        # Time left when counting began; None outside a grace period.
-        self._left_ms: int | None = None
+        # Responsive time when the period ends; None outside a period.
+        self._ends_at: int | None = None
+        self._counted_ms = 0
         # None while the store is unavailable.
         self._counting_since_ms: int | None = clock.now_ms()
 
     @property
     def active(self) -> bool:
         """Return whether upstreams may be missing, or the store is unavailable."""
-        return self._left_ms is not None or self.in_outage
+        return self._ends_at is not None or self.in_outage
 
     @property
     def in_outage(self) -> bool:
         """Return whether the store is unavailable."""
         return self._counting_since_ms is None
 
+    @property
+    def responsive_ms(self) -> int:
+        """Return the time for which the store has responded since the start."""
+        if self._counting_since_ms is None:
+            return self._counted_ms
+        return self._counted_ms + self._clock.now_ms() - self._counting_since_ms
+
+    @property
+    def due_at(self) -> int:
+        """Return the responsive time at which a change that is deferred now may be applied."""
+        return self.responsive_ms + RECOVERY_GRACE_MS if self._ends_at is None else self._ends_at
+
     def note_outage(self) -> None:
         """Record that the store is unavailable."""
-        if self._left_ms is not None:
-            self._left_ms = self._get_left_ms()
+        self._counted_ms = self.responsive_ms
         self._counting_since_ms = None
 
     def note_recovered(self, *, silent_ms: int) -> None:
@@ -65,34 +79,19 @@
 
     def note_restored(self) -> None:
         """Record that the store was restored from a backup."""
-        if not self.in_outage:
-            self._counting_since_ms = self._clock.now_ms()
         self._begin("restored")
 
-    def end_if_over(self, *, deferred: int) -> bool:
-        """End the period if its time is over, and return whether deferred changes may be applied.
-
-        `deferred` is the number of changes that waited for it.
-        """
-        if self.in_outage or self._get_left_ms() > 0:
-            return False
-        if self._left_ms is not None:
-            self._left_ms = None
+    def end_if_over(self, *, deferred: int) -> None:
+        """End the period if its time is over; `deferred` is the number of changes that wait."""
+        if self._ends_at is not None and self.responsive_ms >= self._ends_at:
+            self._ends_at = None
             self._record(active=False, reason="over", deferred=deferred)
-        return True
-
-    def _get_left_ms(self) -> int:
-        if self._left_ms is None:
-            return 0
-        if self._counting_since_ms is None:
-            return self._left_ms
-        return self._left_ms - (self._clock.now_ms() - self._counting_since_ms)
 
     def _begin(self, reason: str) -> None:
-        if self._left_ms is None:
+        if self._ends_at is None:
             self._began_ms = self._clock.now_ms()
             self._record(active=True, reason=reason)
-        self._left_ms = RECOVERY_GRACE_MS
+        self._ends_at = self.responsive_ms + RECOVERY_GRACE_MS
 
     def _record(self, *, active: bool, reason: str, deferred: int = 0) -> None:
         self._journal.record(
--- a/gypsumrouter/directory/models.py
+++ b/gypsumrouter/directory/models.py
@@ -61,6 +61,13 @@
     entry: Entry
 
 
+class DeferredChange(Struct, frozen=True, kw_only=True):
+    """A change that is applied only at `due_at`, in responsive time (see `GracePeriod`)."""
+
+    record: Record
+    due_at: int
+
+
 def name_incarnation(*, upstream: str, started_ms: int) -> str:
     """Return the name of an incarnation; the plain id if the start time is unknown."""
     if started_ms <= 0:
--- a/tests/directory/test_directory_grace_period.py
+++ b/tests/directory/test_directory_grace_period.py
@@ -105,3 +105,16 @@
 @pytest.mark.parametrize("heartbeat_ms", [200, 600, 1_200, 5_000])
 def test_watch_ends_before_entries_can_expire(heartbeat_ms: int) -> None:
     assert heartbeat_ms <= get_watch_timeout_ms(heartbeat_ms) < get_shortest_expiry_ms(heartbeat_ms)
+
+
+@pytest.mark.parametrize("responsive_ms", [200, 1_000])
+def test_removal_waited_without_a_bound_while_long_silences_recurred(responsive_ms: int) -> None:
+    observed = Observed()
+    observed.lose_store(silent_ms=EXPIRY_MS)
+    observed.write(EntryState.GONE)
+    waited_ms = 0
+    while observed.get_state() is EntryState.READY:
+        observed.advance(responsive_ms)
+        waited_ms += responsive_ms
+        observed.lose_store(silent_ms=EXPIRY_MS + responsive_ms)
+        assert waited_ms <= RECOVERY_GRACE_MS + responsive_ms
