Silent connections to the store are replaced before they look like an outage

What callers would see: if the connections of all watching routers go silent, a removal was known after up to 3.5 s, and deferred for another 2.3 s, since the silence was as long as an outage in which entries expire. The drain bound holds again 3 s after connections went silent.

A watch of the list of upstreams now ends 1.2 s after the store's last response, and its response is awaited for 0.8 s, so that a silent connection is replaced 2.0 to 2.1 s after the last response and casts no doubt on removals. The watch of the operator's items keeps its 2.5 s and 1.5 s: a large configuration may take longer over a slow link.

--- a/gypsumrouter/bootstrap_followers.py
+++ b/gypsumrouter/bootstrap_followers.py
@@ -27,9 +27,17 @@
     read_upstream_id,
 )
 from gypsumrouter.platform.names import KEY_CONFIGURATION, PREFIX_OPERATOR, PREFIX_SERVERS
-from gypsumrouter.published import Follower, Item, ItemBatch, WatchState
+from gypsumrouter.published import (
+    LIST_RESPONSE_TIMEOUT_MS,
+    LIST_WATCH_TIMEOUT_MS,
+    Follower,
+    Item,
+    ItemBatch,
+    WatchState,
+)
 from gypsumrouter.routing import RoutingStore
 from gypsumrouter.settings import ForwarderSettings
+from gypsumrouter.util.heartbeats import get_shortest_expiry_ms
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -59,7 +67,6 @@
         state=routing_state,
         handle_all=partial(_replace_operator_items, routing, evacuations),
         handle_changes=partial(_apply_operator_changes, routing, evacuations),
-        heartbeat_ms=settings.heartbeat_ms,
         count_peers=count_peers,
         is_watcher=is_watcher,
     )
@@ -67,13 +74,18 @@
         app=app,
         journal=journal,
         name="upstreams",
-        store=StoreClient(address=address, prefix=PREFIX_SERVERS),
+        store=StoreClient(
+            address=address,
+            prefix=PREFIX_SERVERS,
+            response_timeout_ms=LIST_RESPONSE_TIMEOUT_MS,
+        ),
         state=upstreams_state,
         handle_all=partial(_replace_entries, directory),
         handle_changes=partial(_apply_entry_changes, directory),
         on_lost=directory.note_outage,
         on_regained=lambda silent_ms: directory.note_recovered(silent_ms=silent_ms),
-        heartbeat_ms=settings.heartbeat_ms,
+        watch_timeout_ms=LIST_WATCH_TIMEOUT_MS,
+        max_silence_ms=get_shortest_expiry_ms(settings.heartbeat_ms),
         count_peers=count_peers,
         is_watcher=is_watcher,
     )
--- a/gypsumrouter/platform/store.py
+++ b/gypsumrouter/platform/store.py
@@ -26,7 +26,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_MS: Final = 1_000
-ANSWER_TIMEOUT_MS: Final = 1_500
+RESPONSE_TIMEOUT_MS: Final = 1_500
 # Limit on the pages of one list.
 MAX_PAGES: Final = 64
 MAX_ERA_DIGITS: Final = 18
@@ -59,13 +59,19 @@
 
 
 class StoreClient:
-    """Reads items below one prefix, over one connection that is opened on demand."""
+    """Reads items below one prefix, over one connection that is opened on demand.
 
-    __slots__ = ("_address", "_connection", "_prefix")
+    A call fails `response_timeout_ms` after the end of its wait.
+    """
 
-    def __init__(self, *, address: Address, prefix: str) -> None:
+    __slots__ = ("_address", "_connection", "_prefix", "_response_timeout_ms")
+
+    def __init__(
+        self, *, address: Address, prefix: str, response_timeout_ms: int = RESPONSE_TIMEOUT_MS
+    ) -> None:
         self._address = address
         self._prefix = prefix
+        self._response_timeout_ms = response_timeout_ms
         self._connection: HttpConnection | None = None
 
     async def async_list(self) -> ItemBatch:
@@ -116,15 +122,16 @@
         self, call: str, query: dict[str, str], *, wait_ms: int
     ) -> Document | None:
         """Return a response document, None if the history is lost; raises StoreUnavailable."""
+        timeout_ms = wait_ms + self._response_timeout_ms
         try:
-            async with asyncio.timeout((wait_ms + ANSWER_TIMEOUT_MS) / MS_PER_S):
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
                 answer = await self._async_exchange(f"{call}?{urlencode(query)}")
         except (ConnectFailed, ConnectionBroken) as error:
             self.close()
             raise StoreUnavailable(str(error)) from error
         except TimeoutError:
             self.close()
-            raise StoreUnavailable(f"no response in {wait_ms + ANSWER_TIMEOUT_MS} ms") from None
+            raise StoreUnavailable(f"no response in {timeout_ms} ms") from None
         except asyncio.CancelledError:
             self.close()
             raise
--- a/gypsumrouter/published/__init__.py
+++ b/gypsumrouter/published/__init__.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from gypsumrouter.published.follower import Follower
+from gypsumrouter.published.follower import (
+    LIST_RESPONSE_TIMEOUT_MS,
+    LIST_WATCH_TIMEOUT_MS,
+    Follower,
+)
 from gypsumrouter.published.models import (
     HistoryLost,
     Item,
@@ -13,6 +17,8 @@
 from gypsumrouter.published.watch_state import WatchState
 
 __all__ = [
+    "LIST_RESPONSE_TIMEOUT_MS",
+    "LIST_WATCH_TIMEOUT_MS",
     "Follower",
     "HistoryLost",
     "Item",
--- a/gypsumrouter/published/follower.py
+++ b/gypsumrouter/published/follower.py
@@ -10,11 +10,15 @@
 from gypsumrouter.journal import DependencyLost, DependencyRegained, Journal
 from gypsumrouter.published.models import HistoryLost, ItemBatch, PublishedStore, StoreUnavailable
 from gypsumrouter.published.watch_state import WatchState
-from gypsumrouter.util.heartbeats import (
-    DEFAULT_HEARTBEAT_MS,
-    get_shortest_expiry_ms,
-    get_watch_timeout_ms,
-)
+
+# Longest time between two responses of the store while nothing changes. A watch with a lost
+# response looks like one that waits, so this bounds how late a change is seen after a network
+# fault.
+WATCH_TIMEOUT_MS: Final = 2_500
+# The same for the list of upstreams, whose changes have to be known sooner. With the time to notice
+# a silent connection and to open a new one, it is shorter than an outage in which entries expire.
+LIST_WATCH_TIMEOUT_MS: Final = 1_200
+LIST_RESPONSE_TIMEOUT_MS: Final = 800
 
 # The first watch after an outage returns at once. A store restored from a backup may be at a lower
 # revision than the requested one, and a waiting watch would delay its changes.
@@ -40,10 +44,10 @@
     `on_regained` are called once per outage, the latter with the time for which the store was
     silent, in milliseconds; as a pending watch shows no outage, that includes the wait before it.
     While a peer watches the list (see `WatchState`) this router sends no requests to the store and
-    receives the changes from the peer. Upstreams renew their entries every `heartbeat_ms`: a watch
-    ends before entries can expire unseen, which also bounds how late a change is seen if the
-    response to the watch is lost. `count_peers` returns the number of other running routers;
-    `is_watcher` returns whether this router watches on behalf of others.
+    receives the changes from the peer. A watch ends at the latest `watch_timeout_ms` after the
+    store's last response; a response after `max_silence_ms` or more counts as the end of an outage.
+    `count_peers` returns the number of other running routers; `is_watcher` returns whether this
+    router watches on behalf of others.
     """
 
     __slots__ = (
@@ -53,11 +57,11 @@
         "_handle_changes",
         "_is_watcher",
         "_journal",
+        "_max_silence_ms",
         "_name",
         "_on_lost",
         "_on_regained",
         "_outage_since_ms",
-        "_shortest_expiry_ms",
         "_silent_since_ms",
         "_state",
         "_store",
@@ -76,7 +80,8 @@
         handle_changes: BatchHandler,
         on_lost: Callable[[], None] | None = None,
         on_regained: Callable[[int], None] | None = None,
-        heartbeat_ms: int = DEFAULT_HEARTBEAT_MS,
+        watch_timeout_ms: int = WATCH_TIMEOUT_MS,
+        max_silence_ms: int | None = None,
         count_peers: Callable[[], int],
         is_watcher: Callable[[], bool],
     ) -> None:
@@ -91,8 +96,8 @@
         self._on_regained = on_regained
         self._count_peers = count_peers
         self._is_watcher = is_watcher
-        self._watch_timeout_ms = get_watch_timeout_ms(heartbeat_ms)
-        self._shortest_expiry_ms = get_shortest_expiry_ms(heartbeat_ms)
+        self._watch_timeout_ms = watch_timeout_ms
+        self._max_silence_ms = max_silence_ms
         self._outage_since_ms: int | None = None
         self._silent_since_ms = 0
 
@@ -131,7 +136,7 @@
             after=self._state.as_of, wait_ms=self._get_watch_timeout_ms()
         )
         silent_ms = self._app.clock.now_ms() - silent_since_ms
-        if silent_ms >= self._shortest_expiry_ms:
+        if self._max_silence_ms is not None and silent_ms >= self._max_silence_ms:
             # The store or the connection hung, though no call has failed.
             self._note_lost(f"no response for {silent_ms} ms")
         self._note_response()
--- a/tests/directory/test_directory_grace_period.py
+++ b/tests/directory/test_directory_grace_period.py
@@ -10,8 +10,10 @@
 from gypsumrouter.directory.grace_period import RECOVERY_GRACE_MS
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
+from gypsumrouter.published import LIST_RESPONSE_TIMEOUT_MS, LIST_WATCH_TIMEOUT_MS
+from gypsumrouter.published.follower import BACKOFF_FIRST_MS
 from gypsumrouter.util.clock import ManualClock
-from gypsumrouter.util.heartbeats import get_shortest_expiry_ms, get_watch_timeout_ms
+from gypsumrouter.util.heartbeats import get_shortest_expiry_ms
 
 HEARTBEAT_MS = 1_200
 EXPIRY_MS = get_shortest_expiry_ms(HEARTBEAT_MS)
@@ -102,9 +104,9 @@
     assert observed.get_state() is EntryState.READY
 
 
-@pytest.mark.parametrize("heartbeat_ms", [200, 600, 1_200, 5_000])
-def test_watch_ends_before_entries_can_expire(heartbeat_ms: int) -> None:
-    assert heartbeat_ms <= get_watch_timeout_ms(heartbeat_ms) < get_shortest_expiry_ms(heartbeat_ms)
+def test_silent_connection_is_replaced_before_entries_can_expire() -> None:
+    noticed_ms = LIST_WATCH_TIMEOUT_MS + LIST_RESPONSE_TIMEOUT_MS
+    assert noticed_ms + 2 * BACKOFF_FIRST_MS < EXPIRY_MS
 
 
 @pytest.mark.parametrize("responsive_ms", [200, 1_000])
--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -28,14 +28,22 @@
 from gypsumrouter.peers.relays import DataCentreRelay
 from gypsumrouter.peers.routers import RouterRegistry
 from gypsumrouter.peers.watchers import WatchCoordinator
-from gypsumrouter.published import Follower, HistoryLost, ItemBatch, StoreUnavailable, WatchState
+from gypsumrouter.published import (
+    LIST_RESPONSE_TIMEOUT_MS,
+    LIST_WATCH_TIMEOUT_MS,
+    Follower,
+    HistoryLost,
+    ItemBatch,
+    StoreUnavailable,
+    WatchState,
+)
 from gypsumrouter.routing import RoutingConfiguration, RoutingStore
 from gypsumrouter.util.clock import ManualClock
-from gypsumrouter.util.heartbeats import DEFAULT_HEARTBEAT_MS, get_watch_timeout_ms
+from gypsumrouter.util.heartbeats import DEFAULT_HEARTBEAT_MS, get_shortest_expiry_ms
 
 STEP_MS = 50
 # Time after which an unanswered call fails, counted from the end of its wait.
-CALL_TIMEOUT_MS = 1_500
+CALL_TIMEOUT_MS = LIST_RESPONSE_TIMEOUT_MS
 EXCHANGE_INTERVAL_MS = 300
 
 
@@ -45,6 +53,7 @@
     def __init__(self, store: MemoryStore, router: FleetRouter, clock: ManualClock) -> None:
         self._clock = clock
         self._was_reset = asyncio.Event()
+        self._silent = False
         self._store = store
         self._router = router
 
@@ -64,8 +73,9 @@
         listed = await self._async_watch_until_reset(after, wait_ms)
         if self._clock.now_ms() >= until_ms:
             raise StoreUnavailable("call timed out")
-        if self._router.partitioned:
+        if self._router.partitioned or self._silent:
             await self._clock.async_sleep(until_ms - self._clock.now_ms())
+            self._silent = False
             raise StoreUnavailable("call timed out")
         return listed
 
@@ -87,6 +97,10 @@
         """Reset the connection, which ends a pending watch."""
         self._was_reset.set()
 
+    def silence(self) -> None:
+        """Let the connection go silent; the pending watch is not answered, and the next one is."""
+        self._silent = True
+
     def close(self) -> None:
         """Do nothing; there is no connection."""
 
@@ -190,6 +204,8 @@
             handle_changes=self._take_changes,
             on_lost=self.directory.note_outage,
             on_regained=lambda ms: self.directory.note_recovered(silent_ms=ms),
+            watch_timeout_ms=LIST_WATCH_TIMEOUT_MS,
+            max_silence_ms=get_shortest_expiry_ms(DEFAULT_HEARTBEAT_MS),
             count_peers=self.routers.count_alive,
             is_watcher=self.watchers.is_watcher,
         )
@@ -298,7 +314,7 @@
         """Start all routers at once and run until their first watches have ended."""
         for router in self.routers:
             router.start()
-        await self.async_advance(2 * get_watch_timeout_ms(DEFAULT_HEARTBEAT_MS))
+        await self.async_advance(2 * LIST_WATCH_TIMEOUT_MS)
 
     async def async_stop(self) -> None:
         """Stop all routers."""
--- a/tests/peers/test_peers_withheld_changes.py
+++ b/tests/peers/test_peers_withheld_changes.py
@@ -10,6 +10,8 @@
 
 # Time within which a change has to be applied; the specified limit is two seconds.
 BOUND_MS = 1_500
+# The drain bound holds again three seconds after connections went silent.
+SILENT_BOUND_MS = 3_000
 RESET_INTERVALS_MS = (1_000, 1_600)
 # Long enough that every router notices the outage, also one whose watch began just before it.
 OUTAGE_MS = 6_000
@@ -80,6 +82,21 @@
     await fleet.async_stop()
 
 
+@pytest.mark.parametrize("sizes", SIZES)
+async def test_removal_waited_while_the_connections_of_all_watchers_were_silent(
+    sizes: tuple[int, ...],
+) -> None:
+    fleet = PeerFleet(*sizes)
+    await fleet.async_start()
+    for router in fleet.routers:
+        if router.watchers.is_watcher():
+            router.store_view.silence()
+    fleet.store.put(EntryState.GONE)
+    await fleet.async_advance(SILENT_BOUND_MS)
+    assert list_states(fleet.routers, "i-1") == {EntryState.GONE}
+    await fleet.async_stop()
+
+
 async def async_reset_watchers(fleet: PeerFleet, interval_ms: int) -> None:
     for router in fleet.routers:
         if router.watchers.is_watcher():
