Tests of expired entries lose the store for longer than entries take to expire

Both now use a router whose upstreams renew their entries every millisecond, so that the outage is long enough; what they check is unchanged.

--- a/tests/forwarding/test_forwarding_changes.py
+++ b/tests/forwarding/test_forwarding_changes.py
@@ -13,6 +13,9 @@
 
 Session = aiohttp.ClientSession
 
+# Entries can expire in an outage of twice this time, so that the test's outage is long enough.
+SHORT_HEARTBEAT_MS = 1
+
 
 def get_section(world: ForwardingWorld, name: str, number: int = 0) -> dict[str, object]:
     section = world.products[number].app.dump()[name]
@@ -55,15 +58,17 @@
 async def test_upstreams_whose_entries_lapsed_in_a_store_outage_stay_usable_for_a_while(
     world: ForwardingWorld, session: Session
 ) -> None:
+    second = await world.async_start_forwarder("entry-2", heartbeat_ms=SHORT_HEARTBEAT_MS)
+    await world.async_until(second.is_ready)
     await world.store.async_set_fault(StoreFault.RESET)
-    await world.async_until(lambda: _is_list_unavailable(world))
+    await world.async_until(lambda: _is_list_unavailable(world, 1))
     for runner in world.records:
         await world.store.async_remove(f"servers/{runner.name}")
     await world.store.async_set_fault(StoreFault.NONE)
-    await world.async_until(lambda: len(_get_doubtful(world)) == 2)
-    status, _, _ = await world.async_call(session, "GET", "/lookup/a", "r1")
+    await world.async_until(lambda: len(_get_doubtful(world, 1)) == 2)
+    status, _, _ = await world.async_call(session, "GET", "/lookup/a", "r1", product=second)
     assert status == 200
-    await world.async_until(lambda: _get_state(world, "i-records-1") == "gone")
+    await world.async_until(lambda: _get_state(world, "i-records-1", 1) == "gone")
 
 
 async def test_state_is_reloaded_after_the_store_lost_its_history(
@@ -98,7 +103,10 @@
     await world.async_fill(own_store)
     link = world.product.addresses["link"]
     second = await world.async_start_forwarder(
-        "entry-2", seeds=(str(link),), store=str(own_address)
+        "entry-2",
+        seeds=(str(link),),
+        store=str(own_address),
+        heartbeat_ms=SHORT_HEARTBEAT_MS,
     )
     await world.async_until(second.is_ready)
     await own_store.async_set_fault(StoreFault.RESET)
@@ -184,11 +192,11 @@
     return str(next(entry["state"] for entry in listed if entry["id"] == upstream))
 
 
-def _get_doubtful(world: ForwardingWorld) -> list[str]:
-    doubtful = get_section(world, "directory")["doubtful"]
+def _get_doubtful(world: ForwardingWorld, number: int) -> list[str]:
+    doubtful = get_section(world, "directory", number)["doubtful"]
     assert isinstance(doubtful, list)
     return doubtful
 
 
-def _is_list_unavailable(world: ForwardingWorld) -> bool:
-    return bool(get_section(world, "directory")["list_away"])
+def _is_list_unavailable(world: ForwardingWorld, number: int = 0) -> bool:
+    return bool(get_section(world, "directory", number)["list_away"])
