--- a/bench/soak.py
+++ b/bench/soak.py
@@ -18,7 +18,7 @@
 from bench.soak_checks import Violation, check_all, check_cold_starts, check_evacuations
 from bench.soak_drain_checks import check_backoffs, check_draining, check_retired
 from bench.soak_faults import FaultInjector
-from bench.soak_leavings import DisturbedTimes, check_leavings
+from bench.soak_leavings import check_leavings
 from bench.soak_retry_checks import RETRY_RATIO, RETRY_SLACK, check_retry_budget
 from bench.soak_rig import ENV_KEY, FORWARDERS, KEY, SoakRig
 
@@ -77,11 +77,14 @@
         )
         violations += check_evacuations(rig.read_journals(), rig.data_centres)
         violations += check_cold_starts(rig.list_runners())
-        violations += check_draining(callers.records, rig.list_runners(), rig.interruptions_s)
-        violations += check_backoffs(callers.records, rig.list_runners(), rig.interruptions_s)
+        violations += check_draining(
+            callers.records, rig.list_runners(), rig.disturbances.interruptions_s
+        )
+        violations += check_backoffs(
+            callers.records, rig.list_runners(), rig.disturbances.interruptions_s
+        )
         violations += check_retired(rig.retired, settled_s)
-        disturbed = DisturbedTimes(forwarders=rig.disturbances_s, store=rig.store_disturbances_s)
-        violations += check_leavings(callers.records, rig.leavings, disturbed)
+        violations += check_leavings(callers.records, rig.leavings, rig.disturbances)
         if storms:
             violations += check_retry_budget(callers.records, rig.list_runners_by_service())
     finally:
--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -146,11 +146,11 @@
             return
         process = self._rig.forwarders[number]
         if process is not None:
-            self._rig.note_disturbance(number)
+            self._rig.disturbances.note(number)
             process.send_signal(signal.SIGSTOP)
             await self._async_hold()
             process.send_signal(signal.SIGCONT)
-            self._rig.note_interruption(number)
+            self._rig.disturbances.note_interruption(number)
         self._reserved.discard(number)
 
     async def _async_reload(self) -> None:
@@ -159,19 +159,19 @@
             return
         process = self._rig.forwarders[number]
         if process is not None:
-            self._rig.note_disturbance(number)
+            self._rig.disturbances.note(number)
             process.send_signal(signal.SIGHUP)
         self._reserved.discard(number)
 
     async def _async_store(self) -> None:
         trouble = self._rng.choice((StoreFault.BUSY, StoreFault.RESET, StoreFault.SILENT))
-        self._rig.note_store_disturbance()
+        self._rig.disturbances.note_store()
         await self._rig.store.async_set_fault(trouble)
         await self._async_hold()
         if self._rng.random() < 0.3:
             self._rig.store.compact_history()
         await self._rig.store.async_set_fault(StoreFault.NONE)
-        self._rig.note_store_disturbance()
+        self._rig.disturbances.note_store()
 
     async def _async_restore(self) -> None:
         """Restore the store from a backup; afterwards its writers repeat the lost writes.
@@ -182,7 +182,7 @@
         if self._restoring:
             return
         self._restoring = True
-        self._rig.note_store_disturbance()
+        self._rig.disturbances.note_store()
         store = self._rig.store
         copy = store.make_snapshot()
         await self._rig.async_list_all()
@@ -191,7 +191,7 @@
         await store.async_set_fault(trouble)
         if trouble is not StoreFault.NONE:
             await self._async_hold()
-        self._rig.note_store_disturbance()
+        self._rig.disturbances.note_store()
         lost = await store.async_restore(copy)
         service = self._rng.choice(tuple(self._rig.runners))
         index = self._rng.randrange(RUNNERS)
@@ -199,7 +199,7 @@
         await store.async_set_fault(StoreFault.NONE)
         await self._async_hold()
         await store.async_replay_lost_writes(snapshot=copy, lost=lost)
-        self._rig.note_store_disturbance()
+        self._rig.disturbances.note_store()
         self._restoring = False
 
     async def _async_drain_unlisted(self) -> None:
@@ -235,7 +235,7 @@
 
     async def _async_store_path(self) -> None:
         # Connections that go silent count as reset connections of all forwarders.
-        self._rig.note_disturbance()
+        self._rig.disturbances.note_all()
         proxy = self._rng.choice(self._rig.store_proxies)
         if self._rng.random() < 0.5:
             proxy.blackhole(directions=self._choose_directions())
@@ -250,7 +250,7 @@
         runner.default_fault = RunnerFault.NONE
 
     async def _async_runner_path(self) -> None:
-        self._rig.note_disturbance()
+        self._rig.disturbances.note_all()
         proxy = self._rng.choice(self._rig.runner_proxies)
         fraction = self._rng.random()
         if fraction < 0.4:
@@ -261,7 +261,7 @@
             proxy.set_delay(DELAY_MS)
             await self._async_hold()
             proxy.set_delay(0)
-            self._rig.note_disturbance()
+            self._rig.disturbances.note_all()
 
     async def _async_replace(self) -> None:
         service = self._rng.choice(tuple(self._rig.runners))
--- a/bench/soak_leavings.py
+++ b/bench/soak_leavings.py
@@ -1,6 +1,6 @@
 """Faults around runners that leave, and the check of the drain bound from the acknowledgement.
 
-The bound and the time of calm are those of deployments with 25 routers or more.
+The bound is that of deployments with 25 routers or more.
 """
 
 from __future__ import annotations
@@ -13,17 +13,14 @@
 from datetime import UTC, datetime
 from typing import Final
 
-from msgspec import Struct
-
 from bench.soak_callers import CallRecord
 from bench.soak_checks import Violation
+from bench.soak_disturbances import Disturbances
 from bench.soak_rig import RUNNERS, Leaving, SoakRig
 from gypsumrouter.standins.platform_runner import Arrival
 
 # Time from the store's acknowledgement of a leaving until the last request to that runner.
 DRAIN_S: Final = 3.0
-# A forwarder is bound while it, its connections and the store were left alone for this long.
-CALM_S: Final = 4.0
 MIN_SERIES_S: Final = 2.0
 MAX_SERIES_S: Final = 10.0
 MIN_RESET_GAP_S: Final = 0.5
@@ -80,7 +77,7 @@
         ends_s = time.monotonic() + self._rng.uniform(MIN_SERIES_S, MAX_SERIES_S)
         while time.monotonic() < ends_s:
             for number in numbers:
-                self._rig.note_disturbance(number)
+                self._rig.disturbances.note(number)
                 self._rig.store_proxies[number].reset_connections()
             await asyncio.sleep(self._rng.uniform(MIN_RESET_GAP_S, MAX_RESET_GAP_S))
 
@@ -102,38 +99,20 @@
         await self.async_leave()
 
 
-class DisturbedTimes(Struct, frozen=True, kw_only=True):
-    """When each forwarder, and when the store was disturbed, in monotonic seconds."""
-
-    forwarders: Mapping[int, Sequence[float]]
-    store: Sequence[float]
-
-    def is_bound(self, forwarder: int, at_s: float) -> bool:
-        """Return whether the drain bound holds for a request of a forwarder at a time."""
-        return not any(
-            at_s - CALM_S < disturbed_s <= at_s
-            for disturbed_s in (*self.forwarders.get(forwarder, ()), *self.store)
-        )
-
-    def is_stable(self, at_s: float) -> bool:
-        """Return whether the store's acknowledgement at a time counts."""
-        return not any(at_s - CALM_S < disturbed_s <= at_s for disturbed_s in self.store)
-
-
 def check_leavings(
-    records: Sequence[CallRecord], leavings: Iterable[Leaving], disturbed: DisturbedTimes
+    records: Sequence[CallRecord], leavings: Iterable[Leaving], disturbances: Disturbances
 ) -> Iterator[Violation]:
     """Check that no request reaches a runner later than `DRAIN_S` after its leaving."""
     by_id = {record.request_id: record for record in records}
     for leaving in leavings:
-        if not disturbed.is_stable(leaving.acknowledged_s):
+        if not disturbances.is_store_stable(leaving.acknowledged_s):
             continue
         late = [
             arrival
             for arrival in leaving.runner.arrivals
             if arrival.at_s > leaving.acknowledged_s + DRAIN_S
             and arrival.request_id in by_id
-            and disturbed.is_bound(by_id[arrival.request_id].forwarder, arrival.at_s)
+            and disturbances.is_bound(by_id[arrival.request_id].forwarder, arrival.at_s)
         ]
         if late:
             yield _make_violation(leaving, late, by_id)
--- a/bench/soak_rig.py
+++ b/bench/soak_rig.py
@@ -15,6 +15,7 @@
 from msgspec import Struct
 
 from bench.processes import DaemonProcess, async_start_daemon
+from bench.soak_disturbances import Disturbances
 from gypsumrouter.const import MS_PER_S, Role
 from gypsumrouter.instances import Address
 from gypsumrouter.peers.watchers import MIN_WATCHERS, get_watchers_per_data_centre
@@ -94,12 +95,7 @@
         self._ports = [(c.address.port, link.address.port) for c, link in self._port_holders]
         self._runner_addresses: dict[str, Address] = {}
         self.retired: list[PlatformRunner] = []
-        # Monotonic seconds at which each forwarder was stopped, started or resumed.
-        self.interruptions_s: dict[int, list[float]] = {number: [] for number in range(forwarders)}
-        # Monotonic seconds at which anything was done to a forwarder or its connections, and to the
-        # store.
-        self.disturbances_s: dict[int, list[float]] = {number: [] for number in range(forwarders)}
-        self.store_disturbances_s: list[float] = []
+        self.disturbances = Disturbances(forwarders=forwarders)
         self.leavings: list[Leaving] = []
         self.version = 1
 
@@ -235,14 +231,14 @@
                 "warm_up_slack": COLD_START_SLACK,
                 **self._bounds,
             },
-            "first_start": not self.interruptions_s[number],
+            "first_start": not self.disturbances.interruptions_s[number],
             "log": {"format": "json"},
         }
         process = await async_start_daemon(
             role=Role.FORWARDER, settings=settings, folder=self._folder
         )
         self.forwarders[number] = process
-        self.note_interruption(number)
+        self.disturbances.note_interruption(number)
         await self._async_copy_journal(number, process)
 
     async def _async_copy_journal(self, number: int, process: DaemonProcess) -> None:
@@ -263,24 +259,10 @@
         process, self.forwarders[number] = self.forwarders[number], None
         if process is None or process.process.returncode is not None:
             return
-        self.note_disturbance(number)
+        self.disturbances.note(number)
         process.send_signal(signal_number)
         await process.process.wait()
-        self.note_interruption(number)
-
-    def note_interruption(self, number: int) -> None:
-        """Record that a forwarder was stopped, started or resumed."""
-        self.interruptions_s[number].append(time.monotonic())
-        self.note_disturbance(number)
-
-    def note_disturbance(self, *numbers: int) -> None:
-        """Record that something was done to forwarders or their connections; by default to all."""
-        for number in numbers or range(self.count):
-            self.disturbances_s[number].append(time.monotonic())
-
-    def note_store_disturbance(self) -> None:
-        """Record that the store began or ceased to fail."""
-        self.store_disturbances_s.append(time.monotonic())
+        self.disturbances.note_interruption(number)
 
     def _get_data_centre(self, number: int) -> str:
         if self.count <= MAX_IN_ONE_DATA_CENTRE:
--- a/tests/bench/test_bench_soak.py
+++ b/tests/bench/test_bench_soak.py
@@ -11,6 +11,7 @@
 from bench.soak import async_soak
 from bench.soak_callers import CallRecord, make_expected_stream
 from bench.soak_checks import check_all, check_cold_starts, check_evacuations
+from bench.soak_disturbances import CALM_S, Disturbances
 from bench.soak_drain_checks import (
     MAX_DURING_BACKOFF,
     MAX_SENT_AFTER_DRAIN_S,
@@ -18,7 +19,7 @@
     check_draining,
     check_retired,
 )
-from bench.soak_leavings import CALM_S, DRAIN_S, DisturbedTimes, check_leavings
+from bench.soak_leavings import DRAIN_S, check_leavings
 from bench.soak_retry_checks import (
     RETRY_RATIO,
     RETRY_SLACK,
@@ -215,20 +216,20 @@
     runner = PlatformRunner(name="i-1")
     record = make_record(request_id="r1", forwarder=7)
     leaving = Leaving(runner=runner, acknowledged_s=100.0)
-    calm = DisturbedTimes(forwarders={}, store=())
+    disturbances = Disturbances(forwarders=9)
     runner.arrivals = [make_arrival(request_id="r1", at_s=100.0 + DRAIN_S)]
-    assert not list(check_leavings([record], [leaving], calm))
+    assert not list(check_leavings([record], [leaving], disturbances))
     runner.arrivals[0].at_s = late_s = 100.1 + DRAIN_S
-    assert len(list(check_leavings([record], [leaving], calm))) == 1
+    assert len(list(check_leavings([record], [leaving], disturbances))) == 1
     # Only what was done to this forwarder or to the store excuses it, and only for a time.
-    for times in ({7: [late_s - 1.0]}, {7: [late_s - CALM_S - 0.1]}, {8: [late_s - 1.0]}):
-        disturbed = DisturbedTimes(forwarders=times, store=())
-        kept = times == {7: [late_s - 1.0]}
-        assert kept is not bool(list(check_leavings([record], [leaving], disturbed)))
-    unstable = DisturbedTimes(forwarders={}, store=(98.0,))
-    assert not list(check_leavings([record], [leaving], unstable))
-    stable = DisturbedTimes(forwarders={}, store=(100.0 - CALM_S - 0.1,))
-    assert list(check_leavings([record], [leaving], stable))
+    disturbances.forwarders_s = {7: [late_s - CALM_S - 0.1], 8: [late_s - 1.0]}
+    disturbances.store_s = [100.0 - CALM_S - 0.1]
+    assert len(list(check_leavings([record], [leaving], disturbances))) == 1
+    disturbances.forwarders_s[7] = [late_s - 1.0]
+    assert not list(check_leavings([record], [leaving], disturbances))
+    disturbances.forwarders_s[7] = []
+    disturbances.store_s = [98.0]
+    assert not list(check_leavings([record], [leaving], disturbances))
 
 
 async def test_most_forwarders_of_a_large_soak_do_not_watch_the_store(tmp_path: Path) -> None:
