Time for which the store was silent unnoticed does not count for the grace period

What callers would see: two outages of the store in a row, with a moment between them, empty the fleet for up to two seconds: the upstreams had no time to register again, but removals were applied.

--- a/gypsumrouter/directory/grace_period.py
+++ b/gypsumrouter/directory/grace_period.py
@@ -28,6 +28,7 @@
         "_counting_since_ms",
         "_ends_at",
         "_journal",
+        "_lost_ms",
         "_shortest_expiry_ms",
     )
 
@@ -39,6 +40,7 @@
         # Responsive time when the period ends; None outside a period.
         self._ends_at: int | None = None
         self._counted_ms = 0
+        self._lost_ms = 0
         # None while the store is unavailable.
         self._counting_since_ms: int | None = clock.now_ms()
 
@@ -68,13 +70,18 @@
         """Record that the store is unavailable."""
         self._counted_ms = self.responsive_ms
         self._counting_since_ms = None
+        self._lost_ms = self._clock.now_ms()
 
     def note_recovered(self, *, silent_ms: int) -> None:
         """Record that the store is available again, after it was silent for `silent_ms`."""
         if not self.in_outage:
             return
-        self._counting_since_ms = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        self._counting_since_ms = now_ms
         if silent_ms >= self._shortest_expiry_ms:
+            # The store was already silent for a time when the outage was noticed.
+            unnoticed_ms = silent_ms - (now_ms - self._lost_ms)
+            self._counted_ms = max(0, self._counted_ms - max(0, unnoticed_ms))
             self._begin("outage")
 
     def note_restored(self) -> None:
