--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 
 from memory_store import MemoryStore
+from store_view import StoreView
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
@@ -28,83 +29,15 @@
 from gypsumrouter.peers.relays import DataCentreRelay
 from gypsumrouter.peers.routers import RouterRegistry
 from gypsumrouter.peers.watchers import WatchCoordinator
-from gypsumrouter.published import (
-    LIST_RESPONSE_TIMEOUT_MS,
-    LIST_WATCH_TIMEOUT_MS,
-    Follower,
-    HistoryLost,
-    ItemBatch,
-    StoreUnavailable,
-    WatchState,
-)
+from gypsumrouter.published import LIST_WATCH_TIMEOUT_MS, Follower, ItemBatch, WatchState
 from gypsumrouter.routing import RoutingConfiguration, RoutingStore
 from gypsumrouter.util.clock import ManualClock
 from gypsumrouter.util.heartbeats import DEFAULT_HEARTBEAT_MS, get_shortest_expiry_ms
 
 STEP_MS = 50
-# Time after which an unanswered call fails, counted from the end of its wait.
-CALL_TIMEOUT_MS = LIST_RESPONSE_TIMEOUT_MS
 EXCHANGE_INTERVAL_MS = 300
 
 
-class StoreView:
-    """A router's connection to the store, which can be partitioned, also for pending calls."""
-
-    def __init__(self, store: MemoryStore, router: FleetRouter, clock: ManualClock) -> None:
-        self._clock = clock
-        self._was_reset = asyncio.Event()
-        self._silent = False
-        self._store = store
-        self._router = router
-
-    async def async_list(self) -> ItemBatch:
-        """Return the list; raises StoreUnavailable while partitioned."""
-        if self._router.partitioned:
-            self._store.calls += 1
-            raise StoreUnavailable("cut")
-        return self._store.list()
-
-    async def async_watch(self, *, after: int, wait_ms: int) -> ItemBatch | HistoryLost:
-        """Return the changes; an answer that arrives while partitioned is lost."""
-        if self._router.partitioned:
-            self._store.calls += 1
-            raise StoreUnavailable("cut")
-        until_ms = self._clock.now_ms() + wait_ms + CALL_TIMEOUT_MS
-        listed = await self._async_watch_until_reset(after, wait_ms)
-        if self._clock.now_ms() >= until_ms:
-            raise StoreUnavailable("call timed out")
-        if self._router.partitioned or self._silent:
-            await self._clock.async_sleep(until_ms - self._clock.now_ms())
-            self._silent = False
-            raise StoreUnavailable("call timed out")
-        return listed
-
-    async def _async_watch_until_reset(self, after: int, wait_ms: int) -> ItemBatch | HistoryLost:
-        self._was_reset = asyncio.Event()
-        watch = asyncio.ensure_future(self._store.async_watch(after, wait_ms))
-        reset = asyncio.ensure_future(self._was_reset.wait())
-        try:
-            await asyncio.wait((watch, reset), return_when=asyncio.FIRST_COMPLETED)
-        finally:
-            reset.cancel()
-            if not watch.done():
-                watch.cancel()
-        if self._was_reset.is_set():
-            raise StoreUnavailable("reset")
-        return watch.result()
-
-    def reset(self) -> None:
-        """Reset the connection, which ends a pending watch."""
-        self._was_reset.set()
-
-    def silence(self) -> None:
-        """Let the connection go silent; the pending watch is not answered, and the next one is."""
-        self._silent = True
-
-    def close(self) -> None:
-        """Do nothing; there is no connection."""
-
-
 class MemoryPeer(Peer):
     """In-memory link from one router to another."""
 
@@ -142,7 +75,6 @@
         # Addresses sort as text in the order of their numbers.
         self.address = f"10.0.{number // 100}.{number % 100 + 100}:80"
         self.running = True
-        self.partitioned = False
         # Highest list revision that the state machine test has seen on this router.
         self.max_seen_revision = 0
         self.app = Application(
@@ -193,7 +125,7 @@
             routing=routing_state,
             upstreams=self.state,
         )
-        self.store_view = StoreView(store, self, clock)
+        self.store_view = StoreView(store=store, clock=clock)
         self.follower = Follower(
             app=self.app,
             journal=journal,
@@ -227,6 +159,15 @@
         self.fleet: dict[str, FleetRouter] = {}
         self.cross_data_centre_messages = 0
 
+    @property
+    def partitioned(self) -> bool:
+        """Return whether the router is cut off from the store."""
+        return self.store_view.partitioned
+
+    @partitioned.setter
+    def partitioned(self, partitioned: bool) -> None:
+        self.store_view.partitioned = partitioned
+
     @property
     def upstream_state(self) -> EntryState | None:
         """Return the state of upstream i-1 in this router's directory."""
--- a/tests/peers/test_peers_watchers_machine.py
+++ b/tests/peers/test_peers_watchers_machine.py
@@ -84,6 +84,16 @@
         router.partitioned = partitioned
         self._record_fault(router)
 
+    @rule(number=router_numbers, silent=st.booleans())
+    def lose_connection(self, number: int, silent: bool) -> None:
+        """Reset the connection of a router to the store, or let it go silent."""
+        router = self._fleet.routers[number]
+        if silent:
+            router.store_view.silence()
+        else:
+            router.store_view.reset()
+        self._record_fault(router)
+
     @rule(duration_ms=st.sampled_from((100, 400, 1_000, 3_000)))
     def advance(self, duration_ms: int) -> None:
         """Advance the clock and check all routers after each step."""
