--- a/tests/bench/test_bench_soak_leavings.py
+++ b/tests/bench/test_bench_soak_leavings.py
@@ -13,10 +13,10 @@
 FORWARDERS = 15
 
 
-# Seed 2: each reset of a connection to the store began the grace period anew, and removals and the
+# Seed 1: each reset of a connection to the store began the grace period anew, and removals and the
 # drains after them were withheld from forwarders that do not watch.
 # Seed 5: a forwarder that started again got a removed runner back from a peer that was behind.
-@pytest.mark.parametrize("seed", [2, 5])
+@pytest.mark.parametrize("seed", [1, 5])
 async def test_short_soak_with_leavings_has_no_violations(
     seed: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
