--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -178,7 +178,7 @@
             response, step = await self._async_decide(attempt, outcome)
         finally:
             attempt.close()
-            self._context.placer.loads.end(placement.entry.incarnation)
+            self._context.placer.note_ended(sent, held_ms=self._now_ms() - started_ms)
             self._request_journal.record_ended(
                 attempt,
                 outcome,
--- a/gypsumrouter/forwarding/loads.py
+++ b/gypsumrouter/forwarding/loads.py
@@ -11,6 +11,11 @@
 
 # Loads of a peer that has sent no report for this long are dropped.
 PEER_LOADS_TTL_MS: Final = 1_500
+# Age of a report's counts at its receipt. Those of another data centre are summed by a relay, which
+# takes up to two update intervals.
+REPORT_DELAY_MS: Final = 250
+# Weight of a new request in the moving average of how long an upstream holds requests.
+EWMA_WEIGHT: Final = 0.1
 
 
 class UpstreamLoad(Struct, frozen=True, kw_only=True):
@@ -35,6 +40,7 @@
 
     __slots__ = (
         "_extrapolates_prefill",
+        "_held_ms",
         "_peer_pending",
         "_peer_running",
         "_peers",
@@ -52,6 +58,8 @@
         self._pending: dict[str, int] = {}
         self._peers: dict[str, PeerLoads] = {}
         self._peer_running: dict[str, int] = {}
+        # Moving average of how long each upstream holds a request.
+        self._held_ms: dict[str, float] = {}
         # Pending prompt tokens per upstream and peer; peers without any are left out.
         self._peer_pending: dict[str, dict[str, int]] = {}
 
@@ -73,6 +81,27 @@
         self._running.pop(upstream, None)
         self._pending.pop(upstream, None)
 
+    def note_held(self, upstream: str, *, held_ms: int) -> None:
+        """Record how long an upstream held a request that has ended."""
+        mean_ms = self._held_ms.get(upstream, float(held_ms))
+        self._held_ms[upstream] = mean_ms + EWMA_WEIGHT * (held_ms - mean_ms)
+
+    def forget(self, upstream: str) -> None:
+        """Drop the average of an upstream that was removed."""
+        self._held_ms.pop(upstream, None)
+
+    def estimate_unreported(self, upstream: str, *, report_age_ms: int) -> float:
+        """Return how many requests peers have probably sent to an upstream since their reports.
+
+        In a steady state an upstream gets as many new requests as it completes. Those that it has
+        completed since are not deducted: the load cap must hold also when they take longer.
+        """
+        held_ms = self._held_ms.get(upstream)
+        if not held_ms:
+            return 0.0
+        turnover = min(1.0, (report_age_ms + REPORT_DELAY_MS) / held_ms)
+        return self._peer_running.get(upstream, 0) * turnover
+
     def set_peer_loads(self, peer: str, loads: PeerLoads) -> None:
         """Replace the load report of a peer."""
         self._drop_peer(peer)
--- a/gypsumrouter/forwarding/models.py
+++ b/gypsumrouter/forwarding/models.py
@@ -77,6 +77,34 @@
     fetch_from: Address | None = None
 
 
+class LoadReport(Struct, frozen=True, kw_only=True):
+    """The load of an upstream as it reports it: requests of all routers, and its slots.
+
+    `pace` is how long work takes there at the moment, as a multiple of the usual time; None if the
+    upstream does not report it.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float | None = None
+
+    @property
+    def held(self) -> int:
+        """Return the requests that run or wait at the upstream."""
+        return self.running + self.waiting
+
+
+def make_load_report(
+    running: int, waiting: int, slots: int, pace_percent: int | None = None
+) -> LoadReport | None:
+    """Return the report of these figures, None if they can't describe an upstream."""
+    if slots == 0 or pace_percent == 0:
+        return None
+    pace = None if pace_percent is None else pace_percent / 100
+    return LoadReport(running=running, waiting=waiting, slots=slots, pace=pace)
+
+
 class ResponseMetadata(Struct, frozen=True, kw_only=True):
     """Metadata from the headers of an upstream's response.
 
@@ -86,7 +114,7 @@
     `content_encoded` is true if the body has a content encoding, which upstreams don't use.
     `keep_alive_ms` is how long the upstream keeps an idle connection open, `retry_after_ms` how
     long it asks not to be sent new requests; both are None if not given. `draining` is true if the
-    upstream is shutting down.
+    upstream is shutting down. `load` is None if the response reports no valid load.
     """
 
     request_id: str | None
@@ -97,6 +125,7 @@
     keep_alive_ms: int | None
     draining: bool = False
     retry_after_ms: int | None = None
+    load: LoadReport | None = None
 
 
 class Dialect(Protocol):
--- a/gypsumrouter/forwarding/placement.py
+++ b/gypsumrouter/forwarding/placement.py
@@ -49,6 +49,8 @@
     of this prompt that are not in its cache, of which `fetchable_tokens` can be copied from another
     engine. `off_affinity` is set if another upstream comes first in the rendezvous order of the
     prompt. `penalty_ms` is the expected cost of failures, from its recent failure rate.
+    `unreported` is the number of requests that peers have probably sent since their last report; it
+    counts towards the cap only.
     """
 
     upstream: str
@@ -61,6 +63,7 @@
     fetchable_tokens: int = 0
     off_affinity: bool = False
     penalty_ms: float = 0.0
+    unreported: float = 0.0
 
 
 class Cap(Struct, frozen=True, kw_only=True):
@@ -69,7 +72,7 @@
     factor: float
     slack: float
 
-    def allows(self, *, load: int, mean: float) -> bool:
+    def allows(self, *, load: float, mean: float) -> bool:
         """Return whether an upstream with `load` running requests may receive another one."""
         return load + 1 <= self.factor * mean + self.slack
 
@@ -101,7 +104,7 @@
     """
     if not candidates:
         return None
-    allowed = [c for c in candidates if cap.allows(load=c.load, mean=mean)]
+    allowed = _select_below_cap(candidates, cap, mean)
     if not allowed:
         return min(candidates, key=lambda c: (c.penalty_ms + c.load * LOAD_COST_MS, c.upstream))
     share = CACHED_OFF_AFFINITY_SHARE if cached else OFF_AFFINITY_SHARE
@@ -142,13 +145,17 @@
     """
     if not candidates:
         return None
-    allowed = [c for c in candidates if cap.allows(load=c.load, mean=mean)] or candidates
+    allowed = _select_below_cap(candidates, cap, mean) or candidates
     fewest = min(map(_count_own, allowed))
     equals = [c for c in allowed if _count_own(c) == fewest]
     weights = [1 / (1 + c.load) for c in equals]
     return random.choices(equals, weights)[0]
 
 
+def _select_below_cap(candidates: Sequence[Candidate], cap: Cap, mean: float) -> list[Candidate]:
+    return [c for c in candidates if cap.allows(load=c.load + c.unreported, mean=mean)]
+
+
 def _count_own(candidate: Candidate) -> int:
     """Return the number of this router's requests, with the failure penalty as extra requests."""
     return candidate.own_load + int(candidate.penalty_ms / QUEUED_COST_MS)
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Final
 
 import xxhash
@@ -14,6 +14,7 @@
 from gypsumrouter.forwarding.const import SOURCE_RESPONSE
 from gypsumrouter.forwarding.eligibility import NO_UPSTREAM, Eligibility, PlacementRefusal
 from gypsumrouter.forwarding.health import HealthTracker
+from gypsumrouter.forwarding.load_reports import LoadReports
 from gypsumrouter.forwarding.loads import LoadTracker, UpstreamLoad, get_mean
 from gypsumrouter.forwarding.models import Prompt, PromptPart, ResponseMetadata
 from gypsumrouter.forwarding.placed import CopySource, Placement, SentRequest
@@ -41,6 +42,7 @@
 
     __slots__ = (
         "_allows_copies",
+        "_allows_for_unreported",
         "_app",
         "_by_service",
         "_cap",
@@ -54,10 +56,12 @@
         "_spreads_plain",
         "_started_ms",
         "_uses_affinity",
+        "_uses_load_reports",
         "_weighs_health",
         "backoffs",
         "cache_index",
         "health",
+        "load_reports",
         "loads",
         "plain",
         "prefill_speed",
@@ -103,6 +107,9 @@
         self.prefill_speed = PrefillSpeed()
         self.plain = PlainAdmission(count_routers=slow_start.count_routers)
         self._spreads_plain = Mechanism.PLAIN_OWN_LOAD not in without
+        self._uses_load_reports = Mechanism.LOAD_REPORTS not in without
+        self._allows_for_unreported = Mechanism.CAP_MARGIN not in without
+        self.load_reports = LoadReports()
         self._refuses_late = Mechanism.DEADLINE_ADMISSION not in without
         self.loads = LoadTracker(
             prefill_speed=self.prefill_speed,
@@ -148,7 +155,8 @@
         if isinstance(entries, PlacementRefusal):
             return entries
         loads = self.loads.get_all(members, now_ms=now_ms)
-        mean = get_mean(loads)
+        mean = self._get_mean_load(loads, now_ms)
+        peers_age_ms = self.loads.get_oldest_peer_age_ms(now_ms=now_ms)
         shared = () if prompt is None else prompt.shared
         source = self._find_source(shared, now_ms)
         # Only eligible upstreams are ranked: when the preferred one is lost or evacuated, all
@@ -157,7 +165,7 @@
         preferred = _find_preferred(eligible, shared) if self._uses_affinity else None
         candidates = {
             entry.incarnation: self._make_candidate(
-                entry, loads[entry.incarnation], shared, preferred, source, now_ms
+                entry, loads[entry.incarnation], shared, preferred, source, peers_age_ms, now_ms
             )
             for entry in entries
         }
@@ -214,6 +222,7 @@
         """Record a request that is sent, and the prompt parts that its upstream will cache."""
         upstream = placed.entry.incarnation
         self.slow_start.note_sent(upstream)
+        self.load_reports.note_sent(upstream)
         if prompt is None:
             self.loads.begin(upstream, tokens=0)
             return SentRequest(upstream=upstream, tokens=0, new_parts=())
@@ -241,13 +250,17 @@
         )
 
     def apply_response_metadata(self, entry: Entry, metadata: ResponseMetadata) -> None:
-        """Apply the back-off and the shutdown that an upstream announced in a response.
+        """Apply the load, the back-off and the shutdown that an upstream announced in a response.
 
         The directory may be unavailable; without this, an upstream that shuts down would get new
         requests until it has stopped.
         """
         if metadata.retry_after_ms is not None:
             self.backoffs.note(entry.incarnation, backoff_ms=metadata.retry_after_ms)
+        if metadata.load is not None:
+            self.load_reports.note(
+                entry.incarnation, metadata.load, now_ms=self._app.clock.now_ms()
+            )
         if metadata.draining:
             self._directory.note_leaving(entry.incarnation, source=SOURCE_RESPONSE)
 
@@ -279,6 +292,11 @@
             first_event_ms = self._app.clock.now_ms() - sent.sent_ms
             self.prefill_speed.note(tokens=sent.tokens, first_event_ms=first_event_ms)
 
+    def note_ended(self, sent: SentRequest, *, held_ms: int) -> None:
+        """Record that an attempt has ended, and how long it counted as running."""
+        self.loads.end(sent.upstream)
+        self.loads.note_held(sent.upstream, held_ms=held_ms)
+
     def note_not_run(self, sent: SentRequest) -> None:
         """Undo the cache entries recorded for a request that its upstream did not run."""
         for part in sent.new_parts:
@@ -326,6 +344,7 @@
         shared: tuple[PromptPart, ...],
         preferred: str | None,
         source: CopySource | None,
+        peers_age_ms: int,
         now_ms: int,
     ) -> Candidate:
         missing = self.cache_index.missing_tokens(
@@ -345,8 +364,35 @@
             ),
             off_affinity=preferred is not None and entry.incarnation != preferred,
             penalty_ms=self._get_penalty_ms(entry, plain=not shared),
+            unreported=self._estimate_unreported(entry.incarnation, load, peers_age_ms, now_ms),
         )
 
+    def _estimate_unreported(
+        self, upstream: str, load: UpstreamLoad, peers_age_ms: int, now_ms: int
+    ) -> float:
+        """Return the requests at an upstream that the counted load is likely to miss."""
+        unreported = 0.0
+        if self._allows_for_unreported:
+            unreported = self.loads.estimate_unreported(upstream, report_age_ms=peers_age_ms)
+        if self._uses_load_reports:
+            held = self.load_reports.get_held(upstream, now_ms=now_ms)
+            unreported = max(unreported, 0 if held is None else held - load.running)
+        return unreported
+
+    def _get_mean_load(self, loads: Mapping[str, UpstreamLoad], now_ms: int) -> float:
+        """Return the mean load of a service, from the lower of counted and reported loads.
+
+        Requests whose responses are lost stay counted although their upstream is done with them.
+        A mean that included them would let the other upstreams exceed the cap.
+        """
+        if not self._uses_load_reports:
+            return get_mean(loads)
+        total = 0
+        for upstream, load in loads.items():
+            held = self.load_reports.get_held(upstream, now_ms=now_ms)
+            total += load.running if held is None else min(load.running, held)
+        return total / len(loads)
+
     def _get_penalty_ms(self, entry: Entry, *, plain: bool) -> float:
         if not self._weighs_health:
             return 0.0
@@ -373,6 +419,8 @@
                 self.cache_index.forget_upstream(entry.incarnation)
             self.health.forget(entry.incarnation)
             self.plain.forget(entry.incarnation)
+            self.loads.forget(entry.incarnation)
+            self.load_reports.forget(entry.incarnation)
         else:
             self._removed_ms.pop(entry.incarnation, None)
 
--- /dev/null
+++ b/gypsumrouter/helpers/http_headers.py
@@ -0,0 +1,31 @@
+"""Decoding of standard HTTP headers."""
+
+from __future__ import annotations
+
+from math import ceil
+from typing import Final
+
+from gypsumrouter.const import MS_PER_S
+
+# Longer values of Retry-After are taken for errors and ignored.
+MAX_RETRY_AFTER_MS: Final = 24 * 3600 * MS_PER_S
+
+
+def read_keep_alive_ms(value: str | None) -> int | None:
+    """Return the idle timeout that a Keep-Alive header announces."""
+    if value is None:
+        return None
+    for part in value.split(","):
+        name, _, seconds = part.strip().partition("=")
+        if name.lower() == "timeout" and seconds.isdigit():
+            return int(seconds) * MS_PER_S
+    return None
+
+
+def read_retry_after_ms(value: str | None) -> int | None:
+    """Return the delay that a Retry-After header states in seconds, fractions included."""
+    try:
+        retry_after_ms = float(value or "") * MS_PER_S
+    except ValueError:
+        return None
+    return ceil(retry_after_ms) if 0 < retry_after_ms < MAX_RETRY_AFTER_MS else None
--- a/gypsumrouter/mechanisms.py
+++ b/gypsumrouter/mechanisms.py
@@ -55,3 +55,22 @@
     PRIORITIES = "priorities"
     # During a shutdown, only requests that end before the running ones are accepted.
     SHUTDOWN_ADMISSION = "leaving_admission"
+    # Contention for upstreams.
+    # The load and the pace that upstreams report are used.
+    LOAD_REPORTS = "load_reports"
+    # The cap on load allows for requests that peers have sent since their last report.
+    CAP_MARGIN = "cap_margin"
+    # Each engine has a prefill speed of its own.
+    ENGINE_SPEED = "engine_speed"
+    # Engines without memory for a request are avoided.
+    ENGINE_MEMORY = "engine_memory"
+    # Requests wait in the router while all upstreams are expected to be late.
+    CONTENTION_QUEUE = "contention_queue"
+    # Workspaces above their fair share wait or are refused first.
+    FAIR_SHARES = "fair_shares"
+    # Refused requests get a time to return at and keep their place until then.
+    RETURN_ORDER = "return_order"
+    # Waiting requests are released by urgency.
+    URGENCY_ORDER = "urgency_order"
+    # A prompt in high demand is spread over several engines.
+    PROMPT_SPREAD = "prompt_spread"
--- a/gypsumrouter/platform/answers.py
+++ b/gypsumrouter/platform/answers.py
@@ -2,19 +2,26 @@
 
 from __future__ import annotations
 
-from math import ceil
+import re
 from typing import Final
 
 from gypsumrouter.const import MS_PER_S
-from gypsumrouter.forwarding.models import AttemptOptions, CallerRequest, ResponseMetadata
+from gypsumrouter.forwarding.models import (
+    AttemptOptions,
+    CallerRequest,
+    LoadReport,
+    ResponseMetadata,
+    make_load_report,
+)
 from gypsumrouter.helpers.http_connection import HttpResponse
+from gypsumrouter.helpers.http_headers import read_keep_alive_ms, read_retry_after_ms
 from gypsumrouter.platform import names
 from gypsumrouter.platform.requests import write_request
 
 CONTENT_TYPE_EVENTS: Final = "text/event-stream"
 IDENTITY_ENCODING: Final = "identity"
-# Longer values of Retry-After are taken for errors and ignored.
-MAX_RETRY_AFTER_MS: Final = 24 * 3600 * MS_PER_S
+# Three counts of up to a million, and the pace in percent; more digits are taken for errors.
+LOAD_PATTERN: Final = re.compile(r"(\s*[0-9]{1,6}\s*,){2}\s*[0-9]{1,6}\s*(,\s*[0-9]{1,5}\s*)?")
 DROPPED_HEADERS: Final = names.HOP_BY_HOP | {"content-length"}
 
 
@@ -34,11 +41,16 @@
             request_id=answer.get(names.REQUEST_ID),
             signed=answer.get(names.STAMP) is not None,
             not_run=answer.get(names.NOT_RUN) is not None,
-            retry_after_ms=_read_retry_after_ms(answer),
+            retry_after_ms=(
+                read_retry_after_ms(answer.get(names.RETRY_AFTER))
+                if answer.status == names.STATUS_UNAVAILABLE
+                else None
+            ),
             draining=names.is_leaving(answer.get(names.SERVER_LEAVING)),
             content_encoded=encoding is not None and encoding.lower() != IDENTITY_ENCODING,
             is_event_stream=(answer.get("Content-Type") or "").startswith(CONTENT_TYPE_EVENTS),
-            keep_alive_ms=_read_keep_alive_ms(answer.get("Keep-Alive")),
+            keep_alive_ms=read_keep_alive_ms(answer.get("Keep-Alive")),
+            load=read_load_report(answer.get(names.LOAD)),
         )
 
     def select_headers(self, answer: HttpResponse) -> list[tuple[str, str]]:
@@ -54,23 +66,8 @@
         return f"{retry_after_ms / MS_PER_S:.3f}"
 
 
-def _read_retry_after_ms(answer: HttpResponse) -> int | None:
-    """Return the delay that an upstream requests with a status 503; None without one."""
-    if answer.status != names.STATUS_UNAVAILABLE:
+def read_load_report(value: str | None) -> LoadReport | None:
+    """Return the load that a header reports; None if it is missing or malformed."""
+    if value is None or LOAD_PATTERN.fullmatch(value) is None:
         return None
-    try:
-        retry_after_ms = float(answer.get(names.RETRY_AFTER) or "") * MS_PER_S
-    except ValueError:
-        return None
-    return ceil(retry_after_ms) if 0 < retry_after_ms < MAX_RETRY_AFTER_MS else None
-
-
-def _read_keep_alive_ms(value: str | None) -> int | None:
-    """Return the idle timeout that a Keep-Alive header announces."""
-    if value is None:
-        return None
-    for part in value.split(","):
-        name, _, seconds = part.strip().partition("=")
-        if name.lower() == "timeout" and seconds.isdigit():
-            return int(seconds) * MS_PER_S
-    return None
+    return make_load_report(*(int(figure) for figure in value.split(",")))
--- a/gypsumrouter/platform/names.py
+++ b/gypsumrouter/platform/names.py
@@ -39,6 +39,9 @@
 NOT_RUN: Final = "X-Not-Executed"
 # Set on all responses of a runner that is leaving.
 SERVER_LEAVING: Final = "Server-Leaving"
+# Counts of running and waiting requests and of slots, separated by commas; some runners append how
+# long work takes at the moment, in percent of the usual.
+LOAD: Final = "X-Server-Load"
 # With a status 503: for how many seconds this client is to send the runner no requests.
 RETRY_AFTER: Final = "Retry-After"
 
--- a/gypsumrouter/settings.py
+++ b/gypsumrouter/settings.py
@@ -235,6 +235,19 @@
     stop_ms: PositiveInt = 8_000
 
 
+class Contention(DocumentStruct, frozen=True, kw_only=True):
+    """Decisions of a forwarder while upstreams have too little room for all requests.
+
+    At most `max_waiting` requests wait in the router for each service. The usage of
+    `tracked_workspaces` workspaces is counted exactly, that of the others as one.
+    `max_reservations` refused requests keep their place for a retry.
+    """
+
+    max_waiting: PositiveInt = 512
+    tracked_workspaces: PositiveInt = 256
+    max_reservations: PositiveInt = 4_096
+
+
 class ForwarderSettings(DocumentStruct, frozen=True, kw_only=True):
     """Settings of a forwarder; addresses are IP:PORT.
 
@@ -242,8 +255,9 @@
     `seeds` are link addresses of a few other forwarders, `store` is the platform's store, where
     upstreams renew their entries every `heartbeat_ms`.
     `first_start` means that no router ran before: it skips reading the cache inventory of the
-    upstreams and lets retries use the slack at once. `without` disables mechanisms for a
-    measurement.
+    upstreams and lets retries use the slack at once. With `contention`, requests wait, yield and
+    are refused in an order while upstreams have too little room; without it they are sent at once.
+    `without` disables mechanisms for a measurement.
     """
 
     instance: Identity
@@ -258,6 +272,7 @@
     processor: Processor = field(default_factory=Processor)
     bounds: Bounds = field(default_factory=Bounds)
     limits: Limits = field(default_factory=Limits)
+    contention: Contention | None = None
     log: Log = field(default_factory=Log)
     without: frozenset[Mechanism] = frozenset()
 
