Load cap: an upstream's fresh report gives the smaller margin

Cause: the margin for requests that peers have not reported yet doubled the cache transfers of small fleets, where the upstreams' own reports are younger than the peers'. Change: the smaller of two estimates counts: the counted load plus the arrivals since the peers' reports, or the reported load plus the arrivals since that report.

--- a/gypsumrouter/forwarding/load_reports.py
+++ b/gypsumrouter/forwarding/load_reports.py
@@ -53,6 +53,13 @@
             return None
         return reported.report.held + reported.sent_since
 
+    def get_age_ms(self, upstream: str, *, now_ms: int) -> int | None:
+        """Return the age of an upstream's report, None without a recent one."""
+        reported = self._by_upstream.get(upstream)
+        if reported is None or now_ms - reported.received_ms > REPORT_TTL_MS:
+            return None
+        return now_ms - reported.received_ms
+
     def forget(self, upstream: str) -> None:
         """Drop the report of an upstream that was removed."""
         self._by_upstream.pop(upstream, None)
--- a/gypsumrouter/forwarding/loads.py
+++ b/gypsumrouter/forwarding/loads.py
@@ -90,8 +90,8 @@
         """Drop the average of an upstream that was removed."""
         self._held_ms.pop(upstream, None)
 
-    def estimate_unreported(self, upstream: str, *, report_age_ms: int) -> float:
-        """Return how many requests peers have probably sent to an upstream since their reports.
+    def estimate_arrived(self, upstream: str, *, within_ms: int) -> float:
+        """Return how many requests peers have probably sent to an upstream within a time.
 
         In a steady state an upstream gets as many new requests as it completes. Those that it has
         completed since are not deducted: the load cap must hold also when they take longer.
@@ -99,7 +99,7 @@
         held_ms = self._held_ms.get(upstream)
         if not held_ms:
             return 0.0
-        turnover = min(1.0, (report_age_ms + REPORT_DELAY_MS) / held_ms)
+        turnover = min(1.0, within_ms / held_ms)
         return self._peer_running.get(upstream, 0) * turnover
 
     def set_peer_loads(self, peer: str, loads: PeerLoads) -> None:
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Final
 
@@ -15,7 +16,7 @@
 from gypsumrouter.forwarding.eligibility import NO_UPSTREAM, Eligibility, PlacementRefusal
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.load_reports import LoadReports
-from gypsumrouter.forwarding.loads import LoadTracker, UpstreamLoad, get_mean
+from gypsumrouter.forwarding.loads import REPORT_DELAY_MS, LoadTracker, UpstreamLoad, get_mean
 from gypsumrouter.forwarding.models import Prompt, PromptPart, ResponseMetadata
 from gypsumrouter.forwarding.placed import CopySource, Placement, SentRequest
 from gypsumrouter.forwarding.placement import (
@@ -371,13 +372,24 @@
         self, upstream: str, load: UpstreamLoad, peers_age_ms: int, now_ms: int
     ) -> float:
         """Return the requests at an upstream that the counted load is likely to miss."""
-        unreported = 0.0
+        unreported = math.inf
         if self._allows_for_unreported:
-            unreported = self.loads.estimate_unreported(upstream, report_age_ms=peers_age_ms)
+            within_ms = peers_age_ms + REPORT_DELAY_MS
+            unreported = self.loads.estimate_arrived(upstream, within_ms=within_ms)
         if self._uses_load_reports:
-            held = self.load_reports.get_held(upstream, now_ms=now_ms)
-            unreported = max(unreported, 0 if held is None else held - load.running)
-        return unreported
+            unreported = min(unreported, self._count_unreported(upstream, load, now_ms))
+        return unreported if unreported < math.inf else 0.0
+
+    def _count_unreported(self, upstream: str, load: UpstreamLoad, now_ms: int) -> float:
+        """Return by how much an upstream's own report exceeds the counted load, inf without one."""
+        held = self.load_reports.get_held(upstream, now_ms=now_ms)
+        age_ms = self.load_reports.get_age_ms(upstream, now_ms=now_ms)
+        if held is None or age_ms is None:
+            return math.inf
+        arrived = 0.0
+        if self._allows_for_unreported:
+            arrived = self.loads.estimate_arrived(upstream, within_ms=age_ms)
+        return max(0.0, held + arrived - load.running)
 
     def _get_mean_load(self, loads: Mapping[str, UpstreamLoad], now_ms: int) -> float:
         """Return the mean load of a service, from the lower of counted and reported loads.
