Silent upstreams cost more before their requests time out

Cause: an upstream that falls silent got further requests until the first one had timed out, 1 to 2 s later. Change: with the setting contention, silence beyond 300 ms while requests are unanswered counts as a cost of the upstream; any response ends it.

--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -23,6 +23,7 @@
 from gypsumrouter.forwarding.models import Dialect
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.silence import SilenceTracker
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.forwarding.suspects import SuspectTracker
 from gypsumrouter.instances import Address, parse_address
@@ -76,7 +77,14 @@
         self._routing = routing
         self._directory = directory
         bounds = settings.bounds
-        health = HealthTracker(clock=app.clock, journal=journal)
+        tracks_silence = (
+            settings.contention is not None and Mechanism.SILENCE not in settings.without
+        )
+        health = HealthTracker(
+            clock=app.clock,
+            journal=journal,
+            silence=SilenceTracker(clock=app.clock) if tracks_silence else None,
+        )
         slow_start = SlowStartLimiter(
             clock=app.clock,
             journal=journal,
--- a/gypsumrouter/forwarding/health.py
+++ b/gypsumrouter/forwarding/health.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from typing import Final
 
+from gypsumrouter.forwarding.silence import SilenceTracker
 from gypsumrouter.journal import Journal, UpstreamHealth
 from gypsumrouter.util.clock import Clock
 
@@ -98,25 +99,32 @@
 
 
 class HealthTracker:
-    """The health records of all upstreams."""
+    """The health records of all upstreams.
 
-    __slots__ = ("_clock", "_journal", "_records")
+    With `silence`, an upstream that has stopped responding is penalised before requests time out.
+    """
 
-    def __init__(self, *, clock: Clock, journal: Journal) -> None:
+    __slots__ = ("_clock", "_journal", "_records", "silence")
+
+    def __init__(
+        self, *, clock: Clock, journal: Journal, silence: SilenceTracker | None = None
+    ) -> None:
+        self.silence = silence
         self._clock = clock
         self._journal = journal
         self._records: dict[str, HealthRecord] = {}
 
     def penalty_ms(self, upstream: str, *, plain: bool = False) -> float:
-        """Return the expected cost of failures for a request to an upstream.
+        """Return the expected cost of failures and of silence for a request to an upstream.
 
         `plain` requests have no prompt.
         """
+        silent_ms = 0 if self.silence is None else self.silence.get_excess_ms(upstream)
         record = self._records.get(upstream)
         if record is None:
-            return 0.0
+            return silent_ms
         failure_ms = PLAIN_FAILURE_COST_MS if plain else FAILURE_COST_MS
-        return record.get_failure_rate(self._clock.now_ms()) * failure_ms
+        return silent_ms + record.get_failure_rate(self._clock.now_ms()) * failure_ms
 
     def is_down(self, upstream: str) -> bool:
         """Return whether an upstream was found unreachable a moment ago."""
--- a/gypsumrouter/forwarding/placed.py
+++ b/gypsumrouter/forwarding/placed.py
@@ -36,7 +36,8 @@
     """A request as it was sent: prompt tokens to prefill, and parts not cached there before.
 
     `uncontended` is set if no other prompt waits for prefill at the upstream and nothing is copied,
-    so that the time to the first event measures the prefill speed.
+    so that the time to the first event measures the prefill speed. `awaited` identifies the request
+    while its upstream has not responded.
     """
 
     upstream: str
@@ -44,3 +45,4 @@
     new_parts: tuple[int, ...]
     sent_ms: int = 0
     uncontended: bool = False
+    awaited: int = 0
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -222,11 +222,12 @@
     def note_sent(self, placed: Placement, prompt: Prompt | None) -> SentRequest:
         """Record a request that is sent, and the prompt parts that its upstream will cache."""
         upstream = placed.entry.incarnation
+        awaited = 0 if self.health.silence is None else self.health.silence.begin(upstream)
         self.slow_start.note_sent(upstream)
         self.load_reports.note_sent(upstream)
         if prompt is None:
             self.loads.begin(upstream, tokens=0)
-            return SentRequest(upstream=upstream, tokens=0, new_parts=())
+            return SentRequest(upstream=upstream, tokens=0, new_parts=(), awaited=awaited)
         now_ms = self._app.clock.now_ms()
         tokens = self.cache_index.missing_tokens(
             parts=prompt.parts, upstream=upstream, now_ms=now_ms
@@ -248,6 +249,7 @@
             new_parts=new_parts,
             sent_ms=now_ms,
             uncontended=placed.pending_tokens == 0 and placed.fetch_from is None,
+            awaited=awaited,
         )
 
     def apply_response_metadata(self, entry: Entry, metadata: ResponseMetadata) -> None:
@@ -258,6 +260,8 @@
         """
         if metadata.retry_after_ms is not None:
             self.backoffs.note(entry.incarnation, backoff_ms=metadata.retry_after_ms)
+        if self.health.silence is not None:
+            self.health.silence.note_response(entry.incarnation)
         if metadata.load is not None:
             self.load_reports.note(
                 entry.incarnation, metadata.load, now_ms=self._app.clock.now_ms()
@@ -286,6 +290,7 @@
     def note_prefilled(self, sent: SentRequest) -> None:
         """Record that a prompt was prefilled, or that its attempt ended without a response."""
         self.loads.note_prefilled(sent.upstream, tokens=sent.tokens)
+        self._end_silence(sent)
 
     def note_first_event(self, sent: SentRequest) -> None:
         """Update the prefill speed from the time to the first event of a response."""
@@ -296,8 +301,13 @@
     def note_ended(self, sent: SentRequest, *, held_ms: int) -> None:
         """Record that an attempt has ended, and how long it counted as running."""
         self.loads.end(sent.upstream)
+        self._end_silence(sent)
         self.loads.note_held(sent.upstream, held_ms=held_ms)
 
+    def _end_silence(self, sent: SentRequest) -> None:
+        if self.health.silence is not None:
+            self.health.silence.end(sent.upstream, sent.awaited)
+
     def note_not_run(self, sent: SentRequest) -> None:
         """Undo the cache entries recorded for a request that its upstream did not run."""
         for part in sent.new_parts:
--- a/gypsumrouter/mechanisms.py
+++ b/gypsumrouter/mechanisms.py
@@ -74,3 +74,5 @@
     URGENCY_ORDER = "urgency_order"
     # A prompt in high demand is spread over several engines.
     PROMPT_SPREAD = "prompt_spread"
+    # Upstreams that have stopped responding are avoided before requests to them time out.
+    SILENCE = "silent_upstreams"
--- a/tests/forwarding/test_forwarding_load_cap.py
+++ b/tests/forwarding/test_forwarding_load_cap.py
@@ -7,11 +7,8 @@
 import random
 from typing import Final
 
-from gypsumrouter.const import Role
-from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
-from gypsumrouter.forwarding.backoff import BackoffTracker
-from gypsumrouter.forwarding.health import HealthTracker
+from engine_placers import CAP, ENGINES, SERVICE, SLOTS, make_placer
+
 from gypsumrouter.forwarding.loads import PeerLoads
 from gypsumrouter.forwarding.models import (
     LoadReport,
@@ -20,19 +17,10 @@
     ResponseMetadata,
 )
 from gypsumrouter.forwarding.placed import Placement, SentRequest
-from gypsumrouter.forwarding.placement import Cap
-from gypsumrouter.forwarding.placer import Placer
-from gypsumrouter.forwarding.slow_start import SlowStartLimiter
-from gypsumrouter.instances import Address
-from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.util.clock import ManualClock
 
-SERVICE: Final = "models"
 ROUTERS: Final = 24
-ENGINES: Final = 24
-SLOTS: Final = 64
-CAP: Final = Cap(factor=2.0, slack=2.0)
 # The bound that the service states, and the share of requests that may exceed it.
 BOUND_SLACK: Final = 3.0
 ALLOWED_SHARE: Final = 0.03
@@ -42,33 +30,6 @@
 HOT_TOKENS: Final = 12_000
 
 
-def make_placer(clock: ManualClock, without: frozenset[Mechanism]) -> Placer:
-    app = Application(name="r", role=Role.FORWARDER, data_centre="a", region="r", clock=clock)
-    journal = Journal(app=app)
-    directory = Directory(app=app, journal=journal)
-    placer = Placer(
-        app=app,
-        directory=directory,
-        cap=CAP,
-        health=HealthTracker(clock=clock, journal=journal),
-        backoffs=BackoffTracker(clock=clock, journal=journal),
-        evacuations=Evacuations(app=app, journal=journal),
-        slow_start=SlowStartLimiter(clock=clock, journal=journal),
-        without=without,
-    )
-    for number in range(ENGINES):
-        entry = Entry(
-            upstream=f"i-{number}",
-            state=EntryState.READY,
-            service=SERVICE,
-            address=Address(host="10.0.0.1", port=80),
-            data_centre="a",
-            slots=SLOTS,
-        )
-        directory.merge(Record(revision=number + 1, entry=entry), source="test")
-    return placer
-
-
 def make_prompt(rng: random.Random) -> Prompt:
     """Return a prompt; half of them begin with one of two long parts that are cached already."""
     part = rng.randrange(2) if rng.random() < 0.5 else rng.randrange(2, 200)
@@ -90,7 +51,7 @@
     def __init__(self, *, lost: float = 0.0, without: frozenset[Mechanism] = frozenset()) -> None:
         self._rng = random.Random(5)
         self._clock = ManualClock(now_ms=10_000)
-        self._placers = [make_placer(self._clock, without) for _ in range(ROUTERS)]
+        self._placers = [make_placer(self._clock, without=without) for _ in range(ROUTERS)]
         self._held = {f"i-{number}": 0 for number in range(ENGINES)}
         self._events: list[tuple[int, int, str, object]] = []
         self._lost = lost
