Return order: refused requests are told when to return, and keep their place

Cause: Retry-After was drawn at random from 50 to 400 ms. The requests of one overload returned in no order, most of them after their target, and a caller that repeated at once was better off than one that waited.

A request that returns is known by digest and workspace. At its time its place is kept: it may use a permit of the plain admission that others have to leave. One that comes before its time moves behind all others, at no cost to them. Active with the setting `contention`, disabled by `return_order`.

--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -9,6 +9,7 @@
 
 from gypsumrouter.callers import abort_connection
 from gypsumrouter.const import MS_PER_S
+from gypsumrouter.contention import Return
 from gypsumrouter.core import Application
 from gypsumrouter.forwarding.attempt import Attempt
 from gypsumrouter.forwarding.budget import RetryBudget
@@ -46,6 +47,7 @@
 from gypsumrouter.forwarding.relay import Relay, RelayResult
 from gypsumrouter.forwarding.request_journal import RequestJournal
 from gypsumrouter.forwarding.responses import make_failure, make_refusal, make_upstream_response
+from gypsumrouter.forwarding.return_order import Reservation, ReturnOrder
 from gypsumrouter.forwarding.suspects import SuspectTracker, make_digest
 from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
@@ -54,7 +56,10 @@
 
 
 class ForwardingContext(Struct, frozen=True, kw_only=True):
-    """Components that all requests of a forwarder share; `without` are disabled mechanisms."""
+    """Components that all requests of a forwarder share; `without` are disabled mechanisms.
+
+    `return_order` is None if refused requests return at random times.
+    """
 
     app: Application
     journal: Journal
@@ -63,6 +68,7 @@
     pool: ConnectionPool
     budget: RetryBudget
     suspects: SuspectTracker
+    return_order: ReturnOrder | None = None
     without: frozenset[Mechanism] = frozenset()
 
 
@@ -76,6 +82,7 @@
         "_relay",
         "_request",
         "_request_journal",
+        "_return",
         "_routed",
         "_service",
         "_web_request",
@@ -101,6 +108,7 @@
         self._web_request = web_request
         self._request_journal = request_journal
         self._digest = make_digest(request)
+        self._return = Return.UNKNOWN
         self.progress = progress
         self._recorder = OutcomeRecorder(
             placer=context.placer,
@@ -122,6 +130,7 @@
     async def async_run(self) -> web.StreamResponse:
         """Return the response; a streamed one has already been written."""
         self._context.budget.note_request(self._service)
+        self._claim_return()
         try:
             async with asyncio.timeout(max(0, self._remaining_ms()) / MS_PER_S):
                 return await self._async_run_attempts()
@@ -138,6 +147,7 @@
                 prompt=self._request.prompt,
                 excluded=self.progress.excluded_upstreams,
                 limit_ms=self._get_time_limit_ms(),
+                needed_permits=self._get_needed_permits(),
             )
             if isinstance(placement, PlacementRefusal):
                 return self._refuse(placement.reason, placement.message, placement.not_before_ms)
@@ -179,6 +189,7 @@
         finally:
             attempt.close()
             self._context.placer.note_ended(sent, held_ms=self._now_ms() - started_ms)
+            self._note_release(outcome)
             self._request_journal.record_ended(
                 attempt,
                 outcome,
@@ -285,12 +296,14 @@
         progress = self.progress
         if progress.possibly_ran_on or self._relay.response is not None:
             return self._fail(message)
+        reservation = self._reserve_return(not_before_ms)
         response, retry_after_ms = make_refusal(
             reason=reason,
             message=message,
             request_id=self._request.request_id,
             remaining_ms=self._remaining_ms(),
             not_before_ms=not_before_ms,
+            reserved_ms=None if reservation is None else reservation.retry_after_ms,
             dialect=self._context.dialect,
         )
         progress.outcome = reason.value
@@ -299,9 +312,41 @@
             status=response.status,
             retry_after_ms=retry_after_ms,
             waited_ms=self._now_ms() - progress.arrived_ms,
+            return_position=-1 if reservation is None else reservation.position,
         )
         return response
 
+    def _claim_return(self) -> None:
+        """Recognize a request that returns after its refusal."""
+        order = self._context.return_order
+        if order is not None:
+            self._return = order.claim(digest=self._digest, workspace=self._routed.workspace)
+
+    def _get_needed_permits(self) -> int:
+        order = self._context.return_order
+        if order is None or self.progress.attempts:
+            return 1
+        return order.get_needed_permits(self._service, self._return)
+
+    def _note_release(self, outcome: Outcome | None) -> None:
+        order = self._context.return_order
+        if order is not None and not isinstance(outcome, Unreachable | Rejected):
+            order.note_release(self._service)
+
+    def _reserve_return(self, room_in_ms: int) -> Reservation | None:
+        order = self._context.return_order
+        if order is None:
+            return None
+        return order.reserve(
+            service=self._service,
+            digest=self._digest,
+            workspace=self._routed.workspace,
+            room_in_ms=room_in_ms,
+            remaining_ms=self._remaining_ms(),
+            target_left_ms=self._routed.route.target_latency_ms
+            - (self._now_ms() - self.progress.arrived_ms),
+        )
+
     def _respond(self, outcome: CompleteResponse) -> web.StreamResponse:
         self.progress.outcome = "answered"
         self.progress.bytes_out = len(outcome.body)
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -23,6 +23,7 @@
 from gypsumrouter.forwarding.models import Dialect
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.return_order import ReturnOrder
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.forwarding.suspects import SuspectTracker
 from gypsumrouter.instances import Address, parse_address
@@ -50,6 +51,7 @@
         "_first_start",
         "_listener",
         "_pool",
+        "_return_order",
         "_routing",
         "_server",
         "budget",
@@ -106,6 +108,12 @@
         )
         self._drain = DrainAdmission(clock=app.clock, limit_ms=bounds.stop_ms - DRAIN_MARGIN_MS)
         self.suspects = SuspectTracker(app=app, journal=journal)
+        self._return_order: ReturnOrder | None = None
+        contention = settings.contention
+        if contention is not None and Mechanism.RETURN_ORDER not in settings.without:
+            self._return_order = ReturnOrder(
+                app=app, limit=contention.max_reservations, slow_start=slow_start
+            )
         context = ForwardingContext(
             app=app,
             journal=journal,
@@ -114,6 +122,7 @@
             pool=self._pool,
             budget=self.budget,
             suspects=self.suspects,
+            return_order=self._return_order,
             without=settings.without,
         )
         self.inventory = CacheInventory(
@@ -204,6 +213,8 @@
             await self._app.clock.async_sleep(CLEANUP_INTERVAL_MS)
             self._pool.close_expired()
             self.placer.sweep()
+            if self._return_order is not None:
+                self._return_order.sweep()
 
     async def _async_drain(self) -> None:
         """Drain: wait for load balancers to react, then for the running requests to end.
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -23,7 +23,7 @@
 )
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.directory import Directory
-from gypsumrouter.forwarding.const import RESPONSE_MARGIN_MS
+from gypsumrouter.forwarding.const import RESPONSE_MARGIN_MS, RETRY_AFTER_MAX_MS
 from gypsumrouter.forwarding.execution import ForwardingContext, RequestExecution
 from gypsumrouter.forwarding.leaving import DrainAdmission, estimate_duration_ms
 from gypsumrouter.forwarding.metrics import ForwardingMetrics
@@ -32,6 +32,8 @@
 from gypsumrouter.forwarding.relay import CallerDisconnected
 from gypsumrouter.forwarding.request_journal import RequestJournal
 from gypsumrouter.forwarding.responses import make_refusal, make_rejection
+from gypsumrouter.forwarding.return_order import NO_SERVICE, Reservation
+from gypsumrouter.forwarding.suspects import make_digest
 from gypsumrouter.helpers.logs import set_request_id
 from gypsumrouter.journal import RequestEnded, RequestRefused
 from gypsumrouter.mechanisms import Mechanism
@@ -255,16 +257,40 @@
 
     def _refuse(self, caller_request: CallerRequest, reason: Reason, message: str) -> web.Response:
         remaining_ms = caller_request.deadline_ms or DEFAULT_TIMEOUT_MS
+        reservation = self._reserve_return(caller_request, remaining_ms)
         response, retry_after_ms = make_refusal(
             reason=reason,
             message=message,
             request_id=caller_request.request_id,
             remaining_ms=remaining_ms,
             dialect=self._context.dialect,
+            reserved_ms=None if reservation is None else reservation.retry_after_ms,
+        )
+        self._record_refusal(
+            caller_request.request_id,
+            reason,
+            response.status,
+            retry_after_ms,
+            return_position=-1 if reservation is None else reservation.position,
         )
-        self._record_refusal(caller_request.request_id, reason, response.status, retry_after_ms)
         return response
 
+    def _reserve_return(
+        self, caller_request: CallerRequest, remaining_ms: int
+    ) -> Reservation | None:
+        order = self._context.return_order
+        if order is None:
+            return None
+        return order.reserve(
+            service=NO_SERVICE,
+            digest=make_digest(caller_request),
+            workspace="",
+            room_in_ms=0,
+            remaining_ms=remaining_ms,
+            # Another router can take the request now, so the return is to be soon.
+            target_left_ms=RETRY_AFTER_MAX_MS,
+        )
+
     def _reject(self, caller_request: CallerRequest, reason: Reason, message: str) -> web.Response:
         response = make_rejection(
             reason=reason, message=message, request_id=caller_request.request_id
@@ -280,7 +306,13 @@
         return response
 
     def _record_refusal(
-        self, request_id: str, reason: Reason, status: int, retry_after_ms: int
+        self,
+        request_id: str,
+        reason: Reason,
+        status: int,
+        retry_after_ms: int,
+        *,
+        return_position: int = -1,
     ) -> None:
         self._metrics.count_request(route="", outcome=reason.value, status=status)
         self._context.journal.record(
@@ -293,6 +325,7 @@
                 waited_ms=0,
                 configuration=self._routing.version,
                 list_revision=self._directory.applied_revision,
+                return_position=return_position,
             )
         )
 
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -141,11 +141,12 @@
         prompt: Prompt | None,
         excluded: Collection[str],
         limit_ms: int | None = None,
+        needed_permits: int = 1,
     ) -> Placement | PlacementRefusal:
         """Return the best upstream that is not in `excluded`, or why there is none.
 
         A plain request (one without a prompt) is refused if its response is expected to take
-        longer than `limit_ms`.
+        longer than `limit_ms`, unless there are `needed_permits`.
         """
         now_ms = self._app.clock.now_ms()
         members = self._by_service.get(service)
@@ -174,7 +175,12 @@
             return NO_UPSTREAM
         if prompt is None and limit_ms is not None and self._refuses_late:
             refusal = self.plain.admit(
-                service=service, entries=entries, chosen=chosen, limit_ms=limit_ms, now_ms=now_ms
+                service=service,
+                entries=entries,
+                chosen=chosen,
+                limit_ms=limit_ms,
+                now_ms=now_ms,
+                needed_permits=needed_permits,
             )
             if refusal is not None:
                 return refusal
--- a/gypsumrouter/forwarding/plain_admission.py
+++ b/gypsumrouter/forwarding/plain_admission.py
@@ -39,13 +39,16 @@
         chosen: Candidate,
         limit_ms: int,
         now_ms: int,
+        needed_permits: int = 1,
     ) -> PlacementRefusal | None:
         """Admit a request and return None, or return its refusal.
 
         `entries` are the eligible upstreams, `limit_ms` is the time within which to respond.
+        A request that is expected to be late is admitted if there are `needed_permits`.
         """
         lateness_ms = self._estimate_lateness_ms(service, chosen, limit_ms)
-        if not self._has_permit(service, entries, now_ms) and lateness_ms > 0:
+        has_permit = self._has_permit(service, entries, now_ms, needed_permits)
+        if not has_permit and lateness_ms > 0:
             return make_late_refusal(lateness_ms)
         self._permits.spend(service)
         return None
@@ -65,15 +68,17 @@
         """Drop the service time of an upstream that was removed."""
         self._times.forget(upstream)
 
-    def _has_permit(self, service: str, entries: Collection[Entry], now_ms: int) -> bool:
-        """Return whether this router's share of the service's throughput has a permit left."""
+    def _has_permit(
+        self, service: str, entries: Collection[Entry], now_ms: int, needed: int
+    ) -> bool:
+        """Return whether this router's share of the service's throughput has the needed permits."""
         throughput_per_ms = 0.0
         for entry in entries:
             service_ms = self._times.get(service=service, upstream=entry.incarnation)
             if service_ms:
                 throughput_per_ms += entry.slots / service_ms
         per_ms = throughput_per_ms / self._count_routers()
-        return self._permits.has_permit(service, per_ms=per_ms, now_ms=now_ms)
+        return self._permits.has_permit(service, per_ms=per_ms, now_ms=now_ms, needed=needed)
 
     def _estimate_lateness_ms(self, service: str, chosen: Candidate, limit_ms: int) -> float:
         """Return by how much the response is expected to be late; 0 or less if it is in time."""
--- a/gypsumrouter/forwarding/request_journal.py
+++ b/gypsumrouter/forwarding/request_journal.py
@@ -128,7 +128,7 @@
         )
 
     def record_refused(
-        self, *, reason: str, status: int, retry_after_ms: int, waited_ms: int
+        self, *, reason: str, status: int, retry_after_ms: int, waited_ms: int, return_position: int
     ) -> None:
         """Record that the request is refused without having run."""
         self._journal.record(
@@ -141,6 +141,7 @@
                 waited_ms=waited_ms,
                 configuration=self._configuration,
                 list_revision=self._list_revision,
+                return_position=return_position,
             )
         )
 
--- a/gypsumrouter/forwarding/responses.py
+++ b/gypsumrouter/forwarding/responses.py
@@ -40,16 +40,18 @@
     remaining_ms: int,
     dialect: Dialect,
     not_before_ms: int = 0,
+    reserved_ms: int | None = None,
 ) -> tuple[web.Response, int]:
     """Return the response for a request that was not run, and its Retry-After in milliseconds.
 
-    The delay is randomized, so that callers don't retry all at once, and limited to a part of the
-    time that the caller has left. A retry before `not_before_ms` would be refused again.
+    The delay is `reserved_ms`, at least 1 ms, if there is a return order. Otherwise it is
+    randomized, so that callers don't retry all at once, and limited to a part of the time that the
+    caller has left. A retry before `not_before_ms` would be refused again.
     """
-    longest = int(remaining_ms * RETRY_AFTER_RATIO)
-    latest = max(1, min(not_before_ms + RETRY_AFTER_MAX_MS, longest))
-    soonest = min(not_before_ms + RETRY_AFTER_MIN_MS, latest)
-    retry_after_ms = random.randint(soonest, latest)
+    if reserved_ms is None:
+        retry_after_ms = _choose_random_delay_ms(remaining_ms, not_before_ms)
+    else:
+        retry_after_ms = max(1, reserved_ms)
     failure = Refused(reason=reason, message=message, retry_after_ms=retry_after_ms)
     response = make_error_response(rejection=Rejection(failure=failure), request_id=request_id)
     response.headers[HEADER_RETRY_AFTER] = dialect.format_retry_after(retry_after_ms)
@@ -68,6 +70,13 @@
     return make_error_response(rejection=Rejection(failure=failure), request_id=request_id)
 
 
+def _choose_random_delay_ms(remaining_ms: int, not_before_ms: int) -> int:
+    longest = int(remaining_ms * RETRY_AFTER_RATIO)
+    latest = max(1, min(not_before_ms + RETRY_AFTER_MAX_MS, longest))
+    soonest = min(not_before_ms + RETRY_AFTER_MIN_MS, latest)
+    return random.randint(soonest, latest)
+
+
 def _set_headers(response: web.StreamResponse, headers: list[tuple[str, str]]) -> None:
     for name, value in headers:
         if name.lower() == "content-type":
--- a/gypsumrouter/forwarding/service_time.py
+++ b/gypsumrouter/forwarding/service_time.py
@@ -63,13 +63,15 @@
         self._permits: dict[str, float] = {}
         self._refilled_ms: dict[str, int] = {}
 
-    def has_permit(self, service: str, *, per_ms: float, now_ms: int) -> bool:
-        """Refill the bucket at `per_ms` permits per millisecond; return whether it has a permit."""
+    def has_permit(self, service: str, *, per_ms: float, now_ms: int, needed: int = 1) -> bool:
+        """Refill the bucket at `per_ms` permits per millisecond; return whether it has enough."""
         refill = (now_ms - self._refilled_ms.get(service, now_ms)) * per_ms
         self._refilled_ms[service] = now_ms
-        permits = min(MAX_SAVED_PERMITS, self._permits.get(service, MAX_SAVED_PERMITS) + refill)
+        # Permits that are left for others must not reduce those that can be saved.
+        limit = MAX_SAVED_PERMITS + needed - 1
+        permits = min(limit, self._permits.get(service, MAX_SAVED_PERMITS) + refill)
         self._permits[service] = permits
-        return permits >= 1
+        return permits >= needed
 
     def spend(self, service: str) -> None:
         """Use up a permit for an admitted request, if there is one."""
--- a/gypsumrouter/forwarding/slow_start.py
+++ b/gypsumrouter/forwarding/slow_start.py
@@ -168,6 +168,11 @@
         """Return the number of routers in the fleet, including this one."""
         return 1 + len(self._fleet.list_addresses())
 
+    def get_rank(self) -> int:
+        """Return the rank of this router in the fleet, from 0."""
+        own = self._fleet.own_address
+        return sum(address < own for address in self._fleet.list_addresses())
+
     def set_table(self, table: RoutingTable) -> None:
         """Read the slow-start settings of the services from the routing table."""
         self._services = {
--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -280,7 +280,10 @@
 
 
 class RequestRefused(Event, frozen=True, kw_only=True):
-    """A request was rejected before any upstream executed it."""
+    """A request was rejected before any upstream executed it.
+
+    `return_position` is the number of refused requests that return before it, -1 if unknown.
+    """
 
     name: ClassVar[str] = "request_refused"
     request_id: str
@@ -291,6 +294,7 @@
     waited_ms: int
     configuration: int
     list_revision: int
+    return_position: int = -1
 
 
 class RequestEnded(Event, frozen=True, kw_only=True):
