--- a/gypsumrouter/contention/__init__.py
+++ b/gypsumrouter/contention/__init__.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from gypsumrouter.contention.peer_usage import MAX_ENTRIES
+from gypsumrouter.contention.return_lane import FleetPosition
+from gypsumrouter.contention.returns import Return, ReturnSchedule
 from gypsumrouter.contention.workspaces import WorkspaceShares
 
-__all__ = ["MAX_ENTRIES", "WorkspaceShares"]
+__all__ = ["MAX_ENTRIES", "FleetPosition", "Return", "ReturnSchedule", "WorkspaceShares"]
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -24,6 +24,7 @@
 from gypsumrouter.forwarding.models import Dialect
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.return_order import ReturnOrder
 from gypsumrouter.forwarding.silence import SilenceTracker
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.forwarding.suspects import SuspectTracker
@@ -52,6 +53,7 @@
         "_first_start",
         "_listener",
         "_pool",
+        "_return_order",
         "_routing",
         "_server",
         "budget",
@@ -117,6 +119,12 @@
         self._drain = DrainAdmission(clock=app.clock, limit_ms=bounds.stop_ms - DRAIN_MARGIN_MS)
         self.suspects = SuspectTracker(app=app, journal=journal)
         self.shares = _make_shares(app, settings)
+        self._return_order: ReturnOrder | None = None
+        contention = settings.contention
+        if contention is not None and Mechanism.RETURN_ORDER not in settings.without:
+            self._return_order = ReturnOrder(
+                app=app, limit=contention.max_reservations, slow_start=slow_start
+            )
         context = ForwardingContext(
             app=app,
             journal=journal,
@@ -126,6 +134,7 @@
             budget=self.budget,
             suspects=self.suspects,
             shares=self.shares,
+            return_order=self._return_order,
             without=settings.without,
         )
         self.inventory = CacheInventory(
@@ -216,6 +225,8 @@
             await self._app.clock.async_sleep(CLEANUP_INTERVAL_MS)
             self._pool.close_expired()
             self.placer.sweep()
+            if self._return_order is not None:
+                self._return_order.sweep()
 
     async def _async_drain(self) -> None:
         """Drain: wait for load balancers to react, then for the running requests to end.
