Admission queue of the forwarder: requests wait in order while upstreams lack capacity

Cause: under contention all requests were sent at once and waited in the upstreams' queues, where the router can neither order nor refuse them; requests that could not meet their deadline were held until it passed. Change: with ForwarderSettings.contention, the first attempt of a request is admitted by gypsumrouter/contention: sent if the placement's upstream is expected in time for the target, refused at once if it would miss its deadline, otherwise queued for at most half of its target and released by kept place, share of the workspace, priority and latest start, with a guaranteed part for each class. Each router keeps to its share of the service's work.

--- /dev/null
+++ b/gypsumrouter/contention/queue.py
@@ -0,0 +1,303 @@
+"""Queue of the requests that wait for capacity of one service."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterator
+from typing import Final
+
+from gypsumrouter.contention.const import (
+    INITIAL_RELEASE_INTERVAL_MS,
+    MAX_ESTIMATES,
+    MAX_ESTIMATES_PER_CLASS,
+    RELEASE_EWMA_WEIGHT,
+)
+from gypsumrouter.contention.decision import (
+    Demand,
+    Refuse,
+    Send,
+    decide,
+    get_budget_ms,
+    is_in_time,
+)
+from gypsumrouter.contention.models import (
+    Admitted,
+    Claim,
+    Expected,
+    Refused,
+    Return,
+    ServiceWork,
+    Waiting,
+    WorkspaceShares,
+)
+from gypsumrouter.contention.order import ClassCredits, choose_next, choose_victim, rank
+from gypsumrouter.contention.room import RoomShare
+from gypsumrouter.outcomes import Reason
+
+LATE_MESSAGE: Final = "The upstreams have more waiting than they serve in time"
+
+GetWork = Callable[[], ServiceWork]
+
+
+class ContentionQueue:
+    """Waiting requests of one service and their release.
+
+    A released request is sent as soon as its task runs. Until then the estimates do not include it,
+    and no other request is released because it would be in time.
+    """
+
+    __slots__ = (
+        "_by_urgency",
+        "_credits",
+        "_get_work",
+        "_max_waiting",
+        "_release_interval_ms",
+        "_released_ms",
+        "_room",
+        "_rotation",
+        "_shares",
+        "_unsent",
+        "waiting",
+    )
+
+    def __init__(
+        self,
+        *,
+        max_waiting: int,
+        shares: WorkspaceShares,
+        get_work: GetWork,
+        by_urgency: bool = True,
+    ) -> None:
+        self._max_waiting = max_waiting
+        self._shares = shares
+        self._get_work = get_work
+        self._by_urgency = by_urgency
+        self._credits = ClassCredits()
+        self._room = RoomShare()
+        self._released_ms: int | None = None
+        self._release_interval_ms = INITIAL_RELEASE_INTERVAL_MS
+        self._rotation = 0
+        # Released requests whose tasks have not run yet.
+        self._unsent: set[int] = set()
+        self.waiting: dict[int, Waiting] = {}
+
+    def decide(
+        self, claim: Claim, *, sequence: int, now_ms: int, returned: Return
+    ) -> Admitted | Refused | Waiting:
+        """Return the decision for a request that arrives; a waiting one has been queued."""
+        expected = claim.estimate()
+        if expected is None:
+            return Admitted()
+        item = Waiting(
+            claim=claim,
+            sequence=sequence,
+            arrived_ms=now_ms,
+            expected=expected,
+            returned=returned,
+            future=asyncio.get_running_loop().create_future(),
+        )
+        ahead_ms = self._estimate_ahead_ms(item, now_ms)
+        decision = decide(_make_demand(item, now_ms, ahead_ms=ahead_ms), expected)
+        match decision:
+            case Refuse(reason=reason, room_in_ms=room_in_ms):
+                return Refused(reason=reason, message=LATE_MESSAGE, room_in_ms=room_in_ms)
+            case Send() if item.hold_until_ms <= now_ms or self._has_room(item, now_ms):
+                return Admitted()
+        return self._enqueue(item, expected, now_ms)
+
+    def get_position(self, item: Waiting, *, now_ms: int) -> int:
+        """Return how many waiting requests go before a request."""
+        get_excess = self._make_get_excess(now_ms)
+        place = rank(item, now_ms, get_excess, self._by_urgency)
+        return sum(
+            rank(other, now_ms, get_excess, self._by_urgency) < place
+            for other in self.waiting.values()
+        )
+
+    def get_share(self, work: ServiceWork) -> float:
+        """Return the part of the capacity that this router may use, from 0 to 1."""
+        return self._room.get_share(work)
+
+    def remove(self, item: Waiting) -> None:
+        """Remove a request whose caller has gone or that has got its decision."""
+        self.waiting.pop(item.sequence, None)
+        self._unsent.discard(item.sequence)
+
+    def release(self, *, now_ms: int) -> None:
+        """End the waits that have run out, and release the next request if there is capacity."""
+        self._end_overdue(now_ms)
+        if not self.waiting or self._unsent:
+            return
+        work = self._get_work()
+        self._room.note(work, now_ms=now_ms)
+        item = self._find_releasable(work, now_ms)
+        if item is not None:
+            self._admit(item, now_ms)
+
+    def sample_demand(self, *, now_ms: int) -> None:
+        """Keep the demand figures of the room share recent, also while nothing waits."""
+        if self._room.is_sample_due(now_ms=now_ms):
+            self._room.note(self._get_work(), now_ms=now_ms)
+
+    def refuse_all(self, reason: Reason, message: str) -> None:
+        """Refuse all waiting requests."""
+        for item in tuple(self.waiting.values()):
+            self._refuse(item, reason, message)
+
+    def dump(self) -> dict[str, object]:
+        """Return the state for the dump."""
+        work = self._get_work()
+        return {
+            "waiting": len(self.waiting),
+            "share": round(self._room.get_share(work), 3),
+            "own_work_ms": round(work.own_ms),
+            "peers_work_ms": round(work.peers_ms),
+            "release_interval_ms": round(self._release_interval_ms, 1),
+        }
+
+    def _enqueue(self, item: Waiting, expected: Expected, now_ms: int) -> Refused | Waiting:
+        self.waiting[item.sequence] = item
+        if len(self.waiting) <= self._max_waiting:
+            return item
+        victim = choose_victim(
+            self.waiting.values(),
+            now_ms=now_ms,
+            get_excess=self._make_get_excess(now_ms),
+            by_urgency=self._by_urgency,
+        )
+        assert victim is not None
+        excess = self._shares.get_excess(victim.claim.workspace, now_ms=now_ms)
+        room_in_ms = int(len(self.waiting) * self._release_interval_ms + expected.backlog_ms)
+        message = "Too many requests wait for the upstreams"
+        refused = self._refuse(victim, Reason.QUEUE_FULL, message, room_in_ms, excess)
+        return refused if victim is item else item
+
+    def _end_overdue(self, now_ms: int) -> None:
+        for item in tuple(self.waiting.values()):
+            if item.future.done():
+                self.remove(item)
+            elif now_ms >= item.expires_ms:
+                self._refuse(item, Reason.DEADLINE, "The deadline has passed")
+            elif now_ms >= item.hold_until_ms:
+                self._end_wait(item, now_ms)
+
+    def _end_wait(self, item: Waiting, now_ms: int) -> None:
+        """Send a request whose longest wait has passed, or refuse it if it would be too late."""
+        expected = item.claim.estimate()
+        decision = (
+            Send() if expected is None else decide(_make_demand(item, now_ms, hold_ms=0), expected)
+        )
+        if isinstance(decision, Refuse):
+            self._refuse(item, decision.reason, LATE_MESSAGE, decision.room_in_ms)
+        else:
+            self._admit(item, now_ms)
+
+    def _find_releasable(self, work: ServiceWork, now_ms: int) -> Waiting | None:
+        """Return the first request in the order that is expected in time if it is sent now."""
+        for item in self._list_candidates(now_ms):
+            if not self._allows(item, work, now_ms):
+                continue
+            expected = item.claim.estimate()
+            if expected is None or is_in_time(_make_demand(item, now_ms), expected):
+                return item
+        return None
+
+    def _list_candidates(self, now_ms: int) -> Iterator[Waiting]:
+        """Yield the requests to estimate, in order.
+
+        Requests differ in what upstreams have cached for them, so a request may be in time although
+        the ones before it are not. The last candidate is another one in each check.
+        """
+        remaining = dict(self.waiting)
+        get_excess = self._make_get_excess(now_ms)
+        overdue = self._credits.find_overdue()
+        per_class: dict[str, int] = {}
+        for _ in range(MAX_ESTIMATES - 1):
+            item = choose_next(
+                remaining.values(),
+                now_ms=now_ms,
+                get_excess=get_excess,
+                by_urgency=self._by_urgency,
+                overdue=overdue,
+            )
+            if item is None:
+                break
+            yield item
+            del remaining[item.sequence]
+            name = item.claim.caller_class
+            per_class[name] = per_class.get(name, 0) + 1
+            if per_class[name] >= MAX_ESTIMATES_PER_CLASS:
+                remaining = {
+                    key: other
+                    for key, other in remaining.items()
+                    if other.claim.caller_class != name
+                }
+        self._rotation += 1
+        others = tuple(self.waiting.values())
+        yield others[self._rotation % len(others)]
+
+    def _admit(self, item: Waiting, now_ms: int) -> None:
+        classes = {other.claim.caller_class for other in self.waiting.values()}
+        self._credits.note_released(item.claim.caller_class, waiting=classes)
+        self.remove(item)
+        self._room.note_released(now_ms=now_ms)
+        if self._released_ms is not None:
+            interval_ms = now_ms - self._released_ms - self._release_interval_ms
+            self._release_interval_ms += RELEASE_EWMA_WEIGHT * interval_ms
+        self._released_ms = now_ms if self.waiting else None
+        if not item.future.done():
+            self._unsent.add(item.sequence)
+            item.future.set_result(Admitted(waited_ms=now_ms - item.arrived_ms))
+
+    def _refuse(
+        self,
+        item: Waiting,
+        reason: Reason,
+        message: str,
+        room_in_ms: int = 0,
+        excess: float = 0.0,
+    ) -> Refused:
+        self.remove(item)
+        refused = Refused(reason=reason, message=message, room_in_ms=room_in_ms, excess=excess)
+        if not item.future.done():
+            item.future.set_result(refused)
+        return refused
+
+    def _estimate_ahead_ms(self, item: Waiting, now_ms: int) -> float:
+        """Return the time until a new request is released if others wait; 0 if none does."""
+        if not self.waiting:
+            return 0.0
+        return (1 + self.get_position(item, now_ms=now_ms)) * self._release_interval_ms
+
+    def _has_room(self, item: Waiting, now_ms: int) -> bool:
+        work = self._get_work()
+        self._room.note(work, now_ms=now_ms)
+        return self._allows(item, work, now_ms)
+
+    def _allows(self, item: Waiting, work: ServiceWork, now_ms: int) -> bool:
+        budget_ms = get_budget_ms(plain=item.claim.plain, target_ms=item.route_target_ms)
+        return self._room.allows(work, budget_ms=budget_ms, now_ms=now_ms)
+
+    def _make_get_excess(self, now_ms: int) -> Callable[[str], float]:
+        """Return a function that looks up each workspace only once."""
+        known: dict[str, float] = {}
+
+        def get_excess(workspace: str) -> float:
+            excess = known.get(workspace)
+            if excess is None:
+                excess = known[workspace] = self._shares.get_excess(workspace, now_ms=now_ms)
+            return excess
+
+        return get_excess
+
+
+def _make_demand(
+    item: Waiting, now_ms: int, *, ahead_ms: float = 0.0, hold_ms: float | None = None
+) -> Demand:
+    return Demand(
+        plain=item.claim.plain,
+        target_ms=item.target_at_ms - now_ms,
+        remaining_ms=item.expires_ms - now_ms,
+        hold_ms=item.hold_until_ms - now_ms if hold_ms is None else hold_ms,
+        ahead_ms=ahead_ms,
+    )
--- /dev/null
+++ b/gypsumrouter/contention/room.py
@@ -0,0 +1,79 @@
+"""This router's share of the capacity of a service, among all routers."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from gypsumrouter.contention.const import (
+    ADDED_DEMAND,
+    DEMAND_WINDOW_MS,
+    IDLE_LIMIT_MS,
+    MAX_ADDED_DEMAND,
+    SAMPLE_INTERVAL_MS,
+)
+from gypsumrouter.contention.models import ServiceWork
+
+
+class RoomShare:
+    """Divides the capacity of a service by demand, without coordination.
+
+    Demand is the number of running requests. Reports of peers are old, so the smallest own demand
+    of the window is compared with the largest demand of the peers. At any time within the window
+    that all reports cover, these are bounds of the real figures; so the shares of all routers add
+    up to the capacity at most. Each router may exceed its share by one request.
+    """
+
+    __slots__ = ("_last_release_ms", "_samples")
+
+    def __init__(self) -> None:
+        # Time, own demand and demand of the peers.
+        self._samples: deque[tuple[int, int, int]] = deque()
+        self._last_release_ms: int | None = None
+
+    def note(self, work: ServiceWork, *, now_ms: int) -> None:
+        """Sample the demand."""
+        samples = self._samples
+        while samples and now_ms - samples[0][0] > DEMAND_WINDOW_MS:
+            samples.popleft()
+        sample = (now_ms, work.own_running, work.peers_running)
+        if samples and now_ms - samples[-1][0] < SAMPLE_INTERVAL_MS:
+            last = samples.pop()
+            sample = (last[0], min(last[1], sample[1]), max(last[2], sample[2]))
+        samples.append(sample)
+
+    def is_sample_due(self, *, now_ms: int) -> bool:
+        """Return whether the last sample is old enough for another one."""
+        return not self._samples or now_ms - self._samples[-1][0] >= SAMPLE_INTERVAL_MS
+
+    def get_share(self, work: ServiceWork) -> float:
+        """Return the part of the capacity that this router may use, from 0 to 1."""
+        routers = max(1, work.routers)
+        if not work.peers_known:
+            return 1 / routers
+        own = min((own for _, own, _ in self._samples), default=0)
+        peers = max((peers for _, _, peers in self._samples), default=0)
+        if own + peers == 0:
+            return 1 / routers
+        if peers == 0:
+            return 1.0
+        added = min(ADDED_DEMAND, MAX_ADDED_DEMAND / routers)
+        return (own + added) / (own + peers + added * routers)
+
+    def allows(self, work: ServiceWork, *, budget_ms: float, now_ms: int) -> bool:
+        """Return whether a request may be released that is expected to meet its target.
+
+        `budget_ms` is the work that an upstream can have before requests miss their targets.
+        Capacity that other routers leave unused is taken by one request at a time.
+        """
+        room_ms = work.upstreams * budget_ms
+        if work.own_ms <= self.get_share(work) * room_ms:
+            return True
+        return work.own_ms + work.peers_ms < room_ms and self._is_idle(now_ms)
+
+    def note_released(self, *, now_ms: int) -> None:
+        """Record a release."""
+        self._last_release_ms = now_ms
+
+    def _is_idle(self, now_ms: int) -> bool:
+        last_ms = self._last_release_ms
+        return last_ms is None or now_ms - last_ms >= IDLE_LIMIT_MS
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -9,9 +9,11 @@
 
 from gypsumrouter.callers import abort_connection
 from gypsumrouter.const import MS_PER_S
+from gypsumrouter.contention import ContentionControl, Refused
 from gypsumrouter.core import Application
 from gypsumrouter.forwarding.attempt import Attempt
 from gypsumrouter.forwarding.budget import RetryBudget
+from gypsumrouter.forwarding.claims import make_claim
 from gypsumrouter.forwarding.connections import ConnectionPool
 from gypsumrouter.forwarding.const import (
     MIN_RESPONSE_TIMEOUT_MS,
@@ -40,7 +42,7 @@
     decide_next_step,
 )
 from gypsumrouter.forwarding.outcome_recorder import OutcomeRecorder
-from gypsumrouter.forwarding.placed import Placement
+from gypsumrouter.forwarding.placed import Placement, SentRequest
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.forwarding.relay import Relay, RelayResult
@@ -54,7 +56,10 @@
 
 
 class ForwardingContext(Struct, frozen=True, kw_only=True):
-    """Components that all requests of a forwarder share; `without` are disabled mechanisms."""
+    """Components that all requests of a forwarder share; `without` are disabled mechanisms.
+
+    `contention` is None if requests never wait in the router.
+    """
 
     app: Application
     journal: Journal
@@ -63,6 +68,7 @@
     pool: ConnectionPool
     budget: RetryBudget
     suspects: SuspectTracker
+    contention: ContentionControl | None = None
     without: frozenset[Mechanism] = frozenset()
 
 
@@ -133,6 +139,10 @@
             if self._is_suspect():
                 message = "Upstreams broke off while they ran the same request"
                 return self._refuse(Reason.SUSPECT_ISOLATED, message)
+            if self.progress.attempts == 0:
+                refusal = await self._async_admit()
+                if refusal is not None:
+                    return refusal
             placement = self._context.placer.place(
                 service=self._service,
                 prompt=self._request.prompt,
@@ -145,6 +155,45 @@
             if response is not None:
                 return response
 
+    async def _async_admit(self) -> web.StreamResponse | None:
+        """Wait for capacity under contention; return the response to a refused request."""
+        contention = self._context.contention
+        if contention is None:
+            return None
+        claim = make_claim(
+            placer=self._context.placer,
+            request=self._request,
+            routed=self._routed,
+            service=self._service,
+            digest=self._digest,
+            waited_ms=self._now_ms() - self.progress.arrived_ms,
+            remaining_ms=self._remaining_ms(),
+        )
+        outcome = await contention.async_admit(claim)
+        if isinstance(outcome, Refused):
+            return self._refuse(outcome.reason, outcome.message, outcome.room_in_ms, outcome.excess)
+        if self._remaining_ms() <= 0:
+            # The process may have been suspended after the release.
+            return self._refuse(Reason.DEADLINE, "No upstream had time for the request")
+        return None
+
+    def _note_sent(self, placement: Placement) -> SentRequest:
+        """Record that the request is sent to an upstream."""
+        placer = self._context.placer
+        contention = self._context.contention
+        if contention is None:
+            return placer.note_sent(placement, self._request.prompt)
+        cost_ms = placer.estimate(placement, self._request.prompt).own_ms
+        sent = placer.note_sent(placement, self._request.prompt)
+        contention.note_sent(self._service, workspace=self._routed.workspace, cost_ms=cost_ms)
+        return sent
+
+    def _note_ended(self, sent: SentRequest, *, held_ms: int) -> None:
+        """Record that an attempt has ended."""
+        self._context.placer.note_ended(sent, held_ms=held_ms)
+        if self._context.contention is not None:
+            self._context.contention.note_changed(self._service)
+
     async def _async_attempt(self, placement: Placement) -> web.StreamResponse | None:
         """Make one attempt; return the response, or None if another attempt is to be made."""
         progress = self.progress
@@ -166,19 +215,21 @@
         started_ms = self._now_ms()
         outcome: Outcome | None = None
         step = "given up"
-        sent = self._context.placer.note_sent(placement, self._request.prompt)
+        sent = self._note_sent(placement)
         try:
             outcome = await self._async_send(attempt)
             self._context.placer.note_prefilled(sent)
             self._record_service_time(placement, outcome, self._now_ms() - started_ms)
             if isinstance(outcome, StreamingResponse):
                 self._context.placer.note_first_event(sent)
+                if self._context.contention is not None:
+                    self._context.contention.note_changed(self._service)
             if isinstance(outcome, Unreachable | Rejected):
                 self._context.placer.note_not_run(sent)
             response, step = await self._async_decide(attempt, outcome)
         finally:
             attempt.close()
-            self._context.placer.note_ended(sent, held_ms=self._now_ms() - started_ms)
+            self._note_ended(sent, held_ms=self._now_ms() - started_ms)
             self._request_journal.record_ended(
                 attempt,
                 outcome,
@@ -280,7 +331,9 @@
             return False
         return self._context.suspects.is_suspect(self._digest)
 
-    def _refuse(self, reason: Reason, message: str, not_before_ms: int = 0) -> web.StreamResponse:
+    def _refuse(
+        self, reason: Reason, message: str, not_before_ms: int = 0, excess: float = 0.0
+    ) -> web.StreamResponse:
         """End a request without another attempt: refused, or failed if it may have run."""
         progress = self.progress
         if progress.possibly_ran_on or self._relay.response is not None:
@@ -299,6 +352,8 @@
             status=response.status,
             retry_after_ms=retry_after_ms,
             waited_ms=self._now_ms() - progress.arrived_ms,
+            room_in_ms=not_before_ms,
+            excess=excess,
         )
         return response
 
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from gypsumrouter.callers import CallerConnection, CallerListener, CallerServer, ConnectionLimits
+from gypsumrouter.contention import ContentionControl
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Evacuations
 from gypsumrouter.forwarding.backoff import BackoffTracker
@@ -23,6 +24,7 @@
 from gypsumrouter.forwarding.models import Dialect
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.service_work import ServiceWorkReader
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.forwarding.suspects import SuspectTracker
 from gypsumrouter.instances import Address, parse_address
@@ -114,6 +116,7 @@
             pool=self._pool,
             budget=self.budget,
             suspects=self.suspects,
+            contention=self._make_contention(settings, journal),
             without=settings.without,
         )
         self.inventory = CacheInventory(
@@ -176,6 +179,22 @@
             self.inventory.async_start()
         return address
 
+    def _make_contention(
+        self, settings: ForwarderSettings, journal: Journal
+    ) -> ContentionControl | None:
+        if settings.contention is None or Mechanism.CONTENTION_QUEUE in settings.without:
+            return None
+        work = ServiceWorkReader(clock=self._app.clock, placer=self.placer)
+        contention = ContentionControl(
+            app=self._app,
+            journal=journal,
+            settings=settings.contention,
+            get_work=work.read,
+            without=settings.without,
+        )
+        self._routing.on_change(contention.set_table)
+        return contention
+
     def _listen(self, settings: ForwarderSettings) -> None:
         self._server = CallerServer(
             self._async_handle,
--- a/gypsumrouter/forwarding/loads.py
+++ b/gypsumrouter/forwarding/loads.py
@@ -152,6 +152,17 @@
                 sums[upstream] = load if total is None else _add(total, load)
         return sums
 
+    def get_own(self, upstream: str) -> UpstreamLoad:
+        """Return the load that this router causes at an upstream."""
+        return UpstreamLoad(
+            running=self._running.get(upstream, 0), pending_tokens=self._pending.get(upstream, 0)
+        )
+
+    def has_peer_loads(self, *, now_ms: int) -> bool:
+        """Return whether there is a load report of a peer that has not expired."""
+        self._drop_expired(now_ms)
+        return bool(self._peers)
+
     def get_own_running(self, upstream: str) -> int:
         """Return the number of running requests of this router at an upstream."""
         return self._running.get(upstream, 0)
--- a/gypsumrouter/forwarding/placement.py
+++ b/gypsumrouter/forwarding/placement.py
@@ -14,6 +14,7 @@
 import xxhash
 from msgspec import Struct
 
+from gypsumrouter.contention import Expected
 from gypsumrouter.forwarding.prefill_speed import PRIOR_TOKENS_PER_MS
 
 # Cost of copying cached tokens from another engine: a set-up time and a rate. The rate is set below
@@ -136,6 +137,29 @@
     return cost + candidate.penalty_ms
 
 
+def estimate_first_event(
+    *,
+    load: int,
+    slots: int,
+    pending_tokens: int,
+    prefill_tokens: int,
+    fetched_tokens: int,
+    prefill_tokens_per_ms: float,
+    base_ms: float,
+) -> Expected:
+    """Return the expected time to the first event of a request at a model engine.
+
+    `prefill_tokens` of its prompt are prefilled, `fetched_tokens` are copied from another engine.
+    `base_ms` is the time that a prompt without either takes on an idle engine.
+    """
+    backlog_ms = pending_tokens / prefill_tokens_per_ms
+    backlog_ms += max(0, load + 1 - slots) * QUEUED_COST_MS
+    own_ms = base_ms + prefill_tokens / prefill_tokens_per_ms
+    if fetched_tokens:
+        own_ms += FETCH_SETUP_MS + fetched_tokens / FETCH_TOKENS_PER_MS
+    return Expected(backlog_ms=backlog_ms, own_ms=own_ms)
+
+
 def choose_plain(candidates: Sequence[Candidate], *, cap: Cap, mean: float) -> Candidate | None:
     """Return an upstream for a request without a prompt; None if there is no candidate.
 
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -7,6 +7,7 @@
 
 import xxhash
 
+from gypsumrouter.contention import Expected
 from gypsumrouter.core import Application, Remove
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuation, Evacuations
 from gypsumrouter.forwarding.backoff import BackoffTracker
@@ -25,6 +26,7 @@
     choose,
     choose_by_affinity,
     choose_plain,
+    estimate_first_event,
 )
 from gypsumrouter.forwarding.plain_admission import PlainAdmission
 from gypsumrouter.forwarding.prefill_speed import PrefillSpeed
@@ -211,6 +213,28 @@
             prefill_tokens_per_ms=self.prefill_speed.tokens_per_ms,
         )
 
+    def estimate(self, placed: Placement, prompt: Prompt | None) -> Expected:
+        """Return the expected time of a placed request until the first event or the response."""
+        if prompt is None:
+            return self.plain.estimate(placed)
+        own_tokens = prompt.input_tokens - sum(part.tokens for part in prompt.shared)
+        fetched_tokens = 0 if placed.fetch_from is None else placed.missing_tokens
+        prefill_tokens = own_tokens + placed.missing_tokens - fetched_tokens
+        return estimate_first_event(
+            load=placed.load,
+            slots=placed.entry.slots,
+            pending_tokens=placed.pending_tokens,
+            prefill_tokens=max(0, prefill_tokens),
+            fetched_tokens=fetched_tokens,
+            prefill_tokens_per_ms=self.prefill_speed.tokens_per_ms,
+            base_ms=self.prefill_speed.base_ms,
+        )
+
+    def list_eligible(self, service: str) -> tuple[Entry, ...]:
+        """Return the upstreams of a service that may receive a request now."""
+        entries = self._eligibility.select(self.list_ready(service), excluded=())
+        return () if isinstance(entries, PlacementRefusal) else entries
+
     def is_cached(self, prompt: Prompt) -> bool:
         """Return whether some engine is known to have shared parts of a prompt in its cache."""
         return self._find_source(prompt.shared, self._app.clock.now_ms()) is not None
--- a/gypsumrouter/forwarding/plain_admission.py
+++ b/gypsumrouter/forwarding/plain_admission.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Collection
 
+from gypsumrouter.contention import Expected
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.eligibility import PlacementRefusal, make_late_refusal
 from gypsumrouter.forwarding.placed import Placement
@@ -61,6 +62,19 @@
             elapsed_ms=elapsed_ms,
         )
 
+    def estimate(self, placed: Placement) -> Expected:
+        """Return the expected response time of a placed request; 0 before the first response."""
+        entry = placed.entry
+        service_ms = self.get_service_ms(entry) or 0.0
+        response_ms = estimate_response_ms(
+            load=placed.load, slots=entry.slots, service_ms=service_ms
+        )
+        return Expected(backlog_ms=response_ms - service_ms, own_ms=service_ms)
+
+    def get_service_ms(self, entry: Entry) -> float | None:
+        """Return the service time of an upstream, None before the first response."""
+        return self._times.get(service=entry.service, upstream=entry.incarnation)
+
     def forget(self, upstream: str) -> None:
         """Drop the service time of an upstream that was removed."""
         self._times.forget(upstream)
--- a/gypsumrouter/forwarding/request_journal.py
+++ b/gypsumrouter/forwarding/request_journal.py
@@ -128,7 +128,14 @@
         )
 
     def record_refused(
-        self, *, reason: str, status: int, retry_after_ms: int, waited_ms: int
+        self,
+        *,
+        reason: str,
+        status: int,
+        retry_after_ms: int,
+        waited_ms: int,
+        room_in_ms: int = 0,
+        excess: float = 0.0,
     ) -> None:
         """Record that the request is refused without having run."""
         self._journal.record(
@@ -141,6 +148,8 @@
                 waited_ms=waited_ms,
                 configuration=self._configuration,
                 list_revision=self._list_revision,
+                room_in_ms=room_in_ms,
+                excess=round(excess, 2),
             )
         )
 
--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -279,8 +279,43 @@
     routers: int
 
 
+class RequestQueued(Event, frozen=True, kw_only=True):
+    """A request waits in the router because the upstreams of its service lack capacity.
+
+    `position` is how many waiting requests go before it. `room` is this router's share of the
+    service's capacity; it depends on the running requests of this router and of its peers,
+    `own_demand` and `peers_demand`. `expected_ms` is the expected time to the first event or the
+    response if the request were sent now, `longest_ms` the longest wait.
+    """
+
+    name: ClassVar[str] = "request_queued"
+    request_id: str
+    service: str
+    position: int
+    room: float
+    own_demand: int
+    peers_demand: int
+    peers_age_ms: int
+    expected_ms: int
+    longest_ms: int
+
+
+class RequestReleased(Event, frozen=True, kw_only=True):
+    """A waiting request is sent; `excess` is by how much its workspace exceeds its share."""
+
+    name: ClassVar[str] = "request_released"
+    request_id: str
+    service: str
+    waited_ms: int
+    excess: float
+
+
 class RequestRefused(Event, frozen=True, kw_only=True):
-    """A request was rejected before any upstream executed it."""
+    """A request was rejected before any upstream executed it.
+
+    Capacity for it is expected in `room_in_ms`, 0 if unknown. `excess` is by how much its workspace
+    exceeds its share, where that determined the decision.
+    """
 
     name: ClassVar[str] = "request_refused"
     request_id: str
@@ -291,6 +326,8 @@
     waited_ms: int
     configuration: int
     list_revision: int
+    room_in_ms: int = 0
+    excess: float = 0.0
 
 
 class RequestEnded(Event, frozen=True, kw_only=True):
@@ -347,6 +384,8 @@
     GracePeriodChanged,
     HeldPartsTold,
     RequestPlaced,
+    RequestQueued,
+    RequestReleased,
     AttemptSent,
     AttemptEnded,
     StreamResumed,
--- /dev/null
+++ b/tests/contention/test_contention_queue.py
@@ -0,0 +1,234 @@
+"""The admission queue of one router: who waits, who is released and who is refused."""
+
+from __future__ import annotations
+
+import pytest
+from contention_fakes import SERVICE, FakeService, World, async_settle
+
+from gypsumrouter.contention import Admitted, Refused, Return
+from gypsumrouter.contention.const import HOLD_SHARE, TICK_MS
+from gypsumrouter.contention.models import NoReturns, NoShares
+from gypsumrouter.mechanisms import Mechanism
+from gypsumrouter.outcomes import Reason
+
+
+async def test_request_in_time_is_admitted_without_a_wait(world: World) -> None:
+    """Guards against any delay or task while there is no contention."""
+    await world.async_ask("a")
+    assert world.outcomes == {"a": Admitted()}
+    assert world.service.estimates == 1
+
+
+async def test_waiting_request_is_released_as_soon_as_it_would_be_in_time(world: World) -> None:
+    """Guards against idle upstreams while a request waits."""
+    world.service.backlog_ms = 500
+    await world.async_ask("a")
+    await world.async_advance(50)
+    assert not world.outcomes
+    world.service.backlog_ms = 100
+    await world.async_advance(TICK_MS)
+    assert world.outcomes == {"a": Admitted(waited_ms=60)}
+
+
+async def test_end_of_a_request_releases_without_a_tick(world: World) -> None:
+    world.service.backlog_ms = 500
+    await world.async_ask("a")
+    world.service.backlog_ms = 0
+    world.control.note_changed(SERVICE)
+    await async_settle()
+    assert world.outcomes == {"a": Admitted()}
+
+
+async def test_request_is_sent_late_after_its_longest_wait(world: World) -> None:
+    """Guards against waits beyond the time at which the target can be met."""
+    world.service.backlog_ms = 500
+    await world.async_ask("a")
+    await world.async_advance(int(400 * HOLD_SHARE) - TICK_MS)
+    assert not world.outcomes
+    await world.async_advance(TICK_MS)
+    assert world.outcomes == {"a": Admitted(waited_ms=200)}
+
+
+async def test_request_that_would_miss_its_deadline_after_the_wait_is_refused(
+    world: World,
+) -> None:
+    world.service.backlog_ms = 500
+    await world.async_ask("a", remaining_ms=1_000)
+    world.service.backlog_ms = 1_500
+    await world.async_advance(200)
+    outcome = world.outcomes["a"]
+    assert isinstance(outcome, Refused)
+    assert outcome.reason is Reason.TARGET_UNATTAINABLE
+    assert outcome.room_in_ms > 0
+
+
+async def test_request_without_time_for_its_deadline_is_refused_on_arrival(world: World) -> None:
+    """Guards against requests that are held and then refused."""
+    world.service.backlog_ms = 5_000
+    await world.async_ask("a")
+    outcome = world.outcomes["a"]
+    assert isinstance(outcome, Refused)
+    assert outcome.reason is Reason.TARGET_UNATTAINABLE
+
+
+async def test_only_one_request_is_released_until_it_has_been_sent(world: World) -> None:
+    """Guards against a burst of releases on one estimate that counts none of them."""
+    world.service.backlog_ms = 500
+    for name in "abc":
+        await world.async_ask(name)
+    world.service.backlog_ms = 0
+    world.control.note_changed(SERVICE)
+    world.control.note_changed(SERVICE)
+    await async_settle()
+    assert world.order == ["a"]
+    world.control.note_sent(SERVICE, workspace="w", cost_ms=10)
+    await async_settle()
+    assert world.order == ["a", "b"]
+
+
+async def test_arrival_does_not_overtake_a_more_urgent_waiting_request(world: World) -> None:
+    world.service.backlog_ms = 500
+    await world.async_ask("urgent", priority=0)
+    world.service.backlog_ms = 0
+    await world.async_ask("other", priority=2)
+    assert world.order == ["urgent"]
+    await world.async_advance(TICK_MS)
+    assert world.order == ["urgent", "other"]
+
+
+async def test_request_behind_others_is_released_if_only_it_would_be_in_time(
+    world: World,
+) -> None:
+    """Guards against a head of the queue that blocks requests with a cached prompt."""
+    world.service.backlog_ms = 500
+    for number in range(8):
+        await world.async_ask(f"cold{number}", priority=0)
+    cached = FakeService(backlog_ms=500)
+    await world.async_ask("cached", priority=2, estimate=cached.estimate)
+    cached.backlog_ms = 100
+    await world.async_advance(9 * TICK_MS)
+    assert world.order == ["cached"]
+
+
+async def test_caller_that_leaves_is_dropped(world: World) -> None:
+    """Guards against a request that is sent after its caller has gone."""
+    world.service.backlog_ms = 500
+    await world.async_ask("a")
+    await world.async_ask("b")
+    world.tasks["a"].cancel()
+    await async_settle()
+    world.service.backlog_ms = 0
+    await world.async_advance(TICK_MS)
+    assert world.order == ["b"]
+
+
+async def test_caller_that_leaves_at_the_release_is_not_admitted(world: World) -> None:
+    """Guards the race between a release and the end of the caller's connection."""
+    world.service.backlog_ms = 500
+    await world.async_ask("a")
+    await world.async_ask("b")
+    world.service.backlog_ms = 0
+    world.control.note_changed(SERVICE)
+    world.tasks["a"].cancel()
+    await async_settle()
+    assert world.order == []
+    await world.async_advance(TICK_MS)
+    assert world.order == ["b"]
+
+
+async def test_frozen_router_refuses_what_ran_out_of_time(world: World) -> None:
+    """Guards against sending requests whose time ran out while the process was suspended."""
+    world.service.backlog_ms = 500
+    await world.async_ask("a", remaining_ms=2_000)
+    world.service.backlog_ms = 0
+    world.clock.advance(2_000)
+    await async_settle()
+    outcome = world.outcomes["a"]
+    assert isinstance(outcome, Refused)
+    assert outcome.reason is Reason.DEADLINE
+
+
+async def test_stop_refuses_all_that_wait(world: World) -> None:
+    """Guards against requests that are cut off by the end of the process."""
+    world.service.backlog_ms = 500
+    await world.async_ask("a")
+    await world.async_ask("b", service="other")
+    await world.app.async_stop()
+    await async_settle()
+    for name in "ab":
+        outcome = world.outcomes[name]
+        assert isinstance(outcome, Refused)
+        assert outcome.reason is Reason.LEAVING
+
+
+async def test_full_queue_refuses_the_last_in_the_order() -> None:
+    """Guards against an unbounded queue, and against the refusal of the urgent."""
+    world = World(max_waiting=2)
+    world.service.backlog_ms = 500
+    await world.async_ask("a", priority=2)
+    await world.async_ask("b", priority=1)
+    await world.async_ask("c", priority=0)
+    await world.async_ask("d", priority=2)
+    assert set(world.outcomes) == {"a", "d"}
+    for outcome in world.outcomes.values():
+        assert isinstance(outcome, Refused)
+        assert outcome.reason is Reason.QUEUE_FULL
+        assert outcome.room_in_ms > 0
+    await world.async_stop()
+
+
+async def test_kept_place_goes_first_and_early_return_last() -> None:
+    class Returns(NoReturns):
+        def claim(self, *, digest: int, workspace: str, now_ms: int) -> Return:
+            return {1: Return.EARLY, 2: Return.UNKNOWN, 3: Return.KEPT}[digest]
+
+    world = World(returns=Returns())
+    world.service.backlog_ms = 500
+    for digest, name in enumerate(("early", "unknown", "kept"), start=1):
+        await world.async_ask(name, digest=digest, priority=digest)
+    world.service.backlog_ms = 0
+    await world.async_advance(3 * TICK_MS)
+    assert world.order == ["kept", "unknown", "early"]
+    await world.async_stop()
+
+
+async def test_work_is_noted_for_the_workspace_that_caused_it() -> None:
+    class Shares(NoShares):
+        def __init__(self) -> None:
+            self.noted: list[tuple[str, float, int]] = []
+
+        def note(self, *, workspace: str, cost: float, now_ms: int) -> None:
+            self.noted.append((workspace, cost, now_ms))
+
+    shares = Shares()
+    world = World(shares=shares)
+    world.control.note_sent(SERVICE, workspace="plant", cost_ms=12.5)
+    assert shares.noted == [("plant", 12.5, world.clock.now_ms())]
+    await world.async_stop()
+
+
+@pytest.mark.parametrize(("without", "first"), [((), "b"), ((Mechanism.URGENCY_ORDER,), "a")])
+async def test_urgency_order_can_be_switched_off(
+    without: tuple[Mechanism, ...], first: str
+) -> None:
+    world = World(without=frozenset(without))
+    world.service.backlog_ms = 500
+    await world.async_ask("a", priority=2)
+    await world.async_ask("b", priority=0)
+    world.service.backlog_ms = 0
+    world.control.note_changed(SERVICE)
+    await async_settle()
+    assert world.order == [first]
+    await world.async_stop()
+
+
+async def test_decisions_are_counted_and_dumped(world: World) -> None:
+    await world.async_ask("a")
+    world.service.backlog_ms = 500
+    await world.async_ask("b")
+    text = world.app.metrics.render().decode()
+    assert 'gypsumrouter_contention_decisions_total{decision="send",kind="engine"} 1' in text
+    assert 'gypsumrouter_contention_waiting{kind="engine"} 1' in text
+    section = world.app.dump()["contention"]
+    assert isinstance(section, dict)
+    assert section[SERVICE]["waiting"] == 1
