Admission queue: refuse on arrival what would wait in vain, and keep the order under overload

Cause: requests sent late after their longest wait fill the upstreams, so that all others are late too. Change: while others wait, a request that would probably not be released within its longest wait is refused on arrival. Less urgent requests leave the upstreams in time for the more urgent that waited in the last 500 ms. Under contention estimates include what peers have sent unreported.

--- a/gypsumrouter/contention/const.py
+++ b/gypsumrouter/contention/const.py
@@ -33,6 +33,12 @@
 # otherwise, in a large fleet, they would outweigh the real demand.
 ADDED_DEMAND: Final = 2.0
 MAX_ADDED_DEMAND: Final = 100.0
+# A service counts as contended for this long, in milliseconds, after a request had to wait or was
+# refused. It covers the gaps between requests of a class with few of them.
+CONTENTION_MS: Final = 500
+# Largest allowance for requests that peers have sent since their last report, as a share of the
+# budget. With a larger one an upstream could become idle while requests wait.
+MAX_UNREPORTED_SHARE: Final = 0.5
 # Shortest interval between two samples of the demand, in milliseconds; it bounds their cost.
 SAMPLE_INTERVAL_MS: Final = 50
 # Guaranteed releases of a waiting class, as a share of an equal part.
--- a/gypsumrouter/contention/decision.py
+++ b/gypsumrouter/contention/decision.py
@@ -77,4 +77,7 @@
     max_ms = int(min(slack_ms, demand.hold_ms))
     if max_ms <= 0:
         return Send()
+    if demand.ahead_ms > max_ms:
+        room_in_ms = int(demand.ahead_ms - max_ms) + 1
+        return Refuse(reason=Reason.TARGET_UNATTAINABLE, room_in_ms=room_in_ms)
     return Wait(max_ms=max_ms)
--- a/gypsumrouter/contention/queue.py
+++ b/gypsumrouter/contention/queue.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import math
+from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import Final
 
+from msgspec.structs import replace
+
 from gypsumrouter.contention.const import (
-    INITIAL_RELEASE_INTERVAL_MS,
     MAX_ESTIMATES,
     MAX_ESTIMATES_PER_CLASS,
-    RELEASE_EWMA_WEIGHT,
 )
 from gypsumrouter.contention.decision import (
     Demand,
@@ -20,6 +22,8 @@
     get_budget_ms,
     is_in_time,
 )
+from gypsumrouter.contention.intervals import ReleaseIntervals
+from gypsumrouter.contention.limits import UrgencyLimits, estimate_unreported_ms
 from gypsumrouter.contention.models import (
     Admitted,
     Claim,
@@ -42,17 +46,22 @@
 class ContentionQueue:
     """Waiting requests of one service and their release.
 
+    While others wait, a request is refused at once if it would probably not be released within its
+    longest wait; one whose longest wait has passed is refused too. It would be late, and the work
+    would make the others late that can still be in time. If no other waits, it is sent.
+
     A released request is sent as soon as its task runs. Until then the estimates do not include it,
     and no other request is released because it would be in time.
     """
 
     __slots__ = (
+        "_by_class",
         "_by_urgency",
         "_credits",
         "_get_work",
+        "_intervals",
+        "_limits",
         "_max_waiting",
-        "_release_interval_ms",
-        "_released_ms",
         "_room",
         "_rotation",
         "_shares",
@@ -73,10 +82,12 @@
         self._get_work = get_work
         self._by_urgency = by_urgency
         self._credits = ClassCredits()
+        self._limits = UrgencyLimits()
         self._room = RoomShare()
-        self._released_ms: int | None = None
-        self._release_interval_ms = INITIAL_RELEASE_INTERVAL_MS
+        self._intervals = ReleaseIntervals()
         self._rotation = 0
+        # Waiting requests of each class.
+        self._by_class: Counter[str] = Counter()
         # Released requests whose tasks have not run yet.
         self._unsent: set[int] = set()
         self.waiting: dict[int, Waiting] = {}
@@ -96,13 +107,19 @@
             returned=returned,
             future=asyncio.get_running_loop().create_future(),
         )
+        work = self._get_work()
+        self._room.note(work, now_ms=now_ms)
         ahead_ms = self._estimate_ahead_ms(item, now_ms)
-        decision = decide(_make_demand(item, now_ms, ahead_ms=ahead_ms), expected)
-        match decision:
+        match decide(_make_demand(item, now_ms, ahead_ms=ahead_ms), expected):
             case Refuse(reason=reason, room_in_ms=room_in_ms):
+                self._note_contention(item, now_ms)
                 return Refused(reason=reason, message=LATE_MESSAGE, room_in_ms=room_in_ms)
-            case Send() if item.hold_until_ms <= now_ms or self._has_room(item, now_ms):
+            case Send() if item.hold_until_ms <= now_ms:
+                return Admitted()
+            case Send() if self._may_send(item, expected, work, now_ms):
+                self._room.note_released(now_ms=now_ms)
                 return Admitted()
+        self._note_contention(item, now_ms)
         return self._enqueue(item, expected, now_ms)
 
     def get_position(self, item: Waiting, *, now_ms: int) -> int:
@@ -120,8 +137,14 @@
 
     def remove(self, item: Waiting) -> None:
         """Remove a request whose caller has gone or that has got its decision."""
-        self.waiting.pop(item.sequence, None)
         self._unsent.discard(item.sequence)
+        if self.waiting.pop(item.sequence, None) is None:
+            return
+        name = item.claim.caller_class
+        self._by_class[name] -= 1
+        if not self._by_class[name]:
+            del self._by_class[name]
+            self._intervals.stop(name)
 
     def release(self, *, now_ms: int) -> None:
         """End the waits that have run out, and release the next request if there is capacity."""
@@ -152,11 +175,13 @@
             "share": round(self._room.get_share(work), 3),
             "own_work_ms": round(work.own_ms),
             "peers_work_ms": round(work.peers_ms),
-            "release_interval_ms": round(self._release_interval_ms, 1),
+            "release_intervals_ms": self._intervals.dump(),
         }
 
     def _enqueue(self, item: Waiting, expected: Expected, now_ms: int) -> Refused | Waiting:
         self.waiting[item.sequence] = item
+        self._by_class[item.claim.caller_class] += 1
+        self._intervals.note_waiting(item.claim.caller_class, now_ms=now_ms)
         if len(self.waiting) <= self._max_waiting:
             return item
         victim = choose_victim(
@@ -167,7 +192,7 @@
         )
         assert victim is not None
         excess = self._shares.get_excess(victim.claim.workspace, now_ms=now_ms)
-        room_in_ms = int(len(self.waiting) * self._release_interval_ms + expected.backlog_ms)
+        room_in_ms = int(self._estimate_ahead_ms(victim, now_ms))
         message = "Too many requests wait for the upstreams"
         refused = self._refuse(victim, Reason.QUEUE_FULL, message, room_in_ms, excess)
         return refused if victim is item else item
@@ -182,26 +207,52 @@
                 self._end_wait(item, now_ms)
 
     def _end_wait(self, item: Waiting, now_ms: int) -> None:
-        """Send a request whose longest wait has passed, or refuse it if it would be too late."""
+        """Send or refuse a request whose longest wait has passed."""
         expected = item.claim.estimate()
         decision = (
             Send() if expected is None else decide(_make_demand(item, now_ms, hold_ms=0), expected)
         )
         if isinstance(decision, Refuse):
             self._refuse(item, decision.reason, LATE_MESSAGE, decision.room_in_ms)
+        elif len(self.waiting) > 1 and expected is not None:
+            room_in_ms = int(self._estimate_ahead_ms(item, now_ms))
+            self._refuse(item, Reason.TARGET_UNATTAINABLE, LATE_MESSAGE, room_in_ms)
         else:
             self._admit(item, now_ms)
 
     def _find_releasable(self, work: ServiceWork, now_ms: int) -> Waiting | None:
-        """Return the first request in the order that is expected in time if it is sent now."""
+        """Return the first request in the order that may be sent now."""
         for item in self._list_candidates(now_ms):
-            if not self._allows(item, work, now_ms):
-                continue
             expected = item.claim.estimate()
-            if expected is None or is_in_time(_make_demand(item, now_ms), expected):
+            if expected is None or self._may_send(item, expected, work, now_ms):
                 return item
+            self._note_contention(item, now_ms)
         return None
 
+    def _may_send(self, item: Waiting, expected: Expected, work: ServiceWork, now_ms: int) -> bool:
+        """Return whether a request that is sent now is expected to meet its target.
+
+        The upstream must also be left in time for the more urgent requests that wait, and the work
+        of this router must be within its share.
+        """
+        budget_ms = get_budget_ms(plain=item.claim.plain, target_ms=item.route_target_ms)
+        if self._limits.is_contended(now_ms=now_ms):
+            unreported_ms = estimate_unreported_ms(work, budget_ms=budget_ms)
+            expected = replace(expected, backlog_ms=expected.backlog_ms + unreported_ms)
+        limit_ms = math.inf
+        if item.claim.caller_class != self._credits.find_overdue():
+            limit_ms = self._limits.get(item.priority, now_ms=now_ms)
+        budget_ms = min(budget_ms, limit_ms + expected.own_ms)
+        return (
+            expected.backlog_ms <= limit_ms
+            and is_in_time(_make_demand(item, now_ms), expected)
+            and self._room.allows(work, budget_ms=budget_ms, now_ms=now_ms)
+        )
+
+    def _note_contention(self, item: Waiting, now_ms: int) -> None:
+        left_ms = get_budget_ms(plain=item.claim.plain, target_ms=item.target_at_ms - now_ms)
+        self._limits.note(item.priority, limit_ms=left_ms - item.own_ms, now_ms=now_ms)
+
     def _list_candidates(self, now_ms: int) -> Iterator[Waiting]:
         """Yield the requests to estimate, in order.
 
@@ -237,14 +288,11 @@
         yield others[self._rotation % len(others)]
 
     def _admit(self, item: Waiting, now_ms: int) -> None:
-        classes = {other.claim.caller_class for other in self.waiting.values()}
-        self._credits.note_released(item.claim.caller_class, waiting=classes)
+        name = item.claim.caller_class
+        self._credits.note_released(name, waiting=tuple(self._by_class))
+        self._intervals.note_released(name, now_ms=now_ms)
         self.remove(item)
         self._room.note_released(now_ms=now_ms)
-        if self._released_ms is not None:
-            interval_ms = now_ms - self._released_ms - self._release_interval_ms
-            self._release_interval_ms += RELEASE_EWMA_WEIGHT * interval_ms
-        self._released_ms = now_ms if self.waiting else None
         if not item.future.done():
             self._unsent.add(item.sequence)
             item.future.set_result(Admitted(waited_ms=now_ms - item.arrived_ms))
@@ -267,16 +315,8 @@
         """Return the time until a new request is released if others wait; 0 if none does."""
         if not self.waiting:
             return 0.0
-        return (1 + self.get_position(item, now_ms=now_ms)) * self._release_interval_ms
-
-    def _has_room(self, item: Waiting, now_ms: int) -> bool:
-        work = self._get_work()
-        self._room.note(work, now_ms=now_ms)
-        return self._allows(item, work, now_ms)
-
-    def _allows(self, item: Waiting, work: ServiceWork, now_ms: int) -> bool:
-        budget_ms = get_budget_ms(plain=item.claim.plain, target_ms=item.route_target_ms)
-        return self._room.allows(work, budget_ms=budget_ms, now_ms=now_ms)
+        name = item.claim.caller_class
+        return (1 + self._by_class[name]) * self._intervals.get(name, now_ms=now_ms)
 
     def _make_get_excess(self, now_ms: int) -> Callable[[str], float]:
         """Return a function that looks up each workspace only once."""
