--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from gypsumrouter.callers import CallerConnection, CallerListener, CallerServer, ConnectionLimits
-from gypsumrouter.contention import WorkspaceShares
+from gypsumrouter.contention import ContentionControl, WorkspaceShares
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Evacuations
 from gypsumrouter.forwarding.backoff import BackoffTracker
@@ -25,6 +25,7 @@
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.return_order import ReturnOrder
+from gypsumrouter.forwarding.service_work import ServiceWorkReader
 from gypsumrouter.forwarding.silence import SilenceTracker
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.forwarding.suspects import SuspectTracker
@@ -135,6 +136,7 @@
             suspects=self.suspects,
             shares=self.shares,
             return_order=self._return_order,
+            contention=self._make_contention(settings, journal),
             without=settings.without,
         )
         self.inventory = CacheInventory(
@@ -197,6 +199,23 @@
             self.inventory.async_start()
         return address
 
+    def _make_contention(
+        self, settings: ForwarderSettings, journal: Journal
+    ) -> ContentionControl | None:
+        if settings.contention is None or Mechanism.CONTENTION_QUEUE in settings.without:
+            return None
+        work = ServiceWorkReader(clock=self._app.clock, placer=self.placer)
+        contention = ContentionControl(
+            app=self._app,
+            journal=journal,
+            settings=settings.contention,
+            get_work=work.read,
+            shares=self.shares,
+            without=settings.without,
+        )
+        self._routing.on_change(contention.set_table)
+        return contention
+
     def _listen(self, settings: ForwarderSettings) -> None:
         self._server = CallerServer(
             self._async_handle,
--- a/gypsumrouter/forwarding/request_journal.py
+++ b/gypsumrouter/forwarding/request_journal.py
@@ -128,7 +128,15 @@
         )
 
     def record_refused(
-        self, *, reason: str, status: int, retry_after_ms: int, waited_ms: int, return_position: int
+        self,
+        *,
+        reason: str,
+        status: int,
+        retry_after_ms: int,
+        waited_ms: int,
+        return_position: int,
+        room_in_ms: int = 0,
+        excess: float = 0.0,
     ) -> None:
         """Record that the request is refused without having run."""
         self._journal.record(
@@ -142,6 +150,8 @@
                 configuration=self._configuration,
                 list_revision=self._list_revision,
                 return_position=return_position,
+                room_in_ms=room_in_ms,
+                excess=round(excess, 2),
             )
         )
 
