Fair shares of workspaces: max-min level, summaries between routers, wiring

Cause: nothing limited what one workspace takes while upstreams lack capacity. Updates between routers carry the work of at most 8 workspaces, at a bounded rate. Built only with `contention` set and `fair_shares` not disabled; without it no summary is sent.

--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -37,6 +37,8 @@
     RoutingDocument,
     StoreUpdate,
     Strike,
+    WorkspaceUsage,
+    WorkspaceWork,
 )
 from gypsumrouter.link.frames import FrameError
 from gypsumrouter.link.notice_codec import decode_notice, encode_notice
@@ -66,6 +68,11 @@
 LOADS: Final = (RouterLoad(upstream="i-1", running=3, pending_tokens=900),)
 PLACED_PARTS: Final = (PlacedPart(part=1 << 60, upstream="i-1"),)
 STRIKES: Final = (Strike(digest=1 << 63, upstream="i-2"),)
+USAGE: Final = WorkspaceUsage(
+    entries=(WorkspaceWork(name="t-1", work=900.5), WorkspaceWork(name="t-2", work=3.0)),
+    total=1_000.0,
+    served=800.0,
+)
 NOTICES: Final[tuple[Notice, ...]] = (
     RouterUpdate(
         address="10.0.0.1:80",
@@ -78,10 +85,13 @@
         evacuations=(EVACUATION,),
         refused=("i-3",),
         data_centre="dc-a",
+        usage=USAGE,
     ),
     DataCentreUpdate(
         address="10.0.0.1:80",
-        loads=DataCentreLoads(data_centre="dc-b", alive=4, routers=("10.0.0.3:80",), loads=LOADS),
+        loads=DataCentreLoads(
+            data_centre="dc-b", alive=4, routers=("10.0.0.3:80",), loads=LOADS, usage=USAGE
+        ),
         routing_version=3,
         list_revision=900,
         placed=PLACED_PARTS,
@@ -90,7 +100,7 @@
         refused=("i-3",),
     ),
     RelayedUpdate(
-        loads=(DataCentreLoads(data_centre="dc-b", alive=4, routers=(), loads=LOADS),),
+        loads=(DataCentreLoads(data_centre="dc-b", alive=4, routers=(), loads=LOADS, usage=USAGE),),
         placed=PLACED_PARTS,
         strikes=STRIKES,
         refused=("i-3",),
--- /dev/null
+++ b/gypsumrouter/contention/workspaces.py
@@ -0,0 +1,173 @@
+"""Max-min fair shares of workspaces in the work that competes for upstreams."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection, Iterable
+from typing import Final
+
+from gypsumrouter.contention.heavy_hitters import HeavyHitters
+from gypsumrouter.contention.peer_usage import MAX_ENTRIES, PeerSums, PeerUsages
+from gypsumrouter.link import WorkspaceUsage, WorkspaceWork
+
+# Time in which counted work decays by a factor of e. A workspace that sends 8 times its usual
+# traffic has twice its usual work after 0.6 s.
+WINDOW_MS: Final = 4_000
+# A workspace without requests for this long is not active; 5% of its work is still counted.
+IDLE_MS: Final = 3 * WINDOW_MS
+# The level is recomputed at most this often, since it takes up to 0.3 ms with all counters in use.
+REFRESH_MS: Final = 200
+# Summaries of peers that are older do not count. It is two of the longest intervals at which peers
+# send them, and a second for the way through a relay.
+PEER_USAGE_TTL_MS: Final = 5_000
+# Work of one request above this is a caller's false statement; no engine has room for as many
+# tokens.
+MAX_COST: Final = 1e6
+# Demands that exceed the capacity by this share fit: sums of single-precision figures of peers
+# differ by as much.
+TOLERANCE: Final = 1e-6
+# Workspaces in the state dump.
+DUMPED_WORKSPACES: Final = 20
+
+
+class WorkspaceShares:
+    """The work of each workspace and its excess over its max-min fair share.
+
+    Work is demand: a request counts when it arrives, also if it is refused later. The capacity that
+    is divided is the work that was served. All amounts are in the unit of `note`.
+    """
+
+    __slots__ = ("_demand", "_level", "_own", "_peers", "_refreshed_ms", "_served")
+
+    def __init__(self, *, tracked: int) -> None:
+        self._own = HeavyHitters(size=tracked, window_ms=WINDOW_MS)
+        self._served = HeavyHitters(size=1, window_ms=WINDOW_MS)
+        self._peers = PeerUsages()
+        self._demand: dict[str, float] = {}
+        self._level = math.inf
+        self._refreshed_ms: int | None = None
+
+    def note(self, *, workspace: str, cost: float, now_ms: int) -> None:
+        """Count a request that has arrived."""
+        if cost > 0:
+            self._own.add(workspace, min(cost, MAX_COST), now_ms=now_ms)
+
+    def note_served(self, *, cost: float, now_ms: int) -> None:
+        """Count a request that was answered, with the cost that it had in `note`."""
+        if cost > 0:
+            self._served.add("", min(cost, MAX_COST), now_ms=now_ms)
+
+    def set_peer_usage(self, peer: str, usage: WorkspaceUsage | None, *, now_ms: int) -> None:
+        """Replace the summary of a peer; an invalid one counts as nothing."""
+        self._peers.set(peer, usage, now_ms=now_ms)
+
+    def get_excess(self, workspace: str, *, now_ms: int) -> float:
+        """Return 0 within the fair share, otherwise the ratio of the work to it, minus 1."""
+        self._refresh(now_ms)
+        work = self._demand.get(workspace, 0.0)
+        return 0.0 if work <= self._level else work / self._level - 1
+
+    def get_share(self, *, now_ms: int) -> float:
+        """Return the largest work of a workspace without excess; infinite without competition."""
+        self._refresh(now_ms)
+        return self._level
+
+    def summarize(
+        self, *, now_ms: int, peers: Collection[str] = frozenset(), entries: int = MAX_ENTRIES
+    ) -> WorkspaceUsage | None:
+        """Return the summary of this router and of the named peers, None without any work.
+
+        It lists the largest workspaces, at most `entries`.
+        """
+        self._peers.drop_expired(now_ms=now_ms, ttl_ms=PEER_USAGE_TTL_MS)
+        sums = self._peers.sum_up(peers)
+        total = self._own.get_total(now_ms=now_ms) + sums.total
+        work = self._own.get_sums(now_ms=now_ms)
+        for name, listed in sums.by_workspace.items():
+            work[name] = work.get(name, 0.0) + listed.work
+        if not work:
+            return None
+        largest = sorted(work.items(), key=lambda item: (-item[1], item[0]))[:entries]
+        return WorkspaceUsage(
+            entries=tuple(WorkspaceWork(name=name, work=amount) for name, amount in largest),
+            total=total,
+            served=self._served.get_total(now_ms=now_ms) + sums.served,
+        )
+
+    def dump(self, *, now_ms: int) -> object:
+        """Return the largest workspaces with work, share and excess."""
+        self._refresh(now_ms)
+        largest = sorted(self._demand.items(), key=lambda item: (-item[1], item[0]))
+        share = None if math.isinf(self._level) else round(self._level, 1)
+        return {
+            name: {
+                "work": round(work, 1),
+                "share": share,
+                "excess": round(self.get_excess(name, now_ms=now_ms), 3),
+            }
+            for name, work in largest[:DUMPED_WORKSPACES]
+        }
+
+    def _refresh(self, now_ms: int) -> None:
+        """Recompute the demands and the level if they are older than `REFRESH_MS`."""
+        refreshed_ms = self._refreshed_ms
+        if refreshed_ms is not None and 0 <= now_ms - refreshed_ms < REFRESH_MS:
+            return
+        self._refreshed_ms = now_ms
+        self._own.drop_idle(before_ms=now_ms - IDLE_MS)
+        self._peers.drop_expired(now_ms=now_ms, ttl_ms=PEER_USAGE_TTL_MS)
+        own = self._own.get_sums(now_ms=now_ms)
+        own_total = self._own.get_total(now_ms=now_ms)
+        sums = self._peers.sums
+        self._demand = estimate_demand(own, own_total=own_total, peers=sums)
+        served = min(self._served.get_total(now_ms=now_ms), own_total) + sums.served
+        # Work of workspaces that are not known by name; each of them is small.
+        unnamed = max(0.0, own_total + sums.total - sum(self._demand.values()))
+        level = get_level(self._demand.values(), capacity=served - unnamed)
+        # A workspace without a counter has no excess, so neither has one with as little work.
+        self._level = max(level, self._own.get_max_uncounted(now_ms=now_ms))
+
+
+def estimate_demand(
+    own: dict[str, float], *, own_total: float, peers: PeerSums
+) -> dict[str, float]:
+    """Return the work of each workspace over all routers.
+
+    A peer lists only its largest workspaces. Where it does not list one, its part of the peer's
+    work is assumed to be that of this router, but not more than the smallest work that is listed.
+    Without this, equal workspaces would differ by the number of peers that happen to list them.
+    """
+    by_workspace = peers.by_workspace
+    total, most_unlisted = peers.total, float(peers.most_unlisted)
+    ratio = total / own_total if own_total else 0.0
+    demand: dict[str, float] = {name: listed.work for name, listed in by_workspace.items()}
+    for name, work in own.items():
+        listed = by_workspace.get(name)
+        if listed is None:
+            unlisted = work * ratio
+            demand[name] = work + (unlisted if unlisted < most_unlisted else most_unlisted)
+        else:
+            unlisted = work * ratio * (total - listed.total) / total if total else 0.0
+            demand[name] = work + listed.work + min(unlisted, most_unlisted - listed.most_unlisted)
+    return demand
+
+
+def get_level(demands: Iterable[float], *, capacity: float) -> float:
+    """Return the max-min fair share: the sum of min(demand, share) is the capacity.
+
+    It is infinite where all demands fit, and at least the equal part of all demands. The latter
+    bounds the share when nearly nothing is served, as after a start: equal workspaces then have no
+    excess.
+    """
+    ordered = sorted(demands)
+    total = sum(ordered)
+    if total - capacity <= total * TOLERANCE:
+        return math.inf
+    equal_part = total / len(ordered)
+    left = capacity
+    for index, demand in enumerate(ordered):
+        part = left / (len(ordered) - index)
+        if demand > part:
+            return max(part, equal_part)
+        left -= demand
+    return math.inf
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -9,6 +9,7 @@
 
 from gypsumrouter.callers import abort_connection
 from gypsumrouter.const import MS_PER_S
+from gypsumrouter.contention import WorkspaceShares
 from gypsumrouter.core import Application
 from gypsumrouter.forwarding.attempt import Attempt
 from gypsumrouter.forwarding.budget import RetryBudget
@@ -44,6 +45,7 @@
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.forwarding.relay import Relay, RelayResult
+from gypsumrouter.forwarding.request_cost import estimate_cost
 from gypsumrouter.forwarding.request_journal import RequestJournal
 from gypsumrouter.forwarding.responses import make_failure, make_refusal, make_upstream_response
 from gypsumrouter.forwarding.suspects import SuspectTracker, make_digest
@@ -54,7 +56,10 @@
 
 
 class ForwardingContext(Struct, frozen=True, kw_only=True):
-    """Components that all requests of a forwarder share; `without` are disabled mechanisms."""
+    """Components that all requests of a forwarder share; `without` are disabled mechanisms.
+
+    `shares` is None if the shares of workspaces are not counted.
+    """
 
     app: Application
     journal: Journal
@@ -63,6 +68,7 @@
     pool: ConnectionPool
     budget: RetryBudget
     suspects: SuspectTracker
+    shares: WorkspaceShares | None = None
     without: frozenset[Mechanism] = frozenset()
 
 
@@ -122,11 +128,27 @@
     async def async_run(self) -> web.StreamResponse:
         """Return the response; a streamed one has already been written."""
         self._context.budget.note_request(self._service)
+        cost = self._note_arrival()
         try:
             async with asyncio.timeout(max(0, self._remaining_ms()) / MS_PER_S):
-                return await self._async_run_attempts()
+                response = await self._async_run_attempts()
         except TimeoutError:
-            return self._end_at_deadline()
+            response = self._end_at_deadline()
+        self._note_served(cost)
+        return response
+
+    def _note_arrival(self) -> float:
+        """Count the request for its workspace; return its work in prompt tokens."""
+        cost = estimate_cost(self._request.prompt)
+        shares = self._context.shares
+        if shares is not None:
+            shares.note(workspace=self._routed.workspace, cost=cost, now_ms=self._now_ms())
+        return cost
+
+    def _note_served(self, cost: float) -> None:
+        shares = self._context.shares
+        if shares is not None and self.progress.outcome == "answered":
+            shares.note_served(cost=cost, now_ms=self._now_ms())
 
     async def _async_run_attempts(self) -> web.StreamResponse:
         while True:
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from gypsumrouter.callers import CallerConnection, CallerListener, CallerServer, ConnectionLimits
+from gypsumrouter.contention import WorkspaceShares
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Evacuations
 from gypsumrouter.forwarding.backoff import BackoffTracker
@@ -56,6 +57,7 @@
         "handler",
         "inventory",
         "placer",
+        "shares",
         "suspects",
     )
 
@@ -106,6 +108,7 @@
         )
         self._drain = DrainAdmission(clock=app.clock, limit_ms=bounds.stop_ms - DRAIN_MARGIN_MS)
         self.suspects = SuspectTracker(app=app, journal=journal)
+        self.shares = _make_shares(app, settings)
         context = ForwardingContext(
             app=app,
             journal=journal,
@@ -114,6 +117,7 @@
             pool=self._pool,
             budget=self.budget,
             suspects=self.suspects,
+            shares=self.shares,
             without=settings.without,
         )
         self.inventory = CacheInventory(
@@ -220,3 +224,12 @@
             await self._app.clock.async_sleep(DRAIN_POLL_MS)
         assert self._listener is not None
         await self._listener.async_stop_listening()
+
+
+def _make_shares(app: Application, settings: ForwarderSettings) -> WorkspaceShares | None:
+    """Return the fair shares of workspaces, None if they are disabled."""
+    if settings.contention is None or Mechanism.FAIR_SHARES in settings.without:
+        return None
+    shares = WorkspaceShares(tracked=settings.contention.tracked_workspaces)
+    app.add_dump_section("workspaces", lambda: shares.dump(now_ms=app.clock.now_ms()))
+    return shares
--- a/gypsumrouter/link/__init__.py
+++ b/gypsumrouter/link/__init__.py
@@ -37,6 +37,8 @@
     StoreUpdate,
     Strike,
     SuspectAnnouncement,
+    WorkspaceUsage,
+    WorkspaceWork,
 )
 from gypsumrouter.link.notices import NoticeHub, Peer, send_to_all
 from gypsumrouter.link.pool import LinkPool
@@ -84,5 +86,7 @@
     "StoreUpdate",
     "Strike",
     "SuspectAnnouncement",
+    "WorkspaceUsage",
+    "WorkspaceWork",
     "send_to_all",
 ]
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -174,6 +174,18 @@
   known @8 :List(RouterAt);
   evacuations @9 :List(EvacuationTold);
   refused @10 :List(Text);
+  usage @11 :WorkspaceUsage;
+}
+
+struct WorkspaceWork {
+  name @0 :Text;
+  work @1 :Float32;
+}
+
+struct WorkspaceUsage {
+  entries @0 :List(WorkspaceWork);
+  total @1 :Float32;
+  served @2 :Float32;
 }
 
 struct EvacuationTold {
@@ -192,6 +204,7 @@
   alive @1 :UInt32;
   routers @2 :List(Text);
   loads @3 :List(RouterLoad);
+  usage @4 :WorkspaceUsage;
 }
 
 struct DataCentreNews {
--- a/gypsumrouter/link/models.py
+++ b/gypsumrouter/link/models.py
@@ -229,6 +229,25 @@
     active: bool
 
 
+class WorkspaceWork(Struct, frozen=True, kw_only=True):
+    """The work of one workspace in the sender's window, in tokens."""
+
+    name: str
+    work: float
+
+
+class WorkspaceUsage(Struct, frozen=True, kw_only=True):
+    """Work of the largest workspaces of a router or a data centre, in tokens.
+
+    `entries` are at most 8, the largest first. `total` is the work of all workspaces, `served` the
+    part of it that was answered.
+    """
+
+    entries: tuple[WorkspaceWork, ...]
+    total: float
+    served: float
+
+
 class RouterUpdate(Struct, frozen=True, kw_only=True):
     """Periodic update between the routers of one data centre, sent a few times a second.
 
@@ -237,7 +256,8 @@
     the routing configuration and of the upstream list that it applies. `placed` and `strikes`
     are new since its last update on this link. `evacuations` is its complete list, and `refused`
     names upstreams that have just refused a connection. `data_centre` is the sender's. Updates to
-    seeds in other data centres contain no loads and no placed parts.
+    seeds in other data centres contain no loads and no placed parts. `usage` is left out if it was
+    sent recently, and by routers that don't count it.
     """
 
     address: str
@@ -250,19 +270,21 @@
     evacuations: tuple[EvacuationState, ...] = ()
     refused: tuple[str, ...] = ()
     data_centre: str = ""
+    usage: WorkspaceUsage | None = None
 
 
 class DataCentreLoads(Struct, frozen=True, kw_only=True):
     """Sum of the loads that all routers of one data centre put on the upstreams.
 
     `alive` is the number of routers. `routers` are their link addresses, which are left out if they
-    were sent recently.
+    were sent recently; so is `usage`, the sum of their workspaces' work.
     """
 
     data_centre: str
     alive: int
     routers: tuple[str, ...]
     loads: tuple[RouterLoad, ...]
+    usage: WorkspaceUsage | None = None
 
 
 class DataCentreUpdate(Struct, frozen=True, kw_only=True):
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -25,6 +25,7 @@
     Strike,
 )
 from gypsumrouter.link.schema import SCHEMA, open_message, open_packed_message, to_bytes, to_packed
+from gypsumrouter.link.usage_codec import read_usage, set_usage
 
 # Limits on the unpacked size of an update and of a configuration document.
 MAX_UPDATE_BYTES: Final = 256 * 1024
@@ -50,6 +51,7 @@
     _set_placed(message, notice.placed)
     _set_strikes(message, notice.strikes)
     _set_evacuations(message, notice.evacuations)
+    set_usage(message, notice.usage)
     return to_packed(message)
 
 
@@ -70,6 +72,7 @@
             evacuations=_read_evacuations(message),
             refused=tuple(message.refused),
             data_centre=message.dataCentre,
+            usage=read_usage(message),
         )
 
 
@@ -130,6 +133,7 @@
     target.alive = data_centre.alive
     target.routers = list(data_centre.routers)
     _set_loads(target, data_centre.loads)
+    set_usage(target, data_centre.usage)
 
 
 def _read_data_centre(message: Any) -> DataCentreLoads:
@@ -138,6 +142,7 @@
         alive=message.alive,
         routers=tuple(message.routers),
         loads=_read_loads(message),
+        usage=read_usage(message),
     )
 
 
--- /dev/null
+++ b/gypsumrouter/link/usage_codec.py
@@ -0,0 +1,40 @@
+"""Encodes and decodes the summary of workspaces' work in the updates between routers."""
+
+from __future__ import annotations
+
+from itertools import islice
+from typing import Any, Final
+
+from gypsumrouter.link.models import WorkspaceUsage, WorkspaceWork
+
+# A valid summary has at most 8 entries. One more is decoded, so that the receiver can tell a longer
+# one, and no further ones, whose names could fill the message.
+MAX_DECODED_ENTRIES: Final = 9
+
+
+def set_usage(message: Any, usage: WorkspaceUsage | None) -> None:
+    """Set the `usage` field of a message unless `usage` is None."""
+    if usage is None:
+        return
+    target = message.init("usage")
+    target.total = usage.total
+    target.served = usage.served
+    entries = target.init("entries", len(usage.entries))
+    for entry, work in zip(entries, usage.entries, strict=True):
+        entry.name = work.name
+        entry.work = work.work
+
+
+def read_usage(message: Any) -> WorkspaceUsage | None:
+    """Return the `usage` field of a message, or None if it is not set."""
+    if not message._has("usage"):
+        return None
+    usage = message.usage
+    return WorkspaceUsage(
+        entries=tuple(
+            WorkspaceWork(name=entry.name, work=entry.work)
+            for entry in islice(usage.entries, MAX_DECODED_ENTRIES)
+        ),
+        total=usage.total,
+        served=usage.served,
+    )
--- a/gypsumrouter/peers/mesh.py
+++ b/gypsumrouter/peers/mesh.py
@@ -42,6 +42,7 @@
 from gypsumrouter.peers.outbox import Outbox
 from gypsumrouter.peers.relays import DataCentreRelay
 from gypsumrouter.peers.routers import PeerRouter, RouterRegistry
+from gypsumrouter.peers.usage import UsageExchange
 from gypsumrouter.peers.watchers import WatchCoordinator
 from gypsumrouter.published import WatchState
 from gypsumrouter.routing import RoutingConfiguration, RoutingStore
@@ -69,6 +70,7 @@
         "_seeds",
         "_sending_to",
         "_server",
+        "_usage",
         "_watch",
         "_without",
     )
@@ -133,6 +135,7 @@
             routing=routing_state,
             upstreams=upstreams,
         )
+        self._usage = UsageExchange(clock=app.clock, shares=forwarder.shares)
         self._relays = DataCentreRelay(
             app=app,
             routers=self._routers,
@@ -145,6 +148,7 @@
             notices=notices,
             send=self._async_send,
             without=settings.without,
+            usage=self._usage,
         )
         self._inventory = InventoryCoordinator(
             app=app,
@@ -250,6 +254,7 @@
             placed=placed,
             strikes=self._outbox.list_strikes(now_ms=self._app.clock.now_ms()),
             refused=placer.health.list_refusals(),
+            usage=self._usage.get_due(known, receivers=len(self._routers.list_neighbours())),
         )
 
     def _list_routers(self, known: PeerRouter) -> tuple[RouterAddress, ...]:
@@ -301,6 +306,7 @@
         placer = self._forwarder.placer
         if Mechanism.PEER_LOADS not in self._without:
             placer.loads.set_peer_loads(peer.hello.name, decode_loads(update, now_ms=now_ms))
+        self._usage.apply(peer.hello.name, update.usage)
         placed = self._list_placed(update)
         for part in placed:
             placer.cache_index.note(part=part.part, upstream=part.upstream, now_ms=now_ms)
--- a/gypsumrouter/peers/relays.py
+++ b/gypsumrouter/peers/relays.py
@@ -36,6 +36,7 @@
 from gypsumrouter.peers.loads import decode_load_sums, encode_load_sums
 from gypsumrouter.peers.outbox import Outbox
 from gypsumrouter.peers.routers import PeerRouter, RemoteDataCentre, RouterRegistry
+from gypsumrouter.peers.usage import UsageExchange, keep_usage
 from gypsumrouter.routing import RoutingStore
 
 # Interval of relayed updates, which grows with the number of receivers to bound the CPU load.
@@ -72,6 +73,7 @@
         "_send",
         "_sending_to",
         "_suspects",
+        "_usage",
         "_without",
     )
 
@@ -89,6 +91,7 @@
         notices: NoticeHub,
         send: SendTo,
         without: frozenset[Mechanism],
+        usage: UsageExchange | None = None,
     ) -> None:
         self._app = app
         self._routers = routers
@@ -102,6 +105,7 @@
         self._catch_up = catch_up
         self._send = send
         self._without = without
+        self._usage = usage or UsageExchange(clock=app.clock, shares=None)
         # Parts and strikes of this data centre for the others, and of the others for neighbours.
         self._outbound = Outbox()
         self._inbound = Outbox()
@@ -176,7 +180,7 @@
         if target is None:
             return
         placed, end = self._outbound.read_from(data_centre.sent_position)
-        if await self._send(target, self._make_update(name, placed)):
+        if await self._send(target, self._make_update(name, data_centre, placed)):
             data_centre.sent_position = end
 
     def _choose_target(self, name: str, data_centre: RemoteDataCentre) -> str | None:
@@ -188,15 +192,22 @@
         data_centre.attempts += 1
         return routers[(data_centre.attempts - 1) % len(routers)] if routers else None
 
-    def _make_update(self, name: str, placed: tuple[PlacedPart, ...]) -> DataCentreUpdate:
+    def _make_update(
+        self, name: str, data_centre: RemoteDataCentre, placed: tuple[PlacedPart, ...]
+    ) -> DataCentreUpdate:
         neighbours = self._routers.list_neighbours()
+        peers = _list_peer_names(neighbours)
         return DataCentreUpdate(
             address=self._routers.own_address,
             loads=DataCentreLoads(
                 data_centre=self._app.data_centre,
                 alive=1 + len(neighbours),
                 routers=self._list_routers(name, neighbours),
-                loads=encode_load_sums(self._loads, peers=_list_peer_names(neighbours)),
+                loads=encode_load_sums(self._loads, peers=peers),
+                # The other data centres are taken to have as many routers as this one.
+                usage=self._usage.get_due(
+                    data_centre, receivers=len(self._sending_to) * (1 + len(peers)), peers=peers
+                ),
             ),
             routing_version=self._routing.version,
             list_revision=self._directory.applied_revision,
@@ -221,7 +232,9 @@
         if loads.data_centre in ("", self._app.data_centre):
             return
         self._store_loads(loads, relay=update.address)
-        self._inbound_loads[loads.data_centre] = loads
+        self._inbound_loads[loads.data_centre] = keep_usage(
+            loads, waiting=self._inbound_loads.get(loads.data_centre)
+        )
         self._catch_up.merge_evacuations(peer, update.evacuations)
         self._placer.apply_peer_refusals(update.refused)
         self._inbound_refused.update(update.refused)
@@ -249,6 +262,7 @@
         self._routers.note_data_centre(
             loads.data_centre, alive=loads.alive, routers=loads.routers, relay=relay
         )
+        self._usage.apply(_get_sums_key(loads.data_centre), loads.usage)
         if Mechanism.PEER_LOADS in self._without:
             return
         sums = decode_load_sums(loads, now_ms=self._app.clock.now_ms())
--- a/gypsumrouter/peers/routers.py
+++ b/gypsumrouter/peers/routers.py
@@ -41,6 +41,7 @@
         "sent_position",
         "sent_router_count",
         "sent_routers_ms",
+        "sent_usage_ms",
     )
 
     def __init__(self, *, address: Address, data_centre: str, seed: bool, now_ms: int) -> None:
@@ -55,6 +56,7 @@
         self.restarted = False
         self.sent_router_count = 0
         self.sent_routers_ms = now_ms
+        self.sent_usage_ms = NEVER_MS
         self.reachable: bool | None = None
         self.last_reached_ms = now_ms
         self.last_seen_ms = now_ms
@@ -81,7 +83,8 @@
 
     `alive` is the number of its live routers as last reported by `relay`. `sent_position` is the
     position up to which it has received the parts placed here. `attempts` counts the routers that
-    were tried since the last update from its relay.
+    were tried since the last update from its relay. `sent_usage_ms` is when it was last sent a
+    summary of workspaces' work.
     """
 
     last_update_ms: int = NEVER_MS
@@ -89,6 +92,7 @@
     relay: str = ""
     sent_position: int = 0
     attempts: int = 0
+    sent_usage_ms: int = NEVER_MS
 
 
 class RouterRegistry:
