Plain requests: use the load and pace that upstreams report

Cause: the expected completion of a plain request came from the router's own counts and a slow moving average. An upstream whose machine was slow kept nearly its share of the requests, and malformed load reports were ignored unnoticed. The own load remains the base, and every upstream keeps a share. - Responses that state a malformed load count in gypsumrouter_load_reports_ignored_total. - Without recent reports, or without LOAD_REPORTS, decisions are the same as before. - The replay of plain services records responses when they end, not when they are sent.

--- a/bench/plain_replay.py
+++ b/bench/plain_replay.py
@@ -8,6 +8,8 @@
 
 import heapq
 import random
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import Final
 
 from msgspec import Struct
@@ -19,6 +21,8 @@
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.loads import PeerLoads, UpstreamLoad
+from gypsumrouter.forwarding.models import LoadReport, ResponseMetadata
+from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
@@ -36,27 +40,53 @@
 ROUTERS: Final = 26
 
 
+class Machine:
+    """The machine of an upstream: how fast it works, and the load that it reports.
+
+    This one always works at the usual pace and reports nothing.
+    """
+
+    def get_end_ms(self, *, begin_ms: float, work_ms: float) -> float:
+        """Return when work that takes `work_ms` at the usual pace ends."""
+        return begin_ms + work_ms
+
+    def make_report(self, *, held: int, at_ms: float) -> LoadReport | None:
+        """Return the report with a response, None if it has none; `held` is the true load."""
+        return None
+
+
 class Upstream:
     """A plain upstream with SLOTS slots and a first-in, first-out queue."""
 
-    def __init__(self, *, work_ms: float, rng: random.Random) -> None:
+    def __init__(self, *, work_ms: float, rng: random.Random, machine: Machine) -> None:
         self._work_ms = work_ms
         self._rng = rng
+        self._machine = machine
+        self.served = 0
         self._free_ms = [0.0] * SLOTS
         self._ends_ms: list[float] = []
 
     def serve(self, now_ms: float) -> float | None:
         """Return the end time of a request that arrives now, None if the queue is full."""
-        while self._ends_ms and self._ends_ms[0] <= now_ms:
-            heapq.heappop(self._ends_ms)
-        if len(self._ends_ms) >= SLOTS + QUEUE_LIMIT:
+        if self._count_held(now_ms) >= SLOTS + QUEUE_LIMIT:
             return None
+        self.served += 1
         begin_ms = max(now_ms, heapq.heappop(self._free_ms))
-        end_ms = begin_ms + self._rng.lognormvariate(-0.125, 0.5) * self._work_ms
+        work_ms = self._rng.lognormvariate(-0.125, 0.5) * self._work_ms
+        end_ms = self._machine.get_end_ms(begin_ms=begin_ms, work_ms=work_ms)
         heapq.heappush(self._free_ms, end_ms)
         heapq.heappush(self._ends_ms, end_ms)
         return end_ms
 
+    def make_report(self, now_ms: float) -> LoadReport | None:
+        """Return the load report of a response that ends now."""
+        return self._machine.make_report(held=self._count_held(now_ms), at_ms=now_ms)
+
+    def _count_held(self, now_ms: float) -> int:
+        while self._ends_ms and self._ends_ms[0] <= now_ms:
+            heapq.heappop(self._ends_ms)
+        return len(self._ends_ms)
+
 
 class Tally(Struct, kw_only=True):
     """Outcomes of all requests."""
@@ -84,7 +114,8 @@
     """A request of a router ends at an upstream."""
 
     router: int
-    upstream: str
+    placed: Placement
+    elapsed_ms: float
 
 
 class UpdateDue(Struct, frozen=True, kw_only=True):
@@ -107,7 +138,13 @@
     """Simulates routers in front of a plain service; updates between them arrive late."""
 
     def __init__(
-        self, *, work_ms: float, upstreams: int, without: frozenset[Mechanism], seed: int
+        self,
+        *,
+        work_ms: float,
+        upstreams: int,
+        without: frozenset[Mechanism],
+        seed: int,
+        machines: Mapping[str, Machine] = MappingProxyType({}),
     ) -> None:
         random.seed(seed)
         self._rng = random.Random(seed)
@@ -117,7 +154,8 @@
         self._update_interval_ms = 3.3 * work_ms
         self._clock = ManualClock(now_ms=1_000)
         self._upstreams = {
-            f"i-{number}": Upstream(work_ms=work_ms, rng=self._rng) for number in range(upstreams)
+            name: Upstream(work_ms=work_ms, rng=self._rng, machine=machines.get(name, Machine()))
+            for name in (f"i-{number}" for number in range(upstreams))
         }
         self._placers = [self._make_placer(without) for _ in range(ROUTERS)]
         self._events: list[tuple[float, int, Event]] = []
@@ -148,8 +186,8 @@
         match event:
             case Arrival():
                 self._handle_arrival(at_ms, event)
-            case Completed(router=router, upstream=upstream):
-                self._placers[router].loads.end(upstream)
+            case Completed():
+                self._handle_completed(at_ms, event)
             case UpdateDue(router=router):
                 loads = self._placers[router].loads.get_own_loads()
                 self._schedule(
@@ -161,6 +199,10 @@
                     if number != router:
                         placer.loads.set_peer_loads(f"r{router}", peer_loads)
 
+    def count_served(self) -> dict[str, int]:
+        """Return the number of requests that each upstream has accepted."""
+        return {name: upstream.served for name, upstream in self._upstreams.items()}
+
     def _schedule(self, at_ms: float, event: Event) -> None:
         self._number += 1
         heapq.heappush(self._events, (at_ms, self._number, event))
@@ -178,13 +220,24 @@
             self._retry_or_refuse(at_ms, arrival)
             return
         placer.note_sent(placed, None)
-        placer.plain.note_answered(placed, elapsed_ms=round(end_ms - at_ms))
-        self._schedule(end_ms, Completed(router=arrival.router, upstream=placed.entry.upstream))
+        self._schedule(
+            end_ms,
+            Completed(router=arrival.router, placed=placed, elapsed_ms=end_ms - at_ms),
+        )
         if end_ms - arrival.requested_ms <= self._target_ms:
             self.tally.in_time += 1
         else:
             self.tally.late += 1
 
+    def _handle_completed(self, at_ms: float, completed: Completed) -> None:
+        placer, placed = self._placers[completed.router], completed.placed
+        report = self._upstreams[placed.entry.upstream].make_report(at_ms)
+        placer.apply_response_metadata(placed.entry, _make_metadata(report))
+        placer.plain.note_answered(
+            placed, elapsed_ms=round(completed.elapsed_ms), now_ms=self._clock.now_ms()
+        )
+        placer.loads.end(placed.entry.incarnation)
+
     def _retry_or_refuse(self, at_ms: float, arrival: Arrival) -> None:
         """Schedule a retry at a random router, or count a refusal after the last one."""
         if arrival.tries == RETRIES:
@@ -228,6 +281,19 @@
         return placer
 
 
+def _make_metadata(report: LoadReport | None) -> ResponseMetadata:
+    return ResponseMetadata(
+        request_id=None,
+        signed=True,
+        not_run=False,
+        content_encoded=False,
+        is_event_stream=False,
+        keep_alive_ms=None,
+        reports_load=report is not None,
+        load=report,
+    )
+
+
 class StaticFleet:
     """A fleet of routers that never changes."""
 
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -194,7 +194,9 @@
         if self._request.prompt is not None or not isinstance(outcome, CompleteResponse):
             return
         if outcome.status < STATUS_SERVER_ERROR:
-            self._context.placer.plain.note_answered(placement, elapsed_ms=elapsed_ms)
+            self._context.placer.plain.note_answered(
+                placement, elapsed_ms=elapsed_ms, now_ms=self._now_ms()
+            )
 
     async def _async_send(self, attempt: Attempt) -> Outcome:
         failed = await attempt.async_connect(repeatable=self._routed.route.repeatable)
--- a/gypsumrouter/forwarding/models.py
+++ b/gypsumrouter/forwarding/models.py
@@ -114,7 +114,8 @@
     `content_encoded` is true if the body has a content encoding, which upstreams don't use.
     `keep_alive_ms` is how long the upstream keeps an idle connection open, `retry_after_ms` how
     long it asks not to be sent new requests; both are None if not given. `draining` is true if the
-    upstream is shutting down. `load` is None if the response reports no valid load.
+    upstream is shutting down. `reports_load` is true if the response states a load, valid or not;
+    `load` is None if it states no valid one.
     """
 
     request_id: str | None
@@ -125,6 +126,7 @@
     keep_alive_ms: int | None
     draining: bool = False
     retry_after_ms: int | None = None
+    reports_load: bool = False
     load: LoadReport | None = None
 
 
--- a/gypsumrouter/forwarding/placement.py
+++ b/gypsumrouter/forwarding/placement.py
@@ -8,7 +8,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
+from types import MappingProxyType
 from typing import Final
 
 import xxhash
@@ -39,6 +40,15 @@
 CACHED_OFF_AFFINITY_SHARE: Final = 0.1
 # Surcharge on upstreams in another data centre, for the traffic between data centres.
 REMOTE_COST_MS: Final = 4.0
+# A plain upstream is clearly slower than the fastest one if its expected completion time is this
+# many times as long. Smaller differences are within the error of reports some 100 ms old: at 1.5,
+# more requests were late or refused near capacity.
+CLEARLY_SLOWER: Final = 2.0
+# The ratio of expected completion times is limited to this. It keeps some requests at an upstream
+# that wrongly appears slow, so that its next responses correct the estimate.
+MAX_SLOWNESS: Final = 5.0
+
+NO_EXPECTATIONS: Final[Mapping[str, float]] = MappingProxyType({})
 
 
 class Candidate(Struct, kw_only=True):
@@ -136,22 +146,53 @@
     return cost + candidate.penalty_ms
 
 
-def choose_plain(candidates: Sequence[Candidate], *, cap: Cap, mean: float) -> Candidate | None:
+def choose_plain(
+    candidates: Sequence[Candidate],
+    *,
+    cap: Cap,
+    mean: float,
+    expected_ms: Mapping[str, float] = NO_EXPECTATIONS,
+) -> Candidate | None:
     """Return an upstream for a request without a prompt; None if there is no candidate.
 
     Chooses the upstream with the fewest requests of this router; ties are broken by a random choice
     that favours a low total load. Loads reported by peers are some hundred milliseconds old:
     routers that all followed them would send to the same upstream at the same time (herding).
+
+    `expected_ms` is the expected completion time at each candidate, as far as known. It replaces
+    the load in the weights of a tie, and candidates that are clearly slower than the fastest one
+    are passed over at random, the more often the slower they are.
     """
     if not candidates:
         return None
     allowed = _select_below_cap(candidates, cap, mean) or candidates
+    slowness = _get_slowness(allowed, expected_ms)
+    allowed = [c for c in allowed if not _is_passed_over(slowness.get(c.upstream, 1.0))]
     fewest = min(map(_count_own, allowed))
     equals = [c for c in allowed if _count_own(c) == fewest]
-    weights = [1 / (1 + c.load) for c in equals]
+    if slowness:
+        weights = [1 / slowness.get(c.upstream, 1.0) for c in equals]
+    else:
+        weights = [1 / (1 + c.load) for c in equals]
     return random.choices(equals, weights)[0]
 
 
+def _get_slowness(
+    candidates: Sequence[Candidate], expected_ms: Mapping[str, float]
+) -> dict[str, float]:
+    """Return the ratio of each expected completion time to the shortest one, at most the limit."""
+    known = {c.upstream: expected_ms[c.upstream] for c in candidates if c.upstream in expected_ms}
+    shortest_ms = min(known.values(), default=0.0)
+    if shortest_ms <= 0:
+        return {}
+    return {upstream: min(MAX_SLOWNESS, ms / shortest_ms) for upstream, ms in known.items()}
+
+
+def _is_passed_over(slowness: float) -> bool:
+    """Decide at random whether to pass over an upstream; never the fastest one."""
+    return slowness > CLEARLY_SLOWER and random.random() * slowness > CLEARLY_SLOWER
+
+
 def _select_below_cap(candidates: Sequence[Candidate], cap: Cap, mean: float) -> list[Candidate]:
     return [c for c in candidates if cap.allows(load=c.load + c.unreported, mean=mean)]
 
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -48,6 +48,7 @@
         "_cap",
         "_directory",
         "_eligibility",
+        "_ignored_reports",
         "_keeps_removed",
         "_placement_listeners",
         "_prefers_local",
@@ -105,11 +106,17 @@
         self.slow_start = slow_start
         self.cache_index = CacheIndex()
         self.prefill_speed = PrefillSpeed()
-        self.plain = PlainAdmission(count_routers=slow_start.count_routers)
         self._spreads_plain = Mechanism.PLAIN_OWN_LOAD not in without
         self._uses_load_reports = Mechanism.LOAD_REPORTS not in without
         self._allows_for_unreported = Mechanism.CAP_MARGIN not in without
         self.load_reports = LoadReports()
+        self._ignored_reports = app.metrics.counter(
+            "gypsumrouter_load_reports_ignored_total", "Malformed load reports of upstreams"
+        )
+        self.plain = PlainAdmission(
+            count_routers=slow_start.count_routers,
+            reports=self.load_reports if self._uses_load_reports else None,
+        )
         self._refuses_late = Mechanism.DEADLINE_ADMISSION not in without
         self.loads = LoadTracker(
             prefill_speed=self.prefill_speed,
@@ -169,7 +176,7 @@
             )
             for entry in entries
         }
-        chosen = self._choose(tuple(candidates.values()), prompt, mean, source)
+        chosen = self._choose(service, tuple(candidates.values()), prompt, mean, source, now_ms)
         if chosen is None:
             return NO_UPSTREAM
         if prompt is None and limit_ms is not None and self._refuses_late:
@@ -194,13 +201,16 @@
 
     def _choose(
         self,
+        service: str,
         candidates: tuple[Candidate, ...],
         prompt: Prompt | None,
         mean: float,
         source: CopySource | None,
+        now_ms: int,
     ) -> Candidate | None:
         if prompt is None and self._spreads_plain:
-            return choose_plain(candidates, cap=self._cap, mean=mean)
+            expected_ms = self.plain.estimate_all(service, candidates, now_ms=now_ms)
+            return choose_plain(candidates, cap=self._cap, mean=mean, expected_ms=expected_ms)
         shared = () if prompt is None else prompt.shared
         return choose(
             candidates,
@@ -257,12 +267,18 @@
         """
         if metadata.retry_after_ms is not None:
             self.backoffs.note(entry.incarnation, backoff_ms=metadata.retry_after_ms)
+        if self._uses_load_reports:
+            self._apply_load_report(entry, metadata)
+        if metadata.draining:
+            self._directory.note_leaving(entry.incarnation, source=SOURCE_RESPONSE)
+
+    def _apply_load_report(self, entry: Entry, metadata: ResponseMetadata) -> None:
         if metadata.load is not None:
             self.load_reports.note(
                 entry.incarnation, metadata.load, now_ms=self._app.clock.now_ms()
             )
-        if metadata.draining:
-            self._directory.note_leaving(entry.incarnation, source=SOURCE_RESPONSE)
+        elif metadata.reports_load:
+            self._ignored_reports.inc()
 
     def note_unreachable(self, entry: Entry, *, reason: str, refused: bool) -> None:
         """Record a failed connection attempt; `refused` if the host actively refused it."""
--- a/gypsumrouter/forwarding/service_time.py
+++ b/gypsumrouter/forwarding/service_time.py
@@ -28,9 +28,22 @@
         self._by_service: dict[str, float] = {}
         self._by_upstream: dict[str, float] = {}
 
-    def note(self, *, service: str, upstream: str, load: int, slots: int, elapsed_ms: int) -> None:
-        """Record a response; `load` is the number of requests the upstream had before it."""
-        service_ms = elapsed_ms / (1 + get_queue_factor(load=load, slots=slots))
+    def note(
+        self,
+        *,
+        service: str,
+        upstream: str,
+        load: int,
+        slots: int,
+        elapsed_ms: int,
+        pace: float = 1.0,
+    ) -> None:
+        """Record a response; `load` is the number of requests the upstream had before it.
+
+        The service time is recorded at the usual pace: it is divided by `pace`, which is how long
+        work took as a multiple of the usual time.
+        """
+        service_ms = elapsed_ms / (1 + get_queue_factor(load=load, slots=slots)) / pace
         current_ms = self.get(service=service, upstream=upstream)
         if current_ms is None:
             self._by_service[service] = self._by_upstream[upstream] = service_ms
--- a/gypsumrouter/platform/answers.py
+++ b/gypsumrouter/platform/answers.py
@@ -50,6 +50,7 @@
             content_encoded=encoding is not None and encoding.lower() != IDENTITY_ENCODING,
             is_event_stream=(answer.get("Content-Type") or "").startswith(CONTENT_TYPE_EVENTS),
             keep_alive_ms=read_keep_alive_ms(answer.get("Keep-Alive")),
+            reports_load=answer.get(names.LOAD) is not None,
             load=read_load_report(answer.get(names.LOAD)),
         )
 
--- a/tests/platform/test_platform_wire.py
+++ b/tests/platform/test_platform_wire.py
@@ -158,6 +158,24 @@
     return PlatformDialect().read_response_head(cast(Any, head))
 
 
+@pytest.mark.parametrize(
+    ("headers", "reports_load", "valid"),
+    [
+        ({}, False, False),
+        ({"X_Server_Load": "3,0,8,250"}, True, True),
+        ({"X_Server_Load": "3,0,8,-1"}, True, False),
+        ({"X_Server_Load": ""}, True, False),
+    ],
+)
+def test_malformed_load_report_differs_from_an_absent_one(
+    headers: dict[str, str], reports_load: bool, valid: bool
+) -> None:
+    """Guards against malformed reports that are ignored without being counted."""
+    metadata = read_head(200, **headers)
+    assert metadata.reports_load is reports_load
+    assert (metadata.load is not None) is valid
+
+
 @pytest.mark.parametrize(
     ("status", "value", "rest_ms"),
     [
