--- a/gypsumrouter/forwarding/service_work.py
+++ b/gypsumrouter/forwarding/service_work.py
@@ -90,7 +90,7 @@
         plain_ms = 0.0
         for entry, load in loads:
             tokens += load.pending_tokens
-            service_ms = self._placer.plain.get_service_ms(entry)
+            service_ms = self._placer.plain.get_service_ms(entry, now_ms=self._clock.now_ms())
             if service_ms is not None:
                 plain_ms += load.running * service_ms / entry.slots
         return plain_ms + tokens / self._placer.prefill_speed.tokens_per_ms
