--- a/tests/contention/test_contention_returns.py
+++ b/tests/contention/test_contention_returns.py
@@ -227,6 +227,17 @@
         last_ms = now_ms + delay_ms
 
 
+@given(steps=STEPS, gap_ms=RELEASE_GAPS_MS, longest_ms=st.integers(1, 1_000))
+def test_whoever_waits_as_told_keeps_its_place(steps: Steps, gap_ms: int, longest_ms: int) -> None:
+    """This includes callers that are told less than their turn, since they would not wait."""
+    schedule = make_schedule()
+    note_releases(schedule, gap_ms=gap_ms)
+    for digest, (_, room_in_ms, _) in enumerate(steps):
+        reserve(schedule, -1 - digest, room_in_ms=0)
+        delay_ms = reserve(schedule, digest, room_in_ms=room_in_ms, longest_ms=longest_ms)
+        assert claim(schedule, digest, NOW_MS + delay_ms) is Return.KEPT
+
+
 def play(steps: Steps, *, gap_ms: int, repeating: bool) -> list[tuple[int, int]]:
     """Return time of refusal and Retry-After of the callers that wait.
 
