--- a/gypsumrouter/forwarding/plain_admission.py
+++ b/gypsumrouter/forwarding/plain_admission.py
@@ -65,13 +65,15 @@
         It is empty if no candidate has reported its load recently, or none has served a request.
         """
         reports = self._reports
-        if reports is None or all(
-            reports.get_held(c.upstream, now_ms=now_ms) is None for c in candidates
-        ):
+        if reports is None:
+            return {}
+        reported = [reports.get_held(c.upstream, now_ms=now_ms) for c in candidates]
+        if not any(held is not None for held in reported):
             return {}
         expected_ms: dict[str, float] = {}
-        for candidate in candidates:
-            response_ms = self._estimate_response_ms(service, candidate, now_ms)
+        for candidate, held in zip(candidates, reported, strict=True):
+            load = max(candidate.load, held or 0)
+            response_ms = self._estimate_response_ms(service, candidate, load, now_ms)
             if response_ms is not None:
                 expected_ms[candidate.upstream] = response_ms
         return expected_ms
@@ -109,20 +111,19 @@
         self, service: str, chosen: Candidate, limit_ms: int, now_ms: int
     ) -> float:
         """Return by how much the response is expected to be late; 0 or less if it is in time."""
-        held = self._get_held(chosen.upstream, counted=chosen.load, now_ms=now_ms)
-        expected_ms = self._estimate_response_ms(service, chosen, now_ms)
-        if expected_ms is None or held < chosen.slots:
+        load = self._get_held(chosen.upstream, counted=chosen.load, now_ms=now_ms)
+        expected_ms = self._estimate_response_ms(service, chosen, load, now_ms)
+        if expected_ms is None or load < chosen.slots:
             return 0.0
         return expected_ms - limit_ms * MAX_TIME_SHARE
 
     def _estimate_response_ms(
-        self, service: str, candidate: Candidate, now_ms: int
+        self, service: str, candidate: Candidate, load: int, now_ms: int
     ) -> float | None:
         """Return the expected response time, None if no upstream has served a request."""
         service_ms = self._get_service_ms(service, candidate.upstream, now_ms)
         if service_ms is None:
             return None
-        load = self._get_held(candidate.upstream, counted=candidate.load, now_ms=now_ms)
         return estimate_response_ms(load=load, slots=candidate.slots, service_ms=service_ms)
 
     def _get_service_ms(self, service: str, upstream: str, now_ms: int) -> float | None:
@@ -136,6 +137,8 @@
         if self._reports is None or usual_ms is None or actual_ms is None:
             return actual_ms
         certainty = self._reports.get_pace_certainty(upstream, now_ms=now_ms)
+        if certainty == 0:
+            return actual_ms
         paced_ms = usual_ms * self._get_pace(upstream, now_ms)
         return paced_ms + (1 - certainty) * (actual_ms - usual_ms)
 
