Fair shares of workspaces: tests, and exact max-min shares where little is served

Cause: tests found that the lower bound on the share (the mean demand) raised it above the max-min share when one of few workspaces floods, so that the excess was 1.4 instead of 3; and that an empty window after some work raised ZeroDivisionError. Change: the lower bound is a quarter of the median demand; a window with fewer than two workspaces has no share.

--- a/bench/admission_cost.py
+++ b/bench/admission_cost.py
@@ -14,7 +14,7 @@
 
 from bench.report import print_machine, print_result, print_table
 from gypsumrouter.const import EXIT_OK
-from gypsumrouter.contention import WorkspaceShares
+from gypsumrouter.contention.workspaces import WorkspaceShares
 from gypsumrouter.link import WorkspaceUsage, WorkspaceWork
 from gypsumrouter.peers.usage import get_entry_count
 
--- a/gypsumrouter/contention/workspaces.py
+++ b/gypsumrouter/contention/workspaces.py
@@ -26,6 +26,9 @@
 # Demands that exceed the capacity by this share fit: sums of single-precision figures of peers
 # differ by as much.
 TOLERANCE: Final = 1e-6
+# Lower bound on the share, as a part of the median demand. It bounds the excess while nearly
+# nothing is served, as after a start. A flood of one workspace hardly moves the median.
+MIN_MEDIAN_SHARE: Final = 0.25
 # Workspaces in the state dump.
 DUMPED_WORKSPACES: Final = 20
 
@@ -155,19 +158,18 @@
 def get_level(demands: Iterable[float], *, capacity: float) -> float:
     """Return the max-min fair share: the sum of min(demand, share) is the capacity.
 
-    It is infinite where all demands fit, and at least the equal part of all demands. The latter
-    bounds the share when nearly nothing is served, as after a start: equal workspaces then have no
-    excess.
+    It is infinite where all demands fit and where only one workspace has any. It is at least
+    `MIN_MEDIAN_SHARE` of the median demand.
     """
     ordered = sorted(demands)
     total = sum(ordered)
-    if total - capacity <= total * TOLERANCE:
+    if len(ordered) < 2 or total - capacity <= total * TOLERANCE:
         return math.inf
-    equal_part = total / len(ordered)
+    median = ordered[(len(ordered) - 1) // 2]
     left = capacity
     for index, demand in enumerate(ordered):
         part = left / (len(ordered) - index)
         if demand > part:
-            return max(part, equal_part)
+            return max(part, median * MIN_MEDIAN_SHARE)
         left -= demand
     return math.inf
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -9,7 +9,7 @@
 
 from gypsumrouter.callers import abort_connection
 from gypsumrouter.const import MS_PER_S
-from gypsumrouter.contention import WorkspaceShares
+from gypsumrouter.contention.workspaces import WorkspaceShares
 from gypsumrouter.core import Application
 from gypsumrouter.forwarding.attempt import Attempt
 from gypsumrouter.forwarding.budget import RetryBudget
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from gypsumrouter.callers import CallerConnection, CallerListener, CallerServer, ConnectionLimits
-from gypsumrouter.contention import WorkspaceShares
+from gypsumrouter.contention.workspaces import WorkspaceShares
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Evacuations
 from gypsumrouter.forwarding.backoff import BackoffTracker
--- a/gypsumrouter/peers/usage.py
+++ b/gypsumrouter/peers/usage.py
@@ -7,7 +7,8 @@
 
 from msgspec.structs import replace
 
-from gypsumrouter.contention import MAX_ENTRIES, WorkspaceShares
+from gypsumrouter.contention.peer_usage import MAX_ENTRIES
+from gypsumrouter.contention.workspaces import WorkspaceShares
 from gypsumrouter.link import DataCentreLoads, WorkspaceUsage
 from gypsumrouter.peers.routers import PeerRouter, RemoteDataCentre
 from gypsumrouter.util.clock import Clock
--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -9,6 +9,7 @@
 from store_view import StoreView
 
 from gypsumrouter.const import Role
+from gypsumrouter.contention.workspaces import WorkspaceShares
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
 from gypsumrouter.exceptions import DocumentInvalid
@@ -28,6 +29,7 @@
 from gypsumrouter.peers.evacuations import encode_evacuations
 from gypsumrouter.peers.relays import DataCentreRelay
 from gypsumrouter.peers.routers import RouterRegistry
+from gypsumrouter.peers.usage import UsageExchange
 from gypsumrouter.peers.watchers import WatchCoordinator
 from gypsumrouter.published import LIST_WATCH_TIMEOUT_MS, Follower, ItemBatch, WatchState
 from gypsumrouter.routing import RoutingConfiguration, RoutingStore
@@ -142,6 +144,8 @@
             is_watcher=self.watchers.is_watcher,
         )
 
+        self.shares = WorkspaceShares(tracked=256)
+        self.usage = UsageExchange(clock=clock, shares=self.shares)
         self.relays = DataCentreRelay(
             app=self.app,
             routers=self.routers,
@@ -154,6 +158,7 @@
             notices=self.notices,
             send=self._async_send,
             without=frozenset(),
+            usage=self.usage,
         )
         # All routers by address, and the number of messages sent to other data centres.
         self.fleet: dict[str, FleetRouter] = {}
@@ -297,6 +302,10 @@
         known.note_update(peer, data_centre=other.app.data_centre, now_ms=self._last_exchange_ms)
         loads = PeerLoads(received_ms=self._last_exchange_ms, loads=other.loads.get_own_loads())
         router.loads.set_peer_loads(other.name, loads)
+        target = other.routers.get(router.address)
+        assert target is not None
+        receivers = len(other.routers.list_neighbours())
+        router.usage.apply(other.name, other.usage.get_due(target, receivers=receivers))
         for part in placed:
             router.cache_index.note(
                 part=part.part, upstream=part.upstream, now_ms=self._last_exchange_ms
--- a/tests/peers/test_peers_relays.py
+++ b/tests/peers/test_peers_relays.py
@@ -5,6 +5,8 @@
 import pytest
 from peer_fleet import STEP_MS, FleetRouter, PeerFleet
 
+from gypsumrouter.contention.workspaces import PEER_USAGE_TTL_MS
+
 # Time for state to reach all data centres: one update to the neighbours, one between data centres
 # and one to the neighbours there.
 PROPAGATION_MS = 1_000
@@ -111,3 +113,45 @@
     await fleet.async_advance(1_000)
     assert not any(router.placer.health.is_down("i-1") for router in fleet.routers)
     await fleet.async_stop()
+
+
+def note_work(fleet: PeerFleet) -> None:
+    """Count equal work of one workspace on each router, and more of another on the last one."""
+    now_ms = fleet.clock.now_ms()
+    for router in fleet.routers:
+        router.shares.note(workspace="spread", cost=1_000.0, now_ms=now_ms)
+    fleet.routers[-1].shares.note(workspace="one-router", cost=50_000.0, now_ms=now_ms)
+
+
+def get_work(router: FleetRouter, workspace: str) -> float:
+    dumped = router.shares.dump(now_ms=router.app.clock.now_ms())
+    assert isinstance(dumped, dict)
+    return float(dumped.get(workspace, {"work": 0.0})["work"])
+
+
+@pytest.mark.parametrize("sizes", [(1, 1, 1), (3, 3, 3), (9, 9, 9)])
+async def test_work_of_workspaces_reaches_all_routers(sizes: tuple[int, ...]) -> None:
+    fleet = PeerFleet(*sizes)
+    await fleet.async_start()
+    for _ in range(20):
+        note_work(fleet)
+        await fleet.async_advance(500)
+    # A window holds some 8 of the amounts noted every 0.5 s; those of peers are up to 2.5 s old.
+    for router in fleet.routers:
+        assert get_work(router, "one-router") > 5 * 50_000
+        assert 5_000 < get_work(router, "spread") / len(fleet.routers) < 10_000
+    await fleet.async_stop()
+
+
+async def test_work_of_an_unreachable_data_centre_expires() -> None:
+    fleet = PeerFleet(2, 2)
+    await fleet.async_start()
+    for _ in range(10):
+        note_work(fleet)
+        await fleet.async_advance(500)
+    assert get_work(fleet.routers[0], "one-router") > 0
+    for router in fleet.routers[2:]:
+        router.running = False
+    await fleet.async_advance(PEER_USAGE_TTL_MS + PROPAGATION_MS)
+    assert get_work(fleet.routers[0], "one-router") == 0
+    await fleet.async_stop()
