Fair shares of workspaces: compare work that was sent, not all that has arrived

Cause: compared by its demand, a workspace above its share has an excess for as long as it sends and is always refused first. Change: `note_sent` counts the first attempt of a request; the share still follows from all demand. Summaries carry the sent work of each entry.

--- a/gypsumrouter/contention/heavy_hitters.py
+++ b/gypsumrouter/contention/heavy_hitters.py
@@ -51,6 +51,10 @@
         """Return the sum over all keys, also those without a counter."""
         return self._total * self._get_decay(now_ms)
 
+    def get(self, key: str, *, now_ms: int) -> float:
+        """Return the certain part of the sum of a key; 0 without a counter."""
+        return self._sums.get(key, 0.0) * self._get_decay(now_ms)
+
     def get_sums(self, *, now_ms: int) -> dict[str, float]:
         """Return the certain part of each counted sum; the true sum is not lower."""
         decay = self._get_decay(now_ms)
--- a/gypsumrouter/contention/peer_usage.py
+++ b/gypsumrouter/contention/peer_usage.py
@@ -28,19 +28,21 @@
 
     received_ms: int
     work: dict[str, int]
+    sent: dict[str, int]
     total: int
     served: int
     most_unlisted: int
 
 
 class ListedWork:
-    """Sums over the `peers` that list one workspace: of its work, and as in `PeerSums`."""
+    """Sums over the `peers` that list one workspace: of its figures, and as in `PeerSums`."""
 
-    __slots__ = ("most_unlisted", "peers", "total", "work")
+    __slots__ = ("most_unlisted", "peers", "sent", "total", "work")
 
     def __init__(self) -> None:
         self.peers = 0
         self.work = 0
+        self.sent = 0
         self.total = 0
         self.most_unlisted = 0
 
@@ -73,6 +75,7 @@
                 listed = self.by_workspace[name] = ListedWork()
             listed.peers += sign
             listed.work += sign * work
+            listed.sent += sign * received.sent[name]
             listed.total += total
             listed.most_unlisted += most_unlisted
             if not listed.peers:
@@ -137,6 +140,8 @@
         return False
     if not all(len(e.name) <= MAX_NAME_CHARS and _is_amount(e.work) for e in entries):
         return False
+    if not all(_is_amount(entry.sent) for entry in entries):
+        return False
     return sum(entry.work for entry in entries) <= usage.total * ROUNDING
 
 
@@ -144,6 +149,7 @@
     return _Received(
         received_ms=now_ms,
         work={entry.name: round(entry.work) for entry in usage.entries},
+        sent={entry.name: round(min(entry.sent, entry.work)) for entry in usage.entries},
         total=round(usage.total),
         # A peer whose demand has just ended still serves; it has no more room than demand.
         served=round(min(usage.served, usage.total)),
--- a/gypsumrouter/contention/workspaces.py
+++ b/gypsumrouter/contention/workspaces.py
@@ -36,16 +36,28 @@
 class WorkspaceShares:
     """The work of each workspace and its excess over its max-min fair share.
 
-    Work is demand: a request counts when it arrives, also if it is refused later. The capacity that
-    is divided is the work that was served. All amounts are in the unit of `note`.
+    The share follows from all demand, also that of requests that were refused, and from the
+    capacity, which is the work that was served. Only work that was sent to upstreams is compared
+    with the share: a workspace that was cut down to its share has no excess any more. Otherwise it
+    would be refused altogether. All amounts are in the unit of `note`.
     """
 
-    __slots__ = ("_demand", "_level", "_own", "_peers", "_refreshed_ms", "_served")
+    __slots__ = (
+        "_demand",
+        "_level",
+        "_own",
+        "_peers",
+        "_refreshed_ms",
+        "_sent",
+        "_served",
+    )
 
     def __init__(self, *, tracked: int) -> None:
         self._own = HeavyHitters(size=tracked, window_ms=WINDOW_MS)
+        self._sent = HeavyHitters(size=tracked, window_ms=WINDOW_MS)
         self._served = HeavyHitters(size=1, window_ms=WINDOW_MS)
         self._peers = PeerUsages()
+        # Work over all routers that has arrived, as of the last refresh.
         self._demand: dict[str, float] = {}
         self._level = math.inf
         self._refreshed_ms: int | None = None
@@ -55,6 +67,11 @@
         if cost > 0:
             self._own.add(workspace, min(cost, MAX_COST), now_ms=now_ms)
 
+    def note_sent(self, *, workspace: str, cost: float, now_ms: int) -> None:
+        """Count a request that is sent to an upstream, with the cost that it had in `note`."""
+        if cost > 0:
+            self._sent.add(workspace, min(cost, MAX_COST), now_ms=now_ms)
+
     def note_served(self, *, cost: float, now_ms: int) -> None:
         """Count a request that was answered, with the cost that it had in `note`."""
         if cost > 0:
@@ -67,7 +84,7 @@
     def get_excess(self, workspace: str, *, now_ms: int) -> float:
         """Return 0 within the fair share, otherwise the ratio of the work to it, minus 1."""
         self._refresh(now_ms)
-        work = self._demand.get(workspace, 0.0)
+        work = self._get_sent_work(workspace, now_ms)
         return 0.0 if work <= self._level else work / self._level - 1
 
     def get_share(self, *, now_ms: int) -> float:
@@ -86,31 +103,54 @@
         sums = self._peers.sum_up(peers)
         total = self._own.get_total(now_ms=now_ms) + sums.total
         work = self._own.get_sums(now_ms=now_ms)
+        sent = self._sent.get_sums(now_ms=now_ms)
         for name, listed in sums.by_workspace.items():
             work[name] = work.get(name, 0.0) + listed.work
+            sent[name] = sent.get(name, 0.0) + listed.sent
         if not work:
             return None
         largest = sorted(work.items(), key=lambda item: (-item[1], item[0]))[:entries]
         return WorkspaceUsage(
-            entries=tuple(WorkspaceWork(name=name, work=amount) for name, amount in largest),
+            entries=tuple(
+                WorkspaceWork(name=name, work=amount, sent=sent.get(name, 0.0))
+                for name, amount in largest
+            ),
             total=total,
             served=self._served.get_total(now_ms=now_ms) + sums.served,
         )
 
     def dump(self, *, now_ms: int) -> object:
-        """Return the largest workspaces with work, share and excess."""
+        """Return the workspaces with the largest demand, and their work, share and excess."""
         self._refresh(now_ms)
         largest = sorted(self._demand.items(), key=lambda item: (-item[1], item[0]))
         share = None if math.isinf(self._level) else round(self._level, 1)
         return {
             name: {
-                "work": round(work, 1),
+                "demand": round(demand, 1),
+                "work": round(self._get_sent_work(name, now_ms), 1),
                 "share": share,
                 "excess": round(self.get_excess(name, now_ms=now_ms), 3),
             }
-            for name, work in largest[:DUMPED_WORKSPACES]
+            for name, demand in largest[:DUMPED_WORKSPACES]
         }
 
+    def _get_sent_work(self, workspace: str, now_ms: int) -> float:
+        """Return the work of a workspace that was sent to upstreams, over all routers.
+
+        Of the work that no peer lists, the same part was sent as of the work that is known.
+        """
+        demand = self._demand.get(workspace)
+        if demand is None:
+            return 0.0
+        known = self._own.get(workspace, now_ms=now_ms)
+        sent = self._sent.get(workspace, now_ms=now_ms)
+        listed = self._peers.sums.by_workspace.get(workspace)
+        if listed is not None:
+            known += listed.work
+            sent += listed.sent
+        # Work is counted on arrival and has decayed for longer than that which is sent later.
+        return demand if sent >= known else demand * sent / known
+
     def _refresh(self, now_ms: int) -> None:
         """Recompute the demands and the level if they are older than `REFRESH_MS`."""
         refreshed_ms = self._refreshed_ms
@@ -118,6 +158,7 @@
             return
         self._refreshed_ms = now_ms
         self._own.drop_idle(before_ms=now_ms - IDLE_MS)
+        self._sent.drop_idle(before_ms=now_ms - IDLE_MS)
         self._peers.drop_expired(now_ms=now_ms, ttl_ms=PEER_USAGE_TTL_MS)
         own = self._own.get_sums(now_ms=now_ms)
         own_total = self._own.get_total(now_ms=now_ms)
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -145,6 +145,13 @@
             shares.note(workspace=self._routed.workspace, cost=cost, now_ms=self._now_ms())
         return cost
 
+    def _note_first_sent(self) -> None:
+        """Count the request as work that is sent for its workspace, once for all attempts."""
+        shares = self._context.shares
+        if shares is not None and self.progress.attempts == 1:
+            cost = estimate_cost(self._request.prompt)
+            shares.note_sent(workspace=self._routed.workspace, cost=cost, now_ms=self._now_ms())
+
     def _note_served(self, cost: float) -> None:
         shares = self._context.shares
         if shares is not None and self.progress.outcome == "answered":
@@ -171,6 +178,7 @@
         """Make one attempt; return the response, or None if another attempt is to be made."""
         progress = self.progress
         progress.attempts += 1
+        self._note_first_sent()
         progress.upstream = placement.entry.incarnation
         loads = self._context.placer.loads
         peers_age_ms = loads.get_oldest_peer_age_ms(now_ms=self._now_ms())
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -180,6 +180,7 @@
 struct WorkspaceWork {
   name @0 :Text;
   work @1 :Float32;
+  sent @2 :Float32;
 }
 
 struct WorkspaceUsage {
--- a/gypsumrouter/link/models.py
+++ b/gypsumrouter/link/models.py
@@ -230,10 +230,11 @@
 
 
 class WorkspaceWork(Struct, frozen=True, kw_only=True):
-    """The work of one workspace in the sender's window, in tokens."""
+    """Work of one workspace in the sender's window, in tokens: arrived, and sent to upstreams."""
 
     name: str
     work: float
+    sent: float = 0.0
 
 
 class WorkspaceUsage(Struct, frozen=True, kw_only=True):
--- a/gypsumrouter/link/usage_codec.py
+++ b/gypsumrouter/link/usage_codec.py
@@ -23,6 +23,7 @@
     for entry, work in zip(entries, usage.entries, strict=True):
         entry.name = work.name
         entry.work = work.work
+        entry.sent = work.sent
 
 
 def read_usage(message: Any) -> WorkspaceUsage | None:
@@ -32,7 +33,7 @@
     usage = message.usage
     return WorkspaceUsage(
         entries=tuple(
-            WorkspaceWork(name=entry.name, work=entry.work)
+            WorkspaceWork(name=entry.name, work=entry.work, sent=entry.sent)
             for entry in islice(usage.entries, MAX_DECODED_ENTRIES)
         ),
         total=usage.total,
--- a/gypsumrouter/peers/usage.py
+++ b/gypsumrouter/peers/usage.py
@@ -13,13 +13,13 @@
 from gypsumrouter.peers.routers import PeerRouter, RemoteDataCentre
 from gypsumrouter.util.clock import Clock
 
-# A summary of 8 entries with names of 12 characters adds 200 bytes to an update. Sent to each of up
-# to 10 receivers every 200 ms per receiver, that is 1 KB a second.
+# A summary of 8 entries with names of 12 characters adds 232 bytes to an update. Sent to each of up
+# to 11 receivers every 200 ms per receiver, that is 1.2 KB a second.
 USAGE_INTERVAL_MS_PER_RECEIVER: Final = 200
 MIN_USAGE_INTERVAL_MS: Final = 400
-# Above 10 receivers the interval stays and the entries become fewer, since older figures would not
+# Above 11 receivers the interval stays and the entries become fewer, since older figures would not
 # count any more.
-MAX_USAGE_INTERVAL_MS: Final = 2_000
+MAX_USAGE_INTERVAL_MS: Final = 2_200
 FULL_RECEIVERS: Final = MAX_USAGE_INTERVAL_MS // USAGE_INTERVAL_MS_PER_RECEIVER
 
 
