--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -448,18 +448,20 @@
         return max(0.0, held + arrived - load.running)
 
     def _get_mean_load(self, loads: Mapping[str, UpstreamLoad], now_ms: int) -> float:
-        """Return the mean load of a service, from the lower of counted and reported loads.
+        """Return the mean load of a service, the lower one of counted and reported loads.
 
         Requests whose responses are lost stay counted although their upstream is done with them.
-        A mean that included them would let the other upstreams exceed the cap.
+        A mean that included them would let the other upstreams exceed the cap. The sums are
+        compared, not the loads of each upstream: their lower values would add up to too little.
         """
+        counted = get_mean(loads)
         if not self._uses_load_reports:
-            return get_mean(loads)
-        total = 0
+            return counted
+        reported = 0
         for upstream, load in loads.items():
             held = self.load_reports.get_held(upstream, now_ms=now_ms)
-            total += load.running if held is None else min(load.running, held)
-        return total / len(loads)
+            reported += load.running if held is None else held
+        return min(counted, reported / len(loads))
 
     def _get_penalty_ms(self, entry: Entry, *, plain: bool) -> float:
         if not self._weighs_health:
--- a/tests/contention/return_replay.py
+++ b/tests/contention/return_replay.py
@@ -115,8 +115,7 @@
             end_ms = self._upstreams[placed.entry.upstream].serve(at_ms)
             if end_ms is not None:
                 placer.note_sent(placed, None)
-                placer.plain.note_answered(placed, elapsed_ms=round(end_ms - at_ms))
-                done = Completed(router=router, upstream=placed.entry.upstream)
+                done = Completed(router=router, placed=placed, elapsed_ms=end_ms - at_ms)
                 self._schedule(end_ms, done)
                 self._count_served(end_ms - call.requested_ms, call)
                 return
--- a/tests/forwarding/test_forwarding_return_order.py
+++ b/tests/forwarding/test_forwarding_return_order.py
@@ -165,7 +165,7 @@
     """Return the admission of one of very many routers, with all of its permits saved."""
     admission = PlainAdmission(count_routers=lambda: 1_000_000)
     placed = Placement(entry=ENTRY, load=0, mean_load=0, missing_tokens=0, candidates=1)
-    admission.note_answered(placed, elapsed_ms=90)
+    admission.note_answered(placed, elapsed_ms=90, now_ms=0)
     return admission
 
 
