--- a/gypsumrouter/contention/const.py
+++ b/gypsumrouter/contention/const.py
@@ -35,7 +35,7 @@
 MAX_ADDED_DEMAND: Final = 100.0
 # A service counts as contended for this long, in milliseconds, after a request had to wait or was
 # refused. It covers the gaps between requests of a class with few of them.
-CONTENTION_MS: Final = 500
+CONTENTION_MS: Final = 1_000
 # Largest allowance for requests that peers have sent since their last report, as a share of the
 # budget. With a larger one an upstream could become idle while requests wait.
 MAX_UNREPORTED_SHARE: Final = 0.5
--- a/gypsumrouter/contention/queue.py
+++ b/gypsumrouter/contention/queue.py
@@ -3,27 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections import Counter
 from collections.abc import Callable, Iterator
 from typing import Final
 
-from msgspec.structs import replace
-
-from gypsumrouter.contention.const import (
-    MAX_ESTIMATES,
-    MAX_ESTIMATES_PER_CLASS,
-)
-from gypsumrouter.contention.decision import (
-    Demand,
-    Refuse,
-    Send,
-    decide,
-    get_budget_ms,
-    is_in_time,
-)
+from gypsumrouter.contention.const import MAX_ESTIMATES, MAX_ESTIMATES_PER_CLASS
+from gypsumrouter.contention.decision import Refuse, Send, decide
 from gypsumrouter.contention.intervals import ReleaseIntervals
-from gypsumrouter.contention.limits import UrgencyLimits, estimate_unreported_ms
 from gypsumrouter.contention.models import (
     Admitted,
     Claim,
@@ -34,8 +20,8 @@
     Waiting,
     WorkspaceShares,
 )
-from gypsumrouter.contention.order import ClassCredits, choose_next, choose_victim, rank
-from gypsumrouter.contention.room import RoomShare
+from gypsumrouter.contention.order import choose_next, choose_victim, rank
+from gypsumrouter.contention.release import ReleaseCheck, make_demand
 from gypsumrouter.outcomes import Reason
 
 LATE_MESSAGE: Final = "The upstreams have more waiting than they serve in time"
@@ -57,12 +43,10 @@
     __slots__ = (
         "_by_class",
         "_by_urgency",
-        "_credits",
+        "_check",
         "_get_work",
         "_intervals",
-        "_limits",
         "_max_waiting",
-        "_room",
         "_rotation",
         "_shares",
         "_unsent",
@@ -81,9 +65,7 @@
         self._shares = shares
         self._get_work = get_work
         self._by_urgency = by_urgency
-        self._credits = ClassCredits()
-        self._limits = UrgencyLimits()
-        self._room = RoomShare()
+        self._check = ReleaseCheck()
         self._intervals = ReleaseIntervals()
         self._rotation = 0
         # Waiting requests of each class.
@@ -108,18 +90,18 @@
             future=asyncio.get_running_loop().create_future(),
         )
         work = self._get_work()
-        self._room.note(work, now_ms=now_ms)
+        self._check.note_work(work, now_ms=now_ms)
         ahead_ms = self._estimate_ahead_ms(item, now_ms)
-        match decide(_make_demand(item, now_ms, ahead_ms=ahead_ms), expected):
+        match decide(make_demand(item, now_ms, ahead_ms=ahead_ms), expected):
             case Refuse(reason=reason, room_in_ms=room_in_ms):
-                self._note_contention(item, now_ms)
+                self._check.note_waiting(item, now_ms=now_ms)
                 return Refused(reason=reason, message=LATE_MESSAGE, room_in_ms=room_in_ms)
             case Send() if item.hold_until_ms <= now_ms:
                 return Admitted()
-            case Send() if self._may_send(item, expected, work, now_ms):
-                self._room.note_released(now_ms=now_ms)
+            case Send() if self._check.may_send(item, expected, work, now_ms=now_ms):
+                self._check.note_sent(now_ms=now_ms)
                 return Admitted()
-        self._note_contention(item, now_ms)
+        self._check.note_waiting(item, now_ms=now_ms)
         return self._enqueue(item, expected, now_ms)
 
     def get_position(self, item: Waiting, *, now_ms: int) -> int:
@@ -133,7 +115,7 @@
 
     def get_share(self, work: ServiceWork) -> float:
         """Return the part of the capacity that this router may use, from 0 to 1."""
-        return self._room.get_share(work)
+        return self._check.get_share(work)
 
     def remove(self, item: Waiting) -> None:
         """Remove a request whose caller has gone or that has got its decision."""
@@ -152,15 +134,15 @@
         if not self.waiting or self._unsent:
             return
         work = self._get_work()
-        self._room.note(work, now_ms=now_ms)
+        self._check.note_work(work, now_ms=now_ms)
         item = self._find_releasable(work, now_ms)
         if item is not None:
             self._admit(item, now_ms)
 
     def sample_demand(self, *, now_ms: int) -> None:
         """Keep the demand figures of the room share recent, also while nothing waits."""
-        if self._room.is_sample_due(now_ms=now_ms):
-            self._room.note(self._get_work(), now_ms=now_ms)
+        if self._check.is_sample_due(now_ms=now_ms):
+            self._check.note_work(self._get_work(), now_ms=now_ms)
 
     def refuse_all(self, reason: Reason, message: str) -> None:
         """Refuse all waiting requests."""
@@ -172,7 +154,7 @@
         work = self._get_work()
         return {
             "waiting": len(self.waiting),
-            "share": round(self._room.get_share(work), 3),
+            "share": round(self._check.get_share(work), 3),
             "own_work_ms": round(work.own_ms),
             "peers_work_ms": round(work.peers_ms),
             "release_intervals_ms": self._intervals.dump(),
@@ -210,7 +192,7 @@
         """Send or refuse a request whose longest wait has passed."""
         expected = item.claim.estimate()
         decision = (
-            Send() if expected is None else decide(_make_demand(item, now_ms, hold_ms=0), expected)
+            Send() if expected is None else decide(make_demand(item, now_ms, hold_ms=0), expected)
         )
         if isinstance(decision, Refuse):
             self._refuse(item, decision.reason, LATE_MESSAGE, decision.room_in_ms)
@@ -224,35 +206,11 @@
         """Return the first request in the order that may be sent now."""
         for item in self._list_candidates(now_ms):
             expected = item.claim.estimate()
-            if expected is None or self._may_send(item, expected, work, now_ms):
+            if expected is None or self._check.may_send(item, expected, work, now_ms=now_ms):
                 return item
-            self._note_contention(item, now_ms)
+            self._check.note_waiting(item, now_ms=now_ms)
         return None
 
-    def _may_send(self, item: Waiting, expected: Expected, work: ServiceWork, now_ms: int) -> bool:
-        """Return whether a request that is sent now is expected to meet its target.
-
-        The upstream must also be left in time for the more urgent requests that wait, and the work
-        of this router must be within its share.
-        """
-        budget_ms = get_budget_ms(plain=item.claim.plain, target_ms=item.route_target_ms)
-        if self._limits.is_contended(now_ms=now_ms):
-            unreported_ms = estimate_unreported_ms(work, budget_ms=budget_ms)
-            expected = replace(expected, backlog_ms=expected.backlog_ms + unreported_ms)
-        limit_ms = math.inf
-        if item.claim.caller_class != self._credits.find_overdue():
-            limit_ms = self._limits.get(item.priority, now_ms=now_ms)
-        budget_ms = min(budget_ms, limit_ms + expected.own_ms)
-        return (
-            expected.backlog_ms <= limit_ms
-            and is_in_time(_make_demand(item, now_ms), expected)
-            and self._room.allows(work, budget_ms=budget_ms, now_ms=now_ms)
-        )
-
-    def _note_contention(self, item: Waiting, now_ms: int) -> None:
-        left_ms = get_budget_ms(plain=item.claim.plain, target_ms=item.target_at_ms - now_ms)
-        self._limits.note(item.priority, limit_ms=left_ms - item.own_ms, now_ms=now_ms)
-
     def _list_candidates(self, now_ms: int) -> Iterator[Waiting]:
         """Yield the requests to estimate, in order.
 
@@ -261,7 +219,7 @@
         """
         remaining = dict(self.waiting)
         get_excess = self._make_get_excess(now_ms)
-        overdue = self._credits.find_overdue()
+        overdue = self._check.find_overdue()
         per_class: dict[str, int] = {}
         for _ in range(MAX_ESTIMATES - 1):
             item = choose_next(
@@ -289,10 +247,9 @@
 
     def _admit(self, item: Waiting, now_ms: int) -> None:
         name = item.claim.caller_class
-        self._credits.note_released(name, waiting=tuple(self._by_class))
         self._intervals.note_released(name, now_ms=now_ms)
+        self._check.note_released(name, waiting=tuple(self._by_class), now_ms=now_ms)
         self.remove(item)
-        self._room.note_released(now_ms=now_ms)
         if not item.future.done():
             self._unsent.add(item.sequence)
             item.future.set_result(Admitted(waited_ms=now_ms - item.arrived_ms))
@@ -329,15 +286,3 @@
             return excess
 
         return get_excess
-
-
-def _make_demand(
-    item: Waiting, now_ms: int, *, ahead_ms: float = 0.0, hold_ms: float | None = None
-) -> Demand:
-    return Demand(
-        plain=item.claim.plain,
-        target_ms=item.target_at_ms - now_ms,
-        remaining_ms=item.expires_ms - now_ms,
-        hold_ms=item.hold_until_ms - now_ms if hold_ms is None else hold_ms,
-        ahead_ms=ahead_ms,
-    )
--- /dev/null
+++ b/gypsumrouter/contention/release.py
@@ -0,0 +1,94 @@
+"""Check whether a request may be sent now, with respect to all others of its service."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Collection
+
+from msgspec.structs import replace
+
+from gypsumrouter.contention.decision import Demand, get_budget_ms, is_in_time
+from gypsumrouter.contention.limits import UrgencyLimits, estimate_unreported_ms
+from gypsumrouter.contention.models import Expected, ServiceWork, Waiting
+from gypsumrouter.contention.order import ClassCredits
+from gypsumrouter.contention.room import RoomShare
+
+
+class ReleaseCheck:
+    """Keeps the limits that apply to requests under contention.
+
+    Without contention a request may be sent if it is expected in time. Under contention the
+    upstream must also be left in time for the more urgent requests that waited recently, the
+    estimate allows for what peers have not reported yet, and the work of this router must be within
+    its share.
+    """
+
+    __slots__ = ("_credits", "_limits", "_room")
+
+    def __init__(self) -> None:
+        self._credits = ClassCredits()
+        self._limits = UrgencyLimits()
+        self._room = RoomShare()
+
+    def may_send(
+        self, item: Waiting, expected: Expected, work: ServiceWork, *, now_ms: int
+    ) -> bool:
+        """Return whether a request may be sent now."""
+        demand = make_demand(item, now_ms)
+        if not self._limits.is_contended(now_ms=now_ms):
+            return is_in_time(demand, expected)
+        budget_ms = get_budget_ms(plain=item.claim.plain, target_ms=item.route_target_ms)
+        unreported_ms = estimate_unreported_ms(work, budget_ms=budget_ms)
+        expected = replace(expected, backlog_ms=expected.backlog_ms + unreported_ms)
+        limit_ms = math.inf
+        if item.claim.caller_class != self.find_overdue():
+            limit_ms = self._limits.get(item.priority, now_ms=now_ms)
+        budget_ms = min(budget_ms, limit_ms + expected.own_ms)
+        return (
+            expected.backlog_ms <= limit_ms
+            and is_in_time(demand, expected)
+            and self._room.allows(work, budget_ms=budget_ms, now_ms=now_ms)
+        )
+
+    def note_waiting(self, item: Waiting, *, now_ms: int) -> None:
+        """Record that a request has to wait or was refused."""
+        left_ms = get_budget_ms(plain=item.claim.plain, target_ms=item.target_at_ms - now_ms)
+        self._limits.note(item.priority, limit_ms=left_ms - item.own_ms, now_ms=now_ms)
+
+    def note_sent(self, *, now_ms: int) -> None:
+        """Record that a request is sent without a wait."""
+        self._room.note_released(now_ms=now_ms)
+
+    def note_released(self, name: str, *, waiting: Collection[str], now_ms: int) -> None:
+        """Record a release of the class `name`; `waiting` are all classes that waited before it."""
+        self._credits.note_released(name, waiting=waiting)
+        self._room.note_released(now_ms=now_ms)
+
+    def find_overdue(self) -> str | None:
+        """Return the class whose guaranteed part of the releases is due, None if there is none."""
+        return self._credits.find_overdue()
+
+    def note_work(self, work: ServiceWork, *, now_ms: int) -> None:
+        """Sample the demand for the share of this router."""
+        self._room.note(work, now_ms=now_ms)
+
+    def is_sample_due(self, *, now_ms: int) -> bool:
+        """Return whether the last sample of the demand is old enough for another one."""
+        return self._room.is_sample_due(now_ms=now_ms)
+
+    def get_share(self, work: ServiceWork) -> float:
+        """Return the part of the capacity that this router may use, from 0 to 1."""
+        return self._room.get_share(work)
+
+
+def make_demand(
+    item: Waiting, now_ms: int, *, ahead_ms: float = 0.0, hold_ms: float | None = None
+) -> Demand:
+    """Return what a request needs, counted from now."""
+    return Demand(
+        plain=item.claim.plain,
+        target_ms=item.target_at_ms - now_ms,
+        remaining_ms=item.expires_ms - now_ms,
+        hold_ms=item.hold_until_ms - now_ms if hold_ms is None else hold_ms,
+        ahead_ms=ahead_ms,
+    )
--- a/gypsumrouter/contention/room.py
+++ b/gypsumrouter/contention/room.py
@@ -23,16 +23,19 @@
     up to the capacity at most. Each router may exceed its share by one request.
     """
 
-    __slots__ = ("_last_release_ms", "_samples")
+    __slots__ = ("_first_ms", "_last_release_ms", "_samples")
 
     def __init__(self) -> None:
         # Time, own demand and demand of the peers.
         self._samples: deque[tuple[int, int, int]] = deque()
+        self._first_ms: int | None = None
         self._last_release_ms: int | None = None
 
     def note(self, work: ServiceWork, *, now_ms: int) -> None:
         """Sample the demand."""
         samples = self._samples
+        if self._first_ms is None:
+            self._first_ms = now_ms
         while samples and now_ms - samples[0][0] > DEMAND_WINDOW_MS:
             samples.popleft()
         sample = (now_ms, work.own_running, work.peers_running)
@@ -46,7 +49,11 @@
         return not self._samples or now_ms - self._samples[-1][0] >= SAMPLE_INTERVAL_MS
 
     def get_share(self, work: ServiceWork) -> float:
-        """Return the part of the capacity that this router may use, from 0 to 1."""
+        """Return the part of the capacity that this router may use, from 0 to 1.
+
+        A router that has just started has no part while its peers have demand: it may use the
+        capacity that they leave.
+        """
         routers = max(1, work.routers)
         if not work.peers_known:
             return 1 / routers
@@ -54,9 +61,9 @@
         peers = max((peers for _, _, peers in self._samples), default=0)
         if own + peers == 0:
             return 1 / routers
-        if peers == 0:
-            return 1.0
-        added = min(ADDED_DEMAND, MAX_ADDED_DEMAND / routers)
+        added = 0.0
+        if self._has_full_window():
+            added = min(ADDED_DEMAND, MAX_ADDED_DEMAND / routers)
         return (own + added) / (own + peers + added * routers)
 
     def allows(self, work: ServiceWork, *, budget_ms: float, now_ms: int) -> bool:
@@ -74,6 +81,12 @@
         """Record a release."""
         self._last_release_ms = now_ms
 
+    def _has_full_window(self) -> bool:
+        """Return whether the peers can know of this router and take it into account."""
+        if self._first_ms is None or not self._samples:
+            return False
+        return self._samples[-1][0] - self._first_ms >= DEMAND_WINDOW_MS
+
     def _is_idle(self, now_ms: int) -> bool:
         last_ms = self._last_release_ms
         return last_ms is None or now_ms - last_ms >= IDLE_LIMIT_MS
