--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -27,6 +27,7 @@
     "fuzz": "bench.fuzz",
     "placement-cost": "bench.placement_cost",
     "admission-cost": "bench.admission_cost",
+    "queue-cost": "bench.queue_cost",
     "journal": "bench.journal_cost",
     "soak": "bench.soak",
     "ablate": "bench.ablate",
