--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -5,25 +5,26 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Final
 
-import xxhash
-
 from gypsumrouter.core import Application, Remove
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuation, Evacuations
 from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.cache_index import CACHE_TTL_MS, CacheIndex
+from gypsumrouter.forwarding.candidates import (
+    CandidateContext,
+    CandidateFactory,
+    find_preferred,
+)
 from gypsumrouter.forwarding.const import SOURCE_RESPONSE
 from gypsumrouter.forwarding.eligibility import NO_UPSTREAM, Eligibility, PlacementRefusal
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.load_reports import LoadReports
 from gypsumrouter.forwarding.loads import LoadTracker, UpstreamLoad, get_mean
-from gypsumrouter.forwarding.models import Prompt, PromptPart, ResponseMetadata
+from gypsumrouter.forwarding.models import Prompt, ResponseMetadata
 from gypsumrouter.forwarding.placed import CopySource, Placement, SentRequest
 from gypsumrouter.forwarding.placement import (
-    MIN_FETCH_TOKENS,
     Candidate,
     Cap,
     choose,
-    choose_by_affinity,
     choose_plain,
 )
 from gypsumrouter.forwarding.plain_admission import PlainAdmission
@@ -41,23 +42,21 @@
     """Chooses an upstream for each attempt."""
 
     __slots__ = (
-        "_allows_copies",
         "_allows_for_unreported",
         "_app",
         "_by_service",
+        "_candidates",
         "_cap",
         "_directory",
         "_eligibility",
         "_keeps_removed",
         "_placement_listeners",
-        "_prefers_local",
         "_refuses_late",
         "_removed_ms",
         "_spreads_plain",
         "_started_ms",
         "_uses_affinity",
         "_uses_load_reports",
-        "_weighs_health",
         "backoffs",
         "cache_index",
         "health",
@@ -84,9 +83,7 @@
         self._app = app
         self._directory = directory
         self._cap = cap
-        self._allows_copies = Mechanism.CACHE_TRANSFER not in without
         self._uses_affinity = Mechanism.AFFINITY not in without
-        self._prefers_local = Mechanism.LOCALITY not in without
         self._eligibility = Eligibility(
             evacuations=evacuations,
             health=health,
@@ -95,7 +92,6 @@
             evacuation_ms=evacuation_ms,
             without=without,
         )
-        self._weighs_health = Mechanism.HEALTH not in without
         self._keeps_removed = Mechanism.CACHE_RETENTION not in without
         self._by_service: dict[str, dict[str, Entry]] = {}
         # When each incarnation was removed from the directory.
@@ -115,6 +111,15 @@
             prefill_speed=self.prefill_speed,
             extrapolates_prefill=Mechanism.PREFILL_PROGRESS not in without,
         )
+        self._candidates = CandidateFactory(
+            data_centre=app.data_centre,
+            directory=directory,
+            eligibility=self._eligibility,
+            health=health,
+            loads=self.loads,
+            cache_index=self.cache_index,
+            without=without,
+        )
         self._placement_listeners: list[PlacementListener] = []
         self._started_ms = app.clock.now_ms()
         directory.on_change(self._handle_entry)
@@ -158,18 +163,22 @@
         mean = self._get_mean_load(loads, now_ms)
         peers_age_ms = self.loads.get_oldest_peer_age_ms(now_ms=now_ms)
         shared = () if prompt is None else prompt.shared
-        source = self._find_source(shared, now_ms)
+        source = self._candidates.find_source(shared, now_ms)
         # Only eligible upstreams are ranked: when the preferred one is lost or evacuated, all
         # routers agree on the next one without communication, and the prompt is prefilled once.
         eligible = [entry.incarnation for entry in entries]
-        preferred = _find_preferred(eligible, shared) if self._uses_affinity else None
-        candidates = {
-            entry.incarnation: self._make_candidate(
-                entry, loads[entry.incarnation], shared, preferred, source, peers_age_ms, now_ms
-            )
-            for entry in entries
-        }
-        chosen = self._choose(tuple(candidates.values()), prompt, mean, source)
+        preferred = find_preferred(eligible, shared) if self._uses_affinity else None
+        context = CandidateContext(
+            prompt=prompt,
+            preferred=preferred,
+            source=source,
+            estimate_unreported=lambda upstream, load: self._estimate_unreported(
+                upstream, load, peers_age_ms, now_ms
+            ),
+            now_ms=now_ms,
+        )
+        candidates = self._candidates.make_all(entries, loads, context)
+        chosen = self._choose(candidates, prompt, mean, source)
         if chosen is None:
             return NO_UPSTREAM
         if prompt is None and limit_ms is not None and self._refuses_late:
@@ -213,7 +222,7 @@
 
     def is_cached(self, prompt: Prompt) -> bool:
         """Return whether some engine is known to have shared parts of a prompt in its cache."""
-        return self._find_source(prompt.shared, self._app.clock.now_ms()) is not None
+        return self._candidates.find_source(prompt.shared, self._app.clock.now_ms()) is not None
 
     def _is_cold_start(self, now_ms: int) -> bool:
         return now_ms - self._started_ms < COLD_START_MS
@@ -316,57 +325,6 @@
                 del self._removed_ms[incarnation]
                 self.cache_index.forget_upstream(incarnation)
 
-    def _find_source(self, shared: tuple[PromptPart, ...], now_ms: int) -> CopySource | None:
-        """Return the reachable upstream with the most tokens of the shared parts in its cache."""
-        best: CopySource | None = None
-        for part in reversed(shared):
-            for upstream in self.cache_index.list_copy_sources(part.part, now_ms=now_ms):
-                entry = self._directory.get_incarnation(upstream)
-                if entry is None or entry.state is EntryState.GONE:
-                    continue
-                if not self._eligibility.may_copy_from(entry):
-                    continue
-                if self.health.is_down(upstream):
-                    continue
-                missing = self.cache_index.missing_tokens(
-                    parts=shared, upstream=upstream, now_ms=now_ms
-                )
-                if best is None or missing < best.missing_tokens:
-                    best = CopySource(entry=entry, missing_tokens=missing)
-            if best is not None:
-                return best
-        return None
-
-    def _make_candidate(
-        self,
-        entry: Entry,
-        load: UpstreamLoad,
-        shared: tuple[PromptPart, ...],
-        preferred: str | None,
-        source: CopySource | None,
-        peers_age_ms: int,
-        now_ms: int,
-    ) -> Candidate:
-        missing = self.cache_index.missing_tokens(
-            parts=shared, upstream=entry.incarnation, now_ms=now_ms
-        )
-        fetchable = 0 if source is None else missing - source.missing_tokens
-        return Candidate(
-            upstream=entry.incarnation,
-            load=load.running,
-            slots=entry.slots,
-            own_load=self.loads.get_own_running(entry.incarnation),
-            same_data_centre=not self._prefers_local or entry.data_centre == self._app.data_centre,
-            pending_tokens=load.pending_tokens,
-            missing_tokens=missing,
-            fetchable_tokens=(
-                fetchable if self._allows_copies and fetchable >= MIN_FETCH_TOKENS else 0
-            ),
-            off_affinity=preferred is not None and entry.incarnation != preferred,
-            penalty_ms=self._get_penalty_ms(entry, plain=not shared),
-            unreported=self._estimate_unreported(entry.incarnation, load, peers_age_ms, now_ms),
-        )
-
     def _estimate_unreported(
         self, upstream: str, load: UpstreamLoad, peers_age_ms: int, now_ms: int
     ) -> float:
@@ -393,11 +351,6 @@
             total += load.running if held is None else min(load.running, held)
         return total / len(loads)
 
-    def _get_penalty_ms(self, entry: Entry, *, plain: bool) -> float:
-        if not self._weighs_health:
-            return 0.0
-        return self.health.penalty_ms(entry.incarnation, plain=plain)
-
     def _handle_evacuation(self, evacuation: Evacuation) -> None:
         if evacuation.active:
             return
@@ -423,10 +376,3 @@
             self.load_reports.forget(entry.incarnation)
         else:
             self._removed_ms.pop(entry.incarnation, None)
-
-
-def _find_preferred(members: Collection[str], shared: tuple[PromptPart, ...]) -> str | None:
-    if not shared or not members:
-        return None
-    affinity = xxhash.xxh3_64_intdigest(shared[-1].part.to_bytes(8, "little"))
-    return choose_by_affinity(members, affinity=affinity)
