Placement: a prefill speed for each engine

Every engine counted as prefilling at the speed of all. Where speeds differ, the slow engines got as many uncached prompts as the fast ones, and their prefill queues grew.

EngineSpeeds learns each engine's slowness from the times to the first event of uncontended requests, relative to the mean of all engines for that prompt size. It scales pending, missing and own tokens in the cost of a candidate, and the extrapolation of peers' pending prefill. It is built only with the setting contention and disabled by the mechanism engine_speed.

--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -1,6 +1,7 @@
 """Benchmark of placement: processor time by number of upstreams and cache state of the prompt.
 
-`python -m bench placement-cost [--rounds N]`. Each round places one request without sending it.
+`python -m bench placement-cost [--rounds N] [--contention]`. Each round places one request without
+sending it. With `--contention`, the parts for contended load are enabled.
 """
 
 from __future__ import annotations
@@ -23,6 +24,7 @@
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
+from gypsumrouter.settings import Contention
 from gypsumrouter.util.clock import ManualClock
 
 ROUNDS: Final = 400
@@ -33,7 +35,7 @@
 CACHED_PROMPT, UNCACHED_PROMPT, NO_PROMPT = "held prompt", "unknown prompt", "no prompt"
 
 
-def make_placer(*, upstreams: int, peers: int) -> Placer:
+def make_placer(*, upstreams: int, peers: int, contention: Contention | None = None) -> Placer:
     """Return a placer with ready upstreams and the reported loads of its peers."""
     clock = ManualClock(now_ms=100_000)
     app = Application(name="r", role=Role.FORWARDER, data_centre="dc-0", region="r", clock=clock)
@@ -47,6 +49,7 @@
         backoffs=BackoffTracker(clock=clock, journal=journal),
         evacuations=Evacuations(app=app, journal=journal),
         slow_start=SlowStartLimiter(clock=clock, journal=journal),
+        contention=contention,
     )
     names = [f"i-{number}" for number in range(upstreams)]
     for number, name in enumerate(names):
@@ -59,6 +62,8 @@
             slots=64,
         )
         directory.merge(Record(revision=number + 1, entry=entry), source="bench")
+        if placer.engine_speeds is not None:
+            placer.engine_speeds.note(name, tokens=5_000, first_event_ms=150, now_ms=clock.now_ms())
     for peer in range(peers):
         loads = {name: UpstreamLoad(running=1 + peer % 3, pending_tokens=0) for name in names}
         placer.loads.set_peer_loads(f"p{peer}", PeerLoads(received_ms=clock.now_ms(), loads=loads))
@@ -94,12 +99,17 @@
     """Run the benchmark."""
     parser = argparse.ArgumentParser(prog="python -m bench placement-cost")
     parser.add_argument("--rounds", type=int, default=ROUNDS)
-    rounds = parser.parse_args(argv).rounds
+    parser.add_argument("--contention", action="store_true")
+    options = parser.parse_args(argv)
+    rounds = options.rounds
+    contention = Contention() if options.contention else None
     rows = []
     result: dict[str, float] = {}
     for upstreams, peers in SIZES:
         costs = {
-            case: measure(make_placer(upstreams=upstreams, peers=peers), case, rounds)
+            case: measure(
+                make_placer(upstreams=upstreams, peers=peers, contention=contention), case, rounds
+            )
             for case in (CACHED_PROMPT, UNCACHED_PROMPT, NO_PROMPT)
         }
         rows.append((upstreams, peers, *(round(cost) for cost in costs.values())))
--- a/bench/placement_load.py
+++ b/bench/placement_load.py
@@ -54,7 +54,8 @@
 
     From `hot_from_ms` to `hot_to_ms`, the fraction `hot_share` of the requests uses the most
     popular prompt of its kind. At `lost_at_ms`, the fraction `lost_share` of the engines is
-    replaced by engines with empty caches. Every third engine is slower by `slow_factor`.
+    replaced by engines with empty caches. `slowdowns` are the factors by which the engines are
+    slower, used in turn.
     """
 
     name: str
@@ -69,7 +70,7 @@
     hot_share: float
     lost_at_ms: int
     lost_share: float
-    slow_factor: float = 1.3
+    slowdowns: tuple[float, ...] = (1.0, 1.0, 1.3)
 
 
 class Arrival(Struct, frozen=True, kw_only=True):
--- a/bench/placement_strategies.py
+++ b/bench/placement_strategies.py
@@ -21,7 +21,9 @@
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
+from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.peers.const import UPDATE_INTERVAL_MS, UPDATE_INTERVAL_MS_PER_PEER
+from gypsumrouter.settings import Contention
 from gypsumrouter.util.clock import ManualClock
 
 SERVICE: Final = "models"
@@ -125,9 +127,20 @@
 
 
 class ProductPlacement:
-    """The placement of the router: one placer per router, and periodic updates between them."""
-
-    def __init__(self, load: Load) -> None:
+    """The placement of the router: one placer per router, and periodic updates between them.
+
+    `contention` and `without` are the settings of the forwarders.
+    """
+
+    def __init__(
+        self,
+        load: Load,
+        *,
+        contention: Contention | None = None,
+        without: frozenset[Mechanism] = frozenset(),
+    ) -> None:
+        self._contention = contention
+        self._without = without
         self._clock = ManualClock()
         self._slots = load.slots
         self._revision = 1
@@ -214,6 +227,8 @@
             backoffs=BackoffTracker(clock=self._clock, journal=journal),
             evacuations=Evacuations(app=app, journal=journal),
             slow_start=SlowStartLimiter(clock=self._clock, journal=journal),
+            contention=self._contention,
+            without=self._without,
         )
         self._directories.append(directory)
         for name in list_engines(load):
--- a/bench/placements.py
+++ b/bench/placements.py
@@ -140,9 +140,9 @@
             self._strategy.replace_engine(name, new)
 
     def _make_engine(self) -> Engine:
-        slow = self._created % 3 == 2
+        slowdowns = self._load.slowdowns
+        slowdown = slowdowns[self._created % len(slowdowns)]
         self._created += 1
-        slowdown = self._load.slow_factor if slow else 1.0
         return Engine(capacity=self._load.engine_tokens, slowdown=slowdown)
 
 
--- a/gypsumrouter/forwarding/candidates.py
+++ b/gypsumrouter/forwarding/candidates.py
@@ -10,6 +10,7 @@
 from gypsumrouter.directory import Directory, Entry, EntryState
 from gypsumrouter.forwarding.cache_index import CacheIndex
 from gypsumrouter.forwarding.eligibility import Eligibility
+from gypsumrouter.forwarding.engine_speed import EngineSpeeds
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.loads import LoadTracker, UpstreamLoad
 from gypsumrouter.forwarding.models import Prompt, PromptPart
@@ -47,6 +48,7 @@
         "_data_centre",
         "_directory",
         "_eligibility",
+        "_engine_speeds",
         "_health",
         "_loads",
         "_prefers_local",
@@ -62,6 +64,7 @@
         health: HealthTracker,
         loads: LoadTracker,
         cache_index: CacheIndex,
+        engine_speeds: EngineSpeeds | None,
         without: frozenset[Mechanism],
     ) -> None:
         self._data_centre = data_centre
@@ -70,6 +73,7 @@
         self._health = health
         self._loads = loads
         self._cache_index = cache_index
+        self._engine_speeds = engine_speeds
         self._allows_copies = Mechanism.CACHE_TRANSFER not in without
         self._prefers_local = Mechanism.LOCALITY not in without
         self._weighs_health = Mechanism.HEALTH not in without
@@ -113,8 +117,14 @@
             off_affinity=context.preferred is not None and upstream != context.preferred,
             penalty_ms=self._get_penalty_ms(entry, plain=not shared),
             unreported=context.estimate_unreported(upstream, load),
+            slowness=self._get_slowness(upstream, context.now_ms),
         )
 
+    def _get_slowness(self, upstream: str, now_ms: int) -> float:
+        if self._engine_speeds is None:
+            return 1.0
+        return self._engine_speeds.get_slowness(upstream, now_ms=now_ms)
+
     def _get_penalty_ms(self, entry: Entry, *, plain: bool) -> float:
         if not self._weighs_health:
             return 0.0
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -93,6 +93,7 @@
             evacuations=evacuations,
             slow_start=slow_start,
             evacuation_ms=bounds.evacuation_ms,
+            contention=settings.contention,
             without=settings.without,
         )
         reuse_for_all = Mechanism.KEEP_ALIVE not in settings.without
--- a/gypsumrouter/forwarding/loads.py
+++ b/gypsumrouter/forwarding/loads.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct
 
+from gypsumrouter.forwarding.engine_speed import EngineSpeeds
 from gypsumrouter.forwarding.prefill_speed import PrefillSpeed
 
 # Loads of a peer that has sent no report for this long are dropped.
@@ -39,6 +40,7 @@
     """
 
     __slots__ = (
+        "_engine_speeds",
         "_extrapolates_prefill",
         "_held_ms",
         "_peer_pending",
@@ -50,9 +52,14 @@
     )
 
     def __init__(
-        self, *, prefill_speed: PrefillSpeed | None = None, extrapolates_prefill: bool = True
+        self,
+        *,
+        prefill_speed: PrefillSpeed | None = None,
+        engine_speeds: EngineSpeeds | None = None,
+        extrapolates_prefill: bool = True,
     ) -> None:
         self._prefill_speed = prefill_speed or PrefillSpeed()
+        self._engine_speeds = engine_speeds
         self._extrapolates_prefill = extrapolates_prefill
         self._running: dict[str, int] = {}
         self._pending: dict[str, int] = {}
@@ -168,19 +175,24 @@
 
     def _add_up(self, upstream: str, now_ms: int) -> UpstreamLoad:
         pending = self._pending.get(upstream, 0)
-        for peer, tokens in self._peer_pending.get(upstream, {}).items():
+        peer_pending = self._peer_pending.get(upstream, {})
+        tokens_per_ms = self._get_tokens_per_ms(upstream, now_ms) if peer_pending else 0.0
+        for peer, tokens in peer_pending.items():
             # Deduct what the engine has prefilled since the report. Otherwise a long prompt counts
             # as pending until the next report, and requests are sent to other engines needlessly.
             if not self._extrapolates_prefill:
                 pending += tokens
                 continue
-            prefilled = round(
-                (now_ms - self._peers[peer].received_ms) * self._prefill_speed.tokens_per_ms
-            )
+            prefilled = round((now_ms - self._peers[peer].received_ms) * tokens_per_ms)
             pending += max(0, tokens - prefilled)
         running = self._running.get(upstream, 0) + self._peer_running.get(upstream, 0)
         return UpstreamLoad(running=running, pending_tokens=pending)
 
+    def _get_tokens_per_ms(self, upstream: str, now_ms: int) -> float:
+        if self._engine_speeds is None:
+            return self._prefill_speed.tokens_per_ms
+        return self._engine_speeds.get_tokens_per_ms(upstream, now_ms=now_ms)
+
     def get_oldest_peer_age_ms(self, *, now_ms: int) -> int:
         """Return the age of the oldest load report that has not expired; 0 without peers."""
         ages = (now_ms - peer.received_ms for peer in self._peers.values())
--- a/gypsumrouter/forwarding/models.py
+++ b/gypsumrouter/forwarding/models.py
@@ -36,6 +36,11 @@
         """Return the parts that other requests may share."""
         return self.parts[:-1]
 
+    @property
+    def own_tokens(self) -> int:
+        """Return the tokens of the part that other requests do not share."""
+        return sum(part.tokens for part in self.parts[-1:])
+
 
 class CallerRequest(Struct, frozen=True, kw_only=True):
     """A caller's request, including its complete body.
--- a/gypsumrouter/forwarding/placement.py
+++ b/gypsumrouter/forwarding/placement.py
@@ -50,7 +50,8 @@
     engine. `off_affinity` is set if another upstream comes first in the rendezvous order of the
     prompt. `penalty_ms` is the expected cost of failures, from its recent failure rate.
     `unreported` is the number of requests that peers have probably sent since their last report; it
-    counts towards the cap only.
+    counts towards the cap only. `slowness` is how long a prefill takes there, as a multiple of the
+    time at all engines.
     """
 
     upstream: str
@@ -64,6 +65,7 @@
     off_affinity: bool = False
     penalty_ms: float = 0.0
     unreported: float = 0.0
+    slowness: float = 1.0
 
 
 class Cap(Struct, frozen=True, kw_only=True):
@@ -81,12 +83,14 @@
     """Parameters of the cost estimate that are the same for all candidates of a request.
 
     `off_affinity_ms` is the surcharge on `off_affinity` candidates; `cached` is set if some engine
-    has the shared parts of the prompt in its cache.
+    has the shared parts of the prompt in its cache. `own_tokens` are the tokens that only this
+    request has, which every engine has to prefill.
     """
 
     prefill_tokens_per_ms: float
     off_affinity_ms: float
     cached: bool
+    own_tokens: int = 0
 
 
 def choose(
@@ -96,6 +100,7 @@
     mean: float,
     shared_tokens: int,
     cached: bool,
+    own_tokens: int = 0,
     prefill_tokens_per_ms: float = PRIOR_TOKENS_PER_MS,
 ) -> Candidate | None:
     """Return the cheapest candidate below the cap; if there is none, the least loaded candidate.
@@ -112,6 +117,7 @@
         prefill_tokens_per_ms=prefill_tokens_per_ms,
         off_affinity_ms=share * shared_tokens / prefill_tokens_per_ms,
         cached=cached,
+        own_tokens=own_tokens,
     )
     return min(allowed, key=lambda c: (estimate_cost_ms(c, costs), c.upstream))
 
@@ -123,6 +129,10 @@
     cost += prefill_tokens / (
         REDUNDANT_PREFILL_TOKENS_PER_MS if costs.cached else costs.prefill_tokens_per_ms
     )
+    # Cost of a slow engine: the additional time of every prefill there. The redundant prefill above
+    # is a price for the service, which does not depend on the engine.
+    engine_tokens = candidate.pending_tokens + prefill_tokens + costs.own_tokens
+    cost += (candidate.slowness - 1) * engine_tokens / costs.prefill_tokens_per_ms
     if candidate.fetchable_tokens:
         cost += FETCH_SETUP_MS + candidate.fetchable_tokens / FETCH_TOKENS_PER_MS
     if candidate.off_affinity:
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -16,6 +16,7 @@
 )
 from gypsumrouter.forwarding.const import SOURCE_RESPONSE
 from gypsumrouter.forwarding.eligibility import NO_UPSTREAM, Eligibility, PlacementRefusal
+from gypsumrouter.forwarding.engine_speed import EngineSpeeds
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.load_reports import LoadReports
 from gypsumrouter.forwarding.loads import LoadTracker, UpstreamLoad, get_mean
@@ -31,6 +32,7 @@
 from gypsumrouter.forwarding.prefill_speed import PrefillSpeed
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.mechanisms import Mechanism
+from gypsumrouter.settings import Contention
 
 # For this long after its start a router's view of the engines' prompt caches is incomplete.
 COLD_START_MS: Final = 4_000
@@ -59,6 +61,7 @@
         "_uses_load_reports",
         "backoffs",
         "cache_index",
+        "engine_speeds",
         "health",
         "load_reports",
         "loads",
@@ -78,6 +81,7 @@
         evacuations: Evacuations,
         slow_start: SlowStartLimiter,
         evacuation_ms: int = 0,
+        contention: Contention | None = None,
         without: frozenset[Mechanism] = frozenset(),
     ) -> None:
         self._app = app
@@ -101,6 +105,9 @@
         self.slow_start = slow_start
         self.cache_index = CacheIndex()
         self.prefill_speed = PrefillSpeed()
+        self.engine_speeds: EngineSpeeds | None = None
+        if contention is not None and Mechanism.ENGINE_SPEED not in without:
+            self.engine_speeds = EngineSpeeds(service=self.prefill_speed)
         self.plain = PlainAdmission(count_routers=slow_start.count_routers)
         self._spreads_plain = Mechanism.PLAIN_OWN_LOAD not in without
         self._uses_load_reports = Mechanism.LOAD_REPORTS not in without
@@ -109,6 +116,7 @@
         self._refuses_late = Mechanism.DEADLINE_ADMISSION not in without
         self.loads = LoadTracker(
             prefill_speed=self.prefill_speed,
+            engine_speeds=self.engine_speeds,
             extrapolates_prefill=Mechanism.PREFILL_PROGRESS not in without,
         )
         self._candidates = CandidateFactory(
@@ -118,6 +126,7 @@
             health=health,
             loads=self.loads,
             cache_index=self.cache_index,
+            engine_speeds=self.engine_speeds,
             without=without,
         )
         self._placement_listeners: list[PlacementListener] = []
@@ -217,6 +226,7 @@
             mean=mean,
             shared_tokens=sum(part.tokens for part in shared),
             cached=source is not None,
+            own_tokens=0 if prompt is None else prompt.own_tokens,
             prefill_tokens_per_ms=self.prefill_speed.tokens_per_ms,
         )
 
@@ -297,9 +307,15 @@
 
     def note_first_event(self, sent: SentRequest) -> None:
         """Update the prefill speed from the time to the first event of a response."""
-        if sent.uncontended:
-            first_event_ms = self._app.clock.now_ms() - sent.sent_ms
-            self.prefill_speed.note(tokens=sent.tokens, first_event_ms=first_event_ms)
+        if not sent.uncontended:
+            return
+        now_ms = self._app.clock.now_ms()
+        first_event_ms = now_ms - sent.sent_ms
+        self.prefill_speed.note(tokens=sent.tokens, first_event_ms=first_event_ms)
+        if self.engine_speeds is not None:
+            self.engine_speeds.note(
+                sent.upstream, tokens=sent.tokens, first_event_ms=first_event_ms, now_ms=now_ms
+            )
 
     def note_ended(self, sent: SentRequest, *, held_ms: int) -> None:
         """Record that an attempt has ended, and how long it counted as running."""
@@ -320,6 +336,8 @@
         self.slow_start.sweep()
         self.backoffs.sweep()
         now_ms = self._app.clock.now_ms()
+        if self.engine_speeds is not None:
+            self.engine_speeds.sweep(now_ms=now_ms)
         for incarnation, removed_ms in tuple(self._removed_ms.items()):
             if now_ms - removed_ms >= CACHE_TTL_MS:
                 del self._removed_ms[incarnation]
@@ -374,5 +392,7 @@
             self.plain.forget(entry.incarnation)
             self.loads.forget(entry.incarnation)
             self.load_reports.forget(entry.incarnation)
+            if self.engine_speeds is not None:
+                self.engine_speeds.forget(entry.incarnation)
         else:
             self._removed_ms.pop(entry.incarnation, None)
--- a/gypsumrouter/forwarding/prefill_speed.py
+++ b/gypsumrouter/forwarding/prefill_speed.py
@@ -41,6 +41,11 @@
         """Return how many prompt tokens an engine prefills per millisecond."""
         return 1 / self._ms_per_token
 
+    @property
+    def base_ms(self) -> float:
+        """Return the time to the first event of a request without prefill, in milliseconds."""
+        return self._base_ms
+
     def note(self, *, tokens: int, first_event_ms: int) -> None:
         """Update the estimate with the time to the first event of an uncontended request."""
         if tokens <= SHORT_TOKENS:
