Placement: avoid engines without memory for a request

An engine whose memory is exhausted preempts a running request and prefills it again. The load cap lets an engine hold twice the mean load, and a slow engine that holds its requests longer exceeds its memory before that.

EngineMemory counts the tokens of running requests for each engine: prompt parts, once for requests of this router that share them, and the expected output, a mean learned for each model from the events of complete responses. Requests of peers count with the mean of own running requests, which is too high where several routers use the same part at an engine. A candidate without memory for the request costs more than any with it; among those without, the least overcommitted is chosen, in steps of half of the memory. Built only with the setting contention, disabled by engine_memory; the capacity comes from the routing table, 0 has no effect.

--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -30,6 +30,7 @@
 ROUNDS: Final = 400
 US_PER_S: Final = 1_000_000
 SERVICE: Final = "models"
+ENGINE_TOKENS: Final = 443_550
 # Numbers of upstreams and of peers that report their loads.
 SIZES: Final = ((24, 10), (39, 18), (930, 45))
 CACHED_PROMPT, UNCACHED_PROMPT, NO_PROMPT = "held prompt", "unknown prompt", "no prompt"
@@ -51,6 +52,8 @@
         slow_start=SlowStartLimiter(clock=clock, journal=journal),
         contention=contention,
     )
+    if placer.engine_memory is not None:
+        placer.engine_memory.set_capacities({SERVICE: ENGINE_TOKENS})
     names = [f"i-{number}" for number in range(upstreams)]
     for number, name in enumerate(names):
         entry = Entry(
--- a/bench/placement_engine.py
+++ b/bench/placement_engine.py
@@ -91,6 +91,11 @@
                 del self._requests_by_part[part.part]
         self._evict()
 
+    @property
+    def is_overcommitted(self) -> bool:
+        """Return whether the prompts of the running requests exceed the memory."""
+        return self._used > self._capacity
+
     def has_cached(self, part: int) -> bool:
         """Return whether a part is cached."""
         return part in self._cached
--- a/bench/placement_strategies.py
+++ b/bench/placement_strategies.py
@@ -174,7 +174,12 @@
 
     def record_end(self, arrival: Arrival, number: int) -> None:
         """Record in the placer that the request ended."""
-        self._placers[arrival.router].loads.end(self._sent.pop(number).upstream)
+        placer = self._placers[arrival.router]
+        sent = self._sent.pop(number)
+        placer.loads.end(sent.upstream)
+        if placer.engine_memory is not None and sent.held is not None:
+            placer.engine_memory.end(sent.upstream, sent.held)
+        placer.note_output(arrival.prompt, tokens=arrival.prompt.max_output_tokens)
 
     def advance(self, now_ms: int) -> None:
         """Advance the clock and send the updates that are due."""
@@ -230,6 +235,8 @@
             contention=self._contention,
             without=self._without,
         )
+        if placer.engine_memory is not None:
+            placer.engine_memory.set_capacities({SERVICE: load.engine_tokens})
         self._directories.append(directory)
         for name in list_engines(load):
             self._add_entry(directory, name)
--- a/bench/placements.py
+++ b/bench/placements.py
@@ -27,7 +27,11 @@
 
 
 class Outcome(Struct, kw_only=True):
-    """Results of replaying a load with one strategy; tokens unless stated otherwise."""
+    """Results of replaying a load with one strategy; tokens unless stated otherwise.
+
+    `skewed` counts requests at engines above the bound on skew, `preempted` those after which the
+    prompts of running requests exceeded the engine's memory, so that it has to preempt one.
+    """
 
     first_ms: list[float] = field(default_factory=list)
     shared: int = 0
@@ -35,6 +39,7 @@
     prefilled_again: int = 0
     copied: int = 0
     skewed: int = 0
+    preempted: int = 0
     prefilled_parts: set[int] = field(default_factory=set)
 
     def add(self, run: RequestTiming, arrival: Arrival, *, skewed: bool) -> None:
@@ -113,6 +118,7 @@
         skewed = engine.running > SKEW_FACTOR * mean + SKEW_SLACK
         run = engine.begin(arrival.prompt, now_ms=arrival.at_ms, source=source)
         self._outcome.add(run, arrival, skewed=skewed)
+        self._outcome.preempted += engine.is_overcommitted
         heapq.heappush(
             self._pending_events, (run.first_ms, 2 * number, False, arrival, choice.engine)
         )
--- a/gypsumrouter/forwarding/candidates.py
+++ b/gypsumrouter/forwarding/candidates.py
@@ -10,6 +10,7 @@
 from gypsumrouter.directory import Directory, Entry, EntryState
 from gypsumrouter.forwarding.cache_index import CacheIndex
 from gypsumrouter.forwarding.eligibility import Eligibility
+from gypsumrouter.forwarding.engine_memory import EngineMemory, MemoryDemand
 from gypsumrouter.forwarding.engine_speed import EngineSpeeds
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.loads import LoadTracker, UpstreamLoad
@@ -24,7 +25,7 @@
 
     `preferred` is the first upstream of the prompt's rendezvous order, `source` the upstream from
     which its shared parts can be copied. `estimate_unreported` returns the requests at an upstream
-    that its counted load is likely to miss.
+    that its counted load is likely to miss. `memory` is set if the engines' memory is known.
     """
 
     prompt: Prompt | None
@@ -32,6 +33,7 @@
     source: CopySource | None
     estimate_unreported: Callable[[str, UpstreamLoad], float]
     now_ms: int
+    memory: MemoryDemand | None = None
 
     @property
     def shared(self) -> tuple[PromptPart, ...]:
@@ -48,6 +50,7 @@
         "_data_centre",
         "_directory",
         "_eligibility",
+        "_engine_memory",
         "_engine_speeds",
         "_health",
         "_loads",
@@ -65,6 +68,7 @@
         loads: LoadTracker,
         cache_index: CacheIndex,
         engine_speeds: EngineSpeeds | None,
+        engine_memory: EngineMemory | None,
         without: frozenset[Mechanism],
     ) -> None:
         self._data_centre = data_centre
@@ -74,6 +78,7 @@
         self._loads = loads
         self._cache_index = cache_index
         self._engine_speeds = engine_speeds
+        self._engine_memory = engine_memory
         self._allows_copies = Mechanism.CACHE_TRANSFER not in without
         self._prefers_local = Mechanism.LOCALITY not in without
         self._weighs_health = Mechanism.HEALTH not in without
@@ -99,6 +104,7 @@
     ) -> Candidate:
         upstream = entry.incarnation
         source = context.source
+        own_load = self._loads.get_own_running(upstream)
         missing = self._cache_index.missing_tokens(
             parts=shared, upstream=upstream, now_ms=context.now_ms
         )
@@ -107,7 +113,7 @@
             upstream=upstream,
             load=load.running,
             slots=entry.slots,
-            own_load=self._loads.get_own_running(upstream),
+            own_load=own_load,
             same_data_centre=not self._prefers_local or entry.data_centre == self._data_centre,
             pending_tokens=load.pending_tokens,
             missing_tokens=missing,
@@ -117,14 +123,23 @@
             off_affinity=context.preferred is not None and upstream != context.preferred,
             penalty_ms=self._get_penalty_ms(entry, plain=not shared),
             unreported=context.estimate_unreported(upstream, load),
-            slowness=self._get_slowness(upstream, context.now_ms),
+            slowness=(
+                1.0
+                if self._engine_speeds is None
+                else self._engine_speeds.get_slowness(upstream, now_ms=context.now_ms)
+            ),
+            overcommitted_tokens=(
+                0
+                if self._engine_memory is None or context.memory is None
+                else self._engine_memory.estimate_excess(
+                    upstream,
+                    context.memory,
+                    peer_running=load.running - own_load,
+                    cached_tokens=context.memory.shared_tokens - missing,
+                )
+            ),
         )
 
-    def _get_slowness(self, upstream: str, now_ms: int) -> float:
-        if self._engine_speeds is None:
-            return 1.0
-        return self._engine_speeds.get_slowness(upstream, now_ms=now_ms)
-
     def _get_penalty_ms(self, entry: Entry, *, plain: bool) -> float:
         if not self._weighs_health:
             return 0.0
--- a/gypsumrouter/forwarding/engine_speed.py
+++ b/gypsumrouter/forwarding/engine_speed.py
@@ -24,6 +24,7 @@
 # An engine counts as at most this many times slower or faster than the others. It bounds single
 # measurements too: a request may have waited for prompts that this router does not know of.
 MAX_SLOWNESS: Final = 4.0
+MIN_SLOWNESS: Final = 1 / MAX_SLOWNESS
 # Weight of a measurement in the mean deviation of all engines.
 EWMA_WEIGHT: Final = 0.1
 # Measurements that weigh less than this share of the original are dropped.
@@ -90,14 +91,16 @@
     def get_slowness(self, upstream: str, *, now_ms: int) -> float:
         """Return the slowness of an engine: 1 as all engines, 2 if a prefill takes twice as long.
 
-        It is between 1 / `MAX_SLOWNESS` and `MAX_SLOWNESS`.
+        It is between `MIN_SLOWNESS` and `MAX_SLOWNESS`.
         """
         measured = self._by_upstream.get(upstream)
         if measured is None:
             return 1.0
         share = measured.get_share(now_ms)
         slowness = 1 + measured.excess_ms * share / (PRIOR_MS + measured.prefill_ms * share)
-        return min(MAX_SLOWNESS, max(1 / MAX_SLOWNESS, slowness))
+        if slowness > MAX_SLOWNESS:
+            return MAX_SLOWNESS
+        return slowness if slowness > MIN_SLOWNESS else MIN_SLOWNESS
 
     def get_tokens_per_ms(self, upstream: str, *, now_ms: int) -> float:
         """Return how many prompt tokens an engine prefills per millisecond."""
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -225,6 +225,8 @@
         end = await self._relay.async_relay(outcome)
         if end is RelayResult.COMPLETE:
             self._recorder.record_success(upstream)
+            # Engines send an event for each token.
+            self._context.placer.note_output(self._request.prompt, tokens=self.progress.events)
             attempt.release()
             return Decision(step=NextStep.RESPOND)
         message = f"stream {end.value}"
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -96,6 +96,9 @@
             contention=settings.contention,
             without=settings.without,
         )
+        if self.placer.engine_memory is not None:
+            routing.on_change(self.placer.engine_memory.set_table)
+            app.add_dump_section("engine_memory", self.placer.engine_memory.summarize)
         reuse_for_all = Mechanism.KEEP_ALIVE not in settings.without
         self._pool = ConnectionPool(app=app, reuse_for_all=reuse_for_all)
         self.budget = RetryBudget(
--- a/gypsumrouter/forwarding/placed.py
+++ b/gypsumrouter/forwarding/placed.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from gypsumrouter.directory import Entry
+from gypsumrouter.forwarding.engine_memory import HeldTokens
 
 
 class Placement(Struct, frozen=True, kw_only=True):
@@ -36,7 +37,8 @@
     """A request as it was sent: prompt tokens to prefill, and parts not cached there before.
 
     `uncontended` is set if no other prompt waits for prefill at the upstream and nothing is copied,
-    so that the time to the first event measures the prefill speed.
+    so that the time to the first event measures the prefill speed. `held` is what the request holds
+    in the engine's memory, if that is counted.
     """
 
     upstream: str
@@ -44,3 +46,4 @@
     new_parts: tuple[int, ...]
     sent_ms: int = 0
     uncontended: bool = False
+    held: HeldTokens | None = None
--- a/gypsumrouter/forwarding/placement.py
+++ b/gypsumrouter/forwarding/placement.py
@@ -51,7 +51,7 @@
     prompt. `penalty_ms` is the expected cost of failures, from its recent failure rate.
     `unreported` is the number of requests that peers have probably sent since their last report; it
     counts towards the cap only. `slowness` is how long a prefill takes there, as a multiple of the
-    time at all engines.
+    time at all engines. `overcommitted_tokens` is by how much the request would exceed its memory.
     """
 
     upstream: str
@@ -66,6 +66,7 @@
     penalty_ms: float = 0.0
     unreported: float = 0.0
     slowness: float = 1.0
+    overcommitted_tokens: int = 0
 
 
 class Cap(Struct, frozen=True, kw_only=True):
@@ -105,6 +106,8 @@
 ) -> Candidate | None:
     """Return the cheapest candidate below the cap; if there is none, the least loaded candidate.
 
+    A candidate without memory for the request costs more than any that has it, because a request
+    that is preempted later is prefilled twice; of those without, the least overcommitted is chosen.
     `cached` is set if some upstream is known to have the shared parts of the prompt in its cache.
     """
     if not candidates:
@@ -119,7 +122,10 @@
         cached=cached,
         own_tokens=own_tokens,
     )
-    return min(allowed, key=lambda c: (estimate_cost_ms(c, costs), c.upstream))
+    return min(
+        allowed,
+        key=lambda c: (c.overcommitted_tokens, estimate_cost_ms(c, costs), c.upstream),
+    )
 
 
 def estimate_cost_ms(candidate: Candidate, costs: CostModel) -> float:
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -16,6 +16,7 @@
 )
 from gypsumrouter.forwarding.const import SOURCE_RESPONSE
 from gypsumrouter.forwarding.eligibility import NO_UPSTREAM, Eligibility, PlacementRefusal
+from gypsumrouter.forwarding.engine_memory import EngineMemory
 from gypsumrouter.forwarding.engine_speed import EngineSpeeds
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.load_reports import LoadReports
@@ -61,6 +62,7 @@
         "_uses_load_reports",
         "backoffs",
         "cache_index",
+        "engine_memory",
         "engine_speeds",
         "health",
         "load_reports",
@@ -108,6 +110,9 @@
         self.engine_speeds: EngineSpeeds | None = None
         if contention is not None and Mechanism.ENGINE_SPEED not in without:
             self.engine_speeds = EngineSpeeds(service=self.prefill_speed)
+        self.engine_memory: EngineMemory | None = None
+        if contention is not None and Mechanism.ENGINE_MEMORY not in without:
+            self.engine_memory = EngineMemory()
         self.plain = PlainAdmission(count_routers=slow_start.count_routers)
         self._spreads_plain = Mechanism.PLAIN_OWN_LOAD not in without
         self._uses_load_reports = Mechanism.LOAD_REPORTS not in without
@@ -127,6 +132,7 @@
             loads=self.loads,
             cache_index=self.cache_index,
             engine_speeds=self.engine_speeds,
+            engine_memory=self.engine_memory,
             without=without,
         )
         self._placement_listeners: list[PlacementListener] = []
@@ -185,6 +191,11 @@
                 upstream, load, peers_age_ms, now_ms
             ),
             now_ms=now_ms,
+            memory=(
+                None
+                if self.engine_memory is None
+                else self.engine_memory.make_demand(service, prompt)
+            ),
         )
         candidates = self._candidates.make_all(entries, loads, context)
         chosen = self._choose(candidates, prompt, mean, source)
@@ -260,12 +271,16 @@
             for listener in self._placement_listeners:
                 listener(part.part, upstream)
         self.loads.begin(upstream, tokens=tokens)
+        held = None
+        if self.engine_memory is not None:
+            held = self.engine_memory.begin(upstream, service=placed.entry.service, prompt=prompt)
         return SentRequest(
             upstream=upstream,
             tokens=tokens,
             new_parts=new_parts,
             sent_ms=now_ms,
             uncontended=placed.pending_tokens == 0 and placed.fetch_from is None,
+            held=held,
         )
 
     def apply_response_metadata(self, entry: Entry, metadata: ResponseMetadata) -> None:
@@ -321,6 +336,13 @@
         """Record that an attempt has ended, and how long it counted as running."""
         self.loads.end(sent.upstream)
         self.loads.note_held(sent.upstream, held_ms=held_ms)
+        if self.engine_memory is not None and sent.held is not None:
+            self.engine_memory.end(sent.upstream, sent.held)
+
+    def note_output(self, prompt: Prompt | None, *, tokens: int) -> None:
+        """Record the output of a complete response, in tokens."""
+        if self.engine_memory is not None and prompt is not None:
+            self.engine_memory.note_output(prompt.model, tokens=tokens)
 
     def note_not_run(self, sent: SentRequest) -> None:
         """Undo the cache entries recorded for a request that its upstream did not run."""
--- a/gypsumrouter/forwarding/progress.py
+++ b/gypsumrouter/forwarding/progress.py
@@ -14,7 +14,8 @@
     `possibly_ran_on` lists the upstreams that may have run it, `excluded_upstreams` those that must
     not be tried again. `in_flight` is true while an attempt waits for a response.
     `fallback_response` is a server error that is returned if no other attempt succeeds.
-    `first_byte_ms` is -1 until the first byte was sent to the caller.
+    `first_byte_ms` is -1 until the first byte was sent to the caller. `events` counts the relayed
+    events of a stream.
     """
 
     arrived_ms: int
@@ -27,6 +28,7 @@
     upstream: str = ""
     first_byte_ms: int = -1
     bytes_out: int = 0
+    events: int = 0
     outcome: str = ""
     in_flight: bool = False
     fallback_response: CompleteResponse | None = None
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -13,7 +13,7 @@
     RESPONSE_TIMEOUT_FACTOR,
     STREAM_PAUSE_FACTOR,
 )
-from gypsumrouter.forwarding.events import EventSplitter, EventTooLong
+from gypsumrouter.forwarding.events import EVENT_SEPARATOR, EventSplitter, EventTooLong
 from gypsumrouter.forwarding.models import CallerRequest, Dialect, StreamingResponse
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.forwarding.responses import make_stream_response
@@ -130,6 +130,7 @@
         except ConnectionError:
             raise CallerDisconnected from None
         self._progress.bytes_out += len(data)
+        self._progress.events += data.count(EVENT_SEPARATOR)
 
     async def _async_prepare(self, streaming: StreamingResponse) -> web.StreamResponse:
         response = make_stream_response(status=streaming.status, headers=self._headers or [])
--- /dev/null
+++ b/tests/forwarding/test_forwarding_contention_parts.py
@@ -0,0 +1,89 @@
+"""The parts for contended load are built only with their setting, and fed by the forwarder."""
+
+from __future__ import annotations
+
+from typing import cast
+
+import aiohttp
+from forwarding_world import PROMPT, ForwardingWorld, make_configuration
+
+from gypsumrouter.const import Role
+from gypsumrouter.core import Application
+from gypsumrouter.directory import Directory, Evacuations
+from gypsumrouter.forwarding.backoff import BackoffTracker
+from gypsumrouter.forwarding.health import HealthTracker
+from gypsumrouter.forwarding.placement import Cap
+from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.slow_start import SlowStartLimiter
+from gypsumrouter.journal import Journal
+from gypsumrouter.mechanisms import Mechanism
+from gypsumrouter.settings import Contention
+from gypsumrouter.util.clock import ManualClock
+
+
+def make_placer(
+    *, contention: Contention | None, without: frozenset[Mechanism] = frozenset()
+) -> Placer:
+    clock = ManualClock(now_ms=100_000)
+    app = Application(name="r", role=Role.FORWARDER, data_centre="a", region="r", clock=clock)
+    journal = Journal(app=app)
+    return Placer(
+        app=app,
+        directory=Directory(app=app, journal=journal),
+        cap=Cap(factor=2.0, slack=3.0),
+        health=HealthTracker(clock=clock, journal=journal),
+        backoffs=BackoffTracker(clock=clock, journal=journal),
+        evacuations=Evacuations(app=app, journal=journal),
+        slow_start=SlowStartLimiter(clock=clock, journal=journal),
+        contention=contention,
+        without=without,
+    )
+
+
+def test_nothing_is_built_without_the_setting() -> None:
+    placer = make_placer(contention=None)
+    assert (placer.engine_speeds, placer.engine_memory) == (None, None)
+
+
+def test_each_part_is_disabled_by_its_mechanism() -> None:
+    contention = Contention()
+    whole = make_placer(contention=contention)
+    assert whole.engine_speeds is not None
+    assert whole.engine_memory is not None
+    without_speed = make_placer(contention=contention, without=frozenset({Mechanism.ENGINE_SPEED}))
+    assert without_speed.engine_speeds is None
+    assert without_speed.engine_memory is not None
+    without_memory = make_placer(
+        contention=contention, without=frozenset({Mechanism.ENGINE_MEMORY})
+    )
+    assert without_memory.engine_memory is None
+
+
+async def test_forwarder_learns_memory_and_output_of_its_engines(
+    world: ForwardingWorld, session: aiohttp.ClientSession
+) -> None:
+    """Without the routing table, the memory would be unknown and the part without effect."""
+    services = [
+        {"name": "records", "max_connections": 90},
+        {
+            "name": "models",
+            "max_connections": 300,
+            "engine": {"slots": 64, "kv_tokens": 50_000},
+        },
+    ]
+    await world.store.async_put_configuration(make_configuration(2, services=services))
+    product = await world.async_start_forwarder("entry-2", contention=Contention())
+
+    def read(key: str) -> dict[str, float]:
+        section = cast(dict[str, dict[str, float]], product.app.dump()["engine_memory"])
+        return section[key]
+
+    await world.async_until(lambda: product.is_ready() and read("capacity"))
+    assert read("capacity") == {"models": 50_000}
+    status, body, _ = await world.async_call(
+        session, "POST", "/draft/1", "r-1", product=product, body=b"{}", extra=PROMPT
+    )
+    assert status == 200
+    assert read("mean_output") == {"m": body.count(b"\n\n")}
+    assert 1_400 <= read("mean_request")["models"] <= 1_480
+    assert "engine_memory" not in world.product.app.dump()
--- a/tests/forwarding/uneven_loads.py
+++ b/tests/forwarding/uneven_loads.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from bench.placement_load import Load, make_kinds
+from bench.placement_load import Load, RequestKind, Tokens, make_kinds
 from bench.placement_strategies import ProductPlacement
 from bench.placements import Outcome, replay
 from gypsumrouter.mechanisms import Mechanism
@@ -32,6 +32,26 @@
     slowdowns=(1.0,),
 )
 THREE_SPEEDS: Final = replace(EVEN, slowdowns=(1.0, 1.5, 3.0))
+# Long prompts that share little, of which the memory of an engine holds ten: a slow engine holds
+# its requests four times as long as the others.
+LONG_PROMPTS: Final = replace(
+    EVEN,
+    engine_tokens=120_000,
+    kinds=(
+        RequestKind(
+            name="long",
+            per_s=34.4,
+            roots=1,
+            root=Tokens(mean=512, spread=0.4),
+            prompts=100,
+            prompt=Tokens(mean=1_000, spread=0.4),
+            skew=0.3,
+            own=Tokens(mean=10_300, spread=0.4),
+            output=Tokens(mean=600, spread=0.4),
+        ),
+    ),
+    slowdowns=(1.0, 1.0, 1.0, 4.0),
+)
 PARTS: Final = frozenset({Mechanism.ENGINE_SPEED, Mechanism.ENGINE_MEMORY, Mechanism.PROMPT_SPREAD})
 
 
