--- a/bench/placement_strategies.py
+++ b/bench/placement_strategies.py
@@ -21,7 +21,9 @@
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
+from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.peers.const import UPDATE_INTERVAL_MS, UPDATE_INTERVAL_MS_PER_PEER
+from gypsumrouter.settings import Contention
 from gypsumrouter.util.clock import ManualClock
 
 SERVICE: Final = "models"
@@ -125,9 +127,20 @@
 
 
 class ProductPlacement:
-    """The placement of the router: one placer per router, and periodic updates between them."""
-
-    def __init__(self, load: Load) -> None:
+    """The placement of the router: one placer per router, and periodic updates between them.
+
+    `contention` and `without` are the settings of the forwarders.
+    """
+
+    def __init__(
+        self,
+        load: Load,
+        *,
+        contention: Contention | None = None,
+        without: frozenset[Mechanism] = frozenset(),
+    ) -> None:
+        self._contention = contention
+        self._without = without
         self._clock = ManualClock()
         self._slots = load.slots
         self._revision = 1
@@ -161,7 +174,12 @@
 
     def record_end(self, arrival: Arrival, number: int) -> None:
         """Record in the placer that the request ended."""
-        self._placers[arrival.router].loads.end(self._sent.pop(number).upstream)
+        placer = self._placers[arrival.router]
+        sent = self._sent.pop(number)
+        placer.loads.end(sent.upstream)
+        if placer.engine_memory is not None and sent.held is not None:
+            placer.engine_memory.end(sent.upstream, sent.held)
+        placer.note_output(arrival.prompt, tokens=arrival.prompt.max_output_tokens)
 
     def advance(self, now_ms: int) -> None:
         """Advance the clock and send the updates that are due."""
@@ -214,7 +232,11 @@
             backoffs=BackoffTracker(clock=self._clock, journal=journal),
             evacuations=Evacuations(app=app, journal=journal),
             slow_start=SlowStartLimiter(clock=self._clock, journal=journal),
+            contention=self._contention,
+            without=self._without,
         )
+        if placer.engine_memory is not None:
+            placer.engine_memory.set_capacities({SERVICE: load.engine_tokens})
         self._directories.append(directory)
         for name in list_engines(load):
             self._add_entry(directory, name)
--- a/gypsumrouter/forwarding/placed.py
+++ b/gypsumrouter/forwarding/placed.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from gypsumrouter.directory import Entry
+from gypsumrouter.forwarding.engine_memory import HeldTokens
 
 
 class Placement(Struct, frozen=True, kw_only=True):
@@ -37,7 +38,8 @@
 
     `uncontended` is set if no other prompt waits for prefill at the upstream and nothing is copied,
     so that the time to the first event measures the prefill speed. `awaited` identifies the request
-    while its upstream has not responded.
+    while its upstream has not responded. `held` is what it holds in the engine's memory, if that is
+    counted.
     """
 
     upstream: str
@@ -46,3 +48,4 @@
     sent_ms: int = 0
     uncontended: bool = False
     awaited: int = 0
+    held: HeldTokens | None = None
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -6,26 +6,29 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Final
 
-import xxhash
-
 from gypsumrouter.contention import Expected
 from gypsumrouter.core import Application, Remove
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuation, Evacuations
 from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.cache_index import CACHE_TTL_MS, CacheIndex
+from gypsumrouter.forwarding.candidates import (
+    CandidateContext,
+    CandidateFactory,
+    find_preferred,
+)
 from gypsumrouter.forwarding.const import SOURCE_RESPONSE
 from gypsumrouter.forwarding.eligibility import NO_UPSTREAM, Eligibility, PlacementRefusal
+from gypsumrouter.forwarding.engine_memory import EngineMemory
+from gypsumrouter.forwarding.engine_speed import EngineSpeeds
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.load_reports import LoadReports
 from gypsumrouter.forwarding.loads import REPORT_DELAY_MS, LoadTracker, UpstreamLoad, get_mean
-from gypsumrouter.forwarding.models import Prompt, PromptPart, ResponseMetadata
+from gypsumrouter.forwarding.models import Prompt, ResponseMetadata
 from gypsumrouter.forwarding.placed import CopySource, Placement, SentRequest
 from gypsumrouter.forwarding.placement import (
-    MIN_FETCH_TOKENS,
     Candidate,
     Cap,
     choose,
-    choose_by_affinity,
     choose_plain,
     estimate_first_event,
 )
@@ -33,6 +36,7 @@
 from gypsumrouter.forwarding.prefill_speed import PrefillSpeed
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.mechanisms import Mechanism
+from gypsumrouter.settings import Contention
 
 # For this long after its start a router's view of the engines' prompt caches is incomplete.
 COLD_START_MS: Final = 4_000
@@ -44,26 +48,26 @@
     """Chooses an upstream for each attempt."""
 
     __slots__ = (
-        "_allows_copies",
         "_allows_for_unreported",
         "_app",
         "_by_service",
+        "_candidates",
         "_cap",
         "_directory",
         "_eligibility",
         "_ignored_reports",
         "_keeps_removed",
         "_placement_listeners",
-        "_prefers_local",
         "_refuses_late",
         "_removed_ms",
         "_spreads_plain",
         "_started_ms",
         "_uses_affinity",
         "_uses_load_reports",
-        "_weighs_health",
         "backoffs",
         "cache_index",
+        "engine_memory",
+        "engine_speeds",
         "health",
         "load_reports",
         "loads",
@@ -83,14 +87,13 @@
         evacuations: Evacuations,
         slow_start: SlowStartLimiter,
         evacuation_ms: int = 0,
+        contention: Contention | None = None,
         without: frozenset[Mechanism] = frozenset(),
     ) -> None:
         self._app = app
         self._directory = directory
         self._cap = cap
-        self._allows_copies = Mechanism.CACHE_TRANSFER not in without
         self._uses_affinity = Mechanism.AFFINITY not in without
-        self._prefers_local = Mechanism.LOCALITY not in without
         self._eligibility = Eligibility(
             evacuations=evacuations,
             health=health,
@@ -99,7 +102,6 @@
             evacuation_ms=evacuation_ms,
             without=without,
         )
-        self._weighs_health = Mechanism.HEALTH not in without
         self._keeps_removed = Mechanism.CACHE_RETENTION not in without
         self._by_service: dict[str, dict[str, Entry]] = {}
         # When each incarnation was removed from the directory.
@@ -109,6 +111,12 @@
         self.slow_start = slow_start
         self.cache_index = CacheIndex()
         self.prefill_speed = PrefillSpeed()
+        self.engine_speeds: EngineSpeeds | None = None
+        if contention is not None and Mechanism.ENGINE_SPEED not in without:
+            self.engine_speeds = EngineSpeeds(service=self.prefill_speed)
+        self.engine_memory: EngineMemory | None = None
+        if contention is not None and Mechanism.ENGINE_MEMORY not in without:
+            self.engine_memory = EngineMemory()
         self._spreads_plain = Mechanism.PLAIN_OWN_LOAD not in without
         self._uses_load_reports = Mechanism.LOAD_REPORTS not in without
         self._allows_for_unreported = Mechanism.CAP_MARGIN not in without
@@ -123,8 +131,20 @@
         self._refuses_late = Mechanism.DEADLINE_ADMISSION not in without
         self.loads = LoadTracker(
             prefill_speed=self.prefill_speed,
+            engine_speeds=self.engine_speeds,
             extrapolates_prefill=Mechanism.PREFILL_PROGRESS not in without,
         )
+        self._candidates = CandidateFactory(
+            data_centre=app.data_centre,
+            directory=directory,
+            eligibility=self._eligibility,
+            health=health,
+            loads=self.loads,
+            cache_index=self.cache_index,
+            engine_speeds=self.engine_speeds,
+            engine_memory=self.engine_memory,
+            without=without,
+        )
         self._placement_listeners: list[PlacementListener] = []
         self._started_ms = app.clock.now_ms()
         directory.on_change(self._handle_entry)
@@ -169,18 +189,27 @@
         mean = self._get_mean_load(loads, now_ms)
         peers_age_ms = self.loads.get_oldest_peer_age_ms(now_ms=now_ms)
         shared = () if prompt is None else prompt.shared
-        source = self._find_source(shared, now_ms)
+        source = self._candidates.find_source(shared, now_ms)
         # Only eligible upstreams are ranked: when the preferred one is lost or evacuated, all
         # routers agree on the next one without communication, and the prompt is prefilled once.
         eligible = [entry.incarnation for entry in entries]
-        preferred = _find_preferred(eligible, shared) if self._uses_affinity else None
-        candidates = {
-            entry.incarnation: self._make_candidate(
-                entry, loads[entry.incarnation], shared, preferred, source, peers_age_ms, now_ms
-            )
-            for entry in entries
-        }
-        chosen = self._choose(service, tuple(candidates.values()), prompt, mean, source, now_ms)
+        preferred = find_preferred(eligible, shared) if self._uses_affinity else None
+        context = CandidateContext(
+            prompt=prompt,
+            preferred=preferred,
+            source=source,
+            estimate_unreported=lambda upstream, load: self._estimate_unreported(
+                upstream, load, peers_age_ms, now_ms
+            ),
+            now_ms=now_ms,
+            memory=(
+                None
+                if self.engine_memory is None
+                else self.engine_memory.make_demand(service, prompt)
+            ),
+        )
+        candidates = self._candidates.make_all(entries, loads, context)
+        chosen = self._choose(service, candidates, prompt, mean, source, now_ms)
         if chosen is None:
             return NO_UPSTREAM
         if prompt is None and limit_ms is not None and self._refuses_late:
@@ -227,6 +256,7 @@
             mean=mean,
             shared_tokens=sum(part.tokens for part in shared),
             cached=source is not None,
+            own_tokens=0 if prompt is None else prompt.own_tokens,
             prefill_tokens_per_ms=self.prefill_speed.tokens_per_ms,
         )
 
@@ -243,10 +273,16 @@
             pending_tokens=placed.pending_tokens,
             prefill_tokens=max(0, prefill_tokens),
             fetched_tokens=fetched_tokens,
-            prefill_tokens_per_ms=self.prefill_speed.tokens_per_ms,
+            prefill_tokens_per_ms=self._get_tokens_per_ms(placed.entry.incarnation),
             base_ms=self.prefill_speed.base_ms,
         )
 
+    def _get_tokens_per_ms(self, upstream: str) -> float:
+        """Return the prefill speed of an engine, or that of its service."""
+        if self.engine_speeds is None:
+            return self.prefill_speed.tokens_per_ms
+        return self.engine_speeds.get_tokens_per_ms(upstream, now_ms=self._app.clock.now_ms())
+
     def list_eligible(self, service: str) -> tuple[Entry, ...]:
         """Return the upstreams of a service that may receive a request now."""
         entries = self._eligibility.select(self.list_ready(service), excluded=())
@@ -254,7 +290,7 @@
 
     def is_cached(self, prompt: Prompt) -> bool:
         """Return whether some engine is known to have shared parts of a prompt in its cache."""
-        return self._find_source(prompt.shared, self._app.clock.now_ms()) is not None
+        return self._candidates.find_source(prompt.shared, self._app.clock.now_ms()) is not None
 
     def _is_cold_start(self, now_ms: int) -> bool:
         return now_ms - self._started_ms < COLD_START_MS
@@ -283,6 +319,9 @@
             for listener in self._placement_listeners:
                 listener(part.part, upstream)
         self.loads.begin(upstream, tokens=tokens)
+        held = None
+        if self.engine_memory is not None:
+            held = self.engine_memory.begin(upstream, service=placed.entry.service, prompt=prompt)
         return SentRequest(
             upstream=upstream,
             tokens=tokens,
@@ -290,6 +329,7 @@
             sent_ms=now_ms,
             uncontended=placed.pending_tokens == 0 and placed.fetch_from is None,
             awaited=awaited,
+            held=held,
         )
 
     def apply_response_metadata(self, entry: Entry, metadata: ResponseMetadata) -> None:
@@ -340,15 +380,28 @@
 
     def note_first_event(self, sent: SentRequest) -> None:
         """Update the prefill speed from the time to the first event of a response."""
-        if sent.uncontended:
-            first_event_ms = self._app.clock.now_ms() - sent.sent_ms
-            self.prefill_speed.note(tokens=sent.tokens, first_event_ms=first_event_ms)
+        if not sent.uncontended:
+            return
+        now_ms = self._app.clock.now_ms()
+        first_event_ms = now_ms - sent.sent_ms
+        self.prefill_speed.note(tokens=sent.tokens, first_event_ms=first_event_ms)
+        if self.engine_speeds is not None:
+            self.engine_speeds.note(
+                sent.upstream, tokens=sent.tokens, first_event_ms=first_event_ms, now_ms=now_ms
+            )
 
     def note_ended(self, sent: SentRequest, *, held_ms: int) -> None:
         """Record that an attempt has ended, and how long it counted as running."""
         self.loads.end(sent.upstream)
         self._end_silence(sent)
         self.loads.note_held(sent.upstream, held_ms=held_ms)
+        if self.engine_memory is not None and sent.held is not None:
+            self.engine_memory.end(sent.upstream, sent.held)
+
+    def note_output(self, prompt: Prompt | None, *, tokens: int) -> None:
+        """Record the output of a complete response, in tokens."""
+        if self.engine_memory is not None and prompt is not None:
+            self.engine_memory.note_output(prompt.model, tokens=tokens)
 
     def _end_silence(self, sent: SentRequest) -> None:
         if self.health.silence is not None:
@@ -368,62 +421,13 @@
         self.slow_start.sweep()
         self.backoffs.sweep()
         now_ms = self._app.clock.now_ms()
+        if self.engine_speeds is not None:
+            self.engine_speeds.sweep(now_ms=now_ms)
         for incarnation, removed_ms in tuple(self._removed_ms.items()):
             if now_ms - removed_ms >= CACHE_TTL_MS:
                 del self._removed_ms[incarnation]
                 self.cache_index.forget_upstream(incarnation)
 
-    def _find_source(self, shared: tuple[PromptPart, ...], now_ms: int) -> CopySource | None:
-        """Return the reachable upstream with the most tokens of the shared parts in its cache."""
-        best: CopySource | None = None
-        for part in reversed(shared):
-            for upstream in self.cache_index.list_copy_sources(part.part, now_ms=now_ms):
-                entry = self._directory.get_incarnation(upstream)
-                if entry is None or entry.state is EntryState.GONE:
-                    continue
-                if not self._eligibility.may_copy_from(entry):
-                    continue
-                if self.health.is_down(upstream):
-                    continue
-                missing = self.cache_index.missing_tokens(
-                    parts=shared, upstream=upstream, now_ms=now_ms
-                )
-                if best is None or missing < best.missing_tokens:
-                    best = CopySource(entry=entry, missing_tokens=missing)
-            if best is not None:
-                return best
-        return None
-
-    def _make_candidate(
-        self,
-        entry: Entry,
-        load: UpstreamLoad,
-        shared: tuple[PromptPart, ...],
-        preferred: str | None,
-        source: CopySource | None,
-        peers_age_ms: int,
-        now_ms: int,
-    ) -> Candidate:
-        missing = self.cache_index.missing_tokens(
-            parts=shared, upstream=entry.incarnation, now_ms=now_ms
-        )
-        fetchable = 0 if source is None else missing - source.missing_tokens
-        return Candidate(
-            upstream=entry.incarnation,
-            load=load.running,
-            slots=entry.slots,
-            own_load=self.loads.get_own_running(entry.incarnation),
-            same_data_centre=not self._prefers_local or entry.data_centre == self._app.data_centre,
-            pending_tokens=load.pending_tokens,
-            missing_tokens=missing,
-            fetchable_tokens=(
-                fetchable if self._allows_copies and fetchable >= MIN_FETCH_TOKENS else 0
-            ),
-            off_affinity=preferred is not None and entry.incarnation != preferred,
-            penalty_ms=self._get_penalty_ms(entry, plain=not shared),
-            unreported=self._estimate_unreported(entry.incarnation, load, peers_age_ms, now_ms),
-        )
-
     def _estimate_unreported(
         self, upstream: str, load: UpstreamLoad, peers_age_ms: int, now_ms: int
     ) -> float:
@@ -463,11 +467,6 @@
             reported += load.running if held is None else held
         return min(counted, reported / len(loads))
 
-    def _get_penalty_ms(self, entry: Entry, *, plain: bool) -> float:
-        if not self._weighs_health:
-            return 0.0
-        return self.health.penalty_ms(entry.incarnation, plain=plain)
-
     def _handle_evacuation(self, evacuation: Evacuation) -> None:
         if evacuation.active:
             return
@@ -491,12 +490,7 @@
             self.plain.forget(entry.incarnation)
             self.loads.forget(entry.incarnation)
             self.load_reports.forget(entry.incarnation)
+            if self.engine_speeds is not None:
+                self.engine_speeds.forget(entry.incarnation)
         else:
             self._removed_ms.pop(entry.incarnation, None)
-
-
-def _find_preferred(members: Collection[str], shared: tuple[PromptPart, ...]) -> str | None:
-    if not shared or not members:
-        return None
-    affinity = xxhash.xxh3_64_intdigest(shared[-1].part.to_bytes(8, "little"))
-    return choose_by_affinity(members, affinity=affinity)
--- a/gypsumrouter/forwarding/prefill_speed.py
+++ b/gypsumrouter/forwarding/prefill_speed.py
@@ -43,7 +43,7 @@
 
     @property
     def base_ms(self) -> float:
-        """Return the time to the first event of a prompt that needs no prefill."""
+        """Return the time to the first event of a request without prefill, in milliseconds."""
         return self._base_ms
 
     def note(self, *, tokens: int, first_event_ms: int) -> None:
