--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -26,7 +26,7 @@
     "compare": "bench.compare",
     "fuzz": "bench.fuzz",
     "placement-cost": "bench.placement_cost",
-    "admission-cost": "bench.admission_cost",
+    "shares-cost": "bench.shares_cost",
     "journal": "bench.journal_cost",
     "soak": "bench.soak",
     "ablate": "bench.ablate",
--- a/bench/admission_cost.py
+++ b/bench/shares_cost.py
@@ -1,6 +1,6 @@
-"""Benchmark of the fair shares of workspaces: processor time of an admission.
+"""Benchmark of the fair shares of workspaces: processor time of a request.
 
-`python -m bench admission-cost [--rounds N]`. Each round counts the arrival of a request, counts
+`python -m bench shares-cost [--rounds N]`. Each round counts the arrival of a request, counts
 three of four as sent and served, and asks for the excess of its workspace. The clock is driven at
 the rate of requests of a router, so that the level is recomputed as often as in operation.
 """
@@ -74,7 +74,7 @@
 
 def main(argv: list[str]) -> int:
     """Run the benchmark."""
-    parser = argparse.ArgumentParser(prog="python -m bench admission-cost")
+    parser = argparse.ArgumentParser(prog="python -m bench shares-cost")
     parser.add_argument("--rounds", type=int, default=ROUNDS)
     rounds = parser.parse_args(argv).rounds
     rows = []
@@ -89,7 +89,7 @@
         result |= {f"counting, {case}": spent[0], f"excess, {case}": spent[1]}
     print_machine()
     print_table(
-        title="processor time of an admission in the fair shares, microseconds",
+        title="processor time of a request in the fair shares, microseconds",
         columns=("workspaces", "peers", "counting", "excess", "excess p99", "excess max"),
         rows=rows,
     )
