--- a/gypsumrouter/contention/const.py
+++ b/gypsumrouter/contention/const.py
@@ -41,6 +41,9 @@
 MAX_UNREPORTED_SHARE: Final = 0.5
 # Shortest interval between two samples of the demand, in milliseconds; it bounds their cost.
 SAMPLE_INTERVAL_MS: Final = 50
+# Smaller excesses of a workspace do not count in the order: requests that arrive at random make the
+# work of small workspaces differ by as much.
+MIN_EXCESS: Final = 0.5
 # Guaranteed releases of a waiting class, as a share of an equal part.
 MIN_CLASS_SHARE: Final = 0.25
 # Expected time between two releases before the first measurement, in milliseconds: one per check.
--- a/gypsumrouter/contention/order.py
+++ b/gypsumrouter/contention/order.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Collection, Iterable
 
-from gypsumrouter.contention.const import MIN_CLASS_SHARE
+from gypsumrouter.contention.const import MIN_CLASS_SHARE, MIN_EXCESS
 from gypsumrouter.contention.models import Waiting
 from gypsumrouter.contention.returns import Return
 
@@ -76,6 +76,8 @@
 def rank(item: Waiting, now_ms: int, get_excess: GetExcess, by_urgency: bool) -> Rank:
     """Return the place of a request in the order; the lowest one is released first."""
     excess = get_excess(item.claim.workspace)
+    if excess < MIN_EXCESS:
+        excess = 0.0
     returned = _RETURN_RANKS[item.returned]
     if not by_urgency:
         return (returned, excess, 0, 0.0, item.sequence)
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Final
 
@@ -41,6 +42,10 @@
 # For this long after its start a router's view of the engines' prompt caches is incomplete.
 COLD_START_MS: Final = 4_000
 
+# Upper end of the range in which the estimate of unreported requests is drawn, as a ratio of it. Its
+# mean is about the estimate.
+MAX_UNREPORTED_RATIO: Final = 1.75
+
 PlacementListener = Callable[[int, str], None]
 
 
@@ -431,14 +436,20 @@
     def _estimate_unreported(
         self, upstream: str, load: UpstreamLoad, peers_age_ms: int, now_ms: int
     ) -> float:
-        """Return the requests at an upstream that the counted load is likely to miss."""
+        """Return the requests at an upstream that the counted load is likely to miss.
+
+        The estimate is randomized. With a fixed one all routers stop sending to a popular upstream
+        at the same time, and start again at the same time.
+        """
         unreported = math.inf
         if self._allows_for_unreported:
             within_ms = peers_age_ms + REPORT_DELAY_MS
             unreported = self.loads.estimate_arrived(upstream, within_ms=within_ms)
         if self._uses_load_reports:
             unreported = min(unreported, self._count_unreported(upstream, load, now_ms))
-        return unreported if unreported < math.inf else 0.0
+        if unreported == math.inf:
+            return 0.0
+        return unreported * random.uniform(0.0, MAX_UNREPORTED_RATIO)
 
     def _count_unreported(self, upstream: str, load: UpstreamLoad, now_ms: int) -> float:
         """Return by how much an upstream's own report exceeds the counted load, inf without one."""
--- a/tests/forwarding/test_forwarding_load_cap.py
+++ b/tests/forwarding/test_forwarding_load_cap.py
@@ -49,6 +49,7 @@
     """
 
     def __init__(self, *, lost: float = 0.0, without: frozenset[Mechanism] = frozenset()) -> None:
+        random.seed(5)
         self._rng = random.Random(5)
         self._clock = ManualClock(now_ms=10_000)
         self._placers = [make_placer(self._clock, without=without) for _ in range(ROUTERS)]
