--- a/gypsumrouter/contention/control.py
+++ b/gypsumrouter/contention/control.py
@@ -126,6 +126,7 @@
                     route_target_ms=route.target_latency_ms,
                     priority=route.priority if priority is None else priority,
                 )
+            queue.sort(now_ms=self._app.clock.now_ms())
 
     async def _async_wait(self, queue: ContentionQueue, item: Waiting) -> Admitted | Refused:
         claim = item.claim
--- a/gypsumrouter/contention/queue.py
+++ b/gypsumrouter/contention/queue.py
@@ -219,7 +219,7 @@
         the ones before it are not. The last candidate is another one in each check.
         """
         if self._order.is_sort_due(now_ms=now_ms):
-            self._sort(now_ms)
+            self.sort(now_ms=now_ms)
         per_class: Counter[str] = Counter()
         found: list[Waiting] = []
         for item in self._order.iter_next(overdue=self._check.find_overdue()):
@@ -263,8 +263,8 @@
         name = item.claim.caller_class
         return (1 + self._by_class[name]) * self._intervals.get(name, now_ms=now_ms)
 
-    def _sort(self, now_ms: int) -> None:
-        """Rank all waiting requests, with the excess of each workspace looked up once."""
+    def sort(self, *, now_ms: int) -> None:
+        """Rank all waiting requests anew, with the excess of each workspace looked up once."""
         known: dict[str, float] = {}
 
         def get_excess(workspace: str) -> float:
--- a/tests/contention/test_contention_queue.py
+++ b/tests/contention/test_contention_queue.py
@@ -10,6 +10,16 @@
 from gypsumrouter.contention.models import NoReturns, NoShares
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.outcomes import Reason
+from gypsumrouter.routing import (
+    CallerLimits,
+    Route,
+    RouteKind,
+    RoutingConfiguration,
+    RoutingTable,
+    Service,
+    Target,
+    WorkspaceKeys,
+)
 
 
 async def test_request_in_time_is_admitted_without_a_wait(world: World) -> None:
@@ -232,3 +242,48 @@
     section = world.app.dump()["contention"]
     assert isinstance(section, dict)
     assert section[SERVICE]["waiting"] == 1
+
+
+def make_table(*, target_ms: int, priority: int, workspace_priority: int | None) -> RoutingTable:
+    route = Route(
+        name="short",
+        host="h",
+        prefix="/",
+        kind=RouteKind.STREAMING,
+        timeout_ms=4_000,
+        target_latency_ms=target_ms,
+        max_event_gap_ms=100,
+        priority=priority,
+        max_attempts=1,
+        public=False,
+        resumable=False,
+        targets=(Target(service=SERVICE, weight=1.0),),
+    )
+    configuration = RoutingConfiguration(
+        version=2,
+        routes=(route,),
+        services=(Service(name=SERVICE, max_connections=10),),
+        workspaces=(WorkspaceKeys(name="w", keys=("k",), priority=workspace_priority),),
+        limits=CallerLimits(),
+        document=b"",
+    )
+    return RoutingTable(configuration=configuration)
+
+
+async def test_changed_priorities_apply_to_what_waits(world: World) -> None:
+    """Guards against an order by priorities that are no longer in effect."""
+    world.service.backlog_ms = 500
+    await world.async_ask("first", workspace="other", priority=1)
+    await world.async_ask("second", workspace="w", priority=1)
+    world.control.set_table(make_table(target_ms=400, priority=1, workspace_priority=0))
+    world.service.backlog_ms = 0
+    await world.async_advance(2 * TICK_MS)
+    assert world.order == ["second", "first"]
+
+
+async def test_shorter_target_ends_the_wait_earlier(world: World) -> None:
+    world.service.backlog_ms = 500
+    await world.async_ask("a", workspace="w")
+    world.control.set_table(make_table(target_ms=200, priority=1, workspace_priority=None))
+    await world.async_advance(100)
+    assert world.outcomes == {"a": Admitted(waited_ms=100)}
