--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -42,8 +42,7 @@
 # For this long after its start a router's view of the engines' prompt caches is incomplete.
 COLD_START_MS: Final = 4_000
 
-# Upper end of the range in which the estimate of unreported requests is drawn, as a ratio of it. Its
-# mean is about the estimate.
+# Upper end of the range in which the estimate of unreported requests is drawn, as a ratio of it.
 MAX_UNREPORTED_RATIO: Final = 1.75
 
 PlacementListener = Callable[[int, str], None]
--- a/tests/forwarding/test_forwarding_contention.py
+++ b/tests/forwarding/test_forwarding_contention.py
@@ -11,6 +11,7 @@
 
 from gypsumrouter.contention import Expected
 from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.routing import RoutingStore
 from gypsumrouter.running_process import RunningProcess
 from gypsumrouter.settings import Contention
 from gypsumrouter.standins import RunnerFault
@@ -68,7 +69,9 @@
     for route in configuration["routes"]:
         route["target_latency_ms"] = 2_000
     await world.store.async_put_configuration(configuration)
-    await world.async_until(lambda: product.store.version == 2)
+    store = product.store
+    assert isinstance(store, RoutingStore)
+    await world.async_until(lambda: store.version == 2)
 
 
 async def async_ask(
