Placement: spread a prompt in high demand over several engines

Requests of a popular prompt stay at the engine that has it cached until the load cap diverts them. Where the cap allows more requests than an engine has slots, they wait there while other engines have free slots.

PromptSpread estimates the running requests of a prompt from the rate of its placements, own and of peers, over 3 s and from how long its requests run. One engine sustains half of what the cap allows above the mean load. Beyond that, the requests go to as many engines as they need, the first ones of the prompt's rendezvous order, by the hash of the part that only the request has. The engines copy the prompt; until it can be copied, it stays at its first engine. Built only with the setting contention, disabled by prompt_spread, and without copies.

--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -91,6 +91,8 @@
         if case == CACHED_PROMPT:
             for part in (1, 1_000 + number):
                 placer.note_cached(part=part, upstream="i-7")
+            if placer.prompt_spread is not None:
+                placer.prompt_spread.note_placed(1_000 + number, now_ms=100_000)
         begin_s = time.process_time()
         placed = placer.place(service=SERVICE, prompt=prompt, excluded=(), limit_ms=400)
         spent_s += time.process_time() - begin_s
--- a/bench/placement_engine.py
+++ b/bench/placement_engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import OrderedDict
 from typing import Final
 
@@ -21,12 +22,16 @@
 
 
 class RequestTiming(Struct, frozen=True, kw_only=True):
-    """Times of the first event and the end of a request, and its prefilled and copied parts."""
+    """Times of the first event and the end of a request, and its prefilled and copied parts.
+
+    `queued_ms` is how long it waited for a slot.
+    """
 
     first_ms: float
     end_ms: float
     prefilled: tuple[PromptPart, ...]
     copied_tokens: int
+    queued_ms: float = 0.0
 
     @property
     def prefilled_tokens(self) -> int:
@@ -35,19 +40,27 @@
 
 
 class Engine:
-    """One engine; evicts the least recently used parts that no running request uses."""
+    """One engine; evicts the least recently used parts that no running request uses.
+
+    With `slots`, it runs so many requests at once and the others wait; without, it runs all.
+    """
 
     __slots__ = (
         "_cached",
         "_capacity",
         "_prefill_free_ms",
         "_requests_by_part",
+        "_slot_ends_ms",
+        "_slots",
         "_slowdown",
         "_used",
         "running",
     )
 
-    def __init__(self, *, capacity: int, slowdown: float = 1.0) -> None:
+    def __init__(self, *, capacity: int, slowdown: float = 1.0, slots: int | None = None) -> None:
+        self._slots = slots
+        # Heap of the times at which the occupied slots become free.
+        self._slot_ends_ms: list[float] = []
         self._slowdown = slowdown
         self._capacity = capacity
         self._cached: OrderedDict[int, int] = OrderedDict()
@@ -67,21 +80,37 @@
         prefill_tokens = sum(part.tokens for part in prefilled) + prompt.parts[-1].tokens
         copy_ms = COPY_SETUP_MS + copied / COPY_TOKENS_PER_MS if copied else 0.0
         prefill_ms = self._slowdown * prefill_tokens / PREFILL_TOKENS_PER_MS
-        begin_ms = max(now_ms + copy_ms, self._prefill_free_ms)
+        queued_ms = self._take_slot(now_ms) - now_ms
+        begin_ms = max(now_ms + queued_ms + copy_ms, self._prefill_free_ms)
         self._prefill_free_ms = begin_ms + prefill_ms
         self.running += 1
-        step_ms = self._slowdown * (STEP_MS + STEP_MS_PER_REQUEST * self.running)
+        decoding = self.running if self._slots is None else min(self.running, self._slots)
+        step_ms = self._slowdown * (STEP_MS + STEP_MS_PER_REQUEST * decoding)
         first_ms = self._prefill_free_ms + FIRST_EVENT_MS + step_ms
+        end_ms = first_ms + prompt.max_output_tokens * step_ms
+        if self._slots is not None:
+            heapq.heappush(self._slot_ends_ms, end_ms)
         for part in prompt.parts:
             self._cache_part(part.part, part.tokens)
         self._evict()
         return RequestTiming(
             first_ms=first_ms,
-            end_ms=first_ms + prompt.max_output_tokens * step_ms,
+            end_ms=end_ms,
             prefilled=prefilled,
             copied_tokens=copied,
+            queued_ms=queued_ms,
         )
 
+    def _take_slot(self, now_ms: float) -> float:
+        """Return when the next request gets a slot; those before it keep their order."""
+        if self._slots is None:
+            return now_ms
+        while self._slot_ends_ms and self._slot_ends_ms[0] <= now_ms:
+            heapq.heappop(self._slot_ends_ms)
+        if len(self._slot_ends_ms) < self._slots:
+            return now_ms
+        return heapq.heappop(self._slot_ends_ms)
+
     def end(self, prompt: Prompt) -> None:
         """Finish a request; its parts stay cached until they are evicted."""
         self.running -= 1
--- a/bench/placement_load.py
+++ b/bench/placement_load.py
@@ -55,7 +55,7 @@
     From `hot_from_ms` to `hot_to_ms`, the fraction `hot_share` of the requests uses the most
     popular prompt of its kind. At `lost_at_ms`, the fraction `lost_share` of the engines is
     replaced by engines with empty caches. `slowdowns` are the factors by which the engines are
-    slower, used in turn.
+    slower, used in turn. Engines run at most `slots` requests at once if `queues` is set.
     """
 
     name: str
@@ -71,6 +71,7 @@
     lost_at_ms: int
     lost_share: float
     slowdowns: tuple[float, ...] = (1.0, 1.0, 1.3)
+    queues: bool = False
 
 
 class Arrival(Struct, frozen=True, kw_only=True):
--- a/bench/placement_strategies.py
+++ b/bench/placement_strategies.py
@@ -179,6 +179,9 @@
         placer.loads.end(sent.upstream)
         if placer.engine_memory is not None and sent.held is not None:
             placer.engine_memory.end(sent.upstream, sent.held)
+        if placer.prompt_spread is not None and sent.shared_part is not None:
+            held_ms = self._clock.now_ms() - sent.sent_ms
+            placer.prompt_spread.note_ended(sent.shared_part, held_ms=held_ms)
         placer.note_output(arrival.prompt, tokens=arrival.prompt.max_output_tokens)
 
     def advance(self, now_ms: int) -> None:
--- a/bench/placements.py
+++ b/bench/placements.py
@@ -40,11 +40,13 @@
     copied: int = 0
     skewed: int = 0
     preempted: int = 0
+    queued_ms: list[float] = field(default_factory=list)
     prefilled_parts: set[int] = field(default_factory=set)
 
     def add(self, run: RequestTiming, arrival: Arrival, *, skewed: bool) -> None:
         """Add a request; the first prefill of a part is counted separately from repeated ones."""
         self.first_ms.append(run.first_ms - arrival.at_ms)
+        self.queued_ms.append(run.queued_ms)
         self.shared += sum(part.tokens for part in arrival.prompt.shared)
         for part in run.prefilled:
             if part.part in self.prefilled_parts:
@@ -149,7 +151,8 @@
         slowdowns = self._load.slowdowns
         slowdown = slowdowns[self._created % len(slowdowns)]
         self._created += 1
-        return Engine(capacity=self._load.engine_tokens, slowdown=slowdown)
+        slots = self._load.slots if self._load.queues else None
+        return Engine(capacity=self._load.engine_tokens, slowdown=slowdown, slots=slots)
 
 
 def replay(load: Load, strategy: Strategy, *, seed: int) -> Outcome:
--- a/gypsumrouter/forwarding/cache_index.py
+++ b/gypsumrouter/forwarding/cache_index.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from gypsumrouter.forwarding.models import PromptPart
+from gypsumrouter.forwarding.prompt_spread import PromptSpread
 
 # A part that was not requested for this long counts as evicted from an engine's cache.
 # An engine of 655,000 tokens that prefills 15,000 new tokens a second replaces its cache in about
@@ -19,16 +20,25 @@
 
 
 class CacheIndex:
-    """Maps prompt parts to upstreams, from placements of this router and reports of its peers."""
+    """Maps prompt parts to upstreams, from placements of this router and reports of its peers.
 
-    __slots__ = ("_parts",)
+    All placements are counted in `prompt_spread`, if it is set.
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("_parts", "_prompt_spread")
+
+    def __init__(self, *, prompt_spread: PromptSpread | None = None) -> None:
+        self._prompt_spread = prompt_spread
         # For each part and upstream: the times of the first and last request with the part.
         self._parts: OrderedDict[int, dict[str, tuple[int, int]]] = OrderedDict()
 
     def note(self, *, part: int, upstream: str, now_ms: int) -> bool:
         """Record that a part is sent to an upstream; return whether it is new to its cache."""
+        if self._prompt_spread is not None:
+            self._prompt_spread.note_placed(part, now_ms=now_ms)
+        return self._note(part=part, upstream=upstream, now_ms=now_ms)
+
+    def _note(self, *, part: int, upstream: str, now_ms: int) -> bool:
         holders = self._parts.get(part)
         if holders is None:
             holders = self._parts[part] = {}
@@ -43,7 +53,7 @@
 
     def note_cached(self, *, part: int, upstream: str, now_ms: int) -> None:
         """Record a part that an upstream has already prefilled; it can be copied at once."""
-        self.note(part=part, upstream=upstream, now_ms=now_ms)
+        self._note(part=part, upstream=upstream, now_ms=now_ms)
         self._parts[part][upstream] = (now_ms - COPY_READY_MS, now_ms)
 
     def list_cached(self, *, now_ms: int) -> dict[str, tuple[int, ...]]:
--- a/gypsumrouter/forwarding/candidates.py
+++ b/gypsumrouter/forwarding/candidates.py
@@ -26,6 +26,7 @@
     `preferred` is the first upstream of the prompt's rendezvous order, `source` the upstream from
     which its shared parts can be copied. `estimate_unreported` returns the requests at an upstream
     that its counted load is likely to miss. `memory` is set if the engines' memory is known.
+    `spreads` is set if the prompt is spread over several engines, of which `preferred` is one.
     """
 
     prompt: Prompt | None
@@ -34,6 +35,7 @@
     estimate_unreported: Callable[[str, UpstreamLoad], float]
     now_ms: int
     memory: MemoryDemand | None = None
+    spreads: bool = False
 
     @property
     def shared(self) -> tuple[PromptPart, ...]:
@@ -123,6 +125,7 @@
             off_affinity=context.preferred is not None and upstream != context.preferred,
             penalty_ms=self._get_penalty_ms(entry, plain=not shared),
             unreported=context.estimate_unreported(upstream, load),
+            copies_ahead=context.spreads and upstream == context.preferred,
             slowness=(
                 1.0
                 if self._engine_speeds is None
--- a/gypsumrouter/forwarding/placed.py
+++ b/gypsumrouter/forwarding/placed.py
@@ -38,7 +38,7 @@
 
     `uncontended` is set if no other prompt waits for prefill at the upstream and nothing is copied,
     so that the time to the first event measures the prefill speed. `held` is what the request holds
-    in the engine's memory, if that is counted.
+    in the engine's memory, if that is counted. `shared_part` is the last shared part of its prompt.
     """
 
     upstream: str
@@ -47,3 +47,4 @@
     sent_ms: int = 0
     uncontended: bool = False
     held: HeldTokens | None = None
+    shared_part: int | None = None
--- a/gypsumrouter/forwarding/placement.py
+++ b/gypsumrouter/forwarding/placement.py
@@ -52,6 +52,8 @@
     `unreported` is the number of requests that peers have probably sent since their last report; it
     counts towards the cap only. `slowness` is how long a prefill takes there, as a multiple of the
     time at all engines. `overcommitted_tokens` is by how much the request would exceed its memory.
+    `copies_ahead` is set if a prompt in high demand is spread to this upstream: the copy serves all
+    requests that follow, so it is not counted as a cost of this one.
     """
 
     upstream: str
@@ -67,6 +69,7 @@
     unreported: float = 0.0
     slowness: float = 1.0
     overcommitted_tokens: int = 0
+    copies_ahead: bool = False
 
 
 class Cap(Struct, frozen=True, kw_only=True):
@@ -139,7 +142,7 @@
     # is a price for the service, which does not depend on the engine.
     engine_tokens = candidate.pending_tokens + prefill_tokens + costs.own_tokens
     cost += (candidate.slowness - 1) * engine_tokens / costs.prefill_tokens_per_ms
-    if candidate.fetchable_tokens:
+    if candidate.fetchable_tokens and not candidate.copies_ahead:
         cost += FETCH_SETUP_MS + candidate.fetchable_tokens / FETCH_TOKENS_PER_MS
     if candidate.off_affinity:
         cost += costs.off_affinity_ms
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -13,6 +13,7 @@
     CandidateContext,
     CandidateFactory,
     find_preferred,
+    make_affinity,
 )
 from gypsumrouter.forwarding.const import SOURCE_RESPONSE
 from gypsumrouter.forwarding.eligibility import NO_UPSTREAM, Eligibility, PlacementRefusal
@@ -31,6 +32,7 @@
 )
 from gypsumrouter.forwarding.plain_admission import PlainAdmission
 from gypsumrouter.forwarding.prefill_speed import PrefillSpeed
+from gypsumrouter.forwarding.prompt_spread import PromptSpread, choose_spread_engine
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.settings import Contention
@@ -69,6 +71,7 @@
         "loads",
         "plain",
         "prefill_speed",
+        "prompt_spread",
         "slow_start",
     )
 
@@ -105,7 +108,12 @@
         self.health = health
         self.backoffs = backoffs
         self.slow_start = slow_start
-        self.cache_index = CacheIndex()
+        self.prompt_spread: PromptSpread | None = None
+        if contention is not None and without.isdisjoint(
+            (Mechanism.PROMPT_SPREAD, Mechanism.CACHE_TRANSFER)
+        ):
+            self.prompt_spread = PromptSpread()
+        self.cache_index = CacheIndex(prompt_spread=self.prompt_spread)
         self.prefill_speed = PrefillSpeed()
         self.engine_speeds: EngineSpeeds | None = None
         if contention is not None and Mechanism.ENGINE_SPEED not in without:
@@ -183,6 +191,10 @@
         # routers agree on the next one without communication, and the prompt is prefilled once.
         eligible = [entry.incarnation for entry in entries]
         preferred = find_preferred(eligible, shared) if self._uses_affinity else None
+        spread_to = None
+        if preferred is not None and prompt is not None and source is not None:
+            spread_to = self._choose_spread(eligible, prompt, mean, now_ms)
+            preferred = spread_to or preferred
         context = CandidateContext(
             prompt=prompt,
             preferred=preferred,
@@ -191,6 +203,7 @@
                 upstream, load, peers_age_ms, now_ms
             ),
             now_ms=now_ms,
+            spreads=spread_to is not None,
             memory=(
                 None
                 if self.engine_memory is None
@@ -221,6 +234,22 @@
             and self._is_cold_start(now_ms),
         )
 
+    def _choose_spread(
+        self, eligible: list[str], prompt: Prompt, mean: float, now_ms: int
+    ) -> str | None:
+        """Return the upstream of a request whose prompt one engine can't sustain, or None.
+
+        Until the prompt can be copied from the first engine, the others would have to prefill it.
+        """
+        if self.prompt_spread is None:
+            return None
+        part = prompt.shared[-1].part
+        count = self.prompt_spread.count_engines(part, mean=mean, cap=self._cap, now_ms=now_ms)
+        if count == 1:
+            return None
+        affinity = make_affinity(prompt.shared)
+        return choose_spread_engine(eligible, prompt=prompt, affinity=affinity, n=count)
+
     def _choose(
         self,
         candidates: tuple[Candidate, ...],
@@ -281,6 +310,7 @@
             sent_ms=now_ms,
             uncontended=placed.pending_tokens == 0 and placed.fetch_from is None,
             held=held,
+            shared_part=prompt.shared[-1].part if prompt.shared else None,
         )
 
     def apply_response_metadata(self, entry: Entry, metadata: ResponseMetadata) -> None:
@@ -338,6 +368,8 @@
         self.loads.note_held(sent.upstream, held_ms=held_ms)
         if self.engine_memory is not None and sent.held is not None:
             self.engine_memory.end(sent.upstream, sent.held)
+        if self.prompt_spread is not None and sent.shared_part is not None:
+            self.prompt_spread.note_ended(sent.shared_part, held_ms=held_ms)
 
     def note_output(self, prompt: Prompt | None, *, tokens: int) -> None:
         """Record the output of a complete response, in tokens."""
--- a/tests/forwarding/test_forwarding_contention_parts.py
+++ b/tests/forwarding/test_forwarding_contention_parts.py
@@ -42,7 +42,7 @@
 
 def test_nothing_is_built_without_the_setting() -> None:
     placer = make_placer(contention=None)
-    assert (placer.engine_speeds, placer.engine_memory) == (None, None)
+    assert (placer.engine_speeds, placer.engine_memory, placer.prompt_spread) == (None, None, None)
 
 
 def test_each_part_is_disabled_by_its_mechanism() -> None:
@@ -50,6 +50,7 @@
     whole = make_placer(contention=contention)
     assert whole.engine_speeds is not None
     assert whole.engine_memory is not None
+    assert whole.prompt_spread is not None
     without_speed = make_placer(contention=contention, without=frozenset({Mechanism.ENGINE_SPEED}))
     assert without_speed.engine_speeds is None
     assert without_speed.engine_memory is not None
@@ -57,6 +58,10 @@
         contention=contention, without=frozenset({Mechanism.ENGINE_MEMORY})
     )
     assert without_memory.engine_memory is None
+    # Without copies, the engines of a spread prompt would all have to prefill it.
+    for mechanism in (Mechanism.PROMPT_SPREAD, Mechanism.CACHE_TRANSFER):
+        without_spread = make_placer(contention=contention, without=frozenset({mechanism}))
+        assert without_spread.prompt_spread is None
 
 
 async def test_forwarder_learns_memory_and_output_of_its_engines(
--- a/tests/forwarding/uneven_loads.py
+++ b/tests/forwarding/uneven_loads.py
@@ -52,6 +52,11 @@
     ),
     slowdowns=(1.0, 1.0, 1.0, 4.0),
 )
+# For ten seconds, half of the requests use the most popular prompt of their kind. The load cap
+# allows more requests at one engine than it has slots.
+HOT_PROMPT: Final = replace(
+    EVEN, hot_from_ms=8_000, hot_to_ms=18_000, hot_share=0.5, slots=20, queues=True
+)
 PARTS: Final = frozenset({Mechanism.ENGINE_SPEED, Mechanism.ENGINE_MEMORY, Mechanism.PROMPT_SPREAD})
 
 
