--- a/gypsumrouter/forwarding/placed.py
+++ b/gypsumrouter/forwarding/placed.py
@@ -39,7 +39,7 @@
     `uncontended` is set if no other prompt waits for prefill at the upstream and nothing is copied,
     so that the time to the first event measures the prefill speed. `awaited` identifies the request
     while its upstream has not responded. `held` is what it holds in the engine's memory, if that is
-    counted.
+    counted. `shared_part` is the last shared part of its prompt.
     """
 
     upstream: str
@@ -49,3 +49,4 @@
     uncontended: bool = False
     awaited: int = 0
     held: HeldTokens | None = None
+    shared_part: int | None = None
