--- a/tests/contention/test_contention_decision.py
+++ b/tests/contention/test_contention_decision.py
@@ -33,7 +33,7 @@
 
 def test_wait_is_limited_to_a_share_of_the_target() -> None:
     demand = make_demand(hold_ms=get_hold_ms(target_ms=400, remaining_ms=4_000))
-    assert decide(demand, Expected(backlog_ms=500, own_ms=10)) == Wait(max_ms=400 * HOLD_SHARE)
+    assert decide(demand, Expected(backlog_ms=500, own_ms=10)) == Wait(max_ms=int(400 * HOLD_SHARE))
 
 
 def test_request_that_misses_its_target_on_an_idle_upstream_is_sent() -> None:
--- a/tests/contention/test_contention_order.py
+++ b/tests/contention/test_contention_order.py
@@ -36,7 +36,7 @@
 
 
 # In the order of release.
-ORDERED = (
+ORDERED: tuple[dict[str, Any], ...] = (
     {"returned": Return.KEPT, "workspace": "heavy", "priority": 2},
     {"priority": 0, "target_ms": 400},
     {"priority": 0, "target_ms": 800},
--- a/tests/contention/test_contention_room.py
+++ b/tests/contention/test_contention_room.py
@@ -5,6 +5,7 @@
 import random
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import Any
 
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
@@ -205,20 +206,19 @@
             router.end_requests(fleet.rng, 0.1)
 
 
-def make_work(**more: int) -> ServiceWork:
-    return ServiceWork(
-        **{
-            "own_ms": 0.0,
-            "peers_ms": 0.0,
-            "upstreams": 10,
-            "own_running": 0,
-            "peers_running": 0,
-            "peers_known": True,
-            "peers_age_ms": 0,
-            "routers": 9,
-            **more,
-        }
-    )
+def make_work(**more: Any) -> ServiceWork:
+    work: dict[str, Any] = {
+        "own_ms": 0.0,
+        "peers_ms": 0.0,
+        "upstreams": 10,
+        "own_running": 0,
+        "peers_running": 0,
+        "peers_known": True,
+        "peers_age_ms": 0,
+        "routers": 9,
+        **more,
+    }
+    return ServiceWork(**work)
 
 
 def test_without_reports_the_room_is_divided_by_the_known_routers() -> None:
