--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -52,8 +52,8 @@
         slow_start=SlowStartLimiter(clock=clock, journal=journal),
         contention=contention,
     )
-    if placer.engine_memory is not None:
-        placer.engine_memory.set_capacities({SERVICE: ENGINE_TOKENS})
+    if placer.uneven_load.engine_memory is not None:
+        placer.uneven_load.engine_memory.set_capacities({SERVICE: ENGINE_TOKENS})
     names = [f"i-{number}" for number in range(upstreams)]
     for number, name in enumerate(names):
         entry = Entry(
@@ -65,8 +65,10 @@
             slots=64,
         )
         directory.merge(Record(revision=number + 1, entry=entry), source="bench")
-        if placer.engine_speeds is not None:
-            placer.engine_speeds.note(name, tokens=5_000, first_event_ms=150, now_ms=clock.now_ms())
+        if placer.uneven_load.engine_speeds is not None:
+            placer.uneven_load.engine_speeds.note(
+                name, tokens=5_000, first_event_ms=150, now_ms=clock.now_ms()
+            )
     for peer in range(peers):
         loads = {name: UpstreamLoad(running=1 + peer % 3, pending_tokens=0) for name in names}
         placer.loads.set_peer_loads(f"p{peer}", PeerLoads(received_ms=clock.now_ms(), loads=loads))
@@ -91,8 +93,8 @@
         if case == CACHED_PROMPT:
             for part in (1, 1_000 + number):
                 placer.note_cached(part=part, upstream="i-7")
-            if placer.prompt_spread is not None:
-                placer.prompt_spread.note_placed(1_000 + number, now_ms=100_000)
+            if placer.uneven_load.prompt_spread is not None:
+                placer.uneven_load.prompt_spread.note_placed(1_000 + number, now_ms=100_000)
         begin_s = time.process_time()
         placed = placer.place(service=SERVICE, prompt=prompt, excluded=(), limit_ms=400)
         spent_s += time.process_time() - begin_s
--- a/bench/placement_strategies.py
+++ b/bench/placement_strategies.py
@@ -177,12 +177,9 @@
         placer = self._placers[arrival.router]
         sent = self._sent.pop(number)
         placer.loads.end(sent.upstream)
-        if placer.engine_memory is not None and sent.held is not None:
-            placer.engine_memory.end(sent.upstream, sent.held)
-        if placer.prompt_spread is not None and sent.shared_part is not None:
-            held_ms = self._clock.now_ms() - sent.sent_ms
-            placer.prompt_spread.note_ended(sent.shared_part, held_ms=held_ms)
-        placer.note_output(arrival.prompt, tokens=arrival.prompt.max_output_tokens)
+        uneven_load = placer.uneven_load
+        uneven_load.note_ended(sent, held_ms=self._clock.now_ms() - sent.sent_ms)
+        uneven_load.note_output(arrival.prompt, tokens=arrival.prompt.max_output_tokens)
 
     def advance(self, now_ms: int) -> None:
         """Advance the clock and send the updates that are due."""
@@ -238,8 +235,8 @@
             contention=self._contention,
             without=self._without,
         )
-        if placer.engine_memory is not None:
-            placer.engine_memory.set_capacities({SERVICE: load.engine_tokens})
+        if placer.uneven_load.engine_memory is not None:
+            placer.uneven_load.engine_memory.set_capacities({SERVICE: load.engine_tokens})
         self._directories.append(directory)
         for name in list_engines(load):
             self._add_entry(directory, name)
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -226,7 +226,9 @@
         if end is RelayResult.COMPLETE:
             self._recorder.record_success(upstream)
             # Engines send an event for each token.
-            self._context.placer.note_output(self._request.prompt, tokens=self.progress.events)
+            self._context.placer.uneven_load.note_output(
+                self._request.prompt, tokens=self.progress.events
+            )
             attempt.release()
             return Decision(step=NextStep.RESPOND)
         message = f"stream {end.value}"
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -96,9 +96,10 @@
             contention=settings.contention,
             without=settings.without,
         )
-        if self.placer.engine_memory is not None:
-            routing.on_change(self.placer.engine_memory.set_table)
-            app.add_dump_section("engine_memory", self.placer.engine_memory.summarize)
+        engine_memory = self.placer.uneven_load.engine_memory
+        if engine_memory is not None:
+            routing.on_change(engine_memory.set_table)
+            app.add_dump_section("engine_memory", engine_memory.summarize)
         reuse_for_all = Mechanism.KEEP_ALIVE not in settings.without
         self._pool = ConnectionPool(app=app, reuse_for_all=reuse_for_all)
         self.budget = RetryBudget(
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -13,12 +13,9 @@
     CandidateContext,
     CandidateFactory,
     find_preferred,
-    make_affinity,
 )
 from gypsumrouter.forwarding.const import SOURCE_RESPONSE
 from gypsumrouter.forwarding.eligibility import NO_UPSTREAM, Eligibility, PlacementRefusal
-from gypsumrouter.forwarding.engine_memory import EngineMemory
-from gypsumrouter.forwarding.engine_speed import EngineSpeeds
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.load_reports import LoadReports
 from gypsumrouter.forwarding.loads import LoadTracker, UpstreamLoad, get_mean
@@ -32,8 +29,8 @@
 )
 from gypsumrouter.forwarding.plain_admission import PlainAdmission
 from gypsumrouter.forwarding.prefill_speed import PrefillSpeed
-from gypsumrouter.forwarding.prompt_spread import PromptSpread, choose_spread_engine
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
+from gypsumrouter.forwarding.uneven_load import UnevenLoad
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.settings import Contention
 
@@ -64,15 +61,13 @@
         "_uses_load_reports",
         "backoffs",
         "cache_index",
-        "engine_memory",
-        "engine_speeds",
         "health",
         "load_reports",
         "loads",
         "plain",
         "prefill_speed",
-        "prompt_spread",
         "slow_start",
+        "uneven_load",
     )
 
     def __init__(
@@ -108,19 +103,11 @@
         self.health = health
         self.backoffs = backoffs
         self.slow_start = slow_start
-        self.prompt_spread: PromptSpread | None = None
-        if contention is not None and without.isdisjoint(
-            (Mechanism.PROMPT_SPREAD, Mechanism.CACHE_TRANSFER)
-        ):
-            self.prompt_spread = PromptSpread()
-        self.cache_index = CacheIndex(prompt_spread=self.prompt_spread)
         self.prefill_speed = PrefillSpeed()
-        self.engine_speeds: EngineSpeeds | None = None
-        if contention is not None and Mechanism.ENGINE_SPEED not in without:
-            self.engine_speeds = EngineSpeeds(service=self.prefill_speed)
-        self.engine_memory: EngineMemory | None = None
-        if contention is not None and Mechanism.ENGINE_MEMORY not in without:
-            self.engine_memory = EngineMemory()
+        self.uneven_load = UnevenLoad(
+            contention=contention, without=without, prefill_speed=self.prefill_speed
+        )
+        self.cache_index = CacheIndex(prompt_spread=self.uneven_load.prompt_spread)
         self.plain = PlainAdmission(count_routers=slow_start.count_routers)
         self._spreads_plain = Mechanism.PLAIN_OWN_LOAD not in without
         self._uses_load_reports = Mechanism.LOAD_REPORTS not in without
@@ -129,7 +116,7 @@
         self._refuses_late = Mechanism.DEADLINE_ADMISSION not in without
         self.loads = LoadTracker(
             prefill_speed=self.prefill_speed,
-            engine_speeds=self.engine_speeds,
+            engine_speeds=self.uneven_load.engine_speeds,
             extrapolates_prefill=Mechanism.PREFILL_PROGRESS not in without,
         )
         self._candidates = CandidateFactory(
@@ -139,8 +126,8 @@
             health=health,
             loads=self.loads,
             cache_index=self.cache_index,
-            engine_speeds=self.engine_speeds,
-            engine_memory=self.engine_memory,
+            engine_speeds=self.uneven_load.engine_speeds,
+            engine_memory=self.uneven_load.engine_memory,
             without=without,
         )
         self._placement_listeners: list[PlacementListener] = []
@@ -192,8 +179,11 @@
         eligible = [entry.incarnation for entry in entries]
         preferred = find_preferred(eligible, shared) if self._uses_affinity else None
         spread_to = None
+        # Until the prompt can be copied from its first engine, others would have to prefill it.
         if preferred is not None and prompt is not None and source is not None:
-            spread_to = self._choose_spread(eligible, prompt, mean, now_ms)
+            spread_to = self.uneven_load.choose_spread(
+                eligible, prompt=prompt, mean=mean, cap=self._cap, now_ms=now_ms
+            )
             preferred = spread_to or preferred
         context = CandidateContext(
             prompt=prompt,
@@ -204,11 +194,7 @@
             ),
             now_ms=now_ms,
             spreads=spread_to is not None,
-            memory=(
-                None
-                if self.engine_memory is None
-                else self.engine_memory.make_demand(service, prompt)
-            ),
+            memory=self.uneven_load.make_demand(service, prompt),
         )
         candidates = self._candidates.make_all(entries, loads, context)
         chosen = self._choose(candidates, prompt, mean, source)
@@ -234,22 +220,6 @@
             and self._is_cold_start(now_ms),
         )
 
-    def _choose_spread(
-        self, eligible: list[str], prompt: Prompt, mean: float, now_ms: int
-    ) -> str | None:
-        """Return the upstream of a request whose prompt one engine can't sustain, or None.
-
-        Until the prompt can be copied from the first engine, the others would have to prefill it.
-        """
-        if self.prompt_spread is None:
-            return None
-        part = prompt.shared[-1].part
-        count = self.prompt_spread.count_engines(part, mean=mean, cap=self._cap, now_ms=now_ms)
-        if count == 1:
-            return None
-        affinity = make_affinity(prompt.shared)
-        return choose_spread_engine(eligible, prompt=prompt, affinity=affinity, n=count)
-
     def _choose(
         self,
         candidates: tuple[Candidate, ...],
@@ -300,9 +270,7 @@
             for listener in self._placement_listeners:
                 listener(part.part, upstream)
         self.loads.begin(upstream, tokens=tokens)
-        held = None
-        if self.engine_memory is not None:
-            held = self.engine_memory.begin(upstream, service=placed.entry.service, prompt=prompt)
+        held = self.uneven_load.note_sent(upstream, service=placed.entry.service, prompt=prompt)
         return SentRequest(
             upstream=upstream,
             tokens=tokens,
@@ -357,24 +325,13 @@
         now_ms = self._app.clock.now_ms()
         first_event_ms = now_ms - sent.sent_ms
         self.prefill_speed.note(tokens=sent.tokens, first_event_ms=first_event_ms)
-        if self.engine_speeds is not None:
-            self.engine_speeds.note(
-                sent.upstream, tokens=sent.tokens, first_event_ms=first_event_ms, now_ms=now_ms
-            )
+        self.uneven_load.note_first_event(sent, first_event_ms=first_event_ms, now_ms=now_ms)
 
     def note_ended(self, sent: SentRequest, *, held_ms: int) -> None:
         """Record that an attempt has ended, and how long it counted as running."""
         self.loads.end(sent.upstream)
         self.loads.note_held(sent.upstream, held_ms=held_ms)
-        if self.engine_memory is not None and sent.held is not None:
-            self.engine_memory.end(sent.upstream, sent.held)
-        if self.prompt_spread is not None and sent.shared_part is not None:
-            self.prompt_spread.note_ended(sent.shared_part, held_ms=held_ms)
-
-    def note_output(self, prompt: Prompt | None, *, tokens: int) -> None:
-        """Record the output of a complete response, in tokens."""
-        if self.engine_memory is not None and prompt is not None:
-            self.engine_memory.note_output(prompt.model, tokens=tokens)
+        self.uneven_load.note_ended(sent, held_ms=held_ms)
 
     def note_not_run(self, sent: SentRequest) -> None:
         """Undo the cache entries recorded for a request that its upstream did not run."""
@@ -390,8 +347,7 @@
         self.slow_start.sweep()
         self.backoffs.sweep()
         now_ms = self._app.clock.now_ms()
-        if self.engine_speeds is not None:
-            self.engine_speeds.sweep(now_ms=now_ms)
+        self.uneven_load.sweep(now_ms=now_ms)
         for incarnation, removed_ms in tuple(self._removed_ms.items()):
             if now_ms - removed_ms >= CACHE_TTL_MS:
                 del self._removed_ms[incarnation]
@@ -446,7 +402,6 @@
             self.plain.forget(entry.incarnation)
             self.loads.forget(entry.incarnation)
             self.load_reports.forget(entry.incarnation)
-            if self.engine_speeds is not None:
-                self.engine_speeds.forget(entry.incarnation)
+            self.uneven_load.forget(entry.incarnation)
         else:
             self._removed_ms.pop(entry.incarnation, None)
--- a/tests/forwarding/test_forwarding_contention_parts.py
+++ b/tests/forwarding/test_forwarding_contention_parts.py
@@ -15,19 +15,20 @@
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
+from gypsumrouter.forwarding.uneven_load import UnevenLoad
 from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.settings import Contention
 from gypsumrouter.util.clock import ManualClock
 
 
-def make_placer(
+def make_parts(
     *, contention: Contention | None, without: frozenset[Mechanism] = frozenset()
-) -> Placer:
+) -> UnevenLoad:
     clock = ManualClock(now_ms=100_000)
     app = Application(name="r", role=Role.FORWARDER, data_centre="a", region="r", clock=clock)
     journal = Journal(app=app)
-    return Placer(
+    placer = Placer(
         app=app,
         directory=Directory(app=app, journal=journal),
         cap=Cap(factor=2.0, slack=3.0),
@@ -38,29 +39,28 @@
         contention=contention,
         without=without,
     )
+    return placer.uneven_load
 
 
 def test_nothing_is_built_without_the_setting() -> None:
-    placer = make_placer(contention=None)
-    assert (placer.engine_speeds, placer.engine_memory, placer.prompt_spread) == (None, None, None)
+    parts = make_parts(contention=None)
+    assert (parts.engine_speeds, parts.engine_memory, parts.prompt_spread) == (None, None, None)
 
 
 def test_each_part_is_disabled_by_its_mechanism() -> None:
     contention = Contention()
-    whole = make_placer(contention=contention)
+    whole = make_parts(contention=contention)
     assert whole.engine_speeds is not None
     assert whole.engine_memory is not None
     assert whole.prompt_spread is not None
-    without_speed = make_placer(contention=contention, without=frozenset({Mechanism.ENGINE_SPEED}))
+    without_speed = make_parts(contention=contention, without=frozenset({Mechanism.ENGINE_SPEED}))
     assert without_speed.engine_speeds is None
     assert without_speed.engine_memory is not None
-    without_memory = make_placer(
-        contention=contention, without=frozenset({Mechanism.ENGINE_MEMORY})
-    )
+    without_memory = make_parts(contention=contention, without=frozenset({Mechanism.ENGINE_MEMORY}))
     assert without_memory.engine_memory is None
     # Without copies, the engines of a spread prompt would all have to prefill it.
     for mechanism in (Mechanism.PROMPT_SPREAD, Mechanism.CACHE_TRANSFER):
-        without_spread = make_placer(contention=contention, without=frozenset({mechanism}))
+        without_spread = make_parts(contention=contention, without=frozenset({mechanism}))
         assert without_spread.prompt_spread is None
 
 
--- a/tests/forwarding/test_forwarding_prompt_spread.py
+++ b/tests/forwarding/test_forwarding_prompt_spread.py
@@ -229,11 +229,11 @@
 def test_listed_cache_contents_are_no_demand() -> None:
     """After its start, a router reads what all engines have cached."""
     router = Router(contention=Contention())
-    assert router.placer.prompt_spread is not None
-    router.placer.prompt_spread.note_ended(HOT, held_ms=HELD_MS)
+    assert router.placer.uneven_load.prompt_spread is not None
+    router.placer.uneven_load.prompt_spread.note_ended(HOT, held_ms=HELD_MS)
     for name in ENGINES * 20:
         router.placer.note_cached(part=HOT, upstream=name)
-    assert count_engines(router.placer.prompt_spread, router.clock.now_ms()) == 1
+    assert count_engines(router.placer.uneven_load.prompt_spread, router.clock.now_ms()) == 1
 
 
 def get_mean_queue_ms(outcome: Outcome) -> float:
