--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import math
-import random
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable
 from typing import Final
 
 from gypsumrouter.contention import Expected
@@ -17,11 +15,12 @@
     CandidateFactory,
     find_preferred,
 )
+from gypsumrouter.forwarding.cap_loads import CapLoads
 from gypsumrouter.forwarding.const import SOURCE_RESPONSE
 from gypsumrouter.forwarding.eligibility import NO_UPSTREAM, Eligibility, PlacementRefusal
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.load_reports import LoadReports
-from gypsumrouter.forwarding.loads import REPORT_DELAY_MS, LoadTracker, UpstreamLoad, get_mean
+from gypsumrouter.forwarding.loads import LoadTracker
 from gypsumrouter.forwarding.models import Prompt, ResponseMetadata
 from gypsumrouter.forwarding.placed import CopySource, Placement, SentRequest
 from gypsumrouter.forwarding.placement import (
@@ -41,9 +40,6 @@
 # For this long after its start a router's view of the engines' prompt caches is incomplete.
 COLD_START_MS: Final = 4_000
 
-# Upper end of the range in which the estimate of unreported requests is drawn, as a ratio of it.
-MAX_UNREPORTED_RATIO: Final = 1.75
-
 PlacementListener = Callable[[int, str], None]
 
 
@@ -51,11 +47,11 @@
     """Chooses an upstream for each attempt."""
 
     __slots__ = (
-        "_allows_for_unreported",
         "_app",
         "_by_service",
         "_candidates",
         "_cap",
+        "_cap_loads",
         "_directory",
         "_eligibility",
         "_ignored_reports",
@@ -118,7 +114,6 @@
         self.cache_index = CacheIndex(prompt_spread=self.uneven_load.prompt_spread)
         self._spreads_plain = Mechanism.PLAIN_OWN_LOAD not in without
         self._uses_load_reports = Mechanism.LOAD_REPORTS not in without
-        self._allows_for_unreported = Mechanism.CAP_MARGIN not in without
         self.load_reports = LoadReports()
         self._ignored_reports = app.metrics.counter(
             "gypsumrouter_load_reports_ignored_total", "Malformed load reports of upstreams"
@@ -133,6 +128,7 @@
             engine_speeds=self.uneven_load.engine_speeds,
             extrapolates_prefill=Mechanism.PREFILL_PROGRESS not in without,
         )
+        self._cap_loads = CapLoads(loads=self.loads, reports=self.load_reports, without=without)
         self._candidates = CandidateFactory(
             data_centre=app.data_centre,
             directory=directory,
@@ -185,7 +181,7 @@
         if isinstance(entries, PlacementRefusal):
             return entries
         loads = self.loads.get_all(members, now_ms=now_ms)
-        mean = self._get_mean_load(loads, now_ms)
+        mean = self._cap_loads.get_mean(loads, now_ms=now_ms)
         peers_age_ms = self.loads.get_oldest_peer_age_ms(now_ms=now_ms)
         shared = () if prompt is None else prompt.shared
         source = self._candidates.find_source(shared, now_ms)
@@ -204,8 +200,8 @@
             prompt=prompt,
             preferred=preferred,
             source=source,
-            estimate_unreported=lambda upstream, load: self._estimate_unreported(
-                upstream, load, peers_age_ms, now_ms
+            estimate_unreported=lambda upstream, load: self._cap_loads.estimate_unreported(
+                upstream, load, peers_age_ms=peers_age_ms, now_ms=now_ms
             ),
             now_ms=now_ms,
             spreads=spread_to is not None,
@@ -422,51 +418,6 @@
                 del self._removed_ms[incarnation]
                 self.cache_index.forget_upstream(incarnation)
 
-    def _estimate_unreported(
-        self, upstream: str, load: UpstreamLoad, peers_age_ms: int, now_ms: int
-    ) -> float:
-        """Return the requests at an upstream that the counted load is likely to miss.
-
-        The estimate is randomized. With a fixed one all routers stop sending to a popular upstream
-        at the same time, and start again at the same time.
-        """
-        unreported = math.inf
-        if self._allows_for_unreported:
-            within_ms = peers_age_ms + REPORT_DELAY_MS
-            unreported = self.loads.estimate_arrived(upstream, within_ms=within_ms)
-        if self._uses_load_reports:
-            unreported = min(unreported, self._count_unreported(upstream, load, now_ms))
-        if unreported == math.inf:
-            return 0.0
-        return unreported * random.uniform(0.0, MAX_UNREPORTED_RATIO)
-
-    def _count_unreported(self, upstream: str, load: UpstreamLoad, now_ms: int) -> float:
-        """Return by how much an upstream's own report exceeds the counted load, inf without one."""
-        held = self.load_reports.get_held(upstream, now_ms=now_ms)
-        age_ms = self.load_reports.get_age_ms(upstream, now_ms=now_ms)
-        if held is None or age_ms is None:
-            return math.inf
-        arrived = 0.0
-        if self._allows_for_unreported:
-            arrived = self.loads.estimate_arrived(upstream, within_ms=age_ms)
-        return max(0.0, held + arrived - load.running)
-
-    def _get_mean_load(self, loads: Mapping[str, UpstreamLoad], now_ms: int) -> float:
-        """Return the mean load of a service, the lower one of counted and reported loads.
-
-        Requests whose responses are lost stay counted although their upstream is done with them.
-        A mean that included them would let the other upstreams exceed the cap. The sums are
-        compared, not the loads of each upstream: their lower values would add up to too little.
-        """
-        counted = get_mean(loads)
-        if not self._uses_load_reports:
-            return counted
-        reported = 0
-        for upstream, load in loads.items():
-            held = self.load_reports.get_held(upstream, now_ms=now_ms)
-            reported += load.running if held is None else held
-        return min(counted, reported / len(loads))
-
     def _handle_evacuation(self, evacuation: Evacuation) -> None:
         if evacuation.active:
             return
