--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -190,7 +190,9 @@
     async def _async_admit(self) -> web.StreamResponse | None:
         """Wait for capacity under contention; return the response to a refused request."""
         contention = self._context.contention
-        if contention is None:
+        # Plain requests are admitted by their expected completion when they are placed; a second
+        # decision on older loads would refuse requests that are still in time.
+        if contention is None or self._request.prompt is None:
             return None
         claim = make_claim(
             placer=self._context.placer,
