--- a/bench/soak_rig.py
+++ b/bench/soak_rig.py
@@ -231,6 +231,7 @@
                 "warm_up_slack": COLD_START_SLACK,
                 **self._bounds,
             },
+            "contention": {},
             "first_start": not self.disturbances.interruptions_s[number],
             "log": {"format": "json"},
         }
--- a/gypsumrouter/forwarding/models.py
+++ b/gypsumrouter/forwarding/models.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import Final, Protocol
 
 from msgspec import Struct
 
 from gypsumrouter.helpers.http_connection import HttpResponse
 from gypsumrouter.instances import Address
 
+# More tokens than any engine's memory holds. A larger count is a false statement, and one of some
+# hundred digits does not even fit into a float.
+MAX_PROMPT_TOKENS: Final = 10**9
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -18,6 +22,10 @@
     part: int
     tokens: int
 
+    def __post_init__(self) -> None:
+        """Raise ValueError for a token count that no prompt has."""
+        _check_tokens(self.tokens)
+
 
 class Prompt(Struct, frozen=True, kw_only=True):
     """The prompt of a request to a model engine, in tokens.
@@ -31,6 +39,11 @@
     input_tokens: int
     max_output_tokens: int
 
+    def __post_init__(self) -> None:
+        """Raise ValueError for token counts that no prompt has."""
+        _check_tokens(self.input_tokens)
+        _check_tokens(self.max_output_tokens)
+
     @property
     def shared(self) -> tuple[PromptPart, ...]:
         """Return the parts that other requests may share."""
@@ -42,6 +55,11 @@
         return sum(part.tokens for part in self.parts[-1:])
 
 
+def _check_tokens(tokens: int) -> None:
+    if not 0 <= tokens <= MAX_PROMPT_TOKENS:
+        raise ValueError(f"expected 0 to {MAX_PROMPT_TOKENS} tokens")
+
+
 class CallerRequest(Struct, frozen=True, kw_only=True):
     """A caller's request, including its complete body.
 
