Split the request's part in contention out of execution.py; token counts are checked when read

Change: RequestContention holds a request's queue, shares and return order; a prompt's counts are checked where a request is decoded.

--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -9,11 +9,10 @@
 
 from gypsumrouter.callers import abort_connection
 from gypsumrouter.const import MS_PER_S
-from gypsumrouter.contention import ContentionControl, Refused, Return, WorkspaceShares
+from gypsumrouter.contention import Refused
 from gypsumrouter.core import Application
 from gypsumrouter.forwarding.attempt import Attempt
 from gypsumrouter.forwarding.budget import RetryBudget
-from gypsumrouter.forwarding.claims import make_claim
 from gypsumrouter.forwarding.connections import ConnectionPool
 from gypsumrouter.forwarding.const import (
     MIN_RESPONSE_TIMEOUT_MS,
@@ -42,14 +41,13 @@
     decide_next_step,
 )
 from gypsumrouter.forwarding.outcome_recorder import OutcomeRecorder
-from gypsumrouter.forwarding.placed import Placement, SentRequest
+from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.forwarding.relay import Relay, RelayResult
-from gypsumrouter.forwarding.request_cost import estimate_cost
+from gypsumrouter.forwarding.request_contention import ContentionContext, RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
 from gypsumrouter.forwarding.responses import make_failure, make_refusal, make_upstream_response
-from gypsumrouter.forwarding.return_order import Reservation, ReturnOrder
 from gypsumrouter.forwarding.suspects import SuspectTracker, make_digest
 from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
@@ -58,11 +56,7 @@
 
 
 class ForwardingContext(Struct, frozen=True, kw_only=True):
-    """Components that all requests of a forwarder share; `without` are disabled mechanisms.
-
-    `shares` is None if the shares of workspaces are not counted, `return_order` if refused requests
-    return at random times, and `contention` if requests never wait in the router.
-    """
+    """Components that all requests of a forwarder share; `without` are disabled mechanisms."""
 
     app: Application
     journal: Journal
@@ -71,9 +65,7 @@
     pool: ConnectionPool
     budget: RetryBudget
     suspects: SuspectTracker
-    shares: WorkspaceShares | None = None
-    return_order: ReturnOrder | None = None
-    contention: ContentionControl | None = None
+    contention: ContentionContext = ContentionContext()
     without: frozenset[Mechanism] = frozenset()
 
 
@@ -81,13 +73,13 @@
     """Forwards one request, with retries on other upstreams."""
 
     __slots__ = (
+        "_contention",
         "_context",
         "_digest",
         "_recorder",
         "_relay",
         "_request",
         "_request_journal",
-        "_return",
         "_routed",
         "_service",
         "_web_request",
@@ -113,8 +105,17 @@
         self._web_request = web_request
         self._request_journal = request_journal
         self._digest = make_digest(request)
-        self._return = Return.UNKNOWN
         self.progress = progress
+        self._contention = RequestContention(
+            context=context.contention,
+            clock=context.app.clock,
+            placer=context.placer,
+            request=request,
+            routed=routed,
+            service=service,
+            digest=self._digest,
+            progress=progress,
+        )
         self._recorder = OutcomeRecorder(
             placer=context.placer,
             pool=context.pool,
@@ -135,36 +136,15 @@
     async def async_run(self) -> web.StreamResponse:
         """Return the response; a streamed one has already been written."""
         self._context.budget.note_request(self._service)
-        cost = self._note_arrival()
-        self._claim_return()
+        self._contention.note_arrival()
         try:
             async with asyncio.timeout(max(0, self._remaining_ms()) / MS_PER_S):
                 response = await self._async_run_attempts()
         except TimeoutError:
             response = self._end_at_deadline()
-        self._note_served(cost)
+        self._contention.note_served()
         return response
 
-    def _note_arrival(self) -> float:
-        """Count the request for its workspace; return its work in prompt tokens."""
-        cost = estimate_cost(self._request.prompt)
-        shares = self._context.shares
-        if shares is not None:
-            shares.note(workspace=self._routed.workspace, cost=cost, now_ms=self._now_ms())
-        return cost
-
-    def _note_first_sent(self) -> None:
-        """Count the request as work that is sent for its workspace, once for all attempts."""
-        shares = self._context.shares
-        if shares is not None and self.progress.attempts == 1:
-            cost = estimate_cost(self._request.prompt)
-            shares.note_sent(workspace=self._routed.workspace, cost=cost, now_ms=self._now_ms())
-
-    def _note_served(self, cost: float) -> None:
-        shares = self._context.shares
-        if shares is not None and self.progress.outcome == "answered":
-            shares.note_served(cost=cost, now_ms=self._now_ms())
-
     async def _async_run_attempts(self) -> web.StreamResponse:
         while True:
             if self._is_suspect():
@@ -179,7 +159,7 @@
                 prompt=self._request.prompt,
                 excluded=self.progress.excluded_upstreams,
                 limit_ms=self._get_time_limit_ms(),
-                needed_permits=self._get_needed_permits(),
+                needed_permits=self._contention.get_needed_permits(),
             )
             if isinstance(placement, PlacementRefusal):
                 return self._refuse(placement.reason, placement.message, placement.not_before_ms)
@@ -189,22 +169,7 @@
 
     async def _async_admit(self) -> web.StreamResponse | None:
         """Wait for capacity under contention; return the refusal, None if it may be sent."""
-        contention = self._context.contention
-        # Plain requests are admitted by their expected completion when they are placed; a second
-        # decision on older loads would refuse requests that are still in time.
-        if contention is None or self._request.prompt is None:
-            return None
-        claim = make_claim(
-            placer=self._context.placer,
-            request=self._request,
-            routed=self._routed,
-            service=self._service,
-            digest=self._digest,
-            returned=self._return,
-            waited_ms=self._now_ms() - self.progress.arrived_ms,
-            remaining_ms=self._remaining_ms(),
-        )
-        outcome = await contention.async_admit(claim)
+        outcome = await self._contention.async_admit(remaining_ms=self._remaining_ms())
         if isinstance(outcome, Refused):
             return self._refuse(outcome.reason, outcome.message, outcome.room_in_ms, outcome.excess)
         if self._remaining_ms() <= 0:
@@ -212,27 +177,11 @@
             return self._refuse(Reason.DEADLINE, "No upstream had time for the request")
         return None
 
-    def _note_sent(self, placement: Placement) -> SentRequest:
-        """Record that the request is sent to an upstream."""
-        sent = self._context.placer.note_sent(placement, self._request.prompt)
-        self._notify_load_changed()
-        return sent
-
-    def _note_ended(self, sent: SentRequest, *, held_ms: int) -> None:
-        """Record that an attempt has ended."""
-        self._context.placer.note_ended(sent, held_ms=held_ms)
-        self._notify_load_changed()
-
-    def _notify_load_changed(self) -> None:
-        """Let waiting requests be released if the load of the service now allows it."""
-        if self._context.contention is not None:
-            self._context.contention.note_changed(self._service)
-
     async def _async_attempt(self, placement: Placement) -> web.StreamResponse | None:
         """Make one attempt; return the response, or None if another attempt is to be made."""
         progress = self.progress
         progress.attempts += 1
-        self._note_first_sent()
+        self._contention.note_attempt()
         progress.upstream = placement.entry.incarnation
         loads = self._context.placer.loads
         peers_age_ms = loads.get_oldest_peer_age_ms(now_ms=self._now_ms())
@@ -250,21 +199,23 @@
         started_ms = self._now_ms()
         outcome: Outcome | None = None
         step = "given up"
-        sent = self._note_sent(placement)
+        sent = self._context.placer.note_sent(placement, self._request.prompt)
+        self._contention.notify_load_changed()
         try:
             outcome = await self._async_send(attempt)
             self._context.placer.note_prefilled(sent)
             self._record_service_time(placement, outcome, self._now_ms() - started_ms)
             if isinstance(outcome, StreamingResponse):
                 self._context.placer.note_first_event(sent)
-                self._notify_load_changed()
+                self._contention.notify_load_changed()
             if isinstance(outcome, Unreachable | Rejected):
                 self._context.placer.note_not_run(sent)
             response, step = await self._async_decide(attempt, outcome)
         finally:
             attempt.close()
-            self._note_room(outcome)
-            self._note_ended(sent, held_ms=self._now_ms() - started_ms)
+            self._contention.note_attempt_ended(outcome)
+            self._context.placer.note_ended(sent, held_ms=self._now_ms() - started_ms)
+            self._contention.notify_load_changed()
             self._request_journal.record_ended(
                 attempt,
                 outcome,
@@ -379,7 +330,9 @@
         progress = self.progress
         if progress.possibly_ran_on or self._relay.response is not None:
             return self._fail(message)
-        reservation = self._reserve_return(not_before_ms)
+        reservation = self._contention.reserve_return(
+            room_in_ms=not_before_ms, remaining_ms=self._remaining_ms()
+        )
         response, retry_after_ms = make_refusal(
             reason=reason,
             message=message,
@@ -401,40 +354,6 @@
         )
         return response
 
-    def _claim_return(self) -> None:
-        """Recognize a request that returns after its refusal."""
-        order = self._context.return_order
-        if order is not None:
-            self._return = order.claim(digest=self._digest, workspace=self._routed.workspace)
-
-    def _get_needed_permits(self) -> int:
-        """Return the permits that a plain request needs; further attempts need one."""
-        order = self._context.return_order
-        if order is None or self.progress.attempts:
-            return 1
-        return order.get_needed_permits(self._service, self._return)
-
-    def _note_room(self, outcome: Outcome | None) -> None:
-        """Tell the return order that an attempt has ended, unless it took up no capacity."""
-        order = self._context.return_order
-        if order is not None and not isinstance(outcome, Unreachable | Rejected):
-            order.note_release(self._service)
-
-    def _reserve_return(self, room_in_ms: int) -> Reservation | None:
-        order = self._context.return_order
-        if order is None:
-            return None
-        return order.reserve(
-            service=self._service,
-            digest=self._digest,
-            workspace=self._routed.workspace,
-            plain=self._request.prompt is None,
-            room_in_ms=room_in_ms,
-            remaining_ms=self._remaining_ms(),
-            target_left_ms=self._routed.route.target_latency_ms
-            - (self._now_ms() - self.progress.arrived_ms),
-        )
-
     def _respond(self, outcome: CompleteResponse) -> web.StreamResponse:
         self.progress.outcome = "answered"
         self.progress.bytes_out = len(outcome.body)
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -24,6 +24,7 @@
 from gypsumrouter.forwarding.models import Dialect
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.request_contention import ContentionContext
 from gypsumrouter.forwarding.return_order import ReturnOrder
 from gypsumrouter.forwarding.service_work import ServiceWorkReader
 from gypsumrouter.forwarding.silence import SilenceTracker
@@ -139,9 +140,11 @@
             pool=self._pool,
             budget=self.budget,
             suspects=self.suspects,
-            shares=self.shares,
-            return_order=self._return_order,
-            contention=self._make_contention(settings, journal),
+            contention=ContentionContext(
+                shares=self.shares,
+                return_order=self._return_order,
+                queue=self._make_queue(settings, journal),
+            ),
             without=settings.without,
         )
         self.inventory = CacheInventory(
@@ -204,7 +207,7 @@
             self.inventory.async_start()
         return address
 
-    def _make_contention(
+    def _make_queue(
         self, settings: ForwarderSettings, journal: Journal
     ) -> ContentionControl | None:
         if settings.contention is None or Mechanism.CONTENTION_QUEUE in settings.without:
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -278,7 +278,7 @@
     def _reserve_return(
         self, caller_request: CallerRequest, remaining_ms: int
     ) -> Reservation | None:
-        order = self._context.return_order
+        order = self._context.contention.return_order
         if order is None:
             return None
         return order.reserve(
--- a/gypsumrouter/platform/requests.py
+++ b/gypsumrouter/platform/requests.py
@@ -88,7 +88,7 @@
             parts=parts,
             input_tokens=int(input_tokens),
             max_output_tokens=int(output_tokens or 0),
-        )
+        ).validate()
     except ValueError:
         return None
 
