--- a/gypsumrouter/forwarding/events.py
+++ b/gypsumrouter/forwarding/events.py
@@ -27,6 +27,11 @@
         self._partial = b""
         self.last_event_id: str | None = None
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the size of the incomplete event that is held back."""
+        return len(self._partial)
+
     def feed(self, data: bytes) -> bytes:
         """Add data and return all complete events that have not been returned yet.
 
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -262,7 +262,10 @@
         if self._relay.last_event_id is not None:
             self._request_journal.record_resumed(upstream, last_event_id=self._relay.last_event_id)
         end = await self._relay.async_relay(outcome)
-        if end is RelayResult.COMPLETE:
+        self._request_journal.record_stream_ended(
+            upstream, end=end, framing=outcome.answer.framing, events=self.progress.events
+        )
+        if end.result is RelayResult.COMPLETE:
             self._recorder.record_success(upstream)
             # Engines send an event for each token.
             self._context.placer.uneven_load.note_output(
@@ -270,10 +273,9 @@
             )
             attempt.release()
             return Decision(step=NextStep.RESPOND)
-        message = f"stream {end.value}"
-        self._recorder.record_lost(
-            upstream, ResponseLost(reason=message, connection_broken=end is RelayResult.BROKEN)
-        )
+        message = f"stream {end.result.value}"
+        broken = end.result is RelayResult.BROKEN
+        self._recorder.record_lost(upstream, ResponseLost(reason=message, connection_broken=broken))
         attempt.close()
         limits = self._get_retry_limits()
         return decide_after_failed_run(
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 
 from aiohttp import web
+from msgspec import Struct
 
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.forwarding.const import (
@@ -30,6 +31,14 @@
     TIMED_OUT = "silent"
 
 
+class StreamEnd(Struct, frozen=True, kw_only=True):
+    """End of a stream from one upstream; `partial_bytes` is the size of an incomplete event."""
+
+    result: RelayResult
+    partial_bytes: int
+    reason: str = ""
+
+
 class CallerDisconnected(ConnectionError):
     """The caller closed its connection while its response was being written."""
 
@@ -82,7 +91,7 @@
         """Return the id of the last event that was relayed."""
         return self._splitter.last_event_id
 
-    async def async_relay(self, streaming: StreamingResponse) -> RelayResult:
+    async def async_relay(self, streaming: StreamingResponse) -> StreamEnd:
         """Relay the response of one upstream until it ends; raises CallerDisconnected."""
         if self._headers is None:
             self._headers = self._dialect.select_headers(streaming.answer)
@@ -94,12 +103,19 @@
                 complete = self._splitter.feed(part) if streaming.is_event_stream else part
                 await self._async_write(streaming, complete)
         except TimeoutError:
-            return RelayResult.TIMED_OUT
-        except (ConnectionBroken, EventTooLong):
-            return RelayResult.BROKEN
+            return self._end(RelayResult.TIMED_OUT)
+        except ConnectionBroken as error:
+            return self._end(RelayResult.BROKEN, str(error))
+        except EventTooLong:
+            return self._end(RelayResult.BROKEN, "an event is too long")
+        end = self._end(RelayResult.COMPLETE)
         await self._async_write(streaming, self._splitter.flush())
         await self._async_finish(streaming)
-        return RelayResult.COMPLETE
+        return end
+
+    def _end(self, result: RelayResult, reason: str = "") -> StreamEnd:
+        partial_bytes = self._splitter.partial_bytes
+        return StreamEnd(result=result, partial_bytes=partial_bytes, reason=reason)
 
     async def _async_read(self, streaming: StreamingResponse) -> bytes:
         timeout_ms = self._get_read_timeout_ms()
--- a/gypsumrouter/forwarding/request_journal.py
+++ b/gypsumrouter/forwarding/request_journal.py
@@ -17,6 +17,8 @@
     Unreachable,
 )
 from gypsumrouter.forwarding.placed import Placement
+from gypsumrouter.forwarding.relay import StreamEnd
+from gypsumrouter.helpers.http_connection import Framing
 from gypsumrouter.journal import (
     AttemptEnded,
     AttemptSent,
@@ -24,6 +26,7 @@
     RequestPlaced,
     RequestRefused,
     RetryDecided,
+    StreamEnded,
     StreamResumed,
 )
 from gypsumrouter.routing import RouteMatch
@@ -105,6 +108,22 @@
             )
         )
 
+    def record_stream_ended(
+        self, upstream: str, *, end: StreamEnd, framing: Framing, events: int
+    ) -> None:
+        """Record how the stream of one upstream ended."""
+        self._journal.record(
+            StreamEnded(
+                request_id=self._request.request_id,
+                upstream=upstream,
+                result=end.result.value,
+                framing=framing.value,
+                events=events,
+                partial_bytes=end.partial_bytes,
+                reason=end.reason,
+            )
+        )
+
     def record_resumed(self, upstream: str, *, last_event_id: str) -> None:
         """Record that a stream is resumed on another upstream."""
         last_event = int(last_event_id) if last_event_id.isdigit() else -1
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -10,6 +10,7 @@
 import asyncio
 import socket
 from collections import deque
+from enum import StrEnum
 from typing import Final
 
 from aiohttp.base_protocol import BaseProtocol
@@ -29,6 +30,8 @@
 RESET_WAIT_MS: Final = 10
 STATUS_CONTINUE: Final = 100
 STATUS_SUCCESS: Final = 200
+BODILESS_STATUSES: Final = frozenset({204, 304})
+HEADER_CONTENT_LENGTH: Final = "Content-Length"
 
 
 class ConnectFailed(Exception):
@@ -46,14 +49,28 @@
     """The connection was lost or carried a malformed response."""
 
 
+class Framing(StrEnum):
+    """How a response states where its body ends; the values appear in the journal.
+
+    NONE: it has no body. CLOSE: it has neither a length nor chunks and ends with its connection, so
+    that the end of the connection alone does not show that the body is complete.
+    """
+
+    NONE = "none"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
 class HttpResponse:
     """Head of a response and the reader of its body."""
 
-    __slots__ = ("body", "message")
+    __slots__ = ("body", "framing", "message")
 
-    def __init__(self, *, message: RawResponseMessage, body: StreamReader) -> None:
+    def __init__(self, *, message: RawResponseMessage, body: StreamReader, bodiless: bool) -> None:
         self.message = message
         self.body = body
+        self.framing = _get_framing(message, bodiless=bodiless)
 
     @property
     def status(self) -> int:
@@ -69,6 +86,7 @@
     """One connection; after `send_request`, `async_read_response` returns the response."""
 
     __slots__ = (
+        "_bodiless",
         "_body",
         "_broken",
         "_parsing",
@@ -89,6 +107,7 @@
         self.keep_alive_ms: int | None = None
         self._responses: deque[HttpResponse] = deque()
         self._body: StreamReader | None = None
+        self._bodiless = False
         self._broken: str | None = None
         self._parsing = False
         self._waiter: asyncio.Future[None] | None = None
@@ -118,13 +137,14 @@
         if self._broken is not None or transport is None or transport.is_closing():
             raise ConnectionBroken(self._broken or "the connection is closed")
         self.exchanges += 1
+        self._bodiless = method == METHOD_HEAD
         self._parser = HttpResponseParser(
             self,
             self._loop,
             READ_BUFFER_BYTES,
             max_line_size=MAX_HEAD_BYTES,
             max_field_size=MAX_HEAD_BYTES,
-            response_with_body=method != METHOD_HEAD,
+            response_with_body=not self._bodiless,
             read_until_eof=True,
             auto_decompress=False,
         )
@@ -173,7 +193,8 @@
             self._invalidate(f"no HTTP: {error!r}")
             return
         for message, body in messages:
-            self._responses.append(HttpResponse(message=message, body=body))
+            response = HttpResponse(message=message, body=body, bodiless=self._bodiless)
+            self._responses.append(response)
             self._body = body
         if upgraded or tail:
             self._invalidate("bytes after the answer")
@@ -238,6 +259,14 @@
             waiter.set_result(None)
 
 
+def _get_framing(message: RawResponseMessage, *, bodiless: bool) -> Framing:
+    if bodiless or message.code in BODILESS_STATUSES:
+        return Framing.NONE
+    if message.chunked:
+        return Framing.CHUNKED
+    return Framing.LENGTH if HEADER_CONTENT_LENGTH in message.headers else Framing.CLOSE
+
+
 async def async_connect(*, address: Address, timeout_ms: int) -> HttpConnection:
     """Return a new connection; raises ConnectFailed.
 
--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -254,6 +254,24 @@
     next_step: str
 
 
+class StreamEnded(Event, frozen=True, kw_only=True):
+    """A stream from an upstream has ended.
+
+    `framing` is how the response states its end, `events` the number of events that were relayed
+    for the request so far, and `partial_bytes` the size of an incomplete event at the end. `reason`
+    is why it counts as broken, if it does.
+    """
+
+    name: ClassVar[str] = "stream_ended"
+    request_id: str
+    upstream: str
+    result: str
+    framing: str
+    events: int
+    partial_bytes: int
+    reason: str
+
+
 class StreamResumed(Event, frozen=True, kw_only=True):
     """A stream was resumed on another upstream after its event `last_event`."""
 
@@ -390,6 +408,7 @@
     RequestReleased,
     AttemptSent,
     AttemptEnded,
+    StreamEnded,
     StreamResumed,
     RetryDecided,
     RequestRefused,
