--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -15,6 +15,7 @@
 from gypsumrouter.instances import Address
 from gypsumrouter.platform import names
 from gypsumrouter.standins.listener import StandinListener, reset_transport
+from gypsumrouter.standins.unframed_response import UnframedResponse
 
 
 class RunnerFault(StrEnum):
@@ -23,7 +24,8 @@
     SHED rejects it as not run; UNMARKED_REJECTION responds 503 without marking it as not run.
     NO_STAMP omits the stamp header, and ENCODED adds a content encoding. FOREIGN_RESPONSE_FIRST
     sends the response of another request first. RESET_STREAM resets the connection in the middle
-    of an event.
+    of an event. END_INSIDE_EVENT and END_WITHOUT_EVENT end a stream regularly, but in the middle of
+    an event or before the first one; CUT_JSON ends a JSON document before its last byte.
     """
 
     NONE = "none"
@@ -36,6 +38,9 @@
     UNMARKED_REJECTION = "false_promise"
     FOREIGN_RESPONSE_FIRST = "stranger_first"
     RESET_STREAM = "break_stream"
+    END_INSIDE_EVENT = "end_inside_event"
+    END_WITHOUT_EVENT = "end_without_event"
+    CUT_JSON = "cut_json"
 
 
 class Arrival(Struct, kw_only=True):
@@ -65,11 +70,13 @@
     Each request takes one entry of `next_faults`, or `default_fault` once they are used up.
     `on_run` is called when a request starts to run; running requests wait while `gate` is cleared.
     While `draining` every response carries the draining header. Rejections ask the sender to back
-    off for `retry_after_s`, if it is set.
+    off for `retry_after_s`, if it is set. Unless `framed`, responses have neither a length nor
+    chunks and end with their connection.
     """
 
     def __init__(self, *, name: str, events: int = 4) -> None:
         self.name = name
+        self.framed = True
         # Sent with each response of a run.
         self.stamp = f"{name}.07.5a2.600.0.c9f2a4d1"
         self.events = events
@@ -180,21 +187,45 @@
                     f"{names.STAMP}: {self.stamp}\r\nContent-Length: 5\r\n\r\nother".encode()
                 )
         if names.TOKEN_USAGE not in request.headers:
-            return web.Response(headers=headers, body=f"{self.name} {arrival.path}".encode())
+            return await self._async_respond(request, arrival, headers, fault)
         return await self._async_stream(request, headers, fault)
 
+    async def _async_respond(
+        self, request: web.Request, arrival: Arrival, headers: dict[str, str], fault: RunnerFault
+    ) -> web.StreamResponse:
+        body = f"{self.name} {arrival.path}".encode()
+        if fault is RunnerFault.CUT_JSON:
+            headers = {**headers, "Content-Type": "application/json"}
+            body = b'{"item": "cloth", "metres": 1'
+        if self.framed:
+            return web.Response(headers=headers, body=body)
+        response = UnframedResponse(headers=headers)
+        await response.prepare(request)
+        await response.write(body)
+        await response.write_eof()
+        return response
+
     async def _async_stream(
         self, request: web.Request, headers: dict[str, str], fault: RunnerFault
     ) -> web.StreamResponse:
-        response = web.StreamResponse(headers={**headers, "Content-Type": "text/event-stream"})
+        make_response = web.StreamResponse if self.framed else UnframedResponse
+        response = make_response(headers={**headers, "Content-Type": "text/event-stream"})
         await response.prepare(request)
+        if fault is RunnerFault.END_WITHOUT_EVENT:
+            await response.write_eof()
+            return response
         first = int(request.headers.get(names.LAST_EVENT_ID, "0")) + 1
         for number in range(first, self.events + 1):
             await response.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
-            if fault is RunnerFault.RESET_STREAM and number == first + 1:
+            if number != first + 1:
+                continue
+            if fault in {RunnerFault.RESET_STREAM, RunnerFault.END_INSIDE_EVENT}:
                 await response.write(b"id: %d\ndata: ha" % (number + 1))
+            if fault is RunnerFault.RESET_STREAM:
                 _reset_connection(request)
                 raise asyncio.CancelledError
+            if fault is RunnerFault.END_INSIDE_EVENT:
+                break
         await response.write_eof()
         return response
 
--- a/tests/gateway/test_gateway_answers.py
+++ b/tests/gateway/test_gateway_answers.py
@@ -111,6 +111,27 @@
     assert caught.value.code == "link_lost"
 
 
+@pytest.mark.parametrize("length", [20, 100_000])
+async def test_stream_that_ends_inside_an_event_never_looks_complete(
+    router: RouterHarness, length: int
+) -> None:
+    # The longer event exceeds the buffer, so that parts of it reach the caller.
+    body = chunk("a") + b"data: " + b"x" * length
+    router.links.script(ENGINES[0], with_=complete_answer(body, HEAD_EVENTS))
+    post = router.http.post(
+        f"{router.url}/v1/chat/completions", json={**CHAT, "stream": True}, headers=AUTHORIZED
+    )
+    received = b""
+    broken = False
+    async with post as answer:
+        try:
+            while part := await answer.content.readany():
+                received += part
+        except aiohttp.ClientError:
+            broken = True
+    assert broken or b'"upstream_protocol"' in received.rpartition(b"data: ")[2]
+
+
 async def test_interrupted_stream_has_no_done_event(router: RouterHarness) -> None:
     failed = Failed(reason=Reason.UPSTREAM_LOST)
     script: list[AnswerEvent] = [HEAD_EVENTS, Data(offset=0, body=chunk("a")), failed]
--- a/tests/upstream/test_upstream_service.py
+++ b/tests/upstream/test_upstream_service.py
@@ -118,6 +118,10 @@
             Reason.UPSTREAM_LOST,
         ),
         (b"HTTP/1.1 200 OK\r\n\r\nnobody knows how long", Reason.UPSTREAM_PROTOCOL),
+        (
+            b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{"metres": 1',
+            Reason.UPSTREAM_PROTOCOL,
+        ),
         (b"HTTP/1.1 200", Reason.UPSTREAM_LOST),
         (b"no http at all\r\n\r\n", Reason.UPSTREAM_LOST),
         (b"", Reason.UPSTREAM_LOST),
@@ -134,6 +138,26 @@
     assert outcome.reason is reason
 
 
+async def test_event_stream_that_ends_inside_an_event_never_looks_complete(serve: Serve) -> None:
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: 13\r\n\r\n"
+    caller = await serve(head + b"data: a\n\ndata", UpstreamKind.SERVICE)
+
+    outcome = await caller.async_run(make_call())
+
+    assert isinstance(outcome, Failed)
+    assert outcome.reason is Reason.UPSTREAM_PROTOCOL
+
+
+async def test_json_response_without_a_length_is_complete_if_its_document_is(serve: Serve) -> None:
+    caller = await serve(
+        b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n{"metres": 12}',
+        UpstreamKind.SERVICE,
+    )
+
+    assert await caller.async_run(make_call()) is None
+    assert caller.answer.body == b'{"metres": 12}'
+
+
 async def test_redirect_is_relayed_and_not_followed(serve: Serve) -> None:
     caller = await serve(
         b"HTTP/1.1 307 Temporary\r\nLocation: http://127.0.0.1:1/\r\nContent-Length: 0\r\n\r\n",
