--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -25,9 +25,11 @@
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
     ConnectionBroken,
+    Framing,
     HttpConnection,
     HttpResponse,
 )
+from gypsumrouter.util.json_documents import is_complete_json, is_json_media_type
 
 STATUS_OK: Final = 200
 STATUS_MULTIPLE: Final = 300
@@ -151,6 +153,8 @@
             return StreamingResponse(
                 answer=answer, status=answer.status, is_event_stream=False, initial_bytes=body
             )
+        if answer.framing is Framing.CLOSE and not _shows_end(answer, body):
+            raise ConnectionBroken("the body ended inside its JSON document")
         self._release_or_close(answer)
         if answer.status in NOT_RUN_STATUSES:
             return ResponseLost(
@@ -185,6 +189,13 @@
             self.release()
 
 
+def _shows_end(answer: HttpResponse, body: bytes) -> bool:
+    """Return whether the format of a body doesn't show that it ended early."""
+    if not is_json_media_type(answer.get("Content-Type") or ""):
+        return True
+    return is_complete_json(body)
+
+
 async def _async_read_buffered(answer: HttpResponse) -> tuple[bytes, bool]:
     """Read a body up to the buffer limit; return the bytes and whether it is complete."""
     parts: list[bytes] = []
--- a/gypsumrouter/forwarding/events.py
+++ b/gypsumrouter/forwarding/events.py
@@ -5,8 +5,8 @@
 from typing import Final
 
 from gypsumrouter.forwarding.const import MAX_EVENT_BYTES
+from gypsumrouter.util.event_stream import find_event_end, is_inside_event
 
-EVENT_SEPARATOR: Final = b"\n\n"
 ID_FIELD: Final = b"id:"
 
 
@@ -21,10 +21,11 @@
     stream that is resumed on another upstream does not repeat a part of one.
     """
 
-    __slots__ = ("_partial", "last_event_id")
+    __slots__ = ("_partial", "has_events", "last_event_id")
 
     def __init__(self) -> None:
         self._partial = b""
+        self.has_events = False
         self.last_event_id: str | None = None
 
     @property
@@ -32,6 +33,16 @@
         """Return the size of the incomplete event that is held back."""
         return len(self._partial)
 
+    @property
+    def inside_event(self) -> bool:
+        """Return whether an event has begun and is incomplete."""
+        return is_inside_event(self._partial)
+
+    def start(self) -> None:
+        """Start the stream of another upstream; an incomplete event is discarded."""
+        self._partial = b""
+        self.has_events = False
+
     def feed(self, data: bytes) -> bytes:
         """Add data and return all complete events that have not been returned yet.
 
@@ -39,27 +50,18 @@
         """
         if self._partial:
             data = self._partial + data
-        end = data.rfind(EVENT_SEPARATOR)
-        if end < 0:
+        end = find_event_end(data)
+        if end == 0:
             if len(data) > MAX_EVENT_BYTES:
                 raise EventTooLong
             self._partial = data
             return b""
-        end += len(EVENT_SEPARATOR)
         self._partial = data[end:]
+        self.has_events = True
         complete = data[:end]
         self._update_last_event_id(complete)
         return complete
 
-    def discard_partial(self) -> None:
-        """Discard an incomplete event."""
-        self._partial = b""
-
-    def flush(self) -> bytes:
-        """Return the data after the last complete event, at the regular end of a stream."""
-        partial, self._partial = self._partial, b""
-        return partial
-
     def _update_last_event_id(self, complete: bytes) -> None:
         start = complete.rfind(b"\n" + ID_FIELD)
         if start >= 0:
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -14,13 +14,14 @@
     RESPONSE_TIMEOUT_FACTOR,
     STREAM_PAUSE_FACTOR,
 )
-from gypsumrouter.forwarding.events import EVENT_SEPARATOR, EventSplitter, EventTooLong
+from gypsumrouter.forwarding.events import EventSplitter, EventTooLong
 from gypsumrouter.forwarding.models import CallerRequest, Dialect, StreamingResponse
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.forwarding.responses import make_stream_response
-from gypsumrouter.helpers.http_connection import ConnectionBroken
+from gypsumrouter.helpers.http_connection import ConnectionBroken, Framing
 from gypsumrouter.routing import Route
 from gypsumrouter.util.clock import Clock
+from gypsumrouter.util.event_stream import count_events
 
 
 class RelayResult(StrEnum):
@@ -95,7 +96,7 @@
         """Relay the response of one upstream until it ends; raises CallerDisconnected."""
         if self._headers is None:
             self._headers = self._dialect.select_headers(streaming.answer)
-        self._splitter.discard_partial()
+        self._splitter.start()
         try:
             if streaming.initial_bytes:
                 await self._async_write(streaming, streaming.initial_bytes)
@@ -108,10 +109,21 @@
             return self._end(RelayResult.BROKEN, str(error))
         except EventTooLong:
             return self._end(RelayResult.BROKEN, "an event is too long")
-        end = self._end(RelayResult.COMPLETE)
-        await self._async_write(streaming, self._splitter.flush())
+        missing = self._find_missing_end(streaming)
+        if missing is not None:
+            return self._end(RelayResult.BROKEN, missing)
         await self._async_finish(streaming)
-        return end
+        return self._end(RelayResult.COMPLETE)
+
+    def _find_missing_end(self, streaming: StreamingResponse) -> str | None:
+        """Return why a body that ended regularly is incomplete, None if it is complete."""
+        if not streaming.is_event_stream:
+            return None
+        if self._splitter.inside_event:
+            return "ended inside an event"
+        if streaming.answer.framing is Framing.CLOSE and not self._splitter.has_events:
+            return "ended before the first event"
+        return None
 
     def _end(self, result: RelayResult, reason: str = "") -> StreamEnd:
         partial_bytes = self._splitter.partial_bytes
@@ -146,7 +158,7 @@
         except ConnectionError:
             raise CallerDisconnected from None
         self._progress.bytes_out += len(data)
-        self._progress.events += data.count(EVENT_SEPARATOR)
+        self._progress.events += count_events(data)
 
     async def _async_prepare(self, streaming: StreamingResponse) -> web.StreamResponse:
         response = make_stream_response(status=streaming.status, headers=self._headers or [])
--- a/gypsumrouter/gateway/dispatch.py
+++ b/gypsumrouter/gateway/dispatch.py
@@ -144,6 +144,8 @@
                 case End():
                     if not head_received:
                         return Failed(reason=Reason.CORRUPTED)
+                    if reply.inside_event:
+                        return Failed(reason=Reason.UPSTREAM_PROTOCOL)
                     await reply.async_finish()
                     return None
                 case Refused(reason=reason) if head_received:
--- a/gypsumrouter/gateway/reply.py
+++ b/gypsumrouter/gateway/reply.py
@@ -104,6 +104,11 @@
         """Return the response object if the answer has been started."""
         return self._response
 
+    @property
+    def inside_event(self) -> bool:
+        """Return whether an event of the answer has begun and is incomplete."""
+        return self._event_buffer is not None and self._event_buffer.inside_event
+
     @property
     def replayed(self) -> bool:
         """Return whether the instance replayed a stored answer to an idempotency key."""
@@ -169,8 +174,6 @@
         if self._response is None:
             await self._async_send_complete()
             return
-        if self._event_buffer is not None:
-            await self._async_write(self._event_buffer.flush())
         await self._async_end(self._response)
 
     async def async_fail(self, failure: Failure) -> None:
@@ -178,12 +181,17 @@
         response = self._response
         if response is None:
             return
-        if self._event_buffer is None or self._monitored.blocked_since_ms is not None:
+        if not self._can_send_event():
             self.abort()
             return
         await self._async_write(render_error_event(failure=failure, request_id=self._request_id))
         await self._async_end(response)
 
+    def _can_send_event(self) -> bool:
+        if self._event_buffer is None or self._event_buffer.partly_returned:
+            return False
+        return self._monitored.blocked_since_ms is None
+
     def abort(self) -> None:
         """Reset the caller's connection."""
         abort_connection(self._request.transport)
--- a/gypsumrouter/upstream/const.py
+++ b/gypsumrouter/upstream/const.py
@@ -14,6 +14,8 @@
 # The last event of a complete stream, and the number of last bytes kept to find it.
 STREAM_END: Final = b"data: [DONE]"
 STREAM_TAIL_BYTES: Final = 32
+# Maximum size of a JSON document without a length, which is kept until its end.
+MAX_UNFRAMED_BYTES: Final = 1024 * 1024
 CONTENT_TYPE_EVENTS: Final = "text/event-stream"
 
 HTTP_OK: Final = 200
--- a/gypsumrouter/upstream/run.py
+++ b/gypsumrouter/upstream/run.py
@@ -13,12 +13,15 @@
     HTTP_NO_CONTENT,
     HTTP_NOT_MODIFIED,
     HTTP_OK,
+    MAX_UNFRAMED_BYTES,
     STREAM_END,
     STREAM_TAIL_BYTES,
 )
 from gypsumrouter.upstream.headers import select_answer_headers
 from gypsumrouter.upstream.models import ConnectionBroken, Sink
 from gypsumrouter.upstream.watch import Watch
+from gypsumrouter.util.event_stream import is_inside_event
+from gypsumrouter.util.json_documents import is_complete_json, is_json_media_type
 
 _CHUNKED = "chunked"
 _METHOD_HEAD = "HEAD"
@@ -37,8 +40,10 @@
 
     __slots__ = (
         "_handed_over",
+        "_is_event_stream",
         "_needs_end_event",
         "_tail",
+        "_unframed_json",
         "answer",
         "generation",
         "head_sent",
@@ -75,8 +80,11 @@
         self.offset = 0
         self.sends = 0
         self._handed_over = handed_over
+        self._is_event_stream = False
         self._needs_end_event = False
         self._tail = b""
+        # A JSON document without a length, kept to check at its end that it is complete.
+        self._unframed_json: bytearray | None = None
 
     def hand_over(self) -> None:
         """Call the hand-over callback, once, before the first byte of the request is written."""
@@ -102,29 +110,52 @@
                 return
             self.offset += len(chunk)
             self._tail = (self._tail + chunk)[-STREAM_TAIL_BYTES:]
+            self._collect_json(chunk)
             await self.answer.async_write(chunk)
 
     def check_complete(self) -> Failed | None:
         """Return the failure of a response that ended incomplete, or None."""
-        if not self._needs_end_event or self._tail.rstrip().endswith(STREAM_END):
+        message = self._find_missing_end()
+        if message is None:
             return None
-        return Failed(
-            reason=Reason.UPSTREAM_PROTOCOL, message="the stream ended without its last event"
-        )
+        return Failed(reason=Reason.UPSTREAM_PROTOCOL, message=message)
+
+    def _find_missing_end(self) -> str | None:
+        if self._unframed_json is not None and not is_complete_json(bytes(self._unframed_json)):
+            return "the answer ended inside its JSON document"
+        if self._is_event_stream and is_inside_event(self._tail):
+            return "the stream ended inside an event"
+        if self._needs_end_event and not self._tail.rstrip().endswith(STREAM_END):
+            return "the stream ended without its last event"
+        return None
+
+    def _collect_json(self, chunk: bytes) -> None:
+        if self._unframed_json is None:
+            return
+        self._unframed_json += chunk
+        if len(self._unframed_json) > MAX_UNFRAMED_BYTES:
+            raise ProtocolViolation("the answer has no length and is too long to be checked")
 
     def _relay_head(self, response: aiohttp.ClientResponse) -> None:
         self.heads += 1
         self.watch.progress += 1
         if self.head_sent:
             return
-        is_stream = response.content_type == CONTENT_TYPE_EVENTS and response.status == HTTP_OK
-        self._needs_end_event = is_stream and self.request.stream
+        self._is_event_stream = response.content_type == CONTENT_TYPE_EVENTS
+        is_success = response.status == HTTP_OK
+        self._needs_end_event = self._is_event_stream and is_success and self.request.stream
         if not self._needs_end_event and not self._is_framed(response):
-            raise ProtocolViolation("the answer has neither a length nor chunks")
+            self._check_unframed(response)
         headers = select_answer_headers(response.headers.items())
         self.answer.head(Head(status=response.status, headers=headers))
         self.head_sent = True
 
+    def _check_unframed(self, response: aiohttp.ClientResponse) -> None:
+        """Accept a response without a length if its format shows where it ends."""
+        if not is_json_media_type(response.content_type):
+            raise ProtocolViolation("the answer has neither a length nor chunks")
+        self._unframed_json = bytearray()
+
     def _is_framed(self, response: aiohttp.ClientResponse) -> bool:
         if self.request.method == _METHOD_HEAD:
             return True
--- /dev/null
+++ b/gypsumrouter/util/event_stream.py
@@ -0,0 +1,32 @@
+"""Boundaries of server-sent events in a byte stream."""
+
+from __future__ import annotations
+
+from typing import Final
+
+# An event ends with an empty line. Lines end with LF, CR LF or CR.
+EVENT_ENDS: Final = (b"\n\n", b"\n\r\n", b"\r\r")
+LINE_ENDS: Final = b"\r\n"
+
+
+def find_event_end(data: bytes) -> int:
+    """Return the offset after the last complete event, 0 if there is none."""
+    return max(_find_last_end(data, separator) for separator in EVENT_ENDS)
+
+
+def count_events(data: bytes) -> int:
+    """Return the number of events that end in `data`."""
+    return sum(data.count(separator) for separator in EVENT_ENDS)
+
+
+def is_inside_event(data: bytes) -> bool:
+    """Return whether an event has begun after the last complete one.
+
+    The end of a stream suffices as `data`. A stream that ends there has been broken off.
+    """
+    return bool(data[find_event_end(data) :].strip(LINE_ENDS))
+
+
+def _find_last_end(data: bytes, separator: bytes) -> int:
+    start = data.rfind(separator)
+    return 0 if start < 0 else start + len(separator)
