--- a/gypsumrouter/gateway/const.py
+++ b/gypsumrouter/gateway/const.py
@@ -4,6 +4,8 @@
 
 from typing import Final
 
+from gypsumrouter.helpers.http_headers import HOP_BY_HOP
+
 BEARER_PREFIX: Final = "Bearer "
 CONTENT_TYPE_EVENTS: Final = "text/event-stream"
 MODELS_OWNER: Final = "gypsumrouter"
@@ -47,23 +49,14 @@
 
 # Headers that are not forwarded: those of one connection (RFC 9110) and those that the gateway
 # sets or consumes itself.
-EXCLUDED_HEADERS: Final = frozenset(
+EXCLUDED_HEADERS: Final = HOP_BY_HOP | frozenset(
     {
         "authorization",
-        "connection",
         "content-length",
         "date",
         "expect",
         "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
         "server",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
         "x-request-id",
     }
 )
--- a/gypsumrouter/helpers/http_headers.py
+++ b/gypsumrouter/helpers/http_headers.py
@@ -1,4 +1,4 @@
-"""Decoding of standard HTTP headers."""
+"""Standard HTTP headers: decoding, and those that concern only one connection."""
 
 from __future__ import annotations
 
@@ -9,6 +9,20 @@
 
 # Longer values of Retry-After are taken for errors and ignored.
 MAX_RETRY_AFTER_MS: Final = 24 * 3600 * MS_PER_S
+# Hop-by-hop headers (RFC 9110).
+HOP_BY_HOP: Final = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
 
 
 def read_keep_alive_ms(value: str | None) -> int | None:
@@ -22,6 +36,11 @@
     return None
 
 
+def list_connection_headers(value: str) -> frozenset[str]:
+    """Return the names of the headers that a Connection header lists, in lowercase."""
+    return frozenset(name.strip().lower() for name in value.split(",") if name.strip())
+
+
 def read_retry_after_ms(value: str | None) -> int | None:
     """Return the delay that a Retry-After header states in seconds, fractions included."""
     try:
--- a/gypsumrouter/platform/answers.py
+++ b/gypsumrouter/platform/answers.py
@@ -14,7 +14,11 @@
     make_load_report,
 )
 from gypsumrouter.helpers.http_connection import HttpResponse
-from gypsumrouter.helpers.http_headers import read_keep_alive_ms, read_retry_after_ms
+from gypsumrouter.helpers.http_headers import (
+    HOP_BY_HOP,
+    read_keep_alive_ms,
+    read_retry_after_ms,
+)
 from gypsumrouter.platform import names
 from gypsumrouter.platform.requests import write_request
 
@@ -22,7 +26,7 @@
 IDENTITY_ENCODING: Final = "identity"
 # Three counts of up to a million, and the pace in percent; more digits are taken for errors.
 LOAD_PATTERN: Final = re.compile(r"(\s*[0-9]{1,6}\s*,){2}\s*[0-9]{1,6}\s*(,\s*[0-9]{1,5}\s*)?")
-DROPPED_HEADERS: Final = names.HOP_BY_HOP | {"content-length"}
+DROPPED_HEADERS: Final = HOP_BY_HOP | {"content-length"}
 
 
 class PlatformDialect:
--- a/gypsumrouter/platform/names.py
+++ b/gypsumrouter/platform/names.py
@@ -68,21 +68,6 @@
 PREFIX_EVACUATIONS: Final = "op/evacuate/"
 PREFIX_SERVERS: Final = "servers/"
 
-# Hop-by-hop headers (RFC 9110).
-HOP_BY_HOP: Final = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-
 
 def is_leaving(value: str | None) -> bool:
     """Return whether a value of the header SERVER_LEAVING marks its runner as leaving."""
--- a/gypsumrouter/platform/requests.py
+++ b/gypsumrouter/platform/requests.py
@@ -8,11 +8,12 @@
 from aiohttp import web
 
 from gypsumrouter.forwarding.models import AttemptOptions, CallerRequest, Prompt, PromptPart
+from gypsumrouter.helpers.http_headers import HOP_BY_HOP, list_connection_headers
 from gypsumrouter.platform import names
 
 MAX_PRIORITY: Final = 9
 DROPPED_HEADERS: Final = (
-    names.HOP_BY_HOP
+    HOP_BY_HOP
     | names.SYSTEM_HEADERS
     | {
         "content-length",
@@ -35,7 +36,7 @@
     deadline_ms = _read_deadline_ms(headers.get(names.DEADLINE))
     if deadline_ms is None and names.DEADLINE in headers:
         return None
-    dropped = DROPPED_HEADERS | _list_connection_headers(headers.get("Connection", ""))
+    dropped = DROPPED_HEADERS | list_connection_headers(headers.get("Connection", ""))
     return CallerRequest(
         request_id=request_id,
         method=request.method,
@@ -105,8 +106,3 @@
         return max(0, int(float(value)))
     except (ValueError, OverflowError):
         return None
-
-
-def _list_connection_headers(value: str) -> frozenset[str]:
-    """Return the hop-by-hop headers that a Connection header lists."""
-    return frozenset(name.strip().lower() for name in value.split(",") if name.strip())
--- a/gypsumrouter/upstream/headers.py
+++ b/gypsumrouter/upstream/headers.py
@@ -7,23 +7,11 @@
 from typing import Final
 
 from gypsumrouter.const import HEADER_CHAT, HEADER_REQUEST_ID
+from gypsumrouter.helpers.http_headers import HOP_BY_HOP, list_connection_headers
 from gypsumrouter.link.models import Headers, Open
 from gypsumrouter.outcomes import Reason, Refused
 from gypsumrouter.upstream.const import HEADER_PRIORITY
 
-_HOP_BY_HOP: Final = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
 _OWN_IN_REQUESTS: Final = frozenset(
     {
         "host",
@@ -71,13 +59,8 @@
 
 
 def _list_hop_by_hop(headers: Headers) -> frozenset[str]:
-    named = {
-        token.strip().lower()
-        for name, value in headers
-        if name.lower() == _CONNECTION
-        for token in value.split(",")
-    }
-    return _HOP_BY_HOP | named
+    named = (list_connection_headers(v) for name, v in headers if name.lower() == _CONNECTION)
+    return HOP_BY_HOP.union(*named)
 
 
 def _refuse(message: str) -> Refused:
