--- a/bench/journal_cost.py
+++ b/bench/journal_cost.py
@@ -35,6 +35,7 @@
     route="r-2c7zzyu",
     service="models",
     upstream="i-44cd6b7d3c",
+    version="v1.1",
     attempt=1,
     load=8,
     mean_load=8.5,
--- a/gypsumrouter/directory/directory.py
+++ b/gypsumrouter/directory/directory.py
@@ -344,6 +344,7 @@
                 service=shown.service,
                 address=str(shown.address),
                 state=entry.state.value,
+                version=shown.version,
                 revision=revision,
                 source=source,
             )
@@ -364,6 +365,7 @@
                     "id": record.entry.upstream,
                     "born_ms": record.entry.started_ms,
                     "service": record.entry.service,
+                    "version": record.entry.version,
                     "state": record.entry.state.value,
                     "revision": record.revision,
                 }
--- a/gypsumrouter/directory/models.py
+++ b/gypsumrouter/directory/models.py
@@ -36,6 +36,7 @@
     `started_ms` (Unix time; 0 if unknown). `incarnation` is unique to this start and is the key for
     all per-upstream state, so that a restarted upstream begins with a clean state. `slots` is the
     number of requests it runs concurrently, `warm_up_ms` the remaining duration of its slow start.
+    `version` is the version of its software, empty if it states none.
     In the state `GONE` only the id and `started_ms` are set.
     """
 
@@ -47,6 +48,7 @@
     slots: int = 1
     warm_up_ms: int = 0
     started_ms: int = 0
+    version: str = ""
     incarnation: str = ""
 
     def __post_init__(self) -> None:
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -137,6 +137,7 @@
         """Return the response; a streamed one has already been written."""
         self._context.budget.note_request(self._service)
         self._contention.note_arrival()
+        self._request_journal.record_taken_up()
         try:
             async with asyncio.timeout(max(0, self._remaining_ms()) / MS_PER_S):
                 response = await self._async_run_attempts()
--- a/gypsumrouter/forwarding/models.py
+++ b/gypsumrouter/forwarding/models.py
@@ -58,7 +58,8 @@
 
     `path` is the raw path with its query. `headers` are passed to the upstream unchanged.
     `deadline_ms` is the time within which the caller expects the response, counted from the arrival
-    of the request. `last_event_id` is the event after which a stream is to be resumed.
+    of the request. `last_event_id` is the event after which a stream is to be resumed; `resumes` is
+    the id of the request that brought the first event of that stream.
     """
 
     request_id: str
@@ -71,6 +72,7 @@
     last_event_id: str | None
     headers: Headers
     body: bytes
+    resumes: str | None = None
 
     @property
     def path_without_query(self) -> str:
--- a/gypsumrouter/forwarding/request_journal.py
+++ b/gypsumrouter/forwarding/request_journal.py
@@ -28,6 +28,7 @@
     RetryDecided,
     StreamEnded,
     StreamResumed,
+    StreamTakenUp,
 )
 from gypsumrouter.routing import RouteMatch
 
@@ -66,6 +67,7 @@
                 route=self._routed.route.name,
                 service=self._service,
                 upstream=placement.entry.incarnation,
+                version=placement.entry.version,
                 attempt=attempt,
                 load=placement.load,
                 mean_load=placement.mean_load,
@@ -124,9 +126,21 @@
             )
         )
 
+    def record_taken_up(self) -> None:
+        """Record that the caller takes up a stream that broke off, if it does."""
+        if self._request.resumes is None:
+            return
+        self._journal.record(
+            StreamTakenUp(
+                request_id=self._request.request_id,
+                began_as=self._request.resumes,
+                last_event=_read_event_number(self._request.last_event_id),
+            )
+        )
+
     def record_resumed(self, upstream: str, *, last_event_id: str) -> None:
         """Record that a stream is resumed on another upstream."""
-        last_event = int(last_event_id) if last_event_id.isdigit() else -1
+        last_event = _read_event_number(last_event_id)
         self._journal.record(
             StreamResumed(
                 request_id=self._request.request_id, upstream=upstream, last_event=last_event
@@ -175,6 +189,10 @@
         )
 
 
+def _read_event_number(event_id: str | None) -> int:
+    return int(event_id) if event_id is not None and event_id.isdecimal() else -1
+
+
 def _format_prompt_id(prompt: Prompt | None) -> str:
     return f"{prompt.shared[-1].part:x}" if prompt is not None and prompt.shared else ""
 
--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -94,6 +94,7 @@
     service: str
     address: str
     state: str
+    version: str
     revision: int
     source: str
 
@@ -217,6 +218,7 @@
     route: str
     service: str
     upstream: str
+    version: str
     attempt: int
     load: int
     mean_load: float
@@ -272,6 +274,18 @@
     reason: str
 
 
+class StreamTakenUp(Event, frozen=True, kw_only=True):
+    """A caller takes up a stream that the request `began_as` began, after its event `last_event`.
+
+    `last_event` is -1 if the caller names no event or none with a number.
+    """
+
+    name: ClassVar[str] = "stream_taken_up"
+    request_id: str
+    began_as: str
+    last_event: int
+
+
 class StreamResumed(Event, frozen=True, kw_only=True):
     """A stream was resumed on another upstream after its event `last_event`."""
 
@@ -409,6 +423,7 @@
     AttemptSent,
     AttemptEnded,
     StreamEnded,
+    StreamTakenUp,
     StreamResumed,
     RetryDecided,
     RequestRefused,
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -258,6 +258,7 @@
   slots @6 :UInt32;
   bornMs @7 :UInt64;
   coldMs @8 :UInt32;
+  version @9 :Text;
 }
 
 struct ListedUpstreams {
--- a/gypsumrouter/link/models.py
+++ b/gypsumrouter/link/models.py
@@ -363,6 +363,7 @@
     slots: int = 1
     born_ms: int = 0
     cold_ms: int = 0
+    version: str = ""
 
 
 class ListedUpstreams(Struct, frozen=True, kw_only=True):
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -302,6 +302,7 @@
                     slots=entry.slots,
                     born_ms=entry.bornMs,
                     cold_ms=entry.coldMs,
+                    version=entry.version,
                 )
                 for entry in message.entries
             ),
--- a/gypsumrouter/peers/catch_up.py
+++ b/gypsumrouter/peers/catch_up.py
@@ -284,6 +284,7 @@
         slots=entry.slots,
         born_ms=entry.started_ms,
         cold_ms=entry.warm_up_ms,
+        version=entry.version,
     )
 
 
@@ -299,5 +300,6 @@
             slots=entry.slots,
             started_ms=entry.born_ms,
             warm_up_ms=entry.cold_ms,
+            version=entry.version,
         ),
     )
--- a/gypsumrouter/platform/entries.py
+++ b/gypsumrouter/platform/entries.py
@@ -68,6 +68,7 @@
         slots=server.slots,
         warm_up_ms=int(server.cold_left_ms),
         started_ms=server.born or 0,
+        version=server.version,
     )
 
 
--- a/gypsumrouter/platform/names.py
+++ b/gypsumrouter/platform/names.py
@@ -15,6 +15,8 @@
 # All parts of the prompt in order, as ID:TOKENS.
 PREFIX_PARTS: Final = "X-Prefix-Hash"
 LAST_EVENT_ID: Final = "Last-Event-Id"
+# With LAST_EVENT_ID: the request id of the client's attempt that brought the stream's first event.
+RESUMES: Final = "Resumes"
 
 # Headers that only the router sets on requests to upstreams; callers' values are dropped.
 TENANT: Final = "X-Tenant"
--- a/gypsumrouter/platform/requests.py
+++ b/gypsumrouter/platform/requests.py
@@ -48,6 +48,7 @@
         last_event_id=headers.get(names.LAST_EVENT_ID),
         headers=tuple((n, v) for n, v in headers.items() if n.lower() not in dropped),
         body=body,
+        resumes=headers.get(names.RESUMES),
     )
 
 
