--- a/gypsumrouter/platform/names.py
+++ b/gypsumrouter/platform/names.py
@@ -52,6 +52,7 @@
 
 # API path of model engines.
 CALL_HELD: Final = "/api/kv-list"
+CALL_REPORT: Final = "/api/report"
 
 STATUS_OK: Final = 200
 STATUS_UNAVAILABLE: Final = 503
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -25,7 +25,8 @@
     NO_STAMP omits the stamp header, and ENCODED adds a content encoding. FOREIGN_RESPONSE_FIRST
     sends the response of another request first. RESET_STREAM resets the connection in the middle
     of an event. END_INSIDE_EVENT and END_WITHOUT_EVENT end a stream regularly, but in the middle of
-    an event or before the first one; CUT_JSON ends a JSON document before its last byte.
+    an event or before the first one; STALL_STREAM sends nothing after the second event. CUT_JSON
+    ends a JSON document before its last byte.
     """
 
     NONE = "none"
@@ -40,6 +41,7 @@
     RESET_STREAM = "break_stream"
     END_INSIDE_EVENT = "end_inside_event"
     END_WITHOUT_EVENT = "end_without_event"
+    STALL_STREAM = "stall_stream"
     CUT_JSON = "cut_json"
 
 
@@ -71,11 +73,14 @@
     `on_run` is called when a request starts to run; running requests wait while `gate` is cleared.
     While `draining` every response carries the draining header. Rejections ask the sender to back
     off for `retry_after_s`, if it is set. Unless `framed`, responses have neither a length nor
-    chunks and end with their connection.
+    chunks and end with their connection. `version` is that of its software, which its events name
+    if it is set, and `started_ms` the time of its start (Unix time; 0 if it doesn't state one).
     """
 
-    def __init__(self, *, name: str, events: int = 4) -> None:
+    def __init__(self, *, name: str, events: int = 4, version: str = "") -> None:
         self.name = name
+        self.version = version
+        self.started_ms = 0
         self.framed = True
         # Sent with each response of a run.
         self.stamp = f"{name}.07.5a2.600.0.c9f2a4d1"
@@ -85,6 +90,7 @@
         self.arrivals: list[Arrival] = []
         self.inventory: list[tuple[str, str, int, str]] = []
         self.inventory_calls = 0
+        self.report_calls = 0
         # End of the slow start, during which the request rate is limited; monotonic seconds.
         self.slow_start_until_s = 0.0
         self.on_run: Callable[[], None] = lambda: None
@@ -95,6 +101,7 @@
         self.gate.set()
         routes = web.Application()
         routes.router.add_get(names.CALL_HELD, self._async_get_inventory)
+        routes.router.add_get(names.CALL_REPORT, self._async_get_report)
         routes.router.add_route("*", "/{path:.*}", self._async_serve)
         routes.on_response_prepare.append(self._async_add_draining_header)
         self.listener = StandinListener(app=routes, host="127.0.0.1", port=0)
@@ -121,6 +128,10 @@
         self.inventory_calls += 1
         return web.json_response({"epoch": 1, "next": 1, "held": self.inventory})
 
+    async def _async_get_report(self, request: web.Request) -> web.Response:
+        self.report_calls += 1
+        return web.json_response({"born": self.started_ms} if self.started_ms else {})
+
     async def _async_serve(self, request: web.Request) -> web.StreamResponse:
         arrival = Arrival(
             request_id=request.headers.get(names.REQUEST_ID, ""),
@@ -205,6 +216,10 @@
         await response.write_eof()
         return response
 
+    def _make_event(self, number: int) -> bytes:
+        version = f"{self.version} " if self.version else ""
+        return f"id: {number}\ndata: {version}piece {number}\n\n".encode()
+
     async def _async_stream(
         self, request: web.Request, headers: dict[str, str], fault: RunnerFault
     ) -> web.StreamResponse:
@@ -216,7 +231,7 @@
             return response
         first = int(request.headers.get(names.LAST_EVENT_ID, "0")) + 1
         for number in range(first, self.events + 1):
-            await response.write(b"id: %d\ndata: piece %d\n\n" % (number, number))
+            await response.write(self._make_event(number))
             if number != first + 1:
                 continue
             if fault in {RunnerFault.RESET_STREAM, RunnerFault.END_INSIDE_EVENT}:
@@ -226,6 +241,8 @@
                 raise asyncio.CancelledError
             if fault is RunnerFault.END_INSIDE_EVENT:
                 break
+            if fault is RunnerFault.STALL_STREAM:
+                await asyncio.Event().wait()
         await response.write_eof()
         return response
 
--- a/tests/forwarding/forwarding_world.py
+++ b/tests/forwarding/forwarding_world.py
@@ -91,10 +91,29 @@
         """Write all entries and the configuration, so that equal stores have equal revisions."""
         for service, runners in (("records", self.records), ("models", self.models)):
             for runner in runners:
-                address = self.addresses[runner.name]
-                await store.async_put_runner(runner.name, service=service, address=address)
+                await self.async_put_entry(runner, service=service, store=store)
         await store.async_put_configuration(make_configuration())
 
+    async def async_put_entry(
+        self,
+        runner: PlatformRunner,
+        *,
+        service: str = "models",
+        state: str = "ready",
+        store: PublishedStoreStandin | None = None,
+    ) -> None:
+        """Write the entry of a runner."""
+        more: dict[str, Any] = {"version": runner.version}
+        if runner.started_ms:
+            more["born"] = runner.started_ms
+        await (store or self.store).async_put_runner(
+            runner.name,
+            service=service,
+            address=self.addresses[runner.name],
+            state=state,
+            **more,
+        )
+
     async def async_start_forwarder(self, name: str, **more: Any) -> RunningProcess:
         """Start another forwarder; `more` overrides its settings."""
         settings = ForwarderSettings(
