--- a/gypsumrouter/bootstrap_forwarder.py
+++ b/gypsumrouter/bootstrap_forwarder.py
@@ -31,6 +31,7 @@
 from gypsumrouter.platform import (
     PlatformDialect,
     async_list_cached_parts,
+    async_read_start,
     decode_configuration,
     read_request,
 )
@@ -76,6 +77,7 @@
     routing = RoutingStore(app=app, journal=journal)
     directory = Directory(app=app, journal=journal, heartbeat_ms=settings.heartbeat_ms)
     evacuations = Evacuations(app=app, journal=journal)
+    routing_state, upstreams_state = WatchState(clock=app.clock), WatchState(clock=app.clock)
     forwarder = Forwarder(
         app=app,
         settings=settings,
@@ -86,8 +88,9 @@
         dialect=PlatformDialect(),
         parse_request=read_request,
         fetch_cache_listing=async_list_cached_parts,
+        read_start=async_read_start,
+        get_list_age_ms=lambda: upstreams_state.response_age_ms,
     )
-    routing_state, upstreams_state = WatchState(clock=app.clock), WatchState(clock=app.clock)
     mesh = Mesh(
         app=app,
         settings=settings,
--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -29,7 +29,7 @@
     HttpConnection,
     HttpResponse,
 )
-from gypsumrouter.util.json_documents import is_complete_json, is_json_media_type
+from gypsumrouter.util.body_formats import is_complete_json, is_json_media_type
 
 STATUS_OK: Final = 200
 STATUS_MULTIPLE: Final = 300
@@ -82,11 +82,19 @@
         self.reused = False
         self.sent = False
 
-    async def async_connect(self, *, repeatable: bool) -> Unreachable | None:
-        """Acquire a connection without sending anything."""
+    async def async_connect(
+        self, *, repeatable: bool, verify_start: bool = False
+    ) -> Unreachable | None:
+        """Acquire a connection without sending the request.
+
+        With `verify_start`, it leads to the start of the upstream that the list states.
+        """
         try:
             pooled = await self._pool.async_acquire(
-                self.entry, repeatable=repeatable, timeout_ms=self.options.deadline_ms
+                self.entry,
+                repeatable=repeatable,
+                timeout_ms=self.options.deadline_ms,
+                verify_start=verify_start,
             )
         except ConnectFailed as error:
             return Unreachable(reason=str(error), refused=error.refused)
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -1,23 +1,46 @@
 """Pool of connections to upstreams.
 
 Connections are kept by incarnation, so that a restarted upstream never gets a request on a
-connection to its predecessor.
+connection to its predecessor. With many routers and upstreams, each pair exchanges a request only
+every few seconds: a new connection costs a round trip and a handshake, but an idle one may be
+closed by its upstream at the moment of reuse, and a request that must not be repeated then fails.
 """
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Final
+
 from msgspec import Struct
 
+from gypsumrouter.const import MS_PER_S
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.const import CONNECT_TIMEOUT_MS, MAX_IDLE_PER_UPSTREAM
-from gypsumrouter.forwarding.keeping import get_max_idle_ms
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
+    ConnectionBroken,
     HttpConnection,
     async_connect,
 )
 
+# Used if the upstream announces no keep-alive timeout; servers usually keep idle connections for
+# five seconds or more.
+DEFAULT_KEEP_ALIVE_MS: Final = 4_000
+# As above, for requests that must not be repeated.
+DEFAULT_NON_REPEATABLE_IDLE_MS: Final = 1_500
+# Connections are discarded this long before the upstream closes them, to allow for network delay
+# and for pauses of this process.
+KEEP_ALIVE_MARGIN_MS: Final = 1_000
+# Requests that must not be repeated use a connection only within this part of the announced time.
+# A path that fell silent is found by the kernel's probes within three seconds.
+NON_REPEATABLE_IDLE_RATIO: Final = 0.5
+
+NOT_STATED: Final = 0
+# Returns when the upstream at the other end started (Unix time), NOT_STATED if it doesn't say.
+ReadStart = Callable[[HttpConnection], Awaitable[int]]
+
 
 class PooledConnection(Struct, frozen=True, kw_only=True):
     """A connection for one exchange; `reused` is true if it carried an earlier one."""
@@ -32,10 +55,13 @@
     Requests that must not be repeated always get a new connection if `reuse_for_all` is false.
     """
 
-    __slots__ = ("_app", "_idle", "_opened", "_reuse_for_all")
+    __slots__ = ("_app", "_idle", "_opened", "_read_start", "_reuse_for_all")
 
-    def __init__(self, *, app: Application, reuse_for_all: bool = True) -> None:
+    def __init__(
+        self, *, app: Application, read_start: ReadStart, reuse_for_all: bool = True
+    ) -> None:
         self._app = app
+        self._read_start = read_start
         self._reuse_for_all = reuse_for_all
         self._idle: dict[str, list[HttpConnection]] = {}
         self._opened = app.metrics.counter(
@@ -49,13 +75,43 @@
         app.on_stop(self._async_stop)
 
     async def async_acquire(
-        self, entry: Entry, *, repeatable: bool, timeout_ms: int
+        self, entry: Entry, *, repeatable: bool, timeout_ms: int, verify_start: bool = False
     ) -> PooledConnection:
         """Return an idle or a new connection; raises ConnectFailed.
 
         The upstream may be closing a connection that has been idle for long. A request that must
         not be repeated therefore gets only a connection that was used recently.
+
+        An upstream that has started anew under its id may not be listed yet. With `verify_start`, a
+        connection is returned only if the upstream states the start in its entry, if that has one.
         """
+        pooled = await self._async_acquire(entry, repeatable=repeatable, timeout_ms=timeout_ms)
+        if verify_start and entry.started_ms:
+            await self._async_verify_start(entry, pooled.connection, timeout_ms=timeout_ms)
+        return pooled
+
+    async def _async_verify_start(
+        self, entry: Entry, connection: HttpConnection, *, timeout_ms: int
+    ) -> None:
+        """Ask for the upstream's start, once for each connection; raises ConnectFailed."""
+        if connection.peer_started_ms is None:
+            try:
+                async with asyncio.timeout(min(CONNECT_TIMEOUT_MS, max(1, timeout_ms)) / MS_PER_S):
+                    connection.peer_started_ms = await self._read_start(connection)
+            except (ConnectionBroken, TimeoutError) as error:
+                connection.close()
+                raise ConnectFailed(f"the upstream does not state its start: {error}") from error
+            except BaseException:
+                connection.close()
+                raise
+            connection.finish()
+        if connection.peer_started_ms not in (NOT_STATED, entry.started_ms):
+            connection.close()
+            raise ConnectFailed("another start of the upstream has its address")
+
+    async def _async_acquire(
+        self, entry: Entry, *, repeatable: bool, timeout_ms: int
+    ) -> PooledConnection:
         now_ms = self._app.clock.now_ms()
         idle = self._idle.get(entry.incarnation)
         while idle and (repeatable or self._reuse_for_all):
@@ -110,3 +166,14 @@
 def _is_usable(connection: HttpConnection, now_ms: int, *, repeatable: bool = True) -> bool:
     max_idle_ms = get_max_idle_ms(connection.keep_alive_ms, repeatable=repeatable)
     return connection.reusable and now_ms - connection.idle_since_ms < max_idle_ms
+
+
+def get_max_idle_ms(announced_ms: int | None, *, repeatable: bool) -> int:
+    """Return how long a connection may have been idle to be reused for a request.
+
+    `announced_ms` is the keep-alive timeout that the upstream announced, None if it did not.
+    """
+    if announced_ms is None:
+        return DEFAULT_KEEP_ALIVE_MS if repeatable else DEFAULT_NON_REPEATABLE_IDLE_MS
+    kept_ms = max(0, announced_ms - KEEP_ALIVE_MARGIN_MS)
+    return kept_ms if repeatable else min(kept_ms, int(announced_ms * NON_REPEATABLE_IDLE_RATIO))
--- a/gypsumrouter/forwarding/const.py
+++ b/gypsumrouter/forwarding/const.py
@@ -44,6 +44,10 @@
 RETRY_AFTER_MAX_MS: Final = 400
 RETRY_AFTER_RATIO: Final = 0.3
 
+# Retry-After of a stream that can't go on anywhere: there is nothing to wait for before its caller
+# begins anew.
+RETRY_AT_ONCE_MS: Final = 1
+
 # Time until load balancers stop sending requests to a router that drains: they poll its readiness
 # once a second and react to the second failure.
 DRAIN_GRACE_MS: Final = 2_600
--- a/gypsumrouter/forwarding/eligibility.py
+++ b/gypsumrouter/forwarding/eligibility.py
@@ -30,6 +30,10 @@
 NO_UPSTREAM = PlacementRefusal(
     reason=Reason.NO_INSTANCE, message="No upstream can take the request"
 )
+VERSION_GONE = PlacementRefusal(
+    reason=Reason.STREAM_VERSION_GONE,
+    message="No upstream has the version at which the stream began",
+)
 ALL_EVACUATED = PlacementRefusal(
     reason=Reason.EVACUATED, message="All upstreams left are evacuated"
 )
--- a/gypsumrouter/forwarding/events.py
+++ b/gypsumrouter/forwarding/events.py
@@ -5,7 +5,7 @@
 from typing import Final
 
 from gypsumrouter.forwarding.const import MAX_EVENT_BYTES
-from gypsumrouter.util.event_stream import find_event_end, is_inside_event
+from gypsumrouter.util.body_formats import find_event_end, is_inside_event
 
 ID_FIELD: Final = b"id:"
 
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -18,6 +18,7 @@
     MIN_RESPONSE_TIMEOUT_MS,
     RESPONSE_MARGIN_MS,
     RESPONSE_TIMEOUT_FACTOR,
+    RETRY_AT_ONCE_MS,
     RETURN_TRIP_MS,
 )
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
@@ -48,11 +49,13 @@
 from gypsumrouter.forwarding.request_contention import ContentionContext, RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
 from gypsumrouter.forwarding.responses import make_failure, make_refusal, make_upstream_response
+from gypsumrouter.forwarding.stream_pin import StreamPin
 from gypsumrouter.forwarding.suspects import SuspectTracker, make_digest
 from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.outcomes import Reason
 from gypsumrouter.routing import RouteMatch
+from gypsumrouter.streams import StreamOrigin, StreamOrigins
 
 
 class ForwardingContext(Struct, frozen=True, kw_only=True):
@@ -65,6 +68,7 @@
     pool: ConnectionPool
     budget: RetryBudget
     suspects: SuspectTracker
+    streams: StreamOrigins
     contention: ContentionContext = ContentionContext()
     without: frozenset[Mechanism] = frozenset()
 
@@ -82,6 +86,7 @@
         "_request_journal",
         "_routed",
         "_service",
+        "_stream",
         "_web_request",
         "progress",
     )
@@ -97,6 +102,7 @@
         progress: Progress,
         close_connection: bool,
         request_journal: RequestJournal,
+        origin: StreamOrigin | None = None,
     ) -> None:
         self._context = context
         self._request = request
@@ -123,6 +129,9 @@
             progress=progress,
             digest=self._digest,
         )
+        self._stream = StreamPin(
+            streams=context.streams, request=request, route=routed.route, origin=origin
+        )
         self._relay = Relay(
             web_request=web_request,
             request=request,
@@ -131,13 +140,13 @@
             clock=context.app.clock,
             progress=progress,
             close_connection=close_connection,
+            on_begun=self._stream.note_begun,
         )
 
     async def async_run(self) -> web.StreamResponse:
         """Return the response; a streamed one has already been written."""
         self._context.budget.note_request(self._service)
         self._contention.note_arrival()
-        self._request_journal.record_taken_up()
         try:
             async with asyncio.timeout(max(0, self._remaining_ms()) / MS_PER_S):
                 response = await self._async_run_attempts()
@@ -161,6 +170,7 @@
                 excluded=self.progress.excluded_upstreams,
                 limit_ms=self._get_time_limit_ms(),
                 needed_permits=self._contention.get_needed_permits(),
+                version=self._stream.version,
             )
             if isinstance(placement, PlacementRefusal):
                 return self._refuse(placement.reason, placement.message, placement.not_before_ms)
@@ -184,6 +194,7 @@
         progress.attempts += 1
         self._contention.note_attempt()
         progress.upstream = placement.entry.incarnation
+        self._stream.entry = placement.entry
         loads = self._context.placer.loads
         peers_age_ms = loads.get_oldest_peer_age_ms(now_ms=self._now_ms())
         self._request_journal.record_placed(
@@ -237,7 +248,9 @@
             )
 
     async def _async_send(self, attempt: Attempt) -> Outcome:
-        failed = await attempt.async_connect(repeatable=self._routed.route.repeatable)
+        failed = await attempt.async_connect(
+            repeatable=self._routed.route.repeatable, verify_start=self._stream.needs_version
+        )
         if failed is not None:
             return failed
         self._request_journal.record_sent(attempt, number=self.progress.attempts)
@@ -262,10 +275,16 @@
         upstream = attempt.entry.incarnation
         if self._relay.last_event_id is not None:
             self._request_journal.record_resumed(upstream, last_event_id=self._relay.last_event_id)
-        end = await self._relay.async_relay(outcome)
+        try:
+            end = await self._relay.async_relay(outcome)
+        except BaseException:
+            # The caller left, or the deadline has passed.
+            self._stream.note_ended(complete=False)
+            raise
         self._request_journal.record_stream_ended(
             upstream, end=end, framing=outcome.answer.framing, events=self.progress.events
         )
+        self._stream.note_ended(complete=end.result is RelayResult.COMPLETE)
         if end.result is RelayResult.COMPLETE:
             self._recorder.record_success(upstream)
             # Engines send an event for each token.
@@ -333,16 +352,20 @@
         progress = self.progress
         if progress.possibly_ran_on or self._relay.response is not None:
             return self._fail(message)
-        reservation = self._contention.reserve_return(
-            room_in_ms=not_before_ms, remaining_ms=self._remaining_ms()
-        )
+        reservation = None
+        reserved_ms: int | None = RETRY_AT_ONCE_MS
+        if reason is not Reason.STREAM_VERSION_GONE:
+            reservation = self._contention.reserve_return(
+                room_in_ms=not_before_ms, remaining_ms=self._remaining_ms()
+            )
+            reserved_ms = None if reservation is None else reservation.retry_after_ms
         response, retry_after_ms = make_refusal(
             reason=reason,
             message=message,
             request_id=self._request.request_id,
             remaining_ms=self._remaining_ms(),
             not_before_ms=not_before_ms,
-            reserved_ms=None if reservation is None else reservation.retry_after_ms,
+            reserved_ms=reserved_ms,
             dialect=self._context.dialect,
         )
         progress.outcome = reason.value
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from typing import Final
 
 from aiohttp import web
@@ -13,7 +14,7 @@
 from gypsumrouter.directory import Directory, Evacuations
 from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.budget import RetryBudget
-from gypsumrouter.forwarding.connections import ConnectionPool
+from gypsumrouter.forwarding.connections import ConnectionPool, ReadStart
 from gypsumrouter.forwarding.const import CALLER_TIMEOUT_MARGIN_MS, DRAIN_GRACE_MS
 from gypsumrouter.forwarding.execution import ForwardingContext
 from gypsumrouter.forwarding.handler import RequestHandler, RequestParser
@@ -35,6 +36,7 @@
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.routing import RoutingStore
 from gypsumrouter.settings import Bounds, ForwarderSettings, Listener
+from gypsumrouter.streams import StreamOrigins, VersionHistory
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -63,6 +65,7 @@
         "inventory",
         "placer",
         "shares",
+        "streams",
         "suspects",
     )
 
@@ -78,6 +81,8 @@
         dialect: Dialect,
         parse_request: RequestParser,
         fetch_cache_listing: FetchCacheListing,
+        read_start: ReadStart,
+        get_list_age_ms: Callable[[], int],
     ) -> None:
         self._app = app
         self._routing = routing
@@ -115,7 +120,16 @@
             routing.on_change(engine_memory.set_table)
             app.add_dump_section("engine_memory", engine_memory.summarize)
         reuse_for_all = Mechanism.KEEP_ALIVE not in settings.without
-        self._pool = ConnectionPool(app=app, reuse_for_all=reuse_for_all)
+        self._pool = ConnectionPool(app=app, read_start=read_start, reuse_for_all=reuse_for_all)
+        self.streams = StreamOrigins(
+            app=app,
+            versions=VersionHistory(
+                clock=app.clock,
+                directory=directory,
+                get_list_age_ms=get_list_age_ms,
+                first_start=settings.first_start,
+            ),
+        )
         self.budget = RetryBudget(
             clock=app.clock,
             ratio=bounds.retry_ratio,
@@ -140,6 +154,7 @@
             pool=self._pool,
             budget=self.budget,
             suspects=self.suspects,
+            streams=self.streams,
             contention=ContentionContext(
                 shares=self.shares,
                 return_order=self._return_order,
@@ -252,6 +267,7 @@
             await self._app.clock.async_sleep(CLEANUP_INTERVAL_MS)
             self._pool.close_expired()
             self.placer.sweep()
+            self.streams.sweep()
             if self._return_order is not None:
                 self._return_order.sweep()
 
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -23,22 +23,23 @@
 )
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.directory import Directory
-from gypsumrouter.forwarding.const import RESPONSE_MARGIN_MS, RETRY_AFTER_MAX_MS
+from gypsumrouter.forwarding.const import RESPONSE_MARGIN_MS, RETRY_AFTER_MAX_MS, RETRY_AT_ONCE_MS
 from gypsumrouter.forwarding.execution import ForwardingContext, RequestExecution
 from gypsumrouter.forwarding.leaving import DrainAdmission, estimate_duration_ms
 from gypsumrouter.forwarding.metrics import ForwardingMetrics
 from gypsumrouter.forwarding.models import CallerRequest
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.forwarding.relay import CallerDisconnected
-from gypsumrouter.forwarding.request_journal import RequestJournal
+from gypsumrouter.forwarding.request_journal import RequestJournal, read_event_number
 from gypsumrouter.forwarding.responses import make_refusal, make_rejection
 from gypsumrouter.forwarding.return_order import NO_SERVICE, Reservation
 from gypsumrouter.forwarding.suspects import make_digest
 from gypsumrouter.helpers.logs import set_request_id
-from gypsumrouter.journal import RequestEnded, RequestRefused
+from gypsumrouter.journal import RequestEnded, RequestRefused, StreamTakenUp
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.outcomes import Reason
 from gypsumrouter.routing import InvalidKey, NoRoute, Route, RouteMatch, RoutingStore
+from gypsumrouter.streams import StreamOrigin
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -220,6 +221,17 @@
             deadline_at_ms=arrived_ms + _get_time_limit_ms(caller_request, route),
         )
         service = choose_service(caller_request, route)
+        origin = None
+        if caller_request.last_event_id is not None and route.resumable:
+            origin = await self._async_find_origin(caller_request, route, service)
+            if origin is None:
+                return self._refuse(
+                    caller_request,
+                    Reason.STREAM_UNKNOWN,
+                    "It is not known at which version of its upstream the stream began",
+                    retry_after_ms=RETRY_AT_ONCE_MS,
+                )
+            service = origin.service
         request_journal = RequestJournal(
             journal=self._context.journal,
             request=caller_request,
@@ -237,6 +249,7 @@
             progress=progress,
             close_connection=self._drain.draining,
             request_journal=request_journal,
+            origin=origin,
         )
         status = 0
         try:
@@ -255,16 +268,48 @@
             self._record_end(caller_request, routed, progress, status)
         return response
 
-    def _refuse(self, caller_request: CallerRequest, reason: Reason, message: str) -> web.Response:
+    async def _async_find_origin(
+        self, caller_request: CallerRequest, route: Route, service: str
+    ) -> StreamOrigin | None:
+        """Return where the stream that a caller takes up may go on, None if nowhere."""
+        streams = self._context.streams
+        began_as = caller_request.resumes or ""
+        services = [target.service for target in route.targets]
+        started_ms = self._context.app.clock.now_ms()
+        origin = await streams.async_find(began_as, service=service, services=services)
+        self._context.journal.record(
+            StreamTakenUp(
+                request_id=caller_request.request_id,
+                began_as=began_as,
+                last_event=read_event_number(caller_request.last_event_id),
+                service=service if origin is None else origin.service,
+                version="" if origin is None else origin.version,
+                goes_on=origin is not None,
+                took_ms=self._context.app.clock.now_ms() - started_ms,
+            )
+        )
+        return origin
+
+    def _refuse(
+        self,
+        caller_request: CallerRequest,
+        reason: Reason,
+        message: str,
+        *,
+        retry_after_ms: int | None = None,
+    ) -> web.Response:
         remaining_ms = caller_request.deadline_ms or DEFAULT_TIMEOUT_MS
-        reservation = self._reserve_return(caller_request, remaining_ms)
+        reservation = None
+        if retry_after_ms is None:
+            reservation = self._reserve_return(caller_request, remaining_ms)
+            retry_after_ms = None if reservation is None else reservation.retry_after_ms
         response, retry_after_ms = make_refusal(
             reason=reason,
             message=message,
             request_id=caller_request.request_id,
             remaining_ms=remaining_ms,
             dialect=self._context.dialect,
-            reserved_ms=None if reservation is None else reservation.retry_after_ms,
+            reserved_ms=retry_after_ms,
         )
         self._record_refusal(
             caller_request.request_id,
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -17,7 +17,12 @@
 )
 from gypsumrouter.forwarding.cap_loads import CapLoads
 from gypsumrouter.forwarding.const import SOURCE_RESPONSE
-from gypsumrouter.forwarding.eligibility import NO_UPSTREAM, Eligibility, PlacementRefusal
+from gypsumrouter.forwarding.eligibility import (
+    NO_UPSTREAM,
+    VERSION_GONE,
+    Eligibility,
+    PlacementRefusal,
+)
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.load_reports import LoadReports
 from gypsumrouter.forwarding.loads import LoadTracker
@@ -167,9 +172,12 @@
         excluded: Collection[str],
         limit_ms: int | None = None,
         needed_permits: int = 1,
+        version: str | None = None,
     ) -> Placement | PlacementRefusal:
         """Return the best upstream that is not in `excluded`, or why there is none.
 
+        With `version`, only upstreams whose software has that version are considered.
+
         A plain request (one without a prompt) is refused if its response is expected to take
         longer than `limit_ms`, unless there are `needed_permits`. Without `limit_ms` it is not
         refused for that, and no permit is used.
@@ -178,7 +186,10 @@
         members = self._by_service.get(service)
         if not members:
             return NO_UPSTREAM
-        entries = self._eligibility.select(members.values(), excluded=excluded)
+        allowed = _list_versioned(members.values(), version)
+        if not allowed:
+            return VERSION_GONE
+        entries = self._eligibility.select(allowed, excluded=excluded)
         if isinstance(entries, PlacementRefusal):
             return entries
         loads = self.loads.get_all(members, now_ms=now_ms)
@@ -443,3 +454,7 @@
             self.uneven_load.forget(entry.incarnation)
         else:
             self._removed_ms.pop(entry.incarnation, None)
+
+
+def _list_versioned(entries: Iterable[Entry], version: str | None) -> Collection[Entry]:
+    return [entry for entry in entries if version is None or entry.version == version]
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from enum import StrEnum
 
 from aiohttp import web
@@ -20,8 +21,8 @@
 from gypsumrouter.forwarding.responses import make_stream_response
 from gypsumrouter.helpers.http_connection import ConnectionBroken, Framing
 from gypsumrouter.routing import Route
+from gypsumrouter.util.body_formats import count_events
 from gypsumrouter.util.clock import Clock
-from gypsumrouter.util.event_stream import count_events
 
 
 class RelayResult(StrEnum):
@@ -49,7 +50,7 @@
 
     Only complete events are relayed. Nothing is sent before the first one, so that the request can
     still get another response until then. The connection is closed after the response if
-    `close_connection` is true.
+    `close_connection` is true. `on_begun` is called right before the first event is sent.
     """
 
     __slots__ = (
@@ -57,6 +58,7 @@
         "_close_connection",
         "_dialect",
         "_headers",
+        "_on_begun",
         "_progress",
         "_request",
         "_route",
@@ -75,7 +77,9 @@
         clock: Clock,
         progress: Progress,
         close_connection: bool,
+        on_begun: Callable[[], None],
     ) -> None:
+        self._on_begun = on_begun
         self._web_request = web_request
         self._request = request
         self._route = route
@@ -165,6 +169,7 @@
         if self._close_connection:
             response.force_close()
         self.response = response
+        self._on_begun()
         self._progress.first_byte_ms = self._clock.now_ms() - self._progress.arrived_ms
         await response.prepare(self._web_request)
         return response
--- a/gypsumrouter/forwarding/request_journal.py
+++ b/gypsumrouter/forwarding/request_journal.py
@@ -28,7 +28,6 @@
     RetryDecided,
     StreamEnded,
     StreamResumed,
-    StreamTakenUp,
 )
 from gypsumrouter.routing import RouteMatch
 
@@ -126,21 +125,9 @@
             )
         )
 
-    def record_taken_up(self) -> None:
-        """Record that the caller takes up a stream that broke off, if it does."""
-        if self._request.resumes is None:
-            return
-        self._journal.record(
-            StreamTakenUp(
-                request_id=self._request.request_id,
-                began_as=self._request.resumes,
-                last_event=_read_event_number(self._request.last_event_id),
-            )
-        )
-
     def record_resumed(self, upstream: str, *, last_event_id: str) -> None:
         """Record that a stream is resumed on another upstream."""
-        last_event = _read_event_number(last_event_id)
+        last_event = read_event_number(last_event_id)
         self._journal.record(
             StreamResumed(
                 request_id=self._request.request_id, upstream=upstream, last_event=last_event
@@ -189,7 +176,8 @@
         )
 
 
-def _read_event_number(event_id: str | None) -> int:
+def read_event_number(event_id: str | None) -> int:
+    """Return the number that an event's id is, -1 if there is none or it is no number."""
     return int(event_id) if event_id is not None and event_id.isdecimal() else -1
 
 
--- /dev/null
+++ b/gypsumrouter/forwarding/stream_pin.py
@@ -0,0 +1,67 @@
+"""The version that a stream is bound to while its request is forwarded."""
+
+from __future__ import annotations
+
+from gypsumrouter.directory import Entry
+from gypsumrouter.forwarding.models import CallerRequest
+from gypsumrouter.routing import Route
+from gypsumrouter.streams import StreamOrigin, StreamOrigins
+
+
+class StreamPin:
+    """Binds a stream to the version that wrote its first event.
+
+    `entry` is the upstream of the current attempt. A stream that its caller takes up is bound from
+    the beginning, by its `origin`; any other one from its first event on.
+    """
+
+    __slots__ = ("_begun", "_origin", "_request_id", "_resumable", "_streams", "_taken_up", "entry")
+
+    def __init__(
+        self,
+        *,
+        streams: StreamOrigins,
+        request: CallerRequest,
+        route: Route,
+        origin: StreamOrigin | None,
+    ) -> None:
+        self._streams = streams
+        self._resumable = route.resumable
+        self._origin = origin
+        self._taken_up = origin is not None
+        # Further requests name the one that brought the first event.
+        self._request_id = request.request_id
+        if origin is not None and request.resumes is not None:
+            self._request_id = request.resumes
+        self._begun = False
+        self.entry: Entry | None = None
+
+    @property
+    def version(self) -> str | None:
+        """Return the version that the next attempt needs, None if any will do."""
+        return None if self._origin is None else self._origin.version
+
+    @property
+    def needs_version(self) -> bool:
+        """Return whether the version that the upstream really has matters."""
+        return self._resumable
+
+    def note_begun(self) -> None:
+        """Bind the stream to the upstream of the current attempt, whose first event has arrived."""
+        if not self._resumable or self._begun or self.entry is None:
+            return
+        self._begun = True
+        if self._taken_up and self._origin is not None:
+            self._streams.note_taken_up(self._request_id, self._origin)
+            return
+        self._origin = StreamOrigin(service=self.entry.service, version=self.entry.version)
+        self._streams.note_begun(self._request_id, self._origin)
+
+    def note_ended(self, *, complete: bool) -> None:
+        """Record how the stream of the current attempt ended."""
+        if self._origin is None or not self._begun or self._taken_up:
+            return
+        if complete:
+            self._streams.note_complete(self._request_id, self._origin)
+        else:
+            self._streams.note_broken(self._request_id, self._origin)
--- a/gypsumrouter/gateway/events.py
+++ b/gypsumrouter/gateway/events.py
@@ -4,7 +4,7 @@
 
 from gypsumrouter.callers import EVENT_END
 from gypsumrouter.gateway.const import MAX_BUFFERED_EVENT_BYTES
-from gypsumrouter.util.event_stream import find_event_end, is_inside_event
+from gypsumrouter.util.body_formats import find_event_end, is_inside_event
 
 
 class EventBuffer:
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -96,6 +96,7 @@
         "exchanges",
         "idle_since_ms",
         "keep_alive_ms",
+        "peer_started_ms",
     )
 
     def __init__(self, *, loop: asyncio.AbstractEventLoop, address: Address) -> None:
@@ -105,6 +106,8 @@
         self.idle_since_ms = 0
         # Idle timeout that the peer announced in its Keep-Alive header, if any.
         self.keep_alive_ms: int | None = None
+        # When the process at the other end started, None if it was not asked.
+        self.peer_started_ms: int | None = None
         self._responses: deque[HttpResponse] = deque()
         self._body: StreamReader | None = None
         self._bodiless = False
@@ -301,3 +304,14 @@
     if connecting.cancelled() or connecting.exception() is not None:
         return
     connecting.result().close()
+
+
+async def async_get(connection: HttpConnection, path: str) -> tuple[HttpResponse, bytes]:
+    """Return the response to a GET request and its body; raises ConnectionBroken without a 200."""
+    head = f"GET {path} HTTP/1.1\r\nHost: {connection.address}\r\n\r\n"
+    connection.send_request(method="GET", data=head.encode())
+    response = await connection.async_read_response()
+    body = await response.body.read()
+    if response.status != STATUS_SUCCESS:
+        raise ConnectionBroken(f"expected status {STATUS_SUCCESS}, got {response.status}")
+    return response, body
--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -277,13 +277,18 @@
 class StreamTakenUp(Event, frozen=True, kw_only=True):
     """A caller takes up a stream that the request `began_as` began, after its event `last_event`.
 
-    `last_event` is -1 if the caller names no event or none with a number.
+    `last_event` is -1 if the caller names none with a number. Finding out at which version it
+    began took `took_ms`; `goes_on` is false if that is unknown, and the request is refused.
     """
 
     name: ClassVar[str] = "stream_taken_up"
     request_id: str
     began_as: str
     last_event: int
+    service: str
+    version: str
+    goes_on: bool
+    took_ms: int
 
 
 class StreamResumed(Event, frozen=True, kw_only=True):
--- a/gypsumrouter/link/__init__.py
+++ b/gypsumrouter/link/__init__.py
@@ -6,6 +6,8 @@
 from gypsumrouter.link.exchange import Exchange
 from gypsumrouter.link.models import (
     AnswerEvent,
+    BegunStream,
+    BegunStreams,
     CatchUpRequest,
     ConfigurationAnnouncement,
     ConfigurationParts,
@@ -25,6 +27,9 @@
     ListedUpstreams,
     Notice,
     Open,
+    OriginKnowledge,
+    OriginReply,
+    OriginRequest,
     PlacedPart,
     PoolLoad,
     PrefixAnnouncement,
@@ -48,6 +53,8 @@
 __all__ = [
     "Answer",
     "AnswerEvent",
+    "BegunStream",
+    "BegunStreams",
     "CatchUpRequest",
     "ConfigurationAnnouncement",
     "ConfigurationParts",
@@ -72,6 +79,9 @@
     "Notice",
     "NoticeHub",
     "Open",
+    "OriginKnowledge",
+    "OriginReply",
+    "OriginRequest",
     "Peer",
     "PlacedPart",
     "PoolLoad",
--- a/gypsumrouter/link/const.py
+++ b/gypsumrouter/link/const.py
@@ -83,6 +83,9 @@
     STORE_WATCHED = 43
     DATA_CENTRE_NEWS = 44
     RELAYED_NEWS = 45
+    BEGUN_STREAMS = 46
+    ORIGIN_REQUEST = 47
+    ORIGIN_REPLY = 48
 
 
 PAYLOAD_KINDS: Final = frozenset({Kind.OPEN, Kind.HEAD, Kind.DATA, Kind.END})
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -268,6 +268,22 @@
   changes @3 :UInt64;
 }
 
+struct BegunStreams {
+  # For each stream its digest and that of its origin, 8 and 4 bytes, little-endian.
+  streams @0 :Data;
+}
+
+struct OriginRequest {
+  stream @0 :UInt64;
+  service @1 :Text;
+}
+
+struct OriginReply {
+  stream @0 :UInt64;
+  origin @1 :UInt32;
+  knowledge @2 :UInt8;
+}
+
 struct HeldAt {
   upstream @0 :Text;
   parts @1 :List(UInt64);
--- a/gypsumrouter/link/models.py
+++ b/gypsumrouter/link/models.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from enum import IntEnum
+
 from msgspec import Struct
 
 from gypsumrouter.const import Role, UpstreamKind
@@ -400,6 +402,46 @@
     engines: tuple[EngineListing, ...]
 
 
+class BegunStream(Struct, frozen=True, kw_only=True):
+    """A stream that began at a router, and its origin (service and version), as digests."""
+
+    stream: int
+    origin: int
+
+
+class BegunStreams(Struct, frozen=True, kw_only=True):
+    """Tells a router of streams that began at the sender."""
+
+    streams: tuple[BegunStream, ...]
+
+
+class OriginRequest(Struct, frozen=True, kw_only=True):
+    """Asks a router what it knows of a stream, or else of the versions of its service."""
+
+    stream: int
+    service: str
+
+
+class OriginKnowledge(IntEnum):
+    """What a router knows of a stream: its origin, or else which versions its service has had.
+
+    UNPROVEN: it can't tell whether the service has had other versions than the present ones.
+    """
+
+    UNPROVEN = 0
+    KNOWN = 1
+    ONE_VERSION = 2
+    SEVERAL_VERSIONS = 3
+
+
+class OriginReply(Struct, frozen=True, kw_only=True):
+    """Reply to an OriginRequest; `origin` is 0 unless an origin or the only version is known."""
+
+    stream: int
+    knowledge: OriginKnowledge
+    origin: int = 0
+
+
 Notice = (
     Status
     | ConfigurationAnnouncement
@@ -417,5 +459,8 @@
     | ListedUpstreams
     | InventoryRequest
     | InventoryUpdate
+    | BegunStreams
+    | OriginRequest
+    | OriginReply
 )
 AnswerEvent = Head | Data | End | Failure
--- a/gypsumrouter/link/notice_codec.py
+++ b/gypsumrouter/link/notice_codec.py
@@ -7,6 +7,7 @@
 from gypsumrouter.link.const import Kind
 from gypsumrouter.link.frames import FrameError
 from gypsumrouter.link.models import (
+    BegunStreams,
     CatchUpRequest,
     ConfigurationAnnouncement,
     ConfigurationParts,
@@ -16,6 +17,8 @@
     InventoryUpdate,
     ListedUpstreams,
     Notice,
+    OriginReply,
+    OriginRequest,
     PoolStatus,
     PrefixAnnouncement,
     RelayedUpdate,
@@ -27,18 +30,24 @@
 )
 from gypsumrouter.link.pool_status_codec import decode_pool_status, encode_pool_status
 from gypsumrouter.link.router_codec import (
+    decode_begun_streams,
     decode_catch_up_request,
     decode_data_centre_update,
     decode_inventory_update,
     decode_listed_upstreams,
+    decode_origin_reply,
+    decode_origin_request,
     decode_relayed_update,
     decode_router_update,
     decode_routing_document,
     decode_store_update,
+    encode_begun_streams,
     encode_catch_up_request,
     encode_data_centre_update,
     encode_inventory_update,
     encode_listed_upstreams,
+    encode_origin_reply,
+    encode_origin_request,
     encode_relayed_update,
     encode_router_update,
     encode_routing_document,
@@ -107,6 +116,12 @@
             return Kind.HELD_WANTED, b""
         case InventoryUpdate():
             return Kind.HELD_NEWS, encode_inventory_update(notice)
+        case BegunStreams():
+            return Kind.BEGUN_STREAMS, encode_begun_streams(notice)
+        case OriginRequest():
+            return Kind.ORIGIN_REQUEST, encode_origin_request(notice)
+        case OriginReply():
+            return Kind.ORIGIN_REPLY, encode_origin_reply(notice)
 
 
 def decode_notice(kind: int, body: bytes) -> Notice:
@@ -152,6 +167,12 @@
             return InventoryRequest()
         case Kind.HELD_NEWS:
             return decode_inventory_update(body)
+        case Kind.BEGUN_STREAMS:
+            return decode_begun_streams(body)
+        case Kind.ORIGIN_REQUEST:
+            return decode_origin_request(body)
+        case Kind.ORIGIN_REPLY:
+            return decode_origin_reply(body)
     raise FrameError(f"frame kind {kind} is no notice")
 
 
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import struct
 import zlib
 from typing import Any, Final
 
 from gypsumrouter.link.frames import FrameError
 from gypsumrouter.link.models import (
+    BegunStream,
+    BegunStreams,
     CatchUpRequest,
     DataCentreLoads,
     DataCentreUpdate,
@@ -15,6 +18,9 @@
     InventoryUpdate,
     ListedUpstream,
     ListedUpstreams,
+    OriginKnowledge,
+    OriginReply,
+    OriginRequest,
     PlacedPart,
     RelayedUpdate,
     RouterAddress,
@@ -32,6 +38,8 @@
 MAX_DOCUMENT_BYTES: Final = 16 * 1024 * 1024
 # The fastest level of zlib.
 COMPRESSION: Final = 1
+# Digests of a stream and of its origin.
+BEGUN_STREAM: Final = struct.Struct("<QI")
 
 
 def encode_router_update(notice: RouterUpdate) -> bytes:
@@ -333,3 +341,54 @@
                 for engine in message.engines
             ),
         )
+
+
+def encode_begun_streams(notice: BegunStreams) -> bytes:
+    """Encode the body of a BEGUN_STREAMS frame."""
+    streams = b"".join(BEGUN_STREAM.pack(begun.stream, begun.origin) for begun in notice.streams)
+    return to_packed(SCHEMA.BegunStreams.new_message(streams=streams))
+
+
+def decode_begun_streams(body: bytes) -> BegunStreams:
+    """Decode the body of a BEGUN_STREAMS frame; raises FrameError."""
+    with open_packed_message(SCHEMA.BegunStreams, body) as message:
+        streams = bytes(message.streams)
+    if len(streams) % BEGUN_STREAM.size:
+        raise FrameError(f"a list of streams of {len(streams)} bytes")
+    return BegunStreams(
+        streams=tuple(
+            BegunStream(stream=stream, origin=origin)
+            for stream, origin in BEGUN_STREAM.iter_unpack(streams)
+        )
+    )
+
+
+def encode_origin_request(notice: OriginRequest) -> bytes:
+    """Encode the body of an ORIGIN_REQUEST frame."""
+    message = SCHEMA.OriginRequest.new_message(stream=notice.stream, service=notice.service)
+    return to_packed(message)
+
+
+def decode_origin_request(body: bytes) -> OriginRequest:
+    """Decode the body of an ORIGIN_REQUEST frame; raises FrameError."""
+    with open_packed_message(SCHEMA.OriginRequest, body) as message:
+        return OriginRequest(stream=message.stream, service=message.service)
+
+
+def encode_origin_reply(notice: OriginReply) -> bytes:
+    """Encode the body of an ORIGIN_REPLY frame."""
+    message = SCHEMA.OriginReply.new_message(
+        stream=notice.stream, origin=notice.origin, knowledge=int(notice.knowledge)
+    )
+    return to_packed(message)
+
+
+def decode_origin_reply(body: bytes) -> OriginReply:
+    """Decode the body of an ORIGIN_REPLY frame; raises FrameError."""
+    with open_packed_message(SCHEMA.OriginReply, body) as message:
+        stream, origin, number = message.stream, message.origin, message.knowledge
+    try:
+        knowledge = OriginKnowledge(number)
+    except ValueError:
+        raise FrameError(f"unknown knowledge {number} of a stream") from None
+    return OriginReply(stream=stream, knowledge=knowledge, origin=origin)
--- a/gypsumrouter/outcomes.py
+++ b/gypsumrouter/outcomes.py
@@ -45,6 +45,10 @@
     UNREACHABLE = "unreachable"
     WRONG_UPSTREAM = "wrong_upstream"
     MODEL_NOT_LOADED = "model_not_held"
+    # Streams that go on: not run, as it is not known at which version the stream began, or as no
+    # upstream has that version any more. The caller can only begin anew.
+    STREAM_UNKNOWN = "stream_unknown"
+    STREAM_VERSION_GONE = "stream_version_gone"
     # Calls that must run at most once.
     NOT_KEY_OWNER = "not_home"
     # The owner's instance list is too old to confirm that it owns the idempotency key.
--- a/gypsumrouter/peers/mesh.py
+++ b/gypsumrouter/peers/mesh.py
@@ -42,6 +42,7 @@
 from gypsumrouter.peers.outbox import Outbox
 from gypsumrouter.peers.relays import DataCentreRelay
 from gypsumrouter.peers.routers import PeerRouter, RouterRegistry
+from gypsumrouter.peers.streams import StreamExchange
 from gypsumrouter.peers.usage import UsageExchange
 from gypsumrouter.peers.watchers import WatchCoordinator
 from gypsumrouter.published import WatchState
@@ -70,6 +71,7 @@
         "_seeds",
         "_sending_to",
         "_server",
+        "_streams",
         "_usage",
         "_watch",
         "_without",
@@ -159,6 +161,14 @@
             list_seeds=self._list_seeds,
             send=self._async_send,
         )
+        self._streams = StreamExchange(
+            app=app,
+            routers=self._routers,
+            notices=notices,
+            origins=forwarder.streams,
+            send=self._async_send,
+        )
+        forwarder.streams.set_peers(self._streams)
         self._without = settings.without
         if Mechanism.PEER_INVENTORY not in settings.without:
             forwarder.inventory.set_peers(self._inventory)
@@ -177,6 +187,7 @@
         self._update_retry_budget()
         self._watch.async_start()
         self._relays.async_start()
+        self._streams.async_start()
         return address
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
--- a/gypsumrouter/peers/routers.py
+++ b/gypsumrouter/peers/routers.py
@@ -4,8 +4,10 @@
 
 import logging
 from collections.abc import Iterable, Iterator
+from heapq import nsmallest
 from typing import Final
 
+import xxhash
 from msgspec import Struct
 
 from gypsumrouter.instances import Address, parse_address
@@ -218,6 +220,15 @@
             if known.seed or known.last_seen_ms >= since_ms
         )
 
+    def rank(self, *, key: int, count: int) -> list[str]:
+        """Return the addresses of the first `count` routers in the rendezvous order of a key."""
+        seed = key.to_bytes(8, "little")
+        return nsmallest(
+            count,
+            self.list_addresses(),
+            key=lambda address: xxhash.xxh3_64_intdigest(seed + address.encode()),
+        )
+
     def get_last_added_ms(self) -> int:
         """Return when the last router was added."""
         return self._last_added_ms
--- /dev/null
+++ b/gypsumrouter/peers/streams.py
@@ -0,0 +1,200 @@
+"""Exchange of the origins of streams: each is told to a few routers, which others ask for it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Collection, Iterator
+from typing import Final
+
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.core import Application
+from gypsumrouter.link import (
+    BegunStream,
+    BegunStreams,
+    Notice,
+    NoticeHub,
+    OriginKnowledge,
+    OriginReply,
+    OriginRequest,
+    Peer,
+)
+from gypsumrouter.peers.routers import RouterRegistry
+from gypsumrouter.streams import (
+    Known,
+    OneVersion,
+    OriginView,
+    SeveralVersions,
+    StreamOrigins,
+    Unproven,
+)
+
+# Routers that are told of a stream, besides the one that began it.
+HOLDERS: Final = 2
+# Routers that are asked for a stream. Those that were told may be among the first few only, as two
+# routers rarely know exactly the same routers.
+ASKED: Final = 6
+# Further routers that are told instead of ones that can't be reached.
+MAX_SUBSTITUTES: Final = 2
+TELL_INTERVAL_MS: Final = 50
+# A router answers within a round trip; one more is needed to open a link to it.
+ASK_TIMEOUT_MS: Final = 150
+MAX_STREAMS_PER_NOTICE: Final = 1_000
+
+SendTo = Callable[[str, Notice], Awaitable[bool]]
+
+
+class StreamExchange:
+    """Tells other routers of the streams that began here, and asks them for others.
+
+    The holders of a stream are the first routers in the rendezvous order of its id, so that any
+    router finds them without knowing where the stream began.
+    """
+
+    __slots__ = ("_app", "_lookups", "_origins", "_routers", "_send")
+
+    def __init__(
+        self,
+        *,
+        app: Application,
+        routers: RouterRegistry,
+        notices: NoticeHub,
+        origins: StreamOrigins,
+        send: SendTo,
+    ) -> None:
+        self._app = app
+        self._routers = routers
+        self._origins = origins
+        self._send = send
+        self._lookups: dict[int, list[_Lookup]] = {}
+        notices.subscribe(BegunStreams, self._handle_begun)
+        notices.subscribe(OriginRequest, self._handle_request)
+        notices.subscribe(OriginReply, self._handle_reply)
+
+    def async_start(self) -> None:
+        """Start to tell other routers of streams."""
+        self._app.async_create_task(self._async_run(), "tell streams")
+
+    async def async_ask(self, *, stream: int, service: str) -> tuple[OriginView, ...]:
+        """Return what other routers say of a stream; ends as soon as one of them knows it."""
+        asked = self._routers.rank(key=stream, count=ASKED)
+        if not asked:
+            return ()
+        lookup = _Lookup(expected=len(asked))
+        self._lookups.setdefault(stream, []).append(lookup)
+        request = OriginRequest(stream=stream, service=service)
+        try:
+            async with asyncio.timeout(ASK_TIMEOUT_MS / MS_PER_S):
+                for address in asked:
+                    self._app.async_create_task(
+                        self._async_request(address, request, lookup), "ask for a stream"
+                    )
+                await lookup.done.wait()
+        except TimeoutError:
+            pass
+        finally:
+            self._remove(stream, lookup)
+        return tuple(lookup.views)
+
+    async def _async_request(self, address: str, request: OriginRequest, lookup: _Lookup) -> None:
+        if not await self._send(address, request):
+            lookup.note_unreachable()
+
+    def _remove(self, stream: int, lookup: _Lookup) -> None:
+        lookups = self._lookups[stream]
+        lookups.remove(lookup)
+        if not lookups:
+            del self._lookups[stream]
+
+    async def _async_run(self) -> None:
+        while True:
+            await self._app.clock.async_sleep(TELL_INTERVAL_MS)
+            self._origins.versions.update()
+            due = self._origins.take_due()
+            for address, streams in self._group_by_holder(due).items():
+                self._start_telling(address, streams)
+
+    def _group_by_holder(self, due: Collection[BegunStream]) -> dict[str, list[BegunStream]]:
+        grouped: dict[str, list[BegunStream]] = {}
+        for begun in due:
+            for address in self._routers.rank(key=begun.stream, count=HOLDERS):
+                grouped.setdefault(address, []).append(begun)
+        return grouped
+
+    def _start_telling(self, address: str, streams: list[BegunStream]) -> None:
+        for notice in _split(streams):
+            self._app.async_create_task(self._async_tell(address, notice), "tell streams")
+
+    async def _async_tell(self, address: str, notice: BegunStreams) -> None:
+        """Tell one holder, or others if it can't be reached."""
+        if await self._send(address, notice):
+            return
+        for begun in notice.streams:
+            await self._async_tell_substitute(begun)
+
+    async def _async_tell_substitute(self, begun: BegunStream) -> None:
+        ranked = self._routers.rank(key=begun.stream, count=HOLDERS + MAX_SUBSTITUTES)
+        for address in ranked[HOLDERS:]:
+            if await self._send(address, BegunStreams(streams=(begun,))):
+                return
+
+    def _handle_begun(self, _peer: Peer, notice: BegunStreams) -> None:
+        self._origins.add_told(notice.streams)
+
+    def _handle_request(self, peer: Peer, request: OriginRequest) -> None:
+        view = self._origins.get_view(stream=request.stream, service=request.service)
+        peer.send(_encode_view(request.stream, view))
+
+    def _handle_reply(self, _peer: Peer, reply: OriginReply) -> None:
+        for lookup in self._lookups.get(reply.stream, ()):
+            lookup.add(_decode_view(reply))
+
+
+class _Lookup:
+    """The replies to one question; `done` is set once no further one matters."""
+
+    __slots__ = ("_expected", "done", "views")
+
+    def __init__(self, *, expected: int) -> None:
+        self._expected = expected
+        self.views: list[OriginView] = []
+        self.done = asyncio.Event()
+
+    def add(self, view: OriginView) -> None:
+        self.views.append(view)
+        self._expected -= 1
+        if self._expected <= 0 or isinstance(view, Known):
+            self.done.set()
+
+    def note_unreachable(self) -> None:
+        self._expected -= 1
+        if self._expected <= 0:
+            self.done.set()
+
+
+def _encode_view(stream: int, view: OriginView) -> OriginReply:
+    match view:
+        case Known(origin=origin):
+            return OriginReply(stream=stream, knowledge=OriginKnowledge.KNOWN, origin=origin)
+        case OneVersion(origin=origin):
+            return OriginReply(stream=stream, knowledge=OriginKnowledge.ONE_VERSION, origin=origin)
+        case SeveralVersions():
+            return OriginReply(stream=stream, knowledge=OriginKnowledge.SEVERAL_VERSIONS)
+        case Unproven():
+            return OriginReply(stream=stream, knowledge=OriginKnowledge.UNPROVEN)
+
+
+def _decode_view(reply: OriginReply) -> OriginView:
+    match reply.knowledge:
+        case OriginKnowledge.KNOWN:
+            return Known(origin=reply.origin)
+        case OriginKnowledge.ONE_VERSION:
+            return OneVersion(origin=reply.origin)
+        case OriginKnowledge.SEVERAL_VERSIONS:
+            return SeveralVersions()
+        case OriginKnowledge.UNPROVEN:
+            return Unproven()
+
+
+def _split(streams: list[BegunStream]) -> Iterator[BegunStreams]:
+    for start in range(0, len(streams), MAX_STREAMS_PER_NOTICE):
+        yield BegunStreams(streams=tuple(streams[start : start + MAX_STREAMS_PER_NOTICE]))
--- a/gypsumrouter/platform/engines.py
+++ b/gypsumrouter/platform/engines.py
@@ -5,18 +5,22 @@
 import json
 
 from gypsumrouter.forwarding.inventory import CachedPart, CacheListing
-from gypsumrouter.helpers.http_connection import ConnectionBroken, HttpConnection
+from gypsumrouter.helpers.http_connection import ConnectionBroken, HttpConnection, async_get
 from gypsumrouter.platform import names
 
 
+async def async_read_start(connection: HttpConnection) -> int:
+    """Return when an upstream started, 0 if it doesn't state it; raises ConnectionBroken."""
+    _, body = await async_get(connection, names.CALL_REPORT)
+    try:
+        return int(json.loads(body).get("born", 0))
+    except (ValueError, TypeError, AttributeError, OverflowError, RecursionError) as error:
+        raise ConnectionBroken(f"expected a report, got {error!r}") from None
+
+
 async def async_list_cached_parts(connection: HttpConnection) -> CacheListing:
     """Return the prompt parts in an engine's cache; raises ConnectionBroken if invalid."""
-    head = f"GET {names.CALL_HELD} HTTP/1.1\r\nHost: {connection.address}\r\n\r\n"
-    connection.send_request(method="GET", data=head.encode())
-    answer = await connection.async_read_response()
-    body = await answer.body.read()
-    if answer.status != names.STATUS_OK:
-        raise ConnectionBroken(f"expected status {names.STATUS_OK}, got {answer.status}")
+    answer, body = await async_get(connection, names.CALL_HELD)
     try:
         document = json.loads(body)
         # Each entry is a list: an empty string, the part's id, its token count, its model.
--- /dev/null
+++ b/gypsumrouter/streams/origins.py
@@ -0,0 +1,189 @@
+"""Origins of streams: those that this router began, and those that it was told by others."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Collection, Iterable
+from typing import Final, Protocol
+
+from msgspec import Struct
+
+from gypsumrouter.core import Application
+from gypsumrouter.link import BegunStream
+from gypsumrouter.streams.models import (
+    Known,
+    OneVersion,
+    OriginView,
+    SeveralVersions,
+    StreamOrigin,
+    Unproven,
+    decide_origin,
+    make_origin_digest,
+    make_stream_digest,
+)
+from gypsumrouter.streams.versions import STREAM_RETENTION_MS, VersionHistory
+
+MAX_STREAMS: Final = 100_000
+# Most streams of a few events end within this time, and nobody needs to know of them.
+TELL_DELAY_MS: Final = 50
+LABELS_GOES_ON: Final = (("decision", "goes_on"),)
+LABELS_REFUSED: Final = (("decision", "refused"),)
+
+
+class PeerOrigins(Protocol):
+    """What the other routers know of streams."""
+
+    async def async_ask(self, *, stream: int, service: str) -> tuple[OriginView, ...]:
+        """Return what other routers say of a stream, within a bounded time."""
+
+
+class _Record(Struct, frozen=True, kw_only=True):
+    origin: int
+    expires_ms: int
+
+
+class _Untold(Struct, kw_only=True):
+    """A stream that this router began and has not told yet; due at `due_ms`."""
+
+    origin: int
+    due_ms: int
+    expires_ms: int
+
+
+class StreamOrigins:
+    """Knows at which version streams began, and asks other routers for those that it doesn't know.
+
+    Streams are told to other routers only while their service has, or may have had, more than one
+    version. Until then this router keeps the ones that it began, and tells them as soon as that
+    changes.
+    """
+
+    __slots__ = ("_app", "_peers", "_records", "_resolved", "_untold", "versions")
+
+    def __init__(self, *, app: Application, versions: VersionHistory) -> None:
+        self._app = app
+        self._peers: PeerOrigins | None = None
+        self._records: OrderedDict[int, _Record] = OrderedDict()
+        self._untold: dict[str, dict[int, _Untold]] = {}
+        self.versions = versions
+        self._resolved = app.metrics.counter(
+            "gypsumrouter_streams_taken_up_total", "Streams that callers took up, by the decision"
+        )
+        app.add_dump_section("streams", self._dump)
+
+    def set_peers(self, peers: PeerOrigins) -> None:
+        """Ask these routers for streams that this one doesn't know."""
+        self._peers = peers
+
+    def note_begun(self, request_id: str, origin: StreamOrigin) -> None:
+        """Record that the first event of a stream passes this router."""
+        stream, digest = make_stream_digest(request_id), make_origin_digest(origin)
+        now_ms = self._app.clock.now_ms()
+        self._add(stream, digest, now_ms=now_ms)
+        self._untold.setdefault(origin.service, {})[stream] = _Untold(
+            origin=digest,
+            due_ms=now_ms + TELL_DELAY_MS,
+            expires_ms=now_ms + STREAM_RETENTION_MS,
+        )
+
+    def note_complete(self, request_id: str, origin: StreamOrigin) -> None:
+        """Record that a stream ended complete: nobody takes it up."""
+        stream = make_stream_digest(request_id)
+        if self._untold.get(origin.service, {}).pop(stream, None) is not None:
+            self._records.pop(stream, None)
+
+    def note_broken(self, request_id: str, origin: StreamOrigin) -> None:
+        """Record that a stream broke off: its caller may take it up at once."""
+        untold = self._untold.get(origin.service, {}).get(make_stream_digest(request_id))
+        if untold is not None:
+            untold.due_ms = self._app.clock.now_ms()
+
+    def note_taken_up(self, request_id: str, origin: StreamOrigin) -> None:
+        """Record that a stream that began at another router goes on at this one."""
+        stream, digest = make_stream_digest(request_id), make_origin_digest(origin)
+        self._add(stream, digest, now_ms=self._app.clock.now_ms())
+
+    def add_told(self, streams: Iterable[BegunStream]) -> None:
+        """Add streams that another router began."""
+        now_ms = self._app.clock.now_ms()
+        for begun in streams:
+            self._add(begun.stream, begun.origin, now_ms=now_ms)
+
+    def take_due(self) -> list[BegunStream]:
+        """Return the streams to tell other routers now; each is returned once."""
+        now_ms = self._app.clock.now_ms()
+        due: list[BegunStream] = []
+        for service, untold in self._untold.items():
+            if untold and self.versions.get_only_version(service) is None:
+                due += _take_due(untold, now_ms)
+        return due
+
+    def sweep(self) -> None:
+        """Drop expired streams; call this about once a second."""
+        now_ms = self._app.clock.now_ms()
+        while self._records:
+            stream, record = next(iter(self._records.items()))
+            if record.expires_ms > now_ms:
+                break
+            del self._records[stream]
+        for untold in self._untold.values():
+            for stream in [s for s, entry in untold.items() if entry.expires_ms <= now_ms]:
+                del untold[stream]
+
+    def get_view(self, *, stream: int, service: str) -> OriginView:
+        """Return what this router knows of a stream of a service."""
+        record = self._records.get(stream)
+        if record is not None and record.expires_ms > self._app.clock.now_ms():
+            return Known(origin=record.origin)
+        if len(self.versions.list_versions(service)) > 1:
+            return SeveralVersions()
+        only = self.versions.get_only_version(service)
+        if only is None:
+            return Unproven()
+        return OneVersion(origin=make_origin_digest(StreamOrigin(service=service, version=only)))
+
+    async def async_find(
+        self, request_id: str, *, service: str, services: Collection[str]
+    ) -> StreamOrigin | None:
+        """Return the origin at which a stream may go on, None if that would be a guess.
+
+        The stream may have begun at any of `services`; `service` is the one that its request goes
+        to if nobody knows the stream.
+        """
+        stream = make_stream_digest(request_id)
+        views: tuple[OriginView, ...] = (self.get_view(stream=stream, service=service),)
+        if not isinstance(views[0], Known) and self._peers is not None:
+            views += await self._peers.async_ask(stream=stream, service=service)
+        digest = decide_origin(views)
+        origin = None if digest is None else self._match(digest, services)
+        self._resolved.inc(labels=LABELS_REFUSED if origin is None else LABELS_GOES_ON)
+        return origin
+
+    def _match(self, digest: int, services: Collection[str]) -> StreamOrigin | None:
+        """Return the origin with a digest among the versions of these services."""
+        for service in services:
+            for version in self.versions.list_versions(service):
+                origin = StreamOrigin(service=service, version=version)
+                if make_origin_digest(origin) == digest:
+                    return origin
+        return None
+
+    def _add(self, stream: int, origin: int, *, now_ms: int) -> None:
+        self._records[stream] = _Record(origin=origin, expires_ms=now_ms + STREAM_RETENTION_MS)
+        self._records.move_to_end(stream)
+        if len(self._records) > MAX_STREAMS:
+            self._records.popitem(last=False)
+
+    def _dump(self) -> object:
+        return {
+            "known": len(self._records),
+            "untold": sum(len(untold) for untold in self._untold.values()),
+            "single_version": self.versions.dump(),
+        }
+
+
+def _take_due(untold: dict[int, _Untold], now_ms: int) -> list[BegunStream]:
+    due = [(stream, entry) for stream, entry in untold.items() if entry.due_ms <= now_ms]
+    for stream, _ in due:
+        del untold[stream]
+    return [BegunStream(stream=stream, origin=entry.origin) for stream, entry in due]
--- /dev/null
+++ b/gypsumrouter/streams/versions.py
@@ -0,0 +1,103 @@
+"""Versions that the services had while a stream that may be taken up was able to begin."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Final
+
+from gypsumrouter.directory import Directory, Entry, EntryState
+from gypsumrouter.util.clock import Clock
+
+# A stream that broke off may be taken up for this long. The longest deadline of a caller is 16 s.
+STREAM_RETENTION_MS: Final = 30_000
+# A list of upstreams that was confirmed longer ago may lack a version. A watch of the list returns
+# within 1.2 s, and its response is awaited for 0.8 s.
+MAX_LIST_AGE_MS: Final = 3_000
+# Versions were observed since before any stream could begin.
+ALWAYS_MS: Final = -(1 << 62)
+
+
+class VersionHistory:
+    """Observes the list of upstreams.
+
+    The history has a gap where the list was older than `MAX_LIST_AGE_MS`: a version may have come
+    and gone unseen. `first_start` means that no stream can be older than this process.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_directory",
+        "_get_list_age_ms",
+        "_last_seen_ms",
+        "_present",
+        "_since_ms",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        directory: Directory,
+        get_list_age_ms: Callable[[], int],
+        first_start: bool,
+    ) -> None:
+        self._clock = clock
+        self._directory = directory
+        self._get_list_age_ms = get_list_age_ms
+        # Service and version of each upstream that is listed.
+        self._present: dict[str, tuple[str, str]] = {}
+        # When an upstream of a service and version was last listed, for those that left.
+        self._last_seen_ms: dict[tuple[str, str], int] = {}
+        self._since_ms: int | None = ALWAYS_MS if first_start else None
+        directory.on_change(self._handle_entry)
+
+    def update(self) -> None:
+        """Note whether the list is up to date; to be called several times a second."""
+        now_ms = self._clock.now_ms()
+        if not self._directory.loaded.is_set():
+            return
+        if self._get_list_age_ms() > MAX_LIST_AGE_MS or self._since_ms is None:
+            self._since_ms = now_ms
+        expired_ms = now_ms - STREAM_RETENTION_MS
+        for key, seen_ms in tuple(self._last_seen_ms.items()):
+            if seen_ms < expired_ms:
+                del self._last_seen_ms[key]
+
+    def list_versions(self, service: str) -> set[str]:
+        """Return the versions that a service has, or has had while a stream was able to begin."""
+        expired_ms = self._clock.now_ms() - STREAM_RETENTION_MS
+        listed = {version for known, version in self._present.values() if known == service}
+        left = {
+            version
+            for (known, version), seen_ms in self._last_seen_ms.items()
+            if known == service and seen_ms >= expired_ms
+        }
+        return listed | left
+
+    def is_complete(self) -> bool:
+        """Return whether all versions of the retention time were observed, up to now."""
+        if self._since_ms is None or self._get_list_age_ms() > MAX_LIST_AGE_MS:
+            return False
+        return self._since_ms <= self._clock.now_ms() - STREAM_RETENTION_MS
+
+    def get_only_version(self, service: str) -> str | None:
+        """Return the one version that a service has had, None if there may have been others."""
+        if not self.is_complete():
+            return None
+        versions = self.list_versions(service)
+        return versions.pop() if len(versions) == 1 else None
+
+    def dump(self) -> dict[str, str]:
+        """Return the services that have had one version only, with that version."""
+        services = sorted({service for service, _ in self._present.values()})
+        found = ((service, self.get_only_version(service)) for service in services)
+        return {service: version for service, version in found if version is not None}
+
+    def _handle_entry(self, entry: Entry) -> None:
+        earlier = self._present.pop(entry.incarnation, None)
+        if earlier is not None:
+            self._last_seen_ms[earlier] = self._clock.now_ms()
+        if entry.state in (EntryState.READY, EntryState.LEAVING, EntryState.UNUSABLE):
+            key = (entry.service, entry.version)
+            self._present[entry.incarnation] = key
+            self._last_seen_ms.pop(key, None)
--- a/gypsumrouter/upstream/run.py
+++ b/gypsumrouter/upstream/run.py
@@ -20,8 +20,7 @@
 from gypsumrouter.upstream.headers import select_answer_headers
 from gypsumrouter.upstream.models import ConnectionBroken, Sink
 from gypsumrouter.upstream.watch import Watch
-from gypsumrouter.util.event_stream import is_inside_event
-from gypsumrouter.util.json_documents import is_complete_json, is_json_media_type
+from gypsumrouter.util.body_formats import is_complete_json, is_inside_event, is_json_media_type
 
 _CHUNKED = "chunked"
 _METHOD_HEAD = "HEAD"
--- a/gypsumrouter/util/event_stream.py
+++ b/gypsumrouter/util/body_formats.py
@@ -1,12 +1,16 @@
-"""Boundaries of server-sent events in a byte stream."""
+"""Formats of response bodies, which show whether a body ended early."""
 
 from __future__ import annotations
 
 from typing import Final
 
+import msgspec
+
 # An event ends with an empty line. Lines end with LF, CR LF or CR.
 EVENT_ENDS: Final = (b"\n\n", b"\n\r\n", b"\r\r")
 LINE_ENDS: Final = b"\r\n"
+MEDIA_TYPE_JSON: Final = "application/json"
+SUFFIX_JSON: Final = "+json"
 
 
 def find_event_end(data: bytes) -> int:
@@ -30,3 +34,18 @@
 def _find_last_end(data: bytes, separator: bytes) -> int:
     start = data.rfind(separator)
     return 0 if start < 0 else start + len(separator)
+
+
+def is_json_media_type(content_type: str) -> bool:
+    """Return whether a Content-Type header states that a body is one JSON document."""
+    media_type = content_type.partition(";")[0].strip().lower()
+    return media_type == MEDIA_TYPE_JSON or media_type.endswith(SUFFIX_JSON)
+
+
+def is_complete_json(document: bytes) -> bool:
+    """Return whether a document is valid JSON from its first byte to its last."""
+    try:
+        msgspec.json.decode(document)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return False
+    return True
--- a/tests/forwarding/test_forwarding_stream_versions.py
+++ b/tests/forwarding/test_forwarding_stream_versions.py
@@ -129,8 +129,8 @@
     await versions.async_put_entry(versions.models[1], state="draining")
     await versions.async_until(lambda: is_leaving(versions, "i-models-1"))
     broken = 0
-    for number in range(8):
-        extra = {**PROMPT, "X-Prefix-Hash": f"a1:800,b{number}:400,c3:200"}
+    for number in range(24):
+        extra = {**PROMPT, "X-Prefix-Hash": f"a{number}:800,b{number}:400,c3:200"}
         try:
             await versions.async_call(
                 session, "POST", "/quote/a", f"r{number}", body=b"p", extra=extra
--- a/tests/util/test_util_event_stream.py
+++ b/tests/util/test_util_body_formats.py
@@ -8,8 +8,13 @@
 
 from gypsumrouter.forwarding.events import EventSplitter
 from gypsumrouter.gateway.events import EventBuffer
-from gypsumrouter.util.event_stream import count_events, find_event_end, is_inside_event
-from gypsumrouter.util.json_documents import is_complete_json, is_json_media_type
+from gypsumrouter.util.body_formats import (
+    count_events,
+    find_event_end,
+    is_complete_json,
+    is_inside_event,
+    is_json_media_type,
+)
 
 LINE_ENDS = st.sampled_from([b"\n", b"\r\n"])
 
