--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -292,6 +292,7 @@
         target.slots = entry.slots
         target.bornMs = entry.born_ms
         target.coldMs = entry.cold_ms
+        target.version = entry.version
     return to_bytes(message)
 
 
