--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -34,6 +34,13 @@
     RunnerFault.FOREIGN_RESPONSE_FIRST,
     RunnerFault.UNMARKED_REJECTION,
 )
+STREAM_FAULTS: Final = (
+    RunnerFault.END_INSIDE_EVENT,
+    RunnerFault.RESET_STREAM,
+    RunnerFault.STALL_STREAM,
+)
+# A response with chunks that ends regularly without an event is complete.
+UNFRAMED_FAULTS: Final = (RunnerFault.END_WITHOUT_EVENT,)
 
 Fault = Callable[[], Awaitable[None]]
 
@@ -50,6 +57,7 @@
         drills: bool = False,
         storms: bool = False,
         leavings: bool = False,
+        versions: bool = False,
     ) -> None:
         self._rig = rig
         self._rng = random.Random(seed)
@@ -86,6 +94,15 @@
             others = {name: self._faults[name] for name in ("kill", "freeze", "reload")}
             self._faults = {"configure": self._rig.async_configure, **leaving.choose(others)}
             self._gaps_s = (MIN_LEAVING_GAP_S, MAX_LEAVING_GAP_S)
+        if versions:
+            self._faults["release"] = self._async_release
+            self._faults["restart_engine"] = self._async_restart_engine
+            self._faults["break_off"] = self._async_break_off
+            if seed % 2:
+                # Without what disturbs all forwarders, most are bound to let streams go on.
+                for name in ("store", "store_path", "runner_path"):
+                    del self._faults[name]
+                self._gaps_s = (MIN_LEAVING_GAP_S, MAX_LEAVING_GAP_S)
         self._evacuated: set[str] = set()
         self._restoring = False
 
@@ -267,6 +284,33 @@
         service = self._rng.choice(tuple(self._rig.runners))
         await self._rig.async_replace_runner(service, self._rng.randrange(RUNNERS))
 
+    async def _async_release(self) -> None:
+        """Replace an engine by one of a version that others have, or of a new one."""
+        engines = self._rig.runners["models"]
+        await self._rig.async_release(self._rng.randrange(len(engines)), self._choose_version())
+
+    async def _async_restart_engine(self) -> None:
+        """Start an engine anew under its id at another version; the list learns of it later."""
+        engines = self._rig.runners["models"]
+        await self._rig.async_restart_engine(
+            self._rng.randrange(len(engines)),
+            self._choose_version(),
+            listing_s=self._rng.uniform(0, MAX_FAULT_S),
+        )
+
+    def _choose_version(self) -> str:
+        versions = sorted({engine.version for engine in self._rig.runners["models"]})
+        newest = max(int(version[1:]) for version in versions)
+        return self._rng.choice([*versions, f"v{newest + 1}"])
+
+    async def _async_break_off(self) -> None:
+        """Let an engine break off its streams in one of several ways."""
+        engine = self._rng.choice(self._rig.runners["models"])
+        faults = STREAM_FAULTS if engine.framed else (*STREAM_FAULTS, *UNFRAMED_FAULTS)
+        engine.default_fault = self._rng.choice(faults)
+        await self._async_hold()
+        engine.default_fault = RunnerFault.NONE
+
     async def _async_evacuate(self) -> None:
         """Evacuate a data centre for a while; the first one always stays open."""
         open_data_centres = [name for name in DATA_CENTRES[1:] if name not in self._evacuated]
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -81,6 +81,8 @@
         self.name = name
         self.version = version
         self.started_ms = 0
+        # Pause before each event of a stream, in seconds.
+        self.pause_s = 0.0
         self.framed = True
         # Sent with each response of a run.
         self.stamp = f"{name}.07.5a2.600.0.c9f2a4d1"
@@ -231,6 +233,7 @@
             return response
         first = int(request.headers.get(names.LAST_EVENT_ID, "0")) + 1
         for number in range(first, self.events + 1):
+            await asyncio.sleep(self.pause_s)
             await response.write(self._make_event(number))
             if number != first + 1:
                 continue
