--- a/gypsumrouter/forwarding/events.py
+++ b/gypsumrouter/forwarding/events.py
@@ -21,12 +21,14 @@
     stream that is resumed on another upstream does not repeat a part of one.
     """
 
-    __slots__ = ("_partial", "has_events", "last_event_id")
+    __slots__ = ("_partial", "has_events", "last_event_id", "last_has_id")
 
     def __init__(self) -> None:
         self._partial = b""
         self.has_events = False
         self.last_event_id: str | None = None
+        # Whether the last event has an id, so that another upstream can go on after it.
+        self.last_has_id = True
 
     @property
     def partial_bytes(self) -> int:
@@ -63,6 +65,8 @@
         return complete
 
     def _update_last_event_id(self, complete: bytes) -> None:
+        last = complete[find_event_end(complete[:-1]) :]
+        self.last_has_id = last.startswith(ID_FIELD) or b"\n" + ID_FIELD in last
         start = complete.rfind(b"\n" + ID_FIELD)
         if start >= 0:
             start += 1
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -325,8 +325,9 @@
 
     def _get_retry_limits(self) -> RetryLimits:
         route = self._routed.route
+        repeatable = route.repeatable and self._relay.resumable
         return RetryLimits(
-            repeatable=route.repeatable and Mechanism.RETRIES not in self._context.without,
+            repeatable=repeatable and Mechanism.RETRIES not in self._context.without,
             max_attempts=route.max_attempts,
             remaining_ms=self._remaining_ms(),
             acquire_retry=self._acquire_retry,
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -96,6 +96,11 @@
         """Return the id of the last event that was relayed."""
         return self._splitter.last_event_id
 
+    @property
+    def resumable(self) -> bool:
+        """Return whether the stream can go on without repeating or leaving out an event."""
+        return self.response is None or self._splitter.last_has_id
+
     async def async_relay(self, streaming: StreamingResponse) -> StreamEnd:
         """Relay the response of one upstream until it ends; raises CallerDisconnected."""
         if self._headers is None:
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -83,6 +83,7 @@
         self.started_ms = 0
         # Pause before each event of a stream, in seconds.
         self.pause_s = 0.0
+        self.numbers_events = True
         self.framed = True
         # Sent with each response of a run.
         self.stamp = f"{name}.07.5a2.600.0.c9f2a4d1"
@@ -220,7 +221,8 @@
 
     def _make_event(self, number: int) -> bytes:
         version = f"{self.version} " if self.version else ""
-        return f"id: {number}\ndata: {version}piece {number}\n\n".encode()
+        event_id = f"id: {number}\n" if self.numbers_events else ""
+        return f"{event_id}data: {version}piece {number}\n\n".encode()
 
     async def _async_stream(
         self, request: web.Request, headers: dict[str, str], fault: RunnerFault
--- a/tests/forwarding/test_forwarding_broken_off.py
+++ b/tests/forwarding/test_forwarding_broken_off.py
@@ -138,3 +138,14 @@
     while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
         body += (await reader.readexactly(size + 2))[:-2]
     return body
+
+
+async def test_stream_whose_last_event_has_no_id_is_not_resumed(
+    world: ForwardingWorld, session: Session
+) -> None:
+    for runner in world.models:
+        runner.default_fault = RunnerFault.RESET_STREAM
+        runner.numbers_events = False
+    with pytest.raises(aiohttp.ClientError):
+        await world.async_call(session, "POST", "/quote/a", "r1", body=b"p", extra=PROMPT)
+    assert len(world.arrivals("r1")) == 1
