--- a/gypsumrouter/link/__init__.py
+++ b/gypsumrouter/link/__init__.py
@@ -6,47 +6,49 @@
 from gypsumrouter.link.exchange import Exchange
 from gypsumrouter.link.models import (
     AnswerEvent,
-    BegunStream,
-    BegunStreams,
-    CatchUpRequest,
     ConfigurationAnnouncement,
     ConfigurationParts,
     ConfigurationPartsRequest,
     Data,
-    DataCentreLoads,
-    DataCentreUpdate,
     End,
-    EngineListing,
-    EvacuationState,
     Head,
     Headers,
     Hello,
+    Notice,
+    Open,
+    PoolLoad,
+    PrefixAnnouncement,
+    Status,
+    SuspectAnnouncement,
+)
+from gypsumrouter.link.notices import NoticeHub, Peer, send_to_all
+from gypsumrouter.link.pool import LinkPool
+from gypsumrouter.link.router_models import (
+    BegunStream,
+    BegunStreams,
+    CatchUpRequest,
+    DataCentreLoads,
+    DataCentreUpdate,
+    EngineListing,
+    EvacuationState,
     InventoryRequest,
     InventoryUpdate,
     ListedUpstream,
     ListedUpstreams,
-    Notice,
-    Open,
     OriginKnowledge,
     OriginReply,
     OriginRequest,
     PlacedPart,
-    PoolLoad,
-    PrefixAnnouncement,
     RelayedUpdate,
     RouterAddress,
     RouterLoad,
     RouterUpdate,
     RoutingDocument,
-    Status,
     StoreUpdate,
     Strike,
-    SuspectAnnouncement,
     WorkspaceUsage,
     WorkspaceWork,
 )
-from gypsumrouter.link.notices import NoticeHub, Peer, send_to_all
-from gypsumrouter.link.pool import LinkPool
 from gypsumrouter.link.server import ExchangeHandler, LinkServer
 from gypsumrouter.link.status import StatusView
 
--- a/gypsumrouter/link/notice_codec.py
+++ b/gypsumrouter/link/notice_codec.py
@@ -2,33 +2,22 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import Any, Final
 
 from gypsumrouter.link.const import Kind
 from gypsumrouter.link.frames import FrameError
 from gypsumrouter.link.models import (
-    BegunStreams,
-    CatchUpRequest,
     ConfigurationAnnouncement,
     ConfigurationParts,
     ConfigurationPartsRequest,
-    DataCentreUpdate,
-    InventoryRequest,
-    InventoryUpdate,
-    ListedUpstreams,
+    EngineStatus,
+    ModelStatus,
     Notice,
-    OriginReply,
-    OriginRequest,
     PoolStatus,
     PrefixAnnouncement,
-    RelayedUpdate,
-    RouterUpdate,
-    RoutingDocument,
     Status,
-    StoreUpdate,
     SuspectAnnouncement,
 )
-from gypsumrouter.link.pool_status_codec import decode_pool_status, encode_pool_status
 from gypsumrouter.link.router_codec import (
     decode_begun_streams,
     decode_catch_up_request,
@@ -53,6 +42,20 @@
     encode_routing_document,
     encode_store_update,
 )
+from gypsumrouter.link.router_models import (
+    BegunStreams,
+    CatchUpRequest,
+    DataCentreUpdate,
+    InventoryRequest,
+    InventoryUpdate,
+    ListedUpstreams,
+    OriginReply,
+    OriginRequest,
+    RelayedUpdate,
+    RouterUpdate,
+    RoutingDocument,
+    StoreUpdate,
+)
 from gypsumrouter.link.schema import (
     SCHEMA,
     open_message,
@@ -97,7 +100,7 @@
             )
             return Kind.PREFIX_NEWS, to_packed(message)
         case PoolStatus():
-            return Kind.HOLDINGS, encode_pool_status(notice)
+            return Kind.HOLDINGS, _encode_pool_status(notice)
         case RouterUpdate():
             return Kind.ROUTER_NEWS, encode_router_update(notice)
         case DataCentreUpdate():
@@ -148,7 +151,7 @@
             with open_packed_message(SCHEMA.PrefixNews, body) as message:
                 return PrefixAnnouncement(chat=message.chat, prompt_bytes=message.promptBytes)
         case Kind.HOLDINGS:
-            return decode_pool_status(body)
+            return _decode_pool_status(body)
         case Kind.ROUTER_NEWS:
             return decode_router_update(body)
         case Kind.DATA_CENTRE_NEWS:
@@ -211,3 +214,57 @@
             manifest=tuple(message.manifest),
             parts=tuple(bytes(part) for part in message.parts),
         )
+
+
+def _encode_pool_status(notice: PoolStatus) -> bytes:
+    """Encode the body of a HOLDINGS frame."""
+    message = SCHEMA.Holdings.new_message(pool=notice.pool)
+    entries = message.init("entries", len(notice.entries))
+    for target, entry in zip(entries, notice.entries, strict=True):
+        _write_entry(target, entry)
+    return to_packed(message)
+
+
+def _decode_pool_status(body: bytes) -> PoolStatus:
+    """Decode the body of a HOLDINGS frame; raises FrameError."""
+    with open_packed_message(SCHEMA.Holdings, body) as message:
+        entries = tuple(_read_entry(entry) for entry in message.entries)
+        return PoolStatus(pool=message.pool, entries=entries)
+
+
+def _write_entry(target: Any, entry: EngineStatus) -> None:
+    target.name = entry.name
+    target.stampMs = entry.stamp_ms
+    target.engine = entry.engine
+    target.up = entry.up
+    target.role = entry.role
+    models = target.init("models", len(entry.models))
+    for place, model in zip(models, entry.models, strict=True):
+        place.name = model.name
+        place.version = model.version
+        place.nextVersion = model.next_version
+        place.serving = model.serving
+        place.load = model.load
+        place.failures = model.failures
+
+
+def _read_entry(entry: Any) -> EngineStatus:
+    return EngineStatus(
+        name=entry.name,
+        stamp_ms=entry.stampMs,
+        engine=entry.engine,
+        up=entry.up,
+        role=entry.role,
+        models=tuple(_read_model(model) for model in entry.models),
+    )
+
+
+def _read_model(model: Any) -> ModelStatus:
+    return ModelStatus(
+        name=model.name,
+        version=model.version,
+        next_version=model.nextVersion,
+        serving=model.serving,
+        load=model.load,
+        failures=model.failures,
+    )
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -7,7 +7,7 @@
 from typing import Any, Final
 
 from gypsumrouter.link.frames import FrameError
-from gypsumrouter.link.models import (
+from gypsumrouter.link.router_models import (
     BegunStream,
     BegunStreams,
     CatchUpRequest,
--- a/gypsumrouter/link/usage_codec.py
+++ b/gypsumrouter/link/usage_codec.py
@@ -5,7 +5,10 @@
 from itertools import islice
 from typing import Any, Final
 
-from gypsumrouter.link.models import WorkspaceUsage, WorkspaceWork
+from gypsumrouter.link.router_models import (
+    WorkspaceUsage,
+    WorkspaceWork,
+)
 
 # A valid summary has at most 8 entries (`contention.MAX_ENTRIES`). One more is decoded, so that the
 # receiver can tell a longer one, and no further ones, whose names could fill the message.
