--- a/gypsumrouter/forwarding/eligibility.py
+++ b/gypsumrouter/forwarding/eligibility.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 from typing import Final
 
 from msgspec import Struct
@@ -99,9 +99,16 @@
         return age_ms is not None and age_ms < self._copy_window_ms
 
     def select(
-        self, entries: Iterable[Entry], *, excluded: Collection[str]
+        self, entries: Collection[Entry], *, excluded: Collection[str], version: str | None = None
     ) -> tuple[Entry, ...] | PlacementRefusal:
-        """Return the upstreams that may receive a request (never empty), or why there is none."""
+        """Return the upstreams that may receive a request (never empty), or why there is none.
+
+        With `version`, only upstreams whose software has that version may.
+        """
+        if version is not None:
+            entries = [entry for entry in entries if entry.version == version]
+            if not entries:
+                return VERSION_GONE
         remaining = tuple(entry for entry in entries if entry.incarnation not in excluded)
         if not remaining:
             return NO_UPSTREAM
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -15,9 +15,6 @@
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.connections import ConnectionPool
 from gypsumrouter.forwarding.const import (
-    MIN_RESPONSE_TIMEOUT_MS,
-    RESPONSE_MARGIN_MS,
-    RESPONSE_TIMEOUT_FACTOR,
     RETRY_AT_ONCE_MS,
     RETURN_TRIP_MS,
 )
@@ -44,7 +41,7 @@
 from gypsumrouter.forwarding.outcome_recorder import OutcomeRecorder
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.placer import Placer
-from gypsumrouter.forwarding.progress import Progress
+from gypsumrouter.forwarding.progress import Progress, TimeLimits
 from gypsumrouter.forwarding.relay import Relay, RelayResult
 from gypsumrouter.forwarding.request_contention import ContentionContext, RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
@@ -80,6 +77,7 @@
         "_contention",
         "_context",
         "_digest",
+        "_limits",
         "_recorder",
         "_relay",
         "_request",
@@ -112,6 +110,7 @@
         self._request_journal = request_journal
         self._digest = make_digest(request)
         self.progress = progress
+        self._limits = TimeLimits(clock=context.app.clock, route=routed.route, progress=progress)
         self._contention = RequestContention(
             context=context.contention,
             clock=context.app.clock,
@@ -148,7 +147,7 @@
         self._context.budget.note_request(self._service)
         self._contention.note_arrival()
         try:
-            async with asyncio.timeout(max(0, self._remaining_ms()) / MS_PER_S):
+            async with asyncio.timeout(max(0, self._limits.remaining_ms) / MS_PER_S):
                 response = await self._async_run_attempts()
         except TimeoutError:
             response = self._end_at_deadline()
@@ -168,7 +167,7 @@
                 service=self._service,
                 prompt=self._request.prompt,
                 excluded=self.progress.excluded_upstreams,
-                limit_ms=self._get_time_limit_ms(),
+                limit_ms=self._limits.target_ms,
                 needed_permits=self._contention.get_needed_permits(),
                 version=self._stream.version,
             )
@@ -180,10 +179,10 @@
 
     async def _async_admit(self) -> web.StreamResponse | None:
         """Wait for capacity under contention; return the refusal, None if it may be sent."""
-        outcome = await self._contention.async_admit(remaining_ms=self._remaining_ms())
+        outcome = await self._contention.async_admit(remaining_ms=self._limits.remaining_ms)
         if isinstance(outcome, Refused):
             return self._refuse(outcome.reason, outcome.message, outcome.room_in_ms, outcome.excess)
-        if self._remaining_ms() <= 0:
+        if self._limits.remaining_ms <= 0:
             # The process may have been suspended after the release.
             return self._refuse(Reason.DEADLINE, "No upstream had time for the request")
         return None
@@ -316,20 +315,13 @@
                 self.progress.outcome = "answered"
                 return self._relay.response
 
-    def _get_time_limit_ms(self) -> int:
-        """Return the time left to the target latency, or to the deadline if that has passed."""
-        target_ms = self._routed.route.target_latency_ms
-        waited_ms = self._now_ms() - self.progress.arrived_ms
-        remaining_ms = self._remaining_ms()
-        return min(remaining_ms, target_ms - waited_ms) if waited_ms < target_ms else remaining_ms
-
     def _get_retry_limits(self) -> RetryLimits:
         route = self._routed.route
         repeatable = route.repeatable and self._relay.resumable
         return RetryLimits(
             repeatable=repeatable and Mechanism.RETRIES not in self._context.without,
             max_attempts=route.max_attempts,
-            remaining_ms=self._remaining_ms(),
+            remaining_ms=self._limits.remaining_ms,
             acquire_retry=self._acquire_retry,
         )
 
@@ -357,14 +349,14 @@
         reserved_ms: int | None = RETRY_AT_ONCE_MS
         if reason is not Reason.STREAM_VERSION_GONE:
             reservation = self._contention.reserve_return(
-                room_in_ms=not_before_ms, remaining_ms=self._remaining_ms()
+                room_in_ms=not_before_ms, remaining_ms=self._limits.remaining_ms
             )
             reserved_ms = None if reservation is None else reservation.retry_after_ms
         response, retry_after_ms = make_refusal(
             reason=reason,
             message=message,
             request_id=self._request.request_id,
-            remaining_ms=self._remaining_ms(),
+            remaining_ms=self._limits.remaining_ms,
             not_before_ms=not_before_ms,
             reserved_ms=reserved_ms,
             dialect=self._context.dialect,
@@ -387,51 +379,35 @@
         self.progress.first_byte_ms = self._now_ms() - self.progress.arrived_ms
         return make_upstream_response(outcome=outcome, dialect=self._context.dialect)
 
-    def _fail(self, message: str) -> web.StreamResponse:
+    def _fail(
+        self, message: str, *, reason: Reason = Reason.UPSTREAM_LOST, outcome: str = ""
+    ) -> web.StreamResponse:
         """End a request that may have run, if possible with an upstream's error response."""
-        self.progress.outcome = f"failed: {message}"
+        self.progress.outcome = outcome or f"failed: {message}"
         if self._relay.response is not None:
             abort_connection(self._web_request.transport)
             return self._relay.response
         if self.progress.fallback_response is not None:
             return self._respond(self.progress.fallback_response)
-        return make_failure(
-            reason=Reason.UPSTREAM_LOST, message=message, request_id=self._request.request_id
-        )
+        return make_failure(reason=reason, message=message, request_id=self._request.request_id)
 
     def _end_at_deadline(self) -> web.StreamResponse:
         """End a request that has reached its deadline."""
         if not self.progress.in_flight and not self.progress.possibly_ran_on:
             return self._refuse(Reason.DEADLINE, "No upstream had time for the request")
-        self.progress.outcome = "deadline"
-        if self._relay.response is not None:
-            abort_connection(self._web_request.transport)
-            return self._relay.response
-        if self.progress.fallback_response is not None:
-            return self._respond(self.progress.fallback_response)
-        return make_failure(
-            reason=Reason.DEADLINE,
-            message="The deadline has passed",
-            request_id=self._request.request_id,
-        )
+        message = "The deadline has passed"
+        return self._fail(message, reason=Reason.DEADLINE, outcome="deadline")
 
     def _get_response_timeout_ms(self) -> int | None:
-        """Return the timeout after which the request is retried, None if it must not be."""
-        route = self._routed.route
-        if not route.repeatable or len(self.progress.possibly_ran_on) + 1 >= route.max_attempts:
-            return None
         if Mechanism.RESPONSE_TIMEOUT in self._context.without:
             return None
-        timeout_ms = max(
-            MIN_RESPONSE_TIMEOUT_MS, int(route.target_latency_ms * RESPONSE_TIMEOUT_FACTOR)
-        )
-        return max(1, min(timeout_ms, self._remaining_ms() // 2))
+        return self._limits.response_timeout_ms
 
     def _make_attempt_options(self, placement: Placement) -> AttemptOptions:
         return AttemptOptions(
             upstream=placement.entry.upstream,
             workspace=self._routed.workspace,
-            deadline_ms=max(1, self._remaining_ms() - RETURN_TRIP_MS),
+            deadline_ms=max(1, self._limits.remaining_ms - RETURN_TRIP_MS),
             priority=self._get_priority(),
             last_event_id=self._relay.last_event_id or self._request.last_event_id,
             fetch_from=None if placement.fetch_from is None else placement.fetch_from.address,
@@ -442,8 +418,5 @@
             return None
         return self._routed.priority
 
-    def _remaining_ms(self) -> int:
-        return self.progress.deadline_at_ms - self._now_ms() - RESPONSE_MARGIN_MS
-
     def _now_ms(self) -> int:
         return self._context.app.clock.now_ms()
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -6,7 +6,6 @@
 import logging
 from typing import Final, Protocol
 
-import xxhash
 from aiohttp import web
 
 from gypsumrouter.callers import (
@@ -23,23 +22,23 @@
 )
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.directory import Directory
-from gypsumrouter.forwarding.const import RESPONSE_MARGIN_MS, RETRY_AFTER_MAX_MS, RETRY_AT_ONCE_MS
+from gypsumrouter.forwarding.const import RETRY_AFTER_MAX_MS, RETRY_AT_ONCE_MS
 from gypsumrouter.forwarding.execution import ForwardingContext, RequestExecution
 from gypsumrouter.forwarding.leaving import DrainAdmission, estimate_duration_ms
 from gypsumrouter.forwarding.metrics import ForwardingMetrics
 from gypsumrouter.forwarding.models import CallerRequest
-from gypsumrouter.forwarding.progress import Progress
+from gypsumrouter.forwarding.progress import Progress, get_time_limit_ms
 from gypsumrouter.forwarding.relay import CallerDisconnected
-from gypsumrouter.forwarding.request_journal import RequestJournal, read_event_number
+from gypsumrouter.forwarding.request_journal import RequestJournal
 from gypsumrouter.forwarding.responses import make_refusal, make_rejection
 from gypsumrouter.forwarding.return_order import NO_SERVICE, Reservation
+from gypsumrouter.forwarding.stream_pin import async_find_origin
 from gypsumrouter.forwarding.suspects import make_digest
 from gypsumrouter.helpers.logs import set_request_id
-from gypsumrouter.journal import RequestEnded, RequestRefused, StreamTakenUp
+from gypsumrouter.journal import RequestEnded, RequestRefused
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.outcomes import Reason
 from gypsumrouter.routing import InvalidKey, NoRoute, Route, RouteMatch, RoutingStore
-from gypsumrouter.streams import StreamOrigin
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -218,12 +217,19 @@
         route = routed.route
         progress = Progress(
             arrived_ms=arrived_ms,
-            deadline_at_ms=arrived_ms + _get_time_limit_ms(caller_request, route),
+            deadline_at_ms=arrived_ms + get_time_limit_ms(caller_request, route),
         )
-        service = choose_service(caller_request, route)
+        service = _choose_service(caller_request, route)
         origin = None
         if caller_request.last_event_id is not None and route.resumable:
-            origin = await self._async_find_origin(caller_request, route, service)
+            origin = await async_find_origin(
+                streams=self._context.streams,
+                clock=self._context.app.clock,
+                journal=self._context.journal,
+                request=caller_request,
+                route=route,
+                service=service,
+            )
             if origin is None:
                 return self._refuse(
                     caller_request,
@@ -268,28 +274,6 @@
             self._record_end(caller_request, routed, progress, status)
         return response
 
-    async def _async_find_origin(
-        self, caller_request: CallerRequest, route: Route, service: str
-    ) -> StreamOrigin | None:
-        """Return where the stream that a caller takes up may go on, None if nowhere."""
-        streams = self._context.streams
-        began_as = caller_request.resumes or ""
-        services = [target.service for target in route.targets]
-        started_ms = self._context.app.clock.now_ms()
-        origin = await streams.async_find(began_as, service=service, services=services)
-        self._context.journal.record(
-            StreamTakenUp(
-                request_id=caller_request.request_id,
-                began_as=began_as,
-                last_event=read_event_number(caller_request.last_event_id),
-                service=service if origin is None else origin.service,
-                version="" if origin is None else origin.version,
-                goes_on=origin is not None,
-                took_ms=self._context.app.clock.now_ms() - started_ms,
-            )
-        )
-        return origin
-
     def _refuse(
         self,
         caller_request: CallerRequest,
@@ -401,25 +385,8 @@
         )
 
 
-def choose_service(caller_request: CallerRequest, route: Route) -> str:
+def _choose_service(caller_request: CallerRequest, route: Route) -> str:
     """Return the service for a request; a split route keeps equal prompts on one service."""
-    if len(route.targets) == 1:
-        return route.targets[0].service
     if caller_request.prompt is not None and caller_request.prompt.shared:
-        seed = caller_request.prompt.shared[-1].part.to_bytes(8, "little")
-    else:
-        seed = caller_request.request_id.encode()
-    total = sum(target.weight for target in route.targets)
-    point = xxhash.xxh3_64_intdigest(seed) / 2**64 * total
-    for target in route.targets:
-        point -= target.weight
-        if point < 0:
-            return target.service
-    return route.targets[-1].service
-
-
-def _get_time_limit_ms(caller_request: CallerRequest, route: Route) -> int:
-    """Return the time limit: the caller's deadline, bounded by the route's timeout."""
-    if caller_request.deadline_ms is None:
-        return route.timeout_ms
-    return min(caller_request.deadline_ms, route.timeout_ms + RESPONSE_MARGIN_MS)
+        return route.choose_service(caller_request.prompt.shared[-1].part.to_bytes(8, "little"))
+    return route.choose_service(caller_request.request_id.encode())
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -17,12 +17,7 @@
 )
 from gypsumrouter.forwarding.cap_loads import CapLoads
 from gypsumrouter.forwarding.const import SOURCE_RESPONSE
-from gypsumrouter.forwarding.eligibility import (
-    NO_UPSTREAM,
-    VERSION_GONE,
-    Eligibility,
-    PlacementRefusal,
-)
+from gypsumrouter.forwarding.eligibility import NO_UPSTREAM, Eligibility, PlacementRefusal
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.load_reports import LoadReports
 from gypsumrouter.forwarding.loads import LoadTracker
@@ -186,10 +181,7 @@
         members = self._by_service.get(service)
         if not members:
             return NO_UPSTREAM
-        allowed = _list_versioned(members.values(), version)
-        if not allowed:
-            return VERSION_GONE
-        entries = self._eligibility.select(allowed, excluded=excluded)
+        entries = self._eligibility.select(members.values(), excluded=excluded, version=version)
         if isinstance(entries, PlacementRefusal):
             return entries
         loads = self.loads.get_all(members, now_ms=now_ms)
@@ -454,7 +446,3 @@
             self.uneven_load.forget(entry.incarnation)
         else:
             self._removed_ms.pop(entry.incarnation, None)
-
-
-def _list_versioned(entries: Iterable[Entry], version: str | None) -> Collection[Entry]:
-    return [entry for entry in entries if version is None or entry.version == version]
--- a/gypsumrouter/forwarding/progress.py
+++ b/gypsumrouter/forwarding/progress.py
@@ -1,10 +1,17 @@
-"""State of one request while it is forwarded."""
+"""State of one request while it is forwarded, and the time that it has left."""
 
 from __future__ import annotations
 
 from msgspec import Struct, field
 
-from gypsumrouter.forwarding.models import CompleteResponse
+from gypsumrouter.forwarding.const import (
+    MIN_RESPONSE_TIMEOUT_MS,
+    RESPONSE_MARGIN_MS,
+    RESPONSE_TIMEOUT_FACTOR,
+)
+from gypsumrouter.forwarding.models import CallerRequest, CompleteResponse
+from gypsumrouter.routing import Route
+from gypsumrouter.util.clock import Clock
 
 
 class Progress(Struct, kw_only=True):
@@ -32,3 +39,46 @@
     outcome: str = ""
     in_flight: bool = False
     fallback_response: CompleteResponse | None = None
+
+
+class TimeLimits:
+    """The times that the attempts of a request may take, in milliseconds."""
+
+    __slots__ = ("_clock", "_progress", "_route")
+
+    def __init__(self, *, clock: Clock, route: Route, progress: Progress) -> None:
+        self._clock = clock
+        self._route = route
+        self._progress = progress
+
+    @property
+    def remaining_ms(self) -> int:
+        """Return the time left to the deadline, less the margin for the response."""
+        return self._progress.deadline_at_ms - self._clock.now_ms() - RESPONSE_MARGIN_MS
+
+    @property
+    def target_ms(self) -> int:
+        """Return the time left to the target latency, or to the deadline if that has passed."""
+        target_ms = self._route.target_latency_ms
+        waited_ms = self._clock.now_ms() - self._progress.arrived_ms
+        if waited_ms >= target_ms:
+            return self.remaining_ms
+        return min(self.remaining_ms, target_ms - waited_ms)
+
+    @property
+    def response_timeout_ms(self) -> int | None:
+        """Return the timeout after which the request is retried, None if it must not be."""
+        route = self._route
+        if not route.repeatable or len(self._progress.possibly_ran_on) + 1 >= route.max_attempts:
+            return None
+        timeout_ms = max(
+            MIN_RESPONSE_TIMEOUT_MS, int(route.target_latency_ms * RESPONSE_TIMEOUT_FACTOR)
+        )
+        return max(1, min(timeout_ms, self.remaining_ms // 2))
+
+
+def get_time_limit_ms(caller_request: CallerRequest, route: Route) -> int:
+    """Return the time limit of a request: its deadline, bounded by the route's timeout."""
+    if caller_request.deadline_ms is None:
+        return route.timeout_ms
+    return min(caller_request.deadline_ms, route.timeout_ms + RESPONSE_MARGIN_MS)
--- a/gypsumrouter/forwarding/stream_pin.py
+++ b/gypsumrouter/forwarding/stream_pin.py
@@ -1,11 +1,14 @@
-"""The version that a stream is bound to while its request is forwarded."""
+"""Where a stream that its caller takes up may go on, and the version that a stream is bound to."""
 
 from __future__ import annotations
 
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.models import CallerRequest
+from gypsumrouter.forwarding.request_journal import read_event_number
+from gypsumrouter.journal import Journal, StreamTakenUp
 from gypsumrouter.routing import Route
 from gypsumrouter.streams import StreamOrigin, StreamOrigins
+from gypsumrouter.util.clock import Clock
 
 
 class StreamPin:
@@ -65,3 +68,34 @@
             self._streams.note_complete(self._request_id, self._origin)
         else:
             self._streams.note_broken(self._request_id, self._origin)
+
+
+async def async_find_origin(
+    *,
+    streams: StreamOrigins,
+    clock: Clock,
+    journal: Journal,
+    request: CallerRequest,
+    route: Route,
+    service: str,
+) -> StreamOrigin | None:
+    """Return where the stream that a caller takes up may go on, None if nowhere.
+
+    `service` is the one that the request goes to if nobody knows the stream.
+    """
+    began_as = request.resumes or ""
+    services = [target.service for target in route.targets]
+    started_ms = clock.now_ms()
+    origin = await streams.async_find(began_as, service=service, services=services)
+    journal.record(
+        StreamTakenUp(
+            request_id=request.request_id,
+            began_as=began_as,
+            last_event=read_event_number(request.last_event_id),
+            service=service if origin is None else origin.service,
+            version="" if origin is None else origin.version,
+            goes_on=origin is not None,
+            took_ms=clock.now_ms() - started_ms,
+        )
+    )
+    return origin
--- a/gypsumrouter/routing/models.py
+++ b/gypsumrouter/routing/models.py
@@ -4,6 +4,7 @@
 
 from enum import StrEnum
 
+import xxhash
 from msgspec import Struct
 
 
@@ -54,6 +55,18 @@
         """Return whether responses are event streams."""
         return self.kind is RouteKind.STREAMING
 
+    def choose_service(self, seed: bytes) -> str:
+        """Return the service for a request; equal seeds have the same one."""
+        if len(self.targets) == 1:
+            return self.targets[0].service
+        total = sum(target.weight for target in self.targets)
+        point = xxhash.xxh3_64_intdigest(seed) / 2**64 * total
+        for target in self.targets:
+            point -= target.weight
+            if point < 0:
+                return target.service
+        return self.targets[-1].service
+
 
 class EngineCapacity(Struct, frozen=True, kw_only=True):
     """Capacity of a service's model engines: concurrent requests, and the cache in tokens."""
