--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -28,6 +28,7 @@
     "placement-cost": "bench.placement_cost",
     "shares-cost": "bench.shares_cost",
     "queue-cost": "bench.queue_cost",
+    "streams-cost": "bench.streams_cost",
     "journal": "bench.journal_cost",
     "soak": "bench.soak",
     "ablate": "bench.ablate",
