--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -8,7 +8,7 @@
 
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.directory import Entry
-from gypsumrouter.forwarding.connections import ConnectionPool
+from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
 from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES
 from gypsumrouter.forwarding.models import (
     AttemptOptions,
@@ -83,18 +83,15 @@
         self.sent = False
 
     async def async_connect(
-        self, *, repeatable: bool, verify_start: bool = False
+        self, *, repeatable: bool, start_check: StartCheck = StartCheck.NEVER
     ) -> Unreachable | None:
-        """Acquire a connection without sending the request.
-
-        With `verify_start`, it leads to the start of the upstream that the list states.
-        """
+        """Acquire a connection without sending the request."""
         try:
             pooled = await self._pool.async_acquire(
                 self.entry,
                 repeatable=repeatable,
                 timeout_ms=self.options.deadline_ms,
-                verify_start=verify_start,
+                start_check=start_check,
             )
         except ConnectFailed as error:
             return Unreachable(reason=str(error), refused=error.refused)
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from enum import Enum, auto
 from typing import Final
 
 from msgspec import Struct
@@ -42,6 +43,18 @@
 ReadStart = Callable[[HttpConnection], Awaitable[int]]
 
 
+class StartCheck(Enum):
+    """How far the start of an upstream that its entry states is trusted for a request.
+
+    An upstream that has started anew under its id may not be listed yet. IF_LOST: trusted unless a
+    connection to the upstream was lost since; ALWAYS: not trusted.
+    """
+
+    NEVER = auto()
+    IF_LOST = auto()
+    ALWAYS = auto()
+
+
 class PooledConnection(Struct, frozen=True, kw_only=True):
     """A connection for one exchange; `reused` is true if it carried an earlier one."""
 
@@ -55,7 +68,7 @@
     Requests that must not be repeated always get a new connection if `reuse_for_all` is false.
     """
 
-    __slots__ = ("_app", "_idle", "_opened", "_read_start", "_reuse_for_all")
+    __slots__ = ("_app", "_idle", "_lost", "_open", "_opened", "_read_start", "_reuse_for_all")
 
     def __init__(
         self, *, app: Application, read_start: ReadStart, reuse_for_all: bool = True
@@ -64,6 +77,9 @@
         self._read_start = read_start
         self._reuse_for_all = reuse_for_all
         self._idle: dict[str, list[HttpConnection]] = {}
+        # All open connections by incarnation, and the incarnations that lost one unexpectedly.
+        self._open: dict[str, list[HttpConnection]] = {}
+        self._lost: set[str] = set()
         self._opened = app.metrics.counter(
             "gypsumrouter_upstream_connections_total", "Connections opened to upstreams"
         )
@@ -75,21 +91,57 @@
         app.on_stop(self._async_stop)
 
     async def async_acquire(
-        self, entry: Entry, *, repeatable: bool, timeout_ms: int, verify_start: bool = False
+        self,
+        entry: Entry,
+        *,
+        repeatable: bool,
+        timeout_ms: int,
+        start_check: StartCheck = StartCheck.NEVER,
     ) -> PooledConnection:
         """Return an idle or a new connection; raises ConnectFailed.
 
         The upstream may be closing a connection that has been idle for long. A request that must
         not be repeated therefore gets only a connection that was used recently.
 
-        An upstream that has started anew under its id may not be listed yet. With `verify_start`, a
-        connection is returned only if the upstream states the start in its entry, if that has one.
+        With a `start_check`, the connection leads to the start of the upstream that its entry
+        states, if it states one.
         """
         pooled = await self._async_acquire(entry, repeatable=repeatable, timeout_ms=timeout_ms)
-        if verify_start and entry.started_ms:
+        if entry.started_ms and self._needs_check(entry, pooled.connection, start_check):
             await self._async_verify_start(entry, pooled.connection, timeout_ms=timeout_ms)
         return pooled
 
+    def _needs_check(
+        self, entry: Entry, connection: HttpConnection, start_check: StartCheck
+    ) -> bool:
+        """Return whether it has to be verified which start a connection leads to.
+
+        All connections break when an upstream ends. So a new one leads to the same start as one
+        that is still open.
+        """
+        if connection.peer_started_ms is not None:
+            return connection.peer_started_ms != entry.started_ms
+        others = self._list_open(entry.incarnation)
+        if any(other.peer_started_ms == entry.started_ms for other in others):
+            connection.peer_started_ms = entry.started_ms
+            return False
+        match start_check:
+            case StartCheck.NEVER:
+                return False
+            case StartCheck.IF_LOST:
+                return entry.incarnation in self._lost
+            case StartCheck.ALWAYS:
+                return True
+
+    def _list_open(self, incarnation: str) -> list[HttpConnection]:
+        """Return the open connections to an incarnation, and note whether others were lost."""
+        known = self._open.get(incarnation, [])
+        if any(connection.lost_unexpectedly for connection in known):
+            self._lost.add(incarnation)
+        still_open = [connection for connection in known if connection.open]
+        self._open[incarnation] = still_open
+        return still_open
+
     async def _async_verify_start(
         self, entry: Entry, connection: HttpConnection, *, timeout_ms: int
     ) -> None:
@@ -108,6 +160,7 @@
         if connection.peer_started_ms not in (NOT_STATED, entry.started_ms):
             connection.close()
             raise ConnectFailed("another start of the upstream has its address")
+        self._lost.discard(entry.incarnation)
 
     async def _async_acquire(
         self, entry: Entry, *, repeatable: bool, timeout_ms: int
@@ -129,6 +182,7 @@
             address=entry.address, timeout_ms=min(CONNECT_TIMEOUT_MS, max(1, timeout_ms))
         )
         self._opened.inc()
+        self._list_open(entry.incarnation).append(connection)
         return PooledConnection(connection=connection, reused=False)
 
     def release(self, entry: Entry, connection: HttpConnection) -> None:
@@ -144,6 +198,9 @@
     def close_expired(self) -> None:
         """Close connections that were idle for too long; to be called about once a second."""
         now_ms = self._app.clock.now_ms()
+        for incarnation in tuple(self._open):
+            if not self._list_open(incarnation):
+                del self._open[incarnation]
         for upstream, idle in tuple(self._idle.items()):
             kept = [connection for connection in idle if _is_usable(connection, now_ms)]
             for connection in idle:
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -248,7 +248,7 @@
 
     async def _async_send(self, attempt: Attempt) -> Outcome:
         failed = await attempt.async_connect(
-            repeatable=self._routed.route.repeatable, verify_start=self._stream.needs_version
+            repeatable=self._routed.route.repeatable, start_check=self._stream.start_check
         )
         if failed is not None:
             return failed
--- a/gypsumrouter/forwarding/stream_pin.py
+++ b/gypsumrouter/forwarding/stream_pin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from gypsumrouter.directory import Entry
+from gypsumrouter.forwarding.connections import StartCheck
 from gypsumrouter.forwarding.models import CallerRequest
 from gypsumrouter.forwarding.request_journal import read_event_number
 from gypsumrouter.journal import Journal, StreamTakenUp
@@ -45,9 +46,13 @@
         return None if self._origin is None else self._origin.version
 
     @property
-    def needs_version(self) -> bool:
-        """Return whether the version that the upstream really has matters."""
-        return self._resumable
+    def start_check(self) -> StartCheck:
+        """Return how far the list is trusted as to the version of the current upstream."""
+        if not self._resumable or self.entry is None:
+            return StartCheck.NEVER
+        if self._streams.versions.get_only_version(self.entry.service) is None:
+            return StartCheck.ALWAYS
+        return StartCheck.IF_LOST
 
     def note_begun(self) -> None:
         """Bind the stream to the upstream of the current attempt, whose first event has arrived."""
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -89,6 +89,7 @@
         "_bodiless",
         "_body",
         "_broken",
+        "_expects_close",
         "_parsing",
         "_responses",
         "_waiter",
@@ -96,6 +97,7 @@
         "exchanges",
         "idle_since_ms",
         "keep_alive_ms",
+        "lost_unexpectedly",
         "peer_started_ms",
     )
 
@@ -106,15 +108,23 @@
         self.idle_since_ms = 0
         # Idle timeout that the peer announced in its Keep-Alive header, if any.
         self.keep_alive_ms: int | None = None
+        # Whether the peer closed or reset it without having announced that.
+        self.lost_unexpectedly = False
         # When the process at the other end started, None if it was not asked.
         self.peer_started_ms: int | None = None
         self._responses: deque[HttpResponse] = deque()
         self._body: StreamReader | None = None
         self._bodiless = False
+        self._expects_close = False
         self._broken: str | None = None
         self._parsing = False
         self._waiter: asyncio.Future[None] | None = None
 
+    @property
+    def open(self) -> bool:
+        """Return whether the connection is open."""
+        return self._broken is None
+
     @property
     def reusable(self) -> bool:
         """Return whether the last exchange is complete and the connection is open and clean."""
@@ -177,6 +187,7 @@
 
     def close(self) -> None:
         """Abort the connection."""
+        self._expects_close = True
         self._mark_broken("closed")
         if self.transport is not None:
             self.transport.abort()
@@ -198,6 +209,7 @@
         for message, body in messages:
             response = HttpResponse(message=message, body=body, bodiless=self._bodiless)
             self._responses.append(response)
+            self._expects_close = self._expects_close or message.should_close
             self._body = body
         if upgraded or tail:
             self._invalidate("bytes after the answer")
@@ -226,6 +238,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Complete or fail the body that is being read."""
         super().connection_lost(None)
+        self.lost_unexpectedly = exc is not None or not self._expects_close
         self._end_body(exc)
         self._mark_broken("closed by the peer" if exc is None else f"reset: {type(exc).__name__}")
 
--- a/gypsumrouter/peers/streams.py
+++ b/gypsumrouter/peers/streams.py
@@ -38,6 +38,9 @@
 TELL_INTERVAL_MS: Final = 50
 # A router answers within a round trip; one more is needed to open a link to it.
 ASK_TIMEOUT_MS: Final = 150
+# A router that starts asks this often for the versions that it has not observed.
+HISTORY_QUESTIONS: Final = 5
+HISTORY_INTERVAL_MS: Final = 1_000
 MAX_STREAMS_PER_NOTICE: Final = 1_000
 
 SendTo = Callable[[str, Notice], Awaitable[bool]]
@@ -73,6 +76,13 @@
     def async_start(self) -> None:
         """Start to tell other routers of streams."""
         self._app.async_create_task(self._async_run(), "tell streams")
+        self._app.async_create_task(self._async_complete_history(), "ask for versions")
+
+    async def _async_complete_history(self) -> None:
+        """Ask what this process could not observe, a few times after its start."""
+        for _ in range(HISTORY_QUESTIONS):
+            await self._app.clock.async_sleep(HISTORY_INTERVAL_MS)
+            await self._origins.async_complete_history()
 
     async def async_ask(self, *, stream: int, service: str) -> tuple[OriginView, ...]:
         """Return what other routers say of a stream; ends as soon as one of them knows it."""
--- a/gypsumrouter/streams/origins.py
+++ b/gypsumrouter/streams/origins.py
@@ -24,6 +24,8 @@
 from gypsumrouter.streams.versions import STREAM_RETENTION_MS, VersionHistory
 
 MAX_STREAMS: Final = 100_000
+# The digest that no stream has, for questions about a service only.
+NO_STREAM: Final = 0
 # Most streams of a few events end within this time, and nobody needs to know of them.
 TELL_DELAY_MS: Final = 50
 LABELS_GOES_ON: Final = (("decision", "goes_on"),)
@@ -159,6 +161,17 @@
         self._resolved.inc(labels=LABELS_REFUSED if origin is None else LABELS_GOES_ON)
         return origin
 
+    async def async_complete_history(self) -> None:
+        """Ask other routers about the services whose versions this one has not observed."""
+        if self._peers is None:
+            return
+        for service in self.versions.list_incomplete():
+            views = await self._peers.async_ask(stream=NO_STREAM, service=service)
+            digest = decide_origin(views)
+            origin = None if digest is None else self._match(digest, (service,))
+            if origin is not None and self.versions.list_versions(service) == {origin.version}:
+                self.versions.note_vouched(service)
+
     def _match(self, digest: int, services: Collection[str]) -> StreamOrigin | None:
         """Return the origin with a digest among the versions of these services."""
         for service in services:
--- a/gypsumrouter/streams/versions.py
+++ b/gypsumrouter/streams/versions.py
@@ -21,7 +21,8 @@
     """Observes the list of upstreams.
 
     The history has a gap where the list was older than `MAX_LIST_AGE_MS`: a version may have come
-    and gone unseen. `first_start` means that no stream can be older than this process.
+    and gone unseen. `first_start` means that no stream can be older than this process. A router
+    that starts later takes the word of another one for the time before.
     """
 
     __slots__ = (
@@ -31,6 +32,7 @@
         "_last_seen_ms",
         "_present",
         "_since_ms",
+        "_vouched",
     )
 
     def __init__(
@@ -49,6 +51,8 @@
         # When an upstream of a service and version was last listed, for those that left.
         self._last_seen_ms: dict[tuple[str, str], int] = {}
         self._since_ms: int | None = ALWAYS_MS if first_start else None
+        # Services of which another router has observed what this one has not.
+        self._vouched: set[str] = set()
         directory.on_change(self._handle_entry)
 
     def update(self) -> None:
@@ -58,6 +62,7 @@
             return
         if self._get_list_age_ms() > MAX_LIST_AGE_MS or self._since_ms is None:
             self._since_ms = now_ms
+            self._vouched.clear()
         expired_ms = now_ms - STREAM_RETENTION_MS
         for key, seen_ms in tuple(self._last_seen_ms.items()):
             if seen_ms < expired_ms:
@@ -74,15 +79,31 @@
         }
         return listed | left
 
-    def is_complete(self) -> bool:
+    def is_complete(self, service: str) -> bool:
         """Return whether all versions of the retention time were observed, up to now."""
         if self._since_ms is None or self._get_list_age_ms() > MAX_LIST_AGE_MS:
             return False
+        if service in self._vouched:
+            return True
         return self._since_ms <= self._clock.now_ms() - STREAM_RETENTION_MS
 
+    def list_incomplete(self) -> list[str]:
+        """Return the services with one version that may have had others."""
+        services = {service for service, _ in self._present.values()}
+        return [
+            service
+            for service in sorted(services)
+            if not self.is_complete(service) and len(self.list_versions(service)) == 1
+        ]
+
+    def note_vouched(self, service: str) -> None:
+        """Record that another router has seen no other version than those known here."""
+        if self._since_ms is not None and self._get_list_age_ms() <= MAX_LIST_AGE_MS:
+            self._vouched.add(service)
+
     def get_only_version(self, service: str) -> str | None:
         """Return the one version that a service has had, None if there may have been others."""
-        if not self.is_complete():
+        if not self.is_complete(service):
             return None
         versions = self.list_versions(service)
         return versions.pop() if len(versions) == 1 else None
--- a/tests/forwarding/test_forwarding_stream_versions.py
+++ b/tests/forwarding/test_forwarding_stream_versions.py
@@ -243,6 +243,51 @@
     assert not versions.arrivals("again")
 
 
+async def test_start_that_the_list_does_not_show_is_noticed_by_its_lost_connections(
+    versions: VersionedWorld, session: Session
+) -> None:
+    for runner in versions.list_of("v2"):
+        await versions.store.async_remove(f"servers/{runner.name}")
+    for number, runner in enumerate(versions.list_of("v1")):
+        await async_restart(versions, runner, started_ms=1_700_000_000_000 + number)
+    await versions.async_end(versions.product)
+    product = await versions.async_start_forwarder("entry-7")
+    await versions.async_until(lambda: product.is_ready() and count_starts(versions) == 2)
+    received = await versions.async_begin(session, "begun", "v1")
+    assert dump(product)["streams"]["single_version"]["models"] == "v1"
+    for number in range(8):
+        prompt = {**PROMPT, "X-Prefix-Hash": f"a1:800,b{number}:400,c3:200"}
+        await versions.async_call(
+            session, "POST", "/quote/a", f"r{number}", body=b"p", extra=prompt
+        )
+    assert all(runner.ran for runner in versions.models[:2])
+    for runner in versions.list_of("v1"):
+        runner.listener.reset_connections()
+        runner.started_ms += 5_000
+        runner.version = "v2"
+    await versions.async_until(lambda: not versions.list_of("v1"))
+    status, body, _ = await versions.async_take_up(
+        session, "again", began_as="begun", received=received
+    )
+    assert status == NOT_RUN, body
+    assert not versions.arrivals("again")
+
+
+async def test_upstream_is_asked_for_its_start_once_while_connections_to_it_stay_open(
+    versions: VersionedWorld, session: Session
+) -> None:
+    for number, runner in enumerate(versions.models):
+        await async_restart(versions, runner, started_ms=1_700_000_000_000 + number)
+    await versions.async_until(lambda: count_starts(versions) == 4)
+    for number in range(40):
+        prompt = {**PROMPT, "X-Prefix-Hash": f"a1:800,b{number % 8}:400,c3:200"}
+        await versions.async_call(
+            session, "POST", "/quote/a", f"r{number}", body=b"p", extra=prompt
+        )
+    used = [runner for runner in versions.models if runner.ran]
+    assert sum(runner.report_calls for runner in versions.models) == len(used) > 0
+
+
 async def test_router_whose_list_is_old_does_not_guess_the_version(
     versions: VersionedWorld, session: Session
 ) -> None:
--- a/tests/peers/test_peers_streams.py
+++ b/tests/peers/test_peers_streams.py
@@ -171,3 +171,30 @@
     await fleet.async_stop(*(router.address for router in others))
     await fleet.async_advance(TOLD_MS)
     assert await alone.async_find("unknown") is None
+
+
+async def test_router_that_starts_again_takes_the_word_of_others_for_the_time_before(
+    make_fleet: MakeFleet,
+) -> None:
+    fleet = make_fleet(4, "v1")
+    address = next(iter(fleet.routers))
+    await fleet.async_stop(address)
+    started = fleet.start(address)
+    await fleet.async_advance(2_000)
+    assert started.origins.versions.get_only_version("models") == "v1"
+    # Its word alone suffices for one that starts after the loss of all others.
+    await fleet.async_stop(*list(fleet.routers)[1:])
+    last = fleet.start("10.0.0.9:80")
+    await fleet.async_advance(2_000)
+    assert await last.async_find("unknown") == "v1"
+
+
+async def test_version_that_others_have_seen_leave_is_not_overlooked(make_fleet: MakeFleet) -> None:
+    fleet = make_fleet(4, "v1", "v2")
+    address = next(iter(fleet.routers))
+    await fleet.async_stop(address)
+    fleet.list_upstream("i-1", "v2", EntryState.GONE)
+    started = fleet.start(address)
+    await fleet.async_advance(3_000)
+    assert started.origins.versions.get_only_version("models") is None
+    assert await started.async_find("unknown") is None
