--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -128,10 +128,10 @@
         match start_check:
             case StartCheck.NEVER:
                 return False
-            case StartCheck.IF_LOST:
-                return entry.incarnation in self._lost
-            case StartCheck.ALWAYS:
-                return True
+            case StartCheck.IF_LOST if entry.incarnation not in self._lost:
+                connection.peer_started_ms = entry.started_ms
+                return False
+        return True
 
     def _list_open(self, incarnation: str) -> list[HttpConnection]:
         """Return the open connections to an incarnation, and note whether others were lost."""
--- a/gypsumrouter/forwarding/stream_pin.py
+++ b/gypsumrouter/forwarding/stream_pin.py
@@ -50,9 +50,10 @@
         """Return how far the list is trusted as to the version of the current upstream."""
         if not self._resumable or self.entry is None:
             return StartCheck.NEVER
-        if self._streams.versions.get_only_version(self.entry.service) is None:
-            return StartCheck.ALWAYS
-        return StartCheck.IF_LOST
+        versions = self._streams.versions
+        if versions.list_is_current and len(versions.list_versions(self.entry.service)) == 1:
+            return StartCheck.IF_LOST
+        return StartCheck.ALWAYS
 
     def note_begun(self) -> None:
         """Bind the stream to the upstream of the current attempt, whose first event has arrived."""
--- a/gypsumrouter/streams/versions.py
+++ b/gypsumrouter/streams/versions.py
@@ -60,7 +60,7 @@
         now_ms = self._clock.now_ms()
         if not self._directory.loaded.is_set():
             return
-        if self._get_list_age_ms() > MAX_LIST_AGE_MS or self._since_ms is None:
+        if self._since_ms is None or not self.list_is_current:
             self._since_ms = now_ms
             self._vouched.clear()
         expired_ms = now_ms - STREAM_RETENTION_MS
@@ -68,6 +68,11 @@
             if seen_ms < expired_ms:
                 del self._last_seen_ms[key]
 
+    @property
+    def list_is_current(self) -> bool:
+        """Return whether the list was confirmed recently."""
+        return self._get_list_age_ms() <= MAX_LIST_AGE_MS
+
     def list_versions(self, service: str) -> set[str]:
         """Return the versions that a service has, or has had while a stream was able to begin."""
         expired_ms = self._clock.now_ms() - STREAM_RETENTION_MS
@@ -81,7 +86,7 @@
 
     def is_complete(self, service: str) -> bool:
         """Return whether all versions of the retention time were observed, up to now."""
-        if self._since_ms is None or self._get_list_age_ms() > MAX_LIST_AGE_MS:
+        if self._since_ms is None or not self.list_is_current:
             return False
         if service in self._vouched:
             return True
@@ -98,7 +103,7 @@
 
     def note_vouched(self, service: str) -> None:
         """Record that another router has seen no other version than those known here."""
-        if self._since_ms is not None and self._get_list_age_ms() <= MAX_LIST_AGE_MS:
+        if self._since_ms is not None and self.list_is_current:
             self._vouched.add(service)
 
     def get_only_version(self, service: str) -> str | None:
