--- a/gypsumrouter/forwarding/stream_pin.py
+++ b/gypsumrouter/forwarding/stream_pin.py
@@ -89,14 +89,13 @@
 
     `service` is the one that the request goes to if nobody knows the stream.
     """
-    began_as = request.resumes or ""
     services = [target.service for target in route.targets]
     started_ms = clock.now_ms()
-    origin = await streams.async_find(began_as, service=service, services=services)
+    origin = await streams.async_find(request.resumes, service=service, services=services)
     journal.record(
         StreamTakenUp(
             request_id=request.request_id,
-            began_as=began_as,
+            began_as=request.resumes or "",
             last_event=read_event_number(request.last_event_id),
             service=service if origin is None else origin.service,
             version="" if origin is None else origin.version,
--- a/gypsumrouter/streams/origins.py
+++ b/gypsumrouter/streams/origins.py
@@ -145,22 +145,32 @@
         return OneVersion(origin=make_origin_digest(StreamOrigin(service=service, version=only)))
 
     async def async_find(
-        self, request_id: str, *, service: str, services: Collection[str]
+        self, request_id: str | None, *, service: str, services: Collection[str]
     ) -> StreamOrigin | None:
         """Return the origin at which a stream may go on, None if that would be a guess.
 
         The stream may have begun at any of `services`; `service` is the one that its request goes
-        to if nobody knows the stream.
+        to if nobody knows the stream. A caller that doesn't name its stream, as `request_id`, does
+        not expect several versions: it goes on unless some router has seen them.
         """
-        stream = make_stream_digest(request_id)
+        stream = NO_STREAM if request_id is None else make_stream_digest(request_id)
         views: tuple[OriginView, ...] = (self.get_view(stream=stream, service=service),)
         if not isinstance(views[0], Known) and self._peers is not None:
             views += await self._peers.async_ask(stream=stream, service=service)
         digest = decide_origin(views)
         origin = None if digest is None else self._match(digest, services)
+        if request_id is None and SeveralVersions() not in views:
+            origin = self._get_present_origin(service)
         self._resolved.inc(labels=LABELS_REFUSED if origin is None else LABELS_GOES_ON)
         return origin
 
+    def _get_present_origin(self, service: str) -> StreamOrigin | None:
+        """Return the origin of new streams of a service that has one version."""
+        versions = self.versions.list_versions(service)
+        if len(versions) != 1:
+            return None
+        return StreamOrigin(service=service, version=versions.pop())
+
     async def async_complete_history(self) -> None:
         """Ask other routers about the services whose versions this one has not observed."""
         if self._peers is None:
--- a/tests/peers/stream_fleet.py
+++ b/tests/peers/stream_fleet.py
@@ -84,7 +84,7 @@
         """Begin a stream at a version."""
         self.origins.note_begun(request_id, StreamOrigin(service=SERVICE, version=version))
 
-    async def async_find(self, request_id: str) -> str | None:
+    async def async_find(self, request_id: str | None) -> str | None:
         """Return the version at which a stream may go on, None if it is refused."""
         origin = await self.origins.async_find(request_id, service=SERVICE, services=[SERVICE])
         return None if origin is None else origin.version
--- a/tests/peers/test_peers_streams.py
+++ b/tests/peers/test_peers_streams.py
@@ -198,3 +198,18 @@
     await fleet.async_advance(3_000)
     assert started.origins.versions.get_only_version("models") is None
     assert await started.async_find("unknown") is None
+
+
+@pytest.mark.parametrize(("versions", "expected"), [(("v1", "v1"), "v1"), (("v1", "v2"), None)])
+async def test_stream_that_is_not_named_goes_on_unless_there_are_several_versions(
+    make_fleet: MakeFleet, versions: tuple[str, ...], expected: str | None
+) -> None:
+    fleet = make_fleet(3, *versions)
+    asker = next(iter(fleet.routers.values()))
+    assert await asker.async_find(None) == expected
+    await fleet.async_stop()
+    for address in tuple(fleet.routers):
+        fleet.start(address)
+    await fleet.async_advance(TOLD_MS)
+    asker = next(iter(fleet.routers.values()))
+    assert await asker.async_find(None) == expected
