--- a/tests/forwarding/test_forwarding_stream_versions.py
+++ b/tests/forwarding/test_forwarding_stream_versions.py
@@ -361,3 +361,32 @@
 
 def count_starts(world: VersionedWorld) -> int:
     return sum(1 for entry in list_entries(world) if entry["born_ms"])
+
+
+@pytest.mark.parametrize(("split", "status"), [(False, NOT_RUN), (True, 200)])
+async def test_stream_of_a_moved_route_goes_on_at_the_service_that_began_it_or_not_at_all(
+    versions: VersionedWorld, session: Session, split: bool, status: int
+) -> None:
+    received = await versions.async_begin(session, "r1", "v1")
+    targets = [{"service": "models-b", "weight": 99}]
+    if split:
+        targets.append({"service": "models", "weight": 1})
+    for number in (0, 1):
+        runner = PlatformRunner(name=f"i-models-b-{number}", events=6, version="v1")
+        versions.models.append(runner)
+        versions.addresses[runner.name] = await runner.async_start()
+        await versions.async_put_entry(runner, service="models-b")
+    moved = make_configuration(version=2)
+    for route in moved["routes"]:
+        if route["name"] == "quote":
+            del route["service"]
+            route["split"] = targets
+    moved["services"].append({"name": "models-b", "engine": {"slots": 64}})
+    await versions.store.async_put_configuration(moved)
+    await versions.async_until(lambda: dump(versions.product)["routing"]["version"] == 2)
+    answered, body, _ = await versions.async_take_up(
+        session, "again", began_as="r1", received=received
+    )
+    assert answered == status
+    assert not [a for r in versions.models[4:] for a in r.arrivals if a.request_id == "again"]
+    assert list_versions(body) <= {b"v1"}
