--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -47,12 +47,14 @@
     """How far the start of an upstream that its entry states is trusted for a request.
 
     An upstream that has started anew under its id may not be listed yet. IF_LOST: trusted unless a
-    connection to the upstream was lost since; ALWAYS: not trusted.
+    connection to the upstream was lost since; ALWAYS: not trusted, unless another connection is
+    still open; CONFIRMED: the upstream itself has to state it.
     """
 
     NEVER = auto()
     IF_LOST = auto()
     ALWAYS = auto()
+    CONFIRMED = auto()
 
 
 class PooledConnection(Struct, frozen=True, kw_only=True):
@@ -119,6 +121,9 @@
         All connections break when an upstream ends. So a new one leads to the same start as one
         that is still open.
         """
+        if start_check is StartCheck.CONFIRMED and not connection.start_confirmed:
+            connection.peer_started_ms = None
+            return True
         if connection.peer_started_ms is not None:
             return connection.peer_started_ms != entry.started_ms
         others = self._list_open(entry.incarnation)
@@ -156,6 +161,7 @@
             except BaseException:
                 connection.close()
                 raise
+            connection.start_confirmed = True
             connection.finish()
         if connection.peer_started_ms not in (NOT_STATED, entry.started_ms):
             connection.close()
--- a/gypsumrouter/forwarding/stream_pin.py
+++ b/gypsumrouter/forwarding/stream_pin.py
@@ -53,7 +53,7 @@
         versions = self._streams.versions
         if versions.list_is_current and len(versions.list_versions(self.entry.service)) == 1:
             return StartCheck.IF_LOST
-        return StartCheck.ALWAYS
+        return StartCheck.ALWAYS if self._origin is None else StartCheck.CONFIRMED
 
     def note_begun(self) -> None:
         """Bind the stream to the upstream of the current attempt, whose first event has arrived."""
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -99,6 +99,7 @@
         "keep_alive_ms",
         "lost_unexpectedly",
         "peer_started_ms",
+        "start_confirmed",
     )
 
     def __init__(self, *, loop: asyncio.AbstractEventLoop, address: Address) -> None:
@@ -110,8 +111,9 @@
         self.keep_alive_ms: int | None = None
         # Whether the peer closed or reset it without having announced that.
         self.lost_unexpectedly = False
-        # When the process at the other end started, None if it was not asked.
+        # When the process at the other end started, None if unknown, and whether it said so itself.
         self.peer_started_ms: int | None = None
+        self.start_confirmed = False
         self._responses: deque[HttpResponse] = deque()
         self._body: StreamReader | None = None
         self._bodiless = False
