--- a/bench/soak_rig.py
+++ b/bench/soak_rig.py
@@ -45,6 +45,8 @@
 COLD_START_SLACK: Final = 2.0
 # With versions, engines take this long for an event.
 EVENT_PAUSE_S: Final = 0.02
+# Time in which a process that starts anew does not listen.
+RESTART_S: Final = 0.2
 FIRST_VERSIONS: Final = ("v1", "v1", "v2", "v2")
 MAX_IN_COLD_START: Final = COLD_START_PER_S * COLD_START_FACTOR + COLD_START_SLACK
 
@@ -178,9 +180,11 @@
     async def async_restart_engine(self, index: int, version: str, *, listing_s: float) -> None:
         """Start an engine anew under its id at another version; it is listed after a while."""
         engine = self.runners["models"][index]
-        engine.listener.reset_connections()
+        engine.listener.close()
+        await asyncio.sleep(RESTART_S)
         engine.version = version
         engine.started_ms = time.time_ns() // NS_PER_MS
+        await engine.listener.async_open()
         await asyncio.sleep(listing_s)
         if engine in self.runners["models"]:
             await self.async_list_runner("models", engine, state="ready")
