--- a/gypsumrouter/streams/origins.py
+++ b/gypsumrouter/streams/origins.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections import OrderedDict
 from collections.abc import Collection, Iterable
 from typing import Final, Protocol
@@ -24,8 +25,8 @@
 from gypsumrouter.streams.versions import STREAM_RETENTION_MS, VersionHistory
 
 MAX_STREAMS: Final = 100_000
-# The digest that no stream has, for questions about a service only.
-NO_STREAM: Final = 0
+# Bits of the digest of a stream.
+DIGEST_BITS: Final = 64
 # Most streams of a few events end within this time, and nobody needs to know of them.
 TELL_DELAY_MS: Final = 50
 LABELS_GOES_ON: Final = (("decision", "goes_on"),)
@@ -153,7 +154,7 @@
         to if nobody knows the stream. A caller that doesn't name its stream, as `request_id`, does
         not expect several versions: it goes on unless some router has seen them.
         """
-        stream = NO_STREAM if request_id is None else make_stream_digest(request_id)
+        stream = _make_unknown() if request_id is None else make_stream_digest(request_id)
         views: tuple[OriginView, ...] = (self.get_view(stream=stream, service=service),)
         if not isinstance(views[0], Known) and self._peers is not None:
             views += await self._peers.async_ask(stream=stream, service=service)
@@ -176,7 +177,7 @@
         if self._peers is None:
             return
         for service in self.versions.list_incomplete():
-            views = await self._peers.async_ask(stream=NO_STREAM, service=service)
+            views = await self._peers.async_ask(stream=_make_unknown(), service=service)
             digest = decide_origin(views)
             origin = None if digest is None else self._match(digest, (service,))
             if origin is not None and self.versions.list_versions(service) == {origin.version}:
@@ -205,6 +206,11 @@
         }
 
 
+def _make_unknown() -> int:
+    """Return a digest that no stream has, for a question about the versions of a service only."""
+    return random.getrandbits(DIGEST_BITS)
+
+
 def _take_due(untold: dict[int, _Untold], now_ms: int) -> list[BegunStream]:
     due = [(stream, entry) for stream, entry in untold.items() if entry.due_ms <= now_ms]
     for stream, _ in due:
--- a/tests/peers/stream_fleet.py
+++ b/tests/peers/stream_fleet.py
@@ -84,9 +84,9 @@
         """Begin a stream at a version."""
         self.origins.note_begun(request_id, StreamOrigin(service=SERVICE, version=version))
 
-    async def async_find(self, request_id: str | None) -> str | None:
+    async def async_find(self, request_id: str | None, *, service: str = SERVICE) -> str | None:
         """Return the version at which a stream may go on, None if it is refused."""
-        origin = await self.origins.async_find(request_id, service=SERVICE, services=[SERVICE])
+        origin = await self.origins.async_find(request_id, service=service, services=[service])
         return None if origin is None else origin.version
 
 
@@ -120,14 +120,19 @@
             await self.routers[address].app.async_stop()
 
     def list_upstream(
-        self, upstream: str, version: str, state: EntryState = EntryState.READY
+        self,
+        upstream: str,
+        version: str,
+        state: EntryState = EntryState.READY,
+        *,
+        service: str = SERVICE,
     ) -> None:
         """Write an upstream into the list, which all running routers with a new list follow."""
         self._revision += 1
         entry = Entry(
             upstream=upstream,
             state=state,
-            service=SERVICE,
+            service=service,
             version=version,
             address=Address(host="10.1.0.1", port=80),
         )
--- a/tests/peers/test_peers_streams.py
+++ b/tests/peers/test_peers_streams.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -213,3 +214,14 @@
     await fleet.async_advance(TOLD_MS)
     asker = next(iter(fleet.routers.values()))
     assert await asker.async_find(None) == expected
+
+
+async def test_answers_on_one_service_do_not_count_for_another(make_fleet: MakeFleet) -> None:
+    fleet = make_fleet(4, "v1")
+    fleet.list_upstream("i-8", "v1", service="drafts")
+    fleet.list_upstream("i-9", "v2", service="drafts")
+    asker = next(iter(fleet.routers.values()))
+    found = await asyncio.gather(
+        asker.async_find(None), asker.async_find(None, service="drafts"), asker.async_find(None)
+    )
+    assert list(found) == ["v1", None, "v1"]
