--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -84,6 +84,8 @@
         # Pause before each event of a stream, in seconds.
         self.pause_s = 0.0
         self.numbers_events = True
+        # Start of the process at the first request of each connection.
+        self._starts: dict[object, int] = {}
         self.framed = True
         # Sent with each response of a run.
         self.stamp = f"{name}.07.5a2.600.0.c9f2a4d1"
@@ -131,7 +133,14 @@
         self.inventory_calls += 1
         return web.json_response({"epoch": 1, "next": 1, "held": self.inventory})
 
+    def _end_if_restarted(self, request: web.Request) -> None:
+        """Reset a connection that is left of an earlier start; raises CancelledError."""
+        if self._starts.setdefault(request.protocol, self.started_ms) != self.started_ms:
+            _reset_connection(request)
+            raise asyncio.CancelledError
+
     async def _async_get_report(self, request: web.Request) -> web.Response:
+        self._end_if_restarted(request)
         self.report_calls += 1
         return web.json_response({"born": self.started_ms} if self.started_ms else {})
 
@@ -144,6 +153,7 @@
             body=await request.read(),
             at_s=time.monotonic(),
         )
+        self._end_if_restarted(request)
         self.arrivals.append(arrival)
         expected = request.headers.get(names.EXPECT_INSTANCE)
         if expected is not None and expected != self.name:
@@ -236,6 +246,7 @@
         first = int(request.headers.get(names.LAST_EVENT_ID, "0")) + 1
         for number in range(first, self.events + 1):
             await asyncio.sleep(self.pause_s)
+            self._end_if_restarted(request)
             await response.write(self._make_event(number))
             if number != first + 1:
                 continue
