--- a/gypsumrouter/util/body_formats.py
+++ b/gypsumrouter/util/body_formats.py
@@ -46,6 +46,6 @@
     """Return whether a document is valid JSON from its first byte to its last."""
     try:
         msgspec.json.decode(document)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return False
     return True
--- a/tests/util/test_util_body_formats.py
+++ b/tests/util/test_util_body_formats.py
@@ -94,3 +94,7 @@
 )
 def test_json_media_types(content_type: str, expected: bool) -> None:
     assert is_json_media_type(content_type) is expected
+
+
+def test_document_that_is_nested_too_deeply_is_not_complete() -> None:
+    assert not is_complete_json(b"[" * 100_000)
