Sight of requests that are still arriving: states of connections and incomplete bodies

Now connections_closing counts callers' connections by what they do, request_unread names each request that ends before its body is whole, and an aborted drain lists the bytes that had arrived. CallerConnection moves into a module of its own with its state; abort.py joins it. No logic of requests changes.

--- a/gypsumrouter/callers/__init__.py
+++ b/gypsumrouter/callers/__init__.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
-from gypsumrouter.callers.abort import abort_connection
 from gypsumrouter.callers.body import async_read_body, count_head_bytes
+from gypsumrouter.callers.connection import (
+    CallerConnection,
+    ConnectionLimits,
+    ConnectionState,
+    RequestIdGenerator,
+    abort_connection,
+)
 from gypsumrouter.callers.const import (
     CONTENT_TYPE_JSON,
     DEFAULT_RETRY_AFTER_MS,
@@ -24,14 +30,7 @@
     render_error_event,
     round_up_seconds,
 )
-from gypsumrouter.callers.listener import (
-    CallerConnection,
-    CallerListener,
-    CallerServer,
-    ConnectionLimits,
-    Handler,
-    RequestIdGenerator,
-)
+from gypsumrouter.callers.listener import CallerListener, CallerServer, Handler
 from gypsumrouter.callers.memory import MemoryBudget, MemoryReservation
 
 __all__ = [
@@ -46,6 +45,7 @@
     "CallerListener",
     "CallerServer",
     "ConnectionLimits",
+    "ConnectionState",
     "Handler",
     "MemoryBudget",
     "MemoryReservation",
--- /dev/null
+++ b/gypsumrouter/callers/connection.py
@@ -0,0 +1,197 @@
+"""One connection of a caller: its limits, its state, and responses to invalid HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import struct
+from enum import StrEnum
+from typing import Any, Final, Protocol
+
+from aiohttp import http_exceptions, web
+from msgspec import Struct
+
+from gypsumrouter.callers.const import WRITE_BUFFER_BYTES
+from gypsumrouter.callers.errors import (
+    Rejection,
+    make_error_response,
+    reject_field,
+    reject_head_size,
+)
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.outcomes import Failed, Reason
+
+_LOGGER = logging.getLogger(__name__)
+
+# SO_LINGER with a timeout of 0: closing the socket sends RST instead of FIN.
+LINGER_RESET: Final = struct.pack("ii", 1, 0)
+
+
+class RequestIdGenerator(Protocol):
+    """Generates an id for each request."""
+
+    def __call__(self) -> str:
+        """Return a new id."""
+
+
+class ConnectionLimits(Struct, frozen=True, kw_only=True):
+    """Limits of one caller connection, fixed when the connection is opened.
+
+    `first_byte_timeout_ms` limits the time from the opening to the first byte received.
+    `head_timeout_ms` limits the time from the first to the last byte of a request head.
+    `idle_timeout_ms` limits the time between the end of an answer and the next request.
+    """
+
+    max_bytes: int
+    first_byte_timeout_ms: int
+    head_timeout_ms: int
+    idle_timeout_ms: int
+
+
+class ConnectionState(StrEnum):
+    """What a connection is doing.
+
+    IDLE: no byte of a request has arrived since the last answer. HEAD, BODY: a part of a request's
+    head or body has arrived. ANSWERING: its request has arrived whole. DISCARDING: its request is
+    answered, and the rest of its body is read for nothing.
+    """
+
+    IDLE = "idle"
+    HEAD = "head"
+    BODY = "body"
+    ANSWERING = "answering"
+    DISCARDING = "discarding"
+
+
+class CallerConnection(web.RequestHandler):
+    """One connection of a caller; invalid HTTP is answered with a JSON error."""
+
+    __slots__ = ("_generate_request_id", "_head_started", "_head_timer", "_limits")
+
+    def __init__(
+        self,
+        server: web.Server,
+        *,
+        limits: ConnectionLimits,
+        generate_request_id: RequestIdGenerator,
+        **options: Any,
+    ) -> None:
+        super().__init__(server, keepalive_timeout=limits.idle_timeout_ms / MS_PER_S, **options)
+        self._generate_request_id = generate_request_id
+        self._limits = limits
+        self._head_started = False
+        self._head_timer: asyncio.TimerHandle | None = None
+
+    @property
+    def state(self) -> ConnectionState:
+        """Return what the connection is doing."""
+        if self._request_in_progress or self._messages:
+            request = self._current_request
+            arriving = request is not None and not request.content.is_eof()
+            return ConnectionState.BODY if arriving else ConnectionState.ANSWERING
+        if self._is_awaiting_head:
+            return ConnectionState.HEAD if self._head_started else ConnectionState.IDLE
+        return ConnectionState.DISCARDING
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set the write buffer limit and start the timeout for the first byte."""
+        super().connection_made(transport)
+        if isinstance(transport, asyncio.WriteTransport):
+            transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self._start_head_timer(self._limits.first_byte_timeout_ms)
+
+    def data_received(self, data: bytes) -> None:
+        """Start the head timeout at the first byte of a request head."""
+        super().data_received(data)
+        # Data received while no head is awaited belongs to a request body.
+        if self._is_awaiting_head and not self._head_started:
+            self._head_started = True
+            self._start_head_timer(self._limits.head_timeout_ms)
+
+    @property
+    def _is_awaiting_head(self) -> bool:
+        """Return whether the connection waits for a request head or has received part of one."""
+        if self._messages or self._request_in_progress:
+            return False
+        if self._request_count == 0:
+            return True
+        return self._waiter is not None and not self._waiter.done()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancel the timer of the connection."""
+        self.stop_head_timer()
+        super().connection_lost(exc)
+
+    def stop_head_timer(self) -> None:
+        """Cancel the head timeout after a complete head, or when the connection ends."""
+        self._head_started = False
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _start_head_timer(self, limit_ms: int) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._head_timer = loop.call_later(limit_ms / MS_PER_S, self.force_close)
+
+    def close_gracefully(self) -> None:
+        """Close an idle connection now, or a busy one after its current answer.
+
+        `close` of the HTTP library leaves the transport of an idle connection open.
+        """
+        idle = self._is_awaiting_head
+        self.close()
+        if idle and self.transport is not None:
+            self.transport.close()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = 500,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the response to invalid HTTP or to an exception in the request handler."""
+        self.stop_head_timer()
+        request_id = self._generate_request_id()
+        if status >= 500:
+            _LOGGER.error(
+                "Request %s failed with an unexpected exception; responding with an error",
+                request_id,
+                exc_info=exc,
+            )
+        else:
+            _LOGGER.debug(
+                "Request %s is invalid HTTP (%s); responding with an error and closing",
+                request_id,
+                message or exc,
+            )
+        rejection = _reject_http(status, exc)
+        response = make_error_response(rejection=rejection, request_id=request_id)
+        response.force_close()
+        return response
+
+
+def abort_connection(transport: asyncio.Transport | None) -> None:
+    """Reset a connection, so that a truncated answer cannot look complete to the caller."""
+    if transport is None:
+        return
+    # After a close, the file descriptor may have been reused by another connection.
+    connection = None if transport.is_closing() else transport.get_extra_info("socket")
+    if connection is not None:
+        try:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+        except OSError:
+            pass
+    transport.abort()
+
+
+def _reject_http(status: int, exc: BaseException | None) -> Rejection:
+    if status >= 500:
+        failure = Failed(reason=Reason.STOPPED, message="The router failed on this request")
+        return Rejection(failure=failure, status=status)
+    if isinstance(exc, http_exceptions.LineTooLong):
+        return reject_head_size()
+    return reject_field("head", "The request is not valid HTTP", status=status)
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from gypsumrouter.callers import CallerConnection, CallerListener, CallerServer, ConnectionLimits
+from gypsumrouter.callers import CallerListener, CallerServer, ConnectionLimits, ConnectionState
 from gypsumrouter.contention import ContentionControl, WorkspaceShares
 from gypsumrouter.core import Application
 from gypsumrouter.crashes.guard import CrashGuard
@@ -32,7 +32,7 @@
 from gypsumrouter.forwarding.silence import SilenceTracker
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.instances import Address, parse_address
-from gypsumrouter.journal import Journal
+from gypsumrouter.journal import ConnectionsClosing, Journal
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.routing import RoutingStore
 from gypsumrouter.settings import Bounds, ForwarderSettings, Listener
@@ -55,6 +55,7 @@
         "_disabled",
         "_drain",
         "_first_start",
+        "_journal",
         "_listener",
         "_pool",
         "_return_order",
@@ -87,6 +88,7 @@
         self._app = app
         self._routing = routing
         self._directory = directory
+        self._journal = journal
         bounds = settings.bounds
         tracks_silence = (
             settings.contention is not None and Mechanism.SILENCE not in settings.without
@@ -281,14 +283,27 @@
         self._drain.begin()
         await self._app.clock.async_sleep(DRAIN_GRACE_MS)
         assert self._server is not None
-        for connection in tuple(self._server.connections):
-            if isinstance(connection, CallerConnection):
-                connection.close_gracefully()
+        self._record_closing(self._server)
+        for connection in self._server.list_connections():
+            connection.close_gracefully()
         while self.handler.running:
             await self._app.clock.async_sleep(DRAIN_POLL_MS)
         assert self._listener is not None
         await self._listener.async_stop_listening()
 
+    def _record_closing(self, server: CallerServer) -> None:
+        states = server.count_states()
+        self._journal.record(
+            ConnectionsClosing(
+                reason="drain",
+                idle=states[ConnectionState.IDLE],
+                head=states[ConnectionState.HEAD],
+                body=states[ConnectionState.BODY],
+                answering=states[ConnectionState.ANSWERING],
+                discarding=states[ConnectionState.DISCARDING],
+            )
+        )
+
 
 def _make_shares(app: Application, settings: ForwarderSettings) -> WorkspaceShares | None:
     """Return the fair shares of workspaces, None if they are disabled."""
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -20,7 +20,7 @@
     reject_field,
     reject_head_size,
 )
-from gypsumrouter.const import MS_PER_S
+from gypsumrouter.const import HEADER_REQUEST_ID, MS_PER_S
 from gypsumrouter.directory import Directory
 from gypsumrouter.forwarding.const import RETRY_AFTER_MAX_MS, RETRY_AT_ONCE_MS
 from gypsumrouter.forwarding.execution import ForwardingContext, RequestExecution
@@ -34,7 +34,7 @@
 from gypsumrouter.forwarding.return_order import NO_SERVICE, Reservation
 from gypsumrouter.forwarding.stream_pin import async_find_origin
 from gypsumrouter.helpers.logs import set_request_id
-from gypsumrouter.journal import RequestEnded, RequestRefused
+from gypsumrouter.journal import RequestEnded, RequestRefused, RequestUnread
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.outcomes import Reason
 from gypsumrouter.routing import InvalidKey, NoRoute, Route, RouteMatch, RoutingStore
@@ -62,6 +62,7 @@
     """Handles the requests of all callers."""
 
     __slots__ = (
+        "_arriving",
         "_bodies",
         "_context",
         "_directory",
@@ -95,13 +96,19 @@
         self._bodies = MemoryBudget(limit=MAX_BUFFERED_BODY_BYTES)
         self._startup_events = (routing.ready, directory.loaded)
         self._inventory_loaded = inventory_loaded
+        # Requests whose body has not arrived whole, and the memory that it takes so far.
+        self._arriving: dict[int, tuple[str, MemoryReservation]] = {}
         self._running: dict[int, str] = {}
         self._request_count = 0
 
     @property
     def running(self) -> list[str]:
-        """Return the ids of the running requests."""
-        return list(self._running.values())
+        """Return the ids of the running requests; those whose body is incomplete say so."""
+        arriving = (
+            f"{request_id} ({reservation.size} bytes of an incomplete body)"
+            for request_id, reservation in self._arriving.values()
+        )
+        return [*self._running.values(), *arriving]
 
     def generate_request_id(self) -> str:
         """Return a new id for a request without one."""
@@ -116,12 +123,13 @@
         reservation = MemoryReservation(budget=self._bodies)
         self._request_count += 1
         number = self._request_count
-        self._running[number] = "unread"
+        self._arriving[number] = (request.headers.get(HEADER_REQUEST_ID, ""), reservation)
         try:
             response = await self._async_serve(request, reservation, arrived_ms, number)
         finally:
             reservation.release()
-            del self._running[number]
+            self._arriving.pop(number, None)
+            self._running.pop(number, None)
             self._drain.request_ended(number)
         if self._drain.draining and not response.prepared:
             response.force_close()
@@ -133,17 +141,30 @@
         limits = self._routing.limits
         if count_head_bytes(request) > limits.max_head_bytes:
             return self._reject_malformed(reject_head_size())
-        body = await async_read_body(
-            request=request,
-            reservation=reservation,
-            max_bytes=limits.max_body_bytes,
-            idle_ms=limits.idle_timeout_ms,
-        )
+        try:
+            body = await async_read_body(
+                request=request,
+                reservation=reservation,
+                max_bytes=limits.max_body_bytes,
+                idle_ms=limits.idle_timeout_ms,
+            )
+        except asyncio.CancelledError:
+            self._record_unread(request, reservation, arrived_ms, outcome="connection_ended")
+            raise
         if isinstance(body, Rejection):
-            return self._reject_malformed(body)
+            response = self._reject_malformed(body)
+            self._record_unread(
+                request,
+                reservation,
+                arrived_ms,
+                outcome=body.failure.reason.value,
+                status=response.status,
+            )
+            return response
         caller_request = self._parse_request(request=request, body=body)
         if caller_request is None:
             return self._reject_malformed(reject_field("head", "The head is malformed"))
+        del self._arriving[number]
         self._running[number] = caller_request.request_id
         set_request_id(caller_request.request_id)
         return await self._async_route(request, caller_request, arrived_ms, number)
@@ -334,6 +355,28 @@
         self._record_refusal(request_id, rejection.failure.reason, response.status, -1)
         return response
 
+    def _record_unread(
+        self,
+        request: web.BaseRequest,
+        reservation: MemoryReservation,
+        arrived_ms: int,
+        *,
+        outcome: str,
+        status: int = 0,
+    ) -> None:
+        """Record a request that ends before its body has arrived whole."""
+        expected = request.content_length
+        self._context.journal.record(
+            RequestUnread(
+                request_id=request.headers.get(HEADER_REQUEST_ID, ""),
+                received_bytes=reservation.size,
+                expected_bytes=-1 if expected is None else expected,
+                after_ms=self._context.app.clock.now_ms() - arrived_ms,
+                outcome=outcome,
+                status=status,
+            )
+        )
+
     def _record_refusal(
         self,
         request_id: str,
--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -13,6 +13,7 @@
     RequestQueued,
     RequestRefused,
     RequestReleased,
+    RequestUnread,
     RetryDecided,
     RunBroken,
     StreamEnded,
@@ -50,6 +51,23 @@
     lines_dropped: int
 
 
+class ConnectionsClosing(Event, frozen=True, kw_only=True):
+    """The callers' connections are closed for `reason`; counts them by what they are doing.
+
+    `head`, `body`: a part of a request has arrived. `answering`: a request has arrived whole.
+    `discarding`: the rest of a body is read whose request was answered.
+    """
+
+    name: ClassVar[str] = "connections_closing"
+    essential: ClassVar[bool] = True
+    reason: str
+    idle: int
+    head: int
+    body: int
+    answering: int
+    discarding: int
+
+
 class SettingsReloaded(Event, frozen=True, kw_only=True):
     """The settings file was reloaded; `changed` names the sections that differ.
 
@@ -218,6 +236,7 @@
     ProcessStarted,
     ProcessStopping,
     ProcessStopped,
+    ConnectionsClosing,
     SettingsReloaded,
     DependencyLost,
     DependencyRegained,
@@ -242,6 +261,7 @@
     StreamResumed,
     RetryDecided,
     RequestRefused,
+    RequestUnread,
     RequestEnded,
     RunBroken,
     SuspectChanged,
--- a/gypsumrouter/journal/request_events.py
+++ b/gypsumrouter/journal/request_events.py
@@ -170,6 +170,22 @@
     excess: float = 0.0
 
 
+class RequestUnread(Event, frozen=True, kw_only=True):
+    """A request has ended before its body had arrived whole; nothing of it was sent on.
+
+    `expected_bytes` is the length that its head states, -1 if none. `status` is 0 without a
+    response.
+    """
+
+    name: ClassVar[str] = "request_unread"
+    request_id: str
+    received_bytes: int
+    expected_bytes: int
+    after_ms: int
+    outcome: str
+    status: int
+
+
 class RequestEnded(Event, frozen=True, kw_only=True):
     """A request has ended; `status` is 0 if the caller left or the response was aborted."""
 
