A planned stop answers requests that are still arriving

Cause: 2.6 s into the stop the forwarder called close() of the HTTP library on every connection. On one that isn't idle that makes the library drop all that arrives from then on, so that the body never became whole; half a head counted as idle. Evidence: the bodies stopped at 57,600, 43,200, 28,800, 14,400 and 0 of 72,000 bytes, what had come before the closing, while the sockets were empty.

Now a connection says what it is doing, and callers/closing.py decides from that: idle ones are closed, requests that arrive or are answered are waited for and their connections closed behind the answer, and what still arrives a second before the end of the grace is refused with 503, not run. close() of the library is called on idle connections only, so nothing that is read is dropped. The drain ends with the last connection, so slow readers are no longer cut 0.5 s after their answer began.

--- a/gypsumrouter/callers/__init__.py
+++ b/gypsumrouter/callers/__init__.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from gypsumrouter.callers.body import async_read_body, count_head_bytes
+from gypsumrouter.callers.body import (
+    MemoryBudget,
+    MemoryReservation,
+    async_read_body,
+    count_head_bytes,
+)
+from gypsumrouter.callers.closing import ConnectionDrain
 from gypsumrouter.callers.connection import (
     CallerConnection,
     ConnectionLimits,
@@ -31,7 +37,6 @@
     round_up_seconds,
 )
 from gypsumrouter.callers.listener import CallerListener, CallerServer, Handler
-from gypsumrouter.callers.memory import MemoryBudget, MemoryReservation
 
 __all__ = [
     "CONTENT_TYPE_JSON",
@@ -44,6 +49,7 @@
     "CallerConnection",
     "CallerListener",
     "CallerServer",
+    "ConnectionDrain",
     "ConnectionLimits",
     "ConnectionState",
     "Handler",
--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -7,17 +7,20 @@
 import socket
 import struct
 from enum import StrEnum
+from http import HTTPStatus
 from typing import Any, Final, Protocol
 
 from aiohttp import http_exceptions, web
 from msgspec import Struct
 
-from gypsumrouter.callers.const import WRITE_BUFFER_BYTES
+from gypsumrouter.callers.const import CONTENT_TYPE_JSON, WRITE_BUFFER_BYTES
 from gypsumrouter.callers.errors import (
     Rejection,
     make_error_response,
+    reject,
     reject_field,
     reject_head_size,
+    render_error,
 )
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.outcomes import Failed, Reason
@@ -67,7 +70,16 @@
 class CallerConnection(web.RequestHandler):
     """One connection of a caller; invalid HTTP is answered with a JSON error."""
 
-    __slots__ = ("_generate_request_id", "_head_started", "_head_timer", "_limits")
+    __slots__ = (
+        "_answered",
+        "_body_scope",
+        "_closes_after_answer",
+        "_generate_request_id",
+        "_head_started",
+        "_head_timer",
+        "_limits",
+        "refused",
+    )
 
     def __init__(
         self,
@@ -75,6 +87,7 @@
         *,
         limits: ConnectionLimits,
         generate_request_id: RequestIdGenerator,
+        closes_after_answer: bool,
         **options: Any,
     ) -> None:
         super().__init__(server, keepalive_timeout=limits.idle_timeout_ms / MS_PER_S, **options)
@@ -82,6 +95,12 @@
         self._limits = limits
         self._head_started = False
         self._head_timer: asyncio.TimerHandle | None = None
+        self._closes_after_answer = closes_after_answer
+        # Whether the latest request is answered, though its body may not have arrived whole.
+        self._answered = False
+        self._body_scope: asyncio.Timeout | None = None
+        # Whether the request that is arriving is refused since the process stops.
+        self.refused = False
 
     @property
     def state(self) -> ConnectionState:
@@ -92,7 +111,7 @@
             return ConnectionState.BODY if arriving else ConnectionState.ANSWERING
         if self._is_awaiting_head:
             return ConnectionState.HEAD if self._head_started else ConnectionState.IDLE
-        return ConnectionState.DISCARDING
+        return ConnectionState.DISCARDING if self._answered else ConnectionState.ANSWERING
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the write buffer limit and start the timeout for the first byte."""
@@ -126,6 +145,7 @@
     def stop_head_timer(self) -> None:
         """Cancel the head timeout after a complete head, or when the connection ends."""
         self._head_started = False
+        self._answered = False
         if self._head_timer is not None:
             self._head_timer.cancel()
             self._head_timer = None
@@ -136,16 +156,51 @@
         loop = asyncio.get_running_loop()
         self._head_timer = loop.call_later(limit_ms / MS_PER_S, self.force_close)
 
-    def close_gracefully(self) -> None:
-        """Close an idle connection now, or a busy one after its current answer.
-
-        `close` of the HTTP library leaves the transport of an idle connection open.
-        """
-        idle = self._is_awaiting_head
+    def close_now(self) -> None:
+        """Close the connection; `close` of the HTTP library leaves an idle one open."""
         self.close()
-        if idle and self.transport is not None:
+        if self.transport is not None:
             self.transport.close()
 
+    def close_after_answer(self) -> None:
+        """Close the connection after the next answer, or after those to requests behind it."""
+        self._closes_after_answer = True
+
+    def limit_body(self, scope: asyncio.Timeout | None) -> None:
+        """Set the time limit that bounds the reading of the present body; None after it."""
+        self._body_scope = scope
+
+    def refuse_arriving(self) -> None:
+        """Refuse the request that is arriving: a body at once, half a head by a response."""
+        match self.state:
+            case ConnectionState.BODY if self._body_scope is not None and not self.refused:
+                self.refused = True
+                self._body_scope.reschedule(asyncio.get_running_loop().time())
+            case ConnectionState.HEAD if self.transport is not None:
+                self.transport.write(render_stopping(request_id=self._generate_request_id()))
+                self.close_now()
+
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
+    ) -> tuple[web.StreamResponse, bool]:
+        """Write the response; while the process stops, end the connection behind it."""
+        self._end_connection_after(resp)
+        result = await super().finish_response(request, resp, start_time)
+        self._answered = True
+        self._end_connection_after(resp)
+        return result
+
+    def _end_connection_after(self, response: web.StreamResponse) -> None:
+        if self._closes_after_answer and not self._messages:
+            response.force_close()
+
+    def _process_keepalive(self) -> None:
+        """Close the connection after the idle timeout, unless a part of a head has arrived."""
+        if self.state is ConnectionState.HEAD:
+            self._keepalive_handle = None
+            return
+        super()._process_keepalive()
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -188,6 +243,19 @@
     transport.abort()
 
 
+def render_stopping(*, request_id: str) -> bytes:
+    """Return the whole HTTP response to a request of which only a part of the head has arrived."""
+    body = render_error(rejection=reject(Reason.LEAVING), request_id=request_id)
+    head = (
+        f"HTTP/1.1 {HTTPStatus.SERVICE_UNAVAILABLE.value} Service Unavailable",
+        f"Content-Type: {CONTENT_TYPE_JSON}",
+        f"Content-Length: {len(body)}",
+        "Retry-After: 1",
+        "Connection: close",
+    )
+    return "\r\n".join((*head, "", "")).encode() + body
+
+
 def _reject_http(status: int, exc: BaseException | None) -> Rejection:
     if status >= 500:
         failure = Failed(reason=Reason.STOPPED, message="The router failed on this request")
--- a/gypsumrouter/callers/listener.py
+++ b/gypsumrouter/callers/listener.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import ssl
-from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -13,7 +12,6 @@
 from gypsumrouter.callers.connection import (
     CallerConnection,
     ConnectionLimits,
-    ConnectionState,
     RequestIdGenerator,
 )
 from gypsumrouter.callers.const import MAX_HEADERS
@@ -38,14 +36,25 @@
         super().__init__(handler, handler_cancellation=True)
         self._generate_request_id = generate_request_id
         self._get_limits = get_limits
+        self._closes_after_answers = False
+        self.connection_closed = asyncio.Event()
 
     def list_connections(self) -> list[CallerConnection]:
         """Return the open connections."""
-        return [c for c in self.connections if isinstance(c, CallerConnection)]
+        return [c for c in self.connections if isinstance(c, CallerConnection) and c.connected]
 
-    def count_states(self) -> Counter[ConnectionState]:
-        """Return how many connections are in each state."""
-        return Counter(connection.state for connection in self.list_connections())
+    def connection_lost(
+        self, handler: web.RequestHandler, exc: BaseException | None = None
+    ) -> None:
+        """Notify who waits for connections to close."""
+        super().connection_lost(handler, exc)
+        self.connection_closed.set()
+
+    def close_after_answers(self) -> None:
+        """Close each connection, new ones too, after its next answer."""
+        self._closes_after_answers = True
+        for connection in self.list_connections():
+            connection.close_after_answer()
 
     def __call__(self) -> CallerConnection:
         """Return the protocol object for a new connection."""
@@ -54,6 +63,7 @@
             self,
             limits=limits,
             generate_request_id=self._generate_request_id,
+            closes_after_answer=self._closes_after_answers,
             loop=asyncio.get_running_loop(),
             access_log=None,
             max_line_size=limits.max_bytes,
@@ -66,12 +76,14 @@
 class CallerListener:
     """Accepts caller connections until it is closed."""
 
-    __slots__ = ("_runner", "_settings", "_site", "_tls")
+    __slots__ = ("_runner", "_server", "_settings", "_site", "_tls", "connection_closed")
 
     def __init__(
         self, *, settings: Listener, server: CallerServer, tls: ssl.SSLContext | None
     ) -> None:
         self._settings = settings
+        self._server = server
+        self.connection_closed = server.connection_closed
         self._tls = tls
         self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         self._site: web.SockSite | None = None
@@ -86,6 +98,14 @@
         host, port = listening.getsockname()[:2]
         return Address(host=host, port=port)
 
+    def close_after_answers(self) -> None:
+        """Close each connection, new ones too, after its next answer."""
+        self._server.close_after_answers()
+
+    def list_connections(self) -> list[CallerConnection]:
+        """Return the open connections."""
+        return self._server.list_connections()
+
     async def async_stop_listening(self) -> None:
         """Stop accepting new connections; open connections are kept."""
         site, self._site = self._site, None
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import logging
+from collections import Counter
 from collections.abc import Callable
 from typing import Final
 
 from aiohttp import web
 
-from gypsumrouter.callers import CallerListener, CallerServer, ConnectionLimits, ConnectionState
+from gypsumrouter.callers import (
+    CallerListener,
+    CallerServer,
+    ConnectionDrain,
+    ConnectionLimits,
+    ConnectionState,
+)
 from gypsumrouter.contention import ContentionControl, WorkspaceShares
 from gypsumrouter.core import Application
 from gypsumrouter.crashes.guard import CrashGuard
@@ -41,7 +48,6 @@
 _LOGGER = logging.getLogger(__name__)
 
 CLEANUP_INTERVAL_MS: Final = 1_000
-DRAIN_POLL_MS: Final = 20
 # Requests admitted during a drain must end this long before the process is killed.
 DRAIN_MARGIN_MS: Final = 1_000
 
@@ -60,7 +66,6 @@
         "_pool",
         "_return_order",
         "_routing",
-        "_server",
         "budget",
         "handler",
         "inventory",
@@ -187,7 +192,6 @@
         self._disabled = settings.without
         app.add_dump_section("reading", lambda: round(self.placer.prefill_speed.tokens_per_ms, 1))
         app.add_dump_section("without", lambda: sorted(settings.without))
-        self._server: CallerServer | None = None
         self._listener: CallerListener | None = None
         self._listen(settings)
 
@@ -243,14 +247,14 @@
         return contention
 
     def _listen(self, settings: ForwarderSettings) -> None:
-        self._server = CallerServer(
+        server = CallerServer(
             self._async_handle,
             get_limits=self._get_head_limits,
             generate_request_id=self.handler.generate_request_id,
         )
         callers = parse_address(settings.callers)
         self._listener = CallerListener(
-            settings=Listener(host=callers.host, port=callers.port), server=self._server, tls=None
+            settings=Listener(host=callers.host, port=callers.port), server=server, tls=None
         )
 
     def _get_head_limits(self) -> ConnectionLimits:
@@ -278,21 +282,21 @@
     async def _async_drain(self) -> None:
         """Drain: wait for load balancers to react, then for the running requests to end.
 
-        Idle connections are closed in between; other connections close after their response.
+        Connections close after their responses from now on, idle ones after the wait.
         """
+        assert self._listener is not None
         self._drain.begin()
+        drain = ConnectionDrain(
+            clock=self._app.clock,
+            server=self._listener,
+            limit_ms=self._drain.limit_ms,
+            on_closing=self._record_closing,
+        )
+        drain.begin()
         await self._app.clock.async_sleep(DRAIN_GRACE_MS)
-        assert self._server is not None
-        self._record_closing(self._server)
-        for connection in self._server.list_connections():
-            connection.close_gracefully()
-        while self.handler.running:
-            await self._app.clock.async_sleep(DRAIN_POLL_MS)
-        assert self._listener is not None
-        await self._listener.async_stop_listening()
+        await drain.async_run()
 
-    def _record_closing(self, server: CallerServer) -> None:
-        states = server.count_states()
+    def _record_closing(self, states: Counter[ConnectionState]) -> None:
         self._journal.record(
             ConnectionsClosing(
                 reason="drain",
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -30,7 +30,7 @@
 from gypsumrouter.forwarding.progress import Progress, get_time_limit_ms
 from gypsumrouter.forwarding.relay import CallerDisconnected
 from gypsumrouter.forwarding.request_journal import RequestJournal
-from gypsumrouter.forwarding.responses import make_refusal, make_rejection
+from gypsumrouter.forwarding.responses import HEADER_RETRY_AFTER, make_refusal, make_rejection
 from gypsumrouter.forwarding.return_order import NO_SERVICE, Reservation
 from gypsumrouter.forwarding.stream_pin import async_find_origin
 from gypsumrouter.helpers.logs import set_request_id
@@ -125,15 +125,12 @@
         number = self._request_count
         self._arriving[number] = (request.headers.get(HEADER_REQUEST_ID, ""), reservation)
         try:
-            response = await self._async_serve(request, reservation, arrived_ms, number)
+            return await self._async_serve(request, reservation, arrived_ms, number)
         finally:
             reservation.release()
             self._arriving.pop(number, None)
             self._running.pop(number, None)
             self._drain.request_ended(number)
-        if self._drain.draining and not response.prepared:
-            response.force_close()
-        return response
 
     async def _async_serve(
         self, request: web.BaseRequest, reservation: MemoryReservation, arrived_ms: int, number: int
@@ -152,7 +149,9 @@
             self._record_unread(request, reservation, arrived_ms, outcome="connection_ended")
             raise
         if isinstance(body, Rejection):
-            response = self._reject_malformed(body)
+            response = self._reject_malformed(
+                body, request_id=request.headers.get(HEADER_REQUEST_ID)
+            )
             self._record_unread(
                 request,
                 reservation,
@@ -348,11 +347,19 @@
         self._record_refusal(caller_request.request_id, reason, response.status, -1)
         return response
 
-    def _reject_malformed(self, rejection: Rejection) -> web.Response:
-        """Reject a request that could not be read, under an id that this router assigns."""
-        request_id = self.generate_request_id()
+    def _reject_malformed(
+        self, rejection: Rejection, *, request_id: str | None = None
+    ) -> web.Response:
+        """Reject a request that could not be read, without its id under one of this router."""
+        request_id = request_id or self.generate_request_id()
         response = make_error_response(rejection=rejection, request_id=request_id)
-        self._record_refusal(request_id, rejection.failure.reason, response.status, -1)
+        retry_after_ms = -1
+        if rejection.failure.retry_after_ms is not None:
+            retry_after_ms = rejection.failure.retry_after_ms
+            formatted = self._context.dialect.format_retry_after(retry_after_ms)
+            response.headers[HEADER_RETRY_AFTER] = formatted
+        reason = rejection.failure.reason
+        self._record_refusal(request_id, reason, response.status, retry_after_ms)
         return response
 
     def _record_unread(
--- a/gypsumrouter/forwarding/leaving.py
+++ b/gypsumrouter/forwarding/leaving.py
@@ -42,6 +42,11 @@
         """Set the maximum duration of a drain."""
         self._limit_ms = limit_ms
 
+    @property
+    def limit_ms(self) -> int:
+        """Return the maximum duration of a drain."""
+        return self._limit_ms
+
     @property
     def draining(self) -> bool:
         """Return whether the drain has started."""
--- a/gypsumrouter/gateway/const.py
+++ b/gypsumrouter/gateway/const.py
@@ -46,6 +46,8 @@
 # How long a draining router still accepts requests, so that load balancers can see that it is not
 # ready.
 DRAIN_DELAY_MS: Final = 2_000
+# Requests that are still arriving this long before the end of a drain are refused.
+DRAIN_MARGIN_MS: Final = 1_000
 
 # Headers that are not forwarded: those of one connection (RFC 9110) and those that the gateway
 # sets or consumes itself.
--- a/gypsumrouter/gateway/gateway.py
+++ b/gypsumrouter/gateway/gateway.py
@@ -4,13 +4,16 @@
 
 import logging
 import ssl
+from collections import Counter
 from typing import TYPE_CHECKING, Final
 
 from gypsumrouter.callers import (
     KEEPALIVE_TIMEOUT_MS,
     CallerListener,
     CallerServer,
+    ConnectionDrain,
     ConnectionLimits,
+    ConnectionState,
 )
 from gypsumrouter.configuration import ConfigurationStore
 from gypsumrouter.configuration.models import Configuration
@@ -18,7 +21,7 @@
 from gypsumrouter.fleet import Fleet
 from gypsumrouter.gateway.budget import RetryBudget
 from gypsumrouter.gateway.candidates import CandidateFinder
-from gypsumrouter.gateway.const import DRAIN_DELAY_MS
+from gypsumrouter.gateway.const import DRAIN_DELAY_MS, DRAIN_MARGIN_MS
 from gypsumrouter.gateway.diagnostics import dump_gateway, dump_running
 from gypsumrouter.gateway.dispatch import Dispatcher
 from gypsumrouter.gateway.handler import CallerHandler
@@ -47,6 +50,7 @@
 
     __slots__ = (
         "_app",
+        "_drain_ms",
         "_fleet",
         "_handler",
         "_limits",
@@ -71,6 +75,7 @@
         suspicion: SuspectTracker,
     ) -> None:
         self._app = app
+        self._drain_ms = settings.limits.drain_ms
         self._fleet = fleet
         self._running = RunningRequests()
         self._limits = FleetLimits(clock=app.clock)
@@ -153,13 +158,16 @@
 
     async def _async_drain(self) -> None:
         """Wait for load balancers to react, reject new requests, finish the running ones."""
+        drain = ConnectionDrain(
+            clock=self._app.clock,
+            server=self._listener,
+            limit_ms=max(0, self._drain_ms - DRAIN_MARGIN_MS),
+            on_closing=_log_closing,
+        )
+        drain.begin()
         await self._app.clock.async_sleep(DRAIN_DELAY_MS)
         self._readiness.closed = True
-        _LOGGER.info(
-            "Draining: rejecting new requests, waiting for %d running requests to finish",
-            len(self._running),
-        )
-        await self._running.async_wait_until_idle()
+        await drain.async_run()
 
     def _update_fleet_share(self) -> None:
         self._limits.share = find_fleet_share(own_name=self._app.name, peers=self._fleet.peers())
@@ -177,3 +185,8 @@
             aborted_callers=self._monitor.aborted,
             now_ms=self._app.clock.now_ms(),
         )
+
+
+def _log_closing(states: Counter[ConnectionState]) -> None:
+    counts = ", ".join(f"{count} {state.value}" for state, count in sorted(states.items()))
+    _LOGGER.info("Draining: rejecting new requests and closing connections (%s)", counts or "none")
--- a/gypsumrouter/gateway/running.py
+++ b/gypsumrouter/gateway/running.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Iterator
 
 from gypsumrouter.configuration.models import CallerClass
@@ -26,12 +25,10 @@
 class RunningRequests:
     """All running requests of the router."""
 
-    __slots__ = ("_by_id", "_idle")
+    __slots__ = ("_by_id",)
 
     def __init__(self) -> None:
         self._by_id: dict[str, RunningRequest] = {}
-        self._idle = asyncio.Event()
-        self._idle.set()
 
     def __len__(self) -> int:
         return len(self._by_id)
@@ -42,14 +39,7 @@
     def add(self, running: RunningRequest) -> None:
         """Add a request at its start."""
         self._by_id[running.request_id] = running
-        self._idle.clear()
 
     def remove(self, running: RunningRequest) -> None:
         """Remove a request at its end."""
         self._by_id.pop(running.request_id, None)
-        if not self._by_id:
-            self._idle.set()
-
-    async def async_wait_until_idle(self) -> None:
-        """Wait until no request is running."""
-        await self._idle.wait()
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -86,6 +86,8 @@
         # Pause before each event of a stream, in seconds.
         self.pause_s = 0.0
         self.numbers_events = True
+        # Size of the body of a plain response; None for a short one.
+        self.body_bytes: int | None = None
         # Start of the process at the first request of each connection.
         self._starts: dict[object, int] = {}
         self.framed = True
@@ -223,7 +225,7 @@
     async def _async_respond(
         self, request: web.Request, arrival: Arrival, headers: dict[str, str], fault: RunnerFault
     ) -> web.StreamResponse:
-        body = f"{self.name} {arrival.path}".encode()
+        body = make_body(f"{self.name} {arrival.path}", size=self.body_bytes)
         if fault is RunnerFault.CUT_JSON:
             headers = {**headers, "Content-Type": "application/json"}
             body = b'{"item": "cloth", "metres": 1'
@@ -288,6 +290,12 @@
         return response
 
 
+def make_body(text: str, *, size: int | None) -> bytes:
+    """Return a text, repeated up to a size in bytes if there is one."""
+    body = text.encode()
+    return body if size is None else (body * (size // len(body) + 1))[:size]
+
+
 def list_parts(headers: Mapping[str, str]) -> list[str]:
     """Return the ids of the parts of a request's prompt that other requests may share."""
     entries = headers.get(names.PREFIX_PARTS, "").split(",")[:-1]
