Sight of joined answers: stream_ended names format, bytes sent and the last event

The lines did not tell a plain body taken for a stream from a request taken for unsent. stream_ended now says how much the caller had, whether it was an event stream, and the last event id. No logic changes.

--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -318,7 +318,11 @@
             self._stream.note_ended(complete=False)
             raise
         self._request_journal.record_stream_ended(
-            upstream, end=end, framing=outcome.answer.framing, events=self.progress.events
+            upstream,
+            end=end,
+            streaming=outcome,
+            progress=self.progress,
+            last_event_id=self._relay.last_event_id,
         )
         self._stream.note_ended(complete=end.result is RelayResult.COMPLETE)
         if end.result is RelayResult.COMPLETE:
--- a/gypsumrouter/forwarding/request_journal.py
+++ b/gypsumrouter/forwarding/request_journal.py
@@ -18,8 +18,8 @@
     Withheld,
 )
 from gypsumrouter.forwarding.placed import Placement
+from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.forwarding.relay import StreamEnd
-from gypsumrouter.helpers.http_connection import Framing
 from gypsumrouter.journal import (
     AttemptEnded,
     AttemptSent,
@@ -112,18 +112,27 @@
         )
 
     def record_stream_ended(
-        self, upstream: str, *, end: StreamEnd, framing: Framing, events: int
+        self,
+        upstream: str,
+        *,
+        end: StreamEnd,
+        streaming: StreamingResponse,
+        progress: Progress,
+        last_event_id: str | None,
     ) -> None:
-        """Record how the stream of one upstream ended."""
+        """Record how the streamed response of one upstream ended."""
         self._journal.record(
             StreamEnded(
                 request_id=self._request.request_id,
                 upstream=upstream,
                 result=end.result.value,
-                framing=framing.value,
-                events=events,
+                framing=streaming.answer.framing.value,
+                events=progress.events,
                 partial_bytes=end.partial_bytes,
                 reason=end.reason,
+                format="events" if streaming.is_event_stream else "plain",
+                bytes_out=progress.bytes_out,
+                last_event=last_event_id or "",
             )
         )
 
--- a/gypsumrouter/journal/request_events.py
+++ b/gypsumrouter/journal/request_events.py
@@ -62,7 +62,8 @@
 
     `framing` is how the response states its end, `events` the number of events that were relayed
     for the request so far, and `partial_bytes` the size of an incomplete event at the end. `reason`
-    is why it counts as broken, if it does.
+    is why it counts as broken, if it does. `format` is "events" or "plain"; the caller has
+    `bytes_out` of all parts so far, up to the event with the id `last_event`.
     """
 
     name: ClassVar[str] = "stream_ended"
@@ -73,6 +74,9 @@
     events: int
     partial_bytes: int
     reason: str
+    format: str
+    bytes_out: int
+    last_event: str
 
 
 class StreamTakenUp(Event, frozen=True, kw_only=True):
