A partly sent answer goes on elsewhere only after a numbered event of a resumable route

Cause: whether an answer can go on was asked of the route (repeatable) and of the relay (last event has an id, true while there was no event), and of neither whether it consists of events. Evidence: at each decision to go on stream_ended showed format plain, bytes_out 300,000, no last event. Now decide_continuation decides from the route and what was sent, and check_fits takes an answer that can't follow it for lost; what can't go on is reset. The same cause mended on two more paths: events on idempotent routes that aren't resumable, and large plain answers behind the events of a stream.

--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -34,10 +34,13 @@
 )
 from gypsumrouter.forwarding.next_step import (
     STATUS_SERVER_ERROR,
+    Continuation,
     Decision,
     NextStep,
     RetryLimits,
+    check_fits,
     decide_after_failed_run,
+    decide_continuation,
     decide_next_step,
 )
 from gypsumrouter.forwarding.outcome_recorder import OutcomeRecorder, RunObserver
@@ -293,16 +296,15 @@
         """Return the response, or None for another attempt, and the next step."""
         if isinstance(outcome, Withheld):
             return self._endings.refuse_suspect(outcome.verdict), NextStep.REFUSE.value
+        if isinstance(outcome, CompleteResponse):
+            self._runs.note_received()
+        outcome = check_fits(outcome, self._relay.sent)
         if isinstance(outcome, StreamingResponse):
             decision = await self._async_relay_stream(attempt, outcome)
         else:
-            if isinstance(outcome, CompleteResponse):
-                self._runs.note_received()
             if isinstance(outcome, ResponseLost) and outcome.connection_broken:
                 self._record_broken(attempt)
-            outcome = self._recorder.record(
-                attempt, outcome, response_started=self._relay.response is not None
-            )
+            self._recorder.record(attempt, outcome)
             decision = decide_next_step(outcome, self.progress, self._get_retry_limits())
         return self._apply(decision, outcome), decision.step.value
 
@@ -341,8 +343,9 @@
         self._recorder.record_lost(upstream, ResponseLost(reason=message, connection_broken=broken))
         attempt.close()
         limits = self._get_retry_limits()
+        retry_step = NextStep.RETRY if self._relay.sent is None else NextStep.RESUME
         return decide_after_failed_run(
-            self.progress, limits, retry_step=NextStep.RESUME, message=message
+            self.progress, limits, retry_step=retry_step, message=message
         )
 
     def _record_broken(self, attempt: Attempt) -> None:
@@ -366,9 +369,10 @@
 
     def _get_retry_limits(self) -> RetryLimits:
         route = self._routed.route
-        repeatable = route.repeatable and self._relay.resumable
+        continuation = decide_continuation(route, self._relay.sent)
         return RetryLimits(
-            repeatable=repeatable and Mechanism.RETRIES not in self._context.without,
+            repeatable=continuation is not Continuation.NEVER
+            and Mechanism.RETRIES not in self._context.without,
             max_attempts=route.max_attempts,
             remaining_ms=self._limits.remaining_ms,
             acquire_retry=self._acquire_retry,
--- a/gypsumrouter/forwarding/models.py
+++ b/gypsumrouter/forwarding/models.py
@@ -224,7 +224,8 @@
     verdict: Verdict
 
 
-Outcome = Withheld | Unreachable | Rejected | CompleteResponse | StreamingResponse | ResponseLost
+SentOutcome = Unreachable | Rejected | CompleteResponse | StreamingResponse | ResponseLost
+Outcome = Withheld | SentOutcome
 
 
 def make_subjects(request: CallerRequest, *, workspace: str) -> Subjects:
--- a/gypsumrouter/forwarding/next_step.py
+++ b/gypsumrouter/forwarding/next_step.py
@@ -8,15 +8,23 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from enum import StrEnum
+from enum import Enum, StrEnum, auto
 from typing import Final
 
 from msgspec import Struct
 
 from gypsumrouter.forwarding.const import MAX_REJECTIONS, MAX_UNREACHABLE
-from gypsumrouter.forwarding.models import CompleteResponse, Rejected, ResponseLost, Unreachable
+from gypsumrouter.forwarding.models import (
+    CompleteResponse,
+    Rejected,
+    ResponseLost,
+    SentOutcome,
+    StreamingResponse,
+    Unreachable,
+)
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.outcomes import Reason
+from gypsumrouter.routing import Route
 
 STATUS_SERVER_ERROR: Final = 500
 
@@ -40,6 +48,24 @@
     message: str = ""
 
 
+class SentPart(Struct, frozen=True, kw_only=True):
+    """The part of a response that was sent to the caller.
+
+    `last_event_id` is the id of the last event that was sent, None if that event has none.
+    """
+
+    is_event_stream: bool
+    last_event_id: str | None
+
+
+class Continuation(Enum):
+    """How another upstream may go on with a request that may have run."""
+
+    AFRESH = auto()
+    AFTER_LAST_EVENT = auto()
+    NEVER = auto()
+
+
 class RetryLimits(Struct, frozen=True, kw_only=True):
     """Limits on retries from the route, the deadline and the retry budget.
 
@@ -52,6 +78,32 @@
     acquire_retry: Callable[[], bool]
 
 
+def decide_continuation(route: Route, sent: SentPart | None) -> Continuation:
+    """Return how another upstream may go on; `sent` is None if the caller has nothing yet.
+
+    Two runs of a request need not give the same bytes. Only a stream whose route allows that, and
+    whose last event has an id, continues after what was sent.
+    """
+    if sent is None:
+        return Continuation.AFRESH if route.repeatable else Continuation.NEVER
+    if route.resumable and sent.is_event_stream and sent.last_event_id is not None:
+        return Continuation.AFTER_LAST_EVENT
+    return Continuation.NEVER
+
+
+def check_fits(outcome: SentOutcome, sent: SentPart | None) -> SentOutcome:
+    """Return an outcome, as lost if its response can't follow the part that was sent."""
+    if sent is None:
+        return outcome
+    match outcome:
+        case CompleteResponse(status=status):
+            return ResponseLost(reason=f"status {status}")
+        case StreamingResponse(is_event_stream=False, status=status):
+            return ResponseLost(reason=f"status {status} without events")
+        case _:
+            return outcome
+
+
 def decide_next_step(
     outcome: Unreachable | Rejected | ResponseLost | CompleteResponse,
     progress: Progress,
--- a/gypsumrouter/forwarding/outcome_recorder.py
+++ b/gypsumrouter/forwarding/outcome_recorder.py
@@ -38,14 +38,8 @@
         self._suspects = suspects
         self._progress = progress
 
-    def record(
-        self, attempt: Attempt, outcome: UnstreamedOutcome, *, response_started: bool
-    ) -> UnstreamedOutcome:
-        """Record an outcome without a stream; return the effective outcome.
-
-        A complete response counts as lost if `response_started`: a part of a stream was already
-        sent to the caller.
-        """
+    def record(self, attempt: Attempt, outcome: UnstreamedOutcome) -> None:
+        """Record an outcome without a stream."""
         upstream = attempt.entry.incarnation
         match outcome:
             case Unreachable(reason=reason, refused=refused):
@@ -57,16 +51,12 @@
                 self._record_rejection(upstream, outcome)
             case ResponseLost():
                 self.record_lost(upstream, outcome)
-            case CompleteResponse(status=status) if response_started:
-                outcome = ResponseLost(reason=f"status {status}")
-                self.record_lost(upstream, outcome)
             case CompleteResponse(status=status) if status < STATUS_SERVER_ERROR:
                 self.record_success(upstream)
             case CompleteResponse(status=status):
                 self._placer.health.note_failure(upstream, reason=f"status {status}")
                 self._progress.fallback_response = outcome
                 self._record_possible_run(upstream)
-        return outcome
 
     def record_lost(self, upstream: str, outcome: ResponseLost) -> None:
         """Record that an upstream may have run the request without a complete response."""
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -17,6 +17,7 @@
 )
 from gypsumrouter.forwarding.events import EventSplitter, EventTooLong
 from gypsumrouter.forwarding.models import CallerRequest, Dialect, StreamingResponse
+from gypsumrouter.forwarding.next_step import SentPart
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.forwarding.responses import make_stream_response
 from gypsumrouter.helpers.http_connection import ConnectionBroken, Framing
@@ -59,6 +60,7 @@
         "_close_connection",
         "_dialect",
         "_headers",
+        "_is_event_stream",
         "_on_begun",
         "_on_received",
         "_progress",
@@ -93,6 +95,7 @@
         self._close_connection = close_connection
         self._splitter = EventSplitter()
         self._headers: list[tuple[str, str]] | None = None
+        self._is_event_stream = False
         self.response: web.StreamResponse | None = None
 
     @property
@@ -101,9 +104,12 @@
         return self._splitter.last_event_id
 
     @property
-    def resumable(self) -> bool:
-        """Return whether the stream can go on without repeating or leaving out an event."""
-        return self.response is None or self._splitter.last_has_id
+    def sent(self) -> SentPart | None:
+        """Return the part that was sent to the caller, None if nothing was."""
+        if self.response is None:
+            return None
+        last_event_id = self._splitter.last_event_id if self._splitter.last_has_id else None
+        return SentPart(is_event_stream=self._is_event_stream, last_event_id=last_event_id)
 
     async def async_relay(self, streaming: StreamingResponse) -> StreamEnd:
         """Relay the response of one upstream until it ends; raises CallerDisconnected."""
@@ -179,6 +185,7 @@
         if self._close_connection:
             response.force_close()
         self.response = response
+        self._is_event_stream = streaming.is_event_stream
         self._on_begun()
         self._progress.first_byte_ms = self._clock.now_ms() - self._progress.arrived_ms
         await response.prepare(self._web_request)
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -26,7 +26,8 @@
     sends the response of another request first. RESET_STREAM resets the connection in the middle
     of an event. END_INSIDE_EVENT and END_WITHOUT_EVENT end a stream regularly, but in the middle of
     an event or before the first one; STALL_STREAM sends nothing after the second event. CUT_JSON
-    ends a JSON document before its last byte.
+    ends a JSON document before its last byte. BREAK_BODY resets the connection in the middle of a
+    plain body, and PLAIN sends one in place of a stream.
     """
 
     NONE = "none"
@@ -43,6 +44,8 @@
     END_WITHOUT_EVENT = "end_without_event"
     STALL_STREAM = "stall_stream"
     CUT_JSON = "cut_json"
+    BREAK_BODY = "break_body"
+    PLAIN = "plain"
 
 
 class Arrival(Struct, kw_only=True):
@@ -73,8 +76,9 @@
     `on_run` is called when a request starts to run; running requests wait while `gate` is cleared.
     While `draining` every response carries the draining header. Rejections ask the sender to back
     off for `retry_after_s`, if it is set. Unless `framed`, responses have neither a length nor
-    chunks and end with their connection. `version` is that of its software, which its events name
-    if it is set, and `started_ms` the time of its start (Unix time; 0 if it doesn't state one).
+    chunks and end with their connection; with `chunks_bodies`, plain ones have chunks for a length.
+    `version` is that of its software, which its events name if it is set, and `started_ms` the time
+    of its start (Unix time; 0 if it doesn't state one).
     A request with one of `crashing_parts` in its prompt crashes it `crash_after_s` after the head
     of the response: it stops listening, resets all connections and calls `on_crash`.
     """
@@ -86,11 +90,14 @@
         # Pause before each event of a stream, in seconds.
         self.pause_s = 0.0
         self.numbers_events = True
+        # Time from the last byte that a broken body gets to the reset, in seconds.
+        self.break_after_s = 0.05
         # Size of the body of a plain response; None for a short one.
         self.body_bytes: int | None = None
         # Start of the process at the first request of each connection.
         self._starts: dict[object, int] = {}
         self.framed = True
+        self.chunks_bodies = False
         # Sent with each response of a run.
         self.stamp = f"{name}.07.5a2.600.0.c9f2a4d1"
         self.events = events
@@ -218,7 +225,7 @@
                     f"HTTP/1.1 200 OK\r\n{names.REQUEST_ID}: other\r\n"
                     f"{names.STAMP}: {self.stamp}\r\nContent-Length: 5\r\n\r\nother".encode()
                 )
-        if names.TOKEN_USAGE not in request.headers:
+        if names.TOKEN_USAGE not in request.headers or fault is RunnerFault.PLAIN:
             return await self._async_respond(request, arrival, headers, fault)
         return await self._async_stream(request, headers, fault)
 
@@ -229,14 +236,29 @@
         if fault is RunnerFault.CUT_JSON:
             headers = {**headers, "Content-Type": "application/json"}
             body = b'{"item": "cloth", "metres": 1'
-        if self.framed:
+        breaks = fault is RunnerFault.BREAK_BODY
+        if self.framed and not self.chunks_bodies and not breaks:
             return web.Response(headers=headers, body=body)
-        response = UnframedResponse(headers=headers)
+        make_response = web.StreamResponse if self.framed else UnframedResponse
+        response = make_response(headers=headers)
+        if self.framed and not self.chunks_bodies:
+            response.content_length = len(body)
         await response.prepare(request)
-        await response.write(body)
+        await response.write(body[: len(body) // 2] if breaks else body)
+        if breaks:
+            await self._async_flush(request)
+            _reset_connection(request)
+            raise asyncio.CancelledError
         await response.write_eof()
         return response
 
+    async def _async_flush(self, request: web.Request) -> None:
+        """Let all that was written reach the other end, as a reset discards the rest."""
+        if isinstance(request.transport, asyncio.WriteTransport):
+            request.transport.set_write_buffer_limits(0)
+        await request.writer.drain()
+        await asyncio.sleep(self.break_after_s)
+
     def _make_event(self, number: int) -> bytes:
         version = f"{self.version} " if self.version else ""
         event_id = f"id: {number}\n" if self.numbers_events else ""
