Sight of streams at an unlisted version: attempt_sent says how a start is known

attempt_sent did not say whether the start of the upstream was taken from its entry, vouched for by another connection, or stated by the upstream, nor how old the list was. No logic changes.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -28,6 +28,7 @@
     Framing,
     HttpConnection,
     HttpResponse,
+    StartSource,
 )
 from gypsumrouter.util.body_formats import is_complete_json, is_json_media_type
 
@@ -99,6 +100,11 @@
         self.reused = pooled.reused
         return None
 
+    @property
+    def start_source(self) -> StartSource:
+        """Return how it is known which start of the upstream the connection leads to."""
+        return StartSource.UNKNOWN if self._connection is None else self._connection.start_source
+
     async def async_send(self, *, response_timeout_ms: int | None) -> Outcome:
         """Send the request and read the response head, and the body unless it is streamed.
 
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -23,6 +23,7 @@
     ConnectFailed,
     ConnectionBroken,
     HttpConnection,
+    StartSource,
     async_connect,
 )
 
@@ -121,7 +122,10 @@
         All connections break when an upstream ends. So a new one leads to the same start as one
         that is still open.
         """
-        if start_check is StartCheck.CONFIRMED and not connection.start_confirmed:
+        if (
+            start_check is StartCheck.CONFIRMED
+            and connection.start_source is not StartSource.ANSWER
+        ):
             connection.peer_started_ms = None
             return True
         if connection.peer_started_ms is not None:
@@ -129,12 +133,14 @@
         others = self._list_open(entry.incarnation)
         if any(other.peer_started_ms == entry.started_ms for other in others):
             connection.peer_started_ms = entry.started_ms
+            connection.start_source = StartSource.CONNECTION
             return False
         match start_check:
             case StartCheck.NEVER:
                 return False
             case StartCheck.IF_LOST if entry.incarnation not in self._lost:
                 connection.peer_started_ms = entry.started_ms
+                connection.start_source = StartSource.ENTRY
                 return False
         return True
 
@@ -161,7 +167,7 @@
             except BaseException:
                 connection.close()
                 raise
-            connection.start_confirmed = True
+            connection.start_source = StartSource.ANSWER
             connection.finish()
         if connection.peer_started_ms not in (NOT_STATED, entry.started_ms):
             connection.close()
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -286,7 +286,11 @@
             return Withheld(verdict=verdict)
         self._runs.start(attempt.entry.incarnation)
         self._sent_ms = self._now_ms()
-        self._request_journal.record_sent(attempt, number=self.progress.attempts)
+        self._request_journal.record_sent(
+            attempt,
+            number=self.progress.attempts,
+            list_age_ms=self._context.streams.versions.list_age_ms,
+        )
         self.progress.in_flight = True
         return await attempt.async_send(response_timeout_ms=self._get_response_timeout_ms())
 
--- a/gypsumrouter/forwarding/request_journal.py
+++ b/gypsumrouter/forwarding/request_journal.py
@@ -82,7 +82,7 @@
             )
         )
 
-    def record_sent(self, attempt: Attempt, *, number: int) -> None:
+    def record_sent(self, attempt: Attempt, *, number: int, list_age_ms: int) -> None:
         """Record that the request is sent on a connection."""
         self._journal.record(
             AttemptSent(
@@ -91,6 +91,8 @@
                 attempt=number,
                 kept_connection=attempt.reused,
                 deadline_ms=attempt.options.deadline_ms,
+                start_known_by=attempt.start_source.value,
+                list_age_ms=list_age_ms,
             )
         )
 
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -62,6 +62,19 @@
     CLOSE = "close"
 
 
+class StartSource(StrEnum):
+    """How it is known which start of a process a connection leads to.
+
+    ENTRY: taken from its entry in the list. CONNECTION: another connection is open that leads to
+    it. ANSWER: the process itself stated it on this connection.
+    """
+
+    UNKNOWN = ""
+    ENTRY = "entry"
+    CONNECTION = "connection"
+    ANSWER = "answer"
+
+
 class HttpResponse:
     """Head of a response and the reader of its body."""
 
@@ -99,7 +112,7 @@
         "keep_alive_ms",
         "lost_unexpectedly",
         "peer_started_ms",
-        "start_confirmed",
+        "start_source",
     )
 
     def __init__(self, *, loop: asyncio.AbstractEventLoop, address: Address) -> None:
@@ -111,9 +124,9 @@
         self.keep_alive_ms: int | None = None
         # Whether the peer closed or reset it without having announced that.
         self.lost_unexpectedly = False
-        # When the process at the other end started, None if unknown, and whether it said so itself.
+        # When the process at the other end started, None if unknown, and how that is known.
         self.peer_started_ms: int | None = None
-        self.start_confirmed = False
+        self.start_source = StartSource.UNKNOWN
         self._responses: deque[HttpResponse] = deque()
         self._body: StreamReader | None = None
         self._bodiless = False
--- a/gypsumrouter/journal/request_events.py
+++ b/gypsumrouter/journal/request_events.py
@@ -33,7 +33,12 @@
 
 
 class AttemptSent(Event, frozen=True, kw_only=True):
-    """A request was sent to an upstream; `kept_connection` means on a reused connection."""
+    """A request was sent to an upstream; `kept_connection` means on a reused connection.
+
+    `start_known_by` is how it is known which start of the upstream the connection leads to: its
+    "entry" in the list, another "connection" that is open, its own "answer", or "" if that doesn't
+    matter. The store last responded `list_age_ms` ago as to the list.
+    """
 
     name: ClassVar[str] = "attempt_sent"
     request_id: str
@@ -41,6 +46,8 @@
     attempt: int
     kept_connection: bool
     deadline_ms: int
+    start_known_by: str
+    list_age_ms: int
 
 
 class AttemptEnded(Event, frozen=True, kw_only=True):
--- a/gypsumrouter/streams/versions.py
+++ b/gypsumrouter/streams/versions.py
@@ -68,10 +68,15 @@
             if seen_ms < expired_ms:
                 del self._last_seen_ms[key]
 
+    @property
+    def list_age_ms(self) -> int:
+        """Return the time since the store last responded as to the list."""
+        return self._get_list_age_ms()
+
     @property
     def list_is_current(self) -> bool:
         """Return whether the list was confirmed recently."""
-        return self._get_list_age_ms() <= MAX_LIST_AGE_MS
+        return self.list_age_ms <= MAX_LIST_AGE_MS
 
     def list_versions(self, service: str) -> set[str]:
         """Return the versions that a service has, or has had while a stream was able to begin."""
