Streams go on only where it is proven at which version they began

Cause: the version of an upstream was that of its entry, and it was not kept apart whether the start behind a connection was known or taken from that entry.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -22,6 +22,7 @@
     StreamingResponse,
     Unreachable,
 )
+from gypsumrouter.forwarding.starts import StartProof
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
     ConnectionBroken,
@@ -105,6 +106,12 @@
         """Return how it is known which start of the upstream the connection leads to."""
         return StartSource.UNKNOWN if self._connection is None else self._connection.start_source
 
+    def prove_start(self) -> StartProof | None:
+        """Return the proof of the start that the connection leads to, None without one."""
+        if self._connection is None:
+            return None
+        return self._pool.prove_start(self.entry, self._connection)
+
     async def async_send(self, *, response_timeout_ms: int | None) -> Outcome:
         """Send the request and read the response head, and the body unless it is streamed.
 
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 from enum import Enum, auto
 from typing import Final
@@ -19,6 +20,7 @@
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.const import CONNECT_TIMEOUT_MS, MAX_IDLE_PER_UPSTREAM
+from gypsumrouter.forwarding.starts import StartProof, UpstreamStarts
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
     ConnectionBroken,
@@ -27,6 +29,8 @@
     async_connect,
 )
 
+_LOGGER = logging.getLogger(__name__)
+
 # Used if the upstream announces no keep-alive timeout; servers usually keep idle connections for
 # five seconds or more.
 DEFAULT_KEEP_ALIVE_MS: Final = 4_000
@@ -48,8 +52,8 @@
     """How far the start of an upstream that its entry states is trusted for a request.
 
     An upstream that has started anew under its id may not be listed yet. IF_LOST: trusted unless a
-    connection to the upstream was lost since; ALWAYS: not trusted, unless another connection is
-    still open; CONFIRMED: the upstream itself has to state it.
+    connection to the upstream was lost since, or led to another start; ALWAYS: not trusted, unless
+    it is proven (see `is_start_proven`); CONFIRMED: the upstream itself has to state it.
     """
 
     NEVER = auto()
@@ -71,18 +75,36 @@
     Requests that must not be repeated always get a new connection if `reuse_for_all` is false.
     """
 
-    __slots__ = ("_app", "_idle", "_lost", "_open", "_opened", "_read_start", "_reuse_for_all")
+    __slots__ = (
+        "_app",
+        "_idle",
+        "_lost",
+        "_open",
+        "_opened",
+        "_questions",
+        "_read_start",
+        "_reuse_for_all",
+        "_starts",
+    )
 
     def __init__(
-        self, *, app: Application, read_start: ReadStart, reuse_for_all: bool = True
+        self,
+        *,
+        app: Application,
+        read_start: ReadStart,
+        starts: UpstreamStarts,
+        reuse_for_all: bool = True,
     ) -> None:
         self._app = app
+        self._starts = starts
         self._read_start = read_start
         self._reuse_for_all = reuse_for_all
         self._idle: dict[str, list[HttpConnection]] = {}
         # All open connections by incarnation, and the incarnations that lost one unexpectedly.
         self._open: dict[str, list[HttpConnection]] = {}
         self._lost: set[str] = set()
+        # Questions for the start of an incarnation, beside requests.
+        self._questions: dict[str, asyncio.Task[None]] = {}
         self._opened = app.metrics.counter(
             "gypsumrouter_upstream_connections_total", "Connections opened to upstreams"
         )
@@ -114,35 +136,88 @@
             await self._async_verify_start(entry, pooled.connection, timeout_ms=timeout_ms)
         return pooled
 
+    def prove_start(self, entry: Entry, connection: HttpConnection) -> StartProof:
+        """Return the proof that a connection leads to the listed start of an upstream.
+
+        If it isn't proven yet, the upstream is asked on another connection, within a bound.
+        """
+        is_known = self._starts.is_proven(entry, connection) or entry.incarnation in self._questions
+        if not is_known and self._starts.may_ask():
+            self._ask_start(entry)
+
+        async def async_ask() -> None:
+            await asyncio.wait((self._ask_start(entry),))
+
+        return StartProof(starts=self._starts, entry=entry, connection=connection, ask=async_ask)
+
+    def _ask_start(self, entry: Entry) -> asyncio.Task[None]:
+        """Return the question for the start of an upstream, a new one unless one is under way."""
+        question = self._questions.get(entry.incarnation)
+        if question is None:
+            question = self._app.async_create_task(self._async_ask_start(entry), "ask for a start")
+            self._questions[entry.incarnation] = question
+        return question
+
+    async def _async_ask_start(self, entry: Entry) -> None:
+        asked_ms = self._app.clock.now_ms()
+        try:
+            pooled = await self.async_acquire(
+                entry,
+                repeatable=True,
+                timeout_ms=CONNECT_TIMEOUT_MS,
+                start_check=StartCheck.CONFIRMED,
+            )
+        except ConnectFailed as error:
+            _LOGGER.debug("Upstream %s did not confirm its start: %s", entry.incarnation, error)
+            return
+        finally:
+            del self._questions[entry.incarnation]
+        self._starts.note_stated(entry, at_ms=asked_ms)
+        self.release(entry, pooled.connection)
+
     def _needs_check(
         self, entry: Entry, connection: HttpConnection, start_check: StartCheck
     ) -> bool:
-        """Return whether it has to be verified which start a connection leads to.
+        """Return whether the upstream has to be asked which start a connection leads to.
 
         All connections break when an upstream ends. So a new one leads to the same start as one
-        that is still open.
+        that is still open, if the start of that one is known and not only taken from its entry.
         """
-        if (
-            start_check is StartCheck.CONFIRMED
-            and connection.start_source is not StartSource.ANSWER
-        ):
+        if start_check is StartCheck.NEVER:
+            return False
+        if connection.start_source is StartSource.ANSWER:
+            return connection.peer_started_ms != entry.started_ms
+        if start_check is StartCheck.CONFIRMED:
             connection.peer_started_ms = None
             return True
-        if connection.peer_started_ms is not None:
+        if connection.start_source in (StartSource.CONNECTION, StartSource.LIST):
             return connection.peer_started_ms != entry.started_ms
+        source = self._find_start_source(entry, connection, start_check)
+        if source is None:
+            connection.peer_started_ms = None
+            return True
+        connection.peer_started_ms = entry.started_ms
+        connection.start_source = source
+        return False
+
+    def _find_start_source(
+        self, entry: Entry, connection: HttpConnection, start_check: StartCheck
+    ) -> StartSource | None:
+        """Return how the start of a connection is known or taken for known, None if neither."""
         others = self._list_open(entry.incarnation)
-        if any(other.peer_started_ms == entry.started_ms for other in others):
-            connection.peer_started_ms = entry.started_ms
-            connection.start_source = StartSource.CONNECTION
+        if self._starts.is_proven(entry, connection):
+            return StartSource.LIST
+        if any(self._vouches(other, entry) for other in others if other is not connection):
+            return StartSource.CONNECTION
+        if start_check is not StartCheck.IF_LOST or self._starts.is_contradicted(entry):
+            return None
+        return None if entry.incarnation in self._lost else StartSource.ENTRY
+
+    def _vouches(self, other: HttpConnection, entry: Entry) -> bool:
+        """Return whether an open connection is known to lead to the start of an entry."""
+        if other.peer_started_ms not in (None, entry.started_ms):
             return False
-        match start_check:
-            case StartCheck.NEVER:
-                return False
-            case StartCheck.IF_LOST if entry.incarnation not in self._lost:
-                connection.peer_started_ms = entry.started_ms
-                connection.start_source = StartSource.ENTRY
-                return False
-        return True
+        return self._starts.is_proven(entry, other)
 
     def _list_open(self, incarnation: str) -> list[HttpConnection]:
         """Return the open connections to an incarnation, and note whether others were lost."""
@@ -171,6 +246,7 @@
             connection.finish()
         if connection.peer_started_ms not in (NOT_STATED, entry.started_ms):
             connection.close()
+            self._starts.note_contradicted(entry)
             raise ConnectFailed("another start of the upstream has its address")
         self._lost.discard(entry.incarnation)
 
@@ -193,6 +269,7 @@
         connection = await async_connect(
             address=entry.address, timeout_ms=min(CONNECT_TIMEOUT_MS, max(1, timeout_ms))
         )
+        connection.opened_ms = self._app.clock.now_ms()
         self._opened.inc()
         self._list_open(entry.incarnation).append(connection)
         return PooledConnection(connection=connection, reused=False)
@@ -209,6 +286,7 @@
 
     def close_expired(self) -> None:
         """Close connections that were idle for too long; to be called about once a second."""
+        self._starts.sweep()
         now_ms = self._app.clock.now_ms()
         for incarnation in tuple(self._open):
             if not self._list_open(incarnation):
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -150,7 +150,7 @@
             progress=progress,
             close_connection=close_connection,
             on_begun=self._stream.note_begun,
-            on_received=self._runs.note_received,
+            on_received=self._note_received,
         )
         self._endings = RequestEndings(
             app=context.app,
@@ -220,7 +220,6 @@
         progress.attempts += 1
         self._contention.note_attempt()
         progress.upstream = placement.entry.incarnation
-        self._stream.entry = placement.entry
         loads = self._context.placer.loads
         peers_age_ms = loads.get_oldest_peer_age_ms(now_ms=self._now_ms())
         self._request_journal.record_placed(
@@ -234,6 +233,7 @@
             entry=placement.entry,
             on_head=self._runs.handle_head,
         )
+        self._stream.attempt = attempt
         started_ms = self._now_ms()
         outcome: Outcome | None = None
         step = "given up"
@@ -346,12 +346,17 @@
             self._record_broken(attempt)
         self._recorder.record_lost(upstream, ResponseLost(reason=message, connection_broken=broken))
         attempt.close()
+        await self._stream.async_settle()
         limits = self._get_retry_limits()
         retry_step = NextStep.RETRY if self._relay.sent is None else NextStep.RESUME
         return decide_after_failed_run(
             self.progress, limits, retry_step=retry_step, message=message
         )
 
+    def _note_received(self) -> None:
+        self._runs.note_received()
+        self._stream.note_received(self._now_ms())
+
     def _record_broken(self, attempt: Attempt) -> None:
         self._request_journal.record_broken(
             attempt, events=self.progress.events, after_ms=self._now_ms() - self._sent_ms
@@ -373,7 +378,9 @@
 
     def _get_retry_limits(self) -> RetryLimits:
         route = self._routed.route
-        continuation = decide_continuation(route, self._relay.sent)
+        continuation = decide_continuation(
+            route, self._relay.sent, version_proven=self._stream.is_proven
+        )
         return RetryLimits(
             repeatable=continuation is not Continuation.NEVER
             and Mechanism.RETRIES not in self._context.without,
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -20,13 +20,12 @@
 from gypsumrouter.core import Application
 from gypsumrouter.crashes.guard import CrashGuard
 from gypsumrouter.directory import Directory, Evacuations
-from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.connections import ConnectionPool, ReadStart
 from gypsumrouter.forwarding.const import CALLER_TIMEOUT_MARGIN_MS, DRAIN_GRACE_MS
 from gypsumrouter.forwarding.execution import ForwardingContext
 from gypsumrouter.forwarding.handler import RequestHandler, RequestParser
-from gypsumrouter.forwarding.health import HealthTracker
+from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker
 from gypsumrouter.forwarding.inventory import CacheInventory, FetchCacheListing
 from gypsumrouter.forwarding.leaving import DrainAdmission
 from gypsumrouter.forwarding.metrics import ForwardingMetrics
@@ -38,6 +37,7 @@
 from gypsumrouter.forwarding.service_work import ServiceWorkReader
 from gypsumrouter.forwarding.silence import SilenceTracker
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
+from gypsumrouter.forwarding.starts import UpstreamStarts
 from gypsumrouter.instances import Address, parse_address
 from gypsumrouter.journal import ConnectionsClosing, Journal
 from gypsumrouter.mechanisms import Mechanism
@@ -127,7 +127,17 @@
             routing.on_change(engine_memory.set_table)
             app.add_dump_section("engine_memory", engine_memory.summarize)
         reuse_for_all = Mechanism.KEEP_ALIVE not in settings.without
-        self._pool = ConnectionPool(app=app, read_start=read_start, reuse_for_all=reuse_for_all)
+        self._pool = ConnectionPool(
+            app=app,
+            read_start=read_start,
+            starts=UpstreamStarts(
+                clock=app.clock,
+                directory=directory,
+                get_list_age_ms=get_list_age_ms,
+                heartbeat_ms=settings.heartbeat_ms,
+            ),
+            reuse_for_all=reuse_for_all,
+        )
         self.streams = StreamOrigins(
             app=app,
             versions=VersionHistory(
--- a/gypsumrouter/forwarding/health.py
+++ b/gypsumrouter/forwarding/health.py
@@ -2,7 +2,8 @@
 
 Detects upstreams that fail, reset or never answer some of their requests although their health
 check succeeds, and upstreams that disappear. If all upstreams fail alike, their relative order does
-not change.
+not change. Upstreams at capacity that named a time before which not to retry are in back-off: a
+request sent earlier would be rejected again, at the cost of a round trip.
 """
 
 from __future__ import annotations
@@ -11,7 +12,7 @@
 from typing import Final
 
 from gypsumrouter.forwarding.silence import SilenceTracker
-from gypsumrouter.journal import Journal, UpstreamHealth
+from gypsumrouter.journal import Journal, UpstreamHealth, UpstreamResting
 from gypsumrouter.util.clock import Clock
 
 # Half-life of the success and failure counts: an upstream that failed two of four requests is tried
@@ -26,6 +27,8 @@
 PLAIN_FAILURE_COST_MS: Final = 200.0
 # Weight of the prior, in successful observations.
 PRIOR_OBSERVATIONS: Final = 2.0
+# Upper bound on the back-off requested by one response.
+MAX_BACKOFF_MS: Final = 600_000
 UNHEALTHY_FAILURE_RATE: Final = 0.25
 # An unreachable upstream is skipped for this long, doubled with each failed connection attempt.
 DOWN_FIRST_MS: Final = 300
@@ -192,3 +195,45 @@
                 observations=record.observations,
             )
         )
+
+
+class BackoffTracker:
+    """The end of each upstream's back-off, from responses to this router's requests."""
+
+    __slots__ = ("_clock", "_journal", "_until_ms")
+
+    def __init__(self, *, clock: Clock, journal: Journal) -> None:
+        self._clock = clock
+        self._journal = journal
+        self._until_ms: dict[str, int] = {}
+
+    def note(self, upstream: str, *, backoff_ms: int) -> None:
+        """Start or extend the back-off of an upstream; it is never shortened.
+
+        Responses to concurrent requests arrive in any order.
+        """
+        backoff_ms = min(backoff_ms, MAX_BACKOFF_MS)
+        until_ms = self._clock.now_ms() + backoff_ms
+        if until_ms <= self._until_ms.get(upstream, 0):
+            return
+        self._until_ms[upstream] = until_ms
+        self._journal.record(UpstreamResting(upstream=upstream, rest_ms=backoff_ms))
+
+    def is_backing_off(self, upstream: str) -> bool:
+        """Return whether an upstream must not receive requests now."""
+        return self.get_remaining_ms(upstream) > 0
+
+    def get_remaining_ms(self, upstream: str) -> int:
+        """Return the remaining back-off of an upstream; 0 if there is none."""
+        until_ms = self._until_ms.get(upstream)
+        return 0 if until_ms is None else max(0, until_ms - self._clock.now_ms())
+
+    def sweep(self) -> None:
+        """Drop back-offs that have ended; call this about once a second.
+
+        Back-offs of removed upstreams stay: the directory entry may only have expired.
+        """
+        now_ms = self._clock.now_ms()
+        for upstream, until_ms in tuple(self._until_ms.items()):
+            if until_ms <= now_ms:
+                del self._until_ms[upstream]
--- a/gypsumrouter/forwarding/next_step.py
+++ b/gypsumrouter/forwarding/next_step.py
@@ -78,17 +78,20 @@
     acquire_retry: Callable[[], bool]
 
 
-def decide_continuation(route: Route, sent: SentPart | None) -> Continuation:
+def decide_continuation(
+    route: Route, sent: SentPart | None, *, version_proven: bool
+) -> Continuation:
     """Return how another upstream may go on; `sent` is None if the caller has nothing yet.
 
-    Two runs of a request need not give the same bytes. Only a stream whose route allows that, and
-    whose last event has an id, continues after what was sent.
+    Two runs of a request need not give the same bytes. Only a stream whose route allows that, whose
+    last event has an id, and of which it is known at which version it began, continues after what
+    was sent.
     """
     if sent is None:
         return Continuation.AFRESH if route.repeatable else Continuation.NEVER
-    if route.resumable and sent.is_event_stream and sent.last_event_id is not None:
-        return Continuation.AFTER_LAST_EVENT
-    return Continuation.NEVER
+    if not route.resumable or not sent.is_event_stream or sent.last_event_id is None:
+        return Continuation.NEVER
+    return Continuation.AFTER_LAST_EVENT if version_proven else Continuation.NEVER
 
 
 def check_fits(outcome: SentOutcome, sent: SentPart | None) -> SentOutcome:
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -8,7 +8,6 @@
 from gypsumrouter.contention import Expected
 from gypsumrouter.core import Application, Remove
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuation, Evacuations
-from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.cache_index import CACHE_TTL_MS, CacheIndex
 from gypsumrouter.forwarding.candidates import (
     CandidateContext,
@@ -18,7 +17,7 @@
 from gypsumrouter.forwarding.cap_loads import CapLoads
 from gypsumrouter.forwarding.const import SOURCE_RESPONSE
 from gypsumrouter.forwarding.eligibility import NO_UPSTREAM, Eligibility, PlacementRefusal
-from gypsumrouter.forwarding.health import HealthTracker
+from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker
 from gypsumrouter.forwarding.load_reports import LoadReports
 from gypsumrouter.forwarding.loads import LoadTracker
 from gypsumrouter.forwarding.models import Prompt, ResponseMetadata
--- a/gypsumrouter/forwarding/stream_pin.py
+++ b/gypsumrouter/forwarding/stream_pin.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from gypsumrouter.directory import Entry
+from gypsumrouter.forwarding.attempt import Attempt
 from gypsumrouter.forwarding.connections import StartCheck
 from gypsumrouter.forwarding.models import CallerRequest
 from gypsumrouter.forwarding.request_journal import read_event_number
+from gypsumrouter.forwarding.starts import StartProof
 from gypsumrouter.journal import Journal, StreamTakenUp
 from gypsumrouter.routing import Route
 from gypsumrouter.streams import StreamOrigin, StreamOrigins
@@ -15,11 +16,22 @@
 class StreamPin:
     """Binds a stream to the version that wrote its first event.
 
-    `entry` is the upstream of the current attempt. A stream that its caller takes up is bound from
-    the beginning, by its `origin`; any other one from its first event on.
+    `attempt` is the current attempt. A stream that its caller takes up is bound from the beginning,
+    by its `origin`; any other one from its first event on. The version is that of the start that
+    the upstream's entry describes, so it counts only once it is proven that this start wrote the
+    event.
     """
 
-    __slots__ = ("_begun", "_origin", "_request_id", "_resumable", "_streams", "_taken_up", "entry")
+    __slots__ = (
+        "_begun",
+        "_origin",
+        "_proof",
+        "_request_id",
+        "_resumable",
+        "_streams",
+        "_taken_up",
+        "attempt",
+    )
 
     def __init__(
         self,
@@ -38,33 +50,54 @@
         if origin is not None and request.resumes is not None:
             self._request_id = request.resumes
         self._begun = False
-        self.entry: Entry | None = None
+        self._proof: StartProof | None = None
+        self.attempt: Attempt | None = None
 
     @property
     def version(self) -> str | None:
         """Return the version that the next attempt needs, None if any will do."""
         return None if self._origin is None else self._origin.version
 
+    @property
+    def is_proven(self) -> bool:
+        """Return whether it is known at which version the stream began."""
+        return self._proof is None or self._proof.holds()
+
+    def note_received(self, now_ms: int) -> None:
+        """Record that the upstream of the stream has sent a part of it."""
+        if self._proof is not None:
+            self._proof.note_alive(now_ms)
+
+    async def async_settle(self) -> None:
+        """Ask the upstream that began the stream for its start, unless that is proven."""
+        if self._proof is not None:
+            await self._proof.async_settle()
+
     @property
     def start_check(self) -> StartCheck:
         """Return how far the list is trusted as to the version of the current upstream."""
-        if not self._resumable or self.entry is None:
+        if not self._resumable or self.attempt is None:
             return StartCheck.NEVER
+        if self._origin is not None:
+            return StartCheck.CONFIRMED
         versions = self._streams.versions
-        if versions.list_is_current and len(versions.list_versions(self.entry.service)) == 1:
+        service = self.attempt.entry.service
+        if versions.list_is_current and len(versions.list_versions(service)) == 1:
             return StartCheck.IF_LOST
-        return StartCheck.ALWAYS if self._origin is None else StartCheck.CONFIRMED
+        return StartCheck.ALWAYS
 
     def note_begun(self) -> None:
         """Bind the stream to the upstream of the current attempt, whose first event has arrived."""
-        if not self._resumable or self._begun or self.entry is None:
+        if not self._resumable or self._begun or self.attempt is None:
             return
         self._begun = True
         if self._taken_up and self._origin is not None:
             self._streams.note_taken_up(self._request_id, self._origin)
             return
-        self._origin = StreamOrigin(service=self.entry.service, version=self.entry.version)
-        self._streams.note_begun(self._request_id, self._origin)
+        entry = self.attempt.entry
+        self._origin = StreamOrigin(service=entry.service, version=entry.version)
+        self._proof = self.attempt.prove_start()
+        self._streams.note_begun(self._request_id, self._origin, is_proven=lambda: self.is_proven)
 
     def note_ended(self, *, complete: bool) -> None:
         """Record how the stream of the current attempt ended."""
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -65,12 +65,14 @@
 class StartSource(StrEnum):
     """How it is known which start of a process a connection leads to.
 
-    ENTRY: taken from its entry in the list. CONNECTION: another connection is open that leads to
-    it. ANSWER: the process itself stated it on this connection.
+    ENTRY: not known, but taken from its entry in the list. LIST: the list still showed it when an
+    ended start would have been removed. CONNECTION: another connection was open whose start was
+    known. ANSWER: the process itself stated it on this connection.
     """
 
     UNKNOWN = ""
     ENTRY = "entry"
+    LIST = "list"
     CONNECTION = "connection"
     ANSWER = "answer"
 
@@ -111,6 +113,7 @@
         "idle_since_ms",
         "keep_alive_ms",
         "lost_unexpectedly",
+        "opened_ms",
         "peer_started_ms",
         "start_source",
     )
@@ -119,6 +122,8 @@
         super().__init__(loop)
         self.address = address
         self.exchanges = 0
+        # When it was open at the latest (monotonic milliseconds), set by who opened it.
+        self.opened_ms = 0
         self.idle_since_ms = 0
         # Idle timeout that the peer announced in its Keep-Alive header, if any.
         self.keep_alive_ms: int | None = None
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import Callable, Mapping
 from enum import StrEnum
+from typing import Final
 
 from aiohttp import web
 from msgspec import Struct
@@ -17,6 +18,9 @@
 from gypsumrouter.standins.listener import StandinListener, reset_transport
 from gypsumrouter.standins.unframed_response import UnframedResponse
 
+# Time between two starts of a runner.
+RESTART_MS: Final = 5_000
+
 
 class RunnerFault(StrEnum):
     """How a runner fails a request.
@@ -144,6 +148,12 @@
         """Return the ids of the requests that started to run."""
         return [arrival.request_id for arrival in self.arrivals if arrival.ran]
 
+    def restart_unseen(self, *, version: str) -> None:
+        """Become another start of another version, as if before the present connections."""
+        self.started_ms += RESTART_MS
+        self.version = version
+        self._starts.clear()
+
     async def _async_get_inventory(self, request: web.Request) -> web.Response:
         self.inventory_calls += 1
         return web.json_response({"epoch": 1, "next": 1, "held": self.inventory})
--- a/gypsumrouter/streams/models.py
+++ b/gypsumrouter/streams/models.py
@@ -9,6 +9,8 @@
 from msgspec import Struct
 
 ORIGIN_MASK: Final = 0xFFFF_FFFF
+# Told for a stream of which it is not proven at which version it began.
+UNPROVEN_ORIGIN: Final = 0
 
 
 class StreamOrigin(Struct, frozen=True, kw_only=True):
--- a/gypsumrouter/streams/origins.py
+++ b/gypsumrouter/streams/origins.py
@@ -4,7 +4,7 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Final, Protocol
 
 from msgspec import Struct
@@ -12,6 +12,7 @@
 from gypsumrouter.core import Application
 from gypsumrouter.link import BegunStream
 from gypsumrouter.streams.models import (
+    UNPROVEN_ORIGIN,
     Known,
     OneVersion,
     OriginView,
@@ -29,6 +30,8 @@
 DIGEST_BITS: Final = 64
 # Most streams of a few events end within this time, and nobody needs to know of them.
 TELL_DELAY_MS: Final = 50
+# In this time it is mostly proven at which version a stream began.
+PROOF_DELAY_MS: Final = 500
 LABELS_GOES_ON: Final = (("decision", "goes_on"),)
 LABELS_REFUSED: Final = (("decision", "refused"),)
 
@@ -40,17 +43,29 @@
         """Return what other routers say of a stream, within a bounded time."""
 
 
+def _is_proven() -> bool:
+    return True
+
+
 class _Record(Struct, frozen=True, kw_only=True):
+    """The origin of a stream, and whether it is proven by now."""
+
     origin: int
     expires_ms: int
+    is_proven: Callable[[], bool] = _is_proven
+
+    @property
+    def known_origin(self) -> int:
+        """Return the digest of the origin as others may use it."""
+        return self.origin if self.is_proven() else UNPROVEN_ORIGIN
 
 
 class _Untold(Struct, kw_only=True):
     """A stream that this router began and has not told yet; due at `due_ms`."""
 
-    origin: int
+    record: _Record
     due_ms: int
-    expires_ms: int
+    broken: bool = False
 
 
 class StreamOrigins:
@@ -78,15 +93,23 @@
         """Ask these routers for streams that this one doesn't know."""
         self._peers = peers
 
-    def note_begun(self, request_id: str, origin: StreamOrigin) -> None:
-        """Record that the first event of a stream passes this router."""
+    def note_begun(
+        self,
+        request_id: str,
+        origin: StreamOrigin,
+        *,
+        is_proven: Callable[[], bool] = _is_proven,
+    ) -> None:
+        """Record that the first event of a stream passes this router.
+
+        While `is_proven` returns false, the stream counts as one that may not go on anywhere.
+        """
         stream, digest = make_stream_digest(request_id), make_origin_digest(origin)
         now_ms = self._app.clock.now_ms()
-        self._add(stream, digest, now_ms=now_ms)
+        record = self._add(stream, digest, now_ms=now_ms, is_proven=is_proven)
+        delay_ms = TELL_DELAY_MS if is_proven() else PROOF_DELAY_MS
         self._untold.setdefault(origin.service, {})[stream] = _Untold(
-            origin=digest,
-            due_ms=now_ms + TELL_DELAY_MS,
-            expires_ms=now_ms + STREAM_RETENTION_MS,
+            record=record, due_ms=now_ms + delay_ms
         )
 
     def note_complete(self, request_id: str, origin: StreamOrigin) -> None:
@@ -100,6 +123,7 @@
         untold = self._untold.get(origin.service, {}).get(make_stream_digest(request_id))
         if untold is not None:
             untold.due_ms = self._app.clock.now_ms()
+            untold.broken = True
 
     def note_taken_up(self, request_id: str, origin: StreamOrigin) -> None:
         """Record that a stream that began at another router goes on at this one."""
@@ -117,8 +141,10 @@
         now_ms = self._app.clock.now_ms()
         due: list[BegunStream] = []
         for service, untold in self._untold.items():
-            if untold and self.versions.get_only_version(service) is None:
-                due += _take_due(untold, now_ms)
+            if not untold:
+                continue
+            only_unproven = self.versions.get_only_version(service) is not None
+            due += _take_due(untold, now_ms, only_unproven=only_unproven)
         return due
 
     def sweep(self) -> None:
@@ -130,14 +156,14 @@
                 break
             del self._records[stream]
         for untold in self._untold.values():
-            for stream in [s for s, entry in untold.items() if entry.expires_ms <= now_ms]:
+            for stream in [s for s, u in untold.items() if u.record.expires_ms <= now_ms]:
                 del untold[stream]
 
     def get_view(self, *, stream: int, service: str) -> OriginView:
         """Return what this router knows of a stream of a service."""
         record = self._records.get(stream)
         if record is not None and record.expires_ms > self._app.clock.now_ms():
-            return Known(origin=record.origin)
+            return Known(origin=record.known_origin)
         if len(self.versions.list_versions(service)) > 1:
             return SeveralVersions()
         only = self.versions.get_only_version(service)
@@ -192,11 +218,22 @@
                     return origin
         return None
 
-    def _add(self, stream: int, origin: int, *, now_ms: int) -> None:
-        self._records[stream] = _Record(origin=origin, expires_ms=now_ms + STREAM_RETENTION_MS)
+    def _add(
+        self,
+        stream: int,
+        origin: int,
+        *,
+        now_ms: int,
+        is_proven: Callable[[], bool] = _is_proven,
+    ) -> _Record:
+        record = _Record(
+            origin=origin, expires_ms=now_ms + STREAM_RETENTION_MS, is_proven=is_proven
+        )
+        self._records[stream] = record
         self._records.move_to_end(stream)
         if len(self._records) > MAX_STREAMS:
             self._records.popitem(last=False)
+        return record
 
     def _dump(self) -> object:
         return {
@@ -211,8 +248,18 @@
     return random.getrandbits(DIGEST_BITS)
 
 
-def _take_due(untold: dict[int, _Untold], now_ms: int) -> list[BegunStream]:
-    due = [(stream, entry) for stream, entry in untold.items() if entry.due_ms <= now_ms]
+def _take_due(untold: dict[int, _Untold], now_ms: int, *, only_unproven: bool) -> list[BegunStream]:
+    """Remove and return the streams to tell; `only_unproven`: of one version, others need none."""
+    due = [
+        (stream, entry)
+        for stream, entry in untold.items()
+        if entry.due_ms <= now_ms and (not only_unproven or _misleads(entry))
+    ]
     for stream, _ in due:
         del untold[stream]
-    return [BegunStream(stream=stream, origin=entry.origin) for stream, entry in due]
+    return [BegunStream(stream=stream, origin=entry.record.known_origin) for stream, entry in due]
+
+
+def _misleads(untold: _Untold) -> bool:
+    """Return whether other routers would take the one version that they know for the stream's."""
+    return untold.broken and not untold.record.is_proven()
--- a/tests/forwarding/engine_placers.py
+++ b/tests/forwarding/engine_placers.py
@@ -7,8 +7,7 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
-from gypsumrouter.forwarding.backoff import BackoffTracker
-from gypsumrouter.forwarding.health import HealthTracker
+from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.silence import SilenceTracker
--- a/tests/forwarding/test_forwarding_joined_answers.py
+++ b/tests/forwarding/test_forwarding_joined_answers.py
@@ -84,7 +84,12 @@
 def test_only_numbered_events_of_a_resumable_route_go_on_elsewhere(
     route: Route, sent: SentPart | None, expected: Continuation
 ) -> None:
-    assert decide_continuation(route, sent) is expected
+    assert decide_continuation(route, sent, version_proven=True) is expected
+
+
+def test_stream_goes_on_only_if_it_is_known_at_which_version_it_began() -> None:
+    assert decide_continuation(RESUMABLE, EVENTS, version_proven=False) is Continuation.NEVER
+    assert decide_continuation(RESUMABLE, None, version_proven=False) is Continuation.AFRESH
 
 
 def make_streaming(*, is_event_stream: bool) -> StreamingResponse:
--- a/tests/forwarding/test_forwarding_start_check.py
+++ b/tests/forwarding/test_forwarding_start_check.py
@@ -9,10 +9,17 @@
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Entry, EntryState
+from gypsumrouter.directory import Directory, Entry, EntryState
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
-from gypsumrouter.helpers.http_connection import ConnectFailed, HttpConnection
+from gypsumrouter.forwarding.starts import (
+    QUESTION_BURST,
+    ListTimes,
+    UpstreamStarts,
+    is_start_proven,
+)
+from gypsumrouter.helpers.http_connection import ConnectFailed, HttpConnection, StartSource
 from gypsumrouter.instances import Address
+from gypsumrouter.journal import Journal
 
 STARTED_MS = 1_700_000_000_000
 
@@ -50,8 +57,8 @@
 
     def stop(self) -> None:
         """Close the listener and all connections."""
-        assert self._server is not None
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
         for writer in self._writers:
             writer.transport.abort()
 
@@ -70,6 +77,13 @@
     await app.async_stop()
 
 
+def make_pool(app: Application, upstream: Upstream) -> ConnectionPool:
+    """Return a pool that knows no list, so that the list proves nothing."""
+    directory = Directory(app=app, journal=Journal(app=app))
+    starts = UpstreamStarts(clock=app.clock, directory=directory, get_list_age_ms=lambda: 0)
+    return ConnectionPool(app=app, read_start=upstream.async_read_start, starts=starts)
+
+
 async def async_connect(pool: ConnectionPool, entry: Entry, check: StartCheck) -> HttpConnection:
     pooled = await pool.async_acquire(entry, repeatable=True, timeout_ms=500, start_check=check)
     return pooled.connection
@@ -79,7 +93,7 @@
     app: Application, upstream: Upstream
 ) -> None:
     entry = await upstream.async_start()
-    pool = ConnectionPool(app=app, read_start=upstream.async_read_start)
+    pool = make_pool(app, upstream)
     for _ in range(3):
         await async_connect(pool, entry, StartCheck.ALWAYS)
     assert upstream.questions == 1
@@ -89,7 +103,7 @@
     app: Application, upstream: Upstream
 ) -> None:
     entry = await upstream.async_start()
-    pool = ConnectionPool(app=app, read_start=upstream.async_read_start)
+    pool = make_pool(app, upstream)
     await async_connect(pool, entry, StartCheck.ALWAYS)
     # The loss of the first connection has not been noticed yet.
     upstream.started_ms += 5_000
@@ -101,7 +115,7 @@
     app: Application, upstream: Upstream
 ) -> None:
     entry = await upstream.async_start()
-    pool = ConnectionPool(app=app, read_start=upstream.async_read_start)
+    pool = make_pool(app, upstream)
     first = await async_connect(pool, entry, StartCheck.IF_LOST)
     assert upstream.questions == 0
     first.connection_lost(ConnectionResetError())
@@ -110,3 +124,98 @@
     second = await async_connect(pool, entry, StartCheck.IF_LOST)
     second.close()
     assert upstream.questions == 1
+
+
+# Guards against a start that is only taken from an entry and vouches for other connections.
+async def test_connection_whose_start_is_taken_from_the_entry_does_not_vouch_for_others(
+    app: Application, upstream: Upstream
+) -> None:
+    entry = await upstream.async_start()
+    pool = make_pool(app, upstream)
+    first = await async_connect(pool, entry, StartCheck.IF_LOST)
+    assert first.start_source is StartSource.ENTRY
+    upstream.started_ms += 5_000
+    with pytest.raises(ConnectFailed):
+        await async_connect(pool, entry, StartCheck.ALWAYS)
+    assert upstream.questions == 1
+    # From now on the entry is not taken for true.
+    with pytest.raises(ConnectFailed):
+        await async_connect(pool, entry, StartCheck.IF_LOST)
+
+
+async def test_connection_that_was_used_on_trust_is_checked_when_it_matters(
+    app: Application, upstream: Upstream
+) -> None:
+    entry = await upstream.async_start()
+    pool = make_pool(app, upstream)
+    pool.release(entry, await async_connect(pool, entry, StartCheck.IF_LOST))
+    upstream.started_ms += 5_000
+    with pytest.raises(ConnectFailed):
+        await async_connect(pool, entry, StartCheck.ALWAYS)
+
+
+async def test_start_is_proven_by_one_question_for_all_connections_opened_before(
+    app: Application, upstream: Upstream
+) -> None:
+    entry = await upstream.async_start()
+    pool = make_pool(app, upstream)
+    connections = [await async_connect(pool, entry, StartCheck.IF_LOST) for _ in range(5)]
+    proofs = [pool.prove_start(entry, connection) for connection in connections]
+    assert not any(proof.holds() for proof in proofs)
+    for proof in proofs:
+        await proof.async_settle()
+    assert all(proof.holds() for proof in proofs)
+    assert upstream.questions == 1
+
+
+async def test_questions_beside_requests_are_bounded(app: Application, upstream: Upstream) -> None:
+    directory = Directory(app=app, journal=Journal(app=app))
+    starts = UpstreamStarts(clock=app.clock, directory=directory, get_list_age_ms=lambda: 0)
+    assert 0 < sum(starts.may_ask() for _ in range(100)) <= QUESTION_BURST + 1
+
+
+OPENED_MS = 1_000
+TIMES = ListTimes(registration_ms=1_800, expiry_ms=4_200)
+REGISTERED_MS = OPENED_MS + TIMES.registration_ms
+EXPIRED_MS = OPENED_MS + TIMES.expiry_ms
+
+
+@pytest.mark.parametrize(
+    ("source", "alive_ms", "stated_ms", "listed_ms", "proven"),
+    [
+        # Stated by the upstream on this connection, or known at the time it was opened.
+        (StartSource.ANSWER, OPENED_MS, None, None, True),
+        (StartSource.CONNECTION, OPENED_MS, None, None, True),
+        # Taken from the entry, however young the list is.
+        (StartSource.ENTRY, OPENED_MS, None, OPENED_MS, False),
+        (StartSource.UNKNOWN, OPENED_MS, None, OPENED_MS, False),
+        # The upstream stated its start before the connection was opened, or after.
+        (StartSource.ENTRY, OPENED_MS, OPENED_MS - 1, None, False),
+        (StartSource.ENTRY, OPENED_MS, OPENED_MS, None, True),
+        # It ran long enough to be listed, and the list is as young.
+        (StartSource.ENTRY, REGISTERED_MS, None, REGISTERED_MS, True),
+        (StartSource.ENTRY, REGISTERED_MS, None, REGISTERED_MS - 1, False),
+        # It ended before, so that it may never have been listed.
+        (StartSource.ENTRY, REGISTERED_MS - 1, None, REGISTERED_MS, False),
+        (StartSource.ENTRY, OPENED_MS, None, EXPIRED_MS - 1, False),
+        # The entry of a start that had ended before would have been removed.
+        (StartSource.ENTRY, OPENED_MS, None, EXPIRED_MS, True),
+        # The upstream left the list, or the store is away.
+        (StartSource.ENTRY, EXPIRED_MS, None, None, False),
+    ],
+)
+def test_start_is_proven_only_by_what_is_younger_than_the_connection(
+    source: StartSource,
+    alive_ms: int,
+    stated_ms: int | None,
+    listed_ms: int | None,
+    proven: bool,
+) -> None:
+    assert proven == is_start_proven(
+        source=source,
+        opened_ms=OPENED_MS,
+        alive_ms=alive_ms,
+        stated_ms=stated_ms,
+        listed_ms=listed_ms,
+        times=TIMES,
+    )
