--- a/bench/soak.py
+++ b/bench/soak.py
@@ -29,6 +29,7 @@
 from bench.soak_retry_checks import RETRY_RATIO, RETRY_SLACK, check_retry_budget
 from bench.soak_rig import ENV_KEY, FORWARDERS, KEY, SoakRig
 from bench.soak_streams import StreamCallers, check_going_on, check_streams, count_taken_up
+from bench.soak_unfinished import async_soak_unfinished
 
 DEFAULT_S: Final = 6.0
 SETTLE_S: Final = 3.0
@@ -37,6 +38,17 @@
 MS: Final = 1_000
 
 
+async def async_soak_one(
+    *, seed: int, folder: Path, forwarders: int
+) -> tuple[dict[str, object], bool]:
+    """Run one seed of what is under way at stops; return its figures, and whether all held."""
+    figures, violations, rig = await async_soak_unfinished(
+        seed=seed, folder=folder, forwarders=forwarders
+    )
+    _print_violations(violations, rig)
+    return figures, not violations
+
+
 async def async_soak(
     *,
     seed: int,
@@ -182,6 +194,11 @@
 @click.option("--versions", is_flag=True, help="Engines of several versions; streams go on.")
 @click.option("--crashes", is_flag=True, help="Engines crash on some parts of prompts.")
 @click.option("--surges", is_flag=True, help="Most new connections go to one forwarder.")
+@click.option(
+    "--unfinished",
+    is_flag=True,
+    help="Only: slow bodies around stops, large responses that break off, late listings.",
+)
 @click.option(
     "--forwarders", type=int, default=FORWARDERS, help="Number of forwarders; 15 for most tests."
 )
@@ -202,6 +219,7 @@
     versions: bool,
     crashes: bool,
     surges: bool,
+    unfinished: bool,
     forwarders: int,
     journals: Path | None,
 ) -> None:
@@ -214,8 +232,10 @@
     while chosen or time.monotonic() < ends:
         number = chosen.pop(0) if chosen else first + len(runs)
         with tempfile.TemporaryDirectory() as folder:
-            figures, kept = asyncio.run(
-                async_soak(
+            if unfinished:
+                soak = async_soak_one(seed=number, folder=Path(folder), forwarders=forwarders)
+            else:
+                soak = async_soak(
                     seed=number,
                     seconds=seconds,
                     folder=Path(folder),
@@ -228,7 +248,7 @@
                     surges=surges,
                     forwarders=forwarders,
                 )
-            )
+            figures, kept = asyncio.run(soak)
             if journals is not None:
                 _keep_journals(Path(folder), journals / str(number))
         click.echo(json.dumps(figures))
--- a/bench/soak_rig.py
+++ b/bench/soak_rig.py
@@ -8,7 +8,7 @@
 import signal
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any, Final
 
@@ -62,8 +62,8 @@
     """Starts, kills and restarts forwarder processes, always on the same ports.
 
     With `evacuations` runners are in several data centres, and new engines start cold. With
-    `versions` engines of several software versions serve side by side, and half of all runners send
-    responses with neither a length nor chunks. `bounds` overrides limits of the forwarders.
+    `versions` engines have software versions, at first `first_versions`, and half of all runners
+    send responses with neither a length nor chunks. `bounds` overrides limits of the forwarders.
     """
 
     def __init__(
@@ -73,6 +73,7 @@
         forwarders: int = FORWARDERS,
         evacuations: bool = False,
         versions: bool = False,
+        first_versions: Sequence[str] = FIRST_VERSIONS,
         bounds: Mapping[str, float] | None = None,
     ) -> None:
         self.count = forwarders
@@ -94,7 +95,7 @@
         if versions:
             self.runners["models"] = [
                 self._make_engine(f"i-models-{number}", version)
-                for number, version in enumerate(FIRST_VERSIONS)
+                for number, version in enumerate(first_versions)
             ]
             for runners in self.runners.values():
                 for runner in runners[::2]:
@@ -329,6 +330,10 @@
         ordered = (sorted(g, key=lambda n: str(self._ports[n][1])) for g in groups.values())
         return [number for group in ordered for number in group[:watching]]
 
+    def get_callers_port(self, number: int) -> int:
+        """Return the port at which a forwarder listens for callers."""
+        return self._ports[number][0]
+
     def url(self, number: int, path: str) -> str:
         """Return the URL of a path at a forwarder."""
         return f"http://127.0.0.1:{self._ports[number][0]}{path}"
--- a/bench/soak_streams.py
+++ b/bench/soak_streams.py
@@ -62,9 +62,13 @@
 
 
 class StreamCallers:
-    """Callers that begin streams and take up those that break off, each at another forwarder."""
+    """Callers that begin streams and take up those that break off, each at another forwarder.
 
-    def __init__(self, *, rig: SoakRig, seed: int) -> None:
+    The first streams begin after `first_after_s`.
+    """
+
+    def __init__(self, *, rig: SoakRig, seed: int, first_after_s: float = 0.0) -> None:
+        self._first_after_s = first_after_s
         self._rig = rig
         self._seed = seed
         self._stopping = asyncio.Event()
@@ -81,6 +85,7 @@
 
     async def _async_run_caller(self, caller: int) -> None:
         rng = random.Random(f"{self._seed}/streams/{caller}")
+        await asyncio.sleep(self._first_after_s)
         while not self._stopping.is_set():
             tries: list[Try] = []
             self.streams.append(tries)
