A large 503 without the mark of not run is not passed on

Callers take 503 for a promise that a request did not run and never will. The status is asked first now. Test: with a body of 768 KiB the caller got 503 before and gets 502 now, like with a small body.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -167,6 +167,12 @@
         if metadata.is_event_stream and succeeded:
             return StreamingResponse(answer=answer, status=answer.status, is_event_stream=True)
         body, complete = await _async_read_buffered(answer)
+        if answer.status in NOT_RUN_STATUSES:
+            if complete:
+                self._release_or_close(answer)
+            return ResponseLost(
+                reason=f"status {answer.status} without the header that the request was not run"
+            )
         if not complete:
             return StreamingResponse(
                 answer=answer, status=answer.status, is_event_stream=False, initial_bytes=body
@@ -174,10 +180,6 @@
         if answer.framing is Framing.CLOSE and not _shows_end(answer, body):
             raise ConnectionBroken("the body ended inside its JSON document")
         self._release_or_close(answer)
-        if answer.status in NOT_RUN_STATUSES:
-            return ResponseLost(
-                reason=f"status {answer.status} without the header that the request was not run"
-            )
         return CompleteResponse(
             answer=answer, status=answer.status, signed=metadata.signed, body=body
         )
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -229,7 +229,8 @@
             case RunnerFault.ENCODED:
                 return web.Response(headers={**headers, "Content-Encoding": "gzip"}, body=b"x")
             case RunnerFault.UNMARKED_REJECTION:
-                return web.Response(status=503, headers=headers)
+                body = make_body("busy", size=self.body_bytes)
+                return web.Response(status=503, headers=headers, body=body)
             case RunnerFault.FOREIGN_RESPONSE_FIRST if request.transport is not None:
                 request.transport.write(
                     f"HTTP/1.1 200 OK\r\n{names.REQUEST_ID}: other\r\n"
--- a/tests/forwarding/test_forwarding_joined_answers.py
+++ b/tests/forwarding/test_forwarding_joined_answers.py
@@ -168,6 +168,19 @@
     writer.close()
 
 
+# Guards against a 503 that promises "not run" for a request that may have run.
+@pytest.mark.parametrize("size", [None, LARGE_BYTES])
+async def test_rejection_without_the_mark_of_not_run_is_not_passed_on(
+    world: ForwardingWorld, session: Session, size: int | None
+) -> None:
+    for runner in world.records:
+        runner.body_bytes = size
+        runner.default_fault = RunnerFault.UNMARKED_REJECTION
+    status, _, _ = await world.async_call(session, "POST", "/reserve/a", "r1", body=b"p")
+    assert status == 502
+    assert len(world.arrivals("r1")) == 1
+
+
 # Guards against events of two runs in one answer, on a route that isn't resumable.
 @pytest.mark.parametrize("max_attempts", ATTEMPTS)
 async def test_events_of_a_route_that_is_not_resumable_do_not_go_on_elsewhere(
