A stop that runs out of time resets what is under way, and ends in time

Connections with a request under way are now reset before the library is told to stop, and their requests are journalled as cut_by_stop.

--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -79,6 +79,7 @@
         "_head_timer",
         "_limits",
         "refused",
+        "was_cut",
     )
 
     def __init__(
@@ -101,6 +102,8 @@
         self._body_scope: asyncio.Timeout | None = None
         # Whether the request that is arriving is refused since the process stops.
         self.refused = False
+        # Whether this process has ended it with a request under way.
+        self.was_cut = False
 
     @property
     def state(self) -> ConnectionState:
@@ -162,6 +165,14 @@
         if self.transport is not None:
             self.transport.close()
 
+    def cut(self) -> None:
+        """End the connection; reset it unless it is idle, so that no answer looks complete."""
+        if self.state is ConnectionState.IDLE:
+            self.close_now()
+            return
+        self.was_cut = True
+        abort_connection(self.transport)
+
     def close_after_answer(self) -> None:
         """Close the connection after the next answer, or after those to requests behind it."""
         self._closes_after_answer = True
--- a/gypsumrouter/callers/listener.py
+++ b/gypsumrouter/callers/listener.py
@@ -113,5 +113,8 @@
             await site.stop()
 
     async def async_close(self) -> None:
-        """Close the listener and all connections."""
+        """Close the listener and all connections; what is under way ends broken."""
+        await self.async_stop_listening()
+        for connection in self._server.list_connections():
+            connection.cut()
         await self._runner.cleanup()
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -146,7 +146,8 @@
                 idle_ms=limits.idle_timeout_ms,
             )
         except asyncio.CancelledError:
-            self._record_unread(request, reservation, arrived_ms, outcome="connection_ended")
+            outcome = _describe_end(request)
+            self._record_unread(request, reservation, arrived_ms, outcome=outcome)
             raise
         if isinstance(body, Rejection):
             response = self._reject_malformed(
@@ -281,7 +282,7 @@
             response = await run.async_run()
             status = response.status
         except asyncio.CancelledError:
-            progress.outcome = "caller_gone"
+            progress.outcome = _describe_end(request)
             abort_connection(request.transport)
             raise
         except CallerDisconnected:
@@ -434,6 +435,13 @@
         )
 
 
+def _describe_end(request: web.BaseRequest) -> str:
+    """Return the outcome of a request whose connection has ended."""
+    connection = request.protocol
+    was_cut = isinstance(connection, CallerConnection) and connection.was_cut
+    return "cut_by_stop" if was_cut else "caller_gone"
+
+
 def _choose_service(caller_request: CallerRequest, route: Route) -> str:
     """Return the service for a request; a split route keeps equal prompts on one service."""
     if caller_request.prompt is not None and caller_request.prompt.shared:
--- a/tests/forwarding/test_forwarding_arriving.py
+++ b/tests/forwarding/test_forwarding_arriving.py
@@ -8,10 +8,11 @@
 from unittest.mock import patch
 
 import pytest
-from forwarding_world import CALLER_KEY, HOST, ForwardingWorld
+from forwarding_world import CALLER_KEY, HOST, PROMPT, ForwardingWorld
 
 from gypsumrouter.running_process import RunningProcess
 from gypsumrouter.settings import Bounds
+from gypsumrouter.standins.platform_runner import RunnerFault
 
 HANG_S = 10
 BODY = b"x" * 60_000
@@ -278,3 +279,21 @@
     async with asyncio.timeout(HANG_S):
         await slow.reader.readexactly(LARGE_BODY_BYTES)
         await drain
+
+
+# Guards against an answer that a stop cuts short and that looks complete to its caller.
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+async def test_answer_that_a_stop_cuts_ends_broken(world: ForwardingWorld, version: str) -> None:
+    for runner in world.models:
+        runner.default_fault = RunnerFault.STALL_STREAM
+    caller = await Caller.async_open(world.product)
+    headers = {**PROMPT, "Host": HOST, "X-Request-Id": "r-2", "Api-Key": CALLER_KEY}
+    headers |= {"Content-Length": "1", "Connection": "close"}
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    await caller.async_send(f"POST /draft/a HTTP/{version}\r\n{lines}\r\np".encode())
+    async with asyncio.timeout(HANG_S):
+        await caller.reader.readuntil(b"piece 2\n\n")
+        stop = asyncio.create_task(world.product.app.async_stop())
+        with pytest.raises(ConnectionResetError):
+            await caller.reader.read()
+        await stop
