A stop signal that is reported twice does not abort the drain

Cause: a signal that arrives between the run of the loop that starts the service and the one that waits is reported twice, in the same millisecond, and a second stop signal forces the stop. A second report now counts after two turns of the loop.

--- a/gypsumrouter/service.py
+++ b/gypsumrouter/service.py
@@ -32,20 +32,27 @@
 class DaemonService(aiomisc.Service):
     """Runs the components of a process until a signal or an invariant violation."""
 
-    def __init__(self, *, settings: Settings, announce: bool, setup: Setup) -> None:
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        announce: bool,
+        setup: Setup,
+    ) -> None:
         super().__init__()
         self._setup = setup
         self._settings = settings
         self._announce = announce
         self._process: RunningProcess | None = None
         self._stop_requested = asyncio.Event()
+        self._stop_settled = asyncio.Event()
         self._stop_forced = asyncio.Event()
         self._exit_code = EXIT_OK
 
     async def start(self) -> None:
         """Set up the process; a failure is logged with its error code."""
         for number in STOP_SIGNALS:
-            self.loop.add_signal_handler(number, self._handle_stop_signal, number)
+            self.loop.add_signal_handler(number, self.handle_stop_signal, number)
         self.loop.add_signal_handler(signal.SIGHUP, self._handle_reload_signal)
         try:
             self._process = await self._setup()
@@ -103,8 +110,16 @@
             ", ".join(running),
         )
 
-    def _handle_stop_signal(self, number: int) -> None:
+    @property
+    def stop_forced(self) -> bool:
+        """Return whether a second stop signal has ended the drain."""
+        return self._stop_forced.is_set()
+
+    def handle_stop_signal(self, number: int) -> None:
+        """Start to drain at the first stop signal, and stop at once at a later one."""
         if self._stop_requested.is_set():
+            if not self._stop_settled.is_set():
+                return
             _LOGGER.warning(
                 "Second stop signal (%s): aborting the running requests",
                 signal.Signals(number).name,
@@ -113,6 +128,9 @@
             return
         _LOGGER.info("Received stop signal %s; starting to drain", signal.Signals(number).name)
         self._stop_requested.set()
+        # A signal that arrives between two runs of the event loop is reported twice, at once.
+        loop = asyncio.get_running_loop()
+        loop.call_soon(loop.call_soon, self._stop_settled.set)
 
     def _handle_reload_signal(self) -> None:
         if self._process is not None and self._process.reload is not None:
