A reload signal during the start of a process does not end it

It is now remembered from before the imports on, and the settings are reloaded once the process runs; one that arrives during the set-up was dropped and is remembered, too. Test: SIGHUP as soon as the early listener accepts, with a real process, ended it before. In the first 50 ms, before the interpreter runs our first line, SIGHUP still ends it.

--- a/gypsumrouter/service.py
+++ b/gypsumrouter/service.py
@@ -38,8 +38,11 @@
         settings: Settings,
         announce: bool,
         setup: Setup,
+        reload_requested: bool = False,
     ) -> None:
+        """Create the service; with `reload_requested` the settings are reloaded once it runs."""
         super().__init__()
+        self._reload_requested = reload_requested
         self._setup = setup
         self._settings = settings
         self._announce = announce
@@ -64,6 +67,8 @@
             return
         freeze_heap_when_configured(self._process)
         self._report_addresses(self._process)
+        if self._reload_requested:
+            self._handle_reload_signal()
 
     async def async_wait(self) -> int:
         """Wait for a stop, drain the running requests, and return the exit code."""
@@ -133,7 +138,9 @@
         loop.call_soon(loop.call_soon, self._stop_settled.set)
 
     def _handle_reload_signal(self) -> None:
-        if self._process is not None and self._process.reload is not None:
+        if self._process is None:
+            self._reload_requested = True
+        elif self._process.reload is not None:
             self._process.reload()
 
     def _report_addresses(self, process: RunningProcess) -> None:
--- a/tests/daemon/test_daemon_signals.py
+++ b/tests/daemon/test_daemon_signals.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import signal
+import sys
+from pathlib import Path
 from typing import Any
 
 import pytest
 
+from gypsumrouter.instances import Address
 from gypsumrouter.running_process import RunningProcess
 from gypsumrouter.service import DaemonService
 from gypsumrouter.settings import ForwarderSettings, Identity, Link
+from gypsumrouter.standins.listener import PortReservation
 
 ENV_KEY = "GYPSUMROUTER_TEST_LINK_KEY"
 HANG_S = 30
@@ -45,3 +50,44 @@
         await asyncio.sleep(0)
     service.handle_stop_signal(signal.SIGTERM)
     assert service.stop_forced == forced
+
+
+# Guards against a reload signal that ends a process which is starting.
+async def test_reload_signal_during_the_imports_does_not_end_the_process(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setenv(ENV_KEY, "0123456789abcdef0123456789abcdef")
+    holder = PortReservation(host="127.0.0.1", port=0)
+    file = tmp_path / "settings.json"
+    file.write_text(json.dumps(SETTINGS | {"callers": str(holder.address)}))
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "gypsumrouter.daemon", "forwarder", "--settings", str(file)),
+        "--announce",
+        stdout=asyncio.subprocess.PIPE,
+    )
+    assert process.stdout is not None
+    try:
+        async with asyncio.timeout(HANG_S):
+            # It listens before it imports most of its modules.
+            await async_wait_listening(holder.address)
+            process.send_signal(signal.SIGHUP)
+            while b'"addresses"' not in (line := await process.stdout.readline()):
+                assert line, "the process ended"
+            process.send_signal(signal.SIGTERM)
+            await process.stdout.read()
+            assert await process.wait() == 0
+    finally:
+        if process.returncode is None:
+            process.kill()
+        holder.close()
+
+
+async def async_wait_listening(address: Address) -> None:
+    """Wait until a process accepts connections at an address."""
+    while True:
+        try:
+            _, writer = await asyncio.open_connection(address.host, address.port)
+        except OSError:
+            continue
+        writer.close()
+        return
