--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -11,7 +11,8 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from bench.soak_rig import CALLER_KEY, EVENTS, HOST, SoakRig
+from bench.soak_configuration import CALLER_KEY, HOST
+from bench.soak_rig import EVENTS, SoakRig
 from gypsumrouter.platform import names
 
 CALLERS: Final = 12
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -10,7 +10,8 @@
 from msgspec import Struct
 
 from bench.soak_callers import REPEATABLE_KINDS, CallRecord, make_expected_stream
-from bench.soak_rig import MAX_IN_COLD_START, WORKSPACE
+from bench.soak_configuration import WORKSPACE
+from bench.soak_rig import MAX_IN_COLD_START
 from gypsumrouter.platform import names
 from gypsumrouter.standins import PlatformRunner
 from gypsumrouter.standins.platform_runner import Arrival
--- /dev/null
+++ b/bench/soak_configuration.py
@@ -0,0 +1,39 @@
+"""The configuration that the soak publishes: routes of each kind, services and callers."""
+
+from __future__ import annotations
+
+from typing import Any, Final
+
+CALLER_KEY: Final = "key-of-plant"
+WORKSPACE: Final = "plant"
+HOST: Final = "api.example"
+
+
+def make_configuration(version: int, **engine_options: float) -> dict[str, Any]:
+    """Return a version of the configuration; the options are those of the engines' service."""
+    kinds = {"lookup": "idempotent", "reserve": "non_idempotent"}
+    routes = [_make_route(name, kind, "records") for name, kind in kinds.items()]
+    routes.append(_make_route("draft", "streaming", "models"))
+    routes.append(_make_route("quote", "streaming", "models", resumable=True))
+    models = {"name": "models", "engine": {"slots": 64}, **engine_options}
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "records"}, models],
+        "tenants": [{"name": WORKSPACE, "api_keys": [CALLER_KEY]}],
+    }
+
+
+def _make_route(name: str, kind: str, service: str, **options: Any) -> dict[str, Any]:
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "service": service,
+        "timeout_ms": 2_500,
+        "target_latency_ms": 150,
+        "target_gap_ms": 150,
+        "max_attempts": 2,
+        **options,
+    }
--- a/bench/soak_connections.py
+++ b/bench/soak_connections.py
@@ -12,7 +12,8 @@
 from msgspec import Struct
 
 from bench.soak_checks import Violation
-from bench.soak_rig import CALLER_KEY, HOST, SoakRig
+from bench.soak_configuration import CALLER_KEY, HOST
+from bench.soak_rig import SoakRig
 
 USUAL_PER_S: Final = 25.0
 # While most connections go to one forwarder, callers open this many times more of them.
--- a/bench/soak_crashes.py
+++ b/bench/soak_crashes.py
@@ -12,8 +12,9 @@
 
 from bench.soak_callers import CallRecord
 from bench.soak_checks import Violation
+from bench.soak_configuration import CALLER_KEY, HOST
 from bench.soak_disturbances import Disturbances
-from bench.soak_rig import CALLER_KEY, EVENTS, HOST, SoakRig
+from bench.soak_rig import EVENTS, SoakRig
 from gypsumrouter.platform import names
 from gypsumrouter.standins import PlatformRunner
 from gypsumrouter.standins.platform_runner import Arrival, list_parts
--- a/bench/soak_rig.py
+++ b/bench/soak_rig.py
@@ -15,6 +15,7 @@
 from msgspec import Struct
 
 from bench.processes import DaemonProcess, async_start_daemon
+from bench.soak_configuration import make_configuration
 from bench.soak_disturbances import Disturbances
 from gypsumrouter.const import MS_PER_S, Role
 from gypsumrouter.instances import Address
@@ -26,9 +27,6 @@
 
 ENV_KEY: Final = "GYPSUMROUTER_LINK_KEY"
 KEY: Final = "the key of the soak's links"
-CALLER_KEY: Final = "key-of-plant"
-WORKSPACE: Final = "plant"
-HOST: Final = "api.example"
 FORWARDERS: Final = 3
 NS_PER_MS: Final = 1_000_000
 # With more forwarders they are spread over the data centres, so that most do not watch the store.
@@ -240,26 +238,12 @@
     async def async_configure(self) -> None:
         """Publish the next version of the configuration."""
         self.version += 1
-        kinds = {"lookup": "idempotent", "reserve": "non_idempotent"}
-        routes = [_make_route(name, kind, "records") for name, kind in kinds.items()]
-        routes.append(_make_route("draft", "streaming", "models"))
-        routes.append(_make_route("quote", "streaming", "models", resumable=True))
-        await self.store.async_put_configuration(
-            {
-                "version": self.version,
-                "routes": routes,
-                "services": [{"name": "records"}, self._make_models()],
-                "tenants": [{"name": WORKSPACE, "api_keys": [CALLER_KEY]}],
-            }
-        )
-
-    def _make_models(self) -> dict[str, Any]:
-        cold = (
+        cold_start = (
             {"cold_start_s": COLD_START_S, "cold_per_s": COLD_START_PER_S}
             if self._evacuations
             else {}
         )
-        return {"name": "models", "engine": {"slots": 64}, **cold}
+        await self.store.async_put_configuration(make_configuration(self.version, **cold_start))
 
     async def async_start_forwarder(self, number: int) -> None:
         """Start a forwarder on its ports."""
@@ -379,21 +363,6 @@
                 holder.close()
 
 
-def _make_route(name: str, kind: str, service: str, **options: Any) -> dict[str, Any]:
-    return {
-        "name": name,
-        "host": HOST,
-        "prefix": f"/{name}/",
-        "kind": kind,
-        "service": service,
-        "timeout_ms": 2_500,
-        "target_latency_ms": 150,
-        "target_gap_ms": 150,
-        "max_attempts": 2,
-        **options,
-    }
-
-
 async def _async_copy_output(process: DaemonProcess, journal: Path) -> None:
     """Copy the output of a process to a file, so that its pipe does not fill up."""
     stdout = process.process.stdout
--- a/bench/soak_streams.py
+++ b/bench/soak_streams.py
@@ -13,7 +13,8 @@
 from msgspec import Struct, field
 
 from bench.soak_checks import Violation
-from bench.soak_rig import CALLER_KEY, EVENTS, HOST, SoakRig
+from bench.soak_configuration import CALLER_KEY, HOST
+from bench.soak_rig import EVENTS, SoakRig
 from gypsumrouter.platform import names
 
 STREAM_CALLERS: Final = 10
--- a/bench/soak_unfinished.py
+++ b/bench/soak_unfinished.py
@@ -20,7 +20,8 @@
 
 from bench.soak_callers import CallRecord
 from bench.soak_checks import Violation
-from bench.soak_rig import CALLER_KEY, FORWARDERS, HOST, SoakRig
+from bench.soak_configuration import CALLER_KEY, HOST
+from bench.soak_rig import FORWARDERS, SoakRig
 from bench.soak_streams import StreamCallers, check_streams, count_taken_up
 from gypsumrouter.platform import names
 from gypsumrouter.standins.platform_runner import RunnerFault, make_body
--- a/gypsumrouter/crashes/guard.py
+++ b/gypsumrouter/crashes/guard.py
@@ -22,7 +22,7 @@
     OBJECTION_MS,
     SAME_MOMENT_MS,
     CrashLedger,
-    SubjectRecord,
+    make_verdict,
 )
 from gypsumrouter.crashes.models import (
     Subjects,
@@ -352,29 +352,10 @@
             verdict is not None and verdict.state is SuspectState.CONVICTED
         )
         state = SuspectState.CONVICTED if convicted else SuspectState.SUSPECTED
-        self._publish(self._make_verdict(record, state, known))
-
-    def _make_verdict(self, record: SubjectRecord, state: SuspectState, known: bool) -> Verdict:
-        previous = self.verdicts.get(record.subject)
-        generation, trials, since_ms = 1, 0, self._app.clock.now_ms()
-        if previous is not None:
-            cleared = previous.state is SuspectState.CLEARED
-            generation = previous.generation + cleared
-            if previous.state is state:
-                trials, since_ms = previous.trials, previous.since_ms
-        return Verdict(
-            subject=record.subject,
-            generation=generation,
-            state=state,
-            workspace=record.scope,
-            since_ms=since_ms,
-            known=known,
-            trials=trials,
-            strikes=len(record.strikes),
-            origin=self._app.name,
-            # Only refusals have to be explained to operators, and suspicions can be many.
-            crashes=record.name_crashes() if state is SuspectState.CONVICTED else (),
+        verdict = make_verdict(
+            record, self.verdicts.get(subject), state=state, known=known, now_ms=now_ms
         )
+        self._publish(replace(verdict, origin=self._app.name))
 
     async def _async_judge_later(self, subject: int) -> None:
         await self._app.clock.async_sleep(OBJECTION_MS)
--- a/gypsumrouter/crashes/ledger.py
+++ b/gypsumrouter/crashes/ledger.py
@@ -14,7 +14,9 @@
     EVERY_WORKSPACE,
     CrashSeen,
     Survival,
+    SuspectState,
     SuspectStrike,
+    Verdict,
     make_fingerprint,
 )
 
@@ -221,3 +223,32 @@
         )
         # Of equal ones the first, which is the oldest.
         self.remove(min(candidates, key=lambda item: item[0])[1])
+
+
+def make_verdict(
+    record: SubjectRecord,
+    previous: Verdict | None,
+    *,
+    state: SuspectState,
+    known: bool,
+    now_ms: int,
+) -> Verdict:
+    """Return the verdict that follows a previous one on a subject, without its origin."""
+    generation, trials, since_ms = 1, 0, now_ms
+    if previous is not None:
+        generation = previous.generation + (previous.state is SuspectState.CLEARED)
+        if previous.state is state:
+            trials, since_ms = previous.trials, previous.since_ms
+    return Verdict(
+        subject=record.subject,
+        generation=generation,
+        state=state,
+        workspace=record.scope,
+        since_ms=since_ms,
+        known=known,
+        trials=trials,
+        strikes=len(record.strikes),
+        origin="",
+        # Only refusals have to be explained to operators, and suspicions can be many.
+        crashes=record.name_crashes() if state is SuspectState.CONVICTED else (),
+    )
--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -9,7 +9,7 @@
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
-from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES
+from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES, RETURN_TRIP_MS
 from gypsumrouter.forwarding.models import (
     AttemptOptions,
     CallerRequest,
@@ -22,6 +22,7 @@
     StreamingResponse,
     Unreachable,
 )
+from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.starts import StartProof
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
@@ -31,6 +32,7 @@
     HttpResponse,
     StartSource,
 )
+from gypsumrouter.routing import RouteMatch
 from gypsumrouter.util.body_formats import is_complete_json, is_json_media_type
 
 STATUS_OK: Final = 200
@@ -209,6 +211,30 @@
             self.release()
 
 
+def make_attempt_options(
+    placement: Placement,
+    *,
+    request: CallerRequest,
+    routed: RouteMatch,
+    remaining_ms: int,
+    last_event_id: str | None,
+    prioritized: bool,
+) -> AttemptOptions:
+    """Return what is added to a request for an attempt at a placement.
+
+    `last_event_id` is that of the last event that was relayed, None before the first one.
+    """
+    fetch_from = placement.fetch_from
+    return AttemptOptions(
+        upstream=placement.entry.upstream,
+        workspace=routed.workspace,
+        deadline_ms=max(1, remaining_ms - RETURN_TRIP_MS),
+        priority=routed.priority if prioritized and request.prompt is not None else None,
+        last_event_id=last_event_id or request.last_event_id,
+        fetch_from=None if fetch_from is None else fetch_from.address,
+    )
+
+
 def _shows_end(answer: HttpResponse, body: bytes) -> bool:
     """Return whether the format of a body doesn't show that it ended early."""
     if not is_json_media_type(answer.get("Content-Type") or ""):
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -11,12 +11,9 @@
 from gypsumrouter.contention import Refused
 from gypsumrouter.core import Application
 from gypsumrouter.crashes.guard import CrashGuard
-from gypsumrouter.forwarding.attempt import Attempt
+from gypsumrouter.forwarding.attempt import Attempt, make_attempt_options
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.connections import ConnectionPool
-from gypsumrouter.forwarding.const import (
-    RETURN_TRIP_MS,
-)
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
 from gypsumrouter.forwarding.endings import RequestEndings
 from gypsumrouter.forwarding.models import (
@@ -33,7 +30,6 @@
     make_subjects,
 )
 from gypsumrouter.forwarding.next_step import (
-    STATUS_SERVER_ERROR,
     Continuation,
     Decision,
     NextStep,
@@ -133,6 +129,7 @@
             progress=progress,
         )
         self._recorder = OutcomeRecorder(
+            clock=context.app.clock,
             placer=context.placer,
             pool=context.pool,
             suspects=context.suspects,
@@ -242,7 +239,10 @@
         try:
             outcome = await self._async_send(attempt)
             self._context.placer.note_prefilled(sent)
-            self._record_service_time(placement, outcome, self._now_ms() - started_ms)
+            elapsed_ms = self._now_ms() - started_ms
+            self._recorder.record_service_time(
+                placement, outcome, prompt=self._request.prompt, elapsed_ms=elapsed_ms
+            )
             if isinstance(outcome, StreamingResponse):
                 self._context.placer.note_first_event(sent)
                 self._contention.notify_load_changed()
@@ -266,15 +266,6 @@
         progress.in_flight = False
         return response
 
-    def _record_service_time(self, placement: Placement, outcome: Outcome, elapsed_ms: int) -> None:
-        """Record the service time of an upstream that is not a model engine."""
-        if self._request.prompt is not None or not isinstance(outcome, CompleteResponse):
-            return
-        if outcome.status < STATUS_SERVER_ERROR:
-            self._context.placer.plain.note_answered(
-                placement, elapsed_ms=elapsed_ms, now_ms=self._now_ms()
-            )
-
     async def _async_send(self, attempt: Attempt) -> Outcome:
         failed = await attempt.async_connect(
             repeatable=self._routed.route.repeatable, start_check=self._stream.start_check
@@ -377,14 +368,14 @@
                 return self._relay.response
 
     def _get_retry_limits(self) -> RetryLimits:
-        route = self._routed.route
         continuation = decide_continuation(
-            route, self._relay.sent, version_proven=self._stream.is_proven
+            self._routed.route, self._relay.sent, version_proven=self._stream.is_proven
         )
+        if Mechanism.RETRIES in self._context.without:
+            continuation = Continuation.NEVER
         return RetryLimits(
-            repeatable=continuation is not Continuation.NEVER
-            and Mechanism.RETRIES not in self._context.without,
-            max_attempts=route.max_attempts,
+            repeatable=continuation is not Continuation.NEVER,
+            max_attempts=self._routed.route.max_attempts,
             remaining_ms=self._limits.remaining_ms,
             acquire_retry=self._acquire_retry,
         )
@@ -403,19 +394,14 @@
         return self._limits.response_timeout_ms
 
     def _make_attempt_options(self, placement: Placement) -> AttemptOptions:
-        return AttemptOptions(
-            upstream=placement.entry.upstream,
-            workspace=self._routed.workspace,
-            deadline_ms=max(1, self._limits.remaining_ms - RETURN_TRIP_MS),
-            priority=self._get_priority(),
-            last_event_id=self._relay.last_event_id or self._request.last_event_id,
-            fetch_from=None if placement.fetch_from is None else placement.fetch_from.address,
+        return make_attempt_options(
+            placement,
+            request=self._request,
+            routed=self._routed,
+            remaining_ms=self._limits.remaining_ms,
+            last_event_id=self._relay.last_event_id,
+            prioritized=Mechanism.PRIORITIES not in self._context.without,
         )
 
-    def _get_priority(self) -> int | None:
-        if self._request.prompt is None or Mechanism.PRIORITIES in self._context.without:
-            return None
-        return self._routed.priority
-
     def _now_ms(self) -> int:
         return self._context.app.clock.now_ms()
--- a/gypsumrouter/forwarding/outcome_recorder.py
+++ b/gypsumrouter/forwarding/outcome_recorder.py
@@ -8,14 +8,18 @@
 from gypsumrouter.forwarding.connections import ConnectionPool
 from gypsumrouter.forwarding.models import (
     CompleteResponse,
+    Outcome,
+    Prompt,
     Rejected,
     ResponseLost,
     ResponseMetadata,
     Unreachable,
 )
 from gypsumrouter.forwarding.next_step import STATUS_SERVER_ERROR
+from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.progress import Progress
+from gypsumrouter.util.clock import Clock
 
 UnstreamedOutcome = Unreachable | Rejected | ResponseLost | CompleteResponse
 
@@ -23,16 +27,18 @@
 class OutcomeRecorder:
     """Updates a request's state and the health of its upstreams after each attempt."""
 
-    __slots__ = ("_placer", "_pool", "_progress", "_suspects")
+    __slots__ = ("_clock", "_placer", "_pool", "_progress", "_suspects")
 
     def __init__(
         self,
         *,
+        clock: Clock,
         placer: Placer,
         pool: ConnectionPool,
         suspects: CrashGuard,
         progress: Progress,
     ) -> None:
+        self._clock = clock
         self._placer = placer
         self._pool = pool
         self._suspects = suspects
@@ -58,6 +64,16 @@
                 self._progress.fallback_response = outcome
                 self._record_possible_run(upstream)
 
+    def record_service_time(
+        self, placement: Placement, outcome: Outcome, *, prompt: Prompt | None, elapsed_ms: int
+    ) -> None:
+        """Record the service time of an upstream that is not a model engine."""
+        if prompt is not None or not isinstance(outcome, CompleteResponse):
+            return
+        if outcome.status < STATUS_SERVER_ERROR:
+            now_ms = self._clock.now_ms()
+            self._placer.plain.note_answered(placement, elapsed_ms=elapsed_ms, now_ms=now_ms)
+
     def record_lost(self, upstream: str, outcome: ResponseLost) -> None:
         """Record that an upstream may have run the request without a complete response."""
         self._placer.health.note_failure(upstream, reason=outcome.reason)
--- a/tests/bench/test_bench_soak.py
+++ b/tests/bench/test_bench_soak.py
@@ -11,6 +11,7 @@
 from bench.soak import async_soak
 from bench.soak_callers import CallRecord, make_expected_stream
 from bench.soak_checks import check_all, check_cold_starts, check_evacuations
+from bench.soak_configuration import WORKSPACE
 from bench.soak_disturbances import CALM_S, Disturbances
 from bench.soak_drain_checks import (
     MAX_DURING_BACKOFF,
@@ -26,7 +27,7 @@
     RETRY_WINDOW_S,
     check_retry_budget,
 )
-from bench.soak_rig import ENV_KEY, KEY, MAX_IN_COLD_START, WORKSPACE, Leaving, SoakRig
+from bench.soak_rig import ENV_KEY, KEY, MAX_IN_COLD_START, Leaving, SoakRig
 from gypsumrouter.standins import PlatformRunner
 from gypsumrouter.standins.platform_runner import Arrival, BackOff
 
