--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -141,7 +141,9 @@
 
         If it isn't proven yet, the upstream is asked on another connection, within a bound.
         """
-        is_known = self._starts.is_proven(entry, connection) or entry.incarnation in self._questions
+        is_known = (
+            self._starts.is_open_proven(entry, connection) or entry.incarnation in self._questions
+        )
         if not is_known and self._starts.may_ask():
             self._ask_start(entry)
 
@@ -205,7 +207,7 @@
     ) -> StartSource | None:
         """Return how the start of a connection is known or taken for known, None if neither."""
         others = self._list_open(entry.incarnation)
-        if self._starts.is_proven(entry, connection):
+        if self._starts.is_open_proven(entry, connection):
             return StartSource.LIST
         if any(self._vouches(other, entry) for other in others if other is not connection):
             return StartSource.CONNECTION
@@ -217,7 +219,7 @@
         """Return whether an open connection is known to lead to the start of an entry."""
         if other.peer_started_ms not in (None, entry.started_ms):
             return False
-        return self._starts.is_proven(entry, other)
+        return self._starts.is_open_proven(entry, other)
 
     def _list_open(self, incarnation: str) -> list[HttpConnection]:
         """Return the open connections to an incarnation, and note whether others were lost."""
--- a/gypsumrouter/forwarding/starts.py
+++ b/gypsumrouter/forwarding/starts.py
@@ -100,23 +100,29 @@
         self._questions = TokenBucket(capacity=QUESTION_BURST, tokens=QUESTION_BURST)
         self._filled_ms = clock.now_ms()
 
+    def is_open_proven(self, entry: Entry, connection: HttpConnection) -> bool:
+        """Return whether an open connection is known to lead to the start that an entry states."""
+        return self.is_proven(
+            entry,
+            source=connection.start_source,
+            opened_ms=connection.opened_ms,
+            alive_ms=self._clock.now_ms(),
+        )
+
     def is_proven(
-        self, entry: Entry, connection: HttpConnection, *, alive_ms: int | None = None
+        self, entry: Entry, *, source: StartSource, opened_ms: int, alive_ms: int
     ) -> bool:
         """Return whether a connection is known to lead to the start that an entry states.
 
-        The upstream ran at `alive_ms`, and while the connection is open it runs.
+        It was opened at `opened_ms`, and the upstream ran at `alive_ms` (monotonic milliseconds).
         """
         if not entry.started_ms:
             # Each start has an id of its own, and another one rejects the request.
             return True
-        now_ms = self._clock.now_ms()
-        if connection.open:
-            alive_ms = now_ms
         return is_start_proven(
-            source=connection.start_source,
-            opened_ms=connection.opened_ms,
-            alive_ms=connection.opened_ms if alive_ms is None else alive_ms,
+            source=source,
+            opened_ms=opened_ms,
+            alive_ms=alive_ms,
             stated_ms=self._stated_ms.get(entry.incarnation),
             listed_ms=self._get_listed_ms(entry),
             times=self._times,
@@ -162,9 +168,12 @@
 
 
 class StartProof:
-    """Whether the start at which a stream began is proven, now or by what is learned later."""
+    """Whether the start at which a stream began is proven, now or by what is learned later.
+
+    It outlives the stream, and keeps neither its connection nor its request.
+    """
 
-    __slots__ = ("_alive_ms", "_ask", "_connection", "_entry", "_held", "_starts")
+    __slots__ = ("_alive_ms", "_ask", "_entry", "_held", "_opened_ms", "_source", "_starts")
 
     def __init__(
         self,
@@ -176,9 +185,10 @@
     ) -> None:
         self._starts = starts
         self._entry = entry
-        self._connection = connection
-        self._ask = ask
+        self._source = connection.start_source
+        self._opened_ms = connection.opened_ms
         self._alive_ms = connection.opened_ms
+        self._ask = ask
         self._held = False
 
     def note_alive(self, now_ms: int) -> None:
@@ -193,6 +203,6 @@
     def holds(self) -> bool:
         """Return whether the start is proven; once it is, that stays so."""
         self._held = self._held or self._starts.is_proven(
-            self._entry, self._connection, alive_ms=self._alive_ms
+            self._entry, source=self._source, opened_ms=self._opened_ms, alive_ms=self._alive_ms
         )
         return self._held
--- a/gypsumrouter/forwarding/stream_pin.py
+++ b/gypsumrouter/forwarding/stream_pin.py
@@ -96,8 +96,11 @@
             return
         entry = self.attempt.entry
         self._origin = StreamOrigin(service=entry.service, version=entry.version)
-        self._proof = self.attempt.prove_start()
-        self._streams.note_begun(self._request_id, self._origin, is_proven=lambda: self.is_proven)
+        proof = self._proof = self.attempt.prove_start()
+        if proof is None:
+            self._streams.note_begun(self._request_id, self._origin)
+        else:
+            self._streams.note_begun(self._request_id, self._origin, is_proven=proof.holds)
 
     def note_ended(self, *, complete: bool) -> None:
         """Record how the stream of the current attempt ended."""
--- a/tests/forwarding/test_forwarding_unlisted_versions.py
+++ b/tests/forwarding/test_forwarding_unlisted_versions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import re
 from collections.abc import AsyncIterator
 from functools import partial
@@ -12,6 +13,7 @@
 import pytest
 from forwarding_world import PROMPT, ForwardingWorld, make_configuration
 
+from gypsumrouter.forwarding.models import CallerRequest
 from gypsumrouter.forwarding.starts import QUESTION_BURST
 from gypsumrouter.running_process import RunningProcess
 from gypsumrouter.settings import Bounds
@@ -232,6 +234,26 @@
     assert updated.ran == ["r1"]
 
 
+# Guards against requests that stay in memory for as long as their streams may be taken up.
+async def test_what_is_kept_of_a_broken_stream_holds_no_request(
+    unlisted: UnlistedWorld, session: Session
+) -> None:
+    for runner in unlisted.models:
+        runner.default_fault = RunnerFault.RESET_STREAM
+    for number in range(STREAMS):
+        await unlisted.async_stream(session, f"r{number}")
+    streams = unlisted.product.app.dump()["streams"]
+    assert isinstance(streams, dict)
+    assert streams["known"] == STREAMS
+    await unlisted.async_until(lambda: not list_requests())
+
+
+def list_requests() -> list[str]:
+    """Return the ids of the requests that are in memory."""
+    gc.collect()
+    return [item.request_id for item in gc.get_objects() if isinstance(item, CallerRequest)]
+
+
 def knows_another(product: RunningProcess) -> bool:
     peers = product.app.dump()["peers"]
     assert isinstance(peers, dict)
