--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -25,7 +25,7 @@
 from gypsumrouter.forwarding.const import RETRY_AFTER_MAX_MS, RETRY_AT_ONCE_MS
 from gypsumrouter.forwarding.execution import ForwardingContext, RequestExecution
 from gypsumrouter.forwarding.leaving import DrainAdmission, estimate_duration_ms
-from gypsumrouter.forwarding.metrics import ForwardingMetrics
+from gypsumrouter.forwarding.metrics import ForwardingMetrics, RequestRecords
 from gypsumrouter.forwarding.models import CallerRequest, make_digest
 from gypsumrouter.forwarding.progress import Progress, get_time_limit_ms
 from gypsumrouter.forwarding.relay import CallerDisconnected
@@ -34,7 +34,6 @@
 from gypsumrouter.forwarding.return_order import NO_SERVICE, Reservation
 from gypsumrouter.forwarding.stream_pin import async_find_origin
 from gypsumrouter.helpers.logs import set_request_id
-from gypsumrouter.journal import RequestEnded, RequestRefused, RequestUnread
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.outcomes import Reason
 from gypsumrouter.routing import InvalidKey, NoRoute, Route, RouteMatch, RoutingStore
@@ -68,8 +67,8 @@
         "_directory",
         "_drain",
         "_inventory_loaded",
-        "_metrics",
         "_parse_request",
+        "_records",
         "_request_count",
         "_routing",
         "_running",
@@ -91,7 +90,13 @@
         self._routing = routing
         self._directory = directory
         self._parse_request = parse_request
-        self._metrics = metrics
+        self._records = RequestRecords(
+            clock=context.app.clock,
+            journal=context.journal,
+            metrics=metrics,
+            routing=routing,
+            directory=directory,
+        )
         self._drain = drain
         self._bodies = MemoryBudget(limit=MAX_BUFFERED_BODY_BYTES)
         self._startup_events = (routing.ready, directory.loaded)
@@ -147,13 +152,13 @@
             )
         except asyncio.CancelledError:
             outcome = _describe_end(request)
-            self._record_unread(request, reservation, arrived_ms, outcome=outcome)
+            self._records.record_unread(request, reservation, arrived_ms, outcome=outcome)
             raise
         if isinstance(body, Rejection):
             response = self._reject_malformed(
                 body, request_id=request.headers.get(HEADER_REQUEST_ID)
             )
-            self._record_unread(
+            self._records.record_unread(
                 request,
                 reservation,
                 arrived_ms,
@@ -291,7 +296,7 @@
             # aiohttp logs any other exception as an error of the handler.
             raise asyncio.CancelledError from None
         finally:
-            self._record_end(caller_request, routed, progress, status)
+            self._records.record_end(caller_request, routed, progress, status)
         return response
 
     def _refuse(
@@ -315,7 +320,7 @@
             dialect=self._context.dialect,
             reserved_ms=retry_after_ms,
         )
-        self._record_refusal(
+        self._records.record_refusal(
             caller_request.request_id,
             reason,
             response.status,
@@ -345,7 +350,7 @@
         response = make_rejection(
             reason=reason, message=message, request_id=caller_request.request_id
         )
-        self._record_refusal(caller_request.request_id, reason, response.status, -1)
+        self._records.record_refusal(caller_request.request_id, reason, response.status, -1)
         return response
 
     def _reject_malformed(
@@ -360,80 +365,9 @@
             formatted = self._context.dialect.format_retry_after(retry_after_ms)
             response.headers[HEADER_RETRY_AFTER] = formatted
         reason = rejection.failure.reason
-        self._record_refusal(request_id, reason, response.status, retry_after_ms)
+        self._records.record_refusal(request_id, reason, response.status, retry_after_ms)
         return response
 
-    def _record_unread(
-        self,
-        request: web.BaseRequest,
-        reservation: MemoryReservation,
-        arrived_ms: int,
-        *,
-        outcome: str,
-        status: int = 0,
-    ) -> None:
-        """Record a request that ends before its body has arrived whole."""
-        expected = request.content_length
-        self._context.journal.record(
-            RequestUnread(
-                request_id=request.headers.get(HEADER_REQUEST_ID, ""),
-                received_bytes=reservation.size,
-                expected_bytes=-1 if expected is None else expected,
-                after_ms=self._context.app.clock.now_ms() - arrived_ms,
-                outcome=outcome,
-                status=status,
-            )
-        )
-
-    def _record_refusal(
-        self,
-        request_id: str,
-        reason: Reason,
-        status: int,
-        retry_after_ms: int,
-        *,
-        return_position: int = -1,
-    ) -> None:
-        self._metrics.count_request(route="", outcome=reason.value, status=status)
-        self._context.journal.record(
-            RequestRefused(
-                request_id=request_id,
-                route="",
-                reason=reason.value,
-                status=status,
-                retry_after_ms=retry_after_ms,
-                waited_ms=0,
-                configuration=self._routing.version,
-                list_revision=self._directory.applied_revision,
-                return_position=return_position,
-            )
-        )
-
-    def _record_end(
-        self, caller_request: CallerRequest, routed: RouteMatch, progress: Progress, status: int
-    ) -> None:
-        total_ms = self._context.app.clock.now_ms() - progress.arrived_ms
-        self._metrics.count_request(
-            route=routed.route.kind.value, outcome=progress.outcome, status=status
-        )
-        self._metrics.observe_latency(
-            kind=routed.route.kind.value, first_byte_ms=progress.first_byte_ms, total_ms=total_ms
-        )
-        self._context.journal.record(
-            RequestEnded(
-                request_id=caller_request.request_id,
-                route=routed.route.name,
-                workspace=routed.workspace,
-                outcome=progress.outcome,
-                status=status,
-                upstream=progress.upstream,
-                attempts=progress.attempts,
-                first_byte_ms=progress.first_byte_ms,
-                total_ms=total_ms,
-                bytes_out=progress.bytes_out,
-            )
-        )
-
 
 def _describe_end(request: web.BaseRequest) -> str:
     """Return the outcome of a request whose connection has ended."""
--- a/gypsumrouter/forwarding/metrics.py
+++ b/gypsumrouter/forwarding/metrics.py
@@ -1,10 +1,21 @@
-"""Request counters and latency histograms of the forwarder."""
+"""Request counters and latency histograms of the forwarder, and its records of requests."""
 
 from __future__ import annotations
 
 from typing import Final
 
+from aiohttp import web
+
+from gypsumrouter.callers import MemoryReservation
+from gypsumrouter.const import HEADER_REQUEST_ID
 from gypsumrouter.core import Application
+from gypsumrouter.directory import Directory
+from gypsumrouter.forwarding.models import CallerRequest
+from gypsumrouter.forwarding.progress import Progress
+from gypsumrouter.journal import Journal, RequestEnded, RequestRefused, RequestUnread
+from gypsumrouter.outcomes import Reason
+from gypsumrouter.routing import RouteMatch, RoutingStore
+from gypsumrouter.util.clock import Clock
 
 # Upper bounds in milliseconds, finest around the usual latency targets of 100 to 800 ms.
 LATENCY_BUCKETS: Final[list[float]] = [
@@ -52,3 +63,97 @@
         if first_byte_ms >= 0:
             self._first_byte.observe(first_byte_ms, labels)
         self._total.observe(total_ms, labels)
+
+
+class RequestRecords:
+    """Records how requests end, in the metrics and in the journal."""
+
+    __slots__ = ("_clock", "_directory", "_journal", "_metrics", "_routing")
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        journal: Journal,
+        metrics: ForwardingMetrics,
+        routing: RoutingStore,
+        directory: Directory,
+    ) -> None:
+        self._clock = clock
+        self._journal = journal
+        self._metrics = metrics
+        self._routing = routing
+        self._directory = directory
+
+    def record_unread(
+        self,
+        request: web.BaseRequest,
+        reservation: MemoryReservation,
+        arrived_ms: int,
+        *,
+        outcome: str,
+        status: int = 0,
+    ) -> None:
+        """Record a request that ends before its body has arrived whole."""
+        expected = request.content_length
+        self._journal.record(
+            RequestUnread(
+                request_id=request.headers.get(HEADER_REQUEST_ID, ""),
+                received_bytes=reservation.size,
+                expected_bytes=-1 if expected is None else expected,
+                after_ms=self._clock.now_ms() - arrived_ms,
+                outcome=outcome,
+                status=status,
+            )
+        )
+
+    def record_refusal(
+        self,
+        request_id: str,
+        reason: Reason,
+        status: int,
+        retry_after_ms: int,
+        *,
+        return_position: int = -1,
+    ) -> None:
+        """Record a request that is refused before it has a route."""
+        self._metrics.count_request(route="", outcome=reason.value, status=status)
+        self._journal.record(
+            RequestRefused(
+                request_id=request_id,
+                route="",
+                reason=reason.value,
+                status=status,
+                retry_after_ms=retry_after_ms,
+                waited_ms=0,
+                configuration=self._routing.version,
+                list_revision=self._directory.applied_revision,
+                return_position=return_position,
+            )
+        )
+
+    def record_end(
+        self, caller_request: CallerRequest, routed: RouteMatch, progress: Progress, status: int
+    ) -> None:
+        """Record the end of a request that had a route; `status` is 0 without a response."""
+        total_ms = self._clock.now_ms() - progress.arrived_ms
+        self._metrics.count_request(
+            route=routed.route.kind.value, outcome=progress.outcome, status=status
+        )
+        self._metrics.observe_latency(
+            kind=routed.route.kind.value, first_byte_ms=progress.first_byte_ms, total_ms=total_ms
+        )
+        self._journal.record(
+            RequestEnded(
+                request_id=caller_request.request_id,
+                route=routed.route.name,
+                workspace=routed.workspace,
+                outcome=progress.outcome,
+                status=status,
+                upstream=progress.upstream,
+                attempts=progress.attempts,
+                first_byte_ms=progress.first_byte_ms,
+                total_ms=total_ms,
+                bytes_out=progress.bytes_out,
+            )
+        )
