--- a/gypsumrouter/forwarding/starts.py
+++ b/gypsumrouter/forwarding/starts.py
@@ -24,7 +24,7 @@
 # An upstream that runs for so long has written its entry, unless it is cut off from the store.
 REGISTRATION_INTERVALS: Final = 1.5
 # Bound on the questions about starts that are not asked ahead of a request.
-QUESTION_BURST: Final = 3.0
+QUESTION_BURST: Final = 8.0
 QUESTIONS_PER_S: Final = 0.02
 
 
