--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -81,18 +81,23 @@
     While `draining` every response carries the draining header. Rejections ask the sender to back
     off for `retry_after_s`, if it is set. Unless `framed`, responses have neither a length nor
     chunks and end with their connection; with `chunks_bodies`, plain ones have chunks for a length.
+    With `events_per_token` a stream has as many events as its request asks for tokens.
     `version` is that of its software, which its events name if it is set, and `started_ms` the time
     of its start (Unix time; 0 if it doesn't state one).
     A request with one of `crashing_parts` in its prompt crashes it `crash_after_s` after the head
     of the response: it stops listening, resets all connections and calls `on_crash`.
     """
 
-    def __init__(self, *, name: str, events: int = 4, version: str = "") -> None:
+    def __init__(
+        self, *, name: str, events: int = 4, version: str = "", events_per_token: bool = False
+    ) -> None:
         self.name = name
+        self._has_event_per_token = events_per_token
         self.version = version
         self.started_ms = 0
-        # Pause before each event of a stream, in seconds.
+        # Pause before each event of a stream, and a longer one before the first, in seconds.
         self.pause_s = 0.0
+        self.first_pause_s = 0.0
         self.numbers_events = True
         # Time from the last byte that a broken body gets to the reset, in seconds.
         self.break_after_s = 0.05
@@ -302,7 +307,11 @@
             await response.write_eof()
             return response
         first = int(request.headers.get(names.LAST_EVENT_ID, "0")) + 1
-        for number in range(first, self.events + 1):
+        events = self.events
+        if self._has_event_per_token:
+            events = int(request.headers[names.TOKEN_USAGE].partition(",")[2])
+        await asyncio.sleep(self.first_pause_s)
+        for number in range(first, events + 1):
             await asyncio.sleep(self.pause_s)
             self._end_if_restarted(request)
             self._end_if_crashed(crashes)
--- /dev/null
+++ b/tests/forwarding/stopping_world.py
@@ -0,0 +1,274 @@
+"""Test environment: forwarder processes that are stopped, and callers that see how answers end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import time
+from collections.abc import Iterable, Sequence
+from enum import StrEnum
+from pathlib import Path
+from typing import Any
+
+from forwarding_world import CALLER_KEY, HOST, make_configuration, make_route
+from msgspec import Struct
+
+from bench.processes import DaemonProcess, async_start_daemon
+from gypsumrouter.const import Role
+from gypsumrouter.instances import Address
+from gypsumrouter.standins import FaultProxy, PlatformRunner, PublishedStoreStandin
+
+ENV_KEY = "GYPSUMROUTER_LINK_KEY"
+KEY = "a key of the links between routers"
+TIMEOUT_MS = 30_000
+READ_BYTES = 65_536
+RUNNERS = 3
+CHUNKED_END = b"0\r\n\r\n"
+
+
+class End(StrEnum):
+    """How an answer ended: whole, or with a reset or a close of its connection before that."""
+
+    WHOLE = "whole"
+    RESET = "reset"
+    CLOSED = "closed"
+
+
+class Answer(Struct, kw_only=True):
+    """What a caller got for one request (monotonic seconds); `status` is 0 without a head."""
+
+    request_id: str
+    sent_s: float = 0.0
+    ended_s: float = 0.0
+    status: int = 0
+    end: End = End.CLOSED
+    head: bytes = b""
+    body: bytes = b""
+
+    @property
+    def announces_close(self) -> bool:
+        """Return whether the answer says that its connection ends with it."""
+        return b"connection: close" in self.head.lower()
+
+
+class Caller:
+    """One connection of a caller; `buffer_bytes` is the size of its receive buffer."""
+
+    def __init__(self, address: Address, *, buffer_bytes: int | None = None) -> None:
+        self._address = address
+        self._socket = socket.socket()
+        self._socket.setblocking(False)
+        if buffer_bytes is not None:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+
+    async def async_open(self) -> Caller:
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(self._socket, (self._address.host, self._address.port))
+        return self
+
+    async def async_ask(
+        self,
+        request_id: str,
+        *,
+        path: str = "/draft/a",
+        tokens: int | None = 80,
+        behind: bytes = b"",
+        bytes_per_s: float | None = None,
+    ) -> Answer:
+        """Send a request and return its answer; raises nothing if the connection ends.
+
+        `behind` is sent with the request, as the beginning of the next one. `bytes_per_s` is the
+        pace at which a slow caller reads.
+        """
+        answer = Answer(request_id=request_id, sent_s=time.monotonic())
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.sock_sendall(self._socket, make_head(request_id, path, tokens) + behind)
+            while not _is_whole(answer):
+                size = READ_BYTES if bytes_per_s is None else max(1, int(bytes_per_s / 20))
+                data = await loop.sock_recv(self._socket, size)
+                if not data:
+                    break
+                _note_data(answer, data)
+                if bytes_per_s is not None:
+                    await asyncio.sleep(len(data) / bytes_per_s)
+        except OSError:
+            answer.end = End.RESET
+        answer.ended_s = time.monotonic()
+        return answer
+
+    async def async_ask_until_closed(self, first_id: str, **options: Any) -> list[Answer]:
+        """Ask on this connection until it ends or says that it does."""
+        answers: list[Answer] = []
+        while not answers or (answers[-1].end is End.WHOLE and not answers[-1].announces_close):
+            answers.append(await self.async_ask(f"{first_id}-{len(answers)}", **options))
+        return answers
+
+    def close(self) -> None:
+        self._socket.close()
+
+
+def make_head(request_id: str, path: str, tokens: int | None) -> bytes:
+    """Return a request; one with `tokens` asks a model for as many."""
+    usage = (
+        ""
+        if tokens is None
+        else f"X-Model: m\r\nX-Token-Usage: 1400,{tokens}\r\nX-Prefix-Hash: a1:800,b2:600\r\n"
+    )
+    return (
+        f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\n"
+        f"X-Deadline-Ms: {TIMEOUT_MS}\r\nApi-Key: {CALLER_KEY}\r\n{usage}\r\n"
+    ).encode()
+
+
+def _note_data(answer: Answer, data: bytes) -> None:
+    if answer.head:
+        answer.body += data
+    else:
+        head, found, rest = (answer.body + data).partition(b"\r\n\r\n")
+        answer.body = head if not found else rest
+        answer.head = head + found if found else b""
+        if found:
+            answer.status = int(head.split(b" ", 2)[1])
+    if _is_whole(answer):
+        answer.end = End.WHOLE
+
+
+def _is_whole(answer: Answer) -> bool:
+    head = answer.head.lower()
+    if not head:
+        return False
+    if b"transfer-encoding: chunked" in head:
+        return answer.body.endswith(CHUNKED_END)
+    length = head.partition(b"content-length: ")[2].partition(b"\r\n")[0]
+    return bool(length) and len(answer.body) >= int(length)
+
+
+class StoppingWorld:
+    """Runs a store and engines in the test's process, and forwarders as processes of their own."""
+
+    def __init__(self, *, folder: Path, stop_ms: int, grace_s: float) -> None:
+        self.folder = folder
+        self.stop_ms = stop_ms
+        self.grace_s = grace_s
+        self.store = PublishedStoreStandin()
+        self.store_proxy: FaultProxy | None = None
+        self.runners = [
+            PlatformRunner(name=f"i-models-{n}", events_per_token=True) for n in range(RUNNERS)
+        ]
+        self.processes: list[DaemonProcess] = []
+        self._journals: list[asyncio.Task[list[str]]] = []
+        self.killed: list[int] = []
+
+    async def async_start(self, *, forwarders: int = 1) -> None:
+        os.environ[ENV_KEY] = KEY
+        self.store_proxy = FaultProxy(target=await self.store.async_start())
+        store = await self.store_proxy.async_start()
+        for runner in self.runners:
+            address = await runner.async_start()
+            await self.store.async_put_runner(
+                runner.name, service="models", address=address, state="ready", slots=64
+            )
+        route = make_route(
+            "draft", "streaming", "models", max_attempts=1, timeout_ms=TIMEOUT_MS,
+            target_latency_ms=5_000, target_gap_ms=2_000,
+        )  # fmt: skip
+        await self.store.async_put_configuration(make_configuration(routes=[route]))
+        starts = (self._async_start_forwarder(n, str(store)) for n in range(forwarders))
+        self.processes = list(await asyncio.gather(*starts))
+        for process in self.processes:
+            await self._async_until_served(process)
+
+    async def _async_start_forwarder(self, number: int, store: str) -> DaemonProcess:
+        settings = {
+            "instance": {"name": f"entry-{number}", "data_centre": "dc-a", "region": "r"},
+            "callers": "127.0.0.1:0",
+            "link_address": "127.0.0.1:0",
+            "link": {"key_env": ENV_KEY},
+            "store": store,
+            "bounds": {"stop_ms": self.stop_ms},
+            "contention": {},
+            "without": ["engine_speed", "engine_memory", "prompt_spread"],
+            "log": {"format": "json"},
+        }
+        process = await async_start_daemon(
+            role=Role.FORWARDER, settings=settings, folder=self.folder
+        )
+        self._journals.append(asyncio.create_task(_async_read_all(process)))
+        return process
+
+    async def _async_until_served(self, process: DaemonProcess) -> None:
+        async with asyncio.timeout(20):
+            while (await self.async_ask_once(process, "probe", tokens=1)).status != 200:
+                pass
+
+    async def async_ask_once(
+        self, process: DaemonProcess, request_id: str, **options: Any
+    ) -> Answer:
+        """Return the answer to one request on a connection of its own."""
+        caller = self.caller(process)
+        try:
+            await caller.async_open()
+        except OSError:
+            return Answer(request_id=request_id)
+        try:
+            return await caller.async_ask(request_id, **options)
+        finally:
+            caller.close()
+
+    def caller(self, process: DaemonProcess, *, buffer_bytes: int | None = None) -> Caller:
+        return Caller(process.addresses["callers"], buffer_bytes=buffer_bytes)
+
+    async def async_stop(
+        self, process: DaemonProcess, signals: Sequence[tuple[float, signal.Signals]]
+    ) -> tuple[int, float]:
+        """Send signals at times in seconds, kill the process after its grace.
+
+        Return its exit code and the seconds from the first signal to its end.
+        """
+        begun_s = time.monotonic()
+        for at_s, number in signals:
+            await asyncio.sleep(max(0, begun_s + at_s - time.monotonic()))
+            process.send_signal(number)
+        left_s = begun_s + self.grace_s - time.monotonic()
+        try:
+            await asyncio.wait_for(process.process.wait(), max(0, left_s))
+        except TimeoutError:
+            self.killed.append(process.pid)
+            await process.async_kill()
+        return process.process.returncode or 0, time.monotonic() - begun_s
+
+    async def async_read_journal(self, number: int = 0) -> list[dict[str, Any]]:
+        """Return the lines of a forwarder that has ended."""
+        lines = await self._journals[number]
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def ran(self, request_id: str) -> bool:
+        """Return whether a request ran at an engine."""
+        return any(request_id in runner.ran for runner in self.runners)
+
+    def list_reset(self, answers: Iterable[Answer]) -> list[Answer]:
+        """Return the answers that ran and whose connection was reset behind status 200."""
+        return [
+            answer
+            for answer in answers
+            if answer.end is not End.WHOLE and answer.status == 200 and self.ran(answer.request_id)
+        ]
+
+    async def async_close(self) -> None:
+        for process in self.processes:
+            await process.async_kill()
+        await asyncio.gather(*self._journals)
+        for runner in self.runners:
+            await runner.async_stop()
+        if self.store_proxy is not None:
+            await self.store_proxy.async_stop()
+        await self.store.async_stop()
+
+
+async def _async_read_all(process: DaemonProcess) -> list[str]:
+    assert process.process.stdout is not None
+    return [line.decode() async for line in process.process.stdout]
