Sight of stops: each stream that is cut has a line outside the bound, each drain an end

request_cut names the id, why the process ends, the status, the bytes and events that the caller has, and what is still in the process; drain_ended says why a drain ended, how long it took and how many were cut. No logic of stops changes.

--- a/gypsumrouter/bootstrap_forwarder.py
+++ b/gypsumrouter/bootstrap_forwarder.py
@@ -135,6 +135,7 @@
         is_ready=lambda: forwarder.ready,
         list_running=lambda: forwarder.handler.running,
         reload=None if watch is None else watch.reload,
+        journal=journal,
     )
 
 
--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -79,6 +79,7 @@
         "_head_timer",
         "_limits",
         "refused",
+        "request_id",
         "was_cut",
     )
 
@@ -100,6 +101,8 @@
         # Whether the latest request is answered, though its body may not have arrived whole.
         self._answered = False
         self._body_scope: asyncio.Timeout | None = None
+        # Id of the latest request, as its caller sent it.
+        self.request_id = ""
         # Whether the request that is arriving is refused since the process stops.
         self.refused = False
         # Whether this process has ended it with a request under way.
@@ -116,6 +119,11 @@
             return ConnectionState.HEAD if self._head_started else ConnectionState.IDLE
         return ConnectionState.DISCARDING if self._answered else ConnectionState.ANSWERING
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the size of what was written and has not been passed to the kernel."""
+        return 0 if self.transport is None else self.transport.get_write_buffer_size()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the write buffer limit and start the timeout for the first byte."""
         super().connection_made(transport)
--- a/gypsumrouter/core.py
+++ b/gypsumrouter/core.py
@@ -48,6 +48,7 @@
         "_tasks",
         "clock",
         "data_centre",
+        "end_reason",
         "incarnation",
         "metrics",
         "name",
@@ -77,6 +78,8 @@
         self.state = ApplicationState.NOT_RUNNING
         self.started_wall_ms = self.clock.wall_ms()
         self.stopping = asyncio.Event()
+        # Why requests that are under way at the end of the process are cut.
+        self.end_reason = ""
         self.metrics = MetricRegistry()
         self._tasks: set[asyncio.Task[Any]] = set()
         self._drain_hooks: list[StopHook] = []
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -232,6 +232,7 @@
         address = await self._listener.async_start()
         self._app.on_drain(self._async_drain)
         self._app.on_stop(self._listener.async_close)
+        self._app.on_stop(self._async_record_cut)
         self._app.async_create_task(self._async_clean_up(), "forwarder sweep")
         if self._first_start or Mechanism.INVENTORY in self._disabled:
             self.inventory.mark_complete()
@@ -306,6 +307,11 @@
         await self._app.clock.async_sleep(DRAIN_GRACE_MS)
         await drain.async_run()
 
+    async def _async_record_cut(self) -> None:
+        assert self._listener is not None
+        reason = self._app.end_reason
+        self.handler.record_cut(self._listener.list_connections(), reason=reason)
+
     def _record_closing(self, states: Counter[ConnectionState]) -> None:
         self._journal.record(
             ConnectionsClosing(
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Iterable
 from typing import Final, Protocol
 
 from aiohttp import web
@@ -25,7 +26,7 @@
 from gypsumrouter.forwarding.const import RETRY_AFTER_MAX_MS, RETRY_AT_ONCE_MS
 from gypsumrouter.forwarding.execution import ForwardingContext, RequestExecution
 from gypsumrouter.forwarding.leaving import DrainAdmission, estimate_duration_ms
-from gypsumrouter.forwarding.metrics import ForwardingMetrics, RequestRecords
+from gypsumrouter.forwarding.metrics import ForwardingMetrics, RequestRecords, RunningRequest
 from gypsumrouter.forwarding.models import CallerRequest, make_digest
 from gypsumrouter.forwarding.progress import Progress, get_time_limit_ms
 from gypsumrouter.forwarding.relay import CallerDisconnected
@@ -61,7 +62,6 @@
     """Handles the requests of all callers."""
 
     __slots__ = (
-        "_arriving",
         "_bodies",
         "_context",
         "_directory",
@@ -101,19 +101,22 @@
         self._bodies = MemoryBudget(limit=MAX_BUFFERED_BODY_BYTES)
         self._startup_events = (routing.ready, directory.loaded)
         self._inventory_loaded = inventory_loaded
-        # Requests whose body has not arrived whole, and the memory that it takes so far.
-        self._arriving: dict[int, tuple[str, MemoryReservation]] = {}
-        self._running: dict[int, str] = {}
+        self._running: dict[int, RunningRequest] = {}
         self._request_count = 0
 
     @property
     def running(self) -> list[str]:
         """Return the ids of the running requests; those whose body is incomplete say so."""
-        arriving = (
-            f"{request_id} ({reservation.size} bytes of an incomplete body)"
-            for request_id, reservation in self._arriving.values()
-        )
-        return [*self._running.values(), *arriving]
+        return [str(running) for running in self._running.values()]
+
+    def record_cut(self, connections: Iterable[CallerConnection], *, reason: str) -> None:
+        """Record what is under way on the connections as the process ends, and why it does."""
+        for running in self._running.values():
+            self._records.record_cut(running, reason=reason)
+        ids = {running.request_id for running in self._running.values()}
+        for connection in connections:
+            if connection.unsent_bytes and connection.request_id not in ids:
+                self._records.record_unsent(connection, reason=reason)
 
     def generate_request_id(self) -> str:
         """Return a new id for a request without one."""
@@ -123,17 +126,23 @@
     async def async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request until its response has ended."""
         arrived_ms = self._context.app.clock.now_ms()
+        request_id = request.headers.get(HEADER_REQUEST_ID, "")
         if isinstance(request.protocol, CallerConnection):
             request.protocol.stop_head_timer()
+            request.protocol.request_id = request_id
         reservation = MemoryReservation(budget=self._bodies)
         self._request_count += 1
         number = self._request_count
-        self._arriving[number] = (request.headers.get(HEADER_REQUEST_ID, ""), reservation)
+        self._running[number] = RunningRequest(
+            request_id=request_id,
+            web_request=request,
+            reservation=reservation,
+            arrived_ms=arrived_ms,
+        )
         try:
             return await self._async_serve(request, reservation, arrived_ms, number)
         finally:
             reservation.release()
-            self._arriving.pop(number, None)
             self._running.pop(number, None)
             self._drain.request_ended(number)
 
@@ -169,8 +178,7 @@
         caller_request = self._parse_request(request=request, body=body)
         if caller_request is None:
             return self._reject_malformed(reject_field("head", "The head is malformed"))
-        del self._arriving[number]
-        self._running[number] = caller_request.request_id
+        self._running[number].arriving = False
         set_request_id(caller_request.request_id)
         return await self._async_route(request, caller_request, arrived_ms, number)
 
@@ -199,7 +207,12 @@
                 if not self._admits(duration_ms):
                     return self._refuse(caller_request, Reason.LEAVING, "This router is stopping")
                 self._drain.request_started(number, duration_ms=duration_ms)
-                return await self._async_run(request, caller_request, routed, arrived_ms)
+                progress = Progress(
+                    arrived_ms=arrived_ms,
+                    deadline_at_ms=arrived_ms + get_time_limit_ms(caller_request, routed.route),
+                )
+                self._running[number].progress = progress
+                return await self._async_run(request, caller_request, routed, progress)
 
     async def _async_wait_until_ready(self, caller_request: CallerRequest) -> None:
         """Wait a limited time for the data that the process loads at startup."""
@@ -237,13 +250,9 @@
         request: web.BaseRequest,
         caller_request: CallerRequest,
         routed: RouteMatch,
-        arrived_ms: int,
+        progress: Progress,
     ) -> web.StreamResponse:
         route = routed.route
-        progress = Progress(
-            arrived_ms=arrived_ms,
-            deadline_at_ms=arrived_ms + get_time_limit_ms(caller_request, route),
-        )
         service = _choose_service(caller_request, route)
         origin = None
         if caller_request.last_event_id is not None and route.resumable:
--- a/gypsumrouter/forwarding/metrics.py
+++ b/gypsumrouter/forwarding/metrics.py
@@ -5,14 +5,21 @@
 from typing import Final
 
 from aiohttp import web
+from msgspec import Struct
 
-from gypsumrouter.callers import MemoryReservation
+from gypsumrouter.callers import CallerConnection, MemoryReservation
 from gypsumrouter.const import HEADER_REQUEST_ID
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory
 from gypsumrouter.forwarding.models import CallerRequest
 from gypsumrouter.forwarding.progress import Progress
-from gypsumrouter.journal import Journal, RequestEnded, RequestRefused, RequestUnread
+from gypsumrouter.journal import (
+    Journal,
+    RequestCut,
+    RequestEnded,
+    RequestRefused,
+    RequestUnread,
+)
 from gypsumrouter.outcomes import Reason
 from gypsumrouter.routing import RouteMatch, RoutingStore
 from gypsumrouter.util.clock import Clock
@@ -65,6 +72,31 @@
         self._total.observe(total_ms, labels)
 
 
+class RunningRequest(Struct, kw_only=True, eq=False):
+    """A request that is under way; `progress` is None until its route is known.
+
+    It is `arriving` until its body has arrived whole; `reservation` is the memory of that.
+    """
+
+    request_id: str
+    web_request: web.BaseRequest
+    reservation: MemoryReservation
+    arrived_ms: int
+    arriving: bool = True
+    progress: Progress | None = None
+
+    def __str__(self) -> str:
+        if not self.arriving:
+            return self.request_id
+        return f"{self.request_id} ({self.reservation.size} bytes of an incomplete body)"
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the size of what the process has written and not yet sent to the caller."""
+        connection = self.web_request.protocol
+        return connection.unsent_bytes if isinstance(connection, CallerConnection) else 0
+
+
 class RequestRecords:
     """Records how requests end, in the metrics and in the journal."""
 
@@ -132,6 +164,39 @@
             )
         )
 
+    def record_cut(self, running: RunningRequest, *, reason: str) -> None:
+        """Record a request that is under way when its process ends, and why it does."""
+        progress = running.progress
+        self._journal.record(
+            RequestCut(
+                request_id=running.request_id,
+                reason=reason,
+                upstream="" if progress is None else progress.upstream,
+                status=0 if progress is None else progress.status,
+                bytes_out=0 if progress is None else progress.bytes_out,
+                unsent_bytes=running.unsent_bytes,
+                events=0 if progress is None else progress.events,
+                arriving=running.arriving,
+                after_ms=self._clock.now_ms() - running.arrived_ms,
+            )
+        )
+
+    def record_unsent(self, connection: CallerConnection, *, reason: str) -> None:
+        """Record a response that was complete, but not sent to its end when its process ended."""
+        self._journal.record(
+            RequestCut(
+                request_id=connection.request_id,
+                reason=reason,
+                upstream="",
+                status=0,
+                bytes_out=0,
+                unsent_bytes=connection.unsent_bytes,
+                events=0,
+                arriving=False,
+                after_ms=0,
+            )
+        )
+
     def record_end(
         self, caller_request: CallerRequest, routed: RouteMatch, progress: Progress, status: int
     ) -> None:
--- a/gypsumrouter/forwarding/progress.py
+++ b/gypsumrouter/forwarding/progress.py
@@ -22,7 +22,7 @@
     not be tried again. `in_flight` is true while an attempt waits for a response.
     `fallback_response` is a server error that is returned if no other attempt succeeds.
     `first_byte_ms` is -1 until the first byte was sent to the caller. `events` counts the relayed
-    events of a stream.
+    events of a stream, and `status` is that of its response, 0 before it began.
     """
 
     arrived_ms: int
@@ -36,6 +36,7 @@
     first_byte_ms: int = -1
     bytes_out: int = 0
     events: int = 0
+    status: int = 0
     outcome: str = ""
     in_flight: bool = False
     fallback_response: CompleteResponse | None = None
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -186,6 +186,7 @@
             response.force_close()
         self.response = response
         self._is_event_stream = streaming.is_event_stream
+        self._progress.status = streaming.status
         self._on_begun()
         self._progress.first_byte_ms = self._clock.now_ms() - self._progress.arrived_ms
         await response.prepare(self._web_request)
--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -8,6 +8,7 @@
 from gypsumrouter.journal.request_events import (
     AttemptEnded,
     AttemptSent,
+    RequestCut,
     RequestEnded,
     RequestPlaced,
     RequestQueued,
@@ -51,6 +52,30 @@
     lines_dropped: int
 
 
+class StopSignalRepeated(Event, frozen=True, kw_only=True):
+    """A stop signal came again `after_ms` after the first one."""
+
+    name: ClassVar[str] = "stop_signal_repeated"
+    essential: ClassVar[bool] = True
+    signal: str
+    after_ms: int
+
+
+class DrainEnded(Event, frozen=True, kw_only=True):
+    """The drain of a planned stop has ended; times are in milliseconds.
+
+    `reason` is "done", "out_of_time" or "forced". `running` requests were in the process when it
+    began and `cut` when it ended.
+    """
+
+    name: ClassVar[str] = "drain_ended"
+    essential: ClassVar[bool] = True
+    reason: str
+    lasted_ms: int
+    running: int
+    cut: int
+
+
 class ConnectionsClosing(Event, frozen=True, kw_only=True):
     """The callers' connections are closed for `reason`; counts them by what they are doing.
 
@@ -236,6 +261,8 @@
     ProcessStarted,
     ProcessStopping,
     ProcessStopped,
+    StopSignalRepeated,
+    DrainEnded,
     ConnectionsClosing,
     SettingsReloaded,
     DependencyLost,
@@ -263,6 +290,7 @@
     RequestRefused,
     RequestUnread,
     RequestEnded,
+    RequestCut,
     RunBroken,
     SuspectChanged,
     SuspectRefused,
--- a/gypsumrouter/journal/request_events.py
+++ b/gypsumrouter/journal/request_events.py
@@ -197,6 +197,27 @@
     status: int
 
 
+class RequestCut(Event, frozen=True, kw_only=True):
+    """A request that is under way is cut, since its process ends; times are in milliseconds.
+
+    Its caller has a response of `status` (0: none has begun) with `bytes_out` bytes of its body,
+    less `unsent_bytes` that are still in the process. `arriving` is whether its body had not
+    arrived whole. Of a response that was complete only the unsent bytes are known.
+    """
+
+    name: ClassVar[str] = "request_cut"
+    essential: ClassVar[bool] = True
+    request_id: str
+    reason: str
+    upstream: str
+    status: int
+    bytes_out: int
+    unsent_bytes: int
+    events: int
+    arriving: bool
+    after_ms: int
+
+
 class RequestEnded(Event, frozen=True, kw_only=True):
     """A request has ended; `status` is 0 if the caller left or the response was aborted."""
 
--- a/gypsumrouter/running_process.py
+++ b/gypsumrouter/running_process.py
@@ -10,6 +10,7 @@
 
 from gypsumrouter.core import Application, Remove
 from gypsumrouter.instances import Address
+from gypsumrouter.journal import Journal
 
 
 class ObservableStore(Protocol):
@@ -25,7 +26,8 @@
     """The application of one process, its bound addresses and its state queries.
 
     `list_running` returns the ids of the requests in progress. `reload` checks the settings file
-    for changes and applies them; it is None if the process has no reloadable settings.
+    for changes and applies them; it is None if the process has no reloadable settings. `journal`
+    is None if the process has none.
     """
 
     app: Application
@@ -34,3 +36,4 @@
     is_ready: Callable[[], bool]
     list_running: Callable[[], list[str]]
     reload: Callable[[], None] | None = None
+    journal: Journal | None = None
--- a/gypsumrouter/service.py
+++ b/gypsumrouter/service.py
@@ -16,6 +16,7 @@
 from gypsumrouter.const import EXIT_FAILED, EXIT_OK
 from gypsumrouter.exceptions import ErrorCode, GypsumError
 from gypsumrouter.helpers.heap import freeze_heap
+from gypsumrouter.journal import DrainEnded
 from gypsumrouter.running_process import RunningProcess
 from gypsumrouter.settings import ForwarderSettings, Settings
 
@@ -97,7 +98,9 @@
         await _wait_for_first(*waits)
 
     async def _drain(self, process: RunningProcess) -> None:
-        _LOGGER.info("Draining: waiting for %d running requests", len(process.list_running()))
+        running = process.list_running()
+        _LOGGER.info("Draining: waiting for %d running requests", len(running))
+        begun_ms = process.app.clock.now_ms()
         limit_ms = get_drain_timeout_ms(self._settings)
         drained = asyncio.ensure_future(process.app.async_drain())
         await _wait_for_first(
@@ -105,16 +108,28 @@
             asyncio.ensure_future(self._stop_forced.wait()),
             asyncio.ensure_future(process.app.clock.async_sleep(limit_ms)),
         )
-        if not drained.cancelled() and drained.exception() is None:
+        is_done = not drained.cancelled() and drained.exception() is None
+        process.app.end_reason = "done" if is_done else self._describe_unfinished()
+        cut = [] if is_done else process.list_running()
+        if process.journal is not None:
+            process.journal.record(
+                DrainEnded(
+                    reason=process.app.end_reason,
+                    lasted_ms=process.app.clock.now_ms() - begun_ms,
+                    running=len(running),
+                    cut=len(cut),
+                )
+            )
+        if is_done:
             return
-        running = process.list_running()
         self._exit_code = EXIT_FAILED
         _LOGGER.error(
-            "Drain did not finish; aborting %d running requests: %s",
-            len(running),
-            ", ".join(running),
+            "Drain did not finish; aborting %d running requests: %s", len(cut), ", ".join(cut)
         )
 
+    def _describe_unfinished(self) -> str:
+        return "forced" if self._stop_forced.is_set() else "out_of_time"
+
     @property
     def stop_forced(self) -> bool:
         """Return whether a second stop signal has ended the drain."""
--- a/tests/forwarding/stopping_world.py
+++ b/tests/forwarding/stopping_world.py
@@ -20,6 +20,7 @@
 from gypsumrouter.const import Role
 from gypsumrouter.instances import Address
 from gypsumrouter.standins import FaultProxy, PlatformRunner, PublishedStoreStandin
+from gypsumrouter.util.clock import SystemClock
 
 ENV_KEY = "GYPSUMROUTER_LINK_KEY"
 KEY = "a key of the links between routers"
@@ -27,6 +28,7 @@
 READ_BYTES = 65_536
 RUNNERS = 3
 CHUNKED_END = b"0\r\n\r\n"
+CLOCK = SystemClock()
 
 
 class End(StrEnum):
@@ -94,7 +96,7 @@
                     break
                 _note_data(answer, data)
                 if bytes_per_s is not None:
-                    await asyncio.sleep(len(data) / bytes_per_s)
+                    await CLOCK.async_sleep(round(len(data) / bytes_per_s * 1_000))
         except OSError:
             answer.end = End.RESET
         answer.ended_s = time.monotonic()
@@ -231,7 +233,7 @@
         """
         begun_s = time.monotonic()
         for at_s, number in signals:
-            await asyncio.sleep(max(0, begun_s + at_s - time.monotonic()))
+            await CLOCK.async_sleep(round(1_000 * max(0, begun_s + at_s - time.monotonic())))
             process.send_signal(number)
         left_s = begun_s + self.grace_s - time.monotonic()
         try:
@@ -250,6 +252,12 @@
         """Return whether a request ran at an engine."""
         return any(request_id in runner.ran for runner in self.runners)
 
+    async def async_wait_running(self, count: int) -> None:
+        """Wait until so many requests run at the engines."""
+        async with asyncio.timeout(20):
+            while sum(len(runner.ran) for runner in self.runners) < count:
+                await CLOCK.async_sleep(10)
+
     def list_reset(self, answers: Iterable[Answer]) -> list[Answer]:
         """Return the answers that ran and whose connection was reset behind status 200."""
         return [
