A planned stop is one-way: a later signal neither ends nor shortens it

Cause: the second stop signal had a meaning of its own, and the handlers were those of the event loop, so that the default ones held before it ran and after it was closed.

The handlers are now those of the process, from its first moment to its last. The first stop signal counts, wherever it falls; later ones are recorded (stop_signal_repeated), and SIGQUIT, SIGUSR1, SIGUSR2 and the timers' signals are ignored from then on.

--- a/gypsumrouter/daemon.py
+++ b/gypsumrouter/daemon.py
@@ -14,14 +14,11 @@
 import gc
 import sys
 
-from gypsumrouter.helpers.listening import (
-    open_early_listener,
-    remember_reload_signals,
-    was_reload_requested,
-)
+from gypsumrouter.helpers.listening import open_early_listener
+from gypsumrouter.helpers.process_signals import install_handlers
 
 if __name__ == "__main__":
-    remember_reload_signals()
+    install_handlers()
     # Garbage collections during the imports free nothing and slow down the start.
     gc.disable()
     open_early_listener(sys.argv[1:])
@@ -61,10 +58,9 @@
     remove_logging = configure_logging(
         settings=settings.log, instance=settings.instance.name, stream=log_stream
     )
-    service = DaemonService(
-        settings=settings, announce=announce, setup=setup, reload_requested=was_reload_requested()
-    )
-    # The service installs its own signal handlers, which drain running requests before the exit.
+    install_handlers()
+    service = DaemonService(settings=settings, announce=announce, setup=setup)
+    # The service handles the signals: it drains running requests before the exit.
     with aiomisc.entrypoint(
         service,
         loop_factory=uvloop.new_event_loop,
--- a/gypsumrouter/demo/run.py
+++ b/gypsumrouter/demo/run.py
@@ -29,7 +29,7 @@
     print_progress,
 )
 from gypsumrouter.demo.workload import async_run_workload
-from gypsumrouter.service import STOP_SIGNALS
+from gypsumrouter.helpers.process_signals import STOP_SIGNALS
 from gypsumrouter.standins import Deployment, StandinPlatform, chapin, kotlovnica
 from gypsumrouter.util.clock import Clock, SystemClock
 
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -25,7 +25,7 @@
 from gypsumrouter.forwarding.const import CALLER_TIMEOUT_MARGIN_MS, DRAIN_GRACE_MS
 from gypsumrouter.forwarding.execution import ForwardingContext
 from gypsumrouter.forwarding.handler import RequestHandler, RequestParser
-from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker
+from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker, SilenceTracker
 from gypsumrouter.forwarding.inventory import CacheInventory, FetchCacheListing
 from gypsumrouter.forwarding.leaving import DrainAdmission
 from gypsumrouter.forwarding.metrics import ForwardingMetrics
@@ -35,7 +35,6 @@
 from gypsumrouter.forwarding.request_contention import ContentionContext
 from gypsumrouter.forwarding.return_order import ReturnOrder
 from gypsumrouter.forwarding.service_work import ServiceWorkReader
-from gypsumrouter.forwarding.silence import SilenceTracker
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.forwarding.starts import UpstreamStarts
 from gypsumrouter.instances import Address, parse_address
--- a/gypsumrouter/helpers/listening.py
+++ b/gypsumrouter/helpers/listening.py
@@ -3,14 +3,13 @@
 A forwarder opens its listening socket before it has imported its other modules, which takes about
 0.6 s of CPU time. Callers that connect during that time wait in the backlog
 instead of being refused. On a small share of a core they would time out in the backlog, so the
-socket is opened later in that case. Reload signals that arrive during the imports are remembered.
+socket is opened later in that case.
 """
 
 from __future__ import annotations
 
 import json
 import os
-import signal
 import socket
 from collections.abc import Sequence
 from typing import Any, Final
@@ -27,7 +26,6 @@
 MIN_CORES_FOR_EARLY_LISTENER: Final = 0.6
 ENV_CERTIFICATES_FILE: Final = "SSL_CERT_FILE"
 
-_early_reloads: list[int] = []
 _early_sockets: dict[tuple[str, int], socket.socket] = {}
 
 
@@ -97,13 +95,3 @@
     """
     if settings.get("link", {}).get("tls") is None:
         os.environ.setdefault(ENV_CERTIFICATES_FILE, os.devnull)
-
-
-def remember_reload_signals() -> None:
-    """Remember reload signals, which would end the process, until it handles them."""
-    signal.signal(signal.SIGHUP, lambda number, _frame: _early_reloads.append(number))
-
-
-def was_reload_requested() -> bool:
-    """Return whether a reload signal has arrived before the process handles them."""
-    return bool(_early_reloads)
--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -64,7 +64,7 @@
 class DrainEnded(Event, frozen=True, kw_only=True):
     """The drain of a planned stop has ended; times are in milliseconds.
 
-    `reason` is "done", "out_of_time" or "forced". `running` requests were in the process when it
+    `reason` is "done" or "out_of_time". `running` requests were in the process when it
     began and `cut` when it ended.
     """
 
--- a/gypsumrouter/service.py
+++ b/gypsumrouter/service.py
@@ -15,15 +15,14 @@
 
 from gypsumrouter.const import EXIT_FAILED, EXIT_OK
 from gypsumrouter.exceptions import ErrorCode, GypsumError
+from gypsumrouter.helpers import process_signals
 from gypsumrouter.helpers.heap import freeze_heap
-from gypsumrouter.journal import DrainEnded
+from gypsumrouter.journal import DrainEnded, StopSignalRepeated
 from gypsumrouter.running_process import RunningProcess
 from gypsumrouter.settings import ForwarderSettings, Settings
 
 _LOGGER = logging.getLogger(__name__)
 
-STOP_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT)
-
 # Time reserved at the end of a forwarder's stop to abort the remaining requests and exit.
 EXIT_MARGIN_MS: Final = 500
 
@@ -39,25 +38,25 @@
         settings: Settings,
         announce: bool,
         setup: Setup,
-        reload_requested: bool = False,
     ) -> None:
-        """Create the service; with `reload_requested` the settings are reloaded once it runs."""
         super().__init__()
-        self._reload_requested = reload_requested
+        self._reload_requested = False
         self._setup = setup
         self._settings = settings
         self._announce = announce
         self._process: RunningProcess | None = None
         self._stop_requested = asyncio.Event()
-        self._stop_settled = asyncio.Event()
-        self._stop_forced = asyncio.Event()
+        # When the first stop signal came (monotonic milliseconds).
+        self._stop_at_ms: int | None = None
+        self._end_listening: Callable[[], None] = lambda: None
         self._exit_code = EXIT_OK
 
     async def start(self) -> None:
         """Set up the process; a failure is logged with its error code."""
-        for number in STOP_SIGNALS:
-            self.loop.add_signal_handler(number, self.handle_stop_signal, number)
-        self.loop.add_signal_handler(signal.SIGHUP, self._handle_reload_signal)
+        loop = self.loop
+        self._end_listening = process_signals.listen(
+            lambda number, at_ms: loop.call_soon_threadsafe(self.handle_signal, number, at_ms)
+        )
         try:
             self._process = await self._setup()
         except GypsumError as error:
@@ -89,6 +88,8 @@
         if self._process is not None:
             await self._process.app.async_stop()
             _LOGGER.info("Stopped with exit code %d", self._exit_code)
+        # The loop is about to be closed.
+        self._end_listening()
 
     async def _wait_for_stop(self, process: RunningProcess) -> None:
         waits = (
@@ -105,11 +106,10 @@
         drained = asyncio.ensure_future(process.app.async_drain())
         await _wait_for_first(
             drained,
-            asyncio.ensure_future(self._stop_forced.wait()),
             asyncio.ensure_future(process.app.clock.async_sleep(limit_ms)),
         )
         is_done = not drained.cancelled() and drained.exception() is None
-        process.app.end_reason = "done" if is_done else self._describe_unfinished()
+        process.app.end_reason = "done" if is_done else "out_of_time"
         cut = [] if is_done else process.list_running()
         if process.journal is not None:
             process.journal.record(
@@ -127,30 +127,22 @@
             "Drain did not finish; aborting %d running requests: %s", len(cut), ", ".join(cut)
         )
 
-    def _describe_unfinished(self) -> str:
-        return "forced" if self._stop_forced.is_set() else "out_of_time"
-
     @property
-    def stop_forced(self) -> bool:
-        """Return whether a second stop signal has ended the drain."""
-        return self._stop_forced.is_set()
-
-    def handle_stop_signal(self, number: int) -> None:
-        """Start to drain at the first stop signal, and stop at once at a later one."""
-        if self._stop_requested.is_set():
-            if not self._stop_settled.is_set():
-                return
-            _LOGGER.warning(
-                "Second stop signal (%s): aborting the running requests",
-                signal.Signals(number).name,
-            )
-            self._stop_forced.set()
-            return
-        _LOGGER.info("Received stop signal %s; starting to drain", signal.Signals(number).name)
-        self._stop_requested.set()
-        # A signal that arrives between two runs of the event loop is reported twice, at once.
-        loop = asyncio.get_running_loop()
-        loop.call_soon(loop.call_soon, self._stop_settled.set)
+    def stop_at_ms(self) -> int | None:
+        """Return when the first stop signal came (monotonic milliseconds), None before."""
+        return self._stop_at_ms
+
+    def handle_signal(self, number: signal.Signals, at_ms: int) -> None:
+        """Stop at the first stop signal, reload at a reload signal; a stop is not shortened."""
+        if number not in process_signals.STOP_SIGNALS:
+            self._handle_reload_signal()
+        elif self._stop_at_ms is None:
+            _LOGGER.info("Received stop signal %s; starting to drain", number.name)
+            self._stop_at_ms = at_ms
+            self._stop_requested.set()
+        elif self._process is not None and self._process.journal is not None:
+            after_ms = at_ms - self._stop_at_ms
+            self._process.journal.record(StopSignalRepeated(signal=number.name, after_ms=after_ms))
 
     def _handle_reload_signal(self) -> None:
         if self._process is None:
--- a/tests/forwarding/engine_placers.py
+++ b/tests/forwarding/engine_placers.py
@@ -7,10 +7,9 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
-from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker
+from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker, SilenceTracker
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
-from gypsumrouter.forwarding.silence import SilenceTracker
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
--- a/tests/forwarding/test_forwarding_silence.py
+++ b/tests/forwarding/test_forwarding_silence.py
@@ -8,10 +8,9 @@
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.forwarding.health import HealthTracker
+from gypsumrouter.forwarding.health import EXPECTED_RESPONSE_MS, HealthTracker, SilenceTracker
 from gypsumrouter.forwarding.models import Prompt, PromptPart, ResponseMetadata
 from gypsumrouter.forwarding.placed import Placement, SentRequest
-from gypsumrouter.forwarding.silence import EXPECTED_RESPONSE_MS, SilenceTracker
 from gypsumrouter.journal import Journal
 from gypsumrouter.util.clock import ManualClock
 
--- a/tests/forwarding/test_forwarding_stops.py
+++ b/tests/forwarding/test_forwarding_stops.py
@@ -19,6 +19,20 @@
 FILLING = 200
 
 
+# Signals after the first one, with seconds from it.
+TERM, INT, HUP = signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+SERIES = {
+    "term_twice": [(0.4, TERM)],
+    "term_twice_at_once": [(0.0, TERM)],
+    "int": [(0.4, INT)],
+    "reloads": [(0.1, HUP), (1.2, HUP)],
+    "many": [(0.1, TERM), (0.2, INT), (0.3, HUP), (1.0, TERM), (2.7, TERM)],
+    "others": [(0.3, signal.SIGQUIT), (0.4, signal.SIGUSR1), (0.5, signal.SIGALRM)],
+}
+# Their streams end in the middle of a stop.
+TOKENS = 100
+
+
 @pytest.fixture
 async def stopping(tmp_path: Path) -> AsyncIterator[StoppingWorld]:
     """Start three engines and one forwarder process, which has `STOP_MS` for a stop."""
@@ -56,3 +70,17 @@
     assert all(cut[a.request_id]["bytes_out"] > 0 for a in answers)
     ends = [line for line in lines if line.get("event") == "drain_ended"]
     assert [(end["reason"], end["cut"]) for end in ends] == [("out_of_time", CALLERS)]
+
+
+# Guards against streams that are reset, with status 200 and run, by a signal behind the first.
+@pytest.mark.parametrize("later", SERIES.values(), ids=SERIES.keys())
+async def test_streams_are_reset_by_a_signal_that_follows_a_stop_signal(
+    stopping: StoppingWorld, later: list[tuple[float, signal.Signals]]
+) -> None:
+    streams = begin_streams(stopping, tokens=TOKENS)
+    await stopping.async_wait_running(CALLERS)
+    code, _ = await stopping.async_stop(stopping.processes[0], [(0, TERM), *later])
+    answers = await asyncio.gather(*streams)
+    assert stopping.list_reset(answers) == []
+    assert {answer.end for answer in answers} == {End.WHOLE}
+    assert code == 0
