A stop ends in time also where nobody reads the lines of the process

Cause: the thread that writes lines waited for a full pipe and held the lock of the output, for which the interpreter waits when it ends.

--- a/gypsumrouter/daemon.py
+++ b/gypsumrouter/daemon.py
@@ -69,7 +69,9 @@
         catch_signals=(),
     ) as loop:
         exit_code: int = loop.run_until_complete(service.async_wait())
-    remove_logging()
+    if not remove_logging():
+        # Nobody reads the output, and the interpreter would wait for it at its exit.
+        os._exit(exit_code)
     return exit_code
 
 
--- a/gypsumrouter/helpers/logs.py
+++ b/gypsumrouter/helpers/logs.py
@@ -16,7 +16,7 @@
 
 MAX_QUEUED_LINES: Final = 10_000
 # Time limit for writing the queued lines when the process exits.
-FLUSH_TIMEOUT_S: Final = 0.5
+FLUSH_TIMEOUT_S: Final = 0.25
 NO_VALUE: Final = "-"
 TEXT_FORMAT: Final = (
     "%(asctime)s %(levelname)s [%(instance)s] [%(request_id)s] %(name)s: %(message)s"
@@ -99,6 +99,8 @@
     ) -> None:
         super().__init__(records, output)
         self._records = records
+        # Whether all lines were written when the thread was stopped.
+        self.finished = True
 
     def enqueue_sentinel(self) -> None:
         """Queue the stop marker of the thread; drops the oldest records if the queue is full."""
@@ -117,6 +119,7 @@
             return
         self.enqueue_sentinel()
         thread.join(FLUSH_TIMEOUT_S)
+        self.finished = not thread.is_alive()
 
 
 def make_formatter(log_format: LogFormat) -> logging.Formatter:
@@ -130,10 +133,11 @@
 
 def configure_logging(
     *, settings: Log, instance: str, stream: TextIO | None = None
-) -> Callable[[], None]:
+) -> Callable[[], bool]:
     """Write all log lines to a stream, by default standard error, in a separate thread.
 
-    Returns a function that flushes the queue, stops the thread and removes the handler.
+    Returns a function that flushes the queue, stops the thread and removes the handler. It returns
+    False if the thread still waits for the stream, which an exit of the interpreter would wait for.
     """
     set_instance(instance)
     output = logging.StreamHandler(stream or sys.stderr)
@@ -151,8 +155,9 @@
         logging.getLogger(name).setLevel(logging.WARNING)
     listener.start()
 
-    def remove() -> None:
+    def remove() -> bool:
         listener.stop()
         root.removeHandler(handler)
+        return listener.finished
 
     return remove
