A drain takes only what ends in time, by what the router has seen, and running out of time is no failure

Cause: durations were taken for 7 ms a token and 400 ms, whatever the upstreams did, and measured against the longest running request.

SeenDurations keeps the last answers of each upstream: time to the first event, pace for each token asked for, by the slowest twentieth, and the streams under way; where that is old or missing, 4 s and 50 ms a token. A request is taken if it ends 0.1 s before what is under way is cut, and looked at again at the upstream where it is placed, so after a wait in the queue. It no longer has to end before the last running one: that refused short requests while there was time.

One time limit for all of a stop, counted from the signal (not from the end of the start) and settled then: changed settings hold for the next.

--- a/gypsumrouter/bootstrap_forwarder.py
+++ b/gypsumrouter/bootstrap_forwarder.py
@@ -136,6 +136,7 @@
         list_running=lambda: forwarder.handler.running,
         reload=None if watch is None else watch.reload,
         journal=journal,
+        get_drain_limit_ms=lambda: forwarder.drain_limit_ms,
     )
 
 
--- a/gypsumrouter/callers/closing.py
+++ b/gypsumrouter/callers/closing.py
@@ -60,8 +60,8 @@
 class ConnectionDrain:
     """Closes all connections of a server, and waits until they are closed.
 
-    Requests that are still arriving `limit_ms` after the construction are refused, and no new
-    connections are accepted from then on. Requests that have arrived whole are waited for.
+    Requests that are still arriving at `limit_at_ms` (monotonic milliseconds) are refused, and no
+    new connections are accepted from then on. Requests that have arrived whole are waited for.
     """
 
     __slots__ = ("_clock", "_limit_at_ms", "_on_closing", "_server")
@@ -71,12 +71,12 @@
         *,
         clock: Clock,
         server: DrainedServer,
-        limit_ms: int,
+        limit_at_ms: int,
         on_closing: Callable[[Counter[ConnectionState]], None],
     ) -> None:
         self._clock = clock
         self._server = server
-        self._limit_at_ms = clock.now_ms() + limit_ms
+        self._limit_at_ms = limit_at_ms
         self._on_closing = on_closing
 
     def begin(self) -> None:
--- a/gypsumrouter/core.py
+++ b/gypsumrouter/core.py
@@ -56,6 +56,7 @@
         "role",
         "started_wall_ms",
         "state",
+        "stop_at_ms",
         "stopping",
     )
 
@@ -78,6 +79,8 @@
         self.state = ApplicationState.NOT_RUNNING
         self.started_wall_ms = self.clock.wall_ms()
         self.stopping = asyncio.Event()
+        # When a planned stop was asked for (monotonic milliseconds), None before that.
+        self.stop_at_ms: int | None = None
         # Why requests that are under way at the end of the process are cut.
         self.end_reason = ""
         self.metrics = MetricRegistry()
--- a/gypsumrouter/forwarding/endings.py
+++ b/gypsumrouter/forwarding/endings.py
@@ -10,7 +10,7 @@
 from gypsumrouter.crashes.verdicts import get_trial_ms
 from gypsumrouter.forwarding.const import RETRY_AT_ONCE_MS
 from gypsumrouter.forwarding.models import CallerRequest, CompleteResponse, Dialect
-from gypsumrouter.forwarding.progress import Progress, TimeLimits
+from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED, Progress, TimeLimits
 from gypsumrouter.forwarding.relay import Relay
 from gypsumrouter.forwarding.request_contention import RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
@@ -110,7 +110,7 @@
 
     def respond(self, outcome: CompleteResponse) -> web.StreamResponse:
         """End a request with an upstream's complete response."""
-        self._progress.outcome = "answered"
+        self._progress.outcome = OUTCOME_ANSWERED
         self._progress.bytes_out = len(outcome.body)
         self._progress.first_byte_ms = self._now_ms() - self._progress.arrived_ms
         return make_upstream_response(outcome=outcome, dialect=self._dialect)
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from aiohttp import web
 from msgspec import Struct
@@ -42,7 +43,7 @@
 from gypsumrouter.forwarding.outcome_recorder import OutcomeRecorder, RunObserver
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.placer import Placer
-from gypsumrouter.forwarding.progress import Progress, TimeLimits
+from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED, Progress, TimeLimits
 from gypsumrouter.forwarding.relay import Relay, RelayResult
 from gypsumrouter.forwarding.request_contention import ContentionContext, RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
@@ -77,6 +78,7 @@
         "_context",
         "_endings",
         "_limits",
+        "_may_start",
         "_recorder",
         "_relay",
         "_request",
@@ -99,6 +101,7 @@
         web_request: web.BaseRequest,
         progress: Progress,
         close_connection: bool,
+        may_start: Callable[[int, str], bool],
         request_journal: RequestJournal,
         origin: StreamOrigin | None = None,
     ) -> None:
@@ -107,6 +110,7 @@
         self._routed = routed
         self._service = service
         self._request_journal = request_journal
+        self._may_start = may_start
         subjects = make_subjects(request, workspace=routed.workspace)
         self._runs = RunObserver(
             guard=context.suspects,
@@ -195,10 +199,18 @@
                 return self._endings.refuse(
                     placement.reason, placement.message, placement.not_before_ms
                 )
+            if not self._may_run_at(placement):
+                return self._endings.refuse(Reason.LEAVING, "This router is stopping")
             response = await self._async_attempt(placement)
             if response is not None:
                 return response
 
+    def _may_run_at(self, placement: Placement) -> bool:
+        """Return whether a request that has not run yet may begin at an upstream."""
+        if self.progress.possibly_ran_on or self._relay.response is not None:
+            return True
+        return self._may_start(self._limits.remaining_ms, placement.entry.incarnation)
+
     async def _async_admit(self) -> web.StreamResponse | None:
         """Wait for capacity under contention; return the refusal, None if it may be sent."""
         outcome = await self._contention.async_admit(remaining_ms=self._limits.remaining_ms)
@@ -364,7 +376,7 @@
             case NextStep.RESPOND if isinstance(outcome, CompleteResponse):
                 return self._endings.respond(outcome)
             case NextStep.RESPOND:
-                self.progress.outcome = "answered"
+                self.progress.outcome = OUTCOME_ANSWERED
                 return self._relay.response
 
     def _get_retry_limits(self) -> RetryLimits:
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -22,7 +22,7 @@
 from gypsumrouter.directory import Directory, Evacuations
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.connections import ConnectionPool, ReadStart
-from gypsumrouter.forwarding.const import CALLER_TIMEOUT_MARGIN_MS, DRAIN_GRACE_MS
+from gypsumrouter.forwarding.const import CALLER_TIMEOUT_MARGIN_MS
 from gypsumrouter.forwarding.execution import ForwardingContext
 from gypsumrouter.forwarding.handler import RequestHandler, RequestParser
 from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker, SilenceTracker
@@ -47,8 +47,10 @@
 _LOGGER = logging.getLogger(__name__)
 
 CLEANUP_INTERVAL_MS: Final = 1_000
-# Requests admitted during a drain must end this long before the process is killed.
-DRAIN_MARGIN_MS: Final = 1_000
+# What is under way this long before the process is killed is cut.
+CUT_MARGIN_MS: Final = 500
+# What is still arriving this long before that is refused.
+ARRIVING_MARGIN_MS: Final = 500
 
 
 class Forwarder:
@@ -153,7 +155,7 @@
             window_ms=bounds.retry_window_ms,
             first_start=settings.first_start,
         )
-        self._drain = DrainAdmission(clock=app.clock, limit_ms=bounds.stop_ms - DRAIN_MARGIN_MS)
+        self._drain = DrainAdmission(clock=app.clock, limit_ms=bounds.stop_ms - CUT_MARGIN_MS)
         self.suspects = CrashGuard(app=app, journal=journal)
         self.suspects.set_allowed(settings.allowed_parts)
         self.shares = _make_shares(app, settings)
@@ -213,8 +215,13 @@
             and self._directory.loaded.is_set()
         )
 
+    @property
+    def drain_limit_ms(self) -> int:
+        """Return the time limit of a drain; it is settled when one begins."""
+        return self._drain.limit_ms
+
     def set_bounds(self, bounds: Bounds) -> None:
-        """Apply changed bounds from the settings."""
+        """Apply changed bounds from the settings; a stop that has begun keeps its time."""
         self.placer.set_bounds(
             Cap(factor=bounds.cap_factor, slack=bounds.cap_slack),
             evacuation_ms=bounds.evacuation_ms,
@@ -223,7 +230,8 @@
             ratio=bounds.retry_ratio, slack=bounds.retry_slack, window_ms=bounds.retry_window_ms
         )
         self.placer.slow_start.set_bound(factor=bounds.warm_up_factor, slack=bounds.warm_up_slack)
-        self._drain.set_limit(bounds.stop_ms - DRAIN_MARGIN_MS)
+        if not self._drain.draining:
+            self._drain.set_limit(bounds.stop_ms - CUT_MARGIN_MS)
 
     async def async_start(self) -> Address:
         """Start listening and return the address."""
@@ -286,6 +294,7 @@
             self.placer.sweep()
             self.streams.sweep()
             self.suspects.sweep()
+            self._drain.durations.sweep()
             if self._return_order is not None:
                 self._return_order.sweep()
 
@@ -295,15 +304,15 @@
         Connections close after their responses from now on, idle ones after the wait.
         """
         assert self._listener is not None
-        self._drain.begin()
+        self._drain.begin(self._app.stop_at_ms)
         drain = ConnectionDrain(
             clock=self._app.clock,
             server=self._listener,
-            limit_ms=self._drain.limit_ms,
+            limit_at_ms=self._drain.limit_at_ms - ARRIVING_MARGIN_MS,
             on_closing=self._record_closing,
         )
         drain.begin()
-        await self._app.clock.async_sleep(DRAIN_GRACE_MS)
+        await self._app.clock.async_sleep(self._drain.grace_left_ms)
         await drain.async_run()
 
     async def _async_record_cut(self) -> None:
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Iterable
+from functools import partial
 from typing import Final, Protocol
 
 from aiohttp import web
@@ -25,10 +26,10 @@
 from gypsumrouter.directory import Directory
 from gypsumrouter.forwarding.const import RETRY_AFTER_MAX_MS, RETRY_AT_ONCE_MS
 from gypsumrouter.forwarding.execution import ForwardingContext, RequestExecution
-from gypsumrouter.forwarding.leaving import DrainAdmission, estimate_duration_ms
+from gypsumrouter.forwarding.leaving import DrainAdmission
 from gypsumrouter.forwarding.metrics import ForwardingMetrics, RequestRecords, RunningRequest
-from gypsumrouter.forwarding.models import CallerRequest, make_digest
-from gypsumrouter.forwarding.progress import Progress, get_time_limit_ms
+from gypsumrouter.forwarding.models import CallerRequest, Prompt, make_digest
+from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED, Progress, get_time_limit_ms
 from gypsumrouter.forwarding.relay import CallerDisconnected
 from gypsumrouter.forwarding.request_journal import RequestJournal
 from gypsumrouter.forwarding.responses import HEADER_RETRY_AFTER, make_refusal, make_rejection
@@ -203,16 +204,14 @@
             case InvalidKey():
                 return self._reject(caller_request, Reason.UNAUTHENTICATED, "The key is not known")
             case RouteMatch() as routed:
-                duration_ms = estimate_duration_ms(caller_request, routed.route)
-                if not self._admits(duration_ms):
+                service = _choose_service(caller_request, routed.route)
+                limit_ms = get_time_limit_ms(caller_request, routed.route)
+                if not self._admits(service, caller_request.prompt, limit_ms):
                     return self._refuse(caller_request, Reason.LEAVING, "This router is stopping")
-                self._drain.request_started(number, duration_ms=duration_ms)
-                progress = Progress(
-                    arrived_ms=arrived_ms,
-                    deadline_at_ms=arrived_ms + get_time_limit_ms(caller_request, routed.route),
-                )
+                progress = Progress(arrived_ms=arrived_ms, deadline_at_ms=arrived_ms + limit_ms)
                 self._running[number].progress = progress
-                return await self._async_run(request, caller_request, routed, progress)
+                self._drain.request_started(number, service=service, progress=progress)
+                return await self._async_run(request, caller_request, routed, service, progress)
 
     async def _async_wait_until_ready(self, caller_request: CallerRequest) -> None:
         """Wait a limited time for the data that the process loads at startup."""
@@ -234,10 +233,12 @@
                 caller_request.request_id,
             )
 
-    def _admits(self, duration_ms: int) -> bool:
+    def _admits(
+        self, service: str, prompt: Prompt | None, remaining_ms: int, upstream: str | None = None
+    ) -> bool:
         if Mechanism.SHUTDOWN_ADMISSION in self._context.without:
             return True
-        return self._drain.admits(duration_ms=duration_ms)
+        return self._drain.admits(service, prompt, remaining_ms=remaining_ms, upstream=upstream)
 
     def _can_place_without_inventory(self, caller_request: CallerRequest) -> bool:
         """Return whether a request has no prompt, or an upstream that caches it is known."""
@@ -250,10 +251,10 @@
         request: web.BaseRequest,
         caller_request: CallerRequest,
         routed: RouteMatch,
+        service: str,
         progress: Progress,
     ) -> web.StreamResponse:
         route = routed.route
-        service = _choose_service(caller_request, route)
         origin = None
         if caller_request.last_event_id is not None and route.resumable:
             origin = await async_find_origin(
@@ -288,6 +289,7 @@
             web_request=request,
             progress=progress,
             close_connection=self._drain.draining,
+            may_start=partial(self._admits, service, caller_request.prompt),
             request_journal=request_journal,
             origin=origin,
         )
@@ -295,6 +297,8 @@
         try:
             response = await run.async_run()
             status = response.status
+            if progress.outcome == OUTCOME_ANSWERED:
+                self._drain.durations.note(service, caller_request.prompt, progress)
         except asyncio.CancelledError:
             progress.outcome = _describe_end(request)
             abort_connection(request.transport)
--- a/gypsumrouter/forwarding/progress.py
+++ b/gypsumrouter/forwarding/progress.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Final
+
 from msgspec import Struct, field
 
 from gypsumrouter.forwarding.const import (
@@ -13,6 +15,9 @@
 from gypsumrouter.routing import Route
 from gypsumrouter.util.clock import Clock
 
+# Outcome of a request that got an upstream's whole answer.
+OUTCOME_ANSWERED: Final = "answered"
+
 
 class Progress(Struct, kw_only=True):
     """Mutable state that the attempts of a request share.
--- a/gypsumrouter/forwarding/request_contention.py
+++ b/gypsumrouter/forwarding/request_contention.py
@@ -8,7 +8,7 @@
 from gypsumrouter.forwarding.claims import estimate_cost, make_claim
 from gypsumrouter.forwarding.models import CallerRequest, Outcome, Rejected, Unreachable
 from gypsumrouter.forwarding.placer import Placer
-from gypsumrouter.forwarding.progress import Progress
+from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED, Progress
 from gypsumrouter.forwarding.return_order import Reservation, ReturnOrder
 from gypsumrouter.routing import RouteMatch
 from gypsumrouter.util.clock import Clock
@@ -123,7 +123,7 @@
     def note_served(self) -> None:
         """Count the work of the request as served, if it was answered."""
         shares = self._context.shares
-        if shares is not None and self._progress.outcome == "answered":
+        if shares is not None and self._progress.outcome == OUTCOME_ANSWERED:
             shares.note_served(cost=self._cost, now_ms=self._clock.now_ms())
 
     def reserve_return(self, *, room_in_ms: int, remaining_ms: int) -> Reservation | None:
--- a/gypsumrouter/gateway/gateway.py
+++ b/gypsumrouter/gateway/gateway.py
@@ -161,7 +161,7 @@
         drain = ConnectionDrain(
             clock=self._app.clock,
             server=self._listener,
-            limit_ms=max(0, self._drain_ms - DRAIN_MARGIN_MS),
+            limit_at_ms=self._app.clock.now_ms() + max(0, self._drain_ms - DRAIN_MARGIN_MS),
             on_closing=_log_closing,
         )
         drain.begin()
--- a/gypsumrouter/running_process.py
+++ b/gypsumrouter/running_process.py
@@ -27,7 +27,8 @@
 
     `list_running` returns the ids of the requests in progress. `reload` checks the settings file
     for changes and applies them; it is None if the process has no reloadable settings. `journal`
-    is None if the process has none.
+    is None if the process has none. `get_drain_limit_ms` returns the time limit of
+    a drain; it is None if the settings have it.
     """
 
     app: Application
@@ -37,3 +38,4 @@
     list_running: Callable[[], list[str]]
     reload: Callable[[], None] | None = None
     journal: Journal | None = None
+    get_drain_limit_ms: Callable[[], int] | None = None
--- a/gypsumrouter/service.py
+++ b/gypsumrouter/service.py
@@ -8,7 +8,7 @@
 import os
 import signal
 from collections.abc import Awaitable, Callable
-from typing import Any, Final
+from typing import Any
 
 import aiomisc
 import click
@@ -23,9 +23,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# Time reserved at the end of a forwarder's stop to abort the remaining requests and exit.
-EXIT_MARGIN_MS: Final = 500
-
 Setup = Callable[[], Awaitable[RunningProcess]]
 
 
@@ -102,12 +99,13 @@
         running = process.list_running()
         _LOGGER.info("Draining: waiting for %d running requests", len(running))
         begun_ms = process.app.clock.now_ms()
-        limit_ms = get_drain_timeout_ms(self._settings)
+        if self._stop_at_ms is not None:
+            begun_ms = process.app.stop_at_ms = self._stop_at_ms
+        ends_ms = begun_ms + get_drain_timeout_ms(self._settings, process)
         drained = asyncio.ensure_future(process.app.async_drain())
-        await _wait_for_first(
-            drained,
-            asyncio.ensure_future(process.app.clock.async_sleep(limit_ms)),
-        )
+        left_ms = max(0, ends_ms - process.app.clock.now_ms())
+        limit = asyncio.ensure_future(process.app.clock.async_sleep(left_ms))
+        await _wait_for_first(drained, limit)
         is_done = not drained.cancelled() and drained.exception() is None
         process.app.end_reason = "done" if is_done else "out_of_time"
         cut = [] if is_done else process.list_running()
@@ -122,8 +120,7 @@
             )
         if is_done:
             return
-        self._exit_code = EXIT_FAILED
-        _LOGGER.error(
+        _LOGGER.warning(
             "Drain did not finish; aborting %d running requests: %s", len(cut), ", ".join(cut)
         )
 
@@ -169,13 +166,12 @@
         _LOGGER.error("Stopped with %s: %s", code.value, message)
 
 
-def get_drain_timeout_ms(settings: Settings) -> int:
+def get_drain_timeout_ms(settings: Settings, process: RunningProcess) -> int:
     """Return the time limit for draining at a planned stop."""
-    match settings:
-        case ForwarderSettings():
-            return settings.bounds.stop_ms - EXIT_MARGIN_MS
-        case _:
-            return settings.limits.drain_ms
+    if process.get_drain_limit_ms is not None:
+        return process.get_drain_limit_ms()
+    assert not isinstance(settings, ForwarderSettings)
+    return settings.limits.drain_ms
 
 
 async def _wait_for_first(*waits: asyncio.Future[Any]) -> None:
