A connection whose answer began before a stop serves one more request, which announces its end

Cause: since a connection was closed right behind an answer whose head had gone out before the SIGTERM, and so had not announced it. Such a connection now stays open for another request until idle ones are closed, 2.6 s after the signal; whether an answer announces the end is decided when its head is written, not when its request arrives.

--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -202,17 +202,14 @@
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
     ) -> tuple[web.StreamResponse, bool]:
-        """Write the response; while the process stops, end the connection behind it."""
-        self._end_connection_after(resp)
+        """Write the response; while the process stops, it announces the end of the connection."""
+        # A response whose head is sent can announce nothing; its connection serves another request.
+        if self._closes_after_answer and not self._messages and not resp.prepared:
+            resp.force_close()
         result = await super().finish_response(request, resp, start_time)
         self._answered = True
-        self._end_connection_after(resp)
         return result
 
-    def _end_connection_after(self, response: web.StreamResponse) -> None:
-        if self._closes_after_answer and not self._messages:
-            response.force_close()
-
     def _process_keepalive(self) -> None:
         """Close the connection after the idle timeout, unless a part of a head has arrived."""
         if self.state is ConnectionState.HEAD:
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -100,7 +100,7 @@
         service: str,
         web_request: web.BaseRequest,
         progress: Progress,
-        close_connection: bool,
+        close_connection: Callable[[], bool],
         may_start: Callable[[int, str], bool],
         request_journal: RequestJournal,
         origin: StreamOrigin | None = None,
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -288,7 +288,7 @@
             service=service,
             web_request=request,
             progress=progress,
-            close_connection=self._drain.draining,
+            close_connection=lambda: self._drain.draining,
             may_start=partial(self._admits, service, caller_request.prompt),
             request_journal=request_journal,
             origin=origin,
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -51,8 +51,8 @@
 
     Only complete events are relayed. Nothing is sent before the first one, so that the request can
     still get another response until then. The connection is closed after the response if
-    `close_connection` is true. `on_begun` is called right before the first event is sent,
-    `on_received` for each piece of an upstream's response.
+    `close_connection` returns true when it begins. `on_begun` is called right before the first
+    event is sent, `on_received` for each piece of an upstream's response.
     """
 
     __slots__ = (
@@ -80,7 +80,7 @@
         dialect: Dialect,
         clock: Clock,
         progress: Progress,
-        close_connection: bool,
+        close_connection: Callable[[], bool],
         on_begun: Callable[[], None],
         on_received: Callable[[], None],
     ) -> None:
@@ -182,7 +182,7 @@
 
     async def _async_prepare(self, streaming: StreamingResponse) -> web.StreamResponse:
         response = make_stream_response(status=streaming.status, headers=self._headers or [])
-        if self._close_connection:
+        if self._close_connection():
             response.force_close()
         self.response = response
         self._is_event_stream = streaming.is_event_stream
