The end of an answer reaches a slow caller that sends more: discard before a close

Cause: the handler had written the answer, the connection was closed, and bytes that the caller sent behind its request lay or came unread: the kernel resets such a connection and drops what its caller has not taken yet.

Behind the last answer of a connection its end is sent, and what still arrives is read for nothing until the caller closes it, for 2 s at most (the usual lingering close); the same behind the refusal of half a head. The drain counts such a connection as discarding: waited for while there is time, closed without a reset when there is none.

--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -27,6 +27,10 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+# How long what still arrives after the last answer of a connection is read for nothing. A socket
+# that is closed with unread bytes is reset, which takes the end of an answer from a slow caller.
+DISCARD_MS: Final = 2_000
+
 # SO_LINGER with a timeout of 0: closing the socket sends RST instead of FIN.
 LINGER_RESET: Final = struct.pack("ii", 1, 0)
 
@@ -57,7 +61,7 @@
 
     IDLE: no byte of a request has arrived since the last answer. HEAD, BODY: a part of a request's
     head or body has arrived. ANSWERING: its request has arrived whole. DISCARDING: its request is
-    answered, and the rest of its body is read for nothing.
+    answered, and the rest of its body, or what comes behind its last request, is read for nothing.
     """
 
     IDLE = "idle"
@@ -74,6 +78,7 @@
         "_answered",
         "_body_scope",
         "_closes_after_answer",
+        "_discarding",
         "_generate_request_id",
         "_head_started",
         "_head_timer",
@@ -101,6 +106,8 @@
         # Whether the latest request is answered, though its body may not have arrived whole.
         self._answered = False
         self._body_scope: asyncio.Timeout | None = None
+        # Set once the connection has sent its end; done when it is closed.
+        self._discarding: asyncio.Future[None] | None = None
         # Id of the latest request, as its caller sent it.
         self.request_id = ""
         # Whether the request that is arriving is refused since the process stops.
@@ -111,6 +118,8 @@
     @property
     def state(self) -> ConnectionState:
         """Return what the connection is doing."""
+        if self._discarding is not None:
+            return ConnectionState.DISCARDING
         if self._request_in_progress or self._messages:
             request = self._current_request
             arriving = request is not None and not request.content.is_eof()
@@ -133,6 +142,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Start the head timeout at the first byte of a request head."""
+        if self._discarding is not None:
+            return
         super().data_received(data)
         # Data received while no head is awaited belongs to a request body.
         if self._is_awaiting_head and not self._head_started:
@@ -151,6 +162,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the timer of the connection."""
         self.stop_head_timer()
+        self._end_discarding()
         super().connection_lost(exc)
 
     def stop_head_timer(self) -> None:
@@ -174,8 +186,8 @@
             self.transport.close()
 
     def cut(self) -> None:
-        """End the connection; reset it unless it is idle, so that no answer looks complete."""
-        if self.state is ConnectionState.IDLE:
+        """End the connection; reset it unless its answers are sent, so that none looks complete."""
+        if self.state is ConnectionState.IDLE or (self._discarding and not self.unsent_bytes):
             self.close_now()
             return
         self.was_cut = True
@@ -197,7 +209,9 @@
                 self._body_scope.reschedule(asyncio.get_running_loop().time())
             case ConnectionState.HEAD if self.transport is not None:
                 self.transport.write(render_stopping(request_id=self._generate_request_id()))
-                self.close_now()
+                self.close()
+                if not self._begin_discarding():
+                    self.close_now()
 
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
@@ -208,8 +222,33 @@
             resp.force_close()
         result = await super().finish_response(request, resp, start_time)
         self._answered = True
+        if not resp.keep_alive and request.content.is_eof():
+            await self._async_discard()
         return result
 
+    async def _async_discard(self) -> None:
+        """Send the end of the connection, and discard what arrives until its caller closes it."""
+        if self._begin_discarding() and self._discarding is not None:
+            await self._discarding
+
+    def _begin_discarding(self) -> bool:
+        """Send the end of the connection; return False if only closing it does that."""
+        transport = self.transport
+        if transport is None or transport.is_closing() or not transport.can_write_eof():
+            return False
+        loop = asyncio.get_running_loop()
+        self._discarding = loop.create_future()
+        transport.write_eof()
+        loop.call_later(DISCARD_MS / MS_PER_S, self._end_discarding)
+        return True
+
+    def _end_discarding(self) -> None:
+        if self._discarding is None or self._discarding.done():
+            return
+        self._discarding.set_result(None)
+        if self.transport is not None:
+            self.transport.close()
+
     def _process_keepalive(self) -> None:
         """Close the connection after the idle timeout, unless a part of a head has arrived."""
         if self.state is ConnectionState.HEAD:
--- a/tests/forwarding/stopping_world.py
+++ b/tests/forwarding/stopping_world.py
@@ -9,6 +9,7 @@
 import socket
 import time
 from collections.abc import Iterable, Sequence
+from contextlib import suppress
 from enum import StrEnum
 from pathlib import Path
 from typing import Any
@@ -78,18 +79,16 @@
         *,
         path: str = "/draft/a",
         tokens: int | None = 80,
-        behind: bytes = b"",
         bytes_per_s: float | None = None,
     ) -> Answer:
         """Send a request and return its answer; raises nothing if the connection ends.
 
-        `behind` is sent with the request, as the beginning of the next one. `bytes_per_s` is the
-        pace at which a slow caller reads.
+        `bytes_per_s` is the pace at which a slow caller reads.
         """
         answer = Answer(request_id=request_id, sent_s=time.monotonic())
         loop = asyncio.get_running_loop()
         try:
-            await loop.sock_sendall(self._socket, make_head(request_id, path, tokens) + behind)
+            await loop.sock_sendall(self._socket, make_head(request_id, path, tokens))
             while not _is_whole(answer):
                 size = READ_BYTES if bytes_per_s is None else max(1, int(bytes_per_s / 20))
                 data = await loop.sock_recv(self._socket, size)
@@ -103,6 +102,12 @@
         answer.ended_s = time.monotonic()
         return answer
 
+    async def async_send_later(self, data: bytes, *, after_ms: int) -> None:
+        """Send bytes on the connection after a while, if it is open then."""
+        await CLOCK.async_sleep(after_ms)
+        with suppress(OSError):
+            await asyncio.get_running_loop().sock_sendall(self._socket, data)
+
     async def async_ask_until_closed(self, first_id: str, **options: Any) -> list[Answer]:
         """Ask on this connection until it ends or says that it does."""
         answers: list[Answer] = []
--- a/tests/forwarding/test_forwarding_stops.py
+++ b/tests/forwarding/test_forwarding_stops.py
@@ -34,6 +34,17 @@
 LATE_MS = 3_050
 LATE_EVERY_MS = 20
 FEW_TOKENS = 5
+# A stream that has begun, and ends inside the first seconds of a stop.
+KEPT_TOKENS = 50
+BEGUN_MS = 200
+# An answer that the buffers between the process and a slow caller hold, and the beginning of the
+# request that the caller sends while it still reads.
+LARGE_TOKENS = 2_000
+SMALL_BUFFER_BYTES = 2_048
+SLOW_BYTES_PER_S = 40_000
+SLOW_CALLERS = 4
+MORE = b"GET /draft/b HTTP/1.1"
+MORE_AFTER_MS = 1_000
 # Their streams end in the middle of a stop.
 TOKENS = 100
 
@@ -141,3 +152,48 @@
     code, _ = await stopping.async_stop(process, [(0, TERM)])
     await asyncio.gather(*streams)
     assert (code, stopping.killed) == (0, [])
+
+
+# Guards against a kept connection that is closed behind an answer that did not announce it.
+async def test_kept_connection_is_closed_unannounced_behind_an_answer_that_began_before(
+    stopping: StoppingWorld,
+) -> None:
+    process = stopping.processes[0]
+    for runner in stopping.runners:
+        runner.pause_s = PAUSE_S
+    callers = [await stopping.caller(process).async_open() for _ in range(CALLERS)]
+    asking = [
+        asyncio.create_task(caller.async_ask_until_closed(f"k{number}", tokens=KEPT_TOKENS))
+        for number, caller in enumerate(callers)
+    ]
+    await stopping.async_wait_running(CALLERS)
+    await CLOCK.async_sleep(BEGUN_MS)
+    code, _ = await stopping.async_stop(process, [(0, TERM)])
+    kept = await asyncio.gather(*asking)
+    assert {answer.end for answers in kept for answer in answers} == {End.WHOLE}
+    assert all(answers[-1].announces_close for answers in kept)
+    assert any(not answers[0].announces_close for answers in kept)
+    assert code == 0
+
+
+# Guards against a close with unread bytes, which resets what a slow caller has not read yet.
+async def test_end_of_an_answer_is_lost_to_a_slow_caller_that_sends_more(
+    stopping: StoppingWorld,
+) -> None:
+    process = stopping.processes[0]
+    stop = asyncio.create_task(stopping.async_stop(process, [(0, TERM)]))
+
+    async def async_ask_slowly(number: int) -> Answer:
+        caller = stopping.caller(process, buffer_bytes=SMALL_BUFFER_BYTES)
+        await caller.async_open()
+        more = asyncio.create_task(caller.async_send_later(MORE, after_ms=MORE_AFTER_MS))
+        answer = await caller.async_ask(
+            f"s{number}", tokens=LARGE_TOKENS, bytes_per_s=SLOW_BYTES_PER_S
+        )
+        await more
+        return answer
+
+    answers = await asyncio.gather(*map(async_ask_slowly, range(SLOW_CALLERS)))
+    code, _ = await stop
+    assert [answer.end for answer in answers] == [End.WHOLE] * SLOW_CALLERS
+    assert code == 0
