Responses that do not end are bounded in every state in which they can be read

Cause: the HTTP parser bounds lines and the number of headers, and nothing else; discarded bodies were read to their end.

response_bounds.py decides from counts alone, before the bytes reach the parser: 64 KiB for all heads of an exchange, 32 interim responses, framing of a body 64 KiB and eight times its content, 16 KiB and 0.1 s for what is discarded, 8 MiB for an upstream's answer to a question, 32 MiB for a page of the store, 64 MiB for what is passed on, 128 KiB for an event (1 MiB before). Received bytes are parsed 16 KiB at a time, with the other work of the loop between. The connection is closed at a bound, and the upstream is judged like one that resets.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -31,6 +31,7 @@
     HttpConnection,
     HttpResponse,
     StartSource,
+    async_discard_body,
 )
 from gypsumrouter.routing import RouteMatch
 from gypsumrouter.util.body_formats import is_complete_json, is_json_media_type
@@ -156,8 +157,10 @@
         answer = await self._async_read_matching(connection)
         metadata = self.metadata = self._dialect.read_response_head(answer)
         if metadata.not_run or answer.status == STATUS_MISDIRECTED:
-            await answer.body.read()
-            self._release_or_close(answer)
+            if await async_discard_body(answer):
+                self._release_or_close(answer)
+            else:
+                self.close()
             return Rejected(
                 status=answer.status, wrong_upstream=answer.status == STATUS_MISDIRECTED
             )
@@ -175,6 +178,8 @@
             return ResponseLost(
                 reason=f"status {answer.status} without the header that the request was not run"
             )
+        if not complete and not succeeded and not metadata.signed:
+            raise ConnectionBroken(f"the body of status {answer.status} does not end")
         if not complete:
             return StreamingResponse(
                 answer=answer, status=answer.status, is_event_stream=False, initial_bytes=body
@@ -202,7 +207,8 @@
                 return answer
             if request_id is None:
                 raise ConnectionBroken("response without a request id on a reused connection")
-            await answer.body.read()
+            if not await async_discard_body(answer):
+                raise ConnectionBroken("the response to another request does not end")
 
     def _release_or_close(self, answer: HttpResponse) -> None:
         if answer.message.should_close:
--- a/gypsumrouter/forwarding/const.py
+++ b/gypsumrouter/forwarding/const.py
@@ -19,7 +19,7 @@
 # Larger ones are streamed.
 MAX_BUFFERED_BYTES: Final = 256 * 1024
 # Maximum size of one server-sent event.
-MAX_EVENT_BYTES: Final = 1024 * 1024
+MAX_EVENT_BYTES: Final = 128 * 1024
 
 # Timeout for the response head of a repeatable request, as a multiple of the route's target
 # latency. After it the request is retried on another upstream.
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -21,6 +21,7 @@
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.forwarding.responses import make_stream_response
 from gypsumrouter.helpers.http_connection import ConnectionBroken, Framing
+from gypsumrouter.helpers.response_bounds import MAX_PASSED_BYTES
 from gypsumrouter.routing import Route
 from gypsumrouter.util.body_formats import count_events
 from gypsumrouter.util.clock import Clock
@@ -116,11 +117,15 @@
         if self._headers is None:
             self._headers = self._dialect.select_headers(streaming.answer)
         self._splitter.start()
+        received = len(streaming.initial_bytes)
         try:
             if streaming.initial_bytes:
                 await self._async_write(streaming, streaming.initial_bytes)
             while part := await self._async_read(streaming):
                 self._on_received()
+                received += len(part)
+                if received > MAX_PASSED_BYTES:
+                    return self._end(RelayResult.BROKEN, "the response does not end")
                 complete = self._splitter.feed(part) if streaming.is_event_stream else part
                 await self._async_write(streaming, complete)
         except TimeoutError:
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -20,8 +20,16 @@
 
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.helpers.listening import set_keepalive_options
+from gypsumrouter.helpers.response_bounds import (
+    MAX_ANSWER_BYTES,
+    MAX_DISCARD_MS,
+    MAX_DISCARDED_BYTES,
+    ResponseBounds,
+)
 from gypsumrouter.instances import Address
 
+# Size of the parts in which received bytes are parsed; other work of the event loop goes between.
+PARSED_BYTES: Final = 16 * 1024
 READ_BUFFER_BYTES: Final = 64 * 1024
 MAX_HEAD_BYTES: Final = 32 * 1024
 METHOD_HEAD: Final = "HEAD"
@@ -103,10 +111,13 @@
     __slots__ = (
         "_bodiless",
         "_body",
+        "_bounds",
         "_broken",
         "_expects_close",
+        "_parse_handle",
         "_parsing",
         "_responses",
+        "_unparsed",
         "_waiter",
         "address",
         "exchanges",
@@ -135,6 +146,9 @@
         self._responses: deque[HttpResponse] = deque()
         self._body: StreamReader | None = None
         self._bodiless = False
+        self._bounds = ResponseBounds()
+        self._unparsed = b""
+        self._parse_handle: asyncio.Handle | None = None
         self._expects_close = False
         self._broken: str | None = None
         self._parsing = False
@@ -182,16 +196,15 @@
             auto_decompress=False,
         )
         self._parsing = True
+        self._bounds = ResponseBounds()
         self._body = None
         transport.write(data)
 
     async def async_read_response(self) -> HttpResponse:
         """Return the next final response, skipping interim ones; raises ConnectionBroken."""
         while True:
-            while self._responses:
-                response = self._responses.popleft()
-                if not STATUS_CONTINUE <= response.status < STATUS_SUCCESS:
-                    return response
+            if self._responses:
+                return self._responses.popleft()
             if self._broken is not None:
                 raise ConnectionBroken(self._broken)
             self._waiter = self._loop.create_future()
@@ -214,10 +227,42 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; bytes outside an exchange invalidate the connection."""
+        if data:
+            self._unparsed += data
+        elif self._parsing:
+            # The reader of the body has made room, and the parser has kept some bytes back.
+            self._parse(b"")
+        if self._parse_handle is None:
+            self._parse_next()
+
+    def _parse_next(self) -> None:
+        """Parse the next part of what was received, and leave the others for later."""
+        self._parse_handle = None
+        if self._reading_paused:
+            return
+        part, self._unparsed = self._unparsed[:PARSED_BYTES], self._unparsed[PARSED_BYTES:]
+        self._parse(part)
+        if self._unparsed and self.open:
+            self._pause_reading_for_buffer()
+            self._parse_handle = self._loop.call_soon(self._parse_next)
+        elif self._buffer_paused:
+            self._resume_reading_for_buffer()
+
+    def _parse_all(self) -> None:
+        """Parse what was received, before the end of the connection is handled."""
+        while self._unparsed and self.open and not self._reading_paused:
+            self._parse_next()
+
+    def _parse(self, data: bytes) -> None:
         if not self._parsing or self._parser is None:
             if data:
                 self._invalidate("bytes that belong to no request")
             return
+        in_body = self._body is not None and not self._body.is_eof()
+        excess = None if in_body else self._bounds.note_head(len(data))
+        if excess is not None:
+            self._invalidate(excess)
+            return
         try:
             messages, upgraded, tail = self._parser.feed_data(data)
         except HttpProcessingError as error:
@@ -227,18 +272,27 @@
             self._invalidate(f"no HTTP: {error!r}")
             return
         for message, body in messages:
-            response = HttpResponse(message=message, body=body, bodiless=self._bodiless)
-            self._responses.append(response)
             self._expects_close = self._expects_close or message.should_close
+            if STATUS_CONTINUE <= message.code < STATUS_SUCCESS:
+                excess = excess or self._bounds.note_interim()
+                continue
+            self._responses.append(
+                HttpResponse(message=message, body=body, bodiless=self._bodiless)
+            )
             self._body = body
+            self._bounds.begin_body()
+        if in_body and not messages and self._body is not None:
+            excess = self._bounds.note_body(len(data), content_bytes=self._body.total_bytes)
         if upgraded or tail:
             self._invalidate("bytes after the answer")
-            return
-        if messages:
+        elif excess is not None:
+            self._invalidate(excess)
+        elif messages:
             self._wake()
 
     def eof_received(self) -> bool:
         """Wait for a possible reset before a body without a length counts as complete."""
+        self._parse_all()
         body = self._body
         if body is None or body.is_eof() or not self._parsing:
             return False
@@ -257,6 +311,7 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Complete or fail the body that is being read."""
+        self._parse_all()
         super().connection_lost(None)
         self.lost_unexpectedly = exc is not None or not self._expects_close
         self._end_body(exc)
@@ -339,12 +394,34 @@
     connecting.result().close()
 
 
+async def async_read_body(response: HttpResponse, *, max_bytes: int) -> bytes:
+    """Return a whole body; raises ConnectionBroken if it has more than `max_bytes`."""
+    parts: list[bytes] = []
+    size = 0
+    while part := await response.body.readany():
+        size += len(part)
+        if size > max_bytes:
+            raise ConnectionBroken(f"the body has more than {max_bytes} bytes")
+        parts.append(part)
+    return b"".join(parts)
+
+
+async def async_discard_body(response: HttpResponse) -> bool:
+    """Read a body for nothing; return False if it does not end within a bound of size and time."""
+    try:
+        async with asyncio.timeout(MAX_DISCARD_MS / MS_PER_S):
+            await async_read_body(response, max_bytes=MAX_DISCARDED_BYTES)
+    except (TimeoutError, ConnectionBroken):
+        return False
+    return True
+
+
 async def async_get(connection: HttpConnection, path: str) -> tuple[HttpResponse, bytes]:
     """Return the response to a GET request and its body; raises ConnectionBroken without a 200."""
     head = f"GET {path} HTTP/1.1\r\nHost: {connection.address}\r\n\r\n"
     connection.send_request(method="GET", data=head.encode())
     response = await connection.async_read_response()
-    body = await response.body.read()
+    body = await async_read_body(response, max_bytes=MAX_ANSWER_BYTES)
     if response.status != STATUS_SUCCESS:
         raise ConnectionBroken(f"expected status {STATUS_SUCCESS}, got {response.status}")
     return response, body
--- a/gypsumrouter/platform/store.py
+++ b/gypsumrouter/platform/store.py
@@ -17,7 +17,9 @@
     ConnectionBroken,
     HttpConnection,
     async_connect,
+    async_read_body,
 )
+from gypsumrouter.helpers.response_bounds import MAX_PAGE_BYTES
 from gypsumrouter.instances import Address
 from gypsumrouter.platform import names
 from gypsumrouter.published.models import HistoryLost, Item, ItemBatch, StoreUnavailable
@@ -154,7 +156,7 @@
         head = f"GET {target} HTTP/1.1\r\nHost: {self._address}\r\n\r\n"
         connection.send_request(method="GET", data=head.encode())
         answer = await connection.async_read_response()
-        body = await answer.body.read()
+        body = await async_read_body(answer, max_bytes=MAX_PAGE_BYTES)
         connection.finish()
         if answer.message.should_close:
             self.close()
--- a/tests/forwarding/test_forwarding_workspaces.py
+++ b/tests/forwarding/test_forwarding_workspaces.py
@@ -7,8 +7,8 @@
 import aiohttp
 from forwarding_world import PROMPT, ForwardingWorld
 
-from gypsumrouter.forwarding.claims import PLAIN_TOKENS, estimate_cost
 from gypsumrouter.forwarding.models import Prompt
+from gypsumrouter.forwarding.request_contention import PLAIN_TOKENS, estimate_cost
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.running_process import RunningProcess
 from gypsumrouter.settings import Contention
