The soak plays stops as a platform may: signals in series, kept connections, slow callers, bytes without end

Its checks: no stream that ran is cut early or taken late, no process has to be killed, no kept connection is closed unannounced in the first seconds, lookups are served. Callers on sockets of their own (raw_caller.py) serve it and the tests of stops.

--- a/bench/journal_cost.py
+++ b/bench/journal_cost.py
@@ -104,7 +104,7 @@
 
 def _start_journal(
     level: LogLevel, stream: TextIO
-) -> tuple[ManualClock, Journal, Callable[[], None]]:
+) -> tuple[ManualClock, Journal, Callable[[], bool]]:
     clock = ManualClock()
     app = Application(
         name="entry-1", role=Role.FORWARDER, data_centre="dc-a", region="r", clock=clock
--- /dev/null
+++ b/bench/raw_caller.py
@@ -0,0 +1,152 @@
+"""Callers on sockets of their own, who see how each answer ends, and may read slowly."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from contextlib import suppress
+from enum import StrEnum
+from typing import Any, Final
+
+from msgspec import Struct
+
+from bench.soak_configuration import CALLER_KEY, HOST
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.instances import Address
+from gypsumrouter.platform import names
+from gypsumrouter.util.clock import SystemClock
+
+DEADLINE_MS: Final = 30_000
+READ_BYTES: Final = 65_536
+# Reads of a slow caller in a second.
+READS_PER_S: Final = 20
+CHUNKED_END: Final = b"0\r\n\r\n"
+CLOCK: Final = SystemClock()
+
+
+class End(StrEnum):
+    """How an answer ended: whole, or with a reset or a close of its connection before that."""
+
+    WHOLE = "whole"
+    RESET = "reset"
+    CLOSED = "closed"
+
+
+class Answer(Struct, kw_only=True):
+    """What a caller got for one request (monotonic seconds); `status` is 0 without a head."""
+
+    request_id: str
+    sent_s: float = 0.0
+    ended_s: float = 0.0
+    status: int = 0
+    end: End = End.CLOSED
+    head: bytes = b""
+    body: bytes = b""
+
+    @property
+    def announces_close(self) -> bool:
+        """Return whether the answer says that its connection ends with it."""
+        return b"connection: close" in self.head.lower()
+
+
+class RawCaller:
+    """One connection of a caller; `buffer_bytes` is the size of its receive buffer."""
+
+    def __init__(self, address: Address, *, buffer_bytes: int | None = None) -> None:
+        self._address = address
+        self._socket = socket.socket()
+        self._socket.setblocking(False)
+        if buffer_bytes is not None:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+
+    async def async_open(self) -> RawCaller:
+        """Connect; raises OSError."""
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(self._socket, (self._address.host, self._address.port))
+        return self
+
+    async def async_ask(
+        self,
+        request_id: str,
+        *,
+        path: str = "/draft/a",
+        tokens: int | None = 80,
+        bytes_per_s: float | None = None,
+    ) -> Answer:
+        """Send a request and return its answer; raises nothing if the connection ends.
+
+        `bytes_per_s` is the pace at which a slow caller reads.
+        """
+        answer = Answer(request_id=request_id, sent_s=time.monotonic())
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.sock_sendall(self._socket, make_head(request_id, path, tokens))
+            while not _is_whole(answer):
+                size = READ_BYTES if bytes_per_s is None else max(1, int(bytes_per_s / READS_PER_S))
+                data = await loop.sock_recv(self._socket, size)
+                if not data:
+                    break
+                _note_data(answer, data)
+                if bytes_per_s is not None:
+                    await CLOCK.async_sleep(round(len(data) / bytes_per_s * MS_PER_S))
+        except OSError:
+            answer.end = End.RESET
+        answer.ended_s = time.monotonic()
+        return answer
+
+    async def async_send_later(self, data: bytes, *, after_ms: int) -> None:
+        """Send bytes on the connection after a while, if it is open then."""
+        await CLOCK.async_sleep(after_ms)
+        with suppress(OSError):
+            await asyncio.get_running_loop().sock_sendall(self._socket, data)
+
+    async def async_ask_until_closed(self, first_id: str, **options: Any) -> list[Answer]:
+        """Ask on this connection until it ends or says that it does."""
+        answers: list[Answer] = []
+        while not answers or (answers[-1].end is End.WHOLE and not answers[-1].announces_close):
+            answers.append(await self.async_ask(f"{first_id}-{len(answers)}", **options))
+        return answers
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._socket.close()
+
+
+def make_head(request_id: str, path: str, tokens: int | None) -> bytes:
+    """Return a request; one with `tokens` asks a model for as many."""
+    usage = (
+        ""
+        if tokens is None
+        else (
+            f"{names.MODEL}: m\r\n{names.TOKEN_USAGE}: 1400,{tokens}\r\n"
+            f"{names.PREFIX_PARTS}: a1:800,b2:600\r\n"
+        )
+    )
+    return (
+        f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\n{names.REQUEST_ID}: {request_id}\r\n"
+        f"{names.DEADLINE}: {DEADLINE_MS}\r\n{names.API_KEY}: {CALLER_KEY}\r\n{usage}\r\n"
+    ).encode()
+
+
+def _note_data(answer: Answer, data: bytes) -> None:
+    if answer.head:
+        answer.body += data
+    else:
+        head, found, rest = (answer.body + data).partition(b"\r\n\r\n")
+        answer.body = head if not found else rest
+        answer.head = head + found if found else b""
+        if found:
+            answer.status = int(head.split(b" ", 2)[1])
+    if _is_whole(answer):
+        answer.end = End.WHOLE
+
+
+def _is_whole(answer: Answer) -> bool:
+    head = answer.head.lower()
+    if not head:
+        return False
+    if b"transfer-encoding: chunked" in head:
+        return answer.body.endswith(CHUNKED_END)
+    length = head.partition(b"content-length: ")[2].partition(b"\r\n")[0]
+    return bool(length) and len(answer.body) >= int(length)
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -10,7 +10,7 @@
 import tempfile
 import time
 from pathlib import Path
-from typing import Final
+from typing import Final, Protocol
 
 import click
 
@@ -28,6 +28,7 @@
 from bench.soak_leavings import check_leavings
 from bench.soak_retry_checks import RETRY_RATIO, RETRY_SLACK, check_retry_budget
 from bench.soak_rig import ENV_KEY, FORWARDERS, KEY, SoakRig
+from bench.soak_stops import async_soak_stops
 from bench.soak_streams import StreamCallers, check_going_on, check_streams, count_taken_up
 from bench.soak_unfinished import async_soak_unfinished
 
@@ -38,13 +39,20 @@
 MS: Final = 1_000
 
 
+class SoakRun(Protocol):
+    """A soak of its own: returns figures, violations and the stopped rig."""
+
+    async def __call__(
+        self, *, seed: int, folder: Path, forwarders: int
+    ) -> tuple[dict[str, object], list[Violation], SoakRig]:
+        """Run one seed."""
+
+
 async def async_soak_one(
-    *, seed: int, folder: Path, forwarders: int
+    run: SoakRun, *, seed: int, folder: Path, forwarders: int
 ) -> tuple[dict[str, object], bool]:
-    """Run one seed of what is under way at stops; return its figures, and whether all held."""
-    figures, violations, rig = await async_soak_unfinished(
-        seed=seed, folder=folder, forwarders=forwarders
-    )
+    """Run one seed of a soak of its own; return its figures, and whether all held."""
+    figures, violations, rig = await run(seed=seed, folder=folder, forwarders=forwarders)
     _print_violations(violations, rig)
     return figures, not violations
 
@@ -199,6 +207,9 @@
     is_flag=True,
     help="Only: slow bodies around stops, large responses that break off, late listings.",
 )
+@click.option(
+    "--stops", is_flag=True, help="Only: signals in series, kept connections, endless bytes."
+)
 @click.option(
     "--forwarders", type=int, default=FORWARDERS, help="Number of forwarders; 15 for most tests."
 )
@@ -220,6 +231,7 @@
     crashes: bool,
     surges: bool,
     unfinished: bool,
+    stops: bool,
     forwarders: int,
     journals: Path | None,
 ) -> None:
@@ -232,8 +244,13 @@
     while chosen or time.monotonic() < ends:
         number = chosen.pop(0) if chosen else first + len(runs)
         with tempfile.TemporaryDirectory() as folder:
-            if unfinished:
-                soak = async_soak_one(seed=number, folder=Path(folder), forwarders=forwarders)
+            if unfinished or stops:
+                soak = async_soak_one(
+                    async_soak_stops if stops else async_soak_unfinished,
+                    seed=number,
+                    folder=Path(folder),
+                    forwarders=forwarders,
+                )
             else:
                 soak = async_soak(
                     seed=number,
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -81,7 +81,7 @@
     While `draining` every response carries the draining header. Rejections ask the sender to back
     off for `retry_after_s`, if it is set. Unless `framed`, responses have neither a length nor
     chunks and end with their connection; with `chunks_bodies`, plain ones have chunks for a length.
-    With `events_per_token` a stream has as many events as its request asks for tokens.
+    With `has_event_per_token` a stream has as many events as its request asks for tokens.
     `version` is that of its software, which its events name if it is set, and `started_ms` the time
     of its start (Unix time; 0 if it doesn't state one).
     A request with one of `crashing_parts` in its prompt crashes it `crash_after_s` after the head
@@ -92,7 +92,7 @@
         self, *, name: str, events: int = 4, version: str = "", events_per_token: bool = False
     ) -> None:
         self.name = name
-        self._has_event_per_token = events_per_token
+        self.has_event_per_token = events_per_token
         self.version = version
         self.started_ms = 0
         # Pause before each event of a stream, and a longer one before the first, in seconds.
@@ -308,7 +308,7 @@
             return response
         first = int(request.headers.get(names.LAST_EVENT_ID, "0")) + 1
         events = self.events
-        if self._has_event_per_token:
+        if self.has_event_per_token:
             events = int(request.headers[names.TOKEN_USAGE].partition(",")[2])
         await asyncio.sleep(self.first_pause_s)
         for number in range(first, events + 1):
--- a/tests/forwarding/test_forwarding_stops.py
+++ b/tests/forwarding/test_forwarding_stops.py
@@ -8,7 +8,9 @@
 from pathlib import Path
 
 import pytest
-from stopping_world import CLOCK, Answer, End, StoppingWorld
+from stopping_world import StoppingWorld
+
+from bench.raw_caller import CLOCK, Answer, End
 
 STOP_MS = 4_000
 CALLERS = 20
