--- a/gypsumrouter/bootstrap_forwarder.py
+++ b/gypsumrouter/bootstrap_forwarder.py
@@ -195,7 +195,7 @@
         journal.record(ProcessStopping(running=len(forwarder.handler.running)))
 
     async def async_record_stopped() -> None:
-        cut = len(forwarder.handler.running)
+        cut = forwarder.handler.cut
         journal.record(ProcessStopped(cut=cut, lines_dropped=journal.dropped))
 
     app.on_drain(async_record_stopping)
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -74,6 +74,7 @@
         "_routing",
         "_running",
         "_startup_events",
+        "cut",
     )
 
     def __init__(
@@ -104,6 +105,8 @@
         self._inventory_loaded = inventory_loaded
         self._running: dict[int, RunningRequest] = {}
         self._request_count = 0
+        # How many requests were under way when the process ended.
+        self.cut = 0
 
     @property
     def running(self) -> list[str]:
@@ -112,6 +115,7 @@
 
     def record_cut(self, connections: Iterable[CallerConnection], *, reason: str) -> None:
         """Record what is under way on the connections as the process ends, and why it does."""
+        self.cut = len(self._running)
         for running in self._running.values():
             self._records.record_cut(running, reason=reason)
         ids = {running.request_id for running in self._running.values()}
--- a/tests/forwarding/test_forwarding_stops.py
+++ b/tests/forwarding/test_forwarding_stops.py
@@ -100,6 +100,7 @@
     assert all(cut[a.request_id]["bytes_out"] > 0 for a in answers)
     ends = [line for line in lines if line.get("event") == "drain_ended"]
     assert [(end["reason"], end["cut"]) for end in ends] == [("out_of_time", CALLERS)]
+    assert [line["cut"] for line in lines if line.get("event") == "process_stopped"] == [CALLERS]
 
 
 # Guards against streams that are reset, with status 200 and run, by a signal behind the first.
