--- a/bench/crash_records.py
+++ b/bench/crash_records.py
@@ -140,11 +140,11 @@
         self._apps.append(app)
         guard = CrashGuard(app=app, journal=Journal(app=app))
         guard.on_evidence(
-            lambda strikes, survivals: self._tell(
+            lambda implications, survivals: self._tell(
                 guard,
                 EVIDENCE_MS,
                 lambda other: other.apply_evidence(
-                    [s for s in strikes if other.judges(s.subject)], survivals
+                    [s for s in implications if other.judges(s.subject)], survivals
                 ),
             )
         )
--- a/bench/crashes_cost.py
+++ b/bench/crashes_cost.py
@@ -21,7 +21,7 @@
 from bench.report import print_machine, print_result, print_table
 from gypsumrouter.const import EXIT_OK, MS_PER_S, Role
 from gypsumrouter.core import Application
-from gypsumrouter.crashes import CrashGuard, Subjects, Survival, SuspectStrike, Verdict
+from gypsumrouter.crashes import CrashGuard, Subjects, Survival, SuspectImplication, Verdict
 from gypsumrouter.crashes.messages import encode_evidence, encode_verdicts
 from gypsumrouter.journal import Journal
 from gypsumrouter.link import Notice, SuspectVerdicts
@@ -69,17 +69,17 @@
             is_judge=lambda subject: number in rank(subject),
             is_first_judge=lambda subject: number == rank(subject)[0],
         )
-        guard.on_evidence(lambda strikes, seen: self._tell_judges(number, strikes, seen))
+        guard.on_evidence(lambda implications, seen: self._tell_judges(number, implications, seen))
         guard.on_verdicts(lambda verdicts: self._spread(number, verdicts))
         return guard
 
     def _tell_judges(
-        self, sender: int, strikes: tuple[SuspectStrike, ...], seen: tuple[Survival, ...]
+        self, sender: int, implications: tuple[SuspectImplication, ...], seen: tuple[Survival, ...]
     ) -> None:
-        judges: dict[int, tuple[list[SuspectStrike], list[Survival]]] = {}
-        for strike in strikes:
-            for judge in rank(strike.subject):
-                judges.setdefault(judge, ([], []))[0].append(strike)
+        judges: dict[int, tuple[list[SuspectImplication], list[Survival]]] = {}
+        for implication in implications:
+            for judge in rank(implication.subject):
+                judges.setdefault(judge, ([], []))[0].append(implication)
         for survival in seen:
             for judge in rank(survival.subject):
                 judges.setdefault(judge, ([], []))[1].append(survival)
--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -27,6 +27,7 @@
     DataCentreUpdate,
     EngineListing,
     EvacuationState,
+    ImplicationNotice,
     InventoryUpdate,
     ListedUpstream,
     ListedUpstreams,
@@ -38,7 +39,6 @@
     RouterUpdate,
     RoutingDocument,
     StoreUpdate,
-    StrikeNotice,
     SurvivalNotice,
     SuspectEvidence,
     SuspectVerdicts,
@@ -141,8 +141,10 @@
             CrashReport(
                 upstream="i-2",
                 age_ms=150,
-                strikes=(
-                    StrikeNotice(subject=1 << 63, workspace=7, content=9, companions=(1, 65_535)),
+                implications=(
+                    ImplicationNotice(
+                        subject=1 << 63, workspace=7, content=9, companions=(1, 65_535)
+                    ),
                 ),
             ),
         ),
@@ -159,7 +161,7 @@
                 age_ms=1_000,
                 known=True,
                 trials=1,
-                strikes=3,
+                implications=3,
                 origin="entry-1",
                 crashes=(CrashNotice(upstream="i-2", router="entry-3", age_ms=4_000),),
             ),
--- a/gypsumrouter/crashes/diagnostics.py
+++ b/gypsumrouter/crashes/diagnostics.py
@@ -15,7 +15,7 @@
         subject=f"{verdict.subject:x}",
         state=verdict.state.name.lower(),
         generation=verdict.generation,
-        strikes=verdict.strikes,
+        implications=verdict.implications,
         known=verdict.known,
         trials=verdict.trials,
         crashes=_describe_crashes(verdict, now_ms),
@@ -34,7 +34,7 @@
         request_id=request_id,
         part="" if part is None else f"{part:x}",
         digest=verdict.subject if part is None else 0,
-        strikes=verdict.strikes,
+        implications=verdict.implications,
         crashes=_describe_crashes(verdict, now_ms),
         decided_by=verdict.origin,
         decided_ms_ago=now_ms - verdict.since_ms,
@@ -48,7 +48,7 @@
     return {
         f"{verdict.subject:x}": {
             "state": verdict.state.name.lower(),
-            "strikes": verdict.strikes,
+            "implications": verdict.implications,
             "trials": verdict.trials,
             "crashes": _describe_crashes(verdict, now_ms),
             "decided_by": verdict.origin,
--- a/gypsumrouter/crashes/guard.py
+++ b/gypsumrouter/crashes/guard.py
@@ -18,7 +18,7 @@
     make_refused_event,
 )
 from gypsumrouter.crashes.ledger import (
-    MAX_STRIKES_IN_MOMENT,
+    MAX_IMPLICATIONS_IN_MOMENT,
     OBJECTION_MS,
     SAME_MOMENT_MS,
     CrashLedger,
@@ -27,8 +27,8 @@
 from gypsumrouter.crashes.models import (
     Subjects,
     Survival,
+    SuspectImplication,
     SuspectState,
-    SuspectStrike,
     Verdict,
     make_fingerprint,
     select_parts,
@@ -49,7 +49,7 @@
 # Minimum time between two reports of survivals of one subject.
 SURVIVAL_REPORT_MS: Final = 1_000
 
-EvidenceListener = Callable[[tuple[SuspectStrike, ...], tuple[Survival, ...]], None]
+EvidenceListener = Callable[[tuple[SuspectImplication, ...], tuple[Survival, ...]], None]
 VerdictListener = Callable[[tuple[Verdict, ...]], None]
 
 
@@ -84,7 +84,7 @@
         self._settling: set[str] = set()
         self._survivals = SurvivalMemory()
         self._reported_ms: dict[int, int] = {}
-        # Strikes reported of each subject within one moment: its begin and their number.
+        # Implications reported of each subject within one moment: its begin and their number.
         self._struck: dict[int, tuple[int, int]] = {}
         self._evidence_listeners: list[EvidenceListener] = []
         self._verdict_listeners: list[VerdictListener] = []
@@ -102,7 +102,7 @@
         app.add_dump_section("suspects", self._dump)
 
     def on_evidence(self, listener: EvidenceListener) -> None:
-        """Call `listener(strikes, survivals)` for what this router has seen and others judge."""
+        """Call `listener(implications, survivals)` for what it has seen and others judge."""
         self._evidence_listeners.append(listener)
 
     def on_verdicts(self, listener: VerdictListener) -> None:
@@ -191,12 +191,12 @@
         )
 
     def apply_evidence(
-        self, strikes: Iterable[SuspectStrike], survivals: Iterable[Survival]
+        self, implications: Iterable[SuspectImplication], survivals: Iterable[Survival]
     ) -> None:
         """Take in what routers have seen of subjects that this router judges."""
-        for strike in strikes:
-            if self._ledger.add_strike(strike):
-                self._judge(strike.subject)
+        for implication in implications:
+            if self._ledger.add_implication(implication):
+                self._judge(implication.subject)
         for survival in survivals:
             self._apply_survival(survival)
 
@@ -241,11 +241,11 @@
             self._runs.remove(upstream)
         finally:
             self._settling.discard(upstream)
-        strikes = tuple(self._make_strikes(runs[:MAX_REPORTED_RUNS], broken_ms))
-        self.apply_evidence((s for s in strikes if self._is_judge(s.subject)), ())
-        self._tell(strikes, ())
+        implications = tuple(self._make_implications(runs[:MAX_REPORTED_RUNS], broken_ms))
+        self.apply_evidence((s for s in implications if self._is_judge(s.subject)), ())
+        self._tell(implications, ())
 
-    def _make_strikes(self, runs: Iterable[Run], at_ms: int) -> Iterable[SuspectStrike]:
+    def _make_implications(self, runs: Iterable[Run], at_ms: int) -> Iterable[SuspectImplication]:
         seen: set[int] = set()
         for run in runs:
             subjects = run.subjects
@@ -255,7 +255,7 @@
                     continue
                 seen.add(subject)
                 companions = tuple(f for part, f in fingerprints.items() if part != subject)
-                yield SuspectStrike(
+                yield SuspectImplication(
                     subject=subject,
                     workspace=subjects.workspace,
                     upstream=run.upstream,
@@ -266,13 +266,13 @@
                 )
 
     def _should_report(self, subject: int, at_ms: int) -> bool:
-        """Return whether a strike may count; few do within one moment."""
+        """Return whether an implication may count; few do within one moment."""
         if self._survivals.has_any_since(subject, at_ms - RECENT_SURVIVAL_MS):
             return False
         since_ms, count = self._struck.get(subject, (at_ms, 0))
         if at_ms - since_ms >= SAME_MOMENT_MS:
             since_ms, count = at_ms, 0
-        if count >= MAX_STRIKES_IN_MOMENT:
+        if count >= MAX_IMPLICATIONS_IN_MOMENT:
             return False
         self._struck[subject] = (since_ms, count + 1)
         return True
@@ -307,10 +307,12 @@
             self._reported_ms[subject] = now_ms
             self._tell((), survivals)
 
-    def _tell(self, strikes: tuple[SuspectStrike, ...], survivals: tuple[Survival, ...]) -> None:
-        if strikes or survivals:
+    def _tell(
+        self, implications: tuple[SuspectImplication, ...], survivals: tuple[Survival, ...]
+    ) -> None:
+        if implications or survivals:
             for listener in self._evidence_listeners:
-                listener(strikes, survivals)
+                listener(implications, survivals)
 
     def _apply_survival(self, survival: Survival) -> None:
         subject = survival.subject
@@ -338,7 +340,7 @@
         self._publish(replace(verdict, state=SuspectState.CLEARED, since_ms=now_ms))
 
     def _judge(self, subject: int) -> None:
-        """Publish what the strikes of a subject say."""
+        """Publish what the implications of a subject say."""
         record = self._ledger.get(subject)
         if record is None or not record.is_suspected():
             return
--- a/gypsumrouter/crashes/ledger.py
+++ b/gypsumrouter/crashes/ledger.py
@@ -14,8 +14,8 @@
     EVERY_WORKSPACE,
     CrashSeen,
     Survival,
+    SuspectImplication,
     SuspectState,
-    SuspectStrike,
     Verdict,
     make_fingerprint,
 )
@@ -23,19 +23,19 @@
 # Crashes, in two moments or more, after which all routers are asked whether the subject has
 # survived anywhere, and after which it is convicted. Fewer would make a large fleet ask about many
 # subjects after each loss of a rack.
-CONVICT_STRIKES: Final = 3
+CONVICT_IMPLICATIONS: Final = 3
 # The same for a subject that has survived before.
-CONVICT_KNOWN_STRIKES: Final = 5
+CONVICT_KNOWN_IMPLICATIONS: Final = 5
 # Time that the answers to that question have: a further survival takes `SURVIVAL_MS`.
 OBJECTION_MS: Final = 800
 # Crashes within this time count as two at most: the loss of a rack is no proof.
 SAME_MOMENT_MS: Final = 500
-MAX_STRIKES_IN_MOMENT: Final = 2
-STRIKE_TTL_MS: Final = 600_000
-# Strikes that show that a workspace has the subject itself, not beside another one's request.
-MIN_OWN_STRIKES: Final = 2
-# Strikes that are kept for each subject, and subjects.
-MAX_STRIKES: Final = 8
+MAX_IMPLICATIONS_IN_MOMENT: Final = 2
+IMPLICATION_TTL_MS: Final = 600_000
+# Implications that show that a workspace has the subject itself, not beside another one's request.
+MIN_OWN_IMPLICATIONS: Final = 2
+# Implications that are kept for each subject, and subjects.
+MAX_IMPLICATIONS: Final = 8
 MAX_SUBJECTS: Final = 2_048
 # What is seen in other workspaces counts if it is in this many of them: the parts of a prompt are
 # what its caller says.
@@ -49,10 +49,10 @@
 
     __slots__ = (
         "explained",
+        "implications",
         "known",
         "others",
         "reported_by",
-        "strikes",
         "subject",
         "suspected_ms",
     )
@@ -61,18 +61,18 @@
         self.subject = subject
         # Workspace to whose share of the records this one counts.
         self.reported_by = reported_by
-        # Strikes that do not count while a conviction of another subject explains them.
-        self.explained: dict[int, list[SuspectStrike]] = {}
-        self.strikes: list[SuspectStrike] = []
+        # Implications that do not count while a conviction of another subject explains them.
+        self.explained: dict[int, list[SuspectImplication]] = {}
+        self.implications: list[SuspectImplication] = []
         self.known = False
         self.suspected_ms: int | None = None
-        # Workspaces, other than those of the strikes, in which the subject has survived.
+        # Workspaces, other than those of the implications, in which the subject has survived.
         self.others: set[int] = set()
 
     @property
     def workspaces(self) -> set[int]:
         """Return the workspaces whose requests were running in the crashes."""
-        return {strike.workspace for strike in self.strikes}
+        return {implication.workspace for implication in self.implications}
 
     @property
     def scope(self) -> int:
@@ -81,49 +81,51 @@
         A workspace can only bring its own requests under suspicion, even if a request of another
         one happened to run beside its own in one of the crashes.
         """
-        counts = Counter(strike.workspace for strike in self.strikes)
+        counts = Counter(implication.workspace for implication in self.implications)
         (main, most), *others = counts.most_common()
-        proven = any(strikes >= CONVICT_STRIKES for _, strikes in others)
-        if most < MIN_OWN_STRIKES or proven or len(others) >= MIN_OTHER_WORKSPACES:
+        proven = any(implications >= CONVICT_IMPLICATIONS for _, implications in others)
+        if most < MIN_OWN_IMPLICATIONS or proven or len(others) >= MIN_OTHER_WORKSPACES:
             return EVERY_WORKSPACE
         return main
 
     def count(self) -> int:
         """Return the number of crashes, of which few count within one moment."""
-        times = sorted(strike.at_ms for strike in self.strikes)
+        times = sorted(implication.at_ms for implication in self.implications)
         counted = in_moment = 0
         began_ms: int | None = None
         for at_ms in times:
             if began_ms is None or at_ms - began_ms >= SAME_MOMENT_MS:
                 began_ms, in_moment = at_ms, 0
             in_moment += 1
-            counted += in_moment <= MAX_STRIKES_IN_MOMENT
+            counted += in_moment <= MAX_IMPLICATIONS_IN_MOMENT
         return counted
 
     def name_crashes(self) -> tuple[CrashSeen, ...]:
         """Return the first crashes, for operators."""
         return tuple(
-            CrashSeen(upstream=strike.upstream, router=strike.router, at_ms=strike.at_ms)
-            for strike in self.strikes[:MAX_NAMED_CRASHES]
+            CrashSeen(
+                upstream=implication.upstream, router=implication.router, at_ms=implication.at_ms
+            )
+            for implication in self.implications[:MAX_NAMED_CRASHES]
         )
 
     def is_suspected(self) -> bool:
         """Return whether all routers should be asked about the subject."""
-        if self.count() < CONVICT_STRIKES:
+        if self.count() < CONVICT_IMPLICATIONS:
             return False
-        times = [strike.at_ms for strike in self.strikes]
+        times = [implication.at_ms for implication in self.implications]
         return max(times) - min(times) >= SAME_MOMENT_MS
 
     def is_convicted(self, *, known: bool, now_ms: int) -> bool:
         """Return whether the subject crashes upstreams; `known` if it has survived before."""
-        needed = CONVICT_KNOWN_STRIKES if known or self.known else CONVICT_STRIKES
+        needed = CONVICT_KNOWN_IMPLICATIONS if known or self.known else CONVICT_IMPLICATIONS
         if self.suspected_ms is None or self.count() < needed or self._is_one_content():
             return False
         return now_ms - self.suspected_ms >= OBJECTION_MS
 
     def _is_one_content(self) -> bool:
         """Return whether one request, sent again, explains the crashes better than this part."""
-        contents = {strike.content for strike in self.strikes}
+        contents = {implication.content for implication in self.implications}
         return len(contents) == 1 and contents != {make_fingerprint(self.subject)}
 
 
@@ -143,52 +145,58 @@
         """Return the record of a subject, None if it ran in no crash."""
         return self._records.get(subject)
 
-    def add_strike(self, strike: SuspectStrike) -> bool:
-        """Add a strike; return whether it is the first for this crash of the upstream."""
-        record = self._records.get(strike.subject)
+    def add_implication(self, implication: SuspectImplication) -> bool:
+        """Add an implication; return whether it is the first for this crash of the upstream."""
+        record = self._records.get(implication.subject)
         if record is None:
             self._make_room()
-            record = SubjectRecord(subject=strike.subject, reported_by=strike.workspace)
-            self._records[strike.subject] = record
-            self._subjects_by_workspace[strike.workspace] += 1
-        since_ms = strike.at_ms - STRIKE_TTL_MS
-        kept = [item for item in record.strikes if item.at_ms > since_ms]
-        if any(item.upstream == strike.upstream for item in kept):
+            record = SubjectRecord(subject=implication.subject, reported_by=implication.workspace)
+            self._records[implication.subject] = record
+            self._subjects_by_workspace[implication.workspace] += 1
+        since_ms = implication.at_ms - IMPLICATION_TTL_MS
+        kept = [item for item in record.implications if item.at_ms > since_ms]
+        if any(item.upstream == implication.upstream for item in kept):
             return False
-        record.strikes = [*kept[1 - MAX_STRIKES :], strike]
+        record.implications = [*kept[1 - MAX_IMPLICATIONS :], implication]
         return True
 
     def add_survival(self, survival: Survival) -> bool:
-        """Add a survival; return whether it counts, so that no earlier strike is left."""
+        """Add a survival; return whether it counts, so that no earlier implication is left."""
         record = self._records.get(survival.subject)
         if record is None or not self._counts(record, survival):
             return False
         record.known = True
         record.explained.clear()
-        left = [strike for strike in record.strikes if strike.at_ms > survival.at_ms]
-        if len(left) == len(record.strikes):
+        left = [
+            implication for implication in record.implications if implication.at_ms > survival.at_ms
+        ]
+        if len(left) == len(record.implications):
             return False
-        self._replace_strikes(record, left)
+        self._replace_implications(record, left)
         return not left
 
     def explain(self, convicted: int) -> None:
-        """Set aside the strikes that a conviction explains."""
+        """Set aside the implications that a conviction explains."""
         fingerprint = make_fingerprint(convicted)
         for subject, record in tuple(self._records.items()):
-            explained = [s for s in record.strikes if fingerprint in s.companions]
+            explained = [s for s in record.implications if fingerprint in s.companions]
             if subject == convicted or not explained:
                 continue
             record.explained.setdefault(convicted, []).extend(explained)
-            record.strikes = [s for s in record.strikes if fingerprint not in s.companions]
+            record.implications = [
+                s for s in record.implications if fingerprint not in s.companions
+            ]
 
     def withdraw_explanation(self, cleared: int) -> list[int]:
-        """Count the strikes again that a conviction had explained; return their subjects."""
+        """Count the implications again that a conviction had explained; return their subjects."""
         subjects: list[int] = []
         for subject, record in self._records.items():
             explained = record.explained.pop(cleared, None)
             if explained is not None:
-                strikes = sorted((*record.strikes, *explained), key=lambda strike: strike.at_ms)
-                record.strikes = strikes[-MAX_STRIKES:]
+                implications = sorted(
+                    (*record.implications, *explained), key=lambda implication: implication.at_ms
+                )
+                record.implications = implications[-MAX_IMPLICATIONS:]
                 subjects.append(subject)
         return subjects
 
@@ -204,20 +212,22 @@
         record.others.add(survival.workspace)
         return len(record.others) >= MIN_OTHER_WORKSPACES
 
-    def _replace_strikes(self, record: SubjectRecord, strikes: list[SuspectStrike]) -> None:
-        record.strikes = strikes
+    def _replace_implications(
+        self, record: SubjectRecord, implications: list[SuspectImplication]
+    ) -> None:
+        record.implications = implications
         if not record.is_suspected():
             record.suspected_ms = None
-        if not strikes:
+        if not implications:
             self.remove(record.subject)
 
     def _make_room(self) -> None:
-        """Drop a subject of the workspace with the most, the one with the fewest strikes."""
+        """Drop a subject of the workspace with the most, the one with the fewest implications."""
         if len(self._records) < MAX_SUBJECTS:
             return
         largest, _ = self._subjects_by_workspace.most_common(1)[0]
         candidates = (
-            (len(record.strikes), subject)
+            (len(record.implications), subject)
             for subject, record in self._records.items()
             if record.reported_by == largest
         )
@@ -247,7 +257,7 @@
         since_ms=since_ms,
         known=known,
         trials=trials,
-        strikes=len(record.strikes),
+        implications=len(record.implications),
         origin="",
         # Only refusals have to be explained to operators, and suspicions can be many.
         crashes=record.name_crashes() if state is SuspectState.CONVICTED else (),
--- a/gypsumrouter/crashes/messages.py
+++ b/gypsumrouter/crashes/messages.py
@@ -12,14 +12,14 @@
 from gypsumrouter.crashes.models import (
     CrashSeen,
     Survival,
+    SuspectImplication,
     SuspectState,
-    SuspectStrike,
     Verdict,
 )
 from gypsumrouter.link.router_models import (
     CrashNotice,
     CrashReport,
-    StrikeNotice,
+    ImplicationNotice,
     SurvivalNotice,
     SuspectEvidence,
     VerdictNotice,
@@ -30,22 +30,22 @@
 
 
 def encode_evidence(
-    strikes: Iterable[SuspectStrike], survivals: Iterable[Survival], *, now_ms: int
+    implications: Iterable[SuspectImplication], survivals: Iterable[Survival], *, now_ms: int
 ) -> SuspectEvidence:
-    """Return a notice with strikes, by crash, and survivals."""
-    by_crash: dict[tuple[str, int], list[StrikeNotice]] = defaultdict(list)
-    for strike in strikes:
-        by_crash[strike.upstream, strike.at_ms].append(
-            StrikeNotice(
-                subject=strike.subject,
-                workspace=strike.workspace,
-                content=strike.content,
-                companions=strike.companions,
+    """Return a notice with implications, by crash, and survivals."""
+    by_crash: dict[tuple[str, int], list[ImplicationNotice]] = defaultdict(list)
+    for implication in implications:
+        by_crash[implication.upstream, implication.at_ms].append(
+            ImplicationNotice(
+                subject=implication.subject,
+                workspace=implication.workspace,
+                content=implication.content,
+                companions=implication.companions,
             )
         )
     return SuspectEvidence(
         crashes=tuple(
-            CrashReport(upstream=upstream, age_ms=now_ms - at_ms, strikes=tuple(told))
+            CrashReport(upstream=upstream, age_ms=now_ms - at_ms, implications=tuple(told))
             for (upstream, at_ms), told in by_crash.items()
         ),
         survivals=tuple(
@@ -59,20 +59,22 @@
     )
 
 
-def read_strikes(evidence: SuspectEvidence, *, sender: str, now_ms: int) -> Iterator[SuspectStrike]:
-    """Yield the strikes of a notice; `sender` is the name of the process that saw them."""
+def read_implications(
+    evidence: SuspectEvidence, *, sender: str, now_ms: int
+) -> Iterator[SuspectImplication]:
+    """Yield the implications of a notice; `sender` is the name of the process that saw them."""
     for crash in evidence.crashes:
         if crash.age_ms >= MAX_EVIDENCE_AGE_MS:
             continue
-        for strike in crash.strikes:
-            yield SuspectStrike(
-                subject=strike.subject,
-                workspace=strike.workspace,
+        for implication in crash.implications:
+            yield SuspectImplication(
+                subject=implication.subject,
+                workspace=implication.workspace,
                 upstream=crash.upstream,
                 router=sender,
                 at_ms=now_ms - crash.age_ms,
-                content=strike.content,
-                companions=strike.companions,
+                content=implication.content,
+                companions=implication.companions,
             )
 
 
@@ -97,7 +99,7 @@
             age_ms=now_ms - verdict.since_ms,
             known=verdict.known,
             trials=verdict.trials,
-            strikes=verdict.strikes,
+            implications=verdict.implications,
             origin=verdict.origin,
             crashes=tuple(
                 CrashNotice(
@@ -125,7 +127,7 @@
             since_ms=now_ms - notice.age_ms,
             known=notice.known,
             trials=notice.trials,
-            strikes=notice.strikes,
+            implications=notice.implications,
             origin=notice.origin,
             crashes=tuple(
                 CrashSeen(upstream=crash.upstream, router=crash.router, at_ms=now_ms - crash.age_ms)
--- a/gypsumrouter/crashes/models.py
+++ b/gypsumrouter/crashes/models.py
@@ -37,7 +37,7 @@
         return (*self.parts, self.digest)
 
 
-class SuspectStrike(Struct, frozen=True, kw_only=True):
+class SuspectImplication(Struct, frozen=True, kw_only=True):
     """A crash of `upstream` during which a request with this subject had not begun or just begun.
 
     `router` is the name of the router that saw it. `content` is a fingerprint of that request's
@@ -86,8 +86,8 @@
     It concerns the requests of one workspace, or of all (`EVERY_WORKSPACE`). `known` says that the
     subject has survived before. `trials` is how many requests were let through since the conviction
     to find out whether it still crashes upstreams, `since_ms` the time of the last of them or else
-    of the decision. `strikes` counts the crashes, of which `crashes` are the first few; `origin` is
-    the name of the router that decided.
+    of the decision. `implications` counts the crashes, of which `crashes` are the first few;
+    `origin` is the name of the router that decided.
     """
 
     subject: int
@@ -97,7 +97,7 @@
     since_ms: int
     known: bool = False
     trials: int = 0
-    strikes: int = 0
+    implications: int = 0
     origin: str = ""
     crashes: tuple[CrashSeen, ...] = ()
 
--- a/gypsumrouter/gateway/dispatch.py
+++ b/gypsumrouter/gateway/dispatch.py
@@ -108,7 +108,7 @@
         instance = candidate.instance
         attempts.record_start(instance.name)
         if suspect:
-            await self._async_send_strikes(call, candidate)
+            await self._async_send_implications(call, candidate)
         request = self._make_open(call, attempts, candidate)
         opened = await self._links.async_open(instance=instance, request=request)
         if isinstance(opened, Refused):
@@ -128,10 +128,10 @@
             )
         return failure
 
-    async def _async_send_strikes(self, call: Call, candidate: Candidate) -> None:
-        """Send the recorded crashes (strikes) of a suspect request ahead of the request itself."""
-        for strike in self._suspicion.list_strikes(call.digest):
-            await self._links.async_send(instance=candidate.instance, notice=strike)
+    async def _async_send_implications(self, call: Call, candidate: Candidate) -> None:
+        """Send the recorded crashes (implications) of a suspect request ahead of it."""
+        for implication in self._suspicion.list_implications(call.digest):
+            await self._links.async_send(instance=candidate.instance, notice=implication)
 
     async def _async_relay(
         self, call: Call, reply: Reply, candidate: Candidate, exchange: Exchange
--- a/gypsumrouter/journal/request_events.py
+++ b/gypsumrouter/journal/request_events.py
@@ -263,7 +263,7 @@
     subject: str
     state: str
     generation: int
-    strikes: int
+    implications: int
     known: bool
     trials: int
     crashes: tuple[str, ...]
@@ -281,7 +281,7 @@
     request_id: str
     part: str
     digest: int
-    strikes: int
+    implications: int
     crashes: tuple[str, ...]
     decided_by: str
     decided_ms_ago: int
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -120,7 +120,7 @@
 
 struct SuspectNews {
   digest @0 :UInt64;
-  strike @1 :UInt64;
+  implication @1 :UInt64;
   alone @2 :Bool;
 }
 
@@ -159,7 +159,7 @@
 }
 
 # No longer sent: SuspectEvidence and SuspectVerdicts take its place.
-struct Strike {
+struct Implication {
   digest @0 :UInt64;
   upstream @1 :Text;
 }
@@ -171,7 +171,7 @@
   listRevision @3 :UInt64;
   loads @4 :List(RouterLoad);
   placed @5 :List(PlacedPart);
-  strikes @6 :List(Strike);
+  implications @6 :List(Implication);
   dataCentre @7 :Text;
   known @8 :List(RouterAt);
   evacuations @9 :List(EvacuationTold);
@@ -217,7 +217,7 @@
   routingVersion @2 :UInt64;
   listRevision @3 :UInt64;
   placed @4 :List(PlacedPart);
-  strikes @5 :List(Strike);
+  implications @5 :List(Implication);
   evacuations @6 :List(EvacuationTold);
   refused @7 :List(Text);
   verdictsDigest @8 :UInt64;
@@ -226,7 +226,7 @@
 struct RelayedNews {
   loads @0 :List(DataCentreLoads);
   placed @1 :List(PlacedPart);
-  strikes @2 :List(Strike);
+  implications @2 :List(Implication);
   refused @3 :List(Text);
 }
 
@@ -298,7 +298,7 @@
   engines @1 :List(HeldAt);
 }
 
-struct SuspectStrike {
+struct SuspectImplication {
   subject @0 :UInt64;
   workspace @1 :UInt32;
   content @2 :UInt16;
@@ -306,11 +306,11 @@
   companions @3 :Data;
 }
 
-# The strikes of one crash of an upstream, as one router saw it.
+# The implications of one crash of an upstream, as one router saw it.
 struct CrashReport {
   upstream @0 :Text;
   ageMs @1 :UInt32;
-  strikes @2 :List(SuspectStrike);
+  implications @2 :List(SuspectImplication);
 }
 
 struct Survival {
@@ -338,7 +338,7 @@
   ageMs @4 :UInt32;
   known @5 :Bool;
   trials @6 :UInt16;
-  strikes @7 :UInt16;
+  implications @7 :UInt16;
   origin @8 :Text;
   crashes @9 :List(CrashSeen);
 }
--- a/gypsumrouter/link/models.py
+++ b/gypsumrouter/link/models.py
@@ -163,12 +163,12 @@
 class SuspectAnnouncement(Struct, frozen=True, kw_only=True):
     """Announces the digest of a request that was running when an upstream crashed.
 
-    `strike` is unique to that crash, so that a crash is counted once. `alone` says that no other
-    request was running.
+    `implication` is unique to that crash, so that a crash is counted once. `alone` says that no
+    other request was running.
     """
 
     digest: int
-    strike: int
+    implication: int
     alone: bool
 
 
--- a/gypsumrouter/link/notice_codec.py
+++ b/gypsumrouter/link/notice_codec.py
@@ -99,7 +99,7 @@
             return Kind.PARTS, to_bytes(message)
         case SuspectAnnouncement():
             message = SCHEMA.SuspectNews.new_message(
-                digest=notice.digest, strike=notice.strike, alone=notice.alone
+                digest=notice.digest, implication=notice.implication, alone=notice.alone
             )
             return Kind.SUSPECT_NEWS, to_packed(message)
         case PrefixAnnouncement():
@@ -157,7 +157,7 @@
         case Kind.SUSPECT_NEWS:
             with open_packed_message(SCHEMA.SuspectNews, body) as message:
                 return SuspectAnnouncement(
-                    digest=message.digest, strike=message.strike, alone=message.alone
+                    digest=message.digest, implication=message.implication, alone=message.alone
                 )
         case Kind.PREFIX_NEWS:
             with open_packed_message(SCHEMA.PrefixNews, body) as message:
--- a/gypsumrouter/link/router_models.py
+++ b/gypsumrouter/link/router_models.py
@@ -247,8 +247,8 @@
     origin: int = 0
 
 
-class StrikeNotice(Struct, frozen=True, kw_only=True):
-    """A subject that ran in a crash, and the workspace of the request; see `SuspectStrike`."""
+class ImplicationNotice(Struct, frozen=True, kw_only=True):
+    """A subject that ran in a crash, and the workspace of the request; see `SuspectImplication`."""
 
     subject: int
     workspace: int
@@ -261,7 +261,7 @@
 
     upstream: str
     age_ms: int
-    strikes: tuple[StrikeNotice, ...]
+    implications: tuple[ImplicationNotice, ...]
 
 
 class SurvivalNotice(Struct, frozen=True, kw_only=True):
@@ -297,7 +297,7 @@
     age_ms: int
     known: bool
     trials: int
-    strikes: int
+    implications: int
     origin: str
     crashes: tuple[CrashNotice, ...] = ()
 
--- a/gypsumrouter/link/suspect_codec.py
+++ b/gypsumrouter/link/suspect_codec.py
@@ -9,7 +9,7 @@
 from gypsumrouter.link.router_models import (
     CrashNotice,
     CrashReport,
-    StrikeNotice,
+    ImplicationNotice,
     SurvivalNotice,
     SuspectEvidence,
     SuspectVerdicts,
@@ -29,9 +29,9 @@
     for target, crash in zip(crashes, notice.crashes, strict=True):
         target.upstream = crash.upstream
         target.ageMs = _limit_age(crash.age_ms)
-        strikes = target.init("strikes", len(crash.strikes))
-        for place, strike in zip(strikes, crash.strikes, strict=True):
-            _write_strike(place, strike)
+        implications = target.init("implications", len(crash.implications))
+        for place, implication in zip(implications, crash.implications, strict=True):
+            _write_implication(place, implication)
     survivals = message.init("survivals", len(notice.survivals))
     for target, survival in zip(survivals, notice.survivals, strict=True):
         target.subject = survival.subject
@@ -49,7 +49,9 @@
                 CrashReport(
                     upstream=crash.upstream,
                     age_ms=crash.ageMs,
-                    strikes=tuple(_read_strike(strike) for strike in crash.strikes),
+                    implications=tuple(
+                        _read_implication(implication) for implication in crash.implications
+                    ),
                 )
                 for crash in message.crashes
             ),
@@ -83,22 +85,22 @@
         )
 
 
-def _write_strike(target: Any, strike: StrikeNotice) -> None:
-    target.subject = strike.subject
-    target.workspace = strike.workspace
-    target.content = strike.content
-    target.companions = struct.pack(f"<{len(strike.companions)}H", *strike.companions)
+def _write_implication(target: Any, implication: ImplicationNotice) -> None:
+    target.subject = implication.subject
+    target.workspace = implication.workspace
+    target.content = implication.content
+    target.companions = struct.pack(f"<{len(implication.companions)}H", *implication.companions)
 
 
-def _read_strike(strike: Any) -> StrikeNotice:
-    companions = bytes(strike.companions)
+def _read_implication(implication: Any) -> ImplicationNotice:
+    companions = bytes(implication.companions)
     count, rest = divmod(len(companions), FINGERPRINT_BYTES)
     if rest:
         raise FrameError(f"fingerprints of {len(companions)} bytes")
-    return StrikeNotice(
-        subject=strike.subject,
-        workspace=strike.workspace,
-        content=strike.content,
+    return ImplicationNotice(
+        subject=implication.subject,
+        workspace=implication.workspace,
+        content=implication.content,
         companions=struct.unpack(f"<{count}H", companions),
     )
 
@@ -111,7 +113,7 @@
     target.ageMs = _limit_age(verdict.age_ms)
     target.known = verdict.known
     target.trials = verdict.trials
-    target.strikes = verdict.strikes
+    target.implications = verdict.implications
     target.origin = verdict.origin
     crashes = target.init("crashes", len(verdict.crashes))
     for place, crash in zip(crashes, verdict.crashes, strict=True):
@@ -129,7 +131,7 @@
         age_ms=verdict.ageMs,
         known=verdict.known,
         trials=verdict.trials,
-        strikes=verdict.strikes,
+        implications=verdict.implications,
         origin=verdict.origin,
         crashes=tuple(
             CrashNotice(upstream=crash.upstream, router=crash.router, age_ms=crash.ageMs)
--- a/gypsumrouter/peers/crashes.py
+++ b/gypsumrouter/peers/crashes.py
@@ -10,11 +10,11 @@
 from typing import Final
 
 from gypsumrouter.core import Application
-from gypsumrouter.crashes import CrashGuard, Survival, SuspectStrike, Verdict
+from gypsumrouter.crashes import CrashGuard, Survival, SuspectImplication, Verdict
 from gypsumrouter.crashes.messages import (
     encode_evidence,
     encode_verdicts,
-    read_strikes,
+    read_implications,
     read_survivals,
     read_verdicts,
 )
@@ -104,29 +104,29 @@
         peer.send(self._encode(self._guard.verdicts.list_all()))
 
     def _tell_judges(
-        self, strikes: tuple[SuspectStrike, ...], survivals: tuple[Survival, ...]
+        self, implications: tuple[SuspectImplication, ...], survivals: tuple[Survival, ...]
     ) -> None:
-        judges: dict[str, tuple[list[SuspectStrike], list[Survival]]] = {}
-        for strike in strikes:
-            for address in self._routers.rank(key=strike.subject, count=JUDGES):
-                judges.setdefault(address, ([], []))[0].append(strike)
+        judges: dict[str, tuple[list[SuspectImplication], list[Survival]]] = {}
+        for implication in implications:
+            for address in self._routers.rank(key=implication.subject, count=JUDGES):
+                judges.setdefault(address, ([], []))[0].append(implication)
         for survival in survivals:
             for address in self._routers.rank(key=survival.subject, count=JUDGES):
                 judges.setdefault(address, ([], []))[1].append(survival)
-        for address, (told_strikes, told_survivals) in judges.items():
+        for address, (told_implications, told_survivals) in judges.items():
             self._app.async_create_task(
-                self._async_tell(address, told_strikes, told_survivals), "tell of crashes"
+                self._async_tell(address, told_implications, told_survivals), "tell of crashes"
             )
 
     async def _async_tell(
-        self, address: str, strikes: list[SuspectStrike], survivals: list[Survival]
+        self, address: str, implications: list[SuspectImplication], survivals: list[Survival]
     ) -> None:
         """Tell one judge, or others for each subject if it can't be reached."""
-        if await self._send(address, self._encode_evidence(strikes, survivals)):
+        if await self._send(address, self._encode_evidence(implications, survivals)):
             return
-        for strike in strikes:
-            evidence = self._encode_evidence((strike,), ())
-            await self._async_tell_substitute(strike.subject, evidence)
+        for implication in implications:
+            evidence = self._encode_evidence((implication,), ())
+            await self._async_tell_substitute(implication.subject, evidence)
         for survival in survivals:
             evidence = self._encode_evidence((), (survival,))
             await self._async_tell_substitute(survival.subject, evidence)
@@ -163,7 +163,7 @@
     def _handle_evidence(self, peer: Peer, evidence: SuspectEvidence) -> None:
         now_ms = self._app.clock.now_ms()
         self._guard.apply_evidence(
-            read_strikes(evidence, sender=peer.hello.name, now_ms=now_ms),
+            read_implications(evidence, sender=peer.hello.name, now_ms=now_ms),
             read_survivals(evidence, now_ms=now_ms),
         )
 
@@ -179,9 +179,9 @@
             self._send_to_neighbours(self._encode(changed))
 
     def _encode_evidence(
-        self, strikes: Iterable[SuspectStrike], survivals: Iterable[Survival]
+        self, implications: Iterable[SuspectImplication], survivals: Iterable[Survival]
     ) -> SuspectEvidence:
-        return encode_evidence(strikes, survivals, now_ms=self._app.clock.now_ms())
+        return encode_evidence(implications, survivals, now_ms=self._app.clock.now_ms())
 
     def _encode(self, verdicts: Iterable[Verdict]) -> SuspectVerdicts:
         encoded = encode_verdicts(verdicts, now_ms=self._app.clock.now_ms())
--- a/gypsumrouter/suspect_news.py
+++ b/gypsumrouter/suspect_news.py
@@ -12,11 +12,11 @@
 from gypsumrouter.configuration.neighbours import list_ring_neighbours
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.crashes import CrashGuard, Survival, SuspectStrike, Verdict
+from gypsumrouter.crashes import CrashGuard, Survival, SuspectImplication, Verdict
 from gypsumrouter.crashes.messages import (
     encode_evidence,
     encode_verdicts,
-    read_strikes,
+    read_implications,
     read_survivals,
     read_verdicts,
 )
@@ -67,7 +67,7 @@
         self._links = links
         self._list_affected = list_affected
         self._send_to = send_to
-        suspicion.on_new_strike(self._forward)
+        suspicion.on_new_implication(self._forward)
 
     def _forward(self, report: SuspectAnnouncement) -> None:
         # Evaluated here and not in the task, because the failed exchanges are still tracked now.
@@ -127,10 +127,10 @@
         return self._app.role is Role.ROUTER and all(own < _rank(subject, n) for n in routers)
 
     def _tell_judges(
-        self, strikes: tuple[SuspectStrike, ...], survivals: tuple[Survival, ...]
+        self, implications: tuple[SuspectImplication, ...], survivals: tuple[Survival, ...]
     ) -> None:
         peers = self._fleet.peers()
-        subjects = {strike.subject for strike in strikes}
+        subjects = {implication.subject for implication in implications}
         subjects |= {survival.subject for survival in survivals}
         judges: dict[str, set[int]] = {}
         for subject in subjects:
@@ -139,7 +139,7 @@
                 judges.setdefault(peer.name, set()).add(subject)
         for name, judged in judges.items():
             evidence = encode_evidence(
-                [strike for strike in strikes if strike.subject in judged],
+                [implication for implication in implications if implication.subject in judged],
                 [survival for survival in survivals if survival.subject in judged],
                 now_ms=self._app.clock.now_ms(),
             )
@@ -165,7 +165,7 @@
     def _handle_evidence(self, peer: Peer, evidence: SuspectEvidence) -> None:
         now_ms = self._app.clock.now_ms()
         self._guard.apply_evidence(
-            read_strikes(evidence, sender=peer.hello.name, now_ms=now_ms),
+            read_implications(evidence, sender=peer.hello.name, now_ms=now_ms),
             read_survivals(evidence, now_ms=now_ms),
         )
 
--- a/gypsumrouter/suspicion/const.py
+++ b/gypsumrouter/suspicion/const.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-CRASH_TTL_MS: Final = 10 * 60_000  # how long a crash is stored, and its strikes announced
+CRASH_TTL_MS: Final = 10 * 60_000  # how long a crash is stored, and its implications announced
 PROOF_TTL_MS: Final = 60 * 60_000  # how long a digest that is proven to crash is refused
 
 MAX_CRASHES: Final = 64
--- a/gypsumrouter/suspicion/crashes.py
+++ b/gypsumrouter/suspicion/crashes.py
@@ -29,12 +29,12 @@
         self.cleared: set[int] = set()
 
     def includes(self, digest: int) -> bool:
-        """Return whether a strike of this digest was already added to the crash."""
+        """Return whether an implication of this digest was already added to the crash."""
         return digest in self.digests or digest in self.cleared
 
 
 class CrashStore:
-    """Bounded store of crashes; a digest has one strike for each crash during which it ran.
+    """Bounded store of crashes; a digest has one implication for each crash during which it ran.
 
     A digest is proven to crash its upstream when it is the only one that two crashes have in
     common. Crashes during which a proven digest ran do not count against the other digests.
@@ -54,24 +54,24 @@
 
     @property
     def digest_count(self) -> int:
-        """Return the number of digests with a strike."""
+        """Return the number of digests with an implication."""
         return len(self._by_digest)
 
-    def add(self, strike: SuspectAnnouncement) -> bool:
-        """Add a strike of a digest; return whether it was new."""
+    def add(self, implication: SuspectAnnouncement) -> bool:
+        """Add an implication of a digest; return whether it was new."""
         self._expire()
-        crash = self._get_or_create(strike.strike)
+        crash = self._get_or_create(implication.implication)
         full = len(crash.digests) >= MAX_CRASH_DIGESTS
-        if crash.includes(strike.digest) or full:
+        if crash.includes(implication.digest) or full:
             return False
-        crash.alone = crash.alone or strike.alone
-        crash.digests.add(strike.digest)
-        self._by_digest.setdefault(strike.digest, []).append(crash)
-        self._extend_proof(strike.digest)
+        crash.alone = crash.alone or implication.alone
+        crash.digests.add(implication.digest)
+        self._by_digest.setdefault(implication.digest, []).append(crash)
+        self._extend_proof(implication.digest)
         return True
 
     def clear(self, digest: int) -> None:
-        """Remove the strikes of a digest, which has completed a run alone."""
+        """Remove the implications of a digest, which has completed a run alone."""
         for crash in self._by_digest.pop(digest, ()):
             crash.digests.discard(digest)
             crash.cleared.add(digest)
@@ -89,12 +89,12 @@
             return Clear()
         return Suspect()
 
-    def list_strikes(self, digest: int | None = None) -> tuple[SuspectAnnouncement, ...]:
-        """Return the strikes of a digest, or of all digests, as messages to other processes."""
+    def list_implications(self, digest: int | None = None) -> tuple[SuspectAnnouncement, ...]:
+        """Return the implications of a digest, or of all, as messages to other processes."""
         self._expire()
         crashes = self._crashes.values() if digest is None else self._by_digest.get(digest, ())
         return tuple(
-            SuspectAnnouncement(digest=item, strike=crash.crash_id, alone=crash.alone)
+            SuspectAnnouncement(digest=item, implication=crash.crash_id, alone=crash.alone)
             for crash in crashes
             for item in (crash.digests if digest is None else (digest,))
         )
--- a/gypsumrouter/suspicion/tracker.py
+++ b/gypsumrouter/suspicion/tracker.py
@@ -30,14 +30,14 @@
 _LOGGER = logging.getLogger(__name__)
 
 DUMP_SECTION: Final = "suspicion"
-StrikeListener = Callable[[SuspectAnnouncement], None]
+ImplicationListener = Callable[[SuspectAnnouncement], None]
 
 
 class SuspectTracker:
     """Tracks crash suspects by request digest, in a side or in a router.
 
     A side that has a fleet and a pool runs suspects only if it is one of the pool's isolation
-    instances. New strikes are passed to the listeners, which announce them to other processes.
+    instances. New implications are passed to the listeners, which announce them to other processes.
     `guard` judges the parts that requests of different content have in common.
     """
 
@@ -75,7 +75,7 @@
         self._starts = 0
         self._gate = IsolationGate(app=app, running=self._running)
         self._active: dict[int, list[ActiveRun]] = {}
-        self._listeners: list[StrikeListener] = []
+        self._listeners: list[ImplicationListener] = []
         self._crash_counter = app.metrics.counter(
             "gypsum_upstream_deaths_total", "Deaths of the upstream while requests ran"
         )
@@ -84,11 +84,11 @@
         )
         app.metrics.gauge(
             "gypsum_suspect_digests",
-            "Request digests with a strike",
+            "Request digests with an implication",
             lambda: {NO_LABELS: self._crashes.digest_count},
         )
         app.add_dump_section(DUMP_SECTION, self._dump)
-        self._unsubscribe = notices.subscribe(SuspectAnnouncement, self._handle_strike)
+        self._unsubscribe = notices.subscribe(SuspectAnnouncement, self._handle_implication)
         app.on_stop(self._async_stop)
 
     def check(self, digest: int) -> Verdict:
@@ -145,7 +145,7 @@
         self._end(run, complete)
 
     def handle_upstream_crash(self) -> tuple[SuspectAnnouncement, ...]:
-        """Add a strike for each digest that was running when the upstream crashed.
+        """Add an implication for each digest that was running when the upstream crashed.
 
         Further reports of the same crash have no effect, so that each run may report it.
         """
@@ -155,15 +155,15 @@
         self.guard.note_broken(self._get_incarnation())
         self._starts += 1
         self._crash_counter.inc()
-        strikes = _make_strikes(list_digests(crashed))
+        implications = _make_implications(list_digests(crashed))
         _LOGGER.warning(
             "The upstream crashed with %s requests running; they are now crash suspects",
             len(crashed),
         )
-        for strike in strikes:
-            self._add(strike)
+        for implication in implications:
+            self._add(implication)
         self._gate.notify_waiters()
-        return strikes
+        return implications
 
     async def async_enter(self, digest: int, cancelled: asyncio.Event) -> RunPermit | Refused:
         """Wait until a request may run; suspects run alone, others concurrently."""
@@ -174,8 +174,8 @@
             return entered
         return RunPermit(run=entered, on_end=self._end, on_crash=self._handle_run_crash)
 
-    def on_new_strike(self, listener: StrikeListener) -> Remove:
-        """Register a listener that is called once for each new strike."""
+    def on_new_implication(self, listener: ImplicationListener) -> Remove:
+        """Register a listener that is called once for each new implication."""
         self._listeners.append(listener)
 
         def remove() -> None:
@@ -184,25 +184,25 @@
 
         return remove
 
-    def list_strikes(self, digest: int | None = None) -> tuple[SuspectAnnouncement, ...]:
-        """Return the strikes of one digest, or of all, to send to another process.
+    def list_implications(self, digest: int | None = None) -> tuple[SuspectAnnouncement, ...]:
+        """Return the implications of one digest, or of all, to send to another process.
 
-        Links preserve order, so strikes sent before a request are handled before it.
+        Links preserve order, so implications sent before a request are handled before it.
         """
-        return self._crashes.list_strikes(digest)
+        return self._crashes.list_implications(digest)
 
     async def _async_stop(self) -> None:
         self._unsubscribe()
 
-    def _handle_strike(self, peer: Peer, strike: SuspectAnnouncement) -> None:
-        self._add(strike)
+    def _handle_implication(self, peer: Peer, implication: SuspectAnnouncement) -> None:
+        self._add(implication)
         self._gate.notify_waiters()
 
-    def _add(self, strike: SuspectAnnouncement) -> None:
-        if not self._crashes.add(strike):
+    def _add(self, implication: SuspectAnnouncement) -> None:
+        if not self._crashes.add(implication):
             return
         for listener in tuple(self._listeners):
-            listener(strike)
+            listener(implication)
 
     def _handle_run_crash(self, run: ActiveRun) -> tuple[SuspectAnnouncement, ...]:
         return () if run.crashed else self.handle_upstream_crash()
@@ -224,7 +224,7 @@
 
     def _dump(self) -> dict[str, object]:
         return {
-            "strikes": self._crashes.crash_count,
+            "implications": self._crashes.crash_count,
             "suspect_digests": self._crashes.digest_count,
             "refused_digests": self._crashes.count_rejected(),
             "running": len(self._running),
@@ -234,11 +234,11 @@
         }
 
 
-def _make_strikes(digests: tuple[int, ...]) -> tuple[SuspectAnnouncement, ...]:
+def _make_implications(digests: tuple[int, ...]) -> tuple[SuspectAnnouncement, ...]:
     crash_id = secrets.randbits(CRASH_ID_BITS)
     alone = len(digests) == 1
     return tuple(
-        SuspectAnnouncement(digest=digest, strike=crash_id, alone=alone)
+        SuspectAnnouncement(digest=digest, implication=crash_id, alone=alone)
         for digest in digests[:MAX_CRASH_DIGESTS]
     )
 
--- a/tests/forwarding/test_forwarding_suspects.py
+++ b/tests/forwarding/test_forwarding_suspects.py
@@ -9,9 +9,14 @@
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.crashes import Run, Subjects, SuspectState, SuspectStrike, make_workspace_id
+from gypsumrouter.crashes import Run, Subjects, SuspectImplication, SuspectState, make_workspace_id
 from gypsumrouter.crashes.guard import LIFE_MARGIN_MS, SETTLE_MS, CrashGuard
-from gypsumrouter.crashes.ledger import CONVICT_STRIKES, OBJECTION_MS, SAME_MOMENT_MS, STRIKE_TTL_MS
+from gypsumrouter.crashes.ledger import (
+    CONVICT_IMPLICATIONS,
+    IMPLICATION_TTL_MS,
+    OBJECTION_MS,
+    SAME_MOMENT_MS,
+)
 from gypsumrouter.crashes.runs import COMPLETE_RUNS, SURVIVAL_MS
 from gypsumrouter.crashes.verdicts import TRIAL_PAUSES_MS
 from gypsumrouter.journal import Journal
@@ -30,8 +35,8 @@
             name="entry-1", role=Role.FORWARDER, data_centre="a", region="r", clock=self.clock
         )
         self.guard = CrashGuard(app=app, journal=Journal(app=app))
-        self.told: list[SuspectStrike] = []
-        self.guard.on_evidence(lambda strikes, _survivals: self.told.extend(strikes))
+        self.told: list[SuspectImplication] = []
+        self.guard.on_evidence(lambda implications, _survivals: self.told.extend(implications))
         self._count = 0
 
     def make_subjects(
@@ -61,7 +66,7 @@
         await self.async_crash([self.start(upstream, item) for item in subjects])
 
     async def async_convict(self, *parts: int, workspace: int = PLANT) -> None:
-        for number in range(CONVICT_STRIKES):
+        for number in range(CONVICT_IMPLICATIONS):
             subjects = self.make_subjects(*parts, workspace=workspace)
             await self.async_crash_with(f"i-{number}", subjects)
         await self.async_advance(OBJECTION_MS)
@@ -84,7 +89,7 @@
 
 
 async def test_part_is_refused_after_crashing_three_upstreams(world: GuardWorld) -> None:
-    for number in range(CONVICT_STRIKES):
+    for number in range(CONVICT_IMPLICATIONS):
         assert not world.is_refused(CRASHING_PART)
         await world.async_crash_with(f"i-{number}", world.make_subjects(CRASHING_PART))
     await world.async_advance(OBJECTION_MS)
@@ -92,7 +97,7 @@
     assert not world.is_refused(SHARED_PART)
 
 
-async def test_strikes_at_the_same_upstream_count_once(world: GuardWorld) -> None:
+async def test_implications_at_the_same_upstream_count_once(world: GuardWorld) -> None:
     for _ in range(10):
         await world.async_crash_with("i-1", world.make_subjects(CRASHING_PART))
     await world.async_advance(OBJECTION_MS)
@@ -100,7 +105,7 @@
 
 
 async def test_same_content_is_refused_after_crashing_three_upstreams(world: GuardWorld) -> None:
-    for number in range(CONVICT_STRIKES):
+    for number in range(CONVICT_IMPLICATIONS):
         await world.async_crash_with(f"i-{number}", world.make_subjects(digest=7))
     await world.async_advance(OBJECTION_MS)
     assert world.is_refused(digest=7)
@@ -108,7 +113,7 @@
 
 
 async def test_one_content_sent_again_does_not_convict_its_parts(world: GuardWorld) -> None:
-    for number in range(CONVICT_STRIKES):
+    for number in range(CONVICT_IMPLICATIONS):
         subjects = world.make_subjects(SHARED_PART, digest=7)
         await world.async_crash_with(f"i-{number}", subjects)
     await world.async_advance(OBJECTION_MS)
@@ -117,7 +122,7 @@
 
 
 async def test_part_that_survives_between_crashes_is_not_suspect(world: GuardWorld) -> None:
-    for number in range(2 * CONVICT_STRIKES):
+    for number in range(2 * CONVICT_IMPLICATIONS):
         await world.async_crash_with(f"i-{number}", world.make_subjects(SHARED_PART))
         await world.async_survive("i-sound", world.make_subjects(SHARED_PART))
     await world.async_advance(OBJECTION_MS)
@@ -127,7 +132,7 @@
 async def test_hot_part_is_cleared_by_complete_responses_while_no_upstream_lives_long(
     world: GuardWorld,
 ) -> None:
-    for number in range(CONVICT_STRIKES + 2):
+    for number in range(CONVICT_IMPLICATIONS + 2):
         for _ in range(COMPLETE_RUNS):
             run = world.start(f"i-{number}", world.make_subjects(SHARED_PART))
             world.guard.note_received(run)
@@ -146,7 +151,10 @@
     fresh = world.start("i-1", world.make_subjects(CRASHING_PART))
     world.guard.note_received(old)
     await world.async_crash((old, fresh))
-    assert {strike.subject for strike in world.told} == {CRASHING_PART, fresh.subjects.digest}
+    assert {implication.subject for implication in world.told} == {
+        CRASHING_PART,
+        fresh.subjects.digest,
+    }
 
 
 async def test_upstream_that_goes_on_after_a_reset_has_not_crashed(world: GuardWorld) -> None:
@@ -165,7 +173,7 @@
     rejected = world.start("i-1", world.make_subjects(CRASHING_PART))
     world.guard.note_not_run(rejected)
     await world.async_crash_with("i-1", world.make_subjects(SHARED_PART))
-    assert CRASHING_PART not in {strike.subject for strike in world.told}
+    assert CRASHING_PART not in {implication.subject for implication in world.told}
 
 
 async def test_one_workspace_brings_only_its_own_requests_under_suspicion(
@@ -214,10 +222,10 @@
     assert not world.is_refused(CRASHING_PART)
 
 
-async def test_strikes_expire(world: GuardWorld) -> None:
-    for number in range(CONVICT_STRIKES - 1):
+async def test_implications_expire(world: GuardWorld) -> None:
+    for number in range(CONVICT_IMPLICATIONS - 1):
         await world.async_crash_with(f"i-{number}", world.make_subjects(CRASHING_PART))
-    await world.async_advance(STRIKE_TTL_MS)
+    await world.async_advance(IMPLICATION_TTL_MS)
     await world.async_crash_with("i-9", world.make_subjects(CRASHING_PART))
     await world.async_advance(OBJECTION_MS)
     assert not world.is_refused(CRASHING_PART)
--- a/tests/gateway/gateway_fakes.py
+++ b/tests/gateway/gateway_fakes.py
@@ -220,14 +220,14 @@
 class FakeSuspicion:
     def __init__(self) -> None:
         self.verdict: Verdict = Clear()
-        self.strikes: tuple[SuspectAnnouncement, ...] = ()
+        self.implications: tuple[SuspectAnnouncement, ...] = ()
         self.parts_refused: Refused | None = None
 
     def check(self, digest: int) -> Verdict:
         return self.verdict
 
-    def list_strikes(self, digest: int) -> tuple[SuspectAnnouncement, ...]:
-        return self.strikes
+    def list_implications(self, digest: int) -> tuple[SuspectAnnouncement, ...]:
+        return self.implications
 
     def check_parts(
         self, *, request_id: str, workspace: str, digest: int, parts: tuple[int, ...]
--- a/tests/gateway/test_gateway_retries.py
+++ b/tests/gateway/test_gateway_retries.py
@@ -87,21 +87,21 @@
     assert router.links.tried == []
 
 
-async def test_suspect_is_sent_first_to_its_isolation_instance_after_its_strikes(
+async def test_suspect_is_sent_first_to_its_isolation_instance_after_its_implications(
     router: RouterHarness,
 ) -> None:
     isolation_instance = select_isolation_instances("engines", router.fleet.members("engines"))[
         0
     ].name
-    strike = SuspectAnnouncement(digest=1, strike=2, alone=False)
-    router.suspicion.verdict, router.suspicion.strikes = Suspect(), (strike,)
+    implication = SuspectAnnouncement(digest=1, implication=2, alone=False)
+    router.suspicion.verdict, router.suspicion.implications = Suspect(), (implication,)
     busy = Refused(reason=Reason.SUSPECT_ISOLATED, elsewhere=True, retry_after_ms=1_000)
     router.links.script(*ENGINES, with_=busy)
     answer, body = await router.async_chat()
     assert (answer.status, body["error"]["code"]) == (503, "suspect_isolated")
     assert router.links.tried[0] == isolation_instance
     assert sorted(router.links.tried) == sorted(ENGINES)
-    assert router.links.sent_notices[0] == (isolation_instance, strike)
+    assert router.links.sent_notices[0] == (isolation_instance, implication)
 
 
 async def test_at_most_once_call_requires_an_idempotency_key(router: RouterHarness) -> None:
--- a/tests/link/test_link_router_codec.py
+++ b/tests/link/test_link_router_codec.py
@@ -11,13 +11,13 @@
     BegunStreams,
     CrashNotice,
     CrashReport,
+    ImplicationNotice,
     ListedUpstream,
     ListedUpstreams,
     Notice,
     OriginKnowledge,
     OriginReply,
     OriginRequest,
-    StrikeNotice,
     SurvivalNotice,
     SuspectEvidence,
     SuspectVerdicts,
@@ -32,8 +32,8 @@
 UINT32 = st.integers(0, 2**32 - 1)
 UINT64 = st.integers(0, 2**64 - 1)
 UINT16 = st.integers(0, 2**16 - 1)
-STRIKES = st.builds(
-    StrikeNotice,
+IMPLICATIONS = st.builds(
+    ImplicationNotice,
     subject=UINT64,
     workspace=UINT32,
     content=UINT16,
@@ -48,7 +48,7 @@
     age_ms=UINT32,
     known=st.booleans(),
     trials=UINT16,
-    strikes=UINT16,
+    implications=UINT16,
     origin=TEXTS,
     crashes=st.lists(
         st.builds(CrashNotice, upstream=TEXTS, router=TEXTS, age_ms=UINT32), max_size=2
@@ -87,7 +87,7 @@
                 CrashReport,
                 upstream=TEXTS,
                 age_ms=UINT32,
-                strikes=st.lists(STRIKES, max_size=3).map(tuple),
+                implications=st.lists(IMPLICATIONS, max_size=3).map(tuple),
             ),
             max_size=3,
         ).map(tuple),
--- a/tests/peers/test_peers_crashes.py
+++ b/tests/peers/test_peers_crashes.py
@@ -10,7 +10,7 @@
 from peer_fleet import FleetRouter, PeerFleet
 
 from gypsumrouter.crashes import Subjects, SuspectState, make_workspace_id
-from gypsumrouter.crashes.ledger import CONVICT_STRIKES
+from gypsumrouter.crashes.ledger import CONVICT_IMPLICATIONS
 from gypsumrouter.crashes.runs import SURVIVAL_MS
 from gypsumrouter.crashes.verdicts import TRIAL_PAUSES_MS
 
@@ -199,7 +199,7 @@
 async def test_part_that_becomes_harmless_is_served_everywhere_after_one_trial(
     fleet: CrashingFleet,
 ) -> None:
-    await fleet.async_crash(CRASHING, crashes=CONVICT_STRIKES, every_ms=1_500)
+    await fleet.async_crash(CRASHING, crashes=CONVICT_IMPLICATIONS, every_ms=1_500)
     await fleet.async_advance(STABLE_MS)
     assert fleet.count_refusing(CRASHING) == len(fleet.routers)
     trials = 0
--- a/tests/suspicion/suspicion_world.py
+++ b/tests/suspicion/suspicion_world.py
@@ -17,7 +17,7 @@
 
 
 class FakeNoticeHub:
-    """Link to other processes, from which a test can deliver strikes."""
+    """Link to other processes, from which a test can deliver implications."""
 
     def __init__(self) -> None:
         self.listeners: list[Listener] = []
@@ -28,7 +28,7 @@
 
 
 class FakeProcess:
-    """A process with a suspect tracker; `announced` has the strikes that its listener received."""
+    """A process with a suspect tracker; `announced` has what its listener received."""
 
     def __init__(self, name: str = "e0", *, fleet: Any = None, pool: str = "") -> None:
         self.clock = ManualClock()
@@ -40,10 +40,10 @@
             app=self.app, notices=cast(NoticeHub, self.hub), fleet=fleet, pool=pool
         )
         self.announced: list[SuspectAnnouncement] = []
-        self.suspicion.on_new_strike(self.announced.append)
+        self.suspicion.on_new_implication(self.announced.append)
 
-    def receive(self, *strikes: SuspectAnnouncement) -> None:
-        for item in strikes:
+    def receive(self, *implications: SuspectAnnouncement) -> None:
+        for item in implications:
             for listener in self.hub.listeners:
                 listener(cast(Peer, None), item)
 
@@ -51,10 +51,10 @@
         """Crash the upstream while requests with these digests run."""
         for digest in digests:
             self.suspicion.record_start(digest)
-        strikes = self.suspicion.handle_upstream_crash()
+        implications = self.suspicion.handle_upstream_crash()
         for digest in digests:
             self.suspicion.record_end(digest)
-        return strikes
+        return implications
 
     def enter(self, digest: int) -> asyncio.Task[Any]:
         return asyncio.ensure_future(self.suspicion.async_enter(digest, asyncio.Event()))
--- a/tests/suspicion/test_suspicion_gate.py
+++ b/tests/suspicion/test_suspicion_gate.py
@@ -50,9 +50,9 @@
 async def test_second_crash_proves_digest_and_clears_waiting_suspects() -> None:
     first, second = FakeProcess("e0"), FakeProcess("e1")
     permits = [await first.async_enter(digest) for digest in (1, 2, CRASHING_DIGEST)]
-    strikes = [item for permit in permits for item in permit.report_crash()]
-    assert len(strikes) == 3
-    second.receive(*strikes)
+    implications = [item for permit in permits for item in permit.report_crash()]
+    assert len(implications) == 3
+    second.receive(*implications)
     crashing_permit = await second.async_enter(CRASHING_DIGEST)
     waiting = [second.enter(digest) for digest in (1, 2)]
     await async_settle()
@@ -69,8 +69,8 @@
 
 async def test_waiting_suspect_is_refused_when_proven_elsewhere() -> None:
     process, other = FakeProcess("e0"), FakeProcess("e1")
-    strikes = process.crash_with(CRASHING_DIGEST, 1)
-    other.receive(*strikes)
+    implications = process.crash_with(CRASHING_DIGEST, 1)
+    other.receive(*implications)
     await process.async_enter(5)
     waiting = process.enter(CRASHING_DIGEST)
     await async_settle()
--- a/tests/suspicion/test_suspicion_strikes.py
+++ b/tests/suspicion/test_suspicion_implications.py
@@ -1,4 +1,4 @@
-"""Tests of verdicts derived from crashes, and of the announcement of strikes."""
+"""Tests of verdicts derived from crashes, and of the announcement of implications."""
 
 from __future__ import annotations
 
@@ -41,10 +41,10 @@
 
 def test_crash_makes_all_running_digests_suspect() -> None:
     process = FakeProcess()
-    strikes = process.crash_with(CRASHING_DIGEST, 1, 2, 2)
-    assert {item.digest for item in strikes} == {CRASHING_DIGEST, 1, 2}
-    assert len({item.strike for item in strikes}) == 1
-    assert process.announced == list(strikes)
+    implications = process.crash_with(CRASHING_DIGEST, 1, 2, 2)
+    assert {item.digest for item in implications} == {CRASHING_DIGEST, 1, 2}
+    assert len({item.implication for item in implications}) == 1
+    assert process.announced == list(implications)
     assert process.suspicion.check(1) == Suspect()
     assert process.suspicion.check(3) == Clear()
 
@@ -67,20 +67,23 @@
 
 def test_second_crash_alone_is_proof_and_clears_other_digests() -> None:
     first, second, router = FakeProcess(), FakeProcess(), FakeProcess()
-    strikes = first.crash_with(CRASHING_DIGEST, 1, 2)
-    second.receive(*strikes)
+    implications = first.crash_with(CRASHING_DIGEST, 1, 2)
+    second.receive(*implications)
     more = second.crash_with(CRASHING_DIGEST)
-    router.receive(*strikes, *more)
+    router.receive(*implications, *more)
     first.receive(*more)
     for process in (first, second, router):
         assert is_rejected(process, CRASHING_DIGEST)
         assert process.suspicion.check(1) == Clear()
 
 
-def test_only_digest_common_to_two_crashes_is_proven_in_any_order_of_strikes() -> None:
+def test_only_digest_common_to_two_crashes_is_proven_in_any_order_of_implications() -> None:
     first, second, router = FakeProcess(), FakeProcess(), FakeProcess()
-    strikes = [*first.crash_with(1, CRASHING_DIGEST, 2), *second.crash_with(3, CRASHING_DIGEST, 4)]
-    router.receive(*reversed(strikes))
+    implications = [
+        *first.crash_with(1, CRASHING_DIGEST, 2),
+        *second.crash_with(3, CRASHING_DIGEST, 4),
+    ]
+    router.receive(*reversed(implications))
     assert is_rejected(router, CRASHING_DIGEST)
     assert [router.suspicion.check(digest) for digest in (1, 2, 3, 4)] == [Clear()] * 4
 
@@ -96,10 +99,10 @@
 @pytest.mark.parametrize(("complete", "expected"), [(True, Clear()), (False, Suspect())])
 def test_only_complete_run_alone_clears_suspect(complete: bool, expected: Clear | Suspect) -> None:
     process = FakeProcess()
-    strikes = process.crash_with(CRASHING_DIGEST, 1)
+    implications = process.crash_with(CRASHING_DIGEST, 1)
     process.suspicion.record_start(1)
     process.suspicion.record_end(1, complete=complete)
-    process.receive(*strikes)
+    process.receive(*implications)
     assert process.suspicion.check(1) == expected
 
 
@@ -113,13 +116,13 @@
     assert process.suspicion.check(1) == Suspect()
 
 
-def test_repeated_strike_is_announced_once() -> None:
+def test_repeated_implication_is_announced_once() -> None:
     process = FakeProcess()
-    strike = SuspectAnnouncement(digest=1, strike=2, alone=False)
-    process.receive(strike, strike)
-    assert process.announced == [strike]
-    assert process.suspicion.list_strikes(1) == (strike,)
-    assert process.suspicion.list_strikes(7) == ()
+    implication = SuspectAnnouncement(digest=1, implication=2, alone=False)
+    process.receive(implication, implication)
+    assert process.announced == [implication]
+    assert process.suspicion.list_implications(1) == (implication,)
+    assert process.suspicion.list_implications(7) == ()
 
 
 def test_crashes_and_proofs_expire() -> None:
@@ -132,7 +135,7 @@
     assert is_rejected(process, CRASHING_DIGEST)
     process.clock.advance(PROOF_TTL_MS)
     assert process.suspicion.check(CRASHING_DIGEST) == Clear()
-    assert process.suspicion.list_strikes() == ()
+    assert process.suspicion.list_implications() == ()
 
 
 def test_number_of_crashes_is_limited_and_proofs_are_kept() -> None:
@@ -142,7 +145,7 @@
     for number in range(3 * MAX_CRASHES):
         process.crash_with(1_000 + number, 5_000 + number)
     assert is_rejected(process, CRASHING_DIGEST)
-    assert len(process.suspicion.list_strikes()) <= 2 * MAX_CRASHES
+    assert len(process.suspicion.list_implications()) <= 2 * MAX_CRASHES
 
 
 def test_suspects_run_only_on_isolation_instances() -> None:
@@ -169,7 +172,7 @@
     process.crash_with(1, 2)
     dump = process.app.dump()["suspicion"]
     assert isinstance(dump, dict)
-    assert (dump["strikes"], dump["suspect_digests"], dump["refused_digests"]) == (1, 2, 0)
+    assert (dump["implications"], dump["suspect_digests"], dump["refused_digests"]) == (1, 2, 0)
     assert b"gypsum_upstream_deaths_total 1" in process.app.metrics.render()
     await process.app.async_stop()
     assert process.hub.listeners == []
