--- a/bench/soak_rig.py
+++ b/bench/soak_rig.py
@@ -62,6 +62,7 @@
     With `evacuations` runners are in several data centres, and new engines start cold. With
     `versions` engines have software versions, at first `first_versions`, and half of all runners
     send responses with neither a length nor chunks. `bounds` overrides limits of the forwarders.
+    `timeout_ms` is the time limit of all routes.
     """
 
     def __init__(
@@ -73,8 +74,10 @@
         versions: bool = False,
         first_versions: Sequence[str] = FIRST_VERSIONS,
         bounds: Mapping[str, float] | None = None,
+        timeout_ms: int = 2_500,
     ) -> None:
         self.count = forwarders
+        self._timeout_ms = timeout_ms
         self._evacuations = evacuations
         self._has_versions = versions
         self._bounds = bounds or {}
@@ -243,7 +246,9 @@
             if self._evacuations
             else {}
         )
-        await self.store.async_put_configuration(make_configuration(self.version, **cold_start))
+        await self.store.async_put_configuration(
+            make_configuration(self.version, timeout_ms=self._timeout_ms, **cold_start)
+        )
 
     async def async_start_forwarder(self, number: int) -> None:
         """Start a forwarder on its ports."""
