--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -167,6 +167,7 @@
             and self.transport is not None
             and not self.transport.is_closing()
             and not self._responses
+            and not self._unparsed
             and (self._body is None or self._body.is_eof())
             and self.transport.get_write_buffer_size() == 0
         )
--- a/tests/helpers/test_endless_bytes.py
+++ b/tests/helpers/test_endless_bytes.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from gypsumrouter.helpers.http_connection import (
+    PARSED_BYTES,
     ConnectionBroken,
     HttpConnection,
     async_discard_body,
@@ -163,6 +164,21 @@
     await sending
 
 
+# Guards against bytes of one exchange that are parsed as the response of the next.
+async def test_connection_is_not_reused_while_received_bytes_are_not_parsed() -> None:
+    sender = Sender(Endless(b"", b""))
+    # A response that ends with a part that is parsed at once, and another one behind it.
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+    first = head + b"A: " + b"x" * (PARSED_BYTES - len(head) - 7) + b"\r\n\r\n"
+    assert len(first) == PARSED_BYTES
+    sender.connection.data_received(first + head + b"\r\n")
+    await sender.connection.async_read_response()
+    sender.connection.finish()
+    assert not sender.connection.reusable
+    await asyncio.sleep(0)
+    assert sender.transport.aborted
+
+
 def test_bounds_are_exceeded_by_a_byte_and_not_before() -> None:
     bounds = ResponseBounds()
     assert bounds.note_head(MAX_HEADS_BYTES) is None
