--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -26,11 +26,13 @@
 from gypsumrouter.forwarding.starts import StartProof
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
+    HttpConnection,
+    StartSource,
+)
+from gypsumrouter.helpers.http_response import (
     ConnectionBroken,
     Framing,
-    HttpConnection,
     HttpResponse,
-    StartSource,
     async_discard_body,
 )
 from gypsumrouter.routing import RouteMatch
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -23,11 +23,13 @@
 from gypsumrouter.forwarding.starts import StartProof, UpstreamStarts
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
-    ConnectionBroken,
     HttpConnection,
     StartSource,
     async_connect,
 )
+from gypsumrouter.helpers.http_response import (
+    ConnectionBroken,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/gypsumrouter/forwarding/inventory.py
+++ b/gypsumrouter/forwarding/inventory.py
@@ -25,7 +25,13 @@
 from gypsumrouter.forwarding.connections import ConnectionPool
 from gypsumrouter.forwarding.const import SOURCE_RESPONSE
 from gypsumrouter.forwarding.placer import Placer
-from gypsumrouter.helpers.http_connection import ConnectFailed, ConnectionBroken, HttpConnection
+from gypsumrouter.helpers.http_connection import (
+    ConnectFailed,
+    HttpConnection,
+)
+from gypsumrouter.helpers.http_response import (
+    ConnectionBroken,
+)
 from gypsumrouter.routing import RoutingStore
 
 _LOGGER = logging.getLogger(__name__)
--- a/gypsumrouter/forwarding/models.py
+++ b/gypsumrouter/forwarding/models.py
@@ -8,7 +8,9 @@
 from msgspec import Struct
 
 from gypsumrouter.crashes import Subjects, Verdict, make_workspace_id, select_parts
-from gypsumrouter.helpers.http_connection import HttpResponse
+from gypsumrouter.helpers.http_response import (
+    HttpResponse,
+)
 from gypsumrouter.instances import Address
 
 # More tokens than any engine's memory holds. A larger count is a false statement, and one of some
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -20,8 +20,11 @@
 from gypsumrouter.forwarding.next_step import SentPart
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.forwarding.responses import make_stream_response
-from gypsumrouter.helpers.http_connection import ConnectionBroken, Framing
-from gypsumrouter.helpers.response_bounds import MAX_PASSED_BYTES
+from gypsumrouter.helpers.http_response import (
+    MAX_PASSED_BYTES,
+    ConnectionBroken,
+    Framing,
+)
 from gypsumrouter.routing import Route
 from gypsumrouter.util.body_formats import count_events
 from gypsumrouter.util.clock import Clock
--- a/gypsumrouter/forwarding/starts.py
+++ b/gypsumrouter/forwarding/starts.py
@@ -13,7 +13,10 @@
 
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.directory import Directory, Entry
-from gypsumrouter.helpers.http_connection import HttpConnection, StartSource
+from gypsumrouter.helpers.http_connection import (
+    HttpConnection,
+    StartSource,
+)
 from gypsumrouter.util.clock import Clock
 from gypsumrouter.util.heartbeats import DEFAULT_HEARTBEAT_MS
 from gypsumrouter.util.token_bucket import TokenBucket
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -15,17 +15,18 @@
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.http_parser import HttpResponseParser, RawResponseMessage
+from aiohttp.http_parser import HttpResponseParser
 from aiohttp.streams import StreamReader
 
 from gypsumrouter.const import MS_PER_S
-from gypsumrouter.helpers.listening import set_keepalive_options
-from gypsumrouter.helpers.response_bounds import (
+from gypsumrouter.helpers.http_response import (
     MAX_ANSWER_BYTES,
-    MAX_DISCARD_MS,
-    MAX_DISCARDED_BYTES,
+    ConnectionBroken,
+    HttpResponse,
     ResponseBounds,
+    async_read_body,
 )
+from gypsumrouter.helpers.listening import set_keepalive_options
 from gypsumrouter.instances import Address
 
 # Size of the parts in which received bytes are parsed; other work of the event loop goes between.
@@ -38,8 +39,6 @@
 RESET_WAIT_MS: Final = 10
 STATUS_CONTINUE: Final = 100
 STATUS_SUCCESS: Final = 200
-BODILESS_STATUSES: Final = frozenset({204, 304})
-HEADER_CONTENT_LENGTH: Final = "Content-Length"
 
 
 class ConnectFailed(Exception):
@@ -53,23 +52,6 @@
         self.refused = refused
 
 
-class ConnectionBroken(Exception):
-    """The connection was lost or carried a malformed response."""
-
-
-class Framing(StrEnum):
-    """How a response states where its body ends; the values appear in the journal.
-
-    NONE: it has no body. CLOSE: it has neither a length nor chunks and ends with its connection, so
-    that the end of the connection alone does not show that the body is complete.
-    """
-
-    NONE = "none"
-    LENGTH = "length"
-    CHUNKED = "chunked"
-    CLOSE = "close"
-
-
 class StartSource(StrEnum):
     """How it is known which start of a process a connection leads to.
 
@@ -85,26 +67,6 @@
     ANSWER = "answer"
 
 
-class HttpResponse:
-    """Head of a response and the reader of its body."""
-
-    __slots__ = ("body", "framing", "message")
-
-    def __init__(self, *, message: RawResponseMessage, body: StreamReader, bodiless: bool) -> None:
-        self.message = message
-        self.body = body
-        self.framing = _get_framing(message, bodiless=bodiless)
-
-    @property
-    def status(self) -> int:
-        """Return the status code."""
-        return int(self.message.code)
-
-    def get(self, name: str) -> str | None:
-        """Return the value of a header, or None."""
-        return self.message.headers.get(name)
-
-
 class HttpConnection(BaseProtocol):
     """One connection; after `send_request`, `async_read_response` returns the response."""
 
@@ -351,14 +313,6 @@
             waiter.set_result(None)
 
 
-def _get_framing(message: RawResponseMessage, *, bodiless: bool) -> Framing:
-    if bodiless or message.code in BODILESS_STATUSES:
-        return Framing.NONE
-    if message.chunked:
-        return Framing.CHUNKED
-    return Framing.LENGTH if HEADER_CONTENT_LENGTH in message.headers else Framing.CLOSE
-
-
 async def async_connect(*, address: Address, timeout_ms: int) -> HttpConnection:
     """Return a new connection; raises ConnectFailed.
 
@@ -395,28 +349,6 @@
     connecting.result().close()
 
 
-async def async_read_body(response: HttpResponse, *, max_bytes: int) -> bytes:
-    """Return a whole body; raises ConnectionBroken if it has more than `max_bytes`."""
-    parts: list[bytes] = []
-    size = 0
-    while part := await response.body.readany():
-        size += len(part)
-        if size > max_bytes:
-            raise ConnectionBroken(f"the body has more than {max_bytes} bytes")
-        parts.append(part)
-    return b"".join(parts)
-
-
-async def async_discard_body(response: HttpResponse) -> bool:
-    """Read a body for nothing; return False if it does not end within a bound of size and time."""
-    try:
-        async with asyncio.timeout(MAX_DISCARD_MS / MS_PER_S):
-            await async_read_body(response, max_bytes=MAX_DISCARDED_BYTES)
-    except (TimeoutError, ConnectionBroken):
-        return False
-    return True
-
-
 async def async_get(connection: HttpConnection, path: str) -> tuple[HttpResponse, bytes]:
     """Return the response to a GET request and its body; raises ConnectionBroken without a 200."""
     head = f"GET {path} HTTP/1.1\r\nHost: {connection.address}\r\n\r\n"
--- a/gypsumrouter/platform/answers.py
+++ b/gypsumrouter/platform/answers.py
@@ -13,12 +13,8 @@
     ResponseMetadata,
     make_load_report,
 )
-from gypsumrouter.helpers.http_connection import HttpResponse
-from gypsumrouter.helpers.http_headers import (
-    HOP_BY_HOP,
-    read_keep_alive_ms,
-    read_retry_after_ms,
-)
+from gypsumrouter.helpers.http_headers import HOP_BY_HOP, read_keep_alive_ms, read_retry_after_ms
+from gypsumrouter.helpers.http_response import HttpResponse
 from gypsumrouter.platform import names
 from gypsumrouter.platform.requests import write_request
 
--- a/gypsumrouter/platform/engines.py
+++ b/gypsumrouter/platform/engines.py
@@ -5,7 +5,8 @@
 import json
 
 from gypsumrouter.forwarding.inventory import CachedPart, CacheListing
-from gypsumrouter.helpers.http_connection import ConnectionBroken, HttpConnection, async_get
+from gypsumrouter.helpers.http_connection import HttpConnection, async_get
+from gypsumrouter.helpers.http_response import ConnectionBroken
 from gypsumrouter.platform import names
 
 
--- a/gypsumrouter/platform/store.py
+++ b/gypsumrouter/platform/store.py
@@ -12,14 +12,8 @@
 from msgspec import Struct
 
 from gypsumrouter.const import MS_PER_S
-from gypsumrouter.helpers.http_connection import (
-    ConnectFailed,
-    ConnectionBroken,
-    HttpConnection,
-    async_connect,
-    async_read_body,
-)
-from gypsumrouter.helpers.response_bounds import MAX_PAGE_BYTES
+from gypsumrouter.helpers.http_connection import ConnectFailed, HttpConnection, async_connect
+from gypsumrouter.helpers.http_response import MAX_PAGE_BYTES, ConnectionBroken, async_read_body
 from gypsumrouter.instances import Address
 from gypsumrouter.platform import names
 from gypsumrouter.published.models import HistoryLost, Item, ItemBatch, StoreUnavailable
--- a/tests/forwarding/test_forwarding_next_step.py
+++ b/tests/forwarding/test_forwarding_next_step.py
@@ -16,7 +16,9 @@
     decide_next_step,
 )
 from gypsumrouter.forwarding.progress import Progress
-from gypsumrouter.helpers.http_connection import HttpResponse
+from gypsumrouter.helpers.http_response import (
+    HttpResponse,
+)
 from gypsumrouter.outcomes import Reason
 
 LOST = ResponseLost(reason="silent")
--- a/tests/forwarding/test_forwarding_start_check.py
+++ b/tests/forwarding/test_forwarding_start_check.py
@@ -17,7 +17,11 @@
     UpstreamStarts,
     is_start_proven,
 )
-from gypsumrouter.helpers.http_connection import ConnectFailed, HttpConnection, StartSource
+from gypsumrouter.helpers.http_connection import (
+    ConnectFailed,
+    HttpConnection,
+    StartSource,
+)
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 
--- a/tests/helpers/test_endless_bytes.py
+++ b/tests/helpers/test_endless_bytes.py
@@ -11,19 +11,19 @@
 
 from gypsumrouter.helpers.http_connection import (
     PARSED_BYTES,
-    ConnectionBroken,
     HttpConnection,
-    async_discard_body,
-    async_read_body,
 )
-from gypsumrouter.helpers.response_bounds import (
+from gypsumrouter.helpers.http_response import (
     MAX_DISCARDED_BYTES,
     MAX_FRAMING_BYTES,
     MAX_FRAMING_RATIO,
     MAX_HEADS_BYTES,
     MAX_INTERIM_RESPONSES,
+    ConnectionBroken,
     Excess,
     ResponseBounds,
+    async_discard_body,
+    async_read_body,
 )
 from gypsumrouter.instances import Address
 from gypsumrouter.standins.endless_upstream import ECHO, PART_BYTES, STATES, Endless
--- a/tests/helpers/test_http_connection.py
+++ b/tests/helpers/test_http_connection.py
@@ -11,10 +11,12 @@
 
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
-    ConnectionBroken,
     HttpConnection,
     async_connect,
 )
+from gypsumrouter.helpers.http_response import (
+    ConnectionBroken,
+)
 from gypsumrouter.instances import Address
 
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
