An upstream that has not answered lately is taken for the slowest expected, and short answers tell their pace

Traced: the router had started again some seconds before and had seen no answer, or one of 9 events, of an engine at 50 ms an event; it took the first for the slowest of the two others, and the pace of the second for 45 ms, as it counted events and not the pauses between them.

--- a/gypsumrouter/forwarding/leaving.py
+++ b/gypsumrouter/forwarding/leaving.py
@@ -28,6 +28,8 @@
 REMEMBERED_ANSWERS: Final = 32
 # With fewer recent answers of a service the slowest pace is assumed.
 MIN_ANSWERS: Final = 5
+# From so many upstreams on, the slowest of them tells of another one of their service.
+MANY_UPSTREAMS: Final = 5
 # Share of an upstream's answers that are no slower than its pace is taken to be.
 QUANTILE: Final = 0.95
 # Time that the last bytes of an answer take, and by which an estimate may be short.
@@ -39,11 +41,12 @@
 class SeenAnswer(NamedTuple):
     """An answer of an upstream: time to its first event, and pace for each token asked for.
 
-    `tokens` is the size of its prompt, and `ended_ms` when it ended (monotonic milliseconds).
+    The pace is None if the answer shows none. `tokens` is the size of its prompt, and `ended_ms`
+    when it ended (monotonic milliseconds).
     """
 
     first_ms: float
-    ms_per_token: float
+    ms_per_token: float | None
     tokens: int
     ended_ms: int
 
@@ -63,16 +66,21 @@
         """Record a complete answer that ends now."""
         now_ms = self._clock.now_ms()
         total_ms = now_ms - progress.arrived_ms
-        first_ms = progress.first_byte_ms
         asked = 0 if prompt is None else prompt.max_output_tokens
-        if asked and not progress.events:
-            first_ms = 0
+        events = progress.events
+        first_ms, pace_ms = total_ms, None
+        if asked and not events:
+            # An answer in one piece comes when its last token is there.
+            first_ms, pace_ms = 0, total_ms / asked
         elif asked:
+            first_ms = progress.first_byte_ms
             ratios = self._length_ratios.setdefault(service, deque(maxlen=REMEMBERED_ANSWERS))
-            ratios.append(progress.events / asked)
+            ratios.append(events / asked)
+            if events > 1:
+                pace_ms = (total_ms - first_ms) / (events - 1) * (events / asked)
         answer = SeenAnswer(
-            first_ms=first_ms if asked else total_ms,
-            ms_per_token=(total_ms - first_ms) / asked if asked else 0.0,
+            first_ms=first_ms,
+            ms_per_token=pace_ms,
             tokens=0 if prompt is None else prompt.input_tokens,
             ended_ms=now_ms,
         )
@@ -90,9 +98,15 @@
                 del self._answers[service]
                 self._length_ratios.pop(service, None)
 
-    def is_known(self, service: str) -> bool:
-        """Return whether a service has answered lately, often enough to tell its pace."""
-        return sum(map(len, self._list_recent(service).values())) >= MIN_ANSWERS
+    def is_known(self, service: str, upstream: str | None = None) -> bool:
+        """Return whether a service, and an upstream of it, has answered lately.
+
+        For the service that is often enough to tell its pace.
+        """
+        recent = self._list_recent(service)
+        if upstream is not None and upstream not in recent:
+            return False
+        return sum(map(len, recent.values())) >= MIN_ANSWERS
 
     def estimate_ms(
         self, service: str, prompt: Prompt | None, *, upstream: str | None = None
@@ -100,7 +114,7 @@
         """Return how long an answer takes at most.
 
         Without an `upstream` that is at the fastest of the service. One that has not answered
-        lately is taken for the slowest of them.
+        lately is taken for the slowest of many others, or for the slowest that is expected.
         """
         if not self.is_known(service):
             return PLAIN_MS if prompt is None else _estimate_slowest_ms(prompt)
@@ -108,7 +122,12 @@
         estimates = {name: _estimate_ms(seen, prompt) for name, seen in recent.items()}
         if upstream is None:
             return min(estimates.values())
-        return estimates.get(upstream, max(estimates.values()))
+        if upstream in estimates:
+            return estimates[upstream]
+        slowest_ms = max(estimates.values())
+        if prompt is None or len(estimates) >= MANY_UPSTREAMS:
+            return slowest_ms
+        return max(slowest_ms, _estimate_slowest_ms(prompt))
 
     def estimate_running_ms(self, service: str, prompt: Prompt, running: Progress) -> float:
         """Return how long an answer takes that is no faster than one that is under way."""
@@ -119,8 +138,8 @@
             return running.first_byte_ms
         ratios = sorted(self._length_ratios.get(service, ()))
         ratio = ratios[len(ratios) // 2] if ratios else 1.0
-        pace_ms = (since_ms - running.first_byte_ms) / running.events
-        return running.first_byte_ms + pace_ms * ratio * prompt.max_output_tokens
+        pace_ms = (since_ms - running.first_byte_ms) / (running.events - 1)
+        return running.first_byte_ms + pace_ms * ratio * (prompt.max_output_tokens - 1)
 
     def _list_recent(self, service: str) -> dict[str, list[SeenAnswer]]:
         """Return the recent answers of each upstream that has any."""
@@ -147,8 +166,9 @@
     longest = max(answer.tokens for answer in seen)
     if longest:
         first_ms *= max(1.0, prompt.input_tokens / longest)
-    pace_ms = _find_quantile(answer.ms_per_token for answer in seen)
-    return first_ms + pace_ms * prompt.max_output_tokens
+    paces = [answer.ms_per_token for answer in seen if answer.ms_per_token is not None]
+    pace_ms = _find_quantile(paces) if paces else SLOWEST_MS_PER_TOKEN
+    return first_ms + pace_ms * max(0, prompt.max_output_tokens - 1)
 
 
 def _find_quantile(values: Iterable[float]) -> float:
@@ -161,7 +181,8 @@
 
     A request is admitted only if it is expected to end `limit_ms` after the beginning of the stop,
     when what is under way is cut. In the first `DRAIN_GRACE_MS`, until load balancers have seen the
-    readiness change, those to services of which nothing is known lately are admitted as well.
+    readiness change, those to services and upstreams of which nothing is known lately are admitted
+    as well.
     """
 
     __slots__ = ("_clock", "_limit_ms", "_running", "_started_ms", "durations")
@@ -226,7 +247,7 @@
         """
         if self._started_ms is None:
             return True
-        if self.grace_left_ms and not self.durations.is_known(service):
+        if self.grace_left_ms and not self.durations.is_known(service, upstream):
             return True
         left_ms = self.limit_at_ms - self._clock.now_ms() - MARGIN_MS
         if remaining_ms <= left_ms:
