--- a/bench/processes.py
+++ b/bench/processes.py
@@ -133,3 +133,12 @@
         if line.startswith("VmRSS:"):
             return Usage(cpu_s=cpu_s, rss_bytes=int(line.split()[1]) * BYTES_PER_KIB)
     return Usage(cpu_s=cpu_s, rss_bytes=0)
+
+
+def is_running(pid: int) -> bool:
+    """Return whether a child process has not ended, also while this process has not noticed."""
+    try:
+        state = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0]
+    except OSError:
+        return False
+    return state not in {"Z", "X"}
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -17,6 +17,7 @@
 
 from msgspec import Struct
 
+from bench.processes import is_running
 from bench.raw_caller import Answer, End, RawCaller
 from bench.soak_checks import Violation
 from bench.soak_rig import FORWARDERS, SoakRig
@@ -172,8 +173,7 @@
         ending = asyncio.ensure_future(self._rig.async_end_forwarder(number, first))
         series = asyncio.ensure_future(self._async_send_later(process.send_signal))
         done, _ = await asyncio.wait((ending,), timeout=STOP_S)
-        # The end of its output may be read later than that of the process.
-        if not done and process.process.returncode is None:
+        if not done and is_running(process.pid):
             stop.killed = True
             process.send_signal(signal.SIGKILL)
         await ending
