A drain whose hook fails goes on; a connection that is discarding lets go of its timer

By reading: an exception of a drain hook ended the drain at once, and cut all that ran before its time; it is logged, and the process waits until nothing runs (the new test fails before: it ends while r-1 runs). Requests that a broken invariant cuts have that reason in their lines. The timer of the lingering close kept each closed connection for 2 s.

--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -78,6 +78,7 @@
         "_answered",
         "_body_scope",
         "_closes_after_answer",
+        "_discard_timer",
         "_discarding",
         "_generate_request_id",
         "_head_started",
@@ -108,6 +109,7 @@
         self._body_scope: asyncio.Timeout | None = None
         # Set once the connection has sent its end; done when it is closed.
         self._discarding: asyncio.Future[None] | None = None
+        self._discard_timer: asyncio.TimerHandle | None = None
         # Id of the latest request, as its caller sent it.
         self.request_id = ""
         # Whether the request that is arriving is refused since the process stops.
@@ -239,12 +241,14 @@
         loop = asyncio.get_running_loop()
         self._discarding = loop.create_future()
         transport.write_eof()
-        loop.call_later(DISCARD_MS / MS_PER_S, self._end_discarding)
+        self._discard_timer = loop.call_later(DISCARD_MS / MS_PER_S, self._end_discarding)
         return True
 
     def _end_discarding(self) -> None:
         if self._discarding is None or self._discarding.done():
             return
+        if self._discard_timer is not None:
+            self._discard_timer.cancel()
         self._discarding.set_result(None)
         if self.transport is not None:
             self.transport.close()
--- a/gypsumrouter/service.py
+++ b/gypsumrouter/service.py
@@ -8,7 +8,7 @@
 import os
 import signal
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Final
 
 import aiomisc
 import click
@@ -23,6 +23,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+IDLE_POLL_MS: Final = 20
+
 Setup = Callable[[], Awaitable[RunningProcess]]
 
 
@@ -76,6 +78,7 @@
         if process.app.fatal is None:
             await self._drain(process)
         if process.app.fatal is not None:
+            process.app.end_reason = process.app.end_reason or "fatal"
             code = getattr(process.app.fatal, "code", ErrorCode.INVARIANT_BROKEN)
             self._fail(code, str(process.app.fatal))
         return self._exit_code
@@ -106,7 +109,10 @@
         left_ms = max(0, ends_ms - process.app.clock.now_ms())
         limit = asyncio.ensure_future(process.app.clock.async_sleep(left_ms))
         await _wait_for_first(drained, limit)
-        is_done = not drained.cancelled() and drained.exception() is None
+        is_done = not drained.cancelled()
+        if is_done and (error := drained.exception()) is not None:
+            _LOGGER.error("A drain hook failed; waiting for the running requests", exc_info=error)
+            is_done = await self._wait_until_idle(process, ends_ms)
         process.app.end_reason = "done" if is_done else "out_of_time"
         cut = [] if is_done else process.list_running()
         if process.journal is not None:
@@ -124,6 +130,12 @@
             "Drain did not finish; aborting %d running requests: %s", len(cut), ", ".join(cut)
         )
 
+    async def _wait_until_idle(self, process: RunningProcess, ends_ms: int) -> bool:
+        """Wait until no request is running, at most until `ends_ms`; return whether none is."""
+        while process.list_running() and process.app.clock.now_ms() < ends_ms:
+            await process.app.clock.async_sleep(IDLE_POLL_MS)
+        return not process.list_running()
+
     @property
     def stop_at_ms(self) -> int | None:
         """Return when the first stop signal came (monotonic milliseconds), None before."""
--- a/tests/daemon/test_daemon_signals.py
+++ b/tests/daemon/test_daemon_signals.py
@@ -8,12 +8,15 @@
 import sys
 from pathlib import Path
 from typing import Any
+from unittest.mock import Mock
 
 import pytest
 
+from gypsumrouter.const import Role
+from gypsumrouter.core import Application
 from gypsumrouter.instances import Address
 from gypsumrouter.running_process import RunningProcess
-from gypsumrouter.service import DaemonService
+from gypsumrouter.service import DaemonService, Setup
 from gypsumrouter.settings import ForwarderSettings, Identity, Link
 from gypsumrouter.standins.listener import PortReservation
 
@@ -30,10 +33,11 @@
 }
 
 
-def make_service() -> DaemonService:
-    async def async_setup() -> RunningProcess:
-        raise NotImplementedError
+async def async_never_set_up() -> RunningProcess:
+    raise AssertionError
+
 
+def make_service(async_setup: Setup = async_never_set_up) -> DaemonService:
     settings = ForwarderSettings(
         instance=Identity(name="entry-1", data_centre="here", region="r"),
         link=Link(key_env=ENV_KEY),
@@ -54,6 +58,37 @@
     assert service.stop_at_ms == FIRST_MS
 
 
+# Guards against requests that are cut at once, since a part of the drain failed.
+async def test_drain_whose_hook_fails_waits_for_the_running_requests() -> None:
+    running = ["r-1"]
+    app = Application(name="entry-1", role=Role.FORWARDER, data_centre="here", region="r")
+    store = Mock(ready=asyncio.Event())
+    store.ready.set()
+
+    async def async_fail() -> None:
+        asyncio.get_running_loop().call_later(0.2, running.clear)
+        raise ValueError("a fault of the hook")
+
+    async def async_setup() -> RunningProcess:
+        app.on_drain(async_fail)
+        return RunningProcess(
+            app=app,
+            store=store,
+            addresses={},
+            is_ready=lambda: True,
+            list_running=lambda: list(running),
+            get_drain_limit_ms=lambda: HANG_S * 1_000,
+        )
+
+    service = make_service(async_setup)
+    service.set_loop(asyncio.get_running_loop())
+    await service.start()
+    service.handle_signal(signal.SIGTERM, app.clock.now_ms())
+    assert await service.async_wait() == 0
+    assert (running, app.end_reason) == ([], "done")
+    await service.stop()
+
+
 # Guards against a signal that ends a process which is starting, with callers in its backlog.
 @pytest.mark.parametrize("early", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
 async def test_signal_during_the_imports_does_not_end_the_process_at_once(
