A process that has released all exits without the interpreter's clean-up

Its lines: the drain's limit of 5.5 s was noticed at 5.85 s, 'Stopped' at 5.854 s, and the interpreter was still at its clean-up 0.15 s later. Lines are flushed, and the process exits at once. That a starved process notices its limit late remains.

--- a/gypsumrouter/daemon.py
+++ b/gypsumrouter/daemon.py
@@ -25,7 +25,7 @@
 
 from functools import partial
 from pathlib import Path
-from typing import Final, TextIO, cast
+from typing import Final, NoReturn, TextIO, cast
 
 import aiomisc
 import click
@@ -53,8 +53,8 @@
 
 def run_daemon(
     *, settings: Settings, announce: bool, setup: Setup, log_stream: TextIO | None = None
-) -> int:
-    """Run a process until it stops, and return its exit code."""
+) -> NoReturn:
+    """Run a process until it stops, and exit with its code."""
     remove_logging = configure_logging(
         settings=settings.log, instance=settings.instance.name, stream=log_stream
     )
@@ -69,10 +69,12 @@
         catch_signals=(),
     ) as loop:
         exit_code: int = loop.run_until_complete(service.async_wait())
-    if not remove_logging():
-        # Nobody reads the output, and the interpreter would wait for it at its exit.
-        os._exit(exit_code)
-    return exit_code
+    if remove_logging():
+        sys.stdout.flush()
+        sys.stderr.flush()
+    # All is released. An exit of the interpreter takes time that a stop may not have, and waits for
+    # an output that nobody reads.
+    os._exit(exit_code)
 
 
 @click.group()
@@ -114,7 +116,7 @@
     settings = cast(RouterSettings, load_settings(role=Role.ROUTER, path=path))
     kind = PlacementKind(placement)
     setup = partial(async_setup, settings=settings, placement=kind)
-    sys.exit(run_daemon(settings=settings, announce=announce, setup=setup))
+    run_daemon(settings=settings, announce=announce, setup=setup)
 
 
 @main.command(Role.SIDE.value)
@@ -126,7 +128,7 @@
 
     settings = cast(SideSettings, load_settings(role=Role.SIDE, path=path))
     setup = partial(async_setup, settings=settings)
-    sys.exit(run_daemon(settings=settings, announce=announce, setup=setup))
+    run_daemon(settings=settings, announce=announce, setup=setup)
 
 
 @main.command(Role.FORWARDER.value)
@@ -138,8 +140,7 @@
 
     settings = cast(ForwarderSettings, load_settings(role=Role.FORWARDER, path=path))
     setup = partial(async_setup_forwarder, settings=settings, settings_path=path)
-    exit_code = run_daemon(settings=settings, announce=announce, setup=setup, log_stream=sys.stdout)
-    sys.exit(exit_code)
+    run_daemon(settings=settings, announce=announce, setup=setup, log_stream=sys.stdout)
 
 
 if __name__ == "__main__":
