A stream that is sent late in a stop must end in time at one and a half times its estimate

Cause: the estimate, the slowest twentieth of what the engine did lately, was under the 4.07 s that were left, and engines there slow down after a stream was taken. Inside the first 2.6 s the estimate counts as it is, since what is sent until 3 s may be cut last.

--- a/gypsumrouter/forwarding/leaving.py
+++ b/gypsumrouter/forwarding/leaving.py
@@ -34,6 +34,8 @@
 QUANTILE: Final = 0.95
 # Time that the last bytes of an answer take, and by which an estimate may be short.
 MARGIN_MS: Final = 100
+# By how much an upstream may slow down after it has got a request that must not be cut.
+SLOWDOWN: Final = 1.5
 # Events of a stream from which on its pace so far counts.
 MIN_EVENTS: Final = 10
 
@@ -260,4 +262,6 @@
                 if name == service and progress.upstream == upstream
             )
             estimate_ms = max(estimate_ms, max(under_way, default=0.0))
+        if not self.grace_left_ms:
+            estimate_ms *= SLOWDOWN
         return estimate_ms <= left_ms
