--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -128,6 +128,9 @@
         self.back_offs: list[BackOff] = []
         self.gate = asyncio.Event()
         self.gate.set()
+        # While cleared the runner reads and sends nothing, as a process that stands still.
+        self.awake = asyncio.Event()
+        self.awake.set()
         routes = web.Application()
         routes.router.add_get(names.CALL_HELD, self._async_get_inventory)
         routes.router.add_get(names.CALL_REPORT, self._async_get_report)
@@ -159,7 +162,14 @@
         self.version = version
         self._starts.clear()
 
+    async def async_fall_silent(self, duration_s: float) -> None:
+        """Stand still for some seconds, with all connections open, and go on."""
+        self.awake.clear()
+        await asyncio.sleep(duration_s)
+        self.awake.set()
+
     async def _async_get_inventory(self, request: web.Request) -> web.Response:
+        await self.awake.wait()
         self.inventory_calls += 1
         return web.json_response({"epoch": 1, "next": 1, "held": self.inventory})
 
@@ -170,11 +180,13 @@
             raise asyncio.CancelledError
 
     async def _async_get_report(self, request: web.Request) -> web.Response:
+        await self.awake.wait()
         self._end_if_restarted(request)
         self.report_calls += 1
         return web.json_response({"born": self.started_ms} if self.started_ms else {})
 
     async def _async_serve(self, request: web.Request) -> web.StreamResponse:
+        await self.awake.wait()
         arrival = Arrival(
             request_id=request.headers.get(names.REQUEST_ID, ""),
             method=request.method,
@@ -195,6 +207,7 @@
         self.on_run()
         try:
             await self.gate.wait()
+            await self.awake.wait()
             return await self._async_run(request, arrival, fault)
         except asyncio.CancelledError:
             arrival.cancelled = True
@@ -313,6 +326,7 @@
         await asyncio.sleep(self.first_pause_s)
         for number in range(first, events + 1):
             await asyncio.sleep(self.pause_s)
+            await self.awake.wait()
             self._end_if_restarted(request)
             self._end_if_crashed(crashes)
             await response.write(self._make_event(number))
