Stand-in runners send plain bodies in parts, raw callers send requests in parts

A silence inside a plain body, and a slow body of a request on a kept connection, could not be played. The raw caller also notes when the last byte of a request was sent, and returns an answer without its chunks.

--- a/bench/raw_caller.py
+++ b/bench/raw_caller.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import time
+from collections.abc import Sequence
 from contextlib import suppress
 from enum import StrEnum
 from typing import Any, Final
@@ -34,10 +35,14 @@
 
 
 class Answer(Struct, kw_only=True):
-    """What a caller got for one request (monotonic seconds); `status` is 0 without a head."""
+    """What a caller got for one request (monotonic seconds); `status` is 0 without a head.
+
+    `whole_s` is when its last byte was sent, 0 if it never was.
+    """
 
     request_id: str
     sent_s: float = 0.0
+    whole_s: float = 0.0
     ended_s: float = 0.0
     status: int = 0
     end: End = End.CLOSED
@@ -49,6 +54,20 @@
         """Return whether the answer says that its connection ends with it."""
         return b"connection: close" in self.head.lower()
 
+    @property
+    def content(self) -> bytes:
+        """Return the body without its chunks; one that was cut ends with the last whole chunk."""
+        if b"transfer-encoding: chunked" not in self.head.lower():
+            return self.body
+        content, rest = b"", self.body
+        while rest:
+            size, found, rest = rest.partition(b"\r\n")
+            length = int(size, 16) if found else 0
+            if not length or len(rest) < length:
+                break
+            content, rest = content + rest[:length], rest[length + 2 :]
+        return content
+
 
 class RawCaller:
     """One connection of a caller; `buffer_bytes` is the size of its receive buffer."""
@@ -73,15 +92,19 @@
         path: str = "/draft/a",
         tokens: int | None = 80,
         bytes_per_s: float | None = None,
+        parts: Sequence[bytes] = (),
+        pause_s: float = 0.0,
     ) -> Answer:
         """Send a request and return its answer; raises nothing if the connection ends.
 
-        `bytes_per_s` is the pace at which a slow caller reads.
+        `bytes_per_s` is the pace at which a slow caller reads. `parts` are sent in place of the
+        usual request, with a pause after each, and no further ones once the answer is there.
         """
         answer = Answer(request_id=request_id, sent_s=time.monotonic())
         loop = asyncio.get_running_loop()
+        parts = parts or (make_head(request_id, path, tokens),)
+        sending = loop.create_task(self._async_send(answer, parts, pause_s))
         try:
-            await loop.sock_sendall(self._socket, make_head(request_id, path, tokens))
             while not _is_whole(answer):
                 size = READ_BYTES if bytes_per_s is None else max(1, int(bytes_per_s / READS_PER_S))
                 data = await loop.sock_recv(self._socket, size)
@@ -93,8 +116,18 @@
         except OSError:
             answer.end = End.RESET
         answer.ended_s = time.monotonic()
+        sending.cancel()
+        await asyncio.wait((sending,))
         return answer
 
+    async def _async_send(self, answer: Answer, parts: Sequence[bytes], pause_s: float) -> None:
+        """Send the parts of a request; the reader sees it if the connection ends."""
+        with suppress(OSError):
+            for number, part in enumerate(parts):
+                await CLOCK.async_sleep(round(pause_s * MS_PER_S) if number else 0)
+                await asyncio.get_running_loop().sock_sendall(self._socket, part)
+            answer.whole_s = time.monotonic()
+
     async def async_send_later(self, data: bytes, *, after_ms: int) -> None:
         """Send bytes on the connection after a while, if it is open then."""
         await CLOCK.async_sleep(after_ms)
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -103,6 +103,8 @@
         self.break_after_s = 0.05
         # Size of the body of a plain response; None for a short one.
         self.body_bytes: int | None = None
+        # Parts in which a plain body is sent, with a pause of `pause_s` before each if over one.
+        self.body_parts = 1
         # Start of the process at the first request of each connection.
         self._starts: dict[object, int] = {}
         self.framed = True
@@ -266,14 +268,18 @@
             headers = {**headers, "Content-Type": "application/json"}
             body = b'{"item": "cloth", "metres": 1'
         breaks = fault is RunnerFault.BREAK_BODY
-        if self.framed and not self.chunks_bodies and not breaks:
+        in_parts = self.body_parts > 1 and not breaks
+        if self.framed and not self.chunks_bodies and not breaks and not in_parts:
             return web.Response(headers=headers, body=body)
         make_response = web.StreamResponse if self.framed else UnframedResponse
         response = make_response(headers=headers)
         if self.framed and not self.chunks_bodies:
             response.content_length = len(body)
         await response.prepare(request)
-        await response.write(body[: len(body) // 2] if breaks else body)
+        if in_parts:
+            await self._async_write_parts(response, body)
+        else:
+            await response.write(body[: len(body) // 2] if breaks else body)
         if breaks:
             await self._async_flush(request)
             _reset_connection(request)
@@ -281,6 +287,13 @@
         await response.write_eof()
         return response
 
+    async def _async_write_parts(self, response: web.StreamResponse, body: bytes) -> None:
+        size = len(body) // self.body_parts + 1
+        for begin in range(0, len(body), size):
+            await asyncio.sleep(self.pause_s)
+            await self.awake.wait()
+            await response.write(body[begin : begin + size])
+
     async def _async_flush(self, request: web.Request) -> None:
         """Let all that was written reach the other end, as a reset discards the rest."""
         if isinstance(request.transport, asyncio.WriteTransport):
