--- a/bench/soak.py
+++ b/bench/soak.py
@@ -28,6 +28,7 @@
 from bench.soak_leavings import check_leavings
 from bench.soak_retry_checks import RETRY_RATIO, RETRY_SLACK, check_retry_budget
 from bench.soak_rig import ENV_KEY, FORWARDERS, KEY, SoakRig
+from bench.soak_silences import async_soak_silences
 from bench.soak_stops import async_soak_stops
 from bench.soak_streams import StreamCallers, check_going_on, check_streams, count_taken_up
 from bench.soak_unfinished import async_soak_unfinished
@@ -210,6 +211,9 @@
 @click.option(
     "--stops", is_flag=True, help="Only: signals in series, kept connections, endless bytes."
 )
+@click.option(
+    "--silences", is_flag=True, help="Only: sound upstreams fall silent for a moment and go on."
+)
 @click.option(
     "--forwarders", type=int, default=FORWARDERS, help="Number of forwarders; 15 for most tests."
 )
@@ -232,6 +236,7 @@
     surges: bool,
     unfinished: bool,
     stops: bool,
+    silences: bool,
     forwarders: int,
     journals: Path | None,
 ) -> None:
@@ -240,17 +245,18 @@
     chosen = [seed] if seed is not None else list(range(first, first + seeds))
     ends = time.monotonic() + 60 * minutes
     runs: list[dict[str, object]] = []
+    alone: dict[SoakRun, bool] = {
+        async_soak_unfinished: unfinished,
+        async_soak_stops: stops,
+        async_soak_silences: silences,
+    }
+    only = next((run for run, wanted in alone.items() if wanted), None)
     all_kept = True
     while chosen or time.monotonic() < ends:
         number = chosen.pop(0) if chosen else first + len(runs)
         with tempfile.TemporaryDirectory() as folder:
-            if unfinished or stops:
-                soak = async_soak_one(
-                    async_soak_stops if stops else async_soak_unfinished,
-                    seed=number,
-                    folder=Path(folder),
-                    forwarders=forwarders,
-                )
+            if only is not None:
+                soak = async_soak_one(only, seed=number, folder=Path(folder), forwarders=forwarders)
             else:
                 soak = async_soak(
                     seed=number,
