A silent upstream is given up only for a replacement that stands ready

What callers saw: resumable streams reset with status 200, and repeatable requests answered 502, after a silence of about a second, with seconds of their time left.

Cause: the read timeout inside a resumable stream and the response timeout of a repeatable request ended the attempt first; whether an attempt, a version, time, a retry and an upstream were left was asked afterwards.

After the same patience as before a replacement is prepared beside the silent run (standby, replacement); the first to deliver wins and the other is cancelled at once. Where nothing can take over, the run goes on until the deadline. A stream that goes on elsewhere overlaps with its silent run for 250 ms at most, and only with an upstream that has just stated its start. Silences leave half of the retry budget to failed runs. A route without a target or a gap has a patience of 1 s in place of 150 ms. attempt_silent and gypsumrouter_silent_attempts_total tell the obstacle. The run of a request moves from execution.py to run.py.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from typing import Final
 
-from gypsumrouter.const import MS_PER_S
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
 from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES, RETURN_TRIP_MS
@@ -117,11 +115,8 @@
             return None
         return self._pool.prove_start(self.entry, self._connection)
 
-    async def async_send(self, *, response_timeout_ms: int | None) -> Outcome:
-        """Send the request and read the response head, and the body unless it is streamed.
-
-        `response_timeout_ms` bounds the time until then; None means no limit.
-        """
+    async def async_send(self) -> Outcome:
+        """Send the request and read the response head, and the body unless it is streamed."""
         connection = self._connection
         if connection is None:
             return Unreachable(reason="there is no connection")
@@ -132,11 +127,7 @@
             return Unreachable(reason=str(error))
         self.sent = True
         try:
-            timeout_s = None if response_timeout_ms is None else response_timeout_ms / MS_PER_S
-            async with asyncio.timeout(timeout_s):
-                return await self._async_read(connection)
-        except TimeoutError:
-            return ResponseLost(reason="silent")
+            return await self._async_read(connection)
         except ConnectionBroken as error:
             return ResponseLost(reason=str(error), connection_broken=True)
 
--- a/gypsumrouter/forwarding/budget.py
+++ b/gypsumrouter/forwarding/budget.py
@@ -83,6 +83,15 @@
         """Spend one retry of the budget; return whether there was one left."""
         return self._refill(service).try_take()
 
+    def has_spare(self, service: str, *, reserved: float) -> bool:
+        """Return whether a retry is left beside the share `reserved` of the capacity (0 to 1)."""
+        bucket = self._refill(service)
+        return bucket.tokens - 1 >= reserved * (bucket.capacity - 1)
+
+    def try_acquire_spare(self, service: str, *, reserved: float) -> bool:
+        """Spend one retry if `has_spare`; return whether there was one."""
+        return self.has_spare(service, reserved=reserved) and self.try_acquire(service)
+
     def get_usage(self, service: str) -> RetryUsage:
         """Return the state of the budget for a service."""
         bucket = self._refill(service)
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -55,13 +55,15 @@
 
     An upstream that has started anew under its id may not be listed yet. IF_LOST: trusted unless a
     connection to the upstream was lost since, or led to another start; ALWAYS: not trusted, unless
-    it is proven (see `is_start_proven`); CONFIRMED: the upstream itself has to state it.
+    it is proven (see `is_start_proven`); CONFIRMED: the upstream itself has to state it; NOW: it
+    has to state it at this moment, which shows that it responds.
     """
 
     NEVER = auto()
     IF_LOST = auto()
     ALWAYS = auto()
     CONFIRMED = auto()
+    NOW = auto()
 
 
 class PooledConnection(Struct, frozen=True, kw_only=True):
@@ -189,6 +191,9 @@
         """
         if start_check is StartCheck.NEVER:
             return False
+        if start_check is StartCheck.NOW:
+            connection.peer_started_ms = None
+            return True
         if connection.start_source is StartSource.ANSWER:
             return connection.peer_started_ms != entry.started_ms
         if start_check is StartCheck.CONFIRMED:
--- a/gypsumrouter/forwarding/const.py
+++ b/gypsumrouter/forwarding/const.py
@@ -21,12 +21,14 @@
 # Maximum size of one server-sent event.
 MAX_EVENT_BYTES: Final = 128 * 1024
 
-# Timeout for the response head of a repeatable request, as a multiple of the route's target
-# latency. After it the request is retried on another upstream.
+# After this multiple of the route's target latency without a response to a repeatable request, a
+# replacement for its upstream is looked for.
 RESPONSE_TIMEOUT_FACTOR: Final = 2.5
 MIN_RESPONSE_TIMEOUT_MS: Final = 150
-# Read timeout inside a resumable stream, as a multiple of the route's maximum pause.
+# The same inside a resumable stream, as a multiple of the route's maximum pause.
 STREAM_PAUSE_FACTOR: Final = 3.0
+# The same where the route names neither.
+DEFAULT_PATIENCE_MS: Final = 1_000
 
 # Added to the configured timeouts on caller connections, to allow for retransmitted packets and
 # pauses of this process.
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import Final
 
 from aiohttp import web
 from msgspec import Struct
@@ -12,13 +13,11 @@
 from gypsumrouter.contention import Refused
 from gypsumrouter.core import Application
 from gypsumrouter.crashes.guard import CrashGuard
-from gypsumrouter.forwarding.attempt import Attempt, make_attempt_options
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.connections import ConnectionPool
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
 from gypsumrouter.forwarding.endings import RequestEndings
 from gypsumrouter.forwarding.models import (
-    AttemptOptions,
     CallerRequest,
     CompleteResponse,
     Dialect,
@@ -31,6 +30,7 @@
     make_subjects,
 )
 from gypsumrouter.forwarding.next_step import (
+    STATUS_SERVER_ERROR,
     Continuation,
     Decision,
     NextStep,
@@ -40,23 +40,33 @@
     decide_continuation,
     decide_next_step,
 )
-from gypsumrouter.forwarding.outcome_recorder import OutcomeRecorder, RunObserver
+from gypsumrouter.forwarding.outcome_recorder import OutcomeRecorder
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED, Progress, TimeLimits
 from gypsumrouter.forwarding.relay import Relay, RelayResult
+from gypsumrouter.forwarding.replacement import Replacements
 from gypsumrouter.forwarding.request_contention import ContentionContext, RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
+from gypsumrouter.forwarding.run import Run, RunContext
+from gypsumrouter.forwarding.silence import Awaited, Replaced, get_patience_ms
 from gypsumrouter.forwarding.stream_pin import StreamPin
+from gypsumrouter.helpers.metrics import Counter
 from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.outcomes import Reason
 from gypsumrouter.routing import RouteMatch
 from gypsumrouter.streams import StreamOrigin, StreamOrigins
 
+# Reason of a run that is given up for one that stands ready.
+SILENT: Final = "silent"
+
 
 class ForwardingContext(Struct, frozen=True, kw_only=True):
-    """Components that all requests of a forwarder share; `without` are disabled mechanisms."""
+    """Components that all requests of a forwarder share; `without` are disabled mechanisms.
+
+    `silences` counts attempts with a silent upstream, by what was awaited and the result.
+    """
 
     app: Application
     journal: Journal
@@ -66,6 +76,7 @@
     budget: RetryBudget
     suspects: CrashGuard
     streams: StreamOrigins
+    silences: Counter
     contention: ContentionContext = ContentionContext()
     without: frozenset[Mechanism] = frozenset()
 
@@ -81,12 +92,13 @@
         "_may_start",
         "_recorder",
         "_relay",
+        "_replacements",
         "_request",
         "_request_journal",
         "_routed",
-        "_runs",
-        "_sent_ms",
+        "_run_context",
         "_service",
+        "_standby",
         "_stream",
         "progress",
     )
@@ -111,17 +123,9 @@
         self._service = service
         self._request_journal = request_journal
         self._may_start = may_start
-        subjects = make_subjects(request, workspace=routed.workspace)
-        self._runs = RunObserver(
-            guard=context.suspects,
-            placer=context.placer,
-            request_id=request.request_id,
-            subjects=subjects,
-            enabled=Mechanism.SUSPECTS not in context.without,
-        )
         self.progress = progress
-        self._sent_ms = progress.arrived_ms
         self._limits = TimeLimits(clock=context.app.clock, route=routed.route, progress=progress)
+        subjects = make_subjects(request, workspace=routed.workspace)
         self._contention = RequestContention(
             context=context.contention,
             clock=context.app.clock,
@@ -132,8 +136,23 @@
             digest=subjects.digest,
             progress=progress,
         )
+        self._run_context = RunContext(
+            app=context.app,
+            dialect=context.dialect,
+            pool=context.pool,
+            placer=context.placer,
+            guard=context.suspects,
+            request=request,
+            routed=routed,
+            subjects=subjects,
+            progress=progress,
+            limits=self._limits,
+            contention=self._contention,
+            journal=request_journal,
+            detects_crashes=Mechanism.SUSPECTS not in context.without,
+            prioritized=Mechanism.PRIORITIES not in context.without,
+        )
         self._recorder = OutcomeRecorder(
-            clock=context.app.clock,
             placer=context.placer,
             pool=context.pool,
             suspects=context.suspects,
@@ -145,14 +164,24 @@
         self._relay = Relay(
             web_request=web_request,
             request=request,
-            route=routed.route,
             dialect=context.dialect,
             clock=context.app.clock,
             progress=progress,
             close_connection=close_connection,
             on_begun=self._stream.note_begun,
             on_received=self._note_received,
+            read_part=self._async_read_part,
+        )
+        self._replacements = Replacements(
+            context=self._run_context,
+            service=service,
+            budget=context.budget,
+            recorder=self._recorder,
+            relay=self._relay,
+            stream=self._stream,
+            counter=context.silences,
         )
+        self._standby = self._replacements.standby
         self._endings = RequestEndings(
             app=context.app,
             dialect=context.dialect,
@@ -180,31 +209,40 @@
 
     async def _async_run_attempts(self) -> web.StreamResponse:
         while True:
-            verdict = self._runs.find_verdict()
-            if verdict is not None:
-                return self._endings.refuse_suspect(verdict)
-            if self.progress.attempts == 0:
-                refusal = await self._async_admit()
-                if refusal is not None:
-                    return refusal
-            placement = self._context.placer.place(
-                service=self._service,
-                prompt=self._request.prompt,
-                excluded=self.progress.excluded_upstreams,
-                limit_ms=self._limits.target_ms,
-                needed_permits=self._contention.get_needed_permits(),
-                version=self._stream.version,
-            )
-            if isinstance(placement, PlacementRefusal):
-                return self._endings.refuse(
-                    placement.reason, placement.message, placement.not_before_ms
-                )
-            if not self._may_run_at(placement):
-                return self._endings.refuse(Reason.LEAVING, "This router is stopping")
-            response = await self._async_attempt(placement)
+            run = self._standby.take() or await self._async_place()
+            response = await self._async_attempt(run) if isinstance(run, Run) else run
             if response is not None:
                 return response
 
+    async def _async_place(self) -> Run | web.StreamResponse | None:
+        """Return a run at the best upstream, the response if there can't be one, None to repeat."""
+        verdict = self._run_context.find_verdict()
+        if verdict is not None:
+            return self._endings.refuse_suspect(verdict)
+        if self.progress.attempts == 0:
+            refusal = await self._async_admit()
+            if refusal is not None:
+                return refusal
+        placement = self._context.placer.place(
+            service=self._service,
+            prompt=self._request.prompt,
+            excluded=self.progress.excluded_upstreams,
+            limit_ms=self._limits.target_ms,
+            needed_permits=self._contention.get_needed_permits(),
+            version=self._stream.version,
+        )
+        if isinstance(placement, PlacementRefusal):
+            return self._endings.refuse(
+                placement.reason, placement.message, placement.not_before_ms
+            )
+        if not self._may_run_at(placement):
+            return self._endings.refuse(Reason.LEAVING, "This router is stopping")
+        return Run(
+            context=self._run_context,
+            placement=placement,
+            last_event_id=self._relay.last_event_id,
+        )
+
     def _may_run_at(self, placement: Placement) -> bool:
         """Return whether a request that has not run yet may begin at an upstream."""
         if self.progress.possibly_ran_on or self._relay.response is not None:
@@ -223,101 +261,95 @@
             return self._endings.refuse(Reason.DEADLINE, "No upstream had time for the request")
         return None
 
-    async def _async_attempt(self, placement: Placement) -> web.StreamResponse | None:
-        """Make one attempt; return the response, or None if another attempt is to be made."""
-        progress = self.progress
-        progress.attempts += 1
-        self._contention.note_attempt()
-        progress.upstream = placement.entry.incarnation
-        loads = self._context.placer.loads
-        peers_age_ms = loads.get_oldest_peer_age_ms(now_ms=self._now_ms())
-        self._request_journal.record_placed(
-            placement, attempt=progress.attempts, peers_age_ms=peers_age_ms
-        )
-        attempt = Attempt(
-            pool=self._context.pool,
-            dialect=self._context.dialect,
-            request=self._request,
-            options=self._make_attempt_options(placement),
-            entry=placement.entry,
-            on_head=self._runs.handle_head,
-        )
-        self._stream.attempt = attempt
-        started_ms = self._now_ms()
-        outcome: Outcome | None = None
+    async def _async_attempt(self, run: Run) -> web.StreamResponse | None:
+        """Carry out one run; return the response, or None if another attempt is to be made."""
+        self.progress.upstream = run.upstream
+        self._replacements.present = run
+        self._stream.attempt = run.attempt
         step = "given up"
-        sent = self._context.placer.note_sent(placement, self._request.prompt)
-        self._contention.notify_load_changed()
+        response: web.StreamResponse | None = None
         try:
-            outcome = await self._async_send(attempt)
-            self._context.placer.note_prefilled(sent)
-            elapsed_ms = self._now_ms() - started_ms
-            self._recorder.record_service_time(
-                placement, outcome, prompt=self._request.prompt, elapsed_ms=elapsed_ms
-            )
-            if isinstance(outcome, StreamingResponse):
-                self._context.placer.note_first_event(sent)
-                self._contention.notify_load_changed()
-            if isinstance(outcome, Withheld | Unreachable | Rejected):
-                self._context.placer.note_not_run(sent)
-                self._runs.end(ran=False)
-            response, step = await self._async_decide(attempt, outcome)
+            outcome = await self._async_get_outcome(run)
+            run.note_outcome(outcome)
+            response, step = await self._async_decide(run, outcome)
         finally:
-            attempt.close()
-            self._runs.end(ran=True)
-            self._contention.note_attempt_ended(outcome)
-            self._context.placer.note_ended(sent, held_ms=self._now_ms() - started_ms)
-            self._contention.notify_load_changed()
-            self._request_journal.record_ended(
-                attempt,
-                outcome,
-                number=progress.attempts,
-                after_ms=self._now_ms() - started_ms,
-                step=step,
-            )
-        progress.in_flight = False
+            if response is not None or step == "given up":
+                self._standby.drop()
+            run.end(step)
+        self.progress.in_flight = False
         return response
 
-    async def _async_send(self, attempt: Attempt) -> Outcome:
-        failed = await attempt.async_connect(
-            repeatable=self._routed.route.repeatable, start_check=self._stream.start_check
+    async def _async_get_outcome(self, run: Run) -> Outcome:
+        """Send the request, unless the run has begun beside another one, and await the outcome."""
+        if run.pending is None:
+            failed = await run.async_open(self._stream.get_start_check(run.placement.entry.service))
+            if failed is not None:
+                return failed
+        result: Awaitable[Outcome] = run.pending or run.async_send(
+            list_age_ms=self._stream.list_age_ms
         )
-        if failed is not None:
-            return failed
-        verdict = self._runs.find_verdict()
-        if verdict is not None:
-            return Withheld(verdict=verdict)
-        self._runs.start(attempt.entry.incarnation)
-        self._sent_ms = self._now_ms()
-        self._request_journal.record_sent(
-            attempt,
-            number=self.progress.attempts,
-            list_age_ms=self._context.streams.versions.list_age_ms,
+        patience_ms = self._get_patience_ms(Awaited.RESPONSE)
+        try:
+            return await self._standby.async_wait(Awaited.RESPONSE, result, patience_ms=patience_ms)
+        except Replaced:
+            return ResponseLost(reason=SILENT)
+
+    async def _async_read_part(self, streaming: StreamingResponse) -> bytes:
+        """Return the next part of a stream, b"" at its end; raises Replaced."""
+        awaited = Awaited.FIRST_EVENT if self._relay.response is None else Awaited.NEXT_EVENT
+        patience_ms = self._get_patience_ms(awaited) if self._routed.route.resumable else None
+        part = await self._standby.async_wait(
+            awaited, streaming.answer.body.readany(), patience_ms=patience_ms
         )
-        self.progress.in_flight = True
-        return await attempt.async_send(response_timeout_ms=self._get_response_timeout_ms())
+        if part:
+            self._standby.drop()
+        return part
+
+    def _get_patience_ms(self, awaited: Awaited) -> int | None:
+        """Return after how much silence a replacement is looked for; None for never."""
+        disabled = {Mechanism.RESPONSE_TIMEOUT, Mechanism.RETRIES} & self._context.without
+        if disabled or not self._routed.route.repeatable:
+            return None
+        return get_patience_ms(self._routed.route, awaited, remaining_ms=self._limits.remaining_ms)
 
     async def _async_decide(
-        self, attempt: Attempt, outcome: Outcome
+        self, run: Run, outcome: Outcome
     ) -> tuple[web.StreamResponse | None, str]:
         """Return the response, or None for another attempt, and the next step."""
         if isinstance(outcome, Withheld):
             return self._endings.refuse_suspect(outcome.verdict), NextStep.REFUSE.value
         if isinstance(outcome, CompleteResponse):
-            self._runs.note_received()
+            run.note_received()
         outcome = check_fits(outcome, self._relay.sent)
         if isinstance(outcome, StreamingResponse):
-            decision = await self._async_relay_stream(attempt, outcome)
+            decision = await self._async_relay_stream(run, outcome)
+        elif isinstance(outcome, ResponseLost) and outcome.reason == SILENT:
+            decision = self._leave_silent(run)
         else:
             if isinstance(outcome, ResponseLost) and outcome.connection_broken:
-                self._record_broken(attempt)
-            self._recorder.record(attempt, outcome)
-            decision = decide_next_step(outcome, self.progress, self._get_retry_limits())
+                self._record_broken(run)
+            self._recorder.record(run.attempt, outcome)
+            decision = self._decide_next(outcome)
         return self._apply(decision, outcome), decision.step.value
 
-    async def _async_relay_stream(self, attempt: Attempt, outcome: StreamingResponse) -> Decision:
+    def _decide_next(
+        self, outcome: Unreachable | Rejected | ResponseLost | CompleteResponse
+    ) -> Decision:
+        serves = isinstance(outcome, CompleteResponse) and outcome.status < STATUS_SERVER_ERROR
+        if self._standby.has_sent and not serves:
+            return Decision(step=NextStep.RETRY)
+        return decide_next_step(outcome, self.progress, self._get_retry_limits())
+
+    def _leave_silent(self, run: Run) -> Decision:
+        """Give up a silent run for the one that stands ready."""
+        silent_ms = self._context.app.clock.now_ms() - run.heard_ms
+        self._recorder.record_silent(run.upstream, silent_ms=silent_ms)
+        run.attempt.close()
+        return Decision(step=NextStep.RETRY if self._relay.sent is None else NextStep.RESUME)
+
+    async def _async_relay_stream(self, run: Run, outcome: StreamingResponse) -> Decision:
         """Relay a streamed response and return the next step."""
-        upstream = attempt.entry.incarnation
+        upstream = run.upstream
         if self._relay.last_event_id is not None:
             self._request_journal.record_resumed(upstream, last_event_id=self._relay.last_event_id)
         try:
@@ -336,33 +368,37 @@
         self._stream.note_ended(complete=end.result is RelayResult.COMPLETE)
         if end.result is RelayResult.COMPLETE:
             self._recorder.record_success(upstream)
-            self._runs.note_completed()
+            run.observer.note_completed()
             # Engines send an event for each token.
             self._context.placer.uneven_load.note_output(
                 self._request.prompt, tokens=self.progress.events
             )
-            attempt.release()
+            run.attempt.release()
             return Decision(step=NextStep.RESPOND)
+        if end.result is RelayResult.REPLACED:
+            return self._leave_silent(run)
         message = f"stream {end.result.value}"
-        broken = end.result is RelayResult.BROKEN
-        if broken:
-            self._record_broken(attempt)
-        self._recorder.record_lost(upstream, ResponseLost(reason=message, connection_broken=broken))
-        attempt.close()
-        await self._stream.async_settle()
-        limits = self._get_retry_limits()
+        self._record_broken(run)
+        self._recorder.record_lost(upstream, ResponseLost(reason=message, connection_broken=True))
+        run.attempt.close()
         retry_step = NextStep.RETRY if self._relay.sent is None else NextStep.RESUME
+        if self._standby.has_sent:
+            return Decision(step=retry_step)
+        await self._stream.async_settle()
         return decide_after_failed_run(
-            self.progress, limits, retry_step=retry_step, message=message
+            self.progress, self._get_retry_limits(), retry_step=retry_step, message=message
         )
 
     def _note_received(self) -> None:
-        self._runs.note_received()
-        self._stream.note_received(self._now_ms())
+        run = self._replacements.present
+        if run is not None:
+            run.note_received()
+            self._stream.note_received(run.heard_ms)
 
-    def _record_broken(self, attempt: Attempt) -> None:
+    def _record_broken(self, run: Run) -> None:
+        after_ms = self._context.app.clock.now_ms() - run.sent_ms
         self._request_journal.record_broken(
-            attempt, events=self.progress.events, after_ms=self._now_ms() - self._sent_ms
+            run.attempt, events=self.progress.events, after_ms=after_ms
         )
 
     def _apply(self, decision: Decision, outcome: Outcome) -> web.StreamResponse | None:
@@ -399,21 +435,3 @@
         granted = budget.try_acquire(self._service)
         self._request_journal.record_retry_decided(usage, granted=granted)
         return granted
-
-    def _get_response_timeout_ms(self) -> int | None:
-        if Mechanism.RESPONSE_TIMEOUT in self._context.without:
-            return None
-        return self._limits.response_timeout_ms
-
-    def _make_attempt_options(self, placement: Placement) -> AttemptOptions:
-        return make_attempt_options(
-            placement,
-            request=self._request,
-            routed=self._routed,
-            remaining_ms=self._limits.remaining_ms,
-            last_event_id=self._relay.last_event_id,
-            prioritized=Mechanism.PRIORITIES not in self._context.without,
-        )
-
-    def _now_ms(self) -> int:
-        return self._context.app.clock.now_ms()
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -174,6 +174,10 @@
             budget=self.budget,
             suspects=self.suspects,
             streams=self.streams,
+            silences=app.metrics.counter(
+                "gypsumrouter_silent_attempts_total",
+                "Attempts with a silent upstream, by what it owes and why nothing takes over",
+            ),
             contention=ContentionContext(
                 shares=self.shares,
                 return_order=self._return_order,
--- a/gypsumrouter/forwarding/health.py
+++ b/gypsumrouter/forwarding/health.py
@@ -209,6 +209,10 @@
         record.note_failure(self._clock.now_ms())
         self._record_change(upstream, record, reason)
 
+    def note_silent(self, upstream: str, *, silent_ms: int) -> None:
+        """Record that another upstream took over from one that was silent for `silent_ms`."""
+        self.note_failure(upstream, reason=f"silent for {silent_ms} ms")
+
     def note_unreachable(self, upstream: str, *, reason: str, refused: bool = False) -> None:
         """Record a failed connection attempt; `refused` if the host actively refused it."""
         record = self._get(upstream)
--- a/gypsumrouter/forwarding/outcome_recorder.py
+++ b/gypsumrouter/forwarding/outcome_recorder.py
@@ -2,24 +2,20 @@
 
 from __future__ import annotations
 
-from gypsumrouter.crashes import CrashGuard, Run, Subjects, Verdict
+from gypsumrouter.crashes import CrashGuard, Run, Subjects
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.attempt import Attempt
 from gypsumrouter.forwarding.connections import ConnectionPool
 from gypsumrouter.forwarding.models import (
     CompleteResponse,
-    Outcome,
-    Prompt,
     Rejected,
     ResponseLost,
     ResponseMetadata,
     Unreachable,
 )
 from gypsumrouter.forwarding.next_step import STATUS_SERVER_ERROR
-from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.progress import Progress
-from gypsumrouter.util.clock import Clock
 
 UnstreamedOutcome = Unreachable | Rejected | ResponseLost | CompleteResponse
 
@@ -27,18 +23,16 @@
 class OutcomeRecorder:
     """Updates a request's state and the health of its upstreams after each attempt."""
 
-    __slots__ = ("_clock", "_placer", "_pool", "_progress", "_suspects")
+    __slots__ = ("_placer", "_pool", "_progress", "_suspects")
 
     def __init__(
         self,
         *,
-        clock: Clock,
         placer: Placer,
         pool: ConnectionPool,
         suspects: CrashGuard,
         progress: Progress,
     ) -> None:
-        self._clock = clock
         self._placer = placer
         self._pool = pool
         self._suspects = suspects
@@ -48,9 +42,8 @@
         """Record an outcome without a stream."""
         upstream = attempt.entry.incarnation
         match outcome:
-            case Unreachable(reason=reason, refused=refused):
-                self._placer.note_unreachable(attempt.entry, reason=reason, refused=refused)
-                self._pool.close_idle(upstream)
+            case Unreachable():
+                self.record_unreachable(attempt.entry, outcome)
                 self._progress.unreachable += 1
                 self._progress.excluded_upstreams.add(upstream)
             case Rejected():
@@ -64,15 +57,10 @@
                 self._progress.fallback_response = outcome
                 self._record_possible_run(upstream)
 
-    def record_service_time(
-        self, placement: Placement, outcome: Outcome, *, prompt: Prompt | None, elapsed_ms: int
-    ) -> None:
-        """Record the service time of an upstream that is not a model engine."""
-        if prompt is not None or not isinstance(outcome, CompleteResponse):
-            return
-        if outcome.status < STATUS_SERVER_ERROR:
-            now_ms = self._clock.now_ms()
-            self._placer.plain.note_answered(placement, elapsed_ms=elapsed_ms, now_ms=now_ms)
+    def record_unreachable(self, entry: Entry, outcome: Unreachable) -> None:
+        """Record that no connection to an upstream could be used."""
+        self._placer.note_unreachable(entry, reason=outcome.reason, refused=outcome.refused)
+        self._pool.close_idle(entry.incarnation)
 
     def record_lost(self, upstream: str, outcome: ResponseLost) -> None:
         """Record that an upstream may have run the request without a complete response."""
@@ -81,6 +69,11 @@
             self._suspects.note_broken(upstream)
         self._record_possible_run(upstream)
 
+    def record_silent(self, upstream: str, *, silent_ms: int) -> None:
+        """Record that another upstream took over from one that was silent for `silent_ms`."""
+        self._placer.health.note_silent(upstream, silent_ms=silent_ms)
+        self._record_possible_run(upstream)
+
     def record_success(self, upstream: str) -> None:
         """Record that an upstream served the request."""
         self._placer.health.note_success(upstream)
@@ -124,10 +117,6 @@
         self._enabled = enabled
         self._run: Run | None = None
 
-    def find_verdict(self) -> Verdict | None:
-        """Return why the request must not be sent to another upstream, None if it may be."""
-        return self._guard.find_refusal(self._subjects) if self._enabled else None
-
     def start(self, upstream: str) -> None:
         """Record that the request is sent to an upstream."""
         if not self._enabled:
--- a/gypsumrouter/forwarding/progress.py
+++ b/gypsumrouter/forwarding/progress.py
@@ -6,11 +6,7 @@
 
 from msgspec import Struct, field
 
-from gypsumrouter.forwarding.const import (
-    MIN_RESPONSE_TIMEOUT_MS,
-    RESPONSE_MARGIN_MS,
-    RESPONSE_TIMEOUT_FACTOR,
-)
+from gypsumrouter.forwarding.const import RESPONSE_MARGIN_MS
 from gypsumrouter.forwarding.models import CallerRequest, CompleteResponse
 from gypsumrouter.routing import Route
 from gypsumrouter.util.clock import Clock
@@ -71,17 +67,6 @@
             return self.remaining_ms
         return min(self.remaining_ms, target_ms - waited_ms)
 
-    @property
-    def response_timeout_ms(self) -> int | None:
-        """Return the timeout after which the request is retried, None if it must not be."""
-        route = self._route
-        if not route.repeatable or len(self._progress.possibly_ran_on) + 1 >= route.max_attempts:
-            return None
-        timeout_ms = max(
-            MIN_RESPONSE_TIMEOUT_MS, int(route.target_latency_ms * RESPONSE_TIMEOUT_FACTOR)
-        )
-        return max(1, min(timeout_ms, self.remaining_ms // 2))
-
 
 def get_time_limit_ms(caller_request: CallerRequest, route: Route) -> int:
     """Return the time limit of a request: its deadline, bounded by the route's timeout."""
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -2,30 +2,23 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import StrEnum
 
 from aiohttp import web
 from msgspec import Struct
 
-from gypsumrouter.const import MS_PER_S
-from gypsumrouter.forwarding.const import (
-    MIN_RESPONSE_TIMEOUT_MS,
-    RESPONSE_TIMEOUT_FACTOR,
-    STREAM_PAUSE_FACTOR,
-)
 from gypsumrouter.forwarding.events import EventSplitter, EventTooLong
 from gypsumrouter.forwarding.models import CallerRequest, Dialect, StreamingResponse
 from gypsumrouter.forwarding.next_step import SentPart
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.forwarding.responses import make_stream_response
+from gypsumrouter.forwarding.silence import Replaced
 from gypsumrouter.helpers.http_response import (
     MAX_PASSED_BYTES,
     ConnectionBroken,
     Framing,
 )
-from gypsumrouter.routing import Route
 from gypsumrouter.util.body_formats import count_events
 from gypsumrouter.util.clock import Clock
 
@@ -35,7 +28,7 @@
 
     COMPLETE = "whole"
     BROKEN = "broken"
-    TIMED_OUT = "silent"
+    REPLACED = "silent"
 
 
 class StreamEnd(Struct, frozen=True, kw_only=True):
@@ -56,7 +49,8 @@
     Only complete events are relayed. Nothing is sent before the first one, so that the request can
     still get another response until then. The connection is closed after the response if
     `close_connection` returns true when it begins. `on_begun` is called right before the first
-    event is sent, `on_received` for each piece of an upstream's response.
+    event is sent, `on_received` for each piece of an upstream's response. `read_part` returns the
+    next piece, and raises Replaced if the stream is to go on at another upstream.
     """
 
     __slots__ = (
@@ -68,8 +62,8 @@
         "_on_begun",
         "_on_received",
         "_progress",
+        "_read_part",
         "_request",
-        "_route",
         "_splitter",
         "_web_request",
         "response",
@@ -80,19 +74,19 @@
         *,
         web_request: web.BaseRequest,
         request: CallerRequest,
-        route: Route,
         dialect: Dialect,
         clock: Clock,
         progress: Progress,
         close_connection: Callable[[], bool],
         on_begun: Callable[[], None],
         on_received: Callable[[], None],
+        read_part: Callable[[StreamingResponse], Awaitable[bytes]],
     ) -> None:
+        self._read_part = read_part
         self._on_begun = on_begun
         self._on_received = on_received
         self._web_request = web_request
         self._request = request
-        self._route = route
         self._dialect = dialect
         self._clock = clock
         self._progress = progress
@@ -120,19 +114,19 @@
         if self._headers is None:
             self._headers = self._dialect.select_headers(streaming.answer)
         self._splitter.start()
-        received = len(streaming.initial_bytes)
+        received = 0
         try:
-            if streaming.initial_bytes:
-                await self._async_write(streaming, streaming.initial_bytes)
-            while part := await self._async_read(streaming):
+            part = streaming.initial_bytes or await self._read_part(streaming)
+            while part:
                 self._on_received()
                 received += len(part)
                 if received > MAX_PASSED_BYTES:
                     return self._end(RelayResult.BROKEN, "the response does not end")
                 complete = self._splitter.feed(part) if streaming.is_event_stream else part
                 await self._async_write(streaming, complete)
-        except TimeoutError:
-            return self._end(RelayResult.TIMED_OUT)
+                part = await self._read_part(streaming)
+        except Replaced:
+            return self._end(RelayResult.REPLACED)
         except ConnectionBroken as error:
             return self._end(RelayResult.BROKEN, str(error))
         except EventTooLong:
@@ -157,24 +151,6 @@
         partial_bytes = self._splitter.partial_bytes
         return StreamEnd(result=result, partial_bytes=partial_bytes, reason=reason)
 
-    async def _async_read(self, streaming: StreamingResponse) -> bytes:
-        timeout_ms = self._get_read_timeout_ms()
-        if timeout_ms is None:
-            return await streaming.answer.body.readany()
-        async with asyncio.timeout(timeout_ms / MS_PER_S):
-            return await streaming.answer.body.readany()
-
-    def _get_read_timeout_ms(self) -> int | None:
-        """Return the timeout for the next data of a resumable stream, None for other streams."""
-        if not self._route.resumable:
-            return None
-        if self.response is None:
-            return max(
-                MIN_RESPONSE_TIMEOUT_MS,
-                int(self._route.target_latency_ms * RESPONSE_TIMEOUT_FACTOR),
-            )
-        return max(MIN_RESPONSE_TIMEOUT_MS, int(self._route.max_event_gap_ms * STREAM_PAUSE_FACTOR))
-
     async def _async_write(self, streaming: StreamingResponse, data: bytes) -> None:
         if not data:
             return
--- /dev/null
+++ b/gypsumrouter/forwarding/replacement.py
@@ -0,0 +1,204 @@
+"""Search for an upstream that goes on with a request whose present one is silent."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Final
+
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.forwarding.budget import RetryBudget
+from gypsumrouter.forwarding.connections import StartCheck
+from gypsumrouter.forwarding.eligibility import PlacementRefusal
+from gypsumrouter.forwarding.models import (
+    CompleteResponse,
+    Outcome,
+    StreamingResponse,
+    Withheld,
+)
+from gypsumrouter.forwarding.next_step import STATUS_SERVER_ERROR, check_fits
+from gypsumrouter.forwarding.outcome_recorder import OutcomeRecorder
+from gypsumrouter.forwarding.relay import Relay
+from gypsumrouter.forwarding.run import Run, RunContext
+from gypsumrouter.forwarding.silence import Awaited, Obstacle, SilentRequest, find_obstacle
+from gypsumrouter.forwarding.standby import Standby
+from gypsumrouter.forwarding.stream_pin import StreamPin
+from gypsumrouter.helpers.metrics import Counter
+
+# How often a request that waits behind an obstacle asks again whether it is gone.
+RECHECK_MS: Final = 200
+# Share of the retry budget that is left to failed runs.
+RESERVED_BUDGET: Final = 0.5
+# A stream that goes on elsewhere may still run at its silent upstream for this long.
+MAX_OVERLAP_MS: Final = 250
+
+REPLACED: Final = "replaced"
+
+
+class Replacements:
+    """Prepares runs in place of the `present` one while that is silent."""
+
+    __slots__ = (
+        "_budget",
+        "_context",
+        "_counter",
+        "_list_age_ms",
+        "_recorder",
+        "_relay",
+        "_service",
+        "_stream",
+        "present",
+        "standby",
+    )
+
+    def __init__(
+        self,
+        *,
+        context: RunContext,
+        service: str,
+        budget: RetryBudget,
+        recorder: OutcomeRecorder,
+        relay: Relay,
+        stream: StreamPin,
+        counter: Counter,
+    ) -> None:
+        self._context = context
+        self._service = service
+        self._budget = budget
+        self._recorder = recorder
+        self._relay = relay
+        self._stream = stream
+        self._counter = counter
+        self.present: Run | None = None
+        self.standby = Standby(app=context.app, prepare=self.async_prepare)
+
+    async def async_prepare(self, awaited: Awaited) -> Run | None:
+        """Return a run that stands ready, None if nothing can take over while the request lasts."""
+        present = self.present
+        if present is None:
+            return None
+        tried = {present.upstream}
+        reported: Obstacle | None = None
+        while True:
+            found = await self._async_try(tried)
+            if isinstance(found, Run):
+                self._record(present, awaited, replaced_by=found.upstream)
+                return found
+            if found is not reported:
+                self._record(present, awaited, obstacle=found)
+                reported = found
+            if found.is_final:
+                return None
+            await self._context.app.clock.async_sleep(RECHECK_MS)
+
+    async def _async_try(self, tried: set[str]) -> Run | Obstacle:
+        obstacle = await self._async_find_obstacle()
+        if obstacle is not None:
+            return obstacle
+        context = self._context
+        placement = context.placer.place(
+            service=self._service,
+            prompt=context.request.prompt,
+            excluded=context.progress.excluded_upstreams | tried,
+            limit_ms=context.limits.remaining_ms,
+            version=self._stream.version,
+        )
+        if isinstance(placement, PlacementRefusal):
+            return Obstacle.UPSTREAM
+        if not self._budget.has_spare(self._service, reserved=RESERVED_BUDGET):
+            return Obstacle.BUDGET
+        run = Run(context=context, placement=placement, last_event_id=self._relay.last_event_id)
+        tried.add(run.upstream)
+        obstacle = await self._async_open(run)
+        return obstacle or await self._async_send(run)
+
+    async def _async_find_obstacle(self) -> Obstacle | None:
+        """Return what rules out a replacement, before an upstream is chosen."""
+        if self._context.find_verdict() is not None:
+            return Obstacle.SUSPECT
+        if self._relay.sent is not None:
+            await self._stream.async_settle()
+        return find_obstacle(
+            SilentRequest(
+                route=self._context.routed.route,
+                sent=self._relay.sent,
+                runs=len(self._context.progress.possibly_ran_on) + 1,
+                remaining_ms=self._context.limits.remaining_ms,
+                version_proven=self._stream.is_proven,
+            )
+        )
+
+    async def _async_open(self, run: Run) -> Obstacle | None:
+        """Connect to the upstream and take a retry; return why the request can't be sent."""
+        step = "not needed"
+        obstacle: Obstacle | None = Obstacle.UPSTREAM
+        try:
+            failed = await run.async_open(self._get_start_check(run.placement.entry.service))
+            if isinstance(failed, Withheld):
+                obstacle = Obstacle.SUSPECT
+            elif failed is not None:
+                self._recorder.record_unreachable(run.attempt.entry, failed)
+            elif not self._budget.try_acquire_spare(self._service, reserved=RESERVED_BUDGET):
+                obstacle = Obstacle.BUDGET
+            else:
+                obstacle = None
+            if failed is not None:
+                run.note_outcome(failed)
+                step = "elsewhere"
+        finally:
+            if obstacle is not None:
+                run.end(step)
+        return obstacle
+
+    def _get_start_check(self, service: str) -> StartCheck:
+        # After the overlap the silent run is given up, whatever the other one has sent by then.
+        return self._stream.get_start_check(service) if self._relay.sent is None else StartCheck.NOW
+
+    async def _async_send(self, run: Run) -> Run | Obstacle:
+        """Send the request; return the run once it stands ready, or why it does not."""
+        self.standby.note_sent(run)
+        pending = run.send_beside(list_age_ms=self._stream.list_age_ms)
+        overlap_ms = None if self._relay.sent is None else MAX_OVERLAP_MS
+        timeout_s = None if overlap_ms is None else overlap_ms / MS_PER_S
+        done, _ = await asyncio.wait((pending,), timeout=timeout_s)
+        if not done:
+            return run
+        sent = pending.result()
+        outcome = sent if isinstance(sent, Withheld) else check_fits(sent, self._relay.sent)
+        if _serves(outcome):
+            return run
+        self.standby.note_sent(None)
+        run.note_outcome(outcome)
+        if not isinstance(outcome, Withheld | StreamingResponse):
+            self._recorder.record(run.attempt, outcome)
+        run.end("elsewhere")
+        return Obstacle.UPSTREAM
+
+    def _record(
+        self,
+        present: Run,
+        awaited: Awaited,
+        *,
+        obstacle: Obstacle | None = None,
+        replaced_by: str = "",
+    ) -> None:
+        result = REPLACED if obstacle is None else obstacle.value
+        self._counter.inc(labels=(("awaited", awaited.value), ("result", result)))
+        self._context.journal.record_silent(
+            present.attempt,
+            number=present.number,
+            awaited=awaited.value,
+            silent_ms=self._context.app.clock.now_ms() - present.heard_ms,
+            obstacle="" if obstacle is None else obstacle.value,
+            replaced_by=replaced_by,
+        )
+
+
+def _serves(outcome: Outcome) -> bool:
+    """Return whether an outcome can be given to the caller."""
+    match outcome:
+        case StreamingResponse():
+            return True
+        case CompleteResponse(status=status):
+            return status < STATUS_SERVER_ERROR
+        case _:
+            return False
--- a/gypsumrouter/forwarding/request_journal.py
+++ b/gypsumrouter/forwarding/request_journal.py
@@ -23,6 +23,7 @@
 from gypsumrouter.journal import (
     AttemptEnded,
     AttemptSent,
+    AttemptSilent,
     Journal,
     RequestPlaced,
     RequestRefused,
@@ -96,6 +97,29 @@
             )
         )
 
+    def record_silent(
+        self,
+        attempt: Attempt,
+        *,
+        number: int,
+        awaited: str,
+        silent_ms: int,
+        obstacle: str,
+        replaced_by: str,
+    ) -> None:
+        """Record that an upstream is silent, and what takes over or why nothing does."""
+        self._journal.record(
+            AttemptSilent(
+                request_id=self._request.request_id,
+                upstream=attempt.entry.incarnation,
+                attempt=number,
+                awaited=awaited,
+                silent_ms=silent_ms,
+                obstacle=obstacle,
+                replaced_by=replaced_by,
+            )
+        )
+
     def record_ended(
         self, attempt: Attempt, outcome: Outcome | None, *, number: int, after_ms: int, step: str
     ) -> None:
--- /dev/null
+++ b/gypsumrouter/forwarding/run.py
@@ -0,0 +1,210 @@
+"""One run of a request: an attempt at one upstream, with all that is recorded of it."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from msgspec import Struct
+
+from gypsumrouter.core import Application
+from gypsumrouter.crashes import Subjects, Verdict
+from gypsumrouter.crashes.guard import CrashGuard
+from gypsumrouter.forwarding.attempt import Attempt, make_attempt_options
+from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
+from gypsumrouter.forwarding.const import MAX_EVENT_BYTES
+from gypsumrouter.forwarding.models import (
+    CallerRequest,
+    CompleteResponse,
+    Dialect,
+    Outcome,
+    Rejected,
+    ResponseLost,
+    StreamingResponse,
+    Unreachable,
+    Withheld,
+)
+from gypsumrouter.forwarding.next_step import STATUS_SERVER_ERROR
+from gypsumrouter.forwarding.outcome_recorder import RunObserver
+from gypsumrouter.forwarding.placed import Placement
+from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.progress import Progress, TimeLimits
+from gypsumrouter.forwarding.request_contention import RequestContention
+from gypsumrouter.forwarding.request_journal import RequestJournal
+from gypsumrouter.helpers.http_response import ConnectionBroken
+from gypsumrouter.routing import RouteMatch
+from gypsumrouter.util.body_formats import find_event_end
+
+
+class RunContext(Struct, frozen=True, kw_only=True):
+    """What all runs of one request share; `detects_crashes` and `prioritized` are mechanisms."""
+
+    app: Application
+    dialect: Dialect
+    pool: ConnectionPool
+    placer: Placer
+    guard: CrashGuard
+    request: CallerRequest
+    routed: RouteMatch
+    subjects: Subjects
+    progress: Progress
+    limits: TimeLimits
+    contention: RequestContention
+    journal: RequestJournal
+    detects_crashes: bool = True
+    prioritized: bool = True
+
+    def find_verdict(self) -> Verdict | None:
+        """Return why the request must not be sent to another upstream, None if it may be."""
+        return self.guard.find_refusal(self.subjects) if self.detects_crashes else None
+
+
+class Run:
+    """One attempt at one upstream; it counts as its load until `end`, which must be called.
+
+    With `last_event_id` a stream goes on after that event.
+    """
+
+    __slots__ = (
+        "_context",
+        "_outcome",
+        "_sent",
+        "_started_ms",
+        "attempt",
+        "heard_ms",
+        "number",
+        "observer",
+        "pending",
+        "placement",
+        "sent_ms",
+    )
+
+    def __init__(
+        self, *, context: RunContext, placement: Placement, last_event_id: str | None
+    ) -> None:
+        progress = context.progress
+        progress.attempts += 1
+        context.contention.note_attempt()
+        self._context = context
+        self.number = progress.attempts
+        self.placement = placement
+        now_ms = context.app.clock.now_ms()
+        context.journal.record_placed(
+            placement,
+            attempt=self.number,
+            peers_age_ms=context.placer.loads.get_oldest_peer_age_ms(now_ms=now_ms),
+        )
+        self.observer = RunObserver(
+            guard=context.guard,
+            placer=context.placer,
+            request_id=context.request.request_id,
+            subjects=context.subjects,
+            enabled=context.detects_crashes,
+        )
+        self.attempt = Attempt(
+            pool=context.pool,
+            dialect=context.dialect,
+            request=context.request,
+            options=make_attempt_options(
+                placement,
+                request=context.request,
+                routed=context.routed,
+                remaining_ms=context.limits.remaining_ms,
+                last_event_id=last_event_id,
+                prioritized=context.prioritized,
+            ),
+            entry=placement.entry,
+            on_head=self.observer.handle_head,
+        )
+        # When its upstream last sent something, or got the request.
+        self._started_ms = self.sent_ms = self.heard_ms = now_ms
+        self._outcome: Outcome | None = None
+        # The outcome of a run that was sent beside another one.
+        self.pending: asyncio.Task[Outcome] | None = None
+        self._sent = context.placer.note_sent(placement, context.request.prompt)
+        context.contention.notify_load_changed()
+
+    @property
+    def upstream(self) -> str:
+        """Return the incarnation of the upstream."""
+        return self.placement.entry.incarnation
+
+    async def async_open(self, start_check: StartCheck) -> Unreachable | Withheld | None:
+        """Acquire a connection; return why nothing can be sent on it, None if it can."""
+        failed = await self.attempt.async_connect(
+            repeatable=self._context.routed.route.repeatable, start_check=start_check
+        )
+        if failed is not None:
+            return failed
+        verdict = self._context.find_verdict()
+        return None if verdict is None else Withheld(verdict=verdict)
+
+    async def async_send(self, *, list_age_ms: int) -> Outcome:
+        """Send the request and return the outcome, which is the head of a streamed response."""
+        self.observer.start(self.upstream)
+        self.sent_ms = self.heard_ms = self._context.app.clock.now_ms()
+        self._context.journal.record_sent(self.attempt, number=self.number, list_age_ms=list_age_ms)
+        self._context.progress.in_flight = True
+        return await self.attempt.async_send()
+
+    def send_beside(self, *, list_age_ms: int) -> asyncio.Task[Outcome]:
+        """Send the request while another run goes on; the outcome is pending until first event."""
+        self.pending = self._context.app.async_create_task(
+            self._async_send_until_event(list_age_ms), "run beside a silent upstream"
+        )
+        return self.pending
+
+    async def _async_send_until_event(self, list_age_ms: int) -> Outcome:
+        outcome = await self.async_send(list_age_ms=list_age_ms)
+        if not isinstance(outcome, StreamingResponse) or not outcome.is_event_stream:
+            return outcome
+        received = outcome.initial_bytes
+        try:
+            while not find_event_end(received):
+                part = await outcome.answer.body.readany()
+                if not part:
+                    break
+                received += part
+                if len(received) > MAX_EVENT_BYTES:
+                    return ResponseLost(reason="an event is too long", connection_broken=True)
+        except ConnectionBroken as error:
+            return ResponseLost(reason=str(error), connection_broken=True)
+        return msgspec.structs.replace(outcome, initial_bytes=received)
+
+    def note_received(self) -> None:
+        """Record that a piece of the response has arrived."""
+        self.heard_ms = self._context.app.clock.now_ms()
+        self.observer.note_received()
+
+    def note_outcome(self, outcome: Outcome) -> None:
+        """Record what the outcome says of the upstream's speed and of what it holds."""
+        self._outcome = outcome
+        placer, prompt = self._context.placer, self._context.request.prompt
+        placer.note_prefilled(self._sent)
+        match outcome:
+            case CompleteResponse(status=status) if prompt is None and status < STATUS_SERVER_ERROR:
+                now_ms = self._context.app.clock.now_ms()
+                placer.plain.note_answered(
+                    self.placement, elapsed_ms=now_ms - self._started_ms, now_ms=now_ms
+                )
+            case StreamingResponse():
+                placer.note_first_event(self._sent)
+                self._context.contention.notify_load_changed()
+            case Withheld() | Unreachable() | Rejected():
+                placer.note_not_run(self._sent)
+                self.observer.end(ran=False)
+
+    def end(self, step: str) -> None:
+        """Close the attempt unless its connection was released; `step` is what comes next."""
+        context = self._context
+        if self.pending is not None:
+            self.pending.cancel()
+        self.attempt.close()
+        self.observer.end(ran=True)
+        held_ms = context.app.clock.now_ms() - self._started_ms
+        context.contention.note_attempt_ended(self._outcome)
+        context.placer.note_ended(self._sent, held_ms=held_ms)
+        context.contention.notify_load_changed()
+        context.journal.record_ended(
+            self.attempt, self._outcome, number=self.number, after_ms=held_ms, step=step
+        )
--- a/gypsumrouter/forwarding/stream_pin.py
+++ b/gypsumrouter/forwarding/stream_pin.py
@@ -74,14 +74,17 @@
             await self._proof.async_settle()
 
     @property
-    def start_check(self) -> StartCheck:
-        """Return how far the list is trusted as to the version of the current upstream."""
-        if not self._resumable or self.attempt is None:
+    def list_age_ms(self) -> int:
+        """Return how long ago the store last responded as to the list."""
+        return self._streams.versions.list_age_ms
+
+    def get_start_check(self, service: str) -> StartCheck:
+        """Return how far the list is trusted as to the versions of the upstreams of a service."""
+        if not self._resumable:
             return StartCheck.NEVER
         if self._origin is not None:
             return StartCheck.CONFIRMED
         versions = self._streams.versions
-        service = self.attempt.entry.service
         if versions.list_is_current and len(versions.list_versions(service)) == 1:
             return StartCheck.IF_LOST
         return StartCheck.ALWAYS
--- a/gypsumrouter/journal/__init__.py
+++ b/gypsumrouter/journal/__init__.py
@@ -29,6 +29,7 @@
 from gypsumrouter.journal.request_events import (
     AttemptEnded,
     AttemptSent,
+    AttemptSilent,
     RequestCut,
     RequestEnded,
     RequestPlaced,
@@ -49,6 +50,7 @@
     "EVENTS",
     "AttemptEnded",
     "AttemptSent",
+    "AttemptSilent",
     "ChangeDeferred",
     "ConfigurationAccepted",
     "ConnectionsClosing",
--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -8,6 +8,7 @@
 from gypsumrouter.journal.request_events import (
     AttemptEnded,
     AttemptSent,
+    AttemptSilent,
     RequestCut,
     RequestEnded,
     RequestPlaced,
@@ -282,6 +283,7 @@
     RequestQueued,
     RequestReleased,
     AttemptSent,
+    AttemptSilent,
     AttemptEnded,
     StreamEnded,
     StreamTakenUp,
--- a/gypsumrouter/journal/request_events.py
+++ b/gypsumrouter/journal/request_events.py
@@ -64,6 +64,24 @@
     next_step: str
 
 
+class AttemptSilent(Event, frozen=True, kw_only=True):
+    """The upstream of an attempt has sent nothing for `silent_ms`.
+
+    `awaited` is what it owes: the "response", the "first_event" or the "next_event". Another
+    upstream takes over if `replaced_by` names one; `obstacle` is why nothing does, and the attempt
+    goes on.
+    """
+
+    name: ClassVar[str] = "attempt_silent"
+    request_id: str
+    upstream: str
+    attempt: int
+    awaited: str
+    silent_ms: int
+    obstacle: str
+    replaced_by: str
+
+
 class StreamEnded(Event, frozen=True, kw_only=True):
     """A stream from an upstream has ended.
 
