A stream that was broken off waits for an upstream that has not run it

What callers saw: a resumable stream whose upstream broke off was cut at once, or a repeatable request answered 502, since the upstreams that were left did not answer a connection or turned requests away at that moment, whatever time was left.

Cause: what ends as a refusal before a request has run ends as a failure afterwards, and upstreams that could not take it were excluded for good.

Where all have run it, it ends at once, as before. The stand-in echoes the request id in a rejection, as the protocol says; without it a router took the connection for misused.

Evidence: test_broken_stream_goes_on_at_an_upstream_that_is_full_for_a_second failed without the change.

--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -45,7 +45,7 @@
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED, Progress, TimeLimits
 from gypsumrouter.forwarding.relay import Relay, RelayResult
-from gypsumrouter.forwarding.replacement import Replacements
+from gypsumrouter.forwarding.replacement import RECHECK_MS, Replacements
 from gypsumrouter.forwarding.request_contention import ContentionContext, RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
 from gypsumrouter.forwarding.run import Run, RunContext
@@ -232,6 +232,9 @@
             version=self._stream.version,
         )
         if isinstance(placement, PlacementRefusal):
+            if self._may_wait:
+                await self._async_wait_for_upstreams()
+                return None
             return self._endings.refuse(
                 placement.reason, placement.message, placement.not_before_ms
             )
@@ -249,6 +252,31 @@
             return True
         return self._may_start(self._limits.remaining_ms, placement.entry.incarnation)
 
+    @property
+    def _may_wait(self) -> bool:
+        """Return whether a request that can't be refused any more waits for an upstream.
+
+        It does while one is listed that has not run it.
+        """
+        ran_on = self.progress.possibly_ran_on
+        if not ran_on or self._limits.remaining_ms <= RECHECK_MS:
+            return False
+        version = self._stream.version
+        return any(
+            entry.incarnation not in ran_on and version in (None, entry.version)
+            for entry in self._context.placer.list_ready(self._service)
+        )
+
+    async def _async_wait_for_upstreams(self) -> None:
+        self.progress.forgive_upstreams()
+        await self._context.app.clock.async_sleep(RECHECK_MS)
+
+    async def _async_wait_for_retry(self, outcome: Outcome) -> None:
+        """Wait until the request may be sent again after upstreams could not take it."""
+        await self._async_wait_for_upstreams()
+        while isinstance(outcome, Rejected) and not self._context.budget.try_acquire(self._service):
+            await self._context.app.clock.async_sleep(RECHECK_MS)
+
     async def _async_admit(self) -> web.StreamResponse | None:
         """Wait for capacity under contention; return the refusal, None if it may be sent."""
         outcome = await self._contention.async_admit(remaining_ms=self._limits.remaining_ms)
@@ -330,6 +358,9 @@
                 self._record_broken(run)
             self._recorder.record(run.attempt, outcome)
             decision = self._decide_next(outcome)
+            if decision.step is NextStep.REFUSE and self._may_wait:
+                decision = Decision(step=NextStep.WAIT)
+                await self._async_wait_for_retry(outcome)
         return self._apply(decision, outcome), decision.step.value
 
     def _decide_next(
@@ -403,7 +434,7 @@
 
     def _apply(self, decision: Decision, outcome: Outcome) -> web.StreamResponse | None:
         match decision.step:
-            case NextStep.SEND_ELSEWHERE | NextStep.RETRY | NextStep.RESUME:
+            case NextStep.SEND_ELSEWHERE | NextStep.RETRY | NextStep.RESUME | NextStep.WAIT:
                 return None
             case NextStep.REFUSE:
                 return self._endings.refuse(decision.reason, decision.message)
--- a/gypsumrouter/forwarding/next_step.py
+++ b/gypsumrouter/forwarding/next_step.py
@@ -35,6 +35,7 @@
     SEND_ELSEWHERE = "elsewhere"
     RETRY = "run_again"
     RESUME = "resume"
+    WAIT = "wait"
     RESPOND = "answer"
     REFUSE = "refuse"
     FAIL = "fail"
--- a/gypsumrouter/forwarding/progress.py
+++ b/gypsumrouter/forwarding/progress.py
@@ -42,6 +42,11 @@
     in_flight: bool = False
     fallback_response: CompleteResponse | None = None
 
+    def forgive_upstreams(self) -> None:
+        """Let the upstreams that could not take the request be tried again."""
+        self.unreachable = self.rejections = 0
+        self.excluded_upstreams = set(self.possibly_ran_on)
+
 
 class TimeLimits:
     """The times that the attempts of a request may take, in milliseconds."""
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -214,7 +214,8 @@
             raise
 
     def _reject(self, arrival: Arrival) -> web.Response:
-        response = web.Response(status=503, headers={names.NOT_RUN: "1"})
+        headers = {names.NOT_RUN: "1", names.REQUEST_ID: arrival.request_id}
+        response = web.Response(status=503, headers=headers)
         if self.retry_after_s is not None:
             now_s = time.monotonic()
             back_off = BackOff(
--- a/tests/forwarding/test_forwarding_silent_second.py
+++ b/tests/forwarding/test_forwarding_silent_second.py
@@ -9,6 +9,8 @@
 import pytest
 from forwarding_world import KEY, PROMPT, ForwardingWorld, make_configuration, make_route
 
+from gypsumrouter.standins.platform_runner import RunnerFault
+
 # Longer than each timer of the routes below, by far shorter than their deadlines.
 SILENCE_S = 1.3
 EVENTS = 8
@@ -119,3 +121,38 @@
         )
         await silence
     assert [status for status, _, _ in answers] == [200] * CALLERS
+
+
+async def test_broken_stream_goes_on_at_an_upstream_that_is_silent_for_a_second(
+    world: ForwardingWorld,
+) -> None:
+    """Guards against a cut since the upstreams that are left don't answer just then."""
+    await async_configure(world, max_attempts=2)
+    for runner in world.models:
+        runner.next_faults.append(RunnerFault.RESET_STREAM)
+    async with aiohttp.ClientSession() as session:
+        call = asyncio.create_task(async_stream(world, session, "q1"))
+        await world.async_until(lambda: any(runner.ran for runner in world.models))
+        other = next(runner for runner in world.models if not runner.ran)
+        other.next_faults.clear()
+        await other.async_fall_silent(SILENCE_S)
+        assert list_numbers(await call) == list(range(1, EVENTS + 1))
+
+
+async def test_broken_stream_goes_on_at_an_upstream_that_is_full_for_a_second(
+    world: ForwardingWorld,
+) -> None:
+    """Guards against a cut since the upstreams that are left turn it away just then."""
+    await async_configure(world, max_attempts=2)
+    for runner in world.models:
+        runner.next_faults.append(RunnerFault.RESET_STREAM)
+    async with aiohttp.ClientSession() as session:
+        call = asyncio.create_task(async_stream(world, session, "q1"))
+        await world.async_until(lambda: any(runner.ran for runner in world.models))
+        for runner in world.models:
+            runner.next_faults.clear()
+            runner.default_fault = RunnerFault.SHED
+        await asyncio.sleep(SILENCE_S)
+        for runner in world.models:
+            runner.default_fault = RunnerFault.NONE
+        assert list_numbers(await call) == list(range(1, EVENTS + 1))
