Two engines work on a prompt together for 250 ms at most, also before its first event

A caller that takes a stream up has sent an event id with its first attempt already, and begins nothing anew. So the bound holds for all requests with a prompt, and the other engine has to state its start right before. Requests without a prompt race until one delivers. A run that was prepared and not sent leaves no prompt parts as cached behind.

--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -100,6 +100,7 @@
         "_service",
         "_standby",
         "_stream",
+        "_watches",
         "progress",
     )
 
@@ -182,6 +183,8 @@
             counter=context.silences,
         )
         self._standby = self._replacements.standby
+        disabled = {Mechanism.RESPONSE_TIMEOUT, Mechanism.RETRIES} & context.without
+        self._watches = routed.route.repeatable and not disabled
         self._endings = RequestEndings(
             app=context.app,
             dialect=context.dialect,
@@ -324,8 +327,10 @@
 
     async def _async_read_part(self, streaming: StreamingResponse) -> bytes:
         """Return the next part of a stream, b"" at its end; raises Replaced."""
+        if not self._watches or not self._routed.route.resumable:
+            return await streaming.answer.body.readany()
         awaited = Awaited.FIRST_EVENT if self._relay.response is None else Awaited.NEXT_EVENT
-        patience_ms = self._get_patience_ms(awaited) if self._routed.route.resumable else None
+        patience_ms = self._get_patience_ms(awaited)
         part = await self._standby.async_wait(
             awaited, streaming.answer.body.readany(), patience_ms=patience_ms
         )
@@ -335,8 +340,7 @@
 
     def _get_patience_ms(self, awaited: Awaited) -> int | None:
         """Return after how much silence a replacement is looked for; None for never."""
-        disabled = {Mechanism.RESPONSE_TIMEOUT, Mechanism.RETRIES} & self._context.without
-        if disabled or not self._routed.route.repeatable:
+        if not self._watches:
             return None
         return get_patience_ms(self._routed.route, awaited, remaining_ms=self._limits.remaining_ms)
 
--- a/gypsumrouter/forwarding/replacement.py
+++ b/gypsumrouter/forwarding/replacement.py
@@ -13,6 +13,7 @@
     CompleteResponse,
     Outcome,
     StreamingResponse,
+    Unreachable,
     Withheld,
 )
 from gypsumrouter.forwarding.next_step import STATUS_SERVER_ERROR, check_fits
@@ -28,10 +29,11 @@
 RECHECK_MS: Final = 200
 # Share of the retry budget that is left to failed runs.
 RESERVED_BUDGET: Final = 0.5
-# A stream that goes on elsewhere may still run at its silent upstream for this long.
+# A request of a model engine may still run at its silent engine for this long beside another one.
 MAX_OVERLAP_MS: Final = 250
 
 REPLACED: Final = "replaced"
+NOT_SENT: Final = Unreachable(reason="not sent")
 
 
 class Replacements:
@@ -129,36 +131,41 @@
 
     async def _async_open(self, run: Run) -> Obstacle | None:
         """Connect to the upstream and take a retry; return why the request can't be sent."""
-        step = "not needed"
-        obstacle: Obstacle | None = Obstacle.UPSTREAM
+        failed: Unreachable | Withheld | None = NOT_SENT
         try:
             failed = await run.async_open(self._get_start_check(run.placement.entry.service))
-            if isinstance(failed, Withheld):
-                obstacle = Obstacle.SUSPECT
-            elif failed is not None:
-                self._recorder.record_unreachable(run.attempt.entry, failed)
-            elif not self._budget.try_acquire_spare(self._service, reserved=RESERVED_BUDGET):
-                obstacle = Obstacle.BUDGET
-            else:
-                obstacle = None
+            if failed is None:
+                spare = self._budget.try_acquire_spare(self._service, reserved=RESERVED_BUDGET)
+                failed = None if spare else NOT_SENT
+        finally:
             if failed is not None:
                 run.note_outcome(failed)
-                step = "elsewhere"
-        finally:
-            if obstacle is not None:
-                run.end(step)
-        return obstacle
+                run.end("not needed" if failed is NOT_SENT else "elsewhere")
+        match failed:
+            case None:
+                return None
+            case Withheld():
+                return Obstacle.SUSPECT
+            case Unreachable() if failed is NOT_SENT:
+                return Obstacle.BUDGET
+            case Unreachable():
+                self._recorder.record_unreachable(run.attempt.entry, failed)
+                return Obstacle.UPSTREAM
 
     def _get_start_check(self, service: str) -> StartCheck:
         # After the overlap the silent run is given up, whatever the other one has sent by then.
-        return self._stream.get_start_check(service) if self._relay.sent is None else StartCheck.NOW
+        return StartCheck.NOW if self._is_exclusive else self._stream.get_start_check(service)
+
+    @property
+    def _is_exclusive(self) -> bool:
+        """Return whether two upstreams must not work on the request for long."""
+        return self._context.request.prompt is not None
 
     async def _async_send(self, run: Run) -> Run | Obstacle:
         """Send the request; return the run once it stands ready, or why it does not."""
         self.standby.note_sent(run)
         pending = run.send_beside(list_age_ms=self._stream.list_age_ms)
-        overlap_ms = None if self._relay.sent is None else MAX_OVERLAP_MS
-        timeout_s = None if overlap_ms is None else overlap_ms / MS_PER_S
+        timeout_s = MAX_OVERLAP_MS / MS_PER_S if self._is_exclusive else None
         done, _ = await asyncio.wait((pending,), timeout=timeout_s)
         if not done:
             return run
