Serve what the kernel has accepted by the time the listener closes

Cause: the event loop accepts one connection an iteration, so at a load some wait in the backlog, and closing the listener resets them. A connection that had just opened, or whose bytes the kernel held unread, counted as idle and was closed, which resets it too.

Change: the listener keeps a second descriptor, accepts until the backlog is empty once the event loop has closed its own, and serves these connections as the others. A connection that opened less than 250 ms ago without a byte is `opened`, one with unread bytes in the kernel has a head arriving; neither is closed as idle.

--- a/gypsumrouter/callers/closing.py
+++ b/gypsumrouter/callers/closing.py
@@ -54,14 +54,15 @@
         """Return the open connections."""
 
     async def async_stop_listening(self) -> None:
-        """Stop accepting new connections; open connections are kept."""
+        """Stop accepting; open connections and those that the kernel has accepted are kept."""
 
 
 class ConnectionDrain:
     """Closes all connections of a server, and waits until they are closed.
 
     Requests that are still arriving at `limit_at_ms` (monotonic milliseconds) are refused, and no
-    new connections are accepted from then on. Requests that have arrived whole are waited for.
+    new connections are accepted from then on. Requests that have arrived whole are waited for, and
+    so are those of connections that have just opened.
     """
 
     __slots__ = ("_clock", "_limit_at_ms", "_on_closing", "_server")
--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import logging
 import socket
 import struct
+import termios
 from enum import StrEnum
 from http import HTTPStatus
 from typing import Any, Final, Protocol
@@ -31,8 +33,13 @@
 # that is closed with unread bytes is reset, which takes the end of an answer from a slow caller.
 DISCARD_MS: Final = 2_000
 
+# A connection that has opened so recently is expected to bring a request. The kernel accepts it
+# before the bytes of the request arrive.
+OPENED_MS: Final = 250
+
 # SO_LINGER with a timeout of 0: closing the socket sends RST instead of FIN.
 LINGER_RESET: Final = struct.pack("ii", 1, 0)
+INT: Final = struct.Struct("i")
 
 
 class RequestIdGenerator(Protocol):
@@ -59,11 +66,14 @@
 class ConnectionState(StrEnum):
     """What a connection is doing.
 
-    IDLE: no byte of a request has arrived since the last answer. HEAD, BODY: a part of a request's
-    head or body has arrived. ANSWERING: its request has arrived whole. DISCARDING: its request is
-    answered, and the rest of its body, or what comes behind its last request, is read for nothing.
+    OPENED: it has opened less than `OPENED_MS` ago, and no byte has arrived. IDLE: no byte of a
+    request has arrived since the last answer. HEAD, BODY: a part of a request's head or body has
+    arrived, a head perhaps only in the kernel. ANSWERING: its request has arrived whole.
+    DISCARDING: its request is answered, and the rest of its body, or what comes behind its last
+    request, is read for nothing.
     """
 
+    OPENED = "opened"
     IDLE = "idle"
     HEAD = "head"
     BODY = "body"
@@ -84,6 +94,7 @@
         "_head_started",
         "_head_timer",
         "_limits",
+        "_opened_s",
         "refused",
         "request_id",
         "was_cut",
@@ -103,6 +114,7 @@
         self._limits = limits
         self._head_started = False
         self._head_timer: asyncio.TimerHandle | None = None
+        self._opened_s = asyncio.get_running_loop().time()
         self._closes_after_answer = closes_after_answer
         # Whether the latest request is answered, though its body may not have arrived whole.
         self._answered = False
@@ -127,9 +139,31 @@
             arriving = request is not None and not request.content.is_eof()
             return ConnectionState.BODY if arriving else ConnectionState.ANSWERING
         if self._is_awaiting_head:
-            return ConnectionState.HEAD if self._head_started else ConnectionState.IDLE
+            if self._head_started or self._has_unread_bytes:
+                return ConnectionState.HEAD
+            return ConnectionState.OPENED if self._has_just_opened else ConnectionState.IDLE
         return ConnectionState.DISCARDING if self._answered else ConnectionState.ANSWERING
 
+    @property
+    def _has_just_opened(self) -> bool:
+        age_s = asyncio.get_running_loop().time() - self._opened_s
+        return self._request_count == 0 and age_s < OPENED_MS / MS_PER_S
+
+    @property
+    def _has_unread_bytes(self) -> bool:
+        """Return whether the kernel holds received bytes that the event loop has not read yet."""
+        transport = self.transport
+        connection = None
+        if transport is not None and not transport.is_closing():
+            connection = transport.get_extra_info("socket")
+        if connection is None:
+            return False
+        try:
+            unread = fcntl.ioctl(connection.fileno(), termios.FIONREAD, bytes(INT.size))
+        except (OSError, ValueError):
+            return False
+        return bool(INT.unpack(unread)[0])
+
     @property
     def unsent_bytes(self) -> int:
         """Return the size of what was written and has not been passed to the kernel."""
@@ -189,7 +223,8 @@
 
     def cut(self) -> None:
         """End the connection; reset it unless its answers are sent, so that none looks complete."""
-        if self.state is ConnectionState.IDLE or (self._discarding and not self.unsent_bytes):
+        unused = self.state in (ConnectionState.OPENED, ConnectionState.IDLE)
+        if unused or (self._discarding and not self.unsent_bytes):
             self.close_now()
             return
         self.was_cut = True
--- a/gypsumrouter/callers/listener.py
+++ b/gypsumrouter/callers/listener.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+import socket
 import ssl
 from collections.abc import Awaitable, Callable
 from typing import Final
@@ -19,8 +21,12 @@
 from gypsumrouter.instances import Address
 from gypsumrouter.settings import Listener
 
+_LOGGER = logging.getLogger(__name__)
+
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 SHUTDOWN_TIMEOUT_S: Final = 0.5
+# Time for the TLS handshake of a connection that waited in the backlog when the listener closed.
+LAST_HANDSHAKE_S: Final = 1.0
 
 
 class CallerServer(web.Server):
@@ -76,7 +82,15 @@
 class CallerListener:
     """Accepts caller connections until it is closed."""
 
-    __slots__ = ("_runner", "_server", "_settings", "_site", "_tls", "connection_closed")
+    __slots__ = (
+        "_listening",
+        "_runner",
+        "_server",
+        "_settings",
+        "_site",
+        "_tls",
+        "connection_closed",
+    )
 
     def __init__(
         self, *, settings: Listener, server: CallerServer, tls: ssl.SSLContext | None
@@ -87,6 +101,8 @@
         self._tls = tls
         self._runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         self._site: web.SockSite | None = None
+        # Keeps the backlog when the event loop closes its own descriptor of the listener.
+        self._listening: socket.socket | None = None
 
     async def async_start(self) -> Address:
         """Start listening and return the bound address."""
@@ -95,6 +111,7 @@
         site = web.SockSite(self._runner, listening, ssl_context=self._tls, backlog=BACKLOG)
         await site.start()
         self._site = site
+        self._listening = listening.dup()
         host, port = listening.getsockname()[:2]
         return Address(host=host, port=port)
 
@@ -107,10 +124,27 @@
         return self._server.list_connections()
 
     async def async_stop_listening(self) -> None:
-        """Stop accepting new connections; open connections are kept."""
+        """Stop accepting; open connections and those that the kernel has accepted are kept."""
         site, self._site = self._site, None
-        if site is not None:
-            await site.stop()
+        listening, self._listening = self._listening, None
+        if site is None or listening is None:
+            return
+        await site.stop()
+        waiting = _accept_waiting(listening)
+        listening.close()
+        await asyncio.gather(*map(self._async_serve, waiting))
+
+    async def _async_serve(self, connection: socket.socket) -> None:
+        """Serve a connection that was accepted here instead of by the event loop."""
+        loop = asyncio.get_running_loop()
+        handshake_s = None if self._tls is None else LAST_HANDSHAKE_S
+        try:
+            await loop.connect_accepted_socket(
+                self._server, connection, ssl=self._tls, ssl_handshake_timeout=handshake_s
+            )
+        except OSError as err:
+            connection.close()
+            _LOGGER.debug("Connection from the backlog ended before it was served: %s", err)
 
     async def async_close(self) -> None:
         """Close the listener and all connections; what is under way ends broken."""
@@ -118,3 +152,22 @@
         for connection in self._server.list_connections():
             connection.cut()
         await self._runner.cleanup()
+
+
+def _accept_waiting(listening: socket.socket) -> list[socket.socket]:
+    """Return the connections of the backlog; those that come meanwhile are bounded in number.
+
+    The event loop accepts one connection an iteration, so at a load there are some.
+    """
+    waiting: list[socket.socket] = []
+    while len(waiting) < 2 * BACKLOG:
+        try:
+            connection, _ = listening.accept()
+        except BlockingIOError:
+            break
+        except OSError as err:
+            _LOGGER.warning("Cannot accept the connections of the backlog: %s", err)
+            break
+        connection.setblocking(False)
+        waiting.append(connection)
+    return waiting
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -324,7 +324,7 @@
         self._journal.record(
             ConnectionsClosing(
                 reason="drain",
-                idle=states[ConnectionState.IDLE],
+                idle=states[ConnectionState.OPENED] + states[ConnectionState.IDLE],
                 head=states[ConnectionState.HEAD],
                 body=states[ConnectionState.BODY],
                 answering=states[ConnectionState.ANSWERING],
--- a/tests/callers/test_callers_closing.py
+++ b/tests/callers/test_callers_closing.py
@@ -91,7 +91,7 @@
     assert decide_closing(ConnectionState.ANSWERING, out_of_time=True) is Closing.AFTER_ANSWER
 
 
-@pytest.mark.parametrize("state", [*ARRIVING, ConnectionState.ANSWERING])
+@pytest.mark.parametrize("state", [ConnectionState.OPENED, *ARRIVING, ConnectionState.ANSWERING])
 async def test_drain_waits_for_what_is_arriving_or_answered(state: ConnectionState) -> None:
     draining = Draining(ConnectionState.IDLE, state)
     await draining.async_advance(LIMIT_MS // 2)
--- a/tests/forwarding/test_forwarding_stops.py
+++ b/tests/forwarding/test_forwarding_stops.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import time
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -11,6 +12,8 @@
 from stopping_world import StoppingWorld
 
 from bench.raw_caller import CLOCK, Answer, End
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.forwarding.const import DRAIN_GRACE_MS
 
 STOP_MS = 4_000
 CALLERS = 20
@@ -49,6 +52,12 @@
 MORE_AFTER_MS = 1_000
 # Their streams end in the middle of a stop.
 TOKENS = 100
+# Callers that open a connection for each of their short requests, and go on until the drain looks
+# for idle connections, or until its limit.
+ANEW_CALLERS = 60
+SHORT_PAUSE_S = 0.002
+SHORT_TOKENS = 2
+LISTENER_CLOSES_MS = DRAIN_GRACE_MS + 100
 
 
 @pytest.fixture
@@ -200,3 +209,36 @@
     code, _ = await stop
     assert [answer.end for answer in answers] == [End.WHOLE] * SLOW_CALLERS
     assert code == 0
+
+
+# Guards against connections that wait in the backlog, or have just been accepted, and are reset
+# unread when the drain closes idle connections and the listener.
+@pytest.mark.parametrize("opened_anew_until_ms", [LISTENER_CLOSES_MS, 2 * STOP_MS])
+async def test_connection_that_was_open_before_the_listener_closed_gets_an_answer(
+    stopping: StoppingWorld, opened_anew_until_ms: int
+) -> None:
+    process = stopping.processes[0]
+    for runner in stopping.runners:
+        runner.pause_s = SHORT_PAUSE_S
+    until_s = time.monotonic() + opened_anew_until_ms / MS_PER_S
+
+    async def async_ask_anew(number: int) -> list[Answer]:
+        answers: list[Answer] = []
+        while time.monotonic() < until_s:
+            caller = stopping.caller(process)
+            try:
+                await caller.async_open()
+            except OSError:
+                break
+            request_id = f"n{number}-{len(answers)}"
+            answers.append(await caller.async_ask(request_id, tokens=SHORT_TOKENS))
+            caller.close()
+        return answers
+
+    asking = [asyncio.create_task(async_ask_anew(n)) for n in range(ANEW_CALLERS)]
+    code, _ = await stopping.async_stop(process, [(0, TERM)])
+    answers = [answer for asked in await asyncio.gather(*asking) for answer in asked]
+    assert [answer for answer in answers if answer.end is not End.WHOLE] == []
+    # The callers have asked until the listener was closed.
+    assert any(answer.announces_close for answer in answers)
+    assert code == 0
