--- a/gypsumrouter/demo/run.py
+++ b/gypsumrouter/demo/run.py
@@ -28,6 +28,7 @@
     print_outcome,
     print_progress,
 )
+from gypsumrouter.demo.silences import async_draw_silences
 from gypsumrouter.demo.workload import async_run_workload
 from gypsumrouter.helpers.process_signals import STOP_SIGNALS
 from gypsumrouter.standins import Deployment, StandinPlatform, chapin, kotlovnica
@@ -69,6 +70,9 @@
     began_ms = clock.now_ms()
     tasks = [asyncio.create_task(run.sampler.async_run(clock)) for run in runs]
     tasks.append(asyncio.create_task(_async_print_progress(runs, clock)))
+    upstreams = (tuple(fleet.platform.engines.values()), tuple(fleet.platform.services.values()))
+    silences = async_draw_silences(kinds=upstreams, clock=clock, seed=FIRST_SEED)
+    tasks.append(asyncio.create_task(silences))
     async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
         await asyncio.gather(
             *(
