Kept connections of callers follow time limits that grow

A connection kept the limits from when it was opened: after a configuration that raised them it was closed as idle, or in the middle of a head, without an answer.

Each timer of a connection looks at the newest limit when it fires, and starts again if that has grown. A limit that has shrunk takes effect on new connections and on heads, as before.

--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -6,6 +6,7 @@
 import logging
 import socket
 import struct
+from collections.abc import Callable
 from enum import StrEnum
 from http import HTTPStatus
 from typing import Any, Final, Protocol
@@ -13,7 +14,7 @@
 from aiohttp import http_exceptions, web
 from msgspec import Struct
 
-from gypsumrouter.callers.const import CONTENT_TYPE_JSON, WRITE_BUFFER_BYTES
+from gypsumrouter.callers.const import CONTENT_TYPE_JSON, MAX_HEADERS, WRITE_BUFFER_BYTES
 from gypsumrouter.callers.errors import (
     Rejection,
     make_error_response,
@@ -43,11 +44,12 @@
 
 
 class ConnectionLimits(Struct, frozen=True, kw_only=True):
-    """Limits of one caller connection, fixed when the connection is opened.
+    """Limits of caller connections; those of an open connection change with the configuration.
 
-    `first_byte_timeout_ms` limits the time from the opening to the first byte received.
-    `head_timeout_ms` limits the time from the first to the last byte of a request head.
-    `idle_timeout_ms` limits the time between the end of an answer and the next request.
+    `max_bytes` limits each line of a request head. `first_byte_timeout_ms` limits the time from the
+    opening to the first byte received. `head_timeout_ms` limits the time from the first to the last
+    byte of a request head. `idle_timeout_ms` limits the time between the end of an answer and the
+    next request.
     """
 
     max_bytes: int
@@ -56,6 +58,17 @@
     idle_timeout_ms: int
 
 
+GetLimits = Callable[[], ConnectionLimits]
+
+
+def _get_first_byte_timeout(limits: ConnectionLimits) -> int:
+    return limits.first_byte_timeout_ms
+
+
+def _get_head_timeout(limits: ConnectionLimits) -> int:
+    return limits.head_timeout_ms
+
+
 class ConnectionState(StrEnum):
     """What a connection is doing.
 
@@ -81,9 +94,10 @@
         "_discard_timer",
         "_discarding",
         "_generate_request_id",
+        "_get_limits",
         "_head_started",
         "_head_timer",
-        "_limits",
+        "_opened_idle_timeout_ms",
         "refused",
         "request_id",
         "was_cut",
@@ -93,14 +107,25 @@
         self,
         server: web.Server,
         *,
-        limits: ConnectionLimits,
+        get_limits: GetLimits,
         generate_request_id: RequestIdGenerator,
         closes_after_answer: bool,
         **options: Any,
     ) -> None:
-        super().__init__(server, keepalive_timeout=limits.idle_timeout_ms / MS_PER_S, **options)
+        limits = get_limits()
+        super().__init__(
+            server,
+            keepalive_timeout=limits.idle_timeout_ms / MS_PER_S,
+            max_line_size=limits.max_bytes,
+            max_field_size=limits.max_bytes,
+            max_headers=MAX_HEADERS,
+            auto_decompress=False,
+            **options,
+        )
         self._generate_request_id = generate_request_id
-        self._limits = limits
+        self._get_limits = get_limits
+        # The HTTP library counts with this one for as long as the connection is open.
+        self._opened_idle_timeout_ms = limits.idle_timeout_ms
         self._head_started = False
         self._head_timer: asyncio.TimerHandle | None = None
         self._closes_after_answer = closes_after_answer
@@ -140,7 +165,7 @@
         super().connection_made(transport)
         if isinstance(transport, asyncio.WriteTransport):
             transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        self._start_head_timer(self._limits.first_byte_timeout_ms)
+        self._start_head_timer(_get_first_byte_timeout)
 
     def data_received(self, data: bytes) -> None:
         """Start the head timeout at the first byte of a request head."""
@@ -150,7 +175,7 @@
         # Data received while no head is awaited belongs to a request body.
         if self._is_awaiting_head and not self._head_started:
             self._head_started = True
-            self._start_head_timer(self._limits.head_timeout_ms)
+            self._start_head_timer(_get_head_timeout)
 
     @property
     def _is_awaiting_head(self) -> bool:
@@ -175,11 +200,21 @@
             self._head_timer.cancel()
             self._head_timer = None
 
-    def _start_head_timer(self, limit_ms: int) -> None:
+    def _start_head_timer(self, get_limit_ms: Callable[[ConnectionLimits], int]) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
+        self._check_head_timer(asyncio.get_running_loop().time(), get_limit_ms)
+
+    def _check_head_timer(
+        self, began_s: float, get_limit_ms: Callable[[ConnectionLimits], int]
+    ) -> None:
+        """Close the connection once the newest limit has passed since `began_s`."""
         loop = asyncio.get_running_loop()
-        self._head_timer = loop.call_later(limit_ms / MS_PER_S, self.force_close)
+        ends_s = began_s + get_limit_ms(self._get_limits()) / MS_PER_S
+        if loop.time() >= ends_s:
+            self.force_close()
+            return
+        self._head_timer = loop.call_at(ends_s, self._check_head_timer, began_s, get_limit_ms)
 
     def close_now(self) -> None:
         """Close the connection; `close` of the HTTP library leaves an idle one open."""
@@ -255,8 +290,14 @@
 
     def _process_keepalive(self) -> None:
         """Close the connection after the idle timeout, unless a part of a head has arrived."""
+        self._keepalive_handle = None
         if self.state is ConnectionState.HEAD:
-            self._keepalive_handle = None
+            return
+        loop = asyncio.get_running_loop()
+        grown_ms = self._get_limits().idle_timeout_ms - self._opened_idle_timeout_ms
+        ends_s = self._next_keepalive_close_time + grown_ms / MS_PER_S
+        if loop.time() < ends_s:
+            self._keepalive_handle = loop.call_at(ends_s, self._process_keepalive)
             return
         super()._process_keepalive()
 
--- a/gypsumrouter/callers/listener.py
+++ b/gypsumrouter/callers/listener.py
@@ -11,10 +11,9 @@
 
 from gypsumrouter.callers.connection import (
     CallerConnection,
-    ConnectionLimits,
+    GetLimits,
     RequestIdGenerator,
 )
-from gypsumrouter.callers.const import MAX_HEADERS
 from gypsumrouter.helpers.listening import BACKLOG, make_listening_socket
 from gypsumrouter.instances import Address
 from gypsumrouter.settings import Listener
@@ -24,13 +23,13 @@
 
 
 class CallerServer(web.Server):
-    """Creates the protocol object of each new connection, with the limits in force at that time."""
+    """Creates the protocol object of each new connection, and tells it the limits in force."""
 
     def __init__(
         self,
         handler: Handler,
         *,
-        get_limits: Callable[[], ConnectionLimits],
+        get_limits: GetLimits,
         generate_request_id: RequestIdGenerator,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
@@ -58,18 +57,13 @@
 
     def __call__(self) -> CallerConnection:
         """Return the protocol object for a new connection."""
-        limits = self._get_limits()
         return CallerConnection(
             self,
-            limits=limits,
+            get_limits=self._get_limits,
             generate_request_id=self._generate_request_id,
             closes_after_answer=self._closes_after_answers,
             loop=asyncio.get_running_loop(),
             access_log=None,
-            max_line_size=limits.max_bytes,
-            max_field_size=limits.max_bytes,
-            max_headers=MAX_HEADERS,
-            auto_decompress=False,
         )
 
 
