Kept connections of callers accept heads of a size that the newest limits allow

The HTTP parser of a connection kept max_header_bytes from when the connection was opened, so that after a configuration that raised it a proper request on a kept connection was answered 431.

The parser is replaced before the next head if the limit has changed. Smaller limits are checked on the whole head as before.

Two of the three tests failed before (unused and used connection).

--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -12,6 +12,7 @@
 from typing import Any, Final, Protocol
 
 from aiohttp import http_exceptions, web
+from aiohttp.http_parser import HttpRequestParser
 from msgspec import Struct
 
 from gypsumrouter.callers.const import CONTENT_TYPE_JSON, MAX_HEADERS, WRITE_BUFFER_BYTES
@@ -171,6 +172,8 @@
         """Start the head timeout at the first byte of a request head."""
         if self._discarding is not None:
             return
+        if self.state is ConnectionState.IDLE:
+            self._update_parser()
         super().data_received(data)
         # Data received while no head is awaited belongs to a request body.
         if self._is_awaiting_head and not self._head_started:
@@ -216,6 +219,24 @@
             return
         self._head_timer = loop.call_at(ends_s, self._check_head_timer, began_s, get_limit_ms)
 
+    def _update_parser(self) -> None:
+        """Parse the next head within the newest limit, which the parser can't change."""
+        max_bytes = self._get_limits().max_bytes
+        if max_bytes == self.max_line_size:
+            return
+        self.max_line_size = self.max_field_size = max_bytes
+        self._parser = HttpRequestParser(
+            self,
+            self._loop,
+            self._read_bufsize,
+            max_line_size=max_bytes,
+            max_field_size=max_bytes,
+            max_headers=MAX_HEADERS,
+            payload_exception=web.RequestPayloadError,
+            auto_decompress=False,
+            max_msg_queue_size=self._max_msg_queue_size,
+        )
+
     def close_now(self) -> None:
         """Close the connection; `close` of the HTTP library leaves an idle one open."""
         self.close()
--- a/tests/forwarding/test_forwarding_changed_limits.py
+++ b/tests/forwarding/test_forwarding_changed_limits.py
@@ -105,6 +105,32 @@
         caller.close()
 
 
+@pytest.mark.parametrize("used", [False, True])
+async def test_large_head_on_a_kept_connection_is_accepted_once_its_size_is_allowed(
+    world: ForwardingWorld, used: bool
+) -> None:
+    """A refusal by the limit of an older configuration denies a proper request."""
+    await async_publish(world, 2)
+    caller = await async_connect(world)
+    if used:
+        assert "200" in await caller.async_call("r-1")
+    await async_publish(world, 3, max_header_bytes=20_000)
+    assert "200" in await caller.async_call("r-2", f"X-Fill: {'x' * 5_000}\r\n")
+    caller.close()
+
+
+async def test_large_head_on_a_kept_connection_is_refused_once_its_size_is_not_allowed(
+    world: ForwardingWorld,
+) -> None:
+    await async_publish(world, 2, max_header_bytes=20_000)
+    caller = await async_connect(world)
+    assert "200" in await caller.async_call("r-1", f"X-Fill: {'x' * 5_000}\r\n")
+    await async_publish(world, 3)
+    assert "431" in await caller.async_call("r-2", f"X-Fill: {'x' * 5_000}\r\n")
+    caller.close()
+    assert not world.arrivals("r-2")
+
+
 async def test_idle_connection_is_closed_after_an_idle_timeout_that_has_shrunk(
     world: ForwardingWorld,
 ) -> None:
