A side probes a silent upstream before it gives up its connection

A service that stood still inside its answer for silence_ms failed its request (upstream_silent), though nothing can go on with such an answer. A request to an engine that stood still lost its connection after silence_ms; the engine had not read it yet, dropped it with the connection, and a request with an idempotency key failed (upstream_lost), as it must not be sent again.

The watchdog of a side now probes the upstream once for all silent runs. A run is interrupted if the upstream answers and another connection can go on with it (streams of engines), or after as many failed probes as there were attempts before: five at an engine, three at a service.

--- a/gypsumrouter/upstream/client.py
+++ b/gypsumrouter/upstream/client.py
@@ -6,7 +6,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 from enum import StrEnum
-from typing import Final
+from typing import ClassVar, Final
 
 import aiohttp
 
@@ -28,7 +28,7 @@
 )
 from gypsumrouter.upstream.run import ProtocolViolation, Run
 from gypsumrouter.upstream.transport import ConnectFailed, Transport
-from gypsumrouter.upstream.watch import Watchdog
+from gypsumrouter.upstream.watch import SilenceLimits, Watchdog
 
 DUMP_SECTION: Final = "upstream"
 _INCARNATION_MASK: Final = 0xFFFF_FFFF
@@ -54,6 +54,8 @@
 class BaseClient(ABC):
     """Send requests to one upstream over HTTP, each on its own connection."""
 
+    _silence_limits: ClassVar[SilenceLimits]
+
     __slots__ = (
         "_app",
         "_health",
@@ -72,7 +74,12 @@
         self._settings = settings
         self._transport = Transport(app=app, settings=settings)
         self._health = Health(app=app, settings=settings, transport=self._transport)
-        self._watchdog = Watchdog(app=app, silence_ms=settings.silence_ms)
+        self._watchdog = Watchdog(
+            app=app,
+            silence_ms=settings.silence_ms,
+            limits=self._silence_limits,
+            probe=lambda: self._transport.async_probe(self._health.load_path),
+        )
         self._stream_numbers = itertools.count(1)
         self._withdrawn: frozenset[str] = frozenset()
         counter = app.metrics.counter
--- a/gypsumrouter/upstream/engine.py
+++ b/gypsumrouter/upstream/engine.py
@@ -30,6 +30,7 @@
 from gypsumrouter.upstream.models import ConnectionBroken
 from gypsumrouter.upstream.run import Run
 from gypsumrouter.upstream.transport import ConnectFailed
+from gypsumrouter.upstream.watch import SilenceLimits
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -40,12 +41,17 @@
     """Send requests to an engine.
 
     An engine may send nothing for a long time before its first token, so an idle connection is not
-    treated as failed. Instead the stream is resumed on a new connection at the current offset, and
-    the engine responds whether it still has the stream.
+    treated as failed. Instead, if the engine answers a probe, the stream is resumed on a new
+    connection at the current offset, and the engine responds whether it still has the stream. An
+    engine that answers no probe can't resume it either, so the connection is kept.
     """
 
     __slots__ = ()
 
+    _silence_limits = SilenceLimits(
+        max_failed_probes=MAX_RESUME_ATTEMPTS + 1, interrupts_answering=True
+    )
+
     async def _async_drive(self, run: Run) -> Failure | None:
         try:
             failure = await self._async_run_attempts(run)
@@ -80,7 +86,7 @@
                     return _fail(Reason.UPSTREAM_LOST, "the upstream lost the answer")
             was_silent = attempt is Attempt.SILENT
             resumes += 1
-            if resumes > MAX_RESUME_ATTEMPTS:
+            if resumes > MAX_RESUME_ATTEMPTS or run.watch.is_unanswered:
                 return _make_failure(was_silent)
             if await self._async_has_crashed(run, attempt):
                 return _fail(Reason.UPSTREAM_LOST, "the upstream died")
--- a/gypsumrouter/upstream/service.py
+++ b/gypsumrouter/upstream/service.py
@@ -20,6 +20,7 @@
 from gypsumrouter.upstream.headers import select_request_headers
 from gypsumrouter.upstream.models import Cause, Interrupted, Liveness
 from gypsumrouter.upstream.run import Run
+from gypsumrouter.upstream.watch import SilenceLimits
 from gypsumrouter.util.token_bucket import TokenBucket
 
 Call = asyncio.Task[aiohttp.ClientResponse]
@@ -30,13 +31,15 @@
 
     If a connection is idle, the service may be slow or the connection lost. A request without an
     idempotency key is then hedged: it is sent once more on a second connection, for a bounded
-    share of the requests, and the first response is used. A request with a key waits until its
-    deadline while probes of the service succeed; TCP keepalive detects connections whose path is
-    lost.
+    share of the requests, and the first response is used. A request with a key, or whose response
+    has begun, waits until its deadline while probes of the service succeed; TCP keepalive detects
+    connections whose path is lost.
     """
 
     __slots__ = ("_hedge_budget",)
 
+    _silence_limits = SilenceLimits(max_failed_probes=MAX_FAILED_PROBES, interrupts_answering=False)
+
     def __init__(self, *, app: Application, settings: Upstream) -> None:
         super().__init__(app=app, settings=settings)
         self._hedge_budget = TokenBucket(capacity=HEDGE_BUDGET_BURST, tokens=HEDGE_BUDGET_BURST)
