Large requests to upstreams that read late are not reset by the kernel

TCP_USER_TIMEOUT of 2.5 s also ends a connection whose peer's window stays closed, though the peer's kernel acknowledges the probes. A sound upstream that read nothing for longer than that lost every request of more than its first window: 0.5 to 16 MB were reset after 2.8 s of 3.5 to 8 s of silence (loopback), 0.2 MB and less were not.

Requests that may exceed the first window have no such timeout; a path that is gone is noticed there by the wait for the response. Smaller ones keep it.

Failed before with ConnectionBroken, reset: TimeoutError (timeout 300 ms, 1.5 s of silence, 4 MB).

--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -26,13 +26,21 @@
     ResponseBounds,
     async_read_body,
 )
-from gypsumrouter.helpers.listening import set_keepalive_options
+from gypsumrouter.helpers.listening import (
+    USER_TIMEOUT_MS,
+    set_keepalive_options,
+    set_user_timeout,
+)
 from gypsumrouter.instances import Address
 
 # Size of the parts in which received bytes are parsed; other work of the event loop goes between.
 PARSED_BYTES: Final = 16 * 1024
 READ_BUFFER_BYTES: Final = 64 * 1024
 MAX_HEAD_BYTES: Final = 32 * 1024
+# The first receive window of a peer; a larger request may have to wait until the peer reads. The
+# kernel's timeout for unacknowledged data also ends that wait, though the peer acknowledges probes.
+FIRST_WINDOW_BYTES: Final = 64 * 1024
+NO_USER_TIMEOUT: Final = 0
 METHOD_HEAD: Final = "HEAD"
 # A body without a length ends when the connection is closed. An upstream that crashes also closes
 # its connection and resets it shortly after; only the reset shows that the body is incomplete.
@@ -80,6 +88,7 @@
         "_parsing",
         "_responses",
         "_unparsed",
+        "_user_timeout_ms",
         "_waiter",
         "address",
         "exchanges",
@@ -115,6 +124,7 @@
         self._broken: str | None = None
         self._parsing = False
         self._waiter: asyncio.Future[None] | None = None
+        self._user_timeout_ms = USER_TIMEOUT_MS
 
     @property
     def open(self) -> bool:
@@ -161,8 +171,19 @@
         self._parsing = True
         self._bounds = ResponseBounds()
         self._body = None
+        self._limit_unacknowledged(transport, size=len(data))
         transport.write(data)
 
+    def _limit_unacknowledged(self, transport: asyncio.BaseTransport, *, size: int) -> None:
+        """Let the kernel end the connection to a peer that acknowledges nothing of a request."""
+        timeout_ms = NO_USER_TIMEOUT if size > FIRST_WINDOW_BYTES else USER_TIMEOUT_MS
+        if timeout_ms == self._user_timeout_ms:
+            return
+        self._user_timeout_ms = timeout_ms
+        connection = transport.get_extra_info("socket")
+        if connection is not None:
+            set_user_timeout(connection, timeout_ms)
+
     async def async_read_response(self) -> HttpResponse:
         """Return the next final response, skipping interim ones; raises ConnectionBroken."""
         while True:
--- a/gypsumrouter/helpers/listening.py
+++ b/gypsumrouter/helpers/listening.py
@@ -35,7 +35,12 @@
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    set_user_timeout(connection, USER_TIMEOUT_MS)
+
+
+def set_user_timeout(connection: socket.socket, timeout_ms: int) -> None:
+    """Limit the time that sent data may stay unacknowledged, or be held up by a closed window."""
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
 def make_listening_socket(*, host: str, port: int) -> socket.socket:
--- a/tests/helpers/test_http_connection.py
+++ b/tests/helpers/test_http_connection.py
@@ -14,9 +14,7 @@
     HttpConnection,
     async_connect,
 )
-from gypsumrouter.helpers.http_response import (
-    ConnectionBroken,
-)
+from gypsumrouter.helpers.http_response import ConnectionBroken, async_read_body
 from gypsumrouter.instances import Address
 
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -171,3 +169,55 @@
         address = Address(host="127.0.0.1", port=bound.getsockname()[1])
         with pytest.raises(ConnectFailed):
             await async_connect(address=address, timeout_ms=1_000)
+
+
+@pytest.mark.parametrize("earlier", [False, True])
+async def test_large_request_to_a_peer_that_reads_late_is_not_reset(
+    earlier: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A sound peer may read nothing for a while; its kernel acknowledges probes meanwhile."""
+    monkeypatch.setattr("gypsumrouter.helpers.listening.USER_TIMEOUT_MS", 300)
+    monkeypatch.setattr("gypsumrouter.helpers.http_connection.USER_TIMEOUT_MS", 300)
+    size = 4_000_000
+    lengths = [0, size] if earlier else [size]
+
+    async def async_serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for length in lengths:
+            await reader.readuntil(b"\r\n\r\n")
+            if length:
+                await asyncio.sleep(1.5)
+                await reader.readexactly(length)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        await reader.read()
+        writer.close()
+
+    async with await asyncio.start_server(async_serve, "127.0.0.1", 0) as server:
+        host, port = server.sockets[0].getsockname()[:2]
+        connection = await async_connect(address=Address(host=host, port=port), timeout_ms=1_000)
+        for length in lengths:
+            head = f"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n".encode()
+            connection.send_request(method="POST", data=head + b"x" * length)
+            response = await connection.async_read_response()
+            assert await async_read_body(response, max_bytes=10) == b"ok"
+            connection.finish()
+        connection.close()
+
+
+async def test_small_request_behind_a_large_one_is_limited_in_its_unacknowledged_time() -> None:
+    """A path that fell silent is noticed after the usual time."""
+
+    async def async_serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.read(-1)
+        writer.close()
+
+    async with await asyncio.start_server(async_serve, "127.0.0.1", 0) as server:
+        host, port = server.sockets[0].getsockname()[:2]
+        connection = await async_connect(address=Address(host=host, port=port), timeout_ms=1_000)
+        timeouts_ms = []
+        for length in (0, 100_000, 0):
+            connection.send_request(method="POST", data=b"x" * length)
+            assert connection.transport is not None
+            opened = connection.transport.get_extra_info("socket")
+            timeouts_ms.append(opened.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT))
+        assert timeouts_ms == [2_500, 0, 2_500]
+        connection.close()
