Bound what a connection buffers for a slow caller

connection_made set the limit only if the transport is an asyncio.WriteTransport. Those of uvloop do not inherit from it, so that its default of 64 KB held in every daemon; the tests run on the loop of asyncio and did not show it. On both loops aiohttp's writer counted 64 KB more before it waited.

Now the limit is set on any transport, and CallerWriter waits after each write while the buffer is full. reply.py needs no wait of its own. A body that is answered whole is written at once; MAX_BUFFERED_BYTES bounds it.

--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -22,6 +22,7 @@
     reject_head_size,
     render_error,
 )
+from gypsumrouter.callers.writer import make_request
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.outcomes import Failed, Reason
 
@@ -99,6 +100,7 @@
         **options: Any,
     ) -> None:
         super().__init__(server, keepalive_timeout=limits.idle_timeout_ms / MS_PER_S, **options)
+        self._request_factory = make_request
         self._generate_request_id = generate_request_id
         self._limits = limits
         self._head_started = False
@@ -138,8 +140,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the write buffer limit and start the timeout for the first byte."""
         super().connection_made(transport)
-        if isinstance(transport, asyncio.WriteTransport):
-            transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        # The transports of uvloop are no asyncio.WriteTransport by their type.
+        if self.transport is not None:
+            self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._start_head_timer(self._limits.first_byte_timeout_ms)
 
     def data_received(self, data: bytes) -> None:
--- /dev/null
+++ b/gypsumrouter/callers/writer.py
@@ -0,0 +1,40 @@
+"""Writer of answers that waits for callers who do not read."""
+
+from __future__ import annotations
+
+import asyncio
+
+from aiohttp import web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import RawRequestMessage, StreamWriter
+from aiohttp.streams import StreamReader
+
+
+class CallerWriter(StreamWriter):
+    """Waits after each write while the buffer of the connection is full.
+
+    The writer of the HTTP library waits only after more than 64 KB, so that an answer would take
+    that much in addition to the buffer.
+    """
+
+    async def write(
+        self,
+        chunk: bytes | bytearray | memoryview[int] | memoryview[bytes],
+        *,
+        drain: bool = True,
+        LIMIT: int = 0,
+    ) -> None:
+        """Write a part of an answer; wait if more than `LIMIT` bytes were written since."""
+        await super().write(chunk, drain=drain, LIMIT=LIMIT)
+
+
+def make_request(
+    message: RawRequestMessage,
+    payload: StreamReader,
+    protocol: web.RequestHandler,
+    writer: AbstractStreamWriter,
+    task: asyncio.Task[None],
+) -> web.BaseRequest:
+    """Return a request whose answer is written by a `CallerWriter`."""
+    loop = task.get_loop()
+    return web.BaseRequest(message, payload, protocol, CallerWriter(protocol, loop), task, loop)
--- a/gypsumrouter/gateway/reply.py
+++ b/gypsumrouter/gateway/reply.py
@@ -237,8 +237,6 @@
         self._monitored.start_write(self._clock.now_ms())
         try:
             await response.write(body)
-            if self._request.protocol.writing_paused:
-                await self._request.writer.drain()
         except ConnectionError:
             raise CallerDisconnected from None
         self._monitored.finish_write()
