--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -8,14 +8,16 @@
 import socket
 import struct
 import termios
+from collections.abc import Callable
 from enum import StrEnum
 from http import HTTPStatus
 from typing import Any, Final, Protocol
 
 from aiohttp import http_exceptions, web
+from aiohttp.http_parser import HttpRequestParser
 from msgspec import Struct
 
-from gypsumrouter.callers.const import CONTENT_TYPE_JSON, WRITE_BUFFER_BYTES
+from gypsumrouter.callers.const import CONTENT_TYPE_JSON, MAX_HEADERS, WRITE_BUFFER_BYTES
 from gypsumrouter.callers.errors import (
     Rejection,
     make_error_response,
@@ -24,6 +26,7 @@
     reject_head_size,
     render_error,
 )
+from gypsumrouter.callers.writer import make_request
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.outcomes import Failed, Reason
 
@@ -50,11 +53,12 @@
 
 
 class ConnectionLimits(Struct, frozen=True, kw_only=True):
-    """Limits of one caller connection, fixed when the connection is opened.
+    """Limits of caller connections; those of an open connection change with the configuration.
 
-    `first_byte_timeout_ms` limits the time from the opening to the first byte received.
-    `head_timeout_ms` limits the time from the first to the last byte of a request head.
-    `idle_timeout_ms` limits the time between the end of an answer and the next request.
+    `max_bytes` limits each line of a request head. `first_byte_timeout_ms` limits the time from the
+    opening to the first byte received. `head_timeout_ms` limits the time from the first to the last
+    byte of a request head. `idle_timeout_ms` limits the time between the end of an answer and the
+    next request.
     """
 
     max_bytes: int
@@ -63,6 +67,17 @@
     idle_timeout_ms: int
 
 
+GetLimits = Callable[[], ConnectionLimits]
+
+
+def _get_first_byte_timeout(limits: ConnectionLimits) -> int:
+    return limits.first_byte_timeout_ms
+
+
+def _get_head_timeout(limits: ConnectionLimits) -> int:
+    return limits.head_timeout_ms
+
+
 class ConnectionState(StrEnum):
     """What a connection is doing.
 
@@ -91,9 +106,10 @@
         "_discard_timer",
         "_discarding",
         "_generate_request_id",
+        "_get_limits",
         "_head_started",
         "_head_timer",
-        "_limits",
+        "_opened_idle_timeout_ms",
         "_opened_s",
         "refused",
         "request_id",
@@ -104,14 +120,26 @@
         self,
         server: web.Server,
         *,
-        limits: ConnectionLimits,
+        get_limits: GetLimits,
         generate_request_id: RequestIdGenerator,
         closes_after_answer: bool,
         **options: Any,
     ) -> None:
-        super().__init__(server, keepalive_timeout=limits.idle_timeout_ms / MS_PER_S, **options)
+        limits = get_limits()
+        super().__init__(
+            server,
+            keepalive_timeout=limits.idle_timeout_ms / MS_PER_S,
+            max_line_size=limits.max_bytes,
+            max_field_size=limits.max_bytes,
+            max_headers=MAX_HEADERS,
+            auto_decompress=False,
+            **options,
+        )
+        self._request_factory = make_request
         self._generate_request_id = generate_request_id
-        self._limits = limits
+        self._get_limits = get_limits
+        # The HTTP library counts with this one for as long as the connection is open.
+        self._opened_idle_timeout_ms = limits.idle_timeout_ms
         self._head_started = False
         self._head_timer: asyncio.TimerHandle | None = None
         self._opened_s = asyncio.get_running_loop().time()
@@ -172,19 +200,22 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the write buffer limit and start the timeout for the first byte."""
         super().connection_made(transport)
-        if isinstance(transport, asyncio.WriteTransport):
-            transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        self._start_head_timer(self._limits.first_byte_timeout_ms)
+        # The transports of uvloop are no asyncio.WriteTransport by their type.
+        if self.transport is not None:
+            self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self._start_head_timer(_get_first_byte_timeout)
 
     def data_received(self, data: bytes) -> None:
         """Start the head timeout at the first byte of a request head."""
         if self._discarding is not None:
             return
+        if self._is_awaiting_head and not self._head_started:
+            self._update_parser()
         super().data_received(data)
         # Data received while no head is awaited belongs to a request body.
         if self._is_awaiting_head and not self._head_started:
             self._head_started = True
-            self._start_head_timer(self._limits.head_timeout_ms)
+            self._start_head_timer(_get_head_timeout)
 
     @property
     def _is_awaiting_head(self) -> bool:
@@ -209,11 +240,39 @@
             self._head_timer.cancel()
             self._head_timer = None
 
-    def _start_head_timer(self, limit_ms: int) -> None:
+    def _start_head_timer(self, get_limit_ms: Callable[[ConnectionLimits], int]) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
+        self._check_head_timer(asyncio.get_running_loop().time(), get_limit_ms)
+
+    def _check_head_timer(
+        self, began_s: float, get_limit_ms: Callable[[ConnectionLimits], int]
+    ) -> None:
+        """Close the connection once the newest limit has passed since `began_s`."""
         loop = asyncio.get_running_loop()
-        self._head_timer = loop.call_later(limit_ms / MS_PER_S, self.force_close)
+        ends_s = began_s + get_limit_ms(self._get_limits()) / MS_PER_S
+        if loop.time() >= ends_s:
+            self.force_close()
+            return
+        self._head_timer = loop.call_at(ends_s, self._check_head_timer, began_s, get_limit_ms)
+
+    def _update_parser(self) -> None:
+        """Parse the next head within the newest limit, which the parser can't change."""
+        max_bytes = self._get_limits().max_bytes
+        if max_bytes == self.max_line_size:
+            return
+        self.max_line_size = self.max_field_size = max_bytes
+        self._parser = HttpRequestParser(
+            self,
+            self._loop,
+            self._read_bufsize,
+            max_line_size=max_bytes,
+            max_field_size=max_bytes,
+            max_headers=MAX_HEADERS,
+            payload_exception=web.RequestPayloadError,
+            auto_decompress=False,
+            max_msg_queue_size=self._max_msg_queue_size,
+        )
 
     def close_now(self) -> None:
         """Close the connection; `close` of the HTTP library leaves an idle one open."""
@@ -290,8 +349,14 @@
 
     def _process_keepalive(self) -> None:
         """Close the connection after the idle timeout, unless a part of a head has arrived."""
+        self._keepalive_handle = None
         if self.state is ConnectionState.HEAD:
-            self._keepalive_handle = None
+            return
+        loop = asyncio.get_running_loop()
+        grown_ms = self._get_limits().idle_timeout_ms - self._opened_idle_timeout_ms
+        ends_s = self._next_keepalive_close_time + grown_ms / MS_PER_S
+        if loop.time() < ends_s:
+            self._keepalive_handle = loop.call_at(ends_s, self._process_keepalive)
             return
         super()._process_keepalive()
 
