--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -174,6 +174,10 @@
             budget=self.budget,
             suspects=self.suspects,
             streams=self.streams,
+            silences=app.metrics.counter(
+                "gypsumrouter_silent_attempts_total",
+                "Attempts with a silent upstream, by what it owes and why nothing takes over",
+            ),
             contention=ContentionContext(
                 shares=self.shares,
                 return_order=self._return_order,
@@ -324,7 +328,7 @@
         self._journal.record(
             ConnectionsClosing(
                 reason="drain",
-                idle=states[ConnectionState.IDLE],
+                idle=states[ConnectionState.OPENED] + states[ConnectionState.IDLE],
                 head=states[ConnectionState.HEAD],
                 body=states[ConnectionState.BODY],
                 answering=states[ConnectionState.ANSWERING],
