Split the refusals from the request handler

Refusals makes and records the responses to requests that are not run. Behaviour is unchanged: 169 tests of tests/forwarding (requests, limits, arriving, return order, stops, streams, workspaces) and tests/contention (returns) pass.

--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -18,22 +18,20 @@
     abort_connection,
     async_read_body,
     count_head_bytes,
-    make_error_response,
     reject_field,
     reject_head_size,
 )
 from gypsumrouter.const import HEADER_REQUEST_ID, MS_PER_S
 from gypsumrouter.directory import Directory
-from gypsumrouter.forwarding.const import RETRY_AFTER_MAX_MS, RETRY_AT_ONCE_MS
+from gypsumrouter.forwarding.const import RETRY_AT_ONCE_MS
 from gypsumrouter.forwarding.execution import ForwardingContext, RequestExecution
 from gypsumrouter.forwarding.leaving import DrainAdmission
 from gypsumrouter.forwarding.metrics import ForwardingMetrics, RequestRecords, RunningRequest
-from gypsumrouter.forwarding.models import CallerRequest, Prompt, make_digest
+from gypsumrouter.forwarding.models import CallerRequest, Prompt
 from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED, Progress, get_time_limit_ms
+from gypsumrouter.forwarding.refusals import DEFAULT_TIMEOUT_MS, Refusals
 from gypsumrouter.forwarding.relay import CallerDisconnected
 from gypsumrouter.forwarding.request_journal import RequestJournal
-from gypsumrouter.forwarding.responses import HEADER_RETRY_AFTER, make_refusal, make_rejection
-from gypsumrouter.forwarding.return_order import NO_SERVICE, Reservation
 from gypsumrouter.forwarding.stream_pin import async_find_origin
 from gypsumrouter.helpers.logs import set_request_id
 from gypsumrouter.mechanisms import Mechanism
@@ -45,7 +43,6 @@
 # Limit on the buffered bodies of all running requests together.
 # It is an eighth of the memory of the smallest instance.
 MAX_BUFFERED_BODY_BYTES: Final = 24 * 1024 * 1024
-DEFAULT_TIMEOUT_MS: Final = 15_000
 # How long requests wait at startup until the configuration, the upstream list and the inventory of
 # cached prompts have been loaded.
 # That takes 10 to 50 ms where the store responds, and 50 ms more for the listings of the engines.
@@ -70,6 +67,7 @@
         "_inventory_loaded",
         "_parse_request",
         "_records",
+        "_refusals",
         "_request_count",
         "_routing",
         "_running",
@@ -99,6 +97,12 @@
             routing=routing,
             directory=directory,
         )
+        self._refusals = Refusals(
+            dialect=context.dialect,
+            records=self._records,
+            return_order=context.contention.return_order,
+            generate_request_id=self.generate_request_id,
+        )
         self._drain = drain
         self._bodies = MemoryBudget(limit=MAX_BUFFERED_BODY_BYTES)
         self._startup_events = (routing.ready, directory.loaded)
@@ -156,7 +160,7 @@
     ) -> web.StreamResponse:
         limits = self._routing.limits
         if count_head_bytes(request) > limits.max_head_bytes:
-            return self._reject_malformed(reject_head_size())
+            return self._refusals.reject_malformed(reject_head_size())
         try:
             body = await async_read_body(
                 request=request,
@@ -169,7 +173,7 @@
             self._records.record_unread(request, reservation, arrived_ms, outcome=outcome)
             raise
         if isinstance(body, Rejection):
-            response = self._reject_malformed(
+            response = self._refusals.reject_malformed(
                 body, request_id=request.headers.get(HEADER_REQUEST_ID)
             )
             self._records.record_unread(
@@ -182,7 +186,7 @@
             return response
         caller_request = self._parse_request(request=request, body=body)
         if caller_request is None:
-            return self._reject_malformed(reject_field("head", "The head is malformed"))
+            return self._refusals.reject_malformed(reject_field("head", "The head is malformed"))
         self._running[number].arriving = False
         set_request_id(caller_request.request_id)
         return await self._async_route(request, caller_request, arrived_ms, number)
@@ -193,7 +197,7 @@
         await self._async_wait_until_ready(caller_request)
         table = self._routing.table
         if table is None or not self._directory.loaded.is_set():
-            return self._refuse(
+            return self._refusals.refuse(
                 caller_request, Reason.NOT_READY, "The configuration is not known yet"
             )
         match table.find(
@@ -202,16 +206,20 @@
             key=caller_request.api_key,
         ):
             case NoRoute():
-                return self._reject(
+                return self._refusals.reject(
                     caller_request, Reason.NOT_FOUND, "No route fits the host and the path"
                 )
             case InvalidKey():
-                return self._reject(caller_request, Reason.UNAUTHENTICATED, "The key is not known")
+                return self._refusals.reject(
+                    caller_request, Reason.UNAUTHENTICATED, "The key is not known"
+                )
             case RouteMatch() as routed:
                 service = _choose_service(caller_request, routed.route)
                 limit_ms = get_time_limit_ms(caller_request, routed.route)
                 if not self._admits(service, caller_request.prompt, limit_ms):
-                    return self._refuse(caller_request, Reason.LEAVING, "This router is stopping")
+                    return self._refusals.refuse(
+                        caller_request, Reason.LEAVING, "This router is stopping"
+                    )
                 progress = Progress(arrived_ms=arrived_ms, deadline_at_ms=arrived_ms + limit_ms)
                 self._running[number].progress = progress
                 self._drain.request_started(number, service=service, progress=progress)
@@ -270,7 +278,7 @@
                 service=service,
             )
             if origin is None:
-                return self._refuse(
+                return self._refusals.refuse(
                     caller_request,
                     Reason.STREAM_UNKNOWN,
                     "It is not known at which version of its upstream the stream began",
@@ -316,75 +324,6 @@
             self._records.record_end(caller_request, routed, progress, status)
         return response
 
-    def _refuse(
-        self,
-        caller_request: CallerRequest,
-        reason: Reason,
-        message: str,
-        *,
-        retry_after_ms: int | None = None,
-    ) -> web.Response:
-        remaining_ms = caller_request.deadline_ms or DEFAULT_TIMEOUT_MS
-        reservation = None
-        if retry_after_ms is None:
-            reservation = self._reserve_return(caller_request, remaining_ms)
-            retry_after_ms = None if reservation is None else reservation.retry_after_ms
-        response, retry_after_ms = make_refusal(
-            reason=reason,
-            message=message,
-            request_id=caller_request.request_id,
-            remaining_ms=remaining_ms,
-            dialect=self._context.dialect,
-            reserved_ms=retry_after_ms,
-        )
-        self._records.record_refusal(
-            caller_request.request_id,
-            reason,
-            response.status,
-            retry_after_ms,
-            return_position=-1 if reservation is None else reservation.position,
-        )
-        return response
-
-    def _reserve_return(
-        self, caller_request: CallerRequest, remaining_ms: int
-    ) -> Reservation | None:
-        order = self._context.contention.return_order
-        if order is None:
-            return None
-        return order.reserve(
-            service=NO_SERVICE,
-            digest=make_digest(caller_request),
-            workspace="",
-            plain=False,
-            room_in_ms=0,
-            remaining_ms=remaining_ms,
-            # Another router can take the request now, so the return is to be soon.
-            target_left_ms=RETRY_AFTER_MAX_MS,
-        )
-
-    def _reject(self, caller_request: CallerRequest, reason: Reason, message: str) -> web.Response:
-        response = make_rejection(
-            reason=reason, message=message, request_id=caller_request.request_id
-        )
-        self._records.record_refusal(caller_request.request_id, reason, response.status, -1)
-        return response
-
-    def _reject_malformed(
-        self, rejection: Rejection, *, request_id: str | None = None
-    ) -> web.Response:
-        """Reject a request that could not be read, without its id under one of this router."""
-        request_id = request_id or self.generate_request_id()
-        response = make_error_response(rejection=rejection, request_id=request_id)
-        retry_after_ms = -1
-        if rejection.failure.retry_after_ms is not None:
-            retry_after_ms = rejection.failure.retry_after_ms
-            formatted = self._context.dialect.format_retry_after(retry_after_ms)
-            response.headers[HEADER_RETRY_AFTER] = formatted
-        reason = rejection.failure.reason
-        self._records.record_refusal(request_id, reason, response.status, retry_after_ms)
-        return response
-
 
 def _describe_end(request: web.BaseRequest) -> str:
     """Return the outcome of a request whose connection has ended."""
