--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -200,7 +200,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the write buffer limit and start the timeout for the first byte."""
         super().connection_made(transport)
-        # The transports of uvloop are no asyncio.WriteTransport by their type.
+        # Not asked for by type: uvloop's transports are not subclasses of asyncio.WriteTransport.
         if self.transport is not None:
             self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         self._start_head_timer(_get_first_byte_timeout)
