--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -103,6 +103,8 @@
         self.break_after_s = 0.05
         # Size of the body of a plain response; None for a short one.
         self.body_bytes: int | None = None
+        # Parts in which a plain body is sent, with a pause of `pause_s` before each if over one.
+        self.body_parts = 1
         # Start of the process at the first request of each connection.
         self._starts: dict[object, int] = {}
         self.framed = True
@@ -128,6 +130,9 @@
         self.back_offs: list[BackOff] = []
         self.gate = asyncio.Event()
         self.gate.set()
+        # While cleared the runner reads and sends nothing, as a process that stands still.
+        self.awake = asyncio.Event()
+        self.awake.set()
         routes = web.Application()
         routes.router.add_get(names.CALL_HELD, self._async_get_inventory)
         routes.router.add_get(names.CALL_REPORT, self._async_get_report)
@@ -159,7 +164,14 @@
         self.version = version
         self._starts.clear()
 
+    async def async_fall_silent(self, duration_s: float) -> None:
+        """Stand still for some seconds, with all connections open, and go on."""
+        self.awake.clear()
+        await asyncio.sleep(duration_s)
+        self.awake.set()
+
     async def _async_get_inventory(self, request: web.Request) -> web.Response:
+        await self.awake.wait()
         self.inventory_calls += 1
         return web.json_response({"epoch": 1, "next": 1, "held": self.inventory})
 
@@ -170,11 +182,13 @@
             raise asyncio.CancelledError
 
     async def _async_get_report(self, request: web.Request) -> web.Response:
+        await self.awake.wait()
         self._end_if_restarted(request)
         self.report_calls += 1
         return web.json_response({"born": self.started_ms} if self.started_ms else {})
 
     async def _async_serve(self, request: web.Request) -> web.StreamResponse:
+        await self.awake.wait()
         arrival = Arrival(
             request_id=request.headers.get(names.REQUEST_ID, ""),
             method=request.method,
@@ -195,13 +209,15 @@
         self.on_run()
         try:
             await self.gate.wait()
+            await self.awake.wait()
             return await self._async_run(request, arrival, fault)
         except asyncio.CancelledError:
             arrival.cancelled = True
             raise
 
     def _reject(self, arrival: Arrival) -> web.Response:
-        response = web.Response(status=503, headers={names.NOT_RUN: "1"})
+        headers = {names.NOT_RUN: "1", names.REQUEST_ID: arrival.request_id}
+        response = web.Response(status=503, headers=headers)
         if self.retry_after_s is not None:
             now_s = time.monotonic()
             back_off = BackOff(
@@ -253,14 +269,18 @@
             headers = {**headers, "Content-Type": "application/json"}
             body = b'{"item": "cloth", "metres": 1'
         breaks = fault is RunnerFault.BREAK_BODY
-        if self.framed and not self.chunks_bodies and not breaks:
+        in_parts = self.body_parts > 1 and not breaks
+        if self.framed and not self.chunks_bodies and not breaks and not in_parts:
             return web.Response(headers=headers, body=body)
         make_response = web.StreamResponse if self.framed else UnframedResponse
         response = make_response(headers=headers)
         if self.framed and not self.chunks_bodies:
             response.content_length = len(body)
         await response.prepare(request)
-        await response.write(body[: len(body) // 2] if breaks else body)
+        if in_parts:
+            await self._async_write_parts(response, body)
+        else:
+            await response.write(body[: len(body) // 2] if breaks else body)
         if breaks:
             await self._async_flush(request)
             _reset_connection(request)
@@ -268,6 +288,13 @@
         await response.write_eof()
         return response
 
+    async def _async_write_parts(self, response: web.StreamResponse, body: bytes) -> None:
+        size = len(body) // self.body_parts + 1
+        for begin in range(0, len(body), size):
+            await asyncio.sleep(self.pause_s)
+            await self.awake.wait()
+            await response.write(body[begin : begin + size])
+
     async def _async_flush(self, request: web.Request) -> None:
         """Let all that was written reach the other end, as a reset discards the rest."""
         if isinstance(request.transport, asyncio.WriteTransport):
@@ -313,6 +340,7 @@
         await asyncio.sleep(self.first_pause_s)
         for number in range(first, events + 1):
             await asyncio.sleep(self.pause_s)
+            await self.awake.wait()
             self._end_if_restarted(request)
             self._end_if_crashed(crashes)
             await response.write(self._make_event(number))
