A request waits up to two seconds for upstreams that don't answer the start check

What callers saw: a new stream was refused after 0.43 s, or a broken one reset, while all upstreams of a service stood still for a second, since the start check (200 ms) took them for unreachable.

Change: the outcome says that the upstream was silent; such a request waits for it for up to 2 s from its arrival.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -99,7 +99,7 @@
                 start_check=start_check,
             )
         except ConnectFailed as error:
-            return Unreachable(reason=str(error), refused=error.refused)
+            return Unreachable(reason=str(error), refused=error.refused, silent=error.silent)
         self._connection = pooled.connection
         self.reused = pooled.reused
         return None
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -247,7 +247,9 @@
                     connection.peer_started_ms = await self._read_start(connection)
             except (ConnectionBroken, TimeoutError) as error:
                 connection.close()
-                raise ConnectFailed(f"the upstream does not state its start: {error}") from error
+                silent = isinstance(error, TimeoutError)
+                message = f"the upstream does not state its start: {error}"
+                raise ConnectFailed(message, silent=silent) from error
             except BaseException:
                 connection.close()
                 raise
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -58,6 +58,8 @@
 from gypsumrouter.routing import RouteMatch
 from gypsumrouter.streams import StreamOrigin, StreamOrigins
 
+# A sound upstream may be silent for about a second.
+MAX_SILENCE_MS: Final = 2_000
 # Reason of a run that is given up for one that stands ready.
 SILENT: Final = "silent"
 
@@ -257,12 +259,15 @@
 
     @property
     def _may_wait(self) -> bool:
-        """Return whether a request that can't be refused any more waits for an upstream.
+        """Return whether a request waits for an upstream instead of being refused.
 
-        It does while one is listed that has not run it.
+        One that has run can't be refused any more, and one that met a silent upstream waits a while
+        for that. Both do only while an upstream is listed that has not run it.
         """
         ran_on = self.progress.possibly_ran_on
-        if not ran_on or self._limits.remaining_ms <= RECHECK_MS:
+        waited_ms = self._context.app.clock.now_ms() - self.progress.arrived_ms
+        awaits_silent = self.progress.met_silence and waited_ms < MAX_SILENCE_MS
+        if not (ran_on or awaits_silent) or self._limits.remaining_ms <= RECHECK_MS:
             return False
         version = self._stream.version
         return any(
--- a/gypsumrouter/forwarding/models.py
+++ b/gypsumrouter/forwarding/models.py
@@ -171,11 +171,13 @@
 class Unreachable(Struct, frozen=True, kw_only=True):
     """No connection could be used, and nothing was sent: the request can be sent elsewhere.
 
-    `refused` is true if the upstream's host refused the connection.
+    `refused` is true if the upstream's host refused the connection, `silent` if the upstream did
+    not answer a question on it.
     """
 
     reason: str
     refused: bool = False
+    silent: bool = False
 
 
 class Rejected(Struct, frozen=True, kw_only=True):
--- a/gypsumrouter/forwarding/outcome_recorder.py
+++ b/gypsumrouter/forwarding/outcome_recorder.py
@@ -45,6 +45,7 @@
             case Unreachable():
                 self.record_unreachable(attempt.entry, outcome)
                 self._progress.unreachable += 1
+                self._progress.met_silence |= outcome.silent
                 self._progress.excluded_upstreams.add(upstream)
             case Rejected():
                 self._record_rejection(upstream, outcome)
--- a/gypsumrouter/forwarding/progress.py
+++ b/gypsumrouter/forwarding/progress.py
@@ -22,6 +22,7 @@
     `possibly_ran_on` lists the upstreams that may have run it, `excluded_upstreams` those that must
     not be tried again. `in_flight` is true while an attempt waits for a response.
     `fallback_response` is a server error that is returned if no other attempt succeeds.
+    `met_silence` is true if an upstream did not answer a question before the request was sent.
     `first_byte_ms` is -1 until the first byte was sent to the caller. `events` counts the relayed
     events of a stream, and `status` is that of its response, 0 before it began.
     """
@@ -41,6 +42,7 @@
     outcome: str = ""
     in_flight: bool = False
     fallback_response: CompleteResponse | None = None
+    met_silence: bool = False
 
     def forgive_upstreams(self) -> None:
         """Let the upstreams that could not take the request be tried again."""
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -52,12 +52,14 @@
 class ConnectFailed(Exception):
     """The connection could not be established, so nothing was sent.
 
-    `refused` is set if the host refused the connection because nothing listens on the port.
+    `refused` is set if the host refused the connection because nothing listens on the port,
+    `silent` if there is a connection and the peer did not answer a question on it in time.
     """
 
-    def __init__(self, message: str, *, refused: bool = False) -> None:
+    def __init__(self, message: str, *, refused: bool = False, silent: bool = False) -> None:
         super().__init__(message)
         self.refused = refused
+        self.silent = silent
 
 
 class StartSource(StrEnum):
