Split what retries a request and what all requests share from its execution

No change of behaviour; the tests of tests/forwarding named silent, start_check, requests, versions, replacement and broken_off pass.

--- /dev/null
+++ b/gypsumrouter/forwarding/context.py
@@ -0,0 +1,36 @@
+"""What all requests of a forwarder share."""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+from gypsumrouter.core import Application
+from gypsumrouter.crashes.guard import CrashGuard
+from gypsumrouter.forwarding.budget import RetryBudget
+from gypsumrouter.forwarding.connections import ConnectionPool
+from gypsumrouter.forwarding.models import Dialect
+from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.request_contention import ContentionContext
+from gypsumrouter.helpers.metrics import Counter
+from gypsumrouter.journal import Journal
+from gypsumrouter.mechanisms import Mechanism
+from gypsumrouter.streams import StreamOrigins
+
+
+class ForwardingContext(Struct, frozen=True, kw_only=True):
+    """Components that all requests of a forwarder share; `without` are disabled mechanisms.
+
+    `silences` counts attempts with a silent upstream, by what was awaited and the result.
+    """
+
+    app: Application
+    journal: Journal
+    dialect: Dialect
+    placer: Placer
+    pool: ConnectionPool
+    budget: RetryBudget
+    suspects: CrashGuard
+    streams: StreamOrigins
+    silences: Counter
+    contention: ContentionContext = ContentionContext()
+    without: frozenset[Mechanism] = frozenset()
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -7,82 +7,46 @@
 from typing import Final
 
 from aiohttp import web
-from msgspec import Struct
 
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.contention import Refused
-from gypsumrouter.core import Application
-from gypsumrouter.crashes.guard import CrashGuard
-from gypsumrouter.forwarding.budget import RetryBudget
-from gypsumrouter.forwarding.connections import ConnectionPool
+from gypsumrouter.forwarding.context import ForwardingContext
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
 from gypsumrouter.forwarding.endings import RequestEndings
 from gypsumrouter.forwarding.models import (
     CallerRequest,
     CompleteResponse,
-    Dialect,
     Outcome,
-    Rejected,
     ResponseLost,
     StreamingResponse,
-    Unreachable,
     Withheld,
     make_subjects,
 )
 from gypsumrouter.forwarding.next_step import (
-    STATUS_SERVER_ERROR,
-    Continuation,
     Decision,
     NextStep,
-    RetryLimits,
     check_fits,
-    decide_after_failed_run,
-    decide_continuation,
-    decide_next_step,
 )
 from gypsumrouter.forwarding.outcome_recorder import OutcomeRecorder
 from gypsumrouter.forwarding.placed import Placement
-from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED, Progress, TimeLimits
 from gypsumrouter.forwarding.relay import Relay, RelayResult
-from gypsumrouter.forwarding.replacement import RECHECK_MS, Replacements
-from gypsumrouter.forwarding.request_contention import ContentionContext, RequestContention
+from gypsumrouter.forwarding.replacement import Replacements
+from gypsumrouter.forwarding.request_contention import RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
+from gypsumrouter.forwarding.retries import Retries
 from gypsumrouter.forwarding.run import Run, RunContext
 from gypsumrouter.forwarding.silence import Awaited, Replaced, get_patience_ms
 from gypsumrouter.forwarding.stream_pin import StreamPin
-from gypsumrouter.helpers.metrics import Counter
-from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.outcomes import Reason
 from gypsumrouter.routing import RouteMatch
-from gypsumrouter.streams import StreamOrigin, StreamOrigins
+from gypsumrouter.streams import StreamOrigin
 
-# A sound upstream may be silent for about a second.
-MAX_SILENCE_MS: Final = 2_000
 # Reason of a run that is given up for one that stands ready.
 SILENT: Final = "silent"
 
 
-class ForwardingContext(Struct, frozen=True, kw_only=True):
-    """Components that all requests of a forwarder share; `without` are disabled mechanisms.
-
-    `silences` counts attempts with a silent upstream, by what was awaited and the result.
-    """
-
-    app: Application
-    journal: Journal
-    dialect: Dialect
-    placer: Placer
-    pool: ConnectionPool
-    budget: RetryBudget
-    suspects: CrashGuard
-    streams: StreamOrigins
-    silences: Counter
-    contention: ContentionContext = ContentionContext()
-    without: frozenset[Mechanism] = frozenset()
-
-
 class RequestExecution:
     """Forwards one request, with retries on other upstreams."""
 
@@ -97,6 +61,7 @@
         "_replacements",
         "_request",
         "_request_journal",
+        "_retries",
         "_routed",
         "_run_context",
         "_service",
@@ -185,6 +150,17 @@
             counter=context.silences,
         )
         self._standby = self._replacements.standby
+        self._retries = Retries(
+            context=context,
+            route=routed.route,
+            service=service,
+            progress=progress,
+            limits=self._limits,
+            relay=self._relay,
+            stream=self._stream,
+            replacements=self._replacements,
+            journal=request_journal,
+        )
         disabled = {Mechanism.RESPONSE_TIMEOUT, Mechanism.RETRIES} & context.without
         self._watches = routed.route.repeatable and not disabled
         self._endings = RequestEndings(
@@ -237,8 +213,8 @@
             version=self._stream.version,
         )
         if isinstance(placement, PlacementRefusal):
-            if self._may_wait:
-                await self._async_wait_for_upstreams()
+            if self._retries.may_wait:
+                await self._retries.async_wait()
                 return None
             return self._endings.refuse(
                 placement.reason, placement.message, placement.not_before_ms
@@ -257,34 +233,6 @@
             return True
         return self._may_start(self._limits.remaining_ms, placement.entry.incarnation)
 
-    @property
-    def _may_wait(self) -> bool:
-        """Return whether a request waits for an upstream instead of being refused.
-
-        One that has run can't be refused any more, and one that met a silent upstream waits a while
-        for that. Both do only while an upstream is listed that has not run it.
-        """
-        ran_on = self.progress.possibly_ran_on
-        waited_ms = self._context.app.clock.now_ms() - self.progress.arrived_ms
-        awaits_silent = self.progress.met_silence and waited_ms < MAX_SILENCE_MS
-        if not (ran_on or awaits_silent) or self._limits.remaining_ms <= RECHECK_MS:
-            return False
-        version = self._stream.version
-        return any(
-            entry.incarnation not in ran_on and version in (None, entry.version)
-            for entry in self._context.placer.list_ready(self._service)
-        )
-
-    async def _async_wait_for_upstreams(self) -> None:
-        self.progress.forgive_upstreams()
-        await self._context.app.clock.async_sleep(RECHECK_MS)
-
-    async def _async_wait_for_retry(self, outcome: Outcome) -> None:
-        """Wait until the request may be sent again after upstreams could not take it."""
-        await self._async_wait_for_upstreams()
-        while isinstance(outcome, Rejected) and not self._context.budget.try_acquire(self._service):
-            await self._context.app.clock.async_sleep(RECHECK_MS)
-
     async def _async_admit(self) -> web.StreamResponse | None:
         """Wait for capacity under contention; return the refusal, None if it may be sent."""
         outcome = await self._contention.async_admit(remaining_ms=self._limits.remaining_ms)
@@ -366,26 +314,15 @@
             if isinstance(outcome, ResponseLost) and outcome.connection_broken:
                 self._record_broken(run)
             self._recorder.record(run.attempt, outcome)
-            decision = self._decide_next(outcome)
-            if decision.step is NextStep.REFUSE and self._may_wait:
-                decision = Decision(step=NextStep.WAIT)
-                await self._async_wait_for_retry(outcome)
+            decision = await self._retries.async_decide(outcome)
         return self._apply(decision, outcome), decision.step.value
 
-    def _decide_next(
-        self, outcome: Unreachable | Rejected | ResponseLost | CompleteResponse
-    ) -> Decision:
-        serves = isinstance(outcome, CompleteResponse) and outcome.status < STATUS_SERVER_ERROR
-        if self._standby.has_sent and not serves:
-            return Decision(step=NextStep.RETRY)
-        return decide_next_step(outcome, self.progress, self._get_retry_limits())
-
     def _leave_silent(self, run: Run) -> Decision:
         """Give up a silent run for the one that stands ready."""
         silent_ms = self._context.app.clock.now_ms() - run.heard_ms
         self._recorder.record_silent(run.upstream, silent_ms=silent_ms)
         run.attempt.close()
-        return Decision(step=NextStep.RETRY if self._relay.sent is None else NextStep.RESUME)
+        return Decision(step=self._retries.step)
 
     async def _async_relay_stream(self, run: Run, outcome: StreamingResponse) -> Decision:
         """Relay a streamed response and return the next step."""
@@ -421,13 +358,7 @@
         self._record_broken(run)
         self._recorder.record_lost(upstream, ResponseLost(reason=message, connection_broken=True))
         run.attempt.close()
-        retry_step = NextStep.RETRY if self._relay.sent is None else NextStep.RESUME
-        if self._standby.has_sent:
-            return Decision(step=retry_step)
-        await self._stream.async_settle()
-        return decide_after_failed_run(
-            self.progress, self._get_retry_limits(), retry_step=retry_step, message=message
-        )
+        return await self._retries.async_decide_after_stream(message=message)
 
     def _note_received(self) -> None:
         run = self._replacements.present
@@ -454,24 +385,3 @@
             case NextStep.RESPOND:
                 self.progress.outcome = OUTCOME_ANSWERED
                 return self._relay.response
-
-    def _get_retry_limits(self) -> RetryLimits:
-        continuation = decide_continuation(
-            self._routed.route, self._relay.sent, version_proven=self._stream.is_proven
-        )
-        if Mechanism.RETRIES in self._context.without:
-            continuation = Continuation.NEVER
-        return RetryLimits(
-            repeatable=continuation is not Continuation.NEVER,
-            max_attempts=self._routed.route.max_attempts,
-            remaining_ms=self._limits.remaining_ms,
-            acquire_retry=self._acquire_retry,
-        )
-
-    def _acquire_retry(self) -> bool:
-        """Take a retry from the budget; return whether there was one."""
-        budget = self._context.budget
-        usage = budget.get_usage(self._service)
-        granted = budget.try_acquire(self._service)
-        self._request_journal.record_retry_decided(usage, granted=granted)
-        return granted
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -23,7 +23,7 @@
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.connections import ConnectionPool, ReadStart
 from gypsumrouter.forwarding.const import CALLER_TIMEOUT_MARGIN_MS
-from gypsumrouter.forwarding.execution import ForwardingContext
+from gypsumrouter.forwarding.context import ForwardingContext
 from gypsumrouter.forwarding.handler import RequestHandler, RequestParser
 from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker, SilenceTracker
 from gypsumrouter.forwarding.inventory import CacheInventory, FetchCacheListing
