--- a/tests/forwarding/test_forwarding_silence.py
+++ b/tests/forwarding/test_forwarding_silence.py
@@ -320,6 +320,33 @@
     assert router.journal.reasons == []
 
 
+def test_silence_that_follows_one_that_had_just_ended_is_a_failure() -> None:
+    """Guards against an upstream that leaves out requests between those that it answers."""
+    router = Router()
+    number = router.silence.begin(ENGINE)
+    router.clock.advance(PATIENCE_MS - 20)
+    router.answer()
+    router.take_over(number, silent_ms=PATIENCE_MS + 40)
+    router.fall_silent()
+    assert len(router.journal.reasons) == 1
+
+
+def test_requests_taken_over_in_a_silence_that_ended_are_never_failures() -> None:
+    """Guards against a later silence that counts for those before it."""
+    router, failing = Router(), Router()
+    router.fall_silent()
+    router.answer()
+    router.clock.advance(REPEATED_WITHIN_MS)
+    router.fall_silent()
+    router.clock.advance(MAX_SOUND_SILENCE_MS)
+    router.fall_silent()
+    for _ in range(2):
+        failing.health.note_failure(ENGINE, reason="status 500")
+    router.clock.advance(RETRY_SILENT_MS)
+    failing.clock.advance(RETRY_SILENT_MS)
+    assert router.penalty_ms == pytest.approx(failing.penalty_ms)
+
+
 @pytest.mark.parametrize(("pause_ms", "failures"), [(0, 1), (REPEATED_WITHIN_MS, 0)])
 def test_silence_that_follows_another_one_is_a_failure(pause_ms: int, failures: int) -> None:
     """Guards against an upstream that answers most of the few requests that it gets."""
