A body that pauses is refused by the newest idle limit only

A body that paused for longer than the idle_timeout_ms of its head's arrival was refused with 408, though a configuration had raised the limit in between. The timer of a body, like those of a connection, now looks at the newest limit when it fires; both use one class for it.

One of the three new tests failed before (body begun before the change).

--- a/gypsumrouter/callers/body.py
+++ b/gypsumrouter/callers/body.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Final
 
@@ -12,7 +12,7 @@
 from gypsumrouter.callers.connection import CallerConnection
 from gypsumrouter.callers.const import DEFAULT_RETRY_AFTER_MS
 from gypsumrouter.callers.errors import Rejection, reject, reject_field
-from gypsumrouter.const import MS_PER_S
+from gypsumrouter.callers.limit_timer import LimitTimer
 from gypsumrouter.outcomes import Reason
 
 # Colon, space, CR and LF.
@@ -72,9 +72,13 @@
 
 
 async def async_read_body(
-    *, request: web.BaseRequest, reservation: MemoryReservation, max_bytes: int, idle_ms: int
+    *,
+    request: web.BaseRequest,
+    reservation: MemoryReservation,
+    max_bytes: int,
+    get_idle_ms: Callable[[], int],
 ) -> bytes | Rejection:
-    """Return the complete body; `idle_ms` limits the time between two received parts.
+    """Return the complete body; `get_idle_ms` limits the time between two received parts.
 
     A body that is still arriving when its connection is told to refuse it is rejected.
     """
@@ -83,7 +87,7 @@
     if request.headers.get("Expect", "").lower() == "100-continue":
         await request.writer.write(CONTINUE_LINE)
     try:
-        return await _async_read_parts(request, reservation, max_bytes, idle_ms)
+        return await _async_read_parts(request, reservation, max_bytes, get_idle_ms)
     except TimeoutError:
         if _is_refused(request):
             return reject(Reason.LEAVING, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
@@ -93,13 +97,14 @@
 
 
 async def _async_read_parts(
-    request: web.BaseRequest, reservation: MemoryReservation, max_bytes: int, idle_ms: int
+    request: web.BaseRequest,
+    reservation: MemoryReservation,
+    max_bytes: int,
+    get_idle_ms: Callable[[], int],
 ) -> bytes | Rejection:
-    loop = asyncio.get_running_loop()
-    idle_s = idle_ms / MS_PER_S
     parts: list[bytes] = []
-    async with asyncio.timeout(idle_s) as scope:
-        with _limit_body(request, scope):
+    async with asyncio.timeout(None) as scope:
+        with _limit_body(request, scope), _limit_pauses(scope, get_idle_ms) as timer:
             while part := await request.content.readany():
                 if reservation.size + len(part) > max_bytes:
                     return _reject_size(max_bytes)
@@ -107,11 +112,26 @@
                     message = "Too many request bodies are held in memory"
                     return reject(Reason.QUEUE_FULL, message, retry_after_ms=DEFAULT_RETRY_AFTER_MS)
                 parts.append(part)
-                if not _is_refused(request):
-                    scope.reschedule(loop.time() + idle_s)
+                timer.start()
     return b"".join(parts)
 
 
+@contextmanager
+def _limit_pauses(scope: asyncio.Timeout, get_idle_ms: Callable[[], int]) -> Iterator[LimitTimer]:
+    """End a scope after a pause; yields the timer, which is started."""
+
+    def end() -> None:
+        if not scope.expired():
+            scope.reschedule(asyncio.get_running_loop().time())
+
+    timer = LimitTimer(get_limit_ms=get_idle_ms, on_end=end)
+    timer.start()
+    try:
+        yield timer
+    finally:
+        timer.stop()
+
+
 @contextmanager
 def _limit_body(request: web.BaseRequest, scope: asyncio.Timeout) -> Iterator[None]:
     """Let the connection end the reading of a body."""
--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -24,6 +24,7 @@
     reject_head_size,
     render_error,
 )
+from gypsumrouter.callers.limit_timer import LimitTimer
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.outcomes import Failed, Reason
 
@@ -62,14 +63,6 @@
 GetLimits = Callable[[], ConnectionLimits]
 
 
-def _get_first_byte_timeout(limits: ConnectionLimits) -> int:
-    return limits.first_byte_timeout_ms
-
-
-def _get_head_timeout(limits: ConnectionLimits) -> int:
-    return limits.head_timeout_ms
-
-
 class ConnectionState(StrEnum):
     """What a connection is doing.
 
@@ -128,7 +121,7 @@
         # The HTTP library counts with this one for as long as the connection is open.
         self._opened_idle_timeout_ms = limits.idle_timeout_ms
         self._head_started = False
-        self._head_timer: asyncio.TimerHandle | None = None
+        self._head_timer: LimitTimer | None = None
         self._closes_after_answer = closes_after_answer
         # Whether the latest request is answered, though its body may not have arrived whole.
         self._answered = False
@@ -166,7 +159,7 @@
         super().connection_made(transport)
         if isinstance(transport, asyncio.WriteTransport):
             transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        self._start_head_timer(_get_first_byte_timeout)
+        self._start_head_timer(lambda: self._get_limits().first_byte_timeout_ms)
 
     def data_received(self, data: bytes) -> None:
         """Start the head timeout at the first byte of a request head."""
@@ -178,7 +171,7 @@
         # Data received while no head is awaited belongs to a request body.
         if self._is_awaiting_head and not self._head_started:
             self._head_started = True
-            self._start_head_timer(_get_head_timeout)
+            self._start_head_timer(lambda: self._get_limits().head_timeout_ms)
 
     @property
     def _is_awaiting_head(self) -> bool:
@@ -200,24 +193,14 @@
         self._head_started = False
         self._answered = False
         if self._head_timer is not None:
-            self._head_timer.cancel()
+            self._head_timer.stop()
             self._head_timer = None
 
-    def _start_head_timer(self, get_limit_ms: Callable[[ConnectionLimits], int]) -> None:
+    def _start_head_timer(self, get_limit_ms: Callable[[], int]) -> None:
         if self._head_timer is not None:
-            self._head_timer.cancel()
-        self._check_head_timer(asyncio.get_running_loop().time(), get_limit_ms)
-
-    def _check_head_timer(
-        self, began_s: float, get_limit_ms: Callable[[ConnectionLimits], int]
-    ) -> None:
-        """Close the connection once the newest limit has passed since `began_s`."""
-        loop = asyncio.get_running_loop()
-        ends_s = began_s + get_limit_ms(self._get_limits()) / MS_PER_S
-        if loop.time() >= ends_s:
-            self.force_close()
-            return
-        self._head_timer = loop.call_at(ends_s, self._check_head_timer, began_s, get_limit_ms)
+            self._head_timer.stop()
+        self._head_timer = LimitTimer(get_limit_ms=get_limit_ms, on_end=self.force_close)
+        self._head_timer.start()
 
     def _update_parser(self) -> None:
         """Parse the next head within the newest limit, which the parser can't change."""
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -162,7 +162,7 @@
                 request=request,
                 reservation=reservation,
                 max_bytes=limits.max_body_bytes,
-                idle_ms=limits.idle_timeout_ms,
+                get_idle_ms=lambda: self._routing.limits.idle_timeout_ms,
             )
         except asyncio.CancelledError:
             outcome = _describe_end(request)
--- a/gypsumrouter/gateway/intake.py
+++ b/gypsumrouter/gateway/intake.py
@@ -146,7 +146,7 @@
             request=request,
             reservation=reservation,
             max_bytes=self._limits.max_body_bytes,
-            idle_ms=self._limits.caller_idle_ms,
+            get_idle_ms=lambda: self._limits.caller_idle_ms,
         )
 
     def _make_factory(self, compiled: CompiledPolicy) -> CallFactory:
--- a/tests/forwarding/test_forwarding_changed_limits.py
+++ b/tests/forwarding/test_forwarding_changed_limits.py
@@ -105,6 +105,37 @@
         caller.close()
 
 
+@pytest.mark.parametrize("begun", [False, True])
+async def test_slow_body_is_not_refused_before_an_idle_timeout_that_has_grown(
+    world: ForwardingWorld, begun: bool
+) -> None:
+    """The body pauses for longer than the older limit; it begins before or after the change."""
+    await async_publish(world, 2, idle_timeout_ms=SHORT_MS)
+    caller = await async_connect(world)
+    head = HEAD_START.format("r-1") + "Content-Length: 8\r\n" + HEAD_END
+    if begun:
+        caller.send(head + "half")
+    await async_publish(world, 3)
+    if not begun:
+        caller.send(head + "half")
+    await asyncio.sleep(3 * SHORT_MS / 1_000)
+    caller.send("half")
+    assert "200" in await caller.async_read()
+    caller.close()
+
+
+async def test_body_that_pauses_for_longer_than_an_idle_timeout_that_has_shrunk_is_refused(
+    world: ForwardingWorld,
+) -> None:
+    await async_publish(world, 2)
+    caller = await async_connect(world)
+    await async_publish(world, 3, idle_timeout_ms=SHORT_MS)
+    caller.send(HEAD_START.format("r-1") + "Content-Length: 8\r\n" + HEAD_END + "half")
+    assert "408" in await caller.async_read()
+    caller.close()
+    assert not world.arrivals("r-1")
+
+
 @pytest.mark.parametrize("used", [False, True])
 async def test_large_head_on_a_kept_connection_is_accepted_once_its_size_is_allowed(
     world: ForwardingWorld, used: bool
