Split deferred changes and the merging of entries from the directory

Behaviour is unchanged: tests/directory, tests/peers and tests/forwarding/test_forwarding_restored_store.py pass (163).

--- a/gypsumrouter/directory/directory.py
+++ b/gypsumrouter/directory/directory.py
@@ -8,9 +8,11 @@
 from msgspec.structs import replace
 
 from gypsumrouter.core import Application, Remove
+from gypsumrouter.directory.deferred_changes import DeferredChanges
 from gypsumrouter.directory.grace_period import GracePeriod
-from gypsumrouter.directory.models import DeferredChange, Entry, EntryState, Record
-from gypsumrouter.journal import ChangeDeferred, Journal, StoreRestored, UpstreamChanged
+from gypsumrouter.directory.merging import combine, is_relevant
+from gypsumrouter.directory.models import Entry, EntryState, Record
+from gypsumrouter.journal import Journal, StoreRestored, UpstreamChanged
 from gypsumrouter.util.heartbeats import DEFAULT_HEARTBEAT_MS, get_shortest_expiry_ms
 from gypsumrouter.util.revisions import get_epoch
 
@@ -67,9 +69,6 @@
         self._journal = journal
         self._records: dict[str, Record] = {}
         self._incarnations: dict[str, Entry] = {}
-        # Removals, and returns of removed upstreams, that wait for the end of the grace period.
-        self._deferred_removals: dict[str, DeferredChange] = {}
-        self._deferred_returns: dict[str, DeferredChange] = {}
         # Incarnations that are leaving by their entry in the store, and by their own responses.
         self._listed_leaving: set[str] = set()
         self._announced_leaving: set[str] = set()
@@ -80,6 +79,9 @@
             journal=journal,
             shortest_expiry_ms=get_shortest_expiry_ms(heartbeat_ms),
         )
+        # Removals, and returns of removed upstreams, that wait for the end of the grace period.
+        self._deferred_removals = DeferredChanges(grace=self._grace, journal=journal)
+        self._deferred_returns = DeferredChanges(grace=self._grace, journal=journal)
         # The revision up to which the store was read, and the highest one merged from any source.
         self.read_revision = 0
         self._newest_revision = 0
@@ -105,7 +107,9 @@
         confirmed. Otherwise a router that alone lost the store would use a removed upstream until
         its grace period ends.
         """
-        applied = (self._records[upstream].revision for upstream in self._deferred_removals)
+        applied = (
+            self._records[upstream].revision for upstream in self._deferred_removals.upstreams
+        )
         return min(applied, default=self._newest_revision)
 
     def limit_to_applied(self, as_of: int) -> int:
@@ -114,7 +118,7 @@
         A removal found by a full read has the revision of that read, which is later than that of
         the removal itself. So a deferred removal counts from the upstream's previous change.
         """
-        return min(as_of, self.applied_revision) if self._deferred_removals else as_of
+        return min(as_of, self.applied_revision) if self._deferred_removals.upstreams else as_of
 
     def get(self, upstream: str) -> Entry | None:
         """Return the entry of the latest incarnation of an upstream, by its id."""
@@ -185,34 +189,21 @@
         self._newest_revision = max(self._newest_revision, record.revision)
         if known is None:
             return self._merge_first(record, source)
-        if not _is_relevant(record.entry, known.entry):
+        if not is_relevant(record.entry, known.entry):
             self._store(replace(known, revision=record.revision))
             return False
         removed = record.entry.state is EntryState.GONE
         if removed and not confirmed and self._may_be_expiry(known):
-            self._defer(self._deferred_removals, record, source)
+            self._deferred_removals.defer(record, source)
             return False
         if self._may_be_stale_return(known, record):
-            self._defer(self._deferred_returns, record, source)
+            self._deferred_returns.defer(record, source)
             return False
-        self._deferred_removals.pop(upstream, None)
-        self._deferred_returns.pop(upstream, None)
+        self._deferred_removals.drop(upstream)
+        self._deferred_returns.drop(upstream)
         self._apply(known, record, source)
         return True
 
-    def _defer(self, deferred: dict[str, DeferredChange], record: Record, source: str) -> None:
-        earlier = deferred.get(record.entry.upstream)
-        due_at = self._grace.due_at if earlier is None else earlier.due_at
-        deferred[record.entry.upstream] = DeferredChange(record=record, due_at=due_at)
-        self._journal.record(
-            ChangeDeferred(
-                upstream=record.entry.upstream,
-                state=record.entry.state.value,
-                revision=record.revision,
-                source=source,
-            )
-        )
-
     def _was_removed(self, record: Record) -> bool:
         """Return whether a peer's entry of an unknown upstream predates a list that lacks it."""
         return record.entry.state is not EntryState.GONE and record.revision <= self.listed_revision
@@ -242,21 +233,13 @@
         """Apply deferred changes whose grace period is over; called periodically."""
         if self._grace.in_outage:
             return
-        waiting = len(self._deferred_removals) + len(self._deferred_returns)
+        waiting = len(self._deferred_removals.upstreams) + len(self._deferred_returns.upstreams)
         self._grace.end_if_over(deferred=waiting)
-        for record in self._take_due(self._deferred_removals):
+        for record in self._deferred_removals.take_due():
             self.merge(record, source="lapsed", confirmed=True)
-        for record in self._take_due(self._deferred_returns):
+        for record in self._deferred_returns.take_due():
             self.merge(record, source="returned", confirmed=True)
 
-    def _take_due(self, deferred: dict[str, DeferredChange]) -> list[Record]:
-        """Remove the changes that may be applied from `deferred` and return them."""
-        now_at = self._grace.responsive_ms
-        due = [change.record for change in deferred.values() if change.due_at <= now_at]
-        for record in due:
-            del deferred[record.entry.upstream]
-        return due
-
     def on_change(self, listener: ChangeListener) -> Remove:
         """Call `listener` with every changed entry."""
         self._listeners.append(listener)
@@ -306,7 +289,7 @@
 
     def _resolve_entry(self, record: Record, known: Record | None) -> Entry:
         """Return the entry that results from merging a record into the known one."""
-        entry = record.entry if known is None else _combine(record.entry, known.entry)
+        entry = record.entry if known is None else combine(record.entry, known.entry)
         if entry.state is EntryState.READY and self._is_stale_ready(
             entry.incarnation, known, record
         ):
@@ -357,8 +340,8 @@
             "revision": self.read_revision,
             "epoch": self._epoch,
             "list_away": self._grace.in_outage,
-            "doubtful": sorted(self._deferred_removals),
-            "returning": sorted(self._deferred_returns),
+            "doubtful": sorted(self._deferred_removals.upstreams),
+            "returning": sorted(self._deferred_returns.upstreams),
             "said_leaving": sorted(self._announced_leaving),
             "upstreams": [
                 {
@@ -372,28 +355,3 @@
                 for record in self._records.values()
             ],
         }
-
-
-def _is_relevant(entry: Entry, known: Entry) -> bool:
-    """Return whether an entry affects the known incarnation or a later one.
-
-    Writes of an earlier incarnation may arrive late. An unreadable entry affects only an upstream
-    that is ready.
-    """
-    if entry.started_ms and entry.started_ms < known.started_ms:
-        return False
-    return entry.state is not EntryState.UNUSABLE or known.state is EntryState.READY
-
-
-def _combine(entry: Entry, known: Entry) -> Entry:
-    """Return the entry that results from a new entry and the known one."""
-    if entry.started_ms > known.started_ms:
-        return entry
-    # An entry without a start time belongs to the known incarnation.
-    entry = replace(entry, started_ms=known.started_ms)
-    if entry.state is EntryState.UNUSABLE:
-        return replace(known, state=EntryState.UNUSABLE)
-    if known.state is EntryState.LEAVING and entry.state is EntryState.READY:
-        # A delayed write of an upstream that is leaving does not make it ready again.
-        return replace(entry, state=EntryState.LEAVING)
-    return entry
