--- a/gypsumrouter/crashes/guard.py
+++ b/gypsumrouter/crashes/guard.py
@@ -17,20 +17,14 @@
     make_changed_event,
     make_refused_event,
 )
-from gypsumrouter.crashes.ledger import (
-    MAX_IMPLICATIONS_IN_MOMENT,
-    OBJECTION_MS,
-    SAME_MOMENT_MS,
-    CrashLedger,
-    make_verdict,
-)
+from gypsumrouter.crashes.implications import ImplicationReporter
+from gypsumrouter.crashes.ledger import OBJECTION_MS, CrashLedger, make_verdict
 from gypsumrouter.crashes.models import (
     Subjects,
     Survival,
     SuspectImplication,
     SuspectState,
     Verdict,
-    make_fingerprint,
     select_parts,
 )
 from gypsumrouter.crashes.runs import Run, RunTracker, SurvivalMemory
@@ -42,10 +36,6 @@
 # still arrives shows that only some connections were reset.
 SETTLE_MS: Final = 150
 LIFE_MARGIN_MS: Final = 50
-# A subject that survived here so shortly before a crash is not reported.
-RECENT_SURVIVAL_MS: Final = 2_000
-# Requests of one crash that are reported, the likeliest first.
-MAX_REPORTED_RUNS: Final = 16
 # Minimum time between two reports of survivals of one subject.
 SURVIVAL_REPORT_MS: Final = 1_000
 
@@ -66,9 +56,9 @@
         "_ledger",
         "_refused_counter",
         "_reported_ms",
+        "_reporter",
         "_runs",
         "_settling",
-        "_struck",
         "_survivals",
         "_verdict_listeners",
         "verdicts",
@@ -84,8 +74,7 @@
         self._settling: set[str] = set()
         self._survivals = SurvivalMemory()
         self._reported_ms: dict[int, int] = {}
-        # Implications reported of each subject within one moment: its begin and their number.
-        self._struck: dict[int, tuple[int, int]] = {}
+        self._reporter = ImplicationReporter(router=app.name, survivals=self._survivals)
         self._evidence_listeners: list[EvidenceListener] = []
         self._verdict_listeners: list[VerdictListener] = []
         self._is_judge: Callable[[int], bool] = lambda _subject: True
@@ -216,7 +205,7 @@
         self.verdicts.expire(now_ms=now_ms)
         since_ms = now_ms - SURVIVAL_REPORT_MS
         self._reported_ms = {s: ms for s, ms in self._reported_ms.items() if ms > since_ms}
-        self._struck = {s: told for s, told in self._struck.items() if told[0] > since_ms}
+        self._reporter.sweep(since_ms=since_ms)
 
     def record_refused(
         self, request_id: str, prompt_parts: Iterable[int], verdict: Verdict
@@ -241,42 +230,10 @@
             self._runs.remove(upstream)
         finally:
             self._settling.discard(upstream)
-        implications = tuple(self._make_implications(runs[:MAX_REPORTED_RUNS], broken_ms))
+        implications = self._reporter.report(runs, at_ms=broken_ms)
         self.apply_evidence((s for s in implications if self._is_judge(s.subject)), ())
         self._tell(implications, ())
 
-    def _make_implications(self, runs: Iterable[Run], at_ms: int) -> Iterable[SuspectImplication]:
-        seen: set[int] = set()
-        for run in runs:
-            subjects = run.subjects
-            fingerprints = {part: make_fingerprint(part) for part in subjects.parts}
-            for subject in subjects.all:
-                if subject in seen or not self._should_report(subject, at_ms):
-                    continue
-                seen.add(subject)
-                companions = tuple(f for part, f in fingerprints.items() if part != subject)
-                yield SuspectImplication(
-                    subject=subject,
-                    workspace=subjects.workspace,
-                    upstream=run.upstream,
-                    router=self._app.name,
-                    at_ms=at_ms,
-                    content=make_fingerprint(subjects.digest),
-                    companions=companions,
-                )
-
-    def _should_report(self, subject: int, at_ms: int) -> bool:
-        """Return whether an implication may count; few do within one moment."""
-        if self._survivals.has_any_since(subject, at_ms - RECENT_SURVIVAL_MS):
-            return False
-        since_ms, count = self._struck.get(subject, (at_ms, 0))
-        if at_ms - since_ms >= SAME_MOMENT_MS:
-            since_ms, count = at_ms, 0
-        if count >= MAX_IMPLICATIONS_IN_MOMENT:
-            return False
-        self._struck[subject] = (since_ms, count + 1)
-        return True
-
     def _note_survivors(self, runs: Iterable[Run]) -> None:
         now_ms = self._app.clock.now_ms()
         for run in runs:
