--- a/gypsumrouter/peers/mesh.py
+++ b/gypsumrouter/peers/mesh.py
@@ -10,8 +10,6 @@
 import logging
 from collections.abc import Callable
 
-from msgspec.structs import replace
-
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Evacuations
@@ -25,23 +23,22 @@
     NoticeHub,
     Peer,
     PlacedPart,
-    RouterAddress,
     RouterUpdate,
 )
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.peers.catch_up import CatchUpCoordinator
 from gypsumrouter.peers.const import (
-    ROUTER_LIST_INTERVAL_MS,
     UPDATE_INTERVAL_MS,
     UPDATE_INTERVAL_MS_PER_PEER,
 )
 from gypsumrouter.peers.crashes import CrashExchange
-from gypsumrouter.peers.encoding import decode_loads, encode_evacuations, encode_loads
+from gypsumrouter.peers.encoding import decode_loads
 from gypsumrouter.peers.held import InventoryCoordinator
 from gypsumrouter.peers.outbox import Outbox
 from gypsumrouter.peers.relays import DataCentreRelay
 from gypsumrouter.peers.routers import PeerRouter, RouterRegistry
 from gypsumrouter.peers.streams import StreamExchange
+from gypsumrouter.peers.updates import UpdateFactory
 from gypsumrouter.peers.usage import UsageExchange
 from gypsumrouter.peers.watchers import WatchCoordinator
 from gypsumrouter.published import WatchState
@@ -58,8 +55,6 @@
         "_app",
         "_catch_up",
         "_crashes",
-        "_directory",
-        "_evacuations",
         "_forwarder",
         "_inventory",
         "_journal",
@@ -67,11 +62,11 @@
         "_pool",
         "_relays",
         "_routers",
-        "_routing",
         "_seeds",
         "_sending_to",
         "_server",
         "_streams",
+        "_updates",
         "_usage",
         "_watch",
         "_without",
@@ -93,9 +88,6 @@
     ) -> None:
         self._app = app
         self._journal = journal
-        self._routing = routing
-        self._directory = directory
-        self._evacuations = evacuations
         self._forwarder = forwarder
         self._routers = RouterRegistry(
             clock=app.clock, own_address=settings.link_address, data_centre=app.data_centre
@@ -138,6 +130,15 @@
             upstreams=upstreams,
         )
         self._usage = UsageExchange(clock=app.clock, shares=forwarder.shares)
+        self._updates = UpdateFactory(
+            app=app,
+            routers=self._routers,
+            routing=routing,
+            directory=directory,
+            evacuations=evacuations,
+            forwarder=forwarder,
+            usage=self._usage,
+        )
         self._relays = DataCentreRelay(
             app=app,
             routers=self._routers,
@@ -220,7 +221,7 @@
         """Send updates to one peer for as long as it is a known neighbour or a seed."""
         while self._routers.receives_updates(address):
             placed, end = self._outbox.read_from(known.sent_position)
-            update = self._make_update(known, placed)
+            update = self._updates.make(known, placed)
             sent = await self._async_send(address, update)
             if sent and not known.restarted:
                 known.sent_position = end
@@ -254,37 +255,6 @@
         )
         return await self._pool.async_send(instance=instance, notice=notice)
 
-    def _make_update(self, known: PeerRouter, placed: tuple[PlacedPart, ...]) -> RouterUpdate:
-        update = RouterUpdate(
-            address=self._routers.own_address,
-            routers=self._list_routers(known),
-            routing_version=self._routing.version,
-            list_revision=self._directory.applied_revision,
-            evacuations=encode_evacuations(self._evacuations),
-            data_centre=self._app.data_centre,
-            verdicts_digest=self._forwarder.suspects.verdicts.digest,
-        )
-        if not self._routers.is_neighbour(known):
-            return update
-        placer = self._forwarder.placer
-        return replace(
-            update,
-            loads=encode_loads(placer.loads),
-            placed=placed,
-            refused=placer.health.list_refusals(),
-            usage=self._usage.get_due(known, receivers=len(self._routers.list_neighbours())),
-        )
-
-    def _list_routers(self, known: PeerRouter) -> tuple[RouterAddress, ...]:
-        """Return the live routers, or nothing if a list of the same size was sent recently."""
-        now_ms = self._app.clock.now_ms()
-        same = known.sent_router_count == len(self._routers)
-        if same and now_ms - known.sent_routers_ms < ROUTER_LIST_INTERVAL_MS:
-            return ()
-        known.sent_router_count = len(self._routers)
-        known.sent_routers_ms = now_ms
-        return self._routers.list_live_routers()
-
     def _record_reachability(self, address: str, known: PeerRouter, sent: bool) -> None:
         now_ms = self._app.clock.now_ms()
         if sent and known.reachable is False:
@@ -317,7 +287,7 @@
 
     def _send_router_list(self, peer: Peer, known: PeerRouter) -> None:
         """Send the router list to a router elsewhere that uses this one as a seed."""
-        update = self._make_update(known, ())
+        update = self._updates.make(known, ())
         if update.routers:
             peer.send(update)
 
