--- a/gypsumrouter/crashes/__init__.py
+++ b/gypsumrouter/crashes/__init__.py
@@ -2,7 +2,8 @@
 
 The decision does no input or output, and all times are its arguments: the own runs of a process
 (`runs`), what several have seen of one subject (`ledger`), and what the fleet has decided
-(`verdicts`). `guard` applies it in a process, and `messages` encodes it for the others.
+(`verdicts`). `guard` applies it in a process, `implications` bounds what the process reports of a
+crash, and `messages` encodes it for the others.
 """
 
 from __future__ import annotations
--- a/gypsumrouter/standins/faults.py
+++ b/gypsumrouter/standins/faults.py
@@ -35,11 +35,6 @@
         self._opened = asyncio.Event()
         self._opened.set()
 
-    @property
-    def is_open(self) -> bool:
-        """Return whether requests are handled."""
-        return self._opened.is_set()
-
     def close(self) -> None:
         """Hold requests until the gate is opened."""
         self._opened.clear()
--- a/gypsumrouter/standins/streams.py
+++ b/gypsumrouter/standins/streams.py
@@ -74,11 +74,6 @@
             self._waiters.append(waiter)
             await waiter
 
-    async def async_wait_end(self) -> None:
-        """Wait until the response has ended."""
-        while self.state is StreamState.ACTIVE:
-            await self.async_wait_for_data(len(self.body))
-
     def _wake(self) -> None:
         waiters, self._waiters = self._waiters, []
         for waiter in waiters:
