--- a/gypsumrouter/cli/status.py
+++ b/gypsumrouter/cli/status.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
-import sys
 from pathlib import Path
 from typing import Any
 
 import click
 
-from gypsumrouter.cli.client import DumpResult, async_fetch_dumps, get_section, read_token
-from gypsumrouter.cli.table import UNKNOWN, Row, show_rows
+from gypsumrouter.cli.client import DumpResult, get_section
+from gypsumrouter.cli.inspection import add_inspection_options, show_processes
+from gypsumrouter.cli.table import UNKNOWN, Row
 from gypsumrouter.operators import ATTR_INSTANCE, ATTR_READY, ATTR_ROLE, ATTR_STATE
 
 
@@ -33,17 +32,13 @@
 
 
 @click.command("status")
-@click.argument("addresses", nargs=-1, required=True, metavar="ADDRESS...")
-@click.option("--token-file", type=click.Path(path_type=Path), help="File with the operator token.")
-@click.option("--json", "as_json", is_flag=True, help="Print one JSON document.")
+@add_inspection_options
 def status_command(addresses: tuple[str, ...], token_file: Path | None, as_json: bool) -> None:
     """Show the status of the processes whose operator endpoints are at ADDRESS.
 
     Exits with 1 if a process cannot be reached.
     """
-    results = asyncio.run(async_fetch_dumps(addresses, read_token(token_file)))
-    rows = [make_row(result) for result in results]
-    sys.exit(show_rows(rows, as_json=as_json))
+    show_processes(make_row, addresses=addresses, token_file=token_file, as_json=as_json)
 
 
 def make_row(result: DumpResult) -> StatusRow:
--- a/gypsumrouter/crashes/messages.py
+++ b/gypsumrouter/crashes/messages.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable, Iterator
 from typing import Final
 
+from gypsumrouter.crashes.guard import CrashGuard
 from gypsumrouter.crashes.models import (
     CrashSeen,
     Survival,
@@ -59,10 +60,20 @@
     )
 
 
-def read_implications(
+def apply_evidence(
+    guard: CrashGuard, evidence: SuspectEvidence, *, sender: str, now_ms: int
+) -> None:
+    """Take in the evidence of a notice; `sender` is the name of the process that saw it."""
+    guard.apply_evidence(
+        _read_implications(evidence, sender=sender, now_ms=now_ms),
+        _read_survivals(evidence, now_ms=now_ms),
+    )
+
+
+def _read_implications(
     evidence: SuspectEvidence, *, sender: str, now_ms: int
 ) -> Iterator[SuspectImplication]:
-    """Yield the implications of a notice; `sender` is the name of the process that saw them."""
+    """Yield the implications of a notice."""
     for crash in evidence.crashes:
         if crash.age_ms >= MAX_EVIDENCE_AGE_MS:
             continue
@@ -78,7 +89,7 @@
             )
 
 
-def read_survivals(evidence: SuspectEvidence, *, now_ms: int) -> Iterator[Survival]:
+def _read_survivals(evidence: SuspectEvidence, *, now_ms: int) -> Iterator[Survival]:
     """Yield the survivals of a notice."""
     for survival in evidence.survivals:
         yield Survival(
--- a/gypsumrouter/peers/crashes.py
+++ b/gypsumrouter/peers/crashes.py
@@ -12,10 +12,9 @@
 from gypsumrouter.core import Application
 from gypsumrouter.crashes import CrashGuard, Survival, SuspectImplication, Verdict
 from gypsumrouter.crashes.messages import (
+    apply_evidence,
     encode_evidence,
     encode_verdicts,
-    read_implications,
-    read_survivals,
     read_verdicts,
 )
 from gypsumrouter.link import (
@@ -162,10 +161,7 @@
 
     def _handle_evidence(self, peer: Peer, evidence: SuspectEvidence) -> None:
         now_ms = self._app.clock.now_ms()
-        self._guard.apply_evidence(
-            read_implications(evidence, sender=peer.hello.name, now_ms=now_ms),
-            read_survivals(evidence, now_ms=now_ms),
-        )
+        apply_evidence(self._guard, evidence, sender=peer.hello.name, now_ms=now_ms)
 
     def _handle_verdicts(self, peer: Peer, notice: SuspectVerdicts) -> None:
         """Take over verdicts, and hand on what is new here."""
