--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -174,6 +174,7 @@
     def note_received(self) -> None:
         """Record that a piece of the response has arrived."""
         self.heard_ms = self._context.app.clock.now_ms()
+        self._context.placer.health.note_received(self.upstream)
         self.observer.note_received()
 
     def note_outcome(self, outcome: Outcome) -> None:
--- a/gypsumrouter/forwarding/trackers.py
+++ b/gypsumrouter/forwarding/trackers.py
@@ -61,6 +61,7 @@
         """Drop expired state."""
         self.slow_start.sweep()
         self.backoffs.sweep()
+        self.health.sweep()
         self.uneven_load.sweep(now_ms=now_ms)
 
     def forget(self, upstream: str) -> None:
