Failing tests: a run beside a silent one repeats events and is not counted as an attempt

A first event that comes with its head, as that of each run that was prepared beside another one, does not end the standby: it then goes on from the start, and the caller gets event 1 twice (ORDER).

--- /dev/null
+++ b/tests/forwarding/test_forwarding_standby_races.py
@@ -0,0 +1,91 @@
+"""A run that was prepared in place of a silent one repeats nothing and uses up an attempt."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+from forwarding_world import KEY, PROMPT, ForwardingWorld, make_configuration, make_route
+
+from gypsumrouter.standins import PlatformRunner
+
+EVENTS = 6
+# Longer than the patience of the route, shorter than two engines may work on a prompt together.
+PAUSE_S = 0.2
+
+
+@pytest.fixture
+async def world(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[ForwardingWorld]:
+    monkeypatch.setenv("GYPSUMROUTER_LINK_KEY", KEY)
+    started = ForwardingWorld()
+    started.models = [PlatformRunner(name=f"i-models-{number}") for number in range(4)]
+    for runner in started.models:
+        runner.events = EVENTS
+        runner.pause_s = PAUSE_S
+        runner.gate.clear()
+    await started.async_start()
+    try:
+        yield started
+    finally:
+        await started.async_stop()
+
+
+async def async_configure(world: ForwardingWorld, *, gap_ms: int, max_attempts: int) -> None:
+    route = make_route(
+        "quote", "streaming", "models", resumable=True, timeout_ms=9_000, target_latency_ms=60,
+        target_gap_ms=gap_ms, max_attempts=max_attempts,
+    )  # fmt: skip
+    await world.store.async_put_configuration(make_configuration(version=2, routes=[route]))
+    await world.async_until(lambda: _get_version(world) == 2)
+
+
+def _get_version(world: ForwardingWorld) -> int:
+    routing = world.product.app.dump()["routing"]
+    assert isinstance(routing, dict)
+    return int(routing["version"])
+
+
+async def async_stream(world: ForwardingWorld, session: aiohttp.ClientSession) -> list[int]:
+    """Return the numbers of the events of a stream."""
+    status, body, _ = await world.async_call(
+        session, "POST", "/quote/a", "q1", body=b"a prompt",
+        extra={**PROMPT, "X-Deadline-Ms": "8000"},
+    )  # fmt: skip
+    assert status == 200
+    return [int(line[4:]) for line in body.split(b"\n") if line.startswith(b"id: ")]
+
+
+def list_in_order(world: ForwardingWorld) -> list[PlatformRunner]:
+    """Return the upstreams that ran the request, in the order of its arrival."""
+    ran = [runner for runner in world.models if runner.ran]
+    return sorted(ran, key=lambda runner: runner.arrivals[0].at_s)
+
+
+async def test_first_event_that_comes_with_its_head_ends_the_run_beside_it(
+    world: ForwardingWorld,
+) -> None:
+    """Guards against a stream that begins again at an upstream which was asked before its start."""
+    await async_configure(world, gap_ms=2_000, max_attempts=3)
+    async with aiohttp.ClientSession() as session:
+        call = asyncio.create_task(async_stream(world, session))
+        await world.async_until(lambda: len(list_in_order(world)) == 3)
+        _, second, third = list_in_order(world)
+        second.gate.set()
+        await world.async_until(lambda: call.done() or second.arrivals[0].cancelled)
+        third.gate.set()
+        assert await call == list(range(1, EVENTS + 1))
+
+
+async def test_runs_that_were_not_needed_count_as_attempts(world: ForwardingWorld) -> None:
+    """Guards against a request that is sent more often than its route allows."""
+    await async_configure(world, gap_ms=50, max_attempts=2)
+    async with aiohttp.ClientSession() as session:
+        call = asyncio.create_task(async_stream(world, session))
+        await world.async_until(lambda: len(list_in_order(world)) == 2)
+        first, second = list_in_order(world)
+        first.gate.set()
+        await world.async_until(lambda: call.done() or second.arrivals[0].cancelled)
+        assert await call == list(range(1, EVENTS + 1))
+    assert sum(len(runner.ran) for runner in world.models) <= 2
