--- a/bench/soak_silence_checks.py
+++ b/bench/soak_silence_checks.py
@@ -16,7 +16,6 @@
 from gypsumrouter.standins import PlatformRunner
 from gypsumrouter.standins.platform_runner import make_body
 
-MAX_ATTEMPTS: Final = 3
 # A request that was read is answered by then, or its connection was closed before.
 LOSS_SLACK_S: Final = 0.2
 # A response this close to the end of a request's time may say that it is over.
@@ -43,10 +42,11 @@
 
 
 class Published(Struct, frozen=True, kw_only=True):
-    """A configuration: when it was published (monotonic seconds) and time-outs by route."""
+    """A configuration: when it was published (monotonic seconds), and limits by route."""
 
     at_s: float
     timeouts_s: dict[str, float]
+    max_attempts: dict[str, int]
 
 
 class Ran(Struct, frozen=True, kw_only=True):
@@ -100,12 +100,17 @@
     return status == 200 or status in REFUSALS or (status == 401 and call.key == PASSING_KEY)
 
 
-def find_limit_s(call: Call, published: Sequence[Published]) -> float:
-    """Return the shortest time limit of a request that was in force while it was under way."""
+def list_in_force(call: Call, published: Sequence[Published]) -> list[Published]:
+    """Return the configurations that may have been in force while a request was under way."""
     answer = call.answer
     before = [p for p in published if p.at_s <= answer.sent_s - APPLY_S][-1:]
     during = [p for p in published if answer.sent_s - APPLY_S < p.at_s <= answer.ended_s]
-    limits_s = (p.timeouts_s[call.route] for p in (*before, *during))
+    return [*before, *during]
+
+
+def find_limit_s(call: Call, published: Sequence[Published]) -> float:
+    """Return the shortest time limit of a request that was in force while it was under way."""
+    limits_s = (p.timeouts_s[call.route] for p in list_in_force(call, published))
     return min(call.deadline_s, *limits_s)
 
 
@@ -152,12 +157,16 @@
             )
 
 
-def check_once(calls: Sequence[Call], ran: Mapping[str, Ran]) -> Iterator[Violation]:
-    """Check that requests run once where they may not be repeated, and not if refused."""
+def check_once(
+    calls: Sequence[Call], published: Sequence[Published], ran: Mapping[str, Ran]
+) -> Iterator[Violation]:
+    """Check that requests run no more often than allowed, and not if they are refused."""
     for call in calls:
         request_id = call.answer.request_id
         runs = ran[request_id].runs if request_id in ran else 0
-        if runs > (1 if call.route in ONCE else MAX_ATTEMPTS):
-            yield Violation(guarantee="ran too often", request_id=request_id, detail=str(runs))
+        allowed = max(p.max_attempts[call.route] for p in list_in_force(call, published))
+        if runs > (1 if call.route in ONCE else allowed):
+            detail = f"{runs} of {allowed}"
+            yield Violation(guarantee="ran too often", request_id=request_id, detail=detail)
         if call.route in ONCE and runs and call.answer.status in REFUSALS:
             yield Violation(guarantee="ran after refusal", request_id=request_id)
--- a/bench/soak_silences.py
+++ b/bench/soak_silences.py
@@ -22,7 +22,6 @@
 from bench.soak_rig import EVENTS, FORWARDERS, SoakRig
 from bench.soak_silence_checks import (
     APPLY_S,
-    MAX_ATTEMPTS,
     PASSING_KEY,
     Call,
     Published,
@@ -52,6 +51,7 @@
 UPLOAD_PARTS: Final = 6
 MAX_UPLOAD_S: Final = 1.5
 SLOW_SHARE: Final = 0.3
+MAX_ATTEMPTS: Final = 3
 DEADLINES_MS: Final = (6_000, 12_000)
 TIMEOUTS_MS: Final = (6_000, 8_000, 12_000)
 RETRY_S: Final = 0.05
@@ -199,8 +199,13 @@
         self.counts["configurations"] += 1
         self._rig.version += self._rng.randint(1, 3)
         document = make_silences_configuration(self._rig.version, self._rng)
-        timeouts_s = {r["name"]: r["timeout_ms"] / MS_PER_S for r in document["routes"]}
-        self.published.append(Published(at_s=time.monotonic(), timeouts_s=timeouts_s))
+        self.published.append(
+            Published(
+                at_s=time.monotonic(),
+                timeouts_s={r["name"]: r["timeout_ms"] / MS_PER_S for r in document["routes"]},
+                max_attempts={r["name"]: r["max_attempts"] for r in document["routes"]},
+            )
+        )
         await self._rig.store.async_put_configuration(document)
 
     async def _async_reload(self) -> None:
@@ -320,7 +325,7 @@
         *check_stops(silences.stops),
         *check_answered(callers.calls, silences.stops, silences.published, ran),
         *check_contents(callers.calls, rig.list_runners()),
-        *check_once(callers.calls, ran),
+        *check_once(callers.calls, silences.published, ran),
     ]
     figures: dict[str, object] = {
         "seed": seed,
--- a/tests/bench/test_bench_soak_silences.py
+++ b/tests/bench/test_bench_soak_silences.py
@@ -30,7 +30,13 @@
 STOP = Stop(forwarder=0, at_s=100.0, ended_s=100.0 + STOP_S)
 CUT_S = STOP.at_s + LAST_SHARE * STOP_S
 TIMEOUT_S = 6.0
-PUBLISHED = (Published(at_s=0.0, timeouts_s={"quote": TIMEOUT_S, "draft": TIMEOUT_S}),)
+PUBLISHED = (
+    Published(
+        at_s=0.0,
+        timeouts_s={"quote": TIMEOUT_S, "draft": TIMEOUT_S},
+        max_attempts={"quote": 3, "draft": 3},
+    ),
+)
 RAN = {"a": Ran(runs=1, needed_s=1.0)}
 
 
@@ -112,13 +118,15 @@
 def test_time_limit_is_the_shortest_that_was_in_force() -> None:
     call = make_call(sent_s=10.0, took_s=2.0)
     published = [
-        Published(at_s=at_s, timeouts_s={"quote": timeout_s})
+        Published(at_s=at_s, timeouts_s={"quote": timeout_s}, max_attempts={"quote": 1})
         for at_s, timeout_s in ((1.0, 1.0), (8.0, 7.0), (11.0, 6.5), (12.5, 2.0))
     ]
     assert find_limit_s(call, published) == 6.5
     assert find_limit_s(call, published[:2]) == 7.0
     # The one before may be in force until the next has arrived.
-    published[2] = Published(at_s=10.0 - APPLY_S / 2, timeouts_s={"quote": 8.0})
+    published[2] = Published(
+        at_s=10.0 - APPLY_S / 2, timeouts_s={"quote": 8.0}, max_attempts={"quote": 1}
+    )
     assert find_limit_s(call, published) == 7.0
 
 
@@ -171,7 +179,7 @@
     route: str, runs: int, status: int, broken: bool
 ) -> None:
     ran = {"a": Ran(runs=runs, needed_s=1.0)}
-    assert bool(list(check_once([make_call(route=route, status=status)], ran))) is broken
+    assert bool(list(check_once([make_call(route=route, status=status)], PUBLISHED, ran))) is broken
 
 
 def test_content_of_chunked_answers_ends_with_the_last_whole_chunk() -> None:
