Look for unread bytes of a connection with poll instead of ioctl

Cause: imports termios, which takes a forwarder to 641 modules; test_forwarder_imports_only_what_it_uses allows 640. Change: select, which is loaded anyway, tells whether a connection can be read. Measured: tests/daemon and tests/callers pass.

--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
 import logging
+import select
 import socket
 import struct
-import termios
 from enum import StrEnum
 from http import HTTPStatus
 from typing import Any, Final, Protocol
@@ -39,7 +38,6 @@
 
 # SO_LINGER with a timeout of 0: closing the socket sends RST instead of FIN.
 LINGER_RESET: Final = struct.pack("ii", 1, 0)
-INT: Final = struct.Struct("i")
 
 
 class RequestIdGenerator(Protocol):
@@ -151,18 +149,16 @@
 
     @property
     def _has_unread_bytes(self) -> bool:
-        """Return whether the kernel holds received bytes that the event loop has not read yet."""
+        """Return whether the kernel has received bytes, or an end, that are not read yet."""
         transport = self.transport
         connection = None
         if transport is not None and not transport.is_closing():
             connection = transport.get_extra_info("socket")
         if connection is None:
             return False
-        try:
-            unread = fcntl.ioctl(connection.fileno(), termios.FIONREAD, bytes(INT.size))
-        except (OSError, ValueError):
-            return False
-        return bool(INT.unpack(unread)[0])
+        poll = select.poll()
+        poll.register(connection.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
 
     @property
     def unsent_bytes(self) -> int:
