Exit behind the last line of a stop, without a shutdown of the event loop

Cause: behind the last line the entry point shut the thread pool down, which starts a thread and waits for those of the pool.

Change: the service releases its resources itself, the log is flushed, and the process exits.

--- a/gypsumrouter/daemon.py
+++ b/gypsumrouter/daemon.py
@@ -68,13 +68,13 @@
         log_config=False,
         catch_signals=(),
     ) as loop:
-        exit_code: int = loop.run_until_complete(service.async_wait())
-    if remove_logging():
-        sys.stdout.flush()
-        sys.stderr.flush()
-    # All is released. An exit of the interpreter takes time that a stop may not have, and waits for
-    # an output that nobody reads.
-    os._exit(exit_code)
+        exit_code: int = loop.run_until_complete(service.async_run())
+        if remove_logging():
+            sys.stdout.flush()
+            sys.stderr.flush()
+        # All is released. An exit of the event loop or the interpreter takes time that a stop may
+        # not have, and waits for threads and for an output that nobody reads.
+        os._exit(exit_code)
 
 
 @click.group()
--- a/gypsumrouter/service.py
+++ b/gypsumrouter/service.py
@@ -69,6 +69,12 @@
         if self._reload_requested:
             self._handle_reload_signal()
 
+    async def async_run(self) -> int:
+        """Wait for a stop, release all resources, and return the exit code."""
+        exit_code = await self.async_wait()
+        await self.stop()
+        return exit_code
+
     async def async_wait(self) -> int:
         """Wait for a stop, drain the running requests, and return the exit code."""
         process = self._process
--- a/tests/daemon/test_daemon_signals.py
+++ b/tests/daemon/test_daemon_signals.py
@@ -89,6 +89,26 @@
     await service.stop()
 
 
+# Guards against an exit that waits for threads, and is late on a starved machine.
+async def test_stopped_process_ends_while_a_thread_is_blocked() -> None:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(Path(__file__).parent / "blocked_thread_daemon.py"),
+        stderr=asyncio.subprocess.PIPE,
+    )
+    assert process.stderr is not None
+    lines = b""
+    try:
+        async with asyncio.timeout(HANG_S):
+            lines = await process.stderr.read()
+            assert await process.wait() == 0
+    finally:
+        if process.returncode is None:
+            process.kill()
+    # A wait for the thread that is given up would add a warning.
+    assert lines.splitlines()[-1].endswith(b"Stopped with exit code 0")
+
+
 # Guards against a signal that ends a process which is starting, with callers in its backlog.
 @pytest.mark.parametrize("early", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
 async def test_signal_during_the_imports_does_not_end_the_process_at_once(
