State dump of the directory in the words of the glossary

in_outage, deferred_removals, deferred_returns, announced_leaving, started_ms, and deferred of an evacuation, for list_away, doubtful, returning, said_leaving, born_ms and in_doubt. The tests that read them read the new names and are as strict.

--- a/gypsumrouter/directory/directory.py
+++ b/gypsumrouter/directory/directory.py
@@ -339,14 +339,14 @@
         return {
             "revision": self.read_revision,
             "epoch": self._epoch,
-            "list_away": self._grace.in_outage,
-            "doubtful": sorted(self._deferred_removals.upstreams),
-            "returning": sorted(self._deferred_returns.upstreams),
-            "said_leaving": sorted(self._announced_leaving),
+            "in_outage": self._grace.in_outage,
+            "deferred_removals": sorted(self._deferred_removals.upstreams),
+            "deferred_returns": sorted(self._deferred_returns.upstreams),
+            "announced_leaving": sorted(self._announced_leaving),
             "upstreams": [
                 {
                     "id": record.entry.upstream,
-                    "born_ms": record.entry.started_ms,
+                    "started_ms": record.entry.started_ms,
                     "service": record.entry.service,
                     "version": record.entry.version,
                     "state": record.entry.state.value,
--- a/gypsumrouter/directory/evacuations.py
+++ b/gypsumrouter/directory/evacuations.py
@@ -148,7 +148,7 @@
             known.data_centre: {
                 "active": known.active,
                 "revision": known.revision,
-                "in_doubt": known.data_centre in self._deferred,
+                "deferred": known.data_centre in self._deferred,
             }
             for known in self.list_all()
         }
--- a/tests/forwarding/test_forwarding_changes.py
+++ b/tests/forwarding/test_forwarding_changes.py
@@ -67,7 +67,7 @@
     for runner in world.records:
         await world.store.async_remove(f"servers/{runner.name}")
     await world.store.async_set_fault(StoreFault.NONE)
-    await world.async_until(lambda: len(_get_doubtful(world, 1)) == 2)
+    await world.async_until(lambda: len(_get_deferred_removals(world, 1)) == 2)
     status, _, _ = await world.async_call(session, "GET", "/lookup/a", "r1", product=second)
     assert status == 200
     await world.async_until(lambda: _get_state(world, "i-records-1", 1) == "gone")
@@ -112,7 +112,7 @@
     )
     await world.async_until(second.is_ready)
     await own_store.async_set_fault(StoreFault.RESET)
-    await world.async_until(lambda: get_section(world, "directory", 1)["list_away"])
+    await world.async_until(lambda: get_section(world, "directory", 1)["in_outage"])
     await _async_outlast_entries(world)
     gone = world.records[0]
     # The removal has a higher revision in this store than in the peer's.
@@ -202,11 +202,11 @@
     return str(next(entry["state"] for entry in listed if entry["id"] == upstream))
 
 
-def _get_doubtful(world: ForwardingWorld, number: int) -> list[str]:
-    doubtful = get_section(world, "directory", number)["doubtful"]
-    assert isinstance(doubtful, list)
-    return doubtful
+def _get_deferred_removals(world: ForwardingWorld, number: int) -> list[str]:
+    deferred = get_section(world, "directory", number)["deferred_removals"]
+    assert isinstance(deferred, list)
+    return deferred
 
 
 def _is_list_unavailable(world: ForwardingWorld, number: int = 0) -> bool:
-    return bool(get_section(world, "directory", number)["list_away"])
+    return bool(get_section(world, "directory", number)["in_outage"])
--- a/tests/forwarding/test_forwarding_restarts.py
+++ b/tests/forwarding/test_forwarding_restarts.py
@@ -30,7 +30,7 @@
     section = world.product.app.dump()["directory"]
     assert isinstance(section, dict)
     upstreams = section["upstreams"]
-    return {entry["born_ms"] for entry in upstreams if entry["service"] == "models"}
+    return {entry["started_ms"] for entry in upstreams if entry["service"] == "models"}
 
 
 async def test_cache_index_is_empty_for_an_upstream_restarted_under_the_same_id(
--- a/tests/forwarding/test_forwarding_stream_versions.py
+++ b/tests/forwarding/test_forwarding_stream_versions.py
@@ -360,7 +360,7 @@
 
 
 def count_starts(world: VersionedWorld) -> int:
-    return sum(1 for entry in list_entries(world) if entry["born_ms"])
+    return sum(1 for entry in list_entries(world) if entry["started_ms"])
 
 
 @pytest.mark.parametrize(("split", "status"), [(False, NOT_RUN), (True, 200)])
