--- a/gypsumrouter/directory/directory.py
+++ b/gypsumrouter/directory/directory.py
@@ -40,7 +40,6 @@
 
     __slots__ = (
         "_announced_leaving",
-        "_app",
         "_deferred_removals",
         "_deferred_returns",
         "_epoch",
@@ -65,7 +64,6 @@
         journal: Journal,
         heartbeat_ms: int = DEFAULT_HEARTBEAT_MS,
     ) -> None:
-        self._app = app
         self._journal = journal
         self._records: dict[str, Record] = {}
         self._incarnations: dict[str, Entry] = {}
--- a/gypsumrouter/exchange/checks.py
+++ b/gypsumrouter/exchange/checks.py
@@ -16,13 +16,12 @@
 class RequestChecks:
     """Check readiness, target pool, model and idempotency key of incoming requests."""
 
-    __slots__ = ("_client", "_policy", "_settings", "_store", "_version")
+    __slots__ = ("_client", "_policy", "_settings", "_version")
 
     def __init__(
         self, *, settings: Upstream, store: ConfigurationStore, client: UpstreamClient
     ) -> None:
         self._settings = settings
-        self._store = store
         self._client = client
         self._policy = Policy(configuration=store.current)
         self._version = store.current.version
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -260,8 +260,8 @@
   address @4 :Text;
   dataCentre @5 :Text;
   slots @6 :UInt32;
-  bornMs @7 :UInt64;
-  coldMs @8 :UInt32;
+  startedMs @7 :UInt64;
+  warmUpMs @8 :UInt32;
   version @9 :Text;
 }
 
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -275,8 +275,8 @@
         target.address = entry.address
         target.dataCentre = entry.data_centre
         target.slots = entry.slots
-        target.bornMs = entry.born_ms
-        target.coldMs = entry.cold_ms
+        target.startedMs = entry.started_ms
+        target.warmUpMs = entry.warm_up_ms
         target.version = entry.version
     return to_bytes(message)
 
@@ -294,8 +294,8 @@
                     address=entry.address,
                     data_centre=entry.dataCentre,
                     slots=entry.slots,
-                    born_ms=entry.bornMs,
-                    cold_ms=entry.coldMs,
+                    started_ms=entry.startedMs,
+                    warm_up_ms=entry.warmUpMs,
                     version=entry.version,
                 )
                 for entry in message.entries
--- a/gypsumrouter/link/router_models.py
+++ b/gypsumrouter/link/router_models.py
@@ -168,8 +168,8 @@
     address: str = ""
     data_centre: str = ""
     slots: int = 1
-    born_ms: int = 0
-    cold_ms: int = 0
+    started_ms: int = 0
+    warm_up_ms: int = 0
     version: str = ""
 
 
--- a/gypsumrouter/peers/catch_up.py
+++ b/gypsumrouter/peers/catch_up.py
@@ -282,8 +282,8 @@
         address="" if entry.address is None else str(entry.address),
         data_centre=entry.data_centre,
         slots=entry.slots,
-        born_ms=entry.started_ms,
-        cold_ms=entry.warm_up_ms,
+        started_ms=entry.started_ms,
+        warm_up_ms=entry.warm_up_ms,
         version=entry.version,
     )
 
@@ -298,8 +298,8 @@
             address=parse_address(entry.address) if entry.address else None,
             data_centre=entry.data_centre,
             slots=entry.slots,
-            started_ms=entry.born_ms,
-            warm_up_ms=entry.cold_ms,
+            started_ms=entry.started_ms,
+            warm_up_ms=entry.warm_up_ms,
             version=entry.version,
         ),
     )
--- a/tests/link/test_link_router_codec.py
+++ b/tests/link/test_link_router_codec.py
@@ -63,8 +63,8 @@
     address=TEXTS,
     data_centre=TEXTS,
     slots=UINT32,
-    born_ms=UINT64,
-    cold_ms=UINT32,
+    started_ms=UINT64,
+    warm_up_ms=UINT32,
     version=TEXTS,
 )
 NOTICES = st.one_of(
