A run beside a silent one ends with the first event, and counts as an attempt once it was sent

What callers saw: event 1 of a stream twice (ORDER), since a first event that comes with its head did not end the run that was prepared meanwhile; and a request that ran 7 times where its route allows 2, since runs that were sent and not needed were not counted (BUDGET).

Change: each part that is relayed ends the run beside it, also the first one, and a run that is closed as unneeded counts as a possible run.

--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -284,12 +284,9 @@
             return await streaming.answer.body.readany()
         awaited = Awaited.FIRST_EVENT if self._relay.response is None else Awaited.NEXT_EVENT
         patience_ms = self._get_patience_ms(awaited)
-        part = await self._standby.async_wait(
+        return await self._standby.async_wait(
             awaited, streaming.answer.body.readany(), patience_ms=patience_ms
         )
-        if part:
-            self._standby.drop()
-        return part
 
     def _get_patience_ms(self, awaited: Awaited) -> int | None:
         """Return after how much silence a replacement is looked for; None for never."""
@@ -363,6 +360,7 @@
     def _note_received(self) -> None:
         run = self._replacements.present
         if run is not None:
+            self._standby.drop()
             run.note_received()
             self._stream.note_received(run.heard_ms)
 
--- a/gypsumrouter/forwarding/outcome_recorder.py
+++ b/gypsumrouter/forwarding/outcome_recorder.py
@@ -56,7 +56,7 @@
             case CompleteResponse(status=status):
                 self._placer.health.note_failure(upstream, reason=f"status {status}")
                 self._progress.fallback_response = outcome
-                self._record_possible_run(upstream)
+                self._progress.note_possible_run(upstream)
 
     def record_unreachable(self, entry: Entry, outcome: Unreachable) -> None:
         """Record that no connection to an upstream could be used."""
@@ -68,12 +68,12 @@
         self._placer.health.note_failure(upstream, reason=outcome.reason)
         if outcome.connection_broken:
             self._suspects.note_broken(upstream)
-        self._record_possible_run(upstream)
+        self._progress.note_possible_run(upstream)
 
     def record_silent(self, upstream: str, *, silent_ms: int) -> None:
         """Record that another upstream took over from one that was silent for `silent_ms`."""
         self._placer.health.note_silent(upstream, silent_ms=silent_ms)
-        self._record_possible_run(upstream)
+        self._progress.note_possible_run(upstream)
 
     def record_success(self, upstream: str) -> None:
         """Record that an upstream served the request."""
@@ -89,10 +89,6 @@
         self._progress.rejections += 1
         self._progress.excluded_upstreams.add(upstream)
 
-    def _record_possible_run(self, upstream: str) -> None:
-        self._progress.possibly_ran_on.append(upstream)
-        self._progress.excluded_upstreams.add(upstream)
-
 
 class RunObserver:
     """Follows the runs of one request at its upstreams, for the detection of crashes.
--- a/gypsumrouter/forwarding/progress.py
+++ b/gypsumrouter/forwarding/progress.py
@@ -44,6 +44,11 @@
     fallback_response: CompleteResponse | None = None
     met_silence: bool = False
 
+    def note_possible_run(self, upstream: str) -> None:
+        """Record that an upstream may have run the request, which another one may still do."""
+        self.possibly_ran_on.append(upstream)
+        self.excluded_upstreams.add(upstream)
+
     def forgive_upstreams(self) -> None:
         """Let the upstreams that could not take the request be tried again."""
         self.unreachable = self.rejections = 0
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -195,6 +195,12 @@
                 placer.note_not_run(self._sent)
                 self.observer.end(ran=False)
 
+    def end_unneeded(self) -> None:
+        """Close the attempt since another run goes on; its upstream may have run the request."""
+        if self.attempt.sent:
+            self._context.progress.note_possible_run(self.upstream)
+        self.end("not needed")
+
     def end(self, step: str) -> None:
         """Close the attempt unless its connection was released; `step` is what comes next."""
         context = self._context
--- a/gypsumrouter/forwarding/standby.py
+++ b/gypsumrouter/forwarding/standby.py
@@ -80,7 +80,7 @@
             return
         run = self.take()
         if run is not None:
-            run.end("not needed")
+            run.end_unneeded()
 
     def _begin(self, awaited: Awaited) -> None:
         if self._task is None:
