--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -174,6 +174,7 @@
     def note_received(self) -> None:
         """Record that a piece of the response has arrived."""
         self.heard_ms = self._context.app.clock.now_ms()
+        self._context.placer.health.note_received(self.upstream)
         self.observer.note_received()
 
     def note_outcome(self, outcome: Outcome) -> None:
@@ -194,6 +195,12 @@
                 placer.note_not_run(self._sent)
                 self.observer.end(ran=False)
 
+    def end_unneeded(self) -> None:
+        """Close the attempt since another run goes on; its upstream may have run the request."""
+        if self.attempt.sent:
+            self._context.progress.note_possible_run(self.upstream)
+        self.end("not needed")
+
     def end(self, step: str) -> None:
         """Close the attempt unless its connection was released; `step` is what comes next."""
         context = self._context
