Several runs may stand beside a silent one, and a long silence may use the whole retry budget

A plain request whose second upstream was silent too waited for both, though a third one was allowed and idle. And while a silence lasted longer than a sound upstream's, half of the retry budget stayed reserved, so that requests waited for an upstream that was gone.

Change: for requests without a prompt each silent run lets a further one be prepared within max_attempts; the first that serves wins.

--- a/gypsumrouter/forwarding/replacement.py
+++ b/gypsumrouter/forwarding/replacement.py
@@ -20,14 +20,22 @@
 from gypsumrouter.forwarding.outcome_recorder import OutcomeRecorder
 from gypsumrouter.forwarding.relay import Relay
 from gypsumrouter.forwarding.run import Run, RunContext
-from gypsumrouter.forwarding.silence import Awaited, Obstacle, SilentRequest, find_obstacle
+from gypsumrouter.forwarding.silence import (
+    Awaited,
+    Obstacle,
+    SilentRequest,
+    find_obstacle,
+    get_patience_ms,
+)
+from gypsumrouter.forwarding.silence_verdict import MAX_SOUND_SILENCE_MS
 from gypsumrouter.forwarding.standby import Standby
 from gypsumrouter.forwarding.stream_pin import StreamPin
 from gypsumrouter.helpers.metrics import Counter
 
 # How often a request that waits behind an obstacle asks again whether it is gone.
 RECHECK_MS: Final = 200
-# Share of the retry budget that is left to failed runs.
+# Share of the retry budget that is left to failed runs while a silence may be that of a sound
+# upstream.
 RESERVED_BUDGET: Final = 0.5
 # A request of a model engine may still run at its silent engine for this long beside another one.
 MAX_OVERLAP_MS: Final = 250
@@ -81,18 +89,22 @@
         tried = {present.upstream}
         reported: Obstacle | None = None
         while True:
-            found = await self._async_try(tried)
+            found = await self._async_try(present, awaited, tried)
             if isinstance(found, Run):
                 self._record(present, awaited, replaced_by=found.upstream)
                 return found
             if found is not reported:
                 self._record(present, awaited, obstacle=found)
                 reported = found
-            if found.is_final:
+            if found.is_final and not self.standby.sent:
                 return None
-            await self._context.app.clock.async_sleep(RECHECK_MS)
+            await self._async_wait(RECHECK_MS)
 
-    async def _async_try(self, tried: set[str]) -> Run | Obstacle:
+    async def _async_try(self, present: Run, awaited: Awaited, tried: set[str]) -> Run | Obstacle:
+        """Return a run that stands ready, sent before or now, or why there is none."""
+        ready = self._find_ready()
+        if ready is not None:
+            return ready
         obstacle = await self._async_find_obstacle()
         if obstacle is not None:
             return obstacle
@@ -106,12 +118,57 @@
         )
         if isinstance(placement, PlacementRefusal):
             return Obstacle.UPSTREAM
-        if not self._budget.has_spare(self._service, reserved=RESERVED_BUDGET):
+        reserved = self._get_reserved(present)
+        if not self._budget.has_spare(self._service, reserved=reserved):
             return Obstacle.BUDGET
         run = Run(context=context, placement=placement, last_event_id=self._relay.last_event_id)
         tried.add(run.upstream)
-        obstacle = await self._async_open(run)
-        return obstacle or await self._async_send(run)
+        obstacle = await self._async_open(run, reserved)
+        if obstacle is not None:
+            return obstacle
+        run.send_beside(list_age_ms=self._stream.list_age_ms)
+        self.standby.add(run)
+        await self._async_wait(self._get_overlap_ms(awaited))
+        return self._find_ready() or (run if self._is_exclusive else Obstacle.UPSTREAM)
+
+    def _get_reserved(self, present: Run) -> float:
+        """Return the share of the retry budget that the replacement of a run must leave."""
+        silent_ms = self._context.app.clock.now_ms() - present.heard_ms
+        return RESERVED_BUDGET if silent_ms < MAX_SOUND_SILENCE_MS else 0.0
+
+    def _get_overlap_ms(self, awaited: Awaited) -> int:
+        """Return how long a run that was sent has to serve, before it takes over or is silent."""
+        if self._is_exclusive:
+            return MAX_OVERLAP_MS
+        return get_patience_ms(
+            self._context.routed.route, awaited, remaining_ms=self._context.limits.remaining_ms
+        )
+
+    async def _async_wait(self, timeout_ms: int) -> None:
+        """Wait for the outcome of a run that was sent, or for a time."""
+        pending = [run.pending for run in self.standby.sent if run.pending is not None]
+        if pending:
+            timeout_s = timeout_ms / MS_PER_S
+            await asyncio.wait(pending, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED)
+        else:
+            await self._context.app.clock.async_sleep(timeout_ms)
+
+    def _find_ready(self) -> Run | None:
+        """Return a run that was sent and serves the request; those that have failed are ended."""
+        for run in tuple(self.standby.sent):
+            if run.pending is None or not run.pending.done():
+                continue
+            outcome = run.pending.result()
+            if not isinstance(outcome, Withheld):
+                outcome = check_fits(outcome, self._relay.sent)
+            if _serves(outcome):
+                return run
+            self.standby.discard(run)
+            run.note_outcome(outcome)
+            if not isinstance(outcome, Withheld | StreamingResponse):
+                self._recorder.record(run.attempt, outcome)
+            run.end("elsewhere")
+        return None
 
     async def _async_find_obstacle(self) -> Obstacle | None:
         """Return what rules out a replacement, before an upstream is chosen."""
@@ -123,19 +180,19 @@
             SilentRequest(
                 route=self._context.routed.route,
                 sent=self._relay.sent,
-                runs=len(self._context.progress.possibly_ran_on) + 1,
+                runs=len(self._context.progress.possibly_ran_on) + 1 + len(self.standby.sent),
                 remaining_ms=self._context.limits.remaining_ms,
                 version_proven=self._stream.is_proven,
             )
         )
 
-    async def _async_open(self, run: Run) -> Obstacle | None:
+    async def _async_open(self, run: Run, reserved: float) -> Obstacle | None:
         """Connect to the upstream and take a retry; return why the request can't be sent."""
         failed: Unreachable | Withheld | None = NOT_SENT
         try:
             failed = await run.async_open(self._get_start_check(run.placement.entry.service))
             if failed is None:
-                spare = self._budget.try_acquire_spare(self._service, reserved=RESERVED_BUDGET)
+                spare = self._budget.try_acquire_spare(self._service, reserved=reserved)
                 failed = None if spare else NOT_SENT
         finally:
             if failed is not None:
@@ -161,25 +218,6 @@
         """Return whether two upstreams must not work on the request for long."""
         return self._context.request.prompt is not None
 
-    async def _async_send(self, run: Run) -> Run | Obstacle:
-        """Send the request; return the run once it stands ready, or why it does not."""
-        self.standby.note_sent(run)
-        pending = run.send_beside(list_age_ms=self._stream.list_age_ms)
-        timeout_s = MAX_OVERLAP_MS / MS_PER_S if self._is_exclusive else None
-        done, _ = await asyncio.wait((pending,), timeout=timeout_s)
-        if not done:
-            return run
-        sent = pending.result()
-        outcome = sent if isinstance(sent, Withheld) else check_fits(sent, self._relay.sent)
-        if _serves(outcome):
-            return run
-        self.standby.note_sent(None)
-        run.note_outcome(outcome)
-        if not isinstance(outcome, Withheld | StreamingResponse):
-            self._recorder.record(run.attempt, outcome)
-        run.end("elsewhere")
-        return Obstacle.UPSTREAM
-
     def _record(
         self,
         present: Run,
--- a/gypsumrouter/forwarding/standby.py
+++ b/gypsumrouter/forwarding/standby.py
@@ -22,13 +22,13 @@
 
 
 class Standby:
-    """At most one run that is prepared in place of a silent one.
+    """Runs that are prepared in place of a silent one.
 
-    A run that `prepare` has sent is announced by `note_sent`. Until it stands ready, `take` adopts
-    it if the present run has failed, and `drop` ends it if that one goes on.
+    Those that were sent are listed by `add`. `take` returns one of them, which stands ready or is
+    adopted since the present run has failed; `drop` ends them if that one goes on.
     """
 
-    __slots__ = ("_app", "_prepare", "_ready", "_sent", "_task", "_wait")
+    __slots__ = ("_app", "_prepare", "_ready", "_task", "_wait", "sent")
 
     def __init__(self, *, app: Application, prepare: PrepareRun) -> None:
         self._app = app
@@ -36,7 +36,7 @@
         self._task: asyncio.Task[None] | None = None
         self._wait: asyncio.Timeout | None = None
         self._ready: Run | None = None
-        self._sent: Run | None = None
+        self.sent: list[Run] = []
 
     async def async_wait(
         self, awaited: Awaited, result: Awaitable[_T], *, patience_ms: int | None
@@ -61,26 +61,33 @@
     @property
     def has_sent(self) -> bool:
         """Return whether `take` would return a run."""
-        return self._ready is not None or self._sent is not None
+        return bool(self.sent)
 
-    def note_sent(self, run: Run | None) -> None:
-        """Set the run that is prepared and was sent; None if it has failed."""
-        self._sent = run
+    def add(self, run: Run) -> None:
+        """List a run that was sent."""
+        self.sent.append(run)
+
+    def discard(self, run: Run) -> None:
+        """Remove a run that has failed; its owner ends it."""
+        self.sent.remove(run)
 
     def take(self) -> Run | None:
-        """Return the run that stands ready or was sent, which the caller then owns."""
-        run = self._ready or self._sent
-        self._ready = self._sent = None
-        self._cancel()
+        """Return the run that stands ready or was sent last, which the caller then owns."""
+        if not self.sent:
+            self._cancel()
+            return None
+        run = self._ready or self.sent[-1]
+        self.sent.remove(run)
+        self.drop()
         return run
 
     def drop(self) -> None:
         """End what is prepared: the present run goes on, or the request has ended."""
-        if self._task is None and self._ready is None:
+        if self._task is None:
             return
-        run = self.take()
-        if run is not None:
-            run.end_unneeded()
+        self._cancel()
+        while self.sent:
+            self.sent.pop().end_unneeded()
 
     def _begin(self, awaited: Awaited) -> None:
         if self._task is None:
@@ -88,11 +95,11 @@
 
     async def _async_run(self, awaited: Awaited) -> None:
         self._ready = await self._prepare(awaited)
-        self._sent = None
         if self._ready is not None and self._wait is not None:
             self._wait.reschedule(asyncio.get_running_loop().time())
 
     def _cancel(self) -> None:
         task, self._task = self._task, None
+        self._ready = None
         if task is not None:
             task.cancel()
--- a/tests/forwarding/test_forwarding_standby_races.py
+++ b/tests/forwarding/test_forwarding_standby_races.py
@@ -89,3 +89,28 @@
         await world.async_until(lambda: call.done() or second.arrivals[0].cancelled)
         assert await call == list(range(1, EVENTS + 1))
     assert sum(len(runner.ran) for runner in world.models) <= 2
+
+
+async def test_third_attempt_is_not_blocked_by_a_second_one_that_is_silent_too(
+    world: ForwardingWorld,
+) -> None:
+    """Guards against a plain request that waits for two silent upstreams beside a sound one."""
+    world.records.append(PlatformRunner(name="i-records-3"))
+    runner = world.records[-1]
+    world.addresses[runner.name] = await runner.async_start()
+    await world.async_put_entry(runner, service="records")
+    route = make_route("lookup", "idempotent", "records", timeout_ms=9_000, max_attempts=3)
+    await world.store.async_put_configuration(make_configuration(version=2, routes=[route]))
+    await world.async_until(lambda: _get_version(world) == 2)
+    for upstream in world.records:
+        upstream.gate.clear()
+    async with aiohttp.ClientSession() as session:
+        call = asyncio.create_task(
+            world.async_call(session, "GET", "/lookup/a", "l1", extra={"X-Deadline-Ms": "8000"})
+        )
+        await world.async_until(lambda: len(world.arrivals("l1")) == 3)
+        first, second, third = sorted(world.arrivals("l1"), key=lambda arrival: arrival.at_s)
+        next(r for r in world.records if third in r.arrivals).gate.set()
+        status, _, _ = await call
+        assert status == 200
+        await world.async_until(lambda: first.cancelled and second.cancelled)
