A request of a route that names no service is refused

A configuration with a route without service and split, or with an empty split, was accepted, and each request of that route ended by an IndexError: 500 on a connection that was closed behind it, with a traceback in the lines. It is refused now, 503 and not run, like one of a service without upstreams.

The test of changes under arriving bodies failed before with 500 for both.

--- a/gypsumrouter/routing/models.py
+++ b/gypsumrouter/routing/models.py
@@ -56,7 +56,9 @@
         return self.kind is RouteKind.STREAMING
 
     def choose_service(self, seed: bytes) -> str:
-        """Return the service for a request; equal seeds have the same one."""
+        """Return the service for a request, empty if there is none; equal seeds have the same."""
+        if not self.targets:
+            return ""
         if len(self.targets) == 1:
             return self.targets[0].service
         total = sum(target.weight for target in self.targets)
--- a/tests/forwarding/test_forwarding_changes_while_waiting.py
+++ b/tests/forwarding/test_forwarding_changes_while_waiting.py
@@ -66,6 +66,8 @@
     "services gone, routes kept": change_all(services=[]),
     "moved": change_routes(service="other"),
     "split": change_routes(service=None, split=SPLIT),
+    "no service": change_routes(service=None),
+    "empty split": change_routes(service=None, split=[]),
     "key dropped": change_all(tenants=[{"name": "other", "api_keys": ["k"], "priority": 1}]),
     "no keys": change_all(tenants=[]),
     "body limit": change_limits(max_body_bytes=1),
@@ -176,6 +178,8 @@
         "services gone": 404,
         "key dropped": 401,
         "moved": 503,
+        "no service": 503,
+        "empty split": 503,
         # Nothing is left of the time that the route allows; the answer says that it has not run.
         "timeout": 504,
         "timeout zero": 504,
