--- a/gypsumrouter/standins/configuration_service.py
+++ b/gypsumrouter/standins/configuration_service.py
@@ -3,23 +3,19 @@
 from __future__ import annotations
 
 import json
-import random
 from collections import OrderedDict
 from typing import Final
 
 from aiohttp import web
 
-from gypsumrouter.instances import Address
-from gypsumrouter.standins.change_notifier import ChangeNotifier
-from gypsumrouter.standins.faults import Gate, Outage, OutageKind
+from gypsumrouter.standins.faults import OutageKind
 from gypsumrouter.standins.json_responses import (
-    MAX_BODY_BYTES,
     async_read_json_object,
     get_query_int,
     make_error_response,
     make_json_response,
 )
-from gypsumrouter.standins.listener import StandinListener
+from gypsumrouter.standins.platform_service import PlatformService
 from gypsumrouter.standins.token_bucket import TokenBucket
 from gypsumrouter.util.clock import Clock
 
@@ -29,7 +25,7 @@
 MAX_VERSIONS: Final = 32
 
 
-class ConfigurationService:
+class ConfigurationService(PlatformService):
     """Serves the newest published document and counts reads and watches.
 
     `reads_per_s` limits the reads of all clients together; a waiting watch counts as one read per
@@ -38,13 +34,7 @@
 
     __slots__ = (
         "_bucket",
-        "_changes",
-        "_clock",
         "_documents",
-        "_gate",
-        "_listener",
-        "_outage",
-        "_random",
         "_stale_share",
         "_stale_version",
         "max_waiting",
@@ -64,9 +54,7 @@
         reads_per_s: float = DEFAULT_READS_PER_S,
         seed: int = 0,
     ) -> None:
-        self._clock = clock
-        self._random = random.Random(seed)
-        self._changes = ChangeNotifier(clock=clock)
+        super().__init__(clock=clock, host=host, port=port, seed=seed)
         self._bucket = TokenBucket(clock=clock, rate_per_s=reads_per_s, burst=reads_per_s)
         self._documents: OrderedDict[int, bytes] = OrderedDict()
         self._stale_version: int | None = None
@@ -77,33 +65,6 @@
         self.rejected = 0
         self.max_waiting = 0
         self.watch_ms_total = 0
-        self._gate = Gate()
-        app = web.Application(
-            client_max_size=MAX_BODY_BYTES, middlewares=[self._gate.async_middleware]
-        )
-        self._listener = StandinListener(app=app, host=host, port=port)
-        self._outage = Outage(
-            listener=self._listener, gate=self._gate, on_change=self._changes.notify
-        )
-        self._add_routes(app)
-
-    @property
-    def address(self) -> Address:
-        """Return the address of the listener."""
-        return self._listener.address
-
-    @property
-    def waiting(self) -> int:
-        """Return the number of waiting watches."""
-        return self._changes.waiting
-
-    async def async_start(self) -> Address:
-        """Start listening and return the address."""
-        return await self._listener.async_start()
-
-    async def async_stop(self) -> None:
-        """Stop the service and reset its connections."""
-        await self._listener.async_stop()
 
     def publish(self, document: bytes | str) -> int:
         """Publish a JSON document with a `version` and return the version.
@@ -124,15 +85,10 @@
         self._stale_share = share
         self._changes.notify()
 
-    async def async_set_outage(self, kind: OutageKind) -> None:
-        """Start, change or end (NONE) an outage."""
-        await self._outage.async_set(kind)
-
     def _add_routes(self, app: web.Application) -> None:
         app.router.add_get("/v1/configuration", self._async_get)
         app.router.add_put("/standin/configuration", self._async_put)
         app.router.add_get("/standin/counts", self._async_get_counts)
-        app.router.add_post("/standin/outage", self._outage.async_post)
         app.router.add_post("/standin/stale", self._async_post_stale)
 
     async def _async_get(self, request: web.Request) -> web.StreamResponse:
--- a/gypsumrouter/standins/instance_list.py
+++ b/gypsumrouter/standins/instance_list.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from collections import deque
 from typing import Any, Final
 
@@ -12,16 +11,14 @@
 
 from gypsumrouter.const import InstanceState, Role
 from gypsumrouter.instances import Address, Instance
-from gypsumrouter.standins.change_notifier import ChangeNotifier
-from gypsumrouter.standins.faults import Gate, Outage, OutageKind
+from gypsumrouter.standins.faults import OutageKind
 from gypsumrouter.standins.json_responses import (
-    MAX_BODY_BYTES,
     async_read_json_object,
     get_query_int,
     make_error_response,
     make_json_response,
 )
-from gypsumrouter.standins.listener import StandinListener
+from gypsumrouter.standins.platform_service import PlatformService
 from gypsumrouter.util.clock import Clock
 
 HEADER_AS_OF: Final = "X-As-Of-Ms"
@@ -37,20 +34,14 @@
     instances: tuple[Instance, ...]
 
 
-class InstanceListService:
+class InstanceListService(PlatformService):
     """Serves the instance list as of `lag_ms` ago; it is changed from Python or over HTTP.
 
     `reads` counts the calls that were not rejected because of an outage.
     """
 
     __slots__ = (
-        "_changes",
-        "_clock",
-        "_gate",
         "_instances",
-        "_listener",
-        "_outage",
-        "_random",
         "_stale_at_ms",
         "_stale_share",
         "_states",
@@ -67,9 +58,7 @@
         lag_ms: int = 0,
         seed: int = 0,
     ) -> None:
-        self._clock = clock
-        self._random = random.Random(seed)
-        self._changes = ChangeNotifier(clock=clock)
+        super().__init__(clock=clock, host=host, port=port, seed=seed)
         self._instances: dict[str, Instance] = {}
         self._states: deque[ListState] = deque(maxlen=MAX_STATES)
         self._states.append(ListState(revision=0, since_ms=clock.wall_ms(), instances=()))
@@ -77,39 +66,12 @@
         self._stale_share = 1.0
         self.lag_ms = lag_ms
         self.reads = 0
-        self._gate = Gate()
-        app = web.Application(
-            client_max_size=MAX_BODY_BYTES, middlewares=[self._gate.async_middleware]
-        )
-        self._listener = StandinListener(app=app, host=host, port=port)
-        self._outage = Outage(
-            listener=self._listener, gate=self._gate, on_change=self._changes.notify
-        )
-        self._add_routes(app)
-
-    @property
-    def address(self) -> Address:
-        """Return the address of the listener."""
-        return self._listener.address
 
     @property
     def revision(self) -> int:
         """Return the newest revision, which may not be served yet because of the lag."""
         return self._states[-1].revision
 
-    @property
-    def waiting(self) -> int:
-        """Return the number of waiting long polls."""
-        return self._changes.waiting
-
-    async def async_start(self) -> Address:
-        """Start listening and return the address."""
-        return await self._listener.async_start()
-
-    async def async_stop(self) -> None:
-        """Stop the service and reset its connections."""
-        await self._listener.async_stop()
-
     def get(self, name: str) -> Instance | None:
         """Return an instance of the newest revision."""
         return self._instances.get(name)
@@ -145,10 +107,6 @@
         self._stale_share = share
         self._changes.notify()
 
-    async def async_set_outage(self, kind: OutageKind) -> None:
-        """Start, change or end (NONE) an outage."""
-        await self._outage.async_set(kind)
-
     def _add_state(self) -> None:
         instances = tuple(sorted(self._instances.values(), key=lambda instance: instance.name))
         if instances == self._states[-1].instances:
@@ -191,7 +149,6 @@
         app.router.add_delete("/standin/instances/{name}", self._async_delete)
         app.router.add_post("/standin/instances/{name}/leave", self._async_mark_leaving)
         app.router.add_post("/standin/lag", self._async_set_lag)
-        app.router.add_post("/standin/outage", self._outage.async_post)
 
     async def _async_get(self, request: web.Request) -> web.StreamResponse:
         if self._outage.kind is OutageKind.ERROR:
