--- a/gypsumrouter/crashes/guard.py
+++ b/gypsumrouter/crashes/guard.py
@@ -117,7 +117,7 @@
         """Return the conviction for which a request is refused, None if it may be sent.
 
         The first judge of a subject lets a request pass from time to time, as a trial, if nothing
-        else speaks against that request.
+        refuses that request.
         """
         found = [v for v in self.verdicts.find(subjects) if v.subject not in self._allowed]
         if not found:
--- a/gypsumrouter/crashes/models.py
+++ b/gypsumrouter/crashes/models.py
@@ -62,7 +62,7 @@
 
 
 class CrashSeen(Struct, frozen=True, kw_only=True):
-    """A crash that speaks against a subject, for operators."""
+    """A crash that implicates a subject, for operators."""
 
     upstream: str
     router: str
--- a/gypsumrouter/crashes/runs.py
+++ b/gypsumrouter/crashes/runs.py
@@ -1,4 +1,4 @@
-"""Recent runs of one router at each upstream: which ones a crash speaks against, which survived."""
+"""Recent runs of one router at each upstream: which ones a crash implicates, which survived."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 SURVIVAL_MS: Final = 500
 # Runs that are kept for each upstream; the oldest are dropped first.
 MAX_RUNS: Final = 256
-# Upstreams of which nothing was heard for this long are dropped.
+# Upstreams from which nothing was received for this long are dropped.
 UPSTREAM_TTL_MS: Final = 60_000
 # Subjects whose last survivals are remembered, and the workspaces of each.
 MAX_SURVIVALS: Final = 8_192
