--- a/gypsumrouter/crashes/guard.py
+++ b/gypsumrouter/crashes/guard.py
@@ -116,8 +116,8 @@
     def find_refusal(self, subjects: Subjects) -> Verdict | None:
         """Return the conviction for which a request is refused, None if it may be sent.
 
-        The first judge of a subject lets a request pass from time to time, as a trial, if nothing
-        refuses that request.
+        The first judge of a subject lets a request pass from time to time, as a trial, unless
+        the request has another suspect.
         """
         found = [v for v in self.verdicts.find(subjects) if v.subject not in self._allowed]
         if not found:
