--- a/gypsumrouter/forwarding/leaving.py
+++ b/gypsumrouter/forwarding/leaving.py
@@ -35,7 +35,7 @@
 # Time that the last bytes of an answer take, and by which an estimate may be short.
 MARGIN_MS: Final = 100
 # By how much an upstream may slow down after it has got a request that must not be cut.
-SLOWDOWN: Final = 1.5
+SLOWDOWN: Final = 2.5
 # Events of a stream from which on its pace so far counts.
 MIN_EVENTS: Final = 10
 
