A silent stream is not closed for a run that was rejected, and unreachable upstreams are tried again

What callers saw: a stream whose upstream was silent was reset when another one turned it away within 250 ms; and one whose only other upstream could not be reached at first waited for the silent one to its deadline.

Cause: the run that was prepared counted as ready after the overlap though it had ended, and an upstream that had been tried was left out for as long as the silence lasted.

Evidence: two tests of test_forwarding_replacement.py, the first failed before; the second one's listener was opened wrongly in its first run, so that it was not seen failing.

--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -131,7 +131,6 @@
         )
         self._relay = Relay(
             web_request=web_request,
-            request=request,
             dialect=context.dialect,
             clock=context.app.clock,
             progress=progress,
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -9,7 +9,7 @@
 from msgspec import Struct
 
 from gypsumrouter.forwarding.events import EventSplitter, EventTooLong
-from gypsumrouter.forwarding.models import CallerRequest, Dialect, StreamingResponse
+from gypsumrouter.forwarding.models import Dialect, StreamingResponse
 from gypsumrouter.forwarding.next_step import SentPart
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.forwarding.responses import make_stream_response
@@ -63,7 +63,6 @@
         "_on_received",
         "_progress",
         "_read_part",
-        "_request",
         "_splitter",
         "_web_request",
         "response",
@@ -73,7 +72,6 @@
         self,
         *,
         web_request: web.BaseRequest,
-        request: CallerRequest,
         dialect: Dialect,
         clock: Clock,
         progress: Progress,
@@ -86,7 +84,6 @@
         self._on_begun = on_begun
         self._on_received = on_received
         self._web_request = web_request
-        self._request = request
         self._dialect = dialect
         self._clock = clock
         self._progress = progress
--- a/gypsumrouter/forwarding/replacement.py
+++ b/gypsumrouter/forwarding/replacement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from typing import Final
 
 from gypsumrouter.const import MS_PER_S
@@ -34,6 +35,8 @@
 
 # How often a request that waits behind an obstacle asks again whether it is gone.
 RECHECK_MS: Final = 200
+# After this long an upstream that could not be reached is tried again.
+RETRY_UNREACHABLE_MS: Final = 1_000
 # Share of the retry budget that is left to failed runs while a silence may be that of a sound
 # upstream.
 RESERVED_BUDGET: Final = 0.5
@@ -51,7 +54,6 @@
         "_budget",
         "_context",
         "_counter",
-        "_list_age_ms",
         "_recorder",
         "_relay",
         "_service",
@@ -86,7 +88,8 @@
         present = self.present
         if present is None:
             return None
-        tried = {present.upstream}
+        # When each upstream that could not take the request may be tried again.
+        tried: dict[str, int] = {}
         reported: Obstacle | None = None
         while True:
             found = await self._async_try(present, awaited, tried)
@@ -100,7 +103,9 @@
                 return None
             await self._async_wait(RECHECK_MS)
 
-    async def _async_try(self, present: Run, awaited: Awaited, tried: set[str]) -> Run | Obstacle:
+    async def _async_try(
+        self, present: Run, awaited: Awaited, tried: dict[str, int]
+    ) -> Run | Obstacle:
         """Return a run that stands ready, sent before or now, or why there is none."""
         ready = self._find_ready()
         if ready is not None:
@@ -112,7 +117,7 @@
         placement = context.placer.place(
             service=self._service,
             prompt=context.request.prompt,
-            excluded=context.progress.excluded_upstreams | tried,
+            excluded=context.progress.excluded_upstreams | self._list_left_out(present, tried),
             limit_ms=context.limits.remaining_ms,
             version=self._stream.version,
         )
@@ -122,14 +127,23 @@
         if not self._budget.has_spare(self._service, reserved=reserved):
             return Obstacle.BUDGET
         run = Run(context=context, placement=placement, last_event_id=self._relay.last_event_id)
-        tried.add(run.upstream)
+        tried[run.upstream] = context.app.clock.now_ms() + RETRY_UNREACHABLE_MS
         obstacle = await self._async_open(run, reserved)
         if obstacle is not None:
             return obstacle
         run.send_beside(list_age_ms=self._stream.list_age_ms)
         self.standby.add(run)
         await self._async_wait(self._get_overlap_ms(awaited))
-        return self._find_ready() or (run if self._is_exclusive else Obstacle.UPSTREAM)
+        ready = self._find_ready()
+        if ready is None and self._is_exclusive and run in self.standby.sent:
+            return run
+        return ready or Obstacle.UPSTREAM
+
+    def _list_left_out(self, present: Run, tried: Mapping[str, int]) -> set[str]:
+        """Return the upstreams that have the request, or could not take it a moment ago."""
+        now_ms = self._context.app.clock.now_ms()
+        left_out = {present.upstream, *(run.upstream for run in self.standby.sent)}
+        return left_out | {upstream for upstream, until_ms in tried.items() if now_ms < until_ms}
 
     def _get_reserved(self, present: Run) -> float:
         """Return the share of the retry budget that the replacement of a run must leave."""
--- a/tests/forwarding/test_forwarding_replacement.py
+++ b/tests/forwarding/test_forwarding_replacement.py
@@ -272,3 +272,39 @@
 def _count_starts(world: ForwardingWorld) -> int:
     placer = world.product.app.dump()["directory"]
     return str(placer).count("5000")
+
+
+async def test_silent_stream_is_not_given_up_for_an_upstream_that_turns_it_away(
+    world: ForwardingWorld,
+) -> None:
+    """Guards against a stream that is closed for a run which was rejected meanwhile."""
+    for runner in world.models:
+        runner.pause_s = 0.04
+    async with aiohttp.ClientSession() as session:
+        call = asyncio.create_task(async_stream(world, session, "/quote/a", "q1"))
+        await world.async_until(lambda: world.arrivals("q1"))
+        present = next(runner for runner in world.models if runner.arrivals)
+        for runner in world.models:
+            runner.default_fault = RunnerFault.SHED
+        await asyncio.sleep(0.1)
+        await present.async_fall_silent(1.3)
+        assert list_numbers(await call) == list(range(1, EVENTS + 1))
+    assert [arrival.ran for arrival in world.arrivals("q1")].count(True) == 1
+
+
+async def test_silent_stream_goes_on_at_an_upstream_that_could_not_be_reached_at_first(
+    world: ForwardingWorld,
+) -> None:
+    """Guards against an upstream that is left out for as long as the silence lasts."""
+    for runner in world.models:
+        runner.pause_s = 0.04
+        runner.next_faults.append(RunnerFault.STALL_STREAM)
+    async with aiohttp.ClientSession() as session:
+        call = asyncio.create_task(async_stream(world, session, "/quote/a", "q1"))
+        await world.async_until(lambda: world.arrivals("q1"))
+        other = next(runner for runner in world.models if not runner.arrivals)
+        other.next_faults.clear()
+        other.listener.close()
+        await asyncio.sleep(0.8)
+        await other.listener.async_open()
+        assert list_numbers(await call) == list(range(1, EVENTS + 1))
