Take a stream late in a stop by the median pace and the worst slowdown seen

Cause: the margin of one and a half counted on top of the slowest of twenty answers, so it took the spread of an upstream twice; and where engines slow down by more than that, streams were still cut.

Change: answers are compared with the median estimate that was known when they began.

The new replay test fails before at "heavy", seed 0.

--- a/gypsumrouter/forwarding/leaving.py
+++ b/gypsumrouter/forwarding/leaving.py
@@ -10,7 +10,7 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import Final, NamedTuple
 
 from gypsumrouter.forwarding.const import DRAIN_GRACE_MS
@@ -32,10 +32,17 @@
 MANY_UPSTREAMS: Final = 5
 # Share of an upstream's answers that are no slower than its pace is taken to be.
 QUANTILE: Final = 0.95
+# The same where the estimate is multiplied by how far estimates have been off.
+MEDIAN: Final = 0.5
 # Time that the last bytes of an answer take, and by which an estimate may be short.
 MARGIN_MS: Final = 100
-# By how much an upstream may slow down after it has got a request that must not be cut.
+# By how much an upstream may slow down after it has got a request that must not be cut, as it may
+# not have done before.
 SLOWDOWN: Final = 1.5
+# With fewer answers that were compared with their estimates these tell nothing.
+MIN_COMPARED: Final = 30
+# Estimates are kept for a later comparison this often.
+KEEP_ESTIMATES_MS: Final = 1_000
 # Events of a stream from which on its pace so far counts.
 MIN_EVENTS: Final = 10
 
@@ -53,13 +60,108 @@
     ended_ms: int
 
 
+class Pace(NamedTuple):
+    """The pace of an upstream as it was known at a time (monotonic milliseconds).
+
+    `first_ms` is for prompts of at most `longest` tokens.
+    """
+
+    known_at_ms: int
+    first_ms: float
+    longest: int
+    ms_per_token: float
+
+    def estimate_ms(self, prompt: Prompt | None) -> float:
+        """Return how long an answer takes.
+
+        The first event of a prompt takes longer where the prompt is longer than those seen.
+        """
+        if prompt is None:
+            return self.first_ms
+        first_ms = self.first_ms
+        if self.longest:
+            first_ms *= max(1.0, prompt.input_tokens / self.longest)
+        return first_ms + self.ms_per_token * max(0, prompt.max_output_tokens - 1)
+
+
+class Compared(NamedTuple):
+    """Answers of about a second: how many were compared with the pace known when they began.
+
+    `worst` is the largest time of an answer divided by its estimate.
+    """
+
+    since_ms: int
+    answers: int
+    worst: float
+
+
+class SlowdownTracker:
+    """By how much the answers of each service have lately taken longer than their estimates."""
+
+    __slots__ = ("_clock", "_compared", "_paces")
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        # By service and upstream: the paces of the last half minute.
+        self._paces: dict[str, dict[str, deque[Pace]]] = {}
+        self._compared: dict[str, deque[Compared]] = {}
+
+    def note(
+        self, service: str, prompt: Prompt | None, progress: Progress, seen: Sequence[SeenAnswer]
+    ) -> None:
+        """Compare an answer that ends now; `seen` are the answers of its upstream with it."""
+        now_ms = self._clock.now_ms()
+        kept = RECENT_MS // KEEP_ESTIMATES_MS
+        paces = self._paces.setdefault(service, {})
+        upstream = paces.setdefault(progress.upstream, deque(maxlen=kept))
+        known = (pace for pace in reversed(upstream) if pace.known_at_ms <= progress.arrived_ms)
+        if (pace := next(known, None)) is not None:
+            # An admission adds the margin to its estimate.
+            took_ms = now_ms - progress.arrived_ms - MARGIN_MS
+            self._add(service, took_ms / max(1.0, pace.estimate_ms(prompt)))
+        if not upstream or now_ms - upstream[-1].known_at_ms >= KEEP_ESTIMATES_MS:
+            upstream.append(_find_pace(seen, MEDIAN, now_ms))
+
+    def _add(self, service: str, ratio: float) -> None:
+        now_ms = self._clock.now_ms()
+        kept = RECENT_MS // KEEP_ESTIMATES_MS
+        compared = self._compared.setdefault(service, deque(maxlen=kept))
+        if compared and now_ms - compared[-1].since_ms < KEEP_ESTIMATES_MS:
+            last = compared.pop()
+            compared.append(Compared(last.since_ms, last.answers + 1, max(last.worst, ratio)))
+        else:
+            compared.append(Compared(now_ms, 1, ratio))
+
+    def sweep(self, known: Mapping[str, Collection[str]]) -> None:
+        """Drop what is not in `known`, the upstreams of each service that have answered lately."""
+        for service, paces in tuple(self._paces.items()):
+            kept = {u: seen for u, seen in paces.items() if u in known.get(service, ())}
+            if kept:
+                self._paces[service] = kept
+            else:
+                del self._paces[service]
+                self._compared.pop(service, None)
+
+    def find_worst(self, service: str) -> float | None:
+        """Return the largest time of a recent answer divided by its estimate.
+
+        None if few answers tell.
+        """
+        oldest_ms = self._clock.now_ms() - RECENT_MS
+        recent = [c for c in self._compared.get(service, ()) if c.since_ms >= oldest_ms]
+        if sum(c.answers for c in recent) < MIN_COMPARED:
+            return None
+        return max(c.worst for c in recent)
+
+
 class SeenDurations:
     """How long the answers of each service have taken lately, by upstream."""
 
-    __slots__ = ("_answers", "_clock", "_length_ratios")
+    __slots__ = ("_answers", "_clock", "_length_ratios", "slowdowns")
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
+        self.slowdowns = SlowdownTracker(clock=clock)
         self._answers: dict[str, dict[str, deque[SeenAnswer]]] = {}
         # By service: events of the last answers for each token that was asked for.
         self._length_ratios: dict[str, deque[float]] = {}
@@ -87,7 +189,9 @@
             ended_ms=now_ms,
         )
         upstreams = self._answers.setdefault(service, {})
-        upstreams.setdefault(progress.upstream, deque(maxlen=REMEMBERED_ANSWERS)).append(answer)
+        seen = upstreams.setdefault(progress.upstream, deque(maxlen=REMEMBERED_ANSWERS))
+        seen.append(answer)
+        self.slowdowns.note(service, prompt, progress, seen)
 
     def sweep(self) -> None:
         """Drop upstreams that have not answered lately."""
@@ -99,6 +203,7 @@
             else:
                 del self._answers[service]
                 self._length_ratios.pop(service, None)
+        self.slowdowns.sweep(self._answers)
 
     def is_known(self, service: str, upstream: str | None = None) -> bool:
         """Return whether a service, and an upstream of it, has answered lately.
@@ -111,9 +216,14 @@
         return sum(map(len, recent.values())) >= MIN_ANSWERS
 
     def estimate_ms(
-        self, service: str, prompt: Prompt | None, *, upstream: str | None = None
+        self,
+        service: str,
+        prompt: Prompt | None,
+        *,
+        upstream: str | None = None,
+        quantile: float = QUANTILE,
     ) -> float:
-        """Return how long an answer takes at most.
+        """Return how long an answer takes at most, by a quantile of the paces that were seen.
 
         Without an `upstream` that is at the fastest of the service. One that has not answered
         lately is taken for the slowest of many others, or for the slowest that is expected.
@@ -121,7 +231,11 @@
         if not self.is_known(service):
             return PLAIN_MS if prompt is None else _estimate_slowest_ms(prompt)
         recent = self._list_recent(service)
-        estimates = {name: _estimate_ms(seen, prompt) for name, seen in recent.items()}
+        now_ms = self._clock.now_ms()
+        estimates = {
+            name: _find_pace(seen, quantile, now_ms).estimate_ms(prompt)
+            for name, seen in recent.items()
+        }
         if upstream is None:
             return min(estimates.values())
         if upstream in estimates:
@@ -157,25 +271,20 @@
     return LATEST_FIRST_MS + SLOWEST_MS_PER_TOKEN * prompt.max_output_tokens
 
 
-def _estimate_ms(seen: list[SeenAnswer], prompt: Prompt | None) -> float:
-    """Return how long an answer takes at the upstream of these answers.
-
-    The first event of a prompt takes longer where the prompt is longer than those seen.
-    """
-    first_ms = _find_quantile(answer.first_ms for answer in seen)
-    if prompt is None:
-        return first_ms
-    longest = max(answer.tokens for answer in seen)
-    if longest:
-        first_ms *= max(1.0, prompt.input_tokens / longest)
+def _find_pace(seen: Sequence[SeenAnswer], quantile: float, now_ms: int) -> Pace:
+    """Return the pace of the upstream of these answers."""
     paces = [answer.ms_per_token for answer in seen if answer.ms_per_token is not None]
-    pace_ms = _find_quantile(paces) if paces else SLOWEST_MS_PER_TOKEN
-    return first_ms + pace_ms * max(0, prompt.max_output_tokens - 1)
+    return Pace(
+        known_at_ms=now_ms,
+        first_ms=_find_quantile([answer.first_ms for answer in seen], quantile),
+        longest=max(answer.tokens for answer in seen),
+        ms_per_token=_find_quantile(paces, quantile) if paces else SLOWEST_MS_PER_TOKEN,
+    )
 
 
-def _find_quantile(values: Iterable[float]) -> float:
+def _find_quantile(values: Iterable[float], quantile: float) -> float:
     ordered = sorted(values)
-    return ordered[math.ceil(QUANTILE * len(ordered)) - 1]
+    return ordered[math.ceil(quantile * len(ordered)) - 1]
 
 
 class DrainAdmission:
@@ -254,7 +363,10 @@
         left_ms = self.limit_at_ms - self._clock.now_ms() - MARGIN_MS
         if remaining_ms <= left_ms:
             return True
-        estimate_ms = self.durations.estimate_ms(service, prompt, upstream=upstream)
+        quantile, slowdown = self._choose_margin(service)
+        estimate_ms = self.durations.estimate_ms(
+            service, prompt, upstream=upstream, quantile=quantile
+        )
         if prompt is not None and upstream is not None:
             under_way = (
                 self.durations.estimate_running_ms(service, prompt, progress)
@@ -262,6 +374,13 @@
                 if name == service and progress.upstream == upstream
             )
             estimate_ms = max(estimate_ms, max(under_way, default=0.0))
-        if not self.grace_left_ms:
-            estimate_ms *= SLOWDOWN
-        return estimate_ms <= left_ms
+        return estimate_ms * slowdown <= left_ms
+
+    def _choose_margin(self, service: str) -> tuple[float, float]:
+        """Return the quantile of an estimate, and by how much an answer may take longer."""
+        if self.grace_left_ms:
+            return QUANTILE, 1.0
+        worst = self.durations.slowdowns.find_worst(service)
+        if worst is None:
+            return QUANTILE, SLOWDOWN
+        return MEDIAN, max(SLOWDOWN, worst)
--- a/tests/forwarding/test_forwarding_leaving.py
+++ b/tests/forwarding/test_forwarding_leaving.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterator
+from bisect import bisect_left
+from collections.abc import Iterable, Iterator
+from itertools import accumulate
 from typing import NamedTuple
 
 import pytest
@@ -38,6 +40,15 @@
 BEFORE_MS = 20_000
 # Share by which paces and first events vary.
 SPREAD = 0.04
+# Engines that slow down for a while: by how much, for how long, and how often.
+BURSTS = {"bursts": (1.2, 1.6), "heavy": (1.5, 2.5)}
+BURST_MS = (500, 3_000)
+BURST_EVERY_MS = 5_000
+# Engines that slow down in the stop, as they never did before.
+STEP = 1.4
+STEP_AFTER_MS = (2_500, 6_000)
+# The last answer has ended by then.
+END_MS = BEFORE_MS + 6 * STOP_MS
 
 
 class Drawn(NamedTuple):
@@ -80,6 +91,39 @@
         yield Drawn(sent_ms, prompt, f"i-{upstream}", first, first + rest)
 
 
+def draw_slowness(rng: random.Random, kind: str) -> list[float]:
+    """Draw by how much an engine is slower than usual, every `EVERY_MS`."""
+    slowness = [1.0] * (END_MS // EVERY_MS)
+    if kind == "step":
+        begins_ms = BEFORE_MS + rng.uniform(*STEP_AFTER_MS)
+        return [STEP if n * EVERY_MS >= begins_ms else 1.0 for n in range(len(slowness))]
+    at_ms = rng.expovariate(1 / BURST_EVERY_MS)
+    while at_ms < END_MS:
+        ends_ms = at_ms + rng.uniform(*BURST_MS)
+        burst = range(int(at_ms // EVERY_MS), min(len(slowness), int(ends_ms // EVERY_MS)))
+        factor = rng.uniform(*BURSTS[kind])
+        for n in burst:
+            slowness[n] = factor
+        at_ms = ends_ms + rng.expovariate(1 / BURST_EVERY_MS)
+    return slowness
+
+
+def slow_down(requests: Iterable[Drawn], seed: str, kind: str) -> Iterator[Drawn]:
+    """Let the answers of these requests take longer while their engines are slow."""
+    done: dict[str, list[float]] = {}
+    for number in range(UPSTREAMS):
+        slowness = draw_slowness(random.Random(f"{seed} {number}"), kind)
+        done[f"i-{number}"] = list(accumulate((EVERY_MS / s for s in slowness), initial=0.0))
+    for request in requests:
+        work = done[request.upstream]
+        begun = work[request.sent_ms // EVERY_MS]
+        first, total = (
+            bisect_left(work, begun + took_ms) * EVERY_MS - request.sent_ms
+            for took_ms in (request.first_ms, request.total_ms)
+        )
+        yield request._replace(first_ms=first, total_ms=total)
+
+
 def replay(requests: Iterator[Drawn], *, overlong: float = 1.0) -> Replay:
     clock = ManualClock()
     drain = DrainAdmission(clock=clock, limit_ms=STOP_MS - CUT_MARGIN_MS)
@@ -143,6 +187,23 @@
     assert sum(result.taken_in_time for result in results) > 0
 
 
+# Guards against a bound that holds only at engines that keep their pace: engines slow down for a
+# while, as they did before, or for the first time.
+@pytest.mark.parametrize("seed", range(2))
+@pytest.mark.parametrize("kind", ["bursts", "heavy", "step"])
+def test_drain_takes_nothing_late_that_is_cut_at_engines_that_slow_down(
+    kind: str, seed: int
+) -> None:
+    results = []
+    for pace_ms in PACES_MS:
+        for first_ms in FIRSTS_MS:
+            name = f"{pace_ms} {first_ms} {kind} {seed}"
+            drawn = draw(name, pace_ms=pace_ms, first_ms=first_ms, overlong=1.0)
+            results.append(replay(slow_down(drawn, name, kind)))
+    assert [result.cut for result in results] == [0] * len(results)
+    assert sum(result.taken_in_time for result in results) > 0
+
+
 def test_drain_takes_nine_tenths_of_what_ends_in_time() -> None:
     results = replay_all(1.0)
     in_time = sum(result.in_time for result in results)
