--- a/gypsumrouter/forwarding/next_step.py
+++ b/gypsumrouter/forwarding/next_step.py
@@ -145,9 +145,14 @@
 
 def may_retry(progress: Progress, limits: RetryLimits) -> bool:
     """Return whether a request that may have run can be retried; consumes a retry if so."""
+    return allows_retry(progress, limits) and limits.acquire_retry()
+
+
+def allows_retry(progress: Progress, limits: RetryLimits) -> bool:
+    """Return whether a request that may have run can be retried as far as the budget allows."""
     if not limits.repeatable or len(progress.possibly_ran_on) >= limits.max_attempts:
         return False
-    return limits.remaining_ms > 0 and limits.acquire_retry()
+    return limits.remaining_ms > 0
 
 
 def _decide_unreachable(progress: Progress) -> Decision:
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -108,7 +108,7 @@
 
     async def async_relay(self, streaming: StreamingResponse) -> StreamEnd:
         """Relay the response of one upstream until it ends; raises CallerDisconnected."""
-        if self._headers is None:
+        if self.response is None:
             self._headers = self._dialect.select_headers(streaming.answer)
         self._splitter.start()
         received = 0
--- a/gypsumrouter/forwarding/replacement.py
+++ b/gypsumrouter/forwarding/replacement.py
@@ -117,7 +117,7 @@
         placement = context.placer.place(
             service=self._service,
             prompt=context.request.prompt,
-            excluded=context.progress.excluded_upstreams | self._list_left_out(present, tried),
+            excluded=self._list_left_out(present, tried),
             limit_ms=context.limits.remaining_ms,
             version=self._stream.version,
         )
@@ -140,9 +140,10 @@
         return ready or Obstacle.UPSTREAM
 
     def _list_left_out(self, present: Run, tried: Mapping[str, int]) -> set[str]:
-        """Return the upstreams that have the request, or could not take it a moment ago."""
+        """Return the upstreams that have the request, have run it, or could not a moment ago."""
         now_ms = self._context.app.clock.now_ms()
-        left_out = {present.upstream, *(run.upstream for run in self.standby.sent)}
+        left_out = {present.upstream, *self._context.progress.possibly_ran_on}
+        left_out.update(run.upstream for run in self.standby.sent)
         return left_out | {upstream for upstream, until_ms in tried.items() if now_ms < until_ms}
 
     def _get_reserved(self, present: Run) -> float:
--- a/gypsumrouter/forwarding/retries.py
+++ b/gypsumrouter/forwarding/retries.py
@@ -17,6 +17,7 @@
     Decision,
     NextStep,
     RetryLimits,
+    allows_retry,
     decide_after_failed_run,
     decide_continuation,
     decide_next_step,
@@ -96,9 +97,22 @@
         if self._replacements.standby.has_sent:
             return Decision(step=self.step)
         await self._stream.async_settle()
-        return decide_after_failed_run(
-            self._progress, self._make_limits(), retry_step=self.step, message=message
+        limits = self._make_limits()
+        decision = decide_after_failed_run(
+            self._progress, limits, retry_step=self.step, message=message
         )
+        if decision.step is NextStep.FAIL and allows_retry(self._progress, limits):
+            return await self._async_wait_for_budget(decision)
+        return decision
+
+    async def _async_wait_for_budget(self, failure: Decision) -> Decision:
+        """Return the next step once the budget has a retry; the failure after half of the time."""
+        ends_ms = self._context.app.clock.now_ms() + self._limits.remaining_ms // 2
+        while self._context.app.clock.now_ms() + RECHECK_MS < ends_ms:
+            await self._context.app.clock.async_sleep(RECHECK_MS)
+            if self._context.budget.try_acquire(self._service):
+                return Decision(step=self.step)
+        return failure
 
     @property
     def may_wait(self) -> bool:
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Final
 
 import msgspec
 from msgspec import Struct
@@ -31,10 +32,12 @@
 from gypsumrouter.forwarding.progress import Progress, TimeLimits
 from gypsumrouter.forwarding.request_contention import RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
-from gypsumrouter.helpers.http_response import ConnectionBroken
+from gypsumrouter.helpers.http_response import ConnectionBroken, Framing
 from gypsumrouter.routing import RouteMatch
 from gypsumrouter.util.body_formats import find_event_end
 
+NO_EVENT: Final = "ended before the first event"
+
 
 class RunContext(Struct, frozen=True, kw_only=True):
     """What all runs of one request share; `detects_crashes` and `prioritized` are mechanisms."""
@@ -162,6 +165,8 @@
         try:
             while not find_event_end(received):
                 part = await outcome.answer.body.readany()
+                if not part and outcome.answer.framing is Framing.CLOSE:
+                    return ResponseLost(reason=NO_EVENT, connection_broken=True)
                 if not part:
                     break
                 received += part
--- a/gypsumrouter/forwarding/standby.py
+++ b/gypsumrouter/forwarding/standby.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import inspect
 from collections.abc import Awaitable, Coroutine
 from typing import Any, Protocol, TypeVar
 
@@ -47,6 +48,10 @@
         """
         if patience_ms is None:
             return await result
+        if self._ready is not None:
+            if inspect.iscoroutine(result):
+                result.close()
+            raise Replaced
         loop = asyncio.get_running_loop()
         handle = loop.call_later(patience_ms / MS_PER_S, self._begin, awaited)
         try:
@@ -73,11 +78,11 @@
 
     def take(self) -> Run | None:
         """Return the run that stands ready or was sent last, which the caller then owns."""
-        if not self.sent:
-            self._cancel()
-            return None
-        run = self._ready or self.sent[-1]
-        self.sent.remove(run)
+        run = self._ready
+        if run is None and self.sent:
+            run = self.sent[-1]
+        if run in self.sent:
+            self.sent.remove(run)
         self.drop()
         return run
 
