--- a/gypsumrouter/directory/directory.py
+++ b/gypsumrouter/directory/directory.py
@@ -40,7 +40,6 @@
 
     __slots__ = (
         "_announced_leaving",
-        "_app",
         "_deferred_removals",
         "_deferred_returns",
         "_epoch",
@@ -65,7 +64,6 @@
         journal: Journal,
         heartbeat_ms: int = DEFAULT_HEARTBEAT_MS,
     ) -> None:
-        self._app = app
         self._journal = journal
         self._records: dict[str, Record] = {}
         self._incarnations: dict[str, Entry] = {}
@@ -339,14 +337,14 @@
         return {
             "revision": self.read_revision,
             "epoch": self._epoch,
-            "list_away": self._grace.in_outage,
-            "doubtful": sorted(self._deferred_removals.upstreams),
-            "returning": sorted(self._deferred_returns.upstreams),
-            "said_leaving": sorted(self._announced_leaving),
+            "in_outage": self._grace.in_outage,
+            "deferred_removals": sorted(self._deferred_removals.upstreams),
+            "deferred_returns": sorted(self._deferred_returns.upstreams),
+            "announced_leaving": sorted(self._announced_leaving),
             "upstreams": [
                 {
                     "id": record.entry.upstream,
-                    "born_ms": record.entry.started_ms,
+                    "started_ms": record.entry.started_ms,
                     "service": record.entry.service,
                     "version": record.entry.version,
                     "state": record.entry.state.value,
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Final
 
 import msgspec
 from msgspec import Struct
@@ -31,10 +32,12 @@
 from gypsumrouter.forwarding.progress import Progress, TimeLimits
 from gypsumrouter.forwarding.request_contention import RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
-from gypsumrouter.helpers.http_response import ConnectionBroken
+from gypsumrouter.helpers.http_response import ConnectionBroken, Framing
 from gypsumrouter.routing import RouteMatch
 from gypsumrouter.util.body_formats import find_event_end
 
+NO_EVENT: Final = "ended before the first event"
+
 
 class RunContext(Struct, frozen=True, kw_only=True):
     """What all runs of one request share; `detects_crashes` and `prioritized` are mechanisms."""
@@ -162,6 +165,8 @@
         try:
             while not find_event_end(received):
                 part = await outcome.answer.body.readany()
+                if not part and outcome.answer.framing is Framing.CLOSE:
+                    return ResponseLost(reason=NO_EVENT, connection_broken=True)
                 if not part:
                     break
                 received += part
@@ -174,6 +179,7 @@
     def note_received(self) -> None:
         """Record that a piece of the response has arrived."""
         self.heard_ms = self._context.app.clock.now_ms()
+        self._context.placer.health.note_received(self.upstream)
         self.observer.note_received()
 
     def note_outcome(self, outcome: Outcome) -> None:
@@ -194,6 +200,12 @@
                 placer.note_not_run(self._sent)
                 self.observer.end(ran=False)
 
+    def end_unneeded(self) -> None:
+        """Close the attempt since another run goes on; its upstream may have run the request."""
+        if self.attempt.sent:
+            self._context.progress.note_possible_run(self.upstream)
+        self.end("not needed")
+
     def end(self, step: str) -> None:
         """Close the attempt unless its connection was released; `step` is what comes next."""
         context = self._context
