Failing test: an answer that has arrived is thrown away for the run that was sent last

If the present run fails while two are prepared, Standby.take returns the one that was sent last and ends the others, though one of them may have its whole answer already.

--- a/tests/forwarding/test_forwarding_standby_moments.py
+++ b/tests/forwarding/test_forwarding_standby_moments.py
@@ -12,9 +12,11 @@
 from forwarding_world import KEY, PROMPT, ForwardingWorld, make_configuration, make_route
 
 from gypsumrouter.core import Application
+from gypsumrouter.forwarding.models import Outcome, StreamingResponse
 from gypsumrouter.forwarding.run import Run
 from gypsumrouter.forwarding.silence import Awaited, Replaced
 from gypsumrouter.forwarding.standby import Standby
+from gypsumrouter.helpers.http_response import HttpResponse
 from gypsumrouter.platform import names
 from gypsumrouter.running_process import RunningProcess
 from gypsumrouter.settings import Bounds
@@ -196,6 +198,37 @@
     assert standby.take() is prepared
 
 
+async def test_run_that_has_delivered_takes_over_before_one_that_is_silent_too() -> None:
+    """Guards against an answer that is thrown away for a run which was sent after it."""
+    standby = Standby(app=cast(Application, _TaskFactory()), prepare=_async_prepare_nothing)
+    delivered, silent = _SentRun(), _SentRun()
+    delivered.pending.set_result(
+        StreamingResponse(
+            answer=cast(HttpResponse, None),
+            status=STATUS_OK,
+            is_event_stream=True,
+            initial_bytes=b"id: 1\ndata: piece 1\n\n",
+        )
+    )
+    standby.add(cast(Run, delivered))
+    standby.add(cast(Run, silent))
+    assert standby.take() is cast(Run, delivered)
+
+
+async def _async_prepare_nothing(awaited: Awaited) -> Run | None:
+    raise AssertionError(awaited)
+
+
+class _SentRun:
+    """What a standby uses of a run that was sent."""
+
+    def __init__(self) -> None:
+        self.pending: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+
+    def end_unneeded(self) -> None:
+        """End nothing."""
+
+
 class _TaskFactory:
     """Creates tasks as an application does."""
 
