Of the runs beside a silent one the first that has its outcome is taken, and waits look for them

One assertion of the patience is replaced: with 0 ms left it was 1 ms, which sends for nothing; it now never falls below 150 ms.

--- a/gypsumrouter/forwarding/replacement.py
+++ b/gypsumrouter/forwarding/replacement.py
@@ -131,6 +131,11 @@
         obstacle = await self._async_open(run, reserved)
         if obstacle is not None:
             return obstacle
+        ready = self._find_ready()
+        if ready is not None:
+            run.note_outcome(NOT_SENT)
+            run.end("not needed")
+            return ready
         run.send_beside(list_age_ms=self._stream.list_age_ms)
         self.standby.add(run)
         await self._async_wait(self._get_overlap_ms(awaited))
--- a/gypsumrouter/forwarding/retries.py
+++ b/gypsumrouter/forwarding/retries.py
@@ -88,15 +88,23 @@
         if decision.step is not NextStep.REFUSE or not self.may_wait:
             return decision
         await self.async_wait()
-        while isinstance(outcome, Rejected) and not self._context.budget.try_acquire(self._service):
+        while isinstance(outcome, Rejected) and not self._may_send():
             await self._context.app.clock.async_sleep(RECHECK_MS)
         return Decision(step=NextStep.WAIT)
 
+    def _may_send(self) -> bool:
+        """Return whether another run was sent meanwhile, or a retry could be taken."""
+        return self._replacements.standby.has_sent or self._context.budget.try_acquire(
+            self._service
+        )
+
     async def async_decide_after_stream(self, *, message: str) -> Decision:
         """Return the next step after a stream was broken off; `message` says how."""
         if self._replacements.standby.has_sent:
             return Decision(step=self.step)
         await self._stream.async_settle()
+        if self._replacements.standby.has_sent:
+            return Decision(step=self.step)
         limits = self._make_limits()
         decision = decide_after_failed_run(
             self._progress, limits, retry_step=self.step, message=message
@@ -110,7 +118,7 @@
         ends_ms = self._context.app.clock.now_ms() + self._limits.remaining_ms // 2
         while self._context.app.clock.now_ms() + RECHECK_MS < ends_ms:
             await self._context.app.clock.async_sleep(RECHECK_MS)
-            if self._context.budget.try_acquire(self._service):
+            if self._may_send():
                 return Decision(step=self.step)
         return failure
 
--- a/gypsumrouter/forwarding/silence.py
+++ b/gypsumrouter/forwarding/silence.py
@@ -90,4 +90,4 @@
     patience_ms = max(MIN_RESPONSE_TIMEOUT_MS, int(expected_ms * factor))
     if not expected_ms:
         patience_ms = DEFAULT_PATIENCE_MS
-    return max(1, min(patience_ms, remaining_ms // 2))
+    return min(patience_ms, max(MIN_RESPONSE_TIMEOUT_MS, remaining_ms // 2))
--- a/gypsumrouter/forwarding/standby.py
+++ b/gypsumrouter/forwarding/standby.py
@@ -77,10 +77,11 @@
         self.sent.remove(run)
 
     def take(self) -> Run | None:
-        """Return the run that stands ready or was sent last, which the caller then owns."""
+        """Return a run that stands ready or was sent, which the caller then owns."""
         run = self._ready
         if run is None and self.sent:
-            run = self.sent[-1]
+            # One that has its outcome goes first.
+            run = max(self.sent, key=lambda sent: sent.pending is not None and sent.pending.done())
         if run in self.sent:
             self.sent.remove(run)
         self.drop()
