--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -264,6 +264,7 @@
 
     async def _async_get_outcome(self, run: Run) -> Outcome:
         """Send the request, unless the run has begun beside another one, and await the outcome."""
+        self.progress.in_flight = run.pending is not None
         if run.pending is None:
             failed = await run.async_open(self._stream.get_start_check(run.placement.entry.service))
             if failed is not None:
--- a/gypsumrouter/forwarding/replacement.py
+++ b/gypsumrouter/forwarding/replacement.py
@@ -117,7 +117,7 @@
         placement = context.placer.place(
             service=self._service,
             prompt=context.request.prompt,
-            excluded=context.progress.excluded_upstreams | self._list_left_out(present, tried),
+            excluded=self._list_left_out(present, tried),
             limit_ms=context.limits.remaining_ms,
             version=self._stream.version,
         )
@@ -131,6 +131,11 @@
         obstacle = await self._async_open(run, reserved)
         if obstacle is not None:
             return obstacle
+        ready = self._find_ready()
+        if ready is not None:
+            run.note_outcome(NOT_SENT)
+            run.end("not needed")
+            return ready
         run.send_beside(list_age_ms=self._stream.list_age_ms)
         self.standby.add(run)
         await self._async_wait(self._get_overlap_ms(awaited))
@@ -140,9 +145,10 @@
         return ready or Obstacle.UPSTREAM
 
     def _list_left_out(self, present: Run, tried: Mapping[str, int]) -> set[str]:
-        """Return the upstreams that have the request, or could not take it a moment ago."""
+        """Return the upstreams that have the request, have run it, or could not a moment ago."""
         now_ms = self._context.app.clock.now_ms()
-        left_out = {present.upstream, *(run.upstream for run in self.standby.sent)}
+        left_out = {present.upstream, *self._context.progress.possibly_ran_on}
+        left_out.update(run.upstream for run in self.standby.sent)
         return left_out | {upstream for upstream, until_ms in tried.items() if now_ms < until_ms}
 
     def _get_reserved(self, present: Run) -> float:
--- a/gypsumrouter/forwarding/standby.py
+++ b/gypsumrouter/forwarding/standby.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import inspect
 from collections.abc import Awaitable, Coroutine
 from typing import Any, Protocol, TypeVar
 
@@ -47,6 +48,10 @@
         """
         if patience_ms is None:
             return await result
+        if self._ready is not None:
+            if inspect.iscoroutine(result):
+                result.close()
+            raise Replaced
         loop = asyncio.get_running_loop()
         handle = loop.call_later(patience_ms / MS_PER_S, self._begin, awaited)
         try:
@@ -72,12 +77,13 @@
         self.sent.remove(run)
 
     def take(self) -> Run | None:
-        """Return the run that stands ready or was sent last, which the caller then owns."""
-        if not self.sent:
-            self._cancel()
-            return None
-        run = self._ready or self.sent[-1]
-        self.sent.remove(run)
+        """Return a run that stands ready or was sent, which the caller then owns."""
+        run = self._ready
+        if run is None and self.sent:
+            # One that has its outcome goes first.
+            run = max(self.sent, key=lambda sent: sent.pending is not None and sent.pending.done())
+        if run in self.sent:
+            self.sent.remove(run)
         self.drop()
         return run
 
