An upstream's error response is returned at once where no other upstream can take the request

Cause: since a request that has run waits for an upstream, a 500 of one was held back until the deadline while the others turned requests away.

--- a/gypsumrouter/forwarding/retries.py
+++ b/gypsumrouter/forwarding/retries.py
@@ -127,8 +127,11 @@
         """Return whether the request waits for an upstream instead of being refused.
 
         One that has run can't be refused any more, and one that met a silent upstream waits a while
-        for that. Both do only while an upstream is listed that has not run it.
+        for that. Both do only while an upstream is listed that has not run it, and no upstream's
+        error response is there to be returned.
         """
+        if self._progress.fallback_response is not None:
+            return False
         ran_on = self._progress.possibly_ran_on
         waited_ms = self._context.app.clock.now_ms() - self._progress.arrived_ms
         awaits_silent = self._progress.met_silence and waited_ms < MAX_SILENCE_MS
--- a/tests/forwarding/test_forwarding_silent_second.py
+++ b/tests/forwarding/test_forwarding_silent_second.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -156,3 +157,19 @@
         for runner in world.models:
             runner.default_fault = RunnerFault.NONE
         assert list_numbers(await call) == list(range(1, EVENTS + 1))
+
+
+async def test_server_error_is_returned_while_the_other_upstream_turns_requests_away(
+    world: ForwardingWorld,
+) -> None:
+    """Guards against an answer that is held back until the deadline for want of a better one."""
+    await async_configure(world, max_attempts=2)
+    faults = deque([RunnerFault.ERROR])
+    for runner in world.records:
+        runner.next_faults = faults
+        runner.default_fault = RunnerFault.SHED
+    async with aiohttp.ClientSession() as session, asyncio.timeout(5):
+        status, body, _ = await world.async_call(
+            session, "GET", "/lookup/a", "l1", extra={"X-Deadline-Ms": "8000"}
+        )
+    assert (status, body) == (500, b"broken")
