--- a/gypsumrouter/forwarding/replacement.py
+++ b/gypsumrouter/forwarding/replacement.py
@@ -252,6 +252,7 @@
             present.attempt,
             number=present.number,
             awaited=awaited.value,
+            patience_ms=self.standby.patience_ms,
             silent_ms=self._context.app.clock.now_ms() - present.heard_ms,
             obstacle="" if obstacle is None else obstacle.value,
             replaced_by=replaced_by,
--- a/gypsumrouter/forwarding/standby.py
+++ b/gypsumrouter/forwarding/standby.py
@@ -29,7 +29,7 @@
     adopted since the present run has failed; `drop` ends them if that one goes on.
     """
 
-    __slots__ = ("_app", "_prepare", "_ready", "_task", "_wait", "sent")
+    __slots__ = ("_app", "_prepare", "_ready", "_task", "_wait", "patience_ms", "sent")
 
     def __init__(self, *, app: Application, prepare: PrepareRun) -> None:
         self._app = app
@@ -38,6 +38,8 @@
         self._wait: asyncio.Timeout | None = None
         self._ready: Run | None = None
         self.sent: list[Run] = []
+        # Silence after which a run is prepared now, in milliseconds.
+        self.patience_ms = 0
 
     async def async_wait(
         self, awaited: Awaited, result: Awaitable[_T], *, patience_ms: int | None
@@ -52,6 +54,7 @@
             if inspect.iscoroutine(result):
                 result.close()
             raise Replaced
+        self.patience_ms = patience_ms
         loop = asyncio.get_running_loop()
         handle = loop.call_later(patience_ms / MS_PER_S, self._begin, awaited)
         try:
--- a/gypsumrouter/journal/request_events.py
+++ b/gypsumrouter/journal/request_events.py
@@ -65,7 +65,7 @@
 
 
 class AttemptSilent(Event, frozen=True, kw_only=True):
-    """The upstream of an attempt has sent nothing for `silent_ms`.
+    """The upstream of an attempt has sent nothing for `silent_ms`, more than `patience_ms`.
 
     `awaited` is what it owes: the "response", the "first_event" or the "next_event". Another
     upstream takes over if `replaced_by` names one; `obstacle` is why nothing does, and the attempt
@@ -77,6 +77,7 @@
     upstream: str
     attempt: int
     awaited: str
+    patience_ms: int
     silent_ms: int
     obstacle: str
     replaced_by: str
