--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -100,7 +100,11 @@
         if names.API_KEY in arrival.headers:
             yield Violation(guarantee="caller key forwarded", request_id=arrival.request_id)
         if arrival.headers.get(names.TENANT) != WORKSPACE:
-            yield Violation(guarantee="wrong workspace", request_id=arrival.request_id)
+            yield Violation(
+                guarantee="wrong workspace",
+                request_id=arrival.request_id,
+                detail=f"{arrival.method} {arrival.path}",
+            )
 
 
 def check_evacuations(
