--- /dev/null
+++ b/gypsumrouter/forwarding/drain/const.py
@@ -0,0 +1,33 @@
+"""Limits and margins of the admission in a drain."""
+
+from __future__ import annotations
+
+from typing import Final
+
+# The slowest pace and the latest first event that are expected of an engine.
+SLOWEST_MS_PER_TOKEN: Final = 50.0
+LATEST_FIRST_MS: Final = 4_000
+# Expected time of a plain request whose service has not answered lately.
+PLAIN_MS: Final = 400
+# Answers that are older than this say nothing about the present pace.
+RECENT_MS: Final = 30_000
+REMEMBERED_ANSWERS: Final = 32
+# With fewer recent answers of a service the slowest pace is assumed.
+MIN_ANSWERS: Final = 5
+# From so many upstreams on, the slowest of them tells of another one of their service.
+MANY_UPSTREAMS: Final = 5
+# Share of an upstream's answers that are no slower than its pace is taken to be.
+QUANTILE: Final = 0.95
+# The same where the estimate is multiplied by how far estimates have been off.
+MEDIAN: Final = 0.5
+# Time that the last bytes of an answer take, and by which an estimate may be short.
+MARGIN_MS: Final = 100
+# By how much an upstream may slow down after it has got a request that must not be cut, as it may
+# not have done before.
+SLOWDOWN: Final = 1.5
+# With fewer answers that were compared with their estimates these tell nothing.
+MIN_COMPARED: Final = 30
+# Estimates are kept for a later comparison this often.
+KEEP_ESTIMATES_MS: Final = 1_000
+# Events of a stream from which on its pace so far counts.
+MIN_EVENTS: Final = 10
--- /dev/null
+++ b/gypsumrouter/forwarding/drain/paces.py
@@ -0,0 +1,68 @@
+"""Paces of upstreams, by the answers that were seen of them."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from gypsumrouter.forwarding.drain.const import LATEST_FIRST_MS, SLOWEST_MS_PER_TOKEN
+from gypsumrouter.forwarding.models import Prompt
+
+
+class SeenAnswer(NamedTuple):
+    """An answer of an upstream: time to its first event, and pace for each token asked for.
+
+    The pace is None if the answer shows none. `tokens` is the size of its prompt, and `ended_ms`
+    when it ended (monotonic milliseconds).
+    """
+
+    first_ms: float
+    ms_per_token: float | None
+    tokens: int
+    ended_ms: int
+
+
+class Pace(NamedTuple):
+    """The pace of an upstream as it was known at a time (monotonic milliseconds).
+
+    `first_ms` is for prompts of at most `longest` tokens.
+    """
+
+    known_at_ms: int
+    first_ms: float
+    longest: int
+    ms_per_token: float
+
+    def estimate_ms(self, prompt: Prompt | None) -> float:
+        """Return how long an answer takes.
+
+        The first event of a prompt takes longer where the prompt is longer than those seen.
+        """
+        if prompt is None:
+            return self.first_ms
+        first_ms = self.first_ms
+        if self.longest:
+            first_ms *= max(1.0, prompt.input_tokens / self.longest)
+        return first_ms + self.ms_per_token * max(0, prompt.max_output_tokens - 1)
+
+
+def estimate_slowest_ms(prompt: Prompt) -> float:
+    """Return how long an answer takes at the slowest upstream that is expected."""
+    return LATEST_FIRST_MS + SLOWEST_MS_PER_TOKEN * prompt.max_output_tokens
+
+
+def find_pace(seen: Sequence[SeenAnswer], quantile: float, now_ms: int) -> Pace:
+    """Return the pace of the upstream of these answers."""
+    paces = [answer.ms_per_token for answer in seen if answer.ms_per_token is not None]
+    return Pace(
+        known_at_ms=now_ms,
+        first_ms=_find_quantile([answer.first_ms for answer in seen], quantile),
+        longest=max(answer.tokens for answer in seen),
+        ms_per_token=_find_quantile(paces, quantile) if paces else SLOWEST_MS_PER_TOKEN,
+    )
+
+
+def _find_quantile(values: Iterable[float], quantile: float) -> float:
+    ordered = sorted(values)
+    return ordered[math.ceil(quantile * len(ordered)) - 1]
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -24,10 +24,10 @@
 from gypsumrouter.forwarding.connections import ConnectionPool, ReadStart
 from gypsumrouter.forwarding.const import CALLER_TIMEOUT_MARGIN_MS
 from gypsumrouter.forwarding.context import ForwardingContext
+from gypsumrouter.forwarding.drain import DrainAdmission
 from gypsumrouter.forwarding.handler import RequestHandler, RequestParser
 from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker, SilenceTracker
 from gypsumrouter.forwarding.inventory import CacheInventory, FetchCacheListing
-from gypsumrouter.forwarding.leaving import DrainAdmission
 from gypsumrouter.forwarding.metrics import ForwardingMetrics
 from gypsumrouter.forwarding.models import Dialect
 from gypsumrouter.forwarding.placement import Cap
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -25,8 +25,8 @@
 from gypsumrouter.directory import Directory
 from gypsumrouter.forwarding.const import RETRY_AT_ONCE_MS
 from gypsumrouter.forwarding.context import ForwardingContext
+from gypsumrouter.forwarding.drain import DrainAdmission
 from gypsumrouter.forwarding.execution import RequestExecution
-from gypsumrouter.forwarding.leaving import DrainAdmission
 from gypsumrouter.forwarding.metrics import ForwardingMetrics, RequestRecords, RunningRequest
 from gypsumrouter.forwarding.models import CallerRequest, Prompt
 from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED, Progress, get_time_limit_ms
--- a/tests/forwarding/test_forwarding_arriving.py
+++ b/tests/forwarding/test_forwarding_arriving.py
@@ -91,7 +91,7 @@
 @pytest.fixture(autouse=True)
 def drain_closes_at_once() -> Iterator[None]:
     """Leave out the time in which load balancers see that the forwarder is not ready."""
-    with patch("gypsumrouter.forwarding.leaving.DRAIN_GRACE_MS", 0):
+    with patch("gypsumrouter.forwarding.drain.admission.DRAIN_GRACE_MS", 0):
         yield
 
 
--- a/tests/forwarding/test_forwarding_leaving.py
+++ b/tests/forwarding/test_forwarding_drain_admission.py
@@ -11,8 +11,8 @@
 import pytest
 
 from gypsumrouter.forwarding.const import DRAIN_GRACE_MS
-from gypsumrouter.forwarding.forwarder import CUT_MARGIN_MS
-from gypsumrouter.forwarding.leaving import (
+from gypsumrouter.forwarding.drain import DrainAdmission
+from gypsumrouter.forwarding.drain.const import (
     LATEST_FIRST_MS,
     MARGIN_MS,
     MIN_ANSWERS,
@@ -20,8 +20,8 @@
     PLAIN_MS,
     RECENT_MS,
     SLOWDOWN,
-    DrainAdmission,
 )
+from gypsumrouter.forwarding.forwarder import CUT_MARGIN_MS
 from gypsumrouter.forwarding.models import Prompt, PromptPart
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.util.clock import ManualClock
