--- a/gypsumrouter/forwarding/drain/admission.py
+++ b/gypsumrouter/forwarding/drain/admission.py
@@ -8,21 +8,46 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
+import msgspec
+
 from gypsumrouter.forwarding.const import DRAIN_GRACE_MS
-from gypsumrouter.forwarding.drain.const import MARGIN_MS, MEDIAN, QUANTILE, SLOWDOWN
+from gypsumrouter.forwarding.drain.const import (
+    MARGIN_MS,
+    MEDIAN,
+    QUANTILE,
+    SILENCE_MS,
+    SLOWDOWN,
+)
 from gypsumrouter.forwarding.drain.durations import SeenDurations
 from gypsumrouter.forwarding.models import Prompt
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.util.clock import Clock
 
 
+class Margin(NamedTuple):
+    """By how much an answer may take longer than its estimate, a quantile of those seen.
+
+    A slowdown grows with the estimate, a silence is as long in a short answer as in a long one.
+    """
+
+    quantile: float
+    slowdown: float
+    silence_ms: int
+
+    def extend_ms(self, estimate_ms: float) -> float:
+        """Return how long an answer takes at most, in milliseconds."""
+        return estimate_ms * self.slowdown + self.silence_ms
+
+
 class DrainAdmission:
     """Decides whether a new request is admitted while the router drains.
 
     A request is admitted only if it is expected to end `limit_ms` after the beginning of the stop,
-    when what is under way is cut. In the first `DRAIN_GRACE_MS`, until load balancers have seen the
-    readiness change, those to services and upstreams of which nothing is known lately are admitted
-    as well.
+    when what is under way is cut, though its upstream stands still once. In the first
+    `DRAIN_GRACE_MS`, until load balancers have seen the readiness change, silences don't count, and
+    requests to services and upstreams of which nothing is known lately are admitted as well.
     """
 
     __slots__ = ("_clock", "_limit_ms", "_running", "_started_ms", "durations")
@@ -89,12 +114,53 @@
             return True
         if self.grace_left_ms and not self.durations.is_known(service, upstream):
             return True
+        return self._ends_in_time(
+            service,
+            prompt,
+            remaining_ms=remaining_ms,
+            upstream=upstream,
+            margin=self._choose_margin(service),
+        )
+
+    def admits_replacement(
+        self,
+        service: str,
+        prompt: Prompt | None,
+        *,
+        events: int,
+        remaining_ms: int,
+        upstream: str,
+    ) -> bool:
+        """Return whether an upstream may go on with a request after `events` of a silent one.
+
+        That one may be sound and go on in time, which is no longer sure for a replacement with a
+        first event of its own.
+        """
+        if self._started_ms is None:
+            return True
+        if prompt is not None and events:
+            left = max(1, prompt.max_output_tokens - events)
+            prompt = msgspec.structs.replace(prompt, max_output_tokens=left)
+        margin = self._choose_margin(service)._replace(silence_ms=0)
+        return self._ends_in_time(
+            service, prompt, remaining_ms=remaining_ms, upstream=upstream, margin=margin
+        )
+
+    def _ends_in_time(
+        self,
+        service: str,
+        prompt: Prompt | None,
+        *,
+        remaining_ms: int,
+        upstream: str | None,
+        margin: Margin,
+    ) -> bool:
+        """Return whether an answer ends before the limit, by its deadline at the latest."""
         left_ms = self.limit_at_ms - self._clock.now_ms() - MARGIN_MS
         if remaining_ms <= left_ms:
             return True
-        quantile, slowdown = self._choose_margin(service)
         estimate_ms = self.durations.estimate_ms(
-            service, prompt, upstream=upstream, quantile=quantile
+            service, prompt, upstream=upstream, quantile=margin.quantile
         )
         if prompt is not None and upstream is not None:
             under_way = (
@@ -103,13 +169,16 @@
                 if name == service and progress.upstream == upstream
             )
             estimate_ms = max(estimate_ms, max(under_way, default=0.0))
-        return estimate_ms * slowdown <= left_ms
+        return margin.extend_ms(estimate_ms) <= left_ms
+
+    def _choose_margin(self, service: str) -> Margin:
+        """Return by how much an answer of a service may take longer than its estimate.
 
-    def _choose_margin(self, service: str) -> tuple[float, float]:
-        """Return the quantile of an estimate, and by how much an answer may take longer."""
+        In the grace period requests are admitted without a margin, as no other router may be ready.
+        """
         if self.grace_left_ms:
-            return QUANTILE, 1.0
+            return Margin(quantile=QUANTILE, slowdown=1.0, silence_ms=0)
         worst = self.durations.slowdowns.find_worst(service)
         if worst is None:
-            return QUANTILE, SLOWDOWN
-        return MEDIAN, max(SLOWDOWN, worst)
+            return Margin(quantile=QUANTILE, slowdown=SLOWDOWN, silence_ms=SILENCE_MS)
+        return Margin(quantile=MEDIAN, slowdown=max(1.0, worst), silence_ms=SILENCE_MS)
--- a/gypsumrouter/forwarding/drain/const.py
+++ b/gypsumrouter/forwarding/drain/const.py
@@ -22,8 +22,14 @@
 MEDIAN: Final = 0.5
 # Time that the last bytes of an answer take, and by which an estimate may be short.
 MARGIN_MS: Final = 100
-# By how much an upstream may slow down after it has got a request that must not be cut, as it may
-# not have done before.
+# How long a sound upstream may stand still, once, while it runs a request.
+SILENCE_MS: Final = 1_500
+# From here on, and from these multiples of what is usual on, a wait for an upstream is a silence.
+# Upstreams slow down by less than that.
+MIN_SILENCE_MS: Final = 300
+FIRST_SILENCE_FACTOR: Final = 2.5
+PAUSE_SILENCE_FACTOR: Final = 3.0
+# By how much an upstream of which little is known may slow down.
 SLOWDOWN: Final = 1.5
 # With fewer answers that were compared with their estimates these tell nothing.
 MIN_COMPARED: Final = 30
--- a/gypsumrouter/forwarding/drain/durations.py
+++ b/gypsumrouter/forwarding/drain/durations.py
@@ -14,6 +14,7 @@
     REMEMBERED_ANSWERS,
 )
 from gypsumrouter.forwarding.drain.paces import SeenAnswer, estimate_slowest_ms, find_pace
+from gypsumrouter.forwarding.drain.silences import find_pause_ms
 from gypsumrouter.forwarding.drain.slowdowns import SlowdownTracker
 from gypsumrouter.forwarding.models import Prompt
 from gypsumrouter.forwarding.progress import Progress
@@ -47,7 +48,8 @@
             ratios = self._length_ratios.setdefault(service, deque(maxlen=REMEMBERED_ANSWERS))
             ratios.append(events / asked)
             if events > 1:
-                pace_ms = (total_ms - first_ms) / (events - 1) * (events / asked)
+                moving_ms = total_ms - first_ms - find_pause_ms(progress, total_ms=total_ms)
+                pace_ms = moving_ms / (events - 1) * (events / asked)
         answer = SeenAnswer(
             first_ms=first_ms,
             ms_per_token=pace_ms,
@@ -120,7 +122,8 @@
             return running.first_byte_ms
         ratios = sorted(self._length_ratios.get(service, ()))
         ratio = ratios[len(ratios) // 2] if ratios else 1.0
-        pace_ms = (since_ms - running.first_byte_ms) / (running.events - 1)
+        moving_ms = since_ms - running.first_byte_ms - find_pause_ms(running, total_ms=since_ms)
+        pace_ms = moving_ms / (running.events - 1)
         return running.first_byte_ms + pace_ms * ratio * (prompt.max_output_tokens - 1)
 
     def _list_recent(self, service: str) -> dict[str, list[SeenAnswer]]:
--- a/gypsumrouter/forwarding/drain/paces.py
+++ b/gypsumrouter/forwarding/drain/paces.py
@@ -34,16 +34,20 @@
     longest: int
     ms_per_token: float
 
-    def estimate_ms(self, prompt: Prompt | None) -> float:
-        """Return how long an answer takes.
+    def estimate_first_ms(self, prompt: Prompt | None) -> float:
+        """Return how long the first event of an answer takes, or an answer without events.
 
-        The first event of a prompt takes longer where the prompt is longer than those seen.
+        With a prompt that is longer than those seen it takes longer.
         """
-        if prompt is None:
+        if prompt is None or not self.longest:
             return self.first_ms
-        first_ms = self.first_ms
-        if self.longest:
-            first_ms *= max(1.0, prompt.input_tokens / self.longest)
+        return self.first_ms * max(1.0, prompt.input_tokens / self.longest)
+
+    def estimate_ms(self, prompt: Prompt | None) -> float:
+        """Return how long an answer takes."""
+        first_ms = self.estimate_first_ms(prompt)
+        if prompt is None:
+            return first_ms
         return first_ms + self.ms_per_token * max(0, prompt.max_output_tokens - 1)
 
 
--- a/gypsumrouter/forwarding/drain/slowdowns.py
+++ b/gypsumrouter/forwarding/drain/slowdowns.py
@@ -14,6 +14,7 @@
     RECENT_MS,
 )
 from gypsumrouter.forwarding.drain.paces import Pace, SeenAnswer, find_pace
+from gypsumrouter.forwarding.drain.silences import find_pause_ms, find_silence_before_ms
 from gypsumrouter.forwarding.models import Prompt
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.util.clock import Clock
@@ -22,7 +23,7 @@
 class Compared(NamedTuple):
     """Answers of about a second: how many were compared with the pace known when they began.
 
-    `worst` is the largest time of an answer divided by its estimate.
+    `worst` is the largest time of an answer, without a silence, divided by its estimate.
     """
 
     since_ms: int
@@ -51,9 +52,17 @@
         upstream = paces.setdefault(progress.upstream, deque(maxlen=kept))
         known = (pace for pace in reversed(upstream) if pace.known_at_ms <= progress.arrived_ms)
         if (pace := next(known, None)) is not None:
-            # An admission adds the margin to its estimate.
-            took_ms = now_ms - progress.arrived_ms - MARGIN_MS
-            self._add(service, took_ms / max(1.0, pace.estimate_ms(prompt)))
+            estimate_ms = pace.estimate_ms(prompt)
+            total_ms = now_ms - progress.arrived_ms
+            first_ms = progress.first_byte_ms if progress.events else total_ms
+            usual_ms = pace.estimate_first_ms(prompt) if progress.events else estimate_ms
+            silent_ms = max(
+                find_silence_before_ms(first_ms, usual_ms=usual_ms),
+                find_pause_ms(progress, total_ms=total_ms),
+            )
+            # An admission adds the margin, and the time of a silence, to its estimate.
+            took_ms = total_ms - silent_ms - MARGIN_MS
+            self._add(service, took_ms / max(1.0, estimate_ms))
         if not upstream or now_ms - upstream[-1].known_at_ms >= KEEP_ESTIMATES_MS:
             upstream.append(find_pace(seen, MEDIAN, now_ms))
 
@@ -78,7 +87,7 @@
                 self._compared.pop(service, None)
 
     def find_worst(self, service: str) -> float | None:
-        """Return the largest time of a recent answer divided by its estimate.
+        """Return the largest time of a recent answer, without a silence, divided by its estimate.
 
         None if few answers tell.
         """
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -64,6 +64,7 @@
         "_progress",
         "_read_part",
         "_splitter",
+        "_waits_since_ms",
         "_web_request",
         "response",
     )
@@ -91,6 +92,8 @@
         self._splitter = EventSplitter()
         self._headers: list[tuple[str, str]] | None = None
         self._is_event_stream = False
+        # Since when the next part of a stream that has begun is waited for.
+        self._waits_since_ms: int | None = None
         self.response: web.StreamResponse | None = None
 
     @property
@@ -113,7 +116,8 @@
         self._splitter.start()
         received = 0
         try:
-            part = streaming.initial_bytes or await self._read_part(streaming)
+            part = streaming.initial_bytes or await self._async_read(streaming)
+            self._note_pause()
             while part:
                 self._on_received()
                 received += len(part)
@@ -121,7 +125,8 @@
                     return self._end(RelayResult.BROKEN, "the response does not end")
                 complete = self._splitter.feed(part) if streaming.is_event_stream else part
                 await self._async_write(streaming, complete)
-                part = await self._read_part(streaming)
+                part = await self._async_read(streaming)
+                self._note_pause()
         except Replaced:
             return self._end(RelayResult.REPLACED)
         except ConnectionBroken as error:
@@ -134,6 +139,18 @@
         await self._async_finish(streaming)
         return self._end(RelayResult.COMPLETE)
 
+    async def _async_read(self, streaming: StreamingResponse) -> bytes:
+        if self.response is not None and self._waits_since_ms is None:
+            self._waits_since_ms = self._clock.now_ms()
+        return await self._read_part(streaming)
+
+    def _note_pause(self) -> None:
+        """Note how long the part that has arrived was waited for, from whichever upstream."""
+        since_ms, self._waits_since_ms = self._waits_since_ms, None
+        if since_ms is not None:
+            pause_ms = self._clock.now_ms() - since_ms
+            self._progress.longest_pause_ms = max(self._progress.longest_pause_ms, pause_ms)
+
     def _find_missing_end(self, streaming: StreamingResponse) -> str | None:
         """Return why a body that ended regularly is incomplete, None if it is complete."""
         if not streaming.is_event_stream:
