--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -31,7 +31,7 @@
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED, Progress, TimeLimits
 from gypsumrouter.forwarding.relay import Relay, RelayResult
-from gypsumrouter.forwarding.replacement import Replacements
+from gypsumrouter.forwarding.replacement import MayReplace, Replacements
 from gypsumrouter.forwarding.request_contention import RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
 from gypsumrouter.forwarding.retries import Retries
@@ -82,6 +82,7 @@
         progress: Progress,
         close_connection: Callable[[], bool],
         may_start: Callable[[int, str], bool],
+        may_replace: MayReplace,
         request_journal: RequestJournal,
         origin: StreamOrigin | None = None,
     ) -> None:
@@ -147,6 +148,7 @@
             relay=self._relay,
             stream=self._stream,
             counter=context.silences,
+            may_replace=may_replace,
         )
         self._standby = self._replacements.standby
         self._retries = Retries(
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -253,6 +253,21 @@
             return True
         return self._drain.admits(service, prompt, remaining_ms=remaining_ms, upstream=upstream)
 
+    def _admits_replacement(
+        self,
+        service: str,
+        prompt: Prompt | None,
+        *,
+        events: int,
+        remaining_ms: int,
+        upstream: str,
+    ) -> bool:
+        if Mechanism.SHUTDOWN_ADMISSION in self._context.without:
+            return True
+        return self._drain.admits_replacement(
+            service, prompt, events=events, remaining_ms=remaining_ms, upstream=upstream
+        )
+
     def _can_place_without_inventory(self, caller_request: CallerRequest) -> bool:
         """Return whether a request has no prompt, or an upstream that caches it is known."""
         return caller_request.prompt is None or self._context.placer.is_cached(
@@ -303,6 +318,7 @@
             progress=progress,
             close_connection=lambda: self._drain.draining,
             may_start=partial(self._admits, service, caller_request.prompt),
+            may_replace=partial(self._admits_replacement, service, caller_request.prompt),
             request_journal=request_journal,
             origin=origin,
         )
--- a/gypsumrouter/forwarding/replacement.py
+++ b/gypsumrouter/forwarding/replacement.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Mapping
-from typing import Final
+from typing import Final, Protocol
 
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.forwarding.budget import RetryBudget
@@ -47,6 +47,13 @@
 NOT_SENT: Final = Unreachable(reason="not sent")
 
 
+class MayReplace(Protocol):
+    """Decides whether an upstream may go on with a request after `events` of a silent one."""
+
+    def __call__(self, *, events: int, remaining_ms: int, upstream: str) -> bool:
+        """Return whether it ends in time, in a process that stops."""
+
+
 class Replacements:
     """Prepares runs in place of the `present` one while that is silent."""
 
@@ -54,6 +61,7 @@
         "_budget",
         "_context",
         "_counter",
+        "_may_replace",
         "_recorder",
         "_relay",
         "_service",
@@ -72,7 +80,9 @@
         relay: Relay,
         stream: StreamPin,
         counter: Counter,
+        may_replace: MayReplace,
     ) -> None:
+        self._may_replace = may_replace
         self._context = context
         self._service = service
         self._budget = budget
@@ -123,6 +133,12 @@
         )
         if isinstance(placement, PlacementRefusal):
             return Obstacle.UPSTREAM
+        if not self._may_replace(
+            events=context.progress.events,
+            remaining_ms=context.limits.remaining_ms,
+            upstream=placement.entry.incarnation,
+        ):
+            return Obstacle.STOP
         reserved = self._get_reserved(present)
         if not self._budget.has_spare(self._service, reserved=reserved):
             return Obstacle.BUDGET
--- a/gypsumrouter/forwarding/silence.py
+++ b/gypsumrouter/forwarding/silence.py
@@ -46,6 +46,7 @@
     VERSION = "version"
     UPSTREAM = "upstream"
     BUDGET = "budget"
+    STOP = "stop"
 
     @property
     def is_final(self) -> bool:
--- a/tests/forwarding/test_forwarding_replacement.py
+++ b/tests/forwarding/test_forwarding_replacement.py
@@ -95,7 +95,7 @@
 
 def test_only_obstacles_that_may_pass_are_asked_again() -> None:
     passing = {obstacle for obstacle in Obstacle if not obstacle.is_final}
-    assert passing == {Obstacle.VERSION, Obstacle.UPSTREAM, Obstacle.BUDGET}
+    assert passing == {Obstacle.VERSION, Obstacle.UPSTREAM, Obstacle.BUDGET, Obstacle.STOP}
 
 
 def test_patience_follows_the_route_and_never_outlasts_half_of_the_time_left() -> None:
