--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -14,8 +14,9 @@
 from gypsumrouter.const import EXIT_OK, Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
+from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
-from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker
+from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.loads import PeerLoads, UpstreamLoad
 from gypsumrouter.forwarding.models import Prompt, PromptPart
 from gypsumrouter.forwarding.placement import Cap
--- a/bench/placement_strategies.py
+++ b/bench/placement_strategies.py
@@ -12,7 +12,8 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
-from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker
+from gypsumrouter.forwarding.backoff import BackoffTracker
+from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.loads import PeerLoads
 from gypsumrouter.forwarding.placed import Placement, SentRequest
 from gypsumrouter.forwarding.placement import Cap, order_by_affinity
--- a/bench/plain_replay.py
+++ b/bench/plain_replay.py
@@ -17,8 +17,9 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
+from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
-from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker
+from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.loads import PeerLoads, UpstreamLoad
 from gypsumrouter.forwarding.models import LoadReport, ResponseMetadata
 from gypsumrouter.forwarding.placed import Placement
--- a/bench/silence_replay.py
+++ b/bench/silence_replay.py
@@ -13,12 +13,14 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
+from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.budget import RetryBudget
-from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker, SilenceTracker
+from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.models import Prompt, PromptPart, ResponseMetadata
 from gypsumrouter.forwarding.placed import Placement, SentRequest
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.silence_tracker import SilenceTracker
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal, UpstreamHealth
--- a/bench/silences.py
+++ b/bench/silences.py
@@ -18,7 +18,8 @@
     SilenceReplay,
 )
 from gypsumrouter.const import EXIT_OK
-from gypsumrouter.forwarding.health import HealthTracker, SilenceTracker
+from gypsumrouter.forwarding.health import HealthTracker
+from gypsumrouter.forwarding.silence_tracker import SilenceTracker
 from gypsumrouter.journal import Journal
 from gypsumrouter.util.clock import Clock
 
--- a/gypsumrouter/callers/__init__.py
+++ b/gypsumrouter/callers/__init__.py
@@ -9,13 +9,7 @@
     count_head_bytes,
 )
 from gypsumrouter.callers.closing import ConnectionDrain
-from gypsumrouter.callers.connection import (
-    CallerConnection,
-    ConnectionLimits,
-    ConnectionState,
-    RequestIdGenerator,
-    abort_connection,
-)
+from gypsumrouter.callers.connection import CallerConnection, ConnectionState
 from gypsumrouter.callers.const import (
     CONTENT_TYPE_JSON,
     DEFAULT_RETRY_AFTER_MS,
@@ -37,6 +31,8 @@
     round_up_seconds,
 )
 from gypsumrouter.callers.listener import CallerListener, CallerServer, Handler
+from gypsumrouter.callers.models import ConnectionLimits, RequestIdGenerator
+from gypsumrouter.callers.transports import abort_connection
 
 __all__ = [
     "CONTENT_TYPE_JSON",
--- a/gypsumrouter/callers/errors.py
+++ b/gypsumrouter/callers/errors.py
@@ -4,9 +4,10 @@
 
 import json
 from collections.abc import Mapping
+from http import HTTPStatus
 from typing import Final
 
-from aiohttp import web
+from aiohttp import http_exceptions, web
 from msgspec import Struct
 
 from gypsumrouter.callers.const import CONTENT_TYPE_JSON, ERROR_TYPE, EVENT_END
@@ -87,6 +88,16 @@
     return Rejection(failure=failure, param="head", status=STATUS_HEAD_TOO_LARGE)
 
 
+def reject_http(status: int, exc: BaseException | None) -> Rejection:
+    """Return the rejection of invalid HTTP, or of a request whose handler raised."""
+    if status >= 500:
+        failure = Failed(reason=Reason.STOPPED, message="The router failed on this request")
+        return Rejection(failure=failure, status=status)
+    if isinstance(exc, http_exceptions.LineTooLong):
+        return reject_head_size()
+    return reject_field("head", "The request is not valid HTTP", status=status)
+
+
 def get_status(failure: Failure) -> int:
     """Return the HTTP status of a failure."""
     match failure:
@@ -137,6 +148,19 @@
     )
 
 
+def render_stopping(*, request_id: str) -> bytes:
+    """Return the whole HTTP response to a request of which only a part of the head has arrived."""
+    body = render_error(rejection=reject(Reason.LEAVING), request_id=request_id)
+    head = (
+        f"HTTP/1.1 {HTTPStatus.SERVICE_UNAVAILABLE.value} Service Unavailable",
+        f"Content-Type: {CONTENT_TYPE_JSON}",
+        f"Content-Length: {len(body)}",
+        "Retry-After: 1",
+        "Connection: close",
+    )
+    return "\r\n".join((*head, "", "")).encode() + body
+
+
 def round_up_seconds(milliseconds: int) -> int:
     """Convert milliseconds to whole seconds, rounded up; the minimum is 1."""
     return max(1, -(-milliseconds // MS_PER_S))
--- a/gypsumrouter/callers/listener.py
+++ b/gypsumrouter/callers/listener.py
@@ -11,11 +11,8 @@
 
 from aiohttp import web
 
-from gypsumrouter.callers.connection import (
-    CallerConnection,
-    GetLimits,
-    RequestIdGenerator,
-)
+from gypsumrouter.callers.connection import CallerConnection
+from gypsumrouter.callers.models import GetLimits, RequestIdGenerator
 from gypsumrouter.helpers.listening import BACKLOG, make_listening_socket
 from gypsumrouter.instances import Address
 from gypsumrouter.settings import Listener
--- a/gypsumrouter/forwarding/eligibility.py
+++ b/gypsumrouter/forwarding/eligibility.py
@@ -8,7 +8,8 @@
 from msgspec import Struct
 
 from gypsumrouter.directory import Entry, Evacuations
-from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker
+from gypsumrouter.forwarding.backoff import BackoffTracker
+from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.outcomes import Reason
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -20,13 +20,14 @@
 from gypsumrouter.core import Application
 from gypsumrouter.crashes.guard import CrashGuard
 from gypsumrouter.directory import Directory, Evacuations
+from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.connections import ConnectionPool, ReadStart
 from gypsumrouter.forwarding.const import CALLER_TIMEOUT_MARGIN_MS
 from gypsumrouter.forwarding.context import ForwardingContext
 from gypsumrouter.forwarding.drain import DrainAdmission
 from gypsumrouter.forwarding.handler import RequestHandler, RequestParser
-from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker, SilenceTracker
+from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.inventory import CacheInventory, FetchCacheListing
 from gypsumrouter.forwarding.metrics import ForwardingMetrics
 from gypsumrouter.forwarding.models import Dialect
@@ -35,6 +36,7 @@
 from gypsumrouter.forwarding.request_contention import ContentionContext
 from gypsumrouter.forwarding.return_order import ReturnOrder
 from gypsumrouter.forwarding.service_work import ServiceWorkReader
+from gypsumrouter.forwarding.silence_tracker import SilenceTracker
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.forwarding.starts import UpstreamStarts
 from gypsumrouter.instances import Address, parse_address
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -7,9 +7,10 @@
 from gypsumrouter.contention import Expected
 from gypsumrouter.core import Application, Remove
 from gypsumrouter.directory import Directory, Entry, Evacuations
+from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.choice import UpstreamChooser
 from gypsumrouter.forwarding.eligibility import Eligibility, PlacementRefusal
-from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker
+from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.models import Prompt, ResponseMetadata
 from gypsumrouter.forwarding.placed import Placement, SentRequest
 from gypsumrouter.forwarding.placement import Cap
--- a/gypsumrouter/forwarding/trackers.py
+++ b/gypsumrouter/forwarding/trackers.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.cache_index import CacheIndex
-from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker
+from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.load_reports import LoadReports
 from gypsumrouter.forwarding.loads import LoadTracker
 from gypsumrouter.forwarding.plain_admission import PlainAdmission
--- a/tests/callers/test_callers_listener.py
+++ b/tests/callers/test_callers_listener.py
@@ -12,8 +12,9 @@
 from aiohttp import web
 
 from gypsumrouter.callers import connection as connections
-from gypsumrouter.callers.connection import ConnectionLimits, ConnectionState
+from gypsumrouter.callers.connection import ConnectionState
 from gypsumrouter.callers.listener import CallerListener, CallerServer
+from gypsumrouter.callers.models import ConnectionLimits
 from gypsumrouter.instances import Address
 from gypsumrouter.settings import Listener
 from gypsumrouter.util.clock import SystemClock
--- a/tests/callers/test_callers_slow_reader.py
+++ b/tests/callers/test_callers_slow_reader.py
@@ -12,8 +12,9 @@
 from aiohttp import web
 
 from gypsumrouter.callers import WRITE_BUFFER_BYTES
-from gypsumrouter.callers.connection import CallerConnection, ConnectionLimits
+from gypsumrouter.callers.connection import CallerConnection
 from gypsumrouter.callers.listener import CallerListener, CallerServer
+from gypsumrouter.callers.models import ConnectionLimits
 from gypsumrouter.settings import Listener
 
 HANG_S = 20
--- a/tests/forwarding/engine_placers.py
+++ b/tests/forwarding/engine_placers.py
@@ -7,9 +7,11 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
-from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker, SilenceTracker
+from gypsumrouter.forwarding.backoff import BackoffTracker
+from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.silence_tracker import SilenceTracker
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
--- a/tests/forwarding/test_forwarding_contention_parts.py
+++ b/tests/forwarding/test_forwarding_contention_parts.py
@@ -10,7 +10,8 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Evacuations
-from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker
+from gypsumrouter.forwarding.backoff import BackoffTracker
+from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
--- a/tests/forwarding/test_forwarding_limits.py
+++ b/tests/forwarding/test_forwarding_health.py
@@ -1,4 +1,4 @@
-"""Upstream health and admission during a drain."""
+"""Failures of an upstream cost it requests, and one that cannot be reached is left out."""
 
 from __future__ import annotations
 
@@ -6,7 +6,8 @@
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.forwarding.health import DOWN_FIRST_MS, FAILURE_COST_MS, HealthTracker
+from gypsumrouter.forwarding.health import FAILURE_COST_MS, HealthTracker
+from gypsumrouter.forwarding.health_record import DOWN_FIRST_MS
 from gypsumrouter.forwarding.placement import FETCH_SETUP_MS, FETCH_TOKENS_PER_MS
 from gypsumrouter.journal import Journal
 from gypsumrouter.util.clock import ManualClock
--- a/tests/forwarding/test_forwarding_load_reports.py
+++ b/tests/forwarding/test_forwarding_load_reports.py
@@ -15,8 +15,9 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations
+from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
-from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker
+from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.load_reports import (
     MAX_PACE,
     MIN_PACE,
--- a/tests/forwarding/test_forwarding_placer.py
+++ b/tests/forwarding/test_forwarding_placer.py
@@ -9,8 +9,9 @@
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuation, Evacuations, Record
 from gypsumrouter.directory.evacuations import STARTUP_MS
+from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
-from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker
+from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.models import Prompt, PromptPart
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
--- a/tests/forwarding/test_forwarding_prompt_spread.py
+++ b/tests/forwarding/test_forwarding_prompt_spread.py
@@ -11,8 +11,9 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
+from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.cache_index import COPY_READY_MS
-from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker
+from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.models import Prompt, PromptPart
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.placement import Cap, order_by_affinity
--- a/tests/forwarding/test_forwarding_service_work.py
+++ b/tests/forwarding/test_forwarding_service_work.py
@@ -7,8 +7,9 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
+from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
-from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker
+from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.loads import PEER_LOADS_TTL_MS, PeerLoads, UpstreamLoad
 from gypsumrouter.forwarding.models import Prompt, PromptPart
 from gypsumrouter.forwarding.placed import Placement
--- a/tests/forwarding/test_forwarding_silence.py
+++ b/tests/forwarding/test_forwarding_silence_tracker.py
@@ -9,14 +9,14 @@
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.forwarding.health import (
+from gypsumrouter.forwarding.health import HealthTracker
+from gypsumrouter.forwarding.models import Prompt, PromptPart, ResponseMetadata
+from gypsumrouter.forwarding.placed import Placement, SentRequest
+from gypsumrouter.forwarding.silence_tracker import (
     REPEATED_WITHIN_MS,
     RETRY_SILENT_MS,
-    HealthTracker,
     SilenceTracker,
 )
-from gypsumrouter.forwarding.models import Prompt, PromptPart, ResponseMetadata
-from gypsumrouter.forwarding.placed import Placement, SentRequest
 from gypsumrouter.forwarding.silence_verdict import (
     EXPECTED_RESPONSE_MS,
     MAX_SOUND_SILENCE_MS,
--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -14,7 +14,8 @@
 from gypsumrouter.crashes.guard import CrashGuard
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
 from gypsumrouter.exceptions import DocumentInvalid
-from gypsumrouter.forwarding.health import BackoffTracker, HealthTracker
+from gypsumrouter.forwarding.backoff import BackoffTracker
+from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.loads import PeerLoads
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
