--- a/gypsumrouter/bootstrap_forwarder.py
+++ b/gypsumrouter/bootstrap_forwarder.py
@@ -26,7 +26,7 @@
     ProcessStopped,
     ProcessStopping,
 )
-from gypsumrouter.operators.probes import ProbesServer
+from gypsumrouter.operators import ProbesServer
 from gypsumrouter.peers import Mesh
 from gypsumrouter.platform import (
     PlatformDialect,
--- a/gypsumrouter/operators/__init__.py
+++ b/gypsumrouter/operators/__init__.py
@@ -1,7 +1,12 @@
-"""HTTP endpoint for operators: health, metrics and the state dump."""
+"""HTTP endpoint for operators: health, metrics and the state dump.
+
+The servers are imported lazily, since each role uses only one of them.
+"""
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, Any
+
 from gypsumrouter.operators.access import (
     ATTR_DUMP_VERSION,
     ATTR_INCARNATION,
@@ -19,7 +24,10 @@
     Access,
     check_access,
 )
-from gypsumrouter.operators.server import OperatorsServer
+
+if TYPE_CHECKING:
+    from gypsumrouter.operators.probes import ProbesServer
+    from gypsumrouter.operators.server import OperatorsServer
 
 __all__ = [
     "ATTR_DUMP_VERSION",
@@ -37,5 +45,19 @@
     "PATH_READY",
     "Access",
     "OperatorsServer",
+    "ProbesServer",
     "check_access",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    match name:
+        case "OperatorsServer":
+            from gypsumrouter.operators.server import OperatorsServer
+
+            return OperatorsServer
+        case "ProbesServer":
+            from gypsumrouter.operators.probes import ProbesServer
+
+            return ProbesServer
+    raise AttributeError(name)
