--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -10,6 +10,12 @@
 from forwarding_world import KEY, ForwardingWorld
 
 
+@pytest.fixture
+def link_key(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Set the key of the links for the time of a test."""
+    monkeypatch.setenv("GYPSUMROUTER_LINK_KEY", KEY)
+
+
 @pytest.fixture
 async def world() -> AsyncIterator[ForwardingWorld]:
     """Start two plain runners, two engines and one forwarder, and wait until they are ready."""
--- a/tests/forwarding/forwarding_world.py
+++ b/tests/forwarding/forwarding_world.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+from typing import Any, Self
 
 import aiohttp
 
@@ -137,6 +137,29 @@
             await runner.async_stop()
         await self.store.async_stop()
 
+    async def __aenter__(self) -> Self:
+        """Start."""
+        await self.async_start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stop."""
+        await self.async_stop()
+
+    def get_configuration_version(self, product: RunningProcess | None = None) -> int:
+        """Return the configuration's version at a forwarder, by default the first."""
+        section = (product or self.product).app.dump()["routing"]
+        assert isinstance(section, dict)
+        return int(section["version"])
+
+    async def async_publish(
+        self, configuration: dict[str, Any], product: RunningProcess | None = None
+    ) -> None:
+        """Publish a configuration, and wait until a forwarder applies it."""
+        await self.store.async_put_configuration(configuration)
+        version = configuration["version"]
+        await self.async_until(lambda: self.get_configuration_version(product) == version)
+
     async def async_until(self, condition: Any) -> None:
         """Wait up to 10 s until a condition holds."""
         async with asyncio.timeout(10):
--- a/tests/forwarding/test_forwarding_caller_limits.py
+++ b/tests/forwarding/test_forwarding_caller_limits.py
@@ -24,14 +24,7 @@
 
 
 async def async_publish_limits(world: ForwardingWorld, **more: int) -> None:
-    await world.store.async_put_configuration(make_configuration(2, limits=LIMITS | more))
-    await world.async_until(lambda: get_version(world) == 2)
-
-
-def get_version(world: ForwardingWorld) -> object:
-    section = world.product.app.dump()["routing"]
-    assert isinstance(section, dict)
-    return section["version"]
+    await world.async_publish(make_configuration(2, limits=LIMITS | more))
 
 
 async def async_connect(
--- a/tests/forwarding/test_forwarding_changed_limits.py
+++ b/tests/forwarding/test_forwarding_changed_limits.py
@@ -23,14 +23,7 @@
 
 
 async def async_publish(world: ForwardingWorld, version: int, **more: int) -> None:
-    await world.store.async_put_configuration(make_configuration(version, limits=LIMITS | more))
-    await world.async_until(lambda: get_version(world) == version)
-
-
-def get_version(world: ForwardingWorld) -> object:
-    section = world.product.app.dump()["routing"]
-    assert isinstance(section, dict)
-    return section["version"]
+    await world.async_publish(make_configuration(version, limits=LIMITS | more))
 
 
 class Caller:
--- a/tests/forwarding/test_forwarding_changes_while_waiting.py
+++ b/tests/forwarding/test_forwarding_changes_while_waiting.py
@@ -111,13 +111,7 @@
             change(configuration)
         self._version += 1
         configuration["version"] = self._version
-        await self._world.store.async_put_configuration(configuration)
-        await self._world.async_until(lambda: self._get_version() == self._version)
-
-    def _get_version(self) -> object:
-        section = self.product.app.dump()["routing"]
-        assert isinstance(section, dict)
-        return section["version"]
+        await self._world.async_publish(configuration, self.product)
 
 
 @pytest.fixture
--- a/tests/forwarding/test_forwarding_contention.py
+++ b/tests/forwarding/test_forwarding_contention.py
@@ -62,19 +62,12 @@
     return dict(vars(record)["event"])
 
 
-def get_version(product: RunningProcess) -> int:
-    section = product.app.dump()["routing"]
-    assert isinstance(section, dict)
-    return int(section["version"])
-
-
 async def async_allow_long_waits(world: ForwardingWorld, product: RunningProcess) -> None:
     """Publish a target of 2 s, so that requests wait up to a second."""
     configuration = make_configuration(2)
     for route in configuration["routes"]:
         route["target_latency_ms"] = 2_000
-    await world.store.async_put_configuration(configuration)
-    await world.async_until(lambda: get_version(product) == 2)
+    await world.async_publish(configuration, product)
 
 
 async def async_ask(
--- a/tests/forwarding/test_forwarding_evacuation.py
+++ b/tests/forwarding/test_forwarding_evacuation.py
@@ -67,7 +67,7 @@
     world.store.compact_history()
     await world.async_call(session, "GET", "/lookup/a", "r1")
     await world.store.async_set_fault(StoreFault.NONE)
-    await world.async_until(lambda: _get_version(world) == 9)
+    await world.async_until(lambda: world.get_configuration_version() == 9)
     for number in range(6):
         await world.async_call(session, "GET", "/lookup/a", f"s{number}")
     assert not world.records[0].arrivals
@@ -110,11 +110,3 @@
         await world.async_call(session, "GET", "/lookup/a", f"r{number}", product=product)
     assert not world.records[0].arrivals
     await unavailable_store.async_stop()
-
-
-def _get_version(world: ForwardingWorld) -> int:
-    section = world.product.app.dump()["routing"]
-    assert isinstance(section, dict)
-    version = section["version"]
-    assert isinstance(version, int)
-    return version
--- a/tests/forwarding/test_forwarding_joined_answers.py
+++ b/tests/forwarding/test_forwarding_joined_answers.py
@@ -113,13 +113,7 @@
         make_route("lookup", "idempotent", "records", max_attempts=max_attempts),
         make_route("quote", "streaming", "models", resumable=True, max_attempts=max_attempts),
     ]
-    await world.store.async_put_configuration(configuration)
-
-    def is_applied() -> bool:
-        section = world.product.app.dump()["routing"]
-        return isinstance(section, dict) and section["version"] == 2
-
-    await world.async_until(is_applied)
+    await world.async_publish(configuration)
 
 
 def break_bodies(world: ForwardingWorld, framing: str) -> None:
--- a/tests/forwarding/test_forwarding_replacement.py
+++ b/tests/forwarding/test_forwarding_replacement.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 import pytest
-from forwarding_world import KEY, PROMPT, ForwardingWorld, make_configuration, make_route
+from silent_world import SilentWorld, make_patient_route, make_resumable_route
 
 from gypsumrouter.forwarding.next_step import SentPart
 from gypsumrouter.forwarding.silence import (
@@ -113,86 +113,45 @@
 
 
 @pytest.fixture
-async def world(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[ForwardingWorld]:
-    monkeypatch.setenv("GYPSUMROUTER_LINK_KEY", KEY)
-    started = ForwardingWorld()
-    for runner in started.models:
-        runner.events = EVENTS
-        runner.pause_s = 0.01
-    await started.async_start()
-    routes = [
-        make_route("quote", "streaming", "models", resumable=True, timeout_ms=9_000,
-                   target_gap_ms=100, max_attempts=3),
-        make_route("draft", "streaming", "models", max_attempts=3, timeout_ms=9_000),
-        make_route("lookup", "idempotent", "records", timeout_ms=9_000),
-    ]  # fmt: skip
-    await started.store.async_put_configuration(make_configuration(version=2, routes=routes))
-    await started.async_until(lambda: _get_version(started) == 2)
-    try:
-        yield started
-    finally:
-        await started.async_stop()
-
-
-def _get_version(world: ForwardingWorld) -> int:
-    routing = world.product.app.dump()["routing"]
-    assert isinstance(routing, dict)
-    return int(routing["version"])
-
-
-async def async_stream(
-    world: ForwardingWorld, session: aiohttp.ClientSession, path: str, request_id: str
-) -> bytes:
-    status, body, _ = await world.async_call(
-        session, "POST", path, request_id, body=b"a prompt",
-        extra={**PROMPT, "X-Deadline-Ms": "8000"},
-    )  # fmt: skip
-    assert status == 200
-    return body
-
-
-def list_numbers(body: bytes) -> list[int]:
-    return [int(line[4:]) for line in body.split(b"\n") if line.startswith(b"id: ")]
+async def world(link_key: None) -> AsyncIterator[SilentWorld]:
+    async with SilentWorld(events=EVENTS, pause_s=0.01) as world:
+        await world.async_set_routes(
+            make_resumable_route(target_gap_ms=100, max_attempts=3),
+            make_patient_route("draft", "streaming", "models", max_attempts=3),
+            make_patient_route("lookup", "idempotent", "records"),
+        )
+        yield world
 
 
 async def test_stream_of_an_upstream_that_says_nothing_more_goes_on_at_another(
-    world: ForwardingWorld,
+    world: SilentWorld,
 ) -> None:
     """Guards against a stream that waits for an upstream which is gone, and against two runs."""
-    for runner in world.models:
-        runner.next_faults.append(RunnerFault.STALL_STREAM)
     async with aiohttp.ClientSession() as session:
-        call = asyncio.create_task(async_stream(world, session, "/quote/a", "q1"))
-        await world.async_until(lambda: any(runner.ran for runner in world.models))
-        next(runner for runner in world.models if not runner.ran).next_faults.clear()
-        body = await call
-    assert list_numbers(body) == list(range(1, EVENTS + 1))
+        call, _ = await world.async_begin_faulty(session, RunnerFault.STALL_STREAM)
+        numbers, _ = await call
+    assert numbers == world.whole
     first, second = sorted(world.arrivals("q1"), key=lambda arrival: arrival.at_s)
     assert second.headers["Last-Event-Id"] == "2"
     await world.async_until(lambda: first.cancelled)
 
 
 async def test_silent_run_is_cancelled_soon_after_another_one_was_sent(
-    world: ForwardingWorld,
+    world: SilentWorld,
 ) -> None:
     """Guards against a stream that two upstreams work on, also if the second one is slow."""
-    for runner in world.models:
-        runner.next_faults.append(RunnerFault.STALL_STREAM)
     async with aiohttp.ClientSession() as session:
-        call = asyncio.create_task(async_stream(world, session, "/quote/a", "q1"))
-        await world.async_until(lambda: any(runner.ran for runner in world.models))
-        other = next(runner for runner in world.models if not runner.ran)
-        other.next_faults.clear()
+        call, other = await world.async_begin_faulty(session, RunnerFault.STALL_STREAM)
         other.first_pause_s = 1.2
         await world.async_until(lambda: len(world.arrivals("q1")) == 2)
         first = min(world.arrivals("q1"), key=lambda arrival: arrival.at_s)
         async with asyncio.timeout(MAX_OVERLAP_S):
             await world.async_until(lambda: first.cancelled)
-        assert list_numbers(await call) == list(range(1, EVENTS + 1))
+        assert (await call).numbers == world.whole
 
 
 async def test_run_beside_a_silent_one_is_cancelled_when_that_goes_on(
-    world: ForwardingWorld,
+    world: SilentWorld,
 ) -> None:
     """Guards against a second run that goes on after the first one has delivered."""
     for runner in world.records:
@@ -208,7 +167,7 @@
     assert not first.cancelled
 
 
-async def test_run_beside_a_silent_one_takes_over_when_that_breaks(world: ForwardingWorld) -> None:
+async def test_run_beside_a_silent_one_takes_over_when_that_breaks(world: SilentWorld) -> None:
     """Guards against a failure while another run is under way already."""
     for runner in world.records:
         runner.gate.clear()
@@ -225,7 +184,7 @@
     assert len(world.arrivals("l1")) == 2
 
 
-async def test_both_runs_are_cancelled_when_the_caller_leaves(world: ForwardingWorld) -> None:
+async def test_both_runs_are_cancelled_when_the_caller_leaves(world: SilentWorld) -> None:
     """Guards against a run that nobody waits for."""
     for runner in world.records:
         runner.gate.clear()
@@ -236,17 +195,17 @@
         await world.async_until(lambda: all(a.cancelled for a in world.arrivals("l1")))
 
 
-async def test_silent_stream_that_must_not_run_again_is_left_alone(world: ForwardingWorld) -> None:
+async def test_silent_stream_that_must_not_run_again_is_left_alone(world: SilentWorld) -> None:
     async with aiohttp.ClientSession() as session:
-        call = asyncio.create_task(async_stream(world, session, "/draft/a", "d1"))
-        await world.async_until(lambda: any(runner.ran for runner in world.models))
+        call = asyncio.create_task(world.async_stream(session, "d1", path="/draft/a"))
+        await world.async_until_run()
         await asyncio.gather(*(runner.async_fall_silent(1.0) for runner in world.models))
-        assert list_numbers(await call) == list(range(1, EVENTS + 1))
+        assert (await call).numbers == world.whole
     assert len(world.arrivals("d1")) == 1
 
 
 async def test_stream_is_not_given_up_for_an_upstream_that_is_silent_too(
-    world: ForwardingWorld,
+    world: SilentWorld,
 ) -> None:
     """Guards against a stream that moves between upstreams none of which responds."""
     for runner in world.models:
@@ -257,55 +216,55 @@
     async with aiohttp.ClientSession() as session:
         # A kept connection to each upstream, which has stated its start.
         await asyncio.gather(
-            *(async_stream(world, session, f"/quote/{n}", f"w{n}") for n in range(8))
+            *(world.async_stream(session, f"w{n}", path=f"/quote/{n}") for n in range(8))
         )
-        call = asyncio.create_task(async_stream(world, session, "/quote/a", "q1"))
+        call = asyncio.create_task(world.async_stream(session))
         await world.async_until(lambda: world.arrivals("q1"))
         (arrival,) = world.arrivals("q1")
         await asyncio.sleep(0.1)
         await asyncio.gather(
             *(r.async_fall_silent(1.3 if arrival in r.arrivals else 2.0) for r in world.models)
         )
-        assert list_numbers(await call) == list(range(1, EVENTS + 1))
+        assert (await call).numbers == world.whole
     assert len(world.arrivals("q1")) == 1
 
 
-def _count_starts(world: ForwardingWorld) -> int:
+def _count_starts(world: SilentWorld) -> int:
     placer = world.product.app.dump()["directory"]
     return str(placer).count("5000")
 
 
 async def test_silent_stream_is_not_given_up_for_an_upstream_that_turns_it_away(
-    world: ForwardingWorld,
+    world: SilentWorld,
 ) -> None:
     """Guards against a stream that is closed for a run which was rejected meanwhile."""
     for runner in world.models:
         runner.pause_s = 0.04
     async with aiohttp.ClientSession() as session:
-        call = asyncio.create_task(async_stream(world, session, "/quote/a", "q1"))
+        call = asyncio.create_task(world.async_stream(session))
         await world.async_until(lambda: world.arrivals("q1"))
         present = next(runner for runner in world.models if runner.arrivals)
         for runner in world.models:
             runner.default_fault = RunnerFault.SHED
         await asyncio.sleep(0.1)
         await present.async_fall_silent(1.3)
-        assert list_numbers(await call) == list(range(1, EVENTS + 1))
+        assert (await call).numbers == world.whole
     assert [arrival.ran for arrival in world.arrivals("q1")].count(True) == 1
 
 
 async def test_silent_stream_goes_on_at_an_upstream_that_could_not_be_reached_at_first(
-    world: ForwardingWorld,
+    world: SilentWorld,
 ) -> None:
     """Guards against an upstream that is left out for as long as the silence lasts."""
     for runner in world.models:
         runner.pause_s = 0.04
         runner.next_faults.append(RunnerFault.STALL_STREAM)
     async with aiohttp.ClientSession() as session:
-        call = asyncio.create_task(async_stream(world, session, "/quote/a", "q1"))
+        call = asyncio.create_task(world.async_stream(session))
         await world.async_until(lambda: world.arrivals("q1"))
         other = next(runner for runner in world.models if not runner.arrivals)
         other.next_faults.clear()
         other.listener.close()
         await asyncio.sleep(0.8)
         await other.listener.async_open()
-        assert list_numbers(await call) == list(range(1, EVENTS + 1))
+        assert (await call).numbers == world.whole
--- a/tests/forwarding/test_forwarding_restored_store.py
+++ b/tests/forwarding/test_forwarding_restored_store.py
@@ -16,12 +16,6 @@
     return str(next(u["state"] for u in section["upstreams"] if u["id"] == upstream))
 
 
-def get_version(world: ForwardingWorld) -> int:
-    section = world.product.app.dump()["routing"]
-    assert isinstance(section, dict)
-    return int(section["version"])
-
-
 async def async_publish_draining(world: ForwardingWorld, upstream: str) -> None:
     """Publish that an upstream is draining."""
     address = world.addresses[upstream]
@@ -35,8 +29,7 @@
 ) -> None:
     """A watch that resumes from the last seen revision would miss it."""
     snapshot = world.store.make_snapshot()
-    await world.store.async_put_configuration(make_configuration(3))
-    await world.async_until(lambda: get_version(world) == 3)
+    await world.async_publish(make_configuration(3))
     await world.store.async_set_fault(StoreFault.RESET)
     await world.store.async_restore(snapshot)
     await async_publish_draining(world, "i-records-1")
@@ -44,19 +37,18 @@
         await world.store.async_put_configuration(make_configuration(version))
     await world.store.async_set_fault(StoreFault.NONE)
     await world.async_until(lambda: get_state(world, "i-records-1") == "leaving")
-    await world.async_until(lambda: get_version(world) == 5)
+    await world.async_until(lambda: world.get_configuration_version() == 5)
 
 
 async def test_state_is_reloaded_after_a_restore_without_an_outage(
     world: ForwardingWorld, session: Session
 ) -> None:
     snapshot = world.store.make_snapshot()
-    await world.store.async_put_configuration(make_configuration(3))
-    await world.async_until(lambda: get_version(world) == 3)
+    await world.async_publish(make_configuration(3))
     await world.store.async_restore(snapshot)
     await async_publish_draining(world, "i-records-1")
     await world.async_until(lambda: get_state(world, "i-records-1") == "leaving")
-    assert get_version(world) == 3
+    assert world.get_configuration_version() == 3
 
 
 async def test_upstream_that_is_gone_gets_no_requests_after_a_restore_lists_it_again(
@@ -68,8 +60,7 @@
     await world.store.async_remove("servers/i-records-1")
     await world.async_until(lambda: get_state(world, "i-records-1") == "gone")
     await world.store.async_restore(snapshot)
-    await world.store.async_put_configuration(make_configuration(3))
-    await world.async_until(lambda: get_version(world) == 3)
+    await world.async_publish(make_configuration(3))
     await world.async_until(lambda: get_state(world, "i-records-1") == "leaving")
     for number in range(6):
         status, _, _ = await world.async_call(session, "GET", "/lookup/a", f"r{number}")
--- a/tests/forwarding/test_forwarding_routes_without_targets.py
+++ b/tests/forwarding/test_forwarding_routes_without_targets.py
@@ -24,14 +24,7 @@
             route[name] = value
             if value is None:
                 del route[name]
-    await world.store.async_put_configuration(make_configuration(2, routes=routes))
-    await world.async_until(lambda: _get_version(world) == 2)
-
-
-def _get_version(world: ForwardingWorld) -> object:
-    section = world.product.app.dump()["routing"]
-    assert isinstance(section, dict)
-    return section["version"]
+    await world.async_publish(make_configuration(2, routes=routes))
 
 
 @pytest.mark.parametrize("attempts", [1, 2])
--- a/tests/forwarding/test_forwarding_silence_tracker.py
+++ b/tests/forwarding/test_forwarding_silence_tracker.py
@@ -2,16 +2,11 @@
 
 from __future__ import annotations
 
-import random
-
 import pytest
-from engine_placers import ENGINES, SERVICE, make_placer
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.forwarding.health import HealthTracker
-from gypsumrouter.forwarding.models import Prompt, PromptPart, ResponseMetadata
-from gypsumrouter.forwarding.placed import Placement, SentRequest
 from gypsumrouter.forwarding.silence_tracker import (
     REPEATED_WITHIN_MS,
     RETRY_SILENT_MS,
@@ -20,9 +15,6 @@
 from gypsumrouter.forwarding.silence_verdict import (
     EXPECTED_RESPONSE_MS,
     MAX_SOUND_SILENCE_MS,
-    SilenceVerdict,
-    TakenOver,
-    judge_silence,
 )
 from gypsumrouter.journal import Journal, UpstreamHealth
 from gypsumrouter.journal.journal import Event
@@ -95,51 +87,9 @@
     assert health.penalty_ms("i-2") == 0
 
 
-FAILURE, LASTING, ENDED = SilenceVerdict.FAILURE, SilenceVerdict.LASTING, SilenceVerdict.ENDED
 PATIENCE_MS = 750
 
 
-@pytest.mark.parametrize(
-    ("request_ms", "upstream_ms", "responsive_ms", "repeated", "expected"),
-    [
-        # Nothing came since the request was sent.
-        (150, 150, 0, False, LASTING),
-        (750, 750, 0, False, LASTING),
-        (MAX_SOUND_SILENCE_MS - 1, MAX_SOUND_SILENCE_MS - 1, 0, False, LASTING),
-        (MAX_SOUND_SILENCE_MS, MAX_SOUND_SILENCE_MS, 0, False, FAILURE),
-        # The upstream was silent before the request was sent.
-        (750, MAX_SOUND_SILENCE_MS, 0, False, FAILURE),
-        # It responded to others right after, as before its silence, or for a while.
-        (750, 700, 50, False, LASTING),
-        (750, 460, EXPECTED_RESPONSE_MS - 1, False, LASTING),
-        (750, 450, EXPECTED_RESPONSE_MS, False, FAILURE),
-        (750, 0, 750, False, FAILURE),
-        # It has responded again a moment ago, and this request would have been next.
-        (750, 20, 0, False, ENDED),
-        (750, EXPECTED_RESPONSE_MS - 1, EXPECTED_RESPONSE_MS - 1, False, ENDED),
-        (750, EXPECTED_RESPONSE_MS, 0, False, LASTING),
-        # It does so again and again.
-        (750, 750, 0, True, FAILURE),
-        (750, 20, 0, True, FAILURE),
-    ],
-)
-def test_silence_is_told_from_failure(
-    request_ms: int,
-    upstream_ms: int,
-    responsive_ms: int,
-    repeated: bool,
-    expected: SilenceVerdict,
-) -> None:
-    """Guards against a sound upstream that counts as failing, and a lost one that does not."""
-    taken_over = TakenOver(
-        request_silent_ms=request_ms,
-        upstream_silent_ms=upstream_ms,
-        responsive_ms=responsive_ms,
-        repeated=repeated,
-    )
-    assert judge_silence(taken_over) is expected
-
-
 class RecordingJournal(Journal):
     """Keeps the events."""
 
@@ -384,56 +334,3 @@
     assert router.silence.tracked == 101
     router.health.sweep()
     assert router.silence.tracked == 1
-
-
-RESPONSE_MS = 60
-TIMEOUT_MS = 1_000
-ARRIVAL_INTERVAL_MS = 50
-RESPONSE = ResponseMetadata(
-    request_id=None,
-    signed=True,
-    not_run=False,
-    content_encoded=False,
-    is_event_stream=True,
-    keep_alive_ms=None,
-)
-
-
-def count_sent_to_silent_engines(*, tracks_silence: bool) -> int:
-    """Return the requests that a router sends to engines of which half fall silent for 3 s."""
-    clock, rng = ManualClock(now_ms=100_000), random.Random(2)
-    placer = make_placer(clock, tracks_silence=tracks_silence)
-    silent = {f"i-{number}" for number in range(0, ENGINES, 2)}
-    running: list[tuple[int, Placement, SentRequest]] = []
-    sent_to_silent = 0
-    for _ in range(0, 3_000, ARRIVAL_INTERVAL_MS):
-        clock.advance(ARRIVAL_INTERVAL_MS)
-        now_ms = clock.now_ms()
-        for item in [item for item in running if item[0] <= now_ms]:
-            running.remove(item)
-            _, placement, sent = item
-            if placement.entry.upstream in silent:
-                placer.health.note_failure(placement.entry.incarnation, reason="silent")
-            else:
-                placer.apply_response_metadata(placement.entry, RESPONSE)
-                placer.health.note_success(placement.entry.incarnation)
-            placer.note_prefilled(sent)
-            placer.note_ended(sent, held_ms=RESPONSE_MS)
-        parts = (
-            PromptPart(part=rng.getrandbits(40), tokens=500),
-            PromptPart(part=rng.getrandbits(40), tokens=100),
-        )
-        prompt = Prompt(model="m", parts=parts, input_tokens=600, max_output_tokens=50)
-        chosen = placer.place(service=SERVICE, prompt=prompt, excluded=())
-        assert isinstance(chosen, Placement)
-        is_silent = chosen.entry.upstream in silent
-        sent_to_silent += is_silent
-        ends_ms = now_ms + (TIMEOUT_MS if is_silent else RESPONSE_MS)
-        running.append((ends_ms, chosen, placer.note_sent(chosen, prompt)))
-    return sent_to_silent
-
-
-def test_half_of_the_engines_lost_at_once_cost_fewer_requests() -> None:
-    """Guards against sending to silent engines until the first request has timed out."""
-    without = count_sent_to_silent_engines(tracks_silence=False)
-    assert count_sent_to_silent_engines(tracks_silence=True) < without
--- a/tests/forwarding/test_forwarding_standby_moments.py
+++ b/tests/forwarding/test_forwarding_standby_moments.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 import pytest
-from forwarding_world import KEY, PROMPT, ForwardingWorld, make_configuration, make_route
+from silent_world import STATUS_OK, SilentWorld, make_resumable_route
 
 from gypsumrouter.core import Application
 from gypsumrouter.forwarding.models import Outcome, StreamingResponse
@@ -18,84 +18,36 @@
 from gypsumrouter.forwarding.standby import Standby
 from gypsumrouter.helpers.http_response import HttpResponse
 from gypsumrouter.platform import names
-from gypsumrouter.running_process import RunningProcess
 from gypsumrouter.settings import Bounds
-from gypsumrouter.standins import PlatformRunner
 from gypsumrouter.standins.platform_runner import RunnerFault
 
 EVENTS = 6
 SILENCE_S = 1.3
 # A request ends long before its deadline of 8 s unless it waits for nothing.
 PROMPT_END_S = 5.0
-STATUS_OK = 200
 
 
 @pytest.fixture
-async def world(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[ForwardingWorld]:
-    monkeypatch.setenv("GYPSUMROUTER_LINK_KEY", KEY)
-    started = ForwardingWorld()
-    for runner in started.models:
-        runner.events = EVENTS
-        runner.pause_s = 0.01
-    await started.async_start()
-    route = make_route(
-        "quote", "streaming", "models", resumable=True, timeout_ms=9_000, target_gap_ms=100,
-        max_attempts=2,
-    )  # fmt: skip
-    await started.store.async_put_configuration(make_configuration(version=2, routes=[route]))
-    await started.async_until(lambda: _get_version(started) == 2)
-    try:
-        yield started
-    finally:
-        await started.async_stop()
-
-
-def _get_version(world: ForwardingWorld, product: RunningProcess | None = None) -> int:
-    routing = (product or world.product).app.dump()["routing"]
-    assert isinstance(routing, dict)
-    return int(routing["version"])
-
-
-async def async_stream(
-    world: ForwardingWorld,
-    session: aiohttp.ClientSession,
-    request_id: str = "q1",
-    product: RunningProcess | None = None,
-) -> tuple[list[int], dict[str, str]]:
-    """Return the numbers of the events of a stream and the headers of the response."""
-    status, body, headers = await world.async_call(
-        session, "POST", "/quote/a", request_id, product=product, body=b"a prompt",
-        extra={**PROMPT, "X-Deadline-Ms": "8000"},
-    )  # fmt: skip
-    assert status == STATUS_OK
-    return [int(line[4:]) for line in body.split(b"\n") if line.startswith(b"id: ")], headers
-
-
-def split_by_run(world: ForwardingWorld) -> tuple[PlatformRunner, PlatformRunner]:
-    """Return the engine that has run the request, and the other one."""
-    first, second = sorted(world.models, key=lambda runner: not runner.ran)
-    return first, second
+async def world(link_key: None) -> AsyncIterator[SilentWorld]:
+    async with SilentWorld(events=EVENTS, pause_s=0.01) as world:
+        await world.async_set_routes(make_resumable_route(target_gap_ms=100, max_attempts=2))
+        yield world
 
 
 async def test_upstream_that_turned_a_replacement_away_once_is_asked_again(
-    world: ForwardingWorld,
+    world: SilentWorld,
 ) -> None:
     """Guards against a stream that waits for a dead upstream until its deadline."""
-    for runner in world.models:
-        runner.next_faults.append(RunnerFault.STALL_STREAM)
     async with aiohttp.ClientSession() as session:
-        call = asyncio.create_task(async_stream(world, session))
-        await world.async_until(lambda: any(runner.ran for runner in world.models))
-        _, second = split_by_run(world)
-        second.next_faults.clear()
+        call, second = await world.async_begin_faulty(session, RunnerFault.STALL_STREAM)
         second.next_faults.append(RunnerFault.SHED)
         async with asyncio.timeout(PROMPT_END_S):
             numbers, _ = await call
-    assert numbers == list(range(1, EVENTS + 1))
+    assert numbers == world.whole
 
 
 async def test_upstream_that_turned_the_first_attempt_away_may_take_over_later(
-    world: ForwardingWorld,
+    world: SilentWorld,
 ) -> None:
     """Guards against a search that leaves out an upstream for what it said at the beginning."""
     # The first to be asked turns the request away; the other one runs it and dies silently.
@@ -103,79 +55,75 @@
     for runner in world.models:
         runner.next_faults = faults
     async with aiohttp.ClientSession() as session, asyncio.timeout(PROMPT_END_S):
-        numbers, _ = await async_stream(world, session)
-    assert numbers == list(range(1, EVENTS + 1))
+        numbers, _ = await world.async_stream(session)
+    assert numbers == world.whole
 
 
 async def test_upstream_that_stood_still_when_it_was_checked_is_asked_again(
-    world: ForwardingWorld,
+    world: SilentWorld,
 ) -> None:
     """Guards against a stream that waits for a dead upstream beside one that goes on."""
     for runner in world.models:
         runner.started_ms = 5_000
-        runner.next_faults.append(RunnerFault.STALL_STREAM)
         await world.async_put_entry(runner)
     await world.async_until(lambda: str(world.product.app.dump()["directory"]).count("5000") == 2)
     async with aiohttp.ClientSession() as session:
-        call = asyncio.create_task(async_stream(world, session))
-        await world.async_until(lambda: any(runner.ran for runner in world.models))
-        _, second = split_by_run(world)
-        second.next_faults.clear()
+        call, second = await world.async_begin_faulty(session, RunnerFault.STALL_STREAM)
         await second.async_fall_silent(SILENCE_S)
         async with asyncio.timeout(PROMPT_END_S):
             numbers, _ = await call
-    assert numbers == list(range(1, EVENTS + 1))
+    assert numbers == world.whole
 
 
 async def test_silent_stream_is_not_given_up_for_one_that_ended_before_its_first_event(
-    world: ForwardingWorld,
+    world: SilentWorld,
 ) -> None:
     """Guards against a replacement that stands ready though its stream has been broken off."""
     for runner in world.models:
         runner.pause_s = 0.04
     async with aiohttp.ClientSession() as session:
-        call = asyncio.create_task(async_stream(world, session))
-        await world.async_until(lambda: any(runner.ran for runner in world.models))
-        first, second = split_by_run(world)
+        call = asyncio.create_task(world.async_stream(session))
+        await world.async_until_run()
+        first, second = world.split_by_run()
         second.framed = False
         second.next_faults.append(RunnerFault.END_WITHOUT_EVENT)
         await asyncio.sleep(0.1)
         await first.async_fall_silent(SILENCE_S)
         numbers, _ = await call
     assert second.ran
-    assert numbers == list(range(1, EVENTS + 1))
+    assert numbers == world.whole
 
 
-async def test_stamp_is_that_of_the_run_whose_events_follow(world: ForwardingWorld) -> None:
+async def test_stamp_is_that_of_the_run_whose_events_follow(world: SilentWorld) -> None:
     """Guards against events under the head of a run that was given up before its first event."""
     for runner in world.models:
         runner.first_pause_s = 4.0
     async with aiohttp.ClientSession() as session:
-        call = asyncio.create_task(async_stream(world, session))
-        await world.async_until(lambda: any(runner.ran for runner in world.models))
-        _, second = split_by_run(world)
+        call = asyncio.create_task(world.async_stream(session))
+        await world.async_until_run()
+        _, second = world.split_by_run()
         second.first_pause_s = 0.0
         numbers, headers = await call
-    assert numbers == list(range(1, EVENTS + 1))
+    assert numbers == world.whole
     assert headers[names.STAMP] == second.stamp
 
 
 async def test_stream_that_breaks_while_the_retry_budget_is_empty_goes_on_when_it_is_not(
-    world: ForwardingWorld,
+    world: SilentWorld,
 ) -> None:
     """Guards against a stream that is cut for a state of the moment, with most of its time left."""
     bounds = Bounds(retry_slack=1, retry_ratio=0, retry_window_ms=500)
     product = await world.async_start_forwarder("entry-2", bounds=bounds)
     await world.async_until(product.is_ready)
-    await world.async_until(lambda: _get_version(world, product) == 2)
+    await world.async_until(lambda: world.get_configuration_version(product) == 2)
     async with aiohttp.ClientSession() as session:
         for number in range(4):
             # The first upstream to run the request breaks off, whichever that is.
             faults = deque([RunnerFault.RESET_STREAM])
             for runner in world.models:
                 runner.next_faults = faults
-            numbers, _ = await async_stream(world, session, f"q{number}", product)
-            assert numbers == list(range(1, EVENTS + 1))
+            numbers, _ = await world.async_stream(session, f"q{number}", product=product)
+            assert numbers == world.whole
 
 
 async def test_run_that_stands_ready_as_a_head_arrives_takes_over_from_what_stays_silent() -> None:
