--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -10,19 +10,16 @@
 import time
 from typing import Final
 
+from bench.replay_placer import add_entries, make_ready_entry, make_replay_placer
 from bench.report import print_machine, print_result, print_table
 from gypsumrouter.const import EXIT_OK, Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
-from gypsumrouter.forwarding.backoff import BackoffTracker
+from gypsumrouter.directory import Directory
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
-from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.loads import PeerLoads, UpstreamLoad
 from gypsumrouter.forwarding.models import Prompt, PromptPart
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
-from gypsumrouter.forwarding.slow_start import SlowStartLimiter
-from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.settings import Contention
 from gypsumrouter.util.clock import ManualClock
@@ -42,33 +39,27 @@
     app = Application(name="r", role=Role.FORWARDER, data_centre="dc-0", region="r", clock=clock)
     journal = Journal(app=app)
     directory = Directory(app=app, journal=journal)
-    placer = Placer(
+    placer = make_replay_placer(
         app=app,
+        journal=journal,
         directory=directory,
         cap=Cap(factor=2.0, slack=2.0),
-        health=HealthTracker(clock=clock, journal=journal),
-        backoffs=BackoffTracker(clock=clock, journal=journal),
-        evacuations=Evacuations(app=app, journal=journal),
-        slow_start=SlowStartLimiter(clock=clock, journal=journal),
         contention=contention,
     )
     if placer.uneven_load.engine_memory is not None:
         placer.uneven_load.engine_memory.set_capacities({SERVICE: ENGINE_TOKENS})
     names = [f"i-{number}" for number in range(upstreams)]
-    for number, name in enumerate(names):
-        entry = Entry(
-            upstream=name,
-            state=EntryState.READY,
-            service=SERVICE,
-            address=Address(host="10.0.0.1", port=80),
-            data_centre=f"dc-{number % 3}",
-            slots=64,
-        )
-        directory.merge(Record(revision=number + 1, entry=entry), source="bench")
-        if placer.uneven_load.engine_speeds is not None:
-            placer.uneven_load.engine_speeds.note(
-                name, tokens=5_000, first_event_ms=150, now_ms=clock.now_ms()
-            )
+    add_entries(
+        directory,
+        (
+            make_ready_entry(name, service=SERVICE, slots=64, data_centre=f"dc-{number % 3}")
+            for number, name in enumerate(names)
+        ),
+    )
+    speeds = placer.uneven_load.engine_speeds
+    if speeds is not None:
+        for name in names:
+            speeds.note(name, tokens=5_000, first_event_ms=150, now_ms=clock.now_ms())
     for peer in range(peers):
         loads = {name: UpstreamLoad(running=1 + peer % 3, pending_tokens=0) for name in names}
         placer.loads.set_peer_loads(f"p{peer}", PeerLoads(received_ms=clock.now_ms(), loads=loads))
--- a/bench/placement_strategies.py
+++ b/bench/placement_strategies.py
@@ -9,16 +9,15 @@
 from msgspec import Struct
 
 from bench.placement_load import Arrival, Load
+from bench.replay_placer import make_replay_placer
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
-from gypsumrouter.forwarding.backoff import BackoffTracker
+from gypsumrouter.directory import Directory, Entry, EntryState, Record
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.loads import PeerLoads
 from gypsumrouter.forwarding.placed import Placement, SentRequest
 from gypsumrouter.forwarding.placement import Cap, order_by_affinity
 from gypsumrouter.forwarding.placer import Placer
-from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
@@ -224,14 +223,12 @@
         journal = Journal(app=app)
         directory = Directory(app=app, journal=journal)
         health = HealthTracker(clock=self._clock, journal=journal)
-        placer = Placer(
+        placer = make_replay_placer(
             app=app,
+            journal=journal,
             directory=directory,
             cap=CAP,
             health=health,
-            backoffs=BackoffTracker(clock=self._clock, journal=journal),
-            evacuations=Evacuations(app=app, journal=journal),
-            slow_start=SlowStartLimiter(clock=self._clock, journal=journal),
             contention=self._contention,
             without=self._without,
         )
--- a/bench/plain_replay.py
+++ b/bench/plain_replay.py
@@ -14,19 +14,17 @@
 
 from msgspec import Struct
 
+from bench.replay_placer import add_entries, make_ready_entry, make_replay_placer
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
-from gypsumrouter.forwarding.backoff import BackoffTracker
+from gypsumrouter.directory import Directory
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
-from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.loads import PeerLoads, UpstreamLoad
 from gypsumrouter.forwarding.models import LoadReport, ResponseMetadata
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
-from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.util.clock import ManualClock
@@ -258,26 +256,18 @@
         directory = Directory(app=app, journal=journal)
         slow_start = SlowStartLimiter(clock=self._clock, journal=journal)
         slow_start.set_fleet(StaticFleet())
-        placer = Placer(
+        placer = make_replay_placer(
             app=app,
+            journal=journal,
             directory=directory,
             cap=Cap(factor=2.0, slack=3.0),
-            health=HealthTracker(clock=self._clock, journal=journal),
-            backoffs=BackoffTracker(clock=self._clock, journal=journal),
-            evacuations=Evacuations(app=app, journal=journal),
             slow_start=slow_start,
             without=without,
         )
-        for number, name in enumerate(self._upstreams):
-            entry = Entry(
-                upstream=name,
-                state=EntryState.READY,
-                service=SERVICE,
-                address=Address(host="10.0.0.1", port=80),
-                data_centre="a",
-                slots=SLOTS,
-            )
-            directory.merge(Record(revision=number + 1, entry=entry), source="test")
+        add_entries(
+            directory,
+            (make_ready_entry(name, service=SERVICE, slots=SLOTS) for name in self._upstreams),
+        )
         return placer
 
 
--- a/bench/silence_replay.py
+++ b/bench/silence_replay.py
@@ -10,10 +10,10 @@
 from msgspec import Struct, field
 
 from bench.placement_engine import Engine, RequestTiming
+from bench.replay_placer import add_entries, make_ready_entry, make_replay_placer
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
-from gypsumrouter.forwarding.backoff import BackoffTracker
+from gypsumrouter.directory import Directory
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.models import Prompt, PromptPart, ResponseMetadata
@@ -21,8 +21,6 @@
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.silence_tracker import SilenceTracker
-from gypsumrouter.forwarding.slow_start import SlowStartLimiter
-from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal, UpstreamHealth
 from gypsumrouter.journal.journal import Event
 from gypsumrouter.settings import Contention
@@ -222,26 +220,18 @@
 
     def _make_placer(self, app: Application, make_health: MakeHealth) -> Placer:
         directory = Directory(app=app, journal=self._journal)
-        placer = Placer(
+        placer = make_replay_placer(
             app=app,
+            journal=self._journal,
             directory=directory,
             cap=CAP,
             health=make_health(self._clock, self._journal, SilenceTracker(clock=self._clock)),
-            backoffs=BackoffTracker(clock=self._clock, journal=self._journal),
-            evacuations=Evacuations(app=app, journal=self._journal),
-            slow_start=SlowStartLimiter(clock=self._clock, journal=self._journal),
             contention=Contention(),
         )
-        for number, name in enumerate(self._engines):
-            entry = Entry(
-                upstream=name,
-                state=EntryState.READY,
-                service=SERVICE,
-                address=Address(host="10.0.0.1", port=80),
-                data_centre="a",
-                slots=SLOTS,
-            )
-            directory.merge(Record(revision=number + 1, entry=entry), source="replay")
+        add_entries(
+            directory,
+            (make_ready_entry(name, service=SERVICE, slots=SLOTS) for name in self._engines),
+        )
         return placer
 
     def _draw_silences(self) -> None:
--- a/tests/forwarding/engine_placers.py
+++ b/tests/forwarding/engine_placers.py
@@ -4,16 +4,14 @@
 
 from typing import Final
 
+from bench.replay_placer import add_entries, make_ready_entry, make_replay_placer
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
-from gypsumrouter.forwarding.backoff import BackoffTracker
+from gypsumrouter.directory import Directory
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.silence_tracker import SilenceTracker
-from gypsumrouter.forwarding.slow_start import SlowStartLimiter
-from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.util.clock import ManualClock
@@ -31,8 +29,9 @@
     app = Application(name="r", role=Role.FORWARDER, data_centre="a", region="r", clock=clock)
     journal = Journal(app=app)
     directory = Directory(app=app, journal=journal)
-    placer = Placer(
+    placer = make_replay_placer(
         app=app,
+        journal=journal,
         directory=directory,
         cap=CAP,
         health=HealthTracker(
@@ -40,19 +39,8 @@
             journal=journal,
             silence=SilenceTracker(clock=clock) if tracks_silence else None,
         ),
-        backoffs=BackoffTracker(clock=clock, journal=journal),
-        evacuations=Evacuations(app=app, journal=journal),
-        slow_start=SlowStartLimiter(clock=clock, journal=journal),
         without=without,
     )
-    for number in range(ENGINES):
-        entry = Entry(
-            upstream=f"i-{number}",
-            state=EntryState.READY,
-            service=SERVICE,
-            address=Address(host="10.0.0.1", port=80),
-            data_centre="a",
-            slots=SLOTS,
-        )
-        directory.merge(Record(revision=number + 1, entry=entry), source="test")
+    names = (f"i-{number}" for number in range(ENGINES))
+    add_entries(directory, (make_ready_entry(n, service=SERVICE, slots=SLOTS) for n in names))
     return placer
--- a/tests/forwarding/test_forwarding_contention_parts.py
+++ b/tests/forwarding/test_forwarding_contention_parts.py
@@ -7,14 +7,11 @@
 import aiohttp
 from forwarding_world import PROMPT, ForwardingWorld, make_configuration
 
+from bench.replay_placer import make_replay_placer
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Evacuations
-from gypsumrouter.forwarding.backoff import BackoffTracker
-from gypsumrouter.forwarding.health import HealthTracker
+from gypsumrouter.directory import Directory
 from gypsumrouter.forwarding.placement import Cap
-from gypsumrouter.forwarding.placer import Placer
-from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.forwarding.uneven_load import UnevenLoad
 from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
@@ -28,14 +25,11 @@
     clock = ManualClock(now_ms=100_000)
     app = Application(name="r", role=Role.FORWARDER, data_centre="a", region="r", clock=clock)
     journal = Journal(app=app)
-    placer = Placer(
+    placer = make_replay_placer(
         app=app,
+        journal=journal,
         directory=Directory(app=app, journal=journal),
         cap=Cap(factor=2.0, slack=3.0),
-        health=HealthTracker(clock=clock, journal=journal),
-        backoffs=BackoffTracker(clock=clock, journal=journal),
-        evacuations=Evacuations(app=app, journal=journal),
-        slow_start=SlowStartLimiter(clock=clock, journal=journal),
         contention=contention,
         without=without,
     )
--- a/tests/forwarding/test_forwarding_eligibility.py
+++ b/tests/forwarding/test_forwarding_eligibility.py
@@ -4,15 +4,14 @@
 
 from msgspec.structs import replace
 
+from bench.replay_placer import make_replay_placer
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuation, Evacuations, Record
-from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.models import Prompt, PromptPart
 from gypsumrouter.forwarding.placement import Cap
-from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.slow_start import SETTLE_MS, WINDOW_MS, SlowStartLimiter
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
@@ -54,12 +53,12 @@
         self.health = HealthTracker(clock=self.clock, journal=journal)
         slow_start = SlowStartLimiter(clock=self.clock, journal=journal, factor=FACTOR, slack=SLACK)
         slow_start.set_table(make_table())
-        self.placer = Placer(
+        self.placer = make_replay_placer(
             app=app,
+            journal=journal,
             directory=self.directory,
             cap=Cap(factor=2.0, slack=1_000.0),
             health=self.health,
-            backoffs=BackoffTracker(clock=self.clock, journal=journal),
             evacuations=self.evacuations,
             slow_start=slow_start,
             without=without,
--- a/tests/forwarding/test_forwarding_load_reports.py
+++ b/tests/forwarding/test_forwarding_load_reports.py
@@ -12,12 +12,11 @@
 from load_report_machines import make_report
 
 from bench.plain_replay import SERVICE, SLOTS
+from bench.replay_placer import make_ready_entry, make_replay_placer
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations
-from gypsumrouter.forwarding.backoff import BackoffTracker
+from gypsumrouter.directory import Directory
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
-from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.load_reports import (
     MAX_PACE,
     MIN_PACE,
@@ -37,8 +36,6 @@
 )
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.plain_admission import PlainAdmission
-from gypsumrouter.forwarding.slow_start import SlowStartLimiter
-from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.util.clock import ManualClock
@@ -56,14 +53,7 @@
 
 
 def make_placement(upstream: str, *, load: int = 0) -> Placement:
-    entry = Entry(
-        upstream=upstream,
-        state=EntryState.READY,
-        service=SERVICE,
-        address=Address(host="10.0.0.1", port=80),
-        data_centre="a",
-        slots=SLOTS,
-    )
+    entry = make_ready_entry(upstream, service=SERVICE, slots=SLOTS)
     return Placement(entry=entry, load=load, mean_load=0.0, missing_tokens=0, candidates=1)
 
 
@@ -233,14 +223,11 @@
     clock = ManualClock(now_ms=1_000)
     app = Application(name="r", role=Role.FORWARDER, data_centre="a", region="r", clock=clock)
     journal = Journal(app=app)
-    placer = Placer(
+    placer = make_replay_placer(
         app=app,
+        journal=journal,
         directory=Directory(app=app, journal=journal),
         cap=CAP,
-        health=HealthTracker(clock=clock, journal=journal),
-        backoffs=BackoffTracker(clock=clock, journal=journal),
-        evacuations=Evacuations(app=app, journal=journal),
-        slow_start=SlowStartLimiter(clock=clock, journal=journal),
         without=without,
     )
     for reports_load, load in stated:
--- a/tests/forwarding/test_forwarding_placer.py
+++ b/tests/forwarding/test_forwarding_placer.py
@@ -5,18 +5,14 @@
 import random
 from collections.abc import Collection
 
+from bench.replay_placer import add_entries, make_ready_entry, make_replay_placer
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Entry, EntryState, Evacuation, Evacuations, Record
+from gypsumrouter.directory import Directory, Evacuation, Evacuations
 from gypsumrouter.directory.evacuations import STARTUP_MS
-from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
-from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.models import Prompt, PromptPart
 from gypsumrouter.forwarding.placement import Cap
-from gypsumrouter.forwarding.placer import Placer
-from gypsumrouter.forwarding.slow_start import SlowStartLimiter
-from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.util.clock import ManualClock
 
@@ -45,27 +41,22 @@
         journal = Journal(app=app)
         directory = Directory(app=app, journal=journal)
         self.evacuations = Evacuations(app=app, journal=journal)
-        self.placer = Placer(
+        self.placer = make_replay_placer(
             app=app,
+            journal=journal,
             directory=directory,
             cap=Cap(factor=2.0, slack=3.0),
-            health=HealthTracker(clock=clock, journal=journal),
-            backoffs=BackoffTracker(clock=clock, journal=journal),
             evacuations=self.evacuations,
-            slow_start=SlowStartLimiter(clock=clock, journal=journal),
             evacuation_ms=EVACUATION_MS,
         )
-        address = Address(host="10.0.0.1", port=80)
-        for number, name in enumerate(ENGINES):
-            entry = Entry(
-                upstream=name,
-                state=EntryState.READY,
-                service=SERVICE,
-                address=address,
-                data_centre=f"dc-{number % 3}",
-                slots=24,
-            )
-            directory.merge(Record(revision=number + 1, entry=entry), source="test")
+        add_entries(
+            directory,
+            (
+                make_ready_entry(name, service=SERVICE, slots=24, data_centre=f"dc-{number % 3}")
+                for number, name in enumerate(ENGINES)
+            ),
+        )
+        for name in ENGINES:
             for _ in range(rng.randrange(6, 12)):
                 self.placer.loads.begin(name, tokens=0)
 
--- a/tests/forwarding/test_forwarding_prompt_spread.py
+++ b/tests/forwarding/test_forwarding_prompt_spread.py
@@ -8,24 +8,20 @@
 from uneven_loads import EVEN, HOT_PROMPT, average, replay_seeds, summarize_first_events
 
 from bench.placements import Outcome
+from bench.replay_placer import add_entries, make_ready_entry, make_replay_placer
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
-from gypsumrouter.forwarding.backoff import BackoffTracker
+from gypsumrouter.directory import Directory
 from gypsumrouter.forwarding.cache_index import COPY_READY_MS
-from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.models import Prompt, PromptPart
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.placement import Cap, order_by_affinity
-from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.prompt_spread import (
     MAX_PARTS,
     RATE_MS,
     PromptSpread,
     choose_spread_engine,
 )
-from gypsumrouter.forwarding.slow_start import SlowStartLimiter
-from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.settings import Contention
@@ -148,26 +144,21 @@
         )
         journal = Journal(app=app)
         directory = Directory(app=app, journal=journal)
-        self.placer = Placer(
+        self.placer = make_replay_placer(
             app=app,
+            journal=journal,
             directory=directory,
             cap=CAP,
-            health=HealthTracker(clock=self.clock, journal=journal),
-            backoffs=BackoffTracker(clock=self.clock, journal=journal),
-            evacuations=Evacuations(app=app, journal=journal),
-            slow_start=SlowStartLimiter(clock=self.clock, journal=journal),
             contention=contention,
         )
-        for number, name in enumerate(ENGINES):
-            entry = Entry(
-                upstream=name,
-                state=EntryState.READY,
-                service=SERVICE,
-                address=Address(host="10.0.0.1", port=80),
-                data_centre="dc-0",
-                slots=64,
-            )
-            directory.merge(Record(revision=number + 1, entry=entry), source="test")
+        add_entries(
+            directory,
+            (
+                make_ready_entry(name, service=SERVICE, slots=64, data_centre="dc-0")
+                for name in ENGINES
+            ),
+        )
+        for name in ENGINES:
             for _ in range(int(MEAN)):
                 self.placer.loads.begin(name, tokens=0)
 
--- a/tests/forwarding/test_forwarding_service_work.py
+++ b/tests/forwarding/test_forwarding_service_work.py
@@ -4,21 +4,17 @@
 
 import pytest
 
+from bench.replay_placer import add_entries, make_ready_entry, make_replay_placer
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
-from gypsumrouter.forwarding.backoff import BackoffTracker
+from gypsumrouter.directory import Directory
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
-from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.loads import PEER_LOADS_TTL_MS, PeerLoads, UpstreamLoad
 from gypsumrouter.forwarding.models import Prompt, PromptPart
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.placement import QUEUED_COST_MS, Cap, estimate_first_event
-from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.prefill_speed import PRIOR_BASE_MS, PRIOR_TOKENS_PER_MS
 from gypsumrouter.forwarding.service_work import SUMS_TTL_MS, ServiceWorkReader
-from gypsumrouter.forwarding.slow_start import SlowStartLimiter
-from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.util.clock import ManualClock
 
@@ -40,26 +36,18 @@
         )
         journal = Journal(app=app)
         directory = Directory(app=app, journal=journal)
-        self.placer = Placer(
+        self.placer = make_replay_placer(
             app=app,
+            journal=journal,
             directory=directory,
             cap=Cap(factor=2.0, slack=3.0),
-            health=HealthTracker(clock=self.clock, journal=journal),
-            backoffs=BackoffTracker(clock=self.clock, journal=journal),
-            evacuations=Evacuations(app=app, journal=journal),
-            slow_start=SlowStartLimiter(clock=self.clock, journal=journal),
         )
         self.reader = ServiceWorkReader(clock=self.clock, placer=self.placer)
-        for number, service in enumerate(("models", "models", "records", "records")):
-            entry = Entry(
-                upstream=f"i-{number}",
-                state=EntryState.READY,
-                service=service,
-                address=Address(host="10.0.0.1", port=80),
-                data_centre="a",
-                slots=6,
-            )
-            directory.merge(Record(revision=number + 1, entry=entry), source="test")
+        services = enumerate(("models", "models", "records", "records"))
+        add_entries(
+            directory,
+            (make_ready_entry(f"i-{n}", service=service, slots=6) for n, service in services),
+        )
 
     def place(self, service: str, prompt: Prompt | None) -> Placement:
         placed = self.placer.place(service=service, prompt=prompt, excluded=())
--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -8,18 +8,15 @@
 from memory_store import MemoryStore
 from store_view import StoreView
 
+from bench.replay_placer import make_replay_placer
 from gypsumrouter.const import Role
 from gypsumrouter.contention.workspaces import WorkspaceShares
 from gypsumrouter.core import Application
 from gypsumrouter.crashes.guard import CrashGuard
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
 from gypsumrouter.exceptions import DocumentInvalid
-from gypsumrouter.forwarding.backoff import BackoffTracker
-from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.loads import PeerLoads
 from gypsumrouter.forwarding.placement import Cap
-from gypsumrouter.forwarding.placer import Placer
-from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.instances import parse_address
 from gypsumrouter.journal import Journal
 from gypsumrouter.link import Hello, Notice, NoticeHub, Peer, PlacedPart
@@ -91,14 +88,12 @@
         self.directory = Directory(app=self.app, journal=journal)
         self.evacuations = Evacuations(app=self.app, journal=journal)
         routing = RoutingStore(app=self.app, journal=journal)
-        self.placer = Placer(
+        self.placer = make_replay_placer(
             app=self.app,
+            journal=journal,
             directory=self.directory,
             cap=Cap(factor=2.0, slack=3.0),
-            health=HealthTracker(clock=clock, journal=journal),
-            backoffs=BackoffTracker(clock=clock, journal=journal),
             evacuations=self.evacuations,
-            slow_start=SlowStartLimiter(clock=clock, journal=journal),
         )
         self.loads = self.placer.loads
         self.cache_index = self.placer.cache_index
