--- a/bench/silences.py
+++ b/bench/silences.py
@@ -8,15 +8,8 @@
 from msgspec import Struct
 
 from bench.report import print_machine, print_result, print_table
-from bench.silence_replay import (
-    DARK,
-    HALF_DEAD,
-    MUTE,
-    Figures,
-    MakeHealth,
-    Scenario,
-    SilenceReplay,
-)
+from bench.silence_models import DARK, HALF_DEAD, MUTE, Figures, Scenario
+from bench.silence_replay import MakeHealth, SilenceReplay
 from gypsumrouter.const import EXIT_OK
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.silence_tracker import SilenceTracker
--- a/tests/bench/test_bench_silences.py
+++ b/tests/bench/test_bench_silences.py
@@ -5,7 +5,8 @@
 import pytest
 from msgspec import structs
 
-from bench.silence_replay import HALF_DEAD, MUTE, Figures, Scenario, SilenceReplay
+from bench.silence_models import HALF_DEAD, MUTE, Figures, Scenario
+from bench.silence_replay import SilenceReplay
 from bench.silences import LOST, UPSTREAMS, WAYS, Way
 
 FAILURE, NEITHER, REMEMBERED = WAYS
