--- a/gypsumrouter/forwarding/endings.py
+++ b/gypsumrouter/forwarding/endings.py
@@ -76,6 +76,7 @@
         """End a request without another attempt: refused, or failed if it may have run."""
         progress = self._progress
         if progress.possibly_ran_on or self._relay.response is not None:
+            self._request_journal.obstacle = reason.value
             return self.fail(message)
         reservation = None
         reserved_ms: int | None = RETRY_AT_ONCE_MS
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -175,6 +175,17 @@
             request_journal=request_journal,
         )
 
+    @property
+    def silent_ms(self) -> int:
+        """Return for how long the upstream of the present attempt has sent nothing, -1 if none."""
+        run = self._replacements.present
+        return -1 if run is None else self._context.app.clock.now_ms() - run.heard_ms
+
+    @property
+    def obstacle(self) -> str:
+        """Return what last kept another upstream from going on with the request, "" if nothing."""
+        return self._request_journal.obstacle
+
     async def async_run(self) -> web.StreamResponse:
         """Return the response; a streamed one has already been written."""
         self._context.budget.note_request(self._service)
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -48,6 +48,11 @@
 # cached prompts have been loaded.
 # That takes 10 to 50 ms where the store responds, and 50 ms more for the listings of the engines.
 STARTUP_WAIT_MS: Final = 300
+# Outcomes of requests: the caller has left, or the end of the process has cut them.
+OUTCOME_CALLER_GONE: Final = "caller_gone"
+OUTCOME_CUT: Final = "cut_by_stop"
+# Responses with these outcomes are complete, or are not left incomplete by their handler.
+ENDED_BY_OTHERS: Final = frozenset({OUTCOME_ANSWERED, OUTCOME_CALLER_GONE, OUTCOME_CUT})
 
 
 class RequestParser(Protocol):
@@ -121,12 +126,13 @@
     def record_cut(self, connections: Iterable[CallerConnection], *, reason: str) -> None:
         """Record what is under way on the connections as the process ends, and why it does."""
         self.cut = len(self._running)
+        draining = self._drain.draining
         for running in self._running.values():
-            self._records.record_cut(running, reason=reason)
+            self._records.record_cut(running, reason=reason, draining=draining)
         ids = {running.request_id for running in self._running.values()}
         for connection in connections:
             if connection.unsent_bytes and connection.request_id not in ids:
-                self._records.record_unsent(connection, reason=reason)
+                self._records.record_unsent(connection, reason=reason, draining=draining)
 
     def generate_request_id(self) -> str:
         """Return a new id for a request without one."""
@@ -222,9 +228,10 @@
                         caller_request, Reason.LEAVING, "This router is stopping"
                     )
                 progress = Progress(arrived_ms=arrived_ms, deadline_at_ms=arrived_ms + limit_ms)
-                self._running[number].progress = progress
+                running = self._running[number]
+                running.progress = progress
                 self._drain.request_started(number, service=service, progress=progress)
-                return await self._async_run(request, caller_request, routed, service, progress)
+                return await self._async_run(caller_request, routed, service, running, progress)
 
     async def _async_wait_until_ready(self, caller_request: CallerRequest) -> None:
         """Wait a limited time for the data that the process loads at startup."""
@@ -261,12 +268,13 @@
 
     async def _async_run(
         self,
-        request: web.BaseRequest,
         caller_request: CallerRequest,
         routed: RouteMatch,
         service: str,
+        running: RunningRequest,
         progress: Progress,
     ) -> web.StreamResponse:
+        request = running.web_request
         route = routed.route
         origin = None
         if caller_request.last_event_id is not None and route.resumable:
@@ -306,6 +314,7 @@
             request_journal=request_journal,
             origin=origin,
         )
+        running.execution = run
         status = 0
         try:
             response = await run.async_run()
@@ -317,11 +326,15 @@
             abort_connection(request.transport)
             raise
         except CallerDisconnected:
-            progress.outcome = "caller_gone"
+            progress.outcome = OUTCOME_CALLER_GONE
             abort_connection(request.transport)
             # aiohttp logs any other exception as an error of the handler.
             raise asyncio.CancelledError from None
         finally:
+            if progress.status and progress.outcome not in ENDED_BY_OTHERS:
+                self._records.record_cut(
+                    running, reason=progress.outcome, draining=self._drain.draining
+                )
             self._records.record_end(caller_request, routed, progress, status)
         return response
 
@@ -330,7 +343,7 @@
     """Return the outcome of a request whose connection has ended."""
     connection = request.protocol
     was_cut = isinstance(connection, CallerConnection) and connection.was_cut
-    return "cut_by_stop" if was_cut else "caller_gone"
+    return OUTCOME_CUT if was_cut else OUTCOME_CALLER_GONE
 
 
 def _choose_service(caller_request: CallerRequest, route: Route) -> str:
--- a/gypsumrouter/forwarding/metrics.py
+++ b/gypsumrouter/forwarding/metrics.py
@@ -11,6 +11,7 @@
 from gypsumrouter.const import HEADER_REQUEST_ID
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory
+from gypsumrouter.forwarding.execution import RequestExecution
 from gypsumrouter.forwarding.models import CallerRequest
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.journal import (
@@ -75,7 +76,8 @@
 class RunningRequest(Struct, kw_only=True, eq=False):
     """A request that is under way; `progress` is None until its route is known.
 
-    It is `arriving` until its body has arrived whole; `reservation` is the memory of that.
+    `execution` is None until it is forwarded. It is `arriving` until its body has arrived whole;
+    `reservation` is the memory of that.
     """
 
     request_id: str
@@ -84,6 +86,7 @@
     arrived_ms: int
     arriving: bool = True
     progress: Progress | None = None
+    execution: RequestExecution | None = None
 
     def __str__(self) -> str:
         if not self.arriving:
@@ -164,9 +167,9 @@
             )
         )
 
-    def record_cut(self, running: RunningRequest, *, reason: str) -> None:
-        """Record a request that is under way when its process ends, and why it does."""
-        progress = running.progress
+    def record_cut(self, running: RunningRequest, *, reason: str, draining: bool) -> None:
+        """Record a request whose response this process leaves incomplete, and why it does."""
+        progress, execution = running.progress, running.execution
         self._journal.record(
             RequestCut(
                 request_id=running.request_id,
@@ -178,10 +181,13 @@
                 events=0 if progress is None else progress.events,
                 arriving=running.arriving,
                 after_ms=self._clock.now_ms() - running.arrived_ms,
+                silent_ms=-1 if execution is None else execution.silent_ms,
+                obstacle="" if execution is None else execution.obstacle,
+                draining=draining,
             )
         )
 
-    def record_unsent(self, connection: CallerConnection, *, reason: str) -> None:
+    def record_unsent(self, connection: CallerConnection, *, reason: str, draining: bool) -> None:
         """Record a response that was complete, but not sent to its end when its process ended."""
         self._journal.record(
             RequestCut(
@@ -194,6 +200,9 @@
                 events=0,
                 arriving=False,
                 after_ms=0,
+                silent_ms=-1,
+                obstacle="",
+                draining=draining,
             )
         )
 
--- a/gypsumrouter/forwarding/request_journal.py
+++ b/gypsumrouter/forwarding/request_journal.py
@@ -42,7 +42,15 @@
     on which the decision was based.
     """
 
-    __slots__ = ("_configuration", "_journal", "_list_revision", "_request", "_routed", "_service")
+    __slots__ = (
+        "_configuration",
+        "_journal",
+        "_list_revision",
+        "_request",
+        "_routed",
+        "_service",
+        "obstacle",
+    )
 
     def __init__(
         self,
@@ -60,6 +68,8 @@
         self._service = service
         self._configuration = configuration
         self._list_revision = list_revision
+        # What last kept another upstream from going on with the request.
+        self.obstacle = ""
 
     def record_placed(self, placement: Placement, *, attempt: int, peers_age_ms: int) -> None:
         """Record which upstream was chosen, and the inputs of the choice."""
@@ -109,6 +119,7 @@
         replaced_by: str,
     ) -> None:
         """Record that an upstream is silent, and what takes over or why nothing does."""
+        self.obstacle = obstacle
         self._journal.record(
             AttemptSilent(
                 request_id=self._request.request_id,
--- a/gypsumrouter/forwarding/retries.py
+++ b/gypsumrouter/forwarding/retries.py
@@ -26,6 +26,7 @@
 from gypsumrouter.forwarding.relay import Relay
 from gypsumrouter.forwarding.replacement import RECHECK_MS, Replacements
 from gypsumrouter.forwarding.request_journal import RequestJournal
+from gypsumrouter.forwarding.silence import Obstacle, SilentRequest, find_obstacle
 from gypsumrouter.forwarding.stream_pin import StreamPin
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.routing import Route
@@ -85,6 +86,8 @@
         if self._replacements.standby.has_sent and not serves:
             return Decision(step=self.step)
         decision = decide_next_step(outcome, self._progress, self._make_limits())
+        if decision.step is NextStep.FAIL:
+            self._note_obstacle()
         if decision.step is not NextStep.REFUSE or not self.may_wait:
             return decision
         await self.async_wait()
@@ -109,10 +112,23 @@
         decision = decide_after_failed_run(
             self._progress, limits, retry_step=self.step, message=message
         )
-        if decision.step is NextStep.FAIL and allows_retry(self._progress, limits):
-            return await self._async_wait_for_budget(decision)
+        if decision.step is NextStep.FAIL:
+            self._note_obstacle()
+            if allows_retry(self._progress, limits):
+                return await self._async_wait_for_budget(decision)
         return decision
 
+    def _note_obstacle(self) -> None:
+        """Record what rules out that another upstream goes on with the request."""
+        request = SilentRequest(
+            route=self._route,
+            sent=self._relay.sent,
+            runs=len(self._progress.possibly_ran_on),
+            remaining_ms=self._limits.remaining_ms,
+            version_proven=self._stream.is_proven,
+        )
+        self._journal.obstacle = (find_obstacle(request) or Obstacle.BUDGET).value
+
     async def _async_wait_for_budget(self, failure: Decision) -> Decision:
         """Return the next step once the budget has a retry; the failure after half of the time."""
         ends_ms = self._context.app.clock.now_ms() + self._limits.remaining_ms // 2
--- a/gypsumrouter/journal/request_events.py
+++ b/gypsumrouter/journal/request_events.py
@@ -217,11 +217,14 @@
 
 
 class RequestCut(Event, frozen=True, kw_only=True):
-    """A request that is under way is cut, since its process ends; times are in milliseconds.
-
-    Its caller has a response of `status` (0: none has begun) with `bytes_out` bytes of its body,
-    less `unsent_bytes` that are still in the process. `arriving` is whether its body had not
-    arrived whole. Of a response that was complete only the unsent bytes are known.
+    """This router leaves the response to a request incomplete; times are in milliseconds.
+
+    `reason` is why its process ends, or how the request failed before that. Its caller has a
+    response of `status` (0: none has begun) with `bytes_out` bytes of its body, less `unsent_bytes`
+    that are still in the process. `arriving` is whether its body had not arrived whole. The
+    upstream had sent nothing for `silent_ms`, -1 without an attempt. `obstacle` is what last kept
+    another upstream from taking over, "" if nothing did. Of a response that was complete only the
+    unsent bytes are known.
     """
 
     name: ClassVar[str] = "request_cut"
@@ -235,6 +238,9 @@
     events: int
     arriving: bool
     after_ms: int
+    silent_ms: int
+    obstacle: str
+    draining: bool
 
 
 class RequestEnded(Event, frozen=True, kw_only=True):
--- a/tests/forwarding/test_forwarding_stops.py
+++ b/tests/forwarding/test_forwarding_stops.py
@@ -42,6 +42,8 @@
 # A stream that has begun, and ends inside the first seconds of a stop.
 KEPT_TOKENS = 50
 BEGUN_MS = 200
+# By far longer than the pauses of the streams, and shorter than a stop.
+SILENT_MS = 2_500
 # An answer that the buffers between the process and a slow caller hold, and the beginning of the
 # request that the caller sends while it still reads.
 LARGE_TOKENS = 2_000
@@ -112,6 +114,46 @@
     assert [line["cut"] for line in lines if line.get("event") == "process_stopped"] == [CALLERS]
 
 
+# Guards against streams that end in the middle of a stop and are named by no line.
+async def test_every_stream_that_fails_while_a_router_drains_has_a_line(
+    stopping: StoppingWorld,
+) -> None:
+    process = stopping.processes[0]
+    streams = begin_streams(stopping, tokens=MANY_TOKENS)
+    await stopping.async_wait_running(CALLERS)
+    await async_fill_journal(stopping)
+    stop = asyncio.create_task(stopping.async_stop(process, [(0, TERM)]))
+    await CLOCK.async_sleep(BEGUN_MS)
+    for runner in stopping.runners:
+        runner.crash()
+    answers = await asyncio.gather(*streams)
+    await stop
+    assert {(answer.end, answer.status) for answer in answers} == {(End.RESET, 200)}
+    lines = await stopping.async_read_journal()
+    cut = [line for line in lines if line.get("event") == "request_cut"]
+    assert sorted(line["request_id"] for line in cut) == sorted(a.request_id for a in answers)
+    assert {(line["reason"], line["obstacle"], line["draining"]) for line in cut} == {
+        ("failed: stream broken", "route", True)
+    }
+
+
+# Guards against a cut that does not say whether the upstream was at work.
+async def test_cut_does_not_say_how_long_the_upstream_was_silent(stopping: StoppingWorld) -> None:
+    streams = begin_streams(stopping, tokens=MANY_TOKENS)
+    await stopping.async_wait_running(CALLERS)
+    await CLOCK.async_sleep(BEGUN_MS)
+    silent = stopping.runners[0]
+    silent.awake.clear()
+    await stopping.async_stop(stopping.processes[0], [(0, TERM)])
+    silent.awake.set()
+    await asyncio.gather(*streams)
+    lines = await stopping.async_read_journal()
+    cut = [line for line in lines if line.get("event") == "request_cut"]
+    assert {line["upstream"] for line in cut} == {runner.name for runner in stopping.runners}
+    for line in cut:
+        assert (line["silent_ms"] > SILENT_MS) == (line["upstream"] == silent.name)
+
+
 # Guards against streams that are reset, with status 200 and run, by a signal behind the first.
 @pytest.mark.parametrize("later", SERIES.values(), ids=SERIES.keys())
 async def test_streams_are_reset_by_a_signal_that_follows_a_stop_signal(
