--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -330,6 +330,12 @@
             abort_connection(request.transport)
             # aiohttp logs any other exception as an error of the handler.
             raise asyncio.CancelledError from None
+        except Exception as error:
+            progress.outcome = f"error: {type(error).__name__}"
+            if progress.status:
+                # The error response would be written into the one that has begun, and end it.
+                abort_connection(request.transport)
+            raise
         finally:
             if progress.status and progress.outcome not in ENDED_BY_OTHERS:
                 self._records.record_cut(
--- a/tests/forwarding/test_forwarding_incomplete_answers.py
+++ b/tests/forwarding/test_forwarding_incomplete_answers.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
 import pytest
 from forwarding_world import PROMPT, ForwardingWorld
 
+from bench.raw_caller import End, RawCaller
 from gypsumrouter.standins.platform_runner import RunnerFault
 
 EVENTS = 8
+PAUSE_S = 0.02
 DEADLINE_MS = 700
 BROKEN = "failed: stream broken"
 # Route, fault of the engines, and what the line says.
@@ -86,3 +89,33 @@
         await response.content.readany()
     await world.async_until(lambda: any(a.cancelled for a in world.arrivals("r2")))
     assert list_cut(full_journal) == []
+
+
+# Guards against the head of an error response in the middle of a stream.
+async def test_exception_writes_another_response_into_a_stream(
+    world: ForwardingWorld,
+    full_journal: pytest.LogCaptureFixture,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("gypsumrouter.forwarding.relay.count_events", raise_after(2))
+    for runner in world.models:
+        runner.pause_s = PAUSE_S
+    caller = await RawCaller(world.product.addresses["callers"]).async_open()
+    answer = await caller.async_ask("r1", path="/draft/a")
+    caller.close()
+    assert (answer.status, answer.end) == (200, End.RESET)
+    assert b"HTTP/1.1" not in answer.body
+    (cut,) = list_cut(full_journal)
+    assert (cut["request_id"], cut["reason"]) == ("r1", "error: RuntimeError")
+
+
+def raise_after(calls: int) -> Callable[[bytes], int]:
+    """Return a function that counts one event a call, and then fails."""
+    left = iter([1] * calls)
+
+    def count(_data: bytes) -> int:
+        for counted in left:
+            return counted
+        raise RuntimeError("a fault of the router")
+
+    return count
