--- a/bench/raw_caller.py
+++ b/bench/raw_caller.py
@@ -92,12 +92,14 @@
         path: str = "/draft/a",
         tokens: int | None = 80,
         bytes_per_s: float | None = None,
+        reads_after_ms: int = 0,
         parts: Sequence[bytes] = (),
         pause_s: float = 0.0,
     ) -> Answer:
         """Send a request and return its answer; raises nothing if the connection ends.
 
-        `bytes_per_s` is the pace at which a slow caller reads. `parts` are sent in place of the
+        `bytes_per_s` is the pace at which a slow caller reads; nothing is read for the first
+        `reads_after_ms`. `parts` are sent in place of the
         usual request, with a pause after each, and no further ones once the answer is there.
         """
         answer = Answer(request_id=request_id, sent_s=time.monotonic())
@@ -105,6 +107,7 @@
         parts = parts or (make_head(request_id, path, tokens),)
         sending = loop.create_task(self._async_send(answer, parts, pause_s))
         try:
+            await CLOCK.async_sleep(reads_after_ms)
             while not _is_whole(answer):
                 size = READ_BYTES if bytes_per_s is None else max(1, int(bytes_per_s / READS_PER_S))
                 data = await loop.sock_recv(self._socket, size)
