--- a/bench/raw_caller.py
+++ b/bench/raw_caller.py
@@ -92,23 +92,26 @@
         path: str = "/draft/a",
         tokens: int | None = 80,
         bytes_per_s: float | None = None,
-        reads_after_ms: int = 0,
         parts: Sequence[bytes] = (),
         pause_s: float = 0.0,
+        rest_after_s: float = 0.0,
+        rest_s: float = 0.0,
     ) -> Answer:
         """Send a request and return its answer; raises nothing if the connection ends.
 
-        `bytes_per_s` is the pace at which a slow caller reads; nothing is read for the first
-        `reads_after_ms`. `parts` are sent in place of the
-        usual request, with a pause after each, and no further ones once the answer is there.
+        `bytes_per_s` is the pace at which a slow caller reads; it reads nothing for `rest_s` once,
+        `rest_after_s` after it began to send or later. `parts` are sent in place of the usual
+        request, with a pause after each, and no further ones once the answer is there.
         """
         answer = Answer(request_id=request_id, sent_s=time.monotonic())
         loop = asyncio.get_running_loop()
         parts = parts or (make_head(request_id, path, tokens),)
         sending = loop.create_task(self._async_send(answer, parts, pause_s))
         try:
-            await CLOCK.async_sleep(reads_after_ms)
             while not _is_whole(answer):
+                if rest_s and time.monotonic() - answer.sent_s >= rest_after_s:
+                    await CLOCK.async_sleep(round(rest_s * MS_PER_S))
+                    rest_s = 0.0
                 size = READ_BYTES if bytes_per_s is None else max(1, int(bytes_per_s / READS_PER_S))
                 data = await loop.sock_recv(self._socket, size)
                 if not data:
@@ -165,6 +168,33 @@
     ).encode()
 
 
+def make_post_head(
+    request_id: str,
+    route: str,
+    *,
+    tokens: int,
+    prompt: str,
+    deadline_ms: int,
+    key: str,
+    length: int,
+) -> bytes:
+    """Return the head of a request on a route whose body has `length` bytes.
+
+    One with `tokens` asks a model for as many, after the shared parts of `prompt`.
+    """
+    usage = (
+        f"{names.MODEL}: m\r\n{names.TOKEN_USAGE}: 1400,{tokens}\r\n"
+        f"{names.PREFIX_PARTS}: {prompt}\r\n"
+        if tokens
+        else ""
+    )
+    return (
+        f"POST /{route}/{request_id} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"{names.REQUEST_ID}: {request_id}\r\n{names.DEADLINE}: {deadline_ms}\r\n"
+        f"{names.API_KEY}: {key}\r\n{usage}Content-Length: {length}\r\n\r\n"
+    ).encode()
+
+
 def _note_data(answer: Answer, data: bytes) -> None:
     if answer.head:
         answer.body += data
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -26,6 +26,7 @@
 from bench.soak_drain_checks import check_backoffs, check_draining, check_retired
 from bench.soak_faults import FaultInjector
 from bench.soak_leavings import check_leavings
+from bench.soak_overlaps import async_soak_overlaps
 from bench.soak_retry_checks import RETRY_RATIO, RETRY_SLACK, check_retry_budget
 from bench.soak_rig import ENV_KEY, FORWARDERS, KEY, SoakRig
 from bench.soak_silences import async_soak_silences
@@ -214,6 +215,9 @@
 @click.option(
     "--silences", is_flag=True, help="Only: sound upstreams fall silent for a moment and go on."
 )
+@click.option(
+    "--overlaps", is_flag=True, help="Only: stops that overlap, silent upstreams, pausing callers."
+)
 @click.option(
     "--forwarders", type=int, default=FORWARDERS, help="Number of forwarders; 15 for most tests."
 )
@@ -237,6 +241,7 @@
     unfinished: bool,
     stops: bool,
     silences: bool,
+    overlaps: bool,
     forwarders: int,
     journals: Path | None,
 ) -> None:
@@ -249,6 +254,7 @@
         async_soak_unfinished: unfinished,
         async_soak_stops: stops,
         async_soak_silences: silences,
+        async_soak_overlaps: overlaps,
     }
     only = next((run for run, wanted in alone.items() if wanted), None)
     all_kept = True
--- /dev/null
+++ b/bench/soak_overlap_callers.py
@@ -0,0 +1,233 @@
+"""Callers of the soak of overlapping stops: kept connections, pauses in reading, early bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any, Final
+
+from msgspec import Struct
+
+from bench.raw_caller import Answer, End, RawCaller, make_post_head
+from bench.soak_configuration import CALLER_KEY
+from bench.soak_rig import SoakRig
+from bench.soak_silence_checks import Call
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.instances import Address
+
+DEADLINE_MS: Final = 20_000
+RETRY_S: Final = 0.05
+MAX_PAUSE_S: Final = 0.15
+# The longest streams of a caller, as a share of the longest of all.
+LENGTH_SHARES: Final = (0.1, 0.5, 1.0)
+UPLOAD_BYTES: Final = 6_000
+UPLOAD_PARTS: Final = 3
+UPLOAD_SHARE: Final = 0.2
+MAX_UPLOAD_S: Final = 0.5
+# Callers that stop reading, when and for how long.
+REST_SHARE: Final = 0.25
+REST_AFTER_S: Final = (0.05, 4.0)
+REST_S: Final = (1.0, 3.5)
+# Callers that send the beginning of their next request during an answer, and when.
+EARLY_SHARE: Final = 0.2
+EARLY_AFTER_MS: Final = (50, 2_000)
+EARLY_BYTES: Final = 60
+# Streams of some callers go through small buffers, or are read slowly.
+SMALL_SHARE: Final = 0.3
+SMALL_BUFFER_BYTES: Final = 2_048
+SLOW_SHARE: Final = 0.1
+SLOW_BYTES_PER_S: Final = 3_000
+
+
+class RoutePlan(Struct, frozen=True, kw_only=True):
+    """A route of the soak, and how many callers it has."""
+
+    kind: str
+    service: str
+    max_attempts: int
+    callers: int
+    resumable: bool = False
+
+
+ROUTES: Final = {
+    "quote": RoutePlan(
+        kind="streaming", service="models", max_attempts=2, callers=14, resumable=True
+    ),
+    "quote-one": RoutePlan(
+        kind="streaming", service="models", max_attempts=1, callers=10, resumable=True
+    ),
+    "draft": RoutePlan(kind="streaming", service="models", max_attempts=2, callers=8),
+    "draft-one": RoutePlan(kind="streaming", service="models", max_attempts=1, callers=6),
+    "lookup": RoutePlan(kind="idempotent", service="records", max_attempts=2, callers=4),
+    "lookup-one": RoutePlan(kind="idempotent", service="records", max_attempts=1, callers=3),
+    "order": RoutePlan(kind="non_idempotent", service="records", max_attempts=2, callers=4),
+    "order-one": RoutePlan(kind="non_idempotent", service="records", max_attempts=1, callers=3),
+}
+
+
+class OverlapCall(Call, frozen=True, kw_only=True):
+    """A request, and how its caller used the connection, for example "kept resting"."""
+
+    manner: str
+
+
+class DrawnRequest(Struct, frozen=True, kw_only=True):
+    """A request before it is sent, in parts; `sent_bytes` of the first part are sent already."""
+
+    request_id: str
+    tokens: int
+    parts: tuple[bytes, ...]
+    pause_s: float
+    sent_bytes: int = 0
+
+
+class OverlapCallers:
+    """Callers that keep their connections until these end; streams have up to `max_tokens`."""
+
+    def __init__(self, *, rig: SoakRig, seed: int, max_tokens: int) -> None:
+        self._rig = rig
+        self._seed = seed
+        self._max_tokens = max_tokens
+        self._stopping = asyncio.Event()
+        self._drawn = 0
+        self.calls: list[OverlapCall] = []
+
+    def stop(self) -> None:
+        """Stop each caller after its current request."""
+        self._stopping.set()
+
+    async def async_run(self) -> None:
+        """Send requests until stopped."""
+        callers = [(route, n) for route, plan in ROUTES.items() for n in range(plan.callers)]
+        await asyncio.gather(*(self._async_call_all(route, n) for route, n in callers))
+
+    async def _async_call_all(self, route: str, caller: int) -> None:
+        rng = random.Random(f"{self._seed}/{route}/{caller}")
+        while not self._stopping.is_set():
+            forwarder = rng.randrange(self._rig.count)
+            address = Address(host="127.0.0.1", port=self._rig.get_callers_port(forwarder))
+            is_stream = ROUTES[route].kind == "streaming"
+            is_small = is_stream and rng.random() < SMALL_SHARE
+            is_slow = is_stream and rng.random() < SLOW_SHARE
+            connection = RawCaller(address, buffer_bytes=SMALL_BUFFER_BYTES if is_small else None)
+            try:
+                await connection.async_open()
+                await self._async_use(
+                    connection,
+                    route,
+                    caller,
+                    forwarder,
+                    rng,
+                    bytes_per_s=SLOW_BYTES_PER_S if is_slow else None,
+                )
+            except OSError:
+                await asyncio.sleep(RETRY_S)
+            finally:
+                connection.close()
+
+    async def _async_use(
+        self,
+        connection: RawCaller,
+        route: str,
+        caller: int,
+        forwarder: int,
+        rng: random.Random,
+        **options: Any,
+    ) -> None:
+        """Send requests on a connection until it ends or an answer says that it does."""
+        drawn = self._draw(route, caller, rng)
+        is_kept = False
+        while not self._stopping.is_set():
+            request, drawn = drawn, self._draw(route, caller, rng)
+            rest = {}
+            if rng.random() < REST_SHARE:
+                rest = {
+                    "rest_after_s": rng.uniform(*REST_AFTER_S),
+                    "rest_s": rng.uniform(*REST_S),
+                }
+            early_ms = rng.randint(*EARLY_AFTER_MS) if rng.random() < EARLY_SHARE else 0
+            answer, was_sent = await _async_ask(
+                connection, request, drawn.parts[0][:EARLY_BYTES], early_ms, **options, **rest
+            )
+            if was_sent:
+                drawn = _note_sent(drawn)
+            manner = {
+                "kept": is_kept,
+                "resting": bool(rest),
+                "slow": options["bytes_per_s"] is not None,
+                "next sent": was_sent,
+            }
+            self.calls.append(
+                OverlapCall(
+                    route=route,
+                    forwarder=forwarder,
+                    answer=answer,
+                    deadline_s=DEADLINE_MS / MS_PER_S,
+                    tokens=request.tokens,
+                    manner=" ".join(name for name, holds in manner.items() if holds) or "new",
+                )
+            )
+            is_kept = True
+            if not answer.whole_s or answer.end is not End.WHOLE or answer.announces_close:
+                return
+            await asyncio.sleep(rng.uniform(0, MAX_PAUSE_S))
+
+    def _draw(self, route: str, caller: int, rng: random.Random) -> DrawnRequest:
+        self._drawn += 1
+        request_id = f"{self._seed}-{route}{caller}-{self._drawn}"
+        tokens = 0
+        if ROUTES[route].kind == "streaming":
+            tokens = rng.randint(1, round(self._max_tokens * rng.choice(LENGTH_SHARES)))
+        is_upload = rng.random() < UPLOAD_SHARE
+        body = b"x" * (UPLOAD_BYTES if is_upload else 1)
+        head = make_post_head(
+            request_id,
+            route,
+            tokens=tokens,
+            prompt=f"a{caller % 3}:800,b{caller}:600",
+            deadline_ms=DEADLINE_MS,
+            key=CALLER_KEY,
+            length=len(body),
+        )
+        size = len(body) // UPLOAD_PARTS + 1
+        later = (body[begin : begin + size] for begin in range(size, len(body), size))
+        return DrawnRequest(
+            request_id=request_id,
+            tokens=tokens,
+            parts=(head + body[:size], *later),
+            pause_s=rng.uniform(0, MAX_UPLOAD_S) / UPLOAD_PARTS,
+        )
+
+
+async def _async_ask(
+    connection: RawCaller, request: DrawnRequest, early: bytes, early_ms: int, **options: Any
+) -> tuple[Answer, bool]:
+    """Send a request, and the beginning of the next during its answer if `early_ms` is set.
+
+    Returns the answer, and whether that beginning was sent.
+    """
+    parts = (request.parts[0][request.sent_bytes :], *request.parts[1:])
+    sending: asyncio.Future[None] | None = None
+    # It must not arrive inside the body of this request.
+    if early_ms and len(parts) == 1:
+        later = connection.async_send_later(early, after_ms=early_ms)
+        sending = asyncio.ensure_future(later)
+    answer = await connection.async_ask(
+        request.request_id, parts=parts, pause_s=request.pause_s, **options
+    )
+    if sending is None:
+        return answer, False
+    was_sent = sending.done()
+    sending.cancel()
+    await asyncio.wait((sending,))
+    return answer, was_sent
+
+
+def _note_sent(request: DrawnRequest) -> DrawnRequest:
+    return DrawnRequest(
+        request_id=request.request_id,
+        tokens=request.tokens,
+        parts=request.parts,
+        pause_s=request.pause_s,
+        sent_bytes=min(EARLY_BYTES, len(request.parts[0])),
+    )
--- a/bench/soak_rig.py
+++ b/bench/soak_rig.py
@@ -358,6 +358,7 @@
         """Stop all processes, proxies and stand-ins of this rig."""
         for number in range(self.count):
             await self.async_end_forwarder(number, signal.SIGKILL)
+        await asyncio.gather(*self._copy_tasks.values(), return_exceptions=True)
         for proxy in (*self.store_proxies, *self.runner_proxies):
             await proxy.async_stop()
         for runner in self.list_runners():
--- a/bench/soak_silence_checks.py
+++ b/bench/soak_silence_checks.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Collection, Iterator, Mapping, Sequence
 from typing import Final
 
 from msgspec import Struct
 
 from bench.raw_caller import Answer, End
+from bench.soak_callers import NOT_RUN_STATUSES
 from bench.soak_checks import Violation
 from bench.soak_configuration import CALLER_KEY
 from bench.soak_stops import LAST_SHARE, LATE_S, STOP_S, USUAL_OVERHEAD, Stop
@@ -158,15 +159,22 @@
 
 
 def check_once(
-    calls: Sequence[Call], published: Sequence[Published], ran: Mapping[str, Ran]
+    calls: Sequence[Call],
+    published: Sequence[Published],
+    ran: Mapping[str, Ran],
+    *,
+    once: Collection[str] = ONCE,
 ) -> Iterator[Violation]:
-    """Check that requests run no more often than allowed, and not if they are refused."""
+    """Check that requests run no more often than allowed, and not if they are refused.
+
+    Those of the routes `once` may run once.
+    """
     for call in calls:
         request_id = call.answer.request_id
         runs = ran[request_id].runs if request_id in ran else 0
         allowed = max(p.max_attempts[call.route] for p in list_in_force(call, published))
-        if runs > (1 if call.route in ONCE else allowed):
+        if runs > (1 if call.route in once else allowed):
             detail = f"{runs} of {allowed}"
             yield Violation(guarantee="ran too often", request_id=request_id, detail=detail)
-        if call.route in ONCE and runs and call.answer.status in REFUSALS:
+        if call.route in once and runs and call.answer.status in NOT_RUN_STATUSES:
             yield Violation(guarantee="ran after refusal", request_id=request_id)
--- a/bench/soak_silences.py
+++ b/bench/soak_silences.py
@@ -16,7 +16,7 @@
 from typing import Any, Final
 
 from bench.processes import is_running
-from bench.raw_caller import Answer, End, RawCaller
+from bench.raw_caller import Answer, End, RawCaller, make_post_head
 from bench.soak_checks import Violation
 from bench.soak_configuration import CALLER_KEY, HOST, WORKSPACE
 from bench.soak_rig import EVENTS, FORWARDERS, SoakRig
@@ -33,7 +33,6 @@
 from bench.soak_stops import STOP_S, Stop, check_stops
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.instances import Address
-from gypsumrouter.platform import names
 from gypsumrouter.standins import PlatformRunner
 
 RUNNERS: Final = 6
@@ -114,18 +113,15 @@
         deadline_ms = rng.randint(*DEADLINES_MS)
         key = rng.choice((CALLER_KEY, CALLER_KEY, PASSING_KEY))
         body = b"x" * (UPLOAD_BYTES if rng.random() < SLOW_SHARE else 1)
-        parts_of_prompt = f"a{caller % 3}:800,b{caller}:600"
-        usage = (
-            f"{names.MODEL}: m\r\n{names.TOKEN_USAGE}: 1400,{tokens}\r\n"
-            f"{names.PREFIX_PARTS}: {parts_of_prompt}\r\n"
-            if tokens
-            else ""
+        head = make_post_head(
+            request_id,
+            route,
+            tokens=tokens,
+            prompt=f"a{caller % 3}:800,b{caller}:600",
+            deadline_ms=deadline_ms,
+            key=key,
+            length=len(body),
         )
-        head = (
-            f"POST /{route}/{request_id} HTTP/1.1\r\nHost: {HOST}\r\n"
-            f"{names.REQUEST_ID}: {request_id}\r\n{names.DEADLINE}: {deadline_ms}\r\n"
-            f"{names.API_KEY}: {key}\r\n{usage}Content-Length: {len(body)}\r\n\r\n"
-        ).encode()
         size = len(body) // UPLOAD_PARTS + 1
         parts = [head + body[:size], *(body[n : n + size] for n in range(size, len(body), size))]
         pause_s = rng.uniform(0, MAX_UPLOAD_S) / UPLOAD_PARTS
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -140,10 +140,14 @@
 
 
 class Stops:
-    """Stops one forwarder after the other, with signals in series, and starts it again."""
+    """Stops one forwarder after the other, with signals in series, and starts it again.
 
-    def __init__(self, *, rig: SoakRig, seed: int) -> None:
+    A process that lasts longer than `stop_s` is killed.
+    """
+
+    def __init__(self, *, rig: SoakRig, seed: int | str, stop_s: float = STOP_S) -> None:
         self._rig = rig
+        self._stop_s = stop_s
         self._rng = random.Random(f"{seed}/stops")
         self.made: list[Stop] = []
         self.counts: Counter[str] = Counter()
@@ -157,12 +161,13 @@
         await asyncio.gather(*tasks)
 
     async def _async_stop(self, number: int) -> None:
-        await self._async_stop_once(number)
+        await self.async_stop_once(number)
         if self._rng.random() < EARLY_STOPS:
             self.counts["early"] += 1
-            await self._async_stop_once(number)
+            await self.async_stop_once(number)
 
-    async def _async_stop_once(self, number: int) -> None:
+    async def async_stop_once(self, number: int) -> None:
+        """Stop a forwarder, and start it again once it has ended."""
         process = self._rig.forwarders[number]
         if process is None:
             return
@@ -172,7 +177,7 @@
         first = self._rng.choice((signal.SIGTERM, signal.SIGTERM, signal.SIGINT))
         ending = asyncio.ensure_future(self._rig.async_end_forwarder(number, first))
         series = asyncio.ensure_future(self._async_send_later(process.send_signal))
-        done, _ = await asyncio.wait((ending,), timeout=STOP_S)
+        done, _ = await asyncio.wait((ending,), timeout=self._stop_s)
         if not done and is_running(process.pid):
             stop.killed = True
             process.send_signal(signal.SIGKILL)
@@ -250,15 +255,11 @@
             )
 
 
-def _find_stop(asked: Asked, stops: Sequence[Stop]) -> Stop | None:
+def find_stop(forwarder: int, answer: Answer, stops: Sequence[Stop]) -> Stop | None:
     """Return the stop of its forwarder during which a request was under way."""
     for stop in stops:
         ended_s = stop.ended_s or time.monotonic()
-        if (
-            stop.forwarder == asked.forwarder
-            and asked.answer.sent_s <= ended_s
-            and asked.answer.ended_s >= stop.at_s
-        ):
+        if stop.forwarder == forwarder and answer.sent_s <= ended_s and answer.ended_s >= stop.at_s:
             return stop
     return None
 
@@ -273,7 +274,7 @@
     """
     for asked in streams:
         answer = asked.answer
-        stop = _find_stop(asked, stops)
+        stop = find_stop(asked.forwarder, asked.answer, stops)
         if answer.end is End.WHOLE or answer.request_id not in ran or stop is None:
             continue
         sent_s, cut_s = answer.sent_s - stop.at_s, answer.ended_s - stop.at_s
@@ -291,7 +292,7 @@
 def check_kept(streams: Sequence[Asked], stops: Sequence[Stop]) -> Iterator[Violation]:
     """Check that kept connections are not closed unannounced in the first seconds of a stop."""
     for asked in streams:
-        answer, stop = asked.answer, _find_stop(asked, stops)
+        answer, stop = asked.answer, find_stop(asked.forwarder, asked.answer, stops)
         if not asked.kept or answer.status or stop is None:
             continue
         if stop.at_s < answer.sent_s < stop.at_s + KEPT_S and not stop.killed:
@@ -304,7 +305,9 @@
 
 def check_served(lookups: Sequence[Asked], stops: Sequence[Stop]) -> Iterator[Violation]:
     """Check that requests that may be repeated are served beside an endless upstream."""
-    calm = [asked.answer for asked in lookups if _find_stop(asked, stops) is None]
+    calm = [
+        asked.answer for asked in lookups if find_stop(asked.forwarder, asked.answer, stops) is None
+    ]
     served = sum(answer.status == 200 and answer.end is End.WHOLE for answer in calm)
     if served < MIN_SERVED * len(calm):
         yield Violation(
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -53,7 +53,10 @@
 
 
 class Arrival(Struct, kw_only=True):
-    """A received request and its time of arrival (monotonic seconds)."""
+    """A received request, its time of arrival and the end of its run (monotonic seconds).
+
+    `ended_s` is 0 while it runs.
+    """
 
     request_id: str
     method: str
@@ -61,6 +64,7 @@
     headers: CIMultiDict[str]
     body: bytes
     at_s: float = 0.0
+    ended_s: float = 0.0
     ran: bool = False
     cancelled: bool = False
 
@@ -98,6 +102,9 @@
         # Pause before each event of a stream, and a longer one before the first, in seconds.
         self.pause_s = 0.0
         self.first_pause_s = 0.0
+        # Pauses of a run before the head of its response, and before the end of a stream.
+        self.head_pause_s = 0.0
+        self.end_pause_s = 0.0
         self.numbers_events = True
         # Time from the last byte that a broken body gets to the reset, in seconds.
         self.break_after_s = 0.05
@@ -209,11 +216,18 @@
         self.on_run()
         try:
             await self.gate.wait()
+            await self._async_pause(self.head_pause_s)
             await self.awake.wait()
             return await self._async_run(request, arrival, fault)
         except asyncio.CancelledError:
             arrival.cancelled = True
             raise
+        finally:
+            arrival.ended_s = time.monotonic()
+
+    async def _async_pause(self, pause_s: float) -> None:
+        if pause_s:
+            await asyncio.sleep(pause_s)
 
     def _reject(self, arrival: Arrival) -> web.Response:
         headers = {names.NOT_RUN: "1", names.REQUEST_ID: arrival.request_id}
@@ -355,6 +369,8 @@
                 break
             if fault is RunnerFault.STALL_STREAM:
                 await asyncio.Event().wait()
+        await self._async_pause(self.end_pause_s)
+        await self.awake.wait()
         self._end_if_crashed(crashes)
         await response.write_eof()
         return response
