--- a/bench/soak_overlaps.py
+++ b/bench/soak_overlaps.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from typing import Any, Final
 
-from bench.soak_checks import Violation
+from bench.soak_checks import Violation, check_arrivals
 from bench.soak_configuration import CALLER_KEY, HOST, WORKSPACE
 from bench.soak_line_checks import check_cut_lines, check_outcomes, list_unnamed
 from bench.soak_overlap_callers import ROUTES, OverlapCallers
@@ -36,7 +36,7 @@
     check_once,
     collect_runs,
 )
-from bench.soak_stops import Stop, Stops, check_stops
+from bench.soak_stops import Asked, Stop, Stops, check_kept, check_stops
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.standins import PlatformRunner
 
@@ -242,12 +242,17 @@
         await rig.async_stop()
     calls, runners, lines = callers.calls, rig.list_runners(), rig.read_journals()
     work = collect_work(runners)
+    asked = [
+        Asked(forwarder=call.forwarder, answer=call.answer, kept="kept" in call.manner)
+        for call in calls
+    ]
     violations = [
         *check_stops(stops.made),
         *check_lost(calls, stops.made, work, silences.made),
         *check_kept_answers(calls, stops.made, work),
         *check_contents(calls, runners),
         *check_once(calls, [published], collect_runs(calls, runners), once=ONCE),
+        *check_arrivals((), rig.list_arrivals()),
         *check_outcomes(calls, lines),
         *check_cut_lines(calls, stops.made, work, lines),
     ]
@@ -262,6 +267,7 @@
         "stalled_ms": round(meter.longest_s * MS_PER_S),
         "outside": list_outside(calls, stops.made, work, silences.made),
         "unnamed": list_unnamed(calls, stops.made, work, lines, at_end=False),
+        "closed": [str(violation) for violation in check_kept(asked, stops.made)],
         "violations": [str(violation) for violation in violations],
     }
     return figures, violations, rig
