--- a/tests/forwarding/test_forwarding_stopped_connections.py
+++ b/tests/forwarding/test_forwarding_stopped_connections.py
@@ -11,7 +11,8 @@
 from stopping_world import StoppingWorld
 
 from bench.raw_caller import CLOCK, End, make_head
-from gypsumrouter.callers.connection import DISCARD_MS
+from gypsumrouter.callers.lingering_close import DISCARD_MS
+from gypsumrouter.const import MS_PER_S
 from gypsumrouter.forwarding.const import DRAIN_GRACE_MS
 
 STOP_MS = 6_000
@@ -72,7 +73,7 @@
     await CLOCK.async_sleep(600)
     caller = await stopping.caller(process, buffer_bytes=SMALL_BUFFER_BYTES).async_open()
     reading = asyncio.create_task(
-        caller.async_ask("r0", tokens=UNREAD_TOKENS, reads_after_ms=READS_NOTHING_MS)
+        caller.async_ask("r0", tokens=UNREAD_TOKENS, rest_s=READS_NOTHING_MS / MS_PER_S)
     )
     await stopping.async_wait_running(2)
     later_ms = DISCARD_MS if begins_in_stop else DRAIN_GRACE_MS + 300
