--- a/gypsumrouter/callers/closing.py
+++ b/gypsumrouter/callers/closing.py
@@ -126,7 +126,7 @@
         for connection in self._server.list_connections():
             match decide_closing(connection.state, out_of_time=self._is_out_of_time):
                 case Closing.NOW:
-                    connection.close_now()
+                    connection.close_idle()
                 case Closing.REFUSE:
                     connection.refuse_arriving()
                 case Closing.AFTER_ANSWER:
--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -16,7 +16,11 @@
 from gypsumrouter.callers.limit_timer import LimitTimer
 from gypsumrouter.callers.lingering_close import LingeringClose, begin_lingering_close
 from gypsumrouter.callers.models import GetLimits, RequestIdGenerator
-from gypsumrouter.callers.transports import abort_connection, has_unread_bytes
+from gypsumrouter.callers.transports import (
+    abort_connection,
+    has_unread_bytes,
+    has_untaken_bytes,
+)
 from gypsumrouter.callers.writer import make_request
 from gypsumrouter.const import MS_PER_S
 
@@ -203,6 +207,14 @@
         if self.transport is not None:
             self.transport.close()
 
+    def close_idle(self) -> None:
+        """Close a connection on which no request arrives, once its caller has its last answer."""
+        if self._lingering is None and has_untaken_bytes(self.transport):
+            self.close()
+            if self._begin_lingering_close() is not None:
+                return
+        self.close_now()
+
     def cut(self) -> None:
         """End the connection; reset it unless its answers are sent, so that none looks complete."""
         unused = self.state in (ConnectionState.OPENED, ConnectionState.IDLE)
--- a/gypsumrouter/callers/transports.py
+++ b/gypsumrouter/callers/transports.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
 import socket
 import struct
+import termios
 from typing import Any, Final
 
 # SO_LINGER with a timeout of 0: closing the socket sends RST instead of FIN.
@@ -35,6 +37,17 @@
     return bool(poll.poll(0))
 
 
+def has_untaken_bytes(transport: asyncio.Transport | None) -> bool:
+    """Return whether the peer's kernel has not acknowledged all that was written."""
+    connection = _get_socket(transport)
+    if transport is None or connection is None:
+        return False
+    if transport.get_write_buffer_size():
+        return True
+    untaken = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+    return bool(struct.unpack("i", untaken)[0])
+
+
 def _get_socket(transport: asyncio.Transport | None) -> Any:
     """Return the socket of an open connection.
 
--- a/tests/callers/test_callers_closing.py
+++ b/tests/callers/test_callers_closing.py
@@ -24,7 +24,7 @@
         self.closed = False
         self.refusals = 0
 
-    def close_now(self) -> None:
+    def close_idle(self) -> None:
         self.closed = True
 
     def refuse_arriving(self) -> None:
