--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -61,6 +61,7 @@
         "_head_started",
         "_head_timer",
         "_lingering",
+        "_next_head_started",
         "_opened_idle_timeout_ms",
         "_opened_s",
         "refused",
@@ -93,6 +94,8 @@
         # The HTTP library counts with this one for as long as the connection is open.
         self._opened_idle_timeout_ms = limits.idle_timeout_ms
         self._head_started = False
+        # Whether a part of the next request has arrived behind the one that is answered now.
+        self._next_head_started = False
         self._head_timer: LimitTimer | None = None
         self._opened_s = asyncio.get_running_loop().time()
         self._closes_after_answer = closes_after_answer
@@ -156,11 +159,20 @@
             return
         if self._is_awaiting_head and not self._head_started:
             self._update_parser()
+        request = self._current_request
+        # The HTTP library calls this without data to parse what it has kept.
+        if data and request is not None and self._request_in_progress and request.content.is_eof():
+            self._next_head_started = True
         super().data_received(data)
-        # Data received while no head is awaited belongs to a request body.
+        # Data received while no head is awaited belongs to a request body, or to the next request.
         if self._is_awaiting_head and not self._head_started:
-            self._head_started = True
-            self._start_head_timer(lambda: self._get_limits().head_timeout_ms)
+            self._start_head()
+
+    def _start_head(self) -> None:
+        """Start the timeout of a head of which a part has arrived."""
+        self._head_started = True
+        self._next_head_started = False
+        self._start_head_timer(lambda: self._get_limits().head_timeout_ms)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the timer of the connection."""
@@ -172,6 +184,7 @@
     def stop_head_timer(self) -> None:
         """Cancel the head timeout after a complete head, or when the connection ends."""
         self._head_started = False
+        self._next_head_started = False
         self._answered = False
         if self._head_timer is not None:
             self._head_timer.stop()
@@ -253,6 +266,8 @@
             resp.force_close()
         result = await super().finish_response(request, resp, start_time)
         self._answered = True
+        if self._next_head_started and not self._messages:
+            self._start_head()
         if not resp.keep_alive and request.content.is_eof():
             lingering = self._begin_lingering_close()
             if lingering is not None:
