--- a/gypsumrouter/contention/release.py
+++ b/gypsumrouter/contention/release.py
@@ -55,13 +55,15 @@
 def estimate_unreported_ms(work: ServiceWork, *, budget_ms: float) -> float:
     """Return the work at an upstream that peers have probably sent since their last reports.
 
-    Under contention upstreams work all the time, so as much is sent to them as they serve.
+    Under contention upstreams work all the time, so as much is sent to them as they serve. Peers
+    that report hardly any unfinished work are not under contention.
     """
     running = work.own_running + work.peers_running
     if running == 0:
         return 0.0
     unreported_ms = work.peers_age_ms * work.peers_running / running
-    return min(unreported_ms, budget_ms * MAX_UNREPORTED_SHARE)
+    reported_ms = work.peers_ms / max(1, work.upstreams)
+    return min(unreported_ms, reported_ms, budget_ms * MAX_UNREPORTED_SHARE)
 
 
 GetWork = Callable[[], ServiceWork]
--- a/tests/contention/test_contention_queue.py
+++ b/tests/contention/test_contention_queue.py
@@ -267,3 +267,24 @@
     world.control.set_table(make_table(target_ms=200, priority=1, workspace_priority=None))
     await world.async_advance(100)
     assert world.outcomes == {"a": Admitted(waited_ms=100)}
+
+
+async def test_request_does_not_wait_beside_idle_upstreams_for_work_that_peers_do_not_report(
+    world: World,
+) -> None:
+    """Guards against contention that goes on at one router since its peers run many requests."""
+    world.service.work = {
+        "peers_known": True,
+        "peers_running": 12,
+        "own_running": 4,
+        "peers_age_ms": 120,
+        "routers": 3,
+    }
+    world.service.own_ms = 60
+    world.service.backlog_ms = 500
+    await world.async_ask("urgent", target_ms=300)
+    await world.async_advance(int(300 * HOLD_SHARE))
+    assert world.outcomes == {"urgent": Admitted(waited_ms=150)}
+    world.service.backlog_ms = 0
+    await world.async_ask("next", priority=2)
+    assert world.outcomes["next"] == Admitted()
