--- a/tests/link/test_link_state_machine.py
+++ b/tests/link/test_link_state_machine.py
@@ -8,9 +8,7 @@
 
 import asyncio
 import random
-from collections import deque
 from collections.abc import Coroutine
-from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Any, cast
 
@@ -24,14 +22,14 @@
     rule,
 )
 from link_harness import HEAD, REQUEST, SETTINGS
+from link_models import ModelLink, ModelRun
 from msgspec.structs import replace
 
 from gypsumrouter.const import Role
 from gypsumrouter.link import Answer, Data, End, Exchange, Head, Hello, Open
 from gypsumrouter.link.codec import Greeting, encode_open
-from gypsumrouter.link.connection import Connection, FrameSource
+from gypsumrouter.link.connection import Connection
 from gypsumrouter.link.const import PROTOCOL_VERSION, ROUTER_RETENTION_MS, Kind
-from gypsumrouter.link.frames import OFFSET, Frame
 from gypsumrouter.link.handshake import Accepted
 from gypsumrouter.link.outstanding import Outstanding
 from gypsumrouter.link.served import ServedLink
@@ -56,56 +54,6 @@
     CANCEL = "cancel"
 
 
-class WireEnd:
-    """One end of a simulated link; the state machine delivers its frames."""
-
-    def __init__(self) -> None:
-        self.closed = False
-        self.wire: deque[Frame] = deque()
-        self.ready: dict[FrameSource, None] = {}
-
-    def send(self, kind: Kind, *, stream: int = 0, body: bytes = b"", flags: int = 0) -> None:
-        if not self.closed:
-            self.wire.append(Frame(kind, flags, stream, body))
-
-    def send_data(self, stream: int, offset: int, body: bytes) -> None:
-        self.send(Kind.DATA, stream=stream, body=OFFSET.pack(offset) + body)
-
-    def mark_ready(self, source: FrameSource) -> None:
-        if not self.closed:
-            self.ready[source] = None
-
-    def flush(self) -> None:
-        while self.ready:
-            source = next(iter(self.ready))
-            del self.ready[source]
-            source.pump(cast(Connection, self))
-
-    def abort(self) -> None:
-        self.closed = True
-        self.ready.clear()
-
-
-@dataclass
-class ModelLink:
-    """A link with both ends; one end may be lost while the other is still open."""
-
-    attempt: int
-    challenged_ms: int
-    dialer: WireEnd = field(default_factory=WireEnd)
-    server: WireEnd = field(default_factory=WireEnd)
-    served: ServedLink | None = None
-
-
-@dataclass
-class ModelRun:
-    """The answer that the side wrote for one sequence."""
-
-    answer: Answer
-    written: bytearray = field(default_factory=bytearray)
-    ended: bool = False
-
-
 class ResumeMachine(RuleBasedStateMachine):
     """One router incarnation and one side, whose links lose and delay frames as TCP links can."""
 
