--- a/gypsumrouter/service.py
+++ b/gypsumrouter/service.py
@@ -17,6 +17,7 @@
 from gypsumrouter.exceptions import ErrorCode, GypsumError
 from gypsumrouter.helpers import process_signals
 from gypsumrouter.helpers.heap import freeze_heap
+from gypsumrouter.helpers.logs import NO_VALUE, set_request_id
 from gypsumrouter.journal import DrainEnded, StopSignalRepeated
 from gypsumrouter.running_process import RunningProcess
 from gypsumrouter.settings import ForwarderSettings, Settings
@@ -149,6 +150,8 @@
 
     def handle_signal(self, number: signal.Signals, at_ms: int) -> None:
         """Stop at the first stop signal, reload at a reload signal; a stop is not shortened."""
+        # A signal interrupts any task, and is handled in a copy of that task's context.
+        set_request_id(NO_VALUE)
         if number not in process_signals.STOP_SIGNALS:
             self._handle_reload_signal()
         elif self._stop_at_ms is None:
--- a/tests/daemon/test_daemon_signals.py
+++ b/tests/daemon/test_daemon_signals.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import logging
 import signal
 import sys
 from pathlib import Path
@@ -14,6 +15,7 @@
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
+from gypsumrouter.helpers.logs import NO_VALUE, ContextFilter, set_request_id
 from gypsumrouter.instances import Address
 from gypsumrouter.running_process import RunningProcess
 from gypsumrouter.service import DaemonService, Setup
@@ -58,6 +60,25 @@
     assert service.stop_at_ms == FIRST_MS
 
 
+# Guards against lines about a stop that name the request which the signal interrupted.
+async def test_line_of_a_signal_names_the_request_that_it_interrupts(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+    caplog.handler.addFilter(ContextFilter())
+    service = make_service()
+
+    async def async_be_interrupted() -> None:
+        set_request_id("r-1")
+        loop = asyncio.get_running_loop()
+        loop.call_soon_threadsafe(service.handle_signal, signal.SIGTERM, FIRST_MS)
+
+    await asyncio.create_task(async_be_interrupted())
+    await asyncio.sleep(0)
+    (record,) = (record for record in caplog.records if "SIGTERM" in record.getMessage())
+    assert vars(record)["request_id"] == NO_VALUE
+
+
 # Guards against requests that are cut at once, since a part of the drain failed.
 async def test_drain_whose_hook_fails_waits_for_the_running_requests() -> None:
     running = ["r-1"]
