--- a/bench/soak_line_checks.py
+++ b/bench/soak_line_checks.py
@@ -8,8 +8,8 @@
 from bench.raw_caller import End
 from bench.soak_checks import Violation
 from bench.soak_overlap_callers import OverlapCall
-from bench.soak_overlap_checks import GRACE_S, Work
-from bench.soak_stops import LAST_SHARE, Stop, find_stop
+from bench.soak_overlap_checks import Work, describe
+from bench.soak_stops import Stop, find_stop
 from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED
 
 # The line of an answer that is not whole. Unlike others it is never left out.
@@ -44,21 +44,17 @@
         )
 
 
-def list_unnamed(
+def check_cut_lines(
     calls: Sequence[OverlapCall],
     stops: Sequence[Stop],
     work: Mapping[str, Sequence[Work]],
     lines: Sequence[Mapping[str, Any]],
-    *,
-    at_end: bool,
-) -> list[str]:
-    """Return the requests that ran or had a response, lost its rest, and have no line of it.
+) -> Iterator[Violation]:
+    """Check that lines name each request that ran or had a response, and lost the rest of it.
 
-    With `at_end` those that ended in the last part of a stop, otherwise all others. Processes that
-    were killed write no lines.
+    Processes that were killed write no lines.
     """
     cut = collect_cut(lines)
-    unnamed = []
     for call in calls:
         answer = call.answer
         if answer.end is End.WHOLE or answer.request_id in cut:
@@ -68,18 +64,5 @@
         stop = find_stop(call.forwarder, answer, stops)
         if stop is not None and stop.killed:
             continue
-        is_last = stop is not None and answer.ended_s >= stop.at_s + LAST_SHARE * GRACE_S
-        if is_last == at_end:
-            unnamed.append(answer.request_id)
-    return unnamed
-
-
-def check_cut_lines(
-    calls: Sequence[OverlapCall],
-    stops: Sequence[Stop],
-    work: Mapping[str, Sequence[Work]],
-    lines: Sequence[Mapping[str, Any]],
-) -> Iterator[Violation]:
-    """Check that lines name each request that lost its answer in the last part of a stop."""
-    for request_id in list_unnamed(calls, stops, work, lines, at_end=True):
-        yield Violation(guarantee="cut without a line", request_id=request_id)
+        detail = describe(call, stop, work, ())
+        yield Violation(guarantee="cut without a line", request_id=answer.request_id, detail=detail)
--- a/bench/soak_overlaps.py
+++ b/bench/soak_overlaps.py
@@ -16,7 +16,7 @@
 
 from bench.soak_checks import Violation, check_arrivals
 from bench.soak_configuration import CALLER_KEY, HOST, WORKSPACE
-from bench.soak_line_checks import check_cut_lines, check_outcomes, list_unnamed
+from bench.soak_line_checks import check_cut_lines, check_outcomes
 from bench.soak_overlap_callers import ROUTES, OverlapCallers
 from bench.soak_overlap_checks import (
     GRACE_S,
@@ -266,7 +266,6 @@
         "late": count_late(calls, stops.made, work, silences.made),
         "stalled_ms": round(meter.longest_s * MS_PER_S),
         "outside": list_outside(calls, stops.made, work, silences.made),
-        "unnamed": list_unnamed(calls, stops.made, work, lines, at_end=False),
         "closed": [str(violation) for violation in check_kept(asked, stops.made)],
         "violations": [str(violation) for violation in violations],
     }
--- a/tests/bench/test_bench_soak_overlaps.py
+++ b/tests/bench/test_bench_soak_overlaps.py
@@ -9,7 +9,7 @@
 from multidict import CIMultiDict
 
 from bench.raw_caller import Answer, End
-from bench.soak_line_checks import check_cut_lines, check_outcomes, list_unnamed
+from bench.soak_line_checks import check_cut_lines, check_outcomes
 from bench.soak_overlap_callers import OverlapCall
 from bench.soak_overlap_checks import (
     GRACE_S,
@@ -199,25 +199,23 @@
 
 
 @pytest.mark.parametrize(
-    ("call", "stop", "at_end", "early"),
+    ("call", "stop", "broken"),
     [
-        (make_call(sent_s=AT_S), STOP, True, False),
-        (make_call(sent_s=AT_S, ended_s=LAST_S - 0.1), STOP, False, True),
-        (make_call(sent_s=10.0, ended_s=11.0), STOP, False, True),
-        (make_call(sent_s=AT_S, end=End.WHOLE), STOP, False, False),
-        (make_call(sent_s=AT_S), Stop(forwarder=0, at_s=AT_S, killed=True), False, False),
+        (make_call(sent_s=AT_S), STOP, True),
+        (make_call(sent_s=AT_S, ended_s=LAST_S - 0.1), STOP, True),
+        (make_call(sent_s=10.0, ended_s=11.0), STOP, True),
+        (make_call(sent_s=AT_S, end=End.WHOLE), STOP, False),
+        (make_call(sent_s=AT_S), Stop(forwarder=0, at_s=AT_S, killed=True), False),
     ],
 )
 def test_answers_that_are_not_whole_and_have_no_line_are_found(
-    call: OverlapCall, stop: Stop, at_end: bool, early: bool
+    call: OverlapCall, stop: Stop, broken: bool
 ) -> None:
     work = make_work(CUT_S)
     ended = [make_line("request_ended", outcome="cut_by_stop")]
-    assert bool(list(check_cut_lines([call], [stop], work, ended))) is at_end
-    assert bool(list_unnamed([call], [stop], work, ended, at_end=False)) is early
+    assert bool(list(check_cut_lines([call], [stop], work, ended))) is broken
     named = [*ended, make_line("request_cut")]
     assert not list(check_cut_lines([call], [stop], work, named))
-    assert not list_unnamed([call], [stop], work, named, at_end=False)
 
 
 def test_line_is_not_asked_of_a_request_that_no_process_may_have_read() -> None:
