--- a/bench/soak.py
+++ b/bench/soak.py
@@ -184,7 +184,8 @@
 
 def _keep_journals(folder: Path, target: Path) -> None:
     target.mkdir(parents=True, exist_ok=True)
-    for path in folder.glob("journal-*.log"):
+    # Standard errors too, in logs of the names of the forwarders.
+    for path in folder.glob("*.log"):
         shutil.copy(path, target)
 
 
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -55,12 +55,13 @@
 
 
 class Stop(Struct, kw_only=True):
-    """A stop of a forwarder: its first signal and its end (monotonic seconds)."""
+    """A stop of a forwarder: its first signal, its end (monotonic seconds) and its exit code."""
 
     forwarder: int
     at_s: float
     ended_s: float = 0.0
     killed: bool = False
+    exit_code: int = 0
 
 
 class Asked(Struct, frozen=True, kw_only=True):
@@ -184,6 +185,7 @@
         await ending
         series.cancel()
         stop.ended_s = time.monotonic()
+        stop.exit_code = process.process.returncode or 0
         await self._rig.async_start_forwarder(number)
 
     async def _async_send_later(self, send: Any) -> None:
@@ -247,12 +249,15 @@
 
 
 def check_stops(stops: Sequence[Stop]) -> Iterator[Violation]:
-    """Check that processes end before they have to be killed."""
+    """Check that processes end before they have to be killed, and not by a failure."""
     for stop in stops:
         if stop.killed:
             yield Violation(
                 guarantee="stop not in time", request_id="", detail=f"entry-{stop.forwarder}"
             )
+        elif stop.exit_code:
+            detail = f"entry-{stop.forwarder} {stop.exit_code}, {stop.ended_s - stop.at_s:.2f} s"
+            yield Violation(guarantee="stop ended with a failure", detail=detail)
 
 
 def find_stop(forwarder: int, answer: Answer, stops: Sequence[Stop]) -> Stop | None:
--- a/tests/bench/test_bench_soak_stops.py
+++ b/tests/bench/test_bench_soak_stops.py
@@ -78,6 +78,8 @@
     killed = Stop(forwarder=0, at_s=0.0, killed=True)
     assert list(check_stops([killed]))
     assert not list(check_stops([STOP]))
+    failed = Stop(forwarder=0, at_s=0.0, ended_s=1.0, exit_code=1)
+    assert [v.guarantee for v in check_stops([failed])] == ["stop ended with a failure"]
     lost = make_asked(sent_s=1.0, ended_s=2.0, status=502, end=End.WHOLE)
     assert list(check_served([lost], [STOP]))
     assert not list(check_served([make_asked(sent_s=1.0, ended_s=2.0, end=End.WHOLE)], [STOP]))
