--- a/gypsumrouter/forwarding/drain/admission.py
+++ b/gypsumrouter/forwarding/drain/admission.py
@@ -114,13 +114,7 @@
             return True
         if self.grace_left_ms and not self.durations.is_known(service, upstream):
             return True
-        return self._ends_in_time(
-            service,
-            prompt,
-            remaining_ms=remaining_ms,
-            upstream=upstream,
-            margin=self._choose_margin(service),
-        )
+        return self._ends_in_time(service, prompt, remaining_ms=remaining_ms, upstream=upstream)
 
     def admits_replacement(
         self,
@@ -134,17 +128,14 @@
         """Return whether an upstream may go on with a request after `events` of a silent one.
 
         That one may be sound and go on in time, which is no longer sure for a replacement with a
-        first event of its own.
+        first event, and perhaps a silence, of its own.
         """
         if self._started_ms is None:
             return True
         if prompt is not None and events:
             left = max(1, prompt.max_output_tokens - events)
             prompt = msgspec.structs.replace(prompt, max_output_tokens=left)
-        margin = self._choose_margin(service)._replace(silence_ms=0)
-        return self._ends_in_time(
-            service, prompt, remaining_ms=remaining_ms, upstream=upstream, margin=margin
-        )
+        return self._ends_in_time(service, prompt, remaining_ms=remaining_ms, upstream=upstream)
 
     def _ends_in_time(
         self,
@@ -153,12 +144,12 @@
         *,
         remaining_ms: int,
         upstream: str | None,
-        margin: Margin,
     ) -> bool:
         """Return whether an answer ends before the limit, by its deadline at the latest."""
         left_ms = self.limit_at_ms - self._clock.now_ms() - MARGIN_MS
         if remaining_ms <= left_ms:
             return True
+        margin = self._choose_margin(service)
         estimate_ms = self.durations.estimate_ms(
             service, prompt, upstream=upstream, quantile=margin.quantile
         )
--- a/tests/forwarding/test_forwarding_drain_admission.py
+++ b/tests/forwarding/test_forwarding_drain_admission.py
@@ -263,7 +263,8 @@
 
     assert admits_replacement(0)
     drain.begin()
-    clock.advance(7_000 - MARGIN_MS - 200 - (OUTPUT_TOKENS[0] - 1) * 10)
+    # The upstream that takes over may be silent as well.
+    clock.advance(7_000 - MARGIN_MS - SILENCE_MS - 200 - (OUTPUT_TOKENS[0] - 1) * 10)
     assert admits_replacement(0)
     clock.advance(50)
     assert not admits_replacement(0)
