--- a/gypsumrouter/forwarding/metrics.py
+++ b/gypsumrouter/forwarding/metrics.py
@@ -182,6 +182,7 @@
                 arriving=running.arriving,
                 after_ms=self._clock.now_ms() - running.arrived_ms,
                 silent_ms=-1 if execution is None else execution.silent_ms,
+                longest_pause_ms=0 if progress is None else progress.longest_pause_ms,
                 obstacle="" if execution is None else execution.obstacle,
                 draining=draining,
             )
@@ -201,6 +202,7 @@
                 arriving=False,
                 after_ms=0,
                 silent_ms=-1,
+                longest_pause_ms=0,
                 obstacle="",
                 draining=draining,
             )
--- a/gypsumrouter/journal/request_events.py
+++ b/gypsumrouter/journal/request_events.py
@@ -222,7 +222,8 @@
     `reason` is why its process ends, or how the request failed before that. Its caller has a
     response of `status` (0: none has begun) with `bytes_out` bytes of its body, less `unsent_bytes`
     that are still in the process. `arriving` is whether its body had not arrived whole. The
-    upstream had sent nothing for `silent_ms`, -1 without an attempt. `obstacle` is what last kept
+    upstream had sent nothing for `silent_ms`, -1 without an attempt, and `longest_pause_ms` is the
+    longest wait for a part of the response before that. `obstacle` is what last kept
     another upstream from taking over, "" if nothing did. Of a response that was complete only the
     unsent bytes are known.
     """
@@ -239,6 +240,7 @@
     arriving: bool
     after_ms: int
     silent_ms: int
+    longest_pause_ms: int
     obstacle: str
     draining: bool
 
--- a/tests/forwarding/test_forwarding_stops.py
+++ b/tests/forwarding/test_forwarding_stops.py
@@ -154,6 +154,29 @@
         assert (line["silent_ms"] > SILENT_MS) == (line["upstream"] == silent.name)
 
 
+# Guards against a cut that hides a silence which ended before it.
+async def test_cut_does_not_say_that_the_upstream_was_silent_before(
+    stopping: StoppingWorld,
+) -> None:
+    streams = begin_streams(stopping, tokens=MANY_TOKENS)
+    await stopping.async_wait_running(CALLERS)
+    await CLOCK.async_sleep(BEGUN_MS)
+    stop = asyncio.create_task(stopping.async_stop(stopping.processes[0], [(0, TERM)]))
+    silent = stopping.runners[0]
+    silent.awake.clear()
+    await CLOCK.async_sleep(SILENT_MS + BEGUN_MS)
+    silent.awake.set()
+    await stop
+    await asyncio.gather(*streams)
+    cut = [
+        line for line in await stopping.async_read_journal() if line.get("event") == "request_cut"
+    ]
+    assert {line["upstream"] for line in cut} == {runner.name for runner in stopping.runners}
+    for line in cut:
+        assert line["silent_ms"] < SILENT_MS
+        assert (line["longest_pause_ms"] >= SILENT_MS) == (line["upstream"] == silent.name)
+
+
 # Guards against streams that are reset, with status 200 and run, by a signal behind the first.
 @pytest.mark.parametrize("later", SERIES.values(), ids=SERIES.keys())
 async def test_streams_are_reset_by_a_signal_that_follows_a_stop_signal(
