--- a/tests/link/test_link_hostile_input.py
+++ b/tests/link/test_link_hostile_input.py
@@ -21,7 +21,7 @@
 )
 from msgspec.structs import replace
 
-from gypsumrouter.const import Role
+from gypsumrouter.const import MS_PER_S, Role
 from gypsumrouter.link import End
 from gypsumrouter.link.codec import decode_goodbye, encode_greeting, encode_open, encode_proof
 from gypsumrouter.link.connection import Connection
@@ -42,6 +42,26 @@
 RAW = st.lists(FRAMES | st.binary(max_size=64), max_size=6).map(b"".join)
 
 
+# Longer than a starved process takes for the handshake of a link.
+LONG_CONNECT_MS = 60_000
+# A broken server fails the test, and does not block it.
+GUARD_S = 20
+
+
+class AdvancingLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time can be advanced, so that its pending timeouts expire."""
+
+    def __init__(self) -> None:
+        self._advanced_s = 0.0
+        super().__init__()
+
+    def time(self) -> float:
+        return super().time() + self._advanced_s
+
+    def advance(self, delay_ms: int) -> None:
+        self._advanced_s += delay_ms / MS_PER_S
+
+
 class RawConnection(Connection):
     """A connection over which a test can write arbitrary bytes."""
 
@@ -90,16 +110,23 @@
 @given(data=RAW)
 @settings(derandomize=True, deadline=None, max_examples=60)
 def test_random_bytes_from_unauthenticated_peers_do_not_affect_other_links(data: bytes) -> None:
+    loop = AdvancingLoop()
+
     async def async_run() -> None:
-        async with linked(settings=replace(SETTINGS, connect_ms=200)) as pair:
+        async with linked(settings=replace(SETTINGS, connect_ms=LONG_CONNECT_MS)) as pair:
             reader, writer = await _async_connect_raw(pair)
             writer.write(data)
-            with contextlib.suppress(OSError):
-                await reader.read()
-            writer.close()
-            await _async_check_server_works(pair)
-
-    asyncio.run(async_run())
+            async with asyncio.timeout(GUARD_S):
+                await _async_check_server_works(pair)
+            loop.advance(LONG_CONNECT_MS)
+            async with asyncio.timeout(GUARD_S):
+                with contextlib.suppress(OSError):
+                    await reader.read()
+                writer.close()
+                await _async_check_server_works(pair)
+
+    with asyncio.Runner(loop_factory=lambda: loop) as runner:
+        runner.run(async_run())
 
 
 @given(data=RAW)
