--- a/tests/bench/test_bench_soak_stops.py
+++ b/tests/bench/test_bench_soak_stops.py
@@ -83,6 +83,24 @@
     assert not list(check_served([make_asked(sent_s=1.0, ended_s=2.0, end=End.WHOLE)], [STOP]))
 
 
+# Requests that a starting process refuses counted as not served beside endless bytes.
+def test_refusals_of_a_process_that_starts_are_told_from_requests_that_are_not_served() -> None:
+    started = Stop(forwarder=0, at_s=1.0, ended_s=2.0, ready_s=4.0)
+
+    def is_found(sent_s: float, body: bytes, forwarder: int = 0) -> bool:
+        lost = make_asked(
+            sent_s=sent_s, ended_s=sent_s + 0.1, status=503, end=End.WHOLE, forwarder=forwarder
+        )
+        lost.answer.body = body
+        return bool(list(check_served([lost], [started])))
+
+    refusal = b'{"error": {"code": "not_ready"}}'
+    assert not is_found(3.0, refusal)
+    assert is_found(4.1, refusal)
+    assert is_found(3.0, refusal, forwarder=1)
+    assert is_found(3.0, b'{"error": {"code": "over_cap"}}')
+
+
 async def test_short_soak_of_stops_has_no_violations(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
