--- a/bench/processes.py
+++ b/bench/processes.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from collections.abc import Sequence
+from contextlib import suppress
 from pathlib import Path
 from typing import Any, Final
 
@@ -106,7 +107,14 @@
             stderr=errors,
             env={**os.environ, ENV_IO_URING: IO_URING_OFF},
         )
-    addresses = await _async_read_announcement(process, name)
+    try:
+        addresses = await _async_read_announcement(process, name)
+    except BaseException:
+        # One that announces itself later would run on without an owner.
+        with suppress(ProcessLookupError):
+            process.kill()
+        await process.wait()
+        raise
     return DaemonProcess(name=name, role=role, process=process, addresses=addresses)
 
 
