--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -103,7 +103,7 @@
             yield Violation(
                 guarantee="wrong workspace",
                 request_id=arrival.request_id,
-                detail=f"{arrival.method} {arrival.path}",
+                detail=f"{arrival.method} {arrival.path} of {arrival.headers.get('Host', '')}",
             )
 
 
