--- a/gypsumrouter/forwarding/replacement.py
+++ b/gypsumrouter/forwarding/replacement.py
@@ -133,7 +133,8 @@
         )
         if isinstance(placement, PlacementRefusal):
             return Obstacle.UPSTREAM
-        if not self._may_replace(
+        # One that has been silent for longer is not expected to go on.
+        if self._may_be_sound(present) and not self._may_replace(
             events=context.progress.events,
             remaining_ms=context.limits.remaining_ms,
             upstream=placement.entry.incarnation,
@@ -169,8 +170,12 @@
 
     def _get_reserved(self, present: Run) -> float:
         """Return the share of the retry budget that the replacement of a run must leave."""
+        return RESERVED_BUDGET if self._may_be_sound(present) else 0.0
+
+    def _may_be_sound(self, present: Run) -> bool:
+        """Return whether a sound upstream may be silent for as long as the present one is."""
         silent_ms = self._context.app.clock.now_ms() - present.heard_ms
-        return RESERVED_BUDGET if silent_ms < MAX_SOUND_SILENCE_MS else 0.0
+        return silent_ms < MAX_SOUND_SILENCE_MS
 
     def _get_overlap_ms(self, awaited: Awaited) -> int:
         """Return how long a run that was sent has to serve, before it takes over or is silent."""
--- a/tests/forwarding/test_forwarding_silence_in_stop.py
+++ b/tests/forwarding/test_forwarding_silence_in_stop.py
@@ -11,7 +11,9 @@
 
 from gypsumrouter.settings import Bounds
 
-SILENCE_S = 1.0
+SOUND_S = 1.0
+# Longer than a sound upstream is silent.
+HUNG_S = 4.0
 EVENTS = 8
 STOP_MS = 5_000
 
@@ -35,9 +37,11 @@
         await started.async_stop()
 
 
-@pytest.mark.parametrize(("stops", "runs"), [(False, 2), (True, 1)])
+@pytest.mark.parametrize(
+    ("stops", "silence_s", "runs"), [(False, SOUND_S, 2), (True, SOUND_S, 1), (True, HUNG_S, 2)]
+)
 async def test_stop_does_not_replace_a_silent_upstream_by_one_of_unknown_pace(
-    world: ForwardingWorld, stops: bool, runs: int
+    world: ForwardingWorld, stops: bool, silence_s: float, runs: int
 ) -> None:
     """Guards against a replacement whose own first event comes after the end of the stop."""
     product = await world.async_start_forwarder("entry-2", bounds=Bounds(stop_ms=STOP_MS))
@@ -52,7 +56,7 @@
         await world.async_until(lambda: any(runner.ran for runner in world.models))
         silent = next(runner for runner in world.models if runner.ran)
         drain = asyncio.create_task(product.app.async_drain()) if stops else None
-        await silent.async_fall_silent(SILENCE_S)
+        await silent.async_fall_silent(silence_s)
         status, body, _ = await call
     if drain is not None:
         await drain
