--- a/tests/forwarding/test_forwarding_changes_while_waiting.py
+++ b/tests/forwarding/test_forwarding_changes_while_waiting.py
@@ -278,7 +278,13 @@
         backlog_ms = 1_700.0
         call = asyncio.create_task(
             world.async_call(
-                session, "POST", "/draft/a", f"r{number}", product=product, extra=PROMPT, body=b"x"
+                session,
+                "POST",
+                "/draft/a",
+                f"r{number}",
+                product=product,
+                body=b"x",
+                extra={**PROMPT, "X-Deadline-Ms": "8000"},
             )
         )
         await world.async_until(lambda: count_waiting(product) == 1)
