--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -10,6 +10,7 @@
 
 from aiohttp import web
 from aiohttp.http_parser import HttpRequestParser
+from aiohttp.streams import EMPTY_PAYLOAD
 
 from gypsumrouter.callers.const import MAX_HEADERS, WRITE_BUFFER_BYTES
 from gypsumrouter.callers.errors import make_error_response, reject_http, render_stopping
@@ -160,13 +161,23 @@
         if self._is_awaiting_head and not self._head_started:
             self._update_parser()
         request = self._current_request
-        # The HTTP library calls this without data to parse what it has kept.
-        if data and request is not None and self._request_in_progress and request.content.is_eof():
-            self._next_head_started = True
+        is_whole = request is not None and self._request_in_progress and request.content.is_eof()
+        queued = len(self._messages)
         super().data_received(data)
-        # Data received while no head is awaited belongs to a request body, or to the next request.
         if self._is_awaiting_head and not self._head_started:
             self._start_head()
+        elif data:
+            # The HTTP library calls this without data to parse what it has kept.
+            added = len(self._messages) > queued
+            self._next_head_started = self._ends_behind_head(data) if added else is_whole
+
+    def _ends_behind_head(self, data: bytes) -> bool:
+        """Return whether data that ended a head goes on with a part of the next one.
+
+        That can't be told behind a body.
+        """
+        _, content = self._messages[-1]
+        return content is EMPTY_PAYLOAD and not data.endswith(b"\r\n\r\n")
 
     def _start_head(self) -> None:
         """Start the timeout of a head of which a part has arrived."""
@@ -184,7 +195,6 @@
     def stop_head_timer(self) -> None:
         """Cancel the head timeout after a complete head, or when the connection ends."""
         self._head_started = False
-        self._next_head_started = False
         self._answered = False
         if self._head_timer is not None:
             self._head_timer.stop()
@@ -266,7 +276,7 @@
             resp.force_close()
         result = await super().finish_response(request, resp, start_time)
         self._answered = True
-        if self._next_head_started and not self._messages:
+        if self._next_head_started and not self._messages and resp.keep_alive:
             self._start_head()
         if not resp.keep_alive and request.content.is_eof():
             lingering = self._begin_lingering_close()
