--- a/gypsumrouter/forwarding/drain/const.py
+++ b/gypsumrouter/forwarding/drain/const.py
@@ -24,8 +24,8 @@
 MARGIN_MS: Final = 100
 # How long a sound upstream may stand still, once, while it runs a request.
 SILENCE_MS: Final = 1_500
-# From here on, and from these multiples of what is usual on, a wait for an upstream is a silence.
-# Upstreams slow down by less than that.
+# From here on, and from these multiples of what is usual on, a wait for an upstream is a silence. A
+# shorter one counts as a slowdown.
 MIN_SILENCE_MS: Final = 300
 FIRST_SILENCE_FACTOR: Final = 2.5
 PAUSE_SILENCE_FACTOR: Final = 3.0
--- a/gypsumrouter/forwarding/drain/durations.py
+++ b/gypsumrouter/forwarding/drain/durations.py
@@ -39,6 +39,9 @@
         total_ms = now_ms - progress.arrived_ms
         asked = 0 if prompt is None else prompt.max_output_tokens
         events = progress.events
+        upstreams = self._answers.setdefault(service, {})
+        seen = upstreams.setdefault(progress.upstream, deque(maxlen=REMEMBERED_ANSWERS))
+        silent_ms = find_pause_ms(progress, seen=seen)
         first_ms, pace_ms = total_ms, None
         if asked and not events:
             # An answer in one piece comes when its last token is there.
@@ -48,18 +51,17 @@
             ratios = self._length_ratios.setdefault(service, deque(maxlen=REMEMBERED_ANSWERS))
             ratios.append(events / asked)
             if events > 1:
-                moving_ms = total_ms - first_ms - find_pause_ms(progress, total_ms=total_ms)
-                pace_ms = moving_ms / (events - 1) * (events / asked)
+                moving_ms = total_ms - first_ms - silent_ms
+                pace_ms = moving_ms / _count_paced(progress) * (events / asked)
         answer = SeenAnswer(
             first_ms=first_ms,
             ms_per_token=pace_ms,
+            longest_pause_ms=progress.longest_pause_ms,
             tokens=0 if prompt is None else prompt.input_tokens,
             ended_ms=now_ms,
         )
-        upstreams = self._answers.setdefault(service, {})
-        seen = upstreams.setdefault(progress.upstream, deque(maxlen=REMEMBERED_ANSWERS))
         seen.append(answer)
-        self.slowdowns.note(service, prompt, progress, seen)
+        self.slowdowns.note(service, prompt, progress, seen, silent_ms=silent_ms)
 
     def sweep(self) -> None:
         """Drop upstreams that have not answered lately."""
@@ -122,8 +124,9 @@
             return running.first_byte_ms
         ratios = sorted(self._length_ratios.get(service, ()))
         ratio = ratios[len(ratios) // 2] if ratios else 1.0
-        moving_ms = since_ms - running.first_byte_ms - find_pause_ms(running, total_ms=since_ms)
-        pace_ms = moving_ms / (running.events - 1)
+        seen = self._answers.get(service, {}).get(running.upstream, ())
+        moving_ms = since_ms - running.first_byte_ms - find_pause_ms(running, seen=tuple(seen))
+        pace_ms = moving_ms / _count_paced(running)
         return running.first_byte_ms + pace_ms * ratio * (prompt.max_output_tokens - 1)
 
     def _list_recent(self, service: str) -> dict[str, list[SeenAnswer]]:
@@ -134,3 +137,9 @@
             for name, seen in self._answers.get(service, {}).items()
         }
         return {name: seen for name, seen in recent.items() if seen}
+
+
+def _count_paced(progress: Progress) -> int:
+    """Return how many events of a stream took time; those of its first part came at once."""
+    later = progress.events - progress.first_events
+    return later if progress.first_events and later else progress.events - 1
--- a/gypsumrouter/forwarding/drain/paces.py
+++ b/gypsumrouter/forwarding/drain/paces.py
@@ -13,12 +13,14 @@
 class SeenAnswer(NamedTuple):
     """An answer of an upstream: time to its first event, and pace for each token asked for.
 
-    The pace is None if the answer shows none. `tokens` is the size of its prompt, and `ended_ms`
-    when it ended (monotonic milliseconds).
+    The pace is None if the answer shows none. `longest_pause_ms` is the longest wait for a part of
+    it behind the first. `tokens` is the size of its prompt, and `ended_ms` when it ended (monotonic
+    milliseconds).
     """
 
     first_ms: float
     ms_per_token: float | None
+    longest_pause_ms: int
     tokens: int
     ended_ms: int
 
@@ -61,12 +63,13 @@
     paces = [answer.ms_per_token for answer in seen if answer.ms_per_token is not None]
     return Pace(
         known_at_ms=now_ms,
-        first_ms=_find_quantile([answer.first_ms for answer in seen], quantile),
+        first_ms=find_quantile([answer.first_ms for answer in seen], quantile),
         longest=max(answer.tokens for answer in seen),
-        ms_per_token=_find_quantile(paces, quantile) if paces else SLOWEST_MS_PER_TOKEN,
+        ms_per_token=find_quantile(paces, quantile) if paces else SLOWEST_MS_PER_TOKEN,
     )
 
 
-def _find_quantile(values: Iterable[float], quantile: float) -> float:
+def find_quantile(values: Iterable[float], quantile: float) -> float:
+    """Return the smallest value that is no less than a share of the values."""
     ordered = sorted(values)
     return ordered[math.ceil(quantile * len(ordered)) - 1]
--- a/gypsumrouter/forwarding/drain/silences.py
+++ b/gypsumrouter/forwarding/drain/silences.py
@@ -1,30 +1,33 @@
-"""How long an answer stood still, as far as that can be told from its pace."""
+"""How long an answer stood still, as far as other answers of its upstream tell."""
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Final
 
 from gypsumrouter.forwarding.drain.const import (
     FIRST_SILENCE_FACTOR,
+    MEDIAN,
     MIN_SILENCE_MS,
     PAUSE_SILENCE_FACTOR,
     SILENCE_MS,
 )
+from gypsumrouter.forwarding.drain.paces import SeenAnswer, find_quantile
 from gypsumrouter.forwarding.progress import Progress
 
-# With fewer events the pauses of a stream don't tell which of them is usual.
-MIN_PACED_EVENTS: Final = 3
+# With fewer answers the pauses of an upstream don't tell which of them is usual.
+MIN_PACED_ANSWERS: Final = 3
 
 
-def find_pause_ms(progress: Progress, *, total_ms: float) -> float:
+def find_pause_ms(progress: Progress, *, seen: Sequence[SeenAnswer]) -> float:
     """Return how long a stream stood still after its first event, 0 if it kept its pace.
 
-    At most that is `SILENCE_MS`. `total_ms` is the time since the request arrived.
+    At most that is `SILENCE_MS`. `seen` are earlier answers of its upstream: engines may send
+    several events at once, with a pause between, or wait behind a first event that says nothing.
     """
-    if progress.events < MIN_PACED_EVENTS:
+    if len(seen) < MIN_PACED_ANSWERS:
         return 0.0
-    others_ms = total_ms - progress.first_byte_ms - progress.longest_pause_ms
-    usual_ms = max(0.0, others_ms / (progress.events - 2))
+    usual_ms = find_quantile((answer.longest_pause_ms for answer in seen), MEDIAN)
     if progress.longest_pause_ms < max(MIN_SILENCE_MS, PAUSE_SILENCE_FACTOR * usual_ms):
         return 0.0
     return min(SILENCE_MS, progress.longest_pause_ms - usual_ms)
--- a/gypsumrouter/forwarding/drain/slowdowns.py
+++ b/gypsumrouter/forwarding/drain/slowdowns.py
@@ -14,7 +14,7 @@
     RECENT_MS,
 )
 from gypsumrouter.forwarding.drain.paces import Pace, SeenAnswer, find_pace
-from gypsumrouter.forwarding.drain.silences import find_pause_ms, find_silence_before_ms
+from gypsumrouter.forwarding.drain.silences import find_silence_before_ms
 from gypsumrouter.forwarding.models import Prompt
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.util.clock import Clock
@@ -43,9 +43,18 @@
         self._compared: dict[str, deque[Compared]] = {}
 
     def note(
-        self, service: str, prompt: Prompt | None, progress: Progress, seen: Sequence[SeenAnswer]
+        self,
+        service: str,
+        prompt: Prompt | None,
+        progress: Progress,
+        seen: Sequence[SeenAnswer],
+        *,
+        silent_ms: float,
     ) -> None:
-        """Compare an answer that ends now; `seen` are the answers of its upstream with it."""
+        """Compare an answer that ends now; `seen` are the answers of its upstream with it.
+
+        `silent_ms` is how long it stood still behind its first event.
+        """
         now_ms = self._clock.now_ms()
         kept = RECENT_MS // KEEP_ESTIMATES_MS
         paces = self._paces.setdefault(service, {})
@@ -56,10 +65,7 @@
             total_ms = now_ms - progress.arrived_ms
             first_ms = progress.first_byte_ms if progress.events else total_ms
             usual_ms = pace.estimate_first_ms(prompt) if progress.events else estimate_ms
-            silent_ms = max(
-                find_silence_before_ms(first_ms, usual_ms=usual_ms),
-                find_pause_ms(progress, total_ms=total_ms),
-            )
+            silent_ms = max(silent_ms, find_silence_before_ms(first_ms, usual_ms=usual_ms))
             # An admission adds the margin, and the time of a silence, to its estimate.
             took_ms = total_ms - silent_ms - MARGIN_MS
             self._add(service, took_ms / max(1.0, estimate_ms))
--- a/gypsumrouter/forwarding/progress.py
+++ b/gypsumrouter/forwarding/progress.py
@@ -24,8 +24,9 @@
     `fallback_response` is a server error that is returned if no other attempt succeeds.
     `met_silence` is true if an upstream did not answer a question before the request was sent.
     `first_byte_ms` is -1 until the first byte was sent to the caller. `events` counts the relayed
-    events of a stream, and `status` is that of its response, 0 before it began. `longest_pause_ms`
-    is the longest wait for the next part of a stream that had begun, its end included.
+    events of a stream, `first_events` those that came with its first part, and `status` is that of
+    its response, 0 before it began. `longest_pause_ms` is the longest wait for the next part of a
+    stream that had begun, its end included.
     """
 
     arrived_ms: int
@@ -39,6 +40,7 @@
     first_byte_ms: int = -1
     bytes_out: int = 0
     events: int = 0
+    first_events: int = 0
     longest_pause_ms: int = 0
     status: int = 0
     outcome: str = ""
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -176,7 +176,10 @@
         except ConnectionError:
             raise CallerDisconnected from None
         self._progress.bytes_out += len(data)
-        self._progress.events += count_events(data)
+        events = count_events(data)
+        if not self._progress.events:
+            self._progress.first_events = events
+        self._progress.events += events
 
     async def _async_prepare(self, streaming: StreamingResponse) -> web.StreamResponse:
         response = make_stream_response(status=streaming.status, headers=self._headers or [])
--- a/tests/forwarding/test_forwarding_drain_admission.py
+++ b/tests/forwarding/test_forwarding_drain_admission.py
@@ -199,6 +199,8 @@
 ]
 FIRST_MS = 300
 MS_PER_TOKEN = 20
+# By how much the upstream that may take over is slower.
+OTHER_SLOWNESS = 4
 # How a silent upstream is replaced: after how much silence, and how long both may run.
 PATIENCE_MS = 600
 OVERLAP_MS = 250
@@ -220,7 +222,8 @@
     )
     if not taken_over:
         return alone_ms
-    return silent_at_ms + PATIENCE_MS + OVERLAP_MS + first_ms + rest_ms - events * MS_PER_TOKEN
+    other_ms = OTHER_SLOWNESS * (first_ms + rest_ms - events * MS_PER_TOKEN)
+    return silent_at_ms + PATIENCE_MS + OVERLAP_MS + other_ms
 
 
 # Guards against answers that are cut since a stop has no room for one silence of their upstream,
@@ -230,13 +233,13 @@
     for case in CASES:
         clock = ManualClock()
         drain = make_drain(clock, limit_ms=case.limit_ms)
-        for upstream in ("i-0", "i-1"):
+        for upstream, slowness in (("i-1", OTHER_SLOWNESS), ("i-0", 1)):
             note_answers(
                 drain,
                 clock,
-                count=2 * MIN_COMPARED,
-                first_ms=FIRST_MS,
-                ms_per_token=MS_PER_TOKEN if case.is_stream else 0,
+                count=MIN_COMPARED,
+                first_ms=FIRST_MS * slowness,
+                ms_per_token=MS_PER_TOKEN * slowness if case.is_stream else 0,
                 upstream=upstream,
                 is_stream=case.is_stream,
             )
@@ -301,3 +304,65 @@
         drain.durations.note(SERVICE, make_prompt(INPUT_TOKENS[0], 10), progress)
     prompt = make_prompt(INPUT_TOKENS[0], 10)
     assert drain.durations.estimate_ms(SERVICE, prompt, upstream="i-0") == 100 + 9 * 400
+
+
+STOP_LIMIT_MS = 7_500
+BURST_FIRST_MS = 50
+
+
+def note_bursts(
+    drain: DrainAdmission, clock: ManualClock, *, tokens: int, per_burst: int, every_ms: int
+) -> int:
+    """Note an answer whose events come in bursts, one burst a read; return how long it took."""
+    pauses = (tokens - 1) // per_burst
+    progress = Progress(arrived_ms=clock.now_ms(), deadline_at_ms=DEADLINE_MS, upstream="i-0")
+    progress.first_byte_ms, progress.events = BURST_FIRST_MS, tokens
+    progress.first_events = per_burst
+    progress.longest_pause_ms = every_ms if pauses else 0
+    total_ms = BURST_FIRST_MS + pauses * every_ms
+    clock.advance(total_ms)
+    drain.durations.note(SERVICE, make_prompt(INPUT_TOKENS[0], tokens), progress)
+    return total_ms
+
+
+# Guards against streams that are cut since each answer of their engine has a pause that is taken
+# for a silence: several events in one read, or a long wait behind an event that comes at once.
+@pytest.mark.parametrize(
+    ("seen_tokens", "per_burst", "every_ms", "asked_tokens"),
+    [(20, 10, 400, 100), (20, 10, 400, 60), (20, 20, 0, 20), (16, 8, 320, 64), (40, 1, 40, 40)],
+)
+def test_pause_that_every_answer_has_counts_for_the_pace_of_its_upstream(
+    seen_tokens: int, per_burst: int, every_ms: int, asked_tokens: int
+) -> None:
+    clock = ManualClock()
+    drain = DrainAdmission(clock=clock, limit_ms=STOP_LIMIT_MS)
+    for _ in range(2 * MIN_COMPARED):
+        note_bursts(drain, clock, tokens=seen_tokens, per_burst=per_burst, every_ms=every_ms)
+    takes_ms = BURST_FIRST_MS + (asked_tokens - 1) // per_burst * every_ms
+    drain.begin()
+    begun_ms = clock.now_ms()
+    clock.advance(3_100)
+    prompt = make_prompt(INPUT_TOKENS[0], asked_tokens)
+    latest_ms = None
+    while clock.now_ms() - begun_ms < STOP_LIMIT_MS:
+        if drain.admits(SERVICE, prompt, remaining_ms=DEADLINE_MS, upstream="i-0"):
+            latest_ms = clock.now_ms() - begun_ms
+        clock.advance(10)
+    assert latest_ms is None or latest_ms + takes_ms + SILENCE_MS <= STOP_LIMIT_MS, latest_ms
+
+
+def test_usual_wait_behind_a_first_event_that_comes_at_once_is_no_silence() -> None:
+    """Engines send an event with the role at once, and the first token behind the prefill."""
+    clock = ManualClock()
+    drain = DrainAdmission(clock=clock, limit_ms=STOP_LIMIT_MS)
+    prompt = make_prompt(INPUT_TOKENS[0], 40)
+    takes_ms = 20 + 1_200 + 39 * 20
+    for _ in range(2 * MIN_COMPARED):
+        progress = Progress(arrived_ms=clock.now_ms(), deadline_at_ms=DEADLINE_MS, upstream="i-0")
+        progress.first_byte_ms, progress.events, progress.longest_pause_ms = 20, 41, 1_200
+        clock.advance(takes_ms)
+        drain.durations.note(SERVICE, prompt, progress)
+    drain.begin()
+    # With a silence of its upstream the answer ends behind the limit.
+    clock.advance(STOP_LIMIT_MS - takes_ms - SILENCE_MS + 500)
+    assert not drain.admits(SERVICE, prompt, remaining_ms=DEADLINE_MS, upstream="i-0")
