--- a/gypsumrouter/forwarding/replacement.py
+++ b/gypsumrouter/forwarding/replacement.py
@@ -51,7 +51,7 @@
     """Decides whether an upstream may go on with a request after `events` of a silent one."""
 
     def __call__(self, *, events: int, remaining_ms: int, upstream: str) -> bool:
-        """Return whether it ends in time, in a process that stops."""
+        """Return whether it ends in time in a process that stops; else the silent one goes on."""
 
 
 class Replacements:
