--- a/gypsumrouter/contention/control.py
+++ b/gypsumrouter/contention/control.py
@@ -203,10 +203,14 @@
         finally:
             self._ticking = False
 
-    async def _async_stop(self) -> None:
+    def refuse_waiting(self) -> None:
+        """Refuse all waiting requests since the process stops."""
         for queue in self._queues.values():
             queue.refuse_all(Reason.LEAVING, "This router is stopping")
 
+    async def _async_stop(self) -> None:
+        self.refuse_waiting()
+
     def _record_queued(self, queue: ContentionQueue, item: Waiting) -> None:
         work = self._get_work(item.claim.service)
         self._journal.record(
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -67,6 +67,7 @@
         "_journal",
         "_listener",
         "_pool",
+        "_queue",
         "_return_order",
         "_routing",
         "budget",
@@ -167,6 +168,7 @@
             self._return_order = ReturnOrder(
                 app=app, limit=contention.max_reservations, slow_start=slow_start
             )
+        self._queue = self._make_queue(settings, journal)
         context = ForwardingContext(
             app=app,
             journal=journal,
@@ -181,9 +183,7 @@
                 "Attempts with a silent upstream, by what it owes and why nothing takes over",
             ),
             contention=ContentionContext(
-                shares=self.shares,
-                return_order=self._return_order,
-                queue=self._make_queue(settings, journal),
+                shares=self.shares, return_order=self._return_order, queue=self._queue
             ),
             without=settings.without,
         )
@@ -318,9 +318,18 @@
             on_closing=self._record_closing,
         )
         drain.begin()
+        self._app.async_create_task(self._async_refuse_waiting(), "refuse waiting requests")
         await self._app.clock.async_sleep(self._drain.grace_left_ms)
         await drain.async_run()
 
+    async def _async_refuse_waiting(self) -> None:
+        """Refuse what still waits in the queue when what still arrives is refused."""
+        if self._queue is None:
+            return
+        refused_at_ms = self._drain.limit_at_ms - ARRIVING_MARGIN_MS
+        await self._app.clock.async_sleep(max(0, refused_at_ms - self._app.clock.now_ms()))
+        self._queue.refuse_waiting()
+
     async def _async_record_cut(self) -> None:
         assert self._listener is not None
         reason = self._app.end_reason
