--- a/gypsumrouter/daemon.py
+++ b/gypsumrouter/daemon.py
@@ -8,8 +8,6 @@
 
 # libuv reads this variable once, when the first event loop is created.
 os.environ[ENV_IO_URING] = IO_URING_OFF
-# Skips aiomisc's search of all installed packages for plug-ins; none are used.
-os.environ.setdefault("AIOMISC_NO_PLUGINS", "1")
 
 import gc
 import sys
@@ -23,15 +21,16 @@
     gc.disable()
     open_early_listener(sys.argv[1:])
 
+import traceback
+from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 from pathlib import Path
 from typing import Final, NoReturn, TextIO, cast
 
-import aiomisc
 import click
 import uvloop
 
-from gypsumrouter.const import EXIT_SETTINGS, VERSION, Role
+from gypsumrouter.const import EXIT_FAILED, EXIT_SETTINGS, VERSION, Role
 from gypsumrouter.exceptions import SettingsInvalid
 from gypsumrouter.helpers.logs import configure_logging
 from gypsumrouter.helpers.settings_file import check_settings, read_settings_file
@@ -60,21 +59,31 @@
     )
     install_handlers()
     service = DaemonService(settings=settings, announce=announce, setup=setup)
-    # The service handles the signals: it drains running requests before the exit.
-    with aiomisc.entrypoint(
-        service,
-        loop_factory=uvloop.new_event_loop,
-        pool_size=WORKER_THREADS,
-        log_config=False,
-        catch_signals=(),
-    ) as loop:
-        exit_code: int = loop.run_until_complete(service.async_run())
-        if remove_logging():
-            sys.stdout.flush()
-            sys.stderr.flush()
-        # All is released. An exit of the event loop or the interpreter takes time that a stop may
-        # not have, and waits for threads and for an output that nobody reads.
-        os._exit(exit_code)
+    failure: Exception | None = None
+    try:
+        exit_code = run_service(service)
+    except Exception as error:
+        exit_code, failure = EXIT_FAILED, error
+    is_written = remove_logging()
+    if failure is not None:
+        traceback.print_exception(failure)
+    if is_written:
+        sys.stdout.flush()
+        sys.stderr.flush()
+    # All is released. An exit of the event loop or the interpreter takes time that a stop may
+    # not have, and waits for threads and for an output that nobody reads.
+    os._exit(exit_code)
+
+
+def run_service(service: DaemonService) -> int:
+    """Run a service in a new event loop and return its exit code.
+
+    The loop handles no signals: the service does, as it drains running requests before the exit.
+    It stays open, as a close waits for threads.
+    """
+    loop = uvloop.new_event_loop()
+    loop.set_default_executor(ThreadPoolExecutor(WORKER_THREADS))
+    return loop.run_until_complete(service.async_run())
 
 
 @click.group()
--- a/gypsumrouter/service.py
+++ b/gypsumrouter/service.py
@@ -10,7 +10,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Final
 
-import aiomisc
 import click
 
 from gypsumrouter.const import EXIT_FAILED, EXIT_OK
@@ -29,9 +28,21 @@
 Setup = Callable[[], Awaitable[RunningProcess]]
 
 
-class DaemonService(aiomisc.Service):
+class DaemonService:
     """Runs the components of a process until a signal or an invariant violation."""
 
+    __slots__ = (
+        "_announce",
+        "_end_listening",
+        "_exit_code",
+        "_process",
+        "_reload_requested",
+        "_settings",
+        "_setup",
+        "_stop_at_ms",
+        "_stop_requested",
+    )
+
     def __init__(
         self,
         *,
@@ -39,7 +50,6 @@
         announce: bool,
         setup: Setup,
     ) -> None:
-        super().__init__()
         self._reload_requested = False
         self._setup = setup
         self._settings = settings
@@ -51,9 +61,9 @@
         self._end_listening: Callable[[], None] = lambda: None
         self._exit_code = EXIT_OK
 
-    async def start(self) -> None:
+    async def async_start(self) -> None:
         """Set up the process; a failure is logged with its error code."""
-        loop = self.loop
+        loop = asyncio.get_running_loop()
         self._end_listening = process_signals.listen(
             lambda number, at_ms: loop.call_soon_threadsafe(self.handle_signal, number, at_ms)
         )
@@ -71,10 +81,12 @@
             self._handle_reload_signal()
 
     async def async_run(self) -> int:
-        """Wait for a stop, release all resources, and return the exit code."""
-        exit_code = await self.async_wait()
-        await self.stop()
-        return exit_code
+        """Start, wait for a stop, release all resources, and return the exit code."""
+        await self.async_start()
+        try:
+            return await self.async_wait()
+        finally:
+            await self.async_stop()
 
     async def async_wait(self) -> int:
         """Wait for a stop, drain the running requests, and return the exit code."""
@@ -90,7 +102,7 @@
             self._fail(code, str(process.app.fatal))
         return self._exit_code
 
-    async def stop(self, exception: Exception | None = None) -> None:
+    async def async_stop(self) -> None:
         """Stop the application and release its resources."""
         if self._process is not None:
             await self._process.app.async_stop()
--- a/tests/daemon/test_daemon_signals.py
+++ b/tests/daemon/test_daemon_signals.py
@@ -102,12 +102,11 @@
         )
 
     service = make_service(async_setup)
-    service.set_loop(asyncio.get_running_loop())
-    await service.start()
+    await service.async_start()
     service.handle_signal(signal.SIGTERM, app.clock.now_ms())
     assert await service.async_wait() == 0
     assert (running, app.end_reason) == ([], "done")
-    await service.stop()
+    await service.async_stop()
 
 
 # Guards against an exit that waits for threads, and is late on a starved machine.
