Bound the numbers and texts of an upstream's entry where it is decoded

A router that starts while the store is away, or that follows a peer, got no list at all, if one entry of the store had `slots` of 10^30: not one upstream, and `loaded` was never set.

Cause: the entry was decoded as usable, and messages between routers have 32 bits for the slots. `encode_listed_upstreams` raised for the whole list, and the listener logged it. With 10^400 slots, the estimates of a request would raise too. Texts had no limit, so 300 entries with versions of 60,000 characters made a frame of 18 MB, over the limit of 4.4 MB at which a peer closes the link.

Numbers and texts that are out of range now make the entry unusable, as other invalid fields do. It names no upstream to use, and the others are told. Ids, states and revisions were bounded already.

Links between the routers of the tests' fleet encode what they carry.

--- a/gypsumrouter/platform/entries.py
+++ b/gypsumrouter/platform/entries.py
@@ -15,27 +15,36 @@
 from gypsumrouter.util.validation import validate_json
 
 MAX_PORT: Final = 65_535
+# Messages between routers have 32 bits for the slots.
+MAX_SLOTS: Final = 2**32 - 1
+# Integers up to this are exact in every JSON implementation.
+MAX_JSON_INTEGER: Final = 2**53 - 1
+# Keeps the list of a large fleet within one frame to a peer.
+MAX_TEXT_LENGTH: Final = 200
 # Ids are forwarded in a header; the store limits keys to 200 bytes.
 ID_PATTERN: Final = re.compile(r"[A-Za-z0-9_.:-]{1,200}")
 
 
+Text = Annotated[str, Meta(max_length=MAX_TEXT_LENGTH)]
+
+
 class WireServer(Struct, frozen=True, kw_only=True):
     """A runner's own entry in the store; its id is only in the item's key."""
 
-    service: Annotated[str, Meta(min_length=1)]
+    service: Annotated[str, Meta(min_length=1, max_length=MAX_TEXT_LENGTH)]
     # IP:PORT.
-    address: str
-    zone: str
-    slots: Annotated[int, Meta(gt=0)]
+    address: Text
+    zone: Text
+    slots: Annotated[int, Meta(gt=0, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     # Remaining duration of its slow start, in milliseconds.
     cold_left_ms: Annotated[float, Meta(ge=0, le=1e9)] = 0.0
     # Orders the commands that it accepted, not its writes.
-    sequence: int = 0
+    sequence: Annotated[int, Meta(ge=0, le=MAX_JSON_INTEGER)] = 0
     # Software version; not the version of its model.
-    version: str = ""
+    version: Text = ""
     # Start time in Unix milliseconds; it distinguishes restarts under the same id.
-    born: Annotated[int, Meta(gt=0, lt=2**53)] | None = None
+    born: Annotated[int, Meta(gt=0, le=MAX_JSON_INTEGER)] | None = None
 
 
 def read_upstream_id(key: str) -> str | None:
--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -53,16 +53,10 @@
         return self._sender.running and self._target.running
 
     def send_encoded(self, kind: Kind, body: bytes) -> None:
-        """Deliver a notice that was encoded for several links."""
-        self.send(decode_notice(kind, body))
-
-    def send(self, notice: Notice) -> bool:
-        """Deliver a notice in the next event loop iteration if both routers are running."""
-        if not (self._sender.running and self._target.running):
-            return False
+        """Deliver an encoded notice in the next event loop iteration."""
+        notice = decode_notice(kind, body)
         back = MemoryPeer(sender=self._target, target=self._sender)
         asyncio.get_running_loop().call_soon(self._target.notices.publish, back, notice)
-        return True
 
 
 class FleetRouter:
