Leave out by itself what a message to peers can't carry

One value that does not fit its field of a message kept the whole message from all peers: a list of upstreams, the periodic update with loads, usage and evacuations, an inventory, evidence or verdicts. The exception also went to the task or listener that sends.

Cause: each encoder filled its lists item by item, and pycapnp raises for a number out of range or for text that is not Unicode.

`write_list` now encodes every list of the notices: an item that raises is left out and the others are kept. A list of upstreams that lacks an entry is not told as complete, as the peer would remove that upstream. A notice whose own fields can't be encoded is not sent, as to a closed link. Both are logged once for each field or type and kind of error, since most notices repeat within a second.

The nine notices with an item out of range in each of their lists failed before with OverflowError, KjException, UnicodeEncodeError and struct.error; they now arrive with the other items.

--- a/gypsumrouter/link/notice_codec.py
+++ b/gypsumrouter/link/notice_codec.py
@@ -66,6 +66,7 @@
     set_pool_load,
     to_bytes,
     to_packed,
+    write_list,
 )
 from gypsumrouter.link.suspect_codec import (
     decode_suspect_evidence,
@@ -235,9 +236,7 @@
 def _encode_pool_status(notice: PoolStatus) -> bytes:
     """Encode the body of a HOLDINGS frame."""
     message = SCHEMA.Holdings.new_message(pool=notice.pool)
-    entries = message.init("entries", len(notice.entries))
-    for target, entry in zip(entries, notice.entries, strict=True):
-        _write_entry(target, entry)
+    write_list(message, "entries", notice.entries, _write_entry)
     return to_packed(message)
 
 
@@ -254,14 +253,16 @@
     target.engine = entry.engine
     target.up = entry.up
     target.role = entry.role
-    models = target.init("models", len(entry.models))
-    for place, model in zip(models, entry.models, strict=True):
-        place.name = model.name
-        place.version = model.version
-        place.nextVersion = model.next_version
-        place.serving = model.serving
-        place.load = model.load
-        place.failures = model.failures
+    write_list(target, "models", entry.models, _write_model)
+
+
+def _write_model(target: Any, model: ModelStatus) -> None:
+    target.name = model.name
+    target.version = model.version
+    target.nextVersion = model.next_version
+    target.serving = model.serving
+    target.load = model.load
+    target.failures = model.failures
 
 
 def _read_entry(entry: Any) -> EngineStatus:
--- a/gypsumrouter/link/notices.py
+++ b/gypsumrouter/link/notices.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable, Iterable
-from typing import Any, TypeVar
+from typing import Any, Final, TypeVar
 
 from gypsumrouter.core import Application, Remove
 from gypsumrouter.link.connection import Connection
 from gypsumrouter.link.const import Kind
 from gypsumrouter.link.diagnostics import LinkDiagnostics
 from gypsumrouter.link.frames import Frame
-from gypsumrouter.link.listeners import call_safely
+from gypsumrouter.link.listeners import LogOnce, call_safely
 from gypsumrouter.link.models import Hello, Notice
 from gypsumrouter.link.notice_codec import decode_notice, encode_notice
+from gypsumrouter.link.schema import ENCODE_ERRORS
+
+_LOGGER = logging.getLogger(__name__)
+_LOGGED: Final = LogOnce()
 
 N = TypeVar("N", bound=Notice)
 
@@ -33,11 +38,16 @@
         return not self._connection.closed
 
     def send(self, notice: Notice) -> bool:
-        """Send a notice; return False if the link is closed or its send buffer is full."""
+        """Send a notice; return False if the link is closed or its send buffer is full.
+
+        A notice that can't be encoded is not sent either; this is logged once for each type.
+        """
         if not self.writable:
             return False
-        kind, body = encode_notice(notice)
-        self.send_encoded(kind, body)
+        encoded = _encode(notice)
+        if encoded is None:
+            return False
+        self.send_encoded(*encoded)
         return True
 
     @property
@@ -53,10 +63,23 @@
 
 def send_to_all(peers: Iterable[Peer], notice: Notice) -> None:
     """Encode a notice once and send it over several links, except those that are not writable."""
-    kind, body = encode_notice(notice)
+    encoded = _encode(notice)
+    if encoded is None:
+        return
     for peer in peers:
         if peer.writable:
-            peer.send_encoded(kind, body)
+            peer.send_encoded(*encoded)
+
+
+def _encode(notice: Notice) -> tuple[Kind, bytes] | None:
+    """Encode a notice; None if a value does not fit its field."""
+    try:
+        return encode_notice(notice)
+    except ENCODE_ERRORS as error:
+        name = type(notice).__name__
+        if _LOGGED.is_first(f"{name} {type(error).__name__}"):
+            _LOGGER.error("Can't send a %s: %.200r; logged once", name, error)
+        return None
 
 
 class NoticeHub:
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -29,7 +29,14 @@
     RoutingDocument,
     StoreUpdate,
 )
-from gypsumrouter.link.schema import SCHEMA, open_message, open_packed_message, to_bytes, to_packed
+from gypsumrouter.link.schema import (
+    SCHEMA,
+    open_message,
+    open_packed_message,
+    to_bytes,
+    to_packed,
+    write_list,
+)
 from gypsumrouter.link.usage_codec import read_usage, set_usage
 
 # Limits on the unpacked size of an update and of a configuration document.
@@ -51,10 +58,7 @@
         refused=list(notice.refused),
         verdictsDigest=notice.verdicts_digest,
     )
-    known = message.init("known", len(notice.routers))
-    for target, router in zip(known, notice.routers, strict=True):
-        target.address = router.address
-        target.dataCentre = router.data_centre
+    write_list(message, "known", notice.routers, _write_router)
     _set_loads(message, notice.loads)
     _set_placed(message, notice.placed)
     _set_evacuations(message, notice.evacuations)
@@ -116,9 +120,7 @@
 def encode_relayed_update(notice: RelayedUpdate) -> bytes:
     """Encode the body of a RELAYED_NEWS frame."""
     message = SCHEMA.RelayedNews.new_message(refused=list(notice.refused))
-    loads = message.init("loads", len(notice.loads))
-    for target, data_centre in zip(loads, notice.loads, strict=True):
-        _set_data_centre(target, data_centre)
+    write_list(message, "loads", notice.loads, _set_data_centre)
     _set_placed(message, notice.placed)
     return to_packed(message)
 
@@ -151,11 +153,19 @@
     )
 
 
+def _write_router(target: Any, router: RouterAddress) -> None:
+    target.address = router.address
+    target.dataCentre = router.data_centre
+
+
 def _set_loads(message: Any, loads: tuple[RouterLoad, ...]) -> None:
-    for target, load in zip(message.init("loads", len(loads)), loads, strict=True):
-        target.upstream = load.upstream
-        target.running = load.running
-        target.pendingTokens = load.pending_tokens
+    write_list(message, "loads", loads, _write_load)
+
+
+def _write_load(target: Any, load: RouterLoad) -> None:
+    target.upstream = load.upstream
+    target.running = load.running
+    target.pendingTokens = load.pending_tokens
 
 
 def _read_loads(message: Any) -> tuple[RouterLoad, ...]:
@@ -166,9 +176,12 @@
 
 
 def _set_placed(message: Any, placed: tuple[PlacedPart, ...]) -> None:
-    for target, part in zip(message.init("placed", len(placed)), placed, strict=True):
-        target.part = part.part
-        target.upstream = part.upstream
+    write_list(message, "placed", placed, _write_placed)
+
+
+def _write_placed(target: Any, part: PlacedPart) -> None:
+    target.part = part.part
+    target.upstream = part.upstream
 
 
 def _read_placed(message: Any) -> tuple[PlacedPart, ...]:
@@ -176,11 +189,13 @@
 
 
 def _set_evacuations(message: Any, evacuations: tuple[EvacuationState, ...]) -> None:
-    targets = message.init("evacuations", len(evacuations))
-    for target, evacuation in zip(targets, evacuations, strict=True):
-        target.dataCentre = evacuation.data_centre
-        target.revision = evacuation.revision
-        target.active = evacuation.active
+    write_list(message, "evacuations", evacuations, _write_evacuation)
+
+
+def _write_evacuation(target: Any, evacuation: EvacuationState) -> None:
+    target.dataCentre = evacuation.data_centre
+    target.revision = evacuation.revision
+    target.active = evacuation.active
 
 
 def _read_evacuations(message: Any) -> tuple[EvacuationState, ...]:
@@ -262,25 +277,29 @@
 
 
 def encode_listed_upstreams(notice: ListedUpstreams) -> bytes:
-    """Encode the body of a LISTED_UPSTREAMS frame."""
-    message = SCHEMA.ListedUpstreams.new_message(
-        asOf=notice.as_of, complete=notice.complete, changes=notice.changes
-    )
-    entries = message.init("entries", len(notice.entries))
-    for target, entry in zip(entries, notice.entries, strict=True):
-        target.revision = entry.revision
-        target.upstream = entry.upstream
-        target.state = entry.state
-        target.service = entry.service
-        target.address = entry.address
-        target.dataCentre = entry.data_centre
-        target.slots = entry.slots
-        target.startedMs = entry.started_ms
-        target.warmUpMs = entry.warm_up_ms
-        target.version = entry.version
+    """Encode the body of a LISTED_UPSTREAMS frame.
+
+    A list that lacks an entry is not told as complete, since the peer would remove that upstream.
+    """
+    message = SCHEMA.ListedUpstreams.new_message(asOf=notice.as_of, changes=notice.changes)
+    left_out = write_list(message, "entries", notice.entries, _write_listed)
+    message.complete = notice.complete and not left_out
     return to_bytes(message)
 
 
+def _write_listed(target: Any, entry: ListedUpstream) -> None:
+    target.revision = entry.revision
+    target.upstream = entry.upstream
+    target.state = entry.state
+    target.service = entry.service
+    target.address = entry.address
+    target.dataCentre = entry.data_centre
+    target.slots = entry.slots
+    target.startedMs = entry.started_ms
+    target.warmUpMs = entry.warm_up_ms
+    target.version = entry.version
+
+
 def decode_listed_upstreams(body: bytes) -> ListedUpstreams:
     """Decode the body of a LISTED_UPSTREAMS frame; raises FrameError."""
     with open_message(SCHEMA.ListedUpstreams, body) as message:
@@ -309,14 +328,16 @@
 def encode_inventory_update(notice: InventoryUpdate) -> bytes:
     """Encode the body of a HELD_NEWS frame."""
     message = SCHEMA.HeldNews.new_message(complete=notice.complete)
-    engines = message.init("engines", len(notice.engines))
-    for target, engine in zip(engines, notice.engines, strict=True):
-        target.upstream = engine.upstream
-        target.parts = list(engine.parts)
+    write_list(message, "engines", notice.engines, _write_engine)
     # Not packed: part ids are hashes with few zero bytes, which packing would enlarge.
     return to_bytes(message)
 
 
+def _write_engine(target: Any, engine: EngineListing) -> None:
+    target.upstream = engine.upstream
+    target.parts = list(engine.parts)
+
+
 def decode_inventory_update(body: bytes) -> InventoryUpdate:
     """Decode the body of a HELD_NEWS frame; raises FrameError."""
     with open_message(SCHEMA.HeldNews, body) as message:
--- a/gypsumrouter/link/schema.py
+++ b/gypsumrouter/link/schema.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+import logging
+import struct
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from pathlib import Path
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import capnp
 
 from gypsumrouter.link.frames import FrameError
+from gypsumrouter.link.listeners import LogOnce
 from gypsumrouter.link.models import PoolLoad
 
+_LOGGER = logging.getLogger(__name__)
+_T = TypeVar("_T")
+_LOGGED: Final = LogOnce()
+
 capnp.remove_import_hook()
 SCHEMA: Final[Any] = capnp.load(str(Path(__file__).with_name("messages.capnp")))
 
@@ -30,9 +37,49 @@
 _MAX_SEGMENTS: Final = 64
 # Encoded size of a word by its tag, including the tag.
 _TAG_BYTES: Final = bytes(1 + tag.bit_count() for tag in range(256))
+# Raised when a value does not fit its field: a number out of range, or text that is not Unicode.
+ENCODE_ERRORS: Final = (
+    capnp.KjException,
+    OverflowError,
+    TypeError,
+    ValueError,
+    struct.error,
+)
 _DECODE_ERRORS: Final = (capnp.KjException, UnicodeError, ValueError, OverflowError)
 
 
+def write_list(
+    message: Any, field: str, items: Sequence[_T], write: Callable[[Any, _T], None]
+) -> int:
+    """Set a list field of a message; return the number of items that were left out.
+
+    An item that does not fit its fields is left out by itself. This is logged once for each field
+    and type of error, as most messages are sent several times a second.
+    """
+    sound: list[_T] = []
+    errors: list[Exception] = []
+    for target, item in zip(message.init(field, len(items)), items, strict=True):
+        try:
+            write(target, item)
+        except ENCODE_ERRORS as error:
+            errors.append(error)
+        else:
+            sound.append(item)
+    if not errors:
+        return 0
+    for target, item in zip(message.init(field, len(sound)), sound, strict=True):
+        write(target, item)
+    if _LOGGED.is_first(f"{field} {type(errors[0]).__name__}"):
+        _LOGGER.error(
+            "Left out %d of %d %s of a message that can't carry them: %.200r; logged once",
+            len(errors),
+            len(items),
+            field,
+            errors[0],
+        )
+    return len(errors)
+
+
 def to_bytes(message: Any) -> bytes:
     """Encode a message."""
     body: bytes = message.to_bytes()
--- a/gypsumrouter/link/suspect_codec.py
+++ b/gypsumrouter/link/suspect_codec.py
@@ -15,7 +15,7 @@
     SuspectVerdicts,
     VerdictNotice,
 )
-from gypsumrouter.link.schema import SCHEMA, open_packed_message, to_packed
+from gypsumrouter.link.schema import SCHEMA, open_packed_message, to_packed, write_list
 
 MAX_SUSPECTS_BYTES: Final = 64 * 1024
 MAX_AGE_MS: Final = 2**32 - 1
@@ -25,21 +25,23 @@
 def encode_suspect_evidence(notice: SuspectEvidence) -> bytes:
     """Encode the body of a SUSPECT_EVIDENCE frame."""
     message = SCHEMA.SuspectEvidence.new_message()
-    crashes = message.init("crashes", len(notice.crashes))
-    for target, crash in zip(crashes, notice.crashes, strict=True):
-        target.upstream = crash.upstream
-        target.ageMs = _limit_age(crash.age_ms)
-        implications = target.init("implications", len(crash.implications))
-        for place, implication in zip(implications, crash.implications, strict=True):
-            _write_implication(place, implication)
-    survivals = message.init("survivals", len(notice.survivals))
-    for target, survival in zip(survivals, notice.survivals, strict=True):
-        target.subject = survival.subject
-        target.workspace = survival.workspace
-        target.ageMs = _limit_age(survival.age_ms)
+    write_list(message, "crashes", notice.crashes, _write_report)
+    write_list(message, "survivals", notice.survivals, _write_survival)
     return to_packed(message)
 
 
+def _write_report(target: Any, crash: CrashReport) -> None:
+    target.upstream = crash.upstream
+    target.ageMs = _limit_age(crash.age_ms)
+    write_list(target, "implications", crash.implications, _write_implication)
+
+
+def _write_survival(target: Any, survival: SurvivalNotice) -> None:
+    target.subject = survival.subject
+    target.workspace = survival.workspace
+    target.ageMs = _limit_age(survival.age_ms)
+
+
 def decode_suspect_evidence(body: bytes) -> SuspectEvidence:
     """Decode the body of a SUSPECT_EVIDENCE frame; raises FrameError."""
     kind = SCHEMA.SuspectEvidence
@@ -69,9 +71,7 @@
 def encode_suspect_verdicts(notice: SuspectVerdicts) -> bytes:
     """Encode the body of a SUSPECT_VERDICTS frame."""
     message = SCHEMA.SuspectVerdicts.new_message(dataCentre=notice.data_centre)
-    verdicts = message.init("verdicts", len(notice.verdicts))
-    for target, verdict in zip(verdicts, notice.verdicts, strict=True):
-        _write_verdict(target, verdict)
+    write_list(message, "verdicts", notice.verdicts, _write_verdict)
     return to_packed(message)
 
 
@@ -115,11 +115,13 @@
     target.trials = verdict.trials
     target.implications = verdict.implications
     target.origin = verdict.origin
-    crashes = target.init("crashes", len(verdict.crashes))
-    for place, crash in zip(crashes, verdict.crashes, strict=True):
-        place.upstream = crash.upstream
-        place.router = crash.router
-        place.ageMs = _limit_age(crash.age_ms)
+    write_list(target, "crashes", verdict.crashes, _write_crash)
+
+
+def _write_crash(target: Any, crash: CrashNotice) -> None:
+    target.upstream = crash.upstream
+    target.router = crash.router
+    target.ageMs = _limit_age(crash.age_ms)
 
 
 def _read_verdict(verdict: Any) -> VerdictNotice:
--- a/gypsumrouter/link/usage_codec.py
+++ b/gypsumrouter/link/usage_codec.py
@@ -9,6 +9,7 @@
     WorkspaceUsage,
     WorkspaceWork,
 )
+from gypsumrouter.link.schema import write_list
 
 # A valid summary has at most 8 entries (`contention.MAX_ENTRIES`). One more is decoded, so that the
 # receiver can tell a longer one, and no further ones, whose names could fill the message.
@@ -22,11 +23,13 @@
     target = message.init("usage")
     target.total = usage.total
     target.served = usage.served
-    entries = target.init("entries", len(usage.entries))
-    for entry, work in zip(entries, usage.entries, strict=True):
-        entry.name = work.name
-        entry.work = work.work
-        entry.sent = work.sent
+    write_list(target, "entries", usage.entries, _write_work)
+
+
+def _write_work(target: Any, work: WorkspaceWork) -> None:
+    target.name = work.name
+    target.work = work.work
+    target.sent = work.sent
 
 
 def read_usage(message: Any) -> WorkspaceUsage | None:
