Allow a router's report of the store the size of other updates

A router that watches the store closed the links of its followers with each report, once the operator's items named many evacuations: 400 data centres of 190 characters.

Cause: the report lists all evacuations, as the updates do, but was limited to 16 KiB when decoded, while updates are limited to 256 KiB. A frame that can't be decoded closes the link.

The report now has the limit of the updates. The test failed before with `FrameError: a packed message of 82175 bytes is too long`.

--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -225,7 +225,7 @@
 
 def decode_store_update(body: bytes) -> StoreUpdate:
     """Decode the body of a STORE_WATCHED frame; raises FrameError."""
-    with open_packed_message(SCHEMA.StoreWatched, body) as message:
+    with open_packed_message(SCHEMA.StoreWatched, body, max_bytes=MAX_UPDATE_BYTES) as message:
         return StoreUpdate(
             routing_version=message.routingVersion,
             routing_as_of=message.routingAsOf,
--- a/tests/link/test_link_unencodable_items.py
+++ b/tests/link/test_link_unencodable_items.py
@@ -230,3 +230,15 @@
         for _ in range(100):
             encode_notice(make_list(odd=True))
     assert len(caplog.records) == 1
+
+
+def test_store_update_with_many_evacuations_closed_the_link() -> None:
+    evacuations = tuple(
+        EvacuationState(data_centre=f"{number:0190d}", revision=number, active=True)
+        for number in range(400)
+    )
+    notice = StoreUpdate(
+        routing_version=1, routing_as_of=1, list_newest=1, list_as_of=1, evacuations=evacuations
+    )
+    kind, body = encode_notice(notice)
+    assert decode_notice(kind, body) == notice
