Soak of streams with one attempt in stops that overlap, by dimensions

The record of LOST around a stop is of a route whose streams have one attempt and may not be resumed. A raw caller can give up in a pause or after a time.

--- a/bench/raw_caller.py
+++ b/bench/raw_caller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 import time
 from collections.abc import Sequence
@@ -27,11 +28,15 @@
 
 
 class End(StrEnum):
-    """How an answer ended: whole, or with a reset or a close of its connection before that."""
+    """How an answer ended: whole, or with a reset or a close of its connection before that.
+
+    LEFT: its caller gave up.
+    """
 
     WHOLE = "whole"
     RESET = "reset"
     CLOSED = "closed"
+    LEFT = "left"
 
 
 class Answer(Struct, kw_only=True):
@@ -96,12 +101,16 @@
         pause_s: float = 0.0,
         rest_after_s: float = 0.0,
         rest_s: float = 0.0,
+        max_gap_s: float | None = None,
+        leaves_after_s: float = math.inf,
     ) -> Answer:
         """Send a request and return its answer; raises nothing if the connection ends.
 
         `bytes_per_s` is the pace at which a slow caller reads; it reads nothing for `rest_s` once,
         `rest_after_s` after it began to send or later. `parts` are sent in place of the usual
-        request, with a pause after each, and no further ones once the answer is there.
+        request, with a pause after each, and no further ones once the answer is there. The caller
+        gives up after a pause of `max_gap_s` in the answer, and `leaves_after_s` after it began to
+        send; its connection is of no use then.
         """
         answer = Answer(request_id=request_id, sent_s=time.monotonic())
         loop = asyncio.get_running_loop()
@@ -113,12 +122,18 @@
                     await CLOCK.async_sleep(round(rest_s * MS_PER_S))
                     rest_s = 0.0
                 size = READ_BYTES if bytes_per_s is None else max(1, int(bytes_per_s / READS_PER_S))
-                data = await loop.sock_recv(self._socket, size)
+                left_s = answer.sent_s + leaves_after_s - time.monotonic()
+                gap_s = math.inf if max_gap_s is None or not answer.status else max_gap_s
+                limit_s = min(left_s, gap_s)
+                async with asyncio.timeout(None if math.isinf(limit_s) else max(0.0, limit_s)):
+                    data = await loop.sock_recv(self._socket, size)
                 if not data:
                     break
                 _note_data(answer, data)
                 if bytes_per_s is not None:
                     await CLOCK.async_sleep(round(len(data) / bytes_per_s * MS_PER_S))
+        except TimeoutError:
+            answer.end = End.LEFT
         except OSError:
             answer.end = End.RESET
         answer.ended_s = time.monotonic()
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 import time
+from functools import partial
 from pathlib import Path
 from typing import Final, Protocol
 
@@ -26,6 +27,7 @@
 from bench.soak_drain_checks import check_backoffs, check_draining, check_retired
 from bench.soak_faults import FaultInjector
 from bench.soak_leavings import check_leavings
+from bench.soak_one_attempt import Dimension, async_soak_one_attempt
 from bench.soak_overlaps import async_soak_overlaps
 from bench.soak_retry_checks import RETRY_RATIO, RETRY_SLACK, check_retry_budget
 from bench.soak_rig import ENV_KEY, FORWARDERS, KEY, SoakRig
@@ -219,6 +221,18 @@
 @click.option(
     "--overlaps", is_flag=True, help="Only: stops that overlap, silent upstreams, pausing callers."
 )
+@click.option(
+    "--one-attempt",
+    is_flag=True,
+    help="Only: stops that overlap, streams with one attempt; all dimensions, or the given ones.",
+)
+@click.option(
+    "--dimension",
+    "dimensions",
+    multiple=True,
+    type=click.Choice([*Dimension]),
+    help="What happens beside the stops of --one-attempt; may be given several times.",
+)
 @click.option(
     "--forwarders", type=int, default=FORWARDERS, help="Number of forwarders; 15 for most tests."
 )
@@ -243,6 +257,8 @@
     stops: bool,
     silences: bool,
     overlaps: bool,
+    one_attempt: bool,
+    dimensions: tuple[Dimension, ...],
     forwarders: int,
     journals: Path | None,
 ) -> None:
@@ -256,6 +272,7 @@
         async_soak_stops: stops,
         async_soak_silences: silences,
         async_soak_overlaps: overlaps,
+        partial(async_soak_one_attempt, dimensions=dimensions or tuple(Dimension)): one_attempt,
     }
     only = next((run for run, wanted in alone.items() if wanted), None)
     all_kept = True
--- /dev/null
+++ b/bench/soak_one_attempt.py
@@ -0,0 +1,450 @@
+"""Soak of streams with one attempt, which nothing can replace, in stops that overlap.
+
+The dimensions are what happens beside the stops; each can be left out, so that a loss can be
+traced to one of them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import signal
+import time
+from collections import Counter
+from collections.abc import Collection, Iterator, Mapping, Sequence
+from enum import StrEnum
+from pathlib import Path
+from typing import Any, Final
+
+from bench.raw_caller import End, RawCaller, make_post_head
+from bench.soak_checks import Violation
+from bench.soak_configuration import CALLER_KEY, HOST, WORKSPACE
+from bench.soak_line_checks import EVENT_CUT, EVENT_ENDED, check_cut_lines, check_outcomes
+from bench.soak_overlap_callers import DEADLINE_MS, RETRY_S, OverlapCall
+from bench.soak_overlap_checks import (
+    GRACE_S,
+    TIMEOUT_MS,
+    Work,
+    check_kept_answers,
+    check_lost,
+    collect_work,
+    list_outside,
+)
+from bench.soak_overlaps import SECONDS, OverlappingStops, StallMeter, UpstreamSilences
+from bench.soak_rig import EVENTS, FORWARDERS, SoakRig
+from bench.soak_silence_checks import APPLY_S, PASSING_KEY, check_contents
+from bench.soak_stops import Stop, check_stops, find_stop
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.instances import Address
+from gypsumrouter.standins import PlatformRunner
+from gypsumrouter.standins.platform_runner import RunnerFault
+
+
+class Dimension(StrEnum):
+    """What happens beside the stops.
+
+    FAILURES: upstreams answer a share of requests with 500, or break off before a head.
+    SLOW_BODIES: large request bodies arrive slowly. CHANGES: a configuration that changes the
+    streams' route comes right before a stop. SIGNALS: SIGHUP, a configuration and SIGTERM come
+    close together, in each order. LEAVERS: callers give up. SILENCES: sound upstreams stand still.
+    """
+
+    FAILURES = "failures"
+    SLOW_BODIES = "slow-bodies"
+    CHANGES = "changes"
+    SIGNALS = "signals"
+    LEAVERS = "leavers"
+    SILENCES = "silences"
+
+
+# Callers by route, and the route's settings. All but one have a single attempt.
+STREAM: Final = "draft-one"
+CALLERS: Final = {STREAM: 36, "lookup": 4, "order-one": 4}
+# Outcome of a request whose caller gave up.
+OUTCOME_CALLER_GONE: Final = "caller_gone"
+KINDS: Final = {STREAM: "streaming", "lookup": "idempotent", "order-one": "non_idempotent"}
+TARGET_MS: Final = 800
+TARGET_GAP_MS: Final = 250
+# Events of a stream, and bytes of a request body.
+MEAN_EVENTS: Final = 76
+MAX_EVENTS: Final = 224
+MEAN_BYTES: Final = 12_000
+MAX_BYTES: Final = 72_000
+PACES_S: Final = (0.01, 0.02, 0.035, 0.05)
+FIRSTS_S: Final = (0.05, 0.2, 0.4)
+ENGINES: Final = 8
+PLAIN: Final = 4
+# Large bodies that arrive slowly, in how many parts, and over which time.
+SLOW_SHARE: Final = 0.4
+SLOW_S: Final = (0.2, 5.0)
+SLOW_PARTS: Final = 12
+# Callers that give up in a pause, and those that leave, and when.
+MAX_GAP_S: Final = 3.2
+LEAVE_SHARE: Final = 0.15
+LEAVE_S: Final = (0.1, 4.0)
+# Bursts of failures at an upstream: the share of its requests, their kinds, duration and rests.
+FAILING_SHARE: Final = 1 / 3
+FAILURES: Final = (RunnerFault.ERROR, RunnerFault.RESET)
+FAILING_S: Final = (0.5, 3.0)
+SOUND_S: Final = (0.5, 4.0)
+FAILING: Final = 3
+POLL_S: Final = 0.01
+# Signals and a configuration that come together do so within this time, and a configuration before
+# a stop by this time.
+TOGETHER_S: Final = 0.1
+BEFORE_S: Final = (0.0, 0.3)
+OTHER_TIMEOUT_MS: Final = 13_000
+PASSING_SHARE: Final = 0.2
+
+
+class Configurations:
+    """Publishes configurations that change the service, limits, key and number of routes."""
+
+    def __init__(self, *, rig: SoakRig) -> None:
+        self._rig = rig
+        self._states = itertools.cycle(itertools.product((0, 1), (0, 1), (0, 1)))
+        self.count = 0
+
+    async def async_publish(self) -> None:
+        """Publish the next one."""
+        self.count += 1
+        self._rig.version += 1
+        configuration = make_one_attempt_configuration(self._rig.version, *next(self._states))
+        await self._rig.store.async_put_configuration(configuration)
+
+
+def make_one_attempt_configuration(
+    version: int, other_service: int = 0, other_timeout: int = 0, other_key: int = 0
+) -> dict[str, Any]:
+    """Return a configuration; three of the streams' settings are one of two."""
+    services = {STREAM: "others" if other_service else "models"}
+    routes = [
+        {
+            "name": name,
+            "host": HOST,
+            "prefix": f"/{name}/",
+            "kind": kind,
+            "service": services.get(name, "records"),
+            "timeout_ms": OTHER_TIMEOUT_MS if other_timeout else TIMEOUT_MS,
+            "max_attempts": 2 if name == "lookup" else 1,
+            "target_latency_ms": TARGET_MS,
+            "target_gap_ms": TARGET_GAP_MS,
+        }
+        for name, kind in KINDS.items()
+    ]
+    passing = {**routes[-1], "name": f"passing-{version}", "prefix": f"/passing-{version}/"}
+    engine = {"engine": {"slots": 64}}
+    return {
+        "version": version,
+        "routes": [*routes, passing],
+        "services": [
+            {"name": "records"},
+            {"name": "models", **engine},
+            {"name": "others", **engine},
+        ],
+        "tenants": [
+            {
+                "name": WORKSPACE,
+                "api_keys": [CALLER_KEY] if other_key else [CALLER_KEY, PASSING_KEY],
+            }
+        ],
+    }
+
+
+class OneAttemptCallers:
+    """Callers that keep their connections until these end."""
+
+    def __init__(self, *, rig: SoakRig, seed: int, dimensions: Collection[Dimension]) -> None:
+        self._rig = rig
+        self._seed = seed
+        self._dimensions = dimensions
+        self._stopping = asyncio.Event()
+        self._drawn = 0
+        self.calls: list[OverlapCall] = []
+
+    def stop(self) -> None:
+        """Stop each caller after its current request."""
+        self._stopping.set()
+
+    async def async_run(self) -> None:
+        """Send requests until stopped."""
+        callers = [(route, n) for route, count in CALLERS.items() for n in range(count)]
+        await asyncio.gather(*(self._async_call_all(route, n) for route, n in callers))
+
+    async def _async_call_all(self, route: str, caller: int) -> None:
+        rng = random.Random(f"{self._seed}/{route}/{caller}")
+        while not self._stopping.is_set():
+            forwarder = rng.randrange(self._rig.count)
+            address = Address(host="127.0.0.1", port=self._rig.get_callers_port(forwarder))
+            connection = RawCaller(address)
+            try:
+                await connection.async_open()
+                await self._async_use(connection, route, caller, forwarder, rng)
+            except OSError:
+                await asyncio.sleep(RETRY_S)
+            finally:
+                connection.close()
+
+    async def _async_use(
+        self, connection: RawCaller, route: str, caller: int, forwarder: int, rng: random.Random
+    ) -> None:
+        """Send requests on a connection until it ends or an answer says that it does."""
+        manner = "new"
+        while not self._stopping.is_set():
+            self._drawn += 1
+            request_id = f"{self._seed}-{route}{caller}-{self._drawn}"
+            tokens = 0
+            if route == STREAM:
+                tokens = min(MAX_EVENTS, 1 + round(rng.expovariate(1 / MEAN_EVENTS)))
+            key = CALLER_KEY
+            if Dimension.CHANGES in self._dimensions and rng.random() < PASSING_SHARE:
+                key = PASSING_KEY
+            parts, pause_s = self._draw_parts(request_id, route, caller, tokens, key, rng)
+            options: dict[str, Any] = {}
+            if Dimension.LEAVERS in self._dimensions:
+                options["max_gap_s"] = MAX_GAP_S
+                if rng.random() < LEAVE_SHARE:
+                    options["leaves_after_s"] = rng.uniform(*LEAVE_S)
+            answer = await connection.async_ask(request_id, parts=parts, pause_s=pause_s, **options)
+            self.calls.append(
+                OverlapCall(
+                    route=route,
+                    forwarder=forwarder,
+                    answer=answer,
+                    deadline_s=DEADLINE_MS / MS_PER_S,
+                    tokens=tokens,
+                    key=key,
+                    manner=f"{manner} slow body" if len(parts) > 1 else manner,
+                )
+            )
+            manner = "kept"
+            if not answer.whole_s or answer.end is not End.WHOLE or answer.announces_close:
+                return
+            await asyncio.sleep(rng.uniform(0, RETRY_S))
+
+    def _draw_parts(
+        self,
+        request_id: str,
+        route: str,
+        caller: int,
+        tokens: int,
+        key: str,
+        rng: random.Random,
+    ) -> tuple[list[bytes], float]:
+        """Return a request in parts, and the pause behind each."""
+        is_slow = Dimension.SLOW_BODIES in self._dimensions and rng.random() < SLOW_SHARE
+        length = min(MAX_BYTES, 1 + round(rng.expovariate(1 / MEAN_BYTES)))
+        if is_slow:
+            length = MAX_BYTES
+        head = make_post_head(
+            request_id,
+            route,
+            tokens=tokens,
+            prompt=f"a{caller % 3}:800,b{caller}:600",
+            deadline_ms=DEADLINE_MS,
+            key=key,
+            length=length,
+        )
+        count = SLOW_PARTS if is_slow else 1
+        size = length // count + 1
+        body = [b"x" * min(size, length - begin) for begin in range(0, length, size)]
+        pause_s = rng.uniform(*SLOW_S) / count if is_slow else 0.0
+        return [head + body[0], *body[1:]], pause_s
+
+
+class UpstreamFailures:
+    """Lets some upstreams at a time answer a share of their requests with a failure."""
+
+    def __init__(self, *, runners: Sequence[PlatformRunner], seed: int) -> None:
+        self._rng = random.Random(f"{seed}/failures")
+        self._runners = list(runners)
+        self.bursts = 0
+
+    async def async_run(self) -> None:
+        """Cause failures until cancelled."""
+        await asyncio.gather(*(self._async_repeat() for _ in range(FAILING)))
+
+    async def _async_repeat(self) -> None:
+        rng = random.Random(self._rng.random())
+        while True:
+            await asyncio.sleep(rng.uniform(*SOUND_S))
+            runner, self.bursts = rng.choice(self._runners), self.bursts + 1
+            ends_s = time.monotonic() + rng.uniform(*FAILING_S)
+            while time.monotonic() < ends_s:
+                if not runner.next_faults:
+                    fails = rng.random() < FAILING_SHARE
+                    runner.next_faults.append(rng.choice(FAILURES) if fails else RunnerFault.NONE)
+                await asyncio.sleep(POLL_S)
+            runner.next_faults.clear()
+
+
+class Preludes:
+    """What comes right before, or at the same moment as, the first signal of a stop."""
+
+    def __init__(
+        self,
+        *,
+        rig: SoakRig,
+        seed: int,
+        dimensions: Collection[Dimension],
+        configurations: Configurations,
+    ) -> None:
+        self._rig = rig
+        self._rng = random.Random(f"{seed}/preludes")
+        self._dimensions = dimensions
+        self._configurations = configurations
+        self._orders = itertools.cycle(itertools.permutations(("reload", "configuration", "stop")))
+        self._tasks: list[asyncio.Task[None]] = []
+        self.orders: Counter[str] = Counter()
+
+    async def async_begin(self, number: int) -> None:
+        """Return when the stop is to begin."""
+        if Dimension.SIGNALS in self._dimensions:
+            await self._async_begin_together(number)
+        elif Dimension.CHANGES in self._dimensions:
+            await self._configurations.async_publish()
+            await asyncio.sleep(self._rng.uniform(*BEFORE_S))
+
+    async def _async_begin_together(self, number: int) -> None:
+        order = next(self._orders)
+        self.orders[" ".join(order)] += 1
+        times_s = sorted(self._rng.uniform(0, TOGETHER_S) for _ in order)
+        process = self._rig.forwarders[number]
+        for name, at_s in zip(order, times_s, strict=True):
+            if name != "stop":
+                self._tasks.append(asyncio.create_task(self._async_act(name, at_s, process)))
+        await asyncio.sleep(times_s[order.index("stop")])
+
+    async def _async_act(self, name: str, at_s: float, process: Any) -> None:
+        await asyncio.sleep(at_s)
+        if name == "configuration":
+            await self._configurations.async_publish()
+        elif process is not None:
+            process.send_signal(signal.SIGHUP)
+
+
+def make_one_attempt_upstreams(rng: random.Random) -> dict[str, list[PlatformRunner]]:
+    """Return engines of one pace for two services, and plain upstreams."""
+    pace_s, first_s = rng.choice(PACES_S), rng.choice(FIRSTS_S)
+    runners: dict[str, list[PlatformRunner]] = {}
+    for service in ("models", "others"):
+        runners[service] = [
+            PlatformRunner(name=f"i-{service}-{number}", events=EVENTS, events_per_token=True)
+            for number in range(ENGINES)
+        ]
+        for engine in runners[service]:
+            engine.pause_s, engine.first_pause_s = pace_s, first_s
+    runners["records"] = [
+        PlatformRunner(name=f"i-records-{number}", events=EVENTS) for number in range(PLAIN)
+    ]
+    return runners
+
+
+def check_left(
+    calls: Sequence[OverlapCall], lines: Sequence[Mapping[str, Any]]
+) -> Iterator[Violation]:
+    """Check that no line says that the forwarder cut a request which its caller gave up first."""
+    cut = {line["request_id"]: line for line in lines if line.get("event") == EVENT_CUT}
+    for call in calls:
+        if call.answer.end is End.LEFT and call.answer.request_id in cut:
+            detail = f"{call.route} ({call.manner}) {cut[call.answer.request_id].get('reason')}"
+            yield Violation(
+                guarantee="left, but named as cut",
+                request_id=call.answer.request_id,
+                detail=detail,
+            )
+
+
+def count_gone(calls: Sequence[OverlapCall], lines: Sequence[Mapping[str, Any]]) -> dict[str, int]:
+    """Count callers that gave up inside a stop, and the lines that say so."""
+    gone = {
+        line["request_id"]
+        for line in lines
+        if line.get("event") == EVENT_ENDED and line.get("outcome") == OUTCOME_CALLER_GONE
+    }
+    left = [call for call in calls if call.answer.end is End.LEFT]
+    return {"left": len(left), "named": sum(call.answer.request_id in gone for call in left)}
+
+
+def count_in_stops(
+    calls: Sequence[OverlapCall], stops: Sequence[Stop], work: Mapping[str, Sequence[Work]]
+) -> Counter[str]:
+    """Count the streams that were under way at a stop, by their ends."""
+    return Counter(
+        f"{call.answer.end} {call.answer.status}"
+        for call in calls
+        if call.route == STREAM
+        and call.answer.request_id in work
+        and find_stop(call.forwarder, call.answer, stops) is not None
+    )
+
+
+async def async_soak_one_attempt(
+    *,
+    seed: int,
+    folder: Path,
+    forwarders: int = FORWARDERS,
+    seconds: float = SECONDS,
+    dimensions: Collection[Dimension] = frozenset(Dimension),
+) -> tuple[dict[str, object], list[Violation], SoakRig]:
+    """Run one seed and return its figures, its violations and the stopped rig."""
+    rig = SoakRig(
+        folder=folder, forwarders=forwarders, bounds={"stop_ms": round(GRACE_S * MS_PER_S)}
+    )
+    rig.runners = make_one_attempt_upstreams(random.Random(f"{seed}/world"))
+    callers = OneAttemptCallers(rig=rig, seed=seed, dimensions=dimensions)
+    configurations = Configurations(rig=rig)
+    preludes = Preludes(rig=rig, seed=seed, dimensions=dimensions, configurations=configurations)
+    stops = OverlappingStops(rig=rig, seed=seed, before_stop=preludes.async_begin)
+    silences = UpstreamSilences(runners=rig.list_runners(), seed=seed)
+    failures = UpstreamFailures(runners=rig.list_runners(), seed=seed)
+    meter = StallMeter()
+    causes = [meter.async_run()]
+    if Dimension.SILENCES in dimensions:
+        causes.append(silences.async_run())
+    if Dimension.FAILURES in dimensions:
+        causes.append(failures.async_run())
+    try:
+        await rig.async_start()
+        await configurations.async_publish()
+        await asyncio.sleep(APPLY_S)
+        running = asyncio.ensure_future(callers.async_run())
+        causing = asyncio.gather(*causes)
+        await stops.async_run(seconds=seconds)
+        callers.stop()
+        await running
+        causing.cancel()
+        await asyncio.gather(causing, return_exceptions=True)
+    finally:
+        await rig.async_stop()
+    calls, runners, lines = callers.calls, rig.list_runners(), rig.read_journals()
+    work = collect_work(runners)
+    stayed = [call for call in calls if call.answer.end is not End.LEFT]
+    violations = [
+        *check_stops(stops.made),
+        *check_lost(stayed, stops.made, work, silences.made),
+        *check_kept_answers(stayed, stops.made, work),
+        *check_contents(stayed, runners),
+        *check_outcomes(stayed, lines),
+        *check_cut_lines(stayed, stops.made, work, lines),
+        *check_left(calls, lines),
+    ]
+    figures: dict[str, object] = {
+        "seed": seed,
+        "dimensions": sorted(dimensions),
+        "requests": len(calls),
+        "ends": Counter(f"{c.route} {c.answer.end.value} {c.answer.status}" for c in calls),
+        "streams_in_stops": count_in_stops(calls, stops.made, work),
+        "stops": len(stops.made),
+        "faults": stops.counts,
+        "orders": preludes.orders,
+        "configurations": configurations.count,
+        "failures": failures.bursts,
+        "silences": len(silences.made),
+        "gone": count_gone(calls, lines),
+        "stalled_ms": round(meter.longest_s * MS_PER_S),
+        "outside": list_outside(stayed, stops.made, work, silences.made),
+        "violations": [str(violation) for violation in violations],
+    }
+    return figures, violations, rig
--- a/bench/soak_overlaps.py
+++ b/bench/soak_overlaps.py
@@ -10,7 +10,7 @@
 import signal
 import time
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 from typing import Any, Final
 
@@ -67,10 +67,21 @@
 
 
 class OverlappingStops:
-    """Stops each forwarder again and again, independently of the others."""
+    """Stops each forwarder again and again, independently of the others.
 
-    def __init__(self, *, rig: SoakRig, seed: int) -> None:
+    `before_stop` is awaited right before the first signal of each stop, with the number of its
+    forwarder.
+    """
+
+    def __init__(
+        self,
+        *,
+        rig: SoakRig,
+        seed: int,
+        before_stop: Callable[[int], Awaitable[None]] | None = None,
+    ) -> None:
         self._rig = rig
+        self._before_stop = before_stop
         self._seed = seed
         self._series = [
             Stops(rig=rig, seed=f"{seed}/{number}", stop_s=GRACE_S) for number in range(rig.count)
@@ -105,6 +116,8 @@
                 self._reloads += 1
                 process.send_signal(signal.SIGHUP)
             await asyncio.sleep(reload_s)
+            if self._before_stop is not None:
+                await self._before_stop(number)
             await self._series[number].async_stop_once(number)
 
 
