--- a/bench/soak.py
+++ b/bench/soak.py
@@ -230,7 +230,7 @@
     "--dimension",
     "dimensions",
     multiple=True,
-    type=click.Choice([*Dimension]),
+    type=click.Choice([dimension.value for dimension in Dimension]),
     help="What happens beside the stops of --one-attempt; may be given several times.",
 )
 @click.option(
@@ -258,7 +258,7 @@
     silences: bool,
     overlaps: bool,
     one_attempt: bool,
-    dimensions: tuple[Dimension, ...],
+    dimensions: tuple[str, ...],
     forwarders: int,
     journals: Path | None,
 ) -> None:
@@ -267,12 +267,13 @@
     chosen = [seed] if seed is not None else list(range(first, first + seeds))
     ends = time.monotonic() + 60 * minutes
     runs: list[dict[str, object]] = []
+    chosen_dimensions = [Dimension(name) for name in dimensions] or list(Dimension)
     alone: dict[SoakRun, bool] = {
         async_soak_unfinished: unfinished,
         async_soak_stops: stops,
         async_soak_silences: silences,
         async_soak_overlaps: overlaps,
-        partial(async_soak_one_attempt, dimensions=dimensions or tuple(Dimension)): one_attempt,
+        partial(async_soak_one_attempt, dimensions=chosen_dimensions): one_attempt,
     }
     only = next((run for run, wanted in alone.items() if wanted), None)
     all_kept = True
