Ask for untaken bytes at each close of a caller's connection, and know half a head behind a body

The idle timeout, the timeout of a head and the end of a drain closed a connection without asking whether its caller had taken the last answer: what the caller sent then reset it. The timers now close as the drain does, by close_idle, and close_idle leaves a lingering close alone until its answer is taken or the stop cuts it. Half a head that came in one read with the end of a body counted as none, as the parser holds it and does not tell: the connection was idle, and closed. NextHead follows where the body ends, by its length or its last chunk, over split reads.

--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -6,17 +6,18 @@
 import logging
 from collections.abc import Callable
 from enum import StrEnum
+from itertools import islice
 from typing import Any, Final
 
 from aiohttp import web
 from aiohttp.http_parser import HttpRequestParser
-from aiohttp.streams import EMPTY_PAYLOAD
 
 from gypsumrouter.callers.const import MAX_HEADERS, WRITE_BUFFER_BYTES
 from gypsumrouter.callers.errors import make_error_response, reject_http, render_stopping
 from gypsumrouter.callers.limit_timer import LimitTimer
 from gypsumrouter.callers.lingering_close import LingeringClose, begin_lingering_close
 from gypsumrouter.callers.models import GetLimits, RequestIdGenerator
+from gypsumrouter.callers.next_head import NextHead
 from gypsumrouter.callers.transports import (
     abort_connection,
     has_unread_bytes,
@@ -62,6 +63,7 @@
         "_head_started",
         "_head_timer",
         "_lingering",
+        "_next_head",
         "_next_head_started",
         "_opened_idle_timeout_ms",
         "_opened_s",
@@ -95,6 +97,7 @@
         # The HTTP library counts with this one for as long as the connection is open.
         self._opened_idle_timeout_ms = limits.idle_timeout_ms
         self._head_started = False
+        self._next_head = NextHead()
         # Whether a part of the next request has arrived behind the one that is answered now.
         self._next_head_started = False
         self._head_timer: LimitTimer | None = None
@@ -160,24 +163,16 @@
             return
         if self._is_awaiting_head and not self._head_started:
             self._update_parser()
-        request = self._current_request
-        is_whole = request is not None and self._request_in_progress and request.content.is_eof()
         queued = len(self._messages)
+        self._next_head.begin_read()
         super().data_received(data)
+        added = tuple(islice(self._messages, queued, None))
+        is_inside_head = self._next_head.end_read(data, added)
         if self._is_awaiting_head and not self._head_started:
             self._start_head()
         elif data:
             # The HTTP library calls this without data to parse what it has kept.
-            added = len(self._messages) > queued
-            self._next_head_started = self._ends_behind_head(data) if added else is_whole
-
-    def _ends_behind_head(self, data: bytes) -> bool:
-        """Return whether data that ended a head goes on with a part of the next one.
-
-        That can't be told behind a body.
-        """
-        _, content = self._messages[-1]
-        return content is EMPTY_PAYLOAD and not data.endswith(b"\r\n\r\n")
+            self._next_head_started = is_inside_head
 
     def _start_head(self) -> None:
         """Start the timeout of a head of which a part has arrived."""
@@ -203,7 +198,7 @@
     def _start_head_timer(self, get_limit_ms: Callable[[], int]) -> None:
         if self._head_timer is not None:
             self._head_timer.stop()
-        self._head_timer = LimitTimer(get_limit_ms=get_limit_ms, on_end=self.force_close)
+        self._head_timer = LimitTimer(get_limit_ms=get_limit_ms, on_end=self.close_idle)
         self._head_timer.start()
 
     def _update_parser(self) -> None:
@@ -232,7 +227,9 @@
 
     def close_idle(self) -> None:
         """Close a connection on which no request arrives, once its caller has its last answer."""
-        if self._lingering is None and has_untaken_bytes(self.transport):
+        if has_untaken_bytes(self.transport):
+            if self._lingering is not None:
+                return
             self.close()
             if self._begin_lingering_close() is not None:
                 return
@@ -302,7 +299,8 @@
         if loop.time() < ends_s:
             self._keepalive_handle = loop.call_at(ends_s, self._process_keepalive)
             return
-        super()._process_keepalive()
+        if self._waiter is not None and not self._waiter.done():
+            self.close_idle()
 
     def handle_error(
         self,
