Tell a connection that is accepted as a drain begins to close after its answer

A connection whose protocol object exists and whose transport does not yet was in no list of the server, so a drain that began in between did not tell it: its answer announced nothing, and the connection was closed unannounced as idle. The server now tells each connection when its transport is there.

--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -78,7 +78,6 @@
         *,
         get_limits: GetLimits,
         generate_request_id: RequestIdGenerator,
-        closes_after_answer: bool,
         **options: Any,
     ) -> None:
         limits = get_limits()
@@ -102,7 +101,7 @@
         self._next_head_started = False
         self._head_timer: LimitTimer | None = None
         self._opened_s = asyncio.get_running_loop().time()
-        self._closes_after_answer = closes_after_answer
+        self._closes_after_answer = False
         # Whether the latest request is answered, though its body may not have arrived whole.
         self._answered = False
         self._body_scope: asyncio.Timeout | None = None
--- a/gypsumrouter/callers/listener.py
+++ b/gypsumrouter/callers/listener.py
@@ -45,6 +45,12 @@
         """Return the open connections."""
         return [c for c in self.connections if isinstance(c, CallerConnection) and c.connected]
 
+    def connection_made(self, handler: web.RequestHandler, transport: asyncio.Transport) -> None:
+        """Tell a new connection to close after its next answer, if all others do."""
+        super().connection_made(handler, transport)
+        if self._closes_after_answers and isinstance(handler, CallerConnection):
+            handler.close_after_answer()
+
     def connection_lost(
         self, handler: web.RequestHandler, exc: BaseException | None = None
     ) -> None:
@@ -64,7 +70,6 @@
             self,
             get_limits=self._get_limits,
             generate_request_id=self._generate_request_id,
-            closes_after_answer=self._closes_after_answers,
             loop=asyncio.get_running_loop(),
             access_log=None,
         )
--- a/tests/callers/test_callers_untaken_answers.py
+++ b/tests/callers/test_callers_untaken_answers.py
@@ -186,3 +186,24 @@
         async with asyncio.timeout(TIMEOUT_S):
             while server.list_states():
                 await CLOCK.async_sleep(1)
+
+
+# Guards against an unannounced close of a connection whose transport was not there yet when the
+# drain began, though the event loop had accepted it.
+async def test_connection_accepted_right_before_a_drain_is_not_told_to_close(
+    servers: list[AnsweringServer],
+) -> None:
+    server = await async_add(servers, AnsweringServer())
+    protocol = server.server()
+    server.listener.close_after_answers()
+    ends = socket.socketpair()
+    for end in ends:
+        end.setblocking(False)
+    caller, accepted = ends
+    loop = asyncio.get_running_loop()
+    await loop.connect_accepted_socket(lambda: protocol, accepted)
+    caller.send(REQUEST)
+    async with asyncio.timeout(TIMEOUT_S):
+        answer = await loop.sock_recv(caller, 1_000)
+    assert b"connection: close" in answer.lower()
+    caller.close()
