Reject a caller's deadline that is no plain number, by the name of its header

A caller with X-Deadline-Ms of -1, 1_0, 1e3 or digits of another script got 503 or 504 at once, or a deadline that it had not stated: `int` and `float` take all of these. nan, inf and 1e400 got 400 with the field "head".

All texts but ASCII digits with an optional fraction, of at most 20 digits on each side of the point, now get 400 that names X-Deadline-Ms. A larger plain number is a long deadline, read as 24 h; 0 has passed, as before. The numbers of X-Token-Usage and X-Prefix-Hash are read in the same way, and a prompt with an odd one is ignored, as before.

The answer names the request's own id instead of one of the router.

--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -28,7 +28,7 @@
 from gypsumrouter.forwarding.drain import DrainAdmission
 from gypsumrouter.forwarding.execution import RequestExecution
 from gypsumrouter.forwarding.metrics import ForwardingMetrics, RequestRecords, RunningRequest
-from gypsumrouter.forwarding.models import CallerRequest, Prompt
+from gypsumrouter.forwarding.models import CallerRequest, MalformedHead, Prompt
 from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED, Progress, get_time_limit_ms
 from gypsumrouter.forwarding.refusals import DEFAULT_TIMEOUT_MS, Refusals
 from gypsumrouter.forwarding.relay import CallerDisconnected
@@ -58,8 +58,8 @@
 class RequestParser(Protocol):
     """Parses a request in the HTTP representation of the deployment."""
 
-    def __call__(self, *, request: web.BaseRequest, body: bytes) -> CallerRequest | None:
-        """Return the request, or None if its head is malformed."""
+    def __call__(self, *, request: web.BaseRequest, body: bytes) -> CallerRequest | MalformedHead:
+        """Return the request, or what is malformed in its head."""
 
 
 class RequestHandler:
@@ -192,8 +192,11 @@
             )
             return response
         caller_request = self._parse_request(request=request, body=body)
-        if caller_request is None:
-            return self._refusals.reject_malformed(reject_field("head", "The head is malformed"))
+        if isinstance(caller_request, MalformedHead):
+            return self._refusals.reject_malformed(
+                reject_field(caller_request.field, caller_request.message),
+                request_id=request.headers.get(HEADER_REQUEST_ID),
+            )
         self._running[number].arriving = False
         set_request_id(caller_request.request_id)
         return await self._async_route(request, caller_request, arrived_ms, number)
--- a/gypsumrouter/forwarding/models.py
+++ b/gypsumrouter/forwarding/models.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Final, Protocol
+from collections.abc import Callable
+from typing import Final, Protocol, TypeVar
 
 import xxhash
 from msgspec import Struct
 
+from gypsumrouter.const import MS_PER_S
 from gypsumrouter.crashes import Subjects, Verdict, make_workspace_id, select_parts
 from gypsumrouter.helpers.http_response import (
     HttpResponse,
@@ -16,6 +18,12 @@
 # More tokens than any engine's memory holds. A larger count is a false statement, and one of some
 # hundred digits does not even fit into a float.
 MAX_PROMPT_TOKENS: Final = 10**9
+# Longer deadlines are read as this, which is above the timeout of any route.
+MAX_DEADLINE_MS: Final = 24 * 3600 * MS_PER_S
+# Of an odd header, for the log.
+MAX_ODD_CHARACTERS: Final = 60
+
+_T = TypeVar("_T")
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -39,13 +47,6 @@
     input_tokens: int
     max_output_tokens: int
 
-    def validate(self) -> Prompt:
-        """Return the prompt; raises ValueError for token counts that no prompt has."""
-        counts = (self.input_tokens, self.max_output_tokens, *(part.tokens for part in self.parts))
-        if any(not 0 <= tokens <= MAX_PROMPT_TOKENS for tokens in counts):
-            raise ValueError(f"expected 0 to {MAX_PROMPT_TOKENS} tokens")
-        return self
-
     @property
     def shared(self) -> tuple[PromptPart, ...]:
         """Return the parts that other requests may share."""
@@ -57,6 +58,13 @@
         return sum(part.tokens for part in self.parts[-1:])
 
 
+class MalformedHead(Struct, frozen=True, kw_only=True):
+    """The head of a caller's request is not valid: in which field, and what a valid one has."""
+
+    field: str
+    message: str
+
+
 class CallerRequest(Struct, frozen=True, kw_only=True):
     """A caller's request, including its complete body.
 
@@ -127,6 +135,34 @@
     return LoadReport(running=running, waiting=waiting, slots=slots, pace=pace)
 
 
+class OddHeader(Struct, frozen=True, kw_only=True):
+    """A header whose value can't be read; `value` is the beginning of it."""
+
+    name: str
+    value: str
+
+
+class HeaderReader:
+    """Reads headers of one response, and collects those whose values can't be read."""
+
+    __slots__ = ("_odd",)
+
+    def __init__(self) -> None:
+        self._odd: list[OddHeader] = []
+
+    @property
+    def odd(self) -> tuple[OddHeader, ...]:
+        """Return the headers that could not be read."""
+        return tuple(self._odd)
+
+    def read(self, name: str, text: str | None, decode: Callable[[str], _T | None]) -> _T | None:
+        """Return what the value of a header states, None if it is missing or can't be read."""
+        value = None if text is None else decode(text)
+        if text is not None and value is None:
+            self._odd.append(OddHeader(name=name, value=text[:MAX_ODD_CHARACTERS]))
+        return value
+
+
 class ResponseMetadata(Struct, frozen=True, kw_only=True):
     """Metadata from the headers of an upstream's response.
 
@@ -137,7 +173,8 @@
     `keep_alive_ms` is how long the upstream keeps an idle connection open, `retry_after_ms` how
     long it asks not to be sent new requests; both are None if not given. `draining` is true if the
     upstream is shutting down. `reports_load` is true if the response states a load, valid or not;
-    `load` is None if it states no valid one.
+    `load` is None if it states no valid one. `odd_headers` are those whose values can't
+    be read; each counts as absent.
     """
 
     request_id: str | None
@@ -150,6 +187,7 @@
     retry_after_ms: int | None = None
     reports_load: bool = False
     load: LoadReport | None = None
+    odd_headers: tuple[OddHeader, ...] = ()
 
 
 class Dialect(Protocol):
--- a/gypsumrouter/platform/requests.py
+++ b/gypsumrouter/platform/requests.py
@@ -7,8 +7,17 @@
 
 from aiohttp import web
 
-from gypsumrouter.forwarding.models import AttemptOptions, CallerRequest, Prompt, PromptPart
+from gypsumrouter.forwarding.models import (
+    MAX_DEADLINE_MS,
+    MAX_PROMPT_TOKENS,
+    AttemptOptions,
+    CallerRequest,
+    MalformedHead,
+    Prompt,
+    PromptPart,
+)
 from gypsumrouter.helpers.http_headers import HOP_BY_HOP, list_connection_headers
+from gypsumrouter.helpers.numbers import read_decimal, read_hexadecimal, read_number, read_numbers
 from gypsumrouter.platform import names
 
 MAX_PRIORITY: Final = 9
@@ -27,15 +36,15 @@
 )
 
 
-def read_request(*, request: web.BaseRequest, body: bytes) -> CallerRequest | None:
-    """Decode a caller's request; None if its request line or headers are invalid."""
+def read_request(*, request: web.BaseRequest, body: bytes) -> CallerRequest | MalformedHead:
+    """Decode a caller's request, or tell what is invalid in its request line or headers."""
     headers = request.headers
     request_id = headers.get(names.REQUEST_ID, "")
     if not request_id or not request.raw_path.startswith("/"):
-        return None
-    deadline_ms = _read_deadline_ms(headers.get(names.DEADLINE))
+        return MalformedHead(field="head", message="The head is malformed")
+    deadline_ms = read_decimal(headers.get(names.DEADLINE), cap=MAX_DEADLINE_MS)
     if deadline_ms is None and names.DEADLINE in headers:
-        return None
+        return MalformedHead(field=names.DEADLINE, message="A deadline must be a plain number")
     dropped = DROPPED_HEADERS | list_connection_headers(headers.get("Connection", ""))
     return CallerRequest(
         request_id=request_id,
@@ -43,7 +52,7 @@
         host=headers.get("Host", "").rpartition(":")[0] or headers.get("Host", ""),
         path=request.raw_path,
         api_key=headers.get(names.API_KEY),
-        deadline_ms=deadline_ms,
+        deadline_ms=None if deadline_ms is None else int(deadline_ms),
         prompt=_read_prompt(headers),
         last_event_id=headers.get(names.LAST_EVENT_ID),
         headers=tuple((n, v) for n, v in headers.items() if n.lower() not in dropped),
@@ -82,28 +91,22 @@
     listed = headers.get(names.PREFIX_PARTS)
     if usage is None or listed is None:
         return None
-    try:
-        input_tokens, _, output_tokens = usage.partition(",")
-        parts = tuple(_read_part(entry) for entry in listed.split(",") if entry.strip())
-        return Prompt(
-            model=headers.get(names.MODEL, ""),
-            parts=parts,
-            input_tokens=int(input_tokens),
-            max_output_tokens=int(output_tokens or 0),
-        ).validate()
-    except ValueError:
+    # The output tokens may be missing.
+    counts = read_numbers(usage.removesuffix(","), largest=MAX_PROMPT_TOKENS)
+    read = [_read_part(entry) for entry in listed.split(",") if entry.strip()]
+    parts = tuple(part for part in read if part is not None)
+    if counts is None or len(counts) > 2 or len(parts) < len(read):
         return None
+    return Prompt(
+        model=headers.get(names.MODEL, ""),
+        parts=parts,
+        input_tokens=counts[0],
+        max_output_tokens=sum(counts[1:]),
+    )
 
 
-def _read_part(entry: str) -> PromptPart:
+def _read_part(entry: str) -> PromptPart | None:
     part, _, tokens = entry.strip().partition(":")
-    return PromptPart(part=int(part, 16) & names.MASK_64, tokens=int(tokens))
-
-
-def _read_deadline_ms(value: str | None) -> int | None:
-    if value is None:
-        return None
-    try:
-        return max(0, int(float(value)))
-    except (ValueError, OverflowError):
-        return None
+    number = read_hexadecimal(part, mask=names.MASK_64)
+    count = read_number(tokens.strip(), largest=MAX_PROMPT_TOKENS)
+    return None if number is None or count is None else PromptPart(part=number, tokens=count)
