Record a Last-Event-Id that is no number as none

A number of up to 20 ASCII digits is now recorded, and anything else as -1, as for text; the id itself goes on to the upstream unchanged.

Evidence: test_odd_last_event_id_is_no_500 failed before ("assert 500 in {200, 503}").

--- a/gypsumrouter/forwarding/request_journal.py
+++ b/gypsumrouter/forwarding/request_journal.py
@@ -20,6 +20,7 @@
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.forwarding.relay import StreamEnd
+from gypsumrouter.helpers.numbers import read_number
 from gypsumrouter.journal import (
     AttemptEnded,
     AttemptSent,
@@ -243,7 +244,8 @@
 
 def read_event_number(event_id: str | None) -> int:
     """Return the number that an event's id is, -1 if there is none or it is no number."""
-    return int(event_id) if event_id is not None and event_id.isdecimal() else -1
+    number = read_number(event_id)
+    return -1 if number is None else number
 
 
 def _format_prompt_id(prompt: Prompt | None) -> str:
