Read every number in text and JSON from outside with the same strict readers

Some twenty places turned text into a number by hand, each with its own idea of a digit, a length and of errors: ports, the store's era and revisions, the versions and times of the configuration and of the instance list, deadlines at the gateway, lengths, cached parts, starts of engines, load reports, evictions, fences. None of these is known to have failed a request; what they took for a number differed (`int` takes 1_0, signs, spaces and digits of other scripts, and true, 1.9 and "7" in JSON).

An odd `born` counts as not stated, and an odd part is left out of a list of cached parts instead of ending the list. A document that is nested too deeply is an odd document in five more places.

--- a/gypsumrouter/cli/explain.py
+++ b/gypsumrouter/cli/explain.py
@@ -58,7 +58,7 @@
             continue
         try:
             fields = json.loads(text[start:])
-        except ValueError:
+        except (ValueError, RecursionError):
             continue
         if not isinstance(fields, dict) or "time" not in fields:
             continue
--- a/gypsumrouter/cli/status.py
+++ b/gypsumrouter/cli/status.py
@@ -10,6 +10,7 @@
 from gypsumrouter.cli.client import DumpResult, get_section
 from gypsumrouter.cli.inspection import add_inspection_options, show_processes
 from gypsumrouter.cli.table import UNKNOWN, Row
+from gypsumrouter.helpers.numbers import read_json_number
 from gypsumrouter.operators import ATTR_INSTANCE, ATTR_READY, ATTR_ROLE, ATTR_STATE
 
 
@@ -72,7 +73,7 @@
         return None
     dialed = link.get("pool") or []
     accepted = (link.get("server") or {}).get("routers") or []
-    return sum(int(entry.get("exchanges", 0)) for entry in (*dialed, *accepted))
+    return sum((read_json_number(entry.get("exchanges")) or 0) for entry in (*dialed, *accepted))
 
 
 def _format(value: object) -> str:
--- a/gypsumrouter/configuration/source.py
+++ b/gypsumrouter/configuration/source.py
@@ -19,6 +19,7 @@
 )
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.helpers.connector import ShieldedConnector
+from gypsumrouter.helpers.numbers import read_number
 
 if TYPE_CHECKING:
     from gypsumrouter.core import Application
@@ -130,8 +131,7 @@
 
 
 def _read_header(response: aiohttp.ClientResponse) -> int | None:
-    value = response.headers.get(HEADER_VERSION, "")
-    return int(value) if value.isascii() and value.isdigit() else None
+    return read_number(response.headers.get(HEADER_VERSION))
 
 
 def _build_timeout(timeout_ms: int) -> aiohttp.ClientTimeout:
--- a/gypsumrouter/crashes/guard.py
+++ b/gypsumrouter/crashes/guard.py
@@ -30,6 +30,7 @@
 from gypsumrouter.crashes.runs import Run, RunTracker, SurvivalMemory
 from gypsumrouter.crashes.verdicts import VerdictTable, get_trial_ms, note_trial
 from gypsumrouter.helpers.metrics import NO_LABELS
+from gypsumrouter.helpers.numbers import read_hexadecimal
 from gypsumrouter.journal import Journal
 
 # Time in which the connections of an upstream that has crashed break, and after which a piece that
@@ -111,7 +112,8 @@
 
     def set_allowed(self, parts: Collection[str]) -> None:
         """Set the parts, in hexadecimal, that an operator has exempted from refusal."""
-        self._allowed = frozenset(select_parts(int(part, 16) for part in parts))
+        numbers = (read_hexadecimal(part) for part in parts)
+        self._allowed = frozenset(select_parts(part for part in numbers if part is not None))
 
     def find_refusal(self, subjects: Subjects) -> Verdict | None:
         """Return the conviction for which a request is refused, None if it may be sent.
--- a/gypsumrouter/fleet/source.py
+++ b/gypsumrouter/fleet/source.py
@@ -25,6 +25,7 @@
 )
 from gypsumrouter.fleet.document import check_instance_list
 from gypsumrouter.helpers.connector import ShieldedConnector
+from gypsumrouter.helpers.numbers import MAX_JSON_NUMBER, read_number
 from gypsumrouter.instances import InstanceList
 
 if TYPE_CHECKING:
@@ -108,7 +109,10 @@
     response: aiohttp.ClientResponse,
 ) -> InstanceList | Unchanged | None:
     if response.status == HTTPStatus.NO_CONTENT:
-        return Unchanged(as_of_ms=int(response.headers.get(HEADER_AS_OF, "")))
+        as_of_ms = read_number(response.headers.get(HEADER_AS_OF), largest=MAX_JSON_NUMBER)
+        if as_of_ms is None:
+            raise ValueError(f"expected a time in {HEADER_AS_OF}, got none or an invalid one")
+        return Unchanged(as_of_ms=as_of_ms)
     if response.status != HTTPStatus.OK:
         return None
     body = await _async_read_bounded(response.content)
--- a/gypsumrouter/gateway/checks.py
+++ b/gypsumrouter/gateway/checks.py
@@ -27,6 +27,7 @@
     ROUTER_HEADER_PREFIX,
 )
 from gypsumrouter.gateway.models import CallerHead, ChatBody
+from gypsumrouter.helpers.numbers import read_number
 from gypsumrouter.link.models import Headers
 from gypsumrouter.outcomes import Reason
 
@@ -160,12 +161,13 @@
         message = f"A key has at most {MAX_IDEMPOTENCY_KEY_LENGTH} plain characters"
         return reject(Reason.KEY_INVALID, message, param=HEADER_IDEMPOTENCY_KEY)
     deadline = values.get(HEADER_DEADLINE.lower())
-    if deadline is not None and not _is_deadline(deadline):
+    deadline_ms = read_number(deadline, smallest=1, largest=MAX_DEADLINE_MS)
+    if deadline is not None and deadline_ms is None:
         message = f"A deadline must be a whole number between 1 and {MAX_DEADLINE_MS}"
         return reject_field(HEADER_DEADLINE, message)
     return CallerHead(
         caller_class=values.get(HEADER_CLASS.lower()),
-        deadline_ms=None if deadline is None else int(deadline),
+        deadline_ms=deadline_ms,
         chat=chat,
         # An invalid hint is ignored, because hints only affect placement.
         hint=hint if _is_printable_ascii(hint, MAX_HINT_LENGTH) else "",
@@ -191,12 +193,6 @@
     return decoded
 
 
-def _is_deadline(text: str) -> bool:
-    if not text.isascii() or not text.isdigit() or len(text) > len(str(MAX_DEADLINE_MS)):
-        return False
-    return 1 <= int(text) <= MAX_DEADLINE_MS
-
-
 def _is_printable_ascii(text: str, max_length: int) -> bool:
     return len(text) <= max_length and text.isascii() and text.isprintable()
 
--- a/gypsumrouter/gateway/reply.py
+++ b/gypsumrouter/gateway/reply.py
@@ -23,6 +23,7 @@
 )
 from gypsumrouter.gateway.events import EventBuffer
 from gypsumrouter.gateway.request_monitor import MonitoredRequest
+from gypsumrouter.helpers.numbers import read_number
 from gypsumrouter.link.models import Head
 from gypsumrouter.outcomes import Failure
 from gypsumrouter.util.clock import Clock
@@ -278,5 +279,5 @@
 
 def _copy_content_length(head: Head | None, response: web.Response) -> None:
     for name, value in head.headers if head is not None else ():
-        if name.lower() == "content-length" and value.isdecimal():
+        if name.lower() == "content-length" and read_number(value) is not None:
             response.headers["Content-Length"] = value
--- a/gypsumrouter/helpers/listening.py
+++ b/gypsumrouter/helpers/listening.py
@@ -14,6 +14,8 @@
 from collections.abc import Sequence
 from typing import Any, Final
 
+from gypsumrouter.helpers.numbers import MAX_PORT, read_number
+
 BACKLOG: Final = 1_024
 SEND_BUFFER_BYTES: Final = 128 * 1024
 # A dead peer is detected after about three seconds, on idle connections too.
@@ -84,13 +86,14 @@
         host, _, port = settings["callers"].rpartition(":")
         processor = settings.get("processor", {})
         cores = processor.get("share", 1.0) * processor.get("speed", 1.0)
-        if int(port) == 0 or cores < MIN_CORES_FOR_EARLY_LISTENER:
+        number = read_number(port, smallest=1, largest=MAX_PORT)
+        if number is None or cores < MIN_CORES_FOR_EARLY_LISTENER:
             return
-        listener = make_listening_socket(host=host, port=int(port))
+        listener = make_listening_socket(host=host, port=number)
         listener.listen(BACKLOG)
-    except (OSError, ValueError, KeyError, TypeError, AttributeError):
+    except (OSError, ValueError, KeyError, TypeError, AttributeError, RecursionError):
         return
-    _early_sockets[(host, int(port))] = listener
+    _early_sockets[(host, number)] = listener
 
 
 def _disable_system_certificates(settings: dict[str, Any]) -> None:
--- a/gypsumrouter/helpers/settings_file.py
+++ b/gypsumrouter/helpers/settings_file.py
@@ -90,7 +90,7 @@
     try:
         sections = json.loads(document)
         return validate_json(kind=kind, document=json.dumps(sections[name]))
-    except (ValueError, KeyError, TypeError, DocumentInvalid):
+    except (ValueError, KeyError, TypeError, DocumentInvalid, RecursionError):
         return None
 
 
--- a/gypsumrouter/idempotency/keys.py
+++ b/gypsumrouter/idempotency/keys.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct
 
+from gypsumrouter.helpers.numbers import read_hexadecimal
 from gypsumrouter.idempotency.const import MAX_KEY_LENGTH
 from gypsumrouter.outcomes import Reason, Refused
 
@@ -44,7 +45,7 @@
 def _read_created_ms(text: str) -> int | None:
     uuid = _UUID7.fullmatch(text)
     if uuid:
-        return int(uuid[1] + uuid[2], 16)
+        return read_hexadecimal(uuid[1] + uuid[2])
     ulid = _ULID.fullmatch(text)
     if ulid:
         return _decode_crockford(ulid[1].upper())
--- a/gypsumrouter/instances.py
+++ b/gypsumrouter/instances.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from gypsumrouter.const import InstanceState, Role
+from gypsumrouter.helpers.numbers import MAX_PORT, read_number
 
 
 class Address(Struct, frozen=True, kw_only=True):
@@ -21,7 +22,10 @@
 def parse_address(text: str) -> Address:
     """Parse the text form of an address, HOST:PORT or [HOST]:PORT; raises ValueError."""
     host, _, port = text.rpartition(":")
-    return Address(host=host.strip("[]"), port=int(port))
+    number = read_number(port, largest=MAX_PORT)
+    if number is None:
+        raise ValueError(f"expected HOST:PORT, got {text!r:.60}")
+    return Address(host=host.strip("[]"), port=number)
 
 
 class Instance(Struct, frozen=True, kw_only=True):
--- a/gypsumrouter/orders/engine.py
+++ b/gypsumrouter/orders/engine.py
@@ -14,6 +14,7 @@
 
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.core import Application
+from gypsumrouter.helpers.numbers import read_json_number
 from gypsumrouter.orders.const import (
     CALL_TIMEOUT_MS,
     HTTP_ACCEPTED,
@@ -147,10 +148,10 @@
 def _parse_fence(body: bytes) -> int:
     try:
         document = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return 0
     fence = document.get("fence") if isinstance(document, dict) else None
-    return fence if isinstance(fence, int) else 0
+    return read_json_number(fence) or 0
 
 
 def _parse_state(models: Any, orders: Any) -> EngineState:
--- a/gypsumrouter/platform/engines.py
+++ b/gypsumrouter/platform/engines.py
@@ -5,8 +5,10 @@
 import json
 
 from gypsumrouter.forwarding.inventory import CachedPart, CacheListing
+from gypsumrouter.forwarding.models import MAX_PROMPT_TOKENS
 from gypsumrouter.helpers.http_connection import HttpConnection, async_get
 from gypsumrouter.helpers.http_response import ConnectionBroken
+from gypsumrouter.helpers.numbers import read_hexadecimal, read_json_number
 from gypsumrouter.platform import names
 
 
@@ -14,9 +16,9 @@
     """Return when an upstream started, 0 if it doesn't state it; raises ConnectionBroken."""
     _, body = await async_get(connection, names.CALL_REPORT)
     try:
-        return int(json.loads(body).get("born", 0))
-    except (ValueError, TypeError, AttributeError, OverflowError, RecursionError) as error:
-        raise ConnectionBroken(f"expected a report, got {error!r}") from None
+        return read_json_number(json.loads(body).get("born")) or 0
+    except (ValueError, AttributeError, RecursionError) as error:
+        raise ConnectionBroken(f"expected a report, got {error!r:.200}") from None
 
 
 async def async_list_cached_parts(connection: HttpConnection) -> CacheListing:
@@ -26,13 +28,15 @@
         document = json.loads(body)
         # Each entry is a list: an empty string, the part's id, its token count, its model.
         parts = tuple(
-            CachedPart(part=int(part, 16) & names.MASK_64, tokens=int(tokens))
+            CachedPart(part=number, tokens=count)
             for _, part, tokens, _ in document["held"]
+            if (number := read_hexadecimal(str(part), mask=names.MASK_64)) is not None
+            and (count := read_json_number(tokens, largest=MAX_PROMPT_TOKENS)) is not None
         )
         return CacheListing(
             parts=parts,
-            started_ms=int(document.get("born", 0)),
+            started_ms=read_json_number(document.get("born")) or 0,
             draining=names.is_leaving(answer.get(names.SERVER_LEAVING)),
         )
-    except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as error:
-        raise ConnectionBroken(f"expected a list of cached parts, got {error!r}") from None
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
+        raise ConnectionBroken(f"expected a list of cached parts, got {error!r:.200}") from None
--- a/gypsumrouter/platform/entries.py
+++ b/gypsumrouter/platform/entries.py
@@ -10,11 +10,10 @@
 
 from gypsumrouter.directory import Entry, EntryState
 from gypsumrouter.exceptions import DocumentInvalid, FieldError
-from gypsumrouter.instances import Address
+from gypsumrouter.instances import Address, parse_address
 from gypsumrouter.platform import names
 from gypsumrouter.util.validation import validate_json
 
-MAX_PORT: Final = 65_535
 # Ids are forwarded in a header; the store limits keys to 200 bytes.
 ID_PATTERN: Final = re.compile(r"[A-Za-z0-9_.:-]{1,200}")
 
@@ -73,11 +72,11 @@
 
 
 def _read_address(text: str) -> Address:
-    host, _, port = text.rpartition(":")
     try:
-        host = str(ipaddress.ip_address(host.strip("[]")))
-        if port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT:
-            return Address(host=host, port=int(port))
+        address = parse_address(text)
+        host = str(ipaddress.ip_address(address.host))
+        if address.port:
+            return Address(host=host, port=address.port)
     except ValueError:
         pass
     raise DocumentInvalid(
--- a/gypsumrouter/platform/store.py
+++ b/gypsumrouter/platform/store.py
@@ -14,10 +14,11 @@
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.helpers.http_connection import ConnectFailed, HttpConnection, async_connect
 from gypsumrouter.helpers.http_response import MAX_PAGE_BYTES, ConnectionBroken, async_read_body
+from gypsumrouter.helpers.numbers import read_json_number, read_number
 from gypsumrouter.instances import Address
 from gypsumrouter.platform import names
 from gypsumrouter.published.models import HistoryLost, Item, ItemBatch, StoreUnavailable
-from gypsumrouter.util.revisions import get_epoch, get_number, make_revision
+from gypsumrouter.util.revisions import NUMBERS_PER_EPOCH, get_epoch, get_number, make_revision
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -25,7 +26,7 @@
 RESPONSE_TIMEOUT_MS: Final = 1_500
 # Limit on the pages of one list.
 MAX_PAGES: Final = 64
-MAX_ERA_DIGITS: Final = 18
+MAX_ERA: Final = 10**18 - 1
 # Eras increase by one from an arbitrary start; their last six digits are used as the epoch.
 EPOCH_MODULUS: Final = 10**6
 
@@ -176,11 +177,10 @@
 
 def _read_epoch(text: str | None) -> int:
     """Return the epoch of a response, 0 if it has none; raises StoreUnavailable if invalid."""
-    if text is None:
-        return 0
-    if text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS:
-        return int(text) % EPOCH_MODULUS
-    raise StoreUnavailable(f"expected an era of 1 to {MAX_ERA_DIGITS} digits, got {text!r:.40}")
+    era = 0 if text is None else read_number(text, largest=MAX_ERA)
+    if era is None:
+        raise StoreUnavailable(f"expected an era from 0 to {MAX_ERA}, got {text!r:.40}")
+    return era % EPOCH_MODULUS
 
 
 def _read_item(entry: Any, epoch: int) -> Item | None:
@@ -209,9 +209,5 @@
 
 def _read_revision(value: Any, epoch: int) -> int | None:
     """Return a revision, None if invalid; booleans are rejected although they are ints."""
-    if isinstance(value, bool) or not isinstance(value, int):
-        return None
-    try:
-        return make_revision(epoch=epoch, number=value)
-    except ValueError:
-        return None
+    number = read_json_number(value, largest=NUMBERS_PER_EPOCH - 1)
+    return None if number is None else make_revision(epoch=epoch, number=number)
--- a/gypsumrouter/prefixes/engine.py
+++ b/gypsumrouter/prefixes/engine.py
@@ -13,6 +13,7 @@
 
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.core import Application
+from gypsumrouter.helpers.numbers import read_json_number
 from gypsumrouter.prefixes.const import (
     CALL_TIMEOUT_MS,
     HTTP_OK,
@@ -70,7 +71,7 @@
         try:
             document = json.loads(exported)
             payload = {"chat": chat, "tokens": document["tokens"], "blocks": document["blocks"]}
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, TypeError, RecursionError):
             return False
         return await self._async_call(HTTPMethod.POST, PATH_IMPORT, payload) is not None
 
@@ -83,14 +84,19 @@
             return ()
         try:
             document = json.loads(body)
-            self._next_event = int(document["next"])
-            return tuple(
-                Evicted(chat=str(event["chat"]), tokens=int(event["tokens"]))
+            next_event = read_json_number(document["next"])
+            evicted = tuple(
+                Evicted(chat=str(event["chat"]), tokens=tokens)
                 for event in document["events"]
                 if event["kind"] == KIND_EVICTED
+                and (tokens := read_json_number(event["tokens"])) is not None
             )
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, TypeError, RecursionError):
             return ()
+        if next_event is None:
+            return ()
+        self._next_event = next_event
+        return evicted
 
     async def _async_call(
         self, method: HTTPMethod, path: str, payload: dict[str, Any] | None
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -84,8 +84,9 @@
     Each request takes one entry of `next_faults`, or `default_fault` once they are used up.
     `on_run` is called when a request starts to run; running requests wait while `gate` is cleared.
     While `draining` every response carries the draining header; all have `more_headers`.
-    Rejections ask the sender to back off for `retry_after_s`, if it is set. Unless `framed`, responses have neither a length nor
-    chunks and end with their connection; with `chunks_bodies`, plain ones have chunks for a length.
+    Rejections ask the sender to back off for `retry_after_s`, if it is set. Unless `framed`,
+    responses have neither a length nor chunks and end with their connection; with `chunks_bodies`,
+    plain ones have chunks for a length.
     With `has_event_per_token` a stream has as many events as its request asks for tokens.
     `version` is that of its software, which its events name if it is set, and `started_ms` the time
     of its start (Unix time; 0 if it doesn't state one).
--- a/gypsumrouter/upstream/health.py
+++ b/gypsumrouter/upstream/health.py
@@ -8,6 +8,7 @@
 
 from gypsumrouter.const import UpstreamKind
 from gypsumrouter.core import Application, Remove
+from gypsumrouter.helpers.numbers import read_json_number
 from gypsumrouter.settings import Upstream
 from gypsumrouter.upstream.const import (
     MAX_FAILED_POLLS,
@@ -179,9 +180,10 @@
 
 def _parse_int(document: dict[str, Any], name: str) -> int:
     value = document.get(name, 0)
-    if not isinstance(value, int):
-        raise ValueError(f"load report: expected an integer for {name}, got {value!r:.100}")
-    return value
+    number = read_json_number(value)
+    if number is None:
+        raise ValueError(f"load report: expected a count for {name}, got {value!r:.100}")
+    return number
 
 
 def _parse_models(document: Any) -> tuple[str, ...]:
--- a/gypsumrouter/upstream/transport.py
+++ b/gypsumrouter/upstream/transport.py
@@ -159,7 +159,7 @@
             try:
                 if response.status != HTTP_OK:
                     raise ValueError(f"{path}: expected status 200, got {response.status}")
-                return json.loads(await response.read())
+                return _read_json(path, await response.read())
             except (aiohttp.ClientError, OSError) as error:
                 raise ConnectionBroken(_describe(error)) from error
             finally:
@@ -204,5 +204,13 @@
     return made
 
 
+def _read_json(path: str, body: bytes) -> Any:
+    """Decode a document; raises ValueError, also for nesting that is too deep."""
+    try:
+        return json.loads(body)
+    except RecursionError:
+        raise ValueError(f"{path}: expected JSON, got nesting that is too deep") from None
+
+
 def _describe(error: BaseException) -> str:
     return f"{type(error).__name__}: {error}"
