--- a/gypsumrouter/platform/entries.py
+++ b/gypsumrouter/platform/entries.py
@@ -10,11 +10,10 @@
 
 from gypsumrouter.directory import Entry, EntryState
 from gypsumrouter.exceptions import DocumentInvalid, FieldError
-from gypsumrouter.instances import Address
+from gypsumrouter.instances import Address, parse_address
 from gypsumrouter.platform import names
 from gypsumrouter.util.validation import validate_json
 
-MAX_PORT: Final = 65_535
 # Messages between routers have 32 bits for the slots.
 MAX_SLOTS: Final = 2**32 - 1
 # Integers up to this are exact in every JSON implementation.
@@ -82,11 +81,11 @@
 
 
 def _read_address(text: str) -> Address:
-    host, _, port = text.rpartition(":")
     try:
-        host = str(ipaddress.ip_address(host.strip("[]")))
-        if port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT:
-            return Address(host=host, port=int(port))
+        address = parse_address(text)
+        host = str(ipaddress.ip_address(address.host))
+        if address.port:
+            return Address(host=host, port=address.port)
     except ValueError:
         pass
     raise DocumentInvalid(
