Bound the integers of a configuration document where it is decoded

A configuration with a version of 2^64 or more would have kept a router's updates from all peers, as messages have 64 bits for it. Figures of 10^400 (connections, slots, tokens, limits, priorities) would have raised OverflowError in estimates of requests, which divide by them or turn them into floats.

Cause: integers of the document had no bounds; times and weights had.

They are now bounded to 53 bits, versions from 0 on; a document with another number is rejected as a whole and the one in effect stays, as with times that are out of range.

--- a/gypsumrouter/platform/configuration.py
+++ b/gypsumrouter/platform/configuration.py
@@ -19,7 +19,7 @@
     Target,
     WorkspaceKeys,
 )
-from gypsumrouter.util.validation import validate_json
+from gypsumrouter.util.validation import JsonCount, JsonInteger, validate_json
 
 Milliseconds = Annotated[float, Meta(ge=0, le=1e12)]
 Weight = Annotated[float, Meta(ge=0, le=1e12)]
@@ -42,8 +42,8 @@
     timeout_ms: Milliseconds
     target_latency_ms: Milliseconds = 0.0
     target_gap_ms: Milliseconds = 0.0
-    priority: int = 0
-    max_attempts: int = 1
+    priority: JsonInteger = 0
+    max_attempts: JsonInteger = 1
     public: bool = False
     resumable: bool = False
     service: str | None = None
@@ -53,16 +53,16 @@
 class WireEngine(Struct, frozen=True, kw_only=True):
     """The capacity of a service's engines, as published."""
 
-    slots: int = 1
+    slots: JsonInteger = 1
     # Total cache size of one engine, in tokens.
-    kv_tokens: int = 0
+    kv_tokens: JsonInteger = 0
 
 
 class WireService(Struct, frozen=True, kw_only=True):
     """A service as published."""
 
     name: str
-    max_connections: int = 0
+    max_connections: JsonInteger = 0
     # Duration of an upstream's slow start, and its request rate limit meanwhile.
     cold_start_s: Annotated[float, Meta(ge=0, le=1e6)] = 0.0
     cold_per_s: Annotated[float, Meta(ge=0, le=1e9)] = 0.0
@@ -74,14 +74,14 @@
 
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: JsonInteger | None = None
 
 
 class WireLimits(Struct, frozen=True, kw_only=True):
     """Limits for callers, as published."""
 
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 4 * 1024 * 1024
+    max_header_bytes: JsonInteger = 16 * 1024
+    max_body_bytes: JsonInteger = 4 * 1024 * 1024
     header_timeout_ms: Milliseconds = 3_000
     idle_timeout_ms: Milliseconds = 15_000
 
@@ -89,7 +89,7 @@
 class WireConfiguration(Struct, frozen=True, kw_only=True):
     """The complete document; unknown fields are ignored."""
 
-    version: int
+    version: JsonCount
     routes: tuple[WireRoute, ...] = ()
     services: tuple[WireService, ...] = ()
     tenants: tuple[WireTenant, ...] = ()
--- a/gypsumrouter/platform/entries.py
+++ b/gypsumrouter/platform/entries.py
@@ -12,13 +12,11 @@
 from gypsumrouter.exceptions import DocumentInvalid, FieldError
 from gypsumrouter.instances import Address
 from gypsumrouter.platform import names
-from gypsumrouter.util.validation import validate_json
+from gypsumrouter.util.validation import MAX_JSON_INTEGER, JsonCount, validate_json
 
 MAX_PORT: Final = 65_535
 # Messages between routers have 32 bits for the slots.
 MAX_SLOTS: Final = 2**32 - 1
-# Integers up to this are exact in every JSON implementation.
-MAX_JSON_INTEGER: Final = 2**53 - 1
 # Keeps the list of a large fleet within one frame to a peer.
 MAX_TEXT_LENGTH: Final = 200
 # Ids are forwarded in a header; the store limits keys to 200 bytes.
@@ -40,7 +38,7 @@
     # Remaining duration of its slow start, in milliseconds.
     cold_left_ms: Annotated[float, Meta(ge=0, le=1e9)] = 0.0
     # Orders the commands that it accepted, not its writes.
-    sequence: Annotated[int, Meta(ge=0, le=MAX_JSON_INTEGER)] = 0
+    sequence: JsonCount = 0
     # Software version; not the version of its model.
     version: Text = ""
     # Start time in Unix milliseconds; it distinguishes restarts under the same id.
--- a/gypsumrouter/util/validation.py
+++ b/gypsumrouter/util/validation.py
@@ -17,11 +17,15 @@
 
 # The largest finite float; as a bound it excludes infinity.
 MAX_FLOAT: Final = sys.float_info.max
+# Integers up to this are exact in every JSON implementation.
+MAX_JSON_INTEGER: Final = 2**53 - 1
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 PositiveFloat = Annotated[float, Meta(gt=0, le=MAX_FLOAT)]
 PositiveInt = Annotated[int, Meta(gt=0)]
 NonNegativeInt = Annotated[int, Meta(ge=0)]
+JsonInteger = Annotated[int, Meta(ge=-MAX_JSON_INTEGER, le=MAX_JSON_INTEGER)]
+JsonCount = Annotated[int, Meta(ge=0, le=MAX_JSON_INTEGER)]
 
 ROOT: Final = "$"
 _JSON_ERRORS: Final = (msgspec.DecodeError, UnicodeError, RecursionError)
