Ignore an evacuation whose key is not printable text

One item below the prefix of evacuations whose key has a lone surrogate (JSON can write it) would have kept every update and report of a router from its peers, as each one lists all evacuations and pycapnp can't encode such text (UnicodeEncodeError).

The data centre of an evacuation is now read from printable text only, which excludes surrogates and control characters; no other key can name a data centre. Four of the five cases of the test were read as an evacuation before.

--- a/gypsumrouter/platform/entries.py
+++ b/gypsumrouter/platform/entries.py
@@ -55,7 +55,9 @@
     """Return the data centre in the key of an evacuation; None for any other key."""
     if not key.startswith(names.PREFIX_EVACUATIONS):
         return None
-    return key.removeprefix(names.PREFIX_EVACUATIONS) or None
+    data_centre = key.removeprefix(names.PREFIX_EVACUATIONS)
+    # Text that is not Unicode is not printable either; messages to peers can't carry it.
+    return data_centre if data_centre.isprintable() and data_centre else None
 
 
 def decode_entry(*, upstream: str, value: bytes | None) -> Entry:
--- a/tests/platform/test_platform_odd_documents.py
+++ b/tests/platform/test_platform_odd_documents.py
@@ -7,8 +7,10 @@
 
 import pytest
 
+from gypsumrouter.bootstrap_followers import read_evacuations
 from gypsumrouter.exceptions import ConfigurationInvalid
-from gypsumrouter.platform import decode_configuration
+from gypsumrouter.platform import decode_configuration, read_evacuated_data_centre
+from gypsumrouter.published import Item
 
 ROUTE: dict[str, Any] = {
     "name": "r",
@@ -50,3 +52,13 @@
     }
     with pytest.raises(ConfigurationInvalid):
         decode_configuration(json.dumps({"version": 1} | documents[field]).encode())
+
+
+@pytest.mark.parametrize("name", ["\ud800", "a\ud800b", "a\nb", "\x00", ""])
+def test_evacuation_of_an_odd_key_kept_updates_from_all_peers(name: str) -> None:
+    assert read_evacuated_data_centre(f"op/evacuate/{name}") is None
+    items = (
+        Item(key=f"op/evacuate/{name}", revision=1, value=b"{}"),
+        Item(key="op/evacuate/dc-é", revision=2, value=b"{}"),
+    )
+    assert [evacuation.data_centre for evacuation in read_evacuations(items)] == ["dc-é"]
