Read on after a page of the store that ends with a key that is not Unicode

A page whose last key has a lone surrogate ended the task that follows the store for good, as encoding the query for the next page raised UnicodeEncodeError, which the follower doesn't handle. The process no longer followed the list.

The query now passes surrogates on, so that the next page is requested from that key. The test failed before with the UnicodeEncodeError.

--- a/gypsumrouter/platform/store.py
+++ b/gypsumrouter/platform/store.py
@@ -119,9 +119,11 @@
     ) -> Document | None:
         """Return a response document, None if the history is lost; raises StoreUnavailable."""
         timeout_ms = wait_ms + self._response_timeout_ms
+        # The key of another writer may contain text that is not Unicode.
+        target = f"{call}?{urlencode(query, errors='surrogatepass')}"
         try:
             async with asyncio.timeout(timeout_ms / MS_PER_S):
-                answer = await self._async_exchange(f"{call}?{urlencode(query)}")
+                answer = await self._async_exchange(target)
         except (ConnectFailed, ConnectionBroken) as error:
             self.close()
             raise StoreUnavailable(str(error)) from error
--- a/tests/platform/test_platform_odd_documents.py
+++ b/tests/platform/test_platform_odd_documents.py
@@ -4,12 +4,15 @@
 
 import json
 from typing import Any
+from urllib.parse import parse_qs, urlsplit
 
 import pytest
 
 from gypsumrouter.bootstrap_followers import read_evacuations
 from gypsumrouter.exceptions import ConfigurationInvalid
-from gypsumrouter.platform import decode_configuration, read_evacuated_data_centre
+from gypsumrouter.instances import Address
+from gypsumrouter.platform import StoreClient, decode_configuration, read_evacuated_data_centre
+from gypsumrouter.platform.store import StoreAnswer
 from gypsumrouter.published import Item
 
 ROUTE: dict[str, Any] = {
@@ -62,3 +65,22 @@
         Item(key="op/evacuate/dc-é", revision=2, value=b"{}"),
     )
     assert [evacuation.data_centre for evacuation in read_evacuations(items)] == ["dc-é"]
+
+
+async def test_page_that_ends_with_an_odd_key_ended_the_task_that_reads_the_list() -> None:
+    queries: list[dict[str, list[str]]] = []
+    pages = [
+        {"items": [{"key": "servers/\ud800", "revision": 3}], "as_of": 4, "more_pages": True},
+        {"items": [{"key": "servers/\ue000", "revision": 3}], "as_of": 4},
+    ]
+
+    class PagedStore(StoreClient):
+        async def _async_exchange(self, target: str) -> StoreAnswer:
+            queries.append(parse_qs(urlsplit(target).query, errors="surrogatepass"))
+            body = json.dumps(pages[len(queries) - 1]).encode()
+            return StoreAnswer(status=200, epoch=0, body=body)
+
+    client = PagedStore(address=Address(host="127.0.0.1", port=1), prefix="servers/")
+    listed = await client.async_list()
+    assert [item.key for item in listed.items] == ["servers/\ud800", "servers/\ue000"]
+    assert queries[1]["after"] == ["servers/\ud800"]
