Bound the log lines on invalid items of the store

Each read of the list wrote one line for each odd entry, with the values in it: 400 entries whose state has 60,000 characters wrote 400 lines of up to 60,076 characters, 24 MB, at each full read. They pushed lines on requests out of the queue of the log.

A read now logs its first 20 invalid items, each cut at 600 characters, and the number of the others. All entries are still applied.

--- a/gypsumrouter/bootstrap_followers.py
+++ b/gypsumrouter/bootstrap_followers.py
@@ -42,6 +42,8 @@
 _LOGGER = logging.getLogger(__name__)
 
 SOURCE_PLATFORM: Final = "platform"
+# Invalid items that are logged for each read of the list.
+MAX_LOGGED_ITEMS: Final = 20
 
 
 def make_followers(
@@ -148,16 +150,35 @@
 
 
 def read_records(items: tuple[Item, ...]) -> Iterator[Record]:
-    """Return the records of items of the upstream list; an invalid entry becomes unusable."""
+    """Return the records of items of the upstream list; an invalid entry becomes unusable.
+
+    The first `MAX_LOGGED_ITEMS` invalid items are logged, and the number of the others.
+    """
+    invalid = 0
     for item in items:
-        upstream = read_upstream_id(item.key)
-        if upstream is None:
-            _LOGGER.error("Ignoring item with key %r; expected the key of an upstream", item.key)
-            continue
-        try:
-            entry = decode_entry(upstream=upstream, value=item.value)
-        except DocumentInvalid as error:
-            # An invalid entry must not prevent the others from being applied.
-            _LOGGER.error("Not using upstream %s: invalid list entry: %s", upstream, error)
-            entry = Entry(upstream=upstream, state=EntryState.UNUSABLE)
-        yield Record(revision=item.revision, entry=entry)
+        record, problem = _read_record(item)
+        if problem:
+            invalid += 1
+            if invalid <= MAX_LOGGED_ITEMS:
+                _LOGGER.error("%.600s", problem)
+        if record is not None:
+            yield record
+    if invalid > MAX_LOGGED_ITEMS:
+        _LOGGER.error("%d more invalid items in the list", invalid - MAX_LOGGED_ITEMS)
+
+
+def _read_record(item: Item) -> tuple[Record | None, str]:
+    """Return the record of an item, if it has an id, and what is invalid in it, or an empty text.
+
+    An invalid entry must not prevent the others from being applied.
+    """
+    upstream = read_upstream_id(item.key)
+    if upstream is None:
+        return None, f"Ignoring item with key {item.key!r}; expected the key of an upstream"
+    problem = ""
+    try:
+        entry = decode_entry(upstream=upstream, value=item.value)
+    except DocumentInvalid as error:
+        problem = f"Not using upstream {upstream}: invalid list entry: {error}"
+        entry = Entry(upstream=upstream, state=EntryState.UNUSABLE)
+    return Record(revision=item.revision, entry=entry), problem
--- a/tests/platform/test_platform_entries.py
+++ b/tests/platform/test_platform_entries.py
@@ -4,13 +4,14 @@
 
 import base64
 import json
+import logging
 from typing import Any
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from gypsumrouter.bootstrap_followers import read_records
+from gypsumrouter.bootstrap_followers import MAX_LOGGED_ITEMS, read_records
 from gypsumrouter.directory import EntryState
 from gypsumrouter.exceptions import ConfigurationInvalid, DocumentInvalid
 from gypsumrouter.platform import decode_configuration, decode_entry, read_upstream_id
@@ -213,3 +214,17 @@
 def test_invalid_era_means_store_unavailable(text: str) -> None:
     with pytest.raises(StoreUnavailable):
         _read_epoch(text)
+
+
+def test_hundreds_of_odd_entries_filled_the_log(caplog: pytest.LogCaptureFixture) -> None:
+    items = [
+        Item(key=f"servers/i-{number}", revision=1, value=encode(state="s" * 60_000))
+        for number in range(400)
+    ]
+    items += [Item(key="servers/?" + "k" * 60_000, revision=1, value=encode())]
+    with caplog.at_level(logging.ERROR):
+        records = list(read_records((*items, Item(key="servers/i-a", revision=1, value=encode()))))
+    assert [r.entry.state for r in records] == [EntryState.UNUSABLE] * 400 + [EntryState.READY]
+    assert len(caplog.messages) == MAX_LOGGED_ITEMS + 1
+    assert max(len(message) for message in caplog.messages) <= 600
+    assert caplog.messages[-1] == f"{401 - MAX_LOGGED_ITEMS} more invalid items in the list"
