Ignore a peer's entry with a port out of range or without slots

An upstream that a peer told with port 0 or 65536, a negative port, or no slots was taken as ready, though the same entry of the store is not used; requests then failed to connect.

Cause: entries of peers were decoded without the checks for entries of the store. A peer that decodes entries as this version does tells none of these, but one of an earlier version may.

Such an entry is now ignored by itself with an error in the log, as one with an unknown state is, and the others of the list are merged.

--- a/gypsumrouter/peers/catch_up.py
+++ b/gypsumrouter/peers/catch_up.py
@@ -32,6 +32,7 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+MAX_PORT: Final = 65_535
 NEVER_MS: Final = -(1 << 62)
 
 
@@ -289,13 +290,19 @@
 
 
 def _decode_record(entry: ListedUpstream) -> Record:
+    """Return the record of a peer's entry; raises ValueError if a value is invalid."""
+    address = parse_address(entry.address) if entry.address else None
+    if address is not None and not 0 < address.port <= MAX_PORT:
+        raise ValueError(f"port {address.port} is out of range")
+    if entry.slots < 1:
+        raise ValueError("an upstream without slots")
     return Record(
         revision=entry.revision,
         entry=Entry(
             upstream=entry.upstream,
             state=EntryState(entry.state),
             service=entry.service,
-            address=parse_address(entry.address) if entry.address else None,
+            address=address,
             data_centre=entry.data_centre,
             slots=entry.slots,
             started_ms=entry.started_ms,
--- a/tests/peers/test_peers_odd_entries.py
+++ b/tests/peers/test_peers_odd_entries.py
@@ -6,11 +6,12 @@
 from typing import Any
 
 import pytest
+from msgspec.structs import replace
 from peer_fleet import STEP_MS, FleetRouter, MemoryPeer, PeerFleet
 
 from gypsumrouter.bootstrap_followers import read_records
 from gypsumrouter.directory import EntryState
-from gypsumrouter.link import CatchUpRequest
+from gypsumrouter.link import CatchUpRequest, ListedUpstream, ListedUpstreams
 from gypsumrouter.link.const import MAX_FRAME_BYTES
 from gypsumrouter.link.notice_codec import encode_notice
 from gypsumrouter.published import Item
@@ -115,3 +116,23 @@
     assert len(body) <= MAX_FRAME_BYTES
     assert get_state(await async_catch_up(fleet), "i-a") is EntryState.READY
     await fleet.async_stop()
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [{"address": f"10.1.0.9:{port}"} for port in ("0", "-5", "65536", "x", "9" * 6_000)]
+    + [{"slots": 0}, {"state": "resting"}],
+)
+async def test_odd_entry_of_a_peer_was_used_for_requests(changed: dict[str, Any]) -> None:
+    """A peer of an earlier version may tell entries that this one would not decode."""
+    fleet = PeerFleet(2)
+    told, peer = fleet.routers
+    sound = ListedUpstream(
+        revision=1, upstream="i-a", state="ready", service="s", address="10.1.0.9:80"
+    )
+    odd = replace(sound, upstream="i-odd", **changed)
+    MemoryPeer(sender=peer, target=told).send(ListedUpstreams(entries=(odd, sound), as_of=1))
+    await fleet.async_advance(STEP_MS)
+    assert get_state(told, "i-a") is EntryState.READY
+    assert get_state(told, "i-odd") is None
+    await fleet.async_stop()
