Check the framing of resumed answers of engines at sides

A short JSON answer of an engine counted as complete: the side reported success and ended the answer as whole, with the beginning of the body only.

Cause: a side checked only in the first head of a request whether the answer's end shows. An answer with a length or chunks that broke off was resumed on a second connection, and where that answer had neither a length nor chunks, its end at any byte, with a close or a reset, counted as the end of the whole (aiohttp completes such a body after a reset too).

Change: each later head is checked as well. Where neither the last event nor the collected JSON document shows the end, a resumed answer without a length or chunks fails as a violation of the protocol, so a caller gets a failure in place of a short success.

The stand-in engine resumes with chunks, so no test with it could show this.

Evidence: test_upstream_cut_answers.py ends answers after each byte, with a close and a reset: 6 kinds of answers of services, and 9 pairs of framings of first and resumed answers of engines.

--- a/gypsumrouter/upstream/run.py
+++ b/gypsumrouter/upstream/run.py
@@ -139,6 +139,7 @@
         self.heads += 1
         self.watch.progress += 1
         if self.head_sent:
+            self._check_resumed(response)
             return
         self._is_event_stream = response.content_type == CONTENT_TYPE_EVENTS
         is_success = response.status == HTTP_OK
@@ -149,6 +150,12 @@
         self.answer.head(Head(status=response.status, headers=headers))
         self.head_sent = True
 
+    def _check_resumed(self, response: aiohttp.ClientResponse) -> None:
+        """Check that the end of a resumed response shows too, which may be framed otherwise."""
+        shows_end = self._needs_end_event or self._unframed_json is not None
+        if not shows_end and not self._is_framed(response):
+            raise ProtocolViolation("the resumed answer has neither a length nor chunks")
+
     def _check_unframed(self, response: aiohttp.ClientResponse) -> None:
         """Accept a response without a length if its format shows where it ends."""
         if not is_json_media_type(response.content_type):
