Test idle links with one end closing at a time

The dialer checks it each 8 ticks of 10 ms, the server closes after 100 ms, so beside load the server was first. The relay then reported the close before the dialer had seen it; the request went into the closed link and was refused as never arrived, to be sent elsewhere. That outcome is right, and the test read it as an empty answer. With the default settings (60 s, 800 ms heartbeats) the dialer closes some 58 s before the server.

Change: the same assertions, once with a dialer that closes idle links and a server that does not, once the other way round, where the next request is sent after the dialer has seen the close.

--- a/tests/link/test_link_exchange.py
+++ b/tests/link/test_link_exchange.py
@@ -19,6 +19,7 @@
 from msgspec.structs import replace
 
 from gypsumrouter.const import Role
+from gypsumrouter.core import Application
 from gypsumrouter.exceptions import InvariantBroken
 from gypsumrouter.link import (
     Answer,
@@ -40,6 +41,8 @@
 from gypsumrouter.outcomes import Failed, Reason, Refused
 from gypsumrouter.util.clock import ManualClock
 
+IDLE_CLOSE_MS = 50
+CLOSED_TIMEOUT_S = 20
 STATUS = Status(load=1, running=1, weight=1.0, leaving=False, ready=True, models=("m",))
 
 
@@ -327,14 +330,36 @@
         assert received == [announcement]
 
 
+# Guards against a dialer that keeps idle links, or can't open them again. The server closes none: a
+# request sent before the dialer has seen that is refused, as it never arrived.
 async def test_idle_link_is_closed_and_reopened_on_demand() -> None:
-    async with linked(settings=replace(SETTINGS, idle_close_ms=50)) as pair:
+    dialer_settings = replace(SETTINGS, idle_close_ms=IDLE_CLOSE_MS)
+    async with linked(settings=dialer_settings, server_settings=SETTINGS) as pair:
         await async_read_answer(await pair.async_exchange())
         await pair.relay.async_wait_closed(1)
         body, _ = await async_read_answer(await pair.async_exchange())
         assert (body, pair.relay.accepted) == (b"hello {}", 2)
 
 
+# Guards against a server that keeps idle links, and a dialer that can't open those again.
+async def test_idle_link_that_the_server_closed_is_reopened_on_demand() -> None:
+    server_settings = replace(SETTINGS, idle_close_ms=IDLE_CLOSE_MS)
+    async with linked(settings=SETTINGS, server_settings=server_settings) as pair:
+        await async_read_answer(await pair.async_exchange())
+        await pair.relay.async_wait_closed(1)
+        async with asyncio.timeout(CLOSED_TIMEOUT_S):
+            while count_open_links(pair.pool_app):
+                await asyncio.get_running_loop().run_in_executor(None, lambda: None)
+        body, _ = await async_read_answer(await pair.async_exchange())
+        assert (body, pair.relay.accepted) == (b"hello {}", 2)
+
+
+def count_open_links(app: Application) -> object:
+    dump = app.dump()["link"]
+    assert isinstance(dump, dict)
+    return dump["open"]
+
+
 async def test_stopping_the_router_fails_outstanding_exchanges() -> None:
     async def handle(_hello: Hello, _request: Open, answer: Answer) -> None:
         await answer.cancelled.wait()
