--- a/tests/platform/test_platform_prompt.py
+++ b/tests/platform/test_platform_prompt.py
@@ -5,7 +5,7 @@
 import pytest
 from aiohttp.test_utils import make_mocked_request
 
-from gypsumrouter.forwarding.models import MAX_PROMPT_TOKENS
+from gypsumrouter.forwarding.models import MAX_PROMPT_TOKENS, CallerRequest
 from gypsumrouter.platform import names
 from gypsumrouter.platform.requests import read_request
 
@@ -16,7 +16,7 @@
     """Return the number of parts of a described prompt, None if it is not valid."""
     headers = {names.REQUEST_ID: "r", names.TOKEN_USAGE: usage, names.PREFIX_PARTS: parts}
     request = read_request(request=make_mocked_request("POST", "/m/1", headers=headers), body=b"")
-    assert request is not None
+    assert isinstance(request, CallerRequest)
     return None if request.prompt is None else len(request.prompt.parts)
 
 
