--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -19,6 +19,13 @@
 
 from gypsumrouter.const import EXIT_FAILED, EXIT_OK
 from gypsumrouter.exceptions import DocumentInvalid, SettingsInvalid
+from gypsumrouter.forwarding.request_journal import read_event_number
+from gypsumrouter.helpers.http_headers import (
+    find_keep_alive_timeout,
+    read_keep_alive_ms,
+    read_retry_after_ms,
+)
+from gypsumrouter.helpers.numbers import read_decimal, read_hexadecimal
 from gypsumrouter.link import (
     CatchUpRequest,
     CrashNotice,
@@ -49,6 +56,7 @@
 from gypsumrouter.link.frames import FrameError
 from gypsumrouter.link.notice_codec import decode_notice, encode_notice
 from gypsumrouter.platform import decode_configuration, decode_entry
+from gypsumrouter.platform.answers import read_load_report
 from gypsumrouter.platform.store import read_page
 from gypsumrouter.published import StoreUnavailable
 from gypsumrouter.settings import check_forwarder_settings
@@ -67,6 +75,9 @@
     b"null",
     b"-1",
     b"1e400",
+    b"9" * 6_000,
+    b"\xb2",
+    b"1_0",
 )
 MAX_CHANGES: Final = 4
 
@@ -212,6 +223,16 @@
     "more_pages": False,
 }
 
+# Headers of upstreams and callers, whose decoders return None or a default for an odd value.
+HEADERS: Final[tuple[tuple[str, Callable[[str], object], str], ...]] = (
+    ("keep_alive", lambda value: _read_keep_alive(value), "max=9, timeout=5"),
+    ("retry_after", read_retry_after_ms, "1.25"),
+    ("load", read_load_report, "3,1,8,250"),
+    ("event_id", read_event_number, "37"),
+    ("deadline", read_decimal, "2500.5"),
+    ("part", read_hexadecimal, "5c1e07a2"),
+)
+
 
 class Target(Struct, frozen=True, kw_only=True):
     """A decoder and a valid message for it."""
@@ -250,6 +271,14 @@
             valid_message=json.dumps(PAGE).encode(),
         ),
     ]
+    for name, decode, text in HEADERS:
+        targets.append(
+            Target(
+                name=name,
+                decode=lambda data, decode=decode: decode(data.decode("latin-1")),  # type: ignore[misc]
+                valid_message=text.encode(),
+            )
+        )
     for notice in NOTICES:
         kind, body = encode_notice(notice)
         targets.append(
@@ -325,3 +354,8 @@
             "expected a JSON document from the store, got invalid JSON"
         ) from None
     return read_page(document, field)
+
+
+def _read_keep_alive(value: str) -> int | None:
+    timeout = find_keep_alive_timeout(value)
+    return None if timeout is None else read_keep_alive_ms(timeout)
