Test values of the size of a page of the store

Values of 1 MB and more, sound and odd, beside a sound entry: the entry that is valid but for its size is used, the others are unusable, and the sound one holds.

--- a/tests/platform/test_platform_entries.py
+++ b/tests/platform/test_platform_entries.py
@@ -228,3 +228,27 @@
     assert len(caplog.messages) == MAX_LOGGED_ITEMS + 1
     assert max(len(message) for message in caplog.messages) <= 600
     assert caplog.messages[-1] == f"{401 - MAX_LOGGED_ITEMS} more invalid items in the list"
+
+
+@pytest.mark.parametrize(
+    ("changed", "state"),
+    [
+        ({"unknown": "u" * 1_000_000}, EntryState.READY),
+        ({"unknown": [[1]] * 160_000}, EntryState.READY),
+        ({"slots": "s" * 1_000_000}, EntryState.UNUSABLE),
+        ({"zone": "z" * 1_000_000}, EntryState.UNUSABLE),
+        ({"unknown": [[1]] * 160_000, "slots": 0}, EntryState.UNUSABLE),
+    ],
+    ids=range(5),
+)
+def test_value_of_the_size_of_a_page_hid_other_entries(
+    changed: dict[str, Any], state: EntryState
+) -> None:
+    value = base64.b64encode(encode(**changed)).decode()
+    entries = [
+        {"key": "servers/i-large", "revision": 1, "value": value},
+        {"key": "servers/i-a", "revision": 2, "value": base64.b64encode(encode()).decode()},
+    ]
+    page = read_page(json.loads(json.dumps({"as_of": 9, "items": entries})), "items")
+    states = [record.entry.state for record in read_records(page.items)]
+    assert states == [state, EntryState.READY]
