--- a/gypsumrouter/instances.py
+++ b/gypsumrouter/instances.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import ipaddress
+
 from msgspec import Struct
 
 from gypsumrouter.const import InstanceState, Role
@@ -28,6 +30,14 @@
     return Address(host=host.strip("[]"), port=number)
 
 
+def parse_ip_address(text: str) -> Address:
+    """Parse IP:PORT or [IP]:PORT with a port from 1 on; raises ValueError."""
+    address = parse_address(text)
+    if not address.port:
+        raise ValueError(f"expected a port from 1 on, got {text!r:.60}")
+    return Address(host=str(ipaddress.ip_address(address.host)), port=address.port)
+
+
 class Instance(Struct, frozen=True, kw_only=True):
     """One process of the system: the address of its link and the pool that it serves.
 
--- a/gypsumrouter/platform/entries.py
+++ b/gypsumrouter/platform/entries.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 import re
 from typing import Annotated, Final, Literal
 
@@ -10,28 +9,23 @@
 
 from gypsumrouter.directory import Entry, EntryState
 from gypsumrouter.exceptions import DocumentInvalid, FieldError
-from gypsumrouter.instances import Address, parse_address
+from gypsumrouter.instances import Address, parse_ip_address
 from gypsumrouter.platform import names
-from gypsumrouter.util.validation import MAX_JSON_INTEGER, JsonCount, validate_json
+from gypsumrouter.util.validation import MAX_JSON_INTEGER, JsonCount, ShortText, validate_json
 
 # Messages between routers have 32 bits for the slots.
 MAX_SLOTS: Final = 2**32 - 1
-# Keeps the list of a large fleet within one frame to a peer.
-MAX_TEXT_LENGTH: Final = 200
 # Ids are forwarded in a header; the store limits keys to 200 bytes.
 ID_PATTERN: Final = re.compile(r"[A-Za-z0-9_.:-]{1,200}")
 
 
-Text = Annotated[str, Meta(max_length=MAX_TEXT_LENGTH)]
-
-
 class WireServer(Struct, frozen=True, kw_only=True):
     """A runner's own entry in the store; its id is only in the item's key."""
 
-    service: Annotated[str, Meta(min_length=1, max_length=MAX_TEXT_LENGTH)]
+    service: Annotated[ShortText, Meta(min_length=1)]
     # IP:PORT.
-    address: Text
-    zone: Text
+    address: ShortText
+    zone: ShortText
     slots: Annotated[int, Meta(gt=0, le=MAX_SLOTS)]
     state: Literal["ready", "draining"]
     # Remaining duration of its slow start, in milliseconds.
@@ -39,7 +33,7 @@
     # Orders the commands that it accepted, not its writes.
     sequence: JsonCount = 0
     # Software version; not the version of its model.
-    version: Text = ""
+    version: ShortText = ""
     # Start time in Unix milliseconds; it distinguishes restarts under the same id.
     born: Annotated[int, Meta(gt=0, le=MAX_JSON_INTEGER)] | None = None
 
@@ -82,12 +76,7 @@
 
 def _read_address(text: str) -> Address:
     try:
-        address = parse_address(text)
-        host = str(ipaddress.ip_address(address.host))
-        if address.port:
-            return Address(host=host, port=address.port)
+        return parse_ip_address(text)
     except ValueError:
-        pass
-    raise DocumentInvalid(
-        (FieldError(path="$.address", message=f"Expected `IP:PORT`, got {text!r:.60}"),)
-    )
+        message = f"Expected `IP:PORT`, got {text!r:.60}"
+        raise DocumentInvalid((FieldError(path="$.address", message=message),)) from None
--- a/gypsumrouter/util/validation.py
+++ b/gypsumrouter/util/validation.py
@@ -19,12 +19,15 @@
 MAX_FLOAT: Final = sys.float_info.max
 # Integers up to this are exact in every JSON implementation.
 MAX_JSON_INTEGER: Final = 2**53 - 1
+# Keeps a list of all upstreams of a large fleet within one frame to a peer.
+MAX_SHORT_LENGTH: Final = 200
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 PositiveFloat = Annotated[float, Meta(gt=0, le=MAX_FLOAT)]
 PositiveInt = Annotated[int, Meta(gt=0)]
 NonNegativeInt = Annotated[int, Meta(ge=0)]
 JsonInteger = Annotated[int, Meta(ge=-MAX_JSON_INTEGER, le=MAX_JSON_INTEGER)]
+ShortText = Annotated[str, Meta(max_length=MAX_SHORT_LENGTH)]
 JsonCount = Annotated[int, Meta(ge=0, le=MAX_JSON_INTEGER)]
 
 ROOT: Final = "$"
