--- a/tests/bench/test_bench_soak_one_attempt.py
+++ b/tests/bench/test_bench_soak_one_attempt.py
@@ -62,9 +62,10 @@
     ("options", "least_s"), [({"max_gap_s": 0.2}, 0.2), ({"leaves_after_s": 0.3}, 0.3)]
 )
 async def test_raw_caller_gives_up(options: dict[str, float], least_s: float) -> None:
-    async def answer(_reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         writer.write(HEAD + b"ab")
-        await writer.drain()
+        await reader.read(-1)
+        writer.close()
 
     server = await asyncio.start_server(answer, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()[:2]
@@ -79,6 +80,7 @@
     assert time.monotonic() - begun_s >= least_s
     caller.close()
     server.close()
+    await server.wait_closed()
 
 
 async def test_short_soak_of_streams_with_one_attempt_has_no_violations(
