An unframed configuration that is cut is read again, not rejected as a version

A router that reads the configuration service itself stayed at its old version until the one after the next: an answer without a length or chunks ends with its connection, so one that broke off in its body was a document with the version of its header, which failed its check and was never asked for again. Now such a body that is no whole JSON document counts as an answer that was not received. What makes a response framed stands in one place for engines' answers and for this.

--- a/gypsumrouter/configuration/source.py
+++ b/gypsumrouter/configuration/source.py
@@ -19,7 +19,9 @@
 )
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.helpers.connector import ShieldedConnector
+from gypsumrouter.helpers.http_headers import is_framed
 from gypsumrouter.helpers.numbers import read_number
+from gypsumrouter.util.body_formats import is_complete_json
 
 if TYPE_CHECKING:
     from gypsumrouter.core import Application
@@ -127,6 +129,9 @@
             del body[MAX_DOCUMENT_BYTES + 1 :]
             break
         await asyncio.sleep(0)
+    if not is_framed(response.headers) and not is_complete_json(bytes(body)):
+        # Not rejected as a version: the connection may have broken inside the document.
+        return Unavailable(message="the end of the document is missing")
     return Document(body=bytes(body), version=_read_header(response))
 
 
--- a/gypsumrouter/helpers/http_headers.py
+++ b/gypsumrouter/helpers/http_headers.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from math import ceil
 from typing import Final
 
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.helpers.numbers import read_decimal, read_number
 
+CHUNKED: Final = "chunked"
 HEADER_KEEP_ALIVE: Final = "Keep-Alive"
 # Longer values of Retry-After are taken for errors and ignored.
 MAX_RETRY_AFTER_MS: Final = 24 * 3600 * MS_PER_S
@@ -44,6 +46,11 @@
     return None
 
 
+def is_framed(headers: Mapping[str, str]) -> bool:
+    """Return whether the headers of a response state where its body ends."""
+    return "Content-Length" in headers or CHUNKED in headers.get("Transfer-Encoding", "").lower()
+
+
 def list_connection_headers(value: str) -> frozenset[str]:
     """Return the names of the headers that a Connection header lists, in lowercase."""
     return frozenset(name.strip().lower() for name in value.split(",") if name.strip())
--- a/gypsumrouter/upstream/run.py
+++ b/gypsumrouter/upstream/run.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from gypsumrouter.helpers.http_headers import is_framed
 from gypsumrouter.link.models import Head, Open
 from gypsumrouter.outcomes import Failed, Reason
 from gypsumrouter.upstream.const import (
@@ -22,7 +23,6 @@
 from gypsumrouter.upstream.watch import Watch
 from gypsumrouter.util.body_formats import is_complete_json, is_inside_event, is_json_media_type
 
-_CHUNKED = "chunked"
 _METHOD_HEAD = "HEAD"
 
 
@@ -167,6 +167,4 @@
             return True
         if response.status in (HTTP_NO_CONTENT, HTTP_NOT_MODIFIED):
             return True
-        if "Content-Length" in response.headers:
-            return True
-        return _CHUNKED in response.headers.get("Transfer-Encoding", "").lower()
+        return is_framed(response.headers)
