Text that no header can carry is not written into requests to upstreams

An event id with a carriage return, and a workspace's name with a line end, were written into the heads of requests as they were: the name added a header to each request of its workspace. A stream does not go on after such an id (or one that is not ASCII, which changed on its way), and a configuration with such a name is rejected, the last one kept.

--- a/gypsumrouter/forwarding/events.py
+++ b/gypsumrouter/forwarding/events.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from gypsumrouter.forwarding.const import MAX_EVENT_BYTES
+from gypsumrouter.helpers.http_headers import is_writable
 from gypsumrouter.util.body_formats import find_event_end, is_inside_event
 
 ID_FIELD: Final = b"id:"
@@ -74,5 +75,9 @@
             start = 0
         else:
             return
-        value = complete[start + len(ID_FIELD) : complete.find(b"\n", start)]
-        self.last_event_id = value.strip().decode("latin-1")
+        value = complete[start + len(ID_FIELD) : complete.find(b"\n", start)].strip()
+        if not value.isascii() or not is_writable(value.decode("ascii")):
+            # It can't be sent in a header.
+            self.last_has_id = False
+            return
+        self.last_event_id = value.decode("ascii")
--- a/gypsumrouter/platform/configuration.py
+++ b/gypsumrouter/platform/configuration.py
@@ -19,7 +19,7 @@
     Target,
     WorkspaceKeys,
 )
-from gypsumrouter.util.validation import JsonCount, JsonInteger, validate_json
+from gypsumrouter.util.validation import HeaderText, JsonCount, JsonInteger, validate_json
 
 Milliseconds = Annotated[float, Meta(ge=0, le=1e12)]
 Weight = Annotated[float, Meta(ge=0, le=1e12)]
@@ -72,7 +72,7 @@
 class WireTenant(Struct, frozen=True, kw_only=True):
     """A workspace as published."""
 
-    name: str
+    name: HeaderText
     api_keys: tuple[str, ...] = ()
     priority: JsonInteger | None = None
 
--- a/gypsumrouter/util/validation.py
+++ b/gypsumrouter/util/validation.py
@@ -28,6 +28,8 @@
 NonNegativeInt = Annotated[int, Meta(ge=0)]
 JsonInteger = Annotated[int, Meta(ge=-MAX_JSON_INTEGER, le=MAX_JSON_INTEGER)]
 ShortText = Annotated[str, Meta(max_length=MAX_SHORT_LENGTH)]
+# Can be sent in a header.
+HeaderText = Annotated[str, Meta(pattern=r"^[^\x00-\x08\x0a-\x1f\x7f]*\Z")]
 JsonCount = Annotated[int, Meta(ge=0, le=MAX_JSON_INTEGER)]
 
 ROOT: Final = "$"
--- a/tests/platform/test_platform_odd_documents.py
+++ b/tests/platform/test_platform_odd_documents.py
@@ -84,3 +84,11 @@
     listed = await client.async_list()
     assert [item.key for item in listed.items] == ["servers/\ud800", "servers/\ue000"]
     assert queries[1]["after"] == ["servers/\ud800"]
+
+
+@pytest.mark.parametrize("name", ["acme\r\nX-Hold: 1", "acme\n", "a\x00b", "a\x7fb"])
+def test_name_of_a_workspace_wrote_another_header_into_requests(name: str) -> None:
+    """The name is sent to upstreams in a header."""
+    document = {"version": 1, "routes": [ROUTE], "services": [SERVICE], "tenants": [{"name": name}]}
+    with pytest.raises(ConfigurationInvalid):
+        decode_configuration(json.dumps(document).encode())
