An empty line behind a request is no part of the next head

A caller that ends its request with one more empty line, which a server ignores (RFC 9112), was taken for one whose next request arrives: its connection was closed by the timeout of a head, and held up a stop until what arrives is refused.

--- a/gypsumrouter/callers/next_head.py
+++ b/gypsumrouter/callers/next_head.py
@@ -9,6 +9,7 @@
 
 # End of a head, and of a body with chunks.
 BLANK_LINE: Final = b"\r\n\r\n"
+LINE_ENDS: Final = b"\r\n"
 
 
 class NextHead:
@@ -44,12 +45,14 @@
             self._body = body
             self._is_chunked = body is not EMPTY_PAYLOAD and message.chunked
             if position is not None:
-                head_end = text.find(BLANK_LINE, position)
+                head_end = text.find(BLANK_LINE, self._find_head(text, position))
                 position = None if head_end < 0 else head_end + len(BLANK_LINE)
             if position is not None and body is not EMPTY_PAYLOAD:
                 position = self._find_body_end(text, position, body.total_bytes)
         is_whole = self._body.is_eof()
-        is_inside_head = is_whole and position is not None and position < len(text)
+        is_inside_head = (
+            is_whole and position is not None and self._find_head(text, position) < len(text)
+        )
         self._carried = b"" if is_whole and not is_inside_head else text[1 - len(BLANK_LINE) :]
         return is_inside_head
 
@@ -63,3 +66,9 @@
             return len(text)
         end = text.find(BLANK_LINE, max(0, position + 1 - len(BLANK_LINE)))
         return None if end < 0 else end + len(BLANK_LINE)
+
+    def _find_head(self, text: bytes, position: int) -> int:
+        """Return where a head begins; empty lines before it are ignored (RFC 9112)."""
+        if position < len(self._carried):
+            return position
+        return len(text) - len(text[position:].lstrip(LINE_ENDS))
--- a/tests/callers/test_callers_untaken_answers.py
+++ b/tests/callers/test_callers_untaken_answers.py
@@ -188,6 +188,19 @@
                 await CLOCK.async_sleep(1)
 
 
+# Guards against an idle connection that counts as one whose next request arrives, by an empty line.
+@pytest.mark.parametrize("request_bytes", [REQUEST, POST, CHUNKED])
+async def test_empty_line_behind_a_request_counts_as_half_a_head(
+    servers: list[AnsweringServer], request_bytes: bytes
+) -> None:
+    server = await async_add(servers, AnsweringServer())
+    caller = await server.async_connect()
+    caller.send(request_bytes + b"\r\n")
+    await server.async_wait_answered()
+    assert server.list_states() == [ConnectionState.IDLE]
+    caller.close()
+
+
 # Guards against an unannounced close of a connection whose transport was not there yet when the
 # drain began, though the event loop had accepted it.
 async def test_connection_accepted_right_before_a_drain_is_not_told_to_close(
