--- a/gypsumrouter/daemon.py
+++ b/gypsumrouter/daemon.py
@@ -59,10 +59,10 @@
     )
     install_handlers()
     service = DaemonService(settings=settings, announce=announce, setup=setup)
-    failure: Exception | None = None
+    failure: BaseException | None = None
     try:
         exit_code = run_service(service)
-    except Exception as error:
+    except BaseException as error:
         exit_code, failure = EXIT_FAILED, error
     is_written = remove_logging()
     if failure is not None:
