--- a/bench/soak.py
+++ b/bench/soak.py
@@ -24,10 +24,11 @@
     check_crashing_parts,
     check_sound_prompts,
 )
+from bench.soak_dimensions import Dimension
 from bench.soak_drain_checks import check_backoffs, check_draining, check_retired
 from bench.soak_faults import FaultInjector
 from bench.soak_leavings import check_leavings
-from bench.soak_one_attempt import Dimension, async_soak_one_attempt
+from bench.soak_one_attempt import async_soak_one_attempt
 from bench.soak_overlaps import async_soak_overlaps
 from bench.soak_retry_checks import RETRY_RATIO, RETRY_SLACK, check_retry_budget
 from bench.soak_rig import ENV_KEY, FORWARDERS, KEY, SoakRig
--- a/bench/soak_one_attempt.py
+++ b/bench/soak_one_attempt.py
@@ -7,24 +7,29 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import random
-import signal
-import time
 from collections import Counter
 from collections.abc import Collection, Iterator, Mapping, Sequence
-from enum import StrEnum
 from pathlib import Path
 from typing import Any, Final
 
 from bench.raw_caller import End, RawCaller, make_post_head
 from bench.soak_checks import Violation
-from bench.soak_configuration import CALLER_KEY, HOST, WORKSPACE
+from bench.soak_configuration import CALLER_KEY
+from bench.soak_dimensions import (
+    CALLERS,
+    FAULTS,
+    STREAM,
+    Configurations,
+    Dimension,
+    OddWriter,
+    Preludes,
+    UpstreamFailures,
+)
 from bench.soak_line_checks import EVENT_CUT, EVENT_ENDED, check_cut_lines, check_outcomes
 from bench.soak_overlap_callers import DEADLINE_MS, RETRY_S, OverlapCall
 from bench.soak_overlap_checks import (
     GRACE_S,
-    TIMEOUT_MS,
     Work,
     check_kept_answers,
     check_lost,
@@ -38,34 +43,11 @@
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.instances import Address
 from gypsumrouter.standins import PlatformRunner
-from gypsumrouter.standins.platform_runner import RunnerFault
-
-
-class Dimension(StrEnum):
-    """What happens beside the stops.
-
-    FAILURES: upstreams answer a share of requests with 500, or break off before a head.
-    SLOW_BODIES: large request bodies arrive slowly. CHANGES: a configuration that changes the
-    streams' route comes right before a stop. SIGNALS: SIGHUP, a configuration and SIGTERM come
-    close together, in each order. LEAVERS: callers give up. SILENCES: sound upstreams stand still.
-    """
-
-    FAILURES = "failures"
-    SLOW_BODIES = "slow-bodies"
-    CHANGES = "changes"
-    SIGNALS = "signals"
-    LEAVERS = "leavers"
-    SILENCES = "silences"
 
-
-# Callers by route, and the route's settings. All but one have a single attempt.
-STREAM: Final = "draft-one"
-CALLERS: Final = {STREAM: 36, "lookup": 4, "order-one": 4}
 # Outcome of a request whose caller gave up.
 OUTCOME_CALLER_GONE: Final = "caller_gone"
-KINDS: Final = {STREAM: "streaming", "lookup": "idempotent", "order-one": "non_idempotent"}
-TARGET_MS: Final = 800
-TARGET_GAP_MS: Final = 250
+# The share of requests with a key that some configurations don't have.
+PASSING_SHARE: Final = 0.2
 # Events of a stream, and bytes of a request body.
 MEAN_EVENTS: Final = 76
 MAX_EVENTS: Final = 224
@@ -83,73 +65,6 @@
 MAX_GAP_S: Final = 3.2
 LEAVE_SHARE: Final = 0.15
 LEAVE_S: Final = (0.1, 4.0)
-# Bursts of failures at an upstream: the share of its requests, their kinds, duration and rests.
-FAILING_SHARE: Final = 1 / 3
-FAILURES: Final = (RunnerFault.ERROR, RunnerFault.RESET)
-FAILING_S: Final = (0.5, 3.0)
-SOUND_S: Final = (0.5, 4.0)
-FAILING: Final = 3
-POLL_S: Final = 0.01
-# Signals and a configuration that come together do so within this time, and a configuration before
-# a stop by this time.
-TOGETHER_S: Final = 0.1
-BEFORE_S: Final = (0.0, 0.3)
-OTHER_TIMEOUT_MS: Final = 17_000
-PASSING_SHARE: Final = 0.2
-
-
-class Configurations:
-    """Publishes configurations that change the service, limits, key and number of routes."""
-
-    def __init__(self, *, rig: SoakRig) -> None:
-        self._rig = rig
-        self._states = itertools.cycle(itertools.product((0, 1), (0, 1), (0, 1)))
-        self.count = 0
-
-    async def async_publish(self) -> None:
-        """Publish the next one."""
-        self.count += 1
-        self._rig.version += 1
-        configuration = make_one_attempt_configuration(self._rig.version, *next(self._states))
-        await self._rig.store.async_put_configuration(configuration)
-
-
-def make_one_attempt_configuration(
-    version: int, other_service: int = 0, other_timeout: int = 0, other_key: int = 0
-) -> dict[str, Any]:
-    """Return a configuration; three of the streams' settings are one of two."""
-    services = {STREAM: "others" if other_service else "models"}
-    routes = [
-        {
-            "name": name,
-            "host": HOST,
-            "prefix": f"/{name}/",
-            "kind": kind,
-            "service": services.get(name, "records"),
-            "timeout_ms": OTHER_TIMEOUT_MS if other_timeout else TIMEOUT_MS,
-            "max_attempts": 2 if name == "lookup" else 1,
-            "target_latency_ms": TARGET_MS,
-            "target_gap_ms": TARGET_GAP_MS,
-        }
-        for name, kind in KINDS.items()
-    ]
-    passing = {**routes[-1], "name": f"passing-{version}", "prefix": f"/passing-{version}/"}
-    engine = {"engine": {"slots": 64}}
-    return {
-        "version": version,
-        "routes": [*routes, passing],
-        "services": [
-            {"name": "records"},
-            {"name": "models", **engine},
-            {"name": "others", **engine},
-        ],
-        "tenants": [
-            {
-                "name": WORKSPACE,
-                "api_keys": [CALLER_KEY] if other_key else [CALLER_KEY, PASSING_KEY],
-            }
-        ],
-    }
 
 
 class OneAttemptCallers:
@@ -253,77 +168,6 @@
         return [head + body[0], *body[1:]], pause_s
 
 
-class UpstreamFailures:
-    """Lets some upstreams at a time answer a share of their requests with a failure."""
-
-    def __init__(self, *, runners: Sequence[PlatformRunner], seed: int) -> None:
-        self._rng = random.Random(f"{seed}/failures")
-        self._runners = list(runners)
-        self.bursts = 0
-
-    async def async_run(self) -> None:
-        """Cause failures until cancelled."""
-        await asyncio.gather(*(self._async_repeat() for _ in range(FAILING)))
-
-    async def _async_repeat(self) -> None:
-        rng = random.Random(self._rng.random())
-        while True:
-            await asyncio.sleep(rng.uniform(*SOUND_S))
-            runner, self.bursts = rng.choice(self._runners), self.bursts + 1
-            ends_s = time.monotonic() + rng.uniform(*FAILING_S)
-            while time.monotonic() < ends_s:
-                if not runner.next_faults:
-                    fails = rng.random() < FAILING_SHARE
-                    runner.next_faults.append(rng.choice(FAILURES) if fails else RunnerFault.NONE)
-                await asyncio.sleep(POLL_S)
-            runner.next_faults.clear()
-
-
-class Preludes:
-    """What comes right before, or at the same moment as, the first signal of a stop."""
-
-    def __init__(
-        self,
-        *,
-        rig: SoakRig,
-        seed: int,
-        dimensions: Collection[Dimension],
-        configurations: Configurations,
-    ) -> None:
-        self._rig = rig
-        self._rng = random.Random(f"{seed}/preludes")
-        self._dimensions = dimensions
-        self._configurations = configurations
-        self._orders = itertools.cycle(itertools.permutations(("reload", "configuration", "stop")))
-        self._tasks: list[asyncio.Task[None]] = []
-        self.orders: Counter[str] = Counter()
-
-    async def async_begin(self, number: int) -> None:
-        """Return when the stop is to begin."""
-        if Dimension.SIGNALS in self._dimensions:
-            await self._async_begin_together(number)
-        elif Dimension.CHANGES in self._dimensions:
-            await self._configurations.async_publish()
-            await asyncio.sleep(self._rng.uniform(*BEFORE_S))
-
-    async def _async_begin_together(self, number: int) -> None:
-        order = next(self._orders)
-        self.orders[" ".join(order)] += 1
-        times_s = sorted(self._rng.uniform(0, TOGETHER_S) for _ in order)
-        process = self._rig.forwarders[number]
-        for name, at_s in zip(order, times_s, strict=True):
-            if name != "stop":
-                self._tasks.append(asyncio.create_task(self._async_act(name, at_s, process)))
-        await asyncio.sleep(times_s[order.index("stop")])
-
-    async def _async_act(self, name: str, at_s: float, process: Any) -> None:
-        await asyncio.sleep(at_s)
-        if name == "configuration":
-            await self._configurations.async_publish()
-        elif process is not None:
-            process.send_signal(signal.SIGHUP)
-
-
 def make_one_attempt_upstreams(rng: random.Random) -> dict[str, list[PlatformRunner]]:
     """Return engines of one pace for two services, and plain upstreams."""
     pace_s, first_s = rng.choice(PACES_S), rng.choice(FIRSTS_S)
@@ -398,13 +242,17 @@
     preludes = Preludes(rig=rig, seed=seed, dimensions=dimensions, configurations=configurations)
     stops = OverlappingStops(rig=rig, seed=seed, before_stop=preludes.async_begin)
     silences = UpstreamSilences(runners=rig.list_runners(), seed=seed)
-    failures = UpstreamFailures(runners=rig.list_runners(), seed=seed)
+    faults = [fault for name, some in FAULTS.items() if name in dimensions for fault in some]
+    failures = UpstreamFailures(runners=rig.list_runners(), seed=seed, faults=faults)
+    odd = OddWriter(rig=rig, seed=seed, dimensions=dimensions)
     meter = StallMeter()
     causes = [meter.async_run()]
     if Dimension.SILENCES in dimensions:
         causes.append(silences.async_run())
-    if Dimension.FAILURES in dimensions:
+    if faults:
         causes.append(failures.async_run())
+    if {Dimension.ODD_ENTRIES, Dimension.ODD_HEADERS} & set(dimensions):
+        causes.append(odd.async_run())
     try:
         await rig.async_start()
         await configurations.async_publish()
@@ -442,6 +290,7 @@
         "configurations": configurations.count,
         "failures": failures.bursts,
         "silences": len(silences.made),
+        "odd": {"entries": odd.entries, "headers": odd.headers},
         "gone": count_gone(calls, lines),
         "stalled_ms": round(meter.longest_s * MS_PER_S),
         "outside": list_outside(stayed, stops.made, work, silences.made),
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -32,7 +32,7 @@
     of an event. END_INSIDE_EVENT and END_WITHOUT_EVENT end a stream regularly, but in the middle of
     an event or before the first one; STALL_STREAM sends nothing after the second event. CUT_JSON
     ends a JSON document before its last byte. BREAK_BODY resets the connection in the middle of a
-    plain body, and PLAIN sends one in place of a stream.
+    plain body, and PLAIN sends one in place of a stream. CUT_HEAD closes inside the head.
     """
 
     NONE = "none"
@@ -51,6 +51,7 @@
     CUT_JSON = "cut_json"
     BREAK_BODY = "break_body"
     PLAIN = "plain"
+    CUT_HEAD = "cut_head"
 
 
 class Arrival(Struct, kw_only=True):
@@ -259,6 +260,10 @@
             case RunnerFault.RESET:
                 _reset_connection(request)
                 raise asyncio.CancelledError
+            case RunnerFault.CUT_HEAD if request.transport is not None:
+                request.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Ser")
+                request.transport.close()
+                raise asyncio.CancelledError
             case RunnerFault.HANG:
                 await asyncio.Event().wait()
             case RunnerFault.ERROR:
--- a/tests/bench/test_bench_soak_one_attempt.py
+++ b/tests/bench/test_bench_soak_one_attempt.py
@@ -10,14 +10,8 @@
 import pytest
 
 from bench.raw_caller import Answer, End, RawCaller
-from bench.soak_one_attempt import (
-    STREAM,
-    Dimension,
-    async_soak_one_attempt,
-    check_left,
-    count_gone,
-    make_one_attempt_configuration,
-)
+from bench.soak_dimensions import STREAM, Dimension, make_one_attempt_configuration
+from bench.soak_one_attempt import async_soak_one_attempt, check_left, count_gone
 from bench.soak_overlap_callers import OverlapCall
 from bench.soak_overlap_checks import TIMEOUT_MS
 from bench.soak_rig import ENV_KEY, KEY
@@ -94,4 +88,8 @@
     assert figures["stops"]
     assert figures["silences"]
     assert figures["failures"]
+    odd = figures["odd"]
+    assert isinstance(odd, dict)
+    assert odd["entries"]
+    assert odd["headers"]
     assert figures["dimensions"] == sorted(Dimension)
