--- a/bench/soak_dimensions.py
+++ b/bench/soak_dimensions.py
@@ -20,9 +20,10 @@
 from gypsumrouter.standins import PlatformRunner
 from gypsumrouter.standins.platform_runner import RunnerFault
 
-# The longest text in the store that is no item of its own page.
+# More digits than the interpreter converts to a number.
 LONG_TEXT: Final = "9" * 6_000
-DEPTH: Final = 400
+# Nested lists in one value of an entry.
+NESTED_LISTS: Final = 400
 
 
 class Dimension(StrEnum):
@@ -206,7 +207,7 @@
 def make_odd_entries() -> list[dict[str, Any]]:
     """Return fields of entries that make no sense, each beside sound ones."""
     nested: list[Any] = []
-    for _ in range(DEPTH):
+    for _ in range(NESTED_LISTS):
         nested = [nested]
     ports = [{"address": Address(host="127.0.0.1", port=port)} for port in (0, -5, 65_536, 10**30)]
     fields: list[tuple[str, Any]] = [
