--- a/bench/soak_one_attempt.py
+++ b/bench/soak_one_attempt.py
@@ -10,6 +10,7 @@
 import random
 from collections import Counter
 from collections.abc import Collection, Iterator, Mapping, Sequence
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any, Final
 
@@ -42,6 +43,7 @@
 from bench.soak_stops import Stop, check_stops, find_stop
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.instances import Address
+from gypsumrouter.platform import names
 from gypsumrouter.standins import PlatformRunner
 
 # Outcome of a request whose caller gave up.
@@ -200,6 +202,20 @@
             )
 
 
+def check_own_failures(calls: Sequence[OverlapCall]) -> Iterator[Violation]:
+    """Check that each answer with status 500 is an upstream's: a router fails none by itself."""
+    signature = f"\r\n{names.STAMP}:".lower().encode()
+    for call in calls:
+        if call.answer.status == HTTPStatus.INTERNAL_SERVER_ERROR and signature not in (
+            call.answer.head.lower()
+        ):
+            yield Violation(
+                guarantee="failed by the router",
+                request_id=call.answer.request_id,
+                detail=f"{call.route} ({call.manner})",
+            )
+
+
 def count_gone(calls: Sequence[OverlapCall], lines: Sequence[Mapping[str, Any]]) -> dict[str, int]:
     """Count callers that gave up inside a stop, and the lines that say so."""
     gone = {
@@ -277,6 +293,7 @@
         *check_outcomes(stayed, lines),
         *check_cut_lines(stayed, stops.made, work, lines),
         *check_left(calls, lines),
+        *check_own_failures(calls),
     ]
     figures: dict[str, object] = {
         "seed": seed,
--- a/tests/bench/test_bench_soak_one_attempt.py
+++ b/tests/bench/test_bench_soak_one_attempt.py
@@ -11,7 +11,12 @@
 
 from bench.raw_caller import Answer, End, RawCaller
 from bench.soak_dimensions import STREAM, Dimension, make_one_attempt_configuration
-from bench.soak_one_attempt import async_soak_one_attempt, check_left, count_gone
+from bench.soak_one_attempt import (
+    async_soak_one_attempt,
+    check_left,
+    check_own_failures,
+    count_gone,
+)
 from bench.soak_overlap_callers import OverlapCall
 from bench.soak_overlap_checks import TIMEOUT_MS
 from bench.soak_rig import ENV_KEY, KEY
@@ -34,6 +39,16 @@
     assert list(check_left(make_left(), [{**cut[0], "event": "request_ended"}])) == []
 
 
+# Guards against a router that fails whole answers of upstreams, which the soak takes for theirs.
+def test_answer_with_status_500_without_a_signature_is_the_routers() -> None:
+    calls = make_left(End.WHOLE)
+    calls[0].answer.status = 500
+    calls[0].answer.head = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\n"
+    assert [v.guarantee for v in check_own_failures(calls)] == ["failed by the router"]
+    calls[0].answer.head = b"HTTP/1.1 500 Broken\r\nx-server-stamp: a\r\nContent-Length: 2\r\n\r\n"
+    assert list(check_own_failures(calls)) == []
+
+
 def test_lines_of_callers_that_left_are_counted() -> None:
     line = {"event": "request_ended", "request_id": "a", "outcome": "caller_gone"}
     assert count_gone(make_left(), [line]) == {"left": 1, "named": 1}
