Tests of untaken answers wait until a connection has settled behind its answer

Traced: the HTTP library handles a request in a task of its own, and its connection goes on one turn of the event loop later; a poll in every turn sees head, answering, discarding, idle. The test read the state in that turn. It now waits for the turn behind it and asserts the same state; a connection that stays discarding fails by the timeout.

--- a/tests/callers/test_callers_untaken_answers.py
+++ b/tests/callers/test_callers_untaken_answers.py
@@ -90,6 +90,13 @@
             while self.requests < requests or ConnectionState.ANSWERING in self.list_states():
                 await CLOCK.async_sleep(1)
 
+    async def async_wait_settled(self, requests: int) -> None:
+        """Wait until the connection goes on behind an answer, one turn of the loop later."""
+        await self.async_wait_answered(requests)
+        async with asyncio.timeout(TIMEOUT_S):
+            while ConnectionState.DISCARDING in self.list_states():
+                await CLOCK.async_sleep(1)
+
 
 async def async_read_body(connection: socket.socket) -> int:
     """Return how many bytes of the body of an answer arrive."""
@@ -180,7 +187,7 @@
             caller.send(request_bytes[:split])
             await CLOCK.async_sleep(20)
         caller.send((request_bytes[split:] if split else request_bytes) + more)
-        await server.async_wait_answered(before + 1)
+        await server.async_wait_settled(before + 1)
         assert server.list_states()[-1:] == [state]
         caller.close()
         async with asyncio.timeout(TIMEOUT_S):
@@ -196,7 +203,7 @@
     server = await async_add(servers, AnsweringServer())
     caller = await server.async_connect()
     caller.send(request_bytes + b"\r\n")
-    await server.async_wait_answered()
+    await server.async_wait_settled(1)
     assert server.list_states() == [ConnectionState.IDLE]
     caller.close()
 
