End of an unframed answer is decided by evidence: a killed upstream no longer ends it as whole

Cause: the kernel closes the connections of a killed process with a FIN, as a process does that has ended its answer; the router only waited 10 ms for a reset. Fix: 40 ms after the regular end (SETTLE_MS) another connection to that incarnation that was open before it and still is shows that the process lives, unless one was lost unannounced meanwhile. Else one new connection is opened and kept for the next request; where the entry states a start the upstream has to state it on it. Answers that ended before a question share it. Refused, silent or another start: broken off, which is resumed, repeated or reset as before. JSON documents that show their end don't wait; a top-level number does. Why it works: a process that dies loses all its connections and its listener, one that ends an answer ends one.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
 from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES, RETURN_TRIP_MS
+from gypsumrouter.forwarding.end_evidence import EndChecks
 from gypsumrouter.forwarding.models import (
     AttemptOptions,
     CallerRequest,
@@ -34,7 +36,7 @@
     async_discard_body,
 )
 from gypsumrouter.routing import RouteMatch
-from gypsumrouter.util.body_formats import is_complete_json, is_json_media_type
+from gypsumrouter.util.body_formats import is_complete_json, is_json_media_type, shows_json_end
 
 STATUS_OK: Final = 200
 STATUS_MULTIPLE: Final = 300
@@ -56,6 +58,7 @@
     __slots__ = (
         "_connection",
         "_dialect",
+        "_ends",
         "_on_head",
         "_pool",
         "_request",
@@ -70,6 +73,7 @@
         self,
         *,
         pool: ConnectionPool,
+        ends: EndChecks,
         dialect: Dialect,
         request: CallerRequest,
         options: AttemptOptions,
@@ -77,6 +81,7 @@
         on_head: HeadListener,
     ) -> None:
         self._pool = pool
+        self._ends = ends
         self._dialect = dialect
         self._request = request
         self._on_head = on_head
@@ -131,6 +136,16 @@
         except ConnectionBroken as error:
             return ResponseLost(reason=str(error), connection_broken=True)
 
+    async def _async_find_missing_end(self, answer: HttpResponse) -> str | None:
+        """Return why an answer whose body has ended is incomplete, None if it is complete."""
+        connection = self._connection
+        if answer.framing is not Framing.CLOSE or connection is None:
+            return None
+        verdict = await self._ends.async_check(
+            self.entry, connection, request_id=self._request.request_id
+        )
+        return None if verdict.complete else f"ended with its upstream: {verdict.value}"
+
     def release(self) -> None:
         """Return the connection to the pool after a complete response."""
         connection, self._connection = self._connection, None
@@ -163,7 +178,12 @@
         if succeeded and not metadata.signed:
             return ResponseLost(reason="the response is not signed")
         if metadata.is_event_stream and succeeded:
-            return StreamingResponse(answer=answer, status=answer.status, is_event_stream=True)
+            return StreamingResponse(
+                answer=answer,
+                status=answer.status,
+                is_event_stream=True,
+                find_missing_end=partial(self._async_find_missing_end, answer),
+            )
         body, complete = await _async_read_buffered(answer)
         if answer.status in NOT_RUN_STATUSES:
             if complete:
@@ -175,10 +195,14 @@
             raise ConnectionBroken(f"the body of status {answer.status} does not end")
         if not complete:
             return StreamingResponse(
-                answer=answer, status=answer.status, is_event_stream=False, initial_bytes=body
+                answer=answer,
+                status=answer.status,
+                is_event_stream=False,
+                initial_bytes=body,
+                find_missing_end=partial(self._async_find_missing_end, answer),
             )
-        if answer.framing is Framing.CLOSE and not _shows_end(answer, body):
-            raise ConnectionBroken("the body ended inside its JSON document")
+        if answer.framing is Framing.CLOSE:
+            await self._async_check_body(answer, body)
         self._release_or_close(answer)
         return CompleteResponse(
             answer=answer, status=answer.status, signed=metadata.signed, body=body
@@ -203,6 +227,17 @@
             if not await async_discard_body(answer):
                 raise ConnectionBroken("the response to another request does not end")
 
+    async def _async_check_body(self, answer: HttpResponse, body: bytes) -> None:
+        """Raise ConnectionBroken unless a body that ended with its connection is complete."""
+        if is_json_media_type(answer.get("Content-Type") or ""):
+            if not is_complete_json(body):
+                raise ConnectionBroken("the body ended inside its JSON document")
+            if shows_json_end(body):
+                return
+        missing = await self._async_find_missing_end(answer)
+        if missing is not None:
+            raise ConnectionBroken(missing)
+
     def _release_or_close(self, answer: HttpResponse) -> None:
         if answer.message.should_close:
             self.close()
@@ -234,13 +269,6 @@
     )
 
 
-def _shows_end(answer: HttpResponse, body: bytes) -> bool:
-    """Return whether the format of a body doesn't show that it ended early."""
-    if not is_json_media_type(answer.get("Content-Type") or ""):
-        return True
-    return is_complete_json(body)
-
-
 async def _async_read_buffered(answer: HttpResponse) -> tuple[bytes, bool]:
     """Read a body up to the buffer limit; return the bytes and whether it is complete."""
     parts: list[bytes] = []
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -83,6 +83,7 @@
         "_app",
         "_idle",
         "_lost",
+        "_lost_ms",
         "_open",
         "_opened",
         "_questions",
@@ -107,6 +108,8 @@
         # All open connections by incarnation, and the incarnations that lost one unexpectedly.
         self._open: dict[str, list[HttpConnection]] = {}
         self._lost: set[str] = set()
+        # When each of them last did (monotonic milliseconds).
+        self._lost_ms: dict[str, int] = {}
         # Questions for the start of an incarnation, beside requests.
         self._questions: dict[str, asyncio.Task[None]] = {}
         self._opened = app.metrics.counter(
@@ -137,7 +140,9 @@
         """
         pooled = await self._async_acquire(entry, repeatable=repeatable, timeout_ms=timeout_ms)
         if entry.started_ms and self._needs_check(entry, pooled.connection, start_check):
-            await self._async_verify_start(entry, pooled.connection, timeout_ms=timeout_ms)
+            await self._async_verify_start(
+                entry, pooled.connection, timeout_ms=min(CONNECT_TIMEOUT_MS, timeout_ms)
+            )
         return pooled
 
     def prove_start(self, entry: Entry, connection: HttpConnection) -> StartProof:
@@ -181,6 +186,27 @@
         self._starts.note_stated(entry, at_ms=asked_ms)
         self.release(entry, pooled.connection)
 
+    def list_open(self, entry: Entry) -> list[HttpConnection]:
+        """Return the connections to an incarnation whose peer has not closed them."""
+        return [other for other in self._list_open(entry.incarnation) if not other.ended_ms]
+
+    def get_lost_ms(self, entry: Entry) -> int | None:
+        """Return when an incarnation last closed or reset a connection without announcing it."""
+        self._list_open(entry.incarnation)
+        return self._lost_ms.get(entry.incarnation)
+
+    async def async_confirm(self, entry: Entry, *, timeout_ms: int) -> None:
+        """Open a connection, and keep it for later; raises ConnectFailed.
+
+        The upstream has to state its start within `timeout_ms` if its entry does.
+        """
+        asked_ms = self._app.clock.now_ms()
+        connection = await self._async_open(entry, timeout_ms=CONNECT_TIMEOUT_MS)
+        if entry.started_ms:
+            await self._async_verify_start(entry, connection, timeout_ms=timeout_ms)
+            self._starts.note_stated(entry, at_ms=asked_ms)
+        self.release(entry, connection)
+
     def _needs_check(
         self, entry: Entry, connection: HttpConnection, start_check: StartCheck
     ) -> bool:
@@ -231,8 +257,10 @@
     def _list_open(self, incarnation: str) -> list[HttpConnection]:
         """Return the open connections to an incarnation, and note whether others were lost."""
         known = self._open.get(incarnation, [])
-        if any(connection.lost_unexpectedly for connection in known):
+        lost_ms = [connection.ended_ms for connection in known if connection.lost_unexpectedly]
+        if lost_ms:
             self._lost.add(incarnation)
+            self._lost_ms[incarnation] = max(lost_ms)
         still_open = [connection for connection in known if connection.open]
         self._open[incarnation] = still_open
         return still_open
@@ -243,7 +271,7 @@
         """Ask for the upstream's start, once for each connection; raises ConnectFailed."""
         if connection.peer_started_ms is None:
             try:
-                async with asyncio.timeout(min(CONNECT_TIMEOUT_MS, max(1, timeout_ms)) / MS_PER_S):
+                async with asyncio.timeout(max(1, timeout_ms) / MS_PER_S):
                     connection.peer_started_ms = await self._read_start(connection)
             except (ConnectionBroken, TimeoutError) as error:
                 connection.close()
@@ -275,15 +303,23 @@
                 idle.append(connection)
                 break
             return PooledConnection(connection=connection, reused=True)
+        connection = await self._async_open(entry, timeout_ms=timeout_ms)
+        return PooledConnection(connection=connection, reused=False)
+
+    async def _async_open(self, entry: Entry, *, timeout_ms: int) -> HttpConnection:
         if entry.address is None:
             raise ConnectFailed("the upstream has no address")
         connection = await async_connect(
             address=entry.address, timeout_ms=min(CONNECT_TIMEOUT_MS, max(1, timeout_ms))
         )
         connection.opened_ms = self._app.clock.now_ms()
+        connection.on_end = self._note_end
         self._opened.inc()
         self._list_open(entry.incarnation).append(connection)
-        return PooledConnection(connection=connection, reused=False)
+        return connection
+
+    def _note_end(self, connection: HttpConnection) -> None:
+        connection.ended_ms = self._app.clock.now_ms()
 
     def release(self, entry: Entry, connection: HttpConnection) -> None:
         """Return a connection after an exchange; it is closed if it cannot be reused."""
@@ -302,6 +338,7 @@
         for incarnation in tuple(self._open):
             if not self._list_open(incarnation):
                 del self._open[incarnation]
+                self._lost_ms.pop(incarnation, None)
         for upstream, idle in tuple(self._idle.items()):
             kept = [connection for connection in idle if _is_usable(connection, now_ms)]
             for connection in idle:
--- a/gypsumrouter/forwarding/context.py
+++ b/gypsumrouter/forwarding/context.py
@@ -8,6 +8,7 @@
 from gypsumrouter.crashes.guard import CrashGuard
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.connections import ConnectionPool
+from gypsumrouter.forwarding.end_evidence import EndChecks
 from gypsumrouter.forwarding.models import Dialect
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.request_contention import ContentionContext
@@ -28,6 +29,7 @@
     dialect: Dialect
     placer: Placer
     pool: ConnectionPool
+    ends: EndChecks
     budget: RetryBudget
     suspects: CrashGuard
     streams: StreamOrigins
--- /dev/null
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -0,0 +1,163 @@
+"""Whether an answer that has neither a length nor chunks is complete, by what else is known.
+
+Such an answer ends with its connection. A process that dies closes its connections the same way,
+but all of them, and its listener too.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from enum import StrEnum
+from typing import Final
+
+from msgspec import Struct
+
+from gypsumrouter.core import Application
+from gypsumrouter.directory import Entry
+from gypsumrouter.forwarding.connections import ConnectionPool
+from gypsumrouter.helpers.http_connection import ConnectFailed, HttpConnection
+from gypsumrouter.journal import Journal, UnframedEnd
+
+# The connections of a process that dies are closed within this time of each other; a loss this
+# long before an end belongs to it.
+SETTLE_MS: Final = 40
+# An upstream that stands still for a moment accepts a connection and answers late.
+PROBE_TIMEOUT_MS: Final = 1_000
+
+
+class EndVerdict(StrEnum):
+    """What shows that an unframed answer is complete or broken off; the values are in the journal.
+
+    OPEN: another connection that was open before the end still is. ALIVE: the upstream accepted a
+    new connection after the end, and states the same start if its entry has one. REFUSED: nothing
+    listens there. SILENT: it accepted a connection, and states nothing. UNREACHABLE: no connection,
+    or another start.
+    """
+
+    OPEN = "open"
+    ALIVE = "alive"
+    REFUSED = "refused"
+    SILENT = "silent"
+    UNREACHABLE = "unreachable"
+
+    @property
+    def complete(self) -> bool:
+        """Return whether the answer counts as complete."""
+        return self in (EndVerdict.OPEN, EndVerdict.ALIVE)
+
+
+class OtherConnection(Struct, frozen=True, kw_only=True):
+    """Another open connection to the upstream of an answer (monotonic milliseconds).
+
+    `peer_started_ms` is the start that the process at its other end stated, None if unknown.
+    """
+
+    opened_ms: int
+    peer_started_ms: int | None = None
+
+
+def proves_alive(
+    others: Iterable[OtherConnection], *, ended_ms: int, lost_ms: int | None, started_ms: int
+) -> bool:
+    """Return whether the other connections of an upstream show that it outlived an answer.
+
+    They are those that are open SETTLE_MS after `ended_ms`. One that was opened later may lead to
+    another process. `lost_ms` is when a connection last ended without having announced that: the
+    others may end next. `started_ms` is the start that the entry states, 0 if none.
+    """
+    if lost_ms is not None and lost_ms >= ended_ms - SETTLE_MS:
+        return False
+    return any(
+        other.opened_ms < ended_ms
+        and (not started_ms or other.peer_started_ms in (None, started_ms))
+        for other in others
+    )
+
+
+class Probe(Struct, frozen=True, kw_only=True):
+    """A question to an upstream, asked at `begun_ms`."""
+
+    begun_ms: int
+    task: asyncio.Task[EndVerdict]
+
+
+class EndChecks:
+    """Decides for each answer that ended with its connection whether it is complete."""
+
+    __slots__ = ("_app", "_counter", "_journal", "_pool", "_probes")
+
+    def __init__(self, *, app: Application, pool: ConnectionPool, journal: Journal) -> None:
+        self._app = app
+        self._pool = pool
+        # The last question to an incarnation.
+        self._probes: dict[str, Probe] = {}
+        self._journal = journal
+        self._counter = app.metrics.counter(
+            "gypsumrouter_unframed_ends_total",
+            "Answers without a length or chunks that ended, by the evidence of their end",
+        )
+
+    async def async_check(
+        self, entry: Entry, connection: HttpConnection, *, request_id: str
+    ) -> EndVerdict:
+        """Return what is known of the end of an answer on a connection that its peer has closed.
+
+        This takes SETTLE_MS, and the time of a connect and a question if no connection tells.
+        """
+        clock = self._app.clock
+        begun_ms = clock.now_ms()
+        ended_ms = connection.ended_ms or begun_ms
+        # Twice, so that what arrived during a pause of this process is read before the last part.
+        for _ in range(2):
+            await clock.async_sleep(SETTLE_MS // 2)
+        verdict = EndVerdict.OPEN
+        if not self._outlived(entry, connection, ended_ms):
+            verdict = await self._async_probe(entry, ended_ms)
+        self._counter.inc(labels=(("evidence", verdict.value),))
+        self._journal.record(
+            UnframedEnd(
+                request_id=request_id,
+                upstream=entry.incarnation,
+                evidence=verdict.value,
+                complete=verdict.complete,
+                took_ms=clock.now_ms() - begun_ms,
+            )
+        )
+        return verdict
+
+    def _outlived(self, entry: Entry, connection: HttpConnection, ended_ms: int) -> bool:
+        others = [
+            OtherConnection(opened_ms=other.opened_ms, peer_started_ms=other.peer_started_ms)
+            for other in self._pool.list_open(entry)
+            if other is not connection
+        ]
+        return proves_alive(
+            others,
+            ended_ms=ended_ms,
+            lost_ms=self._pool.get_lost_ms(entry),
+            started_ms=entry.started_ms,
+        )
+
+    async def _async_probe(self, entry: Entry, ended_ms: int) -> EndVerdict:
+        """Ask the upstream, once for all answers that ended before the question."""
+        probe = self._probes.get(entry.incarnation)
+        if probe is None or probe.begun_ms < ended_ms:
+            now_ms = self._app.clock.now_ms()
+            self._probes = {
+                incarnation: known
+                for incarnation, known in self._probes.items()
+                if not known.task.done() or now_ms - known.begun_ms < PROBE_TIMEOUT_MS
+            }
+            task = self._app.async_create_task(self._async_ask(entry), "ask whether it is alive")
+            probe = self._probes[entry.incarnation] = Probe(begun_ms=now_ms, task=task)
+        return await asyncio.shield(probe.task)
+
+    async def _async_ask(self, entry: Entry) -> EndVerdict:
+        try:
+            await self._pool.async_confirm(entry, timeout_ms=PROBE_TIMEOUT_MS)
+        except ConnectFailed as error:
+            if error.refused:
+                return EndVerdict.REFUSED
+            return EndVerdict.SILENT if error.silent else EndVerdict.UNREACHABLE
+        return EndVerdict.ALIVE
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -109,6 +109,7 @@
             app=context.app,
             dialect=context.dialect,
             pool=context.pool,
+            ends=context.ends,
             placer=context.placer,
             guard=context.suspects,
             request=request,
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -26,6 +26,7 @@
 from gypsumrouter.forwarding.const import CALLER_TIMEOUT_MARGIN_MS
 from gypsumrouter.forwarding.context import ForwardingContext
 from gypsumrouter.forwarding.drain import DrainAdmission
+from gypsumrouter.forwarding.end_evidence import EndChecks
 from gypsumrouter.forwarding.handler import RequestHandler, RequestParser
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.inventory import CacheInventory, FetchCacheListing
@@ -175,6 +176,7 @@
             dialect=dialect,
             placer=self.placer,
             pool=self._pool,
+            ends=EndChecks(app=app, pool=self._pool, journal=journal),
             budget=self.budget,
             suspects=self.suspects,
             streams=self.streams,
--- a/gypsumrouter/forwarding/models.py
+++ b/gypsumrouter/forwarding/models.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Final, Protocol, TypeVar
 
 import xxhash
@@ -244,17 +244,24 @@
     body: bytes
 
 
+async def async_find_nothing() -> str | None:
+    """Return that nothing shows that a body which has ended is incomplete."""
+    return None
+
+
 class StreamingResponse(Struct, frozen=True, kw_only=True):
     """A response whose body is still being received.
 
     `initial_bytes` is the part of the body that has been read. `is_event_stream` is true if the
-    body consists of server-sent events.
+    body consists of server-sent events. `find_missing_end` returns why a body that has ended is
+    incomplete though its bytes don't show that, None if it is complete.
     """
 
     answer: HttpResponse
     status: int
     is_event_stream: bool
     initial_bytes: bytes = b""
+    find_missing_end: Callable[[], Awaitable[str | None]] = async_find_nothing
 
 
 class ResponseLost(Struct, frozen=True, kw_only=True):
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -133,7 +133,7 @@
             return self._end(RelayResult.BROKEN, str(error))
         except EventTooLong:
             return self._end(RelayResult.BROKEN, "an event is too long")
-        missing = self._find_missing_end(streaming)
+        missing = self._find_missing_end(streaming) or await streaming.find_missing_end()
         if missing is not None:
             return self._end(RelayResult.BROKEN, missing)
         await self._async_finish(streaming)
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -14,6 +14,7 @@
 from gypsumrouter.forwarding.attempt import Attempt, make_attempt_options
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
 from gypsumrouter.forwarding.const import MAX_EVENT_BYTES
+from gypsumrouter.forwarding.end_evidence import EndChecks
 from gypsumrouter.forwarding.models import (
     CallerRequest,
     CompleteResponse,
@@ -45,6 +46,7 @@
     app: Application
     dialect: Dialect
     pool: ConnectionPool
+    ends: EndChecks
     placer: Placer
     guard: CrashGuard
     request: CallerRequest
@@ -106,6 +108,7 @@
         )
         self.attempt = Attempt(
             pool=context.pool,
+            ends=context.ends,
             dialect=context.dialect,
             request=context.request,
             options=make_attempt_options(
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -10,6 +10,7 @@
 import asyncio
 import socket
 from collections import deque
+from collections.abc import Callable
 from enum import StrEnum
 from typing import Final
 
@@ -93,10 +94,12 @@
         "_user_timeout_ms",
         "_waiter",
         "address",
+        "ended_ms",
         "exchanges",
         "idle_since_ms",
         "keep_alive_ms",
         "lost_unexpectedly",
+        "on_end",
         "opened_ms",
         "peer_started_ms",
         "start_source",
@@ -108,6 +111,9 @@
         self.exchanges = 0
         # When it was open at the latest (monotonic milliseconds), set by who opened it.
         self.opened_ms = 0
+        # When the peer closed or reset it, 0 before; set by `on_end`, which is called once then.
+        self.ended_ms = 0
+        self.on_end: Callable[[HttpConnection], None] | None = None
         self.idle_since_ms = 0
         # Idle timeout that the peer announced in its Keep-Alive header, if any.
         self.keep_alive_ms: int | None = None
@@ -278,6 +284,7 @@
 
     def eof_received(self) -> bool:
         """Wait for a possible reset before a body without a length counts as complete."""
+        self._note_end()
         self._parse_all()
         body = self._body
         if body is None or body.is_eof() or not self._parsing:
@@ -297,12 +304,18 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Complete or fail the body that is being read."""
+        self._note_end()
         self._parse_all()
         super().connection_lost(None)
         self.lost_unexpectedly = exc is not None or not self._expects_close
         self._end_body(exc)
         self._mark_broken("closed by the peer" if exc is None else f"reset: {type(exc).__name__}")
 
+    def _note_end(self) -> None:
+        on_end, self.on_end = self.on_end, None
+        if on_end is not None:
+            on_end(self)
+
     def _end_body(self, exc: BaseException | None) -> None:
         body = self._body
         if body is None or body.is_eof() or body.exception() is not None:
--- a/gypsumrouter/journal/__init__.py
+++ b/gypsumrouter/journal/__init__.py
@@ -44,6 +44,7 @@
     StreamTakenUp,
     SuspectChanged,
     SuspectRefused,
+    UnframedEnd,
 )
 
 __all__ = [
@@ -84,6 +85,7 @@
     "StreamTakenUp",
     "SuspectChanged",
     "SuspectRefused",
+    "UnframedEnd",
     "UpstreamChanged",
     "UpstreamHealth",
     "UpstreamResting",
--- a/gypsumrouter/journal/request_events.py
+++ b/gypsumrouter/journal/request_events.py
@@ -105,6 +105,20 @@
     last_event: str
 
 
+class UnframedEnd(Event, frozen=True, kw_only=True):
+    """An answer without a length or chunks has ended, and it is decided whether it is `complete`.
+
+    `evidence` is what decided that (see `EndVerdict`), which took `took_ms`.
+    """
+
+    name: ClassVar[str] = "unframed_end"
+    request_id: str
+    upstream: str
+    evidence: str
+    complete: bool
+    took_ms: int
+
+
 class StreamTakenUp(Event, frozen=True, kw_only=True):
     """A caller takes up a stream that the request `began_as` began, after its event `last_event`.
 
--- a/gypsumrouter/util/body_formats.py
+++ b/gypsumrouter/util/body_formats.py
@@ -8,6 +8,9 @@
 
 # An event ends with an empty line. Lines end with LF, CR LF or CR.
 EVENT_ENDS: Final = (b"\n\n", b"\n\r\n", b"\r\r")
+# A JSON document that begins with none of these may be the beginning of a longer number.
+JSON_DELIMITERS: Final = b'{["tfn'
+JSON_WHITESPACE: Final = b" \t\r\n"
 LINE_ENDS: Final = b"\r\n"
 MEDIA_TYPE_JSON: Final = "application/json"
 SUFFIX_JSON: Final = "+json"
@@ -49,3 +52,9 @@
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
         return False
     return True
+
+
+def shows_json_end(document: bytes) -> bool:
+    """Return whether a complete JSON document can't be the beginning of a longer one."""
+    first = document.lstrip(JSON_WHITESPACE)[:1]
+    return bool(first) and first in JSON_DELIMITERS
--- /dev/null
+++ b/tests/forwarding/dying_world.py
@@ -0,0 +1,139 @@
+"""Test environment: upstreams that are processes, and callers who see how their answers end."""
+
+from __future__ import annotations
+
+import asyncio
+import resource
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+from forwarding_world import CALLER_KEY, HOST, PROMPT, ForwardingWorld
+
+from gypsumrouter.instances import Address
+
+PROGRAM = Path(__file__).with_name("unframed_upstream.py")
+
+
+class Seen(NamedTuple):
+    """What a caller got; `whole` is False if the answer was cut."""
+
+    status: int
+    whole: bool
+    body: bytes
+
+
+class UpstreamProcess:
+    """A process that answers without a length or chunks, with all its entries in the store."""
+
+    def __init__(self, *, name: str, held: int = 0, states_start: bool = True) -> None:
+        self.name = name
+        self.born = time.time_ns() // 1_000_000 if states_start else 0
+        self._held = held
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def async_start(self, world: ForwardingWorld, *, service: str) -> None:
+        """Start it, and wait until the forwarder lists it."""
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable, "-S", str(PROGRAM), self.name, str(self.born), str(self._held),
+            stdout=asyncio.subprocess.PIPE, preexec_fn=_leave_no_core,
+        )  # fmt: skip
+        address = Address(host="127.0.0.1", port=int(await self._async_read_line()))
+        more = {"born": self.born} if self.born else {}
+        await world.store.async_put_runner(
+            self.name, service=service, address=address, state="ready", version="v1", **more
+        )
+        await world.async_until(lambda: self._is_listed(world))
+
+    def _is_listed(self, world: ForwardingWorld) -> bool:
+        return self.name in str(world.product.app.dump()["directory"])
+
+    async def async_read_held(self) -> str:
+        """Return the id of the next request whose answer it holds."""
+        return await self._async_read_line()
+
+    async def async_end(self, number: signal.Signals = signal.SIGKILL) -> None:
+        """Send it a signal, and wait until it has ended."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+            await self._process.wait()
+
+    async def _async_read_line(self) -> str:
+        assert self._process is not None
+        assert self._process.stdout is not None
+        async with asyncio.timeout(10):
+            return (await self._process.stdout.readline()).decode().strip()
+
+
+def _leave_no_core() -> None:
+    resource.setrlimit(resource.RLIMIT_CORE, (0, 0))
+
+
+class DyingWorld(ForwardingWorld):
+    """A forwarder whose upstreams are processes that a test starts."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.records = []
+        self.models = []
+        self.processes: list[UpstreamProcess] = []
+
+    async def async_add(
+        self, name: str, *, service: str = "models", held: int = 0, states_start: bool = True
+    ) -> UpstreamProcess:
+        """Start an upstream."""
+        process = UpstreamProcess(name=name, held=held, states_start=states_start)
+        self.processes.append(process)
+        await process.async_start(self, service=service)
+        return process
+
+    async def async_stop(self) -> None:
+        """Stop all."""
+        for process in self.processes:
+            await process.async_end()
+        await super().async_stop()
+
+    async def async_ask(
+        self, request_id: str, path: str, *, events: bool, version: str = "1.1"
+    ) -> Seen:
+        """Send a request on a connection of its own, and read its answer to the end."""
+        address = self.product.addresses["callers"]
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        headers = {"Host": HOST, "X-Request-Id": request_id, "Api-Key": CALLER_KEY}
+        headers |= {"X-Deadline-Ms": "8000", "Connection": "close", "Content-Length": "1"}
+        headers |= PROMPT if events else {}
+        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+        writer.write(f"POST {path} HTTP/{version}\r\n{lines}\r\np".encode())
+        received, reset = b"", False
+        try:
+            async with asyncio.timeout(15):
+                while part := await reader.read(65_536):
+                    received += part
+        except ConnectionError:
+            reset = True
+        writer.close()
+        return read_answer(received, reset=reset)
+
+
+def read_answer(received: bytes, *, reset: bool) -> Seen:
+    """Return what the bytes of a connection say of the only answer on it."""
+    head, _, rest = received.partition(b"\r\n\r\n")
+    if not head:
+        return Seen(0, False, b"")
+    status = int(head.split(b" ")[1])
+    fields = head.lower()
+    if b"transfer-encoding: chunked" in fields:
+        body = b""
+        while rest:
+            size, _, rest = rest.partition(b"\r\n")
+            length = int(size, 16)
+            if not length:
+                return Seen(status, not reset, body)
+            body, rest = body + rest[:length], rest[length + 2 :]
+        return Seen(status, False, body)
+    if b"content-length:" in fields:
+        length = int(fields.partition(b"content-length:")[2].split(b"\r\n")[0])
+        return Seen(status, len(rest) == length, rest)
+    return Seen(status, not reset, rest)
--- /dev/null
+++ b/tests/forwarding/test_forwarding_end_evidence.py
@@ -0,0 +1,239 @@
+"""What shows that an answer without a length or chunks is complete, and what that costs."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import msgspec
+import pytest
+
+from gypsumrouter.const import Role
+from gypsumrouter.core import Application
+from gypsumrouter.directory import Directory, Entry, EntryState
+from gypsumrouter.forwarding.connections import ConnectionPool
+from gypsumrouter.forwarding.end_evidence import (
+    SETTLE_MS,
+    EndChecks,
+    EndVerdict,
+    OtherConnection,
+    proves_alive,
+)
+from gypsumrouter.forwarding.starts import UpstreamStarts
+from gypsumrouter.helpers.http_connection import HttpConnection
+from gypsumrouter.helpers.http_response import ConnectionBroken
+from gypsumrouter.instances import Address
+from gypsumrouter.journal import Journal
+from gypsumrouter.util.body_formats import is_complete_json, shows_json_end
+
+STARTED_MS = 1_700_000_000_000
+ENDED_MS = 10_000
+
+
+class Upstream:
+    """Accepts connections, closes those that a test names, and states a start that it sets."""
+
+    def __init__(self) -> None:
+        self.started_ms: int | None = STARTED_MS
+        self.questions = 0
+        self.accepted: list[asyncio.StreamWriter] = []
+        self._server: asyncio.Server | None = None
+
+    async def async_start(self) -> Entry:
+        """Listen; return the entry of the upstream."""
+        self._server = await asyncio.start_server(self._async_accept, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return Entry(
+            upstream="i-1",
+            state=EntryState.READY,
+            service="models",
+            address=Address(host=host, port=port),
+            started_ms=STARTED_MS,
+        )
+
+    async def _async_accept(self, _: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.accepted.append(writer)
+
+    async def async_read_start(self, _connection: HttpConnection) -> int:
+        """Return the start, as the upstream states it; None is for one that says nothing."""
+        self.questions += 1
+        if self.started_ms is None:
+            raise ConnectionBroken("closed")
+        return self.started_ms
+
+    def refuse(self) -> None:
+        """Close the listener."""
+        if self._server is not None:
+            self._server.close()
+
+    def stop(self) -> None:
+        """Close the listener and all connections."""
+        self.refuse()
+        for writer in self.accepted:
+            writer.transport.abort()
+
+
+class Checked:
+    """A pool with connections to one upstream, and the checks of its answers."""
+
+    def __init__(self, app: Application, upstream: Upstream, entry: Entry) -> None:
+        self.upstream = upstream
+        self.entry = entry
+        journal = Journal(app=app)
+        directory = Directory(app=app, journal=journal)
+        starts = UpstreamStarts(clock=app.clock, directory=directory, get_list_age_ms=lambda: 0)
+        self.pool = ConnectionPool(app=app, read_start=upstream.async_read_start, starts=starts)
+        self.checks = EndChecks(app=app, pool=self.pool, journal=journal)
+        self._count = 0
+
+    async def async_open(self) -> tuple[HttpConnection, asyncio.StreamWriter]:
+        """Open a connection; return both ends of it."""
+        pooled = await self.pool.async_acquire(self.entry, repeatable=True, timeout_ms=500)
+        self._count += 1
+        await async_until(lambda: len(self.upstream.accepted) == self._count)
+        return pooled.connection, self.upstream.accepted[-1]
+
+    async def async_check(self, connection: HttpConnection) -> EndVerdict:
+        """Return what is known once the upstream has closed a connection."""
+        await async_until(lambda: connection.ended_ms)
+        return await self.checks.async_check(self.entry, connection, request_id="r1")
+
+
+@pytest.fixture
+async def checked() -> AsyncIterator[Checked]:
+    """Start an upstream."""
+    app = Application(name="r1", role=Role.FORWARDER, data_centre="dc", region="r")
+    upstream = Upstream()
+    yield Checked(app, upstream, await upstream.async_start())
+    upstream.stop()
+    await app.async_stop()
+
+
+async def async_until(condition: Callable[[], Any]) -> None:
+    """Wait up to 10 s until a condition holds."""
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.get_running_loop().run_in_executor(None, lambda: None)
+
+
+async def async_begin_answer(connection: HttpConnection, peer: asyncio.StreamWriter) -> None:
+    """Begin an answer that ends with its connection."""
+    connection.send_request(method="GET", data=b"GET / HTTP/1.1\r\n\r\n")
+    peer.write(b"HTTP/1.1 200 OK\r\n\r\na")
+    await connection.async_read_response()
+
+
+# Guards against probes and connections where an open one already tells.
+async def test_upstream_with_an_open_connection_is_asked(checked: Checked) -> None:
+    await checked.async_open()
+    connection, peer = await checked.async_open()
+    await async_begin_answer(connection, peer)
+    peer.close()
+    assert await checked.async_check(connection) is EndVerdict.OPEN
+    assert (checked.upstream.questions, len(checked.upstream.accepted)) == (0, 2)
+
+
+# Guards against complete answers that count as broken off since no other connection is open.
+@pytest.mark.parametrize("states_start", [True, False])
+async def test_answer_on_the_only_connection_is_broken_off(
+    checked: Checked, states_start: bool
+) -> None:
+    if not states_start:
+        checked.entry = msgspec.structs.replace(checked.entry, started_ms=0)
+    connection, peer = await checked.async_open()
+    await async_begin_answer(connection, peer)
+    peer.close()
+    assert await checked.async_check(connection) is EndVerdict.ALIVE
+    assert checked.upstream.questions == int(states_start)
+    # The new connection is kept for the next request.
+    pooled = await checked.pool.async_acquire(checked.entry, repeatable=True, timeout_ms=500)
+    assert len(checked.pool.list_open(checked.entry)) == 1
+    assert pooled.connection in checked.pool.list_open(checked.entry)
+
+
+# Guards against a death seen in several answers that end at one moment, and a probe for each.
+async def test_answers_that_end_at_one_moment_are_broken_off(checked: Checked) -> None:
+    opened = [await checked.async_open() for _ in range(12)]
+    for connection, peer in opened:
+        await async_begin_answer(connection, peer)
+    for _, peer in opened:
+        peer.close()
+    seen = await asyncio.gather(*(checked.async_check(connection) for connection, _ in opened))
+    assert set(seen) == {EndVerdict.ALIVE}
+    assert checked.upstream.questions <= 2
+
+
+# Guards against an answer that counts as complete though its upstream is gone, or another process.
+@pytest.mark.parametrize(
+    ("change", "expected"),
+    [
+        ("refuses", EndVerdict.REFUSED),
+        ("another start", EndVerdict.UNREACHABLE),
+        ("no start", EndVerdict.UNREACHABLE),
+    ],
+)
+async def test_answer_of_an_upstream_that_is_gone_is_complete(
+    checked: Checked, change: str, expected: EndVerdict
+) -> None:
+    connection, peer = await checked.async_open()
+    await async_begin_answer(connection, peer)
+    if change == "refuses":
+        checked.upstream.refuse()
+    else:
+        checked.upstream.started_ms = STARTED_MS + 1 if change == "another start" else None
+    peer.close()
+    assert await checked.async_check(connection) is expected
+
+
+# Guards against the trust in a connection that is still open beside one that was lost just now.
+async def test_open_connection_vouches_beside_one_that_was_lost(checked: Checked) -> None:
+    await checked.async_open()
+    lost, lost_peer = await checked.async_open()
+    connection, peer = await checked.async_open()
+    await async_begin_answer(connection, peer)
+    checked.upstream.refuse()
+    lost_peer.transport.abort()
+    await async_until(lambda: not lost.open)
+    peer.close()
+    assert await checked.async_check(connection) is EndVerdict.REFUSED
+
+
+def make_other(opened_ms: int, peer_started_ms: int | None = None) -> OtherConnection:
+    return OtherConnection(opened_ms=opened_ms, peer_started_ms=peer_started_ms)
+
+
+# Guards against evidence from connections that may lead to another process, or may be about to end.
+@pytest.mark.parametrize(
+    ("others", "lost_ms", "started_ms", "expected"),
+    [
+        ([], None, 0, False),
+        ([make_other(ENDED_MS - 1)], None, 0, True),
+        ([make_other(ENDED_MS)], None, 0, False),
+        ([make_other(ENDED_MS), make_other(1)], None, 0, True),
+        ([make_other(1, 7)], None, 7, True),
+        ([make_other(1, 8)], None, 7, False),
+        ([make_other(1)], None, 7, True),
+        ([make_other(1)], ENDED_MS - SETTLE_MS - 1, 7, True),
+        ([make_other(1)], ENDED_MS - SETTLE_MS, 7, False),
+        ([make_other(1)], ENDED_MS + 1, 7, False),
+    ],
+)
+def test_connection_vouches_for_an_end_that_it_did_not_outlive(
+    others: list[OtherConnection], lost_ms: int | None, started_ms: int, expected: bool
+) -> None:
+    alive = proves_alive(others, ended_ms=ENDED_MS, lost_ms=lost_ms, started_ms=started_ms)
+    assert alive is expected
+
+
+# Guards against a number that was cut and looks like a whole document.
+@pytest.mark.parametrize("document", [b"1", b" 12", b"-3", b"0"])
+def test_number_shows_its_end(document: bytes) -> None:
+    assert is_complete_json(document)
+    assert not shows_json_end(document)
+
+
+@pytest.mark.parametrize("document", [b"{}", b" [1]", b'"a"', b"true", b"null", b"\nfalse"])
+def test_document_that_shows_its_end_waits_for_evidence(document: bytes) -> None:
+    assert is_complete_json(document)
+    assert shows_json_end(document)
