An upstream without a stated start is not vouched for by who has its address later

Seen: in a test, the answer of an upstream whose entry states no start counted as complete though another upstream had its address when it was asked. Cause: without a stated start the new connection alone decided, whoever accepted it. Fix: then the entry also has to be listed, and no other upstream at its address. Each start has an id of its own in that form of entry, so the list shows the change. The two new cases of test_forwarding_end_evidence.py failed before.

--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -14,7 +14,7 @@
 from msgspec import Struct
 
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Entry
+from gypsumrouter.directory import Directory, Entry, EntryState
 from gypsumrouter.forwarding.connections import ConnectionPool
 from gypsumrouter.helpers.http_connection import ConnectFailed, HttpConnection
 from gypsumrouter.journal import Journal, UnframedEnd
@@ -32,7 +32,8 @@
     OPEN: another connection that was open before the end still is. ALIVE: the upstream accepted a
     new connection after the end, and states the same start if its entry has one. REFUSED: nothing
     listens there. SILENT: it accepted a connection, and states nothing. UNREACHABLE: no connection,
-    or another start.
+    or another start. REPLACED: a connection, but the entry states no start, and is gone or
+    another upstream is listed at its address.
     """
 
     OPEN = "open"
@@ -40,6 +41,7 @@
     REFUSED = "refused"
     SILENT = "silent"
     UNREACHABLE = "unreachable"
+    REPLACED = "replaced"
 
     @property
     def complete(self) -> bool:
@@ -85,10 +87,13 @@
 class EndChecks:
     """Decides for each answer that ended with its connection whether it is complete."""
 
-    __slots__ = ("_app", "_counter", "_journal", "_pool", "_probes")
+    __slots__ = ("_app", "_counter", "_directory", "_journal", "_pool", "_probes")
 
-    def __init__(self, *, app: Application, pool: ConnectionPool, journal: Journal) -> None:
+    def __init__(
+        self, *, app: Application, pool: ConnectionPool, directory: Directory, journal: Journal
+    ) -> None:
         self._app = app
+        self._directory = directory
         self._pool = pool
         # The last question to an incarnation.
         self._probes: dict[str, Probe] = {}
@@ -160,4 +165,18 @@
             if error.refused:
                 return EndVerdict.REFUSED
             return EndVerdict.SILENT if error.silent else EndVerdict.UNREACHABLE
-        return EndVerdict.ALIVE
+        if entry.started_ms or self._has_address(entry):
+            return EndVerdict.ALIVE
+        return EndVerdict.REPLACED
+
+    def _has_address(self, entry: Entry) -> bool:
+        """Return whether an upstream is listed, and no other one is at its address."""
+        listed = self._directory.get_incarnation(entry.incarnation)
+        if listed is None or listed.state is EntryState.GONE:
+            return False
+        return not any(
+            record.entry.address == entry.address
+            and record.entry.incarnation != entry.incarnation
+            and record.entry.state is not EntryState.GONE
+            for record in self._directory.records()
+        )
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -176,7 +176,7 @@
             dialect=dialect,
             placer=self.placer,
             pool=self._pool,
-            ends=EndChecks(app=app, pool=self._pool, journal=journal),
+            ends=EndChecks(app=app, pool=self._pool, directory=directory, journal=journal),
             budget=self.budget,
             suspects=self.suspects,
             streams=self.streams,
--- a/tests/forwarding/test_forwarding_end_evidence.py
+++ b/tests/forwarding/test_forwarding_end_evidence.py
@@ -6,12 +6,11 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
-import msgspec
 import pytest
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Entry, EntryState
+from gypsumrouter.directory import Directory, Entry, EntryState, Record
 from gypsumrouter.forwarding.connections import ConnectionPool
 from gypsumrouter.forwarding.end_evidence import (
     SETTLE_MS,
@@ -81,10 +80,11 @@
         self.upstream = upstream
         self.entry = entry
         journal = Journal(app=app)
-        directory = Directory(app=app, journal=journal)
+        directory = self.directory = Directory(app=app, journal=journal)
+        directory.merge(Record(revision=1, entry=entry), source="test")
         starts = UpstreamStarts(clock=app.clock, directory=directory, get_list_age_ms=lambda: 0)
         self.pool = ConnectionPool(app=app, read_start=upstream.async_read_start, starts=starts)
-        self.checks = EndChecks(app=app, pool=self.pool, journal=journal)
+        self.checks = EndChecks(app=app, pool=self.pool, directory=directory, journal=journal)
         self._count = 0
 
     async def async_open(self) -> tuple[HttpConnection, asyncio.StreamWriter]:
@@ -117,6 +117,16 @@
             await asyncio.get_running_loop().run_in_executor(None, lambda: None)
 
 
+def list_without_start(checked: Checked) -> Entry:
+    """List the upstream under an id that states no start; return its entry."""
+    entry = checked.entry
+    gone = Entry(upstream=entry.upstream, state=EntryState.GONE)
+    checked.directory.merge(Record(revision=2, entry=gone), source="test", confirmed=True)
+    entry = Entry(upstream="i-0", state=EntryState.READY, service="models", address=entry.address)
+    checked.directory.merge(Record(revision=2, entry=entry), source="test")
+    return entry
+
+
 async def async_begin_answer(connection: HttpConnection, peer: asyncio.StreamWriter) -> None:
     """Begin an answer that ends with its connection."""
     connection.send_request(method="GET", data=b"GET / HTTP/1.1\r\n\r\n")
@@ -140,7 +150,7 @@
     checked: Checked, states_start: bool
 ) -> None:
     if not states_start:
-        checked.entry = msgspec.structs.replace(checked.entry, started_ms=0)
+        checked.entry = list_without_start(checked)
     connection, peer = await checked.async_open()
     await async_begin_answer(connection, peer)
     peer.close()
@@ -152,6 +162,21 @@
     assert pooled.connection in checked.pool.list_open(checked.entry)
 
 
+# Guards against the trust in a process that has the address of one that stated no start.
+@pytest.mark.parametrize("state", [EntryState.GONE, EntryState.READY])
+async def test_answer_of_a_replaced_upstream_is_complete(
+    checked: Checked, state: EntryState
+) -> None:
+    checked.entry = list_without_start(checked)
+    connection, peer = await checked.async_open()
+    await async_begin_answer(connection, peer)
+    name = "i-0" if state is EntryState.GONE else "i-2"
+    other = Entry(upstream=name, state=state, service="models", address=checked.entry.address)
+    checked.directory.merge(Record(revision=3, entry=other), source="test", confirmed=True)
+    peer.close()
+    assert await checked.async_check(connection) is EndVerdict.REPLACED
+
+
 # Guards against a death seen in several answers that end at one moment, and a probe for each.
 async def test_answers_that_end_at_one_moment_are_broken_off(checked: Checked) -> None:
     opened = [await checked.async_open() for _ in range(12)]
