Resumed streams: a run passes only if its ids go on behind the last event

What callers saw: a stream broke off, and the second upstream began at 1 again, sent the last event once more, or left one out; the caller got both runs, joined and framed as whole.

Cause: EventSplitter took whatever id a run sent. Nothing compared it with what the caller had; the same for a run beside a silent one, and for a stream that its caller takes up with Last-Event-Id.

Fix: forwarding/event_order.py decides from the first id, the last id and the count of ids whether an event can follow. Events of a resumed run are split and compared; a run is broken off before the first that can't follow, and another upstream is tried as far as route, attempts, time and budget allow, else the connection is reset (502 where a caller took the stream up and has nothing yet). The answer of one upstream passes unchanged. Such a run counts as an attempt, not as a crash: health and crash detection are left alone. The upstream is counted (gypsumrouter_streams_out_of_order_total), named once for each of its starts, and avoided for streams that have to go on while others can; a caller's own statement names none. stream_resumed has the first id that came. An event with an empty id counts as one without: it was sent on as no Last-Event-Id at all, which begins the stream anew.

--- a/gypsumrouter/forwarding/context.py
+++ b/gypsumrouter/forwarding/context.py
@@ -11,6 +11,7 @@
 from gypsumrouter.forwarding.models import Dialect
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.request_contention import ContentionContext
+from gypsumrouter.forwarding.stream_disorders import StreamDisorders
 from gypsumrouter.helpers.metrics import Counter
 from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
@@ -20,7 +21,8 @@
 class ForwardingContext(Struct, frozen=True, kw_only=True):
     """Components that all requests of a forwarder share; `without` are disabled mechanisms.
 
-    `silences` counts attempts with a silent upstream, by what was awaited and the result.
+    `silences` counts attempts with a silent upstream, by what was awaited and the result,
+    `disorders` has the upstreams whose runs did not go on behind others.
     """
 
     app: Application
@@ -32,5 +34,6 @@
     suspects: CrashGuard
     streams: StreamOrigins
     silences: Counter
+    disorders: StreamDisorders
     contention: ContentionContext = ContentionContext()
     without: frozenset[Mechanism] = frozenset()
--- a/gypsumrouter/forwarding/events.py
+++ b/gypsumrouter/forwarding/events.py
@@ -5,10 +5,14 @@
 from typing import Final
 
 from gypsumrouter.forwarding.const import MAX_EVENT_BYTES
+from gypsumrouter.forwarding.event_order import OrderFault, RelayedIds, find_order_fault
 from gypsumrouter.helpers.http_headers import is_writable
-from gypsumrouter.util.body_formats import find_event_end, is_inside_event
+from gypsumrouter.util.body_formats import find_event_end, has_field, is_inside_event, split_events
 
 ID_FIELD: Final = b"id:"
+# An id in another line than the first one.
+ID_LINE: Final = b"\n" + ID_FIELD
+DATA_FIELD: Final = b"data"
 
 
 class EventTooLong(Exception):
@@ -19,17 +23,34 @@
     """Splits a byte stream after complete events and tracks the id of the last one.
 
     An upstream may fail in the middle of an event. Only complete events are returned, so that a
-    stream that is resumed on another upstream does not repeat a part of one.
+    stream that is resumed on another upstream does not repeat a part of one. The events of another
+    run are returned only as far as they go on behind those that were; `fault` is why the next one
+    doesn't, None while they do. `taken_up_after` is the id of the last event that the caller has
+    from another response.
     """
 
-    __slots__ = ("_partial", "has_events", "last_event_id", "last_has_id")
-
-    def __init__(self) -> None:
+    __slots__ = (
+        "_checks_order",
+        "_partial",
+        "_relayed",
+        "fault",
+        "first_id",
+        "has_events",
+        "last_event_id",
+        "last_has_id",
+    )
+
+    def __init__(self, *, taken_up_after: str | None = None) -> None:
         self._partial = b""
+        self._relayed = RelayedIds(last=taken_up_after or None)
+        self._checks_order = False
         self.has_events = False
         self.last_event_id: str | None = None
         # Whether the last event has an id, so that another upstream can go on after it.
         self.last_has_id = True
+        self.fault: OrderFault | None = None
+        # The id of the first event of a run that is to go on, None before it and without one.
+        self.first_id: str | None = None
 
     @property
     def partial_bytes(self) -> int:
@@ -41,10 +62,23 @@
         """Return whether an event has begun and is incomplete."""
         return is_inside_event(self._partial)
 
+    @property
+    def has_relayed(self) -> bool:
+        """Return whether the caller has an event with an id, behind which a run has to go on."""
+        return self._relayed.last is not None
+
+    @property
+    def goes_on_after(self) -> str | None:
+        """Return the id behind which the present run has to go on, None if it begins the stream."""
+        return self._relayed.last if self._checks_order else None
+
     def start(self) -> None:
         """Start the stream of another upstream; an incomplete event is discarded."""
         self._partial = b""
         self.has_events = False
+        self._checks_order = self._relayed.last is not None
+        self.fault = None
+        self.first_id = None
 
     def feed(self, data: bytes) -> bytes:
         """Add data and return all complete events that have not been returned yet.
@@ -60,24 +94,78 @@
             self._partial = data
             return b""
         self._partial = data[end:]
-        self.has_events = True
         complete = data[:end]
-        self._update_last_event_id(complete)
+        if self._checks_order:
+            return self._select_in_order(complete)
+        self._note(complete)
         return complete
 
-    def _update_last_event_id(self, complete: bytes) -> None:
-        last = complete[find_event_end(complete[:-1]) :]
-        self.last_has_id = last.startswith(ID_FIELD) or b"\n" + ID_FIELD in last
-        start = complete.rfind(b"\n" + ID_FIELD)
-        if start >= 0:
-            start += 1
-        elif complete.startswith(ID_FIELD):
-            start = 0
-        else:
-            return
-        value = complete[start + len(ID_FIELD) : complete.find(b"\n", start)].strip()
-        if not value.isascii() or not is_writable(value.decode("ascii")):
-            # It can't be sent in a header.
-            self.last_has_id = False
+    def find_first_fault(self, data: bytes) -> OrderFault | None:
+        """Return why a run that begins with `data` doesn't go on behind what was returned."""
+        for event in split_events(data[: find_event_end(data)]):
+            if not _is_empty(event):
+                return find_order_fault(self._relayed, read_event_id(event), begins=True)
+        return None
+
+    def _select_in_order(self, complete: bytes) -> bytes:
+        """Return the events up to the first that doesn't follow the one before it."""
+        selected: list[bytes] = []
+        for event in split_events(complete):
+            if not self.has_events and _is_empty(event):
+                # Nothing of a run passes before it is known to go on.
+                continue
+            event_id = read_event_id(event)
+            if not self.has_events:
+                self.first_id = event_id
+            self.fault = find_order_fault(self._relayed, event_id, begins=not self.has_events)
+            if self.fault is not None:
+                break
+            self._note(event)
+            selected.append(event)
+        return b"".join(selected)
+
+    def _note(self, complete: bytes) -> None:
+        """Note the ids of events that are returned, from the first and the last of them."""
+        self.has_events = True
+        start = _find_last_id(complete)
+        event_id = _read_id_at(complete, start)
+        # Whether the id is in the last of the events.
+        self.last_has_id = event_id is not None and start >= find_event_end(complete[:-1])
+        if event_id is None:
             return
-        self.last_event_id = value.decode("ascii")
+        relayed = self._relayed
+        if relayed.first is None:
+            relayed.first = _read_id_at(complete, _find_first_id(complete)) or event_id
+        relayed.last = self.last_event_id = event_id
+        relayed.count += complete.count(ID_LINE) + complete.startswith(ID_FIELD)
+
+
+def read_event_id(event: bytes) -> str | None:
+    """Return the id of an event, None without one that a header can carry."""
+    return _read_id_at(event, _find_last_id(event))
+
+
+def _find_last_id(data: bytes) -> int:
+    """Return where the last line with an id begins, -1 without one."""
+    line_end = data.rfind(ID_LINE)
+    return line_end + 1 if line_end >= 0 or data.startswith(ID_FIELD) else -1
+
+
+def _find_first_id(data: bytes) -> int:
+    return 0 if data.startswith(ID_FIELD) else data.find(ID_LINE) + 1
+
+
+def _read_id_at(data: bytes, start: int) -> str | None:
+    """Return the id in the line that begins at `start`, None if no header can carry it."""
+    if start < 0:
+        return None
+    value = data[start + len(ID_FIELD) : data.find(b"\n", start)].strip()
+    if not value or not value.isascii():
+        return None
+    text = value.decode("ascii")
+    return text if is_writable(text) else None
+
+
+def _is_empty(event: bytes) -> bool:
+    """Return whether a block has neither data nor an id: a comment, or a delay for retries."""
+    return not has_field(event, DATA_FIELD) and not has_field(event, ID_FIELD)
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -125,6 +125,7 @@
             placer=context.placer,
             pool=context.pool,
             suspects=context.suspects,
+            disorders=context.disorders,
             progress=progress,
         )
         self._stream = StreamPin(
@@ -138,7 +139,9 @@
             close_connection=close_connection,
             on_begun=self._stream.note_begun,
             on_received=self._note_received,
+            on_resumed=lambda begun: request_journal.record_resumed(progress.upstream, begun),
             read_part=self._async_read_part,
+            taken_up_after=request.last_event_id if routed.route.resumable else None,
         )
         self._replacements = Replacements(
             context=self._run_context,
@@ -220,6 +223,7 @@
             service=self._service,
             prompt=self._request.prompt,
             excluded=self.progress.excluded_upstreams,
+            avoided=self._recorder.list_avoided(goes_on=self._relay.goes_on),
             limit_ms=self._limits.target_ms,
             needed_permits=self._contention.get_needed_permits(),
             version=self._stream.version,
@@ -262,8 +266,7 @@
         self.progress.upstream = run.upstream
         self._replacements.present = run
         self._stream.attempt = run.attempt
-        step = "given up"
-        response: web.StreamResponse | None = None
+        step, response = "given up", None
         try:
             outcome = await self._async_get_outcome(run)
             run.note_outcome(outcome)
@@ -336,9 +339,6 @@
 
     async def _async_relay_stream(self, run: Run, outcome: StreamingResponse) -> Decision:
         """Relay a streamed response and return the next step."""
-        upstream = run.upstream
-        if self._relay.last_event_id is not None:
-            self._request_journal.record_resumed(upstream, last_event_id=self._relay.last_event_id)
         try:
             end = await self._relay.async_relay(outcome)
         except BaseException:
@@ -346,7 +346,7 @@
             self._stream.note_ended(complete=False)
             raise
         self._request_journal.record_stream_ended(
-            upstream,
+            run.upstream,
             end=end,
             streaming=outcome,
             progress=self.progress,
@@ -354,7 +354,7 @@
         )
         self._stream.note_ended(complete=end.result is RelayResult.COMPLETE)
         if end.result is RelayResult.COMPLETE:
-            self._recorder.record_success(upstream)
+            self._recorder.record_success(run.upstream)
             run.observer.note_completed()
             # Engines send an event for each token.
             self._context.placer.uneven_load.note_output(
@@ -365,8 +365,9 @@
         if end.result is RelayResult.REPLACED:
             return self._leave_silent(run)
         message = f"stream {end.result.value}"
-        self._record_broken(run)
-        self._recorder.record_lost(upstream, ResponseLost(reason=message, connection_broken=True))
+        if end.fault is None:
+            self._record_broken(run)
+        self._recorder.record_broken_stream(run.attempt.entry, message=message, fault=end.fault)
         run.attempt.close()
         return await self._retries.async_decide_after_stream(message=message)
 
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -39,6 +39,7 @@
 from gypsumrouter.forwarding.silence_tracker import SilenceTracker
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.forwarding.starts import UpstreamStarts
+from gypsumrouter.forwarding.stream_disorders import StreamDisorders
 from gypsumrouter.instances import Address, parse_address
 from gypsumrouter.journal import ConnectionsClosing, Journal
 from gypsumrouter.mechanisms import Mechanism
@@ -182,6 +183,7 @@
                 "gypsumrouter_silent_attempts_total",
                 "Attempts with a silent upstream, by what it owes and why nothing takes over",
             ),
+            disorders=StreamDisorders(metrics=app.metrics),
             contention=ContentionContext(
                 shares=self.shares, return_order=self._return_order, queue=self._queue
             ),
--- a/gypsumrouter/forwarding/outcome_recorder.py
+++ b/gypsumrouter/forwarding/outcome_recorder.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from gypsumrouter.crashes import CrashGuard, Run, Subjects
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.attempt import Attempt
 from gypsumrouter.forwarding.connections import ConnectionPool
+from gypsumrouter.forwarding.event_order import OrderFault
 from gypsumrouter.forwarding.models import (
     CompleteResponse,
     Rejected,
@@ -16,6 +19,7 @@
 from gypsumrouter.forwarding.next_step import STATUS_SERVER_ERROR
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.progress import Progress
+from gypsumrouter.forwarding.stream_disorders import StreamDisorders
 
 UnstreamedOutcome = Unreachable | Rejected | ResponseLost | CompleteResponse
 
@@ -23,7 +27,7 @@
 class OutcomeRecorder:
     """Updates a request's state and the health of its upstreams after each attempt."""
 
-    __slots__ = ("_placer", "_pool", "_progress", "_suspects")
+    __slots__ = ("_disorders", "_placer", "_pool", "_progress", "_suspects")
 
     def __init__(
         self,
@@ -31,8 +35,10 @@
         placer: Placer,
         pool: ConnectionPool,
         suspects: CrashGuard,
+        disorders: StreamDisorders,
         progress: Progress,
     ) -> None:
+        self._disorders = disorders
         self._placer = placer
         self._pool = pool
         self._suspects = suspects
@@ -70,6 +76,27 @@
             self._suspects.note_broken(upstream)
         self._progress.note_possible_run(upstream)
 
+    def record_broken_stream(
+        self, entry: Entry, *, message: str, fault: OrderFault | None = None
+    ) -> None:
+        """Record that a stream has broken off, or with a `fault` that it was broken off for that.
+
+        An upstream whose run does not go on behind the events that the caller has is sound: it has
+        not crashed, and serves new streams as before.
+        """
+        if fault is None:
+            self.record_lost(
+                entry.incarnation, ResponseLost(reason=message, connection_broken=True)
+            )
+            return
+        # What a caller says of the events that it has proves nothing of an upstream.
+        self._disorders.note(entry, fault, is_proven=self._progress.events > 0)
+        self._progress.note_possible_run(entry.incarnation)
+
+    def list_avoided(self, *, goes_on: bool) -> Collection[str]:
+        """Return the upstreams that are not asked while others can; `goes_on` for a resumption."""
+        return self._disorders.list_all() if goes_on else ()
+
     def record_silent(self, upstream: str, *, silent_ms: int) -> None:
         """Record that another upstream took over from one that was silent for `silent_ms`."""
         self._placer.health.note_silent(upstream, silent_ms=silent_ms)
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable
+from functools import partial
 
 from gypsumrouter.contention import Expected
 from gypsumrouter.core import Application, Remove
@@ -130,27 +131,34 @@
         service: str,
         prompt: Prompt | None,
         excluded: Collection[str],
+        avoided: Collection[str] = (),
         limit_ms: int | None = None,
         needed_permits: int = 1,
         version: str | None = None,
     ) -> Placement | PlacementRefusal:
         """Return the best upstream that is not in `excluded`, or why there is none.
 
-        With `version`, only upstreams whose software has that version are considered.
+        One in `avoided` is returned only if no other one can take the request now. With `version`,
+        only upstreams whose software has that version are considered.
 
         A plain request (one without a prompt) is refused if its response is expected to take
         longer than `limit_ms`, unless there are `needed_permits`. Without `limit_ms` it is not
         refused for that, and no permit is used.
         """
-        return self._chooser.choose(
+        choose = partial(
+            self._chooser.choose,
             self._ready.get(service),
             service=service,
             prompt=prompt,
-            excluded=excluded,
             limit_ms=limit_ms,
             needed_permits=needed_permits,
             version=version,
         )
+        if avoided:
+            preferred = choose(excluded={*excluded, *avoided})
+            if not isinstance(preferred, PlacementRefusal):
+                return preferred
+        return choose(excluded=excluded)
 
     def estimate(self, placed: Placement, prompt: Prompt | None) -> Expected:
         """Return the expected time of a placed request until the first event or the response."""
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 from msgspec import Struct
 
+from gypsumrouter.forwarding.event_order import OrderFault
 from gypsumrouter.forwarding.events import EventSplitter, EventTooLong
 from gypsumrouter.forwarding.models import Dialect, StreamingResponse
 from gypsumrouter.forwarding.next_step import SentPart
@@ -32,11 +33,23 @@
 
 
 class StreamEnd(Struct, frozen=True, kw_only=True):
-    """End of a stream from one upstream; `partial_bytes` is the size of an incomplete event."""
+    """End of a stream from one upstream; `partial_bytes` is the size of an incomplete event.
+
+    `fault` is why its next event does not follow those that the caller has, if it was ended there.
+    """
 
     result: RelayResult
     partial_bytes: int
     reason: str = ""
+    fault: OrderFault | None = None
+
+
+class ContinuationBegun(Struct, frozen=True, kw_only=True):
+    """The first event of a run that has to go on behind another; with a `fault` it does not."""
+
+    last_event_id: str
+    first_event_id: str | None
+    fault: OrderFault | None
 
 
 class CallerDisconnected(ConnectionError):
@@ -50,7 +63,9 @@
     still get another response until then. The connection is closed after the response if
     `close_connection` returns true when it begins. `on_begun` is called right before the first
     event is sent, `on_received` for each piece of an upstream's response. `read_part` returns the
-    next piece, and raises Replaced if the stream is to go on at another upstream.
+    next piece, and raises Replaced if the stream is to go on at another upstream. `on_resumed` is
+    called with the first event of each run that has to go on behind another; one that does not is
+    broken off before that event. `taken_up_after` is the last event that the caller has.
     """
 
     __slots__ = (
@@ -61,6 +76,7 @@
         "_is_event_stream",
         "_on_begun",
         "_on_received",
+        "_on_resumed",
         "_progress",
         "_read_part",
         "_splitter",
@@ -79,17 +95,20 @@
         close_connection: Callable[[], bool],
         on_begun: Callable[[], None],
         on_received: Callable[[], None],
+        on_resumed: Callable[[ContinuationBegun], None],
         read_part: Callable[[StreamingResponse], Awaitable[bytes]],
+        taken_up_after: str | None,
     ) -> None:
         self._read_part = read_part
         self._on_begun = on_begun
         self._on_received = on_received
+        self._on_resumed = on_resumed
         self._web_request = web_request
         self._dialect = dialect
         self._clock = clock
         self._progress = progress
         self._close_connection = close_connection
-        self._splitter = EventSplitter()
+        self._splitter = EventSplitter(taken_up_after=taken_up_after)
         self._headers: list[tuple[str, str]] | None = None
         self._is_event_stream = False
         # Since when the next part of a stream that has begun is waited for.
@@ -109,6 +128,17 @@
         last_event_id = self._splitter.last_event_id if self._splitter.last_has_id else None
         return SentPart(is_event_stream=self._is_event_stream, last_event_id=last_event_id)
 
+    @property
+    def goes_on(self) -> bool:
+        """Return whether the next run has to go on behind events that the caller has."""
+        return self._splitter.has_relayed
+
+    def find_order_fault(self, streaming: StreamingResponse) -> OrderFault | None:
+        """Return why a response that has begun can't follow the events that the caller has."""
+        if not streaming.is_event_stream:
+            return None
+        return self._splitter.find_first_fault(streaming.initial_bytes)
+
     async def async_relay(self, streaming: StreamingResponse) -> StreamEnd:
         """Relay the response of one upstream until it ends; raises CallerDisconnected."""
         if self.response is None:
@@ -119,12 +149,16 @@
             part = streaming.initial_bytes or await self._async_read(streaming)
             self._note_pause()
             while part:
-                self._on_received()
                 received += len(part)
                 if received > MAX_PASSED_BYTES:
                     return self._end(RelayResult.BROKEN, "the response does not end")
-                complete = self._splitter.feed(part) if streaming.is_event_stream else part
+                complete = self._feed(part) if streaming.is_event_stream else part
+                fault = self._splitter.fault
+                if complete or fault is None:
+                    self._on_received()
                 await self._async_write(streaming, complete)
+                if fault is not None:
+                    return self._end(RelayResult.BROKEN, f"does not go on: {fault}")
                 part = await self._async_read(streaming)
                 self._note_pause()
         except Replaced:
@@ -139,6 +173,23 @@
         await self._async_finish(streaming)
         return self._end(RelayResult.COMPLETE)
 
+    def _feed(self, part: bytes) -> bytes:
+        """Return the events that are complete and, after another run, go on behind it."""
+        splitter = self._splitter
+        if splitter.goes_on_after is None or splitter.has_events:
+            return splitter.feed(part)
+        last_event_id = splitter.goes_on_after
+        complete = splitter.feed(part)
+        if complete or splitter.fault is not None:
+            self._on_resumed(
+                ContinuationBegun(
+                    last_event_id=last_event_id,
+                    first_event_id=splitter.first_id,
+                    fault=None if complete else splitter.fault,
+                )
+            )
+        return complete
+
     async def _async_read(self, streaming: StreamingResponse) -> bytes:
         if self.response is not None and self._waits_since_ms is None:
             self._waits_since_ms = self._clock.now_ms()
@@ -163,7 +214,8 @@
 
     def _end(self, result: RelayResult, reason: str = "") -> StreamEnd:
         partial_bytes = self._splitter.partial_bytes
-        return StreamEnd(result=result, partial_bytes=partial_bytes, reason=reason)
+        fault = self._splitter.fault
+        return StreamEnd(result=result, partial_bytes=partial_bytes, reason=reason, fault=fault)
 
     async def _async_write(self, streaming: StreamingResponse, data: bytes) -> None:
         if not data:
--- a/gypsumrouter/forwarding/replacement.py
+++ b/gypsumrouter/forwarding/replacement.py
@@ -10,6 +10,7 @@
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.connections import StartCheck
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
+from gypsumrouter.forwarding.event_order import OrderFault
 from gypsumrouter.forwarding.models import (
     CompleteResponse,
     Outcome,
@@ -128,6 +129,7 @@
             service=self._service,
             prompt=context.request.prompt,
             excluded=self._list_left_out(present, tried),
+            avoided=self._recorder.list_avoided(goes_on=self._relay.goes_on),
             limit_ms=context.limits.remaining_ms,
             version=self._stream.version,
         )
@@ -202,15 +204,24 @@
             outcome = run.pending.result()
             if not isinstance(outcome, Withheld):
                 outcome = check_fits(outcome, self._relay.sent)
-            if _serves(outcome):
+            fault = self._find_order_fault(outcome)
+            if _serves(outcome) and fault is None:
                 return run
             self.standby.discard(run)
             run.note_outcome(outcome)
-            if not isinstance(outcome, Withheld | StreamingResponse):
+            if fault is not None:
+                self._recorder.record_broken_stream(run.attempt.entry, message="", fault=fault)
+            elif not isinstance(outcome, Withheld | StreamingResponse):
                 self._recorder.record(run.attempt, outcome)
             run.end("elsewhere")
         return None
 
+    def _find_order_fault(self, outcome: Outcome) -> OrderFault | None:
+        """Return why a stream that has begun does not go on behind the present run's."""
+        if not isinstance(outcome, StreamingResponse):
+            return None
+        return self._relay.find_order_fault(outcome)
+
     async def _async_find_obstacle(self) -> Obstacle | None:
         """Return what rules out a replacement, before an upstream is chosen."""
         if self._context.find_verdict() is not None:
--- a/gypsumrouter/forwarding/request_journal.py
+++ b/gypsumrouter/forwarding/request_journal.py
@@ -19,7 +19,7 @@
 )
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.progress import Progress
-from gypsumrouter.forwarding.relay import StreamEnd
+from gypsumrouter.forwarding.relay import ContinuationBegun, StreamEnd
 from gypsumrouter.helpers.numbers import read_number
 from gypsumrouter.journal import (
     AttemptEnded,
@@ -191,12 +191,15 @@
             )
         )
 
-    def record_resumed(self, upstream: str, *, last_event_id: str) -> None:
-        """Record that a stream is resumed on another upstream."""
-        last_event = read_event_number(last_event_id)
+    def record_resumed(self, upstream: str, begun: ContinuationBegun) -> None:
+        """Record the first event of a run that has to go on behind another."""
         self._journal.record(
             StreamResumed(
-                request_id=self._request.request_id, upstream=upstream, last_event=last_event
+                request_id=self._request.request_id,
+                upstream=upstream,
+                last_event=read_event_number(begun.last_event_id),
+                first_event=read_event_number(begun.first_event_id),
+                fault="" if begun.fault is None else begun.fault.value,
             )
         )
 
--- a/gypsumrouter/journal/request_events.py
+++ b/gypsumrouter/journal/request_events.py
@@ -123,12 +123,18 @@
 
 
 class StreamResumed(Event, frozen=True, kw_only=True):
-    """A stream was resumed on another upstream after its event `last_event`."""
+    """The first event has arrived of a run that has to go on after the event `last_event`.
+
+    Its id is `first_event`; both are -1 without a number. `fault` is why it does not go on, empty
+    if it does.
+    """
 
     name: ClassVar[str] = "stream_resumed"
     request_id: str
     upstream: str
     last_event: int
+    first_event: int
+    fault: str
 
 
 class RetryDecided(Event, frozen=True, kw_only=True):
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -109,6 +109,8 @@
         self.head_pause_s = 0.0
         self.end_pause_s = 0.0
         self.numbers_events = True
+        # The first event of a stream that is resumed after an event.
+        self.find_next_event: Callable[[int], int] = lambda last: last + 1
         # Time from the last byte that a broken body gets to the reset, in seconds.
         self.break_after_s = 0.05
         # Size of the body of a plain response; None for a short one.
@@ -356,7 +358,8 @@
         if fault is RunnerFault.END_WITHOUT_EVENT:
             await response.write_eof()
             return response
-        first = (read_number(request.headers.get(names.LAST_EVENT_ID)) or 0) + 1
+        last = read_number(request.headers.get(names.LAST_EVENT_ID))
+        first = 1 if last is None else self.find_next_event(last)
         events = self.events
         if self.has_event_per_token:
             events = int(request.headers[names.TOKEN_USAGE].partition(",")[2])
--- a/gypsumrouter/util/body_formats.py
+++ b/gypsumrouter/util/body_formats.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+from collections.abc import Iterator
 from typing import Final
 
 import msgspec
@@ -9,6 +11,7 @@
 # An event ends with an empty line. Lines end with LF, CR LF or CR.
 EVENT_ENDS: Final = (b"\n\n", b"\n\r\n", b"\r\r")
 LINE_ENDS: Final = b"\r\n"
+_EVENT_END: Final = re.compile(rb"\n\n|\n\r\n|\r\r")
 MEDIA_TYPE_JSON: Final = "application/json"
 SUFFIX_JSON: Final = "+json"
 
@@ -23,6 +26,19 @@
     return sum(data.count(separator) for separator in EVENT_ENDS)
 
 
+def split_events(data: bytes) -> Iterator[bytes]:
+    """Return the complete events in `data`, each with the empty line that ends it."""
+    start = 0
+    for match in _EVENT_END.finditer(data):
+        yield data[start : match.end()]
+        start = match.end()
+
+
+def has_field(event: bytes, name: bytes) -> bool:
+    """Return whether a line of an event begins with `name`."""
+    return event.startswith(name) or b"\n" + name in event or b"\r" + name in event
+
+
 def is_inside_event(data: bytes) -> bool:
     """Return whether an event has begun after the last complete one.
 
--- /dev/null
+++ b/tests/forwarding/test_forwarding_event_order.py
@@ -0,0 +1,163 @@
+"""Runs that do not go on behind the events that the caller has."""
+
+from __future__ import annotations
+
+from itertools import accumulate
+
+import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from gypsumrouter.forwarding.event_order import OrderFault, RelayedIds, find_order_fault
+from gypsumrouter.forwarding.events import EventSplitter
+
+CUTS = st.lists(st.integers(0, 2_000), max_size=12)
+
+
+def make_event(event_id: object, *, end: bytes = b"\n") -> bytes:
+    return f"id: {event_id}".encode() + end + b"data: a" + end + end
+
+
+def make_events(*ids: object) -> bytes:
+    return b"".join(make_event(event_id) for event_id in ids)
+
+
+def relay(splitter: EventSplitter, data: bytes, cuts: list[int] | None = None) -> bytes:
+    """Return what the caller gets of a run that arrives in parts, up to its first fault."""
+    splitter.start()
+    relayed, at = b"", 0
+    for cut in [*sorted(cut % (len(data) + 1) for cut in cuts or ()), len(data)]:
+        relayed += splitter.feed(data[at:cut])
+        at = cut
+        if splitter.fault is not None:
+            break
+    return relayed
+
+
+# Guards against a run that is taken at its word that it goes on.
+@pytest.mark.parametrize(
+    ("relayed", "event_id", "fault"),
+    [
+        (("1", "5", 5), "6", None),
+        (("1", "5", 5), "1", OrderFault.BACK),
+        (("1", "5", 5), "5", OrderFault.REPEATED),
+        (("1", "5", 5), "7", OrderFault.GAP),
+        (("1", "5", 5), None, OrderFault.NO_ID),
+        (("1", "5", 5), "x", OrderFault.NO_NUMBER),
+        (("1", "5", 5), "-6", OrderFault.NO_NUMBER),
+        (("1", "5", 5), "9" * 6_000, OrderFault.NO_NUMBER),
+        (("1", "1", 1), "2", None),
+        (("1", "1", 1), "3", OrderFault.GAP),
+        (("0", "0", 1), "2", OrderFault.GAP),
+        (("7", "9", 3), "10", None),
+        (("7", "9", 3), "11", OrderFault.GAP),
+        # The step of one event, or of ids that rise in others, can't be told.
+        (("4", "4", 1), "9", None),
+        (("10", "30", 3), "40", None),
+        (("10", "30", 3), "50", None),
+        (("10", "30", 3), "30", OrderFault.REPEATED),
+        (("10", "30", 3), "029", OrderFault.BACK),
+        (("10", "30", 3), "030", OrderFault.REPEATED),
+        # Of ids that are no numbers only equality can be told.
+        (("a", "c", 3), "d", None),
+        (("a", "c", 3), "c", OrderFault.REPEATED),
+        (("a", "c", 3), "a", OrderFault.BACK),
+        (("a", "c", 3), None, OrderFault.NO_ID),
+        # A stream that its caller has taken up.
+        ((None, "5", 0), "9", None),
+        ((None, "1", 0), "9", None),
+        ((None, "5", 0), "5", OrderFault.REPEATED),
+        ((None, "5", 0), "1", OrderFault.BACK),
+        ((None, None, 0), "1", None),
+        ((None, None, 0), None, None),
+    ],
+)
+def test_first_event_of_a_run_that_goes_on_follows_the_last_one(
+    relayed: tuple[str | None, str | None, int], event_id: str | None, fault: OrderFault | None
+) -> None:
+    first, last, count = relayed
+    ids = RelayedIds(first=first, last=last, count=count)
+    assert find_order_fault(ids, event_id, begins=True) is fault
+
+
+# Guards against an answer that is cut for what it does not say: only the first event has to show.
+@pytest.mark.parametrize(
+    ("event_id", "fault"),
+    [(None, None), ("end", None), ("5", OrderFault.REPEATED), ("8", OrderFault.GAP), ("6", None)],
+)
+def test_later_event_of_a_run_may_bear_no_number(
+    event_id: str | None, fault: OrderFault | None
+) -> None:
+    ids = RelayedIds(first="1", last="5", count=5)
+    assert find_order_fault(ids, event_id, begins=False) is fault
+
+
+IDS = st.lists(st.one_of(st.integers(0, 9), st.sampled_from(["x", "y", "²", ""])), max_size=12)
+
+
+@given(ids=IDS, cuts=CUTS, end=st.sampled_from([b"\n", b"\r\n"]))
+def test_answer_of_one_upstream_passes_unchanged_whatever_its_ids(
+    ids: list[object], cuts: list[int], end: bytes
+) -> None:
+    data = b"".join(make_event(event_id, end=end) for event_id in ids)
+    assert relay(EventSplitter(), data, cuts) == data
+
+
+@given(
+    begun=st.integers(1, 12),
+    resumed=st.lists(st.integers(0, 14), max_size=10),
+    cuts=CUTS,
+    comments=st.sampled_from([b"", b": a\n\n", b"retry: 5\n\n: b\n\n"]),
+)
+@example(begun=5, resumed=[1, 2, 3, 4, 5, 6], cuts=[], comments=b"")
+@example(begun=5, resumed=[6, 7, 7, 8], cuts=[], comments=b"")
+@example(begun=5, resumed=[6, 7, 9], cuts=[], comments=b"")
+def test_caller_has_each_event_once_and_none_behind_a_gap(
+    begun: int, resumed: list[int], cuts: list[int], comments: bytes
+) -> None:
+    splitter = EventSplitter()
+    first = relay(splitter, make_events(*range(1, begun + 1)), cuts)
+    second = relay(splitter, comments + make_events(*resumed), cuts)
+    in_order = 0
+    while in_order < len(resumed) and resumed[in_order] == begun + 1 + in_order:
+        in_order += 1
+    assert first + second == make_events(*range(1, begun + in_order + 1))
+    assert (splitter.fault is None) is (in_order == len(resumed))
+    assert splitter.last_event_id == str(begun + in_order)
+
+
+@given(
+    first=st.integers(2, 30),
+    steps=st.lists(st.integers(2, 5), min_size=1, max_size=12),
+    cut=st.integers(0, 11),
+    cuts=CUTS,
+)
+def test_stream_whose_ids_rise_in_other_steps_goes_on(
+    first: int, steps: list[int], cut: int, cuts: list[int]
+) -> None:
+    ids = list(accumulate(steps, initial=first))
+    at = 1 + cut % len(steps)
+    splitter = EventSplitter()
+    begun = relay(splitter, make_events(*ids[:at]), cuts)
+    assert begun + relay(splitter, make_events(*ids[at:]), cuts) == make_events(*ids)
+
+
+def test_events_that_rise_unevenly_within_the_run_of_their_caller_pass() -> None:
+    splitter = EventSplitter(taken_up_after="5")
+    assert relay(splitter, make_events(8, 11, 19)) == make_events(8, 11, 19)
+
+
+@pytest.mark.parametrize("first", [1, 4, 5])
+def test_stream_that_its_caller_takes_up_does_not_begin_before_its_last_event(first: int) -> None:
+    splitter = EventSplitter(taken_up_after="5")
+    assert relay(splitter, make_events(first)) == b""
+    assert splitter.fault is not None
+
+
+def test_event_with_an_empty_id_can_not_be_gone_on_after() -> None:
+    """Guards against a run from the beginning: an empty id is sent as no Last-Event-Id at all."""
+    splitter = EventSplitter()
+    splitter.feed(make_events(1, 2))
+    splitter.feed(b"id:\ndata: a\n\n")
+    assert not splitter.last_has_id
+    assert splitter.last_event_id == "2"
