Sides: a resumed answer of an engine passes only if it goes on at the byte asked for

What callers would see: an engine that resumes a stream at another byte than ?offset= (anew, one event off, one byte off) had its bytes joined behind the first part, and counted as whole.

Cause: a side took the first byte of a resumed answer for the next one; nothing in it shows where it begins.

Fix: the side asks for up to 512 bytes before the offset, which it has kept, compares them, and passes on what follows. If they differ, or the answer ends inside them, the request fails as upstream_protocol and nothing of the second part is passed on.

--- a/gypsumrouter/upstream/const.py
+++ b/gypsumrouter/upstream/const.py
@@ -11,9 +11,11 @@
 PATH_SERVICE_LOAD: Final = "/load"
 PATH_STREAMS: Final = "/v1/streams/"
 
-# The last event of a complete stream, and the number of last bytes kept to find it.
+# The last event of a complete stream.
 STREAM_END: Final = b"data: [DONE]"
-STREAM_TAIL_BYTES: Final = 32
+# Last bytes that are kept: to find the last event, and to compare with the beginning of a resumed
+# response. Longer than an event of a token, since the ends of such events are alike.
+RESUME_OVERLAP_BYTES: Final = 512
 # Maximum size of a JSON document without a length, which is kept until its end.
 MAX_UNFRAMED_BYTES: Final = 1024 * 1024
 CONTENT_TYPE_EVENTS: Final = "text/event-stream"
--- a/gypsumrouter/upstream/engine.py
+++ b/gypsumrouter/upstream/engine.py
@@ -103,6 +103,7 @@
 
     async def _async_open_stream(self, run: Run) -> aiohttp.ClientResponse:
         run.sends += 1
+        run.begin()
         run.watch.reading = True
         headers = [
             (name, value)
@@ -123,14 +124,15 @@
         )
 
     async def async_resume_stream(self, run: Run) -> aiohttp.ClientResponse:
-        """Resume the response at the current offset.
+        """Resume the response at the current offset, with the bytes before it.
 
         Raises StreamLost if the engine no longer has the stream, and ConnectionBroken for any
         other status.
         """
         run.watch.reading = True
         response = await self._transport.async_open(
-            method="POST", path=f"{_make_path(run.stream_id)}/resume?offset={run.offset}"
+            method="POST",
+            path=f"{_make_path(run.stream_id)}/resume?offset={run.begin_resumed()}",
         )
         if response.status == HTTP_OK:
             self.recovered_runs.inc()
--- a/gypsumrouter/upstream/run.py
+++ b/gypsumrouter/upstream/run.py
@@ -15,8 +15,8 @@
     HTTP_NOT_MODIFIED,
     HTTP_OK,
     MAX_UNFRAMED_BYTES,
+    RESUME_OVERLAP_BYTES,
     STREAM_END,
-    STREAM_TAIL_BYTES,
 )
 from gypsumrouter.upstream.headers import select_answer_headers
 from gypsumrouter.upstream.models import ConnectionBroken, Sink
@@ -41,6 +41,7 @@
         "_handed_over",
         "_is_event_stream",
         "_needs_end_event",
+        "_overlap",
         "_tail",
         "_unframed_json",
         "answer",
@@ -82,6 +83,8 @@
         self._is_event_stream = False
         self._needs_end_event = False
         self._tail = b""
+        # What a resumed response has to begin with, before it goes on.
+        self._overlap = b""
         # A JSON document without a length, kept to check at its end that it is complete.
         self._unframed_json: bytearray | None = None
 
@@ -92,6 +95,18 @@
         self._handed_over()
         self.was_handed_over = True
 
+    def begin(self) -> None:
+        """Expect a response from its first byte."""
+        self._overlap = b""
+
+    def begin_resumed(self) -> int:
+        """Expect a response that is resumed; return the byte from which it is to be sent.
+
+        It is asked for from before `offset`, so that it shows that it goes on there.
+        """
+        self._overlap = self._tail
+        return self.offset - len(self._tail)
+
     async def async_relay(self, response: aiohttp.ClientResponse) -> None:
         """Relay the response to its end; raises ConnectionBroken or ProtocolViolation."""
         self._relay_head(response)
@@ -106,12 +121,26 @@
             watch.reading = False
             watch.progress += 1
             if not chunk:
+                self._check_overlap(b"")
                 return
+            if self._overlap:
+                chunk = self._check_overlap(chunk)
+                if not chunk:
+                    continue
             self.offset += len(chunk)
-            self._tail = (self._tail + chunk)[-STREAM_TAIL_BYTES:]
+            self._tail = (self._tail + chunk)[-RESUME_OVERLAP_BYTES:]
             self._collect_json(chunk)
             await self.answer.async_write(chunk)
 
+    def _check_overlap(self, chunk: bytes) -> bytes:
+        """Return what follows the bytes that were relayed before; raises ProtocolViolation."""
+        size = min(len(chunk), len(self._overlap))
+        ended = not chunk and bool(self._overlap)
+        if ended or chunk[:size] != self._overlap[:size]:
+            raise ProtocolViolation("the resumed answer does not go on where the first one ended")
+        self._overlap = self._overlap[size:]
+        return chunk[size:]
+
     def check_complete(self) -> Failed | None:
         """Return the failure of a response that ended incomplete, or None."""
         message = self._find_missing_end()
