Answer and record a request whose answer can't be written

An exception behind the handler, while the HTTP library writes an answer, closed the connection of a request that had run, and no line named it: its request_ended says `answered`. Callers saw an end without an answer, or an answer that was broken off in order.

The connection now sees that exception: it answers 500 (`executed: unknown`, announced close) if no byte was written, resets otherwise, and records `request_cut` with `error: ...` and the upstream, outside the bound on lines. An exception of the handler without a stream gets that line as well; its only one was under the bound. An exception as the end of a whole stream is recorded wrote the head of a 500 behind it, which a caller reads as the answer to its next request; nothing is written now.

--- a/gypsumrouter/callers/__init__.py
+++ b/gypsumrouter/callers/__init__.py
@@ -31,7 +31,7 @@
     round_up_seconds,
 )
 from gypsumrouter.callers.listener import CallerListener, CallerServer, Handler
-from gypsumrouter.callers.models import ConnectionLimits, RequestIdGenerator
+from gypsumrouter.callers.models import BrokenAnswer, ConnectionLimits, RequestIdGenerator
 from gypsumrouter.callers.transports import abort_connection
 
 __all__ = [
@@ -42,6 +42,7 @@
     "KEEPALIVE_TIMEOUT_MS",
     "MAX_HEADERS",
     "WRITE_BUFFER_BYTES",
+    "BrokenAnswer",
     "CallerConnection",
     "CallerListener",
     "CallerServer",
--- a/gypsumrouter/callers/body.py
+++ b/gypsumrouter/callers/body.py
@@ -86,6 +86,8 @@
         return _reject_size(max_bytes)
     if request.headers.get("Expect", "").lower() == "100-continue":
         await request.writer.write(CONTINUE_LINE)
+        # No byte of the answer is written by that.
+        request.writer.output_size = 0
     try:
         return await _async_read_parts(request, reservation, max_bytes, get_idle_ms)
     except TimeoutError:
--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -16,15 +16,16 @@
 from gypsumrouter.callers.errors import make_error_response, reject_http, render_stopping
 from gypsumrouter.callers.limit_timer import LimitTimer
 from gypsumrouter.callers.lingering_close import LingeringClose, begin_lingering_close
-from gypsumrouter.callers.models import GetLimits, RequestIdGenerator
+from gypsumrouter.callers.models import BrokenAnswer, GetLimits, OnBroken, RequestIdGenerator
 from gypsumrouter.callers.next_head import NextHead
 from gypsumrouter.callers.transports import (
     abort_connection,
     has_unread_bytes,
     has_untaken_bytes,
 )
-from gypsumrouter.callers.writer import make_request
+from gypsumrouter.callers.writer import CallerWriter, make_request
 from gypsumrouter.const import MS_PER_S
+from gypsumrouter.helpers.http_headers import is_writable
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -65,10 +66,12 @@
         "_lingering",
         "_next_head",
         "_next_head_started",
+        "_on_broken",
         "_opened_idle_timeout_ms",
         "_opened_s",
         "refused",
         "request_id",
+        "upstream",
         "was_cut",
     )
 
@@ -78,6 +81,7 @@
         *,
         get_limits: GetLimits,
         generate_request_id: RequestIdGenerator,
+        on_broken: OnBroken,
         **options: Any,
     ) -> None:
         limits = get_limits()
@@ -93,6 +97,7 @@
         self._request_factory = make_request
         self._generate_request_id = generate_request_id
         self._get_limits = get_limits
+        self._on_broken = on_broken
         # The HTTP library counts with this one for as long as the connection is open.
         self._opened_idle_timeout_ms = limits.idle_timeout_ms
         self._head_started = False
@@ -109,6 +114,8 @@
         self._lingering: LingeringClose | None = None
         # Id of the latest request, as its caller sent it.
         self.request_id = ""
+        # Name of the upstream whose answer is written, "" if there is none.
+        self.upstream = ""
         # Whether the request that is arriving is refused since the process stops.
         self.refused = False
         # Whether this process has ended it with a request under way.
@@ -270,7 +277,20 @@
         # A response whose head is sent can announce nothing; its connection serves another request.
         if self._closes_after_answer and not self._messages and not resp.prepared:
             resp.force_close()
-        result = await super().finish_response(request, resp, start_time)
+        writer = request.writer
+        if isinstance(writer, CallerWriter) and writer.output_size and not resp.prepared:
+            # The handler raised behind the first byte of an answer: a second head would be read as
+            # a part of that, or as the answer to the next request.
+            resp.force_close()
+            if not writer.has_ended:
+                abort_connection(self.transport)
+                return resp, True
+            result = resp, False
+        else:
+            try:
+                result = await super().finish_response(request, resp, start_time)
+            except Exception as error:
+                resp, _ = result = await self._async_answer_broken(request, resp, error)
         self._answered = True
         if self._next_head_started and not self._messages and resp.keep_alive:
             self._start_head()
@@ -280,6 +300,37 @@
                 await lingering.async_wait()
         return result
 
+    async def _async_answer_broken(
+        self, request: web.BaseRequest, resp: web.StreamResponse, error: Exception
+    ) -> tuple[web.StreamResponse, bool]:
+        """Answer with an error in place of an answer that could not be written, or reset that."""
+        bytes_out = request.writer.output_size
+        request_id = self.request_id
+        if not request_id or not is_writable(request_id):
+            request_id = self._generate_request_id()
+        _log_error(request_id, status=500, cause=error)
+        self._on_broken(
+            BrokenAnswer(
+                request_id=request_id,
+                upstream=self.upstream,
+                reason=f"error: {type(error).__name__}",
+                status=resp.status if bytes_out else 0,
+                bytes_out=bytes_out,
+            )
+        )
+        if not bytes_out:
+            rejection = reject_http(500, None)
+            replacement = make_error_response(rejection=rejection, request_id=request_id)
+            replacement.force_close()
+            request._payload_writer = CallerWriter(self, self._loop)
+            try:
+                return await super().finish_response(request, replacement, None)
+            except Exception as second:
+                _log_error(request_id, status=500, cause=second)
+        resp.force_close()
+        abort_connection(self.transport)
+        return resp, True
+
     def _begin_lingering_close(self) -> LingeringClose | None:
         """Send the end of the connection; return None if only closing it does that."""
         lingering = begin_lingering_close(self.transport)
--- a/gypsumrouter/callers/listener.py
+++ b/gypsumrouter/callers/listener.py
@@ -12,7 +12,7 @@
 from aiohttp import web
 
 from gypsumrouter.callers.connection import CallerConnection
-from gypsumrouter.callers.models import GetLimits, RequestIdGenerator
+from gypsumrouter.callers.models import BrokenAnswer, GetLimits, OnBroken, RequestIdGenerator
 from gypsumrouter.helpers.listening import BACKLOG, make_listening_socket
 from gypsumrouter.instances import Address
 from gypsumrouter.settings import Listener
@@ -25,6 +25,10 @@
 LAST_HANDSHAKE_S: Final = 1.0
 
 
+def _ignore_broken(_: BrokenAnswer) -> None:
+    """Do nothing about a broken answer."""
+
+
 class CallerServer(web.Server):
     """Creates the protocol object of each new connection, and tells it the limits in force."""
 
@@ -34,8 +38,10 @@
         *,
         get_limits: GetLimits,
         generate_request_id: RequestIdGenerator,
+        on_broken: OnBroken = _ignore_broken,
     ) -> None:
         super().__init__(handler, handler_cancellation=True)
+        self._on_broken = on_broken
         self._generate_request_id = generate_request_id
         self._get_limits = get_limits
         self._closes_after_answers = False
@@ -70,6 +76,7 @@
             self,
             get_limits=self._get_limits,
             generate_request_id=self._generate_request_id,
+            on_broken=self._on_broken,
             loop=asyncio.get_running_loop(),
             access_log=None,
         )
--- a/gypsumrouter/callers/models.py
+++ b/gypsumrouter/callers/models.py
@@ -15,6 +15,19 @@
         """Return a new id."""
 
 
+class BrokenAnswer(Struct, frozen=True, kw_only=True):
+    """An answer that an exception of this process kept from being written.
+
+    `status` is 0 if none of its `bytes_out` bytes, the head included, had been written.
+    """
+
+    request_id: str
+    upstream: str
+    reason: str
+    status: int
+    bytes_out: int
+
+
 class ConnectionLimits(Struct, frozen=True, kw_only=True):
     """Limits of caller connections; those of an open connection change with the configuration.
 
@@ -31,3 +44,4 @@
 
 
 GetLimits = Callable[[], ConnectionLimits]
+OnBroken = Callable[[BrokenAnswer], None]
--- a/gypsumrouter/callers/writer.py
+++ b/gypsumrouter/callers/writer.py
@@ -17,6 +17,11 @@
     that much in addition to the buffer.
     """
 
+    @property
+    def has_ended(self) -> bool:
+        """Return whether the answer has been written to its end."""
+        return self._eof
+
     async def write(
         self,
         chunk: bytes | bytearray | memoryview[int] | memoryview[bytes],
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -275,6 +275,7 @@
             self._async_handle,
             get_limits=self._get_head_limits,
             generate_request_id=self.handler.generate_request_id,
+            on_broken=self.handler.record_broken,
         )
         callers = parse_address(settings.callers)
         self._listener = CallerListener(
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from gypsumrouter.callers import (
+    BrokenAnswer,
     CallerConnection,
     MemoryBudget,
     MemoryReservation,
@@ -51,6 +52,8 @@
 # Outcomes of requests: the caller has left, or the end of the process has cut them.
 OUTCOME_CALLER_GONE: Final = "caller_gone"
 OUTCOME_CUT: Final = "cut_by_stop"
+# Followed by the type of an exception.
+OUTCOME_ERROR: Final = "error: "
 # Responses with these outcomes are complete, or are not left incomplete by their handler.
 ENDED_BY_OTHERS: Final = frozenset({OUTCOME_ANSWERED, OUTCOME_CALLER_GONE, OUTCOME_CUT})
 
@@ -134,6 +137,10 @@
             if connection.unsent_bytes and connection.request_id not in ids:
                 self._records.record_unsent(connection, reason=reason, draining=draining)
 
+    def record_broken(self, answer: BrokenAnswer) -> None:
+        """Record an answer that an exception kept from being written."""
+        self._records.record_broken(answer, draining=self._drain.draining)
+
     def generate_request_id(self) -> str:
         """Return a new id for a request without one."""
         self._request_count += 1
@@ -146,6 +153,7 @@
         if isinstance(request.protocol, CallerConnection):
             request.protocol.stop_head_timer()
             request.protocol.request_id = request_id
+            request.protocol.upstream = ""
         reservation = MemoryReservation(budget=self._bodies)
         self._request_count += 1
         number = self._request_count
@@ -350,13 +358,16 @@
             # aiohttp logs any other exception as an error of the handler.
             raise asyncio.CancelledError from None
         except Exception as error:
-            progress.outcome = f"error: {type(error).__name__}"
+            progress.outcome = f"{OUTCOME_ERROR}{type(error).__name__}"
             if progress.status:
                 # The error response would be written into the one that has begun, and end it.
                 abort_connection(request.transport)
             raise
         finally:
-            if progress.status and progress.outcome not in ENDED_BY_OTHERS:
+            if isinstance(request.protocol, CallerConnection):
+                request.protocol.upstream = progress.upstream
+            began = progress.status or progress.outcome.startswith(OUTCOME_ERROR)
+            if began and progress.outcome not in ENDED_BY_OTHERS:
                 self._records.record_cut(
                     running, reason=progress.outcome, draining=self._drain.draining
                 )
--- a/gypsumrouter/forwarding/metrics.py
+++ b/gypsumrouter/forwarding/metrics.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from msgspec import Struct
 
-from gypsumrouter.callers import CallerConnection, MemoryReservation
+from gypsumrouter.callers import BrokenAnswer, CallerConnection, MemoryReservation
 from gypsumrouter.const import HEADER_REQUEST_ID
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory
@@ -188,13 +188,33 @@
             )
         )
 
+    def record_broken(self, answer: BrokenAnswer, *, draining: bool) -> None:
+        """Record a response that an exception kept from being written."""
+        self._journal.record(
+            RequestCut(
+                request_id=answer.request_id,
+                reason=answer.reason,
+                upstream=answer.upstream,
+                status=answer.status,
+                bytes_out=answer.bytes_out,
+                unsent_bytes=0,
+                events=0,
+                arriving=False,
+                after_ms=0,
+                silent_ms=-1,
+                longest_pause_ms=0,
+                obstacle="",
+                draining=draining,
+            )
+        )
+
     def record_unsent(self, connection: CallerConnection, *, reason: str, draining: bool) -> None:
         """Record a response that was complete, but not sent to its end when its process ended."""
         self._journal.record(
             RequestCut(
                 request_id=connection.request_id,
                 reason=reason,
-                upstream="",
+                upstream=connection.upstream,
                 status=0,
                 bytes_out=0,
                 unsent_bytes=connection.unsent_bytes,
