Give requests without a byte of an answer a final response before a stop cuts

A request that ran and had no byte of an answer when a stop cut its connections (7.5 s behind the signal) was reset: no status, though the router could still say what it knows. So were requests that waited at that moment for a retry, for the retry budget, for upstreams that stand still or in a start check: those waits know the deadline alone. One that had not run could have been refused.

100 ms before the cut, each request without a byte of an answer is now ended as at its deadline: 503 as not run, 502 with `executed: unknown` if it may have run, or the error response of an upstream that it has. That is one place for all waits. The margin is the one that the admission of a drain leaves of the time, so no request that it took by an estimate loses time. Begun streams are not touched: nothing truthful can be said in them.

--- a/gypsumrouter/forwarding/endings.py
+++ b/gypsumrouter/forwarding/endings.py
@@ -10,7 +10,12 @@
 from gypsumrouter.crashes.verdicts import get_trial_ms
 from gypsumrouter.forwarding.const import RETRY_AT_ONCE_MS
 from gypsumrouter.forwarding.models import CallerRequest, CompleteResponse, Dialect
-from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED, Progress, TimeLimits
+from gypsumrouter.forwarding.progress import (
+    OUTCOME_ANSWERED,
+    OUTCOME_STOPPED,
+    Progress,
+    TimeLimits,
+)
 from gypsumrouter.forwarding.relay import Relay
 from gypsumrouter.forwarding.request_contention import RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
@@ -128,9 +133,15 @@
             return self.respond(self._progress.fallback_response)
         return make_failure(reason=reason, message=message, request_id=self._request.request_id)
 
-    def end_at_deadline(self) -> web.StreamResponse:
-        """End a request that has reached its deadline."""
-        if not self._progress.in_flight and not self._progress.possibly_ran_on:
+    def end_at_limit(self, *, is_stopped: bool) -> web.StreamResponse:
+        """End a request that has reached its deadline, or the end of a stop."""
+        may_have_run = self._progress.in_flight or self._progress.possibly_ran_on
+        if is_stopped and may_have_run:
+            message = "This router stopped before an upstream answered"
+            return self.fail(message, reason=Reason.STOPPED, outcome=OUTCOME_STOPPED)
+        if is_stopped:
+            return self.refuse(Reason.LEAVING, "This router is stopping")
+        if not may_have_run:
             return self.refuse(Reason.DEADLINE, "No upstream had time for the request")
         message = "The deadline has passed"
         return self.fail(message, reason=Reason.DEADLINE, outcome="deadline")
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Final
 
 from aiohttp import web
 
-from gypsumrouter.const import MS_PER_S
 from gypsumrouter.contention import Refused
 from gypsumrouter.forwarding.context import ForwardingContext
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
@@ -22,11 +20,7 @@
     Withheld,
     make_subjects,
 )
-from gypsumrouter.forwarding.next_step import (
-    Decision,
-    NextStep,
-    check_fits,
-)
+from gypsumrouter.forwarding.next_step import Decision, NextStep, check_fits
 from gypsumrouter.forwarding.outcome_recorder import OutcomeRecorder
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED, Progress, TimeLimits
@@ -34,6 +28,7 @@
 from gypsumrouter.forwarding.replacement import MayReplace, Replacements
 from gypsumrouter.forwarding.request_contention import RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
+from gypsumrouter.forwarding.request_limit import RequestLimit
 from gypsumrouter.forwarding.retries import Retries
 from gypsumrouter.forwarding.run import Run, RunContext
 from gypsumrouter.forwarding.silence import Awaited, Replaced, get_patience_ms
@@ -68,6 +63,7 @@
         "_standby",
         "_stream",
         "_watches",
+        "limit",
         "progress",
     )
 
@@ -93,6 +89,7 @@
         self._request_journal = request_journal
         self._may_start = may_start
         self.progress = progress
+        self.limit = RequestLimit()
         self._limits = TimeLimits(clock=context.app.clock, route=routed.route, progress=progress)
         subjects = make_subjects(request, workspace=routed.workspace)
         self._contention = RequestContention(
@@ -193,10 +190,11 @@
         self._context.budget.note_request(self._service)
         self._contention.note_arrival()
         try:
-            async with asyncio.timeout(max(0, self._limits.remaining_ms) / MS_PER_S):
-                response = await self._async_run_attempts()
+            response = await self.limit.async_run(
+                self._async_run_attempts(), remaining_ms=self._limits.remaining_ms
+            )
         except TimeoutError:
-            response = self._endings.end_at_deadline()
+            response = self._endings.end_at_limit(is_stopped=self.limit.is_stopped)
         self._contention.note_served()
         return response
 
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -53,6 +53,9 @@
 CUT_MARGIN_MS: Final = 500
 # What is still arriving this long before that is refused.
 ARRIVING_MARGIN_MS: Final = 500
+# What has no byte of an answer this long before that gets a final response, which takes a few
+# milliseconds. It is no more than the admission of a drain leaves of the time.
+FINAL_RESPONSE_MARGIN_MS: Final = 100
 
 
 class Forwarder:
@@ -319,17 +322,20 @@
             on_closing=self._record_closing,
         )
         drain.begin()
-        self._app.async_create_task(self._async_refuse_waiting(), "refuse waiting requests")
+        self._app.async_create_task(self._async_end_unanswered(), "end unanswered requests")
         await self._app.clock.async_sleep(self._drain.grace_left_ms)
         await drain.async_run()
 
-    async def _async_refuse_waiting(self) -> None:
-        """Refuse what still waits in the queue when what still arrives is refused."""
-        if self._queue is None:
-            return
-        refused_at_ms = self._drain.limit_at_ms - ARRIVING_MARGIN_MS
-        await self._app.clock.async_sleep(max(0, refused_at_ms - self._app.clock.now_ms()))
-        self._queue.refuse_waiting()
+    async def _async_end_unanswered(self) -> None:
+        """Refuse what waits in the queue with what still arrives, and end the others later."""
+        await self._async_sleep_until(self._drain.limit_at_ms - ARRIVING_MARGIN_MS)
+        if self._queue is not None:
+            self._queue.refuse_waiting()
+        await self._async_sleep_until(self._drain.limit_at_ms - FINAL_RESPONSE_MARGIN_MS)
+        self.handler.end_unanswered()
+
+    async def _async_sleep_until(self, at_ms: int) -> None:
+        await self._app.clock.async_sleep(max(0, at_ms - self._app.clock.now_ms()))
 
     async def _async_record_cut(self) -> None:
         assert self._listener is not None
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -30,7 +30,12 @@
 from gypsumrouter.forwarding.execution import RequestExecution
 from gypsumrouter.forwarding.metrics import ForwardingMetrics, RequestRecords, RunningRequest
 from gypsumrouter.forwarding.models import CallerRequest, MalformedHead, Prompt
-from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED, Progress, get_time_limit_ms
+from gypsumrouter.forwarding.progress import (
+    OUTCOME_ANSWERED,
+    OUTCOME_ERROR,
+    Progress,
+    get_time_limit_ms,
+)
 from gypsumrouter.forwarding.refusals import DEFAULT_TIMEOUT_MS, Refusals
 from gypsumrouter.forwarding.relay import CallerDisconnected
 from gypsumrouter.forwarding.request_journal import RequestJournal
@@ -52,8 +57,6 @@
 # Outcomes of requests: the caller has left, or the end of the process has cut them.
 OUTCOME_CALLER_GONE: Final = "caller_gone"
 OUTCOME_CUT: Final = "cut_by_stop"
-# Followed by the type of an exception.
-OUTCOME_ERROR: Final = "error: "
 # Responses with these outcomes are complete, or are not left incomplete by their handler.
 ENDED_BY_OTHERS: Final = frozenset({OUTCOME_ANSWERED, OUTCOME_CALLER_GONE, OUTCOME_CUT})
 
@@ -126,6 +129,12 @@
         """Return the ids of the running requests; those whose body is incomplete say so."""
         return [str(running) for running in self._running.values()]
 
+    def end_unanswered(self) -> None:
+        """End the requests of whose answers no byte is written; each gets a response."""
+        for running in self._running.values():
+            if running.execution is not None and not running.execution.progress.status:
+                running.execution.limit.end_for_stop()
+
     def record_cut(self, connections: Iterable[CallerConnection], *, reason: str) -> None:
         """Record what is under way on the connections as the process ends, and why it does."""
         self.cut = len(self._running)
@@ -366,8 +375,9 @@
         finally:
             if isinstance(request.protocol, CallerConnection):
                 request.protocol.upstream = progress.upstream
-            began = progress.status or progress.outcome.startswith(OUTCOME_ERROR)
-            if began and progress.outcome not in ENDED_BY_OTHERS:
+            if (
+                progress.status or progress.is_ended_by_router
+            ) and progress.outcome not in ENDED_BY_OTHERS:
                 self._records.record_cut(
                     running, reason=progress.outcome, draining=self._drain.draining
                 )
--- a/gypsumrouter/forwarding/progress.py
+++ b/gypsumrouter/forwarding/progress.py
@@ -13,6 +13,10 @@
 
 # Outcome of a request that got an upstream's whole answer.
 OUTCOME_ANSWERED: Final = "answered"
+# Outcome of a request that may have run, without a byte of an answer at the end of a stop.
+OUTCOME_STOPPED: Final = "stopped"
+# Outcome of a request that an exception of this process ended; its type follows.
+OUTCOME_ERROR: Final = "error: "
 
 
 class Progress(Struct, kw_only=True):
@@ -48,6 +52,11 @@
     fallback_response: CompleteResponse | None = None
     met_silence: bool = False
 
+    @property
+    def is_ended_by_router(self) -> bool:
+        """Return whether this process has ended the request for a reason of its own."""
+        return self.outcome.startswith((OUTCOME_STOPPED, OUTCOME_ERROR))
+
     def note_possible_run(self, upstream: str) -> None:
         """Record that an upstream may have run the request, which another one may still do."""
         self.possibly_ran_on.append(upstream)
