Pass answers that callers read late to the kernel before a stop cuts

The caller rests, so no time helps; the kernel goes on to send what it has when the process has ended, unless the caller sends more.

From 1 s before the cut on, connections with unsent bytes get a send buffer of 1 MiB (`net.core.wmem_max` bounds it; 212,992 bytes is a usual value, 4 MiB on this machine). What still does not fit is reset as before. Only connections that hold bytes are touched, so nothing changes in steady state.

--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -20,6 +20,8 @@
 from gypsumrouter.callers.next_head import NextHead
 from gypsumrouter.callers.transports import (
     abort_connection,
+    count_untaken_bytes,
+    grow_send_buffer,
     has_unread_bytes,
     has_untaken_bytes,
 )
@@ -155,6 +157,16 @@
         """Return the size of what was written and has not been passed to the kernel."""
         return 0 if self.transport is None else self.transport.get_write_buffer_size()
 
+    @property
+    def untaken_bytes(self) -> int:
+        """Return the size of what was written and has not arrived at the caller's host."""
+        return count_untaken_bytes(self.transport)
+
+    def pass_to_kernel(self) -> None:
+        """Let the kernel take what was written; it sends that when the process has ended."""
+        if self.unsent_bytes:
+            grow_send_buffer(self.transport)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the write buffer limit and start the timeout for the first byte."""
         super().connection_made(transport)
--- a/gypsumrouter/callers/listener.py
+++ b/gypsumrouter/callers/listener.py
@@ -149,6 +149,11 @@
             connection.close()
             _LOGGER.debug("Connection from the backlog ended before it was served: %s", err)
 
+    def pass_to_kernel(self) -> None:
+        """Let the kernel take what was written to all connections."""
+        for connection in self._server.list_connections():
+            connection.pass_to_kernel()
+
     async def async_close(self) -> None:
         """Close the listener and all connections; what is under way ends broken."""
         await self.async_stop_listening()
--- a/gypsumrouter/callers/transports.py
+++ b/gypsumrouter/callers/transports.py
@@ -10,6 +10,9 @@
 import termios
 from typing import Any, Final
 
+# Send buffer of a connection whose caller reads late, near the end of its process. The kernel
+# bounds it (net.core.wmem_max), and goes on to send from it when the process has ended.
+LAST_SEND_BUFFER_BYTES: Final = 1024 * 1024
 # SO_LINGER with a timeout of 0: closing the socket sends RST instead of FIN.
 LINGER_RESET: Final = struct.pack("ii", 1, 0)
 
@@ -37,15 +40,28 @@
     return bool(poll.poll(0))
 
 
+def grow_send_buffer(transport: asyncio.Transport | None) -> None:
+    """Let the kernel take more of what was written to a connection."""
+    connection = _get_socket(transport)
+    if connection is None:
+        return
+    # The kernel reports twice the size that was asked for.
+    if connection.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) < 2 * LAST_SEND_BUFFER_BYTES:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, LAST_SEND_BUFFER_BYTES)
+
+
 def has_untaken_bytes(transport: asyncio.Transport | None) -> bool:
     """Return whether the peer's kernel has not acknowledged all that was written."""
+    return bool(count_untaken_bytes(transport))
+
+
+def count_untaken_bytes(transport: asyncio.Transport | None) -> int:
+    """Return how much of what was written the peer's kernel has not acknowledged."""
     connection = _get_socket(transport)
     if transport is None or connection is None:
-        return False
-    if transport.get_write_buffer_size():
-        return True
+        return 0
     untaken = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
-    return bool(struct.unpack("i", untaken)[0])
+    return transport.get_write_buffer_size() + int(struct.unpack("i", untaken)[0])
 
 
 def _get_socket(transport: asyncio.Transport | None) -> Any:
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -53,6 +53,9 @@
 CUT_MARGIN_MS: Final = 500
 # What is still arriving this long before that is refused.
 ARRIVING_MARGIN_MS: Final = 500
+# What callers have not taken this long before that is passed to the kernel, this often.
+KERNEL_MARGIN_MS: Final = 1_000
+KERNEL_POLL_MS: Final = 50
 # What has no byte of an answer this long before that gets a final response, which takes a few
 # milliseconds. It is no more than the admission of a drain leaves of the time.
 FINAL_RESPONSE_MARGIN_MS: Final = 100
@@ -322,6 +325,7 @@
             on_closing=self._record_closing,
         )
         drain.begin()
+        self._app.async_create_task(self._async_pass_to_kernel(), "pass answers to the kernel")
         self._app.async_create_task(self._async_end_unanswered(), "end unanswered requests")
         await self._app.clock.async_sleep(self._drain.grace_left_ms)
         await drain.async_run()
@@ -334,6 +338,14 @@
         await self._async_sleep_until(self._drain.limit_at_ms - FINAL_RESPONSE_MARGIN_MS)
         self.handler.end_unanswered()
 
+    async def _async_pass_to_kernel(self) -> None:
+        """Let the kernel take the answers of callers who read late, which it sends to their end."""
+        assert self._listener is not None
+        await self._async_sleep_until(self._drain.limit_at_ms - KERNEL_MARGIN_MS)
+        while True:
+            self._listener.pass_to_kernel()
+            await self._app.clock.async_sleep(KERNEL_POLL_MS)
+
     async def _async_sleep_until(self, at_ms: int) -> None:
         await self._app.clock.async_sleep(max(0, at_ms - self._app.clock.now_ms()))
 
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -143,8 +143,8 @@
             self._records.record_cut(running, reason=reason, draining=draining)
         ids = {running.request_id for running in self._running.values()}
         for connection in connections:
-            if connection.unsent_bytes and connection.request_id not in ids:
-                self._records.record_unsent(connection, reason=reason, draining=draining)
+            if connection.request_id not in ids:
+                self._records.record_left(connection, reason=reason, draining=draining)
 
     def record_broken(self, answer: BrokenAnswer) -> None:
         """Record an answer that an exception kept from being written."""
--- a/gypsumrouter/forwarding/metrics.py
+++ b/gypsumrouter/forwarding/metrics.py
@@ -20,6 +20,7 @@
     RequestEnded,
     RequestRefused,
     RequestUnread,
+    ResponseUntaken,
 )
 from gypsumrouter.outcomes import Reason
 from gypsumrouter.routing import RouteMatch, RoutingStore
@@ -208,8 +209,11 @@
             )
         )
 
-    def record_unsent(self, connection: CallerConnection, *, reason: str, draining: bool) -> None:
-        """Record a response that was complete, but not sent to its end when its process ended."""
+    def record_left(self, connection: CallerConnection, *, reason: str, draining: bool) -> None:
+        """Record a complete response that its caller has not taken when its process ends."""
+        if not connection.unsent_bytes:
+            self._record_untaken(connection)
+            return
         self._journal.record(
             RequestCut(
                 request_id=connection.request_id,
@@ -228,6 +232,18 @@
             )
         )
 
+    def _record_untaken(self, connection: CallerConnection) -> None:
+        """Record a response of which the kernel still holds a part, and sends it."""
+        untaken_bytes = connection.untaken_bytes
+        if untaken_bytes:
+            self._journal.record(
+                ResponseUntaken(
+                    request_id=connection.request_id,
+                    upstream=connection.upstream,
+                    untaken_bytes=untaken_bytes,
+                )
+            )
+
     def record_end(
         self, caller_request: CallerRequest, routed: RouteMatch, progress: Progress, status: int
     ) -> None:
--- a/gypsumrouter/journal/request_events.py
+++ b/gypsumrouter/journal/request_events.py
@@ -245,6 +245,19 @@
     draining: bool
 
 
+class ResponseUntaken(Event, frozen=True, kw_only=True):
+    """A process ends, and a caller has not taken `untaken_bytes` of a complete response.
+
+    The kernel goes on to send them, and resets the connection if the caller sends more before that.
+    """
+
+    name: ClassVar[str] = "response_untaken"
+    essential: ClassVar[bool] = True
+    request_id: str
+    upstream: str
+    untaken_bytes: int
+
+
 class RequestEnded(Event, frozen=True, kw_only=True):
     """A request has ended; `status` is 0 if the caller left or the response was aborted."""
 
