End streamed answers to callers of HTTP/1.0 that keep connections

A caller of HTTP/1.0 that sends `Connection: keep-alive` got a streamed answer (events, or a body of more than 256 KiB) without its end: such an answer has no length and no chunks, only the end of its connection ends it, and that came with the idle timeout (17 s by default), long behind the deadline. aiohttp 3.14.5 leaves `Connection: keep-alive` out of the head but goes by the caller's wish after the answer, so the connection was kept.

An answer to HTTP/1.0 whose head does not announce that its connection is kept now ends it.

--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -9,7 +9,7 @@
 from itertools import islice
 from typing import Any, Final
 
-from aiohttp import web
+from aiohttp import HttpVersion11, hdrs, web
 from aiohttp.http_parser import HttpRequestParser
 
 from gypsumrouter.callers.const import MAX_HEADERS, WRITE_BUFFER_BYTES
@@ -303,6 +303,9 @@
                 result = await super().finish_response(request, resp, start_time)
             except Exception as error:
                 resp, _ = result = await self._async_answer_broken(request, resp, error)
+        if request.version < HttpVersion11 and hdrs.CONNECTION not in resp.headers:
+            # The HTTP library keeps the connection of an answer that only its close ends.
+            resp.force_close()
         self._answered = True
         if self._next_head_started and not self._messages and resp.keep_alive:
             self._start_head()
--- a/tests/forwarding/cut_heads.py
+++ b/tests/forwarding/cut_heads.py
@@ -86,6 +86,11 @@
         for writer in tuple(self._writers):
             writer.transport.abort()
 
+    def write_all(self, data: bytes) -> None:
+        """Write bytes to all open connections."""
+        for writer in tuple(self._writers):
+            writer.write(data)
+
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
