--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from gypsumrouter.callers import (
+    BrokenAnswer,
     CallerConnection,
     MemoryBudget,
     MemoryReservation,
@@ -29,7 +30,12 @@
 from gypsumrouter.forwarding.execution import RequestExecution
 from gypsumrouter.forwarding.metrics import ForwardingMetrics, RequestRecords, RunningRequest
 from gypsumrouter.forwarding.models import CallerRequest, MalformedHead, Prompt
-from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED, Progress, get_time_limit_ms
+from gypsumrouter.forwarding.progress import (
+    OUTCOME_ANSWERED,
+    OUTCOME_ERROR,
+    Progress,
+    get_time_limit_ms,
+)
 from gypsumrouter.forwarding.refusals import DEFAULT_TIMEOUT_MS, Refusals
 from gypsumrouter.forwarding.relay import CallerDisconnected
 from gypsumrouter.forwarding.request_journal import RequestJournal
@@ -123,6 +129,12 @@
         """Return the ids of the running requests; those whose body is incomplete say so."""
         return [str(running) for running in self._running.values()]
 
+    def end_unanswered(self) -> None:
+        """End the requests of whose answers no byte is written; each gets a response."""
+        for running in self._running.values():
+            if running.execution is not None and not running.execution.progress.status:
+                running.execution.limit.end_for_stop()
+
     def record_cut(self, connections: Iterable[CallerConnection], *, reason: str) -> None:
         """Record what is under way on the connections as the process ends, and why it does."""
         self.cut = len(self._running)
@@ -131,8 +143,12 @@
             self._records.record_cut(running, reason=reason, draining=draining)
         ids = {running.request_id for running in self._running.values()}
         for connection in connections:
-            if connection.unsent_bytes and connection.request_id not in ids:
-                self._records.record_unsent(connection, reason=reason, draining=draining)
+            if connection.request_id not in ids:
+                self._records.record_left(connection, reason=reason, draining=draining)
+
+    def record_broken(self, answer: BrokenAnswer) -> None:
+        """Record an answer that an exception kept from being written."""
+        self._records.record_broken(answer, draining=self._drain.draining)
 
     def generate_request_id(self) -> str:
         """Return a new id for a request without one."""
@@ -146,6 +162,7 @@
         if isinstance(request.protocol, CallerConnection):
             request.protocol.stop_head_timer()
             request.protocol.request_id = request_id
+            request.protocol.upstream = ""
         reservation = MemoryReservation(budget=self._bodies)
         self._request_count += 1
         number = self._request_count
@@ -350,13 +367,17 @@
             # aiohttp logs any other exception as an error of the handler.
             raise asyncio.CancelledError from None
         except Exception as error:
-            progress.outcome = f"error: {type(error).__name__}"
+            progress.outcome = f"{OUTCOME_ERROR}{type(error).__name__}"
             if progress.status:
                 # The error response would be written into the one that has begun, and end it.
                 abort_connection(request.transport)
             raise
         finally:
-            if progress.status and progress.outcome not in ENDED_BY_OTHERS:
+            if isinstance(request.protocol, CallerConnection):
+                request.protocol.upstream = progress.upstream
+            if (
+                progress.status or progress.is_ended_by_router
+            ) and progress.outcome not in ENDED_BY_OTHERS:
                 self._records.record_cut(
                     running, reason=progress.outcome, draining=self._drain.draining
                 )
--- a/gypsumrouter/forwarding/metrics.py
+++ b/gypsumrouter/forwarding/metrics.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from msgspec import Struct
 
-from gypsumrouter.callers import CallerConnection, MemoryReservation
+from gypsumrouter.callers import BrokenAnswer, CallerConnection, MemoryReservation
 from gypsumrouter.const import HEADER_REQUEST_ID
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory
@@ -20,6 +20,7 @@
     RequestEnded,
     RequestRefused,
     RequestUnread,
+    ResponseUntaken,
 )
 from gypsumrouter.outcomes import Reason
 from gypsumrouter.routing import RouteMatch, RoutingStore
@@ -188,13 +189,36 @@
             )
         )
 
-    def record_unsent(self, connection: CallerConnection, *, reason: str, draining: bool) -> None:
-        """Record a response that was complete, but not sent to its end when its process ended."""
+    def record_broken(self, answer: BrokenAnswer, *, draining: bool) -> None:
+        """Record a response that an exception kept from being written."""
+        self._journal.record(
+            RequestCut(
+                request_id=answer.request_id,
+                reason=answer.reason,
+                upstream=answer.upstream,
+                status=answer.status,
+                bytes_out=answer.bytes_out,
+                unsent_bytes=0,
+                events=0,
+                arriving=False,
+                after_ms=0,
+                silent_ms=-1,
+                longest_pause_ms=0,
+                obstacle="",
+                draining=draining,
+            )
+        )
+
+    def record_left(self, connection: CallerConnection, *, reason: str, draining: bool) -> None:
+        """Record a complete response that its caller has not taken when its process ends."""
+        if not connection.unsent_bytes:
+            self._record_untaken(connection)
+            return
         self._journal.record(
             RequestCut(
                 request_id=connection.request_id,
                 reason=reason,
-                upstream="",
+                upstream=connection.upstream,
                 status=0,
                 bytes_out=0,
                 unsent_bytes=connection.unsent_bytes,
@@ -208,6 +232,18 @@
             )
         )
 
+    def _record_untaken(self, connection: CallerConnection) -> None:
+        """Record a response of which the kernel still holds a part, and sends it."""
+        untaken_bytes = connection.untaken_bytes
+        if untaken_bytes:
+            self._journal.record(
+                ResponseUntaken(
+                    request_id=connection.request_id,
+                    upstream=connection.upstream,
+                    untaken_bytes=untaken_bytes,
+                )
+            )
+
     def record_end(
         self, caller_request: CallerRequest, routed: RouteMatch, progress: Progress, status: int
     ) -> None:
