Odd start times count as not stated in entries and answers

An entry whose `born` was a text, a fraction, 0 or out of range made its upstream unusable: callers got refusals while the upstream was sound. An answer whose `born` had thousands of digits broke the start check and the cache listing.

Users decided that an odd `born` counts as not stated. The entry keeps the field as raw JSON and decodes it by itself, so that it can't make the rest invalid; numbers of more than 20 digits in engines' answers become None.

--- a/gypsumrouter/platform/engines.py
+++ b/gypsumrouter/platform/engines.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import json
-
 from gypsumrouter.forwarding.inventory import CachedPart, CacheListing
 from gypsumrouter.forwarding.models import MAX_PROMPT_TOKENS
 from gypsumrouter.helpers.http_connection import HttpConnection, async_get
 from gypsumrouter.helpers.http_response import ConnectionBroken
+from gypsumrouter.helpers.json_documents import load_json
 from gypsumrouter.helpers.numbers import read_hexadecimal, read_json_number
 from gypsumrouter.platform import names
 
@@ -16,7 +15,7 @@
     """Return when an upstream started, 0 if it doesn't state it; raises ConnectionBroken."""
     _, body = await async_get(connection, names.CALL_REPORT)
     try:
-        return read_json_number(json.loads(body).get("born")) or 0
+        return read_json_number(load_json(body).get("born")) or 0
     except (ValueError, AttributeError, RecursionError) as error:
         raise ConnectionBroken(f"expected a report, got {error!r:.200}") from None
 
@@ -25,7 +24,7 @@
     """Return the prompt parts in an engine's cache; raises ConnectionBroken if invalid."""
     answer, body = await async_get(connection, names.CALL_HELD)
     try:
-        document = json.loads(body)
+        document = load_json(body)
         # Each entry is a list: an empty string, the part's id, its token count, its model.
         parts = tuple(
             CachedPart(part=number, tokens=count)
--- a/gypsumrouter/platform/entries.py
+++ b/gypsumrouter/platform/entries.py
@@ -5,13 +5,14 @@
 import re
 from typing import Annotated, Final, Literal
 
-from msgspec import Meta, Struct
+from msgspec import Meta, Raw, Struct
 
 from gypsumrouter.directory import Entry, EntryState
 from gypsumrouter.exceptions import DocumentInvalid, FieldError
+from gypsumrouter.helpers.json_documents import read_raw_number
 from gypsumrouter.instances import Address, parse_ip_address
 from gypsumrouter.platform import names
-from gypsumrouter.util.validation import MAX_JSON_INTEGER, JsonCount, ShortText, validate_json
+from gypsumrouter.util.validation import JsonCount, ShortText, validate_json
 
 # Messages between routers have 32 bits for the slots.
 MAX_SLOTS: Final = 2**32 - 1
@@ -34,8 +35,8 @@
     sequence: JsonCount = 0
     # Software version; not the version of its model.
     version: ShortText = ""
-    # Start time in Unix milliseconds; it distinguishes restarts under the same id.
-    born: Annotated[int, Meta(gt=0, le=MAX_JSON_INTEGER)] | None = None
+    # Start in Unix milliseconds, which tells restarts under an id; an odd one counts as not stated.
+    born: Raw = Raw(b"")
 
 
 def read_upstream_id(key: str) -> str | None:
@@ -69,7 +70,7 @@
         data_centre=server.zone,
         slots=server.slots,
         warm_up_ms=int(server.cold_left_ms),
-        started_ms=server.born or 0,
+        started_ms=read_raw_number(server.born) or 0,
         version=server.version,
     )
 
--- a/gypsumrouter/util/validation.py
+++ b/gypsumrouter/util/validation.py
@@ -9,7 +9,7 @@
 from typing import Annotated, Any, Final, TypeVar, get_args, get_origin
 
 import msgspec
-from msgspec import NODEFAULT, Meta, Struct
+from msgspec import NODEFAULT, Meta, Raw, Struct
 
 from gypsumrouter.exceptions import DocumentInvalid, FieldError
 
@@ -88,6 +88,9 @@
 
 def _find_errors(kind: Any, value: Any, path: str, strict: bool) -> Iterator[FieldError]:
     """Yield the errors of a part of a document; those of nested parts take precedence."""
+    if kind is Raw:
+        # The part is not checked; decoded data can't be converted into it.
+        return
     inner = list(_find_inner_errors(kind, value, path, strict))
     if inner:
         yield from inner
