A workspace's name that no header can carry: error with the path of its field

For a control character the error showed only a pattern, for text that isn't Unicode neither the field nor the reason (`$: Input data was truncated`).

The pattern of header texts excludes white space at the ends, its description is the error's text, and a document that can't be decoded is searched for texts that aren't Unicode.

--- a/gypsumrouter/util/validation.py
+++ b/gypsumrouter/util/validation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+import json
 import re
 import sys
 from collections.abc import Iterator
@@ -28,12 +29,20 @@
 NonNegativeInt = Annotated[int, Meta(ge=0)]
 JsonInteger = Annotated[int, Meta(ge=-MAX_JSON_INTEGER, le=MAX_JSON_INTEGER)]
 ShortText = Annotated[str, Meta(max_length=MAX_SHORT_LENGTH)]
-# Can be sent in a header.
-HeaderText = Annotated[str, Meta(pattern=r"^[^\x00-\x08\x0a-\x1f\x7f]*\Z")]
+# White space around a header's value is not part of it (RFC 9110).
+HeaderText = Annotated[
+    str,
+    Meta(
+        pattern=r"^(?![ \t])[^\x00-\x08\x0a-\x1f\x7f]*(?<![ \t])\Z",
+        description="Expected text that a header can carry: no control characters, and no spaces "
+        "or tabs at its ends",
+    ),
+]
 JsonCount = Annotated[int, Meta(ge=0, le=MAX_JSON_INTEGER)]
 
 ROOT: Final = "$"
 _JSON_ERRORS: Final = (msgspec.DecodeError, UnicodeError, RecursionError)
+_LONE_SURROGATE: Final = re.compile("[\ud800-\udfff]")
 # The path that msgspec appends to its messages.
 _LOCATION: Final = re.compile(r" - at `\$(.*)`$")
 
@@ -58,7 +67,7 @@
     except msgspec.ValidationError:
         pass
     except _JSON_ERRORS as error:
-        raise DocumentInvalid((FieldError(path=ROOT, message=str(error)),)) from None
+        raise DocumentInvalid(_explain_malformed(document, error)) from None
     try:
         value = msgspec.json.decode(document)
     except _JSON_ERRORS as error:
@@ -98,12 +107,37 @@
     try:
         msgspec.convert(value, kind, strict=strict)
     except msgspec.ValidationError as error:
-        message = str(error)
-        found = _LOCATION.search(message)
+        message = _describe(kind, value) or str(error)
+        found = _LOCATION.search(str(error))
         where = "" if found is None else found.group(1)
         yield FieldError(path=path + where, message=_LOCATION.sub("", message))
 
 
+def _describe(kind: Any, value: Any) -> str | None:
+    """Return the description of a kind of text, which is clearer than its pattern."""
+    if not isinstance(value, str) or get_origin(kind) is not Annotated:
+        return None
+    return next((meta.description for meta in get_args(kind)[1:] if meta.description), None)
+
+
+def _explain_malformed(document: bytes | str, error: Exception) -> tuple[FieldError, ...]:
+    """Return the fields whose text is not Unicode, or else the error of the whole document."""
+    found = []
+    try:
+        parts = [(ROOT, json.loads(document))]
+    except (ValueError, RecursionError):
+        parts = []
+    while parts:
+        path, value = parts.pop()
+        if isinstance(value, dict):
+            parts.extend((f"{path}.{name}", inner) for name, inner in value.items())
+        elif isinstance(value, list):
+            parts.extend((f"{path}[{index}]", inner) for index, inner in enumerate(value))
+        elif isinstance(value, str) and _LONE_SURROGATE.search(value):
+            found.append(FieldError(path=path, message="Expected Unicode text"))
+    return tuple(found) or (FieldError(path=ROOT, message=str(error)),)
+
+
 def _find_inner_errors(kind: Any, value: Any, path: str, strict: bool) -> Iterator[FieldError]:
     kind = _unwrap(kind)
     if isinstance(kind, type) and issubclass(kind, msgspec.Struct) and isinstance(value, dict):
--- a/tests/platform/test_platform_odd_documents.py
+++ b/tests/platform/test_platform_odd_documents.py
@@ -92,3 +92,27 @@
     document = {"version": 1, "routes": [ROUTE], "services": [SERVICE], "tenants": [{"name": name}]}
     with pytest.raises(ConfigurationInvalid):
         decode_configuration(json.dumps(document).encode())
+
+
+@pytest.mark.parametrize(
+    ("name", "reason"),
+    [
+        ("acme\r\nX-Hold: 1", "a header can carry"),
+        ("a\x00b", "a header can carry"),
+        (" acme", "a header can carry"),
+        ("acme\t", "a header can carry"),
+        (" ", "a header can carry"),
+        ("ac\ud800me", "Unicode"),
+    ],
+)
+def test_error_did_not_say_which_workspace_has_a_name_that_no_header_carries(
+    name: str, reason: str
+) -> None:
+    """A space at an end was accepted, but upstreams read the name without it."""
+    tenants = [{"name": "plant é\t2"}, {"name": name}]
+    document = {"version": 1, "routes": [ROUTE], "services": [SERVICE], "tenants": tenants}
+    with pytest.raises(ConfigurationInvalid) as raised:
+        decode_configuration(json.dumps(document).encode())
+    (error,) = raised.value.errors
+    assert error.path == "$.tenants[1].name"
+    assert reason in error.message
