An evacuation that ended while all watchers were down is not taken back from a peer

Where all watchers of the store were down while an evacuation ended, a router that did not watch kept it and gave it back to the watchers, which had read the list without it: its data centre got no new requests until the operator wrote the item again (refusals, RECOVER if most of a service stands there).

A watcher did not remember up to which revision its full list holds, so that an evacuation of an earlier revision counted as new. It is now recorded as ended at the list's revision, which also ends it at the peer. Where the store was restored from a backup in between, the end waits for RESTORED_GRACE_MS, as for known evacuations.

--- a/gypsumrouter/directory/evacuations.py
+++ b/gypsumrouter/directory/evacuations.py
@@ -48,6 +48,7 @@
         "_evacuations",
         "_grace_until_ms",
         "_journal",
+        "_listed_revision",
         "_listeners",
         "_started_ms",
     )
@@ -62,6 +63,8 @@
         # Changes implied by a restored store, by data centre, until the grace period ends.
         self._deferred: dict[str, Evacuation] = {}
         self._grace_until_ms = 0
+        # The revision of the last full list from the store.
+        self._listed_revision = 0
         self._listeners: list[EvacuationListener] = []
         app.add_dump_section("evacuations", self._dump)
 
@@ -89,6 +92,7 @@
             if known.data_centre not in names and known.active:
                 ended = Evacuation(data_centre=known.data_centre, revision=revision, active=False)
                 self._merge_listed(ended, source)
+        self._listed_revision = max(self._listed_revision, revision)
 
     def apply_deferred(self) -> None:
         """Apply deferred changes once the grace period is over; called periodically."""
@@ -103,6 +107,9 @@
         if known is None or not _may_be_stale(evacuation, known):
             self.merge(evacuation, source=source)
             return
+        self._defer(evacuation)
+
+    def _defer(self, evacuation: Evacuation) -> None:
         if not self._deferred:
             self._grace_until_ms = self._clock.now_ms() + RESTORED_GRACE_MS
         self._deferred[evacuation.data_centre] = evacuation
@@ -114,10 +121,16 @@
             return False
         if known is None and len(self._evacuations) >= MAX_DATA_CENTRES:
             return False
+        if known is None and self._is_unlisted(evacuation):
+            return self._merge_unlisted(evacuation, source)
+        self._apply(evacuation, known, source)
+        return True
+
+    def _apply(self, evacuation: Evacuation, known: Evacuation | None, source: str) -> None:
         self._evacuations[evacuation.data_centre] = evacuation
         self._deferred.pop(evacuation.data_centre, None)
         if evacuation.active == (known is not None and known.active):
-            return True
+            return
         self._note_begin_time(evacuation)
         self._journal.record(
             DataCentreEvacuated(
@@ -129,6 +142,23 @@
         )
         for listener in tuple(self._listeners):
             listener(evacuation)
+
+    def _is_unlisted(self, evacuation: Evacuation) -> bool:
+        """Return whether an unknown evacuation predates a full list, which lacks it."""
+        return evacuation.active and evacuation.revision <= self._listed_revision
+
+    def _merge_unlisted(self, evacuation: Evacuation, source: str) -> bool:
+        """Merge an evacuation of a peer that did not learn of its end.
+
+        Its end is recorded at the revision of the list, so that the peer learns of it in turn.
+        """
+        ended = Evacuation(
+            data_centre=evacuation.data_centre, revision=self._listed_revision, active=False
+        )
+        if not _may_be_stale(ended, evacuation):
+            return self.merge(ended, source=source)
+        self._apply(evacuation, None, source)
+        self._defer(ended)
         return True
 
     def on_change(self, listener: EvacuationListener) -> Remove:
--- a/tests/directory/test_directory_evacuations.py
+++ b/tests/directory/test_directory_evacuations.py
@@ -9,10 +9,11 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Evacuation, Evacuations
-from gypsumrouter.directory.evacuations import STARTUP_MS
+from gypsumrouter.directory.evacuations import RESTORED_GRACE_MS, STARTUP_MS
 from gypsumrouter.journal import Journal
 from gypsumrouter.published import Item
 from gypsumrouter.util.clock import ManualClock
+from gypsumrouter.util.revisions import NUMBERS_PER_EPOCH
 
 NAMES = ("dc-a", "dc-b")
 
@@ -109,3 +110,38 @@
     assert evacuations.get_age_ms("dc-b") == 500
     evacuations.merge(make("dc-b", 3, active=False), source="p")
     assert evacuations.get_age_ms("dc-b") is None
+
+
+def test_evacuation_that_ended_while_all_watchers_were_down_was_taken_from_a_peer() -> None:
+    """A router that did not watch gave it back to those that had read the list without it."""
+    behind, restarted = make_evacuations(), make_evacuations()
+    behind.merge(make("dc-a", 10), source="p")
+    restarted.replace_all([], revision=20, source="p")
+    for evacuation in behind.list_all():
+        restarted.merge(evacuation, source="peer that is behind")
+    assert not restarted.is_active("dc-a")
+    for evacuation in restarted.list_all():
+        behind.merge(evacuation, source="peer")
+    assert not behind.is_active("dc-a")
+
+
+def test_evacuation_after_the_full_list_is_taken_from_a_peer() -> None:
+    evacuations = make_evacuations()
+    evacuations.replace_all([], revision=20, source="p")
+    evacuations.merge(make("dc-a", 21), source="peer")
+    assert evacuations.is_active("dc-a")
+
+
+def test_evacuation_that_a_restored_store_lacks_is_kept_from_a_peer_in_the_grace_period() -> None:
+    """The list of a store that was restored from a backup may lack the operator's last writes."""
+    clock = ManualClock()
+    evacuations = make_evacuations(clock)
+    evacuations.replace_all([], revision=NUMBERS_PER_EPOCH + 5, source="p")
+    evacuations.merge(make("dc-a", 10), source="peer")
+    assert evacuations.is_active("dc-a")
+    clock.advance(RESTORED_GRACE_MS - 1)
+    evacuations.apply_deferred()
+    assert evacuations.is_active("dc-a")
+    clock.advance(1)
+    evacuations.apply_deferred()
+    assert not evacuations.is_active("dc-a")
