A starting router connects a second time before it gives up an engine's cache listing

A router that was busy at its start got no listing from an engine whose connect had timed out (200 ms) although nothing was wrong there: what the engine holds, and that it drains, stayed unknown, so that prompts were prefilled again or sent to a leaving engine.

CONNECT_TIMEOUT_MS bounds one connect, LIST_TIMEOUT_MS (1 s) the whole question; the first failure ended the question. A second connect follows now, except where the engine refuses the connection.

--- a/gypsumrouter/forwarding/inventory.py
+++ b/gypsumrouter/forwarding/inventory.py
@@ -22,7 +22,7 @@
     Evacuations,
     name_incarnation,
 )
-from gypsumrouter.forwarding.connections import ConnectionPool
+from gypsumrouter.forwarding.connections import ConnectionPool, PooledConnection
 from gypsumrouter.forwarding.const import SOURCE_RESPONSE
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.helpers.http_connection import (
@@ -243,7 +243,7 @@
             await self._peers.async_share_listing(incarnation, parts)
 
     async def _async_fetch(self, entry: Entry) -> CacheListing:
-        pooled = await self._pool.async_acquire(entry, repeatable=True, timeout_ms=LIST_TIMEOUT_MS)
+        pooled = await self._async_acquire(entry)
         try:
             listing = await self._fetch_listing(pooled.connection)
         except BaseException:
@@ -251,3 +251,18 @@
             raise
         self._pool.release(entry, pooled.connection)
         return listing
+
+    async def _async_acquire(self, entry: Entry) -> PooledConnection:
+        """Return a connection; raises ConnectFailed.
+
+        A starting router may be so busy that a connect times out before it could succeed, so there
+        is a second one.
+        """
+        try:
+            return await self._pool.async_acquire(
+                entry, repeatable=True, timeout_ms=LIST_TIMEOUT_MS
+            )
+        except ConnectFailed as error:
+            if error.refused:
+                raise
+        return await self._pool.async_acquire(entry, repeatable=True, timeout_ms=LIST_TIMEOUT_MS)
--- a/tests/forwarding/test_forwarding_inventory.py
+++ b/tests/forwarding/test_forwarding_inventory.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 from random import Random
 from types import SimpleNamespace
 from typing import Any, cast
@@ -14,10 +15,14 @@
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Entry
+from gypsumrouter.directory import Entry, EntryState
 from gypsumrouter.forwarding import cache_index, handler
 from gypsumrouter.forwarding.cache_index import CacheIndex
+from gypsumrouter.forwarding.const import CONNECT_TIMEOUT_MS
 from gypsumrouter.forwarding.inventory import CacheInventory, CacheListing
+from gypsumrouter.helpers import http_connection
+from gypsumrouter.helpers.http_connection import ConnectFailed, HttpConnection
+from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.link import EngineListing, InventoryUpdate, Notice, NoticeHub, Peer
 from gypsumrouter.link.notice_codec import decode_notice, encode_notice
@@ -192,6 +197,46 @@
     assert decode_notice(kind, body) == message
 
 
+async def test_engine_was_not_queried_after_a_connect_that_the_router_itself_delayed(
+    world: ForwardingWorld, session: aiohttp.ClientSession, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The event loop is blocked for longer than the timeout, right after the connects begin."""
+    connects: list[int] = []
+
+    async def async_connect(*, address: Address, timeout_ms: int) -> HttpConnection:
+        opening = asyncio.ensure_future(
+            http_connection.async_connect(address=address, timeout_ms=timeout_ms)
+        )
+        # The first iteration starts the timeout, the second one the connect.
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        connects.append(address.port)
+        if len(connects) <= len(world.models):
+            block_event_loop()
+        return await opening
+
+    monkeypatch.setattr("gypsumrouter.forwarding.connections.async_connect", async_connect)
+    second = await world.async_start_forwarder("entry-2", first_start=False)
+    await world.async_until(second.is_ready)
+    await world.async_until(lambda: all(runner.inventory_calls for runner in world.models))
+    assert [runner.inventory_calls for runner in world.models] == [1, 1]
+
+
+async def test_engine_that_refuses_is_asked_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    asked: list[str] = []
+
+    class RefusingPool:
+        async def async_acquire(self, entry: Entry, **_: object) -> None:
+            asked.append(entry.upstream)
+            raise ConnectFailed("refused", refused=True)
+
+    inventory = CacheInventory.__new__(CacheInventory)
+    inventory._pool = cast(Any, RefusingPool())
+    with pytest.raises(ConnectFailed):
+        await inventory._async_fetch(Entry(upstream="i-1", state=EntryState.READY))
+    assert asked == ["i-1"]
+
+
 async def test_router_without_peers_queries_all_engines_of_a_large_fleet(
     world: ForwardingWorld, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -248,6 +293,11 @@
     assert [runner.inventory_calls for runner in world.models] == [1, 1]
 
 
+def block_event_loop() -> None:
+    """Block for longer than a connect may take."""
+    time.sleep((CONNECT_TIMEOUT_MS + 50) / 1_000)
+
+
 def _list_missing(caplog: pytest.LogCaptureFixture) -> list[int]:
     placed = [record for record in caplog.records if record.message == "request_placed"]
     return [cast(Any, record).event["missing_tokens"] for record in placed]
