A list that lacks an entry does not tell its peer the newest revision

An entry that a message can't carry is left out of the list that a router sends to a peer. The list still told the newest revision, so that the peer never asked for that entry: one that says that its upstream leaves would have gone unnoticed (DRAIN). By reading; with the bounds on decoded entries nothing is left out today.

The list now holds up to the revision before the first entry left out, so that the peer asks again.

--- a/gypsumrouter/link/notice_codec.py
+++ b/gypsumrouter/link/notice_codec.py
@@ -6,6 +6,7 @@
 
 from gypsumrouter.link.const import Kind
 from gypsumrouter.link.frames import FrameError
+from gypsumrouter.link.list_codec import decode_listed_upstreams, encode_listed_upstreams
 from gypsumrouter.link.models import (
     ConfigurationAnnouncement,
     ConfigurationParts,
@@ -23,7 +24,6 @@
     decode_catch_up_request,
     decode_data_centre_update,
     decode_inventory_update,
-    decode_listed_upstreams,
     decode_origin_reply,
     decode_origin_request,
     decode_relayed_update,
@@ -34,7 +34,6 @@
     encode_catch_up_request,
     encode_data_centre_update,
     encode_inventory_update,
-    encode_listed_upstreams,
     encode_origin_reply,
     encode_origin_request,
     encode_relayed_update,
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -16,8 +16,6 @@
     EngineListing,
     EvacuationState,
     InventoryUpdate,
-    ListedUpstream,
-    ListedUpstreams,
     OriginKnowledge,
     OriginReply,
     OriginRequest,
@@ -276,55 +274,6 @@
     return RoutingDocument(version=version, document=document, evacuations=evacuations)
 
 
-def encode_listed_upstreams(notice: ListedUpstreams) -> bytes:
-    """Encode the body of a LISTED_UPSTREAMS frame.
-
-    A list that lacks an entry is not told as complete, since the peer would remove that upstream.
-    """
-    message = SCHEMA.ListedUpstreams.new_message(asOf=notice.as_of, changes=notice.changes)
-    left_out = write_list(message, "entries", notice.entries, _write_listed)
-    message.complete = notice.complete and not left_out
-    return to_bytes(message)
-
-
-def _write_listed(target: Any, entry: ListedUpstream) -> None:
-    target.revision = entry.revision
-    target.upstream = entry.upstream
-    target.state = entry.state
-    target.service = entry.service
-    target.address = entry.address
-    target.dataCentre = entry.data_centre
-    target.slots = entry.slots
-    target.startedMs = entry.started_ms
-    target.warmUpMs = entry.warm_up_ms
-    target.version = entry.version
-
-
-def decode_listed_upstreams(body: bytes) -> ListedUpstreams:
-    """Decode the body of a LISTED_UPSTREAMS frame; raises FrameError."""
-    with open_message(SCHEMA.ListedUpstreams, body) as message:
-        return ListedUpstreams(
-            entries=tuple(
-                ListedUpstream(
-                    revision=entry.revision,
-                    upstream=entry.upstream,
-                    state=entry.state,
-                    service=entry.service,
-                    address=entry.address,
-                    data_centre=entry.dataCentre,
-                    slots=entry.slots,
-                    started_ms=entry.startedMs,
-                    warm_up_ms=entry.warmUpMs,
-                    version=entry.version,
-                )
-                for entry in message.entries
-            ),
-            as_of=message.asOf,
-            complete=message.complete,
-            changes=message.changes,
-        )
-
-
 def encode_inventory_update(notice: InventoryUpdate) -> bytes:
     """Encode the body of a HELD_NEWS frame."""
     message = SCHEMA.HeldNews.new_message(complete=notice.complete)
--- a/gypsumrouter/link/schema.py
+++ b/gypsumrouter/link/schema.py
@@ -50,23 +50,25 @@
 
 def write_list(
     message: Any, field: str, items: Sequence[_T], write: Callable[[Any, _T], None]
-) -> int:
-    """Set a list field of a message; return the number of items that were left out.
+) -> tuple[_T, ...]:
+    """Set a list field of a message; return the items that were left out.
 
     An item that does not fit its fields is left out by itself. This is logged once for each field
     and type of error, as most messages are sent several times a second.
     """
     sound: list[_T] = []
+    left_out: list[_T] = []
     errors: list[Exception] = []
     for target, item in zip(message.init(field, len(items)), items, strict=True):
         try:
             write(target, item)
         except ENCODE_ERRORS as error:
             errors.append(error)
+            left_out.append(item)
         else:
             sound.append(item)
     if not errors:
-        return 0
+        return ()
     for target, item in zip(message.init(field, len(sound)), sound, strict=True):
         write(target, item)
     if _LOGGED.is_first(f"{field} {type(errors[0]).__name__}"):
@@ -77,7 +79,7 @@
             field,
             errors[0],
         )
-    return len(errors)
+    return tuple(left_out)
 
 
 def to_bytes(message: Any) -> bytes:
