Soak: callers that keep connections, routes, stops with a limit and play beside stops stand once

Three modes had their own copies of the same caller loop, route documents and stop with a SIGKILL behind its limit. A further mode needs them too. The draws of each seed stay in order.

--- a/bench/soak_configuration.py
+++ b/bench/soak_configuration.py
@@ -7,6 +7,7 @@
 CALLER_KEY: Final = "key-of-plant"
 WORKSPACE: Final = "plant"
 HOST: Final = "api.example"
+TARGETS: Final = {"target_latency_ms": 150, "target_gap_ms": 150}
 
 
 def make_configuration(
@@ -14,10 +15,10 @@
 ) -> dict[str, Any]:
     """Return a version of the configuration; the options are those of the engines' service."""
     kinds = {"lookup": "idempotent", "reserve": "non_idempotent"}
-    limit = {"timeout_ms": timeout_ms}
-    routes = [_make_route(name, kind, "records", **limit) for name, kind in kinds.items()]
-    routes.append(_make_route("draft", "streaming", "models", **limit))
-    routes.append(_make_route("quote", "streaming", "models", resumable=True, **limit))
+    limit = {"timeout_ms": timeout_ms, "max_attempts": 2, **TARGETS}
+    routes = [make_route(name, kind, "records", **limit) for name, kind in kinds.items()]
+    routes.append(make_route("draft", "streaming", "models", **limit))
+    routes.append(make_route("quote", "streaming", "models", resumable=True, **limit))
     models = {"name": "models", "engine": {"slots": 64}, **engine_options}
     return {
         "version": version,
@@ -27,15 +28,7 @@
     }
 
 
-def _make_route(name: str, kind: str, service: str, **options: Any) -> dict[str, Any]:
-    return {
-        "name": name,
-        "host": HOST,
-        "prefix": f"/{name}/",
-        "kind": kind,
-        "service": service,
-        "target_latency_ms": 150,
-        "target_gap_ms": 150,
-        "max_attempts": 2,
-        **options,
-    }
+def make_route(name: str, kind: str, service: str, **options: Any) -> dict[str, Any]:
+    """Return a route at the prefix of its name."""
+    route = {"name": name, "host": HOST, "prefix": f"/{name}/", "kind": kind, "service": service}
+    return {**route, **options}
--- a/bench/soak_dimensions.py
+++ b/bench/soak_dimensions.py
@@ -12,7 +12,7 @@
 from enum import StrEnum
 from typing import Any, Final
 
-from bench.soak_configuration import CALLER_KEY, HOST, WORKSPACE
+from bench.soak_configuration import CALLER_KEY, WORKSPACE, make_route
 from bench.soak_overlap_checks import TIMEOUT_MS
 from bench.soak_rig import SoakRig
 from bench.soak_silence_checks import PASSING_KEY
@@ -96,17 +96,15 @@
     """Return a configuration; three of the streams' settings are one of two."""
     services = {STREAM: "others" if other_service else "models"}
     routes = [
-        {
-            "name": name,
-            "host": HOST,
-            "prefix": f"/{name}/",
-            "kind": kind,
-            "service": services.get(name, "records"),
-            "timeout_ms": OTHER_TIMEOUT_MS if other_timeout else TIMEOUT_MS,
-            "max_attempts": 2 if name == "lookup" else 1,
-            "target_latency_ms": TARGET_MS,
-            "target_gap_ms": TARGET_GAP_MS,
-        }
+        make_route(
+            name,
+            kind,
+            services.get(name, "records"),
+            timeout_ms=OTHER_TIMEOUT_MS if other_timeout else TIMEOUT_MS,
+            max_attempts=2 if name == "lookup" else 1,
+            target_latency_ms=TARGET_MS,
+            target_gap_ms=TARGET_GAP_MS,
+        )
         for name, kind in KINDS.items()
     ]
     passing = {**routes[-1], "name": f"passing-{version}", "prefix": f"/passing-{version}/"}
--- a/bench/soak_one_attempt.py
+++ b/bench/soak_one_attempt.py
@@ -27,8 +27,9 @@
     Preludes,
     UpstreamFailures,
 )
+from bench.soak_kept_callers import RETRY_S, KeptCallers, count_ends
 from bench.soak_line_checks import EVENT_CUT, EVENT_ENDED, check_cut_lines, check_outcomes
-from bench.soak_overlap_callers import DEADLINE_MS, RETRY_S, OverlapCall
+from bench.soak_overlap_callers import DEADLINE_MS, OverlapCall
 from bench.soak_overlap_checks import (
     GRACE_S,
     Work,
@@ -37,12 +38,11 @@
     collect_work,
     list_outside,
 )
-from bench.soak_overlaps import SECONDS, OverlappingStops, StallMeter, UpstreamSilences
+from bench.soak_overlaps import SECONDS, OverlappingStops, StallMeter, UpstreamSilences, async_play
 from bench.soak_rig import EVENTS, FORWARDERS, SoakRig
-from bench.soak_silence_checks import APPLY_S, PASSING_KEY, check_contents
+from bench.soak_silence_checks import PASSING_KEY, check_contents
 from bench.soak_stops import Stop, check_stops, find_stop
 from gypsumrouter.const import MS_PER_S
-from gypsumrouter.instances import Address
 from gypsumrouter.platform import names
 from gypsumrouter.standins import PlatformRunner
 
@@ -69,41 +69,16 @@
 LEAVE_S: Final = (0.1, 4.0)
 
 
-class OneAttemptCallers:
-    """Callers that keep their connections until these end."""
+class OneAttemptCallers(KeptCallers):
+    """Callers of streams with one attempt, and some others."""
 
     def __init__(self, *, rig: SoakRig, seed: int, dimensions: Collection[Dimension]) -> None:
-        self._rig = rig
-        self._seed = seed
+        super().__init__(rig=rig, seed=seed, callers=CALLERS)
         self._dimensions = dimensions
-        self._stopping = asyncio.Event()
         self._drawn = 0
         self.calls: list[OverlapCall] = []
 
-    def stop(self) -> None:
-        """Stop each caller after its current request."""
-        self._stopping.set()
-
-    async def async_run(self) -> None:
-        """Send requests until stopped."""
-        callers = [(route, n) for route, count in CALLERS.items() for n in range(count)]
-        await asyncio.gather(*(self._async_call_all(route, n) for route, n in callers))
-
-    async def _async_call_all(self, route: str, caller: int) -> None:
-        rng = random.Random(f"{self._seed}/{route}/{caller}")
-        while not self._stopping.is_set():
-            forwarder = rng.randrange(self._rig.count)
-            address = Address(host="127.0.0.1", port=self._rig.get_callers_port(forwarder))
-            connection = RawCaller(address)
-            try:
-                await connection.async_open()
-                await self._async_use(connection, route, caller, forwarder, rng)
-            except OSError:
-                await asyncio.sleep(RETRY_S)
-            finally:
-                connection.close()
-
-    async def _async_use(
+    async def async_use(
         self, connection: RawCaller, route: str, caller: int, forwarder: int, rng: random.Random
     ) -> None:
         """Send requests on a connection until it ends or an answer says that it does."""
@@ -272,14 +247,7 @@
     try:
         await rig.async_start()
         await configurations.async_publish()
-        await asyncio.sleep(APPLY_S)
-        running = asyncio.ensure_future(callers.async_run())
-        causing = asyncio.gather(*causes)
-        await stops.async_run(seconds=seconds)
-        callers.stop()
-        await running
-        causing.cancel()
-        await asyncio.gather(causing, return_exceptions=True)
+        await async_play(callers, stops, causes, seconds=seconds)
     finally:
         await rig.async_stop()
     calls, runners, lines = callers.calls, rig.list_runners(), rig.read_journals()
@@ -299,7 +267,7 @@
         "seed": seed,
         "dimensions": sorted(dimensions),
         "requests": len(calls),
-        "ends": Counter(f"{c.route} {c.answer.end.value} {c.answer.status}" for c in calls),
+        "ends": count_ends(calls),
         "streams_in_stops": count_in_stops(calls, stops.made, work),
         "stops": len(stops.made),
         "faults": stops.counts,
--- a/bench/soak_overlap_callers.py
+++ b/bench/soak_overlap_callers.py
@@ -7,16 +7,17 @@
 from typing import Any, Final
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from bench.raw_caller import Answer, End, RawCaller, make_post_head
 from bench.soak_configuration import CALLER_KEY
+from bench.soak_kept_callers import KeptCallers
 from bench.soak_rig import SoakRig
 from bench.soak_silence_checks import Call
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.instances import Address
 
 DEADLINE_MS: Final = 20_000
-RETRY_S: Final = 0.05
 MAX_PAUSE_S: Final = 0.15
 # The longest streams of a caller, as a share of the longest of all.
 LENGTH_SHARES: Final = (0.1, 0.5, 1.0)
@@ -72,73 +73,44 @@
 
 
 class DrawnRequest(Struct, frozen=True, kw_only=True):
-    """A request before it is sent, in parts; `sent_bytes` of the first part are sent already."""
+    """A request before it is sent, in parts; `sent_bytes` of the first part are sent already.
+
+    With `is_last` its connection takes no further one.
+    """
 
     request_id: str
     tokens: int
     parts: tuple[bytes, ...]
     pause_s: float
     sent_bytes: int = 0
+    is_last: bool = False
 
 
-class OverlapCallers:
-    """Callers that keep their connections until these end; streams have up to `max_tokens`."""
+class OverlapCallers(KeptCallers):
+    """Callers that rest, read slowly and send early bytes; streams have up to `max_tokens`."""
 
     def __init__(self, *, rig: SoakRig, seed: int, max_tokens: int) -> None:
-        self._rig = rig
-        self._seed = seed
+        callers = {route: plan.callers for route, plan in ROUTES.items()}
+        super().__init__(rig=rig, seed=seed, callers=callers)
         self._max_tokens = max_tokens
-        self._stopping = asyncio.Event()
         self._drawn = 0
         self.calls: list[OverlapCall] = []
 
-    def stop(self) -> None:
-        """Stop each caller after its current request."""
-        self._stopping.set()
+    def make_connection(self, address: Address, route: str, rng: random.Random) -> RawCaller:
+        """Return a connection of a caller of a route; those of some streams have small buffers."""
+        is_small = ROUTES[route].kind == "streaming" and rng.random() < SMALL_SHARE
+        return RawCaller(address, buffer_bytes=SMALL_BUFFER_BYTES if is_small else None)
 
-    async def async_run(self) -> None:
-        """Send requests until stopped."""
-        callers = [(route, n) for route, plan in ROUTES.items() for n in range(plan.callers)]
-        await asyncio.gather(*(self._async_call_all(route, n) for route, n in callers))
-
-    async def _async_call_all(self, route: str, caller: int) -> None:
-        rng = random.Random(f"{self._seed}/{route}/{caller}")
-        while not self._stopping.is_set():
-            forwarder = rng.randrange(self._rig.count)
-            address = Address(host="127.0.0.1", port=self._rig.get_callers_port(forwarder))
-            is_stream = ROUTES[route].kind == "streaming"
-            is_small = is_stream and rng.random() < SMALL_SHARE
-            is_slow = is_stream and rng.random() < SLOW_SHARE
-            connection = RawCaller(address, buffer_bytes=SMALL_BUFFER_BYTES if is_small else None)
-            try:
-                await connection.async_open()
-                await self._async_use(
-                    connection,
-                    route,
-                    caller,
-                    forwarder,
-                    rng,
-                    bytes_per_s=SLOW_BYTES_PER_S if is_slow else None,
-                )
-            except OSError:
-                await asyncio.sleep(RETRY_S)
-            finally:
-                connection.close()
-
-    async def _async_use(
-        self,
-        connection: RawCaller,
-        route: str,
-        caller: int,
-        forwarder: int,
-        rng: random.Random,
-        **options: Any,
+    async def async_use(
+        self, connection: RawCaller, route: str, caller: int, forwarder: int, rng: random.Random
     ) -> None:
         """Send requests on a connection until it ends or an answer says that it does."""
-        drawn = self._draw(route, caller, rng)
+        is_slow = ROUTES[route].kind == "streaming" and rng.random() < SLOW_SHARE
+        pace = SLOW_BYTES_PER_S if is_slow else None
+        drawn = self.draw(route, caller, rng)
         is_kept = False
         while not self._stopping.is_set():
-            request, drawn = drawn, self._draw(route, caller, rng)
+            request, drawn = drawn, self.draw(route, caller, rng)
             rest = {}
             if rng.random() < REST_SHARE:
                 rest = {
@@ -146,18 +118,24 @@
                     "rest_s": rng.uniform(*REST_S),
                 }
             early_ms = rng.randint(*EARLY_AFTER_MS) if rng.random() < EARLY_SHARE else 0
+            early_ms = 0 if request.is_last else early_ms
             answer, was_sent = await _async_ask(
-                connection, request, drawn.parts[0][:EARLY_BYTES], early_ms, **options, **rest
+                connection,
+                request,
+                drawn.parts[0][:EARLY_BYTES],
+                early_ms,
+                bytes_per_s=pace,
+                **rest,
             )
             if was_sent:
                 drawn = _note_sent(drawn)
             manner = {
                 "kept": is_kept,
                 "resting": bool(rest),
-                "slow": options["bytes_per_s"] is not None,
+                "slow": is_slow,
                 "next sent": was_sent,
             }
-            self.calls.append(
+            self.note(
                 OverlapCall(
                     route=route,
                     forwarder=forwarder,
@@ -168,11 +146,17 @@
                 )
             )
             is_kept = True
-            if not answer.whole_s or answer.end is not End.WHOLE or answer.announces_close:
+            is_over = request.is_last or answer.announces_close
+            if not answer.whole_s or answer.end is not End.WHOLE or is_over:
                 return
             await asyncio.sleep(rng.uniform(0, MAX_PAUSE_S))
 
-    def _draw(self, route: str, caller: int, rng: random.Random) -> DrawnRequest:
+    def note(self, call: OverlapCall) -> None:
+        """Keep a request and its answer."""
+        self.calls.append(call)
+
+    def draw(self, route: str, caller: int, rng: random.Random) -> DrawnRequest:
+        """Return the next request of a caller."""
         self._drawn += 1
         request_id = f"{self._seed}-{route}{caller}-{self._drawn}"
         tokens = 0
@@ -224,10 +208,4 @@
 
 
 def _note_sent(request: DrawnRequest) -> DrawnRequest:
-    return DrawnRequest(
-        request_id=request.request_id,
-        tokens=request.tokens,
-        parts=request.parts,
-        pause_s=request.pause_s,
-        sent_bytes=min(EARLY_BYTES, len(request.parts[0])),
-    )
+    return replace(request, sent_bytes=min(EARLY_BYTES, len(request.parts[0])))
--- a/bench/soak_overlaps.py
+++ b/bench/soak_overlaps.py
@@ -10,12 +10,13 @@
 import signal
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from pathlib import Path
 from typing import Any, Final
 
 from bench.soak_checks import Violation, check_arrivals
-from bench.soak_configuration import CALLER_KEY, HOST, WORKSPACE
+from bench.soak_configuration import CALLER_KEY, TARGETS, WORKSPACE, make_route
+from bench.soak_kept_callers import KeptCallers, count_ends
 from bench.soak_line_checks import check_cut_lines, check_outcomes
 from bench.soak_overlap_callers import ROUTES, OverlapCallers
 from bench.soak_overlap_checks import (
@@ -65,6 +66,12 @@
     name for name, plan in ROUTES.items() if plan.kind != "idempotent" and not plan.resumable
 )
 
+PUBLISHED: Final = Published(
+    at_s=0.0,
+    timeouts_s=dict.fromkeys(ROUTES, TIMEOUT_MS / MS_PER_S),
+    max_attempts={name: plan.max_attempts for name, plan in ROUTES.items()},
+)
+
 
 class OverlappingStops:
     """Stops each forwarder again and again, independently of the others.
@@ -179,18 +186,15 @@
 def make_overlaps_configuration(version: int) -> dict[str, Any]:
     """Return a configuration with routes of one and two attempts of each kind."""
     routes = [
-        {
-            "name": name,
-            "host": HOST,
-            "prefix": f"/{name}/",
-            "kind": plan.kind,
-            "service": plan.service,
-            "timeout_ms": TIMEOUT_MS,
-            "max_attempts": plan.max_attempts,
-            "resumable": plan.resumable,
-            "target_latency_ms": 150,
-            "target_gap_ms": 150,
-        }
+        make_route(
+            name,
+            plan.kind,
+            plan.service,
+            timeout_ms=TIMEOUT_MS,
+            max_attempts=plan.max_attempts,
+            resumable=plan.resumable,
+            **TARGETS,
+        )
         for name, plan in ROUTES.items()
     ]
     return {
@@ -220,6 +224,30 @@
     return {"models": engines, "records": plain}
 
 
+async def async_publish(rig: SoakRig) -> None:
+    """Publish the routes of one and two attempts, as the next version."""
+    rig.version += 1
+    await rig.store.async_put_configuration(make_overlaps_configuration(rig.version))
+
+
+async def async_play(
+    callers: KeptCallers,
+    stops: OverlappingStops,
+    causes: Iterable[Awaitable[None]],
+    *,
+    seconds: float,
+) -> None:
+    """Let callers ask while forwarders stop, beside what goes on until it is cancelled."""
+    await asyncio.sleep(APPLY_S)
+    running = asyncio.ensure_future(callers.async_run())
+    causing = asyncio.gather(*causes)
+    await stops.async_run(seconds=seconds)
+    callers.stop()
+    await running
+    causing.cancel()
+    await asyncio.gather(causing, return_exceptions=True)
+
+
 async def async_soak_overlaps(
     *, seed: int, folder: Path, forwarders: int = FORWARDERS, seconds: float = SECONDS
 ) -> tuple[dict[str, object], list[Violation], SoakRig]:
@@ -234,23 +262,11 @@
     stops = OverlappingStops(rig=rig, seed=seed)
     silences = UpstreamSilences(runners=rig.list_runners(), seed=seed)
     meter = StallMeter()
-    published = Published(
-        at_s=time.monotonic(),
-        timeouts_s=dict.fromkeys(ROUTES, TIMEOUT_MS / MS_PER_S),
-        max_attempts={name: plan.max_attempts for name, plan in ROUTES.items()},
-    )
     try:
         await rig.async_start()
-        rig.version += 1
-        await rig.store.async_put_configuration(make_overlaps_configuration(rig.version))
-        await asyncio.sleep(APPLY_S)
-        running = asyncio.ensure_future(callers.async_run())
-        causing = asyncio.gather(silences.async_run(), meter.async_run())
-        await stops.async_run(seconds=seconds)
-        callers.stop()
-        await running
-        causing.cancel()
-        await asyncio.gather(causing, return_exceptions=True)
+        await async_publish(rig)
+        causes = (silences.async_run(), meter.async_run())
+        await async_play(callers, stops, causes, seconds=seconds)
     finally:
         await rig.async_stop()
     calls, runners, lines = callers.calls, rig.list_runners(), rig.read_journals()
@@ -264,7 +280,7 @@
         *check_lost(calls, stops.made, work, silences.made),
         *check_kept_answers(calls, stops.made, work),
         *check_contents(calls, runners),
-        *check_once(calls, [published], collect_runs(calls, runners), once=ONCE),
+        *check_once(calls, [PUBLISHED], collect_runs(calls, runners), once=ONCE),
         *check_arrivals((), rig.list_arrivals()),
         *check_outcomes(calls, lines),
         *check_cut_lines(calls, stops.made, work, lines),
@@ -272,7 +288,7 @@
     figures: dict[str, object] = {
         "seed": seed,
         "requests": len(calls),
-        "ends": Counter(f"{c.route} {c.answer.end.value} {c.answer.status}" for c in calls),
+        "ends": count_ends(calls),
         "stops": len(stops.made),
         "faults": stops.counts,
         "silences": len(silences.made),
--- a/bench/soak_rig.py
+++ b/bench/soak_rig.py
@@ -14,7 +14,7 @@
 
 from msgspec import Struct
 
-from bench.processes import DaemonProcess, async_start_daemon
+from bench.processes import DaemonProcess, async_start_daemon, is_running
 from bench.soak_configuration import make_configuration
 from bench.soak_disturbances import Disturbances
 from gypsumrouter.const import MS_PER_S, Role
@@ -294,15 +294,26 @@
             _async_copy_output(process, journal), name=f"journal {number}"
         )
 
-    async def async_end_forwarder(self, number: int, signal_number: signal.Signals) -> None:
-        """Stop a forwarder with a signal and wait for its exit."""
+    async def async_end_forwarder(
+        self, number: int, signal_number: signal.Signals, *, limit_s: float | None = None
+    ) -> bool:
+        """Stop a forwarder with a signal and wait for its exit.
+
+        Returns whether it had to be killed, after `limit_s` if that is given.
+        """
         process, self.forwarders[number] = self.forwarders[number], None
         if process is None or process.process.returncode is not None:
-            return
+            return False
         self.disturbances.note(number)
         process.send_signal(signal_number)
-        await process.process.wait()
+        ending = asyncio.ensure_future(process.process.wait())
+        done, _ = await asyncio.wait((ending,), timeout=limit_s)
+        is_late = not done and is_running(process.pid)
+        if is_late:
+            process.send_signal(signal.SIGKILL)
+        await ending
         self.disturbances.note_interruption(number)
+        return is_late
 
     def _get_data_centre(self, number: int) -> str:
         if self.count <= MAX_IN_ONE_DATA_CENTRE:
--- a/bench/soak_silences.py
+++ b/bench/soak_silences.py
@@ -15,10 +15,10 @@
 from pathlib import Path
 from typing import Any, Final
 
-from bench.processes import is_running
 from bench.raw_caller import Answer, End, RawCaller, make_post_head
 from bench.soak_checks import Violation
-from bench.soak_configuration import CALLER_KEY, HOST, WORKSPACE
+from bench.soak_configuration import CALLER_KEY, WORKSPACE, make_route
+from bench.soak_kept_callers import KeptCallers, count_ends
 from bench.soak_rig import EVENTS, FORWARDERS, SoakRig
 from bench.soak_silence_checks import (
     APPLY_S,
@@ -32,7 +32,6 @@
 )
 from bench.soak_stops import STOP_S, Stop, check_stops
 from gypsumrouter.const import MS_PER_S
-from gypsumrouter.instances import Address
 from gypsumrouter.standins import PlatformRunner
 
 RUNNERS: Final = 6
@@ -53,7 +52,6 @@
 MAX_ATTEMPTS: Final = 3
 DEADLINES_MS: Final = (6_000, 12_000)
 TIMEOUTS_MS: Final = (6_000, 8_000, 12_000)
-RETRY_S: Final = 0.05
 MAX_PAUSE_S: Final = 0.15
 # Callers of each route, and the services that serve its kind.
 CALLERS: Final = {"quote": 12, "draft": 10, "lookup": 6, "reserve": 6, "fetch": 5, "order": 5}
@@ -69,41 +67,22 @@
 }
 
 
-class SilenceCallers:
-    """Callers that keep their connections until these end."""
+class SilenceCallers(KeptCallers):
+    """Callers of all routes."""
 
     def __init__(self, *, rig: SoakRig, seed: int) -> None:
-        self._rig = rig
-        self._seed = seed
-        self._stopping = asyncio.Event()
+        super().__init__(rig=rig, seed=seed, callers=CALLERS)
         self.calls: list[Call] = []
 
-    def stop(self) -> None:
-        """Stop each caller after its current request."""
-        self._stopping.set()
-
-    async def async_run(self) -> None:
-        """Send requests until stopped."""
-        callers = [(route, n) for route, count in CALLERS.items() for n in range(count)]
-        await asyncio.gather(*(self._async_call_all(route, n) for route, n in callers))
-
-    async def _async_call_all(self, route: str, caller: int) -> None:
-        rng = random.Random(f"{self._seed}/{route}/{caller}")
+    async def async_use(
+        self, connection: RawCaller, route: str, caller: int, forwarder: int, rng: random.Random
+    ) -> None:
+        """Send requests on a connection until it ends or an answer says that it does."""
         while not self._stopping.is_set():
-            forwarder = rng.randrange(self._rig.count)
-            port = self._rig.get_callers_port(forwarder)
-            connection = RawCaller(Address(host="127.0.0.1", port=port))
-            try:
-                await connection.async_open()
-                while not self._stopping.is_set():
-                    answer = await self._async_call(connection, route, caller, forwarder, rng)
-                    if not answer.whole_s or answer.end is not End.WHOLE or answer.announces_close:
-                        break
-                    await asyncio.sleep(rng.uniform(0, MAX_PAUSE_S))
-            except OSError:
-                await asyncio.sleep(RETRY_S)
-            finally:
-                connection.close()
+            answer = await self._async_call(connection, route, caller, forwarder, rng)
+            if not answer.whole_s or answer.end is not End.WHOLE or answer.announces_close:
+                return
+            await asyncio.sleep(rng.uniform(0, MAX_PAUSE_S))
 
     async def _async_call(
         self, connection: RawCaller, route: str, caller: int, forwarder: int, rng: random.Random
@@ -213,18 +192,13 @@
     async def _async_stop(self) -> None:
         """Stop a forwarder in time, and start it again."""
         number = self._rng.randrange(self._rig.count)
-        process = self._rig.forwarders[number]
-        if process is None:
+        if self._rig.forwarders[number] is None:
             return
         self.counts["stops"] += 1
         stop = Stop(forwarder=number, at_s=time.monotonic())
         self.stops.append(stop)
-        ending = asyncio.ensure_future(self._rig.async_end_forwarder(number, signal.SIGTERM))
-        done, _ = await asyncio.wait((ending,), timeout=STOP_S)
-        if not done and is_running(process.pid):
-            stop.killed = True
-            process.send_signal(signal.SIGKILL)
-        await ending
+        ending = self._rig.async_end_forwarder(number, signal.SIGTERM, limit_s=STOP_S)
+        stop.killed = await ending
         stop.ended_s = time.monotonic()
         await self._rig.async_start_forwarder(number)
 
@@ -249,17 +223,15 @@
             "target_latency_ms": rng.choice((None, 0, 60, 150, 500)),
         }
         routes.append(
-            {
-                "name": name,
-                "host": HOST,
-                "prefix": f"/{name}/",
-                "kind": kind,
-                "service": rng.choice(services),
-                "timeout_ms": rng.choice(TIMEOUTS_MS),
-                "max_attempts": rng.randint(1, MAX_ATTEMPTS),
-                "resumable": name == "quote",
+            make_route(
+                name,
+                kind,
+                rng.choice(services),
+                timeout_ms=rng.choice(TIMEOUTS_MS),
+                max_attempts=rng.randint(1, MAX_ATTEMPTS),
+                resumable=name == "quote",
                 **{key: value for key, value in drawn.items() if value is not None},
-            }
+            )
         )
     limits = {
         "max_body_bytes": rng.choice((UPLOAD_BYTES, 1_000_000, 4_194_304)),
@@ -326,9 +298,7 @@
     figures: dict[str, object] = {
         "seed": seed,
         "requests": len(callers.calls),
-        "ends": Counter(
-            f"{call.route} {call.answer.end.value} {call.answer.status}" for call in callers.calls
-        ),
+        "ends": count_ends(callers.calls),
         "repeated": sum(run.runs > 1 for run in ran.values()),
         "faults": silences.counts,
         "violations": [str(violation) for violation in violations],
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -20,7 +20,7 @@
 import aiohttp
 from msgspec import Struct
 
-from bench.processes import DaemonProcess, is_running
+from bench.processes import DaemonProcess
 from bench.raw_caller import Answer, End, RawCaller
 from bench.soak_checks import Violation
 from bench.soak_rig import FORWARDERS, SoakRig
@@ -189,13 +189,9 @@
         stop = Stop(forwarder=number, at_s=time.monotonic())
         self.made.append(stop)
         first = self._rng.choice((signal.SIGTERM, signal.SIGTERM, signal.SIGINT))
-        ending = asyncio.ensure_future(self._rig.async_end_forwarder(number, first))
+        ending = self._rig.async_end_forwarder(number, first, limit_s=self._stop_s)
         series = asyncio.ensure_future(self._async_send_later(process.send_signal))
-        done, _ = await asyncio.wait((ending,), timeout=self._stop_s)
-        if not done and is_running(process.pid):
-            stop.killed = True
-            process.send_signal(signal.SIGKILL)
-        await ending
+        stop.killed = await ending
         series.cancel()
         stop.ended_s = time.monotonic()
         stop.exit_code = process.process.returncode or 0
--- a/bench/soak_unfinished.py
+++ b/bench/soak_unfinished.py
@@ -210,16 +210,11 @@
         await asyncio.gather(*tasks)
 
     async def _async_stop_and_start(self, number: int) -> None:
-        process = self._rig.forwarders[number]
-        if process is None:
+        if self._rig.forwarders[number] is None:
             return
         self.counts["stops"] += 1
-        stop = asyncio.ensure_future(self._rig.async_end_forwarder(number, signal.SIGTERM))
-        done, _ = await asyncio.wait((stop,), timeout=STOP_S)
-        if not done:
+        if await self._rig.async_end_forwarder(number, signal.SIGTERM, limit_s=STOP_S):
             self.counts["kills"] += 1
-            process.send_signal(signal.SIGKILL)
-        await stop
         await self._rig.async_start_forwarder(number)
 
     async def _async_reload(self, number: int) -> None:
