--- a/bench/raw_caller.py
+++ b/bench/raw_caller.py
@@ -6,7 +6,7 @@
 import math
 import socket
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from contextlib import suppress
 from enum import StrEnum
 from typing import Any, Final
@@ -192,11 +192,15 @@
     deadline_ms: int,
     key: str,
     length: int,
+    version: str = "1.1",
+    more: Mapping[str, str] | None = None,
 ) -> bytes:
     """Return the head of a request on a route whose body has `length` bytes.
 
-    One with `tokens` asks a model for as many, after the shared parts of `prompt`.
+    One with `tokens` asks a model for as many, after the shared parts of `prompt`. `version` is
+    that of HTTP, and `more` are further headers.
     """
+    further = "".join(f"{name}: {value}\r\n" for name, value in (more or {}).items())
     usage = (
         f"{names.MODEL}: m\r\n{names.TOKEN_USAGE}: 1400,{tokens}\r\n"
         f"{names.PREFIX_PARTS}: {prompt}\r\n"
@@ -204,9 +208,10 @@
         else ""
     )
     return (
-        f"POST /{route}/{request_id} HTTP/1.1\r\nHost: {HOST}\r\n"
+        f"POST /{route}/{request_id} HTTP/{version}\r\nHost: {HOST}\r\n"
         f"{names.REQUEST_ID}: {request_id}\r\n{names.DEADLINE}: {deadline_ms}\r\n"
-        f"{names.API_KEY}: {key}\r\n{usage}Content-Length: {length}\r\n\r\n"
+        f"{names.API_KEY}: {key}\r\n{usage}{further}"
+        f"Content-Length: {length}\r\n\r\n"
     ).encode()
 
 
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -24,6 +24,8 @@
     check_crashing_parts,
     check_sound_prompts,
 )
+from bench.soak_deaths import SECONDS as DEATHS_S
+from bench.soak_deaths import async_soak_deaths
 from bench.soak_dimensions import Dimension
 from bench.soak_drain_checks import check_backoffs, check_draining, check_retired
 from bench.soak_faults import FaultInjector
@@ -197,7 +199,7 @@
 @click.option("--seeds", type=int, default=1, help="Number of seeds to run in sequence.")
 @click.option("--minutes", type=float, default=0.0, help="Run new seeds for this many minutes.")
 @click.option(
-    "--seconds", type=float, default=DEFAULT_S, help="Seconds of fault injection in each seed."
+    "--seconds", type=float, default=None, help="Seconds of fault injection in each seed."
 )
 @click.option("--places", is_flag=True, help="Evacuate data centres and cold-start engines.")
 @click.option(
@@ -222,6 +224,9 @@
 @click.option(
     "--overlaps", is_flag=True, help="Only: stops that overlap, silent upstreams, pausing callers."
 )
+@click.option(
+    "--deaths", is_flag=True, help="Only: upstreams are processes that are killed in answers."
+)
 @click.option(
     "--one-attempt",
     is_flag=True,
@@ -246,7 +251,7 @@
     seed: int | None,
     seeds: int,
     minutes: float,
-    seconds: float,
+    seconds: float | None,
     places: bool,
     drills: bool,
     storms: bool,
@@ -258,6 +263,7 @@
     stops: bool,
     silences: bool,
     overlaps: bool,
+    deaths: bool,
     one_attempt: bool,
     dimensions: tuple[str, ...],
     forwarders: int,
@@ -274,6 +280,7 @@
         async_soak_stops: stops,
         async_soak_silences: silences,
         async_soak_overlaps: overlaps,
+        partial(async_soak_deaths, seconds=seconds or DEATHS_S): deaths,
         partial(async_soak_one_attempt, dimensions=chosen_dimensions): one_attempt,
     }
     only = next((run for run, wanted in alone.items() if wanted), None)
@@ -286,7 +293,7 @@
             else:
                 soak = async_soak(
                     seed=number,
-                    seconds=seconds,
+                    seconds=seconds or DEFAULT_S,
                     folder=Path(folder),
                     evacuations=places,
                     drills=drills,
--- /dev/null
+++ b/bench/soak_death_checks.py
@@ -0,0 +1,226 @@
+"""Checks of the soak of deaths: what each caller got is compared with what each run sent."""
+
+from __future__ import annotations
+
+import math
+import re
+import statistics
+from collections import Counter
+from collections.abc import Iterator, Mapping, Sequence
+from pathlib import Path
+from typing import Final
+
+import msgspec
+from msgspec import Struct
+from multidict import CIMultiDict
+
+from bench.raw_caller import Answer, End
+from bench.soak_checks import Violation
+from bench.soak_overlap_callers import ROUTES, OverlapCall
+from bench.soak_overlap_checks import Work
+from bench.soak_stops import Stop, find_stop
+from bench.upstream_host import PLAIN_PARTS, Note, NoteKind, UpstreamFraming, make_part
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.standins.platform_runner import Arrival
+
+# A process that is killed this soon after the end of an answer may not be told from one that was
+# killed before it.
+LIVED_S: Final = 1.0
+OUT_OF_ORDER: Final = "events missing, repeated or out of order"
+# Behind the event that a caller names, a router can't know by which steps its stream rises.
+GAP_TAKEN_UP: Final = "gap behind the event that a caller named"
+# The run of an event, and its number.
+PIECE: Final = re.compile(rb"([^\s/]+/\d+/\d+) (\d+)\n")
+
+
+class Piece(Struct, frozen=True, kw_only=True):
+    """An event of a stream, or a part of a plain body, that a caller got."""
+
+    run: str
+    number: int
+
+
+class SentRun(Struct, kw_only=True):
+    """A run as its upstream noted it, by its first note and its last; killed ones have no `end`."""
+
+    begun: Note
+    numbers: list[int]
+    end: Note | None = None
+
+    @property
+    def goes_on(self) -> bool:
+        """Return whether it began with the event behind the one that was named."""
+        return self.begun.number == self.begun.after + 1
+
+    @property
+    def is_killed(self) -> bool:
+        """Return whether the upstream was killed with the answer under way."""
+        return self.end is None and bool(self.numbers)
+
+    def has_lived(self, deaths: Mapping[str, float]) -> bool:
+        """Return whether its upstream ended it, or was told to, and lived on.
+
+        `deaths` has the times at which starts of upstreams were killed (monotonic seconds).
+        """
+        death_s = deaths.get(self.begun.run.rpartition("/")[0], math.inf)
+        return self.end is not None and self.end.at_s + LIVED_S < death_s
+
+    def __str__(self) -> str:
+        note, end = self.begun, self.end.kind if self.end else "killed"
+        return f"{note.run} {note.framing} after {note.after}: {_shorten(self.numbers)} {end}"
+
+
+Runs = Mapping[str, Sequence[SentRun]]
+
+
+def read_runs(notes: Path) -> dict[str, list[SentRun]]:
+    """Return the runs of each request that upstreams noted in a file."""
+    runs: dict[str, SentRun] = {}
+    by_request: dict[str, list[SentRun]] = {}
+    for line in notes.read_bytes().splitlines():
+        note = msgspec.json.decode(line, type=Note)
+        match note.kind:
+            case NoteKind.BEGUN:
+                runs[note.run] = SentRun(begun=note, numbers=[])
+                by_request.setdefault(note.request_id, []).append(runs[note.run])
+            case NoteKind.SENT:
+                runs[note.run].numbers.append(note.number)
+            case _:
+                runs[note.run].end = note
+    return by_request
+
+
+def make_work(runs: Runs) -> dict[str, list[Work]]:
+    """Return the runs of each request as other checks expect them."""
+    work: dict[str, list[Work]] = {}
+    for request_id, several in runs.items():
+        for run in several:
+            arrival = Arrival(
+                request_id=request_id, method="", path="", headers=CIMultiDict(), body=b"", ran=True
+            )
+            arrival.ended_s = run.end.at_s if run.end else 0.0
+            name = run.begun.run.partition("/")[0]
+            work.setdefault(request_id, []).append(Work(upstream=name, arrival=arrival))
+    return work
+
+
+def list_pieces(answer: Answer) -> list[Piece]:
+    """Return the whole events, or parts of a plain body, of an answer."""
+    return [
+        Piece(run=run.decode(), number=int(number)) for run, number in PIECE.findall(answer.content)
+    ]
+
+
+def check_pieces(
+    calls: Sequence[OverlapCall], runs: Runs, last: Mapping[str, int]
+) -> Iterator[Violation]:
+    """Check that what each caller got is what the runs of its request sent, whole if it says so.
+
+    `last` has the events after which callers asked to go on, by request.
+    """
+    for call in calls:
+        answer, several = call.answer, runs.get(call.answer.request_id, ())
+        after = last.get(answer.request_id, 0)
+        found = _find_fault(call, several, after) if answer.status == 200 else None
+        if found is not None:
+            sent = "; ".join(str(run) for run in several)
+            got = f"{answer.end} {_shorten([piece.number for piece in list_pieces(answer)])}"
+            asked = f"{call.tokens or PLAIN_PARTS} events after {after}"
+            detail = f"{call.route} ({call.manner}) {asked}, sent: {sent}, got: {got}"
+            yield Violation(guarantee=found, request_id=answer.request_id, detail=detail)
+
+
+def _find_fault(call: OverlapCall, runs: Sequence[SentRun], last: int) -> str | None:
+    """Return the guarantee that an answer breaks."""
+    pieces = list_pieces(call.answer)
+    numbers = [piece.number for piece in pieces]
+    sent = {run.begun.run: run.numbers for run in runs}
+    if any(piece.number not in sent.get(piece.run, ()) for piece in pieces):
+        return "event that its run did not send"
+    if len({piece.run for piece in pieces}) > 1 and not ROUTES[call.route].resumable:
+        return "runs joined that may not be"
+    if numbers != list(range(last + 1, last + 1 + len(numbers))):
+        return GAP_TAKEN_UP if _is_gap_of_caller(numbers, last) else OUT_OF_ORDER
+    if call.answer.end is not End.WHOLE:
+        return None
+    if last + len(numbers) != (call.tokens or PLAIN_PARTS):
+        return "short as whole"
+    parts = (make_part(piece.run, piece.number, is_stream=bool(call.tokens)) for piece in pieces)
+    return None if call.answer.content == b"".join(parts) else "altered"
+
+
+def _is_gap_of_caller(numbers: Sequence[int], last: int) -> bool:
+    """Return whether events rise one by one, but not from the one that a caller named."""
+    first = numbers[0]
+    return 0 < last < first and list(numbers) == list(range(first, first + len(numbers)))
+
+
+def _shorten(numbers: Sequence[int]) -> str:
+    """Return numbers as ranges of those that rise one by one."""
+    ranges: list[list[int]] = []
+    for number in numbers:
+        if ranges and number == ranges[-1][1] + 1:
+            ranges[-1][1] = number
+        else:
+            ranges.append([number, number])
+    return ",".join(f"{begin}-{end}" for begin, end in ranges) or "none"
+
+
+def list_sound(
+    calls: Sequence[OverlapCall], runs: Runs, deaths: Mapping[str, float]
+) -> list[OverlapCall]:
+    """Return the requests whose upstreams lived on, and began with the event that was asked for."""
+    several = ((call, runs.get(call.answer.request_id, ())) for call in calls)
+    return [c for c, some in several if all(r.goes_on and r.has_lived(deaths) for r in some)]
+
+
+def count_killed(calls: Sequence[OverlapCall], runs: Runs) -> Counter[str]:
+    """Count answers one of whose upstreams was killed under way.
+
+    They are named by its framing and what their callers got.
+    """
+    counts: Counter[str] = Counter()
+    for call in calls:
+        killed = {r.begun.run: r for r in runs.get(call.answer.request_id, ()) if r.is_killed}
+        if not killed or call.answer.status != 200:
+            continue
+        pieces = list_pieces(call.answer)
+        shown = killed.get(pieces[-1].run) if pieces else None
+        if call.answer.end is not End.WHOLE:
+            outcome = "broken"
+        elif pieces and shown is None:
+            outcome = "went on"
+        elif pieces and pieces[-1].number == (call.tokens or PLAIN_PARTS):
+            outcome = "whole"
+        else:
+            outcome = "short as whole"
+        run = shown or list(killed.values())[-1]
+        counts[f"{run.begun.framing} {outcome}"] += 1
+    return counts
+
+
+def measure_ends(
+    calls: Sequence[OverlapCall], runs: Runs, stops: Sequence[Stop], deaths: Mapping[str, float]
+) -> dict[str, object]:
+    """Return how unframed answers of living upstreams ended outside stops.
+
+    The delays are those from the upstream's end to the caller's (ms), of callers that read on.
+    """
+    ended, broken, delays_ms = 0, [], []
+    for call in calls:
+        answer, several = call.answer, runs.get(call.answer.request_id, ())
+        if len(several) != 1 or find_stop(call.forwarder, answer, stops) is not None:
+            continue
+        run, end = several[0], several[0].end
+        if run.begun.framing is not UpstreamFraming.NEITHER or not run.goes_on:
+            continue
+        if end is None or end.kind is not NoteKind.ENDED or not run.has_lived(deaths):
+            continue
+        ended += 1
+        if answer.end is not End.WHOLE:
+            broken.append(answer.request_id)
+        elif call.manner in ("new", "kept"):
+            delays_ms.append((answer.ended_s - end.at_s) * MS_PER_S)
+    cuts_ms = statistics.quantiles(delays_ms, n=100) if len(delays_ms) > 1 else [0.0] * 99
+    delay = {"median": round(cuts_ms[49], 1), "99 of 100": round(cuts_ms[98], 1)}
+    return {"ended": ended, "broken": broken, "delay_ms": delay}
