--- /dev/null
+++ b/tests/bench/test_bench_soak_deaths.py
@@ -0,0 +1,212 @@
+"""The soak of deaths of upstreams: what its checks find, its upstreams, and a short run."""
+
+from __future__ import annotations
+
+import random
+import signal
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from bench.raw_caller import Answer, End, RawCaller, make_post_head
+from bench.soak_death_callers import DeathCallers
+from bench.soak_death_checks import (
+    GAP_TAKEN_UP,
+    LIVED_S,
+    OUT_OF_ORDER,
+    SentRun,
+    check_pieces,
+    count_killed,
+    list_sound,
+    measure_ends,
+    read_runs,
+)
+from bench.soak_deaths import async_soak_deaths
+from bench.soak_overlap_callers import OverlapCall
+from bench.soak_rig import ENV_KEY, KEY, SoakRig
+from bench.upstream_host import (
+    PLAIN_PARTS,
+    FirstEvent,
+    HostedUpstream,
+    HostPlan,
+    Note,
+    NoteKind,
+    UpstreamFraming,
+    make_part,
+)
+from gypsumrouter.instances import Address
+from gypsumrouter.platform import names
+from gypsumrouter.standins import PublishedStoreStandin
+
+SEED = 1
+SECONDS = 9.0
+EVENTS = 5
+FIRST, SECOND = "i-a/1/1", "i-b/2/1"
+HEAD = b"HTTP/1.1 200 OK\r\n\r\n"
+
+
+def make_run(run: str, numbers: list[int], *, after: int = 0, ends: bool = False) -> SentRun:
+    begun = Note(
+        kind=NoteKind.BEGUN, at_s=1.0, run=run, request_id="a", number=numbers[0], after=after
+    )
+    end = Note(kind=NoteKind.ENDED, at_s=2.0, run=run) if ends else None
+    return SentRun(begun=begun, numbers=numbers, end=end)
+
+
+def make_call(
+    *got: tuple[str, list[int]], end: End = End.WHOLE, route: str = "quote"
+) -> OverlapCall:
+    is_stream = route == "quote"
+    body = b"".join(make_part(run, n, is_stream=is_stream) for run, some in got for n in some)
+    answer = Answer(request_id="a", ended_s=2.5, status=200, end=end, head=HEAD, body=body)
+    tokens = EVENTS if is_stream else 0
+    return OverlapCall(
+        route=route, forwarder=0, answer=answer, deadline_s=20.0, tokens=tokens, manner="new"
+    )
+
+
+def find(call: OverlapCall, *runs: SentRun, last: int = 0) -> list[str]:
+    return [v.guarantee for v in check_pieces([call], {"a": runs}, {"a": last})]
+
+
+# Guards against a check that takes the end of a dead upstream's answer for that of a whole one.
+def test_answer_of_a_killed_upstream_that_looks_whole_is_a_violation() -> None:
+    killed = make_run(FIRST, [1, 2, 3])
+    assert find(make_call((FIRST, [1, 2, 3])), killed) == ["short as whole"]
+    assert find(make_call((FIRST, [1, 2, 3]), end=End.RESET), killed) == []
+    plain = make_call((FIRST, [1, 2]), route="lookup")
+    assert find(plain, make_run(FIRST, [1, 2])) == ["short as whole"]
+    parts = list(range(1, PLAIN_PARTS + 1))
+    assert find(make_call((FIRST, parts), route="lookup"), make_run(FIRST, parts)) == []
+
+
+@pytest.mark.parametrize("begins", [1, 3, 5])
+def test_run_that_does_not_go_on_behind_the_last_event_is_a_violation(begins: int) -> None:
+    rest = list(range(begins, EVENTS + 1))
+    runs = make_run(FIRST, [1, 2, 3]), make_run(SECOND, rest, after=3, ends=True)
+    call = make_call((FIRST, [1, 2, 3]), (SECOND, rest))
+    assert find(call, *runs) == [OUT_OF_ORDER]
+
+
+def test_run_that_goes_on_is_no_violation_and_one_of_another_route_is() -> None:
+    runs = make_run(FIRST, [1, 2, 3]), make_run(SECOND, [4, 5], after=3, ends=True)
+    call = make_call((FIRST, [1, 2, 3]), (SECOND, [4, 5]))
+    assert find(call, *runs) == []
+    fixed = msgspec.structs.replace(call, route="draft")
+    assert find(fixed, *runs) == ["runs joined that may not be"]
+
+
+def test_events_that_no_run_sent_are_a_violation() -> None:
+    call = make_call((FIRST, [1, 2, 3, 4, 5]))
+    assert find(call, make_run(FIRST, [1, 2, 3])) == ["event that its run did not send"]
+
+
+def test_stream_that_its_caller_takes_up_begins_behind_its_last_event() -> None:
+    assert find(make_call((FIRST, [4, 5])), make_run(FIRST, [4, 5], after=3), last=3) == []
+    for numbers in ([1, 2, 3, 4, 5], [3, 4, 5]):
+        run = make_run(FIRST, numbers, after=3)
+        assert find(make_call((FIRST, numbers)), run, last=3) == [OUT_OF_ORDER]
+    # Behind one event it can't be told from a stream whose events rise in other steps.
+    gap = make_call((FIRST, [5]))
+    assert find(gap, make_run(FIRST, [5], after=3), last=3) == [GAP_TAKEN_UP]
+
+
+def test_counts_name_the_framing_of_the_killed_upstream_and_the_outcome() -> None:
+    runs = {"a": [make_run(FIRST, [1, 2, 3]), make_run(SECOND, [4, 5], after=3, ends=True)]}
+    calls = [
+        make_call((FIRST, [1, 2, 3])),
+        make_call((FIRST, [1, 2, 3]), end=End.RESET),
+        make_call((FIRST, [1, 2, 3]), (SECOND, [4, 5])),
+    ]
+    expected = {"neither short as whole": 1, "neither broken": 1, "neither went on": 1}
+    assert count_killed(calls, runs) == expected
+
+
+# Guards against a target that counts answers whose upstream died right behind their end.
+def test_only_ends_of_upstreams_that_lived_on_are_measured() -> None:
+    runs = {"a": [make_run(FIRST, [1, 2, 3, 4, 5], ends=True)]}
+    broken = [make_call((FIRST, [1, 2]), end=End.RESET)]
+    process = FIRST.rpartition("/")[0]
+    died, lived = {process: 2.0 + LIVED_S / 2}, {process: 2.0 + 2 * LIVED_S}
+    assert measure_ends(broken, runs, [], lived)["broken"] == ["a"]
+    assert measure_ends(broken, runs, [], died)["ended"] == 0
+    assert list_sound(broken, runs, lived) == broken
+    assert list_sound(broken, runs, died) == []
+
+
+async def test_stream_that_broke_off_is_taken_up_behind_its_last_event(tmp_path: Path) -> None:
+    rig = SoakRig(folder=tmp_path)
+    callers = DeathCallers(rig=rig, seed=SEED, max_tokens=80)
+    callers.note(make_call((FIRST, [1, 2, 3]), end=End.RESET))
+    drawn = callers.draw("quote", 0, random.Random(SEED))
+    head = drawn.parts[0].decode()
+    assert f"{names.LAST_EVENT_ID}: 3\r\n" in head
+    assert f"{names.RESUMES}: a\r\n" in head
+    assert callers.taken_up[drawn.request_id].last == 3
+    await rig.async_stop()
+
+
+@pytest.mark.parametrize("framing", list(UpstreamFraming))
+async def test_killed_upstream_leaves_a_run_without_an_end(
+    tmp_path: Path, framing: UpstreamFraming
+) -> None:
+    store = PublishedStoreStandin()
+    await store.async_start()
+    plan = HostPlan(
+        name="i-a",
+        port=0,
+        framing=framing,
+        first_event=FirstEvent.SAME,
+        pause_s=0.02,
+        notes=str(tmp_path / "notes"),
+    )
+    upstream = HostedUpstream(store=store, service="models", plan=plan)
+    await upstream.async_start()
+    address = Address(host="127.0.0.1", port=upstream.plan.port)
+    for request_id, tokens in (("a", 4), ("b", 4_000)):
+        caller = await RawCaller(address).async_open()
+        head = make_post_head(
+            request_id,
+            "quote",
+            tokens=tokens,
+            prompt="a:1",
+            deadline_ms=1_000,
+            key="k",
+            length=0,
+            more={names.LAST_EVENT_ID: "2"},
+        )
+        if tokens > EVENTS:
+            # It has no length to wait for, and is read for as long as the upstream lives.
+            answer = await caller.async_ask(request_id, parts=(head,), leaves_after_s=1.0)
+            assert answer.end is End.LEFT
+            await upstream.async_kill(signal.SIGKILL)
+        else:
+            await caller.async_ask(request_id, parts=(head,))
+        caller.close()
+    first_start = upstream.process
+    await upstream.async_start()
+    assert upstream.process != first_start
+    await upstream.async_stop()
+    await store.async_stop()
+    runs = read_runs(tmp_path / "notes")
+    whole, cut = runs["a"][0], runs["b"][0]
+    assert (whole.numbers, whole.begun.after, whole.goes_on) == ([2, 3, 4], 2, False)
+    assert whole.end is not None
+    assert whole.end.kind is NoteKind.ENDED
+    assert cut.is_killed
+
+
+async def test_short_soak_of_deaths_has_no_violations(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setenv(ENV_KEY, KEY)
+    figures, violations, _ = await async_soak_deaths(seed=SEED, folder=tmp_path, seconds=SECONDS)
+    assert violations == []
+    assert figures["stops"]
+    assert figures["silences"]
+    assert figures["begun_wrong"]
+    assert figures["taken_up"]
+    killed = figures["killed"]
+    assert isinstance(killed, dict)
+    assert {kind.partition(" ")[0] for kind in killed} == set(UpstreamFraming)
