Upstreams are kept after an outage of the store that non-watching routers did not see

After an outage of 2.4 s or more, ready upstreams whose entries had expired were dropped by all routers for up to two seconds, until they had registered again: callers got refusals.

A router that relies on a watching peer begins to ask the store itself 1 to 1.3 s after the peer's last report. Where its first question fell behind the end of the outage, it took the store to have been silent only since that moment, applied the removals at once and told them to the others as confirmed, which undid their own deferral. It now counts from the store's last response as the peer reported it.

The jitter goes from 300 to 150 ms, so that the loss of all watchers with the store in order (at most 1,200 + 1,000 + 150 ms without a response) is not taken for an outage (2,400 ms), which would defer removals.

--- a/gypsumrouter/published/follower.py
+++ b/gypsumrouter/published/follower.py
@@ -131,7 +131,8 @@
             # The changes from the peer are current even if the store is unreachable from here.
             self._note_regained()
             await self._state.async_wait_until_needed()
-            silent_since_ms = self._app.clock.now_ms()
+            # What the peer last said of the store: it may have lost it, too.
+            silent_since_ms = self._state.responded_ms
         changed = await self._store.async_watch(
             after=self._state.as_of, wait_ms=self._get_watch_timeout_ms()
         )
--- a/gypsumrouter/published/watch_state.py
+++ b/gypsumrouter/published/watch_state.py
@@ -14,7 +14,9 @@
 # Its list was just read in full, so the delay makes no change late.
 STARTUP_DEFER_MS: Final = 500
 # Jitter for routers that lose their watching peer at the same time and begin to watch themselves.
-TAKEOVER_JITTER_MS: Final = 300
+# With the time for which a report is valid and the longest wait of a watch (1.2 s) it is shorter
+# than an outage in which entries expire (2.4 s): the loss of the watchers does not look like one.
+TAKEOVER_JITTER_MS: Final = 150
 # Time of an event that has not happened.
 _NEVER_MS: Final = -(1 << 62)
 
