--- a/tests/directory/test_directory_restored.py
+++ b/tests/directory/test_directory_restored.py
@@ -214,3 +214,11 @@
     env.evacuations.merge(make_evacuation(1, 40, active=False), source="p")
     env.evacuations.merge(make_evacuation(2, 21), source="p")
     assert env.evacuations.is_active("dc-a")
+
+
+def test_router_that_starts_on_a_backup_uses_an_upstream_that_its_peers_know_as_leaving(
+    env: Environment,
+) -> None:
+    env.directory.replace_all([make_record(2, 50)], revision=revision_at(2, 50), source="platform")
+    env.directory.merge(make_record(1, 60, LEAVING), source="peer", confirmed=True)
+    assert env.get_state() is LEAVING
--- a/tests/fleet/test_fleet_members.py
+++ b/tests/fleet/test_fleet_members.py
@@ -174,3 +174,14 @@
     assert dump["revision"] == 1
     assert [entry["standing"] for entry in dump["instances"]] == ["leaving", "usable"]
     assert b'gypsum_instances{standing="usable"} 1' in world.app.metrics.render()
+
+
+async def test_list_of_a_platform_that_was_restored_from_a_backup_is_refused(world: World) -> None:
+    """Revisions begin anew at a lower one, at later times, and the old instances are gone."""
+    await world.async_publish(50, *make_engines(4))
+    revision = 20
+    for _ in range(20):
+        revision += 1
+        await world.async_publish(revision, make_engine("n"))
+        world.clock.advance(1_000)
+    assert world.member_names() == ["n"]
