--- a/bench/soak_silence_checks.py
+++ b/bench/soak_silence_checks.py
@@ -15,7 +15,7 @@
 from bench.soak_stops import LAST_SHARE, LATE_S, STOP_S, USUAL_OVERHEAD, Stop
 from gypsumrouter.platform import names
 from gypsumrouter.standins import PlatformRunner
-from gypsumrouter.standins.platform_runner import make_body
+from gypsumrouter.standins.runner_content import make_body
 
 # A request that was read is answered by then, or its connection was closed before.
 LOSS_SLACK_S: Final = 0.2
--- a/gypsumrouter/fleet/document.py
+++ b/gypsumrouter/fleet/document.py
@@ -9,11 +9,10 @@
 
 from gypsumrouter.const import InstanceState, Role
 from gypsumrouter.exceptions import DocumentInvalid, FieldError
+from gypsumrouter.helpers.numbers import MAX_PORT
 from gypsumrouter.instances import Address, Instance, InstanceList
 from gypsumrouter.util.validation import validate_ip, validate_json
 
-MAX_PORT = 65_535
-
 
 class _Entry(Struct, frozen=True, kw_only=True):
     """One instance of the document; unknown fields are ignored."""
--- a/gypsumrouter/fleet/source.py
+++ b/gypsumrouter/fleet/source.py
@@ -25,8 +25,9 @@
 )
 from gypsumrouter.fleet.document import check_instance_list
 from gypsumrouter.helpers.connector import ShieldedConnector
-from gypsumrouter.helpers.numbers import MAX_JSON_NUMBER, read_number
+from gypsumrouter.helpers.numbers import read_number
 from gypsumrouter.instances import InstanceList
+from gypsumrouter.util.validation import MAX_JSON_INTEGER
 
 if TYPE_CHECKING:
     from gypsumrouter.settings import Platform
@@ -109,7 +110,7 @@
     response: aiohttp.ClientResponse,
 ) -> InstanceList | Unchanged | None:
     if response.status == HTTPStatus.NO_CONTENT:
-        as_of_ms = read_number(response.headers.get(HEADER_AS_OF), largest=MAX_JSON_NUMBER)
+        as_of_ms = read_number(response.headers.get(HEADER_AS_OF), largest=MAX_JSON_INTEGER)
         if as_of_ms is None:
             raise ValueError(f"expected a time in {HEADER_AS_OF}, got none or an invalid one")
         return Unchanged(as_of_ms=as_of_ms)
--- a/gypsumrouter/helpers/numbers.py
+++ b/gypsumrouter/helpers/numbers.py
@@ -9,12 +9,12 @@
 import re
 from typing import Final
 
+from gypsumrouter.util.validation import MAX_JSON_INTEGER
+
 # 64-bit numbers have up to 20 digits; the same bound holds for each side of a decimal point.
 MAX_DIGITS: Final = 20
 MAX_NUMBER: Final = 10**MAX_DIGITS - 1
 MAX_PORT: Final = 65_535
-# The largest whole number that every writer of JSON states exactly.
-MAX_JSON_NUMBER: Final = 2**53 - 1
 # Two hexadecimal digits for each byte of the longest common hash.
 MAX_HEXADECIMAL_DIGITS: Final = 128
 HEXADECIMAL_BASE: Final = 16
@@ -76,7 +76,7 @@
 
 
 def read_json_number(
-    value: object, *, smallest: int = 0, largest: int = MAX_JSON_NUMBER
+    value: object, *, smallest: int = 0, largest: int = MAX_JSON_INTEGER
 ) -> int | None:
     """Return a decoded JSON value if it is a whole number in the range, else None."""
     if isinstance(value, bool) or not isinstance(value, int):
--- a/gypsumrouter/peers/catch_up.py
+++ b/gypsumrouter/peers/catch_up.py
@@ -9,6 +9,7 @@
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
 from gypsumrouter.exceptions import DocumentInvalid
+from gypsumrouter.helpers.numbers import MAX_PORT
 from gypsumrouter.instances import parse_address
 from gypsumrouter.journal import Journal, PeerNews
 from gypsumrouter.link import (
@@ -32,7 +33,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-MAX_PORT: Final = 65_535
 NEVER_MS: Final = -(1 << 62)
 
 
--- a/gypsumrouter/standins/platform_runner.py
+++ b/gypsumrouter/standins/platform_runner.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from enum import StrEnum
 from typing import Final
 
@@ -17,6 +17,7 @@
 from gypsumrouter.instances import Address
 from gypsumrouter.platform import names
 from gypsumrouter.standins.listener import StandinListener, reset_transport
+from gypsumrouter.standins.runner_content import list_parts, make_body
 from gypsumrouter.standins.unframed_response import UnframedResponse
 
 # Time between two starts of a runner.
@@ -385,18 +386,6 @@
         return response
 
 
-def make_body(text: str, *, size: int | None) -> bytes:
-    """Return a text, repeated up to a size in bytes if there is one."""
-    body = text.encode()
-    return body if size is None else (body * (size // len(body) + 1))[:size]
-
-
-def list_parts(headers: Mapping[str, str]) -> list[str]:
-    """Return the ids of the parts of a request's prompt that other requests may share."""
-    entries = headers.get(names.PREFIX_PARTS, "").split(",")[:-1]
-    return [entry.partition(":")[0] for entry in entries]
-
-
 def _reset_connection(request: web.Request) -> None:
     if request.transport is not None:
         reset_transport(request.transport)
--- a/tests/bench/test_bench_soak_silences.py
+++ b/tests/bench/test_bench_soak_silences.py
@@ -23,7 +23,7 @@
 from bench.soak_silences import async_soak_silences
 from bench.soak_stops import LAST_SHARE, LATE_S, STOP_S, Stop
 from gypsumrouter.standins import PlatformRunner
-from gypsumrouter.standins.platform_runner import make_body
+from gypsumrouter.standins.runner_content import make_body
 
 SEED = 3
 TURNS = 5
--- a/tests/bench/test_bench_soak_unfinished.py
+++ b/tests/bench/test_bench_soak_unfinished.py
@@ -15,7 +15,7 @@
     check_large,
     check_uploads,
 )
-from gypsumrouter.standins.platform_runner import make_body
+from gypsumrouter.standins.runner_content import make_body
 
 SEED = 1
 PATH = "/lookup/r-1"
--- a/tests/helpers/test_numbers.py
+++ b/tests/helpers/test_numbers.py
@@ -14,7 +14,6 @@
     read_retry_after_ms,
 )
 from gypsumrouter.helpers.numbers import (
-    MAX_JSON_NUMBER,
     MAX_NUMBER,
     read_decimal,
     read_hexadecimal,
@@ -22,6 +21,7 @@
     read_number,
     read_numbers,
 )
+from gypsumrouter.util.validation import MAX_JSON_INTEGER
 
 # No reader takes any of these for a number.
 ODD = [
@@ -72,7 +72,7 @@
 
 @pytest.mark.parametrize(
     "value",
-    [None, True, False, "1", 1.0, -1, MAX_JSON_NUMBER + 1, 10**4_000, float("nan"), [1], {}],
+    [None, True, False, "1", 1.0, -1, MAX_JSON_INTEGER + 1, 10**4_000, float("nan"), [1], {}],
 )
 def test_json_value_that_is_no_count_is_none(value: object) -> None:
     """Guards against `int` of a decoded value, which takes booleans, texts and fractions."""
@@ -110,7 +110,7 @@
     assert read_decimal("4.1", cap=4.0) == 4.0
     assert read_numbers("1, 2\t,3", largest=3) == (1, 2, 3)
     assert read_numbers("1,2,3", largest=2) is None
-    assert read_json_number(MAX_JSON_NUMBER) == MAX_JSON_NUMBER
+    assert read_json_number(MAX_JSON_INTEGER) == MAX_JSON_INTEGER
     assert read_json_number(4, smallest=5) is None
 
 
