Send no interim response to callers of HTTP/1.0

A caller of HTTP/1.0 that sends `Expect: 100-continue` got `HTTP/1.1 100 Continue` before its answer. HTTP/1.0 has no interim responses, so a caller may take that for the answer, and the answer for that to its next request. RFC 9110 (10.1.1) says that the header of such a request is ignored.

--- a/gypsumrouter/callers/body.py
+++ b/gypsumrouter/callers/body.py
@@ -7,7 +7,7 @@
 from contextlib import contextmanager
 from typing import Final
 
-from aiohttp import ClientError, http_exceptions, web
+from aiohttp import ClientError, HttpVersion11, http_exceptions, web
 
 from gypsumrouter.callers.connection import CallerConnection
 from gypsumrouter.callers.const import DEFAULT_RETRY_AFTER_MS
@@ -84,7 +84,9 @@
     """
     if (request.content_length or 0) > max_bytes:
         return _reject_size(max_bytes)
-    if request.headers.get("Expect", "").lower() == "100-continue":
+    expects = request.headers.get("Expect", "").lower() == "100-continue"
+    # HTTP/1.0 has no interim responses.
+    if expects and request.version >= HttpVersion11:
         await request.writer.write(CONTINUE_LINE)
         # No byte of the answer is written by that.
         request.writer.output_size = 0
--- a/tests/forwarding/test_forwarding_kept_connections.py
+++ b/tests/forwarding/test_forwarding_kept_connections.py
@@ -275,3 +275,14 @@
     caller.writer.write_eof()
     assert (await caller.async_read()).status == 0
     caller.writer.close()
+
+
+# Guards against an interim answer that a caller of HTTP/1.0 takes for the final one.
+async def test_caller_of_http_1_0_that_expects_100_gets_an_interim_answer(
+    world: CuttingWorld,
+) -> None:
+    caller = await async_connect(world)
+    await caller.async_send(make_request("a", EXPECT, body=b"body", version="1.0"))
+    async with asyncio.timeout(TIMEOUT_S):
+        assert (await caller.reader.readuntil(b"\r\n")).split(b" ")[1] == b"200"
+    caller.writer.close()
