Reject runs that repeat ids which are no plain numbers

Callers of a resumed stream got events a second time where ids are texts (a-3, -3, 3.0) or have more than 20 digits: only the last and the first id were compared, and later ids of a resumed run only with the last one.

The ids that a stream has relayed are remembered as 64-bit digests, up to 4,096, from the first id on that is no larger number. Streams whose ids are numbers that rise remember none: every id up to the last is known from it. Digits of any length are compared by their count and text, never converted.

--- a/gypsumrouter/forwarding/event_order.py
+++ b/gypsumrouter/forwarding/event_order.py
@@ -2,12 +2,23 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
 from enum import StrEnum
+from typing import Final, TypeAlias
 
-from msgspec import Struct
+import xxhash
+from msgspec import Struct, field
 
 from gypsumrouter.helpers.numbers import read_number
 
+# Ids of one stream that are remembered where they are no rising numbers: about 0.5 MB. Of a longer
+# stream the newest are, and the first one.
+MAX_KNOWN_IDS: Final = 4_096
+
+# Digits that compare as a number: how many there are without leading zeros, and which. Converting
+# them fails above some thousands.
+Digits: TypeAlias = tuple[int, str]
+
 
 class OrderFault(StrEnum):
     """Why an event can't follow those that the caller has; the values appear in the journal."""
@@ -22,12 +33,16 @@
 class RelayedIds(Struct, kw_only=True):
     """The ids of a stream's events that the caller has: the first, the last, and their count.
 
-    Of a stream that its caller has taken up, only `last` is known before the first event.
+    Of a stream that its caller has taken up, only `last` is known before the first event. While
+    ids are numbers that rise, no others are remembered.
     """
 
     first: str | None = None
     last: str | None = None
     count: int = 0
+    # The largest number and the digests of the newest ids, since one came that doesn't rise.
+    largest: Digits | None = None
+    known: dict[int, None] = field(default_factory=dict)
 
     @property
     def rose_one_by_one(self) -> bool:
@@ -40,6 +55,65 @@
             return False
         return self.count > 1 or first <= 1
 
+    def note(self, last: str, *, count: int, list_ids: Callable[[], Iterable[str]]) -> None:
+        """Note that the caller gets `count` ids up to `last`; `list_ids` is called if needed."""
+        if not self.known and self._rises_to(last, count):
+            self.first = self.first or last
+            self.last = last
+        else:
+            for event_id in list_ids():
+                self._note_one(event_id)
+        self.count += count
+
+    def has(self, event_id: str) -> bool:
+        """Return whether the caller has an event with this id, as far as ids are remembered."""
+        if event_id in (self.first, self.last):
+            return True
+        return bool(self.known) and xxhash.xxh3_64_intdigest(event_id.encode()) in self.known
+
+    def find_largest(self) -> Digits | None:
+        """Return the largest number among the ids, None if none is a number."""
+        return self.largest if self.known else read_digits(self.last)
+
+    def _rises_to(self, event_id: str, count: int) -> bool:
+        """Return whether it shows without the ids between that all are numbers that rise."""
+        if count == 1:
+            digits = read_digits(event_id)
+            if digits is None or self.last is None:
+                return digits is not None
+            largest = read_digits(self.last)
+            return largest is not None and digits > largest
+        last, number = read_number(self.last), read_number(event_id)
+        return last is not None and number is not None and number - last == count
+
+    def _note_one(self, event_id: str) -> None:
+        if self.known or not self._rises_to(event_id, 1):
+            if not self.known:
+                self.largest = read_digits(self.last)
+                if self.last is not None:
+                    self._remember(self.last)
+            self._remember(event_id)
+        self.first = self.first or event_id
+        self.last = event_id
+
+    def _remember(self, event_id: str) -> None:
+        digits = read_digits(event_id)
+        if digits is not None and (self.largest is None or digits > self.largest):
+            self.largest = digits
+        digest = xxhash.xxh3_64_intdigest(event_id.encode())
+        self.known.pop(digest, None)
+        self.known[digest] = None
+        if len(self.known) > MAX_KNOWN_IDS:
+            del self.known[next(iter(self.known))]
+
+
+def read_digits(text: str | None) -> Digits | None:
+    """Return ASCII digits of any length so that they compare as a number, None for other text."""
+    if text is None or not (text.isascii() and text.isdigit()):
+        return None
+    digits = text.lstrip("0")
+    return len(digits), digits
+
 
 def find_order_fault(
     relayed: RelayedIds, event_id: str | None, *, begins: bool
@@ -55,14 +129,18 @@
         return OrderFault.NO_ID if begins else None
     if event_id == relayed.last:
         return OrderFault.REPEATED
+    if relayed.has(event_id):
+        return OrderFault.BACK
+    largest, digits = relayed.find_largest(), read_digits(event_id)
+    if largest is not None and digits is not None and digits <= largest:
+        return OrderFault.REPEATED if digits == largest else OrderFault.BACK
     last, number = read_number(relayed.last), read_number(event_id)
     if last is None:
-        # Only equality can be compared; a run that begins anew has the id of the first event.
-        return OrderFault.BACK if begins and event_id == relayed.first else None
+        # Of ids that are no numbers nothing but equality can be told.
+        is_out_of_kind = digits is None and read_digits(relayed.last) is not None
+        return OrderFault.NO_NUMBER if begins and is_out_of_kind else None
     if number is None:
         return OrderFault.NO_NUMBER if begins else None
-    if number <= last:
-        return OrderFault.REPEATED if number == last else OrderFault.BACK
     if number > last + 1 and relayed.rose_one_by_one:
         return OrderFault.GAP
     return None
--- a/gypsumrouter/forwarding/events.py
+++ b/gypsumrouter/forwarding/events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Final
 
 from gypsumrouter.forwarding.const import MAX_EVENT_BYTES
@@ -133,11 +134,12 @@
         self.last_has_id = event_id is not None and start >= find_event_end(complete[:-1])
         if event_id is None:
             return
-        relayed = self._relayed
-        if relayed.first is None:
-            relayed.first = _read_id_at(complete, _find_first_id(complete)) or event_id
-        relayed.last = self.last_event_id = event_id
-        relayed.count += complete.count(ID_LINE) + complete.startswith(ID_FIELD)
+        self.last_event_id = event_id
+        self._relayed.note(
+            event_id,
+            count=complete.count(ID_LINE) + complete.startswith(ID_FIELD),
+            list_ids=lambda: _list_ids(complete),
+        )
 
 
 def read_event_id(event: bytes) -> str | None:
@@ -151,8 +153,12 @@
     return line_end + 1 if line_end >= 0 or data.startswith(ID_FIELD) else -1
 
 
-def _find_first_id(data: bytes) -> int:
-    return 0 if data.startswith(ID_FIELD) else data.find(ID_LINE) + 1
+def _list_ids(data: bytes) -> Iterator[str]:
+    """Return the ids of all events in `data`."""
+    for event in split_events(data):
+        event_id = read_event_id(event)
+        if event_id is not None:
+            yield event_id
 
 
 def _read_id_at(data: bytes, start: int) -> str | None:
