Fail unframed JSON answers that end in a number

A caller of a service that a router's own side serves got `12` of `123` as a whole answer, if neither a length nor chunks framed it: the check at the end of the body asked only whether the document is valid JSON, and the beginning of a number is.

The check now also asks whether the document shows its end, as the other way of forwarding does. The tests failed before for 12, -3 and 0; objects, arrays, texts, literals and framed numbers still pass.

--- a/gypsumrouter/upstream/run.py
+++ b/gypsumrouter/upstream/run.py
@@ -21,7 +21,12 @@
 from gypsumrouter.upstream.headers import select_answer_headers
 from gypsumrouter.upstream.models import ConnectionBroken, Sink
 from gypsumrouter.upstream.watch import Watch
-from gypsumrouter.util.body_formats import is_complete_json, is_inside_event, is_json_media_type
+from gypsumrouter.util.body_formats import (
+    is_complete_json,
+    is_inside_event,
+    is_json_media_type,
+    shows_json_end,
+)
 
 _METHOD_HEAD = "HEAD"
 
@@ -149,8 +154,12 @@
         return Failed(reason=Reason.UPSTREAM_PROTOCOL, message=message)
 
     def _find_missing_end(self) -> str | None:
-        if self._unframed_json is not None and not is_complete_json(bytes(self._unframed_json)):
-            return "the answer ended inside its JSON document"
+        if self._unframed_json is not None:
+            document = bytes(self._unframed_json)
+            if not is_complete_json(document):
+                return "the answer ended inside its JSON document"
+            if not shows_json_end(document):
+                return "the answer's JSON document may be the beginning of a longer one"
         if self._is_event_stream and is_inside_event(self._tail):
             return "the stream ended inside an event"
         if self._needs_end_event and not self._tail.rstrip().endswith(STREAM_END):
