Wait for an event of a run beside a silent one, not for any block

A stream was cut though its upstream was only silent for a second: the run that was sent beside it began with a comment or a retry block, which counted as its first event. It took over, the silent run was closed, and the event behind the block did not go on.

The run is now read until a block that has data or an id, which is the one that is compared with the events of the caller. The test failed before.

--- a/gypsumrouter/forwarding/events.py
+++ b/gypsumrouter/forwarding/events.py
@@ -103,10 +103,10 @@
 
     def find_first_fault(self, data: bytes) -> OrderFault | None:
         """Return why a run that begins with `data` doesn't go on behind what was returned."""
-        for event in split_events(data[: find_event_end(data)]):
-            if not _is_empty(event):
-                return find_order_fault(self._relayed, read_event_id(event), begins=True)
-        return None
+        event = find_first_event(data)
+        if event is None:
+            return None
+        return find_order_fault(self._relayed, read_event_id(event), begins=True)
 
     def _select_in_order(self, complete: bytes) -> bytes:
         """Return the events up to the first that doesn't follow the one before it."""
@@ -142,6 +142,11 @@
         )
 
 
+def find_first_event(data: bytes) -> bytes | None:
+    """Return the first complete event at the beginning of a stream, None if there is none yet."""
+    return next((event for event in split_events(data) if not _is_empty(event)), None)
+
+
 def read_event_id(event: bytes) -> str | None:
     """Return the id of an event, None without one that a header can carry."""
     return _read_id_at(event, _find_last_id(event))
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -15,6 +15,7 @@
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
 from gypsumrouter.forwarding.const import MAX_EVENT_BYTES
 from gypsumrouter.forwarding.end_evidence import EndChecks
+from gypsumrouter.forwarding.events import find_first_event
 from gypsumrouter.forwarding.models import (
     CallerRequest,
     CompleteResponse,
@@ -35,7 +36,6 @@
 from gypsumrouter.forwarding.request_journal import RequestJournal
 from gypsumrouter.helpers.http_response import ConnectionBroken, Framing
 from gypsumrouter.routing import RouteMatch
-from gypsumrouter.util.body_formats import find_event_end
 
 NO_EVENT: Final = "ended before the first event"
 
@@ -166,7 +166,7 @@
             return outcome
         received = outcome.initial_bytes
         try:
-            while not find_event_end(received):
+            while find_first_event(received) is None:
                 part = await outcome.answer.body.readany()
                 if not part and outcome.answer.framing is Framing.CLOSE:
                     return ResponseLost(reason=NO_EVENT, connection_broken=True)
--- a/tests/forwarding/test_forwarding_runs_that_begin_anew.py
+++ b/tests/forwarding/test_forwarding_runs_that_begin_anew.py
@@ -170,6 +170,29 @@
     assert numbers == world.whole
 
 
+@pytest.mark.parametrize("block", [b": keep-alive\n\n", b"retry: 100\n\n"])
+async def test_silent_run_was_given_up_for_one_whose_first_event_does_not_go_on(
+    world: SilentWorld, monkeypatch: pytest.MonkeyPatch, block: bytes
+) -> None:
+    """Guards against a block without an event that counts as the first event of a run."""
+    make_event = PlatformRunner._make_event
+    monkeypatch.setattr(
+        PlatformRunner, "_make_event", lambda self, n: make_event(self, n) if n else block
+    )
+    for runner in world.models:
+        runner.pause_s = 0.04
+    async with aiohttp.ClientSession() as session:
+        call = asyncio.create_task(world.async_stream(session))
+        await world.async_until_run()
+        first, second = world.split_by_run()
+        # The block comes first, then the stream from its first event on.
+        second.find_next_event = lambda _last: 0
+        await asyncio.sleep(0.1)
+        await first.async_fall_silent(SILENCE_S)
+        assert (await call).numbers == world.whole
+    assert second.ran
+
+
 @pytest.mark.parametrize("wrong", ["begins anew", "repeats the last event"])
 async def test_stream_that_its_caller_takes_up_fails_clearly_if_no_upstream_goes_on(
     world: SilentWorld, session: Session, wrong: str
