Resume streams whose last block is a comment or a retry time

A stream that broke off in a pause with keep-alive comments was cut: the comment counted as the last event, which had no id to go on after.

Blocks without data and id are no events, so the id of the last event stays the one to go on after; an event with data but no id still rules that out. The tests failed before, with the block in the part of the event and alone.

--- a/gypsumrouter/forwarding/events.py
+++ b/gypsumrouter/forwarding/events.py
@@ -129,9 +129,12 @@
         """Note the ids of events that are returned, from the first and the last of them."""
         self.has_events = True
         start = _find_last_id(complete)
+        if start < 0:
+            if has_field(complete, DATA_FIELD):
+                self.last_has_id = False
+            return
         event_id = _read_id_at(complete, start)
-        # Whether the id is in the last of the events.
-        self.last_has_id = event_id is not None and start >= find_event_end(complete[:-1])
+        self.last_has_id = event_id is not None and _is_in_last_event(start, complete)
         if event_id is None:
             return
         self.last_event_id = event_id
@@ -158,6 +161,14 @@
     return line_end + 1 if line_end >= 0 or data.startswith(ID_FIELD) else -1
 
 
+def _is_in_last_event(start: int, complete: bytes) -> bool:
+    """Return whether none of the blocks behind the one of an id is an event."""
+    if start >= find_event_end(complete[:-1]):
+        return True
+    _, *later = split_events(complete[start:])
+    return all(_is_empty(event) for event in later)
+
+
 def _list_ids(data: bytes) -> Iterator[str]:
     """Return the ids of all events in `data`."""
     for event in split_events(data):
