Name no upstream for a step that a single event does not show

A stream whose ids rise in steps from 0 or 1 (0, 10, 20) and that broke off after its first event was cut, and the sound upstream that went on with 10 was named in a warning and avoided for further streams.

One event shows no step. The larger id is still rejected, since a piece may be missing, but as a fault of its own ("possible gap") that is counted and names nobody.

--- a/gypsumrouter/forwarding/event_order.py
+++ b/gypsumrouter/forwarding/event_order.py
@@ -28,6 +28,12 @@
     REPEATED = "repeated"
     BACK = "back"
     GAP = "gap"
+    POSSIBLE_GAP = "possible gap"
+
+    @property
+    def is_certain(self) -> bool:
+        """Return whether the run can't be a proper continuation, whatever the step of its ids."""
+        return self is not OrderFault.POSSIBLE_GAP
 
 
 class RelayedIds(Struct, kw_only=True):
@@ -142,5 +148,5 @@
     if number is None:
         return OrderFault.NO_NUMBER if begins else None
     if number > last + 1 and relayed.rose_one_by_one:
-        return OrderFault.GAP
+        return OrderFault.GAP if relayed.count > 1 else OrderFault.POSSIBLE_GAP
     return None
--- a/gypsumrouter/forwarding/outcome_recorder.py
+++ b/gypsumrouter/forwarding/outcome_recorder.py
@@ -90,7 +90,8 @@
             )
             return
         # What a caller says of the events that it has proves nothing of an upstream.
-        self._disorders.note(entry, fault, is_proven=self._progress.events > 0)
+        is_proven = fault.is_certain and self._progress.events > 0
+        self._disorders.note(entry, fault, is_proven=is_proven)
         self._progress.note_possible_run(entry.incarnation)
 
     def list_avoided(self, *, goes_on: bool) -> Collection[str]:
--- a/tests/forwarding/test_forwarding_runs_that_begin_anew.py
+++ b/tests/forwarding/test_forwarding_runs_that_begin_anew.py
@@ -170,6 +170,28 @@
     assert numbers == world.whole
 
 
+async def test_upstream_was_named_for_a_step_that_a_single_event_does_not_show(
+    world: SilentWorld,
+    session: Session,
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a warning about a sound upstream, whose ids rise in steps from 1."""
+    # The second event is broken off inside, so that only the first one is relayed.
+    monkeypatch.setattr(
+        PlatformRunner,
+        "_make_event",
+        lambda _self, n: b"id: %d\ndata: a%s" % (n * 10 - 9, b"" if n == 2 else b"\n\n"),
+    )
+    resume_wrongly(world.models, lambda last: last + 2)
+    caplog.set_level(logging.WARNING)
+    break_first_run(world)
+    _, body, whole = await async_read(world, session, "r1")
+    assert (list_ids(body), whole) == ([1], False)
+    assert [r.message for r in caplog.records if "does not go on" in r.message] == []
+    assert f'{METRIC}{{fault="possible gap"}} 1'.encode() in world.product.app.metrics.render()
+
+
 @pytest.mark.parametrize("block", [b": keep-alive\n\n", b"retry: 100\n\n"])
 async def test_silent_run_was_given_up_for_one_whose_first_event_does_not_go_on(
     world: SilentWorld, monkeypatch: pytest.MonkeyPatch, block: bytes
