Take a byte order mark for no part of a run's first event

A stream was cut though another upstream went on with it, if its run began with a byte order mark as an event stream may: the mark hid the id of the first event. A stream that began with one couldn't be resumed after its first event.

The mark is left out before ids are read, and isn't relayed in the midst of a joined stream, where it would spoil a line.

--- a/gypsumrouter/forwarding/events.py
+++ b/gypsumrouter/forwarding/events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from codecs import BOM_UTF8
 from collections.abc import Iterator
 from typing import Final
 
@@ -96,6 +97,9 @@
             return b""
         self._partial = data[end:]
         complete = data[:end]
+        if self._checks_order and not self.has_events:
+            # It would be a part of a line in the midst of the joined stream.
+            complete = complete.removeprefix(BOM_UTF8)
         if self._checks_order:
             return self._select_in_order(complete)
         self._note(complete)
@@ -127,6 +131,8 @@
 
     def _note(self, complete: bytes) -> None:
         """Note the ids of events that are returned, from the first and the last of them."""
+        if not self.has_events:
+            complete = complete.removeprefix(BOM_UTF8)
         self.has_events = True
         start = _find_last_id(complete)
         if start < 0:
@@ -147,7 +153,8 @@
 
 def find_first_event(data: bytes) -> bytes | None:
     """Return the first complete event at the beginning of a stream, None if there is none yet."""
-    return next((event for event in split_events(data) if not _is_empty(event)), None)
+    events = split_events(data.removeprefix(BOM_UTF8))
+    return next((event for event in events if not _is_empty(event)), None)
 
 
 def read_event_id(event: bytes) -> str | None:
