--- a/gypsumrouter/forwarding/events.py
+++ b/gypsumrouter/forwarding/events.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from codecs import BOM_UTF8
+from collections.abc import Iterator
 from typing import Final
 
 from gypsumrouter.forwarding.const import MAX_EVENT_BYTES
@@ -95,6 +97,9 @@
             return b""
         self._partial = data[end:]
         complete = data[:end]
+        if self._checks_order and not self.has_events:
+            # It would be a part of a line in the midst of the joined stream.
+            complete = complete.removeprefix(BOM_UTF8)
         if self._checks_order:
             return self._select_in_order(complete)
         self._note(complete)
@@ -102,10 +107,10 @@
 
     def find_first_fault(self, data: bytes) -> OrderFault | None:
         """Return why a run that begins with `data` doesn't go on behind what was returned."""
-        for event in split_events(data[: find_event_end(data)]):
-            if not _is_empty(event):
-                return find_order_fault(self._relayed, read_event_id(event), begins=True)
-        return None
+        event = find_first_event(data)
+        if event is None:
+            return None
+        return find_order_fault(self._relayed, read_event_id(event), begins=True)
 
     def _select_in_order(self, complete: bytes) -> bytes:
         """Return the events up to the first that doesn't follow the one before it."""
@@ -126,18 +131,30 @@
 
     def _note(self, complete: bytes) -> None:
         """Note the ids of events that are returned, from the first and the last of them."""
+        if not self.has_events:
+            complete = complete.removeprefix(BOM_UTF8)
         self.has_events = True
         start = _find_last_id(complete)
+        if start < 0:
+            if has_field(complete, DATA_FIELD):
+                self.last_has_id = False
+            return
         event_id = _read_id_at(complete, start)
-        # Whether the id is in the last of the events.
-        self.last_has_id = event_id is not None and start >= find_event_end(complete[:-1])
+        self.last_has_id = event_id is not None and _is_in_last_event(start, complete)
         if event_id is None:
             return
-        relayed = self._relayed
-        if relayed.first is None:
-            relayed.first = _read_id_at(complete, _find_first_id(complete)) or event_id
-        relayed.last = self.last_event_id = event_id
-        relayed.count += complete.count(ID_LINE) + complete.startswith(ID_FIELD)
+        self.last_event_id = event_id
+        self._relayed.note(
+            event_id,
+            count=complete.count(ID_LINE) + complete.startswith(ID_FIELD),
+            list_ids=lambda: _list_ids(complete),
+        )
+
+
+def find_first_event(data: bytes) -> bytes | None:
+    """Return the first complete event at the beginning of a stream, None if there is none yet."""
+    events = split_events(data.removeprefix(BOM_UTF8))
+    return next((event for event in events if not _is_empty(event)), None)
 
 
 def read_event_id(event: bytes) -> str | None:
@@ -151,8 +168,20 @@
     return line_end + 1 if line_end >= 0 or data.startswith(ID_FIELD) else -1
 
 
-def _find_first_id(data: bytes) -> int:
-    return 0 if data.startswith(ID_FIELD) else data.find(ID_LINE) + 1
+def _is_in_last_event(start: int, complete: bytes) -> bool:
+    """Return whether none of the blocks behind the one of an id is an event."""
+    if start >= find_event_end(complete[:-1]):
+        return True
+    _, *later = split_events(complete[start:])
+    return all(_is_empty(event) for event in later)
+
+
+def _list_ids(data: bytes) -> Iterator[str]:
+    """Return the ids of all events in `data`."""
+    for event in split_events(data):
+        event_id = read_event_id(event)
+        if event_id is not None:
+            yield event_id
 
 
 def _read_id_at(data: bytes, start: int) -> str | None:
--- a/tests/forwarding/test_forwarding_runs_that_begin_anew.py
+++ b/tests/forwarding/test_forwarding_runs_that_begin_anew.py
@@ -170,6 +170,51 @@
     assert numbers == world.whole
 
 
+async def test_upstream_was_named_for_a_step_that_a_single_event_does_not_show(
+    world: SilentWorld,
+    session: Session,
+    monkeypatch: pytest.MonkeyPatch,
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a warning about a sound upstream, whose ids rise in steps from 1."""
+    # The second event is broken off inside, so that only the first one is relayed.
+    monkeypatch.setattr(
+        PlatformRunner,
+        "_make_event",
+        lambda _self, n: b"id: %d\ndata: a%s" % (n * 10 - 9, b"" if n == 2 else b"\n\n"),
+    )
+    resume_wrongly(world.models, lambda last: last + 2)
+    caplog.set_level(logging.WARNING)
+    break_first_run(world)
+    _, body, whole = await async_read(world, session, "r1")
+    assert (list_ids(body), whole) == ([1], False)
+    assert [r.message for r in caplog.records if "does not go on" in r.message] == []
+    assert f'{METRIC}{{fault="possible gap"}} 1'.encode() in world.product.app.metrics.render()
+
+
+@pytest.mark.parametrize("block", [b": keep-alive\n\n", b"retry: 100\n\n"])
+async def test_silent_run_was_given_up_for_one_whose_first_event_does_not_go_on(
+    world: SilentWorld, monkeypatch: pytest.MonkeyPatch, block: bytes
+) -> None:
+    """Guards against a block without an event that counts as the first event of a run."""
+    make_event = PlatformRunner._make_event
+    monkeypatch.setattr(
+        PlatformRunner, "_make_event", lambda self, n: make_event(self, n) if n else block
+    )
+    for runner in world.models:
+        runner.pause_s = 0.04
+    async with aiohttp.ClientSession() as session:
+        call = asyncio.create_task(world.async_stream(session))
+        await world.async_until_run()
+        first, second = world.split_by_run()
+        # The block comes first, then the stream from its first event on.
+        second.find_next_event = lambda _last: 0
+        await asyncio.sleep(0.1)
+        await first.async_fall_silent(SILENCE_S)
+        assert (await call).numbers == world.whole
+    assert second.ran
+
+
 @pytest.mark.parametrize("wrong", ["begins anew", "repeats the last event"])
 async def test_stream_that_its_caller_takes_up_fails_clearly_if_no_upstream_goes_on(
     world: SilentWorld, session: Session, wrong: str
