Take long digits that only a caller names as text, as before

test_odd_last_event_id_is_no_500 failed since digits of any length compare as numbers: a stream that its caller takes up after 6,000 digits got 502 in place of the stream from its first event.

Ids longer than a plain number are compared as numbers only with ids that this router has relayed.

--- a/gypsumrouter/forwarding/event_order.py
+++ b/gypsumrouter/forwarding/event_order.py
@@ -78,8 +78,15 @@
         return bool(self.known) and xxhash.xxh3_64_intdigest(event_id.encode()) in self.known
 
     def find_largest(self) -> Digits | None:
-        """Return the largest number among the ids, None if none is a number."""
-        return self.largest if self.known else read_digits(self.last)
+        """Return the largest number among the ids, None if none is a number.
+
+        Digits beyond a plain number that only a caller has named are taken as text.
+        """
+        if self.known:
+            return self.largest
+        if self.first is None and read_number(self.last) is None:
+            return None
+        return read_digits(self.last)
 
     def _rises_to(self, event_id: str, count: int) -> bool:
         """Return whether it shows without the ids between that all are numbers that rise."""
@@ -95,17 +102,17 @@
     def _note_one(self, event_id: str) -> None:
         if self.known or not self._rises_to(event_id, 1):
             if not self.known:
-                self.largest = read_digits(self.last)
+                self.largest = self.find_largest()
                 if self.last is not None:
                     self._remember(self.last)
             self._remember(event_id)
+            digits = read_digits(event_id)
+            if digits is not None and (self.largest is None or digits > self.largest):
+                self.largest = digits
         self.first = self.first or event_id
         self.last = event_id
 
     def _remember(self, event_id: str) -> None:
-        digits = read_digits(event_id)
-        if digits is not None and (self.largest is None or digits > self.largest):
-            self.largest = digits
         digest = xxhash.xxh3_64_intdigest(event_id.encode())
         self.known.pop(digest, None)
         self.known[digest] = None
@@ -143,7 +150,8 @@
     last, number = read_number(relayed.last), read_number(event_id)
     if last is None:
         # Of ids that are no numbers nothing but equality can be told.
-        is_out_of_kind = digits is None and read_digits(relayed.last) is not None
+        last_is_number = largest is not None and read_digits(relayed.last) is not None
+        is_out_of_kind = digits is None and last_is_number
         return OrderFault.NO_NUMBER if begins and is_out_of_kind else None
     if number is None:
         return OrderFault.NO_NUMBER if begins else None
