--- a/gypsumrouter/callers/transports.py
+++ b/gypsumrouter/callers/transports.py
@@ -60,8 +60,9 @@
     connection = _get_socket(transport)
     if transport is None or connection is None:
         return 0
-    untaken = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
-    return transport.get_write_buffer_size() + int(struct.unpack("i", untaken)[0])
+    answer = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, struct.pack("i", 0))
+    untaken: int = struct.unpack("i", answer)[0]
+    return transport.get_write_buffer_size() + untaken
 
 
 def _get_socket(transport: asyncio.Transport | None) -> Any:
