--- a/gypsumrouter/forwarding/event_order.py
+++ b/gypsumrouter/forwarding/event_order.py
@@ -39,8 +39,8 @@
 class RelayedIds(Struct, kw_only=True):
     """The ids of a stream's events that the caller has: the first, the last, and their count.
 
-    Of a stream that its caller has taken up, only `last` is known before the first event. While
-    ids are numbers that rise, no others are remembered.
+    Of a stream that its caller has taken up, one id is known before the first event, and is `last`
+    alone if it is no number. While ids are numbers that rise, no others are remembered.
     """
 
     first: str | None = None
--- a/gypsumrouter/forwarding/events.py
+++ b/gypsumrouter/forwarding/events.py
@@ -9,6 +9,7 @@
 from gypsumrouter.forwarding.const import MAX_EVENT_BYTES
 from gypsumrouter.forwarding.event_order import OrderFault, RelayedIds, find_order_fault
 from gypsumrouter.helpers.http_headers import is_writable
+from gypsumrouter.helpers.numbers import read_number
 from gypsumrouter.util.body_formats import find_event_end, has_field, is_inside_event, split_events
 
 ID_FIELD: Final = b"id:"
@@ -45,6 +46,8 @@
     def __init__(self, *, taken_up_after: str | None = None) -> None:
         self._partial = b""
         self._relayed = RelayedIds(last=taken_up_after or None)
+        if read_number(taken_up_after) is not None:
+            self._relayed = RelayedIds(first=taken_up_after, last=taken_up_after, count=1)
         self._checks_order = False
         self.has_events = False
         self.last_event_id: str | None = None
--- a/tests/forwarding/test_forwarding_event_order.py
+++ b/tests/forwarding/test_forwarding_event_order.py
@@ -161,6 +161,16 @@
     assert begun + relay(splitter, make_events(*ids[at:]), cuts) == make_events(*ids)
 
 
+def test_gap_behind_the_first_event_of_a_stream_that_was_taken_up_does_not_pass() -> None:
+    """Guards against a stream whose caller's own id is not counted as one that it has."""
+    splitter = EventSplitter(taken_up_after="44")
+    splitter.start()
+    assert splitter.feed(b"id: 45\ndata: x\n\n")
+    splitter.start()
+    assert splitter.feed(b"id: 47\ndata: x\n\n") == b""
+    assert splitter.fault is OrderFault.GAP
+
+
 def test_events_that_rise_unevenly_within_the_run_of_their_caller_pass() -> None:
     splitter = EventSplitter(taken_up_after="5")
     assert relay(splitter, make_events(8, 11, 19)) == make_events(8, 11, 19)
