A connection that isn't read vouches for no upstream

Seen: an upstream was killed, and the beginning of its answer without a length reached a caller as complete. Another caller of that upstream rested, so that nothing was read of its connection. Cause: while reading is paused, the end of a connection isn't seen. It was taken for open, as evidence of an end and as evidence of the start that a new connection leads to. Fix: a connection whose reading is paused doesn't vouch in either case, and the upstream is asked. A look at the socket alone isn't enough: behind a full receive window the FIN doesn't arrive. The socket of the others is looked at as well (POLLRDHUP), so that an end counts which has arrived and isn't handled yet. Both cases of test_forwarding_doubted_ends.py failed before.

--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -187,8 +187,9 @@
         self.release(entry, pooled.connection)
 
     def list_open(self, entry: Entry) -> list[HttpConnection]:
-        """Return the connections to an incarnation whose peer has not closed them."""
-        return [other for other in self._list_open(entry.incarnation) if not other.ended_ms]
+        """Return the connections to an incarnation whose peer is known not to have closed them."""
+        opened = self._list_open(entry.incarnation)
+        return [other for other in opened if not other.may_have_ended()]
 
     def get_lost_ms(self, entry: Entry) -> int | None:
         """Return when an incarnation last closed or reset a connection without announcing it."""
@@ -250,7 +251,7 @@
 
     def _vouches(self, other: HttpConnection, entry: Entry) -> bool:
         """Return whether an open connection is known to lead to the start of an entry."""
-        if other.peer_started_ms not in (None, entry.started_ms):
+        if other.may_have_ended() or other.peer_started_ms not in (None, entry.started_ms):
             return False
         return self._starts.is_open_proven(entry, other)
 
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -27,11 +27,8 @@
     ResponseBounds,
     async_read_body,
 )
-from gypsumrouter.helpers.listening import (
-    USER_TIMEOUT_MS,
-    set_keepalive_options,
-    set_user_timeout,
-)
+from gypsumrouter.helpers.listening import USER_TIMEOUT_MS, set_keepalive_options, set_user_timeout
+from gypsumrouter.helpers.socket_state import has_peer_ended
 from gypsumrouter.instances import Address
 
 # Size of the parts in which received bytes are parsed; other work of the event loop goes between.
@@ -311,6 +308,10 @@
         self._end_body(exc)
         self._mark_broken("closed by the peer" if exc is None else f"reset: {type(exc).__name__}")
 
+    def may_have_ended(self) -> bool:
+        """Return whether the peer has ended it, or that couldn't be seen as nothing is read."""
+        return self._reading_paused or self.ended_ms != 0 or has_peer_ended(self.transport)
+
     def _note_end(self) -> None:
         on_end, self.on_end = self.on_end, None
         if on_end is not None:
--- /dev/null
+++ b/tests/forwarding/test_forwarding_doubted_ends.py
@@ -0,0 +1,126 @@
+"""Ends of unframed answers that are still taken at their word, or are doubted without need."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+from dying_world import DyingWorld, Seen, read_answer
+from ending_upstream import PIECES, make_piece
+from forwarding_world import CALLER_KEY, HOST, KEY, PROMPT
+
+from gypsumrouter.instances import Address
+
+PROGRAM = Path(__file__).with_name("ending_upstream.py")
+HELD = 3
+LARGE = 50_000
+
+
+class EndingUpstream:
+    """A process of `ending_upstream.py`."""
+
+    def __init__(self, world: DyingWorld) -> None:
+        self._world = world
+        self.born = 0
+        self.port = 0
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def async_start(
+        self, *, held: int = 0, ending: str = "die", states_start: bool = True, size: int = 10
+    ) -> None:
+        """Start it at the port that it had, if it had one."""
+        self.born = time.time_ns() // 1_000_000 if states_start else 0
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-S", str(PROGRAM), "i-1", str(self.born), str(held),
+            str(self.port), ending, str(size), stdout=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        self.process = process
+        self._world.processes.append(self)  # type: ignore[arg-type]
+        self.port = int(await self.async_read_line())
+
+    async def async_list(self) -> None:
+        """Write its entry, and wait until the forwarder lists it."""
+        more = {"born": self.born} if self.born else {}
+        await self._world.store.async_put_runner(
+            "i-1", service="models", address=Address(host="127.0.0.1", port=self.port),
+            state="ready", version="v1", **more,
+        )  # fmt: skip
+        await self._world.async_until(
+            lambda: "i-1" in str(self._world.product.app.dump()["directory"])
+        )
+
+    async def async_read_line(self) -> str:
+        """Return the next line that it prints."""
+        assert self.process is not None
+        assert self.process.stdout is not None
+        async with asyncio.timeout(10):
+            return (await self.process.stdout.readline()).decode().strip()
+
+    async def async_end(self, number: signal.Signals = signal.SIGKILL) -> None:
+        """Send it a signal, and wait until it has ended."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+            await self.process.wait()
+
+
+@pytest.fixture
+async def world(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[DyingWorld]:
+    """Start a store and a forwarder without upstreams."""
+    monkeypatch.setenv("GYPSUMROUTER_LINK_KEY", KEY)
+    async with DyingWorld() as dying:
+        yield dying
+
+
+async def async_ask_slowly(
+    world: DyingWorld, request_id: str, resume: asyncio.Event, path: str = "/draft/a"
+) -> Seen:
+    """Send a request, and read nothing of its answer until `resume` is set."""
+    address = world.product.addresses["callers"]
+    reader, writer = await asyncio.open_connection(address.host, address.port, limit=1_024)
+    headers = {"Host": HOST, "X-Request-Id": request_id, "Api-Key": CALLER_KEY}
+    headers |= {"X-Deadline-Ms": "8000", "Connection": "close", "Content-Length": "1"} | PROMPT
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    writer.write(f"POST {path} HTTP/1.1\r\n{lines}\r\np".encode())
+    writer.transport.pause_reading()  # type: ignore[attr-defined]
+    await resume.wait()
+    writer.transport.resume_reading()  # type: ignore[attr-defined]
+    received, reset = b"", False
+    try:
+        async with asyncio.timeout(15):
+            while part := await reader.read(65_536):
+                received += part
+    except ConnectionError:
+        reset = True
+    writer.close()
+    return read_answer(received, reset=reset)
+
+
+def make_whole(size: int = 10) -> bytes:
+    """Return all events."""
+    return b"".join(make_piece(number, size) for number in range(1, PIECES + 1))
+
+
+# Guards against trust in a connection of which nothing is read, as its caller rests: its end has
+# arrived, and is not seen.
+@pytest.mark.parametrize("states_start", [True, False], ids=["start", "no_start"])
+async def test_connection_of_a_resting_caller_vouches_for_an_upstream_that_was_killed(
+    world: DyingWorld, states_start: bool
+) -> None:
+    upstream = EndingUpstream(world)
+    await upstream.async_start(held=HELD, states_start=states_start)
+    await upstream.async_list()
+    resume = asyncio.Event()
+    resting = asyncio.create_task(async_ask_slowly(world, "r0", resume, "/draft/large"))
+    await asyncio.sleep(0.5)
+    asked = asyncio.create_task(world.async_ask("r1", "/draft/a", events=True))
+    assert await upstream.async_read_line() == "held"
+    await upstream.async_end()
+    seen = await asked
+    resume.set()
+    await resting
+    assert (seen.status, seen.whole) == (200, False)
