The end of an answer is checked when it comes, not when its caller reads on

Seen: a killed upstream that was back when a resting caller read on vouched for the beginning of its answer, and a complete answer was reset since its upstream had left by then. Cause: the evidence was collected when the relay reached the end of the answer. Fix: the check begins when the connection ends. A FIN can also stay behind a full receive window, so since the first pause the moment of the end is unknown, and no connection that was opened later vouches. The two new cases of test_forwarding_doubted_ends.py failed before.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -9,7 +9,7 @@
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
 from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES, RETURN_TRIP_MS
-from gypsumrouter.forwarding.end_evidence import EndChecks
+from gypsumrouter.forwarding.end_evidence import EndChecks, EndWatch
 from gypsumrouter.forwarding.models import (
     AttemptOptions,
     CallerRequest,
@@ -58,6 +58,7 @@
     __slots__ = (
         "_connection",
         "_dialect",
+        "_end_watch",
         "_ends",
         "_on_head",
         "_pool",
@@ -86,6 +87,7 @@
         self._request = request
         self._on_head = on_head
         self._connection: HttpConnection | None = None
+        self._end_watch: EndWatch | None = None
         self.options = options
         self.entry = entry
         self.metadata: ResponseMetadata | None = None
@@ -141,9 +143,8 @@
         connection = self._connection
         if answer.framing is not Framing.CLOSE or connection is None:
             return None
-        verdict = await self._ends.async_check(
-            self.entry, connection, request_id=self._request.request_id
-        )
+        watch = self._end_watch or self._ends.watch(self.entry, connection)
+        verdict = await self._ends.async_check(watch, request_id=self._request.request_id)
         return None if verdict.complete else f"ended with its upstream: {verdict.value}"
 
     def release(self) -> None:
@@ -178,12 +179,7 @@
         if succeeded and not metadata.signed:
             return ResponseLost(reason="the response is not signed")
         if metadata.is_event_stream and succeeded:
-            return StreamingResponse(
-                answer=answer,
-                status=answer.status,
-                is_event_stream=True,
-                find_missing_end=partial(self._async_find_missing_end, answer),
-            )
+            return self._make_streaming(answer, connection, is_event_stream=True)
         body, complete = await _async_read_buffered(answer)
         if answer.status in NOT_RUN_STATUSES:
             if complete:
@@ -194,13 +190,7 @@
         if not complete and not succeeded and not metadata.signed:
             raise ConnectionBroken(f"the body of status {answer.status} does not end")
         if not complete:
-            return StreamingResponse(
-                answer=answer,
-                status=answer.status,
-                is_event_stream=False,
-                initial_bytes=body,
-                find_missing_end=partial(self._async_find_missing_end, answer),
-            )
+            return self._make_streaming(answer, connection, is_event_stream=False, received=body)
         if answer.framing is Framing.CLOSE:
             await self._async_check_body(answer, body)
         self._release_or_close(answer)
@@ -208,6 +198,24 @@
             answer=answer, status=answer.status, signed=metadata.signed, body=body
         )
 
+    def _make_streaming(
+        self,
+        answer: HttpResponse,
+        connection: HttpConnection,
+        *,
+        is_event_stream: bool,
+        received: bytes = b"",
+    ) -> StreamingResponse:
+        if answer.framing is Framing.CLOSE:
+            self._end_watch = self._ends.watch(self.entry, connection)
+        return StreamingResponse(
+            answer=answer,
+            status=answer.status,
+            is_event_stream=is_event_stream,
+            initial_bytes=received,
+            find_missing_end=partial(self._async_find_missing_end, answer),
+        )
+
     async def _async_read_matching(self, connection: HttpConnection) -> HttpResponse:
         """Return the response to this request; responses to other requests are skipped."""
         while True:
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -12,6 +12,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 from enum import Enum, auto
+from functools import partial
 from typing import Final
 
 from msgspec import Struct
@@ -314,7 +315,7 @@
             raise ConnectFailed("the upstream has no address")
         connection = await async_connect(address=entry.address, timeout_ms=timeout_ms)
         connection.opened_ms = self._app.clock.now_ms()
-        connection.on_end = self._note_end
+        connection.on_end = partial(self._note_end, connection)
         self._opened.inc()
         self._list_open(entry.incarnation).append(connection)
         return connection
--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -85,6 +85,19 @@
     task: asyncio.Task[EndVerdict]
 
 
+class EndWatch(Struct, kw_only=True):
+    """An answer that ends with its connection.
+
+    `paused_ms` is when its reading was first paused, 0 if it wasn't: from then on its end may have
+    come unseen, since a FIN stays behind bytes for which the receive window has no room.
+    """
+
+    entry: Entry
+    connection: HttpConnection
+    paused_ms: int = 0
+    task: asyncio.Task[EndVerdict] | None = None
+
+
 class EndChecks:
     """Decides for each answer that ended with its connection whether it is complete."""
 
@@ -104,34 +117,68 @@
             "Answers without a length or chunks that ended, by the evidence of their end",
         )
 
-    async def async_check(
-        self, entry: Entry, connection: HttpConnection, *, request_id: str
-    ) -> EndVerdict:
+    def watch(self, entry: Entry, connection: HttpConnection) -> EndWatch:
+        """Begin the check of an answer at the moment at which its connection ends.
+
+        Its caller may read the end long after that, when the upstream may be another process.
+        """
+        watch = EndWatch(entry=entry, connection=connection)
+        if connection.ended_ms or not connection.open:
+            self._begin(watch)
+            return watch
+        note_end = connection.on_end
+
+        def on_end() -> None:
+            if note_end is not None:
+                note_end()
+            # Not if this process has closed it.
+            if connection.open:
+                self._begin(watch)
+
+        def on_pause() -> None:
+            watch.paused_ms = watch.paused_ms or self._app.clock.now_ms()
+
+        connection.on_end = on_end
+        connection.watch_pauses(on_pause)
+        return watch
+
+    def _begin(self, watch: EndWatch) -> asyncio.Task[EndVerdict]:
+        if watch.task is None:
+            watch.task = self._app.async_create_task(
+                self._async_decide(watch), "check the end of an answer"
+            )
+        return watch.task
+
+    async def async_check(self, watch: EndWatch, *, request_id: str) -> EndVerdict:
         """Return what is known of the end of an answer on a connection that its peer has closed.
 
         This takes SETTLE_MS, and the time of a connect and a question if no connection tells.
         """
-        clock = self._app.clock
-        begun_ms = clock.now_ms()
-        ended_ms = connection.ended_ms or begun_ms
-        # Twice, so that what arrived during a pause of this process is read before the last part.
-        for _ in range(2):
-            await clock.async_sleep(SETTLE_MS // 2)
-        verdict = EndVerdict.OPEN
-        if not self._outlived(entry, connection, ended_ms):
-            verdict = await self._async_probe(entry, ended_ms)
+        begun_ms = self._app.clock.now_ms()
+        verdict = await asyncio.shield(self._begin(watch))
         self._counter.inc(labels=(("evidence", verdict.value),))
         self._journal.record(
             UnframedEnd(
                 request_id=request_id,
-                upstream=entry.incarnation,
+                upstream=watch.entry.incarnation,
                 evidence=verdict.value,
                 complete=verdict.complete,
-                took_ms=clock.now_ms() - begun_ms,
+                took_ms=self._app.clock.now_ms() - begun_ms,
             )
         )
         return verdict
 
+    async def _async_decide(self, watch: EndWatch) -> EndVerdict:
+        clock = self._app.clock
+        begun_ms = clock.now_ms()
+        ended_ms = watch.paused_ms or watch.connection.ended_ms or begun_ms
+        # Twice, so that what arrived during a pause of this process is read before the last part.
+        for _ in range(2):
+            await clock.async_sleep(SETTLE_MS // 2)
+        if self._outlived(watch.entry, watch.connection, ended_ms):
+            return EndVerdict.OPEN
+        return await self._async_probe(watch.entry, watch.connection.ended_ms or begun_ms)
+
     def _outlived(self, entry: Entry, connection: HttpConnection, ended_ms: int) -> bool:
         others = [
             OtherConnection(opened_ms=other.opened_ms, peer_started_ms=other.peer_started_ms)
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -10,11 +10,9 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Callable
 from enum import StrEnum
 from typing import Final
 
-from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.http_parser import HttpResponseParser
 from aiohttp.streams import StreamReader
@@ -28,7 +26,7 @@
     async_read_body,
 )
 from gypsumrouter.helpers.listening import USER_TIMEOUT_MS, set_keepalive_options, set_user_timeout
-from gypsumrouter.helpers.socket_state import has_peer_ended
+from gypsumrouter.helpers.socket_state import WatchedProtocol
 from gypsumrouter.instances import Address
 
 # Size of the parts in which received bytes are parsed; other work of the event loop goes between.
@@ -75,7 +73,7 @@
     ANSWER = "answer"
 
 
-class HttpConnection(BaseProtocol):
+class HttpConnection(WatchedProtocol):
     """One connection; after `send_request`, `async_read_response` returns the response."""
 
     __slots__ = (
@@ -91,12 +89,10 @@
         "_user_timeout_ms",
         "_waiter",
         "address",
-        "ended_ms",
         "exchanges",
         "idle_since_ms",
         "keep_alive_ms",
         "lost_unexpectedly",
-        "on_end",
         "opened_ms",
         "peer_started_ms",
         "start_source",
@@ -108,9 +104,6 @@
         self.exchanges = 0
         # When it was open at the latest (monotonic milliseconds), set by who opened it.
         self.opened_ms = 0
-        # When the peer closed or reset it, 0 before; set by `on_end`, which is called once then.
-        self.ended_ms = 0
-        self.on_end: Callable[[HttpConnection], None] | None = None
         self.idle_since_ms = 0
         # Idle timeout that the peer announced in its Keep-Alive header, if any.
         self.keep_alive_ms: int | None = None
@@ -308,15 +301,6 @@
         self._end_body(exc)
         self._mark_broken("closed by the peer" if exc is None else f"reset: {type(exc).__name__}")
 
-    def may_have_ended(self) -> bool:
-        """Return whether the peer has ended it, or that couldn't be seen as nothing is read."""
-        return self._reading_paused or self.ended_ms != 0 or has_peer_ended(self.transport)
-
-    def _note_end(self) -> None:
-        on_end, self.on_end = self.on_end, None
-        if on_end is not None:
-            on_end(self)
-
     def _end_body(self, exc: BaseException | None) -> None:
         body = self._body
         if body is None or body.is_eof() or body.exception() is not None:
--- a/tests/forwarding/test_forwarding_doubted_ends.py
+++ b/tests/forwarding/test_forwarding_doubted_ends.py
@@ -105,6 +105,45 @@
     return b"".join(make_piece(number, size) for number in range(1, PIECES + 1))
 
 
+# Guards against evidence that is collected when a caller reads on, long after the end of an answer.
+@pytest.mark.parametrize("states_start", [True], ids=["start"])
+async def test_killed_upstream_is_back_when_a_resting_caller_reads_on(
+    world: DyingWorld, states_start: bool
+) -> None:
+    upstream = EndingUpstream(world)
+    await upstream.async_start(held=PIECES - 1, states_start=states_start, size=LARGE)
+    await upstream.async_list()
+    resume = asyncio.Event()
+    asked = asyncio.create_task(async_ask_slowly(world, "r1", resume))
+    await asyncio.sleep(1.0)
+    await upstream.async_end()
+    # It is back before the list says so; a request leaves a kept connection to it.
+    await upstream.async_start(states_start=states_start)
+    await world.async_ask("framed", "/draft/framed", events=False)
+    await world.async_ask("framed2", "/draft/framed", events=False)
+    resume.set()
+    seen = await asked
+    assert (seen.status, seen.whole) == (200, False)
+
+
+# Guards against a complete answer that counts as broken off, since its upstream has left when its
+# caller reads on.
+async def test_complete_answer_is_broken_off_as_its_upstream_leaves_before_the_caller_reads_on(
+    world: DyingWorld,
+) -> None:
+    upstream = EndingUpstream(world)
+    await upstream.async_start(size=10_000)
+    await upstream.async_list()
+    assert (await world.async_ask("framed", "/draft/framed", events=False)).status == 200
+    resume = asyncio.Event()
+    asked = asyncio.create_task(async_ask_slowly(world, "r1", resume))
+    await asyncio.sleep(2.0)
+    await upstream.async_end(signal.SIGTERM)
+    resume.set()
+    seen = await asked
+    assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_whole(10_000)))
+
+
 # Guards against trust in a connection of which nothing is read, as its caller rests: its end has
 # arrived, and is not seen.
 @pytest.mark.parametrize("states_start", [True, False], ids=["start", "no_start"])
--- a/tests/forwarding/test_forwarding_end_evidence.py
+++ b/tests/forwarding/test_forwarding_end_evidence.py
@@ -97,7 +97,8 @@
     async def async_check(self, connection: HttpConnection) -> EndVerdict:
         """Return what is known once the upstream has closed a connection."""
         await async_until(lambda: connection.ended_ms)
-        return await self.checks.async_check(self.entry, connection, request_id="r1")
+        watch = self.checks.watch(self.entry, connection)
+        return await self.checks.async_check(watch, request_id="r1")
 
 
 @pytest.fixture
