A process that states no start doesn't vouch for an upstream that has one

Seen: an upstream was killed, another process had its port within the settle time, and the beginnings of its answers reached their callers as complete. Cause: the question behind an end took an answer without a start for the listed one. Fix: where the entry states a start, only that start counts there. Ahead of a request an upstream that doesn't state its start is asked for nothing more, as before. The new case of test_forwarding_doubted_ends.py failed before.

--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -206,6 +206,9 @@
         connection = await self._async_open(entry, timeout_ms=timeout_ms)
         if entry.started_ms:
             await self._async_verify_start(entry, connection, timeout_ms=timeout_ms)
+            if connection.peer_started_ms == NOT_STATED:
+                connection.close()
+                raise ConnectFailed("the upstream does not state its start")
             self._starts.note_stated(entry, at_ms=asked_ms)
         self.release(entry, connection)
 
--- a/tests/forwarding/test_forwarding_doubted_ends.py
+++ b/tests/forwarding/test_forwarding_doubted_ends.py
@@ -105,6 +105,55 @@
     return b"".join(make_piece(number, size) for number in range(1, PIECES + 1))
 
 
+# Guards against a new process at the same port that vouches for the one that was killed.
+@pytest.mark.parametrize("case", ["start_not_stated_again"])
+async def test_restart_at_once_vouches_for_the_start_that_was_killed(
+    world: DyingWorld, case: str
+) -> None:
+    upstream = EndingUpstream(world)
+    states_start = case != "no_start"
+    await upstream.async_start(held=HELD, states_start=states_start)
+    await upstream.async_list()
+    assert (await world.async_ask("framed", "/draft/framed", events=False)).status == 200
+    asked = [
+        asyncio.create_task(world.async_ask(f"r{i}", "/draft/a", events=True)) for i in range(3)
+    ]
+    for _ in asked:
+        await upstream.async_read_line()
+    # Everything of a process is closed at once; the next one is at the port before the settle time.
+    process = upstream.process
+    assert process is not None
+    relisten = asyncio.create_task(async_listen_at_once(upstream, process))
+    process.kill()
+    server = await relisten
+    seen = [await answer for answer in asked]
+    server.close()
+    assert [(answer.status, answer.whole) for answer in seen] == [(200, False)] * 3
+
+
+async def async_listen_at_once(
+    upstream: EndingUpstream, process: asyncio.subprocess.Process
+) -> asyncio.Server:
+    """Listen at the port of a process as soon as it is free; no answer states a start."""
+
+    async def async_serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                body = b'{"epoch":1,"next":1,"held":[]}'
+                head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+    while True:
+        try:
+            return await asyncio.start_server(
+                async_serve, "127.0.0.1", upstream.port, reuse_address=True
+            )
+        except OSError:
+            await asyncio.sleep(0.001)
+
+
 # Guards against evidence that is collected when a caller reads on, long after the end of an answer.
 @pytest.mark.parametrize("states_start", [True], ids=["start"])
 async def test_killed_upstream_is_back_when_a_resting_caller_reads_on(
