Answers of one upstream that end together are asked for

Seen: an upstream ended on SIGTERM, closed its answers first and its idle connection when it exited 0.4 s later, and the beginnings of three answers reached their callers as complete. Cause: one idle connection that is open 40 ms after the end was enough. Fix: where two answers of an upstream end within 40 ms of each other, it is asked, once for all of them. Answers that end together by chance cost one connection and stay complete. The new case of test_forwarding_doubted_ends.py failed before.

--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -22,6 +22,9 @@
 # The connections of a process that dies are closed within this time of each other; a loss this
 # long before an end belongs to it.
 SETTLE_MS: Final = 40
+# Ends are kept for the answers that end within SETTLE_MS of them, with room for pauses of this
+# process.
+KEPT_ENDS_MS: Final = 1_000
 # For a connect, and for a question on it. Within CONNECT_TIMEOUT_MS, 7 of 7,577 complete answers
 # were taken for broken on a busy machine. A process that is gone refuses at once.
 PROBE_TIMEOUT_MS: Final = 1_000
@@ -101,7 +104,7 @@
 class EndChecks:
     """Decides for each answer that ended with its connection whether it is complete."""
 
-    __slots__ = ("_app", "_counter", "_directory", "_journal", "_pool", "_probes")
+    __slots__ = ("_app", "_counter", "_directory", "_ended_ms", "_journal", "_pool", "_probes")
 
     def __init__(
         self, *, app: Application, pool: ConnectionPool, directory: Directory, journal: Journal
@@ -111,6 +114,8 @@
         self._pool = pool
         # The last question to an incarnation.
         self._probes: dict[str, Probe] = {}
+        # When answers of an incarnation last ended, one for each.
+        self._ended_ms: dict[str, list[int]] = {}
         self._journal = journal
         self._counter = app.metrics.counter(
             "gypsumrouter_unframed_ends_total",
@@ -171,26 +176,44 @@
     async def _async_decide(self, watch: EndWatch) -> EndVerdict:
         clock = self._app.clock
         begun_ms = clock.now_ms()
-        ended_ms = watch.paused_ms or watch.connection.ended_ms or begun_ms
+        entry = watch.entry
+        seen_ms = watch.connection.ended_ms or begun_ms
+        ended_ms = watch.paused_ms or seen_ms
+        self._note_ended(entry, seen_ms)
         # Twice, so that what arrived during a pause of this process is read before the last part.
         for _ in range(2):
             await clock.async_sleep(SETTLE_MS // 2)
-        if self._outlived(watch.entry, watch.connection, ended_ms):
+        others = self._list_others(watch)
+        lost_ms = self._pool.get_lost_ms(entry)
+        joint = self._count_ended(entry, seen_ms) > 1
+        if not joint and proves_alive(
+            others, ended_ms=ended_ms, lost_ms=lost_ms, started_ms=entry.started_ms
+        ):
             return EndVerdict.OPEN
-        return await self._async_probe(watch.entry, watch.connection.ended_ms or begun_ms)
-
-    def _outlived(self, entry: Entry, connection: HttpConnection, ended_ms: int) -> bool:
-        others = [
+        return await self._async_probe(entry, seen_ms)
+
+    def _note_ended(self, entry: Entry, ended_ms: int) -> None:
+        """Note the end of an answer, and forget the ends that can't belong to a later one."""
+        past_ms = self._app.clock.now_ms() - KEPT_ENDS_MS
+        self._ended_ms = {
+            incarnation: ended
+            for incarnation, ended in self._ended_ms.items()
+            if ended[-1] >= past_ms
+        }
+        known = self._ended_ms.get(entry.incarnation, [])
+        self._ended_ms[entry.incarnation] = [at for at in known if at >= past_ms] + [ended_ms]
+
+    def _count_ended(self, entry: Entry, ended_ms: int) -> int:
+        """Return how many answers of an upstream have ended together, at `ended_ms`."""
+        ended = self._ended_ms.get(entry.incarnation, ())
+        return sum(abs(at - ended_ms) <= SETTLE_MS for at in ended)
+
+    def _list_others(self, watch: EndWatch) -> list[OtherConnection]:
+        return [
             OtherConnection(opened_ms=other.opened_ms, peer_started_ms=other.peer_started_ms)
-            for other in self._pool.list_open(entry)
-            if other is not connection
+            for other in self._pool.list_open(watch.entry)
+            if other is not watch.connection
         ]
-        return proves_alive(
-            others,
-            ended_ms=ended_ms,
-            lost_ms=self._pool.get_lost_ms(entry),
-            started_ms=entry.started_ms,
-        )
 
     async def _async_probe(self, entry: Entry, ended_ms: int) -> EndVerdict:
         """Ask the upstream, once for all answers that ended before the question."""
--- a/tests/forwarding/test_forwarding_doubted_ends.py
+++ b/tests/forwarding/test_forwarding_doubted_ends.py
@@ -105,6 +105,27 @@
     return b"".join(make_piece(number, size) for number in range(1, PIECES + 1))
 
 
+# Guards against trust in an idle connection of a process that ends its answers first and exits
+# later.
+async def test_upstream_that_ends_its_answers_before_its_idle_connections_on_sigterm(
+    world: DyingWorld,
+) -> None:
+    upstream = EndingUpstream(world)
+    await upstream.async_start(held=HELD, ending="slow")
+    await upstream.async_list()
+    assert (await world.async_ask("framed", "/draft/framed", events=False)).status == 200
+    asked = [
+        asyncio.create_task(world.async_ask(f"r{i}", "/draft/a", events=True)) for i in range(3)
+    ]
+    # The first of them reuses the idle connection; another idle one is needed beside them.
+    for _ in asked:
+        await upstream.async_read_line()
+    assert (await world.async_ask("framed2", "/draft/framed", events=False)).status == 200
+    await upstream.async_end(signal.SIGTERM)
+    seen = [await answer for answer in asked]
+    assert [(answer.status, answer.whole) for answer in seen] == [(200, False)] * 3
+
+
 # Guards against a new process at the same port that vouches for the one that was killed.
 @pytest.mark.parametrize("case", ["start_not_stated_again"])
 async def test_restart_at_once_vouches_for_the_start_that_was_killed(
