A bare connect doesn't vouch for the start of a resting caller's answer

Seen: an upstream without a stated start was killed and back before a resting caller read on, and the beginning of its answer reached the caller as complete. Cause: without a stated start, whoever accepts a connection counted, and the FIN comes only when the caller reads on. The new case of test_forwarding_doubted_ends.py failed before.

--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -37,7 +37,8 @@
     new connection after the end, and states the same start if its entry has one. REFUSED: nothing
     listens there. SILENT: it accepted a connection, and states nothing. UNREACHABLE: no connection,
     or another start. REPLACED: a connection, but the entry states no start, and is gone or
-    another upstream is listed at its address.
+    another upstream is listed at its address. UNPROVEN: a connection, but the entry
+    states no start, and it may have accepted it long after the end, as the caller rested.
     """
 
     OPEN = "open"
@@ -46,6 +47,7 @@
     SILENT = "silent"
     UNREACHABLE = "unreachable"
     REPLACED = "replaced"
+    UNPROVEN = "unproven"
 
     @property
     def complete(self) -> bool:
@@ -190,7 +192,13 @@
             others, ended_ms=ended_ms, lost_ms=lost_ms, started_ms=entry.started_ms
         ):
             return EndVerdict.OPEN
-        return await self._async_probe(entry, seen_ms)
+        verdict = await self._async_probe(entry, seen_ms)
+        if verdict is not EndVerdict.ALIVE or entry.started_ms:
+            return verdict
+        outlived = any(other.opened_ms < ended_ms for other in self._list_others(watch))
+        if watch.paused_ms and not outlived:
+            return EndVerdict.UNPROVEN
+        return verdict
 
     def _note_ended(self, entry: Entry, ended_ms: int) -> None:
         """Note the end of an answer, and forget the ends that can't belong to a later one."""
--- a/tests/forwarding/test_forwarding_doubted_ends.py
+++ b/tests/forwarding/test_forwarding_doubted_ends.py
@@ -176,7 +176,7 @@
 
 
 # Guards against evidence that is collected when a caller reads on, long after the end of an answer.
-@pytest.mark.parametrize("states_start", [True], ids=["start"])
+@pytest.mark.parametrize("states_start", [True, False], ids=["start", "no_start"])
 async def test_killed_upstream_is_back_when_a_resting_caller_reads_on(
     world: DyingWorld, states_start: bool
 ) -> None:
