--- a/tests/forwarding/test_forwarding_doubted_ends.py
+++ b/tests/forwarding/test_forwarding_doubted_ends.py
@@ -233,3 +233,15 @@
     resume.set()
     await resting
     assert (seen.status, seen.whole) == (200, False)
+
+
+# Guards against a complete answer that counts as broken off, since its upstream is silent for a
+# second or so after it, as a sound one may be.
+async def test_answer_of_an_upstream_that_is_silent_after_it_is_broken_off(
+    world: DyingWorld,
+) -> None:
+    upstream = EndingUpstream(world)
+    await upstream.async_start(ending="pause")
+    await upstream.async_list()
+    seen = await world.async_ask("r1", "/draft/a", events=True)
+    assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_whole()))
