An end that can't be confirmed is a crash only if the process has ended

Seen: a complete answer of an upstream that accepted no further connection counted as broken off, and implicated the parts of its prompt in a crash. Cause: each end without evidence of life was recorded as a broken connection. Fix: crash evidence is only an end whose upstream refused a connection or stated another start (`restarted`, told from `unreachable` now), and was not known to leave. The case `full` of test_forwarding_doubted_ends.py failed before.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -52,7 +52,9 @@
     """An attempt at one upstream; it must be closed in all cases.
 
     Once `sent` is true, the upstream may run the request. `reused` is true if the connection
-    carried an earlier exchange. `on_head` is called with the metadata of each response.
+    carried an earlier exchange. `may_have_crashed` is false if the answer has broken off and
+    nothing shows that the process has ended, or it was known to leave. `on_head` is called with
+    the metadata of each response.
     """
 
     __slots__ = (
@@ -64,6 +66,7 @@
         "_pool",
         "_request",
         "entry",
+        "may_have_crashed",
         "metadata",
         "options",
         "reused",
@@ -93,6 +96,7 @@
         self.metadata: ResponseMetadata | None = None
         self.reused = False
         self.sent = False
+        self.may_have_crashed = True
 
     async def async_connect(
         self, *, repeatable: bool, start_check: StartCheck = StartCheck.NEVER
@@ -136,7 +140,7 @@
         try:
             return await self._async_read(connection)
         except ConnectionBroken as error:
-            return ResponseLost(reason=str(error), connection_broken=True)
+            return ResponseLost(reason=str(error), connection_broken=self.may_have_crashed)
 
     async def _async_find_missing_end(self, answer: HttpResponse) -> str | None:
         """Return why an answer whose body has ended is incomplete, None if it is complete."""
@@ -145,6 +149,9 @@
             return None
         watch = self._end_watch or self._ends.watch(self.entry, connection)
         verdict = await self._ends.async_check(watch, request_id=self._request.request_id)
+        leaving = self.metadata is not None and self.metadata.draining
+        leaving = leaving or self._ends.is_leaving(self.entry)
+        self.may_have_crashed = verdict.shows_death and not leaving
         return None if verdict.complete else f"ended with its upstream: {verdict.value}"
 
     def release(self) -> None:
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -291,7 +291,7 @@
         if connection.peer_started_ms not in (NOT_STATED, entry.started_ms):
             connection.close()
             self._starts.note_contradicted(entry)
-            raise ConnectFailed("another start of the upstream has its address")
+            raise ConnectFailed("another start of the upstream has its address", other_start=True)
         self._lost.discard(entry.incarnation)
 
     async def _async_acquire(
--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -37,9 +37,10 @@
     OPEN: another connection that was open before the end still is. ALIVE: the upstream accepted a
     new connection after the end, and states the same start if its entry has one. REFUSED: nothing
     listens there. SILENT: it accepted a connection, and states nothing. UNREACHABLE: no connection,
-    or another start. REPLACED: a connection, but the entry states no start, and is gone or
-    another upstream is listed at its address. UNPROVEN: a connection, but the entry
-    states no start, and it may have accepted it long after the end, as the caller rested.
+    or no start. RESTARTED: another start has its address. REPLACED: a connection, but the entry
+    states no start, and is gone or another upstream is listed at its address. UNPROVEN: a
+    connection, but the entry states no start, and it may have accepted it long after the end, as
+    the caller rested.
     """
 
     OPEN = "open"
@@ -47,6 +48,7 @@
     REFUSED = "refused"
     SILENT = "silent"
     UNREACHABLE = "unreachable"
+    RESTARTED = "restarted"
     REPLACED = "replaced"
     UNPROVEN = "unproven"
 
@@ -55,6 +57,11 @@
         """Return whether the answer counts as complete."""
         return self in (EndVerdict.OPEN, EndVerdict.ALIVE)
 
+    @property
+    def shows_death(self) -> bool:
+        """Return whether the process is known to have ended."""
+        return self in (EndVerdict.REFUSED, EndVerdict.RESTARTED)
+
 
 class OtherConnection(Struct, frozen=True, kw_only=True):
     """Another open connection to the upstream of an answer (monotonic milliseconds).
@@ -244,11 +251,18 @@
         except ConnectFailed as error:
             if error.refused:
                 return EndVerdict.REFUSED
+            if error.other_start:
+                return EndVerdict.RESTARTED
             return EndVerdict.SILENT if error.silent else EndVerdict.UNREACHABLE
         if entry.started_ms or self._has_address(entry):
             return EndVerdict.ALIVE
         return EndVerdict.REPLACED
 
+    def is_leaving(self, entry: Entry) -> bool:
+        """Return whether an upstream is known to end by itself."""
+        listed = self._directory.get_incarnation(entry.incarnation)
+        return listed is not None and listed.state is EntryState.LEAVING
+
     def _has_address(self, entry: Entry) -> bool:
         """Return whether an upstream is listed, and no other one is at its address."""
         listed = self._directory.get_incarnation(entry.incarnation)
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -366,7 +366,7 @@
         message = f"stream {end.result.value}"
         if end.fault is None:
             self._record_broken(run)
-        self._recorder.record_broken_stream(run.attempt.entry, message=message, fault=end.fault)
+        self._recorder.record_broken_stream(run.attempt, message=message, fault=end.fault)
         run.attempt.close()
         return await self._retries.async_decide_after_stream(message=message)
 
--- a/gypsumrouter/forwarding/outcome_recorder.py
+++ b/gypsumrouter/forwarding/outcome_recorder.py
@@ -77,16 +77,18 @@
         self._progress.note_possible_run(upstream)
 
     def record_broken_stream(
-        self, entry: Entry, *, message: str, fault: OrderFault | None = None
+        self, attempt: Attempt, *, message: str, fault: OrderFault | None = None
     ) -> None:
         """Record that a stream has broken off, or with a `fault` that it was broken off for that.
 
         An upstream whose run does not go on behind the events that the caller has is sound: it has
         not crashed, and serves new streams as before.
         """
+        entry = attempt.entry
         if fault is None:
             self.record_lost(
-                entry.incarnation, ResponseLost(reason=message, connection_broken=True)
+                entry.incarnation,
+                ResponseLost(reason=message, connection_broken=attempt.may_have_crashed),
             )
             return
         # What a caller says of the events that it has proves nothing of an upstream.
--- a/gypsumrouter/forwarding/replacement.py
+++ b/gypsumrouter/forwarding/replacement.py
@@ -210,7 +210,7 @@
             self.standby.discard(run)
             run.note_outcome(outcome)
             if fault is not None:
-                self._recorder.record_broken_stream(run.attempt.entry, message="", fault=fault)
+                self._recorder.record_broken_stream(run.attempt, message="", fault=fault)
             elif not isinstance(outcome, Withheld | StreamingResponse):
                 self._recorder.record(run.attempt, outcome)
             run.end("elsewhere")
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -49,11 +49,20 @@
     """The connection could not be established, so nothing was sent.
 
     `refused` is set if the host refused the connection because nothing listens on the port,
-    `silent` if there is a connection and the peer did not answer a question on it in time.
+    `silent` if there is a connection and the peer did not answer a question on it in time,
+    `other_start` if the peer stated another start of the upstream.
     """
 
-    def __init__(self, message: str, *, refused: bool = False, silent: bool = False) -> None:
+    def __init__(
+        self,
+        message: str,
+        *,
+        refused: bool = False,
+        silent: bool = False,
+        other_start: bool = False,
+    ) -> None:
         super().__init__(message)
+        self.other_start = other_start
         self.refused = refused
         self.silent = silent
 
--- a/tests/forwarding/test_forwarding_doubted_ends.py
+++ b/tests/forwarding/test_forwarding_doubted_ends.py
@@ -245,3 +245,17 @@
     await upstream.async_list()
     seen = await world.async_ask("r1", "/draft/a", events=True)
     assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_whole()))
+
+
+# Guards against a complete answer that implicates the parts of its prompt in a crash.
+@pytest.mark.parametrize("ending", ["full", "pause"])
+async def test_complete_answer_counts_as_a_crash(world: DyingWorld, ending: str) -> None:
+    upstream = EndingUpstream(world)
+    await upstream.async_start(ending=ending)
+    await upstream.async_list()
+    await world.async_ask("r1", "/draft/a", events=True)
+    await asyncio.sleep(1.5)
+    suspects = world.product.app.dump()["suspects"]
+    assert isinstance(suspects, dict)
+    # Subjects with an implication in a crash.
+    assert suspects["judged"] == 0
