A connection that is dropped after it was accepted is no refusal

Seen: a complete answer was reset since its upstream, at its bound of connections, reset the one on which it was asked. Cause: a question without an answer counted as an upstream that can't be reached. The kernel also resets what a dying process has not accepted yet, but refuses the next connection. If the second one is dropped, too, something listens there, and the answer is complete (`dropped`); not if another answer ended with it, or its caller rested, and no older connection is open. The new case of test_forwarding_doubted_ends.py failed before.

--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -279,10 +279,11 @@
                 async with asyncio.timeout(max(1, timeout_ms) / MS_PER_S):
                     connection.peer_started_ms = await self._read_start(connection)
             except (ConnectionBroken, TimeoutError) as error:
+                dropped = not connection.open
                 connection.close()
                 silent = isinstance(error, TimeoutError)
                 message = f"the upstream does not state its start: {error}"
-                raise ConnectFailed(message, silent=silent) from error
+                raise ConnectFailed(message, silent=silent, dropped=dropped) from error
             except BaseException:
                 connection.close()
                 raise
--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -35,12 +35,12 @@
     """What shows that an unframed answer is complete or broken off; the values are in the journal.
 
     OPEN: another connection that was open before the end still is. ALIVE: the upstream accepted a
-    new connection after the end, and states the same start if its entry has one. REFUSED: nothing
-    listens there. SILENT: it accepted a connection, and states nothing. UNREACHABLE: no connection,
-    or no start. RESTARTED: another start has its address. REPLACED: a connection, but the entry
-    states no start, and is gone or another upstream is listed at its address. UNPROVEN: a
-    connection, but the entry states no start, and it may have accepted it long after the end, as
-    the caller rested.
+    new connection after the end, and states the same start if its entry has one. DROPPED: a
+    listener accepted and closed two connections. REFUSED: nothing listens there. SILENT: it
+    accepted a connection, and states nothing. UNREACHABLE: no connection, or no start. RESTARTED:
+    another start has its address. REPLACED: a connection, but the entry states no start, and is
+    gone or another upstream is listed at its address. UNPROVEN: a connection, but the entry states
+    no start, and it may have accepted it long after the end, as the caller rested.
     """
 
     OPEN = "open"
@@ -48,6 +48,7 @@
     REFUSED = "refused"
     SILENT = "silent"
     UNREACHABLE = "unreachable"
+    DROPPED = "dropped"
     RESTARTED = "restarted"
     REPLACED = "replaced"
     UNPROVEN = "unproven"
@@ -55,7 +56,7 @@
     @property
     def complete(self) -> bool:
         """Return whether the answer counts as complete."""
-        return self in (EndVerdict.OPEN, EndVerdict.ALIVE)
+        return self in (EndVerdict.OPEN, EndVerdict.ALIVE, EndVerdict.DROPPED)
 
     @property
     def shows_death(self) -> bool:
@@ -201,10 +202,13 @@
         ):
             return EndVerdict.OPEN
         verdict = await self._async_probe(entry, seen_ms)
-        if verdict is not EndVerdict.ALIVE or entry.started_ms:
+        if verdict is EndVerdict.ALIVE and entry.started_ms:
+            return verdict
+        if verdict not in (EndVerdict.ALIVE, EndVerdict.DROPPED):
             return verdict
         outlived = any(other.opened_ms < ended_ms for other in self._list_others(watch))
-        if watch.paused_ms and not outlived:
+        unsure = watch.paused_ms or (joint and verdict is EndVerdict.DROPPED)
+        if unsure and not outlived:
             return EndVerdict.UNPROVEN
         return verdict
 
@@ -245,10 +249,17 @@
             probe = self._probes[entry.incarnation] = Probe(begun_ms=now_ms, task=task)
         return await asyncio.shield(probe.task)
 
-    async def _async_ask(self, entry: Entry) -> EndVerdict:
+    async def _async_ask(self, entry: Entry, *, may_repeat: bool = True) -> EndVerdict:
         try:
             await self._pool.async_confirm(entry, timeout_ms=PROBE_TIMEOUT_MS)
         except ConnectFailed as error:
+            if error.dropped and may_repeat:
+                # The kernel also resets what a process that dies hasn't accepted yet. It then
+                # refuses the next connection.
+                await self._app.clock.async_sleep(SETTLE_MS)
+                return await self._async_ask(entry, may_repeat=False)
+            if error.dropped:
+                return EndVerdict.DROPPED
             if error.refused:
                 return EndVerdict.REFUSED
             if error.other_start:
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -50,7 +50,8 @@
 
     `refused` is set if the host refused the connection because nothing listens on the port,
     `silent` if there is a connection and the peer did not answer a question on it in time,
-    `other_start` if the peer stated another start of the upstream.
+    `other_start` if the peer stated another start of the upstream, `dropped` if it closed or reset
+    a connection that it had accepted.
     """
 
     def __init__(
@@ -60,9 +61,11 @@
         refused: bool = False,
         silent: bool = False,
         other_start: bool = False,
+        dropped: bool = False,
     ) -> None:
         super().__init__(message)
         self.other_start = other_start
+        self.dropped = dropped
         self.refused = refused
         self.silent = silent
 
--- a/tests/forwarding/test_forwarding_doubted_ends.py
+++ b/tests/forwarding/test_forwarding_doubted_ends.py
@@ -214,6 +214,18 @@
     assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_whole(10_000)))
 
 
+# Guards against complete answers that count as broken off, since their upstream resets a connection
+# more than it bears.
+async def test_answer_of_an_upstream_that_accepts_no_further_connection_is_broken_off(
+    world: DyingWorld,
+) -> None:
+    upstream = EndingUpstream(world)
+    await upstream.async_start(ending="full")
+    await upstream.async_list()
+    seen = await world.async_ask("r1", "/draft/a", events=True)
+    assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_whole()))
+
+
 # Guards against trust in a connection of which nothing is read, as its caller rests: its end has
 # arrived, and is not seen.
 @pytest.mark.parametrize("states_start", [True, False], ids=["start", "no_start"])
