--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -12,6 +12,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 from enum import Enum, auto
+from functools import partial
 from typing import Final
 
 from msgspec import Struct
@@ -187,8 +188,9 @@
         self.release(entry, pooled.connection)
 
     def list_open(self, entry: Entry) -> list[HttpConnection]:
-        """Return the connections to an incarnation whose peer has not closed them."""
-        return [other for other in self._list_open(entry.incarnation) if not other.ended_ms]
+        """Return the connections to an incarnation whose peer is known not to have closed them."""
+        opened = self._list_open(entry.incarnation)
+        return [other for other in opened if not other.may_have_ended()]
 
     def get_lost_ms(self, entry: Entry) -> int | None:
         """Return when an incarnation last closed or reset a connection without announcing it."""
@@ -204,6 +206,9 @@
         connection = await self._async_open(entry, timeout_ms=timeout_ms)
         if entry.started_ms:
             await self._async_verify_start(entry, connection, timeout_ms=timeout_ms)
+            if connection.peer_started_ms == NOT_STATED:
+                connection.close()
+                raise ConnectFailed("the upstream does not state its start")
             self._starts.note_stated(entry, at_ms=asked_ms)
         self.release(entry, connection)
 
@@ -250,7 +255,7 @@
 
     def _vouches(self, other: HttpConnection, entry: Entry) -> bool:
         """Return whether an open connection is known to lead to the start of an entry."""
-        if other.peer_started_ms not in (None, entry.started_ms):
+        if other.may_have_ended() or other.peer_started_ms not in (None, entry.started_ms):
             return False
         return self._starts.is_open_proven(entry, other)
 
@@ -274,10 +279,11 @@
                 async with asyncio.timeout(max(1, timeout_ms) / MS_PER_S):
                     connection.peer_started_ms = await self._read_start(connection)
             except (ConnectionBroken, TimeoutError) as error:
+                dropped = not connection.open
                 connection.close()
                 silent = isinstance(error, TimeoutError)
                 message = f"the upstream does not state its start: {error}"
-                raise ConnectFailed(message, silent=silent) from error
+                raise ConnectFailed(message, silent=silent, dropped=dropped) from error
             except BaseException:
                 connection.close()
                 raise
@@ -286,7 +292,7 @@
         if connection.peer_started_ms not in (NOT_STATED, entry.started_ms):
             connection.close()
             self._starts.note_contradicted(entry)
-            raise ConnectFailed("another start of the upstream has its address")
+            raise ConnectFailed("another start of the upstream has its address", other_start=True)
         self._lost.discard(entry.incarnation)
 
     async def _async_acquire(
@@ -313,7 +319,7 @@
             raise ConnectFailed("the upstream has no address")
         connection = await async_connect(address=entry.address, timeout_ms=timeout_ms)
         connection.opened_ms = self._app.clock.now_ms()
-        connection.on_end = self._note_end
+        connection.on_end = partial(self._note_end, connection)
         self._opened.inc()
         self._list_open(entry.incarnation).append(connection)
         return connection
--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -22,19 +22,25 @@
 # The connections of a process that dies are closed within this time of each other; a loss this
 # long before an end belongs to it.
 SETTLE_MS: Final = 40
+# Ends are kept for the answers that end within SETTLE_MS of them, with room for pauses of this
+# process.
+KEPT_ENDS_MS: Final = 1_000
 # For a connect, and for a question on it. Within CONNECT_TIMEOUT_MS, 7 of 7,577 complete answers
-# were taken for broken on a busy machine. A process that is gone refuses at once.
-PROBE_TIMEOUT_MS: Final = 1_000
+# were taken for broken on a busy machine, and a sound upstream may be silent for over a second
+# (MAX_SILENCE_MS). A process that is gone refuses at once.
+PROBE_TIMEOUT_MS: Final = 2_000
 
 
 class EndVerdict(StrEnum):
     """What shows that an unframed answer is complete or broken off; the values are in the journal.
 
     OPEN: another connection that was open before the end still is. ALIVE: the upstream accepted a
-    new connection after the end, and states the same start if its entry has one. REFUSED: nothing
-    listens there. SILENT: it accepted a connection, and states nothing. UNREACHABLE: no connection,
-    or another start. REPLACED: a connection, but the entry states no start, and is gone or
-    another upstream is listed at its address.
+    new connection after the end, and states the same start if its entry has one. DROPPED: a
+    listener accepted and closed two connections. REFUSED: nothing listens there. SILENT: it
+    accepted a connection, and states nothing. UNREACHABLE: no connection, or no start. RESTARTED:
+    another start has its address. REPLACED: a connection, but the entry states no start, and is
+    gone or another upstream is listed at its address. UNPROVEN: a connection, but the entry states
+    no start, and it may have accepted it long after the end, as the caller rested.
     """
 
     OPEN = "open"
@@ -42,12 +48,20 @@
     REFUSED = "refused"
     SILENT = "silent"
     UNREACHABLE = "unreachable"
+    DROPPED = "dropped"
+    RESTARTED = "restarted"
     REPLACED = "replaced"
+    UNPROVEN = "unproven"
 
     @property
     def complete(self) -> bool:
         """Return whether the answer counts as complete."""
-        return self in (EndVerdict.OPEN, EndVerdict.ALIVE)
+        return self in (EndVerdict.OPEN, EndVerdict.ALIVE, EndVerdict.DROPPED)
+
+    @property
+    def shows_death(self) -> bool:
+        """Return whether the process is known to have ended."""
+        return self in (EndVerdict.REFUSED, EndVerdict.RESTARTED)
 
 
 class OtherConnection(Struct, frozen=True, kw_only=True):
@@ -85,10 +99,23 @@
     task: asyncio.Task[EndVerdict]
 
 
+class EndWatch(Struct, kw_only=True):
+    """An answer that ends with its connection.
+
+    `paused_ms` is when its reading was first paused, 0 if it wasn't: from then on its end may have
+    come unseen, since a FIN stays behind bytes for which the receive window has no room.
+    """
+
+    entry: Entry
+    connection: HttpConnection
+    paused_ms: int = 0
+    task: asyncio.Task[EndVerdict] | None = None
+
+
 class EndChecks:
     """Decides for each answer that ended with its connection whether it is complete."""
 
-    __slots__ = ("_app", "_counter", "_directory", "_journal", "_pool", "_probes")
+    __slots__ = ("_app", "_counter", "_directory", "_ended_ms", "_journal", "_pool", "_probes")
 
     def __init__(
         self, *, app: Application, pool: ConnectionPool, directory: Directory, journal: Journal
@@ -98,52 +125,115 @@
         self._pool = pool
         # The last question to an incarnation.
         self._probes: dict[str, Probe] = {}
+        # When answers of an incarnation last ended, one for each.
+        self._ended_ms: dict[str, list[int]] = {}
         self._journal = journal
         self._counter = app.metrics.counter(
             "gypsumrouter_unframed_ends_total",
             "Answers without a length or chunks that ended, by the evidence of their end",
         )
 
-    async def async_check(
-        self, entry: Entry, connection: HttpConnection, *, request_id: str
-    ) -> EndVerdict:
+    def watch(self, entry: Entry, connection: HttpConnection) -> EndWatch:
+        """Begin the check of an answer at the moment at which its connection ends.
+
+        Its caller may read the end long after that, when the upstream may be another process.
+        """
+        watch = EndWatch(entry=entry, connection=connection)
+        if connection.ended_ms or not connection.open:
+            self._begin(watch)
+            return watch
+        note_end = connection.on_end
+
+        def on_end() -> None:
+            if note_end is not None:
+                note_end()
+            # Not if this process has closed it.
+            if connection.open:
+                self._begin(watch)
+
+        def on_pause() -> None:
+            watch.paused_ms = watch.paused_ms or self._app.clock.now_ms()
+
+        connection.on_end = on_end
+        connection.watch_pauses(on_pause)
+        return watch
+
+    def _begin(self, watch: EndWatch) -> asyncio.Task[EndVerdict]:
+        if watch.task is None:
+            watch.task = self._app.async_create_task(
+                self._async_decide(watch), "check the end of an answer"
+            )
+        return watch.task
+
+    async def async_check(self, watch: EndWatch, *, request_id: str) -> EndVerdict:
         """Return what is known of the end of an answer on a connection that its peer has closed.
 
         This takes SETTLE_MS, and the time of a connect and a question if no connection tells.
         """
-        clock = self._app.clock
-        begun_ms = clock.now_ms()
-        ended_ms = connection.ended_ms or begun_ms
-        # Twice, so that what arrived during a pause of this process is read before the last part.
-        for _ in range(2):
-            await clock.async_sleep(SETTLE_MS // 2)
-        verdict = EndVerdict.OPEN
-        if not self._outlived(entry, connection, ended_ms):
-            verdict = await self._async_probe(entry, ended_ms)
+        begun_ms = self._app.clock.now_ms()
+        verdict = await asyncio.shield(self._begin(watch))
         self._counter.inc(labels=(("evidence", verdict.value),))
         self._journal.record(
             UnframedEnd(
                 request_id=request_id,
-                upstream=entry.incarnation,
+                upstream=watch.entry.incarnation,
                 evidence=verdict.value,
                 complete=verdict.complete,
-                took_ms=clock.now_ms() - begun_ms,
+                took_ms=self._app.clock.now_ms() - begun_ms,
             )
         )
         return verdict
 
-    def _outlived(self, entry: Entry, connection: HttpConnection, ended_ms: int) -> bool:
-        others = [
+    async def _async_decide(self, watch: EndWatch) -> EndVerdict:
+        clock = self._app.clock
+        begun_ms = clock.now_ms()
+        entry = watch.entry
+        seen_ms = watch.connection.ended_ms or begun_ms
+        ended_ms = watch.paused_ms or seen_ms
+        self._note_ended(entry, seen_ms)
+        # Twice, so that what arrived during a pause of this process is read before the last part.
+        for _ in range(2):
+            await clock.async_sleep(SETTLE_MS // 2)
+        others = self._list_others(watch)
+        lost_ms = self._pool.get_lost_ms(entry)
+        joint = self._count_ended(entry, seen_ms) > 1
+        if not joint and proves_alive(
+            others, ended_ms=ended_ms, lost_ms=lost_ms, started_ms=entry.started_ms
+        ):
+            return EndVerdict.OPEN
+        verdict = await self._async_probe(entry, seen_ms)
+        if verdict is EndVerdict.ALIVE and entry.started_ms:
+            return verdict
+        if verdict not in (EndVerdict.ALIVE, EndVerdict.DROPPED):
+            return verdict
+        outlived = any(other.opened_ms < ended_ms for other in self._list_others(watch))
+        unsure = watch.paused_ms or (joint and verdict is EndVerdict.DROPPED)
+        if unsure and not outlived:
+            return EndVerdict.UNPROVEN
+        return verdict
+
+    def _note_ended(self, entry: Entry, ended_ms: int) -> None:
+        """Note the end of an answer, and forget the ends that can't belong to a later one."""
+        past_ms = self._app.clock.now_ms() - KEPT_ENDS_MS
+        self._ended_ms = {
+            incarnation: ended
+            for incarnation, ended in self._ended_ms.items()
+            if ended[-1] >= past_ms
+        }
+        known = self._ended_ms.get(entry.incarnation, [])
+        self._ended_ms[entry.incarnation] = [at for at in known if at >= past_ms] + [ended_ms]
+
+    def _count_ended(self, entry: Entry, ended_ms: int) -> int:
+        """Return how many answers of an upstream have ended together, at `ended_ms`."""
+        ended = self._ended_ms.get(entry.incarnation, ())
+        return sum(abs(at - ended_ms) <= SETTLE_MS for at in ended)
+
+    def _list_others(self, watch: EndWatch) -> list[OtherConnection]:
+        return [
             OtherConnection(opened_ms=other.opened_ms, peer_started_ms=other.peer_started_ms)
-            for other in self._pool.list_open(entry)
-            if other is not connection
+            for other in self._pool.list_open(watch.entry)
+            if other is not watch.connection
         ]
-        return proves_alive(
-            others,
-            ended_ms=ended_ms,
-            lost_ms=self._pool.get_lost_ms(entry),
-            started_ms=entry.started_ms,
-        )
 
     async def _async_probe(self, entry: Entry, ended_ms: int) -> EndVerdict:
         """Ask the upstream, once for all answers that ended before the question."""
@@ -159,17 +249,31 @@
             probe = self._probes[entry.incarnation] = Probe(begun_ms=now_ms, task=task)
         return await asyncio.shield(probe.task)
 
-    async def _async_ask(self, entry: Entry) -> EndVerdict:
+    async def _async_ask(self, entry: Entry, *, may_repeat: bool = True) -> EndVerdict:
         try:
             await self._pool.async_confirm(entry, timeout_ms=PROBE_TIMEOUT_MS)
         except ConnectFailed as error:
+            if error.dropped and may_repeat:
+                # The kernel also resets what a process that dies hasn't accepted yet. It then
+                # refuses the next connection.
+                await self._app.clock.async_sleep(SETTLE_MS)
+                return await self._async_ask(entry, may_repeat=False)
+            if error.dropped:
+                return EndVerdict.DROPPED
             if error.refused:
                 return EndVerdict.REFUSED
+            if error.other_start:
+                return EndVerdict.RESTARTED
             return EndVerdict.SILENT if error.silent else EndVerdict.UNREACHABLE
         if entry.started_ms or self._has_address(entry):
             return EndVerdict.ALIVE
         return EndVerdict.REPLACED
 
+    def is_leaving(self, entry: Entry) -> bool:
+        """Return whether an upstream is known to end by itself."""
+        listed = self._directory.get_incarnation(entry.incarnation)
+        return listed is not None and listed.state is EntryState.LEAVING
+
     def _has_address(self, entry: Entry) -> bool:
         """Return whether an upstream is listed, and no other one is at its address."""
         listed = self._directory.get_incarnation(entry.incarnation)
--- /dev/null
+++ b/tests/forwarding/test_forwarding_doubted_ends.py
@@ -0,0 +1,273 @@
+"""Ends of unframed answers that are still taken at their word, or are doubted without need."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import time
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+from dying_world import DyingWorld, Seen, read_answer
+from ending_upstream import PIECES, make_piece
+from forwarding_world import CALLER_KEY, HOST, KEY, PROMPT
+
+from gypsumrouter.instances import Address
+
+PROGRAM = Path(__file__).with_name("ending_upstream.py")
+HELD = 3
+LARGE = 50_000
+
+
+class EndingUpstream:
+    """A process of `ending_upstream.py`."""
+
+    def __init__(self, world: DyingWorld) -> None:
+        self._world = world
+        self.born = 0
+        self.port = 0
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def async_start(
+        self, *, held: int = 0, ending: str = "die", states_start: bool = True, size: int = 10
+    ) -> None:
+        """Start it at the port that it had, if it had one."""
+        self.born = time.time_ns() // 1_000_000 if states_start else 0
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-S", str(PROGRAM), "i-1", str(self.born), str(held),
+            str(self.port), ending, str(size), stdout=asyncio.subprocess.PIPE,
+        )  # fmt: skip
+        self.process = process
+        self._world.processes.append(self)  # type: ignore[arg-type]
+        self.port = int(await self.async_read_line())
+
+    async def async_list(self) -> None:
+        """Write its entry, and wait until the forwarder lists it."""
+        more = {"born": self.born} if self.born else {}
+        await self._world.store.async_put_runner(
+            "i-1", service="models", address=Address(host="127.0.0.1", port=self.port),
+            state="ready", version="v1", **more,
+        )  # fmt: skip
+        await self._world.async_until(
+            lambda: "i-1" in str(self._world.product.app.dump()["directory"])
+        )
+
+    async def async_read_line(self) -> str:
+        """Return the next line that it prints."""
+        assert self.process is not None
+        assert self.process.stdout is not None
+        async with asyncio.timeout(10):
+            return (await self.process.stdout.readline()).decode().strip()
+
+    async def async_end(self, number: signal.Signals = signal.SIGKILL) -> None:
+        """Send it a signal, and wait until it has ended."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+            await self.process.wait()
+
+
+@pytest.fixture
+async def world(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[DyingWorld]:
+    """Start a store and a forwarder without upstreams."""
+    monkeypatch.setenv("GYPSUMROUTER_LINK_KEY", KEY)
+    async with DyingWorld() as dying:
+        yield dying
+
+
+async def async_ask_slowly(
+    world: DyingWorld, request_id: str, resume: asyncio.Event, path: str = "/draft/a"
+) -> Seen:
+    """Send a request, and read nothing of its answer until `resume` is set."""
+    address = world.product.addresses["callers"]
+    reader, writer = await asyncio.open_connection(address.host, address.port, limit=1_024)
+    headers = {"Host": HOST, "X-Request-Id": request_id, "Api-Key": CALLER_KEY}
+    headers |= {"X-Deadline-Ms": "8000", "Connection": "close", "Content-Length": "1"} | PROMPT
+    lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    writer.write(f"POST {path} HTTP/1.1\r\n{lines}\r\np".encode())
+    writer.transport.pause_reading()  # type: ignore[attr-defined]
+    await resume.wait()
+    writer.transport.resume_reading()  # type: ignore[attr-defined]
+    received, reset = b"", False
+    try:
+        async with asyncio.timeout(15):
+            while part := await reader.read(65_536):
+                received += part
+    except ConnectionError:
+        reset = True
+    writer.close()
+    return read_answer(received, reset=reset)
+
+
+def make_whole(size: int = 10) -> bytes:
+    """Return all events."""
+    return b"".join(make_piece(number, size) for number in range(1, PIECES + 1))
+
+
+# Guards against trust in an idle connection of a process that ends its answers first and exits
+# later.
+async def test_upstream_that_ends_its_answers_before_its_idle_connections_on_sigterm(
+    world: DyingWorld,
+) -> None:
+    upstream = EndingUpstream(world)
+    await upstream.async_start(held=HELD, ending="slow")
+    await upstream.async_list()
+    assert (await world.async_ask("framed", "/draft/framed", events=False)).status == 200
+    asked = [
+        asyncio.create_task(world.async_ask(f"r{i}", "/draft/a", events=True)) for i in range(3)
+    ]
+    # The first of them reuses the idle connection; another idle one is needed beside them.
+    for _ in asked:
+        await upstream.async_read_line()
+    assert (await world.async_ask("framed2", "/draft/framed", events=False)).status == 200
+    await upstream.async_end(signal.SIGTERM)
+    seen = [await answer for answer in asked]
+    assert [(answer.status, answer.whole) for answer in seen] == [(200, False)] * 3
+
+
+# Guards against a new process at the same port that vouches for the one that was killed.
+@pytest.mark.parametrize("case", ["start_not_stated_again"])
+async def test_restart_at_once_vouches_for_the_start_that_was_killed(
+    world: DyingWorld, case: str
+) -> None:
+    upstream = EndingUpstream(world)
+    states_start = case != "no_start"
+    await upstream.async_start(held=HELD, states_start=states_start)
+    await upstream.async_list()
+    assert (await world.async_ask("framed", "/draft/framed", events=False)).status == 200
+    asked = [
+        asyncio.create_task(world.async_ask(f"r{i}", "/draft/a", events=True)) for i in range(3)
+    ]
+    for _ in asked:
+        await upstream.async_read_line()
+    # Everything of a process is closed at once; the next one is at the port before the settle time.
+    process = upstream.process
+    assert process is not None
+    relisten = asyncio.create_task(async_listen_at_once(upstream, process))
+    process.kill()
+    server = await relisten
+    seen = [await answer for answer in asked]
+    server.close()
+    assert [(answer.status, answer.whole) for answer in seen] == [(200, False)] * 3
+
+
+async def async_listen_at_once(
+    upstream: EndingUpstream, process: asyncio.subprocess.Process
+) -> asyncio.Server:
+    """Listen at the port of a process as soon as it is free; no answer states a start."""
+
+    async def async_serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while await reader.readuntil(b"\r\n\r\n"):
+                body = b'{"epoch":1,"next":1,"held":[]}'
+                head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            writer.close()
+
+    while True:
+        try:
+            return await asyncio.start_server(
+                async_serve, "127.0.0.1", upstream.port, reuse_address=True
+            )
+        except OSError:
+            await asyncio.sleep(0.001)
+
+
+# Guards against evidence that is collected when a caller reads on, long after the end of an answer.
+@pytest.mark.parametrize("states_start", [True, False], ids=["start", "no_start"])
+async def test_killed_upstream_is_back_when_a_resting_caller_reads_on(
+    world: DyingWorld, states_start: bool
+) -> None:
+    upstream = EndingUpstream(world)
+    await upstream.async_start(held=PIECES - 1, states_start=states_start, size=LARGE)
+    await upstream.async_list()
+    resume = asyncio.Event()
+    asked = asyncio.create_task(async_ask_slowly(world, "r1", resume))
+    await asyncio.sleep(1.0)
+    await upstream.async_end()
+    # It is back before the list says so; a request leaves a kept connection to it.
+    await upstream.async_start(states_start=states_start)
+    await world.async_ask("framed", "/draft/framed", events=False)
+    await world.async_ask("framed2", "/draft/framed", events=False)
+    resume.set()
+    seen = await asked
+    assert (seen.status, seen.whole) == (200, False)
+
+
+# Guards against a complete answer that counts as broken off, since its upstream has left when its
+# caller reads on.
+async def test_complete_answer_is_broken_off_as_its_upstream_leaves_before_the_caller_reads_on(
+    world: DyingWorld,
+) -> None:
+    upstream = EndingUpstream(world)
+    await upstream.async_start(size=10_000)
+    await upstream.async_list()
+    assert (await world.async_ask("framed", "/draft/framed", events=False)).status == 200
+    resume = asyncio.Event()
+    asked = asyncio.create_task(async_ask_slowly(world, "r1", resume))
+    await asyncio.sleep(2.0)
+    await upstream.async_end(signal.SIGTERM)
+    resume.set()
+    seen = await asked
+    assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_whole(10_000)))
+
+
+# Guards against complete answers that count as broken off, since their upstream resets a connection
+# more than it bears.
+async def test_answer_of_an_upstream_that_accepts_no_further_connection_is_broken_off(
+    world: DyingWorld,
+) -> None:
+    upstream = EndingUpstream(world)
+    await upstream.async_start(ending="full")
+    await upstream.async_list()
+    seen = await world.async_ask("r1", "/draft/a", events=True)
+    assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_whole()))
+
+
+# Guards against trust in a connection of which nothing is read, as its caller rests: its end has
+# arrived, and is not seen.
+@pytest.mark.parametrize("states_start", [True, False], ids=["start", "no_start"])
+async def test_connection_of_a_resting_caller_vouches_for_an_upstream_that_was_killed(
+    world: DyingWorld, states_start: bool
+) -> None:
+    upstream = EndingUpstream(world)
+    await upstream.async_start(held=HELD, states_start=states_start)
+    await upstream.async_list()
+    resume = asyncio.Event()
+    resting = asyncio.create_task(async_ask_slowly(world, "r0", resume, "/draft/large"))
+    await asyncio.sleep(0.5)
+    asked = asyncio.create_task(world.async_ask("r1", "/draft/a", events=True))
+    assert await upstream.async_read_line() == "held"
+    await upstream.async_end()
+    seen = await asked
+    resume.set()
+    await resting
+    assert (seen.status, seen.whole) == (200, False)
+
+
+# Guards against a complete answer that counts as broken off, since its upstream is silent for a
+# second or so after it, as a sound one may be.
+async def test_answer_of_an_upstream_that_is_silent_after_it_is_broken_off(
+    world: DyingWorld,
+) -> None:
+    upstream = EndingUpstream(world)
+    await upstream.async_start(ending="pause")
+    await upstream.async_list()
+    seen = await world.async_ask("r1", "/draft/a", events=True)
+    assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_whole()))
+
+
+# Guards against a complete answer that implicates the parts of its prompt in a crash.
+@pytest.mark.parametrize("ending", ["full", "pause"])
+async def test_complete_answer_counts_as_a_crash(world: DyingWorld, ending: str) -> None:
+    upstream = EndingUpstream(world)
+    await upstream.async_start(ending=ending)
+    await upstream.async_list()
+    await world.async_ask("r1", "/draft/a", events=True)
+    await asyncio.sleep(1.5)
+    suspects = world.product.app.dump()["suspects"]
+    assert isinstance(suspects, dict)
+    # Subjects with an implication in a crash.
+    assert suspects["judged"] == 0
