--- a/gypsumrouter/forwarding/event_order.py
+++ b/gypsumrouter/forwarding/event_order.py
@@ -4,21 +4,17 @@
 
 from collections.abc import Callable, Iterable
 from enum import StrEnum
-from typing import Final, TypeAlias
+from typing import Final
 
 import xxhash
 from msgspec import Struct, field
 
-from gypsumrouter.helpers.numbers import read_number
+from gypsumrouter.helpers.numbers import Digits, read_digits, read_number
 
 # Ids of one stream that are remembered where they are no rising numbers: about 0.5 MB. Of a longer
 # stream the newest are, and the first one.
 MAX_KNOWN_IDS: Final = 4_096
 
-# Digits that compare as a number: how many there are without leading zeros, and which. Converting
-# them fails above some thousands.
-Digits: TypeAlias = tuple[int, str]
-
 
 class OrderFault(StrEnum):
     """Why an event can't follow those that the caller has; the values appear in the journal."""
@@ -120,14 +116,6 @@
             del self.known[next(iter(self.known))]
 
 
-def read_digits(text: str | None) -> Digits | None:
-    """Return ASCII digits of any length so that they compare as a number, None for other text."""
-    if text is None or not (text.isascii() and text.isdigit()):
-        return None
-    digits = text.lstrip("0")
-    return len(digits), digits
-
-
 def find_order_fault(
     relayed: RelayedIds, event_id: str | None, *, begins: bool
 ) -> OrderFault | None:
--- a/gypsumrouter/helpers/numbers.py
+++ b/gypsumrouter/helpers/numbers.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import re
-from typing import Final
+from typing import Final, TypeAlias
 
 from gypsumrouter.util.validation import MAX_JSON_INTEGER
 
@@ -19,8 +19,12 @@
 MAX_HEXADECIMAL_DIGITS: Final = 128
 HEXADECIMAL_BASE: Final = 16
 
+# How many digits there are without leading zeros, and which.
+Digits: TypeAlias = tuple[int, str]
+
 # Optional white space in headers (RFC 9110).
 _SPACES: Final = " \t"
+_DIGITS: Final = re.compile(r"[0-9]+")
 _WHOLE: Final = re.compile(rf"[0-9]{{1,{MAX_DIGITS}}}")
 _DECIMAL: Final = re.compile(
     rf"[0-9]{{1,{MAX_DIGITS}}}(\.[0-9]{{0,{MAX_DIGITS}}})?|\.[0-9]{{1,{MAX_DIGITS}}}"
@@ -43,6 +47,14 @@
     return number if cap is None else min(number, cap)
 
 
+def read_digits(text: str | None) -> Digits | None:
+    """Return digits of any length so that they compare as a number, None for other text."""
+    if text is None or _DIGITS.fullmatch(text) is None:
+        return None
+    digits = text.lstrip("0")
+    return len(digits), digits
+
+
 def read_numbers(text: str | None, *, largest: int = MAX_NUMBER) -> tuple[int, ...] | None:
     """Return the whole numbers between commas and spaces; None if one is none or too large."""
     numbers: list[int] = []
