--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -25,8 +25,7 @@
 # Ends are kept for the answers that end within SETTLE_MS of them, with room for pauses of this
 # process.
 KEPT_ENDS_MS: Final = 1_000
-# For a connect, and for a question on it. Within CONNECT_TIMEOUT_MS, 7 of 7,577 complete answers
-# were taken for broken on a busy machine, and a sound upstream may be silent for over a second
+# For a connect, and for a question on it: a sound upstream may be silent for over a second
 # (MAX_SILENCE_MS). A process that is gone refuses at once.
 PROBE_TIMEOUT_MS: Final = 2_000
 
