A busy router sends requests on whose callers have left

A process that is so late reads a request and, in the next round of its event loop, the end of its connection; with a kept connection the request is sent on in between. The deadline does not help, since it counts from the read.

Excluded: a regression of this logic.

Change: before a placement, and before a request is written to an upstream, the router looks whether its caller's connection has ended (poll, no read); so do the runs beside a silent upstream (obstacle 'caller'). Such a request ends as caller_gone.

--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -116,6 +116,7 @@
             limits=self._limits,
             contention=self._contention,
             journal=request_journal,
+            web_request=web_request,
             detects_crashes=Mechanism.SUSPECTS not in context.without,
             prioritized=Mechanism.PRIORITIES not in context.without,
         )
@@ -211,6 +212,7 @@
 
     async def _async_place(self) -> Run | web.StreamResponse | None:
         """Return a run at the best upstream, the response if there can't be one, None to repeat."""
+        self._run_context.check_caller()
         verdict = self._run_context.find_verdict()
         if verdict is not None:
             return self._endings.refuse_suspect(verdict)
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -53,7 +53,7 @@
 
 
 class CallerDisconnected(ConnectionError):
-    """The caller closed its connection while its response was being written."""
+    """The caller closed its connection before its response was written whole."""
 
 
 class Relay:
--- a/gypsumrouter/forwarding/replacement.py
+++ b/gypsumrouter/forwarding/replacement.py
@@ -20,7 +20,7 @@
 )
 from gypsumrouter.forwarding.next_step import STATUS_SERVER_ERROR, check_fits
 from gypsumrouter.forwarding.outcome_recorder import OutcomeRecorder
-from gypsumrouter.forwarding.relay import Relay
+from gypsumrouter.forwarding.relay import CallerDisconnected, Relay
 from gypsumrouter.forwarding.run import Run, RunContext
 from gypsumrouter.forwarding.silence import (
     Awaited,
@@ -246,6 +246,8 @@
             if failed is None:
                 spare = self._budget.try_acquire_spare(self._service, reserved=reserved)
                 failed = None if spare else NOT_SENT
+        except CallerDisconnected:
+            return Obstacle.CALLER
         finally:
             if failed is not None:
                 run.note_outcome(failed)
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 import msgspec
+from aiohttp import web
 from msgspec import Struct
 
 from gypsumrouter.core import Application
@@ -32,9 +33,11 @@
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.progress import Progress, TimeLimits
+from gypsumrouter.forwarding.relay import CallerDisconnected
 from gypsumrouter.forwarding.request_contention import RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
 from gypsumrouter.helpers.http_response import ConnectionBroken, Framing
+from gypsumrouter.helpers.socket_state import has_peer_ended
 from gypsumrouter.routing import RouteMatch
 
 NO_EVENT: Final = "ended before the first event"
@@ -56,6 +59,7 @@
     limits: TimeLimits
     contention: RequestContention
     journal: RequestJournal
+    web_request: web.BaseRequest
     detects_crashes: bool = True
     prioritized: bool = True
 
@@ -63,6 +67,11 @@
         """Return why the request must not be sent to another upstream, None if it may be."""
         return self.guard.find_refusal(self.subjects) if self.detects_crashes else None
 
+    def check_caller(self) -> None:
+        """Raise CallerDisconnected if the caller's connection has ended, also if that is unread."""
+        if has_peer_ended(self.web_request.transport):
+            raise CallerDisconnected
+
 
 class Run:
     """One attempt at one upstream; it counts as its load until `end`, which must be called.
@@ -136,12 +145,17 @@
         return self.placement.entry.incarnation
 
     async def async_open(self, start_check: StartCheck) -> Unreachable | Withheld | None:
-        """Acquire a connection; return why nothing can be sent on it, None if it can."""
+        """Acquire a connection; return why nothing can be sent on it, None if it can.
+
+        Raises CallerDisconnected.
+        """
         failed = await self.attempt.async_connect(
             repeatable=self._context.routed.route.repeatable, start_check=start_check
         )
         if failed is not None:
             return failed
+        # A busy process reads a request, and the end of its connection only after it was sent on.
+        self._context.check_caller()
         verdict = self._context.find_verdict()
         return None if verdict is None else Withheld(verdict=verdict)
 
--- a/gypsumrouter/forwarding/silence.py
+++ b/gypsumrouter/forwarding/silence.py
@@ -47,11 +47,18 @@
     UPSTREAM = "upstream"
     BUDGET = "budget"
     STOP = "stop"
+    CALLER = "caller"
 
     @property
     def is_final(self) -> bool:
         """Return whether nothing removes it while the request lasts."""
-        return self in {Obstacle.ROUTE, Obstacle.ATTEMPTS, Obstacle.TIME, Obstacle.SUSPECT}
+        return self in {
+            Obstacle.ROUTE,
+            Obstacle.ATTEMPTS,
+            Obstacle.TIME,
+            Obstacle.SUSPECT,
+            Obstacle.CALLER,
+        }
 
 
 class SilentRequest(Struct, frozen=True, kw_only=True):
