A pause of the process doesn't make a sound upstream unreachable

Cause: the timeout of a connect (200 ms) is a timer of the event loop. If the process stands still for longer while the kernel connects, the timer is due in the first iteration after the pause, before the connection that is there has been noticed. The upstream counts as unreachable and, if there is no other one, the request is refused with 503 no_instance. A caller of a real router gets the same; with uvloop timers come before input. Change: async_connect waits in two halves. After a pause in the first one the second one notices the connection. Without a pause the timeout is as before.

--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -355,11 +355,15 @@
     loop = asyncio.get_running_loop()
     connecting = loop.create_task(_async_open(loop, address))
     try:
-        done, _ = await asyncio.wait((connecting,), timeout=timeout_ms / MS_PER_S)
+        # In halves: after a pause of this process that is longer than the timeout, a connection
+        # that the kernel made meanwhile is still noticed in the second one.
+        for _ in range(2):
+            if not connecting.done():
+                await asyncio.wait((connecting,), timeout=timeout_ms / 2 / MS_PER_S)
     except asyncio.CancelledError:
         connecting.add_done_callback(_close_unused)
         raise
-    if not done:
+    if not connecting.done():
         connecting.add_done_callback(_close_unused)
         raise ConnectFailed(f"no connection within {timeout_ms} ms")
     error = connecting.exception()
--- a/tests/helpers/test_http_connection.py
+++ b/tests/helpers/test_http_connection.py
@@ -5,9 +5,11 @@
 import asyncio
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
+import uvloop
 
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
@@ -22,6 +24,7 @@
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 RESET_LINGER = struct.pack("ii", 1, 0)
+CONNECT_MS = 100
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
@@ -171,6 +174,41 @@
             await async_connect(address=address, timeout_ms=1_000)
 
 
+# Guards against a sound peer that counts as unreachable, since this process stood still for longer
+# than the timeout while the kernel connected.
+@pytest.mark.parametrize(
+    "make_loop", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"]
+)
+@pytest.mark.parametrize("iterations", range(1, 7))
+def test_connection_that_was_made_during_a_pause_of_this_process_counts(
+    make_loop: Callable[[], asyncio.AbstractEventLoop], iterations: int
+) -> None:
+    async def async_pause(address: Address) -> None:
+        connecting = asyncio.create_task(async_connect(address=address, timeout_ms=CONNECT_MS))
+        for _ in range(iterations):
+            await asyncio.sleep(0)
+        time.sleep(2 * CONNECT_MS / 1_000)  # noqa: ASYNC251
+        (await connecting).close()
+
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        address = Address(host="127.0.0.1", port=listening.getsockname()[1])
+        with asyncio.Runner(loop_factory=make_loop) as runner:
+            runner.run(async_pause(address))
+
+
+# Guards against a timeout that is exceeded without a pause.
+async def test_connecting_to_a_listener_with_a_full_backlog_ends_at_the_timeout() -> None:
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as listening:
+        address = Address(host="127.0.0.1", port=listening.getsockname()[1])
+        with socket.create_connection((address.host, address.port)):
+            begun_s = time.monotonic()
+            with pytest.raises(ConnectFailed, match="no connection within 100 ms"):
+                await async_connect(address=address, timeout_ms=CONNECT_MS)
+            took_ms = (time.monotonic() - begun_s) * 1_000
+    # The kernel sends the next SYN after a second.
+    assert CONNECT_MS <= took_ms < 1_000
+
+
 @pytest.mark.parametrize("earlier", [False, True])
 async def test_large_request_to_a_peer_that_reads_late_is_not_reset(
     earlier: bool, monkeypatch: pytest.MonkeyPatch
