Tests of resting callers: the upstream is killed once it has the request

The tests of a resting caller sent a request, slept, and killed the upstream, whether or not it had got the request. Change: async_ask_slowly returns once the answer has begun to arrive at the caller (the socket is readable, and nothing is read); the times after that stay as they were. The 2 s before a leaving upstream are two times 1 s, so that a pause in them leaves time to see the end of the answer. All assertions stay.

--- a/tests/forwarding/test_forwarding_doubted_ends.py
+++ b/tests/forwarding/test_forwarding_doubted_ends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import signal
 import sys
 import time
@@ -78,8 +79,11 @@
 
 async def async_ask_slowly(
     world: DyingWorld, request_id: str, resume: asyncio.Event, path: str = "/draft/a"
-) -> Seen:
-    """Send a request, and read nothing of its answer until `resume` is set."""
+) -> asyncio.Task[Seen]:
+    """Send a request, and read nothing of its answer until `resume` is set.
+
+    Returns once the answer has begun to arrive, so that its upstream has the request for certain.
+    """
     address = world.product.addresses["callers"]
     reader, writer = await asyncio.open_connection(address.host, address.port, limit=1_024)
     headers = {"Host": HOST, "X-Request-Id": request_id, "Api-Key": CALLER_KEY}
@@ -87,6 +91,19 @@
     lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
     writer.write(f"POST {path} HTTP/1.1\r\n{lines}\r\np".encode())
     writer.transport.pause_reading()  # type: ignore[attr-defined]
+    await world.async_until(lambda: has_unread(writer))
+    return asyncio.create_task(async_read_after(resume, reader, writer))
+
+
+def has_unread(writer: asyncio.StreamWriter) -> bool:
+    """Return whether something has arrived on a connection whose reading is paused."""
+    return bool(select.select([writer.get_extra_info("socket")], [], [], 0)[0])
+
+
+async def async_read_after(
+    resume: asyncio.Event, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> Seen:
+    """Read an answer to its end once `resume` is set."""
     await resume.wait()
     writer.transport.resume_reading()  # type: ignore[attr-defined]
     received, reset = b"", False
@@ -184,7 +201,7 @@
     await upstream.async_start(held=PIECES - 1, states_start=states_start, size=LARGE)
     await upstream.async_list()
     resume = asyncio.Event()
-    asked = asyncio.create_task(async_ask_slowly(world, "r1", resume))
+    asked = await async_ask_slowly(world, "r1", resume)
     await asyncio.sleep(1.0)
     await upstream.async_end()
     # It is back before the list says so; a request leaves a kept connection to it.
@@ -206,8 +223,10 @@
     await upstream.async_list()
     assert (await world.async_ask("framed", "/draft/framed", events=False)).status == 200
     resume = asyncio.Event()
-    asked = asyncio.create_task(async_ask_slowly(world, "r1", resume))
-    await asyncio.sleep(2.0)
+    asked = await async_ask_slowly(world, "r1", resume)
+    # Twice, so that after a pause of this process the end is seen before the upstream leaves.
+    for _ in range(2):
+        await asyncio.sleep(1.0)
     await upstream.async_end(signal.SIGTERM)
     resume.set()
     seen = await asked
@@ -236,7 +255,7 @@
     await upstream.async_start(held=HELD, states_start=states_start)
     await upstream.async_list()
     resume = asyncio.Event()
-    resting = asyncio.create_task(async_ask_slowly(world, "r0", resume, "/draft/large"))
+    resting = await async_ask_slowly(world, "r0", resume, "/draft/large")
     await asyncio.sleep(0.5)
     asked = asyncio.create_task(world.async_ask("r1", "/draft/a", events=True))
     assert await upstream.async_read_line() == "held"
