Tests: an open connection that may have ended vouches for no start

Seen: the look at the socket behind a new connection (ConnectionPool) had no test of its own. One test each for its parts: an end that has arrived and isn't read, and a connection of which nothing is read. Both failed without the look; the first one without the question to the socket, the second one without the paused reading.

--- a/tests/forwarding/test_forwarding_start_check.py
+++ b/tests/forwarding/test_forwarding_start_check.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import pytest
 
@@ -22,6 +22,7 @@
     HttpConnection,
     StartSource,
 )
+from gypsumrouter.helpers.socket_state import has_peer_ended
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 
@@ -59,6 +60,15 @@
         self.questions += 1
         return self.started_ms
 
+    def begin_answer(self) -> None:
+        """Send the beginning of an answer on the newest connection."""
+        self._writers[-1].write(b"HTTP/1.1 200 OK\r\n\r\na")
+
+    def end_connections(self) -> None:
+        """Close all connections, as the end of the process does."""
+        for writer in self._writers:
+            writer.close()
+
     def stop(self) -> None:
         """Close the listener and all connections."""
         if self._server is not None:
@@ -93,6 +103,13 @@
     return pooled.connection
 
 
+async def async_until(condition: Callable[[], bool]) -> None:
+    """Wait up to 10 s until a condition holds."""
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.get_running_loop().run_in_executor(None, lambda: None)
+
+
 async def test_connection_that_is_still_open_vouches_for_a_later_one(
     app: Application, upstream: Upstream
 ) -> None:
@@ -147,6 +164,46 @@
         await async_connect(pool, entry, StartCheck.IF_LOST)
 
 
+# Guards against the trust in an open connection whose end has arrived and isn't read yet: it led to
+# a start that has ended, and a new connection may lead to the next one.
+async def test_connection_whose_end_is_not_read_yet_does_not_vouch_for_a_later_one(
+    app: Application, upstream: Upstream
+) -> None:
+    entry = await upstream.async_start()
+    pool = make_pool(app, upstream)
+    first = await async_connect(pool, entry, StartCheck.ALWAYS)
+    assert first.start_source is StartSource.ANSWER
+    assert first.transport is not None
+    # The event loop reports no end, as before its next turn.
+    first.transport.pause_reading()
+    upstream.end_connections()
+    await async_until(lambda: has_peer_ended(first.transport))
+    upstream.started_ms += 5_000
+    assert (first.open, first.ended_ms) == (True, 0)
+    with pytest.raises(ConnectFailed):
+        await async_connect(pool, entry, StartCheck.ALWAYS)
+    assert upstream.questions == 2
+
+
+# Guards against the trust in a connection of which nothing is read, as its caller rests: its end
+# may wait behind bytes for which there is no room.
+async def test_connection_of_which_nothing_is_read_does_not_vouch_for_a_later_one(
+    app: Application, upstream: Upstream
+) -> None:
+    entry = await upstream.async_start()
+    pool = make_pool(app, upstream)
+    first = await async_connect(pool, entry, StartCheck.ALWAYS)
+    first.send_request(method="GET", data=b"GET / HTTP/1.1\r\n\r\n")
+    upstream.begin_answer()
+    await first.async_read_response()
+    first.pause_reading()
+    upstream.started_ms += 5_000
+    assert not has_peer_ended(first.transport)
+    with pytest.raises(ConnectFailed):
+        await async_connect(pool, entry, StartCheck.ALWAYS)
+    assert upstream.questions == 2
+
+
 async def test_connection_that_was_used_on_trust_is_checked_when_it_matters(
     app: Application, upstream: Upstream
 ) -> None:
