Tests of unframed ends share one upstream program, its process and their world

Seen: unframed_upstream.py and ending_upstream.py answered the same way, and two classes started them. The program now takes both sets of arguments; its endings that no test used are gone.

--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import pytest
+from dying_world import DyingWorld
 from forwarding_world import KEY, ForwardingWorld
 
 
@@ -26,6 +27,13 @@
     await world.async_stop()
 
 
+@pytest.fixture
+async def dying(link_key: None) -> AsyncIterator[DyingWorld]:
+    """Start a store and a forwarder whose upstreams are processes that a test starts."""
+    async with DyingWorld() as world:
+        yield world
+
+
 @pytest.fixture
 async def session() -> AsyncIterator[aiohttp.ClientSession]:
     """Open a caller's HTTP client that uses a new connection each time, so it never retries."""
--- a/tests/forwarding/dying_world.py
+++ b/tests/forwarding/dying_world.py
@@ -11,6 +11,7 @@
 from typing import Any, NamedTuple
 
 from forwarding_world import CALLER_KEY, HOST, PROMPT, ForwardingWorld
+from unframed_upstream import PIECE_BYTES
 
 from gypsumrouter.instances import Address
 
@@ -25,46 +26,63 @@
     body: bytes
 
 
-class UpstreamProcess:
-    """A process that answers without a length or chunks, with all its entries in the store."""
+class EndingUpstream:
+    """A process of `unframed_upstream.py`, which a test starts, lists and ends."""
 
-    def __init__(self, *, name: str, held: int = 0, states_start: bool = True) -> None:
+    def __init__(self, world: DyingWorld, *, name: str = "i-1", service: str = "models") -> None:
         self.name = name
+        self.born = 0
+        self.port = 0
+        self.process: asyncio.subprocess.Process | None = None
+        self._world = world
+        self._service = service
+
+    async def async_start(
+        self,
+        *,
+        held: int = 0,
+        ending: str = "die",
+        states_start: bool = True,
+        size: int = PIECE_BYTES,
+    ) -> None:
+        """Start it at the port that it had, if it had one."""
         self.born = time.time_ns() // 1_000_000 if states_start else 0
-        self._held = held
-        self._process: asyncio.subprocess.Process | None = None
-
-    async def async_start(self, world: ForwardingWorld, *, service: str) -> None:
-        """Start it, and wait until the forwarder lists it."""
-        self._process = await asyncio.create_subprocess_exec(
-            sys.executable, "-S", str(PROGRAM), self.name, str(self.born), str(self._held),
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-S", str(PROGRAM), self.name, str(self.born), str(held),
+            str(self.port), ending, str(size),
             stdout=asyncio.subprocess.PIPE, preexec_fn=_leave_no_core,
         )  # fmt: skip
-        address = Address(host="127.0.0.1", port=int(await self._async_read_line()))
+        self._world.started.append(self.process)
+        self.port = int(await self.async_read_line())
+
+    async def async_list(self, state: str = "ready") -> None:
+        """Write its entry, and wait until the forwarder lists it."""
         more = {"born": self.born} if self.born else {}
-        await world.store.async_put_runner(
-            self.name, service=service, address=address, state="ready", version="v1", **more
+        await self._world.store.async_put_runner(
+            self.name, service=self._service, address=Address(host="127.0.0.1", port=self.port),
+            state=state, version="v1", **more,
+        )  # fmt: skip
+        await self._world.async_until(
+            lambda: self.name in str(self._world.product.app.dump()["directory"])
         )
-        await world.async_until(lambda: self._is_listed(world))
-
-    def _is_listed(self, world: ForwardingWorld) -> bool:
-        return self.name in str(world.product.app.dump()["directory"])
 
-    async def async_read_held(self) -> str:
-        """Return the id of the next request whose answer it holds."""
-        return await self._async_read_line()
+    async def async_read_line(self) -> str:
+        """Return the next line that it prints: the id of a request whose answer it holds."""
+        assert self.process is not None
+        assert self.process.stdout is not None
+        async with asyncio.timeout(10):
+            return (await self.process.stdout.readline()).decode().strip()
 
     async def async_end(self, number: signal.Signals = signal.SIGKILL) -> None:
         """Send it a signal, and wait until it has ended."""
-        if self._process is not None and self._process.returncode is None:
-            self._process.send_signal(number)
-            await self._process.wait()
+        if self.process is not None:
+            await _async_end(self.process, number)
 
-    async def _async_read_line(self) -> str:
-        assert self._process is not None
-        assert self._process.stdout is not None
-        async with asyncio.timeout(10):
-            return (await self._process.stdout.readline()).decode().strip()
+
+async def _async_end(process: asyncio.subprocess.Process, number: signal.Signals) -> None:
+    if process.returncode is None:
+        process.send_signal(number)
+        await process.wait()
 
 
 def _leave_no_core() -> None:
@@ -78,21 +96,21 @@
         super().__init__()
         self.records = []
         self.models = []
-        self.processes: list[UpstreamProcess] = []
+        self.started: list[asyncio.subprocess.Process] = []
 
     async def async_add(
         self, name: str, *, service: str = "models", held: int = 0, states_start: bool = True
-    ) -> UpstreamProcess:
-        """Start an upstream."""
-        process = UpstreamProcess(name=name, held=held, states_start=states_start)
-        self.processes.append(process)
-        await process.async_start(self, service=service)
-        return process
+    ) -> EndingUpstream:
+        """Start an upstream, and wait until the forwarder lists it."""
+        upstream = EndingUpstream(self, name=name, service=service)
+        await upstream.async_start(held=held, states_start=states_start)
+        await upstream.async_list()
+        return upstream
 
     async def async_stop(self) -> None:
         """Stop all."""
-        for process in self.processes:
-            await process.async_end()
+        for process in self.started:
+            await _async_end(process, signal.SIGKILL)
         await super().async_stop()
 
     async def async_until_proven(self) -> None:
--- a/tests/forwarding/test_forwarding_doubted_ends.py
+++ b/tests/forwarding/test_forwarding_doubted_ends.py
@@ -4,76 +4,20 @@
 
 import asyncio
 import signal
-import sys
-import time
-from collections.abc import AsyncIterator
-from pathlib import Path
 
 import pytest
-from dying_world import DyingWorld, Seen, read_answer
-from ending_upstream import PIECES, make_piece
-from forwarding_world import CALLER_KEY, HOST, KEY, PROMPT
+from dying_world import DyingWorld, EndingUpstream, Seen, read_answer
+from forwarding_world import CALLER_KEY, HOST, PROMPT
+from unframed_upstream import PIECES, make_answer
 
-from gypsumrouter.instances import Address
-
-PROGRAM = Path(__file__).with_name("ending_upstream.py")
 HELD = 3
 LARGE = 50_000
 
 
-class EndingUpstream:
-    """A process of `ending_upstream.py`."""
-
-    def __init__(self, world: DyingWorld) -> None:
-        self._world = world
-        self.born = 0
-        self.port = 0
-        self.process: asyncio.subprocess.Process | None = None
-
-    async def async_start(
-        self, *, held: int = 0, ending: str = "die", states_start: bool = True, size: int = 10
-    ) -> None:
-        """Start it at the port that it had, if it had one."""
-        self.born = time.time_ns() // 1_000_000 if states_start else 0
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-S", str(PROGRAM), "i-1", str(self.born), str(held),
-            str(self.port), ending, str(size), stdout=asyncio.subprocess.PIPE,
-        )  # fmt: skip
-        self.process = process
-        self._world.processes.append(self)  # type: ignore[arg-type]
-        self.port = int(await self.async_read_line())
-
-    async def async_list(self) -> None:
-        """Write its entry, and wait until the forwarder lists it."""
-        more = {"born": self.born} if self.born else {}
-        await self._world.store.async_put_runner(
-            "i-1", service="models", address=Address(host="127.0.0.1", port=self.port),
-            state="ready", version="v1", **more,
-        )  # fmt: skip
-        await self._world.async_until(
-            lambda: "i-1" in str(self._world.product.app.dump()["directory"])
-        )
-
-    async def async_read_line(self) -> str:
-        """Return the next line that it prints."""
-        assert self.process is not None
-        assert self.process.stdout is not None
-        async with asyncio.timeout(10):
-            return (await self.process.stdout.readline()).decode().strip()
-
-    async def async_end(self, number: signal.Signals = signal.SIGKILL) -> None:
-        """Send it a signal, and wait until it has ended."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
-            await self.process.wait()
-
-
 @pytest.fixture
-async def world(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[DyingWorld]:
-    """Start a store and a forwarder without upstreams."""
-    monkeypatch.setenv("GYPSUMROUTER_LINK_KEY", KEY)
-    async with DyingWorld() as dying:
-        yield dying
+def world(dying: DyingWorld) -> DyingWorld:
+    """Return a store and a forwarder without upstreams."""
+    return dying
 
 
 async def async_ask_slowly(
@@ -100,11 +44,6 @@
     return read_answer(received, reset=reset)
 
 
-def make_whole(size: int = 10) -> bytes:
-    """Return all events."""
-    return b"".join(make_piece(number, size) for number in range(1, PIECES + 1))
-
-
 # Guards against trust in an idle connection of a process that ends its answers first and exits
 # later.
 async def test_upstream_that_ends_its_answers_before_its_idle_connections_on_sigterm(
@@ -211,7 +150,7 @@
     await upstream.async_end(signal.SIGTERM)
     resume.set()
     seen = await asked
-    assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_whole(10_000)))
+    assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_answer(10_000)))
 
 
 # Guards against complete answers that count as broken off, since their upstream resets a connection
@@ -223,7 +162,7 @@
     await upstream.async_start(ending="full")
     await upstream.async_list()
     seen = await world.async_ask("r1", "/draft/a", events=True)
-    assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_whole()))
+    assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_answer()))
 
 
 # Guards against trust in a connection of which nothing is read, as its caller rests: its end has
@@ -239,7 +178,7 @@
     resting = asyncio.create_task(async_ask_slowly(world, "r0", resume, "/draft/large"))
     await asyncio.sleep(0.5)
     asked = asyncio.create_task(world.async_ask("r1", "/draft/a", events=True))
-    assert await upstream.async_read_line() == "held"
+    assert await upstream.async_read_line() == "r1"
     await upstream.async_end()
     seen = await asked
     resume.set()
@@ -256,7 +195,7 @@
     await upstream.async_start(ending="pause")
     await upstream.async_list()
     seen = await world.async_ask("r1", "/draft/a", events=True)
-    assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_whole()))
+    assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_answer()))
 
 
 # Guards against a complete answer that implicates the parts of its prompt in a crash.
--- a/tests/forwarding/test_forwarding_dying_upstreams.py
+++ b/tests/forwarding/test_forwarding_dying_upstreams.py
@@ -4,11 +4,9 @@
 
 import asyncio
 import signal
-from collections.abc import AsyncIterator
 
 import pytest
 from dying_world import DyingWorld, Seen
-from forwarding_world import KEY
 from unframed_upstream import make_answer, make_piece
 
 HELD = 3
@@ -16,14 +14,6 @@
 VERSIONS = ("1.1", "1.0")
 
 
-@pytest.fixture
-async def dying(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[DyingWorld]:
-    """Start a store and a forwarder without upstreams."""
-    monkeypatch.setenv("GYPSUMROUTER_LINK_KEY", KEY)
-    async with DyingWorld() as world:
-        yield world
-
-
 # Guards against the beginning of a stream that looks whole since its upstream was killed.
 @pytest.mark.parametrize("version", VERSIONS)
 @pytest.mark.parametrize("number", SIGNALS)
@@ -34,10 +24,10 @@
 ) -> None:
     victim = await dying.async_add("i-1", held=HELD, states_start=states_start)
     asked = asyncio.create_task(dying.async_ask("r1", path, events=True, version=version))
-    await victim.async_read_held()
+    await victim.async_read_line()
     await victim.async_end(number)
     seen = await asked
-    begun = b"".join(make_piece(piece, events=True) for piece in range(1, HELD + 1))
+    begun = b"".join(make_piece(piece) for piece in range(1, HELD + 1))
     assert (seen.status, begun.startswith(seen.body), seen.whole) == (200, True, False)
 
 
@@ -49,11 +39,11 @@
 ) -> None:
     victim = await dying.async_add("i-1", held=HELD)
     asked = asyncio.create_task(dying.async_ask("r1", "/quote/a", events=True, version=version))
-    await victim.async_read_held()
+    await victim.async_read_line()
     await dying.async_add("i-2")
     await dying.async_until_proven()
     await victim.async_end(number)
-    assert await asked == Seen(200, True, make_answer(events=True))
+    assert await asked == Seen(200, True, make_answer())
 
 
 # Guards against the beginning of a text that looks whole since its upstream was killed.
@@ -65,7 +55,7 @@
 ) -> None:
     victim = await dying.async_add("i-1", service="records", held=HELD, states_start=states_start)
     asked = asyncio.create_task(dying.async_ask("r1", path, events=False))
-    await victim.async_read_held()
+    await victim.async_read_line()
     await dying.async_add("i-2", service="records", states_start=states_start)
     await victim.async_end(number)
     seen = await asked
@@ -88,7 +78,7 @@
         asyncio.create_task(dying.async_ask(f"r{i}", "/draft/a", events=True)) for i in range(8)
     ]
     for _ in asked:
-        await victim.async_read_held()
+        await victim.async_read_line()
     await victim.async_end(number)
     seen = [await answer for answer in asked]
     assert [answer for answer in seen if answer.whole] == []
@@ -100,9 +90,9 @@
 ) -> None:
     silent = await dying.async_add("i-1", held=HELD)
     asked = asyncio.create_task(dying.async_ask("r1", "/quote/a", events=True))
-    await silent.async_read_held()
+    await silent.async_read_line()
     second = await dying.async_add("i-2", held=HELD + 1)
-    await second.async_read_held()
+    await second.async_read_line()
     await second.async_end()
     seen = await asked
     assert (seen.status, seen.whole) == (200, False)
@@ -115,7 +105,7 @@
 ) -> None:
     victim = await dying.async_add("i-1", held=HELD)
     asked = asyncio.create_task(dying.async_ask("r1", path, events=True))
-    await victim.async_read_held()
+    await victim.async_read_line()
     stop = asyncio.create_task(dying.product.app.async_drain())
     await dying.async_until(lambda: not dying.product.is_ready())
     await victim.async_end()
@@ -140,5 +130,5 @@
         for i in range(6)
     ]
     seen = await asyncio.gather(*asked)
-    assert set(seen[:6]) == {Seen(200, True, make_answer(events=True))}
+    assert set(seen[:6]) == {Seen(200, True, make_answer())}
     assert set(seen[6:]) == {Seen(200, True, make_answer(events=False))}
