An upstream that removed its entry before it ended is no evidence of a crash

Seen: an upstream that leaves, with its entry removed, ended inside an unframed answer, and the parts of the prompt were implicated in a crash. Cause: only the state leaving counted as known to leave. Some upstreams are never listed so, and all of them may remove their entry first. Fix: an entry that is gone counts, too.

--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -269,9 +269,12 @@
         return EndVerdict.REPLACED
 
     def is_leaving(self, entry: Entry) -> bool:
-        """Return whether an upstream is known to end by itself."""
+        """Return whether an upstream is known to end by itself.
+
+        It may remove its entry before it ends. One that has died is removed seconds after its end.
+        """
         listed = self._directory.get_incarnation(entry.incarnation)
-        return listed is not None and listed.state is EntryState.LEAVING
+        return listed is not None and listed.state in (EntryState.LEAVING, EntryState.GONE)
 
     def _has_address(self, entry: Entry) -> bool:
         """Return whether an upstream is listed, and no other one is at its address."""
--- a/tests/forwarding/test_forwarding_leaving_ends.py
+++ b/tests/forwarding/test_forwarding_leaving_ends.py
@@ -85,3 +85,19 @@
     await upstream.async_start(held=HELD, states_start=states_start, ending="announce")
     await upstream.async_list()
     assert await async_end_inside_an_answer(dying, upstream, unlists=unlists) == 0
+
+
+# Guards against the same for an upstream that removes its entry before its last answer ends, with
+# or without having been listed as leaving.
+@pytest.mark.parametrize("states_start", [True, False], ids=["start", "no_start"])
+@pytest.mark.parametrize("state", ["draining", ""], ids=["leaving", "ready"])
+async def test_upstream_that_removed_its_entry_before_its_end_counts_as_crashed(
+    dying: DyingWorld, state: str, states_start: bool
+) -> None:
+    upstream = EndingUpstream(dying)
+    await upstream.async_start(held=HELD, states_start=states_start)
+    await upstream.async_list()
+    assert (
+        await async_end_inside_an_answer(dying, upstream, state=state, unlists=True)
+        == 0
+    )
