A question that was asked in the millisecond of an end vouches for it no longer

Seen: by reading, and reproduced with a clock that stands still: an answer shared the question behind an earlier end, though its upstream was gone right after it had accepted that connection. Cause: times are whole milliseconds, and a question at the time of the end counted as a later one. Fix: only a question at a later millisecond is shared. The new test of test_forwarding_end_evidence.py failed before (alive, refused expected).

--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -237,7 +237,7 @@
     async def _async_probe(self, entry: Entry, ended_ms: int) -> EndVerdict:
         """Ask the upstream, once for all answers that ended before the question."""
         probe = self._probes.get(entry.incarnation)
-        if probe is None or probe.begun_ms < ended_ms:
+        if probe is None or probe.begun_ms <= ended_ms:
             now_ms = self._app.clock.now_ms()
             self._probes = {
                 incarnation: known
--- a/tests/forwarding/test_forwarding_end_evidence.py
+++ b/tests/forwarding/test_forwarding_end_evidence.py
@@ -25,6 +25,7 @@
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.util.body_formats import is_complete_json, shows_json_end
+from gypsumrouter.util.clock import SystemClock
 
 STARTED_MS = 1_700_000_000_000
 ENDED_MS = 10_000
@@ -190,6 +191,23 @@
     assert checked.upstream.questions <= 2
 
 
+# Guards against a question that was asked in the millisecond of an end, and before it.
+async def test_question_that_was_asked_before_an_end_vouches_for_it(
+    checked: Checked, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    first, first_peer = await checked.async_open()
+    second, second_peer = await checked.async_open()
+    for connection, peer in ((first, first_peer), (second, second_peer)):
+        await async_begin_answer(connection, peer)
+    now_ms = SystemClock().now_ms()
+    monkeypatch.setattr(SystemClock, "now_ms", lambda _: now_ms)
+    first_peer.close()
+    assert await checked.async_check(first) is EndVerdict.ALIVE
+    checked.upstream.refuse()
+    second_peer.close()
+    assert await checked.async_check(second) is EndVerdict.REFUSED
+
+
 # Guards against an answer that counts as complete though its upstream is gone, or another process.
 @pytest.mark.parametrize(
     ("change", "expected"),
