The loss of a connection that is reset as it is opened has a time

Seen: in a trial of 200 connects to a listener that resets each connection, 3 of 17 losses had the time 0, which also replaced the time of the loss before. By reading, an end beside such a loss counts as complete on the word of the connections that are left, without a question. Cause: the time is noted by a callback that is set after the connect; the reset may come before. Fix: the pool notes it itself if the connection has ended by then. The new test of test_forwarding_end_evidence.py failed before. 157 tests of ends, start checks and kept connections pass.

--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -320,6 +320,9 @@
         connection = await async_connect(address=entry.address, timeout_ms=timeout_ms)
         connection.opened_ms = self._app.clock.now_ms()
         connection.on_end = partial(self._note_end, connection)
+        if not connection.open:
+            # Lost between its connect and this line.
+            self._note_end(connection)
         self._opened.inc()
         self._list_open(entry.incarnation).append(connection)
         return connection
--- a/tests/forwarding/test_forwarding_end_evidence.py
+++ b/tests/forwarding/test_forwarding_end_evidence.py
@@ -11,6 +11,7 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Record
+from gypsumrouter.forwarding import connections
 from gypsumrouter.forwarding.connections import ConnectionPool
 from gypsumrouter.forwarding.end_evidence import (
     SETTLE_MS,
@@ -20,7 +21,7 @@
     proves_alive,
 )
 from gypsumrouter.forwarding.starts import UpstreamStarts
-from gypsumrouter.helpers.http_connection import HttpConnection
+from gypsumrouter.helpers.http_connection import HttpConnection, async_connect
 from gypsumrouter.helpers.http_response import ConnectionBroken
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
@@ -243,6 +244,27 @@
     assert await checked.async_check(connection) is EndVerdict.REFUSED
 
 
+# Guards against a loss without a time, and against one that hides a loss before it, where a new
+# connection is reset before the pool has it.
+async def test_connection_that_is_lost_as_it_is_opened_counts_as_lost_long_ago(
+    checked: Checked, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def async_connect_and_lose(*, address: Address, timeout_ms: int) -> HttpConnection:
+        connection = await async_connect(address=address, timeout_ms=timeout_ms)
+        connection.connection_lost(ConnectionResetError())
+        return connection
+
+    lost, _ = await checked.async_open()
+    lost.connection_lost(ConnectionResetError())
+    lost_ms = checked.pool.get_lost_ms(checked.entry)
+    assert lost_ms is not None
+    monkeypatch.setattr(connections, "async_connect", async_connect_and_lose)
+    await checked.pool.async_acquire(checked.entry, repeatable=True, timeout_ms=500)
+    later_ms = checked.pool.get_lost_ms(checked.entry)
+    assert later_ms is not None
+    assert later_ms >= lost_ms > 0
+
+
 def make_other(opened_ms: int, peer_started_ms: int | None = None) -> OtherConnection:
     return OtherConnection(opened_ms=opened_ms, peer_started_ms=peer_started_ms)
 
