--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -193,7 +193,10 @@
         return [other for other in opened if not other.may_have_ended()]
 
     def get_lost_ms(self, entry: Entry) -> int | None:
-        """Return when an incarnation last closed or reset a connection without announcing it."""
+        """Return when an incarnation last ended a connection without having announced that.
+
+        In monotonic milliseconds; None if it has not, or none of its connections is left.
+        """
         self._list_open(entry.incarnation)
         return self._lost_ms.get(entry.incarnation)
 
--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -25,8 +25,8 @@
 # Ends are kept for the answers that end within SETTLE_MS of them, with room for pauses of this
 # process.
 KEPT_ENDS_MS: Final = 1_000
-# For a connect, and for a question on it: a sound upstream may be silent for over a second
-# (MAX_SILENCE_MS). A process that is gone refuses at once.
+# For a connect, and again for a question on it: a sound upstream may be silent for over a second.
+# A process that is gone refuses at once.
 PROBE_TIMEOUT_MS: Final = 2_000
 
 
@@ -92,7 +92,7 @@
 
 
 class Probe(Struct, frozen=True, kw_only=True):
-    """A question to an upstream, asked at `begun_ms`."""
+    """A question to an upstream, asked at `begun_ms` (monotonic milliseconds)."""
 
     begun_ms: int
     task: asyncio.Task[EndVerdict]
@@ -101,8 +101,9 @@
 class EndWatch(Struct, kw_only=True):
     """An answer that ends with its connection.
 
-    `paused_ms` is when its reading was first paused, 0 if it wasn't: from then on its end may have
-    come unseen, since a FIN stays behind bytes for which the receive window has no room.
+    `paused_ms` is when its reading was first paused (monotonic milliseconds), 0 if it wasn't: from
+    then on its end may have come unseen, since a FIN stays behind bytes for which the receive
+    window has no room.
     """
 
     entry: Entry
@@ -124,7 +125,7 @@
         self._pool = pool
         # The last question to an incarnation.
         self._probes: dict[str, Probe] = {}
-        # When answers of an incarnation last ended, one for each.
+        # When the last answers of each incarnation ended (monotonic milliseconds).
         self._ended_ms: dict[str, list[int]] = {}
         self._journal = journal
         self._counter = app.metrics.counter(
--- a/gypsumrouter/forwarding/event_order.py
+++ b/gypsumrouter/forwarding/event_order.py
@@ -11,8 +11,8 @@
 
 from gypsumrouter.helpers.numbers import Digits, read_digits, read_number
 
-# Ids of one stream that are remembered where they are no rising numbers: about 0.5 MB. Of a longer
-# stream the newest are, and the first one.
+# Ids of one stream that are remembered where they are not rising numbers, about 0.3 MB. Of a longer
+# stream these are the newest ones, and the first one.
 MAX_KNOWN_IDS: Final = 4_096
 
 
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -55,7 +55,7 @@
 CUT_MARGIN_MS: Final = 500
 # What is still arriving this long before that is refused.
 ARRIVING_MARGIN_MS: Final = 500
-# What callers have not taken this long before that is passed to the kernel, this often.
+# From this long before that on, what callers have not taken is passed to the kernel, this often.
 KERNEL_MARGIN_MS: Final = 1_000
 KERNEL_POLL_MS: Final = 50
 # What has no byte of an answer this long before that gets a final response, which takes a few
--- a/gypsumrouter/helpers/socket_state.py
+++ b/gypsumrouter/helpers/socket_state.py
@@ -32,7 +32,8 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
-        # When the peer closed or reset it, 0 before; set by `on_end`, which is called once then.
+        # When the peer closed or reset it (monotonic milliseconds), 0 before. `on_end` sets it, and
+        # is called once then.
         self.ended_ms = 0
         self.on_end: Callable[[], None] | None = None
         self._on_pause: Callable[[], None] | None = None
@@ -56,7 +57,7 @@
             self._look_for_end()
 
     def may_have_ended(self) -> bool:
-        """Return whether the peer has ended it, or that couldn't be seen as nothing is read."""
+        """Return whether the peer has ended it, or may have, as reading is paused."""
         return self._reading_paused or self.ended_ms != 0 or has_peer_ended(self.transport)
 
     def _look_for_end(self) -> None:
--- a/gypsumrouter/link/list_codec.py
+++ b/gypsumrouter/link/list_codec.py
@@ -11,7 +11,7 @@
 def encode_listed_upstreams(notice: ListedUpstreams) -> bytes:
     """Encode the body of a LISTED_UPSTREAMS frame.
 
-    A list that lacks an entry is not told as complete, since the peer would remove that upstream.
+    A list that lacks an entry is not marked as complete, since the peer would remove that upstream.
     It holds up to the revision before that entry, so that the peer asks for the rest again.
     """
     message = SCHEMA.ListedUpstreams.new_message(changes=notice.changes)
