The test of requests in memory counts the requests of its own stream only

Cause: it looked through all objects of its process, those of earlier tests included, and did so in each turn of a wait of 10 s. Which of both made it red is not known. Change: the collector passes over what was there before the test (gc.freeze), so that all requests that count are those of the test. It first checks that the request of a running stream is found. The bound stays 10 s.

--- a/tests/forwarding/test_forwarding_unlisted_versions.py
+++ b/tests/forwarding/test_forwarding_unlisted_versions.py
@@ -5,7 +5,7 @@
 import asyncio
 import gc
 import re
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from functools import partial
 from typing import Any
 
@@ -234,13 +234,32 @@
     assert updated.ran == ["r1"]
 
 
+@pytest.fixture
+def only_later_objects() -> Iterator[None]:
+    """Hide all objects that there are from the garbage collector, for the time of a test.
+
+    Those of earlier tests don't count then, and looking through the others takes little time.
+    """
+    gc.collect()
+    gc.freeze()
+    yield
+    gc.unfreeze()
+
+
 # Guards against requests that stay in memory for as long as their streams may be taken up.
 async def test_what_is_kept_of_a_broken_stream_holds_no_request(
-    unlisted: UnlistedWorld, session: Session
+    unlisted: UnlistedWorld, session: Session, only_later_objects: None
 ) -> None:
     for runner in unlisted.models:
         runner.default_fault = RunnerFault.RESET_STREAM
-    for number in range(STREAMS):
+        runner.gate.clear()
+    first = asyncio.create_task(unlisted.async_stream(session, "r0"))
+    await unlisted.async_until(lambda: any(runner.ran for runner in unlisted.models))
+    assert list_requests() == ["r0"]
+    for runner in unlisted.models:
+        runner.gate.set()
+    await first
+    for number in range(1, STREAMS):
         await unlisted.async_stream(session, f"r{number}")
     streams = unlisted.product.app.dump()["streams"]
     assert isinstance(streams, dict)
@@ -249,7 +268,7 @@
 
 
 def list_requests() -> list[str]:
-    """Return the ids of the requests that are in memory."""
+    """Return the ids of the requests of a test that are in memory."""
     gc.collect()
     return [item.request_id for item in gc.get_objects() if isinstance(item, CallerRequest)]
 
