--- /dev/null
+++ b/tests/forwarding/stating_upstream.py
@@ -0,0 +1,86 @@
+"""Test environment: an upstream that accepts connections and states a start, without HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from gypsumrouter.core import Application
+from gypsumrouter.directory import Directory, Entry, EntryState
+from gypsumrouter.forwarding.connections import ConnectionPool
+from gypsumrouter.forwarding.starts import UpstreamStarts
+from gypsumrouter.helpers.http_connection import HttpConnection
+from gypsumrouter.helpers.http_response import ConnectionBroken
+from gypsumrouter.instances import Address
+
+STARTED_MS = 1_700_000_000_000
+
+
+class StatingUpstream:
+    """Accepts connections, closes those that a test names, and states a start that it sets."""
+
+    def __init__(self) -> None:
+        # None for one whose answer has none.
+        self.started_ms: int | None = STARTED_MS
+        self.questions = 0
+        self.accepted: list[asyncio.StreamWriter] = []
+        self._server: asyncio.Server | None = None
+
+    async def async_start(self) -> Entry:
+        """Listen; return the entry of the upstream."""
+        self._server = await asyncio.start_server(self._async_accept, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return Entry(
+            upstream="i-1",
+            state=EntryState.READY,
+            service="models",
+            address=Address(host=host, port=port),
+            started_ms=STARTED_MS,
+        )
+
+    async def _async_accept(self, _: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.accepted.append(writer)
+
+    async def async_read_start(self, _connection: HttpConnection) -> int:
+        """Return the start, as the upstream states it."""
+        self.questions += 1
+        if self.started_ms is None:
+            raise ConnectionBroken("closed")
+        return self.started_ms
+
+    def refuse(self) -> None:
+        """Close the listener."""
+        if self._server is not None:
+            self._server.close()
+
+    def end_connections(self) -> None:
+        """Close all connections, as the end of the process does."""
+        for writer in self.accepted:
+            writer.close()
+
+    def stop(self) -> None:
+        """Close the listener and reset all connections."""
+        self.refuse()
+        for writer in self.accepted:
+            writer.transport.abort()
+
+
+def make_pool(app: Application, upstream: StatingUpstream, directory: Directory) -> ConnectionPool:
+    """Return a pool whose list is of this moment."""
+    starts = UpstreamStarts(clock=app.clock, directory=directory, get_list_age_ms=lambda: 0)
+    return ConnectionPool(app=app, read_start=upstream.async_read_start, starts=starts)
+
+
+async def async_begin_answer(connection: HttpConnection, peer: asyncio.StreamWriter) -> None:
+    """Begin an answer that ends with its connection."""
+    connection.send_request(method="GET", data=b"GET / HTTP/1.1\r\n\r\n")
+    peer.write(b"HTTP/1.1 200 OK\r\n\r\na")
+    await connection.async_read_response()
+
+
+async def async_until(condition: Callable[[], Any]) -> None:
+    """Wait up to 10 s until a condition holds."""
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.get_running_loop().run_in_executor(None, lambda: None)
--- a/tests/forwarding/test_forwarding_end_evidence.py
+++ b/tests/forwarding/test_forwarding_end_evidence.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
-from typing import Any
+from collections.abc import AsyncIterator
 
 import pytest
+from stating_upstream import (
+    STARTED_MS,
+    StatingUpstream,
+    async_begin_answer,
+    async_until,
+    make_pool,
+)
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Record
 from gypsumrouter.forwarding import connections
-from gypsumrouter.forwarding.connections import ConnectionPool
 from gypsumrouter.forwarding.end_evidence import (
     SETTLE_MS,
     EndChecks,
@@ -20,72 +25,25 @@
     OtherConnection,
     proves_alive,
 )
-from gypsumrouter.forwarding.starts import UpstreamStarts
 from gypsumrouter.helpers.http_connection import HttpConnection, async_connect
-from gypsumrouter.helpers.http_response import ConnectionBroken
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.util.body_formats import is_complete_json, shows_json_end
 from gypsumrouter.util.clock import SystemClock
 
-STARTED_MS = 1_700_000_000_000
 ENDED_MS = 10_000
 
 
-class Upstream:
-    """Accepts connections, closes those that a test names, and states a start that it sets."""
-
-    def __init__(self) -> None:
-        self.started_ms: int | None = STARTED_MS
-        self.questions = 0
-        self.accepted: list[asyncio.StreamWriter] = []
-        self._server: asyncio.Server | None = None
-
-    async def async_start(self) -> Entry:
-        """Listen; return the entry of the upstream."""
-        self._server = await asyncio.start_server(self._async_accept, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return Entry(
-            upstream="i-1",
-            state=EntryState.READY,
-            service="models",
-            address=Address(host=host, port=port),
-            started_ms=STARTED_MS,
-        )
-
-    async def _async_accept(self, _: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.accepted.append(writer)
-
-    async def async_read_start(self, _connection: HttpConnection) -> int:
-        """Return the start, as the upstream states it; None is for one that says nothing."""
-        self.questions += 1
-        if self.started_ms is None:
-            raise ConnectionBroken("closed")
-        return self.started_ms
-
-    def refuse(self) -> None:
-        """Close the listener."""
-        if self._server is not None:
-            self._server.close()
-
-    def stop(self) -> None:
-        """Close the listener and all connections."""
-        self.refuse()
-        for writer in self.accepted:
-            writer.transport.abort()
-
-
 class Checked:
     """A pool with connections to one upstream, and the checks of its answers."""
 
-    def __init__(self, app: Application, upstream: Upstream, entry: Entry) -> None:
+    def __init__(self, app: Application, upstream: StatingUpstream, entry: Entry) -> None:
         self.upstream = upstream
         self.entry = entry
         journal = Journal(app=app)
         directory = self.directory = Directory(app=app, journal=journal)
         directory.merge(Record(revision=1, entry=entry), source="test")
-        starts = UpstreamStarts(clock=app.clock, directory=directory, get_list_age_ms=lambda: 0)
-        self.pool = ConnectionPool(app=app, read_start=upstream.async_read_start, starts=starts)
+        self.pool = make_pool(app, upstream, directory)
         self.checks = EndChecks(app=app, pool=self.pool, directory=directory, journal=journal)
         self._count = 0
 
@@ -107,19 +65,12 @@
 async def checked() -> AsyncIterator[Checked]:
     """Start an upstream."""
     app = Application(name="r1", role=Role.FORWARDER, data_centre="dc", region="r")
-    upstream = Upstream()
+    upstream = StatingUpstream()
     yield Checked(app, upstream, await upstream.async_start())
     upstream.stop()
     await app.async_stop()
 
 
-async def async_until(condition: Callable[[], Any]) -> None:
-    """Wait up to 10 s until a condition holds."""
-    async with asyncio.timeout(10):
-        while not condition():
-            await asyncio.get_running_loop().run_in_executor(None, lambda: None)
-
-
 def list_without_start(checked: Checked) -> Entry:
     """List the upstream under an id that states no start; return its entry."""
     entry = checked.entry
@@ -130,13 +81,6 @@
     return entry
 
 
-async def async_begin_answer(connection: HttpConnection, peer: asyncio.StreamWriter) -> None:
-    """Begin an answer that ends with its connection."""
-    connection.send_request(method="GET", data=b"GET / HTTP/1.1\r\n\r\n")
-    peer.write(b"HTTP/1.1 200 OK\r\n\r\na")
-    await connection.async_read_response()
-
-
 # Guards against probes and connections where an open one already tells.
 async def test_upstream_with_an_open_connection_is_asked(checked: Checked) -> None:
     await checked.async_open()
--- a/tests/forwarding/test_forwarding_start_check.py
+++ b/tests/forwarding/test_forwarding_start_check.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 
 import pytest
+from stating_upstream import (
+    STARTED_MS,
+    StatingUpstream,
+    async_begin_answer,
+    async_until,
+    make_pool,
+)
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.directory import Directory, Entry, EntryState
+from gypsumrouter.directory import Directory, Entry
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
 from gypsumrouter.forwarding.starts import (
     QUESTION_BURST,
@@ -23,63 +29,12 @@
     StartSource,
 )
 from gypsumrouter.helpers.socket_state import has_peer_ended
-from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 
-STARTED_MS = 1_700_000_000_000
-
-
-class Upstream:
-    """Accepts connections, and states a start that the test sets."""
-
-    def __init__(self) -> None:
-        self.started_ms = STARTED_MS
-        self.questions = 0
-        self._writers: list[asyncio.StreamWriter] = []
-        self._server: asyncio.Server | None = None
-
-    async def async_start(self) -> Entry:
-        """Listen; return the entry of the upstream."""
-        self._server = await asyncio.start_server(self._async_accept, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return Entry(
-            upstream="i-1",
-            state=EntryState.READY,
-            service="models",
-            address=Address(host=host, port=port),
-            started_ms=self.started_ms,
-        )
-
-    async def _async_accept(
-        self, _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self._writers.append(writer)
-
-    async def async_read_start(self, _connection: HttpConnection) -> int:
-        """Return the start, as the upstream states it."""
-        self.questions += 1
-        return self.started_ms
-
-    def begin_answer(self) -> None:
-        """Send the beginning of an answer on the newest connection."""
-        self._writers[-1].write(b"HTTP/1.1 200 OK\r\n\r\na")
-
-    def end_connections(self) -> None:
-        """Close all connections, as the end of the process does."""
-        for writer in self._writers:
-            writer.close()
-
-    def stop(self) -> None:
-        """Close the listener and all connections."""
-        if self._server is not None:
-            self._server.close()
-        for writer in self._writers:
-            writer.transport.abort()
-
 
 @pytest.fixture
-async def upstream() -> AsyncIterator[Upstream]:
-    upstream = Upstream()
+async def upstream() -> AsyncIterator[StatingUpstream]:
+    upstream = StatingUpstream()
     yield upstream
     upstream.stop()
 
@@ -91,11 +46,10 @@
     await app.async_stop()
 
 
-def make_pool(app: Application, upstream: Upstream) -> ConnectionPool:
+@pytest.fixture
+def pool(app: Application, upstream: StatingUpstream) -> ConnectionPool:
     """Return a pool that knows no list, so that the list proves nothing."""
-    directory = Directory(app=app, journal=Journal(app=app))
-    starts = UpstreamStarts(clock=app.clock, directory=directory, get_list_age_ms=lambda: 0)
-    return ConnectionPool(app=app, read_start=upstream.async_read_start, starts=starts)
+    return make_pool(app, upstream, Directory(app=app, journal=Journal(app=app)))
 
 
 async def async_connect(pool: ConnectionPool, entry: Entry, check: StartCheck) -> HttpConnection:
@@ -103,40 +57,30 @@
     return pooled.connection
 
 
-async def async_until(condition: Callable[[], bool]) -> None:
-    """Wait up to 10 s until a condition holds."""
-    async with asyncio.timeout(10):
-        while not condition():
-            await asyncio.get_running_loop().run_in_executor(None, lambda: None)
-
-
 async def test_connection_that_is_still_open_vouches_for_a_later_one(
-    app: Application, upstream: Upstream
+    pool: ConnectionPool, upstream: StatingUpstream
 ) -> None:
     entry = await upstream.async_start()
-    pool = make_pool(app, upstream)
     for _ in range(3):
         await async_connect(pool, entry, StartCheck.ALWAYS)
     assert upstream.questions == 1
 
 
 async def test_stream_goes_on_only_where_the_upstream_itself_stated_its_start(
-    app: Application, upstream: Upstream
+    pool: ConnectionPool, upstream: StatingUpstream
 ) -> None:
     entry = await upstream.async_start()
-    pool = make_pool(app, upstream)
     await async_connect(pool, entry, StartCheck.ALWAYS)
     # The loss of the first connection has not been noticed yet.
-    upstream.started_ms += 5_000
+    upstream.started_ms = STARTED_MS + 5_000
     with pytest.raises(ConnectFailed):
         await async_connect(pool, entry, StartCheck.CONFIRMED)
 
 
 async def test_upstream_is_asked_after_a_lost_connection_only(
-    app: Application, upstream: Upstream
+    pool: ConnectionPool, upstream: StatingUpstream
 ) -> None:
     entry = await upstream.async_start()
-    pool = make_pool(app, upstream)
     first = await async_connect(pool, entry, StartCheck.IF_LOST)
     assert upstream.questions == 0
     first.connection_lost(ConnectionResetError())
@@ -149,13 +93,12 @@
 
 # Guards against a start that is only taken from an entry and vouches for other connections.
 async def test_connection_whose_start_is_taken_from_the_entry_does_not_vouch_for_others(
-    app: Application, upstream: Upstream
+    pool: ConnectionPool, upstream: StatingUpstream
 ) -> None:
     entry = await upstream.async_start()
-    pool = make_pool(app, upstream)
     first = await async_connect(pool, entry, StartCheck.IF_LOST)
     assert first.start_source is StartSource.ENTRY
-    upstream.started_ms += 5_000
+    upstream.started_ms = STARTED_MS + 5_000
     with pytest.raises(ConnectFailed):
         await async_connect(pool, entry, StartCheck.ALWAYS)
     assert upstream.questions == 1
@@ -167,10 +110,9 @@
 # Guards against the trust in an open connection whose end has arrived and isn't read yet: it led to
 # a start that has ended, and a new connection may lead to the next one.
 async def test_connection_whose_end_is_not_read_yet_does_not_vouch_for_a_later_one(
-    app: Application, upstream: Upstream
+    pool: ConnectionPool, upstream: StatingUpstream
 ) -> None:
     entry = await upstream.async_start()
-    pool = make_pool(app, upstream)
     first = await async_connect(pool, entry, StartCheck.ALWAYS)
     assert first.start_source is StartSource.ANSWER
     assert first.transport is not None
@@ -178,7 +120,7 @@
     first.transport.pause_reading()
     upstream.end_connections()
     await async_until(lambda: has_peer_ended(first.transport))
-    upstream.started_ms += 5_000
+    upstream.started_ms = STARTED_MS + 5_000
     assert (first.open, first.ended_ms) == (True, 0)
     with pytest.raises(ConnectFailed):
         await async_connect(pool, entry, StartCheck.ALWAYS)
@@ -188,16 +130,13 @@
 # Guards against the trust in a connection of which nothing is read, as its caller rests: its end
 # may wait behind bytes for which there is no room.
 async def test_connection_of_which_nothing_is_read_does_not_vouch_for_a_later_one(
-    app: Application, upstream: Upstream
+    pool: ConnectionPool, upstream: StatingUpstream
 ) -> None:
     entry = await upstream.async_start()
-    pool = make_pool(app, upstream)
     first = await async_connect(pool, entry, StartCheck.ALWAYS)
-    first.send_request(method="GET", data=b"GET / HTTP/1.1\r\n\r\n")
-    upstream.begin_answer()
-    await first.async_read_response()
+    await async_begin_answer(first, upstream.accepted[-1])
     first.pause_reading()
-    upstream.started_ms += 5_000
+    upstream.started_ms = STARTED_MS + 5_000
     assert not has_peer_ended(first.transport)
     with pytest.raises(ConnectFailed):
         await async_connect(pool, entry, StartCheck.ALWAYS)
@@ -205,21 +144,19 @@
 
 
 async def test_connection_that_was_used_on_trust_is_checked_when_it_matters(
-    app: Application, upstream: Upstream
+    pool: ConnectionPool, upstream: StatingUpstream
 ) -> None:
     entry = await upstream.async_start()
-    pool = make_pool(app, upstream)
     pool.release(entry, await async_connect(pool, entry, StartCheck.IF_LOST))
-    upstream.started_ms += 5_000
+    upstream.started_ms = STARTED_MS + 5_000
     with pytest.raises(ConnectFailed):
         await async_connect(pool, entry, StartCheck.ALWAYS)
 
 
 async def test_start_is_proven_by_one_question_for_all_connections_opened_before(
-    app: Application, upstream: Upstream
+    pool: ConnectionPool, upstream: StatingUpstream
 ) -> None:
     entry = await upstream.async_start()
-    pool = make_pool(app, upstream)
     connections = [await async_connect(pool, entry, StartCheck.IF_LOST) for _ in range(5)]
     proofs = [pool.prove_start(entry, connection) for connection in connections]
     assert not any(proof.holds() for proof in proofs)
@@ -229,7 +166,9 @@
     assert upstream.questions == 1
 
 
-async def test_questions_beside_requests_are_bounded(app: Application, upstream: Upstream) -> None:
+async def test_questions_beside_requests_are_bounded(
+    app: Application, upstream: StatingUpstream
+) -> None:
     directory = Directory(app=app, journal=Journal(app=app))
     starts = UpstreamStarts(clock=app.clock, directory=directory, get_list_age_ms=lambda: 0)
     assert 0 < sum(starts.may_ask() for _ in range(100)) <= QUESTION_BURST + 1
