--- a/tests/forwarding/stating_upstream.py
+++ b/tests/forwarding/stating_upstream.py
@@ -23,6 +23,9 @@
     def __init__(self) -> None:
         # None for one whose answer has none.
         self.started_ms: int | None = STARTED_MS
+        self.is_silent = False
+        # Whether it resets each connection that it accepts.
+        self.drops = False
         self.questions = 0
         self.accepted: list[asyncio.StreamWriter] = []
         self._server: asyncio.Server | None = None
@@ -41,10 +44,17 @@
 
     async def _async_accept(self, _: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.accepted.append(writer)
+        if self.drops:
+            writer.transport.abort()
 
-    async def async_read_start(self, _connection: HttpConnection) -> int:
+    async def async_read_start(self, connection: HttpConnection) -> int:
         """Return the start, as the upstream states it."""
         self.questions += 1
+        if self.is_silent:
+            await asyncio.Event().wait()
+        if self.drops:
+            await async_until(lambda: not connection.open)
+            raise ConnectionBroken("reset")
         if self.started_ms is None:
             raise ConnectionBroken("closed")
         return self.started_ms
--- a/tests/forwarding/test_forwarding_end_evidence.py
+++ b/tests/forwarding/test_forwarding_end_evidence.py
@@ -17,7 +17,7 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Record
-from gypsumrouter.forwarding import connections
+from gypsumrouter.forwarding import connections, end_evidence
 from gypsumrouter.forwarding.end_evidence import (
     SETTLE_MS,
     EndChecks,
@@ -175,6 +175,45 @@
     assert await checked.async_check(connection) is expected
 
 
+# Guards against an answer that counts as complete though its upstream states nothing any more.
+async def test_answer_of_an_upstream_that_is_silent_behind_it_is_complete(
+    checked: Checked, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(end_evidence, "PROBE_TIMEOUT_MS", 50)
+    connection, peer = await checked.async_open()
+    await async_begin_answer(connection, peer)
+    checked.upstream.is_silent = True
+    peer.close()
+    assert await checked.async_check(connection) is EndVerdict.SILENT
+
+
+# Guards against a listener that resets connections and vouches for answers that end together, and
+# against complete ones that count as broken off, as it bears no more connections.
+@pytest.mark.parametrize(
+    ("answers", "is_other_open", "expected"),
+    [
+        (1, False, EndVerdict.DROPPED),
+        (2, True, EndVerdict.DROPPED),
+        (2, False, EndVerdict.UNPROVEN),
+    ],
+)
+async def test_verdict_on_an_upstream_that_resets_connections_is_wrong(
+    checked: Checked, answers: int, is_other_open: bool, expected: EndVerdict
+) -> None:
+    if is_other_open:
+        await checked.async_open()
+    opened = [await checked.async_open() for _ in range(answers)]
+    for connection, peer in opened:
+        await async_begin_answer(connection, peer)
+    checked.upstream.drops = True
+    for _, peer in opened:
+        peer.close()
+    seen = await asyncio.gather(*(checked.async_check(connection) for connection, _ in opened))
+    assert set(seen) == {expected}
+    # Once more after the first one.
+    assert checked.upstream.questions == 2
+
+
 # Guards against the trust in a connection that is still open beside one that was lost just now.
 async def test_open_connection_vouches_beside_one_that_was_lost(checked: Checked) -> None:
     await checked.async_open()
