A connection that a leaving upstream breaks off is no evidence of a crash, whatever its framing

Seen: an upstream that was listed as leaving ended inside an event, and the parts of the prompt were implicated in a crash. Cause: the exception for upstreams that leave was made only where an unframed end was asked about. A stream whose bytes show the break, one with chunks and one beside a silent upstream had none.

--- a/tests/forwarding/test_forwarding_leaving_ends.py
+++ b/tests/forwarding/test_forwarding_leaving_ends.py
@@ -39,9 +39,7 @@
     return int(suspects["judged"])
 
 
-async def async_until_state(
-    world: DyingWorld, upstream: EndingUpstream, state: str
-) -> None:
+async def async_until_state(world: DyingWorld, upstream: EndingUpstream, state: str) -> None:
     """Wait until the forwarder lists an upstream in a state."""
 
     def is_in_state() -> bool:
@@ -97,7 +95,14 @@
     upstream = EndingUpstream(dying)
     await upstream.async_start(held=HELD, states_start=states_start)
     await upstream.async_list()
-    assert (
-        await async_end_inside_an_answer(dying, upstream, state=state, unlists=True)
-        == 0
-    )
+    assert await async_end_inside_an_answer(dying, upstream, state=state, unlists=True) == 0
+
+
+# Guards against the same for a stream that shows its break by its bytes.
+async def test_stream_that_ends_inside_an_event_as_its_upstream_leaves_counts_as_a_crash(
+    dying: DyingWorld,
+) -> None:
+    upstream = EndingUpstream(dying)
+    await upstream.async_start(held=HELD, ending="inside")
+    await upstream.async_list()
+    assert await async_end_inside_an_answer(dying, upstream, state="draining") == 0
--- a/tests/forwarding/unframed_upstream.py
+++ b/tests/forwarding/unframed_upstream.py
@@ -7,7 +7,8 @@
 With the ending `slow` it closes the listener and the answers under way on SIGTERM, and exits 0.4 s
 later; its idle connections are open until then. With `full` it accepts one connection in all, with
 `pause` it stands still for 1.3 s after each answer, with `announce` it says in its answers that it
-leaves. A path with `/large` gets 400 pieces of 50 kB.
+leaves. With `empty` it sends no piece, with `inside` the beginning of one more. A path with
+`/large` gets 400 pieces of 50 kB.
 """
 
 from __future__ import annotations
@@ -110,9 +111,12 @@
     ) -> None:
         first = int(headers.get("last-event-id") or 0) + 1
         last = LARGE_PIECES if is_large else self._held or PIECES
+        last = 0 if self._ending == "empty" else last
         size = LARGE_PIECE_BYTES if is_large else self._size
         for number in range(first, last + 1):
             writer.write(make_piece(number, size, events="x-token-usage" in headers))
+        if self._ending == "inside":
+            writer.write(make_piece(last + 1, size, events="x-token-usage" in headers)[:-2])
         await writer.drain()
         if self._held:
             self._answering.add(writer)
