--- a/tests/forwarding/test_forwarding_leaving_ends.py
+++ b/tests/forwarding/test_forwarding_leaving_ends.py
@@ -35,6 +35,11 @@
     seen = await asked
     assert (seen.status, seen.whole) == (200, False)
     await asyncio.sleep(JUDGED_S)
+    return count_implicated(world)
+
+
+def count_implicated(world: DyingWorld) -> int:
+    """Return how many parts of prompts are implicated in a crash."""
     suspects: Any = world.product.app.dump()["suspects"]
     return int(suspects["judged"])
 
@@ -106,3 +111,17 @@
     await upstream.async_start(held=HELD, ending="inside")
     await upstream.async_list()
     assert await async_end_inside_an_answer(dying, upstream, state="draining") == 0
+
+
+# Guards against sound prompts that come under suspicion though their upstream lives: it is not
+# asked where a stream shows its break by its bytes.
+@pytest.mark.parametrize("ending", ["empty", "inside"])
+async def test_stream_that_an_upstream_which_lives_has_cut_counts_as_a_crash(
+    dying: DyingWorld, ending: str
+) -> None:
+    upstream = EndingUpstream(dying)
+    await upstream.async_start(ending=ending)
+    await upstream.async_list()
+    assert (await dying.async_ask("r1", "/draft/a", events=True)).status in (200, 502)
+    await asyncio.sleep(JUDGED_S)
+    assert count_implicated(dying) == 0
