--- a/tests/forwarding/dying_world.py
+++ b/tests/forwarding/dying_world.py
@@ -99,11 +99,14 @@
         self.started: list[asyncio.subprocess.Process] = []
 
     async def async_add(
-        self, name: str, *, service: str = "models", held: int = 0, states_start: bool = True
+        self, name: str = "i-1", *, service: str = "models", **options: Any
     ) -> EndingUpstream:
-        """Start an upstream, and wait until the forwarder lists it."""
+        """Start an upstream, and wait until the forwarder lists it.
+
+        `options` are those of `EndingUpstream.async_start`.
+        """
         upstream = EndingUpstream(self, name=name, service=service)
-        await upstream.async_start(held=held, states_start=states_start)
+        await upstream.async_start(**options)
         await upstream.async_list()
         return upstream
 
--- a/tests/forwarding/test_forwarding_doubted_ends.py
+++ b/tests/forwarding/test_forwarding_doubted_ends.py
@@ -49,9 +49,7 @@
 async def test_upstream_that_ends_its_answers_before_its_idle_connections_on_sigterm(
     world: DyingWorld,
 ) -> None:
-    upstream = EndingUpstream(world)
-    await upstream.async_start(held=HELD, ending="slow")
-    await upstream.async_list()
+    upstream = await world.async_add(held=HELD, ending="slow")
     assert (await world.async_ask("framed", "/draft/framed", events=False)).status == 200
     asked = [
         asyncio.create_task(world.async_ask(f"r{i}", "/draft/a", events=True)) for i in range(3)
@@ -70,10 +68,8 @@
 async def test_restart_at_once_vouches_for_the_start_that_was_killed(
     world: DyingWorld, case: str
 ) -> None:
-    upstream = EndingUpstream(world)
     states_start = case != "no_start"
-    await upstream.async_start(held=HELD, states_start=states_start)
-    await upstream.async_list()
+    upstream = await world.async_add(held=HELD, states_start=states_start)
     assert (await world.async_ask("framed", "/draft/framed", events=False)).status == 200
     asked = [
         asyncio.create_task(world.async_ask(f"r{i}", "/draft/a", events=True)) for i in range(3)
@@ -140,9 +136,7 @@
 async def test_complete_answer_is_broken_off_as_its_upstream_leaves_before_the_caller_reads_on(
     world: DyingWorld,
 ) -> None:
-    upstream = EndingUpstream(world)
-    await upstream.async_start(size=10_000)
-    await upstream.async_list()
+    upstream = await world.async_add(size=10_000)
     assert (await world.async_ask("framed", "/draft/framed", events=False)).status == 200
     resume = asyncio.Event()
     asked = asyncio.create_task(async_ask_slowly(world, "r1", resume))
@@ -158,9 +152,7 @@
 async def test_answer_of_an_upstream_that_accepts_no_further_connection_is_broken_off(
     world: DyingWorld,
 ) -> None:
-    upstream = EndingUpstream(world)
-    await upstream.async_start(ending="full")
-    await upstream.async_list()
+    await world.async_add(ending="full")
     seen = await world.async_ask("r1", "/draft/a", events=True)
     assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_answer()))
 
@@ -171,9 +163,7 @@
 async def test_connection_of_a_resting_caller_vouches_for_an_upstream_that_was_killed(
     world: DyingWorld, states_start: bool
 ) -> None:
-    upstream = EndingUpstream(world)
-    await upstream.async_start(held=HELD, states_start=states_start)
-    await upstream.async_list()
+    upstream = await world.async_add(held=HELD, states_start=states_start)
     resume = asyncio.Event()
     resting = asyncio.create_task(async_ask_slowly(world, "r0", resume, "/draft/large"))
     await asyncio.sleep(0.5)
@@ -191,9 +181,7 @@
 async def test_answer_of_an_upstream_that_is_silent_after_it_is_broken_off(
     world: DyingWorld,
 ) -> None:
-    upstream = EndingUpstream(world)
-    await upstream.async_start(ending="pause")
-    await upstream.async_list()
+    await world.async_add(ending="pause")
     seen = await world.async_ask("r1", "/draft/a", events=True)
     assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_answer()))
 
@@ -201,9 +189,7 @@
 # Guards against a complete answer that implicates the parts of its prompt in a crash.
 @pytest.mark.parametrize("ending", ["full", "pause"])
 async def test_complete_answer_counts_as_a_crash(world: DyingWorld, ending: str) -> None:
-    upstream = EndingUpstream(world)
-    await upstream.async_start(ending=ending)
-    await upstream.async_list()
+    await world.async_add(ending=ending)
     await world.async_ask("r1", "/draft/a", events=True)
     await asyncio.sleep(1.5)
     suspects = world.product.app.dump()["suspects"]
--- a/tests/forwarding/test_forwarding_leaving_ends.py
+++ b/tests/forwarding/test_forwarding_leaving_ends.py
@@ -61,9 +61,7 @@
 async def test_upstream_that_ends_without_notice_is_no_evidence_of_a_crash(
     dying: DyingWorld, states_start: bool
 ) -> None:
-    upstream = EndingUpstream(dying)
-    await upstream.async_start(held=HELD, states_start=states_start)
-    await upstream.async_list()
+    upstream = await dying.async_add(held=HELD, states_start=states_start)
     assert await async_end_inside_an_answer(dying, upstream) > 0
 
 
@@ -72,9 +70,7 @@
 async def test_upstream_that_is_listed_as_leaving_counts_as_crashed(
     dying: DyingWorld, states_start: bool
 ) -> None:
-    upstream = EndingUpstream(dying)
-    await upstream.async_start(held=HELD, states_start=states_start)
-    await upstream.async_list()
+    upstream = await dying.async_add(held=HELD, states_start=states_start)
     assert await async_end_inside_an_answer(dying, upstream, state="draining") == 0
 
 
@@ -84,9 +80,7 @@
 async def test_upstream_that_announced_in_its_answer_that_it_leaves_counts_as_crashed(
     dying: DyingWorld, states_start: bool, unlists: bool
 ) -> None:
-    upstream = EndingUpstream(dying)
-    await upstream.async_start(held=HELD, states_start=states_start, ending="announce")
-    await upstream.async_list()
+    upstream = await dying.async_add(held=HELD, states_start=states_start, ending="announce")
     assert await async_end_inside_an_answer(dying, upstream, unlists=unlists) == 0
 
 
@@ -97,9 +91,7 @@
 async def test_upstream_that_removed_its_entry_before_its_end_counts_as_crashed(
     dying: DyingWorld, state: str, states_start: bool
 ) -> None:
-    upstream = EndingUpstream(dying)
-    await upstream.async_start(held=HELD, states_start=states_start)
-    await upstream.async_list()
+    upstream = await dying.async_add(held=HELD, states_start=states_start)
     assert await async_end_inside_an_answer(dying, upstream, state=state, unlists=True) == 0
 
 
@@ -107,9 +99,7 @@
 async def test_stream_that_ends_inside_an_event_as_its_upstream_leaves_counts_as_a_crash(
     dying: DyingWorld,
 ) -> None:
-    upstream = EndingUpstream(dying)
-    await upstream.async_start(held=HELD, ending="inside")
-    await upstream.async_list()
+    upstream = await dying.async_add(held=HELD, ending="inside")
     assert await async_end_inside_an_answer(dying, upstream, state="draining") == 0
 
 
@@ -119,9 +109,7 @@
 async def test_stream_that_an_upstream_which_lives_has_cut_counts_as_a_crash(
     dying: DyingWorld, ending: str
 ) -> None:
-    upstream = EndingUpstream(dying)
-    await upstream.async_start(ending=ending)
-    await upstream.async_list()
+    await dying.async_add(ending=ending)
     assert (await dying.async_ask("r1", "/draft/a", events=True)).status in (200, 502)
     await asyncio.sleep(JUDGED_S)
     assert count_implicated(dying) == 0
