--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -38,8 +38,9 @@
     listener accepted and closed two connections. REFUSED: nothing listens there. SILENT: it
     accepted a connection, and states nothing. UNREACHABLE: no connection, or no start. RESTARTED:
     another start has its address. REPLACED: a connection, but the entry states no start, and is
-    gone or another upstream is listed at its address. UNPROVEN: a connection, but the entry states
-    no start, and it may have accepted it long after the end, as the caller rested.
+    gone or another upstream is listed at its address. UNPROVEN: a connection that another process
+    may have accepted, as the entry states no start and the caller rested; or as DROPPED, beside
+    another answer that ended with it or with a caller that rested. No older connection is open.
     """
 
     OPEN = "open"
