--- a/tests/forwarding/test_forwarding_doubted_ends.py
+++ b/tests/forwarding/test_forwarding_doubted_ends.py
@@ -66,9 +66,7 @@
 async def test_upstream_that_ends_its_answers_before_its_idle_connections_on_sigterm(
     world: DyingWorld,
 ) -> None:
-    upstream = EndingUpstream(world)
-    await upstream.async_start(held=HELD, ending="slow")
-    await upstream.async_list()
+    upstream = await world.async_add(held=HELD, ending="slow")
     assert (await world.async_ask("framed", "/draft/framed", events=False)).status == 200
     asked = [
         asyncio.create_task(world.async_ask(f"r{i}", "/draft/a", events=True)) for i in range(3)
@@ -87,10 +85,8 @@
 async def test_restart_at_once_vouches_for_the_start_that_was_killed(
     world: DyingWorld, case: str
 ) -> None:
-    upstream = EndingUpstream(world)
     states_start = case != "no_start"
-    await upstream.async_start(held=HELD, states_start=states_start)
-    await upstream.async_list()
+    upstream = await world.async_add(held=HELD, states_start=states_start)
     assert (await world.async_ask("framed", "/draft/framed", events=False)).status == 200
     asked = [
         asyncio.create_task(world.async_ask(f"r{i}", "/draft/a", events=True)) for i in range(3)
@@ -157,9 +153,7 @@
 async def test_complete_answer_is_broken_off_as_its_upstream_leaves_before_the_caller_reads_on(
     world: DyingWorld,
 ) -> None:
-    upstream = EndingUpstream(world)
-    await upstream.async_start(size=10_000)
-    await upstream.async_list()
+    upstream = await world.async_add(size=10_000)
     assert (await world.async_ask("framed", "/draft/framed", events=False)).status == 200
     resume = asyncio.Event()
     asked = await async_ask_slowly(world, "r1", resume)
@@ -177,9 +171,7 @@
 async def test_answer_of_an_upstream_that_accepts_no_further_connection_is_broken_off(
     world: DyingWorld,
 ) -> None:
-    upstream = EndingUpstream(world)
-    await upstream.async_start(ending="full")
-    await upstream.async_list()
+    await world.async_add(ending="full")
     seen = await world.async_ask("r1", "/draft/a", events=True)
     assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_answer()))
 
@@ -190,9 +182,7 @@
 async def test_connection_of_a_resting_caller_vouches_for_an_upstream_that_was_killed(
     world: DyingWorld, states_start: bool
 ) -> None:
-    upstream = EndingUpstream(world)
-    await upstream.async_start(held=HELD, states_start=states_start)
-    await upstream.async_list()
+    upstream = await world.async_add(held=HELD, states_start=states_start)
     resume = asyncio.Event()
     resting = await async_ask_slowly(world, "r0", resume, "/draft/large")
     await asyncio.sleep(0.5)
@@ -210,9 +200,7 @@
 async def test_answer_of_an_upstream_that_is_silent_after_it_is_broken_off(
     world: DyingWorld,
 ) -> None:
-    upstream = EndingUpstream(world)
-    await upstream.async_start(ending="pause")
-    await upstream.async_list()
+    await world.async_add(ending="pause")
     seen = await world.async_ask("r1", "/draft/a", events=True)
     assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_answer()))
 
@@ -220,9 +208,7 @@
 # Guards against a complete answer that implicates the parts of its prompt in a crash.
 @pytest.mark.parametrize("ending", ["full", "pause"])
 async def test_complete_answer_counts_as_a_crash(world: DyingWorld, ending: str) -> None:
-    upstream = EndingUpstream(world)
-    await upstream.async_start(ending=ending)
-    await upstream.async_list()
+    await world.async_add(ending=ending)
     await world.async_ask("r1", "/draft/a", events=True)
     await asyncio.sleep(1.5)
     suspects = world.product.app.dump()["suspects"]
--- a/tests/forwarding/test_forwarding_leaving_ends.py
+++ b/tests/forwarding/test_forwarding_leaving_ends.py
@@ -35,13 +35,16 @@
     seen = await asked
     assert (seen.status, seen.whole) == (200, False)
     await asyncio.sleep(JUDGED_S)
+    return count_implicated(world)
+
+
+def count_implicated(world: DyingWorld) -> int:
+    """Return how many parts of prompts are implicated in a crash."""
     suspects: Any = world.product.app.dump()["suspects"]
     return int(suspects["judged"])
 
 
-async def async_until_state(
-    world: DyingWorld, upstream: EndingUpstream, state: str
-) -> None:
+async def async_until_state(world: DyingWorld, upstream: EndingUpstream, state: str) -> None:
     """Wait until the forwarder lists an upstream in a state."""
 
     def is_in_state() -> bool:
@@ -58,9 +61,7 @@
 async def test_upstream_that_ends_without_notice_is_no_evidence_of_a_crash(
     dying: DyingWorld, states_start: bool
 ) -> None:
-    upstream = EndingUpstream(dying)
-    await upstream.async_start(held=HELD, states_start=states_start)
-    await upstream.async_list()
+    upstream = await dying.async_add(held=HELD, states_start=states_start)
     assert await async_end_inside_an_answer(dying, upstream) > 0
 
 
@@ -69,9 +70,7 @@
 async def test_upstream_that_is_listed_as_leaving_counts_as_crashed(
     dying: DyingWorld, states_start: bool
 ) -> None:
-    upstream = EndingUpstream(dying)
-    await upstream.async_start(held=HELD, states_start=states_start)
-    await upstream.async_list()
+    upstream = await dying.async_add(held=HELD, states_start=states_start)
     assert await async_end_inside_an_answer(dying, upstream, state="draining") == 0
 
 
@@ -81,9 +80,7 @@
 async def test_upstream_that_announced_in_its_answer_that_it_leaves_counts_as_crashed(
     dying: DyingWorld, states_start: bool, unlists: bool
 ) -> None:
-    upstream = EndingUpstream(dying)
-    await upstream.async_start(held=HELD, states_start=states_start, ending="announce")
-    await upstream.async_list()
+    upstream = await dying.async_add(held=HELD, states_start=states_start, ending="announce")
     assert await async_end_inside_an_answer(dying, upstream, unlists=unlists) == 0
 
 
@@ -94,10 +91,25 @@
 async def test_upstream_that_removed_its_entry_before_its_end_counts_as_crashed(
     dying: DyingWorld, state: str, states_start: bool
 ) -> None:
-    upstream = EndingUpstream(dying)
-    await upstream.async_start(held=HELD, states_start=states_start)
-    await upstream.async_list()
-    assert (
-        await async_end_inside_an_answer(dying, upstream, state=state, unlists=True)
-        == 0
-    )
+    upstream = await dying.async_add(held=HELD, states_start=states_start)
+    assert await async_end_inside_an_answer(dying, upstream, state=state, unlists=True) == 0
+
+
+# Guards against the same for a stream that shows its break by its bytes.
+async def test_stream_that_ends_inside_an_event_as_its_upstream_leaves_counts_as_a_crash(
+    dying: DyingWorld,
+) -> None:
+    upstream = await dying.async_add(held=HELD, ending="inside")
+    assert await async_end_inside_an_answer(dying, upstream, state="draining") == 0
+
+
+# Guards against sound prompts that come under suspicion though their upstream lives: it is not
+# asked where a stream shows its break by its bytes.
+@pytest.mark.parametrize("ending", ["empty", "inside"])
+async def test_stream_that_an_upstream_which_lives_has_cut_counts_as_a_crash(
+    dying: DyingWorld, ending: str
+) -> None:
+    await dying.async_add(ending=ending)
+    assert (await dying.async_ask("r1", "/draft/a", events=True)).status in (200, 502)
+    await asyncio.sleep(JUDGED_S)
+    assert count_implicated(dying) == 0
