The end of a leaving upstream counts as evidence again, except behind an unframed end

An upstream that leaves may crash too, and the rule on requests that crash runners (BUDGET) counts such a crash: the change takes evidence away on the main way of all streams.

Not decided: which of the two faults weighs more.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -52,7 +52,9 @@
     """An attempt at one upstream; it must be closed in all cases.
 
     Once `sent` is true, the upstream may run the request. `reused` is true if the connection
-    carried an earlier exchange. `on_head` is called with the metadata of each response.
+    carried an earlier exchange. `may_have_crashed` is false if the answer has broken off and
+    nothing shows that the process has ended, or it was known to leave. `on_head` is called with
+    the metadata of each response.
     """
 
     __slots__ = (
@@ -60,11 +62,11 @@
         "_dialect",
         "_end_watch",
         "_ends",
-        "_may_have_ended",
         "_on_head",
         "_pool",
         "_request",
         "entry",
+        "may_have_crashed",
         "metadata",
         "options",
         "reused",
@@ -94,14 +96,7 @@
         self.metadata: ResponseMetadata | None = None
         self.reused = False
         self.sent = False
-        # False if the answer has broken off and nothing shows that the process has ended.
-        self._may_have_ended = True
-
-    @property
-    def may_have_crashed(self) -> bool:
-        """Return whether the loss of the connection may be due to a crash of the upstream."""
-        leaving = self.metadata is not None and self.metadata.draining
-        return self._may_have_ended and not leaving and not self._ends.is_leaving(self.entry)
+        self.may_have_crashed = True
 
     async def async_connect(
         self, *, repeatable: bool, start_check: StartCheck = StartCheck.NEVER
@@ -154,7 +149,9 @@
             return None
         watch = self._end_watch or self._ends.watch(self.entry, connection)
         verdict = await self._ends.async_check(watch, request_id=self._request.request_id)
-        self._may_have_ended = verdict.shows_death
+        leaving = self.metadata is not None and self.metadata.draining
+        leaving = leaving or self._ends.is_leaving(self.entry)
+        self.may_have_crashed = verdict.shows_death and not leaving
         return None if verdict.complete else f"ended with its upstream: {verdict.value}"
 
     def release(self) -> None:
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -183,20 +183,16 @@
             while find_first_event(received) is None:
                 part = await outcome.answer.body.readany()
                 if not part and outcome.answer.framing is Framing.CLOSE:
-                    return self._make_lost(NO_EVENT)
+                    return ResponseLost(reason=NO_EVENT, connection_broken=True)
                 if not part:
                     break
                 received += part
                 if len(received) > MAX_EVENT_BYTES:
-                    return self._make_lost("an event is too long")
+                    return ResponseLost(reason="an event is too long", connection_broken=True)
         except ConnectionBroken as error:
-            return self._make_lost(str(error))
+            return ResponseLost(reason=str(error), connection_broken=True)
         return msgspec.structs.replace(outcome, initial_bytes=received)
 
-    def _make_lost(self, reason: str) -> ResponseLost:
-        """Return the outcome of a stream that has broken off."""
-        return ResponseLost(reason=reason, connection_broken=self.attempt.may_have_crashed)
-
     def note_received(self) -> None:
         """Record that a piece of the response has arrived."""
         self.heard_ms = self._context.app.clock.now_ms()
