Tests of the connect timeout bear further pauses of their process

The timeout is 200 ms as in the forwarder, in place of 100, so that a pause of 50 ms right after the injected one doesn't count. The upper bound on a timeout without a pause is 1.5 times the timeout, in place of a second, for the shortest of three tries.

--- a/tests/helpers/test_http_connection.py
+++ b/tests/helpers/test_http_connection.py
@@ -24,7 +24,8 @@
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 RESET_LINGER = struct.pack("ii", 1, 0)
-CONNECT_MS = 100
+CONNECT_MS = 200
+PAUSE_S = 1.25 * CONNECT_MS / 1_000
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
@@ -187,7 +188,7 @@
         connecting = asyncio.create_task(async_connect(address=address, timeout_ms=CONNECT_MS))
         for _ in range(iterations):
             await asyncio.sleep(0)
-        time.sleep(2 * CONNECT_MS / 1_000)  # noqa: ASYNC251
+        time.sleep(PAUSE_S)  # noqa: ASYNC251
         (await connecting).close()
 
     with socket.create_server(("127.0.0.1", 0)) as listening:
@@ -196,17 +197,19 @@
             runner.run(async_pause(address))
 
 
-# Guards against a timeout that is exceeded without a pause.
+# Guards against a timeout that is exceeded without a pause. The shortest of three tries counts,
+# since this process may stand still in one of them.
 async def test_connecting_to_a_listener_with_a_full_backlog_ends_at_the_timeout() -> None:
+    took_ms: list[float] = []
     with socket.create_server(("127.0.0.1", 0), backlog=0) as listening:
         address = Address(host="127.0.0.1", port=listening.getsockname()[1])
         with socket.create_connection((address.host, address.port)):
-            begun_s = time.monotonic()
-            with pytest.raises(ConnectFailed, match="no connection within 100 ms"):
-                await async_connect(address=address, timeout_ms=CONNECT_MS)
-            took_ms = (time.monotonic() - begun_s) * 1_000
-    # The kernel sends the next SYN after a second.
-    assert CONNECT_MS <= took_ms < 1_000
+            for _ in range(3):
+                begun_s = time.monotonic()
+                with pytest.raises(ConnectFailed, match="no connection within 200 ms"):
+                    await async_connect(address=address, timeout_ms=CONNECT_MS)
+                took_ms.append((time.monotonic() - begun_s) * 1_000)
+    assert CONNECT_MS <= min(took_ms) < 1.5 * CONNECT_MS
 
 
 @pytest.mark.parametrize("earlier", [False, True])
