Test of a question in the millisecond of an end opens its connections in it, too

Seen: it failed in 1 of 7 runs, as the clock had gone on between the connections and the moment at which the test stops it: the second connection was older than the first end, and vouched.

--- a/tests/forwarding/test_forwarding_end_evidence.py
+++ b/tests/forwarding/test_forwarding_end_evidence.py
@@ -140,12 +140,13 @@
 async def test_question_that_was_asked_before_an_end_vouches_for_it(
     checked: Checked, monkeypatch: pytest.MonkeyPatch
 ) -> None:
+    # Everything is in one millisecond, so that no connection is older than an end.
+    now_ms = SystemClock().now_ms()
+    monkeypatch.setattr(SystemClock, "now_ms", lambda _: now_ms)
     first, first_peer = await checked.async_open()
     second, second_peer = await checked.async_open()
     for connection, peer in ((first, first_peer), (second, second_peer)):
         await async_begin_answer(connection, peer)
-    now_ms = SystemClock().now_ms()
-    monkeypatch.setattr(SystemClock, "now_ms", lambda _: now_ms)
     first_peer.close()
     assert await checked.async_check(first) is EndVerdict.ALIVE
     checked.upstream.refuse()
