A side that stops meets an unexpected exception as it asks its upstream

Cause: a request of a side begins after its session was closed; the HTTP library raises RuntimeError, which none of the callers expects.

Change: a session that is closed counts as none, so ConnectFailed.

--- a/gypsumrouter/upstream/transport.py
+++ b/gypsumrouter/upstream/transport.py
@@ -130,8 +130,8 @@
         Raises ConnectFailed if no connection was established and ConnectionBroken if the exchange
         failed after that. Exceptions of `hand_over` are propagated.
         """
-        if self._session is None:
-            raise ConnectFailed("the HTTP session is not open; open_session must be called first")
+        if self._session is None or self._session.closed:
+            raise ConnectFailed("the HTTP session is not open")
         data = None if not body and method in _BODILESS_METHODS else body
         token = _HAND_OVER.set(hand_over)
         try:
