Known red: a whole answer of a start that is not listed yet is broken off

Cause: the upstream had started again at its address, and the request went to the new start. The question behind the end finds another start than the entry's, which counts as the death of the one that answered.

Not mended: nothing tells which start answered, unless a connection has stated it.

--- a/tests/forwarding/test_forwarding_doubted_ends.py
+++ b/tests/forwarding/test_forwarding_doubted_ends.py
@@ -215,3 +215,13 @@
     assert isinstance(suspects, dict)
     # Subjects with an implication in a crash.
     assert suspects["judged"] == 0
+
+
+# Guards against a complete answer that counts as broken off, since it came from a start of its
+# upstream that the list doesn't show yet.
+async def test_answer_of_a_start_that_is_not_listed_yet_is_broken_off(world: DyingWorld) -> None:
+    upstream = await world.async_add()
+    await upstream.async_end()
+    await upstream.async_start()
+    seen = await world.async_ask("r1", "/draft/a", events=True)
+    assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_answer()))
