--- a/tests/forwarding/dying_world.py
+++ b/tests/forwarding/dying_world.py
@@ -136,15 +136,20 @@
         headers |= PROMPT if events else {}
         lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
         writer.write(f"POST {path} HTTP/{version}\r\n{lines}\r\np".encode())
-        received, reset = b"", False
-        try:
-            async with asyncio.timeout(15):
-                while part := await reader.read(65_536):
-                    received += part
-        except ConnectionError:
-            reset = True
-        writer.close()
-        return read_answer(received, reset=reset)
+        return await async_read_answer(reader, writer)
+
+
+async def async_read_answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Seen:
+    """Read the only answer on a connection to its end, and close the connection."""
+    received, reset = b"", False
+    try:
+        async with asyncio.timeout(15):
+            while part := await reader.read(65_536):
+                received += part
+    except ConnectionError:
+        reset = True
+    writer.close()
+    return read_answer(received, reset=reset)
 
 
 def read_answer(received: bytes, *, reset: bool) -> Seen:
--- a/tests/forwarding/test_forwarding_doubted_ends.py
+++ b/tests/forwarding/test_forwarding_doubted_ends.py
@@ -7,7 +7,7 @@
 import signal
 
 import pytest
-from dying_world import DyingWorld, EndingUpstream, Seen, read_answer
+from dying_world import DyingWorld, EndingUpstream, Seen, async_read_answer
 from forwarding_world import CALLER_KEY, HOST, PROMPT
 from unframed_upstream import PIECES, make_answer
 
@@ -50,15 +50,7 @@
     """Read an answer to its end once `resume` is set."""
     await resume.wait()
     writer.transport.resume_reading()  # type: ignore[attr-defined]
-    received, reset = b"", False
-    try:
-        async with asyncio.timeout(15):
-            while part := await reader.read(65_536):
-                received += part
-    except ConnectionError:
-        reset = True
-    writer.close()
-    return read_answer(received, reset=reset)
+    return await async_read_answer(reader, writer)
 
 
 # Guards against trust in an idle connection of a process that ends its answers first and exits
