Streams read later than 3 s into a stop are taken by their deadline only

Cause: a drain took them by an estimate from past answers, and load slows an engine further than any record of the past shows.

Change: a stream (a prompt, or a streaming route) whose request has been read whole 3 s (EXCUSED_MS, the rule's) or more behind the signal is taken only if its deadline ends before the cut; what is decided later about the same request, its placement and its replacement, uses the same flag. Plain requests, and streams that were read before, are decided as before.

Why it works: the router ends a stream at its deadline itself, whatever the engine does.

--- a/bench/raw_caller.py
+++ b/bench/raw_caller.py
@@ -96,6 +96,7 @@
         *,
         path: str = "/draft/a",
         tokens: int | None = 80,
+        deadline_ms: int = DEADLINE_MS,
         bytes_per_s: float | None = None,
         parts: Sequence[bytes] = (),
         pause_s: float = 0.0,
@@ -114,7 +115,7 @@
         """
         answer = Answer(request_id=request_id, sent_s=time.monotonic())
         loop = asyncio.get_running_loop()
-        parts = parts or (make_head(request_id, path, tokens),)
+        parts = parts or (make_head(request_id, path, tokens, deadline_ms=deadline_ms),)
         sending = loop.create_task(self._async_send(answer, parts, pause_s))
         try:
             while not _is_whole(answer):
@@ -167,7 +168,9 @@
         self._socket.close()
 
 
-def make_head(request_id: str, path: str, tokens: int | None) -> bytes:
+def make_head(
+    request_id: str, path: str, tokens: int | None, *, deadline_ms: int = DEADLINE_MS
+) -> bytes:
     """Return a request; one with `tokens` asks a model for as many."""
     usage = (
         ""
@@ -179,7 +182,7 @@
     )
     return (
         f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\n{names.REQUEST_ID}: {request_id}\r\n"
-        f"{names.DEADLINE}: {DEADLINE_MS}\r\n{names.API_KEY}: {CALLER_KEY}\r\n{usage}\r\n"
+        f"{names.DEADLINE}: {deadline_ms}\r\n{names.API_KEY}: {CALLER_KEY}\r\n{usage}\r\n"
     ).encode()
 
 
--- a/gypsumrouter/forwarding/drain/__init__.py
+++ b/gypsumrouter/forwarding/drain/__init__.py
@@ -3,5 +3,6 @@
 from __future__ import annotations
 
 from gypsumrouter.forwarding.drain.admission import DrainAdmission
+from gypsumrouter.forwarding.drain.request_admission import RequestAdmission
 
-__all__ = ["DrainAdmission"]
+__all__ = ["DrainAdmission", "RequestAdmission"]
--- a/gypsumrouter/forwarding/drain/admission.py
+++ b/gypsumrouter/forwarding/drain/admission.py
@@ -3,7 +3,8 @@
 During a rolling restart some load balancers keep sending requests to a router that reports not
 ready, because no other is available. Rejecting all of them while a long stream finishes would be an
 outage of several seconds. Requests are therefore admitted if they end in time by what this router
-has seen of their service.
+has seen of their service. A stream that the end of the stop must not cut is admitted only if its
+deadline ends in time, since no record of the past bounds how far load slows an engine.
 """
 
 from __future__ import annotations
@@ -14,6 +15,7 @@
 
 from gypsumrouter.forwarding.const import DRAIN_GRACE_MS
 from gypsumrouter.forwarding.drain.const import (
+    EXCUSED_MS,
     MARGIN_MS,
     MEDIAN,
     QUANTILE,
@@ -98,6 +100,15 @@
         """Stop tracking a request that has ended."""
         self._running.pop(number, None)
 
+    def needs_bound(self, *, is_stream: bool) -> bool:
+        """Return whether a request that has been read now must not be cut by the drain.
+
+        A plain request gets a final response in place of a cut.
+        """
+        if self._started_ms is None or not is_stream:
+            return False
+        return self._clock.now_ms() >= self._started_ms + EXCUSED_MS
+
     def admits(
         self,
         service: str,
@@ -105,13 +116,17 @@
         *,
         remaining_ms: int,
         upstream: str | None = None,
+        needs_bound: bool = False,
     ) -> bool:
         """Return whether to admit a request to a service, or to send it to an upstream.
 
-        It ends after `remaining_ms` at the latest, which is its deadline.
+        It ends after `remaining_ms` at the latest, which is its deadline. `needs_bound` is from
+        when it was read.
         """
         if self._started_ms is None:
             return True
+        if needs_bound:
+            return remaining_ms <= self._left_ms
         if self.grace_left_ms and not self.durations.is_known(service, upstream):
             return True
         return self._ends_in_time(service, prompt, remaining_ms=remaining_ms, upstream=upstream)
@@ -124,19 +139,28 @@
         events: int,
         remaining_ms: int,
         upstream: str,
+        needs_bound: bool = False,
     ) -> bool:
         """Return whether an upstream may go on with a request after `events` of a silent one.
 
         That one may be sound and go on in time, which is no longer sure for a replacement with a
-        first event, and perhaps a silence, of its own.
+        first event, and perhaps a silence, of its own. `needs_bound` is from when the request was
+        read.
         """
         if self._started_ms is None:
             return True
+        if needs_bound:
+            return remaining_ms <= self._left_ms
         if prompt is not None and events:
             left = max(1, prompt.max_output_tokens - events)
             prompt = msgspec.structs.replace(prompt, max_output_tokens=left)
         return self._ends_in_time(service, prompt, remaining_ms=remaining_ms, upstream=upstream)
 
+    @property
+    def _left_ms(self) -> int:
+        """Return how long an answer that begins now may take."""
+        return self.limit_at_ms - self._clock.now_ms() - MARGIN_MS
+
     def _ends_in_time(
         self,
         service: str,
@@ -146,7 +170,7 @@
         upstream: str | None,
     ) -> bool:
         """Return whether an answer ends before the limit, by its deadline at the latest."""
-        left_ms = self.limit_at_ms - self._clock.now_ms() - MARGIN_MS
+        left_ms = self._left_ms
         if remaining_ms <= left_ms:
             return True
         margin = self._choose_margin(service)
--- a/gypsumrouter/forwarding/drain/const.py
+++ b/gypsumrouter/forwarding/drain/const.py
@@ -4,6 +4,8 @@
 
 from typing import Final
 
+# Only what was sent no later than this after the signal of a stop may be cut at its end.
+EXCUSED_MS: Final = 3_000
 # The slowest pace and the latest first event that are expected of an engine.
 SLOWEST_MS_PER_TOKEN: Final = 50.0
 LATEST_FIRST_MS: Final = 4_000
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 from collections.abc import Iterable
-from functools import partial
 from typing import Final, Protocol
 
 from aiohttp import web
@@ -26,10 +25,10 @@
 from gypsumrouter.directory import Directory
 from gypsumrouter.forwarding.const import RETRY_AT_ONCE_MS
 from gypsumrouter.forwarding.context import ForwardingContext
-from gypsumrouter.forwarding.drain import DrainAdmission
+from gypsumrouter.forwarding.drain import DrainAdmission, RequestAdmission
 from gypsumrouter.forwarding.execution import RequestExecution
 from gypsumrouter.forwarding.metrics import ForwardingMetrics, RequestRecords, RunningRequest
-from gypsumrouter.forwarding.models import CallerRequest, MalformedHead, Prompt
+from gypsumrouter.forwarding.models import CallerRequest, MalformedHead
 from gypsumrouter.forwarding.progress import (
     OUTCOME_ANSWERED,
     OUTCOME_ERROR,
@@ -243,12 +242,15 @@
             case RouteMatch() as routed:
                 service = _choose_service(caller_request, routed.route)
                 limit_ms = get_time_limit_ms(caller_request, routed.route)
-                if not self._admits(service, caller_request.prompt, limit_ms):
+                running = self._running[number]
+                running.needs_bound = self._drain.needs_bound(
+                    is_stream=caller_request.prompt is not None or routed.route.streamed
+                )
+                if not self._make_admission(service, caller_request, running).may_start(limit_ms):
                     return self._refusals.refuse(
                         caller_request, Reason.LEAVING, "This router is stopping"
                     )
                 progress = Progress(arrived_ms=arrived_ms, deadline_at_ms=arrived_ms + limit_ms)
-                running = self._running[number]
                 running.progress = progress
                 self._drain.request_started(number, service=service, progress=progress)
                 return await self._async_run(caller_request, routed, service, running, progress)
@@ -273,26 +275,15 @@
                 caller_request.request_id,
             )
 
-    def _admits(
-        self, service: str, prompt: Prompt | None, remaining_ms: int, upstream: str | None = None
-    ) -> bool:
-        if Mechanism.SHUTDOWN_ADMISSION in self._context.without:
-            return True
-        return self._drain.admits(service, prompt, remaining_ms=remaining_ms, upstream=upstream)
-
-    def _admits_replacement(
-        self,
-        service: str,
-        prompt: Prompt | None,
-        *,
-        events: int,
-        remaining_ms: int,
-        upstream: str,
-    ) -> bool:
-        if Mechanism.SHUTDOWN_ADMISSION in self._context.without:
-            return True
-        return self._drain.admits_replacement(
-            service, prompt, events=events, remaining_ms=remaining_ms, upstream=upstream
+    def _make_admission(
+        self, service: str, caller_request: CallerRequest, running: RunningRequest
+    ) -> RequestAdmission:
+        disabled = Mechanism.SHUTDOWN_ADMISSION in self._context.without
+        return RequestAdmission(
+            None if disabled else self._drain,
+            service=service,
+            prompt=caller_request.prompt,
+            needs_bound=running.needs_bound,
         )
 
     def _can_place_without_inventory(self, caller_request: CallerRequest) -> bool:
@@ -337,6 +328,7 @@
             configuration=self._routing.version,
             list_revision=self._directory.applied_revision,
         )
+        admission = self._make_admission(service, caller_request, running)
         run = RequestExecution(
             context=self._context,
             request=caller_request,
@@ -345,8 +337,8 @@
             web_request=request,
             progress=progress,
             close_connection=lambda: self._drain.draining,
-            may_start=partial(self._admits, service, caller_request.prompt),
-            may_replace=partial(self._admits_replacement, service, caller_request.prompt),
+            may_start=admission.may_start,
+            may_replace=admission.may_replace,
             request_journal=request_journal,
             origin=origin,
         )
