A signal that is handled late moves the 3 s from which streams need a bound

Callers of a router that was suspended when its SIGTERM came would see a stream cut that they had sent 3.1 s behind the signal: the router, which counts from when its handler ran, took it for one of 2.7 s. The handler takes the time itself and doesn't wait for the event loop, but a process that doesn't run has no handler either.

Change: the forwarder's event loop notes every 100 ms that it runs (LoopTicks). A signal came behind the last note before its handler ran, and the 3 s are counted from that note, the earliest time possible. The price: up to 100 ms in which streams are refused that a stop could cut. The limit of the stop, and its 2.6 s, are counted as before.

A request that is read late looks later than it was sent, which is the safe side.

--- a/gypsumrouter/forwarding/drain/admission.py
+++ b/gypsumrouter/forwarding/drain/admission.py
@@ -52,12 +52,13 @@
     requests to services and upstreams of which nothing is known lately are admitted as well.
     """
 
-    __slots__ = ("_clock", "_limit_ms", "_running", "_started_ms", "durations")
+    __slots__ = ("_clock", "_late_ms", "_limit_ms", "_running", "_started_ms", "durations")
 
     def __init__(self, *, clock: Clock, limit_ms: int) -> None:
         self._clock = clock
         self._limit_ms = limit_ms
         self._started_ms: int | None = None
+        self._late_ms = 0
         self._running: dict[int, tuple[str, Progress]] = {}
         self.durations = SeenDurations(clock=clock)
 
@@ -88,8 +89,12 @@
         """Return whether the drain has started."""
         return self._started_ms is not None
 
-    def begin(self, started_ms: int | None = None) -> None:
-        """Start the drain of a stop that was asked for at `started_ms`, by default now."""
+    def begin(self, started_ms: int | None = None, *, late_ms: int = 0) -> None:
+        """Start the drain of a stop that was asked for at `started_ms`, by default now.
+
+        Its signal was handled then, and may have come `late_ms` before.
+        """
+        self._late_ms = late_ms
         self._started_ms = self._clock.now_ms() if started_ms is None else started_ms
 
     def request_started(self, number: int, *, service: str, progress: Progress) -> None:
@@ -107,7 +112,7 @@
         """
         if self._started_ms is None or not is_stream:
             return False
-        return self._clock.now_ms() >= self._started_ms + EXCUSED_MS
+        return self._clock.now_ms() >= self._started_ms - self._late_ms + EXCUSED_MS
 
     def admits(
         self,
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -25,7 +25,7 @@
 from gypsumrouter.forwarding.connections import ConnectionPool, ReadStart
 from gypsumrouter.forwarding.const import CALLER_TIMEOUT_MARGIN_MS
 from gypsumrouter.forwarding.context import ForwardingContext
-from gypsumrouter.forwarding.drain import DrainAdmission
+from gypsumrouter.forwarding.drain import DrainAdmission, LoopTicks
 from gypsumrouter.forwarding.end_evidence import EndChecks
 from gypsumrouter.forwarding.handler import RequestHandler, RequestParser
 from gypsumrouter.forwarding.health import HealthTracker
@@ -74,6 +74,7 @@
         "_first_start",
         "_journal",
         "_listener",
+        "_loop_ticks",
         "_pool",
         "_queue",
         "_return_order",
@@ -166,6 +167,7 @@
             window_ms=bounds.retry_window_ms,
             first_start=settings.first_start,
         )
+        self._loop_ticks = LoopTicks(clock=app.clock)
         self._drain = DrainAdmission(clock=app.clock, limit_ms=bounds.stop_ms - CUT_MARGIN_MS)
         self.suspects = CrashGuard(app=app, journal=journal)
         self.suspects.set_allowed(settings.allowed_parts)
@@ -257,6 +259,7 @@
         self._app.on_stop(self._listener.async_close)
         self._app.on_stop(self._async_record_cut)
         self._app.async_create_task(self._async_clean_up(), "forwarder sweep")
+        self._app.async_create_task(self._loop_ticks.async_run(), "forwarder loop ticks")
         if self._first_start or Mechanism.INVENTORY in self._disabled:
             self.inventory.mark_complete()
         else:
@@ -321,7 +324,9 @@
         Connections close after their responses from now on, idle ones after the wait.
         """
         assert self._listener is not None
-        self._drain.begin(self._app.stop_at_ms)
+        stop_at_ms = self._app.stop_at_ms
+        late_ms = 0 if stop_at_ms is None else self._loop_ticks.bound_lateness_ms(stop_at_ms)
+        self._drain.begin(stop_at_ms, late_ms=late_ms)
         drain = ConnectionDrain(
             clock=self._app.clock,
             server=self._listener,
--- /dev/null
+++ b/tests/forwarding/test_forwarding_late_signals.py
@@ -0,0 +1,83 @@
+"""Stops whose signal is handled late: what is read then may have been sent late."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+from stopping_world import StoppingWorld
+
+from bench.raw_caller import CLOCK
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.forwarding.drain import DrainAdmission
+from gypsumrouter.forwarding.drain.const import EXCUSED_MS
+from gypsumrouter.forwarding.drain.lateness import KEPT_TICKS, TICK_MS, LoopTicks
+from gypsumrouter.util.clock import ManualClock
+
+STOP_MS = 8_000
+SUSPENDED_S = 0.4
+SENT_MS = 3_100
+PAUSE_S = 0.02
+TOKENS = 50
+STREAMS = 10
+
+
+@pytest.fixture
+async def stopping(tmp_path: Path) -> AsyncIterator[StoppingWorld]:
+    world = StoppingWorld(folder=tmp_path, stop_ms=STOP_MS, grace_s=STOP_MS / MS_PER_S)
+    await world.async_start()
+    for runner in world.runners:
+        runner.pause_s = PAUSE_S
+    yield world
+    await world.async_close()
+
+
+# Guards against a stream that is sent later than a stop may cut it, and that a router which was
+# suspended when its signal came takes for an earlier one.
+async def test_stream_is_taken_for_an_earlier_one_as_the_signal_is_handled_late(
+    stopping: StoppingWorld,
+) -> None:
+    process = stopping.processes[0]
+    before = [stopping.async_ask_once(process, f"b{n}", tokens=TOKENS) for n in range(STREAMS)]
+    await asyncio.gather(*before)
+    lasting = asyncio.create_task(stopping.async_ask_once(process, "long", tokens=1_000))
+    await stopping.async_wait_ran("long")
+    signals = [(0, signal.SIGSTOP), (0, signal.SIGTERM), (SUSPENDED_S, signal.SIGCONT)]
+    stop = asyncio.create_task(stopping.async_stop(process, signals))
+    await CLOCK.async_sleep(SENT_MS)
+    late = await stopping.async_ask_once(process, "late", tokens=TOKENS)
+    await asyncio.gather(stop, lasting)
+    assert (late.status, stopping.ran("late")) == (503, False)
+
+
+def test_lateness_of_a_signal_is_bounded_by_the_last_tick_before_it() -> None:
+    clock = ManualClock()
+    ticks = LoopTicks(clock=clock)
+    assert ticks.bound_lateness_ms(clock.now_ms()) == 0
+    ticks.note()
+    clock.advance(TICK_MS)
+    ticks.note()
+    clock.advance(500)
+    handled_ms = clock.now_ms()
+    # The loop goes on behind the handler, before the drain begins.
+    for _ in range(KEPT_TICKS - 1):
+        ticks.note()
+        clock.advance(TICK_MS)
+    assert ticks.bound_lateness_ms(handled_ms) == 500
+
+
+def test_stream_needs_a_bound_from_when_a_stop_may_no_longer_cut_it() -> None:
+    clock = ManualClock()
+    drain = DrainAdmission(clock=clock, limit_ms=STOP_MS)
+    assert not drain.needs_bound(is_stream=True)
+    drain.begin(late_ms=500)
+    clock.advance(EXCUSED_MS - 500 - 1)
+    assert not drain.needs_bound(is_stream=True)
+    clock.advance(1)
+    assert drain.needs_bound(is_stream=True)
+    assert not drain.needs_bound(is_stream=False)
+    # The limit is counted from when the signal was handled.
+    assert drain.limit_at_ms == STOP_MS
