A late stream's replacement has a test

Nothing failed if a stream read later than 3 s into a stop was replaced, behind a silence, by the estimate: the test of the admission asks both questions, its beginning and its replacement, at a known and an unknown upstream. No change of product code.

--- a/tests/forwarding/test_forwarding_drain_admission.py
+++ b/tests/forwarding/test_forwarding_drain_admission.py
@@ -9,8 +9,9 @@
 from drain_replay import DEADLINE_MS, INPUT_TOKENS, OUTPUT_TOKENS, SERVICE, SILENCE_MS, make_prompt
 
 from gypsumrouter.forwarding.const import DRAIN_GRACE_MS
-from gypsumrouter.forwarding.drain import DrainAdmission
+from gypsumrouter.forwarding.drain import DrainAdmission, RequestAdmission
 from gypsumrouter.forwarding.drain.const import (
+    EXCUSED_MS,
     LATEST_FIRST_MS,
     MARGIN_MS,
     MIN_ANSWERS,
@@ -277,6 +278,31 @@
     assert not admits_replacement(OUTPUT_TOKENS[0])
 
 
+# Guards against a late stream that goes on, or begins, at an upstream whose pace nothing bounds.
+def test_upstream_of_a_late_stream_is_decided_by_its_deadline_alone() -> None:
+    clock = ManualClock()
+    drain = make_drain(clock)
+    note_answers(drain, clock, count=2 * MIN_COMPARED, first_ms=100, ms_per_token=1)
+    drain.begin()
+    clock.advance(EXCUSED_MS)
+    prompt = make_prompt(INPUT_TOKENS[0], OUTPUT_TOKENS[0])
+    left_ms = 7_000 - EXCUSED_MS - MARGIN_MS
+
+    def decide(*, needs_bound: bool, remaining_ms: int, upstream: str) -> tuple[bool, bool]:
+        asked = RequestAdmission(drain, service=SERVICE, prompt=prompt, needs_bound=needs_bound)
+        return (
+            asked.may_start(remaining_ms, upstream),
+            asked.may_replace(events=1, remaining_ms=remaining_ms, upstream=upstream),
+        )
+
+    for upstream in ("i-0", "i-unknown"):
+        assert decide(needs_bound=True, remaining_ms=left_ms, upstream=upstream) == (True, True)
+        later = decide(needs_bound=True, remaining_ms=left_ms + 1, upstream=upstream)
+        assert later == (False, False)
+    # One that was read before may be cut, and is decided by what was seen.
+    assert decide(needs_bound=False, remaining_ms=DEADLINE_MS, upstream="i-0") == (True, True)
+
+
 # Guards against a short answer that was silent once and lets long ones look too slow to be taken.
 @pytest.mark.parametrize("pause_ms", [0, SILENCE_MS])
 def test_silence_of_a_short_answer_is_no_slowdown(pause_ms: int) -> None:
