A whole unframed answer of a start that is not listed yet is no longer broken off

Callers saw: a whole answer with neither a length nor chunks was reset where its upstream had started again at its address under the same id and the list still showed the earlier start.

Cause: the question behind the end finds another start than the listed one (restarted), and nothing told which of the two had answered.

A start listens once the connections of the one before it are closed. So the unlisted one has given the answer if it listened before the answer's connection was opened, less than 40 ms after that, or 40 ms and more before its end; the verdict is then the new one, unlisted. To know this in time, the upstream is asked at the head of an unframed answer, beside it, one question at a time for each upstream, and only where its start isn't known; nothing waits for it. All times are this router's own. If the listed start has stated itself beside the answer, the end stays broken off.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -185,6 +185,10 @@
         succeeded = STATUS_OK <= answer.status < STATUS_MULTIPLE
         if succeeded and not metadata.signed:
             return ResponseLost(reason="the response is not signed")
+        if answer.framing is Framing.CLOSE and not is_json_media_type(
+            answer.get("Content-Type") or ""
+        ):
+            self._ends.ask_start(self.entry, connection)
         if metadata.is_event_stream and succeeded:
             return self._make_streaming(answer, connection, is_event_stream=True)
         body, complete = await _async_read_buffered(answer)
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -21,7 +21,7 @@
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.const import CONNECT_TIMEOUT_MS, MAX_IDLE_PER_UPSTREAM
-from gypsumrouter.forwarding.starts import StartProof, UpstreamStarts
+from gypsumrouter.forwarding.starts import OtherStart, StartProof, UpstreamStarts
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
     HttpConnection,
@@ -200,10 +200,22 @@
         self._list_open(entry.incarnation)
         return self._lost_ms.get(entry.incarnation)
 
-    async def async_confirm(self, entry: Entry, *, timeout_ms: int) -> None:
-        """Open a connection within `timeout_ms`, and keep it for later; raises ConnectFailed.
+    def is_start_known(self, entry: Entry, connection: HttpConnection) -> bool:
+        """Return whether a connection is known to lead to the listed start of an upstream."""
+        if self._starts.is_open_proven(entry, connection):
+            return True
+        others = self._list_open(entry.incarnation)
+        return any(self._vouches(other, entry) for other in others if other is not connection)
+
+    def get_other_start(self, entry: Entry) -> OtherStart | None:
+        """Return the start that an upstream has stated last in place of the listed one."""
+        return self._starts.get_other(entry)
 
-        The upstream has to state its start, within `timeout_ms` more, if its entry does.
+    async def async_confirm(self, entry: Entry, *, timeout_ms: int, keep: bool = True) -> None:
+        """Open a connection within `timeout_ms`; raises ConnectFailed.
+
+        The upstream has to state its start, within `timeout_ms` more, if its entry does. The
+        connection is kept for later requests, or closed unless `keep`.
         """
         asked_ms = self._app.clock.now_ms()
         connection = await self._async_open(entry, timeout_ms=timeout_ms)
@@ -213,7 +225,10 @@
                 connection.close()
                 raise ConnectFailed("the upstream does not state its start")
             self._starts.note_stated(entry, at_ms=asked_ms)
-        self.release(entry, connection)
+        if keep:
+            self.release(entry, connection)
+        else:
+            connection.close()
 
     def _needs_check(
         self, entry: Entry, connection: HttpConnection, start_check: StartCheck
@@ -294,7 +309,11 @@
             connection.finish()
         if connection.peer_started_ms not in (NOT_STATED, entry.started_ms):
             connection.close()
-            self._starts.note_contradicted(entry)
+            other = OtherStart(
+                started_ms=connection.peer_started_ms or NOT_STATED,
+                listens_ms=connection.opened_ms,
+            )
+            self._starts.note_contradicted(entry, other)
             raise ConnectFailed("another start of the upstream has its address", other_start=True)
         self._lost.discard(entry.incarnation)
 
@@ -345,7 +364,7 @@
 
     def close_expired(self) -> None:
         """Close connections that were idle for too long; to be called about once a second."""
-        self._starts.sweep()
+        self._starts.sweep(connected=self._open.keys())
         now_ms = self._app.clock.now_ms()
         for incarnation in tuple(self._open):
             if not self._list_open(incarnation):
--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Iterable
 from enum import StrEnum
 from typing import Final
@@ -16,9 +17,12 @@
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState
 from gypsumrouter.forwarding.connections import ConnectionPool
+from gypsumrouter.forwarding.starts import OtherStart
 from gypsumrouter.helpers.http_connection import ConnectFailed, HttpConnection
 from gypsumrouter.journal import Journal, UnframedEnd
 
+_LOGGER = logging.getLogger(__name__)
+
 # The connections of a process that dies are closed within this time of each other; a loss this
 # long before an end belongs to it.
 SETTLE_MS: Final = 40
@@ -28,6 +32,8 @@
 # For a connect, and again for a question on it: a sound upstream may be silent for over a second.
 # A process that is gone refuses at once.
 PROBE_TIMEOUT_MS: Final = 2_000
+# No upstream ends and has a successor that listens at its address within this time.
+RESTART_MS: Final = 40
 
 
 class EndVerdict(StrEnum):
@@ -35,12 +41,14 @@
 
     OPEN: another connection that was open before the end still is. ALIVE: the upstream accepted a
     new connection after the end, and states the same start if its entry has one. DROPPED: a
-    listener accepted and closed two connections. REFUSED: nothing listens there. SILENT: it
+    listener accepted and closed two connections. UNLISTED: the upstream states another start than
+    its entry does, and that one has given the answer. REFUSED: nothing listens there. SILENT: it
     accepted a connection, and states nothing. UNREACHABLE: no connection, or no start. RESTARTED:
-    another start has its address. REPLACED: a connection, but the entry states no start, and is
-    gone or another upstream is listed at its address. UNPROVEN: a connection that another process
-    may have accepted, as the entry states no start and the caller rested; or as DROPPED, beside
-    another answer that ended with it or with a caller that rested. No older connection is open.
+    another start has its address, and the listed one may have given the answer. REPLACED: a
+    connection, but the entry states no start, and is gone or another upstream is listed at its
+    address. UNPROVEN: a connection that another process may have accepted, as the entry states no
+    start and the caller rested; or as DROPPED, beside another answer that ended with it or with a
+    caller that rested. No older connection is open.
     """
 
     OPEN = "open"
@@ -49,6 +57,7 @@
     SILENT = "silent"
     UNREACHABLE = "unreachable"
     DROPPED = "dropped"
+    UNLISTED = "unlisted"
     RESTARTED = "restarted"
     REPLACED = "replaced"
     UNPROVEN = "unproven"
@@ -56,7 +65,12 @@
     @property
     def complete(self) -> bool:
         """Return whether the answer counts as complete."""
-        return self in (EndVerdict.OPEN, EndVerdict.ALIVE, EndVerdict.DROPPED)
+        return self in (
+            EndVerdict.OPEN,
+            EndVerdict.ALIVE,
+            EndVerdict.DROPPED,
+            EndVerdict.UNLISTED,
+        )
 
     @property
     def shows_death(self) -> bool:
@@ -92,6 +106,17 @@
     )
 
 
+def is_answer_of_other(other: OtherStart, *, opened_ms: int, ended_ms: int) -> bool:
+    """Return whether a start that isn't listed has given an answer, and not the one before it.
+
+    The answer came on a connection that was opened at `opened_ms` and open until `ended_ms`. The
+    connections of a start that ends are closed before the next one listens.
+    """
+    if other.listens_ms < opened_ms + RESTART_MS:
+        return True
+    return other.listens_ms + SETTLE_MS <= ended_ms
+
+
 class Probe(Struct, frozen=True, kw_only=True):
     """A question to an upstream, asked at `begun_ms` (monotonic milliseconds)."""
 
@@ -116,7 +141,16 @@
 class EndChecks:
     """Decides for each answer that ended with its connection whether it is complete."""
 
-    __slots__ = ("_app", "_counter", "_directory", "_ended_ms", "_journal", "_pool", "_probes")
+    __slots__ = (
+        "_app",
+        "_counter",
+        "_directory",
+        "_ended_ms",
+        "_journal",
+        "_pool",
+        "_probes",
+        "_questions",
+    )
 
     def __init__(
         self, *, app: Application, pool: ConnectionPool, directory: Directory, journal: Journal
@@ -126,6 +160,8 @@
         self._pool = pool
         # The last question to an incarnation.
         self._probes: dict[str, Probe] = {}
+        # Questions for the start that gives an answer, by incarnation.
+        self._questions: dict[str, asyncio.Task[None]] = {}
         # When the last answers of each incarnation ended (monotonic milliseconds).
         self._ended_ms: dict[str, list[int]] = {}
         self._journal = journal
@@ -134,6 +170,33 @@
             "Answers without a length or chunks that ended, by the evidence of their end",
         )
 
+    def ask_start(self, entry: Entry, connection: HttpConnection) -> None:
+        """Ask which start an upstream is at while it answers without a length or chunks.
+
+        Nothing waits for it. If the upstream has another start than the listed one, only a question
+        from before the end can tell that this one has answered.
+        """
+        if not entry.started_ms or entry.incarnation in self._questions:
+            return
+        if self._pool.is_start_known(entry, connection):
+            return
+        other = self._pool.get_other_start(entry)
+        if other is not None and other.listens_ms < connection.opened_ms:
+            return
+        self._questions[entry.incarnation] = self._app.async_create_task(
+            self._async_ask_start(entry), "ask which start answers"
+        )
+
+    async def _async_ask_start(self, entry: Entry) -> None:
+        try:
+            # The connection isn't kept: one that was opened beside each answer would stand for an
+            # upstream that closes its listener and its answers before its idle connections.
+            await self._pool.async_confirm(entry, timeout_ms=PROBE_TIMEOUT_MS, keep=False)
+        except ConnectFailed as error:
+            _LOGGER.debug("Upstream %s did not confirm its start: %s", entry.incarnation, error)
+        finally:
+            del self._questions[entry.incarnation]
+
     def watch(self, entry: Entry, connection: HttpConnection) -> EndWatch:
         """Begin the check of an answer at the moment at which its connection ends.
 
@@ -205,6 +268,8 @@
         verdict = await self._async_probe(entry, seen_ms)
         if verdict is EndVerdict.ALIVE and entry.started_ms:
             return verdict
+        if verdict is EndVerdict.RESTARTED and self._is_of_other(watch, ended_ms):
+            return EndVerdict.UNLISTED
         if verdict not in (EndVerdict.ALIVE, EndVerdict.DROPPED):
             return verdict
         outlived = any(other.opened_ms < ended_ms for other in self._list_others(watch))
@@ -213,6 +278,13 @@
             return EndVerdict.UNPROVEN
         return verdict
 
+    def _is_of_other(self, watch: EndWatch, ended_ms: int) -> bool:
+        """Return whether the start that an upstream states has given an answer unlisted."""
+        other = self._pool.get_other_start(watch.entry)
+        if other is None or self._pool.is_start_known(watch.entry, watch.connection):
+            return False
+        return is_answer_of_other(other, opened_ms=watch.connection.opened_ms, ended_ms=ended_ms)
+
     def _note_ended(self, entry: Entry, ended_ms: int) -> None:
         """Note the end of an answer, and forget the ends that can't belong to a later one."""
         past_ms = self._app.clock.now_ms() - KEPT_ENDS_MS
--- a/gypsumrouter/forwarding/starts.py
+++ b/gypsumrouter/forwarding/starts.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import Final
 
 from msgspec import Struct
@@ -68,6 +68,16 @@
     return opened_ms + times.registration_ms <= min(listed_ms, alive_ms)
 
 
+class OtherStart(Struct, frozen=True, kw_only=True):
+    """A start that an upstream has stated and that isn't the listed one.
+
+    `listens_ms` is when a connection to it was first known to be open (monotonic milliseconds).
+    """
+
+    started_ms: int
+    listens_ms: int
+
+
 class UpstreamStarts:
     """Keeps when upstreams were known to be at their listed start, and bounds questions."""
 
@@ -98,8 +108,8 @@
             expiry_ms=int(heartbeat_ms * UNRENEWED_INTERVALS),
         )
         self._stated_ms: dict[str, int] = {}
-        # Listed starts whose upstream has stated another one.
-        self._contradicted: set[str] = set()
+        # The other start that the upstream of a listed one has stated last.
+        self._contradicted: dict[str, OtherStart] = {}
         self._questions = TokenBucket(capacity=QUESTION_BURST, tokens=QUESTION_BURST)
         self._filled_ms = clock.now_ms()
 
@@ -135,9 +145,16 @@
         """Record that an upstream was at the start that its entry states."""
         self._stated_ms[entry.incarnation] = max(at_ms, self._stated_ms.get(entry.incarnation, 0))
 
-    def note_contradicted(self, entry: Entry) -> None:
+    def note_contradicted(self, entry: Entry, other: OtherStart) -> None:
         """Record that an upstream has stated another start than its entry."""
-        self._contradicted.add(entry.incarnation)
+        known = self._contradicted.get(entry.incarnation)
+        if known is not None and known.started_ms == other.started_ms:
+            other = min(known, other, key=lambda start: start.listens_ms)
+        self._contradicted[entry.incarnation] = other
+
+    def get_other(self, entry: Entry) -> OtherStart | None:
+        """Return the start that an upstream has stated last in place of the listed one."""
+        return self._contradicted.get(entry.incarnation)
 
     def is_contradicted(self, entry: Entry) -> bool:
         """Return whether an upstream has stated another start than its entry."""
@@ -150,15 +167,19 @@
         self._filled_ms = now_ms
         return self._questions.try_take()
 
-    def sweep(self) -> None:
-        """Drop what is known of upstreams that are gone; call this about once a second."""
+    def sweep(self, *, connected: Collection[str]) -> None:
+        """Drop what is known of upstreams that are gone; call this about once a second.
+
+        The other start of a listed one is kept while its incarnation is `connected`: an answer that
+        it gives may end long after the list shows it.
+        """
         for incarnation in tuple(self._stated_ms):
             if self._directory.get_incarnation(incarnation) is None:
                 del self._stated_ms[incarnation]
         self._contradicted = {
-            incarnation
-            for incarnation in self._contradicted
-            if self._directory.get_incarnation(incarnation) is not None
+            incarnation: other
+            for incarnation, other in self._contradicted.items()
+            if incarnation in connected or self._directory.get_incarnation(incarnation) is not None
         }
 
     def _get_listed_ms(self, entry: Entry) -> int | None:
--- a/tests/forwarding/test_forwarding_doubted_ends.py
+++ b/tests/forwarding/test_forwarding_doubted_ends.py
@@ -97,14 +97,15 @@
 
 
 async def async_listen_at_once(
-    upstream: EndingUpstream, process: asyncio.subprocess.Process
+    upstream: EndingUpstream, process: asyncio.subprocess.Process, *, born: int = 0
 ) -> asyncio.Server:
-    """Listen at the port of a process as soon as it is free; no answer states a start."""
+    """Listen at the port of a process as soon as it is free; answers state `born`, if any."""
+    start = f'"born":{born},' if born else ""
 
     async def async_serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             while await reader.readuntil(b"\r\n\r\n"):
-                body = b'{"epoch":1,"next":1,"held":[]}'
+                body = f'{{{start}"epoch":1,"next":1,"held":[]}}'.encode()
                 head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
                 writer.write(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -217,3 +218,54 @@
     await upstream.async_start()
     seen = await world.async_ask("r1", "/draft/a", events=True)
     assert (seen.status, seen.whole, len(seen.body)) == (200, True, len(make_answer()))
+
+
+# Guards against the answer of a start that was killed, taken for one of the start that came after
+# it: that one states itself at once, while the list still shows the other.
+@pytest.mark.parametrize("answers", [1, 3])
+async def test_unlisted_start_vouches_for_the_one_that_was_killed_before_it(
+    world: DyingWorld, answers: int
+) -> None:
+    upstream = await world.async_add(held=HELD)
+    asked = [
+        asyncio.create_task(world.async_ask(f"r{i}", "/draft/a", events=True))
+        for i in range(answers)
+    ]
+    for _ in asked:
+        await upstream.async_read_line()
+    # The request has begun before, and its start has ended when the next one listens.
+    await asyncio.sleep(0.05)
+    process = upstream.process
+    assert process is not None
+    relisten = asyncio.create_task(
+        async_listen_at_once(upstream, process, born=upstream.born + 1_000)
+    )
+    process.kill()
+    server = await relisten
+    seen = [await answer for answer in asked]
+    server.close()
+    assert [(answer.status, answer.whole) for answer in seen] == [(200, False)] * answers
+
+
+# Guards against the answer of an unlisted start that was killed, taken for whole as its own
+# successor answers the question behind its end.
+async def test_unlisted_start_that_was_killed_counts_as_whole_by_its_successor(
+    world: DyingWorld,
+) -> None:
+    upstream = await world.async_add()
+    await upstream.async_end()
+    await upstream.async_start(held=HELD)
+    asked = asyncio.create_task(world.async_ask("r1", "/draft/a", events=True))
+    assert await upstream.async_read_line() == "r1"
+    # The start is asked for beside the answer.
+    await asyncio.sleep(0.3)
+    process = upstream.process
+    assert process is not None
+    relisten = asyncio.create_task(
+        async_listen_at_once(upstream, process, born=upstream.born + 1_000)
+    )
+    process.kill()
+    server = await relisten
+    seen = await asked
+    server.close()
+    assert (seen.status, seen.whole) == (200, False)
--- a/tests/forwarding/test_forwarding_end_evidence.py
+++ b/tests/forwarding/test_forwarding_end_evidence.py
@@ -19,12 +19,15 @@
 from gypsumrouter.directory import Directory, Entry, EntryState, Record
 from gypsumrouter.forwarding import connections, end_evidence
 from gypsumrouter.forwarding.end_evidence import (
+    RESTART_MS,
     SETTLE_MS,
     EndChecks,
     EndVerdict,
     OtherConnection,
+    is_answer_of_other,
     proves_alive,
 )
+from gypsumrouter.forwarding.starts import OtherStart
 from gypsumrouter.helpers.http_connection import HttpConnection, async_connect
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
@@ -124,6 +127,72 @@
     assert await checked.async_check(connection) is EndVerdict.REPLACED
 
 
+# Guards against a complete answer that counts as broken off as its start isn't listed yet, or is
+# listed only before its end.
+@pytest.mark.parametrize("listed_late", [False, True], ids=["unlisted", "listed_late"])
+async def test_answer_of_a_start_that_was_asked_beside_it_is_broken_off(
+    checked: Checked, listed_late: bool
+) -> None:
+    checked.upstream.started_ms = STARTED_MS + 1
+    connection, peer = await checked.async_open()
+    await async_begin_answer(connection, peer)
+    # Too late to tell by itself that no other start can have been there before.
+    await asyncio.sleep(3 * RESTART_MS / 1_000)
+    checked.checks.ask_start(checked.entry, connection)
+    await async_until(lambda: checked.pool.get_other_start(checked.entry) is not None)
+    if listed_late:
+        gone = Entry(upstream=checked.entry.upstream, state=EntryState.GONE)
+        checked.directory.merge(Record(revision=2, entry=gone), source="test", confirmed=True)
+        checked.pool.close_expired()
+    await asyncio.sleep(2 * SETTLE_MS / 1_000)
+    peer.close()
+    assert await checked.async_check(connection) is EndVerdict.UNLISTED
+
+
+# Guards against the answer of a start that has ended, taken for one of its successor: that one is
+# known only since the end, or the listed one has stated itself beside the answer.
+@pytest.mark.parametrize("asked", [False, True], ids=["not_asked", "asked"])
+async def test_answer_of_the_start_before_counts_as_whole(checked: Checked, asked: bool) -> None:
+    connection, peer = await checked.async_open()
+    await async_begin_answer(connection, peer)
+    if asked:
+        checked.checks.ask_start(checked.entry, connection)
+        await async_until(lambda: checked.upstream.questions == 1)
+    else:
+        await asyncio.sleep(2 * RESTART_MS / 1_000)
+    checked.upstream.started_ms = STARTED_MS + 1
+    peer.close()
+    assert await checked.async_check(connection) is EndVerdict.RESTARTED
+
+
+# Guards against a question beside each answer where the start is known.
+async def test_known_start_is_asked_beside_an_answer(checked: Checked) -> None:
+    await checked.pool.async_confirm(checked.entry, timeout_ms=500)
+    pooled = await checked.pool.async_acquire(checked.entry, repeatable=True, timeout_ms=500)
+    checked.checks.ask_start(checked.entry, pooled.connection)
+    await asyncio.sleep(SETTLE_MS / 1_000)
+    assert checked.upstream.questions == 1
+
+
+# Guards against an answer of a start that had ended, taken for one of the start behind it.
+@pytest.mark.parametrize(
+    ("listens_ms", "ended_ms", "is_other"),
+    [
+        (4_000, 5_001, True),
+        (5_000 + RESTART_MS - 1, 5_001, True),
+        (5_000 + RESTART_MS, 5_001, False),
+        (ENDED_MS - SETTLE_MS, ENDED_MS, True),
+        (ENDED_MS - SETTLE_MS + 1, ENDED_MS, False),
+        (ENDED_MS + SETTLE_MS, ENDED_MS, False),
+    ],
+)
+def test_start_that_was_not_there_yet_gave_the_answer(
+    listens_ms: int, ended_ms: int, is_other: bool
+) -> None:
+    other = OtherStart(started_ms=STARTED_MS + 1, listens_ms=listens_ms)
+    assert is_answer_of_other(other, opened_ms=5_000, ended_ms=ended_ms) is is_other
+
+
 # Guards against a death seen in several answers that end at one moment, and a probe for each.
 async def test_answers_that_end_at_one_moment_are_broken_off(checked: Checked) -> None:
     opened = [await checked.async_open() for _ in range(12)]
