A stream that a living upstream has cut no longer counts as a crash

Callers saw nothing at first: an unframed stream without an event, or cut inside one, implicated the parts of its prompt in a crash though its upstream lived on, so that sound prompts could come under suspicion and be refused.

Cause: such a stream shows its break by its bytes, so nothing asked whether the upstream lives; only answers to others within 150 ms withdrew the suspicion.

The check that decides whole ends runs behind each unframed end anyway. The crash guard now waits for its verdict beside the next attempt, which waits for nothing, and judges the crash as of the break unless the upstream is known to have outlived it. No answer within the bound counts as a crash, as before. A reset beside a pending question is judged at once, and the runs of an upstream are kept while it is asked.

--- a/gypsumrouter/crashes/guard.py
+++ b/gypsumrouter/crashes/guard.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection, Iterable
+from collections import Counter
+from collections.abc import Awaitable, Callable, Collection, Iterable
 from typing import Final
 
 from msgspec.structs import replace
@@ -50,6 +51,7 @@
     __slots__ = (
         "_allowed",
         "_app",
+        "_asked",
         "_evidence_listeners",
         "_is_first_judge",
         "_is_judge",
@@ -73,6 +75,8 @@
         self.verdicts = VerdictTable()
         self._allowed: frozenset[int] = frozenset()
         self._settling: set[str] = set()
+        # How many questions are under way whether an upstream outlived a cut stream.
+        self._asked: Counter[str] = Counter()
         self._survivals = SurvivalMemory()
         self._reported_ms: dict[int, int] = {}
         self._reporter = ImplicationReporter(router=app.name, survivals=self._survivals)
@@ -171,12 +175,40 @@
             if survived and self._matters(subject):
                 self._report_survivals(subject)
 
-    def note_broken(self, upstream: str) -> None:
-        """Record that an upstream has closed the connection of a run."""
+    def note_broken(
+        self, upstream: str, *, outlived: Callable[[], Awaitable[bool]] | None = None
+    ) -> None:
+        """Record that an upstream has closed the connection of a run.
+
+        Where the way it was closed doesn't show a crash, `outlived` tells whether the upstream is
+        known to live. The caller doesn't wait for that.
+        """
+        broken_ms = self._app.clock.now_ms()
+        if outlived is None:
+            self._begin_judging(upstream, broken_ms)
+        elif self._runs.is_known(upstream):
+            self._app.async_create_task(
+                self._async_judge_cut(upstream, broken_ms, outlived), f"cut by {upstream}"
+            )
+
+    async def _async_judge_cut(
+        self, upstream: str, broken_ms: int, outlived: Callable[[], Awaitable[bool]]
+    ) -> None:
+        # An upstream that cuts a stream and then answers nothing counts as crashed: such a break
+        # is a fault of its own, unlike an end that only can't be confirmed.
+        self._asked[upstream] += 1
+        try:
+            if not await outlived():
+                self._begin_judging(upstream, broken_ms)
+        finally:
+            self._asked[upstream] -= 1
+            if not self._asked[upstream]:
+                del self._asked[upstream]
+
+    def _begin_judging(self, upstream: str, broken_ms: int) -> None:
         if upstream in self._settling or not self._runs.is_known(upstream):
             return
         self._settling.add(upstream)
-        broken_ms = self._app.clock.now_ms()
         self._app.async_create_task(
             self._async_judge_crash(upstream, broken_ms), f"crash of {upstream}"
         )
@@ -203,7 +235,7 @@
     def sweep(self) -> None:
         """Drop what is no longer needed."""
         now_ms = self._app.clock.now_ms()
-        self._runs.sweep(now_ms=now_ms)
+        self._runs.sweep(now_ms=now_ms, keep=self._settling | self._asked.keys())
         self.verdicts.expire(now_ms=now_ms)
         since_ms = now_ms - SURVIVAL_REPORT_MS
         self._reported_ms = {s: ms for s, ms in self._reported_ms.items() if ms > since_ms}
--- a/gypsumrouter/crashes/runs.py
+++ b/gypsumrouter/crashes/runs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
+from collections.abc import Collection
 from typing import Final
 
 from gypsumrouter.crashes.models import Subjects
@@ -139,9 +140,14 @@
         """Forget an upstream that has crashed."""
         self._upstreams.pop(upstream, None)
 
-    def sweep(self, *, now_ms: int) -> None:
-        """Forget upstreams that are no longer used, and runs that ended without a response."""
+    def sweep(self, *, now_ms: int, keep: Collection[str] = ()) -> None:
+        """Forget upstreams that are no longer used, and runs that ended without a response.
+
+        Those of the upstreams in `keep` are still to be judged.
+        """
         for name, known in tuple(self._upstreams.items()):
+            if name in keep:
+                continue
             if now_ms - max(known.last_used_ms, known.last_life_ms) > UPSTREAM_TTL_MS:
                 del self._upstreams[name]
                 continue
--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from typing import Final
 
@@ -65,6 +65,7 @@
         "_on_head",
         "_pool",
         "_request",
+        "_unframed",
         "entry",
         "may_have_crashed",
         "metadata",
@@ -90,7 +91,9 @@
         self._request = request
         self._on_head = on_head
         self._connection: HttpConnection | None = None
+        # The check of a streamed answer without a length or chunks, until it was asked for.
         self._end_watch: EndWatch | None = None
+        self._unframed: HttpResponse | None = None
         self.options = options
         self.entry = entry
         self.metadata: ResponseMetadata | None = None
@@ -147,13 +150,27 @@
         connection = self._connection
         if answer.framing is not Framing.CLOSE or connection is None:
             return None
-        watch = self._end_watch or self._ends.watch(self.entry, connection)
+        watch, self._end_watch = self._end_watch, None
+        watch = watch or self._ends.watch(self.entry, connection)
         verdict = await self._ends.async_check(watch, request_id=self._request.request_id)
         leaving = self.metadata is not None and self.metadata.draining
         leaving = leaving or self._ends.is_leaving(self.entry)
         self.may_have_crashed = verdict.shows_death and not leaving
         return None if verdict.complete else f"ended with its upstream: {verdict.value}"
 
+    def make_cut_question(self) -> Callable[[], Awaitable[bool]] | None:
+        """Return what tells whether the upstream outlived a stream that has broken off.
+
+        None if the break needs no question: the connection was reset, the body has a length or
+        chunks, or its end was checked already.
+        """
+        watch, answer = self._end_watch, self._unframed
+        if watch is None or answer is None:
+            return None
+        if not answer.body.is_eof() or answer.body.exception() is not None:
+            return None
+        return partial(self._ends.async_outlived, watch, request_id=self._request.request_id)
+
     def release(self) -> None:
         """Return the connection to the pool after a complete response."""
         connection, self._connection = self._connection, None
@@ -219,6 +236,7 @@
     ) -> StreamingResponse:
         if answer.framing is Framing.CLOSE:
             self._end_watch = self._ends.watch(self.entry, connection)
+            self._unframed = answer
         return StreamingResponse(
             answer=answer,
             status=answer.status,
--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -234,6 +234,17 @@
 
         This takes SETTLE_MS, and the time of a connect and a question if no connection tells.
         """
+        return await self._async_check(watch, request_id=request_id, is_cut=False)
+
+    async def async_outlived(self, watch: EndWatch, *, request_id: str) -> bool:
+        """Return whether an upstream is known to have outlived an answer that shows its break.
+
+        This takes as long as `async_check`, or is known by then.
+        """
+        verdict = await self._async_check(watch, request_id=request_id, is_cut=True)
+        return verdict.complete
+
+    async def _async_check(self, watch: EndWatch, *, request_id: str, is_cut: bool) -> EndVerdict:
         begun_ms = self._app.clock.now_ms()
         verdict = await asyncio.shield(self._begin(watch))
         self._counter.inc(labels=(("evidence", verdict.value),))
@@ -242,7 +253,7 @@
                 request_id=request_id,
                 upstream=watch.entry.incarnation,
                 evidence=verdict.value,
-                complete=verdict.complete,
+                complete=verdict.complete and not is_cut,
                 took_ms=self._app.clock.now_ms() - begun_ms,
             )
         )
--- a/gypsumrouter/forwarding/outcome_recorder.py
+++ b/gypsumrouter/forwarding/outcome_recorder.py
@@ -56,7 +56,7 @@
             case Rejected():
                 self._record_rejection(upstream, outcome)
             case ResponseLost():
-                self.record_lost(upstream, outcome)
+                self._record_lost(attempt, outcome)
             case CompleteResponse(status=status) if status < STATUS_SERVER_ERROR:
                 self.record_success(upstream)
             case CompleteResponse(status=status):
@@ -69,11 +69,12 @@
         self._placer.note_unreachable(entry, reason=outcome.reason, refused=outcome.refused)
         self._pool.close_idle(entry.incarnation)
 
-    def record_lost(self, upstream: str, outcome: ResponseLost) -> None:
+    def _record_lost(self, attempt: Attempt, outcome: ResponseLost) -> None:
         """Record that an upstream may have run the request without a complete response."""
+        upstream = attempt.entry.incarnation
         self._placer.health.note_failure(upstream, reason=outcome.reason)
         if outcome.connection_broken:
-            self._suspects.note_broken(upstream)
+            self._suspects.note_broken(upstream, outlived=attempt.make_cut_question())
         self._progress.note_possible_run(upstream)
 
     def record_broken_stream(
@@ -86,8 +87,8 @@
         """
         entry = attempt.entry
         if fault is None:
-            self.record_lost(
-                entry.incarnation,
+            self._record_lost(
+                attempt,
                 ResponseLost(reason=message, connection_broken=attempt.may_have_crashed),
             )
             return
--- a/tests/forwarding/test_forwarding_leaving_ends.py
+++ b/tests/forwarding/test_forwarding_leaving_ends.py
@@ -105,3 +105,19 @@
     assert (await dying.async_ask("r1", "/draft/a", events=True)).status in (200, 502)
     await asyncio.sleep(JUDGED_S)
     assert count_implicated(dying) == 0
+
+
+# Guards against crashes that are overlooked, since the upstream is asked: one that dies inside an
+# event, or before the first one, is evidence.
+@pytest.mark.parametrize("states_start", [True, False], ids=["start", "no_start"])
+@pytest.mark.parametrize("ending", ["empty", "inside"])
+async def test_upstream_that_dies_inside_an_event_is_no_evidence_of_a_crash(
+    dying: DyingWorld, ending: str, states_start: bool
+) -> None:
+    upstream = await dying.async_add(held=HELD, ending=ending, states_start=states_start)
+    asked = asyncio.create_task(dying.async_ask("r1", "/draft/a", events=True))
+    assert await upstream.async_read_line() == "r1"
+    await upstream.async_end()
+    await asked
+    await asyncio.sleep(JUDGED_S)
+    assert count_implicated(dying) > 0
--- a/tests/forwarding/test_forwarding_suspects.py
+++ b/tests/forwarding/test_forwarding_suspects.py
@@ -169,6 +169,46 @@
     assert not world.told
 
 
+# Guards against a suspicion for a stream that a sound upstream has cut, and against a crash that is
+# overlooked since the upstream is asked about it first.
+@pytest.mark.parametrize("outlived", [True, False])
+async def test_cut_stream_is_judged_before_its_upstream_was_asked(
+    world: GuardWorld, outlived: bool
+) -> None:
+    answer: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+
+    async def async_ask() -> bool:
+        return await answer
+
+    run = world.start("i-1", world.make_subjects(CRASHING_PART))
+    world.guard.note_broken(run.upstream, outlived=async_ask)
+    world.guard.note_ended(run)
+    await world.async_advance(SETTLE_MS)
+    await world.async_advance(SAME_MOMENT_MS)
+    # The question may take seconds.
+    await world.async_advance(4 * SURVIVAL_MS)
+    world.guard.sweep()
+    assert not world.told
+    answer.set_result(outlived)
+    await world.async_advance(0)
+    world.guard.sweep()
+    await world.async_advance(SETTLE_MS)
+    await world.async_advance(SAME_MOMENT_MS)
+    assert (CRASHING_PART in {told.subject for told in world.told}) is not outlived
+
+
+# Guards against a crash that is overlooked while the upstream is asked about an earlier cut.
+async def test_reset_beside_a_cut_stream_waits_for_its_question(world: GuardWorld) -> None:
+    async def async_ask() -> bool:
+        return await asyncio.Event().wait()
+
+    cut = world.start("i-1", world.make_subjects(SHARED_PART))
+    reset = world.start("i-1", world.make_subjects(CRASHING_PART))
+    world.guard.note_broken(cut.upstream, outlived=async_ask)
+    await world.async_crash((reset,))
+    assert CRASHING_PART in {told.subject for told in world.told}
+
+
 async def test_request_that_was_not_run_is_not_reported(world: GuardWorld) -> None:
     rejected = world.start("i-1", world.make_subjects(CRASHING_PART))
     world.guard.note_not_run(rejected)
