A list of a platform that was restored from a backup is accepted

Routers with sides kept the old instances after a restore of the platform: it counts on from the backup's revision, and a list with a lower revision than the accepted one counts as stale, at any time. New instances got no requests until the revisions had caught up (20 lists in 20 s refused).

The list now states the platform's epoch beside the revision. A poll names the epoch of the revision that it has; a platform in another epoch answers it at once, and does not wait for a revision that it has lost. Field and parameter are optional and 0 if omitted; an epoch or number out of range makes the document invalid, so that revisions stay within 64 bits.

A further list that lacks an absent instance confirms the absence as an unchanged read does. Otherwise instances lost in bulk stayed as long as each read brought a new revision.

test_list_of_a_platform_that_was_restored_from_a_backup_is_refused failed before, with member names e0 to e3. Its lists now state their epochs (1, then 2): without them a restored platform can't be told from a stale replica, whose lists test_stale_and_contradictory_lists_are_ignored refuses; what it asserts is unchanged. New tests: a late list of an earlier epoch, instances missing from a backup, the epoch on the wire and out of range, and a poll across a restore of the stand-in.

--- a/gypsumrouter/fleet/const.py
+++ b/gypsumrouter/fleet/const.py
@@ -7,6 +7,7 @@
 PATH_INSTANCES: Final = "/v1/instances"
 HEADER_AS_OF: Final = "X-As-Of-Ms"
 PARAM_AFTER: Final = "after"
+PARAM_EPOCH: Final = "epoch"
 PARAM_TIMEOUT: Final = "timeout_ms"
 
 LONG_POLL_MS: Final = 5_000
--- a/gypsumrouter/fleet/document.py
+++ b/gypsumrouter/fleet/document.py
@@ -11,6 +11,7 @@
 from gypsumrouter.exceptions import DocumentInvalid, FieldError
 from gypsumrouter.helpers.numbers import MAX_PORT
 from gypsumrouter.instances import Address, Instance, InstanceList
+from gypsumrouter.util.revisions import MAX_EPOCH, NUMBERS_PER_EPOCH, make_revision
 from gypsumrouter.util.validation import validate_ip, validate_json
 
 
@@ -32,9 +33,10 @@
 
 
 class _Document(Struct, frozen=True, kw_only=True):
-    """The instance list at one revision."""
+    """The instance list at one revision of an epoch; platforms without restores omit the epoch."""
 
-    revision: Annotated[int, Meta(ge=0)]
+    revision: Annotated[int, Meta(ge=0, lt=NUMBERS_PER_EPOCH)]
+    epoch: Annotated[int, Meta(ge=0, le=MAX_EPOCH)] = 0
     as_of_ms: Annotated[int, Meta(ge=0)]
     instances: tuple[_Entry, ...]
 
@@ -44,7 +46,8 @@
     checked = validate_json(kind=_Document, document=document, strict=False)
     instances = tuple(sorted(map(_to_instance, checked.instances), key=lambda item: item.name))
     _check_names(instances)
-    return InstanceList(revision=checked.revision, as_of_ms=checked.as_of_ms, instances=instances)
+    revision = make_revision(epoch=checked.epoch, number=checked.revision)
+    return InstanceList(revision=revision, as_of_ms=checked.as_of_ms, instances=instances)
 
 
 def _to_instance(entry: _Entry) -> Instance:
--- a/gypsumrouter/fleet/fleet.py
+++ b/gypsumrouter/fleet/fleet.py
@@ -30,7 +30,8 @@
 class Fleet:
     """Membership of the fleet as seen by this process.
 
-    A list with a lower `revision` or an older `as_of_ms` than the accepted one is ignored.
+    A list with a lower `revision` or an older `as_of_ms` than the accepted one is ignored. One of a
+    later epoch has a higher revision, as a platform restored from a backup counts on from there.
     `members` returns the view adjusted by health and by retention of missing instances;
     `on_list` and `on_confirmed` report the list itself.
     """
--- a/gypsumrouter/fleet/source.py
+++ b/gypsumrouter/fleet/source.py
@@ -18,6 +18,7 @@
     LONG_POLL_MS,
     MAX_LIST_BYTES,
     PARAM_AFTER,
+    PARAM_EPOCH,
     PARAM_TIMEOUT,
     PATH_INSTANCES,
     READS_PER_LEASE,
@@ -27,6 +28,7 @@
 from gypsumrouter.helpers.connector import ShieldedConnector
 from gypsumrouter.helpers.numbers import read_number
 from gypsumrouter.instances import InstanceList
+from gypsumrouter.util.revisions import get_epoch, get_number
 from gypsumrouter.util.validation import MAX_JSON_INTEGER
 
 if TYPE_CHECKING:
@@ -84,7 +86,8 @@
     ) -> InstanceList | Unchanged | None:
         params = {PARAM_TIMEOUT: str(self._poll_ms)}
         if after_revision is not None:
-            params[PARAM_AFTER] = str(after_revision)
+            params[PARAM_AFTER] = str(get_number(after_revision))
+            params[PARAM_EPOCH] = str(get_epoch(after_revision))
         try:
             async with self._get_session().get(origin + PATH_INSTANCES, params=params) as response:
                 return await _async_parse_response(response)
--- a/gypsumrouter/fleet/view.py
+++ b/gypsumrouter/fleet/view.py
@@ -76,12 +76,13 @@
         return self._sorted
 
     def replace(self, instances: Iterable[Instance], now_ms: int) -> None:
-        """Apply a newer list."""
+        """Apply a newer list; it also confirms absences that it does not end."""
         listed = {instance.name: instance for instance in instances}
         lost = [item for name, item in self._listed.items() if name not in listed]
         bulk_groups = self._find_bulk_groups(lost)
         for name in listed:
             self._absent.pop(name, None)
+        self._count_read()
         for instance in lost:
             bulk = get_group(instance) in bulk_groups
             self._absent[instance.name] = AbsentInstance(
@@ -93,8 +94,7 @@
 
     def record_read(self, now_ms: int) -> bool:
         """Count a read that confirms the newest list; return whether the view changed."""
-        for absence in self._absent.values():
-            absence.reads += 1
+        self._count_read()
         return self.prune(now_ms)
 
     def prune(self, now_ms: int) -> bool:
@@ -112,6 +112,10 @@
             self._sorted = None
         return bool(expired)
 
+    def _count_read(self) -> None:
+        for absence in self._absent.values():
+            absence.reads += 1
+
     def _find_bulk_groups(self, lost: list[Instance]) -> set[Group]:
         sizes = Counter(get_group(instance) for instance in self._listed.values())
         losses = Counter(get_group(instance) for instance in lost)
--- a/gypsumrouter/instances.py
+++ b/gypsumrouter/instances.py
@@ -58,6 +58,7 @@
 class InstanceList(Struct, frozen=True, kw_only=True):
     """A snapshot of the instance list; `revision` increases by one with each change.
 
+    It includes the epoch, which counts the restores of the platform (see `util.revisions`).
     `as_of_ms` is the wall-clock time of the snapshot on the platform; a lagging replica returns an
     old one.
     """
--- a/gypsumrouter/standins/instance_list.py
+++ b/gypsumrouter/standins/instance_list.py
@@ -27,8 +27,9 @@
 
 
 class ListState(Struct, frozen=True, kw_only=True):
-    """One revision of the list, current since the wall time `since_ms`."""
+    """One revision of the list in an epoch, current since the wall time `since_ms`."""
 
+    epoch: int = 0
     revision: int
     since_ms: int
     instances: tuple[Instance, ...]
@@ -107,12 +108,26 @@
         self._stale_share = share
         self._changes.notify()
 
+    def restore(self, *, revision: int) -> None:
+        """Return to a revision as from a backup, in a new epoch; later revisions are lost."""
+        backup = next(state for state in self._states if state.revision == revision)
+        epoch, since_ms = self._states[-1].epoch + 1, self._clock.wall_ms()
+        self._states.clear()
+        self._states.append(replace(backup, epoch=epoch, since_ms=since_ms))
+        self._instances = {instance.name: instance for instance in backup.instances}
+        self._changes.notify()
+
     def _add_state(self) -> None:
         instances = tuple(sorted(self._instances.values(), key=lambda instance: instance.name))
         if instances == self._states[-1].instances:
             return
         since_ms = max(self._clock.wall_ms(), self._states[-1].since_ms)
-        state = ListState(revision=self.revision + 1, since_ms=since_ms, instances=instances)
+        state = ListState(
+            epoch=self._states[-1].epoch,
+            revision=self.revision + 1,
+            since_ms=since_ms,
+            instances=instances,
+        )
         self._states.append(state)
         self._changes.notify()
 
@@ -159,10 +174,11 @@
             return self._make_response(self._find_state_at(at_ms), at_ms)
         return await self._async_poll(
             after=get_query_int(request, "after", 0),
+            epoch=get_query_int(request, "epoch", 0),
             timeout_ms=get_query_int(request, "timeout_ms", DEFAULT_POLL_MS),
         )
 
-    async def _async_poll(self, *, after: int, timeout_ms: int) -> web.StreamResponse:
+    async def _async_poll(self, *, after: int, epoch: int, timeout_ms: int) -> web.StreamResponse:
         deadline_ms = self._clock.now_ms() + timeout_ms
         while True:
             if self._outage.kind is OutageKind.ERROR:
@@ -170,6 +186,8 @@
             await self._gate.async_wait_open()
             at_ms = self._choose_state_time()
             newest = self._find_state_at(at_ms)
+            if newest.epoch != epoch:
+                return self._make_response(newest, at_ms)
             if newest.revision > after:
                 return self._make_response(self._find_next(after=after, newest=newest), at_ms)
             remaining_ms = deadline_ms - self._clock.now_ms()
@@ -189,6 +207,7 @@
     def _make_response(self, state: ListState, at_ms: int) -> web.Response:
         return make_json_response(
             {
+                "epoch": state.epoch,
                 "revision": state.revision,
                 "as_of_ms": self._get_as_of(state, at_ms),
                 "instances": [_format_instance(instance) for instance in state.instances],
--- a/tests/fleet/fleet_world.py
+++ b/tests/fleet/fleet_world.py
@@ -9,6 +9,7 @@
 from gypsumrouter.fleet import Address, Fleet, Instance, InstanceList, Unchanged
 from gypsumrouter.settings import Platform
 from gypsumrouter.util.clock import ManualClock
+from gypsumrouter.util.revisions import make_revision
 
 POOL = "engines"
 START_MS = 1_700_000_000_000
@@ -52,8 +53,9 @@
             await asyncio.sleep(0)
             self.clock.advance(self.settings.list_poll_ms)
 
-    async def async_publish(self, revision: int, *instances: Instance) -> None:
-        await self.async_respond(make_list(revision, *instances, as_of_ms=self.clock.wall_ms()))
+    async def async_publish(self, revision: int, *instances: Instance, epoch: int = 0) -> None:
+        as_of_ms = self.clock.wall_ms()
+        await self.async_respond(make_list(revision, *instances, as_of_ms=as_of_ms, epoch=epoch))
 
     def member_names(self, pool: str = POOL) -> list[str]:
         return [instance.name for instance in self.fleet.members(pool)]
@@ -78,5 +80,8 @@
     return [make_engine(f"e{number}") for number in range(count)]
 
 
-def make_list(revision: int, *instances: Instance, as_of_ms: int = START_MS) -> InstanceList:
+def make_list(
+    number: int, *instances: Instance, as_of_ms: int = START_MS, epoch: int = 0
+) -> InstanceList:
+    revision = make_revision(epoch=epoch, number=number)
     return InstanceList(revision=revision, as_of_ms=as_of_ms, instances=tuple(instances))
--- a/tests/fleet/test_fleet_members.py
+++ b/tests/fleet/test_fleet_members.py
@@ -178,10 +178,28 @@
 
 async def test_list_of_a_platform_that_was_restored_from_a_backup_is_refused(world: World) -> None:
     """Revisions begin anew at a lower one, at later times, and the old instances are gone."""
-    await world.async_publish(50, *make_engines(4))
+    await world.async_publish(50, *make_engines(4), epoch=1)
     revision = 20
     for _ in range(20):
         revision += 1
-        await world.async_publish(revision, make_engine("n"))
+        await world.async_publish(revision, make_engine("n"), epoch=2)
         world.clock.advance(1_000)
     assert world.member_names() == ["n"]
+
+
+async def test_late_list_of_an_earlier_epoch_is_ignored(world: World) -> None:
+    """Guards against a replica that was not restored and still counts at a higher revision."""
+    await world.async_publish(21, make_engine("n"), epoch=2)
+    await world.async_publish(60, *make_engines(4), epoch=1)
+    await world.async_publish(60, *make_engines(4))
+    assert world.member_names() == ["n"]
+
+
+async def test_instances_missing_from_a_backup_are_kept_until_they_register_again(
+    world: World,
+) -> None:
+    await world.async_publish(50, *make_engines(6), epoch=1)
+    await world.async_publish(21, *make_engines(2), epoch=2)
+    assert len(world.member_names()) == 6
+    await world.async_publish(22, *make_engines(6), epoch=2)
+    assert len(world.member_names()) == 6
--- a/tests/fleet/test_instance_list_source.py
+++ b/tests/fleet/test_instance_list_source.py
@@ -16,6 +16,7 @@
 from gypsumrouter.fleet import Address, HttpInstanceListSource, InstanceList, Unchanged
 from gypsumrouter.fleet.document import check_instance_list
 from gypsumrouter.settings import Platform
+from gypsumrouter.util.revisions import MAX_EPOCH, make_revision
 
 ENTRY = {
     "name": "e0",
@@ -116,6 +117,25 @@
     assert listed.revision == 4
 
 
+async def test_epoch_is_read_and_the_next_read_passes_it(
+    source: HttpInstanceListSource, origins: list[FakeOrigin]
+) -> None:
+    """Guards against a long poll that waits for a revision that the platform has lost."""
+    origins[0].document = {**DOCUMENT, "epoch": 2}
+    listed = await source.async_fetch(after_revision=None)
+    assert isinstance(listed, InstanceList)
+    assert listed.revision == make_revision(epoch=2, number=3)
+    await source.async_fetch(after_revision=listed.revision)
+    assert (origins[0].queries[1]["after"], origins[0].queries[1]["epoch"]) == ("3", "2")
+
+
+@pytest.mark.parametrize("epoch", [-1, MAX_EPOCH + 1, "2.5", 10**30])
+def test_document_with_an_epoch_out_of_range_is_invalid(epoch: object) -> None:
+    """Guards against a revision that messages between processes can't carry."""
+    with pytest.raises(DocumentInvalid):
+        check_instance_list(json.dumps({**DOCUMENT, "epoch": epoch}).encode())
+
+
 @given(document=st.binary() | st.recursive(st.none() | st.integers() | st.text(), st.lists))
 @settings(derandomize=True, deadline=None)
 def test_arbitrary_documents_are_invalid(document: object) -> None:
--- a/tests/standins/test_standins_instance_list.py
+++ b/tests/standins/test_standins_instance_list.py
@@ -170,6 +170,20 @@
     assert (await reader.async_read()).revision == 2
 
 
+async def test_restored_list_returns_a_poll_of_an_earlier_epoch_at_once(
+    reader: Reader, service: InstanceListService
+) -> None:
+    for name in "abc":
+        service.set(make_instance(name))
+    poll = reader.poll(3, timeout_ms=60_000)
+    await async_until(lambda: service.waiting == 1)
+    service.restore(revision=2)
+    response = await poll
+    assert (response.revision, response.names) == (2, ("a", "b"))
+    service.set(make_instance("d"))
+    assert (service.revision, (await reader.async_read()).names) == (3, ("a", "b", "d"))
+
+
 async def test_outages_return_errors_or_refuse_connections(
     reader: Reader, service: InstanceListService
 ) -> None:
