A router that starts on a restored store learns from its peers who is leaving

A router that started after the store was restored used upstreams as ready whose leaving the store had lost, until they wrote their entries again (about 2 s). Its list, read from the backup, had a later epoch than what its peers knew, so that it wasn't behind and didn't ask them; and if it heard of the leaving, the ready entry had the higher revision.

A leaving state of the same start that a peer has applied now wins over a ready entry that the backup may contain: one of a later epoch with a lower number, since a backup is older than all that it lacks, or one at the same revision, which is what a peer has after it has merged the two. A ready entry with a higher number was written after the restore and stays, as does one that follows a removal in its epoch, and one of a later start. A router whose store states epochs asks the first three peers once for the whole list: it can't tell whether its epoch is new, and a peer may have started as late.

--- a/gypsumrouter/directory/directory.py
+++ b/gypsumrouter/directory/directory.py
@@ -14,7 +14,7 @@
 from gypsumrouter.directory.models import Entry, EntryState, Record
 from gypsumrouter.journal import Journal, StoreRestored, UpstreamChanged
 from gypsumrouter.util.heartbeats import DEFAULT_HEARTBEAT_MS, get_shortest_expiry_ms
-from gypsumrouter.util.revisions import get_epoch
+from gypsumrouter.util.revisions import get_epoch, get_number
 
 ChangeListener = Callable[[Entry], None]
 
@@ -31,7 +31,8 @@
     A store restored from a backup begins a new epoch (see `util.revisions`). Revisions of a later
     epoch supersede all earlier ones, but a backup lacks the last writes. So an upstream that was
     leaving stays so, and during the grace period removed upstreams are not added again and missing
-    ones are not removed.
+    ones are not removed. A router that has started on the backup learns from its peers who was
+    leaving: that stands against a ready entry which the backup may contain.
 
     A removal is known only of upstreams that were known before. So the changes since a revision can
     be told to a peer only back to `listed_revision`, that of the last full list; for a peer that is
@@ -50,6 +51,7 @@
         "_listeners",
         "_newest_revision",
         "_records",
+        "_returned_in_epoch",
         "applied_changes",
         "listed_revision",
         "loaded",
@@ -70,6 +72,8 @@
         # Incarnations that are leaving by their entry in the store, and by their own responses.
         self._listed_leaving: set[str] = set()
         self._announced_leaving: set[str] = set()
+        # The epochs in which incarnations became ready again after the removal of their entries.
+        self._returned_in_epoch: dict[str, int] = {}
         self._epoch: int | None = None
         self._listeners: list[ChangeListener] = []
         self._grace = GracePeriod(
@@ -180,7 +184,7 @@
         upstream = record.entry.upstream
         known = self._records.get(upstream)
         if known is not None and known.revision >= record.revision:
-            return False
+            return confirmed and self._merge_lost_leaving(known, record, source)
         if known is None and confirmed and self._was_removed(record):
             return False
         self._check_epoch(record.revision, source)
@@ -206,6 +210,37 @@
         """Return whether a peer's entry of an unknown upstream predates a list that lacks it."""
         return record.entry.state is not EntryState.GONE and record.revision <= self.listed_revision
 
+    def _merge_lost_leaving(self, known: Record, record: Record, source: str) -> bool:
+        """Mark a ready upstream as leaving if a peer knows so and the store may have lost it."""
+        if not self._may_predate_leaving(known, record):
+            return False
+        leaving = replace(known.entry, state=EntryState.LEAVING)
+        self._apply(known, Record(revision=known.revision, entry=leaving), source)
+        return True
+
+    def _may_predate_leaving(self, known: Record, record: Record) -> bool:
+        """Return whether a ready entry may be the backup's, and so older than a leaving one.
+
+        The backup is older than all that it lacks, so that an entry with a higher number than the
+        leaving one was written after the restore. A peer that was there has merged the two: it has
+        the leaving state at the revision of the ready entry.
+        """
+        incarnation = known.entry.incarnation
+        if (
+            known.entry.state is not EntryState.READY
+            or record.entry.state is not EntryState.LEAVING
+            or record.entry.incarnation != incarnation
+        ):
+            return False
+        epoch = get_epoch(known.revision)
+        if self._returned_in_epoch.get(incarnation) == epoch:
+            return False
+        if record.revision == known.revision:
+            return True
+        return get_epoch(record.revision) < epoch and get_number(known.revision) < get_number(
+            record.revision
+        )
+
     def _merge_first(self, record: Record, source: str) -> bool:
         """Merge the first record of an unknown upstream."""
         match record.entry.state:
@@ -273,6 +308,8 @@
         self._store(Record(revision=record.revision, entry=entry))
         if entry.state is EntryState.LEAVING:
             self._listed_leaving.add(entry.incarnation)
+        if known is not None and known.entry.state is EntryState.GONE:
+            self._returned_in_epoch[entry.incarnation] = get_epoch(record.revision)
         if known is not None and known.entry == entry:
             return
         if known is not None and known.entry.incarnation != entry.incarnation:
--- a/gypsumrouter/peers/catch_up.py
+++ b/gypsumrouter/peers/catch_up.py
@@ -25,11 +25,13 @@
 from gypsumrouter.peers.const import (
     CATCH_UP_DELAY_MS,
     CATCH_UP_INTERVAL_MS,
+    MAX_PEERS_ASKED_AT_START,
     WATCHER_CATCH_UP_INTERVAL_MS,
 )
 from gypsumrouter.peers.encoding import encode_evacuations, merge_evacuations
 from gypsumrouter.published import WatchState
 from gypsumrouter.routing import RoutingConfiguration, RoutingStore
+from gypsumrouter.util.revisions import get_epoch
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -52,6 +54,7 @@
 
     __slots__ = (
         "_app",
+        "_asked_for_all",
         "_behind_list_ms",
         "_behind_routing_ms",
         "_decode",
@@ -88,6 +91,8 @@
         self._decode = decode
         self._routing_state = routing_state
         self._list_state = upstreams
+        # Names of the peers that were asked for the whole list.
+        self._asked_for_all: set[str] = set()
         self._behind_routing_ms: int | None = None
         self._behind_list_ms: int | None = None
         self._last_request_ms = NEVER_MS
@@ -101,7 +106,7 @@
         notices.subscribe(ListedUpstreams, self._handle_upstreams)
 
     def check_versions(self, peer: Peer, *, routing_version: int, list_revision: int) -> None:
-        """Send a catch-up request to a peer that is ahead of this router.
+        """Send a catch-up request to a peer that is ahead of this router, or to the first peers.
 
         A request is sent only once this router has been behind for `CATCH_UP_DELAY_MS`, in which a
         change normally arrives from the store, and at most every `CATCH_UP_INTERVAL_MS`.
@@ -113,14 +118,27 @@
         self._behind_list_ms = _get_behind_since(self._behind_list_ms, upstreams, now_ms)
         if now_ms - self._last_request_ms < CATCH_UP_INTERVAL_MS:
             return
+        starting = self._should_ask_at_start(peer)
         request = CatchUpRequest(
             routing=routing and self._is_overdue(self._behind_routing_ms, now_ms),
-            upstreams=upstreams and self._is_overdue(self._behind_list_ms, now_ms),
-            since=self._get_list_as_of(),
+            upstreams=starting or (upstreams and self._is_overdue(self._behind_list_ms, now_ms)),
+            since=0 if starting else self._get_list_as_of(),
         )
-        if (request.routing or request.upstreams) and peer.send(request):
+        if (request.routing or request.upstreams) and self._send_request(peer, request):
             self._last_request_ms = now_ms
 
+    def _should_ask_at_start(self, peer: Peer) -> bool:
+        """Return whether to ask a peer what a backup of the store may lack.
+
+        A router that has started on the backup isn't behind its peers, but does not know what the
+        store has lost. A store that states no epoch is not restored from backups, and without any
+        upstream there is none that could be leaving.
+        """
+        asked = self._asked_for_all
+        if len(asked) >= MAX_PEERS_ASKED_AT_START or peer.hello.name in asked:
+            return False
+        return get_epoch(self._directory.read_revision) > 0 and bool(self._directory.records())
+
     def handle_announcement(self, peer: Peer, announcement: StoreUpdate) -> None:
         """Process a watcher's announcement; requests the changes that this router lacks."""
         self.merge_evacuations(peer, announcement.evacuations)
@@ -134,7 +152,15 @@
         if not (routing or upstreams) or not self._should_request(announcement):
             return
         since = self._get_list_as_of()
-        peer.send(CatchUpRequest(routing=routing, upstreams=upstreams, since=since))
+        request = CatchUpRequest(routing=routing, upstreams=upstreams, since=since)
+        self._send_request(peer, request)
+
+    def _send_request(self, peer: Peer, request: CatchUpRequest) -> bool:
+        """Send a request and return whether it was sent."""
+        sent = peer.send(request)
+        if sent and request.upstreams and request.since == 0:
+            self._asked_for_all.add(peer.hello.name)
+        return sent
 
     def _has_all_applied(self, peer: Peer, announcement: StoreUpdate) -> bool:
         """Return whether this router has all changes but those that the watcher defers."""
--- a/gypsumrouter/peers/const.py
+++ b/gypsumrouter/peers/const.py
@@ -17,6 +17,9 @@
 ROUTER_EXPIRY_MS: Final = 30_000
 # Time that a change may take to arrive from the platform's store before a peer is queried.
 CATCH_UP_DELAY_MS: Final = 250
+# Peers that a router asks for the whole list after its start. It can't tell whether it has read a
+# list that was just restored, and a peer may have started just as late.
+MAX_PEERS_ASKED_AT_START: Final = 3
 # Minimum time between two catch-up requests.
 CATCH_UP_INTERVAL_MS: Final = 500
 # Time that a watcher has to answer a catch-up request before the request goes to another one.
--- a/tests/directory/test_directory_restored.py
+++ b/tests/directory/test_directory_restored.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import pytest
+from msgspec.structs import replace
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
@@ -222,3 +223,50 @@
     env.directory.replace_all([make_record(2, 50)], revision=revision_at(2, 50), source="platform")
     env.directory.merge(make_record(1, 60, LEAVING), source="peer", confirmed=True)
     assert env.get_state() is LEAVING
+
+
+def test_leaving_state_from_a_peer_that_has_merged_the_backup_is_applied(env: Environment) -> None:
+    """Guards against a peer's leaving state that counts as known at the backup's revision."""
+    env.directory.replace_all([make_record(2, 50)], revision=revision_at(2, 50), source="platform")
+    env.directory.merge(make_record(2, 50, LEAVING), source="peer", confirmed=True)
+    assert env.get_state() is LEAVING
+    env.directory.merge(make_record(2, 55), source="platform")
+    assert env.get_state() is LEAVING
+
+
+def test_ready_entry_written_after_the_restore_stands_against_an_earlier_leaving_state(
+    env: Environment,
+) -> None:
+    env.directory.replace_all([make_record(2, 70)], revision=revision_at(2, 70), source="platform")
+    assert not env.directory.merge(make_record(1, 60, LEAVING), source="peer", confirmed=True)
+    assert env.get_state() is READY
+
+
+def test_upstream_that_returned_after_the_restore_stands_against_an_earlier_leaving_state(
+    env: Environment,
+) -> None:
+    env.directory.replace_all([make_record(2, 50)], revision=revision_at(2, 50), source="platform")
+    env.directory.merge(make_record(2, 51, GONE), source="platform")
+    env.directory.merge(make_record(2, 52), source="platform")
+    for leaving in (make_record(1, 60, LEAVING), make_record(2, 52, LEAVING)):
+        assert not env.directory.merge(leaving, source="peer", confirmed=True)
+    assert env.get_state() is READY
+
+
+def test_restarted_upstream_stands_against_the_leaving_state_of_its_earlier_start(
+    env: Environment,
+) -> None:
+    ready, leaving = make_record(2, 50), make_record(1, 60, LEAVING)
+    later = Record(revision=ready.revision, entry=replace(ready.entry, started_ms=6))
+    earlier = Record(revision=leaving.revision, entry=replace(leaving.entry, started_ms=5))
+    env.directory.replace_all([later], revision=revision_at(2, 50), source="platform")
+    assert not env.directory.merge(earlier, source="peer", confirmed=True)
+    assert env.get_state() is READY
+
+
+def test_leaving_lost_by_the_store_is_removed_by_its_next_write(env: Environment) -> None:
+    env.directory.replace_all([make_record(2, 50)], revision=revision_at(2, 50), source="platform")
+    env.directory.merge(make_record(1, 60, LEAVING), source="peer", confirmed=True)
+    env.directory.merge(make_record(2, 51, GONE), source="platform", confirmed=True)
+    env.directory.merge(make_record(2, 52), source="platform")
+    assert env.get_state() is READY
