Answers of a side's upstream to questions are read up to a bound

A side reads polls, probes, the cache API and the order API of its upstream by the client library, which collects a body whole. A body without end was kept until the timeout of the call: 549 MB in 1.0 s by one poll (trial, loopback), and 823 MB were written to one call of the order API in the test, so that all requests on the machine were in danger of its memory.

Cause: response.read() has no bound. async_read_body gives the answer up behind MAX_ANSWER_BYTES (8 MiB) with ConnectionBroken, which all four callers handle already: a failed poll, a broken probe, no prefix, an order whose result is not known.

--- a/gypsumrouter/orders/engine.py
+++ b/gypsumrouter/orders/engine.py
@@ -35,7 +35,7 @@
     Submission,
 )
 from gypsumrouter.settings import Upstream
-from gypsumrouter.upstream import ConnectFailed, ConnectionBroken, Transport
+from gypsumrouter.upstream import ConnectFailed, ConnectionBroken, Transport, async_read_body
 
 _JSON: Final = [("Content-Type", "application/json")]
 _PENDING: Final = "pending"
@@ -122,7 +122,7 @@
                     method=method.value, path=path, headers=_JSON, body=body, hand_over=check
                 )
                 try:
-                    return _Answer(status=response.status, body=await response.read())
+                    return _Answer(status=response.status, body=await async_read_body(response))
                 finally:
                     response.close()
         except OrderDenied as denied:
--- a/gypsumrouter/prefixes/engine.py
+++ b/gypsumrouter/prefixes/engine.py
@@ -23,7 +23,7 @@
     PATH_IMPORT,
 )
 from gypsumrouter.settings import Upstream
-from gypsumrouter.upstream import ConnectFailed, ConnectionBroken, Transport
+from gypsumrouter.upstream import ConnectFailed, ConnectionBroken, Transport, async_read_body
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -108,7 +108,7 @@
                     method=method, path=path, headers=_JSON if body else [], body=body
                 )
                 try:
-                    answer = await response.read()
+                    answer = await async_read_body(response)
                     return answer if response.status == HTTP_OK else None
                 finally:
                     response.close()
--- a/gypsumrouter/upstream/__init__.py
+++ b/gypsumrouter/upstream/__init__.py
@@ -14,7 +14,7 @@
     UpstreamClient,
 )
 from gypsumrouter.upstream.service import ServiceClient
-from gypsumrouter.upstream.transport import ConnectFailed, Transport
+from gypsumrouter.upstream.transport import ConnectFailed, Transport, async_read_body
 
 __all__ = [
     "ConnectFailed",
@@ -26,6 +26,7 @@
     "Sink",
     "Transport",
     "UpstreamClient",
+    "async_read_body",
     "make_client",
 ]
 
--- a/gypsumrouter/upstream/transport.py
+++ b/gypsumrouter/upstream/transport.py
@@ -23,6 +23,7 @@
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.core import Application
 from gypsumrouter.helpers.connector import ShieldedConnector
+from gypsumrouter.helpers.http_response import MAX_ANSWER_BYTES
 from gypsumrouter.helpers.tls import TlsFiles, make_client_context
 from gypsumrouter.instances import Address
 from gypsumrouter.settings import Tls, Upstream
@@ -159,7 +160,7 @@
             try:
                 if response.status != HTTP_OK:
                     raise ValueError(f"{path}: expected status 200, got {response.status}")
-                return _read_json(path, await response.read())
+                return _read_json(path, await async_read_body(response))
             except (aiohttp.ClientError, OSError) as error:
                 raise ConnectionBroken(_describe(error)) from error
             finally:
@@ -180,6 +181,16 @@
         return Liveness.ANSWERS
 
 
+async def async_read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return the whole body of an answer; raises ConnectionBroken if it exceeds the limit."""
+    body = bytearray()
+    async for part in response.content.iter_any():
+        body += part
+        if len(body) > MAX_ANSWER_BYTES:
+            raise ConnectionBroken(f"the answer has more than {MAX_ANSWER_BYTES} bytes")
+    return bytes(body)
+
+
 async def _prevent_resend(
     request: ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
