Streams that never pause take turns, one part in each round of the event loop

Cause: each stream relays all that its buffer has in each round of the event loop, so that a round lasts as long as all such streams need together; the work grows with their number.

A stream whose part was longer than 4 KiB now waits for its turn before it reads the next one, and one turn begins in each round, in order. At most 16 KiB are read at a time, so that a turn is as short as the parsing of a part. The bound needs no rate: streams that pause never wait, and where nothing else runs the rounds follow each other at once. One long part of a sound stream, behind a silence, waits once.

--- a/gypsumrouter/forwarding/context.py
+++ b/gypsumrouter/forwarding/context.py
@@ -11,6 +11,7 @@
 from gypsumrouter.forwarding.end_evidence import EndChecks
 from gypsumrouter.forwarding.models import Dialect
 from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.relay_turns import RelayTurns
 from gypsumrouter.forwarding.request_contention import ContentionContext
 from gypsumrouter.forwarding.stream_disorders import StreamDisorders
 from gypsumrouter.helpers.metrics import Counter
@@ -37,5 +38,6 @@
     streams: StreamOrigins
     silences: Counter
     disorders: StreamDisorders
+    turns: RelayTurns
     contention: ContentionContext = ContentionContext()
     without: frozenset[Mechanism] = frozenset()
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -25,6 +25,7 @@
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED, Progress, TimeLimits
 from gypsumrouter.forwarding.relay import Relay, RelayResult
+from gypsumrouter.forwarding.relay_turns import MAX_PART_BYTES
 from gypsumrouter.forwarding.replacement import MayReplace, Replacements
 from gypsumrouter.forwarding.request_contention import RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
@@ -141,6 +142,7 @@
             on_resumed=lambda begun: request_journal.record_resumed(progress.upstream, begun),
             read_part=self._async_read_part,
             taken_up_after=request.last_event_id if routed.route.resumable else None,
+            turns=context.turns,
         )
         self._replacements = Replacements(
             context=self._run_context,
@@ -298,11 +300,11 @@
     async def _async_read_part(self, streaming: StreamingResponse) -> bytes:
         """Return the next part of a stream, b"" at its end; raises Replaced."""
         if not self._watches or not self._routed.route.resumable:
-            return await streaming.answer.body.readany()
+            return await streaming.answer.body.read(MAX_PART_BYTES)
         awaited = Awaited.FIRST_EVENT if self._relay.response is None else Awaited.NEXT_EVENT
         patience_ms = self._get_patience_ms(awaited)
         return await self._standby.async_wait(
-            awaited, streaming.answer.body.readany(), patience_ms=patience_ms
+            awaited, streaming.answer.body.read(MAX_PART_BYTES), patience_ms=patience_ms
         )
 
     def _get_patience_ms(self, awaited: Awaited) -> int | None:
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -34,6 +34,7 @@
 from gypsumrouter.forwarding.models import Dialect
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
+from gypsumrouter.forwarding.relay_turns import RelayTurns
 from gypsumrouter.forwarding.request_contention import ContentionContext
 from gypsumrouter.forwarding.return_order import ReturnOrder
 from gypsumrouter.forwarding.service_work import ServiceWorkReader
@@ -192,6 +193,7 @@
                 "Attempts with a silent upstream, by what it owes and why nothing takes over",
             ),
             disorders=StreamDisorders(metrics=app.metrics),
+            turns=RelayTurns(),
             contention=ContentionContext(
                 shares=self.shares, return_order=self._return_order, queue=self._queue
             ),
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -13,6 +13,7 @@
 from gypsumrouter.forwarding.models import Dialect, StreamingResponse
 from gypsumrouter.forwarding.next_step import SentPart
 from gypsumrouter.forwarding.progress import Progress
+from gypsumrouter.forwarding.relay_turns import RelayTurns
 from gypsumrouter.forwarding.responses import make_stream_response
 from gypsumrouter.forwarding.silence import Replaced
 from gypsumrouter.helpers.http_response import (
@@ -80,6 +81,7 @@
         "_progress",
         "_read_part",
         "_splitter",
+        "_turns",
         "_waits_since_ms",
         "_web_request",
         "response",
@@ -98,7 +100,9 @@
         on_resumed: Callable[[ContinuationBegun], None],
         read_part: Callable[[StreamingResponse], Awaitable[bytes]],
         taken_up_after: str | None,
+        turns: RelayTurns,
     ) -> None:
+        self._turns = turns
         self._read_part = read_part
         self._on_begun = on_begun
         self._on_received = on_received
@@ -159,6 +163,8 @@
                 await self._async_write(streaming, complete)
                 if fault is not None:
                     return self._end(RelayResult.BROKEN, f"does not go on: {fault}")
+                if streaming.is_event_stream:
+                    await self._turns.async_wait(len(part))
                 part = await self._async_read(streaming)
                 self._note_pause()
         except Replaced:
