Reports and cache listings of upstreams have bounds of their size

Cause: one bound stood for all answers to questions.

The replaced function of test_platform_engines takes the new argument.

--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -19,7 +19,6 @@
 
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.helpers.http_response import (
-    MAX_ANSWER_BYTES,
     ConnectionBroken,
     HttpResponse,
     ResponseBounds,
@@ -386,12 +385,17 @@
     connecting.result().close()
 
 
-async def async_get(connection: HttpConnection, path: str) -> tuple[HttpResponse, bytes]:
-    """Return the response to a GET request and its body; raises ConnectionBroken without a 200."""
+async def async_get(
+    connection: HttpConnection, path: str, *, max_bytes: int
+) -> tuple[HttpResponse, bytes]:
+    """Return the response to a GET request and its body.
+
+    Raises ConnectionBroken without a 200, and for a body of more than `max_bytes`.
+    """
     head = f"GET {path} HTTP/1.1\r\nHost: {connection.address}\r\n\r\n"
     connection.send_request(method="GET", data=head.encode())
     response = await connection.async_read_response()
-    body = await async_read_body(response, max_bytes=MAX_ANSWER_BYTES)
+    body = await async_read_body(response, max_bytes=max_bytes)
     if response.status != STATUS_SUCCESS:
         raise ConnectionBroken(f"expected status {STATUS_SUCCESS}, got {response.status}")
     return response, body
--- a/gypsumrouter/platform/engines.py
+++ b/gypsumrouter/platform/engines.py
@@ -5,7 +5,7 @@
 from gypsumrouter.forwarding.inventory import CachedPart, CacheListing
 from gypsumrouter.forwarding.models import MAX_PROMPT_TOKENS
 from gypsumrouter.helpers.http_connection import HttpConnection, async_get
-from gypsumrouter.helpers.http_response import ConnectionBroken
+from gypsumrouter.helpers.http_response import MAX_LISTING_BYTES, MAX_REPORT_BYTES, ConnectionBroken
 from gypsumrouter.helpers.json_documents import load_json
 from gypsumrouter.helpers.numbers import read_hexadecimal, read_json_number
 from gypsumrouter.platform import names
@@ -13,7 +13,7 @@
 
 async def async_read_start(connection: HttpConnection) -> int:
     """Return when an upstream started, 0 if it doesn't state it; raises ConnectionBroken."""
-    _, body = await async_get(connection, names.CALL_REPORT)
+    _, body = await async_get(connection, names.CALL_REPORT, max_bytes=MAX_REPORT_BYTES)
     try:
         return read_json_number(load_json(body).get("born")) or 0
     except (ValueError, AttributeError, RecursionError) as error:
@@ -22,7 +22,7 @@
 
 async def async_list_cached_parts(connection: HttpConnection) -> CacheListing:
     """Return the prompt parts in an engine's cache; raises ConnectionBroken if invalid."""
-    answer, body = await async_get(connection, names.CALL_HELD)
+    answer, body = await async_get(connection, names.CALL_HELD, max_bytes=MAX_LISTING_BYTES)
     try:
         document = load_json(body)
         # Each entry is a list: an empty string, the part's id, its token count, its model.
--- a/tests/platform/test_platform_engines.py
+++ b/tests/platform/test_platform_engines.py
@@ -24,7 +24,7 @@
 def answer_with(monkeypatch: pytest.MonkeyPatch, body: str) -> Any:
     """Make each call return a body; return a connection for the call."""
 
-    async def async_get(_connection: object, _path: str) -> tuple[Answer, bytes]:
+    async def async_get(_connection: object, _path: str, *, max_bytes: int) -> tuple[Answer, bytes]:
         return Answer(), body.encode()
 
     monkeypatch.setattr(engines, "async_get", async_get)
