The pages of a store's list have one bound together

A store that answers each read of a list with another valid page took a process from 49 to 1,483 MB within 29 s (64 pages of 28 MB; trial, loopback), and the list was given up only then.

Cause: MAX_PAGES bounds the count of the pages and MAX_PAGE_BYTES the size of each, 2 GiB together. A list that goes on behind MAX_PAGE_BYTES is now given up as StoreUnavailable, like one that does not end within its pages; the reader keeps what it has. A list of that size in a single page is read as before. The message states size and pages.

--- a/gypsumrouter/helpers/http_response.py
+++ b/gypsumrouter/helpers/http_response.py
@@ -27,8 +27,9 @@
 MAX_PASSED_BYTES: Final = 64 * KIB * KIB
 MAX_DISCARDED_BYTES: Final = 16 * KIB
 MAX_DISCARD_MS: Final = 100
-# What an upstream answers to a question, and a page or the changes that a store returns. A report
-# holds some counts, a listing 40 bytes for each cached part; many of them may be read at a time.
+# What an upstream answers to a question, and what a store returns: a page of a list, all pages of
+# one that goes on, or changes. A report holds some counts, a listing 40 bytes for each cached part;
+# many of them may be read at a time.
 MAX_ANSWER_BYTES: Final = 8 * KIB * KIB
 MAX_REPORT_BYTES: Final = 64 * KIB
 MAX_LISTING_BYTES: Final = KIB * KIB
--- a/gypsumrouter/platform/store.py
+++ b/gypsumrouter/platform/store.py
@@ -40,10 +40,11 @@
 
 
 class Document(Struct, frozen=True, kw_only=True):
-    """A decoded response body and the epoch that its revisions belong to."""
+    """A decoded body, its size in bytes, and the epoch that its revisions belong to."""
 
     epoch: int
     content: Any
+    size: int
 
 
 class Page(Struct, frozen=True, kw_only=True):
@@ -75,11 +76,9 @@
         """Return all items; raises StoreUnavailable."""
         items: list[Item] = []
         as_of: int | None = None
-        after = ""
+        after, size = "", 0
         for _ in range(MAX_PAGES):
-            query = {"prefix": self._prefix}
-            if after:
-                query["after"] = after
+            query = {"prefix": self._prefix} | ({"after": after} if after else {})
             document = await self._async_get(names.CALL_RANGE, query, wait_ms=0)
             if document is None:
                 raise StoreUnavailable("expected a list, got a lost-history status")
@@ -92,16 +91,16 @@
                 raise StoreUnavailable("store was restored from a backup while the list was read")
             if not page.more:
                 return ItemBatch(items=tuple(items), as_of=as_of)
-            if not page.last_key:
+            size += document.size
+            if not page.last_key or size > MAX_PAGE_BYTES:
                 break
             after = page.last_key
         # Returning an incomplete list would remove the upstreams missing from it.
-        raise StoreUnavailable(f"list not complete: expected its end within {MAX_PAGES} pages")
+        raise StoreUnavailable(f"list not complete: {size} bytes, or {MAX_PAGES} pages")
 
     async def async_watch(self, *, after: int, wait_ms: int) -> ItemBatch | HistoryLost:
         """Return the changes after a revision; raises StoreUnavailable."""
-        number = str(get_number(after))
-        query = {"prefix": self._prefix, "after": number, "wait_ms": str(wait_ms)}
+        query = {"prefix": self._prefix, "after": str(get_number(after)), "wait_ms": str(wait_ms)}
         document = await self._async_get(names.CALL_WATCH, query, wait_ms=wait_ms)
         # After a restore the same number may belong to a different change.
         if document is None or document.epoch != get_epoch(after):
@@ -139,7 +138,8 @@
         if answer.status != names.STATUS_OK:
             raise StoreUnavailable(f"expected status {names.STATUS_OK}, got {answer.status}")
         try:
-            return Document(epoch=answer.epoch, content=json.loads(answer.body))
+            content = json.loads(answer.body)
+            return Document(epoch=answer.epoch, content=content, size=len(answer.body))
         except (ValueError, RecursionError):
             self.close()
             raise StoreUnavailable("expected JSON, got a body that does not parse") from None
