--- a/bench/processes.py
+++ b/bench/processes.py
@@ -21,6 +21,8 @@
 BYTES_PER_KIB: Final = 1024
 ANNOUNCE_TIMEOUT_S: Final = 20.0
 STOP_TIMEOUT_S: Final = 20.0
+# The interpreter of a checkout, in its environment.
+PRODUCT_PYTHON: Final = ".venv/bin/python"
 
 
 class Usage(Struct, frozen=True, kw_only=True):
@@ -85,17 +87,19 @@
     folder: Path,
     log: Path | None = None,
     options: Sequence[str] = (),
+    product: Path | None = None,
 ) -> DaemonProcess:
     """Start a daemon and wait until it has announced its addresses.
 
-    Raises RuntimeError if it exits before that.
+    It is that of the checkout `product`, if given, in the environment of that. Raises RuntimeError
+    if it exits before that.
     """
     name = settings["instance"]["name"]
     file = folder / f"{name}.json"
     file.write_text(json.dumps(settings))
     with (log or folder / f"{name}.log").open("ab") as errors:
         process = await asyncio.create_subprocess_exec(
-            sys.executable,
+            sys.executable if product is None else str(product / PRODUCT_PYTHON),
             "-m",
             "gypsumrouter.daemon",
             str(role),
@@ -105,6 +109,7 @@
             *options,
             stdout=asyncio.subprocess.PIPE,
             stderr=errors,
+            cwd=product,
             env={**os.environ, ENV_IO_URING: IO_URING_OFF},
         )
     try:
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -35,6 +35,7 @@
 from bench.soak_retry_checks import RETRY_RATIO, RETRY_SLACK, check_retry_budget
 from bench.soak_rig import ENV_KEY, FORWARDERS, KEY, SoakRig
 from bench.soak_silences import async_soak_silences
+from bench.soak_slowdowns import SHAPES, async_soak_slowdowns
 from bench.soak_stops import async_soak_stops
 from bench.soak_streams import StreamCallers, check_going_on, check_streams, count_taken_up
 from bench.soak_unfinished import async_soak_unfinished
@@ -239,6 +240,17 @@
     type=click.Choice([dimension.value for dimension in Dimension]),
     help="What happens beside the stops of --one-attempt; may be given several times.",
 )
+@click.option("--slowdowns", is_flag=True, help="Only: upstreams get slower in stops.")
+@click.option(
+    "--shape",
+    type=click.Choice(list(SHAPES)),
+    help="How upstreams get slower in each stop of --slowdowns; drawn if not given.",
+)
+@click.option(
+    "--product",
+    type=click.Path(path_type=Path, file_okay=False, exists=True, resolve_path=True),
+    help="Checkout with its environment whose forwarders --slowdowns plays.",
+)
 @click.option(
     "--forwarders", type=int, default=FORWARDERS, help="Number of forwarders; 15 for most tests."
 )
@@ -266,6 +278,9 @@
     deaths: bool,
     one_attempt: bool,
     dimensions: tuple[str, ...],
+    slowdowns: bool,
+    shape: str | None,
+    product: Path | None,
     forwarders: int,
     journals: Path | None,
 ) -> None:
@@ -282,6 +297,7 @@
         async_soak_overlaps: overlaps,
         partial(async_soak_deaths, seconds=seconds or DEATHS_S): deaths,
         partial(async_soak_one_attempt, dimensions=chosen_dimensions): one_attempt,
+        partial(async_soak_slowdowns, shape=SHAPES.get(shape or ""), product=product): slowdowns,
     }
     only = next((run for run, wanted in alone.items() if wanted), None)
     all_kept = True
--- a/bench/soak_kept_callers.py
+++ b/bench/soak_kept_callers.py
@@ -37,7 +37,7 @@
     async def _async_call_all(self, route: str, caller: int) -> None:
         rng = random.Random(f"{self._seed}/{route}/{caller}")
         while not self._stopping.is_set():
-            forwarder = rng.randrange(self._rig.count)
+            forwarder = self.choose_forwarder(route, caller, rng)
             address = Address(host="127.0.0.1", port=self._rig.get_callers_port(forwarder))
             connection = self.make_connection(address, route, rng)
             try:
@@ -48,6 +48,10 @@
             finally:
                 connection.close()
 
+    def choose_forwarder(self, _route: str, _caller: int, rng: random.Random) -> int:
+        """Return the forwarder to which a caller connects next."""
+        return rng.randrange(self._rig.count)
+
     def make_connection(self, address: Address, _route: str, _rng: random.Random) -> RawCaller:
         """Return a connection of a caller of a route."""
         return RawCaller(address)
--- a/bench/soak_rig.py
+++ b/bench/soak_rig.py
@@ -62,7 +62,8 @@
     With `evacuations` runners are in several data centres, and new engines start cold. With
     `versions` engines have software versions, at first `first_versions`, and half of all runners
     send responses with neither a length nor chunks. `bounds` overrides limits of the forwarders.
-    `timeout_ms` is the time limit of all routes.
+    `timeout_ms` is the time limit of all routes. `product` is a checkout with its environment whose
+    forwarders are started in place of this one's.
     """
 
     def __init__(
@@ -75,7 +76,9 @@
         first_versions: Sequence[str] = FIRST_VERSIONS,
         bounds: Mapping[str, float] | None = None,
         timeout_ms: int = 2_500,
+        product: Path | None = None,
     ) -> None:
+        self._product = product
         self.count = forwarders
         self._timeout_ms = timeout_ms
         self._evacuations = evacuations
@@ -275,7 +278,7 @@
             "log": {"format": "json"},
         }
         process = await async_start_daemon(
-            role=Role.FORWARDER, settings=settings, folder=self._folder
+            role=Role.FORWARDER, settings=settings, folder=self._folder, product=self._product
         )
         self.forwarders[number] = process
         self.disturbances.note_interruption(number)
--- a/bench/soak_stops.py
+++ b/bench/soak_stops.py
@@ -154,11 +154,15 @@
 class Stops:
     """Stops one forwarder after the other, with signals in series, and starts it again.
 
-    A process that lasts longer than `stop_s` is killed.
+    A process that lasts longer than `stop_s` is killed. Up to `max_later` signals follow the
+    first.
     """
 
-    def __init__(self, *, rig: SoakRig, seed: int | str, stop_s: float = STOP_S) -> None:
+    def __init__(
+        self, *, rig: SoakRig, seed: int | str, stop_s: float = STOP_S, max_later: int = MAX_LATER
+    ) -> None:
         self._rig = rig
+        self._max_later = max_later
         self._stop_s = stop_s
         self._rng = random.Random(f"{seed}/stops")
         self.made: list[Stop] = []
@@ -200,7 +204,7 @@
             self._starting.append(asyncio.create_task(_async_note_ready(stop, started)))
 
     async def _async_send_later(self, send: Any) -> None:
-        for _ in range(self._rng.randint(0, MAX_LATER)):
+        for _ in range(self._rng.randint(0, self._max_later)):
             await asyncio.sleep(self._rng.choice((0.0, self._rng.uniform(0, MAX_GAP_S))))
             number = self._rng.choice(LATER)
             self.counts[number.name] += 1
