A question about a cut stream decides by its verdict and the runs of the break

A request that crashes the upstreams that run it went on to reach runners: a crash that showed as a cut unframed stream was cleared although the question behind its end had found the upstream gone.

Judging starts up to some 4 s after the break, after the question, and then compared the last byte of the incarnation with the time of the break. A buffered event of a caller that rested, or a response of a new start behind the old entry, counted as life; a late byte could even take the crashing run as a survivor.

The runs that may have crashed the upstream are now taken at the break. The verdict of the question is final. Only where the question can't tell does the check for later bytes decide, as it does for a reset. Exposed runs that survive meanwhile are noted once it is known that the upstream has outlived the cut. One crash settles all pending cuts of its incarnation, so it is reported once.

test_bytes_read_during_the_question_do_not_hide_the_crash_that_it_shows failed before in both cases (nothing reported); with the change, it and the rest of tests/forwarding/test_forwarding_suspects.py and tests/suspicion pass.

--- a/gypsumrouter/crashes/guard.py
+++ b/gypsumrouter/crashes/guard.py
@@ -6,10 +6,10 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Awaitable, Callable, Collection, Iterable
 from typing import Final
 
+from msgspec import Struct
 from msgspec.structs import replace
 
 from gypsumrouter.core import Application
@@ -45,13 +45,23 @@
 VerdictListener = Callable[[tuple[Verdict, ...]], None]
 
 
+class CutStream(Struct, eq=False, kw_only=True):
+    """A stream that its upstream has cut, until it is known whether the upstream outlived that.
+
+    `exposed` are the runs that may have crashed the upstream, as of the break.
+    """
+
+    broken_ms: int
+    exposed: list[Run]
+
+
 class CrashGuard:
     """Decides whether a request may be sent to an upstream, from crashes seen by all routers."""
 
     __slots__ = (
         "_allowed",
         "_app",
-        "_asked",
+        "_cuts",
         "_evidence_listeners",
         "_is_first_judge",
         "_is_judge",
@@ -63,6 +73,7 @@
         "_runs",
         "_settling",
         "_survivals",
+        "_unsure_survivors",
         "_verdict_listeners",
         "verdicts",
     )
@@ -75,8 +86,10 @@
         self.verdicts = VerdictTable()
         self._allowed: frozenset[int] = frozenset()
         self._settling: set[str] = set()
-        # How many questions are under way whether an upstream outlived a cut stream.
-        self._asked: Counter[str] = Counter()
+        # Cut streams that their upstreams may have outlived, and the runs at these upstreams that
+        # have survived if so.
+        self._cuts: dict[str, list[CutStream]] = {}
+        self._unsure_survivors: dict[str, list[Run]] = {}
         self._survivals = SurvivalMemory()
         self._reported_ms: dict[int, int] = {}
         self._reporter = ImplicationReporter(router=app.name, survivals=self._survivals)
@@ -176,34 +189,57 @@
                 self._report_survivals(subject)
 
     def note_broken(
-        self, upstream: str, *, outlived: Callable[[], Awaitable[bool]] | None = None
+        self, upstream: str, *, outlived: Callable[[], Awaitable[bool | None]] | None = None
     ) -> None:
         """Record that an upstream has closed the connection of a run.
 
         Where the way it was closed doesn't show a crash, `outlived` tells whether the upstream is
-        known to live. The caller doesn't wait for that.
+        known to live, None if that isn't known. The caller doesn't wait for that.
         """
         broken_ms = self._app.clock.now_ms()
         if outlived is None:
             self._begin_judging(upstream, broken_ms)
         elif self._runs.is_known(upstream):
+            cut = CutStream(
+                broken_ms=broken_ms, exposed=self._runs.list_exposed(upstream, at_ms=broken_ms)
+            )
+            self._cuts.setdefault(upstream, []).append(cut)
             self._app.async_create_task(
-                self._async_judge_cut(upstream, broken_ms, outlived), f"cut by {upstream}"
+                self._async_judge_cut(upstream, cut, outlived), f"cut by {upstream}"
             )
 
     async def _async_judge_cut(
-        self, upstream: str, broken_ms: int, outlived: Callable[[], Awaitable[bool]]
+        self, upstream: str, cut: CutStream, outlived: Callable[[], Awaitable[bool | None]]
     ) -> None:
         # An upstream that cuts a stream and then answers nothing counts as crashed: such a break
         # is a fault of its own, unlike an end that only can't be confirmed.
-        self._asked[upstream] += 1
         try:
-            if not await outlived():
-                self._begin_judging(upstream, broken_ms)
+            lives = await outlived()
+            if lives is None:
+                settled_ms = cut.broken_ms + SETTLE_MS
+                await self._app.clock.async_sleep(max(0, settled_ms - self._app.clock.now_ms()))
+                lives = self._runs.was_alive_after(upstream, at_ms=cut.broken_ms + LIFE_MARGIN_MS)
+            # Another judgement may have found the crash by now.
+            if not lives and cut in self._cuts.get(upstream, ()):
+                self._forget_crashed(upstream)
+                self._report_crash(cut.exposed, cut.broken_ms)
         finally:
-            self._asked[upstream] -= 1
-            if not self._asked[upstream]:
-                del self._asked[upstream]
+            self._remove_cut(upstream, cut)
+
+    def _remove_cut(self, upstream: str, cut: CutStream) -> None:
+        cuts = self._cuts.get(upstream, [])
+        if cut not in cuts:
+            return
+        cuts.remove(cut)
+        if not cuts:
+            del self._cuts[upstream]
+            self._note_survivors(self._unsure_survivors.pop(upstream, ()))
+
+    def _forget_crashed(self, upstream: str) -> None:
+        """Forget the runs at an upstream that has crashed, and what else would show the crash."""
+        self._runs.remove(upstream)
+        self._cuts.pop(upstream, None)
+        self._unsure_survivors.pop(upstream, None)
 
     def _begin_judging(self, upstream: str, broken_ms: int) -> None:
         if upstream in self._settling or not self._runs.is_known(upstream):
@@ -235,7 +271,7 @@
     def sweep(self) -> None:
         """Drop what is no longer needed."""
         now_ms = self._app.clock.now_ms()
-        self._runs.sweep(now_ms=now_ms, keep=self._settling | self._asked.keys())
+        self._runs.sweep(now_ms=now_ms, keep=self._settling | self._cuts.keys())
         self.verdicts.expire(now_ms=now_ms)
         since_ms = now_ms - SURVIVAL_REPORT_MS
         self._reported_ms = {s: ms for s, ms in self._reported_ms.items() if ms > since_ms}
@@ -261,9 +297,12 @@
             if self._runs.was_alive_after(upstream, at_ms=broken_ms + LIFE_MARGIN_MS):
                 return
             runs = self._runs.list_exposed(upstream, at_ms=broken_ms)
-            self._runs.remove(upstream)
+            self._forget_crashed(upstream)
         finally:
             self._settling.discard(upstream)
+        self._report_crash(runs, broken_ms)
+
+    def _report_crash(self, runs: list[Run], broken_ms: int) -> None:
         implications = self._reporter.report(runs, at_ms=broken_ms)
         self.apply_evidence((s for s in implications if self._is_judge(s.subject)), ())
         self._tell(implications, ())
@@ -271,6 +310,9 @@
     def _note_survivors(self, runs: Iterable[Run]) -> None:
         now_ms = self._app.clock.now_ms()
         for run in runs:
+            if any(run in cut.exposed for cut in self._cuts.get(run.upstream, ())):
+                self._unsure_survivors.setdefault(run.upstream, []).append(run)
+                continue
             for subject in run.subjects.all:
                 self._survivals.note(subject, workspace=run.subjects.workspace, now_ms=now_ms)
                 if self._matters(subject):
--- a/tests/forwarding/test_forwarding_suspects.py
+++ b/tests/forwarding/test_forwarding_suspects.py
@@ -269,3 +269,29 @@
     await world.async_crash_with("i-9", world.make_subjects(CRASHING_PART))
     await world.async_advance(OBJECTION_MS)
     assert not world.is_refused(CRASHING_PART)
+
+
+# Guards against a crash that is overlooked as bytes of the dead process, or of the start behind it,
+# are read while the upstream is asked.
+@pytest.mark.parametrize("read_ms", [SETTLE_MS // 2 + SETTLE_MS, 2 * SURVIVAL_MS])
+async def test_bytes_read_during_the_question_do_not_hide_the_crash_that_it_shows(
+    world: GuardWorld, read_ms: int
+) -> None:
+    answer: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+
+    async def async_ask() -> bool:
+        return await answer
+
+    other = world.start("i-1", world.make_subjects(SHARED_PART))
+    run = world.start("i-1", world.make_subjects(CRASHING_PART))
+    world.guard.note_received(run)
+    await world.async_advance(10)
+    world.guard.note_broken(run.upstream, outlived=async_ask)
+    world.guard.note_ended(run)
+    await world.async_advance(read_ms)
+    world.guard.note_received(other)
+    answer.set_result(False)
+    await world.async_advance(0)
+    await world.async_advance(SETTLE_MS)
+    await world.async_advance(SAME_MOMENT_MS)
+    assert CRASHING_PART in {told.subject for told in world.told}
