A listener that drops the question does not vouch for a cut stream

A request that crashes its upstream inside an unframed stream was not counted where a listener outlives the process: the requests went on to reach runners.

async_outlived returned whether an answer with that evidence counts as complete, and that includes DROPPED: something accepted two connections and closed them, and no process has stated that it lives. OPEN and ALIVE show that the upstream outlived the cut, and so does UNLISTED: the start that gave the answer has stated itself after the end. DROPPED, and UNPROVEN, which is the same beside other ends, leave it open; the guard then counts the cut unless the upstream answers others, as before it asked.

test_dropped_question_does_not_show_that_an_upstream_outlived_a_cut failed before (true was returned). With the change it passes, together with tests/suspicion, test_forwarding_suspects.py, test_forwarding_end_evidence.py, test_forwarding_leaving_ends.py and test_forwarding_doubted_ends.py.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -158,7 +158,7 @@
         self.may_have_crashed = verdict.shows_death and not leaving
         return None if verdict.complete else f"ended with its upstream: {verdict.value}"
 
-    def make_cut_question(self) -> Callable[[], Awaitable[bool]] | None:
+    def make_cut_question(self) -> Callable[[], Awaitable[bool | None]] | None:
         """Return what tells whether the upstream outlived a stream that has broken off.
 
         None if the break needs no question: the connection was reset, the body has a length or
--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -72,6 +72,16 @@
             EndVerdict.UNLISTED,
         )
 
+    @property
+    def outlived(self) -> bool | None:
+        """Return whether the upstream lived after the answer's end, None if that isn't known.
+
+        What accepts connections and closes them may be a listener whose process is gone.
+        """
+        if self in (EndVerdict.OPEN, EndVerdict.ALIVE, EndVerdict.UNLISTED):
+            return True
+        return None if self in (EndVerdict.DROPPED, EndVerdict.UNPROVEN) else False
+
     @property
     def shows_death(self) -> bool:
         """Return whether the process is known to have ended."""
@@ -236,13 +246,13 @@
         """
         return await self._async_check(watch, request_id=request_id, is_cut=False)
 
-    async def async_outlived(self, watch: EndWatch, *, request_id: str) -> bool:
-        """Return whether an upstream is known to have outlived an answer that shows its break.
+    async def async_outlived(self, watch: EndWatch, *, request_id: str) -> bool | None:
+        """Return whether an upstream has outlived an answer that shows its break.
 
-        This takes as long as `async_check`, or is known by then.
+        None if that isn't known. This takes as long as `async_check`, or is known by then.
         """
         verdict = await self._async_check(watch, request_id=request_id, is_cut=True)
-        return verdict.complete
+        return verdict.outlived
 
     async def _async_check(self, watch: EndWatch, *, request_id: str, is_cut: bool) -> EndVerdict:
         begun_ms = self._app.clock.now_ms()
--- a/tests/forwarding/test_forwarding_end_evidence.py
+++ b/tests/forwarding/test_forwarding_end_evidence.py
@@ -356,3 +356,26 @@
 def test_document_that_shows_its_end_waits_for_evidence(document: bytes) -> None:
     assert is_complete_json(document)
     assert shows_json_end(document)
+
+
+# Guards against a crash inside a stream that counts as outlived, as a listener whose process is
+# gone accepts connections and closes them.
+async def test_dropped_question_does_not_show_that_an_upstream_outlived_a_cut(
+    checked: Checked,
+) -> None:
+    connection, peer = await checked.async_open()
+    await async_begin_answer(connection, peer)
+    watch = checked.checks.watch(checked.entry, connection)
+    checked.upstream.drops = True
+    peer.close()
+    assert not await checked.checks.async_outlived(watch, request_id="r")
+
+
+# Guards against a verdict on a cut stream that takes an unknown state of its upstream for known.
+@pytest.mark.parametrize("verdict", EndVerdict)
+def test_verdict_shows_an_upstream_that_outlived_a_cut_only_if_it_answered(
+    verdict: EndVerdict,
+) -> None:
+    lives = {EndVerdict.OPEN, EndVerdict.ALIVE, EndVerdict.UNLISTED}
+    unknown = {EndVerdict.DROPPED, EndVerdict.UNPROVEN}
+    assert verdict.outlived is (None if verdict in unknown else verdict in lives)
--- a/tests/forwarding/test_forwarding_suspects.py
+++ b/tests/forwarding/test_forwarding_suspects.py
@@ -295,3 +295,24 @@
     await world.async_advance(SETTLE_MS)
     await world.async_advance(SAME_MOMENT_MS)
     assert CRASHING_PART in {told.subject for told in world.told}
+
+
+# Guards against a cut stream whose upstream can't be asked and that counts for nothing, or counts
+# though the upstream answers others.
+@pytest.mark.parametrize("answers_others", [True, False])
+async def test_cut_that_the_question_leaves_open_counts_unless_others_are_answered(
+    world: GuardWorld, answers_others: bool
+) -> None:
+    async def async_ask() -> None:
+        return None
+
+    other = world.start("i-1", world.make_subjects(SHARED_PART))
+    run = world.start("i-1", world.make_subjects(CRASHING_PART))
+    world.guard.note_broken(run.upstream, outlived=async_ask)
+    world.guard.note_ended(run)
+    await world.async_advance(LIFE_MARGIN_MS + 1)
+    if answers_others:
+        world.guard.note_received(other)
+    await world.async_advance(SETTLE_MS)
+    await world.async_advance(SAME_MOMENT_MS)
+    assert (CRASHING_PART in {told.subject for told in world.told}) is not answers_others
