--- a/gypsumrouter/contention/room.py
+++ b/gypsumrouter/contention/room.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
 from gypsumrouter.contention.const import (
@@ -124,7 +125,7 @@
     demand = own + added * work.routers
     busiest = (peers + added) / (peers + demand) * room
     each = added / demand * room
-    return (int(busiest) + (work.routers - 2) * int(each)) * request_ms
+    return (math.floor(busiest) + (work.routers - 2) * math.floor(each)) * request_ms
 
 
 def _get_added_demand(work: ServiceWork) -> float:
