A late answer that is read whole does not count as silent while it arrives

Since what is read late in a stop is answered from a larger buffer, and the patience for a response ran until its body was whole: an idempotent request with an answer of 900 kB in parts over 2.4 s was sent to a second upstream, which costs retry budget. The search for a replacement now stops at the head of such an answer.

--- a/gypsumrouter/forwarding/replacement.py
+++ b/gypsumrouter/forwarding/replacement.py
@@ -121,6 +121,8 @@
         ready = self._find_ready()
         if ready is not None:
             return ready
+        if present.is_read_whole:
+            return Obstacle.STOP
         obstacle = await self._async_find_obstacle()
         if obstacle is not None:
             return obstacle
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -14,7 +14,7 @@
 from gypsumrouter.crashes.guard import CrashGuard
 from gypsumrouter.forwarding.attempt import Attempt, make_attempt_options
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
-from gypsumrouter.forwarding.const import MAX_EVENT_BYTES
+from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES, MAX_EVENT_BYTES
 from gypsumrouter.forwarding.end_evidence import EndChecks
 from gypsumrouter.forwarding.events import find_first_event
 from gypsumrouter.forwarding.models import (
@@ -149,6 +149,12 @@
         """Return the incarnation of the upstream."""
         return self.placement.entry.incarnation
 
+    @property
+    def is_read_whole(self) -> bool:
+        """Return whether its response has begun, of which a stop must not cut a part."""
+        is_late = self._context.buffer_limit > MAX_BUFFERED_BYTES
+        return is_late and self.attempt.metadata is not None
+
     async def async_open(self, start_check: StartCheck) -> Unreachable | Withheld | None:
         """Acquire a connection; return why nothing can be sent on it, None if it can.
 
--- a/tests/forwarding/test_forwarding_large_answers_in_stop.py
+++ b/tests/forwarding/test_forwarding_large_answers_in_stop.py
@@ -31,6 +31,9 @@
     routes = [
         make_route("draft", "streaming", "models", target_gap_ms=2_000, **more),
         make_route("reserve", "non_idempotent", "models", **more),
+        make_route(
+            "view", "idempotent", "models", **more | {"target_latency_ms": 100, "max_attempts": 2}
+        ),
     ]
     await world.store.async_put_configuration(make_configuration(2, routes=routes))
     async with asyncio.timeout(10):
@@ -75,3 +78,32 @@
     assert {a.end for a in answers} == {End.WHOLE}
     # Some ran, and were not answered in time.
     assert {502} <= {a.status for a in answers}
+
+
+# Guards against a second run of an idempotent request whose answer arrives, read whole.
+async def test_late_answer_that_arrives_in_parts_counts_as_silent(stopping: StoppingWorld) -> None:
+    process = stopping.processes[0]
+
+    async def async_ask(name: str) -> Answer:
+        return await stopping.async_ask_once(process, name, path="/view/a", tokens=None)
+
+    for runner in stopping.runners:
+        runner.body_bytes, runner.body_parts, runner.pause_s = BODY_BYTES, PARTS, PAUSE_S
+    seen = await asyncio.gather(*(async_ask(f"b{n}") for n in range(4 * CALLERS)))
+    assert {a.status for a in seen} == {200}
+    lasting = asyncio.create_task(stopping.async_ask_once(process, "long", tokens=1_000))
+    await stopping.async_wait_ran("long")
+    stop = asyncio.create_task(stopping.async_stop(process, [(0, signal.SIGTERM)]))
+    await CLOCK.async_sleep(LATE_MS)
+    # Longer than a sound upstream is silent, and in time.
+    for runner in stopping.runners:
+        runner.pause_s = 4 * PAUSE_S
+    answers = await asyncio.gather(*(async_ask(f"late{n}") for n in range(CALLERS)))
+    await stop
+    await lasting
+    assert {(a.status, a.end) for a in answers} == {(200, End.WHOLE)}
+    runs = {
+        a.request_id: sum(list(r.ran).count(a.request_id) for r in stopping.runners)
+        for a in answers
+    }
+    assert runs == dict.fromkeys(runs, 1)
