Late answers are read whole up to 1 MiB instead of 4

Nothing bounds all of them together: a hundred would have taken 400 MB of a machine that has 200 to 550.

--- a/gypsumrouter/forwarding/const.py
+++ b/gypsumrouter/forwarding/const.py
@@ -19,7 +19,7 @@
 # Larger ones are streamed.
 MAX_BUFFERED_BYTES: Final = 256 * 1024
 # The same for answers of which a stop must not cut a part.
-MAX_WHOLE_BYTES: Final = 4 * 1024 * 1024
+MAX_LATE_BUFFERED_BYTES: Final = 1024 * 1024
 # Maximum size of one server-sent event.
 MAX_EVENT_BYTES: Final = 128 * 1024
 
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -25,7 +25,7 @@
 from gypsumrouter.directory import Directory
 from gypsumrouter.forwarding.const import (
     MAX_BUFFERED_BYTES,
-    MAX_WHOLE_BYTES,
+    MAX_LATE_BUFFERED_BYTES,
     RETRY_AT_ONCE_MS,
 )
 from gypsumrouter.forwarding.context import ForwardingContext
@@ -347,7 +347,7 @@
             close_connection=lambda: self._drain.draining,
             may_start=admission.may_start,
             may_replace=admission.may_replace,
-            buffer_limit=MAX_WHOLE_BYTES if running.is_late else MAX_BUFFERED_BYTES,
+            buffer_limit=MAX_LATE_BUFFERED_BYTES if running.is_late else MAX_BUFFERED_BYTES,
             request_journal=request_journal,
             origin=origin,
         )
