The end of a stop comes no earlier than its last sixth, whatever its length

By a constant of 800 ms, a stop of 4 s whose signal seems to have been handled late ended at 2.7 s, so that what had been sent before the signal was cut before the last sixth, which nothing excuses.

--- a/gypsumrouter/forwarding/drain/admission.py
+++ b/gypsumrouter/forwarding/drain/admission.py
@@ -15,9 +15,10 @@
 
 from gypsumrouter.forwarding.const import DRAIN_GRACE_MS
 from gypsumrouter.forwarding.drain.const import (
+    CUT_MARGIN_MS,
     EXCUSED_MS,
+    LAST_PART,
     MARGIN_MS,
-    MAX_EARLIER_END_MS,
     MEDIAN,
     QUANTILE,
     SILENCE_MS,
@@ -79,8 +80,12 @@
         return started_ms + self.bound_duration_ms(late_ms=self._late_ms)
 
     def bound_duration_ms(self, *, late_ms: int) -> int:
-        """Return the maximum duration of a drain whose signal was handled `late_ms` late."""
-        return self._limit_ms - min(late_ms, MAX_EARLIER_END_MS)
+        """Return the maximum duration of a drain whose signal was handled `late_ms` late.
+
+        If the process was late with something else, it still lasts into the last part of the stop.
+        """
+        last_ms = (self._limit_ms + CUT_MARGIN_MS) // LAST_PART
+        return self._limit_ms - min(late_ms, max(0, last_ms - CUT_MARGIN_MS))
 
     @property
     def grace_left_ms(self) -> int:
--- a/gypsumrouter/forwarding/drain/const.py
+++ b/gypsumrouter/forwarding/drain/const.py
@@ -4,11 +4,12 @@
 
 from typing import Final
 
+# What is under way this long before the process is killed is cut.
+CUT_MARGIN_MS: Final = 500
 # Only what was sent no later than this after the signal of a stop may be cut at its end.
 EXCUSED_MS: Final = 3_000
-# By how much the end of a stop is brought forward at most because its signal was handled late. A
-# process that was late with something else still runs into the last sixth of the stop.
-MAX_EARLIER_END_MS: Final = 800
+# What a stop may cut runs into this last part of its time.
+LAST_PART: Final = 6
 # The slowest pace and the latest first event that are expected of an engine.
 SLOWEST_MS_PER_TOKEN: Final = 50.0
 LATEST_FIRST_MS: Final = 4_000
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -26,6 +26,7 @@
 from gypsumrouter.forwarding.const import CALLER_TIMEOUT_MARGIN_MS
 from gypsumrouter.forwarding.context import ForwardingContext
 from gypsumrouter.forwarding.drain import DrainAdmission, LoopTicks
+from gypsumrouter.forwarding.drain.const import CUT_MARGIN_MS
 from gypsumrouter.forwarding.end_evidence import EndChecks
 from gypsumrouter.forwarding.handler import RequestHandler, RequestParser
 from gypsumrouter.forwarding.health import HealthTracker
@@ -52,9 +53,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 CLEANUP_INTERVAL_MS: Final = 1_000
-# What is under way this long before the process is killed is cut.
-CUT_MARGIN_MS: Final = 500
-# What is still arriving this long before that is refused.
+# What is still arriving this long before the end of a drain is refused.
 ARRIVING_MARGIN_MS: Final = 500
 # From this long before that on, what callers have not taken is passed to the kernel, this often.
 KERNEL_MARGIN_MS: Final = 1_000
--- a/tests/forwarding/drain_replay.py
+++ b/tests/forwarding/drain_replay.py
@@ -10,8 +10,7 @@
 
 from gypsumrouter.forwarding.const import DRAIN_GRACE_MS
 from gypsumrouter.forwarding.drain import DrainAdmission
-from gypsumrouter.forwarding.drain.const import MARGIN_MS
-from gypsumrouter.forwarding.forwarder import CUT_MARGIN_MS
+from gypsumrouter.forwarding.drain.const import CUT_MARGIN_MS, MARGIN_MS
 from gypsumrouter.forwarding.models import Prompt, PromptPart
 from gypsumrouter.forwarding.progress import Progress
 from gypsumrouter.util.clock import ManualClock
--- a/tests/forwarding/test_forwarding_queue_in_stop.py
+++ b/tests/forwarding/test_forwarding_queue_in_stop.py
@@ -10,7 +10,7 @@
 from forwarding_world import KEY, PROMPT, ForwardingWorld, make_configuration, make_route
 
 from gypsumrouter.contention import Expected
-from gypsumrouter.forwarding.forwarder import CUT_MARGIN_MS
+from gypsumrouter.forwarding.drain.const import CUT_MARGIN_MS
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.settings import Bounds, Contention
 from gypsumrouter.util.clock import SystemClock
--- a/tests/forwarding/test_forwarding_unanswered_in_stop.py
+++ b/tests/forwarding/test_forwarding_unanswered_in_stop.py
@@ -16,7 +16,7 @@
 from stopping_world import StoppingWorld
 
 from bench.raw_caller import CLOCK, End
-from gypsumrouter.forwarding.forwarder import CUT_MARGIN_MS
+from gypsumrouter.forwarding.drain.const import CUT_MARGIN_MS
 from gypsumrouter.settings import Bounds
 from gypsumrouter.standins.platform_runner import RunnerFault
 
