An upstream that does not answer the question behind a cut may have outlived it

An upstream whose reports stand still counted as crashed although it sent events to other callers meanwhile. Silent and unreachable are unknown now, as dropped is: the cut counts unless the upstream has sent something since, as on. The test of verdicts has the two, which differ from before.

--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -76,11 +76,14 @@
     def outlived(self) -> bool | None:
         """Return whether the upstream lived after the answer's end, None if that isn't known.
 
-        What accepts connections and closes them may be a listener whose process is gone.
+        What accepts connections and closes them may be a listener whose process is gone, and an
+        upstream that does not answer may serve others.
         """
         if self in (EndVerdict.OPEN, EndVerdict.ALIVE, EndVerdict.UNLISTED):
             return True
-        return None if self in (EndVerdict.DROPPED, EndVerdict.UNPROVEN) else False
+        if self.shows_death or self is EndVerdict.REPLACED:
+            return False
+        return None
 
     @property
     def shows_death(self) -> bool:
