--- a/tests/forwarding/dying_world.py
+++ b/tests/forwarding/dying_world.py
@@ -33,6 +33,8 @@
         self.name = name
         self.born = 0
         self.port = 0
+        # Where its entry says that it listens, if a relay stands before it.
+        self.listed_port = 0
         self.process: asyncio.subprocess.Process | None = None
         self._world = world
         self._service = service
@@ -58,9 +60,9 @@
     async def async_list(self, state: str = "ready") -> None:
         """Write its entry, and wait until the forwarder lists it."""
         more = {"born": self.born} if self.born else {}
+        address = Address(host="127.0.0.1", port=self.listed_port or self.port)
         await self._world.store.async_put_runner(
-            self.name, service=self._service, address=Address(host="127.0.0.1", port=self.port),
-            state=state, version="v1", **more,
+            self.name, service=self._service, address=address, state=state, version="v1", **more
         )  # fmt: skip
         await self._world.async_until(
             lambda: self.name in str(self._world.product.app.dump()["directory"])
--- a/tests/forwarding/forwarding_world.py
+++ b/tests/forwarding/forwarding_world.py
@@ -53,8 +53,13 @@
             make_route("open", "idempotent", "records", public=True),
         ],
         "services": [
-            {"name": "records", "max_connections": 90},
-            {"name": "models", "max_connections": 300, "engine": {"slots": 64}},
+            {"name": "records", "max_connections": 90, "health_path": "/health"},
+            {
+                "name": "models",
+                "max_connections": 300,
+                "health_path": "/health",
+                "engine": {"slots": 64},
+            },
         ],
         "tenants": [{"name": "plant", "api_keys": [CALLER_KEY], "priority": 2}],
         "limits": {"max_body_bytes": 100_000},
--- a/tests/forwarding/unframed_upstream.py
+++ b/tests/forwarding/unframed_upstream.py
@@ -90,6 +90,12 @@
         pairs = (line.partition(":") for line in lines if line)
         headers = {key.lower(): value.strip() for key, _, value in pairs}
         await reader.readexactly(int(headers.get("content-length", 0)))
+        if headers.get("x-expect-instance", self._name) != self._name:
+            writer.write(self._make_statement("421 Misdirected Request"))
+            return True
+        if target.startswith("GET /health "):
+            writer.write(self._make_statement("200 OK"))
+            return True
         opening = "HTTP/1.1 200 OK\r\n"
         opening += f"X-Server-Stamp: {self._name}.07.5a2.600.0.c9f2a4d1\r\n"
         opening += f"X-Request-Id: {headers.get('x-request-id', '')}\r\n"
@@ -106,6 +112,10 @@
         await self._async_write_body(writer, headers, is_large="/large" in target)
         return False
 
+    def _make_statement(self, status: str) -> bytes:
+        """Return a response that names this process."""
+        return f"HTTP/1.1 {status}\r\nX-Instance-Id: {self._name}\r\nContent-Length: 0\r\n\r\n".encode()
+
     async def _async_write_body(
         self, writer: asyncio.StreamWriter, headers: dict[str, str], *, is_large: bool
     ) -> None:
