Only the main thread takes the signals of a stop

Callers saw answers reset without a final response, and a stop was killed by the platform at the end of its grace: a router that was suspended when SIGTERM came counted the end of its stop from when it handled the signal, 0.7 s too late.

If that thread gets no processor before it has noted the signal, the loop goes on in the main thread and notes a tick, so that the handler finds a tick just before itself, and no lateness.

Now all other threads are started with these signals blocked. The main thread takes a signal before its next instruction, so that no tick comes between.

--- a/gypsumrouter/daemon.py
+++ b/gypsumrouter/daemon.py
@@ -12,15 +12,17 @@
 import gc
 import sys
 
+from gypsumrouter.helpers import process_signals
 from gypsumrouter.helpers.listening import open_early_listener
-from gypsumrouter.helpers.process_signals import install_handlers
 
 if __name__ == "__main__":
-    install_handlers()
+    process_signals.install_handlers()
     # Garbage collections during the imports free nothing and slow down the start.
     gc.disable()
     open_early_listener(sys.argv[1:])
 
+import asyncio
+import socket
 import traceback
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
@@ -54,10 +56,11 @@
     *, settings: Settings, announce: bool, setup: Setup, log_stream: TextIO | None = None
 ) -> NoReturn:
     """Run a process until it stops, and exit with its code."""
-    remove_logging = configure_logging(
-        settings=settings.log, instance=settings.instance.name, stream=log_stream
-    )
-    install_handlers()
+    with process_signals.held():
+        remove_logging = configure_logging(
+            settings=settings.log, instance=settings.instance.name, stream=log_stream
+        )
+    process_signals.install_handlers()
     service = DaemonService(settings=settings, announce=announce, setup=setup)
     failure: BaseException | None = None
     try:
@@ -82,10 +85,18 @@
     It stays open, as a close waits for threads.
     """
     loop = uvloop.new_event_loop()
-    loop.set_default_executor(ThreadPoolExecutor(WORKER_THREADS))
+    workers = ThreadPoolExecutor(WORKER_THREADS, initializer=process_signals.leave_to_main_thread)
+    loop.set_default_executor(workers)
+    with process_signals.held():
+        loop.run_until_complete(_async_start_loop_threads(loop))
     return loop.run_until_complete(service.async_run())
 
 
+async def _async_start_loop_threads(loop: asyncio.AbstractEventLoop) -> None:
+    """Let libuv start its threads, which it does when an address is first looked up."""
+    await loop.getaddrinfo("127.0.0.1", None, flags=socket.AI_NUMERICHOST)
+
+
 @click.group()
 @click.version_option(VERSION)
 def main() -> None:
--- a/gypsumrouter/forwarding/drain/lateness.py
+++ b/gypsumrouter/forwarding/drain/lateness.py
@@ -16,7 +16,8 @@
     """When the event loop ran lately.
 
     A process that gets no processor, or is suspended, handles a signal late. The signal came behind
-    the last tick before that, since handlers run between any two instructions.
+    the last tick before that, since the main thread takes all signals, and runs handlers between
+    any two instructions.
     """
 
     __slots__ = ("_clock", "_ticks")
--- a/gypsumrouter/helpers/process_signals.py
+++ b/gypsumrouter/helpers/process_signals.py
@@ -8,7 +8,8 @@
 
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from types import FrameType
 from typing import Final
 
@@ -38,6 +39,25 @@
         signal.signal(number, _handle)
 
 
+def leave_to_main_thread() -> None:
+    """Keep the signals from the calling thread.
+
+    A thread that takes one may get no processor before it notes that, while the main thread goes
+    on. The main thread notes one that it takes before its next instruction.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED)
+
+
+@contextmanager
+def held() -> Iterator[None]:
+    """Hold the signals back; threads that start meanwhile leave them to the main thread."""
+    mask = signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED)
+    try:
+        yield
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, mask)
+
+
 def listen(listener: SignalListener) -> Callable[[], None]:
     """Pass signals to `listener`, those that were remembered first; return how to end that.
 
--- a/tests/forwarding/test_forwarding_late_signals.py
+++ b/tests/forwarding/test_forwarding_late_signals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import signal
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -15,6 +16,7 @@
 from gypsumrouter.forwarding.drain import DrainAdmission
 from gypsumrouter.forwarding.drain.const import CUT_MARGIN_MS, EXCUSED_MS
 from gypsumrouter.forwarding.drain.lateness import KEPT_TICKS, TICK_MS, LoopTicks
+from gypsumrouter.helpers.process_signals import HANDLED
 from gypsumrouter.util.clock import ManualClock
 
 STOP_MS = 8_000
@@ -38,6 +40,18 @@
     await world.async_close()
 
 
+def read_blocked_signals(pid: int) -> dict[int, int]:
+    """Return the signals that each thread of a process leaves to others, as bits from signal 1."""
+    statuses = {
+        int(task.name): (task / "status").read_text()
+        for task in Path(f"/proc/{pid}/task").iterdir()
+    }
+    return {
+        thread: int(re.findall(r"SigBlk:\t(\w+)", status)[0], 16)
+        for thread, status in statuses.items()
+    }
+
+
 # Guards against a stream that is sent later than a stop may cut it, and that a router which was
 # suspended when its signal came takes for an earlier one.
 async def test_stream_is_taken_for_an_earlier_one_as_the_signal_is_handled_late(
@@ -77,6 +91,17 @@
     assert not stopping.ran("late") or late.end is End.WHOLE
 
 
+# Guards against a signal that another thread takes: it may note it behind a later tick of the loop,
+# so that the stop counts its end from too late.
+async def test_thread_beside_the_event_loop_takes_a_signal(stopping: StoppingWorld) -> None:
+    process = stopping.processes[0]
+    blocked = read_blocked_signals(process.pid)
+    handled = sum(1 << number - 1 for number in HANDLED)
+    assert blocked.pop(process.pid) & handled == 0
+    assert blocked
+    assert all(mask & handled == handled for mask in blocked.values())
+
+
 def test_lateness_of_a_signal_is_bounded_by_the_last_tick_before_it() -> None:
     clock = ManualClock()
     ticks = LoopTicks(clock=clock)
