Headers of upstreams arrive with the bytes that are no UTF-8

Callers got headers of an upstream without the bytes that are no UTF-8: "caf\xe9" arrived as "caf".

Cause: the HTTP parser decodes such bytes as surrogates, and the serializer of the HTTP library leaves surrogates out. Headers towards upstreams are encoded by platform/requests.py and were whole.

Now the writer of answers encodes a head that isn't ASCII itself, as requests are encoded. The serializer of the library still runs before that and refuses control characters.

--- a/gypsumrouter/callers/writer.py
+++ b/gypsumrouter/callers/writer.py
@@ -8,6 +8,7 @@
 from aiohttp.abc import AbstractStreamWriter
 from aiohttp.http import RawRequestMessage, StreamWriter
 from aiohttp.streams import StreamReader
+from multidict import CIMultiDict
 
 
 class CallerWriter(StreamWriter):
@@ -32,6 +33,21 @@
         """Write a part of an answer; wait if more than `LIMIT` bytes were written since."""
         await super().write(chunk, drain=drain, LIMIT=LIMIT)
 
+    async def write_headers(self, status_line: str, headers: CIMultiDict[str]) -> None:
+        """Write the head of an answer; raises ValueError for control characters.
+
+        The serializer of the HTTP library leaves out bytes of an upstream that are no UTF-8.
+        """
+        await super().write_headers(status_line, headers)
+        if not all(value.isascii() for value in headers.values()):
+            self._headers_buf = _serialize(status_line, headers)
+
+
+def _serialize(status_line: str, headers: CIMultiDict[str]) -> bytes:
+    """Return a head whose values have the bytes that the HTTP parser decoded."""
+    lines = (status_line, *(f"{name}: {value}" for name, value in headers.items()), "", "")
+    return "\r\n".join(lines).encode("utf-8", "surrogateescape")
+
 
 def make_request(
     message: RawRequestMessage,
