Silent streams were given up for upstreams that only accepted a connection

Callers of resumable streams with a prompt saw the stream cut where its upstream was silent for 1.3 s and would have gone on: after 250 ms beside another run the silent one is given up, whatever that one has sent.

Cause: StartCheck.NOW, which asks whether the other upstream responds, did nothing for entries that state no start. There an accepted connection, or a kept one, stood for an upstream that responds; a proxy's listener, the kernel of a stopped process and a parent's queue give that sign, too.

The question is now asked without a stated start, too. It costs one report for each takeover of a silent run.

--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -57,7 +57,7 @@
     An upstream that has started anew under its id may not be listed yet. IF_LOST: trusted unless a
     connection to the upstream was lost since, or led to another start; ALWAYS: not trusted, unless
     it is proven (see `is_start_proven`); CONFIRMED: the upstream itself has to state it; NOW: it
-    has to state it at this moment, which shows that it responds.
+    has to respond to that question at this moment, also if its entry states no start.
     """
 
     NEVER = auto()
@@ -137,10 +137,11 @@
         not be repeated therefore gets only a connection that was used recently.
 
         With a `start_check`, the connection leads to the start of the upstream that its entry
-        states, if it states one.
+        states, if it states one. With `StartCheck.NOW`, the upstream has answered on it a moment
+        ago in any case: a listener that outlives its process accepts connections, too.
         """
         pooled = await self._async_acquire(entry, repeatable=repeatable, timeout_ms=timeout_ms)
-        if entry.started_ms and self._needs_check(entry, pooled.connection, start_check):
+        if self._needs_check(entry, pooled.connection, start_check):
             await self._async_verify_start(
                 entry, pooled.connection, timeout_ms=min(CONNECT_TIMEOUT_MS, timeout_ms)
             )
@@ -243,6 +244,8 @@
         if start_check is StartCheck.NOW:
             connection.peer_started_ms = None
             return True
+        if not entry.started_ms:
+            return False
         if connection.start_source is StartSource.ANSWER:
             return connection.peer_started_ms != entry.started_ms
         if start_check is StartCheck.CONFIRMED:
@@ -307,7 +310,7 @@
                 raise
             connection.start_source = StartSource.ANSWER
             connection.finish()
-        if connection.peer_started_ms not in (NOT_STATED, entry.started_ms):
+        if entry.started_ms and connection.peer_started_ms not in (NOT_STATED, entry.started_ms):
             connection.close()
             other = OtherStart(
                 started_ms=connection.peer_started_ms or NOT_STATED,
