Requests were sent on kept connections whose end had already arrived

A request that must not be repeated gets a kept connection if the event loop has read no end of it. While this process stands still or is busy, the end waits in the kernel: the request dies on a closed connection, and its caller gets a failure of an upstream that never read it.

The kernel is now asked before a kept connection is used, as it is for callers. An end that it shows counts as a lost connection, so that the start of the upstream is asked where IF_LOST says so.

--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -31,6 +31,7 @@
 from gypsumrouter.helpers.http_response import (
     ConnectionBroken,
 )
+from gypsumrouter.helpers.socket_state import has_peer_ended
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -327,6 +328,10 @@
         idle = self._idle.get(entry.incarnation)
         while idle and (repeatable or self._reuse_for_all):
             connection = idle.pop()
+            if has_peer_ended(connection.transport):
+                # Its end is read later, as this process stood still or is busy.
+                self._lost.add(entry.incarnation)
+                continue
             if not _is_usable(connection, now_ms):
                 connection.close()
                 continue
