A connection without an end proved the start of a later one

Where entries state a start, a stream was bound to the listed version of its upstream because an older connection, whose start was known, showed no end. A proxy may keep that connection open behind the end of its process, and a FIN is lost in a cut link; the new connection then leads to the next start, at times of another version, and the stream is taken up at the version before: two versions in one stream (ORDER).

The case that held CONNECTION for proven was wrong; in its place are one that doesn't hold without a statement and one that does with it.

An older connection still spares the question before a request, but is no proof. Proven is what an upstream states, or what it sends on a connection on which it has stated its start, after the later one was opened. So a busy upstream proves new connections within its next bytes, without further questions; bytes that may have waited behind a pause don't count.

--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -237,8 +237,8 @@
     ) -> bool:
         """Return whether the upstream has to be asked which start a connection leads to.
 
-        All connections break when an upstream ends. So a new one leads to the same start as one
-        that is still open, if the start of that one is known and not only taken from its entry.
+        A new connection is taken to lead to the same start as one that is still open, if the start
+        of that one is known and not only taken from its entry. That is no proof: see `StartSource`.
         """
         if start_check is StartCheck.NEVER:
             return False
@@ -350,6 +350,8 @@
         connection = await async_connect(address=entry.address, timeout_ms=timeout_ms)
         connection.opened_ms = self._app.clock.now_ms()
         connection.on_end = partial(self._note_end, connection)
+        if entry.started_ms:
+            connection.on_data = partial(self._note_data, entry, connection)
         if not connection.open:
             # Lost between its connect and this line.
             self._note_end(connection)
@@ -359,6 +361,15 @@
 
     def _note_end(self, connection: HttpConnection) -> None:
         connection.ended_ms = self._app.clock.now_ms()
+        connection.on_data = None
+
+    def _note_data(self, entry: Entry, connection: HttpConnection) -> None:
+        """Record that an upstream is at its listed start, if the connection leads there."""
+        if connection.start_source is not StartSource.ANSWER:
+            return
+        if connection.peer_started_ms == entry.started_ms:
+            # A connection of the same millisecond may have been opened after these bytes came.
+            self._starts.note_stated(entry, at_ms=self._app.clock.now_ms() - 1)
 
     def release(self, entry: Entry, connection: HttpConnection) -> None:
         """Return a connection after an exchange; it is closed if it cannot be reused."""
--- a/gypsumrouter/forwarding/starts.py
+++ b/gypsumrouter/forwarding/starts.py
@@ -57,7 +57,7 @@
     unknown). Starts follow each other, so a connection opened before leads to that start, too. Had
     it led to a later one, which ran until `alive_ms`, the list would show that by now.
     """
-    if source in (StartSource.ANSWER, StartSource.CONNECTION, StartSource.LIST):
+    if source in (StartSource.ANSWER, StartSource.LIST):
         return True
     if stated_ms is not None and opened_ms <= stated_ms:
         return True
--- a/tests/forwarding/test_forwarding_start_check.py
+++ b/tests/forwarding/test_forwarding_start_check.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator
 
 import pytest
@@ -166,6 +167,36 @@
     assert upstream.questions == 1
 
 
+# Guards against a stream that is bound to a version by a connection without an end: a proxy keeps
+# it open behind the end of its process, or its FIN was lost in a cut link.
+async def test_connection_that_outlives_its_process_proves_the_start_of_a_later_one(
+    pool: ConnectionPool, upstream: StatingUpstream
+) -> None:
+    entry = await upstream.async_start()
+    await async_connect(pool, entry, StartCheck.ALWAYS)
+    upstream.started_ms = STARTED_MS + 5_000
+    later = await async_connect(pool, entry, StartCheck.ALWAYS)
+    proof = pool.prove_start(entry, later)
+    assert not proof.holds()
+    await proof.async_settle()
+    assert not proof.holds()
+
+
+# Guards against streams that may not go on anywhere, since only a question would prove their start.
+async def test_what_an_upstream_sends_on_an_older_connection_proves_nothing_of_a_later_one(
+    pool: ConnectionPool, upstream: StatingUpstream
+) -> None:
+    entry = await upstream.async_start()
+    first = await async_connect(pool, entry, StartCheck.ALWAYS)
+    later = await async_connect(pool, entry, StartCheck.ALWAYS)
+    upstream.is_silent = True
+    proof = pool.prove_start(entry, later)
+    assert not proof.holds()
+    await asyncio.sleep(0.01)
+    await async_begin_answer(first, upstream.accepted[0])
+    assert proof.holds()
+
+
 async def test_questions_beside_requests_are_bounded(
     app: Application, upstream: StatingUpstream
 ) -> None:
@@ -185,8 +216,10 @@
     [
         # Stated by the upstream on this connection, or known at the time it was opened.
         (StartSource.ANSWER, OPENED_MS, None, None, True),
-        (StartSource.CONNECTION, OPENED_MS, None, None, True),
-        # Taken from the entry, however young the list is.
+        (StartSource.LIST, OPENED_MS, None, None, True),
+        # Taken from an older connection without an end, or from the entry, however young the list.
+        (StartSource.CONNECTION, OPENED_MS, None, OPENED_MS, False),
+        (StartSource.CONNECTION, OPENED_MS, OPENED_MS, None, True),
         (StartSource.ENTRY, OPENED_MS, None, OPENED_MS, False),
         (StartSource.UNKNOWN, OPENED_MS, None, OPENED_MS, False),
         # The upstream stated its start before the connection was opened, or after.
