A list counted as current by an answer that its history is lost

The store answers 410 where it has forgotten its history, and says nothing of the list by that. The list was then as of this moment, until the next read of it succeeded: up to 3 s longer than it was known, if the store was slow or down by then. What rests on the age of the list: a stream that is bound to a version or taken up at the only one that is listed (ORDER), and the start that the list is said to have shown. Seen at the follower on a manual clock, not in a run with callers.

The list is now read in the same step, and the answer counts with that. The time for which the store was silent is counted to there, too, so that the period in which entries may be missing begins rather too often.

--- a/gypsumrouter/published/follower.py
+++ b/gypsumrouter/published/follower.py
@@ -121,10 +121,7 @@
 
     async def _async_step(self) -> None:
         if self._state.as_of is None:
-            listed = await self._store.async_list()
-            self._note_response()
-            self._handle_all(listed)
-            self._state.as_of = listed.as_of
+            await self._async_read_all()
             return
         silent_since_ms = self._state.responded_ms
         if self._state.peer_watching:
@@ -140,16 +137,24 @@
         if self._max_silence_ms is not None and silent_ms >= self._max_silence_ms:
             # The store or the connection hung, though no call has failed.
             self._note_lost(f"no response for {silent_ms} ms")
-        self._note_response()
         if isinstance(changed, HistoryLost):
+            # The store responds, but says nothing of the list.
             self._state.as_of = None
+            await self._async_read_all()
             return
+        self._note_response()
         self._state.advance(changed.as_of)
         if changed.items:
             self._handle_changes(changed)
             pause_ms = min(MAX_BATCH_PAUSE_MS, BATCH_PAUSE_MS_PER_PEER * self._count_peers())
             await self._app.clock.async_sleep(pause_ms)
 
+    async def _async_read_all(self) -> None:
+        listed = await self._store.async_list()
+        self._note_response()
+        self._handle_all(listed)
+        self._state.as_of = listed.as_of
+
     def _get_watch_timeout_ms(self) -> int:
         if self._outage_since_ms is not None:
             return FIRST_WATCH_TIMEOUT_MS
