Bytes on an older connection proved the start of a later one

What took for a word of an upstream, its bytes on a connection on which it had stated its start, may come from the kernel of a process that has ended: it goes on to send what was written.

Proven is now what an upstream answers on a connection that is known to lead to its listed start, to a request that was sent after the later one was opened; the id of the request tells late answers to earlier ones.

The test of the bytes is replaced by one that also has answers to requests from before, and on a connection that proves nothing itself.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -66,6 +66,7 @@
         "_on_head",
         "_pool",
         "_request",
+        "_sent_ms",
         "_unframed",
         "entry",
         "may_have_crashed",
@@ -97,6 +98,7 @@
         # The check of a streamed answer without a length or chunks, until it was asked for.
         self._end_watch: EndWatch | None = None
         self._unframed: HttpResponse | None = None
+        self._sent_ms = 0
         self.options = options
         self.entry = entry
         self.metadata: ResponseMetadata | None = None
@@ -143,6 +145,7 @@
         except ConnectionBroken as error:
             return Unreachable(reason=str(error))
         self.sent = True
+        self._sent_ms = self._pool.now_ms()
         try:
             return await self._async_read(connection)
         except ConnectionBroken as error:
@@ -259,6 +262,7 @@
                 self._on_head(self.entry, metadata)
             request_id = metadata.request_id
             if request_id == self._request.request_id:
+                self._pool.note_answered(self.entry, connection, sent_ms=self._sent_ms)
                 return answer
             if request_id is None and not self.reused and connection.exchanges == 1:
                 return answer
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -209,6 +209,10 @@
         others = self._list_open(entry.incarnation)
         return any(self._vouches(other, entry) for other in others if other is not connection)
 
+    def now_ms(self) -> int:
+        """Return the time by which connections are opened (monotonic milliseconds)."""
+        return self._app.clock.now_ms()
+
     def get_other_start(self, entry: Entry) -> OtherStart | None:
         """Return the start that an upstream has stated last in place of the listed one."""
         return self._starts.get_other(entry)
@@ -350,8 +354,6 @@
         connection = await async_connect(address=entry.address, timeout_ms=timeout_ms)
         connection.opened_ms = self._app.clock.now_ms()
         connection.on_end = partial(self._note_end, connection)
-        if entry.started_ms:
-            connection.on_data = partial(self._note_data, entry, connection)
         if not connection.open:
             # Lost between its connect and this line.
             self._note_end(connection)
@@ -361,15 +363,15 @@
 
     def _note_end(self, connection: HttpConnection) -> None:
         connection.ended_ms = self._app.clock.now_ms()
-        connection.on_data = None
 
-    def _note_data(self, entry: Entry, connection: HttpConnection) -> None:
-        """Record that an upstream is at its listed start, if the connection leads there."""
-        if connection.start_source is not StartSource.ANSWER:
-            return
-        if connection.peer_started_ms == entry.started_ms:
-            # A connection of the same millisecond may have been opened after these bytes came.
-            self._starts.note_stated(entry, at_ms=self._app.clock.now_ms() - 1)
+    def note_answered(self, entry: Entry, connection: HttpConnection, *, sent_ms: int) -> None:
+        """Record that a request that was sent at `sent_ms` was answered on a connection.
+
+        If that leads to the listed start, the upstream was still at it then. Further bytes of an
+        answer show less: the kernel of a process that has ended goes on to send what it wrote.
+        """
+        if entry.started_ms and self._starts.is_open_proven(entry, connection):
+            self._starts.note_stated(entry, at_ms=sent_ms)
 
     def release(self, entry: Entry, connection: HttpConnection) -> None:
         """Return a connection after an exchange; it is closed if it cannot be reused."""
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -10,7 +10,6 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Callable
 from enum import StrEnum
 from typing import Final
 
@@ -106,7 +105,6 @@
         "idle_since_ms",
         "keep_alive_ms",
         "lost_unexpectedly",
-        "on_data",
         "opened_ms",
         "peer_started_ms",
         "start_source",
@@ -118,8 +116,6 @@
         self.exchanges = 0
         # When it was open at the latest (monotonic milliseconds), set by who opened it.
         self.opened_ms = 0
-        # Called for bytes that are read as they arrive, set by who opened it.
-        self.on_data: Callable[[], None] | None = None
         self.idle_since_ms = 0
         # Idle timeout that the peer announced in its Keep-Alive header, if any.
         self.keep_alive_ms: int | None = None
@@ -211,12 +207,6 @@
             finally:
                 self._waiter = None
 
-    def pause_reading(self) -> None:
-        """Stop reading until what was received has been taken."""
-        # What is read from now on may have arrived long before.
-        self.on_data = None
-        super().pause_reading()
-
     def finish(self) -> None:
         """End an exchange after its response was read completely."""
         self._parsing = False
@@ -233,8 +223,6 @@
         """Parse received bytes; bytes outside an exchange invalidate the connection."""
         if data:
             self._unparsed += data
-            if self.on_data is not None:
-                self.on_data()
         elif self._parsing:
             # The reader of the body has made room, and the parser has kept some bytes back.
             self._parse(b"")
--- a/tests/forwarding/test_forwarding_start_check.py
+++ b/tests/forwarding/test_forwarding_start_check.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import AsyncIterator
 
 import pytest
@@ -183,17 +182,21 @@
 
 
 # Guards against streams that may not go on anywhere, since only a question would prove their start.
-async def test_what_an_upstream_sends_on_an_older_connection_proves_nothing_of_a_later_one(
+async def test_answer_on_an_older_connection_proves_nothing_of_a_later_one(
     pool: ConnectionPool, upstream: StatingUpstream
 ) -> None:
     entry = await upstream.async_start()
     first = await async_connect(pool, entry, StartCheck.ALWAYS)
+    sent_before_ms = pool.now_ms() - 1
     later = await async_connect(pool, entry, StartCheck.ALWAYS)
     upstream.is_silent = True
     proof = pool.prove_start(entry, later)
+    # An answer to a request from before the later connection proves nothing, one from then on does.
+    pool.note_answered(entry, first, sent_ms=sent_before_ms)
     assert not proof.holds()
-    await asyncio.sleep(0.01)
-    await async_begin_answer(first, upstream.accepted[0])
+    pool.note_answered(entry, later, sent_ms=pool.now_ms())
+    assert not proof.holds()
+    pool.note_answered(entry, first, sent_ms=pool.now_ms())
     assert proof.holds()
 
 
