--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -32,6 +32,7 @@
 from gypsumrouter.helpers.http_response import (
     ConnectionBroken,
 )
+from gypsumrouter.helpers.socket_state import has_peer_ended
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -60,7 +61,7 @@
     An upstream that has started anew under its id may not be listed yet. IF_LOST: trusted unless a
     connection to the upstream was lost since, or led to another start; ALWAYS: not trusted, unless
     it is proven (see `is_start_proven`); CONFIRMED: the upstream itself has to state it; NOW: it
-    has to state it at this moment, which shows that it responds.
+    has to respond to that question at this moment, also if its entry states no start.
     """
 
     NEVER = auto()
@@ -140,10 +141,11 @@
         not be repeated therefore gets only a connection that was used recently.
 
         With a `start_check`, the connection leads to the start of the upstream that its entry
-        states, if it states one.
+        states, if it states one. With `StartCheck.NOW`, the upstream has answered on it a moment
+        ago in any case: a listener that outlives its process accepts connections, too.
         """
         pooled = await self._async_acquire(entry, repeatable=repeatable, timeout_ms=timeout_ms)
-        if entry.started_ms and self._needs_check(entry, pooled.connection, start_check):
+        if self._needs_check(entry, pooled.connection, start_check):
             await self._async_verify_start(
                 entry, pooled.connection, timeout_ms=min(CONNECT_TIMEOUT_MS, timeout_ms)
             )
@@ -197,6 +199,10 @@
         others = self._list_open(entry.incarnation)
         return any(self._vouches(other, entry) for other in others if other is not connection)
 
+    def now_ms(self) -> int:
+        """Return the time by which connections are opened (monotonic milliseconds)."""
+        return self._app.clock.now_ms()
+
     def get_other_start(self, entry: Entry) -> OtherStart | None:
         """Return the start that an upstream has stated last in place of the listed one."""
         return self._starts.get_other(entry)
@@ -238,14 +244,16 @@
     ) -> bool:
         """Return whether the upstream has to be asked which start a connection leads to.
 
-        All connections break when an upstream ends. So a new one leads to the same start as one
-        that is still open, if the start of that one is known and not only taken from its entry.
+        A new connection is taken to lead to the same start as one that is still open, if the start
+        of that one is known and not only taken from its entry. That is no proof: see `StartSource`.
         """
         if start_check is StartCheck.NEVER:
             return False
         if start_check is StartCheck.NOW:
             connection.peer_started_ms = None
             return True
+        if not entry.started_ms:
+            return False
         if connection.start_source is StartSource.ANSWER:
             return connection.peer_started_ms != entry.started_ms
         if start_check is StartCheck.CONFIRMED:
@@ -298,7 +306,7 @@
                 connection, self._read_start(connection), timeout_ms=timeout_ms
             )
             connection.start_source = StartSource.ANSWER
-        if connection.peer_started_ms not in (NOT_STATED, entry.started_ms):
+        if entry.started_ms and connection.peer_started_ms not in (NOT_STATED, entry.started_ms):
             connection.close()
             other = OtherStart(
                 started_ms=connection.peer_started_ms or NOT_STATED,
@@ -328,6 +336,10 @@
         idle = self._idle.get(entry.incarnation)
         while idle and (repeatable or self._reuse_for_all):
             connection = idle.pop()
+            if has_peer_ended(connection.transport):
+                # Its end is read later, as this process stood still or is busy.
+                self._lost.add(entry.incarnation)
+                continue
             if not _is_usable(connection, now_ms):
                 connection.close()
                 continue
@@ -356,6 +368,15 @@
     def _note_end(self, connection: HttpConnection) -> None:
         connection.ended_ms = self._app.clock.now_ms()
 
+    def note_answered(self, entry: Entry, connection: HttpConnection, *, sent_ms: int) -> None:
+        """Record that a request that was sent at `sent_ms` was answered on a connection.
+
+        If that leads to the listed start, the upstream was still at it then. Further bytes of an
+        answer show less: the kernel of a process that has ended goes on to send what it wrote.
+        """
+        if entry.started_ms and self._starts.is_open_proven(entry, connection):
+            self._starts.note_stated(entry, at_ms=sent_ms)
+
     def release(self, entry: Entry, connection: HttpConnection) -> None:
         """Return a connection after an exchange; it is closed if it cannot be reused."""
         connection.finish()
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -76,8 +76,9 @@
     """How it is known which start of a process a connection leads to.
 
     ENTRY: not known, but taken from its entry in the list. LIST: the list still showed it when an
-    ended start would have been removed. CONNECTION: another connection was open whose start was
-    known. ANSWER: the process itself stated it on this connection.
+    ended start would have been removed. CONNECTION: no end had come of another connection whose
+    start was known; a proxy may keep that open behind the end of its process. ANSWER: the process
+    itself stated it on this connection.
     """
 
     UNKNOWN = ""
