Answers of a killed router to HTTP/1.0 end with a reset unless they are whole

What callers saw: a caller of HTTP/1.0 took the beginning of a stream for the whole of it when its router was killed (SIGKILL, SIGABRT).

Cause: an answer to HTTP/1.0 without a length ends with its connection only, and the kernel closes the connections of a killed process with FIN, as the process does behind a whole answer. The same acted where the process closed such a connection itself with its answer under way, and where it was killed behind the last write of an answer of which a part was still in the buffer of its transport.

Mend: from the head of such an answer on its socket has SO_LINGER with a timeout of 0, so that any close of it is a reset, by the kernel too. It is taken off when the answer is written to its end and the transport holds nothing of it: the kernel then has all, and sends it and FIN behind it whatever becomes of the process. If something is unsent at that moment, the write buffer limit is set to 0, so that the transport tells when it is empty; both event loops tell that before they send the end or close the socket. Answers with a length or chunks need nothing, and are as before.

Both entry processes write answers by the same code: the forwarder and the gateway of the router. Sides answer routers in frames of the link, which have an end of their own; the pages for operators have lengths.

--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -9,8 +9,11 @@
 from itertools import islice
 from typing import Any, Final
 
-from aiohttp import HttpVersion11, hdrs, web
+from aiohttp import HttpVersion, HttpVersion11, hdrs, web
+from aiohttp.abc import AbstractStreamWriter
+from aiohttp.http import RawRequestMessage
 from aiohttp.http_parser import HttpRequestParser
+from aiohttp.streams import StreamReader
 
 from gypsumrouter.callers.const import MAX_HEADERS, WRITE_BUFFER_BYTES
 from gypsumrouter.callers.errors import make_error_response, reject_http, render_stopping
@@ -19,13 +22,14 @@
 from gypsumrouter.callers.models import BrokenAnswer, GetLimits, OnBroken, RequestIdGenerator
 from gypsumrouter.callers.next_head import NextHead
 from gypsumrouter.callers.transports import (
+    ResetOnClose,
     abort_connection,
     count_untaken_bytes,
     grow_send_buffer,
     has_unread_bytes,
     has_untaken_bytes,
 )
-from gypsumrouter.callers.writer import CallerWriter, make_request
+from gypsumrouter.callers.writer import CallerWriter
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.helpers.http_headers import is_writable
 
@@ -71,6 +75,7 @@
         "_on_broken",
         "_opened_idle_timeout_ms",
         "_opened_s",
+        "_reset_on_close",
         "refused",
         "request_id",
         "upstream",
@@ -96,7 +101,7 @@
             auto_decompress=False,
             **options,
         )
-        self._request_factory = make_request
+        self._request_factory = self._make_request
         self._generate_request_id = generate_request_id
         self._get_limits = get_limits
         self._on_broken = on_broken
@@ -114,6 +119,8 @@
         self._body_scope: asyncio.Timeout | None = None
         # Set once the connection has sent its end.
         self._lingering: LingeringClose | None = None
+        # Set from the head of an answer on that only the end of the connection ends.
+        self._reset_on_close: ResetOnClose | None = None
         # Id of the latest request, as its caller sent it.
         self.request_id = ""
         # Name of the upstream whose answer is written, "" if there is none.
@@ -192,6 +199,42 @@
             # The HTTP library calls this without data to parse what it has kept.
             self._next_head_started = is_inside_head
 
+    def resume_writing(self) -> None:
+        """Go on writing; a whole answer that is sent ends its connection regularly."""
+        super().resume_writing()
+        if self._reset_on_close is not None:
+            self._reset_on_close.note_drained()
+
+    def _make_request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: web.RequestHandler,
+        writer: AbstractStreamWriter,
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
+        """Return a request whose answer is written by a `CallerWriter`."""
+        writer = self._make_writer(message.version)
+        return web.BaseRequest(message, payload, protocol, writer, task, self._loop)
+
+    def _make_writer(self, version: HttpVersion) -> CallerWriter:
+        return CallerWriter(
+            self,
+            self._loop,
+            version=version,
+            on_unframed=self._begin_unframed,
+            on_unframed_end=self._end_unframed,
+        )
+
+    def _begin_unframed(self) -> None:
+        """Let the kernel reset the connection if it ends before the answer does."""
+        if self.transport is not None and not self.transport.is_closing():
+            self._reset_on_close = ResetOnClose(transport=self.transport)
+
+    def _end_unframed(self) -> None:
+        if self._reset_on_close is not None:
+            self._reset_on_close.end()
+
     def _start_head(self) -> None:
         """Start the timeout of a head of which a part has arrived."""
         self._head_started = True
@@ -337,7 +380,7 @@
             rejection = reject_http(500, None)
             replacement = make_error_response(rejection=rejection, request_id=request_id)
             replacement.force_close()
-            request._payload_writer = CallerWriter(self, self._loop)
+            request._payload_writer = self._make_writer(request.version)
             try:
                 return await super().finish_response(request, replacement, None)
             except Exception as second:
--- a/gypsumrouter/callers/transports.py
+++ b/gypsumrouter/callers/transports.py
@@ -15,6 +15,47 @@
 LAST_SEND_BUFFER_BYTES: Final = 1024 * 1024
 # SO_LINGER with a timeout of 0: closing the socket sends RST instead of FIN.
 LINGER_RESET: Final = struct.pack("ii", 1, 0)
+# Closing the socket sends what the kernel holds, and FIN behind it.
+LINGER_OFF: Final = struct.pack("ii", 0, 0)
+
+
+class ResetOnClose:
+    """Lets a connection end with a reset until the kernel holds the whole of an answer.
+
+    For an answer that only the end of its connection ends: also when the process is killed, its
+    caller sees that it is incomplete.
+    """
+
+    __slots__ = ("_is_whole", "_socket", "_transport")
+
+    def __init__(self, *, transport: asyncio.Transport) -> None:
+        self._transport = transport
+        self._socket = transport.get_extra_info("socket")
+        self._is_whole = False
+        self._set(LINGER_RESET)
+
+    def end(self) -> None:
+        """Note that the answer is written whole; `note_drained` is to be called once it is sent."""
+        if self._is_whole or self._transport.is_closing():
+            return
+        self._is_whole = True
+        # Over TLS, what the transport below holds is not counted; TLS marks its end itself.
+        if not self._transport.get_write_buffer_size():
+            self._set(LINGER_OFF)
+        else:
+            self._transport.set_write_buffer_limits(high=0)
+
+    def note_drained(self) -> None:
+        """Let the connection end regularly if nothing of the whole answer is left to be sent."""
+        # The transport may be closing; its socket is open until all is sent.
+        if self._is_whole and not self._transport.get_write_buffer_size():
+            self._set(LINGER_OFF)
+
+    def _set(self, linger: bytes) -> None:
+        try:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        except OSError:
+            pass
 
 
 def abort_connection(transport: asyncio.Transport | None) -> None:
