The question behind an unframed end isn't asked on an idle connection, and has a deadline

Idle connections to an upstream that closes new ones are now given back instead, since it may be at its limit.

A health check waited for a slot of a full upstream without a bound, so that complete answers were broken off after 2 s; with a deadline the upstream itself refuses it, which names it. A refusal counts only with the statuses of a full upstream (429, 503), since a request without an id is rejected as not run by whoever has the address.

The doubt about an answer has its first value from the start: it was unset for answers that broke off before their end.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -102,6 +102,8 @@
         self._connection: HttpConnection | None = None
         # The check of a streamed answer without a length or chunks, until it was asked for.
         self._end_watch: EndWatch | None = None
+        # The check of an answer whose end was doubted.
+        self._doubted: EndWatch | None = None
         self._unframed: HttpResponse | None = None
         self._sent_ms = 0
         self.options = options
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -214,19 +214,16 @@
         health_path: str,
         timeout_ms: int,
         keep: bool = True,
-        reuse: bool = False,
     ) -> None:
         """Make an upstream say that it is the one that an entry describes; raises ConnectFailed.
 
         It states its start if its entry does, else its id, which no other start has. A connection
-        is opened for that within `timeout_ms`, unless `reuse` finds an idle one; the answer may
-        take `timeout_ms` more. The connection is kept for later requests, or closed unless `keep`.
+        is opened for that within `timeout_ms`; the answer may take `timeout_ms` more. The
+        connection is kept for later requests, or closed unless `keep`.
         """
         asked_ms = self._app.clock.now_ms()
-        idle = self._idle.get(entry.incarnation) if reuse else None
-        connection = idle.pop() if idle else await self._async_open(entry, timeout_ms=timeout_ms)
+        connection = await self._async_open(entry, timeout_ms=timeout_ms)
         if entry.started_ms:
-            connection.peer_started_ms = None
             await self._async_verify_start(entry, connection, timeout_ms=timeout_ms)
             if connection.peer_started_ms == NOT_STATED:
                 connection.close()
--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -312,23 +312,23 @@
         """Ask until the upstream answers, is known to have ended, or has had PROBE_TIMEOUT_MS.
 
         An upstream at its limit of connections closes further ones, until one of those that it has
-        ends; it answers on one that it has.
+        ends. It isn't asked on one of them: there, one that is told to end may still answer.
         """
         clock = self._app.clock
         last_ms = clock.now_ms() + PROBE_TIMEOUT_MS
-        pause_ms, reuse = MIN_PAUSE_MS, False
+        pause_ms = MIN_PAUSE_MS
         while True:
-            verdict = await self._async_ask_once(entry, reuse=reuse)
+            verdict = await self._async_ask_once(entry)
             if verdict.is_final or clock.now_ms() + pause_ms >= last_ms:
                 return verdict
-            reuse = not reuse and verdict is EndVerdict.DROPPED
-            if not reuse:
-                await clock.async_sleep(pause_ms)
-                pause_ms = min(2 * pause_ms, MAX_PAUSE_MS)
+            if verdict is EndVerdict.DROPPED:
+                self._pool.close_idle(entry.incarnation)
+            await clock.async_sleep(pause_ms)
+            pause_ms = min(2 * pause_ms, MAX_PAUSE_MS)
 
-    async def _async_ask_once(self, entry: Entry, *, reuse: bool) -> EndVerdict:
+    async def _async_ask_once(self, entry: Entry) -> EndVerdict:
         try:
-            await self._async_confirm(entry, reuse=reuse)
+            await self._async_confirm(entry)
         except ConnectFailed as error:
             if error.refused:
                 return EndVerdict.REFUSED
@@ -341,7 +341,7 @@
             return EndVerdict.SILENT if error.silent else EndVerdict.UNREACHABLE
         return EndVerdict.ALIVE
 
-    async def _async_confirm(self, entry: Entry, *, keep: bool = True, reuse: bool = False) -> None:
+    async def _async_confirm(self, entry: Entry, *, keep: bool = True) -> None:
         table = self._routing.table
         service = None if table is None else table.get_service(entry.service)
         await self._pool.async_confirm(
@@ -349,7 +349,6 @@
             health_path=DEFAULT_HEALTH_PATH if service is None else service.health_path,
             timeout_ms=PROBE_TIMEOUT_MS,
             keep=keep,
-            reuse=reuse,
         )
 
     def is_leaving(self, entry: Entry) -> bool:
--- a/gypsumrouter/forwarding/responders.py
+++ b/gypsumrouter/forwarding/responders.py
@@ -14,6 +14,9 @@
 # What a request line can carry.
 PATH: Final = re.compile(r"/[!-~]*")
 STATUS_MISDIRECTED: Final = 421
+FULL_STATUSES: Final = frozenset({429, 503})
+# How long a health check waits for a slot of its upstream.
+DEADLINE_MS: Final = 200
 
 
 class Responder(Enum):
@@ -43,12 +46,13 @@
     async def __call__(self, connection: HttpConnection, *, path: str, upstream: str) -> Responder:
         """Return who answers a health check for `upstream`; raises ConnectionBroken.
 
-        A refusal by the upstream tells that, too: any other one answers that it is not meant.
+        A full upstream says so behind the deadline, which tells that, too: any other one answers
+        that it is not meant.
         """
         answer, _ = await async_ask(
             connection,
             path if PATH.fullmatch(path) else DEFAULT_HEALTH_PATH,
-            headers=self._dialect.make_health_check(upstream),
+            headers=self._dialect.make_health_check(upstream, deadline_ms=DEADLINE_MS),
             max_bytes=MAX_REPORT_BYTES,
         )
         metadata = self._dialect.read_response_head(answer)
@@ -58,4 +62,5 @@
         if metadata.instance is not None:
             is_meant = metadata.instance.strip() == upstream
             return Responder.UPSTREAM if is_meant else Responder.OTHER
-        return Responder.UPSTREAM if metadata.not_run else Responder.UNKNOWN
+        is_full = metadata.not_run and answer.status in FULL_STATUSES
+        return Responder.UPSTREAM if is_full else Responder.UNKNOWN
