A doubted stream that nothing goes on with is complete once its upstream says so

Callers of resumable routes saw complete streams broken off: the upstream was silent for 1.3 s behind the end of its answer, so that the end was doubted after the route's patience, and no other upstream, version proof or attempt was there to take over (or the run that took over was empty). The verdict came a second later and nobody read it.

Before a request whose stream has begun is failed or refused, the check of a doubted end is awaited to its own bound, unless the caller has had events of another run since. A replacement is still looked for first.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -9,7 +9,7 @@
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
 from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES, RETURN_TRIP_MS
-from gypsumrouter.forwarding.end_evidence import EndChecks, EndWatch
+from gypsumrouter.forwarding.end_evidence import EndChecks, EndVerdict, EndWatch
 from gypsumrouter.forwarding.models import (
     AttemptOptions,
     CallerRequest,
@@ -62,6 +62,7 @@
         "_buffer_limit",
         "_connection",
         "_dialect",
+        "_doubted",
         "_end_patience_ms",
         "_end_watch",
         "_ends",
@@ -102,6 +103,8 @@
         # The check of a streamed answer without a length or chunks, until it was asked for.
         self._end_watch: EndWatch | None = None
         self._unframed: HttpResponse | None = None
+        # The check of an end that had no verdict within the patience.
+        self._doubted: EndWatch | None = None
         self._sent_ms = 0
         self.options = options
         self.entry = entry
@@ -165,11 +168,20 @@
         verdict = await self._ends.async_check(
             watch, request_id=self._request.request_id, patience_ms=self._end_patience_ms
         )
+        self._doubted = watch if verdict is EndVerdict.DOUBTED else None
         leaving = self.metadata is not None and self.metadata.draining
         leaving = leaving or self._ends.is_leaving(self.entry)
         self.may_have_crashed = verdict.shows_death and not leaving
         return None if verdict.complete else f"ended with its upstream: {verdict.value}"
 
+    def make_doubt_question(self) -> Callable[[], Awaitable[bool]] | None:
+        """Return what tells whether a doubted answer was complete, None if it wasn't doubted."""
+        if self._doubted is None:
+            return None
+        return partial(
+            self._ends.async_settle_doubt, self._doubted, request_id=self._request.request_id
+        )
+
     def make_cut_question(self) -> Callable[[], Awaitable[bool | None]] | None:
         """Return what tells whether the upstream outlived a stream that has broken off.
 
--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -229,6 +229,11 @@
         self._record(watch, verdict, request_id=request_id, begun_ms=begun_ms, is_cut=False)
         return verdict
 
+    async def async_settle_doubt(self, watch: EndWatch, *, request_id: str) -> bool:
+        """Return whether an answer whose end was doubted is complete after all."""
+        verdict = await self.async_check(watch, request_id=request_id)
+        return verdict.complete
+
     async def async_outlived(self, watch: EndWatch, *, request_id: str) -> bool | None:
         """Return whether an upstream has outlived an answer that shows its break.
 
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -6,6 +6,7 @@
 from typing import Final
 
 from aiohttp import web
+from msgspec import Struct
 
 from gypsumrouter.contention import Refused
 from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES
@@ -44,12 +45,21 @@
 SILENT: Final = "silent"
 
 
+class DoubtedStream(Struct, frozen=True, kw_only=True):
+    """A stream that may be complete; `events` is how many the caller had at its end."""
+
+    outcome: StreamingResponse
+    events: int
+    is_complete: Callable[[], Awaitable[bool]]
+
+
 class RequestExecution:
     """Forwards one request, with retries on other upstreams."""
 
     __slots__ = (
         "_contention",
         "_context",
+        "_doubt",
         "_endings",
         "_limits",
         "_may_start",
@@ -91,6 +101,8 @@
         self._service = service
         self._request_journal = request_journal
         self._may_start = may_start
+        # The last stream of which it was not known in time whether it is complete.
+        self._doubt: DoubtedStream | None = None
         self.progress = progress
         self.limit = RequestLimit()
         self._limits = TimeLimits(clock=context.app.clock, route=routed.route, progress=progress)
@@ -220,7 +232,7 @@
         self._run_context.check_caller()
         verdict = self._run_context.find_verdict()
         if verdict is not None:
-            return self._endings.refuse_suspect(verdict)
+            return await self._async_finish_doubted() or self._endings.refuse_suspect(verdict)
         if self.progress.attempts == 0:
             refusal = await self._async_admit()
             if refusal is not None:
@@ -238,7 +250,7 @@
             if self._retries.may_wait:
                 await self._retries.async_wait()
                 return None
-            return self._endings.refuse(
+            return await self._async_finish_doubted() or self._endings.refuse(
                 placement.reason, placement.message, placement.not_before_ms
             )
         if not self._may_run_at(placement):
@@ -321,7 +333,9 @@
     ) -> tuple[web.StreamResponse | None, str]:
         """Return the response, or None for another attempt, and the next step."""
         if isinstance(outcome, Withheld):
-            return self._endings.refuse_suspect(outcome.verdict), NextStep.REFUSE.value
+            response = await self._async_finish_doubted()
+            response = response or self._endings.refuse_suspect(outcome.verdict)
+            return response, NextStep.REFUSE.value
         if isinstance(outcome, CompleteResponse):
             run.note_received()
         outcome = check_fits(outcome, self._relay.sent)
@@ -334,8 +348,24 @@
                 self._record_broken(run)
             self._recorder.record(run.attempt, outcome)
             decision = await self._retries.async_decide(outcome)
+        if decision.step in (NextStep.FAIL, NextStep.REFUSE):
+            response = await self._async_finish_doubted()
+            if response is not None:
+                return response, NextStep.RESPOND.value
         return self._apply(decision, outcome), decision.step.value
 
+    async def _async_finish_doubted(self) -> web.StreamResponse | None:
+        """Return the response if nothing goes on with it and it is complete after all.
+
+        Raises CallerDisconnected.
+        """
+        doubt, self._doubt = self._doubt, None
+        if doubt is None or doubt.events != self.progress.events or not await doubt.is_complete():
+            return None
+        await self._relay.async_finish(doubt.outcome)
+        self.progress.outcome = OUTCOME_ANSWERED
+        return self._relay.response
+
     def _leave_silent(self, run: Run) -> Decision:
         """Give up a silent run for the one that stands ready."""
         silent_ms = self._context.app.clock.now_ms() - run.heard_ms
@@ -375,6 +405,11 @@
             self._record_broken(run)
         self._recorder.record_broken_stream(run.attempt, message=message, fault=end.fault)
         run.attempt.close()
+        question = run.attempt.make_doubt_question()
+        if question is not None and self._relay.response is not None:
+            self._doubt = DoubtedStream(
+                outcome=outcome, events=self.progress.events, is_complete=question
+            )
         return await self._retries.async_decide_after_stream(message=message)
 
     def _note_received(self) -> None:
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/relay.py
@@ -176,7 +176,7 @@
         missing = self._find_missing_end(streaming) or await streaming.find_missing_end()
         if missing is not None:
             return self._end(RelayResult.BROKEN, missing)
-        await self._async_finish(streaming)
+        await self.async_finish(streaming)
         return self._end(RelayResult.COMPLETE)
 
     def _feed(self, part: bytes) -> bytes:
@@ -251,7 +251,8 @@
         await response.prepare(self._web_request)
         return response
 
-    async def _async_finish(self, streaming: StreamingResponse) -> None:
+    async def async_finish(self, streaming: StreamingResponse) -> None:
+        """End the response as a complete one; raises CallerDisconnected."""
         response = self.response
         try:
             if response is None:
