--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -105,6 +105,8 @@
         # The check of an answer whose end was doubted.
         self._doubted: EndWatch | None = None
         self._unframed: HttpResponse | None = None
+        # The check of an end that had no verdict within the patience.
+        self._doubted: EndWatch | None = None
         self._sent_ms = 0
         self.options = options
         self.entry = entry
