An answer of a start that was proven by the list isn't one of its successor

Where the connections of a dead process end late, its successor may already be known when the end of an answer comes: proofs by the list no longer hold then, and the answer counted as one of the successor, whole.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -102,8 +102,6 @@
         self._connection: HttpConnection | None = None
         # The check of a streamed answer without a length or chunks, until it was asked for.
         self._end_watch: EndWatch | None = None
-        # The check of an answer whose end was doubted.
-        self._doubted: EndWatch | None = None
         self._unframed: HttpResponse | None = None
         # The check of an end that had no verdict within the patience.
         self._doubted: EndWatch | None = None
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -192,6 +192,10 @@
         self._starts.note_stated(entry, at_ms=asked_ms)
         self.release(entry, pooled.connection)
 
+    def is_start_proven(self, entry: Entry, connection: HttpConnection) -> bool:
+        """Return whether an open connection is proven to lead to an upstream's listed start."""
+        return self._starts.is_open_proven(entry, connection)
+
     def is_start_known(self, entry: Entry, connection: HttpConnection) -> bool:
         """Return whether a connection is known to lead to the listed start of an upstream."""
         if self._starts.is_open_proven(entry, connection):
--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -106,13 +106,15 @@
 class EndWatch(Struct, kw_only=True):
     """An answer that ends with its connection.
 
-    `paused_ms` is when its reading was first paused (monotonic milliseconds), 0 if it wasn't: from
-    then on its end may have come unseen, since a FIN stays behind bytes for which the receive
-    window has no room.
+    `is_of_listed` is whether it was proven, when the watch began, that the listed start gives it;
+    another start that is met later has come after that one. `paused_ms` is when its reading was
+    first paused (monotonic milliseconds), 0 if it wasn't: from then on its end may have come
+    unseen, since a FIN stays behind bytes for which the receive window has no room.
     """
 
     entry: Entry
     connection: HttpConnection
+    is_of_listed: bool
     paused_ms: int = 0
     task: asyncio.Task[EndVerdict] | None = None
 
@@ -184,7 +186,11 @@
 
         Its caller may read the end long after that, when the upstream may be another process.
         """
-        watch = EndWatch(entry=entry, connection=connection)
+        watch = EndWatch(
+            entry=entry,
+            connection=connection,
+            is_of_listed=self._pool.is_start_proven(entry, connection),
+        )
         if connection.ended_ms or not connection.open:
             self._begin(watch)
             return watch
@@ -280,7 +286,9 @@
     def _is_of_other(self, watch: EndWatch, ended_ms: int) -> bool:
         """Return whether the start that an upstream states has given an answer unlisted."""
         other = self._pool.get_other_start(watch.entry)
-        if other is None or self._pool.is_start_known(watch.entry, watch.connection):
+        if other is None or watch.is_of_listed:
+            return False
+        if self._pool.is_start_known(watch.entry, watch.connection):
             return False
         return is_answer_of_other(other, opened_ms=watch.connection.opened_ms, ended_ms=ended_ms)
 
--- a/tests/forwarding/test_forwarding_end_evidence.py
+++ b/tests/forwarding/test_forwarding_end_evidence.py
@@ -27,7 +27,7 @@
 )
 from gypsumrouter.forwarding.responders import Responder
 from gypsumrouter.forwarding.starts import OtherStart
-from gypsumrouter.helpers.http_connection import HttpConnection, async_connect
+from gypsumrouter.helpers.http_connection import ConnectFailed, HttpConnection, async_connect
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.routing import RoutingStore
@@ -401,3 +401,19 @@
         EndVerdict.DOUBTED,
     }
     assert verdict.outlived is (None if verdict in unknown else verdict in lives)
+
+
+# Guards against a short answer of a start that was listed for long and has died, taken for one of
+# its successor, which was met before the last connection of the dead one had ended.
+async def test_answer_of_the_listed_start_counts_as_its_successors(checked: Checked) -> None:
+    connection, peer = await checked.async_open()
+    # The list has shown its start for long.
+    connection.opened_ms -= 10_000
+    await async_begin_answer(connection, peer)
+    watch = checked.checks.watch(checked.entry, connection)
+    checked.upstream.started_ms = STARTED_MS + 1
+    with pytest.raises(ConnectFailed):
+        await checked.pool.async_confirm(checked.entry, health_path="/health", timeout_ms=500)
+    await asyncio.sleep(2 * SETTLE_MS / 1_000)
+    peer.close()
+    assert await checked.checks.async_check(watch, request_id="r1") is EndVerdict.RESTARTED
