Answers with headers that are no UTF-8 pass links to sides

Callers of routers with sides lost an answer that their upstream had given, if one of its headers had bytes that are no UTF-8: the request failed though it had run.

Now such a value goes as bytes in a field of its own, `raw`. Older processes read the text, without the bytes that are none; other values are sent as before.

--- a/gypsumrouter/link/codec.py
+++ b/gypsumrouter/link/codec.py
@@ -237,12 +237,27 @@
         return Resume(offset=message.offset, has_head=message.hasHead, age_ms=message.ageMs)
 
 
-def _list_headers(headers: Headers) -> list[dict[str, str]]:
-    return [{"name": name, "value": value} for name, value in headers]
+def _list_headers(headers: Headers) -> list[dict[str, str | bytes]]:
+    return [_make_header(name, value) for name, value in headers]
+
+
+def _make_header(name: str, value: str) -> dict[str, str | bytes]:
+    if value.isascii():
+        return {"name": name, "value": value}
+    raw = value.encode("utf-8", "surrogateescape")
+    text = raw.decode(errors="ignore")
+    if text == value:
+        return {"name": name, "value": value}
+    return {"name": name, "value": text, "raw": raw}
 
 
 def _read_headers(headers: Any) -> Headers:
-    return tuple((header.name, header.value) for header in headers)
+    return tuple((header.name, _read_value(header)) for header in headers)
+
+
+def _read_value(header: Any) -> str:
+    raw: bytes = header.raw
+    return raw.decode("utf-8", "surrogateescape") if raw else header.value
 
 
 def _read_reason(kind: int, code: str) -> Reason:
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -22,6 +22,8 @@
 struct Header {
   name @0 :Text;
   value @1 :Text;
+  # The value if it is no UTF-8; `value` is then without what is none.
+  raw @2 :Data;
 }
 
 struct PoolLoad {
--- a/tests/gateway/test_gateway_with_links.py
+++ b/tests/gateway/test_gateway_with_links.py
@@ -16,11 +16,13 @@
 
 KEY = b"a key of the links for tests"
 CALLERS = 40
+LATIN_1 = b"caf\xe9 \xff\xfe"
 
 
 async def async_echo(hello: Hello, request: Open, answer: Answer) -> None:
     """Echo the body in parts, interleaved with the other answers."""
-    answer.head(Head(status=200, headers=(("Content-Type", "text/plain"),)))
+    note = LATIN_1.decode("utf-8", "surrogateescape")
+    answer.head(Head(status=200, headers=(("Content-Type", "text/plain"), ("X-Note", note))))
     for at in range(0, len(request.body), 1_000):
         await answer.async_write(request.body[at : at + 1_000])
         await asyncio.sleep(0)
@@ -65,6 +67,7 @@
     async def async_call(body: bytes) -> bytes:
         async with router.async_request("/services/records/echo", data=body) as answer:
             assert answer.status == 200
+            assert (b"X-Note", LATIN_1) in answer.raw_headers
             return bytes(await answer.read())
 
     answers = await asyncio.gather(*(async_call(body) for body in bodies))
--- a/tests/link/test_link_unencodable_items.py
+++ b/tests/link/test_link_unencodable_items.py
@@ -35,9 +35,10 @@
     WorkspaceWork,
     send_to_all,
 )
+from gypsumrouter.link.codec import decode_head, encode_head
 from gypsumrouter.link.const import Kind
 from gypsumrouter.link.listeners import LogOnce
-from gypsumrouter.link.models import EngineStatus, PoolStatus
+from gypsumrouter.link.models import EngineStatus, Head, PoolStatus
 from gypsumrouter.link.notice_codec import decode_notice, encode_notice
 
 SURROGATE = "\ud800"
@@ -53,6 +54,13 @@
 }
 
 
+# Guards against an answer of an upstream that is lost on a link since a header is no UTF-8.
+@pytest.mark.parametrize("value", ["plain", "", "caf\u00e9", "caf\udce9 \udcff\udcfe", "\udce9"])
+def test_answer_is_lost_with_a_header_that_is_no_utf_8(value: str) -> None:
+    head = Head(status=200, headers=(("X-Before", "1"), ("X-Note", value), ("X-After", "2")))
+    assert decode_head(encode_head(head)) == head
+
+
 def make_router_update(*, odd: bool) -> RouterUpdate:
     return RouterUpdate(
         address="a:1",
