The health check behind an unframed end waits 100 ms for a slot, not two seconds

Callers of upstreams that state no start saw complete answers broken off after two seconds or more while their upstream was full: the health check behind the end waits for a slot as other requests do, had no deadline, and its silence counted as none of life. Stand-ins answer health checks without a slot, so no test or soak showed it.

The question states a deadline of 100 ms. An upstream that has no slot by then answers 503 with "not run" from its queue, and any other process 421, so the refusal is a word of the upstream.

--- a/gypsumrouter/platform/answers.py
+++ b/gypsumrouter/platform/answers.py
@@ -26,6 +26,8 @@
 CONTENT_TYPE_EVENTS: Final = "text/event-stream"
 # An empty encoding states none.
 PLAIN_ENCODINGS: Final = frozenset({"", "identity"})
+# For how long a health check waits for a slot.
+HEALTH_DEADLINE_MS: Final = 100
 DROPPED_HEADERS: Final = HOP_BY_HOP | {"content-length"}
 
 
@@ -39,8 +41,11 @@
         return write_request(request=request, options=options)
 
     def make_health_check(self, upstream: str) -> dict[str, str]:
-        """Return the headers of a health check that only the upstream with this id answers."""
-        return {names.EXPECT_INSTANCE: upstream}
+        """Return the headers of a health check that only the upstream with this id answers.
+
+        One that has no slot until the deadline says that it has not run it, which is an answer.
+        """
+        return {names.EXPECT_INSTANCE: upstream, names.DEADLINE: str(HEALTH_DEADLINE_MS)}
 
     def read_response_head(self, answer: HttpResponse) -> ResponseMetadata:
         """Return the facts that a response's status and headers state."""
