--- a/tests/forwarding/test_forwarding_end_questions.py
+++ b/tests/forwarding/test_forwarding_end_questions.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 
 import pytest
 from cut_heads import read_head
-from dying_world import DyingWorld, Seen
+from dying_world import DyingWorld, EndingUpstream, Seen
+from outliving_relay import Behaviour, OutlivingRelay
 from unframed_upstream import make_answer
 
 from gypsumrouter.instances import Address
@@ -15,6 +17,30 @@
 WORLDS = pytest.mark.parametrize("states_start", [True, False], ids=["start", "no_start"])
 
 
+# Guards against trust in an idle connection of an upstream that has closed its answers and its
+# listener on SIGTERM and exits later, where a relay before it still accepts connections.
+@WORLDS
+async def test_idle_connection_vouches_for_answers_cut_on_sigterm_behind_a_relay(
+    dying: DyingWorld, states_start: bool
+) -> None:
+    upstream = EndingUpstream(dying)
+    await upstream.async_start(held=HELD, states_start=states_start, ending="slow")
+    relay = OutlivingRelay(Behaviour.CLOSES)
+    await relay.async_start(upstream.port)
+    upstream.listed_port = relay.port
+    await upstream.async_list()
+    asked = [
+        asyncio.create_task(dying.async_ask(f"r{i}", "/draft/a", events=True)) for i in range(3)
+    ]
+    for _ in asked:
+        await upstream.async_read_line()
+    assert (await dying.async_ask("framed", "/draft/framed", events=False)).status == 200
+    await upstream.async_end(signal.SIGTERM)
+    seen = [await answer for answer in asked]
+    await relay.async_stop()
+    assert [(answer.status, answer.whole) for answer in seen] == [(200, False)] * 3
+
+
 # Guards against a complete stream that is broken off, as it is doubted while its upstream is
 # silent behind it, and the run that takes over has nothing to add.
 @WORLDS
