--- a/bench/soak.py
+++ b/bench/soak.py
@@ -45,6 +45,7 @@
 SURGE_S: Final = 2.5
 RECOVERY_PROBES: Final = 40
 MS: Final = 1_000
+STATED: Final = "stated"
 
 
 class SoakRun(Protocol):
@@ -228,6 +229,11 @@
 @click.option(
     "--deaths", is_flag=True, help="Only: upstreams are processes that are killed in answers."
 )
+@click.option(
+    "--starts",
+    type=click.Choice([STATED, "unstated"]),
+    help="Whether entries and reports of --deaths state starts; drawn if not given.",
+)
 @click.option(
     "--one-attempt",
     is_flag=True,
@@ -276,6 +282,7 @@
     silences: bool,
     overlaps: bool,
     deaths: bool,
+    starts: str | None,
     one_attempt: bool,
     dimensions: tuple[str, ...],
     slowdowns: bool,
@@ -290,12 +297,13 @@
     ends = time.monotonic() + 60 * minutes
     runs: list[dict[str, object]] = []
     chosen_dimensions = [Dimension(name) for name in dimensions] or list(Dimension)
+    states_start = None if starts is None else starts == STATED
     alone: dict[SoakRun, bool] = {
         async_soak_unfinished: unfinished,
         async_soak_stops: stops,
         async_soak_silences: silences,
         async_soak_overlaps: overlaps,
-        partial(async_soak_deaths, seconds=seconds or DEATHS_S): deaths,
+        partial(async_soak_deaths, seconds=seconds or DEATHS_S, states_start=states_start): deaths,
         partial(async_soak_one_attempt, dimensions=chosen_dimensions): one_attempt,
         partial(async_soak_slowdowns, shape=SHAPES.get(shape or ""), product=product): slowdowns,
     }
--- a/bench/soak_overlaps.py
+++ b/bench/soak_overlaps.py
@@ -38,6 +38,7 @@
     collect_runs,
 )
 from bench.soak_stops import Asked, Stop, Stops, check_kept, check_stops
+from bench.upstream_host import HEALTH_PATH
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.standins import PlatformRunner
 
@@ -200,7 +201,10 @@
     return {
         "version": version,
         "routes": routes,
-        "services": [{"name": "records"}, {"name": "models", "engine": {"slots": 64}}],
+        "services": [
+            {"name": "records", "health_path": HEALTH_PATH},
+            {"name": "models", "engine": {"slots": 64}, "health_path": HEALTH_PATH},
+        ],
         "tenants": [{"name": WORKSPACE, "api_keys": [CALLER_KEY]}],
     }
 
