--- a/bench/hosted_upstream.py
+++ b/bench/hosted_upstream.py
@@ -81,6 +81,8 @@
         self.plan = msgspec.structs.replace(plan, port=self._port.address.port, listener=listener)
         # The process that ends next, or has ended last, as notes name it.
         self.process = ""
+        # When the entry of a start was written, by its process (monotonic seconds).
+        self.listed_s: dict[str, float] = {}
         self._children: list[Child] = []
         # All that were ever made, among them those whose start was cancelled.
         self._made: list[Child] = []
@@ -134,6 +136,8 @@
         self._children += children
         self.process = self.processes[0]
         if is_worker:
+            # The entry describes the start of both.
+            self.listed_s.update(dict.fromkeys(self.processes, 0.0))
             return
         if listing_s is None or previous != self.plan.name:
             self._unlisting = self._run(self._async_unlist(previous))
@@ -162,6 +166,7 @@
             version="v1",
             **start,
         )
+        self.listed_s.update(dict.fromkeys(self.processes, time.monotonic()))
 
     async def _async_unlist(self, name: str) -> None:
         await asyncio.sleep(UNLISTED_AFTER_S)
--- a/bench/soak_death_figures.py
+++ b/bench/soak_death_figures.py
@@ -21,6 +21,8 @@
 
 # Of so many complete answers, one may be taken for broken off.
 COMPLETE_PER_BROKEN: Final = 1_000
+# The list shows a start so long after its entry was written.
+LISTED_AFTER_S: Final = 1.0
 PROXY_DIED: Final = "proxy died, and its upstream lives on"
 
 
@@ -81,13 +83,16 @@
     """How complete unframed answers of living upstreams ended outside stops.
 
     `delays_ms` are those from the upstream's end to the caller's, of callers that read on.
-    `fronts` counts them by what stands before their upstreams.
+    `fronts` counts them by what stands before their upstreams. `unlisted` counts those of starts
+    under an id whose entry describes the start before: where they are over at once, nothing shows
+    which of both has given them.
     """
 
     ended: int
     broken: list[str]
     delays_ms: list[float]
     fronts: dict[str, Counter[str]]
+    unlisted: Counter[str]
 
     def summarize(self) -> dict[str, object]:
         """Return the figures."""
@@ -99,6 +104,7 @@
             "broken": self.broken,
             "delay_ms": delay,
             "fronts": self.fronts,
+            "unlisted": self.unlisted,
         }
 
     def check(self) -> Iterator[Violation]:
@@ -119,12 +125,14 @@
     *,
     cuts: Collection[Cut] = (),
     fronts: Mapping[str, str] | None = None,
+    listed: Mapping[str, float] | None = None,
 ) -> UnframedEnds:
     """Return how complete unframed answers of living upstreams ended outside stops.
 
-    `fronts` names what stands before each start of an upstream.
+    `fronts` names what stands before each start of an upstream. `listed` has the times at which
+    starts were listed whose predecessors have the same id (monotonic seconds).
     """
-    ends = UnframedEnds(ended=0, broken=[], delays_ms=[], fronts={})
+    ends = UnframedEnds(ended=0, broken=[], delays_ms=[], fronts={}, unlisted=Counter())
     for call in calls:
         answer, several = call.answer, runs.get(call.answer.request_id, ())
         if len(several) != 1 or find_stop(call.forwarder, answer, stops) is not None:
@@ -135,6 +143,11 @@
         if end is None or end.kind is not NoteKind.ENDED or not run.has_lived(deaths, cuts):
             continue
         is_whole = answer.end is End.WHOLE
+        if listed is not None and (
+            run.begun.at_s < listed.get(run.process, math.inf) + LISTED_AFTER_S
+        ):
+            ends.unlisted["whole" if is_whole else "broken"] += 1
+            continue
         counts = ends.fronts.setdefault((fronts or {}).get(run.process, ""), Counter())
         counts["whole" if is_whole else "broken"] += 1
         if not is_whole:
--- a/bench/soak_deaths.py
+++ b/bench/soak_deaths.py
@@ -152,6 +152,11 @@
             for first, front in zip(some, rng.sample(FRONTS, len(some)), strict=True)
         ]
 
+    @property
+    def listed(self) -> dict[str, float]:
+        """Return when starts were listed, by their processes."""
+        return {name: s for upstream in self.upstreams for name, s in upstream.listed_s.items()}
+
     async def async_run(self) -> None:
         """Kill upstreams until cancelled."""
         for upstream in self.upstreams:
@@ -264,7 +269,13 @@
     living = list_living(runs, workers, deaths.cuts)
     faults = list(check_pieces(calls, runs, last, living))
     ends = measure_ends(
-        calls, runs, stops.made, deaths.made, cuts=deaths.cuts, fronts=deaths.fronts
+        calls,
+        runs,
+        stops.made,
+        deaths.made,
+        cuts=deaths.cuts,
+        fronts=deaths.fronts,
+        listed=deaths.listed if deaths.states_start else None,
     )
     violations = [
         *check_stops(stops.made),
