--- a/bench/upstream_proxy.py
+++ b/bench/upstream_proxy.py
@@ -19,6 +19,8 @@
 # A connection over which nothing came for so long has no answer under way.
 IDLE_S: Final = 0.25
 STALLED_S: Final = 3.0
+# What writing on a connection raises that is closed; uvloop raises RuntimeError.
+CLOSED: Final = (OSError, RuntimeError)
 
 
 class Forwarding(StrEnum):
@@ -69,7 +71,7 @@
         if self._plan.forwarding is Forwarding.STALLS and time.monotonic() - last_s > IDLE_S:
             await asyncio.sleep(STALLED_S)
         if self._plan.forwarding is Forwarding.ONE_WAY:
-            with suppress(OSError, RuntimeError):
+            with suppress(*CLOSED):
                 writer.write_eof()
             await _async_drop(reader, after=requests)
         requests.cancel()
@@ -78,9 +80,9 @@
 
 
 async def _async_pump(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> float:
-    """Pass bytes on until their end, and return when the last ones came."""
+    """Pass bytes on until an end of either connection, and return when the last ones came."""
     last_s = time.monotonic()
-    with suppress(OSError):
+    with suppress(*CLOSED):
         while data := await reader.read(READ_BYTES):
             last_s = time.monotonic()
             writer.write(data)
