--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -9,7 +9,7 @@
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
 from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES, RETURN_TRIP_MS
-from gypsumrouter.forwarding.end_evidence import EndChecks, EndWatch
+from gypsumrouter.forwarding.end_evidence import EndChecks, EndVerdict, EndWatch
 from gypsumrouter.forwarding.models import (
     AttemptOptions,
     CallerRequest,
@@ -54,18 +54,22 @@
     Once `sent` is true, the upstream may run the request. `reused` is true if the connection
     carried an earlier exchange. `may_have_crashed` is false if the answer has broken off and
     nothing shows that the process has ended, or it was known to leave. `on_head` is called with
-    the metadata of each response.
+    the metadata of each response. If another run can take over, an end that is not confirmed
+    within `end_patience_ms` counts as broken off.
     """
 
     __slots__ = (
         "_buffer_limit",
         "_connection",
         "_dialect",
+        "_doubted",
+        "_end_patience_ms",
         "_end_watch",
         "_ends",
         "_on_head",
         "_pool",
         "_request",
+        "_sent_ms",
         "_unframed",
         "entry",
         "may_have_crashed",
@@ -86,8 +90,10 @@
         entry: Entry,
         on_head: HeadListener,
         buffer_limit: int = MAX_BUFFERED_BYTES,
+        end_patience_ms: int | None = None,
     ) -> None:
         self._buffer_limit = buffer_limit
+        self._end_patience_ms = end_patience_ms
         self._pool = pool
         self._ends = ends
         self._dialect = dialect
@@ -96,7 +102,12 @@
         self._connection: HttpConnection | None = None
         # The check of a streamed answer without a length or chunks, until it was asked for.
         self._end_watch: EndWatch | None = None
+        # The check of an answer whose end was doubted.
+        self._doubted: EndWatch | None = None
         self._unframed: HttpResponse | None = None
+        # The check of an end that had no verdict within the patience.
+        self._doubted: EndWatch | None = None
+        self._sent_ms = 0
         self.options = options
         self.entry = entry
         self.metadata: ResponseMetadata | None = None
@@ -143,6 +154,7 @@
         except ConnectionBroken as error:
             return Unreachable(reason=str(error))
         self.sent = True
+        self._sent_ms = self._pool.now_ms()
         try:
             return await self._async_read(connection)
         except ConnectionBroken as error:
@@ -155,12 +167,23 @@
             return None
         watch, self._end_watch = self._end_watch, None
         watch = watch or self._ends.watch(self.entry, connection)
-        verdict = await self._ends.async_check(watch, request_id=self._request.request_id)
+        verdict = await self._ends.async_check(
+            watch, request_id=self._request.request_id, patience_ms=self._end_patience_ms
+        )
+        self._doubted = watch if verdict is EndVerdict.DOUBTED else None
         leaving = self.metadata is not None and self.metadata.draining
         leaving = leaving or self._ends.is_leaving(self.entry)
         self.may_have_crashed = verdict.shows_death and not leaving
         return None if verdict.complete else f"ended with its upstream: {verdict.value}"
 
+    def make_doubt_question(self) -> Callable[[], Awaitable[bool]] | None:
+        """Return what tells whether a doubted answer was complete, None if it wasn't doubted."""
+        if self._doubted is None:
+            return None
+        return partial(
+            self._ends.async_settle_doubt, self._doubted, request_id=self._request.request_id
+        )
+
     def make_cut_question(self) -> Callable[[], Awaitable[bool | None]] | None:
         """Return what tells whether the upstream outlived a stream that has broken off.
 
@@ -259,6 +282,7 @@
                 self._on_head(self.entry, metadata)
             request_id = metadata.request_id
             if request_id == self._request.request_id:
+                self._pool.note_answered(self.entry, connection, sent_ms=self._sent_ms)
                 return answer
             if request_id is None and not self.reused and connection.exchanges == 1:
                 return answer
