--- a/bench/soak_death_checks.py
+++ b/bench/soak_death_checks.py
@@ -150,7 +150,7 @@
         answer, several = call.answer, runs.get(call.answer.request_id, ())
         after = last.get(answer.request_id, 0)
         found = _find_fault(call, several, after) if answer.status == 200 else None
-        if found == SHORT and several[-1].begun.run in living:
+        if found == SHORT and _find_shown(answer, several) in living:
             found = ID_LIVES
         if found is not None:
             sent = "; ".join(str(run) for run in several)
@@ -160,6 +160,14 @@
             yield Violation(guarantee=found, request_id=answer.request_id, detail=detail)
 
 
+def _find_shown(answer: Answer, runs: Sequence[SentRun]) -> str:
+    """Return the run of the last event that a caller got, or the only one of its request."""
+    pieces = list_pieces(answer)
+    if pieces:
+        return pieces[-1].run
+    return runs[0].begun.run if len(runs) == 1 else ""
+
+
 def _find_fault(call: OverlapCall, runs: Sequence[SentRun], last: int) -> str | None:
     """Return the guarantee that an answer breaks."""
     pieces = list_pieces(call.answer)
@@ -175,13 +183,13 @@
         return None
     missing = (call.tokens or PLAIN_PARTS) - last - len(numbers)
     if missing:
-        is_left_out = missing == 1 and _ends_without_event(runs, last + len(numbers))
+        is_left_out = missing == 1 and ends_without_event(runs, last + len(numbers))
         return LAST_LEFT_OUT if is_left_out else SHORT
     parts = (make_part(piece.run, piece.number, is_stream=bool(call.tokens)) for piece in pieces)
     return None if call.answer.content == b"".join(parts) else "altered"
 
 
-def _ends_without_event(runs: Sequence[SentRun], last: int) -> bool:
+def ends_without_event(runs: Sequence[SentRun], last: int) -> bool:
     """Return whether the last run was asked to go on after an event, and ended in order at once."""
     run = runs[-1]
     is_ended = run.end is not None and run.end.kind is NoteKind.ENDED
@@ -225,6 +233,6 @@
         run.begun.run
         for several in runs.values()
         for run in several
-        if (run.is_killed and run.process in workers)
+        if (run.end is None and run.process in workers)
         or (run.end is not None and run.end.kind is NoteKind.GONE and run.is_cut(cuts))
     }
--- a/bench/soak_death_figures.py
+++ b/bench/soak_death_figures.py
@@ -13,7 +13,7 @@
 
 from bench.raw_caller import End
 from bench.soak_checks import Violation
-from bench.soak_death_checks import ID_LIVES, Cut, Runs, list_pieces
+from bench.soak_death_checks import ID_LIVES, Cut, Runs, ends_without_event, list_pieces
 from bench.soak_overlap_callers import OverlapCall
 from bench.soak_stops import Stop, find_stop
 from bench.upstream_host import PLAIN_PARTS, NoteKind, UpstreamFraming
@@ -63,7 +63,8 @@
     for call in calls:
         answer = call.answer
         pieces = list_pieces(answer) if answer.status == 200 else []
-        for run in runs.get(answer.request_id, ()):
+        several = runs.get(answer.request_id, ())
+        for run in several:
             is_complete = bool(run.numbers) and run.numbers[-1] == (call.tokens or PLAIN_PARTS)
             if run.begun.framing is not UpstreamFraming.NEITHER or not run.numbers or is_complete:
                 continue
@@ -74,6 +75,8 @@
             else:
                 continue
             is_shown = bool(pieces) and pieces[-1].run == run.begun.run
+            # The run that was asked to go on has ended in order, and had nothing to send.
+            is_shown = is_shown and not ends_without_event(several, run.numbers[-1])
             outcome = "whole" if is_shown and answer.end is End.WHOLE else "broken"
             counts.setdefault(manner, Counter())[outcome] += 1
     return counts
--- a/bench/upstream_proxy.py
+++ b/bench/upstream_proxy.py
@@ -62,8 +62,10 @@
     ) -> None:
         try:
             upstream = await asyncio.open_connection("127.0.0.1", self._plan.target)
-        except OSError:
-            if self._plan.forwarding is not Forwarding.CLOSES:
+        except OSError as error:
+            # An upstream that resets a connection beyond its limit is not gone.
+            is_gone = isinstance(error, ConnectionRefusedError)
+            if is_gone and self._plan.forwarding is not Forwarding.CLOSES:
                 await _async_drop(reader)
             await _async_close(writer)
             return
--- a/tests/bench/test_bench_soak_deaths.py
+++ b/tests/bench/test_bench_soak_deaths.py
@@ -114,6 +114,13 @@
     assert list_living(runs, {"i-a/2"}, ()) == set()
     assert find(call, killed, living={FIRST}) == [ID_LIVES]
     assert find(call, killed, living={SECOND}) == ["short as whole"]
+    # The caller got nothing of another run that was still under way.
+    later = make_run(SECOND, [1])
+    assert find(call, killed, later, living={FIRST}) == [ID_LIVES]
+    assert find(call, killed, later, living={SECOND}) == ["short as whole"]
+    unsent = SentRun(begun=killed.begun, numbers=[])
+    assert list_living({"a": [unsent]}, {process}, ()) == {FIRST}
+    assert find(make_call(), unsent, living={FIRST}) == [ID_LIVES]
     gone = make_run(FIRST, [1, 2, 3])
     gone.end = Note(kind=NoteKind.GONE, at_s=2.0, run=FIRST)
     for at_s, is_living in ((2.1, True), (2.0 + 2 * LIVED_S, False)):
