A pause of the router does not hide the answer to a question about an upstream

Callers saw complete streams broken off where the router stood still while the question behind their end was under way: after a pause of 2.5 s the timeout fired before the answer was read, which had arrived meanwhile, and the upstream counted as silent.

The question waits in halves, as async_connect does, so that the second half begins after the pause.

--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -421,9 +421,16 @@
 
     Raises ConnectFailed.
     """
+    asking = asyncio.ensure_future(question)
     try:
-        async with asyncio.timeout(max(1, timeout_ms) / MS_PER_S):
-            answer = await question
+        # In halves: after a pause of this process that is longer than the timeout, an answer that
+        # arrived meanwhile is still read in the second one.
+        for _ in range(2):
+            if not asking.done():
+                await asyncio.wait((asking,), timeout=max(1, timeout_ms) / 2 / MS_PER_S)
+        if not asking.done():
+            raise TimeoutError
+        answer = asking.result()
     except (ConnectionBroken, TimeoutError) as error:
         dropped = not connection.open
         connection.close()
@@ -433,6 +440,8 @@
     except BaseException:
         connection.close()
         raise
+    finally:
+        asking.cancel()
     connection.finish()
     return answer
 
--- a/tests/forwarding/test_forwarding_end_questions.py
+++ b/tests/forwarding/test_forwarding_end_questions.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import time
 
 import pytest
 from cut_heads import read_head
@@ -144,3 +145,16 @@
     assert seen == Seen(200, True, make_answer())
     # A question that is not answered takes two seconds and more.
     assert took_s < 2.0
+
+
+# Guards against a complete answer that is broken off, as this process stood still while the answer
+# to the question behind it arrived.
+@WORLDS
+async def test_complete_answer_is_broken_off_by_a_pause_of_the_router(
+    dying: DyingWorld, states_start: bool
+) -> None:
+    await dying.async_add(ending="pause", states_start=states_start)
+    asked = asyncio.create_task(dying.async_ask("r1", "/draft/a", events=True))
+    await asyncio.sleep(0.5)
+    time.sleep(2.5)  # noqa: ASYNC251
+    assert await asked == Seen(200, True, make_answer())
