Bytes that a slow caller took late hid the crash of their upstream

Where a caller is slow, the kernel of an upstream that has died goes on to send what it wrote. Each piece that the caller made room for counted as a sign of life after the break of another answer: the crash was not counted, and subjects at that upstream counted as survived. A request that crashes upstreams is then sent on for longer (BUDGET).

Pieces of an answer whose reading was paused are now no sign of life; they still show that its run has begun.

--- a/gypsumrouter/crashes/guard.py
+++ b/gypsumrouter/crashes/guard.py
@@ -161,9 +161,15 @@
             upstream=upstream, request_id=request_id, subjects=subjects, now_ms=now_ms
         )
 
-    def note_received(self, run: Run) -> None:
-        """Record that a piece of the response to a run has arrived."""
-        self._note_survivors(self._runs.note_received(run, now_ms=self._app.clock.now_ms()))
+    def note_received(self, run: Run, *, shows_life: bool = True) -> None:
+        """Record that a piece of the response to a run has arrived.
+
+        Unless it `shows_life`, its upstream may have sent it long ago.
+        """
+        now_ms = self._app.clock.now_ms()
+        self._runs.note_begun(run, now_ms=now_ms)
+        if shows_life:
+            self._note_survivors(self._runs.note_life(run.upstream, now_ms=now_ms))
 
     def note_life(self, upstream: str) -> None:
         """Record that an upstream has responded to something."""
--- a/gypsumrouter/crashes/runs.py
+++ b/gypsumrouter/crashes/runs.py
@@ -95,19 +95,16 @@
         """Record that an attempt is over."""
         run.ended_ms = now_ms
 
-    def note_received(self, run: Run, *, now_ms: int) -> list[Run]:
-        """Record a piece of a run's response; return the runs that have survived by now."""
+    def note_begun(self, run: Run, *, now_ms: int) -> None:
+        """Record that a piece of a run's response has arrived."""
         known = self._upstreams.get(run.upstream)
-        if known is None:
-            return []
-        if run.begun_ms is None:
+        if known is not None and run.begun_ms is None:
             run.begun_ms = now_ms
             known.waiting.pop(run, None)
             known.begun.append(run)
-        return self._take_survivors(known, now_ms)
 
     def note_life(self, upstream: str, *, now_ms: int) -> list[Run]:
-        """Record any response of an upstream; return the runs that have survived by now."""
+        """Record a sign that an upstream lives; return the runs that have survived by now."""
         known = self._upstreams.get(upstream)
         return [] if known is None else self._take_survivors(known, now_ms)
 
--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -128,6 +128,14 @@
         """Return how it is known which start of the upstream the connection leads to."""
         return StartSource.UNKNOWN if self._connection is None else self._connection.start_source
 
+    @property
+    def shows_life(self) -> bool:
+        """Return whether a part of the answer that is taken now shows that the upstream lives.
+
+        The kernel of a process that has ended goes on to send what waits for a slow caller.
+        """
+        return self._connection is None or not self._connection.was_paused
+
     def prove_start(self) -> StartProof | None:
         """Return the proof of the start that the connection leads to, None without one."""
         if self._connection is None:
--- a/gypsumrouter/forwarding/outcome_recorder.py
+++ b/gypsumrouter/forwarding/outcome_recorder.py
@@ -160,10 +160,10 @@
         if self._run is not None:
             self._run.has_head = True
 
-    def note_received(self) -> None:
+    def note_received(self, *, shows_life: bool) -> None:
         """Record that a piece of the response of the present run has arrived."""
         if self._run is not None:
-            self._guard.note_received(self._run)
+            self._guard.note_received(self._run, shows_life=shows_life)
 
     def note_completed(self) -> None:
         """Record that the response of the present run is complete."""
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -208,7 +208,7 @@
         """Record that a piece of the response has arrived."""
         self.heard_ms = self._context.app.clock.now_ms()
         self._context.placer.health.note_received(self.upstream)
-        self.observer.note_received()
+        self.observer.note_received(shows_life=self.attempt.shows_life)
 
     def note_outcome(self, outcome: Outcome) -> None:
         """Record what the outcome says of the upstream's speed and of what it holds."""
