--- a/tests/forwarding/test_forwarding_outlived_listeners.py
+++ b/tests/forwarding/test_forwarding_outlived_listeners.py
@@ -10,7 +10,11 @@
 from outliving_relay import Behaviour, OutlivingRelay
 from unframed_upstream import make_answer
 
+from gypsumrouter.crashes.guard import SETTLE_MS
+
 HELD = 3
+# The crash guard judges a lost connection within this time, with room for a busy machine.
+JUDGED_S = 5 * SETTLE_MS / 1_000
 STREAMS = 4
 WORLDS = pytest.mark.parametrize("states_start", [True, False], ids=["start", "no_start"])
 
@@ -92,3 +96,21 @@
     await relayed.async_add(Behaviour.SILENT, states_start=states_start)
     asked = [relayed.world.async_ask(f"r{i}", "/draft/a", events=True) for i in range(STREAMS)]
     assert set(await asyncio.gather(*asked)) == {Seen(200, True, make_answer())}
+
+
+# Guards against prompts that crash upstream after upstream, since a crash shows only by a listener
+# that refuses connections.
+@WORLDS
+@pytest.mark.parametrize("behaviour", [Behaviour.SILENT, Behaviour.CLOSES])
+async def test_crash_of_an_upstream_is_overlooked_as_its_listener_accepts_connections(
+    relayed: RelayedWorld, behaviour: Behaviour, states_start: bool
+) -> None:
+    upstream = await relayed.async_add(behaviour, states_start=states_start, held=HELD)
+    asked = await relayed.async_begin_streams(upstream)
+    await upstream.async_end()
+    await asyncio.gather(*asked)
+    await asyncio.sleep(JUDGED_S)
+    suspects = relayed.world.product.app.dump()["suspects"]
+    assert isinstance(suspects, dict)
+    # Subjects with an implication in a crash.
+    assert suspects["judged"] > 0
