Only a refusal for lack of room or time is a word of the upstream that was asked

Each process may refuse a health check with 400 and "not run", as it has no id, before it reads for which upstream it is meant.

--- a/gypsumrouter/forwarding/responders.py
+++ b/gypsumrouter/forwarding/responders.py
@@ -14,7 +14,8 @@
 # What a request line can carry.
 PATH: Final = re.compile(r"/[!-~]*")
 STATUS_MISDIRECTED: Final = 421
-FULL_STATUSES: Final = frozenset({429, 503})
+# Any process may reject a request without an id before it reads for whom it is meant.
+REFUSAL_STATUSES: Final = frozenset({408, 429, 503})
 # How long a health check waits for a slot of its upstream.
 DEADLINE_MS: Final = 200
 
@@ -62,5 +63,5 @@
         if metadata.instance is not None:
             is_meant = metadata.instance.strip() == upstream
             return Responder.UPSTREAM if is_meant else Responder.OTHER
-        is_full = metadata.not_run and answer.status in FULL_STATUSES
-        return Responder.UPSTREAM if is_full else Responder.UNKNOWN
+        is_refused = metadata.not_run and answer.status in REFUSAL_STATUSES
+        return Responder.UPSTREAM if is_refused else Responder.UNKNOWN
