--- a/bench/soak_death_checks.py
+++ b/bench/soak_death_checks.py
@@ -234,5 +234,5 @@
         for several in runs.values()
         for run in several
         if (run.end is None and run.process in workers)
-        or (run.end is not None and run.end.kind is NoteKind.GONE and run.is_cut(cuts))
+        or (run.end is not None and run.is_cut(cuts))
     }
