--- a/bench/soak_deaths.py
+++ b/bench/soak_deaths.py
@@ -264,7 +264,9 @@
         await rig.async_stop()
     calls, runs, lines = callers.calls, read_runs(notes), rig.read_journals()
     last = {request_id: rest.last for request_id, rest in callers.taken_up.items()}
-    work, sound = make_work(runs), list_sound(calls, runs, deaths.made, deaths.cuts)
+    listed = deaths.listed if deaths.states_start else None
+    work = make_work(runs)
+    sound = list_sound(calls, runs, deaths.made, deaths.cuts, listed)
     ran = {name: Ran(runs=len(several), needed_s=0.0) for name, several in runs.items()}
     once = [call for call in calls if call.route in ONCE]
     workers = {process for process, front in deaths.fronts.items() if front is Front.WORKERS}
@@ -277,7 +279,7 @@
         deaths.made,
         cuts=deaths.cuts,
         fronts=deaths.fronts,
-        listed=deaths.listed if deaths.states_start else None,
+        listed=listed,
     )
     violations = [
         *check_stops(stops.made),
--- a/tests/bench/test_bench_soak_deaths.py
+++ b/tests/bench/test_bench_soak_deaths.py
@@ -218,6 +218,7 @@
     for listed, is_apart in (({process: 1.0}, True), ({}, True), ({process: -1.0}, False)):
         ends = measure_ends(calls, runs, [], {}, listed=listed)
         assert (ends.unlisted["broken"], ends.ended) == ((1, 0) if is_apart else (0, 1))
+        assert list_sound(calls, runs, {}, (), listed) == ([] if is_apart else calls)
     assert measure_ends(calls, runs, [], {}).broken == ["a"]
 
 
