--- a/bench/soak_death_checks.py
+++ b/bench/soak_death_checks.py
@@ -83,6 +83,13 @@
             return False
         return not self.is_cut(cuts)
 
+    def has_outlived(self, answer: Answer, deaths: Mapping[str, float]) -> bool:
+        """Return whether its upstream lived when its caller had the answer.
+
+        A proxy that stood still, or a caller, may have held up the end. The upstream is asked then.
+        """
+        return deaths.get(self.process, math.inf) > answer.ended_s
+
     def is_listed(self, listed: Mapping[str, float] | None) -> bool:
         """Return whether the list showed its start when it began, and not one before.
 
@@ -237,14 +244,15 @@
     `listed` is as in `SentRun.is_listed`, which concerns answers that end with their connections.
     """
 
-    def is_sound(run: SentRun) -> bool:
-        is_unframed = run.begun.framing is UpstreamFraming.NEITHER
+    def is_sound(call: OverlapCall, run: SentRun) -> bool:
         if not run.goes_on or not run.has_lived(deaths, cuts):
             return False
-        return not is_unframed or run.is_listed(listed)
+        if run.begun.framing is not UpstreamFraming.NEITHER:
+            return True
+        return run.is_listed(listed) and run.has_outlived(call.answer, deaths)
 
     several = ((call, runs.get(call.answer.request_id, ())) for call in calls)
-    return [call for call, some in several if all(map(is_sound, some))]
+    return [call for call, some in several if all(is_sound(call, run) for run in some)]
 
 
 def list_living(runs: Runs, workers: Collection[str], cuts: Collection[Cut]) -> set[str]:
--- a/bench/soak_death_figures.py
+++ b/bench/soak_death_figures.py
@@ -143,6 +143,8 @@
             continue
         if end is None or end.kind is not NoteKind.ENDED or not run.has_lived(deaths, cuts):
             continue
+        if not run.has_outlived(answer, deaths):
+            continue
         is_whole = answer.end is End.WHOLE
         if not run.is_listed(listed):
             ends.unlisted["whole" if is_whole else "broken"] += 1
--- a/tests/bench/test_bench_soak_deaths.py
+++ b/tests/bench/test_bench_soak_deaths.py
@@ -208,6 +208,10 @@
     assert measure_ends(broken, runs, [], lived).broken == ["a"]
     assert measure_ends(broken, runs, [], died).ended == 0
     assert list_sound(broken, runs, lived) == broken
+    # The caller has had its end after the death, which is when the upstream could be asked.
+    broken[0].answer.ended_s = lived[process] + 1.0
+    assert measure_ends(broken, runs, [], lived).ended == 0
+    assert list_sound(broken, runs, lived) == []
     assert list_sound(broken, runs, died) == []
 
 
