Test servers of health checks close their connections

Connections that were left to the garbage collector raised in the event loop that was closed by then, and ended pytest's summary with an error in some runs of one file alone.

--- a/tests/forwarding/test_forwarding_end_questions.py
+++ b/tests/forwarding/test_forwarding_end_questions.py
@@ -76,6 +76,7 @@
         self._busy_s = busy_s
         self._server: asyncio.Server | None = None
         self._free_s = 0.0
+        self._writers: list[asyncio.StreamWriter] = []
         self.address = Address(host="127.0.0.1", port=0)
 
     async def async_start(self) -> None:
@@ -85,13 +86,16 @@
         self.address = Address(host=host, port=port)
 
     def stop(self) -> None:
-        """Close the listener."""
+        """Close the listener and all connections."""
         if self._server is not None:
             self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
 
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.append(writer)
         try:
             while True:
                 target, headers = read_head(await reader.readuntil(b"\r\n\r\n"))
--- a/tests/forwarding/test_forwarding_responders.py
+++ b/tests/forwarding/test_forwarding_responders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -31,11 +32,17 @@
     async def async_serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.readuntil(b"\r\n\r\n")
         writer.write(f"HTTP/1.1 {head}\r\nContent-Length: 0\r\n\r\n".encode())
+        with contextlib.suppress(ConnectionError):
+            await reader.read()
+        writer.close()
+        closed.set()
 
+    closed = asyncio.Event()
     server = await asyncio.start_server(async_serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()[:2]
     connection = await async_connect(address=Address(host=host, port=port), timeout_ms=1_000)
     check = HealthCheck(dialect=PlatformDialect())
     assert await check(connection, path="/health", upstream="i-1") is expected
     connection.close()
+    await closed.wait()
     server.close()
