The relay of dying upstreams does not close in turn because a caller has ended a connection

test_stream_of_a_dead_upstream_looks_whole_as_its_listener_accepts_connections[closes one after the other-start] failed beside load though the router was right: the router closed the connection of its question at the head, and the relay took that for the end of the process, so that it closed a stream while the upstream lived. The trace shows "alive" 2 ms before the SIGKILL.

The relay begins to close only at an end that the process has made.

--- a/tests/forwarding/outliving_relay.py
+++ b/tests/forwarding/outliving_relay.py
@@ -61,13 +61,20 @@
             return
         requests = asyncio.create_task(_async_copy(reader, onward))
         self._tasks.add(requests)
-        self._tasks.add(asyncio.create_task(self._async_answer(behind, writer)))
+        self._tasks.add(asyncio.create_task(self._async_answer(behind, reader, writer)))
 
     async def _async_answer(
-        self, behind: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        behind: asyncio.StreamReader,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
         await _async_copy(behind, writer)
-        if self._behaviour is not Behaviour.STAGGERED:
+        has_caller_ended = (
+            reader.at_eof() or reader.exception() is not None or writer.transport.is_closing()
+        )
+        # Not if the caller has ended it, while the process lives.
+        if self._behaviour is not Behaviour.STAGGERED or has_caller_ended:
             writer.close()
         elif self._closing is None:
             self._closing = asyncio.create_task(self._async_close_in_turn())
