--- a/tests/forwarding/stating_upstream.py
+++ b/tests/forwarding/stating_upstream.py
@@ -25,6 +25,9 @@
         # None for one whose answer has none.
         self.started_ms: int | None = STARTED_MS
         self.is_silent = False
+        # Cleared while connections wait for a start that accepts them.
+        self.answering = asyncio.Event()
+        self.answering.set()
         # Who answers a question for its id.
         self.responder = Responder.UPSTREAM
         # Whether it resets each connection that it accepts, and answers no question.
@@ -74,6 +77,7 @@
         self.questions += 1
         if self.is_silent:
             await asyncio.Event().wait()
+        await self.answering.wait()
         if self.drops or not await self._async_is_kept(connection):
             await async_until(lambda: not connection.open)
             raise ConnectionBroken("reset")
--- a/tests/forwarding/test_forwarding_end_evidence.py
+++ b/tests/forwarding/test_forwarding_end_evidence.py
@@ -192,6 +192,32 @@
     assert await checked.async_check(connection) is EndVerdict.RESTARTED
 
 
+# Guards against the answer of an unlisted start that has ended, taken for one of its successor, as
+# that answers on a connection that the kernel had accepted before: a parent process listens.
+async def test_start_that_takes_over_a_queued_connection_counts_as_the_sender(
+    checked: Checked,
+) -> None:
+    checked.upstream.started_ms = STARTED_MS + 1
+    connection, peer = await checked.async_open()
+    await async_begin_answer(connection, peer)
+    await asyncio.sleep(3 * RESTART_MS / 1_000)
+    checked.checks.ask_start(checked.entry, connection)
+    await async_until(lambda: checked.pool.get_other_start(checked.entry) is not None)
+    checked.upstream.answering.clear()
+    queued = asyncio.create_task(
+        checked.pool.async_confirm(checked.entry, health_path="/health", timeout_ms=2_000)
+    )
+    await async_until(lambda: len(checked.upstream.accepted) == 3)
+    await asyncio.sleep(2 * SETTLE_MS / 1_000)
+    checked.upstream.started_ms = STARTED_MS + 2
+    peer.close()
+    await async_until(lambda: connection.ended_ms)
+    checked.upstream.answering.set()
+    assert await checked.async_check(connection) is EndVerdict.RESTARTED
+    with pytest.raises(ConnectFailed):
+        await queued
+
+
 # Guards against a question beside each answer where the start is known.
 async def test_known_start_is_asked_beside_an_answer(checked: Checked) -> None:
     await checked.pool.async_confirm(checked.entry, health_path="/health", timeout_ms=500)
