A start is known to be there when it states itself, not when its address accepts a connection

The time before the end is now that of the statement. The unit test has the case of a listener that was there before.

--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -312,6 +312,7 @@
             other = OtherStart(
                 started_ms=connection.peer_started_ms or NOT_STATED,
                 listens_ms=connection.opened_ms,
+                stated_ms=self._app.clock.now_ms(),
             )
             self._starts.note_contradicted(entry, other)
             raise ConnectFailed("another start of the upstream has its address", other_start=True)
--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -89,11 +89,11 @@
     """Return whether a start that isn't listed has given an answer, and not the one before it.
 
     The answer came on a connection that was opened at `opened_ms` and open until `ended_ms`. The
-    connections of a start that ends are closed before the next one listens.
+    connections of a start that ends are closed before the next one states itself.
     """
     if other.listens_ms < opened_ms + RESTART_MS:
         return True
-    return other.listens_ms + SETTLE_MS <= ended_ms
+    return other.stated_ms + SETTLE_MS <= ended_ms
 
 
 class Probe(Struct, frozen=True, kw_only=True):
--- a/gypsumrouter/forwarding/starts.py
+++ b/gypsumrouter/forwarding/starts.py
@@ -71,11 +71,13 @@
 class OtherStart(Struct, frozen=True, kw_only=True):
     """A start that an upstream has stated and that isn't the listed one.
 
-    `listens_ms` is when a connection to it was first known to be open (monotonic milliseconds).
+    A connection to it was first known to be open at `listens_ms`, and it first stated itself at
+    `stated_ms` (monotonic milliseconds): what listens for it may have listened before it was there.
     """
 
     started_ms: int
     listens_ms: int
+    stated_ms: int
 
 
 class UpstreamStarts:
@@ -149,7 +151,11 @@
         """Record that an upstream has stated another start than its entry."""
         known = self._contradicted.get(entry.incarnation)
         if known is not None and known.started_ms == other.started_ms:
-            other = min(known, other, key=lambda start: start.listens_ms)
+            other = OtherStart(
+                started_ms=other.started_ms,
+                listens_ms=min(known.listens_ms, other.listens_ms),
+                stated_ms=min(known.stated_ms, other.stated_ms),
+            )
         self._contradicted[entry.incarnation] = other
 
     def get_other(self, entry: Entry) -> OtherStart | None:
--- a/tests/forwarding/test_forwarding_end_evidence.py
+++ b/tests/forwarding/test_forwarding_end_evidence.py
@@ -201,22 +201,23 @@
     assert checked.upstream.questions == 1
 
 
-# Guards against an answer of a start that had ended, taken for one of the start behind it.
+# Guards against an answer of a start that had ended, taken for one of the start behind it: a parent
+# or the kernel may listen for that before it is there.
 @pytest.mark.parametrize(
-    ("listens_ms", "ended_ms", "is_other"),
+    ("listens_ms", "stated_ms", "ended_ms", "is_other"),
     [
-        (4_000, 5_001, True),
-        (5_000 + RESTART_MS - 1, 5_001, True),
-        (5_000 + RESTART_MS, 5_001, False),
-        (ENDED_MS - SETTLE_MS, ENDED_MS, True),
-        (ENDED_MS - SETTLE_MS + 1, ENDED_MS, False),
-        (ENDED_MS + SETTLE_MS, ENDED_MS, False),
+        (4_000, 5_500, 5_001, True),
+        (5_000 + RESTART_MS - 1, 5_500, 5_001, True),
+        (5_000 + RESTART_MS, 5_500, 5_001, False),
+        (6_000, ENDED_MS - SETTLE_MS, ENDED_MS, True),
+        (6_000, ENDED_MS - SETTLE_MS + 1, ENDED_MS, False),
+        (6_000, ENDED_MS + SETTLE_MS, ENDED_MS, False),
     ],
 )
 def test_start_that_was_not_there_yet_gave_the_answer(
-    listens_ms: int, ended_ms: int, is_other: bool
+    listens_ms: int, stated_ms: int, ended_ms: int, is_other: bool
 ) -> None:
-    other = OtherStart(started_ms=STARTED_MS + 1, listens_ms=listens_ms)
+    other = OtherStart(started_ms=STARTED_MS + 1, listens_ms=listens_ms, stated_ms=stated_ms)
     assert is_answer_of_other(other, opened_ms=5_000, ended_ms=ended_ms) is is_other
 
 
