--- a/bench/soak_connections.py
+++ b/bench/soak_connections.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import time
-from collections.abc import Iterator, Sequence
+from collections import Counter
+from collections.abc import Iterable, Iterator, Sequence
 from itertools import count
 from typing import Final
 
@@ -32,6 +33,8 @@
 class FirstTry(Struct, frozen=True, kw_only=True):
     """One request on a new connection; `status` is 0 if it was read and not answered.
 
+    `error` names the exception of one without an answer.
+
     `read` is false if the connection was refused, or closed without a byte of a response before the
     time that a caller allows for it.
     """
@@ -41,6 +44,7 @@
     surged: bool
     read: bool
     status: int = 0
+    error: str = ""
 
 
 class ConnectionCallers:
@@ -92,7 +96,7 @@
             }
         method = "GET" if kind == "lookup" else "POST"
         sent_s = time.monotonic()
-        status, read = 0, True
+        status, read, error = 0, True, ""
         try:
             async with (
                 asyncio.timeout(2 * DEADLINE_MS / 1_000),
@@ -102,12 +106,19 @@
             ):
                 await response.read()
                 status = response.status
-        except (aiohttp.ClientConnectorError, aiohttp.ServerTimeoutError):
-            read = False
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            pass
+        except (aiohttp.ClientConnectorError, aiohttp.ServerTimeoutError) as failure:
+            read, error = False, type(failure).__name__
+        except (aiohttp.ClientError, OSError, TimeoutError) as failure:
+            error = type(failure).__name__
         self.tries.append(
-            FirstTry(forwarder=forwarder, sent_s=sent_s, surged=surged, read=read, status=status)
+            FirstTry(
+                forwarder=forwarder,
+                sent_s=sent_s,
+                surged=surged,
+                read=read,
+                status=status,
+                error=error,
+            )
         )
 
 
@@ -118,14 +129,21 @@
         return
     since_s = min(item.sent_s for item in surged) + SETTLE_S
     usual = _get_served_share([item for item in tries if not item.surged])
-    later = _get_served_share([item for item in surged if item.sent_s >= since_s])
+    settled = [item for item in surged if item.sent_s >= since_s]
+    later = _get_served_share(settled)
     if usual is not None and later is not None and later < MIN_SHARE * usual:
         yield Violation(
             guarantee="served less often on new connections to one forwarder",
-            detail=f"{later:.2f} of the requests, {usual:.2f} before",
+            detail=f"{later:.2f} of the requests, {usual:.2f} before: {_count_ends(settled)}",
         )
 
 
+def _count_ends(tries: Iterable[FirstTry]) -> str:
+    """Return how often requests to each forwarder ended with each status or exception."""
+    ends = Counter((item.forwarder, item.error or str(item.status)) for item in tries)
+    return ", ".join(f"{end} at {number} ({n})" for (number, end), n in sorted(ends.items()))
+
+
 def _get_served_share(tries: Sequence[FirstTry]) -> float | None:
     read = [item for item in tries if item.read]
     if len(read) < MIN_REQUESTS:
