--- a/bench/upstream_host.py
+++ b/bench/upstream_host.py
@@ -24,6 +24,7 @@
 from msgspec import Struct
 
 from bench.forked_child import async_serve_commands, prepare
+from gypsumrouter.const import MS_PER_S
 from gypsumrouter.helpers.numbers import read_number
 from gypsumrouter.platform import names
 from gypsumrouter.standins.listener import PortReservation, reset_transport
@@ -192,20 +193,25 @@
         return web.json_response({"busy": False, "sequence": 0, **start})
 
     async def _async_get_health(self, request: web.Request) -> web.StreamResponse:
-        async with self._async_take_slot() as is_taken:
+        async with self._async_take_slot(request) as is_taken:
             if not is_taken:
                 return self._refuse(request, names.STATUS_UNAVAILABLE)
             return web.Response(headers={INSTANCE_ID: self._plan.name})
 
     @asynccontextmanager
-    async def _async_take_slot(self) -> AsyncIterator[bool]:
-        """Wait for a slot; yields False if too many requests wait."""
+    async def _async_take_slot(self, request: web.Request) -> AsyncIterator[bool]:
+        """Wait for a slot; yields False if too many wait, or the deadline passes meanwhile."""
         if self._waiting >= self._plan.slots:
             yield False
             return
+        deadline_ms = read_number(request.headers.get(names.DEADLINE))
         self._waiting += 1
         try:
-            await self._slots.acquire()
+            async with asyncio.timeout(None if deadline_ms is None else deadline_ms / MS_PER_S):
+                await self._slots.acquire()
+        except TimeoutError:
+            yield False
+            return
         finally:
             self._waiting -= 1
         try:
@@ -215,7 +221,7 @@
 
     async def _async_serve(self, request: web.Request) -> web.StreamResponse:
         await request.read()
-        async with self._async_take_slot() as is_taken:
+        async with self._async_take_slot(request) as is_taken:
             if not is_taken:
                 return self._refuse(request, names.STATUS_UNAVAILABLE)
             return await self._async_run(request)
--- a/tests/bench/test_bench_hosted_upstream.py
+++ b/tests/bench/test_bench_hosted_upstream.py
@@ -70,11 +70,13 @@
     return await asyncio.open_connection(address.host, address.port)
 
 
-async def async_ask(connection: Connection, path: str, expected: str = "") -> tuple[int, str]:
+async def async_ask(
+    connection: Connection, path: str, expected: str = "", *, more: str = ""
+) -> tuple[int, str]:
     """Ask on a connection; return the status and the whole head and body, 0 if it ends."""
     reader, writer = connection
     expects = f"{names.EXPECT_INSTANCE}: {expected}\r\n" if expected else ""
-    writer.write(f"GET {path} HTTP/1.1\r\nHost: a\r\n{expects}\r\n".encode())
+    writer.write(f"GET {path} HTTP/1.1\r\nHost: a\r\n{expects}{more}\r\n".encode())
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except (asyncio.IncompleteReadError, ConnectionResetError):
@@ -119,6 +121,12 @@
     assert await async_is_silent(connections[1])
     status, text = await async_ask(connections[2], HEALTH_PATH)
     assert (status, f"{names.NOT_RUN}: 1\r\n" in text) == (503, True)
+    connections[1][1].close()
+    # Its deadline passes while it waits.
+    waiting = await async_connect(upstream.address)
+    status, text = await async_ask(waiting, HEALTH_PATH, more=f"{names.DEADLINE}: 50\r\n")
+    assert (status, f"{names.NOT_RUN}: 1\r\n" in text) == (503, True)
+    waiting[1].close()
     # A report needs no slot.
     status, _ = await async_ask(connections[3], names.CALL_REPORT)
     assert status == 200
