Test of a gap behind a run that shows its step in a stream that was taken up, known red

The step from the caller's own id, 15 to 17, makes the ids count as rising in other steps than one, though all that this router has relayed rose by one.

--- a/tests/forwarding/test_forwarding_event_order.py
+++ b/tests/forwarding/test_forwarding_event_order.py
@@ -171,6 +171,14 @@
     assert splitter.fault is OrderFault.GAP
 
 
+def test_gap_behind_events_that_rise_one_by_one_passes_as_the_id_of_the_caller_is_further() -> None:
+    """Guards against a piece that is missing behind a run that has shown its own step."""
+    splitter = EventSplitter(taken_up_after="15")
+    relay(splitter, make_events(17, 18, 19, 20, 21))
+    assert relay(splitter, make_events(23, 24)) == b""
+    assert splitter.fault is not None
+
+
 def test_events_that_rise_unevenly_within_the_run_of_their_caller_pass() -> None:
     splitter = EventSplitter(taken_up_after="5")
     assert relay(splitter, make_events(8, 11, 19)) == make_events(8, 11, 19)
