The relay of dying upstreams closes its connections to the process behind it

The interpreter (3.11.6) raises that where another parse runs inside one: the formatting of a traceback parses, too, here that of the exception in StreamWriter.__del__ behind a closed event loop, by a garbage collection. That this was the trigger is by reading, not shown by a run.

--- a/tests/forwarding/outliving_relay.py
+++ b/tests/forwarding/outliving_relay.py
@@ -27,6 +27,8 @@
         self._behaviour = behaviour
         self._server: asyncio.Server | None = None
         self._accepted: list[asyncio.StreamWriter] = []
+        # Connections to the process behind it.
+        self._onward: list[asyncio.StreamWriter] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._closing: asyncio.Task[None] | None = None
         # The port of the process behind it; a test may put another one in its place.
@@ -46,7 +48,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for writer in self._accepted:
+        for writer in self._accepted + self._onward:
             writer.transport.abort()
 
     async def _async_accept(
@@ -59,6 +61,7 @@
             if self._behaviour is Behaviour.CLOSES:
                 writer.close()
             return
+        self._onward.append(onward)
         requests = asyncio.create_task(_async_copy(reader, onward))
         self._tasks.add(requests)
         self._tasks.add(asyncio.create_task(self._async_answer(behind, reader, writer)))
