Steps of ids are counted within the runs of a stream, not from the id that its caller named

Cause: the id that the caller named counted as the first of the relayed ones. A first run that began further than one behind it made the whole stream look as if its ids rose in another step, so that a gap between two runs could not be told any more. Change: the first relayed id begins the count if it isn't next to the named one. test_gap_behind_events_that_rise_one_by_one_passes_as_the_id_of_the_caller_is_further failed before and passes now; the other tests of event order pass unchanged. A gap between the named id and the first run can still not be told, as before: the step isn't known.

--- a/gypsumrouter/forwarding/event_order.py
+++ b/gypsumrouter/forwarding/event_order.py
@@ -36,12 +36,14 @@
     """The ids of a stream's events that the caller has: the first, the last, and their count.
 
     Of a stream that its caller has taken up, one id is known before the first event, and is `last`
-    alone if it is no number. While ids are numbers that rise, no others are remembered.
+    alone if it is no number. `is_named`: only the caller says so, and runs may go on from there in
+    another step. While ids are numbers that rise, no others are remembered.
     """
 
     first: str | None = None
     last: str | None = None
     count: int = 0
+    is_named: bool = False
     # The largest number and the digests of the newest ids, since one came that doesn't rise.
     largest: Digits | None = None
     known: dict[int, None] = field(default_factory=dict)
@@ -60,6 +62,8 @@
     def note(self, last: str, *, count: int, list_ids: Callable[[], Iterable[str]]) -> None:
         """Note that the caller gets `count` ids up to `last`; `list_ids` is called if needed."""
         if not self.known and self._rises_to(last, count):
+            if count == 1:
+                self._restart_steps(last)
             self.first = self.first or last
             self.last = last
         else:
@@ -95,7 +99,15 @@
         last, number = read_number(self.last), read_number(event_id)
         return last is not None and number is not None and number - last == count
 
+    def _restart_steps(self, event_id: str) -> None:
+        """Begin with this id if it isn't next to the one that only the caller has named."""
+        named, number = read_number(self.last), read_number(event_id)
+        if self.is_named and named is not None and number is not None and number > named + 1:
+            self.first, self.count = event_id, 0
+        self.is_named = False
+
     def _note_one(self, event_id: str) -> None:
+        self._restart_steps(event_id)
         if self.known or not self._rises_to(event_id, 1):
             if not self.known:
                 self.largest = self.find_largest()
--- a/gypsumrouter/forwarding/events.py
+++ b/gypsumrouter/forwarding/events.py
@@ -47,7 +47,9 @@
         self._partial = b""
         self._relayed = RelayedIds(last=taken_up_after or None)
         if read_number(taken_up_after) is not None:
-            self._relayed = RelayedIds(first=taken_up_after, last=taken_up_after, count=1)
+            self._relayed = RelayedIds(
+                first=taken_up_after, last=taken_up_after, count=1, is_named=True
+            )
         self._checks_order = False
         self.has_events = False
         self.last_event_id: str | None = None
