Connections accepted in the last turn of a drain are listed before it ends

Callers saw a request that ran reset without a byte at the end of a planned stop (LOST). Cause: uvloop accepts a connection one turn before it connects its protocol. A drain that found no connection in that turn was over; the connection opened behind it, its request was read and sent to an upstream, and the end of the process reset it. Change: the listener lets the loop turn once after it has stopped listening, before the drain counts. test_request_of_a_connection_accepted_at_the_end_of_a_drain_is_cut: 1 of its turns failed before ("connection reset by peer", the request handled), all pass now. Under asyncio's own loop a connection that is accepted as the server closes is dropped unread; no process runs on it.

--- a/gypsumrouter/callers/listener.py
+++ b/gypsumrouter/callers/listener.py
@@ -136,6 +136,8 @@
         waiting = _accept_waiting(listening)
         listening.close()
         await asyncio.gather(*map(self._async_serve, waiting))
+        # uvloop accepts a connection one turn before its protocol is connected and listed.
+        await asyncio.sleep(0)
 
     async def _async_serve(self, connection: socket.socket) -> None:
         """Serve a connection that was accepted here instead of by the event loop."""
