A run that a caller takes up in steps of its own isn't cut where two ids are neighbours

The count that began anew with 8 took 8 and 9 for a step of one, inside the run that had shown another step. Change: behind the id that a caller named, ids that are left out are told from the next run on only.

--- a/gypsumrouter/forwarding/event_order.py
+++ b/gypsumrouter/forwarding/event_order.py
@@ -37,13 +37,15 @@
 
     Of a stream that its caller has taken up, one id is known before the first event, and is `last`
     alone if it is no number. `is_named`: only the caller says so, and runs may go on from there in
-    another step. While ids are numbers that rise, no others are remembered.
+    another step. `shows_gaps`: the step comes from an earlier run, so that an id which is left out
+    can be told. While ids are numbers that rise, no others are remembered.
     """
 
     first: str | None = None
     last: str | None = None
     count: int = 0
     is_named: bool = False
+    shows_gaps: bool = True
     # The largest number and the digests of the newest ids, since one came that doesn't rise.
     largest: Digits | None = None
     known: dict[int, None] = field(default_factory=dict)
@@ -59,6 +61,10 @@
             return False
         return self.count > 1 or first <= 1
 
+    def begin_run(self) -> None:
+        """Note that what comes from now on is that of another run."""
+        self.shows_gaps = True
+
     def note(self, last: str, *, count: int, list_ids: Callable[[], Iterable[str]]) -> None:
         """Note that the caller gets `count` ids up to `last`; `list_ids` is called if needed."""
         if not self.known and self._rises_to(last, count):
@@ -104,6 +110,7 @@
         named, number = read_number(self.last), read_number(event_id)
         if self.is_named and named is not None and number is not None and number > named + 1:
             self.first, self.count = event_id, 0
+            self.shows_gaps = False
         self.is_named = False
 
     def _note_one(self, event_id: str) -> None:
@@ -155,6 +162,6 @@
         return OrderFault.NO_NUMBER if begins and is_out_of_kind else None
     if number is None:
         return OrderFault.NO_NUMBER if begins else None
-    if number > last + 1 and relayed.rose_one_by_one:
+    if number > last + 1 and relayed.shows_gaps and relayed.rose_one_by_one:
         return OrderFault.GAP if relayed.count > 1 else OrderFault.POSSIBLE_GAP
     return None
--- a/gypsumrouter/forwarding/events.py
+++ b/gypsumrouter/forwarding/events.py
@@ -84,6 +84,7 @@
         self._partial = b""
         self.has_events = False
         self._checks_order = self._relayed.last is not None
+        self._relayed.begin_run()
         self.fault = None
         self.first_id = None
 
