A request that is read counts as answering before its handler has begun

Found by the review, by reading: on a kept connection the HTTP library takes a request from its queue and begins the handler one turn of the event loop later. In that turn the connection counted as discarding the rest of the answered request before. A stop that is out of time closes such connections without an answer, also if the request is passed on (LOST).

--- a/gypsumrouter/callers/connection.py
+++ b/gypsumrouter/callers/connection.py
@@ -145,6 +145,11 @@
             return ConnectionState.OPENED if self._has_just_opened else ConnectionState.IDLE
         return ConnectionState.DISCARDING if self._answered else ConnectionState.ANSWERING
 
+    @property
+    def has_queued_request(self) -> bool:
+        """Return whether the head of another request has arrived behind the one under way."""
+        return bool(self._messages)
+
     @property
     def _is_awaiting_head(self) -> bool:
         """Return whether the connection waits for a request head or has received part of one."""
@@ -214,6 +219,8 @@
         task: asyncio.Task[None],
     ) -> web.BaseRequest:
         """Return a request whose answer is written by a `CallerWriter`."""
+        # Its handler begins only a turn of the event loop later.
+        self._answered = False
         writer = self._make_writer(message.version)
         return web.BaseRequest(message, payload, protocol, writer, task, self._loop)
 
--- a/tests/callers/test_callers_listener.py
+++ b/tests/callers/test_callers_listener.py
@@ -49,8 +49,10 @@
         )
         self.address = Address(host=HOST, port=0)
         self.sockets: list[socket.socket] = []
+        self.requests = 0
 
     async def _async_handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.requests += 1
         return web.Response(status=HTTPStatus.NO_CONTENT)
 
     def connect(self) -> socket.socket:
@@ -122,3 +124,21 @@
     assert list_states(listening) == [ConnectionState.OPENED]
     monkeypatch.setattr(connections, "OPENED_MS", 0)
     assert list_states(listening) == [ConnectionState.IDLE]
+
+
+# Guards against a request that is read and counts as the rest of the answered one before it, so
+# that a stop which is out of time closes its connection.
+async def test_request_whose_handler_has_not_begun_counts_as_answered(
+    listening: Listening,
+) -> None:
+    connection = await listening.async_connect()
+    connection.send(REQUEST)
+    await listening.async_read(connection)
+    connection.send(REQUEST)
+    states: list[ConnectionState] = []
+    async with asyncio.timeout(TIMEOUT_S):
+        while listening.requests < 2:
+            states += list_states(listening)
+            await asyncio.sleep(0)
+    assert ConnectionState.ANSWERING in states
+    assert ConnectionState.DISCARDING not in states
