A stream in a drain doesn't announce the close to a request that waits behind it

A caller that sent two requests at once to a router that drains got the first, a stream, with "Connection: close", and nothing for the second, which had been read. Plain answers already kept the connection in this case; streams did not (found by the review, by reading). Change: the head of a stream announces the close only if no request is queued behind it; the answer to that one announces it. test_request_that_was_sent_with_a_stream_in_a_drain_gets_no_answer: 1 answer of 2 before, 2 now. Routers with sides decide it in gateway/ on their own; not changed.

--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -344,7 +344,7 @@
             service=service,
             web_request=request,
             progress=progress,
-            close_connection=lambda: self._drain.draining,
+            close_connection=lambda: self._drain.draining and not _has_queued_request(request),
             may_start=admission.may_start,
             may_replace=admission.may_replace,
             buffer_limit=MAX_LATE_BUFFERED_BYTES if running.is_late else MAX_BUFFERED_BYTES,
@@ -386,6 +386,12 @@
         return response
 
 
+def _has_queued_request(request: web.BaseRequest) -> bool:
+    """Return whether the caller has sent another request behind this one."""
+    connection = request.protocol
+    return isinstance(connection, CallerConnection) and connection.has_queued_request
+
+
 def _describe_end(request: web.BaseRequest) -> str:
     """Return the outcome of a request whose connection has ended."""
     connection = request.protocol
--- a/tests/forwarding/test_forwarding_kept_in_stop.py
+++ b/tests/forwarding/test_forwarding_kept_in_stop.py
@@ -10,7 +10,7 @@
 import pytest
 from stopping_world import StoppingWorld
 
-from bench.raw_caller import CLOCK, Answer, End
+from bench.raw_caller import CLOCK, Answer, End, make_head
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.forwarding.const import DRAIN_GRACE_MS
 from gypsumrouter.forwarding.drain.const import EXCUSED_MS
@@ -96,3 +96,22 @@
         if line.get("event") == "request_cut"
     }
     assert cut <= {"long"}
+
+
+# Guards against a request that is read behind a stream whose head says that the connection ends.
+async def test_request_that_was_sent_with_a_stream_in_a_drain_gets_no_answer(
+    stopping: StoppingWorld,
+) -> None:
+    process = stopping.processes[0]
+    lasting = asyncio.create_task(stopping.async_ask_once(process, "long", tokens=1_000))
+    await stopping.async_wait_ran("long")
+    stop = asyncio.create_task(stopping.async_stop(process, [(0, signal.SIGTERM)]))
+    await CLOCK.async_sleep(BEGUN_MS)
+    address = process.addresses["callers"]
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    for request_id in ("first", "second"):
+        writer.write(make_head(request_id, "/draft/a", LATE_TOKENS, deadline_ms=LATE_DEADLINE_MS))
+    received = await reader.read()
+    writer.close()
+    assert received.count(b"HTTP/1.1 200 OK") == 2
+    await asyncio.gather(stop, lasting)
