Answers that end in one millisecond share a question to their upstream

A question that is answered in the millisecond in which the answers ended can't be told by time from one before the ends, so each answer asked again. Upstreams at their limit of connections bear that worst.

--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 from enum import StrEnum
 from typing import Final
@@ -97,11 +98,19 @@
 
 
 class Probe(Struct, frozen=True, kw_only=True):
-    """A question to an upstream, asked at `begun_ms` (monotonic milliseconds)."""
+    """A question to an upstream, asked at `begun_ms` (monotonic milliseconds).
+
+    `number` is its place among all questions and all ends that were noticed.
+    """
 
     begun_ms: int
+    number: int
     task: asyncio.Task[EndVerdict]
 
+    def was_asked_after(self, watch: EndWatch, *, ended_ms: int) -> bool:
+        """Return whether it was asked after the end of an answer, at `ended_ms` by the clock."""
+        return self.begun_ms > ended_ms or self.number > watch.number
+
 
 class EndWatch(Struct, kw_only=True):
     """An answer that ends with its connection.
@@ -109,13 +118,15 @@
     `is_of_listed` is whether it was proven, when the watch began, that the listed start gives it;
     another start that is met later has come after that one. `paused_ms` is when its reading was
     first paused (monotonic milliseconds), 0 if it wasn't: from then on its end may have come
-    unseen, since a FIN stays behind bytes for which the receive window has no room.
+    unseen, since a FIN stays behind bytes for which the receive window has no room. `number` is
+    the place of the end among all ends and questions, as `Probe.number`.
     """
 
     entry: Entry
     connection: HttpConnection
     is_of_listed: bool
     paused_ms: int = 0
+    number: int = 0
     task: asyncio.Task[EndVerdict] | None = None
 
 
@@ -127,6 +138,7 @@
         "_counter",
         "_directory",
         "_journal",
+        "_numbers",
         "_pool",
         "_probes",
         "_questions",
@@ -145,6 +157,8 @@
         self._app = app
         self._directory = directory
         self._pool = pool
+        # Several ends and questions may have the same time.
+        self._numbers = itertools.count(1)
         # The last question to an incarnation.
         self._probes: dict[str, Probe] = {}
         # Questions for the start that gives an answer, by incarnation.
@@ -212,6 +226,7 @@
 
     def _begin(self, watch: EndWatch) -> asyncio.Task[EndVerdict]:
         if watch.task is None:
+            watch.number = next(self._numbers)
             watch.task = self._app.async_create_task(
                 self._async_decide(watch), "check the end of an answer"
             )
@@ -277,7 +292,7 @@
         asked_before = (
             entry.incarnation in self._questions or self._pool.get_other_start(entry) is not None
         )
-        verdict = await self._async_probe(entry, seen_ms)
+        verdict = await self._async_probe(watch, seen_ms)
         if verdict is EndVerdict.RESTARTED and asked_before:
             is_of_other = self._is_of_other(watch, watch.paused_ms or seen_ms)
             return EndVerdict.UNLISTED if is_of_other else verdict
@@ -292,16 +307,17 @@
             return False
         return is_answer_of_other(other, opened_ms=watch.connection.opened_ms, ended_ms=ended_ms)
 
-    async def _async_probe(self, entry: Entry, ended_ms: int) -> EndVerdict:
+    async def _async_probe(self, watch: EndWatch, ended_ms: int) -> EndVerdict:
         """Ask the upstream, once for all answers that ended before the question.
 
         One that ends while a question is under way waits for it, for a moment, and shares the next.
         """
+        entry = watch.entry
         probe = self._probes.get(entry.incarnation)
-        if probe is not None and probe.begun_ms <= ended_ms:
+        if probe is not None and not probe.was_asked_after(watch, ended_ms=ended_ms):
             await asyncio.wait((probe.task,), timeout=SETTLE_MS / MS_PER_S)
             probe = self._probes.get(entry.incarnation)
-        if probe is None or probe.begun_ms <= ended_ms:
+        if probe is None or not probe.was_asked_after(watch, ended_ms=ended_ms):
             probe = self._begin_probe(entry)
         return await asyncio.shield(probe.task)
 
@@ -313,7 +329,9 @@
             if not known.task.done() or now_ms - known.begun_ms < PROBE_TIMEOUT_MS
         }
         task = self._app.async_create_task(self._async_ask(entry), "ask whether it is alive")
-        probe = self._probes[entry.incarnation] = Probe(begun_ms=now_ms, task=task)
+        probe = self._probes[entry.incarnation] = Probe(
+            begun_ms=now_ms, number=next(self._numbers), task=task
+        )
         return probe
 
     async def _async_ask(self, entry: Entry) -> EndVerdict:
--- a/tests/forwarding/conftest.py
+++ b/tests/forwarding/conftest.py
@@ -7,8 +7,13 @@
 
 import aiohttp
 import pytest
+from checked_ends import Checked
 from dying_world import DyingWorld
 from forwarding_world import KEY, ForwardingWorld
+from stating_upstream import StatingUpstream
+
+from gypsumrouter.const import Role
+from gypsumrouter.core import Application
 
 
 @pytest.fixture
@@ -40,3 +45,13 @@
     connector = aiohttp.TCPConnector(force_close=True)
     async with aiohttp.ClientSession(connector=connector) as session:
         yield session
+
+
+@pytest.fixture
+async def checked() -> AsyncIterator[Checked]:
+    """Start an upstream, and a pool whose answers end with their connections."""
+    app = Application(name="r1", role=Role.FORWARDER, data_centre="dc", region="r")
+    upstream = StatingUpstream()
+    yield Checked(app, upstream, await upstream.async_start())
+    upstream.stop()
+    await app.async_stop()
