--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -63,6 +63,7 @@
         "_connection",
         "_dialect",
         "_doubted",
+        "_end_ms",
         "_end_patience_ms",
         "_end_watch",
         "_ends",
@@ -106,6 +107,8 @@
         # The check of an end that had no verdict within the patience.
         self._doubted: EndWatch | None = None
         self._sent_ms = 0
+        # When the end of the answer was received, 0 before.
+        self._end_ms = 0
         self.options = options
         self.entry = entry
         self.metadata: ResponseMetadata | None = None
@@ -143,6 +146,14 @@
         """
         return self._connection is None or not self._connection.was_paused
 
+    @property
+    def answer_ms(self) -> int:
+        """Return how long after the request was sent the end of its answer came, -1 before."""
+        return self._end_ms - self._sent_ms if self._end_ms else -1
+
+    def _note_body_end(self) -> None:
+        self._end_ms = self._pool.now_ms()
+
     def prove_start(self) -> StartProof | None:
         """Return the proof of the start that the connection leads to, None without one."""
         if self._connection is None:
@@ -155,12 +166,14 @@
         if connection is None:
             return Unreachable(reason="there is no connection")
         payload = self._dialect.write_request(request=self._request, options=self.options)
+        # Before the first byte: the upstream counts its time from when it has the request.
+        self._sent_ms = self._pool.now_ms()
+        connection.on_body_end = self._note_body_end
         try:
             connection.send_request(method=self._request.method, data=payload)
         except ConnectionBroken as error:
             return Unreachable(reason=str(error))
         self.sent = True
-        self._sent_ms = self._pool.now_ms()
         try:
             return await self._async_read(connection)
         except ConnectionBroken as error:
@@ -171,6 +184,7 @@
         connection = self._connection
         if answer.framing is not Framing.CLOSE or connection is None:
             return None
+        self._end_ms = connection.ended_ms or self._pool.now_ms()
         watch, self._end_watch = self._end_watch, None
         watch = watch or self._ends.watch(self.entry, connection)
         verdict = await self._ends.async_check(
@@ -208,6 +222,7 @@
         connection, self._connection = self._connection, None
         if connection is None:
             return
+        connection.on_body_end = None
         if self.metadata is not None:
             connection.keep_alive_ms = self.metadata.keep_alive_ms
         self._pool.release(self.entry, connection)
--- a/gypsumrouter/forwarding/request_journal.py
+++ b/gypsumrouter/forwarding/request_journal.py
@@ -147,6 +147,7 @@
                 ran=attempt.sent and not isinstance(outcome, Rejected),
                 status=_get_status(outcome),
                 after_ms=after_ms,
+                answer_ms=attempt.answer_ms,
                 next_step=step,
             )
         )
--- a/gypsumrouter/journal/request_events.py
+++ b/gypsumrouter/journal/request_events.py
@@ -51,7 +51,10 @@
 
 
 class AttemptEnded(Event, frozen=True, kw_only=True):
-    """An attempt has ended; `ran` is whether the upstream may have executed the request."""
+    """An attempt has ended; `ran` is whether the upstream may have executed the request.
+
+    `answer_ms` is how long after the request was sent the end of its answer came, -1 without one.
+    """
 
     name: ClassVar[str] = "attempt_ended"
     request_id: str
@@ -61,6 +64,7 @@
     ran: bool
     status: int
     after_ms: int
+    answer_ms: int
     next_step: str
 
 
