An answer that ends when its upstream had to stop is not passed on as complete

An upstream stops at the X-Deadline-Ms that it is handed; one that then ends its answer in order, with the last chunk, was taken at its word. The value handed on was 5 ms less than the request's own limit, so that such an end always came before it.

Now the value is the whole limit, so that the router's own end comes first, and an end in order that is received at or after (time before the first byte was sent + value handed on) shows nothing: the upstream's time begins later than that. Such a request ends as at its deadline. A body with a length, or whose format shows its end, passes.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -8,7 +8,7 @@
 
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
-from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES, RETURN_TRIP_MS
+from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES
 from gypsumrouter.forwarding.end_evidence import EndChecks, EndVerdict, EndWatch
 from gypsumrouter.forwarding.models import (
     AttemptOptions,
@@ -45,9 +45,16 @@
 # if the upstream states this explicitly.
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 
+# A body of another framing has a length, or none at all.
+UNSTATED_ENDS: Final = frozenset({Framing.CHUNKED, Framing.CLOSE})
+
 HeadListener = Callable[[Entry, ResponseMetadata], None]
 
 
+class EndedAtDeadline(Exception):
+    """An answer ended in order when its upstream had to stop, so it may be cut short."""
+
+
 class Attempt:
     """An attempt at one upstream; it must be closed in all cases.
 
@@ -180,11 +187,19 @@
             return ResponseLost(reason=str(error), connection_broken=self.may_have_crashed)
 
     async def _async_find_missing_end(self, answer: HttpResponse) -> str | None:
-        """Return why an answer whose body has ended is incomplete, None if it is complete."""
+        """Return why an answer whose body has ended is incomplete, None if it is complete.
+
+        Raises EndedAtDeadline.
+        """
         connection = self._connection
-        if answer.framing is not Framing.CLOSE or connection is None:
+        if answer.framing not in UNSTATED_ENDS or connection is None:
+            return None
+        if answer.framing is Framing.CLOSE:
+            self._end_ms = connection.ended_ms or self._pool.now_ms()
+        if self.answer_ms >= self.options.deadline_ms:
+            raise EndedAtDeadline
+        if answer.framing is Framing.CHUNKED:
             return None
-        self._end_ms = connection.ended_ms or self._pool.now_ms()
         watch, self._end_watch = self._end_watch, None
         watch = watch or self._ends.watch(self.entry, connection)
         verdict = await self._ends.async_check(
@@ -266,7 +281,7 @@
             raise ConnectionBroken(f"the body of status {answer.status} does not end")
         if not complete:
             return self._make_streaming(answer, connection, is_event_stream=False, received=body)
-        if answer.framing is Framing.CLOSE:
+        if answer.framing in UNSTATED_ENDS:
             await self._async_check_body(answer, body)
         self._release_or_close(answer)
         return CompleteResponse(
@@ -313,11 +328,12 @@
                 raise ConnectionBroken("the response to another request does not end")
 
     async def _async_check_body(self, answer: HttpResponse, body: bytes) -> None:
-        """Raise ConnectionBroken unless a body that ended with its connection is complete."""
+        """Raise ConnectionBroken or EndedAtDeadline unless a body without a length is complete."""
         if is_json_media_type(answer.get("Content-Type") or ""):
-            if not is_complete_json(body):
+            is_complete = is_complete_json(body)
+            if answer.framing is Framing.CLOSE and not is_complete:
                 raise ConnectionBroken("the body ended inside its JSON document")
-            if shows_json_end(body):
+            if is_complete and shows_json_end(body):
                 return
         missing = await self._async_find_missing_end(answer)
         if missing is not None:
@@ -341,13 +357,14 @@
 ) -> AttemptOptions:
     """Return what is added to a request for an attempt at a placement.
 
-    `last_event_id` is that of the last event that was relayed, None before the first one.
+    `last_event_id` is that of the last event that was relayed, None before the first one. The
+    deadline is the request's own limit here: what an upstream sends when it stops comes behind it.
     """
     fetch_from = placement.fetch_from
     return AttemptOptions(
         upstream=placement.entry.upstream,
         workspace=routed.workspace,
-        deadline_ms=max(1, remaining_ms - RETURN_TRIP_MS),
+        deadline_ms=max(1, remaining_ms),
         priority=routed.priority if prioritized and request.prompt is not None else None,
         last_event_id=last_event_id or request.last_event_id,
         fetch_from=None if fetch_from is None else fetch_from.address,
--- a/gypsumrouter/forwarding/const.py
+++ b/gypsumrouter/forwarding/const.py
@@ -39,8 +39,6 @@
 
 # The router answers this long before the deadline, so that the response still arrives in time.
 RESPONSE_MARGIN_MS: Final = 20
-# Subtracted from the deadline that is sent to an upstream, for the network time of its response.
-RETURN_TRIP_MS: Final = 5
 
 # Range of the randomized Retry-After value of a refusal. The value is also limited to this ratio of
 # the time left until the caller's deadline, because callers don't wait for more than a third of it.
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 
 from gypsumrouter.contention import Refused
+from gypsumrouter.forwarding.attempt import EndedAtDeadline
 from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES
 from gypsumrouter.forwarding.context import ForwardingContext
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
@@ -217,9 +218,17 @@
             )
         except TimeoutError:
             response = self._endings.end_at_limit(is_stopped=self.limit.is_stopped)
+        except EndedAtDeadline:
+            self._record_ended_at_deadline()
+            response = self._endings.end_at_limit(is_stopped=False)
         self._contention.note_served()
         return response
 
+    def _record_ended_at_deadline(self) -> None:
+        run = self._replacements.present
+        if run is not None:
+            self._request_journal.record_ended_at_deadline(run.attempt)
+
     async def _async_run_attempts(self) -> web.StreamResponse:
         while True:
             run = self._standby.take() or await self._async_place()
--- a/gypsumrouter/forwarding/request_journal.py
+++ b/gypsumrouter/forwarding/request_journal.py
@@ -25,6 +25,7 @@
     AttemptEnded,
     AttemptSent,
     AttemptSilent,
+    DeadlineEnd,
     Journal,
     RequestPlaced,
     RequestRefused,
@@ -177,6 +178,17 @@
             )
         )
 
+    def record_ended_at_deadline(self, attempt: Attempt) -> None:
+        """Record that an answer may be cut short, as its upstream had to stop when it ended."""
+        self._journal.record(
+            DeadlineEnd(
+                request_id=self._request.request_id,
+                upstream=attempt.entry.incarnation,
+                deadline_ms=attempt.options.deadline_ms,
+                answer_ms=attempt.answer_ms,
+            )
+        )
+
     def record_broken(self, attempt: Attempt, *, events: int, after_ms: int) -> None:
         """Record that the upstream lost its connection while it ran the request."""
         prompt = self._request.prompt
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -12,7 +12,7 @@
 from gypsumrouter.core import Application
 from gypsumrouter.crashes import Subjects, Verdict
 from gypsumrouter.crashes.guard import CrashGuard
-from gypsumrouter.forwarding.attempt import Attempt, make_attempt_options
+from gypsumrouter.forwarding.attempt import Attempt, EndedAtDeadline, make_attempt_options
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
 from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES, MAX_EVENT_BYTES
 from gypsumrouter.forwarding.end_evidence import EndChecks
@@ -197,7 +197,10 @@
         return self.pending
 
     async def _async_send_until_event(self, list_age_ms: int) -> Outcome:
-        outcome = await self.async_send(list_age_ms=list_age_ms)
+        try:
+            outcome = await self.async_send(list_age_ms=list_age_ms)
+        except EndedAtDeadline:
+            return ResponseLost(reason="ended at its deadline")
         if not isinstance(outcome, StreamingResponse) or not outcome.is_event_stream:
             return outcome
         received = outcome.initial_bytes
--- a/gypsumrouter/journal/request_events.py
+++ b/gypsumrouter/journal/request_events.py
@@ -123,6 +123,20 @@
     took_ms: int
 
 
+class DeadlineEnd(Event, frozen=True, kw_only=True):
+    """An answer without a length has ended in order, but may be cut short.
+
+    Its end came `answer_ms` after the request was sent, and the upstream had to stop `deadline_ms`
+    after it got the request.
+    """
+
+    name: ClassVar[str] = "deadline_end"
+    request_id: str
+    upstream: str
+    deadline_ms: int
+    answer_ms: int
+
+
 class StreamTakenUp(Event, frozen=True, kw_only=True):
     """A caller takes up a stream that the request `began_as` began, after its event `last_event`.
 
