Modules that decide an end in a package of their own

What decides whether an answer has ended complete, and whether another run goes on with it, stood in seven of the 57 modules that lie flat in `forwarding`. They move to `forwarding/ends`: `evidence` (was `end_evidence`), `disorders` (was `stream_disorders`), `starts`, `event_order`, `events`, `relay` and `relay_turns`. Tests stay flat, as those of `forwarding/drain` do.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -9,7 +9,8 @@
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
 from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES, RETURN_TRIP_MS
-from gypsumrouter.forwarding.end_evidence import EndChecks, EndVerdict, EndWatch
+from gypsumrouter.forwarding.ends.evidence import EndChecks, EndVerdict, EndWatch
+from gypsumrouter.forwarding.ends.starts import StartProof
 from gypsumrouter.forwarding.models import (
     AttemptOptions,
     CallerRequest,
@@ -23,7 +24,6 @@
     Unreachable,
 )
 from gypsumrouter.forwarding.placed import Placement
-from gypsumrouter.forwarding.starts import StartProof
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
     HttpConnection,
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -21,8 +21,8 @@
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.const import CONNECT_TIMEOUT_MS, MAX_IDLE_PER_UPSTREAM
+from gypsumrouter.forwarding.ends.starts import OtherStart, StartProof, UpstreamStarts
 from gypsumrouter.forwarding.responders import ReadResponder, Responder
-from gypsumrouter.forwarding.starts import OtherStart, StartProof, UpstreamStarts
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
     HttpConnection,
--- a/gypsumrouter/forwarding/context.py
+++ b/gypsumrouter/forwarding/context.py
@@ -8,12 +8,12 @@
 from gypsumrouter.crashes.guard import CrashGuard
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.connections import ConnectionPool
-from gypsumrouter.forwarding.end_evidence import EndChecks
+from gypsumrouter.forwarding.ends.disorders import StreamDisorders
+from gypsumrouter.forwarding.ends.evidence import EndChecks
+from gypsumrouter.forwarding.ends.relay_turns import RelayTurns
 from gypsumrouter.forwarding.models import Dialect
 from gypsumrouter.forwarding.placer import Placer
-from gypsumrouter.forwarding.relay_turns import RelayTurns
 from gypsumrouter.forwarding.request_contention import ContentionContext
-from gypsumrouter.forwarding.stream_disorders import StreamDisorders
 from gypsumrouter.helpers.metrics import Counter
 from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
--- a/gypsumrouter/forwarding/endings.py
+++ b/gypsumrouter/forwarding/endings.py
@@ -9,6 +9,7 @@
 from gypsumrouter.crashes import CrashGuard, Verdict
 from gypsumrouter.crashes.verdicts import get_trial_ms
 from gypsumrouter.forwarding.const import RETRY_AT_ONCE_MS
+from gypsumrouter.forwarding.ends.relay import Relay
 from gypsumrouter.forwarding.models import CallerRequest, CompleteResponse, Dialect
 from gypsumrouter.forwarding.progress import (
     OUTCOME_ANSWERED,
@@ -16,7 +17,6 @@
     Progress,
     TimeLimits,
 )
-from gypsumrouter.forwarding.relay import Relay
 from gypsumrouter.forwarding.request_contention import RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
 from gypsumrouter.forwarding.responses import make_failure, make_refusal, make_upstream_response
--- /dev/null
+++ b/gypsumrouter/forwarding/ends/__init__.py
@@ -0,0 +1,1 @@
+"""What decides whether an answer has ended complete, and whether another run goes on with it."""
--- a/gypsumrouter/forwarding/stream_disorders.py
+++ b/gypsumrouter/forwarding/ends/disorders.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from gypsumrouter.directory import Entry
-from gypsumrouter.forwarding.event_order import OrderFault
+from gypsumrouter.forwarding.ends.event_order import OrderFault
 from gypsumrouter.helpers.metrics import MetricRegistry
 
 _LOGGER = logging.getLogger(__name__)
--- a/gypsumrouter/forwarding/events.py
+++ b/gypsumrouter/forwarding/ends/events.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from gypsumrouter.forwarding.const import MAX_EVENT_BYTES
-from gypsumrouter.forwarding.event_order import OrderFault, RelayedIds, find_order_fault
+from gypsumrouter.forwarding.ends.event_order import OrderFault, RelayedIds, find_order_fault
 from gypsumrouter.helpers.http_headers import is_writable
 from gypsumrouter.helpers.numbers import read_number
 from gypsumrouter.util.body_formats import find_event_end, has_field, is_inside_event, split_events
--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/ends/evidence.py
@@ -19,7 +19,7 @@
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState
 from gypsumrouter.forwarding.connections import ConnectionPool
-from gypsumrouter.forwarding.starts import OtherStart
+from gypsumrouter.forwarding.ends.starts import OtherStart
 from gypsumrouter.helpers.http_connection import ConnectFailed, HttpConnection
 from gypsumrouter.journal import Journal, UnframedEnd
 from gypsumrouter.routing import DEFAULT_HEALTH_PATH, RoutingStore
--- a/gypsumrouter/forwarding/relay.py
+++ b/gypsumrouter/forwarding/ends/relay.py
@@ -8,12 +8,12 @@
 from aiohttp import web
 from msgspec import Struct
 
-from gypsumrouter.forwarding.event_order import OrderFault
-from gypsumrouter.forwarding.events import EventSplitter, EventTooLong
+from gypsumrouter.forwarding.ends.event_order import OrderFault
+from gypsumrouter.forwarding.ends.events import EventSplitter, EventTooLong
+from gypsumrouter.forwarding.ends.relay_turns import RelayTurns
 from gypsumrouter.forwarding.models import Dialect, StreamingResponse
 from gypsumrouter.forwarding.next_step import SentPart
 from gypsumrouter.forwarding.progress import Progress
-from gypsumrouter.forwarding.relay_turns import RelayTurns
 from gypsumrouter.forwarding.responses import make_stream_response
 from gypsumrouter.forwarding.silence import Replaced
 from gypsumrouter.helpers.http_response import (
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -13,6 +13,8 @@
 from gypsumrouter.forwarding.context import ForwardingContext
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
 from gypsumrouter.forwarding.endings import RequestEndings
+from gypsumrouter.forwarding.ends.relay import Relay, RelayResult
+from gypsumrouter.forwarding.ends.relay_turns import MAX_PART_BYTES
 from gypsumrouter.forwarding.models import (
     CallerRequest,
     CompleteResponse,
@@ -26,8 +28,6 @@
 from gypsumrouter.forwarding.outcome_recorder import OutcomeRecorder
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED, Progress, TimeLimits
-from gypsumrouter.forwarding.relay import Relay, RelayResult
-from gypsumrouter.forwarding.relay_turns import MAX_PART_BYTES
 from gypsumrouter.forwarding.replacement import MayReplace, Replacements
 from gypsumrouter.forwarding.request_contention import RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -27,7 +27,10 @@
 from gypsumrouter.forwarding.context import ForwardingContext
 from gypsumrouter.forwarding.drain import DrainAdmission, LoopTicks
 from gypsumrouter.forwarding.drain.const import CUT_MARGIN_MS
-from gypsumrouter.forwarding.end_evidence import EndChecks
+from gypsumrouter.forwarding.ends.disorders import StreamDisorders
+from gypsumrouter.forwarding.ends.evidence import EndChecks
+from gypsumrouter.forwarding.ends.relay_turns import RelayTurns
+from gypsumrouter.forwarding.ends.starts import UpstreamStarts
 from gypsumrouter.forwarding.handler import RequestHandler, RequestParser
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.inventory import CacheInventory, FetchCacheListing
@@ -35,15 +38,12 @@
 from gypsumrouter.forwarding.models import Dialect
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
-from gypsumrouter.forwarding.relay_turns import RelayTurns
 from gypsumrouter.forwarding.request_contention import ContentionContext
 from gypsumrouter.forwarding.responders import HealthCheck
 from gypsumrouter.forwarding.return_order import ReturnOrder
 from gypsumrouter.forwarding.service_work import ServiceWorkReader
 from gypsumrouter.forwarding.silence_tracker import SilenceTracker
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
-from gypsumrouter.forwarding.starts import UpstreamStarts
-from gypsumrouter.forwarding.stream_disorders import StreamDisorders
 from gypsumrouter.instances import Address, parse_address
 from gypsumrouter.journal import ConnectionsClosing, Journal
 from gypsumrouter.mechanisms import Mechanism
--- a/gypsumrouter/forwarding/handler.py
+++ b/gypsumrouter/forwarding/handler.py
@@ -30,6 +30,7 @@
 )
 from gypsumrouter.forwarding.context import ForwardingContext
 from gypsumrouter.forwarding.drain import DrainAdmission, RequestAdmission
+from gypsumrouter.forwarding.ends.relay import CallerDisconnected
 from gypsumrouter.forwarding.execution import RequestExecution
 from gypsumrouter.forwarding.metrics import ForwardingMetrics, RequestRecords, RunningRequest
 from gypsumrouter.forwarding.models import CallerRequest, MalformedHead
@@ -40,7 +41,6 @@
     get_time_limit_ms,
 )
 from gypsumrouter.forwarding.refusals import DEFAULT_TIMEOUT_MS, Refusals
-from gypsumrouter.forwarding.relay import CallerDisconnected
 from gypsumrouter.forwarding.request_journal import RequestJournal
 from gypsumrouter.forwarding.stream_pin import async_find_origin
 from gypsumrouter.helpers.logs import set_request_id
--- a/gypsumrouter/forwarding/outcome_recorder.py
+++ b/gypsumrouter/forwarding/outcome_recorder.py
@@ -8,7 +8,8 @@
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.attempt import Attempt
 from gypsumrouter.forwarding.connections import ConnectionPool
-from gypsumrouter.forwarding.event_order import OrderFault
+from gypsumrouter.forwarding.ends.disorders import StreamDisorders
+from gypsumrouter.forwarding.ends.event_order import OrderFault
 from gypsumrouter.forwarding.models import (
     CompleteResponse,
     Rejected,
@@ -19,7 +20,6 @@
 from gypsumrouter.forwarding.next_step import STATUS_SERVER_ERROR
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.progress import Progress
-from gypsumrouter.forwarding.stream_disorders import StreamDisorders
 
 UnstreamedOutcome = Unreachable | Rejected | ResponseLost | CompleteResponse
 
--- a/gypsumrouter/forwarding/replacement.py
+++ b/gypsumrouter/forwarding/replacement.py
@@ -10,7 +10,8 @@
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.connections import StartCheck
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
-from gypsumrouter.forwarding.event_order import OrderFault
+from gypsumrouter.forwarding.ends.event_order import OrderFault
+from gypsumrouter.forwarding.ends.relay import CallerDisconnected, Relay
 from gypsumrouter.forwarding.models import (
     CompleteResponse,
     Outcome,
@@ -20,7 +21,6 @@
 )
 from gypsumrouter.forwarding.next_step import STATUS_SERVER_ERROR, check_fits
 from gypsumrouter.forwarding.outcome_recorder import OutcomeRecorder
-from gypsumrouter.forwarding.relay import CallerDisconnected, Relay
 from gypsumrouter.forwarding.run import Run, RunContext
 from gypsumrouter.forwarding.silence import (
     Awaited,
--- a/gypsumrouter/forwarding/request_journal.py
+++ b/gypsumrouter/forwarding/request_journal.py
@@ -6,6 +6,7 @@
 
 from gypsumrouter.forwarding.attempt import Attempt
 from gypsumrouter.forwarding.budget import RetryUsage
+from gypsumrouter.forwarding.ends.relay import ContinuationBegun, StreamEnd
 from gypsumrouter.forwarding.models import (
     CallerRequest,
     CompleteResponse,
@@ -19,7 +20,6 @@
 )
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.progress import Progress
-from gypsumrouter.forwarding.relay import ContinuationBegun, StreamEnd
 from gypsumrouter.helpers.numbers import read_number
 from gypsumrouter.journal import (
     AttemptEnded,
--- a/gypsumrouter/forwarding/retries.py
+++ b/gypsumrouter/forwarding/retries.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from gypsumrouter.forwarding.context import ForwardingContext
+from gypsumrouter.forwarding.ends.relay import Relay
 from gypsumrouter.forwarding.models import (
     CompleteResponse,
     Rejected,
@@ -23,7 +24,6 @@
     decide_next_step,
 )
 from gypsumrouter.forwarding.progress import Progress, TimeLimits
-from gypsumrouter.forwarding.relay import Relay
 from gypsumrouter.forwarding.replacement import RECHECK_MS, Replacements
 from gypsumrouter.forwarding.request_journal import RequestJournal
 from gypsumrouter.forwarding.silence import Obstacle, SilentRequest, find_obstacle
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -15,8 +15,9 @@
 from gypsumrouter.forwarding.attempt import Attempt, make_attempt_options
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
 from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES, MAX_EVENT_BYTES
-from gypsumrouter.forwarding.end_evidence import EndChecks
-from gypsumrouter.forwarding.events import find_first_event
+from gypsumrouter.forwarding.ends.events import find_first_event
+from gypsumrouter.forwarding.ends.evidence import EndChecks
+from gypsumrouter.forwarding.ends.relay import CallerDisconnected
 from gypsumrouter.forwarding.models import (
     CallerRequest,
     CompleteResponse,
@@ -33,7 +34,6 @@
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.progress import Progress, TimeLimits
-from gypsumrouter.forwarding.relay import CallerDisconnected
 from gypsumrouter.forwarding.request_contention import RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
 from gypsumrouter.forwarding.silence import Awaited, get_patience_ms
--- a/tests/forwarding/stating_upstream.py
+++ b/tests/forwarding/stating_upstream.py
@@ -9,8 +9,8 @@
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState
 from gypsumrouter.forwarding.connections import ConnectionPool
+from gypsumrouter.forwarding.ends.starts import UpstreamStarts
 from gypsumrouter.forwarding.responders import Responder
-from gypsumrouter.forwarding.starts import UpstreamStarts
 from gypsumrouter.helpers.http_connection import HttpConnection
 from gypsumrouter.helpers.http_response import ConnectionBroken
 from gypsumrouter.instances import Address
--- a/tests/forwarding/test_forwarding_byte_order_marks.py
+++ b/tests/forwarding/test_forwarding_byte_order_marks.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from gypsumrouter.forwarding.event_order import OrderFault
-from gypsumrouter.forwarding.events import EventSplitter, find_first_event
+from gypsumrouter.forwarding.ends.event_order import OrderFault
+from gypsumrouter.forwarding.ends.events import EventSplitter, find_first_event
 
 FIRST = b"id: 1\ndata: a\n\nid: 2\ndata: a\n\n"
 REST = b"id: 3\ndata: a\n\nid: 4\ndata: a\n\n"
--- a/tests/forwarding/test_forwarding_end_evidence.py
+++ b/tests/forwarding/test_forwarding_end_evidence.py
@@ -9,8 +9,9 @@
 from stating_upstream import STARTED_MS, async_begin_answer, async_until
 
 from gypsumrouter.directory import Entry, EntryState, Record
-from gypsumrouter.forwarding import connections, end_evidence
-from gypsumrouter.forwarding.end_evidence import EndVerdict
+from gypsumrouter.forwarding import connections
+from gypsumrouter.forwarding.ends import evidence
+from gypsumrouter.forwarding.ends.evidence import EndVerdict
 from gypsumrouter.forwarding.responders import Responder
 from gypsumrouter.helpers.http_connection import HttpConnection, async_connect
 from gypsumrouter.instances import Address
@@ -33,7 +34,7 @@
 async def test_open_connection_vouches_for_an_upstream_that_answers_nothing(
     checked: Checked, monkeypatch: pytest.MonkeyPatch, states_start: bool
 ) -> None:
-    monkeypatch.setattr(end_evidence, "PROBE_TIMEOUT_MS", 50)
+    monkeypatch.setattr(evidence, "PROBE_TIMEOUT_MS", 50)
     if not states_start:
         checked.entry = list_without_start(checked)
     await checked.async_open()
@@ -80,7 +81,7 @@
     responder: Responder,
     expected: EndVerdict,
 ) -> None:
-    monkeypatch.setattr(end_evidence, "PROBE_TIMEOUT_MS", 100)
+    monkeypatch.setattr(evidence, "PROBE_TIMEOUT_MS", 100)
     checked.entry = list_without_start(checked)
     connection, peer = await checked.async_open()
     await async_begin_answer(connection, peer)
@@ -165,7 +166,7 @@
 async def test_answer_of_an_upstream_that_is_silent_behind_it_is_complete(
     checked: Checked, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(end_evidence, "PROBE_TIMEOUT_MS", 50)
+    monkeypatch.setattr(evidence, "PROBE_TIMEOUT_MS", 50)
     connection, peer = await checked.async_open()
     await async_begin_answer(connection, peer)
     checked.upstream.is_silent = True
@@ -179,7 +180,7 @@
 async def test_upstream_that_closes_each_connection_vouches_for_its_answers(
     checked: Checked, monkeypatch: pytest.MonkeyPatch, answers: int, is_other_open: bool
 ) -> None:
-    monkeypatch.setattr(end_evidence, "PROBE_TIMEOUT_MS", 200)
+    monkeypatch.setattr(evidence, "PROBE_TIMEOUT_MS", 200)
     if is_other_open:
         await checked.async_open()
     opened = [await checked.async_open() for _ in range(answers)]
--- a/tests/forwarding/test_forwarding_event_order.py
+++ b/tests/forwarding/test_forwarding_event_order.py
@@ -8,8 +8,8 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from gypsumrouter.forwarding.event_order import OrderFault, RelayedIds, find_order_fault
-from gypsumrouter.forwarding.events import EventSplitter
+from gypsumrouter.forwarding.ends.event_order import OrderFault, RelayedIds, find_order_fault
+from gypsumrouter.forwarding.ends.events import EventSplitter
 
 CUTS = st.lists(st.integers(0, 2_000), max_size=12)
 
--- a/tests/forwarding/test_forwarding_events.py
+++ b/tests/forwarding/test_forwarding_events.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gypsumrouter.forwarding.events import EventSplitter
+from gypsumrouter.forwarding.ends.events import EventSplitter
 
 
 @pytest.mark.parametrize("event_id", [b"5\rX-Hold: 1", b"5\x00", b"5\x85", b"\xc2\xb2"])
--- a/tests/forwarding/test_forwarding_incomplete_answers.py
+++ b/tests/forwarding/test_forwarding_incomplete_answers.py
@@ -98,7 +98,7 @@
     full_journal: pytest.LogCaptureFixture,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("gypsumrouter.forwarding.relay.count_events", raise_after(2))
+    monkeypatch.setattr("gypsumrouter.forwarding.ends.relay.count_events", raise_after(2))
     for runner in world.models:
         runner.pause_s = PAUSE_S
     caller = await RawCaller(world.product.addresses["callers"]).async_open()
--- a/tests/forwarding/test_forwarding_relay_turns.py
+++ b/tests/forwarding/test_forwarding_relay_turns.py
@@ -9,10 +9,10 @@
 import pytest
 from aiohttp.test_utils import make_mocked_request
 
+from gypsumrouter.forwarding.ends.relay import Relay, RelayResult
+from gypsumrouter.forwarding.ends.relay_turns import MAX_PART_BYTES, MAX_SHARE_BYTES, RelayTurns
 from gypsumrouter.forwarding.models import Dialect, StreamingResponse
 from gypsumrouter.forwarding.progress import Progress
-from gypsumrouter.forwarding.relay import Relay, RelayResult
-from gypsumrouter.forwarding.relay_turns import MAX_PART_BYTES, MAX_SHARE_BYTES, RelayTurns
 from gypsumrouter.helpers.http_response import Framing
 from gypsumrouter.util.clock import SystemClock
 
--- a/tests/forwarding/test_forwarding_repeated_ids.py
+++ b/tests/forwarding/test_forwarding_repeated_ids.py
@@ -8,9 +8,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gypsumrouter.forwarding import event_order
-from gypsumrouter.forwarding.event_order import OrderFault, RelayedIds, find_order_fault
-from gypsumrouter.forwarding.events import EventSplitter
+from gypsumrouter.forwarding.ends import event_order
+from gypsumrouter.forwarding.ends.event_order import OrderFault, RelayedIds, find_order_fault
+from gypsumrouter.forwarding.ends.events import EventSplitter
 
 DIGITS_24 = "10000000000000000000000{}"
 
--- a/tests/forwarding/test_forwarding_start_check.py
+++ b/tests/forwarding/test_forwarding_start_check.py
@@ -17,7 +17,7 @@
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
-from gypsumrouter.forwarding.starts import (
+from gypsumrouter.forwarding.ends.starts import (
     QUESTION_BURST,
     ListTimes,
     UpstreamStarts,
--- a/tests/forwarding/test_forwarding_unlisted_versions.py
+++ b/tests/forwarding/test_forwarding_unlisted_versions.py
@@ -13,8 +13,8 @@
 import pytest
 from forwarding_world import PROMPT, ForwardingWorld, make_configuration
 
+from gypsumrouter.forwarding.ends.starts import QUESTION_BURST
 from gypsumrouter.forwarding.models import CallerRequest
-from gypsumrouter.forwarding.starts import QUESTION_BURST
 from gypsumrouter.running_process import RunningProcess
 from gypsumrouter.settings import Bounds
 from gypsumrouter.standins import PublishedStoreStandin
@@ -102,7 +102,7 @@
     """Start two forwarders; a parameter bounds the questions that they ask."""
     monkeypatch.setenv("GYPSUMROUTER_LINK_KEY", "a key of the links between routers")
     monkeypatch.setattr(
-        "gypsumrouter.forwarding.starts.QUESTION_BURST",
+        "gypsumrouter.forwarding.ends.starts.QUESTION_BURST",
         getattr(request, "param", QUESTION_BURST),
     )
     world = UnlistedWorld()
--- a/tests/util/test_util_body_formats.py
+++ b/tests/util/test_util_body_formats.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gypsumrouter.forwarding.events import EventSplitter
+from gypsumrouter.forwarding.ends.events import EventSplitter
 from gypsumrouter.gateway.events import EventBuffer
 from gypsumrouter.util.body_formats import (
     count_events,
