Configuration in force late while the watchers of the store are cut off: rely on them for 2 s at most

A watcher whose pending watch has lost its response goes on to announce that it watches until the watch fails: 2.5 s of waiting and 1.5 s for the response after the last one for the configuration, 1.2 s and 0.8 s for the list. Its neighbours count an announcement for another second and begin within 0.15 s: 5.15 s and 3.15 s after the store's last response. Announcements say how old that response for the list is, but only the time of an outage was taken from it.

An announcement now counts for 2 s at most after the store's last response for the list, for both lists. The watch of the list is answered each 1.2 s by a store in touch, and has failed after 2 s, so that a sound watcher is never doubted; another watcher of the data centre that has the store keeps its neighbours from asking. A router's first own question is on its way 2.15 s after the last response, below the 2.4 s that count as an outage.

What it costs: a store that answers nothing for about a second is asked once by all routers.

The test fleet follows configurations now.

--- a/gypsumrouter/peers/watchers.py
+++ b/gypsumrouter/peers/watchers.py
@@ -147,10 +147,12 @@
     def _handle_announcement(self, peer: Peer, announcement: StoreUpdate) -> None:
         if self.is_watcher():
             return
+        # A watch of the configuration waits longer, so that its own age would tell less.
+        age_ms = announcement.list_age_ms
         if announcement.routing_as_of:
-            self._routing.note_peer_watching(response_age_ms=0)
+            self._routing.note_peer_watching(response_age_ms=age_ms)
         if announcement.list_as_of:
-            self._list.note_peer_watching(response_age_ms=announcement.list_age_ms)
+            self._list.note_peer_watching(response_age_ms=age_ms)
         self._catch_up.handle_announcement(peer, announcement)
 
 
--- a/gypsumrouter/published/__init__.py
+++ b/gypsumrouter/published/__init__.py
@@ -2,11 +2,7 @@
 
 from __future__ import annotations
 
-from gypsumrouter.published.follower import (
-    LIST_RESPONSE_TIMEOUT_MS,
-    LIST_WATCH_TIMEOUT_MS,
-    Follower,
-)
+from gypsumrouter.published.follower import Follower
 from gypsumrouter.published.models import (
     HistoryLost,
     Item,
@@ -14,7 +10,11 @@
     PublishedStore,
     StoreUnavailable,
 )
-from gypsumrouter.published.watch_state import WatchState
+from gypsumrouter.published.watch_state import (
+    LIST_RESPONSE_TIMEOUT_MS,
+    LIST_WATCH_TIMEOUT_MS,
+    WatchState,
+)
 
 __all__ = [
     "LIST_RESPONSE_TIMEOUT_MS",
--- a/gypsumrouter/published/follower.py
+++ b/gypsumrouter/published/follower.py
@@ -15,10 +15,6 @@
 # response looks like one that waits, so this bounds how late a change is seen after a network
 # fault.
 WATCH_TIMEOUT_MS: Final = 2_500
-# The same for the list of upstreams, whose changes have to be known sooner. With the time to notice
-# a silent connection and to open a new one, it is shorter than an outage in which entries expire.
-LIST_WATCH_TIMEOUT_MS: Final = 1_200
-LIST_RESPONSE_TIMEOUT_MS: Final = 800
 
 # The first watch after an outage returns at once. A store restored from a backup may be at a lower
 # revision than the requested one, and a waiting watch would delay its changes.
--- a/gypsumrouter/published/watch_state.py
+++ b/gypsumrouter/published/watch_state.py
@@ -10,12 +10,22 @@
 # A peer's report that it watches is valid for this long, which is more than three report intervals.
 # After that this router watches the store itself.
 PEER_WATCH_VALID_MS: Final = 1_000
+# Longest time between two responses of the store to a watch of the list, whose changes have to be
+# known soon. With the time to notice a silent connection and to open a new one, it is shorter than
+# an outage in which entries expire.
+LIST_WATCH_TIMEOUT_MS: Final = 1_200
+LIST_RESPONSE_TIMEOUT_MS: Final = 800
+# A report is valid only for this long after the store's last response to the peer's watch of the
+# list, which is when that watch fails. A watch of the configuration that lost its response fails
+# up to 2 s later, so that the list shows a cut connection sooner for both.
+PEER_RESPONSE_VALID_MS: Final = LIST_WATCH_TIMEOUT_MS + LIST_RESPONSE_TIMEOUT_MS
 # A starting router delays its first watch by this time, in which a peer that watches can report.
 # Its list was just read in full, so the delay makes no change late.
 STARTUP_DEFER_MS: Final = 500
 # Jitter for routers that lose their watching peer at the same time and begin to watch themselves.
-# With the time for which a report is valid and the longest wait of a watch (1.2 s) it is shorter
-# than an outage in which entries expire (2.4 s): the loss of the watchers does not look like one.
+# With the longest time for which a report is valid after the store's last response (2 s) it is
+# shorter than an outage in which entries expire (2.4 s): the loss of the watchers does not look
+# like one.
 TAKEOVER_JITTER_MS: Final = 150
 # Time of an event that has not happened.
 _NEVER_MS: Final = -(1 << 62)
@@ -64,8 +74,11 @@
     def note_peer_watching(self, *, response_age_ms: int) -> None:
         """Record that a peer watches the list, and when the store last responded to it."""
         now_ms = self._clock.now_ms()
-        self._peer_watching_until_ms = now_ms + PEER_WATCH_VALID_MS
-        self.responded_ms = max(self.responded_ms, now_ms - response_age_ms)
+        responded_ms = now_ms - response_age_ms
+        until_ms = min(now_ms + PEER_WATCH_VALID_MS, responded_ms + PEER_RESPONSE_VALID_MS)
+        # Another peer's watch may have been answered since.
+        self._peer_watching_until_ms = max(self._peer_watching_until_ms, until_ms)
+        self.responded_ms = max(self.responded_ms, responded_ms)
 
     def advance(self, as_of: int) -> None:
         """Record that all changes up to `as_of` are known; no effect before the first read."""
--- a/tests/peers/memory_store.py
+++ b/tests/peers/memory_store.py
@@ -43,8 +43,11 @@
 
     def put(self, state: EntryState, key: str = "i-1") -> None:
         """Write the state of an upstream."""
+        self.write(key, state.value.encode())
+
+    def write(self, key: str, value: bytes) -> None:
+        """Write an item."""
         self.revision += 1
-        value = state.value.encode()
         self.items.append(Item(key=key, revision=self.revision, value=value))
         self._notify()
 
--- a/tests/peers/peer_fleet.py
+++ b/tests/peers/peer_fleet.py
@@ -14,7 +14,6 @@
 from gypsumrouter.core import Application
 from gypsumrouter.crashes.guard import CrashGuard
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
-from gypsumrouter.exceptions import DocumentInvalid
 from gypsumrouter.forwarding.loads import PeerLoads
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.instances import parse_address
@@ -29,8 +28,9 @@
 from gypsumrouter.peers.routers import RouterRegistry
 from gypsumrouter.peers.usage import UsageExchange
 from gypsumrouter.peers.watchers import WatchCoordinator
+from gypsumrouter.platform import decode_configuration
 from gypsumrouter.published import LIST_WATCH_TIMEOUT_MS, Follower, ItemBatch, WatchState
-from gypsumrouter.routing import RoutingConfiguration, RoutingStore
+from gypsumrouter.routing import RoutingStore
 from gypsumrouter.util.clock import ManualClock
 from gypsumrouter.util.heartbeats import DEFAULT_HEARTBEAT_MS, get_shortest_expiry_ms
 
@@ -74,14 +74,14 @@
         self.app = Application(
             name=self.name, role=Role.FORWARDER, data_centre=data_centre, region="r", clock=clock
         )
-        journal = Journal(app=self.app)
+        self.journal = journal = Journal(app=self.app)
         self.notices = NoticeHub()
         self.routers = RouterRegistry(
             clock=clock, own_address=self.address, data_centre=data_centre
         )
         self.directory = Directory(app=self.app, journal=journal)
         self.evacuations = Evacuations(app=self.app, journal=journal)
-        routing = RoutingStore(app=self.app, journal=journal)
+        self.routing = routing = RoutingStore(app=self.app, journal=journal)
         self.placer = make_replay_placer(
             app=self.app,
             journal=journal,
@@ -94,7 +94,7 @@
         # Parts placed since the last update to the neighbours.
         self.placed: list[PlacedPart] = []
         self.state = WatchState(clock=clock)
-        routing_state = WatchState(clock=clock)
+        self.routing_state = routing_state = WatchState(clock=clock)
         self.catch_up = CatchUpCoordinator(
             app=self.app,
             journal=journal,
@@ -102,7 +102,7 @@
             directory=self.directory,
             evacuations=self.evacuations,
             notices=self.notices,
-            decode=reject_configuration,
+            decode=decode_configuration,
             routing_state=routing_state,
             upstreams=self.state,
         )
@@ -334,8 +334,3 @@
         address = None if state is EntryState.GONE else parse_address("10.9.0.1:80")
         entry = Entry(upstream=item.key, state=state, service="s", address=address)
         yield Record(revision=item.revision, entry=entry)
-
-
-def reject_configuration(document: bytes) -> RoutingConfiguration:
-    """Reject every configuration document."""
-    raise DocumentInvalid(())
--- a/tests/peers/store_view.py
+++ b/tests/peers/store_view.py
@@ -21,11 +21,14 @@
 class StoreView:
     """A router's connection to the store, which can be partitioned, also for pending calls."""
 
-    def __init__(self, *, store: MemoryStore, clock: ManualClock) -> None:
+    def __init__(
+        self, *, store: MemoryStore, clock: ManualClock, timeout_ms: int = CALL_TIMEOUT_MS
+    ) -> None:
         self._clock = clock
         self._was_reset = asyncio.Event()
         self._silent = False
         self._store = store
+        self._timeout_ms = timeout_ms
         self.partitioned = False
 
     async def async_list(self) -> ItemBatch:
@@ -40,7 +43,7 @@
         if self.partitioned:
             self._store.calls += 1
             raise StoreUnavailable("cut")
-        until_ms = self._clock.now_ms() + wait_ms + CALL_TIMEOUT_MS
+        until_ms = self._clock.now_ms() + wait_ms + self._timeout_ms
         listed = await self._async_watch_until_reset(after, wait_ms)
         if self._clock.now_ms() >= until_ms:
             raise StoreUnavailable("call timed out")
