Soak of deaths: upstreams stop work at the deadline that they receive

The upstreams of the soak of deaths ignored X-Deadline-Ms, and all their callers allowed 20 s. So it could not show an answer that its upstream ends in order at its deadline, which looks whole.

Each run now draws how it ends there: in order, by a FIN, by a reset, or with a 504 in place of an answer. What is short and framed as whole is a violation of its own, "short as whole at the deadline". Figures count the answers whose upstreams stopped at their deadline, and complete answers that were broken off, by what was reached: a stop, the end of their time, or neither. Complete unframed answers that were broken off at the end of their time no longer count against the one in a thousand that may be.

--- a/bench/soak_death_checks.py
+++ b/bench/soak_death_checks.py
@@ -30,6 +30,8 @@
 GAP_TAKEN_UP: Final = "gap behind the event that a caller named"
 # A run that ends in order with no event is what a sound upstream sends behind the last one, too.
 LAST_LEFT_OUT: Final = "last event left out by a run without events"
+# A body that its upstream ended in order at its deadline.
+AT_DEADLINE: Final = "short as whole at the deadline"
 # The published protocol has no question that tells this: the id lives.
 ID_LIVES: Final = "short as whole, and its id lives on"
 NOT_PROVABLE: Final = frozenset({GAP_TAKEN_UP, LAST_LEFT_OUT, ID_LIVES})
@@ -68,6 +70,11 @@
         """Return whether the upstream was killed with the answer under way."""
         return self.end is None and bool(self.numbers)
 
+    @property
+    def is_stopped(self) -> bool:
+        """Return whether the upstream stopped work at the deadline that it received."""
+        return self.end is not None and self.end.kind is NoteKind.STOPPED
+
     @property
     def process(self) -> str:
         """Return the start of the upstream."""
@@ -171,6 +178,8 @@
         found = _find_fault(call, several, after) if answer.status == 200 else None
         if found == SHORT and _find_shown(answer, several) in living:
             found = ID_LIVES
+        elif found == SHORT and any(run.is_stopped for run in several):
+            found = AT_DEADLINE
         if found is not None:
             sent = "; ".join(str(run) for run in several)
             got = f"{answer.end} {_shorten([piece.number for piece in list_pieces(answer)])}"
@@ -245,7 +254,7 @@
     """
 
     def is_sound(call: OverlapCall, run: SentRun) -> bool:
-        if not run.goes_on or not run.has_lived(deaths, cuts):
+        if run.is_stopped or not run.goes_on or not run.has_lived(deaths, cuts):
             return False
         if run.begun.framing is not UpstreamFraming.NEITHER:
             return True
--- a/bench/soak_death_figures.py
+++ b/bench/soak_death_figures.py
@@ -15,6 +15,7 @@
 from bench.soak_checks import Violation
 from bench.soak_death_checks import ID_LIVES, Cut, Runs, ends_without_event, list_pieces
 from bench.soak_overlap_callers import OverlapCall
+from bench.soak_overlap_checks import is_over
 from bench.soak_stops import Stop, find_stop
 from bench.upstream_host import PLAIN_PARTS, NoteKind, UpstreamFraming
 from gypsumrouter.const import MS_PER_S
@@ -49,6 +50,41 @@
     return counts
 
 
+def count_stopped(calls: Sequence[OverlapCall], runs: Runs) -> Counter[str]:
+    """Count answers whose upstream stopped at its deadline, by its framing and their end."""
+    counts: Counter[str] = Counter()
+    for call in calls:
+        stopped = [r for r in runs.get(call.answer.request_id, ()) if r.is_stopped]
+        if stopped:
+            end = f"{call.answer.end} {call.answer.status}"
+            counts[f"{stopped[-1].begun.framing} {end}"] += 1
+    return counts
+
+
+def count_complete(
+    calls: Sequence[OverlapCall], runs: Runs, stops: Sequence[Stop]
+) -> dict[str, Counter[str]]:
+    """Count answers that their upstream completed, by its framing and what callers got.
+
+    Those that were broken off are told apart by what was reached: a stop, or the end of their time.
+    """
+    counts: dict[str, Counter[str]] = {}
+    for call in calls:
+        several = runs.get(call.answer.request_id, ())
+        ended = [run for run in several if run.end and run.end.kind is NoteKind.ENDED]
+        if not ended:
+            continue
+        outcome = "broken"
+        if call.answer.end is End.WHOLE:
+            outcome = "whole"
+        elif is_over(call):
+            outcome = "broken at the end of its time"
+        elif find_stop(call.forwarder, call.answer, stops) is not None:
+            outcome = "broken in a stop"
+        counts.setdefault(ended[-1].begun.framing, Counter())[outcome] += 1
+    return counts
+
+
 def count_manners(
     calls: Sequence[OverlapCall], runs: Runs, manners: Mapping[str, str], living: Collection[str]
 ) -> dict[str, Counter[str]]:
@@ -145,6 +181,8 @@
             continue
         if not run.has_outlived(answer, deaths):
             continue
+        if answer.end is not End.WHOLE and is_over(call):
+            continue
         is_whole = answer.end is End.WHOLE
         if not run.is_listed(listed):
             ends.unlisted["whole" if is_whole else "broken"] += 1
--- a/bench/soak_deaths.py
+++ b/bench/soak_deaths.py
@@ -30,7 +30,13 @@
     make_work,
     read_runs,
 )
-from bench.soak_death_figures import count_killed, count_manners, measure_ends
+from bench.soak_death_figures import (
+    count_complete,
+    count_killed,
+    count_manners,
+    count_stopped,
+    measure_ends,
+)
 from bench.soak_kept_callers import count_ends
 from bench.soak_line_checks import check_cut_lines, check_outcomes
 from bench.soak_overlap_checks import (
@@ -145,6 +151,7 @@
                     max_connections=rng.choice(MAX_CONNECTIONS),
                     states_start=self.states_start,
                     closing_s=rng.uniform(*CLOSING_S),
+                    seed=seed,
                 ),
                 front=front,
             )
@@ -302,6 +309,8 @@
         "silences": len(deaths.silences),
         "configurations": rig.version,
         "killed": count_killed(calls, runs),
+        "stopped": count_stopped(calls, runs),
+        "complete": count_complete(calls, runs, stops.made),
         "begun_wrong": sum(not run.goes_on for several in runs.values() for run in several),
         "taken_up": Counter(
             f"{c.answer.end} {c.answer.status}" for c in calls if c.answer.request_id in last
--- a/bench/soak_overlap_callers.py
+++ b/bench/soak_overlap_callers.py
@@ -80,6 +80,7 @@
 
     request_id: str
     tokens: int
+    deadline_ms: int
     parts: tuple[bytes, ...]
     pause_s: float
     sent_bytes: int = 0
@@ -140,7 +141,7 @@
                     route=route,
                     forwarder=forwarder,
                     answer=answer,
-                    deadline_s=DEADLINE_MS / MS_PER_S,
+                    deadline_s=request.deadline_ms / MS_PER_S,
                     tokens=request.tokens,
                     manner=" ".join(name for name, holds in manner.items() if holds) or "new",
                 )
@@ -162,6 +163,7 @@
         tokens = 0
         if ROUTES[route].kind == "streaming":
             tokens = rng.randint(1, round(self._max_tokens * rng.choice(LENGTH_SHARES)))
+        deadline_ms = self.draw_deadline_ms(rng)
         is_upload = rng.random() < UPLOAD_SHARE
         body = b"x" * (UPLOAD_BYTES if is_upload else 1)
         head = make_post_head(
@@ -169,7 +171,7 @@
             route,
             tokens=tokens,
             prompt=f"a{caller % 3}:800,b{caller}:600",
-            deadline_ms=DEADLINE_MS,
+            deadline_ms=deadline_ms,
             key=CALLER_KEY,
             length=len(body),
         )
@@ -178,10 +180,15 @@
         return DrawnRequest(
             request_id=request_id,
             tokens=tokens,
+            deadline_ms=deadline_ms,
             parts=(head + body[:size], *later),
             pause_s=rng.uniform(0, MAX_UPLOAD_S) / UPLOAD_PARTS,
         )
 
+    def draw_deadline_ms(self, _rng: random.Random) -> int:
+        """Return the deadline of the next request of a caller."""
+        return DEADLINE_MS
+
 
 async def _async_ask(
     connection: RawCaller, request: DrawnRequest, early: bytes, early_ms: int, **options: Any
--- a/tests/bench/test_bench_hosted_upstream.py
+++ b/tests/bench/test_bench_hosted_upstream.py
@@ -17,6 +17,7 @@
 from bench.upstream_host import (
     HEALTH_PATH,
     INSTANCE_ID,
+    DeadlineEnd,
     FirstEvent,
     HostPlan,
     UpstreamFraming,
@@ -30,6 +31,7 @@
 SILENT_S = 0.3
 CLOSING_S = 0.3
 CONNECTIONS = 6
+READ_BYTES = 65_536
 
 Connection = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 Starter = Callable[..., Awaitable[HostedUpstream]]
@@ -134,6 +136,36 @@
         writer.close()
 
 
+# Guards against a soak whose upstreams outlast their deadlines, or all end there in one way.
+@pytest.mark.parametrize("framing", list(UpstreamFraming))
+@pytest.mark.parametrize("end", list(DeadlineEnd))
+async def test_answer_ends_at_the_deadline_as_drawn(
+    start: Starter, framing: UpstreamFraming, end: DeadlineEnd
+) -> None:
+    upstream = await start(framing=framing, deadline_ends=[end], pause_s=0.05)
+    reader, writer = await async_connect(upstream.address)
+    begun_s = time.monotonic()
+    writer.write(f"GET /a HTTP/1.1\r\nHost: a\r\n{names.DEADLINE}: 180\r\n\r\n".encode())
+    head = await reader.readuntil(b"\r\n\r\n")
+    is_reset, body = False, b""
+    try:
+        async with asyncio.timeout(SILENT_S):
+            while data := await reader.read(READ_BYTES):
+                body += data
+    except ConnectionResetError:
+        is_reset = True
+    except TimeoutError:
+        # The connection is kept.
+        assert body.endswith(b"0\r\n\r\n") or end is DeadlineEnd.STATUS
+    assert 0.18 <= time.monotonic() - begun_s < 0.18 + 2 * SILENT_S
+    assert head.split(b" ")[1] == (b"504" if end is DeadlineEnd.STATUS else b"200")
+    assert is_reset is (end is DeadlineEnd.RESET)
+    assert body.count(f"{NAME}/".encode()) == (0 if end is DeadlineEnd.STATUS else 3)
+    is_framed = framing is UpstreamFraming.CHUNKS and end is DeadlineEnd.IN_ORDER
+    assert body.endswith(b"0\r\n\r\n") is is_framed
+    writer.close()
+
+
 async def test_connections_beyond_the_limit_are_reset(start: Starter) -> None:
     upstream = await start(max_connections=1)
     first = await async_connect(upstream.address)
--- a/tests/bench/test_bench_soak_deaths.py
+++ b/tests/bench/test_bench_soak_deaths.py
@@ -15,6 +15,7 @@
 from bench.raw_caller import Answer, End, RawCaller, make_post_head
 from bench.soak_death_callers import DeathCallers
 from bench.soak_death_checks import (
+    AT_DEADLINE,
     GAP_TAKEN_UP,
     ID_LIVES,
     LAST_LEFT_OUT,
@@ -27,10 +28,18 @@
     list_sound,
     read_runs,
 )
-from bench.soak_death_figures import UnframedEnds, count_killed, count_manners, measure_ends
+from bench.soak_death_figures import (
+    UnframedEnds,
+    count_complete,
+    count_killed,
+    count_manners,
+    count_stopped,
+    measure_ends,
+)
 from bench.soak_deaths import Death, async_soak_deaths
 from bench.soak_overlap_callers import OverlapCall
 from bench.soak_rig import ENV_KEY, KEY, SoakRig
+from bench.soak_stops import Stop
 from bench.upstream_host import (
     PLAIN_PARTS,
     FirstEvent,
@@ -133,6 +142,40 @@
         assert list_living(runs, (), [cut]) == set()
 
 
+def make_stopped(run: str, numbers: list[int], *, after: int = 0) -> SentRun:
+    stopped = make_run(run, numbers or [after + 1], after=after)
+    stopped.numbers = numbers
+    stopped.end = Note(kind=NoteKind.STOPPED, at_s=2.0, run=run)
+    return stopped
+
+
+# Guards against a check that takes an end at the deadline for that of a whole answer.
+def test_answer_that_its_upstream_ended_at_the_deadline_is_a_violation_of_its_own() -> None:
+    stopped = make_stopped(FIRST, [1, 2, 3])
+    assert find(make_call((FIRST, [1, 2, 3])), stopped) == [AT_DEADLINE]
+    assert find(make_call((FIRST, [1, 2, 3]), end=End.RESET), stopped) == []
+    plain = make_call((FIRST, [1, 2]), route="lookup")
+    assert find(plain, make_stopped(FIRST, [1, 2])) == [AT_DEADLINE]
+    # The run that went on had no time for an event.
+    rest = make_stopped(SECOND, [], after=3)
+    assert find(make_call((FIRST, [1, 2, 3])), make_run(FIRST, [1, 2, 3]), rest) == [AT_DEADLINE]
+    assert list_sound([plain], {"a": [stopped]}, {}) == []
+
+
+def test_complete_answers_that_were_broken_off_are_counted_by_what_was_reached() -> None:
+    runs = {"a": [make_run(FIRST, [1, 2, 3, 4, 5], ends=True)]}
+    whole, broken = make_call((FIRST, [1, 2])), make_call((FIRST, [1, 2]), end=End.RESET)
+    late = msgspec.structs.replace(broken, deadline_s=2.0)
+    counted = {"whole": 1, "broken": 1, "broken at the end of its time": 1}
+    assert count_complete([whole, broken, late], runs, []) == {"neither": counted}
+    stop = Stop(forwarder=0, at_s=1.0, ended_s=3.0)
+    assert count_complete([broken], runs, [stop]) == {"neither": {"broken in a stop": 1}}
+    # Its end at the deadline may have reached the router too late.
+    assert measure_ends([broken], runs, [], {}).broken == ["a"]
+    assert measure_ends([late], runs, [], {}).ended == 0
+    assert count_stopped([broken], {"a": [make_stopped(FIRST, [1])]}) == {"neither reset 200": 1}
+
+
 def test_unframed_answers_are_counted_by_the_manner_of_the_death() -> None:
     runs = {"a": [make_run(FIRST, [1, 2, 3])]}
     calls = [make_call((FIRST, [1, 2, 3])), make_call((FIRST, [1, 2, 3]), end=End.RESET)]
@@ -304,6 +347,7 @@
     assert figures["silences"]
     assert figures["begun_wrong"]
     assert figures["taken_up"]
+    assert figures["stopped"]
     killed, manners = figures["killed"], figures["manners"]
     assert isinstance(killed, dict)
     assert {kind.partition(" ")[0] for kind in killed} == set(UpstreamFraming)
