Soak of deaths: timeouts of routes change while streams run

All routes kept one timeout of 15 s, longer than any request takes, so no answer was under way at the timeout of its route, or when that changed.

Each published version now draws the timeouts: 0.2 to 3 s for a share of the routes. Requests count as over at the shortest limit that was in force while they ran, and more than a quarter of those that reach their timeout (eight at least) may not be held over half a second past the longest one.

--- a/bench/soak_deaths.py
+++ b/bench/soak_deaths.py
@@ -44,20 +44,20 @@
     Silence,
     check_kept_answers,
     check_lost,
+    is_over,
 )
 from bench.soak_overlaps import (
     MAX_SILENCE_S,
     MIN_SILENCE_S,
     ONCE,
-    PUBLISHED,
     RESTS_S,
     OverlappingStops,
     async_play,
-    async_publish,
 )
 from bench.soak_rig import FORWARDERS, SoakRig
 from bench.soak_silence_checks import Ran, check_once
 from bench.soak_stops import check_stops
+from bench.soak_timeouts import ChangingTimeouts, check_held, limit_calls
 from bench.upstream_host import FirstEvent, HostPlan, UpstreamFraming
 from gypsumrouter.const import MS_PER_S
 
@@ -83,7 +83,6 @@
 SILENCE_SHARE: Final = 0.3
 # Upstreams that do not start again, and are replaced under another id.
 REPLACED_SHARE: Final = 0.15
-CONFIGURED_S: Final = ((0.05, 0.2), (1.0, 4.0))
 # Drawn without repetition for engines, and for plain upstreams.
 FRONTS: Final = (*[Front.DIRECT] * 3, *Front)
 # Within this time the connections of a process at its limit of the processor are closed.
@@ -231,13 +230,6 @@
         self.fronts.update(dict.fromkeys(upstream.processes, upstream.front))
 
 
-async def _async_configure(rig: SoakRig, rng: random.Random) -> None:
-    """Publish configurations, some in series, until cancelled."""
-    while True:
-        await asyncio.sleep(rng.uniform(*rng.choice(CONFIGURED_S)))
-        await async_publish(rig)
-
-
 async def async_soak_deaths(
     *,
     seed: int,
@@ -260,16 +252,18 @@
     max_events = random.Random(f"{seed}/events").choice(MAX_EVENTS)
     callers = DeathCallers(rig=rig, seed=seed, max_tokens=max_events, patience_s=patience_s)
     stops = OverlappingStops(rig=rig, seed=seed)
+    timeouts = ChangingTimeouts(rig=rig, seed=seed)
     try:
         await rig.async_start()
         await asyncio.gather(*(upstream.async_start() for upstream in deaths.upstreams))
-        await async_publish(rig)
-        causes = (_async_configure(rig, random.Random(f"{seed}/c")), deaths.async_run())
+        await timeouts.async_publish()
+        causes = (timeouts.async_run(), deaths.async_run())
         await async_play(callers, stops, causes, seconds=seconds)
     finally:
         await asyncio.gather(*(upstream.async_stop() for upstream in deaths.upstreams))
         await rig.async_stop()
-    calls, runs, lines = callers.calls, read_runs(notes), rig.read_journals()
+    calls = limit_calls(callers.calls, timeouts.published)
+    runs, lines = read_runs(notes), rig.read_journals()
     last = {request_id: rest.last for request_id, rest in callers.taken_up.items()}
     listed = deaths.listed if deaths.states_start else None
     work = make_work(runs)
@@ -294,7 +288,8 @@
         *ends.check(),
         *check_lost(sound, stops.made, work, deaths.silences),
         *check_kept_answers(sound, stops.made, work),
-        *check_once(once, [PUBLISHED], ran, once=ONCE),
+        *check_once(once, timeouts.published, ran, once=ONCE),
+        *check_held(calls, timeouts.published),
         *check_outcomes(calls, lines),
         *check_cut_lines(calls, stops.made, work, lines),
     ]
@@ -308,6 +303,10 @@
         "stops": len(stops.made),
         "silences": len(deaths.silences),
         "configurations": rig.version,
+        "timed_out": sum(
+            is_over(after) and after.deadline_s < before.deadline_s
+            for before, after in zip(callers.calls, calls, strict=True)
+        ),
         "killed": count_killed(calls, runs),
         "stopped": count_stopped(calls, runs),
         "complete": count_complete(calls, runs, stops.made),
--- a/bench/soak_overlaps.py
+++ b/bench/soak_overlaps.py
@@ -10,7 +10,7 @@
 import signal
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from pathlib import Path
 from typing import Any, Final
 
@@ -184,14 +184,20 @@
             self.longest_s = max(self.longest_s, time.monotonic() - before_s - TICK_S)
 
 
-def make_overlaps_configuration(version: int) -> dict[str, Any]:
-    """Return a configuration with routes of one and two attempts of each kind."""
+def make_overlaps_configuration(
+    version: int, timeouts_ms: Mapping[str, int] | None = None
+) -> dict[str, Any]:
+    """Return a configuration with routes of one and two attempts of each kind.
+
+    `timeouts_ms` has their timeouts, which are longer than any request takes if not given.
+    """
+    timeouts_ms = timeouts_ms or dict.fromkeys(ROUTES, TIMEOUT_MS)
     routes = [
         make_route(
             name,
             plan.kind,
             plan.service,
-            timeout_ms=TIMEOUT_MS,
+            timeout_ms=timeouts_ms[name],
             max_attempts=plan.max_attempts,
             resumable=plan.resumable,
             **TARGETS,
--- a/tests/bench/test_bench_soak_deaths.py
+++ b/tests/bench/test_bench_soak_deaths.py
@@ -39,7 +39,9 @@
 from bench.soak_deaths import Death, async_soak_deaths
 from bench.soak_overlap_callers import OverlapCall
 from bench.soak_rig import ENV_KEY, KEY, SoakRig
+from bench.soak_silence_checks import Published
 from bench.soak_stops import Stop
+from bench.soak_timeouts import HELD_S, MAX_HELD, check_held, limit_calls
 from bench.upstream_host import (
     PLAIN_PARTS,
     FirstEvent,
@@ -176,6 +178,26 @@
     assert count_stopped([broken], {"a": [make_stopped(FIRST, [1])]}) == {"neither reset 200": 1}
 
 
+# Guards against requests that a timeout ends, and that count as lost, or that none ends at all.
+def test_requests_are_limited_by_the_timeouts_that_were_in_force() -> None:
+    timeouts_s = {"quote": 15.0, "lookup": 15.0}
+    usual = Published(at_s=-10.0, timeouts_s=timeouts_s, max_attempts={})
+    short = Published(at_s=1.0, timeouts_s={"quote": 2.0, "lookup": 15.0}, max_attempts={})
+    call = make_call(end=End.RESET)
+    assert limit_calls([call], [usual])[0].deadline_s == 15.0
+    assert limit_calls([call], [usual, short])[0].deadline_s == 2.0
+    assert limit_calls([make_call(route="lookup")], [usual, short])[0].deadline_s == 15.0
+    begun = msgspec.structs.replace(short, at_s=-5.0)
+    call.answer.ended_s = 2.0 + 2 * HELD_S
+    calls = [call] * (MAX_HELD + 1)
+    assert len(list(check_held(calls, [begun]))) == MAX_HELD + 1
+    assert list(check_held(calls[1:], [begun])) == []
+    assert list(check_held(calls, [usual, short])) == []
+    ended = make_call(end=End.RESET)
+    ended.answer.ended_s = 2.0 + HELD_S
+    assert list(check_held([*calls, *[ended] * 3 * len(calls)], [begun])) == []
+
+
 def test_unframed_answers_are_counted_by_the_manner_of_the_death() -> None:
     runs = {"a": [make_run(FIRST, [1, 2, 3])]}
     calls = [make_call((FIRST, [1, 2, 3])), make_call((FIRST, [1, 2, 3]), end=End.RESET)]
