The time of an end is known whatever follows it in its segment

The connection noted an end only after its parser had returned, and only that of the last response in a segment. The body itself tells its end now.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -175,7 +175,6 @@
         payload = self._dialect.write_request(request=self._request, options=self.options)
         # Before the first byte: the upstream counts its time from when it has the request.
         self._sent_ms = self._pool.now_ms()
-        connection.on_body_end = self._note_body_end
         try:
             connection.send_request(method=self._request.method, data=payload)
         except ConnectionBroken as error:
@@ -237,7 +236,6 @@
         connection, self._connection = self._connection, None
         if connection is None:
             return
-        connection.on_body_end = None
         if self.metadata is not None:
             connection.keep_alive_ms = self.metadata.keep_alive_ms
         self._pool.release(self.entry, connection)
@@ -319,8 +317,10 @@
             request_id = metadata.request_id
             if request_id == self._request.request_id:
                 self._pool.note_answered(self.entry, connection, sent_ms=self._sent_ms)
+                answer.body.on_eof(self._note_body_end)
                 return answer
             if request_id is None and not self.reused and connection.exchanges == 1:
+                answer.body.on_eof(self._note_body_end)
                 return answer
             if request_id is None:
                 raise ConnectionBroken("response without a request id on a reused connection")
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -10,7 +10,7 @@
 import asyncio
 import socket
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from enum import StrEnum
 from typing import Final
 
@@ -108,7 +108,6 @@
         "idle_since_ms",
         "keep_alive_ms",
         "lost_unexpectedly",
-        "on_body_end",
         "opened_ms",
         "peer_started_ms",
         "start_source",
@@ -123,8 +122,6 @@
         self.idle_since_ms = 0
         # Idle timeout that the peer announced in its Keep-Alive header, if any.
         self.keep_alive_ms: int | None = None
-        # Called when the body of a response has been received to its end.
-        self.on_body_end: Callable[[], None] | None = None
         # Whether the peer closed or reset it without having announced that.
         self.lost_unexpectedly = False
         # When the process at the other end started, None if unknown, and how that is known.
@@ -287,8 +284,6 @@
             self._bounds.begin_body()
         if in_body and not messages and self._body is not None:
             excess = self._bounds.note_body(len(data), content_bytes=self._body.total_bytes)
-        if (in_body or messages) and self._body is not None and self._body.is_eof():
-            self._note_body_end()
         if upgraded or tail:
             self._invalidate("bytes after the answer")
         elif excess is not None:
@@ -296,10 +291,6 @@
         elif messages:
             self._wake()
 
-    def _note_body_end(self) -> None:
-        if self.on_body_end is not None:
-            self.on_body_end()
-
     def eof_received(self) -> bool:
         """Wait for a possible reset before a body without a length counts as complete."""
         self._note_end()
