An upstream may stop a little before its deadline

It counts in whole milliseconds that begin at other moments than the router's, and a timeout of the router's event loop comes up to 1 ms late: an end 0.9 ms before the deadline handed on was read before the limit, and below the bound.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -48,6 +48,11 @@
 # A body of another framing has a length, or none at all.
 UNSTATED_ENDS: Final = frozenset({Framing.CHUNKED, Framing.CLOSE})
 
+# An upstream may stop by that much too early: it counts in milliseconds of its own, and its clock
+# may be faster, by up to 1 in 2,000 while it is being set.
+EARLY_STOP_MS: Final = 2
+CLOCK_RATIO: Final = 1_000
+
 HeadListener = Callable[[Entry, ResponseMetadata], None]
 
 
@@ -195,7 +200,7 @@
             return None
         if answer.framing is Framing.CLOSE:
             self._end_ms = connection.ended_ms or self._pool.now_ms()
-        if self.answer_ms >= self.options.deadline_ms:
+        if self.answer_ms >= get_stop_ms(self.options.deadline_ms):
             raise EndedAtDeadline
         if answer.framing is Framing.CHUNKED:
             return None
@@ -346,6 +351,11 @@
             self.release()
 
 
+def get_stop_ms(deadline_ms: int) -> int:
+    """Return when an upstream with this deadline may stop at the earliest, counted like it."""
+    return deadline_ms - EARLY_STOP_MS - deadline_ms // CLOCK_RATIO
+
+
 def make_attempt_options(
     placement: Placement,
     *,
