A crash behind a listener that stays is overlooked: judge it when the question goes unanswered

When the 2 s for the question were over, the runs that had caused the crash were no longer exposed either.

The end of an unframed answer is now noted with the crash guard at its time, with the runs that are exposed then, and judged beside the request once the question is answered or has gone unanswered; a run that another one replaces meanwhile (doubted) is judged, too. An unanswered question alone is no crash: a process that stands still, one at its limit of connections and a link that is cut answer none, either. It counts if the peer has ended all other connections to the upstream, and at least one, within 0.5 s of the end, nothing came from it since, and it wasn't known to leave. Those leave connections open; a process that dies loses all of them.

Left: a router without another connection to the upstream, or whose other answers aren't read on.

--- a/gypsumrouter/crashes/guard.py
+++ b/gypsumrouter/crashes/guard.py
@@ -195,14 +195,19 @@
                 self._report_survivals(subject)
 
     def note_broken(
-        self, upstream: str, *, outlived: Callable[[], Awaitable[bool | None]] | None = None
+        self,
+        upstream: str,
+        *,
+        outlived: Callable[[], Awaitable[bool | None]] | None = None,
+        broken_ms: int | None = None,
     ) -> None:
         """Record that an upstream has closed the connection of a run.
 
         Where the way it was closed doesn't show a crash, `outlived` tells whether the upstream is
-        known to live, None if that isn't known. The caller doesn't wait for that.
+        known to live, None if that isn't known. The caller doesn't wait for that. `broken_ms` is
+        when it was closed, if that isn't now.
         """
-        broken_ms = self._app.clock.now_ms()
+        broken_ms = self._app.clock.now_ms() if broken_ms is None else broken_ms
         if outlived is None:
             self._begin_judging(upstream, broken_ms)
         elif self._runs.is_known(upstream):
--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -46,6 +46,9 @@
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 
 HeadListener = Callable[[Entry, ResponseMetadata], None]
+# Gets when an answer ended (monotonic milliseconds), and what tells whether its upstream survived
+# that, None if that isn't known.
+EndListener = Callable[[int, Callable[[], Awaitable[bool | None]]], None]
 
 
 class Attempt:
@@ -54,8 +57,9 @@
     Once `sent` is true, the upstream may run the request. `reused` is true if the connection
     carried an earlier exchange. `may_have_crashed` is false if the answer has broken off and
     nothing shows that the process has ended, or it was known to leave. `on_head` is called with
-    the metadata of each response. If another run can take over, an end that is not confirmed
-    within `end_patience_ms` counts as broken off.
+    the metadata of each response, `on_unframed_end` where an answer without a length or chunks has
+    ended and may have been broken off by a crash. If another run can take over, an end that is not
+    confirmed within `end_patience_ms` counts as broken off.
     """
 
     __slots__ = (
@@ -67,6 +71,7 @@
         "_end_watch",
         "_ends",
         "_on_head",
+        "_on_unframed_end",
         "_pool",
         "_request",
         "_sent_ms",
@@ -89,6 +94,7 @@
         options: AttemptOptions,
         entry: Entry,
         on_head: HeadListener,
+        on_unframed_end: EndListener,
         buffer_limit: int = MAX_BUFFERED_BYTES,
         end_patience_ms: int | None = None,
     ) -> None:
@@ -99,6 +105,7 @@
         self._dialect = dialect
         self._request = request
         self._on_head = on_head
+        self._on_unframed_end = on_unframed_end
         self._connection: HttpConnection | None = None
         # The check of a streamed answer without a length or chunks, until it was asked for.
         self._end_watch: EndWatch | None = None
@@ -173,15 +180,24 @@
             return None
         watch, self._end_watch = self._end_watch, None
         watch = watch or self._ends.watch(self.entry, connection)
+        # The runs that a crash implicates are known only now: the check may take seconds.
+        self._on_unframed_end(
+            connection.ended_ms or self._pool.now_ms(), partial(self._async_survived, watch)
+        )
         verdict = await self._ends.async_check(
             watch, request_id=self._request.request_id, patience_ms=self._end_patience_ms
         )
         self._doubted = watch if verdict is EndVerdict.DOUBTED else None
-        leaving = self.metadata is not None and self.metadata.draining
-        leaving = leaving or self._ends.is_leaving(self.entry)
+        leaving = self._has_announced_end() or self._ends.is_leaving(self.entry)
         self.may_have_crashed = verdict.shows_death and not leaving
         return None if verdict.complete else f"ended with its upstream: {verdict.value}"
 
+    async def _async_survived(self, watch: EndWatch) -> bool | None:
+        return True if self._has_announced_end() else await self._ends.async_survived(watch)
+
+    def _has_announced_end(self) -> bool:
+        return self.metadata is not None and self.metadata.draining
+
     def make_doubt_question(self) -> Callable[[], Awaitable[bool]] | None:
         """Return what tells whether a doubted answer was complete, None if it wasn't doubted."""
         if self._doubted is None:
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -203,6 +203,11 @@
         others = self._list_open(entry.incarnation)
         return any(self._vouches(other, entry) for other in others if other is not connection)
 
+    def list_others(self, entry: Entry, connection: HttpConnection) -> tuple[HttpConnection, ...]:
+        """Return the other open connections to an upstream."""
+        known = self._list_open(entry.incarnation)
+        return tuple(other for other in known if other is not connection)
+
     def now_ms(self) -> int:
         """Return the time by which connections are opened (monotonic milliseconds)."""
         return self._app.clock.now_ms()
@@ -369,6 +374,7 @@
 
     def _note_end(self, connection: HttpConnection) -> None:
         connection.ended_ms = self._app.clock.now_ms()
+        connection.ended_by_peer = connection.open or connection.lost_unexpectedly
 
     def note_answered(self, entry: Entry, connection: HttpConnection, *, sent_ms: int) -> None:
         """Record that a request that was sent at `sent_ms` was answered on a connection.
--- a/gypsumrouter/forwarding/end_evidence.py
+++ b/gypsumrouter/forwarding/end_evidence.py
@@ -34,6 +34,8 @@
 MAX_PAUSE_MS: Final = 320
 # The connections of a start that ends are closed within this time of each other.
 SETTLE_MS: Final = 40
+# The same where something that stands before the start passes the ends on, one after the other.
+LOSS_MS: Final = 500
 # No upstream ends and has a successor that listens at its address within this time.
 RESTART_MS: Final = 40
 
@@ -119,7 +121,8 @@
     another start that is met later has come after that one. `paused_ms` is when its reading was
     first paused (monotonic milliseconds), 0 if it wasn't: from then on its end may have come
     unseen, since a FIN stays behind bytes for which the receive window has no room. `number` is
-    the place of the end among all ends and questions, as `Probe.number`.
+    the place of the end among all ends and questions, as `Probe.number`. `others` are the
+    connections to the upstream that were open beside it at its end.
     """
 
     entry: Entry
@@ -127,8 +130,16 @@
     is_of_listed: bool
     paused_ms: int = 0
     number: int = 0
+    others: tuple[HttpConnection, ...] = ()
     task: asyncio.Task[EndVerdict] | None = None
 
+    def has_lost_others(self) -> bool:
+        """Return whether the peer has ended all other connections, and at least one, beside it."""
+        last_ms = self.connection.ended_ms + LOSS_MS
+        return bool(self.others) and all(
+            other.ended_by_peer and other.ended_ms <= last_ms for other in self.others
+        )
+
 
 class EndChecks:
     """Decides for each answer that ended with its connection whether it is complete."""
@@ -227,6 +238,7 @@
     def _begin(self, watch: EndWatch) -> asyncio.Task[EndVerdict]:
         if watch.task is None:
             watch.number = next(self._numbers)
+            watch.others = self._pool.list_others(watch.entry, watch.connection)
             watch.task = self._app.async_create_task(
                 self._async_decide(watch), "check the end of an answer"
             )
@@ -265,6 +277,19 @@
         self._record(watch, verdict, request_id=request_id, begun_ms=begun_ms, is_cut=True)
         return verdict.outlived
 
+    async def async_survived(self, watch: EndWatch) -> bool | None:
+        """Return whether an upstream has survived the end of an answer, None if that isn't known.
+
+        No answer to the question is no evidence of a crash by itself: a process that stands still
+        and a link that is cut give none, either. A process that dies loses all its connections.
+        """
+        verdict = await asyncio.shield(self._begin(watch))
+        if verdict.complete or self.is_leaving(watch.entry):
+            return True
+        if verdict.shows_death or watch.has_lost_others():
+            return None
+        return True
+
     def _record(
         self,
         watch: EndWatch,
--- a/gypsumrouter/forwarding/outcome_recorder.py
+++ b/gypsumrouter/forwarding/outcome_recorder.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Awaitable, Callable, Collection
 
 from gypsumrouter.crashes import CrashGuard, Run, Subjects
 from gypsumrouter.directory import Entry
@@ -165,6 +165,12 @@
         if self._run is not None:
             self._guard.note_received(self._run, shows_life=shows_life)
 
+    def note_unframed_end(
+        self, entry: Entry, ended_ms: int, survived: Callable[[], Awaitable[bool | None]]
+    ) -> None:
+        """Record the end of an answer that may show a crash, unless the upstream `survived` it."""
+        self._guard.note_broken(entry.incarnation, outlived=survived, broken_ms=ended_ms)
+
     def note_completed(self) -> None:
         """Record that the response of the present run is complete."""
         if self._run is not None:
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import Final
 
 import msgspec
@@ -135,6 +136,7 @@
             ),
             entry=placement.entry,
             on_head=self.observer.handle_head,
+            on_unframed_end=partial(self.observer.note_unframed_end, placement.entry),
             buffer_limit=context.buffer_limit,
             end_patience_ms=self._get_end_patience_ms(),
         )
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -104,6 +104,7 @@
         "_user_timeout_ms",
         "_waiter",
         "address",
+        "ended_by_peer",
         "exchanges",
         "idle_since_ms",
         "keep_alive_ms",
@@ -124,6 +125,8 @@
         self.keep_alive_ms: int | None = None
         # Whether the peer closed or reset it without having announced that.
         self.lost_unexpectedly = False
+        # Whether the peer ended it before this process did, set by who opened it.
+        self.ended_by_peer = False
         # When the process at the other end started, None if unknown, and how that is known.
         self.peer_started_ms: int | None = None
         self.start_source = StartSource.UNKNOWN
--- a/tests/forwarding/test_forwarding_doubted_ends.py
+++ b/tests/forwarding/test_forwarding_doubted_ends.py
@@ -212,6 +212,25 @@
     assert suspects["judged"] == 0
 
 
+# Guards against the same for an upstream that stands still for so long that it answers no question:
+# its other connections stay open.
+@pytest.mark.parametrize("idle", [0, 3])
+async def test_complete_answer_before_a_long_pause_counts_as_a_crash(
+    world: DyingWorld, idle: int
+) -> None:
+    upstream = await world.async_add(ending="stall")
+    framed = [world.async_ask(f"f{i}", "/draft/framed", events=False) for i in range(idle)]
+    assert [answer.status for answer in await asyncio.gather(*framed)] == [200] * idle
+    await world.async_ask("r1", "/draft/a", events=True)
+    await asyncio.sleep(1.5)
+    assert upstream.process is not None
+    assert upstream.process.returncode is None
+    suspects = world.product.app.dump()["suspects"]
+    assert isinstance(suspects, dict)
+    # Subjects with an implication in a crash.
+    assert suspects["judged"] == 0
+
+
 # Guards against a complete answer that counts as broken off, since it came from a start of its
 # upstream that the list doesn't show yet.
 async def test_answer_of_a_start_that_is_not_listed_yet_is_broken_off(world: DyingWorld) -> None:
--- a/tests/forwarding/test_forwarding_outlived_listeners.py
+++ b/tests/forwarding/test_forwarding_outlived_listeners.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from typing import Any
 
 import pytest
 from dying_world import DyingWorld, EndingUpstream, Seen
@@ -11,6 +12,7 @@
 from unframed_upstream import make_answer
 
 from gypsumrouter.crashes.guard import SETTLE_MS
+from gypsumrouter.forwarding.end_evidence import PROBE_TIMEOUT_MS
 
 HELD = 3
 # The crash guard judges a lost connection within this time, with room for a busy machine.
@@ -39,10 +41,12 @@
         await upstream.async_list()
         return upstream
 
-    async def async_begin_streams(self, upstream: EndingUpstream) -> list[asyncio.Task[Seen]]:
+    async def async_begin_streams(
+        self, upstream: EndingUpstream, *, path: str = "/draft/a"
+    ) -> list[asyncio.Task[Seen]]:
         """Begin streams that the upstream holds, beside an idle connection to it."""
         asked = [
-            asyncio.create_task(self.world.async_ask(f"r{i}", "/draft/a", events=True))
+            asyncio.create_task(self.world.async_ask(f"r{i}", path, events=True))
             for i in range(STREAMS)
         ]
         for _ in asked:
@@ -50,6 +54,11 @@
         assert (await self.world.async_ask("f", "/draft/framed", events=False)).status == 200
         return asked
 
+    def count_implicated(self) -> int:
+        """Return how many subjects are implicated in a crash."""
+        suspects: Any = self.world.product.app.dump()["suspects"]
+        return int(suspects["judged"])
+
 
 @pytest.fixture
 async def relayed(dying: DyingWorld) -> AsyncIterator[RelayedWorld]:
@@ -110,7 +119,20 @@
     await upstream.async_end()
     await asyncio.gather(*asked)
     await asyncio.sleep(JUDGED_S)
-    suspects = relayed.world.product.app.dump()["suspects"]
-    assert isinstance(suspects, dict)
-    # Subjects with an implication in a crash.
-    assert suspects["judged"] > 0
+    assert relayed.count_implicated() > 0
+
+
+# Guards against the same where another upstream goes on with the streams before the question of the
+# end has gone unanswered.
+@pytest.mark.parametrize("behaviour", [Behaviour.SILENT, Behaviour.CLOSES])
+async def test_crash_of_an_upstream_is_overlooked_as_another_one_goes_on_with_its_streams(
+    relayed: RelayedWorld, behaviour: Behaviour
+) -> None:
+    upstream = await relayed.async_add(behaviour, states_start=True, held=HELD)
+    asked = await relayed.async_begin_streams(upstream, path="/quote/a")
+    await relayed.world.async_add("i-2")
+    await upstream.async_end()
+    seen = [await answer for answer in asked]
+    assert [(answer.status, answer.whole) for answer in seen] == [(200, True)] * STREAMS
+    await asyncio.sleep(PROBE_TIMEOUT_MS / 1_000 + JUDGED_S)
+    assert relayed.count_implicated() > 0
--- a/tests/forwarding/unframed_upstream.py
+++ b/tests/forwarding/unframed_upstream.py
@@ -7,8 +7,8 @@
 With the ending `slow` it closes the listener and the answers under way on SIGTERM, and exits 0.4 s
 later; its idle connections are open until then. With `full` it accepts one connection at a time,
 and the next one 0.1 s after its end. With `pause` it stands still for 1.3 s after each answer, with
-`announce` it says in its answers that it leaves. With `empty` it sends no piece, with `inside` the
-beginning of one more. A path with `/large` gets 400 pieces of 50 kB.
+`stall` for 3 s, with `announce` it says in its answers that it leaves. With `empty` it sends no
+piece, with `inside` the beginning of one more. A path with `/large` gets 400 pieces of 50 kB.
 """
 
 from __future__ import annotations
@@ -26,7 +26,7 @@
 LARGE_PIECES: Final = 400
 LARGE_PIECE_BYTES: Final = 50_000
 SLOW_EXIT_S: Final = 0.4
-PAUSE_S: Final = 1.3
+PAUSES_S: Final = {"pause": 1.3, "stall": 3.0}
 LIMIT_PAUSE_S: Final = 0.1
 
 
@@ -137,10 +137,10 @@
             print(headers.get("x-request-id", ""), flush=True)
             await asyncio.Event().wait()
         writer.close()
-        if self._ending == "pause":
+        if self._ending in PAUSES_S:
             await writer.wait_closed()
             # Everything of the process stands still.
-            time.sleep(PAUSE_S)  # noqa: ASYNC251
+            time.sleep(PAUSES_S[self._ending])  # noqa: ASYNC251
 
 
 if __name__ == "__main__":
