Soak of deaths: engines fall over behind listeners that live

Upstreams of the soak ended answers early by dying only, or their proxies did. What an upstream cuts that lives on never came: an engine that falls over behind its listener, and a reset that a proxy passes on as a FIN, while reports and health checks are answered as before.

--- a/bench/hosted_upstream.py
+++ b/bench/hosted_upstream.py
@@ -213,6 +213,10 @@
         """Stand still for some seconds, with all connections open, and go on."""
         await _async_hold(self._children[0], duration_s)
 
+    def fall_over(self) -> None:
+        """End answers under way, while its process lives on."""
+        os.kill(self._children[0].pid, signal.SIGUSR2)
+
     async def async_hold_proxy(self, duration_s: float) -> None:
         """Let the proxy stand still for some seconds, if there is one."""
         if self._proxy is not None:
