Soak of deaths: only complete answers of upstreams that lived on count as broken off

Answers whose upstream died behind their end, or began a stream anew that it was to go on with, counted among the complete ones that were broken off, where a router is right to break them off.

--- a/bench/soak_death_figures.py
+++ b/bench/soak_death_figures.py
@@ -63,9 +63,13 @@
 
 
 def count_complete(
-    calls: Sequence[OverlapCall], runs: Runs, stops: Sequence[Stop]
+    calls: Sequence[OverlapCall],
+    runs: Runs,
+    stops: Sequence[Stop],
+    deaths: Mapping[str, float],
+    cuts: Collection[Cut] = (),
 ) -> dict[str, Counter[str]]:
-    """Count answers that their upstream completed, by its framing and what callers got.
+    """Count answers that their upstream completed and lived on, by its framing and their end.
 
     Those that were broken off are told apart by what was reached: a stop, or the end of their time.
     """
@@ -73,7 +77,7 @@
     for call in calls:
         several = runs.get(call.answer.request_id, ())
         ended = [run for run in several if run.end and run.end.kind is NoteKind.ENDED]
-        if not ended:
+        if not ended or not all(run.goes_on and run.has_lived(deaths, cuts) for run in ended):
             continue
         outcome = "broken"
         if call.answer.end is End.WHOLE:
--- a/bench/soak_deaths.py
+++ b/bench/soak_deaths.py
@@ -321,7 +321,7 @@
         ),
         "killed": count_killed(calls, runs),
         "ended_early": count_early(calls, runs),
-        "complete": count_complete(calls, runs, stops.made),
+        "complete": count_complete(calls, runs, stops.made, deaths.made, deaths.cuts),
         "begun_wrong": sum(not run.goes_on for several in runs.values() for run in several),
         "taken_up": Counter(
             f"{c.answer.end} {c.answer.status}" for c in calls if c.answer.request_id in last
