Split the pool of connections by job

The module kept idle and open connections, decided on start checks and asked upstreams for their start or id. Idle connections, open connections, the start check and the questions have a module each; the pool opens, hands out and takes back connections. No change of behaviour.

black, ruff and mypy pass. 126 tests pass: numbers in the source, ends, start checks, ended and idle connections, standbys, callers that left, inventory and the stops and starts of tests/forwarding.

--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -22,7 +22,7 @@
 from gypsumrouter.directory import Directory, Evacuations
 from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.budget import RetryBudget
-from gypsumrouter.forwarding.connections import ConnectionPool, ReadStart
+from gypsumrouter.forwarding.connections import ConnectionPool
 from gypsumrouter.forwarding.const import CALLER_TIMEOUT_MARGIN_MS
 from gypsumrouter.forwarding.context import ForwardingContext
 from gypsumrouter.forwarding.drain import DrainAdmission, LoopTicks
@@ -44,6 +44,7 @@
 from gypsumrouter.forwarding.service_work import ServiceWorkReader
 from gypsumrouter.forwarding.silence_tracker import SilenceTracker
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
+from gypsumrouter.forwarding.upstream_questions import ReadStart
 from gypsumrouter.instances import Address, parse_address
 from gypsumrouter.journal import ConnectionsClosing, Journal
 from gypsumrouter.mechanisms import Mechanism
--- a/gypsumrouter/forwarding/replacement.py
+++ b/gypsumrouter/forwarding/replacement.py
@@ -8,7 +8,6 @@
 
 from gypsumrouter.const import MS_PER_S
 from gypsumrouter.forwarding.budget import RetryBudget
-from gypsumrouter.forwarding.connections import StartCheck
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
 from gypsumrouter.forwarding.ends.event_order import OrderFault
 from gypsumrouter.forwarding.ends.relay import CallerDisconnected, Relay
@@ -31,6 +30,7 @@
 )
 from gypsumrouter.forwarding.silence_verdict import MAX_SOUND_SILENCE_MS
 from gypsumrouter.forwarding.standby import Standby
+from gypsumrouter.forwarding.start_check import StartCheck
 from gypsumrouter.forwarding.stream_pin import StreamPin
 from gypsumrouter.helpers.metrics import Counter
 
--- a/tests/forwarding/test_forwarding_keep_alive.py
+++ b/tests/forwarding/test_forwarding_keep_alive.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from gypsumrouter.forwarding.connections import get_max_idle_ms
+from gypsumrouter.forwarding.idle_connections import get_max_idle_ms
 
 ANNOUNCED_MS = 10_000
 
--- a/tests/forwarding/test_forwarding_start_check.py
+++ b/tests/forwarding/test_forwarding_start_check.py
@@ -16,13 +16,14 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry
-from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
+from gypsumrouter.forwarding.connections import ConnectionPool
 from gypsumrouter.forwarding.ends.starts import (
     QUESTION_BURST,
     ListTimes,
     UpstreamStarts,
     is_start_proven,
 )
+from gypsumrouter.forwarding.start_check import StartCheck
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
     HttpConnection,
