Dying upstreams: start the second upstream before the request, whose route allows 3 s

test_resumable_stream_of_an_upstream_that_dies_does_not_go_on_elsewhere[9-1.0] failed once at a load of 25 to 35: the stream was broken off behind its three events. The test began the request and only then started another Python process, which has to be up and listed, and the first start proven, within the 3 s that the route allows its requests. With 3.1 s added to each start of a process the test failed 6 of 6 in just that way, and 0 of 6 with 2.8 s; the failure itself was not captured, so that this is its likely cause and not a proven one.

The second process now runs before the request is sent and is listed once that has begun, as before: the first upstream is still the only one that can get the request. With 3.1 s added, 0 of 6 fail. The same for test_text_of_an_upstream_that_dies_looks_whole. Where ends that aren't confirmed count as complete, all 18 cases of the two tests fail.

--- a/tests/forwarding/test_forwarding_dying_upstreams.py
+++ b/tests/forwarding/test_forwarding_dying_upstreams.py
@@ -6,7 +6,7 @@
 import signal
 
 import pytest
-from dying_world import DyingWorld, Seen
+from dying_world import DyingWorld, EndingUpstream, Seen
 from unframed_upstream import make_answer, make_piece
 
 HELD = 3
@@ -38,9 +38,12 @@
     dying: DyingWorld, number: signal.Signals, version: str
 ) -> None:
     victim = await dying.async_add("i-1", held=HELD)
+    # It runs before the request is sent, whose route allows 3 s, and is listed once that has begun.
+    other = EndingUpstream(dying, name="i-2")
+    await other.async_start()
     asked = asyncio.create_task(dying.async_ask("r1", "/quote/a", events=True, version=version))
     await victim.async_read_line()
-    await dying.async_add("i-2")
+    await other.async_list()
     await dying.async_until_proven()
     await victim.async_end(number)
     assert await asked == Seen(200, True, make_answer())
@@ -54,9 +57,11 @@
     dying: DyingWorld, path: str, states_start: bool, number: signal.Signals
 ) -> None:
     victim = await dying.async_add("i-1", service="records", held=HELD, states_start=states_start)
+    other = EndingUpstream(dying, name="i-2", service="records")
+    await other.async_start(states_start=states_start)
     asked = asyncio.create_task(dying.async_ask("r1", path, events=False))
     await victim.async_read_line()
-    await dying.async_add("i-2", service="records", states_start=states_start)
+    await other.async_list()
     await victim.async_end(number)
     seen = await asked
     if path == "/lookup/a":
