Split the handler of callers' requests by job

The handler read requests, waited for startup data, found routes, executed requests and recorded their ends. Intake, the wait at startup and execution have a module each; the handler keeps what is under way and finds the route. No change of behaviour.

--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -31,7 +31,7 @@
 from gypsumrouter.forwarding.ends.evidence import EndChecks
 from gypsumrouter.forwarding.ends.relay_turns import RelayTurns
 from gypsumrouter.forwarding.ends.starts import UpstreamStarts
-from gypsumrouter.forwarding.handler import RequestHandler, RequestParser
+from gypsumrouter.forwarding.handler import RequestHandler
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.inventory import CacheInventory, FetchCacheListing
 from gypsumrouter.forwarding.metrics import ForwardingMetrics
@@ -39,6 +39,7 @@
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.request_contention import ContentionContext
+from gypsumrouter.forwarding.request_intake import RequestParser
 from gypsumrouter.forwarding.responders import HealthCheck
 from gypsumrouter.forwarding.return_order import ReturnOrder
 from gypsumrouter.forwarding.service_work import ServiceWorkReader
--- a/tests/forwarding/test_forwarding_inventory.py
+++ b/tests/forwarding/test_forwarding_inventory.py
@@ -16,7 +16,7 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Entry, EntryState
-from gypsumrouter.forwarding import cache_index, handler
+from gypsumrouter.forwarding import cache_index, startup_wait
 from gypsumrouter.forwarding.cache_index import CacheIndex
 from gypsumrouter.forwarding.const import CONNECT_TIMEOUT_MS
 from gypsumrouter.forwarding.inventory import CacheInventory, CacheListing
@@ -264,7 +264,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(peer_inventory, "NON_SEED_TIMEOUT_MS", FOREVER_MS)
-    monkeypatch.setattr(handler, "STARTUP_WAIT_MS", FOREVER_MS)
+    monkeypatch.setattr(startup_wait, "STARTUP_WAIT_MS", FOREVER_MS)
     monkeypatch.setattr(cache_index, "COPY_READY_MS", 0)
     caplog.set_level(logging.INFO)
     await world.async_call(session, "POST", "/quote/a", "r0", extra=PROMPT, body=b"{}")
