Abstract methods in place of NotImplementedError

Two base classes raised NotImplementedError where subclasses have to define a method. The methods are abstract now, so that a missing one is found when an object is made and by mypy.

--- a/bench/soak_kept_callers.py
+++ b/bench/soak_kept_callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Mapping, Sequence
 from typing import Final
@@ -16,7 +17,7 @@
 RETRY_S: Final = 0.05
 
 
-class KeptCallers:
+class KeptCallers(ABC):
     """Callers of some routes; `callers` is how many each route has."""
 
     def __init__(self, *, rig: SoakRig, seed: int, callers: Mapping[str, int]) -> None:
@@ -56,11 +57,11 @@
         """Return a connection of a caller of a route."""
         return RawCaller(address)
 
+    @abstractmethod
     async def async_use(
         self, connection: RawCaller, route: str, caller: int, forwarder: int, rng: random.Random
     ) -> None:
         """Send requests on a connection until it ends or an answer says that it does."""
-        raise NotImplementedError
 
 
 def count_ends(calls: Sequence[Call]) -> Counter[str]:
--- a/gypsumrouter/standins/platform_service.py
+++ b/gypsumrouter/standins/platform_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from abc import ABC, abstractmethod
 
 from aiohttp import web
 
@@ -14,7 +15,7 @@
 from gypsumrouter.util.clock import Clock
 
 
-class PlatformService:
+class PlatformService(ABC):
     """A service with waiting reads, which may have an outage; subclasses add its routes."""
 
     __slots__ = ("_changes", "_clock", "_gate", "_listener", "_outage", "_random")
@@ -34,9 +35,9 @@
         app.router.add_post("/standin/outage", self._outage.async_post)
         self._add_routes(app)
 
+    @abstractmethod
     def _add_routes(self, app: web.Application) -> None:
         """Add the routes of the service."""
-        raise NotImplementedError
 
     @property
     def address(self) -> Address:
