Plain reason for the window of fair shares

The comment told what a surge of a certain size does at a certain time. It says now what a shorter window would change.

--- a/gypsumrouter/contention/workspaces.py
+++ b/gypsumrouter/contention/workspaces.py
@@ -10,8 +10,8 @@
 from gypsumrouter.contention.peer_usage import MAX_ENTRIES, PeerSums, PeerUsages
 from gypsumrouter.link import WorkspaceUsage, WorkspaceWork
 
-# Time in which counted work decays by a factor of e. A workspace that sends 8 times its usual
-# traffic has twice its usual work after 0.6 s.
+# Time in which counted work decays by a factor of e. With a shorter one a surge of a workspace
+# shows sooner, and the shares fluctuate more.
 WINDOW_MS: Final = 4_000
 # A workspace without requests for this long is not active; 5% of its work is still counted.
 IDLE_MS: Final = 3 * WINDOW_MS
