--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -8,8 +8,10 @@
 
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
-from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES, RETURN_TRIP_MS
-from gypsumrouter.forwarding.end_evidence import EndChecks, EndVerdict, EndWatch
+from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES
+from gypsumrouter.forwarding.deadlines import get_handed_ms, get_stop_ms
+from gypsumrouter.forwarding.ends.evidence import EndChecks, EndVerdict, EndWatch
+from gypsumrouter.forwarding.ends.starts import StartProof
 from gypsumrouter.forwarding.models import (
     AttemptOptions,
     CallerRequest,
@@ -23,7 +25,6 @@
     Unreachable,
 )
 from gypsumrouter.forwarding.placed import Placement
-from gypsumrouter.forwarding.starts import StartProof
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
     HttpConnection,
@@ -45,9 +46,16 @@
 # if the upstream states this explicitly.
 NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
 
+# A body of another framing has a length, or none at all.
+UNSTATED_ENDS: Final = frozenset({Framing.CHUNKED, Framing.CLOSE})
+
 HeadListener = Callable[[Entry, ResponseMetadata], None]
 
 
+class EndedAtDeadline(Exception):
+    """An answer ended in order when its upstream had to stop, so it may be cut short."""
+
+
 class Attempt:
     """An attempt at one upstream; it must be closed in all cases.
 
@@ -63,6 +71,7 @@
         "_connection",
         "_dialect",
         "_doubted",
+        "_end_ms",
         "_end_patience_ms",
         "_end_watch",
         "_ends",
@@ -106,6 +115,8 @@
         # The check of an end that had no verdict within the patience.
         self._doubted: EndWatch | None = None
         self._sent_ms = 0
+        # When the end of the answer was received, 0 before.
+        self._end_ms = 0
         self.options = options
         self.entry = entry
         self.metadata: ResponseMetadata | None = None
@@ -143,6 +154,14 @@
         """
         return self._connection is None or not self._connection.was_paused
 
+    @property
+    def answer_ms(self) -> int:
+        """Return how long after the request was sent the end of its answer came, -1 before."""
+        return self._end_ms - self._sent_ms if self._end_ms else -1
+
+    def _note_body_end(self) -> None:
+        self._end_ms = self._pool.now_ms()
+
     def prove_start(self) -> StartProof | None:
         """Return the proof of the start that the connection leads to, None without one."""
         if self._connection is None:
@@ -155,21 +174,31 @@
         if connection is None:
             return Unreachable(reason="there is no connection")
         payload = self._dialect.write_request(request=self._request, options=self.options)
+        # Before the first byte: the upstream counts its time from when it has the request.
+        self._sent_ms = self._pool.now_ms()
         try:
             connection.send_request(method=self._request.method, data=payload)
         except ConnectionBroken as error:
             return Unreachable(reason=str(error))
         self.sent = True
-        self._sent_ms = self._pool.now_ms()
         try:
             return await self._async_read(connection)
         except ConnectionBroken as error:
             return ResponseLost(reason=str(error), connection_broken=self.may_have_crashed)
 
     async def _async_find_missing_end(self, answer: HttpResponse) -> str | None:
-        """Return why an answer whose body has ended is incomplete, None if it is complete."""
+        """Return why an answer whose body has ended is incomplete, None if it is complete.
+
+        Raises EndedAtDeadline.
+        """
         connection = self._connection
-        if answer.framing is not Framing.CLOSE or connection is None:
+        if answer.framing not in UNSTATED_ENDS or connection is None:
+            return None
+        if answer.framing is Framing.CLOSE:
+            self._end_ms = connection.ended_ms or self._pool.now_ms()
+        if self.answer_ms >= get_stop_ms(self.options.deadline_ms):
+            raise EndedAtDeadline
+        if answer.framing is Framing.CHUNKED:
             return None
         watch, self._end_watch = self._end_watch, None
         watch = watch or self._ends.watch(self.entry, connection)
@@ -251,7 +280,7 @@
             raise ConnectionBroken(f"the body of status {answer.status} does not end")
         if not complete:
             return self._make_streaming(answer, connection, is_event_stream=False, received=body)
-        if answer.framing is Framing.CLOSE:
+        if answer.framing in UNSTATED_ENDS:
             await self._async_check_body(answer, body)
         self._release_or_close(answer)
         return CompleteResponse(
@@ -289,8 +318,10 @@
             request_id = metadata.request_id
             if request_id == self._request.request_id:
                 self._pool.note_answered(self.entry, connection, sent_ms=self._sent_ms)
+                answer.body.on_eof(self._note_body_end)
                 return answer
             if request_id is None and not self.reused and connection.exchanges == 1:
+                answer.body.on_eof(self._note_body_end)
                 return answer
             if request_id is None:
                 raise ConnectionBroken("response without a request id on a reused connection")
@@ -298,11 +329,12 @@
                 raise ConnectionBroken("the response to another request does not end")
 
     async def _async_check_body(self, answer: HttpResponse, body: bytes) -> None:
-        """Raise ConnectionBroken unless a body that ended with its connection is complete."""
+        """Raise ConnectionBroken or EndedAtDeadline unless a body without a length is complete."""
         if is_json_media_type(answer.get("Content-Type") or ""):
-            if not is_complete_json(body):
+            is_complete = is_complete_json(body)
+            if answer.framing is Framing.CLOSE and not is_complete:
                 raise ConnectionBroken("the body ended inside its JSON document")
-            if shows_json_end(body):
+            if is_complete and shows_json_end(body):
                 return
         missing = await self._async_find_missing_end(answer)
         if missing is not None:
@@ -332,7 +364,7 @@
     return AttemptOptions(
         upstream=placement.entry.upstream,
         workspace=routed.workspace,
-        deadline_ms=max(1, remaining_ms - RETURN_TRIP_MS),
+        deadline_ms=get_handed_ms(remaining_ms),
         priority=routed.priority if prioritized and request.prompt is not None else None,
         last_event_id=last_event_id or request.last_event_id,
         fetch_from=None if fetch_from is None else fetch_from.address,
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -9,10 +9,14 @@
 from msgspec import Struct
 
 from gypsumrouter.contention import Refused
+from gypsumrouter.forwarding.attempt import EndedAtDeadline
 from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES
 from gypsumrouter.forwarding.context import ForwardingContext
+from gypsumrouter.forwarding.deadlines import get_unanswered_ms
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
 from gypsumrouter.forwarding.endings import RequestEndings
+from gypsumrouter.forwarding.ends.relay import Relay, RelayResult
+from gypsumrouter.forwarding.ends.relay_turns import MAX_PART_BYTES
 from gypsumrouter.forwarding.models import (
     CallerRequest,
     CompleteResponse,
@@ -26,8 +30,6 @@
 from gypsumrouter.forwarding.outcome_recorder import OutcomeRecorder
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.progress import OUTCOME_ANSWERED, Progress, TimeLimits
-from gypsumrouter.forwarding.relay import Relay, RelayResult
-from gypsumrouter.forwarding.relay_turns import MAX_PART_BYTES
 from gypsumrouter.forwarding.replacement import MayReplace, Replacements
 from gypsumrouter.forwarding.request_contention import RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
@@ -152,7 +154,7 @@
             clock=context.app.clock,
             progress=progress,
             close_connection=close_connection,
-            on_begun=self._stream.note_begun,
+            on_begun=self._note_begun,
             on_received=self._note_received,
             on_resumed=lambda begun: request_journal.record_resumed(progress.upstream, begun),
             read_part=self._async_read_part,
@@ -213,13 +215,23 @@
         self._contention.note_arrival()
         try:
             response = await self.limit.async_run(
-                self._async_run_attempts(), remaining_ms=self._limits.remaining_ms
+                self._async_run_attempts(),
+                remaining_ms=self._limits.remaining_ms,
+                unanswered_ms=get_unanswered_ms(self._limits.remaining_ms),
             )
         except TimeoutError:
             response = self._endings.end_at_limit(is_stopped=self.limit.is_stopped)
+        except EndedAtDeadline:
+            self._record_ended_at_deadline()
+            response = self._endings.end_at_limit(is_stopped=False)
         self._contention.note_served()
         return response
 
+    def _record_ended_at_deadline(self) -> None:
+        run = self._replacements.present
+        if run is not None:
+            self._request_journal.record_ended_at_deadline(run.attempt)
+
     async def _async_run_attempts(self) -> web.StreamResponse:
         while True:
             run = self._standby.take() or await self._async_place()
@@ -412,6 +424,10 @@
             )
         return await self._retries.async_decide_after_stream(message=message)
 
+    def _note_begun(self) -> None:
+        self._stream.note_begun()
+        self.limit.note_answer_begun()
+
     def _note_received(self) -> None:
         run = self._replacements.present
         if run is not None:
--- a/gypsumrouter/forwarding/request_journal.py
+++ b/gypsumrouter/forwarding/request_journal.py
@@ -6,6 +6,7 @@
 
 from gypsumrouter.forwarding.attempt import Attempt
 from gypsumrouter.forwarding.budget import RetryUsage
+from gypsumrouter.forwarding.ends.relay import ContinuationBegun, StreamEnd
 from gypsumrouter.forwarding.models import (
     CallerRequest,
     CompleteResponse,
@@ -19,12 +20,12 @@
 )
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.progress import Progress
-from gypsumrouter.forwarding.relay import ContinuationBegun, StreamEnd
 from gypsumrouter.helpers.numbers import read_number
 from gypsumrouter.journal import (
     AttemptEnded,
     AttemptSent,
     AttemptSilent,
+    DeadlineEnd,
     Journal,
     RequestPlaced,
     RequestRefused,
@@ -147,6 +148,7 @@
                 ran=attempt.sent and not isinstance(outcome, Rejected),
                 status=_get_status(outcome),
                 after_ms=after_ms,
+                answer_ms=attempt.answer_ms,
                 next_step=step,
             )
         )
@@ -176,6 +178,17 @@
             )
         )
 
+    def record_ended_at_deadline(self, attempt: Attempt) -> None:
+        """Record that an answer may be cut short, as its upstream had to stop when it ended."""
+        self._journal.record(
+            DeadlineEnd(
+                request_id=self._request.request_id,
+                upstream=attempt.entry.incarnation,
+                deadline_ms=attempt.options.deadline_ms,
+                answer_ms=attempt.answer_ms,
+            )
+        )
+
     def record_broken(self, attempt: Attempt, *, events: int, after_ms: int) -> None:
         """Record that the upstream lost its connection while it ran the request."""
         prompt = self._request.prompt
