An upstream that stops inside an event at its deadline is no failure of its health

From the review: a stream that ended inside an event when its upstream had to stop counted as broken off, against the health of the upstream and as evidence of a crash, since its bytes were looked at before its time; and a run beside a silent one that ended so counted as a failure, too. The time is looked at first now.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -193,19 +193,23 @@
         except ConnectionBroken as error:
             return ResponseLost(reason=str(error), connection_broken=self.may_have_crashed)
 
+    def _check_deadline(self, answer: HttpResponse) -> None:
+        """Raise EndedAtDeadline if an answer ended when its upstream had to stop."""
+        if answer.framing not in UNSTATED_ENDS or self._connection is None:
+            return
+        if answer.framing is Framing.CLOSE:
+            self._end_ms = self._connection.ended_ms or self._pool.now_ms()
+        if self.answer_ms >= get_stop_ms(self.options.deadline_ms):
+            raise EndedAtDeadline
+
     async def _async_find_missing_end(self, answer: HttpResponse) -> str | None:
         """Return why an answer whose body has ended is incomplete, None if it is complete.
 
         Raises EndedAtDeadline.
         """
+        self._check_deadline(answer)
         connection = self._connection
-        if answer.framing not in UNSTATED_ENDS or connection is None:
-            return None
-        if answer.framing is Framing.CLOSE:
-            self._end_ms = connection.ended_ms or self._pool.now_ms()
-        if self.answer_ms >= get_stop_ms(self.options.deadline_ms):
-            raise EndedAtDeadline
-        if answer.framing is Framing.CHUNKED:
+        if answer.framing is not Framing.CLOSE or connection is None:
             return None
         watch, self._end_watch = self._end_watch, None
         watch = watch or self._ends.watch(self.entry, connection)
@@ -320,6 +324,7 @@
             is_event_stream=is_event_stream,
             initial_bytes=received,
             find_missing_end=partial(self._async_find_missing_end, answer),
+            check_deadline=partial(self._check_deadline, answer),
         )
 
     async def _async_read_matching(self, connection: HttpConnection) -> HttpResponse:
--- a/gypsumrouter/forwarding/ends/relay.py
+++ b/gypsumrouter/forwarding/ends/relay.py
@@ -144,7 +144,10 @@
         return self._splitter.find_first_fault(streaming.initial_bytes)
 
     async def async_relay(self, streaming: StreamingResponse) -> StreamEnd:
-        """Relay the response of one upstream until it ends; raises CallerDisconnected."""
+        """Relay the response of one upstream until it ends.
+
+        Raises CallerDisconnected and EndedAtDeadline.
+        """
         if self.response is None:
             self._headers = self._dialect.select_headers(streaming.answer)
         self._splitter.start()
@@ -173,6 +176,8 @@
             return self._end(RelayResult.BROKEN, str(error))
         except EventTooLong:
             return self._end(RelayResult.BROKEN, "an event is too long")
+        # Where an upstream stops, it may do so inside an event.
+        streaming.check_deadline()
         missing = self._find_missing_end(streaming) or await streaming.find_missing_end()
         if missing is not None:
             return self._end(RelayResult.BROKEN, missing)
--- a/gypsumrouter/forwarding/models.py
+++ b/gypsumrouter/forwarding/models.py
@@ -263,12 +263,17 @@
     return None
 
 
+def accept_end() -> None:
+    """Accept the time at which a body has ended."""
+
+
 class StreamingResponse(Struct, frozen=True, kw_only=True):
     """A response whose body is still being received.
 
     `initial_bytes` is the part of the body that has been read. `is_event_stream` is true if the
     body consists of server-sent events. `find_missing_end` returns why a body that has ended is
-    incomplete though its bytes don't show that, None if it is complete.
+    incomplete though its bytes don't show that, None if it is complete. `check_deadline` raises
+    EndedAtDeadline if it ended when its upstream had to stop.
     """
 
     answer: HttpResponse
@@ -276,16 +281,19 @@
     is_event_stream: bool
     initial_bytes: bytes = b""
     find_missing_end: Callable[[], Awaitable[str | None]] = async_find_nothing
+    check_deadline: Callable[[], None] = accept_end
 
 
 class ResponseLost(Struct, frozen=True, kw_only=True):
     """The request was sent, but no valid response was received; it may have run.
 
-    `connection_broken` is true if the connection was lost, as when an upstream crashes.
+    `connection_broken` is true if the connection was lost, as when an upstream crashes, and
+    `at_deadline` if the response ended when its upstream had to stop.
     """
 
     reason: str
     connection_broken: bool = False
+    at_deadline: bool = False
 
 
 class Withheld(Struct, frozen=True, kw_only=True):
--- a/gypsumrouter/forwarding/outcome_recorder.py
+++ b/gypsumrouter/forwarding/outcome_recorder.py
@@ -72,7 +72,8 @@
     def _record_lost(self, attempt: Attempt, outcome: ResponseLost) -> None:
         """Record that an upstream may have run the request without a complete response."""
         upstream = attempt.entry.incarnation
-        self._placer.health.note_failure(upstream, reason=outcome.reason)
+        if not outcome.at_deadline:
+            self._placer.health.note_failure(upstream, reason=outcome.reason)
         if outcome.connection_broken:
             self._suspects.note_broken(upstream, outlived=attempt.make_cut_question())
         self._progress.note_possible_run(upstream)
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -202,7 +202,7 @@
         try:
             outcome = await self.async_send(list_age_ms=list_age_ms)
         except EndedAtDeadline:
-            return ResponseLost(reason="ended at its deadline")
+            return ResponseLost(reason="ended at its deadline", at_deadline=True)
         if not isinstance(outcome, StreamingResponse) or not outcome.is_event_stream:
             return outcome
         received = outcome.initial_bytes
