Streams without framing that are cut while their upstream lives go on elsewhere

Callers got the beginning of a stream as a whole one where an engine fell over behind a process that lives on, or something between closed the stream in order: the question behind the end shows that the process lives, and no more.

A confirmed end on a route that may be resumed, with an attempt left, is now checked by a run that is asked to go on behind the last event, where other streams suggest a cut and the retry budget has room. Without a sign it is checked within a part of the slack. Streams that end beside one that was cut count as cut, also on routes that may not be resumed.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -65,6 +65,7 @@
         "_doubted",
         "_end_patience_ms",
         "_end_watch",
+        "_ended_ms",
         "_ends",
         "_on_head",
         "_pool",
@@ -105,6 +106,7 @@
         self._unframed: HttpResponse | None = None
         # The check of an end that had no verdict within the patience.
         self._doubted: EndWatch | None = None
+        self._ended_ms = 0
         self._sent_ms = 0
         self.options = options
         self.entry = entry
@@ -143,6 +145,12 @@
         """
         return self._connection is None or not self._connection.was_paused
 
+    def read_ended_ms(self) -> int:
+        """Return when its upstream ended the connection (monotonic milliseconds), 0 before."""
+        if self._connection is not None:
+            self._ended_ms = self._connection.ended_ms
+        return self._ended_ms
+
     def prove_start(self) -> StartProof | None:
         """Return the proof of the start that the connection leads to, None without one."""
         if self._connection is None:
@@ -214,6 +222,7 @@
 
     def close(self) -> None:
         """Close the connection unless it was released, which cancels the request upstream."""
+        self.read_ended_ms()
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.close()
--- a/gypsumrouter/forwarding/budget.py
+++ b/gypsumrouter/forwarding/budget.py
@@ -97,6 +97,11 @@
         bucket = self._refill(service)
         return RetryUsage(available=bucket.tokens, capacity=bucket.capacity, routers=self._routers)
 
+    def get_accrued_slack(self) -> float:
+        """Return how many retries have accrued of the slack since the start, whoever used them."""
+        elapsed_ms = self._clock.now_ms() - self._started_ms
+        return (1 - BURST_SHARE) * self._get_slack_share() * elapsed_ms / self._window_ms
+
     def _refill(self, service: str) -> TokenBucket:
         """Return the bucket of a service, with the tokens that have accrued since its last use."""
         now_ms = self._clock.now_ms()
--- a/gypsumrouter/forwarding/context.py
+++ b/gypsumrouter/forwarding/context.py
@@ -8,6 +8,7 @@
 from gypsumrouter.crashes.guard import CrashGuard
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.connections import ConnectionPool
+from gypsumrouter.forwarding.doubt import EndDoubts
 from gypsumrouter.forwarding.end_evidence import EndChecks
 from gypsumrouter.forwarding.models import Dialect
 from gypsumrouter.forwarding.placer import Placer
@@ -33,6 +34,7 @@
     placer: Placer
     pool: ConnectionPool
     ends: EndChecks
+    doubts: EndDoubts
     budget: RetryBudget
     suspects: CrashGuard
     streams: StreamOrigins
--- a/gypsumrouter/forwarding/execution.py
+++ b/gypsumrouter/forwarding/execution.py
@@ -11,6 +11,7 @@
 from gypsumrouter.contention import Refused
 from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES
 from gypsumrouter.forwarding.context import ForwardingContext
+from gypsumrouter.forwarding.doubt import DoubtChecks
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
 from gypsumrouter.forwarding.endings import RequestEndings
 from gypsumrouter.forwarding.models import (
@@ -60,6 +61,7 @@
         "_contention",
         "_context",
         "_doubt",
+        "_doubt_checks",
         "_endings",
         "_limits",
         "_may_start",
@@ -170,6 +172,16 @@
             may_replace=may_replace,
         )
         self._standby = self._replacements.standby
+        self._doubt_checks = DoubtChecks(
+            context=self._run_context,
+            service=service,
+            budget=context.budget,
+            doubts=context.doubts,
+            recorder=self._recorder,
+            relay=self._relay,
+            standby=self._standby,
+            stream=self._stream,
+        )
         self._retries = Retries(
             context=context,
             route=routed.route,
@@ -376,7 +388,7 @@
     async def _async_relay_stream(self, run: Run, outcome: StreamingResponse) -> Decision:
         """Relay a streamed response and return the next step."""
         try:
-            end = await self._relay.async_relay(outcome)
+            end = await self._doubt_checks.async_relay(run, outcome)
         except BaseException:
             # The caller left, or the deadline has passed.
             self._stream.note_ended(complete=False)
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -25,6 +25,7 @@
 from gypsumrouter.forwarding.connections import ConnectionPool, ReadStart
 from gypsumrouter.forwarding.const import CALLER_TIMEOUT_MARGIN_MS
 from gypsumrouter.forwarding.context import ForwardingContext
+from gypsumrouter.forwarding.doubt import EndDoubts, SignlessChecks
 from gypsumrouter.forwarding.drain import DrainAdmission, LoopTicks
 from gypsumrouter.forwarding.drain.const import CUT_MARGIN_MS
 from gypsumrouter.forwarding.end_evidence import EndChecks
@@ -44,6 +45,7 @@
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.forwarding.starts import UpstreamStarts
 from gypsumrouter.forwarding.stream_disorders import StreamDisorders
+from gypsumrouter.forwarding.stream_signs import StreamSigns
 from gypsumrouter.instances import Address, parse_address
 from gypsumrouter.journal import ConnectionsClosing, Journal
 from gypsumrouter.mechanisms import Mechanism
@@ -190,6 +192,15 @@
             ends=EndChecks(
                 app=app, pool=self._pool, directory=directory, routing=routing, journal=journal
             ),
+            doubts=EndDoubts(
+                signs=StreamSigns(clock=app.clock),
+                signless=SignlessChecks(budget=self.budget),
+                checks=app.metrics.counter(
+                    "gypsumrouter_end_checks_total",
+                    "Confirmed ends of streams without framing that may be resumed, by what "
+                    "suggests a cut and what another run had to add",
+                ),
+            ),
             budget=self.budget,
             suspects=self.suspects,
             streams=self.streams,
--- a/tests/forwarding/unframed_upstream.py
+++ b/tests/forwarding/unframed_upstream.py
@@ -8,7 +8,8 @@
 later; its idle connections are open until then. With `full` it accepts one connection at a time,
 and the next one 0.1 s after its end. With `pause` it stands still for 1.3 s after each answer, with
 `announce` it says in its answers that it leaves. With `empty` it sends no piece, with `inside` the
-beginning of one more. A path with `/large` gets 400 pieces of 50 kB.
+beginning of one more. With `anew` it
+doesn't know `Last-Event-Id` and sends all pieces. A path with `/large` gets 400 pieces of 50 kB.
 """
 
 from __future__ import annotations
@@ -123,7 +124,7 @@
     async def _async_write_body(
         self, writer: asyncio.StreamWriter, headers: dict[str, str], *, is_large: bool
     ) -> None:
-        first = int(headers.get("last-event-id") or 0) + 1
+        first = 1 if self._ending == "anew" else int(headers.get("last-event-id") or 0) + 1
         last = LARGE_PIECES if is_large else self._held or PIECES
         last = 0 if self._ending == "empty" else last
         size = LARGE_PIECE_BYTES if is_large else self._size
