--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -78,6 +78,7 @@
         "_end_ms",
         "_end_patience_ms",
         "_end_watch",
+        "_ended_ms",
         "_ends",
         "_on_head",
         "_on_unframed_end",
@@ -121,6 +122,7 @@
         self._unframed: HttpResponse | None = None
         # The check of an end that had no verdict within the patience.
         self._doubted: EndWatch | None = None
+        self._ended_ms = 0
         self._sent_ms = 0
         # When the end of the answer was received, 0 before.
         self._end_ms = 0
@@ -169,6 +171,12 @@
     def _note_body_end(self) -> None:
         self._end_ms = self._pool.now_ms()
 
+    def read_ended_ms(self) -> int:
+        """Return when its upstream ended the connection (monotonic milliseconds), 0 before."""
+        if self._connection is not None:
+            self._ended_ms = self._connection.ended_ms
+        return self._ended_ms
+
     def prove_start(self) -> StartProof | None:
         """Return the proof of the start that the connection leads to, None without one."""
         if self._connection is None:
@@ -263,6 +271,7 @@
 
     def close(self) -> None:
         """Close the connection unless it was released, which cancels the request upstream."""
+        self.read_ended_ms()
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.close()
--- a/gypsumrouter/forwarding/context.py
+++ b/gypsumrouter/forwarding/context.py
@@ -8,6 +8,7 @@
 from gypsumrouter.crashes.guard import CrashGuard
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.connections import ConnectionPool
+from gypsumrouter.forwarding.doubt import EndDoubts
 from gypsumrouter.forwarding.ends.disorders import StreamDisorders
 from gypsumrouter.forwarding.ends.evidence import EndChecks
 from gypsumrouter.forwarding.ends.relay_turns import RelayTurns
@@ -33,6 +34,7 @@
     placer: Placer
     pool: ConnectionPool
     ends: EndChecks
+    doubts: EndDoubts
     budget: RetryBudget
     suspects: CrashGuard
     streams: StreamOrigins
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -25,6 +25,7 @@
 from gypsumrouter.forwarding.connections import ConnectionPool
 from gypsumrouter.forwarding.const import CALLER_TIMEOUT_MARGIN_MS
 from gypsumrouter.forwarding.context import ForwardingContext
+from gypsumrouter.forwarding.doubt import EndDoubts, SignlessChecks
 from gypsumrouter.forwarding.drain import DrainAdmission, LoopTicks
 from gypsumrouter.forwarding.drain.const import CUT_MARGIN_MS
 from gypsumrouter.forwarding.ends.disorders import StreamDisorders
@@ -45,6 +46,7 @@
 from gypsumrouter.forwarding.service_work import ServiceWorkReader
 from gypsumrouter.forwarding.silence_tracker import SilenceTracker
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
+from gypsumrouter.forwarding.stream_signs import StreamSigns
 from gypsumrouter.forwarding.upstream_questions import ReadStart
 from gypsumrouter.instances import Address, parse_address
 from gypsumrouter.journal import ConnectionsClosing, Journal
@@ -192,6 +194,15 @@
             ends=EndChecks(
                 app=app, pool=self._pool, directory=directory, routing=routing, journal=journal
             ),
+            doubts=EndDoubts(
+                signs=StreamSigns(clock=app.clock),
+                signless=SignlessChecks(budget=self.budget),
+                checks=app.metrics.counter(
+                    "gypsumrouter_end_checks_total",
+                    "Confirmed ends of streams without framing that may be resumed, by what "
+                    "suggests a cut and what another run had to add",
+                ),
+            ),
             budget=self.budget,
             suspects=self.suspects,
             streams=self.streams,
