--- a/gypsumrouter/forwarding/doubt.py
+++ b/gypsumrouter/forwarding/doubt.py
@@ -187,11 +187,11 @@
         shown = CheckResult.NOT_ASKED
         await self._stream.async_settle()
         placement = self._place(run)
-        if placement is not None and self._has_spare(sign):
+        if placement is not None and self._acquire(sign):
             # What was prepared for a silence before the end is not needed.
             self._standby.drop()
             run.attempt.close()
-            shown = await self._async_ask(placement, sign)
+            shown = await self._async_ask(placement)
         self._doubts.checks.inc(labels=(("result", shown.name.lower()), ("sign", sign.value)))
         return shown
 
@@ -235,13 +235,16 @@
         )
         return None if isinstance(placement, PlacementRefusal) else placement
 
-    def _has_spare(self, sign: CutSign) -> bool:
-        """Return whether the budget bears a check, and take it from those without a sign."""
-        if not self._budget.has_spare(self._service, reserved=_get_reserved(sign)):
+    def _acquire(self, sign: CutSign) -> bool:
+        """Take a retry if the budget bears a check; return whether there was one."""
+        reserved = 1 - SIGNLESS_SHARE if sign is CutSign.NONE else RESERVED_BUDGET
+        if not self._budget.has_spare(self._service, reserved=reserved):
             return False
-        return sign is not CutSign.NONE or self._doubts.signless.try_take(self._service)
+        if sign is CutSign.NONE and not self._doubts.signless.try_take(self._service):
+            return False
+        return self._budget.try_acquire(self._service)
 
-    async def _async_ask(self, placement: Placement, sign: CutSign) -> CheckResult:
+    async def _async_ask(self, placement: Placement) -> CheckResult:
         """Return whether another run has something to add; one that has is on standby then."""
         check = Run(
             context=self._context,
@@ -251,7 +254,7 @@
         shown = CheckResult.OPEN
         try:
             async with asyncio.timeout(self._get_patience_ms() / MS_PER_S):
-                outcome = await self._async_get_outcome(check, sign)
+                outcome = await self._async_get_outcome(check)
             shown = self._read(check, outcome)
         except TimeoutError:
             pass
@@ -262,7 +265,7 @@
                 check.end_unneeded()
         return shown
 
-    async def _async_get_outcome(self, check: Run, sign: CutSign) -> Outcome:
+    async def _async_get_outcome(self, check: Run) -> Outcome:
         """Return the outcome of a run, of a stream with its first event; may raise TimeoutError."""
         try:
             failed = await check.async_open(
@@ -270,10 +273,6 @@
             )
         except CallerDisconnected:
             failed = Unreachable(reason="the caller has left")
-        if failed is None and not self._budget.try_acquire_spare(
-            self._service, reserved=_get_reserved(sign)
-        ):
-            failed = Unreachable(reason="the retry budget is spent")
         if failed is not None:
             check.note_outcome(failed)
             return failed
@@ -295,8 +294,3 @@
             return CheckResult.GOES_ON
         self._recorder.record_broken_stream(check.attempt, message="", fault=fault)
         return CheckResult.OPEN
-
-
-def _get_reserved(sign: CutSign) -> float:
-    """Return the share of the retry budget that a check must leave to failed runs."""
-    return 1 - SIGNLESS_SHARE if sign is CutSign.NONE else RESERVED_BUDGET
