--- a/gypsumrouter/forwarding/stream_signs.py
+++ b/gypsumrouter/forwarding/stream_signs.py
@@ -106,9 +106,11 @@
             self._cuts.popitem(last=False)
 
     def is_beside_cut(self, stream: FollowedStream) -> bool:
-        """Return whether another stream of the upstream was cut at the moment of this one's end."""
+        """Return whether this stream ended together with others, one of which was cut."""
         cut_ms = self._cuts.get(stream.upstream)
-        return cut_ms is not None and abs(stream.read_ended_ms() - cut_ms) <= SETTLE_MS
+        if cut_ms is None or abs(stream.read_ended_ms() - cut_ms) > SETTLE_MS:
+            return False
+        return self._ended_together(stream)
 
     async def async_find_sign(self, stream: FollowedStream) -> CutSign:
         """Return what suggests that a stream was cut.
