A stream begins at a start that isn't listed, at a router that has just started: check the start

A router 35 ms after its start sent the request to an engine that had started again at v2 and was listed at v1 still. The caller left after 61 ms and took the stream up at a router that had no link to that one yet and knew one version.

While the list is current and shows one version, streams begin on trust unless a connection to the upstream was lost: its loss shows a new start before the list does. A router that has just started has had no connection, and is at the same time the one that others can't ask yet. So for 3 s after a start beside other routers (not at the first start of the fleet) each upstream states its start before a resumable stream is sent to it on a connection that no open one vouches for. To refuse where a router can't be reached was weighed and left: it would refuse what a killed router began.

What it costs: one question to each upstream that gets a resumable stream in these 3 s, at each such start of a router. Left: a router that is cut off from its peers for longer.

--- a/gypsumrouter/forwarding/stream_pin.py
+++ b/gypsumrouter/forwarding/stream_pin.py
@@ -85,6 +85,9 @@
         if self._origin is not None:
             return StartCheck.CONFIRMED
         versions = self._streams.versions
+        # A stream that begins at a start which isn't listed is known to this router only.
+        if versions.is_starting:
+            return StartCheck.ALWAYS
         if versions.list_is_current and len(versions.list_versions(service)) == 1:
             return StartCheck.IF_LOST
         return StartCheck.ALWAYS
--- a/gypsumrouter/streams/versions.py
+++ b/gypsumrouter/streams/versions.py
@@ -13,6 +13,9 @@
 # A list of upstreams that was confirmed longer ago may lack a version. A watch of the list returns
 # within 1.2 s, and its response is awaited for 0.8 s.
 MAX_LIST_AGE_MS: Final = 3_000
+# In this time after its start, other routers may not have a link to a router yet, over which they
+# would ask it for the streams that began there.
+START_MS: Final = 3_000
 # Versions were observed since before any stream could begin.
 ALWAYS_MS: Final = -(1 << 62)
 
@@ -32,6 +35,7 @@
         "_last_seen_ms",
         "_present",
         "_since_ms",
+        "_starting_until_ms",
         "_vouched",
     )
 
@@ -51,6 +55,7 @@
         # When an upstream of a service and version was last listed, for those that left.
         self._last_seen_ms: dict[tuple[str, str], int] = {}
         self._since_ms: int | None = ALWAYS_MS if first_start else None
+        self._starting_until_ms = ALWAYS_MS if first_start else clock.now_ms() + START_MS
         # Services of which another router has observed what this one has not.
         self._vouched: set[str] = set()
         directory.on_change(self._handle_entry)
@@ -78,6 +83,11 @@
         """Return whether the list was confirmed recently."""
         return self.list_age_ms <= MAX_LIST_AGE_MS
 
+    @property
+    def is_starting(self) -> bool:
+        """Return whether this process has just started, while other routers ran."""
+        return self._clock.now_ms() < self._starting_until_ms
+
     def list_versions(self, service: str) -> set[str]:
         """Return the versions that a service has, or has had while a stream was able to begin."""
         expired_ms = self._clock.now_ms() - STREAM_RETENTION_MS
--- a/tests/forwarding/test_forwarding_stream_versions.py
+++ b/tests/forwarding/test_forwarding_stream_versions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 from collections.abc import AsyncIterator
 from typing import Any
@@ -273,6 +274,35 @@
     assert not versions.arrivals("again")
 
 
+# Guards against a stream that begins at a start which isn't listed, at a router that others can't
+# ask yet: where its caller takes it up, the one listed version counts as the stream's.
+async def test_router_that_has_just_started_begins_a_stream_at_a_start_that_is_not_listed(
+    versions: VersionedWorld, session: Session, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("gypsumrouter.streams.versions.START_MS", 60_000)
+    for runner in versions.list_of("v2"):
+        await versions.store.async_remove(f"servers/{runner.name}")
+    for number, runner in enumerate(versions.list_of("v1")):
+        await async_restart(versions, runner, started_ms=1_700_000_000_000 + number)
+    await versions.async_until(lambda: count_starts(versions) == 2)
+    await versions.async_until(lambda: list_ready_versions(versions) == ["v1", "v1"])
+    # Both start anew at the other version, and the list stays as it was.
+    for runner in versions.list_of("v1"):
+        runner.listener.reset_connections()
+        runner.started_ms += 5_000
+        runner.version = "v2"
+    product = await versions.async_start_forwarder("entry-8", first_start=False)
+    await versions.async_until(product.is_ready)
+    calls = [
+        versions.async_call(
+            session, "POST", "/quote/a", f"r{number}", product=product, body=b"p", extra=PROMPT
+        )
+        for number in range(4)
+    ]
+    assert [status for status, _, _ in await asyncio.gather(*calls)] == [NOT_RUN] * 4
+    assert not any(runner.ran for runner in versions.models)
+
+
 async def test_upstream_is_asked_for_its_start_once_while_connections_to_it_stay_open(
     versions: VersionedWorld, session: Session
 ) -> None:
