--- a/gypsumrouter/forwarding/outcome_recorder.py
+++ b/gypsumrouter/forwarding/outcome_recorder.py
@@ -8,7 +8,8 @@
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.attempt import Attempt
 from gypsumrouter.forwarding.connections import ConnectionPool
-from gypsumrouter.forwarding.event_order import OrderFault
+from gypsumrouter.forwarding.ends.disorders import StreamDisorders
+from gypsumrouter.forwarding.ends.event_order import OrderFault
 from gypsumrouter.forwarding.models import (
     CompleteResponse,
     Rejected,
@@ -19,7 +20,6 @@
 from gypsumrouter.forwarding.next_step import STATUS_SERVER_ERROR
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.progress import Progress
-from gypsumrouter.forwarding.stream_disorders import StreamDisorders
 
 UnstreamedOutcome = Unreachable | Rejected | ResponseLost | CompleteResponse
 
@@ -72,7 +72,8 @@
     def _record_lost(self, attempt: Attempt, outcome: ResponseLost) -> None:
         """Record that an upstream may have run the request without a complete response."""
         upstream = attempt.entry.incarnation
-        self._placer.health.note_failure(upstream, reason=outcome.reason)
+        if not outcome.at_deadline:
+            self._placer.health.note_failure(upstream, reason=outcome.reason)
         if outcome.connection_broken:
             self._suspects.note_broken(upstream, outlived=attempt.make_cut_question())
         self._progress.note_possible_run(upstream)
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -13,11 +13,12 @@
 from gypsumrouter.core import Application
 from gypsumrouter.crashes import Subjects, Verdict
 from gypsumrouter.crashes.guard import CrashGuard
-from gypsumrouter.forwarding.attempt import Attempt, make_attempt_options
+from gypsumrouter.forwarding.attempt import Attempt, EndedAtDeadline, make_attempt_options
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
 from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES, MAX_EVENT_BYTES
-from gypsumrouter.forwarding.end_evidence import EndChecks
-from gypsumrouter.forwarding.events import find_first_event
+from gypsumrouter.forwarding.ends.events import find_first_event
+from gypsumrouter.forwarding.ends.evidence import EndChecks
+from gypsumrouter.forwarding.ends.relay import CallerDisconnected
 from gypsumrouter.forwarding.models import (
     CallerRequest,
     CompleteResponse,
@@ -34,7 +35,6 @@
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.progress import Progress, TimeLimits
-from gypsumrouter.forwarding.relay import CallerDisconnected
 from gypsumrouter.forwarding.request_contention import RequestContention
 from gypsumrouter.forwarding.request_journal import RequestJournal
 from gypsumrouter.forwarding.silence import Awaited, get_patience_ms
@@ -199,7 +199,10 @@
         return self.pending
 
     async def _async_send_until_event(self, list_age_ms: int) -> Outcome:
-        outcome = await self.async_send(list_age_ms=list_age_ms)
+        try:
+            outcome = await self.async_send(list_age_ms=list_age_ms)
+        except EndedAtDeadline:
+            return ResponseLost(reason="ended at its deadline", at_deadline=True)
         if not isinstance(outcome, StreamingResponse) or not outcome.is_event_stream:
             return outcome
         received = outcome.initial_bytes
--- a/tests/forwarding/test_forwarding_outlived_listeners.py
+++ b/tests/forwarding/test_forwarding_outlived_listeners.py
@@ -12,7 +12,7 @@
 from unframed_upstream import make_answer
 
 from gypsumrouter.crashes.guard import SETTLE_MS
-from gypsumrouter.forwarding.end_evidence import PROBE_TIMEOUT_MS
+from gypsumrouter.forwarding.ends.evidence import PROBE_TIMEOUT_MS
 
 HELD = 3
 # The crash guard judges a lost connection within this time, with room for a busy machine.
