Set-up of stop tests in one place

Nine test modules started and closed the same environment by hand, three of them set the same pause of its engines, and two had the same function that stops it a moment later. The environment is an asynchronous context manager with these now; its grace was always the time for a stop, and has no parameter any more.

--- a/tests/forwarding/stopping_world.py
+++ b/tests/forwarding/stopping_world.py
@@ -9,28 +9,33 @@
 import time
 from collections.abc import Iterable, Sequence
 from pathlib import Path
-from typing import Any
+from typing import Any, Self
 
 from forwarding_world import make_configuration, make_route
 
 from bench.processes import DaemonProcess, async_start_daemon, is_running
 from bench.raw_caller import CLOCK, DEADLINE_MS, Answer, End, RawCaller
-from gypsumrouter.const import Role
+from gypsumrouter.const import MS_PER_S, Role
 from gypsumrouter.standins import FaultProxy, PlatformRunner, PublishedStoreStandin
 
 ENV_KEY = "GYPSUMROUTER_LINK_KEY"
 KEY = "a key of the links between routers"
 RUNNERS = 3
 POLL_MS = 10
+STOPPED_SOON_S = 0.3
 
 
 class StoppingWorld:
-    """Runs a store and engines in the test's process, and forwarders as processes of their own."""
+    """Runs a store and engines in the test's process, and forwarders as processes of their own.
 
-    def __init__(self, *, folder: Path, stop_ms: int, grace_s: float) -> None:
+    A process is killed that outlasts its `stop_ms`. With a `pause_s`, that is the engines' pause
+    between tokens once they are ready.
+    """
+
+    def __init__(self, *, folder: Path, stop_ms: int, pause_s: float | None = None) -> None:
         self.folder = folder
         self.stop_ms = stop_ms
-        self.grace_s = grace_s
+        self.pause_s = pause_s
         self.store = PublishedStoreStandin()
         self.store_proxy: FaultProxy | None = None
         self.runners = [
@@ -40,6 +45,13 @@
         self._journals: list[asyncio.Task[list[str]]] = []
         self.killed: list[int] = []
 
+    async def __aenter__(self) -> Self:
+        await self.async_start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.async_close()
+
     async def async_start(self, *, forwarders: int = 1) -> None:
         os.environ[ENV_KEY] = KEY
         self.store_proxy = FaultProxy(target=await self.store.async_start())
@@ -58,6 +70,9 @@
         self.processes = list(await asyncio.gather(*starts))
         for process in self.processes:
             await self._async_until_served(process)
+        if self.pause_s is not None:
+            for runner in self.runners:
+                runner.pause_s = self.pause_s
 
     async def _async_start_forwarder(self, number: int, store: str) -> DaemonProcess:
         settings = {
@@ -102,7 +117,7 @@
     async def async_stop(
         self, process: DaemonProcess, signals: Sequence[tuple[float, signal.Signals]]
     ) -> tuple[int, float]:
-        """Send signals at times in seconds, kill the process after its grace.
+        """Send signals at times in seconds, kill the process after its time for a stop.
 
         Return its exit code and the seconds from the first signal to its end.
         """
@@ -112,13 +127,18 @@
             process.send_signal(number)
         # `wait` of the library waits for the output too, which nobody may read.
         while process.process.returncode is None:
-            if time.monotonic() > begun_s + self.grace_s and is_running(process.pid):
+            if time.monotonic() > begun_s + self.stop_ms / MS_PER_S and is_running(process.pid):
                 self.killed.append(process.pid)
                 # `send_signal` of the library collects a process that has just ended.
                 os.kill(process.pid, signal.SIGKILL)
             await CLOCK.async_sleep(POLL_MS)
         return process.process.returncode, time.monotonic() - begun_s
 
+    def stop_soon(self) -> asyncio.Task[tuple[int, float]]:
+        """Stop the first process a moment later, see `async_stop`."""
+        signals = [(STOPPED_SOON_S, signal.SIGTERM)]
+        return asyncio.create_task(self.async_stop(self.processes[0], signals))
+
     async def async_read_journal(self, number: int = 0) -> list[dict[str, Any]]:
         """Return the lines of a forwarder that has ended."""
         lines = await self._journals[number]
--- a/tests/forwarding/test_forwarding_half_heads.py
+++ b/tests/forwarding/test_forwarding_half_heads.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -24,14 +23,8 @@
 
 @pytest.fixture
 async def stopping(tmp_path: Path) -> AsyncIterator[StoppingWorld]:
-    world = StoppingWorld(folder=tmp_path, stop_ms=STOP_MS, grace_s=STOP_MS / 1_000)
-    await world.async_start()
-    yield world
-    await world.async_close()
-
-
-def stop_soon(world: StoppingWorld) -> asyncio.Task[tuple[int, float]]:
-    return asyncio.create_task(world.async_stop(world.processes[0], [(0.3, signal.SIGTERM)]))
+    async with StoppingWorld(folder=tmp_path, stop_ms=STOP_MS) as world:
+        yield world
 
 
 # Guards against a connection that counts as idle, and is closed, with half a head in the parser:
@@ -46,7 +39,7 @@
     both = make_head("r0", "/draft/a", TOKENS) + head[:HALF]
     running = asyncio.create_task(caller.async_ask("r0", parts=[both]))
     await stopping.async_wait_ran("r0")
-    stop = stop_soon(stopping)
+    stop = stopping.stop_soon()
     first = await running
     assert (first.end, first.announces_close) == (End.WHOLE, False)
     await CLOCK.async_sleep(SECOND_HALF_MS)
@@ -63,7 +56,7 @@
 ) -> None:
     for runner in stopping.runners:
         runner.pause_s = 0.0
-    stop = stop_soon(stopping)
+    stop = stopping.stop_soon()
     await CLOCK.async_sleep(600)
     caller = await stopping.caller(
         stopping.processes[0], buffer_bytes=SMALL_BUFFER_BYTES
--- a/tests/forwarding/test_forwarding_kept_in_stop.py
+++ b/tests/forwarding/test_forwarding_kept_in_stop.py
@@ -30,12 +30,8 @@
 
 @pytest.fixture
 async def stopping(tmp_path: Path) -> AsyncIterator[StoppingWorld]:
-    world = StoppingWorld(folder=tmp_path, stop_ms=STOP_MS, grace_s=STOP_MS / MS_PER_S)
-    await world.async_start()
-    for runner in world.runners:
-        runner.pause_s = PAUSE_S
-    yield world
-    await world.async_close()
+    async with StoppingWorld(folder=tmp_path, stop_ms=STOP_MS, pause_s=PAUSE_S) as world:
+        yield world
 
 
 # Guards against a request that runs and gets no answer, sent behind one whose answer began before
--- a/tests/forwarding/test_forwarding_killed_routers.py
+++ b/tests/forwarding/test_forwarding_killed_routers.py
@@ -33,12 +33,8 @@
 
 @pytest.fixture
 async def stopping(tmp_path: Path, no_core_dumps: None) -> AsyncIterator[StoppingWorld]:
-    world = StoppingWorld(folder=tmp_path, stop_ms=STOP_MS, grace_s=STOP_MS / 1_000)
-    await world.async_start()
-    for runner in world.runners:
-        runner.pause_s = PAUSE_S
-    yield world
-    await world.async_close()
+    async with StoppingWorld(folder=tmp_path, stop_ms=STOP_MS, pause_s=PAUSE_S) as world:
+        yield world
 
 
 async def async_begin(
--- a/tests/forwarding/test_forwarding_large_answers_in_stop.py
+++ b/tests/forwarding/test_forwarding_large_answers_in_stop.py
@@ -27,27 +27,27 @@
 
 @pytest.fixture
 async def stopping(tmp_path: Path) -> AsyncIterator[StoppingWorld]:
-    world = StoppingWorld(folder=tmp_path, stop_ms=STOP_MS, grace_s=STOP_MS / 1_000)
-    await world.async_start()
-    more = {"timeout_ms": DEADLINE_MS, "target_latency_ms": 5_000, "max_attempts": 1}
-    routes = [
-        make_route("draft", "streaming", "models", target_gap_ms=2_000, **more),
-        make_route("reserve", "non_idempotent", "models", **more),
-        make_route(
-            "view",
-            "idempotent",
-            "models",
-            **more | {"timeout_ms": VIEW_MS, "target_latency_ms": 100, "max_attempts": 2},
-        ),
-    ]
-    await world.store.async_put_configuration(make_configuration(2, routes=routes))
-    async with asyncio.timeout(10):
-        while (
-            await world.async_ask_once(world.processes[0], "there", path="/reserve/a", tokens=None)
-        ).status != 200:
-            await CLOCK.async_sleep(50)
-    yield world
-    await world.async_close()
+    async with StoppingWorld(folder=tmp_path, stop_ms=STOP_MS) as world:
+        more = {"timeout_ms": DEADLINE_MS, "target_latency_ms": 5_000, "max_attempts": 1}
+        routes = [
+            make_route("draft", "streaming", "models", target_gap_ms=2_000, **more),
+            make_route("reserve", "non_idempotent", "models", **more),
+            make_route(
+                "view",
+                "idempotent",
+                "models",
+                **more | {"timeout_ms": VIEW_MS, "target_latency_ms": 100, "max_attempts": 2},
+            ),
+        ]
+        await world.store.async_put_configuration(make_configuration(2, routes=routes))
+        async with asyncio.timeout(10):
+            while (
+                await world.async_ask_once(
+                    world.processes[0], "there", path="/reserve/a", tokens=None
+                )
+            ).status != 200:
+                await CLOCK.async_sleep(50)
+        yield world
 
 
 # Guards against large plain answers that are taken late by an estimate, have begun at the end of
--- a/tests/forwarding/test_forwarding_late_signals.py
+++ b/tests/forwarding/test_forwarding_late_signals.py
@@ -12,7 +12,6 @@
 from stopping_world import StoppingWorld
 
 from bench.raw_caller import CLOCK, End
-from gypsumrouter.const import MS_PER_S
 from gypsumrouter.forwarding.drain import DrainAdmission
 from gypsumrouter.forwarding.drain.const import CUT_MARGIN_MS, EXCUSED_MS
 from gypsumrouter.forwarding.drain.lateness import KEPT_TICKS, TICK_MS, LoopTicks
@@ -32,12 +31,8 @@
 
 @pytest.fixture
 async def stopping(tmp_path: Path) -> AsyncIterator[StoppingWorld]:
-    world = StoppingWorld(folder=tmp_path, stop_ms=STOP_MS, grace_s=STOP_MS / MS_PER_S)
-    await world.async_start()
-    for runner in world.runners:
-        runner.pause_s = PAUSE_S
-    yield world
-    await world.async_close()
+    async with StoppingWorld(folder=tmp_path, stop_ms=STOP_MS, pause_s=PAUSE_S) as world:
+        yield world
 
 
 def read_blocked_signals(pid: int) -> dict[int, int]:
--- a/tests/forwarding/test_forwarding_stopped_connections.py
+++ b/tests/forwarding/test_forwarding_stopped_connections.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -31,14 +30,8 @@
 
 @pytest.fixture
 async def stopping(tmp_path: Path) -> AsyncIterator[StoppingWorld]:
-    world = StoppingWorld(folder=tmp_path, stop_ms=STOP_MS, grace_s=STOP_MS / 1_000)
-    await world.async_start()
-    yield world
-    await world.async_close()
-
-
-def stop_soon(world: StoppingWorld) -> asyncio.Task[tuple[int, float]]:
-    return asyncio.create_task(world.async_stop(world.processes[0], [(0.3, signal.SIGTERM)]))
+    async with StoppingWorld(folder=tmp_path, stop_ms=STOP_MS) as world:
+        yield world
 
 
 # Guards against a connection that counts as idle, and is closed, with half a head in the process.
@@ -50,7 +43,7 @@
     caller = await stopping.caller(stopping.processes[0]).async_open()
     running = asyncio.create_task(caller.async_ask("r0", tokens=TOKENS))
     await stopping.async_wait_running(1)
-    stop = stop_soon(stopping)
+    stop = stopping.stop_soon()
     head = make_head("r1", "/draft/a", 2)
     sending = asyncio.create_task(caller.async_send_later(head[:HALF], after_ms=FIRST_HALF_MS))
     first = await running
@@ -69,7 +62,7 @@
     stopping: StoppingWorld, begins_in_stop: bool
 ) -> None:
     process = stopping.processes[0]
-    stop = stop_soon(stopping) if begins_in_stop else None
+    stop = stopping.stop_soon() if begins_in_stop else None
     await CLOCK.async_sleep(600)
     caller = await stopping.caller(process, buffer_bytes=SMALL_BUFFER_BYTES).async_open()
     reading = asyncio.create_task(
@@ -79,7 +72,7 @@
     later_ms = DISCARD_MS if begins_in_stop else DRAIN_GRACE_MS + 300
     more = make_head("r1", "/draft/a", 2)[:HALF]
     sending = asyncio.create_task(caller.async_send_later(more, after_ms=later_ms + 500))
-    stop = stop or stop_soon(stopping)
+    stop = stop or stopping.stop_soon()
     answer = await reading
     await sending
     await stop
--- a/tests/forwarding/test_forwarding_stops.py
+++ b/tests/forwarding/test_forwarding_stops.py
@@ -75,10 +75,8 @@
 @pytest.fixture
 async def stopping(tmp_path: Path, stop_ms: int) -> AsyncIterator[StoppingWorld]:
     """Start three engines and one forwarder process, which has `stop_ms` for a stop."""
-    world = StoppingWorld(folder=tmp_path, stop_ms=stop_ms, grace_s=stop_ms / 1_000)
-    await world.async_start()
-    yield world
-    await world.async_close()
+    async with StoppingWorld(folder=tmp_path, stop_ms=stop_ms) as world:
+        yield world
 
 
 def begin_streams(world: StoppingWorld, *, tokens: int) -> list[asyncio.Task[Answer]]:
--- a/tests/forwarding/test_forwarding_unanswered_in_stop.py
+++ b/tests/forwarding/test_forwarding_unanswered_in_stop.py
@@ -29,10 +29,8 @@
 
 @pytest.fixture
 async def stopping(tmp_path: Path) -> AsyncIterator[StoppingWorld]:
-    world = StoppingWorld(folder=tmp_path, stop_ms=STOP_MS, grace_s=STOP_MS / 1_000)
-    await world.async_start()
-    yield world
-    await world.async_close()
+    async with StoppingWorld(folder=tmp_path, stop_ms=STOP_MS) as world:
+        yield world
 
 
 # Guards against requests that are cut without an answer, though none of it had begun.
--- a/tests/forwarding/test_forwarding_untaken_in_stop.py
+++ b/tests/forwarding/test_forwarding_untaken_in_stop.py
@@ -23,10 +23,8 @@
 
 @pytest.fixture
 async def stopping(tmp_path: Path) -> AsyncIterator[StoppingWorld]:
-    world = StoppingWorld(folder=tmp_path, stop_ms=STOP_MS, grace_s=STOP_MS / MS_PER_S)
-    await world.async_start()
-    yield world
-    await world.async_close()
+    async with StoppingWorld(folder=tmp_path, stop_ms=STOP_MS) as world:
+        yield world
 
 
 # Guards against a reset of an answer that is whole in the process, and does not fit the usual send
