Wait for a connection that stays open in place of a sleep

The test of a proxy that stalls slept until the proxy takes its connection for idle. It waits on the connection now, and fails if anything or an end comes meanwhile; the wait behind the kill is the same. Its length follows from the proxy's own constant.

--- a/tests/bench/test_bench_hosted_upstream.py
+++ b/tests/bench/test_bench_hosted_upstream.py
@@ -21,13 +21,15 @@
     HostPlan,
     UpstreamFraming,
 )
+from bench.upstream_proxy import IDLE_S
 from gypsumrouter.instances import Address
 from gypsumrouter.platform import names
 from gypsumrouter.standins import PublishedStoreStandin
 
 NAME = "i-a"
-# Longer than anything that an upstream or a proxy does at once.
-SILENT_S = 0.3
+# Longer than anything that an upstream or a proxy does at once, and than a proxy takes to see that
+# a connection is idle.
+SILENT_S = IDLE_S + 0.05
 CLOSING_S = 0.3
 CONNECTIONS = 6
 
@@ -101,6 +103,16 @@
     return False
 
 
+async def async_stays_open(connection: Connection) -> bool:
+    """Return whether nothing comes for a while without a question, not even an end."""
+    try:
+        async with asyncio.timeout(SILENT_S):
+            await connection[0].read(1)
+    except TimeoutError:
+        return True
+    return False
+
+
 # Guards against a soak in which no question after an end could be answered.
 async def test_upstream_names_its_id_and_rejects_questions_for_another_one(start: Starter) -> None:
     upstream = await start()
@@ -216,10 +228,10 @@
     upstream = await start(Front.PROXY_STALLS)
     connection = await async_connect(upstream.address)
     assert (await async_ask(connection, HEALTH_PATH))[0] == 200
-    await asyncio.sleep(SILENT_S)
+    # Idle for long enough that the proxy takes it for idle, and not closed for that.
+    assert await async_stays_open(connection)
     await upstream.async_kill(signal.SIGKILL)
-    with pytest.raises(TimeoutError):
-        await asyncio.wait_for(connection[0].read(), SILENT_S)
+    assert await async_stays_open(connection)
     connection[1].close()
 
 
