Repeated set-up of replicator and connection tests in functions

Eight tests of the configuration replicator started the same fleet, and those of the HTTP client connection repeated a request and a server that writes and closes.

--- a/tests/configuration/test_configuration_replicator.py
+++ b/tests/configuration/test_configuration_replicator.py
@@ -31,13 +31,19 @@
     )
 
 
+async def async_start_fleet(make_fleet: MakeFleet, count: int, *, version: int = 1) -> FakeFleet:
+    """Return a fleet whose processes have had time to read a published version."""
+    fleet = make_fleet(count)
+    fleet.platform.publish(make_document(version))
+    await fleet.async_start_all()
+    await fleet.async_advance(START_MS)
+    return fleet
+
+
 async def test_version_reaches_all_processes_with_few_platform_calls(
     make_fleet: MakeFleet,
 ) -> None:
-    fleet = make_fleet(60)
-    fleet.platform.publish(make_document(1))
-    await fleet.async_start_all()
-    await fleet.async_advance(START_MS)
+    fleet = await async_start_fleet(make_fleet, 60)
     assert fleet.list_versions() == {1}
     calls = fleet.platform.calls
     fleet.platform.publish(make_document(2))
@@ -47,10 +53,7 @@
 
 
 async def test_messages_per_process_and_change_are_bounded(make_fleet: MakeFleet) -> None:
-    fleet = make_fleet(60)
-    fleet.platform.publish(make_document(1))
-    await fleet.async_start_all()
-    await fleet.async_advance(START_MS)
+    fleet = await async_start_fleet(make_fleet, 60)
     fleet.sent.clear()
     fleet.platform.publish(make_document(2, workspaces=4))
     await fleet.async_advance(REPLICATION_MS)
@@ -61,10 +64,7 @@
 async def test_process_started_during_an_outage_fetches_from_a_peer(
     make_fleet: MakeFleet,
 ) -> None:
-    fleet = make_fleet(6)
-    fleet.platform.publish(make_document(3))
-    await fleet.async_start_all()
-    await fleet.async_advance(START_MS)
+    fleet = await async_start_fleet(make_fleet, 6, version=3)
     fleet.platform.down = True
     process = await fleet.async_start("router-2")
     await fleet.async_advance(START_MS)
@@ -85,10 +85,7 @@
 async def test_isolated_process_reads_new_versions_from_the_platform(
     make_fleet: MakeFleet,
 ) -> None:
-    fleet = make_fleet(6)
-    fleet.platform.publish(make_document(1))
-    await fleet.async_start_all()
-    await fleet.async_advance(START_MS)
+    fleet = await async_start_fleet(make_fleet, 6)
     watchers = fleet.list_watchers()
     name = next(name for name in fleet.processes if name not in watchers)
     fleet.groups[name] = 1
@@ -101,10 +98,7 @@
 async def test_version_held_by_one_process_reaches_all_during_an_outage(
     make_fleet: MakeFleet,
 ) -> None:
-    fleet = make_fleet(12)
-    fleet.platform.publish(make_document(1))
-    await fleet.async_start_all()
-    await fleet.async_advance(START_MS)
+    fleet = await async_start_fleet(make_fleet, 12)
     fleet.platform.down = True
     reader = fleet.processes["router-5"]
     fleet.platform.publish(make_document(2))
@@ -114,10 +108,7 @@
 
 
 async def test_rejected_version_is_not_replicated(make_fleet: MakeFleet) -> None:
-    fleet = make_fleet(6)
-    fleet.platform.publish(make_document(1))
-    await fleet.async_start_all()
-    await fleet.async_advance(START_MS)
+    fleet = await async_start_fleet(make_fleet, 6)
     fleet.platform.publish(make_document(2, default_class="nobody"))
     await fleet.async_advance(REPLICATION_MS)
     assert fleet.list_versions() == {1}
@@ -133,10 +124,7 @@
 async def test_processes_converge_to_the_higher_version_after_a_partition(
     make_fleet: MakeFleet,
 ) -> None:
-    fleet = make_fleet(10)
-    fleet.platform.publish(make_document(1))
-    await fleet.async_start_all()
-    await fleet.async_advance(START_MS)
+    fleet = await async_start_fleet(make_fleet, 10)
     for number in range(5):
         fleet.groups[f"router-{number}"] = 1
         fleet.platform.stale[f"router-{number}"] = 2
@@ -150,10 +138,7 @@
 
 
 async def test_paused_process_queries_its_neighbours_after_resuming(make_fleet: MakeFleet) -> None:
-    fleet = make_fleet(6)
-    fleet.platform.publish(make_document(1))
-    await fleet.async_start_all()
-    await fleet.async_advance(START_MS)
+    fleet = await async_start_fleet(make_fleet, 6)
     watchers = fleet.list_watchers()
     name = next(name for name in fleet.processes if name not in watchers)
     process = fleet.processes[name]
--- a/tests/helpers/test_http_connection.py
+++ b/tests/helpers/test_http_connection.py
@@ -16,7 +16,7 @@
     HttpConnection,
     async_connect,
 )
-from gypsumrouter.helpers.http_response import ConnectionBroken, async_read_body
+from gypsumrouter.helpers.http_response import ConnectionBroken, HttpResponse, async_read_body
 from gypsumrouter.instances import Address
 
 Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -34,6 +34,19 @@
     writer.transport.abort()
 
 
+def write_and_close(answer: bytes) -> Script:
+    async def async_script(_reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(answer)
+        writer.close()
+
+    return async_script
+
+
+async def async_ask(connection: HttpConnection) -> HttpResponse:
+    connection.send_request(method="GET", data=REQUEST)
+    return await connection.async_read_response()
+
+
 @pytest.fixture
 async def connect() -> AsyncIterator[Connect]:
     servers: list[asyncio.Server] = []
@@ -68,43 +81,33 @@
         reset(writer)
 
     connection = await connect(script)
-    connection.send_request(method="GET", data=REQUEST)
-    answer = await connection.async_read_response()
+    answer = await async_ask(connection)
     with pytest.raises(ConnectionBroken):
         await answer.body.read()
 
 
 async def test_close_delimited_body_is_complete_on_orderly_close(connect: Connect) -> None:
-    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it")
-        writer.close()
-
-    connection = await connect(script)
-    connection.send_request(method="GET", data=REQUEST)
-    answer = await connection.async_read_response()
+    connection = await connect(
+        write_and_close(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it")
+    )
+    answer = await async_ask(connection)
     assert await answer.body.read() == b"all of it"
 
 
 async def test_body_shorter_than_content_length_is_an_error(connect: Connect) -> None:
-    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
-        writer.close()
-
-    connection = await connect(script)
-    connection.send_request(method="GET", data=REQUEST)
-    answer = await connection.async_read_response()
+    connection = await connect(
+        write_and_close(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+    )
+    answer = await async_ask(connection)
     with pytest.raises(ConnectionBroken):
         await answer.body.read()
 
 
 async def test_chunked_body_without_last_chunk_is_an_error(connect: Connect) -> None:
-    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
-        writer.close()
-
-    connection = await connect(script)
-    connection.send_request(method="GET", data=REQUEST)
-    answer = await connection.async_read_response()
+    connection = await connect(
+        write_and_close(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
+    )
+    answer = await async_ask(connection)
     with pytest.raises(ConnectionBroken):
         await answer.body.read()
 
@@ -116,8 +119,7 @@
         await writer.drain()
 
     connection = await connect(script)
-    connection.send_request(method="GET", data=REQUEST)
-    answer = await connection.async_read_response()
+    answer = await async_ask(connection)
     assert await answer.body.read() == b"ok"
     connection.finish()
     assert not connection.reusable
@@ -134,8 +136,7 @@
         await writer.drain()
 
     connection = await connect(script)
-    connection.send_request(method="GET", data=REQUEST)
-    await (await connection.async_read_response()).body.read()
+    await (await async_ask(connection)).body.read()
     connection.finish()
     assert connection.reusable
     send_second.set()
@@ -151,8 +152,7 @@
         await writer.drain()
 
     connection = await connect(script)
-    connection.send_request(method="GET", data=REQUEST)
-    assert (await connection.async_read_response()).status == 204
+    assert (await async_ask(connection)).status == 204
 
 
 @pytest.mark.parametrize("bytes_sent", [b"no http at all\r\n\r\n", b"HTTP/1.1 200\r\nbad\r\n\r\n"])
@@ -162,9 +162,8 @@
         await writer.drain()
 
     connection = await connect(script)
-    connection.send_request(method="GET", data=REQUEST)
     with pytest.raises(ConnectionBroken):
-        await connection.async_read_response()
+        await async_ask(connection)
 
 
 async def test_connecting_to_a_port_without_listener_fails() -> None:
