Servers of tests that end their connections in one module

Three modules of tests on answers that end after any byte had the same server and the same framings, and five the same reset. The answers, cuts and assertions are the same as before.

--- a/tests/fleet/test_cut_platform_answers.py
+++ b/tests/fleet/test_cut_platform_answers.py
@@ -4,13 +4,11 @@
 
 import asyncio
 import json
-import socket
-import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
-from functools import partial
 from typing import Any
 
 import pytest
+from ending_connections import FRAMINGS, EndingServers, frame_body
 from fleet_world import World
 
 from gypsumrouter.configuration.source import Document, HttpConfigurationSource, Unavailable
@@ -19,8 +17,6 @@
 from gypsumrouter.settings import Platform
 from gypsumrouter.util.body_formats import is_complete_json
 
-RESET_LINGER = struct.pack("ii", 1, 0)
-FRAMINGS = ("length", "chunked", "neither")
 ENTRY = {
     "name": "e0",
     "role": "side",
@@ -43,47 +39,26 @@
 
 
 def frame(document: Any, framing: str) -> bytes:
-    body = json.dumps(document).encode()
     head = b"HTTP/1.1 200 OK\r\nX-Version: 7\r\nContent-Type: application/json\r\n"
-    match framing:
-        case "length":
-            return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
-        case "chunked":
-            head += b"Transfer-Encoding: chunked\r\nTrailer: T\r\n\r\n"
-            return head + b"%x;a=b\r\n%b\r\n0\r\nT: v\r\n\r\n" % (len(body), body)
-        case _:
-            return head + b"Connection: close\r\n\r\n" + body
+    return frame_body(json.dumps(document).encode(), framing, head=head)
 
 
 @pytest.fixture
 async def serve() -> AsyncIterator[Serve]:
-    servers: list[asyncio.Server] = []
-
-    async def async_handle(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, answer: bytes, resets: bool
-    ) -> None:
-        try:
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(answer)
-            await writer.drain()
-            if resets:
-                connection = writer.get_extra_info("socket")
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
-                writer.transport.abort()
-        except (asyncio.IncompleteReadError, OSError):
-            pass
-        finally:
-            writer.close()
-
-    async def async_serve(answer: bytes, resets: bool) -> str:
-        handle = partial(async_handle, answer=answer, resets=resets)
-        server = await asyncio.start_server(handle, "127.0.0.1", 0)
-        servers.append(server)
-        return f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
-
-    yield async_serve
-    for server in servers:
-        server.close()
+    async with EndingServers() as servers:
+
+        async def async_serve(answer: bytes, resets: bool) -> str:
+            async def async_answer(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> bool:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(answer)
+                await writer.drain()
+                return resets
+
+            return f"http://{await servers.async_start(async_answer)}"
+
+        yield async_serve
 
 
 async def async_fetch(app: Application, origin: str) -> InstanceList | Unchanged | None:
--- a/tests/forwarding/cut_heads.py
+++ b/tests/forwarding/cut_heads.py
@@ -5,13 +5,12 @@
 import asyncio
 import json
 import re
-import socket
-import struct
 from collections.abc import Awaitable, Callable, Sequence
 from enum import StrEnum
 from typing import Any, NamedTuple, TypeVar
 
 import aiohttp
+from ending_connections import reset
 from forwarding_world import PROMPT, ForwardingWorld, make_configuration, make_route
 
 from gypsumrouter.instances import Address
@@ -21,7 +20,6 @@
 from gypsumrouter.running_process import RunningProcess
 from gypsumrouter.settings import Bounds
 
-RESET_LINGER = struct.pack("ii", 1, 0)
 STAMP = "i.07.5a2.600.0.c9f2a4d1"
 PROMISES = frozenset({408, 421, 429, 503})
 CONCURRENT = 24
@@ -138,9 +136,7 @@
             case Ending.SILENCE:
                 await reader.read()
             case Ending.RESET:
-                connection = writer.get_extra_info("socket")
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
-                writer.transport.abort()
+                reset(writer)
 
 
 def read_head(head: bytes) -> tuple[str, dict[str, str]]:
--- a/tests/helpers/test_http_connection.py
+++ b/tests/helpers/test_http_connection.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import socket
-import struct
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
 import uvloop
+from ending_connections import reset
 
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
@@ -23,17 +23,10 @@
 Connect = Callable[[Script], Awaitable[HttpConnection]]
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
-RESET_LINGER = struct.pack("ii", 1, 0)
 CONNECT_MS = 200
 PAUSE_S = 1.25 * CONNECT_MS / 1_000
 
 
-def reset(writer: asyncio.StreamWriter) -> None:
-    connection = writer.get_extra_info("socket")
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
-    writer.transport.abort()
-
-
 def write_and_close(answer: bytes) -> Script:
     async def async_script(_reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         writer.write(answer)
--- a/tests/platform/test_platform_cut_answers.py
+++ b/tests/platform/test_platform_cut_answers.py
@@ -5,13 +5,11 @@
 import asyncio
 import base64
 import json
-import socket
-import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
-from functools import partial
 from typing import Any
 
 import pytest
+from ending_connections import FRAMINGS, EndingServers, frame_body
 
 from gypsumrouter.helpers.http_connection import HttpConnection, async_connect
 from gypsumrouter.helpers.http_response import ConnectionBroken
@@ -21,8 +19,6 @@
 from gypsumrouter.published.models import HistoryLost, ItemBatch, StoreUnavailable
 from gypsumrouter.util.revisions import make_revision
 
-FRAMINGS = ("length", "chunked", "neither")
-RESET_LINGER = struct.pack("ii", 1, 0)
 ERA = 1
 ITEM = {"key": "op/config", "revision": 7, "value": base64.b64encode(b"{}").decode()}
 OTHER = {"key": "op/evacuate/dc-a", "revision": 8, "value": ""}
@@ -38,54 +34,29 @@
 
 def frame(document: Any, framing: str, *, status: str = "200 OK") -> bytes:
     """Return a whole answer, with interim ones before it where it has a length."""
-    body = json.dumps(document).encode()
-    head = f"HTTP/1.1 {status}\r\nStore-Era: {ERA}\r\nContent-Type: application/json\r\n".encode()
-    match framing:
-        case "length":
-            interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
-            return interim + head + b"Content-Length: %d\r\n\r\n" % len(body) + body
-        case "chunked":
-            head += b"Transfer-Encoding: chunked\r\nTrailer: T\r\n\r\n"
-            return head + b"%x;a=b\r\n%b\r\n0\r\nT: v\r\n\r\n" % (len(body), body)
-        case _:
-            return head + b"Connection: close\r\n\r\n" + body
+    head = f"HTTP/1.1 {status}\r\nStore-Era: {ERA}\r\nContent-Type: application/json\r\n"
+    whole = frame_body(json.dumps(document).encode(), framing, head=head.encode())
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+    return interim + whole if framing == "length" else whole
 
 
 @pytest.fixture
 async def serve() -> AsyncIterator[Serve]:
-    servers: list[asyncio.Server] = []
-
-    async def async_handle(
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-        *,
-        answers: list[bytes],
-        resets: bool,
-    ) -> None:
-        try:
-            for answer in answers:
-                await reader.readuntil(b"\r\n\r\n")
-                writer.write(answer)
-                await writer.drain()
-            if resets:
-                connection = writer.get_extra_info("socket")
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
-                writer.transport.abort()
-        except (asyncio.IncompleteReadError, OSError):
-            pass
-        finally:
-            writer.close()
-
-    async def async_serve(answers: list[bytes], resets: bool) -> Address:
-        handle = partial(async_handle, answers=answers, resets=resets)
-        server = await asyncio.start_server(handle, "127.0.0.1", 0)
-        servers.append(server)
-        host, port = server.sockets[0].getsockname()[:2]
-        return Address(host=host, port=port)
-
-    yield async_serve
-    for server in servers:
-        server.close()
+    async with EndingServers() as servers:
+
+        async def async_serve(answers: list[bytes], resets: bool) -> Address:
+            async def async_answer(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> bool:
+                for answer in answers:
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.write(answer)
+                    await writer.drain()
+                return resets
+
+            return await servers.async_start(async_answer)
+
+        yield async_serve
 
 
 async def async_read_list(address: Address) -> ItemBatch | HistoryLost | None:
--- a/tests/upstream/test_upstream_cut_answers.py
+++ b/tests/upstream/test_upstream_cut_answers.py
@@ -3,16 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
-from functools import partial
 
 import pytest
+from ending_connections import FRAMINGS, EndingServers, frame_body
 from upstream_fakes import LIMIT_S, Caller, FakeAnswer, MakeClient, make_call, make_chat
 
 from gypsumrouter.const import UpstreamKind
-from gypsumrouter.instances import Address
 from gypsumrouter.outcomes import Failure
 from gypsumrouter.upstream import UpstreamClient
 
@@ -21,9 +18,7 @@
 JSON = b"Content-Type: application/json\r\n"
 BODY = b'{"answer": "whole", "n": 1}'
 HALF = len(BODY) // 2
-FRAMINGS = ("length", "chunked", "neither")
 CONCURRENT = 8
-RESET_LINGER = struct.pack("ii", 1, 0)
 
 # Returns what an upstream writes for a request, whose target is given.
 Script = Callable[[str], bytes]
@@ -32,15 +27,7 @@
 
 def frame(body: bytes, framing: str, *, lines: bytes = JSON) -> bytes:
     """Return a whole answer."""
-    match framing:
-        case "length":
-            return OK + lines + b"Content-Length: %d\r\n\r\n" % len(body) + body
-        case "chunked":
-            chunk = b"%x;a=b\r\n%b\r\n" % (len(body), body)
-            head = OK + lines + b"Transfer-Encoding: chunked\r\nTrailer: T\r\n\r\n"
-            return head + chunk + b"0\r\nT: v\r\n\r\n"
-        case _:
-            return OK + lines + b"Connection: close\r\n\r\n" + body
+    return frame_body(body, framing, head=OK + lines)
 
 
 WHOLE = {framing: frame(BODY, framing) for framing in FRAMINGS}
@@ -54,36 +41,22 @@
 @pytest.fixture
 async def serve_script(make_started: MakeClient) -> AsyncIterator[ServeScript]:
     """Return a factory of clients for an upstream that ends each connection after its answer."""
-    servers: list[asyncio.Server] = []
-
-    async def async_handle(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, script: Script, resets: bool
-    ) -> None:
-        try:
-            head = await reader.readuntil(b"\r\n\r\n")
-            target = head.split(b" ")[1].decode()
-            polled = target in {"/load", "/v1/load", "/v1/models"}
-            writer.write(frame(POLLED, "length") if polled else script(target))
-            await writer.drain()
-            if resets and not polled:
-                connection = writer.get_extra_info("socket")
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
-                writer.transport.abort()
-        except (asyncio.IncompleteReadError, OSError):
-            pass
-        finally:
-            writer.close()
-
-    async def async_serve(script: Script, kind: UpstreamKind, resets: bool) -> UpstreamClient:
-        handle = partial(async_handle, script=script, resets=resets)
-        server = await asyncio.start_server(handle, "127.0.0.1", 0)
-        servers.append(server)
-        host, port = server.sockets[0].getsockname()[:2]
-        return await make_started(Address(host=host, port=port), kind)
-
-    yield async_serve
-    for server in servers:
-        server.close()
+    async with EndingServers() as servers:
+
+        async def async_serve(script: Script, kind: UpstreamKind, resets: bool) -> UpstreamClient:
+            async def async_answer(
+                reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+            ) -> bool:
+                head = await reader.readuntil(b"\r\n\r\n")
+                target = head.split(b" ")[1].decode()
+                polled = target in {"/load", "/v1/load", "/v1/models"}
+                writer.write(frame(POLLED, "length") if polled else script(target))
+                await writer.drain()
+                return resets and not polled
+
+            return await make_started(await servers.async_start(async_answer), kind)
+
+        yield async_serve
 
 
 async def async_run_cuts(
