--- a/tests/forwarding/stating_upstream.py
+++ b/tests/forwarding/stating_upstream.py
@@ -16,6 +16,7 @@
 from gypsumrouter.instances import Address
 
 STARTED_MS = 1_700_000_000_000
+LATER_MS = 5_000
 
 
 class StatingUpstream:
@@ -51,6 +52,10 @@
             started_ms=STARTED_MS,
         )
 
+    def start_again(self) -> None:
+        """State a later start than the entry does."""
+        self.started_ms = STARTED_MS + LATER_MS
+
     async def _async_accept(self, _: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.accepted.append(writer)
         if self.drops or self.is_full:
--- a/tests/forwarding/test_forwarding_start_check.py
+++ b/tests/forwarding/test_forwarding_start_check.py
@@ -6,7 +6,6 @@
 
 import pytest
 from stating_upstream import (
-    STARTED_MS,
     StatingUpstream,
     async_begin_answer,
     async_until,
@@ -53,35 +52,38 @@
     return make_pool(app, upstream, Directory(app=app, journal=Journal(app=app)))
 
 
+@pytest.fixture
+async def entry(upstream: StatingUpstream) -> Entry:
+    """Start the upstream, and return its entry."""
+    return await upstream.async_start()
+
+
 async def async_connect(pool: ConnectionPool, entry: Entry, check: StartCheck) -> HttpConnection:
     pooled = await pool.async_acquire(entry, repeatable=True, timeout_ms=500, start_check=check)
     return pooled.connection
 
 
 async def test_connection_that_is_still_open_vouches_for_a_later_one(
-    pool: ConnectionPool, upstream: StatingUpstream
+    pool: ConnectionPool, upstream: StatingUpstream, entry: Entry
 ) -> None:
-    entry = await upstream.async_start()
     for _ in range(3):
         await async_connect(pool, entry, StartCheck.ALWAYS)
     assert upstream.questions == 1
 
 
 async def test_stream_goes_on_only_where_the_upstream_itself_stated_its_start(
-    pool: ConnectionPool, upstream: StatingUpstream
+    pool: ConnectionPool, upstream: StatingUpstream, entry: Entry
 ) -> None:
-    entry = await upstream.async_start()
     await async_connect(pool, entry, StartCheck.ALWAYS)
     # The loss of the first connection has not been noticed yet.
-    upstream.started_ms = STARTED_MS + 5_000
+    upstream.start_again()
     with pytest.raises(ConnectFailed):
         await async_connect(pool, entry, StartCheck.CONFIRMED)
 
 
 async def test_upstream_is_asked_after_a_lost_connection_only(
-    pool: ConnectionPool, upstream: StatingUpstream
+    pool: ConnectionPool, upstream: StatingUpstream, entry: Entry
 ) -> None:
-    entry = await upstream.async_start()
     first = await async_connect(pool, entry, StartCheck.IF_LOST)
     assert upstream.questions == 0
     first.connection_lost(ConnectionResetError())
@@ -94,12 +96,11 @@
 
 # Guards against a start that is only taken from an entry and vouches for other connections.
 async def test_connection_whose_start_is_taken_from_the_entry_does_not_vouch_for_others(
-    pool: ConnectionPool, upstream: StatingUpstream
+    pool: ConnectionPool, upstream: StatingUpstream, entry: Entry
 ) -> None:
-    entry = await upstream.async_start()
     first = await async_connect(pool, entry, StartCheck.IF_LOST)
     assert first.start_source is StartSource.ENTRY
-    upstream.started_ms = STARTED_MS + 5_000
+    upstream.start_again()
     with pytest.raises(ConnectFailed):
         await async_connect(pool, entry, StartCheck.ALWAYS)
     assert upstream.questions == 1
@@ -111,9 +112,8 @@
 # Guards against the trust in an open connection whose end has arrived and isn't read yet: it led to
 # a start that has ended, and a new connection may lead to the next one.
 async def test_connection_whose_end_is_not_read_yet_does_not_vouch_for_a_later_one(
-    pool: ConnectionPool, upstream: StatingUpstream
+    pool: ConnectionPool, upstream: StatingUpstream, entry: Entry
 ) -> None:
-    entry = await upstream.async_start()
     first = await async_connect(pool, entry, StartCheck.ALWAYS)
     assert first.start_source is StartSource.ANSWER
     assert first.transport is not None
@@ -121,7 +121,7 @@
     first.transport.pause_reading()
     upstream.end_connections()
     await async_until(lambda: has_peer_ended(first.transport))
-    upstream.started_ms = STARTED_MS + 5_000
+    upstream.start_again()
     assert (first.open, first.ended_ms) == (True, 0)
     with pytest.raises(ConnectFailed):
         await async_connect(pool, entry, StartCheck.ALWAYS)
@@ -131,13 +131,12 @@
 # Guards against the trust in a connection of which nothing is read, as its caller rests: its end
 # may wait behind bytes for which there is no room.
 async def test_connection_of_which_nothing_is_read_does_not_vouch_for_a_later_one(
-    pool: ConnectionPool, upstream: StatingUpstream
+    pool: ConnectionPool, upstream: StatingUpstream, entry: Entry
 ) -> None:
-    entry = await upstream.async_start()
     first = await async_connect(pool, entry, StartCheck.ALWAYS)
     await async_begin_answer(first, upstream.accepted[-1])
     first.pause_reading()
-    upstream.started_ms = STARTED_MS + 5_000
+    upstream.start_again()
     assert not has_peer_ended(first.transport)
     with pytest.raises(ConnectFailed):
         await async_connect(pool, entry, StartCheck.ALWAYS)
@@ -145,19 +144,17 @@
 
 
 async def test_connection_that_was_used_on_trust_is_checked_when_it_matters(
-    pool: ConnectionPool, upstream: StatingUpstream
+    pool: ConnectionPool, upstream: StatingUpstream, entry: Entry
 ) -> None:
-    entry = await upstream.async_start()
     pool.release(entry, await async_connect(pool, entry, StartCheck.IF_LOST))
-    upstream.started_ms = STARTED_MS + 5_000
+    upstream.start_again()
     with pytest.raises(ConnectFailed):
         await async_connect(pool, entry, StartCheck.ALWAYS)
 
 
 async def test_start_is_proven_by_one_question_for_all_connections_opened_before(
-    pool: ConnectionPool, upstream: StatingUpstream
+    pool: ConnectionPool, upstream: StatingUpstream, entry: Entry
 ) -> None:
-    entry = await upstream.async_start()
     connections = [await async_connect(pool, entry, StartCheck.IF_LOST) for _ in range(5)]
     proofs = [pool.prove_start(entry, connection) for connection in connections]
     assert not any(proof.holds() for proof in proofs)
@@ -170,11 +167,10 @@
 # Guards against a stream that is bound to a version by a connection without an end: a proxy keeps
 # it open behind the end of its process, or its FIN was lost in a cut link.
 async def test_connection_that_outlives_its_process_proves_the_start_of_a_later_one(
-    pool: ConnectionPool, upstream: StatingUpstream
+    pool: ConnectionPool, upstream: StatingUpstream, entry: Entry
 ) -> None:
-    entry = await upstream.async_start()
     await async_connect(pool, entry, StartCheck.ALWAYS)
-    upstream.started_ms = STARTED_MS + 5_000
+    upstream.start_again()
     later = await async_connect(pool, entry, StartCheck.ALWAYS)
     proof = pool.prove_start(entry, later)
     assert not proof.holds()
@@ -184,9 +180,8 @@
 
 # Guards against streams that may not go on anywhere, since only a question would prove their start.
 async def test_answer_on_an_older_connection_proves_nothing_of_a_later_one(
-    pool: ConnectionPool, upstream: StatingUpstream
+    pool: ConnectionPool, upstream: StatingUpstream, entry: Entry
 ) -> None:
-    entry = await upstream.async_start()
     first = await async_connect(pool, entry, StartCheck.ALWAYS)
     sent_before_ms = pool.now_ms() - 1
     later = await async_connect(pool, entry, StartCheck.ALWAYS)
