--- a/tests/fleet/test_cut_platform_answers.py
+++ b/tests/fleet/test_cut_platform_answers.py
@@ -10,6 +10,7 @@
 import pytest
 from ending_connections import FRAMINGS, EndingServers, frame_body
 from fleet_world import World
+from valid_entries import INSTANCE_LIST
 
 from gypsumrouter.configuration.source import Document, HttpConfigurationSource, Unavailable
 from gypsumrouter.core import Application
@@ -17,18 +18,6 @@
 from gypsumrouter.settings import Platform
 from gypsumrouter.util.body_formats import is_complete_json
 
-ENTRY = {
-    "name": "e0",
-    "role": "side",
-    "host": "10.0.0.1",
-    "port": 7000,
-    "data_centre": "dc1",
-    "region": "r",
-    "pool": "engines",
-    "weight": 2.0,
-    "state": "leaving",
-}
-LISTED = {"revision": 3, "as_of_ms": 500, "instances": [ENTRY]}
 CONFIGURATION = {"version": 7, "routes": []}
 DOCUMENT = json.dumps(CONFIGURATION).encode()
 WAIT_MS = 10_000
@@ -72,7 +61,7 @@
 async def test_instance_list_that_ends_after_any_byte_is_used(
     serve: Serve, world: World, kind: str, resets: bool
 ) -> None:
-    whole = UNCHANGED if kind == "unchanged" else frame(LISTED, kind)
+    whole = UNCHANGED if kind == "unchanged" else frame(INSTANCE_LIST, kind)
     assert await async_fetch(world.app, await serve(whole, False)) is not None
     for cut in range(len(whole)):
         assert await async_fetch(world.app, await serve(whole[:cut], resets)) is None, cut
--- a/tests/fleet/test_instance_list_source.py
+++ b/tests/fleet/test_instance_list_source.py
@@ -11,6 +11,7 @@
 from fleet_world import World
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from valid_entries import INSTANCE_LIST, LIST_ENTRY
 
 from gypsumrouter.exceptions import DocumentInvalid
 from gypsumrouter.fleet import Address, HttpInstanceListSource, InstanceList, Unchanged
@@ -18,26 +19,13 @@
 from gypsumrouter.settings import Platform
 from gypsumrouter.util.revisions import MAX_EPOCH, make_revision
 
-ENTRY = {
-    "name": "e0",
-    "role": "side",
-    "host": "10.0.0.1",
-    "port": 7000,
-    "data_centre": "dc1",
-    "region": "r",
-    "pool": "engines",
-    "weight": 2.0,
-    "state": "leaving",
-}
-DOCUMENT = {"revision": 3, "as_of_ms": 500, "instances": [ENTRY]}
-
 
 class FakeOrigin:
     """One origin of the platform with a configurable response."""
 
     def __init__(self) -> None:
         self.queries: list[dict[str, str]] = []
-        self.document: object = DOCUMENT
+        self.document: object = INSTANCE_LIST
         self.status = 200
         self.as_of = "600"
 
@@ -84,10 +72,10 @@
 @pytest.mark.parametrize(
     ("status", "document", "as_of"),
     [
-        (500, DOCUMENT, ""),
+        (500, INSTANCE_LIST, ""),
         (200, {"revision": 3}, ""),
-        (200, {**DOCUMENT, "instances": [ENTRY, ENTRY]}, ""),
-        (200, {**DOCUMENT, "instances": [{**ENTRY, "host": "example"}]}, ""),
+        (200, {**INSTANCE_LIST, "instances": [LIST_ENTRY, LIST_ENTRY]}, ""),
+        (200, {**INSTANCE_LIST, "instances": [{**LIST_ENTRY, "host": "example"}]}, ""),
         (204, None, "soon"),
     ],
 )
@@ -110,8 +98,8 @@
     source: HttpInstanceListSource, origins: list[FakeOrigin]
 ) -> None:
     await source.async_fetch(after_revision=None)
-    origins[0].document = {**DOCUMENT, "revision": 2, "as_of_ms": 400}
-    origins[1].document = {**DOCUMENT, "revision": 4, "as_of_ms": 700}
+    origins[0].document = {**INSTANCE_LIST, "revision": 2, "as_of_ms": 400}
+    origins[1].document = {**INSTANCE_LIST, "revision": 4, "as_of_ms": 700}
     listed = await source.async_fetch(after_revision=3)
     assert isinstance(listed, InstanceList)
     assert listed.revision == 4
@@ -121,7 +109,7 @@
     source: HttpInstanceListSource, origins: list[FakeOrigin]
 ) -> None:
     """Guards against a long poll that waits for a revision that the platform has lost."""
-    origins[0].document = {**DOCUMENT, "epoch": 2}
+    origins[0].document = {**INSTANCE_LIST, "epoch": 2}
     listed = await source.async_fetch(after_revision=None)
     assert isinstance(listed, InstanceList)
     assert listed.revision == make_revision(epoch=2, number=3)
@@ -133,7 +121,7 @@
 def test_document_with_an_epoch_out_of_range_is_invalid(epoch: object) -> None:
     """Guards against a revision that messages between processes can't carry."""
     with pytest.raises(DocumentInvalid):
-        check_instance_list(json.dumps({**DOCUMENT, "epoch": epoch}).encode())
+        check_instance_list(json.dumps({**INSTANCE_LIST, "epoch": epoch}).encode())
 
 
 @given(document=st.binary() | st.recursive(st.none() | st.integers() | st.text(), st.lists))
--- a/tests/peers/test_peers_odd_entries.py
+++ b/tests/peers/test_peers_odd_entries.py
@@ -8,6 +8,7 @@
 import pytest
 from msgspec.structs import replace
 from peer_fleet import STEP_MS, FleetRouter, MemoryPeer, PeerFleet
+from valid_entries import STORE_ENTRY
 
 from gypsumrouter.bootstrap_followers import read_records
 from gypsumrouter.directory import EntryState
@@ -17,17 +18,6 @@
 from gypsumrouter.published import Item
 
 REVISION = 50
-VALID: dict[str, Any] = {
-    "service": "models",
-    "address": "10.1.0.9:8080",
-    "zone": "dc-a",
-    "version": "v1",
-    "slots": 64,
-    "state": "ready",
-    "sequence": 4,
-    "cold_left_ms": 0,
-    "born": 1_760_000_000_000,
-}
 ODD_FIELDS: list[tuple[str, Any]] = [
     ("slots", 10**30),
     ("slots", 2**32),
@@ -43,7 +33,7 @@
 
 
 def make_item(upstream: str, revision: int = REVISION, **changed: Any) -> Item:
-    value = json.dumps(VALID | changed).encode()
+    value = json.dumps(STORE_ENTRY | changed).encode()
     return Item(key=f"servers/{upstream}", revision=revision, value=value)
 
 
--- a/tests/platform/test_platform_entries.py
+++ b/tests/platform/test_platform_entries.py
@@ -10,6 +10,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from valid_entries import STORE_ENTRY
 
 from gypsumrouter.bootstrap_followers import MAX_LOGGED_ITEMS, read_records
 from gypsumrouter.directory import EntryState
@@ -20,17 +21,6 @@
 from gypsumrouter.published.models import StoreUnavailable
 from gypsumrouter.util.revisions import NUMBERS_PER_EPOCH, get_epoch, get_number
 
-VALID: dict[str, Any] = {
-    "service": "models",
-    "address": "10.1.0.9:8080",
-    "zone": "dc-a",
-    "version": "v1",
-    "slots": 64,
-    "state": "ready",
-    "sequence": 4,
-    "cold_left_ms": 0,
-    "born": 1_760_000_000_000,
-}
 INVALID_FIELDS: list[tuple[str, Any]] = [
     ("address", "abc"),
     ("address", "1.2.3.4:x"),
@@ -80,12 +70,16 @@
 
 
 def encode(**changed: Any) -> bytes:
-    return json.dumps(VALID | changed).encode()
+    return json.dumps(STORE_ENTRY | changed).encode()
 
 
 def test_valid_entry_is_decoded_with_start_time() -> None:
     entry = decode_entry(upstream="i-1", value=encode(unknown={"a": 1}))
-    assert (entry.state, entry.slots, entry.started_ms) == (EntryState.READY, 64, VALID["born"])
+    assert (entry.state, entry.slots, entry.started_ms) == (
+        EntryState.READY,
+        64,
+        STORE_ENTRY["born"],
+    )
 
 
 @pytest.mark.parametrize(("field", "value"), INVALID_FIELDS)
@@ -97,7 +91,7 @@
 @pytest.mark.parametrize("born", ODD_STARTS)
 def test_entry_with_an_odd_start_made_its_upstream_unusable(born: str) -> None:
     """An odd start time counts as not stated; the upstream is used as without one."""
-    document = encode().replace(str(VALID["born"]).encode(), born.encode())
+    document = encode().replace(str(STORE_ENTRY["born"]).encode(), born.encode())
     entry = decode_entry(upstream="i-1", value=document)
     assert (entry.state, entry.slots, entry.started_ms) == (EntryState.READY, 64, 0)
 
@@ -110,7 +104,7 @@
 
 @pytest.mark.parametrize("field", ["service", "address", "zone", "slots", "state"])
 def test_missing_field_rejects_entry(field: str) -> None:
-    document = {name: value for name, value in VALID.items() if name != field}
+    document = {name: value for name, value in STORE_ENTRY.items() if name != field}
     with pytest.raises(DocumentInvalid):
         decode_entry(upstream="i-1", value=json.dumps(document).encode())
 
@@ -129,7 +123,7 @@
 
 
 @given(
-    field=st.sampled_from(sorted(VALID)),
+    field=st.sampled_from(sorted(STORE_ENTRY)),
     value=VALUES,
     keep=st.booleans(),
 )
@@ -137,7 +131,7 @@
 def test_changed_field_neither_hides_other_entries_nor_changes_the_address(
     field: str, value: Any, keep: bool
 ) -> None:
-    document = dict(VALID)
+    document = dict(STORE_ENTRY)
     if keep:
         document[field] = value
     else:
--- a/tests/platform/test_platform_nearly_valid_entries.py
+++ b/tests/platform/test_platform_nearly_valid_entries.py
@@ -7,6 +7,7 @@
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from valid_entries import STORE_ENTRY
 
 from gypsumrouter.directory import Record
 from gypsumrouter.exceptions import DocumentInvalid
@@ -15,17 +16,6 @@
 from gypsumrouter.peers.catch_up import _decode_record, _encode_record
 from gypsumrouter.platform import decode_entry
 
-VALID: dict[str, Any] = {
-    "service": "models",
-    "address": "10.1.0.9:8080",
-    "zone": "dc-a",
-    "version": "v1",
-    "slots": 64,
-    "state": "ready",
-    "sequence": 4,
-    "cold_left_ms": 0,
-    "born": 1_760_000_000_000,
-}
 EDGES = [10**exponent for exponent in (3, 9, 12, 18, 30, 400)]
 EDGES += [2**bits + offset for bits in (16, 31, 32, 53, 63, 64) for offset in (-1, 0, 1)]
 INTEGERS = st.sampled_from(EDGES + [-edge for edge in EDGES]) | st.integers(-2, 2)
@@ -65,16 +55,18 @@
     "born": INTEGERS,
 }
 CHANGES = st.fixed_dictionaries({}, optional=FIELDS) | st.dictionaries(
-    st.sampled_from(sorted(VALID)), VALUES, max_size=2
+    st.sampled_from(sorted(STORE_ENTRY)), VALUES, max_size=2
 )
 
 
-@given(changed=CHANGES, removed=st.sets(st.sampled_from(sorted(VALID)), max_size=1))
+@given(changed=CHANGES, removed=st.sets(st.sampled_from(sorted(STORE_ENTRY)), max_size=1))
 @settings(max_examples=1_500, deadline=None, derandomize=True)
 def test_decoded_entry_could_not_be_told_to_peers(
     changed: dict[str, Any], removed: set[str]
 ) -> None:
-    document = {name: value for name, value in (VALID | changed).items() if name not in removed}
+    document = {
+        name: value for name, value in (STORE_ENTRY | changed).items() if name not in removed
+    }
     check_value(json.dumps(document).encode())
 
 
@@ -86,7 +78,7 @@
 )
 @settings(max_examples=700, deadline=None, derandomize=True)
 def test_damaged_value_raised_something_else(at: int, inserted: bytes, dropped: int) -> None:
-    value = json.dumps(VALID).encode()
+    value = json.dumps(STORE_ENTRY).encode()
     check_value(value[:at] + inserted + value[at + dropped :])
 
 
