--- a/bench/soak_death_checks.py
+++ b/bench/soak_death_checks.py
@@ -191,7 +191,7 @@
             found = ID_LIVES
         elif found == SHORT and any(run.is_stopped for run in several):
             found = AT_DEADLINE
-        elif found == SHORT:
+        elif found == SHORT and several:
             found = _name_fall(call, several, proxied)
         if found is not None:
             sent = "; ".join(str(run) for run in several)
@@ -211,7 +211,8 @@
 
 def _name_fall(call: OverlapCall, runs: Sequence[SentRun], proxied: Collection[str]) -> str:
     """Return the guarantee that a short answer breaks whose engine may have fallen over."""
-    shown = _find_shown(call.answer, runs)
+    # One that was to go on may have fallen over before its first event.
+    shown = _find_shown(call.answer, runs) if runs[-1].numbers else runs[-1].begun.run
     run = next((run for run in runs if run.has_fallen and run.begun.run == shown), None)
     if run is None or run.end is None:
         return SHORT
--- a/tests/bench/test_bench_soak_deaths.py
+++ b/tests/bench/test_bench_soak_deaths.py
@@ -220,6 +220,8 @@
         assert fall(early, framing) == [REST_NOT_ASKED]
         assert fall(early, framing, end=End.RESET) == []
     assert fall(EarlyEnd.FIN, chunks, **plain) == ["short as whole"]
+    killed, gone = make_run(FIRST, [1, 2]), make_early(SECOND, [], after=2, kind=NoteKind.FELL)
+    assert find(make_call((FIRST, [1, 2])), killed, gone) == [REST_NOT_ASKED]
     assert fall(EarlyEnd.RESET, neither, **plain) == [RESET_HIDDEN]
     proxied = set()
     assert fall(EarlyEnd.RESET, neither, **plain) == ["short as whole"]
