--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -22,7 +22,7 @@
 from gypsumrouter.directory import Directory, Evacuations
 from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.budget import RetryBudget
-from gypsumrouter.forwarding.connections import ConnectionPool, ReadStart
+from gypsumrouter.forwarding.connections import ConnectionPool
 from gypsumrouter.forwarding.const import CALLER_TIMEOUT_MARGIN_MS
 from gypsumrouter.forwarding.context import ForwardingContext
 from gypsumrouter.forwarding.drain import DrainAdmission, LoopTicks
@@ -31,7 +31,7 @@
 from gypsumrouter.forwarding.ends.evidence import EndChecks
 from gypsumrouter.forwarding.ends.relay_turns import RelayTurns
 from gypsumrouter.forwarding.ends.starts import UpstreamStarts
-from gypsumrouter.forwarding.handler import RequestHandler, RequestParser
+from gypsumrouter.forwarding.handler import RequestHandler
 from gypsumrouter.forwarding.health import HealthTracker
 from gypsumrouter.forwarding.inventory import CacheInventory, FetchCacheListing
 from gypsumrouter.forwarding.metrics import ForwardingMetrics
@@ -39,11 +39,13 @@
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
 from gypsumrouter.forwarding.request_contention import ContentionContext
+from gypsumrouter.forwarding.request_intake import RequestParser
 from gypsumrouter.forwarding.responders import HealthCheck
 from gypsumrouter.forwarding.return_order import ReturnOrder
 from gypsumrouter.forwarding.service_work import ServiceWorkReader
 from gypsumrouter.forwarding.silence_tracker import SilenceTracker
 from gypsumrouter.forwarding.slow_start import SlowStartLimiter
+from gypsumrouter.forwarding.upstream_questions import ReadStart
 from gypsumrouter.instances import Address, parse_address
 from gypsumrouter.journal import ConnectionsClosing, Journal
 from gypsumrouter.mechanisms import Mechanism
--- a/tests/forwarding/test_forwarding_end_bound.py
+++ b/tests/forwarding/test_forwarding_end_bound.py
@@ -77,6 +77,7 @@
         ),
         entry=checked.entry,
         on_head=lambda _entry, _metadata: None,
+        on_unframed_end=lambda _ended_ms, _survived: None,
     )
     assert await attempt.async_connect(repeatable=True) is None
     outcome = asyncio.ensure_future(attempt.async_send())
