--- a/bench/soak_death_checks.py
+++ b/bench/soak_death_checks.py
@@ -202,11 +202,12 @@
 
 
 def _find_shown(answer: Answer, runs: Sequence[SentRun]) -> str:
-    """Return the run of the last event that a caller got, or the only one of its request."""
+    """Return the run of the last event that a caller got, or the only one that was not given up."""
     pieces = list_pieces(answer)
     if pieces:
         return pieces[-1].run
-    return runs[0].begun.run if len(runs) == 1 else ""
+    kept = [run for run in runs if run.end is None or run.end.kind is not NoteKind.GONE]
+    return kept[0].begun.run if len(kept) == 1 else ""
 
 
 def _name_fall(call: OverlapCall, runs: Sequence[SentRun], proxied: Collection[str]) -> str:
--- a/tests/bench/test_bench_soak_deaths.py
+++ b/tests/bench/test_bench_soak_deaths.py
@@ -142,6 +142,10 @@
     unsent = SentRun(begun=killed.begun, numbers=[])
     assert list_living({"a": [unsent]}, {process}, ()) == {FIRST}
     assert find(make_call(), unsent, living={FIRST}) == [ID_LIVES]
+    given_up = make_run(SECOND, [1])
+    assert find(make_call(), given_up, unsent, living={FIRST}) == ["short as whole"]
+    given_up.end = Note(kind=NoteKind.GONE, at_s=2.0, run=SECOND)
+    assert find(make_call(), given_up, unsent, living={FIRST}) == [ID_LIVES]
     # A proxy also takes with it the last event of a run that has ended.
     for kind in (NoteKind.GONE, NoteKind.ENDED):
         gone = make_run(FIRST, [1, 2, 3])
