--- a/tests/bench/test_bench_soak_deaths.py
+++ b/tests/bench/test_bench_soak_deaths.py
@@ -142,6 +142,10 @@
     unsent = SentRun(begun=killed.begun, numbers=[])
     assert list_living({"a": [unsent]}, {process}, ()) == {FIRST}
     assert find(make_call(), unsent, living={FIRST}) == [ID_LIVES]
+    given_up = make_run(SECOND, [1])
+    assert find(make_call(), given_up, unsent, living={FIRST}) == ["short as whole"]
+    given_up.end = Note(kind=NoteKind.GONE, at_s=2.0, run=SECOND)
+    assert find(make_call(), given_up, unsent, living={FIRST}) == [ID_LIVES]
     # A proxy also takes with it the last event of a run that has ended.
     for kind in (NoteKind.GONE, NoteKind.ENDED):
         gone = make_run(FIRST, [1, 2, 3])
@@ -220,6 +224,8 @@
         assert fall(early, framing) == [REST_NOT_ASKED]
         assert fall(early, framing, end=End.RESET) == []
     assert fall(EarlyEnd.FIN, chunks, **plain) == ["short as whole"]
+    killed, gone = make_run(FIRST, [1, 2]), make_early(SECOND, [], after=2, kind=NoteKind.FELL)
+    assert find(make_call((FIRST, [1, 2])), killed, gone) == [REST_NOT_ASKED]
     assert fall(EarlyEnd.RESET, neither, **plain) == [RESET_HIDDEN]
     proxied = set()
     assert fall(EarlyEnd.RESET, neither, **plain) == ["short as whole"]
