--- a/bench/soak_death_checks.py
+++ b/bench/soak_death_checks.py
@@ -32,7 +32,8 @@
 LAST_LEFT_OUT: Final = "last event left out by a run without events"
 # A body that its upstream ended in order at its deadline.
 AT_DEADLINE: Final = "short as whole at the deadline"
-# Its upstream lives. Only the rest of a stream tells, where its route allows to ask for that.
+# Its upstream lives. Only the rest of a stream tells, where its route allows to ask for that and an
+# attempt is left.
 ENGINE_FELL: Final = "short as whole, its engine fell over behind its listener"
 RESET_HIDDEN: Final = "short as whole, a proxy passed a reset on as a FIN"
 REST_NOT_ASKED: Final = "short as whole behind a living listener, and its rest may be asked for"
@@ -223,7 +224,8 @@
         is_ended = not is_reset or run.process in proxied
     if not is_ended:
         return SHORT
-    if ROUTES[call.route].resumable:
+    plan = ROUTES[call.route]
+    if plan.resumable and len(runs) < plan.max_attempts:
         return REST_NOT_ASKED
     return RESET_HIDDEN if is_reset else ENGINE_FELL
 
