--- a/tests/forwarding/obeying_upstream.py
+++ b/tests/forwarding/obeying_upstream.py
@@ -94,16 +94,19 @@
         opening += "Transfer-Encoding: chunked\r\n" if self._is_chunked else "Connection: close\r\n"
         writer.write(f"HTTP/1.1 200 OK\r\n{opening}\r\n".encode())
         first = int(headers.get("last-event-id") or 0) + 1
-        loop = asyncio.get_running_loop()
         for number in range(first, PIECES + 1):
-            left_s = ends_s - loop.time()
-            await asyncio.sleep(min(PAUSE_S, max(0, left_s)))
-            if left_s < PAUSE_S:
+            if not await self._async_pause(ends_s):
                 break
             self._write(writer, make_piece(number, events=events))
         if self._is_chunked:
             writer.write(b"0\r\n\r\n")
 
+    async def _async_pause(self, ends_s: float) -> bool:
+        """Wait until the next piece is due; return False if the deadline comes first."""
+        left_s = ends_s - asyncio.get_running_loop().time()
+        await asyncio.sleep(min(PAUSE_S, max(0, left_s)))
+        return left_s >= PAUSE_S
+
     def _write(self, writer: asyncio.StreamWriter, piece: bytes) -> None:
         frame = f"{len(piece):x}\r\n".encode() + piece + b"\r\n"
         writer.write(frame if self._is_chunked else piece)
--- a/tests/forwarding/rounding_upstream.py
+++ b/tests/forwarding/rounding_upstream.py
@@ -10,7 +10,7 @@
 import sys
 from typing import Final
 
-from obeying_upstream import PAUSE_S, PIECES, ObeyingUpstream, make_piece
+from obeying_upstream import PAUSE_S, ObeyingUpstream
 
 EARLY_S: Final = 0.0009
 # Time-outs of the event loop are up to 1 ms late, so that the last ones are waited for in turns.
@@ -20,29 +20,16 @@
 class RoundingUpstream(ObeyingUpstream):
     """Ends answers in order right before their deadline."""
 
-    async def _async_run_request(
-        self,
-        writer: asyncio.StreamWriter,
-        opening: str,
-        headers: dict[str, str],
-        *,
-        ends_s: float,
-    ) -> None:
-        events = "x-token-usage" in headers
-        opening += f"Content-Type: {'text/event-stream' if events else 'text/plain'}\r\n"
-        writer.write(f"HTTP/1.1 200 OK\r\n{opening}Transfer-Encoding: chunked\r\n\r\n".encode())
-        first = int(headers.get("last-event-id") or 0) + 1
+    async def _async_pause(self, ends_s: float) -> bool:
         loop = asyncio.get_running_loop()
-        for number in range(first, PIECES + 1):
-            left_s = ends_s - EARLY_S - loop.time()
-            if left_s < PAUSE_S:
-                await asyncio.sleep(max(0, left_s - LATE_S))
-                while loop.time() < ends_s - EARLY_S:  # noqa: ASYNC110
-                    await asyncio.sleep(0)
-                break
+        left_s = ends_s - EARLY_S - loop.time()
+        if left_s >= PAUSE_S:
             await asyncio.sleep(PAUSE_S)
-            self._write(writer, make_piece(number, events=events))
-        writer.write(b"0\r\n\r\n")
+            return True
+        await asyncio.sleep(max(0, left_s - LATE_S))
+        while loop.time() < ends_s - EARLY_S:  # noqa: ASYNC110
+            await asyncio.sleep(0)
+        return False
 
 
 if __name__ == "__main__":
