--- a/tests/forwarding/test_forwarding_living_upstreams.py
+++ b/tests/forwarding/test_forwarding_living_upstreams.py
@@ -12,7 +12,7 @@
 from dying_world import DyingWorld, EndingUpstream, Seen
 from forwarding_world import make_configuration, make_route
 from living_front import LivingFront
-from unframed_upstream import make_answer
+from unframed_upstream import make_answer, make_piece
 
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.doubt import SIGNLESS_SHARE, SignlessChecks
@@ -145,20 +145,22 @@
         task.cancel()
 
 
-# Guards against a complete stream that may not be resumed and is broken off, as it ends beside
-# others that were cut.
-async def test_complete_stream_beside_streams_that_were_cut_is_broken_off(
-    living: LivingWorld,
+# Guards against the beginning of a stream that may not be resumed and looks whole, though it ended
+# beside one that was cut.
+@FAULTS
+async def test_stream_that_ends_beside_one_that_was_cut_looks_whole(
+    living: LivingWorld, fault: Fault
 ) -> None:
     await living.async_add_living()
     asked = await living.async_begin(4, RESUMABLE)
     once = await living.async_begin(4, ONCE, name="o")
     await living.async_add("i-2")
     await living.async_until_all_proven(4)
-    await living.async_break(Fault.LINK_BREAKS, 8)
+    await living.async_break(fault, 8)
     assert set(await asyncio.gather(*asked)) == {Seen(200, True, make_answer())}
-    # Nothing tells a router that these were cut, too.
-    assert all(answer.whole for answer in await asyncio.gather(*once))
+    seen = await asyncio.gather(*once)
+    begun = b"".join(make_piece(piece) for piece in range(1, HELD + 1))
+    assert {(answer.whole, answer.body) for answer in seen} == {(False, begun)}
 
 
 # Guards against beginnings that look whole where the budget has no retry for each stream.
