Keep an ended connection until the evidence is there, and say when it was found reset

What could not be told: whether an unframed answer that counts as complete was reset behind its end. The socket was closed 10 ms behind the FIN, so that no later reset could be seen, and a cut by an upstream that lives had the same line (unframed_end, alive, complete). Now the connection stays open until the attempt closes it, and unframed_end has reset_ms. No decision changes.

--- a/gypsumrouter/forwarding/ends/evidence.py
+++ b/gypsumrouter/forwarding/ends/evidence.py
@@ -299,6 +299,8 @@
         begun_ms: int,
         is_cut: bool,
     ) -> None:
+        now_ms = self._app.clock.now_ms()
+        ended_ms = watch.connection.ended_ms or now_ms
         self._counter.inc(labels=(("evidence", verdict.value),))
         self._journal.record(
             UnframedEnd(
@@ -306,7 +308,8 @@
                 upstream=watch.entry.incarnation,
                 evidence=verdict.value,
                 complete=verdict.complete and not is_cut,
-                took_ms=self._app.clock.now_ms() - begun_ms,
+                took_ms=now_ms - begun_ms,
+                reset_ms=now_ms - ended_ms if watch.connection.was_reset else -1,
             )
         )
 
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -41,6 +41,7 @@
 # A body without a length ends when the connection is closed. An upstream that crashes also closes
 # its connection and resets it shortly after; only the reset shows that the body is incomplete.
 RESET_WAIT_MS: Final = 10
+CLOSED_BY_PEER: Final = "closed by the peer"
 STATUS_CONTINUE: Final = 100
 STATUS_SUCCESS: Final = 200
 
@@ -103,6 +104,7 @@
         "_unparsed",
         "_user_timeout_ms",
         "_waiter",
+        "_was_reset",
         "address",
         "ended_by_peer",
         "exchanges",
@@ -138,6 +140,7 @@
         self._parse_handle: asyncio.Handle | None = None
         self._expects_close = False
         self._broken: str | None = None
+        self._was_reset = False
         self._parsing = False
         self._waiter: asyncio.Future[None] | None = None
         self._user_timeout_ms = USER_TIMEOUT_MS
@@ -147,6 +150,19 @@
         """Return whether the connection is open."""
         return self._broken is None
 
+    @property
+    def was_reset(self) -> bool:
+        """Return whether the peer has reset the connection, until this process closes it.
+
+        A reset may come behind the end of a body that ends with the connection.
+        """
+        transport = self.transport
+        if not self._was_reset and transport is not None and not transport.is_closing():
+            # Reading the error clears it. The loop reports no error behind the end.
+            connection = transport.get_extra_info("socket")
+            self._was_reset = bool(connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+        return self._was_reset
+
     @property
     def reusable(self) -> bool:
         """Return whether the last exchange is complete and the connection is open and clean.
@@ -221,6 +237,8 @@
         """End an exchange after its response was read completely."""
         self._parsing = False
         self._parser = None
+        if not self.open:
+            self.close()
 
     def close(self) -> None:
         """Abort the connection."""
@@ -301,27 +319,33 @@
         body = self._body
         if body is None or body.is_eof() or not self._parsing:
             return False
-        self._loop.call_later(RESET_WAIT_MS / MS_PER_S, self._close_unless_reset)
+        self._loop.call_later(RESET_WAIT_MS / MS_PER_S, self._end_unless_reset)
         return True
 
-    def _close_unless_reset(self) -> None:
-        """Complete the body unless a reset followed; after EOF the loop may not report resets."""
-        if self.transport is None:
+    def _end_unless_reset(self) -> None:
+        """Complete the body unless a reset followed; a later one can be seen until the close."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
             return
-        connection = self.transport.get_extra_info("socket")
-        if connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        if self.was_reset:
             self._invalidate("reset after its end")
             return
-        self.transport.close()
+        if transport.get_write_buffer_size():
+            # The peer has not taken the whole request yet.
+            self._loop.call_later(RESET_WAIT_MS / MS_PER_S, self._end_unless_reset)
+            return
+        self._end_body(None)
+        self._mark_broken(CLOSED_BY_PEER)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Complete or fail the body that is being read."""
         self._note_end()
         self._parse_all()
         super().connection_lost(None)
+        self._was_reset = self._was_reset or exc is not None
         self.lost_unexpectedly = exc is not None or not self._expects_close
         self._end_body(exc)
-        self._mark_broken("closed by the peer" if exc is None else f"reset: {type(exc).__name__}")
+        self._mark_broken(CLOSED_BY_PEER if exc is None else f"reset: {type(exc).__name__}")
 
     def _end_body(self, exc: BaseException | None) -> None:
         body = self._body
--- a/gypsumrouter/journal/request_events.py
+++ b/gypsumrouter/journal/request_events.py
@@ -112,7 +112,8 @@
 class UnframedEnd(Event, frozen=True, kw_only=True):
     """An answer without a length or chunks has ended, and it is decided whether it is `complete`.
 
-    `evidence` is what decided that (see `EndVerdict`), which took `took_ms`.
+    `evidence` is what decided that (see `EndVerdict`), which took `took_ms`. The connection was
+    found reset `reset_ms` behind its end, -1 if it wasn't.
     """
 
     name: ClassVar[str] = "unframed_end"
@@ -121,6 +122,7 @@
     evidence: str
     complete: bool
     took_ms: int
+    reset_ms: int
 
 
 class DeadlineEnd(Event, frozen=True, kw_only=True):
