A stream that is reset behind the end of its connection has broken off

Cause: a reset behind the FIN was looked for once, 10 ms later, and the connection was closed then. Class: a bound from a measured figure, where what is bounded is another process's affair. Change: the connection stays open until the question behind the end is answered, and a reset by then decides. The end of a stream is held back for half of its route's longest pause between events, 100 ms at most, half of the time left at most. Ends of streams are kept that much longer for the comparison of those that end together. Why it works: the process's own answer comes behind its reset where it does one thing at a time; where it doesn't, the pause in which a stream is still on time covers the rest, up to its bound.

--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -67,7 +67,8 @@
     nothing shows that the process has ended, or it was known to leave. `on_head` is called with
     the metadata of each response, `on_unframed_end` where an answer without a length or chunks has
     ended and may have been broken off by a crash. If another run can take over, an end that is not
-    confirmed within `end_patience_ms` counts as broken off.
+    confirmed within `end_patience_ms` counts as broken off. A reset behind such an end is waited
+    for up to `reset_wait_ms`, and for half of the time that is left.
     """
 
     __slots__ = (
@@ -84,6 +85,7 @@
         "_on_unframed_end",
         "_pool",
         "_request",
+        "_reset_wait_ms",
         "_sent_ms",
         "_unframed",
         "entry",
@@ -107,9 +109,11 @@
         on_unframed_end: EndListener,
         buffer_limit: int = MAX_BUFFERED_BYTES,
         end_patience_ms: int | None = None,
+        reset_wait_ms: int = 0,
     ) -> None:
         self._buffer_limit = buffer_limit
         self._end_patience_ms = end_patience_ms
+        self._reset_wait_ms = reset_wait_ms
         self._pool = pool
         self._ends = ends
         self._dialect = dialect
@@ -225,8 +229,12 @@
         self._on_unframed_end(
             connection.ended_ms or self._pool.now_ms(), partial(self._async_survived, watch)
         )
+        left_ms = max(0, self.options.deadline_ms - self.answer_ms)
         verdict = await self._ends.async_check(
-            watch, request_id=self._request.request_id, patience_ms=self._end_patience_ms
+            watch,
+            request_id=self._request.request_id,
+            patience_ms=self._end_patience_ms,
+            reset_wait_ms=min(self._reset_wait_ms, left_ms // 2),
         )
         self._doubted = watch if verdict is EndVerdict.DOUBTED else None
         leaving = self._has_announced_end() or self._ends.is_leaving(self.entry)
--- a/gypsumrouter/forwarding/ends/evidence.py
+++ b/gypsumrouter/forwarding/ends/evidence.py
@@ -19,6 +19,7 @@
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState
 from gypsumrouter.forwarding.connections import ConnectionPool
+from gypsumrouter.forwarding.ends.resets import async_find_reset
 from gypsumrouter.forwarding.ends.starts import OtherStart
 from gypsumrouter.helpers.http_connection import ConnectFailed, HttpConnection
 from gypsumrouter.journal import Journal, UnframedEnd
@@ -49,6 +50,7 @@
     RESTARTED: another start or upstream has its address. SILENT: it accepted a connection, and
     answered nothing. DROPPED: it closed each connection. UNNAMED: what answers does not say who it
     is. UNREACHABLE: no connection. DOUBTED: not known yet, and another run may go on meanwhile.
+    RESET: the connection was reset behind its end, and no death of the upstream is known.
     """
 
     ALIVE = "alive"
@@ -60,6 +62,7 @@
     UNNAMED = "unnamed"
     UNREACHABLE = "unreachable"
     DOUBTED = "doubted"
+    RESET = "reset"
 
     @property
     def complete(self) -> bool:
@@ -245,12 +248,18 @@
         return watch.task
 
     async def async_check(
-        self, watch: EndWatch, *, request_id: str, patience_ms: int | None = None
+        self,
+        watch: EndWatch,
+        *,
+        request_id: str,
+        patience_ms: int | None = None,
+        reset_wait_ms: int = 0,
     ) -> EndVerdict:
         """Return what is known of the end of an answer on a connection that its peer has closed.
 
         This takes as long as the upstream needs to answer a question, and PROBE_TIMEOUT_MS or more
-        if it does not. If another run can take over, that is worth `patience_ms` at most.
+        if it does not. If another run can take over, that is worth `patience_ms` at most. A reset
+        is waited for until `reset_wait_ms` behind the end, and at least until that answer.
         """
         begun_ms = self._app.clock.now_ms()
         task = self._begin(watch)
@@ -259,6 +268,11 @@
             verdict = task.result() if task.done() else EndVerdict.DOUBTED
         else:
             verdict = await asyncio.shield(task)
+        if verdict.complete or verdict is EndVerdict.DOUBTED:
+            until_ms = (watch.connection.ended_ms or begun_ms) + reset_wait_ms
+            clock = self._app.clock
+            if await async_find_reset(watch.connection, clock=clock, until_ms=until_ms):
+                verdict = EndVerdict.RESET
         self._record(watch, verdict, request_id=request_id, begun_ms=begun_ms, is_cut=False)
         return verdict
 
--- a/gypsumrouter/forwarding/run.py
+++ b/gypsumrouter/forwarding/run.py
@@ -19,6 +19,7 @@
 from gypsumrouter.forwarding.ends.events import find_first_event
 from gypsumrouter.forwarding.ends.evidence import EndChecks
 from gypsumrouter.forwarding.ends.relay import CallerDisconnected
+from gypsumrouter.forwarding.ends.resets import get_reset_wait_ms
 from gypsumrouter.forwarding.models import (
     CallerRequest,
     CompleteResponse,
@@ -139,6 +140,7 @@
             on_unframed_end=partial(self.observer.note_unframed_end, placement.entry),
             buffer_limit=context.buffer_limit,
             end_patience_ms=self._get_end_patience_ms(),
+            reset_wait_ms=get_reset_wait_ms(context.routed.route),
         )
         # When its upstream last sent something, or got the request.
         self._started_ms = self.sent_ms = self.heard_ms = now_ms
--- a/gypsumrouter/forwarding/stream_signs.py
+++ b/gypsumrouter/forwarding/stream_signs.py
@@ -9,12 +9,15 @@
 from typing import Final
 
 from gypsumrouter.forwarding.ends.evidence import SETTLE_MS
+from gypsumrouter.forwarding.ends.resets import MAX_RESET_WAIT_MS
 from gypsumrouter.util.clock import Clock
 
 # Streams of one upstream that end together, and the part of those under way there that they are at
 # least: half of five, rounded down, as half of an engine's streams may end at once.
 MIN_TOGETHER: Final = 2
 MIN_TOGETHER_SHARE: Final = 0.4
+# An end is decided, and compared with others, so long behind it.
+KEPT_ENDS_MS: Final = 2 * SETTLE_MS + MAX_RESET_WAIT_MS
 # The framings of the newest streams that are kept of each upstream and service, and of how many.
 MAX_FRAMINGS: Final = 32
 MAX_KEPT: Final = 4_096
@@ -80,7 +83,7 @@
 
     def _keep_end(self, stream: FollowedStream) -> None:
         ended_ms = stream.read_ended_ms()
-        since_ms = self._clock.now_ms() - 2 * SETTLE_MS
+        since_ms = self._clock.now_ms() - KEPT_ENDS_MS
         kept = [at_ms for at_ms in self._ended.pop(stream.upstream, []) if at_ms >= since_ms]
         if ended_ms >= since_ms:
             kept.append(ended_ms)
--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -97,6 +97,7 @@
         "_body",
         "_bounds",
         "_broken",
+        "_ends_with_close",
         "_expects_close",
         "_parse_handle",
         "_parsing",
@@ -140,6 +141,8 @@
         self._parse_handle: asyncio.Handle | None = None
         self._expects_close = False
         self._broken: str | None = None
+        # Whether the peer has ended the connection, and a body with it.
+        self._ends_with_close = False
         self._was_reset = False
         self._parsing = False
         self._waiter: asyncio.Future[None] | None = None
@@ -315,10 +318,14 @@
     def eof_received(self) -> bool:
         """Wait for a possible reset before a body without a length counts as complete."""
         self._note_end()
+        if self._ends_with_close:
+            # The reader of the body has resumed reading, so that the end was read again.
+            return True
         self._parse_all()
         body = self._body
         if body is None or body.is_eof() or not self._parsing:
             return False
+        self._ends_with_close = True
         self._loop.call_later(RESET_WAIT_MS / MS_PER_S, self._end_unless_reset)
         return True
 
--- a/tests/forwarding/test_forwarding_end_evidence.py
+++ b/tests/forwarding/test_forwarding_end_evidence.py
@@ -290,5 +290,6 @@
         EndVerdict.SILENT,
         EndVerdict.UNREACHABLE,
         EndVerdict.DOUBTED,
+        EndVerdict.RESET,
     }
     assert verdict.outlived is (None if verdict in unknown else verdict in lives)
--- a/tests/helpers/test_http_connection.py
+++ b/tests/helpers/test_http_connection.py
@@ -24,6 +24,7 @@
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 CONNECT_MS = 200
+LATE_RESET_S = 0.05
 PAUSE_S = 1.25 * CONNECT_MS / 1_000
 
 
@@ -79,6 +80,41 @@
         await answer.body.read()
 
 
+# Guards against a reset that goes unseen, as the connection is closed once its body has ended.
+@pytest.mark.parametrize(
+    "make_loop", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"]
+)
+@pytest.mark.parametrize("resets", [True, False])
+def test_reset_behind_the_end_of_a_body_is_not_seen(
+    make_loop: Callable[[], asyncio.AbstractEventLoop], resets: bool
+) -> None:
+    async def async_serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf")
+        writer.write_eof()
+        await asyncio.sleep(LATE_RESET_S)
+        if resets:
+            reset(writer)
+        writer.close()
+
+    async def async_look() -> bool:
+        async with await asyncio.start_server(async_serve, "127.0.0.1", 0) as server:
+            host, port = server.sockets[0].getsockname()[:2]
+            address = Address(host=host, port=port)
+            connection = await async_connect(address=address, timeout_ms=1_000)
+            answer = await async_ask(connection)
+            assert await answer.body.read() == b"half"
+            assert not connection.was_reset
+            await asyncio.sleep(2 * LATE_RESET_S)
+            seen = connection.was_reset
+            connection.finish()
+            assert connection.transport is None or connection.transport.is_closing()
+            return seen
+
+    with asyncio.Runner(loop_factory=make_loop) as runner:
+        assert runner.run(async_look()) is resets
+
+
 async def test_close_delimited_body_is_complete_on_orderly_close(connect: Connect) -> None:
     connection = await connect(
         write_and_close(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it")
