An answer whose status is none is no answer

Cause: the parser takes any three digits, and nothing looked at them behind it; a request that may be repeated was not (below 500 counts as answered). Change: a status outside 100 to 599 (RFC 9110) ends the exchange as bytes that are no HTTP do: repeated where the route allows that, else 502 of the router's own. Sides end such an answer of their application as upstream_protocol.

--- a/gypsumrouter/helpers/http_connection.py
+++ b/gypsumrouter/helpers/http_connection.py
@@ -24,6 +24,7 @@
     HttpResponse,
     ResponseBounds,
     async_read_body,
+    is_valid_status,
 )
 from gypsumrouter.helpers.listening import USER_TIMEOUT_MS, set_keepalive_options, set_user_timeout
 from gypsumrouter.helpers.socket_state import WatchedProtocol
@@ -297,6 +298,9 @@
             self._invalidate(f"no HTTP: {error!r}")
             return
         for message, body in messages:
+            if not is_valid_status(message.code):
+                self._invalidate(f"no HTTP: status {message.code}")
+                return
             self._expects_close = self._expects_close or message.should_close
             if STATUS_CONTINUE <= message.code < STATUS_SUCCESS:
                 excess = excess or self._bounds.note_interim()
--- a/gypsumrouter/helpers/http_response.py
+++ b/gypsumrouter/helpers/http_response.py
@@ -35,6 +35,8 @@
 MAX_LISTING_BYTES: Final = KIB * KIB
 MAX_PAGE_BYTES: Final = 32 * KIB * KIB
 
+MIN_STATUS: Final = 100
+MAX_STATUS: Final = 599
 BODILESS_STATUSES: Final = frozenset({204, 304})
 HEADER_CONTENT_LENGTH: Final = "Content-Length"
 
@@ -113,6 +115,11 @@
         return self.message.headers.get(name)
 
 
+def is_valid_status(status: int) -> bool:
+    """Return whether a number is a status code of HTTP (RFC 9110)."""
+    return MIN_STATUS <= status <= MAX_STATUS
+
+
 def _get_framing(message: RawResponseMessage, *, bodiless: bool) -> Framing:
     if bodiless or message.code in BODILESS_STATUSES:
         return Framing.NONE
--- a/gypsumrouter/upstream/run.py
+++ b/gypsumrouter/upstream/run.py
@@ -7,6 +7,7 @@
 import aiohttp
 
 from gypsumrouter.helpers.http_headers import is_framed
+from gypsumrouter.helpers.http_response import is_valid_status
 from gypsumrouter.link.models import Head, Open
 from gypsumrouter.outcomes import Failed, Reason
 from gypsumrouter.upstream.const import (
@@ -174,6 +175,8 @@
             raise ProtocolViolation("the answer has no length and is too long to be checked")
 
     def _relay_head(self, response: aiohttp.ClientResponse) -> None:
+        if not is_valid_status(response.status):
+            raise ProtocolViolation(f"the answer has the status {response.status}")
         self.heads += 1
         self.watch.progress += 1
         if self.head_sent:
--- a/tests/helpers/test_http_connection.py
+++ b/tests/helpers/test_http_connection.py
@@ -115,6 +115,36 @@
         assert runner.run(async_look()) is resets
 
 
+# Guards against the beginning of a body that counts as whole, since the error of its reset was met
+# by the request that is still being written.
+@pytest.mark.parametrize(
+    "make_loop", [asyncio.new_event_loop, uvloop.new_event_loop], ids=["asyncio", "uvloop"]
+)
+@pytest.mark.parametrize("request_bytes", [1, 70_000, 8_000_000])
+def test_answer_that_is_reset_while_its_request_is_written_counts_as_whole(
+    make_loop: Callable[[], asyncio.AbstractEventLoop], request_bytes: int
+) -> None:
+    async def async_serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf")
+        await writer.drain()
+        reset(writer)
+
+    async def async_look() -> None:
+        async with await asyncio.start_server(async_serve, "127.0.0.1", 0) as server:
+            host, port = server.sockets[0].getsockname()[:2]
+            address = Address(host=host, port=port)
+            connection = await async_connect(address=address, timeout_ms=1_000)
+            connection.send_request(method="POST", data=REQUEST + b"x" * request_bytes)
+            answer = await connection.async_read_response()
+            with pytest.raises(ConnectionBroken):
+                await async_read_body(answer, max_bytes=100)
+            connection.close()
+
+    with asyncio.Runner(loop_factory=make_loop) as runner:
+        runner.run(async_look())
+
+
 async def test_close_delimited_body_is_complete_on_orderly_close(connect: Connect) -> None:
     connection = await connect(
         write_and_close(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nall of it")
