--- a/gypsumrouter/platform/answers.py
+++ b/gypsumrouter/platform/answers.py
@@ -45,6 +45,7 @@
     def read_response_head(self, answer: HttpResponse) -> ResponseMetadata:
         """Return the facts that a response's status and headers state."""
         encoding = (answer.get("Content-Encoding") or "").strip().lower()
+        media_type = (answer.get("Content-Type") or "").lower()
         reader = HeaderReader(answer.message.headers)
         keep_alive = find_keep_alive_timeout(answer.get(HEADER_KEEP_ALIVE))
         retry_after = answer.get(names.RETRY_AFTER)
@@ -59,7 +60,7 @@
             ),
             draining=names.is_leaving(answer.get(names.SERVER_LEAVING)),
             content_encoded=encoding not in PLAIN_ENCODINGS,
-            is_event_stream=(answer.get("Content-Type") or "").startswith(CONTENT_TYPE_EVENTS),
+            is_event_stream=media_type.startswith(CONTENT_TYPE_EVENTS),
             keep_alive_ms=reader.read(HEADER_KEEP_ALIVE, keep_alive, read_keep_alive_ms),
             reports_load=answer.get(names.LOAD) is not None,
             load=reader.read(names.LOAD, answer.get(names.LOAD), read_load_report),
