--- a/gypsumrouter/forwarding/attempt.py
+++ b/gypsumrouter/forwarding/attempt.py
@@ -10,8 +10,9 @@
 from gypsumrouter.forwarding.connections import ConnectionPool, StartCheck
 from gypsumrouter.forwarding.const import MAX_BUFFERED_BYTES
 from gypsumrouter.forwarding.deadlines import get_handed_ms, get_stop_ms
-from gypsumrouter.forwarding.ends.evidence import EndChecks, EndVerdict, EndWatch
+from gypsumrouter.forwarding.ends.evidence import EndChecks, EndWatch
 from gypsumrouter.forwarding.ends.starts import StartProof
+from gypsumrouter.forwarding.ends.verdicts import EndVerdict
 from gypsumrouter.forwarding.models import (
     AttemptOptions,
     CallerRequest,
--- a/gypsumrouter/forwarding/ends/evidence.py
+++ b/gypsumrouter/forwarding/ends/evidence.py
@@ -10,7 +10,6 @@
 import asyncio
 import itertools
 import logging
-from enum import StrEnum
 from typing import Final
 
 from msgspec import Struct
@@ -21,6 +20,7 @@
 from gypsumrouter.forwarding.connections import ConnectionPool
 from gypsumrouter.forwarding.ends.resets import async_find_reset
 from gypsumrouter.forwarding.ends.starts import OtherStart
+from gypsumrouter.forwarding.ends.verdicts import EndVerdict
 from gypsumrouter.helpers.http_connection import ConnectFailed, HttpConnection
 from gypsumrouter.journal import Journal, UnframedEnd
 from gypsumrouter.routing import DEFAULT_HEALTH_PATH, RoutingStore
@@ -41,56 +41,6 @@
 RESTART_MS: Final = 40
 
 
-class EndVerdict(StrEnum):
-    """What shows that an unframed answer is complete or broken off; the values are in the journal.
-
-    ALIVE: the upstream has answered a question that was asked after the end, and states the start
-    that its entry states, or its id if that states none. UNLISTED: the upstream states another
-    start than its entry does, and that one has given the answer. REFUSED: nothing listens there.
-    RESTARTED: another start or upstream has its address. SILENT: it accepted a connection, and
-    answered nothing. DROPPED: it closed each connection. UNNAMED: what answers does not say who it
-    is. UNREACHABLE: no connection. DOUBTED: not known yet, and another run may go on meanwhile.
-    RESET: the connection was reset behind its end, and no death of the upstream is known.
-    """
-
-    ALIVE = "alive"
-    UNLISTED = "unlisted"
-    REFUSED = "refused"
-    RESTARTED = "restarted"
-    SILENT = "silent"
-    DROPPED = "dropped"
-    UNNAMED = "unnamed"
-    UNREACHABLE = "unreachable"
-    DOUBTED = "doubted"
-    RESET = "reset"
-
-    @property
-    def complete(self) -> bool:
-        """Return whether the answer counts as complete."""
-        return self in (EndVerdict.ALIVE, EndVerdict.UNLISTED)
-
-    @property
-    def outlived(self) -> bool | None:
-        """Return whether the upstream lived after the answer's end, None if that isn't known.
-
-        What accepts connections and closes them may be a listener whose process is gone, and an
-        upstream that does not answer may serve others.
-        """
-        if self.complete:
-            return True
-        return False if self.shows_death else None
-
-    @property
-    def shows_death(self) -> bool:
-        """Return whether the process is known to have ended."""
-        return self in (EndVerdict.REFUSED, EndVerdict.RESTARTED)
-
-    @property
-    def is_final(self) -> bool:
-        """Return whether the same question would be answered in the same way later."""
-        return self.complete or self.shows_death
-
-
 def is_answer_of_other(other: OtherStart, *, opened_ms: int, ended_ms: int) -> bool:
     """Return whether a start that isn't listed has given an answer, and not the one before it.
 
--- a/gypsumrouter/forwarding/responders.py
+++ b/gypsumrouter/forwarding/responders.py
@@ -7,7 +7,8 @@
 from typing import Final, Protocol
 
 from gypsumrouter.forwarding.models import Dialect
-from gypsumrouter.helpers.http_connection import HttpConnection, async_ask
+from gypsumrouter.helpers.http_connection import HttpConnection
+from gypsumrouter.helpers.http_questions import async_ask
 from gypsumrouter.helpers.http_response import MAX_REPORT_BYTES
 from gypsumrouter.routing import DEFAULT_HEALTH_PATH
 
--- a/gypsumrouter/platform/engines.py
+++ b/gypsumrouter/platform/engines.py
@@ -4,7 +4,8 @@
 
 from gypsumrouter.forwarding.inventory import CachedPart, CacheListing
 from gypsumrouter.forwarding.models import MAX_PROMPT_TOKENS
-from gypsumrouter.helpers.http_connection import HttpConnection, async_get
+from gypsumrouter.helpers.http_connection import HttpConnection
+from gypsumrouter.helpers.http_questions import async_get
 from gypsumrouter.helpers.http_response import MAX_LISTING_BYTES, MAX_REPORT_BYTES, ConnectionBroken
 from gypsumrouter.helpers.json_documents import load_json
 from gypsumrouter.helpers.numbers import read_hexadecimal, read_json_number
--- a/tests/forwarding/checked_ends.py
+++ b/tests/forwarding/checked_ends.py
@@ -8,7 +8,8 @@
 
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, Record
-from gypsumrouter.forwarding.ends.evidence import EndChecks, EndVerdict
+from gypsumrouter.forwarding.ends.evidence import EndChecks
+from gypsumrouter.forwarding.ends.verdicts import EndVerdict
 from gypsumrouter.helpers.http_connection import HttpConnection
 from gypsumrouter.journal import Journal
 from gypsumrouter.routing import RoutingStore
--- a/tests/forwarding/test_forwarding_end_evidence.py
+++ b/tests/forwarding/test_forwarding_end_evidence.py
@@ -11,7 +11,7 @@
 from gypsumrouter.directory import Entry, EntryState, Record
 from gypsumrouter.forwarding import connections
 from gypsumrouter.forwarding.ends import evidence
-from gypsumrouter.forwarding.ends.evidence import EndVerdict
+from gypsumrouter.forwarding.ends.verdicts import EndVerdict
 from gypsumrouter.forwarding.responders import Responder
 from gypsumrouter.helpers.http_connection import HttpConnection, async_connect
 from gypsumrouter.instances import Address
