--- a/gypsumrouter/platform/store.py
+++ b/gypsumrouter/platform/store.py
@@ -12,11 +12,7 @@
 from msgspec import Struct
 
 from gypsumrouter.const import MS_PER_S
-from gypsumrouter.helpers.http_connection import (
-    ConnectFailed,
-    HttpConnection,
-    async_connect,
-)
+from gypsumrouter.helpers.http_connection import ConnectFailed, HttpConnection, async_connect
 from gypsumrouter.helpers.http_questions import async_ask
 from gypsumrouter.helpers.http_response import MAX_PAGE_BYTES, ConnectionBroken
 from gypsumrouter.helpers.numbers import read_json_number, read_number
