--- a/gypsumrouter/forwarding/ends/resets.py
+++ b/gypsumrouter/forwarding/ends/resets.py
@@ -8,7 +8,7 @@
 from gypsumrouter.routing import Route
 from gypsumrouter.util.clock import Clock
 
-# A process on a busy machine may stand still between the end of its side and the reset.
+# An upstream may be held up between the end of its side and the reset.
 MAX_RESET_WAIT_MS: Final = 100
 # Part of the longest pause between events, within which a stream is still on time.
 GAP_SHARE: Final = 0.5
