Sight: who vouched for the version of a stream that is taken up, with the age of each list; routers out of step

It now has voices (who, what, age of the list, after how long), unanswered and doubt, and process_paused, list_outdated and list_refreshed show a router that stands still or loses the store.

--- a/gypsumrouter/forwarding/stream_pin.py
+++ b/gypsumrouter/forwarding/stream_pin.py
@@ -133,7 +133,8 @@
     """
     services = [target.service for target in route.targets]
     started_ms = clock.now_ms()
-    origin = await streams.async_find(request.resumes, service=service, services=services)
+    decision = await streams.async_find(request.resumes, service=service, services=services)
+    origin = decision.origin
     journal.record(
         StreamTakenUp(
             request_id=request.request_id,
@@ -143,6 +144,9 @@
             version="" if origin is None else origin.version,
             goes_on=origin is not None,
             took_ms=clock.now_ms() - started_ms,
+            voices=tuple(str(voice) for voice in decision.voices),
+            unanswered=decision.unanswered,
+            doubt="" if decision.doubt is None else str(decision.doubt),
         )
     )
     return origin
--- a/gypsumrouter/journal/events.py
+++ b/gypsumrouter/journal/events.py
@@ -127,6 +127,31 @@
     lost_ms: int
 
 
+class ProcessPaused(Event, frozen=True, kw_only=True):
+    """This process has not run for `paused_ms`: it was suspended, or had no processor."""
+
+    name: ClassVar[str] = "process_paused"
+    essential: ClassVar[bool] = True
+    paused_ms: int
+
+
+class ListOutdated(Event, frozen=True, kw_only=True):
+    """Nothing was heard from the store as to the list of upstreams for `list_age_ms`."""
+
+    name: ClassVar[str] = "list_outdated"
+    essential: ClassVar[bool] = True
+    list_age_ms: int
+
+
+class ListRefreshed(Event, frozen=True, kw_only=True):
+    """The store responds again as to the list, `lasted_ms` after its last response before."""
+
+    name: ClassVar[str] = "list_refreshed"
+    essential: ClassVar[bool] = True
+    list_age_ms: int
+    lasted_ms: int
+
+
 class ConfigurationAccepted(Event, frozen=True, kw_only=True):
     """A new version of the configuration has taken effect."""
 
@@ -270,6 +295,9 @@
     SettingsReloaded,
     DependencyLost,
     DependencyRegained,
+    ProcessPaused,
+    ListOutdated,
+    ListRefreshed,
     ChangeDeferred,
     ConfigurationAccepted,
     UpstreamChanged,
--- a/gypsumrouter/journal/request_events.py
+++ b/gypsumrouter/journal/request_events.py
@@ -144,6 +144,9 @@
 
     `last_event` is -1 if the caller names none with a number. Finding out at which version it
     began took `took_ms`; `goes_on` is false if that is unknown, and the request is refused.
+    `voices` is what this router and others said, each with the age of its list in that moment and
+    after how long it came, and `unanswered` are those that were asked and said nothing. `doubt` is
+    why it is refused, empty if it goes on.
     """
 
     name: ClassVar[str] = "stream_taken_up"
@@ -154,6 +157,9 @@
     version: str
     goes_on: bool
     took_ms: int
+    voices: tuple[str, ...] = ()
+    unanswered: tuple[str, ...] = ()
+    doubt: str = ""
 
 
 class StreamResumed(Event, frozen=True, kw_only=True):
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -282,12 +282,18 @@
 struct OriginRequest {
   stream @0 :UInt64;
   service @1 :Text;
+  # Answer once the store has confirmed the list after the receipt of this request.
+  confirm @2 :Bool;
 }
 
 struct OriginReply {
   stream @0 :UInt64;
   origin @1 :UInt32;
   knowledge @2 :UInt8;
+  # How long ago the store last responded as to the list of the sender.
+  listAgeMs @3 :UInt32;
+  # The list was confirmed after the receipt of the request.
+  confirmed @4 :Bool;
 }
 
 struct HeldAt {
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -321,20 +321,28 @@
 
 def encode_origin_request(notice: OriginRequest) -> bytes:
     """Encode the body of an ORIGIN_REQUEST frame."""
-    message = SCHEMA.OriginRequest.new_message(stream=notice.stream, service=notice.service)
+    message = SCHEMA.OriginRequest.new_message(
+        stream=notice.stream, service=notice.service, confirm=notice.confirm
+    )
     return to_packed(message)
 
 
 def decode_origin_request(body: bytes) -> OriginRequest:
     """Decode the body of an ORIGIN_REQUEST frame; raises FrameError."""
     with open_packed_message(SCHEMA.OriginRequest, body) as message:
-        return OriginRequest(stream=message.stream, service=message.service)
+        return OriginRequest(
+            stream=message.stream, service=message.service, confirm=message.confirm
+        )
 
 
 def encode_origin_reply(notice: OriginReply) -> bytes:
     """Encode the body of an ORIGIN_REPLY frame."""
     message = SCHEMA.OriginReply.new_message(
-        stream=notice.stream, origin=notice.origin, knowledge=int(notice.knowledge)
+        stream=notice.stream,
+        origin=notice.origin,
+        knowledge=int(notice.knowledge),
+        listAgeMs=notice.list_age_ms,
+        confirmed=notice.confirmed,
     )
     return to_packed(message)
 
@@ -342,9 +350,14 @@
 def decode_origin_reply(body: bytes) -> OriginReply:
     """Decode the body of an ORIGIN_REPLY frame; raises FrameError."""
     with open_packed_message(SCHEMA.OriginReply, body) as message:
-        stream, origin, number = message.stream, message.origin, message.knowledge
-    try:
-        knowledge = OriginKnowledge(number)
-    except ValueError:
-        raise FrameError(f"unknown knowledge {number} of a stream") from None
-    return OriginReply(stream=stream, knowledge=knowledge, origin=origin)
+        try:
+            knowledge = OriginKnowledge(message.knowledge)
+        except ValueError:
+            raise FrameError(f"unknown knowledge {message.knowledge} of a stream") from None
+        return OriginReply(
+            stream=message.stream,
+            knowledge=knowledge,
+            origin=message.origin,
+            list_age_ms=message.listAgeMs,
+            confirmed=message.confirmed,
+        )
--- a/gypsumrouter/link/router_models.py
+++ b/gypsumrouter/link/router_models.py
@@ -221,10 +221,14 @@
 
 
 class OriginRequest(Struct, frozen=True, kw_only=True):
-    """Asks a router what it knows of a stream, or else of the versions of its service."""
+    """Asks a router what it knows of a stream, or else of the versions of its service.
+
+    With `confirm`, a router that doesn't know the stream asks the store for changes first.
+    """
 
     stream: int
     service: str
+    confirm: bool = False
 
 
 class OriginKnowledge(IntEnum):
@@ -240,11 +244,17 @@
 
 
 class OriginReply(Struct, frozen=True, kw_only=True):
-    """Reply to an OriginRequest; `origin` is 0 unless an origin or the only version is known."""
+    """Reply to an OriginRequest; `origin` is 0 unless an origin or the only version is known.
+
+    The store last responded to the sender `list_age_ms` ago as to the list; `confirmed` means that
+    it was asked after the request had arrived, and that its changes are part of the reply.
+    """
 
     stream: int
     knowledge: OriginKnowledge
     origin: int = 0
+    list_age_ms: int = 0
+    confirmed: bool = False
 
 
 class ImplicationNotice(Struct, frozen=True, kw_only=True):
--- a/gypsumrouter/peers/const.py
+++ b/gypsumrouter/peers/const.py
@@ -33,3 +33,6 @@
 # Minimum time between two updates with an unchanged router list, their largest field.
 ROUTER_LIST_INTERVAL_MS: Final = 5_000
 MAX_KNOWN_ROUTERS: Final = 1_000
+
+# Limit of the age of the list in messages.
+MAX_AGE_MS: Final = 60_000
--- a/gypsumrouter/peers/mesh.py
+++ b/gypsumrouter/peers/mesh.py
@@ -37,6 +37,7 @@
 from gypsumrouter.peers.outbox import Outbox
 from gypsumrouter.peers.relays import DataCentreRelay
 from gypsumrouter.peers.routers import PeerRouter, RouterRegistry
+from gypsumrouter.peers.step_monitor import StepMonitor
 from gypsumrouter.peers.streams import StreamExchange
 from gypsumrouter.peers.updates import UpdateFactory
 from gypsumrouter.peers.usage import UsageExchange
@@ -65,6 +66,7 @@
         "_seeds",
         "_sending_to",
         "_server",
+        "_step",
         "_streams",
         "_updates",
         "_usage",
@@ -129,6 +131,7 @@
             routing=routing_state,
             upstreams=upstreams,
         )
+        self._step = StepMonitor(app=app, journal=journal, upstreams=upstreams)
         self._usage = UsageExchange(clock=app.clock, shares=forwarder.shares)
         self._updates = UpdateFactory(
             app=app,
@@ -196,6 +199,7 @@
         self._watch.async_start()
         self._relays.async_start()
         self._streams.async_start()
+        self._step.async_start()
         return address
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
--- a/gypsumrouter/peers/routers.py
+++ b/gypsumrouter/peers/routers.py
@@ -130,6 +130,11 @@
         """Return a router by its address."""
         return self._routers.get(address)
 
+    def get_name(self, address: str) -> str:
+        """Return the name of the router at an address, or the address if no link told its name."""
+        known = self._routers.get(address)
+        return address if known is None or known.peer is None else known.peer.hello.name
+
     def items(self) -> tuple[tuple[str, PeerRouter], ...]:
         """Return all routers with their addresses."""
         return tuple(self._routers.items())
--- a/gypsumrouter/peers/streams.py
+++ b/gypsumrouter/peers/streams.py
@@ -13,20 +13,14 @@
     BegunStreams,
     Notice,
     NoticeHub,
-    OriginKnowledge,
     OriginReply,
     OriginRequest,
     Peer,
 )
+from gypsumrouter.peers.const import MAX_AGE_MS
+from gypsumrouter.peers.origin_lookup import OriginLookup, encode_view
 from gypsumrouter.peers.routers import RouterRegistry
-from gypsumrouter.streams import (
-    Known,
-    OneVersion,
-    OriginView,
-    SeveralVersions,
-    StreamOrigins,
-    Unproven,
-)
+from gypsumrouter.streams import Replies, StreamOrigins
 
 # Routers that are told of a stream, besides the one that began it.
 HOLDERS: Final = 2
@@ -68,7 +62,7 @@
         self._routers = routers
         self._origins = origins
         self._send = send
-        self._lookups: dict[int, list[_Lookup]] = {}
+        self._lookups: dict[int, list[OriginLookup]] = {}
         notices.subscribe(BegunStreams, self._handle_begun)
         notices.subscribe(OriginRequest, self._handle_request)
         notices.subscribe(OriginReply, self._handle_reply)
@@ -84,12 +78,14 @@
             await self._app.clock.async_sleep(HISTORY_INTERVAL_MS)
             await self._origins.async_complete_history()
 
-    async def async_ask(self, *, stream: int, service: str) -> tuple[OriginView, ...]:
+    async def async_ask(self, *, stream: int, service: str) -> Replies:
         """Return what other routers say of a stream; ends as soon as one of them knows it."""
         asked = self._routers.rank(key=stream, count=ASKED)
         if not asked:
-            return ()
-        lookup = _Lookup(expected=len(asked))
+            return Replies()
+        lookup = OriginLookup(
+            clock=self._app.clock, asked=[self._routers.get_name(address) for address in asked]
+        )
         self._lookups.setdefault(stream, []).append(lookup)
         request = OriginRequest(stream=stream, service=service)
         try:
@@ -103,13 +99,15 @@
             pass
         finally:
             self._remove(stream, lookup)
-        return tuple(lookup.views)
+        return lookup.replies
 
-    async def _async_request(self, address: str, request: OriginRequest, lookup: _Lookup) -> None:
+    async def _async_request(
+        self, address: str, request: OriginRequest, lookup: OriginLookup
+    ) -> None:
         if not await self._send(address, request):
             lookup.note_unreachable()
 
-    def _remove(self, stream: int, lookup: _Lookup) -> None:
+    def _remove(self, stream: int, lookup: OriginLookup) -> None:
         lookups = self._lookups[stream]
         lookups.remove(lookup)
         if not lookups:
@@ -152,57 +150,12 @@
 
     def _handle_request(self, peer: Peer, request: OriginRequest) -> None:
         view = self._origins.get_view(stream=request.stream, service=request.service)
-        peer.send(_encode_view(request.stream, view))
+        age_ms = min(self._origins.versions.list_age_ms, MAX_AGE_MS)
+        peer.send(encode_view(request.stream, view, list_age_ms=age_ms))
 
-    def _handle_reply(self, _peer: Peer, reply: OriginReply) -> None:
+    def _handle_reply(self, peer: Peer, reply: OriginReply) -> None:
         for lookup in self._lookups.get(reply.stream, ()):
-            lookup.add(_decode_view(reply))
-
-
-class _Lookup:
-    """The replies to one question; `done` is set once no further one matters."""
-
-    __slots__ = ("_expected", "done", "views")
-
-    def __init__(self, *, expected: int) -> None:
-        self._expected = expected
-        self.views: list[OriginView] = []
-        self.done = asyncio.Event()
-
-    def add(self, view: OriginView) -> None:
-        self.views.append(view)
-        self._expected -= 1
-        if self._expected <= 0 or isinstance(view, Known):
-            self.done.set()
-
-    def note_unreachable(self) -> None:
-        self._expected -= 1
-        if self._expected <= 0:
-            self.done.set()
-
-
-def _encode_view(stream: int, view: OriginView) -> OriginReply:
-    match view:
-        case Known(origin=origin):
-            return OriginReply(stream=stream, knowledge=OriginKnowledge.KNOWN, origin=origin)
-        case OneVersion(origin=origin):
-            return OriginReply(stream=stream, knowledge=OriginKnowledge.ONE_VERSION, origin=origin)
-        case SeveralVersions():
-            return OriginReply(stream=stream, knowledge=OriginKnowledge.SEVERAL_VERSIONS)
-        case Unproven():
-            return OriginReply(stream=stream, knowledge=OriginKnowledge.UNPROVEN)
-
-
-def _decode_view(reply: OriginReply) -> OriginView:
-    match reply.knowledge:
-        case OriginKnowledge.KNOWN:
-            return Known(origin=reply.origin)
-        case OriginKnowledge.ONE_VERSION:
-            return OneVersion(origin=reply.origin)
-        case OriginKnowledge.SEVERAL_VERSIONS:
-            return SeveralVersions()
-        case OriginKnowledge.UNPROVEN:
-            return Unproven()
+            lookup.add(peer.hello.name, reply)
 
 
 def _split(streams: list[BegunStream]) -> Iterator[BegunStreams]:
--- a/gypsumrouter/peers/watchers.py
+++ b/gypsumrouter/peers/watchers.py
@@ -18,6 +18,7 @@
 from gypsumrouter.directory import Directory, Evacuations
 from gypsumrouter.link import NoticeHub, Peer, StoreUpdate
 from gypsumrouter.peers.catch_up import CatchUpCoordinator
+from gypsumrouter.peers.const import MAX_AGE_MS
 from gypsumrouter.peers.encoding import encode_evacuations
 from gypsumrouter.peers.routers import RouterRegistry
 from gypsumrouter.published import WatchState
@@ -29,8 +30,6 @@
 # Interval of announcements; changes are also announced immediately. Receivers rely on a watcher for
 # three intervals, so that two lost announcements have no effect.
 ANNOUNCE_INTERVAL_MS: Final = 300
-# Limit of the age of the store's last response in an announcement.
-MAX_AGE_MS: Final = 60_000
 
 
 def get_watchers_per_data_centre(data_centres: int) -> int:
--- a/gypsumrouter/streams/__init__.py
+++ b/gypsumrouter/streams/__init__.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 from gypsumrouter.streams.models import (
+    Doubt,
     Known,
     OneVersion,
+    OriginDecision,
     OriginView,
+    Replies,
     SeveralVersions,
     StreamOrigin,
     Unproven,
+    Voice,
     decide_origin,
     make_origin_digest,
     make_stream_digest,
@@ -17,15 +21,19 @@
 from gypsumrouter.streams.versions import VersionHistory
 
 __all__ = [
+    "Doubt",
     "Known",
     "OneVersion",
+    "OriginDecision",
     "OriginView",
     "PeerOrigins",
+    "Replies",
     "SeveralVersions",
     "StreamOrigin",
     "StreamOrigins",
     "Unproven",
     "VersionHistory",
+    "Voice",
     "decide_origin",
     "make_origin_digest",
     "make_stream_digest",
--- a/gypsumrouter/streams/models.py
+++ b/gypsumrouter/streams/models.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from enum import StrEnum
 from typing import Final
 
 import xxhash
@@ -43,6 +44,63 @@
 OriginView = Known | OneVersion | SeveralVersions | Unproven
 
 
+class Voice(Struct, frozen=True, kw_only=True):
+    """What a router said of a stream, `after_ms` milliseconds after it was asked.
+
+    `router` is its address, empty for the router that asks. The store had responded to it
+    `list_age_ms` before as to the list of upstreams.
+    """
+
+    router: str
+    view: OriginView
+    list_age_ms: int
+    after_ms: int = 0
+
+    def __str__(self) -> str:
+        match self.view:
+            case Known(origin=origin):
+                said = "known" if origin != UNPROVEN_ORIGIN else "known, start unproven"
+            case OneVersion():
+                said = "one version"
+            case SeveralVersions():
+                said = "several versions"
+            case Unproven():
+                said = "unproven"
+        return (
+            f"{self.router or 'self'}: {said}, list {self.list_age_ms} ms, after {self.after_ms} ms"
+        )
+
+
+class Replies(Struct, frozen=True, kw_only=True):
+    """What other routers said of a stream, and the addresses of those that did not answer."""
+
+    voices: tuple[Voice, ...] = ()
+    unanswered: tuple[str, ...] = ()
+
+
+class Doubt(StrEnum):
+    """Why it is not known at which version a stream may go on.
+
+    NO_VOICE: nobody vouches that its service has had one version. SEVERAL: its service has had
+    several. START: its upstream has not stated its start. NOT_LISTED: no upstream of the version is
+    known here.
+    """
+
+    NO_VOICE = "nobody vouches"
+    SEVERAL = "several versions"
+    START = "start unproven"
+    NOT_LISTED = "version not listed"
+
+
+class OriginDecision(Struct, frozen=True, kw_only=True):
+    """The origin at which a stream may go on, or why there is none, and on whose word."""
+
+    origin: StreamOrigin | None
+    doubt: Doubt | None
+    voices: tuple[Voice, ...]
+    unanswered: tuple[str, ...]
+
+
 def make_stream_digest(request_id: str) -> int:
     """Return a digest of the id of the request that began a stream, by which routers know it."""
     return xxhash.xxh3_64_intdigest(request_id.encode("utf-8", "surrogateescape"))
@@ -54,8 +112,8 @@
     return xxhash.xxh3_64_intdigest(text.encode()) & ORIGIN_MASK
 
 
-def decide_origin(views: Iterable[OriginView]) -> int | None:
-    """Return the digest of the origin at which a stream may go on, None if that would be a guess.
+def decide_origin(views: Iterable[OriginView]) -> int | Doubt:
+    """Return the digest of the origin at which a stream may go on, or why that would be a guess.
 
     A router that knows the stream decides. Otherwise the service must have had one version for as
     long as streams last: some router has to vouch for it, and none may know of another version.
@@ -65,9 +123,11 @@
     for view in views:
         match view:
             case Known(origin=origin):
-                return origin
+                return Doubt.START if origin == UNPROVEN_ORIGIN else origin
             case OneVersion(origin=origin):
                 only.add(origin)
             case SeveralVersions():
                 several = True
-    return only.pop() if len(only) == 1 and not several else None
+    if several or len(only) > 1:
+        return Doubt.SEVERAL
+    return only.pop() if only else Doubt.NO_VOICE
--- a/gypsumrouter/streams/origins.py
+++ b/gypsumrouter/streams/origins.py
@@ -13,12 +13,16 @@
 from gypsumrouter.link import BegunStream
 from gypsumrouter.streams.models import (
     UNPROVEN_ORIGIN,
+    Doubt,
     Known,
     OneVersion,
+    OriginDecision,
     OriginView,
+    Replies,
     SeveralVersions,
     StreamOrigin,
     Unproven,
+    Voice,
     decide_origin,
     make_origin_digest,
     make_stream_digest,
@@ -39,7 +43,7 @@
 class PeerOrigins(Protocol):
     """What the other routers know of streams."""
 
-    async def async_ask(self, *, stream: int, service: str) -> tuple[OriginView, ...]:
+    async def async_ask(self, *, stream: int, service: str) -> Replies:
         """Return what other routers say of a stream, within a bounded time."""
 
 
@@ -173,23 +177,34 @@
 
     async def async_find(
         self, request_id: str | None, *, service: str, services: Collection[str]
-    ) -> StreamOrigin | None:
-        """Return the origin at which a stream may go on, None if that would be a guess.
+    ) -> OriginDecision:
+        """Return the origin at which a stream may go on, or why that would be a guess.
 
         The stream may have begun at any of `services`; `service` is the one that its request goes
         to if nobody knows the stream. A caller that doesn't name its stream, as `request_id`, does
         not expect several versions: it goes on unless some router has seen them.
         """
         stream = _make_unknown() if request_id is None else make_stream_digest(request_id)
-        views: tuple[OriginView, ...] = (self.get_view(stream=stream, service=service),)
-        if not isinstance(views[0], Known) and self._peers is not None:
-            views += await self._peers.async_ask(stream=stream, service=service)
-        digest = decide_origin(views)
-        origin = None if digest is None else self._match(digest, services)
-        if request_id is None and SeveralVersions() not in views:
+        own = self._make_voice(stream=stream, service=service)
+        replies = Replies()
+        if not isinstance(own.view, Known) and self._peers is not None:
+            replies = await self._peers.async_ask(stream=stream, service=service)
+        voices = (own, *replies.voices)
+        decided = decide_origin(voice.view for voice in voices)
+        origin = self._match(decided, services)
+        if request_id is None and all(voice.view != SeveralVersions() for voice in voices):
             origin = self._get_present_origin(service)
         self._resolved.inc(labels=LABELS_REFUSED if origin is None else LABELS_GOES_ON)
-        return origin
+        return OriginDecision(
+            origin=origin,
+            doubt=None if origin is not None else _get_doubt(decided),
+            voices=voices,
+            unanswered=replies.unanswered,
+        )
+
+    def _make_voice(self, *, stream: int, service: str) -> Voice:
+        view = self.get_view(stream=stream, service=service)
+        return Voice(router="", view=view, list_age_ms=self.versions.list_age_ms)
 
     def _get_present_origin(self, service: str) -> StreamOrigin | None:
         """Return the origin of new streams of a service that has one version."""
@@ -203,14 +218,16 @@
         if self._peers is None:
             return
         for service in self.versions.list_incomplete():
-            views = await self._peers.async_ask(stream=_make_unknown(), service=service)
-            digest = decide_origin(views)
-            origin = None if digest is None else self._match(digest, (service,))
+            replies = await self._peers.async_ask(stream=_make_unknown(), service=service)
+            decided = decide_origin(voice.view for voice in replies.voices)
+            origin = self._match(decided, (service,))
             if origin is not None and self.versions.list_versions(service) == {origin.version}:
                 self.versions.note_vouched(service)
 
-    def _match(self, digest: int, services: Collection[str]) -> StreamOrigin | None:
+    def _match(self, digest: int | Doubt, services: Collection[str]) -> StreamOrigin | None:
         """Return the origin with a digest among the versions of these services."""
+        if isinstance(digest, Doubt):
+            return None
         for service in services:
             for version in self.versions.list_versions(service):
                 origin = StreamOrigin(service=service, version=version)
@@ -244,6 +261,10 @@
         }
 
 
+def _get_doubt(decided: int | Doubt) -> Doubt:
+    return decided if isinstance(decided, Doubt) else Doubt.NOT_LISTED
+
+
 def _make_unknown() -> int:
     """Return a digest that no stream has, for a question about the versions of a service only."""
     return random.getrandbits(DIGEST_BITS)
--- a/tests/peers/stream_fleet.py
+++ b/tests/peers/stream_fleet.py
@@ -13,7 +13,7 @@
 from gypsumrouter.link.notice_codec import decode_notice, encode_notice
 from gypsumrouter.peers.routers import RouterRegistry
 from gypsumrouter.peers.streams import StreamExchange
-from gypsumrouter.streams import StreamOrigin, StreamOrigins, VersionHistory
+from gypsumrouter.streams import OriginDecision, StreamOrigin, StreamOrigins, VersionHistory
 from gypsumrouter.util.clock import ManualClock
 
 SERVICE = "models"
@@ -86,8 +86,14 @@
 
     async def async_find(self, request_id: str | None, *, service: str = SERVICE) -> str | None:
         """Return the version at which a stream may go on, None if it is refused."""
-        origin = await self.origins.async_find(request_id, service=service, services=[service])
-        return None if origin is None else origin.version
+        decision = await self.async_decide(request_id, service=service)
+        return None if decision.origin is None else decision.origin.version
+
+    async def async_decide(
+        self, request_id: str | None, *, service: str = SERVICE
+    ) -> OriginDecision:
+        """Return at which origin a stream may go on, and on whose word."""
+        return await self.origins.async_find(request_id, service=service, services=[service])
 
 
 class StreamFleet:
