--- a/tests/peers/stream_fleet.py
+++ b/tests/peers/stream_fleet.py
@@ -29,9 +29,12 @@
         self.hello = Hello(name=target.address, role=Role.FORWARDER, incarnation=1)
 
     def send(self, notice: Notice) -> bool:
-        """Deliver a notice as it is encoded, unless one of the two has stopped."""
+        """Deliver a notice as it is encoded, unless one of the two has stopped or is cut off."""
         if not (self._sender.running and self._target.running):
             return False
+        if self._sender.cut_group != self._target.cut_group:
+            # Nothing tells the sender that it is lost.
+            return True
         kind, body = encode_notice(notice)
         self._sender.sent_bytes += len(body)
         self._sender.sent_notices += 1
@@ -42,12 +45,17 @@
 
 
 class StreamRouter:
-    """The parts of a forwarder that know of streams; `list_age_ms` is the age of its list."""
+    """The parts of a forwarder that know of streams; `list_age_ms` is the age of its list.
+
+    Links pass nothing between routers with another `cut_group`.
+    """
 
     def __init__(self, *, fleet: StreamFleet, address: str, first_start: bool) -> None:
         self.address = address
         self.running = True
         self.list_age_ms = 0
+        self.reaches_store = True
+        self.cut_group = 0
         self.sent_bytes = 0
         self.sent_notices = 0
         self._fleet = fleet
@@ -80,6 +88,11 @@
         target = self._fleet.routers[address]
         return StreamPeer(sender=self, target=target).send(notice)
 
+    def lose_store(self, *, list_age_ms: int) -> None:
+        """Cut the router off from the store, whose last word was a while ago."""
+        self.reaches_store = False
+        self.list_age_ms = list_age_ms
+
     def begin(self, request_id: str, version: str) -> None:
         """Begin a stream at a version."""
         self.origins.note_begun(request_id, StreamOrigin(service=SERVICE, version=version))
@@ -144,7 +157,7 @@
         )
         self._entries[upstream] = Record(revision=self._revision, entry=entry)
         for router in self.routers.values():
-            if router.running and router.list_age_ms == 0:
+            if router.running and router.reaches_store:
                 router.directory.merge(self._entries[upstream], source="platform")
 
     async def async_advance(self, duration_ms: int) -> None:
--- a/tests/peers/test_peers_streams.py
+++ b/tests/peers/test_peers_streams.py
@@ -151,7 +151,7 @@
 async def test_router_with_an_old_list_takes_the_word_of_others(make_fleet: MakeFleet) -> None:
     fleet = make_fleet(3, "v1")
     old, *others = fleet.routers.values()
-    old.list_age_ms = MAX_LIST_AGE_MS + 1
+    old.lose_store(list_age_ms=MAX_LIST_AGE_MS + 1)
     await fleet.async_advance(TOLD_MS)
     assert await old.async_find("unknown") == "v1"
     fleet.list_upstream("i-9", "v2")
@@ -168,7 +168,7 @@
 async def test_router_that_is_alone_with_an_old_list_refuses(make_fleet: MakeFleet) -> None:
     fleet = make_fleet(3, "v1")
     alone, *others = fleet.routers.values()
-    alone.list_age_ms = MAX_LIST_AGE_MS + 1
+    alone.lose_store(list_age_ms=MAX_LIST_AGE_MS + 1)
     await fleet.async_stop(*(router.address for router in others))
     await fleet.async_advance(TOLD_MS)
     assert await alone.async_find("unknown") is None
