--- a/bench/processes.py
+++ b/bench/processes.py
@@ -7,7 +7,7 @@
 import os
 import signal
 import sys
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from contextlib import suppress
 from pathlib import Path
 from typing import Any, Final
@@ -88,20 +88,21 @@
     log: Path | None = None,
     options: Sequence[str] = (),
     product: Path | None = None,
+    command: Sequence[str] | None = None,
+    environment: Mapping[str, str] | None = None,
 ) -> DaemonProcess:
     """Start a daemon and wait until it has announced its addresses.
 
-    It is that of the checkout `product`, if given, in the environment of that. Raises RuntimeError
-    if it exits before that.
+    It is that of the checkout `product`, if given, in the environment of that, or what `command`
+    runs. Raises RuntimeError if it exits before that.
     """
     name = settings["instance"]["name"]
     file = folder / f"{name}.json"
     file.write_text(json.dumps(settings))
     with (log or folder / f"{name}.log").open("ab") as errors:
+        python = sys.executable if product is None else str(product / PRODUCT_PYTHON)
         process = await asyncio.create_subprocess_exec(
-            sys.executable if product is None else str(product / PRODUCT_PYTHON),
-            "-m",
-            "gypsumrouter.daemon",
+            *(command or (python, "-m", "gypsumrouter.daemon")),
             str(role),
             "--settings",
             str(file),
@@ -110,7 +111,7 @@
             stdout=asyncio.subprocess.PIPE,
             stderr=errors,
             cwd=product,
-            env={**os.environ, ENV_IO_URING: IO_URING_OFF},
+            env={**os.environ, ENV_IO_URING: IO_URING_OFF, **(environment or {})},
         )
     try:
         addresses = await _async_read_announcement(process, name)
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -31,6 +31,8 @@
 from bench.soak_faults import FaultInjector
 from bench.soak_leavings import check_leavings
 from bench.soak_one_attempt import async_soak_one_attempt
+from bench.soak_out_of_step import Shape as Lag
+from bench.soak_out_of_step import async_soak_out_of_step
 from bench.soak_overlaps import async_soak_overlaps
 from bench.soak_retry_checks import RETRY_RATIO, RETRY_SLACK, check_retry_budget
 from bench.soak_rig import ENV_KEY, FORWARDERS, KEY, SoakRig
@@ -252,10 +254,22 @@
     type=click.Choice(list(SHAPES)),
     help="How upstreams get slower in each stop of --slowdowns; drawn if not given.",
 )
+@click.option(
+    "--out-of-step",
+    is_flag=True,
+    help="Only: streams are taken up at routers out of step while versions change.",
+)
+@click.option(
+    "--lag",
+    "lags",
+    multiple=True,
+    type=click.Choice([lag.value for lag in Lag]),
+    help="The rounds of --out-of-step; may be given several times, drawn if not given.",
+)
 @click.option(
     "--product",
     type=click.Path(path_type=Path, file_okay=False, exists=True, resolve_path=True),
-    help="Checkout with its environment whose forwarders --slowdowns plays.",
+    help="Checkout with its environment whose forwarders --slowdowns and --out-of-step play.",
 )
 @click.option(
     "--forwarders", type=int, default=FORWARDERS, help="Number of forwarders; 15 for most tests."
@@ -287,6 +301,8 @@
     dimensions: tuple[str, ...],
     slowdowns: bool,
     shape: str | None,
+    out_of_step: bool,
+    lags: tuple[str, ...],
     product: Path | None,
     forwarders: int,
     journals: Path | None,
@@ -305,6 +321,9 @@
         async_soak_overlaps: overlaps,
         partial(async_soak_deaths, seconds=seconds or DEATHS_S, states_start=states_start): deaths,
         partial(async_soak_one_attempt, dimensions=chosen_dimensions): one_attempt,
+        partial(
+            async_soak_out_of_step, shapes=[Lag(lag) for lag in lags], product=product
+        ): out_of_step,
         partial(async_soak_slowdowns, shape=SHAPES.get(shape or ""), product=product): slowdowns,
     }
     only = next((run for run, wanted in alone.items() if wanted), None)
--- a/bench/soak_rig.py
+++ b/bench/soak_rig.py
@@ -277,13 +277,21 @@
             "first_start": not self.disturbances.interruptions_s[number],
             "log": {"format": "json"},
         }
-        process = await async_start_daemon(
-            role=Role.FORWARDER, settings=settings, folder=self._folder, product=self._product
-        )
+        process = await self._async_start_process(number, settings)
         self.forwarders[number] = process
         self.disturbances.note_interruption(number)
         await self._async_copy_journal(number, process)
 
+    async def _async_start_process(
+        self, _number: int, settings: Mapping[str, Any]
+    ) -> DaemonProcess:
+        return await async_start_daemon(
+            role=Role.FORWARDER,
+            settings=dict(settings),
+            folder=self._folder,
+            product=self._product,
+        )
+
     async def _async_copy_journal(self, number: int, process: DaemonProcess) -> None:
         """Append the output of a process to its journal, after that of its predecessor."""
         previous = self._copy_tasks.get(number)
