A stream goes on at the only version of its service if the store was asked after it was taken up

What callers saw: a stream that had begun at v2 through a router in step was taken up at one that was cut off, and went on at v1. Cause: 'no other version until 3 s ago' was taken for 'no other version' (MAX_LIST_AGE_MS), a router's own old word sufficed if nobody answered, others that were cut off with it confirmed it, and the view was taken before the wait for others and used after it. Why this works: an upstream is listed before a stream begins at it, and that is before its caller takes it up. So an answer of the store to a question that is sent after the take-up covers each version at which the stream can have begun; an older word covers nothing for certain. Routers that watch the store ask it on a connection of their own, 20 ms apart at least, one question for all that came before it (SharedCall); followers ask their watchers, which answer with their changes; the second way after 50 ms is the store, or two routers that ask it. For the time that a router has not followed itself, others vouch up to a revision that it has followed since. In a grace period, behind a pause of 3 s and behind the removal of an upstream that was never seen nobody vouches. A caller that names no stream goes on where the list is confirmed, or where all routers that were asked have seen one version.

--- a/bench/streams_cost.py
+++ b/bench/streams_cost.py
@@ -62,6 +62,7 @@
                 clock=self.clock,
                 directory=directory,
                 get_list_age_ms=lambda: 0,
+                get_list_as_of=lambda: len(VERSIONS),
                 first_start=True,
             ),
         )
@@ -71,6 +72,7 @@
             notices=NoticeHub(),
             origins=self.origins,
             send=self._async_send,
+            confirm_list=self._async_confirm,
         )
         for number, version in enumerate(VERSIONS):
             entry = Entry(
@@ -82,6 +84,9 @@
             )
             directory.merge(Record(revision=1 + number, entry=entry), source="platform")
 
+    async def _async_confirm(self) -> bool:
+        return True
+
     async def _async_send(self, _address: str, notice: Notice) -> bool:
         self.count(notice)
         return True
--- a/gypsumrouter/bootstrap_followers.py
+++ b/gypsumrouter/bootstrap_followers.py
@@ -30,9 +30,11 @@
 from gypsumrouter.published import (
     LIST_RESPONSE_TIMEOUT_MS,
     LIST_WATCH_TIMEOUT_MS,
+    QUESTION_TIMEOUT_MS,
     Follower,
     Item,
     ItemBatch,
+    ListConfirmation,
     WatchState,
 )
 from gypsumrouter.routing import RoutingStore
@@ -94,6 +96,29 @@
     return configuration, upstreams
 
 
+def make_confirmation(
+    *,
+    app: Application,
+    settings: ForwarderSettings,
+    directory: Directory,
+    upstreams_state: WatchState,
+    count_askers: Callable[[], int],
+) -> ListConfirmation:
+    """Return what asks the store for changes of the list of upstreams, beside the watch of it."""
+    return ListConfirmation(
+        app=app,
+        store=StoreClient(
+            address=parse_address(settings.store),
+            prefix=PREFIX_SERVERS,
+            response_timeout_ms=QUESTION_TIMEOUT_MS,
+        ),
+        state=upstreams_state,
+        handle_all=partial(_replace_entries, directory),
+        handle_changes=partial(_apply_entry_changes, directory),
+        count_askers=count_askers,
+    )
+
+
 def _replace_operator_items(
     routing: RoutingStore, evacuations: Evacuations, listed: ItemBatch
 ) -> None:
--- a/gypsumrouter/bootstrap_forwarder.py
+++ b/gypsumrouter/bootstrap_forwarder.py
@@ -9,7 +9,7 @@
 
 from msgspec.structs import replace
 
-from gypsumrouter.bootstrap_followers import make_followers
+from gypsumrouter.bootstrap_followers import make_confirmation, make_followers
 from gypsumrouter.const import VERSION, Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import (
@@ -90,6 +90,14 @@
         fetch_cache_listing=async_list_cached_parts,
         read_start=async_read_start,
         get_list_age_ms=lambda: upstreams_state.response_age_ms,
+        get_list_as_of=lambda: upstreams_state.as_of,
+    )
+    confirmation = make_confirmation(
+        app=app,
+        settings=settings,
+        directory=directory,
+        upstreams_state=upstreams_state,
+        count_askers=lambda: mesh.count_askers(),
     )
     mesh = Mesh(
         app=app,
@@ -102,6 +110,7 @@
         decode=decode_configuration,
         routing_state=routing_state,
         upstreams=upstreams_state,
+        confirmation=confirmation,
     )
     _record_shutdown(app, journal, forwarder)
     followers = make_followers(
--- a/gypsumrouter/directory/directory.py
+++ b/gypsumrouter/directory/directory.py
@@ -54,6 +54,7 @@
         "_own_marks",
         "_records",
         "_returned_in_epoch",
+        "_unseen_listeners",
         "applied_changes",
         "listed_revision",
         "loaded",
@@ -80,6 +81,7 @@
         self._returned_in_epoch: dict[str, int] = {}
         self._epoch: int | None = None
         self._listeners: list[ChangeListener] = []
+        self._unseen_listeners: list[Callable[[int], None]] = []
         self._grace = GracePeriod(
             clock=app.clock,
             journal=journal,
@@ -272,6 +274,9 @@
                 return False
             case EntryState.GONE:
                 self._store(record)
+                if self.loaded.is_set() and record.revision > self.listed_revision:
+                    for listener in self._unseen_listeners:
+                        listener(record.revision)
             case EntryState.READY | EntryState.LEAVING:
                 self._apply(None, record, source)
         return True
@@ -299,6 +304,11 @@
         for record in self._deferred_returns.take_due():
             self.merge(record, source="returned", confirmed=True)
 
+    def on_unseen_removal(self, listener: Callable[[int], None]) -> Remove:
+        """Call `listener` with the revision when an upstream is removed that was never seen."""
+        self._unseen_listeners.append(listener)
+        return lambda: self._unseen_listeners.remove(listener)
+
     def on_change(self, listener: ChangeListener) -> Remove:
         """Call `listener` with every changed entry."""
         self._listeners.append(listener)
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -107,6 +107,7 @@
         fetch_cache_listing: FetchCacheListing,
         read_start: ReadStart,
         get_list_age_ms: Callable[[], int],
+        get_list_as_of: Callable[[], int | None],
     ) -> None:
         self._app = app
         self._routing = routing
@@ -163,6 +164,7 @@
                 clock=app.clock,
                 directory=directory,
                 get_list_age_ms=get_list_age_ms,
+                get_list_as_of=get_list_as_of,
                 first_start=settings.first_start,
             ),
         )
--- a/gypsumrouter/link/list_codec.py
+++ b/gypsumrouter/link/list_codec.py
@@ -19,6 +19,7 @@
     message.complete = notice.complete and not left_out
     first_left_out = min((entry.revision for entry in left_out), default=notice.as_of + 1)
     message.asOf = min(notice.as_of, max(0, first_left_out - 1))
+    message.confirms = 0 if left_out else notice.confirms
     return to_bytes(message)
 
 
@@ -57,4 +58,5 @@
             as_of=message.asOf,
             complete=message.complete,
             changes=message.changes,
+            confirms=message.confirms,
         )
--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -236,6 +236,8 @@
   routing @0 :Bool;
   upstreams @1 :Bool;
   since @2 :UInt64;
+  # Not 0: ask the store for changes first, and answer with this number.
+  confirm @3 :UInt64;
 }
 
 struct StoreWatched {
@@ -272,6 +274,8 @@
   asOf @1 :UInt64;
   complete @2 :Bool;
   changes @3 :UInt64;
+  # The number of the request after which the store was asked, 0 without such a question.
+  confirms @4 :UInt64;
 }
 
 struct BegunStreams {
@@ -282,8 +286,6 @@
 struct OriginRequest {
   stream @0 :UInt64;
   service @1 :Text;
-  # Answer once the store has confirmed the list after the receipt of this request.
-  confirm @2 :Bool;
 }
 
 struct OriginReply {
@@ -292,8 +294,8 @@
   knowledge @2 :UInt8;
   # How long ago the store last responded as to the list of the sender.
   listAgeMs @3 :UInt32;
-  # The list was confirmed after the receipt of the request.
-  confirmed @4 :Bool;
+  # The revision up to which the sender knows the list.
+  listAsOf @4 :UInt64;
 }
 
 struct HeldAt {
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -238,7 +238,10 @@
 def encode_catch_up_request(notice: CatchUpRequest) -> bytes:
     """Encode the body of a CATCH_UP frame."""
     message = SCHEMA.CatchUp.new_message(
-        routing=notice.routing, upstreams=notice.upstreams, since=notice.since
+        routing=notice.routing,
+        upstreams=notice.upstreams,
+        since=notice.since,
+        confirm=notice.confirm,
     )
     return to_bytes(message)
 
@@ -247,7 +250,10 @@
     """Decode the body of a CATCH_UP frame; raises FrameError."""
     with open_message(SCHEMA.CatchUp, body) as message:
         return CatchUpRequest(
-            routing=message.routing, upstreams=message.upstreams, since=message.since
+            routing=message.routing,
+            upstreams=message.upstreams,
+            since=message.since,
+            confirm=message.confirm,
         )
 
 
@@ -321,18 +327,14 @@
 
 def encode_origin_request(notice: OriginRequest) -> bytes:
     """Encode the body of an ORIGIN_REQUEST frame."""
-    message = SCHEMA.OriginRequest.new_message(
-        stream=notice.stream, service=notice.service, confirm=notice.confirm
-    )
+    message = SCHEMA.OriginRequest.new_message(stream=notice.stream, service=notice.service)
     return to_packed(message)
 
 
 def decode_origin_request(body: bytes) -> OriginRequest:
     """Decode the body of an ORIGIN_REQUEST frame; raises FrameError."""
     with open_packed_message(SCHEMA.OriginRequest, body) as message:
-        return OriginRequest(
-            stream=message.stream, service=message.service, confirm=message.confirm
-        )
+        return OriginRequest(stream=message.stream, service=message.service)
 
 
 def encode_origin_reply(notice: OriginReply) -> bytes:
@@ -342,7 +344,7 @@
         origin=notice.origin,
         knowledge=int(notice.knowledge),
         listAgeMs=notice.list_age_ms,
-        confirmed=notice.confirmed,
+        listAsOf=notice.list_as_of,
     )
     return to_packed(message)
 
@@ -359,5 +361,5 @@
             knowledge=knowledge,
             origin=message.origin,
             list_age_ms=message.listAgeMs,
-            confirmed=message.confirmed,
+            list_as_of=message.listAsOf,
         )
--- a/gypsumrouter/peers/catch_up.py
+++ b/gypsumrouter/peers/catch_up.py
@@ -113,7 +113,7 @@
         """
         now_ms = self._app.clock.now_ms()
         routing = routing_version > self._routing.version
-        upstreams = list_revision > self._get_list_as_of()
+        upstreams = list_revision > self.get_list_as_of()
         self._behind_routing_ms = _get_behind_since(self._behind_routing_ms, routing, now_ms)
         self._behind_list_ms = _get_behind_since(self._behind_list_ms, upstreams, now_ms)
         if now_ms - self._last_request_ms < CATCH_UP_INTERVAL_MS:
@@ -122,7 +122,7 @@
         request = CatchUpRequest(
             routing=routing and self._is_overdue(self._behind_routing_ms, now_ms),
             upstreams=starting or (upstreams and self._is_overdue(self._behind_list_ms, now_ms)),
-            since=0 if starting else self._get_list_as_of(),
+            since=0 if starting else self.get_list_as_of(),
         )
         if (request.routing or request.upstreams) and self._send_request(peer, request):
             self._last_request_ms = now_ms
@@ -143,7 +143,7 @@
         """Process a watcher's announcement; requests the changes that this router lacks."""
         self.merge_evacuations(peer, announcement.evacuations)
         routing = announcement.routing_version > self._routing.version
-        upstreams = announcement.list_newest > self._get_list_as_of()
+        upstreams = announcement.list_newest > self.get_list_as_of()
         if not routing:
             self._routing_state.advance(announcement.routing_as_of)
         if not upstreams:
@@ -151,7 +151,7 @@
         upstreams = upstreams and not self._has_all_applied(peer, announcement)
         if not (routing or upstreams) or not self._should_request(announcement):
             return
-        since = self._get_list_as_of()
+        since = self.get_list_as_of()
         request = CatchUpRequest(routing=routing, upstreams=upstreams, since=since)
         self._send_request(peer, request)
 
@@ -188,7 +188,7 @@
         self._last_watcher_request_ms = now_ms
         return True
 
-    def _get_list_as_of(self) -> int:
+    def get_list_as_of(self) -> int:
         """Return the revision up to which all changes of the list are known."""
         as_of = max(self._list_state.as_of or 0, self._directory.listed_revision)
         return self._directory.limit_to_applied(as_of)
@@ -210,16 +210,19 @@
                     evacuations=encode_evacuations(self._evacuations),
                 )
             )
+        if request.confirm:
+            # Answered once the store was asked, see `confirmation.py`.
+            return
         if request.upstreams and self._directory.loaded.is_set():
-            peer.send(self._list_changes(request.since))
+            peer.send(self.list_changes(request.since))
 
-    def _list_changes(self, since: int) -> ListedUpstreams:
+    def list_changes(self, since: int, *, confirms: int = 0) -> ListedUpstreams:
         """Return the changes after a revision, or the full list if they are not all known here.
 
         During a grace period the full list may lack upstreams that return, so that the peer gets
         what is known, and has to ask again.
         """
-        as_of = self._get_list_as_of()
+        as_of = self.get_list_as_of()
         complete = since < self._directory.listed_revision
         if complete and self._directory.in_grace_period:
             complete, as_of = False, since
@@ -230,6 +233,7 @@
             as_of=as_of,
             complete=complete,
             changes=self._directory.applied_changes,
+            confirms=confirms,
         )
 
     def _handle_routing(self, peer: Peer, message: RoutingDocument) -> None:
@@ -258,7 +262,7 @@
         )
 
     def _handle_upstreams(self, peer: Peer, message: ListedUpstreams) -> None:
-        previous = self._get_list_as_of()
+        previous = self.get_list_as_of()
         merged = 0
         for entry in message.entries:
             try:
@@ -284,7 +288,7 @@
                 PeerNews(
                     peer=peer.hello.name,
                     subject="upstreams",
-                    version=self._get_list_as_of(),
+                    version=self.get_list_as_of(),
                     known=previous,
                     told=len(message.entries),
                     taken=merged,
--- /dev/null
+++ b/gypsumrouter/peers/confirmation.py
@@ -0,0 +1,150 @@
+"""Confirms the list of upstreams up to now: by the store, or by a router that asks the store."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections.abc import Awaitable, Callable, Collection
+from functools import partial
+from typing import Final
+
+from gypsumrouter.const import MS_PER_S
+from gypsumrouter.core import Application
+from gypsumrouter.directory import Directory
+from gypsumrouter.link import CatchUpRequest, ListedUpstreams, Notice, NoticeHub, Peer
+from gypsumrouter.peers.catch_up import CatchUpCoordinator
+from gypsumrouter.peers.routers import RouterRegistry
+from gypsumrouter.peers.watchers import WatchCoordinator
+from gypsumrouter.published import ListConfirmation, WatchState
+from gypsumrouter.util.shared_call import SharedCall
+
+CONFIRM_TIMEOUT_MS: Final = 150
+# The second way is tried once the first has taken longer than a few round trips.
+SECOND_WAY_MS: Final = 50
+# Routers that are asked where the store can't be reached.
+ASKED: Final = 2
+
+SendTo = Callable[[str, Notice], Awaitable[bool]]
+
+
+class ListConfirmer:
+    """Finds out whether this router knows all upstreams that were listed when it was asked.
+
+    A router that watches the store asks that, and other routers if it does not answer. All others
+    ask the watchers of their data centre, so that the questions to the store do not grow with the
+    fleet, and the store if these do not answer. A router that is asked by another one asks the
+    store, and answers with its changes of the list.
+    """
+
+    __slots__ = (
+        "_app",
+        "_catch_up",
+        "_directory",
+        "_list",
+        "_numbers",
+        "_routers",
+        "_runs",
+        "_send",
+        "_store",
+        "_waiting",
+        "_watch",
+    )
+
+    def __init__(
+        self,
+        *,
+        app: Application,
+        routers: RouterRegistry,
+        notices: NoticeHub,
+        directory: Directory,
+        upstreams: WatchState,
+        catch_up: CatchUpCoordinator,
+        watch: WatchCoordinator,
+        store: ListConfirmation,
+        send: SendTo,
+    ) -> None:
+        self._app = app
+        self._routers = routers
+        self._directory = directory
+        self._list = upstreams
+        self._catch_up = catch_up
+        self._watch = watch
+        self._store = store
+        self._send = send
+        self._numbers = itertools.count(1)
+        # Requests that no router has answered, by their number.
+        self._waiting: dict[int, asyncio.Future[bool]] = {}
+        self._runs = SharedCall(
+            start=app.async_create_task, call=self._async_confirm, name="confirm the list"
+        )
+        notices.subscribe(CatchUpRequest, self._handle_request)
+        # Behind the catch-up, which has merged the changes by then.
+        notices.subscribe(ListedUpstreams, self._handle_upstreams)
+
+    async def async_confirm(self) -> bool:
+        """Return whether all that was listed when this was called is known here."""
+        try:
+            async with asyncio.timeout(CONFIRM_TIMEOUT_MS / MS_PER_S):
+                return await self._runs.async_join()
+        except TimeoutError:
+            return False
+
+    async def _async_confirm(self) -> bool:
+        if self._list.as_of is None:
+            return False
+        watchers = self._watch.list_watchers()
+        first, second = self._store.async_confirm, self._async_ask_any
+        if self._routers.own_address not in watchers:
+            first, second = partial(self._async_ask, watchers), self._store.async_confirm
+        timer = asyncio.ensure_future(self._app.clock.async_sleep(SECOND_WAY_MS))
+        tasks = [asyncio.ensure_future(first())]
+        try:
+            async with asyncio.timeout(CONFIRM_TIMEOUT_MS / MS_PER_S):
+                await asyncio.wait((timer, *tasks), return_when=asyncio.FIRST_COMPLETED)
+                if tasks[0].done() and tasks[0].result():
+                    return True
+                tasks.append(asyncio.ensure_future(second()))
+                for result in asyncio.as_completed(tasks):
+                    if await result:
+                        return True
+                return False
+        except TimeoutError:
+            return False
+        finally:
+            for task in (timer, *tasks):
+                task.cancel()
+
+    async def _async_ask_any(self) -> bool:
+        return await self._async_ask(self._routers.rank(key=random.getrandbits(64), count=ASKED))
+
+    async def _async_ask(self, addresses: Collection[str]) -> bool:
+        """Ask routers to confirm the list; return whether one of them has done so."""
+        number = next(self._numbers)
+        sent_ms = self._app.clock.now_ms()
+        since = self._catch_up.get_list_as_of()
+        request = CatchUpRequest(routing=False, upstreams=True, since=since, confirm=number)
+        answered = self._waiting[number] = asyncio.get_running_loop().create_future()
+        try:
+            sent = [await self._send(address, request) for address in addresses]
+            if not any(sent):
+                return False
+            await answered
+        finally:
+            del self._waiting[number]
+        self._list.note_confirmed(sent_ms)
+        return True
+
+    def _handle_request(self, peer: Peer, request: CatchUpRequest) -> None:
+        if request.confirm:
+            self._app.async_create_task(self._async_answer(peer, request), "confirm for a peer")
+
+    async def _async_answer(self, peer: Peer, request: CatchUpRequest) -> None:
+        if not await self._store.async_confirm() or self._directory.in_grace_period:
+            return
+        peer.send(self._catch_up.list_changes(request.since, confirms=request.confirm))
+
+    def _handle_upstreams(self, _peer: Peer, message: ListedUpstreams) -> None:
+        answered = self._waiting.get(message.confirms)
+        if answered is not None and not answered.done():
+            answered.set_result(True)
--- a/gypsumrouter/peers/mesh.py
+++ b/gypsumrouter/peers/mesh.py
@@ -27,6 +27,7 @@
 )
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.peers.catch_up import CatchUpCoordinator
+from gypsumrouter.peers.confirmation import ListConfirmer
 from gypsumrouter.peers.const import (
     UPDATE_INTERVAL_MS,
     UPDATE_INTERVAL_MS_PER_PEER,
@@ -42,7 +43,7 @@
 from gypsumrouter.peers.updates import UpdateFactory
 from gypsumrouter.peers.usage import UsageExchange
 from gypsumrouter.peers.watchers import WatchCoordinator
-from gypsumrouter.published import WatchState
+from gypsumrouter.published import ListConfirmation, WatchState
 from gypsumrouter.routing import RoutingConfiguration, RoutingStore
 from gypsumrouter.settings import ForwarderSettings, read_link_key
 
@@ -87,6 +88,7 @@
         decode: Callable[[bytes], RoutingConfiguration],
         routing_state: WatchState,
         upstreams: WatchState,
+        confirmation: ListConfirmation,
     ) -> None:
         self._app = app
         self._journal = journal
@@ -165,12 +167,24 @@
             list_seeds=self._list_seeds,
             send=self._async_send,
         )
+        confirmer = ListConfirmer(
+            app=app,
+            routers=self._routers,
+            notices=notices,
+            directory=directory,
+            upstreams=upstreams,
+            catch_up=self._catch_up,
+            watch=self._watch,
+            store=confirmation,
+            send=self._async_send,
+        )
         self._streams = StreamExchange(
             app=app,
             routers=self._routers,
             notices=notices,
             origins=forwarder.streams,
             send=self._async_send,
+            confirm_list=confirmer.async_confirm,
         )
         forwarder.streams.set_peers(self._streams)
         self._crashes = CrashExchange(
@@ -327,6 +341,10 @@
         """Return how many other routers watch the store."""
         return self._watch.count_watchers()
 
+    def count_askers(self) -> int:
+        """Return how many routers confirm the list by the store as this one does."""
+        return 1 + (self.count_watchers() if self.is_watcher() else self.count_alive())
+
     def _update_retry_budget(self) -> None:
         """Set the number of routers that share the retry budget."""
         alive = self._routers.count_alive()
--- a/gypsumrouter/peers/origin_lookup.py
+++ b/gypsumrouter/peers/origin_lookup.py
@@ -47,6 +47,7 @@
                 router=router,
                 view=view,
                 list_age_ms=reply.list_age_ms,
+                list_as_of=reply.list_as_of,
                 after_ms=self._clock.now_ms() - self._started_ms,
             )
         )
@@ -66,8 +67,8 @@
             self.done.set()
 
 
-def encode_view(stream: int, view: OriginView, *, list_age_ms: int) -> OriginReply:
-    """Return the reply that tells a view; the list of the sender is `list_age_ms` old."""
+def encode_view(stream: int, view: OriginView, *, list_age_ms: int, list_as_of: int) -> OriginReply:
+    """Return the reply that tells a view, with age and revision of the list behind it."""
     origin = 0
     match view:
         case Known(origin=origin):
@@ -78,7 +79,13 @@
             knowledge = OriginKnowledge.SEVERAL_VERSIONS
         case Unproven():
             knowledge = OriginKnowledge.UNPROVEN
-    return OriginReply(stream=stream, knowledge=knowledge, origin=origin, list_age_ms=list_age_ms)
+    return OriginReply(
+        stream=stream,
+        knowledge=knowledge,
+        origin=origin,
+        list_age_ms=list_age_ms,
+        list_as_of=list_as_of,
+    )
 
 
 def decode_view(reply: OriginReply) -> OriginView:
--- a/gypsumrouter/peers/streams.py
+++ b/gypsumrouter/peers/streams.py
@@ -47,7 +47,7 @@
     router finds them without knowing where the stream began.
     """
 
-    __slots__ = ("_app", "_lookups", "_origins", "_routers", "_send")
+    __slots__ = ("_app", "_confirm_list", "_lookups", "_origins", "_routers", "_send")
 
     def __init__(
         self,
@@ -57,11 +57,13 @@
         notices: NoticeHub,
         origins: StreamOrigins,
         send: SendTo,
+        confirm_list: Callable[[], Awaitable[bool]],
     ) -> None:
         self._app = app
         self._routers = routers
         self._origins = origins
         self._send = send
+        self._confirm_list = confirm_list
         self._lookups: dict[int, list[OriginLookup]] = {}
         notices.subscribe(BegunStreams, self._handle_begun)
         notices.subscribe(OriginRequest, self._handle_request)
@@ -101,6 +103,10 @@
             self._remove(stream, lookup)
         return lookup.replies
 
+    async def async_confirm_list(self) -> bool:
+        """Return whether the list here has all that the store had listed, within a bounded time."""
+        return await self._confirm_list()
+
     async def _async_request(
         self, address: str, request: OriginRequest, lookup: OriginLookup
     ) -> None:
@@ -150,8 +156,11 @@
 
     def _handle_request(self, peer: Peer, request: OriginRequest) -> None:
         view = self._origins.get_view(stream=request.stream, service=request.service)
-        age_ms = min(self._origins.versions.list_age_ms, MAX_AGE_MS)
-        peer.send(encode_view(request.stream, view, list_age_ms=age_ms))
+        versions = self._origins.versions
+        age_ms = min(versions.list_age_ms, MAX_AGE_MS)
+        peer.send(
+            encode_view(request.stream, view, list_age_ms=age_ms, list_as_of=versions.list_as_of)
+        )
 
     def _handle_reply(self, peer: Peer, reply: OriginReply) -> None:
         for lookup in self._lookups.get(reply.stream, ()):
--- a/gypsumrouter/published/__init__.py
+++ b/gypsumrouter/published/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from gypsumrouter.published.confirmation import QUESTION_TIMEOUT_MS, ListConfirmation
 from gypsumrouter.published.follower import Follower
 from gypsumrouter.published.models import (
     HistoryLost,
@@ -19,10 +20,12 @@
 __all__ = [
     "LIST_RESPONSE_TIMEOUT_MS",
     "LIST_WATCH_TIMEOUT_MS",
+    "QUESTION_TIMEOUT_MS",
     "Follower",
     "HistoryLost",
     "Item",
     "ItemBatch",
+    "ListConfirmation",
     "PublishedStore",
     "StoreUnavailable",
     "WatchState",
--- a/gypsumrouter/published/watch_state.py
+++ b/gypsumrouter/published/watch_state.py
@@ -71,6 +71,10 @@
         """Record that the store has responded to this router."""
         self.responded_ms = self._clock.now_ms()
 
+    def note_confirmed(self, asked_ms: int) -> None:
+        """Record that the store has answered a question that a peer asked later than `asked_ms`."""
+        self.responded_ms = max(self.responded_ms, asked_ms)
+
     def note_peer_watching(self, *, response_age_ms: int) -> None:
         """Record that a peer watches the list, and when the store last responded to it."""
         now_ms = self._clock.now_ms()
--- a/gypsumrouter/streams/origins.py
+++ b/gypsumrouter/streams/origins.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable
@@ -41,11 +42,14 @@
 
 
 class PeerOrigins(Protocol):
-    """What the other routers know of streams."""
+    """What the other routers know of streams, and the confirmation of this router's list."""
 
     async def async_ask(self, *, stream: int, service: str) -> Replies:
         """Return what other routers say of a stream, within a bounded time."""
 
+    async def async_confirm_list(self) -> bool:
+        """Return whether the list here has all that the store had listed, within a bounded time."""
+
 
 def _is_proven() -> bool:
     return True
@@ -182,18 +186,29 @@
 
         The stream may have begun at any of `services`; `service` is the one that its request goes
         to if nobody knows the stream. A caller that doesn't name its stream, as `request_id`, does
-        not expect several versions: it goes on unless some router has seen them.
+        not expect several versions: it goes on unless some router has seen them, and where the list
+        is not confirmed, all that are asked have to say so.
         """
         stream = _make_unknown() if request_id is None else make_stream_digest(request_id)
-        own = self._make_voice(stream=stream, service=service)
-        replies = Replies()
-        if not isinstance(own.view, Known) and self._peers is not None:
-            replies = await self._peers.async_ask(stream=stream, service=service)
+        started_ms = self._app.clock.now_ms()
+        replies, is_confirmed = Replies(), False
+        known = isinstance(self.get_view(stream=stream, service=service), Known)
+        if not known and self._peers is not None:
+            replies, is_confirmed = await self._async_ask(self._peers, stream, service)
+            self._note_vouched(service, replies.voices)
+        # What this router knows now: the list may have changed while others were asked.
+        own = Voice(
+            router="",
+            view=self.get_view(stream=stream, service=service),
+            list_age_ms=self.versions.list_age_ms,
+            is_confirmed=is_confirmed,
+            after_ms=self._app.clock.now_ms() - started_ms,
+        )
         voices = (own, *replies.voices)
-        decided = decide_origin(voice.view for voice in voices)
+        decided = decide_origin(voices)
         origin = self._match(decided, services)
-        if request_id is None and all(voice.view != SeveralVersions() for voice in voices):
-            origin = self._get_present_origin(service)
+        if request_id is None and (is_confirmed or not replies.unanswered):
+            origin = self._get_present_origin(service, voices)
         self._resolved.inc(labels=LABELS_REFUSED if origin is None else LABELS_GOES_ON)
         return OriginDecision(
             origin=origin,
@@ -202,12 +217,37 @@
             unanswered=replies.unanswered,
         )
 
-    def _make_voice(self, *, stream: int, service: str) -> Voice:
-        view = self.get_view(stream=stream, service=service)
-        return Voice(router="", view=view, list_age_ms=self.versions.list_age_ms)
+    async def _async_ask(
+        self, peers: PeerOrigins, stream: int, service: str
+    ) -> tuple[Replies, bool]:
+        """Return what others say of a stream, and whether the list was confirmed meanwhile."""
+        confirming = asyncio.ensure_future(peers.async_confirm_list())
+        try:
+            replies = await peers.async_ask(stream=stream, service=service)
+            if any(isinstance(voice.view, Known) for voice in replies.voices):
+                return replies, False
+            return replies, await confirming
+        finally:
+            confirming.cancel()
+
+    def _note_vouched(self, service: str, voices: Collection[Voice]) -> None:
+        """Take the word of others for the time that this router has not observed."""
+        if any(isinstance(voice.view, SeveralVersions) for voice in voices):
+            return
+        versions = self.versions.list_versions(service)
+        origins = {make_origin_digest(StreamOrigin(service=service, version=v)) for v in versions}
+        told = {
+            voice.view.origin: voice.list_as_of
+            for voice in sorted(voices, key=lambda voice: voice.list_as_of)
+            if isinstance(voice.view, OneVersion)
+        }
+        if len(origins) == 1 and told.keys() == origins:
+            self.versions.note_vouched(service, as_of=max(told.values()))
 
-    def _get_present_origin(self, service: str) -> StreamOrigin | None:
-        """Return the origin of new streams of a service that has one version."""
+    def _get_present_origin(self, service: str, voices: Iterable[Voice]) -> StreamOrigin | None:
+        """Return the origin of new streams of a service, unless a router has seen several."""
+        if any(isinstance(voice.view, SeveralVersions) for voice in voices):
+            return None
         versions = self.versions.list_versions(service)
         if len(versions) != 1:
             return None
@@ -219,10 +259,7 @@
             return
         for service in self.versions.list_incomplete():
             replies = await self._peers.async_ask(stream=_make_unknown(), service=service)
-            decided = decide_origin(voice.view for voice in replies.voices)
-            origin = self._match(decided, (service,))
-            if origin is not None and self.versions.list_versions(service) == {origin.version}:
-                self.versions.note_vouched(service)
+            self._note_vouched(service, replies.voices)
 
     def _match(self, digest: int | Doubt, services: Collection[str]) -> StreamOrigin | None:
         """Return the origin with a digest among the versions of these services."""
--- a/gypsumrouter/streams/versions.py
+++ b/gypsumrouter/streams/versions.py
@@ -23,19 +23,26 @@
 class VersionHistory:
     """Observes the list of upstreams.
 
-    The history has a gap where the list was older than `MAX_LIST_AGE_MS`: a version may have come
-    and gone unseen. `first_start` means that no stream can be older than this process. A router
-    that starts later takes the word of another one for the time before.
+    The history has a gap where the list was older than `MAX_LIST_AGE_MS`, where this process stood
+    still for as long, and where an upstream was removed that was never seen: a version may have
+    come and gone. `first_start` means that no stream can be older than this process. A router
+    that starts later, or behind a gap, takes the word of another one for the time before.
+
+    That no other version was seen says nothing of the time since the store last spoke.
+    `get_list_as_of` returns the revision up to which the list is known, None before it was read.
     """
 
     __slots__ = (
         "_clock",
         "_directory",
         "_get_list_age_ms",
+        "_get_list_as_of",
         "_last_seen_ms",
         "_present",
         "_since_ms",
+        "_since_revision",
         "_starting_until_ms",
+        "_updated_ms",
         "_vouched",
     )
 
@@ -45,34 +52,51 @@
         clock: Clock,
         directory: Directory,
         get_list_age_ms: Callable[[], int],
+        get_list_as_of: Callable[[], int | None],
         first_start: bool,
     ) -> None:
         self._clock = clock
         self._directory = directory
         self._get_list_age_ms = get_list_age_ms
+        self._get_list_as_of = get_list_as_of
+        self._updated_ms = clock.now_ms()
         # Service and version of each upstream that is listed.
         self._present: dict[str, tuple[str, str]] = {}
         # When an upstream of a service and version was last listed, for those that left.
         self._last_seen_ms: dict[tuple[str, str], int] = {}
         self._since_ms: int | None = ALWAYS_MS if first_start else None
+        # The list was followed from this revision on.
+        self._since_revision = 0
         self._starting_until_ms = ALWAYS_MS if first_start else clock.now_ms() + START_MS
         # Services of which another router has observed what this one has not.
         self._vouched: set[str] = set()
         directory.on_change(self._handle_entry)
+        directory.on_unseen_removal(self._note_gap)
 
     def update(self) -> None:
         """Note whether the list is up to date; to be called several times a second."""
         now_ms = self._clock.now_ms()
-        if not self._directory.loaded.is_set():
+        paused_ms, self._updated_ms = now_ms - self._updated_ms, now_ms
+        if not self._directory.loaded.is_set() or self._get_list_as_of() is None:
             return
-        if self._since_ms is None or not self.list_is_current:
-            self._since_ms = now_ms
-            self._vouched.clear()
+        if self._since_ms is None or not self.list_is_current or paused_ms > MAX_LIST_AGE_MS:
+            self._note_gap(self.list_as_of)
         expired_ms = now_ms - STREAM_RETENTION_MS
         for key, seen_ms in tuple(self._last_seen_ms.items()):
             if seen_ms < expired_ms:
                 del self._last_seen_ms[key]
 
+    def _note_gap(self, revision: int) -> None:
+        """Follow the list anew, from a revision on."""
+        self._since_ms = self._clock.now_ms()
+        self._since_revision = revision
+        self._vouched.clear()
+
+    @property
+    def list_as_of(self) -> int:
+        """Return the revision up to which the list is known, 0 before it was read."""
+        return self._get_list_as_of() or 0
+
     @property
     def list_age_ms(self) -> int:
         """Return the time since the store last responded as to the list."""
@@ -100,8 +124,11 @@
         return listed | left
 
     def is_complete(self, service: str) -> bool:
-        """Return whether all versions of the retention time were observed, up to now."""
-        if self._since_ms is None or not self.list_is_current:
+        """Return whether all versions of the retention time were observed, up to the known list.
+
+        In a grace period the list may lack upstreams that are there.
+        """
+        if self._since_ms is None or not self.list_is_current or self._directory.in_grace_period:
             return False
         if service in self._vouched:
             return True
@@ -116,9 +143,12 @@
             if not self.is_complete(service) and len(self.list_versions(service)) == 1
         ]
 
-    def note_vouched(self, service: str) -> None:
-        """Record that another router has seen no other version than those known here."""
-        if self._since_ms is not None and self.list_is_current:
+    def note_vouched(self, service: str, *, as_of: int) -> None:
+        """Record that another router has seen no other version up to the revision `as_of`.
+
+        It counts if this router has followed the list since then.
+        """
+        if self._since_ms is not None and as_of >= self._since_revision and self.list_is_current:
             self._vouched.add(service)
 
     def get_only_version(self, service: str) -> str | None:
