An announcement of a watcher that is read late makes the list no younger

A watcher states how old its list is when it sends; a router that stood still, or whose way opens again, read that up to seconds later and took its list for that young, and with it proofs of starts, the gap in the history of versions and the takeover of a watch. Announcements now carry the sender's clock, and the least difference of the two clocks over the last 30 to 60 s tells how long one was under way.

--- a/gypsumrouter/link/messages.capnp
+++ b/gypsumrouter/link/messages.capnp
@@ -248,6 +248,8 @@
   evacuations @4 :List(EvacuationTold);
   listAgeMs @5 :UInt32;
   listChanges @6 :UInt64;
+  # The monotonic clock of the sender, 0 if it doesn't state it.
+  sentMs @7 :UInt64;
 }
 
 struct RoutingDocument {
--- a/gypsumrouter/link/router_codec.py
+++ b/gypsumrouter/link/router_codec.py
@@ -216,6 +216,7 @@
         listAsOf=notice.list_as_of,
         listAgeMs=notice.list_age_ms,
         listChanges=notice.list_changes,
+        sentMs=notice.sent_ms,
     )
     _set_evacuations(message, notice.evacuations)
     return to_packed(message)
@@ -231,6 +232,7 @@
             list_as_of=message.listAsOf,
             list_age_ms=message.listAgeMs,
             list_changes=message.listChanges,
+            sent_ms=message.sentMs,
             evacuations=_read_evacuations(message),
         )
 
--- a/gypsumrouter/link/router_models.py
+++ b/gypsumrouter/link/router_models.py
@@ -127,7 +127,8 @@
     all changes up to the revisions `routing_as_of` and `list_as_of`, which are 0 while it cannot
     read the store. `list_as_of` is lower than `list_newest` while earlier removals are deferred.
     `list_changes` is the number of changes of the list that the process has applied. The store last
-    responded to it `list_age_ms` ago as to the list. `evacuations` is its complete list.
+    responded to it `list_age_ms` ago as to the list, by its own monotonic clock at `sent_ms` (0 if
+    it doesn't state that). `evacuations` is its complete list.
     """
 
     routing_version: int
@@ -136,6 +137,7 @@
     list_as_of: int
     list_changes: int = 0
     list_age_ms: int = 0
+    sent_ms: int = 0
     evacuations: tuple[EvacuationState, ...] = ()
 
 
--- a/gypsumrouter/peers/step_monitor.py
+++ b/gypsumrouter/peers/step_monitor.py
@@ -42,6 +42,7 @@
         now_ms = self._app.clock.now_ms()
         paused_ms = now_ms - self._checked_ms - CHECK_INTERVAL_MS
         self._checked_ms = now_ms
+        self._list.note_running()
         if paused_ms >= PAUSED_MS:
             self._journal.record(ProcessPaused(paused_ms=paused_ms))
         if self._list.as_of is not None:
--- a/gypsumrouter/peers/watchers.py
+++ b/gypsumrouter/peers/watchers.py
@@ -20,6 +20,7 @@
 from gypsumrouter.peers.catch_up import CatchUpCoordinator
 from gypsumrouter.peers.const import MAX_AGE_MS
 from gypsumrouter.peers.encoding import encode_evacuations
+from gypsumrouter.peers.message_delays import MessageDelays
 from gypsumrouter.peers.routers import RouterRegistry
 from gypsumrouter.published import WatchState
 from gypsumrouter.routing import RoutingStore
@@ -48,6 +49,7 @@
     __slots__ = (
         "_app",
         "_catch_up",
+        "_delays",
         "_directory",
         "_evacuations",
         "_list",
@@ -79,6 +81,7 @@
         self._routing = routing
         self._list = upstreams
         self._send_scheduled = False
+        self._delays = MessageDelays()
         notices.subscribe(StoreUpdate, self._handle_announcement)
         directory.on_change(lambda entry: self._schedule_announcement())
         routing_store.on_change(lambda table: self._schedule_announcement())
@@ -143,6 +146,7 @@
             list_as_of=directory.limit_to_applied(_get_current_revision(self._list)),
             list_changes=directory.applied_changes,
             list_age_ms=min(self._list.response_age_ms, MAX_AGE_MS),
+            sent_ms=self._app.clock.now_ms(),
             evacuations=encode_evacuations(self._evacuations),
         )
 
@@ -154,13 +158,24 @@
         if self.is_watcher():
             return
         # A watch of the configuration waits longer, so that its own age would tell less.
-        age_ms = announcement.list_age_ms
+        age_ms = announcement.list_age_ms + self._get_delay_ms(peer, announcement)
         if announcement.routing_as_of:
             self._routing.note_peer_watching(response_age_ms=age_ms)
         if announcement.list_as_of:
             self._list.note_peer_watching(response_age_ms=age_ms)
         self._catch_up.handle_announcement(peer, announcement)
 
+    def _get_delay_ms(self, peer: Peer, announcement: StoreUpdate) -> int:
+        """Return how long ago an announcement was sent, beyond the usual time."""
+        if not announcement.sent_ms:
+            return 0
+        return self._delays.get_delay_ms(
+            peer=peer.hello.name,
+            incarnation=peer.hello.incarnation,
+            sent_ms=announcement.sent_ms,
+            now_ms=self._app.clock.now_ms(),
+        )
+
 
 def _get_current_revision(state: WatchState) -> int:
     """Return the revision up to which a list is known, or 0 while the store is unavailable."""
--- a/gypsumrouter/published/watch_state.py
+++ b/gypsumrouter/published/watch_state.py
@@ -27,6 +27,8 @@
 # shorter than an outage in which entries expire (2.4 s): the loss of the watchers does not look
 # like one.
 TAKEOVER_JITTER_MS: Final = 150
+# A process that has not run for longer may read what was sent to it as long ago.
+MAX_PAUSE_MS: Final = 400
 # Time of an event that has not happened.
 _NEVER_MS: Final = -(1 << 62)
 
@@ -39,7 +41,14 @@
     last responded to this router or, by its own report, to a peer that watches.
     """
 
-    __slots__ = ("_clock", "_peer_watching_until_ms", "as_of", "available", "responded_ms")
+    __slots__ = (
+        "_clock",
+        "_peer_watching_until_ms",
+        "_ran_ms",
+        "as_of",
+        "available",
+        "responded_ms",
+    )
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
@@ -47,6 +56,7 @@
         self.as_of: int | None = None
         self.available = True
         self.responded_ms = _NEVER_MS
+        self._ran_ms: int | None = None
 
     @property
     def current(self) -> bool:
@@ -68,8 +78,18 @@
         return self._clock.now_ms() - self.responded_ms
 
     def note_response(self) -> None:
-        """Record that the store has responded to this router."""
-        self.responded_ms = self._clock.now_ms()
+        """Record that the store has responded to this router.
+
+        What is read behind a pause of this process may have come at its beginning.
+        """
+        now_ms = self._clock.now_ms()
+        if self._ran_ms is not None and now_ms - self._ran_ms > MAX_PAUSE_MS:
+            now_ms = self._ran_ms
+        self.responded_ms = max(self.responded_ms, now_ms)
+
+    def note_running(self) -> None:
+        """Record that this process runs; to be called several times a second, or never."""
+        self._ran_ms = self._clock.now_ms()
 
     def note_confirmed(self, asked_ms: int) -> None:
         """Record that the store has answered a question that a peer asked later than `asked_ms`."""
