Followers of dead watchers confirm the list through those that take over the watch; bounds of a confirmation on the clock

Cause: a follower whose watcher has died went to the store itself, at most once in 2 ms for each router that is alive: with 330 routers most of the streams taken up in the first 3 s after a mass kill would have been refused there. It now asks the next two in the order of takeover, and the store seldom. The pace of the store's questions is that of the watchers, whose number does not grow with a data centre. The time limits run on the clock that tests drive.

--- a/gypsumrouter/bootstrap_followers.py
+++ b/gypsumrouter/bootstrap_followers.py
@@ -102,7 +102,7 @@
     settings: ForwarderSettings,
     directory: Directory,
     upstreams_state: WatchState,
-    count_askers: Callable[[], int],
+    count_watchers: Callable[[], int],
 ) -> ListConfirmation:
     """Return what asks the store for changes of the list of upstreams, beside the watch of it."""
     return ListConfirmation(
@@ -115,7 +115,7 @@
         state=upstreams_state,
         handle_all=partial(_replace_entries, directory),
         handle_changes=partial(_apply_entry_changes, directory),
-        count_askers=count_askers,
+        count_watchers=count_watchers,
     )
 
 
--- a/gypsumrouter/bootstrap_forwarder.py
+++ b/gypsumrouter/bootstrap_forwarder.py
@@ -97,7 +97,7 @@
         settings=settings,
         directory=directory,
         upstreams_state=upstreams_state,
-        count_askers=lambda: mesh.count_askers(),
+        count_watchers=lambda: mesh.count_watchers(),
     )
     mesh = Mesh(
         app=app,
--- a/gypsumrouter/peers/confirmation.py
+++ b/gypsumrouter/peers/confirmation.py
@@ -9,7 +9,6 @@
 from functools import partial
 from typing import Final
 
-from gypsumrouter.const import MS_PER_S
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory
 from gypsumrouter.link import CatchUpRequest, ListedUpstreams, Notice, NoticeHub, Peer
@@ -24,6 +23,11 @@
 SECOND_WAY_MS: Final = 50
 # Routers that are asked where the store can't be reached.
 ASKED: Final = 2
+# Routers that are asked in place of the watchers.
+SUBSTITUTES: Final = 2
+# Routers that have lost their watchers ask the store 500 times a second together.
+INTERVAL_MS_PER_ROUTER: Final = 2
+NEVER_MS: Final = -(1 << 62)
 
 SendTo = Callable[[str, Notice], Awaitable[bool]]
 
@@ -33,12 +37,13 @@
 
     A router that watches the store asks that, and other routers if it does not answer. All others
     ask the watchers of their data centre, so that the questions to the store do not grow with the
-    fleet, and the store if these do not answer. A router that is asked by another one asks the
-    store, and answers with its changes of the list.
+    fleet, and those that take over from these if they do not answer. A router that is asked by
+    another one asks the store, and answers with its changes of the list.
     """
 
     __slots__ = (
         "_app",
+        "_asked_store_ms",
         "_catch_up",
         "_directory",
         "_list",
@@ -72,6 +77,7 @@
         self._watch = watch
         self._store = store
         self._send = send
+        self._asked_store_ms = NEVER_MS
         self._numbers = itertools.count(1)
         # Requests that no router has answered, by their number.
         self._waiting: dict[int, asyncio.Future[bool]] = {}
@@ -84,36 +90,57 @@
 
     async def async_confirm(self) -> bool:
         """Return whether all that was listed when this was called is known here."""
+        return await self._async_bound(self._runs.async_join(), CONFIRM_TIMEOUT_MS)
+
+    async def _async_bound(self, found: Awaitable[bool], limit_ms: int) -> bool:
+        """Return what is found out within a time, False if that is not known by then."""
+        finding = asyncio.ensure_future(found)
+        timer = asyncio.ensure_future(self._app.clock.async_sleep(limit_ms))
         try:
-            async with asyncio.timeout(CONFIRM_TIMEOUT_MS / MS_PER_S):
-                return await self._runs.async_join()
-        except TimeoutError:
-            return False
+            await asyncio.wait((finding, timer), return_when=asyncio.FIRST_COMPLETED)
+            return finding.done() and finding.result()
+        finally:
+            finding.cancel()
+            timer.cancel()
 
     async def _async_confirm(self) -> bool:
+        """Try the first way, and the second one beside it unless it has succeeded soon."""
         if self._list.as_of is None:
             return False
         watchers = self._watch.list_watchers()
         first, second = self._store.async_confirm, self._async_ask_any
         if self._routers.own_address not in watchers:
-            first, second = partial(self._async_ask, watchers), self._store.async_confirm
-        timer = asyncio.ensure_future(self._app.clock.async_sleep(SECOND_WAY_MS))
-        tasks = [asyncio.ensure_future(first())]
+            first, second = partial(self._async_ask, watchers), self._async_replace_watchers
+        task = asyncio.ensure_future(first())
         try:
-            async with asyncio.timeout(CONFIRM_TIMEOUT_MS / MS_PER_S):
-                await asyncio.wait((timer, *tasks), return_when=asyncio.FIRST_COMPLETED)
-                if tasks[0].done() and tasks[0].result():
-                    return True
-                tasks.append(asyncio.ensure_future(second()))
-                for result in asyncio.as_completed(tasks):
-                    if await result:
-                        return True
-                return False
-        except TimeoutError:
-            return False
+            if await self._async_bound(asyncio.shield(task), SECOND_WAY_MS):
+                return True
+            return await self._async_bound(
+                self._async_find_any(task, second()), CONFIRM_TIMEOUT_MS - SECOND_WAY_MS
+            )
         finally:
-            for task in (timer, *tasks):
-                task.cancel()
+            task.cancel()
+
+    async def _async_find_any(self, *ways: Awaitable[bool]) -> bool:
+        for result in asyncio.as_completed(ways):
+            if await result:
+                return True
+        return False
+
+    async def _async_replace_watchers(self) -> bool:
+        """Ask the routers that take over the watch, and at times the store."""
+        in_order = self._watch.list_watchers(more=SUBSTITUTES)
+        substitutes = in_order[len(self._watch.list_watchers()) :]
+        others = [address for address in substitutes if address != self._routers.own_address]
+        return await self._async_find_any(self._async_ask(others), self._async_ask_store())
+
+    async def _async_ask_store(self) -> bool:
+        """Ask the store unless this was done lately: all routers may do so at once."""
+        now_ms = self._app.clock.now_ms()
+        if now_ms - self._asked_store_ms < INTERVAL_MS_PER_ROUTER * self._routers.count_alive():
+            return False
+        self._asked_store_ms = now_ms
+        return await self._store.async_confirm()
 
     async def _async_ask_any(self) -> bool:
         return await self._async_ask(self._routers.rank(key=random.getrandbits(64), count=ASKED))
--- a/gypsumrouter/peers/mesh.py
+++ b/gypsumrouter/peers/mesh.py
@@ -341,10 +341,6 @@
         """Return how many other routers watch the store."""
         return self._watch.count_watchers()
 
-    def count_askers(self) -> int:
-        """Return how many routers confirm the list by the store as this one does."""
-        return 1 + (self.count_watchers() if self.is_watcher() else self.count_alive())
-
     def _update_retry_budget(self) -> None:
         """Set the number of routers that share the retry budget."""
         alive = self._routers.count_alive()
--- a/gypsumrouter/peers/watchers.py
+++ b/gypsumrouter/peers/watchers.py
@@ -104,12 +104,14 @@
         """Return whether this router watches the store for its data centre."""
         return self._is_watcher(self._routers.list_neighbours())
 
-    def list_watchers(self) -> list[str]:
-        """Return the addresses of the routers that watch the store for this data centre."""
+    def list_watchers(self, *, more: int = 0) -> list[str]:
+        """Return the addresses of the routers that watch the store for this data centre.
+
+        Behind them come `more` that follow in the order in which routers take over the watch.
+        """
         per_data_centre = get_watchers_per_data_centre(len(self._routers.count_by_data_centre()))
-        return sorted((self._routers.own_address, *self._routers.list_neighbours()))[
-            :per_data_centre
-        ]
+        in_order = sorted((self._routers.own_address, *self._routers.list_neighbours()))
+        return in_order[: per_data_centre + more]
 
     async def _async_announce(self) -> None:
         while True:
--- a/gypsumrouter/published/confirmation.py
+++ b/gypsumrouter/published/confirmation.py
@@ -15,8 +15,8 @@
 QUESTION_WAIT_MS: Final = 1
 # A later answer is of no use to those that wait for it.
 QUESTION_TIMEOUT_MS: Final = 140
-# Questions of all routers together stay at 500 a second, of some thousands that the store allows.
-INTERVAL_MS_PER_ROUTER: Final = 2
+# Questions of all watchers together stay at 500 a second, of some thousands that the store allows.
+INTERVAL_MS_PER_WATCHER: Final = 2
 MIN_INTERVAL_MS: Final = 20
 
 _NEVER_MS: Final = -(1 << 62)
@@ -27,12 +27,12 @@
 
     A watch of the list tells what had changed when the store answered, which may be a while ago.
     What the store says to a question that is sent now covers all that it listed before.
-    `count_askers` returns the number of routers that ask the store as often as this one does.
+    `count_watchers` returns the number of other routers that watch the store and are asked by all.
     """
 
     __slots__ = (
         "_app",
-        "_count_askers",
+        "_count_watchers",
         "_handle_all",
         "_handle_changes",
         "_questions",
@@ -49,14 +49,14 @@
         state: WatchState,
         handle_all: BatchHandler,
         handle_changes: BatchHandler,
-        count_askers: Callable[[], int],
+        count_watchers: Callable[[], int],
     ) -> None:
         self._app = app
         self._store = store
         self._state = state
         self._handle_all = handle_all
         self._handle_changes = handle_changes
-        self._count_askers = count_askers
+        self._count_watchers = count_watchers
         self._sent_ms = _NEVER_MS
         self._questions = SharedCall(
             start=app.async_create_task,
@@ -74,7 +74,7 @@
         return await self._questions.async_join()
 
     async def _async_pause(self) -> None:
-        interval_ms = max(MIN_INTERVAL_MS, INTERVAL_MS_PER_ROUTER * self._count_askers())
+        interval_ms = max(MIN_INTERVAL_MS, INTERVAL_MS_PER_WATCHER * self._count_watchers())
         left_ms = self._sent_ms + interval_ms - self._app.clock.now_ms()
         if left_ms > 0:
             await self._app.clock.async_sleep(left_ms)
