--- a/bench/streams_cost.py
+++ b/bench/streams_cost.py
@@ -36,6 +36,9 @@
 STREAMS_PER_S: Final = 60.6
 OPEN_STREAMS: Final = 373
 LOOKUPS: Final = 2_000
+# Of a usual reply; the revision has an epoch.
+LIST_AGE_MS: Final = 600
+LIST_AS_OF: Final = 1_000_000_004_711
 MS_PER_S: Final = 1_000
 NS_PER_US: Final = 1_000
 
@@ -151,7 +154,15 @@
     for number in range(LOOKUPS):
         router.origins.get_view(stream=number, service=SERVICE)
         known = OriginKnowledge.KNOWN
-        router.count(OriginReply(stream=2**63 + number, knowledge=known, origin=2**31 + number))
+        router.count(
+            OriginReply(
+                stream=2**63 + number,
+                knowledge=known,
+                origin=2**31 + number,
+                list_age_ms=LIST_AGE_MS,
+                list_as_of=LIST_AS_OF,
+            )
+        )
     return (time.thread_time_ns() - started_ns) / NS_PER_US / LOOKUPS
 
 
