--- a/bench/placement_strategies.py
+++ b/bench/placement_strategies.py
@@ -13,7 +13,7 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Record
-from gypsumrouter.forwarding.health import HealthTracker
+from gypsumrouter.forwarding.health.tracker import HealthTracker
 from gypsumrouter.forwarding.loads import PeerLoads
 from gypsumrouter.forwarding.placed import Placement, SentRequest
 from gypsumrouter.forwarding.placement import Cap, order_by_affinity
--- a/bench/plain_replay.py
+++ b/bench/plain_replay.py
@@ -19,12 +19,12 @@
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
+from gypsumrouter.forwarding.health.slow_start import SlowStartLimiter
 from gypsumrouter.forwarding.loads import PeerLoads, UpstreamLoad
 from gypsumrouter.forwarding.models import LoadReport, ResponseMetadata
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
-from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.util.clock import ManualClock
--- a/bench/replay_placer.py
+++ b/bench/replay_placer.py
@@ -7,11 +7,11 @@
 
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuations, Record
-from gypsumrouter.forwarding.backoff import BackoffTracker
-from gypsumrouter.forwarding.health import HealthTracker
+from gypsumrouter.forwarding.health.backoff import BackoffTracker
+from gypsumrouter.forwarding.health.slow_start import SlowStartLimiter
+from gypsumrouter.forwarding.health.tracker import HealthTracker
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
-from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
--- a/bench/silence_replay.py
+++ b/bench/silence_replay.py
@@ -23,12 +23,12 @@
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory
 from gypsumrouter.forwarding.budget import RetryBudget
-from gypsumrouter.forwarding.health import HealthTracker
+from gypsumrouter.forwarding.health.silences import SilenceTracker
+from gypsumrouter.forwarding.health.tracker import HealthTracker
 from gypsumrouter.forwarding.models import Prompt, PromptPart, ResponseMetadata
 from gypsumrouter.forwarding.placed import Placement
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
-from gypsumrouter.forwarding.silence_tracker import SilenceTracker
 from gypsumrouter.journal import Journal
 from gypsumrouter.settings import Contention
 from gypsumrouter.util.clock import Clock, ManualClock
--- a/bench/silences.py
+++ b/bench/silences.py
@@ -11,8 +11,8 @@
 from bench.silence_models import DARK, HALF_DEAD, MUTE, Figures, Scenario
 from bench.silence_replay import MakeHealth, SilenceReplay
 from gypsumrouter.const import EXIT_OK
-from gypsumrouter.forwarding.health import HealthTracker
-from gypsumrouter.forwarding.silence_tracker import SilenceTracker
+from gypsumrouter.forwarding.health.silences import SilenceTracker
+from gypsumrouter.forwarding.health.tracker import HealthTracker
 from gypsumrouter.journal import Journal
 from gypsumrouter.util.clock import Clock
 
--- a/gypsumrouter/forwarding/candidates.py
+++ b/gypsumrouter/forwarding/candidates.py
@@ -12,7 +12,7 @@
 from gypsumrouter.forwarding.eligibility import Eligibility
 from gypsumrouter.forwarding.engine_memory import EngineMemory, MemoryDemand
 from gypsumrouter.forwarding.engine_speed import EngineSpeeds
-from gypsumrouter.forwarding.health import HealthTracker
+from gypsumrouter.forwarding.health.tracker import HealthTracker
 from gypsumrouter.forwarding.loads import LoadTracker, UpstreamLoad
 from gypsumrouter.forwarding.models import Prompt, PromptPart
 from gypsumrouter.forwarding.placed import CopySource
--- a/gypsumrouter/forwarding/connections.py
+++ b/gypsumrouter/forwarding/connections.py
@@ -18,11 +18,11 @@
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.const import CONNECT_TIMEOUT_MS
 from gypsumrouter.forwarding.ends.starts import OtherStart, StartProof, UpstreamStarts
+from gypsumrouter.forwarding.health.questions import NOT_STATED, ReadStart, UpstreamQuestions
+from gypsumrouter.forwarding.health.start_check import StartCheck, StartChecker
 from gypsumrouter.forwarding.idle_connections import IdleConnections
 from gypsumrouter.forwarding.open_connections import OpenConnections
 from gypsumrouter.forwarding.responders import ReadResponder
-from gypsumrouter.forwarding.start_check import StartCheck, StartChecker
-from gypsumrouter.forwarding.upstream_questions import NOT_STATED, ReadStart, UpstreamQuestions
 from gypsumrouter.helpers.http_connection import ConnectFailed, HttpConnection, async_connect
 
 __all__ = ["ConnectionPool", "PooledConnection", "StartCheck"]
--- a/gypsumrouter/forwarding/eligibility.py
+++ b/gypsumrouter/forwarding/eligibility.py
@@ -8,9 +8,9 @@
 from msgspec import Struct
 
 from gypsumrouter.directory import Entry, Evacuations
-from gypsumrouter.forwarding.backoff import BackoffTracker
-from gypsumrouter.forwarding.health import HealthTracker
-from gypsumrouter.forwarding.slow_start import SlowStartLimiter
+from gypsumrouter.forwarding.health.backoff import BackoffTracker
+from gypsumrouter.forwarding.health.slow_start import SlowStartLimiter
+from gypsumrouter.forwarding.health.tracker import HealthTracker
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.outcomes import Reason
 
--- a/gypsumrouter/forwarding/forwarder.py
+++ b/gypsumrouter/forwarding/forwarder.py
@@ -20,7 +20,6 @@
 from gypsumrouter.core import Application
 from gypsumrouter.crashes.guard import CrashGuard
 from gypsumrouter.directory import Directory, Evacuations
-from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.budget import RetryBudget
 from gypsumrouter.forwarding.connections import ConnectionPool
 from gypsumrouter.forwarding.const import CALLER_TIMEOUT_MARGIN_MS
@@ -33,7 +32,11 @@
 from gypsumrouter.forwarding.ends.relay_turns import RelayTurns
 from gypsumrouter.forwarding.ends.starts import UpstreamStarts
 from gypsumrouter.forwarding.handler import RequestHandler
-from gypsumrouter.forwarding.health import HealthTracker
+from gypsumrouter.forwarding.health.backoff import BackoffTracker
+from gypsumrouter.forwarding.health.questions import ReadStart
+from gypsumrouter.forwarding.health.silences import SilenceTracker
+from gypsumrouter.forwarding.health.slow_start import SlowStartLimiter
+from gypsumrouter.forwarding.health.tracker import HealthTracker
 from gypsumrouter.forwarding.inventory import CacheInventory, FetchCacheListing
 from gypsumrouter.forwarding.metrics import ForwardingMetrics
 from gypsumrouter.forwarding.models import Dialect
@@ -44,10 +47,7 @@
 from gypsumrouter.forwarding.responders import HealthCheck
 from gypsumrouter.forwarding.return_order import ReturnOrder
 from gypsumrouter.forwarding.service_work import ServiceWorkReader
-from gypsumrouter.forwarding.silence_tracker import SilenceTracker
-from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.forwarding.stream_signs import StreamSigns
-from gypsumrouter.forwarding.upstream_questions import ReadStart
 from gypsumrouter.instances import Address, parse_address
 from gypsumrouter.journal import ConnectionsClosing, Journal
 from gypsumrouter.mechanisms import Mechanism
--- a/gypsumrouter/forwarding/silence_tracker.py
+++ b/gypsumrouter/forwarding/health/silences.py
@@ -8,7 +8,7 @@
 
 from typing import Final
 
-from gypsumrouter.forwarding.silence_verdict import (
+from gypsumrouter.forwarding.health.silence_verdict import (
     EXPECTED_RESPONSE_MS,
     MAX_SOUND_SILENCE_MS,
     SilenceVerdict,
--- a/gypsumrouter/forwarding/start_check.py
+++ b/gypsumrouter/forwarding/health/start_check.py
@@ -6,8 +6,8 @@
 
 from gypsumrouter.directory import Entry
 from gypsumrouter.forwarding.ends.starts import OtherStart, UpstreamStarts
+from gypsumrouter.forwarding.health.questions import NOT_STATED, UpstreamQuestions
 from gypsumrouter.forwarding.open_connections import OpenConnections
-from gypsumrouter.forwarding.upstream_questions import NOT_STATED, UpstreamQuestions
 from gypsumrouter.helpers.http_connection import ConnectFailed, HttpConnection, StartSource
 from gypsumrouter.util.clock import Clock
 
--- a/gypsumrouter/forwarding/health.py
+++ b/gypsumrouter/forwarding/health/tracker.py
@@ -10,9 +10,9 @@
 from collections.abc import Iterable
 from typing import Final
 
-from gypsumrouter.forwarding.health_record import HealthRecord
-from gypsumrouter.forwarding.silence_tracker import SilenceTracker
-from gypsumrouter.forwarding.silence_verdict import EXPECTED_RESPONSE_MS
+from gypsumrouter.forwarding.health.record import HealthRecord
+from gypsumrouter.forwarding.health.silence_verdict import EXPECTED_RESPONSE_MS
+from gypsumrouter.forwarding.health.silences import SilenceTracker
 from gypsumrouter.journal import Journal, UpstreamHealth
 from gypsumrouter.util.clock import Clock
 
--- a/gypsumrouter/forwarding/placer.py
+++ b/gypsumrouter/forwarding/placer.py
@@ -8,18 +8,18 @@
 from gypsumrouter.contention import Expected
 from gypsumrouter.core import Application, Remove
 from gypsumrouter.directory import Directory, Entry, Evacuations
-from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.choice import UpstreamChooser
 from gypsumrouter.forwarding.eligibility import Eligibility, PlacementRefusal
-from gypsumrouter.forwarding.health import HealthTracker
+from gypsumrouter.forwarding.health.backoff import BackoffTracker
+from gypsumrouter.forwarding.health.signals import UpstreamSignals
+from gypsumrouter.forwarding.health.slow_start import SlowStartLimiter
+from gypsumrouter.forwarding.health.tracker import HealthTracker
 from gypsumrouter.forwarding.models import Prompt, ResponseMetadata
 from gypsumrouter.forwarding.placed import Placement, SentRequest
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.ready_upstreams import ReadyUpstreams
 from gypsumrouter.forwarding.sent_requests import PlacementListener, SentRequests
-from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.forwarding.trackers import UpstreamTrackers
-from gypsumrouter.forwarding.upstream_signals import UpstreamSignals
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.settings import Contention
 
--- a/gypsumrouter/forwarding/replacement.py
+++ b/gypsumrouter/forwarding/replacement.py
@@ -11,6 +11,8 @@
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
 from gypsumrouter.forwarding.ends.event_order import OrderFault
 from gypsumrouter.forwarding.ends.relay import CallerDisconnected, Relay
+from gypsumrouter.forwarding.health.silence_verdict import MAX_SOUND_SILENCE_MS
+from gypsumrouter.forwarding.health.start_check import StartCheck
 from gypsumrouter.forwarding.models import (
     CompleteResponse,
     Outcome,
@@ -28,9 +30,7 @@
     find_obstacle,
     get_patience_ms,
 )
-from gypsumrouter.forwarding.silence_verdict import MAX_SOUND_SILENCE_MS
 from gypsumrouter.forwarding.standby import Standby
-from gypsumrouter.forwarding.start_check import StartCheck
 from gypsumrouter.forwarding.stream_pin import StreamPin
 from gypsumrouter.helpers.metrics import Counter
 
--- a/gypsumrouter/forwarding/return_order.py
+++ b/gypsumrouter/forwarding/return_order.py
@@ -9,8 +9,8 @@
 from gypsumrouter.contention import FleetPosition, Return, ReturnSchedule
 from gypsumrouter.core import Application
 from gypsumrouter.forwarding.const import RETRY_AFTER_RATIO
+from gypsumrouter.forwarding.health.slow_start import SlowStartLimiter
 from gypsumrouter.forwarding.service_time import MAX_TIME_SHARE
-from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 
 # The places of requests that this router refuses before it knows their route, or because it stops.
 NO_SERVICE: Final = ""
--- a/gypsumrouter/forwarding/stream_pin.py
+++ b/gypsumrouter/forwarding/stream_pin.py
@@ -4,9 +4,9 @@
 
 from gypsumrouter.forwarding.attempt import Attempt
 from gypsumrouter.forwarding.ends.starts import StartProof
+from gypsumrouter.forwarding.health.start_check import StartCheck
 from gypsumrouter.forwarding.models import CallerRequest
 from gypsumrouter.forwarding.request_journal import read_event_number
-from gypsumrouter.forwarding.start_check import StartCheck
 from gypsumrouter.journal import Journal, StreamTakenUp
 from gypsumrouter.routing import Route
 from gypsumrouter.streams import StreamOrigin, StreamOrigins
--- a/gypsumrouter/forwarding/trackers.py
+++ b/gypsumrouter/forwarding/trackers.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from gypsumrouter.forwarding.backoff import BackoffTracker
 from gypsumrouter.forwarding.cache_index import CacheIndex
-from gypsumrouter.forwarding.health import HealthTracker
+from gypsumrouter.forwarding.health.backoff import BackoffTracker
+from gypsumrouter.forwarding.health.slow_start import SlowStartLimiter
+from gypsumrouter.forwarding.health.tracker import HealthTracker
 from gypsumrouter.forwarding.load_reports import LoadReports
 from gypsumrouter.forwarding.loads import LoadTracker
 from gypsumrouter.forwarding.plain_admission import PlainAdmission
 from gypsumrouter.forwarding.prefill_speed import PrefillSpeed
-from gypsumrouter.forwarding.slow_start import SlowStartLimiter
 from gypsumrouter.forwarding.uneven_load import UnevenLoad
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.settings import Contention
--- a/tests/forwarding/engine_placers.py
+++ b/tests/forwarding/engine_placers.py
@@ -8,10 +8,10 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory
-from gypsumrouter.forwarding.health import HealthTracker
+from gypsumrouter.forwarding.health.silences import SilenceTracker
+from gypsumrouter.forwarding.health.tracker import HealthTracker
 from gypsumrouter.forwarding.placement import Cap
 from gypsumrouter.forwarding.placer import Placer
-from gypsumrouter.forwarding.silence_tracker import SilenceTracker
 from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
 from gypsumrouter.util.clock import ManualClock
--- a/tests/forwarding/test_forwarding_dead_standbys.py
+++ b/tests/forwarding/test_forwarding_dead_standbys.py
@@ -14,7 +14,7 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory
-from gypsumrouter.forwarding.start_check import StartCheck
+from gypsumrouter.forwarding.health.start_check import StartCheck
 from gypsumrouter.helpers.http_connection import ConnectFailed
 from gypsumrouter.journal import Journal
 
--- a/tests/forwarding/test_forwarding_eligibility.py
+++ b/tests/forwarding/test_forwarding_eligibility.py
@@ -9,10 +9,10 @@
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory, Entry, EntryState, Evacuation, Evacuations, Record
 from gypsumrouter.forwarding.eligibility import PlacementRefusal
-from gypsumrouter.forwarding.health import HealthTracker
+from gypsumrouter.forwarding.health.slow_start import SETTLE_MS, WINDOW_MS, SlowStartLimiter
+from gypsumrouter.forwarding.health.tracker import HealthTracker
 from gypsumrouter.forwarding.models import Prompt, PromptPart
 from gypsumrouter.forwarding.placement import Cap
-from gypsumrouter.forwarding.slow_start import SETTLE_MS, WINDOW_MS, SlowStartLimiter
 from gypsumrouter.instances import Address
 from gypsumrouter.journal import Journal
 from gypsumrouter.mechanisms import Mechanism
--- a/tests/forwarding/test_forwarding_ended_connections.py
+++ b/tests/forwarding/test_forwarding_ended_connections.py
@@ -8,7 +8,7 @@
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Directory
-from gypsumrouter.forwarding.start_check import StartCheck
+from gypsumrouter.forwarding.health.start_check import StartCheck
 from gypsumrouter.helpers.socket_state import has_peer_ended
 from gypsumrouter.journal import Journal
 
--- a/tests/forwarding/test_forwarding_health.py
+++ b/tests/forwarding/test_forwarding_health.py
@@ -6,8 +6,8 @@
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.forwarding.health import FAILURE_COST_MS, HealthTracker
-from gypsumrouter.forwarding.health_record import DOWN_FIRST_MS
+from gypsumrouter.forwarding.health.record import DOWN_FIRST_MS
+from gypsumrouter.forwarding.health.tracker import FAILURE_COST_MS, HealthTracker
 from gypsumrouter.forwarding.placement import FETCH_SETUP_MS, FETCH_TOKENS_PER_MS
 from gypsumrouter.journal import Journal
 from gypsumrouter.util.clock import ManualClock
--- a/tests/forwarding/test_forwarding_silence_tracker.py
+++ b/tests/forwarding/test_forwarding_silence_tracker.py
@@ -6,16 +6,16 @@
 
 from gypsumrouter.const import Role
 from gypsumrouter.core import Application
-from gypsumrouter.forwarding.health import HealthTracker
-from gypsumrouter.forwarding.silence_tracker import (
+from gypsumrouter.forwarding.health.silence_verdict import (
+    EXPECTED_RESPONSE_MS,
+    MAX_SOUND_SILENCE_MS,
+)
+from gypsumrouter.forwarding.health.silences import (
     REPEATED_WITHIN_MS,
     RETRY_SILENT_MS,
     SilenceTracker,
 )
-from gypsumrouter.forwarding.silence_verdict import (
-    EXPECTED_RESPONSE_MS,
-    MAX_SOUND_SILENCE_MS,
-)
+from gypsumrouter.forwarding.health.tracker import HealthTracker
 from gypsumrouter.journal import Journal, UpstreamHealth
 from gypsumrouter.journal.journal import Event
 from gypsumrouter.util.clock import ManualClock
--- a/tests/forwarding/test_forwarding_silence_verdict.py
+++ b/tests/forwarding/test_forwarding_silence_verdict.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gypsumrouter.forwarding.silence_verdict import (
+from gypsumrouter.forwarding.health.silence_verdict import (
     EXPECTED_RESPONSE_MS,
     MAX_SOUND_SILENCE_MS,
     SilenceVerdict,
--- a/tests/forwarding/test_forwarding_slow_start.py
+++ b/tests/forwarding/test_forwarding_slow_start.py
@@ -12,7 +12,7 @@
 from gypsumrouter.const import MS_PER_S, Role
 from gypsumrouter.core import Application
 from gypsumrouter.directory import Entry, EntryState
-from gypsumrouter.forwarding.slow_start import (
+from gypsumrouter.forwarding.health.slow_start import (
     NO_PEERS_MS,
     SETTLE_MS,
     UNLISTED_RESTART_MS,
--- a/tests/forwarding/test_forwarding_start_check.py
+++ b/tests/forwarding/test_forwarding_start_check.py
@@ -22,7 +22,7 @@
     UpstreamStarts,
     is_start_proven,
 )
-from gypsumrouter.forwarding.start_check import StartCheck
+from gypsumrouter.forwarding.health.start_check import StartCheck
 from gypsumrouter.helpers.http_connection import (
     ConnectFailed,
     HttpConnection,
