--- a/bench/forked_child.py
+++ b/bench/forked_child.py
@@ -97,5 +97,5 @@
 def prepare() -> None:
     """Set the environment of a child before its event loop is made."""
     os.environ[ENV_IO_URING] = IO_URING_OFF
-    # A full collection of the modules that it was forked with would halt it for tens of milliseconds.
+    # A full collection of the heap that it was forked with takes tens of milliseconds.
     gc.freeze()
