Questions for a confirmation that nobody answers end, and reach all routers that are asked at once

Found by reading the fix afresh. A second way that was not needed any more was not given up: its question waited for an answer for ever, one for each confirmation while the store was slow or away, and one router that could not be connected to held up the question to the next. And a process whose start takes 3 s no longer counts as one that stood still, which would have cost it its first start. test_questions_that_nobody_answers_are_kept fails on the code before.

--- a/gypsumrouter/peers/confirmation.py
+++ b/gypsumrouter/peers/confirmation.py
@@ -88,6 +88,11 @@
         # Behind the catch-up, which has merged the changes by then.
         notices.subscribe(ListedUpstreams, self._handle_upstreams)
 
+    @property
+    def unanswered(self) -> int:
+        """Return the number of requests to other routers that wait for an answer."""
+        return len(self._waiting)
+
     async def async_confirm(self) -> bool:
         """Return whether all that was listed when this was called is known here."""
         return await self._async_bound(self._runs.async_join(), CONFIRM_TIMEOUT_MS)
@@ -122,10 +127,16 @@
             task.cancel()
 
     async def _async_find_any(self, *ways: Awaitable[bool]) -> bool:
-        for result in asyncio.as_completed(ways):
-            if await result:
-                return True
-        return False
+        """Return whether one of several ways succeeds; the others are given up then."""
+        tasks = [asyncio.ensure_future(way) for way in ways]
+        try:
+            for result in asyncio.as_completed(tasks):
+                if await result:
+                    return True
+            return False
+        finally:
+            for task in tasks:
+                task.cancel()
 
     async def _async_replace_watchers(self) -> bool:
         """Ask the routers that take over the watch, and at times the store."""
@@ -151,16 +162,25 @@
         sent_ms = self._app.clock.now_ms()
         since = self._catch_up.get_list_as_of()
         request = CatchUpRequest(routing=False, upstreams=True, since=since, confirm=number)
-        answered = self._waiting[number] = asyncio.get_running_loop().create_future()
+        answered: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._waiting[number] = answered
+        sending = asyncio.ensure_future(self._async_send_all(addresses, request, answered))
         try:
-            sent = [await self._send(address, request) for address in addresses]
-            if not any(sent):
-                return False
-            await answered
+            is_confirmed = await answered
         finally:
+            sending.cancel()
             del self._waiting[number]
-        self._list.note_confirmed(sent_ms)
-        return True
+        if is_confirmed:
+            self._list.note_confirmed(sent_ms)
+        return is_confirmed
+
+    async def _async_send_all(
+        self, addresses: Collection[str], request: CatchUpRequest, answered: asyncio.Future[bool]
+    ) -> None:
+        """Send a request to all of these routers; without one that gets it, it is answered."""
+        sent = await asyncio.gather(*(self._send(address, request) for address in addresses))
+        if not any(sent) and not answered.done():
+            answered.set_result(False)
 
     def _handle_request(self, peer: Peer, request: CatchUpRequest) -> None:
         if request.confirm:
--- a/gypsumrouter/streams/versions.py
+++ b/gypsumrouter/streams/versions.py
@@ -59,7 +59,7 @@
         self._directory = directory
         self._get_list_age_ms = get_list_age_ms
         self._get_list_as_of = get_list_as_of
-        self._updated_ms = clock.now_ms()
+        self._updated_ms: int | None = None
         # Service and version of each upstream that is listed.
         self._present: dict[str, tuple[str, str]] = {}
         # When an upstream of a service and version was last listed, for those that left.
@@ -76,7 +76,8 @@
     def update(self) -> None:
         """Note whether the list is up to date; to be called several times a second."""
         now_ms = self._clock.now_ms()
-        paused_ms, self._updated_ms = now_ms - self._updated_ms, now_ms
+        paused_ms = 0 if self._updated_ms is None else now_ms - self._updated_ms
+        self._updated_ms = now_ms
         if not self._directory.loaded.is_set() or self._get_list_as_of() is None:
             return
         if self._since_ms is None or not self.list_is_current or paused_ms > MAX_LIST_AGE_MS:
--- a/tests/peers/test_peers_confirmation.py
+++ b/tests/peers/test_peers_confirmation.py
@@ -118,3 +118,15 @@
     _write_unseen(fleet.store, "i-2")
     assert all(await _async_confirm_all(fleet, followers))
     assert all(router.directory.get("i-2") is not None for router in followers)
+
+
+async def test_questions_that_nobody_answers_are_kept(fleet: PeerFleet) -> None:
+    for router in fleet.routers:
+        router.partitioned = True
+    tasks = len(asyncio.all_tasks())
+    for _ in range(3):
+        assert not any(await _async_confirm_all(fleet, fleet.routers))
+    await async_run_ready_tasks()
+    assert all(router.confirmer.unanswered == 0 for router in fleet.routers)
+    # The routers' own tasks only; some of them have begun another wait.
+    assert len(asyncio.all_tasks()) <= tasks + len(fleet.routers)
