--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -10,6 +10,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -46,10 +47,15 @@
 
 
 def find_port() -> int:
-    """Return a free port of the loopback interface."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a free port below those that the kernel gives to outgoing connections."""
+    while True:
+        port = random.randint(12_000, 30_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def to_base64(document: object) -> str:
@@ -201,6 +207,8 @@
         self.address = ""
         self._server: asyncio.Server | None = None
         self._silent: list[asyncio.Event] = []
+        # While set, nothing is passed on, and new connections hang.
+        self.cut = False
         self._tasks: set[asyncio.Task] = set()
 
     async def close(self) -> None:
@@ -222,6 +230,8 @@
             silent.set()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while self.cut:
+            await asyncio.sleep(0.05)
         host, port = self.target.split(":")
         try:
             far_reader, far_writer = await asyncio.open_connection(host, int(port))
@@ -251,7 +261,7 @@
     ) -> None:
         try:
             while data := await reader.read(65536):
-                if not silent.is_set():
+                if not silent.is_set() and not self.cut:
                     writer.write(data)
                     await writer.drain()
             if not silent.is_set():
@@ -448,6 +458,8 @@
         self.metrics = find_port()
         self.process: asyncio.subprocess.Process | None = None
         self.settings = fleet.folder / f"{name}.json"
+        # Where this router finds the store, if not where all others do.
+        self.store_address = ""
 
     def write_settings(self, *, bootstrap: bool) -> None:
         bounds = {"cap_factor": 2, "retry_ratio": 0.2, "retry_slack": 52, "retry_window_ms": 10000}
@@ -463,7 +475,7 @@
             "link_address": self.control,
             "link": {"key_env": "GYPSUMROUTER_LINK_KEY", "connect_ms": 400},
             "seeds": [router.control for router in self.fleet.routers[:3]],
-            "store": self.fleet.store_address or self.fleet.store.address,
+            "store": self.store_address or self.fleet.store_address or self.fleet.store.address,
             "heartbeat_ms": 1200,
             "processor": {"share": 0.817, "speed": 1},
             "bounds": bounds | {"stop_ms": 8000},
