--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -330,7 +330,8 @@
         self.version, self.slots, self.zone = version, slots, zone
         self.born = int(time.time() * 1000)
         self.leaving = False
-        self.running = 0
+        # Ids of the requests that wait or run.
+        self.under_way: list[str] = []
         self.runs: list[tuple[float, str]] = []
         # While cleared the runner reads and sends nothing.
         self.awake = asyncio.Event()
@@ -339,6 +340,11 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
+    @property
+    def running(self) -> int:
+        """Return how many requests wait or run."""
+        return len(self.under_way)
+
     async def fall_silent(self, duration_s: float) -> None:
         """Stand still for a moment with all connections open, and go on."""
         self.record.write(f"runner {self.name} falls silent for {duration_s} s")
@@ -416,6 +422,8 @@
                     "kv_used": 0,
                     "kv_total": 90000,
                     "handles": 0,
+                    "state": "draining" if self.leaving else "ready",
+                    "runs": [[request_id, 0, 0, 5] for request_id in self.under_way],
                     "born": self.born,
                 }
             ).encode()
@@ -435,13 +443,13 @@
             )
             return
         else:
-            self.running += 1
+            self.under_way.append(exchange.request_id)
             self.runs.append((self.record.now(), exchange.request_id))
             self.record.write(f"request {exchange.request_id} reaches runner {self.name}")
             try:
                 await self.behave(exchange)
             finally:
-                self.running -= 1
+                self.under_way.remove(exchange.request_id)
             return
         exchange.writer.write(
             f"HTTP/1.1 200 X\r\nContent-Type: application/json\r\n{more}"
