--- a/review/rig-2/rig.py
+++ b/review/rig-2/rig.py
@@ -25,6 +25,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 CONFIG_KEY = "op/config"
+_given_ports: set[int] = set()
 
 
 class CannotRun(Exception):
@@ -50,12 +51,15 @@
     """Return a free port below those that the kernel gives to outgoing connections."""
     while True:
         port = random.randint(12_000, 30_000)
+        if port in _given_ports:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
-            return port
+        _given_ports.add(port)
+        return port
 
 
 def to_base64(document: object) -> str:
@@ -517,6 +521,10 @@
     async def wait_ready(self) -> None:
         ends = time.monotonic() + 15
         while time.monotonic() < ends:
+            if self.process is not None and self.process.returncode is not None:
+                # The platform starts a process anew; here another program had taken a port.
+                self.fleet.record.write(f"router {self.name} has ended by itself")
+                await self.start()
             if await self.is_ready():
                 self.fleet.record.write(f"router {self.name} is ready")
                 return
