--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,7 +1,6 @@
-"""Whole streams of a busy runner are cut: it takes no new connection while its queue is long."""
+"""Two engines work on one request: the silent one is left while it goes on with its work."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
@@ -12,11 +11,11 @@
     BROKEN,
     CONFIG_KEY,
     HELD,
+    CannotRun,
     Client,
     Exchange,
     Fleet,
     Record,
-    Reply,
     Runner,
     configuration,
     engine,
@@ -25,107 +24,96 @@
     route,
 )
 
-SLOTS = 4
-LONG_QUEUE = 2
-MAX_CONNECTIONS = 24
-STREAMS = 15
-ROUTERS = 5
 EVENTS = 30
 GAP_S = 0.1
+STREAMS = 6
+# Sound servers may be silent "for a second or so".
+SILENT_S = 1.2
+SILENT_AFTER_S = 0.85
+# How long the runner before may still work on a request that goes on at another one.
+OVERLAP_S = 0.4
 
 
-class BusyRunner(Runner):
-    """Runs some requests and queues others; with `fewer`, a long queue ends the accepting."""
+class Work:
+    """When each run of a request began and ended, by the runners' own account."""
 
-    def __init__(self, record: Record, name: str, *, fewer: bool) -> None:
-        super().__init__(record, name, service="models", behave=self.stream, slots=SLOTS)
-        self._fewer = fewer
-        self._free = asyncio.Semaphore(SLOTS)
-        self._unframed = SLOTS
-        self.waiting = 0
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        if self._fewer and self._unframed < SLOTS and self.waiting > LONG_QUEUE:
-            self.record.write(f"runner {self.name} resets a new connection: {self.waiting} wait")
-            writer.transport.abort()
-            return
-        await super()._serve(reader, writer)
+    def __init__(self, record: Record) -> None:
+        self._record = record
+        self.runs: dict[str, list[list[float]]] = {}
 
     async def stream(self, exchange: Exchange) -> None:
-        """Write a stream; the first few long ones have neither a length nor chunks."""
-        self.waiting += 1
-        async with self._free:
-            self.waiting -= 1
-            is_short = exchange.path.startswith("/draft/short")
-            is_framed = is_short or self._unframed <= 0
-            self._unframed -= not is_framed
-            framing = {"Transfer_Encoding": "chunked"} if is_framed else {"Connection": "close"}
-            load = f"{self.running - self.waiting},{self.waiting},{SLOTS}"
-            writer = exchange.writer
-            writer.write(
-                exchange.head(Content_Type="text/event-stream", X_Server_Load=load, **framing)
-            )
-            for number in range(1, 2 if is_short else EVENTS + 1):
-                await asyncio.sleep(GAP_S)
-                event = b"id: %d\ndata: piece %d\n\n" % (number, number)
-                writer.write(b"%x\r\n%s\r\n" % (len(event), event) if is_framed else event)
-                await writer.drain()
-            self.record.write(f"runner {self.name} has written {exchange.request_id} to its end")
-            if is_framed:
-                writer.write(b"0\r\n\r\n")
-            else:
-                exchange.close()
+        """Work through all events behind Last-Event-Id, whether or not anybody reads them."""
+        run = [self._record.now(), float("inf")]
+        self.runs.setdefault(exchange.request_id, []).append(run)
+        after = int(exchange.headers.get("last-event-id", "0"))
+        runner, writer = exchange.runner, exchange.writer
+        writer.write(exchange.head(Content_Type="text/event-stream", Transfer_Encoding="chunked"))
+        for number in range(after + 1, EVENTS + 1):
+            await asyncio.sleep(GAP_S)
+            await runner.awake.wait()
+            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            if not writer.is_closing():
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+        if not writer.is_closing():
+            writer.write(b"0\r\n\r\n")
+        run[1] = self._record.now()
+        self._record.write(f"runner {runner.name} has worked {exchange.request_id} to its end")
 
 
 async def case(fleet: Fleet, trouble: bool) -> int:
     record = fleet.record
-    runner = BusyRunner(record, "i-a", fewer=trouble)
-    fleet.runners = [runner]
-    await runner.start()
-    fleet.publish(runner)
-    draft = route(
-        "draft",
-        "/draft/",
+    work = Work(record)
+    fleet.runners = [Runner(record, f"i-{n}", service="models", behave=work.stream) for n in "abc"]
+    for runner in fleet.runners:
+        await runner.start()
+        fleet.publish(runner)
+    quote = route(
+        "quote",
+        "/quote/",
         "models",
         "streaming",
-        timeout_ms=30000,
-        target_latency_ms=5000,
+        timeout_ms=12000,
+        max_attempts=2,
+        resumable=True,
         sticky=True,
         target_gap_ms=250,
     )
-    models = engine("models") | {"max_connections": MAX_CONNECTIONS}
-    models["engine"]["slots"] = SLOTS
-    fleet.store.put(CONFIG_KEY, configuration(7, [draft], [models]))
-    fleet.add_routers(ROUTERS)
+    fleet.store.put(CONFIG_KEY, configuration(7, [quote], [engine("models")]))
+    fleet.add_routers(3)
     for router in fleet.routers:
         await router.start(bootstrap=True)
     for router in fleet.routers:
         await router.wait_ready()
     # Calm for longer than stable_window_ms.
     await asyncio.sleep(3.5)
-
-    async def send_all(name: str) -> list[Reply]:
-        return await asyncio.gather(
-            *(
-                Client(record, fleet.routers[number % ROUTERS].front).send(
-                    f"/draft/{name}/{number}",
-                    f"{name}-{number}",
-                    headers=prompt(f"a{number}", f"b{number}"),
-                    deadline_ms=25000,
-                )
-                for number in range(STREAMS)
+    sent = [
+        asyncio.create_task(
+            Client(record, fleet.routers[0].front).send(
+                f"/quote/{number}", f"q{number}", headers=prompt(f"a{number}", f"b{number}")
             )
         )
-
-    # From here on the routers have open connections, which carry the next requests.
-    await send_all("short")
-    for router in fleet.routers:
-        router.signal(signal.SIGHUP)
-    await asyncio.sleep(0.2)
-    replies = await send_all("long")
-    cut = [reply for reply in replies if reply.status == 200 and not reply.complete]
-    record.write(f"{len(cut)} of {len(replies)} streams were cut")
-    return BROKEN if cut else HELD
+        for number in range(STREAMS)
+    ]
+    await asyncio.sleep(SILENT_AFTER_S)
+    silent = max(fleet.runners, key=lambda runner: runner.running)
+    if not silent.running:
+        raise CannotRun("no stream has begun")
+    if trouble:
+        await silent.fall_silent(SILENT_S)
+    await asyncio.gather(*sent)
+    while any(runner.running for runner in fleet.runners):
+        await asyncio.sleep(0.05)
+    doubled = 0
+    for request_id, runs in sorted(work.runs.items()):
+        for before, after in zip(runs, runs[1:], strict=False):
+            if before[1] > after[0] + OVERLAP_S:
+                doubled += 1
+                record.write(
+                    f"{request_id} goes on at another runner at {after[0]:.3f} s, and the runner "
+                    f"before works on it until {before[1]:.3f} s"
+                )
+    record.write(f"{doubled} of {STREAMS} requests were worked on by two runners for over 0.4 s")
+    return BROKEN if doubled else HELD
 
 
 play(case, FOLDER)
